--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Chores of the project. Each target sets up what it needs on a fresh machine.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/requirements.stamp
+
+.PHONY: setup format check test demo bench clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: $(STAMP)
+	PYTHONPATH=. $(BIN)/python -m pytest
+
+demo: $(STAMP)
+	PYTHONPATH=. $(BIN)/python scripts/demo.py
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/toucanspread/__init__.py
@@ -0,0 +1,1 @@
+"""Weight distribution for bursts, driven by declarations in version control."""
--- /dev/null
+++ b/toucanspread/ops/__init__.py
@@ -0,0 +1,1 @@
+"""The running of the decisions: daemons, transports and clients of the platform."""
--- /dev/null
+++ b/toucanspread/ops/codec_test.py
@@ -0,0 +1,30 @@
+import testtools
+
+from toucanspread.core import data
+from toucanspread.ops import codec
+
+IDENTITY = data.Identity(
+    data.InstanceId("brest-a-1"),
+    data.Role.ENTRY,
+    data.Incarnation(1),
+    data.ZoneName("brest-a"),
+    data.RegionName("finistere"),
+    data.Address("127.0.0.1:1"),
+)
+
+
+class CodecTest(testtools.TestCase):
+    def test_round_trip(self):
+        report = data.Report(IDENTITY, 3, data.MemberState.LIVE)
+        payload = codec.encode(IDENTITY, report, b"body")
+        self.assertEqual((IDENTITY, report, b"body"), codec.decode(payload))
+
+    def test_unknown_version(self):
+        payload = codec.encode(
+            IDENTITY, data.Report(IDENTITY, 3, data.MemberState.LIVE)
+        )
+        changed = payload.replace(b"\xa7version\x01", b"\xa7version\x02", 1)
+        self.assertRaises(codec.CodecError, codec.decode, changed)
+
+    def test_malformed(self):
+        self.assertRaises(codec.CodecError, codec.decode, b"\x93junk")
--- /dev/null
+++ b/toucanspread/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, the reports and the benchmarks."""
