Add the engine and plain-service interfaces with HTTP clients

Other parts stage chunks, order loads and read status through these. An error says whether any of a request can have run, so that the gate may answer 'not run' only with proof. Not exercised yet against a server.

--- /dev/null
+++ b/toucanspread/ops/engine.py
@@ -0,0 +1,404 @@
+"""Model engines and plain services behind an endpoint process, met over HTTP.
+
+All methods are asyncio coroutines, to be awaited on the reactor's loop.
+"""
+
+import abc
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+
+import msgspec
+
+from toucanspread.core import data, effects, events
+from toucanspread.ops import http_client, runtime
+
+CALL_TIMEOUT_S = 5.0
+LOAD_TIMEOUT_S = 120.0
+CHUNK_TIMEOUT_S = 30.0
+SILENCE_TIMEOUT_S = 10.0  # between two pieces of a stream
+MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
+EVENT_END = b"\n\n"
+STREAM_END = b"data: [DONE]\n\n"
+HTTP_CONFLICT = 409
+HTTP_NOT_FOUND = 404
+
+
+class EngineError(Exception):
+    """An engine or a plain service did not do what was asked.
+
+    :param started: false only with proof that nothing of the request was run.
+    """
+
+    def __init__(self, detail: str, started: bool = True):
+        super().__init__(detail)
+        self.started = started
+
+
+class EngineRefusedError(EngineError):
+    """The engine refused a request before running any of it.
+
+    :param status: its HTTP status.
+    """
+
+    def __init__(self, detail: str, status: int):
+        super().__init__(detail, started=False)
+        self.status = status
+
+
+class StreamBrokeError(EngineError):
+    """A stream ended before its end mark.
+
+    :param events: how many whole events came before.
+    """
+
+    def __init__(self, detail: str, events: int):
+        super().__init__(detail)
+        self.events = events
+
+
+class CrossedAnswerError(EngineError):
+    """An answer carries the id of another request; nothing of it may be used."""
+
+
+class Engine(abc.ABC):
+    """A model engine with its staging for chunks."""
+
+    @abc.abstractmethod
+    async def put_chunk(self, chunk_hash: data.ChunkHash, payload: bytes) -> None:
+        """Stage a chunk, or a manifest as one more content-addressed blob."""
+
+    @abc.abstractmethod
+    async def get_chunk(self, chunk_hash: data.ChunkHash) -> bytes | None:
+        """Return a staged chunk, or None when it is not staged."""
+
+    @abc.abstractmethod
+    async def list_chunks(self) -> tuple[data.ChunkHash, ...]:
+        """Return the hashes of all staged chunks."""
+
+    @abc.abstractmethod
+    async def delete_chunks(self, chunk_hashes: tuple[data.ChunkHash, ...]) -> None:
+        """Delete staged chunks; absent ones are no error."""
+
+    @abc.abstractmethod
+    async def order(self, order: effects.EngineOrder) -> events.EngineOrderAnswered:
+        """Carry out an order, and return how the engine answered it."""
+
+    @abc.abstractmethod
+    async def status(self) -> data.EngineStatus:
+        """Return what the engine reports of itself.
+
+        :raises EngineError: when it does not answer.
+        """
+
+    @abc.abstractmethod
+    def generate(
+        self,
+        request: data.Request,
+        body: bytes,
+        version: data.VersionName,
+        resume_events: int = 0,
+    ) -> AsyncIterator[bytes]:
+        """Yield whole server-sent events as bytes; closing it cancels the run.
+
+        :param version: the engine refuses unless exactly this version is active.
+        :param resume_events: how many events of the answer to leave out.
+        :raises EngineError: when the answer is not whole.
+        """
+
+
+class PlainService(abc.ABC):
+    """A service that answers a call as a whole."""
+
+    @abc.abstractmethod
+    async def call(self, request: data.Request, body: bytes) -> tuple[int, bytes]:
+        """Return the status and payload of the service's answer.
+
+        :raises EngineError: when no whole answer came.
+        """
+
+
+class _StatusBody(msgspec.Struct):
+    fence: int = 0
+    active_version: str = ""
+    digests: dict[str, str] = {}
+    adapters: tuple[str, ...] = ()
+    running: int = 0
+    queued: int = 0
+
+
+class HttpEngine(Engine):
+    """An engine met over HTTP."""
+
+    def __init__(self, client: http_client.HttpClient):
+        self._client = client
+
+    @classmethod
+    def from_config(cls, address: data.Address) -> "HttpEngine":
+        """Return an engine at ``ip:port``."""
+        return cls(http_client.HttpClient(address))
+
+    async def put_chunk(self, chunk_hash: data.ChunkHash, payload: bytes) -> None:
+        """Stage a chunk."""
+        path = f"/v1/staging/{chunk_hash}"
+        await self._call("PUT", path, payload, timeout_s=CHUNK_TIMEOUT_S)
+
+    async def get_chunk(self, chunk_hash: data.ChunkHash) -> bytes | None:
+        """Return a staged chunk."""
+        path = f"/v1/staging/{chunk_hash}"
+        try:
+            return await self._call("GET", path, timeout_s=CHUNK_TIMEOUT_S)
+        except EngineRefusedError as error:
+            if error.status != HTTP_NOT_FOUND:
+                raise
+            return None
+
+    async def list_chunks(self) -> tuple[data.ChunkHash, ...]:
+        """Return the hashes of all staged chunks."""
+        payload = await self._call("GET", "/v1/staging")
+        return _decode(payload, tuple[str, ...])
+
+    async def delete_chunks(self, chunk_hashes: tuple[data.ChunkHash, ...]) -> None:
+        """Delete staged chunks."""
+        for chunk_hash in chunk_hashes:
+            try:
+                await self._call("DELETE", f"/v1/staging/{chunk_hash}")
+            except EngineRefusedError as error:
+                if error.status != HTTP_NOT_FOUND:
+                    raise
+
+    async def order(self, order: effects.EngineOrder) -> events.EngineOrderAnswered:
+        """Carry out an order."""
+        body = {
+            "operation_id": order.operation_id,
+            "fence": order.fence,
+            "kind": order.kind.value,
+            "model": order.model,
+            "version": order.version,
+            "manifest_hash": order.manifest_hash,
+            "adapters": order.adapters,
+        }
+        accepted, stale, detail = True, False, ""
+        try:
+            await self._call(
+                "POST",
+                "/v1/orders",
+                msgspec.json.encode(body),
+                timeout_s=LOAD_TIMEOUT_S,
+            )
+        except EngineRefusedError as error:
+            accepted, stale = False, error.status == HTTP_CONFLICT
+            detail = str(error)
+        except EngineError as error:
+            accepted, detail = False, str(error)
+        return events.EngineOrderAnswered(order.operation_id, accepted, stale, detail)
+
+    async def status(self) -> data.EngineStatus:
+        """Return what the engine reports of itself."""
+        body = _decode(await self._call("GET", "/v1/status"), _StatusBody)
+        return data.EngineStatus(**msgspec.structs.asdict(body))
+
+    async def generate(
+        self,
+        request: data.Request,
+        body: bytes,
+        version: data.VersionName,
+        resume_events: int = 0,
+    ) -> AsyncIterator[bytes]:
+        """Yield whole server-sent events as bytes."""
+        headers = {
+            **_request_headers(request),
+            "X-Priority": str(request.priority),
+            "X-Version": version,
+            "X-Adapter": request.adapter,
+            "X-Resume-Events": str(resume_events),
+        }
+        response = await _open(
+            self._client, "/v1/completions", body, headers, SILENCE_TIMEOUT_S
+        )
+        try:
+            await _check_answer(response, request)
+            async for piece in _whole_events(response, request):
+                yield piece
+        finally:
+            response.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> bytes:
+        try:
+            status, payload = await self._client.call(
+                method, path, body, timeout_s=timeout_s
+            )
+        except http_client.HttpError as error:
+            raise EngineError(str(error), error.sent) from error
+        if not http_client.is_success(status):
+            raise EngineRefusedError(_refusal(status, payload), status)
+        return payload
+
+
+class HttpPlainService(PlainService):
+    """A plain service met over HTTP."""
+
+    def __init__(self, client: http_client.HttpClient):
+        self._client = client
+
+    @classmethod
+    def from_config(cls, address: data.Address) -> "HttpPlainService":
+        """Return a plain service at ``ip:port``."""
+        return cls(http_client.HttpClient(address))
+
+    async def call(self, request: data.Request, body: bytes) -> tuple[int, bytes]:
+        """Return the status and payload of the service's answer."""
+        headers = _request_headers(request)
+        headers["Idempotency-Key"] = request.idempotency_key
+        path = f"/v1/{request.service}"
+        response = await _open(self._client, path, body, headers, request.budget_s)
+        try:
+            _check_id(response, request)
+            payload = await asyncio.wait_for(
+                response.read(MAX_PLAIN_ANSWER_BYTES), request.budget_s
+            )
+        except TimeoutError as error:
+            raise EngineError(f"no whole answer in {request.budget_s} s") from error
+        except http_client.HttpError as error:
+            raise EngineError(str(error), error.sent) from error
+        finally:
+            response.close()
+        return response.status, payload
+
+
+class EngineAdapter(runtime.Adapter):
+    """Carries out orders to an engine and reads its status.
+
+    :param post: takes the events that follow.
+    """
+
+    def __init__(self, engine: Engine, post: Callable[[data.Event], None]):
+        self._engine = engine
+        self._post = post
+        self._tasks: set[asyncio.Task] = set()
+        self._reading = False
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Return the effects that this adapter carries out."""
+        return {
+            effects.EngineOrder: lambda effect: self._spawn(self._order(effect)),
+            effects.ReadEngineStatus: lambda _: self._read_status(),
+        }
+
+    async def stop(self) -> None:
+        """Drop what is still under way."""
+        for running in tuple(self._tasks):
+            running.cancel()
+
+    def _spawn(self, coroutine) -> None:
+        running = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(running)
+        running.add_done_callback(self._tasks.discard)
+
+    async def _order(self, order: effects.EngineOrder) -> None:
+        self._post(await self._engine.order(order))
+
+    def _read_status(self) -> None:
+        if self._reading:
+            return
+        self._reading = True
+        self._spawn(self._status())
+
+    async def _status(self) -> None:
+        try:
+            status = await self._engine.status()
+        except EngineError:
+            status = None
+        finally:
+            self._reading = False
+        self._post(events.EngineStatusReported(status))
+
+
+def _request_headers(request: data.Request) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        "X-Request-Id": request.request_id,
+        "X-Team": request.team,
+    }
+
+
+async def _open(
+    client: http_client.HttpClient,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+    timeout_s: float,
+) -> http_client.Response:
+    try:
+        return await client.open("POST", path, body, headers, timeout_s)
+    except http_client.HttpError as error:
+        raise EngineError(str(error), error.sent) from error
+
+
+def _check_id(response: http_client.Response, request: data.Request) -> None:
+    answered = response.header("X-Request-Id")
+    if answered != request.request_id:
+        raise CrossedAnswerError(
+            f"answer of request {answered!r} came for {request.request_id!r}"
+        )
+
+
+async def _check_answer(response: http_client.Response, request: data.Request) -> None:
+    """Raise unless the answer is a stream that belongs to the request."""
+    _check_id(response, request)
+    if http_client.is_success(response.status):
+        return
+    try:
+        payload = await asyncio.wait_for(response.read(65536), CALL_TIMEOUT_S)
+    except (TimeoutError, http_client.HttpError):
+        payload = b""
+    raise EngineRefusedError(_refusal(response.status, payload), response.status)
+
+
+async def _whole_events(
+    response: http_client.Response, request: data.Request
+) -> AsyncIterator[bytes]:
+    """Yield the stream cut at the ends of events, each checked for its id."""
+    mark = b'"id":"' + request.request_id.encode() + b'"'
+    held = b""
+    count = 0
+    pieces = response.pieces()
+    while True:
+        try:
+            piece = await asyncio.wait_for(anext(pieces), SILENCE_TIMEOUT_S)
+        except StopAsyncIteration as error:
+            raise StreamBrokeError("stream ended early", count) from error
+        except TimeoutError as error:
+            detail = f"stream silent for {SILENCE_TIMEOUT_S} s"
+            raise StreamBrokeError(detail, count) from error
+        except http_client.HttpError as error:
+            raise StreamBrokeError(str(error), count) from error
+        held += piece
+        cut = held.rfind(EVENT_END) + len(EVENT_END)
+        if cut < len(EVENT_END):
+            continue
+        whole, held = held[:cut], held[cut:]
+        ended = whole.endswith(STREAM_END)
+        events_here = whole.count(EVENT_END) - ended
+        if whole.count(mark) != events_here:
+            raise CrossedAnswerError("an event carries the id of another request")
+        count += events_here
+        yield whole
+        if ended:
+            return
+
+
+def _refusal(status: int, payload: bytes) -> str:
+    return f"status {status}: {payload[:200].decode(errors='replace')}"
+
+
+def _decode(payload: bytes, kind: type):
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except msgspec.MsgspecError as error:
+        raise EngineError(f"malformed answer: {error}") from error
--- /dev/null
+++ b/toucanspread/ops/http_client.py
@@ -0,0 +1,200 @@
+"""A small HTTP client over :mod:`twisted.web`, for asyncio coroutines.
+
+Every call has a timeout, and its error says whether the request can have reached the
+other side.
+"""
+
+import asyncio
+import urllib.parse
+from collections.abc import AsyncIterator, Mapping
+
+from twisted.internet import defer, error, protocol, reactor
+from twisted.python import failure
+from twisted.web import client, http, http_headers, iweb
+from zope.interface import implementer
+
+CONNECT_TIMEOUT_S = 2.0
+IDLE_CONNECTION_S = 10.0  # less than servers keep an idle connection
+CONNECTIONS_PER_HOST = 256
+NOT_SENT_ERRORS = (
+    error.ConnectError,
+    error.ConnectingCancelledError,
+    error.DNSLookupError,
+)
+
+
+class HttpError(Exception):
+    """A call failed.
+
+    :param sent: false only when the request cannot have reached the other side.
+    """
+
+    def __init__(self, detail: str, sent: bool):
+        super().__init__(detail)
+        self.sent = sent
+
+
+@implementer(iweb.IBodyProducer)
+class _BytesProducer:
+    def __init__(self, body: bytes):
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer) -> defer.Deferred:  # noqa: N802
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        return
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        return
+
+    def stopProducing(self) -> None:  # noqa: N802
+        return
+
+
+class _BodyReader(protocol.Protocol):
+    """Hands a body's pieces to a queue; the last item says how it ended."""
+
+    def __init__(self):
+        self.pieces: asyncio.Queue[bytes | failure.Failure] = asyncio.Queue()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.pieces.put_nowait(data)
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
+        self.pieces.put_nowait(reason)
+
+
+class Response:
+    """The status and headers of an answer whose body is still to come."""
+
+    def __init__(self, response: iweb.IResponse):
+        self._response = response
+        self._reader = _BodyReader()
+        response.deliverBody(self._reader)
+        self._ended = False
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self._response.code
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header, or an empty string."""
+        values = self._response.headers.getRawHeaders(name)
+        return values[0] if values else ""
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises HttpError: when the body breaks off.
+        """
+        while True:
+            piece = await self._reader.pieces.get()
+            if isinstance(piece, bytes):
+                yield piece
+                continue
+            self._ended = True
+            if piece.check(client.ResponseDone) is None:
+                raise HttpError(f"body broke off: {piece.value}", sent=True)
+            return
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises HttpError: when it breaks off or is too large.
+        """
+        body = bytearray()
+        async for piece in self.pieces():
+            body += piece
+            if len(body) > max_bytes:
+                self.close()
+                raise HttpError(f"body over {max_bytes} bytes", sent=True)
+        return bytes(body)
+
+    def close(self) -> None:
+        """Drop the connection if the body has not ended."""
+        transport = self._reader.transport
+        if self._ended or transport is None:
+            return
+        self._ended = True
+        transport.stopProducing()
+
+
+class HttpClient:
+    """Calls on one server over a pool of connections.
+
+    :param address: the server's ``ip:port``.
+    """
+
+    def __init__(self, address: str):
+        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
+        pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._agent = client.Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
+        self._base = f"http://{address}"
+
+    async def open(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> Response:
+        """Send a request and return the answer once its headers are there.
+
+        :raises HttpError: when no answer came in time.
+        """
+        url = self._base + urllib.parse.quote(path, safe="/?=&")
+        raw = http_headers.Headers(
+            {name: [value] for name, value in (headers or {}).items()}
+        )
+        producer = _BytesProducer(body) if body else None
+        calling = self._agent.request(method.encode(), url.encode(), raw, producer)
+        future = calling.asFuture(asyncio.get_running_loop())
+        try:
+            answer = await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as caught:
+            raise HttpError(f"no answer in {timeout_s} s", sent=True) from caught
+        except NOT_SENT_ERRORS as caught:
+            raise HttpError(f"cannot connect: {caught}", sent=False) from caught
+        except Exception as caught:
+            raise HttpError(f"call failed: {caught!r}", sent=True) from caught
+        return Response(answer)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+        max_bytes: int = 64 * 1024 * 1024,
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and the whole body.
+
+        :raises HttpError: when no whole answer came in time.
+        """
+        response = await self.open(method, path, body, headers, timeout_s)
+        try:
+            payload = await asyncio.wait_for(response.read(max_bytes), timeout_s)
+        except TimeoutError as caught:
+            raise HttpError(f"no whole body in {timeout_s} s", sent=True) from caught
+        finally:
+            response.close()
+        return response.status, payload
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        closing = self._pool.closeCachedConnections()
+        await closing.asFuture(asyncio.get_running_loop())
+
+
+def is_success(status: int) -> bool:
+    """Return whether an HTTP status is one of success."""
+    return http.OK <= status < http.MULTIPLE_CHOICE
