--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -283,13 +283,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._reading = False
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
-        """Return the effects that this adapter carries out."""
-        return {
-            effects.EngineOrder: lambda effect: self._spawn(self._order(effect)),
-            effects.ReadEngineStatus: lambda _: self._read_status(),
-        }
-
     async def stop(self) -> None:
         """Drop what is still under way."""
         for running in tuple(self._tasks):
@@ -318,6 +311,13 @@
             self._reading = False
         self._post(events.EngineStatusReported(status))
 
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Return the effects that this adapter carries out."""
+        return {
+            effects.EngineOrder: lambda effect: self._spawn(self._order(effect)),
+            effects.ReadEngineStatus: lambda _: self._read_status(),
+        }
+
 
 def _request_headers(request: data.Request) -> dict[str, str]:
     return {
