--- /dev/null
+++ b/toucanspread/core/manifest.py
@@ -0,0 +1,143 @@
+"""The manifest of a version: its files, cut into content-hashed chunks.
+
+A manifest's own hash is the SHA-256 of its canonical JSON, so the hash in an intent
+pins every byte of the weights.
+"""
+
+import hashlib
+
+import msgspec
+
+from toucanspread.core import data
+
+MAX_MANIFEST_BYTES = 2 * 1024 * 1024
+MAX_CHUNK_BYTES = 2 * 1024 * 1024  # an envelope between processes holds 4 MiB
+HASH_LENGTH = 64  # hex digits of SHA-256
+
+
+class ManifestError(Exception):
+    """Bytes that are not a usable manifest."""
+
+
+class FileEntry(data.Record):
+    """One file of a version.
+
+    :param chunks: the SHA-256 of each chunk; all but the last are ``chunk_bytes`` long.
+    """
+
+    path: str
+    size_bytes: int
+    chunks: tuple[data.ChunkHash, ...]
+
+
+class AdapterFiles(data.Record):
+    """The files that make up one adapter."""
+
+    name: data.AdapterName
+    paths: tuple[str, ...]
+
+
+class Manifest(data.Record):
+    """Everything needed to make a version whole.
+
+    :param weights_hash: SHA-256 of all the files' bytes in order.
+    """
+
+    model: data.ModelName
+    version: data.VersionName
+    chunk_bytes: int
+    weights_hash: str
+    files: tuple[FileEntry, ...]
+    adapters: tuple[AdapterFiles, ...] = ()
+
+
+class Piece(data.Record):
+    """Where a chunk's bytes stand in the files of a version."""
+
+    chunk_hash: data.ChunkHash
+    path: str
+    offset_bytes: int
+    size_bytes: int
+
+
+_decoder = msgspec.json.Decoder(Manifest)
+
+
+def encode(manifest: Manifest) -> bytes:
+    """Return the canonical JSON of a manifest."""
+    return msgspec.json.encode(manifest)
+
+
+def content_hash(payload: bytes) -> data.ChunkHash:
+    """Return the hash by which ``payload`` is addressed."""
+    return data.ChunkHash(hashlib.sha256(payload).hexdigest())
+
+
+def manifest_hash(manifest: Manifest) -> data.ManifestHash:
+    """Return the hash that names a manifest."""
+    return data.ManifestHash(content_hash(encode(manifest)))
+
+
+def decode(payload: bytes) -> Manifest:
+    """Return the manifest in ``payload``.
+
+    :raises ManifestError: when it is malformed or its sizes contradict its chunks.
+    """
+    if len(payload) > MAX_MANIFEST_BYTES:
+        raise ManifestError(f"manifest of {len(payload)} bytes is too large")
+    try:
+        manifest = _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise ManifestError(f"malformed manifest: {error}") from error
+    _check(manifest)
+    return manifest
+
+
+def pieces(manifest: Manifest) -> tuple[Piece, ...]:
+    """Return each distinct chunk once, in file order."""
+    found: dict[data.ChunkHash, Piece] = {}
+    for entry in manifest.files:
+        for piece in _file_pieces(entry, manifest.chunk_bytes):
+            found.setdefault(piece.chunk_hash, piece)
+    return tuple(found.values())
+
+
+def _file_pieces(entry: FileEntry, chunk_bytes: int) -> list[Piece]:
+    cut = []
+    for number, chunk_hash in enumerate(entry.chunks):
+        offset_bytes = number * chunk_bytes
+        size_bytes = min(chunk_bytes, entry.size_bytes - offset_bytes)
+        cut.append(Piece(chunk_hash, entry.path, offset_bytes, size_bytes))
+    return cut
+
+
+def _check(manifest: Manifest) -> None:
+    if not 0 < manifest.chunk_bytes <= MAX_CHUNK_BYTES:
+        raise ManifestError(f"chunks of {manifest.chunk_bytes} bytes")
+    if not _is_hash(manifest.weights_hash):
+        raise ManifestError("weights_hash is not a SHA-256")
+    paths = set()
+    for entry in manifest.files:
+        _check_file(entry, manifest.chunk_bytes)
+        if entry.path in paths:
+            raise ManifestError(f"file {entry.path!r} stands twice")
+        paths.add(entry.path)
+    for adapter in manifest.adapters:
+        missing = set(adapter.paths) - paths
+        if missing:
+            raise ManifestError(f"adapter {adapter.name!r} lacks {sorted(missing)}")
+
+
+def _check_file(entry: FileEntry, chunk_bytes: int) -> None:
+    parts = entry.path.split("/")
+    if not all(parts) or ".." in parts or "." in parts or "\\" in entry.path:
+        raise ManifestError(f"unsafe path {entry.path!r}")
+    if len(entry.chunks) != -(-entry.size_bytes // chunk_bytes):
+        raise ManifestError(f"{entry.path!r}: chunk count contradicts its size")
+    for chunk_hash in entry.chunks:
+        if not _is_hash(chunk_hash):
+            raise ManifestError(f"{entry.path!r}: {chunk_hash!r} is not a SHA-256")
+
+
+def _is_hash(text: str) -> bool:
+    return len(text) == HASH_LENGTH and not set(text) - set("0123456789abcdef")
