--- /dev/null
+++ b/toucanspread/ops/operators.py
@@ -0,0 +1,170 @@
+"""The operators' HTTP API of an entry: plans, confirmations, status, metrics.
+
+``POST /v1/plans`` and ``POST /v1/confirmations`` turn a body into one event and wait
+for the effect that answers it. ``GET /v1/status`` and ``GET /v1/intents`` read the
+node's state.
+"""
+
+import itertools
+import json
+from collections.abc import Mapping
+
+import msgspec
+from twisted.web import resource, server
+
+from toucanspread.core import confirm, data
+from toucanspread.ops import metrics, runtime, status
+
+MAX_BODY_BYTES = 1024 * 1024
+HTTP_OF_VERDICT = {
+    confirm.Verdict.ACCEPTED: 200,
+    confirm.Verdict.CONFLICT: 409,
+    confirm.Verdict.NOT_ACCEPTED: 503,
+    confirm.Verdict.UNKNOWN: 503,
+}
+
+
+class Proposal(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a request for a plan."""
+
+    intents: tuple[data.Intent, ...] = ()
+    removed: tuple[data.ServiceName, ...] = ()
+
+
+class Confirmation(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a confirmation; it carries all that the plan was made from."""
+
+    plan_id: data.PlanId
+    base_revision: data.Revision
+    intents: tuple[data.Intent, ...] = ()
+    removed: tuple[data.ServiceName, ...] = ()
+
+
+class Operators(runtime.Adapter):
+    """Answers operators from one runtime."""
+
+    def __init__(self, host: runtime.Runtime):
+        self._runtime = host
+        self._numbers = itertools.count(1)
+        self._waiting: dict[data.OperationId, server.Request] = {}
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Carry out the answers to plans and confirmations."""
+        return {
+            confirm.PlanAnswered: self._answer_plan,
+            confirm.ConfirmAnswered: self._answer_confirmation,
+        }
+
+    def resources(self) -> dict[bytes, resource.Resource]:
+        """Return what goes below ``/v1``, by name."""
+        return {
+            b"plans": _Post(Proposal, self._request_plan),
+            b"confirmations": _Post(Confirmation, self._request_confirmation),
+            b"status": _Get(lambda: status.of_entry(self._runtime.node)),
+            b"intents": _Get(lambda: status.of_config(self._runtime.node)),
+        }
+
+    def _request_plan(self, request: server.Request, body: Proposal) -> None:
+        operation_id = self._remember(request)
+        self._runtime.post(
+            confirm.PlanRequested(operation_id, body.intents, body.removed)
+        )
+
+    def _request_confirmation(
+        self, request: server.Request, body: Confirmation
+    ) -> None:
+        operation_id = self._remember(request)
+        event = confirm.ConfirmRequested(
+            operation_id,
+            body.base_revision,
+            body.intents,
+            body.removed,
+            body.plan_id,
+        )
+        self._runtime.post(event)
+
+    def _remember(self, request: server.Request) -> data.OperationId:
+        identity = self._runtime.node.identity
+        number = next(self._numbers)
+        operation_id = data.OperationId(
+            f"{identity.instance_id}/{identity.incarnation}/{number}"
+        )
+        self._waiting[operation_id] = request
+        request.notifyFinish().addBoth(lambda _: self._waiting.pop(operation_id, None))
+        return operation_id
+
+    def _answer_plan(self, effect: confirm.PlanAnswered) -> None:
+        self._reply(effect.operation_id, 422 if effect.problems else 200, effect)
+
+    def _answer_confirmation(self, effect: confirm.ConfirmAnswered) -> None:
+        request = self._waiting.get(effect.operation_id)
+        if request is not None and effect.retry_after_s:
+            request.setHeader("Retry-After", f"{effect.retry_after_s:.0f}")
+        self._reply(effect.operation_id, HTTP_OF_VERDICT[effect.verdict], effect)
+
+    def _reply(
+        self, operation_id: data.OperationId, code: int, answer: data.Effect
+    ) -> None:
+        request = self._waiting.get(operation_id)
+        if request is None:
+            return
+        request.setResponseCode(code)
+        request.setHeader("Content-Type", "application/json")
+        request.write(msgspec.json.encode(answer))
+        request.finish()
+
+
+class _Post(resource.Resource):
+    """Takes a JSON body of one type."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def __init__(self, kind: type, handler):
+        super().__init__()
+        self._decoder = msgspec.json.Decoder(kind)
+        self._handler = handler
+
+    def render_POST(self, request: server.Request):  # noqa: N802 (twisted's name)
+        """Check the body and hand it on."""
+        payload = request.content.read(MAX_BODY_BYTES + 1)
+        if len(payload) > MAX_BODY_BYTES:
+            return refuse(request, 413, f"body above {MAX_BODY_BYTES} bytes")
+        try:
+            body = self._decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            return refuse(request, 400, f"malformed body: {error}")
+        self._handler(request, body)
+        return server.NOT_DONE_YET
+
+
+class _Get(resource.Resource):
+    """Shows a part of the state as JSON."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def __init__(self, read):
+        super().__init__()
+        self._read = read
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Return the state of now."""
+        request.setHeader("Content-Type", "application/json")
+        return msgspec.json.encode(self._read())
+
+
+class Metrics(resource.Resource):
+    """``/metrics`` for the scraper."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Return all metrics as text."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return metrics.exposition()
+
+
+def refuse(request: server.Request, code: int, why: str) -> bytes:
+    """Set an error status and return its JSON body."""
+    request.setResponseCode(code)
+    request.setHeader("Content-Type", "application/json")
+    return json.dumps({"error": why}).encode()
--- a/toucanspread/ops/peers.py
+++ b/toucanspread/ops/peers.py
@@ -261,8 +261,9 @@
     detail = error.details() or error.code().name
     if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
         return PeerError(detail, sent=True, reason=data.Reason.SILENT)
-    refused = error.code() is grpc.StatusCode.UNAVAILABLE and (
-        "connect" in detail.lower() and "refused" in detail.lower()
+    refused = (
+        error.code() is grpc.StatusCode.UNAVAILABLE
+        and "failed to connect" in detail.lower()
     )
     if refused:
         return PeerError(detail, sent=False, reason=data.Reason.UNREACHABLE)
--- /dev/null
+++ b/toucanspread/ops/status.py
@@ -0,0 +1,120 @@
+"""What an entry shows operators: a plain record of its state, for JSON."""
+
+import msgspec
+
+from toucanspread.core import data, machine
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """One process of the system, as this entry believes it to be."""
+
+    instance_id: data.InstanceId
+    role: data.Role
+    zone: data.ZoneName
+    state: data.MemberState
+    incarnation: data.Incarnation
+    service: data.ServiceName = data.ServiceName("")
+    version: data.VersionName = data.VersionName("")
+    target_version: data.VersionName = data.VersionName("")
+    staged_chunks: int = 0
+    target_chunks: int = 0
+    running: int = 0
+    queued: int = 0
+    revision: data.Revision = data.Revision(0)
+    failure: str = ""
+
+
+class ServiceStatus(msgspec.Struct, frozen=True):
+    """One intent against what is seen of it.
+
+    :param whole_replicas: live endpoints that serve exactly the wanted version.
+    """
+
+    service: data.ServiceName
+    version: data.VersionName
+    replicas: int
+    floor: int
+    whole_replicas: int
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """The state of an entry."""
+
+    instance_id: data.InstanceId
+    revision: data.Revision
+    services: tuple[ServiceStatus, ...]
+    instances: tuple[InstanceStatus, ...]
+
+
+class ConfigStatus(msgspec.Struct, frozen=True):
+    """The accepted configuration."""
+
+    revision: data.Revision
+    intents: tuple[data.Intent, ...]
+
+
+def of_config(node: machine.Node) -> ConfigStatus:
+    """Return the configuration in force at a node."""
+    names = sorted(node.config.intents)
+    intents = tuple(node.config.intents[name] for name in names)
+    return ConfigStatus(node.config.revision, intents)
+
+
+def of_entry(node: machine.Node) -> EntryStatus:
+    """Return the state of an entry's node."""
+    members = sorted(
+        node.membership.members.values(), key=lambda member: member.identity.instance_id
+    )
+    services = []
+    for name in sorted(node.config.intents):
+        services.append(_of_service(node.config.intents[name], members))
+    instances = tuple(_of_instance(member) for member in members)
+    return EntryStatus(
+        node.identity.instance_id, node.config.revision, tuple(services), instances
+    )
+
+
+def _of_service(intent: data.Intent, members: list) -> ServiceStatus:
+    whole_replicas = 0
+    for member in members:
+        report = member.report
+        if member.state is not data.MemberState.LIVE or report is None:
+            continue
+        if report.service != intent.service:
+            continue
+        if report.state is not data.MemberState.LIVE:
+            continue
+        if report.version == intent.version:
+            whole_replicas += 1
+    return ServiceStatus(
+        intent.service, intent.version, intent.replicas, intent.floor, whole_replicas
+    )
+
+
+def _of_instance(member) -> InstanceStatus:
+    identity = member.identity
+    report = member.report
+    if report is None:
+        return InstanceStatus(
+            identity.instance_id,
+            identity.role,
+            identity.zone,
+            member.state,
+            identity.incarnation,
+        )
+    return InstanceStatus(
+        identity.instance_id,
+        identity.role,
+        identity.zone,
+        member.state,
+        identity.incarnation,
+        report.service,
+        report.version,
+        report.target_version,
+        report.staged_chunks,
+        report.target_chunks,
+        report.load.running,
+        report.load.queued,
+        report.revision,
+        report.failure,
+    )
