--- a/toucanspread/ops/codec.py
+++ b/toucanspread/ops/codec.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, sessions
 
 WIRE_VERSION = 1
 MAX_ENVELOPE_BYTES = 4 * 1024 * 1024
@@ -35,26 +35,9 @@
 _envelope_decoder = msgspec.msgpack.Decoder(Envelope)
 
 
-def leaf_types(base: type) -> tuple[type, ...]:
-    """Return all types below ``base`` that have none below them, by name."""
-    found: list[type] = []
-    pending = list(base.__subclasses__())
-    while pending:
-        kind = pending.pop()
-        below = kind.__subclasses__()
-        pending.extend(below)
-        if not below:
-            found.append(kind)
-    return tuple(sorted(found, key=lambda kind: kind.__name__))
-
-
 @functools.cache
 def _message_decoder() -> msgspec.msgpack.Decoder:
-    return msgspec.msgpack.Decoder(_union(leaf_types(data.Message)))
-
-
-def _union(kinds: tuple[type, ...]) -> object:
-    return functools.reduce(lambda left, right: left | right, kinds)
+    return msgspec.msgpack.Decoder(sessions.union_of(data.Message))
 
 
 def encode(sender: data.Identity, message: data.Message, body: bytes = b"") -> bytes:
