--- /dev/null
+++ b/scripts/launcher.py
@@ -0,0 +1,283 @@
+"""Starts the stand-ins and the system's processes of a deployment, as plain processes.
+
+It belongs to the repository's scripts: no process of the system starts another.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import deployments
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.1
+
+
+class LaunchError(Exception):
+    """A process did not come up."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return distinct free TCP ports on the loopback address."""
+    sockets = []
+    for _ in range(count):
+        opened = socket.socket()
+        opened.bind(("127.0.0.1", 0))
+        sockets.append(opened)
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
+
+
+def call(address: str, method: str, path: str, body: object = None) -> object:
+    """Call an HTTP API with JSON and return its JSON answer, or None when empty."""
+    payload = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", payload, method=method)
+    with urllib.request.urlopen(request, timeout=10.0) as response:
+        answer = response.read()
+    return json.loads(answer) if answer else None
+
+
+def wait_for(address: str, path: str) -> None:
+    """Wait until an HTTP server answers.
+
+    :raises LaunchError: when it does not within ``START_TIMEOUT_S``.
+    """
+    ends_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < ends_s:
+        try:
+            urllib.request.urlopen(f"http://{address}{path}", timeout=1.0).close()
+            return
+        except urllib.error.HTTPError:
+            return
+        except OSError:
+            time.sleep(POLL_INTERVAL_S)
+    raise LaunchError(f"{address}{path} did not answer in {START_TIMEOUT_S:.0f} s")
+
+
+class Processes:
+    """The processes that this script started, by name.
+
+    :param directory: where their logs go.
+    """
+
+    def __init__(self, directory: pathlib.Path):
+        self.directory = directory
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self._running: dict[str, subprocess.Popen] = {}
+        self._commands: dict[str, list[str]] = {}
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Start ``python -m ARGUMENTS`` under a name."""
+        command = [sys.executable, "-m", *arguments]
+        self._commands[name] = command
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def restart(self, name: str) -> None:
+        """Start a process again that was killed or has ended."""
+        self.start(name, *self._commands[name][2:])
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process without notice."""
+        self.signal(name, signal.SIGKILL)
+        self._running[name].wait()
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has not ended."""
+        return self._running[name].poll() is None
+
+    def wait(self, name: str, timeout_s: float) -> int:
+        """Return a process's exit code, once it has ended.
+
+        :raises subprocess.TimeoutExpired: when it has not in time.
+        """
+        return self._running[name].wait(timeout_s)
+
+    def stop_all(self) -> None:
+        """End every process, the patient way first."""
+        for process in self._running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        ends_s = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._running.values():
+            try:
+                process.wait(max(0.1, ends_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+class Cluster:
+    """A deployment with its stand-ins, started by :meth:`start`.
+
+    :param directory: for settings, logs and weights.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        directory: pathlib.Path,
+        weights: pathlib.Path,
+        origin_rate_bytes_s: int,
+    ):
+        self.deployment = deployment
+        self.directory = directory
+        self.weights = weights
+        self.origin_rate_bytes_s = origin_rate_bytes_s
+        self.processes = Processes(directory / "logs")
+        self.entry_http: dict[str, str] = {}
+        self.endpoints: dict[str, deployments.Service] = {}
+        self.backends: dict[str, str] = {}
+        self.instances: list[dict] = []
+        endpoint_count = sum(service.endpoints for service in deployment.services)
+        ports = free_ports(3 + 2 * deployment.entries + 2 * endpoint_count)
+        self._ports = iter(f"127.0.0.1:{port}" for port in ports)
+        self.key_value = next(self._ports)
+        self.instance_list = next(self._ports)
+        self.origin = next(self._ports)
+
+    def start(self) -> None:
+        """Start the stand-ins, then the endpoint processes, then the entries."""
+        self._start_platform()
+        self._declare_entries()
+        self._declare_endpoints()
+        self._start_backends()
+        call(self.instance_list, "PUT", "/admin/instances", self.instances)
+        for instance in self.instances:
+            self.start_instance(instance["instance_id"])
+        for address in self.entry_http.values():
+            wait_for(address, "/healthz")
+
+    def start_instance(self, instance_id: str) -> None:
+        """Start the system's process on an instance."""
+        role = "entry" if instance_id in self.entry_http else "endpoint"
+        self.processes.start(
+            instance_id,
+            "toucanspread",
+            role,
+            "--config",
+            str(self.directory / f"{instance_id}.yaml"),
+        )
+
+    def stop(self) -> None:
+        """End all processes."""
+        self.processes.stop_all()
+
+    def _start_platform(self) -> None:
+        start = self.processes.start
+        start("key-value", "standins.key_value", "--port", port_of(self.key_value))
+        start(
+            "instance-list",
+            "standins.instance_list",
+            "--port",
+            port_of(self.instance_list),
+        )
+        start(
+            "origin",
+            "standins.origin",
+            "--port",
+            port_of(self.origin),
+            "--directory",
+            str(self.weights),
+            "--rate-bytes-s",
+            str(self.origin_rate_bytes_s),
+        )
+        wait_for(self.key_value, "/v1/kv/none")
+        wait_for(self.instance_list, "/v1/instances")
+        wait_for(self.origin, "/stats")
+
+    def _declare_entries(self) -> None:
+        places = self.deployment.places
+        for number in range(self.deployment.entries):
+            place = places[number % len(places)]
+            instance_id = f"{place.zone}-entry-{number + 1}"
+            http_address = next(self._ports)
+            self.entry_http[instance_id] = http_address
+            self._declare(instance_id, "entry", place, {"http_address": http_address})
+
+    def _declare_endpoints(self) -> None:
+        number = 0
+        for service in self.deployment.services:
+            for _ in range(service.endpoints):
+                place = self.deployment.places[number % len(self.deployment.places)]
+                number += 1
+                instance_id = f"{place.zone}-endpoint-{number}"
+                backend = next(self._ports)
+                self.endpoints[instance_id] = service
+                self.backends[instance_id] = backend
+                if service.kind == "model":
+                    extra = {
+                        "engine_url": f"http://{backend}",
+                        "origin_url": f"http://{self.origin}",
+                    }
+                else:
+                    extra = {
+                        "plain_service_url": f"http://{backend}",
+                        "service": service.name,
+                    }
+                self._declare(instance_id, "endpoint", place, extra)
+
+    def _declare(
+        self,
+        instance_id: str,
+        role: str,
+        place: deployments.Place,
+        extra: dict[str, str],
+    ) -> None:
+        address = next(self._ports)
+        config = {
+            "instance_id": instance_id,
+            "zone": place.zone,
+            "region": place.region,
+            "address": address,
+            "key_value_url": f"http://{self.key_value}",
+            "instance_list_url": f"http://{self.instance_list}",
+            **extra,
+        }
+        path = self.directory / f"{instance_id}.yaml"
+        path.write_text(yaml.safe_dump(config, sort_keys=False))
+        self.instances.append(
+            {
+                "instance_id": instance_id,
+                "role": role,
+                "zone": place.zone,
+                "region": place.region,
+                "address": address,
+                "http_address": extra.get("http_address", ""),
+            }
+        )
+
+    def _start_backends(self) -> None:
+        for instance_id, service in self.endpoints.items():
+            port = port_of(self.backends[instance_id])
+            module = "standins.engine"
+            if service.kind == "plain":
+                module = "standins.plain_service"
+            self.processes.start(f"{instance_id}-backend", module, "--port", port)
+        for address in self.backends.values():
+            wait_for(address, "/stats")
+
+
+def port_of(address: str) -> str:
+    """Return the port of ``ip:port``."""
+    return address.rpartition(":")[2]
--- /dev/null
+++ b/scripts/load.py
@@ -0,0 +1,223 @@
+"""Live callers for the demo and the failure runs.
+
+Each caller asks any entry which addresses to use, keeps the answer for its lifetime,
+connects there itself and counts how its requests end.
+"""
+
+import collections
+import dataclasses
+import http.client
+import json
+import random
+import threading
+import time
+import urllib.parse
+
+SOCKET_TIMEOUT_S = 20.0
+BACK_OFF_LIMIT_S = 1.0
+
+
+@dataclasses.dataclass
+class Answer:
+    """How a request ended, as its caller saw it.
+
+    :param outcome: ``done``, ``not run``, ``unknown``; or ``lost`` when the
+        connection ended without a final answer.
+    :param key: the idempotency key.
+    """
+
+    service: str
+    team: str
+    key: str
+    outcome: str
+    reason: str
+    elapsed_s: float
+    budget_s: float
+    text: str = ""
+    retry_after_s: float = 0.0
+    version: str = ""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole answer came."""
+        return self.outcome == "done"
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the answer came after its budget."""
+        return self.elapsed_s > self.budget_s
+
+
+class Caller:
+    """One caller of a service.
+
+    :param entries: HTTP addresses of entries to ask first.
+    """
+
+    def __init__(self, entries: list[str], service: str, team: str, seed: int):
+        self._entries = entries
+        self._service = service
+        self._team = team
+        self._random = random.Random(seed)
+        self._addresses: list[str] = []
+        self._expires_s = 0.0
+        self._number = 0
+        self._seed = seed
+
+    def request(
+        self,
+        body: dict,
+        *,
+        budget_s: float = 10.0,
+        repeatable: bool = True,
+        key: str = "",
+    ) -> Answer:
+        """Send one request and return how it ended."""
+        self._number += 1
+        key = key or f"{self._service}-{self._seed}-{self._number}"
+        headers = {
+            "X-Team": self._team,
+            "X-Deadline-S": f"{budget_s:.3f}",
+            "X-Repeatable": "true" if repeatable else "false",
+            "X-Request-Id": f"{key}-{self._random.getrandbits(48):012x}",
+            "Idempotency-Key": key,
+            "Content-Type": "application/json",
+        }
+        started_s = time.monotonic()
+        address = self._choose()
+        found = self._exchange(address, headers, json.dumps(body).encode())
+        if found["outcome"] == "lost":
+            self._addresses = [kept for kept in self._addresses if kept != address]
+        return Answer(
+            service=self._service,
+            team=self._team,
+            key=key,
+            outcome=found["outcome"],
+            reason=found.get("reason", ""),
+            elapsed_s=time.monotonic() - started_s,
+            budget_s=budget_s,
+            text=found.get("text", ""),
+            retry_after_s=found.get("retry_after_s", 0.0),
+            version=found.get("version", ""),
+        )
+
+    def _choose(self) -> str:
+        if not self._addresses or time.monotonic() >= self._expires_s:
+            self._ask()
+        return self._random.choice(self._addresses or self._entries)
+
+    def _ask(self) -> None:
+        query = urllib.parse.urlencode({"service": self._service, "team": self._team})
+        for address in self._random.sample(self._entries, len(self._entries)):
+            connection = http.client.HTTPConnection(address, timeout=2.0)
+            try:
+                connection.request("GET", f"/v1/addresses?{query}")
+                answer = json.load(connection.getresponse())
+                self._addresses = list(answer.get("addresses", ()))
+                self._expires_s = time.monotonic() + answer.get("lifetime_s", 1.0)
+                if self._addresses:
+                    return
+            except (OSError, http.client.HTTPException, ValueError):
+                continue
+            finally:
+                connection.close()
+
+    def _exchange(self, address: str, headers: dict, body: bytes) -> dict:
+        connection = http.client.HTTPConnection(address, timeout=SOCKET_TIMEOUT_S)
+        try:
+            connection.request("POST", f"/v1/requests/{self._service}", body, headers)
+            response = connection.getresponse()
+            if response.getheader("Content-Type", "").startswith("text/event-stream"):
+                return read_stream(response)
+            payload = response.read()
+            outcome = response.getheader("X-Outcome")
+            if outcome == "done":
+                return {"outcome": "done", "text": payload.decode()}
+            return json.loads(payload)
+        except ConnectionRefusedError:
+            return {"outcome": "not run", "reason": "unreachable"}
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            return {"outcome": "lost", "reason": type(error).__name__}
+        finally:
+            connection.close()
+
+
+def read_stream(response: http.client.HTTPResponse) -> dict:
+    """Read server-sent events to their end and return the outcome and the text."""
+    event = "message"
+    pieces = []
+    for raw in response:
+        line = raw.decode().rstrip("\r\n")
+        if line.startswith("event: "):
+            event = line[len("event: ") :]
+            continue
+        if not line.startswith("data: "):
+            continue
+        payload = line[len("data: ") :]
+        if event in ("end", "error"):
+            return {**json.loads(payload), "text": "".join(pieces)}
+        if payload == "[DONE]":
+            continue
+        pieces.append(json.loads(payload)["choices"][0]["text"])
+    return {"outcome": "lost", "reason": "stream ended without an end event"}
+
+
+class Load:
+    """Callers that send requests in threads until stopped.
+
+    :param mixes: for each caller: service, team, whether repeatable.
+    """
+
+    def __init__(
+        self,
+        entries: list[str],
+        mixes: list[tuple[str, str, bool]],
+        *,
+        pause_s: float,
+        seed: int,
+    ):
+        self.answers: list[Answer] = []
+        self._stopping = threading.Event()
+        self._pause_s = pause_s
+        self._threads = []
+        for number, (service, team, repeatable) in enumerate(mixes):
+            caller = Caller(entries, service, team, seed * 1000 + number)
+            thread = threading.Thread(
+                target=self._run, args=(caller, repeatable, seed * 1000 + number)
+            )
+            self._threads.append(thread)
+
+    def start(self) -> None:
+        """Start the callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> list[Answer]:
+        """Let each caller finish its request and return all answers."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        return self.answers
+
+    def _run(self, caller: Caller, repeatable: bool, seed: int) -> None:
+        number = 0
+        while not self._stopping.is_set():
+            number += 1
+            body = {"prompt": f"letter {seed}-{number}", "max_tokens": 16}
+            answer = caller.request(body, repeatable=repeatable)
+            self.answers.append(answer)
+            pause_s = self._pause_s
+            if answer.outcome != "done":
+                pause_s = min(BACK_OFF_LIMIT_S, max(pause_s, answer.retry_after_s))
+            self._stopping.wait(pause_s)
+
+
+def summarize(answers: list[Answer]) -> dict[str, int]:
+    """Return how many answers were whole, late, refused, unknown and lost."""
+    counts = collections.Counter()
+    for answer in answers:
+        if answer.is_whole:
+            counts["late" if answer.is_late else "whole"] += 1
+            continue
+        counts[answer.outcome] += 1
+    return dict(counts)
