--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/requirements.stamp
 
-.PHONY: setup format check test demo bench clean
+.PHONY: setup format check test demo bench chaos clean
 
 setup: $(STAMP)
 
@@ -30,3 +30,11 @@
 
 clean:
 	rm -rf build
+
+bench: $(STAMP)
+	PYTHONPATH=. $(BIN)/python scripts/bench.py $(ONLY)
+
+SEED ?= 1
+STEPS ?= 50
+chaos: $(STAMP)
+	PYTHONPATH=. $(BIN)/python scripts/chaos.py --seed $(SEED)
