--- a/standins/origin.py
+++ b/standins/origin.py
@@ -10,22 +10,13 @@
 tells what was served.
 """
 
-import asyncio
 import json
 import pathlib
 import re
-import shutil
 
 import defopt
-from twisted.internet import asyncioreactor
-
-if __name__ == "__main__":
-    asyncioreactor.install(asyncio.new_event_loop())
-
-from twisted.internet import defer, endpoints, reactor, task  # noqa: E402
-from twisted.web import resource, server  # noqa: E402
-
-from toucanspread.core import manifest  # noqa: E402
+from twisted.internet import defer, endpoints, reactor, task
+from twisted.web import resource, server
 
 SLICE_BYTES = 64 * 1024
 RANGE = re.compile(r"bytes=(\d+)-(\d+)$")
@@ -137,18 +128,6 @@
             request.finish()
 
 
-def publish(
-    directory: pathlib.Path, weights: pathlib.Path, described: manifest.Manifest
-) -> str:
-    """Put a version under ``directory`` and return its manifest hash."""
-    name = manifest.manifest_hash(described)
-    target = directory / name
-    if not target.exists():
-        shutil.copytree(weights, target)
-    (directory / f"{name}.json").write_bytes(manifest.encode(described))
-    return name
-
-
 def run(*, port: int, directory: pathlib.Path, rate_bytes_s: float) -> None:
     """Serve a directory.
 
--- a/toucanspread/core/manifest.py
+++ b/toucanspread/core/manifest.py
@@ -13,6 +13,7 @@
 MAX_MANIFEST_BYTES = 2 * 1024 * 1024
 MAX_CHUNK_BYTES = 2 * 1024 * 1024  # an envelope between processes holds 4 MiB
 HASH_LENGTH = 64  # hex digits of SHA-256
+NO_CHUNK = data.ChunkHash("")
 
 
 class ManifestError(Exception):
--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/requesting.py
@@ -192,9 +192,7 @@
     return sum(times) / len(times)
 
 
-def _deadline_s(
-    transfer: transfer_state.Transfer, neighbour: swarm.Neighbour
-) -> float:
+def _deadline_s(transfer: transfer_state.Transfer, neighbour: swarm.Neighbour) -> float:
     usual_s = neighbour.service_s or _usual_s(transfer)
     return min(FIRST_DEADLINE_S, max(MIN_DEADLINE_S, DEADLINE_FACTOR * usual_s))
 
--- a/toucanspread/core/tracking.py
+++ b/toucanspread/core/tracking.py
@@ -137,9 +137,7 @@
     swarm.seeds.pop(follower.identity.region, None)
 
 
-def _seeds(
-    swarm: Swarm, manifest_hash: data.ManifestHash
-) -> tuple[data.Identity, ...]:
+def _seeds(swarm: Swarm, manifest_hash: data.ManifestHash) -> tuple[data.Identity, ...]:
     by_region: dict[data.RegionName, list[data.InstanceId]] = {}
     for instance_id, follower in swarm.followers.items():
         if follower.identity.region in swarm.seeds:
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -193,9 +193,8 @@
     wanted: list = []
     if node.now_s >= transfer.next_ask_s:
         wanted += _ask_tracker(node)
-    if not transfer.whole and not state.listing and state.next_list_s:
-        if node.now_s >= state.next_list_s:
-            wanted += _list_staging(node)
+    if not transfer.whole and 0 < state.next_list_s <= node.now_s:
+        wanted += _list_staging(node)
     for neighbour in list(transfer.neighbours.by_id.values()):
         if node.now_s - neighbour.heard_s > NEIGHBOUR_SILENCE_S:
             wanted += _drop(node, transfer, neighbour)
@@ -329,7 +328,9 @@
     fetch: transfer_state.Fetch,
     event: fetching.FetchEnded,
 ) -> list:
-    wanted: list = [effects.Count("transfer_fetch_failures", 1, {"why": event.status.value})]
+    wanted: list = [
+        effects.Count("transfer_fetch_failures", 1, {"why": event.status.value})
+    ]
     if event.status is fetching.FetchStatus.STAGING_FAILED:
         node.transfer.next_list_s = node.now_s + LIST_RETRY_S
         return wanted
@@ -419,9 +420,7 @@
 
 def _holding(transfer: transfer_state.Transfer, hello: bool) -> swarm.Holding:
     bitmap = swarm.to_bitmap(transfer.have)
-    return swarm.Holding(
-        transfer.manifest_hash, transfer.has_manifest, bitmap, hello
-    )
+    return swarm.Holding(transfer.manifest_hash, transfer.has_manifest, bitmap, hello)
 
 
 def _greet(node: machine.Node, transfer: transfer_state.Transfer) -> list:
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfer_state.py
@@ -3,6 +3,7 @@
 from toucanspread.core import data, manifest, swarm
 
 MANIFEST_PIECE = -1
+NO_REGION = data.RegionName("")
 
 
 class Fetch:
@@ -116,7 +117,7 @@
     :ivar held: the chunks and manifests that are verified and staged at the engine.
     """
 
-    def __init__(self, origin_region: data.RegionName = data.RegionName("")):
+    def __init__(self, origin_region: data.RegionName = NO_REGION):
         self.origin_region = origin_region
         self.held: set[data.ChunkHash] = set()
         self.current: Transfer | None = None
--- /dev/null
+++ b/toucanspread/ops/origin.py
@@ -0,0 +1,133 @@
+"""The origin of weights, met over HTTP: manifests by hash, files by byte range."""
+
+import abc
+import asyncio
+import urllib.parse
+
+from toucanspread.core import data, manifest
+from toucanspread.ops import http_client
+
+CONNECT_TIMEOUT_S = 5.0
+HTTP_OK = 200
+HTTP_PARTIAL = 206
+
+
+class OriginError(Exception):
+    """The origin did not give what was asked.
+
+    :param stalled: whether it sent nothing for too long, rather than refused.
+    """
+
+    def __init__(self, detail: str, stalled: bool = False):
+        super().__init__(detail)
+        self.stalled = stalled
+
+
+class Origin(abc.ABC):
+    """A store of weights that every process can read."""
+
+    @abc.abstractmethod
+    async def fetch_manifest(
+        self, manifest_hash: data.ManifestHash, stall_s: float
+    ) -> bytes:
+        """Return a manifest's bytes, not yet verified.
+
+        :raises OriginError: when they do not come.
+        """
+
+    @abc.abstractmethod
+    async def fetch_range(
+        self,
+        manifest_hash: data.ManifestHash,
+        path: str,
+        offset_bytes: int,
+        size_bytes: int,
+        stall_s: float,
+    ) -> bytes:
+        """Return a range of a version's file, not yet verified.
+
+        :param stall_s: how long nothing may come before the fetch is given up.
+        :raises OriginError: when it does not come.
+        """
+
+
+class HttpOrigin(Origin):
+    """An origin that serves byte ranges as in RFC 9110.
+
+    :param base_path: stands before ``/manifests`` and ``/files``.
+    """
+
+    def __init__(self, client: http_client.HttpClient, base_path: str = ""):
+        self._client = client
+        self._base_path = base_path
+
+    @classmethod
+    def from_config(cls, origin_url: str) -> "HttpOrigin":
+        """Return the origin at a URL with an IP number."""
+        parts = urllib.parse.urlsplit(origin_url)
+        return cls(http_client.HttpClient(parts.netloc), parts.path.rstrip("/"))
+
+    async def fetch_manifest(
+        self, manifest_hash: data.ManifestHash, stall_s: float
+    ) -> bytes:
+        """Return a manifest's bytes."""
+        path = f"{self._base_path}/manifests/{manifest_hash}"
+        return await self._get(path, {}, HTTP_OK, manifest.MAX_MANIFEST_BYTES, stall_s)
+
+    async def fetch_range(
+        self,
+        manifest_hash: data.ManifestHash,
+        path: str,
+        offset_bytes: int,
+        size_bytes: int,
+        stall_s: float,
+    ) -> bytes:
+        """Return a range of a version's file."""
+        full_path = f"{self._base_path}/files/{manifest_hash}/{path}"
+        last = offset_bytes + size_bytes - 1
+        headers = {"Range": f"bytes={offset_bytes}-{last}"}
+        payload = await self._get(full_path, headers, HTTP_PARTIAL, size_bytes, stall_s)
+        if len(payload) != size_bytes:
+            raise OriginError(f"{len(payload)} bytes of a range of {size_bytes}")
+        return payload
+
+    async def _get(
+        self,
+        path: str,
+        headers: dict[str, str],
+        wanted_status: int,
+        max_bytes: int,
+        stall_s: float,
+    ) -> bytes:
+        try:
+            response = await self._client.open(
+                "GET", path, headers=headers, timeout_s=stall_s
+            )
+        except http_client.HttpError as error:
+            raise OriginError(str(error), stalled=error.sent) from error
+        try:
+            if response.status != wanted_status:
+                raise OriginError(f"status {response.status} for {path}")
+            return await _read(response, max_bytes, stall_s)
+        finally:
+            response.close()
+
+
+async def _read(
+    response: http_client.Response, max_bytes: int, stall_s: float
+) -> bytes:
+    """Read a body whose pieces each come within ``stall_s``."""
+    body = bytearray()
+    pieces = response.pieces()
+    while True:
+        try:
+            piece = await asyncio.wait_for(anext(pieces), stall_s)
+        except StopAsyncIteration:
+            return bytes(body)
+        except TimeoutError as error:
+            raise OriginError(f"nothing came for {stall_s} s", stalled=True) from error
+        except http_client.HttpError as error:
+            raise OriginError(str(error)) from error
+        body += piece
+        if len(body) > max_bytes:
+            raise OriginError(f"a body over {max_bytes} bytes")
--- /dev/null
+++ b/toucanspread/ops/pacing.py
@@ -0,0 +1,37 @@
+"""Paces bytes on a link by a token bucket."""
+
+import asyncio
+from collections.abc import Callable
+
+
+class Pacer:
+    """Shares one rate among all that ask, first come, first served.
+
+    :param rate_bytes_s: 0 is unpaced.
+    :param clock: the time in seconds.
+    """
+
+    def __init__(self, rate_bytes_s: float, clock: Callable[[], float]):
+        self._rate_bytes_s = rate_bytes_s
+        self._clock = clock
+        self._free_at_s = 0.0
+        self._share = 1.0
+
+    def set_share(self, share: float) -> None:
+        """Use only a share of the rate from now on."""
+        self._share = share
+
+    def reserve(self, size_bytes: int) -> float:
+        """Take bytes and return how long to wait before they may go."""
+        if not self._rate_bytes_s:
+            return 0.0
+        now_s = self._clock()
+        takes_s = size_bytes / (self._rate_bytes_s * self._share)
+        self._free_at_s = max(self._free_at_s, now_s) + takes_s
+        return self._free_at_s - now_s
+
+    async def wait(self, size_bytes: int) -> None:
+        """Wait until the bytes may go."""
+        delay_s = self.reserve(size_bytes)
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
--- a/toucanspread/ops/peers.py
+++ b/toucanspread/ops/peers.py
@@ -261,6 +261,8 @@
     detail = error.details() or error.code().name
     if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
         return PeerError(detail, sent=True, reason=data.Reason.SILENT)
+    if error.code() is grpc.StatusCode.NOT_FOUND:
+        return PeerError(detail, sent=True, reason=data.Reason.NOT_WHOLE)
     refused = (
         error.code() is grpc.StatusCode.UNAVAILABLE
         and "failed to connect" in detail.lower()
--- a/toucanspread/ops/weights.py
+++ b/toucanspread/ops/weights.py
@@ -10,6 +10,7 @@
 import math
 import pathlib
 import random
+import shutil
 import struct
 
 from toucanspread.core import data, manifest
@@ -101,6 +102,21 @@
     return header
 
 
+def publish(
+    directory: pathlib.Path, store: pathlib.Path, described: manifest.Manifest
+) -> data.ManifestHash:
+    """Copy a version into an origin's directory and return its manifest hash.
+
+    The origin serves ``<hash>.json`` as the manifest and the files below ``<hash>``.
+    """
+    name = manifest.manifest_hash(described)
+    target = store / name
+    if not target.exists():
+        shutil.copytree(directory, target)
+    (store / f"{name}.json").write_bytes(manifest.encode(described))
+    return name
+
+
 def make_sample(
     directory: pathlib.Path, seed: int, size_bytes: int, shared_seed: int = 0
 ) -> None:
@@ -112,7 +128,8 @@
     names = ("model-00001-of-00002.safetensors", "model-00002-of-00002.safetensors")
     directory.mkdir(parents=True, exist_ok=True)
     weight_map = {}
-    for number, (name, shard_seed) in enumerate(zip(names, (shared_seed, seed))):
+    shards = zip(names, (shared_seed, seed), strict=True)
+    for number, (name, shard_seed) in enumerate(shards):
         tensor = f"model.layers.{number}.weight"
         weight_map[tensor] = name
         _write_shard(directory / name, tensor, shard_seed, shard_bytes)
--- /dev/null
+++ b/toucanspread/ops/weights_test.py
@@ -0,0 +1,62 @@
+import hashlib
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from toucanspread.core import data, manifest
+from toucanspread.ops import weights
+
+MODEL = data.ModelName("redactor")
+SIZE_BYTES = 64 * 1024
+
+
+class WeightsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.root = pathlib.Path(holder.name)
+
+    def sample(self, name, seed):
+        directory = self.root / name
+        weights.make_sample(directory, seed, SIZE_BYTES)
+        return directory
+
+    def build(self, directory):
+        return weights.build_manifest(directory, MODEL, data.VersionName("v"), 4096)
+
+    def test_weights_hash_is_over_all_files_in_order(self):
+        directory = self.sample("v1", seed=1)
+        made = self.build(directory)
+        whole = hashlib.sha256()
+        for entry in made.files:
+            whole.update((directory / entry.path).read_bytes())
+        self.assertEqual(whole.hexdigest(), made.weights_hash)
+        self.assertEqual(["letters"], [adapter.name for adapter in made.adapters])
+
+    def test_versions_share_the_chunks_of_their_common_shard(self):
+        one = manifest.pieces(self.build(self.sample("v1", seed=1)))
+        other = manifest.pieces(self.build(self.sample("v2", seed=2)))
+        shared = {piece.chunk_hash for piece in one}
+        shared &= {piece.chunk_hash for piece in other}
+        self.assertTrue(SIZE_BYTES // 4096 // 2 <= len(shared) < len(one))
+
+    def test_a_file_cut_short_is_refused(self):
+        directory = self.sample("v1", seed=1)
+        shard = next(directory.glob("*.safetensors"))
+        shard.write_bytes(shard.read_bytes()[:-1])
+        self.assertRaises(weights.WeightsError, self.build, directory)
+
+    def test_a_header_that_is_too_long_is_refused(self):
+        directory = self.sample("v1", seed=1)
+        shard = next(directory.glob("*.safetensors"))
+        shard.write_bytes(b"\xff" * 8 + shard.read_bytes()[8:])
+        self.assertRaises(weights.WeightsError, self.build, directory)
+
+    def test_an_index_that_names_an_absent_tensor_is_refused(self):
+        directory = self.sample("v1", seed=1)
+        index = {"weight_map": {"absent": "model-00001-of-00002.safetensors"}}
+        (directory / weights.INDEX_NAME).write_text(json.dumps(index))
+        self.assertRaises(weights.WeightsError, self.build, directory)
--- /dev/null
+++ b/toucanspread/tools/virtual_swarm.py
@@ -0,0 +1,416 @@
+"""Runs the real transfer policy of many processes in virtual time.
+
+Links are queues with a rate; the machines are the real reducers. It measures the
+decisions, not a cluster: no process, socket or engine takes part. Faults are set on
+the members and on the origin while it runs.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from toucanspread.core import (
+    data,
+    effects,
+    events,
+    fetching,
+    machine,
+    manifest,
+    tracking,
+    transfer,
+)
+
+TICK_S = 0.1
+LATENCY_S = 0.002
+SLICES = 4  # of a chunk, for the origin that serves all requests in turn
+
+
+class Members:
+    """Stands for the membership part: who is believed to be there."""
+
+    def __init__(self):
+        self.members: dict[data.InstanceId, Member] = {}
+
+
+class Member:
+    """One believed process."""
+
+    def __init__(self, identity: data.Identity):
+        self.identity = identity
+        self.state = data.MemberState.LIVE
+        self.report = None
+        self.heard_s = 0.0
+
+
+class Upload:
+    """A chunk on its way; ``left_bytes`` still have to leave the sender."""
+
+    def __init__(self, size_bytes: int, done: Callable[[], None]):
+        self.left_bytes = size_bytes
+        self.done = done
+        self.cancelled = False
+
+
+class Uplink:
+    """A sender's link.
+
+    :param slice_bytes: after how many bytes the next upload has its turn; 0 sends
+        each upload whole.
+    """
+
+    def __init__(self, swarm: "VirtualSwarm", rate_bytes_s: float, slice_bytes: int):
+        self._swarm = swarm
+        self.rate_bytes_s = rate_bytes_s
+        self._slice_bytes = slice_bytes
+        self._queue: list[Upload] = []
+        self._busy = False
+        self.sent_bytes = 0
+
+    def send(self, upload: Upload) -> None:
+        """Queue an upload."""
+        self._queue.append(upload)
+        if not self._busy:
+            self._next()
+
+    def _next(self) -> None:
+        self._queue = [upload for upload in self._queue if not upload.cancelled]
+        self._busy = bool(self._queue)
+        if not self._busy:
+            return
+        upload = self._queue.pop(0)
+        size_bytes = min(upload.left_bytes, self._slice_bytes or upload.left_bytes)
+        delay_s = size_bytes / self.rate_bytes_s
+        self._swarm.later(delay_s, lambda: self._sent(upload, size_bytes))
+
+    def _sent(self, upload: Upload, size_bytes: int) -> None:
+        self.sent_bytes += size_bytes
+        upload.left_bytes -= size_bytes
+        if upload.left_bytes:
+            self._queue.append(upload)
+        elif not upload.cancelled:
+            upload.done()
+        self._next()
+
+
+class Endpoint:
+    """An endpoint process with its engine's staging and its links."""
+
+    def __init__(self, swarm: "VirtualSwarm", identity: data.Identity, seed: int):
+        self.identity = identity
+        self.alive = True
+        self.stalled = False
+        self.corrupting = False
+        self.staged: set[data.ChunkHash] = set()
+        self.whole_at_s: dict[data.ManifestHash, float] = {}
+        self.failures: list[str] = []
+        self.uplink = Uplink(swarm, swarm.rate_bytes_s, 0)
+        self.down_free_at_s = 0.0
+        self.down_bytes = 0
+        self.running: dict[int, Upload | None] = {}
+        self.members = Members()
+        state = transfer.State(swarm.origin_region)
+        node = machine.Node(identity, seed, transfer=state, membership=self.members)
+        watch = {
+            events.VersionStaged: self._on_staged,
+            events.VersionFailed: self._on_failed,
+        }
+        self.machine = machine.Machine(node, [transfer.HANDLERS, watch])
+
+    def _on_staged(self, node: machine.Node, event: events.VersionStaged) -> list:
+        self.whole_at_s.setdefault(event.manifest_hash, node.now_s)
+        return []
+
+    def _on_failed(self, node: machine.Node, event: events.VersionFailed) -> list:
+        self.failures.append(event.why)
+        return []
+
+
+class VirtualSwarm:
+    """Endpoint processes, one tracking entry and an origin in virtual time.
+
+    :param rate_bytes_s: of each endpoint's link, up and down.
+    :param loss: the share of messages that are lost.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        rate_bytes_s: float,
+        origin_rate_bytes_s: float,
+        slice_bytes: int,
+        origin_region: str = "",
+        loss: float = 0.0,
+    ):
+        self.now_s = 0.0
+        self.rate_bytes_s = rate_bytes_s
+        self.origin_region = data.RegionName(origin_region)
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.origin = Uplink(self, origin_rate_bytes_s, slice_bytes)
+        self.origin_refuses = False
+        self.origin_corrupts: set[data.ChunkHash] = set()
+        self.manifests: dict[data.ManifestHash, bytes] = {}
+        self.endpoints: dict[data.Address, Endpoint] = {}
+        self.cut_regions = False
+        self.cross_region_bytes = 0
+        self.messages = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._add_entry()
+
+    def _add_entry(self) -> None:
+        identity = self._identity("entry-1", data.Role.ENTRY, "zone-0", "region-0")
+        members = Members()
+        node = machine.Node(identity, 1, tracking=tracking.State(), membership=members)
+        self.entry = machine.Machine(node, [tracking.HANDLERS])
+        self.later(TICK_S, self._tick_entry)
+
+    def _identity(self, name, role, zone, region, incarnation=1) -> data.Identity:
+        return data.Identity(
+            data.InstanceId(name),
+            role,
+            data.Incarnation(incarnation),
+            data.ZoneName(zone),
+            data.RegionName(region),
+            data.Address(name),
+        )
+
+    def add_endpoint(
+        self, name: str, zone: str = "zone-0", region: str = "region-0", incarnation=1
+    ) -> Endpoint:
+        """Start an endpoint process with an empty engine."""
+        identity = self._identity(name, data.Role.ENDPOINT, zone, region, incarnation)
+        endpoint = Endpoint(self, identity, self.random.getrandbits(32))
+        self.endpoints[identity.address] = endpoint
+        entry = self.entry.node.identity
+        endpoint.members.members[entry.instance_id] = Member(entry)
+        self.later(self.random.random() * TICK_S, lambda: self._tick(endpoint))
+        return endpoint
+
+    def publish(self, described: manifest.Manifest) -> data.ManifestHash:
+        """Put a manifest at the origin."""
+        payload = manifest.encode(described)
+        name = data.ManifestHash(manifest.content_hash(payload))
+        self.manifests[name] = payload
+        return name
+
+    def want(
+        self, endpoint: Endpoint, manifest_hash: data.ManifestHash, weight: float
+    ) -> None:
+        """Order a version."""
+        event = events.VersionWanted(
+            data.ModelName("model"),
+            data.VersionName(manifest_hash[:8]),
+            manifest_hash,
+            weight,
+        )
+        self._step(endpoint, event)
+
+    def cancel(self, endpoint: Endpoint, manifest_hash: data.ManifestHash) -> None:
+        """Withdraw a version."""
+        self._step(endpoint, events.VersionCancelled(manifest_hash))
+
+    def kill(self, endpoint: Endpoint) -> None:
+        """End a process without notice; the others learn of it after a while."""
+        endpoint.alive = False
+        event = events.MemberChanged(endpoint.identity, data.MemberState.DEAD)
+        self.later(5.0, lambda: self.entry.step(self.now_s, event))
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        item = (self.now_s + delay_s, next(self._order), action)
+        heapq.heappush(self._queue, item)
+
+    def run(self, until: Callable[[], bool], limit_s: float) -> bool:
+        """Let time run until a condition holds; return whether it does."""
+        ends_s = self.now_s + limit_s
+        while self._queue and self._queue[0][0] <= ends_s:
+            self.now_s, _, action = heapq.heappop(self._queue)
+            action()
+            if until():
+                return True
+        self.now_s = max(self.now_s, ends_s)
+        return until()
+
+    def all_whole(self, manifest_hash: data.ManifestHash) -> bool:
+        """Return whether every live endpoint holds a whole version."""
+        return all(
+            manifest_hash in endpoint.whole_at_s
+            for endpoint in self.endpoints.values()
+            if endpoint.alive
+        )
+
+    def _tick_entry(self) -> None:
+        self._carry_out(None, self.entry.step(self.now_s, events.Tick()))
+        self.later(TICK_S, self._tick_entry)
+
+    def _tick(self, endpoint: Endpoint) -> None:
+        if not endpoint.alive:
+            return
+        self._step(endpoint, events.Tick())
+        self.later(TICK_S, lambda: self._tick(endpoint))
+
+    def _step(self, endpoint: Endpoint, event: data.Event) -> None:
+        if endpoint.alive:
+            found = endpoint.machine.step(self.now_s, event)
+            self._carry_out(endpoint, found)
+
+    def _carry_out(self, sender: Endpoint | None, wanted: list[data.Effect]) -> None:
+        for effect in wanted:
+            if isinstance(effect, effects.Send):
+                self._send(sender, effect)
+            elif isinstance(effect, fetching.FetchFromPeer):
+                self._fetch_from_peer(sender, effect)
+            elif isinstance(effect, fetching.FetchFromOrigin):
+                self._fetch_from_origin(sender, effect)
+            elif isinstance(effect, fetching.CancelFetch):
+                self._cancel(sender, effect.fetch_id)
+            elif isinstance(effect, fetching.ListStaging):
+                self._answer(sender, lambda sender=sender: _listed(sender))
+            elif isinstance(effect, fetching.ReadManifest):
+                event = fetching.ManifestRead(
+                    effect.manifest_hash, self.manifests[effect.manifest_hash]
+                )
+                self._answer(sender, lambda event=event: event)
+            elif isinstance(effect, fetching.DeleteChunks):
+                sender.staged -= set(effect.chunk_hashes)
+
+    def _answer(self, endpoint: Endpoint, make: Callable[[], data.Event]) -> None:
+        self.later(LATENCY_S, lambda: self._step(endpoint, make()))
+
+    def _is_cut(self, one: data.Identity, other: data.Identity) -> bool:
+        return self.cut_regions and one.region != other.region
+
+    def _send(self, sender: Endpoint | None, effect: effects.Send) -> None:
+        self.messages += 1
+        if self.random.random() < self.loss:
+            return
+        identity = sender.identity if sender else self.entry.node.identity
+        event = events.MessageReceived(identity, effect.message)
+        delay_s = LATENCY_S * (0.5 + self.random.random())
+        self.later(delay_s, lambda: self._deliver(effect.to, event))
+
+    def _deliver(self, address: data.Address, event: events.MessageReceived) -> None:
+        target = self.endpoints.get(address)
+        identity = target.identity if target else self.entry.node.identity
+        if self._is_cut(event.sender, identity):
+            return
+        if target is None:
+            self._carry_out(None, self.entry.step(self.now_s, event))
+        elif not target.stalled:
+            self._step(target, event)
+
+    def _fetch_from_peer(self, asker: Endpoint, effect: fetching.FetchFromPeer) -> None:
+        asker.running[effect.fetch_id] = None
+        self.later(effect.deadline_s, lambda: self._time_out(asker, effect.fetch_id))
+        self.later(LATENCY_S, lambda: self._serve(asker, effect))
+
+    def _serve(self, asker: Endpoint, effect: fetching.FetchFromPeer) -> None:
+        peer = self.endpoints[effect.address]
+        if effect.fetch_id not in asker.running:
+            return
+        if peer.stalled or self._is_cut(peer.identity, asker.identity):
+            return
+        if not peer.alive:
+            self._end(asker, effect.fetch_id, fetching.FetchStatus.FAILED)
+            return
+        if effect.chunk_hash not in peer.machine.node.transfer.held:
+            self._end(asker, effect.fetch_id, fetching.FetchStatus.ABSENT)
+            return
+        upload = Upload(
+            effect.size_bytes or 1, lambda: self._arrive(asker, effect, peer)
+        )
+        asker.running[effect.fetch_id] = upload
+        peer.uplink.send(upload)
+
+    def _fetch_from_origin(
+        self, asker: Endpoint, effect: fetching.FetchFromOrigin
+    ) -> None:
+        asker.running[effect.fetch_id] = None
+        if self.origin_refuses:
+            self.later(
+                LATENCY_S,
+                lambda: self._end(asker, effect.fetch_id, fetching.FetchStatus.FAILED),
+            )
+            return
+        upload = Upload(
+            effect.size_bytes or 1, lambda: self._arrive(asker, effect, None)
+        )
+        asker.running[effect.fetch_id] = upload
+        self.origin.send(upload)
+
+    def _arrive(self, asker: Endpoint, effect, peer: Endpoint | None) -> None:
+        """The last byte left the sender; the receiver's link may be behind."""
+        if peer is not None and (not peer.alive or peer.stalled):
+            return
+        if peer is not None and peer.identity.region != asker.identity.region:
+            self.cross_region_bytes += effect.size_bytes
+        takes_s = effect.size_bytes / self.rate_bytes_s
+        done_s = max(self.now_s, asker.down_free_at_s + takes_s)
+        asker.down_free_at_s = done_s
+        asker.down_bytes += effect.size_bytes
+        corrupt = effect.chunk_hash in self.origin_corrupts
+        if peer is not None:
+            corrupt = peer.corrupting
+        status = fetching.FetchStatus.STAGED
+        if corrupt:
+            status = fetching.FetchStatus.CORRUPT
+        self.later(
+            done_s - self.now_s + LATENCY_S,
+            lambda: self._end(asker, effect.fetch_id, status, effect.chunk_hash),
+        )
+
+    def _end(
+        self,
+        asker: Endpoint,
+        fetch_id: int,
+        status: fetching.FetchStatus,
+        chunk_hash: data.ChunkHash = manifest.NO_CHUNK,
+    ) -> None:
+        if fetch_id not in asker.running:
+            return
+        del asker.running[fetch_id]
+        if status is fetching.FetchStatus.STAGED:
+            asker.staged.add(chunk_hash)
+        else:
+            chunk_hash = manifest.NO_CHUNK
+        self._step(asker, fetching.FetchEnded(fetch_id, status, chunk_hash))
+
+    def _time_out(self, asker: Endpoint, fetch_id: int) -> None:
+        if fetch_id not in asker.running:
+            return
+        self._stop_upload(asker, fetch_id)
+        self._end(asker, fetch_id, fetching.FetchStatus.STALLED)
+
+    def _cancel(self, asker: Endpoint, fetch_id: int) -> None:
+        if fetch_id in asker.running:
+            self._stop_upload(asker, fetch_id)
+            del asker.running[fetch_id]
+
+    def _stop_upload(self, asker: Endpoint, fetch_id: int) -> None:
+        upload = asker.running[fetch_id]
+        if upload is not None:
+            upload.cancelled = True
+
+
+def _listed(endpoint: Endpoint) -> fetching.StagingListed:
+    return fetching.StagingListed(tuple(sorted(endpoint.staged)))
+
+
+def make_manifest(
+    version: str, pieces: int, chunk_bytes: int, shared: int = 0
+) -> manifest.Manifest:
+    """Return a manifest of made-up chunks, the first ``shared`` the same in all."""
+    hashes = []
+    for number in range(pieces):
+        name = f"shared-{number}" if number < shared else f"{version}-{number}"
+        hashes.append(manifest.content_hash(name.encode()))
+    entry = manifest.FileEntry("model.safetensors", pieces * chunk_bytes, tuple(hashes))
+    return manifest.Manifest(
+        data.ModelName("model"),
+        data.VersionName(version),
+        chunk_bytes,
+        manifest.content_hash(version.encode()),
+        (entry,),
+    )
