--- a/standins/origin.py
+++ b/standins/origin.py
@@ -10,12 +10,16 @@
 tells what was served.
 """
 
+import asyncio
 import json
 import pathlib
 import re
 
 import defopt
-from twisted.internet import defer, endpoints, reactor, task
+
+from toucanspread.ops import loop  # isort: skip  # installs the reactor
+
+from twisted.internet import endpoints, reactor
 from twisted.web import resource, server
 
 SLICE_BYTES = 64 * 1024
@@ -76,7 +80,7 @@
         if payload is None:
             request.setResponseCode(416)
             return b"range\n"
-        self._send(request, path, payload)
+        loop.spawn(self._send(request, path, payload))
         return server.NOT_DONE_YET
 
     def _find(self, path: str) -> pathlib.Path | None:
@@ -109,16 +113,15 @@
             payload = bytes([payload[0] ^ 0xFF]) + payload[1:]
         return payload
 
-    @defer.inlineCallbacks
-    def _send(self, request: server.Request, path: str, payload: bytes):
+    async def _send(self, request: server.Request, path: str, payload: bytes):
         closed = request.notifyFinish()
         gone = []
         closed.addBoth(gone.append)
         request.setHeader("content-length", str(len(payload)))
-        yield task.deferLater(reactor, float(self.faults.get("delay_s", 0.0)))
+        await asyncio.sleep(float(self.faults.get("delay_s", 0.0)))
         for start in range(0, len(payload), SLICE_BYTES):
             piece = payload[start : start + SLICE_BYTES]
-            yield task.deferLater(reactor, self.bucket.delay(len(piece)))
+            await asyncio.sleep(self.bucket.delay(len(piece)))
             if gone:
                 return
             request.write(piece)
--- a/toucanspread/core/sourcing.py
+++ b/toucanspread/core/sourcing.py
@@ -11,6 +11,7 @@
 
 MAX_COPIES = 4.0  # what the origin's link carries in the time wanted
 SPARE_COPIES = 2.0  # beyond the first, at weight 0
+SETTLE_S = 0.3  # without a change of the seeds before the origin is asked
 TAKEOVER_S = 4.0
 TAKEOVER_WEIGHT = 2.0  # added at weight 1, in units of TAKEOVER_S
 SLOW_ORIGIN_FACTOR = 4.0
@@ -74,6 +75,8 @@
     """Return whether the origin may be asked for one more piece now."""
     if node.now_s < transfer.origin.blocked_until_s:
         return False
+    if node.now_s - transfer.seeds_changed_s < SETTLE_S:
+        return False
     asked = sum(fetch.source is None for fetch in transfer.fetches.values())
     if asked >= ORIGIN_REQUESTS:
         return False
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -493,7 +493,9 @@
     transfer = node.transfer.current
     if transfer is None or transfer.manifest_hash != message.manifest_hash:
         return []
-    transfer.seeds = message.seeds
+    if transfer.seeds != message.seeds:
+        transfer.seeds = message.seeds
+        transfer.seeds_changed_s = node.now_s
     transfer.followers = message.followers
     offered = list(message.peers)
     own_id = node.identity.instance_id
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfer_state.py
@@ -77,6 +77,7 @@
         self.requested: dict[int, int] = {}
         self.neighbours = swarm.Neighbours(identity)
         self.seeds: tuple[data.Identity, ...] = ()
+        self.seeds_changed_s = now_s
         self.followers = 1
         self.origin = OriginUse()
         self.unannounced: list[int] = []
--- a/toucanspread/ops/peers.py
+++ b/toucanspread/ops/peers.py
@@ -111,10 +111,6 @@
         self._chunk_handler: ChunkHandler | None = None
         self._server: grpc.aio.Server | None = None
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
-        """Carry out :class:`effects.Send`."""
-        return {effects.Send: self._send}
-
     def serve_dispatch(self, handler: DispatchHandler) -> None:
         """Let ``handler`` answer dispatches; endpoint processes only."""
         self._dispatch_handler = handler
@@ -233,6 +229,11 @@
         finally:
             await answer.aclose()
 
+    # Last, as the name hides the module of effects within the class.
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Carry out :class:`effects.Send`."""
+        return {effects.Send: self._send}
+
 
 class _Methods(grpc.GenericRpcHandler):
     """Finds the handler of a method by its name."""
--- a/toucanspread/ops/transfers_test.py
+++ b/toucanspread/ops/transfers_test.py
@@ -63,6 +63,8 @@
         self.engine = FakeEngine()
         self.channel = FakeChannel()
         self.site = origin_standin.Origin(root, 1e9)
+        if not reactor.running:
+            reactor.startRunning(installSignalHandlers=False)
         self.run_async(self.start())
 
     def run_async(self, coroutine):
