Add the key-value client, its adapter and a stand-in

The protocol is Consul's KV and session API, so that a published service fits as it is. A lost or late answer to a write is UNKNOWN; a refused connection is NOT_APPLIED; a lost answer to an acquisition is read back. The transaction endpoint was ruled out for now: it saves the read-back of the version, but fewer services speak it.

--- /dev/null
+++ b/standins/key_value.py
@@ -0,0 +1,183 @@
+"""The stand-in for the key-value service: Consul's KV and session calls over HTTP.
+
+Run it with ``python -m standins.key_value --port 8500``. Faults are switched by PUT
+on ``/admin/faults`` with a JSON object of the fields of :class:`Faults`; PUT on
+``/admin/save`` and ``/admin/restore`` bring an old state back; GET ``/admin/calls``
+returns the counts.
+"""
+
+import argparse
+import base64
+import collections
+import dataclasses
+import json
+import sys
+
+from twisted.internet import defer, endpoints, reactor, task
+from twisted.web import resource, server
+
+from standins import key_value_store
+
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_WAIT_S = 600.0
+KV_PATH = "/v1/kv/"
+SESSION_PATH = "/v1/session/"
+
+
+@dataclasses.dataclass
+class Faults:
+    """How the service misbehaves.
+
+    :param down: every connection is dropped before the call has any effect.
+    :param slow_s: how long each call waits before it has its effect.
+    :param lose_answers: how many of the next writes take effect but never answer.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+
+
+class KeyValueResource(resource.Resource):
+    """Answers every path of the service."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, clock=reactor):
+        super().__init__()
+        self.store = key_value_store.Store(clock)
+        self.faults = Faults()
+        self.calls: collections.Counter = collections.Counter()
+        self._clock = clock
+
+    def render(self, request: server.Request) -> int:
+        """Answer now or later."""
+        task_done = defer.ensureDeferred(self._answer(request))
+        task_done.addErrback(lambda failure: failure.printTraceback(sys.stderr))
+        return server.NOT_DONE_YET
+
+    async def _answer(self, request: server.Request) -> None:
+        gone: list[object] = []
+        request.notifyFinish().addErrback(gone.append)
+        path = request.path.decode()
+        if path.startswith("/admin/"):
+            self._reply(request, 200, self._administer(path, request))
+            return
+        self.calls[self._kind(request, path)] += 1
+        if self.faults.down:
+            request.transport.abortConnection()
+            return
+        if self.faults.slow_s:
+            await task.deferLater(self._clock, self.faults.slow_s, lambda: None)
+        if path.startswith(SESSION_PATH):
+            status, body = self._session(path, request)
+        elif path.startswith(KV_PATH):
+            status, body = await self._key(path.removeprefix(KV_PATH), request)
+        else:
+            status, body = 404, "no such path"
+        if gone:
+            return
+        if request.method != b"GET" and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            request.transport.abortConnection()
+            return
+        self._reply(request, status, body)
+
+    def _kind(self, request: server.Request, path: str) -> str:
+        if request.method == b"GET":
+            return "watch" if b"index" in request.args else "read"
+        return "session" if path.startswith(SESSION_PATH) else "write"
+
+    def _reply(self, request: server.Request, status: int, body: object) -> None:
+        request.setResponseCode(status)
+        request.setHeader(b"content-type", b"application/json")
+        request.write(json.dumps(body).encode())
+        request.finish()
+
+    def _administer(self, path: str, request: server.Request) -> object:
+        if path == "/admin/faults" and request.method == b"PUT":
+            changes = json.loads(request.content.read())
+            self.faults = dataclasses.replace(self.faults, **changes)
+            return dataclasses.asdict(self.faults)
+        if path == "/admin/save":
+            return self.store.save()
+        if path == "/admin/restore":
+            return self.store.restore()
+        return {**self.calls, "total": sum(self.calls.values())}
+
+    def _session(self, path: str, request: server.Request) -> tuple[int, object]:
+        verb, _, session_id = path.removeprefix(SESSION_PATH).partition("/")
+        if verb == "create":
+            wanted = json.loads(request.content.read())
+            ttl_s = float(wanted["TTL"].removesuffix("s"))
+            return 200, {"ID": self.store.create_session(ttl_s)}
+        if verb == "renew":
+            if self.store.renew_session(session_id):
+                return 200, [{"ID": session_id}]
+            return 404, f"session {session_id} does not exist"
+        if verb == "destroy":
+            self.store.destroy_session(session_id)
+            return 200, True
+        return 404, "no such path"
+
+    async def _key(self, key: str, request: server.Request) -> tuple[int, object]:
+        if request.method == b"GET":
+            return await self._get(key, request)
+        if request.method == b"DELETE":
+            return 200, self.store.delete(key, _number(request, b"cas"))
+        value = request.content.read()
+        if len(value) > MAX_VALUE_BYTES:
+            return 413, f"value exceeds {MAX_VALUE_BYTES} bytes"
+        if b"acquire" in request.args:
+            return 200, self.store.acquire(key, value, _text(request, b"acquire"))
+        if b"release" in request.args:
+            return 200, self.store.release(key, _text(request, b"release"))
+        return 200, self.store.put(key, value, _number(request, b"cas"))
+
+    async def _get(self, key: str, request: server.Request) -> tuple[int, object]:
+        index = _number(request, b"index")
+        if index:
+            wait_s = float((_text(request, b"wait") or "60s").removesuffix("s"))
+            await self.store.wait(key, index, min(wait_s, MAX_WAIT_S))
+        self.store.expire()
+        request.setHeader(b"x-consul-index", str(self.store.key_index(key)).encode())
+        entry = self.store.entries.get(key)
+        if entry is None:
+            return 404, []
+        found = {
+            "Key": key,
+            "Flags": 0,
+            "Value": base64.b64encode(entry.value).decode(),
+            "CreateIndex": entry.create_index,
+            "ModifyIndex": entry.modify_index,
+            "LockIndex": entry.lock_index,
+        }
+        if entry.session:
+            found["Session"] = entry.session
+        return 200, [found]
+
+
+def _text(request: server.Request, name: bytes) -> str:
+    return request.args.get(name, [b""])[0].decode()
+
+
+def _number(request: server.Request, name: bytes) -> int | None:
+    text = _text(request, name)
+    return int(text) if text else None
+
+
+def main() -> None:
+    """Serve until stopped."""
+    parser = argparse.ArgumentParser(description="key-value service stand-in")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--interface", default="127.0.0.1")
+    options = parser.parse_args()
+    listener = endpoints.TCP4ServerEndpoint(
+        reactor, options.port, interface=options.interface
+    )
+    listener.listen(server.Site(KeyValueResource()))
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/key_value_store.py
@@ -0,0 +1,181 @@
+"""The state of the stand-in for the key-value service: keys, sessions, watches.
+
+It keeps to the published semantics of Consul's KV store as far as this project uses
+them: one index over all changes, compare-and-swap on a key's ``ModifyIndex``, locks
+held by sessions that expire unless renewed.
+"""
+
+import copy
+import dataclasses
+import uuid
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+FIRST_INDEX = 10  # an index of 0 or 1 has a special meaning for clients
+
+
+@dataclasses.dataclass
+class Entry:
+    """One key."""
+
+    value: bytes
+    create_index: int
+    modify_index: int
+    lock_index: int = 0
+    session: str = ""
+
+
+@dataclasses.dataclass
+class Session:
+    """What holds locks; it ends at ``expires_s`` unless renewed."""
+
+    ttl_s: float
+    expires_s: float
+
+
+class Store:
+    """Keys, sessions and waiting watches over one clock."""
+
+    def __init__(self, clock: IReactorTime):
+        self.index = FIRST_INDEX
+        self.entries: dict[str, Entry] = {}
+        self._changed: dict[str, int] = {}
+        self._sessions: dict[str, Session] = {}
+        self._waiting: dict[str, list[defer.Deferred]] = {}
+        self._clock = clock
+        self._saved: tuple | None = None
+
+    def key_index(self, key: str) -> int:
+        """Return the index of the key's last change, its deletion included."""
+        return self._changed.get(key, 1)
+
+    def put(self, key: str, value: bytes, expected: int | None) -> bool:
+        """Write a key; with ``expected``, only at that modify index (0: absent)."""
+        entry = self.entries.get(key)
+        if expected is not None and expected != (entry.modify_index if entry else 0):
+            return False
+        self._store(key, value)
+        return True
+
+    def delete(self, key: str, expected: int | None) -> bool:
+        """Delete a key; with ``expected``, only at that modify index."""
+        entry = self.entries.get(key)
+        if entry is None:
+            return expected in (None, 0)
+        if expected is not None and expected != entry.modify_index:
+            return False
+        del self.entries[key]
+        self._touch(key)
+        return True
+
+    def acquire(self, key: str, value: bytes, session: str) -> bool:
+        """Lock a key for a session and write it."""
+        self.expire()
+        if session not in self._sessions:
+            return False
+        entry = self.entries.get(key)
+        if entry is not None and entry.session not in ("", session):
+            return False
+        entry = self._store(key, value)
+        if entry.session == "":
+            entry.lock_index += 1
+        entry.session = session
+        return True
+
+    def release(self, key: str, session: str) -> bool:
+        """Unlock a key that the session holds."""
+        entry = self.entries.get(key)
+        if entry is None or entry.session != session:
+            return False
+        self._unlock(key, entry)
+        return True
+
+    def create_session(self, ttl_s: float) -> str:
+        """Begin a session and return its id."""
+        session_id = str(uuid.uuid4())
+        self._sessions[session_id] = Session(ttl_s, self._clock.seconds() + ttl_s)
+        self._clock.callLater(ttl_s, self.expire)
+        return session_id
+
+    def renew_session(self, session_id: str) -> bool:
+        """Put a session's end off by its time to live; False when it has ended."""
+        self.expire()
+        session = self._sessions.get(session_id)
+        if session is None:
+            return False
+        session.expires_s = self._clock.seconds() + session.ttl_s
+        self._clock.callLater(session.ttl_s, self.expire)
+        return True
+
+    def destroy_session(self, session_id: str) -> None:
+        """End a session and release what it holds."""
+        self._sessions.pop(session_id, None)
+        for key, entry in list(self.entries.items()):
+            if entry.session == session_id:
+                self._unlock(key, entry)
+
+    def expire(self) -> None:
+        """End every session whose time has come."""
+        now_s = self._clock.seconds()
+        for session_id, session in list(self._sessions.items()):
+            if session.expires_s <= now_s:
+                self.destroy_session(session_id)
+
+    def wait(self, key: str, index: int, wait_s: float) -> defer.Deferred:
+        """Return a Deferred that fires when the key's index is no longer ``index``."""
+        done: defer.Deferred = defer.Deferred()
+        if self.key_index(key) != index:
+            done.callback(None)
+            return done
+        waiting = self._waiting.setdefault(key, [])
+        waiting.append(done)
+        timer = self._clock.callLater(wait_s, self._finish, key, done)
+        done.addBoth(lambda _: timer.cancel() if timer.active() else None)
+        return done
+
+    def save(self) -> None:
+        """Remember the present keys for :meth:`restore`."""
+        self._saved = copy.deepcopy((self.index, self.entries, self._changed))
+
+    def restore(self) -> None:
+        """Go back to the saved keys and index, as a restored backup does."""
+        if self._saved is None:
+            return
+        self.index, self.entries, self._changed = copy.deepcopy(self._saved)
+        self._sessions.clear()
+        for key in list(self._waiting):
+            self._wake(key)
+
+    def _store(self, key: str, value: bytes) -> Entry:
+        index = self._touch(key, wake=False)
+        entry = self.entries.get(key)
+        if entry is None:
+            entry = Entry(value, index, index)
+            self.entries[key] = entry
+        entry.value = value
+        entry.modify_index = index
+        self._wake(key)
+        return entry
+
+    def _unlock(self, key: str, entry: Entry) -> None:
+        entry.session = ""
+        entry.modify_index = self._touch(key)
+
+    def _touch(self, key: str, wake: bool = True) -> int:
+        self.index += 1
+        self._changed[key] = self.index
+        if wake:
+            self._wake(key)
+        return self.index
+
+    def _wake(self, key: str) -> None:
+        for waiting in self._waiting.pop(key, []):
+            self._clock.callLater(0, self._finish, key, waiting)
+
+    def _finish(self, key: str, waiting: defer.Deferred) -> None:
+        remaining = self._waiting.get(key, [])
+        if waiting in remaining:
+            remaining.remove(waiting)
+        if not waiting.called:
+            waiting.callback(None)
--- /dev/null
+++ b/toucanspread/ops/key_value.py
@@ -0,0 +1,343 @@
+"""The platform's key-value service: its interface, an HTTP client, an adapter.
+
+The client speaks the published HTTP protocol of Consul's KV store and sessions. A
+key's version is its ``ModifyIndex``; it grows over all keys and deletions. The
+``ModifyIndex`` at which a lease was acquired serves as its fencing number.
+"""
+
+import abc
+import base64
+import dataclasses
+import json
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from urllib.parse import quote
+
+from twisted.internet import defer
+
+from toucanspread.core import data, effects, events
+from toucanspread.ops import logs, runtime, web_client
+
+CALL_TIMEOUT_S = 2.0
+WATCH_GRACE_S = 2.0  # the service may answer a watch a little after its wait
+
+Status = data.KvStatus
+
+
+class KeyValueError(Exception):
+    """A call on the key-value service got no usable answer.
+
+    :param sent: whether the service may have carried it out.
+    """
+
+    def __init__(self, sent: bool, detail: str):
+        super().__init__(detail)
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """How a call ended."""
+
+    status: data.KvStatus
+    value: bytes = b""
+    version: int = 0
+    fence: data.FencingNumber = data.FencingNumber(0)
+    holder: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Found:
+    """A key as the service shows it.
+
+    :param index: the index of the key's last change, also of its deletion.
+    """
+
+    index: int
+    value: bytes = b""
+    version: int = 0
+    session: str = ""
+
+
+class KeyValueService(abc.ABC):
+    """What this project needs of the platform's key-value service.
+
+    Every method raises :class:`KeyValueError` when it gets no usable answer.
+    """
+
+    @abc.abstractmethod
+    async def read(self, key: str) -> Result:
+        """Return OK or ABSENT."""
+
+    @abc.abstractmethod
+    async def watch(self, key: str, after_version: int, wait_s: float) -> Result:
+        """Return OK or ABSENT on a change, UNCHANGED when the wait ran out."""
+
+    @abc.abstractmethod
+    async def write(self, key: str, value: bytes, expected_version: int) -> Result:
+        """Return OK or CONFLICT; the version is 0 when it could not be read back."""
+
+    @abc.abstractmethod
+    async def delete(self, key: str, expected_version: int) -> Result:
+        """Return OK or CONFLICT."""
+
+    @abc.abstractmethod
+    async def acquire(self, key: str, holder: str, ttl_s: float) -> Result:
+        """Return OK with the fencing number, or CONFLICT with the holder."""
+
+    @abc.abstractmethod
+    async def renew(self, key: str, fence: data.FencingNumber) -> Result:
+        """Return OK, or CONFLICT when the lease is lost for certain."""
+
+    @abc.abstractmethod
+    async def release(self, key: str, fence: data.FencingNumber) -> Result:
+        """Return OK, or CONFLICT when the lease was lost before."""
+
+    async def close(self) -> None:
+        """Close what is open."""
+        return
+
+
+class HttpKeyValueService(KeyValueService):
+    """The client of the HTTP protocol.
+
+    :param url: the base, such as ``http://10.0.0.5:8500``.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/")
+        self._web = web_client.WebClient()
+        self._sessions: dict[str, str] = {}
+
+    async def read(self, key: str) -> Result:
+        """Read a key."""
+        return _shown(await self._find(key))
+
+    async def watch(self, key: str, after_version: int, wait_s: float) -> Result:
+        """Wait for a change of a key.
+
+        The service names the index of the last change in an answer; an absent key's
+        index may lie above ``after_version`` from the start, so the wait goes on
+        from there.
+        """
+        end_s = time.monotonic() + wait_s
+        index = max(after_version, 1)
+        while True:
+            left_s = max(end_s - time.monotonic(), 0.0)
+            found = await self._find(key, index, left_s)
+            if found.version and found.version != after_version:
+                return _shown(found)
+            if after_version and not found.version:
+                return _shown(found)
+            if found.index == index or time.monotonic() >= end_s:
+                return Result(Status.UNCHANGED, version=after_version)
+            index = found.index
+
+    async def write(self, key: str, value: bytes, expected_version: int) -> Result:
+        """Write a key if its version is the expected one."""
+        path = f"{_kv_path(key)}?cas={expected_version}"
+        if not await self._decide("PUT", path, value):
+            return Result(Status.CONFLICT)
+        return Result(Status.OK, value, await self._version_of(key, value))
+
+    async def delete(self, key: str, expected_version: int) -> Result:
+        """Delete a key if its version is the expected one."""
+        path = f"{_kv_path(key)}?cas={expected_version}"
+        done = await self._decide("DELETE", path)
+        return Result(Status.OK if done else Status.CONFLICT)
+
+    async def acquire(self, key: str, holder: str, ttl_s: float) -> Result:
+        """Acquire a lease; one already held by this client is taken up again."""
+        found = await self._find(key)
+        if found.session and found.session == self._sessions.get(key):
+            renewed = await self.renew(key, data.FencingNumber(found.version))
+            if renewed.status is Status.OK:
+                return renewed
+        elif found.session:
+            return Result(Status.CONFLICT, holder=found.value.decode(errors="replace"))
+        session = await self._create_session(ttl_s)
+        self._sessions[key] = session
+        try:
+            path = f"{_kv_path(key)}?acquire={session}"
+            await self._decide("PUT", path, holder.encode())
+        except KeyValueError as error:
+            if not error.sent:
+                raise
+            # The answer was lost; what the key shows decides.
+        found = await self._find(key)
+        holds = found.session == session
+        return Result(
+            Status.OK if holds else Status.CONFLICT,
+            fence=data.FencingNumber(found.version if holds else 0),
+            holder=found.value.decode(errors="replace"),
+        )
+
+    async def renew(self, key: str, fence: data.FencingNumber) -> Result:
+        """Renew a lease by its session."""
+        session = self._sessions.get(key)
+        if session is None:
+            return Result(Status.CONFLICT)
+        reply = await self._call("PUT", f"/v1/session/renew/{session}", b"")
+        if reply.status == 404:
+            del self._sessions[key]
+            return Result(Status.CONFLICT)
+        return Result(Status.OK, fence=fence)
+
+    async def release(self, key: str, fence: data.FencingNumber) -> Result:
+        """Release a lease by ending its session."""
+        session = self._sessions.pop(key, None)
+        if session is None:
+            return Result(Status.CONFLICT)
+        await self._call("PUT", f"/v1/session/destroy/{session}", b"")
+        return Result(Status.OK, fence=fence)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._web.close()
+
+    async def _create_session(self, ttl_s: float) -> str:
+        wanted = {"TTL": f"{ttl_s:g}s", "Behavior": "release", "LockDelay": "0s"}
+        reply = await self._call("PUT", "/v1/session/create", json.dumps(wanted))
+        return _parsed(reply)["ID"]
+
+    async def _find(self, key: str, index: int = 0, wait_s: float = 0.0) -> _Found:
+        path = _kv_path(key)
+        timeout_s = CALL_TIMEOUT_S
+        if index:
+            path += f"?index={index}&wait={wait_s:.3f}s"
+            timeout_s = wait_s + WATCH_GRACE_S
+        reply = await self._call("GET", path, timeout_s=timeout_s)
+        shown_index = int(reply.header("x-consul-index", "0"))
+        if reply.status == 404:
+            return _Found(shown_index)
+        entry = _parsed(reply)[0]
+        value = base64.b64decode(entry["Value"] or "")
+        session = entry.get("Session", "")
+        return _Found(shown_index, value, entry["ModifyIndex"], session)
+
+    async def _version_of(self, key: str, value: bytes) -> int:
+        try:
+            found = await self._find(key)
+        except KeyValueError:
+            return 0
+        return found.version if found.value == value else 0
+
+    async def _decide(self, method: str, path: str, body: bytes | None = None) -> bool:
+        return _parsed(await self._call(method, path, body)) is True
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> web_client.Reply:
+        if isinstance(body, str):
+            body = body.encode()
+        url = self._url + path
+        try:
+            reply = await self._web.call(method, url, timeout_s, body)
+        except web_client.WebError as error:
+            raise KeyValueError(error.sent, str(error)) from error
+        if reply.status >= 500:
+            raise KeyValueError(True, f"{method} {path}: status {reply.status}")
+        if reply.status >= 400 and reply.status != 404:
+            raise KeyValueError(False, f"{method} {path}: status {reply.status}")
+        return reply
+
+
+class KeyValueAdapter(runtime.Adapter):
+    """Carries out the key-value effects and posts their answers."""
+
+    def __init__(
+        self, service: KeyValueService, post: Callable[[data.Event], None]
+    ) -> None:
+        self._service = service
+        self._post = post
+        self._calling: set[defer.Deferred] = set()
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Return the key-value effects."""
+        service = self._service
+        return {
+            effects.KvRead: lambda e: self._start(e, service.read(e.key), False),
+            effects.KvWatch: lambda e: self._start(
+                e, service.watch(e.key, e.after_version, e.wait_s), False
+            ),
+            effects.KvWrite: lambda e: self._start(
+                e, service.write(e.key, e.value, e.expected_version), True
+            ),
+            effects.KvDelete: lambda e: self._start(
+                e, service.delete(e.key, e.expected_version), True
+            ),
+            effects.LeaseAcquire: lambda e: self._start(
+                e, service.acquire(e.key, e.holder, e.ttl_s), True
+            ),
+            effects.LeaseRenew: lambda e: self._start(
+                e, service.renew(e.key, e.fence), True
+            ),
+            effects.LeaseRelease: lambda e: self._start(
+                e, service.release(e.key, e.fence), True
+            ),
+        }
+
+    async def stop(self) -> None:
+        """Cancel what is still waiting."""
+        for calling in list(self._calling):
+            calling.cancel()
+        await self._service.close()
+
+    def _start(
+        self, effect: data.Effect, call: Awaitable[Result], writes: bool
+    ) -> None:
+        calling = defer.ensureDeferred(self._run(effect, call, writes))
+        self._calling.add(calling)
+        calling.addBoth(lambda _: self._calling.discard(calling))
+
+    async def _run(
+        self, effect: data.Effect, call: Awaitable[Result], writes: bool
+    ) -> None:
+        result = await _settle(call, writes)
+        self._post(
+            events.KvAnswered(
+                effect.operation_id,
+                result.status,
+                effect.key,
+                result.value,
+                result.version,
+                result.fence,
+                result.holder,
+            )
+        )
+
+
+async def _settle(call: Awaitable[Result], writes: bool) -> Result:
+    """Return a call's result; without a usable answer, what is known of it.
+
+    A read without an answer is UNKNOWN; a write that never left is NOT_APPLIED.
+    """
+    try:
+        return await call
+    except KeyValueError as error:
+        logs.write("key_value_failed", sent=error.sent, why=str(error))
+        if writes and not error.sent:
+            return Result(Status.NOT_APPLIED)
+        return Result(Status.UNKNOWN)
+
+
+def _kv_path(key: str) -> str:
+    return f"/v1/kv/{quote(key)}"
+
+
+def _shown(found: _Found) -> Result:
+    if not found.version:
+        return Result(Status.ABSENT)
+    holder = found.value.decode(errors="replace") if found.session else ""
+    return Result(Status.OK, found.value, found.version, holder=holder)
+
+
+def _parsed(reply: web_client.Reply) -> object:
+    try:
+        return json.loads(reply.body)
+    except ValueError as error:
+        raise KeyValueError(True, f"malformed answer: {error}") from error
