Add membership, reports, the instance list and datagrams

Endpoint processes are covered by their own reports. A pause of the prober counts for no silence of others.

The list's readings are paced by its size; its changes are gossiped.

--- /dev/null
+++ b/toucanspread/core/beliefs.py
@@ -0,0 +1,405 @@
+"""What a process believes of the others, and the rules by which beliefs change.
+
+Three kinds of evidence meet here: a message straight from a process, an update that
+others pass on, and the platform's lagging list. An update is ordered by incarnation,
+then by refutation, then by state; a process answers a wrong belief about itself with
+a higher refutation, so that an old rumour can't win. LEAVING stays for an incarnation.
+
+The functions work on ``node.membership`` and return events and effects.
+"""
+
+import math
+
+import msgspec
+
+from toucanspread.core import data, effects, events, invariants
+
+State = data.MemberState
+
+RANKS = {State.LIVE: 0, State.LEAVING: 1, State.SUSPECT: 2, State.DEAD: 3}
+NEVER_S = -math.inf
+FRESH_S = 2.0  # a process heard this recently isn't condemned on hearsay
+FORGET_S = 600.0  # longer than any message is late
+MIN_SUSPICION_S = 3.0
+MAX_HEALTH = 4.0  # the factor on timeouts while this process itself seems slow
+SUSPICION_S_PER_DOUBLING = 1.0  # an update crosses the fleet in log2(n) rounds
+
+Items = list[data.Event | data.Effect]
+
+
+class Update(data.Record, frozen=True, array_like=True, tag=False):
+    """A belief about one process, as it travels between processes."""
+
+    instance_id: data.InstanceId
+    role: data.Role
+    incarnation: data.Incarnation
+    zone: data.ZoneName
+    region: data.RegionName
+    address: data.Address
+    http_address: data.Address
+    state: data.MemberState
+    refutation: int
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return the place of the update among all about its process."""
+        return (self.incarnation, self.refutation, RANKS[self.state])
+
+    def identity(self) -> data.Identity:
+        """Return the process that the update is about."""
+        return data.Identity(
+            self.instance_id,
+            self.role,
+            self.incarnation,
+            self.zone,
+            self.region,
+            self.address,
+            self.http_address,
+        )
+
+
+class Ping(data.Message):
+    """Asks a process for an :class:`Ack`.
+
+    :param number: returned in the answer.
+    """
+
+    number: int
+    updates: tuple[Update, ...] = ()
+
+
+class Member(msgspec.Struct):
+    """What is believed of one process.
+
+    :param heard_s: when a message last came straight from it, by ``node.now_s``.
+    :param clock_s: the same by the time in which this process was awake.
+    :param changed_s: when the state last changed, in awake time.
+    :param listed: whether the platform's list showed it at the last reading.
+    """
+
+    identity: data.Identity
+    state: data.MemberState = State.LIVE
+    report: data.Report | None = None
+    heard_s: float = NEVER_S
+    clock_s: float = NEVER_S
+    changed_s: float = 0.0
+    refutation: int = 0
+    leaving: bool = False
+    listed: bool = False
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return the place of the belief among all about the process."""
+        return (self.identity.incarnation, self.refutation, RANKS[self.state])
+
+    @property
+    def alive(self) -> bool:
+        """Return whether the process isn't believed dead."""
+        return self.state is not State.DEAD
+
+
+def update_of(member: Member) -> Update:
+    """Return the belief in the form in which it travels."""
+    return make_update(member.identity, member.state, member.refutation)
+
+
+def make_update(
+    identity: data.Identity, state: data.MemberState, refutation: int
+) -> Update:
+    """Return an update about a process."""
+    return Update(
+        identity.instance_id,
+        identity.role,
+        identity.incarnation,
+        identity.zone,
+        identity.region,
+        identity.address,
+        identity.http_address,
+        state,
+        refutation,
+    )
+
+
+def own_update(node) -> Update:
+    """Return what this process says of itself."""
+    state = State.LEAVING if node.membership.leaving else State.LIVE
+    return make_update(node.identity, state, node.membership.refutation)
+
+
+def hear(node, identity: data.Identity) -> Items:
+    """Take in that a message came straight from a process."""
+    if identity.instance_id == node.identity.instance_id:
+        return []
+    table = node.membership.members
+    member = table.get(identity.instance_id)
+    found = _bury_predecessor(node, identity)
+    if member is None:
+        member = Member(identity, changed_s=node.membership.clock_s)
+        return found + _enter(node, member) + _touch(node, member)
+    if identity.incarnation < member.identity.incarnation:
+        return []
+    if identity.incarnation > member.identity.incarnation:
+        return found + _replace(node, member, identity) + _touch(node, member)
+    found += _touch(node, member)
+    if member.state is State.DEAD:
+        found += _challenge(node, update_of(member))
+    if member.state in (State.SUSPECT, State.DEAD):
+        found += change(node, member, _alive_state(member))
+    return found
+
+
+def take(node, update: Update) -> Items:
+    """Take in an update that another process passed on."""
+    if update.instance_id == node.identity.instance_id:
+        return _take_about_self(node, update)
+    member = node.membership.members.get(update.instance_id)
+    if member is None:
+        return _take_unknown(node, update)
+    if update.order <= member.order:
+        return []
+    if update.incarnation > member.identity.incarnation:
+        return _take_newer(node, member, update)
+    condemns = update.state in (State.SUSPECT, State.DEAD)
+    if condemns and node.membership.clock_s - member.clock_s < FRESH_S:
+        return _challenge(node, update)
+    member.refutation = update.refutation
+    if update.state is State.LEAVING:
+        member.leaving = True
+    state = update.state if condemns else _alive_state(member)
+    return change(node, member, state) + _spread(node, member)
+
+
+def take_list(node, event: events.InstanceListRead) -> Items:
+    """Take in a reading of the platform's list.
+
+    The list lags: it neither revives a process nor declares one dead.
+    """
+    found: Items = []
+    table = node.membership.members
+    leaving = set(event.leaving)
+    shown = set()
+    for identity in event.instances:
+        shown.add(identity.instance_id)
+        if identity.instance_id == node.identity.instance_id:
+            found += _take_own_listing(node, identity.instance_id in leaving)
+            continue
+        member = table.get(identity.instance_id)
+        if member is None:
+            member = Member(identity, changed_s=node.membership.clock_s)
+            found += _enter(node, member)
+        elif _moved(member, identity):
+            member.identity = identity
+            found += change(node, member, State.LIVE)
+        member.listed = True
+        if identity.instance_id in leaving and not member.leaving:
+            found += mark_leaving(node, member)
+    for member in list(table.values()):
+        if member.identity.instance_id in shown:
+            continue
+        member.listed = False
+        if member.identity.incarnation == 0:
+            found += _forget(node, member)
+    return found
+
+
+def mark_leaving(node, member: Member) -> Items:
+    """Believe that a process is leaving; it stays so for its incarnation."""
+    member.leaving = True
+    if member.state is not State.LIVE:
+        return []
+    return change(node, member, State.LEAVING) + _spread(node, member)
+
+
+def suspect(node, member: Member) -> Items:
+    """Believe that a process may be dead, because probes of it failed."""
+    if member.state not in (State.LIVE, State.LEAVING):
+        return []
+    return change(node, member, State.SUSPECT) + _spread(node, member)
+
+
+def vouch(node, member: Member | None, incarnation: data.Incarnation) -> Items:
+    """Take in that helpers reach a process that this one doesn't."""
+    if member is None or member.identity.incarnation != incarnation:
+        return []
+    if member.state is not State.SUSPECT:
+        return []
+    return change(node, member, _alive_state(member))
+
+
+def lose_report(node, member: Member) -> Items:
+    """Drop the report of a process that now reports to others."""
+    member.report = None
+    node.membership.index(member)
+    return [events.ReportLost(member.identity.instance_id)]
+
+
+def expire(node) -> Items:
+    """Declare suspects dead and forget the dead whose time has come."""
+    state = node.membership
+    found: Items = []
+    limit_s = suspicion_s(node)
+    for instance_id in list(state.suspects):
+        member = state.members[instance_id]
+        if state.clock_s - member.changed_s >= limit_s:
+            found += change(node, member, State.DEAD) + _spread(node, member)
+    for instance_id in list(state.dead):
+        member = state.members[instance_id]
+        if member.listed or state.clock_s - member.changed_s < FORGET_S:
+            continue
+        found += _forget(node, member)
+    return found
+
+
+def suspicion_s(node) -> float:
+    """Return how long a process stays a suspect before it counts as dead."""
+    doublings = math.log2(len(node.membership.entry_ids) + 1)
+    base_s = max(MIN_SUSPICION_S, SUSPICION_S_PER_DOUBLING * doublings)
+    return base_s * node.membership.health
+
+
+def change(node, member: Member, state: data.MemberState) -> Items:
+    """Set a member's state and tell the other parts."""
+    if member.state is state:
+        return []
+    before = member.state
+    member.state = state
+    member.changed_s = node.membership.clock_s
+    node.membership.index(member)
+    return [
+        events.MemberChanged(member.identity, state),
+        effects.Log(
+            "member_changed",
+            {
+                "member": member.identity.instance_id,
+                "incarnation": member.identity.incarnation,
+                "before": before.value,
+                "state": state.value,
+            },
+        ),
+        effects.Count("membership_changes", attributes={"state": state.value}),
+    ]
+
+
+def _bury_predecessor(node, identity: data.Identity) -> Items:
+    """Declare another instance dead whose address this one has taken over."""
+    before = node.membership.addresses.get(identity.address)
+    if before in (None, identity.instance_id):
+        return []
+    member = node.membership.members[before]
+    node.membership.addresses[identity.address] = identity.instance_id
+    if identity.incarnation < member.identity.incarnation or not member.alive:
+        return []
+    return change(node, member, State.DEAD) + _spread(node, member)
+
+
+def _touch(node, member: Member) -> Items:
+    member.heard_s = node.now_s
+    member.clock_s = node.membership.clock_s
+    return []
+
+
+def _alive_state(member: Member) -> data.MemberState:
+    return State.LEAVING if member.leaving else State.LIVE
+
+
+def _enter(node, member: Member) -> Items:
+    member.state = _alive_state(member) if member.alive else State.DEAD
+    node.membership.add(member)
+    _spread(node, member)
+    return [events.MemberChanged(member.identity, member.state)]
+
+
+def _forget(node, member: Member) -> Items:
+    node.membership.remove(member)
+    if not member.alive:
+        return []
+    return [events.MemberChanged(member.identity, State.DEAD)]
+
+
+def _replace(node, member: Member, identity: data.Identity) -> Items:
+    """Put a new incarnation in the place of an old one."""
+    invariants.check(
+        identity.incarnation > member.identity.incarnation,
+        invariants.Invariant.INCARNATION_NEVER_DECREASES,
+        f"{identity.instance_id}: {identity.incarnation}",
+    )
+    found: Items = []
+    if member.identity.incarnation and member.alive:
+        found.append(events.MemberChanged(member.identity, State.DEAD))
+    member.identity = identity
+    member.report = None
+    member.refutation = 0
+    member.leaving = False
+    member.state = State.LIVE
+    member.changed_s = node.membership.clock_s
+    node.membership.index(member)
+    found.append(events.MemberChanged(identity, State.LIVE))
+    return found + _spread(node, member)
+
+
+def _take_newer(node, member: Member, update: Update) -> Items:
+    found = _replace(node, member, update.identity())
+    member.refutation = update.refutation
+    if update.state is State.LIVE:
+        return found
+    if update.state is State.LEAVING:
+        member.leaving = True
+    return found + change(node, member, update.state) + _spread(node, member)
+
+
+def _take_unknown(node, update: Update) -> Items:
+    if update.state is State.DEAD:
+        return []
+    member = Member(
+        update.identity(),
+        refutation=update.refutation,
+        changed_s=node.membership.clock_s,
+        leaving=update.state is State.LEAVING,
+    )
+    found = _enter(node, member)
+    if update.state is State.SUSPECT:
+        found += change(node, member, State.SUSPECT)
+    return found
+
+
+def _take_about_self(node, update: Update) -> Items:
+    state = node.membership
+    if update.incarnation != node.identity.incarnation:
+        return []
+    if update.state is State.LEAVING and not state.leaving:
+        return _take_own_listing(node, True)
+    if update.state not in (State.SUSPECT, State.DEAD):
+        return []
+    if update.refutation < state.refutation:
+        return []
+    state.refutation = update.refutation + 1
+    state.worsen()
+    state.pass_on(own_update(node))
+    return [effects.Count("membership_refutations")]
+
+
+def _take_own_listing(node, leaving: bool) -> Items:
+    if not leaving or node.membership.leaving:
+        return []
+    node.membership.leaving = True
+    node.membership.pass_on(own_update(node))
+    return [events.MemberChanged(node.identity, State.LEAVING)]
+
+
+def _moved(member: Member, identity: data.Identity) -> bool:
+    """Return whether the list shows a dead or unheard process at another address."""
+    if member.identity.address == identity.address:
+        return False
+    return member.identity.incarnation == 0
+
+
+def _challenge(node, update: Update) -> Items:
+    """Tell a process what is said of it, so that it can refute it."""
+    return [effects.Send(update.address, Ping(0, (update,)))]
+
+
+def _spread(node, member: Member) -> Items:
+    """Pass a belief on; only entries do, and only about processes met."""
+    if node.identity.role is data.Role.ENTRY and member.identity.incarnation:
+        node.membership.pass_on(update_of(member))
+    return []
--- a/toucanspread/core/events.py
+++ b/toucanspread/core/events.py
@@ -64,6 +64,12 @@
     report: data.Report
 
 
+class ReportLost(data.Event):
+    """Internal: an endpoint process lives but now reports to other entries."""
+
+    instance_id: data.InstanceId
+
+
 class ConfigApplied(data.Event):
     """Internal: a higher revision of the configuration is in force here."""
 
--- a/toucanspread/core/invariants.py
+++ b/toucanspread/core/invariants.py
@@ -27,6 +27,7 @@
     AT_MOST_ONCE = "a non-idempotent request executes at most once"
     RETRY_ONLY_WHEN_SAFE = "only a safe attempt is retried"
     QUEUE_BOUND = "queues stay bounded"
+    INCARNATION_NEVER_DECREASES = "the incarnation of an instance never decreases"
 
 
 class InvariantBreachError(Exception):
--- /dev/null
+++ b/toucanspread/core/membership.py
@@ -0,0 +1,248 @@
+"""Membership: who else is there, and in which state.
+
+Entries know all entries and probe them; endpoint processes are known by the reports
+that they send to a few entries each. The rules of belief stand in
+:mod:`toucanspread.core.beliefs`, the probes in :mod:`toucanspread.core.probing`.
+"""
+
+from toucanspread.core import beliefs, data, effects, events, gossip, probing, views
+
+Member = beliefs.Member
+
+MAX_STEP_S = 0.5  # a longer gap between ticks means that this process was not running
+EXPIRE_INTERVAL_S = 0.5
+MAX_LOG = 4_096  # updates about entries, kept for endpoint processes to catch up
+
+
+class ReportAck(data.Message):
+    """Tells an endpoint process that its reports arrive here.
+
+    :param updates: changes of entries since the acknowledgement before.
+    """
+
+    updates: tuple[beliefs.Update, ...] = ()
+
+
+class State:
+    """What this process believes of the others.
+
+    :param seeds: addresses from which to learn while the platform's list is down.
+    """
+
+    def __init__(self, seeds: tuple[data.Address, ...] = ()):
+        self.members: dict[data.InstanceId, Member] = {}
+        self.capacity: dict[data.InstanceId, dict[data.ServiceName, int]] = {}
+        self.seeds = seeds
+        self.leaving = False
+        self.refutation = 0
+        self.health = 1.0
+        self.clock_s = 0.0
+        self.gossip = gossip.Queue()
+        self.probing = probing.Table()
+        self.views = views.Table()
+        self.addresses: dict[data.Address, data.InstanceId] = {}
+        self.entry_ids: set[data.InstanceId] = set()
+        self.reporters: set[data.InstanceId] = set()
+        self.suspects: set[data.InstanceId] = set()
+        self.dead: set[data.InstanceId] = set()
+        self.entry_log: list[beliefs.Update] = []
+        self.entry_log_start = 0
+        self.told: dict[data.InstanceId, int] = {}
+        self.list_read = False
+        self._last_tick_s: float | None = None
+        self._next_expiry_s = 0.0
+
+    def add(self, member: Member) -> None:
+        """Keep a new member."""
+        self.members[member.identity.instance_id] = member
+        self.index(member)
+
+    def remove(self, member: Member) -> None:
+        """Forget a member."""
+        instance_id = member.identity.instance_id
+        del self.members[instance_id]
+        self.capacity.pop(instance_id, None)
+        self.told.pop(instance_id, None)
+        for group in (self.entry_ids, self.reporters, self.suspects, self.dead):
+            group.discard(instance_id)
+        if self.addresses.get(member.identity.address) == instance_id:
+            del self.addresses[member.identity.address]
+
+    def index(self, member: Member) -> None:
+        """Put a member whose state or identity changed into the right groups."""
+        instance_id = member.identity.instance_id
+        is_entry = member.identity.role is data.Role.ENTRY
+        _put(self.entry_ids, instance_id, is_entry and member.alive)
+        _put(self.reporters, instance_id, member.report is not None and member.alive)
+        _put(self.suspects, instance_id, member.state is data.MemberState.SUSPECT)
+        _put(self.dead, instance_id, not member.alive)
+        if member.alive:
+            self.addresses[member.identity.address] = instance_id
+        else:
+            self.capacity.pop(instance_id, None)
+
+    def pass_on(self, update: beliefs.Update) -> None:
+        """Spread an update among entries, and to endpoint processes if of an entry."""
+        self.gossip.put(update)
+        if update.role is not data.Role.ENTRY:
+            return
+        self.entry_log.append(update)
+        if len(self.entry_log) > MAX_LOG:
+            self.entry_log_start += len(self.entry_log) - MAX_LOG
+            del self.entry_log[:-MAX_LOG]
+
+    def worsen(self) -> None:
+        """Note a sign that this process itself is slow or cut off."""
+        self.health = min(beliefs.MAX_HEALTH, self.health + 1.0)
+
+    def improve(self) -> None:
+        """Note a sign that this process itself is well."""
+        self.health = max(1.0, self.health - 1.0)
+
+    def advance(self, now_s: float) -> None:
+        """Let awake time run; a pause of this process counts for no silence."""
+        if self._last_tick_s is None:
+            self._last_tick_s = now_s
+        gap_s = now_s - self._last_tick_s
+        self._last_tick_s = now_s
+        if gap_s > MAX_STEP_S:
+            gap_s = MAX_STEP_S
+            self.worsen()
+        self.clock_s += gap_s
+
+    def expiry_due(self) -> bool:
+        """Return whether suspects have to be looked at."""
+        if self.clock_s < self._next_expiry_s:
+            return False
+        self._next_expiry_s = self.clock_s + EXPIRE_INTERVAL_S
+        return True
+
+
+def entries(node) -> list[Member]:
+    """Return the entries that aren't believed dead, without this process."""
+    members = node.membership.members
+    return [members[instance_id] for instance_id in sorted(node.membership.entry_ids)]
+
+
+def endpoints(node) -> list[Member]:
+    """Return the endpoint processes that aren't believed dead."""
+    found = []
+    for member in node.membership.members.values():
+        if member.alive and member.identity.role is data.Role.ENDPOINT:
+            found.append(member)
+    return found
+
+
+def reports(node) -> list[data.Report]:
+    """Return the newest report of each endpoint process that reports here."""
+    members = node.membership.members
+    found = []
+    for instance_id in sorted(node.membership.reporters):
+        found.append(members[instance_id].report)
+    return found
+
+
+def on_tick(node, event: events.Tick) -> beliefs.Items:
+    """Probe, expire and compare views, each when due."""
+    state = node.membership
+    state.advance(node.now_s)
+    found = probing.run(node)
+    if state.expiry_due():
+        found += beliefs.expire(node)
+        found += views.run(node)
+    return found
+
+
+def on_message(node, event: events.MessageReceived) -> beliefs.Items:
+    """Take any message as a sign of life, and handle those of membership."""
+    found = beliefs.hear(node, event.sender)
+    message = event.message
+    handler = MESSAGE_HANDLERS.get(type(message))
+    if handler is not None:
+        found += handler(node, event.sender, message)
+    return found
+
+
+def on_list(node, event: events.InstanceListRead) -> beliefs.Items:
+    """Take in the platform's list."""
+    node.membership.list_read = True
+    return beliefs.take_list(node, event)
+
+
+def on_drain(node, event: events.DrainStarted) -> beliefs.Items:
+    """Tell the others that this process is leaving."""
+    state = node.membership
+    if state.leaving:
+        return []
+    state.leaving = True
+    state.pass_on(beliefs.own_update(node))
+    return []
+
+
+def _on_report(node, sender: data.Identity, report: data.Report) -> beliefs.Items:
+    member = node.membership.members.get(report.identity.instance_id)
+    if member is None or report.identity != sender or member.identity != sender:
+        return []
+    newest = member.report
+    if newest is not None and report.sequence <= newest.sequence:
+        return []
+    member.report = report
+    node.membership.index(member)
+    found: beliefs.Items = [events.ReportReceived(report)]
+    if report.state is data.MemberState.LEAVING and not member.leaving:
+        found += beliefs.mark_leaving(node, member)
+    if report.sequence % 2 == 0:
+        found.append(effects.Send(sender.address, _acknowledge(node, sender)))
+    return found
+
+
+def _acknowledge(node, sender: data.Identity) -> ReportAck:
+    state = node.membership
+    start = max(state.told.get(sender.instance_id, 0), state.entry_log_start)
+    first = start - state.entry_log_start
+    updates = tuple(state.entry_log[first : first + gossip.MAX_UPDATES])
+    state.told[sender.instance_id] = start + len(updates)
+    return ReportAck(updates)
+
+
+def _on_report_ack(node, sender: data.Identity, message: ReportAck) -> beliefs.Items:
+    return take_updates(node, message.updates)
+
+
+def take_updates(node, updates: tuple[beliefs.Update, ...]) -> beliefs.Items:
+    """Take in what rode on a message."""
+    found: beliefs.Items = []
+    for update in updates:
+        found += beliefs.take(node, update)
+    return found
+
+
+def _on_carrier(node, sender: data.Identity, message) -> beliefs.Items:
+    found = take_updates(node, message.updates)
+    return found + probing.MESSAGE_HANDLERS[type(message)](node, sender, message)
+
+
+def _put(group: set, instance_id: data.InstanceId, wanted: bool) -> None:
+    if wanted:
+        group.add(instance_id)
+    else:
+        group.discard(instance_id)
+
+
+MESSAGE_HANDLERS = {
+    data.Report: _on_report,
+    ReportAck: _on_report_ack,
+    beliefs.Ping: _on_carrier,
+    probing.Ack: _on_carrier,
+    probing.PingRequest: _on_carrier,
+    probing.IndirectAck: _on_carrier,
+    views.ViewRequest: views.on_request,
+    views.View: views.on_view,
+}
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.MessageReceived: on_message,
+    events.InstanceListRead: on_list,
+    events.DrainStarted: on_drain,
+}
--- /dev/null
+++ b/toucanspread/core/probing.py
@@ -0,0 +1,302 @@
+"""Direct probes of other processes, and indirect ones through helpers.
+
+A probe that gets no direct answer is repeated by a few other entries. Only when
+helpers answered that they don't reach the process either does it become a suspect;
+when not even the helpers answer, this process first doubts itself and waits longer.
+"""
+
+import msgspec
+
+from toucanspread.core import beliefs, data, effects
+
+PROBE_INTERVAL_S = 1.0
+DIRECT_TIMEOUT_S = 0.5
+INDIRECT_TIMEOUT_S = 1.5
+RELAY_TIMEOUT_S = 0.8  # a helper answers before its asker gives up
+HELPERS = 3
+SILENCE_S = 2.5  # reports come once a second; two in a row may be lost
+ENTRY_SILENCE_S = 5.0  # acknowledgements come every other second
+MAX_SILENT_PROBES = 8  # per round
+DEAD_PROBE_ROUNDS = 5  # a dead process is tried in every fifth round
+MAX_RELAYS = 64
+
+
+class Ack(data.Message):
+    """Answers a :class:`beliefs.Ping`.
+
+    :param reports: whether the sender, an endpoint process, reports to the receiver.
+    """
+
+    number: int
+    updates: tuple[beliefs.Update, ...] = ()
+    reports: bool = False
+
+
+class PingRequest(data.Message):
+    """Asks an entry to probe a process in place of the sender."""
+
+    number: int
+    target: data.Address
+    updates: tuple[beliefs.Update, ...] = ()
+
+
+class IndirectAck(data.Message):
+    """Answers a :class:`PingRequest`."""
+
+    number: int
+    reached: bool
+    updates: tuple[beliefs.Update, ...] = ()
+
+
+class Probe(msgspec.Struct):
+    """A probe without an answer so far; times are in awake time.
+
+    :param helpers: how many helpers were asked.
+    :param refused: how many of them didn't reach the process either.
+    """
+
+    target: data.InstanceId
+    incarnation: data.Incarnation
+    due_s: float
+    indirect: bool = False
+    helpers: int = 0
+    refused: int = 0
+
+
+class Relay(msgspec.Struct):
+    """A probe that another process asked for."""
+
+    asker: data.Address
+    number: int
+    due_s: float
+
+
+class Table:
+    """The probes in progress."""
+
+    def __init__(self):
+        self.number = 0
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+        self.targets: set[data.InstanceId] = set()
+        self.round = 0
+        self.next_round_s = 0.0
+        self.rotation: list[data.InstanceId] = []
+        self.endpoint_rotation: list[data.InstanceId] = []
+
+    def next_number(self) -> int:
+        """Return a number that names a new probe."""
+        self.number += 1
+        return self.number
+
+
+def run(node) -> beliefs.Items:
+    """Follow the probes in progress and begin a round when due."""
+    state = node.membership
+    found: beliefs.Items = []
+    for number, probe in list(state.probing.probes.items()):
+        if state.clock_s >= probe.due_s:
+            found += _overdue(node, number, probe)
+    for number, relay in list(state.probing.relays.items()):
+        if state.clock_s >= relay.due_s:
+            del state.probing.relays[number]
+            found.append(_answer_relay(node, relay, False))
+    if state.clock_s >= state.probing.next_round_s:
+        state.probing.next_round_s = state.clock_s + PROBE_INTERVAL_S
+        found += _begin_round(node)
+    return found
+
+
+def _begin_round(node) -> beliefs.Items:
+    state = node.membership
+    state.probing.round += 1
+    found: beliefs.Items = []
+    for instance_id in _silent(node):
+        found += _begin(node, instance_id)
+    if state.probing.round % DEAD_PROBE_ROUNDS == 0 and state.dead:
+        found += _begin(node, node.random.choice(sorted(state.dead)))
+    if not state.entry_ids:
+        ping = beliefs.Ping(0)
+        found += [effects.Send(seed, ping) for seed in state.seeds]
+    if node.identity.role is data.Role.ENDPOINT:
+        return found
+    for rotation, candidates in (
+        (state.probing.rotation, state.entry_ids),
+        (state.probing.endpoint_rotation, None),
+    ):
+        instance_id = _next_in_rotation(node, rotation, candidates)
+        if instance_id is not None:
+            found += _begin(node, instance_id)
+    return found
+
+
+def _next_in_rotation(node, rotation: list, candidates) -> data.InstanceId | None:
+    """Return the next target; each comes once in a shuffled turn."""
+    members = node.membership.members
+    if not rotation:
+        rotation.extend(_unreported(node) if candidates is None else sorted(candidates))
+        node.random.shuffle(rotation)
+    while rotation:
+        member = members.get(rotation.pop())
+        if member is not None and member.alive and member.report is None:
+            return member.identity.instance_id
+    return None
+
+
+def _unreported(node) -> list[data.InstanceId]:
+    """Return the live endpoint processes that don't report here."""
+    found = []
+    for instance_id, member in node.membership.members.items():
+        is_endpoint = member.identity.role is data.Role.ENDPOINT
+        if is_endpoint and member.alive and member.report is None:
+            found.append(instance_id)
+    return found
+
+
+def _silent(node) -> list[data.InstanceId]:
+    """Return who should have been heard of late, the longest silent first."""
+    state = node.membership
+    expected, silence_s = state.reporters, SILENCE_S
+    if node.identity.role is data.Role.ENDPOINT:
+        expected, silence_s = set(node.reporting.chosen), ENTRY_SILENCE_S
+    limit_s = state.clock_s - silence_s * state.health
+    silent = []
+    for instance_id in expected:
+        member = state.members.get(instance_id)
+        if member is None or not member.alive or member.clock_s > limit_s:
+            continue
+        silent.append((member.clock_s, instance_id))
+    silent.sort()
+    return [instance_id for _, instance_id in silent[:MAX_SILENT_PROBES]]
+
+
+def _begin(node, instance_id: data.InstanceId) -> beliefs.Items:
+    state = node.membership
+    if instance_id in state.probing.targets:
+        return []
+    member = state.members[instance_id]
+    number = state.probing.next_number()
+    due_s = state.clock_s + DIRECT_TIMEOUT_S * state.health
+    state.probing.targets.add(instance_id)
+    state.probing.probes[number] = Probe(
+        instance_id, member.identity.incarnation, due_s
+    )
+    updates = updates_for(node, member)
+    return [effects.Send(member.identity.address, beliefs.Ping(number, updates))]
+
+
+def updates_for(node, member: beliefs.Member) -> tuple[beliefs.Update, ...]:
+    """Return what rides on a message; a condemned process learns of it first."""
+    state = node.membership
+    updates = ()
+    if node.identity.role is data.Role.ENTRY:
+        updates = state.gossip.take(len(state.entry_ids))
+    if member.state in (data.MemberState.SUSPECT, data.MemberState.DEAD):
+        updates = (beliefs.update_of(member), *updates)
+    return updates
+
+
+def _overdue(node, number: int, probe: Probe) -> beliefs.Items:
+    state = node.membership
+    member = state.members.get(probe.target)
+    if member is None or member.identity.incarnation != probe.incarnation:
+        _end(node, number)
+        return []
+    if not probe.indirect and member.alive:
+        return _ask_helpers(node, number, probe, member)
+    _end(node, number)
+    if not member.alive:
+        return []
+    if probe.helpers and not probe.refused:
+        state.worsen()
+        if state.health < beliefs.MAX_HEALTH:
+            return []
+    return beliefs.suspect(node, member)
+
+
+def _ask_helpers(node, number: int, probe: Probe, member) -> beliefs.Items:
+    state = node.membership
+    helpers = sorted(state.entry_ids - state.suspects - {probe.target})
+    helpers = node.random.sample(helpers, min(HELPERS, len(helpers)))
+    probe.indirect = True
+    probe.helpers = len(helpers)
+    probe.due_s = state.clock_s + INDIRECT_TIMEOUT_S * state.health
+    request = PingRequest(number, member.identity.address)
+    found: beliefs.Items = []
+    for instance_id in helpers:
+        address = state.members[instance_id].identity.address
+        found.append(effects.Send(address, request))
+    return found
+
+
+def _end(node, number: int) -> None:
+    probe = node.membership.probing.probes.pop(number, None)
+    if probe is not None:
+        node.membership.probing.targets.discard(probe.target)
+
+
+def _on_ping(node, sender: data.Identity, ping: beliefs.Ping) -> beliefs.Items:
+    member = node.membership.members.get(sender.instance_id)
+    updates = (beliefs.own_update(node),) if _was_condemned(node, ping) else ()
+    if member is not None:
+        updates += updates_for(node, member)
+    reports = False
+    if node.identity.role is data.Role.ENDPOINT:
+        reports = sender.instance_id in node.reporting.chosen
+    return [effects.Send(sender.address, Ack(ping.number, updates, reports))]
+
+
+def _was_condemned(node, ping: beliefs.Ping) -> bool:
+    """Return whether a ping brought a wrong belief about this process."""
+    own_id = node.identity.instance_id
+    return any(update.instance_id == own_id for update in ping.updates)
+
+
+def _on_ack(node, sender: data.Identity, ack: Ack) -> beliefs.Items:
+    state = node.membership
+    relay = state.probing.relays.pop(ack.number, None)
+    if relay is not None:
+        return [_answer_relay(node, relay, True)]
+    probe = state.probing.probes.get(ack.number)
+    if probe is None or probe.target != sender.instance_id:
+        return []
+    _end(node, ack.number)
+    state.improve()
+    member = state.members[sender.instance_id]
+    if member.report is not None and not ack.reports:
+        return beliefs.lose_report(node, member)
+    return []
+
+
+def _on_request(node, sender: data.Identity, request: PingRequest) -> beliefs.Items:
+    state = node.membership
+    if len(state.probing.relays) >= MAX_RELAYS:
+        return []
+    number = state.probing.next_number()
+    due_s = state.clock_s + RELAY_TIMEOUT_S
+    state.probing.relays[number] = Relay(sender.address, request.number, due_s)
+    return [effects.Send(request.target, beliefs.Ping(number))]
+
+
+def _answer_relay(node, relay: Relay, reached: bool) -> effects.Send:
+    return effects.Send(relay.asker, IndirectAck(relay.number, reached))
+
+
+def _on_indirect(node, sender: data.Identity, answer: IndirectAck) -> beliefs.Items:
+    state = node.membership
+    probe = state.probing.probes.get(answer.number)
+    if probe is None:
+        return []
+    if not answer.reached:
+        probe.refused += 1
+        return []
+    _end(node, answer.number)
+    return beliefs.vouch(node, state.members.get(probe.target), probe.incarnation)
+
+
+MESSAGE_HANDLERS = {
+    beliefs.Ping: _on_ping,
+    Ack: _on_ack,
+    PingRequest: _on_request,
+    IndirectAck: _on_indirect,
+}
--- /dev/null
+++ b/toucanspread/core/reporting.py
@@ -0,0 +1,136 @@
+"""Reports of an endpoint process to the entries that it chose.
+
+Few entries are all told. Of many, a few are chosen by rendezvous hashing, some in
+the own zone, so that each entry hears of about as many endpoint processes.
+"""
+
+from toucanspread.core import beliefs, data, effects, events, rendezvous
+
+REPORT_INTERVAL_S = 1.0
+ALL_ENTRIES_LIMIT = 32  # up to this many entries, every one is told
+ZONE_ENTRIES = 2
+OTHER_ENTRIES = 2
+CHOICE_INTERVAL_S = 1.0
+
+
+class State:
+    """Whom to tell, and when next."""
+
+    def __init__(self):
+        self.chosen: tuple[data.InstanceId, ...] = ()
+        self.sequence = 0
+        self.next_report_s = 0.0
+        self.next_choice_s = 0.0
+        self._ranked_from: frozenset[data.InstanceId] | None = None
+
+    def choice_due(self, now_s: float, entry_ids: set[data.InstanceId]) -> bool:
+        """Return whether the entries have changed since the last choice."""
+        if now_s < self.next_choice_s:
+            return False
+        self.next_choice_s = now_s + CHOICE_INTERVAL_S
+        if self._ranked_from == entry_ids:
+            return False
+        self._ranked_from = frozenset(entry_ids)
+        return True
+
+
+def choose(node) -> tuple[data.InstanceId, ...]:
+    """Return the entries to tell."""
+    members = node.membership.members
+    entry_ids = node.membership.entry_ids
+    if len(entry_ids) <= ALL_ENTRIES_LIMIT:
+        return tuple(sorted(entry_ids))
+    ranked = rendezvous.rank(node.identity.instance_id, entry_ids)
+    near = []
+    far = []
+    for instance_id in ranked:
+        is_near = members[instance_id].identity.zone == node.identity.zone
+        (near if is_near else far).append(instance_id)
+    chosen = near[:ZONE_ENTRIES]
+    chosen += far[: ZONE_ENTRIES + OTHER_ENTRIES - len(chosen)]
+    return tuple(chosen)
+
+
+def make_report(node) -> data.Report:
+    """Return the next report."""
+    node.reporting.sequence += 1
+    return data.Report(
+        identity=node.identity,
+        sequence=node.reporting.sequence,
+        state=_own_state(node),
+        **_serving(node),
+        **_progress(node),
+    )
+
+
+def on_tick(node, event: events.Tick) -> beliefs.Items:
+    """Report when due."""
+    state = node.reporting
+    if state.choice_due(node.now_s, node.membership.entry_ids):
+        state.chosen = choose(node)
+    if node.now_s < state.next_report_s:
+        return []
+    state.next_report_s = node.now_s + REPORT_INTERVAL_S
+    return _send_report(node)
+
+
+def on_change(node, event: data.Event) -> beliefs.Items:
+    """Report at once, because what this process serves has changed."""
+    return _send_report(node)
+
+
+def _send_report(node) -> beliefs.Items:
+    members = node.membership.members
+    report = make_report(node)
+    found: beliefs.Items = []
+    for instance_id in node.reporting.chosen:
+        member = members.get(instance_id)
+        if member is not None:
+            found.append(effects.Send(member.identity.address, report))
+    return found
+
+
+def _own_state(node) -> data.MemberState:
+    orders = getattr(node, "orders", None)
+    draining = getattr(orders, "draining", False)
+    if draining or node.membership.leaving:
+        return data.MemberState.LEAVING
+    return data.MemberState.LIVE
+
+
+def _serving(node) -> dict[str, object]:
+    """Return the fields of a report that tell what is served."""
+    found: dict[str, object] = {}
+    limits = getattr(node, "limits", None)
+    if limits is not None:
+        found["load"] = limits.load(node)
+    config = getattr(node, "config", None)
+    found["revision"] = getattr(config, "revision", data.Revision(0))
+    orders = getattr(node, "orders", None)
+    found["fence"] = getattr(orders, "fence", data.FencingNumber(0))
+    serving = getattr(orders, "serving", None)
+    if serving is None:
+        return found
+    for name in ("service", "kind", "model", "version", "manifest_hash", "adapters"):
+        found[name] = getattr(serving, name)
+    return found
+
+
+def _progress(node) -> dict[str, object]:
+    """Return the fields of a report that tell of a version being moved."""
+    transfer = getattr(node, "transfer", None)
+    if transfer is None:
+        return {}
+    target_version, staged, total = transfer.progress(node)
+    return {
+        "target_version": target_version,
+        "staged_chunks": staged,
+        "target_chunks": total,
+    }
+
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.ServingChanged: on_change,
+    events.DrainStarted: on_change,
+}
--- /dev/null
+++ b/toucanspread/ops/datagrams.py
@@ -0,0 +1,96 @@
+"""Small one-way messages as UDP datagrams, on the port that gRPC has on TCP.
+
+A datagram costs a fraction of a gRPC call and needs no connection. A message too
+large for one goes through ``send_large``. Malformed datagrams are counted, logged at
+a bounded rate and dropped.
+"""
+
+from collections.abc import Callable, Mapping
+
+from twisted.internet import error, protocol, reactor
+
+from toucanspread.core import data, effects, events
+from toucanspread.ops import codec, logs, metrics, runtime
+
+MAX_DATAGRAM_BYTES = 1_200  # fits every usual path without fragments
+LOG_INTERVAL_S = 10.0
+
+SendLarge = Callable[[data.Address, data.Message], None]
+
+
+class Datagrams(runtime.Adapter):
+    """Carries out :class:`effects.Send`.
+
+    :param identity: the sender on every message; its address is bound.
+    :param post: takes the received messages as events.
+    :param send_large: sends what a datagram can't hold.
+    """
+
+    def __init__(
+        self,
+        identity: data.Identity,
+        post: Callable[[data.Event], None],
+        send_large: SendLarge,
+    ) -> None:
+        self._identity = identity
+        self._post = post
+        self._send_large = send_large
+        self._port = None
+        self._refused = 0
+        self._next_log_s = 0.0
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Return the effect that is carried out here."""
+        return {effects.Send: lambda effect: self.send(effect.to, effect.message)}
+
+    async def start(self) -> None:
+        """Bind the port."""
+        host, _, port = self._identity.address.rpartition(":")
+        self._port = reactor.listenUDP(
+            int(port), _Receiver(self), interface=host, maxPacketSize=65_536
+        )
+
+    async def stop(self) -> None:
+        """Release the port."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+
+    def send(self, address: data.Address, message: data.Message) -> None:
+        """Send a message; a failure is like a loss on the way."""
+        payload = codec.encode(self._identity, message)
+        if len(payload) > MAX_DATAGRAM_BYTES:
+            self._send_large(address, message)
+            return
+        if self._port is None:
+            return
+        host, _, port = address.rpartition(":")
+        try:
+            self._port.write(payload, (host, int(port)))
+        except (OSError, ValueError, error.MessageLengthError) as failure:
+            self._refuse("datagram_unsent", address, str(failure))
+
+    def receive(self, payload: bytes, source: tuple[str, int]) -> None:
+        """Take in what came on the port."""
+        try:
+            sender, message, _ = codec.decode(payload)
+        except codec.CodecError as failure:
+            metrics.count("datagrams_refused", 1, {})
+            self._refuse("datagram_refused", f"{source[0]}:{source[1]}", str(failure))
+            return
+        self._post(events.MessageReceived(sender, message))
+
+    def _refuse(self, event: str, peer: str, why: str) -> None:
+        self._refused += 1
+        if reactor.seconds() < self._next_log_s:
+            return
+        self._next_log_s = reactor.seconds() + LOG_INTERVAL_S
+        logs.write(event, peer=peer, why=why, refused=self._refused)
+
+
+class _Receiver(protocol.DatagramProtocol):
+    def __init__(self, datagrams: Datagrams):
+        self._datagrams = datagrams
+
+    def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
+        self._datagrams.receive(datagram, addr)
--- /dev/null
+++ b/toucanspread/ops/datagrams_test.py
@@ -0,0 +1,70 @@
+"""Tests of datagrams over loopback."""
+
+from twisted.internet import defer
+from twisted.trial import unittest
+
+from toucanspread.core import beliefs, data, views
+from toucanspread.ops import datagrams
+
+
+def identity(port):
+    return data.Identity(
+        data.InstanceId("brest-a-1"),
+        data.Role.ENTRY,
+        data.Incarnation(1),
+        data.ZoneName("brest-a"),
+        data.RegionName("finistere"),
+        data.Address(f"127.0.0.1:{port}"),
+    )
+
+
+class DatagramsTest(unittest.TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.received = defer.DeferredQueue()
+        self.large = []
+        self.sender = self.build(lambda event: None)
+        self.receiver = self.build(self.received.put)
+
+    def build(self, post):
+        built = datagrams.Datagrams(
+            identity(0), post, lambda address, message: self.large.append(message)
+        )
+        self.addCleanup(lambda: defer.ensureDeferred(built.stop()))
+        return built
+
+    async def start(self):
+        await self.sender.start()
+        await self.receiver.start()
+        return f"127.0.0.1:{self.receiver._port.getHost().port}"
+
+    def test_message_arrives_after_malformed_ones(self):
+        async def scenario():
+            address = await self.start()
+            host, port = address.split(":")
+            for payload in (b"", b"\xff" * 50, b"\x80"):
+                self.sender._port.write(payload, (host, int(port)))
+            self.sender.send(address, beliefs.Ping(3))
+            event = await self.received.get()
+            self.assertEqual((identity(0), 3), (event.sender, event.message.number))
+            self.assertEqual([], self.received.pending)
+
+        return defer.ensureDeferred(scenario())
+
+    def test_large_message_takes_the_other_way(self):
+        async def scenario():
+            address = await self.start()
+            update = beliefs.make_update(identity(1), data.MemberState.LIVE, 0)
+            view = views.View((update,) * 20)
+            self.sender.send(address, view)
+            self.assertEqual([view], self.large)
+
+        return defer.ensureDeferred(scenario())
+
+    def test_unusable_address_is_a_loss(self):
+        async def scenario():
+            await self.start()
+            self.sender.send("nowhere", beliefs.Ping(1))
+
+        return defer.ensureDeferred(scenario())
--- /dev/null
+++ b/toucanspread/ops/instances.py
@@ -0,0 +1,185 @@
+"""The platform's instance list: its interface, an HTTP client, a polling adapter.
+
+The list doesn't know incarnations; an instance read from it has incarnation 0 until
+a message comes from its process.
+"""
+
+import abc
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+from twisted.internet import defer, reactor
+
+from toucanspread.core import data, events
+from toucanspread.ops import logs, runtime, web_client
+
+CALL_TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 2.0
+READ_BUDGET_BYTES_S = 4 * 1024  # the list's share of a node's control bytes
+MAX_INTERVAL_S = 300.0
+LEAVING = "leaving"
+
+
+class InstanceListError(Exception):
+    """The instance list could not be read."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Reading:
+    """The list at one time.
+
+    :param size_bytes: what the reading cost on the wire.
+    """
+
+    event: events.InstanceListRead
+    size_bytes: int
+
+
+class InstanceList(abc.ABC):
+    """What this project needs of the platform's instance list."""
+
+    @abc.abstractmethod
+    async def read(self) -> Reading | None:
+        """Return the list, or None when it is as it was at the last reading.
+
+        :raises InstanceListError: when there is no usable answer.
+        """
+
+    async def close(self) -> None:
+        """Close what is open."""
+        return
+
+
+class _Row(msgspec.Struct):
+    instance_id: str
+    role: data.Role
+    zone: str
+    region: str
+    address: str
+    http_address: str = ""
+    state: str = "live"
+
+
+class HttpInstanceList(InstanceList):
+    """The client of the list's JSON over HTTP.
+
+    :param url: the base, such as ``http://10.0.0.5:8600``.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/") + "/v1/instances"
+        self._web = web_client.WebClient()
+        self._etag = ""
+
+    async def read(self) -> Reading | None:
+        """Read the list unless it is unchanged."""
+        headers = {"if-none-match": self._etag} if self._etag else {}
+        try:
+            reply = await self._web.call(
+                "GET", self._url, CALL_TIMEOUT_S, headers=headers
+            )
+        except web_client.WebError as error:
+            raise InstanceListError(str(error)) from error
+        if reply.status == 304:
+            return None
+        if reply.status != 200:
+            raise InstanceListError(f"{self._url}: status {reply.status}")
+        try:
+            rows = msgspec.json.decode(reply.body, type=list[_Row])
+        except msgspec.MsgspecError as error:
+            raise InstanceListError(f"{self._url}: malformed: {error}") from error
+        self._etag = reply.header("etag")
+        return Reading(_read_rows(rows), len(reply.body))
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._web.close()
+
+
+class InstanceListAdapter(runtime.Adapter):
+    """Reads the list again and again, less often the larger it is.
+
+    Entries tell each other what one of them has read, so that a change is known
+    everywhere long before each has read it.
+    """
+
+    def __init__(
+        self, instance_list: InstanceList, post: Callable[[data.Event], None]
+    ) -> None:
+        self._list = instance_list
+        self._post = post
+        self._timer = None
+        self._reading: defer.Deferred | None = None
+        self._stopped = False
+        self._interval_s = POLL_INTERVAL_S
+        self._unread = False
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Carry out no effects."""
+        return {}
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._poll()
+
+    async def stop(self) -> None:
+        """Read no more."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._reading is not None:
+            self._reading.cancel()
+        await self._list.close()
+
+    def _poll(self) -> None:
+        self._reading = defer.ensureDeferred(self._read())
+        self._reading.addBoth(lambda _: self._wait())
+
+    async def _read(self) -> None:
+        try:
+            reading = await self._list.read()
+        except InstanceListError as error:
+            if not self._unread:
+                logs.write("instance_list_unread", why=str(error))
+            self._unread = True
+            return
+        self._unread = False
+        if reading is None:
+            return
+        self._interval_s = interval_for(reading.size_bytes)
+        self._post(reading.event)
+
+    def _wait(self) -> None:
+        self._reading = None
+        if self._stopped:
+            return
+        spread = 0.5 + random.random()
+        self._timer = reactor.callLater(self._interval_s * spread, self._poll)
+
+
+def interval_for(size_bytes: int) -> float:
+    """Return how long to wait after a reading of that size."""
+    paced_s = size_bytes / READ_BUDGET_BYTES_S
+    return min(max(POLL_INTERVAL_S, paced_s), MAX_INTERVAL_S)
+
+
+def _read_rows(rows: list[_Row]) -> events.InstanceListRead:
+    instances = []
+    leaving = []
+    for row in rows:
+        instances.append(
+            data.Identity(
+                data.InstanceId(row.instance_id),
+                row.role,
+                data.Incarnation(0),
+                data.ZoneName(row.zone),
+                data.RegionName(row.region),
+                data.Address(row.address),
+                data.Address(row.http_address),
+            )
+        )
+        if row.state == LEAVING:
+            leaving.append(data.InstanceId(row.instance_id))
+    return events.InstanceListRead(tuple(instances), tuple(leaving))
--- /dev/null
+++ b/toucanspread/ops/instances_test.py
@@ -0,0 +1,70 @@
+"""Tests of the instance list's client against the stand-in, over loopback."""
+
+from twisted.internet import defer, reactor, task
+from twisted.trial import unittest
+from twisted.web import server
+
+from standins import instance_list as standin
+from toucanspread.core import data
+from toucanspread.ops import instances, web_client
+
+ROW = {
+    "instance_id": "brest-a-1",
+    "role": "entry",
+    "zone": "brest-a",
+    "region": "finistere",
+    "address": "127.0.0.1:7000",
+}
+
+
+class InstancesTest(unittest.TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.standin = standin.InstanceListResource(lag_s=5.0, clock=self.clock)
+        site = server.Site(self.standin)
+        self.port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.url = f"http://127.0.0.1:{self.port.getHost().port}"
+        self.client = instances.HttpInstanceList(self.url)
+        self.web = web_client.WebClient()
+        self.addCleanup(lambda: defer.ensureDeferred(self._stop()))
+
+    async def _stop(self):
+        await self.client.close()
+        await self.web.close()
+        await defer.maybeDeferred(self.port.stopListening)
+        await task.deferLater(reactor, 0.01, lambda: None)
+
+    async def administer(self, path, body=b"{}"):
+        await self.web.call("PUT", f"{self.url}/admin/{path}", 5.0, body)
+
+    def test_lag_and_leaving(self):
+        async def scenario():
+            await self.administer("instances", standin.json.dumps([ROW]).encode())
+            self.assertEqual((), (await self.client.read()).event.instances)
+            self.clock.advance(5.0)
+            first = (await self.client.read()).event
+            self.assertEqual("brest-a-1", first.instances[0].instance_id)
+            self.assertEqual(0, first.instances[0].incarnation)
+            self.assertIsNone(await self.client.read())
+            await self.administer("leaving/brest-a-1")
+            self.clock.advance(5.0)
+            second = (await self.client.read()).event
+            self.assertEqual((data.InstanceId("brest-a-1"),), second.leaving)
+
+        return defer.ensureDeferred(scenario())
+
+    def test_malformed_list_is_an_error(self):
+        async def scenario():
+            await self.administer("instances", b'[{"instance_id": "x"}]')
+            self.clock.advance(5.0)
+            await self.assertFailure(
+                defer.ensureDeferred(self.client.read()), instances.InstanceListError
+            )
+
+        return defer.ensureDeferred(scenario())
+
+    def test_interval_grows_with_the_list(self):
+        self.assertEqual(instances.POLL_INTERVAL_S, instances.interval_for(2_000))
+        self.assertEqual(256.0, instances.interval_for(1024 * 1024))
--- a/toucanspread/ops/web_client.py
+++ b/toucanspread/ops/web_client.py
@@ -5,6 +5,8 @@
 """
 
 import dataclasses
+import types
+from collections.abc import Mapping
 
 from twisted.internet import defer, error, reactor
 from twisted.web import client, http_headers
@@ -82,13 +84,18 @@
         )
 
     async def call(
-        self, method: str, url: str, timeout_s: float, body: bytes | None = None
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: Mapping[str, str] = types.MappingProxyType({}),
     ) -> Reply:
         """Make one call and return its whole answer.
 
         :raises WebError: when there is none within ``timeout_s``.
         """
-        calling = defer.ensureDeferred(self._call(method, url, body))
+        calling = defer.ensureDeferred(self._call(method, url, body, headers))
         calling.addTimeout(timeout_s, reactor)
         try:
             return await calling
@@ -100,10 +107,15 @@
         except Exception as failure:
             raise WebError(True, f"{method} {url}: {failure!r}") from failure
 
-    async def _call(self, method: str, url: str, body: bytes | None) -> Reply:
+    async def _call(
+        self, method: str, url: str, body: bytes | None, headers: Mapping[str, str]
+    ) -> Reply:
         producer = None if body is None else _BytesProducer(body)
+        sent_headers = http_headers.Headers()
+        for name, value in headers.items():
+            sent_headers.addRawHeader(name, value)
         response = await self._agent.request(
-            method.encode(), url.encode(), None, producer
+            method.encode(), url.encode(), sent_headers, producer
         )
         received = await client.readBody(response)
         return Reply(response.code, response.headers, received)
--- /dev/null
+++ b/toucanspread/tools/virtual_network.py
@@ -0,0 +1,96 @@
+"""A queue of messages between machines in virtual time, for tests and benches.
+
+It loses, delays and doubles messages by its own seed, and cuts one-way links. No
+decision of the system is made here.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from toucanspread.core import data, effects, events, machine
+
+TICK_S = 0.1
+
+
+class VirtualNetwork:
+    """Machines by address, and the messages on the way.
+
+    :param cut: whether a message from one identity to another is lost.
+    """
+
+    def __init__(self, seed: int = 1, delay_s: float = 0.002):
+        self.now_s = 0.0
+        self.delay_s = delay_s
+        self.jitter_s = 0.0
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.machines: dict[data.Address, machine.Machine] = {}
+        self.frozen: set[data.Address] = set()
+        self.cut: Callable[[data.Identity, data.Identity], bool] = lambda a, b: False
+        self.on_effect: Callable[[machine.Machine, data.Effect], None] | None = None
+        self.step_machine = machine.Machine.step
+        self._random = random.Random(seed)
+        self._queue: list = []
+        self._order = itertools.count()
+
+    def add(self, stepper: machine.Machine) -> None:
+        """Put a machine at its address, in place of any before."""
+        address = stepper.node.identity.address
+        self.machines[address] = stepper
+        start_s = self.now_s + self._random.random() * TICK_S
+        self._push(start_s, address, stepper, None)
+
+    def remove(self, address: data.Address) -> None:
+        """Kill the machine at an address."""
+        del self.machines[address]
+
+    def post(self, address: data.Address, event: data.Event) -> None:
+        """Feed an event to a machine now."""
+        self._step(self.machines[address], event)
+
+    def run(self, duration_s: float) -> None:
+        """Let time run."""
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            at_s, _, address, stepper, event = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, at_s)
+            if event is None:
+                self._tick(address, stepper)
+                continue
+            receiver = self.machines.get(address)
+            if receiver is None:
+                continue
+            if address in self.frozen:
+                self._push(self.now_s + TICK_S, address, None, event)
+                continue
+            if not self.cut(event.sender, receiver.node.identity):
+                self._step(receiver, event)
+        self.now_s = end_s
+
+    def _tick(self, address: data.Address, stepper: machine.Machine) -> None:
+        if self.machines.get(address) is not stepper:
+            return
+        self._push(self.now_s + TICK_S, address, stepper, None)
+        if address not in self.frozen:
+            self._step(stepper, events.Tick(wall_s=self.now_s))
+
+    def _step(self, stepper: machine.Machine, event: data.Event) -> None:
+        for effect in self.step_machine(stepper, self.now_s, event):
+            if self.on_effect is not None:
+                self.on_effect(stepper, effect)
+            if isinstance(effect, effects.Send):
+                self._send(stepper.node.identity, effect)
+
+    def _send(self, sender: data.Identity, effect: effects.Send) -> None:
+        copies = 1 + (self._random.random() < self.doubling)
+        for _ in range(copies):
+            if self._random.random() < self.loss:
+                continue
+            at_s = self.now_s + self.delay_s + self._random.random() * self.jitter_s
+            event = events.MessageReceived(sender, effect.message)
+            self._push(at_s, effect.to, None, event)
+
+    def _push(self, at_s: float, address: data.Address, stepper, event) -> None:
+        heapq.heappush(self._queue, (at_s, next(self._order), address, stepper, event))
