--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,338 @@
+"""A stand-in for a model engine, met over HTTP.
+
+``python -m standins.engine --port 8000 --tokens-per-s 2000 --slots 16 --admin``
+"""
+
+import json
+import sys
+
+import defopt
+from twisted.internet import reactor, task
+from twisted.web import resource, server
+
+from standins import engine_batch, engine_weights
+
+STEP_S = 0.005
+DEFAULT_MAX_TOKENS = 16
+MAX_TOKENS = 4096
+
+
+class EngineServer:
+    """The engine's HTTP interface.
+
+    :param admin: whether faults can be set over HTTP.
+    """
+
+    def __init__(
+        self,
+        tokens_per_s: float = 2000.0,
+        slots: int = 16,
+        ignore_fencing: bool = False,
+        admin: bool = False,
+        clock=reactor,
+    ):
+        self.batch = engine_batch.Batch(tokens_per_s, slots)
+        self.weights = engine_weights.Weights(ignore_fencing)
+        self.held: list = []
+        self._clock = clock
+        self._stepper = task.LoopingCall(self._step)
+        self._stepper.clock = clock
+        self._admin = admin
+
+    def start(self) -> None:
+        """Let the batch run."""
+        self._stepper.start(STEP_S)
+
+    def stop(self) -> None:
+        """Stop the batch."""
+        if self._stepper.running:
+            self._stepper.stop()
+
+    def site(self) -> server.Site:
+        """Return what to listen with."""
+        root = resource.Resource()
+        version = resource.Resource()
+        root.putChild(b"v1", version)
+        version.putChild(b"completions", Completions(self))
+        version.putChild(b"cancel", Cancel(self))
+        version.putChild(b"staging", Staging(self))
+        version.putChild(b"orders", Orders(self))
+        version.putChild(b"status", Status(self))
+        version.putChild(b"cache-events", CacheEvents(self))
+        version.putChild(b"kv", KvCache(self))
+        if self._admin:
+            admin = resource.Resource()
+            root.putChild(b"admin", admin)
+            admin.putChild(b"faults", AdminFaults(self))
+        return server.Site(root)
+
+    def later(self, delay_s: float, function, *arguments) -> None:
+        """Call a function after a delay."""
+        self._clock.callLater(delay_s, function, *arguments)
+
+    def thaw(self) -> None:
+        """Answer what came while the engine was frozen."""
+        held, self.held = self.held, []
+        for function in held:
+            function()
+
+    def _step(self) -> None:
+        self.batch.step(self._clock.seconds())
+
+
+class EngineResource(resource.Resource):
+    """A path of the engine; it hangs while the engine is frozen."""
+
+    def __init__(self, engine: EngineServer):
+        super().__init__()
+        self.engine = engine
+
+    def getChild(self, path, request):  # noqa: N802
+        """Serve all paths below."""
+        return self
+
+    def render(self, request):
+        """Answer, or hang."""
+        if self.engine.batch.faults.frozen:
+            self.engine.held.append(lambda: self._answer_held(request))
+            return server.NOT_DONE_YET
+        return self._answer(request)
+
+    def _answer_held(self, request) -> None:
+        if request._disconnected:
+            return
+        body = self._answer(request)
+        if body is server.NOT_DONE_YET:
+            return
+        request.write(body)
+        request.finish()
+
+    def _answer(self, request):
+        try:
+            return super().render(request)
+        except engine_weights.OrderError as error:
+            return _answer_json(request, {"error": str(error)}, error.status)
+        except (ValueError, KeyError, TypeError) as error:
+            return _answer_json(request, {"error": repr(error)}, 400)
+
+
+class Completions(EngineResource):
+    """Generates text, as a stream of server-sent events."""
+
+    def render_POST(self, request):  # noqa: N802
+        """Start a job, or refuse it before any of it ran."""
+        body = json.loads(request.content.read())
+        weights = self.engine.weights
+        request_id = request.getHeader("x-request-id") or body.get("request_id", "")
+        version = request.getHeader("x-version") or weights.active_version
+        adapter = request.getHeader("x-adapter") or ""
+        if not weights.active_version or version != weights.active_version:
+            detail = f"version {version!r} is not active"
+            return _answer_json(request, {"error": detail}, 409, request_id)
+        if adapter and adapter not in weights.adapters:
+            detail = f"adapter {adapter!r} is not loaded"
+            return _answer_json(request, {"error": detail}, 404, request_id)
+        job = engine_batch.Job(
+            request_id=request_id,
+            prompt=str(body["prompt"]),
+            max_tokens=min(MAX_TOKENS, int(body.get("max_tokens", DEFAULT_MAX_TOKENS))),
+            priority=int(request.getHeader("x-priority") or body.get("priority", 1)),
+            version=version,
+            digest=weights.digests[version],
+            emit=lambda index, text: None,
+        )
+        skip = int(request.getHeader("x-resume-events") or 0)
+        job.produced = min(skip, job.max_tokens)
+        Stream(self.engine, request, job).start()
+        return server.NOT_DONE_YET
+
+
+class Stream:
+    """One answer on its way to a client."""
+
+    def __init__(self, engine: EngineServer, request, job: engine_batch.Job):
+        self._engine = engine
+        self._request = request
+        self._job = job
+        self._id = job.request_id
+        self._closed = False
+
+    def start(self) -> None:
+        """Take the job into the batch; a closed connection cancels it."""
+        faults = self._engine.batch.faults
+        if faults.crossed > 0:
+            faults.crossed -= 1
+            self._id = "another-" + self._id
+        self._request.notifyFinish().addErrback(self._on_closed)
+        self._job.emit = self._emit
+        self._engine.later(faults.late_s, self._submit)
+
+    def _submit(self) -> None:
+        if self._closed:
+            return
+        self._request.setHeader("Content-Type", "text/event-stream")
+        self._request.setHeader("X-Request-Id", self._id)
+        self._engine.batch.submit(self._job)
+        # The headers go out at once, before the first token.
+        self._request.write(b"")
+
+    def _on_closed(self, _) -> None:
+        self._closed = True
+        self._engine.batch.cancel(self._job.request_id)
+
+    def _emit(self, index: int, text: str) -> None:
+        if self._closed:
+            return
+        if index == engine_batch.BROKEN:
+            self._request.transport.abortConnection()
+            return
+        if index == engine_batch.END:
+            self._request.write(b"data: [DONE]\n\n")
+            self._request.finish()
+            return
+        event = {"id": self._id, "choices": [{"index": index, "text": text}]}
+        encoded = json.dumps(event, separators=(",", ":")).encode()
+        self._request.write(b"data: " + encoded + b"\n\n")
+
+
+class Cancel(EngineResource):
+    """Cancels a job."""
+
+    def render_POST(self, request):  # noqa: N802
+        """Cancel the job whose id is the last part of the path."""
+        found = self.engine.batch.cancel(_last_part(request))
+        return _answer_json(request, {"found": found})
+
+
+class Staging(EngineResource):
+    """Chunks that are kept until a version is loaded from them."""
+
+    def render_GET(self, request):  # noqa: N802
+        """Return a chunk, or the list of them."""
+        name = _last_part(request)
+        if name in ("", "staging"):
+            return _answer_json(request, list(self.engine.weights.staged))
+        payload = self.engine.weights.staged.get(name)
+        if payload is None:
+            return _answer_json(request, {"error": "not staged"}, 404)
+        return payload
+
+    def render_PUT(self, request):  # noqa: N802
+        """Stage a chunk."""
+        self.engine.weights.stage(_last_part(request), request.content.read())
+        return _answer_json(request, {})
+
+    def render_DELETE(self, request):  # noqa: N802
+        """Drop a chunk."""
+        self.engine.weights.unstage(_last_part(request))
+        return _answer_json(request, {})
+
+
+class Orders(EngineResource):
+    """Takes orders to load, activate and unload versions."""
+
+    def render_POST(self, request):  # noqa: N802
+        """Carry out an order."""
+        self.engine.weights.carry_out(json.loads(request.content.read()))
+        return _answer_json(request, {})
+
+
+class Status(EngineResource):
+    """What the engine reports; the load is late."""
+
+    def render_GET(self, request):  # noqa: N802
+        """Return the status."""
+        weights, batch = self.engine.weights, self.engine.batch
+        running, waiting = batch.late_load()
+        status = {
+            "fence": weights.fence,
+            "active_version": weights.active_version,
+            "digests": weights.digests,
+            "adapters": weights.adapters,
+            "running": running,
+            "queued": waiting,
+            "role": weights.role,
+            "served": batch.served,
+            "cancelled": batch.cancelled,
+            "prefix_hits": batch.prefix_hits,
+            "orders": weights.orders,
+            "staged_chunks": len(weights.staged),
+        }
+        return _answer_json(request, status)
+
+
+class CacheEvents(EngineResource):
+    """Events of the prefix cache, late and with gaps."""
+
+    def render_GET(self, request):  # noqa: N802
+        """Return the events after a sequence number."""
+        after = int(request.args.get(b"after", [b"0"])[0])
+        return _answer_json(request, self.engine.batch.late_cache_events(after))
+
+
+class KvCache(EngineResource):
+    """Exports and imports the prefix cache."""
+
+    def render_GET(self, request):  # noqa: N802
+        """Export."""
+        return _answer_json(request, self.engine.batch.export_blocks())
+
+    def render_POST(self, request):  # noqa: N802
+        """Import."""
+        self.engine.batch.import_blocks(json.loads(request.content.read()))
+        return _answer_json(request, {})
+
+
+class AdminFaults(EngineResource):
+    """Lets a test set faults; it answers also while the engine is frozen."""
+
+    def render(self, request):
+        """Set the faults that the body names, and return them all."""
+        faults = self.engine.batch.faults
+        for name, value in json.loads(request.content.read() or b"{}").items():
+            if not hasattr(faults, name):
+                return _answer_json(request, {"error": f"no fault {name!r}"}, 400)
+            setattr(faults, name, value)
+        if not faults.frozen:
+            self.engine.thaw()
+        return _answer_json(request, vars(faults))
+
+
+def _last_part(request) -> str:
+    return request.path.rsplit(b"/", 1)[-1].decode()
+
+
+def _answer_json(request, body: object, status: int = 200, request_id: str = ""):
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    if request_id:
+        request.setHeader("X-Request-Id", request_id)
+    return json.dumps(body).encode()
+
+
+def main(
+    *,
+    port: int,
+    host: str = "127.0.0.1",
+    tokens_per_s: float = 2000.0,
+    slots: int = 16,
+    ignore_fencing: bool = False,
+    admin: bool = False,
+) -> None:
+    """Serve until stopped.
+
+    :param port: TCP port to listen on.
+    :param host: address to listen on.
+    :param tokens_per_s: tokens that the whole engine generates a second.
+    :param slots: requests in the batch at once.
+    :param ignore_fencing: carry out orders with an old fencing number as well.
+    :param admin: let faults be set over HTTP.
+    """
+    engine = EngineServer(tokens_per_s, slots, ignore_fencing, admin)
+    engine.start()
+    reactor.listenTCP(port, engine.site(), interface=host)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    defopt.run(main, argv=sys.argv[1:])
--- /dev/null
+++ b/standins/engine_batch.py
@@ -0,0 +1,220 @@
+"""Continuous batching, the prefix cache and faults of the stand-in engine."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import zlib
+from collections.abc import Callable
+
+from standins import engine_text
+
+PREFILL_SPEED = 20  # prompt tokens read in the time of one generated
+CHARACTERS_PER_TOKEN = 4
+PREFIX_BLOCK_CHARACTERS = 64
+PREFIX_BLOCKS = 256
+CACHE_EVENT_DELAY_S = 1.0
+CACHE_EVENT_LOSS_PERIOD = 7  # every seventh cache event is lost
+LOAD_DELAY_S = 1.0
+MAX_STEP_S = 1.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the engine does wrong, set by a test.
+
+    :param slow_factor: divides the token rate.
+    :param break_after_tokens: breaks the next streams at this token; 0 is never.
+    :param breaks: how many streams break.
+    :param late_s: holds each answer's start back.
+    :param crossed: how many answers go out under another request's id.
+    """
+
+    frozen: bool = False
+    slow_factor: float = 1.0
+    break_after_tokens: int = 0
+    breaks: int = 0
+    late_s: float = 0.0
+    crossed: int = 0
+
+
+@dataclasses.dataclass
+class Job:
+    """A request in the batch or waiting for a slot.
+
+    :param emit: takes (index, text); (-1, "") ends it, (-2, "") breaks it.
+    """
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    version: str
+    digest: str
+    emit: Callable[[int, str], None]
+    produced: int = 0
+    prefill_tokens: float = 0.0
+    break_at: int = 0
+    cancelled: bool = False
+
+
+END = -1
+BROKEN = -2
+
+
+class Batch:
+    """Runs jobs in a few slots that share one token rate.
+
+    :param tokens_per_s: of the whole engine.
+    """
+
+    def __init__(self, tokens_per_s: float, slots: int):
+        self.tokens_per_s = tokens_per_s
+        self.slots = slots
+        self.faults = Faults()
+        self.running: list[Job] = []
+        self.served = 0
+        self.cancelled = 0
+        self.prefix_hits = 0
+        self.cache_events: list[tuple[float, int, str, str]] = []
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._order = itertools.count()
+        self._blocks: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._event_count = 0
+        self._loads: collections.deque = collections.deque()
+        self._budget = 0.0
+        self._now_s = 0.0
+
+    def submit(self, job: Job) -> None:
+        """Take a job in; the lowest priority number is the first to get a slot."""
+        if self.faults.breaks > 0:
+            self.faults.breaks -= 1
+            job.break_at = self.faults.break_after_tokens
+        heapq.heappush(self._waiting, (job.priority, next(self._order), job))
+
+    def cancel(self, request_id: str) -> bool:
+        """Stop a job, and return whether there was one."""
+        found = False
+        for job in [*self.running, *(item[2] for item in self._waiting)]:
+            if job.request_id != request_id or job.cancelled:
+                continue
+            job.cancelled = True
+            self.cancelled += 1
+            found = True
+        return found
+
+    def waiting(self) -> int:
+        """Return how many jobs wait for a slot."""
+        return sum(not item[2].cancelled for item in self._waiting)
+
+    def step(self, now_s: float) -> None:
+        """Let the batch run up to ``now_s``."""
+        passed_s = min(MAX_STEP_S, now_s - self._now_s)
+        self._now_s = now_s
+        if self.faults.frozen:
+            return
+        self._note_load()
+        self.running = [job for job in self.running if not job.cancelled]
+        self._fill_slots()
+        if not self.running:
+            self._budget = 0.0
+            return
+        self._budget += passed_s * self.tokens_per_s / self.faults.slow_factor
+        self._spend()
+
+    def late_load(self) -> tuple[int, int]:
+        """Return how many jobs ran and waited a moment ago."""
+        found = (0, 0)
+        for at_s, running, waiting in self._loads:
+            if at_s > self._now_s - LOAD_DELAY_S:
+                break
+            found = (running, waiting)
+        return found
+
+    def late_cache_events(self, after: int) -> list[dict]:
+        """Return the cache events that are old enough to be published."""
+        due_s = self._now_s - CACHE_EVENT_DELAY_S
+        return [
+            {"sequence": sequence, "kind": kind, "block": block}
+            for at_s, sequence, kind, block in self.cache_events
+            if sequence > after and at_s <= due_s
+        ]
+
+    def export_blocks(self) -> list[str]:
+        """Return the blocks of the prefix cache, the oldest first."""
+        return list(self._blocks)
+
+    def import_blocks(self, blocks: list[str]) -> None:
+        """Take in blocks that another engine exported."""
+        for block in blocks:
+            self._remember(block)
+
+    def _fill_slots(self) -> None:
+        while self._waiting and len(self.running) < self.slots:
+            _, _, job = heapq.heappop(self._waiting)
+            if job.cancelled:
+                continue
+            job.prefill_tokens = self._prefill_tokens(job) / PREFILL_SPEED
+            self.running.append(job)
+
+    def _prefill_tokens(self, job: Job) -> float:
+        missing = 0
+        for end in range(0, len(job.prompt), PREFIX_BLOCK_CHARACTERS):
+            text = job.prompt[: end + PREFIX_BLOCK_CHARACTERS]
+            block = f"{job.version}|{zlib.crc32(text.encode()):08x}"
+            if block in self._blocks:
+                self.prefix_hits += 1
+                self._blocks.move_to_end(block)
+                continue
+            missing += len(text) - end
+            self._remember(block)
+        return missing / CHARACTERS_PER_TOKEN
+
+    def _remember(self, block: str) -> None:
+        self._blocks[block] = None
+        self._publish("stored", block)
+        if len(self._blocks) > PREFIX_BLOCKS:
+            dropped, _ = self._blocks.popitem(last=False)
+            self._publish("evicted", dropped)
+
+    def _publish(self, kind: str, block: str) -> None:
+        self._event_count += 1
+        if self._event_count % CACHE_EVENT_LOSS_PERIOD == 0:
+            return
+        self.cache_events.append((self._now_s, self._event_count, kind, block))
+        del self.cache_events[: -4 * PREFIX_BLOCKS]
+
+    def _note_load(self) -> None:
+        self._loads.append((self._now_s, len(self.running), self.waiting()))
+        while len(self._loads) > 2 and self._loads[1][0] <= self._now_s - LOAD_DELAY_S:
+            self._loads.popleft()
+
+    def _spend(self) -> None:
+        while self._budget >= 1.0 and self.running:
+            for job in tuple(self.running):
+                if self._budget < 1.0:
+                    break
+                self._budget -= 1.0
+                self._advance(job)
+            # A job that ended makes room at once.
+            self._fill_slots()
+        # The next round starts with the job that is due.
+        if self.running:
+            self.running.append(self.running.pop(0))
+
+    def _advance(self, job: Job) -> None:
+        if job.prefill_tokens > 0:
+            job.prefill_tokens -= 1.0
+            return
+        if job.break_at and job.produced >= job.break_at:
+            self.running.remove(job)
+            job.emit(BROKEN, "")
+            return
+        if job.produced < job.max_tokens:
+            text = engine_text.token(job.version, job.digest, job.prompt, job.produced)
+            job.emit(job.produced, text)
+            job.produced += 1
+        if job.produced >= job.max_tokens:
+            self.running.remove(job)
+            self.served += 1
+            job.emit(END, "")
--- /dev/null
+++ b/standins/engine_text.py
@@ -0,0 +1,36 @@
+"""The text that the stand-in engine generates.
+
+It is a pure function of the weights and the prompt, so that a test can tell from an
+answer which weights gave it and whose answer it is.
+"""
+
+import hashlib
+import json
+
+DIGEST_PREFIX_LENGTH = 12
+
+
+def token(version: str, digest: str, prompt: str, index: int) -> str:
+    """Return the token at ``index`` of the answer to ``prompt``."""
+    if index == 0:
+        return f"{version}/{digest[:DIGEST_PREFIX_LENGTH]} "
+    source = f"{version}|{digest[:DIGEST_PREFIX_LENGTH]}|{prompt}|{index}"
+    return hashlib.sha256(source.encode()).hexdigest()[:5] + " "
+
+
+def answer(version: str, digest: str, prompt: str, max_tokens: int) -> str:
+    """Return the whole text of an answer."""
+    return "".join(token(version, digest, prompt, index) for index in range(max_tokens))
+
+
+def text_of_events(payload: bytes) -> tuple[str, bool]:
+    """Return the text in server-sent events, and whether the end mark came."""
+    text = []
+    for event in payload.split(b"\n\n"):
+        if not event.startswith(b"data: "):
+            continue
+        body = event[len(b"data: ") :]
+        if body == b"[DONE]":
+            return "".join(text), True
+        text.append(json.loads(body)["choices"][0]["text"])
+    return "".join(text), False
--- /dev/null
+++ b/standins/gate_fakes.py
@@ -0,0 +1,176 @@
+"""Fakes around the gate for tests and benches: a key-value service and a rig.
+
+They need no socket and no clock; time is what the caller says.
+"""
+
+import types
+from collections.abc import Iterable
+
+from toucanspread.core import (
+    claims,
+    data,
+    effects,
+    events,
+    gate,
+    limits,
+    machine,
+)
+
+SERVICE = data.ServiceName("reservas")
+MODEL_SERVICE = data.ServiceName("redactor")
+MODEL = data.ModelName("redactor")
+VERSION = data.VersionName("v1")
+WEIGHTS_HASH = "d1" * 32
+ENTRY = data.Identity(
+    instance_id=data.InstanceId("entry-1"),
+    role=data.Role.ENTRY,
+    incarnation=data.Incarnation(1),
+    zone=data.ZoneName("heredia-a"),
+    region=data.RegionName("gran-area"),
+    address=data.Address("127.0.0.1:1"),
+)
+
+
+class FakeKeyValue:
+    """The platform's key-value service, as far as claims use it."""
+
+    def __init__(self):
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.writes = 0
+
+    def carry_out(self, effect: data.Effect) -> events.KvAnswered:
+        """Apply a call and return its answer."""
+        if isinstance(effect, effects.KvRead):
+            return self._read(effect)
+        self.writes += 1
+        _, version = self.values.get(effect.key, (b"", 0))
+        if version != effect.expected_version:
+            status = data.KvStatus.CONFLICT
+            return events.KvAnswered(effect.operation_id, status, effect.key)
+        if isinstance(effect, effects.KvDelete):
+            self.values.pop(effect.key, None)
+            version = 0
+        else:
+            version += 1
+            self.values[effect.key] = (effect.value, version)
+        status = data.KvStatus.OK
+        return events.KvAnswered(
+            effect.operation_id, status, effect.key, version=version
+        )
+
+    def _read(self, effect: effects.KvRead) -> events.KvAnswered:
+        value, version = self.values.get(effect.key, (b"", 0))
+        status = data.KvStatus.OK if version else data.KvStatus.ABSENT
+        return events.KvAnswered(
+            effect.operation_id, status, effect.key, value, version
+        )
+
+
+def serving(kind: data.ServiceKind) -> types.SimpleNamespace:
+    """Return what an endpoint process serves."""
+    is_model = kind is data.ServiceKind.MODEL
+    return types.SimpleNamespace(
+        service=MODEL_SERVICE if is_model else SERVICE,
+        kind=kind,
+        model=MODEL if is_model else "",
+        version=VERSION if is_model else "",
+        manifest_hash="",
+        weights_hash=WEIGHTS_HASH if is_model else "",
+        adapters=(),
+    )
+
+
+def whole_status() -> data.EngineStatus:
+    """Return the status of an engine that holds the version served."""
+    return data.EngineStatus(active_version=VERSION, digests={VERSION: WEIGHTS_HASH})
+
+
+class Rig:
+    """The gate's parts on a real machine, without orders and sockets.
+
+    :param teams: weights of the teams that share the service.
+    """
+
+    def __init__(
+        self,
+        kind: data.ServiceKind = data.ServiceKind.MODEL,
+        instance_id: str = "endpoint-1",
+        incarnation: int = 1,
+        limit: int = 4,
+        seed: int = 1,
+        teams: Iterable[data.TeamShare] = (),
+    ):
+        self.now_s = 0.0
+        served = serving(kind)
+        intent = types.SimpleNamespace(teams=tuple(teams))
+        identity = data.Identity(
+            instance_id=data.InstanceId(instance_id),
+            role=data.Role.ENDPOINT,
+            incarnation=data.Incarnation(incarnation),
+            zone=data.ZoneName("heredia-a"),
+            region=data.RegionName("gran-area"),
+            address=data.Address("127.0.0.1:2"),
+        )
+        self.node = machine.Node(
+            identity,
+            seed,
+            orders=types.SimpleNamespace(serving=served, draining=False),
+            config=types.SimpleNamespace(intents={served.service: intent}),
+            gate=gate.State(),
+            claims=claims.State(),
+            limits=limits.State(limit),
+        )
+        self.machine = machine.Machine(
+            self.node, [gate.HANDLERS, claims.HANDLERS, limits.HANDLERS]
+        )
+        if kind is data.ServiceKind.MODEL:
+            self.step(events.EngineStatusReported(whole_status()))
+
+    def step(self, event: data.Event, after_s: float = 0.0) -> list[data.Effect]:
+        """Feed an event, and return the effects but for logs and metrics."""
+        self.now_s += after_s
+        found = self.machine.step(self.now_s, event)
+        quiet = (effects.Log, effects.Count, effects.Observe)
+        return [effect for effect in found if not isinstance(effect, quiet)]
+
+    def dispatch(
+        self,
+        request_id: str = "r1",
+        attempt: int = 1,
+        stream: int = 1,
+        budget_s: float = 10.0,
+        **fields,
+    ) -> list[data.Effect]:
+        """Feed a dispatch."""
+        request = data.Request(
+            request_id=data.RequestId(request_id),
+            team=data.TeamName(fields.pop("team", "parish")),
+            service=fields.pop("service", self.node.orders.serving.service),
+            budget_s=budget_s,
+            **fields,
+        )
+        dispatch = data.Dispatch(request, attempt, budget_s, ENTRY.instance_id)
+        return self.step(gate.DispatchArrived(ENTRY, dispatch, stream))
+
+    def end(
+        self,
+        request_id: str = "r1",
+        ok: bool = True,
+        started: bool = True,
+        service_time_s: float = 0.1,
+        attempt: int = 1,
+        **fields,
+    ) -> list[data.Effect]:
+        """Feed the end of a run."""
+        return self.step(
+            gate.RunEnded(
+                data.RequestId(request_id),
+                attempt,
+                ok,
+                200,
+                started,
+                "",
+                service_time_s,
+                **fields,
+            )
+        )
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -278,12 +278,15 @@
 
     :param attempt: counts the dispatches of the request at its entry, from 1.
     :param budget_s: what is left of the request's time at the moment of sending.
+    :param endpoint_incarnation: the process that is meant; a restarted one refuses,
+        as it does not know what its predecessor did. 0 means any.
     """
 
     request: Request
     attempt: int
     budget_s: float
     entry_id: InstanceId
+    endpoint_incarnation: Incarnation = Incarnation(0)
 
 
 class AnswerEnd(Message):
--- /dev/null
+++ b/toucanspread/core/gate.py
@@ -0,0 +1,545 @@
+"""The one local gate of an endpoint process.
+
+It alone knows which version is whole here, what runs, what was claimed and what was
+refused. It refuses with a definite "not run" whatever must not run, and remembers
+the refusal, so that a late copy of a refused dispatch is refused as well.
+"""
+
+import collections
+import dataclasses
+
+from toucanspread.core import claims, data, effects, events, invariants, limits
+
+REMEMBER_S = 120.0  # longer than any copy of a dispatch can be under way
+MAX_REMEMBERED = 65_536
+STATUS_INTERVAL_S = 1.0
+LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
+ENGINE_RETRY_AFTER_S = 1.0
+LOADING_RETRY_AFTER_S = 5.0
+
+Key = tuple[data.RequestId, int]
+
+
+class DispatchArrived(data.Event):
+    """An entry dispatched a request to this process.
+
+    :param stream: names the way back for this very copy of the dispatch.
+    :param body_hash: xxh64 of the body.
+    """
+
+    sender: data.Identity
+    dispatch: data.Dispatch
+    stream: int = 0
+    body_hash: int = 0
+
+
+class DispatchCancelled(data.Event):
+    """The entry no longer waits for an answer."""
+
+    request_id: data.RequestId
+    attempt: int
+    stream: int = 0
+
+
+class RunProgressed(data.Event):
+    """The first piece of an answer came from the engine."""
+
+    request_id: data.RequestId
+    attempt: int
+
+
+class RunEnded(data.Event):
+    """A run is over.
+
+    :param ok: whether the answer is whole.
+    :param started: false only with proof that nothing of the request was run.
+    """
+
+    request_id: data.RequestId
+    attempt: int
+    ok: bool
+    status: int
+    started: bool
+    detail: str
+    service_time_s: float
+    reason: data.Reason = data.Reason.NONE
+
+
+class StartRun(data.Effect):
+    """Give a request to the engine or the plain service."""
+
+    request_id: data.RequestId
+    attempt: int
+    request: data.Request
+    version: data.VersionName
+    budget_s: float
+    stream: int = 0
+
+
+class CancelRun(data.Effect):
+    """Stop a run; its end is still reported."""
+
+    request_id: data.RequestId
+    attempt: int
+
+
+class RefuseDispatch(data.Effect):
+    """End a dispatch that was given no run of its own."""
+
+    end: data.AnswerEnd
+    stream: int = 0
+
+
+class ReplayAnswer(data.Effect):
+    """End a dispatch with the kept answer of an earlier run of the same call."""
+
+    end: data.AnswerEnd
+    stream: int
+    kept: Key
+
+
+class EndDispatch(data.Effect):
+    """End a dispatch that ran; the frames of its answer go out first."""
+
+    end: data.AnswerEnd
+    stream: int = 0
+
+
+@dataclasses.dataclass
+class Work:
+    """An admitted or queued dispatch.
+
+    :param deadline_s: on this process's own clock.
+    """
+
+    dispatch: data.Dispatch
+    stream: int
+    body_hash: int
+    deadline_s: float
+    arrived_s: float
+    admitted: bool = False
+    claimed: bool = False
+    running: bool = False
+    version: data.VersionName = data.VersionName("")
+    gone: bool = False
+
+    @property
+    def key(self) -> Key:
+        """Return what names the work in this process."""
+        return (self.dispatch.request.request_id, self.dispatch.attempt)
+
+
+@dataclasses.dataclass
+class Memory:
+    """What became of a dispatch.
+
+    :param reason: why it was refused; NONE when it was not.
+    """
+
+    at_s: float
+    refused: bool = False
+    reason: data.Reason = data.Reason.NONE
+
+
+class State:
+    """What the gate knows."""
+
+    def __init__(self):
+        self.work: dict[Key, Work] = {}
+        self.memory: collections.OrderedDict[Key, Memory] = collections.OrderedDict()
+        self.status: data.EngineStatus | None = None
+        self.status_s = float("-inf")
+        self.draining_since_s: float | None = None
+        self.shutdown = False
+        self.exited = False
+
+
+def on_dispatch(node, event: DispatchArrived) -> list:
+    """Take a dispatch in, or refuse it."""
+    dispatch = event.dispatch
+    key = (dispatch.request.request_id, dispatch.attempt)
+    known = node.gate.memory.get(key)
+    if known is not None:
+        return _answer_copy(node, event, known)
+    reason, detail = _refusal(node, dispatch)
+    if reason is not data.Reason.NONE:
+        return _refuse(node, dispatch, event.stream, reason, detail)
+    _remember(node, key, Memory(node.now_s))
+    work = Work(
+        dispatch=dispatch,
+        stream=event.stream,
+        body_hash=event.body_hash,
+        deadline_s=node.now_s + dispatch.budget_s,
+        arrived_s=node.now_s,
+    )
+    node.gate.work[key] = work
+    request = dispatch.request
+    wanted = limits.AdmissionWanted(
+        key=key,
+        team=request.team,
+        priority=request.priority,
+        deadline_s=work.deadline_s,
+    )
+    return [wanted]
+
+
+def on_admitted(node, event: limits.Admitted) -> list:
+    """Claim what may run only once, and start the rest."""
+    work = node.gate.work[event.key]
+    work.admitted = True
+    request = work.dispatch.request
+    if request.repeatable:
+        return _start(node, work)
+    return [
+        claims.ClaimWanted(
+            key=work.key,
+            service=request.service,
+            idempotency_key=claims.effective_key(request),
+            deadline_s=work.deadline_s,
+            team=request.team,
+            body_hash=work.body_hash,
+        )
+    ]
+
+
+def on_rejected(node, event: limits.Rejected) -> list:
+    """Refuse what the limits do not let in."""
+    work = node.gate.work[event.key]
+    return _give_up(node, work, event.reason, "", event.retry_after_s)
+
+
+def on_claim(node, event: claims.ClaimDecided) -> list:
+    """Start a claimed request, or end it."""
+    work = node.gate.work.get(event.key)
+    if work is None:
+        return []
+    if event.verdict is claims.Verdict.WON:
+        work.claimed = True
+        return _start(node, work)
+    if event.verdict is claims.Verdict.UNAVAILABLE:
+        return _give_up(
+            node, work, event.reason, "claim not possible", event.retry_after_s
+        )
+    return _end_duplicate(node, work, event)
+
+
+def on_cancelled(node, event: DispatchCancelled) -> list:
+    """Stop what nobody waits for, if it may be repeated."""
+    key = (event.request_id, event.attempt)
+    work = node.gate.work.get(key)
+    if work is None or work.stream != event.stream:
+        return []
+    work.gone = True
+    if not work.admitted:
+        return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
+    if work.running and work.dispatch.request.repeatable:
+        return [CancelRun(*key)]
+    return []
+
+
+def on_progress(node, event: RunProgressed) -> list:
+    """Record the time to the first piece of an answer."""
+    work = node.gate.work.get((event.request_id, event.attempt))
+    if work is None:
+        return []
+    waited_s = node.now_s - work.arrived_s
+    return [effects.Observe("gate_first_piece_s", waited_s, _labels(work))]
+
+
+def on_run_ended(node, event: RunEnded) -> list:
+    """End the dispatch whose run is over."""
+    key = (event.request_id, event.attempt)
+    work = node.gate.work.pop(key, None)
+    if work is None:
+        return []
+    items: list = [
+        limits.Released(key, event.service_time_s, event.ok),
+        effects.Observe("gate_service_time_s", event.service_time_s, _labels(work)),
+    ]
+    if work.claimed:
+        items.append(claims.ClaimUsed(key, ran=event.started, whole=event.ok))
+    outcome = _outcome(event)
+    reason = event.reason
+    if not event.ok and reason is data.Reason.NONE:
+        reason = data.Reason.ENGINE_FAILED
+    if outcome is data.Outcome.NOT_RUN:
+        _remember(node, key, Memory(node.now_s, True, reason))
+    end = data.AnswerEnd(
+        request_id=event.request_id,
+        attempt=event.attempt,
+        outcome=outcome,
+        reason=reason,
+        detail=event.detail,
+        retry_after_s=0.0 if event.ok else ENGINE_RETRY_AFTER_S,
+        status=event.status,
+        version=work.version,
+        load=limits.load(node, without=key),
+    )
+    items.append(EndDispatch(end, work.stream))
+    items.append(effects.Count("gate_ended", 1, {"outcome": outcome.value}))
+    return items
+
+
+def on_status(node, event: events.EngineStatusReported) -> list:
+    """Remember what the engine reported last."""
+    node.gate.status = event.status
+    node.gate.status_s = node.now_s
+    return []
+
+
+def on_drain(node, event: events.DrainStarted) -> list:
+    """Take no new work from here on; the limits empty their queue."""
+    if node.gate.draining_since_s is None:
+        node.gate.draining_since_s = node.now_s
+    return []
+
+
+def on_shutdown(node, event: events.ShutdownRequested) -> list:
+    """Remember that the process may end once nothing runs."""
+    node.gate.shutdown = True
+    return []
+
+
+def on_tick(node, event: events.Tick) -> list:
+    """Forget old dispatches, read the engine's status, end when drained."""
+    state = node.gate
+    _forget(node)
+    items: list = []
+    serving = node.orders.serving
+    is_model = serving is not None and serving.kind is data.ServiceKind.MODEL
+    if is_model and node.now_s - state.status_s >= STATUS_INTERVAL_S:
+        # An answer moves the time on; until it comes, ask once an interval.
+        state.status_s = node.now_s
+        items.append(effects.ReadEngineStatus())
+    if _is_drained(node):
+        state.exited = True
+        items.append(effects.Exit())
+    return items
+
+
+HANDLERS = {
+    DispatchArrived: on_dispatch,
+    DispatchCancelled: on_cancelled,
+    RunProgressed: on_progress,
+    RunEnded: on_run_ended,
+    limits.Admitted: on_admitted,
+    limits.Rejected: on_rejected,
+    claims.ClaimDecided: on_claim,
+    events.EngineStatusReported: on_status,
+    events.DrainStarted: on_drain,
+    events.ShutdownRequested: on_shutdown,
+    events.Tick: on_tick,
+}
+
+
+def _is_drained(node) -> bool:
+    state = node.gate
+    if not state.shutdown or state.exited or state.draining_since_s is None:
+        return False
+    if state.work:
+        return False
+    return node.now_s - state.draining_since_s >= LEAVE_NOTICE_S
+
+
+def _refusal(node, dispatch: data.Dispatch) -> tuple[data.Reason, str]:
+    """Return why a dispatch must not run here now, or NONE."""
+    meant = dispatch.endpoint_incarnation
+    if meant and meant != node.identity.incarnation:
+        return data.Reason.UNREACHABLE, "the process was restarted"
+    if node.gate.draining_since_s is not None or node.orders.draining:
+        return data.Reason.LEAVING, ""
+    if dispatch.budget_s <= 0:
+        return data.Reason.DEADLINE, ""
+    return _mismatch(node, dispatch.request)
+
+
+def _mismatch(node, request: data.Request) -> tuple[data.Reason, str]:
+    """Return why what is served here does not fit a request, or NONE."""
+    serving = node.orders.serving
+    if serving is None:
+        return data.Reason.NOT_WHOLE, "nothing is served yet"
+    if request.service != serving.service:
+        return data.Reason.UNKNOWN_SERVICE, f"serves {serving.service}"
+    if serving.kind is data.ServiceKind.PLAIN:
+        return data.Reason.NONE, ""
+    if request.model and request.model != serving.model:
+        return data.Reason.WRONG_VERSION, f"serves model {serving.model}"
+    if request.version and request.version != serving.version:
+        return data.Reason.WRONG_VERSION, f"serves version {serving.version}"
+    if request.adapter and request.adapter not in serving.adapters:
+        return data.Reason.WRONG_VERSION, f"no adapter {request.adapter}"
+    status = node.gate.status
+    if status is None:
+        return data.Reason.ENGINE_FAILED, "the engine does not answer"
+    if not _is_whole(node):
+        return data.Reason.NOT_WHOLE, "the engine does not hold the version"
+    if request.adapter and request.adapter not in status.adapters:
+        return data.Reason.NOT_WHOLE, f"adapter {request.adapter} is not loaded"
+    return data.Reason.NONE, ""
+
+
+def _is_whole(node) -> bool:
+    """Return whether the engine itself reported what is to be served here."""
+    serving, status = node.orders.serving, node.gate.status
+    if serving is None or status is None:
+        return False
+    if status.active_version != serving.version:
+        return False
+    return status.digests.get(serving.version) == serving.weights_hash
+
+
+def _start(node, work: Work) -> list:
+    """Start an admitted request, unless what holds here has changed meanwhile."""
+    request = work.dispatch.request
+    if node.now_s >= work.deadline_s:
+        return _give_up(node, work, data.Reason.DEADLINE, "", 0.0)
+    if work.gone:
+        return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
+    reason, detail = _mismatch(node, request)
+    if reason is not data.Reason.NONE:
+        return _give_up(node, work, reason, detail, ENGINE_RETRY_AFTER_S)
+    serving = node.orders.serving
+    invariants.check(
+        serving.kind is data.ServiceKind.PLAIN or _is_whole(node),
+        invariants.Invariant.DISPATCH_ONLY_WHOLE,
+        f"{serving.version}: engine reports {node.gate.status}",
+    )
+    drained_s = node.gate.draining_since_s
+    invariants.check(
+        drained_s is None or work.arrived_s <= drained_s,
+        invariants.Invariant.NO_WORK_WHILE_LEAVING,
+        f"{work.key} arrived at {work.arrived_s}, draining since {drained_s}",
+    )
+    invariants.check(
+        request.repeatable or work.claimed,
+        invariants.Invariant.AT_MOST_ONCE,
+        f"{work.key} starts without a claim",
+    )
+    work.running = True
+    work.version = serving.version
+    budget_s = work.deadline_s - node.now_s
+    return [StartRun(*work.key, request, serving.version, budget_s, work.stream)]
+
+
+def _give_up(
+    node, work: Work, reason: data.Reason, detail: str, retry_after_s: float
+) -> list:
+    """End work that was never started with a definite "not run"."""
+    key = work.key
+    invariants.check(
+        not work.running,
+        invariants.Invariant.NOT_RUN_IS_PROVED,
+        f"{key} was started",
+    )
+    node.gate.work.pop(key, None)
+    items: list = []
+    if work.admitted:
+        items.append(limits.Released(key, 0.0, ok=False, ran=False))
+    else:
+        items.append(limits.Withdrawn(key))
+    if work.claimed:
+        items.append(claims.ClaimUsed(key, ran=False, whole=False))
+    refused = _refuse(node, work.dispatch, work.stream, reason, detail, retry_after_s)
+    return items + refused
+
+
+def _end_duplicate(node, work: Work, event: claims.ClaimDecided) -> list:
+    """End a request whose call was claimed before, here or elsewhere."""
+    node.gate.work.pop(work.key)
+    end = data.AnswerEnd(
+        request_id=work.key[0],
+        attempt=work.key[1],
+        outcome=data.Outcome.UNKNOWN,
+        reason=data.Reason.DUPLICATE,
+        detail="the call was claimed before",
+        retry_after_s=event.retry_after_s,
+        load=limits.load(node),
+    )
+    released = limits.Released(work.key, 0.0, ok=False, ran=False)
+    counted = effects.Count("gate_duplicate_calls", 1, {})
+    if event.kept is not None:
+        return [released, counted, ReplayAnswer(end, work.stream, event.kept)]
+    return [released, counted, RefuseDispatch(end, work.stream)]
+
+
+def _refuse(
+    node,
+    dispatch: data.Dispatch,
+    stream: int,
+    reason: data.Reason,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> list:
+    """Answer "not run" and remember it."""
+    key = (dispatch.request.request_id, dispatch.attempt)
+    _remember(node, key, Memory(node.now_s, True, reason))
+    if retry_after_s is None:
+        retry_after_s = _retry_after_s(reason)
+    end = data.AnswerEnd(
+        request_id=key[0],
+        attempt=key[1],
+        outcome=data.Outcome.NOT_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_s=retry_after_s,
+        load=limits.load(node),
+    )
+    counted = effects.Count("gate_refused", 1, {"reason": reason.value})
+    return [RefuseDispatch(end, stream), counted]
+
+
+def _answer_copy(node, event: DispatchArrived, known: Memory) -> list:
+    """Refuse a second copy of a dispatch as its first one was."""
+    request_id, attempt = event.dispatch.request.request_id, event.dispatch.attempt
+    end = data.AnswerEnd(
+        request_id=request_id,
+        attempt=attempt,
+        outcome=data.Outcome.NOT_RUN if known.refused else data.Outcome.UNKNOWN,
+        reason=known.reason if known.refused else data.Reason.DUPLICATE,
+        detail="a copy of an earlier dispatch",
+        load=limits.load(node),
+    )
+    return [RefuseDispatch(end, event.stream), effects.Count("gate_copies", 1, {})]
+
+
+def _outcome(event: RunEnded) -> data.Outcome:
+    if event.ok:
+        return data.Outcome.DONE
+    if not event.started:
+        return data.Outcome.NOT_RUN
+    return data.Outcome.UNKNOWN
+
+
+def _retry_after_s(reason: data.Reason) -> float:
+    if reason is data.Reason.NOT_WHOLE:
+        return LOADING_RETRY_AFTER_S
+    if reason is data.Reason.ENGINE_FAILED:
+        return ENGINE_RETRY_AFTER_S
+    return 0.0
+
+
+def _remember(node, key: Key, memory: Memory) -> None:
+    memories = node.gate.memory
+    memories[key] = memory
+    memories.move_to_end(key)
+    if len(memories) > MAX_REMEMBERED:
+        memories.popitem(last=False)
+
+
+def _forget(node) -> None:
+    """Drop what is old, but never what still waits or runs."""
+    memories = node.gate.memory
+    while memories:
+        key, memory = next(iter(memories.items()))
+        if node.now_s - memory.at_s < REMEMBER_S:
+            return
+        if key in node.gate.work:
+            memory.at_s = node.now_s
+            memories.move_to_end(key)
+            continue
+        memories.popitem(last=False)
+
+
+def _labels(work: Work) -> dict[str, str]:
+    request = work.dispatch.request
+    return {"team": request.team, "class": str(request.priority)}
--- /dev/null
+++ b/toucanspread/core/gate_test.py
@@ -0,0 +1,125 @@
+import msgspec
+import testtools
+
+from standins import gate_fakes
+from toucanspread.core import data, effects, events, gate, invariants
+
+NOT_RUN = data.Outcome.NOT_RUN
+
+
+def refusal(found: list) -> data.AnswerEnd:
+    (effect,) = [item for item in found if isinstance(item, gate.RefuseDispatch)]
+    return effect.end
+
+
+class AcceptTest(testtools.TestCase):
+    def test_a_fitting_request_runs_and_ends_done(self):
+        rig = gate_fakes.Rig()
+        (start,) = rig.dispatch()
+        self.assertIsInstance(start, gate.StartRun)
+        self.assertEqual(gate_fakes.VERSION, start.version)
+        (end,) = rig.end()
+        self.assertEqual(data.Outcome.DONE, end.end.outcome)
+        self.assertEqual(0, end.end.load.running)
+
+    def test_a_run_keeps_the_version_of_its_start(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        rig.node.orders.serving.version = "v2"
+        (end,) = rig.end()
+        self.assertEqual(gate_fakes.VERSION, end.end.version)
+
+
+class RefuseTest(testtools.TestCase):
+    def check_refused(self, rig, reason, **fields):
+        end = refusal(rig.dispatch(**fields))
+        self.assertEqual((NOT_RUN, reason), (end.outcome, end.reason))
+
+    def test_what_does_not_fit_is_refused(self):
+        wrong = data.Reason.WRONG_VERSION
+        self.check_refused(gate_fakes.Rig(), wrong, model="other")
+        self.check_refused(gate_fakes.Rig(), wrong, version="v9")
+        self.check_refused(gate_fakes.Rig(), wrong, adapter="x")
+        unknown = data.Reason.UNKNOWN_SERVICE
+        self.check_refused(gate_fakes.Rig(), unknown, service="other")
+        self.check_refused(gate_fakes.Rig(), data.Reason.DEADLINE, budget_s=0.0)
+
+    def test_an_engine_without_the_whole_version_gets_nothing(self):
+        rig = gate_fakes.Rig()
+        partial = data.EngineStatus(active_version="v1", digests={"v1": "other"})
+        rig.step(events.EngineStatusReported(partial))
+        self.check_refused(rig, data.Reason.NOT_WHOLE)
+
+    def test_a_silent_engine_gets_nothing(self):
+        rig = gate_fakes.Rig()
+        rig.step(events.EngineStatusReported(None))
+        self.check_refused(rig, data.Reason.ENGINE_FAILED)
+
+    def test_a_dispatch_for_the_process_before_is_refused(self):
+        rig = gate_fakes.Rig(incarnation=2)
+        request = data.Request("r1", "parish", gate_fakes.MODEL_SERVICE, 5.0)
+        dispatch = data.Dispatch(request, 1, 5.0, "entry-1", data.Incarnation(1))
+        found = rig.step(gate.DispatchArrived(gate_fakes.ENTRY, dispatch, 1))
+        self.assertEqual(NOT_RUN, refusal(found).outcome)
+
+    def test_a_late_copy_of_a_refused_dispatch_is_refused(self):
+        rig = gate_fakes.Rig()
+        rig.step(events.EngineStatusReported(None))
+        rig.dispatch()
+        rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
+        self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
+
+    def test_a_copy_of_a_running_dispatch_is_unknown(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        end = refusal(rig.dispatch(stream=2))
+        self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
+
+    def test_a_start_on_partial_weights_breaks_the_invariant(self):
+        rig = gate_fakes.Rig(limit=1)
+        rig.dispatch("r1")
+        rig.dispatch("r2")
+        rig.node.gate.status = msgspec.structs.replace(rig.node.gate.status, digests={})
+        self.assertEqual(data.Reason.NOT_WHOLE, refusal(rig.end("r1")).reason)
+
+
+class CancelTest(testtools.TestCase):
+    def test_a_repeatable_run_is_cancelled_with_its_entry(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        found = rig.step(gate.DispatchCancelled("r1", 1, 1))
+        self.assertEqual([gate.CancelRun("r1", 1)], found)
+
+    def test_a_closed_copy_cancels_nothing(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        self.assertEqual([], rig.step(gate.DispatchCancelled("r1", 1, 2)))
+
+
+class DrainTest(testtools.TestCase):
+    def drain(self, rig):
+        rig.step(events.ShutdownRequested())
+        return rig.step(events.DrainStarted(data.Reason.LEAVING))
+
+    def test_a_draining_process_ends_only_when_nothing_runs(self):
+        rig = gate_fakes.Rig(limit=1)
+        rig.dispatch("r1")
+        rig.dispatch("r2")
+        queued = refusal(self.drain(rig))
+        self.assertEqual(
+            ("r2", data.Reason.LEAVING), (queued.request_id, queued.reason)
+        )
+        self.assertEqual(data.Reason.LEAVING, refusal(rig.dispatch("r3")).reason)
+        self.assertNotIn(effects.Exit(), rig.step(events.Tick(), 2.0))
+        rig.end("r1")
+        self.assertIn(effects.Exit(), rig.step(events.Tick(), 0.1))
+
+    def test_work_that_arrived_after_the_drain_cannot_start(self):
+        rig = gate_fakes.Rig()
+        self.drain(rig)
+        request = data.Request("r1", "parish", gate_fakes.MODEL_SERVICE, 5.0)
+        dispatch = data.Dispatch(request, 1, 5.0, "entry-1")
+        rig.now_s = 1.0
+        rig.node.now_s = 1.0
+        work = gate.Work(dispatch, 1, 0, 9.0, arrived_s=1.0)
+        self.assertRaises(invariants.InvariantBreachError, gate._start, rig.node, work)
--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 
 import msgspec
+from twisted.web import http
 
 from toucanspread.core import data, effects, events
 from toucanspread.ops import http_client, runtime
@@ -19,8 +20,6 @@
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
 EVENT_END = b"\n\n"
 STREAM_END = b"data: [DONE]\n\n"
-HTTP_CONFLICT = 409
-HTTP_NOT_FOUND = 404
 
 
 class EngineError(Exception):
@@ -35,13 +34,13 @@
 
 
 class EngineRefusedError(EngineError):
-    """The engine refused a request before running any of it.
+    """The engine answered with an error status instead of an answer.
 
-    :param status: its HTTP status.
+    :param status: its HTTP status; below 500 nothing of the request was run.
     """
 
     def __init__(self, detail: str, status: int):
-        super().__init__(detail, started=False)
+        super().__init__(detail, started=status >= http.INTERNAL_SERVER_ERROR)
         self.status = status
 
 
@@ -148,7 +147,7 @@
         try:
             return await self._call("GET", path, timeout_s=CHUNK_TIMEOUT_S)
         except EngineRefusedError as error:
-            if error.status != HTTP_NOT_FOUND:
+            if error.status != http.NOT_FOUND:
                 raise
             return None
 
@@ -163,7 +162,7 @@
             try:
                 await self._call("DELETE", f"/v1/staging/{chunk_hash}")
             except EngineRefusedError as error:
-                if error.status != HTTP_NOT_FOUND:
+                if error.status != http.NOT_FOUND:
                     raise
 
     async def order(self, order: effects.EngineOrder) -> events.EngineOrderAnswered:
@@ -186,7 +185,7 @@
                 timeout_s=LOAD_TIMEOUT_S,
             )
         except EngineRefusedError as error:
-            accepted, stale = False, error.status == HTTP_CONFLICT
+            accepted, stale = False, error.status == http.CONFLICT
             detail = str(error)
         except EngineError as error:
             accepted, detail = False, str(error)
--- /dev/null
+++ b/toucanspread/ops/gateway.py
@@ -0,0 +1,336 @@
+"""The way of a dispatch through an endpoint process: entry, machine, engine.
+
+The bytes of an answer are relayed as they come, coalesced by time and not parsed
+here; what the machine decides travels beside them.
+"""
+
+import asyncio
+import collections
+import itertools
+import time
+from collections.abc import AsyncIterator, Callable, Mapping
+
+import msgspec
+import xxhash
+
+from toucanspread.core import data, gate
+from toucanspread.ops import engine, runtime
+
+COALESCE_S = 0.005
+MAX_BUFFER_BYTES = 256 * 1024  # held for one slow entry before the engine has to wait
+MAX_RESUMES = 2
+MAX_KEPT_ANSWERS = 1_000
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+MAX_KEPT_ANSWER_BYTES = 64 * 1024
+
+
+class Channel:
+    """The way back to the entry for one copy of a dispatch."""
+
+    def __init__(self, dispatch: data.Dispatch, body: bytes):
+        self.dispatch = dispatch
+        self.body = body
+        self.end: data.AnswerEnd | None = None
+        self.closed = False
+        self._buffer = bytearray()
+        self._ready = asyncio.Event()
+        self._room = asyncio.Event()
+        self._room.set()
+
+    async def write(self, payload: bytes) -> None:
+        """Add bytes of the answer; waits while too many are held."""
+        await self._room.wait()
+        if self.closed:
+            return
+        self._buffer += payload
+        self._ready.set()
+        if len(self._buffer) >= MAX_BUFFER_BYTES:
+            self._room.clear()
+
+    def finish(self, end: data.AnswerEnd) -> None:
+        """Set the last frame."""
+        if self.end is None:
+            self.end = end
+        self._ready.set()
+
+    def close(self) -> None:
+        """Let a writer go on, whose bytes nobody reads."""
+        self.closed = True
+        self._buffer.clear()
+        self._room.set()
+
+    async def frames(self) -> AsyncIterator[data.AnswerFrame | data.AnswerEnd]:
+        """Yield the frames of the answer, the end last."""
+        request_id = self.dispatch.request.request_id
+        attempt = self.dispatch.attempt
+        checksum = xxhash.xxh64()
+        sequence = 0
+        payload_bytes = 0
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            payload = bytes(self._buffer)
+            self._buffer.clear()
+            self._room.set()
+            if payload:
+                checksum.update(payload)
+                payload_bytes += len(payload)
+                yield data.AnswerFrame(request_id, attempt, sequence, payload)
+                sequence += 1
+            if self.end is not None and not self._buffer:
+                break
+            if payload and self.end is None:
+                await asyncio.sleep(COALESCE_S)
+        yield msgspec.structs.replace(
+            self.end,
+            frames=sequence,
+            payload_bytes=payload_bytes,
+            checksum=checksum.hexdigest(),
+        )
+
+
+class KeptAnswers:
+    """The last whole answers of calls that may not be repeated, bounded."""
+
+    def __init__(self):
+        self._answers: collections.OrderedDict[gate.Key, tuple[int, bytes]] = (
+            collections.OrderedDict()
+        )
+        self._bytes = 0
+
+    def keep(self, key: gate.Key, status: int, payload: bytes) -> None:
+        """Keep an answer, unless it is large."""
+        if len(payload) > MAX_KEPT_ANSWER_BYTES:
+            return
+        self._answers[key] = (status, payload)
+        self._bytes += len(payload)
+        while len(self._answers) > MAX_KEPT_ANSWERS or self._bytes > MAX_KEPT_BYTES:
+            _, (_, dropped) = self._answers.popitem(last=False)
+            self._bytes -= len(dropped)
+
+    def get(self, key: gate.Key) -> tuple[int, bytes] | None:
+        """Return the status and payload of a kept answer."""
+        return self._answers.get(key)
+
+
+class Gateway(runtime.Adapter):
+    """Serves dispatches of entries by an engine or a plain service.
+
+    :param post: feeds an event to the machine.
+    :param model_engine: what runs requests of a model.
+    :param plain_service: what runs calls of a plain service.
+    """
+
+    def __init__(
+        self,
+        post: Callable[[data.Event], None],
+        model_engine: engine.Engine | None = None,
+        plain_service: engine.PlainService | None = None,
+    ):
+        self._post = post
+        self._engine = model_engine
+        self._plain = plain_service
+        self._streams = itertools.count(1)
+        self._channels: dict[int, Channel] = {}
+        self._runs: dict[gate.Key, asyncio.Task] = {}
+        self._kept = KeptAnswers()
+
+    async def handle(
+        self, sender: data.Identity, dispatch: data.Dispatch, body: bytes
+    ) -> AsyncIterator[data.AnswerFrame | data.AnswerEnd]:
+        """Serve one dispatch; closing the iterator cancels it."""
+        stream = next(self._streams)
+        channel = Channel(dispatch, body)
+        self._channels[stream] = channel
+        request_id, attempt = dispatch.request.request_id, dispatch.attempt
+        body_hash = xxhash.xxh64_intdigest(body)
+        try:
+            self._post(gate.DispatchArrived(sender, dispatch, stream, body_hash))
+            async for frame in channel.frames():
+                yield frame
+        finally:
+            channel.close()
+            del self._channels[stream]
+            if channel.end is None:
+                self._post(gate.DispatchCancelled(request_id, attempt, stream))
+
+    async def stop(self) -> None:
+        """Drop the runs that are left."""
+        for running in tuple(self._runs.values()):
+            running.cancel()
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Return the effects that this adapter carries out."""
+        return {
+            gate.StartRun: self._start,
+            gate.CancelRun: self._cancel,
+            gate.RefuseDispatch: lambda effect: self._end(effect.stream, effect.end),
+            gate.EndDispatch: lambda effect: self._end(effect.stream, effect.end),
+            gate.ReplayAnswer: self._replay,
+        }
+
+    def _end(self, stream: int, end: data.AnswerEnd) -> None:
+        channel = self._channels.get(stream)
+        if channel is not None:
+            channel.finish(end)
+
+    def _replay(self, effect: gate.ReplayAnswer) -> None:
+        kept = self._kept.get(effect.kept)
+        channel = self._channels.get(effect.stream)
+        if channel is None:
+            return
+        if kept is None:
+            channel.finish(effect.end)
+            return
+        status, payload = kept
+        end = msgspec.structs.replace(
+            effect.end,
+            outcome=data.Outcome.DONE,
+            reason=data.Reason.NONE,
+            detail="the answer of the earlier run",
+            retry_after_s=0.0,
+            status=status,
+        )
+        loop = asyncio.get_running_loop()
+        loop.create_task(_write_and_finish(channel, payload, end))
+
+    def _start(self, effect: gate.StartRun) -> None:
+        channel = self._channels.get(effect.stream)
+        if channel is None:
+            raise KeyError(f"stream {effect.stream} is closed")
+        key = (effect.request_id, effect.attempt)
+        run = Run(effect, channel, self._post, self._kept)
+        if self._plain is not None:
+            coroutine = run.call(self._plain)
+        else:
+            coroutine = run.generate(self._engine)
+        running = asyncio.get_running_loop().create_task(coroutine)
+        self._runs[key] = running
+        running.add_done_callback(lambda _: self._runs.pop(key, None))
+
+    def _cancel(self, effect: gate.CancelRun) -> None:
+        running = self._runs.get((effect.request_id, effect.attempt))
+        if running is not None:
+            running.cancel()
+
+
+class Run:
+    """One run of a request at the engine or the plain service."""
+
+    def __init__(
+        self,
+        effect: gate.StartRun,
+        channel: Channel,
+        post: Callable[[data.Event], None],
+        kept: KeptAnswers,
+    ):
+        self._effect = effect
+        self._channel = channel
+        self._post = post
+        self._kept = kept
+        self._started_s = time.monotonic()
+        self._progressed = False
+        self._status = 200
+
+    async def generate(self, model_engine: engine.Engine) -> None:
+        """Relay what the engine generates, resuming a stream that breaks."""
+        await self._guard(self._generate(model_engine))
+
+    async def call(self, plain_service: engine.PlainService) -> None:
+        """Relay the answer of a plain service."""
+        await self._guard(self._call(plain_service))
+
+    async def _guard(self, coroutine) -> None:
+        """Report how a run ended, whatever happens to it."""
+        reason, started, detail = data.Reason.NONE, True, ""
+        try:
+            async with asyncio.timeout(self._effect.budget_s):
+                await coroutine
+        except engine.EngineRefusedError as error:
+            reason, started = _refused_reason(error), error.started
+            detail = str(error)
+        except engine.CrossedAnswerError as error:
+            reason, detail = data.Reason.ENGINE_FAILED, str(error)
+        except engine.StreamBrokeError as error:
+            reason, detail = data.Reason.STREAM_BROKE, str(error)
+        except engine.EngineError as error:
+            reason, started = data.Reason.ENGINE_FAILED, error.started
+            detail = str(error)
+        except TimeoutError:
+            reason, detail = data.Reason.DEADLINE, "the budget ran out"
+        except asyncio.CancelledError:
+            reason, detail = data.Reason.CANCELLED, ""
+        except Exception as error:
+            reason, detail = data.Reason.ENGINE_FAILED, repr(error)
+        self._post(
+            gate.RunEnded(
+                request_id=self._effect.request_id,
+                attempt=self._effect.attempt,
+                ok=reason is data.Reason.NONE,
+                status=self._status,
+                started=started or self._progressed,
+                detail=detail,
+                service_time_s=time.monotonic() - self._started_s,
+                reason=reason,
+            )
+        )
+
+    async def _generate(self, model_engine: engine.Engine) -> None:
+        relayed_events = 0
+        resumes = 0
+        while True:
+            try:
+                await self._relay(model_engine, relayed_events)
+                return
+            except engine.StreamBrokeError as error:
+                relayed_events += error.events
+                resumes += 1
+                if resumes > MAX_RESUMES:
+                    raise
+            except engine.EngineRefusedError as error:
+                if resumes == 0:
+                    raise
+                raise engine.StreamBrokeError(str(error), 0) from error
+
+    async def _relay(self, model_engine: engine.Engine, resume_events: int) -> None:
+        effect = self._effect
+        pieces = model_engine.generate(
+            effect.request, self._channel.body, effect.version, resume_events
+        )
+        try:
+            async for piece in pieces:
+                self._progress()
+                await self._channel.write(piece)
+        finally:
+            await pieces.aclose()
+
+    async def _call(self, plain_service: engine.PlainService) -> None:
+        effect = self._effect
+        request = msgspec.structs.replace(effect.request, budget_s=effect.budget_s)
+        status, payload = await plain_service.call(request, self._channel.body)
+        self._status = status
+        self._progress()
+        if not request.repeatable:
+            self._kept.keep((effect.request_id, effect.attempt), status, payload)
+        await self._channel.write(payload)
+
+    def _progress(self) -> None:
+        if self._progressed:
+            return
+        self._progressed = True
+        self._post(gate.RunProgressed(self._effect.request_id, self._effect.attempt))
+
+
+async def _write_and_finish(
+    channel: Channel, payload: bytes, end: data.AnswerEnd
+) -> None:
+    await channel.write(payload)
+    channel.finish(end)
+
+
+def _refused_reason(error: engine.EngineRefusedError) -> data.Reason:
+    if error.status in (404, 409):
+        return data.Reason.WRONG_VERSION
+    if error.status < 500:
+        return data.Reason.BAD_REQUEST
+    return data.Reason.ENGINE_FAILED
