Join the gateway to the stand-ins on loopback

Seen failing first: a stream that was closed by its entry kept running, because wait_for of Python 3.11 drops a cancel that meets a result; asyncio.timeout does not. Connections go to IP numbers without a resolver, whose thread pool does not run under a loop that the reactor did not start. 15 tests of the gateway pass.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -53,6 +53,7 @@
         root = resource.Resource()
         version = resource.Resource()
         root.putChild(b"v1", version)
+        root.putChild(b"stats", Status(self))
         version.putChild(b"completions", Completions(self))
         version.putChild(b"cancel", Cancel(self))
         version.putChild(b"staging", Staging(self))
--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -11,13 +11,14 @@
 from twisted.web import http
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import http_client, runtime
+from toucanspread.ops import http_client, loop, runtime
 
 CALL_TIMEOUT_S = 5.0
 LOAD_TIMEOUT_S = 120.0
 CHUNK_TIMEOUT_S = 30.0
 SILENCE_TIMEOUT_S = 10.0  # between two pieces of a stream
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_REFUSAL_BYTES = 64 * 1024
 EVENT_END = b"\n\n"
 STREAM_END = b"data: [DONE]\n\n"
 
@@ -136,6 +137,10 @@
         """Return an engine at ``ip:port``."""
         return cls(http_client.HttpClient(address))
 
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._client.close()
+
     async def put_chunk(self, chunk_hash: data.ChunkHash, payload: bytes) -> None:
         """Stage a chunk."""
         path = f"/v1/staging/{chunk_hash}"
@@ -250,6 +255,10 @@
         """Return a plain service at ``ip:port``."""
         return cls(http_client.HttpClient(address))
 
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._client.close()
+
     async def call(self, request: data.Request, body: bytes) -> tuple[int, bytes]:
         """Return the status and payload of the service's answer."""
         headers = _request_headers(request)
@@ -258,9 +267,8 @@
         response = await _open(self._client, path, body, headers, request.budget_s)
         try:
             _check_id(response, request)
-            payload = await asyncio.wait_for(
-                response.read(MAX_PLAIN_ANSWER_BYTES), request.budget_s
-            )
+            async with asyncio.timeout(request.budget_s):
+                payload = await response.read(MAX_PLAIN_ANSWER_BYTES)
         except TimeoutError as error:
             raise EngineError(f"no whole answer in {request.budget_s} s") from error
         except http_client.HttpError as error:
@@ -288,7 +296,7 @@
             running.cancel()
 
     def _spawn(self, coroutine) -> None:
-        running = asyncio.get_running_loop().create_task(coroutine)
+        running = loop.spawn(coroutine)
         self._tasks.add(running)
         running.add_done_callback(self._tasks.discard)
 
@@ -353,7 +361,8 @@
     if http_client.is_success(response.status):
         return
     try:
-        payload = await asyncio.wait_for(response.read(65536), CALL_TIMEOUT_S)
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            payload = await response.read(MAX_REFUSAL_BYTES)
     except (TimeoutError, http_client.HttpError):
         payload = b""
     raise EngineRefusedError(_refusal(response.status, payload), response.status)
@@ -369,7 +378,9 @@
     pieces = response.pieces()
     while True:
         try:
-            piece = await asyncio.wait_for(anext(pieces), SILENCE_TIMEOUT_S)
+            # In Python 3.11 wait_for loses a cancel that meets a result.
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                piece = await anext(pieces)
         except StopAsyncIteration as error:
             raise StreamBrokeError("stream ended early", count) from error
         except TimeoutError as error:
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from toucanspread.core import data, gate
-from toucanspread.ops import engine, runtime
+from toucanspread.ops import engine, loop, runtime
 
 COALESCE_S = 0.005
 MAX_BUFFER_BYTES = 256 * 1024  # held for one slow entry before the engine has to wait
@@ -191,8 +191,7 @@
             retry_after_s=0.0,
             status=status,
         )
-        loop = asyncio.get_running_loop()
-        loop.create_task(_write_and_finish(channel, payload, end))
+        loop.spawn(_write_and_finish(channel, payload, end))
 
     def _start(self, effect: gate.StartRun) -> None:
         channel = self._channels.get(effect.stream)
@@ -204,7 +203,7 @@
             coroutine = run.call(self._plain)
         else:
             coroutine = run.generate(self._engine)
-        running = asyncio.get_running_loop().create_task(coroutine)
+        running = loop.spawn(coroutine)
         self._runs[key] = running
         running.add_done_callback(lambda _: self._runs.pop(key, None))
 
--- a/toucanspread/ops/http_client.py
+++ b/toucanspread/ops/http_client.py
@@ -8,11 +8,13 @@
 import urllib.parse
 from collections.abc import AsyncIterator, Mapping
 
-from twisted.internet import defer, error, protocol, reactor
+from twisted.internet import defer, endpoints, error, protocol, reactor
 from twisted.python import failure
 from twisted.web import client, http, http_headers, iweb
 from zope.interface import implementer
 
+from toucanspread.ops import loop
+
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTION_S = 10.0  # less than servers keep an idle connection
 CONNECTIONS_PER_HOST = 256
@@ -54,6 +56,16 @@
         return
 
 
+@implementer(iweb.IAgentEndpointFactory)
+class _IpEndpoints:
+    """Connects by IP number, so that no resolver and no thread is needed."""
+
+    def endpointForURI(self, uri: client.URI):  # noqa: N802
+        return endpoints.TCP4ClientEndpoint(
+            reactor, uri.host.decode(), uri.port, timeout=CONNECT_TIMEOUT_S
+        )
+
+
 class _BodyReader(protocol.Protocol):
     """Hands a body's pieces to a queue; the last item says how it ended."""
 
@@ -135,7 +147,9 @@
         pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         pool.retryAutomatically = False
         self._pool = pool
-        self._agent = client.Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor, _IpEndpoints(), pool=pool
+        )
         self._base = f"http://{address}"
 
     async def open(
@@ -156,9 +170,10 @@
         )
         producer = _BytesProducer(body) if body else None
         calling = self._agent.request(method.encode(), url.encode(), raw, producer)
-        future = calling.asFuture(asyncio.get_running_loop())
+        future = loop.wait(calling)
         try:
-            answer = await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                answer = await future
         except TimeoutError as caught:
             raise HttpError(f"no answer in {timeout_s} s", sent=True) from caught
         except NOT_SENT_ERRORS as caught:
@@ -182,7 +197,8 @@
         """
         response = await self.open(method, path, body, headers, timeout_s)
         try:
-            payload = await asyncio.wait_for(response.read(max_bytes), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                payload = await response.read(max_bytes)
         except TimeoutError as caught:
             raise HttpError(f"no whole body in {timeout_s} s", sent=True) from caught
         finally:
@@ -192,7 +208,7 @@
     async def close(self) -> None:
         """Close idle connections."""
         closing = self._pool.closeCachedConnections()
-        await closing.asFuture(asyncio.get_running_loop())
+        await loop.wait(closing)
 
 
 def is_success(status: int) -> bool:
