--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -159,6 +159,7 @@
     :param floor: the least number of whole replicas at any time.
     :param origin_weight: 0 favours time to N replicas, 1 favours origin bytes.
     :param repeatable: whether the service's calls may be repeated by default.
+    :param weights_bytes: the size of the version's weights, for plans; 0 if unknown.
     """
 
     service: ServiceName
@@ -174,6 +175,7 @@
     teams: tuple[TeamShare, ...] = ()
     origin_weight: float = 0.5
     repeatable: bool = True
+    weights_bytes: int = 0
 
 
 class Change(Record):
@@ -235,7 +237,9 @@
 
     :param fence: the fencing number of the controller's lease; a lower one than the
         highest seen is refused.
-    :param previous_version: the version to keep serving until the new one is whole.
+    :param sequence: counts the orders under one fencing number, so that one that was
+        delayed or doubled doesn't undo a later one.
+    :param service: what to serve; empty for nothing.
     """
 
     fence: FencingNumber
@@ -249,6 +253,7 @@
     adapters: tuple[AdapterName, ...] = ()
     origin_weight: float = 0.5
     leave: bool = False
+    sequence: int = 0
 
 
 class Request(Record):
