Hold, read and spread the configuration in force

One head key carries the revision and the last changes, so a reader that keeps up needs one read per change. Only a few entries per zone wait on it; the rest learn from pushes and from comparing revisions once a second. Sending every change to every endpoint process from each of its entries was ruled out for its bytes: entries answer the reports that lag, with delays that differ by entry.

--- /dev/null
+++ b/toucanspread/core/history.py
@@ -0,0 +1,164 @@
+"""The sequence of accepted changes, as records and pure functions.
+
+The key-value service holds two values. The head names the newest revision and carries
+the last changes; the snapshot is the whole configuration at one revision, for a reader
+that is further behind than the head's changes reach. Both are JSON, so that an operator
+can read them with the service's own tools.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from toucanspread.core import data
+
+HEAD_KEY = "config/head"
+SNAPSHOT_KEY = "config/snapshot"
+
+MAX_RING_BYTES = 12 * 1024  # every watcher reads the head once per change
+MAX_SNAPSHOT_BYTES = 960 * 1024  # the service holds values up to 1 MiB
+
+
+class HistoryError(Exception):
+    """A value of the key-value service is no head or snapshot."""
+
+
+class Stamp(data.Record):
+    """The newest change of one service.
+
+    :param intent: what is in force; None once the service was removed.
+    """
+
+    service: data.ServiceName
+    revision: data.Revision
+    operation_id: data.OperationId
+    plan_id: data.PlanId
+    intent: data.Intent | None = None
+
+
+class Head(data.Record):
+    """The newest revision and the changes that led to it.
+
+    :param digest: a hash over all changes up to ``revision``, in order.
+    :param changes: the last changes, oldest first; at least all those above
+        ``snapshot_revision``.
+    """
+
+    revision: data.Revision = data.Revision(0)
+    digest: str = ""
+    snapshot_revision: data.Revision = data.Revision(0)
+    changes: tuple[data.Change, ...] = ()
+
+
+class Snapshot(data.Record):
+    """The whole configuration at one revision, removed services included."""
+
+    revision: data.Revision = data.Revision(0)
+    digest: str = ""
+    stamps: tuple[Stamp, ...] = ()
+
+
+_encoder = msgspec.json.Encoder()
+_packer = msgspec.msgpack.Encoder()
+_head_decoder = msgspec.json.Decoder(Head)
+_snapshot_decoder = msgspec.json.Decoder(Snapshot)
+
+
+def encode(value: Head | Snapshot) -> bytes:
+    """Return the bytes that the key-value service holds."""
+    return _encoder.encode(value)
+
+
+def decode_head(value: bytes) -> Head:
+    """Return the head of a value; an absent key reads as the empty head.
+
+    :raises HistoryError: when the value is something else.
+    """
+    if not value:
+        return Head()
+    try:
+        return _head_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise HistoryError(f"malformed head: {error}") from error
+
+
+def decode_snapshot(value: bytes) -> Snapshot:
+    """Return the snapshot of a value; an absent key reads as the empty one.
+
+    :raises HistoryError: when the value is something else.
+    """
+    if not value:
+        return Snapshot()
+    try:
+        return _snapshot_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise HistoryError(f"malformed snapshot: {error}") from error
+
+
+def chain(digest: str, change: data.Change) -> str:
+    """Return the digest of a history that ``change`` extends."""
+    return xxhash.xxh3_64_hexdigest(digest.encode() + _encoder.encode(change))
+
+
+def change_bytes(change: data.Change) -> int:
+    """Return how much of the head a change takes up."""
+    return len(_encoder.encode(change))
+
+
+def append(head: Head, change: data.Change) -> Head | None:
+    """Return the head with one more change, or None when a snapshot must come first.
+
+    Changes that a snapshot holds too are kept while they fit, so that readers who
+    are a little behind need no snapshot.
+    """
+    changes = (*head.changes, change)
+    sizes = [change_bytes(each) for each in changes]
+    first = 0
+    while sum(sizes[first:]) > MAX_RING_BYTES and first < len(changes) - 1:
+        if changes[first].revision > head.snapshot_revision:
+            return None
+        first += 1
+    return Head(
+        revision=change.revision,
+        digest=chain(head.digest, change),
+        snapshot_revision=head.snapshot_revision,
+        changes=changes[first:],
+    )
+
+
+def stamps_of(change: data.Change) -> list[Stamp]:
+    """Return the stamps that a change sets."""
+    stamps = []
+    for intent in change.intents:
+        stamps.append(_stamp(change, intent.service, intent))
+    for service in change.removed:
+        stamps.append(_stamp(change, service, None))
+    return stamps
+
+
+def _stamp(
+    change: data.Change, service: data.ServiceName, intent: data.Intent | None
+) -> Stamp:
+    return Stamp(service, change.revision, change.operation_id, change.plan_id, intent)
+
+
+def newer(
+    stamps: Mapping[data.ServiceName, Stamp], revision: data.Revision
+) -> tuple[Stamp, ...]:
+    """Return the stamps above ``revision``, the oldest first."""
+    found = [stamp for stamp in stamps.values() if stamp.revision > revision]
+    found.sort(key=lambda stamp: (stamp.revision, stamp.service))
+    return tuple(found)
+
+
+def touched(
+    intents: Iterable[data.Intent], removed: Iterable[data.ServiceName]
+) -> set[data.ServiceName]:
+    """Return the services that a proposal sets or removes."""
+    return {intent.service for intent in intents} | set(removed)
+
+
+def delta_bytes(stamps: Iterable[Stamp]) -> int:
+    """Return about how many bytes stamps take up in a message."""
+    return len(_packer.encode(tuple(stamps)))
--- /dev/null
+++ b/toucanspread/core/spread.py
@@ -0,0 +1,278 @@
+"""Spreads the configuration between processes, without the key-value service.
+
+An entry that learns a new revision pushes it to a few other entries at once. Besides,
+each process compares revisions with one other every second, and the lower one is sent
+what it lacks. Endpoint processes tell their revision in their reports, so an entry
+sends the changes to those that lag; a share of the entries waits a little longer, so
+that mostly one of those that hear an endpoint answers.
+"""
+
+from toucanspread.core import (
+    config,
+    data,
+    effects,
+    events,
+    history,
+    machine,
+    rendezvous,
+)
+
+PUSH_FANOUT = 3
+COMPARE_INTERVAL_S = 1.0
+ENDPOINT_COMPARE_INTERVAL_S = 3.0
+RESEND_INTERVAL_S = 2.5  # longer than an endpoint takes to report what it received
+DELAY_SLOTS = 3
+DELAY_SLOT_S = 1.2  # longer than the interval of reports
+SENDING_BYTES_PER_S = 9_000.0
+MAX_SENDING_CREDIT_BYTES = 64_000.0
+LOG_INTERVAL_S = 5.0
+
+
+class ConfigSummary(data.Message):
+    """How far the sender's configuration is.
+
+    :param answer: whether a receiver that is behind answers with its own summary.
+    :param fence: the highest fencing number that the sender knows of.
+    """
+
+    revision: data.Revision
+    digest: str
+    answer: bool = True
+    fence: data.FencingNumber = data.FencingNumber(0)
+
+
+class ConfigDelta(data.Message):
+    """All changes above ``base`` up to ``revision``.
+
+    :param base_digest: the digest at ``base``, when the sender still knows it.
+    """
+
+    base: data.Revision
+    revision: data.Revision
+    digest: str
+    stamps: tuple[history.Stamp, ...]
+    base_digest: str = ""
+
+
+class State:
+    """When this process last compared and sent, and to whom.
+
+    :ivar fence: the highest fencing number heard of. An endpoint process that was
+        restarted learns it here, even if its engine keeps none.
+    """
+
+    def __init__(self):
+        self.fence = data.FencingNumber(0)
+        self.next_compare_s = 0.0
+        self.pushed_revision = data.Revision(0)
+        self.lagging_since_s: dict[data.InstanceId, float] = {}
+        self.sent_s: dict[data.InstanceId, float] = {}
+        self.credit_bytes = MAX_SENDING_CREDIT_BYTES
+        self.credit_s = 0.0
+        self.logged_s = float("-inf")
+
+
+def on_tick(node: machine.Node, event: events.Tick) -> list:
+    """Compare revisions with one other process, once a second."""
+    state = node.spread
+    if node.now_s < state.next_compare_s:
+        return []
+    is_entry = node.identity.role is data.Role.ENTRY
+    interval_s = COMPARE_INTERVAL_S if is_entry else ENDPOINT_COMPARE_INTERVAL_S
+    state.next_compare_s = node.now_s + interval_s * (0.8 + 0.4 * node.random.random())
+    _forget(node)
+    partner = _partner(node)
+    if partner is None:
+        return []
+    return [effects.Send(partner.address, _summary(node))]
+
+
+def on_config_applied(node: machine.Node, event: events.ConfigApplied) -> list:
+    """Push new changes to a few other entries."""
+    state = node.spread
+    base = state.pushed_revision
+    state.pushed_revision = node.config.revision
+    if node.identity.role is not data.Role.ENTRY:
+        return []
+    sends = []
+    for peer in _push_targets(node):
+        sends.extend(_send_delta(node, peer.address, base))
+    return sends
+
+
+def on_message(node: machine.Node, event: events.MessageReceived) -> list:
+    """Take in a summary or changes from another process."""
+    if isinstance(event.message, ConfigSummary):
+        return _on_summary(node, event.sender, event.message)
+    if isinstance(event.message, ConfigDelta):
+        return _on_delta(node, event.sender, event.message)
+    return []
+
+
+def on_report(node: machine.Node, event: events.ReportReceived) -> list:
+    """Send the changes to an endpoint process whose report shows that it lags."""
+    state = node.spread
+    report = event.report
+    state.fence = max(state.fence, report.fence)
+    endpoint = report.identity.instance_id
+    if report.revision >= node.config.revision:
+        state.lagging_since_s.pop(endpoint, None)
+        if report.revision > node.config.revision:
+            return [effects.Send(report.identity.address, _summary(node))]
+        return []
+    since_s = state.lagging_since_s.setdefault(endpoint, node.now_s)
+    weight = rendezvous.weight(endpoint, node.identity.instance_id)
+    if node.now_s - since_s < weight % DELAY_SLOTS * DELAY_SLOT_S:
+        return []
+    if node.now_s - state.sent_s.get(endpoint, float("-inf")) < RESEND_INTERVAL_S:
+        return []
+    sends = _send_delta(node, report.identity.address, report.revision)
+    if sends:
+        state.sent_s[endpoint] = node.now_s
+    return sends
+
+
+def _on_summary(
+    node: machine.Node, sender: data.Identity, summary: ConfigSummary
+) -> list:
+    state = node.config
+    node.spread.fence = max(node.spread.fence, summary.fence)
+    if summary.revision > state.revision:
+        if not summary.answer:
+            return []
+        return [effects.Send(sender.address, _summary(node, answer=False))]
+    if summary.revision < state.revision:
+        return _send_delta(node, sender.address, summary.revision)
+    if summary.digest == state.digest:
+        if summary.answer and summary.fence < node.spread.fence:
+            return [effects.Send(sender.address, _summary(node, answer=False))]
+        return []
+    state.forked = True
+    return _log(node, "config_fork", sender, summary.revision)
+
+
+def _on_delta(node: machine.Node, sender: data.Identity, delta: ConfigDelta) -> list:
+    state = node.config
+    if delta.revision < state.revision:
+        return _log(node, "config_older_refused", sender, delta.revision)
+    if delta.revision == state.revision:
+        return []
+    if state.forked and delta.base == 0:
+        whole = history.Snapshot(delta.revision, delta.digest, delta.stamps)
+        return config.adopt(node, whole)
+    held = state.digests.get(delta.base, "")
+    if held and delta.base_digest and held != delta.base_digest:
+        state.forked = True
+        return _log(node, "config_fork", sender, delta.base)
+    if delta.base > state.revision or state.forked:
+        return [effects.Send(sender.address, _summary(node, answer=False))]
+    return config.apply_stamps(node, delta.revision, delta.digest, delta.stamps)
+
+
+def _summary(node: machine.Node, answer: bool = True) -> ConfigSummary:
+    fence = node.spread.fence
+    if node.config.forked:
+        return ConfigSummary(data.Revision(0), "", answer, fence)
+    return ConfigSummary(node.config.revision, node.config.digest, answer, fence)
+
+
+def _send_delta(node: machine.Node, address: data.Address, base: data.Revision) -> list:
+    if node.config.forked and base > 0:
+        return []
+    delta = ConfigDelta(
+        base,
+        node.config.revision,
+        node.config.digest,
+        history.newer(node.config.stamps, base),
+        node.config.digests.get(base, ""),
+    )
+    if not _take_credit(node, delta):
+        return [effects.Count("config_delta_postponed")]
+    return [effects.Send(address, delta)]
+
+
+def _take_credit(node: machine.Node, delta: ConfigDelta) -> bool:
+    """Bound the bytes sent a second; one large delta may run into debt."""
+    state = node.spread
+    earned = (node.now_s - state.credit_s) * SENDING_BYTES_PER_S
+    state.credit_s = node.now_s
+    state.credit_bytes = min(state.credit_bytes + earned, MAX_SENDING_CREDIT_BYTES)
+    if state.credit_bytes <= 0:
+        return False
+    state.credit_bytes -= history.delta_bytes(delta.stamps)
+    return True
+
+
+def _push_targets(node: machine.Node) -> list[data.Identity]:
+    """Return two random entries of this zone and one of another, where there are."""
+    near = []
+    far = []
+    for identity in others(node, data.Role.ENTRY):
+        (near if identity.zone == node.identity.zone else far).append(identity)
+    chosen = _sample(node, far, 1)
+    chosen += _sample(node, near, PUSH_FANOUT - len(chosen))
+    if len(chosen) < PUSH_FANOUT:
+        rest = [identity for identity in far if identity not in chosen]
+        chosen += _sample(node, rest, PUSH_FANOUT - len(chosen))
+    return chosen
+
+
+def _partner(node: machine.Node) -> data.Identity | None:
+    """Return a random entry; an endpoint that knows none asks another endpoint."""
+    found = others(node, data.Role.ENTRY)
+    if not found and node.identity.role is data.Role.ENDPOINT:
+        found = others(node, data.Role.ENDPOINT)
+    if not found:
+        return None
+    return node.random.choice(found)
+
+
+def others(node: machine.Node, role: data.Role) -> list[data.Identity]:
+    """Return the processes of a role that are not believed dead, but for this one."""
+    found = []
+    for member in node.membership.members.values():
+        if member.identity.role is not role:
+            continue
+        if member.state is data.MemberState.DEAD:
+            continue
+        if member.identity.instance_id == node.identity.instance_id:
+            continue
+        found.append(member.identity)
+    return found
+
+
+def _sample(node: machine.Node, identities: list, count: int) -> list:
+    return node.random.sample(identities, max(0, min(count, len(identities))))
+
+
+def _forget(node: machine.Node) -> None:
+    """Drop what is remembered of endpoint processes that are gone."""
+    state = node.spread
+    for remembered in (state.lagging_since_s, state.sent_s):
+        for endpoint in [*remembered]:
+            if endpoint not in node.membership.members:
+                del remembered[endpoint]
+
+
+def _log(
+    node: machine.Node, event: str, sender: data.Identity, revision: data.Revision
+) -> list:
+    """Log at most once per interval; count always."""
+    items: list = [effects.Count(event)]
+    if node.now_s - node.spread.logged_s < LOG_INTERVAL_S:
+        return items
+    node.spread.logged_s = node.now_s
+    fields = {
+        "sender": sender.instance_id,
+        "revision": revision,
+        "in_force": node.config.revision,
+    }
+    return [*items, effects.Log(event, fields)]
+
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.ConfigApplied: on_config_applied,
+    events.MessageReceived: on_message,
+    events.ReportReceived: on_report,
+}
--- /dev/null
+++ b/toucanspread/core/watching.py
@@ -0,0 +1,192 @@
+"""Reads the configuration from the key-value service.
+
+Only a few entries of each zone, chosen by rendezvous hashing over those alive, wait on
+the head; the others learn from them. A service that was restored to an older state is
+noticed here by a head below the revision in force.
+"""
+
+from toucanspread.core import (
+    config,
+    data,
+    effects,
+    events,
+    history,
+    machine,
+    operations,
+    rendezvous,
+    spread,
+)
+
+WATCHERS_PER_ZONE = 2
+WATCH_S = 30.0
+WATCH_ANSWER_S = 40.0  # an answer later than this is taken as lost
+PAUSE_S = 1.0  # bounds the bytes that a watcher reads in a burst of changes
+RETRY_S = 2.0
+CHOOSE_INTERVAL_S = 2.0
+
+ANSWERED = frozenset(
+    {data.KvStatus.OK, data.KvStatus.ABSENT, data.KvStatus.UNCHANGED}
+    | {data.KvStatus.CONFLICT}
+)
+
+
+class State:
+    """The one call that is waiting, and what the service last told.
+
+    :ivar service_known: whether the newest call was answered.
+    :ivar behind_since_s: since when the service shows a head below what is in force.
+    """
+
+    def __init__(self):
+        self.operation_id = data.OperationId("")
+        self.sent_s = 0.0
+        self.due_s = 0.0
+        self.choose_s = 0.0
+        self.is_watcher = True
+        self.head_version = 0
+        self.service_known = False
+        self.behind_since_s: float | None = None
+
+
+def on_tick(node: machine.Node, event: events.Tick) -> list:
+    """Wait on the head if this entry is one of those that do."""
+    state = node.watching
+    if node.now_s >= state.choose_s:
+        state.choose_s = node.now_s + CHOOSE_INTERVAL_S
+        state.is_watcher = is_chosen(node, history.HEAD_KEY, WATCHERS_PER_ZONE)
+    if state.operation_id:
+        if node.now_s - state.sent_s < WATCH_ANSWER_S:
+            return []
+        state.operation_id = data.OperationId("")
+        state.service_known = False
+    if not state.is_watcher or node.now_s < state.due_s:
+        return []
+    return [_watch(node)]
+
+
+def on_kv_answered(node: machine.Node, event: events.KvAnswered) -> list:
+    """Take in what the watch or a read of the snapshot brought."""
+    state = node.watching
+    if event.operation_id != state.operation_id:
+        return []
+    state.operation_id = data.OperationId("")
+    state.service_known = event.status in ANSWERED
+    if not state.service_known:
+        state.due_s = node.now_s + RETRY_S * (0.5 + node.random.random())
+        return []
+    state.due_s = node.now_s + PAUSE_S
+    if event.key == history.SNAPSHOT_KEY:
+        return absorb_snapshot(node, event.value)
+    if event.status is data.KvStatus.UNCHANGED:
+        if event.version < state.head_version:
+            return _read(node, history.HEAD_KEY)  # the service was restored
+        return []
+    return absorb_head(node, event.value, event.version)
+
+
+def absorb_head(node: machine.Node, value: bytes, version: int) -> list:
+    """Apply what a head adds; an older one is refused and logged."""
+    try:
+        head = history.decode_head(value)
+    except history.HistoryError as error:
+        return [effects.Log("config_head_malformed", {"why": str(error)})]
+    state = node.watching
+    state.head_version = version
+    if head.revision < node.config.revision:
+        return _refuse(node, head, version)
+    state.behind_since_s = None
+    if head.revision == node.config.revision:
+        if head.digest != node.config.digest:
+            node.config.forked = True
+            return [_fork(node, head)]
+        return []
+    return _catch_up(node, head)
+
+
+def absorb_snapshot(node: machine.Node, value: bytes) -> list:
+    """Apply a snapshot that is above the revision in force."""
+    try:
+        snap = history.decode_snapshot(value)
+    except history.HistoryError as error:
+        return [effects.Log("config_snapshot_malformed", {"why": str(error)})]
+    node.watching.head_version = 0  # the head is read again, for what lies above
+    if snap.revision <= node.config.revision:
+        node.watching.due_s = node.now_s + RETRY_S
+        return []
+    node.watching.due_s = node.now_s
+    if node.config.forked:
+        return config.adopt(node, snap)
+    return config.apply_stamps(node, snap.revision, snap.digest, snap.stamps)
+
+
+def is_chosen(node: machine.Node, key: str, count: int) -> bool:
+    """Return whether this entry is one of its zone's first for ``key``."""
+    names = [node.identity.instance_id]
+    for identity in spread.others(node, data.Role.ENTRY):
+        if identity.zone == node.identity.zone:
+            names.append(identity.instance_id)
+    return node.identity.instance_id in rendezvous.rank(key, names)[:count]
+
+
+def _watch(node: machine.Node) -> data.Effect:
+    state = node.watching
+    state.operation_id = operations.new_id(node, "watch")
+    state.sent_s = node.now_s
+    return effects.KvWatch(
+        state.operation_id, history.HEAD_KEY, state.head_version, WATCH_S
+    )
+
+
+def _catch_up(node: machine.Node, head: history.Head) -> list:
+    """Apply the head's changes above what is in force, or read the snapshot."""
+    state = node.config
+    missing = [change for change in head.changes if change.revision > state.revision]
+    if state.forked or len(missing) != head.revision - state.revision:
+        return _read(node, history.SNAPSHOT_KEY)
+    if not _extends(state.digest, missing, head):
+        state.forked = True
+        return [_fork(node, head)]
+    stamps = {}
+    for change in missing:
+        for stamp in history.stamps_of(change):
+            stamps[stamp.service] = stamp
+    return config.apply_stamps(node, head.revision, head.digest, stamps.values())
+
+
+def _extends(digest: str, changes: list[data.Change], head: history.Head) -> bool:
+    for change in changes:
+        digest = history.chain(digest, change)
+    return digest == head.digest
+
+
+def _read(node: machine.Node, key: str) -> list:
+    state = node.watching
+    state.operation_id = operations.new_id(node, "read")
+    state.sent_s = node.now_s
+    return [effects.KvRead(state.operation_id, key)]
+
+
+def _refuse(node: machine.Node, head: history.Head, version: int) -> list:
+    state = node.watching
+    if state.behind_since_s is None:
+        state.behind_since_s = node.now_s
+    fields = {
+        "revision": head.revision,
+        "in_force": node.config.revision,
+        "version": version,
+    }
+    return [
+        effects.Log("config_service_behind", fields),
+        effects.Count("config_service_behind"),
+    ]
+
+
+def _fork(node: machine.Node, head: history.Head) -> effects.Log:
+    fields = {"revision": head.revision, "sender": "key-value service"}
+    return effects.Log("config_fork", fields)
+
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.KvAnswered: on_kv_answered,
+}
