Plan proposals and confirm plans by compare-and-swap

A lost answer is read back: the change at the expected revision tells whose write took effect. Repeating the write is allowed only at the same version of the key, where at most one of the two can take effect. Answering NOT ACCEPTED after a read that shows the old version was ruled out: the lost write may still be under way.

--- /dev/null
+++ b/toucanspread/core/confirm.py
@@ -0,0 +1,317 @@
+"""Answers operators: plans, and the confirmation of a plan.
+
+Two changes conflict when they touch the same service, when they name the same leaving
+instance, or when together they need more instances than there are. Any other change
+that was accepted since the plan was made doesn't stand in the way.
+"""
+
+import enum
+
+from toucanspread.core import (
+    acceptance,
+    config,
+    data,
+    effects,
+    events,
+    history,
+    machine,
+    placement,
+    plans,
+)
+
+RETRY_AFTER_S = 5.0
+MAX_RUNNING = 64  # confirmations at once; each reads the head
+HEAL_CHECK_INTERVAL_S = 2.0
+
+
+class Verdict(enum.Enum):
+    """The answer to a confirmation."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    NOT_ACCEPTED = "not accepted"
+    UNKNOWN = "unknown"
+
+
+class PlanRequested(data.Event):
+    """An operator asks what a proposal would do."""
+
+    operation_id: data.OperationId
+    intents: tuple[data.Intent, ...]
+    removed: tuple[data.ServiceName, ...] = ()
+
+
+class ConfirmRequested(data.Event):
+    """An operator confirms a plan.
+
+    :param operation_id: names this confirmation in the change that it makes.
+    """
+
+    operation_id: data.OperationId
+    base_revision: data.Revision
+    intents: tuple[data.Intent, ...]
+    removed: tuple[data.ServiceName, ...]
+    plan_id: data.PlanId
+
+
+class PlanAnswered(data.Effect):
+    """The answer to a plan request.
+
+    :param problems: why there is no plan to confirm; the plan is given all the same.
+    :param service_known: false when the plan rests on the last known revision because
+        the key-value service does not answer.
+    """
+
+    operation_id: data.OperationId
+    plan: plans.Plan
+    problems: tuple[str, ...] = ()
+    service_known: bool = True
+
+
+class ConfirmAnswered(data.Effect):
+    """The answer to a confirmation.
+
+    :param revision: where the change was accepted, else the revision known here.
+    :param retry_after_s: when to confirm again; 0 when that is of no use.
+    :param changed: what other operators changed since the plan was made.
+    :param plan: a fresh plan of the same proposal, after a conflict.
+    """
+
+    operation_id: data.OperationId
+    verdict: Verdict
+    revision: data.Revision
+    retry_after_s: float = 0.0
+    why: str = ""
+    changed: tuple[str, ...] = ()
+    plan: plans.Plan | None = None
+
+
+class Confirmation:
+    """A confirmation under way; without a request, a healing of the service."""
+
+    def __init__(self, request: ConfirmRequested | None, run: acceptance.Acceptance):
+        self.request = request
+        self.run = run
+
+
+class State:
+    """The confirmations under way.
+
+    :param costs: the rates from which plans estimate their time.
+    """
+
+    def __init__(self, costs: plans.Costs | None = None):
+        self.costs = costs or plans.Costs()
+        self.running: list[Confirmation] = []
+        self.heal_check_s = 0.0
+
+
+def on_plan(node: machine.Node, event: PlanRequested) -> list:
+    """Answer with a plan from the revision known here; nothing is remembered."""
+    plan = make_plan(node, event.intents, event.removed)
+    return [
+        PlanAnswered(
+            event.operation_id, plan, plan.refusals, node.watching.service_known
+        )
+    ]
+
+
+def make_plan(
+    node: machine.Node,
+    proposed: tuple[data.Intent, ...],
+    removed: tuple[data.ServiceName, ...],
+) -> plans.Plan:
+    """Return the plan of a proposal on the revision in force."""
+    return plans.make(
+        config.snapshot(node),
+        proposed,
+        removed,
+        placement.replicas(node),
+        node.wall_s,
+        node.confirm.costs,
+    )
+
+
+def on_confirm(node: machine.Node, event: ConfirmRequested) -> list:
+    """Start an acceptance, unless the plan id is not that of the proposal."""
+    expected = plans.plan_id(event.base_revision, event.intents, event.removed)
+    if event.plan_id != expected:
+        return [_refused(node, event, "the plan id is not that of the proposal")]
+    if len(node.confirm.running) >= MAX_RUNNING:
+        why = "too many confirmations at once"
+        return [_refused(node, event, why, retry_after_s=RETRY_AFTER_S)]
+    started = Confirmation(event, acceptance.Acceptance(node, event.plan_id))
+    node.confirm.running.append(started)
+    return [*acceptance.begin(node, started.run), *_settle(node, started)]
+
+
+def on_kv_answered(node: machine.Node, event: events.KvAnswered) -> list:
+    """Go on with the confirmation that made the call."""
+    for confirmation in node.confirm.running:
+        if confirmation.run.call_id != event.operation_id:
+            continue
+        items = acceptance.on_answer(node, confirmation.run, event)
+        return [*items, *_settle(node, confirmation)]
+    return []
+
+
+def on_tick(node: machine.Node, event: events.Tick) -> list:
+    """Watch the deadlines, and heal a service that was restored."""
+    items = _maybe_heal(node)
+    for confirmation in [*node.confirm.running]:
+        items.extend(acceptance.on_tick(node, confirmation.run))
+        items.extend(_settle(node, confirmation))
+    return items
+
+
+def _maybe_heal(node: machine.Node) -> list:
+    state = node.confirm
+    if node.now_s < state.heal_check_s:
+        return []
+    state.heal_check_s = node.now_s + HEAL_CHECK_INTERVAL_S * (
+        0.5 + node.random.random()
+    )
+    since_s = node.watching.behind_since_s
+    if since_s is None or node.now_s - since_s < acceptance.HEAL_DELAY_S:
+        return []
+    if any(running.request is None for running in state.running):
+        return []
+    started = Confirmation(None, acceptance.Acceptance(node, data.PlanId("")))
+    state.running.append(started)
+    return acceptance.begin(node, started.run)
+
+
+def _settle(node: machine.Node, confirmation: Confirmation) -> list:
+    """Decide when the process is level with the service; answer when it is over."""
+    items = []
+    run = confirmation.run
+    if run.phase is acceptance.Phase.DECIDE:
+        items.extend(_decide(node, confirmation))
+    if run.phase is not acceptance.Phase.OVER:
+        return items
+    if confirmation in node.confirm.running:
+        node.confirm.running.remove(confirmation)
+    if confirmation.request is not None and run.result is not None:
+        items.append(_answer(node, confirmation.request, run))
+    return items
+
+
+def _decide(node: machine.Node, confirmation: Confirmation) -> list:
+    """Write the proposal unless another change stands in its way."""
+    run = confirmation.run
+    request = confirmation.request
+    if request is None:
+        return acceptance.finish(run, acceptance.Result.NOT_ACCEPTED)
+    if request.base_revision > node.config.revision:
+        run.why = "the plan was made from a revision that is not known here"
+        return acceptance.give_up(run, run.why)
+    changed = conflicts(node, request)
+    plan = make_plan(node, request.intents, request.removed)
+    if changed or (plan.refusals and request.base_revision < node.config.revision):
+        acceptance.finish(run, acceptance.Result.NOT_ACCEPTED, "conflict")
+        run.result = None
+        return [
+            effects.Count("confirm_conflict"),
+            ConfirmAnswered(
+                request.operation_id,
+                Verdict.CONFLICT,
+                node.config.revision,
+                changed=changed or plan.refusals,
+                plan=plan,
+            ),
+        ]
+    if plan.refusals:
+        why = "; ".join(plan.refusals)
+        return acceptance.finish(run, acceptance.Result.NOT_ACCEPTED, why)
+    return acceptance.write(
+        node, run, request.operation_id, request.intents, request.removed
+    )
+
+
+def conflicts(node: machine.Node, request: ConfirmRequested) -> tuple[str, ...]:
+    """Return what was changed since the plan was made that conflicts with it."""
+    services = history.touched(request.intents, request.removed)
+    leaving = {
+        departure.instance_id
+        for intent in request.intents
+        for departure in intent.departures
+    }
+    found = []
+    newer = history.newer(node.config.stamps, request.base_revision)
+    for stamp in newer:
+        if stamp.service in services:
+            what = "removed" if stamp.intent is None else "changed"
+            found.append(
+                f"service {stamp.service} was {what} at revision {stamp.revision} "
+                f"by {stamp.operation_id}"
+            )
+            continue
+        for departure in stamp.intent.departures if stamp.intent else ():
+            if departure.instance_id in leaving:
+                found.append(
+                    f"instance {departure.instance_id} was named to leave at revision "
+                    f"{stamp.revision} by {stamp.operation_id}"
+                )
+    if newer and not found:
+        found.extend(_shortages(node, request, newer))
+    return tuple(found)
+
+
+def _shortages(
+    node: machine.Node, request: ConfirmRequested, newer: tuple[history.Stamp, ...]
+) -> list[str]:
+    """Return which services the proposal and newer changes can't both have."""
+    found = placement.replicas(node)
+    after = plans.propose(node.config.intents, request.intents, request.removed)
+    with_it = placement.place(after, found, node.wall_s).short
+    without = placement.place(node.config.intents, found, node.wall_s).short
+    involved = history.touched(request.intents, ())
+    involved |= {stamp.service for stamp in newer}
+    lines = []
+    for service in sorted(involved):
+        if with_it.get(service, 0) > without.get(service, 0):
+            lines.append(
+                f"service {service} would be {with_it[service]} instances short, "
+                f"next to changes up to revision {node.config.revision}"
+            )
+    return lines
+
+
+def _answer(
+    node: machine.Node, request: ConfirmRequested, run: acceptance.Acceptance
+) -> ConfirmAnswered:
+    if run.result is acceptance.Result.ACCEPTED:
+        return ConfirmAnswered(request.operation_id, Verdict.ACCEPTED, run.revision)
+    verdict = Verdict.NOT_ACCEPTED
+    if run.result is acceptance.Result.UNKNOWN:
+        verdict = Verdict.UNKNOWN
+    return ConfirmAnswered(
+        request.operation_id,
+        verdict,
+        node.config.revision,
+        retry_after_s=RETRY_AFTER_S,
+        why=run.why,
+    )
+
+
+def _refused(
+    node: machine.Node,
+    request: ConfirmRequested,
+    why: str,
+    retry_after_s: float = 0.0,
+) -> ConfirmAnswered:
+    return ConfirmAnswered(
+        request.operation_id,
+        Verdict.NOT_ACCEPTED,
+        node.config.revision,
+        retry_after_s=retry_after_s,
+        why=why,
+    )
+
+
+HANDLERS = {
+    PlanRequested: on_plan,
+    ConfirmRequested: on_confirm,
+    events.KvAnswered: on_kv_answered,
+    events.Tick: on_tick,
+}
--- /dev/null
+++ b/toucanspread/core/placement.py
@@ -0,0 +1,236 @@
+"""Which instance serves what: a pure function of intents and reports.
+
+The plan shows its result to the operator and the controller works towards it, so both
+agree without remembering anything. An instance that already serves keeps its service.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from toucanspread.core import data, machine, rendezvous
+
+DEPARTURE_LEAD_S = 1800.0  # replacements load this long before a window opens
+
+
+class Replica(data.Record):
+    """An endpoint process as its newest report shows it."""
+
+    instance_id: data.InstanceId
+    zone: data.ZoneName
+    region: data.RegionName
+    address: data.Address
+    state: data.MemberState
+    kind: data.ServiceKind
+    service: data.ServiceName
+    model: data.ModelName
+    version: data.VersionName
+    manifest_hash: data.ManifestHash
+    adapters: tuple[data.AdapterName, ...]
+    target_version: data.VersionName
+    staged_share: float
+    fence: data.FencingNumber
+
+
+class Placement:
+    """What each instance should serve.
+
+    :ivar services: per instance, its service; "" for an instance that is free.
+    :ivar members: per service, its instances.
+    :ivar short: per service, how many instances are missing.
+    :ivar departing: instances whose window is near or open.
+    """
+
+    def __init__(self):
+        self.services: dict[data.InstanceId, data.ServiceName] = {}
+        self.members: dict[data.ServiceName, list[data.InstanceId]] = {}
+        self.short: dict[data.ServiceName, int] = {}
+        self.departing: dict[data.InstanceId, data.Departure] = {}
+
+
+def replicas(node: machine.Node) -> dict[data.InstanceId, Replica]:
+    """Return the endpoint processes that reported and are not believed dead."""
+    found = {}
+    for member in node.membership.members.values():
+        if member.identity.role is not data.Role.ENDPOINT or member.report is None:
+            continue
+        if member.state is data.MemberState.DEAD:
+            continue
+        found[member.identity.instance_id] = replica_of(member.report, member.state)
+    return found
+
+
+def replica_of(report: data.Report, state: data.MemberState) -> Replica:
+    """Return what matters of a report; a process that says it leaves is leaving."""
+    identity = report.identity
+    if report.state is data.MemberState.LEAVING:
+        state = data.MemberState.LEAVING
+    share = 0.0
+    if report.target_chunks:
+        share = report.staged_chunks / report.target_chunks
+    return Replica(
+        identity.instance_id,
+        identity.zone,
+        identity.region,
+        identity.address,
+        state,
+        report.kind,
+        report.service,
+        report.model,
+        report.version,
+        report.manifest_hash,
+        report.adapters,
+        report.target_version,
+        share,
+        report.fence,
+    )
+
+
+def is_whole(replica: Replica, intent: data.Intent) -> bool:
+    """Return whether a replica serves the intent's service with whole weights."""
+    if replica.service != intent.service or replica.kind is not intent.kind:
+        return False
+    if replica.state is data.MemberState.LEAVING:
+        return False
+    return replica.kind is data.ServiceKind.PLAIN or replica.version != ""
+
+
+def is_current(replica: Replica, intent: data.Intent) -> bool:
+    """Return whether a replica is whole and serves just what the intent names."""
+    if not is_whole(replica, intent):
+        return False
+    if replica.kind is data.ServiceKind.PLAIN:
+        return True
+    return (
+        replica.model == intent.model
+        and replica.manifest_hash == intent.manifest_hash
+        and set(replica.adapters) == set(intent.adapters)
+    )
+
+
+def departures(
+    intents: Iterable[data.Intent], wall_s: float, lead_s: float
+) -> dict[data.InstanceId, data.Departure]:
+    """Return the departures whose window opens within ``lead_s`` or is open."""
+    found: dict[data.InstanceId, data.Departure] = {}
+    for intent in intents:
+        for departure in intent.departures:
+            near = wall_s >= departure.window_start_s - lead_s
+            if near and wall_s < departure.window_end_s:
+                found[departure.instance_id] = departure
+    return found
+
+
+def place(
+    intents: Mapping[data.ServiceName, data.Intent],
+    found: Mapping[data.InstanceId, Replica],
+    wall_s: float,
+    lead_s: float = DEPARTURE_LEAD_S,
+) -> Placement:
+    """Return what each replica should serve, keeping what already serves."""
+    result = Placement()
+    result.departing = departures(intents.values(), wall_s, lead_s)
+    usable = {
+        name: replica
+        for name, replica in found.items()
+        if replica.state is not data.MemberState.LEAVING
+        and name not in result.departing
+    }
+    taken = _keep(intents, usable, result)
+    for service in sorted(intents):
+        _fill(intents[service], usable, taken, result)
+    for name in found:
+        result.services.setdefault(name, data.ServiceName(""))
+    return result
+
+
+def _keep(
+    intents: Mapping[data.ServiceName, data.Intent],
+    usable: Mapping[data.InstanceId, Replica],
+    result: Placement,
+) -> set[data.InstanceId]:
+    """Let each service keep what it has, up to its count of replicas."""
+    holders: dict[data.ServiceName, list[Replica]] = {name: [] for name in intents}
+    for replica in usable.values():
+        intent = intents.get(replica.service)
+        if intent is not None and _fits(replica, intent):
+            holders[intent.service].append(replica)
+    taken = set()
+    for service, intent in intents.items():
+        order = _by_preference(intent, holders[service])
+        chosen = _balanced(order, intent.replicas, {})
+        result.members[service] = [replica.instance_id for replica in chosen]
+        for replica in chosen:
+            taken.add(replica.instance_id)
+            result.services[replica.instance_id] = service
+    return taken
+
+
+def _fill(
+    intent: data.Intent,
+    usable: Mapping[data.InstanceId, Replica],
+    taken: set[data.InstanceId],
+    result: Placement,
+) -> None:
+    """Give free instances to a service that has too few."""
+    members = result.members[intent.service]
+    missing = intent.replicas - len(members)
+    if missing <= 0:
+        return
+    free = [
+        replica
+        for replica in usable.values()
+        if replica.instance_id not in taken and _fits(replica, intent)
+    ]
+    counts: dict[data.ZoneName, int] = {}
+    for name in members:
+        zone = usable[name].zone
+        counts[zone] = counts.get(zone, 0) + 1
+    chosen = _balanced(_by_preference(intent, free), missing, counts)
+    for replica in chosen:
+        taken.add(replica.instance_id)
+        members.append(replica.instance_id)
+        result.services[replica.instance_id] = intent.service
+    if len(chosen) < missing:
+        result.short[intent.service] = missing - len(chosen)
+
+
+def _fits(replica: Replica, intent: data.Intent) -> bool:
+    if replica.kind is not intent.kind:
+        return False
+    if intent.zones and replica.zone not in intent.zones:
+        return False
+    if replica.kind is data.ServiceKind.PLAIN:
+        return replica.service in ("", intent.service)
+    return True
+
+
+def _by_preference(intent: data.Intent, found: Iterable[Replica]) -> list[Replica]:
+    """Return replicas, those that need the least work first, else by hash."""
+
+    def key(replica: Replica) -> tuple:
+        return (
+            not is_current(replica, intent),
+            not is_whole(replica, intent),
+            replica.target_version != intent.version,
+            replica.version != "",
+            -rendezvous.weight(intent.service, replica.instance_id),
+        )
+
+    return sorted(found, key=key)
+
+
+def _balanced(
+    order: list[Replica], count: int, counts: dict[data.ZoneName, int]
+) -> list[Replica]:
+    """Choose up to ``count``, each from the zone that has the fewest."""
+    counts = dict(counts)
+    queues: dict[data.ZoneName, list[Replica]] = {}
+    for replica in reversed(order):
+        queues.setdefault(replica.zone, []).append(replica)
+    chosen: list[Replica] = []
+    while queues and len(chosen) < count:
+        zone = min(queues, key=lambda name: (counts.get(name, 0), name))
+        chosen.append(queues[zone].pop())
+        counts[zone] = counts.get(zone, 0) + 1
+        if not queues[zone]:
+            del queues[zone]
+    return chosen
--- /dev/null
+++ b/toucanspread/core/plans.py
@@ -0,0 +1,269 @@
+"""Plans: what would happen if a proposal were accepted.
+
+A plan is a pure function of the configuration at one revision, the proposal and the
+reports. Its id names only the base revision and the proposal, so that any entry can
+check a confirmation without having made the plan.
+"""
+
+import enum
+import hashlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from toucanspread.core import data, history, intents, placement
+
+PLAN_ID_DIGITS = 32
+
+
+class StepKind(enum.Enum):
+    """What a step does to an instance."""
+
+    LOAD = "load"
+    SERVE = "serve"
+    DRAIN = "drain"
+    RELEASE = "release"
+
+
+class Step(data.Record):
+    """One step of a plan; those of a stage start after the stage before."""
+
+    stage: int
+    kind: StepKind
+    instance_id: data.InstanceId
+    service: data.ServiceName
+    version: data.VersionName = data.VersionName("")
+
+
+class LinkBytes(data.Record):
+    """Bytes that a plan moves over the link between two regions."""
+
+    from_region: data.RegionName
+    to_region: data.RegionName
+    total_bytes: int
+
+
+class Costs(data.Record):
+    """The rates from which a plan estimates its time.
+
+    :param store_region: where the origin of weights is.
+    """
+
+    store_region: data.RegionName = data.RegionName("")
+    origin_bytes_per_s: float = 100e6
+    instance_bytes_per_s: float = 50e6
+    region_link_bytes_per_s: float = 1.5e6
+    load_s: float = 10.0
+
+
+class Plan(data.Record):
+    """What an operator is shown and then confirms.
+
+    :param refusals: why the plan can't be confirmed.
+    """
+
+    plan_id: data.PlanId
+    base_revision: data.Revision
+    intents: tuple[data.Intent, ...]
+    removed: tuple[data.ServiceName, ...]
+    steps: tuple[Step, ...] = ()
+    origin_bytes: int = 0
+    link_bytes: tuple[LinkBytes, ...] = ()
+    expected_s: float = 0.0
+    warnings: tuple[str, ...] = ()
+    refusals: tuple[str, ...] = ()
+
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+
+
+def plan_id(
+    base_revision: data.Revision,
+    proposed: Iterable[data.Intent],
+    removed: Iterable[data.ServiceName],
+) -> data.PlanId:
+    """Return the id of a plan: a hash of the base revision and the proposal."""
+    ordered = sorted(proposed, key=lambda intent: intent.service)
+    encoded = _encoder.encode((base_revision, ordered, sorted(removed)))
+    return data.PlanId(hashlib.sha256(encoded).hexdigest()[:PLAN_ID_DIGITS])
+
+
+def propose(
+    in_force: Mapping[data.ServiceName, data.Intent],
+    proposed: Iterable[data.Intent],
+    removed: Iterable[data.ServiceName],
+) -> dict[data.ServiceName, data.Intent]:
+    """Return the intents that would be in force."""
+    result = dict(in_force)
+    for service in removed:
+        result.pop(service, None)
+    for intent in proposed:
+        result[intent.service] = intent
+    return result
+
+
+def make(
+    snapshot: history.Snapshot,
+    proposed: tuple[data.Intent, ...],
+    removed: tuple[data.ServiceName, ...],
+    found: Mapping[data.InstanceId, placement.Replica],
+    wall_s: float,
+    costs: Costs,
+) -> Plan:
+    """Return the plan of a proposal."""
+    before = {
+        stamp.service: stamp.intent
+        for stamp in snapshot.stamps
+        if stamp.intent is not None
+    }
+    after = propose(before, proposed, removed)
+    services = history.touched(proposed, removed)
+    placed = placement.place(after, found, wall_s, lead_s=float("inf"))
+    steps = _steps(services, after, found, placed)
+    refusals = _refusals(snapshot, before, proposed, removed, placed, found)
+    origin_bytes, link_bytes, expected_s = _transfer(proposed, found, steps, costs)
+    return Plan(
+        plan_id=plan_id(snapshot.revision, proposed, removed),
+        base_revision=snapshot.revision,
+        intents=proposed,
+        removed=removed,
+        steps=tuple(steps),
+        origin_bytes=origin_bytes,
+        link_bytes=link_bytes,
+        expected_s=expected_s,
+        warnings=tuple(_warnings(proposed, placed, found, wall_s, expected_s)),
+        refusals=tuple(refusals),
+    )
+
+
+def _steps(
+    services: set[data.ServiceName],
+    after: Mapping[data.ServiceName, data.Intent],
+    found: Mapping[data.InstanceId, placement.Replica],
+    placed: placement.Placement,
+) -> list[Step]:
+    """Return the steps, loads first, then drains."""
+    loads = []
+    drains = []
+    for name, replica in sorted(found.items()):
+        service = placed.services[name]
+        if service in services:
+            intent = after[service]
+            if not placement.is_current(replica, intent):
+                kind = StepKind.LOAD
+                if intent.kind is data.ServiceKind.PLAIN:
+                    kind = StepKind.SERVE
+                loads.append(Step(1, kind, name, service, intent.version))
+        if replica.service not in services or replica.service == service:
+            continue
+        kind = StepKind.DRAIN if name in placed.departing else StepKind.RELEASE
+        if replica.state is not data.MemberState.LEAVING and service == "":
+            drains.append(Step(2, kind, name, replica.service, replica.version))
+    return loads + drains
+
+
+def _refusals(
+    snapshot: history.Snapshot,
+    before: Mapping[data.ServiceName, data.Intent],
+    proposed: tuple[data.Intent, ...],
+    removed: tuple[data.ServiceName, ...],
+    placed: placement.Placement,
+    found: Mapping[data.InstanceId, placement.Replica],
+) -> list[str]:
+    refusals = []
+    for intent in proposed:
+        refusals.extend(str(error) for error in intents.check(intent))
+        have = len(placed.members.get(intent.service, ()))
+        if have < intent.floor:
+            refusals.append(
+                f"service {intent.service}: only {have} instances can serve it, "
+                f"the floor is {intent.floor}"
+            )
+    names = [intent.service for intent in proposed] + list(removed)
+    if len(set(names)) != len(names):
+        refusals.append("a service is named twice")
+    for service in removed:
+        if service not in before:
+            refusals.append(f"service {service}: can't be removed, it is not in force")
+    if not names:
+        refusals.append("the proposal changes nothing")
+    grown = history.change_bytes(
+        data.Change(snapshot.revision, data.OperationId(""), data.PlanId(""), proposed)
+    )
+    if history.delta_bytes(snapshot.stamps) + 2 * grown > history.MAX_SNAPSHOT_BYTES:
+        refusals.append("the configuration would be larger than the service holds")
+    return refusals
+
+
+def _warnings(
+    proposed: tuple[data.Intent, ...],
+    placed: placement.Placement,
+    found: Mapping[data.InstanceId, placement.Replica],
+    wall_s: float,
+    expected_s: float,
+) -> list[str]:
+    warnings = []
+    for intent in proposed:
+        where = f"service {intent.service}"
+        short = placed.short.get(intent.service, 0)
+        if short:
+            warnings.append(f"{where}: {short} instances too few for its replicas")
+        whole = sum(placement.is_whole(replica, intent) for replica in found.values())
+        if 0 < whole < intent.floor:
+            warnings.append(f"{where}: {whole} whole replicas now, below the floor")
+        if intent.kind is data.ServiceKind.MODEL and not intent.weights_bytes:
+            warnings.append(f"{where}: size of the weights unknown, bytes are guesses")
+        for departure in intent.departures:
+            why = _departure_warning(departure, found, wall_s, expected_s)
+            if why:
+                warnings.append(f"{where}: {departure.instance_id} {why}")
+    return warnings
+
+
+def _departure_warning(
+    departure: data.Departure,
+    found: Mapping[data.InstanceId, placement.Replica],
+    wall_s: float,
+    expected_s: float,
+) -> str:
+    if departure.window_end_s <= wall_s:
+        return "has a window that is over"
+    if departure.instance_id not in found:
+        return "is not known here"
+    if wall_s + expected_s > departure.window_start_s:
+        return "can't be replaced before its window opens"
+    return ""
+
+
+def _transfer(
+    proposed: tuple[data.Intent, ...],
+    found: Mapping[data.InstanceId, placement.Replica],
+    steps: list[Step],
+    costs: Costs,
+) -> tuple[int, tuple[LinkBytes, ...], float]:
+    """Estimate bytes from the origin, bytes over links, and the time."""
+    origin_bytes = 0
+    per_link: dict[data.RegionName, int] = {}
+    slowest_s = 0.0
+    for intent in proposed:
+        loads = [
+            found[step.instance_id]
+            for step in steps
+            if step.kind is StepKind.LOAD and step.service == intent.service
+        ]
+        if not loads:
+            continue
+        copies = 1 if intent.origin_weight >= 0.5 else min(4, len(loads))
+        origin_bytes += copies * intent.weights_bytes
+        slowest_s = max(slowest_s, intent.weights_bytes / costs.instance_bytes_per_s)
+        for region in {replica.region for replica in loads}:
+            if region != costs.store_region:
+                per_link[region] = per_link.get(region, 0) + intent.weights_bytes
+    link_bytes = []
+    for region, total_bytes in sorted(per_link.items()):
+        link_bytes.append(LinkBytes(costs.store_region, region, total_bytes))
+        slowest_s = max(slowest_s, total_bytes / costs.region_link_bytes_per_s)
+    slowest_s = max(slowest_s, origin_bytes / costs.origin_bytes_per_s)
+    has_loads = any(step.kind is StepKind.LOAD for step in steps)
+    expected_s = slowest_s + costs.load_s if has_loads else 0.0
+    return origin_bytes, tuple(link_bytes), expected_s
