--- /dev/null
+++ b/toucanspread/core/leases.py
@@ -0,0 +1,134 @@
+"""Holds the lease of the controller through the key-value service.
+
+Few entries try, chosen by rendezvous hashing over those alive. The holder judges the
+end of its lease by its own monotonic clock, counted from when the granted call was
+sent, and stops giving orders a margin earlier. An answer that is lost grants nothing:
+the next call finds out, because acquiring again by the same holder is answered with a
+new fencing number.
+"""
+
+from toucanspread.core import data, effects, events, machine, operations, watching
+
+LEASE_KEY = "lease/controller"
+TTL_S = 10.0
+RENEW_INTERVAL_S = 3.0
+MARGIN_S = 2.0  # orders stop this long before the lease ends
+ANSWER_S = 3.0  # an answer later than this is taken as lost
+RETRY_S = 2.0
+CANDIDATES = 2  # in each zone
+
+
+class State:
+    """The lease as this entry knows it.
+
+    :ivar fence: the fencing number; 0 while no lease is held.
+    """
+
+    def __init__(self):
+        self.fence = data.FencingNumber(0)
+        self.expires_s = float("-inf")
+        self.call_id = data.OperationId("")
+        self.call_sent_s = 0.0
+        self.call_renews = False
+        self.next_call_s = 0.0
+        self.holder = ""
+
+
+def held(node: machine.Node) -> bool:
+    """Return whether this entry may give orders now."""
+    state = node.leases
+    return state.fence > 0 and node.now_s < state.expires_s - MARGIN_S
+
+
+def on_tick(node: machine.Node, event: events.Tick) -> list:
+    """Renew the lease in time, or try to acquire it."""
+    state = node.leases
+    items = _expire(node)
+    if state.call_id:
+        if node.now_s - state.call_sent_s < ANSWER_S:
+            return items
+        state.call_id = data.OperationId("")
+    if node.now_s < state.next_call_s:
+        return items
+    state.next_call_s = node.now_s + RETRY_S * (0.75 + 0.5 * node.random.random())
+    if state.fence == 0 and not watching.is_chosen(node, LEASE_KEY, CANDIDATES):
+        return items
+    return [*items, _call(node)]
+
+
+def on_kv_answered(node: machine.Node, event: events.KvAnswered) -> list:
+    """Take in a grant or a refusal."""
+    state = node.leases
+    if event.operation_id != state.call_id:
+        return []  # an answer that came too late grants nothing
+    state.call_id = data.OperationId("")
+    if event.status is data.KvStatus.OK:
+        return _granted(node, event)
+    if event.status is data.KvStatus.CONFLICT:
+        state.holder = event.holder
+        if state.call_renews:
+            return _lost(node, "another holds it")
+    return []
+
+
+def on_shutdown(node: machine.Node, event: events.ShutdownRequested) -> list:
+    """Give the lease back, so that another entry need not wait for its end."""
+    state = node.leases
+    state.next_call_s = float("inf")
+    if state.fence == 0:
+        return []
+    release = effects.LeaseRelease(
+        operations.new_id(node, "release"),
+        LEASE_KEY,
+        node.identity.instance_id,
+        state.fence,
+    )
+    return [release, *_lost(node, "shutting down")]
+
+
+def _call(node: machine.Node) -> data.Effect:
+    state = node.leases
+    state.call_id = operations.new_id(node, "lease")
+    state.call_sent_s = node.now_s
+    state.call_renews = state.fence > 0
+    holder = node.identity.instance_id
+    if state.call_renews:
+        return effects.LeaseRenew(state.call_id, LEASE_KEY, holder, state.fence, TTL_S)
+    return effects.LeaseAcquire(state.call_id, LEASE_KEY, holder, TTL_S)
+
+
+def _granted(node: machine.Node, event: events.KvAnswered) -> list:
+    state = node.leases
+    expires_s = state.call_sent_s + TTL_S
+    if node.now_s >= expires_s - MARGIN_S:
+        return []  # the answer took as long as the lease lasts
+    is_new = state.fence != event.fence
+    state.fence = event.fence
+    state.expires_s = expires_s
+    state.holder = node.identity.instance_id
+    state.next_call_s = node.now_s + RENEW_INTERVAL_S
+    if not is_new:
+        return []
+    return [effects.Log("lease_acquired", {"fence": event.fence})]
+
+
+def _expire(node: machine.Node) -> list:
+    state = node.leases
+    if state.fence == 0 or node.now_s < state.expires_s - MARGIN_S:
+        return []
+    return _lost(node, "expired")
+
+
+def _lost(node: machine.Node, why: str) -> list:
+    state = node.leases
+    fence = state.fence
+    state.fence = data.FencingNumber(0)
+    state.expires_s = float("-inf")
+    return [effects.Log("lease_lost", {"fence": fence, "why": why})]
+
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.KvAnswered: on_kv_answered,
+    events.ShutdownRequested: on_shutdown,
+}
