--- /dev/null
+++ b/standins/virtual_fleet.py
@@ -0,0 +1,442 @@
+"""A small fleet in virtual time: real reducers, with fakes at their interfaces.
+
+Messages may be lost, doubled and late; the key-value service may be down, slow, lose
+answers, or be restored to an older state. Membership, transfers and engines are the
+simplest fakes that the parts under test can work with.
+"""
+
+import copy
+import heapq
+import random
+
+from toucanspread.core import (
+    config,
+    confirm,
+    controller,
+    data,
+    effects,
+    events,
+    leases,
+    machine,
+    orders,
+    spread,
+    watching,
+)
+
+TICK_S = 0.1
+REPORT_INTERVAL_S = 1.0
+STAGING_S = 2.0
+WALL_START_S = 1_800_000_000.0
+
+
+class Member:
+    """What the fake membership knows of a process."""
+
+    def __init__(self, identity: data.Identity):
+        self.identity = identity
+        self.state = data.MemberState.LIVE
+        self.report: data.Report | None = None
+
+
+class Membership:
+    """The fake membership of one process."""
+
+    def __init__(self):
+        self.members: dict[data.InstanceId, Member] = {}
+
+
+class Transfer:
+    """Stages every wanted version after a while."""
+
+    def __init__(self):
+        self.due: dict[data.ManifestHash, float] = {}
+
+
+def _want(node: machine.Node, event: events.VersionWanted) -> list:
+    node.transfer.due[event.manifest_hash] = node.now_s + STAGING_S
+    return []
+
+
+def _cancel(node: machine.Node, event: events.VersionCancelled) -> list:
+    node.transfer.due.pop(event.manifest_hash, None)
+    return []
+
+
+def _stage(node: machine.Node, event: events.Tick) -> list:
+    staged = []
+    for manifest_hash, due_s in [*node.transfer.due.items()]:
+        if node.now_s >= due_s:
+            del node.transfer.due[manifest_hash]
+            staged.append(events.VersionStaged(manifest_hash, "w" + manifest_hash))
+    return staged
+
+
+TRANSFER_HANDLERS = {
+    events.VersionWanted: _want,
+    events.VersionCancelled: _cancel,
+    events.Tick: _stage,
+}
+
+
+class Engine:
+    """A fake engine; it may ignore fencing numbers."""
+
+    def __init__(self, checks_fence: bool = True):
+        self.checks_fence = checks_fence
+        self.fence = data.FencingNumber(0)
+        self.digests: dict[data.VersionName, str] = {}
+        self.active_version = data.VersionName("")
+        self.taken: list[effects.EngineOrder] = []
+
+    def order(self, order: effects.EngineOrder) -> events.EngineOrderAnswered:
+        """Carry out an order at once."""
+        if self.checks_fence:
+            if order.fence < self.fence:
+                return events.EngineOrderAnswered(order.operation_id, False, True)
+            self.fence = order.fence
+        self.taken.append(order)
+        if order.kind is data.OrderKind.LOAD:
+            self.digests[order.version] = "w" + order.manifest_hash
+        if order.kind is data.OrderKind.ACTIVATE:
+            self.active_version = order.version
+        if order.kind is data.OrderKind.UNLOAD:
+            self.digests.pop(order.version, None)
+        return events.EngineOrderAnswered(order.operation_id, True)
+
+    def status(self) -> data.EngineStatus:
+        """Return the engine's status."""
+        return data.EngineStatus(self.fence, self.active_version, dict(self.digests))
+
+
+class KeyValue:
+    """The fake key-value service.
+
+    :ivar lose_answers: how many of the next writes take effect without an answer.
+    :ivar drop_writes: how many of the next writes are lost before they take effect.
+    """
+
+    def __init__(self):
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.leases: dict[str, tuple[str, int, float]] = {}
+        self.last_fence = 0
+        self.watches: list[tuple[str, effects.KvWatch, float]] = []
+        self.up = True
+        self.delay_s = 0.002
+        self.lose_answers = 0
+        self.drop_writes = 0
+        self.calls: dict[str, int] = {}
+        self.read_bytes = 0
+
+    def save(self) -> dict:
+        """Return a copy of what the service holds, to restore it later."""
+        return copy.deepcopy(self.values)
+
+    def call(self, now_s: float, effect: data.Effect) -> events.KvAnswered:
+        """Carry out one call that does not wait."""
+        name = type(effect).__name__
+        self.calls[name] = self.calls.get(name, 0) + 1
+        is_write = not isinstance(effect, effects.KvRead)
+        if not self.up:
+            status = data.KvStatus.UNKNOWN if is_write else data.KvStatus.NOT_APPLIED
+            return self._answer(effect, status)
+        if is_write and self.drop_writes > 0:
+            self.drop_writes -= 1
+            return self._answer(effect, data.KvStatus.UNKNOWN)
+        answer = self._apply(now_s, effect)
+        if is_write and self.lose_answers > 0:
+            self.lose_answers -= 1
+            return self._answer(effect, data.KvStatus.UNKNOWN)
+        self.read_bytes += len(answer.value)
+        return answer
+
+    def _apply(self, now_s: float, effect: data.Effect) -> events.KvAnswered:
+        if isinstance(effect, effects.KvRead):
+            return self.read(effect)
+        if isinstance(effect, effects.KvWrite):
+            return self._write(effect)
+        return self._lease(now_s, effect)
+
+    def read(self, effect: effects.KvRead | effects.KvWatch) -> events.KvAnswered:
+        """Return the key's value."""
+        value, version = self.values.get(effect.key, (b"", 0))
+        status = data.KvStatus.OK if version else data.KvStatus.ABSENT
+        return self._answer(effect, status, value=value, version=version)
+
+    def _write(self, effect: effects.KvWrite) -> events.KvAnswered:
+        _, version = self.values.get(effect.key, (b"", 0))
+        if version != effect.expected_version:
+            return self._answer(effect, data.KvStatus.CONFLICT, version=version)
+        self.values[effect.key] = (effect.value, version + 1)
+        return self._answer(effect, data.KvStatus.OK, version=version + 1)
+
+    def _lease(self, now_s: float, effect: data.Effect) -> events.KvAnswered:
+        holder, fence, expires_s = self.leases.get(effect.key, ("", 0, 0.0))
+        if isinstance(effect, effects.LeaseRelease):
+            if (holder, fence) == (effect.holder, effect.fence):
+                del self.leases[effect.key]
+            return self._answer(effect, data.KvStatus.OK)
+        live = now_s < expires_s
+        if isinstance(effect, effects.LeaseRenew):
+            mine = (holder, fence) == (effect.holder, effect.fence) and live
+        else:
+            mine = not live or holder == effect.holder
+            fence = self.last_fence + 1
+        if not mine:
+            return self._answer(effect, data.KvStatus.CONFLICT, holder=holder)
+        self.last_fence = max(self.last_fence, fence)
+        self.leases[effect.key] = (effect.holder, fence, now_s + effect.ttl_s)
+        return self._answer(effect, data.KvStatus.OK, fence=fence)
+
+    def _answer(self, effect, status: data.KvStatus, **fields) -> events.KvAnswered:
+        return events.KvAnswered(effect.operation_id, status, effect.key, **fields)
+
+
+class Fleet:
+    """Nodes, their messages and the fakes around them.
+
+    :ivar loss: the share of messages that are lost; as much is doubled or late.
+    :ivar cut: pairs of regions that lose each other.
+    """
+
+    def __init__(self, seed: int, report_entries: int = 3):
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.kv = KeyValue()
+        self.nodes: dict[data.InstanceId, machine.Node] = {}
+        self.machines: dict[data.InstanceId, machine.Machine] = {}
+        self.engines: dict[data.InstanceId, Engine] = {}
+        self.frozen: set[data.InstanceId] = set()
+        self.cut: set[frozenset[data.RegionName]] = set()
+        self.service_cut: set[data.RegionName] = set()
+        self.loss = 0.0
+        self.report_entries = report_entries
+        self.answers: list[confirm.ConfirmAnswered | confirm.PlanAnswered] = []
+        self.logs: list[tuple[float, data.InstanceId, effects.Log]] = []
+        self.sent: dict[str, int] = {}
+        self._queue: list = []
+        self._count = 0
+        self._report_s = 0.0
+        self._incarnation = 0
+        self._sequence = 0
+
+    def add(
+        self,
+        name: str,
+        role: data.Role,
+        zone: str,
+        region: str,
+        kind: data.ServiceKind = data.ServiceKind.MODEL,
+        service: str = "",
+    ) -> machine.Node:
+        """Start a process, or start it anew at its place."""
+        self._incarnation += 1
+        identity = data.Identity(
+            data.InstanceId(name),
+            role,
+            data.Incarnation(self._incarnation),
+            data.ZoneName(zone),
+            data.RegionName(region),
+            data.Address(name),
+        )
+        node = machine.Node(
+            identity,
+            self.random.getrandbits(32),
+            membership=Membership(),
+            config=config.State(),
+            spread=spread.State(),
+        )
+        modules = [spread.HANDLERS]
+        if role is data.Role.ENTRY:
+            node.watching = watching.State()
+            node.confirm = confirm.State()
+            node.leases = leases.State()
+            node.controller = controller.State()
+            modules += [watching.HANDLERS, confirm.HANDLERS]
+            modules += [leases.HANDLERS, controller.HANDLERS]
+        else:
+            node.orders = orders.State(kind, data.ServiceName(service))
+            node.transfer = Transfer()
+            modules += [orders.HANDLERS, TRANSFER_HANDLERS]
+            self.engines.setdefault(node.identity.instance_id, Engine())
+        self.nodes[identity.instance_id] = node
+        self.machines[identity.instance_id] = machine.Machine(node, modules)
+        self.frozen.discard(identity.instance_id)
+        self._meet()
+        return node
+
+    def remove(self, name: str) -> None:
+        """Let a process die."""
+        del self.nodes[name]
+        del self.machines[name]
+        self._meet()
+
+    def entries(self) -> list[machine.Node]:
+        """Return the entries."""
+        return self._of(data.Role.ENTRY)
+
+    def endpoints(self) -> list[machine.Node]:
+        """Return the endpoint processes."""
+        return self._of(data.Role.ENDPOINT)
+
+    def _of(self, role: data.Role) -> list[machine.Node]:
+        return [node for node in self.nodes.values() if node.identity.role is role]
+
+    def post(self, name: str, event: data.Event) -> None:
+        """Feed one event to a process and carry out its effects."""
+        if name not in self.machines:
+            return
+        node = self.nodes[name]
+        node.wall_s = WALL_START_S + self.now_s
+        if name in self.frozen:
+            if not isinstance(event, events.Tick):
+                self._put(1.0, name, event)
+            return
+        for effect in self.machines[name].step(self.now_s, event):
+            self._carry_out(node, effect)
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s - 1e-9:
+            next_s = round(self.now_s + TICK_S, 6)
+            while self._queue and self._queue[0][0] <= next_s:
+                due_s, _, name, incarnation, event = heapq.heappop(self._queue)
+                self.now_s = max(self.now_s, due_s)
+                node = self.nodes.get(name)
+                if node is not None and node.identity.incarnation == incarnation:
+                    self.post(name, event)
+            self.now_s = next_s
+            self._watch()
+            if self.now_s >= self._report_s:
+                self._report_s = self.now_s + REPORT_INTERVAL_S
+                self._report()
+            for name in [*self.machines]:
+                self.post(name, events.Tick(WALL_START_S + self.now_s))
+
+    def _meet(self) -> None:
+        """Let every process know every other."""
+        for node in self.nodes.values():
+            known = node.membership.members
+            for name in [*known]:
+                if name not in self.nodes:
+                    del known[name]
+            for other in self.nodes.values():
+                name = other.identity.instance_id
+                if name not in known or known[name].identity != other.identity:
+                    known[name] = Member(other.identity)
+
+    def _report(self) -> None:
+        entries = self.entries()
+        for node in self.endpoints():
+            if node.identity.instance_id in self.frozen:
+                continue
+            report = self._report_of(node)
+            wanted = min(self.report_entries, len(entries))
+            for entry in entries[:wanted] if wanted else ():
+                if self._lost(node.identity, entry.identity):
+                    continue
+                name = entry.identity.instance_id
+                known = entry.membership.members[node.identity.instance_id]
+                known.report = report
+                self._put(0.002, name, events.ReportReceived(report))
+
+    def _report_of(self, node: machine.Node) -> data.Report:
+        self._sequence += 1
+        state = node.orders
+        serving = state.serving
+        target = state.target
+        live = data.MemberState.LIVE
+        return data.Report(
+            node.identity,
+            self._sequence,
+            data.MemberState.LEAVING if state.draining else live,
+            service=serving.service if serving else state.service,
+            kind=state.kind,
+            model=serving.model if serving else "",
+            version=serving.version if serving else "",
+            manifest_hash=serving.manifest_hash if serving else "",
+            adapters=serving.adapters if serving else (),
+            revision=node.config.revision,
+            fence=state.fence,
+            target_version=target.version
+            if target and state.phase is not orders.Phase.IDLE
+            else "",
+        )
+
+    def _carry_out(self, node: machine.Node, effect: data.Effect) -> None:
+        name = node.identity.instance_id
+        if isinstance(effect, effects.Send):
+            self._send(node, effect)
+        elif isinstance(effect, effects.KvWatch):
+            self.kv.calls["KvWatch"] = self.kv.calls.get("KvWatch", 0) + 1
+            self.kv.watches.append((name, effect, self.now_s + effect.wait_s))
+        elif hasattr(effect, "key"):
+            self._call_service(node, effect)
+        elif isinstance(effect, effects.EngineOrder):
+            self._put(0.01, name, self.engines[name].order(effect))
+        elif isinstance(effect, effects.ReadEngineStatus):
+            status = self.engines[name].status()
+            self._put(0.01, name, events.EngineStatusReported(status))
+        elif isinstance(effect, effects.Log):
+            self.logs.append((self.now_s, name, effect))
+        elif isinstance(effect, confirm.ConfirmAnswered | confirm.PlanAnswered):
+            self.answers.append(effect)
+
+    def _call_service(self, node: machine.Node, effect: data.Effect) -> None:
+        name = node.identity.instance_id
+        if node.identity.region in self.service_cut:
+            status = data.KvStatus.NOT_APPLIED
+            answer = events.KvAnswered(effect.operation_id, status, effect.key)
+        else:
+            answer = self.kv.call(self.now_s, effect)
+        self._put(self.kv.delay_s, name, answer)
+
+    def _send(self, node: machine.Node, effect: effects.Send) -> None:
+        kind = type(effect.message).__name__
+        self.sent[kind] = self.sent.get(kind, 0) + 1
+        target = self.nodes.get(effect.to)
+        if target is None or self._lost(node.identity, target.identity):
+            return
+        event = events.MessageReceived(node.identity, effect.message)
+        delay_s = 0.002
+        if self.loss and self.random.random() < self.loss:
+            delay_s = self.random.random() * 5.0
+        self._put(delay_s, effect.to, event)
+        if self.loss and self.random.random() < self.loss:
+            self._put(self.random.random() * 5.0, effect.to, event)
+
+    def _lost(self, left: data.Identity, right: data.Identity) -> bool:
+        if frozenset((left.region, right.region)) in self.cut:
+            return True
+        return self.loss > 0 and self.random.random() < self.loss
+
+    def _put(self, delay_s: float, name: str, event: data.Event) -> None:
+        self._count += 1
+        incarnation = self.nodes[name].identity.incarnation
+        entry = (self.now_s + delay_s, self._count, name, incarnation, event)
+        heapq.heappush(self._queue, entry)
+
+    def _watch(self) -> None:
+        waiting, self.kv.watches = self.kv.watches, []
+        for name, effect, until_s in waiting:
+            node = self.nodes.get(name)
+            if node is None:
+                continue
+            cut = node.identity.region in self.service_cut
+            if not self.kv.up or cut:
+                status = data.KvStatus.NOT_APPLIED
+                answer = events.KvAnswered(effect.operation_id, status, effect.key)
+            else:
+                answer = self.kv.read(effect)
+                if answer.version <= effect.after_version and self.now_s < until_s:
+                    self.kv.watches.append((name, effect, until_s))
+                    continue
+                if answer.version <= effect.after_version:
+                    answer = events.KvAnswered(
+                        effect.operation_id,
+                        data.KvStatus.UNCHANGED,
+                        effect.key,
+                        version=answer.version,
+                    )
+                self.kv.read_bytes += len(answer.value)
+            self._put(self.kv.delay_s, name, answer)
--- /dev/null
+++ b/toucanspread/core/agreement_test.py
@@ -0,0 +1,87 @@
+import testtools
+
+from standins import virtual_fleet
+from toucanspread.core import confirm, data, leases, plans
+
+MANIFEST = data.ManifestHash("a" * 64)
+NEXT_MANIFEST = data.ManifestHash("b" * 64)
+ZONES = (("brest-a", "finistere"), ("vannes-a", "morbihan"))
+
+
+def intent(service="pool", replicas=2, floor=1, manifest=MANIFEST, **fields):
+    return data.Intent(
+        service,
+        data.ServiceKind.MODEL,
+        replicas,
+        floor,
+        (),
+        model="m",
+        version=f"v-{manifest[0]}",
+        manifest_hash=manifest,
+        **fields,
+    )
+
+
+def make_fleet(entries=4, endpoints=4, seed=1):
+    fleet = virtual_fleet.Fleet(seed)
+    for index in range(entries):
+        zone, region = ZONES[index % 2]
+        fleet.add(f"entry-{index}", data.Role.ENTRY, zone, region)
+    for index in range(endpoints):
+        zone, region = ZONES[index % 2]
+        fleet.add(f"engine-{index}", data.Role.ENDPOINT, zone, region)
+    fleet.run(2.0)
+    return fleet
+
+
+def confirmation(base, *intents, removed=(), operation="op"):
+    plan_id = plans.plan_id(base, intents, removed)
+    return confirm.ConfirmRequested(operation, base, intents, removed, plan_id)
+
+
+def accept(fleet, *intents, entry="entry-0", operation="op", seconds=6.0):
+    base = fleet.nodes[entry].config.revision
+    fleet.post(entry, confirmation(base, *intents, operation=operation))
+    fleet.run(seconds)
+    return fleet.answers[-1]
+
+
+def revisions(fleet):
+    return {node.config.revision for node in fleet.nodes.values()}
+
+
+def holders(fleet):
+    return [node for node in fleet.entries() if leases.held(node)]
+
+
+class AgreementTest(testtools.TestCase):
+    def test_accepted_change_is_in_force_everywhere_and_served(self):
+        fleet = make_fleet()
+        answer = accept(fleet, intent())
+        self.assertEqual(confirm.Verdict.ACCEPTED, answer.verdict)
+        self.assertEqual({1}, revisions(fleet))
+        fleet.run(20.0)
+        serving = [n for n in fleet.endpoints() if n.orders.serving is not None]
+        self.assertEqual(2, len(serving))
+        self.assertEqual(1, len(holders(fleet)))
+
+    def test_race_accepts_exactly_one(self):
+        fleet = make_fleet()
+        fleet.post("entry-0", confirmation(0, intent(replicas=2), operation="left"))
+        fleet.post("entry-1", confirmation(0, intent(replicas=3), operation="right"))
+        fleet.run(3.0)
+        verdicts = {each.verdict for each in fleet.answers}
+        expected = {confirm.Verdict.ACCEPTED, confirm.Verdict.CONFLICT}
+        self.assertEqual(expected, verdicts)
+        conflict = next(each for each in fleet.answers if each.changed)
+        self.assertIn("left", conflict.changed[0])
+        self.assertEqual(1, conflict.plan.base_revision)
+
+    def test_confirming_twice_is_idempotent(self):
+        fleet = make_fleet()
+        fleet.post("entry-0", confirmation(0, intent(), operation="first"))
+        fleet.run(1.0)
+        fleet.post("entry-1", confirmation(0, intent(), operation="second"))
+        fleet.run(1.0)
+        self.assertEqual([1, 1], [each.revision for each in fleet.answers])
+        self.assertEqual({1}, revisions(fleet))
