Let the peers' module be imported

The method named effects hid the module of that name in the annotation of a method below it, so that importing the module failed. The method that needs the module now stands above. Ruled out: renaming the method, which is the adapters' interface.

--- a/toucanspread/ops/peers.py
+++ b/toucanspread/ops/peers.py
@@ -111,6 +111,9 @@
         self._chunk_handler: ChunkHandler | None = None
         self._server: grpc.aio.Server | None = None
 
+    def _send(self, effect: effects.Send) -> None:
+        self.send(effect.to, effect.message)
+
     def effects(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out :class:`effects.Send`."""
         return {effects.Send: self._send}
@@ -202,9 +205,6 @@
         if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
             self._channels.replace(address)
 
-    def _send(self, effect: effects.Send) -> None:
-        self.send(effect.to, effect.message)
-
     async def handle_deliver(self, request: bytes, context) -> bytes:
         """Serve ``Deliver``."""
         sender, message, _ = await _decode(request, context)
