--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -278,12 +278,19 @@
 
     :param attempt: counts the dispatches of the request at its entry, from 1.
     :param budget_s: what is left of the request's time at the moment of sending.
+    :param endpoint_incarnation: the process that is meant; a restarted one refuses,
+        as it does not know what its predecessor did. 0 means any.
+    :param resume_from_bytes: how many payload bytes of a broken stream the caller
+        already has; the frames of this attempt start with the byte after them. An
+        endpoint that cannot resume exactly there refuses.
     """
 
     request: Request
     attempt: int
     budget_s: float
     entry_id: InstanceId
+    endpoint_incarnation: Incarnation = Incarnation(0)
+    resume_from_bytes: int = 0
 
 
 class AnswerEnd(Message):
--- /dev/null
+++ b/toucanspread/core/requests.py
@@ -0,0 +1,375 @@
+"""Carries each caller's request to one final outcome.
+
+A request ends done, not run or unknown. "Not run" needs proof for every attempt:
+never dispatched, or refused by an endpoint process. A request that is given up gets
+its outcome at once, with the time after which to come back.
+"""
+
+import heapq
+
+from toucanspread.core import (
+    data,
+    effects,
+    events,
+    invariants,
+    machine,
+    request_events,
+    request_state,
+    retries,
+    routing,
+)
+
+MAX_BUDGET_S = 3600.0
+MAX_LIVE_REQUESTS = 4096
+MAX_RESUMES = 2
+RETRY_AFTER_S = 1.0  # when nothing better is known
+NO_VERSION = data.VersionName("")
+
+
+State = request_state.State
+
+
+def _on_arrived(node: machine.Node, event: request_events.RequestArrived) -> list:
+    request = event.request
+    refusal = _refusal(node, request)
+    if refusal is not None:
+        return refusal
+    state = node.requests
+    live = request_state.LiveRequest(
+        request=request,
+        arrived_s=node.now_s,
+        deadline_s=node.now_s + min(request.budget_s, MAX_BUDGET_S),
+        streamed=request_state.service_kind(node, request.service)
+        is data.ServiceKind.MODEL,
+    )
+    state.live[request.request_id] = live
+    state.budget.earn(request.service)
+    return _start_attempt(node, live)
+
+
+def _refusal(node: machine.Node, request: data.Request) -> list | None:
+    """Return the final answer to a request that is not even started."""
+    reason = None
+    addresses: tuple[data.Address, ...] = ()
+    if request.request_id in node.requests.live:
+        reason = data.Reason.DUPLICATE
+    elif request.budget_s <= 0:
+        reason = data.Reason.DEADLINE
+    elif node.draining.active:
+        reason = data.Reason.LEAVING
+        addresses = node.draining.other_entries(node, request.service)
+    elif len(node.requests.live) >= MAX_LIVE_REQUESTS:
+        reason = data.Reason.OVERLOADED
+    elif _is_unknown(node, request.service):
+        reason = data.Reason.UNKNOWN_SERVICE
+    if reason is None:
+        return None
+    finish = request_events.FinishRequest(
+        request_id=request.request_id,
+        team=request.team,
+        outcome=data.Outcome.NOT_RUN,
+        reason=reason,
+        retry_after_s=_retry_after_s(node, 0.0),
+        addresses=addresses,
+    )
+    return [finish, *_count_outcome(request, data.Outcome.NOT_RUN, reason)]
+
+
+def _is_unknown(node: machine.Node, service: data.ServiceName) -> bool:
+    if service in node.routing.services:
+        return False
+    return request_state.intent_of(node, service) is None
+
+
+def _start_attempt(node: machine.Node, live: request_state.LiveRequest) -> list:
+    """Dispatch the request to a chosen endpoint, or give it up."""
+    request = live.request
+    if node.now_s >= live.deadline_s:
+        return _give_up(node, live, data.Reason.DEADLINE)
+    endpoint = routing.choose(node, request, live.tried)
+    if endpoint is None:
+        reason = live.reason
+        if reason is data.Reason.NONE:
+            reason = data.Reason.NO_ENDPOINT
+        return _give_up(node, live, reason)
+    return _dispatch(node, live, endpoint.identity)
+
+
+def _dispatch(
+    node: machine.Node, live: request_state.LiveRequest, endpoint: data.Identity
+) -> list[data.Effect | data.Event]:
+    request = live.request
+    invariants.check(
+        node.now_s < live.deadline_s,
+        invariants.Invariant.RETRY_ONLY_WHEN_SAFE,
+        f"{request.request_id} dispatched after its deadline",
+    )
+    invariants.check(
+        request.repeatable or not live.may_have_run,
+        invariants.Invariant.RETRY_ONLY_WHEN_SAFE,
+        f"{request.request_id} may have run and is not repeatable",
+    )
+    live.attempt += 1
+    live.endpoint = endpoint
+    live.sent_s = node.now_s
+    live.progress_s = node.now_s
+    live.attempt_bytes = 0
+    node.requests.schedule(live)
+    dispatch = data.Dispatch(
+        request=request,
+        attempt=live.attempt,
+        budget_s=live.deadline_s - node.now_s,
+        entry_id=node.identity.instance_id,
+        endpoint_incarnation=endpoint.incarnation,
+        resume_from_bytes=live.delivered_bytes,
+    )
+    return [
+        request_events.SendDispatch(endpoint.instance_id, endpoint.address, dispatch),
+        routing.AttemptStarted(endpoint.instance_id),
+    ]
+
+
+def _late() -> list:
+    return [effects.Count("answers_late")]
+
+
+def _on_progressed(node: machine.Node, event: request_events.AttemptProgressed) -> list:
+    live = node.requests.current(event.request_id, event.attempt)
+    if live is None:
+        return _late()
+    live.progress_s = node.now_s
+    live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
+    attributes = _attributes(live.request)
+    found: list = []
+    if live.first_byte_s is None and event.payload_bytes:
+        live.first_byte_s = node.now_s
+        waited_s = node.now_s - live.arrived_s
+        found.append(effects.Observe("request_first_byte_s", waited_s, attributes))
+    if event.max_gap_s:
+        found.append(effects.Observe("request_gap_s", event.max_gap_s, attributes))
+    return found
+
+
+def _on_ended(node: machine.Node, event: request_events.AttemptEnded) -> list:
+    end = event.end
+    live = node.requests.current(end.request_id, end.attempt)
+    if live is None:
+        return _late()
+    invariants.check(
+        end.request_id == live.request.request_id,
+        invariants.Invariant.ANSWER_MATCHES_REQUEST,
+        f"{end.request_id} for {live.request.request_id}",
+    )
+    live.attempt_bytes = max(live.attempt_bytes, end.payload_bytes)
+    live.detail = end.detail
+    live.retry_after_s = end.retry_after_s
+    if end.outcome is data.Outcome.DONE:
+        released = _release(node, live, data.Reason.NONE, end.load)
+        return released + _finish(
+            node, live, data.Outcome.DONE, end.reason, end.status, end.version
+        )
+    proof = retries.Proof.MAY_HAVE_RUN
+    if end.outcome is data.Outcome.NOT_RUN and not end.payload_bytes:
+        proof = retries.Proof.NOT_RUN
+    return _after_failure(node, live, end.reason, proof, end.load)
+
+
+def _on_broke(node: machine.Node, event: request_events.AttemptBroke) -> list:
+    live = node.requests.current(event.request_id, event.attempt)
+    if live is None:
+        return _late()
+    live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
+    proof = retries.Proof.MAY_HAVE_RUN if event.sent else retries.Proof.NOT_RUN
+    return _after_failure(node, live, event.reason, proof)
+
+
+def _after_failure(
+    node: machine.Node,
+    live: request_state.LiveRequest,
+    reason: data.Reason,
+    proof: retries.Proof,
+    load: data.Load | None = None,
+) -> list:
+    """Resume, retry or give up after an attempt that did not end well."""
+    endpoint = live.endpoint
+    found = _release(node, live, reason, load)
+    if proof is retries.Proof.MAY_HAVE_RUN:
+        live.may_have_run = True
+    live.reason = reason
+    live.tried |= {endpoint.instance_id}
+    if live.streamed:
+        live.delivered_bytes += live.attempt_bytes
+    if live.delivered_bytes:
+        return found + _resume(node, live, endpoint, reason, proof)
+    request = live.request
+    if not retries.is_safe(request.repeatable, live.proof(), live.delivered_bytes):
+        return found + _give_up(node, live, reason)
+    if not retries.is_worthwhile(reason, live.attempt):
+        return found + _give_up(node, live, reason)
+    if routing.choose(node, request, live.tried) is None:
+        return found + _give_up(node, live, reason)
+    if not node.requests.budget.take(request.service):
+        return found + _give_up(node, live, reason)
+    found.append(effects.Count("request_retries", 1, _attributes(request)))
+    wait_s = retries.back_off_s(node.random, live.attempt)
+    if wait_s <= 0:
+        return found + _start_attempt(node, live)
+    live.retry_at_s = node.now_s + wait_s
+    if live.retry_at_s >= live.deadline_s:
+        return found + _give_up(node, live, reason)
+    node.requests.schedule(live)
+    return found
+
+
+def _resume(
+    node: machine.Node,
+    live: request_state.LiveRequest,
+    endpoint: data.Identity,
+    reason: data.Reason,
+    proof: retries.Proof,
+) -> list:
+    """Go on with a broken stream at its endpoint, or end it with an error."""
+    known = node.routing.endpoints.get(endpoint.instance_id)
+    refused = proof is retries.Proof.NOT_RUN
+    if (
+        refused
+        or not live.request.repeatable
+        or live.resumes >= MAX_RESUMES
+        or node.now_s >= live.deadline_s
+        or known is None
+        or known.identity != endpoint
+    ):
+        return _give_up(node, live, data.Reason.STREAM_BROKE)
+    live.resumes += 1
+    return _dispatch(node, live, endpoint)
+
+
+def _release(
+    node: machine.Node,
+    live: request_state.LiveRequest,
+    reason: data.Reason,
+    load: data.Load | None = None,
+) -> list:
+    """End the bookkeeping of the running attempt."""
+    latency_s = None
+    if reason is data.Reason.NONE and not live.resumes:
+        until_s = live.first_byte_s if live.streamed else node.now_s
+        latency_s = (until_s or node.now_s) - live.sent_s
+    endpoint = live.endpoint
+    live.endpoint = None
+    return [routing.AttemptFinished(endpoint.instance_id, reason, latency_s, load)]
+
+
+def _give_up(
+    node: machine.Node, live: request_state.LiveRequest, reason: data.Reason
+) -> list:
+    """End the request at once: unknown, or not run when that is proved."""
+    outcome = data.Outcome.NOT_RUN
+    if live.proof() is retries.Proof.MAY_HAVE_RUN:
+        outcome = data.Outcome.UNKNOWN
+    return _finish(node, live, outcome, reason)
+
+
+def _finish(
+    node: machine.Node,
+    live: request_state.LiveRequest,
+    outcome: data.Outcome,
+    reason: data.Reason,
+    status: int = 200,
+    version: data.VersionName = NO_VERSION,
+) -> list:
+    request = live.request
+    invariants.check(
+        node.requests.live.pop(request.request_id, None) is live,
+        invariants.Invariant.ONE_FINAL_OUTCOME,
+        f"{request.request_id} ended twice",
+    )
+    invariants.check(
+        outcome is not data.Outcome.NOT_RUN or live.proof() is retries.Proof.NOT_RUN,
+        invariants.Invariant.NOT_RUN_IS_PROVED,
+        f"{request.request_id} may have run",
+    )
+    done = outcome is data.Outcome.DONE
+    finish = request_events.FinishRequest(
+        request_id=request.request_id,
+        team=request.team,
+        outcome=outcome,
+        reason=reason,
+        retry_after_s=0.0 if done else _retry_after_s(node, live.retry_after_s),
+        status=status,
+        version=version,
+        detail=live.detail,
+    )
+    whole_s = node.now_s - live.arrived_s
+    return [
+        finish,
+        effects.Observe("request_whole_s", whole_s, _attributes(request)),
+        *_count_outcome(request, outcome, reason),
+    ]
+
+
+def _retry_after_s(node: machine.Node, told_s: float) -> float:
+    """Return when to come back, spread so that callers do not return together."""
+    return (told_s or RETRY_AFTER_S) * node.random.uniform(0.75, 1.25)
+
+
+def _attributes(request: data.Request) -> dict[str, str]:
+    return {"team": request.team, "class": request.service}
+
+
+def _count_outcome(
+    request: data.Request, outcome: data.Outcome, reason: data.Reason
+) -> list:
+    attributes = _attributes(request)
+    attributes["outcome"] = outcome.value
+    attributes["reason"] = reason.value
+    return [effects.Count("request_outcomes", 1, attributes)]
+
+
+def _on_caller_gone(node: machine.Node, event: request_events.CallerGone) -> list:
+    live = node.requests.live.pop(event.request_id, None)
+    if live is None:
+        return []
+    found = _count_outcome(live.request, data.Outcome.UNKNOWN, data.Reason.CANCELLED)
+    if live.endpoint is not None:
+        found.append(request_events.CancelAttempt(event.request_id, live.attempt))
+        found += _release(node, live, data.Reason.CANCELLED)
+    return found
+
+
+def _on_tick(node: machine.Node, event: events.Tick) -> list:
+    timers = node.requests.timers
+    found: list = []
+    while timers and timers[0][0] <= node.now_s:
+        _, request_id = heapq.heappop(timers)
+        live = node.requests.live.get(request_id)
+        if live is None:
+            continue
+        found += _look(node, live)
+    return found
+
+
+def _look(node: machine.Node, live: request_state.LiveRequest) -> list:
+    """Act on a time limit that was reached, or wait for the next one."""
+    if live.due_s() > node.now_s:
+        node.requests.schedule(live)
+        return []
+    if live.endpoint is None:
+        return _start_attempt(node, live)
+    cancel = request_events.CancelAttempt(live.request.request_id, live.attempt)
+    if node.now_s >= live.deadline_s:
+        live.may_have_run = True
+        released = _release(node, live, data.Reason.DEADLINE)
+        return [cancel, *released, *_give_up(node, live, data.Reason.DEADLINE)]
+    proof = retries.Proof.MAY_HAVE_RUN
+    return [cancel, *_after_failure(node, live, data.Reason.SILENT, proof)]
+
+
+HANDLERS = {
+    request_events.RequestArrived: _on_arrived,
+    request_events.AttemptProgressed: _on_progressed,
+    request_events.AttemptEnded: _on_ended,
+    request_events.AttemptBroke: _on_broke,
+    request_events.CallerGone: _on_caller_gone,
+    events.Tick: _on_tick,
+}
--- /dev/null
+++ b/toucanspread/core/requests_test.py
@@ -0,0 +1,222 @@
+import types
+
+import testtools
+
+from toucanspread.core import (
+    data,
+    draining,
+    effects,
+    events,
+    machine,
+    request_events,
+    requests,
+    routing,
+    steering,
+)
+
+HERE = data.Identity("e1", data.Role.ENTRY, 1, "za", "ra", "127.0.0.1:1", "h1")
+MODEL = data.Intent("redactor", data.ServiceKind.MODEL, 2, 1, ("za",))
+PLAIN = data.Intent("reservas", data.ServiceKind.PLAIN, 2, 1, ("za",), repeatable=False)
+
+
+def endpoint(name, zone="za", incarnation=1):
+    address = f"127.0.0.1:{name}"
+    return data.Identity(
+        name, data.Role.ENDPOINT, incarnation, zone, f"r{zone[1:]}", address
+    )
+
+
+def report(name, service=MODEL, zone="za", incarnation=1, **fields):
+    values = {
+        "version": "v1",
+        "load": data.Load(limit=8),
+        "state": data.MemberState.LIVE,
+        **fields,
+    }
+    identity = endpoint(name, zone, incarnation)
+    return data.Report(
+        identity, 1, service=service.service, kind=service.kind, **values
+    )
+
+
+def make_entry(*reports, seed=1):
+    config = types.SimpleNamespace(intents={i.service: i for i in (MODEL, PLAIN)})
+    node = machine.Node(
+        HERE,
+        seed,
+        config=config,
+        membership=types.SimpleNamespace(members={}),
+        routing=routing.State(),
+        requests=requests.State(),
+        draining=draining.State(),
+        steering=steering.State(),
+    )
+    handlers = [part.HANDLERS for part in (routing, requests, draining, steering)]
+    entry = machine.Machine(node, handlers)
+    for told in reports:
+        entry.step(0.0, events.ReportReceived(told))
+    return entry
+
+
+def request(name="q1", service=MODEL, budget_s=30.0, **fields):
+    repeatable = fields.pop("repeatable", service.repeatable)
+    return data.Request(
+        name, "team", service.service, budget_s, repeatable=repeatable, **fields
+    )
+
+
+def only(kind, found):
+    return [effect for effect in found if type(effect) is kind]
+
+
+def dispatched(found):
+    sent = only(request_events.SendDispatch, found)
+    return sent[0] if sent else None
+
+
+def finished(found):
+    ends = only(request_events.FinishRequest, found)
+    return ends[0] if ends else None
+
+
+def arrive(entry, now_s, *args, **fields):
+    return entry.step(now_s, request_events.RequestArrived(request(*args, **fields)))
+
+
+def end(outcome, attempt=1, reason=data.Reason.NONE, **fields):
+    return request_events.AttemptEnded(
+        data.AnswerEnd("q1", attempt, outcome, reason, **fields)
+    )
+
+
+def broke(sent, attempt=1, payload_bytes=0, reason=data.Reason.STREAM_BROKE):
+    return request_events.AttemptBroke("q1", attempt, reason, sent, payload_bytes)
+
+
+class OutcomeTest(testtools.TestCase):
+    def test_request_is_dispatched_with_what_is_left_of_its_time(self):
+        entry = make_entry(report("p1"))
+        sent = dispatched(arrive(entry, 1.0, budget_s=4.0))
+        self.assertEqual("p1", sent.instance_id)
+        self.assertEqual(4.0, sent.dispatch.budget_s)
+        self.assertEqual(1, sent.dispatch.attempt)
+        found = entry.step(2.0, end(data.Outcome.DONE, version="v1"))
+        self.assertIs(data.Outcome.DONE, finished(found).outcome)
+        self.assertEqual({}, entry.node.requests.live)
+        self.assertEqual(0, entry.node.routing.endpoints["p1"].in_flight)
+
+    def test_unknown_service_and_missing_endpoint_are_refused_at_once(self):
+        entry = make_entry()
+        other = data.Intent("none", data.ServiceKind.MODEL, 1, 1, ())
+        found = finished(arrive(entry, 1.0, service=other))
+        self.assertIs(data.Reason.UNKNOWN_SERVICE, found.reason)
+        found = finished(arrive(entry, 1.0))
+        self.assertIs(data.Reason.NO_ENDPOINT, found.reason)
+        self.assertIs(data.Outcome.NOT_RUN, found.outcome)
+        self.assertGreater(found.retry_after_s, 0)
+
+    def test_refused_attempt_goes_to_another_endpoint_at_once(self):
+        entry = make_entry(report("p1"), report("p2"))
+        first = dispatched(arrive(entry, 1.0)).instance_id
+        refused = end(data.Outcome.NOT_RUN, reason=data.Reason.OVERLOADED)
+        second = dispatched(entry.step(1.1, refused))
+        self.assertNotEqual(first, second.instance_id)
+        self.assertEqual(2, second.dispatch.attempt)
+
+    def test_not_run_needs_proof_for_every_attempt(self):
+        entry = make_entry(report("p1"), report("p2"))
+        arrive(entry, 1.0)
+        entry.step(1.1, broke(sent=True))
+        refused = end(data.Outcome.NOT_RUN, 2, data.Reason.OVERLOADED)
+        found = finished(entry.step(1.2, refused))
+        self.assertIs(data.Outcome.UNKNOWN, found.outcome)
+
+    def test_non_repeatable_request_that_may_have_run_is_unknown_at_once(self):
+        entry = make_entry(report("p1", PLAIN), report("p2", PLAIN))
+        arrive(entry, 1.0, service=PLAIN)
+        found = finished(entry.step(1.1, broke(sent=True)))
+        self.assertIs(data.Outcome.UNKNOWN, found.outcome)
+
+    def test_non_repeatable_request_never_sent_is_tried_elsewhere(self):
+        entry = make_entry(report("p1", PLAIN), report("p2", PLAIN))
+        arrive(entry, 1.0, service=PLAIN)
+        found = entry.step(1.1, broke(False, reason=data.Reason.UNREACHABLE))
+        self.assertIsNotNone(dispatched(found))
+
+    def test_deadline_ends_a_running_request_as_unknown(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0, budget_s=2.0)
+        self.assertEqual([], entry.step(2.9, events.Tick()))
+        found = entry.step(3.0, events.Tick())
+        self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
+        self.assertEqual(1, len(only(request_events.CancelAttempt, found)))
+
+    def test_silent_attempt_is_cancelled_and_tried_elsewhere(self):
+        entry = make_entry(report("p1"), report("p2"))
+        first = dispatched(arrive(entry, 1.0)).instance_id
+        found = entry.step(11.0, events.Tick())
+        self.assertEqual(1, len(only(request_events.CancelAttempt, found)))
+        self.assertNotEqual(first, dispatched(found).instance_id)
+
+    def test_late_end_of_an_earlier_attempt_is_dropped_and_counted(self):
+        entry = make_entry(report("p1"), report("p2"))
+        arrive(entry, 1.0)
+        entry.step(11.0, events.Tick())
+        found = entry.step(11.1, end(data.Outcome.DONE, attempt=1))
+        self.assertEqual([effects.Count("answers_late")], found)
+        found = entry.step(11.2, end(data.Outcome.DONE, attempt=2))
+        self.assertIs(data.Outcome.DONE, finished(found).outcome)
+
+    def test_caller_that_goes_away_cancels_its_attempt(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        found = entry.step(1.5, request_events.CallerGone("q1"))
+        self.assertEqual(1, len(only(request_events.CancelAttempt, found)))
+        self.assertIsNone(finished(found))
+        self.assertEqual({}, entry.node.requests.live)
+
+
+class StreamTest(testtools.TestCase):
+    def progress(self, entry, now_s, payload_bytes):
+        event = request_events.AttemptProgressed("q1", 1, payload_bytes)
+        return entry.step(now_s, event)
+
+    def test_begun_stream_resumes_at_its_endpoint_and_nowhere_else(self):
+        entry = make_entry(report("p1"), report("p2"))
+        first = dispatched(arrive(entry, 1.0)).instance_id
+        self.progress(entry, 1.2, 10)
+        again = dispatched(entry.step(1.3, broke(True, payload_bytes=25)))
+        self.assertEqual(first, again.instance_id)
+        self.assertEqual(25, again.dispatch.resume_from_bytes)
+
+    def test_stream_that_cannot_resume_ends_as_unknown(self):
+        entry = make_entry(report("p1"), report("p2"))
+        arrive(entry, 1.0)
+        entry.step(1.3, broke(True, payload_bytes=25))
+        refused = end(data.Outcome.NOT_RUN, 2, data.Reason.STREAM_BROKE)
+        found = entry.step(1.4, refused)
+        self.assertIsNone(dispatched(found))
+        self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
+
+    def test_stream_of_a_restarted_endpoint_does_not_resume(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        self.progress(entry, 1.2, 10)
+        entry.step(1.3, events.ReportReceived(report("p1", incarnation=2)))
+        found = entry.step(1.4, broke(True, payload_bytes=10))
+        self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
+
+
+class DrainTest(testtools.TestCase):
+    def test_drain_refuses_new_requests_and_ends_after_the_running_ones(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        entry.step(2.0, events.ShutdownRequested())
+        refused = finished(arrive(entry, 2.1, "q2"))
+        self.assertIs(data.Reason.LEAVING, refused.reason)
+        entry.step(10.0, request_events.AttemptProgressed("q1", 1, 5))
+        self.assertEqual([], entry.step(13.0, events.Tick()))
+        done = finished(entry.step(13.5, end(data.Outcome.DONE)))
+        self.assertIs(data.Outcome.DONE, done.outcome)
+        self.assertEqual([effects.Exit()], entry.step(13.6, events.Tick()))
+        self.assertEqual([], entry.step(13.7, events.Tick()))
--- /dev/null
+++ b/toucanspread/core/retries.py
@@ -0,0 +1,77 @@
+"""Decides what may be tried again, and when.
+
+An attempt may be repeated when it is proved not to have run, or when the request is
+repeatable and its caller has seen nothing of the answer. Each service has a budget
+of retries that is a share of its live requests, so that an outage is not multiplied.
+"""
+
+import enum
+import random
+
+from toucanspread.core import data
+
+RETRY_SHARE = 0.1  # retries a request earns for its service
+MAX_SAVED_RETRIES = 10.0
+MAX_ATTEMPTS = 4
+BACK_OFF_BASE_S = 0.05
+BACK_OFF_MAX_S = 1.0
+
+FINAL_REASONS = frozenset(
+    {
+        data.Reason.BAD_REQUEST,
+        data.Reason.UNKNOWN_SERVICE,
+        data.Reason.DUPLICATE,
+        data.Reason.CLAIM_UNAVAILABLE,
+        data.Reason.CANCELLED,
+    }
+)
+
+
+class Proof(enum.Enum):
+    """What is known of an attempt that did not end well."""
+
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+
+
+class Budget:
+    """A token bucket of retries for each service."""
+
+    def __init__(self):
+        self._tokens: dict[data.ServiceName, float] = {}
+
+    def earn(self, service: data.ServiceName) -> None:
+        """Count a live request."""
+        held = self._tokens.get(service, MAX_SAVED_RETRIES)
+        self._tokens[service] = min(held + RETRY_SHARE, MAX_SAVED_RETRIES)
+
+    def take(self, service: data.ServiceName) -> bool:
+        """Spend one retry; False when none is left."""
+        held = self._tokens.get(service, MAX_SAVED_RETRIES)
+        if held < 1.0:
+            return False
+        self._tokens[service] = held - 1.0
+        return True
+
+
+def is_safe(repeatable: bool, proof: Proof, delivered_bytes: int) -> bool:
+    """Tell whether a further attempt can do no harm.
+
+    :param delivered_bytes: what the caller has seen of the answer.
+    """
+    if delivered_bytes:
+        return False
+    return repeatable or proof is Proof.NOT_RUN
+
+
+def is_worthwhile(reason: data.Reason, attempts: int) -> bool:
+    """Tell whether another endpoint might answer better."""
+    return reason not in FINAL_REASONS and attempts < MAX_ATTEMPTS
+
+
+def back_off_s(source: random.Random, attempts: int) -> float:
+    """Return the jittered wait after ``attempts``; none before the first retry."""
+    if attempts <= 1:
+        return 0.0
+    highest_s = min(BACK_OFF_BASE_S * 2**attempts, BACK_OFF_MAX_S)
+    return source.uniform(0.0, highest_s)
--- /dev/null
+++ b/toucanspread/ops/caller_input.py
@@ -0,0 +1,138 @@
+"""Reads and checks what callers send, before anything changes."""
+
+import io
+import math
+import re
+
+import xxhash
+from twisted.web import server
+
+from toucanspread.core import data
+
+PREFIX_BYTES = 512  # of the body, hashed for the prefix caches
+MAX_DEADLINE_S = 3600.0
+MAX_PRIORITY = 9
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}")
+FLAGS = {"true": True, "false": False}
+
+
+class InputError(Exception):
+    """What a caller sent cannot be used."""
+
+
+def bounded(max_body_bytes: int) -> type[server.Request]:
+    """Return a request class that keeps bodies in memory, up to a size.
+
+    Twisted spools larger bodies to a file, and instances have no disks.
+    """
+
+    class BoundedRequest(server.Request):
+        """Refuses a body above the bound while it comes in."""
+
+        def gotLength(self, length: int | None) -> None:  # noqa: N802
+            self.content = io.BytesIO()
+            if length is not None and length > max_body_bytes:
+                self._refuse()
+
+        def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+            if self.content.tell() + len(data) > max_body_bytes:
+                self._refuse()
+                return
+            self.content.write(data)
+
+        def _refuse(self) -> None:
+            if self.channel is None:
+                return
+            self.channel.transport.write(
+                b"HTTP/1.1 413 Request Entity Too Large\r\n"
+                b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+            self.channel.loseConnection()
+
+    return BoundedRequest
+
+
+def argument(http: server.Request, name: str) -> str:
+    """Return an argument of the query, or an empty string."""
+    values = http.args.get(name.encode(), [b""])
+    return values[0].decode(errors="replace")
+
+
+def read_request(
+    http: server.Request,
+    service: data.ServiceName,
+    kind: data.ServiceKind,
+    repeatable: bool,
+    made_id: str,
+    body: bytes,
+) -> data.Request:
+    """Return the request that the headers describe.
+
+    :param repeatable: what holds when the caller does not say.
+    :param made_id: the id when the caller gives none.
+    :raises InputError: when a header is missing or malformed.
+    """
+    if not NAME_PATTERN.fullmatch(service):
+        raise InputError(f"malformed service name {service!r}")
+    prefix_hash = 0
+    if kind is data.ServiceKind.MODEL:
+        prefix_hash = xxhash.xxh64_intdigest(body[:PREFIX_BYTES])
+    return data.Request(
+        request_id=data.RequestId(_name(http, "X-Request-Id", made_id)),
+        team=data.TeamName(_required(http, "X-Team")),
+        service=service,
+        budget_s=_deadline_s(http),
+        model=data.ModelName(_name(http, "X-Model", "")),
+        version=data.VersionName(_name(http, "X-Version", "")),
+        adapter=data.AdapterName(_name(http, "X-Adapter", "")),
+        priority=_priority(http),
+        repeatable=_flag(http, "X-Repeatable", repeatable),
+        idempotency_key=data.IdempotencyKey(_name(http, "Idempotency-Key", "")),
+        prefix_hash=prefix_hash,
+        body_bytes=len(body),
+    )
+
+
+def _name(http: server.Request, header: str, default: str) -> str:
+    value = http.getHeader(header)
+    if value is None:
+        return default
+    if not NAME_PATTERN.fullmatch(value):
+        raise InputError(f"{header}: malformed value {value!r}")
+    return value
+
+
+def _required(http: server.Request, header: str) -> str:
+    value = _name(http, header, "")
+    if not value:
+        raise InputError(f"{header}: missing")
+    return value
+
+
+def _deadline_s(http: server.Request) -> float:
+    value = _required(http, "X-Deadline-S")
+    try:
+        deadline_s = float(value)
+    except ValueError:
+        raise InputError(f"X-Deadline-S: {value!r} is no number") from None
+    if not math.isfinite(deadline_s) or not 0 < deadline_s <= MAX_DEADLINE_S:
+        raise InputError(
+            f"X-Deadline-S: {value!r} is not above 0 and at most {MAX_DEADLINE_S}"
+        )
+    return deadline_s
+
+
+def _priority(http: server.Request) -> int:
+    value = _name(http, "X-Priority", "1")
+    if not value.isascii() or not value.isdigit() or int(value) > MAX_PRIORITY:
+        raise InputError(f"X-Priority: {value!r} is not from 0 to {MAX_PRIORITY}")
+    return int(value)
+
+
+def _flag(http: server.Request, header: str, default: bool) -> bool:
+    value = _name(http, header, "")
+    if not value:
+        return default
+    if value.lower() not in FLAGS:
+        raise InputError(f"{header}: {value!r} is neither true nor false")
+    return FLAGS[value.lower()]
--- /dev/null
+++ b/toucanspread/ops/callers.py
@@ -0,0 +1,353 @@
+"""The callers' HTTP API of an entry: addresses and requests.
+
+``GET /v1/addresses`` tells which entries to use. ``POST /v1/requests/<service>``
+streams a model's answer as server-sent events, or returns a plain service's answer
+as a whole. A broken stream ends with ``event: error`` and without its final chunk.
+"""
+
+import asyncio
+import itertools
+import math
+from collections.abc import Mapping
+
+import msgspec
+from twisted.internet import reactor
+from twisted.web import resource, server
+
+from toucanspread.core import answers, data, request_events, request_state, steering
+from toucanspread.ops import caller_input, dispatching, loop, runtime
+
+MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
+HTTP_OF_REASON = {
+    data.Reason.BAD_REQUEST: 400,
+    data.Reason.UNKNOWN_SERVICE: 404,
+    data.Reason.DUPLICATE: 409,
+    data.Reason.OVERLOADED: 429,
+    data.Reason.DEADLINE: 504,
+}
+HTTP_NOT_RUN = 503
+HTTP_UNKNOWN = 502
+
+
+class Outcome(msgspec.Struct, omit_defaults=True):
+    """What a caller reads of how its request ended, as JSON."""
+
+    request_id: data.RequestId
+    outcome: data.Outcome
+    reason: data.Reason
+    version: data.VersionName = data.VersionName("")
+    retry_after_s: float = 0.0
+    addresses: tuple[data.Address, ...] = ()
+    detail: str = ""
+
+
+class Addresses(msgspec.Struct):
+    """The answer to a caller that asked which addresses to use."""
+
+    addresses: tuple[data.Address, ...]
+    lifetime_s: float
+
+
+class Waiting:
+    """A caller that waits for its answer.
+
+    :ivar room: set while the caller's connection takes more.
+    """
+
+    def __init__(self, http: server.Request, body: bytes, streamed: bool):
+        self.http = http
+        self.body = body
+        self.streamed = streamed
+        self.attempt = 0
+        self.started = False
+        self.held = bytearray()
+        self.room = asyncio.Event()
+        self.room.set()
+
+    def pauseProducing(self) -> None:  # noqa: N802 (twisted's name)
+        """Hold the answer back: the caller reads slowly."""
+        self.room.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802 (twisted's name)
+        """Go on."""
+        self.room.set()
+
+    def stopProducing(self) -> None:  # noqa: N802 (twisted's name)
+        """Let a waiting relay see that the caller is gone."""
+        self.room.set()
+
+
+class Callers(runtime.Adapter, dispatching.Sink):
+    """Answers callers from one runtime.
+
+    :param host: takes the events.
+    :param http_address: ``ip:port`` to listen on.
+    :param v1: further resources below ``/v1``, by name.
+    :param root: further resources at the root, by name.
+    """
+
+    def __init__(
+        self,
+        host: runtime.Runtime,
+        http_address: data.Address,
+        max_body_bytes: int = 1024 * 1024,
+        v1: Mapping[bytes, resource.Resource] | None = None,
+        root: Mapping[bytes, resource.Resource] | None = None,
+    ):
+        self._host = host
+        self._http_address = http_address
+        self._numbers = itertools.count(1)
+        self._asking: dict[data.OperationId, server.Request] = {}
+        self._waiting: dict[data.RequestId, Waiting] = {}
+        self._listener = None
+        self.site = build_site(self, max_body_bytes, v1 or {}, root or {})
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Carry out what ends a caller's call."""
+        return {
+            request_events.FinishRequest: self._finish,
+            steering.AddressesAnswered: self._answer_addresses,
+        }
+
+    async def start(self) -> None:
+        """Listen."""
+        interface, _, port = self._http_address.rpartition(":")
+        self._listener = reactor.listenTCP(int(port), self.site, interface=interface)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._listener is not None:
+            await loop.wait(self._listener.stopListening())
+
+    def ask_addresses(self, http: server.Request) -> None:
+        """Let steering choose addresses for a caller."""
+        operation_id = data.OperationId(f"addresses/{next(self._numbers)}")
+        self._asking[operation_id] = http
+        team = caller_input.argument(http, "team")
+        service = caller_input.argument(http, "service")
+        self._host.post(
+            steering.AddressesAsked(
+                operation_id, data.TeamName(team), data.ServiceName(service)
+            )
+        )
+
+    def take_request(self, http: server.Request, service: str) -> None:
+        """Check a caller's request and let the machine carry it."""
+        node = self._host.node
+        number = next(self._numbers)
+        made_id = f"{node.identity.instance_id}-{node.identity.incarnation}-{number}"
+        name = data.ServiceName(service)
+        kind = request_state.service_kind(node, name)
+        repeatable = request_state.default_repeatable(node, name)
+        body = http.content.read()
+        try:
+            request = caller_input.read_request(
+                http, name, kind, repeatable, made_id, body
+            )
+        except caller_input.InputError as error:
+            self._refuse_input(http, made_id, str(error))
+            return
+        if request.request_id in self._waiting:
+            self._refuse_duplicate(http, request.request_id)
+            return
+        streamed = kind is data.ServiceKind.MODEL
+        waiting = Waiting(http, body, streamed)
+        self._waiting[request.request_id] = waiting
+        http.notifyFinish().addErrback(
+            lambda _: self._caller_gone(request.request_id, waiting)
+        )
+        self._host.post(request_events.RequestArrived(request))
+
+    def body(self, request_id: data.RequestId) -> bytes:
+        """Return the body of a request."""
+        return self._waiting[request_id].body
+
+    def write(self, request_id: data.RequestId, attempt: int, payload: bytes) -> None:
+        """Stream a piece of an answer on, or keep it until the answer is whole."""
+        waiting = self._waiting.get(request_id)
+        if waiting is None:
+            return
+        if waiting.streamed:
+            self._start_stream(request_id, waiting)
+            waiting.http.write(payload)
+            return
+        if waiting.attempt != attempt:
+            waiting.attempt = attempt
+            waiting.held.clear()
+        waiting.held += payload
+        if len(waiting.held) > MAX_PLAIN_ANSWER_BYTES:
+            raise answers.AnswerMismatchError(
+                f"answer of {request_id} is above {MAX_PLAIN_ANSWER_BYTES} bytes"
+            )
+
+    async def ready(self, request_id: data.RequestId) -> None:
+        """Return once the caller's connection has room."""
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            await waiting.room.wait()
+
+    def _start_stream(self, request_id: data.RequestId, waiting: Waiting) -> None:
+        if waiting.started:
+            return
+        waiting.started = True
+        waiting.http.setHeader("Content-Type", "text/event-stream")
+        waiting.http.setHeader("Cache-Control", "no-store")
+        waiting.http.setHeader("X-Request-Id", request_id)
+        waiting.http.registerProducer(waiting, True)
+
+    def _caller_gone(self, request_id: data.RequestId, waiting: Waiting) -> None:
+        waiting.room.set()
+        if self._waiting.get(request_id) is waiting:
+            del self._waiting[request_id]
+            self._host.post_soon(request_events.CallerGone(request_id))
+
+    def _finish(self, effect: request_events.FinishRequest) -> None:
+        waiting = self._waiting.pop(effect.request_id, None)
+        if waiting is None:
+            return
+        waiting.room.set()
+        outcome = Outcome(
+            effect.request_id,
+            effect.outcome,
+            effect.reason,
+            effect.version,
+            round(effect.retry_after_s, 3),
+            effect.addresses,
+            effect.detail,
+        )
+        if effect.outcome is not data.Outcome.DONE and not waiting.started:
+            self._refuse(waiting.http, outcome)
+        elif waiting.streamed:
+            self._end_stream(waiting, outcome)
+        else:
+            self._answer_whole(waiting, effect)
+
+    def _end_stream(self, waiting: Waiting, outcome: Outcome) -> None:
+        self._start_stream(outcome.request_id, waiting)
+        http = waiting.http
+        http.unregisterProducer()
+        payload = msgspec.json.encode(outcome)
+        if outcome.outcome is data.Outcome.DONE:
+            http.write(b"event: end\ndata: " + payload + b"\n\n")
+            http.finish()
+            return
+        http.write(b"event: error\ndata: " + payload + b"\n\n")
+        # Without the final chunk no client takes the answer for a whole one.
+        http.loseConnection()
+
+    def _answer_whole(
+        self, waiting: Waiting, effect: request_events.FinishRequest
+    ) -> None:
+        http = waiting.http
+        http.setResponseCode(effect.status)
+        http.setHeader("Content-Type", "application/json")
+        http.setHeader("Content-Length", str(len(waiting.held)))
+        http.setHeader("X-Request-Id", effect.request_id)
+        http.setHeader("X-Outcome", effect.outcome.value)
+        http.write(bytes(waiting.held))
+        http.finish()
+
+    def _refuse(self, http: server.Request, outcome: Outcome) -> None:
+        status = HTTP_UNKNOWN
+        if outcome.outcome is data.Outcome.NOT_RUN:
+            status = HTTP_OF_REASON.get(outcome.reason, HTTP_NOT_RUN)
+        http.setHeader("X-Request-Id", outcome.request_id)
+        http.setHeader("X-Outcome", outcome.outcome.value)
+        if outcome.retry_after_s:
+            http.setHeader("Retry-After", str(math.ceil(outcome.retry_after_s)))
+        if outcome.reason is data.Reason.LEAVING:
+            http.setHeader("Connection", "close")
+        reply(http, status, outcome)
+
+    def _refuse_input(self, http: server.Request, request_id: str, why: str) -> None:
+        outcome = Outcome(
+            data.RequestId(request_id),
+            data.Outcome.NOT_RUN,
+            data.Reason.BAD_REQUEST,
+            detail=why,
+        )
+        self._refuse(http, outcome)
+
+    def _refuse_duplicate(
+        self, http: server.Request, request_id: data.RequestId
+    ) -> None:
+        detail = "a request with this id is in progress"
+        outcome = Outcome(
+            request_id, data.Outcome.NOT_RUN, data.Reason.DUPLICATE, detail=detail
+        )
+        self._refuse(http, outcome)
+
+    def _answer_addresses(self, effect: steering.AddressesAnswered) -> None:
+        http = self._asking.pop(effect.operation_id)
+        reply(http, 200, Addresses(effect.addresses, effect.lifetime_s))
+
+
+class AddressesResource(resource.Resource):
+    """``/v1/addresses``."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def __init__(self, callers: Callers):
+        super().__init__()
+        self._callers = callers
+
+    def render_GET(self, request: server.Request) -> int:  # noqa: N802
+        """Answer which entries to use."""
+        self._callers.ask_addresses(request)
+        return server.NOT_DONE_YET
+
+
+class RequestsResource(resource.Resource):
+    """``/v1/requests/<service>``."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def __init__(self, callers: Callers):
+        super().__init__()
+        self._callers = callers
+
+    def render_POST(self, request: server.Request) -> int:  # noqa: N802
+        """Carry a request."""
+        service = b"/".join(request.postpath).decode(errors="replace")
+        self._callers.take_request(request, service)
+        return server.NOT_DONE_YET
+
+
+class Health(resource.Resource):
+    """``/healthz``."""
+
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Say that the process answers."""
+        return b"ok\n"
+
+
+def build_site(
+    callers: Callers,
+    max_body_bytes: int,
+    v1: Mapping[bytes, resource.Resource],
+    root: Mapping[bytes, resource.Resource],
+) -> server.Site:
+    """Return the site with the callers' resources and those given."""
+    top = resource.Resource()
+    below = resource.Resource()
+    top.putChild(b"v1", below)
+    top.putChild(b"healthz", Health())
+    below.putChild(b"addresses", AddressesResource(callers))
+    below.putChild(b"requests", RequestsResource(callers))
+    for name, extra in v1.items():
+        below.putChild(name, extra)
+    for name, extra in root.items():
+        top.putChild(name, extra)
+    return server.Site(top, requestFactory=caller_input.bounded(max_body_bytes))
+
+
+def reply(http: server.Request, status: int, answer: msgspec.Struct) -> None:
+    """Answer with JSON and end the call."""
+    payload = msgspec.json.encode(answer)
+    http.setResponseCode(status)
+    http.setHeader("Content-Type", "application/json")
+    http.setHeader("Content-Length", str(len(payload)))
+    http.write(payload)
+    http.finish()
--- /dev/null
+++ b/toucanspread/ops/callers_test.py
@@ -0,0 +1,192 @@
+import asyncio
+import json
+
+import testtools
+import xxhash
+from twisted.internet import error, testing
+from twisted.python import failure
+
+from toucanspread.core import data, events, requests_test
+from toucanspread.ops import callers, dispatching, loop, peers, runtime
+
+HEADERS = "X-Team: a\r\nX-Deadline-S: 5\r\nX-Request-Id: q1\r\n"
+
+
+class FakePeers:
+    """Yields scripted items for each dispatch; an exception is raised."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.dispatches = []
+
+    async def dispatch(self, address, dispatch, body):
+        self.dispatches.append((address, dispatch, body))
+        for item in self.scripts.pop(0):
+            await asyncio.sleep(0)
+            if isinstance(item, Exception):
+                raise item
+            yield item
+
+
+def frame(sequence, payload, attempt=1, request_id="q1"):
+    return data.AnswerFrame(request_id, attempt, sequence, payload)
+
+
+def whole(*payloads, attempt=1, status=200):
+    """Return the frames of a whole answer."""
+    frames = [frame(n, payload, attempt) for n, payload in enumerate(payloads)]
+    joined = b"".join(payloads)
+    checksum = xxhash.xxh64(joined).hexdigest()
+    end = data.AnswerEnd(
+        "q1",
+        attempt,
+        data.Outcome.DONE,
+        frames=len(frames),
+        payload_bytes=len(joined),
+        checksum=checksum,
+        status=status,
+    )
+    return [*frames, end]
+
+
+class CallersTest(testtools.TestCase):
+    def start(self, *scripts, reports=()):
+        entry = requests_test.make_entry(*reports)
+        self.host = runtime.Runtime(entry, lambda code: None)
+        self.peers = FakePeers(*scripts)
+        self.callers = callers.Callers(self.host, "127.0.0.1:0", max_body_bytes=64)
+        self.callers.site.timeOut = None
+        self.host.add(self.callers)
+        self.host.add(dispatching.Dispatching(self.host, self.peers, self.callers))
+
+    def call(self, line, headers="", body=b""):
+        channel = self.callers.site.buildProtocol(None)
+        transport = testing.StringTransport()
+        channel.makeConnection(transport)
+        head = f"{line} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+        channel.dataReceived(head.encode() + headers.encode() + b"\r\n" + body)
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        return transport
+
+    async def settle(self):
+        for _ in range(50):
+            await asyncio.sleep(0)
+
+    def post(self, service, headers=HEADERS, body=b"hello"):
+        return self.call(f"POST /v1/requests/{service}", headers, body)
+
+    def split(self, transport):
+        head, _, body = transport.value().partition(b"\r\n\r\n")
+        return head.decode(), body
+
+    def test_model_answer_is_streamed_and_ends_with_its_outcome(self):
+        script = whole(b"data: 1\n\n", b"data: 2\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        transport = self.post("redactor")
+        head, body = self.split(transport)
+        self.assertIn("200 OK", head)
+        self.assertIn("text/event-stream", head)
+        self.assertIn(b"data: 1\n\n", body)
+        self.assertIn(b"data: 2\n\n", body)
+        self.assertIn(b'event: end\ndata: {"request_id":"q1","outcome":"done"', body)
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+        self.assertEqual(b"hello", self.peers.dispatches[0][2])
+
+    def test_broken_stream_never_looks_complete(self):
+        script = [frame(0, b"data: 1\n\n")]
+        refusal = [data.AnswerEnd("q1", 2, data.Outcome.NOT_RUN)]
+        self.start(script, refusal, reports=[requests_test.report("p1")])
+        transport = self.post("redactor")
+        _, body = self.split(transport)
+        self.assertIn(b"event: error", body)
+        self.assertIn(b'"outcome":"unknown"', body)
+        self.assertFalse(body.endswith(b"0\r\n\r\n"))
+        self.assertTrue(transport.disconnecting)
+
+    def test_plain_answer_is_returned_whole_with_its_status(self):
+        script = whole(b'{"slot":', b"7}", status=201)
+        reports = [requests_test.report("p1", requests_test.PLAIN)]
+        self.start(script, reports=reports)
+        head, body = self.split(self.post("reservas"))
+        self.assertIn("201 Created", head)
+        self.assertIn("Content-Length: 10", head)
+        self.assertIn("X-Outcome: done", head)
+        self.assertEqual(b'{"slot":7}', body)
+
+    def test_crossed_or_altered_answers_are_never_delivered(self):
+        wrong = whole(b"data: 1\n\n")
+        for script in (
+            [frame(0, b"other", request_id="q9")],
+            [frame(1, b"second first")],
+            [frame(0, b"altered"), wrong[-1]],
+        ):
+            reports = [requests_test.report("p1", requests_test.PLAIN)]
+            self.start(script, reports=reports)
+            head, body = self.split(self.post("reservas"))
+            self.assertIn("502", head)
+            self.assertEqual("unknown", json.loads(body)["outcome"])
+
+    def test_retry_does_not_mix_two_attempts(self):
+        broken = [
+            frame(0, b"first"),
+            peers.PeerError("gone", sent=True, reason=data.Reason.STREAM_BROKE),
+        ]
+        reports = [
+            requests_test.report(name, requests_test.PLAIN) for name in ("p1", "p2")
+        ]
+        self.start(broken, whole(b"second", attempt=2), reports=reports)
+        head, body = self.split(
+            self.post("reservas", HEADERS + "X-Repeatable: true\r\n")
+        )
+        self.assertIn("200", head)
+        self.assertEqual(b"second", body)
+
+    def test_faults_of_input_are_refused_and_change_nothing(self):
+        self.start(reports=[requests_test.report("p1")])
+        for headers in (
+            "X-Team: a\r\n",
+            "X-Deadline-S: 5\r\n",
+            "X-Team: a\r\nX-Deadline-S: nan\r\n",
+            "X-Team: a\r\nX-Deadline-S: 0\r\n",
+            HEADERS + "X-Priority: urgent\r\n",
+            HEADERS + "X-Repeatable: maybe\r\n",
+            HEADERS + "X-Adapter: a b\r\n",
+        ):
+            head, body = self.split(self.post("redactor", headers))
+            self.assertIn("400", head, headers)
+            self.assertEqual("bad request", json.loads(body)["reason"])
+        head, _ = self.split(self.post("redactor", body=b"x" * 65))
+        self.assertIn("413", head)
+        self.assertEqual({}, self.host.node.requests.live)
+        self.assertEqual([], self.peers.dispatches)
+
+    def test_refusal_says_when_to_come_back(self):
+        self.start()
+        head, body = self.split(self.post("redactor"))
+        self.assertIn("503", head)
+        self.assertIn("Retry-After: ", head)
+        self.assertEqual("not run", json.loads(body)["outcome"])
+
+    def test_addresses_are_told_until_the_entry_drains(self):
+        self.start(reports=[requests_test.report("p1")])
+        _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
+        self.assertEqual(["h1"], json.loads(body)["addresses"])
+        self.host.post(events.ShutdownRequested())
+        _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
+        self.assertEqual([], json.loads(body)["addresses"])
+
+    def test_caller_that_hangs_up_is_forgotten(self):
+        async def endless():
+            await asyncio.sleep(3600)
+            yield
+
+        self.start(reports=[requests_test.report("p1")])
+        self.peers.dispatch = lambda *args: endless()
+        channel = self.callers.site.buildProtocol(None)
+        channel.makeConnection(testing.StringTransport())
+        head = f"POST /v1/requests/redactor HTTP/1.1\r\nHost: x\r\n{HEADERS}"
+        channel.dataReceived(f"{head}Content-Length: 0\r\n\r\n".encode())
+        self.assertIn("q1", self.host.node.requests.live)
+        channel.connectionLost(failure.Failure(error.ConnectionLost()))
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        self.assertEqual({}, self.host.node.requests.live)
--- /dev/null
+++ b/toucanspread/ops/dispatching.py
@@ -0,0 +1,186 @@
+"""Dispatches requests to endpoint processes and relays their answers as bytes.
+
+Each attempt is one task. It checks every frame, writes the payload to the caller's
+sink, coalesced by time, and tells the machine how the attempt goes.
+"""
+
+import abc
+import asyncio
+from collections.abc import Mapping
+
+from toucanspread.core import answers, data, request_events
+from toucanspread.ops import logs, loop, peers, runtime
+
+COALESCE_S = 0.02  # below the time between two tokens that callers notice
+PROGRESS_INTERVAL_S = 1.0
+
+
+class Sink(abc.ABC):
+    """Where the payload of answers goes, by request."""
+
+    @abc.abstractmethod
+    def body(self, request_id: data.RequestId) -> bytes:
+        """Return the body of a request."""
+
+    @abc.abstractmethod
+    def write(self, request_id: data.RequestId, attempt: int, payload: bytes) -> None:
+        """Take a piece of an answer.
+
+        :raises answers.AnswerMismatchError: when the answer is too large to be kept.
+        """
+
+    @abc.abstractmethod
+    async def ready(self, request_id: data.RequestId) -> None:
+        """Return once the caller has room for more."""
+
+
+class Dispatching(runtime.Adapter):
+    """Carries out dispatches over the peers' connections.
+
+    :param host: takes the events.
+    :param transport: its ``dispatch`` yields the frames of an answer.
+    :param sink: takes the payload.
+    """
+
+    def __init__(self, host: runtime.Runtime, transport: peers.Peers, sink: Sink):
+        self._host = host
+        self._transport = transport
+        self._sink = sink
+        self._tasks: dict[tuple[data.RequestId, int], asyncio.Task] = {}
+
+    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+        """Carry out dispatches and cancellations."""
+        return {
+            request_events.SendDispatch: self._send,
+            request_events.CancelAttempt: self._cancel,
+        }
+
+    async def stop(self) -> None:
+        """Drop what still runs."""
+        for task in tuple(self._tasks.values()):
+            task.cancel()
+
+    def _send(self, effect: request_events.SendDispatch) -> None:
+        request_id = effect.dispatch.request.request_id
+        key = (request_id, effect.dispatch.attempt)
+        relay = Relay(self._host, self._sink, effect.dispatch)
+        answer = self._transport.dispatch(
+            effect.address, effect.dispatch, self._sink.body(request_id)
+        )
+        task = loop.spawn(relay.run(answer))
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    def _cancel(self, effect: request_events.CancelAttempt) -> None:
+        task = self._tasks.get((effect.request_id, effect.attempt))
+        if task is not None:
+            task.cancel()
+
+
+class Relay:
+    """Relays the answer of one attempt."""
+
+    def __init__(self, host: runtime.Runtime, sink: Sink, dispatch: data.Dispatch):
+        self._host = host
+        self._sink = sink
+        self._request_id = dispatch.request.request_id
+        self._attempt = dispatch.attempt
+        self._check = answers.AnswerCheck(self._request_id, self._attempt)
+        self._held = bytearray()
+        self._written_bytes = 0
+        self._written_s = float("-inf")
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self._heard_s = 0.0
+        self._max_gap_s = 0.0
+        self._told_s = float("-inf")
+        self._tell_timer: asyncio.TimerHandle | None = None
+
+    async def run(self, answer) -> None:
+        """Follow the answer to its end and tell the machine."""
+        try:
+            event = await self._follow(answer)
+        except peers.PeerError as error:
+            event = self._broke(error.reason, error.sent)
+        except answers.AnswerMismatchError as error:
+            logs.write("answer_refused", why=str(error))
+            event = self._broke(data.Reason.NOT_WHOLE, True)
+        finally:
+            self._stop_timers()
+            await answer.aclose()
+        self._host.post(event)
+
+    async def _follow(self, answer) -> data.Event:
+        async for frame in answer:
+            if isinstance(frame, data.AnswerEnd):
+                self._check.finish(frame)
+                self._flush()
+                return request_events.AttemptEnded(frame)
+            self._check.take(frame)
+            self._hear()
+            self._held += frame.payload
+            self._flush_soon()
+            self._tell_soon()
+            await self._sink.ready(self._request_id)
+        return self._broke(data.Reason.STREAM_BROKE, True)
+
+    def _broke(self, reason: data.Reason, sent: bool) -> request_events.AttemptBroke:
+        if reason is not data.Reason.NOT_WHOLE:
+            self._flush()
+        return request_events.AttemptBroke(
+            self._request_id, self._attempt, reason, sent, self._written_bytes
+        )
+
+    def _hear(self) -> None:
+        now_s = loop.EVENT_LOOP.time()
+        if self._heard_s:
+            self._max_gap_s = max(self._max_gap_s, now_s - self._heard_s)
+        self._heard_s = now_s
+
+    def _flush_soon(self) -> None:
+        """Write now if the last write is long enough ago, else in a moment."""
+        if self._flush_timer is not None:
+            return
+        wait_s = self._written_s + COALESCE_S - loop.EVENT_LOOP.time()
+        if wait_s <= 0:
+            self._flush()
+            return
+        self._flush_timer = loop.EVENT_LOOP.call_later(wait_s, self._flush)
+
+    def _flush(self) -> None:
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        if not self._held:
+            return
+        payload = bytes(self._held)
+        self._held.clear()
+        self._written_s = loop.EVENT_LOOP.time()
+        self._sink.write(self._request_id, self._attempt, payload)
+        self._written_bytes += len(payload)
+
+    def _tell_soon(self) -> None:
+        """Tell of progress at once, or when the interval since the last is over.
+
+        The machine thus knows the exact bytes of a stream that has gone quiet.
+        """
+        if self._tell_timer is not None:
+            return
+        wait_s = self._told_s + PROGRESS_INTERVAL_S - loop.EVENT_LOOP.time()
+        if wait_s <= 0:
+            self._tell()
+            return
+        self._tell_timer = loop.EVENT_LOOP.call_later(wait_s, self._tell)
+
+    def _tell(self) -> None:
+        self._tell_timer = None
+        self._told_s = loop.EVENT_LOOP.time()
+        event = request_events.AttemptProgressed(
+            self._request_id, self._attempt, self._written_bytes, self._max_gap_s
+        )
+        self._max_gap_s = 0.0
+        self._host.post(event)
+
+    def _stop_timers(self) -> None:
+        for timer in (self._flush_timer, self._tell_timer):
+            if timer is not None:
+                timer.cancel()
