--- a/toucanspread/core/answers.py
+++ b/toucanspread/core/answers.py
@@ -12,10 +12,14 @@
 class AnswerCheck:
     """Follows the frames of one attempt.
 
+    :param resume_from_bytes: where in the answer the attempt has to start.
     :ivar payload_bytes: of the frames so far.
     """
 
-    def __init__(self, request_id: data.RequestId, attempt: int):
+    def __init__(
+        self, request_id: data.RequestId, attempt: int, resume_from_bytes: int = 0
+    ):
+        self._resume_from_bytes = resume_from_bytes
         self._request_id = request_id
         self._attempt = attempt
         self._frames = 0
@@ -32,6 +36,9 @@
             raise AnswerMismatchError(
                 f"frame {frame.sequence} of {self._request_id}, not {self._frames}"
             )
+        if self._resume_from_bytes:
+            # An endpoint that knows of no resuming starts over; that is no answer.
+            self._check_offset(frame.offset_bytes)
         self._frames += 1
         self.payload_bytes += len(frame.payload)
         self._digest.update(frame.payload)
@@ -51,6 +58,14 @@
                 f"answer of {self._request_id}: told {told}, seen {seen}"
             )
 
+    def _check_offset(self, offset_bytes: int) -> None:
+        expected_bytes = self._resume_from_bytes + self.payload_bytes
+        if offset_bytes != expected_bytes:
+            raise AnswerMismatchError(
+                f"answer of {self._request_id} goes on at {offset_bytes},"
+                f" not {expected_bytes}"
+            )
+
     def _check_ids(self, request_id: data.RequestId, attempt: int) -> None:
         if (request_id, attempt) != (self._request_id, self._attempt):
             raise AnswerMismatchError(
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -276,13 +276,16 @@
 class Dispatch(Message):
     """A request as an entry gives it to an endpoint process.
 
-    :param attempt: counts the dispatches of the request at its entry, from 1.
+    :param attempt: tells the dispatches of the request apart. It grows with each one
+        at its entry, from a random start: a caller that repeats a request with the
+        same id must not be taken for a late copy.
     :param budget_s: what is left of the request's time at the moment of sending.
     :param endpoint_incarnation: the process that is meant; a restarted one refuses,
         as it does not know what its predecessor did. 0 means any.
     :param resume_from_bytes: how many payload bytes of a broken stream the caller
-        already has; the frames of this attempt start with the byte after them. An
-        endpoint that cannot resume exactly there refuses.
+        already has; the frames of this attempt start with the byte after them and
+        say so in their ``offset_bytes``. An endpoint that cannot do so refuses.
+    :param resume_from_events: the same place, in whole server-sent events.
     """
 
     request: Request
@@ -291,6 +294,7 @@
     entry_id: InstanceId
     endpoint_incarnation: Incarnation = Incarnation(0)
     resume_from_bytes: int = 0
+    resume_from_events: int = 0
 
 
 class AnswerEnd(Message):
@@ -320,12 +324,15 @@
     """A piece of an answer.
 
     :param sequence: counts the frames of one attempt from 0.
+    :param offset_bytes: where the payload stands in the answer, in an attempt that
+        resumes a broken stream; 0 otherwise.
     """
 
     request_id: RequestId
     attempt: int
     sequence: int
     payload: bytes
+    offset_bytes: int = 0
 
 
 class EngineStatus(Record):
--- a/toucanspread/core/request_events.py
+++ b/toucanspread/core/request_events.py
@@ -20,6 +20,7 @@
     attempt: int
     payload_bytes: int
     max_gap_s: float = 0.0
+    payload_events: int = 0
 
 
 class AttemptEnded(data.Event):
@@ -33,6 +34,7 @@
 
     :param sent: False is proof that nothing was dispatched.
     :param payload_bytes: what was relayed of this attempt.
+    :param payload_events: the same in whole server-sent events.
     """
 
     request_id: data.RequestId
@@ -40,6 +42,7 @@
     reason: data.Reason
     sent: bool
     payload_bytes: int = 0
+    payload_events: int = 0
 
 
 class CallerGone(data.Event):
@@ -57,10 +60,14 @@
 
 
 class CancelAttempt(data.Effect):
-    """Stop an attempt and drop whatever still comes of it."""
+    """Stop an attempt and drop whatever still comes of it.
+
+    :param silent_address: the connection that went silent and is to be replaced.
+    """
 
     request_id: data.RequestId
     attempt: int
+    silent_address: data.Address = data.Address("")
 
 
 class FinishRequest(data.Effect):
--- a/toucanspread/core/request_state.py
+++ b/toucanspread/core/request_state.py
@@ -5,14 +5,17 @@
 
 from toucanspread.core import data, machine, retries
 
-FIRST_FRAME_TIMEOUT_S = 10.0
-NEXT_FRAME_TIMEOUT_S = 5.0
+# Above the endpoint's own limit on a silent engine, which it mends by itself.
+FIRST_FRAME_TIMEOUT_S = 15.0
+NEXT_FRAME_TIMEOUT_S = 12.0
 
 
 @dataclasses.dataclass(slots=True)
 class LiveRequest:
     """A request on its way.
 
+    :param attempt: the number of the running attempt; it starts at random.
+    :param attempts: how many there were.
     :param endpoint: of the running attempt; None while waiting for a retry.
     :param progress_s: when the running attempt was last heard of.
     :param delivered_bytes: payload relayed to the caller before this attempt.
@@ -23,6 +26,7 @@
     arrived_s: float
     deadline_s: float
     attempt: int = 0
+    attempts: int = 0
     endpoint: data.Identity | None = None
     streamed: bool = True
     sent_s: float = 0.0
@@ -30,6 +34,8 @@
     first_byte_s: float | None = None
     attempt_bytes: int = 0
     delivered_bytes: int = 0
+    attempt_events: int = 0
+    delivered_events: int = 0
     resumes: int = 0
     may_have_run: bool = False
     tried: frozenset[data.InstanceId] = frozenset()
@@ -42,6 +48,9 @@
         """Return when the request has to be looked at if nothing happens."""
         if self.endpoint is None:
             return min(self.retry_at_s, self.deadline_s)
+        if not self.streamed:
+            # A plain answer comes as a whole; keepalives find a dead connection.
+            return self.deadline_s
         silence_s = FIRST_FRAME_TIMEOUT_S
         if self.attempt_bytes:
             silence_s = NEXT_FRAME_TIMEOUT_S
--- a/toucanspread/core/requests.py
+++ b/toucanspread/core/requests.py
@@ -10,6 +10,7 @@
 from toucanspread.core import (
     data,
     effects,
+    endpoints,
     events,
     invariants,
     machine,
@@ -22,6 +23,7 @@
 MAX_BUDGET_S = 3600.0
 MAX_LIVE_REQUESTS = 4096
 MAX_RESUMES = 2
+ATTEMPT_START_BITS = 48
 RETRY_AFTER_S = 1.0  # when nothing better is known
 NO_VERSION = data.VersionName("")
 
@@ -37,6 +39,7 @@
     state = node.requests
     live = request_state.LiveRequest(
         request=request,
+        attempt=node.random.getrandbits(ATTEMPT_START_BITS),
         arrived_s=node.now_s,
         deadline_s=node.now_s + min(request.budget_s, MAX_BUDGET_S),
         streamed=request_state.service_kind(node, request.service)
@@ -50,9 +53,12 @@
 def _refusal(node: machine.Node, request: data.Request) -> list | None:
     """Return the final answer to a request that is not even started."""
     reason = None
+    outcome = data.Outcome.NOT_RUN
     addresses: tuple[data.Address, ...] = ()
     if request.request_id in node.requests.live:
+        # The earlier arrival of the same request may well run.
         reason = data.Reason.DUPLICATE
+        outcome = data.Outcome.UNKNOWN
     elif request.budget_s <= 0:
         reason = data.Reason.DEADLINE
     elif node.draining.active:
@@ -67,12 +73,12 @@
     finish = request_events.FinishRequest(
         request_id=request.request_id,
         team=request.team,
-        outcome=data.Outcome.NOT_RUN,
+        outcome=outcome,
         reason=reason,
         retry_after_s=_retry_after_s(node, 0.0),
         addresses=addresses,
     )
-    return [finish, *_count_outcome(request, data.Outcome.NOT_RUN, reason)]
+    return [finish, *_count_outcome(request, outcome, reason)]
 
 
 def _is_unknown(node: machine.Node, service: data.ServiceName) -> bool:
@@ -110,10 +116,12 @@
         f"{request.request_id} may have run and is not repeatable",
     )
     live.attempt += 1
+    live.attempts += 1
     live.endpoint = endpoint
     live.sent_s = node.now_s
     live.progress_s = node.now_s
     live.attempt_bytes = 0
+    live.attempt_events = 0
     node.requests.schedule(live)
     dispatch = data.Dispatch(
         request=request,
@@ -122,10 +130,11 @@
         entry_id=node.identity.instance_id,
         endpoint_incarnation=endpoint.incarnation,
         resume_from_bytes=live.delivered_bytes,
+        resume_from_events=live.delivered_events,
     )
     return [
         request_events.SendDispatch(endpoint.instance_id, endpoint.address, dispatch),
-        routing.AttemptStarted(endpoint.instance_id),
+        endpoints.AttemptStarted(endpoint),
     ]
 
 
@@ -139,6 +148,7 @@
         return _late()
     live.progress_s = node.now_s
     live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
+    live.attempt_events = max(live.attempt_events, event.payload_events)
     attributes = _attributes(live.request)
     found: list = []
     if live.first_byte_s is None and event.payload_bytes:
@@ -179,6 +189,7 @@
     if live is None:
         return _late()
     live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
+    live.attempt_events = max(live.attempt_events, event.payload_events)
     proof = retries.Proof.MAY_HAVE_RUN if event.sent else retries.Proof.NOT_RUN
     return _after_failure(node, live, event.reason, proof)
 
@@ -199,19 +210,20 @@
     live.tried |= {endpoint.instance_id}
     if live.streamed:
         live.delivered_bytes += live.attempt_bytes
+        live.delivered_events += live.attempt_events
     if live.delivered_bytes:
         return found + _resume(node, live, endpoint, reason, proof)
     request = live.request
     if not retries.is_safe(request.repeatable, live.proof(), live.delivered_bytes):
         return found + _give_up(node, live, reason)
-    if not retries.is_worthwhile(reason, live.attempt):
+    if not retries.is_worthwhile(reason, live.attempts):
         return found + _give_up(node, live, reason)
     if routing.choose(node, request, live.tried) is None:
         return found + _give_up(node, live, reason)
     if not node.requests.budget.take(request.service):
         return found + _give_up(node, live, reason)
     found.append(effects.Count("request_retries", 1, _attributes(request)))
-    wait_s = retries.back_off_s(node.random, live.attempt)
+    wait_s = retries.back_off_s(node.random, live.attempts)
     if wait_s <= 0:
         return found + _start_attempt(node, live)
     live.retry_at_s = node.now_s + wait_s
@@ -233,6 +245,7 @@
     refused = proof is retries.Proof.NOT_RUN
     if (
         refused
+        or reason is data.Reason.NOT_WHOLE
         or not live.request.repeatable
         or live.resumes >= MAX_RESUMES
         or node.now_s >= live.deadline_s
@@ -257,7 +270,7 @@
         latency_s = (until_s or node.now_s) - live.sent_s
     endpoint = live.endpoint
     live.endpoint = None
-    return [routing.AttemptFinished(endpoint.instance_id, reason, latency_s, load)]
+    return [endpoints.AttemptFinished(endpoint, reason, latency_s, load)]
 
 
 def _give_up(
@@ -356,11 +369,14 @@
         return []
     if live.endpoint is None:
         return _start_attempt(node, live)
-    cancel = request_events.CancelAttempt(live.request.request_id, live.attempt)
+    request_id = live.request.request_id
     if node.now_s >= live.deadline_s:
+        cancel = request_events.CancelAttempt(request_id, live.attempt)
         live.may_have_run = True
         released = _release(node, live, data.Reason.DEADLINE)
         return [cancel, *released, *_give_up(node, live, data.Reason.DEADLINE)]
+    address = live.endpoint.address
+    cancel = request_events.CancelAttempt(request_id, live.attempt, address)
     proof = retries.Proof.MAY_HAVE_RUN
     return [cancel, *_after_failure(node, live, data.Reason.SILENT, proof)]
 
--- a/toucanspread/core/steering.py
+++ b/toucanspread/core/steering.py
@@ -68,7 +68,7 @@
     """Share what the service can run in a zone among the zone's entries."""
     capacity: dict[data.ZoneName, float] = {}
     for endpoint in node.routing.services.get(service, {}).values():
-        if endpoint.state is not data.MemberState.LIVE:
+        if not endpoint.is_live:
             continue
         zone = endpoint.identity.zone
         capacity[zone] = capacity.get(zone, 0.0) + max(endpoint.load.limit, 1)
--- a/toucanspread/ops/caller_input.py
+++ b/toucanspread/ops/caller_input.py
@@ -74,11 +74,17 @@
     """
     if not NAME_PATTERN.fullmatch(service):
         raise InputError(f"malformed service name {service!r}")
+    given_id = _name(http, "X-Request-Id", "")
+    repeatable = _flag(http, "X-Repeatable", repeatable)
+    key = _name(http, "Idempotency-Key", "")
+    if not repeatable and not key:
+        # A caller that repeats the request under its id means the same call.
+        key = given_id
     prefix_hash = 0
     if kind is data.ServiceKind.MODEL:
         prefix_hash = xxhash.xxh64_intdigest(body[:PREFIX_BYTES])
     return data.Request(
-        request_id=data.RequestId(_name(http, "X-Request-Id", made_id)),
+        request_id=data.RequestId(given_id or made_id),
         team=data.TeamName(_required(http, "X-Team")),
         service=service,
         budget_s=_deadline_s(http),
@@ -86,8 +92,8 @@
         version=data.VersionName(_name(http, "X-Version", "")),
         adapter=data.AdapterName(_name(http, "X-Adapter", "")),
         priority=_priority(http),
-        repeatable=_flag(http, "X-Repeatable", repeatable),
-        idempotency_key=data.IdempotencyKey(_name(http, "Idempotency-Key", "")),
+        repeatable=repeatable,
+        idempotency_key=data.IdempotencyKey(key),
         prefix_hash=prefix_hash,
         body_bytes=len(body),
     )
--- a/toucanspread/ops/callers.py
+++ b/toucanspread/ops/callers.py
@@ -14,19 +14,19 @@
 from twisted.internet import reactor
 from twisted.web import resource, server
 
-from toucanspread.core import answers, data, request_events, request_state, steering
+from toucanspread.core import data, request_events, request_state, steering
 from toucanspread.ops import caller_input, dispatching, loop, runtime
 
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
 HTTP_OF_REASON = {
     data.Reason.BAD_REQUEST: 400,
     data.Reason.UNKNOWN_SERVICE: 404,
-    data.Reason.DUPLICATE: 409,
     data.Reason.OVERLOADED: 429,
     data.Reason.DEADLINE: 504,
 }
 HTTP_NOT_RUN = 503
 HTTP_UNKNOWN = 502
+HTTP_CONFLICT = 409
 
 
 class Outcome(msgspec.Struct, omit_defaults=True):
@@ -175,10 +175,13 @@
             waiting.attempt = attempt
             waiting.held.clear()
         waiting.held += payload
-        if len(waiting.held) > MAX_PLAIN_ANSWER_BYTES:
-            raise answers.AnswerMismatchError(
-                f"answer of {request_id} is above {MAX_PLAIN_ANSWER_BYTES} bytes"
-            )
+
+    def max_answer_bytes(self, request_id: data.RequestId) -> float:
+        """Return the bound on an answer that is kept until it is whole."""
+        waiting = self._waiting.get(request_id)
+        if waiting is None or waiting.streamed:
+            return math.inf
+        return MAX_PLAIN_ANSWER_BYTES
 
     async def ready(self, request_id: data.RequestId) -> None:
         """Return once the caller's connection has room."""
@@ -249,7 +252,9 @@
 
     def _refuse(self, http: server.Request, outcome: Outcome) -> None:
         status = HTTP_UNKNOWN
-        if outcome.outcome is data.Outcome.NOT_RUN:
+        if outcome.reason is data.Reason.DUPLICATE:
+            status = HTTP_CONFLICT
+        elif outcome.outcome is data.Outcome.NOT_RUN:
             status = HTTP_OF_REASON.get(outcome.reason, HTTP_NOT_RUN)
         http.setHeader("X-Request-Id", outcome.request_id)
         http.setHeader("X-Outcome", outcome.outcome.value)
@@ -273,7 +278,7 @@
     ) -> None:
         detail = "a request with this id is in progress"
         outcome = Outcome(
-            request_id, data.Outcome.NOT_RUN, data.Reason.DUPLICATE, detail=detail
+            request_id, data.Outcome.UNKNOWN, data.Reason.DUPLICATE, detail=detail
         )
         self._refuse(http, outcome)
 
--- a/toucanspread/ops/dispatching.py
+++ b/toucanspread/ops/dispatching.py
@@ -13,6 +13,7 @@
 
 COALESCE_S = 0.02  # below the time between two tokens that callers notice
 PROGRESS_INTERVAL_S = 1.0
+EVENT_END = b"\n\n"
 
 
 class Sink(abc.ABC):
@@ -24,10 +25,11 @@
 
     @abc.abstractmethod
     def write(self, request_id: data.RequestId, attempt: int, payload: bytes) -> None:
-        """Take a piece of an answer.
+        """Take a piece of an answer."""
 
-        :raises answers.AnswerMismatchError: when the answer is too large to be kept.
-        """
+    @abc.abstractmethod
+    def max_answer_bytes(self, request_id: data.RequestId) -> float:
+        """Return how large an answer may be; infinite for a stream."""
 
     @abc.abstractmethod
     async def ready(self, request_id: data.RequestId) -> None:
@@ -72,6 +74,8 @@
         task.add_done_callback(lambda _: self._tasks.pop(key, None))
 
     def _cancel(self, effect: request_events.CancelAttempt) -> None:
+        if effect.silent_address:
+            self._transport.replace_connection(effect.silent_address)
         task = self._tasks.get((effect.request_id, effect.attempt))
         if task is not None:
             task.cancel()
@@ -85,9 +89,12 @@
         self._sink = sink
         self._request_id = dispatch.request.request_id
         self._attempt = dispatch.attempt
-        self._check = answers.AnswerCheck(self._request_id, self._attempt)
+        self._check = answers.AnswerCheck(
+            self._request_id, self._attempt, dispatch.resume_from_bytes
+        )
         self._held = bytearray()
         self._written_bytes = 0
+        self._written_events = 0
         self._written_s = float("-inf")
         self._flush_timer: asyncio.TimerHandle | None = None
         self._heard_s = 0.0
@@ -104,6 +111,10 @@
         except answers.AnswerMismatchError as error:
             logs.write("answer_refused", why=str(error))
             event = self._broke(data.Reason.NOT_WHOLE, True)
+        except Exception as error:
+            # The caller must get its final outcome whatever went wrong here.
+            logs.write("relay_failed", kind=type(error).__name__, why=str(error))
+            event = self._broke(data.Reason.STREAM_BROKE, True)
         finally:
             self._stop_timers()
             await answer.aclose()
@@ -116,6 +127,7 @@
                 self._flush()
                 return request_events.AttemptEnded(frame)
             self._check.take(frame)
+            self._check_size()
             self._hear()
             self._held += frame.payload
             self._flush_soon()
@@ -127,9 +139,21 @@
         if reason is not data.Reason.NOT_WHOLE:
             self._flush()
         return request_events.AttemptBroke(
-            self._request_id, self._attempt, reason, sent, self._written_bytes
+            self._request_id,
+            self._attempt,
+            reason,
+            sent,
+            self._written_bytes,
+            self._written_events,
         )
 
+    def _check_size(self) -> None:
+        max_bytes = self._sink.max_answer_bytes(self._request_id)
+        if self._check.payload_bytes > max_bytes:
+            raise answers.AnswerMismatchError(
+                f"answer of {self._request_id} is above {max_bytes} bytes"
+            )
+
     def _hear(self) -> None:
         now_s = loop.EVENT_LOOP.time()
         if self._heard_s:
@@ -157,6 +181,7 @@
         self._written_s = loop.EVENT_LOOP.time()
         self._sink.write(self._request_id, self._attempt, payload)
         self._written_bytes += len(payload)
+        self._written_events += payload.count(EVENT_END)
 
     def _tell_soon(self) -> None:
         """Tell of progress at once, or when the interval since the last is over.
@@ -175,7 +200,11 @@
         self._tell_timer = None
         self._told_s = loop.EVENT_LOOP.time()
         event = request_events.AttemptProgressed(
-            self._request_id, self._attempt, self._written_bytes, self._max_gap_s
+            self._request_id,
+            self._attempt,
+            self._written_bytes,
+            self._max_gap_s,
+            self._written_events,
         )
         self._max_gap_s = 0.0
         self._host.post(event)
