--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,301 @@
+"""The demo: both users' deployments, end to end, as separate processes.
+
+For each deployment it starts stand-ins, entries and endpoint processes, plans and
+confirms the intents of ``examples/``, keeps live requests going while a second
+version spreads, drains one instance for a window, and prints what happened. It exits
+0 only if every promise that it checks held.
+"""
+
+import dataclasses
+import json
+import pathlib
+import shutil
+import subprocess
+import sys
+import time
+
+import deployments
+import launcher
+import load
+import yaml
+
+from standins import engine_text
+from toucanspread.core import manifest
+from toucanspread.ops import weights
+
+WEIGHTS_BYTES = 6 * 1024 * 1024
+CHUNK_BYTES = 256 * 1024
+ORIGIN_RATE_BYTES_S = 12 * 1024 * 1024
+MAX_ORIGIN_COPIES = 4.0
+SPREAD_TIMEOUT_S = 60
+DRAIN_TIMEOUT_S = 30.0
+WINDOW_DELAY_S = 6.0
+WINDOW_LENGTH_S = 3600.0
+SCRATCH = launcher.ROOT / "build" / "demo"  # logs and settings stay for a look
+
+
+class DemoError(Exception):
+    """A step of the demo did not end as it must."""
+
+
+@dataclasses.dataclass
+class Report:
+    """What one deployment's run showed; each problem fails the demo."""
+
+    lines: list[str]
+    problems: list[str]
+
+    def require(self, held: bool, promise: str) -> None:
+        """Keep a promise that did not hold."""
+        if not held:
+            self.problems.append(promise)
+
+
+class Demo:
+    """One deployment's run."""
+
+    def __init__(self, deployment: deployments.Deployment, directory: pathlib.Path):
+        self.deployment = deployment
+        self.directory = directory
+        self.store = directory / "origin"
+        self.store.mkdir(parents=True)
+        self.digests: dict[str, str] = {}
+        self.cluster = launcher.Cluster(
+            deployment, directory, self.store, ORIGIN_RATE_BYTES_S
+        )
+        self.report = Report([], [])
+
+    def run(self) -> Report:
+        """Run from start to stop, whatever happens between."""
+        declared = yaml.safe_load((launcher.ROOT / self.deployment.intents).read_text())
+        first, second = self._publish(declared)
+        try:
+            self.cluster.start()
+            self._spread("first version", declared, first)
+            callers = self._start_callers()
+            try:
+                bytes_before = self._origin_bytes()
+                upgraded = self._upgrade(declared)
+                elapsed_s = self._spread("second version", upgraded, second)
+                copies = (self._origin_bytes() - bytes_before) / second.stat_bytes
+                self._check_copies(elapsed_s, copies)
+                self._drain(upgraded, second)
+            finally:
+                answers = callers.stop()
+            self._check_answers(answers)
+            self._check_executions()
+        finally:
+            self.cluster.stop()
+        return self.report
+
+    def _publish(self, declared: dict) -> tuple["Published", "Published"]:
+        model = next(i for i in declared["intents"] if i.get("kind") == "model")
+        versions = (model["version"], f"{model['version']}-next")
+        published = []
+        for seed, version in enumerate(versions, start=1):
+            source = self.directory / f"weights-{seed}"
+            adapters = tuple(model.get("adapters", ()))
+            weights.make_sample(source, seed, WEIGHTS_BYTES, adapters=adapters)
+            built = weights.build_manifest(source, model["model"], version, CHUNK_BYTES)
+            weights.publish(source, self.store, built)
+            path = self.directory / f"manifest-{seed}.json"
+            path.write_bytes(manifest.encode(built))
+            self.digests[version] = built.weights_hash
+            size_bytes = sum(entry.size_bytes for entry in built.files)
+            published.append(Published(version, path, size_bytes))
+        return published[0], published[1]
+
+    def _upgrade(self, declared: dict) -> dict:
+        upgraded = json.loads(json.dumps(declared))
+        for intent in upgraded["intents"]:
+            if intent.get("kind") == "model":
+                intent["version"] = f"{intent['version']}-next"
+        return upgraded
+
+    def _spread(self, name: str, declared: dict, published: "Published") -> float:
+        path = self.directory / f"{name.replace(' ', '-')}.yaml"
+        path.write_text(yaml.safe_dump(declared, sort_keys=False))
+        saved = path.with_suffix(".plan.json")
+        entries = list(self.cluster.entry_http.values())
+        self._command(
+            "plan",
+            str(path),
+            "--entry",
+            entries[0],
+            "--output",
+            str(saved),
+            "--manifest",
+            str(published.path),
+        )
+        started_s = time.monotonic()
+        # Any entry takes the confirmation, not only the one that made the plan.
+        self._command("confirm", str(saved), "--entry", entries[-1])
+        self._command(
+            "watch",
+            "--entry",
+            entries[0],
+            "--until-whole",
+            "--timeout-s",
+            str(SPREAD_TIMEOUT_S),
+            quiet=True,
+        )
+        elapsed_s = time.monotonic() - started_s
+        self.report.lines.append(f"{name}: whole everywhere after {elapsed_s:.1f} s")
+        return elapsed_s
+
+    def _command(self, *arguments: str, quiet: bool = False) -> None:
+        finished = subprocess.run(
+            [sys.executable, "-m", "toucanspread", *arguments],
+            cwd=launcher.ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if not quiet:
+            print(finished.stdout, end="")
+        if finished.returncode:
+            shown = finished.stderr or finished.stdout[-2000:]
+            raise DemoError(f"toucanspread {arguments[0]} failed: {shown}")
+
+    def _start_callers(self) -> load.Load:
+        mixes = []
+        for number, service in enumerate(self.deployment.services):
+            for team in self.deployment.teams:
+                mixes.append((service.name, team, service.kind == "model"))
+            if number == 0:
+                mixes.extend(mixes[:3])
+        callers = load.Load(
+            list(self.cluster.entry_http.values()), mixes, pause_s=0.05, seed=1
+        )
+        callers.start()
+        return callers
+
+    def _origin_bytes(self) -> int:
+        return launcher.call(self.cluster.origin, "GET", "/stats")["sent_bytes"]
+
+    def _check_copies(self, elapsed_s: float, copies: float) -> None:
+        service = self.deployment.services[0]
+        self.report.lines.append(
+            f"second version to {service.endpoints} replicas under live requests: "
+            f"{elapsed_s:.1f} s, {copies:.2f} copies from the origin"
+        )
+        self.report.require(copies <= MAX_ORIGIN_COPIES, f"origin copies: {copies:.2f}")
+
+    def _drain(self, declared: dict, published: "Published") -> None:
+        """Let one instance of the largest service leave before a window."""
+        name = self.deployment.services[0].name
+        leaving = next(
+            instance_id
+            for instance_id, service in self.cluster.endpoints.items()
+            if service.name == name
+        )
+        starts_s = time.time() + WINDOW_DELAY_S
+        changed = json.loads(json.dumps(declared))
+        intent = next(i for i in changed["intents"] if i["service"] == name)
+        intent["replicas"] -= 1
+        intent["departures"] = [
+            {
+                "instance": leaving,
+                "window_start": starts_s,
+                "window_end": starts_s + WINDOW_LENGTH_S,
+            }
+        ]
+        self._spread("departure", changed, published)
+        ends_s = time.monotonic() + DRAIN_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            status = launcher.call(self.cluster.backends[leaving], "GET", "/stats")
+            seen = self._instance(leaving)
+            if seen["state"] == "leaving" and not status["running"]:
+                break
+            time.sleep(0.2)
+        else:
+            self.report.problems.append(f"{leaving} was not drained for its window")
+            return
+        self.report.lines.append(f"{leaving} left before its window, nothing running")
+
+    def _instance(self, instance_id: str) -> dict:
+        entry = next(iter(self.cluster.entry_http.values()))
+        seen = launcher.call(entry, "GET", "/v1/status")
+        for instance in seen["instances"]:
+            if instance["instance_id"] == instance_id:
+                return instance
+        raise DemoError(f"{instance_id} is not known at {entry}")
+
+    def _check_answers(self, answers: list[load.Answer]) -> None:
+        counts = load.summarize(answers)
+        cut = counts.get("lost", 0) + counts.get("unknown", 0)
+        self.report.lines.append(
+            f"requests: {len(answers)}, whole {counts.get('whole', 0)}, "
+            f"late {counts.get('late', 0)}, refused {counts.get('not run', 0)}, "
+            f"cut off: {cut}"
+        )
+        self.report.require(cut == 0, f"cut off: {cut}")
+        self.report.require(counts.get("whole", 0) > 0, "no request was whole")
+        wrong = [answer for answer in answers if not self._is_right(answer)]
+        self.report.require(not wrong, f"wrong answers: {wrong[:3]}")
+        refused = [answer for answer in answers if answer.outcome == "not run"]
+        for answer in refused[:5]:
+            print(f"refused: {answer.service}: {answer.reason}", file=sys.stderr)
+        for answer in answers:
+            if answer.outcome in ("lost", "unknown"):
+                print(f"cut off: {answer}", file=sys.stderr)
+
+    def _is_right(self, answer: load.Answer) -> bool:
+        """Whether a model's whole answer is that of one version to this prompt."""
+        if not answer.is_whole or answer.service != self.deployment.services[0].name:
+            return True
+        return answer.text in {
+            engine_text.answer(version, digest, answer.prompt, answer.max_tokens)
+            for version, digest in self.digests.items()
+        }
+
+    def _check_executions(self) -> None:
+        executions: dict[str, int] = {}
+        for instance_id, service in self.cluster.endpoints.items():
+            if service.kind == "model":
+                continue
+            stats = launcher.call(self.cluster.backends[instance_id], "GET", "/stats")
+            for key, count in stats["executions"].items():
+                executions[key] = executions.get(key, 0) + count
+        repeated = [key for key, count in executions.items() if count > 1]
+        self.report.lines.append(
+            f"non-idempotent calls: {len(executions)} keys, "
+            f"executed more than once: {len(repeated)}"
+        )
+        self.report.require(not repeated, f"executed more than once: {repeated[:3]}")
+
+
+@dataclasses.dataclass
+class Published:
+    """A version at the origin."""
+
+    version: str
+    path: pathlib.Path
+    stat_bytes: int
+
+
+def main() -> int:
+    """Run the deployments one after the other."""
+    started_s = time.monotonic()
+    wanted = sys.argv[1:]
+    problems = []
+    summary = []
+    for deployment in deployments.ALL:
+        if wanted and deployment.name not in wanted:
+            continue
+        print(f"== {deployment.name}", flush=True)
+        directory = SCRATCH / deployment.name
+        shutil.rmtree(directory, ignore_errors=True)
+        report = Demo(deployment, directory).run()
+        summary.extend(f"{deployment.name}: {line}" for line in report.lines)
+        problems.extend(f"{deployment.name}: {line}" for line in report.problems)
+    print("\n".join(["", "summary", *summary]))
+    print(f"all in {time.monotonic() - started_s:.0f} s")
+    for problem in problems:
+        print(f"did not hold: {problem}")
+    print("every checked promise held" if not problems else "the demo failed")
+    return 1 if problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -18,7 +18,7 @@
 import yaml
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
 
@@ -175,7 +175,6 @@
             instance_id,
             "toucanspread",
             role,
-            "--config",
             str(self.directory / f"{instance_id}.yaml"),
         )
 
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -33,6 +33,8 @@
     reason: str
     elapsed_s: float
     budget_s: float
+    prompt: str = ""
+    max_tokens: int = 0
     text: str = ""
     retry_after_s: float = 0.0
     version: str = ""
@@ -96,6 +98,8 @@
             reason=found.get("reason", ""),
             elapsed_s=time.monotonic() - started_s,
             budget_s=budget_s,
+            prompt=body.get("prompt", ""),
+            max_tokens=body.get("max_tokens", 0),
             text=found.get("text", ""),
             retry_after_s=found.get("retry_after_s", 0.0),
             version=found.get("version", ""),
--- /dev/null
+++ b/toucanspread/core/roles.py
@@ -0,0 +1,125 @@
+"""The two machines of the system: which parts make an entry, which an endpoint.
+
+A daemon, a test or an outside bench builds the same machines here and drives them by
+events alone.
+"""
+
+from toucanspread.core import (
+    claims,
+    config,
+    confirm,
+    controller,
+    data,
+    draining,
+    gate,
+    leases,
+    limits,
+    machine,
+    membership,
+    orders,
+    plans,
+    reporting,
+    requests,
+    routing,
+    spread,
+    steering,
+    tracking,
+    transfer,
+    transfer_state,
+    watching,
+)
+
+# Membership comes first, so that the parts after it see the members of this step.
+ENTRY_PARTS = (
+    membership,
+    reporting,
+    spread,
+    watching,
+    confirm,
+    leases,
+    controller,
+    tracking,
+    routing,
+    requests,
+    steering,
+    draining,
+)
+ENDPOINT_PARTS = (
+    membership,
+    spread,
+    orders,
+    transfer,
+    claims,
+    limits,
+    gate,
+    reporting,
+)
+
+
+class EndpointOptions(data.Record):
+    """What an endpoint machine is told beside its identity.
+
+    :param kind: what stands behind the process.
+    :param service: the plain service that stands behind it; empty for an engine.
+    :param concurrency: how many requests run at once before latencies are known.
+    :param origin_region: where the origin of weights is.
+    """
+
+    kind: data.ServiceKind
+    service: data.ServiceName = data.ServiceName("")
+    concurrency: int = limits.INITIAL_LIMIT
+    origin_region: data.RegionName = data.RegionName("")
+
+
+def build_entry(
+    identity: data.Identity,
+    seed: int,
+    seeds: tuple[data.Address, ...] = (),
+    costs: plans.Costs | None = None,
+) -> machine.Machine:
+    """Return a fresh machine of an entry.
+
+    :param seeds: addresses from which to learn while the instance list is down.
+    :param costs: the rates from which plans estimate their time.
+    """
+    node = machine.Node(
+        identity,
+        seed,
+        membership=membership.State(seeds),
+        reporting=reporting.State(),
+        config=config.State(),
+        spread=spread.State(),
+        watching=watching.State(),
+        confirm=confirm.State(costs),
+        leases=leases.State(),
+        controller=controller.State(),
+        tracking=tracking.State(),
+        routing=routing.State(),
+        requests=requests.State(),
+        steering=steering.State(),
+        draining=draining.State(),
+    )
+    return machine.Machine(node, [part.HANDLERS for part in ENTRY_PARTS])
+
+
+def build_endpoint(
+    identity: data.Identity,
+    seed: int,
+    options: EndpointOptions,
+    seeds: tuple[data.Address, ...] = (),
+) -> machine.Machine:
+    """Return a fresh machine of an endpoint process."""
+    node = machine.Node(
+        identity,
+        seed,
+        membership=membership.State(seeds),
+        config=config.State(),
+        spread=spread.State(),
+        orders=orders.State(options.kind, options.service),
+        transfer=transfer_state.State(options.origin_region),
+        claims=claims.State(),
+        limits=limits.State(options.concurrency),
+        gate=gate.State(),
+        reporting=reporting.State(),
+    )
+    return machine.Machine(node, [part.HANDLERS for part in ENDPOINT_PARTS])
--- a/toucanspread/ops/daemon.py
+++ b/toucanspread/ops/daemon.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from twisted.internet import reactor
 
@@ -31,22 +31,12 @@
 class Daemon:
     """One process: a runtime, its adapters and its exit code.
 
-    :param identity: who the process is.
-    :param seed: the source of randomness of the machine.
-    :param parts: the states of the parts, by module name.
-    :param handlers: the parts' handlers, in order.
+    :param stepper: the machine to run.
+    :param seed: the machine's seed, for the log.
     """
 
-    def __init__(
-        self,
-        identity: data.Identity,
-        seed: int,
-        parts: dict[str, object],
-        handlers: list[Mapping[type, machine.Handler]],
-    ):
-        self.identity = identity
-        node = machine.Node(identity, seed, **parts)
-        stepper = machine.Machine(node, handlers)
+    def __init__(self, stepper: machine.Machine, seed: int):
+        self.identity = stepper.node.identity
         self.runtime = runtime.Runtime(stepper, self._end)
         self._exit_code = 0
         self._signals = 0
--- /dev/null
+++ b/toucanspread/ops/entry.py
@@ -0,0 +1,50 @@
+"""The daemon of an entry instance: the entry machine with its adapters."""
+
+from toucanspread.core import data, machine, roles
+from toucanspread.ops import (
+    callers,
+    daemon,
+    datagrams,
+    dispatching,
+    instances,
+    key_value,
+    operators,
+    peers,
+    settings,
+)
+
+
+def run(options: settings.EntrySettings) -> int:
+    """Run an entry until it has drained, and return its exit code."""
+    identity = settings.identity_of(options, data.Role.ENTRY, daemon.new_incarnation())
+    seed = daemon.choose_seed(options.seed)
+    stepper = roles.build_entry(identity, seed, daemon.seeds_of(options))
+    process = daemon.Daemon(stepper, seed)
+    add_adapters(process, options, stepper)
+    return process.run()
+
+
+def add_adapters(
+    process: daemon.Daemon, options: settings.EntrySettings, stepper: machine.Machine
+) -> None:
+    """Give an entry its ways to the outside."""
+    host = process.runtime
+    identity = stepper.node.identity
+    channel = peers.Peers(identity, host.post)
+    console = operators.Operators(host)
+    front = callers.Callers(
+        host,
+        identity.http_address,
+        options.max_body_bytes,
+        v1=console.resources(),
+        root={b"metrics": operators.Metrics()},
+    )
+    service = key_value.HttpKeyValueService(options.key_value_url)
+    listed = instances.HttpInstanceList(options.instance_list_url)
+    host.add(channel)
+    host.add(datagrams.Datagrams(identity, host.post, channel.send))
+    host.add(key_value.KeyValueAdapter(service, host.post))
+    host.add(instances.InstanceListAdapter(listed, host.post))
+    host.add(console)
+    host.add(front)
+    host.add(dispatching.Dispatching(host, channel, front))
--- a/toucanspread/ops/settings.py
+++ b/toucanspread/ops/settings.py
@@ -114,6 +114,7 @@
 
     :param engine_url: the model engine beside the process, or
     :param plain_service_url: the plain service beside it; just one of the two.
+    :param origin_region: the region of the origin, for the links between regions.
     :param upload_rate_bytes_s: the pace of weights sent to others; 0 is unpaced.
     :param metrics_address: ``ip:port`` for the scraper; empty is none.
     """
@@ -122,6 +123,7 @@
     plain_service_url: str = ""
     service: str = ""
     origin_url: str = ""
+    origin_region: str = ""
     concurrency: int = 8
     upload_rate_bytes_s: int = 0
     download_rate_bytes_s: int = 0
--- a/toucanspread/ops/weights.py
+++ b/toucanspread/ops/weights.py
@@ -118,9 +118,13 @@
 
 
 def make_sample(
-    directory: pathlib.Path, seed: int, size_bytes: int, shared_seed: int = 0
+    directory: pathlib.Path,
+    seed: int,
+    size_bytes: int,
+    shared_seed: int = 0,
+    adapters: tuple[str, ...] = ("letters",),
 ) -> None:
-    """Write a small version: two shards, an index, a configuration and an adapter.
+    """Write a small version: two shards, an index, a configuration and adapters.
 
     The first shard depends on ``shared_seed`` only, so versions share its chunks.
     """
@@ -137,10 +141,11 @@
     (directory / INDEX_NAME).write_text(json.dumps(index, sort_keys=True))
     configuration = {"model_type": "sample", "seed": seed}
     (directory / "config.json").write_text(json.dumps(configuration))
-    adapter = directory / ADAPTERS_NAME / "letters"
-    adapter.mkdir(parents=True, exist_ok=True)
-    _write_shard(adapter / "adapter_model.safetensors", "lora_A.weight", seed, 4096)
-    (adapter / "adapter_config.json").write_text(json.dumps({"r": 8}))
+    for name in adapters:
+        adapter = directory / ADAPTERS_NAME / name
+        adapter.mkdir(parents=True, exist_ok=True)
+        _write_shard(adapter / "adapter_model.safetensors", "lora_A.weight", seed, 4096)
+        (adapter / "adapter_config.json").write_text(json.dumps({"r": 8}))
 
 
 def _write_shard(path: pathlib.Path, tensor: str, seed: int, size_bytes: int) -> None:
--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -57,8 +57,9 @@
     :param manifest: manifests that give the intents' manifest hashes.
     :param remove: services whose intents are withdrawn.
     """
-    intents = _read_intents(file, manifest)
-    body = json.dumps({"intents": intents, "removed": remove}).encode()
+    intents, removed = _read_intents(file, manifest)
+    removed += remove
+    body = json.dumps({"intents": intents, "removed": removed}).encode()
     try:
         answer = client.post(entry, "/v1/plans", body)
     except client.EntryError as error:
@@ -68,7 +69,7 @@
         "plan_id": answer["plan"]["plan_id"],
         "base_revision": answer["plan"]["base_revision"],
         "intents": intents,
-        "removed": remove,
+        "removed": removed,
     }
     path = output or file.with_suffix(".plan.json")
     path.write_text(json.dumps(saved, indent=1) + "\n")
@@ -135,7 +136,7 @@
     :param entry: ip:port of an entry's HTTP address.
     :param manifest: manifests that give the intents' manifest hashes.
     """
-    proposed = _read_intents(file, manifest)
+    proposed, _ = _read_intents(file, manifest)
     try:
         accepted = client.get(entry, "/v1/intents")
     except client.EntryError as error:
@@ -164,15 +165,13 @@
         print(f"toucanspread: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     output.write_bytes(manifests.encode(built))
-    print(manifests.hash_of(built))
+    print(manifests.manifest_hash(built))
 
 
 def main() -> None:
     """Run the command line."""
     defopt.run(
         [entry, endpoint, plan, confirm, status, watch, diff, manifest],
-        strict_kwonly=True,
-        cli_options="has_default",
     )
 
 
@@ -187,7 +186,9 @@
         sys.exit(EXIT_USAGE)
 
 
-def _read_intents(path: pathlib.Path, manifests: list[pathlib.Path]) -> list[dict]:
+def _read_intents(
+    path: pathlib.Path, manifests: list[pathlib.Path]
+) -> tuple[list[dict], list[str]]:
     from toucanspread.tools import intent_files
 
     try:
--- a/toucanspread/tools/render.py
+++ b/toucanspread/tools/render.py
@@ -94,6 +94,55 @@
     return min(1.0, done / wanted)
 
 
+def plan(answer: dict[str, Any]) -> str:
+    """Return a plan step by step, with its costs and warnings."""
+    made = answer["plan"]
+    lines = [f"plan {made['plan_id']} from revision {made['base_revision']}"]
+    if not answer.get("service_known", True):
+        lines.append("the key-value service is down: made from the last known revision")
+    rows = [("STAGE", "STEP", "INSTANCE", "SERVICE", "VERSION")]
+    for step in made.get("steps", ()):
+        rows.append(
+            (
+                str(step["stage"]),
+                step["kind"],
+                step["instance_id"],
+                step["service"],
+                step.get("version") or "-",
+            )
+        )
+    lines.extend(table(rows) if len(rows) > 1 else ["no step is needed"])
+    lines.append(f"from the origin: {mib(made.get('origin_bytes', 0))}")
+    for link in made.get("link_bytes", ()):
+        route = f"{link['from_region']} -> {link['to_region']}"
+        lines.append(f"over {route}: {mib(link['total_bytes'])}")
+    lines.append(f"expected time: {made.get('expected_s', 0.0):.0f} s")
+    lines.extend(f"warning: {warning}" for warning in made.get("warnings", ()))
+    lines.extend(f"refused: {refusal}" for refusal in made.get("refusals", ()))
+    return "\n".join(lines)
+
+
+def verdict(answer: dict[str, Any]) -> str:
+    """Return the answer to a confirmation."""
+    return f"{answer['verdict']} at revision {answer['revision']}"
+
+
+def refusal(answer: dict[str, Any]) -> str:
+    """Return why a plan or a confirmation was refused, and what to do next."""
+    lines = []
+    if "error" in answer:
+        lines.append(answer["error"])
+    if "verdict" in answer:
+        lines.append(f"{answer['verdict']}: {answer.get('why') or 'no reason given'}")
+    lines.extend(f"problem: {problem}" for problem in answer.get("problems", ()))
+    lines.extend(f"changed: {change}" for change in answer.get("changed", ()))
+    if answer.get("retry_after_s"):
+        lines.append(f"come back in {answer['retry_after_s']:.0f} s")
+    if answer.get("plan"):
+        lines.append(plan({"plan": answer["plan"]}))
+    return "\n".join(lines)
+
+
 def is_whole(seen: dict[str, Any]) -> bool:
     """Return whether every service has its replicas."""
     if not seen["services"]:
