Run the platform clients as asyncio tasks

A run of five processes over loopback stopped with 'Task got bad yield': the runtime awaits adapters in asyncio tasks, where a Deferred can't be awaited. Deferreds are now awaited through loop.wait alone; the tests run as tasks too.

--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -4,7 +4,7 @@
 from twisted.trial import unittest
 
 from toucanspread.core import beliefs, data, views
-from toucanspread.ops import datagrams
+from toucanspread.ops import datagrams, loop
 
 
 def identity(port):
@@ -31,7 +31,7 @@
         built = datagrams.Datagrams(
             identity(0), post, lambda address, message: self.large.append(message)
         )
-        self.addCleanup(lambda: defer.ensureDeferred(built.stop()))
+        self.addCleanup(lambda: defer.Deferred.fromFuture(loop.spawn(built.stop())))
         return built
 
     async def start(self):
@@ -46,11 +46,11 @@
             for payload in (b"", b"\xff" * 50, b"\x80"):
                 self.sender._port.write(payload, (host, int(port)))
             self.sender.send(address, beliefs.Ping(3))
-            event = await self.received.get()
+            event = await loop.wait(self.received.get())
             self.assertEqual((identity(0), 3), (event.sender, event.message.number))
             self.assertEqual([], self.received.pending)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_large_message_takes_the_other_way(self):
         async def scenario():
@@ -60,11 +60,11 @@
             self.sender.send(address, view)
             self.assertEqual([view], self.large)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_unusable_address_is_a_loss(self):
         async def scenario():
             await self.start()
             self.sender.send("nowhere", beliefs.Ping(1))
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
--- a/toucanspread/ops/instances.py
+++ b/toucanspread/ops/instances.py
@@ -5,15 +5,16 @@
 """
 
 import abc
+import asyncio
 import dataclasses
 import random
 from collections.abc import Callable, Mapping
 
 import msgspec
-from twisted.internet import defer, reactor
+from twisted.internet import reactor
 
 from toucanspread.core import data, events
-from toucanspread.ops import logs, runtime, web_client
+from toucanspread.ops import logs, loop, runtime, web_client
 
 CALL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 2.0
@@ -111,7 +112,7 @@
         self._list = instance_list
         self._post = post
         self._timer = None
-        self._reading: defer.Deferred | None = None
+        self._reading: asyncio.Task | None = None
         self._stopped = False
         self._interval_s = POLL_INTERVAL_S
         self._unread = False
@@ -134,8 +135,8 @@
         await self._list.close()
 
     def _poll(self) -> None:
-        self._reading = defer.ensureDeferred(self._read())
-        self._reading.addBoth(lambda _: self._wait())
+        self._reading = loop.spawn(self._read())
+        self._reading.add_done_callback(lambda _: self._wait())
 
     async def _read(self) -> None:
         try:
--- a/toucanspread/ops/instances_test.py
+++ b/toucanspread/ops/instances_test.py
@@ -1,12 +1,14 @@
 """Tests of the instance list's client against the stand-in, over loopback."""
 
+import asyncio
+
 from twisted.internet import defer, reactor, task
 from twisted.trial import unittest
 from twisted.web import server
 
 from standins import instance_list as standin
 from toucanspread.core import data
-from toucanspread.ops import instances, web_client
+from toucanspread.ops import instances, loop, web_client
 
 ROW = {
     "instance_id": "brest-a-1",
@@ -28,13 +30,13 @@
         self.url = f"http://127.0.0.1:{self.port.getHost().port}"
         self.client = instances.HttpInstanceList(self.url)
         self.web = web_client.WebClient()
-        self.addCleanup(lambda: defer.ensureDeferred(self._stop()))
+        self.addCleanup(lambda: defer.Deferred.fromFuture(loop.spawn(self._stop())))
 
     async def _stop(self):
         await self.client.close()
         await self.web.close()
-        await defer.maybeDeferred(self.port.stopListening)
-        await task.deferLater(reactor, 0.01, lambda: None)
+        await loop.wait(defer.maybeDeferred(self.port.stopListening))
+        await asyncio.sleep(0.01)
 
     async def administer(self, path, body=b"{}"):
         await self.web.call("PUT", f"{self.url}/admin/{path}", 5.0, body)
@@ -53,17 +55,16 @@
             second = (await self.client.read()).event
             self.assertEqual((data.InstanceId("brest-a-1"),), second.leaving)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_malformed_list_is_an_error(self):
         async def scenario():
             await self.administer("instances", b'[{"instance_id": "x"}]')
             self.clock.advance(5.0)
-            await self.assertFailure(
-                defer.ensureDeferred(self.client.read()), instances.InstanceListError
-            )
+            with self.assertRaises(instances.InstanceListError):
+                await self.client.read()
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_interval_grows_with_the_list(self):
         self.assertEqual(instances.POLL_INTERVAL_S, instances.interval_for(2_000))
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import asyncio
 import base64
 import dataclasses
 import json
@@ -13,10 +14,8 @@
 from collections.abc import Awaitable, Callable, Mapping
 from urllib.parse import quote
 
-from twisted.internet import defer
-
 from toucanspread.core import data, effects, events
-from toucanspread.ops import logs, runtime, web_client
+from toucanspread.ops import logs, loop, runtime, web_client
 
 CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 2.0  # the service may answer a watch a little after its wait
@@ -254,7 +253,7 @@
     ) -> None:
         self._service = service
         self._post = post
-        self._calling: set[defer.Deferred] = set()
+        self._calling: set[asyncio.Task] = set()
 
     def effects(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the key-value effects."""
@@ -290,9 +289,9 @@
     def _start(
         self, effect: data.Effect, call: Awaitable[Result], writes: bool
     ) -> None:
-        calling = defer.ensureDeferred(self._run(effect, call, writes))
+        calling = loop.spawn(self._run(effect, call, writes))
         self._calling.add(calling)
-        calling.addBoth(lambda _: self._calling.discard(calling))
+        calling.add_done_callback(self._calling.discard)
 
     async def _run(
         self, effect: data.Effect, call: Awaitable[Result], writes: bool
--- a/toucanspread/ops/key_value_test.py
+++ b/toucanspread/ops/key_value_test.py
@@ -1,12 +1,14 @@
 """Tests of the key-value client against the stand-in, over loopback."""
 
-from twisted.internet import defer, reactor, task
+import asyncio
+
+from twisted.internet import defer, reactor
 from twisted.trial import unittest
 from twisted.web import server
 
 from standins import key_value as standin
 from toucanspread.core import data, effects
-from toucanspread.ops import key_value
+from toucanspread.ops import key_value, loop
 
 Status = data.KvStatus
 KEY = "toucanspread/config"
@@ -19,7 +21,7 @@
         self.standin = standin.KeyValueResource()
         site = server.Site(self.standin)
         self.port = reactor.listenTCP(0, site, interface="127.0.0.1")
-        self.addCleanup(lambda: defer.ensureDeferred(self._stop()))
+        self.addCleanup(lambda: defer.Deferred.fromFuture(loop.spawn(self._stop())))
         self.answers = defer.DeferredQueue()
         self.service = self.client()
         self.adapter = key_value.KeyValueAdapter(self.service, self.answers.put)
@@ -30,15 +32,15 @@
 
     async def _stop(self):
         await self.adapter.stop()
-        await defer.maybeDeferred(self.port.stopListening)
-        await task.deferLater(reactor, 0.01, lambda: None)
+        await loop.wait(defer.maybeDeferred(self.port.stopListening))
+        await asyncio.sleep(0.01)
         for call in reactor.getDelayedCalls():
             call.cancel()
 
     async def ask(self, kind, **fields):
         effect = kind(operation_id=data.OperationId("op"), **fields)
         self.adapter.effects()[kind](effect)
-        return await self.answers.get()
+        return await loop.wait(self.answers.get())
 
     def write(self, value, expected):
         return self.ask(
@@ -59,7 +61,7 @@
             read = await self.ask(effects.KvRead, key=KEY)
             self.assertEqual((b"two", second.version), (read.value, read.version))
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_lost_answer_is_unknown_and_took_effect(self):
         async def scenario():
@@ -69,15 +71,15 @@
             read = await self.ask(effects.KvRead, key=KEY)
             self.assertEqual(b"one", read.value)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_refused_connection_is_not_applied(self):
         async def scenario():
-            await self.port.stopListening()
+            await loop.wait(self.port.stopListening())
             refused = await self.write(b"one", 0)
             self.assertEqual(Status.NOT_APPLIED, refused.status)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_service_down_is_unknown(self):
         async def scenario():
@@ -85,7 +87,7 @@
             failed = await self.write(b"one", 0)
             self.assertEqual(Status.UNKNOWN, failed.status)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_silent_service_times_out(self):
         self.patch(key_value, "CALL_TIMEOUT_S", 0.05)
@@ -97,22 +99,20 @@
             self.standin.faults.slow_s = 0.0
             self.assertEqual(Status.OK, (await self.write(b"one", 0)).status)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_watch_wakes_on_a_change_and_counts_once(self):
         async def scenario():
             first = await self.write(b"one", 0)
-            watching = defer.ensureDeferred(
-                self.service.watch(KEY, first.version, wait_s=5.0)
-            )
-            await task.deferLater(reactor, 0.02, lambda: None)
+            watching = loop.spawn(self.service.watch(KEY, first.version, wait_s=5.0))
+            await asyncio.sleep(0.02)
             other = self.client()
             await other.write(KEY, b"two", first.version)
             await other.close()
             self.assertEqual(b"two", (await watching).value)
             self.assertEqual(1, self.standin.calls["watch"])
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_watch_of_an_absent_key_waits(self):
         async def scenario():
@@ -120,7 +120,7 @@
             answer = await self.ask(effects.KvWatch, **fields)
             self.assertEqual(Status.UNCHANGED, answer.status)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_watch_shows_a_restored_state(self):
         async def scenario():
@@ -131,7 +131,7 @@
             answer = await self.service.watch(KEY, second.version, wait_s=5.0)
             self.assertEqual((b"one", first.version), (answer.value, answer.version))
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_lease_moves_with_a_higher_fence(self):
         async def scenario():
@@ -139,7 +139,7 @@
             other = self.client()
             refused = await other.acquire(KEY, "b", ttl_s=10.0)
             self.assertEqual((Status.CONFLICT, "a"), (refused.status, refused.holder))
-            await task.deferLater(reactor, 0.12, lambda: None)
+            await asyncio.sleep(0.12)
             second = await other.acquire(KEY, "b", ttl_s=10.0)
             self.assertTrue(second.fence > first.fence)
             fields = {"key": KEY, "holder": "a", "fence": first.fence, "ttl_s": 10.0}
@@ -147,7 +147,7 @@
             self.assertEqual(Status.CONFLICT, late.status)
             await other.close()
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_lost_answer_to_acquire_is_read_back(self):
         async def scenario():
@@ -162,7 +162,7 @@
             granted = await self.acquire()
             self.assertEqual((Status.OK, "a"), (granted.status, granted.holder))
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_lost_answer_to_renewal_keeps_the_lease(self):
         async def scenario():
@@ -176,4 +176,4 @@
                 (Status.OK, granted.fence), (renewed.status, renewed.fence)
             )
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
--- a/toucanspread/ops/web_client.py
+++ b/toucanspread/ops/web_client.py
@@ -13,6 +13,8 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from toucanspread.ops import loop
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 4
 IDLE_TIMEOUT_S = 30.0
@@ -98,11 +100,11 @@
         calling = defer.ensureDeferred(self._call(method, url, body, headers))
         calling.addTimeout(timeout_s, reactor)
         try:
-            return await calling
+            return await loop.wait(calling)
         except _NEVER_SENT as failure:
             raise WebError(False, f"{method} {url}: {failure}") from failure
         except (error.TimeoutError, defer.TimeoutError) as failure:
-            self.close()
+            self._pool.closeCachedConnections()
             raise WebError(True, f"{method} {url}: no answer in time") from failure
         except Exception as failure:
             raise WebError(True, f"{method} {url}: {failure!r}") from failure
@@ -120,6 +122,6 @@
         received = await client.readBody(response)
         return Reply(response.code, response.headers, received)
 
-    def close(self) -> defer.Deferred:
+    async def close(self) -> None:
         """Close the idle connections."""
-        return self._pool.closeCachedConnections()
+        await loop.wait(self._pool.closeCachedConnections())
