--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -167,6 +167,17 @@
             self.start_instance(instance["instance_id"])
         for address in self.entry_http.values():
             wait_for(address, "/healthz")
+            self._wait_for_reports(address)
+
+    def _wait_for_reports(self, entry: str) -> None:
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            seen = call(entry, "GET", "/v1/status")["instances"]
+            reported = sum(instance["reported"] for instance in seen)
+            if reported == len(self.endpoints):
+                return
+            time.sleep(POLL_INTERVAL_S)
+        raise LaunchError(f"entry {entry} heard of {reported} endpoint processes")
 
     def start_instance(self, instance_id: str) -> None:
         """Start the system's process on an instance."""
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/reporting.py
@@ -4,7 +4,7 @@
 the own zone, so that each entry hears of about as many endpoint processes.
 """
 
-from toucanspread.core import beliefs, data, effects, events, rendezvous
+from toucanspread.core import beliefs, data, effects, events, limits, rendezvous
 
 REPORT_INTERVAL_S = 1.0
 ALL_ENTRIES_LIMIT = 32  # up to this many entries, every one is told
@@ -101,8 +101,7 @@
 def _serving(node) -> dict[str, object]:
     """Return the fields of a report that tell what is served."""
     found: dict[str, object] = {}
-    limits = getattr(node, "limits", None)
-    if limits is not None:
+    if getattr(node, "limits", None) is not None:
         found["load"] = limits.load(node)
     config = getattr(node, "config", None)
     found["revision"] = getattr(config, "revision", data.Revision(0))
@@ -121,11 +120,10 @@
     transfer = getattr(node, "transfer", None)
     if transfer is None:
         return {}
-    target_version, staged, total = transfer.progress(node)
     return {
-        "target_version": target_version,
-        "staged_chunks": staged,
-        "target_chunks": total,
+        "target_version": transfer.target_version,
+        "staged_chunks": transfer.staged_chunks,
+        "target_chunks": transfer.target_chunks,
     }
 
 
--- a/toucanspread/core/roles.py
+++ b/toucanspread/core/roles.py
@@ -32,7 +32,6 @@
 # Membership comes first, so that the parts after it see the members of this step.
 ENTRY_PARTS = (
     membership,
-    reporting,
     spread,
     watching,
     confirm,
@@ -86,7 +85,6 @@
         identity,
         seed,
         membership=membership.State(seeds),
-        reporting=reporting.State(),
         config=config.State(),
         spread=spread.State(),
         watching=watching.State(),
--- a/toucanspread/ops/daemon.py
+++ b/toucanspread/ops/daemon.py
@@ -76,6 +76,7 @@
         reactor.callFromThread(self.runtime.post, events.ShutdownRequested())
 
     def _end(self, exit_code: int) -> None:
+        logs.write("ending", exit_code=exit_code)
         self._exit_code = exit_code or self._exit_code
         loop.spawn(self._stop())
 
--- a/toucanspread/ops/runtime.py
+++ b/toucanspread/ops/runtime.py
@@ -15,6 +15,7 @@
 
 TICK_INTERVAL_S = 0.1
 EXIT_CODE_INVARIANT = 70
+EXIT_CODE_STEP = 71
 
 EffectHandler = Callable[[data.Effect], None]
 
@@ -93,6 +94,12 @@
             logs.write("invariant_broken", name=error.invariant.value, why=error.detail)
             self._on_exit(EXIT_CODE_INVARIANT)
             raise
+        except Exception as error:
+            # The step may have changed half of its state: start afresh.
+            why = f"{type(error).__name__}: {error}"
+            logs.write("step_failed", trigger=type(event).__name__, why=why)
+            self._on_exit(EXIT_CODE_STEP)
+            raise
         for effect in wanted:
             self._handlers[type(effect)](effect)
 
--- a/toucanspread/ops/status.py
+++ b/toucanspread/ops/status.py
@@ -6,7 +6,10 @@
 
 
 class InstanceStatus(msgspec.Struct, frozen=True):
-    """One process of the system, as this entry believes it to be."""
+    """One process of the system, as this entry believes it to be.
+
+    :param reported: whether a report of this incarnation has come.
+    """
 
     instance_id: data.InstanceId
     role: data.Role
@@ -22,6 +25,7 @@
     queued: int = 0
     revision: data.Revision = data.Revision(0)
     failure: str = ""
+    reported: bool = False
 
 
 class ServiceStatus(msgspec.Struct, frozen=True):
@@ -117,4 +121,5 @@
         report.load.queued,
         report.revision,
         report.failure,
+        reported=True,
     )
