Order the senders to an endpoint, outlive a restored lease, resume after a restart

With few entries every entry hears every endpoint process, so equal delays would have sent each change many times; the rank by rendezvous hashing sends it once. A restored service may grant old fencing numbers again: the upper bits now count restorations. An endpoint process that restarts while nobody holds the lease serves what its engine still holds, after the same digest check as for an order. Whether the service answers is now known at entries that don't call it, as summaries carry the newest evidence.

--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.members: dict[data.InstanceId, Member] = {}
+        self.entry_ids: set[data.InstanceId] = set()
 
 
 class Transfer:
@@ -324,6 +325,12 @@
                 name = other.identity.instance_id
                 if name not in known or known[name].identity != other.identity:
                     known[name] = Member(other.identity)
+            node.membership.entry_ids = {
+                name
+                for name, member in known.items()
+                if member.identity.role is data.Role.ENTRY
+                and name != node.identity.instance_id
+            }
 
     def _report(self) -> None:
         entries = self.entries()
--- a/toucanspread/core/confirm.py
+++ b/toucanspread/core/confirm.py
@@ -20,6 +20,7 @@
 )
 
 RETRY_AFTER_S = 5.0
+SERVICE_FRESH_S = 30.0  # an idle watch is answered more often
 MAX_RUNNING = 64  # confirmations at once; each reads the head
 HEAL_CHECK_INTERVAL_S = 2.0
 
@@ -109,11 +110,9 @@
 def on_plan(node: machine.Node, event: PlanRequested) -> list:
     """Answer with a plan from the revision known here; nothing is remembered."""
     plan = make_plan(node, event.intents, event.removed)
-    return [
-        PlanAnswered(
-            event.operation_id, plan, plan.refusals, node.watching.service_known
-        )
-    ]
+    heard = node.now_s - node.spread.service_heard_s < SERVICE_FRESH_S
+    service_known = heard and node.spread.service_answers
+    return [PlanAnswered(event.operation_id, plan, plan.refusals, service_known)]
 
 
 def make_plan(
--- a/toucanspread/core/leases.py
+++ b/toucanspread/core/leases.py
@@ -3,11 +3,22 @@
 Few entries try, chosen by rendezvous hashing over those alive. The holder judges the
 end of its lease by its own monotonic clock, counted from when the granted call was
 sent, and stops giving orders a margin earlier. An answer that is lost grants nothing:
-the next call finds out, because acquiring again by the same holder is answered with a
-new fencing number.
+the next call finds out.
+
+A service that was restored may grant numbers that it has granted before. The upper bits
+of a fencing number count such restorations, as far as this entry has heard of higher
+numbers, so that numbers in orders grow all the same.
 """
 
-from toucanspread.core import data, effects, events, machine, operations, watching
+from toucanspread.core import (
+    data,
+    effects,
+    events,
+    machine,
+    operations,
+    spread,
+    watching,
+)
 
 LEASE_KEY = "lease/controller"
 TTL_S = 10.0
@@ -16,16 +27,21 @@
 ANSWER_S = 3.0  # an answer later than this is taken as lost
 RETRY_S = 2.0
 CANDIDATES = 2  # in each zone
+GRANT_BITS = 40  # of a fencing number; above them stands the count of restorations
 
 
 class State:
     """The lease as this entry knows it.
 
-    :ivar fence: the fencing number; 0 while no lease is held.
+    :ivar fence: the fencing number for orders; 0 while no lease is held.
+    :ivar last_fence: the number of the lease that was held last.
+    :ivar grant: the number as the service granted it.
     """
 
     def __init__(self):
         self.fence = data.FencingNumber(0)
+        self.last_fence = data.FencingNumber(0)
+        self.grant = data.FencingNumber(0)
         self.expires_s = float("-inf")
         self.call_id = data.OperationId("")
         self.call_sent_s = 0.0
@@ -43,7 +59,7 @@
 def on_tick(node: machine.Node, event: events.Tick) -> list:
     """Renew the lease in time, or try to acquire it."""
     state = node.leases
-    items = _expire(node)
+    items = [*_expire(node), *_yield(node)]
     if state.call_id:
         if node.now_s - state.call_sent_s < ANSWER_S:
             return items
@@ -77,13 +93,7 @@
     state.next_call_s = float("inf")
     if state.fence == 0:
         return []
-    release = effects.LeaseRelease(
-        operations.new_id(node, "release"),
-        LEASE_KEY,
-        node.identity.instance_id,
-        state.fence,
-    )
-    return [release, *_lost(node, "shutting down")]
+    return [_release(node), *_lost(node, "shutting down")]
 
 
 def _call(node: machine.Node) -> data.Effect:
@@ -93,7 +103,7 @@
     state.call_renews = state.fence > 0
     holder = node.identity.instance_id
     if state.call_renews:
-        return effects.LeaseRenew(state.call_id, LEASE_KEY, holder, state.fence, TTL_S)
+        return effects.LeaseRenew(state.call_id, LEASE_KEY, holder, state.grant, TTL_S)
     return effects.LeaseAcquire(state.call_id, LEASE_KEY, holder, TTL_S)
 
 
@@ -102,14 +112,44 @@
     expires_s = state.call_sent_s + TTL_S
     if node.now_s >= expires_s - MARGIN_S:
         return []  # the answer took as long as the lease lasts
-    is_new = state.fence != event.fence
-    state.fence = event.fence
+    is_new = state.fence == 0 or state.grant != event.fence
+    if is_new:
+        state.fence = _number(node, event.fence)
+        state.last_fence = state.fence
+        state.grant = event.fence
     state.expires_s = expires_s
     state.holder = node.identity.instance_id
     state.next_call_s = node.now_s + RENEW_INTERVAL_S
     if not is_new:
         return []
-    return [effects.Log("lease_acquired", {"fence": event.fence})]
+    return [effects.Log("lease_acquired", {"fence": state.fence})]
+
+
+def _number(node: machine.Node, grant: data.FencingNumber) -> data.FencingNumber:
+    """Return the number for orders: the least above all heard of that ends in it."""
+    known = spread.highest_fence(node)
+    number = (known >> GRANT_BITS << GRANT_BITS) | grant
+    if number < known or (number == known != node.leases.last_fence):
+        number += 1 << GRANT_BITS
+    return data.FencingNumber(number)
+
+
+def _yield(node: machine.Node) -> list:
+    """Give the lease back when a higher number is heard of, and ask again."""
+    state = node.leases
+    if state.fence == 0 or node.spread.fence <= state.fence:
+        return []
+    state.next_call_s = node.now_s + RETRY_S
+    return [_release(node), *_lost(node, "a higher fencing number is known")]
+
+
+def _release(node: machine.Node) -> data.Effect:
+    return effects.LeaseRelease(
+        operations.new_id(node, "release"),
+        LEASE_KEY,
+        node.identity.instance_id,
+        node.leases.grant,
+    )
 
 
 def _expire(node: machine.Node) -> list:
--- a/toucanspread/core/orders.py
+++ b/toucanspread/core/orders.py
@@ -24,7 +24,8 @@
 START_WAIT_S = 5.0  # orders wait this long for the engine's fencing number
 DEPARTURE_INTERVAL_S = 1.0
 LOCAL_DRAIN_LEAD_S = 120.0  # before a window, without any order
-UNLOAD_DELAY_S = 120.0  # requests on the version before end in this time
+UNLOAD_DELAY_S = 10.0  # requests on the version before may still be starting
+RESUME_S = 5.0  # after a restart, an order may come first
 
 NO_SERVICE = data.ServiceName("")
 
@@ -81,6 +82,7 @@
         self.departure_s = 0.0
         self.started_s: float | None = None
         self.fence_known = kind is data.ServiceKind.PLAIN
+        self.status: data.EngineStatus | None = None
         self.retired: list[tuple[float, Serving]] = []
 
 
@@ -108,6 +110,8 @@
         return []
     if order.leave:
         return _drain(node, data.Reason.LEAVING)
+    if order.service and order.kind is not state.kind:
+        return [_refuse(node, order)]
     if state.target is not None and _target(order) == _target(state.target):
         state.target = order
         return []
@@ -122,9 +126,22 @@
     if event.manifest_hash != state.target.manifest_hash:
         return []
     state.weights_hash = event.weights_hash
+    if _is_loaded(node):
+        _enter(node, Phase.CHECKING)
+        return []
     return _order_engine(node, Phase.LOADING, data.OrderKind.LOAD)
 
 
+def _is_loaded(node: machine.Node) -> bool:
+    """Return whether the engine has the target already, as after a restart here."""
+    state = node.orders
+    if state.status is None:
+        return False
+    digest = state.status.digests.get(state.target.version)
+    has_adapters = set(state.target.adapters) <= set(state.status.adapters)
+    return digest == state.weights_hash and has_adapters
+
+
 def on_order_answered(node: machine.Node, event: events.EngineOrderAnswered) -> list:
     """Go on after the engine took an order, or try again later."""
     state = node.orders
@@ -145,6 +162,7 @@
     state = node.orders
     if event.status is None:
         return []
+    state.status = event.status
     state.fence_known = True
     _learn_fence(node, event.status.fence)
     if state.phase is Phase.CHECKING:
@@ -166,6 +184,7 @@
         state.started_s = node.now_s
     items = _depart(node)
     items.extend(_unload(node))
+    items.extend(_resume(node))
     if not state.fence_known and node.now_s - state.started_s > START_WAIT_S:
         state.fence_known = True
     if state.phase is Phase.WAITING and node.now_s - state.phase_s > RETRY_S:
@@ -198,6 +217,43 @@
     return [events.ServingChanged(data.VersionName(""))]
 
 
+def _resume(node: machine.Node) -> list:
+    """Serve again what the engine still holds, even while nobody gives orders.
+
+    The intent in force names the manifest, against which the engine's digest is checked
+    as after any order.
+    """
+    state = node.orders
+    if state.target is not None or state.draining or state.status is None:
+        return []
+    if node.now_s - state.started_s < RESUME_S or not state.status.active_version:
+        return []
+    found = [
+        intent
+        for intent in node.config.intents.values()
+        if intent.kind is data.ServiceKind.MODEL
+        and intent.version == state.status.active_version
+    ]
+    if len(found) != 1:
+        return []
+    intent = found[0]
+    order = data.Order(
+        state.fence,
+        operations.new_id(node, "resume"),
+        node.identity.instance_id,
+        intent.service,
+        intent.kind,
+        intent.model,
+        intent.version,
+        intent.manifest_hash,
+        intent.adapters,
+        intent.origin_weight,
+    )
+    return [effects.Log("serving_resumed", {"version": intent.version})] + _begin(
+        node, order
+    )
+
+
 def _target(order: data.Order) -> tuple:
     return (order.service, order.model, order.manifest_hash, order.adapters)
 
@@ -341,6 +397,9 @@
     if not state.retired or node.now_s < state.retired[0][0]:
         return []
     _, retired = state.retired.pop(0)
+    if _runs(node, retired.version):
+        state.retired.append((node.now_s + UNLOAD_DELAY_S, retired))
+        return []
     versions = {state.target.version if state.target else ""}
     versions.add(state.serving.version if state.serving else "")
     if retired.version in versions:
@@ -357,6 +416,14 @@
     ]
 
 
+def _runs(node: machine.Node, version: data.VersionName) -> bool:
+    """Return whether a request still runs on a version."""
+    gate = getattr(node, "gate", None)
+    if gate is None:
+        return False
+    return any(work.running and work.version == version for work in gate.work.values())
+
+
 def _depart(node: machine.Node) -> list:
     """Leave before a window in force, also while nobody gives orders."""
     state = node.orders
--- a/toucanspread/core/spread.py
+++ b/toucanspread/core/spread.py
@@ -3,8 +3,8 @@
 An entry that learns a new revision pushes it to a few other entries at once. Besides,
 each process compares revisions with one other every second, and the lower one is sent
 what it lacks. Endpoint processes tell their revision in their reports, so an entry
-sends the changes to those that lag; a share of the entries waits a little longer, so
-that mostly one of those that hear an endpoint answers.
+sends the changes to those that lag. Of the entries that hear an endpoint process, the
+first by rendezvous hashing sends at once and the others only if it goes on lagging.
 """
 
 from toucanspread.core import (
@@ -21,11 +21,13 @@
 COMPARE_INTERVAL_S = 1.0
 ENDPOINT_COMPARE_INTERVAL_S = 3.0
 RESEND_INTERVAL_S = 2.5  # longer than an endpoint takes to report what it received
-DELAY_SLOTS = 3
-DELAY_SLOT_S = 1.2  # longer than the interval of reports
+HEARING_ENTRIES = 4  # endpoint processes report to this many, or to all of a few
+MAX_DELAYS = 3
+DELAY_S = 1.2  # longer than the interval of reports
 SENDING_BYTES_PER_S = 9_000.0
 MAX_SENDING_CREDIT_BYTES = 64_000.0
 LOG_INTERVAL_S = 5.0
+NEVER_S = 1e9  # JSON holds no infinity
 
 
 class ConfigSummary(data.Message):
@@ -33,12 +35,15 @@
 
     :param answer: whether a receiver that is behind answers with its own summary.
     :param fence: the highest fencing number that the sender knows of.
+    :param service_age_s: how old the sender's evidence of the key-value service is.
     """
 
     revision: data.Revision
     digest: str
     answer: bool = True
     fence: data.FencingNumber = data.FencingNumber(0)
+    service_answers: bool = False
+    service_age_s: float = NEVER_S
 
 
 class ConfigDelta(data.Message):
@@ -66,10 +71,20 @@
         self.next_compare_s = 0.0
         self.pushed_revision = data.Revision(0)
         self.lagging_since_s: dict[data.InstanceId, float] = {}
+        self.delays: dict[data.InstanceId, int] = {}
+        self.delays_from: frozenset[data.InstanceId] = frozenset()
         self.sent_s: dict[data.InstanceId, float] = {}
         self.credit_bytes = MAX_SENDING_CREDIT_BYTES
         self.credit_s = 0.0
         self.logged_s = float("-inf")
+        self.service_answers = False
+        self.service_heard_s = -NEVER_S
+
+    def note_service(self, heard_s: float, answers: bool) -> None:
+        """Keep the newest evidence of whether the key-value service answers."""
+        if heard_s > self.service_heard_s:
+            self.service_heard_s = heard_s
+            self.service_answers = answers
 
 
 def on_tick(node: machine.Node, event: events.Tick) -> list:
@@ -100,6 +115,13 @@
     return sends
 
 
+def on_kv_answered(node: machine.Node, event: events.KvAnswered) -> list:
+    """Note whether the key-value service answers, whoever called it."""
+    answers = event.status not in (data.KvStatus.UNKNOWN, data.KvStatus.NOT_APPLIED)
+    node.spread.note_service(node.now_s, answers)
+    return []
+
+
 def on_message(node: machine.Node, event: events.MessageReceived) -> list:
     """Take in a summary or changes from another process."""
     if isinstance(event.message, ConfigSummary):
@@ -121,8 +143,7 @@
             return [effects.Send(report.identity.address, _summary(node))]
         return []
     since_s = state.lagging_since_s.setdefault(endpoint, node.now_s)
-    weight = rendezvous.weight(endpoint, node.identity.instance_id)
-    if node.now_s - since_s < weight % DELAY_SLOTS * DELAY_SLOT_S:
+    if node.now_s - since_s < _delays(node, report.identity) * DELAY_S:
         return []
     if node.now_s - state.sent_s.get(endpoint, float("-inf")) < RESEND_INTERVAL_S:
         return []
@@ -132,11 +153,44 @@
     return sends
 
 
+def _delays(node: machine.Node, endpoint: data.Identity) -> int:
+    """Return how many entries are to send to an endpoint process before this one."""
+    state = node.spread
+    entry_ids = node.membership.entry_ids
+    if state.delays_from != entry_ids:
+        state.delays_from = frozenset(entry_ids)
+        state.delays.clear()
+    if endpoint.instance_id not in state.delays:
+        state.delays[endpoint.instance_id] = _rank_among_entries(node, endpoint)
+    return state.delays[endpoint.instance_id]
+
+
+def _rank_among_entries(node: machine.Node, endpoint: data.Identity) -> int:
+    own = node.identity
+    members = node.membership.members
+    ranked = rendezvous.rank(
+        endpoint.instance_id, {*node.membership.entry_ids, own.instance_id}
+    )
+    near = []
+    far = []
+    for name in ranked:
+        zone = own.zone if name == own.instance_id else members[name].identity.zone
+        (near if zone == endpoint.zone else far).append(name)
+    order = near[: HEARING_ENTRIES // 2]
+    order += far[: HEARING_ENTRIES - len(order)]
+    if own.instance_id not in order:
+        return MAX_DELAYS
+    return min(order.index(own.instance_id), MAX_DELAYS)
+
+
 def _on_summary(
     node: machine.Node, sender: data.Identity, summary: ConfigSummary
 ) -> list:
     state = node.config
     node.spread.fence = max(node.spread.fence, summary.fence)
+    if node.identity.role is data.Role.ENTRY:
+        heard_s = node.now_s - summary.service_age_s
+        node.spread.note_service(heard_s, summary.service_answers)
     if summary.revision > state.revision:
         if not summary.answer:
             return []
@@ -144,7 +198,7 @@
     if summary.revision < state.revision:
         return _send_delta(node, sender.address, summary.revision)
     if summary.digest == state.digest:
-        if summary.answer and summary.fence < node.spread.fence:
+        if summary.answer and summary.fence < highest_fence(node):
             return [effects.Send(sender.address, _summary(node, answer=False))]
         return []
     state.forked = True
@@ -170,10 +224,22 @@
 
 
 def _summary(node: machine.Node, answer: bool = True) -> ConfigSummary:
-    fence = node.spread.fence
-    if node.config.forked:
-        return ConfigSummary(data.Revision(0), "", answer, fence)
-    return ConfigSummary(node.config.revision, node.config.digest, answer, fence)
+    forked = node.config.forked
+    return ConfigSummary(
+        data.Revision(0) if forked else node.config.revision,
+        "" if forked else node.config.digest,
+        answer,
+        highest_fence(node),
+        node.spread.service_answers,
+        min(node.now_s - node.spread.service_heard_s, NEVER_S),
+    )
+
+
+def highest_fence(node: machine.Node) -> data.FencingNumber:
+    """Return the highest fencing number that this process knows of."""
+    if node.identity.role is data.Role.ENTRY:
+        return max(node.spread.fence, node.leases.fence)
+    return max(node.spread.fence, node.orders.fence)
 
 
 def _send_delta(node: machine.Node, address: data.Address, base: data.Revision) -> list:
@@ -248,7 +314,7 @@
 def _forget(node: machine.Node) -> None:
     """Drop what is remembered of endpoint processes that are gone."""
     state = node.spread
-    for remembered in (state.lagging_since_s, state.sent_s):
+    for remembered in (state.lagging_since_s, state.sent_s, state.delays):
         for endpoint in [*remembered]:
             if endpoint not in node.membership.members:
                 del remembered[endpoint]
@@ -272,6 +338,7 @@
 
 HANDLERS = {
     events.Tick: on_tick,
+    events.KvAnswered: on_kv_answered,
     events.ConfigApplied: on_config_applied,
     events.MessageReceived: on_message,
     events.ReportReceived: on_report,
--- a/toucanspread/core/watching.py
+++ b/toucanspread/core/watching.py
@@ -18,22 +18,16 @@
 )
 
 WATCHERS_PER_ZONE = 2
-WATCH_S = 30.0
-WATCH_ANSWER_S = 40.0  # an answer later than this is taken as lost
+WATCH_S = 20.0
+WATCH_ANSWER_S = 30.0  # an answer later than this is taken as lost
 PAUSE_S = 1.0  # bounds the bytes that a watcher reads in a burst of changes
 RETRY_S = 2.0
 CHOOSE_INTERVAL_S = 2.0
 
-ANSWERED = frozenset(
-    {data.KvStatus.OK, data.KvStatus.ABSENT, data.KvStatus.UNCHANGED}
-    | {data.KvStatus.CONFLICT}
-)
-
 
 class State:
     """The one call that is waiting, and what the service last told.
 
-    :ivar service_known: whether the newest call was answered.
     :ivar behind_since_s: since when the service shows a head below what is in force.
     """
 
@@ -44,7 +38,6 @@
         self.choose_s = 0.0
         self.is_watcher = True
         self.head_version = 0
-        self.service_known = False
         self.behind_since_s: float | None = None
 
 
@@ -58,7 +51,6 @@
         if node.now_s - state.sent_s < WATCH_ANSWER_S:
             return []
         state.operation_id = data.OperationId("")
-        state.service_known = False
     if not state.is_watcher or node.now_s < state.due_s:
         return []
     return [_watch(node)]
@@ -70,8 +62,7 @@
     if event.operation_id != state.operation_id:
         return []
     state.operation_id = data.OperationId("")
-    state.service_known = event.status in ANSWERED
-    if not state.service_known:
+    if event.status in (data.KvStatus.UNKNOWN, data.KvStatus.NOT_APPLIED):
         state.due_s = node.now_s + RETRY_S * (0.5 + node.random.random())
         return []
     state.due_s = node.now_s + PAUSE_S
