Provoke the failures of agreement, one by one and mixed by Hypothesis

Thirty-one failures stand alone; a state machine mixes operators that race, a service that is down, slow, loses answers or is restored, frozen, dead and replaced processes, lossy and cut links. Invariants are asserted by the program at each step and by the machine: revisions never go back, each revision has one successor, an acceptance is in the service, a change that was said to be not accepted is not there, and the floors hold.

--- /dev/null
+++ b/toucanspread/core/agreement_machine_test.py
@@ -0,0 +1,314 @@
+"""Failures in any order, over the real reducers of a small fleet in virtual time.
+
+``TOUCANSPREAD_EXAMPLES=500`` makes a longer run with fresh random choices.
+"""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from standins import virtual_fleet
+from toucanspread.core import confirm, data, effects, history
+from toucanspread.core.agreement_test import confirmation, intent
+
+EXAMPLES = int(os.environ.get("TOUCANSPREAD_EXAMPLES", "0"))
+SERVICES = ("pool", "desk")
+FLOOR = 1
+ENTRIES = tuple(f"entry-{index}" for index in range(4))
+ENGINES = tuple(f"engine-{index}" for index in range(5))
+PLACES = (("brest-a", "finistere"), ("vannes-a", "morbihan"))
+UNNOTICED_S = 10.0  # a death this recent may not be known to the controller
+
+
+class Ledger(virtual_fleet.KeyValue):
+    """A key-value service that keeps every change that was ever accepted."""
+
+    def __init__(self):
+        super().__init__()
+        self.changes: dict[data.Revision, data.Change] = {}
+
+    def _write(self, effect):
+        answer = super()._write(effect)
+        if effect.key == history.HEAD_KEY and answer.status is data.KvStatus.OK:
+            head = history.decode_head(effect.value)
+            for change in head.changes[-1:]:
+                known = self.changes.setdefault(change.revision, change)
+                assert known == change, f"two changes at {change.revision}"
+        return answer
+
+
+class Fleet(virtual_fleet.Fleet):
+    """Checks revisions and floors at every step of every process."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.kv = Ledger()
+        self.highest: dict = {}
+        self.dead: list[tuple[float, str, str]] = []
+        self.served: dict[str, str] = {}
+
+    def post(self, name, event):
+        super().post(name, event)
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        key = (name, node.identity.incarnation)
+        before = self.highest.get(key, 0)
+        assert node.config.revision >= before, f"{name} went back from {before}"
+        self.highest[key] = node.config.revision
+        if node.identity.role is data.Role.ENDPOINT:
+            self._check_floor(node)
+
+    def _check_floor(self, node):
+        name = node.identity.instance_id
+        before = self.served.get(name, "")
+        now = self._serves(node)
+        self.served[name] = now
+        if before in ("", now) or self._leaves_for_a_window(node):
+            return
+        if before not in self._in_force():
+            return
+        assert self._wholes(before) >= FLOOR, f"{before} is below its floor"
+
+    def _serves(self, node):
+        serving = node.orders.serving
+        if serving is None or node.orders.draining:
+            return ""
+        return serving.service
+
+    def _leaves_for_a_window(self, node):
+        return any(
+            departure.instance_id == node.identity.instance_id
+            and self.now_s + virtual_fleet.WALL_START_S
+            >= departure.window_start_s - 130.0
+            for each in node.config.intents.values()
+            for departure in each.departures
+        )
+
+    def _in_force(self):
+        """Return the services that every process has in force with a floor."""
+        found = set(SERVICES)
+        for node in self.nodes.values():
+            kept = node.config.intents
+            found &= {name for name, each in kept.items() if each.floor}
+        return found
+
+    def _wholes(self, service):
+        count = sum(served == service for served in self.served.values())
+        for died_s, _, served in self.dead:
+            if served == service and self.now_s - died_s < UNNOTICED_S:
+                count += 1
+        return count
+
+    def kill(self, name):
+        served = self.served.pop(name, "")
+        self.dead.append((self.now_s, name, served))
+        self.remove(name)
+
+
+class AgreementMachine(stateful.RuleBasedStateMachine):
+    """Operators, processes, links and the service, each failing at any time."""
+
+    @stateful.initialize(seed=st.integers(0, 1 << 16))
+    def start(self, seed):
+        self.fleet = Fleet(seed)
+        self.count = 0
+        self.saved = None
+        self.departed = set()
+        for names, role in (
+            (ENTRIES, data.Role.ENTRY),
+            (ENGINES, data.Role.ENDPOINT),
+        ):
+            for index, name in enumerate(names):
+                self.fleet.add(name, role, *PLACES[index % 2])
+        self.fleet.run(3.0)
+
+    def live(self, names):
+        return [name for name in names if name in self.fleet.nodes]
+
+    @stateful.rule(
+        entry=st.sampled_from(ENTRIES),
+        other=st.none() | st.sampled_from(ENTRIES),
+        service=st.sampled_from(SERVICES),
+        replicas=st.integers(FLOOR, 3),
+        digit=st.sampled_from("abc"),
+        remove=st.integers(0, 5),
+        leaving=st.none() | st.sampled_from(ENGINES),
+    )
+    def operators_confirm(
+        self, entry, other, service, replicas, digit, remove, leaving
+    ):
+        if leaving is not None:
+            self.departed.add(leaving)
+        start_s = virtual_fleet.WALL_START_S + self.fleet.now_s + 400.0
+        departures = ()
+        if leaving is not None:
+            departures = (data.Departure(leaving, start_s, start_s + 1e6),)
+        for name in (entry, other):
+            if name not in self.fleet.nodes:
+                continue
+            self.count += 1
+            base = self.fleet.nodes[name].config.revision
+            wanted = intent(service, replicas, FLOOR, digit * 64, departures=departures)
+            operation = f"op-{self.count}"
+            if remove == 0:
+                request = confirmation(base, removed=(service,), operation=operation)
+            else:
+                request = confirmation(base, wanted, operation=operation)
+            self.fleet.post(name, request)
+            replicas += 1
+
+    @stateful.rule(seconds=st.floats(0.1, 12.0))
+    def time_passes(self, seconds):
+        self.fleet.run(seconds)
+
+    @stateful.rule(up=st.booleans(), delay_s=st.sampled_from((0.002, 0.3, 1.5, 5.0)))
+    def service_changes(self, up, delay_s):
+        self.fleet.kv.up = up
+        self.fleet.kv.delay_s = delay_s
+
+    @stateful.rule(lose=st.integers(0, 3), drop=st.integers(0, 2))
+    def answers_are_lost(self, lose, drop):
+        self.fleet.kv.lose_answers = lose
+        self.fleet.kv.drop_writes = drop
+
+    @stateful.rule()
+    def watches_break(self):
+        self.fleet.kv.watches.clear()
+
+    @stateful.rule()
+    def service_is_saved(self):
+        self.saved = self.fleet.kv.save()
+
+    @stateful.precondition(lambda self: self.saved is not None)
+    @stateful.rule()
+    def service_is_restored(self):
+        # A restored service forgets changes; those that no process holds are gone, so
+        # this waits until all hold them, as a change needs seconds to be in force.
+        self.mend()
+        self.fleet.run(20.0)
+        self.fleet.kv.values = self.saved
+        self.saved = None
+
+    @stateful.rule(name=st.sampled_from(ENTRIES + ENGINES), seconds=st.integers(0, 20))
+    def process_freezes(self, name, seconds):
+        self.fleet.frozen.add(name)
+        self.fleet.run(seconds)
+
+    @stateful.rule()
+    def processes_wake(self):
+        self.fleet.frozen.clear()
+
+    @stateful.rule(name=st.sampled_from(ENTRIES + ENGINES))
+    def process_dies(self, name):
+        alive = self.live(ENTRIES)
+        if name not in self.fleet.nodes or alive == [name]:
+            return
+        if name in ENTRIES and not self.some_other_entry_is_level(name):
+            return
+        self.fleet.kill(name)
+
+    def some_other_entry_is_level(self, name):
+        """Return whether the last entry that knows the newest revision stays."""
+        newest = max(node.config.revision for node in self.fleet.entries())
+        for node in self.fleet.entries():
+            identity = node.identity.instance_id
+            if identity == name or identity in self.fleet.frozen:
+                continue
+            if node.config.revision == newest:
+                return True
+        return False
+
+    @stateful.rule(name=st.sampled_from(ENTRIES + ENGINES))
+    def process_is_replaced(self, name):
+        is_known = name in ENTRIES and name in self.fleet.nodes
+        if is_known and not self.some_other_entry_is_level(name):
+            return
+        self.start_again(name)
+
+    def start_again(self, name):
+        if name in self.fleet.nodes:
+            self.fleet.kill(name)
+        names = ENTRIES if name in ENTRIES else ENGINES
+        role = data.Role.ENTRY if name in ENTRIES else data.Role.ENDPOINT
+        self.fleet.add(name, role, *PLACES[names.index(name) % 2])
+
+    @stateful.rule(loss=st.sampled_from((0.0, 0.1, 0.4)))
+    def links_lose(self, loss):
+        self.fleet.loss = loss
+
+    @stateful.rule(cut=st.booleans(), service_too=st.booleans())
+    def regions_lose_each_other(self, cut, service_too):
+        self.fleet.cut.clear()
+        self.fleet.service_cut.clear()
+        if cut:
+            self.fleet.cut.add(frozenset(("finistere", "morbihan")))
+        if service_too:
+            self.fleet.service_cut.add("morbihan")
+
+    def mend(self):
+        fleet = self.fleet
+        fleet.kv.up = True
+        fleet.kv.delay_s = 0.002
+        fleet.kv.lose_answers = fleet.kv.drop_writes = 0
+        fleet.loss = 0.0
+        fleet.cut.clear()
+        fleet.service_cut.clear()
+        fleet.frozen.clear()
+
+    @stateful.invariant()
+    def an_acceptance_is_proved(self):
+        if not hasattr(self, "fleet"):
+            return
+        for answer in self.fleet.answers:
+            if answer.verdict is not confirm.Verdict.ACCEPTED:
+                continue
+            assert answer.revision in self.fleet.kv.changes
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        self.mend()
+        for name in ENTRIES + ENGINES:
+            if name not in self.fleet.nodes or name in self.departed:
+                self.start_again(name)
+        self.fleet.run(60.0)
+        self.check_configuration()
+        self.check_verdicts()
+
+    def check_configuration(self):
+        expected = {}
+        ledger = self.fleet.kv.changes
+        for revision in sorted(ledger):
+            for stamp in history.stamps_of(ledger[revision]):
+                expected[stamp.service] = stamp
+        newest = max(ledger, default=0)
+        for node in self.fleet.nodes.values():
+            state = node.config
+            assert state.revision == newest, (node.identity, state.revision, newest)
+            assert state.stamps == expected
+
+    def check_verdicts(self):
+        known = {change.operation_id for change in self.fleet.kv.changes.values()}
+        plan_ids = {change.plan_id for change in self.fleet.kv.changes.values()}
+        assert len(plan_ids) == len(known)
+        for answer in self.fleet.answers:
+            if isinstance(answer, effects.Send):
+                continue
+            if answer.verdict is confirm.Verdict.NOT_ACCEPTED:
+                assert answer.operation_id not in known
+            if answer.verdict is confirm.Verdict.CONFLICT:
+                assert answer.operation_id not in known
+
+
+AgreementTest = AgreementMachine.TestCase
+AgreementTest.settings = hypothesis.settings(
+    max_examples=EXAMPLES or 25,
+    stateful_step_count=30,
+    derandomize=not EXAMPLES,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- /dev/null
+++ b/toucanspread/core/failures_test.py
@@ -0,0 +1,457 @@
+"""One failure at a time, with the real reducers of a small fleet in virtual time."""
+
+import testtools
+
+from standins import virtual_fleet
+from toucanspread.core import (
+    confirm,
+    data,
+    events,
+    history,
+    leases,
+    plans,
+    spread,
+)
+from toucanspread.core.agreement_test import (
+    NEXT_MANIFEST,
+    accept,
+    confirmation,
+    holders,
+    intent,
+    make_fleet,
+    revisions,
+)
+
+WALL_S = virtual_fleet.WALL_START_S
+
+
+def verdicts(fleet):
+    found = []
+    for answer in fleet.answers:
+        if isinstance(answer, confirm.ConfirmAnswered):
+            found.append(answer.verdict)
+    return found
+
+
+def logged(fleet, event):
+    return [log.fields for _, _, log in fleet.logs if log.event == event]
+
+
+def serving(fleet):
+    found = {}
+    for node in fleet.endpoints():
+        if node.orders.serving is not None and not node.orders.draining:
+            found[node.identity.instance_id] = node.orders.serving.version
+    return found
+
+
+def head(fleet):
+    return history.decode_head(fleet.kv.values[history.HEAD_KEY][0])
+
+
+class ConfirmFailuresTest(testtools.TestCase):
+    def test_answer_lost_after_the_write_took_effect(self):
+        fleet = make_fleet()
+        fleet.kv.lose_answers = 1
+        self.assertEqual(confirm.Verdict.ACCEPTED, accept(fleet, intent()).verdict)
+        self.assertEqual((1, 1), (head(fleet).revision, len(head(fleet).changes)))
+
+    def test_write_lost_before_it_took_effect(self):
+        fleet = make_fleet()
+        fleet.kv.drop_writes = 1
+        self.assertEqual(confirm.Verdict.ACCEPTED, accept(fleet, intent()).verdict)
+        self.assertEqual({1}, revisions(fleet))
+
+    def test_service_down_is_answered_at_once_and_plans_go_on(self):
+        fleet = make_fleet()
+        fleet.kv.up = False
+        answer = accept(fleet, intent(), seconds=1.0)
+        self.assertEqual(confirm.Verdict.NOT_ACCEPTED, answer.verdict)
+        self.assertGreater(answer.retry_after_s, 0)
+        fleet.post("entry-0", confirm.PlanRequested("plan", (intent(),)))
+        self.assertFalse(fleet.answers[-1].service_known)
+        self.assertEqual(2, len(fleet.answers[-1].plan.steps))
+        fleet.run(600.0)
+        fleet.kv.up = True
+        self.assertEqual(confirm.Verdict.ACCEPTED, accept(fleet, intent()).verdict)
+
+    def test_service_fails_with_the_write_under_way(self):
+        for took_effect in (True, False):
+            fleet = make_fleet()
+            fleet.kv.lose_answers = int(took_effect)
+            fleet.kv.drop_writes = int(not took_effect)
+            fleet.post("entry-0", confirmation(0, intent()))
+            fleet.run(0.1)
+            fleet.kv.up = False
+            while not fleet.answers:
+                fleet.run(0.1)
+            self.assertIn(
+                verdicts(fleet)[0],
+                (confirm.Verdict.UNKNOWN, confirm.Verdict.ACCEPTED),
+            )
+            fleet.kv.up = True
+            fleet.post("entry-1", confirmation(0, intent(), operation="again"))
+            fleet.run(5.0)
+            self.assertEqual(confirm.Verdict.ACCEPTED, verdicts(fleet)[-1])
+            self.assertEqual(1, head(fleet).revision)
+
+    def test_slow_service_never_brings_a_wrong_verdict(self):
+        fleet = make_fleet()
+        fleet.kv.delay_s = 2.5
+        accept(fleet, intent(), seconds=10.0)
+        self.assertEqual([confirm.Verdict.UNKNOWN], verdicts(fleet))
+        fleet.kv.delay_s = 0.002
+        fleet.post("entry-1", confirmation(0, intent(), operation="again"))
+        fleet.run(5.0)
+        self.assertEqual(confirm.Verdict.ACCEPTED, verdicts(fleet)[-1])
+
+    def test_changes_of_other_services_do_not_conflict(self):
+        fleet = make_fleet()
+        accept(fleet, intent("first"))
+        fleet.post("entry-1", confirmation(0, intent("second"), operation="other"))
+        fleet.run(3.0)
+        self.assertEqual([confirm.Verdict.ACCEPTED] * 2, verdicts(fleet))
+
+    def test_changes_that_need_the_same_instances_conflict(self):
+        fleet = make_fleet(endpoints=4)
+        accept(fleet, intent("first", replicas=3))
+        fleet.post("entry-1", confirmation(0, intent("second", replicas=2)))
+        fleet.run(3.0)
+        self.assertEqual(confirm.Verdict.CONFLICT, verdicts(fleet)[-1])
+        self.assertIn("second would be 1 instances short", fleet.answers[-1].changed[0])
+
+    def test_forged_plan_id(self):
+        fleet = make_fleet()
+        request = confirmation(0, intent())
+        other = confirm.ConfirmRequested(
+            "op", 0, (intent(replicas=3),), (), request.plan_id
+        )
+        fleet.post("entry-0", other)
+        self.assertEqual([confirm.Verdict.NOT_ACCEPTED], verdicts(fleet))
+
+    def test_many_changes_pass_through_snapshots(self):
+        fleet = make_fleet(entries=3, endpoints=1)
+        for number in range(60):
+            teams = tuple(data.TeamShare(f"team-{each}", 1.0) for each in range(10))
+            wanted = intent(f"service-{number % 7}", 0, 0, teams=teams)
+            accept(fleet, wanted, operation=f"op-{number}", seconds=0.5)
+        self.assertEqual([confirm.Verdict.ACCEPTED] * 60, verdicts(fleet))
+        self.assertLess(len(history.encode(head(fleet))), 2 * history.MAX_RING_BYTES)
+        fleet.run(5.0)
+        self.assertEqual({60}, revisions(fleet))
+        fleet.add("entry-9", data.Role.ENTRY, "brest-a", "finistere")
+        fleet.nodes["entry-9"].membership.entry_ids.clear()
+        fleet.nodes["entry-9"].membership.members.clear()
+        fleet.run(5.0)
+        self.assertEqual(60, fleet.nodes["entry-9"].config.revision)
+
+
+class NeverRevertTest(testtools.TestCase):
+    def test_stale_peer_is_refused_and_logged(self):
+        fleet = make_fleet()
+        accept(fleet, intent())
+        accept(fleet, intent(manifest=NEXT_MANIFEST), operation="next")
+        node = fleet.nodes["entry-1"]
+        stale = spread.ConfigDelta(0, 1, "", ())
+        message = events.MessageReceived(fleet.nodes["entry-0"].identity, stale)
+        fleet.post("entry-1", message)
+        self.assertEqual(2, node.config.revision)
+        self.assertEqual(1, len(logged(fleet, "config_older_refused")))
+
+    def test_restored_service_is_refused_and_healed(self):
+        fleet = make_fleet()
+        accept(fleet, intent())
+        saved = fleet.kv.save()
+        accept(fleet, intent(manifest=NEXT_MANIFEST), operation="next")
+        fleet.kv.values = saved
+        early = accept(fleet, intent("other"), operation="early", seconds=1.0)
+        self.assertEqual(confirm.Verdict.NOT_ACCEPTED, early.verdict)
+        fleet.run(30.0)
+        self.assertEqual({2}, revisions(fleet))
+        self.assertEqual(2, head(fleet).revision)
+        late = accept(fleet, intent("other"), operation="late")
+        self.assertEqual((confirm.Verdict.ACCEPTED, 3), (late.verdict, late.revision))
+        self.assertEqual({3}, revisions(fleet))
+        for node in fleet.nodes.values():
+            self.assertEqual(NEXT_MANIFEST, node.config.intents["pool"].manifest_hash)
+
+    def test_emptied_service_is_healed(self):
+        fleet = make_fleet()
+        accept(fleet, intent())
+        fleet.kv.values = {}
+        fleet.run(60.0)
+        self.assertEqual(1, head(fleet).revision)
+        self.assertEqual({1}, revisions(fleet))
+
+    def test_watch_gap(self):
+        fleet = make_fleet()
+        fleet.run(1.0)
+        fleet.kv.watches.clear()
+        accept(fleet, intent(), seconds=8.0)
+        self.assertEqual({1}, revisions(fleet))
+
+    def test_entries_replaced_one_after_another_while_the_service_is_down(self):
+        fleet = make_fleet()
+        accept(fleet, intent(), seconds=20.0)
+        before = serving(fleet)
+        fleet.kv.up = False
+        for node in fleet.entries():
+            identity = node.identity
+            fleet.remove(identity.instance_id)
+            fleet.run(1.0)
+            name = identity.instance_id + "-new"
+            fleet.add(name, data.Role.ENTRY, identity.zone, identity.region)
+            fleet.run(8.0)
+        self.assertEqual({1}, revisions(fleet))
+        self.assertEqual(before, serving(fleet))
+        fleet.kv.up = True
+        fleet.run(15.0)
+        self.assertEqual(1, len(holders(fleet)))
+
+    def test_endpoint_that_starts_while_the_service_is_down_learns_and_resumes(self):
+        fleet = make_fleet()
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        fleet.kv.up = False
+        fleet.run(30.0)
+        fleet.add("engine-0", data.Role.ENDPOINT, "brest-a", "finistere")
+        fleet.run(20.0)
+        self.assertEqual({1}, revisions(fleet))
+        self.assertEqual(4, len(serving(fleet)))
+
+    def test_region_cut_for_an_hour(self):
+        fleet = make_fleet(entries=4, endpoints=4)
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        fleet.cut.add(frozenset(("finistere", "morbihan")))
+        fleet.service_cut.add("morbihan")
+        fleet.run(30.0)
+        wanted = intent(replicas=4, manifest=NEXT_MANIFEST)
+        answer = accept(fleet, wanted, entry="entry-0", operation="cut")
+        self.assertEqual(confirm.Verdict.ACCEPTED, answer.verdict)
+        fleet.run(3600.0)
+        self.assertEqual({1, 2}, revisions(fleet))
+        answer = accept(fleet, intent("far"), entry="entry-1", operation="far")
+        self.assertEqual(confirm.Verdict.NOT_ACCEPTED, answer.verdict)
+        fleet.cut.clear()
+        fleet.service_cut.clear()
+        fleet.run(40.0)
+        self.assertEqual({2}, revisions(fleet))
+        self.assertEqual({"v-b"}, set(serving(fleet).values()))
+        loads = [
+            order
+            for engine in fleet.engines.values()
+            for order in engine.taken
+            if order.kind is data.OrderKind.LOAD and order.version == "v-b"
+        ]
+        self.assertEqual(4, len(loads))
+
+
+class LeaseFailuresTest(testtools.TestCase):
+    def test_answers_lost_on_grant_and_renewal(self):
+        fleet = make_fleet(seed=3)
+        fleet.run(2.0)
+        for _ in range(10):
+            fleet.kv.lose_answers = 1
+            fleet.run(5.0)
+            self.assertLessEqual(len(holders(fleet)), 1)
+        fleet.run(15.0)
+        self.assertEqual(1, len(holders(fleet)))
+
+    def test_holder_stops_before_its_lease_ends(self):
+        fleet = make_fleet()
+        fleet.run(5.0)
+        holder = holders(fleet)[0]
+        fleet.kv.up = False
+        _, _, expires_s = fleet.kv.leases[leases.LEASE_KEY]
+        while leases.held(holder):
+            fleet.run(0.1)
+        self.assertLess(fleet.now_s, expires_s)
+
+    def test_paused_holder_does_no_harm_to_an_engine_that_ignores_fencing(self):
+        fleet = make_fleet()
+        for engine in fleet.engines.values():
+            engine.checks_fence = False
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        paused = holders(fleet)[0].identity.instance_id
+        stale_fence = fleet.nodes[paused].leases.fence
+        fleet.frozen.add(paused)
+        fleet.run(20.0)
+        other = holders(fleet)[-1].identity.instance_id
+        self.assertNotEqual(paused, other)
+        wanted = intent(replicas=4, manifest=NEXT_MANIFEST)
+        accept(fleet, wanted, entry=other, operation="next", seconds=20.0)
+        order = data.Order(
+            stale_fence,
+            "stale",
+            "engine-0",
+            "pool",
+            data.ServiceKind.MODEL,
+            "m",
+            "v-a",
+            "a" * 64,
+            sequence=999,
+        )
+        sender = fleet.nodes[paused].identity
+        fleet.post("engine-0", events.MessageReceived(sender, order))
+        fleet.frozen.clear()
+        fleet.run(20.0)
+        self.assertEqual({"v-b"}, set(serving(fleet).values()))
+        self.assertEqual(1, len(holders(fleet)))
+        self.assertEqual("stale", logged(fleet, "order_refused")[0]["operation_id"])
+
+    def test_restarted_endpoint_learns_the_fence_although_its_engine_keeps_none(self):
+        fleet = make_fleet()
+        fleet.engines["engine-0"].checks_fence = False
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        fence = fleet.nodes["engine-0"].orders.fence
+        fleet.add("engine-0", data.Role.ENDPOINT, "brest-a", "finistere")
+        fleet.run(3.0)
+        order = data.Order(
+            fence - 1, "stale", "engine-0", "", data.ServiceKind.MODEL, sequence=99
+        )
+        sender = fleet.nodes["entry-0"].identity
+        fleet.post("engine-0", events.MessageReceived(sender, order))
+        self.assertEqual(1, len(logged(fleet, "order_refused")))
+
+    def test_fencing_numbers_grow_after_the_service_was_restored(self):
+        fleet = make_fleet()
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        highest = fleet.nodes["engine-0"].orders.fence
+        fleet.kv.leases.clear()
+        fleet.kv.last_fence = 0
+        fleet.run(30.0)
+        accept(
+            fleet,
+            intent(replicas=4, manifest=NEXT_MANIFEST),
+            operation="next",
+            seconds=40.0,
+        )
+        self.assertEqual({"v-b"}, set(serving(fleet).values()))
+        self.assertGreater(fleet.nodes["engine-0"].orders.fence, highest)
+
+
+class OrderFailuresTest(testtools.TestCase):
+    def test_delayed_order_under_the_same_fence_undoes_nothing(self):
+        fleet = make_fleet()
+        accept(fleet, intent(replicas=4), seconds=20.0)
+        node = fleet.nodes["engine-0"]
+        fields = ("engine-0", "pool", data.ServiceKind.MODEL, "m", "v-0", "0" * 64)
+        old = data.Order(node.orders.fence, "old", *fields, sequence=0)
+        sender = fleet.nodes["entry-0"].identity
+        fleet.post("engine-0", events.MessageReceived(sender, old))
+        self.assertEqual("v-a", node.orders.target.version)
+
+    def test_doubled_order_loads_once(self):
+        fleet = make_fleet(endpoints=1)
+        accept(fleet, intent(replicas=1), seconds=20.0)
+        node = fleet.nodes["engine-0"]
+        sender = fleet.nodes["entry-0"].identity
+        for _ in range(3):
+            message = events.MessageReceived(sender, node.orders.target)
+            fleet.post("engine-0", message)
+            fleet.run(5.0)
+        kinds = [order.kind for order in fleet.engines["engine-0"].taken]
+        self.assertEqual([data.OrderKind.LOAD, data.OrderKind.ACTIVATE], kinds)
+
+    def test_wrong_digest_is_not_served(self):
+        fleet = make_fleet(endpoints=1)
+        engine = fleet.engines["engine-0"]
+        status = engine.status
+        engine.status = lambda: data.EngineStatus(
+            digests=dict.fromkeys(status().digests, "x")
+        )
+        accept(fleet, intent(replicas=1, floor=0), seconds=100.0)
+        self.assertEqual({}, serving(fleet))
+        self.assertIn("no end of checking", logged(fleet, "order_failed")[0]["why"])
+
+
+class DepartureTest(testtools.TestCase):
+    def departure(self, fleet, name, seconds):
+        start_s = WALL_S + fleet.now_s + seconds
+        return data.Departure(name, start_s, start_s + 600.0)
+
+    def test_loads_first_then_drains(self):
+        fleet = make_fleet(endpoints=4)
+        accept(fleet, intent(replicas=2, floor=2), seconds=20.0)
+        leaving = sorted(serving(fleet))[0]
+        wanted = intent(
+            replicas=2, floor=2, departures=(self.departure(fleet, leaving, 300.0),)
+        )
+        accept(fleet, wanted, operation="leave", seconds=0.5)
+        least = 2
+        for _ in range(300):
+            fleet.run(0.1)
+            least = min(least, len(serving(fleet)))
+        self.assertEqual(2, least)
+        self.assertTrue(fleet.nodes[leaving].orders.draining)
+        self.assertEqual(2, len(serving(fleet)))
+
+    def test_window_is_kept_without_service_and_entries(self):
+        fleet = make_fleet(endpoints=2)
+        accept(fleet, intent(replicas=2, floor=2), seconds=20.0)
+        leaving = sorted(serving(fleet))[0]
+        wanted = intent(
+            replicas=2, floor=1, departures=(self.departure(fleet, leaving, 300.0),)
+        )
+        accept(fleet, wanted, operation="leave", seconds=0.5)
+        fleet.run(8.0)
+        fleet.kv.up = False
+        for node in fleet.entries():
+            fleet.remove(node.identity.instance_id)
+        fleet.run(300.0)
+        self.assertTrue(fleet.nodes[leaving].orders.draining)
+        drains = [log for _, _, log in fleet.logs if log.event == "drain_started"]
+        self.assertEqual(1, len(drains))
+
+    def test_floor_is_kept_when_nothing_can_replace(self):
+        fleet = make_fleet(endpoints=2)
+        accept(fleet, intent(replicas=2, floor=2), seconds=20.0)
+        leaving = sorted(serving(fleet))[0]
+        wanted = intent(
+            replicas=2, floor=2, departures=(self.departure(fleet, leaving, 900.0),)
+        )
+        fleet.post("entry-0", confirm.PlanRequested("plan", (wanted,)))
+        self.assertIn("the floor is 2", fleet.answers[-1].problems[0])
+
+    def test_dead_instance_is_replaced(self):
+        fleet = make_fleet(endpoints=4)
+        accept(fleet, intent(replicas=2, floor=1), seconds=20.0)
+        fleet.remove(sorted(serving(fleet))[0])
+        fleet.run(20.0)
+        self.assertEqual(2, len(serving(fleet)))
+
+    def test_removed_service_is_released(self):
+        fleet = make_fleet()
+        accept(fleet, intent(), seconds=20.0)
+        fleet.post("entry-0", confirmation(1, removed=("pool",), operation="remove"))
+        fleet.run(20.0)
+        self.assertEqual({}, serving(fleet))
+        kinds = {
+            order.kind for engine in fleet.engines.values() for order in engine.taken
+        }
+        self.assertIn(data.OrderKind.UNLOAD, kinds)
+
+
+class PlanTest(testtools.TestCase):
+    def test_same_proposal_same_plan(self):
+        fleet = make_fleet()
+        for name in ("entry-0", "entry-1"):
+            fleet.post(name, confirm.PlanRequested("plan", (intent(),)))
+        left, right = (answer.plan for answer in fleet.answers)
+        self.assertEqual(left, right)
+
+    def test_bytes_links_and_warnings(self):
+        fleet = make_fleet()
+        costs = plans.Costs(store_region="finistere")
+        fleet.nodes["entry-0"].confirm.costs = costs
+        wanted = intent(
+            replicas=5,
+            weights_bytes=3_000_000,
+            departures=(data.Departure("engine-0", WALL_S + 3, WALL_S + 60),),
+        )
+        fleet.post("entry-0", confirm.PlanRequested("plan", (wanted,)))
+        plan = fleet.answers[-1].plan
+        self.assertEqual(3_000_000, plan.origin_bytes)
+        self.assertEqual("morbihan", plan.link_bytes[0].to_region)
+        self.assertEqual(12.0, plan.expected_s)
+        self.assertEqual(2, len(plan.warnings))
+        self.assertEqual(3, len(plan.steps))
