Tell the controller which plain service an instance can serve

An endpoint process that served nothing reported the kind of an engine, so a plain instance could be ordered to load a model, and one service's instance another service. The report now names the kind and the plain service behind the process always.

--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -211,6 +211,7 @@
     :param version: the version that is whole, verified and served.
     :param sequence: grows with each report of one incarnation.
     :param target_version: the version being moved, if any.
+    :param offers: the one plain service that can be served here; empty for engines.
     :param staged_chunks: how many of ``target_chunks`` are held and verified.
     """
 
@@ -230,6 +231,7 @@
     staged_chunks: int = 0
     target_chunks: int = 0
     failure: str = ""
+    offers: ServiceName = ServiceName("")
 
 
 class Order(Message):
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -364,6 +364,34 @@
         self.assertIn("no end of checking", logged(fleet, "order_failed")[0]["why"])
 
 
+class PlainServiceTest(testtools.TestCase):
+    def test_instances_serve_only_what_stands_behind_them(self):
+        fleet = make_fleet(endpoints=1)
+        plain = data.ServiceKind.PLAIN
+        for index, service in enumerate(("desk", "desk", "office")):
+            fleet.add(
+                f"plain-{index}",
+                data.Role.ENDPOINT,
+                "brest-a",
+                "finistere",
+                plain,
+                service,
+            )
+        fleet.run(2.0)
+        desk = data.Intent("desk", plain, 3, 1, ())
+        accept(fleet, desk, data.Intent("office", plain, 1, 1, ()), seconds=15.0)
+        found = {
+            name: node.orders.serving.service
+            for name, node in fleet.nodes.items()
+            if node.identity.role is data.Role.ENDPOINT and node.orders.serving
+        }
+        expected = {"plain-0": "desk", "plain-1": "desk", "plain-2": "office"}
+        self.assertEqual(expected, found)
+        self.assertIn(
+            "1 instances short", logged(fleet, "controller_warning")[0]["why"]
+        )
+
+
 class DepartureTest(testtools.TestCase):
     def departure(self, fleet, name, seconds):
         start_s = WALL_S + fleet.now_s + seconds
--- a/toucanspread/core/placement.py
+++ b/toucanspread/core/placement.py
@@ -21,6 +21,7 @@
     state: data.MemberState
     kind: data.ServiceKind
     service: data.ServiceName
+    offers: data.ServiceName
     model: data.ModelName
     version: data.VersionName
     manifest_hash: data.ManifestHash
@@ -74,6 +75,7 @@
         state,
         report.kind,
         report.service,
+        report.offers,
         report.model,
         report.version,
         report.manifest_hash,
@@ -199,7 +201,7 @@
     if intent.zones and replica.zone not in intent.zones:
         return False
     if replica.kind is data.ServiceKind.PLAIN:
-        return replica.service in ("", intent.service)
+        return replica.offers in ("", intent.service)
     return True
 
 
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/reporting.py
@@ -108,6 +108,8 @@
     found["revision"] = getattr(config, "revision", data.Revision(0))
     orders = getattr(node, "orders", None)
     found["fence"] = getattr(orders, "fence", data.FencingNumber(0))
+    found["kind"] = getattr(orders, "kind", data.ServiceKind.MODEL)
+    found["offers"] = getattr(orders, "service", data.ServiceName(""))
     serving = getattr(orders, "serving", None)
     if serving is None:
         return found
