Claim calls in self-cleaning tables, and test several gates under random faults

One key per call would need a delete for each, and a process that dies would leave its keys behind for good. A fixed number of tables, rewritten by compare-and-swap, drops expired claims with each write: one read and one write a call, no deletes, and a service that is down is seen at the read, before anything is written.

Found by the stateful test: a restarted process said 'not run' of a dispatch meant for its predecessor, which another copy had reached; it now says 'unknown'.

--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -20,6 +20,7 @@
 MODEL_SERVICE = data.ServiceName("redactor")
 MODEL = data.ModelName("redactor")
 VERSION = data.VersionName("v1")
+WALL_START_S = 1_800_000_000.0
 WEIGHTS_HASH = "d1" * 32
 ENTRY = data.Identity(
     instance_id=data.InstanceId("entry-1"),
@@ -32,38 +33,44 @@
 
 
 class FakeKeyValue:
-    """The platform's key-value service, as far as claims use it."""
+    """The platform's key-value service, as far as claims use it.
+
+    Versions grow over all keys, as those of the real service.
+    """
 
     def __init__(self):
         self.values: dict[str, tuple[bytes, int]] = {}
         self.writes = 0
+        self.reads = 0
+        self._version = 0
 
     def carry_out(self, effect: data.Effect) -> events.KvAnswered:
         """Apply a call and return its answer."""
+        found, version = self.values.get(effect.key, (b"", 0))
         if isinstance(effect, effects.KvRead):
-            return self._read(effect)
+            self.reads += 1
+            status = data.KvStatus.OK if version else data.KvStatus.ABSENT
+            return events.KvAnswered(
+                effect.operation_id, status, effect.key, found, version
+            )
         self.writes += 1
-        _, version = self.values.get(effect.key, (b"", 0))
         if version != effect.expected_version:
             status = data.KvStatus.CONFLICT
             return events.KvAnswered(effect.operation_id, status, effect.key)
-        if isinstance(effect, effects.KvDelete):
-            self.values.pop(effect.key, None)
-            version = 0
-        else:
-            version += 1
-            self.values[effect.key] = (effect.value, version)
-        status = data.KvStatus.OK
+        self._version += 1
+        self.values[effect.key] = (effect.value, self._version)
         return events.KvAnswered(
-            effect.operation_id, status, effect.key, version=version
+            effect.operation_id,
+            data.KvStatus.OK,
+            effect.key,
+            effect.value,
+            self._version,
         )
 
-    def _read(self, effect: effects.KvRead) -> events.KvAnswered:
-        value, version = self.values.get(effect.key, (b"", 0))
-        status = data.KvStatus.OK if version else data.KvStatus.ABSENT
-        return events.KvAnswered(
-            effect.operation_id, status, effect.key, value, version
-        )
+
+def is_key_value(effect: data.Effect) -> bool:
+    """Return whether an effect is a call on the key-value service."""
+    return isinstance(effect, (effects.KvRead, effects.KvWrite))
 
 
 def serving(kind: data.ServiceKind) -> types.SimpleNamespace:
@@ -129,6 +136,7 @@
     def step(self, event: data.Event, after_s: float = 0.0) -> list[data.Effect]:
         """Feed an event, and return the effects but for logs and metrics."""
         self.now_s += after_s
+        self.node.wall_s = WALL_START_S + self.now_s
         found = self.machine.step(self.now_s, event)
         quiet = (effects.Log, effects.Count, effects.Observe)
         return [effect for effect in found if not isinstance(effect, quiet)]
--- a/toucanspread/core/claims.py
+++ b/toucanspread/core/claims.py
@@ -1,29 +1,28 @@
 """At-most-once execution of requests that may not be repeated.
 
-Before such a request runs, its call is claimed by creating a key in the platform's
-key-value service. Only the process whose create succeeded may run it. A create whose
-answer was lost is resolved by reading the key back: it names the operation that
-created it. A claim that was given up never runs later, and if its write landed after
-all, this process, which alone knows that the call was not run, removes it.
+Before such a request runs, its call is claimed in a table in the platform's key-value
+service, by reading the table and writing it back if nobody else did meanwhile. Only
+the process whose write succeeded may run the call. A write whose answer was lost is
+resolved by reading back: the table names the operation. A claim that was given up
+never runs later; this process, which alone knows that, withdraws it from the table.
 """
 
 import collections
 import dataclasses
 import enum
-import hashlib
 
-import msgspec
-
-from toucanspread.core import data, effects, events, invariants
+from toucanspread.core import claim_table, data, effects, events, invariants
 
 CLAIM_TIMEOUT_S = 1.5  # after this the key-value service counts as down
-RETRY_AFTER_S = 2.0
+DOWN_S = 1.0  # how long claims are refused at once before one tries again
 KEEP_S = 900.0  # how long a repeat of a call is recognised
+MAX_TRIES = 5  # reads of one table that others keep writing
 RUNNING_RETRY_AFTER_S = 1.0
-ORPHAN_DELAYS_S = (2.0, 10.0, 60.0, 300.0)  # when to look whether a lost write landed
-MAX_ORPHANS = 2_000
-MAX_DELETES_PER_TICK = 5
-MAX_NAME_LENGTH = 200
+RETRY_AFTER_S = 2.0
+WITHDRAW_DELAYS_S = (0.5, 2.0, 10.0, 60.0, 300.0)
+MAX_WITHDRAWALS = 2_000
+MAX_STARTED_PER_TICK = 5
+MAX_CALLS = 10_000  # remembered of this process's own; the table knows the rest
 
 Key = tuple[data.RequestId, int]
 
@@ -63,7 +62,7 @@
 class ClaimUsed(data.Event):
     """Internal: what became of a won claim.
 
-    :param ran: false only with proof that nothing was run; the claim is undone.
+    :param ran: false only with proof that nothing was run; the claim is withdrawn.
     :param whole: whether a whole answer came.
     """
 
@@ -72,60 +71,62 @@
     whole: bool
 
 
-class Holder(data.Record):
-    """The value of a claim: who created it."""
-
-    operation_id: data.OperationId
-    instance_id: data.InstanceId
-    incarnation: data.Incarnation
-
-
 class Phase(enum.Enum):
-    """What a pending claim waits for."""
+    """What a claim or a withdrawal waits for."""
 
+    IDLE = "idle"
+    READ = "read"
     WRITE = "write"
-    READ_BACK = "read back"
 
 
 @dataclasses.dataclass
 class Claim:
-    """A claim that is being decided or was won.
+    """A claim that is being decided, was won or was used.
 
-    :param name: the key in the key-value service.
-    :param version: the version of that key, once won.
+    :param table: the key of its table.
+    :param call: names the call in the table.
+    :param written_version: the version that the last write expected; -1 before it.
     """
 
     key: Key
-    name: str
+    table: str
+    call: str
     operation_id: data.OperationId
     deadline_s: float
     team: data.TeamName
     body_hash: int
-    phase: Phase = Phase.WRITE
-    version: int = 0
-    retried: bool = False
+    phase: Phase = Phase.READ
+    tries: int = 0
+    written_version: int = -1
     ran: bool = False
     whole: bool = False
 
+    @property
+    def name(self) -> str:
+        """Return what names the call over all services."""
+        return f"{self.table}/{self.call}"
+
 
 @dataclasses.dataclass
-class Orphan:
-    """A claim that was given up and must not stay in the key-value service."""
+class Withdrawal:
+    """A claim that must not stay in its table, nor appear there later."""
 
-    name: str
-    operation_id: data.OperationId
+    table: str
+    claim_id: data.OperationId
+    written_version: int
     due_s: float
+    phase: Phase = Phase.IDLE
     looks: int = 0
-    deleting: bool = False
 
 
 class State:
     """The claims of this process.
 
-    :ivar calls: pending, won and used claims, by name.
+    :ivar calls: claims that are pending, won or used, by name.
     :ivar pending: being decided, by operation.
     :ivar held: won and not yet used, by request.
     :ivar used_s: when calls that ran here ended, by name, the oldest first.
+    :ivar down_until_s: until when the key-value service counts as down.
     """
 
     def __init__(self):
@@ -133,8 +134,9 @@
         self.pending: dict[data.OperationId, Claim] = {}
         self.held: dict[Key, Claim] = {}
         self.used_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self.withdrawals: dict[data.OperationId, Withdrawal] = {}
+        self.down_until_s: float | None = None
         self.claim_count = 0
-        self.orphans: dict[data.OperationId, Orphan] = {}
 
 
 def effective_key(request: data.Request) -> data.IdempotencyKey:
@@ -142,61 +144,54 @@
     return request.idempotency_key or data.IdempotencyKey(request.request_id)
 
 
-def claim_name(service: data.ServiceName, idempotency_key: data.IdempotencyKey) -> str:
-    """Return the key of a call's claim in the key-value service."""
-    name = f"claims/{service}/{idempotency_key}"
-    if len(name) <= MAX_NAME_LENGTH and "/" not in idempotency_key:
-        return name
-    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
-    return f"claims/{service}/sha256/{digest}"
-
-
 def on_wanted(node, event: ClaimWanted) -> list:
-    """Create the claim, unless the call is known here already."""
+    """Start a claim, unless the call is known here or the service is down."""
     state = node.claims
-    name = claim_name(event.service, event.idempotency_key)
-    known = state.calls.get(name)
-    if known is not None:
-        return [_duplicate(event, known)]
     state.claim_count += 1
-    operation_id = data.OperationId(
-        f"claim/{node.identity.instance_id}/{node.identity.incarnation}"
-        f"/{state.claim_count}"
-    )
+    call = claim_table.call_name(event.idempotency_key)
     claim = Claim(
         key=event.key,
-        name=name,
-        operation_id=operation_id,
+        table=claim_table.table_key(event.service, call),
+        call=call,
+        operation_id=data.OperationId(
+            f"{node.identity.instance_id}/{node.identity.incarnation}"
+            f"/{state.claim_count}"
+        ),
         deadline_s=min(event.deadline_s, node.now_s + CLAIM_TIMEOUT_S),
         team=event.team,
         body_hash=event.body_hash,
     )
-    state.calls[name] = claim
-    state.pending[operation_id] = claim
-    return [_create(node, claim)]
+    known = state.calls.get(claim.name)
+    if known is not None:
+        return [_known_duplicate(event, known)]
+    if _counts_as_down(node):
+        return [_unavailable(claim, state.down_until_s - node.now_s)]
+    state.calls[claim.name] = claim
+    state.pending[claim.operation_id] = claim
+    return [_read(claim)]
 
 
 def on_kv(node, event: events.KvAnswered) -> list:
-    """Go on with the claim or the orphan that the answer is for."""
+    """Go on with the claim or the withdrawal that the answer is for."""
     state = node.claims
     claim = state.pending.get(event.operation_id)
     if claim is not None:
-        if claim.phase is Phase.WRITE:
-            return _on_created(node, claim, event)
-        return _on_read_back(node, claim, event)
-    orphan = state.orphans.get(event.operation_id)
-    if orphan is not None:
-        return _on_orphan(node, orphan, event)
+        if claim.phase is Phase.READ:
+            return _on_table(node, claim, event)
+        return _on_written(node, claim, event)
+    withdrawal = state.withdrawals.get(event.operation_id)
+    if withdrawal is not None:
+        return _on_withdrawal(node, withdrawal, event)
     return []
 
 
 def on_used(node, event: ClaimUsed) -> list:
-    """Keep the claim of a call that ran; undo that of one that did not."""
+    """Keep the claim of a call that ran; withdraw that of one that did not."""
     state = node.claims
     claim = state.held.pop(event.key)
     if not event.ran:
         del state.calls[claim.name]
-        _abandon(node, claim, delay_s=0.0)
+        _withdraw(node, claim)
         return []
     claim.ran = True
     claim.whole = event.whole
@@ -205,17 +200,17 @@
 
 
 def on_tick(node, event: events.Tick) -> list:
-    """Decide overdue claims, look after orphans, delete old claims."""
+    """Give up overdue claims, withdraw, forget old calls."""
     state = node.claims
     items: list = []
     if state.pending:
         for claim in tuple(state.pending.values()):
             if node.now_s >= claim.deadline_s:
                 items += _give_up(node, claim)
-    if state.orphans:
-        items += _look_after_orphans(node)
+    if state.withdrawals:
+        items += _look_after_withdrawals(node)
     if state.used_s:
-        items += _delete_old(node)
+        _forget_old(node)
     return items
 
 
@@ -227,57 +222,81 @@
 }
 
 
-def _duplicate(event: ClaimWanted, known: Claim) -> ClaimDecided:
+def _counts_as_down(node) -> bool:
+    """Return whether to refuse at once; one claim at a time may try again."""
+    state = node.claims
+    if state.down_until_s is None:
+        return False
+    if node.now_s < state.down_until_s:
+        return True
+    state.down_until_s = node.now_s + DOWN_S
+    return False
+
+
+def _known_duplicate(event: ClaimWanted, known: Claim) -> ClaimDecided:
     """Return the verdict on a repeat of a call that is known here."""
     same = known.team == event.team and known.body_hash == event.body_hash
-    kept = known.key if known.whole and same else None
     return ClaimDecided(
         event.key,
         Verdict.DUPLICATE,
         data.Reason.DUPLICATE,
         0.0 if known.ran else RUNNING_RETRY_AFTER_S,
-        kept,
+        known.key if known.whole and same else None,
     )
 
 
-def _create(node, claim: Claim) -> effects.KvWrite:
+def _read(claim: Claim) -> effects.KvRead:
+    claim.phase = Phase.READ
+    claim.tries += 1
+    return effects.KvRead(claim.operation_id, claim.table)
+
+
+def _table_of(event: events.KvAnswered) -> claim_table.Table | None:
+    """Return the table that was read, or None when there is no usable answer."""
+    if event.status is data.KvStatus.ABSENT:
+        return {}
+    if event.status is not data.KvStatus.OK:
+        return None
+    try:
+        return claim_table.decode(event.value)
+    except claim_table.TableError:
+        return None
+
+
+def _on_table(node, claim: Claim, event: events.KvAnswered) -> list:
+    """Decide by the table, or write the claim into it."""
+    table = _table_of(event)
+    if table is None:
+        return _give_up(node, claim)
+    node.claims.down_until_s = None
+    table = claim_table.drop_expired(table, node.wall_s)
+    entry = table.get(claim.call)
+    if entry is not None and entry.operation_id == claim.operation_id:
+        return _win(node, claim)
+    if entry is not None:
+        # Another claim stands in the table, so a lost write of ours cannot land.
+        return _lose(node, claim)
+    if claim.tries > MAX_TRIES or len(table) >= claim_table.MAX_CLAIMS:
+        return _give_up(node, claim, is_down=False)
+    table[claim.call] = claim_table.Entry(claim.operation_id, int(node.wall_s + KEEP_S))
     claim.phase = Phase.WRITE
-    holder = Holder(
-        claim.operation_id, node.identity.instance_id, node.identity.incarnation
-    )
-    value = msgspec.json.encode(holder)
-    return effects.KvWrite(claim.operation_id, claim.name, value, 0)
+    claim.written_version = event.version
+    value = claim_table.encode(table)
+    return [effects.KvWrite(claim.operation_id, claim.table, value, event.version)]
 
 
-def _on_created(node, claim: Claim, event: events.KvAnswered) -> list:
+def _on_written(node, claim: Claim, event: events.KvAnswered) -> list:
     if event.status is data.KvStatus.OK:
-        return _win(node, claim, event.version)
+        return _win(node, claim)
     if event.status is data.KvStatus.NOT_APPLIED:
-        return _lose(node, claim, Verdict.UNAVAILABLE)
+        return _give_up(node, claim)
     # A conflict may be with our own write, repeated below us; only a read tells.
-    claim.phase = Phase.READ_BACK
-    return [effects.KvRead(claim.operation_id, claim.name)]
-
-
-def _on_read_back(node, claim: Claim, event: events.KvAnswered) -> list:
-    if event.status is data.KvStatus.OK and event.value:
-        if _holder(event.value) == claim.operation_id:
-            return _win(node, claim, event.version)
-        # The key exists for another, so our create can no longer take effect.
-        return _lose(node, claim, Verdict.DUPLICATE)
-    absent = event.status in (data.KvStatus.ABSENT, data.KvStatus.OK)
-    if absent and not claim.retried:
-        # The lost create may still land; both carry the same operation id, and
-        # only one of them can take effect.
-        claim.retried = True
-        return [_create(node, claim)]
-    return _give_up(node, claim)
-
-
-def _win(node, claim: Claim, version: int) -> list:
+    return [_read(claim)]
+
+
+def _win(node, claim: Claim) -> list:
     state = node.claims
     del state.pending[claim.operation_id]
-    claim.version = version
     invariants.check(
         state.calls.get(claim.name) is claim and not claim.ran,
         invariants.Invariant.AT_MOST_ONCE,
@@ -287,85 +306,91 @@
     return [ClaimDecided(claim.key, Verdict.WON)]
 
 
-def _lose(node, claim: Claim, verdict: Verdict) -> list:
+def _lose(node, claim: Claim) -> list:
     del node.claims.pending[claim.operation_id]
     del node.claims.calls[claim.name]
-    if verdict is Verdict.DUPLICATE:
-        return [ClaimDecided(claim.key, verdict, data.Reason.DUPLICATE)]
-    return [_unavailable(claim)]
+    return [ClaimDecided(claim.key, Verdict.DUPLICATE, data.Reason.DUPLICATE)]
 
 
-def _give_up(node, claim: Claim) -> list:
-    """Answer "not run" at once; the write may still land, so keep an eye on it."""
-    del node.claims.pending[claim.operation_id]
-    del node.claims.calls[claim.name]
-    _abandon(node, claim, ORPHAN_DELAYS_S[0])
-    return [_unavailable(claim), effects.Count("claims_given_up")]
+def _give_up(node, claim: Claim, is_down: bool = True) -> list:
+    """Answer "not run" at once; a write that may still land is withdrawn."""
+    state = node.claims
+    del state.pending[claim.operation_id]
+    del state.calls[claim.name]
+    if claim.written_version >= 0:
+        _withdraw(node, claim)
+    if is_down:
+        state.down_until_s = node.now_s + DOWN_S
+    return [_unavailable(claim, RETRY_AFTER_S), effects.Count("claims_given_up")]
 
 
-def _unavailable(claim: Claim) -> ClaimDecided:
-    reason = data.Reason.CLAIM_UNAVAILABLE
-    return ClaimDecided(claim.key, Verdict.UNAVAILABLE, reason, RETRY_AFTER_S)
+def _unavailable(claim: Claim, retry_after_s: float) -> ClaimDecided:
+    return ClaimDecided(
+        claim.key,
+        Verdict.UNAVAILABLE,
+        data.Reason.CLAIM_UNAVAILABLE,
+        max(DOWN_S, retry_after_s),
+    )
 
 
-def _abandon(node, claim: Claim, delay_s: float) -> None:
-    """Have the claim removed from the key-value service if it is, or gets, there."""
-    orphans = node.claims.orphans
-    if len(orphans) >= MAX_ORPHANS:
-        # Its key stays: a repeat of the call is then answered with "unknown".
+def _withdraw(node, claim: Claim) -> None:
+    withdrawals = node.claims.withdrawals
+    if len(withdrawals) >= MAX_WITHDRAWALS:
+        # The claim stays until it expires; repeats are answered with "unknown".
         return
     # An id of its own, so that a late answer to the claim is not taken for its own.
-    operation_id = data.OperationId(f"undo-{claim.operation_id}")
-    orphans[operation_id] = Orphan(claim.name, claim.operation_id, node.now_s + delay_s)
+    operation_id = data.OperationId(f"{claim.operation_id}/withdraw")
+    withdrawals[operation_id] = Withdrawal(
+        claim.table, claim.operation_id, claim.written_version, node.now_s
+    )
 
 
-def _look_after_orphans(node) -> list:
+def _look_after_withdrawals(node) -> list:
+    """Start the withdrawals that are due, a few at a time."""
+    withdrawals = node.claims.withdrawals
     items: list = []
-    for operation_id, orphan in tuple(node.claims.orphans.items()):
-        if node.now_s < orphan.due_s:
+    for operation_id, withdrawal in tuple(withdrawals.items()):
+        if node.now_s < withdrawal.due_s:
             continue
-        if orphan.looks >= len(ORPHAN_DELAYS_S):
-            del node.claims.orphans[operation_id]
+        if withdrawal.looks >= len(WITHDRAW_DELAYS_S):
+            del withdrawals[operation_id]
             continue
-        orphan.due_s = node.now_s + ORPHAN_DELAYS_S[orphan.looks]
-        orphan.looks += 1
-        orphan.deleting = False
-        items.append(effects.KvRead(operation_id, orphan.name))
-        if len(items) >= MAX_DELETES_PER_TICK:
+        withdrawal.due_s = node.now_s + WITHDRAW_DELAYS_S[withdrawal.looks]
+        withdrawal.looks += 1
+        withdrawal.phase = Phase.READ
+        items.append(effects.KvRead(operation_id, withdrawal.table))
+        if len(items) >= MAX_STARTED_PER_TICK:
             break
     return items
 
 
-def _on_orphan(node, orphan: Orphan, event: events.KvAnswered) -> list:
-    """Delete the claim if it is there and still ours; else wait for the next look."""
-    orphans = node.claims.orphans
-    if event.status is not data.KvStatus.OK:
-        orphan.deleting = False
+def _on_withdrawal(node, withdrawal: Withdrawal, event: events.KvAnswered) -> list:
+    if withdrawal.phase is Phase.WRITE:
+        withdrawal.phase = Phase.IDLE
+        if event.status is data.KvStatus.OK:
+            del node.claims.withdrawals[event.operation_id]
         return []
-    if orphan.deleting or _holder(event.value) != orphan.operation_id:
-        del orphans[event.operation_id]
+    table = _table_of(event)
+    if table is None or withdrawal.phase is not Phase.READ:
         return []
-    orphan.deleting = True
-    return [effects.KvDelete(event.operation_id, orphan.name, event.version)]
+    rest = claim_table.without_operation(table, withdrawal.claim_id)
+    if len(rest) == len(table) and event.version > withdrawal.written_version:
+        # Not there, and the version that the lost write expected is gone for good.
+        del node.claims.withdrawals[event.operation_id]
+        return []
+    # Also an unchanged table is written, so that a lost write can no longer land.
+    withdrawal.phase = Phase.WRITE
+    value = claim_table.encode(claim_table.drop_expired(rest, node.wall_s))
+    operation_id = event.operation_id
+    return [effects.KvWrite(operation_id, withdrawal.table, value, event.version)]
 
 
-def _delete_old(node) -> list:
-    """Delete claims that are old enough, a few at a time."""
+def _forget_old(node) -> None:
+    """Forget calls that are old; their claims expire in the table by themselves."""
     state = node.claims
-    items: list = []
-    while state.used_s and len(items) < MAX_DELETES_PER_TICK:
+    while state.used_s:
         name, used_s = next(iter(state.used_s.items()))
-        if node.now_s - used_s < KEEP_S:
-            break
+        if node.now_s - used_s < KEEP_S and len(state.used_s) <= MAX_CALLS:
+            return
         del state.used_s[name]
-        claim = state.calls.pop(name)
-        operation_id = data.OperationId(f"delete-{claim.operation_id}")
-        items.append(effects.KvDelete(operation_id, name, claim.version))
-    return items
-
-
-def _holder(value: bytes) -> data.OperationId | None:
-    try:
-        return msgspec.json.decode(value, type=Holder).operation_id
-    except msgspec.MsgspecError:
-        return None
+        del state.calls[name]
--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -158,6 +158,9 @@
     """Take a dispatch in, or refuse it."""
     dispatch = event.dispatch
     key = (dispatch.request.request_id, dispatch.attempt)
+    meant = dispatch.endpoint_incarnation
+    if meant and meant != node.identity.incarnation:
+        return _answer_for_predecessor(node, event)
     known = node.gate.memory.get(key)
     if known is not None:
         return _answer_copy(node, event, known)
@@ -343,9 +346,6 @@
 
 def _refusal(node, dispatch: data.Dispatch) -> tuple[data.Reason, str]:
     """Return why a dispatch must not run here now, or NONE."""
-    meant = dispatch.endpoint_incarnation
-    if meant and meant != node.identity.incarnation:
-        return data.Reason.UNREACHABLE, "the process was restarted"
     if node.gate.draining_since_s is not None or node.orders.draining:
         return data.Reason.LEAVING, ""
     if dispatch.budget_s <= 0:
@@ -502,6 +502,23 @@
     return [RefuseDispatch(end, event.stream), effects.Count("gate_copies", 1, {})]
 
 
+def _answer_for_predecessor(node, event: DispatchArrived) -> list:
+    """Run nothing that was meant for the process before this one.
+
+    Another copy may have reached that process, so only "unknown" is sure to be true.
+    """
+    end = data.AnswerEnd(
+        request_id=event.dispatch.request.request_id,
+        attempt=event.dispatch.attempt,
+        outcome=data.Outcome.UNKNOWN,
+        reason=data.Reason.UNREACHABLE,
+        detail="the process was restarted",
+        load=limits.load(node),
+    )
+    counted = effects.Count("gate_for_predecessor", 1, {})
+    return [RefuseDispatch(end, event.stream), counted]
+
+
 def _outcome(event: RunEnded) -> data.Outcome:
     if event.ok:
         return data.Outcome.DONE
--- /dev/null
+++ b/toucanspread/core/gate_stateful_test.py
@@ -0,0 +1,231 @@
+"""Several gates, one key-value service and one plain service, under random faults."""
+
+import collections
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from standins import gate_fakes
+from toucanspread.core import data, events, gate
+
+GATES = 3
+KEYS = ("deposit-1", "deposit-2", "swap-1")
+gates = st.integers(0, GATES - 1)
+picks = st.integers(0, 10_000)
+
+
+@dataclasses.dataclass
+class Sent:
+    """A dispatch that an entry sent once or, by a fault, several times."""
+
+    gate_number: int
+    dispatch: data.Dispatch
+
+
+class GatesMachine(stateful.RuleBasedStateMachine):
+    """Checks at-most-once and the truth of "not run" over all gates."""
+
+    def __init__(self):
+        super().__init__()
+        self.kv = gate_fakes.FakeKeyValue()
+        self.rigs = [self.new_rig(number, 1) for number in range(GATES)]
+        self.calls: list[tuple[int, int, data.Effect]] = []
+        self.late_writes: list[data.Effect] = []
+        self.late_answers: list[tuple[int, int, data.Event]] = []
+        self.runs: list[tuple[int, gate.StartRun]] = []
+        self.sent: list[Sent] = []
+        self.executed: collections.Counter[str] = collections.Counter()
+        self.executed_attempts: set[gate.Key] = set()
+        self.started_attempts: collections.Counter[gate.Key] = collections.Counter()
+        self.not_run: set[gate.Key] = set()
+        self.open_streams: dict[int, tuple[int, gate.Key]] = {}
+        self.requests = 0
+        self.streams = 0
+
+    def new_rig(self, number, incarnation):
+        kind = data.ServiceKind.PLAIN
+        return gate_fakes.Rig(kind, f"endpoint-{number}", incarnation, limit=3)
+
+    def step(self, number, event, after_s=0.0):
+        rig = self.rigs[number]
+        for effect in rig.step(event, after_s):
+            self.take(number, effect)
+
+    def take(self, number, effect):
+        if gate_fakes.is_key_value(effect):
+            incarnation = self.rigs[number].node.identity.incarnation
+            self.calls.append((number, incarnation, effect))
+        elif isinstance(effect, gate.StartRun):
+            self.started_attempts[(effect.request_id, effect.attempt)] += 1
+            self.runs.append((number, effect))
+        elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
+            self.take_end(effect.stream, effect.end)
+        elif isinstance(effect, gate.ReplayAnswer):
+            assert effect.kept in self.executed_attempts
+            self.take_end(effect.stream, effect.end)
+
+    def take_end(self, stream, end):
+        _, key = self.open_streams.pop(stream)  # a second end fails here
+        assert key == (end.request_id, end.attempt)
+        if end.outcome is not data.Outcome.NOT_RUN:
+            return
+        self.not_run.add(key)
+        still_running = {(run.request_id, run.attempt) for _, run in self.runs}
+        assert key not in self.executed_attempts | still_running
+
+    def deliver(self, sent):
+        self.streams += 1
+        request_id = sent.dispatch.request.request_id
+        key = (request_id, sent.dispatch.attempt)
+        self.open_streams[self.streams] = (sent.gate_number, key)
+        event = gate.DispatchArrived(gate_fakes.ENTRY, sent.dispatch, self.streams)
+        self.step(sent.gate_number, event)
+
+    @stateful.rule(number=gates, key=st.sampled_from(KEYS), budget_s=st.floats(0, 5))
+    def send(self, number, key, budget_s):
+        self.requests += 1
+        request = data.Request(
+            data.RequestId(f"r{self.requests}"),
+            data.TeamName("parish"),
+            gate_fakes.SERVICE,
+            budget_s,
+            repeatable=False,
+            idempotency_key=data.IdempotencyKey(key),
+        )
+        incarnation = self.rigs[number].node.identity.incarnation
+        dispatch = data.Dispatch(request, 1, budget_s, "entry-1", incarnation)
+        self.sent.append(Sent(number, dispatch))
+        self.deliver(self.sent[-1])
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(pick=picks)
+    def deliver_a_late_copy(self, pick):
+        self.deliver(self.sent[pick % len(self.sent)])
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(
+        pick=picks,
+        fault=st.sampled_from(("none", "none", "lost answer", "lost call", "late")),
+    )
+    def answer_key_value(self, pick, fault):
+        number, incarnation, effect = self.calls.pop(pick % len(self.calls))
+        unknown = events.KvAnswered(
+            effect.operation_id, data.KvStatus.UNKNOWN, effect.key
+        )
+        answer = unknown
+        if fault in ("none", "lost answer"):
+            done = self.kv.carry_out(effect)
+            answer = done if fault == "none" else unknown
+        elif fault == "late":
+            self.late_writes.append(effect)
+        self.answer(number, incarnation, answer)
+
+    def answer(self, number, incarnation, answer):
+        if self.rigs[number].node.identity.incarnation == incarnation:
+            self.step(number, answer)
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(pick=picks)
+    def hold_an_answer_back(self, pick):
+        number, incarnation, effect = self.calls.pop(pick % len(self.calls))
+        done = self.kv.carry_out(effect)
+        self.late_answers.append((number, incarnation, done))
+
+    @stateful.precondition(lambda self: self.late_answers)
+    @stateful.rule(pick=picks)
+    def answer_late(self, pick):
+        self.answer(*self.late_answers.pop(pick % len(self.late_answers)))
+
+    @stateful.precondition(lambda self: self.late_writes)
+    @stateful.rule(pick=picks)
+    def land_late(self, pick):
+        self.kv.carry_out(self.late_writes.pop(pick % len(self.late_writes)))
+
+    @stateful.precondition(lambda self: self.runs)
+    @stateful.rule(
+        pick=picks,
+        ending=st.sampled_from(("whole", "whole", "lost", "failed", "refused")),
+    )
+    def end_run(self, pick, ending):
+        number, run = self.runs.pop(pick % len(self.runs))
+        if ending in ("whole", "lost"):
+            self.execute(run)
+        ended = gate.RunEnded(
+            run.request_id,
+            run.attempt,
+            ok=ending == "whole",
+            status=200,
+            started=ending != "refused",
+            detail="",
+            service_time_s=0.1,
+        )
+        self.step(number, ended)
+
+    def execute(self, run):
+        key = (run.request_id, run.attempt)
+        self.executed[run.request.idempotency_key] += 1
+        self.executed_attempts.add(key)
+        assert key not in self.not_run, f"{key} was executed after 'not run'"
+
+    @stateful.rule(number=gates)
+    def restart(self, number):
+        """Lose the process; what it had started may have been executed."""
+        for gate_number, run in tuple(self.runs):
+            if gate_number == number:
+                self.execute(run)
+        self.runs = [item for item in self.runs if item[0] != number]
+        self.open_streams = {
+            stream: item
+            for stream, item in self.open_streams.items()
+            if item[0] != number
+        }
+        before = self.rigs[number]
+        incarnation = before.node.identity.incarnation + 1
+        self.rigs[number] = self.new_rig(number, incarnation)
+        self.rigs[number].now_s = before.now_s
+
+    @stateful.rule(number=gates)
+    def drain(self, number):
+        self.step(number, events.DrainStarted(data.Reason.LEAVING))
+
+    @stateful.precondition(lambda self: self.open_streams)
+    @stateful.rule(pick=picks)
+    def cancel(self, pick):
+        stream = list(self.open_streams)[pick % len(self.open_streams)]
+        number, (request_id, attempt) = self.open_streams[stream]
+        self.step(number, gate.DispatchCancelled(request_id, attempt, stream))
+
+    @stateful.rule(after_s=st.sampled_from((0.1, 0.5, 1.6, 12.0)))
+    def pass_time(self, after_s):
+        for number in range(GATES):
+            self.step(number, events.Tick(), after_s)
+
+    @stateful.invariant()
+    def no_call_is_executed_twice(self):
+        assert all(count <= 1 for count in self.executed.values()), self.executed
+
+    @stateful.invariant()
+    def no_attempt_starts_twice(self):
+        assert all(count <= 1 for count in self.started_attempts.values())
+
+    def teardown(self):
+        """Every dispatch of a living process ends once its runs have ended."""
+        while self.runs:
+            self.end_run(0, "whole")
+        for _ in range(3):
+            self.pass_time(12.0)
+            while self.runs:
+                self.end_run(0, "whole")
+        assert not self.open_streams, self.open_streams
+
+
+GatesTest = GatesMachine.TestCase
+GatesTest.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
