Deal addresses in turn, choose place by place, and measure both

The first measure showed prefix affinity without any effect: attempts that ended without a load in their answer were counted as running for good, so every endpoint looked full. They are now taken off.

Ruled out: a sharper draw of zones (the unevenness was that of independent draws).

--- a/toucanspread/core/endpoints.py
+++ b/toucanspread/core/endpoints.py
@@ -55,6 +55,7 @@
     """What this entry knows of one endpoint process.
 
     :param member_state: what membership believes; the report tells its own state.
+    :param instance_id: the instance that the endpoint process runs on.
     :param in_flight: this entry's own attempts running there.
     :param sent_since_load: own attempts started since ``load`` was heard.
     :param latency_s: smoothed; 0 until the first answer.
@@ -62,6 +63,7 @@
     """
 
     report: data.Report
+    instance_id: data.InstanceId
     seed: int
     load: data.Load
     member_state: data.MemberState = data.MemberState.LIVE
@@ -72,11 +74,6 @@
     failures: int = 0
     avoid_until_s: float = 0.0
 
-    @property
-    def instance_id(self) -> data.InstanceId:
-        """Return the instance that the endpoint process runs on."""
-        return self.report.identity.instance_id
-
     @property
     def identity(self) -> data.Identity:
         """Return who the endpoint process is."""
@@ -193,8 +190,9 @@
     """Take in an endpoint process that was not known, or was restarted."""
     if known is not None:
         node.routing.remove(known)
-    seed = stable_hash(report.identity.instance_id)
-    fresh = Endpoint(report=report, seed=seed, load=report.load)
+    instance_id = report.identity.instance_id
+    seed = stable_hash(instance_id)
+    fresh = Endpoint(report, instance_id, seed, report.load)
     node.routing.add(fresh)
     return fresh
 
@@ -239,6 +237,8 @@
     if event.load is not None:
         _take_load(endpoint, event.load)
         endpoint.answered_s = node.now_s
+    else:
+        endpoint.sent_since_load = max(endpoint.sent_since_load - 1, 0)
     if event.latency_s is not None:
         _learn_latency(node, endpoint, event.latency_s)
     if event.reason in UNAVAILABLE_REASONS:
--- a/toucanspread/core/routing.py
+++ b/toucanspread/core/routing.py
@@ -38,34 +38,25 @@
 
     :param tried: endpoints that have failed or refused the request already.
     """
-    places = []
-    for place in endpoints.by_place(node, request.service):
-        fitting = [e for e in place if e.instance_id not in tried and fits(e, request)]
-        if fitting:
-            places.append(fitting)
-    if not places:
-        return None
-    usable = _without_avoided(node, places)
+    places = endpoints.by_place(node, request.service)
     if request.idempotency_key and not request.repeatable:
         # Repeats of one call meet where its answer is kept, whatever their entry.
-        usable = [[endpoint for place in usable for endpoint in place]]
-    for place in usable:
-        with_room = [e for e in place if _has_room(node, e)]
+        places = [[endpoint for place in places for endpoint in place]]
+    fitting: list[endpoints.Endpoint] = []
+    sound: list[endpoints.Endpoint] = []
+    for place in places:
+        fitting_here = [e for e in place if fits(e, request)]
+        if tried:
+            fitting_here = [e for e in fitting_here if e.instance_id not in tried]
+        sound_here = [e for e in fitting_here if e.avoid_until_s <= node.now_s]
+        with_room = [e for e in sound_here if _has_room(node, e)]
         if with_room:
             return _pick(node, request, with_room)
-    return _pick_by_load(node, [e for place in usable for e in place])
-
-
-def _without_avoided(
-    node: machine.Node, places: list[list[endpoints.Endpoint]]
-) -> list[list[endpoints.Endpoint]]:
-    """Leave out endpoints that failed lately, unless there are no others."""
-    usable = []
-    for place in places:
-        sound = [e for e in place if e.avoid_until_s <= node.now_s]
-        if sound:
-            usable.append(sound)
-    return usable or places
+        fitting += fitting_here
+        sound += sound_here
+    # Endpoints that failed lately are better than none.
+    candidates = sound or fitting
+    return _pick_by_load(node, candidates) if candidates else None
 
 
 def slowness(node: machine.Node, endpoint: endpoints.Endpoint) -> float:
--- a/toucanspread/core/steering.py
+++ b/toucanspread/core/steering.py
@@ -1,13 +1,16 @@
 """Answers callers who ask which entry instances to use for a service.
 
-Entries are drawn at random, each zone in proportion to what the service can run
-there, so that entries stay even while callers keep old answers.
+Entries are dealt in turn, each zone in proportion to what the service can run there,
+so that entries stay even while callers keep old answers.
 """
 
+import collections
+
 from toucanspread.core import data, machine
 
 ADDRESS_LIFETIME_S = 10.0
 ADDRESSES_PER_ANSWER = 3
+LEAST_WEIGHT = 1e-6  # an entry far from every endpoint is better than none
 
 
 class AddressesAsked(data.Event):
@@ -30,21 +33,33 @@
 
 
 class State:
-    """Steering keeps nothing; it reads membership and routing."""
+    """What each entry is owed, by service: its share of the answers less its answers.
+
+    A random start keeps entries from dealing in step.
+    """
+
+    def __init__(self):
+        self.owed: dict[data.ServiceName, dict[data.Address, float]] = {}
 
 
 def entries_for(
     node: machine.Node, service: data.ServiceName, count: int = ADDRESSES_PER_ANSWER
 ) -> tuple[data.Address, ...]:
     """Return addresses of entries that take new requests for a service."""
-    entries = _live_entries(node)
-    weights = _weights(node, service, entries)
-    chosen: list[data.Address] = []
-    while entries and len(chosen) < count:
-        index = node.random.choices(range(len(entries)), weights)[0]
-        chosen.append(entries.pop(index).http_address)
-        weights.pop(index)
-    return tuple(chosen)
+    shares = _shares(node, service, _live_entries(node))
+    if not shares:
+        return ()
+    before = node.steering.owed.get(service, {})
+    owed = {}
+    for address, share in shares.items():
+        start = before.get(address)
+        if start is None:
+            start = node.random.random()
+        owed[address] = start + share
+    ranked = sorted(owed, key=owed.__getitem__, reverse=True)
+    owed[ranked[0]] -= 1.0
+    node.steering.owed[service] = owed
+    return tuple(ranked[:count])
 
 
 def _live_entries(node: machine.Node) -> list[data.Identity]:
@@ -62,9 +77,9 @@
     return entries
 
 
-def _weights(
+def _shares(
     node: machine.Node, service: data.ServiceName, entries: list[data.Identity]
-) -> list[float]:
+) -> dict[data.Address, float]:
     """Share what the service can run in a zone among the zone's entries."""
     capacity: dict[data.ZoneName, float] = {}
     for endpoint in node.routing.services.get(service, {}).values():
@@ -72,11 +87,13 @@
             continue
         zone = endpoint.identity.zone
         capacity[zone] = capacity.get(zone, 0.0) + max(endpoint.load.limit, 1)
-    sharing: dict[data.ZoneName, int] = {}
+    sharing = collections.Counter(entry.zone for entry in entries)
+    weights = {}
     for entry in entries:
-        sharing[entry.zone] = sharing.get(entry.zone, 0) + 1
-    least = 1e-6  # an entry far from every endpoint is better than none
-    return [capacity.get(e.zone, 0.0) / sharing[e.zone] + least for e in entries]
+        in_zone = capacity.get(entry.zone, 0.0) / sharing[entry.zone]
+        weights[entry.http_address] = in_zone + LEAST_WEIGHT
+    total = sum(weights.values())
+    return {address: weight / total for address, weight in weights.items()}
 
 
 def _on_asked(node: machine.Node, event: AddressesAsked) -> list:
--- /dev/null
+++ b/toucanspread/tools/bench_requests.py
@@ -0,0 +1,260 @@
+"""Measures the choices of an entry in virtual time, and what they cost to make.
+
+Prints ``name=value`` lines: the hit rate of prefix caches against random choice and
+round robin, how even entries stay while callers keep old answers, and the processor
+time of an entry's events.
+"""
+
+import collections
+import itertools
+import random
+import time
+import types
+from collections.abc import Callable
+
+from toucanspread.core import (
+    data,
+    draining,
+    endpoints,
+    events,
+    machine,
+    request_events,
+    requests,
+    routing,
+    steering,
+)
+
+SEED = 20
+SERVICE = data.ServiceName("redactor")
+TEAM = data.TeamName("team")
+ZONES = ("za", "zb", "zc")
+ENDPOINT_LIMIT = 16
+
+PREFIXES = 400
+PREFIX_ZIPF = 1.0  # the share of a prefix falls with its rank to this power
+CACHED_PREFIXES = 40  # of one engine
+PREFIX_REQUESTS = 40_000
+RUNNING_REQUESTS = 40  # at any time over all engines of the prefix measure
+
+CALLERS_PER_ENTRY = 40
+EVENNESS_S = 60.0
+CALLER_INTERVAL_S = 1.0
+
+COST_REQUESTS = 4_000
+COST_ENDPOINTS = 100
+
+
+def identity(name: str, role: data.Role, zone: str) -> data.Identity:
+    """Return the identity of a process of the bench."""
+    address = data.Address(f"10.0.0.1:{name}")
+    http_address = data.Address(f"http-{name}" if role is data.Role.ENTRY else "")
+    return data.Identity(
+        data.InstanceId(name),
+        role,
+        data.Incarnation(1),
+        data.ZoneName(zone),
+        data.RegionName("r"),
+        address,
+        http_address,
+    )
+
+
+def report(name: str, zone: str) -> data.Report:
+    """Return the report of an idle endpoint."""
+    return data.Report(
+        identity=identity(name, data.Role.ENDPOINT, zone),
+        sequence=1,
+        state=data.MemberState.LIVE,
+        service=SERVICE,
+        version=data.VersionName("v1"),
+        load=data.Load(limit=ENDPOINT_LIMIT, service_time_s=1.0),
+    )
+
+
+def make_entry(
+    name: str, zone: str, seed: int, count: int, zones: tuple[str, ...] = ZONES
+) -> machine.Machine:
+    """Return an entry that knows ``count`` endpoints, spread over the zones."""
+    intent = data.Intent(SERVICE, data.ServiceKind.MODEL, count, 1, ZONES)
+    node = machine.Node(
+        identity(name, data.Role.ENTRY, zone),
+        seed,
+        config=types.SimpleNamespace(intents={SERVICE: intent}),
+        membership=types.SimpleNamespace(members={}),
+        routing=routing.State(),
+        requests=requests.State(),
+        draining=draining.State(),
+        steering=steering.State(),
+    )
+    parts = (routing, requests, draining, steering)
+    entry = machine.Machine(node, [part.HANDLERS for part in parts])
+    for number in range(count):
+        told = report(f"p{number}", zones[number % len(zones)])
+        entry.step(0.0, events.ReportReceived(told))
+    return entry
+
+
+def request(number: int, prefix_hash: int = 0) -> data.Request:
+    """Return a request of a model service."""
+    name = data.RequestId(f"q{number}")
+    return data.Request(name, TEAM, SERVICE, 30.0, prefix_hash=prefix_hash)
+
+
+Choice = Callable[[machine.Machine, data.Request], endpoints.Endpoint]
+
+
+def choose_by_prefix(entry: machine.Machine, wanted: data.Request):
+    """Choose as the product does."""
+    return routing.choose(entry.node, wanted)
+
+
+def choose_at_random(entry: machine.Machine, wanted: data.Request):
+    """Choose any endpoint."""
+    return entry.node.random.choice(tuple(entry.node.routing.endpoints.values()))
+
+
+def round_robin() -> Choice:
+    """Return a choice that takes the endpoints in turn."""
+    turns = itertools.count()
+
+    def choose(entry: machine.Machine, wanted: data.Request):
+        known = tuple(entry.node.routing.endpoints.values())
+        return known[next(turns) % len(known)]
+
+    return choose
+
+
+def measure_prefixes(choose: Choice, count: int) -> tuple[float, float]:
+    """Return the hit rate of the engines' caches and the greatest share of work.
+
+    The share is that of the busiest engine against the mean.
+    """
+    source = random.Random(SEED)
+    entry = make_entry("e1", "za", SEED, count, zones=("za",))
+    weights = [1.0 / (rank + 1) ** PREFIX_ZIPF for rank in range(PREFIXES)]
+    caches = collections.defaultdict(collections.OrderedDict)
+    running: collections.deque[data.Identity] = collections.deque()
+    work = collections.Counter()
+    hits = 0
+    for number, prefix in enumerate(
+        source.choices(range(1, PREFIXES + 1), weights, k=PREFIX_REQUESTS)
+    ):
+        wanted = request(number, endpoints.stable_hash(str(prefix)))
+        chosen = choose(entry, wanted).identity
+        entry.step(number * 0.01, endpoints.AttemptStarted(chosen))
+        running.append(chosen)
+        if len(running) > RUNNING_REQUESTS:
+            ended = endpoints.AttemptFinished(running.popleft(), data.Reason.NONE)
+            entry.step(number * 0.01, ended)
+        cache = caches[chosen.instance_id]
+        hits += prefix in cache
+        cache[prefix] = True
+        cache.move_to_end(prefix)
+        if len(cache) > CACHED_PREFIXES:
+            cache.popitem(last=False)
+        work[chosen.instance_id] += 1
+    mean = PREFIX_REQUESTS / count
+    return hits / PREFIX_REQUESTS, max(work.values()) / mean
+
+
+def measure_evenness(entries_count: int) -> float:
+    """Return the busiest entry's requests against the mean.
+
+    Every caller first asks the same entry, keeps each answer for its lifetime and
+    uses its first address. The figure is the worst of any ten seconds after the
+    first twenty, in which callers still leave that entry.
+    """
+    source = random.Random(SEED)
+    entries = {}
+    for number in range(entries_count):
+        zone = ZONES[number % len(ZONES)]
+        made = make_entry(f"e{number}", zone, SEED + number, 9)
+        entries[made.node.identity.http_address] = made
+    for made in entries.values():
+        made.node.membership.members = {
+            other.node.identity.instance_id: types.SimpleNamespace(
+                identity=other.node.identity, state=data.MemberState.LIVE
+            )
+            for other in entries.values()
+        }
+    first = next(iter(entries))
+    callers = CALLERS_PER_ENTRY * entries_count
+    kept = [(first, source.uniform(0.0, 10.0)) for _ in range(callers)]
+    windows = collections.defaultdict(collections.Counter)
+    for second in range(int(EVENNESS_S / CALLER_INTERVAL_S)):
+        now_s = second * CALLER_INTERVAL_S
+        for caller in range(callers):
+            address, expires_s = kept[caller]
+            if now_s >= expires_s:
+                address, lifetime_s = _ask(entries[address], now_s, caller)
+                kept[caller] = (address, now_s + lifetime_s)
+            windows[second // 10][address] += 1
+    later = list(windows.values())[2:]
+    return max(_unevenness(seen, entries_count) for seen in later)
+
+
+def _ask(entry: machine.Machine, now_s: float, caller: int) -> tuple[str, float]:
+    operation_id = data.OperationId(str(caller))
+    asked = steering.AddressesAsked(operation_id, TEAM, SERVICE)
+    answered = entry.step(max(now_s, entry.node.now_s), asked)[0]
+    return answered.addresses[0], answered.lifetime_s
+
+
+def _unevenness(seen: collections.Counter, entries_count: int) -> float:
+    return max(seen.values()) / (sum(seen.values()) / entries_count)
+
+
+def measure_costs() -> dict[str, float]:
+    """Return the processor time of an entry's events, in microseconds."""
+    entry = make_entry("e1", "za", SEED, COST_ENDPOINTS)
+    names = ("arrived", "progressed", "ended", "report", "tick")
+    spent_s = dict.fromkeys(names, 0.0)
+
+    def step(name: str, now_s: float, event: data.Event) -> list[data.Effect]:
+        started_s = time.process_time()
+        found = entry.step(now_s, event)
+        spent_s[name] += time.process_time() - started_s
+        return found
+
+    for number in range(COST_REQUESTS):
+        now_s = number * 0.01
+        wanted = request(number, endpoints.stable_hash(str(number % PREFIXES)))
+        found = step("arrived", now_s, request_events.RequestArrived(wanted))
+        attempt = found[0].dispatch.attempt
+        progressed = request_events.AttemptProgressed(wanted.request_id, attempt, 10)
+        step("progressed", now_s, progressed)
+        end = data.AnswerEnd(
+            wanted.request_id,
+            attempt,
+            data.Outcome.DONE,
+            payload_bytes=10,
+            load=data.Load(limit=ENDPOINT_LIMIT),
+        )
+        step("ended", now_s, request_events.AttemptEnded(end))
+        index = number % COST_ENDPOINTS
+        told = report(f"p{index}", ZONES[index % len(ZONES)])
+        step("report", now_s, events.ReportReceived(told))
+        step("tick", now_s, events.Tick())
+    return {name: spent_s[name] / COST_REQUESTS * 1e6 for name in names}
+
+
+def main() -> None:
+    """Run all measures."""
+    print(f"seed={SEED}")
+    for count in (7, 40):
+        for name, choose in (
+            ("product", choose_by_prefix),
+            ("random", choose_at_random),
+            ("round_robin", round_robin()),
+        ):
+            hit_rate, share = measure_prefixes(choose, count)
+            print(f"prefix_hit_rate_{name}_{count}_engines={hit_rate:.3f}")
+            print(f"busiest_engine_to_mean_{name}_{count}_engines={share:.2f}")
+    for count in (21, 351):
+        print(f"busiest_entry_to_mean_{count}_entries={measure_evenness(count):.2f}")
+    for name, cost_us in measure_costs().items():
+        print(f"processor_us_{name}={cost_us:.1f}")
+
+
+if __name__ == "__main__":
+    main()
