Let entries send no reports

An entry that is composed with the reporting part reported itself to the other entries. Seen in the test of two entries, which held a report each.

--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -33,13 +33,32 @@
     return []
 
 
+def record_report(node, event):
+    node.received.append(event.report)
+    return []
+
+
+RECORDERS = {events.MemberChanged: record, events.ReportReceived: record_report}
+
+
 def build(who, seed=7):
-    handlers = [membership.HANDLERS, {events.MemberChanged: record}]
-    parts = {"membership": membership.State(), "believed": []}
-    if who.role is data.Role.ENDPOINT:
-        handlers.append(reporting.HANDLERS)
-        parts["reporting"] = reporting.State()
-    return machine.Machine(machine.Node(who, seed, **parts), handlers)
+    node = machine.Node(
+        who,
+        seed,
+        membership=membership.State(),
+        reporting=reporting.State(),
+        believed=[],
+        received=[],
+    )
+    handlers = [membership.HANDLERS, reporting.HANDLERS, RECORDERS]
+    return machine.Machine(node, handlers)
+
+
+class FakeLimits:
+    running = 0
+
+    def load(self, node):
+        return data.Load(running=self.running)
 
 
 class Fleet:
@@ -118,6 +137,36 @@
         for node in fleet.entry_nodes():
             self.assertEqual(3, len(membership.reports(node)))
 
+    def test_entries_send_no_reports(self):
+        fleet = Fleet(entries=2, endpoints=0)
+        fleet.network.run(3.0)
+        self.assertEqual([], membership.reports(fleet.node("entry-0")))
+
+    def test_load_reaches_entries_by_short_reports(self):
+        fleet = Fleet()
+        limits = FakeLimits()
+        fleet.node("endpoint-0").limits = limits
+        fleet.network.run(3.0)
+        limits.running = 5
+        kinds = set()
+        fleet.network.on_effect = lambda _, effect: kinds.add(
+            type(getattr(effect, "message", None))
+        )
+        fleet.network.run(2.0)
+        self.assertIn(reporting.LoadReport, kinds)
+        self.assertNotIn(data.Report, kinds)
+        report = fleet.node("entry-0").membership.members["endpoint-0"].report
+        self.assertEqual(5, report.load.running)
+
+    def test_short_report_without_its_base_asks_for_a_whole_one(self):
+        fleet = Fleet()
+        fleet.network.run(5.0)
+        fleet.kill("entry-1")
+        fleet.start(identity("entry-1", incarnation=2, zone=ZONES[1]))
+        fleet.read_list()
+        fleet.network.run(3.0)
+        self.assertEqual(3, len(membership.reports(fleet.node("entry-1"))))
+
     def test_steady_fleet_has_no_changes(self):
         fleet = Fleet(entries=6, endpoints=6)
         fleet.network.run(5.0)
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/reporting.py
@@ -94,7 +94,9 @@
 
 
 def on_tick(node, event: events.Tick) -> beliefs.Items:
-    """Report when due."""
+    """Report when due; entries report nothing."""
+    if node.identity.role is data.Role.ENTRY:
+        return []
     state = node.reporting
     if state.choice_due(node.now_s, node.membership.entry_ids):
         before = state.chosen
@@ -108,6 +110,8 @@
 
 def on_change(node, event: data.Event) -> beliefs.Items:
     """Report at once, because what this process serves has changed."""
+    if node.identity.role is data.Role.ENTRY:
+        return []
     return _send_report(node)
 
 
