--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -7,6 +7,7 @@
     data,
     effects,
     events,
+    limits,
     machine,
     membership,
     reporting,
@@ -54,13 +55,6 @@
     return machine.Machine(node, handlers)
 
 
-class FakeLimits:
-    running = 0
-
-    def load(self, node):
-        return data.Load(running=self.running)
-
-
 class Fleet:
     """Entries and endpoint processes over two zones that have read the same list."""
 
@@ -144,10 +138,10 @@
 
     def test_load_reaches_entries_by_short_reports(self):
         fleet = Fleet()
-        limits = FakeLimits()
-        fleet.node("endpoint-0").limits = limits
+        state = limits.State()
+        fleet.node("endpoint-0").limits = state
         fleet.network.run(3.0)
-        limits.running = 5
+        state.running = {number: data.TeamName("familias") for number in range(5)}
         kinds = set()
         fleet.network.on_effect = lambda _, effect: kinds.add(
             type(getattr(effect, "message", None))
