--- /dev/null
+++ b/scripts/chaos.py
@@ -0,0 +1,302 @@
+"""Kills, freezes and outages over a running deployment of separate processes.
+
+A seeded sequence of faults runs while callers retry their requests under the same
+idempotency keys through any entry. It ends with a table of requests by outcome and
+of executions per key, and exits 0 only if no answer was wrong, nothing that may not
+be repeated was executed twice, and nothing called "not run" was executed.
+"""
+
+import argparse
+import collections
+import dataclasses
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import time
+
+import deployments
+import launcher
+import load
+
+from standins import engine_text
+from toucanspread.ops import weights
+
+SCRATCH = launcher.ROOT / "build" / "chaos"
+WEIGHTS_BYTES = 2 * 1024 * 1024
+CHUNK_BYTES = 128 * 1024
+ORIGIN_RATE_BYTES_S = 8 * 1024 * 1024
+FREEZE_S = 3.0
+OUTAGE_S = 4.0
+PAUSE_S = 2.0
+SETTLE_S = 5.0
+CONFIRM_TRIES = 20
+FAULTS = (
+    "kill entry",
+    "kill endpoint",
+    "freeze entry",
+    "freeze endpoint",
+    "freeze engine",
+    "key-value outage",
+    "key-value answers lost",
+    "break engine streams",
+    "lose plain answers",
+    "kill entry and endpoint",
+)
+SMALL = deployments.Deployment(
+    name="small",
+    places=deployments.ROSTERET.places[:2],
+    services=(
+        deployments.Service("pool", "model", 3, "m"),
+        deployments.Service("desk", "plain", 2),
+    ),
+    teams=("directions", "parents"),
+    intents="",
+    entries=3,
+)
+
+
+@dataclasses.dataclass
+class Findings:
+    """What a run showed.
+
+    :param outcomes: counts by service and outcome, one for each try.
+    :param executions: executions per idempotency key at the plain services.
+    """
+
+    outcomes: dict[str, collections.Counter]
+    executions: dict[str, int]
+    problems: list[str]
+
+
+class Chaos:
+    """One run over one deployment.
+
+    :param faults: the names of the faults to provoke, in order.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        directory: pathlib.Path,
+        seed: int,
+        faults: list[str],
+    ):
+        shutil.rmtree(directory, ignore_errors=True)
+        self.store = directory / "origin"
+        self.store.mkdir(parents=True)
+        self.deployment = deployment
+        self.directory = directory
+        self.seed = seed
+        self.faults = faults
+        self.random = random.Random(seed)
+        self.cluster = launcher.Cluster(
+            deployment, directory, self.store, ORIGIN_RATE_BYTES_S
+        )
+        self.digests: dict[str, str] = {}
+        self.executions: collections.Counter = collections.Counter()
+
+    def run(self) -> Findings:
+        """Start everything, provoke the faults under load, stop and judge."""
+        intents = self._publish()
+        try:
+            self.cluster.start()
+            self._accept(intents)
+            callers = self._callers()
+            callers.start()
+            try:
+                for fault in self.faults:
+                    print(f"fault: {fault}", flush=True)
+                    self._provoke(fault)
+                    time.sleep(PAUSE_S)
+                time.sleep(SETTLE_S)
+            finally:
+                answers = callers.stop()
+            self._read_executions()
+        finally:
+            self.cluster.stop()
+        return self._judge(answers)
+
+    def _publish(self) -> list[dict]:
+        intents = []
+        for service in self.deployment.services:
+            intent = {
+                "type": "Intent",
+                "service": service.name,
+                "kind": service.kind,
+                "replicas": service.endpoints,
+                "floor": 1,
+                "zones": [place.zone for place in self.deployment.places],
+                "repeatable": service.kind == "model",
+            }
+            if service.kind == "model":
+                intent.update(self._publish_model(service))
+            intents.append(intent)
+        return intents
+
+    def _publish_model(self, service: deployments.Service) -> dict:
+        source = self.directory / "weights"
+        weights.make_sample(source, self.seed, WEIGHTS_BYTES)
+        built = weights.build_manifest(source, service.model, "v1", CHUNK_BYTES)
+        self.digests["v1"] = built.weights_hash
+        name = weights.publish(source, self.store, built)
+        return {
+            "model": service.model,
+            "version": "v1",
+            "manifest_hash": name,
+            "weights_bytes": sum(entry.size_bytes for entry in built.files),
+        }
+
+    def _accept(self, intents: list[dict]) -> None:
+        entry = next(iter(self.cluster.entry_http.values()))
+        made = launcher.call(entry, "POST", "/v1/plans", {"intents": intents})
+        confirmation = {
+            "plan_id": made["plan"]["plan_id"],
+            "base_revision": made["plan"]["base_revision"],
+            "intents": intents,
+        }
+        launcher.call(entry, "POST", "/v1/confirmations", confirmation)
+        ends_s = time.monotonic() + launcher.START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            services = launcher.call(entry, "GET", "/v1/status")["services"]
+            done = [s["whole_replicas"] >= s["replicas"] for s in services]
+            if done and all(done):
+                return
+            time.sleep(launcher.POLL_INTERVAL_S)
+        raise launcher.LaunchError("the intents were not carried out in time")
+
+    def _callers(self) -> load.Load:
+        mixes = []
+        for service in self.deployment.services:
+            for team in self.deployment.teams:
+                mixes.extend([(service.name, team, service.kind == "model")] * 2)
+        entries = list(self.cluster.entry_http.values())
+        return load.Load(entries, mixes, pause_s=0.05, seed=self.seed, tries=3)
+
+    def _provoke(self, fault: str) -> None:
+        entry = self.random.choice(sorted(self.cluster.entry_http))
+        endpoint = self.random.choice(sorted(self.cluster.endpoints))
+        if fault == "kill entry":
+            self._kill([entry])
+        elif fault == "kill endpoint":
+            self._kill([endpoint])
+        elif fault == "kill entry and endpoint":
+            self._kill([entry, endpoint])
+        elif fault == "freeze entry":
+            self._freeze(entry)
+        elif fault == "freeze endpoint":
+            self._freeze(endpoint)
+        elif fault == "freeze engine":
+            self._freeze(f"{endpoint}-backend")
+        elif fault == "key-value outage":
+            self._key_value({"down": True})
+            time.sleep(OUTAGE_S)
+            self._key_value({"down": False})
+        elif fault == "key-value answers lost":
+            self._key_value({"lose_answers": 5})
+        elif fault == "break engine streams":
+            self._backends("model", {"break_after_tokens": 4, "breaks": 3})
+        elif fault == "lose plain answers":
+            self._backends("plain", {"lose_answers": 2})
+        else:
+            raise ValueError(f"unknown fault {fault!r}; known: {', '.join(FAULTS)}")
+
+    def _kill(self, names: list[str]) -> None:
+        for name in names:
+            self.cluster.processes.kill(name)
+        time.sleep(PAUSE_S)
+        for name in names:
+            self.cluster.processes.restart(name)
+
+    def _freeze(self, name: str) -> None:
+        self.cluster.processes.signal(name, signal.SIGSTOP)
+        time.sleep(FREEZE_S)
+        self.cluster.processes.signal(name, signal.SIGCONT)
+
+    def _key_value(self, faults: dict) -> None:
+        launcher.call(self.cluster.key_value, "PUT", "/admin/faults", faults)
+
+    def _backends(self, kind: str, faults: dict) -> None:
+        for instance_id, service in self.cluster.endpoints.items():
+            if service.kind == kind:
+                address = self.cluster.backends[instance_id]
+                launcher.call(address, "POST", "/admin/faults", faults)
+
+    def _read_executions(self) -> None:
+        for instance_id, service in self.cluster.endpoints.items():
+            if service.kind == "model":
+                continue
+            address = self.cluster.backends[instance_id]
+            stats = launcher.call(address, "GET", "/stats")
+            self.executions.update(stats["executions"])
+
+    def _judge(self, answers: list[load.Answer]) -> Findings:
+        outcomes: dict[str, collections.Counter] = collections.defaultdict(
+            collections.Counter
+        )
+        tries: dict[str, list[load.Answer]] = collections.defaultdict(list)
+        problems = []
+        for answer in answers:
+            outcomes[answer.service][answer.outcome] += 1
+            tries[answer.key].append(answer)
+            if not self._is_right(answer):
+                problems.append(f"wrong answer: {answer}")
+        plain = {s.name for s in self.deployment.services if s.kind == "plain"}
+        for key, found in tries.items():
+            if found[0].service in plain:
+                problems.extend(self._judge_key(key, found))
+        return Findings(outcomes, dict(self.executions), problems)
+
+    def _judge_key(self, key: str, found: list[load.Answer]) -> list[str]:
+        count = self.executions[key]
+        seen = [answer.outcome for answer in found]
+        if count > 1:
+            return [f"{key}: executed {count} times; outcomes {seen}"]
+        if count and all(outcome == "not run" for outcome in seen):
+            return [f"{key}: called not run, but executed; outcomes {seen}"]
+        if not count and "done" in seen:
+            return [f"{key}: called done, but never executed; outcomes {seen}"]
+        return []
+
+    def _is_right(self, answer: load.Answer) -> bool:
+        if not answer.is_whole or not answer.max_tokens:
+            return True
+        model = {s.name for s in self.deployment.services if s.kind == "model"}
+        if answer.service not in model:
+            return True
+        return answer.text in {
+            engine_text.answer(version, digest, answer.prompt, answer.max_tokens)
+            for version, digest in self.digests.items()
+        }
+
+
+def print_table(findings: Findings) -> None:
+    """Print the requests by outcome and the executions per key."""
+    names = ("done", "not run", "unknown", "lost")
+    print(f"{'service':<16}" + "".join(f"{name:>10}" for name in names))
+    for service, counts in sorted(findings.outcomes.items()):
+        row = "".join(f"{counts[name]:>10}" for name in names)
+        print(f"{service:<16}{row}")
+    per_key = collections.Counter(findings.executions.values())
+    for count, keys in sorted(per_key.items()):
+        print(f"keys executed {count} times: {keys}")
+    for problem in findings.problems:
+        print(f"did not hold: {problem}")
+
+
+def main() -> int:
+    """Run one seeded sequence of faults."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--faults", nargs="*", help=f"of: {', '.join(FAULTS)}")
+    options = parser.parse_args()
+    faults = options.faults or random.Random(options.seed).sample(FAULTS, len(FAULTS))
+    findings = Chaos(SMALL, SCRATCH, options.seed, faults).run()
+    print_table(findings)
+    print("held" if not findings.problems else "did not hold")
+    return 1 if findings.problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -18,7 +18,7 @@
 import yaml
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
 
@@ -283,7 +283,9 @@
             module = "standins.engine"
             if service.kind == "plain":
                 module = "standins.plain_service"
-            self.processes.start(f"{instance_id}-backend", module, "--port", port)
+            self.processes.start(
+                f"{instance_id}-backend", module, "--port", port, "--admin"
+            )
         for address in self.backends.values():
             wait_for(address, "/stats")
 
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -170,6 +170,8 @@
     """Callers that send requests in threads until stopped.
 
     :param mixes: for each caller: service, team, whether repeatable.
+    :param tries: how often a request that did not end whole is sent in all, under
+        the same idempotency key.
     """
 
     def __init__(
@@ -179,7 +181,9 @@
         *,
         pause_s: float,
         seed: int,
+        tries: int = 1,
     ):
+        self._tries = tries
         self.answers: list[Answer] = []
         self._stopping = threading.Event()
         self._pause_s = pause_s
@@ -208,12 +212,15 @@
         while not self._stopping.is_set():
             number += 1
             body = {"prompt": f"letter {seed}-{number}", "max_tokens": 16}
-            answer = caller.request(body, repeatable=repeatable)
-            self.answers.append(answer)
-            pause_s = self._pause_s
-            if answer.outcome != "done":
-                pause_s = min(BACK_OFF_LIMIT_S, max(pause_s, answer.retry_after_s))
-            self._stopping.wait(pause_s)
+            key = f"key-{seed}-{number}"
+            for _ in range(self._tries):
+                answer = caller.request(body, repeatable=repeatable, key=key)
+                self.answers.append(answer)
+                if answer.is_whole or self._stopping.is_set():
+                    break
+                pause_s = max(self._pause_s, answer.retry_after_s)
+                self._stopping.wait(min(BACK_OFF_LIMIT_S, pause_s))
+            self._stopping.wait(self._pause_s)
 
 
 def summarize(answers: list[Answer]) -> dict[str, int]:
