--- a/toucanspread/core/beliefs.py
+++ b/toucanspread/core/beliefs.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from toucanspread.core import data, effects, events, invariants
+from toucanspread.core import membership_messages as messages
 
 State = data.MemberState
 
-RANKS = {State.LIVE: 0, State.LEAVING: 1, State.SUSPECT: 2, State.DEAD: 3}
 NEVER_S = -math.inf
 FRESH_S = 2.0  # a process heard this recently isn't condemned on hearsay
 FORGET_S = 600.0  # longer than any message is late
@@ -27,47 +27,6 @@
 Items = list[data.Event | data.Effect]
 
 
-class Update(data.Record, frozen=True, array_like=True, tag=False):
-    """A belief about one process, as it travels between processes."""
-
-    instance_id: data.InstanceId
-    role: data.Role
-    incarnation: data.Incarnation
-    zone: data.ZoneName
-    region: data.RegionName
-    address: data.Address
-    http_address: data.Address
-    state: data.MemberState
-    refutation: int
-
-    @property
-    def order(self) -> tuple[int, int, int]:
-        """Return the place of the update among all about its process."""
-        return (self.incarnation, self.refutation, RANKS[self.state])
-
-    def identity(self) -> data.Identity:
-        """Return the process that the update is about."""
-        return data.Identity(
-            self.instance_id,
-            self.role,
-            self.incarnation,
-            self.zone,
-            self.region,
-            self.address,
-            self.http_address,
-        )
-
-
-class Ping(data.Message):
-    """Asks a process for an :class:`Ack`.
-
-    :param number: returned in the answer.
-    """
-
-    number: int
-    updates: tuple[Update, ...] = ()
-
-
 class Member(msgspec.Struct):
     """What is believed of one process.
 
@@ -92,7 +51,7 @@
     @property
     def order(self) -> tuple[int, int, int]:
         """Return the place of the belief among all about the process."""
-        return (self.identity.incarnation, self.refutation, RANKS[self.state])
+        return (self.identity.incarnation, self.refutation, messages.RANKS[self.state])
 
     @property
     def alive(self) -> bool:
@@ -100,32 +59,15 @@
         return self.state is not State.DEAD
 
 
-def update_of(member: Member) -> Update:
+def update_of(member: Member) -> messages.Update:
     """Return the belief in the form in which it travels."""
-    return make_update(member.identity, member.state, member.refutation)
-
-
-def make_update(
-    identity: data.Identity, state: data.MemberState, refutation: int
-) -> Update:
-    """Return an update about a process."""
-    return Update(
-        identity.instance_id,
-        identity.role,
-        identity.incarnation,
-        identity.zone,
-        identity.region,
-        identity.address,
-        identity.http_address,
-        state,
-        refutation,
-    )
+    return messages.make_update(member.identity, member.state, member.refutation)
 
 
-def own_update(node) -> Update:
+def own_update(node) -> messages.Update:
     """Return what this process says of itself."""
     state = State.LEAVING if node.membership.leaving else State.LIVE
-    return make_update(node.identity, state, node.membership.refutation)
+    return messages.make_update(node.identity, state, node.membership.refutation)
 
 
 def hear(node, identity: data.Identity) -> Items:
@@ -150,7 +92,7 @@
     return found
 
 
-def take(node, update: Update) -> Items:
+def take(node, update: messages.Update) -> Items:
     """Take in an update that another process passed on."""
     if update.instance_id == node.identity.instance_id:
         return _take_about_self(node, update)
@@ -219,10 +161,8 @@
     return change(node, member, State.SUSPECT) + _spread(node, member)
 
 
-def vouch(node, member: Member | None, incarnation: data.Incarnation) -> Items:
+def vouch(node, member: Member) -> Items:
     """Take in that helpers reach a process that this one doesn't."""
-    if member is None or member.identity.incarnation != incarnation:
-        return []
     if member.state is not State.SUSPECT:
         return []
     return change(node, member, _alive_state(member))
@@ -341,7 +281,7 @@
     return found + _spread(node, member)
 
 
-def _take_newer(node, member: Member, update: Update) -> Items:
+def _take_newer(node, member: Member, update: messages.Update) -> Items:
     found = _replace(node, member, update.identity())
     member.refutation = update.refutation
     if update.state is State.LIVE:
@@ -351,7 +291,7 @@
     return found + change(node, member, update.state) + _spread(node, member)
 
 
-def _take_unknown(node, update: Update) -> Items:
+def _take_unknown(node, update: messages.Update) -> Items:
     if update.state is State.DEAD:
         return []
     member = Member(
@@ -366,7 +306,7 @@
     return found
 
 
-def _take_about_self(node, update: Update) -> Items:
+def _take_about_self(node, update: messages.Update) -> Items:
     state = node.membership
     if update.incarnation != node.identity.incarnation:
         return []
@@ -397,9 +337,9 @@
     return member.identity.incarnation == 0
 
 
-def _challenge(node, update: Update) -> Items:
+def _challenge(node, update: messages.Update) -> Items:
     """Tell a process what is said of it, so that it can refute it."""
-    return [effects.Send(update.address, Ping(0, (update,)))]
+    return [effects.Send(update.address, messages.Ping(0, (update,)))]
 
 
 def _spread(node, member: Member) -> Items:
--- a/toucanspread/core/gossip.py
+++ b/toucanspread/core/gossip.py
@@ -11,9 +11,13 @@
 
 
 class Queue:
-    """The updates to pass on, the least often sent first."""
+    """The updates to pass on, the least often sent first.
 
-    def __init__(self):
+    :param per_message: how many one message carries at most.
+    """
+
+    def __init__(self, per_message: int = MAX_UPDATES):
+        self._per_message = per_message
         self._updates: dict[data.InstanceId, object] = {}
         self._sent: dict[data.InstanceId, int] = {}
 
@@ -32,7 +36,7 @@
         """Return the updates for one message among ``fleet`` processes."""
         if not self._updates:
             return ()
-        chosen = heapq.nsmallest(MAX_UPDATES, self._sent, key=self._sent.get)
+        chosen = heapq.nsmallest(self._per_message, self._sent, key=self._sent.get)
         taken = tuple(self._updates[instance_id] for instance_id in chosen)
         limit = SENDS_PER_DOUBLING * math.ceil(math.log2(fleet + 2))
         for instance_id in chosen:
--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership.py
@@ -7,6 +7,7 @@
 
 from toucanspread.core import (
     beliefs,
+    capacity,
     data,
     effects,
     events,
@@ -15,6 +16,7 @@
     reporting,
     views,
 )
+from toucanspread.core import membership_messages as messages
 
 Member = beliefs.Member
 
@@ -24,15 +26,6 @@
 MAX_LOG = 4_096  # updates about entries, kept for endpoint processes to catch up
 
 
-class ReportAck(data.Message):
-    """Tells an endpoint process that its reports arrive here.
-
-    :param updates: changes of entries since the acknowledgement before.
-    """
-
-    updates: tuple[beliefs.Update, ...] = ()
-
-
 class State:
     """What this process believes of the others.
 
@@ -42,6 +35,7 @@
     def __init__(self, seeds: tuple[data.Address, ...] = ()):
         self.members: dict[data.InstanceId, Member] = {}
         self.capacity: dict[data.InstanceId, dict[data.ServiceName, int]] = {}
+        self.capacities = capacity.Table()
         self.seeds = seeds
         self.leaving = False
         self.refutation = 0
@@ -55,7 +49,7 @@
         self.reporters: set[data.InstanceId] = set()
         self.suspects: set[data.InstanceId] = set()
         self.dead: set[data.InstanceId] = set()
-        self.entry_log: list[beliefs.Update] = []
+        self.entry_log: list[messages.Update] = []
         self.entry_log_start = 0
         self.told: dict[data.InstanceId, int] = {}
         self.list_read = False
@@ -71,7 +65,7 @@
         """Forget a member."""
         instance_id = member.identity.instance_id
         del self.members[instance_id]
-        self.capacity.pop(instance_id, None)
+        capacity.forget(self, instance_id)
         self.told.pop(instance_id, None)
         for group in (self.entry_ids, self.reporters, self.suspects, self.dead):
             group.discard(instance_id)
@@ -89,9 +83,9 @@
         if member.alive:
             self.addresses[member.identity.address] = instance_id
         else:
-            self.capacity.pop(instance_id, None)
+            capacity.forget(self, instance_id)
 
-    def pass_on(self, update: beliefs.Update) -> None:
+    def pass_on(self, update: messages.Update) -> None:
         """Spread an update among entries, and to endpoint processes if of an entry."""
         self.gossip.put(update)
         if update.role is not data.Role.ENTRY:
@@ -157,6 +151,7 @@
     state = node.membership
     state.advance(node.now_s)
     found = probing.run(node)
+    found += capacity.run(node)
     if state.expiry_due():
         found += beliefs.expire(node)
         found += views.run(node)
@@ -224,23 +219,26 @@
     return found
 
 
-def _acknowledge(node, sender: data.Identity) -> ReportAck:
+def _acknowledge(node, sender: data.Identity) -> messages.ReportAck:
     state = node.membership
-    start = max(state.told.get(sender.instance_id, 0), state.entry_log_start)
+    end = state.entry_log_start + len(state.entry_log)
+    start = max(state.told.get(sender.instance_id, end), state.entry_log_start)
     first = start - state.entry_log_start
     updates = tuple(state.entry_log[first : first + gossip.MAX_UPDATES])
     state.told[sender.instance_id] = start + len(updates)
     member = state.members[sender.instance_id]
     if member.leaving and member.report.state is not data.MemberState.LEAVING:
         updates = (beliefs.update_of(member), *updates)
-    return ReportAck(updates)
+    return messages.ReportAck(updates)
 
 
-def _on_report_ack(node, sender: data.Identity, message: ReportAck) -> beliefs.Items:
+def _on_report_ack(
+    node, sender: data.Identity, message: messages.ReportAck
+) -> beliefs.Items:
     return take_updates(node, message.updates)
 
 
-def take_updates(node, updates: tuple[beliefs.Update, ...]) -> beliefs.Items:
+def take_updates(node, updates: tuple[messages.Update, ...]) -> beliefs.Items:
     """Take in what rode on a message."""
     found: beliefs.Items = []
     for update in updates:
@@ -250,7 +248,8 @@
 
 def _on_carrier(node, sender: data.Identity, message) -> beliefs.Items:
     found = take_updates(node, message.updates)
-    return found + probing.MESSAGE_HANDLERS[type(message)](node, sender, message)
+    capacity.take(node, message.rows)
+    return found + probing.CARRIER_HANDLERS[type(message)](node, sender, message)
 
 
 def _put(group: set, instance_id: data.InstanceId, wanted: bool) -> None:
@@ -263,13 +262,13 @@
 MESSAGE_HANDLERS = {
     data.Report: _on_report,
     reporting.LoadReport: _on_load_report,
-    ReportAck: _on_report_ack,
-    beliefs.Ping: _on_carrier,
-    probing.Ack: _on_carrier,
-    probing.PingRequest: _on_carrier,
-    probing.IndirectAck: _on_carrier,
-    views.ViewRequest: views.on_request,
-    views.View: views.on_view,
+    messages.ReportAck: _on_report_ack,
+    messages.Ping: _on_carrier,
+    messages.Ack: _on_carrier,
+    messages.PingRequest: probing.on_request,
+    messages.IndirectAck: probing.on_indirect,
+    messages.ViewRequest: views.on_request,
+    messages.View: views.on_view,
 }
 
 HANDLERS = {
--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -61,6 +61,10 @@
         return data.Load(running=self.running)
 
 
+class FakeOrders:
+    serving = data.Report(None, 0, State.LIVE, "toucan-pool", version="v1")
+
+
 class Fleet:
     """Entries and endpoint processes over two zones that have read the same list."""
 
@@ -167,6 +171,45 @@
         fleet.network.run(3.0)
         self.assertEqual(3, len(membership.reports(fleet.node("entry-1"))))
 
+    def test_capacity_reaches_all_entries_and_goes_with_the_dead(self):
+        fleet = Fleet(entries=6, endpoints=3)
+        for number in range(3):
+            fleet.node(f"endpoint-{number}").orders = FakeOrders()
+        fleet.network.run(15.0)
+        for node in fleet.entry_nodes():
+            self.assertEqual(6, len(node.membership.capacity))
+            for counts in node.membership.capacity.values():
+                self.assertEqual({"toucan-pool": 3}, counts)
+        fleet.kill("endpoint-0")
+        fleet.kill("entry-5")
+        fleet.network.run(30.0)
+        for node in fleet.entry_nodes():
+            self.assertEqual(5, len(node.membership.capacity))
+            for counts in node.membership.capacity.values():
+                self.assertEqual({"toucan-pool": 2}, counts)
+
+    def test_many_entries_get_a_subset_of_reports_that_moves(self):
+        fleet = Fleet(entries=40, endpoints=10)
+        fleet.network.run(5.0)
+        first = set(fleet.node("endpoint-0").reporting.chosen)
+        self.assertEqual(3, len(first))
+        killed = sorted(first)[0]
+        fleet.kill(killed)
+        fleet.network.run(30.0)
+        second = set(fleet.node("endpoint-0").reporting.chosen)
+        self.assertEqual(3, len(second))
+        self.assertEqual(first - {killed}, first & second)
+        revived = next(who for who in fleet.listed if who.instance_id == killed)
+        fleet.start(msgspec.structs.replace(revived, incarnation=data.Incarnation(2)))
+        fleet.read_list()
+        fleet.network.run(30.0)
+        self.assertEqual(first, set(fleet.node("endpoint-0").reporting.chosen))
+        holding = set()
+        for node in fleet.entry_nodes():
+            if "endpoint-0" in node.membership.reporters:
+                holding.add(node.identity.instance_id)
+        self.assertEqual(first, holding)
+
     def test_steady_fleet_has_no_changes(self):
         fleet = Fleet(entries=6, endpoints=6)
         fleet.network.run(5.0)
--- a/toucanspread/core/probing.py
+++ b/toucanspread/core/probing.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from toucanspread.core import beliefs, data, effects
+from toucanspread.core import membership_messages as messages
 
 PROBE_INTERVAL_S = 1.0
 DIRECT_TIMEOUT_S = 0.5
@@ -21,33 +22,6 @@
 MAX_RELAYS = 64
 
 
-class Ack(data.Message):
-    """Answers a :class:`beliefs.Ping`.
-
-    :param reports: whether the sender, an endpoint process, reports to the receiver.
-    """
-
-    number: int
-    updates: tuple[beliefs.Update, ...] = ()
-    reports: bool = False
-
-
-class PingRequest(data.Message):
-    """Asks an entry to probe a process in place of the sender."""
-
-    number: int
-    target: data.Address
-    updates: tuple[beliefs.Update, ...] = ()
-
-
-class IndirectAck(data.Message):
-    """Answers a :class:`PingRequest`."""
-
-    number: int
-    reached: bool
-    updates: tuple[beliefs.Update, ...] = ()
-
-
 class Probe(msgspec.Struct):
     """A probe without an answer so far; times are in awake time.
 
@@ -100,7 +74,7 @@
     for number, relay in list(state.probing.relays.items()):
         if state.clock_s >= relay.due_s:
             del state.probing.relays[number]
-            found.append(_answer_relay(node, relay, False))
+            found.append(_answer_relay(relay, None))
     if state.clock_s >= state.probing.next_round_s:
         state.probing.next_round_s = state.clock_s + PROBE_INTERVAL_S
         found += _begin_round(node)
@@ -116,7 +90,7 @@
     if state.probing.round % DEAD_PROBE_ROUNDS == 0 and state.dead:
         found += _begin(node, node.random.choice(sorted(state.dead)))
     if not state.entry_ids:
-        ping = beliefs.Ping(0)
+        ping = messages.Ping(0)
         found += [effects.Send(seed, ping) for seed in state.seeds]
     if node.identity.role is data.Role.ENDPOINT:
         return found
@@ -181,15 +155,24 @@
     state.probing.probes[number] = Probe(
         instance_id, member.identity.incarnation, due_s
     )
-    updates = updates_for(node, member)
-    return [effects.Send(member.identity.address, beliefs.Ping(number, updates))]
+    ping = messages.Ping(number, updates_for(node, member), rows_for(node, member))
+    return [effects.Send(member.identity.address, ping)]
 
 
-def updates_for(node, member: beliefs.Member) -> tuple[beliefs.Update, ...]:
+def rows_for(node, member: beliefs.Member) -> tuple[messages.Row, ...]:
+    """Return the rows that ride on a message; only entries are told."""
+    state = node.membership
+    if member.identity.role is not data.Role.ENTRY:
+        return ()
+    return state.capacities.queue.take(len(state.entry_ids))
+
+
+def updates_for(node, member: beliefs.Member) -> tuple[messages.Update, ...]:
     """Return what rides on a message; a condemned process learns of it first."""
     state = node.membership
     updates = ()
-    if node.identity.role is data.Role.ENTRY:
+    between_entries = member.identity.role is node.identity.role is data.Role.ENTRY
+    if between_entries:
         updates = state.gossip.take(len(state.entry_ids))
     if member.state in (data.MemberState.SUSPECT, data.MemberState.DEAD):
         updates = (beliefs.update_of(member), *updates)
@@ -221,7 +204,7 @@
     probe.indirect = True
     probe.helpers = len(helpers)
     probe.due_s = state.clock_s + INDIRECT_TIMEOUT_S * state.health
-    request = PingRequest(number, member.identity.address)
+    request = messages.PingRequest(number, member.identity.address)
     found: beliefs.Items = []
     for instance_id in helpers:
         address = state.members[instance_id].identity.address
@@ -235,28 +218,34 @@
         node.membership.probing.targets.discard(probe.target)
 
 
-def _on_ping(node, sender: data.Identity, ping: beliefs.Ping) -> beliefs.Items:
+def on_ping(node, sender: data.Identity, ping: messages.Ping) -> beliefs.Items:
+    """Answer a probe."""
     member = node.membership.members.get(sender.instance_id)
     updates = (beliefs.own_update(node),) if _was_condemned(node, ping) else ()
+    rows = ()
     if member is not None:
         updates += updates_for(node, member)
+        rows = rows_for(node, member)
     reports = False
     if node.identity.role is data.Role.ENDPOINT:
         reports = sender.instance_id in node.reporting.chosen
-    return [effects.Send(sender.address, Ack(ping.number, updates, reports))]
+    return [
+        effects.Send(sender.address, messages.Ack(ping.number, updates, rows, reports))
+    ]
 
 
-def _was_condemned(node, ping: beliefs.Ping) -> bool:
+def _was_condemned(node, ping: messages.Ping) -> bool:
     """Return whether a ping brought a wrong belief about this process."""
     own_id = node.identity.instance_id
     return any(update.instance_id == own_id for update in ping.updates)
 
 
-def _on_ack(node, sender: data.Identity, ack: Ack) -> beliefs.Items:
+def on_ack(node, sender: data.Identity, ack: messages.Ack) -> beliefs.Items:
+    """End the probe that was answered."""
     state = node.membership
     relay = state.probing.relays.pop(ack.number, None)
     if relay is not None:
-        return [_answer_relay(node, relay, True)]
+        return [_answer_relay(relay, sender)]
     probe = state.probing.probes.get(ack.number)
     if probe is None or probe.target != sender.instance_id:
         return []
@@ -268,35 +257,45 @@
     return []
 
 
-def _on_request(node, sender: data.Identity, request: PingRequest) -> beliefs.Items:
+def on_request(
+    node, sender: data.Identity, request: messages.PingRequest
+) -> beliefs.Items:
+    """Probe a process in place of another."""
     state = node.membership
     if len(state.probing.relays) >= MAX_RELAYS:
         return []
     number = state.probing.next_number()
     due_s = state.clock_s + RELAY_TIMEOUT_S
     state.probing.relays[number] = Relay(sender.address, request.number, due_s)
-    return [effects.Send(request.target, beliefs.Ping(number))]
+    return [effects.Send(request.target, messages.Ping(number))]
 
 
-def _answer_relay(node, relay: Relay, reached: bool) -> effects.Send:
-    return effects.Send(relay.asker, IndirectAck(relay.number, reached))
+def _answer_relay(relay: Relay, found: data.Identity | None) -> effects.Send:
+    return effects.Send(relay.asker, messages.IndirectAck(relay.number, found))
 
 
-def _on_indirect(node, sender: data.Identity, answer: IndirectAck) -> beliefs.Items:
+def on_indirect(
+    node, sender: data.Identity, answer: messages.IndirectAck
+) -> beliefs.Items:
+    """Take in what a helper found."""
     state = node.membership
     probe = state.probing.probes.get(answer.number)
     if probe is None:
         return []
-    if not answer.reached:
+    if answer.found is None:
         probe.refused += 1
         return []
     _end(node, answer.number)
-    return beliefs.vouch(node, state.members.get(probe.target), probe.incarnation)
+    member = state.members.get(probe.target)
+    if member is None:
+        return []
+    if answer.found == member.identity:
+        return beliefs.vouch(node, member)
+    update = messages.make_update(answer.found, data.MemberState.LIVE, 0)
+    return beliefs.take(node, update)
 
 
-MESSAGE_HANDLERS = {
-    beliefs.Ping: _on_ping,
-    Ack: _on_ack,
-    PingRequest: _on_request,
-    IndirectAck: _on_indirect,
+CARRIER_HANDLERS = {
+    messages.Ping: on_ping,
+    messages.Ack: on_ack,
 }
--- a/toucanspread/core/views.py
+++ b/toucanspread/core/views.py
@@ -6,24 +6,13 @@
 
 import xxhash
 
-from toucanspread.core import beliefs, data, effects
+from toucanspread.core import beliefs, capacity, data, effects
+from toucanspread.core import membership_messages as messages
 
 VIEW_INTERVAL_S = 30.0
 FIRST_VIEW_INTERVAL_S = 2.0  # while nothing but seeds is known
 
 
-class ViewRequest(data.Message):
-    """Asks for an entry's view if its digest isn't ``digest``."""
-
-    digest: int
-
-
-class View(data.Message):
-    """What an entry believes of all entries, itself included."""
-
-    updates: tuple[beliefs.Update, ...]
-
-
 class Table:
     """When to compare views again."""
 
@@ -40,35 +29,52 @@
     state.views.next_s = state.clock_s + interval_s * (0.5 + node.random.random())
     chosen = node.random.choice(sorted(state.entry_ids))
     address = state.members[chosen].identity.address
-    return [effects.Send(address, ViewRequest(digest(node)))]
+    with_rows = node.identity.role is data.Role.ENTRY
+    return [effects.Send(address, messages.ViewRequest(digest(node, with_rows)))]
+
 
+def digest(node, with_rows: bool) -> int:
+    """Return a number that differs when the beliefs about entries differ.
 
-def digest(node) -> int:
-    """Return a number that differs when the beliefs about entries differ."""
+    :param with_rows: whether capacity counts too, which only entries know.
+    """
     combined = 0
     for update in _updates(node):
-        alive = update.state is not data.MemberState.DEAD
-        text = f"{update.instance_id} {update.incarnation} {update.refutation} {alive}"
+        if update.state is data.MemberState.DEAD:
+            continue
+        text = f"{update.instance_id} {update.incarnation} {update.refutation}"
+        combined ^= xxhash.xxh3_64_intdigest(text.encode())
+    if not with_rows:
+        return combined
+    for row in node.membership.capacities.rows.values():
+        text = f"{row.instance_id} {row.incarnation} {row.sequence}"
         combined ^= xxhash.xxh3_64_intdigest(text.encode())
     return combined
 
 
-def on_request(node, sender: data.Identity, request: ViewRequest) -> beliefs.Items:
+def on_request(
+    node, sender: data.Identity, request: messages.ViewRequest
+) -> beliefs.Items:
     """Answer with the view if it differs."""
-    if node.identity.role is not data.Role.ENTRY or request.digest == digest(node):
+    if node.identity.role is not data.Role.ENTRY:
+        return []
+    with_rows = sender.role is data.Role.ENTRY
+    if request.digest == digest(node, with_rows):
         return []
-    return [effects.Send(sender.address, View(tuple(_updates(node))))]
+    rows = tuple(node.membership.capacities.rows.values()) if with_rows else ()
+    return [effects.Send(sender.address, messages.View(tuple(_updates(node)), rows))]
 
 
-def on_view(node, sender: data.Identity, view: View) -> beliefs.Items:
+def on_view(node, sender: data.Identity, view: messages.View) -> beliefs.Items:
     """Take in another entry's view."""
     found: beliefs.Items = []
     for update in view.updates:
         found += beliefs.take(node, update)
+    capacity.take(node, view.rows)
     return found
 
 
-def _updates(node) -> list[beliefs.Update]:
+def _updates(node) -> list[messages.Update]:
     found = []
     if node.identity.role is data.Role.ENTRY:
         found.append(beliefs.own_update(node))
--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -5,7 +5,8 @@
 from twisted.internet import defer
 from twisted.trial import unittest
 
-from toucanspread.core import beliefs, data, views
+from toucanspread.core import data
+from toucanspread.core import membership_messages as messages
 from toucanspread.ops import datagrams, loop
 
 
@@ -47,7 +48,7 @@
             host, port = address.split(":")
             for payload in (b"", b"\xff" * 50, b"\x80"):
                 self.sender._port.write(payload, (host, int(port)))
-            self.sender.send(address, beliefs.Ping(3))
+            self.sender.send(address, messages.Ping(3))
             event = await loop.wait(self.received.get())
             self.assertEqual((identity(0), 3), (event.sender, event.message.number))
             self.assertEqual([], self.received.pending)
@@ -58,16 +59,16 @@
         async def scenario():
             address = await self.start()
             for number in range(5):
-                self.sender.send(address, beliefs.Ping(number))
+                self.sender.send(address, messages.Ping(number))
                 event = await loop.wait(self.received.get())
                 self.assertEqual(
                     (identity(0), number), (event.sender, event.message.number)
                 )
             self.receiver._senders.clear()
-            self.sender.send(address, beliefs.Ping(5))
+            self.sender.send(address, messages.Ping(5))
             await asyncio.sleep(0.05)
             self.assertEqual([], self.received.pending)
-            self.sender.send(address, beliefs.Ping(6))
+            self.sender.send(address, messages.Ping(6))
             event = await loop.wait(self.received.get())
             self.assertEqual(6, event.message.number)
 
@@ -76,8 +77,8 @@
     def test_large_message_takes_the_other_way(self):
         async def scenario():
             address = await self.start()
-            update = beliefs.make_update(identity(1), data.MemberState.LIVE, 0)
-            view = views.View((update,) * 20)
+            update = messages.make_update(identity(1), data.MemberState.LIVE, 0)
+            view = messages.View((update,) * 20)
             self.sender.send(address, view)
             self.assertEqual([view], self.large)
 
@@ -86,6 +87,6 @@
     def test_unusable_address_is_a_loss(self):
         async def scenario():
             await self.start()
-            self.sender.send("nowhere", beliefs.Ping(1))
+            self.sender.send("nowhere", messages.Ping(1))
 
         return defer.Deferred.fromFuture(loop.spawn(scenario()))
