--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.members: dict[data.InstanceId, Member] = {}
+        self.entry_ids: set[data.InstanceId] = set()
 
 
 class Transfer:
@@ -324,6 +325,12 @@
                 name = other.identity.instance_id
                 if name not in known or known[name].identity != other.identity:
                     known[name] = Member(other.identity)
+            node.membership.entry_ids = {
+                name
+                for name, member in known.items()
+                if member.identity.role is data.Role.ENTRY
+                and name != node.identity.instance_id
+            }
 
     def _report(self) -> None:
         entries = self.entries()
@@ -350,8 +357,9 @@
             node.identity,
             self._sequence,
             data.MemberState.LEAVING if state.draining else live,
-            service=serving.service if serving else state.service,
+            service=serving.service if serving else "",
             kind=state.kind,
+            offers=state.service,
             model=serving.model if serving else "",
             version=serving.version if serving else "",
             manifest_hash=serving.manifest_hash if serving else "",
--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -7,6 +7,7 @@
     data,
     effects,
     events,
+    limits,
     machine,
     membership,
     reporting,
@@ -148,10 +149,10 @@
 
     def test_load_reaches_entries_by_short_reports(self):
         fleet = Fleet()
-        limits = FakeLimits()
-        fleet.node("endpoint-0").limits = limits
+        state = limits.State()
+        fleet.node("endpoint-0").limits = state
         fleet.network.run(3.0)
-        limits.running = 5
+        state.running = {number: data.TeamName("familias") for number in range(5)}
         kinds = set()
         fleet.network.on_effect = lambda _, effect: kinds.add(
             type(getattr(effect, "message", None))
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/reporting.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspread.core import beliefs, data, effects, events, rendezvous
+from toucanspread.core import beliefs, data, effects, events, limits, rendezvous
 
 REPORT_INTERVAL_S = 1.0
 WHOLE_INTERVAL_S = 30.0
@@ -168,13 +168,14 @@
 def _serving(node) -> dict[str, object]:
     """Return the fields of a report that tell what is served."""
     found: dict[str, object] = {}
-    limits = getattr(node, "limits", None)
-    if limits is not None:
+    if getattr(node, "limits", None) is not None:
         found["load"] = limits.load(node)
     config = getattr(node, "config", None)
     found["revision"] = getattr(config, "revision", data.Revision(0))
     orders = getattr(node, "orders", None)
     found["fence"] = getattr(orders, "fence", data.FencingNumber(0))
+    found["kind"] = getattr(orders, "kind", data.ServiceKind.MODEL)
+    found["offers"] = getattr(orders, "service", data.ServiceName(""))
     serving = getattr(orders, "serving", None)
     if serving is None:
         return found
@@ -188,11 +189,10 @@
     transfer = getattr(node, "transfer", None)
     if transfer is None:
         return {}
-    target_version, staged, total = transfer.progress(node)
     return {
-        "target_version": target_version,
-        "staged_chunks": staged,
-        "target_chunks": total,
+        "target_version": transfer.target_version,
+        "staged_chunks": transfer.staged_chunks,
+        "target_chunks": transfer.target_chunks,
     }
 
 
