Test that a new holder fences what stays, and that a late grant isn't stretched

Trials that removed single rules from a copy showed three of them unguarded by tests: the acknowledged fence before a reduction, the lease counted from when the call was sent, and the repeat of a plan that was replaced since. Each has a test now.

--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -214,6 +214,7 @@
         self.answers: list[confirm.ConfirmAnswered | confirm.PlanAnswered] = []
         self.logs: list[tuple[float, data.InstanceId, effects.Log]] = []
         self.sent: dict[str, int] = {}
+        self.orders: list[data.Order] = []
         self._queue: list = []
         self._count = 0
         self._report_s = 0.0
@@ -402,6 +403,8 @@
     def _send(self, node: machine.Node, effect: effects.Send) -> None:
         kind = type(effect.message).__name__
         self.sent[kind] = self.sent.get(kind, 0) + 1
+        if isinstance(effect.message, data.Order):
+            self.orders.append(effect.message)
         target = self.nodes.get(effect.to)
         if target is None or self._lost(node.identity, target.identity):
             return
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -105,6 +105,15 @@
         fleet.run(5.0)
         self.assertEqual(confirm.Verdict.ACCEPTED, verdicts(fleet)[-1])
 
+    def test_repeated_confirmation_of_a_plan_that_was_replaced_since(self):
+        fleet = make_fleet()
+        accept(fleet, intent())
+        accept(fleet, intent(manifest=NEXT_MANIFEST), operation="next")
+        fleet.post("entry-1", confirmation(0, intent(), operation="again"))
+        fleet.run(2.0)
+        last = fleet.answers[-1]
+        self.assertEqual((confirm.Verdict.ACCEPTED, 1), (last.verdict, last.revision))
+
     def test_changes_of_other_services_do_not_conflict(self):
         fleet = make_fleet()
         accept(fleet, intent("first"))
@@ -257,14 +266,16 @@
         self.assertEqual(1, len(holders(fleet)))
 
     def test_holder_stops_before_its_lease_ends(self):
-        fleet = make_fleet()
-        fleet.run(5.0)
-        holder = holders(fleet)[0]
-        fleet.kv.up = False
-        _, _, expires_s = fleet.kv.leases[leases.LEASE_KEY]
-        while leases.held(holder):
-            fleet.run(0.1)
-        self.assertLess(fleet.now_s, expires_s)
+        for delay_s in (0.002, 2.8):
+            fleet = make_fleet()
+            fleet.kv.delay_s = delay_s
+            fleet.run(20.0)
+            holder = holders(fleet)[0]
+            fleet.kv.up = False
+            _, _, expires_s = fleet.kv.leases[leases.LEASE_KEY]
+            while leases.held(holder):
+                fleet.run(0.1)
+            self.assertLess(fleet.now_s, expires_s)
 
     def test_paused_holder_does_no_harm_to_an_engine_that_ignores_fencing(self):
         fleet = make_fleet()
@@ -298,6 +309,23 @@
         self.assertEqual(1, len(holders(fleet)))
         self.assertEqual("stale", logged(fleet, "order_refused")[0]["operation_id"])
 
+    def test_next_holder_fences_what_stays_before_it_takes_away(self):
+        fleet = make_fleet(endpoints=2)
+        accept(fleet, intent(replicas=2), seconds=20.0)
+        paused = holders(fleet)[0].identity.instance_id
+        fleet.frozen.add(paused)
+        other = next(name for name in ("entry-0", "entry-1") if name != paused)
+        accept(fleet, intent(replicas=1), entry=other, operation="less", seconds=1.0)
+        fleet.orders.clear()
+        while not fleet.orders or fleet.orders[-1].service:
+            before = {node: node.orders.fence for node in fleet.endpoints()}
+            fleet.run(0.1)
+        release = fleet.orders[-1]
+        staying = "engine-0" if release.instance_id == "engine-1" else "engine-1"
+        self.assertEqual(release.fence, before[fleet.nodes[staying]])
+        fleet.run(5.0)
+        self.assertEqual([staying], [*serving(fleet)])
+
     def test_restarted_endpoint_learns_the_fence_although_its_engine_keeps_none(self):
         fleet = make_fleet()
         fleet.engines["engine-0"].checks_fence = False
