--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -8,19 +8,19 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 
 import msgspec
+from twisted.web import http
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import http_client, runtime
+from toucanspread.ops import http_client, loop, runtime
 
 CALL_TIMEOUT_S = 5.0
 LOAD_TIMEOUT_S = 120.0
 CHUNK_TIMEOUT_S = 30.0
 SILENCE_TIMEOUT_S = 10.0  # between two pieces of a stream
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_REFUSAL_BYTES = 64 * 1024
 EVENT_END = b"\n\n"
 STREAM_END = b"data: [DONE]\n\n"
-HTTP_CONFLICT = 409
-HTTP_NOT_FOUND = 404
 
 
 class EngineError(Exception):
@@ -35,13 +35,13 @@
 
 
 class EngineRefusedError(EngineError):
-    """The engine refused a request before running any of it.
+    """The engine answered with an error status instead of an answer.
 
-    :param status: its HTTP status.
+    :param status: its HTTP status; below 500 nothing of the request was run.
     """
 
     def __init__(self, detail: str, status: int):
-        super().__init__(detail, started=False)
+        super().__init__(detail, started=status >= http.INTERNAL_SERVER_ERROR)
         self.status = status
 
 
@@ -137,6 +137,10 @@
         """Return an engine at ``ip:port``."""
         return cls(http_client.HttpClient(address))
 
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._client.close()
+
     async def put_chunk(self, chunk_hash: data.ChunkHash, payload: bytes) -> None:
         """Stage a chunk."""
         path = f"/v1/staging/{chunk_hash}"
@@ -148,7 +152,7 @@
         try:
             return await self._call("GET", path, timeout_s=CHUNK_TIMEOUT_S)
         except EngineRefusedError as error:
-            if error.status != HTTP_NOT_FOUND:
+            if error.status != http.NOT_FOUND:
                 raise
             return None
 
@@ -163,7 +167,7 @@
             try:
                 await self._call("DELETE", f"/v1/staging/{chunk_hash}")
             except EngineRefusedError as error:
-                if error.status != HTTP_NOT_FOUND:
+                if error.status != http.NOT_FOUND:
                     raise
 
     async def order(self, order: effects.EngineOrder) -> events.EngineOrderAnswered:
@@ -186,7 +190,7 @@
                 timeout_s=LOAD_TIMEOUT_S,
             )
         except EngineRefusedError as error:
-            accepted, stale = False, error.status == HTTP_CONFLICT
+            accepted, stale = False, error.status == http.CONFLICT
             detail = str(error)
         except EngineError as error:
             accepted, detail = False, str(error)
@@ -251,6 +255,10 @@
         """Return a plain service at ``ip:port``."""
         return cls(http_client.HttpClient(address))
 
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._client.close()
+
     async def call(self, request: data.Request, body: bytes) -> tuple[int, bytes]:
         """Return the status and payload of the service's answer."""
         headers = _request_headers(request)
@@ -259,9 +267,8 @@
         response = await _open(self._client, path, body, headers, request.budget_s)
         try:
             _check_id(response, request)
-            payload = await asyncio.wait_for(
-                response.read(MAX_PLAIN_ANSWER_BYTES), request.budget_s
-            )
+            async with asyncio.timeout(request.budget_s):
+                payload = await response.read(MAX_PLAIN_ANSWER_BYTES)
         except TimeoutError as error:
             raise EngineError(f"no whole answer in {request.budget_s} s") from error
         except http_client.HttpError as error:
@@ -289,7 +296,7 @@
             running.cancel()
 
     def _spawn(self, coroutine) -> None:
-        running = asyncio.get_running_loop().create_task(coroutine)
+        running = loop.spawn(coroutine)
         self._tasks.add(running)
         running.add_done_callback(self._tasks.discard)
 
@@ -354,7 +361,8 @@
     if http_client.is_success(response.status):
         return
     try:
-        payload = await asyncio.wait_for(response.read(65536), CALL_TIMEOUT_S)
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            payload = await response.read(MAX_REFUSAL_BYTES)
     except (TimeoutError, http_client.HttpError):
         payload = b""
     raise EngineRefusedError(_refusal(response.status, payload), response.status)
@@ -370,7 +378,9 @@
     pieces = response.pieces()
     while True:
         try:
-            piece = await asyncio.wait_for(anext(pieces), SILENCE_TIMEOUT_S)
+            # In Python 3.11 wait_for loses a cancel that meets a result.
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                piece = await anext(pieces)
         except StopAsyncIteration as error:
             raise StreamBrokeError("stream ended early", count) from error
         except TimeoutError as error:
