Bound a sender's queue, keep seeds neighbours of each other, announce by age

Seeds that did not know each other took pieces over for no reason; there is always room for them now.

--- a/toucanspread/core/fetching.py
+++ b/toucanspread/core/fetching.py
@@ -10,7 +10,8 @@
 
     STAGED = "staged"  # verified, and held in the engine's staging
     CORRUPT = "corrupt"
-    ABSENT = "absent"  # the source does not have it, or is too busy
+    ABSENT = "absent"  # the source does not have it
+    BUSY = "busy"  # the source's queue is full
     FAILED = "failed"
     STALLED = "stalled"  # no progress before the deadline
     STAGING_FAILED = "staging failed"
--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/requesting.py
@@ -11,7 +11,7 @@
 )
 
 MAX_IN_FLIGHT_BYTES = 16 * 1024 * 1024
-MAX_REQUESTS = 8
+MAX_REQUESTS = 6
 SCAN_LIMIT = 1024  # pieces looked at for one choice
 ENDGAME_PIECES = 8
 ENDGAME_FACTOR = 2.0  # of the usual answer time, then a second holder is asked
--- a/toucanspread/core/sourcing.py
+++ b/toucanspread/core/sourcing.py
@@ -11,7 +11,7 @@
 
 MAX_COPIES = 4.0  # what the origin's link carries in the time wanted
 SPARE_COPIES = 2.0  # beyond the first, at weight 0
-SETTLE_S = 0.3  # without a change of the seeds before the origin is asked
+SETTLE_S = 0.4  # without a change of the seeds before the origin is asked
 TAKEOVER_S = 4.0
 TAKEOVER_WEIGHT = 2.0  # added at weight 1, in units of TAKEOVER_S
 SLOW_ORIGIN_FACTOR = 4.0
--- a/toucanspread/core/swarm.py
+++ b/toucanspread/core/swarm.py
@@ -7,10 +7,13 @@
 
 from toucanspread.core import data
 
-MAX_NEIGHBOURS = 28
+MAX_NEIGHBOURS = 20
+WANTED_NEIGHBOURS = 8  # asked for; about as many ask in turn
 MAX_STRIKES = 3
 MAX_FAILURES = 3  # in a row, then the neighbour is forgotten
 BACKOFF_S = 0.5
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 2.0
 REQUESTS_PER_NEIGHBOUR = 2
 SMOOTHING = 0.2
 SLOW_FACTOR = 4.0
@@ -52,9 +55,15 @@
         self.failures = 0
         self.blocked_until_s = 0.0
         self.heard_s = now_s
+        self.answered = False
         self.progressed_s = now_s
         self.service_s = 0.0
 
+    def hear(self, now_s: float) -> None:
+        """Note a message."""
+        self.heard_s = now_s
+        self.answered = True
+
     def usable(self, now_s: float) -> bool:
         """Return whether another request may be sent."""
         if self.strikes >= MAX_STRIKES or now_s < self.blocked_until_s:
@@ -68,6 +77,11 @@
             self.service_s = took_s
         self.service_s += SMOOTHING * (took_s - self.service_s)
 
+    def refused(self, now_s: float, chance: float) -> None:
+        """Leave a busy neighbour alone for about the time of one answer."""
+        pause_s = self.service_s / 2 or FIRST_PAUSE_S
+        self.blocked_until_s = now_s + min(pause_s, MAX_PAUSE_S) * (0.5 + chance)
+
     def failed(self, now_s: float) -> None:
         """Leave the neighbour alone for a while, longer each time."""
         self.failures += 1
@@ -78,6 +92,7 @@
     """The bounded set of neighbours and the availability of pieces among them.
 
     :ivar counts: per piece, how many neighbours of the own region hold it.
+    :ivar favoured: instances for which there is always room, a few.
     """
 
     def __init__(self, identity: data.Identity):
@@ -85,6 +100,7 @@
         self.by_id: dict[data.InstanceId, Neighbour] = {}
         self.counts: list[int] = []
         self.struck_out: set[data.InstanceId] = set()
+        self.favoured: frozenset[data.InstanceId] = frozenset()
 
     def set_pieces(self, number: int) -> None:
         """Say how many pieces there are, once the manifest is known."""
@@ -103,11 +119,15 @@
             return None
         if known is not None:
             self.remove(instance_id)
-        if len(self.by_id) >= MAX_NEIGHBOURS:
+        if len(self.by_id) >= MAX_NEIGHBOURS and instance_id not in self.favoured:
             return None
         neighbour = self.by_id[instance_id] = Neighbour(identity, now_s)
         return neighbour
 
+    def enough(self) -> bool:
+        """Return whether no more neighbours have to be asked for."""
+        return len(self.by_id) >= WANTED_NEIGHBOURS
+
     def remove(self, instance_id: data.InstanceId) -> None:
         """Forget a neighbour."""
         neighbour = self.by_id.pop(instance_id, None)
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -29,11 +29,13 @@
 MAX_ASK_S = 10.0
 WHOLE_ASK_S = 45.0
 HOUSEKEEPING_S = 0.5
-HELLO_INTERVAL_S = 5.0
-ANNOUNCE_DELAY_S = 0.2
-ANNOUNCE_PIECES = 8
+WHOLE_HOUSEKEEPING_S = 5.0
+MIN_ANNOUNCE_DELAY_S = 0.1
+MAX_ANNOUNCE_DELAY_S = 1.0
+ANNOUNCE_SHARE = 0.04  # of the time since the transfer began
 LIST_RETRY_S = 1.0
 NEIGHBOUR_SILENCE_S = 60.0
+ANSWER_TIMEOUT_S = 2.0  # of a greeting; a full neighbour gives none
 FAILURE_AFTER_S = 45.0  # without a new piece
 
 
@@ -183,7 +185,8 @@
     if transfer.unannounced and node.now_s >= transfer.announce_due_s:
         wanted += _announce(transfer)
     if node.now_s >= state.next_housekeeping_s:
-        state.next_housekeeping_s = node.now_s + HOUSEKEEPING_S
+        pause_s = WHOLE_HOUSEKEEPING_S if transfer.whole else HOUSEKEEPING_S
+        state.next_housekeeping_s = node.now_s + pause_s
         wanted += _keep_house(node, transfer)
     return wanted
 
@@ -196,8 +199,10 @@
     if not transfer.whole and 0 < state.next_list_s <= node.now_s:
         wanted += _list_staging(node)
     for neighbour in list(transfer.neighbours.by_id.values()):
-        if node.now_s - neighbour.heard_s > NEIGHBOUR_SILENCE_S:
+        patience_s = NEIGHBOUR_SILENCE_S if neighbour.answered else ANSWER_TIMEOUT_S
+        if node.now_s - neighbour.heard_s > patience_s:
             wanted += _drop(node, transfer, neighbour)
+    wanted += _resync(node, transfer)
     if transfer.whole:
         return wanted
     if not transfer.has_manifest:
@@ -211,6 +216,15 @@
     return wanted
 
 
+def _resync(node: machine.Node, transfer: transfer_state.Transfer) -> list:
+    """Exchange whole bitmaps with one neighbour, as increments may be lost."""
+    if not transfer.neighbours.by_id:
+        return []
+    neighbour = node.random.choice(list(transfer.neighbours.by_id.values()))
+    greeting = _holding(transfer, hello=True)
+    return [effects.Send(neighbour.identity.address, greeting)]
+
+
 def _want_manifest(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     if node.transfer.listing or transfer.reading_manifest:
         return []
@@ -300,11 +314,9 @@
     if number in transfer.todo:
         transfer.todo.remove(number)
     if not transfer.unannounced:
-        transfer.announce_due_s = node.now_s + ANNOUNCE_DELAY_S
+        transfer.announce_due_s = node.now_s + _announce_delay_s(node, transfer)
     transfer.unannounced.append(number)
     wanted = requesting.cancel_others(node, transfer, number)
-    if len(transfer.unannounced) >= ANNOUNCE_PIECES:
-        wanted += _announce(transfer)
     if transfer.staged_count == len(transfer.pieces):
         return [*wanted, *_list_staging(node)]
     return [*wanted, *requesting.fill(node, transfer)]
@@ -377,6 +389,9 @@
         if neighbour.strikes < swarm.MAX_STRIKES:
             return [log]
         return [log, *_drop(node, transfer, neighbour)]
+    if event.status is fetching.FetchStatus.BUSY:
+        neighbour.refused(node.now_s, node.random.random())
+        return []
     if event.status is fetching.FetchStatus.ABSENT:
         if fetch.piece != transfer_state.MANIFEST_PIECE:
             transfer.neighbours.lacks(neighbour, fetch.piece)
@@ -407,14 +422,22 @@
     return cancelled
 
 
+def _announce_delay_s(node: machine.Node, transfer: transfer_state.Transfer) -> float:
+    """Return how long to gather pieces; early ones matter most and go at once."""
+    share_s = ANNOUNCE_SHARE * (node.now_s - transfer.started_s)
+    return max(MIN_ANNOUNCE_DELAY_S, min(share_s, MAX_ANNOUNCE_DELAY_S))
+
+
 def _announce(transfer: transfer_state.Transfer) -> list:
     if not transfer.unannounced:
         return []
     message = swarm.PiecesAdded(transfer.manifest_hash, tuple(transfer.unannounced))
     transfer.unannounced = []
+    everything = (1 << len(transfer.pieces)) - 1
     return [
         effects.Send(neighbour.identity.address, message)
         for neighbour in transfer.neighbours.by_id.values()
+        if neighbour.has != everything
     ]
 
 
@@ -440,7 +463,7 @@
     neighbour = transfer.neighbours.add(sender, node.now_s)
     if neighbour is None:
         return []
-    neighbour.heard_s = node.now_s
+    neighbour.hear(node.now_s)
     transfer.neighbours.add_pieces(neighbour, message.pieces, node.now_s)
     return requesting.fill(node, transfer)
 
@@ -454,7 +477,7 @@
     neighbour = transfer.neighbours.add(sender, node.now_s)
     if neighbour is None:
         return []
-    neighbour.heard_s = node.now_s
+    neighbour.hear(node.now_s)
     neighbour.has_manifest = message.has_manifest
     has = swarm.from_bitmap(message.bitmap)
     transfer.neighbours.replace_holding(neighbour, has, node.now_s)
@@ -483,6 +506,9 @@
     if not entries:
         return []
     by_id = {identity.instance_id: identity for identity in entries}
+    if not transfer.offered:
+        transfer.asked_tracker += 1
+    transfer.offered = False
     trackers = rendezvous.rank(transfer.manifest_hash, by_id)[:TRACKERS]
     chosen = by_id[trackers[transfer.asked_tracker % len(trackers)]]
     message = tracking.PeersWanted(transfer.manifest_hash, transfer.whole)
@@ -499,11 +525,18 @@
     transfer.followers = message.followers
     offered = list(message.peers)
     own_id = node.identity.instance_id
-    if any(seed.instance_id == own_id for seed in message.seeds):
+    transfer.offered = True
+    seed_ids = frozenset(seed.instance_id for seed in message.seeds)
+    transfer.neighbours.favoured = frozenset()
+    if own_id in seed_ids:
+        transfer.neighbours.favoured = seed_ids
         offered = [*message.seeds, *offered]
     greeting = _holding(transfer, hello=True)
     wanted: list = []
     for identity in offered:
+        favoured = identity.instance_id in transfer.neighbours.favoured
+        if not favoured and transfer.neighbours.enough():
+            continue
         known = transfer.neighbours.by_id.get(identity.instance_id)
         neighbour = transfer.neighbours.add(identity, node.now_s)
         if neighbour is None or neighbour is known:
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfer_state.py
@@ -88,6 +88,7 @@
         self.next_ask_s = now_s
         self.ask_interval_s = 0.0
         self.asked_tracker = 0
+        self.offered = True
 
     def in_flight_bytes(self) -> int:
         """Return the bytes of all requests under way."""
--- a/toucanspread/ops/transfers.py
+++ b/toucanspread/ops/transfers.py
@@ -19,9 +19,11 @@
 from toucanspread.ops import engine, loop, origin, pacing, peers, runtime
 
 MAX_UPLOADS = 2  # at once
-MAX_WAITING_UPLOADS = 32
+MAX_WAITING_UPLOADS = 2  # long queues at one peer leave other links idle
 MAX_HELD_BYTES = requesting.MAX_IN_FLIGHT_BYTES + MAX_UPLOADS * manifest.MAX_CHUNK_BYTES
 
+BUSY = b""  # no chunk is empty
+
 Status = fetching.FetchStatus
 
 
@@ -66,11 +68,11 @@
             running.cancel()
 
     async def serve_chunk(self, chunk_hash: data.ChunkHash) -> bytes | None:
-        """Return a verified chunk for another process, or None."""
+        """Return a verified chunk for another process, ``BUSY``, or None."""
         if chunk_hash not in self._state.held:
             return None
         if self._uploads >= MAX_UPLOADS + MAX_WAITING_UPLOADS:
-            return None
+            return BUSY
         self._uploads += 1
         try:
             async with self._upload_slots:
@@ -143,6 +145,9 @@
             status = Status.STALLED if error.stalled else Status.FAILED
             self._post(fetching.FetchEnded(fetch_id, status, detail=str(error)))
             return
+        if payload == BUSY:
+            self._post(fetching.FetchEnded(fetch_id, Status.BUSY))
+            return
         self._hold(len(payload))
         try:
             ended = await self._stage(fetch_id, chunk_hash, payload)
--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -23,6 +23,7 @@
 
 TICK_S = 0.1
 LATENCY_S = 0.002
+MAX_QUEUE = 4  # uploads at one sender, as the adapter allows
 SLICES = 4  # of a chunk, for the origin that serves all requests in turn
 
 
@@ -67,6 +68,11 @@
         self._busy = False
         self.sent_bytes = 0
 
+    def waiting(self) -> int:
+        """Return how many uploads there are."""
+        self._queue = [upload for upload in self._queue if not upload.cancelled]
+        return len(self._queue) + self._busy
+
     def send(self, upload: Upload) -> None:
         """Queue an upload."""
         self._queue.append(upload)
@@ -318,6 +324,9 @@
         if effect.chunk_hash not in peer.machine.node.transfer.held:
             self._end(asker, effect.fetch_id, fetching.FetchStatus.ABSENT)
             return
+        if peer.uplink.waiting() >= MAX_QUEUE:
+            self._end(asker, effect.fetch_id, fetching.FetchStatus.BUSY)
+            return
         upload = Upload(
             effect.size_bytes or 1, lambda: self._arrive(asker, effect, peer)
         )
