--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/requesting.py
@@ -16,8 +16,8 @@
 ENDGAME_PIECES = 8
 ENDGAME_FACTOR = 2.0  # of the usual answer time, then a second holder is asked
 FIRST_DEADLINE_S = 20.0
-MIN_DEADLINE_S = 2.0
-DEADLINE_FACTOR = 6.0
+MIN_DEADLINE_S = 4.0
+DEADLINE_FACTOR = 8.0
 ORIGIN_STALL_S = 10.0
 
 
@@ -39,18 +39,20 @@
     """Ask for the manifest, once at a time."""
     if transfer_state.MANIFEST_PIECE in transfer.requested:
         return []
+    neighbours = transfer.neighbours
+    brings = sourcing.brings_manifest(node, transfer)
     holders = [
         neighbour
-        for neighbour in transfer.neighbours.by_id.values()
-        if neighbour.has_manifest and neighbour.usable(node.now_s)
+        for neighbour in neighbours.by_id.values()
+        if neighbour.has_manifest
+        and neighbour.usable(node.now_s)
+        and (brings or neighbours.is_local(neighbour))
     ]
     if holders:
         return [_ask_for_manifest(node, transfer, node.random.choice(holders))]
-    if not sourcing.brings_manifest(node, transfer):
-        return []
-    if not sourcing.origin_open(node, transfer):
-        return []
-    return [_ask_for_manifest(node, transfer, None)]
+    if brings and sourcing.origin_open(node, transfer):
+        return [_ask_for_manifest(node, transfer, None)]
+    return []
 
 
 def end(
@@ -193,7 +195,7 @@
 
 
 def _deadline_s(transfer: transfer_state.Transfer, neighbour: swarm.Neighbour) -> float:
-    usual_s = neighbour.service_s or _usual_s(transfer)
+    usual_s = max(neighbour.service_s, _usual_s(transfer))
     return min(FIRST_DEADLINE_S, max(MIN_DEADLINE_S, DEADLINE_FACTOR * usual_s))
 
 
--- a/toucanspread/core/swarm.py
+++ b/toucanspread/core/swarm.py
@@ -7,8 +7,8 @@
 
 from toucanspread.core import data
 
-MAX_NEIGHBOURS = 20
-WANTED_NEIGHBOURS = 8  # asked for; about as many ask in turn
+MAX_NEIGHBOURS = 28
+WANTED_NEIGHBOURS = 12  # asked for; about as many ask in turn
 MAX_STRIKES = 3
 MAX_FAILURES = 3  # in a row, then the neighbour is forgotten
 BACKOFF_S = 0.5
--- a/toucanspread/core/tracking.py
+++ b/toucanspread/core/tracking.py
@@ -55,6 +55,7 @@
     def __init__(self):
         self.followers: dict[data.InstanceId, Follower] = {}
         self.seeds: dict[data.RegionName, list[data.InstanceId]] = {}
+        self.stale: set[data.RegionName] = set()
 
 
 class State:
@@ -73,13 +74,15 @@
     swarm = _follow(node, event.sender, message)
     if swarm is None:
         return []
-    offer = PeersOffered(
-        manifest_hash=message.manifest_hash,
-        seeds=_seeds(swarm, message.manifest_hash),
-        peers=_peers(node, swarm, event.sender),
-        followers=len(swarm.followers),
-    )
-    return [effects.Send(event.sender.address, offer)]
+    before = dict(swarm.seeds)
+    seeds = _seeds(swarm, message.manifest_hash)
+    told = {event.sender.instance_id}
+    if before != swarm.seeds:
+        told |= _changed(before, swarm)
+    return [
+        _offer(node, swarm, message.manifest_hash, seeds, instance_id)
+        for instance_id in sorted(told)
+    ]
 
 
 def on_member_changed(node: machine.Node, event: events.MemberChanged) -> list:
@@ -125,7 +128,7 @@
         if len(swarm.followers) >= MAX_FOLLOWERS:
             return None
         follower = swarm.followers[sender.instance_id] = Follower(sender)
-        swarm.seeds.pop(sender.region, None)
+        swarm.stale.add(sender.region)
     follower.identity = sender
     follower.heard_s = node.now_s
     follower.whole = message.whole
@@ -134,18 +137,44 @@
 
 def _forget(swarm: Swarm, instance_id: data.InstanceId) -> None:
     follower = swarm.followers.pop(instance_id)
-    swarm.seeds.pop(follower.identity.region, None)
+    swarm.stale.add(follower.identity.region)
+
+
+def _changed(
+    before: dict[data.RegionName, list[data.InstanceId]], swarm: Swarm
+) -> set[data.InstanceId]:
+    """Return those who were or are seeds of a region whose seeds changed.
+
+    They are told at once, as two that both believe to own a piece fetch it twice.
+    """
+    told: set[data.InstanceId] = set()
+    for region, seeds in swarm.seeds.items():
+        old = before.get(region, [])
+        if old != seeds:
+            told.update(seeds, old)
+    return {instance_id for instance_id in told if instance_id in swarm.followers}
+
+
+def _offer(
+    node: machine.Node,
+    swarm: Swarm,
+    manifest_hash: data.ManifestHash,
+    seeds: tuple[data.Identity, ...],
+    instance_id: data.InstanceId,
+) -> effects.Send:
+    identity = swarm.followers[instance_id].identity
+    offer = PeersOffered(
+        manifest_hash=manifest_hash,
+        seeds=seeds,
+        peers=_peers(node, swarm, identity),
+        followers=len(swarm.followers),
+    )
+    return effects.Send(identity.address, offer)
 
 
 def _seeds(swarm: Swarm, manifest_hash: data.ManifestHash) -> tuple[data.Identity, ...]:
-    by_region: dict[data.RegionName, list[data.InstanceId]] = {}
-    for instance_id, follower in swarm.followers.items():
-        if follower.identity.region in swarm.seeds:
-            continue
-        by_region.setdefault(follower.identity.region, []).append(instance_id)
-    for region, candidates in by_region.items():
-        ranked = rendezvous.rank(manifest_hash, candidates)
-        swarm.seeds[region] = ranked[:SEEDS_PER_REGION]
+    if swarm.stale:
+        _rank(swarm, manifest_hash)
     chosen = []
     for region in sorted(swarm.seeds):
         for instance_id in swarm.seeds[region]:
@@ -153,6 +182,17 @@
     return tuple(chosen)
 
 
+def _rank(swarm: Swarm, manifest_hash: data.ManifestHash) -> None:
+    by_region: dict[data.RegionName, list[data.InstanceId]] = {}
+    for instance_id, follower in swarm.followers.items():
+        if follower.identity.region in swarm.stale:
+            by_region.setdefault(follower.identity.region, []).append(instance_id)
+    for region in swarm.stale:
+        ranked = rendezvous.rank(manifest_hash, by_region.get(region, ()))
+        swarm.seeds[region] = ranked[:SEEDS_PER_REGION]
+    swarm.stale.clear()
+
+
 def _peers(
     node: machine.Node, swarm: Swarm, asker: data.Identity
 ) -> tuple[data.Identity, ...]:
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -184,6 +184,8 @@
     wanted: list = []
     if transfer.unannounced and node.now_s >= transfer.announce_due_s:
         wanted += _announce(transfer)
+    if node.now_s >= transfer.next_ask_s:
+        wanted += _ask_tracker(node)
     if node.now_s >= state.next_housekeeping_s:
         pause_s = WHOLE_HOUSEKEEPING_S if transfer.whole else HOUSEKEEPING_S
         state.next_housekeeping_s = node.now_s + pause_s
@@ -194,8 +196,6 @@
 def _keep_house(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     state = node.transfer
     wanted: list = []
-    if node.now_s >= transfer.next_ask_s:
-        wanted += _ask_tracker(node)
     if not transfer.whole and 0 < state.next_list_s <= node.now_s:
         wanted += _list_staging(node)
     for neighbour in list(transfer.neighbours.by_id.values()):
--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -288,6 +288,11 @@
     def _is_cut(self, one: data.Identity, other: data.Identity) -> bool:
         return self.cut_regions and one.region != other.region
 
+    def _origin_is_cut(self, asker: Endpoint) -> bool:
+        if not self.origin_region:
+            return False
+        return self.cut_regions and asker.identity.region != self.origin_region
+
     def _send(self, sender: Endpoint | None, effect: effects.Send) -> None:
         self.messages += 1
         if self.random.random() < self.loss:
@@ -337,6 +342,9 @@
         self, asker: Endpoint, effect: fetching.FetchFromOrigin
     ) -> None:
         asker.running[effect.fetch_id] = None
+        if self._origin_is_cut(asker):
+            self.later(effect.stall_s, lambda: self._time_out(asker, effect.fetch_id))
+            return
         if self.origin_refuses:
             self.later(
                 LATENCY_S,
