--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -474,20 +474,22 @@
     transfer = node.transfer.current
     if transfer is None or transfer.manifest_hash != message.manifest_hash:
         return []
+    answer: list = []
+    if message.hello:
+        holding = _holding(transfer, hello=False)
+        answer = [effects.Send(sender.address, holding)]
     neighbour = transfer.neighbours.add(sender, node.now_s)
     if neighbour is None:
-        return []
+        # One that is struck out may still fetch; one too many asks elsewhere.
+        struck_out = sender.instance_id in transfer.neighbours.struck_out
+        return answer if struck_out else []
     neighbour.hear(node.now_s)
     neighbour.has_manifest = message.has_manifest
     has = swarm.from_bitmap(message.bitmap)
     transfer.neighbours.replace_holding(neighbour, has, node.now_s)
-    wanted: list = []
-    if message.hello:
-        answer = _holding(transfer, hello=False)
-        wanted.append(effects.Send(sender.address, answer))
     if not transfer.has_manifest:
-        return [*wanted, *_want_manifest(node, transfer)]
-    return [*wanted, *requesting.fill(node, transfer)]
+        return [*answer, *_want_manifest(node, transfer)]
+    return [*answer, *requesting.fill(node, transfer)]
 
 
 def _ask_tracker(node: machine.Node) -> list:
