--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/requesting.py
@@ -55,6 +55,21 @@
     return []
 
 
+def want_manifest(node: machine.Node, transfer: transfer_state.Transfer) -> list:
+    """Read the manifest from staging, or ask for it elsewhere."""
+    if node.transfer.listing or transfer.reading_manifest:
+        return []
+    if transfer.manifest_hash in node.transfer.held:
+        return read_manifest(transfer)
+    return fetch_manifest(node, transfer)
+
+
+def read_manifest(transfer: transfer_state.Transfer) -> list:
+    """Read the manifest, which is staged."""
+    transfer.reading_manifest = True
+    return [fetching.ReadManifest(transfer.manifest_hash)]
+
+
 def end(
     node: machine.Node, transfer: transfer_state.Transfer, fetch: transfer_state.Fetch
 ) -> None:
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -10,29 +10,21 @@
     data,
     effects,
     events,
+    exchange,
     fetching,
     invariants,
     machine,
     manifest,
-    rendezvous,
     requesting,
     sourcing,
     swarm,
-    tracking,
     transfer_state,
 )
 
 State = transfer_state.State
 
-TRACKERS = 2
-FIRST_ASK_S = 0.25
-MAX_ASK_S = 10.0
-WHOLE_ASK_S = 45.0
 HOUSEKEEPING_S = 0.5
 WHOLE_HOUSEKEEPING_S = 5.0
-MIN_ANNOUNCE_DELAY_S = 0.1
-MAX_ANNOUNCE_DELAY_S = 1.0
-ANNOUNCE_SHARE = 0.04  # of the time since the transfer began
 LIST_RETRY_S = 1.0
 NEIGHBOUR_SILENCE_S = 60.0
 ANSWER_TIMEOUT_S = 2.0  # of a greeting; a full neighbour gives none
@@ -62,7 +54,7 @@
         "transfer_started",
         {"version": event.version, "manifest_hash": event.manifest_hash},
     )
-    return [*stopped, log, *_list_staging(node), *_ask_tracker(node)]
+    return [*stopped, log, *_list_staging(node), *exchange.ask_tracker(node)]
 
 
 def on_cancelled(node: machine.Node, event: events.VersionCancelled) -> list:
@@ -87,7 +79,7 @@
     if transfer.has_manifest:
         return _take_stock(node, transfer)
     if transfer.manifest_hash in state.held:
-        return _read_manifest(transfer)
+        return requesting.read_manifest(transfer)
     return requesting.fetch_manifest(node, transfer)
 
 
@@ -107,7 +99,7 @@
     except manifest.ManifestError as error:
         return _fail(transfer, str(error))
     transfer.lay_out(described)
-    return [*_take_stock(node, transfer), *_greet(node, transfer)]
+    return [*_take_stock(node, transfer), *exchange.greet(node, transfer)]
 
 
 def on_fetch_ended(node: machine.Node, event: fetching.FetchEnded) -> list:
@@ -135,35 +127,10 @@
     else:
         fetch.source.served(took_s)
     if fetch.piece == transfer_state.MANIFEST_PIECE:
-        return _read_manifest(transfer)
+        return requesting.read_manifest(transfer)
     return _take_piece(node, transfer, fetch.piece)
 
 
-def on_message(node: machine.Node, event: events.MessageReceived) -> list:
-    """Take in what others hold and whom an entry offers as peers."""
-    message = event.message
-    if isinstance(message, swarm.PiecesAdded):
-        return _on_pieces_added(node, event.sender, message)
-    if isinstance(message, swarm.Holding):
-        return _on_holding(node, event.sender, message)
-    if isinstance(message, tracking.PeersOffered):
-        return _on_peers_offered(node, message)
-    return []
-
-
-def on_member_changed(node: machine.Node, event: events.MemberChanged) -> list:
-    """Forget a neighbour that died."""
-    transfer = node.transfer.current
-    if transfer is None or event.state is not data.MemberState.DEAD:
-        return []
-    neighbour = transfer.neighbours.by_id.get(event.identity.instance_id)
-    if neighbour is None:
-        return []
-    if neighbour.identity.incarnation > event.identity.incarnation:
-        return []
-    return _drop(node, transfer, neighbour)
-
-
 def on_serving_changed(node: machine.Node, event: events.ServingChanged) -> list:
     """Once a version is served, let go of what only earlier ones needed."""
     state = node.transfer
@@ -183,9 +150,9 @@
         return []
     wanted: list = []
     if transfer.unannounced and node.now_s >= transfer.announce_due_s:
-        wanted += _announce(transfer)
+        wanted += exchange.announce(transfer)
     if node.now_s >= transfer.next_ask_s:
-        wanted += _ask_tracker(node)
+        wanted += exchange.ask_tracker(node)
     if node.now_s >= state.next_housekeeping_s:
         pause_s = WHOLE_HOUSEKEEPING_S if transfer.whole else HOUSEKEEPING_S
         state.next_housekeeping_s = node.now_s + pause_s
@@ -201,12 +168,12 @@
     for neighbour in list(transfer.neighbours.by_id.values()):
         patience_s = NEIGHBOUR_SILENCE_S if neighbour.answered else ANSWER_TIMEOUT_S
         if node.now_s - neighbour.heard_s > patience_s:
-            wanted += _drop(node, transfer, neighbour)
-    wanted += _resync(node, transfer)
+            wanted += exchange.drop(node, transfer, neighbour)
+    wanted += exchange.resync(node, transfer)
     if transfer.whole:
         return wanted
     if not transfer.has_manifest:
-        wanted += _want_manifest(node, transfer)
+        wanted += requesting.want_manifest(node, transfer)
     wanted += requesting.fill(node, transfer)
     silent_s = node.now_s - transfer.progressed_s
     if silent_s > FAILURE_AFTER_S and not transfer.failed:
@@ -216,23 +183,6 @@
     return wanted
 
 
-def _resync(node: machine.Node, transfer: transfer_state.Transfer) -> list:
-    """Exchange whole bitmaps with one neighbour, as increments may be lost."""
-    if not transfer.neighbours.by_id:
-        return []
-    neighbour = node.random.choice(list(transfer.neighbours.by_id.values()))
-    greeting = _holding(transfer, hello=True)
-    return [effects.Send(neighbour.identity.address, greeting)]
-
-
-def _want_manifest(node: machine.Node, transfer: transfer_state.Transfer) -> list:
-    if node.transfer.listing or transfer.reading_manifest:
-        return []
-    if transfer.manifest_hash in node.transfer.held:
-        return _read_manifest(transfer)
-    return requesting.fetch_manifest(node, transfer)
-
-
 def _stop(node: machine.Node) -> list:
     state = node.transfer
     transfer = state.current
@@ -251,11 +201,6 @@
     return [fetching.ListStaging()]
 
 
-def _read_manifest(transfer: transfer_state.Transfer) -> list:
-    transfer.reading_manifest = True
-    return [fetching.ReadManifest(transfer.manifest_hash)]
-
-
 def _take_stock(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     """Count what staging holds of the version; end here if that is all."""
     held = node.transfer.held
@@ -294,7 +239,7 @@
         },
     )
     staged = events.VersionStaged(transfer.manifest_hash, transfer.weights_hash)
-    return [log, *_announce(transfer), *_delete_unneeded(node), staged]
+    return [log, *exchange.announce(transfer), *_delete_unneeded(node), staged]
 
 
 def _fail(transfer: transfer_state.Transfer, why: str) -> list:
@@ -314,7 +259,7 @@
     if number in transfer.todo:
         transfer.todo.remove(number)
     if not transfer.unannounced:
-        transfer.announce_due_s = node.now_s + _announce_delay_s(node, transfer)
+        transfer.announce_due_s = node.now_s + exchange.announce_delay_s(node, transfer)
     transfer.unannounced.append(number)
     wanted = requesting.cancel_others(node, transfer, number)
     if transfer.staged_count == len(transfer.pieces):
@@ -388,7 +333,7 @@
         log = effects.Log("peer_chunk_corrupt", fields)
         if neighbour.strikes < swarm.MAX_STRIKES:
             return [log]
-        return [log, *_drop(node, transfer, neighbour)]
+        return [log, *exchange.drop(node, transfer, neighbour)]
     if event.status is fetching.FetchStatus.BUSY:
         neighbour.refused(node.now_s, node.random.random())
         return []
@@ -399,154 +344,7 @@
     neighbour.failed(node.now_s)
     if neighbour.failures < swarm.MAX_FAILURES:
         return []
-    return _drop(node, transfer, neighbour)
-
-
-def _drop(
-    node: machine.Node,
-    transfer: transfer_state.Transfer,
-    neighbour: swarm.Neighbour,
-) -> list:
-    """Forget a neighbour and what was asked of it."""
-    cancelled = []
-    for fetch in list(transfer.fetches.values()):
-        if fetch.source is not neighbour:
-            continue
-        requesting.end(node, transfer, fetch)
-        cancelled.append(fetching.CancelFetch(fetch.fetch_id))
-    known = transfer.neighbours.by_id.get(neighbour.identity.instance_id)
-    if known is neighbour:
-        transfer.neighbours.remove(neighbour.identity.instance_id)
-    transfer.ask_interval_s = FIRST_ASK_S
-    transfer.next_ask_s = min(transfer.next_ask_s, node.now_s + FIRST_ASK_S)
-    return cancelled
-
-
-def _announce_delay_s(node: machine.Node, transfer: transfer_state.Transfer) -> float:
-    """Return how long to gather pieces; early ones matter most and go at once."""
-    share_s = ANNOUNCE_SHARE * (node.now_s - transfer.started_s)
-    return max(MIN_ANNOUNCE_DELAY_S, min(share_s, MAX_ANNOUNCE_DELAY_S))
-
-
-def _announce(transfer: transfer_state.Transfer) -> list:
-    if not transfer.unannounced:
-        return []
-    message = swarm.PiecesAdded(transfer.manifest_hash, tuple(transfer.unannounced))
-    transfer.unannounced = []
-    everything = (1 << len(transfer.pieces)) - 1
-    return [
-        effects.Send(neighbour.identity.address, message)
-        for neighbour in transfer.neighbours.by_id.values()
-        if neighbour.has != everything
-    ]
-
-
-def _holding(transfer: transfer_state.Transfer, hello: bool) -> swarm.Holding:
-    bitmap = swarm.to_bitmap(transfer.have)
-    return swarm.Holding(transfer.manifest_hash, transfer.has_manifest, bitmap, hello)
-
-
-def _greet(node: machine.Node, transfer: transfer_state.Transfer) -> list:
-    message = _holding(transfer, hello=False)
-    return [
-        effects.Send(neighbour.identity.address, message)
-        for neighbour in transfer.neighbours.by_id.values()
-    ]
-
-
-def _on_pieces_added(
-    node: machine.Node, sender: data.Identity, message: swarm.PiecesAdded
-) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    neighbour = transfer.neighbours.add(sender, node.now_s)
-    if neighbour is None:
-        return []
-    neighbour.hear(node.now_s)
-    transfer.neighbours.add_pieces(neighbour, message.pieces, node.now_s)
-    return requesting.fill(node, transfer)
-
-
-def _on_holding(
-    node: machine.Node, sender: data.Identity, message: swarm.Holding
-) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    answer: list = []
-    if message.hello:
-        holding = _holding(transfer, hello=False)
-        answer = [effects.Send(sender.address, holding)]
-    neighbour = transfer.neighbours.add(sender, node.now_s)
-    if neighbour is None:
-        # One that is struck out may still fetch; one too many asks elsewhere.
-        struck_out = sender.instance_id in transfer.neighbours.struck_out
-        return answer if struck_out else []
-    neighbour.hear(node.now_s)
-    neighbour.has_manifest = message.has_manifest
-    has = swarm.from_bitmap(message.bitmap)
-    transfer.neighbours.replace_holding(neighbour, has, node.now_s)
-    if not transfer.has_manifest:
-        return [*answer, *_want_manifest(node, transfer)]
-    return [*answer, *requesting.fill(node, transfer)]
-
-
-def _ask_tracker(node: machine.Node) -> list:
-    transfer = node.transfer.current
-    entries = [
-        member.identity
-        for member in node.membership.members.values()
-        if member.identity.role is data.Role.ENTRY
-        and member.state is data.MemberState.LIVE
-    ]
-    interval_s = min(MAX_ASK_S, max(FIRST_ASK_S, 2 * transfer.ask_interval_s))
-    if transfer.whole:
-        interval_s = WHOLE_ASK_S
-    transfer.ask_interval_s = interval_s
-    transfer.next_ask_s = node.now_s + interval_s * (0.75 + node.random.random() / 2)
-    if not entries:
-        return []
-    by_id = {identity.instance_id: identity for identity in entries}
-    if not transfer.offered:
-        transfer.asked_tracker += 1
-    transfer.offered = False
-    trackers = rendezvous.rank(transfer.manifest_hash, by_id)[:TRACKERS]
-    chosen = by_id[trackers[transfer.asked_tracker % len(trackers)]]
-    message = tracking.PeersWanted(transfer.manifest_hash, transfer.whole)
-    return [effects.Send(chosen.address, message)]
-
-
-def _on_peers_offered(node: machine.Node, message: tracking.PeersOffered) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    if transfer.seeds != message.seeds:
-        transfer.seeds = message.seeds
-        transfer.seeds_changed_s = node.now_s
-    transfer.followers = message.followers
-    offered = list(message.peers)
-    own_id = node.identity.instance_id
-    transfer.offered = True
-    seed_ids = frozenset(seed.instance_id for seed in message.seeds)
-    transfer.neighbours.favoured = frozenset()
-    if own_id in seed_ids:
-        transfer.neighbours.favoured = seed_ids
-        offered = [*message.seeds, *offered]
-    greeting = _holding(transfer, hello=True)
-    wanted: list = []
-    for identity in offered:
-        favoured = identity.instance_id in transfer.neighbours.favoured
-        if not favoured and transfer.neighbours.enough():
-            continue
-        known = transfer.neighbours.by_id.get(identity.instance_id)
-        neighbour = transfer.neighbours.add(identity, node.now_s)
-        if neighbour is None or neighbour is known:
-            continue
-        wanted.append(effects.Send(identity.address, greeting))
-    if not transfer.has_manifest:
-        return [*wanted, *_want_manifest(node, transfer)]
-    return [*wanted, *requesting.fill(node, transfer)]
+    return exchange.drop(node, transfer, neighbour)
 
 
 def _delete_unneeded(node: machine.Node) -> list:
@@ -564,8 +362,8 @@
 HANDLERS = {
     events.VersionWanted: on_wanted,
     events.VersionCancelled: on_cancelled,
-    events.MessageReceived: on_message,
-    events.MemberChanged: on_member_changed,
+    events.MessageReceived: exchange.on_message,
+    events.MemberChanged: exchange.on_member_changed,
     events.ServingChanged: on_serving_changed,
     events.Tick: on_tick,
     fetching.StagingListed: on_staging_listed,
