Push changes to endpoint processes in groups that pass them on

The measurement showed that 400 endpoint processes behind 20 entries stayed behind one change in 2 s for good (232 of 411 processes behind at the end, virtual time): entries sent every change to every endpoint process, ran out of their byte budget, and resent ever larger deltas. Ruled out: a larger budget (9 KB/s is half of the node's) and deltas cut to what one endpoint needs (it could not pass them on, and its revision would mean less). Now one push reaches a group of a zone, and what was sent counts as received for 2.5 s.

--- a/toucanspread/core/leases.py
+++ b/toucanspread/core/leases.py
@@ -26,7 +26,7 @@
 MARGIN_S = 2.0  # orders stop this long before the lease ends
 ANSWER_S = 3.0  # an answer later than this is taken as lost
 RETRY_S = 2.0
-CANDIDATES = 2  # in each zone
+CANDIDATES = 1  # in each zone
 GRANT_BITS = 40  # of a fencing number; above them stands the count of restorations
 
 
--- a/toucanspread/core/spread.py
+++ b/toucanspread/core/spread.py
@@ -2,11 +2,14 @@
 
 An entry that learns a new revision pushes it to a few other entries at once. Besides,
 each process compares revisions with one other every second, and the lower one is sent
-what it lacks. Endpoint processes tell their revision in their reports, so an entry
-sends the changes to those that lag. Of the entries that hear an endpoint process, the
-first by rendezvous hashing sends at once and the others only if it goes on lagging.
+what it lacks. Of the entries that hear an endpoint process, the first by rendezvous
+hashing pushes to it: in groups, of which one passes the changes on to the others. Its
+reports tell its revision, so whoever goes on lagging is sent the changes again, by the
+first entry and then by the others.
 """
 
+import msgspec
+
 from toucanspread.core import (
     config,
     data,
@@ -14,16 +17,13 @@
     events,
     history,
     machine,
-    rendezvous,
+    pushing,
 )
 
 PUSH_FANOUT = 3
 COMPARE_INTERVAL_S = 1.0
 ENDPOINT_COMPARE_INTERVAL_S = 3.0
-RESEND_INTERVAL_S = 2.5  # longer than an endpoint takes to report what it received
-HEARING_ENTRIES = 4  # endpoint processes report to this many, or to all of a few
-MAX_DELAYS = 3
-DELAY_S = 1.2  # longer than the interval of reports
+PASS_ON_FANOUT = 4
 SENDING_BYTES_PER_S = 9_000.0
 MAX_SENDING_CREDIT_BYTES = 64_000.0
 LOG_INTERVAL_S = 5.0
@@ -50,6 +50,7 @@
     """All changes above ``base`` up to ``revision``.
 
     :param base_digest: the digest at ``base``, when the sender still knows it.
+    :param pass_on_to: where the receiver sends the same changes.
     """
 
     base: data.Revision
@@ -57,6 +58,7 @@
     digest: str
     stamps: tuple[history.Stamp, ...]
     base_digest: str = ""
+    pass_on_to: tuple[data.Address, ...] = ()
 
 
 class State:
@@ -70,10 +72,7 @@
         self.fence = data.FencingNumber(0)
         self.next_compare_s = 0.0
         self.pushed_revision = data.Revision(0)
-        self.lagging_since_s: dict[data.InstanceId, float] = {}
-        self.delays: dict[data.InstanceId, int] = {}
-        self.delays_from: frozenset[data.InstanceId] = frozenset()
-        self.sent_s: dict[data.InstanceId, float] = {}
+        self.pushing = pushing.Table()
         self.credit_bytes = MAX_SENDING_CREDIT_BYTES
         self.credit_s = 0.0
         self.logged_s = float("-inf")
@@ -88,18 +87,19 @@
 
 
 def on_tick(node: machine.Node, event: events.Tick) -> list:
-    """Compare revisions with one other process, once a second."""
+    """Push to endpoint processes; compare revisions with one process a second."""
     state = node.spread
+    pushes = _push_to_endpoints(node)
     if node.now_s < state.next_compare_s:
-        return []
+        return pushes
     is_entry = node.identity.role is data.Role.ENTRY
     interval_s = COMPARE_INTERVAL_S if is_entry else ENDPOINT_COMPARE_INTERVAL_S
     state.next_compare_s = node.now_s + interval_s * (0.8 + 0.4 * node.random.random())
-    _forget(node)
+    state.pushing.forget(node.membership.members)
     partner = _partner(node)
     if partner is None:
-        return []
-    return [effects.Send(partner.address, _summary(node))]
+        return pushes
+    return [*pushes, effects.Send(partner.address, _summary(node))]
 
 
 def on_config_applied(node: machine.Node, event: events.ConfigApplied) -> list:
@@ -109,6 +109,7 @@
     state.pushed_revision = node.config.revision
     if node.identity.role is not data.Role.ENTRY:
         return []
+    state.pushing.due = True
     sends = []
     for peer in _push_targets(node):
         sends.extend(_send_delta(node, peer.address, base))
@@ -132,55 +133,26 @@
 
 
 def on_report(node: machine.Node, event: events.ReportReceived) -> list:
-    """Send the changes to an endpoint process whose report shows that it lags."""
+    """Note whether an endpoint process lags, or is ahead of this entry."""
     state = node.spread
     report = event.report
     state.fence = max(state.fence, report.fence)
-    endpoint = report.identity.instance_id
-    if report.revision >= node.config.revision:
-        state.lagging_since_s.pop(endpoint, None)
-        if report.revision > node.config.revision:
-            return [effects.Send(report.identity.address, _summary(node))]
-        return []
-    since_s = state.lagging_since_s.setdefault(endpoint, node.now_s)
-    if node.now_s - since_s < _delays(node, report.identity) * DELAY_S:
-        return []
-    if node.now_s - state.sent_s.get(endpoint, float("-inf")) < RESEND_INTERVAL_S:
-        return []
-    sends = _send_delta(node, report.identity.address, report.revision)
-    if sends:
-        state.sent_s[endpoint] = node.now_s
-    return sends
+    state.pushing.note(report, node.config.revision, node.now_s)
+    if report.revision > node.config.revision:
+        return [effects.Send(report.identity.address, _summary(node))]
+    return []
 
 
-def _delays(node: machine.Node, endpoint: data.Identity) -> int:
-    """Return how many entries are to send to an endpoint process before this one."""
-    state = node.spread
-    entry_ids = node.membership.entry_ids
-    if state.delays_from != entry_ids:
-        state.delays_from = frozenset(entry_ids)
-        state.delays.clear()
-    if endpoint.instance_id not in state.delays:
-        state.delays[endpoint.instance_id] = _rank_among_entries(node, endpoint)
-    return state.delays[endpoint.instance_id]
-
-
-def _rank_among_entries(node: machine.Node, endpoint: data.Identity) -> int:
-    own = node.identity
-    members = node.membership.members
-    ranked = rendezvous.rank(
-        endpoint.instance_id, {*node.membership.entry_ids, own.instance_id}
-    )
-    near = []
-    far = []
-    for name in ranked:
-        zone = own.zone if name == own.instance_id else members[name].identity.zone
-        (near if zone == endpoint.zone else far).append(name)
-    order = near[: HEARING_ENTRIES // 2]
-    order += far[: HEARING_ENTRIES - len(order)]
-    if own.instance_id not in order:
-        return MAX_DELAYS
-    return min(order.index(own.instance_id), MAX_DELAYS)
+def _push_to_endpoints(node: machine.Node) -> list:
+    """Push to the endpoint processes that lag and are this entry's turn."""
+    sends = []
+    for group in pushing.groups(node):
+        sent = _send_delta(node, group.addresses[0], group.base, group.addresses[1:])
+        sends.extend(sent)
+        if not isinstance(sent[0], effects.Send):
+            break  # no credit for now
+        node.spread.pushing.sent(group, node.config.revision, node.now_s)
+    return sends
 
 
 def _on_summary(
@@ -206,6 +178,16 @@
 
 
 def _on_delta(node: machine.Node, sender: data.Identity, delta: ConfigDelta) -> list:
+    passed_on = []
+    for share in range(PASS_ON_FANOUT):
+        addresses = delta.pass_on_to[share::PASS_ON_FANOUT]
+        if addresses:
+            below = msgspec.structs.replace(delta, pass_on_to=addresses[1:])
+            passed_on.append(effects.Send(addresses[0], below))
+    return [*passed_on, *_take_in(node, sender, delta)]
+
+
+def _take_in(node: machine.Node, sender: data.Identity, delta: ConfigDelta) -> list:
     state = node.config
     if delta.revision < state.revision:
         return _log(node, "config_older_refused", sender, delta.revision)
@@ -242,15 +224,21 @@
     return max(node.spread.fence, node.orders.fence)
 
 
-def _send_delta(node: machine.Node, address: data.Address, base: data.Revision) -> list:
+def _send_delta(
+    node: machine.Node,
+    address: data.Address,
+    base: data.Revision,
+    pass_on_to: tuple[data.Address, ...] = (),
+) -> list:
     if node.config.forked and base > 0:
-        return []
+        return [effects.Count("config_delta_postponed")]
     delta = ConfigDelta(
         base,
         node.config.revision,
         node.config.digest,
         history.newer(node.config.stamps, base),
         node.config.digests.get(base, ""),
+        pass_on_to,
     )
     if not _take_credit(node, delta):
         return [effects.Count("config_delta_postponed")]
@@ -311,15 +299,6 @@
     return node.random.sample(identities, max(0, min(count, len(identities))))
 
 
-def _forget(node: machine.Node) -> None:
-    """Drop what is remembered of endpoint processes that are gone."""
-    state = node.spread
-    for remembered in (state.lagging_since_s, state.sent_s, state.delays):
-        for endpoint in [*remembered]:
-            if endpoint not in node.membership.members:
-                del remembered[endpoint]
-
-
 def _log(
     node: machine.Node, event: str, sender: data.Identity, revision: data.Revision
 ) -> list:
--- /dev/null
+++ b/toucanspread/tools/bench_agreement.py
@@ -0,0 +1,250 @@
+"""Measures the agreement against fleet size, with real reducers in virtual time.
+
+Prints ``name=value`` lines. Times are virtual: message rounds, not processors, make
+them. Processor time is that of the reducers alone, without transports and codecs.
+"""
+
+import collections
+import sys
+import time
+
+import msgspec
+
+from standins import virtual_fleet
+from toucanspread.core import confirm, data, effects, events, plans, pushing, rendezvous
+
+SIZES = ((20, 11), (20, 400), (100, 2000), (350, 7500))  # entries, endpoint processes
+REGIONS = ("gran-area", "caribe")
+ZONES = 5
+SERVICES = 40
+SETTLE_S = 12.0
+CHANGES = 20
+CHANGE_INTERVAL_S = 2.0  # 40,000 changes a day are one in 2.2 s
+LAST_S = 12.0
+ENVELOPE_BYTES = 220  # identity and frame around each message
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class BenchFleet(virtual_fleet.Fleet):
+    """A large fleet: processes share what their memberships know of the entries."""
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.reporters: dict[str, list] = {}
+        self.bytes_sent: collections.Counter = collections.Counter()
+        self.messages: collections.Counter = collections.Counter()
+        self.step_s = 0.0
+        self.steps = 0
+        self.applied: list[tuple[float, str, int]] = []
+
+    def _meet(self) -> None:
+        return
+
+    def connect(self) -> None:
+        """Let each process know the entries, and each entry its endpoints."""
+        known = {
+            node.identity.instance_id: virtual_fleet.Member(node.identity)
+            for node in self.entries()
+        }
+        for node in self.entries():
+            name = node.identity.instance_id
+            node.membership.members = {
+                other: member for other, member in known.items() if other != name
+            }
+            node.membership.entry_ids = set(node.membership.members)
+        for node in self.endpoints():
+            node.membership.members = known
+            node.membership.entry_ids = set(known)
+            self._choose(node)
+
+    def _choose(self, node) -> None:
+        """Choose the entries that an endpoint process reports to."""
+        near = []
+        far = []
+        for name in rendezvous.rank(node.identity.instance_id, self._entry_names()):
+            zone = self.nodes[name].identity.zone
+            (near if zone == node.identity.zone else far).append(name)
+        chosen = near[: pushing.HEARING_ENTRIES // 2]
+        chosen += far[: pushing.HEARING_ENTRIES - len(chosen)]
+        self.reporters[node.identity.instance_id] = chosen
+        for name in chosen:
+            member = virtual_fleet.Member(node.identity)
+            members = self.nodes[name].membership.members
+            members[node.identity.instance_id] = member
+
+    def _entry_names(self) -> list:
+        return [node.identity.instance_id for node in self.entries()]
+
+    def _report(self) -> None:
+        for node in self.endpoints():
+            report = self._report_of(node)
+            event = events.ReportReceived(report)
+            for name in self.reporters[node.identity.instance_id]:
+                members = self.nodes[name].membership.members
+                members[node.identity.instance_id].report = report
+                self._put(self.random.random(), name, event)
+
+    def _send(self, node, effect: effects.Send) -> None:
+        size = len(_encoder.encode(effect.message)) + ENVELOPE_BYTES
+        for name in (node.identity.instance_id, effect.to):
+            self.bytes_sent[name] += size
+            self.messages[name] += 1
+        super()._send(node, effect)
+
+    def _carry_out(self, node, effect: data.Effect) -> None:
+        if isinstance(effect, effects.Log):
+            if effect.event == "config_applied":
+                name = node.identity.instance_id
+                found = (self.now_s, name, effect.fields["revision"])
+                self.applied.append(found)
+            return
+        super()._carry_out(node, effect)
+
+    def post(self, name: str, event: data.Event) -> None:
+        """Feed one event and count the processor time of entries."""
+        if self.nodes[name].identity.role is not data.Role.ENTRY:
+            super().post(name, event)
+            return
+        start_s = time.perf_counter()
+        super().post(name, event)
+        self.step_s += time.perf_counter() - start_s
+        self.steps += 1
+
+    def forget(self) -> None:
+        """Start the measurement anew."""
+        self.bytes_sent.clear()
+        self.messages.clear()
+        self.applied.clear()
+        self.kv.calls.clear()
+        self.kv.read_bytes = 0
+        self.step_s = 0.0
+
+
+def build(entries: int, endpoints: int) -> BenchFleet:
+    """Return a fleet that has been running for a while."""
+    fleet = BenchFleet(7)
+    for role, prefix, count in (
+        (data.Role.ENTRY, "entry", entries),
+        (data.Role.ENDPOINT, "engine", endpoints),
+    ):
+        for index in range(count):
+            zone = index % ZONES
+            region = REGIONS[zone % len(REGIONS)]
+            fleet.add(f"{prefix}-{index}", role, f"zone-{zone}", region)
+    fleet.connect()
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+def intent(number: int) -> data.Intent:
+    """Return an intent of the usual size that needs no instance."""
+    teams = tuple(data.TeamShare(f"team-{each}", 1.0) for each in range(10))
+    digits = f"{number:064x}"
+    return data.Intent(
+        f"service-{number % SERVICES}",
+        data.ServiceKind.MODEL,
+        0,
+        0,
+        tuple(f"zone-{zone}" for zone in range(ZONES)),
+        model="redactor",
+        version=f"2026-12-{number}",
+        manifest_hash=digits,
+        adapters=("cartas", "resumenes"),
+        teams=teams,
+    )
+
+
+def change(fleet: BenchFleet, number: int) -> None:
+    """Let an operator plan and confirm a change at some entry."""
+    names = sorted(node.identity.instance_id for node in fleet.entries())
+    name = names[number * 7 % len(names)]
+    base = fleet.nodes[name].config.revision
+    wanted = (intent(number),)
+    plan_id = plans.plan_id(base, wanted, ())
+    request = confirm.ConfirmRequested(f"op-{number}", base, wanted, (), plan_id)
+    fleet.post(name, request)
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile of sorted values."""
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def measure(entries: int, endpoints: int) -> dict[str, float]:
+    """Return the figures of one fleet size."""
+    fleet = build(entries, endpoints)
+    for number in range(SERVICES):
+        change(fleet, number)
+        fleet.run(0.3)
+    fleet.run(LAST_S)
+    fleet.forget()
+    start_s = fleet.now_s
+    accepted: dict[int, float] = {}
+    for number in range(CHANGES):
+        change(fleet, SERVICES + number)
+        fleet.run(CHANGE_INTERVAL_S)
+    fleet.run(LAST_S)
+    lasted_s = fleet.now_s - start_s
+    for at_s, _, revision in fleet.applied:
+        accepted[revision] = min(accepted.get(revision, at_s), at_s)
+    found = delays(fleet, accepted)
+    found["accepted"] = sum(
+        answer.verdict is confirm.Verdict.ACCEPTED
+        for answer in fleet.answers[-CHANGES:]
+    )
+    found["behind"] = sum(
+        node.config.revision != max(accepted) for node in fleet.nodes.values()
+    )
+    for kind, count in sorted(fleet.kv.calls.items()):
+        found[f"service_{kind}_per_s"] = count / lasted_s
+    found["service_calls_per_s"] = sum(fleet.kv.calls.values()) / lasted_s
+    found["service_read_bytes_per_s"] = fleet.kv.read_bytes / lasted_s
+    for role, nodes in (("entry", fleet.entries()), ("endpoint", fleet.endpoints())):
+        names = [node.identity.instance_id for node in nodes]
+        for what, counter in (
+            ("bytes", fleet.bytes_sent),
+            ("messages", fleet.messages),
+        ):
+            rates = sorted(counter[name] / lasted_s for name in names)
+            found[f"{role}_{what}_per_s_mean"] = sum(rates) / len(rates)
+            found[f"{role}_{what}_per_s_max"] = rates[-1]
+    found["entry_reducers_percent_of_core"] = 100 * fleet.step_s / lasted_s / entries
+    return found
+
+
+def delays(fleet: BenchFleet, accepted: dict[int, float]) -> dict[str, float]:
+    """Return when each process had each revision or a higher one in force."""
+    reached: dict[str, list[tuple[int, float]]] = {}
+    for at_s, name, revision in fleet.applied:
+        reached.setdefault(name, []).append((revision, at_s))
+    found = {}
+    for role, nodes in (("entry", fleet.entries()), ("endpoint", fleet.endpoints())):
+        values = []
+        for node in nodes:
+            steps = iter(reached.get(node.identity.instance_id, []))
+            held, at_s = next(steps, (0, 0.0))
+            for revision in sorted(accepted):
+                while held < revision:
+                    held, at_s = next(steps, (sys.maxsize, float("inf")))
+                values.append(at_s - accepted[revision])
+        values.sort()
+        found[f"{role}_in_force_s_p50"] = quantile(values, 0.5)
+        found[f"{role}_in_force_s_p99"] = quantile(values, 0.99)
+        found[f"{role}_in_force_s_max"] = values[-1]
+    return found
+
+
+def main() -> int:
+    """Print the figures of every fleet size."""
+    for entries, endpoints in SIZES:
+        start_s = time.perf_counter()
+        for name, value in measure(entries, endpoints).items():
+            print(f"{entries}_{endpoints}_{name}={value:.4g}", flush=True)
+        took_s = time.perf_counter() - start_s
+        print(f"{entries}_{endpoints}_run_s={took_s:.3g}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
