--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -1,10 +1,13 @@
 """Tests of datagrams over loopback."""
 
+import asyncio
+
 from twisted.internet import defer
 from twisted.trial import unittest
 
-from toucanspread.core import beliefs, data, views
-from toucanspread.ops import datagrams
+from toucanspread.core import data
+from toucanspread.core import membership_messages as messages
+from toucanspread.ops import datagrams, loop
 
 
 def identity(port):
@@ -31,7 +34,7 @@
         built = datagrams.Datagrams(
             identity(0), post, lambda address, message: self.large.append(message)
         )
-        self.addCleanup(lambda: defer.ensureDeferred(built.stop()))
+        self.addCleanup(lambda: defer.Deferred.fromFuture(loop.spawn(built.stop())))
         return built
 
     async def start(self):
@@ -45,26 +48,45 @@
             host, port = address.split(":")
             for payload in (b"", b"\xff" * 50, b"\x80"):
                 self.sender._port.write(payload, (host, int(port)))
-            self.sender.send(address, beliefs.Ping(3))
-            event = await self.received.get()
+            self.sender.send(address, messages.Ping(3))
+            event = await loop.wait(self.received.get())
             self.assertEqual((identity(0), 3), (event.sender, event.message.number))
             self.assertEqual([], self.received.pending)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
+
+    def test_sender_is_known_by_reference_and_introduced_again(self):
+        async def scenario():
+            address = await self.start()
+            for number in range(5):
+                self.sender.send(address, messages.Ping(number))
+                event = await loop.wait(self.received.get())
+                self.assertEqual(
+                    (identity(0), number), (event.sender, event.message.number)
+                )
+            self.receiver._senders.clear()
+            self.sender.send(address, messages.Ping(5))
+            await asyncio.sleep(0.05)
+            self.assertEqual([], self.received.pending)
+            self.sender.send(address, messages.Ping(6))
+            event = await loop.wait(self.received.get())
+            self.assertEqual(6, event.message.number)
+
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_large_message_takes_the_other_way(self):
         async def scenario():
             address = await self.start()
-            update = beliefs.make_update(identity(1), data.MemberState.LIVE, 0)
-            view = views.View((update,) * 20)
+            update = messages.make_update(identity(1), data.MemberState.LIVE, 0)
+            view = messages.View((update,) * 20)
             self.sender.send(address, view)
             self.assertEqual([view], self.large)
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
     def test_unusable_address_is_a_loss(self):
         async def scenario():
             await self.start()
-            self.sender.send("nowhere", beliefs.Ping(1))
+            self.sender.send("nowhere", messages.Ping(1))
 
-        return defer.ensureDeferred(scenario())
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
--- a/toucanspread/tools/virtual_network.py
+++ b/toucanspread/tools/virtual_network.py
@@ -30,7 +30,7 @@
         self.frozen: set[data.Address] = set()
         self.cut: Callable[[data.Identity, data.Identity], bool] = lambda a, b: False
         self.on_effect: Callable[[machine.Machine, data.Effect], None] | None = None
-        self.step_machine = machine.Machine.step
+        self.step_machine = lambda stepper, now_s, event: stepper.step(now_s, event)
         self._random = random.Random(seed)
         self._queue: list = []
         self._order = itertools.count()
