--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -18,7 +18,7 @@
 import yaml
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
 
@@ -167,6 +167,17 @@
             self.start_instance(instance["instance_id"])
         for address in self.entry_http.values():
             wait_for(address, "/healthz")
+            self._wait_for_reports(address)
+
+    def _wait_for_reports(self, entry: str) -> None:
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            seen = call(entry, "GET", "/v1/status")["instances"]
+            reported = sum(instance["reported"] for instance in seen)
+            if reported == len(self.endpoints):
+                return
+            time.sleep(POLL_INTERVAL_S)
+        raise LaunchError(f"entry {entry} heard of {reported} endpoint processes")
 
     def start_instance(self, instance_id: str) -> None:
         """Start the system's process on an instance."""
@@ -272,7 +283,9 @@
             module = "standins.engine"
             if service.kind == "plain":
                 module = "standins.plain_service"
-            self.processes.start(f"{instance_id}-backend", module, "--port", port)
+            self.processes.start(
+                f"{instance_id}-backend", module, "--port", port, "--admin"
+            )
         for address in self.backends.values():
             wait_for(address, "/stats")
 
--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.members: dict[data.InstanceId, Member] = {}
+        self.entry_ids: set[data.InstanceId] = set()
 
 
 class Transfer:
@@ -213,6 +214,7 @@
         self.answers: list[confirm.ConfirmAnswered | confirm.PlanAnswered] = []
         self.logs: list[tuple[float, data.InstanceId, effects.Log]] = []
         self.sent: dict[str, int] = {}
+        self.orders: list[data.Order] = []
         self._queue: list = []
         self._count = 0
         self._report_s = 0.0
@@ -324,6 +326,12 @@
                 name = other.identity.instance_id
                 if name not in known or known[name].identity != other.identity:
                     known[name] = Member(other.identity)
+            node.membership.entry_ids = {
+                name
+                for name, member in known.items()
+                if member.identity.role is data.Role.ENTRY
+                and name != node.identity.instance_id
+            }
 
     def _report(self) -> None:
         entries = self.entries()
@@ -350,8 +358,9 @@
             node.identity,
             self._sequence,
             data.MemberState.LEAVING if state.draining else live,
-            service=serving.service if serving else state.service,
+            service=serving.service if serving else "",
             kind=state.kind,
+            offers=state.service,
             model=serving.model if serving else "",
             version=serving.version if serving else "",
             manifest_hash=serving.manifest_hash if serving else "",
@@ -394,6 +403,8 @@
     def _send(self, node: machine.Node, effect: effects.Send) -> None:
         kind = type(effect.message).__name__
         self.sent[kind] = self.sent.get(kind, 0) + 1
+        if isinstance(effect.message, data.Order):
+            self.orders.append(effect.message)
         target = self.nodes.get(effect.to)
         if target is None or self._lost(node.identity, target.identity):
             return
