Bound what rides on membership messages by bytes, entries first

The entries to which an endpoint process reports know that it lives; only its end is told to the others.

--- a/toucanspread/core/beliefs.py
+++ b/toucanspread/core/beliefs.py
@@ -343,7 +343,15 @@
 
 
 def _spread(node, member: Member) -> Items:
-    """Pass a belief on; only entries do, and only about processes met."""
-    if node.identity.role is data.Role.ENTRY and member.identity.incarnation:
+    """Pass a belief on; only entries do, and only what others need.
+
+    Of an endpoint process the entries to which it reports know first-hand that it
+    lives; the others need to know of its end alone, or that the end was refuted.
+    """
+    if node.identity.role is not data.Role.ENTRY or not member.identity.incarnation:
+        return []
+    is_entry = member.identity.role is data.Role.ENTRY
+    ends = member.state in (State.LEAVING, State.DEAD)
+    if is_entry or ends or member.refutation:
         node.membership.pass_on(update_of(member))
     return []
--- a/toucanspread/core/capacity.py
+++ b/toucanspread/core/capacity.py
@@ -9,7 +9,6 @@
 
 COUNT_INTERVAL_S = 1.0
 CHANGE_INTERVAL_S = 5.0  # bounds the rows of a rollout, which changes every count
-MAX_ROWS = 4  # about 90 bytes each, beside the updates in a datagram
 
 
 class Table:
@@ -17,7 +16,7 @@
 
     def __init__(self):
         self.rows: dict[data.InstanceId, messages.Row] = {}
-        self.queue = gossip.Queue(MAX_ROWS)
+        self.queue = gossip.Queue()
         self.next_count_s = 0.0
         self.next_change_s = 0.0
 
--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership.py
@@ -23,6 +23,8 @@
 MAX_STEP_S = 0.5  # a longer gap between ticks means that this process was not running
 EXPIRE_INTERVAL_S = 0.5
 REPORTS_PER_ACK = 2
+MAX_ACK_UPDATES = 2  # keeps a cold start of the fleet within a node's bytes
+MAX_REPLAY = 32  # updates from before a process began to report here
 MAX_LOG = 4_096  # updates about entries, kept for endpoint processes to catch up
 
 
@@ -87,8 +89,9 @@
 
     def pass_on(self, update: messages.Update) -> None:
         """Spread an update among entries, and to endpoint processes if of an entry."""
-        self.gossip.put(update)
-        if update.role is not data.Role.ENTRY:
+        is_entry = update.role is data.Role.ENTRY
+        self.gossip.put(update, urgent=is_entry)
+        if not is_entry:
             return
         self.entry_log.append(update)
         if len(self.entry_log) > MAX_LOG:
@@ -221,10 +224,10 @@
 
 def _acknowledge(node, sender: data.Identity) -> messages.ReportAck:
     state = node.membership
-    end = state.entry_log_start + len(state.entry_log)
-    start = max(state.told.get(sender.instance_id, end), state.entry_log_start)
+    recent = state.entry_log_start + len(state.entry_log) - MAX_REPLAY
+    start = max(state.told.get(sender.instance_id, recent), state.entry_log_start)
     first = start - state.entry_log_start
-    updates = tuple(state.entry_log[first : first + gossip.MAX_UPDATES])
+    updates = tuple(state.entry_log[first : first + MAX_ACK_UPDATES])
     state.told[sender.instance_id] = start + len(updates)
     member = state.members[sender.instance_id]
     if member.leaving and member.report.state is not data.MemberState.LEAVING:
--- a/toucanspread/core/membership_messages.py
+++ b/toucanspread/core/membership_messages.py
@@ -10,6 +10,10 @@
 RANKS = {State.LIVE: 0, State.LEAVING: 1, State.SUSPECT: 2, State.DEAD: 3}
 
 
+UPDATE_BYTES = 42  # beside the names: numbers, states and their framing
+ROW_BYTES = 20
+
+
 class Update(data.Record, frozen=True, array_like=True, tag=False):
     """A belief about one process, as it travels between processes.
 
@@ -26,6 +30,12 @@
     state: data.MemberState
     refutation: int
 
+    @property
+    def size_bytes(self) -> int:
+        """Return about what the update takes on the wire."""
+        names = len(self.instance_id) + len(self.zone) + len(self.region)
+        return names + len(self.address) + len(self.http_address) + UPDATE_BYTES
+
     @property
     def order(self) -> tuple[int, int, int]:
         """Return the place of the update among all about its process."""
@@ -55,6 +65,12 @@
     sequence: int
     counts: dict[data.ServiceName, int]
 
+    @property
+    def size_bytes(self) -> int:
+        """Return about what the row takes on the wire."""
+        names = sum(map(len, self.counts))
+        return len(self.instance_id) + names + 4 * len(self.counts) + ROW_BYTES
+
     @property
     def order(self) -> tuple[int, int]:
         """Return the place of the row among all of its entry."""
--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -55,13 +55,6 @@
     return machine.Machine(node, handlers)
 
 
-class FakeLimits:
-    running = 0
-
-    def load(self, node):
-        return data.Load(running=self.running)
-
-
 class FakeOrders:
     serving = data.Report(None, 0, State.LIVE, "toucan-pool", version="v1")
 
--- a/toucanspread/core/probing.py
+++ b/toucanspread/core/probing.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from toucanspread.core import beliefs, data, effects
+from toucanspread.core import beliefs, data, effects, gossip
 from toucanspread.core import membership_messages as messages
 
 PROBE_INTERVAL_S = 1.0
@@ -155,28 +155,28 @@
     state.probing.probes[number] = Probe(
         instance_id, member.identity.incarnation, due_s
     )
-    ping = messages.Ping(number, updates_for(node, member), rows_for(node, member))
+    ping = messages.Ping(number, *cargo_for(node, member))
     return [effects.Send(member.identity.address, ping)]
 
 
-def rows_for(node, member: beliefs.Member) -> tuple[messages.Row, ...]:
-    """Return the rows that ride on a message; only entries are told."""
-    state = node.membership
-    if member.identity.role is not data.Role.ENTRY:
-        return ()
-    return state.capacities.queue.take(len(state.entry_ids))
-
+def cargo_for(node, member: beliefs.Member) -> tuple[tuple, tuple]:
+    """Return the updates and rows that ride on a message.
 
-def updates_for(node, member: beliefs.Member) -> tuple[messages.Update, ...]:
-    """Return what rides on a message; a condemned process learns of it first."""
+    A condemned process learns of it first; all else is for entries alone.
+    """
     state = node.membership
-    updates = ()
-    between_entries = member.identity.role is node.identity.role is data.Role.ENTRY
-    if between_entries:
-        updates = state.gossip.take(len(state.entry_ids))
+    updates: tuple[messages.Update, ...] = ()
+    rows: tuple[messages.Row, ...] = ()
+    room_bytes = gossip.MAX_BYTES
     if member.state in (data.MemberState.SUSPECT, data.MemberState.DEAD):
-        updates = (beliefs.update_of(member), *updates)
-    return updates
+        updates = (beliefs.update_of(member),)
+        room_bytes -= updates[0].size_bytes
+    if member.identity.role is node.identity.role is data.Role.ENTRY:
+        fleet = len(state.entry_ids)
+        updates += state.gossip.take(fleet, room_bytes)
+        room_bytes -= sum(update.size_bytes for update in updates)
+        rows = state.capacities.queue.take(fleet, room_bytes)
+    return updates, rows
 
 
 def _overdue(node, number: int, probe: Probe) -> beliefs.Items:
@@ -221,11 +221,9 @@
 def on_ping(node, sender: data.Identity, ping: messages.Ping) -> beliefs.Items:
     """Answer a probe."""
     member = node.membership.members.get(sender.instance_id)
-    updates = (beliefs.own_update(node),) if _was_condemned(node, ping) else ()
-    rows = ()
-    if member is not None:
-        updates += updates_for(node, member)
-        rows = rows_for(node, member)
+    updates, rows = ((), ()) if member is None else cargo_for(node, member)
+    if _was_condemned(node, ping):
+        updates = (beliefs.own_update(node), *updates)
     reports = False
     if node.identity.role is data.Role.ENDPOINT:
         reports = sender.instance_id in node.reporting.chosen
--- a/toucanspread/core/views.py
+++ b/toucanspread/core/views.py
@@ -9,7 +9,7 @@
 from toucanspread.core import beliefs, capacity, data, effects
 from toucanspread.core import membership_messages as messages
 
-VIEW_INTERVAL_S = 30.0
+VIEW_INTERVALS_S = {data.Role.ENTRY: 30.0, data.Role.ENDPOINT: 120.0}
 FIRST_VIEW_INTERVAL_S = 2.0  # while nothing but seeds is known
 
 
@@ -25,7 +25,9 @@
     state = node.membership
     if state.clock_s < state.views.next_s or not state.entry_ids:
         return []
-    interval_s = VIEW_INTERVAL_S if state.list_read else FIRST_VIEW_INTERVAL_S
+    interval_s = FIRST_VIEW_INTERVAL_S
+    if state.list_read:
+        interval_s = VIEW_INTERVALS_S[node.identity.role]
     state.views.next_s = state.clock_s + interval_s * (0.5 + node.random.random())
     chosen = node.random.choice(sorted(state.entry_ids))
     address = state.members[chosen].identity.address
