--- /dev/null
+++ b/standins/virtual_system.py
@@ -0,0 +1,555 @@
+"""Whole machines together in virtual time, with fakes around them and faults.
+
+Entries and endpoint processes are the machines that the daemons run; this module
+only carries their effects: messages, dispatches, chunks, calls on the platform. It
+makes no decision of the system. Everything random comes from one seed.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from standins import virtual_platform
+from toucanspread.core import (
+    confirm,
+    data,
+    effects,
+    events,
+    fetching,
+    gate,
+    machine,
+    plans,
+    request_events,
+    roles,
+)
+
+TICK_S = 0.1
+HOP_S = 0.002
+LIST_INTERVAL_S = 2.0
+LIST_LAG_S = 3.0
+LATE_LIMIT_S = 3.0
+WALL_START_S = 1_800_000_000.0
+MAX_SERVICE_S = 0.8
+ANSWER_SLACK_S = 1.0  # beyond its budget, within which a final outcome has to come
+
+
+@dataclasses.dataclass
+class Process:
+    """A running process.
+
+    :ivar held: events that came while it was frozen.
+    :ivar streams: open dispatches at an endpoint process.
+    :ivar runs: requests that run behind it, by dispatch.
+    """
+
+    stepper: machine.Machine
+    frozen: bool = False
+    held: list = dataclasses.field(default_factory=list)
+    streams: dict[int, "Call"] = dataclasses.field(default_factory=dict)
+    runs: dict[gate.Key, Callable] = dataclasses.field(default_factory=dict)
+    kept: dict[gate.Key, int] = dataclasses.field(default_factory=dict)
+    fetches: set[int] = dataclasses.field(default_factory=set)
+
+    @property
+    def identity(self) -> data.Identity:
+        """Who it is."""
+        return self.stepper.node.identity
+
+
+@dataclasses.dataclass
+class Call:
+    """A dispatch on its way, at its entry."""
+
+    entry: data.Identity
+    endpoint: data.Address
+    dispatch: data.Dispatch
+    stream: int = 0
+    closed: bool = False
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request as its caller knows it.
+
+    :ivar outcomes: the final outcomes that its entry gave.
+    """
+
+    request: data.Request
+    entry: data.InstanceId
+    incarnation: data.Incarnation
+    at_s: float
+    outcomes: list[request_events.FinishRequest] = dataclasses.field(
+        default_factory=list
+    )
+    answered_s: float = 0.0
+
+
+class Place:
+    """Where an instance stands and what is behind its process; it outlives it."""
+
+    def __init__(self, identity: data.Identity, service: str, checks_fence: bool):
+        self.identity = identity
+        self.service = service
+        self.engine = virtual_platform.Engine(checks_fence)
+        self.plain = virtual_platform.PlainService()
+
+    @property
+    def kind(self) -> data.ServiceKind:
+        """What stands behind the process."""
+        return data.ServiceKind.PLAIN if self.service else data.ServiceKind.MODEL
+
+
+class VirtualSystem:
+    """The machines, the fakes and the faults.
+
+    :ivar cut: pairs of regions between which nothing passes, without an error.
+    :ivar loss: the share of messages that are lost; as many are late or doubled.
+    :ivar corrupting: instances whose chunks arrive corrupted.
+    """
+
+    def __init__(self, seed: int):
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.key_value = virtual_platform.KeyValue()
+        self.origin = virtual_platform.Origin()
+        self.places: dict[data.InstanceId, Place] = {}
+        self.processes: dict[data.InstanceId, Process] = {}
+        self.cut: set[frozenset[data.RegionName]] = set()
+        self.loss = 0.0
+        self.corrupting: set[data.InstanceId] = set()
+        self.sent: dict[data.RequestId, Sent] = {}
+        self.answers: list[confirm.PlanAnswered | confirm.ConfirmAnswered] = []
+        self.logs: collections.Counter[str] = collections.Counter()
+        self.exits: list[data.InstanceId] = []
+        self.thawed_s: dict[data.InstanceId, float] = {}
+        self._calls: dict[tuple, Call] = {}
+        self._queue: list = []
+        self._order = itertools.count()
+        self._numbers = itertools.count(1)
+        self._incarnation = 0
+        self._listed: list[tuple[float, tuple[data.Identity, ...]]] = []
+        self._next_list_s = 0.0
+
+    def add(
+        self,
+        name: str,
+        role: data.Role,
+        zone: str,
+        region: str,
+        service: str = "",
+        checks_fence: bool = True,
+    ) -> None:
+        """Add an instance and start its process."""
+        identity = data.Identity(
+            data.InstanceId(name),
+            role,
+            data.Incarnation(0),
+            data.ZoneName(zone),
+            data.RegionName(region),
+            data.Address(name),
+            data.Address(f"http-{name}" if role is data.Role.ENTRY else ""),
+        )
+        self.places[identity.instance_id] = Place(identity, service, checks_fence)
+        self.start(identity.instance_id)
+
+    def start(self, name: data.InstanceId) -> None:
+        """Start a fresh process at its place; it remembers nothing."""
+        self._incarnation += 1
+        place = self.places[name]
+        identity = msgspec.structs.replace(
+            place.identity, incarnation=data.Incarnation(self._incarnation)
+        )
+        seed = self.random.getrandbits(32)
+        if identity.role is data.Role.ENTRY:
+            stepper = roles.build_entry(identity, seed)
+        else:
+            options = roles.EndpointOptions(place.kind, data.ServiceName(place.service))
+            stepper = roles.build_endpoint(identity, seed, options)
+        stepper.node.now_s = self.now_s
+        self.processes[name] = Process(stepper)
+
+    def kill(self, name: data.InstanceId) -> None:
+        """End a process without notice; its connections break."""
+        process = self.processes.pop(name)
+        for call in process.streams.values():
+            self._break(call, data.Reason.STREAM_BROKE, sent=True)
+        for call in [*self._calls.values()]:
+            if call.entry == process.identity:
+                self._close(call)
+
+    def freeze(self, name: data.InstanceId) -> None:
+        """Stop a process's time; what comes meanwhile waits."""
+        self.processes[name].frozen = True
+
+    def thaw(self, name: data.InstanceId) -> None:
+        """Let a frozen process go on."""
+        process = self.processes[name]
+        process.frozen = False
+        self.thawed_s[name] = self.now_s
+        held, process.held = process.held, []
+        for event in held:
+            self.post(name, event)
+
+    def post(self, name: data.InstanceId, event: data.Event) -> None:
+        """Feed an event to a process and carry out its effects."""
+        process = self.processes.get(name)
+        if process is None:
+            return
+        if process.frozen:
+            if not isinstance(event, events.Tick):
+                process.held.append(event)
+            return
+        process.stepper.node.wall_s = WALL_START_S + self.now_s
+        for effect in process.stepper.step(self.now_s, event):
+            self._carry_out(name, process, effect)
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s - 1e-9:
+            next_s = round(self.now_s + TICK_S, 6)
+            while self._queue and self._queue[0][0] <= next_s:
+                due_s, _, action = heapq.heappop(self._queue)
+                self.now_s = max(self.now_s, due_s)
+                action()
+            self.now_s = next_s
+            self._answer_watches()
+            self._read_list()
+            for name in [*self.processes]:
+                self.post(name, events.Tick(WALL_START_S + self.now_s))
+
+    def send(self, entry: data.InstanceId, request: data.Request) -> None:
+        """Let a caller send a request."""
+        incarnation = self.processes[entry].identity.incarnation
+        self.sent[request.request_id] = Sent(request, entry, incarnation, self.now_s)
+        self.post(entry, request_events.RequestArrived(request))
+
+    def propose(self, entry: data.InstanceId, *intents: data.Intent) -> None:
+        """Let an operator confirm a plan of intents made at an entry's revision."""
+        base = self.processes[entry].stepper.node.config.revision
+        operation_id = data.OperationId(f"operation-{next(self._numbers)}")
+        plan_id = plans.plan_id(base, intents, ())
+        event = confirm.ConfirmRequested(operation_id, base, intents, (), plan_id)
+        self.post(entry, event)
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        entry = (self.now_s + delay_s, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def _deliver(self, to: data.Identity, delay_s: float, event: data.Event) -> None:
+        """Feed an event later, unless the process has been replaced by then."""
+
+        def arrive() -> None:
+            process = self.processes.get(to.instance_id)
+            if process is not None and process.identity == to:
+                self.post(to.instance_id, event)
+
+        self.later(delay_s, arrive)
+
+    def _is_cut(self, left: data.Identity, right: data.Identity) -> bool:
+        return frozenset((left.region, right.region)) in self.cut
+
+    def _at(self, address: data.Address) -> Process | None:
+        return self.processes.get(data.InstanceId(address))
+
+    def _carry_out(
+        self, name: data.InstanceId, process: Process, effect: data.Effect
+    ) -> None:
+        carry = CARRIERS.get(type(effect))
+        if carry is not None:
+            carry(self, process, effect)
+        elif hasattr(effect, "operation_id") and hasattr(effect, "key"):
+            answer = self.key_value.call(self.now_s, effect)
+            self._deliver(process.identity, self.key_value.delay_s, answer)
+        elif isinstance(effect, effects.Exit):
+            self.exits.append(name)
+            self.processes.pop(name, None)
+
+    def _send_message(self, process: Process, effect: effects.Send) -> None:
+        target = self._at(effect.to)
+        if target is None or self._is_cut(process.identity, target.identity):
+            return
+        event = events.MessageReceived(process.identity, effect.message)
+        if self.random.random() >= self.loss:
+            self._deliver(target.identity, HOP_S, event)
+        if self.random.random() < self.loss:
+            delay_s = self.random.random() * LATE_LIMIT_S
+            self._deliver(target.identity, delay_s, event)
+
+    def _watch(self, process: Process, effect: effects.KvWatch) -> None:
+        waiting = (process.identity, effect, self.now_s + effect.wait_s)
+        self.key_value.watches.append(waiting)
+
+    def _answer_watches(self) -> None:
+        waiting, self.key_value.watches = self.key_value.watches, []
+        for identity, effect, until_s in waiting:
+            if not self.key_value.up:
+                status = data.KvStatus.NOT_APPLIED
+                answer = events.KvAnswered(effect.operation_id, status, effect.key)
+            else:
+                answer = self.key_value.read(effect)
+                if answer.version <= effect.after_version:
+                    if self.now_s < until_s:
+                        self.key_value.watches.append((identity, effect, until_s))
+                        continue
+                    answer = msgspec.structs.replace(
+                        answer, status=data.KvStatus.UNCHANGED, value=b""
+                    )
+            self._deliver(identity, self.key_value.delay_s, answer)
+
+    def _read_list(self) -> None:
+        if self.now_s < self._next_list_s:
+            return
+        self._next_list_s = self.now_s + LIST_INTERVAL_S
+        alive = tuple(process.identity for process in self.processes.values())
+        self._listed.append((self.now_s, alive))
+        while len(self._listed) > 1 and self._listed[1][0] <= self.now_s - LIST_LAG_S:
+            del self._listed[0]
+        for process in [*self.processes.values()]:
+            listed = events.InstanceListRead(self._listed[0][1])
+            self._deliver(process.identity, HOP_S, listed)
+
+    def _order_engine(self, process: Process, effect: effects.EngineOrder) -> None:
+        engine = self.places[process.identity.instance_id].engine
+        identity = process.identity
+        # The order takes effect even if the process dies before the answer.
+        self.later(HOP_S, lambda: self._deliver(identity, HOP_S, engine.order(effect)))
+
+    def _read_status(self, process: Process, effect: effects.ReadEngineStatus) -> None:
+        status = self.places[process.identity.instance_id].engine.status
+        answer = events.EngineStatusReported(status)
+        self._deliver(process.identity, HOP_S, answer)
+
+    def _list_staging(self, process: Process, effect: fetching.ListStaging) -> None:
+        staging = self.places[process.identity.instance_id].engine.staging
+        listed = fetching.StagingListed(tuple(staging))
+        self._deliver(process.identity, HOP_S, listed)
+
+    def _read_manifest(self, process: Process, effect: fetching.ReadManifest) -> None:
+        staging = self.places[process.identity.instance_id].engine.staging
+        payload = staging.get(data.ChunkHash(effect.manifest_hash))
+        read = fetching.ManifestRead(effect.manifest_hash, payload)
+        self._deliver(process.identity, HOP_S, read)
+
+    def _delete_chunks(self, process: Process, effect: fetching.DeleteChunks) -> None:
+        staging = self.places[process.identity.instance_id].engine.staging
+        for chunk_hash in effect.chunk_hashes:
+            staging.pop(chunk_hash, None)
+
+    def _fetch_from_peer(
+        self, process: Process, effect: fetching.FetchFromPeer
+    ) -> None:
+        process.fetches.add(effect.fetch_id)
+        peer = self._at(effect.address)
+        status = fetching.FetchStatus.STAGED
+        payload = b""
+        delay_s = 0.01 + 0.05 * self.random.random()
+        if peer is None:
+            status = fetching.FetchStatus.FAILED
+        elif peer.frozen or self._is_cut(process.identity, peer.identity):
+            status = fetching.FetchStatus.STALLED
+            delay_s = effect.deadline_s
+        elif effect.chunk_hash not in peer.stepper.node.transfer.held:
+            status = fetching.FetchStatus.ABSENT
+        elif peer.identity.instance_id in self.corrupting:
+            status = fetching.FetchStatus.CORRUPT
+        else:
+            staging = self.places[peer.identity.instance_id].engine.staging
+            payload = staging[effect.chunk_hash]
+        self._end_fetch(process, effect, delay_s, status, payload)
+
+    def _fetch_from_origin(
+        self, process: Process, effect: fetching.FetchFromOrigin
+    ) -> None:
+        process.fetches.add(effect.fetch_id)
+        payload = b"chunk"
+        if not effect.path:
+            payload = self.origin.manifests[effect.manifest_hash]
+        else:
+            self.origin.sent_chunks[effect.manifest_hash] += 1
+        delay_s = 0.02 + 0.1 * self.random.random()
+        status = fetching.FetchStatus.STAGED
+        self._end_fetch(process, effect, delay_s, status, payload)
+
+    def _end_fetch(
+        self, process: Process, effect, delay_s: float, status, payload: bytes
+    ) -> None:
+        engine = self.places[process.identity.instance_id].engine
+        is_staged = status is fetching.FetchStatus.STAGED
+        digest = effect.chunk_hash if is_staged else data.ChunkHash("")
+        ended = fetching.FetchEnded(effect.fetch_id, status, digest)
+
+        def arrive() -> None:
+            if effect.fetch_id not in process.fetches:
+                return
+            process.fetches.discard(effect.fetch_id)
+            if is_staged:
+                engine.stage(effect.chunk_hash, payload)
+            self._deliver(process.identity, 0.0, ended)
+
+        self.later(delay_s, arrive)
+
+    def _cancel_fetch(self, process: Process, effect: fetching.CancelFetch) -> None:
+        process.fetches.discard(effect.fetch_id)
+
+    def _dispatch(self, process: Process, effect: request_events.SendDispatch) -> None:
+        call = Call(process.identity, effect.address, effect.dispatch)
+        key = (process.identity, *_attempt_of(call))
+        self._calls[key] = call
+        self.later(HOP_S, lambda: self._arrive(call))
+        if self.random.random() < self.loss:
+            copy = Call(process.identity, effect.address, effect.dispatch, closed=True)
+            delay_s = self.random.random() * LATE_LIMIT_S
+            self.later(delay_s, lambda: self._arrive(copy))
+
+    def _arrive(self, call: Call) -> None:
+        target = self._at(call.endpoint)
+        if target is None:
+            self._break(call, data.Reason.UNREACHABLE, sent=False)
+            return
+        if self._is_cut(call.entry, target.identity):
+            return
+        call.stream = next(self._numbers)
+        target.streams[call.stream] = call
+        body_hash = hash(call.dispatch.request.idempotency_key)
+        event = gate.DispatchArrived(call.entry, call.dispatch, call.stream, body_hash)
+        self.post(target.identity.instance_id, event)
+
+    def _end_dispatch(self, process: Process, effect) -> None:
+        self._answer(process, effect.stream, effect.end)
+
+    def _replay(self, process: Process, effect: gate.ReplayAnswer) -> None:
+        end = effect.end
+        if effect.kept in process.kept:
+            end = msgspec.structs.replace(
+                end, outcome=data.Outcome.DONE, reason=data.Reason.NONE
+            )
+        self._answer(process, effect.stream, end)
+
+    def _answer(self, process: Process, stream: int, end: data.AnswerEnd) -> None:
+        call = process.streams.pop(stream, None)
+        if call is None or self._is_cut(process.identity, call.entry):
+            return
+
+        def arrive() -> None:
+            if not call.closed:
+                self._close(call)
+                self._deliver(call.entry, 0.0, request_events.AttemptEnded(end))
+
+        self.later(HOP_S, arrive)
+
+    def _break(self, call: Call, reason: data.Reason, sent: bool) -> None:
+        if call.closed:
+            return
+        self._close(call)
+        request_id, attempt = _attempt_of(call)
+        event = request_events.AttemptBroke(request_id, attempt, reason, sent)
+        self._deliver(call.entry, HOP_S, event)
+
+    def _close(self, call: Call) -> None:
+        """Drop a call at its entry and tell its endpoint process."""
+        call.closed = True
+        self._calls.pop((call.entry, *_attempt_of(call)), None)
+        target = self._at(call.endpoint)
+        if target is None or call.stream not in target.streams:
+            return
+        del target.streams[call.stream]
+        if self._is_cut(call.entry, target.identity):
+            return
+        event = gate.DispatchCancelled(*_attempt_of(call), call.stream)
+        self._deliver(target.identity, HOP_S, event)
+
+    def _cancel_attempt(
+        self, process: Process, effect: request_events.CancelAttempt
+    ) -> None:
+        key = (process.identity, effect.request_id, effect.attempt)
+        call = self._calls.get(key)
+        if call is not None:
+            self._close(call)
+
+    def _finish(self, process: Process, effect: request_events.FinishRequest) -> None:
+        sent = self.sent[effect.request_id]
+        sent.outcomes.append(effect)
+        sent.answered_s = self.now_s
+
+    def _start_run(self, process: Process, effect: gate.StartRun) -> None:
+        place = self.places[process.identity.instance_id]
+        key = (effect.request_id, effect.attempt)
+        started_s = self.now_s
+        reason = data.Reason.NONE
+        is_started = True
+        if place.kind is data.ServiceKind.PLAIN:
+            name = effect.request.idempotency_key
+            # Once sent, a call executes even if the process dies.
+            self.later(HOP_S, lambda: place.plain.executions.update([name]))
+        elif place.engine.status.active_version != effect.version:
+            reason, is_started = data.Reason.WRONG_VERSION, False
+        if is_started and self.random.random() < self.loss:
+            reason = data.Reason.STREAM_BROKE
+
+        def end(why: data.Reason = reason) -> None:
+            if process.runs.pop(key, None) is None:
+                return
+            whole = why is data.Reason.NONE
+            if whole:
+                process.kept[key] = 200
+            ended = gate.RunEnded(
+                request_id=effect.request_id,
+                attempt=effect.attempt,
+                ok=whole,
+                status=200,
+                started=is_started,
+                detail="",
+                service_time_s=self.now_s - started_s,
+                reason=why,
+            )
+            self._deliver(process.identity, 0.0, ended)
+
+        process.runs[key] = end
+        self.later(HOP_S + self.random.random() * MAX_SERVICE_S, end)
+
+    def _cancel_run(self, process: Process, effect: gate.CancelRun) -> None:
+        end = process.runs.get((effect.request_id, effect.attempt))
+        if end is not None:
+            end(data.Reason.CANCELLED)
+
+    def _keep_answer(self, process: Process, effect) -> None:
+        self.answers.append(effect)
+
+    def _log(self, process: Process, effect: effects.Log) -> None:
+        self.logs[effect.event] += 1
+
+
+def _attempt_of(call: Call) -> tuple[data.RequestId, int]:
+    return call.dispatch.request.request_id, call.dispatch.attempt
+
+
+CARRIERS = {
+    effects.Send: VirtualSystem._send_message,
+    effects.KvWatch: VirtualSystem._watch,
+    effects.EngineOrder: VirtualSystem._order_engine,
+    effects.ReadEngineStatus: VirtualSystem._read_status,
+    effects.Log: VirtualSystem._log,
+    fetching.ListStaging: VirtualSystem._list_staging,
+    fetching.ReadManifest: VirtualSystem._read_manifest,
+    fetching.DeleteChunks: VirtualSystem._delete_chunks,
+    fetching.FetchFromPeer: VirtualSystem._fetch_from_peer,
+    fetching.FetchFromOrigin: VirtualSystem._fetch_from_origin,
+    fetching.CancelFetch: VirtualSystem._cancel_fetch,
+    request_events.SendDispatch: VirtualSystem._dispatch,
+    request_events.CancelAttempt: VirtualSystem._cancel_attempt,
+    request_events.FinishRequest: VirtualSystem._finish,
+    gate.RefuseDispatch: VirtualSystem._end_dispatch,
+    gate.EndDispatch: VirtualSystem._end_dispatch,
+    gate.ReplayAnswer: VirtualSystem._replay,
+    gate.StartRun: VirtualSystem._start_run,
+    gate.CancelRun: VirtualSystem._cancel_run,
+    confirm.PlanAnswered: VirtualSystem._keep_answer,
+    confirm.ConfirmAnswered: VirtualSystem._keep_answer,
+}
