--- a/standins/system_machine.py
+++ b/standins/system_machine.py
@@ -16,6 +16,7 @@
 PIECES = 8
 SHARED_PIECES = 3
 BUDGET_S = 6.0
+MAX_VERSIONS = 8
 MAX_DEAD = 4  # of an instance each, so that some work always goes on
 
 entry_numbers = strategies.integers(0, ENTRIES - 1)
@@ -88,13 +89,18 @@
         return None if process is None or process.frozen else name
 
     @stateful.rule(
-        number=entry_numbers, service=strategies.sampled_from(["pool", "desk"])
+        number=entry_numbers,
+        service=strategies.sampled_from(["pool", "desk"]),
+        count=strategies.integers(1, 6),
     )
-    def request(self, number: int, service: str) -> None:
-        """A caller sends a request."""
-        entry = self._live_entry(number)
-        if entry is None:
-            return
+    def request(self, number: int, service: str, count: int) -> None:
+        """Callers of an entry send requests."""
+        for _ in range(count):
+            entry = self._live_entry(number)
+            if entry is not None:
+                self._request(entry, service)
+
+    def _request(self, entry: data.InstanceId, service: str) -> None:
         self.count += 1
         request = data.Request(
             data.RequestId(f"request-{self.count}"),
@@ -183,6 +189,8 @@
     @stateful.rule(first=entry_numbers, second=entry_numbers)
     def upgrade(self, first: int, second: int) -> None:
         """One or two operators confirm a new version at the same time."""
+        if self.version >= MAX_VERSIONS:
+            return
         for entry in {self._live_entry(first), self._live_entry(second)}:
             if entry is not None:
                 self.system.propose(entry, self._pool())
