--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -99,10 +99,8 @@
 
     def run(self) -> Findings:
         """Start everything, provoke the faults under load, stop and judge."""
-        intents = self._publish()
         try:
-            self.cluster.start()
-            self._accept(intents)
+            self.start()
             callers = self._callers()
             callers.start()
             try:
@@ -118,6 +116,12 @@
             self.cluster.stop()
         return self._judge(answers)
 
+    def start(self) -> None:
+        """Start the deployment and let its intents be carried out."""
+        intents = self._publish()
+        self.cluster.start()
+        self._accept(intents)
+
     def _publish(self) -> list[dict]:
         intents = []
         for service in self.deployment.services:
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -101,6 +101,10 @@
         self.signal(name, signal.SIGKILL)
         self._running[name].wait()
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._running[name].pid
+
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
         return self._running[name].poll() is None
