--- a/toucanspread/core/claims_test.py
+++ b/toucanspread/core/claims_test.py
@@ -97,6 +97,13 @@
         (start,) = self.settle(self.rig, self.rig.step(answered(write, UNKNOWN)))
         self.assertIsInstance(start, gate.StartRun)
 
+    def test_a_write_that_did_not_land_loses_to_another(self):
+        write = self.write_of(self.rig)
+        other = gate_fakes.Rig(PLAIN, "endpoint-2")
+        self.win(other, "r2")
+        (end,) = self.settle(self.rig, self.rig.step(answered(write, UNKNOWN)))
+        self.assertEqual(data.Reason.DUPLICATE, end.end.reason)
+
     def test_a_claim_that_lands_late_never_runs_and_is_withdrawn(self):
         write = self.write_of(self.rig)
         read, end = self.rig.step(events.Tick(), claims.CLAIM_TIMEOUT_S)
--- a/toucanspread/core/gate_stateful_test.py
+++ b/toucanspread/core/gate_stateful_test.py
@@ -11,8 +11,9 @@
 from toucanspread.core import data, events, gate
 
 GATES = 3
-KEYS = ("deposit-1", "deposit-2", "swap-1")
+KEYS = ("deposit-1", "swap-1")
 gates = st.integers(0, GATES - 1)
+budgets = st.sampled_from((5.0, 20.0, 0.4, 0.0))
 picks = st.integers(0, 10_000)
 
 
@@ -41,6 +42,7 @@
         self.started_attempts: collections.Counter[gate.Key] = collections.Counter()
         self.not_run: set[gate.Key] = set()
         self.open_streams: dict[int, tuple[int, gate.Key]] = {}
+        self.draining = False
         self.requests = 0
         self.streams = 0
 
@@ -83,7 +85,7 @@
         event = gate.DispatchArrived(gate_fakes.ENTRY, sent.dispatch, self.streams)
         self.step(sent.gate_number, event)
 
-    @stateful.rule(number=gates, key=st.sampled_from(KEYS), budget_s=st.floats(0, 5))
+    @stateful.rule(number=gates, key=st.sampled_from(KEYS), budget_s=budgets)
     def send(self, number, key, budget_s):
         self.requests += 1
         request = data.Request(
@@ -104,23 +106,31 @@
     def deliver_a_late_copy(self, pick):
         self.deliver(self.sent[pick % len(self.sent)])
 
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(pick=picks, count=st.sampled_from((1, 1, 2, 6)))
+    def answer_key_value(self, pick, count):
+        for _ in range(count):
+            if not self.calls:
+                return
+            number, incarnation, effect = self.calls.pop(pick % len(self.calls))
+            self.answer(number, incarnation, self.kv.carry_out(effect))
+
     @stateful.precondition(lambda self: self.calls)
     @stateful.rule(
-        pick=picks,
-        fault=st.sampled_from(("none", "none", "lost answer", "lost call", "late")),
+        pick=picks, fault=st.sampled_from(("lost answer", "lost call", "late"))
     )
-    def answer_key_value(self, pick, fault):
+    def fail_key_value(self, pick, fault):
         number, incarnation, effect = self.calls.pop(pick % len(self.calls))
-        unknown = events.KvAnswered(
-            effect.operation_id, data.KvStatus.UNKNOWN, effect.key
-        )
-        answer = unknown
-        if fault in ("none", "lost answer"):
-            done = self.kv.carry_out(effect)
-            answer = done if fault == "none" else unknown
+        if fault == "lost answer":
+            self.kv.carry_out(effect)
         elif fault == "late":
             self.late_writes.append(effect)
-        self.answer(number, incarnation, answer)
+        unknown = data.KvStatus.UNKNOWN
+        self.answer(
+            number,
+            incarnation,
+            events.KvAnswered(effect.operation_id, unknown, effect.key),
+        )
 
     def answer(self, number, incarnation, answer):
         if self.rigs[number].node.identity.incarnation == incarnation:
@@ -186,8 +196,10 @@
         self.rigs[number] = self.new_rig(number, incarnation)
         self.rigs[number].now_s = before.now_s
 
+    @stateful.precondition(lambda self: not self.draining)
     @stateful.rule(number=gates)
     def drain(self, number):
+        self.draining = True
         self.step(number, events.DrainStarted(data.Reason.LEAVING))
 
     @stateful.precondition(lambda self: self.open_streams)
@@ -197,7 +209,7 @@
         number, (request_id, attempt) = self.open_streams[stream]
         self.step(number, gate.DispatchCancelled(request_id, attempt, stream))
 
-    @stateful.rule(after_s=st.sampled_from((0.1, 0.5, 1.6, 12.0)))
+    @stateful.rule(after_s=st.sampled_from((0.1, 0.5, 1.1, 1.6)))
     def pass_time(self, after_s):
         for number in range(GATES):
             self.step(number, events.Tick(), after_s)
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -70,6 +70,12 @@
         rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
         self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
 
+    def test_a_late_copy_of_a_run_that_did_not_start_is_refused(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        rig.end(ok=False, started=False)
+        self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
+
     def test_a_copy_of_a_running_dispatch_is_unknown(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
