--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -159,6 +159,7 @@
     :param floor: the least number of whole replicas at any time.
     :param origin_weight: 0 favours time to N replicas, 1 favours origin bytes.
     :param repeatable: whether the service's calls may be repeated by default.
+    :param weights_bytes: the size of the version's weights, for plans; 0 if unknown.
     """
 
     service: ServiceName
@@ -174,6 +175,7 @@
     teams: tuple[TeamShare, ...] = ()
     origin_weight: float = 0.5
     repeatable: bool = True
+    weights_bytes: int = 0
 
 
 class Change(Record):
@@ -209,6 +211,7 @@
     :param version: the version that is whole, verified and served.
     :param sequence: grows with each report of one incarnation.
     :param target_version: the version being moved, if any.
+    :param offers: the one plain service that can be served here; empty for engines.
     :param staged_chunks: how many of ``target_chunks`` are held and verified.
     """
 
@@ -228,6 +231,7 @@
     staged_chunks: int = 0
     target_chunks: int = 0
     failure: str = ""
+    offers: ServiceName = ServiceName("")
 
 
 class Order(Message):
@@ -235,7 +239,9 @@
 
     :param fence: the fencing number of the controller's lease; a lower one than the
         highest seen is refused.
-    :param previous_version: the version to keep serving until the new one is whole.
+    :param sequence: counts the orders under one fencing number, so that one that was
+        delayed or doubled doesn't undo a later one.
+    :param service: what to serve; empty for nothing.
     """
 
     fence: FencingNumber
@@ -249,6 +255,7 @@
     adapters: tuple[AdapterName, ...] = ()
     origin_weight: float = 0.5
     leave: bool = False
+    sequence: int = 0
 
 
 class Request(Record):
@@ -276,10 +283,16 @@
 class Dispatch(Message):
     """A request as an entry gives it to an endpoint process.
 
-    :param attempt: counts the dispatches of the request at its entry, from 1.
+    :param attempt: tells the dispatches of the request apart. It grows with each one
+        at its entry, from a random start: a caller that repeats a request with the
+        same id must not be taken for a late copy.
     :param budget_s: what is left of the request's time at the moment of sending.
     :param endpoint_incarnation: the process that is meant; a restarted one refuses,
         as it does not know what its predecessor did. 0 means any.
+    :param resume_from_bytes: how many payload bytes of a broken stream the caller
+        already has; the frames of this attempt start with the byte after them and
+        say so in their ``offset_bytes``. An endpoint that cannot do so refuses.
+    :param resume_from_events: the same place, in whole server-sent events.
     """
 
     request: Request
@@ -287,6 +300,8 @@
     budget_s: float
     entry_id: InstanceId
     endpoint_incarnation: Incarnation = Incarnation(0)
+    resume_from_bytes: int = 0
+    resume_from_events: int = 0
 
 
 class AnswerEnd(Message):
@@ -316,12 +331,15 @@
     """A piece of an answer.
 
     :param sequence: counts the frames of one attempt from 0.
+    :param offset_bytes: where the payload stands in the answer, in an attempt that
+        resumes a broken stream; 0 otherwise.
     """
 
     request_id: RequestId
     attempt: int
     sequence: int
     payload: bytes
+    offset_bytes: int = 0
 
 
 class EngineStatus(Record):
--- /dev/null
+++ b/toucanspread/core/reporting.py
@@ -0,0 +1,204 @@
+"""Reports of an endpoint process to the entries that it chose.
+
+Few entries are all told. Of many, a few are chosen by rendezvous hashing, some in
+the own zone, so that each entry hears of about as many endpoint processes.
+
+A whole report goes out when something other than the load has changed, and now and
+then; in between, a short :class:`LoadReport` refers to it.
+"""
+
+import msgspec
+
+from toucanspread.core import beliefs, data, effects, events, limits, rendezvous
+
+REPORT_INTERVAL_S = 1.0
+WHOLE_INTERVAL_S = 30.0
+ALL_ENTRIES_LIMIT = 32  # up to this many entries, every one is told
+ZONE_ENTRIES = 2
+OTHER_ENTRIES = 1
+CHOICE_INTERVAL_S = 1.0
+
+
+class LoadReport(data.Message, rename={"sequence": "s", "base": "b", "load": "l"}):
+    """A report that differs from a whole one before it by its load alone.
+
+    :param base: the sequence of that whole report.
+    """
+
+    sequence: int
+    base: int
+    load: tuple[int, int, float]
+
+    def applied_to(self, whole: data.Report) -> data.Report:
+        """Return the report that is meant."""
+        running, queued, service_time_s = self.load
+        load = data.Load(running, queued, whole.load.limit, service_time_s)
+        return msgspec.structs.replace(whole, sequence=self.sequence, load=load)
+
+
+class ReportWanted(data.Message):
+    """Asks an endpoint process for a whole report."""
+
+
+class State:
+    """Whom to tell, and when next."""
+
+    def __init__(self):
+        self.chosen: tuple[data.InstanceId, ...] = ()
+        self.sequence = 0
+        self.next_report_s = 0.0
+        self.next_choice_s = 0.0
+        self.whole: data.Report | None = None
+        self.next_whole_s = 0.0
+        self.wanted_by: set[data.InstanceId] = set()
+        self._ranked_from: frozenset[data.InstanceId] | None = None
+
+    def choice_due(self, now_s: float, entry_ids: set[data.InstanceId]) -> bool:
+        """Return whether the entries have changed since the last choice."""
+        if now_s < self.next_choice_s:
+            return False
+        self.next_choice_s = now_s + CHOICE_INTERVAL_S
+        if self._ranked_from == entry_ids:
+            return False
+        self._ranked_from = frozenset(entry_ids)
+        return True
+
+
+def choose(node) -> tuple[data.InstanceId, ...]:
+    """Return the entries to tell."""
+    members = node.membership.members
+    entry_ids = node.membership.entry_ids
+    if len(entry_ids) <= ALL_ENTRIES_LIMIT:
+        return tuple(sorted(entry_ids))
+    ranked = rendezvous.rank(node.identity.instance_id, entry_ids)
+    near = []
+    far = []
+    for instance_id in ranked:
+        is_near = members[instance_id].identity.zone == node.identity.zone
+        (near if is_near else far).append(instance_id)
+    chosen = near[:ZONE_ENTRIES]
+    chosen += far[: ZONE_ENTRIES + OTHER_ENTRIES - len(chosen)]
+    return tuple(chosen)
+
+
+def make_report(node) -> data.Report:
+    """Return the next report."""
+    node.reporting.sequence += 1
+    return data.Report(
+        identity=node.identity,
+        sequence=node.reporting.sequence,
+        state=_own_state(node),
+        **_serving(node),
+        **_progress(node),
+    )
+
+
+def on_tick(node, event: events.Tick) -> beliefs.Items:
+    """Report when due; entries report nothing."""
+    if node.identity.role is data.Role.ENTRY:
+        return []
+    state = node.reporting
+    if state.choice_due(node.now_s, node.membership.entry_ids):
+        before = state.chosen
+        state.chosen = choose(node)
+        state.wanted_by.update(set(state.chosen) - set(before))
+    if node.now_s < state.next_report_s:
+        return []
+    state.next_report_s = node.now_s + REPORT_INTERVAL_S
+    return _send_report(node)
+
+
+def on_change(node, event: data.Event) -> beliefs.Items:
+    """Report at once, because what this process serves has changed."""
+    if node.identity.role is data.Role.ENTRY:
+        return []
+    return _send_report(node)
+
+
+def on_message(node, event: events.MessageReceived) -> beliefs.Items:
+    """Note who wants a whole report."""
+    if isinstance(event.message, ReportWanted):
+        node.reporting.wanted_by.add(event.sender.instance_id)
+    return []
+
+
+def _send_report(node) -> beliefs.Items:
+    state = node.reporting
+    report = make_report(node)
+    short = _shortened(state, report)
+    if short is None or node.now_s >= state.next_whole_s:
+        short = None
+        state.whole = report
+        state.next_whole_s = node.now_s + WHOLE_INTERVAL_S
+    found: beliefs.Items = []
+    for instance_id in state.chosen:
+        member = node.membership.members.get(instance_id)
+        if member is None:
+            continue
+        message = short
+        if short is None:
+            message = report
+        elif instance_id in state.wanted_by:
+            message = state.whole
+        found.append(effects.Send(member.identity.address, message))
+    state.wanted_by.clear()
+    return found
+
+
+def _shortened(state: State, report: data.Report) -> LoadReport | None:
+    """Return the short form of a report, unless more than the load has changed."""
+    whole = state.whole
+    if whole is None or report.load.limit != whole.load.limit:
+        return None
+    same = msgspec.structs.replace(report, sequence=whole.sequence, load=whole.load)
+    if same != whole:
+        return None
+    load = (report.load.running, report.load.queued, report.load.service_time_s)
+    return LoadReport(report.sequence, whole.sequence, load)
+
+
+def _own_state(node) -> data.MemberState:
+    orders = getattr(node, "orders", None)
+    draining = getattr(orders, "draining", False)
+    if draining or node.membership.leaving:
+        return data.MemberState.LEAVING
+    return data.MemberState.LIVE
+
+
+def _serving(node) -> dict[str, object]:
+    """Return the fields of a report that tell what is served."""
+    found: dict[str, object] = {}
+    if getattr(node, "limits", None) is not None:
+        found["load"] = limits.load(node)
+    config = getattr(node, "config", None)
+    found["revision"] = getattr(config, "revision", data.Revision(0))
+    orders = getattr(node, "orders", None)
+    found["fence"] = getattr(orders, "fence", data.FencingNumber(0))
+    found["kind"] = getattr(orders, "kind", data.ServiceKind.MODEL)
+    found["offers"] = getattr(orders, "service", data.ServiceName(""))
+    serving = getattr(orders, "serving", None)
+    if serving is None:
+        return found
+    for name in ("service", "kind", "model", "version", "manifest_hash", "adapters"):
+        found[name] = getattr(serving, name)
+    return found
+
+
+def _progress(node) -> dict[str, object]:
+    """Return the fields of a report that tell of a version being moved."""
+    transfer = getattr(node, "transfer", None)
+    if transfer is None:
+        return {}
+    return {
+        "target_version": transfer.target_version,
+        "staged_chunks": transfer.staged_chunks,
+        "target_chunks": transfer.target_chunks,
+    }
+
+
+HANDLERS = {
+    events.Tick: on_tick,
+    events.MessageReceived: on_message,
+    events.ServingChanged: on_change,
+    events.DrainStarted: on_change,
+}
