--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -96,6 +96,7 @@
     """The gate's parts on a real machine, without orders and sockets.
 
     :param teams: weights of the teams that share the service.
+    :param adaptive: whether the limit follows measured latency.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         limit: int = 4,
         seed: int = 1,
         teams: Iterable[data.TeamShare] = (),
+        adaptive: bool = False,
     ):
         self.now_s = 0.0
         served = serving(kind)
@@ -125,7 +127,7 @@
             config=types.SimpleNamespace(intents={served.service: intent}),
             gate=gate.State(),
             claims=claims.State(),
-            limits=limits.State(limit),
+            limits=limits.State(limit, adaptive),
         )
         self.machine = machine.Machine(
             self.node, [gate.HANDLERS, claims.HANDLERS, limits.HANDLERS]
--- /dev/null
+++ b/standins/virtual_engine.py
@@ -0,0 +1,180 @@
+"""An engine behind one gate in virtual time, under an offered load.
+
+The engine generates tokens for all running requests side by side. Up to
+``SATURATING_BATCH`` of them a further one costs the others nothing; beyond, all get
+slower, so that more concurrency only makes everybody late.
+"""
+
+import collections
+import dataclasses
+import random
+
+from standins import gate_fakes
+from toucanspread.core import data, events, gate
+
+STEP_S = 0.01
+TICK_STEPS = 10
+TOKEN_S = 0.02
+SATURATING_BATCH = 16
+MIN_TOKENS = 20
+MAX_TOKENS = 100
+TOKENS_PER_S = SATURATING_BATCH / TOKEN_S
+CAPACITY_PER_S = TOKENS_PER_S / ((MIN_TOKENS + MAX_TOKENS) / 2)
+
+
+@dataclasses.dataclass
+class Source:
+    """A team's requests.
+
+    :param factor: the offered load, in shares of the engine's capacity.
+    :param budget_s: of each request.
+    """
+
+    team: str
+    factor: float
+    budget_s: float = 5.0
+    priority: int = 1
+
+
+@dataclasses.dataclass
+class Totals:
+    """What became of a team's requests.
+
+    :param done: answered whole and on time.
+    """
+
+    offered: int = 0
+    done: int = 0
+    refused: int = 0
+    unknown: int = 0
+    worst_s: float = 0.0
+
+    def share_done(self) -> float:
+        """Return the share that was answered whole and on time."""
+        return self.done / max(1, self.offered)
+
+
+@dataclasses.dataclass
+class Job:
+    """A request that the engine runs."""
+
+    start: gate.StartRun
+    tokens: int
+    started_s: float
+    produced: float = 0.0
+
+
+class Bench:
+    """Drives one gate with sources of requests.
+
+    :param slow_at_s: from when on the engine takes ``slow_factor`` as long.
+    """
+
+    def __init__(
+        self,
+        rig: gate_fakes.Rig,
+        sources: list[Source],
+        seed: int,
+        slow_at_s: float = float("inf"),
+        slow_factor: float = 1.0,
+    ):
+        self.rig = rig
+        self.totals: dict[str, Totals] = collections.defaultdict(Totals)
+        self.most_running = 0
+        self.most_queued = 0
+        self._sources = sources
+        self._random = random.Random(seed)
+        self._jobs: dict[gate.Key, Job] = {}
+        self._sent: dict[data.RequestId, tuple[Source, float]] = {}
+        self._next_s = [self._gap(source) for source in sources]
+        self._slow_at_s = slow_at_s
+        self._slow_factor = slow_factor
+        self._count = 0
+
+    def run(self, duration_s: float) -> dict[str, Totals]:
+        """Offer load for a time, let what runs end, and return the totals."""
+        steps = round(duration_s / STEP_S)
+        for step in range(steps):
+            self._offer(step * STEP_S)
+            self._advance(step)
+        step = steps
+        while self._sent and step < steps + 10_000:
+            self._advance(step)
+            step += 1
+        return self.totals
+
+    def _gap(self, source: Source) -> float:
+        return self._random.expovariate(source.factor * CAPACITY_PER_S)
+
+    def _offer(self, now_s: float) -> None:
+        for number, source in enumerate(self._sources):
+            while self._next_s[number] <= now_s:
+                self._next_s[number] += self._gap(source)
+                self._send(source, now_s)
+
+    def _send(self, source: Source, now_s: float) -> None:
+        self._count += 1
+        request_id = data.RequestId(f"r{self._count}")
+        self._sent[request_id] = (source, now_s)
+        self.totals[source.team].offered += 1
+        self._take(
+            self.rig.dispatch(
+                request_id,
+                stream=self._count,
+                budget_s=source.budget_s,
+                team=source.team,
+                priority=source.priority,
+            )
+        )
+
+    def _advance(self, step: int) -> None:
+        now_s = self.rig.now_s = step * STEP_S
+        if step % TICK_STEPS == 0:
+            self._take(self.rig.step(events.Tick()))
+        batch = len(self._jobs)
+        self.most_running = max(self.most_running, batch)
+        self.most_queued = max(self.most_queued, len(self.rig.node.limits.queue))
+        if not batch:
+            return
+        token_s = TOKEN_S * max(1.0, batch / SATURATING_BATCH)
+        if now_s >= self._slow_at_s:
+            token_s *= self._slow_factor
+        for key, job in tuple(self._jobs.items()):
+            job.produced += STEP_S / token_s
+            is_late = now_s >= job.started_s + job.start.budget_s
+            if job.produced < job.tokens and not is_late:
+                continue
+            del self._jobs[key]
+            self._end(job, now_s, ok=not is_late)
+
+    def _end(self, job: Job, now_s: float, ok: bool) -> None:
+        reason = data.Reason.NONE if ok else data.Reason.DEADLINE
+        self._take(
+            self.rig.end(
+                job.start.request_id,
+                ok=ok,
+                service_time_s=now_s - job.started_s,
+                reason=reason,
+                units=job.produced,
+            )
+        )
+
+    def _take(self, found: list) -> None:
+        for effect in found:
+            if isinstance(effect, gate.StartRun):
+                tokens = self._random.randint(MIN_TOKENS, MAX_TOKENS)
+                job = Job(effect, tokens, self.rig.now_s)
+                self._jobs[(effect.request_id, effect.attempt)] = job
+            elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
+                self._note(effect.end)
+
+    def _note(self, end: data.AnswerEnd) -> None:
+        source, sent_s = self._sent.pop(end.request_id)
+        totals = self.totals[source.team]
+        if end.outcome is data.Outcome.DONE:
+            totals.done += 1
+            totals.worst_s = max(totals.worst_s, self.rig.now_s - sent_s)
+        elif end.outcome is data.Outcome.NOT_RUN:
+            totals.refused += 1
+        else:
+            totals.unknown += 1
--- a/toucanspread/core/fairness.py
+++ b/toucanspread/core/fairness.py
@@ -10,9 +10,15 @@
 from toucanspread.core import data
 
 DEFAULT_WEIGHT = 1.0
+MIN_WEIGHT = 0.01
 EVEN_WITHIN = 2.0  # shares by which teams may differ and still count as even
 
 
+def weight_of(team: data.TeamName, weights: Mapping[data.TeamName, float]) -> float:
+    """Return a team's weight; a team that no intent names has the default."""
+    return max(MIN_WEIGHT, weights.get(team, DEFAULT_WEIGHT))
+
+
 class Shares:
     """The virtual times of the teams that are active."""
 
@@ -36,5 +42,5 @@
         self, team: data.TeamName, weights: Mapping[data.TeamName, float]
     ) -> None:
         """Count one admitted request of a team."""
-        weight = weights.get(team, DEFAULT_WEIGHT)
-        self._times[team] = self.virtual_time(team) + 1.0 / weight
+        cost = 1.0 / weight_of(team, weights)
+        self._times[team] = self.virtual_time(team) + cost
--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -17,6 +17,11 @@
 ENGINE_RETRY_AFTER_S = 1.0
 LOADING_RETRY_AFTER_S = 5.0
 
+# Ends that say nothing of how busy the engine is.
+BLAMELESS_REASONS = frozenset(
+    (data.Reason.CANCELLED, data.Reason.BAD_REQUEST, data.Reason.WRONG_VERSION)
+)
+
 Key = tuple[data.RequestId, int]
 
 
@@ -53,6 +58,7 @@
 
     :param ok: whether the answer is whole.
     :param started: false only with proof that nothing of the request was run.
+    :param units: the work that was done, such as events streamed.
     """
 
     request_id: data.RequestId
@@ -63,6 +69,7 @@
     detail: str
     service_time_s: float
     reason: data.Reason = data.Reason.NONE
+    units: float = 1.0
 
 
 class StartRun(data.Effect):
@@ -256,7 +263,13 @@
     if work is None:
         return []
     items: list = [
-        limits.Released(key, event.service_time_s, event.ok),
+        limits.Released(
+            key,
+            event.service_time_s,
+            ok=event.ok,
+            ran=event.reason not in BLAMELESS_REASONS,
+            units=event.units,
+        ),
         effects.Observe("gate_service_time_s", event.service_time_s, _labels(work)),
     ]
     if work.claimed:
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -230,6 +230,7 @@
         self._started_s = time.monotonic()
         self._progressed = False
         self._status = 200
+        self._units = 1.0
 
     async def generate(self, model_engine: engine.Engine) -> None:
         """Relay what the engine generates, resuming a stream that breaks."""
@@ -271,6 +272,7 @@
                 detail=detail,
                 service_time_s=time.monotonic() - self._started_s,
                 reason=reason,
+                units=self._units,
             )
         )
 
@@ -299,6 +301,7 @@
         try:
             async for piece in pieces:
                 self._progress()
+                self._units += piece.count(engine.EVENT_END)
                 await self._channel.write(piece)
         finally:
             await pieces.aclose()
--- /dev/null
+++ b/toucanspread/tools/bench_gate.py
@@ -0,0 +1,88 @@
+"""Measures the gate of an endpoint process, in virtual time and in processor time.
+
+Prints ``name=value`` lines: goodput against offered load with limits on and off, a
+small team's success beside a flood, and the processor time of the gate's events.
+"""
+
+import time
+
+from standins import gate_fakes, virtual_engine
+from toucanspread.core import data, events
+
+DURATION_S = 60.0
+SEED = 7
+FACTORS = (0.5, 1.0, 2.0, 4.0, 10.0)
+NO_LIMIT = 1_000_000
+CYCLES = 20_000
+TICKS = 50_000
+
+
+def measure_goodput(factor: float, is_limited: bool) -> virtual_engine.Totals:
+    """Return what becomes of one team's requests at an offered load."""
+    limit = 16 if is_limited else NO_LIMIT
+    rig = gate_fakes.Rig(limit=limit, adaptive=is_limited)
+    source = virtual_engine.Source("parish", factor)
+    bench = virtual_engine.Bench(rig, [source], SEED)
+    return bench.run(DURATION_S)["parish"]
+
+
+def measure_flood(is_limited: bool) -> dict[str, virtual_engine.Totals]:
+    """Return what becomes of a small team beside a flooding one."""
+    limit = 16 if is_limited else NO_LIMIT
+    rig = gate_fakes.Rig(limit=limit, adaptive=is_limited)
+    sources = [
+        virtual_engine.Source("small", 0.2),
+        virtual_engine.Source("large", 4.0),
+    ]
+    return virtual_engine.Bench(rig, sources, SEED).run(DURATION_S)
+
+
+def measure_cycle(kind: data.ServiceKind, repeatable: bool) -> float:
+    """Return the processor time of one dispatch from arrival to end."""
+    rig = gate_fakes.Rig(kind)
+    service = gate_fakes.FakeKeyValue()
+    started_s = time.process_time()
+    for number in range(CYCLES):
+        request_id = f"r{number}"
+        found = rig.dispatch(request_id, stream=number, repeatable=repeatable)
+        while gate_fakes.is_key_value(found[0]):
+            found = rig.step(service.carry_out(found[0]))
+        rig.end(request_id)
+    return (time.process_time() - started_s) / CYCLES
+
+
+def measure_tick(remembered: int) -> float:
+    """Return the processor time of a tick with so many dispatches remembered."""
+    rig = gate_fakes.Rig()
+    for number in range(remembered):
+        rig.dispatch(f"r{number}", stream=number)
+        rig.end(f"r{number}")
+    started_s = time.process_time()
+    for _ in range(TICKS):
+        rig.step(events.Tick())
+    return (time.process_time() - started_s) / TICKS
+
+
+def main() -> None:
+    """Run all measurements."""
+    print(f"capacity_per_s={virtual_engine.CAPACITY_PER_S:.2f}")
+    for factor in FACTORS:
+        for is_limited in (True, False):
+            totals = measure_goodput(factor, is_limited)
+            name = f"{factor:g}x_limits_{'on' if is_limited else 'off'}"
+            print(f"goodput_per_s_{name}={totals.done / DURATION_S:.2f}")
+            print(f"unknown_{name}={totals.unknown}")
+            print(f"worst_s_{name}={totals.worst_s:.2f}")
+    for is_limited in (True, False):
+        name = "on" if is_limited else "off"
+        for team, totals in sorted(measure_flood(is_limited).items()):
+            print(f"flood_{team}_done_limits_{name}={totals.share_done():.4f}")
+    model, plain = data.ServiceKind.MODEL, data.ServiceKind.PLAIN
+    print(f"cycle_us_model={1e6 * measure_cycle(model, True):.1f}")
+    print(f"cycle_us_claimed={1e6 * measure_cycle(plain, False):.1f}")
+    for remembered in (0, 10_000):
+        print(f"tick_us_{remembered}={1e6 * measure_tick(remembered):.2f}")
+
+
+if __name__ == "__main__":
+    main()
