Resume a broken answer only on the version that began it

An entry may ask another endpoint to go on with a broken stream. The gate refuses unless the dispatch names the version of the first part and it is the one served, so that no answer mixes versions; frames name their version for that. Entries do not fill resume_version yet: until then a resume is refused as not run.

--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -73,7 +73,10 @@
 
 
 class StartRun(data.Effect):
-    """Give a request to the engine or the plain service."""
+    """Give a request to the engine or the plain service.
+
+    :param resume_from_events: how many events of the answer to leave out.
+    """
 
     request_id: data.RequestId
     attempt: int
@@ -81,6 +84,7 @@
     version: data.VersionName
     budget_s: float
     stream: int = 0
+    resume_from_events: int = 0
 
 
 class CancelRun(data.Effect):
@@ -363,7 +367,10 @@
         return data.Reason.LEAVING, ""
     if dispatch.budget_s <= 0:
         return data.Reason.DEADLINE, ""
-    return _mismatch(node, dispatch.request)
+    reason, detail = _mismatch(node, dispatch.request)
+    if reason is not data.Reason.NONE:
+        return reason, detail
+    return _resume_mismatch(node, dispatch)
 
 
 def _mismatch(node, request: data.Request) -> tuple[data.Reason, str]:
@@ -391,6 +398,19 @@
     return data.Reason.NONE, ""
 
 
+def _resume_mismatch(node, dispatch: data.Dispatch) -> tuple[data.Reason, str]:
+    """Return why a broken answer cannot go on here, or NONE."""
+    if not dispatch.resume_from_bytes:
+        return data.Reason.NONE, ""
+    serving = node.orders.serving
+    if serving.kind is data.ServiceKind.PLAIN:
+        return data.Reason.BAD_REQUEST, "a plain service's answer cannot be resumed"
+    if not dispatch.resume_version or dispatch.resume_version != serving.version:
+        began = dispatch.resume_version
+        return data.Reason.WRONG_VERSION, f"the answer was begun by {began!r}"
+    return data.Reason.NONE, ""
+
+
 def _is_whole(node) -> bool:
     """Return whether the engine itself reported what is to be served here."""
     serving, status = node.orders.serving, node.gate.status
@@ -409,6 +429,8 @@
     if work.gone:
         return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
     reason, detail = _mismatch(node, request)
+    if reason is data.Reason.NONE:
+        reason, detail = _resume_mismatch(node, work.dispatch)
     if reason is not data.Reason.NONE:
         return _give_up(node, work, reason, detail, ENGINE_RETRY_AFTER_S)
     serving = node.orders.serving
@@ -431,7 +453,16 @@
     work.running = True
     work.version = serving.version
     budget_s = work.deadline_s - node.now_s
-    return [StartRun(*work.key, request, serving.version, budget_s, work.stream)]
+    return [
+        StartRun(
+            *work.key,
+            request,
+            serving.version,
+            budget_s,
+            work.stream,
+            work.dispatch.resume_from_events,
+        )
+    ]
 
 
 def _give_up(
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -32,6 +32,7 @@
         self.body = body
         self.end: data.AnswerEnd | None = None
         self.closed = False
+        self.version = data.VersionName("")
         self._buffer = bytearray()
         self._ready = asyncio.Event()
         self._room = asyncio.Event()
@@ -66,6 +67,7 @@
         checksum = xxhash.xxh64()
         sequence = 0
         payload_bytes = 0
+        offset_bytes = self.dispatch.resume_from_bytes
         while True:
             await self._ready.wait()
             self._ready.clear()
@@ -75,8 +77,17 @@
             if payload:
                 checksum.update(payload)
                 payload_bytes += len(payload)
-                yield data.AnswerFrame(request_id, attempt, sequence, payload)
+                yield data.AnswerFrame(
+                    request_id,
+                    attempt,
+                    sequence,
+                    payload,
+                    offset_bytes=offset_bytes,
+                    version=data.VersionName("") if sequence else self.version,
+                )
                 sequence += 1
+                if offset_bytes:
+                    offset_bytes += len(payload)
             if self.end is not None and not self._buffer:
                 break
             if payload and self.end is None:
@@ -197,6 +208,7 @@
         channel = self._channels.get(effect.stream)
         if channel is None:
             raise KeyError(f"stream {effect.stream} is closed")
+        channel.version = effect.version
         key = (effect.request_id, effect.attempt)
         run = Run(effect, channel, self._post, self._kept)
         if self._plain is not None:
@@ -277,7 +289,7 @@
         )
 
     async def _generate(self, model_engine: engine.Engine) -> None:
-        relayed_events = 0
+        relayed_events = self._effect.resume_from_events
         resumes = 0
         while True:
             try:
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -51,7 +51,9 @@
                 self.kv.carry_out(effect)
             )
 
-    async def ask(self, request_id, body, budget_s=5.0, frames=None, **fields):
+    async def ask(
+        self, request_id, body, budget_s=5.0, frames=None, resume=(), **fields
+    ):
         request = data.Request(
             data.RequestId(request_id),
             data.TeamName("parish"),
@@ -59,7 +61,8 @@
             budget_s,
             **fields,
         )
-        dispatch = data.Dispatch(request, 1, budget_s, gate_fakes.ENTRY.instance_id)
+        entry_id = gate_fakes.ENTRY.instance_id
+        dispatch = data.Dispatch(request, 1, budget_s, entry_id, 0, *resume)
         answer = self.gateway.handle(gate_fakes.ENTRY, dispatch, body)
         payload = b""
         try:
@@ -144,6 +147,22 @@
         self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
         self.assertEqual(data.Reason.STREAM_BROKE, end.reason)
 
+    def test_an_answer_goes_on_where_another_endpoint_left_off(self):
+        whole, _ = run(self.ask("r1", self.body()))
+        cut = 0
+        for _ in range(7):
+            cut = whole.index(b"\n\n", cut) + 2
+        self.rig.node.gate.memory.clear()
+        rest, end = run(self.ask("r1", self.body(), resume=(cut, 7, "v1")))
+        self.assertEqual(whole, whole[:cut] + rest)
+        self.assertEqual(xxhash.xxh64_hexdigest(rest), end.checksum)
+
+    def test_an_answer_does_not_go_on_under_another_version(self):
+        _, end = run(self.ask("r1", self.body(), resume=(100, 7, "v0")))
+        self.assertEqual(data.Reason.WRONG_VERSION, end.reason)
+        _, end = run(self.ask("r2", self.body(), resume=(100, 7)))
+        self.assertEqual(data.Outcome.NOT_RUN, end.outcome)
+
     def test_a_crossed_answer_is_not_relayed(self):
         self.standin.batch.faults.crossed = 1
         payload, end = run(self.ask("r1", self.body()))
