Keep golden sessions of the gate; never forget a dispatch that runs

The memory of dispatches is bounded; under a flood of refusals it dropped the entry of a running one, whose copy could then have run beside it.

--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -11,7 +11,7 @@
 from toucanspread.core import claims, data, effects, events, invariants, limits
 
 REMEMBER_S = 120.0  # longer than any copy of a dispatch can be under way
-MAX_REMEMBERED = 65_536
+MAX_REMEMBERED = 32_768
 STATUS_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
 ENGINE_RETRY_AFTER_S = 1.0
@@ -140,7 +140,7 @@
         return (self.dispatch.request.request_id, self.dispatch.attempt)
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class Memory:
     """What became of a dispatch.
 
@@ -583,8 +583,11 @@
     memories = node.gate.memory
     memories[key] = memory
     memories.move_to_end(key)
-    if len(memories) > MAX_REMEMBERED:
-        memories.popitem(last=False)
+    while len(memories) > MAX_REMEMBERED:
+        oldest, forgotten = memories.popitem(last=False)
+        if oldest in node.gate.work:
+            # What waits or runs is not forgotten; it is far less than is kept.
+            memories[oldest] = forgotten
 
 
 def _forget(node) -> None:
--- /dev/null
+++ b/toucanspread/core/gate_golden_test.py
@@ -0,0 +1,82 @@
+"""Golden sessions of the gate: one before an engine, one before a plain service."""
+
+import pathlib
+
+import testtools
+
+from standins import gate_fakes
+from toucanspread.core import data, events, gate, sessions
+
+GOLDEN = pathlib.Path(__file__).parent / "golden"
+
+
+def record_model():
+    """Run, queue, refuse, lose the engine for a while, drain and end."""
+    rig = gate_fakes.Rig(limit=1)
+    recorder = sessions.Recorder(rig.machine)
+    rig.machine = recorder
+    rig.dispatch("r1")
+    rig.dispatch("r2", stream=2)
+    rig.dispatch("r1", stream=3)
+    rig.dispatch("r4", stream=4, version="v0")
+    rig.step(gate.RunProgressed("r1", 1), 0.2)
+    rig.end("r1", service_time_s=0.5)
+    rig.step(events.EngineStatusReported(None), 1.0)
+    rig.dispatch("r5", stream=5)
+    rig.step(events.EngineStatusReported(gate_fakes.whole_status()), 1.0)
+    rig.dispatch("r5", stream=6)
+    rig.dispatch("r6", stream=7)
+    rig.step(gate.DispatchCancelled("r2", 1, 2))
+    rig.end("r2", ok=False, reason=data.Reason.CANCELLED)
+    rig.step(events.ShutdownRequested(), 0.5)
+    rig.step(events.DrainStarted(data.Reason.LEAVING))
+    rig.dispatch("r7", stream=8)
+    rig.end("r6")
+    rig.step(events.Tick(), 2.0)
+    return recorder
+
+
+def record_plain():
+    """Claim, repeat, lose an answer, give a claim up, withdraw it."""
+    rig = gate_fakes.Rig(data.ServiceKind.PLAIN, limit=4)
+    recorder = sessions.Recorder(rig.machine)
+    rig.machine = recorder
+    service = gate_fakes.FakeKeyValue()
+
+    def call(request_id, key, stream):
+        return rig.dispatch(
+            request_id, stream=stream, repeatable=False, idempotency_key=key
+        )
+
+    def lose(effect):
+        status = data.KvStatus.UNKNOWN
+        return events.KvAnswered(effect.operation_id, status, effect.key)
+
+    (read,) = call("r1", "deposit-1", 1)
+    (write,) = rig.step(service.carry_out(read))
+    service.carry_out(write)
+    (read,) = rig.step(lose(write), 0.1)
+    rig.step(service.carry_out(read))
+    call("r2", "deposit-1", 2)
+    rig.end("r1")
+    call("r3", "deposit-1", 3)
+    (read,) = call("r4", "deposit-2", 4)
+    (write,) = rig.step(service.carry_out(read))
+    read, _ = rig.step(events.Tick(), 2.0)
+    service.carry_out(write)
+    call("r5", "deposit-2", 5)
+    (write,) = rig.step(service.carry_out(read))
+    rig.step(service.carry_out(write))
+    return recorder
+
+
+class GateGoldenTest(testtools.TestCase):
+    def check(self, name, recorder):
+        path = GOLDEN / f"gate_{name}.jsonl"
+        self.assertEqual([], sessions.compare_golden(path, recorder.text()))
+
+    def test_model(self):
+        self.check("model", record_model())
+
+    def test_plain(self):
+        self.check("plain", record_plain())
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -76,6 +76,17 @@
         rig.end(ok=False, started=False)
         self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
 
+    def test_the_oldest_refusals_are_forgotten_but_nothing_that_runs(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch("running")
+        rig.step(events.EngineStatusReported(None))
+        for number in range(gate.MAX_REMEMBERED + 10):
+            rig.dispatch(f"r{number}", stream=number)
+        self.assertEqual(gate.MAX_REMEMBERED, len(rig.node.gate.memory))
+        rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
+        end = refusal(rig.dispatch("running", stream=2))
+        self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
+
     def test_a_copy_of_a_running_dispatch_is_unknown(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
