--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -5,17 +5,22 @@
 the refusal, so that a late copy of a refused dispatch is refused as well.
 """
 
-import collections
 import dataclasses
 
-from toucanspread.core import claims, data, effects, events, invariants, limits
+from toucanspread.core import (
+    answer_ends,
+    claims,
+    data,
+    dispatch_memory,
+    effects,
+    events,
+    invariants,
+    limits,
+    wholeness,
+)
 
-REMEMBER_S = 120.0  # longer than any copy of a dispatch can be under way
-MAX_REMEMBERED = 32_768
 STATUS_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
-ENGINE_RETRY_AFTER_S = 1.0
-LOADING_RETRY_AFTER_S = 5.0
 
 # Ends that say nothing of how busy the engine is.
 BLAMELESS_REASONS = frozenset(
@@ -140,24 +145,12 @@
         return (self.dispatch.request.request_id, self.dispatch.attempt)
 
 
-@dataclasses.dataclass(slots=True)
-class Memory:
-    """What became of a dispatch.
-
-    :param reason: why it was refused; NONE when it was not.
-    """
-
-    at_s: float
-    refused: bool = False
-    reason: data.Reason = data.Reason.NONE
-
-
 class State:
     """What the gate knows."""
 
     def __init__(self):
         self.work: dict[Key, Work] = {}
-        self.memory: collections.OrderedDict[Key, Memory] = collections.OrderedDict()
+        self.memory = dispatch_memory.DispatchMemory()
         self.status: data.EngineStatus | None = None
         self.status_s = float("-inf")
         self.draining_since_s: float | None = None
@@ -178,7 +171,7 @@
     reason, detail = _refusal(node, dispatch)
     if reason is not data.Reason.NONE:
         return _refuse(node, dispatch, event.stream, reason, detail)
-    _remember(node, key, Memory(node.now_s))
+    node.gate.memory.accept(key, node.now_s)
     work = Work(
         dispatch=dispatch,
         stream=event.stream,
@@ -266,6 +259,7 @@
     work = node.gate.work.pop(key, None)
     if work is None:
         return []
+    node.gate.memory.finish(key)
     items: list = [
         limits.Released(
             key,
@@ -278,25 +272,11 @@
     ]
     if work.claimed:
         items.append(claims.ClaimUsed(key, ran=event.started, whole=event.ok))
-    outcome = _outcome(event)
-    reason = event.reason
-    if not event.ok and reason is data.Reason.NONE:
-        reason = data.Reason.ENGINE_FAILED
-    if outcome is data.Outcome.NOT_RUN:
-        _remember(node, key, Memory(node.now_s, True, reason))
-    end = data.AnswerEnd(
-        request_id=event.request_id,
-        attempt=event.attempt,
-        outcome=outcome,
-        reason=reason,
-        detail=event.detail,
-        retry_after_s=0.0 if event.ok else ENGINE_RETRY_AFTER_S,
-        status=event.status,
-        version=work.version,
-        load=limits.load(node, without=key),
-    )
+    end = answer_ends.ended(node, work, event)
+    if end.outcome is data.Outcome.NOT_RUN:
+        node.gate.memory.refuse(key, node.now_s, end.reason)
     items.append(EndDispatch(end, work.stream))
-    items.append(effects.Count("gate_ended", 1, {"outcome": outcome.value}))
+    items.append(effects.Count("gate_ended", 1, {"outcome": end.outcome.value}))
     return items
 
 
@@ -323,7 +303,7 @@
 def on_tick(node, event: events.Tick) -> list:
     """Forget old dispatches, read the engine's status, end when drained."""
     state = node.gate
-    _forget(node)
+    state.memory.forget(node.now_s)
     items: list = []
     serving = node.orders.serving
     is_model = serving is not None and serving.kind is data.ServiceKind.MODEL
@@ -367,58 +347,7 @@
         return data.Reason.LEAVING, ""
     if dispatch.budget_s <= 0:
         return data.Reason.DEADLINE, ""
-    reason, detail = _mismatch(node, dispatch.request)
-    if reason is not data.Reason.NONE:
-        return reason, detail
-    return _resume_mismatch(node, dispatch)
-
-
-def _mismatch(node, request: data.Request) -> tuple[data.Reason, str]:
-    """Return why what is served here does not fit a request, or NONE."""
-    serving = node.orders.serving
-    if serving is None:
-        return data.Reason.NOT_WHOLE, "nothing is served yet"
-    if request.service != serving.service:
-        return data.Reason.UNKNOWN_SERVICE, f"serves {serving.service}"
-    if serving.kind is data.ServiceKind.PLAIN:
-        return data.Reason.NONE, ""
-    if request.model and request.model != serving.model:
-        return data.Reason.WRONG_VERSION, f"serves model {serving.model}"
-    if request.version and request.version != serving.version:
-        return data.Reason.WRONG_VERSION, f"serves version {serving.version}"
-    if request.adapter and request.adapter not in serving.adapters:
-        return data.Reason.WRONG_VERSION, f"no adapter {request.adapter}"
-    status = node.gate.status
-    if status is None:
-        return data.Reason.ENGINE_FAILED, "the engine does not answer"
-    if not _is_whole(node):
-        return data.Reason.NOT_WHOLE, "the engine does not hold the version"
-    if request.adapter and request.adapter not in status.adapters:
-        return data.Reason.NOT_WHOLE, f"adapter {request.adapter} is not loaded"
-    return data.Reason.NONE, ""
-
-
-def _resume_mismatch(node, dispatch: data.Dispatch) -> tuple[data.Reason, str]:
-    """Return why a broken answer cannot go on here, or NONE."""
-    if not dispatch.resume_from_bytes:
-        return data.Reason.NONE, ""
-    serving = node.orders.serving
-    if serving.kind is data.ServiceKind.PLAIN:
-        return data.Reason.BAD_REQUEST, "a plain service's answer cannot be resumed"
-    if not dispatch.resume_version or dispatch.resume_version != serving.version:
-        began = dispatch.resume_version
-        return data.Reason.WRONG_VERSION, f"the answer was begun by {began!r}"
-    return data.Reason.NONE, ""
-
-
-def _is_whole(node) -> bool:
-    """Return whether the engine itself reported what is to be served here."""
-    serving, status = node.orders.serving, node.gate.status
-    if serving is None or status is None:
-        return False
-    if status.active_version != serving.version:
-        return False
-    return status.digests.get(serving.version) == serving.weights_hash
+    return wholeness.mismatch(node, dispatch)
 
 
 def _start(node, work: Work) -> list:
@@ -428,14 +357,12 @@
         return _give_up(node, work, data.Reason.DEADLINE, "", 0.0)
     if work.gone:
         return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
-    reason, detail = _mismatch(node, request)
-    if reason is data.Reason.NONE:
-        reason, detail = _resume_mismatch(node, work.dispatch)
+    reason, detail = wholeness.mismatch(node, work.dispatch)
     if reason is not data.Reason.NONE:
-        return _give_up(node, work, reason, detail, ENGINE_RETRY_AFTER_S)
+        return _give_up(node, work, reason, detail, answer_ends.ENGINE_RETRY_AFTER_S)
     serving = node.orders.serving
     invariants.check(
-        serving.kind is data.ServiceKind.PLAIN or _is_whole(node),
+        serving.kind is data.ServiceKind.PLAIN or wholeness.is_whole(node),
         invariants.Invariant.DISPATCH_ONLY_WHOLE,
         f"{serving.version}: engine reports {node.gate.status}",
     )
@@ -490,15 +417,8 @@
 def _end_duplicate(node, work: Work, event: claims.ClaimDecided) -> list:
     """End a request whose call was claimed before, here or elsewhere."""
     node.gate.work.pop(work.key)
-    end = data.AnswerEnd(
-        request_id=work.key[0],
-        attempt=work.key[1],
-        outcome=data.Outcome.UNKNOWN,
-        reason=data.Reason.DUPLICATE,
-        detail="the call was claimed before",
-        retry_after_s=event.retry_after_s,
-        load=limits.load(node),
-    )
+    node.gate.memory.finish(work.key)
+    end = answer_ends.duplicate(node, work.dispatch, event.retry_after_s)
     released = limits.Released(work.key, 0.0, ok=False, ran=False)
     counted = effects.Count("gate_duplicate_calls", 1, {})
     if event.kept is not None:
@@ -516,94 +436,25 @@
 ) -> list:
     """Answer "not run" and remember it."""
     key = (dispatch.request.request_id, dispatch.attempt)
-    _remember(node, key, Memory(node.now_s, True, reason))
-    if retry_after_s is None:
-        retry_after_s = _retry_after_s(reason)
-    end = data.AnswerEnd(
-        request_id=key[0],
-        attempt=key[1],
-        outcome=data.Outcome.NOT_RUN,
-        reason=reason,
-        detail=detail,
-        retry_after_s=retry_after_s,
-        load=limits.load(node),
-    )
+    node.gate.memory.refuse(key, node.now_s, reason)
+    end = answer_ends.refused(node, dispatch, reason, detail, retry_after_s)
     counted = effects.Count("gate_refused", 1, {"reason": reason.value})
     return [RefuseDispatch(end, stream), counted]
 
 
-def _answer_copy(node, event: DispatchArrived, known: Memory) -> list:
+def _answer_copy(node, event: DispatchArrived, known: dispatch_memory.Memory) -> list:
     """Refuse a second copy of a dispatch as its first one was."""
-    request_id, attempt = event.dispatch.request.request_id, event.dispatch.attempt
-    end = data.AnswerEnd(
-        request_id=request_id,
-        attempt=attempt,
-        outcome=data.Outcome.NOT_RUN if known.refused else data.Outcome.UNKNOWN,
-        reason=known.reason if known.refused else data.Reason.DUPLICATE,
-        detail="a copy of an earlier dispatch",
-        load=limits.load(node),
-    )
+    end = answer_ends.copy(node, event.dispatch, known)
     return [RefuseDispatch(end, event.stream), effects.Count("gate_copies", 1, {})]
 
 
 def _answer_for_predecessor(node, event: DispatchArrived) -> list:
-    """Run nothing that was meant for the process before this one.
-
-    Another copy may have reached that process, so only "unknown" is sure to be true.
-    """
-    end = data.AnswerEnd(
-        request_id=event.dispatch.request.request_id,
-        attempt=event.dispatch.attempt,
-        outcome=data.Outcome.UNKNOWN,
-        reason=data.Reason.UNREACHABLE,
-        detail="the process was restarted",
-        load=limits.load(node),
-    )
+    """Run nothing that was meant for the process before this one."""
+    end = answer_ends.for_predecessor(node, event.dispatch)
     counted = effects.Count("gate_for_predecessor", 1, {})
     return [RefuseDispatch(end, event.stream), counted]
 
 
-def _outcome(event: RunEnded) -> data.Outcome:
-    if event.ok:
-        return data.Outcome.DONE
-    if not event.started:
-        return data.Outcome.NOT_RUN
-    return data.Outcome.UNKNOWN
-
-
-def _retry_after_s(reason: data.Reason) -> float:
-    if reason is data.Reason.NOT_WHOLE:
-        return LOADING_RETRY_AFTER_S
-    if reason is data.Reason.ENGINE_FAILED:
-        return ENGINE_RETRY_AFTER_S
-    return 0.0
-
-
-def _remember(node, key: Key, memory: Memory) -> None:
-    memories = node.gate.memory
-    memories[key] = memory
-    memories.move_to_end(key)
-    while len(memories) > MAX_REMEMBERED:
-        oldest, forgotten = memories.popitem(last=False)
-        if oldest in node.gate.work:
-            # What waits or runs is not forgotten; it is far less than is kept.
-            memories[oldest] = forgotten
-
-
-def _forget(node) -> None:
-    """Drop what is old, but never what still waits or runs."""
-    memories = node.gate.memory
-    while memories:
-        key, memory = next(iter(memories.items()))
-        if node.now_s - memory.at_s < REMEMBER_S:
-            return
-        if key in node.gate.work:
-            memory.at_s = node.now_s
-            memories.move_to_end(key)
-            continue
-        memories.popitem(last=False)
-
-
 def _labels(work: Work) -> dict[str, str]:
     request = work.dispatch.request
     return {"team": request.team, "class": str(request.priority)}
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -2,7 +2,7 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import data, effects, events, gate, invariants
+from toucanspread.core import data, dispatch_memory, effects, events, gate, invariants
 
 NOT_RUN = data.Outcome.NOT_RUN
 
@@ -80,9 +80,9 @@
         rig = gate_fakes.Rig()
         rig.dispatch("running")
         rig.step(events.EngineStatusReported(None))
-        for number in range(gate.MAX_REMEMBERED + 10):
+        for number in range(dispatch_memory.MAX_REMEMBERED + 10):
             rig.dispatch(f"r{number}", stream=number)
-        self.assertEqual(gate.MAX_REMEMBERED, len(rig.node.gate.memory))
+        self.assertEqual(dispatch_memory.MAX_REMEMBERED, len(rig.node.gate.memory))
         rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
         end = refusal(rig.dispatch("running", stream=2))
         self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
--- a/toucanspread/ops/endpoint.py
+++ b/toucanspread/ops/endpoint.py
@@ -10,6 +10,7 @@
     daemon,
     datagrams,
     engine,
+    engine_orders,
     gateway,
     instances,
     key_value,
@@ -80,7 +81,7 @@
     channel: peers.Peers,
 ) -> gateway.Gateway:
     local_engine = engine.HttpEngine.from_config(_netloc(options.engine_url))
-    host.add(engine.EngineAdapter(local_engine, host.post))
+    host.add(engine_orders.EngineAdapter(local_engine, host.post))
     host.add(
         transfers.Transfers(
             stepper.node.transfer,
--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -5,13 +5,13 @@
 
 import abc
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator
 
 import msgspec
 from twisted.web import http
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import http_client, loop, runtime
+from toucanspread.ops import http_client
 
 CALL_TIMEOUT_S = 5.0
 LOAD_TIMEOUT_S = 120.0
@@ -278,54 +278,6 @@
         return response.status, payload
 
 
-class EngineAdapter(runtime.Adapter):
-    """Carries out orders to an engine and reads its status.
-
-    :param post: takes the events that follow.
-    """
-
-    def __init__(self, engine: Engine, post: Callable[[data.Event], None]):
-        self._engine = engine
-        self._post = post
-        self._tasks: set[asyncio.Task] = set()
-        self._reading = False
-
-    async def stop(self) -> None:
-        """Drop what is still under way."""
-        for running in tuple(self._tasks):
-            running.cancel()
-
-    def _spawn(self, coroutine) -> None:
-        running = loop.spawn(coroutine)
-        self._tasks.add(running)
-        running.add_done_callback(self._tasks.discard)
-
-    async def _order(self, order: effects.EngineOrder) -> None:
-        self._post(await self._engine.order(order))
-
-    def _read_status(self) -> None:
-        if self._reading:
-            return
-        self._reading = True
-        self._spawn(self._status())
-
-    async def _status(self) -> None:
-        try:
-            status = await self._engine.status()
-        except EngineError:
-            status = None
-        finally:
-            self._reading = False
-        self._post(events.EngineStatusReported(status))
-
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
-        """Return the effects that this adapter carries out."""
-        return {
-            effects.EngineOrder: lambda effect: self._spawn(self._order(effect)),
-            effects.ReadEngineStatus: lambda _: self._read_status(),
-        }
-
-
 def _request_headers(request: data.Request) -> dict[str, str]:
     return {
         "Content-Type": "application/json",
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -13,7 +13,7 @@
 
 from standins import engine as engine_standin
 from standins import engine_text, gate_fakes, plain_service
-from toucanspread.core import data, effects, events
+from toucanspread.core import data, dispatch_memory, effects, events
 from toucanspread.ops import engine, gateway, runtime
 
 WEIGHTS = b"weights of the first version"
@@ -152,7 +152,7 @@
         cut = 0
         for _ in range(7):
             cut = whole.index(b"\n\n", cut) + 2
-        self.rig.node.gate.memory.clear()
+        self.rig.node.gate.memory = dispatch_memory.DispatchMemory()
         rest, end = run(self.ask("r1", self.body(), resume=(cut, 7, "v1")))
         self.assertEqual(whole, whole[:cut] + rest)
         self.assertEqual(xxhash.xxh64_hexdigest(rest), end.checksum)
