--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/requesting.py
@@ -27,7 +27,8 @@
         return []
     sourcing.update(node, transfer)
     sent: list[data.Effect] = []
-    while _has_room(transfer):
+    share = node.transfer.pace.share
+    while _has_room(transfer, share):
         effect = _next_request(node, transfer)
         if effect is None:
             break
@@ -100,8 +101,8 @@
     return [fetching.CancelFetch(fetch.fetch_id) for fetch in cancelled]
 
 
-def _has_room(transfer: transfer_state.Transfer) -> bool:
-    if len(transfer.fetches) >= MAX_REQUESTS:
+def _has_room(transfer: transfer_state.Transfer, share: float) -> bool:
+    if len(transfer.fetches) >= max(1, int(MAX_REQUESTS * share)):
         return False
     largest = max((piece.size_bytes for piece in transfer.pieces[:1]), default=0)
     return transfer.in_flight_bytes() + largest <= MAX_IN_FLIGHT_BYTES
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -13,8 +13,10 @@
     exchange,
     fetching,
     invariants,
+    limits,
     machine,
     manifest,
+    pace,
     requesting,
     sourcing,
     swarm,
@@ -146,9 +148,9 @@
     """Announce new pieces, and see to what is due."""
     state = node.transfer
     transfer = state.current
+    wanted: list = pace.update(node)
     if transfer is None:
-        return []
-    wanted: list = []
+        return wanted
     if transfer.unannounced and node.now_s >= transfer.announce_due_s:
         wanted += exchange.announce(transfer)
     if node.now_s >= transfer.next_ask_s:
@@ -366,6 +368,7 @@
     events.MemberChanged: exchange.on_member_changed,
     events.ServingChanged: on_serving_changed,
     events.Tick: on_tick,
+    limits.Released: pace.on_released,
     fetching.StagingListed: on_staging_listed,
     fetching.ManifestRead: on_manifest_read,
     fetching.FetchEnded: on_fetch_ended,
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfer_state.py
@@ -1,6 +1,6 @@
 """The state of the transfer part of an endpoint process."""
 
-from toucanspread.core import data, manifest, swarm
+from toucanspread.core import data, manifest, pace, swarm
 
 MANIFEST_PIECE = -1
 NO_REGION = data.RegionName("")
@@ -94,6 +94,15 @@
         """Return the bytes of all requests under way."""
         return sum(fetch.size_bytes for fetch in self.fetches.values())
 
+    def is_moving(self) -> bool:
+        """Return whether pieces are moved to this process or may be from it."""
+        if not self.whole:
+            return True
+        everything = (1 << len(self.pieces)) - 1
+        return any(
+            neighbour.has != everything for neighbour in self.neighbours.by_id.values()
+        )
+
     def lay_out(self, described: manifest.Manifest) -> None:
         """Take in the manifest."""
         self.has_manifest = True
@@ -124,6 +133,7 @@
         self.held: set[data.ChunkHash] = set()
         self.current: Transfer | None = None
         self.serving_hashes: frozenset[data.ChunkHash] = frozenset()
+        self.pace = pace.Pace()
         self.next_fetch_id = 0
         self.listing = False
         self.next_list_s = 0.0
--- a/toucanspread/ops/transfers.py
+++ b/toucanspread/ops/transfers.py
@@ -13,6 +13,7 @@
     fetching,
     invariants,
     manifest,
+    pace,
     requesting,
     transfer_state,
 )
@@ -124,6 +125,10 @@
         self._fetches[fetch_id] = task
         task.add_done_callback(lambda _: self._fetches.pop(fetch_id, None))
 
+    def _set_pace(self, effect: pace.SetPace) -> None:
+        self._upload_pacer.set_share(effect.share)
+        self._download_pacer.set_share(effect.share)
+
     def _cancel(self, effect: fetching.CancelFetch) -> None:
         task = self._fetches.pop(effect.fetch_id, None)
         if task is not None:
@@ -210,6 +215,7 @@
             fetching.FetchFromPeer: self._from_peer,
             fetching.FetchFromOrigin: self._from_origin,
             fetching.CancelFetch: self._cancel,
+            pace.SetPace: self._set_pace,
             fetching.ListStaging: lambda _: loop.spawn(self._list_staging()),
             fetching.ReadManifest: lambda effect: loop.spawn(
                 self._read_manifest(effect.manifest_hash)
--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -275,13 +275,18 @@
             elif isinstance(effect, fetching.ListStaging):
                 self._answer(sender, lambda sender=sender: _listed(sender))
             elif isinstance(effect, fetching.ReadManifest):
-                event = fetching.ManifestRead(
-                    effect.manifest_hash, self.manifests[effect.manifest_hash]
-                )
-                self._answer(sender, lambda event=event: event)
+                self._answer(sender, lambda effect=effect: self._read(sender, effect))
             elif isinstance(effect, fetching.DeleteChunks):
                 sender.staged -= set(effect.chunk_hashes)
 
+    def _read(
+        self, endpoint: Endpoint, effect: fetching.ReadManifest
+    ) -> fetching.ManifestRead:
+        payload = None
+        if effect.manifest_hash in endpoint.staged:
+            payload = self.manifests[effect.manifest_hash]
+        return fetching.ManifestRead(effect.manifest_hash, payload)
+
     def _answer(self, endpoint: Endpoint, make: Callable[[], data.Event]) -> None:
         self.later(LATENCY_S, lambda: self._step(endpoint, make()))
 
@@ -326,7 +331,9 @@
         if not peer.alive:
             self._end(asker, effect.fetch_id, fetching.FetchStatus.FAILED)
             return
-        if effect.chunk_hash not in peer.machine.node.transfer.held:
+        held = peer.machine.node.transfer.held
+        if effect.chunk_hash not in held or effect.chunk_hash not in peer.staged:
+            held.discard(effect.chunk_hash)
             self._end(asker, effect.fetch_id, fetching.FetchStatus.ABSENT)
             return
         if peer.uplink.waiting() >= MAX_QUEUE:
