--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable
 
 from toucanspread.core import (
@@ -23,6 +24,7 @@
 
 TICK_S = 0.1
 LATENCY_S = 0.002
+TIME_DIGITS = 6  # what a session file keeps of a time
 MAX_QUEUE = 4  # uploads at one sender, as the adapter allows
 SLICES = 4  # of a chunk, for the origin that serves all requests in turn
 
@@ -104,7 +106,10 @@
 
     def __init__(self, swarm: "VirtualSwarm", identity: data.Identity, seed: int):
         self.identity = identity
+        self.seed = seed
         self.alive = True
+        self.processor_s = 0.0
+        self.steps = 0
         self.stalled = False
         self.corrupting = False
         self.staged: set[data.ChunkHash] = set()
@@ -225,7 +230,8 @@
 
     def later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action later."""
-        item = (self.now_s + delay_s, next(self._order), action)
+        at_s = round(self.now_s + delay_s, TIME_DIGITS)
+        item = (max(at_s, self.now_s), next(self._order), action)
         heapq.heappush(self._queue, item)
 
     def run(self, until: Callable[[], bool], limit_s: float) -> bool:
@@ -258,9 +264,13 @@
         self.later(TICK_S, lambda: self._tick(endpoint))
 
     def _step(self, endpoint: Endpoint, event: data.Event) -> None:
-        if endpoint.alive:
-            found = endpoint.machine.step(self.now_s, event)
-            self._carry_out(endpoint, found)
+        if not endpoint.alive:
+            return
+        started_s = time.process_time()
+        found = endpoint.machine.step(self.now_s, event)
+        endpoint.processor_s += time.process_time() - started_s
+        endpoint.steps += 1
+        self._carry_out(endpoint, found)
 
     def _carry_out(self, sender: Endpoint | None, wanted: list[data.Effect]) -> None:
         for effect in wanted:
