Resume streams through the gate at the version that began them

A resumed stream must go on with the version that began it: an endpoint that moved to another version between the break and the resumption would have mixed two. The first frame now tells the version and the resumption asks for exactly that. The gateway starts the engine at the event where the caller stands and says so in its frames. Addresses follow the endpoints that each entry tells of, and a request that finds none here is pointed to entries that have some. Outcomes moved to a module.

Ruled out: taking the version from the last report (it lags a rollout).

Before: resumption ended with an error at every endpoint.

--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -333,6 +333,7 @@
     :param sequence: counts the frames of one attempt from 0.
     :param offset_bytes: where the payload stands in the answer, in an attempt that
         resumes a broken stream; 0 otherwise.
+    :param version: the version that answers; in the first frame only.
     """
 
     request_id: RequestId
@@ -340,6 +341,7 @@
     sequence: int
     payload: bytes
     offset_bytes: int = 0
+    version: VersionName = VersionName("")
 
 
 class EngineStatus(Record):
--- a/toucanspread/core/draining.py
+++ b/toucanspread/core/draining.py
@@ -23,12 +23,6 @@
         """Tell whether new requests are refused."""
         return self.started_s is not None
 
-    def other_entries(
-        self, node: machine.Node, service: data.ServiceName
-    ) -> tuple[data.Address, ...]:
-        """Return where a refused caller should go instead."""
-        return steering.entries_for(node, service)
-
 
 def _on_shutdown(node: machine.Node, event: events.ShutdownRequested) -> list:
     state = node.draining
--- /dev/null
+++ b/toucanspread/core/outcomes.py
@@ -0,0 +1,114 @@
+"""Ends a request with its one final outcome, and accounts for it."""
+
+from toucanspread.core import (
+    data,
+    effects,
+    invariants,
+    machine,
+    request_events,
+    request_state,
+    retries,
+    steering,
+)
+
+RETRY_AFTER_S = 1.0  # when nothing better is known
+NO_VERSION = data.VersionName("")
+
+
+def give_up(
+    node: machine.Node, live: request_state.LiveRequest, reason: data.Reason
+) -> list:
+    """End the request at once: unknown, or not run when that is proved."""
+    outcome = data.Outcome.NOT_RUN
+    if live.proof() is retries.Proof.MAY_HAVE_RUN:
+        outcome = data.Outcome.UNKNOWN
+    return finish(node, live, outcome, reason)
+
+
+def refuse(
+    node: machine.Node,
+    request: data.Request,
+    reason: data.Reason,
+    outcome: data.Outcome = data.Outcome.NOT_RUN,
+) -> list:
+    """End a request that is not even started."""
+    ended = request_events.FinishRequest(
+        request_id=request.request_id,
+        team=request.team,
+        outcome=outcome,
+        reason=reason,
+        retry_after_s=retry_after_s(node, 0.0),
+        addresses=_addresses(node, request.service, reason),
+    )
+    return [ended, *count_outcome(request, outcome, reason)]
+
+
+def finish(
+    node: machine.Node,
+    live: request_state.LiveRequest,
+    outcome: data.Outcome,
+    reason: data.Reason,
+    status: int = 200,
+    version: data.VersionName = NO_VERSION,
+) -> list:
+    """End a request with its one final outcome."""
+    request = live.request
+    invariants.check(
+        node.requests.live.pop(request.request_id, None) is live,
+        invariants.Invariant.ONE_FINAL_OUTCOME,
+        f"{request.request_id} ended twice",
+    )
+    invariants.check(
+        outcome is not data.Outcome.NOT_RUN or live.proof() is retries.Proof.NOT_RUN,
+        invariants.Invariant.NOT_RUN_IS_PROVED,
+        f"{request.request_id} may have run",
+    )
+    done = outcome is data.Outcome.DONE
+    ended = request_events.FinishRequest(
+        request_id=request.request_id,
+        team=request.team,
+        outcome=outcome,
+        reason=reason,
+        retry_after_s=0.0 if done else retry_after_s(node, live.retry_after_s),
+        status=status,
+        version=version,
+        detail=live.detail,
+        addresses=_addresses(node, request.service, reason),
+    )
+    whole_s = node.now_s - live.arrived_s
+    return [
+        ended,
+        effects.Observe("request_whole_s", whole_s, attributes(request)),
+        *count_outcome(request, outcome, reason),
+    ]
+
+
+def retry_after_s(node: machine.Node, told_s: float) -> float:
+    """Return when to come back, spread so that callers do not return together."""
+    return (told_s or RETRY_AFTER_S) * node.random.uniform(0.75, 1.25)
+
+
+def attributes(request: data.Request) -> dict[str, str]:
+    """Return what a request is accounted to."""
+    return {"team": request.team, "class": request.service}
+
+
+def count_outcome(
+    request: data.Request, outcome: data.Outcome, reason: data.Reason
+) -> list:
+    """Return the counts of an outcome."""
+    labels = attributes(request)
+    labels["outcome"] = outcome.value
+    labels["reason"] = reason.value
+    return [effects.Count("request_outcomes", 1, labels)]
+
+
+def _addresses(
+    node: machine.Node, service: data.ServiceName, reason: data.Reason
+) -> tuple[data.Address, ...]:
+    """Return where the caller should go instead, if that would help."""
+    if reason is data.Reason.LEAVING and node.draining.active:
+        return steering.entries_for(node, service)
+    if reason is data.Reason.NO_ENDPOINT:
+        return steering.entries_elsewhere(node, service)
+    return ()
--- a/toucanspread/core/request_events.py
+++ b/toucanspread/core/request_events.py
@@ -13,6 +13,7 @@
     """Payload of an attempt came in: the first at once, then once a second at most.
 
     :param payload_bytes: of this attempt so far.
+    :param version: the version that answers.
     :param max_gap_s: the longest time between two frames since the event before.
     """
 
@@ -21,6 +22,7 @@
     payload_bytes: int
     max_gap_s: float = 0.0
     payload_events: int = 0
+    version: data.VersionName = data.VersionName("")
 
 
 class AttemptEnded(data.Event):
@@ -35,6 +37,7 @@
     :param sent: False is proof that nothing was dispatched.
     :param payload_bytes: what was relayed of this attempt.
     :param payload_events: the same in whole server-sent events.
+    :param version: the version that answered, if anything did.
     """
 
     request_id: data.RequestId
@@ -43,6 +46,7 @@
     sent: bool
     payload_bytes: int = 0
     payload_events: int = 0
+    version: data.VersionName = data.VersionName("")
 
 
 class CallerGone(data.Event):
--- a/toucanspread/core/request_state.py
+++ b/toucanspread/core/request_state.py
@@ -19,6 +19,7 @@
     :param endpoint: of the running attempt; None while waiting for a retry.
     :param progress_s: when the running attempt was last heard of.
     :param delivered_bytes: payload relayed to the caller before this attempt.
+    :param version: what answers a begun stream; only that may go on with it.
     :param may_have_run: an earlier attempt is not proved not to have run.
     """
 
@@ -37,6 +38,7 @@
     attempt_events: int = 0
     delivered_events: int = 0
     resumes: int = 0
+    version: data.VersionName = data.VersionName("")
     may_have_run: bool = False
     tried: frozenset[data.InstanceId] = frozenset()
     retry_at_s: float = 0.0
--- a/toucanspread/core/requests.py
+++ b/toucanspread/core/requests.py
@@ -7,6 +7,8 @@
 
 import heapq
 
+import msgspec
+
 from toucanspread.core import (
     data,
     effects,
@@ -14,6 +16,7 @@
     events,
     invariants,
     machine,
+    outcomes,
     request_events,
     request_state,
     retries,
@@ -24,8 +27,6 @@
 MAX_LIVE_REQUESTS = 4096
 MAX_RESUMES = 2
 ATTEMPT_START_BITS = 48
-RETRY_AFTER_S = 1.0  # when nothing better is known
-NO_VERSION = data.VersionName("")
 
 
 State = request_state.State
@@ -52,33 +53,19 @@
 
 def _refusal(node: machine.Node, request: data.Request) -> list | None:
     """Return the final answer to a request that is not even started."""
-    reason = None
-    outcome = data.Outcome.NOT_RUN
-    addresses: tuple[data.Address, ...] = ()
     if request.request_id in node.requests.live:
         # The earlier arrival of the same request may well run.
-        reason = data.Reason.DUPLICATE
-        outcome = data.Outcome.UNKNOWN
-    elif request.budget_s <= 0:
-        reason = data.Reason.DEADLINE
-    elif node.draining.active:
-        reason = data.Reason.LEAVING
-        addresses = node.draining.other_entries(node, request.service)
-    elif len(node.requests.live) >= MAX_LIVE_REQUESTS:
-        reason = data.Reason.OVERLOADED
-    elif _is_unknown(node, request.service):
-        reason = data.Reason.UNKNOWN_SERVICE
-    if reason is None:
-        return None
-    finish = request_events.FinishRequest(
-        request_id=request.request_id,
-        team=request.team,
-        outcome=outcome,
-        reason=reason,
-        retry_after_s=_retry_after_s(node, 0.0),
-        addresses=addresses,
-    )
-    return [finish, *_count_outcome(request, outcome, reason)]
+        unknown = data.Outcome.UNKNOWN
+        return outcomes.refuse(node, request, data.Reason.DUPLICATE, unknown)
+    if request.budget_s <= 0:
+        return outcomes.refuse(node, request, data.Reason.DEADLINE)
+    if node.draining.active:
+        return outcomes.refuse(node, request, data.Reason.LEAVING)
+    if len(node.requests.live) >= MAX_LIVE_REQUESTS:
+        return outcomes.refuse(node, request, data.Reason.OVERLOADED)
+    if _is_unknown(node, request.service):
+        return outcomes.refuse(node, request, data.Reason.UNKNOWN_SERVICE)
+    return None
 
 
 def _is_unknown(node: machine.Node, service: data.ServiceName) -> bool:
@@ -91,13 +78,13 @@
     """Dispatch the request to a chosen endpoint, or give it up."""
     request = live.request
     if node.now_s >= live.deadline_s:
-        return _give_up(node, live, data.Reason.DEADLINE)
+        return outcomes.give_up(node, live, data.Reason.DEADLINE)
     endpoint = routing.choose(node, request, live.tried)
     if endpoint is None:
         reason = live.reason
         if reason is data.Reason.NONE:
             reason = data.Reason.NO_ENDPOINT
-        return _give_up(node, live, reason)
+        return outcomes.give_up(node, live, reason)
     return _dispatch(node, live, endpoint.identity)
 
 
@@ -123,6 +110,8 @@
     live.attempt_bytes = 0
     live.attempt_events = 0
     node.requests.schedule(live)
+    if live.delivered_bytes:
+        request = msgspec.structs.replace(request, version=live.version)
     dispatch = data.Dispatch(
         request=request,
         attempt=live.attempt,
@@ -149,7 +138,8 @@
     live.progress_s = node.now_s
     live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
     live.attempt_events = max(live.attempt_events, event.payload_events)
-    attributes = _attributes(live.request)
+    live.version = live.version or event.version
+    attributes = outcomes.attributes(live.request)
     found: list = []
     if live.first_byte_s is None and event.payload_bytes:
         live.first_byte_s = node.now_s
@@ -175,7 +165,7 @@
     live.retry_after_s = end.retry_after_s
     if end.outcome is data.Outcome.DONE:
         released = _release(node, live, data.Reason.NONE, end.load)
-        return released + _finish(
+        return released + outcomes.finish(
             node, live, data.Outcome.DONE, end.reason, end.status, end.version
         )
     proof = retries.Proof.MAY_HAVE_RUN
@@ -190,6 +180,7 @@
         return _late()
     live.attempt_bytes = max(live.attempt_bytes, event.payload_bytes)
     live.attempt_events = max(live.attempt_events, event.payload_events)
+    live.version = live.version or event.version
     proof = retries.Proof.MAY_HAVE_RUN if event.sent else retries.Proof.NOT_RUN
     return _after_failure(node, live, event.reason, proof)
 
@@ -215,20 +206,20 @@
         return found + _resume(node, live, endpoint, reason, proof)
     request = live.request
     if not retries.is_safe(request.repeatable, live.proof(), live.delivered_bytes):
-        return found + _give_up(node, live, reason)
+        return found + outcomes.give_up(node, live, reason)
     if not retries.is_worthwhile(reason, live.attempts):
-        return found + _give_up(node, live, reason)
+        return found + outcomes.give_up(node, live, reason)
     if routing.choose(node, request, live.tried) is None:
-        return found + _give_up(node, live, reason)
+        return found + outcomes.give_up(node, live, reason)
     if not node.requests.budget.take(request.service):
-        return found + _give_up(node, live, reason)
-    found.append(effects.Count("request_retries", 1, _attributes(request)))
+        return found + outcomes.give_up(node, live, reason)
+    found.append(effects.Count("request_retries", 1, outcomes.attributes(request)))
     wait_s = retries.back_off_s(node.random, live.attempts)
     if wait_s <= 0:
         return found + _start_attempt(node, live)
     live.retry_at_s = node.now_s + wait_s
     if live.retry_at_s >= live.deadline_s:
-        return found + _give_up(node, live, reason)
+        return found + outcomes.give_up(node, live, reason)
     node.requests.schedule(live)
     return found
 
@@ -246,13 +237,14 @@
     if (
         refused
         or reason is data.Reason.NOT_WHOLE
+        or not live.version
         or not live.request.repeatable
         or live.resumes >= MAX_RESUMES
         or node.now_s >= live.deadline_s
         or known is None
         or known.identity != endpoint
     ):
-        return _give_up(node, live, data.Reason.STREAM_BROKE)
+        return outcomes.give_up(node, live, data.Reason.STREAM_BROKE)
     live.resumes += 1
     return _dispatch(node, live, endpoint)
 
@@ -273,77 +265,13 @@
     return [endpoints.AttemptFinished(endpoint, reason, latency_s, load)]
 
 
-def _give_up(
-    node: machine.Node, live: request_state.LiveRequest, reason: data.Reason
-) -> list:
-    """End the request at once: unknown, or not run when that is proved."""
-    outcome = data.Outcome.NOT_RUN
-    if live.proof() is retries.Proof.MAY_HAVE_RUN:
-        outcome = data.Outcome.UNKNOWN
-    return _finish(node, live, outcome, reason)
-
-
-def _finish(
-    node: machine.Node,
-    live: request_state.LiveRequest,
-    outcome: data.Outcome,
-    reason: data.Reason,
-    status: int = 200,
-    version: data.VersionName = NO_VERSION,
-) -> list:
-    request = live.request
-    invariants.check(
-        node.requests.live.pop(request.request_id, None) is live,
-        invariants.Invariant.ONE_FINAL_OUTCOME,
-        f"{request.request_id} ended twice",
-    )
-    invariants.check(
-        outcome is not data.Outcome.NOT_RUN or live.proof() is retries.Proof.NOT_RUN,
-        invariants.Invariant.NOT_RUN_IS_PROVED,
-        f"{request.request_id} may have run",
-    )
-    done = outcome is data.Outcome.DONE
-    finish = request_events.FinishRequest(
-        request_id=request.request_id,
-        team=request.team,
-        outcome=outcome,
-        reason=reason,
-        retry_after_s=0.0 if done else _retry_after_s(node, live.retry_after_s),
-        status=status,
-        version=version,
-        detail=live.detail,
-    )
-    whole_s = node.now_s - live.arrived_s
-    return [
-        finish,
-        effects.Observe("request_whole_s", whole_s, _attributes(request)),
-        *_count_outcome(request, outcome, reason),
-    ]
-
-
-def _retry_after_s(node: machine.Node, told_s: float) -> float:
-    """Return when to come back, spread so that callers do not return together."""
-    return (told_s or RETRY_AFTER_S) * node.random.uniform(0.75, 1.25)
-
-
-def _attributes(request: data.Request) -> dict[str, str]:
-    return {"team": request.team, "class": request.service}
-
-
-def _count_outcome(
-    request: data.Request, outcome: data.Outcome, reason: data.Reason
-) -> list:
-    attributes = _attributes(request)
-    attributes["outcome"] = outcome.value
-    attributes["reason"] = reason.value
-    return [effects.Count("request_outcomes", 1, attributes)]
-
-
 def _on_caller_gone(node: machine.Node, event: request_events.CallerGone) -> list:
     live = node.requests.live.pop(event.request_id, None)
     if live is None:
         return []
-    found = _count_outcome(live.request, data.Outcome.UNKNOWN, data.Reason.CANCELLED)
+    found = outcomes.count_outcome(
+        live.request, data.Outcome.UNKNOWN, data.Reason.CANCELLED
+    )
     if live.endpoint is not None:
         found.append(request_events.CancelAttempt(event.request_id, live.attempt))
         found += _release(node, live, data.Reason.CANCELLED)
@@ -374,7 +302,7 @@
         cancel = request_events.CancelAttempt(request_id, live.attempt)
         live.may_have_run = True
         released = _release(node, live, data.Reason.DEADLINE)
-        return [cancel, *released, *_give_up(node, live, data.Reason.DEADLINE)]
+        return [cancel, *released, *outcomes.give_up(node, live, data.Reason.DEADLINE)]
     address = live.endpoint.address
     cancel = request_events.CancelAttempt(request_id, live.attempt, address)
     proof = retries.Proof.MAY_HAVE_RUN
--- a/toucanspread/core/requests_test.py
+++ b/toucanspread/core/requests_test.py
@@ -45,7 +45,7 @@
         HERE,
         seed,
         config=config,
-        membership=types.SimpleNamespace(members={}),
+        membership=types.SimpleNamespace(members={}, capacity={}),
         routing=routing.State(),
         requests=requests.State(),
         draining=draining.State(),
@@ -203,22 +203,32 @@
 
 class StreamTest(testtools.TestCase):
     def progress(self, entry, now_s, payload_bytes):
-        event = request_events.AttemptProgressed("q1", attempt_of(entry), payload_bytes)
+        event = request_events.AttemptProgressed(
+            "q1", attempt_of(entry), payload_bytes, version="v1"
+        )
         return entry.step(now_s, event)
 
     def test_begun_stream_resumes_at_its_endpoint_and_nowhere_else(self):
         entry = make_entry(report("p1"), report("p2"))
         first = dispatched(arrive(entry, 1.0)).instance_id
         self.progress(entry, 1.2, 10)
-        again = dispatched(entry.step(1.3, broke(entry, True, 25, payload_events=2)))
+        told = broke(entry, True, 25, payload_events=2, version="v1")
+        again = dispatched(entry.step(1.3, told))
         self.assertEqual(first, again.instance_id)
         self.assertEqual(25, again.dispatch.resume_from_bytes)
         self.assertEqual(2, again.dispatch.resume_from_events)
+        self.assertEqual("v1", again.dispatch.request.version)
+
+    def test_stream_of_an_unknown_version_does_not_resume(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        found = entry.step(1.3, broke(entry, True, payload_bytes=25))
+        self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
 
     def test_stream_that_cannot_resume_ends_as_unknown(self):
         entry = make_entry(report("p1"), report("p2"))
         arrive(entry, 1.0)
-        entry.step(1.3, broke(entry, True, payload_bytes=25))
+        entry.step(1.3, broke(entry, True, payload_bytes=25, version="v1"))
         refused = end(entry, data.Outcome.NOT_RUN, data.Reason.STREAM_BROKE)
         found = entry.step(1.4, refused)
         self.assertIsNone(dispatched(found))
--- a/toucanspread/core/steering.py
+++ b/toucanspread/core/steering.py
@@ -62,6 +62,19 @@
     return tuple(ranked[:count])
 
 
+def entries_elsewhere(
+    node: machine.Node, service: data.ServiceName
+) -> tuple[data.Address, ...]:
+    """Return addresses of other entries that say they have endpoints of a service."""
+    capable = []
+    for entry in _live_entries(node):
+        counts = node.membership.capacity.get(entry.instance_id, {})
+        if entry.instance_id != node.identity.instance_id and counts.get(service):
+            capable.append(entry.http_address)
+    count = min(ADDRESSES_PER_ANSWER, len(capable))
+    return tuple(node.random.sample(capable, count))
+
+
 def _live_entries(node: machine.Node) -> list[data.Identity]:
     entries = []
     if not node.draining.active:
@@ -80,6 +93,34 @@
 def _shares(
     node: machine.Node, service: data.ServiceName, entries: list[data.Identity]
 ) -> dict[data.Address, float]:
+    """Return which share of the answers each entry is to have.
+
+    Where entries know different endpoints, it follows what they have; where all
+    know the same, it follows what their zones have.
+    """
+    told = _told_capacities(node, service, entries)
+    if len(set(told)) > 1:
+        weights = [count + LEAST_WEIGHT for count in told]
+    else:
+        weights = _weights_by_zone(node, service, entries)
+    total = sum(weights)
+    shares = {}
+    for entry, weight in zip(entries, weights, strict=True):
+        shares[entry.http_address] = weight / total
+    return shares
+
+
+def _told_capacities(
+    node: machine.Node, service: data.ServiceName, entries: list[data.Identity]
+) -> list[int]:
+    """Return how many endpoints of a service each entry says it has."""
+    capacity = node.membership.capacity
+    return [capacity.get(e.instance_id, {}).get(service, 0) for e in entries]
+
+
+def _weights_by_zone(
+    node: machine.Node, service: data.ServiceName, entries: list[data.Identity]
+) -> list[float]:
     """Share what the service can run in a zone among the zone's entries."""
     capacity: dict[data.ZoneName, float] = {}
     for endpoint in node.routing.services.get(service, {}).values():
@@ -88,12 +129,11 @@
         zone = endpoint.identity.zone
         capacity[zone] = capacity.get(zone, 0.0) + max(endpoint.load.limit, 1)
     sharing = collections.Counter(entry.zone for entry in entries)
-    weights = {}
+    weights = []
     for entry in entries:
         in_zone = capacity.get(entry.zone, 0.0) / sharing[entry.zone]
-        weights[entry.http_address] = in_zone + LEAST_WEIGHT
-    total = sum(weights.values())
-    return {address: weight / total for address, weight in weights.items()}
+        weights.append(in_zone + LEAST_WEIGHT)
+    return weights
 
 
 def _on_asked(node: machine.Node, event: AddressesAsked) -> list:
--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -30,7 +30,8 @@
 
 
 def frame(sequence, payload, request_id="q1", offset_bytes=0):
-    return data.AnswerFrame(request_id, 0, sequence, payload, offset_bytes)
+    version = "v1" if sequence == 0 else ""
+    return data.AnswerFrame(request_id, 0, sequence, payload, offset_bytes, version)
 
 
 def whole(*payloads, status=200):
--- a/toucanspread/ops/dispatching.py
+++ b/toucanspread/ops/dispatching.py
@@ -93,6 +93,7 @@
             self._request_id, self._attempt, dispatch.resume_from_bytes
         )
         self._held = bytearray()
+        self._version = data.VersionName("")
         self._written_bytes = 0
         self._written_events = 0
         self._written_s = float("-inf")
@@ -127,6 +128,7 @@
                 self._flush()
                 return request_events.AttemptEnded(frame)
             self._check.take(frame)
+            self._version = self._version or frame.version
             self._check_size()
             self._hear()
             self._held += frame.payload
@@ -145,6 +147,7 @@
             sent,
             self._written_bytes,
             self._written_events,
+            self._version,
         )
 
     def _check_size(self) -> None:
@@ -205,6 +208,7 @@
             self._written_bytes,
             self._max_gap_s,
             self._written_events,
+            self._version,
         )
         self._max_gap_s = 0.0
         self._host.post(event)
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -32,6 +32,7 @@
         self.body = body
         self.end: data.AnswerEnd | None = None
         self.closed = False
+        self.version = data.VersionName("")
         self._buffer = bytearray()
         self._ready = asyncio.Event()
         self._room = asyncio.Event()
@@ -61,8 +62,6 @@
 
     async def frames(self) -> AsyncIterator[data.AnswerFrame | data.AnswerEnd]:
         """Yield the frames of the answer, the end last."""
-        request_id = self.dispatch.request.request_id
-        attempt = self.dispatch.attempt
         checksum = xxhash.xxh64()
         sequence = 0
         payload_bytes = 0
@@ -74,8 +73,8 @@
             self._room.set()
             if payload:
                 checksum.update(payload)
+                yield self._frame(sequence, payload, payload_bytes)
                 payload_bytes += len(payload)
-                yield data.AnswerFrame(request_id, attempt, sequence, payload)
                 sequence += 1
             if self.end is not None and not self._buffer:
                 break
@@ -88,6 +87,18 @@
             checksum=checksum.hexdigest(),
         )
 
+    def _frame(self, sequence: int, payload: bytes, before: int) -> data.AnswerFrame:
+        """Return a frame; in a resumed answer it says where it stands."""
+        resumed = self.dispatch.resume_from_bytes
+        return data.AnswerFrame(
+            self.dispatch.request.request_id,
+            self.dispatch.attempt,
+            sequence,
+            payload,
+            offset_bytes=resumed + before if resumed else 0,
+            version=self.version if sequence == 0 else data.VersionName(""),
+        )
+
 
 class KeptAnswers:
     """The last whole answers of calls that may not be repeated, bounded."""
@@ -197,6 +208,7 @@
         channel = self._channels.get(effect.stream)
         if channel is None:
             raise KeyError(f"stream {effect.stream} is closed")
+        channel.version = effect.version
         key = (effect.request_id, effect.attempt)
         run = Run(effect, channel, self._post, self._kept)
         if self._plain is not None:
@@ -275,7 +287,7 @@
         )
 
     async def _generate(self, model_engine: engine.Engine) -> None:
-        relayed_events = 0
+        relayed_events = self._channel.dispatch.resume_from_events
         resumes = 0
         while True:
             try:
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -51,7 +51,16 @@
                 self.kv.carry_out(effect)
             )
 
-    async def ask(self, request_id, body, budget_s=5.0, frames=None, **fields):
+    async def ask(
+        self,
+        request_id,
+        body,
+        budget_s=5.0,
+        frames=None,
+        attempt=1,
+        resume=(0, 0),
+        **fields,
+    ):
         request = data.Request(
             data.RequestId(request_id),
             data.TeamName("parish"),
@@ -59,7 +68,15 @@
             budget_s,
             **fields,
         )
-        dispatch = data.Dispatch(request, 1, budget_s, gate_fakes.ENTRY.instance_id)
+        dispatch = data.Dispatch(
+            request,
+            attempt,
+            budget_s,
+            gate_fakes.ENTRY.instance_id,
+            resume_from_bytes=resume[0],
+            resume_from_events=resume[1],
+        )
+        offset_bytes = resume[0]
         answer = self.gateway.handle(gate_fakes.ENTRY, dispatch, body)
         payload = b""
         try:
@@ -67,6 +84,9 @@
                 if isinstance(frame, data.AnswerEnd):
                     return payload, frame
                 self.assertEqual(request_id, frame.request_id)
+                if resume[0]:
+                    self.assertEqual(offset_bytes, frame.offset_bytes)
+                    offset_bytes += len(frame.payload)
                 payload += frame.payload
                 if frames is not None and payload:
                     return payload, None
@@ -137,6 +157,16 @@
         payload, end = run(self.ask("r1", self.body()))
         self.check_whole(payload, end)
 
+    def test_an_entry_resumes_a_stream_where_its_connection_broke(self):
+        first, end = run(self.ask("r1", self.body(), frames=1))
+        self.assertIsNone(end)
+        run(asyncio.sleep(0.05))
+        resume = (len(first), first.count(b"\n\n"))
+        rest, end = run(self.ask("r1", self.body(), attempt=2, resume=resume))
+        self.assertEqual(data.Outcome.DONE, end.outcome, end.detail)
+        text, ended = engine_text.text_of_events(first + rest)
+        self.assertEqual((self.expected("dear parish", 20), True), (text, ended))
+
     def test_a_stream_that_keeps_breaking_ends_unknown(self):
         self.standin.batch.faults.breaks = 9
         self.standin.batch.faults.break_after_tokens = 7
--- a/toucanspread/tools/bench_requests.py
+++ b/toucanspread/tools/bench_requests.py
@@ -80,7 +80,7 @@
         identity(name, data.Role.ENTRY, zone),
         seed,
         config=types.SimpleNamespace(intents={SERVICE: intent}),
-        membership=types.SimpleNamespace(members={}),
+        membership=types.SimpleNamespace(members={}, capacity={}),
         routing=routing.State(),
         requests=requests.State(),
         draining=draining.State(),
