Close connections of a draining entry after their answer; check every dispatch

A kept-alive connection to a draining entry went on after its refusal. The last answer now closes it. Every new attempt is checked in the program against the whole version and the endpoint's state, and answers that do not match are counted.

Before: no test of a stream that ends during a drain, of a slow caller, of drifting views or of an outage's attempts.

--- a/toucanspread/core/requests.py
+++ b/toucanspread/core/requests.py
@@ -85,6 +85,16 @@
         if reason is data.Reason.NONE:
             reason = data.Reason.NO_ENDPOINT
         return outcomes.give_up(node, live, reason)
+    invariants.check(
+        endpoint.is_live,
+        invariants.Invariant.NO_WORK_WHILE_LEAVING,
+        f"{request.request_id} to {endpoint.instance_id}",
+    )
+    invariants.check(
+        routing.fits(endpoint, request),
+        invariants.Invariant.DISPATCH_ONLY_WHOLE,
+        f"{request.request_id} to {endpoint.instance_id}: {endpoint.report.version}",
+    )
     return _dispatch(node, live, endpoint.identity)
 
 
@@ -182,7 +192,10 @@
     live.attempt_events = max(live.attempt_events, event.payload_events)
     live.version = live.version or event.version
     proof = retries.Proof.MAY_HAVE_RUN if event.sent else retries.Proof.NOT_RUN
-    return _after_failure(node, live, event.reason, proof)
+    found = _after_failure(node, live, event.reason, proof)
+    if event.reason is data.Reason.NOT_WHOLE:
+        found.append(effects.Count("answers_mismatched"))
+    return found
 
 
 def _after_failure(
--- a/toucanspread/core/requests_test.py
+++ b/toucanspread/core/requests_test.py
@@ -10,6 +10,7 @@
     machine,
     request_events,
     requests,
+    retries,
     routing,
     steering,
 )
@@ -243,6 +244,48 @@
         self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
 
 
+class DriftTest(testtools.TestCase):
+    def test_endpoint_that_refuses_as_leaving_gets_nothing_more_for_a_while(self):
+        entry = make_entry(report("p1"), report("p2"))
+        first = dispatched(arrive(entry, 1.0)).instance_id
+        leaving = end(entry, data.Outcome.NOT_RUN, data.Reason.LEAVING)
+        other = dispatched(entry.step(1.1, leaving)).instance_id
+        self.assertNotEqual(first, other)
+        entry.step(1.2, end(entry, data.Outcome.DONE))
+        for number in range(20):
+            sent = dispatched(arrive(entry, 1.3, f"q{number + 2}"))
+            self.assertEqual(other, sent.instance_id)
+
+    def test_endpoint_that_vanished_from_the_members_still_answers(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        dead = events.MemberChanged(endpoint("p1"), data.MemberState.DEAD)
+        entry.step(1.1, dead)
+        found = finished(entry.step(1.2, end(entry, data.Outcome.DONE)))
+        self.assertIs(data.Outcome.DONE, found.outcome)
+
+    def test_request_without_endpoint_is_pointed_to_entries_that_have_some(self):
+        entry = make_entry()
+        other = data.Identity("e2", data.Role.ENTRY, 1, "zb", "ra", "x", "h2")
+        member = types.SimpleNamespace(identity=other, state=data.MemberState.LIVE)
+        entry.node.membership.members["e2"] = member
+        entry.node.membership.capacity["e2"] = {"redactor": 3}
+        self.assertEqual(("h2",), finished(arrive(entry, 1.0)).addresses)
+
+    def test_outage_is_not_multiplied_by_retries(self):
+        entry = make_entry(*(report(f"p{number}") for number in range(4)))
+        attempts = 0
+        for number in range(200):
+            found = arrive(entry, 1.0 + number, "q1")
+            while dispatched(found) is not None:
+                attempts += 1
+                found = entry.step(entry.node.now_s, broke(entry, False))
+            if "q1" in entry.node.requests.live:
+                entry.step(entry.node.now_s, request_events.CallerGone("q1"))
+        self.assertLess(attempts, 200 * (1 + retries.RETRY_SHARE) + 11)
+        self.assertGreater(attempts, 200)
+
+
 class DrainTest(testtools.TestCase):
     def test_drain_refuses_new_requests_and_ends_after_the_running_ones(self):
         entry = make_entry(report("p1"))
--- a/toucanspread/ops/callers.py
+++ b/toucanspread/ops/callers.py
@@ -231,6 +231,7 @@
         http.unregisterProducer()
         payload = msgspec.json.encode(outcome)
         if outcome.outcome is data.Outcome.DONE:
+            self._close_when_leaving(http)
             http.write(b"event: end\ndata: " + payload + b"\n\n")
             http.finish()
             return
@@ -247,9 +248,16 @@
         http.setHeader("Content-Length", str(len(waiting.held)))
         http.setHeader("X-Request-Id", effect.request_id)
         http.setHeader("X-Outcome", effect.outcome.value)
+        self._close_when_leaving(http)
         http.write(bytes(waiting.held))
         http.finish()
 
+    def _close_when_leaving(self, http: server.Request) -> None:
+        """Let this be the last answer on its connection, if the entry drains."""
+        if self._host.node.draining.active and http.channel is not None:
+            http.setHeader("Connection", "close")
+            http.channel.persistent = False
+
     def _refuse(self, http: server.Request, outcome: Outcome) -> None:
         status = HTTP_UNKNOWN
         if outcome.reason is data.Reason.DUPLICATE:
@@ -260,8 +268,7 @@
         http.setHeader("X-Outcome", outcome.outcome.value)
         if outcome.retry_after_s:
             http.setHeader("Retry-After", str(math.ceil(outcome.retry_after_s)))
-        if outcome.reason is data.Reason.LEAVING:
-            http.setHeader("Connection", "close")
+        self._close_when_leaving(http)
         reply(http, status, outcome)
 
     def _refuse_input(self, http: server.Request, request_id: str, why: str) -> None:
@@ -284,6 +291,7 @@
 
     def _answer_addresses(self, effect: steering.AddressesAnswered) -> None:
         http = self._asking.pop(effect.operation_id)
+        self._close_when_leaving(http)
         reply(http, 200, Addresses(effect.addresses, effect.lifetime_s))
 
 
--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -20,8 +20,11 @@
         self.scripts = list(scripts)
         self.dispatches = []
 
-    async def dispatch(self, address, dispatch, body):
+    def dispatch(self, address, dispatch, body):
         self.dispatches.append((address, dispatch, body))
+        return self.play(dispatch)
+
+    async def play(self, dispatch):
         for item in self.scripts.pop(0):
             await asyncio.sleep(0)
             if isinstance(item, Exception):
@@ -200,6 +203,55 @@
         _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
         self.assertEqual([], json.loads(body)["addresses"])
 
+    def test_connection_ends_with_the_last_answer_of_a_draining_entry(self):
+        script = whole(b"data: 1\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.host.post(events.ShutdownRequested())
+        transport = self.post("redactor")
+        head, body = self.split(transport)
+        self.assertIn("503", head)
+        self.assertIn("Connection: close", head)
+        self.assertEqual("leaving", json.loads(body)["reason"])
+        self.assertTrue(transport.disconnecting)
+
+    def test_stream_in_progress_ends_whole_while_the_entry_drains(self):
+        def drain_after_the_first_frame(address, dispatch, body):
+            answer = self.peers.play(dispatch)
+
+            async def frames():
+                async for item in answer:
+                    yield item
+                    self.host.post(events.ShutdownRequested())
+
+            return frames()
+
+        script = whole(b"data: 1\n\n", b"data: 2\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.peers.dispatch = drain_after_the_first_frame
+        transport = self.post("redactor")
+        _, body = self.split(transport)
+        self.assertIn(b"data: 2\n\n", body)
+        self.assertIn(b"event: end", body)
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+        self.assertTrue(transport.disconnecting)
+
+    def test_slow_caller_holds_its_answer_back(self):
+        script = whole(*(b"data: %d\n\n" % number for number in range(9)))
+        self.start(script, reports=[requests_test.report("p1")])
+        write = self.callers.write
+
+        def write_and_pause(request_id, attempt, payload):
+            write(request_id, attempt, payload)
+            self.callers._waiting["q1"].pauseProducing()
+
+        self.callers.write = write_and_pause
+        transport = self.post("redactor")
+        self.assertNotIn(b"event: end", transport.value())
+        self.callers.write = write
+        self.callers._waiting["q1"].resumeProducing()
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        self.assertIn(b"event: end", transport.value())
+
     def test_caller_that_hangs_up_is_forgotten(self):
         async def endless():
             await asyncio.sleep(3600)
