--- /dev/null
+++ b/scripts/measure_requests.py
@@ -0,0 +1,222 @@
+"""Measures what requests cost an entry, with separate processes on loopback.
+
+Callers stream answers of a model through one entry, in runs of several sizes; the
+processor time and memory of the entry's and an endpoint's process come from /proc.
+The same prompts go directly to an engine for the added latency. Prints ``name=value``
+lines, the slopes by least squares with their fit.
+"""
+
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import statistics
+import sys
+import threading
+import time
+
+import demo
+import deployments
+import launcher
+import yaml
+
+RUN_S = 6.0
+CALLERS = (2, 4, 8, 16)
+TOKENS = (16, 256)
+BUDGET_S = 30
+DIRECT_REQUESTS = 60
+CLOCK_TICKS_S = os.sysconf("SC_CLK_TCK")
+SCRATCH = launcher.ROOT / "build" / "measure_requests"
+
+
+@dataclasses.dataclass
+class Timing:
+    """The times of one answer."""
+
+    first_byte_s: float
+    whole_s: float
+
+
+@dataclasses.dataclass
+class Run:
+    """What one run cost.
+
+    :param entry_s: processor time of the entry, for each second.
+    """
+
+    requests_s: float
+    tokens_s: float
+    entry_s: float
+    endpoint_s: float
+    timings: list[Timing]
+
+
+def ask(address: str, path: str, name: str, tokens: int) -> Timing:
+    """Send one request and read its stream to the end."""
+    connection = http.client.HTTPConnection(address, timeout=BUDGET_S)
+    headers = {
+        "X-Team": "familias",
+        "X-Deadline-S": str(BUDGET_S),
+        "X-Request-Id": name,
+    }
+    body = json.dumps({"prompt": f"letter {name}", "max_tokens": tokens})
+    started_s = time.monotonic()
+    try:
+        connection.request("POST", path, body, headers)
+        response = connection.getresponse()
+        payload = response.read1()
+        first_byte_s = time.monotonic() - started_s
+        while piece := response.read1():
+            payload += piece
+    finally:
+        connection.close()
+    if b"[DONE]" not in payload:
+        raise demo.DemoError(f"{name} was not whole: {payload[-200:]!r}")
+    return Timing(first_byte_s, time.monotonic() - started_s)
+
+
+def processor_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_S
+
+
+def memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class Measure(demo.Demo):
+    """One entry before three engines."""
+
+    def run(self) -> list[Run]:
+        """Start, load the model, and make all runs."""
+        declared = yaml.safe_load((launcher.ROOT / self.deployment.intents).read_text())
+        declared["intents"] = [i for i in declared["intents"] if i["kind"] == "model"]
+        declared["intents"][0].update(replicas=3, floor=1)
+        first, _ = self._publish(declared)
+        try:
+            self.cluster.start()
+            self._spread("first version", declared, first)
+            self._print_added_latency()
+            runs = []
+            for callers in CALLERS:
+                for tokens in TOKENS:
+                    runs.append(self._run_once(callers, tokens))
+            entry = next(iter(self.cluster.entry_http))
+            print(f"entry_memory_mb={memory_mb(self._pid(entry)):.0f}")
+            return runs
+        finally:
+            self.cluster.stop()
+
+    def _pid(self, name: str) -> int:
+        return self.cluster.processes._running[name].pid
+
+    def _print_added_latency(self) -> None:
+        """Compare answers through the entry with direct ones, one at a time."""
+        entry = next(iter(self.cluster.entry_http.values()))
+        engine = next(iter(self.cluster.backends.values()))
+        service = self.deployment.services[0].name
+        ways = {
+            "direct": (engine, "/v1/completions"),
+            "entry": (entry, f"/v1/requests/{service}"),
+        }
+        for way, (address, path) in ways.items():
+            timings = []
+            for number in range(DIRECT_REQUESTS):
+                timings.append(ask(address, path, f"{way}-{number}", TOKENS[0]))
+            print_latency(f"alone_{way}", timings)
+
+    def _run_once(self, callers: int, tokens: int) -> Run:
+        entry_name, entry = next(iter(self.cluster.entry_http.items()))
+        endpoint_names = list(self.cluster.endpoints)
+        path = f"/v1/requests/{self.deployment.services[0].name}"
+        timings: list[Timing] = []
+        ends_s = time.monotonic() + RUN_S
+
+        def call(caller: int) -> None:
+            number = 0
+            while time.monotonic() < ends_s:
+                number += 1
+                name = f"c{callers}-{tokens}-{caller}-{number}"
+                timings.append(ask(entry, path, name, tokens))
+
+        before = processor_s(self._pid(entry_name))
+        endpoints_before = sum(processor_s(self._pid(n)) for n in endpoint_names)
+        started_s = time.monotonic()
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(callers)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        span_s = time.monotonic() - started_s
+        entry_s = processor_s(self._pid(entry_name)) - before
+        endpoints_s = sum(processor_s(self._pid(n)) for n in endpoint_names)
+        run = Run(
+            len(timings) / span_s,
+            len(timings) * tokens / span_s,
+            entry_s / span_s,
+            (endpoints_s - endpoints_before) / span_s,
+            timings,
+        )
+        print(
+            f"run: callers {callers}, tokens {tokens}: {run.requests_s:.1f} requests/s,"
+            f" {run.tokens_s:.0f} tokens/s, entry {run.entry_s * 100:.1f}% of a core,"
+            f" endpoints {run.endpoint_s * 100:.1f}%",
+            flush=True,
+        )
+        return run
+
+
+def print_latency(name: str, timings: list[Timing]) -> None:
+    """Print quantiles in milliseconds."""
+    for kind in ("first_byte_s", "whole_s"):
+        values = sorted(getattr(timing, kind) for timing in timings)
+        p99_ms = values[int(0.99 * (len(values) - 1))] * 1000
+        print(f"{name}_{kind[:-2]}_p50_ms={statistics.median(values) * 1000:.1f}")
+        print(f"{name}_{kind[:-2]}_p99_ms={p99_ms:.1f}")
+
+
+def print_slopes(name: str, runs: list[Run], costs: list[float]) -> None:
+    """Fit ``cost = a * requests + b * tokens`` and print both with the fit."""
+    requests = [run.requests_s for run in runs]
+    tokens = [run.tokens_s for run in runs]
+    rr = sum(r * r for r in requests)
+    rt = sum(r * t for r, t in zip(requests, tokens, strict=True))
+    tt = sum(t * t for t in tokens)
+    rc = sum(r * c for r, c in zip(requests, costs, strict=True))
+    tc = sum(t * c for t, c in zip(tokens, costs, strict=True))
+    determinant = rr * tt - rt * rt
+    per_request = (rc * tt - tc * rt) / determinant
+    per_token = (tc * rr - rc * rt) / determinant
+    mean = statistics.mean(costs)
+    left = 0.0
+    for r, t, c in zip(requests, tokens, costs, strict=True):
+        left += (c - per_request * r - per_token * t) ** 2
+    fit = 1.0 - left / sum((c - mean) ** 2 for c in costs)
+    print(f"{name}_us_per_request={per_request * 1e6:.0f}")
+    print(f"{name}_us_per_token={per_token * 1e6:.1f}")
+    print(f"{name}_fit_r2={fit:.3f}")
+
+
+def main() -> int:
+    """Make the runs and print the figures."""
+    shutil.rmtree(SCRATCH, ignore_errors=True)
+    services = (deployments.Service("redactor", "model", 3, "redactor"),)
+    deployment = dataclasses.replace(deployments.BAUTIZOS, services=services, entries=1)
+    runs = Measure(deployment, SCRATCH).run()
+    for callers, run in zip(sorted(CALLERS * len(TOKENS)), runs, strict=True):
+        tokens = round(run.tokens_s / run.requests_s)
+        print_latency(f"callers_{callers}_tokens_{tokens}", run.timings)
+    print_slopes("entry", runs, [run.entry_s for run in runs])
+    print_slopes("endpoints", runs, [run.endpoint_s for run in runs])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
