Bound the bodies that an entry holds; fuzz the check of answers

4096 requests of 1 MiB each would have been held in memory; bodies in progress are now bounded to 32 MiB in all, and what is above is refused at once with when to come back. Bodies still coming in are bounded one by one only. Hypothesis drops, doubles, swaps, alters and crosses frames: what passes the check is the whole answer (300 examples). Before: neither.

--- /dev/null
+++ b/toucanspread/core/answers_test.py
@@ -0,0 +1,79 @@
+import hypothesis
+import msgspec
+import testtools
+import xxhash
+from hypothesis import strategies as st
+
+from toucanspread.core import answers, data
+
+PAYLOADS = st.lists(st.binary(min_size=1, max_size=4), max_size=6)
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["drop", "double", "swap", "alter", "cross", "older"]),
+        st.integers(0, 5),
+    ),
+    max_size=3,
+)
+
+
+def answer(payloads, attempt=7, request_id="q1"):
+    """Return the frames and the end of a whole answer."""
+    frames = [
+        data.AnswerFrame(request_id, attempt, number, payload)
+        for number, payload in enumerate(payloads)
+    ]
+    joined = b"".join(payloads)
+    end = data.AnswerEnd(
+        request_id,
+        attempt,
+        data.Outcome.DONE,
+        frames=len(frames),
+        payload_bytes=len(joined),
+        checksum=xxhash.xxh64_hexdigest(joined),
+    )
+    return frames, end
+
+
+def damage(frames, kind, place):
+    """Return the frames with one fault of the way."""
+    if not frames:
+        return frames
+    index = place % len(frames)
+    before, frame, after = frames[:index], frames[index], frames[index + 1 :]
+    altered = {
+        "drop": [],
+        "double": [frame, frame],
+        "swap": [*after[:1], frame],
+        "alter": [msgspec.structs.replace(frame, payload=b"?" + frame.payload[1:])],
+        "cross": [msgspec.structs.replace(frame, request_id="q2")],
+        "older": [msgspec.structs.replace(frame, attempt=6)],
+    }[kind]
+    return [*before, *altered, *(after[1:] if kind == "swap" else after)]
+
+
+class AnswerCheckTest(testtools.TestCase):
+    @hypothesis.given(payloads=PAYLOADS, faults=FAULTS)
+    @hypothesis.settings(deadline=None, derandomize=True, max_examples=300)
+    def test_what_passes_is_the_whole_answer(self, payloads, faults):
+        frames, end = answer(payloads)
+        for kind, place in faults:
+            frames = damage(frames, kind, place)
+        check = answers.AnswerCheck("q1", 7)
+        received = b""
+        try:
+            for frame in frames:
+                check.take(frame)
+                received += frame.payload
+            check.finish(end)
+        except answers.AnswerMismatchError:
+            return
+        self.assertEqual(b"".join(payloads), received)
+
+    def test_end_of_another_attempt_does_not_pass(self):
+        _, end = answer([], attempt=6)
+        check = answers.AnswerCheck("q1", 7)
+        self.assertRaises(answers.AnswerMismatchError, check.finish, end)
+
+    def test_refusal_needs_no_checksum(self):
+        end = data.AnswerEnd("q1", 7, data.Outcome.NOT_RUN, data.Reason.OVERLOADED)
+        answers.AnswerCheck("q1", 7).finish(end)
--- a/toucanspread/ops/callers.py
+++ b/toucanspread/ops/callers.py
@@ -18,6 +18,8 @@
 from toucanspread.ops import caller_input, dispatching, loop, runtime
 
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_HELD_BYTES = 32 * 1024 * 1024  # bodies of all requests in progress
+HELD_RETRY_AFTER_S = 1.0
 HTTP_OF_REASON = {
     data.Reason.BAD_REQUEST: 400,
     data.Reason.UNKNOWN_SERVICE: 404,
@@ -99,6 +101,7 @@
         self._numbers = itertools.count(1)
         self._asking: dict[data.OperationId, server.Request] = {}
         self._waiting: dict[data.RequestId, Waiting] = {}
+        self._held_bytes = 0
         self._listener = None
         self.site = build_site(self, max_body_bytes, v1 or {}, root or {})
 
@@ -150,9 +153,13 @@
         if request.request_id in self._waiting:
             self._refuse_duplicate(http, request.request_id)
             return
+        if self._held_bytes + len(body) > MAX_HELD_BYTES:
+            self._refuse_overloaded(http, request.request_id)
+            return
         streamed = kind is data.ServiceKind.MODEL
         waiting = Waiting(http, body, streamed)
         self._waiting[request.request_id] = waiting
+        self._held_bytes += len(body)
         http.notifyFinish().addErrback(
             lambda _: self._caller_gone(request.request_id, waiting)
         )
@@ -198,14 +205,20 @@
         waiting.http.setHeader("X-Request-Id", request_id)
         waiting.http.registerProducer(waiting, True)
 
+    def _forget(self, request_id: data.RequestId) -> Waiting | None:
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            self._held_bytes -= len(waiting.body)
+        return waiting
+
     def _caller_gone(self, request_id: data.RequestId, waiting: Waiting) -> None:
         waiting.room.set()
         if self._waiting.get(request_id) is waiting:
-            del self._waiting[request_id]
+            self._forget(request_id)
             self._host.post_soon(request_events.CallerGone(request_id))
 
     def _finish(self, effect: request_events.FinishRequest) -> None:
-        waiting = self._waiting.pop(effect.request_id, None)
+        waiting = self._forget(effect.request_id)
         if waiting is None:
             return
         waiting.room.set()
@@ -280,6 +293,18 @@
         )
         self._refuse(http, outcome)
 
+    def _refuse_overloaded(
+        self, http: server.Request, request_id: data.RequestId
+    ) -> None:
+        outcome = Outcome(
+            request_id,
+            data.Outcome.NOT_RUN,
+            data.Reason.OVERLOADED,
+            retry_after_s=HELD_RETRY_AFTER_S,
+            detail="too many bodies are held",
+        )
+        self._refuse(http, outcome)
+
     def _refuse_duplicate(
         self, http: server.Request, request_id: data.RequestId
     ) -> None:
--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -195,6 +195,28 @@
         self.assertIn("Retry-After: ", head)
         self.assertEqual("not run", json.loads(body)["outcome"])
 
+    def test_bodies_held_are_bounded_in_all(self):
+        self.start(reports=[requests_test.report("p1")])
+        self.callers._held_bytes = callers.MAX_HELD_BYTES - 4
+        head, body = self.split(self.post("redactor"))
+        self.assertIn("429", head)
+        self.assertEqual("not run", json.loads(body)["outcome"])
+        self.assertEqual({}, self.host.node.requests.live)
+
+    def test_held_bytes_are_given_back(self):
+        script = whole(b"data: 1\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.post("redactor")
+        self.assertEqual(0, self.callers._held_bytes)
+
+    def test_id_names_a_call_that_may_not_be_repeated_and_has_no_key(self):
+        reports = [requests_test.report("p1", requests_test.PLAIN)]
+        self.start(whole(b"{}"), whole(b"{}"), reports=reports)
+        self.post("reservas")
+        self.post("reservas", HEADERS + "Idempotency-Key: deposit-1\r\n")
+        keys = [sent[1].request.idempotency_key for sent in self.peers.dispatches]
+        self.assertEqual(["q1", "deposit-1"], keys)
+
     def test_addresses_are_told_until_the_entry_drains(self):
         self.start(reports=[requests_test.report("p1")])
         _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
