Test that a silent connection is replaced and its late answer dropped

A stream that says nothing for the progress deadline is cancelled, its connection replaced and the request tried at another endpoint; the first answer, which comes after all, does not reach the caller. Before: only the reducer's part was tested.

--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -19,6 +19,10 @@
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.dispatches = []
+        self.replaced = []
+
+    def replace_connection(self, address):
+        self.replaced.append(address)
 
     def dispatch(self, address, dispatch, body):
         self.dispatches.append((address, dispatch, body))
@@ -57,7 +61,8 @@
 class CallersTest(testtools.TestCase):
     def start(self, *scripts, reports=()):
         entry = requests_test.make_entry(*reports)
-        self.host = runtime.Runtime(entry, lambda code: None)
+        self.now_s = 0.0
+        self.host = runtime.Runtime(entry, lambda code: None, lambda: self.now_s)
         self.peers = FakePeers(*scripts)
         self.callers = callers.Callers(self.host, "127.0.0.1:0", max_body_bytes=64)
         self.callers.site.timeOut = None
@@ -257,6 +262,34 @@
         self.assertTrue(body.endswith(b"0\r\n\r\n"))
         self.assertTrue(transport.disconnecting)
 
+    def test_silent_connection_is_replaced_and_its_late_answer_dropped(self):
+        waiting = asyncio.Event()
+
+        async def late(dispatch):
+            await waiting.wait()
+            async for item in self.peers.play(dispatch):
+                yield item
+
+        reports = [requests_test.report(name) for name in ("p1", "p2")]
+        answer = whole(b"data: 2\n\n")
+        self.start(whole(b"data: late\n\n"), answer, reports=reports)
+        dispatch = self.peers.dispatch
+        self.peers.dispatch = lambda address, sent, body: late(sent)
+        patient = HEADERS.replace("X-Deadline-S: 5", "X-Deadline-S: 60")
+        transport = self.post("redactor", patient)
+        self.peers.dispatch = dispatch
+        self.peers.scripts.reverse()
+        self.now_s = 16.0
+        self.host.post(events.Tick())
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        waiting.set()
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        _, body = self.split(transport)
+        self.assertEqual(1, len(self.peers.replaced))
+        self.assertIn(b"data: 2\n\n", body)
+        self.assertNotIn(b"late", body)
+        self.assertIn(b"event: end", body)
+
     def test_slow_caller_holds_its_answer_back(self):
         script = whole(*(b"data: %d\n\n" % number for number in range(9)))
         self.start(script, reports=[requests_test.report("p1")])
