--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -19,9 +19,16 @@
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.dispatches = []
+        self.replaced = []
 
-    async def dispatch(self, address, dispatch, body):
+    def replace_connection(self, address):
+        self.replaced.append(address)
+
+    def dispatch(self, address, dispatch, body):
         self.dispatches.append((address, dispatch, body))
+        return self.play(dispatch)
+
+    async def play(self, dispatch):
         for item in self.scripts.pop(0):
             await asyncio.sleep(0)
             if isinstance(item, Exception):
@@ -30,7 +37,8 @@
 
 
 def frame(sequence, payload, request_id="q1", offset_bytes=0):
-    return data.AnswerFrame(request_id, 0, sequence, payload, offset_bytes)
+    version = "v1" if sequence == 0 else ""
+    return data.AnswerFrame(request_id, 0, sequence, payload, offset_bytes, version)
 
 
 def whole(*payloads, status=200):
@@ -53,7 +61,8 @@
 class CallersTest(testtools.TestCase):
     def start(self, *scripts, reports=()):
         entry = requests_test.make_entry(*reports)
-        self.host = runtime.Runtime(entry, lambda code: None)
+        self.now_s = 0.0
+        self.host = runtime.Runtime(entry, lambda code: None, lambda: self.now_s)
         self.peers = FakePeers(*scripts)
         self.callers = callers.Callers(self.host, "127.0.0.1:0", max_body_bytes=64)
         self.callers.site.timeOut = None
@@ -191,6 +200,28 @@
         self.assertIn("Retry-After: ", head)
         self.assertEqual("not run", json.loads(body)["outcome"])
 
+    def test_bodies_held_are_bounded_in_all(self):
+        self.start(reports=[requests_test.report("p1")])
+        self.callers._held_bytes = callers.MAX_HELD_BYTES - 4
+        head, body = self.split(self.post("redactor"))
+        self.assertIn("429", head)
+        self.assertEqual("not run", json.loads(body)["outcome"])
+        self.assertEqual({}, self.host.node.requests.live)
+
+    def test_held_bytes_are_given_back(self):
+        script = whole(b"data: 1\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.post("redactor")
+        self.assertEqual(0, self.callers._held_bytes)
+
+    def test_id_names_a_call_that_may_not_be_repeated_and_has_no_key(self):
+        reports = [requests_test.report("p1", requests_test.PLAIN)]
+        self.start(whole(b"{}"), whole(b"{}"), reports=reports)
+        self.post("reservas")
+        self.post("reservas", HEADERS + "Idempotency-Key: deposit-1\r\n")
+        keys = [sent[1].request.idempotency_key for sent in self.peers.dispatches]
+        self.assertEqual(["q1", "deposit-1"], keys)
+
     def test_addresses_are_told_until_the_entry_drains(self):
         self.start(reports=[requests_test.report("p1")])
         _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
@@ -199,6 +230,83 @@
         _, body = self.split(self.call("GET /v1/addresses?service=redactor&team=a"))
         self.assertEqual([], json.loads(body)["addresses"])
 
+    def test_connection_ends_with_the_last_answer_of_a_draining_entry(self):
+        script = whole(b"data: 1\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.host.post(events.ShutdownRequested())
+        transport = self.post("redactor")
+        head, body = self.split(transport)
+        self.assertIn("503", head)
+        self.assertIn("Connection: close", head)
+        self.assertEqual("leaving", json.loads(body)["reason"])
+        self.assertTrue(transport.disconnecting)
+
+    def test_stream_in_progress_ends_whole_while_the_entry_drains(self):
+        def drain_after_the_first_frame(address, dispatch, body):
+            answer = self.peers.play(dispatch)
+
+            async def frames():
+                async for item in answer:
+                    yield item
+                    self.host.post(events.ShutdownRequested())
+
+            return frames()
+
+        script = whole(b"data: 1\n\n", b"data: 2\n\n")
+        self.start(script, reports=[requests_test.report("p1")])
+        self.peers.dispatch = drain_after_the_first_frame
+        transport = self.post("redactor")
+        _, body = self.split(transport)
+        self.assertIn(b"data: 2\n\n", body)
+        self.assertIn(b"event: end", body)
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+        self.assertTrue(transport.disconnecting)
+
+    def test_silent_connection_is_replaced_and_its_late_answer_dropped(self):
+        waiting = asyncio.Event()
+
+        async def late(dispatch):
+            await waiting.wait()
+            async for item in self.peers.play(dispatch):
+                yield item
+
+        reports = [requests_test.report(name) for name in ("p1", "p2")]
+        answer = whole(b"data: 2\n\n")
+        self.start(whole(b"data: late\n\n"), answer, reports=reports)
+        dispatch = self.peers.dispatch
+        self.peers.dispatch = lambda address, sent, body: late(sent)
+        patient = HEADERS.replace("X-Deadline-S: 5", "X-Deadline-S: 60")
+        transport = self.post("redactor", patient)
+        self.peers.dispatch = dispatch
+        self.peers.scripts.reverse()
+        self.now_s = 16.0
+        self.host.post(events.Tick())
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        waiting.set()
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        _, body = self.split(transport)
+        self.assertEqual(1, len(self.peers.replaced))
+        self.assertIn(b"data: 2\n\n", body)
+        self.assertNotIn(b"late", body)
+        self.assertIn(b"event: end", body)
+
+    def test_slow_caller_holds_its_answer_back(self):
+        script = whole(*(b"data: %d\n\n" % number for number in range(9)))
+        self.start(script, reports=[requests_test.report("p1")])
+        write = self.callers.write
+
+        def write_and_pause(request_id, attempt, payload):
+            write(request_id, attempt, payload)
+            self.callers._waiting["q1"].pauseProducing()
+
+        self.callers.write = write_and_pause
+        transport = self.post("redactor")
+        self.assertNotIn(b"event: end", transport.value())
+        self.callers.write = write
+        self.callers._waiting["q1"].resumeProducing()
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        self.assertIn(b"event: end", transport.value())
+
     def test_caller_that_hangs_up_is_forgotten(self):
         async def endless():
             await asyncio.sleep(3600)
