Join two histories of one revision without losing a change

A service that is restored before an accepted change is in force everywhere can accept another at the same revision. Both were accepted, so both must stay; before, the entries refused every further confirmation. The service's history decides the order; what only the other has is proposed again, under a plan id that depends on nothing else, so that several entries do it once. Deltas name digests, by which a receiver tells whether they extend its own history; a trial without them left two processes with different intents at the same revision (test_two_histories_are_joined_and_lose_nothing failed so).

--- a/toucanspread/core/acceptance.py
+++ b/toucanspread/core/acceptance.py
@@ -127,7 +127,9 @@
         if acceptance.phase is Phase.WRITE_HEAD:
             acceptance.unresolved_version = acceptance.head_version
         return give_up(acceptance, "the key-value service did not answer in time")
-    caught_up = node.config.revision >= acceptance.head.revision
+    level = (node.config.revision, node.config.digest)
+    caught_up = node.config.revision > acceptance.head.revision
+    caught_up = caught_up or level == (acceptance.head.revision, acceptance.head.digest)
     if acceptance.phase is Phase.CATCH_UP and caught_up:
         return begin(node, acceptance)
     return []
@@ -163,7 +165,8 @@
 def _level(node: machine.Node, acceptance: Acceptance) -> list:
     """Go on when the service and this process hold the same revision."""
     if acceptance.head.digest != node.config.digest:
-        return give_up(acceptance, "two histories of the same revision are known")
+        acceptance.phase = Phase.CATCH_UP
+        return []
     accepted = accepted_revision(node, acceptance)
     if accepted is not None:
         acceptance.revision = accepted
@@ -207,8 +210,6 @@
     acceptance.unresolved_version = None
     if node.now_s - node.watching.behind_since_s < HEAL_DELAY_S:
         return give_up(acceptance, "the key-value service was restored, healing it")
-    if node.config.forked:
-        return give_up(acceptance, "two histories of the same revision are known")
     acceptance.change = None
     acceptance.wanted = history.Head(
         revision=node.config.revision,
--- a/toucanspread/core/config.py
+++ b/toucanspread/core/config.py
@@ -19,6 +19,7 @@
     :ivar digests: the digests of the last revisions that this process held.
     :ivar forked: whether another process holds the same revision with other changes,
         after the key-value service lost an accepted one.
+    :ivar lost: what was accepted in a history that this process gave up.
     """
 
     def __init__(self):
@@ -28,6 +29,7 @@
         self.intents: dict[data.ServiceName, data.Intent] = {}
         self.stamps: dict[data.ServiceName, history.Stamp] = {}
         self.forked = False
+        self.lost: dict[data.ServiceName, history.Stamp] = {}
 
 
 def snapshot(node: machine.Node) -> history.Snapshot:
@@ -89,21 +91,53 @@
     ]
 
 
-def adopt(node: machine.Node, snap: history.Snapshot) -> list:
-    """Replace a history that turned out to be a fork by a higher one."""
+def adopt(node: machine.Node, other: history.Snapshot) -> list:
+    """Take in a whole history that is no older; keep aside what it lacks.
+
+    :func:`confirm.on_tick` proposes again what was accepted only in this history.
+    """
     state = node.config
-    gone = [
-        name
-        for name in state.stamps
-        if name not in {stamp.service for stamp in snap.stamps}
-    ]
-    state.stamps.clear()
-    state.intents.clear()
-    state.digests.clear()
+    invariants.check(
+        other.revision >= state.revision,
+        invariants.Invariant.REVISION_NEVER_DECREASES,
+        f"{other.revision} after {state.revision}",
+    )
+    before = state.revision
+    mine = dict(state.stamps)
+    theirs = {stamp.service: stamp for stamp in other.stamps}
+    lost = _missing(mine, theirs)
+    if node.identity.role is data.Role.ENTRY:
+        state.lost.update(lost)
+    state.stamps = theirs
+    state.intents = {
+        stamp.service: stamp.intent
+        for stamp in other.stamps
+        if stamp.intent is not None
+    }
     state.forked = False
-    *rest, applied = apply_stamps(node, snap.revision, snap.digest, snap.stamps)
-    services = (*applied.services, *gone)
-    return [*rest, events.ConfigApplied(snap.revision, services)]
+    state.revision = other.revision
+    state.digest = other.digest
+    state.digests = {other.revision: other.digest}
+    changed = [name for name in {*mine, *theirs} if mine.get(name) != theirs.get(name)]
+    fields = {"revision": other.revision, "before": before, "lost": len(lost)}
+    return [
+        effects.Log("config_applied", fields),
+        effects.Count("config_applied"),
+        events.ConfigApplied(other.revision, tuple(sorted(changed))),
+    ]
+
+
+def _missing(
+    mine: dict[data.ServiceName, history.Stamp],
+    theirs: dict[data.ServiceName, history.Stamp],
+) -> dict[data.ServiceName, history.Stamp]:
+    """Return the stamps that only one history has, and no later change replaced."""
+    found = {}
+    for service, stamp in mine.items():
+        other = theirs.get(service)
+        if other is None or other.revision < stamp.revision:
+            found[service] = stamp
+    return found
 
 
 HANDLERS: dict[type, machine.Handler] = {}
--- a/toucanspread/core/confirm.py
+++ b/toucanspread/core/confirm.py
@@ -15,6 +15,7 @@
     events,
     history,
     machine,
+    operations,
     placement,
     plans,
 )
@@ -88,11 +89,20 @@
 
 
 class Confirmation:
-    """A confirmation under way; without a request, a healing of the service."""
+    """A confirmation under way; without a request, a healing of the service.
 
-    def __init__(self, request: ConfirmRequested | None, run: acceptance.Acceptance):
+    :param is_internal: whether no operator waits for the answer.
+    """
+
+    def __init__(
+        self,
+        request: ConfirmRequested | None,
+        run: acceptance.Acceptance,
+        is_internal: bool = False,
+    ):
         self.request = request
         self.run = run
+        self.is_internal = is_internal or request is None
 
 
 class State:
@@ -156,7 +166,7 @@
 
 def on_tick(node: machine.Node, event: events.Tick) -> list:
     """Watch the deadlines, and heal a service that was restored."""
-    items = _maybe_heal(node)
+    items = [*_maybe_heal(node), *_maybe_propose_lost(node)]
     for confirmation in [*node.confirm.running]:
         items.extend(acceptance.on_tick(node, confirmation.run))
         items.extend(_settle(node, confirmation))
@@ -173,13 +183,43 @@
     since_s = node.watching.behind_since_s
     if since_s is None or node.now_s - since_s < acceptance.HEAL_DELAY_S:
         return []
-    if any(running.request is None for running in state.running):
+    if any(running.is_internal for running in state.running):
         return []
     started = Confirmation(None, acceptance.Acceptance(node, data.PlanId("")))
     state.running.append(started)
     return acceptance.begin(node, started.run)
 
 
+def _maybe_propose_lost(node: machine.Node) -> list:
+    """Propose again what was accepted only in a history that was given up.
+
+    The plan id depends on nothing else, so that several entries propose it once.
+    """
+    state = node.confirm
+    lost = node.config.lost
+    if not lost or any(running.is_internal for running in state.running):
+        return []
+    for service, stamp in [*lost.items()]:
+        held = node.config.stamps.get(service)
+        if held is not None and held.revision > stamp.revision:
+            del lost[service]
+    if not lost:
+        return []
+    proposed = tuple(stamp.intent for stamp in lost.values() if stamp.intent)
+    removed = tuple(name for name, stamp in lost.items() if not stamp.intent)
+    request = ConfirmRequested(
+        operations.new_id(node, "again"),
+        node.config.revision,
+        proposed,
+        removed,
+        plans.plan_id(data.Revision(0), proposed, removed),
+    )
+    run = acceptance.Acceptance(node, request.plan_id)
+    started = Confirmation(request, run, is_internal=True)
+    state.running.append(started)
+    return acceptance.begin(node, started.run)
+
+
 def _settle(node: machine.Node, confirmation: Confirmation) -> list:
     """Decide when the process is level with the service; answer when it is over."""
     items = []
@@ -190,7 +230,7 @@
         return items
     if confirmation in node.confirm.running:
         node.confirm.running.remove(confirmation)
-    if confirmation.request is not None and run.result is not None:
+    if not confirmation.is_internal and run.result is not None:
         items.append(_answer(node, confirmation.request, run))
     return items
 
@@ -201,6 +241,10 @@
     request = confirmation.request
     if request is None:
         return acceptance.finish(run, acceptance.Result.NOT_ACCEPTED)
+    if confirmation.is_internal:
+        return acceptance.write(
+            node, run, request.operation_id, request.intents, request.removed
+        )
     if request.base_revision > node.config.revision:
         run.why = "the plan was made from a revision that is not known here"
         return acceptance.give_up(run, run.why)
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -184,6 +184,27 @@
         for node in fleet.nodes.values():
             self.assertEqual(NEXT_MANIFEST, node.config.intents["pool"].manifest_hash)
 
+    def test_two_histories_are_joined_and_lose_nothing(self):
+        fleet = make_fleet()
+        accept(fleet, intent("first", 0, 0))
+        saved = fleet.kv.save()
+        fleet.cut.add(frozenset(("finistere", "morbihan")))
+        fleet.service_cut.add("morbihan")
+        accept(fleet, intent("near", 0, 0), entry="entry-0", operation="near")
+        fleet.kv.values = saved
+        fleet.service_cut = {"finistere"}
+        far = accept(fleet, intent("far", 0, 0), entry="entry-1", operation="far")
+        self.assertEqual((confirm.Verdict.ACCEPTED, 2), (far.verdict, far.revision))
+        fleet.cut.clear()
+        fleet.service_cut.clear()
+        fleet.run(60.0)
+        self.assertEqual({3}, revisions(fleet))
+        for node in fleet.nodes.values():
+            expected = {"first", "near", "far"}
+            self.assertEqual(expected, set(node.config.intents))
+        last = accept(fleet, intent("last", 0, 0), operation="last")
+        self.assertEqual(confirm.Verdict.ACCEPTED, last.verdict)
+
     def test_emptied_service_is_healed(self):
         fleet = make_fleet()
         accept(fleet, intent())
--- a/toucanspread/core/history.py
+++ b/toucanspread/core/history.py
@@ -152,6 +152,20 @@
     return tuple(found)
 
 
+def whole(snapshot: Snapshot, head: Head) -> Snapshot | None:
+    """Return the configuration at the head, or None if changes between are missing."""
+    if snapshot.revision >= head.revision:
+        return snapshot
+    above = [each for each in head.changes if each.revision > snapshot.revision]
+    if len(above) != head.revision - snapshot.revision:
+        return None
+    stamps = {stamp.service: stamp for stamp in snapshot.stamps}
+    for change in above:
+        for stamp in stamps_of(change):
+            stamps[stamp.service] = stamp
+    return Snapshot(head.revision, head.digest, newer(stamps, data.Revision(0)))
+
+
 def touched(
     intents: Iterable[data.Intent], removed: Iterable[data.ServiceName]
 ) -> set[data.ServiceName]:
--- a/toucanspread/core/spread.py
+++ b/toucanspread/core/spread.py
@@ -47,18 +47,21 @@
 
 
 class ConfigDelta(data.Message):
-    """All changes above ``base`` up to ``revision``.
+    """All changes above ``base`` up to ``revision``; the whole if ``base`` is 0.
 
-    :param base_digest: the digest at ``base``, when the sender still knows it.
+    :param digests: those at ``base`` and somewhat above, by which a receiver tells
+        whether the changes extend its own history.
     :param pass_on_to: where the receiver sends the same changes.
+    :param settled: false when the sender knows of another history.
     """
 
     base: data.Revision
     revision: data.Revision
     digest: str
     stamps: tuple[history.Stamp, ...]
-    base_digest: str = ""
+    digests: dict[data.Revision, str] = {}
     pass_on_to: tuple[data.Address, ...] = ()
+    settled: bool = True
 
 
 class State:
@@ -173,8 +176,26 @@
         if summary.answer and summary.fence < highest_fence(node):
             return [effects.Send(sender.address, _summary(node, answer=False))]
         return []
+    return _on_other_history(node, sender, summary.revision)
+
+
+def _on_other_history(
+    node: machine.Node, sender: data.Identity, revision: data.Revision
+) -> list:
+    """Answer a process that holds the same revision with other changes.
+
+    Between entries the key-value service decides; endpoint processes follow entries.
+    """
+    state = node.config
+    if node.identity.role is data.Role.ENTRY and sender.role is data.Role.ENDPOINT:
+        if state.forked:
+            return []
+        return [effects.Send(sender.address, _summary(node, answer=False))]
     state.forked = True
-    return _log(node, "config_fork", sender, summary.revision)
+    items = _log(node, "config_fork", sender, revision)
+    if node.identity.role is data.Role.ENDPOINT:
+        items.append(effects.Send(sender.address, _summary(node)))
+    return items
 
 
 def _on_delta(node: machine.Node, sender: data.Identity, delta: ConfigDelta) -> list:
@@ -191,17 +212,22 @@
     state = node.config
     if delta.revision < state.revision:
         return _log(node, "config_older_refused", sender, delta.revision)
-    if delta.revision == state.revision:
+    if delta.revision == state.revision and delta.digest == state.digest:
+        state.forked = state.forked and not delta.settled
+        return []
+    follows = node.identity.role is data.Role.ENDPOINT and delta.settled
+    if delta.revision == state.revision and not follows:
         return []
-    if state.forked and delta.base == 0:
+    if delta.base == 0:
         whole = history.Snapshot(delta.revision, delta.digest, delta.stamps)
         return config.adopt(node, whole)
-    held = state.digests.get(delta.base, "")
-    if held and delta.base_digest and held != delta.base_digest:
-        state.forked = True
-        return _log(node, "config_fork", sender, delta.base)
-    if delta.base > state.revision or state.forked:
+    if delta.revision == state.revision:
+        return []
+    expected = delta.digests.get(state.revision)
+    if expected is None or state.forked:
         return [effects.Send(sender.address, _summary(node, answer=False))]
+    if expected != state.digest:
+        return _on_other_history(node, sender, state.revision)
     return config.apply_stamps(node, delta.revision, delta.digest, delta.stamps)
 
 
@@ -232,19 +258,33 @@
 ) -> list:
     if node.config.forked and base > 0:
         return [effects.Count("config_delta_postponed")]
+    digests = _digests_above(node, base)
+    if base not in digests:
+        base = data.Revision(0)
     delta = ConfigDelta(
         base,
         node.config.revision,
         node.config.digest,
         history.newer(node.config.stamps, base),
-        node.config.digests.get(base, ""),
+        digests if base else {},
         pass_on_to,
+        not node.config.forked,
     )
     if not _take_credit(node, delta):
         return [effects.Count("config_delta_postponed")]
     return [effects.Send(address, delta)]
 
 
+def _digests_above(node: machine.Node, base: data.Revision) -> dict[data.Revision, str]:
+    known = node.config.digests
+    last = min(base + pushing.GROUP_REVISIONS, node.config.revision - 1)
+    found = {}
+    for revision in range(base, last + 1):
+        if revision in known:
+            found[data.Revision(revision)] = known[revision]
+    return found
+
+
 def _take_credit(node: machine.Node, delta: ConfigDelta) -> bool:
     """Bound the bytes sent a second; one large delta may run into debt."""
     state = node.spread
--- a/toucanspread/core/watching.py
+++ b/toucanspread/core/watching.py
@@ -28,6 +28,7 @@
 class State:
     """The one call that is waiting, and what the service last told.
 
+    :ivar head: the head that was read last.
     :ivar behind_since_s: since when the service shows a head below what is in force.
     """
 
@@ -38,6 +39,7 @@
         self.choose_s = 0.0
         self.is_watcher = True
         self.head_version = 0
+        self.head = history.Head()
         self.behind_since_s: float | None = None
 
 
@@ -53,6 +55,9 @@
         state.operation_id = data.OperationId("")
     if not state.is_watcher or node.now_s < state.due_s:
         return []
+    if node.config.forked:
+        state.due_s = node.now_s + RETRY_S
+        return _read(node, history.HEAD_KEY)  # the service decides between histories
     return [_watch(node)]
 
 
@@ -83,31 +88,35 @@
         return [effects.Log("config_head_malformed", {"why": str(error)})]
     state = node.watching
     state.head_version = version
+    state.head = head
     if head.revision < node.config.revision:
         return _refuse(node, head, version)
     state.behind_since_s = None
     if head.revision == node.config.revision:
-        if head.digest != node.config.digest:
-            node.config.forked = True
-            return [_fork(node, head)]
+        node.config.forked = head.digest != node.config.digest
+        if node.config.forked:
+            return [_fork(node, head), *_read(node, history.SNAPSHOT_KEY)]
         return []
     return _catch_up(node, head)
 
 
 def absorb_snapshot(node: machine.Node, value: bytes) -> list:
-    """Apply a snapshot that is above the revision in force."""
+    """Apply a snapshot and the changes above it, up to the head that was read."""
     try:
         snap = history.decode_snapshot(value)
     except history.HistoryError as error:
         return [effects.Log("config_snapshot_malformed", {"why": str(error)})]
+    state = node.config
     node.watching.head_version = 0  # the head is read again, for what lies above
-    if snap.revision <= node.config.revision:
+    found = history.whole(snap, node.watching.head)
+    if found is None or found.revision < state.revision:
         node.watching.due_s = node.now_s + RETRY_S
         return []
-    node.watching.due_s = node.now_s
-    if node.config.forked:
-        return config.adopt(node, snap)
-    return config.apply_stamps(node, snap.revision, snap.digest, snap.stamps)
+    if state.forked:
+        return config.adopt(node, found)
+    if found.revision == state.revision:
+        return []
+    return config.apply_stamps(node, found.revision, found.digest, found.stamps)
 
 
 def is_chosen(node: machine.Node, key: str, count: int) -> bool:
@@ -136,7 +145,7 @@
         return _read(node, history.SNAPSHOT_KEY)
     if not _extends(state.digest, missing, head):
         state.forked = True
-        return [_fork(node, head)]
+        return [_fork(node, head), *_read(node, history.SNAPSHOT_KEY)]
     stamps = {}
     for change in missing:
         for stamp in history.stamps_of(change):
