Send news of entries first and to more entries

An endpoint process answers the few entries to which it reports, so its suspicion no longer grows with the fleet.

--- a/toucanspread/core/beliefs.py
+++ b/toucanspread/core/beliefs.py
@@ -22,7 +22,7 @@
 FORGET_S = 600.0  # longer than any message is late
 MIN_SUSPICION_S = 3.0
 MAX_HEALTH = 4.0  # the factor on timeouts while this process itself seems slow
-SUSPICION_S_PER_DOUBLING = 1.0  # an update crosses the fleet in log2(n) rounds
+SUSPICION_S_PER_DOUBLING = 0.8  # news and its refutation cross by gossip
 
 Items = list[data.Event | data.Effect]
 
@@ -180,10 +180,9 @@
     """Declare suspects dead and forget the dead whose time has come."""
     state = node.membership
     found: Items = []
-    limit_s = suspicion_s(node)
     for instance_id in list(state.suspects):
         member = state.members[instance_id]
-        if state.clock_s - member.changed_s >= limit_s:
+        if state.clock_s - member.changed_s >= suspicion_s(node, member):
             found += change(node, member, State.DEAD) + _spread(node, member)
     for instance_id in list(state.dead):
         member = state.members[instance_id]
@@ -193,10 +192,16 @@
     return found
 
 
-def suspicion_s(node) -> float:
-    """Return how long a process stays a suspect before it counts as dead."""
-    doublings = math.log2(len(node.membership.entry_ids) + 1)
-    base_s = max(MIN_SUSPICION_S, SUSPICION_S_PER_DOUBLING * doublings)
+def suspicion_s(node, member: Member) -> float:
+    """Return how long a process stays a suspect before it counts as dead.
+
+    An entry's suspicion and its refutation cross the fleet by gossip; an endpoint
+    process answers the few entries to which it reports.
+    """
+    base_s = MIN_SUSPICION_S
+    if member.identity.role is data.Role.ENTRY:
+        doublings = math.log2(len(node.membership.entry_ids) + 1)
+        base_s = max(base_s, SUSPICION_S_PER_DOUBLING * doublings)
     return base_s * node.membership.health
 
 
@@ -267,7 +272,8 @@
         f"{identity.instance_id}: {identity.incarnation}",
     )
     found: Items = []
-    if member.identity.incarnation and member.alive:
+    was_listed = not member.identity.incarnation
+    if member.alive and not was_listed:
         found.append(events.MemberChanged(member.identity, State.DEAD))
     member.identity = identity
     member.report = None
@@ -278,7 +284,7 @@
     member.changed_s = node.membership.clock_s
     node.membership.index(member)
     found.append(events.MemberChanged(identity, State.LIVE))
-    return found + _spread(node, member)
+    return found + _spread(node, member, to_endpoints=not was_listed)
 
 
 def _take_newer(node, member: Member, update: messages.Update) -> Items:
@@ -342,16 +348,19 @@
     return [effects.Send(update.address, messages.Ping(0, (update,)))]
 
 
-def _spread(node, member: Member) -> Items:
+def _spread(node, member: Member, to_endpoints: bool = True) -> Items:
     """Pass a belief on; only entries do, and only what others need.
 
     Of an endpoint process the entries to which it reports know first-hand that it
     lives; the others need to know of its end alone, or that the end was refuted.
+
+    :param to_endpoints: whether endpoint processes need to know of an entry; not so
+        when they have it from the list too.
     """
     if node.identity.role is not data.Role.ENTRY or not member.identity.incarnation:
         return []
     is_entry = member.identity.role is data.Role.ENTRY
     ends = member.state in (State.LEAVING, State.DEAD)
     if is_entry or ends or member.refutation:
-        node.membership.pass_on(update_of(member))
+        node.membership.pass_on(update_of(member), to_endpoints)
     return []
--- a/toucanspread/core/gossip.py
+++ b/toucanspread/core/gossip.py
@@ -8,7 +8,8 @@
 MAX_BYTES = 900  # of 1,200 in a datagram; the rest is for the envelope
 MAX_ITEMS = 8
 MAX_QUEUED = 512  # a lost zone changes more; the rest is found by probing
-SENDS_PER_DOUBLING = 3
+URGENT, NORMAL, SLOW = range(3)  # which items go first
+SENDS_PER_DECADE = 4  # of the fleet's size
 
 
 class Queue:
@@ -19,27 +20,28 @@
 
     def __init__(self):
         self._items: dict[data.InstanceId, object] = {}
-        self._ranks: dict[data.InstanceId, tuple[bool, int]] = {}
+        self._ranks: dict[data.InstanceId, tuple[int, int]] = {}
 
     def __len__(self) -> int:
         return len(self._items)
 
-    def put(self, item, urgent: bool = True) -> None:
-        """Pass an item on, in place of an older one about the same process.
-
-        :param urgent: whether it goes before all that are not.
-        """
+    def put(self, item, urgency: int = NORMAL) -> None:
+        """Pass an item on, in place of an older one about the same process."""
         instance_id = item.instance_id
         self._items[instance_id] = item
-        self._ranks[instance_id] = (not urgent, 0)
+        self._ranks[instance_id] = (urgency, 0)
         if len(self._items) > MAX_QUEUED:
             self._drop(max(self._ranks, key=self._ranks.get))
 
+    def has_urgent(self) -> bool:
+        """Return whether an urgent item waits."""
+        return any(urgency == URGENT for urgency, _ in self._ranks.values())
+
     def take(self, fleet: int, room_bytes: int) -> tuple:
         """Return the items for one message among ``fleet`` processes."""
         if not self._items:
             return ()
-        limit = SENDS_PER_DOUBLING * math.ceil(math.log2(fleet + 2))
+        limit = SENDS_PER_DECADE * math.ceil(math.log10(fleet + 2))
         taken = []
         for instance_id in heapq.nsmallest(MAX_ITEMS, self._ranks, key=self._ranks.get):
             item = self._items[instance_id]
@@ -51,8 +53,8 @@
         return tuple(taken)
 
     def _sent(self, instance_id: data.InstanceId, limit: int) -> None:
-        is_slow, sent = self._ranks[instance_id]
-        self._ranks[instance_id] = (is_slow, sent + 1)
+        urgency, sent = self._ranks[instance_id]
+        self._ranks[instance_id] = (urgency, sent + 1)
         if sent + 1 >= limit:
             self._drop(instance_id)
 
--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership.py
@@ -87,11 +87,15 @@
         else:
             capacity.forget(self, instance_id)
 
-    def pass_on(self, update: messages.Update) -> None:
-        """Spread an update among entries, and to endpoint processes if of an entry."""
+    def pass_on(self, update: messages.Update, to_endpoints: bool = True) -> None:
+        """Spread an update among entries; of an entry, to endpoint processes too."""
         is_entry = update.role is data.Role.ENTRY
-        self.gossip.put(update, urgent=is_entry)
-        if not is_entry:
+        urgency = gossip.SLOW
+        if is_entry:
+            is_news = update.refutation or update.state is not data.MemberState.LIVE
+            urgency = gossip.URGENT if is_news else gossip.NORMAL
+        self.gossip.put(update, urgency)
+        if not is_entry or not to_endpoints:
             return
         self.entry_log.append(update)
         if len(self.entry_log) > MAX_LOG:
--- a/toucanspread/core/probing.py
+++ b/toucanspread/core/probing.py
@@ -20,6 +20,7 @@
 MAX_SILENT_PROBES = 8  # per round
 DEAD_PROBE_ROUNDS = 5  # a dead process is tried in every fifth round
 MAX_RELAYS = 64
+NEWS_FANOUT = 2
 
 
 class Probe(msgspec.Struct):
@@ -94,6 +95,7 @@
         found += [effects.Send(seed, ping) for seed in state.seeds]
     if node.identity.role is data.Role.ENDPOINT:
         return found
+    found += _tell_news(node)
     for rotation, candidates in (
         (state.probing.rotation, state.entry_ids),
         (state.probing.endpoint_rotation, None),
@@ -104,6 +106,20 @@
     return found
 
 
+def _tell_news(node) -> beliefs.Items:
+    """Send urgent news to more entries than the one that is probed anyway."""
+    state = node.membership
+    if not state.gossip.has_urgent():
+        return []
+    entry_ids = sorted(state.entry_ids)
+    found: beliefs.Items = []
+    for instance_id in node.random.sample(entry_ids, min(NEWS_FANOUT, len(entry_ids))):
+        member = state.members[instance_id]
+        ping = messages.Ping(0, *cargo_for(node, member))
+        found.append(effects.Send(member.identity.address, ping))
+    return found
+
+
 def _next_in_rotation(node, rotation: list, candidates) -> data.InstanceId | None:
     """Return the next target; each comes once in a shuffled turn."""
     members = node.membership.members
--- a/toucanspread/tools/virtual_network.py
+++ b/toucanspread/tools/virtual_network.py
@@ -31,15 +31,17 @@
         self.cut: Callable[[data.Identity, data.Identity], bool] = lambda a, b: False
         self.on_effect: Callable[[machine.Machine, data.Effect], None] | None = None
         self.step_machine = lambda stepper, now_s, event: stepper.step(now_s, event)
+        self._ticks_s: dict[data.Address, float] = {}
         self._random = random.Random(seed)
         self._queue: list = []
         self._order = itertools.count()
 
-    def add(self, stepper: machine.Machine) -> None:
+    def add(self, stepper: machine.Machine, tick_s: float = TICK_S) -> None:
         """Put a machine at its address, in place of any before."""
         address = stepper.node.identity.address
+        self._ticks_s[address] = tick_s
         self.machines[address] = stepper
-        start_s = self.now_s + self._random.random() * TICK_S
+        start_s = self.now_s + self._random.random() * tick_s
         self._push(start_s, address, stepper, None)
 
     def remove(self, address: data.Address) -> None:
@@ -72,7 +74,7 @@
     def _tick(self, address: data.Address, stepper: machine.Machine) -> None:
         if self.machines.get(address) is not stepper:
             return
-        self._push(self.now_s + TICK_S, address, stepper, None)
+        self._push(self.now_s + self._ticks_s[address], address, stepper, None)
         if address not in self.frozen:
             self._step(stepper, events.Tick(wall_s=self.now_s))
 
