--- a/standins/virtual_system.py
+++ b/standins/virtual_system.py
@@ -35,6 +35,7 @@
 LATE_LIMIT_S = 3.0
 WALL_START_S = 1_800_000_000.0
 MAX_SERVICE_S = 0.8
+MAX_ORDER_S = 0.2
 ANSWER_SLACK_S = 1.0  # beyond its budget, within which a final outcome has to come
 
 
@@ -134,6 +135,7 @@
         self._incarnation = 0
         self._listed: list[tuple[float, tuple[data.Identity, ...]]] = []
         self._next_list_s = 0.0
+        self._next_tick_s = TICK_S
 
     def add(
         self,
@@ -210,18 +212,23 @@
 
     def run(self, duration_s: float) -> None:
         """Let time pass."""
-        end_s = self.now_s + duration_s
-        while self.now_s < end_s - 1e-9:
-            next_s = round(self.now_s + TICK_S, 6)
+        end_s = round(self.now_s + duration_s, 6)
+        while self.now_s < end_s:
+            next_s = min(self._next_tick_s, end_s)
             while self._queue and self._queue[0][0] <= next_s:
                 due_s, _, action = heapq.heappop(self._queue)
                 self.now_s = max(self.now_s, due_s)
                 action()
             self.now_s = next_s
-            self._answer_watches()
-            self._read_list()
-            for name in [*self.processes]:
-                self.post(name, events.Tick(WALL_START_S + self.now_s))
+            if next_s == self._next_tick_s:
+                self._next_tick_s = round(next_s + TICK_S, 6)
+                self._tick()
+
+    def _tick(self) -> None:
+        self._answer_watches()
+        self._read_list()
+        for name in [*self.processes]:
+            self.post(name, events.Tick(WALL_START_S + self.now_s))
 
     def send(self, entry: data.InstanceId, request: data.Request) -> None:
         """Let a caller send a request."""
@@ -319,7 +326,10 @@
         engine = self.places[process.identity.instance_id].engine
         identity = process.identity
         # The order takes effect even if the process dies before the answer.
-        self.later(HOP_S, lambda: self._deliver(identity, HOP_S, engine.order(effect)))
+        answer_s = HOP_S + MAX_ORDER_S * self.random.random()
+        self.later(
+            HOP_S, lambda: self._deliver(identity, answer_s, engine.order(effect))
+        )
 
     def _read_status(self, process: Process, effect: effects.ReadEngineStatus) -> None:
         status = self.places[process.identity.instance_id].engine.status
--- /dev/null
+++ b/standins/virtual_system_test.py
@@ -0,0 +1,36 @@
+"""Promises of whole machines, each under the event that it is made for."""
+
+import collections
+
+import testtools
+
+from standins import system_machine, virtual_checks
+from toucanspread.core import data
+
+
+def new_machine(seed=1):
+    machine = system_machine.SystemMachine()
+    machine.start(seed)
+    return machine
+
+
+def outcomes(machine):
+    counts = collections.Counter()
+    for sent in machine.system.sent.values():
+        for finish in sent.outcomes:
+            counts[finish.outcome, finish.reason] += 1
+    return counts
+
+
+class RolloutTest(testtools.TestCase):
+    def test_a_new_version_refuses_no_request(self):
+        machine = new_machine()
+        for _ in range(4):
+            machine.upgrade(0, 0)
+            for _ in range(200):
+                machine.request(machine.count % system_machine.ENTRIES, "pool", 1)
+                machine.system.run(0.03)
+        machine.system.run(10.0)
+        done = (data.Outcome.DONE, data.Reason.NONE)
+        self.assertEqual({done: machine.count}, dict(outcomes(machine)))
+        virtual_checks.check_settled(machine.system)
