--- a/standins/virtual_engine.py
+++ b/standins/virtual_engine.py
@@ -10,7 +10,7 @@
 import random
 
 from standins import gate_fakes
-from toucanspread.core import data, events, gate
+from toucanspread.core import data, effects, events, gate
 
 STEP_S = 0.01
 TICK_STEPS = 10
@@ -68,6 +68,7 @@
     """Drives one gate with sources of requests.
 
     :param slow_at_s: from when on the engine takes ``slow_factor`` as long.
+    :param drain_at_s: when the process is told to shut down.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         seed: int,
         slow_at_s: float = float("inf"),
         slow_factor: float = 1.0,
+        drain_at_s: float = float("inf"),
     ):
         self.rig = rig
         self.totals: dict[str, Totals] = collections.defaultdict(Totals)
@@ -89,7 +91,10 @@
         self._next_s = [self._gap(source) for source in sources]
         self._slow_at_s = slow_at_s
         self._slow_factor = slow_factor
+        self._drain_at_s = drain_at_s
         self._count = 0
+        self.exited_s: float | None = None
+        self.refused_for: collections.Counter[str] = collections.Counter()
 
     def run(self, duration_s: float) -> dict[str, Totals]:
         """Offer load for a time, let what runs end, and return the totals."""
@@ -129,6 +134,10 @@
 
     def _advance(self, step: int) -> None:
         now_s = self.rig.now_s = step * STEP_S
+        if now_s >= self._drain_at_s:
+            self._drain_at_s = float("inf")
+            self._take(self.rig.step(events.ShutdownRequested()))
+            self._take(self.rig.step(events.DrainStarted(data.Reason.LEAVING)))
         if step % TICK_STEPS == 0:
             self._take(self.rig.step(events.Tick()))
         batch = len(self._jobs)
@@ -167,6 +176,8 @@
                 self._jobs[(effect.request_id, effect.attempt)] = job
             elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
                 self._note(effect.end)
+            elif isinstance(effect, effects.Exit):
+                self.exited_s = self.rig.now_s
 
     def _note(self, end: data.AnswerEnd) -> None:
         source, sent_s = self._sent.pop(end.request_id)
@@ -176,5 +187,6 @@
             totals.worst_s = max(totals.worst_s, self.rig.now_s - sent_s)
         elif end.outcome is data.Outcome.NOT_RUN:
             totals.refused += 1
+            self.refused_for[end.reason.value] += 1
         else:
             totals.unknown += 1
--- a/toucanspread/core/limits_test.py
+++ b/toucanspread/core/limits_test.py
@@ -61,6 +61,24 @@
         self.assertLess(ratio, 3.5)
 
 
+class DrainTest(testtools.TestCase):
+    def test_a_drain_under_load_cuts_nothing(self):
+        for seed in SEEDS:
+            for factor in (1.0, 4.0):
+                bench, totals = load(factor, seed, drain_at_s=15.0)
+                self.assertLessEqual(totals.unknown, self.cut_before(factor, seed))
+                self.assertGreater(bench.refused_for["leaving"], 0)
+                self.assertIsNotNone(bench.exited_s)
+                self.assertLess(bench.exited_s, 15.0 + 5.0 + 0.2)
+
+    def cut_before(self, factor, seed):
+        """Return how many deadlines passed without a drain, up to its time."""
+        rig = gate_fakes.Rig(limit=16, adaptive=True)
+        sources = [virtual_engine.Source("parish", factor)]
+        bench = virtual_engine.Bench(rig, sources, seed)
+        return bench.run(15.0)["parish"].unknown
+
+
 class QueueTest(testtools.TestCase):
     def test_the_queue_goes_by_priority_then_deadline(self):
         rig = gate_fakes.Rig(limit=1)
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -175,6 +175,15 @@
         self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
         self.assertEqual(data.Reason.DEADLINE, end.reason)
 
+    def test_an_answer_after_the_deadline_reaches_nobody(self):
+        self.standin.batch.faults.late_s = 0.3
+        payload, end = run(self.ask("r1", self.body(), budget_s=0.1))
+        self.assertEqual((b"", data.Reason.DEADLINE), (payload, end.reason))
+        self.standin.batch.faults.late_s = 0.0
+        payload, end = run(self.ask("r2", self.body("another")))
+        self.check_whole(payload, end, "another")
+        self.assertEqual(1, self.standin.batch.served)
+
     def test_an_engine_that_moved_on_refuses_and_nothing_ran(self):
         self.standin.weights.active_version = "v2"
         _, end = run(self.ask("r1", self.body()))
--- /dev/null
+++ b/toucanspread/tools/bench_gateway.py
@@ -0,0 +1,139 @@
+"""Measures what the gateway adds to a direct call on the stand-in engine.
+
+One process on loopback holds the stand-in, the client and the gateway with the real
+gate, so processor times are those of all of them; the difference is the gateway's.
+"""
+
+import asyncio
+import hashlib
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+
+from toucanspread.ops import loop  # isort: skip  (installs the reactor)
+
+from twisted.internet import reactor
+
+from standins import engine as engine_standin
+from standins import gate_fakes
+from toucanspread.core import data, effects, events
+from toucanspread.ops import engine, gateway, runtime
+
+WEIGHTS = b"weights"
+SEQUENTIAL = 200
+SHORT_TOKENS = 20
+PARALLEL = 16
+LONG_TOKENS = 500
+
+Ask = Callable[[str, bytes], AsyncIterator]
+
+
+class Path:
+    """The two ways to the engine: direct, and through the gateway."""
+
+    def __init__(self, local_engine: engine.Engine):
+        self._engine = local_engine
+        rig = gate_fakes.Rig(limit=PARALLEL)
+        digest = hashlib.sha256(WEIGHTS).hexdigest()
+        rig.node.orders.serving.weights_hash = digest
+        host = runtime.Runtime(rig.machine, on_exit=lambda code: None)
+        self._gateway = gateway.Gateway(host.post, model_engine=local_engine)
+        host.add(self._gateway)
+        self.host = host
+
+    def direct(self, request_id: str, body: bytes) -> AsyncIterator:
+        """Call the engine."""
+        return self._engine.generate(_request(request_id), body, gate_fakes.VERSION)
+
+    def gated(self, request_id: str, body: bytes) -> AsyncIterator:
+        """Call through the gateway."""
+        dispatch = data.Dispatch(_request(request_id), 1, 30.0, "entry-1")
+        return self._gateway.handle(gate_fakes.ENTRY, dispatch, body)
+
+
+def _request(request_id: str) -> data.Request:
+    return data.Request(request_id, "parish", gate_fakes.MODEL_SERVICE, 30.0)
+
+
+def _body(tokens: int) -> bytes:
+    return json.dumps({"prompt": "dear parish", "max_tokens": tokens}).encode()
+
+
+async def _load(local_engine: engine.Engine) -> None:
+    chunk_hash = hashlib.sha256(WEIGHTS).hexdigest()
+    entry = {"path": "a", "size_bytes": len(WEIGHTS), "chunks": [chunk_hash]}
+    manifest = json.dumps({"files": [entry]}).encode()
+    manifest_hash = hashlib.sha256(manifest).hexdigest()
+    await local_engine.put_chunk(chunk_hash, WEIGHTS)
+    await local_engine.put_chunk(manifest_hash, manifest)
+    for kind in (data.OrderKind.LOAD, data.OrderKind.ACTIVATE):
+        await local_engine.order(
+            effects.EngineOrder("o", kind, 1, "m", "v1", manifest_hash)
+        )
+
+
+async def _time_one(ask: Ask, request_id: str, tokens: int) -> tuple[float, float]:
+    started_s = time.perf_counter()
+    first_s = 0.0
+    async for _ in ask(request_id, _body(tokens)):
+        first_s = first_s or time.perf_counter() - started_s
+    return first_s, time.perf_counter() - started_s
+
+
+def _quantile(values: list[float], share: float) -> float:
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+async def _measure_latency(name: str, ask: Ask) -> None:
+    timed = [
+        await _time_one(ask, f"{name}-{number}", SHORT_TOKENS)
+        for number in range(SEQUENTIAL)
+    ]
+    for label, values in zip(("first", "whole"), zip(*timed, strict=True), strict=True):
+        for share in (0.5, 0.99):
+            value_ms = 1e3 * _quantile(list(values), share)
+            print(f"{name}_{label}_ms_p{100 * share:g}={value_ms:.2f}")
+
+
+async def _measure_processor(name: str, ask: Ask) -> float:
+    started_s = time.process_time()
+    await asyncio.gather(
+        *(
+            _time_one(ask, f"{name}-parallel-{number}", LONG_TOKENS)
+            for number in range(PARALLEL)
+        )
+    )
+    spent_s = time.process_time() - started_s
+    per_token_us = 1e6 * spent_s / (PARALLEL * LONG_TOKENS)
+    print(f"{name}_all_sides_us_per_token={per_token_us:.2f}")
+    return per_token_us
+
+
+async def _measure() -> None:
+    standin = engine_standin.EngineServer(tokens_per_s=20_000.0, slots=PARALLEL)
+    standin.start()
+    port = reactor.listenTCP(0, standin.site(), interface="127.0.0.1")
+    address = data.Address(f"127.0.0.1:{port.getHost().port}")
+    local_engine = engine.HttpEngine.from_config(address)
+    await _load(local_engine)
+    path = Path(local_engine)
+    path.host.post(events.EngineStatusReported(await local_engine.status()))
+    found = {}
+    for name, ask in (("direct", path.direct), ("gated", path.gated)):
+        await _measure_latency(name, ask)
+        found[name] = await _measure_processor(name, ask)
+    print(f"gateway_us_per_token={found['gated'] - found['direct']:.2f}")
+    standin.stop()
+    await local_engine.close()
+    stopping = port.stopListening()
+    if stopping is not None:
+        await loop.wait(stopping)
+
+
+def main() -> None:
+    """Run all measurements."""
+    loop.EVENT_LOOP.run_until_complete(_measure())
+
+
+if __name__ == "__main__":
+    main()
