--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -10,30 +10,24 @@
     data,
     effects,
     events,
+    exchange,
     fetching,
     invariants,
     machine,
     manifest,
-    rendezvous,
     requesting,
     sourcing,
     swarm,
-    tracking,
     transfer_state,
 )
 
 State = transfer_state.State
 
-TRACKERS = 2
-FIRST_ASK_S = 0.25
-MAX_ASK_S = 10.0
-WHOLE_ASK_S = 45.0
 HOUSEKEEPING_S = 0.5
-HELLO_INTERVAL_S = 5.0
-ANNOUNCE_DELAY_S = 0.2
-ANNOUNCE_PIECES = 8
+WHOLE_HOUSEKEEPING_S = 5.0
 LIST_RETRY_S = 1.0
 NEIGHBOUR_SILENCE_S = 60.0
+ANSWER_TIMEOUT_S = 2.0  # of a greeting; a full neighbour gives none
 FAILURE_AFTER_S = 45.0  # without a new piece
 
 
@@ -60,7 +54,7 @@
         "transfer_started",
         {"version": event.version, "manifest_hash": event.manifest_hash},
     )
-    return [*stopped, log, *_list_staging(node), *_ask_tracker(node)]
+    return [*stopped, log, *_list_staging(node), *exchange.ask_tracker(node)]
 
 
 def on_cancelled(node: machine.Node, event: events.VersionCancelled) -> list:
@@ -85,7 +79,7 @@
     if transfer.has_manifest:
         return _take_stock(node, transfer)
     if transfer.manifest_hash in state.held:
-        return _read_manifest(transfer)
+        return requesting.read_manifest(transfer)
     return requesting.fetch_manifest(node, transfer)
 
 
@@ -105,7 +99,7 @@
     except manifest.ManifestError as error:
         return _fail(transfer, str(error))
     transfer.lay_out(described)
-    return [*_take_stock(node, transfer), *_greet(node, transfer)]
+    return [*_take_stock(node, transfer), *exchange.greet(node, transfer)]
 
 
 def on_fetch_ended(node: machine.Node, event: fetching.FetchEnded) -> list:
@@ -133,35 +127,10 @@
     else:
         fetch.source.served(took_s)
     if fetch.piece == transfer_state.MANIFEST_PIECE:
-        return _read_manifest(transfer)
+        return requesting.read_manifest(transfer)
     return _take_piece(node, transfer, fetch.piece)
 
 
-def on_message(node: machine.Node, event: events.MessageReceived) -> list:
-    """Take in what others hold and whom an entry offers as peers."""
-    message = event.message
-    if isinstance(message, swarm.PiecesAdded):
-        return _on_pieces_added(node, event.sender, message)
-    if isinstance(message, swarm.Holding):
-        return _on_holding(node, event.sender, message)
-    if isinstance(message, tracking.PeersOffered):
-        return _on_peers_offered(node, message)
-    return []
-
-
-def on_member_changed(node: machine.Node, event: events.MemberChanged) -> list:
-    """Forget a neighbour that died."""
-    transfer = node.transfer.current
-    if transfer is None or event.state is not data.MemberState.DEAD:
-        return []
-    neighbour = transfer.neighbours.by_id.get(event.identity.instance_id)
-    if neighbour is None:
-        return []
-    if neighbour.identity.incarnation > event.identity.incarnation:
-        return []
-    return _drop(node, transfer, neighbour)
-
-
 def on_serving_changed(node: machine.Node, event: events.ServingChanged) -> list:
     """Once a version is served, let go of what only earlier ones needed."""
     state = node.transfer
@@ -181,9 +150,12 @@
         return []
     wanted: list = []
     if transfer.unannounced and node.now_s >= transfer.announce_due_s:
-        wanted += _announce(transfer)
+        wanted += exchange.announce(transfer)
+    if node.now_s >= transfer.next_ask_s:
+        wanted += exchange.ask_tracker(node)
     if node.now_s >= state.next_housekeeping_s:
-        state.next_housekeeping_s = node.now_s + HOUSEKEEPING_S
+        pause_s = WHOLE_HOUSEKEEPING_S if transfer.whole else HOUSEKEEPING_S
+        state.next_housekeeping_s = node.now_s + pause_s
         wanted += _keep_house(node, transfer)
     return wanted
 
@@ -191,17 +163,17 @@
 def _keep_house(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     state = node.transfer
     wanted: list = []
-    if node.now_s >= transfer.next_ask_s:
-        wanted += _ask_tracker(node)
     if not transfer.whole and 0 < state.next_list_s <= node.now_s:
         wanted += _list_staging(node)
     for neighbour in list(transfer.neighbours.by_id.values()):
-        if node.now_s - neighbour.heard_s > NEIGHBOUR_SILENCE_S:
-            wanted += _drop(node, transfer, neighbour)
+        patience_s = NEIGHBOUR_SILENCE_S if neighbour.answered else ANSWER_TIMEOUT_S
+        if node.now_s - neighbour.heard_s > patience_s:
+            wanted += exchange.drop(node, transfer, neighbour)
+    wanted += exchange.resync(node, transfer)
     if transfer.whole:
         return wanted
     if not transfer.has_manifest:
-        wanted += _want_manifest(node, transfer)
+        wanted += requesting.want_manifest(node, transfer)
     wanted += requesting.fill(node, transfer)
     silent_s = node.now_s - transfer.progressed_s
     if silent_s > FAILURE_AFTER_S and not transfer.failed:
@@ -211,14 +183,6 @@
     return wanted
 
 
-def _want_manifest(node: machine.Node, transfer: transfer_state.Transfer) -> list:
-    if node.transfer.listing or transfer.reading_manifest:
-        return []
-    if transfer.manifest_hash in node.transfer.held:
-        return _read_manifest(transfer)
-    return requesting.fetch_manifest(node, transfer)
-
-
 def _stop(node: machine.Node) -> list:
     state = node.transfer
     transfer = state.current
@@ -237,11 +201,6 @@
     return [fetching.ListStaging()]
 
 
-def _read_manifest(transfer: transfer_state.Transfer) -> list:
-    transfer.reading_manifest = True
-    return [fetching.ReadManifest(transfer.manifest_hash)]
-
-
 def _take_stock(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     """Count what staging holds of the version; end here if that is all."""
     held = node.transfer.held
@@ -280,7 +239,7 @@
         },
     )
     staged = events.VersionStaged(transfer.manifest_hash, transfer.weights_hash)
-    return [log, *_announce(transfer), *_delete_unneeded(node), staged]
+    return [log, *exchange.announce(transfer), *_delete_unneeded(node), staged]
 
 
 def _fail(transfer: transfer_state.Transfer, why: str) -> list:
@@ -300,11 +259,9 @@
     if number in transfer.todo:
         transfer.todo.remove(number)
     if not transfer.unannounced:
-        transfer.announce_due_s = node.now_s + ANNOUNCE_DELAY_S
+        transfer.announce_due_s = node.now_s + exchange.announce_delay_s(node, transfer)
     transfer.unannounced.append(number)
     wanted = requesting.cancel_others(node, transfer, number)
-    if len(transfer.unannounced) >= ANNOUNCE_PIECES:
-        wanted += _announce(transfer)
     if transfer.staged_count == len(transfer.pieces):
         return [*wanted, *_list_staging(node)]
     return [*wanted, *requesting.fill(node, transfer)]
@@ -376,7 +333,10 @@
         log = effects.Log("peer_chunk_corrupt", fields)
         if neighbour.strikes < swarm.MAX_STRIKES:
             return [log]
-        return [log, *_drop(node, transfer, neighbour)]
+        return [log, *exchange.drop(node, transfer, neighbour)]
+    if event.status is fetching.FetchStatus.BUSY:
+        neighbour.refused(node.now_s, node.random.random())
+        return []
     if event.status is fetching.FetchStatus.ABSENT:
         if fetch.piece != transfer_state.MANIFEST_PIECE:
             transfer.neighbours.lacks(neighbour, fetch.piece)
@@ -384,134 +344,7 @@
     neighbour.failed(node.now_s)
     if neighbour.failures < swarm.MAX_FAILURES:
         return []
-    return _drop(node, transfer, neighbour)
-
-
-def _drop(
-    node: machine.Node,
-    transfer: transfer_state.Transfer,
-    neighbour: swarm.Neighbour,
-) -> list:
-    """Forget a neighbour and what was asked of it."""
-    cancelled = []
-    for fetch in list(transfer.fetches.values()):
-        if fetch.source is not neighbour:
-            continue
-        requesting.end(node, transfer, fetch)
-        cancelled.append(fetching.CancelFetch(fetch.fetch_id))
-    known = transfer.neighbours.by_id.get(neighbour.identity.instance_id)
-    if known is neighbour:
-        transfer.neighbours.remove(neighbour.identity.instance_id)
-    transfer.ask_interval_s = FIRST_ASK_S
-    transfer.next_ask_s = min(transfer.next_ask_s, node.now_s + FIRST_ASK_S)
-    return cancelled
-
-
-def _announce(transfer: transfer_state.Transfer) -> list:
-    if not transfer.unannounced:
-        return []
-    message = swarm.PiecesAdded(transfer.manifest_hash, tuple(transfer.unannounced))
-    transfer.unannounced = []
-    return [
-        effects.Send(neighbour.identity.address, message)
-        for neighbour in transfer.neighbours.by_id.values()
-    ]
-
-
-def _holding(transfer: transfer_state.Transfer, hello: bool) -> swarm.Holding:
-    bitmap = swarm.to_bitmap(transfer.have)
-    return swarm.Holding(transfer.manifest_hash, transfer.has_manifest, bitmap, hello)
-
-
-def _greet(node: machine.Node, transfer: transfer_state.Transfer) -> list:
-    message = _holding(transfer, hello=False)
-    return [
-        effects.Send(neighbour.identity.address, message)
-        for neighbour in transfer.neighbours.by_id.values()
-    ]
-
-
-def _on_pieces_added(
-    node: machine.Node, sender: data.Identity, message: swarm.PiecesAdded
-) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    neighbour = transfer.neighbours.add(sender, node.now_s)
-    if neighbour is None:
-        return []
-    neighbour.heard_s = node.now_s
-    transfer.neighbours.add_pieces(neighbour, message.pieces, node.now_s)
-    return requesting.fill(node, transfer)
-
-
-def _on_holding(
-    node: machine.Node, sender: data.Identity, message: swarm.Holding
-) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    neighbour = transfer.neighbours.add(sender, node.now_s)
-    if neighbour is None:
-        return []
-    neighbour.heard_s = node.now_s
-    neighbour.has_manifest = message.has_manifest
-    has = swarm.from_bitmap(message.bitmap)
-    transfer.neighbours.replace_holding(neighbour, has, node.now_s)
-    wanted: list = []
-    if message.hello:
-        answer = _holding(transfer, hello=False)
-        wanted.append(effects.Send(sender.address, answer))
-    if not transfer.has_manifest:
-        return [*wanted, *_want_manifest(node, transfer)]
-    return [*wanted, *requesting.fill(node, transfer)]
-
-
-def _ask_tracker(node: machine.Node) -> list:
-    transfer = node.transfer.current
-    entries = [
-        member.identity
-        for member in node.membership.members.values()
-        if member.identity.role is data.Role.ENTRY
-        and member.state is data.MemberState.LIVE
-    ]
-    interval_s = min(MAX_ASK_S, max(FIRST_ASK_S, 2 * transfer.ask_interval_s))
-    if transfer.whole:
-        interval_s = WHOLE_ASK_S
-    transfer.ask_interval_s = interval_s
-    transfer.next_ask_s = node.now_s + interval_s * (0.75 + node.random.random() / 2)
-    if not entries:
-        return []
-    by_id = {identity.instance_id: identity for identity in entries}
-    trackers = rendezvous.rank(transfer.manifest_hash, by_id)[:TRACKERS]
-    chosen = by_id[trackers[transfer.asked_tracker % len(trackers)]]
-    message = tracking.PeersWanted(transfer.manifest_hash, transfer.whole)
-    return [effects.Send(chosen.address, message)]
-
-
-def _on_peers_offered(node: machine.Node, message: tracking.PeersOffered) -> list:
-    transfer = node.transfer.current
-    if transfer is None or transfer.manifest_hash != message.manifest_hash:
-        return []
-    if transfer.seeds != message.seeds:
-        transfer.seeds = message.seeds
-        transfer.seeds_changed_s = node.now_s
-    transfer.followers = message.followers
-    offered = list(message.peers)
-    own_id = node.identity.instance_id
-    if any(seed.instance_id == own_id for seed in message.seeds):
-        offered = [*message.seeds, *offered]
-    greeting = _holding(transfer, hello=True)
-    wanted: list = []
-    for identity in offered:
-        known = transfer.neighbours.by_id.get(identity.instance_id)
-        neighbour = transfer.neighbours.add(identity, node.now_s)
-        if neighbour is None or neighbour is known:
-            continue
-        wanted.append(effects.Send(identity.address, greeting))
-    if not transfer.has_manifest:
-        return [*wanted, *_want_manifest(node, transfer)]
-    return [*wanted, *requesting.fill(node, transfer)]
+    return exchange.drop(node, transfer, neighbour)
 
 
 def _delete_unneeded(node: machine.Node) -> list:
@@ -529,8 +362,8 @@
 HANDLERS = {
     events.VersionWanted: on_wanted,
     events.VersionCancelled: on_cancelled,
-    events.MessageReceived: on_message,
-    events.MemberChanged: on_member_changed,
+    events.MessageReceived: exchange.on_message,
+    events.MemberChanged: exchange.on_member_changed,
     events.ServingChanged: on_serving_changed,
     events.Tick: on_tick,
     fetching.StagingListed: on_staging_listed,
