Try a resume again when its connection fails; deliver what came before a break

Seen failing first, once in some ten runs: the stand-in dropped what it had written when it broke a stream, and the gateway ended a resume that could not connect as 'engine failed' instead of trying again.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -185,7 +185,8 @@
         if self._closed:
             return
         if index == engine_batch.BROKEN:
-            self._request.transport.abortConnection()
+            # What was generated before still goes out.
+            self._request.transport.loseConnection()
             return
         if index == engine_batch.END:
             self._request.write(b"data: [DONE]\n\n")
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -295,15 +295,16 @@
             try:
                 await self._relay(model_engine, relayed_events)
                 return
-            except engine.StreamBrokeError as error:
-                relayed_events += error.events
+            except engine.CrossedAnswerError:
+                raise
+            except engine.EngineError as error:
+                if not resumes and not isinstance(error, engine.StreamBrokeError):
+                    raise
+                if isinstance(error, engine.StreamBrokeError):
+                    relayed_events += error.events
                 resumes += 1
                 if resumes > MAX_RESUMES:
-                    raise
-            except engine.EngineRefusedError as error:
-                if resumes == 0:
-                    raise
-                raise engine.StreamBrokeError(str(error), 0) from error
+                    raise engine.StreamBrokeError(str(error), 0) from error
 
     async def _relay(self, model_engine: engine.Engine, resume_events: int) -> None:
         effect = self._effect
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -241,6 +241,58 @@
         self.assertEqual((False, True), (answer.accepted, answer.stale_fence))
 
 
+def event(number):
+    return f"data: {number}\n\n".encode()
+
+
+class ScriptedEngine:
+    """Yields what each script says; an exception breaks the stream."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.resumed = []
+
+    async def generate(self, request, body, version, resume_events=0):
+        self.resumed.append(resume_events)
+        for item in self.scripts.pop(0):
+            if isinstance(item, Exception):
+                raise item
+            yield item
+
+
+class ResumeTest(GatewayCase):
+    def ask_of(self, *scripts):
+        self.engine = ScriptedEngine(*scripts)
+        self.start(gate_fakes.Rig(), model_engine=self.engine)
+        return run(self.ask("r1", b"{}"))
+
+    def test_a_connection_that_fails_on_a_resume_is_tried_again(self):
+        payload, end = self.ask_of(
+            [event(0), event(1), engine.StreamBrokeError("broke", 2)],
+            [engine.EngineError("no answer")],
+            [event(2)],
+        )
+        self.assertEqual([0, 2, 2], self.engine.resumed)
+        self.assertEqual(b"".join(map(event, range(3))), payload)
+        self.assertEqual(data.Outcome.DONE, end.outcome)
+
+    def test_a_resume_that_keeps_failing_is_a_broken_stream(self):
+        _, end = self.ask_of(
+            [event(0), engine.StreamBrokeError("broke", 1)],
+            [engine.EngineError("no answer", started=False)],
+            [engine.EngineError("no answer", started=False)],
+        )
+        self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
+        self.assertEqual(data.Reason.STREAM_BROKE, end.reason)
+
+    def test_a_crossed_answer_on_a_resume_ends_it(self):
+        payload, end = self.ask_of(
+            [event(0), engine.StreamBrokeError("broke", 1)],
+            [engine.CrossedAnswerError("of another")],
+        )
+        self.assertEqual((event(0), data.Outcome.UNKNOWN), (payload, end.outcome))
+
+
 class PlainTest(GatewayCase):
     def setUp(self):
         super().setUp()
