--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -202,6 +202,15 @@
         self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
         self.assertEqual(data.Reason.DEADLINE, end.reason)
 
+    def test_an_answer_after_the_deadline_reaches_nobody(self):
+        self.standin.batch.faults.late_s = 0.3
+        payload, end = run(self.ask("r1", self.body(), budget_s=0.1))
+        self.assertEqual((b"", data.Reason.DEADLINE), (payload, end.reason))
+        self.standin.batch.faults.late_s = 0.0
+        payload, end = run(self.ask("r2", self.body("another")))
+        self.check_whole(payload, end, "another")
+        self.assertEqual(1, self.standin.batch.served)
+
     def test_an_engine_that_moved_on_refuses_and_nothing_ran(self):
         self.standin.weights.active_version = "v2"
         _, end = run(self.ask("r1", self.body()))
@@ -232,6 +241,58 @@
         self.assertEqual((False, True), (answer.accepted, answer.stale_fence))
 
 
+def event(number):
+    return f"data: {number}\n\n".encode()
+
+
+class ScriptedEngine:
+    """Yields what each script says; an exception breaks the stream."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.resumed = []
+
+    async def generate(self, request, body, version, resume_events=0):
+        self.resumed.append(resume_events)
+        for item in self.scripts.pop(0):
+            if isinstance(item, Exception):
+                raise item
+            yield item
+
+
+class ResumeTest(GatewayCase):
+    def ask_of(self, *scripts):
+        self.engine = ScriptedEngine(*scripts)
+        self.start(gate_fakes.Rig(), model_engine=self.engine)
+        return run(self.ask("r1", b"{}"))
+
+    def test_a_connection_that_fails_on_a_resume_is_tried_again(self):
+        payload, end = self.ask_of(
+            [event(0), event(1), engine.StreamBrokeError("broke", 2)],
+            [engine.EngineError("no answer")],
+            [event(2)],
+        )
+        self.assertEqual([0, 2, 2], self.engine.resumed)
+        self.assertEqual(b"".join(map(event, range(3))), payload)
+        self.assertEqual(data.Outcome.DONE, end.outcome)
+
+    def test_a_resume_that_keeps_failing_is_a_broken_stream(self):
+        _, end = self.ask_of(
+            [event(0), engine.StreamBrokeError("broke", 1)],
+            [engine.EngineError("no answer", started=False)],
+            [engine.EngineError("no answer", started=False)],
+        )
+        self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
+        self.assertEqual(data.Reason.STREAM_BROKE, end.reason)
+
+    def test_a_crossed_answer_on_a_resume_ends_it(self):
+        payload, end = self.ask_of(
+            [event(0), engine.StreamBrokeError("broke", 1)],
+            [engine.CrossedAnswerError("of another")],
+        )
+        self.assertEqual((event(0), data.Outcome.UNKNOWN), (payload, end.outcome))
+
+
 class PlainTest(GatewayCase):
     def setUp(self):
         super().setUp()
