--- a/toucanspread/core/requests.py
+++ b/toucanspread/core/requests.py
@@ -130,6 +130,7 @@
         endpoint_incarnation=endpoint.incarnation,
         resume_from_bytes=live.delivered_bytes,
         resume_from_events=live.delivered_events,
+        resume_version=live.version if live.delivered_bytes else outcomes.NO_VERSION,
     )
     return [
         request_events.SendDispatch(endpoint.instance_id, endpoint.address, dispatch),
