--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -58,7 +58,9 @@
     return [*frames, end]
 
 
-class CallersTest(testtools.TestCase):
+class CallersCase(testtools.TestCase):
+    """The callers' side over fake peers and an in-memory connection."""
+
     def start(self, *scripts, reports=()):
         entry = requests_test.make_entry(*reports)
         self.now_s = 0.0
@@ -67,7 +69,8 @@
         self.callers = callers.Callers(self.host, "127.0.0.1:0", max_body_bytes=64)
         self.callers.site.timeOut = None
         self.host.add(self.callers)
-        self.host.add(dispatching.Dispatching(self.host, self.peers, self.callers))
+        self.relays = dispatching.Dispatching(self.host, self.peers, self.callers)
+        self.host.add(self.relays)
 
     def call(self, line, headers="", body=b""):
         channel = self.callers.site.buildProtocol(None)
@@ -89,6 +92,8 @@
         head, _, body = transport.value().partition(b"\r\n\r\n")
         return head.decode(), body
 
+
+class CallersTest(CallersCase):
     def test_model_answer_is_streamed_and_ends_with_its_outcome(self):
         script = whole(b"data: 1\n\n", b"data: 2\n\n")
         self.start(script, reports=[requests_test.report("p1")])
--- /dev/null
+++ b/toucanspread/ops/stream_test.py
@@ -0,0 +1,127 @@
+"""Streams that break, resume, start over and cross, through the real HTTP side.
+
+Whatever the endpoint does, a caller sees a beginning of its own answer without gaps
+or doubled events, and ``event: end`` only after the whole of it.
+"""
+
+import asyncio
+
+import hypothesis
+import xxhash
+from hypothesis import strategies as st
+
+from toucanspread.core import data, requests_test
+from toucanspread.ops import callers_test, loop, peers
+
+EVENTS = [b"data: %d\n\n" % number for number in range(8)]
+ENDINGS = ("end", "break", "close", "refuse", "lie", "cross", "start over")
+ATTEMPTS = st.lists(
+    st.tuples(st.integers(0, len(EVENTS)), st.sampled_from(ENDINGS), st.booleans()),
+    min_size=1,
+    max_size=5,
+)
+
+
+class FaultyPeers(callers_test.FakePeers):
+    """Plays one attempt after the other, each with its own fault.
+
+    :param attempts: for each: events before the fault, the fault, whether two events
+        share a frame.
+    """
+
+    def __init__(self, attempts):
+        super().__init__()
+        self.attempts = list(attempts)
+
+    async def play(self, dispatch):
+        if not self.attempts:
+            raise peers.PeerError("away", sent=False, reason=data.Reason.UNREACHABLE)
+        count, ending, paired = self.attempts.pop(0)
+        first = dispatch.resume_from_events
+        if ending == "start over":
+            first = 0
+        last = len(EVENTS) if ending in ("end", "start over") else first + count
+        pieces = EVENTS[first:last]
+        if paired:
+            pieces = [b"".join(pieces[n : n + 2]) for n in range(0, len(pieces), 2)]
+        if ending == "refuse":
+            yield self.end(dispatch, [], data.Outcome.NOT_RUN)
+            return
+        offset_bytes = len(b"".join(EVENTS[:first]))
+        for number, piece in enumerate(pieces):
+            request_id = dispatch.request.request_id
+            if ending == "cross" and number == len(pieces) - 1:
+                request_id = "another"
+            yield data.AnswerFrame(
+                request_id,
+                dispatch.attempt,
+                number,
+                piece,
+                offset_bytes if dispatch.resume_from_bytes else 0,
+                "v1" if number == 0 else "",
+            )
+            offset_bytes += len(piece)
+            await asyncio.sleep(0)
+        if ending == "break":
+            raise peers.PeerError("gone", sent=True, reason=data.Reason.STREAM_BROKE)
+        if ending in ("end", "start over"):
+            yield self.end(dispatch, pieces, data.Outcome.DONE)
+        if ending == "lie":
+            yield self.end(dispatch, [*pieces, b"more"], data.Outcome.DONE)
+
+    def end(self, dispatch, pieces, outcome):
+        joined = b"".join(pieces)
+        return data.AnswerEnd(
+            dispatch.request.request_id,
+            dispatch.attempt,
+            outcome,
+            data.Reason.NONE,
+            frames=len(pieces),
+            payload_bytes=len(joined),
+            checksum=xxhash.xxh64_hexdigest(joined),
+        )
+
+
+def payload_of(chunked):
+    """Return the bytes of a chunked body, and whether its final chunk came."""
+    payload = b""
+    while chunked:
+        size, _, rest = chunked.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return payload, True
+        payload += rest[: int(size, 16)]
+        chunked = rest[int(size, 16) + 2 :]
+    return payload, False
+
+
+class StreamTest(callers_test.CallersCase):
+    @hypothesis.given(attempts=ATTEMPTS)
+    @hypothesis.settings(
+        deadline=None,
+        derandomize=True,
+        max_examples=150,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    def test_caller_sees_a_beginning_of_its_answer_and_the_end_only_when_whole(
+        self, attempts
+    ):
+        reports = [requests_test.report(name) for name in ("p1", "p2")]
+        self.start(reports=reports)
+        self.peers = FaultyPeers(attempts)
+        self.relays._transport = self.peers
+        head, body = self.split(self.post("redactor"))
+        loop.EVENT_LOOP.run_until_complete(self.settle())
+        self.assertEqual({}, self.host.node.requests.live)
+        if "text/event-stream" not in head:
+            self.assertNotIn("200 OK", head)
+            return
+        payload, closed = payload_of(body)
+        events, _, outcome = payload.partition(b"event: ")
+        whole = b"".join(EVENTS)
+        self.assertTrue(whole.startswith(events), events)
+        ended = outcome.startswith(b"end\n")
+        self.assertEqual(ended, closed)
+        if ended:
+            self.assertEqual(whole, events)
+        else:
+            self.assertIn(b'"outcome":"unknown"', outcome)
