Let a crossed frame carry another caller's bytes

Trials by mutation: without the check of ids, of the offset, of the checksum or of the closed connection, the test of faulty streams fails. The crossed frame had carried the right bytes, which hid the first.

--- a/toucanspread/ops/stream_test.py
+++ b/toucanspread/ops/stream_test.py
@@ -52,6 +52,7 @@
             request_id = dispatch.request.request_id
             if ending == "cross" and number == len(pieces) - 1:
                 request_id = "another"
+                piece = b"data: of another family\n\n"
             yield data.AnswerFrame(
                 request_id,
                 dispatch.attempt,
