Hold requests while an engine changes its version

Cause: between the engine's activation and the process's knowledge of it (up to 0.5 s, until the next status was read) the engine refused requests for the old version and the entry ran out of endpoints to retry, as all change at about the same time: 6 of 975 and 3 of 773 requests refused with 'wrong version' in make demo (one run). Ruled out: the retry budget (it had tokens); routing (no better endpoint exists). Now the status is read at once after an order, and the gate holds admitted work while the phase is ACTIVATING or CONFIRMING, and starts again what the engine refused over it.

--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -14,6 +14,7 @@
     gate,
     limits,
     machine,
+    orders,
 )
 
 SERVICE = data.ServiceName("reservas")
@@ -123,7 +124,9 @@
         self.node = machine.Node(
             identity,
             seed,
-            orders=types.SimpleNamespace(serving=served, draining=False),
+            orders=types.SimpleNamespace(
+                serving=served, draining=False, phase=orders.Phase.IDLE
+            ),
             config=types.SimpleNamespace(intents={served.service: intent}),
             gate=gate.State(),
             claims=claims.State(),
--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -16,10 +16,13 @@
     events,
     invariants,
     limits,
+    orders,
     wholeness,
 )
 
 STATUS_INTERVAL_S = 1.0
+MAX_RESTARTS = 2  # of work that the engine refused over a change of version
+SWITCHING_PHASES = frozenset({orders.Phase.ACTIVATING, orders.Phase.CONFIRMING})
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
 
 # Ends that say nothing of how busy the engine is.
@@ -138,6 +141,7 @@
     running: bool = False
     version: data.VersionName = data.VersionName("")
     gone: bool = False
+    restarts: int = 0
 
     @property
     def key(self) -> Key:
@@ -146,10 +150,14 @@
 
 
 class State:
-    """What the gate knows."""
+    """What the gate knows.
+
+    :ivar held: admitted work that waits while the engine changes its version.
+    """
 
     def __init__(self):
         self.work: dict[Key, Work] = {}
+        self.held: list[Key] = []
         self.memory = dispatch_memory.DispatchMemory()
         self.status: data.EngineStatus | None = None
         self.status_s = float("-inf")
@@ -256,9 +264,14 @@
 def on_run_ended(node, event: RunEnded) -> list:
     """End the dispatch whose run is over."""
     key = (event.request_id, event.attempt)
-    work = node.gate.work.pop(key, None)
+    work = node.gate.work.get(key)
     if work is None:
         return []
+    if _may_start_again(node, work, event):
+        work.running = False
+        work.restarts += 1
+        return _start(node, work)
+    del node.gate.work[key]
     node.gate.memory.finish(key)
     items: list = [
         limits.Released(
@@ -287,6 +300,11 @@
     return []
 
 
+def on_serving_changed(node, event: events.ServingChanged) -> list:
+    """Start what waited for the change of version."""
+    return _release_held(node)
+
+
 def on_drain(node, event: events.DrainStarted) -> list:
     """Take no new work from here on; the limits empty their queue."""
     if node.gate.draining_since_s is None:
@@ -311,6 +329,7 @@
         # An answer moves the time on; until it comes, ask once an interval.
         state.status_s = node.now_s
         items.append(effects.ReadEngineStatus())
+    items.extend(_release_held(node))
     if _is_drained(node):
         state.exited = True
         items.append(effects.Exit())
@@ -328,6 +347,7 @@
     events.EngineStatusReported: on_status,
     events.DrainStarted: on_drain,
     events.ShutdownRequested: on_shutdown,
+    events.ServingChanged: on_serving_changed,
     events.Tick: on_tick,
 }
 
@@ -347,9 +367,48 @@
         return data.Reason.LEAVING, ""
     if dispatch.budget_s <= 0:
         return data.Reason.DEADLINE, ""
+    if _is_switching(node):
+        return data.Reason.NONE, ""  # judged when the change of version is over
     return wholeness.mismatch(node, dispatch)
 
 
+def _is_switching(node) -> bool:
+    """Return whether the engine is between two versions.
+
+    Until the process knows which of the two is active, either could be refused.
+    """
+    return node.orders.phase in SWITCHING_PHASES
+
+
+def _release_held(node) -> list:
+    """Start held work once the version is settled, and end what is out of time."""
+    held, node.gate.held = node.gate.held, []
+    items: list = []
+    for key in held:
+        work = node.gate.work.get(key)
+        if work is not None:
+            items.extend(_start(node, work))
+    return items
+
+
+def _may_start_again(node, work: Work, event: RunEnded) -> bool:
+    """Return whether a run crossed a change of version and can start anew.
+
+    The engine refused it before anything ran, and any version will do.
+    """
+    serving = node.orders.serving
+    has_changed = serving is not None and serving.version != work.version
+    return (
+        (has_changed or _is_switching(node))
+        and event.reason is data.Reason.WRONG_VERSION
+        and not event.started
+        and not work.gone
+        and not work.dispatch.request.version
+        and work.restarts < MAX_RESTARTS
+        and node.now_s < work.deadline_s
+    )
+
+
 def _start(node, work: Work) -> list:
     """Start an admitted request, unless what holds here has changed meanwhile."""
     request = work.dispatch.request
@@ -357,6 +416,9 @@
         return _give_up(node, work, data.Reason.DEADLINE, "", 0.0)
     if work.gone:
         return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
+    if _is_switching(node):
+        node.gate.held.append(work.key)
+        return []
     reason, detail = wholeness.mismatch(node, work.dispatch)
     if reason is not data.Reason.NONE:
         return _give_up(node, work, reason, detail, answer_ends.ENGINE_RETRY_AFTER_S)
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -2,7 +2,15 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import data, dispatch_memory, effects, events, gate, invariants
+from toucanspread.core import (
+    data,
+    dispatch_memory,
+    effects,
+    events,
+    gate,
+    invariants,
+    orders,
+)
 
 NOT_RUN = data.Outcome.NOT_RUN
 
@@ -30,6 +38,48 @@
         self.assertEqual(gate_fakes.VERSION, end.end.version)
 
 
+class SwitchTest(testtools.TestCase):
+    def switch(self, rig):
+        rig.node.orders.phase = orders.Phase.IDLE
+        rig.node.orders.serving.version = "v2"
+        digests = {"v2": gate_fakes.WEIGHTS_HASH}
+        status = data.EngineStatus(active_version="v2", digests=digests)
+        rig.step(events.EngineStatusReported(status))
+        return rig.step(events.ServingChanged(data.VersionName("v2")))
+
+    def test_a_dispatch_waits_while_the_engine_changes_its_version(self):
+        rig = gate_fakes.Rig()
+        rig.node.orders.phase = orders.Phase.ACTIVATING
+        self.assertEqual([], rig.dispatch())
+        (start,) = self.switch(rig)
+        self.assertEqual("v2", start.version)
+
+    def test_a_run_that_met_the_change_starts_anew(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        rig.node.orders.phase = orders.Phase.ACTIVATING
+        wrong = data.Reason.WRONG_VERSION
+        self.assertEqual([], rig.end(ok=False, started=False, reason=wrong))
+        (start,) = self.switch(rig)
+        self.assertEqual("v2", start.version)
+
+    def test_a_run_of_a_named_version_is_refused(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch(version="v1")
+        wrong = data.Reason.WRONG_VERSION
+        (end,) = rig.end(ok=False, started=False, reason=wrong)
+        self.assertEqual((NOT_RUN, wrong), (end.end.outcome, end.end.reason))
+
+    def test_what_waits_ends_at_its_deadline(self):
+        rig = gate_fakes.Rig()
+        rig.node.orders.phase = orders.Phase.ACTIVATING
+        rig.dispatch(budget_s=1.0)
+        self.assertEqual([], rig.step(events.Tick(), after_s=0.5))
+        found = rig.step(events.Tick(), after_s=0.6)
+        ends = [item.end for item in found if hasattr(item, "end")]
+        self.assertEqual([data.Reason.DEADLINE], [end.reason for end in ends])
+
+
 class RefuseTest(testtools.TestCase):
     def check_refused(self, rig, reason, **fields):
         end = refusal(rig.dispatch(**fields))
--- a/toucanspread/core/orders.py
+++ b/toucanspread/core/orders.py
@@ -154,7 +154,9 @@
         _enter(node, Phase.CHECKING)
     elif state.phase is Phase.ACTIVATING:
         _enter(node, Phase.CONFIRMING)
-    return []
+    # Requests wait for the end of a change of version, so don't wait for a tick.
+    state.status_s = node.now_s + STATUS_INTERVAL_S
+    return [effects.ReadEngineStatus()]
 
 
 def on_status(node: machine.Node, event: events.EngineStatusReported) -> list:
