--- a/toucanspread/core/requests_test.py
+++ b/toucanspread/core/requests_test.py
@@ -10,6 +10,7 @@
     machine,
     request_events,
     requests,
+    retries,
     routing,
     steering,
 )
@@ -45,7 +46,7 @@
         HERE,
         seed,
         config=config,
-        membership=types.SimpleNamespace(members={}),
+        membership=types.SimpleNamespace(members={}, capacity={}),
         routing=routing.State(),
         requests=requests.State(),
         draining=draining.State(),
@@ -203,22 +204,32 @@
 
 class StreamTest(testtools.TestCase):
     def progress(self, entry, now_s, payload_bytes):
-        event = request_events.AttemptProgressed("q1", attempt_of(entry), payload_bytes)
+        event = request_events.AttemptProgressed(
+            "q1", attempt_of(entry), payload_bytes, version="v1"
+        )
         return entry.step(now_s, event)
 
     def test_begun_stream_resumes_at_its_endpoint_and_nowhere_else(self):
         entry = make_entry(report("p1"), report("p2"))
         first = dispatched(arrive(entry, 1.0)).instance_id
         self.progress(entry, 1.2, 10)
-        again = dispatched(entry.step(1.3, broke(entry, True, 25, payload_events=2)))
+        told = broke(entry, True, 25, payload_events=2, version="v1")
+        again = dispatched(entry.step(1.3, told))
         self.assertEqual(first, again.instance_id)
         self.assertEqual(25, again.dispatch.resume_from_bytes)
         self.assertEqual(2, again.dispatch.resume_from_events)
+        self.assertEqual("v1", again.dispatch.request.version)
+
+    def test_stream_of_an_unknown_version_does_not_resume(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        found = entry.step(1.3, broke(entry, True, payload_bytes=25))
+        self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
 
     def test_stream_that_cannot_resume_ends_as_unknown(self):
         entry = make_entry(report("p1"), report("p2"))
         arrive(entry, 1.0)
-        entry.step(1.3, broke(entry, True, payload_bytes=25))
+        entry.step(1.3, broke(entry, True, payload_bytes=25, version="v1"))
         refused = end(entry, data.Outcome.NOT_RUN, data.Reason.STREAM_BROKE)
         found = entry.step(1.4, refused)
         self.assertIsNone(dispatched(found))
@@ -233,6 +244,48 @@
         self.assertIs(data.Outcome.UNKNOWN, finished(found).outcome)
 
 
+class DriftTest(testtools.TestCase):
+    def test_endpoint_that_refuses_as_leaving_gets_nothing_more_for_a_while(self):
+        entry = make_entry(report("p1"), report("p2"))
+        first = dispatched(arrive(entry, 1.0)).instance_id
+        leaving = end(entry, data.Outcome.NOT_RUN, data.Reason.LEAVING)
+        other = dispatched(entry.step(1.1, leaving)).instance_id
+        self.assertNotEqual(first, other)
+        entry.step(1.2, end(entry, data.Outcome.DONE))
+        for number in range(20):
+            sent = dispatched(arrive(entry, 1.3, f"q{number + 2}"))
+            self.assertEqual(other, sent.instance_id)
+
+    def test_endpoint_that_vanished_from_the_members_still_answers(self):
+        entry = make_entry(report("p1"))
+        arrive(entry, 1.0)
+        dead = events.MemberChanged(endpoint("p1"), data.MemberState.DEAD)
+        entry.step(1.1, dead)
+        found = finished(entry.step(1.2, end(entry, data.Outcome.DONE)))
+        self.assertIs(data.Outcome.DONE, found.outcome)
+
+    def test_request_without_endpoint_is_pointed_to_entries_that_have_some(self):
+        entry = make_entry()
+        other = data.Identity("e2", data.Role.ENTRY, 1, "zb", "ra", "x", "h2")
+        member = types.SimpleNamespace(identity=other, state=data.MemberState.LIVE)
+        entry.node.membership.members["e2"] = member
+        entry.node.membership.capacity["e2"] = {"redactor": 3}
+        self.assertEqual(("h2",), finished(arrive(entry, 1.0)).addresses)
+
+    def test_outage_is_not_multiplied_by_retries(self):
+        entry = make_entry(*(report(f"p{number}") for number in range(4)))
+        attempts = 0
+        for number in range(200):
+            found = arrive(entry, 1.0 + number, "q1")
+            while dispatched(found) is not None:
+                attempts += 1
+                found = entry.step(entry.node.now_s, broke(entry, False))
+            if "q1" in entry.node.requests.live:
+                entry.step(entry.node.now_s, request_events.CallerGone("q1"))
+        self.assertLess(attempts, 200 * (1 + retries.RETRY_SHARE) + 11)
+        self.assertGreater(attempts, 200)
+
+
 class DrainTest(testtools.TestCase):
     def test_drain_refuses_new_requests_and_ends_after_the_running_ones(self):
         entry = make_entry(report("p1"))
