--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfer.py
@@ -28,6 +28,7 @@
 HOUSEKEEPING_S = 0.5
 WHOLE_HOUSEKEEPING_S = 5.0
 LIST_RETRY_S = 1.0
+AUDIT_INTERVAL_S = 30.0  # of the staging of a whole version
 NEIGHBOUR_SILENCE_S = 60.0
 ANSWER_TIMEOUT_S = 2.0  # of a greeting; a full neighbour gives none
 FAILURE_AFTER_S = 45.0  # without a new piece
@@ -173,7 +174,7 @@
             wanted += exchange.drop(node, transfer, neighbour)
     wanted += exchange.resync(node, transfer)
     if transfer.whole:
-        return wanted
+        return [*wanted, *_check_whole(node, transfer)]
     if not transfer.has_manifest:
         wanted += requesting.want_manifest(node, transfer)
     wanted += requesting.fill(node, transfer)
@@ -185,6 +186,14 @@
     return wanted
 
 
+def _check_whole(node: machine.Node, transfer: transfer_state.Transfer) -> list:
+    """Look now and then whether the engine still holds all, as it may restart."""
+    if node.now_s < transfer.next_audit_s:
+        return []
+    transfer.next_audit_s = node.now_s + AUDIT_INTERVAL_S
+    return _list_staging(node)
+
+
 def _stop(node: machine.Node) -> list:
     state = node.transfer
     transfer = state.current
@@ -206,6 +215,9 @@
 def _take_stock(node: machine.Node, transfer: transfer_state.Transfer) -> list:
     """Count what staging holds of the version; end here if that is all."""
     held = node.transfer.held
+    if transfer.whole and _holds_everything(transfer, held):
+        return []
+    transfer.whole = False
     transfer.have = 0
     transfer.staged_count = 0
     transfer.todo = []
@@ -222,6 +234,12 @@
     return requesting.fill(node, transfer)
 
 
+def _holds_everything(
+    transfer: transfer_state.Transfer, held: set[data.ChunkHash]
+) -> bool:
+    return transfer.manifest_hash in held and transfer.index.keys() <= held
+
+
 def _missing_manifest(transfer: transfer_state.Transfer) -> list:
     transfer.has_manifest = False
     transfer.neighbours.counts = []
@@ -232,6 +250,7 @@
     transfer.whole = True
     transfer.failed = False
     transfer.next_ask_s = node.now_s
+    transfer.next_audit_s = node.now_s + AUDIT_INTERVAL_S
     log = effects.Log(
         "version_staged",
         {
@@ -340,7 +359,9 @@
         neighbour.refused(node.now_s, node.random.random())
         return []
     if event.status is fetching.FetchStatus.ABSENT:
-        if fetch.piece != transfer_state.MANIFEST_PIECE:
+        if fetch.piece == transfer_state.MANIFEST_PIECE:
+            neighbour.has_manifest = False
+        else:
             transfer.neighbours.lacks(neighbour, fetch.piece)
         return []
     neighbour.failed(node.now_s)
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfer_state.py
@@ -87,6 +87,7 @@
         self.failed = False
         self.next_ask_s = now_s
         self.ask_interval_s = 0.0
+        self.next_audit_s = now_s
         self.asked_tracker = 0
         self.offered = True
 
--- a/toucanspread/tools/bench_transfer.py
+++ b/toucanspread/tools/bench_transfer.py
@@ -28,6 +28,7 @@
 CHUNKS = 256
 CHUNK_BYTES = 1_000_000
 REPLICAS = (8, 16, 32, 64, 128)
+NARROW_REPLICAS = 16
 LIMIT_S = 20 * WANTED_S
 TARGET_FOLLOWERS = 1100
 TARGET_CHUNKS = 1000
@@ -58,8 +59,13 @@
     )
 
 
-def burst(replicas: int, weight: float, links: baselines.Links) -> Result:
-    """Bring a version to so many empty endpoints."""
+def burst(
+    replicas: int, weight: float, links: baselines.Links, uplink_share: float = 1.0
+) -> Result:
+    """Bring a version to so many empty endpoints.
+
+    :param uplink_share: of the endpoints' rate, for links that send less.
+    """
     swarm_run = virtual_swarm.VirtualSwarm(
         SEED,
         links.rate_bytes_s,
@@ -72,6 +78,7 @@
         swarm_run.add_endpoint(f"endpoint-{number}", f"zone-{number % 2}")
     members = list(swarm_run.endpoints.values())
     for one in members:
+        one.uplink.rate_bytes_s *= uplink_share
         swarm_run.want(one, name, weight)
     if not swarm_run.run(lambda: swarm_run.all_whole(name), LIMIT_S):
         raise RuntimeError(f"{replicas} replicas were not whole in {LIMIT_S} s")
@@ -111,7 +118,7 @@
 
 
 def measure_state() -> float:
-    """Return the kilobytes of a transfer of the target's chunks, all neighbours known."""
+    """Return the kilobytes of a transfer at its most neighbours and chunks."""
     made = manifest.decode(
         manifest.encode(virtual_swarm.make_manifest("v", TARGET_CHUNKS, CHUNK_BYTES))
     )
@@ -192,6 +199,10 @@
             found = burst(replicas, weight, links)
             lines.setdefault(f"origin_weight {weight:.0f}", []).append(found.all_s)
             _print_burst(found, f"w{weight:.0f}_{replicas}", bound_s)
+    for weight in (0.0, 0.5, 1.0):
+        found = burst(NARROW_REPLICAS, weight, links, uplink_share=0.5)
+        print(f"narrow_uplinks_time_to_all_s_w{weight:g}={found.all_s:.1f}")
+        print(f"narrow_uplinks_origin_copies_w{weight:g}={found.copies:.2f}")
     tracker_us, tracker_kb = measure_tracker()
     print(f"tracker_request_us_at_{TARGET_FOLLOWERS}={tracker_us:.0f}")
     print(f"tracker_state_kb_at_{TARGET_FOLLOWERS}={tracker_kb:.0f}")
--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -115,6 +115,7 @@
         self.staged: set[data.ChunkHash] = set()
         self.whole_at_s: dict[data.ManifestHash, float] = {}
         self.failures: list[str] = []
+        self.said_whole_without: set[data.ChunkHash] = set()
         self.uplink = Uplink(swarm, swarm.rate_bytes_s, 0)
         self.down_free_at_s = 0.0
         self.down_bytes = 0
@@ -130,6 +131,7 @@
 
     def _on_staged(self, node: machine.Node, event: events.VersionStaged) -> list:
         self.whole_at_s.setdefault(event.manifest_hash, node.now_s)
+        self.said_whole_without |= node.transfer.current.index.keys() - self.staged
         return []
 
     def _on_failed(self, node: machine.Node, event: events.VersionFailed) -> list:
