--- /dev/null
+++ b/scripts/burst.py
@@ -0,0 +1,155 @@
+"""Measures a burst with real processes on loopback: daemons, engines and an origin.
+
+Links are paced: in the time wanted the origin's carries four copies and each
+endpoint's two. Prints ``name=value`` lines.
+"""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import time
+
+import defopt
+import deployments
+import launcher
+import yaml
+
+from toucanspread.core import manifest
+from toucanspread.ops import weights
+from toucanspread.tools import baselines
+
+CHUNK_BYTES = 64 * 1024
+SCRATCH = launcher.ROOT / "build" / "burst"
+TIMEOUT_S = 300.0
+POLL_S = 0.2
+
+
+class Paced(launcher.Cluster):
+    """A cluster whose endpoint processes pace their transfers."""
+
+    rate_bytes_s = 0
+
+    def _declare(self, instance_id, role, place, extra):
+        if role == "endpoint":
+            rates = ("upload_rate_bytes_s", "download_rate_bytes_s")
+            extra = {**extra, **dict.fromkeys(rates, self.rate_bytes_s)}
+        super()._declare(instance_id, role, place, extra)
+
+
+def command(*arguments: str) -> None:
+    """Run the command line and fail if it fails."""
+    subprocess.run(
+        [sys.executable, "-m", "toucanspread", *arguments],
+        cwd=launcher.ROOT,
+        check=True,
+        stdout=subprocess.DEVNULL,
+    )
+
+
+def publish(directory: pathlib.Path, version: str, size_bytes: int):
+    """Make a version and put it at the origin."""
+    source = directory / version
+    weights.make_sample(source, int(version[1:]), size_bytes)
+    built = weights.build_manifest(source, "model", version, CHUNK_BYTES)
+    weights.publish(source, directory / "origin", built)
+    path = directory / f"{version}.manifest.json"
+    path.write_bytes(manifest.encode(built))
+    return path, sum(entry.size_bytes for entry in built.files)
+
+
+def spread(cluster: Paced, directory: pathlib.Path, version: str, path, **fields):
+    """Plan and confirm a version; return when it was confirmed."""
+    entry = next(iter(cluster.entry_http.values()))
+    intent = {
+        "service": "model",
+        "kind": "model",
+        "model": "model",
+        "version": version,
+        "floor": 0,
+        "zones": sorted({place.zone for place in cluster.deployment.places}),
+        **fields,
+    }
+    declared = directory / f"{version}.yaml"
+    declared.write_text(yaml.safe_dump({"intents": [intent]}))
+    plan = directory / f"{version}.plan.json"
+    command(
+        *("plan", str(declared), "--entry", entry),
+        *("--output", str(plan), "--manifest", str(path)),
+    )
+    started_s = time.monotonic()
+    command("confirm", str(plan), "--entry", entry)
+    return started_s
+
+
+def wait_whole(cluster: Paced, version: str, started_s: float) -> list[float]:
+    """Return when each engine had the version active, after ``started_s``."""
+    waiting = set(cluster.backends.values())
+    times = []
+    while waiting and time.monotonic() - started_s < TIMEOUT_S:
+        for address in sorted(waiting):
+            status = launcher.call(address, "GET", "/v1/status")
+            if status["active_version"] == version:
+                waiting.discard(address)
+                times.append(time.monotonic() - started_s)
+        time.sleep(POLL_S)
+    if waiting:
+        raise RuntimeError(f"{len(waiting)} engines without {version}")
+    return times
+
+
+def run(
+    *, replicas: int = 8, wanted_s: float = 20.0, megabytes: int = 4, weight: float = 1
+) -> int:
+    """Bring a version to endpoint processes.
+
+    :param replicas: how many endpoint processes.
+    :param wanted_s: the time in which the links carry four and two copies.
+    :param megabytes: the size of a copy.
+    :param weight: 0 favours time, 1 origin bytes.
+    """
+    shutil.rmtree(SCRATCH, ignore_errors=True)
+    (SCRATCH / "origin").mkdir(parents=True)
+    path, size_bytes = publish(SCRATCH, "v1", megabytes * 1024 * 1024)
+    deployment = deployments.Deployment(
+        name="burst",
+        places=(
+            deployments.Place("zone-a", "region"),
+            deployments.Place("zone-b", "region"),
+        ),
+        services=(deployments.Service("model", "model", replicas, "model"),),
+        teams=("team",),
+        intents="",
+        entries=2,
+    )
+    links = baselines.Links(
+        4 * size_bytes / wanted_s,
+        2 * size_bytes / wanted_s,
+        -(-size_bytes // CHUNK_BYTES),
+        CHUNK_BYTES,
+    )
+    Paced.rate_bytes_s = int(links.rate_bytes_s)
+    cluster = Paced(
+        deployment, SCRATCH, SCRATCH / "origin", int(links.origin_rate_bytes_s)
+    )
+    try:
+        cluster.start()
+        started_s = spread(
+            cluster, SCRATCH, "v1", path, replicas=replicas, origin_weight=weight
+        )
+        times = wait_whole(cluster, "v1", started_s)
+        stats = launcher.call(cluster.origin, "GET", "/stats")
+    finally:
+        cluster.stop()
+    bound_s = baselines.bound_s(links, replicas)
+    print(f"replicas={replicas}")
+    print(f"bound_s={bound_s:.1f}")
+    print(f"time_to_half_s={times[replicas // 2 - 1]:.1f}")
+    print(f"time_to_all_s={times[-1]:.1f}")
+    print(f"ratio_to_bound={times[-1] / bound_s:.2f}")
+    print(f"origin_copies={stats['sent_bytes'] / size_bytes:.2f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run))
