--- a/toucanspread/core/exchange.py
+++ b/toucanspread/core/exchange.py
@@ -19,7 +19,8 @@
 
 TRACKERS = 2
 FIRST_ASK_S = 0.25
-MAX_ASK_S = 10.0
+LONELY_ASK_S = 10.0  # at most, with too few neighbours
+MAX_ASK_S = 30.0
 WHOLE_ASK_S = 45.0
 MIN_ANNOUNCE_DELAY_S = 0.1
 MAX_ANNOUNCE_DELAY_S = 1.0
@@ -161,7 +162,8 @@
         if member.identity.role is data.Role.ENTRY
         and member.state is data.MemberState.LIVE
     ]
-    interval_s = min(MAX_ASK_S, max(FIRST_ASK_S, 2 * transfer.ask_interval_s))
+    most_s = MAX_ASK_S if transfer.neighbours.enough() else LONELY_ASK_S
+    interval_s = min(most_s, max(FIRST_ASK_S, 2 * transfer.ask_interval_s))
     if transfer.whole:
         interval_s = WHOLE_ASK_S
     transfer.ask_interval_s = interval_s
