Give the holder of the lease an overview when entries hear only some endpoints

With more than 32 entries each hears a few endpoint processes, so the controller would have ordered, and plans shown, only those. Reports to the holder from all 7,500 were ruled out (its byte budget), as were leases for shards of services (the floor of one service needs one view). A plan is asked of the holder, and made from what is known, with a warning, when it does not answer. A confirmation at such an entry is not refused for instances that it can't see.

--- a/standins/virtual_system.py
+++ b/standins/virtual_system.py
@@ -23,6 +23,7 @@
     fetching,
     gate,
     machine,
+    planning,
     plans,
     request_events,
     roles,
@@ -123,7 +124,7 @@
         self.loss = 0.0
         self.corrupting: set[data.InstanceId] = set()
         self.sent: dict[data.RequestId, Sent] = {}
-        self.answers: list[confirm.PlanAnswered | confirm.ConfirmAnswered] = []
+        self.answers: list[planning.PlanAnswered | confirm.ConfirmAnswered] = []
         self.logs: collections.Counter[str] = collections.Counter()
         self.exits: list[data.InstanceId] = []
         self.thawed_s: dict[data.InstanceId, float] = {}
@@ -550,6 +551,6 @@
     gate.ReplayAnswer: VirtualSystem._replay,
     gate.StartRun: VirtualSystem._start_run,
     gate.CancelRun: VirtualSystem._cancel_run,
-    confirm.PlanAnswered: VirtualSystem._keep_answer,
+    planning.PlanAnswered: VirtualSystem._keep_answer,
     confirm.ConfirmAnswered: VirtualSystem._keep_answer,
 }
--- a/toucanspread/core/config.py
+++ b/toucanspread/core/config.py
@@ -81,9 +81,7 @@
             state.intents[stamp.service] = stamp.intent
     state.revision = revision
     state.digest = digest
-    state.digests[revision] = digest
-    if len(state.digests) > MAX_DIGESTS:
-        del state.digests[min(state.digests)]
+    learn_digests(node, {revision: digest})
     return [
         effects.Log("config_applied", {"revision": revision, "before": before}),
         effects.Count("config_applied"),
@@ -91,6 +89,15 @@
     ]
 
 
+def learn_digests(node: machine.Node, digests: dict[data.Revision, str]) -> None:
+    """Keep digests of this history that lie between the revisions held."""
+    known = node.config.digests
+    for revision, digest in digests.items():
+        known.setdefault(revision, digest)
+    while len(known) > MAX_DIGESTS:
+        del known[min(known)]
+
+
 def adopt(node: machine.Node, other: history.Snapshot) -> list:
     """Take in a whole history that is no older; keep aside what it lacks.
 
--- a/toucanspread/core/confirm.py
+++ b/toucanspread/core/confirm.py
@@ -1,4 +1,4 @@
-"""Answers operators: plans, and the confirmation of a plan.
+"""Confirms plans for operators.
 
 Two changes conflict when they touch the same service, when they name the same leaving
 instance, or when together they need more instances than there are. Any other change
@@ -9,19 +9,19 @@
 
 from toucanspread.core import (
     acceptance,
-    config,
     data,
     effects,
     events,
     history,
     machine,
     operations,
+    overview,
     placement,
+    planning,
     plans,
 )
 
 RETRY_AFTER_S = 5.0
-SERVICE_FRESH_S = 30.0  # an idle watch is answered more often
 MAX_RUNNING = 64  # confirmations at once; each reads the head
 HEAL_CHECK_INTERVAL_S = 2.0
 
@@ -35,14 +35,6 @@
     UNKNOWN = "unknown"
 
 
-class PlanRequested(data.Event):
-    """An operator asks what a proposal would do."""
-
-    operation_id: data.OperationId
-    intents: tuple[data.Intent, ...]
-    removed: tuple[data.ServiceName, ...] = ()
-
-
 class ConfirmRequested(data.Event):
     """An operator confirms a plan.
 
@@ -56,20 +48,6 @@
     plan_id: data.PlanId
 
 
-class PlanAnswered(data.Effect):
-    """The answer to a plan request.
-
-    :param problems: why there is no plan to confirm; the plan is given all the same.
-    :param service_known: false when the plan rests on the last known revision because
-        the key-value service does not answer.
-    """
-
-    operation_id: data.OperationId
-    plan: plans.Plan
-    problems: tuple[str, ...] = ()
-    service_known: bool = True
-
-
 class ConfirmAnswered(data.Effect):
     """The answer to a confirmation.
 
@@ -106,41 +84,13 @@
 
 
 class State:
-    """The confirmations under way.
+    """The confirmations under way."""
 
-    :param costs: the rates from which plans estimate their time.
-    """
-
-    def __init__(self, costs: plans.Costs | None = None):
-        self.costs = costs or plans.Costs()
+    def __init__(self):
         self.running: list[Confirmation] = []
         self.heal_check_s = 0.0
 
 
-def on_plan(node: machine.Node, event: PlanRequested) -> list:
-    """Answer with a plan from the revision known here; nothing is remembered."""
-    plan = make_plan(node, event.intents, event.removed)
-    heard = node.now_s - node.spread.service_heard_s < SERVICE_FRESH_S
-    service_known = heard and node.spread.service_answers
-    return [PlanAnswered(event.operation_id, plan, plan.refusals, service_known)]
-
-
-def make_plan(
-    node: machine.Node,
-    proposed: tuple[data.Intent, ...],
-    removed: tuple[data.ServiceName, ...],
-) -> plans.Plan:
-    """Return the plan of a proposal on the revision in force."""
-    return plans.make(
-        config.snapshot(node),
-        proposed,
-        removed,
-        placement.replicas(node),
-        node.wall_s,
-        node.confirm.costs,
-    )
-
-
 def on_confirm(node: machine.Node, event: ConfirmRequested) -> list:
     """Start an acceptance, unless the plan id is not that of the proposal."""
     expected = plans.plan_id(event.base_revision, event.intents, event.removed)
@@ -249,7 +199,7 @@
         run.why = "the plan was made from a revision that is not known here"
         return acceptance.give_up(run, run.why)
     changed = conflicts(node, request)
-    plan = make_plan(node, request.intents, request.removed)
+    plan = planning.make(node, request.intents, request.removed)
     if changed or (plan.refusals and request.base_revision < node.config.revision):
         acceptance.finish(run, acceptance.Result.NOT_ACCEPTED, "conflict")
         run.result = None
@@ -295,7 +245,7 @@
                     f"instance {departure.instance_id} was named to leave at revision "
                     f"{stamp.revision} by {stamp.operation_id}"
                 )
-    if newer and not found:
+    if newer and not found and overview.is_complete(node):
         found.extend(_shortages(node, request, newer))
     return tuple(found)
 
@@ -304,7 +254,7 @@
     node: machine.Node, request: ConfirmRequested, newer: tuple[history.Stamp, ...]
 ) -> list[str]:
     """Return which services the proposal and newer changes can't both have."""
-    found = placement.replicas(node)
+    found = overview.replicas(node)
     after = plans.propose(node.config.intents, request.intents, request.removed)
     with_it = placement.place(after, found, node.wall_s).short
     without = placement.place(node.config.intents, found, node.wall_s).short
@@ -353,7 +303,6 @@
 
 
 HANDLERS = {
-    PlanRequested: on_plan,
     ConfirmRequested: on_confirm,
     events.KvAnswered: on_kv_answered,
     events.Tick: on_tick,
--- a/toucanspread/core/controller.py
+++ b/toucanspread/core/controller.py
@@ -14,6 +14,7 @@
     leases,
     machine,
     operations,
+    overview,
     placement,
 )
 
@@ -48,7 +49,7 @@
     def __init__(self, node: machine.Node):
         self.node = node
         self.intents = node.config.intents
-        self.replicas = placement.replicas(node)
+        self.replicas = overview.replicas(node)
         self.placed = placement.place(self.intents, self.replicas, node.wall_s)
         self.orders: list[data.Order] = []
         self.wholes: dict[data.ServiceName, set[data.InstanceId]] = {}
@@ -72,7 +73,7 @@
     state = node.controller
     if node.now_s < state.next_run_s:
         return []
-    if not leases.held(node):
+    if not leases.held(node) or not overview.is_complete(node):
         state.next_run_s = node.now_s + INTERVAL_S
         return []
     if state.fence != node.leases.fence:
--- a/toucanspread/core/placement.py
+++ b/toucanspread/core/placement.py
@@ -6,13 +6,18 @@
 
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from toucanspread.core import data, machine, rendezvous
 
 DEPARTURE_LEAD_S = 1800.0  # replacements load this long before a window opens
 
 
-class Replica(data.Record):
-    """An endpoint process as its newest report shows it."""
+class Replica(data.Record, frozen=True, array_like=True, tag=False):
+    """An endpoint process as its newest report shows it.
+
+    Arrays keep it small on the wire, where one entry tells another of many.
+    """
 
     instance_id: data.InstanceId
     zone: data.ZoneName
@@ -27,7 +32,6 @@
     manifest_hash: data.ManifestHash
     adapters: tuple[data.AdapterName, ...]
     target_version: data.VersionName
-    staged_share: float
     fence: data.FencingNumber
 
 
@@ -64,9 +68,6 @@
     identity = report.identity
     if report.state is data.MemberState.LEAVING:
         state = data.MemberState.LEAVING
-    share = 0.0
-    if report.target_chunks:
-        share = report.staged_chunks / report.target_chunks
     return Replica(
         identity.instance_id,
         identity.zone,
@@ -81,11 +82,15 @@
         report.manifest_hash,
         report.adapters,
         report.target_version,
-        share,
         report.fence,
     )
 
 
+def dead(replica: Replica) -> Replica:
+    """Return the same replica as dead."""
+    return msgspec.structs.replace(replica, state=data.MemberState.DEAD)
+
+
 def is_whole(replica: Replica, intent: data.Intent) -> bool:
     """Return whether a replica serves the intent's service with whole weights."""
     if replica.service != intent.service or replica.kind is not intent.kind:
--- /dev/null
+++ b/toucanspread/core/planning.py
@@ -0,0 +1,140 @@
+"""Answers operators who ask for a plan.
+
+An entry that hears only some of the endpoint processes asks the holder of the lease,
+which has an overview of all. Without an answer in time it makes the plan from what it
+knows, and says so in a warning.
+"""
+
+from toucanspread.core import (
+    config,
+    data,
+    effects,
+    events,
+    machine,
+    overview,
+    plans,
+)
+
+ASK_S = 1.0
+SERVICE_FRESH_S = 30.0  # an idle watch is answered more often
+
+
+class PlanRequested(data.Event):
+    """An operator asks what a proposal would do."""
+
+    operation_id: data.OperationId
+    intents: tuple[data.Intent, ...]
+    removed: tuple[data.ServiceName, ...] = ()
+
+
+class PlanAnswered(data.Effect):
+    """The answer to a plan request.
+
+    :param problems: why there is no plan to confirm; the plan is given all the same.
+    :param service_known: false when the plan rests on the last known revision because
+        the key-value service does not answer.
+    """
+
+    operation_id: data.OperationId
+    plan: plans.Plan
+    problems: tuple[str, ...] = ()
+    service_known: bool = True
+
+
+class PlanQuery(data.Message):
+    """Asks the holder of the lease for a plan."""
+
+    operation_id: data.OperationId
+    intents: tuple[data.Intent, ...]
+    removed: tuple[data.ServiceName, ...]
+
+
+class PlanReply(data.Message):
+    """The holder's answer."""
+
+    operation_id: data.OperationId
+    plan: plans.Plan
+
+
+class State:
+    """The requests that wait for the holder.
+
+    :param costs: the rates from which plans estimate their time.
+    """
+
+    def __init__(self, costs: plans.Costs | None = None):
+        self.costs = costs or plans.Costs()
+        self.waiting: dict[data.OperationId, tuple[PlanRequested, float]] = {}
+
+
+def make(
+    node: machine.Node,
+    proposed: tuple[data.Intent, ...],
+    removed: tuple[data.ServiceName, ...],
+) -> plans.Plan:
+    """Return the plan of a proposal on the revision in force."""
+    return plans.make(
+        config.snapshot(node),
+        proposed,
+        removed,
+        overview.replicas(node),
+        node.wall_s,
+        node.planning.costs,
+        overview.is_complete(node),
+    )
+
+
+def on_request(node: machine.Node, event: PlanRequested) -> list:
+    """Answer, or ask the holder first."""
+    if overview.is_complete(node) or not node.spread.controller:
+        return [_answer(node, event)]
+    node.planning.waiting[event.operation_id] = (event, node.now_s + ASK_S)
+    query = PlanQuery(event.operation_id, event.intents, event.removed)
+    return [effects.Send(node.spread.controller, query)]
+
+
+def on_message(node: machine.Node, event: events.MessageReceived) -> list:
+    """Answer another entry, or pass the holder's answer on."""
+    message = event.message
+    if isinstance(message, PlanQuery):
+        if not overview.is_complete(node):
+            return []
+        plan = make(node, message.intents, message.removed)
+        reply = PlanReply(message.operation_id, plan)
+        return [effects.Send(event.sender.address, reply)]
+    if not isinstance(message, PlanReply):
+        return []
+    if node.planning.waiting.pop(message.operation_id, None) is None:
+        return []
+    return [_answered(node, message.operation_id, message.plan)]
+
+
+def on_tick(node: machine.Node, event: events.Tick) -> list:
+    """Answer without the holder once it has taken too long."""
+    waiting = node.planning.waiting
+    answers = []
+    for operation_id, (request, due_s) in [*waiting.items()]:
+        if node.now_s >= due_s:
+            del waiting[operation_id]
+            answers.append(_answer(node, request))
+    return answers
+
+
+def _answer(node: machine.Node, request: PlanRequested) -> PlanAnswered:
+    plan = make(node, request.intents, request.removed)
+    return _answered(node, request.operation_id, plan)
+
+
+def _answered(
+    node: machine.Node, operation_id: data.OperationId, plan: plans.Plan
+) -> PlanAnswered:
+    heard = node.now_s - node.spread.service_heard_s < SERVICE_FRESH_S
+    service_known = heard and node.spread.service_answers
+    return PlanAnswered(operation_id, plan, plan.refusals, service_known)
+
+
+HANDLERS = {
+    PlanRequested: on_request,
+    events.MessageReceived: on_message,
+    events.Tick: on_tick,
+}
--- a/toucanspread/core/plans.py
+++ b/toucanspread/core/plans.py
@@ -109,8 +109,13 @@
     found: Mapping[data.InstanceId, placement.Replica],
     wall_s: float,
     costs: Costs,
+    is_complete: bool = True,
 ) -> Plan:
-    """Return the plan of a proposal."""
+    """Return the plan of a proposal.
+
+    :param found: the endpoint processes that are known.
+    :param is_complete: whether these are all; else too few of them is no refusal.
+    """
     before = {
         stamp.service: stamp.intent
         for stamp in snapshot.stamps
@@ -120,8 +125,15 @@
     services = history.touched(proposed, removed)
     placed = placement.place(after, found, wall_s, lead_s=float("inf"))
     steps = _steps(services, after, found, placed)
-    refusals = _refusals(snapshot, before, proposed, removed, placed, found)
     origin_bytes, link_bytes, expected_s = _transfer(proposed, found, steps, costs)
+    refusals = _refusals(snapshot, before, proposed, removed)
+    warnings = _warnings(proposed, placed, found, wall_s, expected_s)
+    floors = _broken_floors(proposed, placed)
+    if is_complete:
+        refusals.extend(floors)
+    else:
+        warnings.extend(floors)
+        warnings.append(f"only {len(found)} endpoint processes are known here")
     return Plan(
         plan_id=plan_id(snapshot.revision, proposed, removed),
         base_revision=snapshot.revision,
@@ -131,7 +143,7 @@
         origin_bytes=origin_bytes,
         link_bytes=link_bytes,
         expected_s=expected_s,
-        warnings=tuple(_warnings(proposed, placed, found, wall_s, expected_s)),
+        warnings=tuple(warnings),
         refusals=tuple(refusals),
     )
 
@@ -167,18 +179,10 @@
     before: Mapping[data.ServiceName, data.Intent],
     proposed: tuple[data.Intent, ...],
     removed: tuple[data.ServiceName, ...],
-    placed: placement.Placement,
-    found: Mapping[data.InstanceId, placement.Replica],
 ) -> list[str]:
     refusals = []
     for intent in proposed:
         refusals.extend(str(error) for error in intents.check(intent))
-        have = len(placed.members.get(intent.service, ()))
-        if have < intent.floor:
-            refusals.append(
-                f"service {intent.service}: only {have} instances can serve it, "
-                f"the floor is {intent.floor}"
-            )
     names = [intent.service for intent in proposed] + list(removed)
     if len(set(names)) != len(names):
         refusals.append("a service is named twice")
@@ -195,6 +199,20 @@
     return refusals
 
 
+def _broken_floors(
+    proposed: tuple[data.Intent, ...], placed: placement.Placement
+) -> list[str]:
+    found = []
+    for intent in proposed:
+        have = len(placed.members.get(intent.service, ()))
+        if have < intent.floor:
+            found.append(
+                f"service {intent.service}: only {have} instances can serve it, "
+                f"the floor is {intent.floor}"
+            )
+    return found
+
+
 def _warnings(
     proposed: tuple[data.Intent, ...],
     placed: placement.Placement,
--- a/toucanspread/core/pushing.py
+++ b/toucanspread/core/pushing.py
@@ -101,7 +101,7 @@
 
 def _is_turn(node: machine.Node, report: data.Report) -> bool:
     """Return whether the entries before this one have had their time."""
-    delays = _delays(node, report.identity)
+    delays = entries_before(node, report.identity)
     if delays == 0:
         return True
     table = node.spread.pushing
@@ -135,7 +135,7 @@
     )
 
 
-def _delays(node: machine.Node, endpoint: data.Identity) -> int:
+def entries_before(node: machine.Node, endpoint: data.Identity) -> int:
     """Return how many entries are to push to an endpoint process before this one."""
     table = node.spread.pushing
     entry_ids = node.membership.entry_ids
--- a/toucanspread/core/spread.py
+++ b/toucanspread/core/spread.py
@@ -24,9 +24,11 @@
 COMPARE_INTERVAL_S = 1.0
 ENDPOINT_COMPARE_INTERVAL_S = 3.0
 PASS_ON_FANOUT = 4
+NEAR_REVISIONS = 12  # from a delta's ends, whose digests it names
 SENDING_BYTES_PER_S = 9_000.0
 MAX_SENDING_CREDIT_BYTES = 64_000.0
 LOG_INTERVAL_S = 5.0
+NO_ADDRESS = data.Address("")
 NEVER_S = 1e9  # JSON holds no infinity
 
 
@@ -35,6 +37,7 @@
 
     :param answer: whether a receiver that is behind answers with its own summary.
     :param fence: the highest fencing number that the sender knows of.
+    :param controller: the address of the entry that holds this number, if known.
     :param service_age_s: how old the sender's evidence of the key-value service is.
     """
 
@@ -42,6 +45,7 @@
     digest: str
     answer: bool = True
     fence: data.FencingNumber = data.FencingNumber(0)
+    controller: data.Address = data.Address("")
     service_answers: bool = False
     service_age_s: float = NEVER_S
 
@@ -73,6 +77,7 @@
 
     def __init__(self):
         self.fence = data.FencingNumber(0)
+        self.controller = NO_ADDRESS
         self.next_compare_s = 0.0
         self.pushed_revision = data.Revision(0)
         self.pushing = pushing.Table()
@@ -82,6 +87,16 @@
         self.service_answers = False
         self.service_heard_s = -NEVER_S
 
+    def note_fence(
+        self, fence: data.FencingNumber, controller: data.Address = NO_ADDRESS
+    ) -> None:
+        """Keep the highest fencing number, and whose it is."""
+        if fence > self.fence:
+            self.fence = fence
+            self.controller = controller
+        if fence == self.fence and controller:
+            self.controller = controller
+
     def note_service(self, heard_s: float, answers: bool) -> None:
         """Keep the newest evidence of whether the key-value service answers."""
         if heard_s > self.service_heard_s:
@@ -139,7 +154,7 @@
     """Note whether an endpoint process lags, or is ahead of this entry."""
     state = node.spread
     report = event.report
-    state.fence = max(state.fence, report.fence)
+    state.note_fence(report.fence)
     state.pushing.note(report, node.config.revision, node.now_s)
     if report.revision > node.config.revision:
         return [effects.Send(report.identity.address, _summary(node))]
@@ -162,7 +177,7 @@
     node: machine.Node, sender: data.Identity, summary: ConfigSummary
 ) -> list:
     state = node.config
-    node.spread.fence = max(node.spread.fence, summary.fence)
+    node.spread.note_fence(summary.fence, summary.controller)
     if node.identity.role is data.Role.ENTRY:
         heard_s = node.now_s - summary.service_age_s
         node.spread.note_service(heard_s, summary.service_answers)
@@ -220,7 +235,9 @@
         return []
     if delta.base == 0:
         whole = history.Snapshot(delta.revision, delta.digest, delta.stamps)
-        return config.adopt(node, whole)
+        items = config.adopt(node, whole)
+        config.learn_digests(node, delta.digests)
+        return items
     if delta.revision == state.revision:
         return []
     expected = delta.digests.get(state.revision)
@@ -228,6 +245,7 @@
         return [effects.Send(sender.address, _summary(node, answer=False))]
     if expected != state.digest:
         return _on_other_history(node, sender, state.revision)
+    config.learn_digests(node, delta.digests)
     return config.apply_stamps(node, delta.revision, delta.digest, delta.stamps)
 
 
@@ -238,11 +256,19 @@
         "" if forked else node.config.digest,
         answer,
         highest_fence(node),
+        _controller(node),
         node.spread.service_answers,
         min(node.now_s - node.spread.service_heard_s, NEVER_S),
     )
 
 
+def _controller(node: machine.Node) -> data.Address:
+    is_entry = node.identity.role is data.Role.ENTRY
+    if is_entry and node.leases.fence and node.leases.fence >= node.spread.fence:
+        return node.identity.address
+    return node.spread.controller
+
+
 def highest_fence(node: machine.Node) -> data.FencingNumber:
     """Return the highest fencing number that this process knows of."""
     if node.identity.role is data.Role.ENTRY:
@@ -258,15 +284,15 @@
 ) -> list:
     if node.config.forked and base > 0:
         return [effects.Count("config_delta_postponed")]
-    digests = _digests_above(node, base)
-    if base not in digests:
+    if base not in node.config.digests:
         base = data.Revision(0)
+    digests = _digests_above(node, base)
     delta = ConfigDelta(
         base,
         node.config.revision,
         node.config.digest,
         history.newer(node.config.stamps, base),
-        digests if base else {},
+        digests,
         pass_on_to,
         not node.config.forked,
     )
@@ -277,10 +303,12 @@
 
 def _digests_above(node: machine.Node, base: data.Revision) -> dict[data.Revision, str]:
     known = node.config.digests
-    last = min(base + pushing.GROUP_REVISIONS, node.config.revision - 1)
+    newest = node.config.revision
     found = {}
-    for revision in range(base, last + 1):
-        if revision in known:
+    for revision in range(base, newest):
+        is_near = revision - base <= NEAR_REVISIONS
+        is_near = is_near or newest - revision <= NEAR_REVISIONS
+        if is_near and revision in known:
             found[data.Revision(revision)] = known[revision]
     return found
 
--- a/toucanspread/core/watching.py
+++ b/toucanspread/core/watching.py
@@ -143,9 +143,11 @@
     missing = [change for change in head.changes if change.revision > state.revision]
     if state.forked or len(missing) != head.revision - state.revision:
         return _read(node, history.SNAPSHOT_KEY)
-    if not _extends(state.digest, missing, head):
+    digests = _digests(state, missing)
+    if digests[head.revision] != head.digest:
         state.forked = True
         return [_fork(node, head), *_read(node, history.SNAPSHOT_KEY)]
+    config.learn_digests(node, digests)
     stamps = {}
     for change in missing:
         for stamp in history.stamps_of(change):
@@ -153,10 +155,16 @@
     return config.apply_stamps(node, head.revision, head.digest, stamps.values())
 
 
-def _extends(digest: str, changes: list[data.Change], head: history.Head) -> bool:
+def _digests(
+    state: config.State, changes: list[data.Change]
+) -> dict[data.Revision, str]:
+    """Return the digests at the changes, if they follow what is in force."""
+    digest = state.digest
+    found = {}
     for change in changes:
         digest = history.chain(digest, change)
-    return digest == head.digest
+        found[change.revision] = digest
+    return found
 
 
 def _read(node: machine.Node, key: str) -> list:
--- a/toucanspread/ops/operators.py
+++ b/toucanspread/ops/operators.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.web import resource, server
 
-from toucanspread.core import confirm, data
+from toucanspread.core import confirm, data, planning
 from toucanspread.ops import metrics, runtime, status
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -51,7 +51,7 @@
     def effects(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out the answers to plans and confirmations."""
         return {
-            confirm.PlanAnswered: self._answer_plan,
+            planning.PlanAnswered: self._answer_plan,
             confirm.ConfirmAnswered: self._answer_confirmation,
         }
 
@@ -67,7 +67,7 @@
     def _request_plan(self, request: server.Request, body: Proposal) -> None:
         operation_id = self._remember(request)
         self._runtime.post(
-            confirm.PlanRequested(operation_id, body.intents, body.removed)
+            planning.PlanRequested(operation_id, body.intents, body.removed)
         )
 
     def _request_confirmation(
@@ -93,7 +93,7 @@
         request.notifyFinish().addBoth(lambda _: self._waiting.pop(operation_id, None))
         return operation_id
 
-    def _answer_plan(self, effect: confirm.PlanAnswered) -> None:
+    def _answer_plan(self, effect: planning.PlanAnswered) -> None:
         self._reply(effect.operation_id, 422 if effect.problems else 200, effect)
 
     def _answer_confirmation(self, effect: confirm.ConfirmAnswered) -> None:
