--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -2,7 +2,7 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import data, effects, events, gate, invariants
+from toucanspread.core import data, dispatch_memory, effects, events, gate, invariants
 
 NOT_RUN = data.Outcome.NOT_RUN
 
@@ -70,6 +70,23 @@
         rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
         self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
 
+    def test_a_late_copy_of_a_run_that_did_not_start_is_refused(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch()
+        rig.end(ok=False, started=False)
+        self.check_refused(rig, data.Reason.ENGINE_FAILED, stream=2)
+
+    def test_the_oldest_refusals_are_forgotten_but_nothing_that_runs(self):
+        rig = gate_fakes.Rig()
+        rig.dispatch("running")
+        rig.step(events.EngineStatusReported(None))
+        for number in range(dispatch_memory.MAX_REMEMBERED + 10):
+            rig.dispatch(f"r{number}", stream=number)
+        self.assertEqual(dispatch_memory.MAX_REMEMBERED, len(rig.node.gate.memory))
+        rig.step(events.EngineStatusReported(gate_fakes.whole_status()))
+        end = refusal(rig.dispatch("running", stream=2))
+        self.assertEqual(data.Outcome.UNKNOWN, end.outcome)
+
     def test_a_copy_of_a_running_dispatch_is_unknown(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
