--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -22,6 +22,7 @@
     overview,
     planning,
     reporting,
+    serving,
     spread,
     watching,
 )
@@ -355,24 +356,24 @@
     def _report_of(self, node: machine.Node) -> data.Report:
         self._sequence += 1
         state = node.orders
-        serving = state.serving
+        served = state.serving
         target = state.target
         live = data.MemberState.LIVE
         return data.Report(
             node.identity,
             self._sequence,
             data.MemberState.LEAVING if state.draining else live,
-            service=serving.service if serving else "",
+            service=served.service if served else "",
             kind=state.kind,
             offers=state.service,
-            model=serving.model if serving else "",
-            version=serving.version if serving else "",
-            manifest_hash=serving.manifest_hash if serving else "",
-            adapters=serving.adapters if serving else (),
+            model=served.model if served else "",
+            version=served.version if served else "",
+            manifest_hash=served.manifest_hash if served else "",
+            adapters=served.adapters if served else (),
             revision=node.config.revision,
             fence=state.fence,
             target_version=target.version
-            if target and state.phase is not orders.Phase.IDLE
+            if target and state.phase is not serving.Phase.IDLE
             else "",
         )
 
--- /dev/null
+++ b/toucanspread/core/serving.py
@@ -0,0 +1,163 @@
+"""What an endpoint process serves, and the steps by which its engine gets there.
+
+:mod:`orders` decides which version is wanted; this module holds the state and the
+single steps.
+"""
+
+import enum
+
+from toucanspread.core import data, effects, events, machine, operations
+
+UNLOAD_DELAY_S = 10.0  # requests on the version before may still be starting
+NO_SERVICE = data.ServiceName("")
+
+
+class Phase(enum.Enum):
+    """How far the newest order is carried out."""
+
+    IDLE = "idle"
+    STAGING = "staging"
+    LOADING = "loading"
+    CHECKING = "checking"
+    ACTIVATING = "activating"
+    CONFIRMING = "confirming"
+    WAITING = "waiting"
+
+
+class Serving(data.Record):
+    """What this endpoint process serves, whole and verified."""
+
+    service: data.ServiceName
+    kind: data.ServiceKind
+    model: data.ModelName = data.ModelName("")
+    version: data.VersionName = data.VersionName("")
+    manifest_hash: data.ManifestHash = data.ManifestHash("")
+    weights_hash: str = ""
+    adapters: tuple[data.AdapterName, ...] = ()
+
+
+class State:
+    """What this process serves and what it was told to serve.
+
+    :param kind: what stands behind this process.
+    :param service: the plain service that stands behind it; empty for an engine.
+    :ivar target: the order being carried out, or the last that was.
+    """
+
+    def __init__(
+        self,
+        kind: data.ServiceKind = data.ServiceKind.MODEL,
+        service: data.ServiceName = NO_SERVICE,
+    ):
+        self.kind = kind
+        self.service = service
+        self.fence = data.FencingNumber(0)
+        self.sequence = 0
+        self.serving: Serving | None = None
+        self.draining = False
+        self.target: data.Order | None = None
+        self.phase = Phase.IDLE
+        self.weights_hash = ""
+        self.call_id = data.OperationId("")
+        self.phase_s = 0.0
+        self.status_s = 0.0
+        self.departure_s = 0.0
+        self.started_s: float | None = None
+        self.fence_known = kind is data.ServiceKind.PLAIN
+        self.status: data.EngineStatus | None = None
+        self.retired: list[tuple[float, Serving]] = []
+
+
+def enter(node: machine.Node, phase: Phase) -> None:
+    """Begin a phase now."""
+    node.orders.phase = phase
+    node.orders.phase_s = node.now_s
+
+
+def order_engine(
+    node: machine.Node, phase: Phase, kind: data.OrderKind
+) -> list[data.Effect]:
+    """Order the engine to load or activate the target, and begin a phase."""
+    state = node.orders
+    enter(node, phase)
+    state.call_id = operations.new_id(node, "engine")
+    order = state.target
+    return [
+        effects.EngineOrder(
+            state.call_id,
+            kind,
+            state.fence,
+            order.model,
+            order.version,
+            order.manifest_hash,
+            order.adapters,
+        )
+    ]
+
+
+def serve_target(node: machine.Node) -> list:
+    """Serve the target, which is whole and active."""
+    state = node.orders
+    order = state.target
+    enter(node, Phase.IDLE)
+    serving = Serving(
+        order.service,
+        order.kind,
+        order.model,
+        order.version,
+        order.manifest_hash,
+        state.weights_hash,
+        order.adapters,
+    )
+    return change(node, serving)
+
+
+def change(node: machine.Node, serving: Serving | None) -> list:
+    """Serve something else, or nothing, from now."""
+    state = node.orders
+    before = state.serving
+    if serving == before:
+        return []
+    state.serving = serving
+    version = data.VersionName("") if serving is None else serving.version
+    if before is not None and before.version not in ("", version):
+        state.retired.append((node.now_s + UNLOAD_DELAY_S, before))
+    fields = {
+        "service": "" if serving is None else serving.service,
+        "version": version,
+        "fence": state.fence,
+    }
+    return [effects.Log("serving_changed", fields), events.ServingChanged(version)]
+
+
+def unload(node: machine.Node) -> list:
+    """Unload versions that were replaced, once their requests have ended."""
+    state = node.orders
+    if not state.retired or node.now_s < state.retired[0][0]:
+        return []
+    _, retired = state.retired.pop(0)
+    if _runs(node, retired.version):
+        state.retired.append((node.now_s + UNLOAD_DELAY_S, retired))
+        return []
+    versions = {state.target.version if state.target else ""}
+    versions.add(state.serving.version if state.serving else "")
+    if retired.version in versions:
+        return []
+    return [
+        effects.EngineOrder(
+            operations.new_id(node, "unload"),
+            data.OrderKind.UNLOAD,
+            state.fence,
+            retired.model,
+            retired.version,
+            retired.manifest_hash,
+        )
+    ]
+
+
+def _runs(node: machine.Node, version: data.VersionName) -> bool:
+    """Return whether a request still runs on a version."""
+    gate = getattr(node, "gate", None)
+    if gate is None:
+        return False
+    return any(work.running and work.version == version for work in gate.work.values())
