Load again a version that was unloaded after the last status

A released instance that was wanted again within the unloading delay trusted an engine status from before the unloading and stood still for 60 s (checking). The controller also kept such an instance out of the floor for 60 s after its report showed the release. Found by a test for a rule that no test guarded (a release counts as gone while reports are lost), which failed so before.

--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -200,6 +200,7 @@
     """Nodes, their messages and the fakes around them.
 
     :ivar loss: the share of messages that are lost; as much is doubled or late.
+    :ivar silent: endpoint processes whose reports are all lost.
     :ivar cut: pairs of regions that lose each other.
     """
 
@@ -211,6 +212,7 @@
         self.machines: dict[data.InstanceId, machine.Machine] = {}
         self.engines: dict[data.InstanceId, Engine] = {}
         self.frozen: set[data.InstanceId] = set()
+        self.silent: set[data.InstanceId] = set()
         self.cut: set[frozenset[data.RegionName]] = set()
         self.service_cut: set[data.RegionName] = set()
         self.loss = 0.0
@@ -340,7 +342,7 @@
 
     def _report(self) -> None:
         for node in self.endpoints():
-            if node.identity.instance_id in self.frozen:
+            if node.identity.instance_id in self.frozen | self.silent:
                 continue
             report = self._report_of(node)
             for name in reporting.choose(node):
--- a/toucanspread/core/controller.py
+++ b/toucanspread/core/controller.py
@@ -36,7 +36,7 @@
         self.next_run_s = 0.0
         self.sequence = 0
         self.sent: dict[data.InstanceId, tuple[data.Order, float]] = {}
-        self.reduced: dict[data.InstanceId, float] = {}
+        self.reduced: dict[data.InstanceId, tuple[data.ServiceName, float]] = {}
         self.warned: set[str] = set()
 
 
@@ -104,8 +104,10 @@
     for name in [*state.sent]:
         if name not in run.replicas:
             del state.sent[name]
-    for name, since_s in [*state.reduced.items()]:
-        if name not in run.replicas or node.now_s - since_s > REDUCED_S:
+    for name, (service, since_s) in [*state.reduced.items()]:
+        replica = run.replicas.get(name)
+        is_seen = replica is None or replica.service != service
+        if is_seen or node.now_s - since_s > REDUCED_S:
             del state.reduced[name]
 
 
@@ -166,7 +168,7 @@
         f"{intent.service}: {len(staying)} whole replicas, floor {intent.floor}",
     )
     wholes.discard(replica.instance_id)
-    state.reduced[replica.instance_id] = node.now_s
+    state.reduced[replica.instance_id] = (intent.service, node.now_s)
     return True
 
 
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -500,6 +500,26 @@
         self.assertTrue(fleet.nodes[leaving].orders.draining)
         self.assertEqual(2, len(serving(fleet)))
 
+    def test_released_replica_counts_as_gone_while_its_reports_are_lost(self):
+        fleet = make_fleet(endpoints=2)
+        accept(fleet, intent(replicas=2, floor=1), seconds=20.0)
+        accept(fleet, intent(replicas=1, floor=1), operation="less", seconds=0.0)
+        fleet.orders.clear()
+        while not fleet.orders or fleet.orders[-1].service:
+            fleet.run(0.1)
+        released = fleet.orders[-1].instance_id
+        fleet.silent.add(released)
+        fleet.run(2.0)
+        staying = next(iter(serving(fleet)))
+        wanted = intent(
+            replicas=1, floor=1, departures=(self.departure(fleet, staying, 900.0),)
+        )
+        accept(fleet, wanted, operation="leave", seconds=20.0)
+        self.assertEqual([staying], [*serving(fleet)])
+        fleet.silent.clear()
+        fleet.run(20.0)
+        self.assertEqual([released], [*serving(fleet)])
+
     def test_window_is_kept_without_service_and_entries(self):
         fleet = make_fleet(endpoints=2)
         accept(fleet, intent(replicas=2, floor=2), seconds=20.0)
--- a/toucanspread/core/orders.py
+++ b/toucanspread/core/orders.py
@@ -68,7 +68,8 @@
     if event.manifest_hash != state.target.manifest_hash:
         return []
     state.weights_hash = event.weights_hash
-    if _is_loaded(node):
+    state.is_load_skipped = _is_loaded(node)
+    if state.is_load_skipped:
         serving.enter(node, serving.Phase.CHECKING)
         return []
     return serving.order_engine(node, serving.Phase.LOADING, data.OrderKind.LOAD)
@@ -107,18 +108,20 @@
     state.status = event.status
     state.fence_known = True
     _learn_fence(node, event.status.fence)
-    if state.phase is serving.Phase.CHECKING:
-        digest = event.status.digests.get(state.target.version)
-        if digest == state.weights_hash:
-            return serving.order_engine(
-                node, serving.Phase.ACTIVATING, data.OrderKind.ACTIVATE
-            )
+    if state.phase not in (serving.Phase.CHECKING, serving.Phase.CONFIRMING):
+        return []
+    is_whole = event.status.digests.get(state.target.version) == state.weights_hash
     if state.phase is serving.Phase.CONFIRMING:
-        digest = event.status.digests.get(state.target.version)
-        active = event.status.active_version == state.target.version
-        if active and digest == state.weights_hash:
-            return serving.serve_target(node)
-    return []
+        is_active = event.status.active_version == state.target.version
+        return serving.serve_target(node) if is_whole and is_active else []
+    if is_whole:
+        return serving.order_engine(
+            node, serving.Phase.ACTIVATING, data.OrderKind.ACTIVATE
+        )
+    if not state.is_load_skipped:
+        return []
+    state.is_load_skipped = False  # it was unloaded after the earlier status
+    return serving.order_engine(node, serving.Phase.LOADING, data.OrderKind.LOAD)
 
 
 def on_tick(node: machine.Node, event: events.Tick) -> list:
--- a/toucanspread/core/serving.py
+++ b/toucanspread/core/serving.py
@@ -41,6 +41,7 @@
 
     :param kind: what stands behind this process.
     :param service: the plain service that stands behind it; empty for an engine.
+    :ivar is_load_skipped: whether an earlier status showed the target as loaded.
     :ivar target: the order being carried out, or the last that was.
     """
 
@@ -58,6 +59,7 @@
         self.target: data.Order | None = None
         self.phase = Phase.IDLE
         self.weights_hash = ""
+        self.is_load_skipped = False
         self.call_id = data.OperationId("")
         self.phase_s = 0.0
         self.status_s = 0.0
