--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -16,13 +16,13 @@
     events,
     invariants,
     limits,
-    orders,
+    serving,
     wholeness,
 )
 
 STATUS_INTERVAL_S = 1.0
 MAX_RESTARTS = 2  # of work that the engine refused over a change of version
-SWITCHING_PHASES = frozenset({orders.Phase.ACTIVATING, orders.Phase.CONFIRMING})
+SWITCHING_PHASES = frozenset({serving.Phase.ACTIVATING, serving.Phase.CONFIRMING})
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
 
 # Ends that say nothing of how busy the engine is.
@@ -323,8 +323,8 @@
     state = node.gate
     state.memory.forget(node.now_s)
     items: list = []
-    serving = node.orders.serving
-    is_model = serving is not None and serving.kind is data.ServiceKind.MODEL
+    served = node.orders.serving
+    is_model = served is not None and served.kind is data.ServiceKind.MODEL
     if is_model and node.now_s - state.status_s >= STATUS_INTERVAL_S:
         # An answer moves the time on; until it comes, ask once an interval.
         state.status_s = node.now_s
@@ -396,8 +396,8 @@
 
     The engine refused it before anything ran, and any version will do.
     """
-    serving = node.orders.serving
-    has_changed = serving is not None and serving.version != work.version
+    served = node.orders.serving
+    has_changed = served is not None and served.version != work.version
     return (
         (has_changed or _is_switching(node))
         and event.reason is data.Reason.WRONG_VERSION
@@ -422,11 +422,11 @@
     reason, detail = wholeness.mismatch(node, work.dispatch)
     if reason is not data.Reason.NONE:
         return _give_up(node, work, reason, detail, answer_ends.ENGINE_RETRY_AFTER_S)
-    serving = node.orders.serving
+    served = node.orders.serving
     invariants.check(
-        serving.kind is data.ServiceKind.PLAIN or wholeness.is_whole(node),
+        served.kind is data.ServiceKind.PLAIN or wholeness.is_whole(node),
         invariants.Invariant.DISPATCH_ONLY_WHOLE,
-        f"{serving.version}: engine reports {node.gate.status}",
+        f"{served.version}: engine reports {node.gate.status}",
     )
     drained_s = node.gate.draining_since_s
     invariants.check(
@@ -440,13 +440,13 @@
         f"{work.key} starts without a claim",
     )
     work.running = True
-    work.version = serving.version
+    work.version = served.version
     budget_s = work.deadline_s - node.now_s
     return [
         StartRun(
             *work.key,
             request,
-            serving.version,
+            served.version,
             budget_s,
             work.stream,
             work.dispatch.resume_from_events,
