--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -22,6 +22,11 @@
 STATUS_INTERVAL_S = 1.0
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
 
+# Callers choose these values, and each makes a time series of its own.
+MAX_LABELLED_TEAMS = 64
+MAX_LABELLED_PRIORITY = 9
+OTHER_TEAMS = "others"
+
 # Ends that say nothing of how busy the engine is.
 BLAMELESS_REASONS = frozenset(
     (data.Reason.CANCELLED, data.Reason.BAD_REQUEST, data.Reason.WRONG_VERSION)
@@ -155,6 +160,7 @@
         self.status_s = float("-inf")
         self.draining_since_s: float | None = None
         self.shutdown = False
+        self.labelled_teams: set[data.TeamName] = set()
         self.exited = False
 
 
@@ -250,7 +256,7 @@
     if work is None:
         return []
     waited_s = node.now_s - work.arrived_s
-    return [effects.Observe("gate_first_piece_s", waited_s, _labels(work))]
+    return [effects.Observe("gate_first_piece_s", waited_s, _labels(node, work))]
 
 
 def on_run_ended(node, event: RunEnded) -> list:
@@ -268,7 +274,9 @@
             ran=event.reason not in BLAMELESS_REASONS,
             units=event.units,
         ),
-        effects.Observe("gate_service_time_s", event.service_time_s, _labels(work)),
+        effects.Observe(
+            "gate_service_time_s", event.service_time_s, _labels(node, work)
+        ),
     ]
     if work.claimed:
         items.append(claims.ClaimUsed(key, ran=event.started, whole=event.ok))
@@ -455,6 +463,11 @@
     return [RefuseDispatch(end, event.stream), counted]
 
 
-def _labels(work: Work) -> dict[str, str]:
+def _labels(node, work: Work) -> dict[str, str]:
     request = work.dispatch.request
-    return {"team": request.team, "class": str(request.priority)}
+    labels = node.gate.labelled_teams
+    if len(labels) < MAX_LABELLED_TEAMS:
+        labels.add(request.team)
+    team = request.team if request.team in labels else OTHER_TEAMS
+    priority = min(MAX_LABELLED_PRIORITY, request.priority)
+    return {"team": team, "class": str(priority)}
--- a/toucanspread/core/gate_stateful_test.py
+++ b/toucanspread/core/gate_stateful_test.py
@@ -101,10 +101,40 @@
         self.sent.append(Sent(number, dispatch))
         self.deliver(self.sent[-1])
 
+    @stateful.rule(
+        number=gates,
+        key=st.sampled_from(KEYS),
+        fault=st.sampled_from(("none", "none", "lost answer", "lost call", "late")),
+    )
+    def send_and_claim(self, number, key, fault):
+        """Let a call come as far as its claim's write, and that write fail."""
+        self.send(number, key, 20.0)
+        self.claim(fault)
+
+    def claim(self, fault):
+        if not self.calls:
+            return
+        self.answer_key_value(-1, 1)
+        if not self.calls:
+            return
+        if fault == "none":
+            self.answer_key_value(-1, 1)
+        else:
+            self.fail_key_value(-1, fault)
+
+    @stateful.rule()
+    def settle(self):
+        """Let everything under way end well."""
+        self.answer_key_value(0, 20)
+        while self.runs:
+            self.end_run(0, "whole")
+
     @stateful.precondition(lambda self: self.sent)
-    @stateful.rule(pick=picks)
-    def deliver_a_late_copy(self, pick):
+    @stateful.rule(pick=picks, is_driven=st.booleans())
+    def deliver_a_late_copy(self, pick, is_driven):
         self.deliver(self.sent[pick % len(self.sent)])
+        if is_driven:
+            self.claim("none")
 
     @stateful.precondition(lambda self: self.calls)
     @stateful.rule(pick=picks, count=st.sampled_from((1, 1, 2, 6)))
@@ -196,6 +226,13 @@
         self.rigs[number] = self.new_rig(number, incarnation)
         self.rigs[number].now_s = before.now_s
 
+    @stateful.rule(number=gates)
+    def change_what_is_served(self, number):
+        """Let another service be served for a while, or the first one again."""
+        serving = self.rigs[number].node.orders.serving
+        is_first = serving.service == gate_fakes.SERVICE
+        serving.service = "another" if is_first else gate_fakes.SERVICE
+
     @stateful.precondition(lambda self: not self.draining)
     @stateful.rule(number=gates)
     def drain(self, number):
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -141,3 +141,16 @@
         rig.node.now_s = 1.0
         work = gate.Work(dispatch, 1, 0, 9.0, arrived_s=1.0)
         self.assertRaises(invariants.InvariantBreachError, gate._start, rig.node, work)
+
+
+class MetricsTest(testtools.TestCase):
+    def test_a_flood_of_team_names_makes_a_bounded_number_of_series(self):
+        rig = gate_fakes.Rig(limit=200)
+        names = set()
+        for number in range(200):
+            rig.dispatch(f"r{number}", stream=number, team=f"team-{number}")
+            ended = gate.RunEnded(f"r{number}", 1, True, 200, True, "", 0.1)
+            for effect in rig.machine.step(rig.now_s, ended):
+                if isinstance(effect, effects.Observe):
+                    names.add(effect.attributes["team"])
+        self.assertEqual(gate.MAX_LABELLED_TEAMS + 1, len(names))
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -12,6 +12,7 @@
 
 import msgspec
 import xxhash
+from twisted.web import http
 
 from toucanspread.core import data, gate
 from toucanspread.ops import engine, loop, runtime
@@ -344,8 +345,10 @@
 
 
 def _refused_reason(error: engine.EngineRefusedError) -> data.Reason:
-    if error.status in (404, 409):
+    if error.status in (http.NOT_FOUND, http.CONFLICT):
         return data.Reason.WRONG_VERSION
-    if error.status < 500:
+    if error.status == http.TOO_MANY_REQUESTS:
+        return data.Reason.OVERLOADED
+    if error.status < http.INTERNAL_SERVER_ERROR:
         return data.Reason.BAD_REQUEST
     return data.Reason.ENGINE_FAILED
