Give up a claim that is decided after a pause or a suspension

Seen failing first: a process that slept past the claim's timeout ran the call when the late answer came before the next tick; after a long suspension the claim could have expired and been taken by another.

--- a/toucanspread/core/claims.py
+++ b/toucanspread/core/claims.py
@@ -95,6 +95,7 @@
     deadline_s: float
     team: data.TeamName
     body_hash: int
+    wanted_wall_s: float
     phase: Phase = Phase.READ
     tries: int = 0
     written_version: int = -1
@@ -160,6 +161,7 @@
         deadline_s=min(event.deadline_s, node.now_s + CLAIM_TIMEOUT_S),
         team=event.team,
         body_hash=event.body_hash,
+        wanted_wall_s=node.wall_s,
     )
     known = state.calls.get(claim.name)
     if known is not None:
@@ -175,6 +177,8 @@
     """Go on with the claim or the withdrawal that the answer is for."""
     state = node.claims
     claim = state.pending.get(event.operation_id)
+    if claim is not None and _is_overdue(node, claim):
+        return _give_up(node, claim)
     if claim is not None:
         if claim.phase is Phase.READ:
             return _on_table(node, claim, event)
@@ -205,7 +209,7 @@
     items: list = []
     if state.pending:
         for claim in tuple(state.pending.values()):
-            if node.now_s >= claim.deadline_s:
+            if _is_overdue(node, claim):
                 items += _give_up(node, claim)
     if state.withdrawals:
         items += _look_after_withdrawals(node)
@@ -222,6 +226,17 @@
 }
 
 
+def _is_overdue(node, claim: Claim) -> bool:
+    """Return whether it is too late for a claim, also when the process was paused.
+
+    A clock that stands still while a machine is suspended does not show it, so the
+    wall clock, by which claims expire, is asked as well.
+    """
+    if node.now_s >= claim.deadline_s:
+        return True
+    return node.wall_s >= claim.wanted_wall_s + KEEP_S / 2
+
+
 def _counts_as_down(node) -> bool:
     """Return whether to refuse at once; one claim at a time may try again."""
     state = node.claims
--- a/toucanspread/core/claims_test.py
+++ b/toucanspread/core/claims_test.py
@@ -113,6 +113,19 @@
         self.assertEqual([], self.claimed())
         self.assertEqual({}, self.rig.node.claims.withdrawals)
 
+    def test_a_claim_decided_after_a_pause_never_runs(self):
+        write = self.write_of(self.rig)
+        done = self.kv.carry_out(write)
+        (end,) = self.rig.step(done, claims.CLAIM_TIMEOUT_S)
+        self.assertEqual(data.Outcome.NOT_RUN, end.end.outcome)
+
+    def test_a_claim_decided_after_a_suspension_never_runs(self):
+        write = self.write_of(self.rig)
+        done = self.kv.carry_out(write)
+        self.rig.node.wall_s += claims.KEEP_S
+        found = self.rig.machine.step(self.rig.now_s, done)
+        self.assertEqual([], [x for x in found if isinstance(x, gate.StartRun)])
+
     def test_a_withdrawn_claim_can_no_longer_land(self):
         write = self.write_of(self.rig)
         read, _ = self.rig.step(events.Tick(), claims.CLAIM_TIMEOUT_S)
