--- a/toucanspread/tools/bench_gate.py
+++ b/toucanspread/tools/bench_gate.py
@@ -7,7 +7,7 @@
 import time
 
 from standins import gate_fakes, virtual_engine
-from toucanspread.core import data, events
+from toucanspread.core import data, events, limits
 
 DURATION_S = 60.0
 SEED = 7
@@ -15,6 +15,8 @@
 NO_LIMIT = 1_000_000
 CYCLES = 20_000
 TICKS = 50_000
+QUEUE_CYCLES = 1_000
+QUEUE_LIMITS = (8, 16, 32, 64, 128, 256)
 
 
 def measure_goodput(factor: float, is_limited: bool) -> virtual_engine.Totals:
@@ -51,6 +53,33 @@
     return (time.process_time() - started_s) / CYCLES
 
 
+def measure_full_queue(limit: int) -> tuple[int, float]:
+    """Return a full queue's length, and the time of one end and one arrival at it."""
+    rig = gate_fakes.Rig(limit=limit)
+    for number in range(limit * (1 + limits.MAX_QUEUE_PER_LIMIT)):
+        rig.dispatch(f"r{number}", stream=number, budget_s=1e6, team=f"t{number % 10}")
+    queued = len(rig.node.limits.queue)
+    started_s = time.process_time()
+    for _ in range(QUEUE_CYCLES):
+        number += 1
+        running = next(iter(rig.node.limits.running))
+        rig.end(running[0])
+        rig.dispatch(f"r{number}", stream=number, budget_s=1e6, team=f"t{number % 10}")
+    return queued, (time.process_time() - started_s) / QUEUE_CYCLES
+
+
+def fit_line(points: list[tuple[float, float]]) -> tuple[float, float, float]:
+    """Return intercept, slope and largest relative error of a least-squares line."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    covariance = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    slope = covariance / sum((x - mean_x) ** 2 for x, _ in points)
+    intercept = mean_y - slope * mean_x
+    error = max(abs(intercept + slope * x - y) / y for x, y in points)
+    return intercept, slope, error
+
+
 def measure_tick(remembered: int) -> float:
     """Return the processor time of a tick with so many dispatches remembered."""
     rig = gate_fakes.Rig()
@@ -80,6 +109,13 @@
     model, plain = data.ServiceKind.MODEL, data.ServiceKind.PLAIN
     print(f"cycle_us_model={1e6 * measure_cycle(model, True):.1f}")
     print(f"cycle_us_claimed={1e6 * measure_cycle(plain, False):.1f}")
+    points = [measure_full_queue(limit) for limit in QUEUE_LIMITS]
+    for queued, cycle_s in points:
+        print(f"cycle_us_queue_{queued}={1e6 * cycle_s:.1f}")
+    intercept_s, slope_s, error = fit_line(points)
+    print(f"cycle_us_queue_intercept={1e6 * intercept_s:.1f}")
+    print(f"cycle_us_per_queued={1e6 * slope_s:.2f}")
+    print(f"cycle_queue_fit_error={error:.2f}")
     for remembered in (0, 10_000):
         print(f"tick_us_{remembered}={1e6 * measure_tick(remembered):.2f}")
 
