--- a/toucanspread/ops/datagrams.py
+++ b/toucanspread/ops/datagrams.py
@@ -58,6 +58,11 @@
             int(port), _Receiver(self), interface=host, maxPacketSize=65_536
         )
 
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        return self._port.getHost().port
+
     async def stop(self) -> None:
         """Release the port."""
         if self._port is not None:
--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -40,7 +40,7 @@
     async def start(self):
         await self.sender.start()
         await self.receiver.start()
-        return f"127.0.0.1:{self.receiver._port.getHost().port}"
+        return f"127.0.0.1:{self.receiver.port}"
 
     def test_message_arrives_after_malformed_ones(self):
         async def scenario():
--- /dev/null
+++ b/toucanspread/tools/virtual_fleet.py
@@ -0,0 +1,218 @@
+"""A fleet of the target's shape in virtual time, and a meter of its messages.
+
+All entries are real machines; of the endpoint processes a few are, the others send
+the same reports by a script.
+"""
+
+import collections
+import time
+
+import msgspec
+
+from toucanspread.core import (
+    data,
+    effects,
+    events,
+    machine,
+    membership,
+    rendezvous,
+    reporting,
+)
+from toucanspread.core import membership_messages as messages
+from toucanspread.ops import codec
+from toucanspread.tools import virtual_network
+
+ENDPOINTS_PER_ENTRY = 7_500 / 350
+ZONES = ("za", "zb", "zc", "zd", "ze")
+REGIONS = {"za": "ra", "zb": "ra", "zc": "ra", "zd": "rb", "ze": "rb"}
+SERVICES = 50
+HEADER_BYTES = 28  # IP and UDP
+SAMPLED = 5  # entries, and real endpoint processes
+SEED = 3
+REAL_INCARNATION = data.Incarnation(1_733_262_000_000)
+
+
+def identity(kind: str, number: int) -> data.Identity:
+    """Return the identity of a process of the bench."""
+    zone = ZONES[number % len(ZONES)]
+    return data.Identity(
+        data.InstanceId(f"{zone}-{kind}-{number}"),
+        data.Role(kind),
+        REAL_INCARNATION,
+        data.ZoneName(zone),
+        data.RegionName(REGIONS[zone]),
+        data.Address(f"10.{number // 250}.{number % 250}.{len(kind)}:7000"),
+        data.Address("10.100.200.250:8000" if kind == "entry" else ""),
+    )
+
+
+class ScriptedEndpoint:
+    """Sends what an endpoint process sends, without its own view of the fleet."""
+
+    def __init__(self, who: data.Identity, chosen: list[data.Identity], service: str):
+        self.node = machine.Node(who, 0)
+        self._chosen = chosen
+        self._ids = {entry.instance_id for entry in chosen}
+        self._whole = _report(who, service)
+        self._sequence = 1
+
+    def step(self, now_s: float, event: data.Event) -> list[data.Effect]:
+        """Report at each tick and answer probes."""
+        if isinstance(event, events.Tick):
+            return self._report()
+        if isinstance(event.message, reporting.ReportWanted):
+            return [effects.Send(event.sender.address, self._whole)]
+        if isinstance(event.message, messages.Ping):
+            reports = event.sender.instance_id in self._ids
+            ack = messages.Ack(event.message.number, reports=reports)
+            return [effects.Send(event.sender.address, ack)]
+        return []
+
+    def _report(self) -> list[data.Effect]:
+        message = self._whole
+        if self._sequence > 1:
+            load = (self._sequence % 8, 0, 0.8)
+            message = reporting.LoadReport(self._sequence, 1, load)
+        self._sequence += 1
+        return [effects.Send(entry.address, message) for entry in self._chosen]
+
+
+class Meter:
+    """Counts bytes and messages by process, and processor time of sampled ones."""
+
+    def __init__(self, network: virtual_network.VirtualNetwork, sampled: set):
+        self._network = network
+        self._sampled = sampled
+        self.sent = collections.Counter()
+        self.received = collections.Counter()
+        self.messages = collections.Counter()
+        self.busy_s = collections.Counter()
+        self.events = collections.Counter()
+        self.kinds = collections.Counter()
+        self.peak = collections.Counter()
+
+    def begin(self) -> None:
+        """Begin to count anew."""
+        self._network.step_machine = self._step
+        self._network.on_effect = self._on_effect
+        for counter in (self.sent, self.received, self.messages, self.peak):
+            counter.clear()
+        for counter in (self.busy_s, self.events, self.kinds):
+            counter.clear()
+
+    def end(self) -> None:
+        """Stop counting."""
+        self._network.on_effect = None
+
+    def _step(self, stepper, now_s: float, event: data.Event) -> list[data.Effect]:
+        address = stepper.node.identity.address
+        if address not in self._sampled:
+            return stepper.step(now_s, event)
+        begun_s = time.perf_counter()
+        found = stepper.step(now_s, event)
+        taken_s = time.perf_counter() - begun_s
+        self.busy_s[address] += taken_s
+        kind = type(event)
+        if kind is events.MessageReceived:
+            kind = type(event.message)
+        self.busy_s[kind] += taken_s
+        self.events[kind] += 1
+        return found
+
+    def _on_effect(self, stepper, effect: data.Effect) -> None:
+        if not isinstance(effect, effects.Send):
+            return
+        size = len(codec.encode_short(2**63, effect.message)) + HEADER_BYTES
+        sender = stepper.node.identity.address
+        second = int(self._network.now_s)
+        for address, counter in ((sender, self.sent), (effect.to, self.received)):
+            counter[address] += size
+            self.messages[address] += 1
+            self.peak[address, second] += size
+        self.kinds[type(effect.message).__name__] += size
+
+
+class Fleet:
+    """The processes of one size."""
+
+    def __init__(self, entry_count: int):
+        self.endpoint_count = round(entry_count * ENDPOINTS_PER_ENTRY)
+        self.entries = [identity("entry", number) for number in range(entry_count)]
+        self.endpoints = [
+            identity("endpoint", number) for number in range(self.endpoint_count)
+        ]
+        self.network = virtual_network.VirtualNetwork(SEED)
+        self.chosen: dict[data.InstanceId, tuple[data.InstanceId, ...]] = {}
+        self.machines: dict[data.InstanceId, machine.Machine] = {}
+        self.sampled = {who.address for who in self.entries[:SAMPLED]}
+        self._start_entries()
+        self._start_endpoints()
+        self.meter = Meter(self.network, self.sampled | self._real_endpoints())
+
+    def _start_entries(self) -> None:
+        whole = tuple(listed(who) for who in self.entries + self.endpoints)
+        short = whole[: len(self.entries)]
+        for who in self.entries:
+            stepper = build(who)
+            self.machines[who.instance_id] = stepper
+            self.network.add(stepper)
+            shown = whole if who.address in self.sampled else short
+            self.network.post(who.address, events.InstanceListRead(shown))
+
+    def _start_endpoints(self) -> None:
+        by_id = {who.instance_id: who for who in self.entries}
+        chooser = build(self.endpoints[0])
+        shown = tuple(listed(who) for who in self.entries)
+        chooser.step(0.0, events.InstanceListRead(shown))
+        for number, who in enumerate(self.endpoints):
+            chooser.node.identity = who
+            chosen = reporting.choose(chooser.node)
+            self.chosen[who.instance_id] = chosen
+            if number < SAMPLED:
+                stepper = build(who)
+                stepper.step(0.0, events.InstanceListRead(shown))
+                self.machines[who.instance_id] = stepper
+            else:
+                service = f"service-{number % SERVICES}"
+                targets = [by_id[name] for name in chosen]
+                stepper = ScriptedEndpoint(who, targets, service)
+            is_real = number < SAMPLED
+            self.network.add(stepper, virtual_network.TICK_S if is_real else 1.0)
+
+    def _real_endpoints(self) -> set[data.Address]:
+        return {who.address for who in self.endpoints[:SAMPLED]}
+
+    def believes_dead(self, at: data.Identity, name: data.InstanceId) -> bool:
+        """Return whether an entry believes a process dead."""
+        member = self.machines[at.instance_id].node.membership.members.get(name)
+        return member is None or not member.alive
+
+
+def build(who: data.Identity) -> machine.Machine:
+    """Return a machine with membership alone."""
+    node = machine.Node(
+        who,
+        rendezvous.weight(str(SEED), who.instance_id),
+        membership=membership.State(),
+        reporting=reporting.State(),
+    )
+    return machine.Machine(node, [membership.HANDLERS, reporting.HANDLERS])
+
+
+def listed(who: data.Identity) -> data.Identity:
+    """Return an identity as the platform's list shows it."""
+    return msgspec.structs.replace(who, incarnation=data.Incarnation(0))
+
+
+def _report(who: data.Identity, service: str) -> data.Report:
+    return data.Report(
+        who,
+        1,
+        data.MemberState.LIVE,
+        data.ServiceName(service),
+        model=data.ModelName("model"),
+        version=data.VersionName("v12"),
+        manifest_hash=data.ManifestHash("a" * 64),
+        load=data.Load(3, 0, 8, 0.8),
+        revision=data.Revision(100_000),
+    )
