Pass reports on to a few collectors when entries are many

Above 32 entries an endpoint process reports to three of them, so the holder of the controller's lease saw 64 of 7,500 endpoint processes. Each endpoint process now names one entry that passes its reports on, without the load, to two entries of each zone: the lease's candidate and a standby. Sending every report to every candidate was ruled out: 7,500 datagrams a second at each. A row that is lost comes again within two minutes.

--- a/toucanspread/core/beliefs.py
+++ b/toucanspread/core/beliefs.py
@@ -34,6 +34,7 @@
     :param heard_s: when a message last came straight from it, by ``node.now_s``.
     :param clock_s: the same by the time in which this process was awake.
     :param changed_s: when the state last changed, in awake time.
+    :param direct: whether the report came straight from the process.
     :param listed: whether the platform's list showed it at the last reading.
     """
 
@@ -47,6 +48,7 @@
     refutation: int = 0
     leaving: bool = False
     listed: bool = False
+    direct: bool = False
 
     @property
     def order(self) -> tuple[int, int, int]:
@@ -172,6 +174,7 @@
     """Drop the report of a process that now reports to others."""
     member.report = None
     member.whole = None
+    member.direct = False
     node.membership.index(member)
     return [events.ReportLost(member.identity.instance_id)]
 
@@ -278,6 +281,7 @@
     member.identity = identity
     member.report = None
     member.whole = None
+    member.direct = False
     member.refutation = 0
     member.leaving = False
     member.state = State.LIVE
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -213,6 +213,7 @@
     :param target_version: the version being moved, if any.
     :param offers: the one plain service that can be served here; empty for engines.
     :param staged_chunks: how many of ``target_chunks`` are held and verified.
+    :param relay: the entry that passes the report on, when not all entries get it.
     """
 
     identity: Identity
@@ -232,6 +233,7 @@
     target_chunks: int = 0
     failure: str = ""
     offers: ServiceName = ServiceName("")
+    relay: InstanceId = InstanceId("")
 
 
 class Order(Message):
--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership.py
@@ -13,6 +13,7 @@
     events,
     gossip,
     probing,
+    relaying,
     reporting,
     views,
 )
@@ -38,6 +39,7 @@
         self.members: dict[data.InstanceId, Member] = {}
         self.capacity: dict[data.InstanceId, dict[data.ServiceName, int]] = {}
         self.capacities = capacity.Table()
+        self.relays = relaying.Table()
         self.seeds = seeds
         self.leaving = False
         self.refutation = 0
@@ -79,7 +81,7 @@
         instance_id = member.identity.instance_id
         is_entry = member.identity.role is data.Role.ENTRY
         _put(self.entry_ids, instance_id, is_entry and member.alive)
-        _put(self.reporters, instance_id, member.report is not None and member.alive)
+        _put(self.reporters, instance_id, member.direct and member.alive)
         _put(self.suspects, instance_id, member.state is data.MemberState.SUSPECT)
         _put(self.dead, instance_id, not member.alive)
         if member.alive:
@@ -159,6 +161,7 @@
     state.advance(node.now_s)
     found = probing.run(node)
     found += capacity.run(node)
+    found += relaying.run(node)
     if state.expiry_due():
         found += beliefs.expire(node)
         found += views.run(node)
@@ -181,6 +184,14 @@
     return beliefs.take_list(node, event)
 
 
+def on_member_changed(node, event: events.MemberChanged) -> beliefs.Items:
+    """Pass on the death of an endpoint process that reported here."""
+    member = node.membership.members.get(event.identity.instance_id)
+    if member is not None and member.direct and not member.alive:
+        relaying.note_end(node, member)
+    return []
+
+
 def on_drain(node, event: events.DrainStarted) -> beliefs.Items:
     """Tell the others that this process is leaving."""
     state = node.membership
@@ -195,9 +206,11 @@
     member = node.membership.members.get(report.identity.instance_id)
     if member is None or report.identity != sender or member.identity != sender:
         return []
-    if member.report is not None and report.sequence <= member.report.sequence:
+    if member.direct and report.sequence <= member.report.sequence:
         return []
     member.whole = report
+    member.direct = True
+    relaying.note(node, member)
     return _keep_report(node, member, report)
 
 
@@ -207,7 +220,7 @@
     member = node.membership.members.get(sender.instance_id)
     if member is None or member.identity != sender:
         return []
-    if member.report is not None and short.sequence <= member.report.sequence:
+    if member.direct and short.sequence <= member.report.sequence:
         return []
     if member.whole is None or member.whole.sequence != short.base:
         return [effects.Send(sender.address, reporting.ReportWanted())]
@@ -274,6 +287,7 @@
     messages.Ack: _on_carrier,
     messages.PingRequest: probing.on_request,
     messages.IndirectAck: probing.on_indirect,
+    relaying.Relay: relaying.on_relay,
     messages.ViewRequest: views.on_request,
     messages.View: views.on_view,
 }
@@ -283,4 +297,5 @@
     events.MessageReceived: on_message,
     events.InstanceListRead: on_list,
     events.DrainStarted: on_drain,
+    events.MemberChanged: on_member_changed,
 }
--- a/toucanspread/core/probing.py
+++ b/toucanspread/core/probing.py
@@ -128,7 +128,7 @@
         node.random.shuffle(rotation)
     while rotation:
         member = members.get(rotation.pop())
-        if member is not None and member.alive and member.report is None:
+        if member is not None and member.alive and not member.direct:
             return member.identity.instance_id
     return None
 
@@ -138,7 +138,7 @@
     found = []
     for instance_id, member in node.membership.members.items():
         is_endpoint = member.identity.role is data.Role.ENDPOINT
-        if is_endpoint and member.alive and member.report is None:
+        if is_endpoint and member.alive and not member.direct:
             found.append(instance_id)
     return found
 
@@ -221,7 +221,8 @@
     probe.helpers = len(helpers)
     probe.due_s = state.clock_s + INDIRECT_TIMEOUT_S * state.health
     request = messages.PingRequest(number, member.identity.address)
-    found: beliefs.Items = []
+    again = messages.Ping(number, *cargo_for(node, member))
+    found: beliefs.Items = [effects.Send(member.identity.address, again)]
     for instance_id in helpers:
         address = state.members[instance_id].identity.address
         found.append(effects.Send(address, request))
@@ -266,7 +267,7 @@
     _end(node, ack.number)
     state.improve()
     member = state.members[sender.instance_id]
-    if member.report is not None and not ack.reports:
+    if member.direct and not ack.reports:
         return beliefs.lose_report(node, member)
     return []
 
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/reporting.py
@@ -88,6 +88,7 @@
         identity=node.identity,
         sequence=node.reporting.sequence,
         state=_own_state(node),
+        relay=_relay(node),
         **_serving(node),
         **_progress(node),
     )
@@ -157,6 +158,14 @@
     return LoadReport(report.sequence, whole.sequence, load)
 
 
+def _relay(node) -> data.InstanceId:
+    """Return which entry passes the reports on, when not all get them."""
+    chosen = node.reporting.chosen
+    if not chosen or len(node.membership.entry_ids) <= ALL_ENTRIES_LIMIT:
+        return data.InstanceId("")
+    return chosen[0]
+
+
 def _own_state(node) -> data.MemberState:
     orders = getattr(node, "orders", None)
     draining = getattr(orders, "draining", False)
