Pace the answers with whole views

At the loss of a zone all digests differ for a while, and an entry that several others asked at once sent 80 KB in a second (175 entries, virtual time).

--- a/toucanspread/core/views.py
+++ b/toucanspread/core/views.py
@@ -10,14 +10,16 @@
 from toucanspread.core import membership_messages as messages
 
 VIEW_INTERVALS_S = {data.Role.ENTRY: 30.0, data.Role.ENDPOINT: 120.0}
+ANSWER_BUDGET_BYTES_S = 8 * 1024
 FIRST_VIEW_INTERVAL_S = 2.0  # while nothing but seeds is known
 
 
 class Table:
-    """When to compare views again."""
+    """When to compare views again, and when to show the own one again."""
 
     def __init__(self):
         self.next_s = 0.0
+        self.next_answer_s = 0.0
 
 
 def run(node) -> beliefs.Items:
@@ -58,13 +60,18 @@
     node, sender: data.Identity, request: messages.ViewRequest
 ) -> beliefs.Items:
     """Answer with the view if it differs."""
-    if node.identity.role is not data.Role.ENTRY:
+    table = node.membership.views
+    clock_s = node.membership.clock_s
+    if node.identity.role is not data.Role.ENTRY or clock_s < table.next_answer_s:
         return []
     with_rows = sender.role is data.Role.ENTRY
     if request.digest == digest(node, with_rows):
         return []
     rows = tuple(node.membership.capacities.rows.values()) if with_rows else ()
-    return [effects.Send(sender.address, messages.View(tuple(_updates(node)), rows))]
+    view = messages.View(tuple(_updates(node)), rows)
+    size_bytes = sum(item.size_bytes for item in (*view.updates, *view.rows))
+    table.next_answer_s = clock_s + size_bytes / ANSWER_BUDGET_BYTES_S
+    return [effects.Send(sender.address, view)]
 
 
 def on_view(node, sender: data.Identity, view: messages.View) -> beliefs.Items:
