Spread the acknowledgements of reports over two seconds

Endpoint processes that started together were all acknowledged in the same second: half of the peak of 49 KB in a second after the loss of a zone of 44 entries (virtual time) came from it.

--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership.py
@@ -233,7 +233,8 @@
     found: beliefs.Items = [events.ReportReceived(report)]
     if report.state is data.MemberState.LEAVING and not member.leaving:
         found += beliefs.mark_leaving(node, member)
-    if report.sequence % REPORTS_PER_ACK == 0:
+    # The incarnation spreads processes that began to report together.
+    if (report.sequence + report.identity.incarnation) % REPORTS_PER_ACK == 0:
         acknowledgement = _acknowledge(node, member.identity)
         found.append(effects.Send(member.identity.address, acknowledgement))
     return found
--- a/toucanspread/tools/virtual_fleet.py
+++ b/toucanspread/tools/virtual_fleet.py
@@ -29,7 +29,7 @@
 HEADER_BYTES = 28  # IP and UDP
 SAMPLED = 5  # entries, and real endpoint processes
 SEED = 3
-REAL_INCARNATION = data.Incarnation(1_733_262_000_000)
+FIRST_INCARNATION = 1_733_262_000_000
 
 
 def identity(kind: str, number: int) -> data.Identity:
@@ -38,7 +38,7 @@
     return data.Identity(
         data.InstanceId(f"{zone}-{kind}-{number}"),
         data.Role(kind),
-        REAL_INCARNATION,
+        data.Incarnation(FIRST_INCARNATION + number),
         data.ZoneName(zone),
         data.RegionName(REGIONS[zone]),
         data.Address(f"10.{number // 250}.{number % 250}.{len(kind)}:7000"),
