--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -12,6 +12,7 @@
     membership,
     reporting,
 )
+from toucanspread.core import membership_messages as messages
 from toucanspread.tools import virtual_network
 
 State = data.MemberState
@@ -351,6 +352,23 @@
         fleet.network.run(30.0)
         self.assertEqual({State.LEAVING}, fleet.states("endpoint-1"))
 
+    def test_wrong_rumour_is_refuted_everywhere(self):
+        fleet = Fleet(entries=20, endpoints=0)
+        fleet.network.run(30.0)
+        rumour = messages.make_update(fleet.node("entry-5").identity, State.DEAD, 0)
+        for name in ("entry-0", "entry-1"):
+            ping = messages.Ping(0, (rumour,))
+            event = events.MessageReceived(fleet.node("entry-2").identity, ping)
+            fleet.network.post(f"{name}:1", event)
+        fleet.network.run(15.0)
+        self.assertEqual({State.LIVE}, fleet.states("entry-5"))
+        again = [name for name, state in fleet.changes(60.0) if state == "dead"]
+        self.assertEqual([], again)
+        for node in fleet.entry_nodes():
+            member = node.membership.members.get("entry-5")
+            if member is not None:
+                self.assertEqual(1, member.refutation)
+
     def test_lost_zone_is_found_and_the_rest_stays(self):
         fleet = Fleet(entries=10, endpoints=20)
         fleet.network.run(5.0)
