--- a/toucanspread/core/controller.py
+++ b/toucanspread/core/controller.py
@@ -14,12 +14,13 @@
     leases,
     machine,
     operations,
+    overview,
     placement,
 )
 
 INTERVAL_S = 1.0
-REPLICAS_PER_EXTRA_SECOND = 1500  # a larger fleet is looked through less often
-MAX_ORDERS_PER_RUN = 40
+REPLICAS_PER_EXTRA_SECOND = 750  # 7,500 replicas take 0.1 s of processor time
+ORDERS_PER_S = 40
 RESEND_S = 3.0
 REDUCED_S = 60.0  # an ordered reduction counts as done this long without a report
 DRAIN_ANYWAY_S = 600.0  # before a window, replicas above the floor may go
@@ -35,7 +36,7 @@
         self.next_run_s = 0.0
         self.sequence = 0
         self.sent: dict[data.InstanceId, tuple[data.Order, float]] = {}
-        self.reduced: dict[data.InstanceId, float] = {}
+        self.reduced: dict[data.InstanceId, tuple[data.ServiceName, float]] = {}
         self.warned: set[str] = set()
 
 
@@ -48,8 +49,11 @@
     def __init__(self, node: machine.Node):
         self.node = node
         self.intents = node.config.intents
-        self.replicas = placement.replicas(node)
+        self.replicas = overview.replicas(node)
         self.placed = placement.place(self.intents, self.replicas, node.wall_s)
+        extra_s = len(self.replicas) / REPLICAS_PER_EXTRA_SECOND
+        self.interval_s = INTERVAL_S + extra_s
+        self.max_orders = int(ORDERS_PER_S * self.interval_s)
         self.orders: list[data.Order] = []
         self.wholes: dict[data.ServiceName, set[data.InstanceId]] = {}
         self._count_wholes()
@@ -72,14 +76,13 @@
     state = node.controller
     if node.now_s < state.next_run_s:
         return []
-    if not leases.held(node):
+    if not leases.held(node) or not overview.is_complete(node):
         state.next_run_s = node.now_s + INTERVAL_S
         return []
     if state.fence != node.leases.fence:
         _take_over(node)
     run = Run(node)
-    extra_s = len(run.replicas) / REPLICAS_PER_EXTRA_SECOND
-    state.next_run_s = node.now_s + INTERVAL_S + extra_s
+    state.next_run_s = node.now_s + run.interval_s
     _forget(node, run)
     _order_loads(node, run)
     _order_reductions(node, run)
@@ -101,8 +104,10 @@
     for name in [*state.sent]:
         if name not in run.replicas:
             del state.sent[name]
-    for name, since_s in [*state.reduced.items()]:
-        if name not in run.replicas or node.now_s - since_s > REDUCED_S:
+    for name, (service, since_s) in [*state.reduced.items()]:
+        replica = run.replicas.get(name)
+        is_seen = replica is None or replica.service != service
+        if is_seen or node.now_s - since_s > REDUCED_S:
             del state.reduced[name]
 
 
@@ -163,7 +168,7 @@
         f"{intent.service}: {len(staying)} whole replicas, floor {intent.floor}",
     )
     wholes.discard(replica.instance_id)
-    state.reduced[replica.instance_id] = node.now_s
+    state.reduced[replica.instance_id] = (intent.service, node.now_s)
     return True
 
 
@@ -184,7 +189,7 @@
 ) -> None:
     """Add an order, unless it is on its way or under way."""
     state = node.controller
-    if len(run.orders) >= MAX_ORDERS_PER_RUN:
+    if len(run.orders) >= run.max_orders:
         return
     order = _order(state, name, intent, leave)
     sent = state.sent.get(name)
