--- a/scripts/burst.py
+++ b/scripts/burst.py
@@ -82,9 +82,19 @@
     return started_s
 
 
-def wait_whole(cluster: Paced, version: str, started_s: float) -> list[float]:
-    """Return when each engine had the version active, after ``started_s``."""
-    waiting = set(cluster.backends.values())
+def kill_some(cluster: Paced, number: int) -> set[str]:
+    """Kill endpoint processes without notice; return their engines' addresses."""
+    killed = sorted(cluster.backends)[:number]
+    for instance_id in killed:
+        cluster.processes.kill(instance_id)
+    return {cluster.backends[instance_id] for instance_id in killed}
+
+
+def wait_whole(
+    cluster: Paced, version: str, started_s: float, dead: set[str]
+) -> list[float]:
+    """Return when each live engine had the version active, after ``started_s``."""
+    waiting = set(cluster.backends.values()) - dead
     times = []
     while waiting and time.monotonic() - started_s < TIMEOUT_S:
         for address in sorted(waiting):
@@ -99,7 +109,12 @@
 
 
 def run(
-    *, replicas: int = 8, wanted_s: float = 20.0, megabytes: int = 4, weight: float = 1
+    *,
+    replicas: int = 8,
+    wanted_s: float = 20.0,
+    megabytes: int = 4,
+    weight: float = 1.0,
+    killed: int = 0,
 ) -> int:
     """Bring a version to endpoint processes.
 
@@ -107,6 +122,7 @@
     :param wanted_s: the time in which the links carry four and two copies.
     :param megabytes: the size of a copy.
     :param weight: 0 favours time, 1 origin bytes.
+    :param killed: how many processes die a tenth of the time wanted after the start.
     """
     shutil.rmtree(SCRATCH, ignore_errors=True)
     (SCRATCH / "origin").mkdir(parents=True)
@@ -137,14 +153,17 @@
         started_s = spread(
             cluster, SCRATCH, "v1", path, replicas=replicas, origin_weight=weight
         )
-        times = wait_whole(cluster, "v1", started_s)
+        time.sleep(wanted_s / 10)
+        dead = kill_some(cluster, killed)
+        times = wait_whole(cluster, "v1", started_s, dead)
         stats = launcher.call(cluster.origin, "GET", "/stats")
     finally:
         cluster.stop()
     bound_s = baselines.bound_s(links, replicas)
     print(f"replicas={replicas}")
+    print(f"whole={len(times)}")
     print(f"bound_s={bound_s:.1f}")
-    print(f"time_to_half_s={times[replicas // 2 - 1]:.1f}")
+    print(f"time_to_half_s={times[len(times) // 2 - 1]:.1f}")
     print(f"time_to_all_s={times[-1]:.1f}")
     print(f"ratio_to_bound={times[-1] / bound_s:.2f}")
     print(f"origin_copies={stats['sent_bytes'] / size_bytes:.2f}")
