--- a/standins/system_machine.py
+++ b/standins/system_machine.py
@@ -16,6 +16,7 @@
 PIECES = 8
 SHARED_PIECES = 3
 BUDGET_S = 6.0
+LEAVE_BOUND_S = 3.0
 MAX_VERSIONS = 8
 MAX_DEAD = 4  # of an instance each, so that some work always goes on
 
@@ -34,6 +35,7 @@
         self.count = 0
         self.version = 0
         self.unrepeatable: list[data.Request] = []
+        self.started_s = 0.0
 
     @stateful.initialize(seed=strategies.integers(0, 2**32 - 1))
     def start(self, seed: int) -> None:
@@ -62,6 +64,7 @@
         )
         self.system.propose(self.names[0], self._pool(), desk)
         self.system.run(8.0)
+        self.started_s = self.system.now_s
 
     def _add(self, name: str, role: data.Role, number: int, **fields) -> None:
         zone, region = PLACES[number % len(PLACES)]
--- a/standins/virtual_system.py
+++ b/standins/virtual_system.py
@@ -128,6 +128,8 @@
         self.answers: list[planning.PlanAnswered | confirm.ConfirmAnswered] = []
         self.logs: collections.Counter[str] = collections.Counter()
         self.exits: list[data.InstanceId] = []
+        self.runs: list[tuple[float, data.InstanceId]] = []
+        self.refused: dict[gate.Key, data.AnswerEnd] = {}
         self.thawed_s: dict[data.InstanceId, float] = {}
         self._calls: dict[tuple, Call] = {}
         self._queue: list = []
@@ -432,6 +434,11 @@
         event = gate.DispatchArrived(call.entry, call.dispatch, call.stream, body_hash)
         self.post(target.identity.instance_id, event)
 
+    def _refuse_dispatch(self, process: Process, effect: gate.RefuseDispatch) -> None:
+        end = effect.end
+        self.refused[end.request_id, end.attempt] = end
+        self._end_dispatch(process, effect)
+
     def _end_dispatch(self, process: Process, effect) -> None:
         self._answer(process, effect.stream, effect.end)
 
@@ -493,6 +500,7 @@
         place = self.places[process.identity.instance_id]
         key = (effect.request_id, effect.attempt)
         started_s = self.now_s
+        self.runs.append((started_s, process.identity.instance_id))
         reason = data.Reason.NONE
         is_started = True
         if place.kind is data.ServiceKind.PLAIN:
@@ -556,7 +564,7 @@
     request_events.SendDispatch: VirtualSystem._dispatch,
     request_events.CancelAttempt: VirtualSystem._cancel_attempt,
     request_events.FinishRequest: VirtualSystem._finish,
-    gate.RefuseDispatch: VirtualSystem._end_dispatch,
+    gate.RefuseDispatch: VirtualSystem._refuse_dispatch,
     gate.EndDispatch: VirtualSystem._end_dispatch,
     gate.ReplayAnswer: VirtualSystem._replay,
     gate.StartRun: VirtualSystem._start_run,
