--- a/toucanspread/core/orders.py
+++ b/toucanspread/core/orders.py
@@ -25,7 +25,9 @@
 LOCAL_DRAIN_LEAD_S = 120.0  # before a window, without any order
 RESUME_S = 5.0  # after a restart, an order may come first
 
+# The part's state and phases, by the name under which other parts know it.
 State = serving.State
+Phase = serving.Phase
 
 
 def on_message(node: machine.Node, event: events.MessageReceived) -> list:
@@ -97,7 +99,9 @@
         serving.enter(node, serving.Phase.CHECKING)
     elif state.phase is serving.Phase.ACTIVATING:
         serving.enter(node, serving.Phase.CONFIRMING)
-    return []
+    # Requests wait for the end of a change of version, so don't wait for a tick.
+    state.status_s = node.now_s + STATUS_INTERVAL_S
+    return [effects.ReadEngineStatus()]
 
 
 def on_status(node: machine.Node, event: events.EngineStatusReported) -> list:
