--- a/toucanspread/core/overview.py
+++ b/toucanspread/core/overview.py
@@ -18,10 +18,10 @@
 
 INTERVAL_S = 1.0
 MAX_ITEMS = 40  # told in one message
-REFRESH_S = 120.0
+REFRESH_S = 240.0
 START_S = 20.0  # after a change of holder, over which entries spread their messages
 SETTLE_S = 40.0  # after which a new holder has heard of everything
-EXPIRY_S = 300.0  # an entry that died is replaced by another well within
+EXPIRY_S = 600.0  # an entry that died is replaced by another well within
 
 
 class Overview(data.Message):
