--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -14,7 +14,7 @@
     gate,
     limits,
     machine,
-    orders,
+    serving,
 )
 
 SERVICE = data.ServiceName("reservas")
@@ -74,7 +74,7 @@
     return isinstance(effect, (effects.KvRead, effects.KvWrite))
 
 
-def serving(kind: data.ServiceKind) -> types.SimpleNamespace:
+def served(kind: data.ServiceKind) -> types.SimpleNamespace:
     """Return what an endpoint process serves."""
     is_model = kind is data.ServiceKind.MODEL
     return types.SimpleNamespace(
@@ -111,7 +111,7 @@
         adaptive: bool = False,
     ):
         self.now_s = 0.0
-        served = serving(kind)
+        here = served(kind)
         intent = types.SimpleNamespace(teams=tuple(teams))
         identity = data.Identity(
             instance_id=data.InstanceId(instance_id),
@@ -125,9 +125,9 @@
             identity,
             seed,
             orders=types.SimpleNamespace(
-                serving=served, draining=False, phase=orders.Phase.IDLE
+                serving=here, draining=False, phase=serving.Phase.IDLE
             ),
-            config=types.SimpleNamespace(intents={served.service: intent}),
+            config=types.SimpleNamespace(intents={here.service: intent}),
             gate=gate.State(),
             claims=claims.State(),
             limits=limits.State(limit, adaptive),
