--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -615,6 +615,14 @@
         left, right = (answer.plan for answer in fleet.answers)
         self.assertEqual(left, right)
 
+    def test_unknown_region_of_the_origin(self):
+        fleet = make_fleet()
+        wanted = intent(weights_bytes=1000)
+        fleet.post("entry-0", planning.PlanRequested("plan", (wanted,)))
+        plan = fleet.answers[-1].plan
+        self.assertEqual((1000, ()), (plan.origin_bytes, plan.link_bytes))
+        self.assertIn("region is not set", plan.warnings[0])
+
     def test_bytes_links_and_warnings(self):
         fleet = make_fleet()
         costs = plans.Costs(store_region="finistere")
--- a/toucanspread/core/plans.py
+++ b/toucanspread/core/plans.py
@@ -46,7 +46,7 @@
 class Costs(data.Record):
     """The rates from which a plan estimates its time.
 
-    :param store_region: where the origin of weights is.
+    :param store_region: where the origin of weights is; empty if unknown.
     """
 
     store_region: data.RegionName = data.RegionName("")
@@ -129,6 +129,8 @@
     refusals = _refusals(snapshot, before, proposed, removed)
     warnings = _warnings(proposed, placed, found, wall_s, expected_s)
     floors = _broken_floors(proposed, placed)
+    if origin_bytes and not costs.store_region:
+        warnings.append("the origin's region is not set, bytes over links are left out")
     if is_complete:
         refusals.extend(floors)
     else:
@@ -275,7 +277,7 @@
         origin_bytes += copies * intent.weights_bytes
         slowest_s = max(slowest_s, intent.weights_bytes / costs.instance_bytes_per_s)
         for region in {replica.region for replica in loads}:
-            if region != costs.store_region:
+            if costs.store_region not in ("", region):
                 per_link[region] = per_link.get(region, 0) + intent.weights_bytes
     link_bytes = []
     for region, total_bytes in sorted(per_link.items()):
--- a/toucanspread/ops/entry.py
+++ b/toucanspread/ops/entry.py
@@ -1,6 +1,6 @@
 """The daemon of an entry instance: the entry machine with its adapters."""
 
-from toucanspread.core import data, machine, roles
+from toucanspread.core import data, machine, plans, roles
 from toucanspread.ops import (
     callers,
     daemon,
@@ -18,7 +18,8 @@
     """Run an entry until it has drained, and return its exit code."""
     identity = settings.identity_of(options, data.Role.ENTRY, daemon.new_incarnation())
     seed = daemon.choose_seed(options.seed)
-    stepper = roles.build_entry(identity, seed, daemon.seeds_of(options))
+    costs = plans.Costs(store_region=data.RegionName(options.origin_region))
+    stepper = roles.build_entry(identity, seed, daemon.seeds_of(options), costs)
     process = daemon.Daemon(stepper, seed)
     add_adapters(process, options, stepper)
     return process.run()
--- a/toucanspread/ops/settings.py
+++ b/toucanspread/ops/settings.py
@@ -103,9 +103,11 @@
     """What an entry daemon is told.
 
     :param http_address: ``ip:port`` for callers and operators.
+    :param origin_region: the region of the origin, for the bytes over links in plans.
     """
 
     http_address: str
+    origin_region: str = ""
     max_body_bytes: int = 1024 * 1024
 
 
