--- /dev/null
+++ b/toucanspread/core/restored_service_test.py
@@ -0,0 +1,64 @@
+"""A service that is restored at any time, also before a change is in force everywhere.
+
+Every change declares a service of its own, so whatever was accepted has to be in force
+at the end.
+"""
+
+import random
+
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from toucanspread.core import confirm
+from toucanspread.core.agreement_test import confirmation, intent, make_fleet
+
+STEPS = 25
+
+
+class RestoredServiceTest(testtools.TestCase):
+    @hypothesis.settings(
+        max_examples=25, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(seed=st.integers(0, 1 << 30))
+    def test_what_was_accepted_stays(self, seed):
+        chance = random.Random(seed)
+        fleet = make_fleet(seed=seed)
+        saved = fleet.kv.save()
+        for number in range(STEPS):
+            action = chance.choice(("confirm", "confirm", "save", "restore", "cut"))
+            if action == "confirm":
+                name = chance.choice(("entry-0", "entry-1", "entry-2", "entry-3"))
+                base = fleet.nodes[name].config.revision
+                wanted = intent(f"service-{number}", 0, 0)
+                request = confirmation(base, wanted, operation=str(number))
+                fleet.post(name, request)
+            elif action == "save":
+                saved = fleet.kv.save()
+            elif action == "restore":
+                fleet.kv.values = dict(saved)
+            else:
+                self.cut(fleet, chance)
+            fleet.run(chance.choice((0.01, 0.3, 2.0, 8.0)))
+        fleet.cut.clear()
+        fleet.service_cut.clear()
+        fleet.run(120.0)
+        self.check(fleet)
+
+    def cut(self, fleet, chance):
+        fleet.cut.clear()
+        fleet.service_cut.clear()
+        if chance.random() < 0.5:
+            fleet.cut.add(frozenset(("finistere", "morbihan")))
+            fleet.service_cut.add(chance.choice(("finistere", "morbihan")))
+
+    def check(self, fleet):
+        accepted = set()
+        for answer in fleet.answers:
+            if answer.verdict is confirm.Verdict.ACCEPTED:
+                accepted.add(f"service-{answer.operation_id}")
+        held = {(n.config.revision, n.config.digest) for n in fleet.nodes.values()}
+        self.assertEqual(1, len(held), held)
+        for node in fleet.nodes.values():
+            lost = accepted - set(node.config.intents)
+            self.assertEqual(set(), lost)
