--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -5,8 +5,6 @@
 the refusal, so that a late copy of a refused dispatch is refused as well.
 """
 
-import dataclasses
-
 from toucanspread.core import (
     answer_ends,
     claims,
@@ -14,28 +12,22 @@
     dispatch_memory,
     effects,
     events,
+    gate_work,
     invariants,
     limits,
-    orders,
+    switching,
     wholeness,
 )
 
 STATUS_INTERVAL_S = 1.0
-MAX_RESTARTS = 2  # of work that the engine refused over a change of version
-SWITCHING_PHASES = frozenset({orders.Phase.ACTIVATING, orders.Phase.CONFIRMING})
 LEAVE_NOTICE_S = 1.0  # lets a last report tell the entries before the process ends
 
-# Callers choose these values, and each makes a time series of its own.
-MAX_LABELLED_TEAMS = 64
-MAX_LABELLED_PRIORITY = 9
-OTHER_TEAMS = "others"
-
 # Ends that say nothing of how busy the engine is.
 BLAMELESS_REASONS = frozenset(
     (data.Reason.CANCELLED, data.Reason.BAD_REQUEST, data.Reason.WRONG_VERSION)
 )
 
-Key = tuple[data.RequestId, int]
+Key = gate_work.Key
 
 
 class DispatchArrived(data.Event):
@@ -129,31 +121,6 @@
     stream: int = 0
 
 
-@dataclasses.dataclass
-class Work:
-    """An admitted or queued dispatch.
-
-    :param deadline_s: on this process's own clock.
-    """
-
-    dispatch: data.Dispatch
-    stream: int
-    body_hash: int
-    deadline_s: float
-    arrived_s: float
-    admitted: bool = False
-    claimed: bool = False
-    running: bool = False
-    version: data.VersionName = data.VersionName("")
-    gone: bool = False
-    restarts: int = 0
-
-    @property
-    def key(self) -> Key:
-        """Return what names the work in this process."""
-        return (self.dispatch.request.request_id, self.dispatch.attempt)
-
-
 class State:
     """What the gate knows.
 
@@ -161,14 +128,14 @@
     """
 
     def __init__(self):
-        self.work: dict[Key, Work] = {}
+        self.work: dict[Key, gate_work.Work] = {}
         self.held: list[Key] = []
         self.memory = dispatch_memory.DispatchMemory()
         self.status: data.EngineStatus | None = None
         self.status_s = float("-inf")
         self.draining_since_s: float | None = None
         self.shutdown = False
-        self.labelled_teams: set[data.TeamName] = set()
+        self.labels = gate_work.Labels()
         self.exited = False
 
 
@@ -186,7 +153,7 @@
     if reason is not data.Reason.NONE:
         return _refuse(node, dispatch, event.stream, reason, detail)
     node.gate.memory.accept(key, node.now_s)
-    work = Work(
+    work = gate_work.Work(
         dispatch=dispatch,
         stream=event.stream,
         body_hash=event.body_hash,
@@ -264,7 +231,11 @@
     if work is None:
         return []
     waited_s = node.now_s - work.arrived_s
-    return [effects.Observe("gate_first_piece_s", waited_s, _labels(node, work))]
+    return [
+        effects.Observe(
+            "gate_first_piece_s", waited_s, node.gate.labels.of(work.dispatch.request)
+        )
+    ]
 
 
 def on_run_ended(node, event: RunEnded) -> list:
@@ -273,7 +244,7 @@
     work = node.gate.work.get(key)
     if work is None:
         return []
-    if _may_start_again(node, work, event):
+    if switching.may_start_again(node, work, event):
         work.running = False
         work.restarts += 1
         return _start(node, work)
@@ -288,7 +259,9 @@
             units=event.units,
         ),
         effects.Observe(
-            "gate_service_time_s", event.service_time_s, _labels(node, work)
+            "gate_service_time_s",
+            event.service_time_s,
+            node.gate.labels.of(work.dispatch.request),
         ),
     ]
     if work.claimed:
@@ -375,19 +348,11 @@
         return data.Reason.LEAVING, ""
     if dispatch.budget_s <= 0:
         return data.Reason.DEADLINE, ""
-    if _is_switching(node):
+    if switching.is_switching(node):
         return data.Reason.NONE, ""  # judged when the change of version is over
     return wholeness.mismatch(node, dispatch)
 
 
-def _is_switching(node) -> bool:
-    """Return whether the engine is between two versions.
-
-    Until the process knows which of the two is active, either could be refused.
-    """
-    return node.orders.phase in SWITCHING_PHASES
-
-
 def _release_held(node) -> list:
     """Start held work once the version is settled, and end what is out of time."""
     held, node.gate.held = node.gate.held, []
@@ -399,32 +364,14 @@
     return items
 
 
-def _may_start_again(node, work: Work, event: RunEnded) -> bool:
-    """Return whether a run crossed a change of version and can start anew.
-
-    The engine refused it before anything ran, and any version will do.
-    """
-    serving = node.orders.serving
-    has_changed = serving is not None and serving.version != work.version
-    return (
-        (has_changed or _is_switching(node))
-        and event.reason is data.Reason.WRONG_VERSION
-        and not event.started
-        and not work.gone
-        and not work.dispatch.request.version
-        and work.restarts < MAX_RESTARTS
-        and node.now_s < work.deadline_s
-    )
-
-
-def _start(node, work: Work) -> list:
+def _start(node, work: gate_work.Work) -> list:
     """Start an admitted request, unless what holds here has changed meanwhile."""
     request = work.dispatch.request
     if node.now_s >= work.deadline_s:
         return _give_up(node, work, data.Reason.DEADLINE, "", 0.0)
     if work.gone:
         return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
-    if _is_switching(node):
+    if switching.is_switching(node):
         node.gate.held.append(work.key)
         return []
     reason, detail = wholeness.mismatch(node, work.dispatch)
@@ -463,7 +410,7 @@
 
 
 def _give_up(
-    node, work: Work, reason: data.Reason, detail: str, retry_after_s: float
+    node, work: gate_work.Work, reason: data.Reason, detail: str, retry_after_s: float
 ) -> list:
     """End work that was never started with a definite "not run"."""
     key = work.key
@@ -484,7 +431,7 @@
     return items + refused
 
 
-def _end_duplicate(node, work: Work, event: claims.ClaimDecided) -> list:
+def _end_duplicate(node, work: gate_work.Work, event: claims.ClaimDecided) -> list:
     """End a request whose call was claimed before, here or elsewhere."""
     node.gate.work.pop(work.key)
     node.gate.memory.finish(work.key)
@@ -523,13 +470,3 @@
     end = answer_ends.for_predecessor(node, event.dispatch)
     counted = effects.Count("gate_for_predecessor", 1, {})
     return [RefuseDispatch(end, event.stream), counted]
-
-
-def _labels(node, work: Work) -> dict[str, str]:
-    request = work.dispatch.request
-    labels = node.gate.labelled_teams
-    if len(labels) < MAX_LABELLED_TEAMS:
-        labels.add(request.team)
-    team = request.team if request.team in labels else OTHER_TEAMS
-    priority = min(MAX_LABELLED_PRIORITY, request.priority)
-    return {"team": team, "class": str(priority)}
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -8,6 +8,7 @@
     effects,
     events,
     gate,
+    gate_work,
     invariants,
     orders,
 )
@@ -189,7 +190,7 @@
         dispatch = data.Dispatch(request, 1, 5.0, "entry-1")
         rig.now_s = 1.0
         rig.node.now_s = 1.0
-        work = gate.Work(dispatch, 1, 0, 9.0, arrived_s=1.0)
+        work = gate_work.Work(dispatch, 1, 0, 9.0, arrived_s=1.0)
         self.assertRaises(invariants.InvariantBreachError, gate._start, rig.node, work)
 
 
@@ -203,4 +204,4 @@
             for effect in rig.machine.step(rig.now_s, ended):
                 if isinstance(effect, effects.Observe):
                     names.add(effect.attributes["team"])
-        self.assertEqual(gate.MAX_LABELLED_TEAMS + 1, len(names))
+        self.assertEqual(gate_work.MAX_LABELLED_TEAMS + 1, len(names))
