--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -304,8 +304,8 @@
     state = node.gate
     state.memory.forget(node.now_s)
     items: list = []
-    serving = node.orders.serving
-    is_model = serving is not None and serving.kind is data.ServiceKind.MODEL
+    served = node.orders.serving
+    is_model = served is not None and served.kind is data.ServiceKind.MODEL
     if is_model and node.now_s - state.status_s >= STATUS_INTERVAL_S:
         # An answer moves the time on; until it comes, ask once an interval.
         state.status_s = node.now_s
@@ -377,11 +377,11 @@
     reason, detail = wholeness.mismatch(node, work.dispatch)
     if reason is not data.Reason.NONE:
         return _give_up(node, work, reason, detail, answer_ends.ENGINE_RETRY_AFTER_S)
-    serving = node.orders.serving
+    served = node.orders.serving
     invariants.check(
-        serving.kind is data.ServiceKind.PLAIN or wholeness.is_whole(node),
+        served.kind is data.ServiceKind.PLAIN or wholeness.is_whole(node),
         invariants.Invariant.DISPATCH_ONLY_WHOLE,
-        f"{serving.version}: engine reports {node.gate.status}",
+        f"{served.version}: engine reports {node.gate.status}",
     )
     drained_s = node.gate.draining_since_s
     invariants.check(
@@ -395,13 +395,13 @@
         f"{work.key} starts without a claim",
     )
     work.running = True
-    work.version = serving.version
+    work.version = served.version
     budget_s = work.deadline_s - node.now_s
     return [
         StartRun(
             *work.key,
             request,
-            serving.version,
+            served.version,
             budget_s,
             work.stream,
             work.dispatch.resume_from_events,
--- a/toucanspread/core/switching.py
+++ b/toucanspread/core/switching.py
@@ -1,9 +1,9 @@
 """The moment in which an engine changes from one version to another."""
 
-from toucanspread.core import data, gate_work, orders
+from toucanspread.core import data, gate_work, serving
 
 MAX_RESTARTS = 2  # of work that the engine refused over a change of version
-SWITCHING_PHASES = frozenset({orders.Phase.ACTIVATING, orders.Phase.CONFIRMING})
+SWITCHING_PHASES = frozenset({serving.Phase.ACTIVATING, serving.Phase.CONFIRMING})
 
 
 def is_switching(node) -> bool:
@@ -21,8 +21,8 @@
 
     :param event: the end of the run.
     """
-    serving = node.orders.serving
-    has_changed = serving is not None and serving.version != work.version
+    served = node.orders.serving
+    has_changed = served is not None and served.version != work.version
     return (
         (has_changed or is_switching(node))
         and event.reason is data.Reason.WRONG_VERSION
--- a/toucanspread/tools/bench_agreement.py
+++ b/toucanspread/tools/bench_agreement.py
@@ -13,7 +13,14 @@
 from standins import virtual_fleet
 from toucanspread.core import confirm, data, effects, events, plans, pushing, rendezvous
 
-SIZES = ((20, 11), (20, 400), (100, 2000), (350, 7500))  # entries, endpoint processes
+# Entries, endpoint processes, and the share of messages that is lost, late or doubled.
+SIZES = (
+    (20, 11, 0.0),
+    (20, 400, 0.0),
+    (100, 2000, 0.0),
+    (100, 2000, 0.05),
+    (350, 7500, 0.0),
+)
 REGIONS = ("gran-area", "caribe")
 ZONES = 5
 SERVICES = 40
@@ -21,6 +28,8 @@
 CHANGES = 20
 CHANGE_INTERVAL_S = 2.0  # 40,000 changes a day are one in 2.2 s
 LAST_S = 12.0
+BURST_INTERVAL_S = 0.3
+MAX_LEVEL_S = 90.0
 ENVELOPE_BYTES = 220  # identity and frame around each message
 
 _encoder = msgspec.msgpack.Encoder()
@@ -171,12 +180,14 @@
     return values[min(len(values) - 1, int(share * len(values)))]
 
 
-def measure(entries: int, endpoints: int) -> dict[str, float]:
+def measure(entries: int, endpoints: int, loss: float) -> dict[str, float]:
     """Return the figures of one fleet size."""
     fleet = build(entries, endpoints)
+    fleet.loss = loss
     for number in range(SERVICES):
         change(fleet, number)
-        fleet.run(0.3)
+        fleet.run(BURST_INTERVAL_S)
+    burst_s = level_after(fleet)
     fleet.run(LAST_S)
     fleet.forget()
     start_s = fleet.now_s
@@ -189,6 +200,7 @@
     for at_s, _, revision in fleet.applied:
         accepted[revision] = min(accepted.get(revision, at_s), at_s)
     found = delays(fleet, accepted)
+    found["level_after_burst_s"] = burst_s
     found["accepted"] = sum(
         answer.verdict is confirm.Verdict.ACCEPTED
         for answer in fleet.answers[-CHANGES:]
@@ -213,6 +225,16 @@
     return found
 
 
+def level_after(fleet: BenchFleet) -> float:
+    """Return how long it takes until all processes hold the same revision."""
+    start_s = fleet.now_s
+    while fleet.now_s - start_s < MAX_LEVEL_S:
+        if len({node.config.revision for node in fleet.nodes.values()}) == 1:
+            break
+        fleet.run(0.5)
+    return fleet.now_s - start_s
+
+
 def delays(fleet: BenchFleet, accepted: dict[int, float]) -> dict[str, float]:
     """Return when each process had each revision or a higher one in force."""
     reached: dict[str, list[tuple[int, float]]] = {}
@@ -237,12 +259,15 @@
 
 def main() -> int:
     """Print the figures of every fleet size."""
-    for entries, endpoints in SIZES:
+    for entries, endpoints, loss in SIZES:
+        prefix = f"{entries}_{endpoints}"
+        if loss:
+            prefix += f"_loss_{loss:g}"
         start_s = time.perf_counter()
-        for name, value in measure(entries, endpoints).items():
-            print(f"{entries}_{endpoints}_{name}={value:.4g}", flush=True)
+        for name, value in measure(entries, endpoints, loss).items():
+            print(f"{prefix}_{name}={value:.4g}", flush=True)
         took_s = time.perf_counter() - start_s
-        print(f"{entries}_{endpoints}_run_s={took_s:.3g}", flush=True)
+        print(f"{prefix}_run_s={took_s:.3g}", flush=True)
     return 0
 
 
--- a/toucanspread/tools/virtual_swarm.py
+++ b/toucanspread/tools/virtual_swarm.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable
 
 from toucanspread.core import (
@@ -23,6 +24,7 @@
 
 TICK_S = 0.1
 LATENCY_S = 0.002
+TIME_DIGITS = 6  # what a session file keeps of a time
 MAX_QUEUE = 4  # uploads at one sender, as the adapter allows
 SLICES = 4  # of a chunk, for the origin that serves all requests in turn
 
@@ -104,12 +106,16 @@
 
     def __init__(self, swarm: "VirtualSwarm", identity: data.Identity, seed: int):
         self.identity = identity
+        self.seed = seed
         self.alive = True
+        self.processor_s = 0.0
+        self.steps = 0
         self.stalled = False
         self.corrupting = False
         self.staged: set[data.ChunkHash] = set()
         self.whole_at_s: dict[data.ManifestHash, float] = {}
         self.failures: list[str] = []
+        self.said_whole_without: set[data.ChunkHash] = set()
         self.uplink = Uplink(swarm, swarm.rate_bytes_s, 0)
         self.down_free_at_s = 0.0
         self.down_bytes = 0
@@ -125,6 +131,7 @@
 
     def _on_staged(self, node: machine.Node, event: events.VersionStaged) -> list:
         self.whole_at_s.setdefault(event.manifest_hash, node.now_s)
+        self.said_whole_without |= node.transfer.current.index.keys() - self.staged
         return []
 
     def _on_failed(self, node: machine.Node, event: events.VersionFailed) -> list:
@@ -225,7 +232,8 @@
 
     def later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action later."""
-        item = (self.now_s + delay_s, next(self._order), action)
+        at_s = round(self.now_s + delay_s, TIME_DIGITS)
+        item = (max(at_s, self.now_s), next(self._order), action)
         heapq.heappush(self._queue, item)
 
     def run(self, until: Callable[[], bool], limit_s: float) -> bool:
@@ -258,9 +266,13 @@
         self.later(TICK_S, lambda: self._tick(endpoint))
 
     def _step(self, endpoint: Endpoint, event: data.Event) -> None:
-        if endpoint.alive:
-            found = endpoint.machine.step(self.now_s, event)
-            self._carry_out(endpoint, found)
+        if not endpoint.alive:
+            return
+        started_s = time.process_time()
+        found = endpoint.machine.step(self.now_s, event)
+        endpoint.processor_s += time.process_time() - started_s
+        endpoint.steps += 1
+        self._carry_out(endpoint, found)
 
     def _carry_out(self, sender: Endpoint | None, wanted: list[data.Effect]) -> None:
         for effect in wanted:
@@ -275,13 +287,18 @@
             elif isinstance(effect, fetching.ListStaging):
                 self._answer(sender, lambda sender=sender: _listed(sender))
             elif isinstance(effect, fetching.ReadManifest):
-                event = fetching.ManifestRead(
-                    effect.manifest_hash, self.manifests[effect.manifest_hash]
-                )
-                self._answer(sender, lambda event=event: event)
+                self._answer(sender, lambda effect=effect: self._read(sender, effect))
             elif isinstance(effect, fetching.DeleteChunks):
                 sender.staged -= set(effect.chunk_hashes)
 
+    def _read(
+        self, endpoint: Endpoint, effect: fetching.ReadManifest
+    ) -> fetching.ManifestRead:
+        payload = None
+        if effect.manifest_hash in endpoint.staged:
+            payload = self.manifests[effect.manifest_hash]
+        return fetching.ManifestRead(effect.manifest_hash, payload)
+
     def _answer(self, endpoint: Endpoint, make: Callable[[], data.Event]) -> None:
         self.later(LATENCY_S, lambda: self._step(endpoint, make()))
 
@@ -326,7 +343,9 @@
         if not peer.alive:
             self._end(asker, effect.fetch_id, fetching.FetchStatus.FAILED)
             return
-        if effect.chunk_hash not in peer.machine.node.transfer.held:
+        held = peer.machine.node.transfer.held
+        if effect.chunk_hash not in held or effect.chunk_hash not in peer.staged:
+            held.discard(effect.chunk_hash)
             self._end(asker, effect.fetch_id, fetching.FetchStatus.ABSENT)
             return
         if peer.uplink.waiting() >= MAX_QUEUE:
