--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -19,6 +19,10 @@
     leases,
     machine,
     orders,
+    overview,
+    planning,
+    reporting,
+    serving,
     spread,
     watching,
 )
@@ -196,10 +200,11 @@
     """Nodes, their messages and the fakes around them.
 
     :ivar loss: the share of messages that are lost; as much is doubled or late.
+    :ivar silent: endpoint processes whose reports are all lost.
     :ivar cut: pairs of regions that lose each other.
     """
 
-    def __init__(self, seed: int, report_entries: int = 3):
+    def __init__(self, seed: int):
         self.random = random.Random(seed)
         self.now_s = 0.0
         self.kv = KeyValue()
@@ -207,11 +212,11 @@
         self.machines: dict[data.InstanceId, machine.Machine] = {}
         self.engines: dict[data.InstanceId, Engine] = {}
         self.frozen: set[data.InstanceId] = set()
+        self.silent: set[data.InstanceId] = set()
         self.cut: set[frozenset[data.RegionName]] = set()
         self.service_cut: set[data.RegionName] = set()
         self.loss = 0.0
-        self.report_entries = report_entries
-        self.answers: list[confirm.ConfirmAnswered | confirm.PlanAnswered] = []
+        self.answers: list[confirm.ConfirmAnswered | planning.PlanAnswered] = []
         self.logs: list[tuple[float, data.InstanceId, effects.Log]] = []
         self.sent: dict[str, int] = {}
         self.orders: list[data.Order] = []
@@ -250,11 +255,13 @@
         modules = [spread.HANDLERS]
         if role is data.Role.ENTRY:
             node.watching = watching.State()
+            node.overview = overview.State()
+            node.planning = planning.State()
             node.confirm = confirm.State()
             node.leases = leases.State()
             node.controller = controller.State()
-            modules += [watching.HANDLERS, confirm.HANDLERS]
-            modules += [leases.HANDLERS, controller.HANDLERS]
+            modules += [watching.HANDLERS, leases.HANDLERS, overview.HANDLERS]
+            modules += [planning.HANDLERS, confirm.HANDLERS, controller.HANDLERS]
         else:
             node.orders = orders.State(kind, data.ServiceName(service))
             node.transfer = Transfer()
@@ -334,41 +341,41 @@
             }
 
     def _report(self) -> None:
-        entries = self.entries()
         for node in self.endpoints():
-            if node.identity.instance_id in self.frozen:
+            if node.identity.instance_id in self.frozen | self.silent:
                 continue
             report = self._report_of(node)
-            wanted = min(self.report_entries, len(entries))
-            for entry in entries[:wanted] if wanted else ():
+            for name in reporting.choose(node):
+                entry = self.nodes[name]
                 if self._lost(node.identity, entry.identity):
                     continue
-                name = entry.identity.instance_id
-                known = entry.membership.members[node.identity.instance_id]
+                known = entry.membership.members.get(node.identity.instance_id)
+                if known is None:
+                    continue
                 known.report = report
                 self._put(0.002, name, events.ReportReceived(report))
 
     def _report_of(self, node: machine.Node) -> data.Report:
         self._sequence += 1
         state = node.orders
-        serving = state.serving
+        served = state.serving
         target = state.target
         live = data.MemberState.LIVE
         return data.Report(
             node.identity,
             self._sequence,
             data.MemberState.LEAVING if state.draining else live,
-            service=serving.service if serving else "",
+            service=served.service if served else "",
             kind=state.kind,
             offers=state.service,
-            model=serving.model if serving else "",
-            version=serving.version if serving else "",
-            manifest_hash=serving.manifest_hash if serving else "",
-            adapters=serving.adapters if serving else (),
+            model=served.model if served else "",
+            version=served.version if served else "",
+            manifest_hash=served.manifest_hash if served else "",
+            adapters=served.adapters if served else (),
             revision=node.config.revision,
             fence=state.fence,
             target_version=target.version
-            if target and state.phase is not orders.Phase.IDLE
+            if target and state.phase is not serving.Phase.IDLE
             else "",
         )
 
@@ -388,7 +395,7 @@
             self._put(0.01, name, events.EngineStatusReported(status))
         elif isinstance(effect, effects.Log):
             self.logs.append((self.now_s, name, effect))
-        elif isinstance(effect, confirm.ConfirmAnswered | confirm.PlanAnswered):
+        elif isinstance(effect, confirm.ConfirmAnswered | planning.PlanAnswered):
             self.answers.append(effect)
 
     def _call_service(self, node: machine.Node, effect: data.Effect) -> None:
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -9,7 +9,7 @@
     events,
     gate,
     invariants,
-    orders,
+    serving,
 )
 
 NOT_RUN = data.Outcome.NOT_RUN
@@ -40,7 +40,7 @@
 
 class SwitchTest(testtools.TestCase):
     def switch(self, rig):
-        rig.node.orders.phase = orders.Phase.IDLE
+        rig.node.orders.phase = serving.Phase.IDLE
         rig.node.orders.serving.version = "v2"
         digests = {"v2": gate_fakes.WEIGHTS_HASH}
         status = data.EngineStatus(active_version="v2", digests=digests)
@@ -49,7 +49,7 @@
 
     def test_a_dispatch_waits_while_the_engine_changes_its_version(self):
         rig = gate_fakes.Rig()
-        rig.node.orders.phase = orders.Phase.ACTIVATING
+        rig.node.orders.phase = serving.Phase.ACTIVATING
         self.assertEqual([], rig.dispatch())
         (start,) = self.switch(rig)
         self.assertEqual("v2", start.version)
@@ -57,7 +57,7 @@
     def test_a_run_that_met_the_change_starts_anew(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
-        rig.node.orders.phase = orders.Phase.ACTIVATING
+        rig.node.orders.phase = serving.Phase.ACTIVATING
         wrong = data.Reason.WRONG_VERSION
         self.assertEqual([], rig.end(ok=False, started=False, reason=wrong))
         (start,) = self.switch(rig)
@@ -72,7 +72,7 @@
 
     def test_what_waits_ends_at_its_deadline(self):
         rig = gate_fakes.Rig()
-        rig.node.orders.phase = orders.Phase.ACTIVATING
+        rig.node.orders.phase = serving.Phase.ACTIVATING
         rig.dispatch(budget_s=1.0)
         self.assertEqual([], rig.step(events.Tick(), after_s=0.5))
         found = rig.step(events.Tick(), after_s=0.6)
@@ -191,3 +191,16 @@
         rig.node.now_s = 1.0
         work = gate.Work(dispatch, 1, 0, 9.0, arrived_s=1.0)
         self.assertRaises(invariants.InvariantBreachError, gate._start, rig.node, work)
+
+
+class MetricsTest(testtools.TestCase):
+    def test_a_flood_of_team_names_makes_a_bounded_number_of_series(self):
+        rig = gate_fakes.Rig(limit=200)
+        names = set()
+        for number in range(200):
+            rig.dispatch(f"r{number}", stream=number, team=f"team-{number}")
+            ended = gate.RunEnded(f"r{number}", 1, True, 200, True, "", 0.1)
+            for effect in rig.machine.step(rig.now_s, ended):
+                if isinstance(effect, effects.Observe):
+                    names.add(effect.attributes["team"])
+        self.assertEqual(gate.MAX_LABELLED_TEAMS + 1, len(names))
