--- a/toucanspread/tools/bench_membership.py
+++ b/toucanspread/tools/bench_membership.py
@@ -14,7 +14,7 @@
 
 from toucanspread.core import data, events, reporting
 from toucanspread.core import membership_messages as messages
-from toucanspread.ops import datagrams, loop
+from toucanspread.ops import codec, datagrams, loop
 from toucanspread.tools import virtual_fleet
 
 SIZES = (44, 88, 175, 350)
@@ -171,6 +171,24 @@
     return {"view_mb": (after - before) / 1e6}
 
 
+def measure_sizes() -> dict[str, float]:
+    """Return what messages take as datagrams, headers included."""
+    who = virtual_fleet.identity("endpoint", 7_499)
+    reference = codec.reference_of(who)
+    update = messages.make_update(who, data.MemberState.DEAD, 0)
+    items = {
+        "load_report": reporting.LoadReport(12_345, 12_300, (3, 2, 0.8)),
+        "report_ack": messages.ReportAck(),
+        "ping": messages.Ping(12_345),
+        "ping_with_update": messages.Ping(12_345, (update,)),
+    }
+    found = {}
+    for name, message in items.items():
+        payload = codec.encode_short(reference, message)
+        found[f"{name}_bytes"] = len(payload) + virtual_fleet.HEADER_BYTES
+    return found
+
+
 async def measure_datagrams() -> dict[str, float]:
     """Return the processor time of a load report over loopback, both sides."""
     arrived = asyncio.Event()
@@ -208,7 +226,8 @@
 
 def main() -> None:
     """Measure every size and print the figures."""
-    found = loop.EVENT_LOOP.run_until_complete(measure_datagrams())
+    found = measure_sizes()
+    found.update(loop.EVENT_LOOP.run_until_complete(measure_datagrams()))
     for name, value in found.items():
         print(f"membership_{name}={value:.4g}", flush=True)
     sizes = [int(argument) for argument in sys.argv[1:]] or SIZES
