--- a/toucanspread/core/restored_service_test.py
+++ b/toucanspread/core/restored_service_test.py
@@ -14,6 +14,7 @@
 from toucanspread.core.agreement_test import confirmation, intent, make_fleet
 
 STEPS = 25
+ACTIONS = ("confirm", "confirm", "save", "restore", "cut", "split")
 
 
 class RestoredServiceTest(testtools.TestCase):
@@ -21,18 +22,18 @@
         max_examples=25, derandomize=True, deadline=None, database=None
     )
     @hypothesis.given(seed=st.integers(0, 1 << 30))
+    @hypothesis.example(seed=1006)  # a snapshot of another history was mixed in
     def test_what_was_accepted_stays(self, seed):
         chance = random.Random(seed)
         fleet = make_fleet(seed=seed)
         saved = fleet.kv.save()
         for number in range(STEPS):
-            action = chance.choice(("confirm", "confirm", "save", "restore", "cut"))
+            action = chance.choice(ACTIONS)
             if action == "confirm":
                 name = chance.choice(("entry-0", "entry-1", "entry-2", "entry-3"))
-                base = fleet.nodes[name].config.revision
-                wanted = intent(f"service-{number}", 0, 0)
-                request = confirmation(base, wanted, operation=str(number))
-                fleet.post(name, request)
+                self.confirm(fleet, name, number)
+            elif action == "split":
+                self.split(fleet, number)
             elif action == "save":
                 saved = fleet.kv.save()
             elif action == "restore":
@@ -45,6 +46,22 @@
         fleet.run(120.0)
         self.check(fleet)
 
+    def confirm(self, fleet, name, number):
+        base = fleet.nodes[name].config.revision
+        wanted = intent(f"service-{number}", 0, 0)
+        fleet.post(name, confirmation(base, wanted, operation=str(number)))
+
+    def split(self, fleet, number):
+        """Let each region accept a change at the same revision."""
+        saved = fleet.kv.save()
+        fleet.cut.add(frozenset(("finistere", "morbihan")))
+        fleet.service_cut = {"morbihan"}
+        self.confirm(fleet, "entry-0", number)
+        fleet.run(0.3)
+        fleet.kv.values = saved
+        fleet.service_cut = {"finistere"}
+        self.confirm(fleet, "entry-1", number + STEPS)
+
     def cut(self, fleet, chance):
         fleet.cut.clear()
         fleet.service_cut.clear()
--- a/toucanspread/core/watching.py
+++ b/toucanspread/core/watching.py
@@ -112,11 +112,9 @@
     if found is None or found.revision < state.revision:
         node.watching.due_s = node.now_s + RETRY_S
         return []
-    if state.forked:
-        return config.adopt(node, found)
-    if found.revision == state.revision:
+    if found.revision == state.revision and not state.forked:
         return []
-    return config.apply_stamps(node, found.revision, found.digest, found.stamps)
+    return config.adopt(node, found)  # it may be another history
 
 
 def is_chosen(node: machine.Node, key: str, count: int) -> bool:
