--- a/toucanspread/tools/virtual_requests.py
+++ b/toucanspread/tools/virtual_requests.py
@@ -19,6 +19,7 @@
     gate,
     limits,
     machine,
+    orders,
     request_events,
     requests,
     routing,
@@ -41,7 +42,8 @@
     :param work_s: the mean time of a request that runs alone; times are even
         between half and one and a half of it.
     :param budget_s: the deadline of every request.
-    :param limit: the first concurrency limit of a gate; ``UNLIMITED`` is none.
+    :param limit: the first concurrency limit of a gate, which then follows the
+        engine; ``UNLIMITED`` is none.
     """
 
     entries: int = 3
@@ -115,9 +117,8 @@
     """A gate with its engine."""
 
     def __init__(self, number: int, setup: Setup):
-        served = types.SimpleNamespace(
-            service=SERVICE, kind=data.ServiceKind.PLAIN, version="", adapters=()
-        )
+        serving = orders.State(data.ServiceKind.PLAIN, SERVICE)
+        serving.serving = orders.Serving(SERVICE, data.ServiceKind.PLAIN)
         intent = types.SimpleNamespace(teams=setup.teams)
         self.identity = data.Identity(
             data.InstanceId(f"p{number}"),
@@ -130,11 +131,11 @@
         node = machine.Node(
             self.identity,
             setup.seed + number,
-            orders=types.SimpleNamespace(serving=served, draining=False),
+            orders=serving,
             config=types.SimpleNamespace(intents={SERVICE: intent}),
             gate=gate.State(),
             claims=claims.State(),
-            limits=limits.State(setup.limit),
+            limits=limits.State(setup.limit, setup.limit < UNLIMITED),
         )
         handlers = [gate.HANDLERS, claims.HANDLERS, limits.HANDLERS]
         self.machine = machine.Machine(node, handlers)
