--- a/toucanspread/core/plans.py
+++ b/toucanspread/core/plans.py
@@ -46,7 +46,7 @@
 class Costs(data.Record):
     """The rates from which a plan estimates its time.
 
-    :param store_region: where the origin of weights is.
+    :param store_region: where the origin of weights is; empty if unknown.
     """
 
     store_region: data.RegionName = data.RegionName("")
@@ -109,8 +109,13 @@
     found: Mapping[data.InstanceId, placement.Replica],
     wall_s: float,
     costs: Costs,
+    is_complete: bool = True,
 ) -> Plan:
-    """Return the plan of a proposal."""
+    """Return the plan of a proposal.
+
+    :param found: the endpoint processes that are known.
+    :param is_complete: whether these are all; else too few of them is no refusal.
+    """
     before = {
         stamp.service: stamp.intent
         for stamp in snapshot.stamps
@@ -120,8 +125,17 @@
     services = history.touched(proposed, removed)
     placed = placement.place(after, found, wall_s, lead_s=float("inf"))
     steps = _steps(services, after, found, placed)
-    refusals = _refusals(snapshot, before, proposed, removed, placed, found)
     origin_bytes, link_bytes, expected_s = _transfer(proposed, found, steps, costs)
+    refusals = _refusals(snapshot, before, proposed, removed)
+    warnings = _warnings(proposed, placed, found, wall_s, expected_s)
+    floors = _broken_floors(proposed, placed)
+    if origin_bytes and not costs.store_region:
+        warnings.append("the origin's region is not set, bytes over links are left out")
+    if is_complete:
+        refusals.extend(floors)
+    else:
+        warnings.extend(floors)
+        warnings.append(f"only {len(found)} endpoint processes are known here")
     return Plan(
         plan_id=plan_id(snapshot.revision, proposed, removed),
         base_revision=snapshot.revision,
@@ -131,7 +145,7 @@
         origin_bytes=origin_bytes,
         link_bytes=link_bytes,
         expected_s=expected_s,
-        warnings=tuple(_warnings(proposed, placed, found, wall_s, expected_s)),
+        warnings=tuple(warnings),
         refusals=tuple(refusals),
     )
 
@@ -167,18 +181,10 @@
     before: Mapping[data.ServiceName, data.Intent],
     proposed: tuple[data.Intent, ...],
     removed: tuple[data.ServiceName, ...],
-    placed: placement.Placement,
-    found: Mapping[data.InstanceId, placement.Replica],
 ) -> list[str]:
     refusals = []
     for intent in proposed:
         refusals.extend(str(error) for error in intents.check(intent))
-        have = len(placed.members.get(intent.service, ()))
-        if have < intent.floor:
-            refusals.append(
-                f"service {intent.service}: only {have} instances can serve it, "
-                f"the floor is {intent.floor}"
-            )
     names = [intent.service for intent in proposed] + list(removed)
     if len(set(names)) != len(names):
         refusals.append("a service is named twice")
@@ -195,6 +201,20 @@
     return refusals
 
 
+def _broken_floors(
+    proposed: tuple[data.Intent, ...], placed: placement.Placement
+) -> list[str]:
+    found = []
+    for intent in proposed:
+        have = len(placed.members.get(intent.service, ()))
+        if have < intent.floor:
+            found.append(
+                f"service {intent.service}: only {have} instances can serve it, "
+                f"the floor is {intent.floor}"
+            )
+    return found
+
+
 def _warnings(
     proposed: tuple[data.Intent, ...],
     placed: placement.Placement,
@@ -257,7 +277,7 @@
         origin_bytes += copies * intent.weights_bytes
         slowest_s = max(slowest_s, intent.weights_bytes / costs.instance_bytes_per_s)
         for region in {replica.region for replica in loads}:
-            if region != costs.store_region:
+            if costs.store_region not in ("", region):
                 per_link[region] = per_link.get(region, 0) + intent.weights_bytes
     link_bytes = []
     for region, total_bytes in sorted(per_link.items()):
