--- a/toucanspread/tools/virtual_requests.py
+++ b/toucanspread/tools/virtual_requests.py
@@ -19,10 +19,10 @@
     gate,
     limits,
     machine,
-    orders,
     request_events,
     requests,
     routing,
+    serving,
     steering,
 )
 
@@ -117,8 +117,8 @@
     """A gate with its engine."""
 
     def __init__(self, number: int, setup: Setup):
-        serving = orders.State(data.ServiceKind.PLAIN, SERVICE)
-        serving.serving = orders.Serving(SERVICE, data.ServiceKind.PLAIN)
+        served = serving.State(data.ServiceKind.PLAIN, SERVICE)
+        served.serving = serving.Serving(SERVICE, data.ServiceKind.PLAIN)
         intent = types.SimpleNamespace(teams=setup.teams)
         self.identity = data.Identity(
             data.InstanceId(f"p{number}"),
@@ -131,7 +131,7 @@
         node = machine.Node(
             self.identity,
             setup.seed + number,
-            orders=serving,
+            orders=served,
             config=types.SimpleNamespace(intents={SERVICE: intent}),
             gate=gate.State(),
             claims=claims.State(),
