--- a/toucanspread/ops/datagrams.py
+++ b/toucanspread/ops/datagrams.py
@@ -17,6 +17,7 @@
 MAX_DATAGRAM_BYTES = 1_200  # fits every usual path without fragments
 LOG_INTERVAL_S = 10.0
 FULL_ENVELOPES = 2  # to a new address, before references
+FULL_EVERY = 64  # messages, for a receiver whose request was lost or went astray
 MAX_SENDERS = 8_192
 MAX_ADDRESSES = 8_192
 
@@ -94,11 +95,11 @@
 
     def _encode(self, address: data.Address, message: data.Message) -> bytes:
         sent = self._introduced.get(address, 0)
-        if sent >= FULL_ENVELOPES:
-            return codec.encode_short(self._reference, message)
-        if len(self._introduced) >= MAX_ADDRESSES:
+        if sent == 0 and len(self._introduced) >= MAX_ADDRESSES:
             self._introduced.clear()
         self._introduced[address] = sent + 1
+        if sent >= FULL_ENVELOPES and sent % FULL_EVERY:
+            return codec.encode_short(self._reference, message)
         return codec.encode(self._identity, message)
 
     def _decode(
--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -74,6 +74,18 @@
 
         return defer.Deferred.fromFuture(loop.spawn(scenario()))
 
+    def test_sender_is_introduced_again_without_being_asked(self):
+        async def scenario():
+            address = await self.start()
+            self.sender._introduced[address] = datagrams.FULL_EVERY - 1
+            self.patch(self.receiver, "_write", lambda payload, target: None)
+            self.sender.send(address, messages.Ping(1))
+            self.sender.send(address, messages.Ping(2))
+            event = await loop.wait(self.received.get())
+            self.assertEqual(2, event.message.number)
+
+        return defer.Deferred.fromFuture(loop.spawn(scenario()))
+
     def test_large_message_takes_the_other_way(self):
         async def scenario():
             address = await self.start()
