Pass all reports on when a collector is new or was restarted

A trial of the demo with the subset forced on at 4 entries stopped because one entry had heard of 9 of 10 endpoint processes after a minute: the rows had been sent before it was up, and their next turn was two minutes away.

--- a/toucanspread/core/relaying.py
+++ b/toucanspread/core/relaying.py
@@ -86,6 +86,7 @@
         self.updates: dict[data.InstanceId, tuple[messages.Update, int]] = {}
         self.ends: dict[data.InstanceId, End] = {}
         self.credit_bytes = 0.0
+        self.greeted: set[tuple[data.InstanceId, data.Incarnation]] = set()
         self.refreshes: list[data.InstanceId] = []
         self.next_run_s = 0.0
         self.refresh_credit = 0.0
@@ -154,9 +155,10 @@
     _refresh(table)
     earned_bytes = COLLECTOR_BYTES_S * RUN_INTERVAL_S / len(state.entry_ids)
     table.credit_bytes = min(table.credit_bytes + earned_bytes, MAX_CREDIT_BYTES)
+    targets = [name for name in collectors(node) if name in state.members]
+    _greet(node, targets)
     if not table.pending and not table.updates and not table.ends:
         return []
-    targets = [name for name in collectors(node) if name in state.members]
     found: beliefs.Items = []
     while table.credit_bytes > 0:
         relay, size_bytes = _next_message(node)
@@ -169,6 +171,20 @@
     return found
 
 
+def _greet(node, targets: list[data.InstanceId]) -> None:
+    """Pass everything on again when a collector is new or was restarted."""
+    table = node.membership.relays
+    met = set()
+    for name in targets:
+        incarnation = node.membership.members[name].identity.incarnation
+        if incarnation:
+            met.add((name, incarnation))
+    if met - table.greeted:
+        for instance_id in table.told:
+            table.pending.setdefault(instance_id, SENDS)
+    table.greeted = met
+
+
 def on_relay(node, sender: data.Identity, relay: Relay) -> beliefs.Items:
     """Keep what another entry passes on."""
     if node.identity.role is data.Role.ENDPOINT:
--- a/toucanspread/core/relaying_test.py
+++ b/toucanspread/core/relaying_test.py
@@ -68,6 +68,13 @@
         for name in names:
             self.assertEqual(ENDPOINTS, len(self.reports(name)))
 
+    def test_restarted_collector_learns_at_once(self):
+        old = next(who for who in self.fleet.listed if who.instance_id == self.names[0])
+        self.fleet.start(identity(old.instance_id, incarnation=2, zone=old.zone))
+        self.fleet.read_list()
+        self.fleet.network.run(15.0)
+        self.assertEqual(ENDPOINTS, len(self.reports(self.names[0])))
+
     def test_report_that_nobody_passes_on_is_dropped(self):
         for name in list(self.fleet.network.machines):
             if not name.startswith(self.names[0]):
