Route no more to endpoint processes that report to other entries

Above 32 entries an endpoint process reports to three; when it chooses others, its old entries kept routing by a load that nobody told them any more. The new test failed before. The demo's settings now name the origin's region.

--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -266,6 +266,7 @@
             "address": address,
             "key_value_url": f"http://{self.key_value}",
             "instance_list_url": f"http://{self.instance_list}",
+            "origin_region": self.deployment.places[0].region,
             **extra,
         }
         path = self.directory / f"{instance_id}.yaml"
--- a/toucanspread/core/endpoints.py
+++ b/toucanspread/core/endpoints.py
@@ -214,6 +214,14 @@
     return []
 
 
+def _on_report_lost(node: machine.Node, event: events.ReportLost) -> list:
+    """Route no more to an endpoint process whose load is no longer told here."""
+    known = node.routing.endpoints.get(event.instance_id)
+    if known is not None:
+        node.routing.remove(known)
+    return []
+
+
 def _same_process(node: machine.Node, identity: data.Identity) -> Endpoint | None:
     known = node.routing.endpoints.get(identity.instance_id)
     if known is None or known.identity.incarnation != identity.incarnation:
@@ -268,6 +276,7 @@
 
 HANDLERS = {
     events.ReportReceived: _on_report,
+    events.ReportLost: _on_report_lost,
     events.MemberChanged: _on_member,
     AttemptStarted: _on_started,
     AttemptFinished: _on_finished,
--- a/toucanspread/core/routing_test.py
+++ b/toucanspread/core/routing_test.py
@@ -54,6 +54,13 @@
         entry.step(1.1, suspected)
         self.assertIsNone(choose(entry))
 
+    def test_an_endpoint_that_reports_elsewhere_gets_nothing_new(self):
+        entry = make_entry(report("p1"), report("p2"))
+        entry.step(1.0, events.ReportLost(data.InstanceId("p1")))
+        self.assertEqual({"p2"}, {choose(entry) for _ in range(40)})
+        entry.step(2.0, events.ReportReceived(report("p1")))
+        self.assertEqual({"p1", "p2"}, {choose(entry) for _ in range(40)})
+
     def test_report_does_not_undo_what_membership_knows_of_a_leaving_endpoint(self):
         entry = make_entry(report("p1"))
         identity = requests_test.endpoint("p1")
