Let one HTTP client serve all platform clients

Two had been written side by side. The one that is left drops idle connections after a timeout, as the other did; paths are quoted by those who make them.

--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -5,6 +5,7 @@
 
 import abc
 import asyncio
+import urllib.parse
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -234,14 +235,13 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> bytes:
         try:
-            status, payload = await self._client.call(
-                method, path, body, timeout_s=timeout_s
-            )
+            reply = await self._client.call(method, path, body, timeout_s=timeout_s)
         except http_client.HttpError as error:
             raise EngineError(str(error), error.sent) from error
-        if not http_client.is_success(status):
-            raise EngineRefusedError(_refusal(status, payload), status)
-        return payload
+        if not http_client.is_success(reply.status):
+            detail = _refusal(reply.status, reply.body)
+            raise EngineRefusedError(detail, reply.status)
+        return reply.body
 
 
 class HttpPlainService(PlainService):
@@ -263,7 +263,7 @@
         """Return the status and payload of the service's answer."""
         headers = _request_headers(request)
         headers["Idempotency-Key"] = request.idempotency_key
-        path = f"/v1/{request.service}"
+        path = f"/v1/{urllib.parse.quote(request.service)}"
         response = await _open(self._client, path, body, headers, request.budget_s)
         try:
             _check_id(response, request)
--- a/toucanspread/ops/http_client.py
+++ b/toucanspread/ops/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import urllib.parse
 from collections.abc import AsyncIterator, Mapping
 
@@ -98,6 +99,11 @@
         values = self._response.headers.getRawHeaders(name)
         return values[0] if values else ""
 
+    def headers(self) -> dict[str, str]:
+        """Return the first value of each header, by lower-case name."""
+        found = self._response.headers.getAllRawHeaders()
+        return {name.decode().lower(): values[0].decode() for name, values in found}
+
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
 
@@ -135,9 +141,27 @@
         transport.stopProducing()
 
 
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole answer.
+
+    :param headers: the first value of each, by lower-case name.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first value of a header."""
+        return self.headers.get(name.lower(), default)
+
+
 class HttpClient:
     """Calls on one server over a pool of connections.
 
+    Paths are sent as they are, so names in them have to be quoted.
+
     :param address: the server's ``ip:port``.
     """
 
@@ -152,6 +176,11 @@
         )
         self._base = f"http://{address}"
 
+    @classmethod
+    def from_url(cls, url: str) -> "HttpClient":
+        """Return a client for the server of an ``http://ip:port`` URL."""
+        return cls(urllib.parse.urlsplit(url).netloc)
+
     async def open(
         self,
         method: str,
@@ -164,7 +193,7 @@
 
         :raises HttpError: when no answer came in time.
         """
-        url = self._base + urllib.parse.quote(path, safe="/?=&")
+        url = self._base + path
         raw = http_headers.Headers(
             {name: [value] for name, value in (headers or {}).items()}
         )
@@ -175,6 +204,8 @@
             async with asyncio.timeout(timeout_s):
                 answer = await future
         except TimeoutError as caught:
+            # What went silent stays silent: the idle ones may be as this one.
+            self._pool.closeCachedConnections()
             raise HttpError(f"no answer in {timeout_s} s", sent=True) from caught
         except NOT_SENT_ERRORS as caught:
             raise HttpError(f"cannot connect: {caught}", sent=False) from caught
@@ -190,8 +221,8 @@
         headers: Mapping[str, str] | None = None,
         timeout_s: float = 5.0,
         max_bytes: int = 64 * 1024 * 1024,
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and the whole body.
+    ) -> Reply:
+        """Send a request and return the whole answer.
 
         :raises HttpError: when no whole answer came in time.
         """
@@ -203,7 +234,7 @@
             raise HttpError(f"no whole body in {timeout_s} s", sent=True) from caught
         finally:
             response.close()
-        return response.status, payload
+        return Reply(response.status, response.headers(), payload)
 
     async def close(self) -> None:
         """Close idle connections."""
--- a/toucanspread/ops/instances.py
+++ b/toucanspread/ops/instances.py
@@ -14,8 +14,9 @@
 from twisted.internet import reactor
 
 from toucanspread.core import data, events
-from toucanspread.ops import logs, loop, runtime, web_client
+from toucanspread.ops import http_client, logs, loop, runtime
 
+LIST_PATH = "/v1/instances"
 CALL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 2.0
 READ_BUDGET_BYTES_S = 4 * 1024  # the list's share of a node's control bytes
@@ -70,19 +71,19 @@
     """
 
     def __init__(self, url: str):
-        self._url = url.rstrip("/") + "/v1/instances"
-        self._web = web_client.WebClient()
+        self._url = url
+        self._client = http_client.HttpClient.from_url(url)
         self._etag = ""
 
     async def read(self) -> Reading | None:
         """Read the list unless it is unchanged."""
         headers = {"if-none-match": self._etag} if self._etag else {}
         try:
-            reply = await self._web.call(
-                "GET", self._url, CALL_TIMEOUT_S, headers=headers
+            reply = await self._client.call(
+                "GET", LIST_PATH, headers=headers, timeout_s=CALL_TIMEOUT_S
             )
-        except web_client.WebError as error:
-            raise InstanceListError(str(error)) from error
+        except http_client.HttpError as error:
+            raise InstanceListError(f"{self._url}: {error}") from error
         if reply.status == 304:
             return None
         if reply.status != 200:
@@ -96,7 +97,7 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._web.close()
+        await self._client.close()
 
 
 class InstanceListAdapter(runtime.Adapter):
--- a/toucanspread/ops/instances_test.py
+++ b/toucanspread/ops/instances_test.py
@@ -8,7 +8,7 @@
 
 from standins import instance_list as standin
 from toucanspread.core import data
-from toucanspread.ops import instances, loop, web_client
+from toucanspread.ops import http_client, instances, loop
 
 ROW = {
     "instance_id": "brest-a-1",
@@ -29,7 +29,7 @@
         self.port = reactor.listenTCP(0, site, interface="127.0.0.1")
         self.url = f"http://127.0.0.1:{self.port.getHost().port}"
         self.client = instances.HttpInstanceList(self.url)
-        self.web = web_client.WebClient()
+        self.web = http_client.HttpClient.from_url(self.url)
         self.addCleanup(lambda: defer.Deferred.fromFuture(loop.spawn(self._stop())))
 
     async def _stop(self):
@@ -39,7 +39,7 @@
         await asyncio.sleep(0.01)
 
     async def administer(self, path, body=b"{}"):
-        await self.web.call("PUT", f"{self.url}/admin/{path}", 5.0, body)
+        await self.web.call("PUT", f"/admin/{path}", body)
 
     def test_lag_and_leaving(self):
         async def scenario():
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -15,7 +15,7 @@
 from urllib.parse import quote
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import logs, loop, runtime, web_client
+from toucanspread.ops import http_client, logs, loop, runtime
 
 CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 2.0  # the service may answer a watch a little after its wait
@@ -104,8 +104,7 @@
     """
 
     def __init__(self, url: str):
-        self._url = url.rstrip("/")
-        self._web = web_client.WebClient()
+        self._client = http_client.HttpClient.from_url(url)
         self._sessions: dict[str, str] = {}
 
     async def read(self, key: str) -> Result:
@@ -192,7 +191,7 @@
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._web.close()
+        await self._client.close()
 
     async def _create_session(self, ttl_s: float) -> str:
         wanted = {"TTL": f"{ttl_s:g}s", "Behavior": "release", "LockDelay": "0s"}
@@ -230,14 +229,12 @@
         path: str,
         body: bytes | str | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> web_client.Reply:
-        if isinstance(body, str):
-            body = body.encode()
-        url = self._url + path
+    ) -> http_client.Reply:
+        payload = body.encode() if isinstance(body, str) else body or b""
         try:
-            reply = await self._web.call(method, url, timeout_s, body)
-        except web_client.WebError as error:
-            raise KeyValueError(error.sent, str(error)) from error
+            reply = await self._client.call(method, path, payload, timeout_s=timeout_s)
+        except http_client.HttpError as error:
+            raise KeyValueError(error.sent, f"{method} {path}: {error}") from error
         if reply.status >= 500:
             raise KeyValueError(True, f"{method} {path}: status {reply.status}")
         if reply.status >= 400 and reply.status != 404:
@@ -335,7 +332,7 @@
     return Result(Status.OK, found.value, found.version, holder=holder)
 
 
-def _parsed(reply: web_client.Reply) -> object:
+def _parsed(reply: http_client.Reply) -> object:
     try:
         return json.loads(reply.body)
     except ValueError as error:
--- a/toucanspread/ops/origin.py
+++ b/toucanspread/ops/origin.py
@@ -83,7 +83,8 @@
         stall_s: float,
     ) -> bytes:
         """Return a range of a version's file."""
-        full_path = f"{self._base_path}/files/{manifest_hash}/{path}"
+        quoted = urllib.parse.quote(path)
+        full_path = f"{self._base_path}/files/{manifest_hash}/{quoted}"
         last = offset_bytes + size_bytes - 1
         headers = {"Range": f"bytes={offset_bytes}-{last}"}
         payload = await self._get(full_path, headers, HTTP_PARTIAL, size_bytes, stall_s)
