--- a/toucanspread/tools/bench_agreement.py
+++ b/benches/bench_agreement.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import confirm, data, effects, events, plans, pushing, rendezvous
 
 # Entries, endpoint processes, and the share of messages that is lost, late or doubled.
@@ -35,7 +35,7 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-class BenchFleet(virtual_fleet.Fleet):
+class BenchFleet(virtual_agreement.Fleet):
     """A large fleet: processes share what their memberships know of the entries."""
 
     def __init__(self, seed: int):
@@ -53,7 +53,7 @@
     def connect(self) -> None:
         """Let each process know the entries, and each entry its endpoints."""
         known = {
-            node.identity.instance_id: virtual_fleet.Member(node.identity)
+            node.identity.instance_id: virtual_agreement.Member(node.identity)
             for node in self.entries()
         }
         for node in self.entries():
@@ -78,7 +78,7 @@
         chosen += far[: pushing.HEARING_ENTRIES - len(chosen)]
         self.reporters[node.identity.instance_id] = chosen
         for name in chosen:
-            member = virtual_fleet.Member(node.identity)
+            member = virtual_agreement.Member(node.identity)
             members = self.nodes[name].membership.members
             members[node.identity.instance_id] = member
 
--- a/toucanspread/tools/bench_membership.py
+++ b/benches/bench_membership.py
@@ -1,7 +1,7 @@
 """Measures membership against fleet size in virtual time.
 
 Prints ``name=value`` lines; bytes count the datagram with its IP and UDP headers. Run
-it as ``python -m toucanspread.tools.bench_membership [ENTRIES ...]``.
+it as ``python -m benches.bench_membership [ENTRIES ...]``.
 """
 
 import asyncio
@@ -12,10 +12,10 @@
 
 import msgspec
 
+from standins import virtual_members
 from toucanspread.core import data, events, reporting
 from toucanspread.core import membership_messages as messages
 from toucanspread.ops import codec, datagrams, loop
-from toucanspread.tools import virtual_fleet
 
 SIZES = (44, 88, 175, 350)
 WARM_UP_S = 60.0
@@ -30,7 +30,7 @@
 
 def measure(entry_count: int) -> dict[str, float]:
     """Return the figures of one size."""
-    fleet = virtual_fleet.Fleet(entry_count)
+    fleet = virtual_members.Fleet(entry_count)
     fleet.network.run(WARM_UP_S)
     fleet.meter.begin()
     fleet.network.run(STEADY_S)
@@ -41,7 +41,7 @@
     return found
 
 
-def _steady(fleet: virtual_fleet.Fleet) -> dict[str, float]:
+def _steady(fleet: virtual_members.Fleet) -> dict[str, float]:
     meter = fleet.meter
     addresses = [who.address for who in fleet.entries]
     found = {}
@@ -52,14 +52,14 @@
     rates = [meter.messages[address] / STEADY_S for address in addresses]
     found["entry_messages_s_mean"] = sum(rates) / len(rates)
     busy_s = sum(meter.busy_s[address] for address in fleet.sampled)
-    found["entry_busy_ms_s"] = 1000 * busy_s / virtual_fleet.SAMPLED / STEADY_S
-    real = fleet.endpoints[: virtual_fleet.SAMPLED]
+    found["entry_busy_ms_s"] = 1000 * busy_s / virtual_members.SAMPLED / STEADY_S
+    real = fleet.endpoints[: virtual_members.SAMPLED]
     endpoint_bytes = sum(
         meter.sent[who.address] + meter.received[who.address] for who in real
     )
-    found["endpoint_bytes_s_mean"] = endpoint_bytes / virtual_fleet.SAMPLED / STEADY_S
+    found["endpoint_bytes_s_mean"] = endpoint_bytes / virtual_members.SAMPLED / STEADY_S
     busy_s = sum(meter.busy_s[who.address] for who in real)
-    found["endpoint_busy_ms_s"] = 1000 * busy_s / virtual_fleet.SAMPLED / STEADY_S
+    found["endpoint_busy_ms_s"] = 1000 * busy_s / virtual_members.SAMPLED / STEADY_S
     for kind in (events.Tick, reporting.LoadReport, messages.Ping, messages.Ack):
         if meter.events[kind]:
             taken_us = 1e6 * meter.busy_s[kind] / meter.events[kind]
@@ -67,14 +67,14 @@
     return found
 
 
-def _evenness(fleet: virtual_fleet.Fleet) -> dict[str, float]:
+def _evenness(fleet: virtual_members.Fleet) -> dict[str, float]:
     per_entry = collections.Counter(dict.fromkeys(fleet.machines, 0))
     for chosen in fleet.chosen.values():
         per_entry.update(chosen)
     counts = [per_entry[who.instance_id] for who in fleet.entries]
     knowing = collections.defaultdict(set)
     for number, who in enumerate(fleet.endpoints):
-        knowing[number % virtual_fleet.SERVICES].update(fleet.chosen[who.instance_id])
+        knowing[number % virtual_members.SERVICES].update(fleet.chosen[who.instance_id])
     return {
         "entries_per_endpoint_min": min(map(len, fleet.chosen.values())),
         "entries_per_endpoint_max": max(map(len, fleet.chosen.values())),
@@ -85,7 +85,7 @@
     }
 
 
-def _detection(fleet: virtual_fleet.Fleet) -> dict[str, float]:
+def _detection(fleet: virtual_members.Fleet) -> dict[str, float]:
     """Kill a few processes and return when the last one had to know."""
     killed_entries = fleet.entries[-KILLED_ENTRIES:]
     killed_endpoints = fleet.endpoints[-KILLED_ENDPOINTS:]
@@ -114,9 +114,9 @@
 
 def measure_zone_loss(entry_count: int) -> dict[str, float]:
     """Return what the loss of a zone costs the other entries at most."""
-    fleet = virtual_fleet.Fleet(entry_count)
+    fleet = virtual_members.Fleet(entry_count)
     fleet.network.run(WARM_UP_S)
-    lost = virtual_fleet.ZONES[0]
+    lost = virtual_members.ZONES[0]
     living = []
     for who in fleet.entries + fleet.endpoints:
         if who.zone == lost:
@@ -146,22 +146,22 @@
     }
 
 
-def _knows(fleet: virtual_fleet.Fleet, at: data.Identity, who: data.Identity) -> bool:
+def _knows(fleet: virtual_members.Fleet, at: data.Identity, who: data.Identity) -> bool:
     return fleet.believes_dead(at, who.instance_id)
 
 
 def measure_memory(entry_count: int) -> dict[str, float]:
     """Return what a view of the whole list takes."""
-    endpoint_count = round(entry_count * virtual_fleet.ENDPOINTS_PER_ENTRY)
-    stepper = virtual_fleet.build(virtual_fleet.identity("entry", 0))
+    endpoint_count = round(entry_count * virtual_members.ENDPOINTS_PER_ENTRY)
+    stepper = virtual_members.build(virtual_members.identity("entry", 0))
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     listed = [
-        virtual_fleet.listed(virtual_fleet.identity("entry", number))
+        virtual_members.listed(virtual_members.identity("entry", number))
         for number in range(entry_count)
     ]
     listed += [
-        virtual_fleet.listed(virtual_fleet.identity("endpoint", n))
+        virtual_members.listed(virtual_members.identity("endpoint", n))
         for n in range(endpoint_count)
     ]
     stepper.step(0.0, events.InstanceListRead(tuple(listed)))
@@ -173,7 +173,7 @@
 
 def measure_sizes() -> dict[str, float]:
     """Return what messages take as datagrams, headers included."""
-    who = virtual_fleet.identity("endpoint", 7_499)
+    who = virtual_members.identity("endpoint", 7_499)
     reference = codec.reference_of(who)
     update = messages.make_update(who, data.MemberState.DEAD, 0)
     items = {
@@ -185,7 +185,7 @@
     found = {}
     for name, message in items.items():
         payload = codec.encode_short(reference, message)
-        found[f"{name}_bytes"] = len(payload) + virtual_fleet.HEADER_BYTES
+        found[f"{name}_bytes"] = len(payload) + virtual_members.HEADER_BYTES
     return found
 
 
@@ -219,7 +219,7 @@
 
 def _datagrams(post) -> datagrams.Datagrams:
     who = msgspec.structs.replace(
-        virtual_fleet.identity("endpoint", 1), address=data.Address("127.0.0.1:0")
+        virtual_members.identity("endpoint", 1), address=data.Address("127.0.0.1:0")
     )
     return datagrams.Datagrams(who, post, lambda address, message: None)
 
--- a/toucanspread/tools/bench_membership_test.py
+++ b/benches/bench_membership_test.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from toucanspread.tools import bench_membership
+from benches import bench_membership
 
 
 class BenchMembershipTest(testtools.TestCase):
--- a/toucanspread/tools/bench_requests.py
+++ b/benches/bench_requests.py
@@ -12,6 +12,7 @@
 import types
 from collections.abc import Callable
 
+from standins import virtual_requests
 from toucanspread.core import (
     data,
     draining,
@@ -23,7 +24,6 @@
     routing,
     steering,
 )
-from toucanspread.tools import virtual_requests
 
 SEED = 20
 SERVICE = data.ServiceName("redactor")
--- a/toucanspread/tools/bench_transfer.py
+++ b/benches/bench_transfer.py
@@ -13,6 +13,8 @@
 
 import defopt
 
+from benches import baselines
+from standins import virtual_swarm
 from toucanspread.core import (
     data,
     events,
@@ -22,7 +24,6 @@
     tracking,
     transfer_state,
 )
-from toucanspread.tools import baselines, virtual_swarm
 
 WANTED_S = 60.0
 CHUNKS = 256
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BENCH_TIMEOUT_S = 900
-MODULE_PATTERN = "toucanspread/tools/bench_*.py"
+MODULE_PATTERN = "benches/bench_*.py"
 
 
 def parse(output: str) -> dict[str, float | str]:
@@ -50,7 +50,7 @@
         name = path.stem.removeprefix("bench_")
         if path.stem.endswith("_test") or (wanted and name not in wanted):
             continue
-        code, output = run(f"toucanspread.tools.{path.stem}")
+        code, output = run(f"benches.{path.stem}")
         print(f"# {name}: exit code {code}")
         print(output, end="", flush=True)
         results[name] = {"exit_code": code, **parse(output)}
--- a/scripts/burst.py
+++ b/scripts/burst.py
@@ -15,9 +15,9 @@
 import launcher
 import yaml
 
+from benches import baselines
 from toucanspread.core import manifest
 from toucanspread.ops import weights
-from toucanspread.tools import baselines
 
 CHUNK_BYTES = 64 * 1024
 SCRATCH = launcher.ROOT / "build" / "burst"
--- a/toucanspread/tools/virtual_fleet.py
+++ b/standins/virtual_members.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from standins import virtual_network
 from toucanspread.core import (
     data,
     effects,
@@ -20,7 +21,6 @@
 )
 from toucanspread.core import membership_messages as messages
 from toucanspread.ops import codec
-from toucanspread.tools import virtual_network
 
 ENDPOINTS_PER_ENTRY = 7_500 / 350
 ZONES = ("za", "zb", "zc", "zd", "ze")
--- a/standins/virtual_platform.py
+++ b/standins/virtual_platform.py
@@ -2,13 +2,13 @@
 
 import collections
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import data, effects, events, manifest
 
 CHUNK_BYTES = 64 * 1024
 
 
-class KeyValue(virtual_fleet.KeyValue):
+class KeyValue(virtual_agreement.KeyValue):
     """The fake key-value service with deletion."""
 
     def _apply(self, now_s: float, effect: data.Effect) -> events.KvAnswered:
--- a/toucanspread/tools/virtual_requests_test.py
+++ b/standins/virtual_requests_test.py
@@ -1,7 +1,7 @@
 import testtools
 
+from standins import virtual_requests
 from toucanspread.core import data
-from toucanspread.tools import virtual_requests
 
 
 class WorldTest(testtools.TestCase):
--- a/toucanspread/core/agreement_golden_test.py
+++ b/toucanspread/core/agreement_golden_test.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import data, sessions
 from toucanspread.core.agreement_test import NEXT_MANIFEST, accept, intent
 
@@ -16,7 +16,7 @@
 
 
 def record():
-    fleet = virtual_fleet.Fleet(seed=5)
+    fleet = virtual_agreement.Fleet(seed=5)
     fleet.add("entry-0", data.Role.ENTRY, "brest-a", "finistere")
     for index in range(2):
         name = f"engine-{index}"
@@ -35,7 +35,7 @@
     fleet.kv.up = True
     fleet.kv.values = saved
     fleet.run(9.0)
-    start_s = virtual_fleet.WALL_START_S + fleet.now_s + 100.0
+    start_s = virtual_agreement.WALL_START_S + fleet.now_s + 100.0
     departure = data.Departure("engine-0", start_s, start_s + 600.0)
     leaving = intent(replicas=1, manifest=NEXT_MANIFEST, departures=(departure,))
     accept(fleet, leaving, operation="leave", seconds=3.0)
--- a/toucanspread/core/agreement_machine_test.py
+++ b/toucanspread/core/agreement_machine_test.py
@@ -9,7 +9,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import confirm, data, effects, history
 from toucanspread.core.agreement_test import confirmation, intent
 
@@ -22,7 +22,7 @@
 UNNOTICED_S = 10.0  # a death this recent may not be known to the controller
 
 
-class Ledger(virtual_fleet.KeyValue):
+class Ledger(virtual_agreement.KeyValue):
     """A key-value service that keeps every change that was ever accepted."""
 
     def __init__(self):
@@ -39,7 +39,7 @@
         return answer
 
 
-class Fleet(virtual_fleet.Fleet):
+class Fleet(virtual_agreement.Fleet):
     """Checks revisions and floors at every step of every process."""
 
     def __init__(self, seed):
@@ -81,7 +81,7 @@
     def _leaves_for_a_window(self, node):
         return any(
             departure.instance_id == node.identity.instance_id
-            and self.now_s + virtual_fleet.WALL_START_S
+            and self.now_s + virtual_agreement.WALL_START_S
             >= departure.window_start_s - 130.0
             for each in node.config.intents.values()
             for departure in each.departures
@@ -175,7 +175,7 @@
         for name, served in sorted(self.fleet.served.items()):
             if served == service:
                 self.departed.add(name)
-                start_s = virtual_fleet.WALL_START_S + self.fleet.now_s + 400.0
+                start_s = virtual_agreement.WALL_START_S + self.fleet.now_s + 400.0
                 return (data.Departure(name, start_s, start_s + 1e6),)
         return ()
 
--- a/toucanspread/core/agreement_test.py
+++ b/toucanspread/core/agreement_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import confirm, data, leases, plans
 
 MANIFEST = data.ManifestHash("a" * 64)
@@ -23,7 +23,7 @@
 
 
 def make_fleet(entries=4, endpoints=4, seed=1):
-    fleet = virtual_fleet.Fleet(seed)
+    fleet = virtual_agreement.Fleet(seed)
     for index in range(entries):
         zone, region = ZONES[index % 2]
         fleet.add(f"entry-{index}", data.Role.ENTRY, zone, region)
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from standins import virtual_fleet
+from standins import virtual_agreement
 from toucanspread.core import (
     confirm,
     data,
@@ -24,7 +24,7 @@
     revisions,
 )
 
-WALL_S = virtual_fleet.WALL_START_S
+WALL_S = virtual_agreement.WALL_START_S
 
 
 def verdicts(fleet):
@@ -570,7 +570,7 @@
     """With many entries each hears only some of the endpoint processes."""
 
     def make(self):
-        fleet = virtual_fleet.Fleet(2)
+        fleet = virtual_agreement.Fleet(2)
         for index in range(36):
             fleet.add(f"entry-{index}", data.Role.ENTRY, *ZONES[index % 2])
         for index in range(12):
--- a/toucanspread/core/manifest_test.py
+++ b/toucanspread/core/manifest_test.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from standins import virtual_swarm
 from toucanspread.core import manifest
-from toucanspread.tools import virtual_swarm
 
 
 class ManifestTest(testtools.TestCase):
--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership_test.py
@@ -3,6 +3,7 @@
 import msgspec
 import testtools
 
+from standins import virtual_network
 from toucanspread.core import (
     data,
     effects,
@@ -13,7 +14,6 @@
     reporting,
 )
 from toucanspread.core import membership_messages as messages
-from toucanspread.tools import virtual_network
 
 State = data.MemberState
 ZONES = ("brest-a", "vannes-a")
--- a/toucanspread/core/transfer_golden_test.py
+++ b/toucanspread/core/transfer_golden_test.py
@@ -2,8 +2,8 @@
 
 import testtools
 
+from standins import virtual_swarm
 from toucanspread.core import machine, sessions, transfer
-from toucanspread.tools import virtual_swarm
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 PIECES = 6
--- a/toucanspread/core/transfer_stateful_test.py
+++ b/toucanspread/core/transfer_stateful_test.py
@@ -2,8 +2,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from standins import virtual_swarm
 from toucanspread.core import manifest
-from toucanspread.tools import virtual_swarm
 
 CHUNK_BYTES = 1_000_000
 PIECES = 12
--- a/toucanspread/core/transfer_test.py
+++ b/toucanspread/core/transfer_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from toucanspread.tools import virtual_swarm
+from standins import virtual_swarm
 
 CHUNK_BYTES = 1_000_000
 PIECES = 64
--- a/toucanspread/ops/callers.py
+++ b/toucanspread/ops/callers.py
@@ -105,7 +105,7 @@
         self._listener = None
         self.site = build_site(self, max_body_bytes, v1 or {}, root or {})
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out what ends a caller's call."""
         return {
             request_events.FinishRequest: self._finish,
--- a/toucanspread/ops/datagrams.py
+++ b/toucanspread/ops/datagrams.py
@@ -48,7 +48,7 @@
         self._refused = 0
         self._next_log_s = 0.0
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the effect that is carried out here."""
         return {effects.Send: lambda effect: self.send(effect.to, effect.message)}
 
--- a/toucanspread/ops/dispatching.py
+++ b/toucanspread/ops/dispatching.py
@@ -50,7 +50,7 @@
         self._sink = sink
         self._tasks: dict[tuple[data.RequestId, int], asyncio.Task] = {}
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out dispatches and cancellations."""
         return {
             request_events.SendDispatch: self._send,
--- a/toucanspread/ops/endpoint.py
+++ b/toucanspread/ops/endpoint.py
@@ -119,6 +119,6 @@
         if self._listener is not None:
             self._listener.stopListening()
 
-    def effects(self) -> dict:
+    def handlers(self) -> dict:
         """Carry out no effects."""
         return {}
--- a/toucanspread/ops/engine_orders.py
+++ b/toucanspread/ops/engine_orders.py
@@ -47,7 +47,7 @@
             self._reading = False
         self._post(events.EngineStatusReported(status))
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the effects that this adapter carries out."""
         return {
             effects.EngineOrder: lambda effect: self._spawn(self._order(effect)),
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -171,7 +171,7 @@
         for running in tuple(self._runs.values()):
             running.cancel()
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the effects that this adapter carries out."""
         return {
             gate.StartRun: self._start,
--- a/toucanspread/ops/instances.py
+++ b/toucanspread/ops/instances.py
@@ -118,7 +118,7 @@
         self._interval_s = POLL_INTERVAL_S
         self._unread = False
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out no effects."""
         return {}
 
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -252,7 +252,7 @@
         self._post = post
         self._calling: set[asyncio.Task] = set()
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the key-value effects."""
         service = self._service
         return {
--- a/toucanspread/ops/key_value_test.py
+++ b/toucanspread/ops/key_value_test.py
@@ -39,7 +39,7 @@
 
     async def ask(self, kind, **fields):
         effect = kind(operation_id=data.OperationId("op"), **fields)
-        self.adapter.effects()[kind](effect)
+        self.adapter.handlers()[kind](effect)
         return await loop.wait(self.answers.get())
 
     def write(self, value, expected):
--- a/toucanspread/ops/operators.py
+++ b/toucanspread/ops/operators.py
@@ -48,7 +48,7 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[data.OperationId, server.Request] = {}
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out the answers to plans and confirmations."""
         return {
             planning.PlanAnswered: self._answer_plan,
--- a/toucanspread/ops/peers.py
+++ b/toucanspread/ops/peers.py
@@ -114,7 +114,7 @@
     def _send(self, effect: effects.Send) -> None:
         self.send(effect.to, effect.message)
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Carry out :class:`effects.Send`."""
         return {effects.Send: self._send}
 
--- a/toucanspread/ops/runtime.py
+++ b/toucanspread/ops/runtime.py
@@ -24,7 +24,7 @@
     """One way to the outside."""
 
     @abc.abstractmethod
-    def effects(self) -> Mapping[type, EffectHandler]:
+    def handlers(self) -> Mapping[type, EffectHandler]:
         """Return which effects this adapter carries out, and how."""
 
     async def start(self) -> None:
@@ -67,7 +67,7 @@
     def add(self, adapter: Adapter) -> None:
         """Take an adapter in before :meth:`start`."""
         self._adapters.append(adapter)
-        self._handlers.update(adapter.effects())
+        self._handlers.update(adapter.handlers())
 
     async def start(self) -> None:
         """Start the adapters, then let time run."""
--- a/toucanspread/ops/transfers.py
+++ b/toucanspread/ops/transfers.py
@@ -209,7 +209,7 @@
     def _release(self, size_bytes: int) -> None:
         self._held_bytes -= size_bytes
 
-    def effects(self) -> Mapping[type, runtime.EffectHandler]:
+    def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the effects that this adapter carries out."""
         return {
             fetching.FetchFromPeer: self._from_peer,
--- a/toucanspread/ops/transfers_test.py
+++ b/toucanspread/ops/transfers_test.py
@@ -83,7 +83,7 @@
 
     def carry_out(self, effect):
         async def carry():
-            self.adapter.effects()[type(effect)](effect)
+            self.adapter.handlers()[type(effect)](effect)
             return await asyncio.wait_for(self.events.get(), 10)
 
         return self.run_async(carry())
