Give dispatches' events a module, and one name to what names a dispatch

core/gate.py held its events beside its rules; the tuple of request and attempt had five names of its own, now data.AttemptKey.

--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -12,6 +12,7 @@
     effects,
     events,
     gate,
+    gate_events,
     limits,
     machine,
     serving,
@@ -163,7 +164,7 @@
             **fields,
         )
         dispatch = data.Dispatch(request, attempt, budget_s, ENTRY.instance_id)
-        return self.step(gate.DispatchArrived(ENTRY, dispatch, stream))
+        return self.step(gate_events.DispatchArrived(ENTRY, dispatch, stream))
 
     def end(
         self,
@@ -176,7 +177,7 @@
     ) -> list[data.Effect]:
         """Feed the end of a run."""
         return self.step(
-            gate.RunEnded(
+            gate_events.RunEnded(
                 data.RequestId(request_id),
                 attempt,
                 ok,
--- a/standins/mechanisms_test.py
+++ b/standins/mechanisms_test.py
@@ -16,6 +16,7 @@
     dispatch_memory,
     events,
     gate,
+    gate_events,
     invariants,
     orders,
     request_state,
@@ -99,13 +100,13 @@
             )
             dispatch = data.Dispatch(request, 1, 5.0, sender.instance_id)
             system.key_value.up = False
-            arrived = gate.DispatchArrived(sender, dispatch, 1_000_001, 0)
+            arrived = gate_events.DispatchArrived(sender, dispatch, 1_000_001, 0)
             system.post(desk.instance_id, arrived)
             system.run(3.0)
             refused = system.refused[request.request_id, 1]
             self.assertEqual(data.Outcome.NOT_RUN, refused.outcome)
             system.key_value.up = True
-            copy = gate.DispatchArrived(sender, dispatch, 1_000_002, 0)
+            copy = gate_events.DispatchArrived(sender, dispatch, 1_000_002, 0)
             system.post(desk.instance_id, copy)
             system.run(5.0)
             count = system.places[desk.instance_id].plain.executions["late"]
--- a/standins/virtual_engine.py
+++ b/standins/virtual_engine.py
@@ -10,7 +10,7 @@
 import random
 
 from standins import gate_fakes
-from toucanspread.core import data, effects, events, gate
+from toucanspread.core import data, effects, events, gate_events
 
 STEP_S = 0.01
 TICK_STEPS = 10
@@ -58,7 +58,7 @@
 class Job:
     """A request that the engine runs."""
 
-    start: gate.StartRun
+    start: gate_events.StartRun
     tokens: int
     started_s: float
     produced: float = 0.0
@@ -86,7 +86,7 @@
         self.most_queued = 0
         self._sources = sources
         self._random = random.Random(seed)
-        self._jobs: dict[gate.Key, Job] = {}
+        self._jobs: dict[data.AttemptKey, Job] = {}
         self._sent: dict[data.RequestId, tuple[Source, float]] = {}
         self._next_s = [self._gap(source) for source in sources]
         self._slow_at_s = slow_at_s
@@ -170,11 +170,13 @@
 
     def _take(self, found: list) -> None:
         for effect in found:
-            if isinstance(effect, gate.StartRun):
+            if isinstance(effect, gate_events.StartRun):
                 tokens = self._random.randint(MIN_TOKENS, MAX_TOKENS)
                 job = Job(effect, tokens, self.rig.now_s)
                 self._jobs[(effect.request_id, effect.attempt)] = job
-            elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
+            elif isinstance(
+                effect, gate_events.RefuseDispatch | gate_events.EndDispatch
+            ):
                 self._note(effect.end)
             elif isinstance(effect, effects.Exit):
                 self.exited_s = self.rig.now_s
--- a/standins/virtual_requests.py
+++ b/standins/virtual_requests.py
@@ -17,6 +17,7 @@
     draining,
     events,
     gate,
+    gate_events,
     limits,
     machine,
     request_events,
@@ -66,8 +67,8 @@
 
     def __init__(self, batch: int):
         self._batch = batch
-        self._jobs: list[tuple[float, int, gate.Key]] = []
-        self._cancelled: set[gate.Key] = set()
+        self._jobs: list[tuple[float, int, data.AttemptKey]] = []
+        self._cancelled: set[data.AttemptKey] = set()
         self._running = 0
         self._progress_s = 0.0
         self._seen_s = 0.0
@@ -78,18 +79,18 @@
         self._progress_s += (now_s - self._seen_s) * self._rate()
         self._seen_s = now_s
 
-    def add(self, key: gate.Key, work_s: float) -> None:
+    def add(self, key: data.AttemptKey, work_s: float) -> None:
         """Start a job; the time has been advanced."""
         self._running += 1
         done = self._progress_s + work_s
         heapq.heappush(self._jobs, (done, next(self._numbers), key))
 
-    def cancel(self, key: gate.Key) -> None:
+    def cancel(self, key: data.AttemptKey) -> None:
         """Drop a job."""
         self._running -= 1
         self._cancelled.add(key)
 
-    def take_done(self) -> gate.Key | None:
+    def take_done(self) -> data.AttemptKey | None:
         """Return a job that is done, or None."""
         self._drop_cancelled()
         if not self._jobs or self._jobs[0][0] > self._progress_s + 1e-9:
@@ -140,7 +141,7 @@
         handlers = [gate.HANDLERS, claims.HANDLERS, limits.HANDLERS]
         self.machine = machine.Machine(node, handlers)
         self.engine = Engine(setup.batch)
-        self.started_s: dict[gate.Key, float] = {}
+        self.started_s: dict[data.AttemptKey, float] = {}
         self.wakes_s = float("inf")
         self.is_up = True
 
@@ -283,28 +284,34 @@
         stream = next(self._numbers)
         self._streams[stream] = (entry, endpoint, dispatch)
         sender = entry.node.identity
-        self._step_endpoint(endpoint, gate.DispatchArrived(sender, dispatch, stream))
+        self._step_endpoint(
+            endpoint, gate_events.DispatchArrived(sender, dispatch, stream)
+        )
 
     def _cancelled(self, effect: request_events.CancelAttempt) -> None:
         for endpoint in self.endpoints:
             key = (effect.request_id, effect.attempt)
             work = endpoint.machine.node.gate.work.get(key)
             if work is not None:
-                self._step_endpoint(endpoint, gate.DispatchCancelled(*key, work.stream))
+                self._step_endpoint(
+                    endpoint, gate_events.DispatchCancelled(*key, work.stream)
+                )
 
     def _step_endpoint(self, endpoint: Endpoint, event: data.Event) -> None:
         endpoint.engine.advance(self.now_s)
         for effect in endpoint.machine.step(self.now_s, event):
-            if isinstance(effect, gate.StartRun):
+            if isinstance(effect, gate_events.StartRun):
                 key = (effect.request_id, effect.attempt)
                 endpoint.started_s[key] = self.now_s
                 work_s = self.setup.work_s * self.random.uniform(0.5, 1.5)
                 endpoint.engine.add(key, work_s)
-            elif isinstance(effect, gate.CancelRun):
+            elif isinstance(effect, gate_events.CancelRun):
                 key = (effect.request_id, effect.attempt)
                 endpoint.engine.cancel(key)
                 self.after(0.0, self._end_run, endpoint, key, False)
-            elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
+            elif isinstance(
+                effect, gate_events.RefuseDispatch | gate_events.EndDispatch
+            ):
                 entry, _, _ = self._streams.pop(effect.stream)
                 ended = request_events.AttemptEnded(effect.end)
                 self.after(HOP_S, self._step_entry, entry, ended)
@@ -324,10 +331,10 @@
             self._end_run(endpoint, key, True)
         self._plan_wake(endpoint)
 
-    def _end_run(self, endpoint: Endpoint, key: gate.Key, ok: bool) -> None:
+    def _end_run(self, endpoint: Endpoint, key: data.AttemptKey, ok: bool) -> None:
         service_time_s = self.now_s - endpoint.started_s.pop(key)
         reason = data.Reason.NONE if ok else data.Reason.CANCELLED
-        ended = gate.RunEnded(*key, ok, 200, True, "", service_time_s, reason)
+        ended = gate_events.RunEnded(*key, ok, 200, True, "", service_time_s, reason)
         self._step_endpoint(endpoint, ended)
 
     def _tick(self) -> None:
--- a/standins/virtual_system.py
+++ b/standins/virtual_system.py
@@ -21,7 +21,7 @@
     effects,
     events,
     fetching,
-    gate,
+    gate_events,
     machine,
     planning,
     plans,
@@ -53,8 +53,8 @@
     frozen: bool = False
     held: list = dataclasses.field(default_factory=list)
     streams: dict[int, "Call"] = dataclasses.field(default_factory=dict)
-    runs: dict[gate.Key, Callable] = dataclasses.field(default_factory=dict)
-    kept: dict[gate.Key, int] = dataclasses.field(default_factory=dict)
+    runs: dict[data.AttemptKey, Callable] = dataclasses.field(default_factory=dict)
+    kept: dict[data.AttemptKey, int] = dataclasses.field(default_factory=dict)
     fetches: set[int] = dataclasses.field(default_factory=set)
 
     @property
@@ -129,7 +129,7 @@
         self.logs: collections.Counter[str] = collections.Counter()
         self.exits: list[data.InstanceId] = []
         self.runs: list[tuple[float, data.InstanceId]] = []
-        self.refused: dict[gate.Key, data.AnswerEnd] = {}
+        self.refused: dict[data.AttemptKey, data.AnswerEnd] = {}
         self.thawed_s: dict[data.InstanceId, float] = {}
         self._calls: dict[tuple, Call] = {}
         self._queue: list = []
@@ -431,10 +431,14 @@
         call.stream = next(self._numbers)
         target.streams[call.stream] = call
         body_hash = hash(call.dispatch.request.idempotency_key)
-        event = gate.DispatchArrived(call.entry, call.dispatch, call.stream, body_hash)
+        event = gate_events.DispatchArrived(
+            call.entry, call.dispatch, call.stream, body_hash
+        )
         self.post(target.identity.instance_id, event)
 
-    def _refuse_dispatch(self, process: Process, effect: gate.RefuseDispatch) -> None:
+    def _refuse_dispatch(
+        self, process: Process, effect: gate_events.RefuseDispatch
+    ) -> None:
         end = effect.end
         self.refused[end.request_id, end.attempt] = end
         self._end_dispatch(process, effect)
@@ -442,7 +446,7 @@
     def _end_dispatch(self, process: Process, effect) -> None:
         self._answer(process, effect.stream, effect.end)
 
-    def _replay(self, process: Process, effect: gate.ReplayAnswer) -> None:
+    def _replay(self, process: Process, effect: gate_events.ReplayAnswer) -> None:
         end = effect.end
         if effect.kept in process.kept:
             end = msgspec.structs.replace(
@@ -480,7 +484,7 @@
         del target.streams[call.stream]
         if self._is_cut(call.entry, target.identity):
             return
-        event = gate.DispatchCancelled(*_attempt_of(call), call.stream)
+        event = gate_events.DispatchCancelled(*_attempt_of(call), call.stream)
         self._deliver(target.identity, HOP_S, event)
 
     def _cancel_attempt(
@@ -496,7 +500,7 @@
         sent.outcomes.append(effect)
         sent.answered_s = self.now_s
 
-    def _start_run(self, process: Process, effect: gate.StartRun) -> None:
+    def _start_run(self, process: Process, effect: gate_events.StartRun) -> None:
         place = self.places[process.identity.instance_id]
         key = (effect.request_id, effect.attempt)
         started_s = self.now_s
@@ -518,7 +522,7 @@
             whole = why is data.Reason.NONE
             if whole:
                 process.kept[key] = 200
-            ended = gate.RunEnded(
+            ended = gate_events.RunEnded(
                 request_id=effect.request_id,
                 attempt=effect.attempt,
                 ok=whole,
@@ -533,7 +537,7 @@
         process.runs[key] = end
         self.later(HOP_S + self.random.random() * MAX_SERVICE_S, end)
 
-    def _cancel_run(self, process: Process, effect: gate.CancelRun) -> None:
+    def _cancel_run(self, process: Process, effect: gate_events.CancelRun) -> None:
         end = process.runs.get((effect.request_id, effect.attempt))
         if end is not None:
             end(data.Reason.CANCELLED)
@@ -564,11 +568,11 @@
     request_events.SendDispatch: VirtualSystem._dispatch,
     request_events.CancelAttempt: VirtualSystem._cancel_attempt,
     request_events.FinishRequest: VirtualSystem._finish,
-    gate.RefuseDispatch: VirtualSystem._refuse_dispatch,
-    gate.EndDispatch: VirtualSystem._end_dispatch,
-    gate.ReplayAnswer: VirtualSystem._replay,
-    gate.StartRun: VirtualSystem._start_run,
-    gate.CancelRun: VirtualSystem._cancel_run,
+    gate_events.RefuseDispatch: VirtualSystem._refuse_dispatch,
+    gate_events.EndDispatch: VirtualSystem._end_dispatch,
+    gate_events.ReplayAnswer: VirtualSystem._replay,
+    gate_events.StartRun: VirtualSystem._start_run,
+    gate_events.CancelRun: VirtualSystem._cancel_run,
     planning.PlanAnswered: VirtualSystem._keep_answer,
     confirm.ConfirmAnswered: VirtualSystem._keep_answer,
 }
--- a/toucanspread/core/claims.py
+++ b/toucanspread/core/claims.py
@@ -24,8 +24,6 @@
 MAX_STARTED_PER_TICK = 5
 MAX_CALLS = 10_000  # remembered of this process's own; the table knows the rest
 
-Key = tuple[data.RequestId, int]
-
 
 class Verdict(enum.Enum):
     """How a claim was decided."""
@@ -38,7 +36,7 @@
 class ClaimWanted(data.Event):
     """Internal: an admitted request may run only if its call is not yet claimed."""
 
-    key: Key
+    key: data.AttemptKey
     service: data.ServiceName
     idempotency_key: data.IdempotencyKey
     deadline_s: float
@@ -52,11 +50,11 @@
     :param kept: the run whose answer is kept for a repeat of the same call.
     """
 
-    key: Key
+    key: data.AttemptKey
     verdict: Verdict
     reason: data.Reason = data.Reason.NONE
     retry_after_s: float = 0.0
-    kept: Key | None = None
+    kept: data.AttemptKey | None = None
 
 
 class ClaimUsed(data.Event):
@@ -66,7 +64,7 @@
     :param whole: whether a whole answer came.
     """
 
-    key: Key
+    key: data.AttemptKey
     ran: bool
     whole: bool
 
@@ -88,7 +86,7 @@
     :param written_version: the version that the last write expected; -1 before it.
     """
 
-    key: Key
+    key: data.AttemptKey
     table: str
     call: str
     operation_id: data.OperationId
@@ -133,7 +131,7 @@
     def __init__(self):
         self.calls: dict[str, Claim] = {}
         self.pending: dict[data.OperationId, Claim] = {}
-        self.held: dict[Key, Claim] = {}
+        self.held: dict[data.AttemptKey, Claim] = {}
         self.used_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.withdrawals: dict[data.OperationId, Withdrawal] = {}
         self.down_until_s: float | None = None
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -30,6 +30,9 @@
 FencingNumber = NewType("FencingNumber", int)
 
 
+AttemptKey = tuple[RequestId, int]  # a request and its attempt: names one dispatch
+
+
 class Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """The base of every immutable record."""
 
--- a/toucanspread/core/dispatch_memory.py
+++ b/toucanspread/core/dispatch_memory.py
@@ -12,8 +12,6 @@
 REMEMBER_S = 120.0  # longer than any copy of a dispatch can be under way
 MAX_REMEMBERED = 32_768
 
-Key = tuple[data.RequestId, int]
-
 
 @dataclasses.dataclass(slots=True)
 class Memory:
@@ -31,26 +29,28 @@
     """The recent dispatches, the oldest first."""
 
     def __init__(self):
-        self._memories: collections.OrderedDict[Key, Memory] = collections.OrderedDict()
-        self._live: set[Key] = set()
+        self._memories: collections.OrderedDict[data.AttemptKey, Memory] = (
+            collections.OrderedDict()
+        )
+        self._live: set[data.AttemptKey] = set()
 
     def __len__(self) -> int:
         return len(self._memories)
 
-    def get(self, key: Key) -> Memory | None:
+    def get(self, key: data.AttemptKey) -> Memory | None:
         """Return what became of a dispatch, or None when it is not known."""
         return self._memories.get(key)
 
-    def accept(self, key: Key, now_s: float) -> None:
+    def accept(self, key: data.AttemptKey, now_s: float) -> None:
         """Remember a dispatch that was taken in; it stays until :meth:`finish`."""
         self._live.add(key)
         self._remember(key, Memory(now_s))
 
-    def finish(self, key: Key) -> None:
+    def finish(self, key: data.AttemptKey) -> None:
         """Let an accepted dispatch be forgotten in its turn."""
         self._live.discard(key)
 
-    def refuse(self, key: Key, now_s: float, reason: data.Reason) -> None:
+    def refuse(self, key: data.AttemptKey, now_s: float, reason: data.Reason) -> None:
         """Remember that a dispatch was not and will not be run."""
         self._live.discard(key)
         self._remember(key, Memory(now_s, True, reason))
@@ -67,7 +67,7 @@
                 continue
             del self._memories[key]
 
-    def _remember(self, key: Key, memory: Memory) -> None:
+    def _remember(self, key: data.AttemptKey, memory: Memory) -> None:
         self._memories[key] = memory
         self._memories.move_to_end(key)
         while len(self._memories) > MAX_REMEMBERED:
--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate.py
@@ -12,6 +12,7 @@
     dispatch_memory,
     effects,
     events,
+    gate_events,
     gate_work,
     invariants,
     limits,
@@ -27,99 +28,6 @@
     (data.Reason.CANCELLED, data.Reason.BAD_REQUEST, data.Reason.WRONG_VERSION)
 )
 
-Key = gate_work.Key
-
-
-class DispatchArrived(data.Event):
-    """An entry dispatched a request to this process.
-
-    :param stream: names the way back for this very copy of the dispatch.
-    :param body_hash: xxh64 of the body.
-    """
-
-    sender: data.Identity
-    dispatch: data.Dispatch
-    stream: int = 0
-    body_hash: int = 0
-
-
-class DispatchCancelled(data.Event):
-    """The entry no longer waits for an answer."""
-
-    request_id: data.RequestId
-    attempt: int
-    stream: int = 0
-
-
-class RunProgressed(data.Event):
-    """The first piece of an answer came from the engine."""
-
-    request_id: data.RequestId
-    attempt: int
-
-
-class RunEnded(data.Event):
-    """A run is over.
-
-    :param ok: whether the answer is whole.
-    :param started: false only with proof that nothing of the request was run.
-    :param units: the work that was done, such as events streamed.
-    """
-
-    request_id: data.RequestId
-    attempt: int
-    ok: bool
-    status: int
-    started: bool
-    detail: str
-    service_time_s: float
-    reason: data.Reason = data.Reason.NONE
-    units: float = 1.0
-
-
-class StartRun(data.Effect):
-    """Give a request to the engine or the plain service.
-
-    :param resume_from_events: how many events of the answer to leave out.
-    """
-
-    request_id: data.RequestId
-    attempt: int
-    request: data.Request
-    version: data.VersionName
-    budget_s: float
-    stream: int = 0
-    resume_from_events: int = 0
-
-
-class CancelRun(data.Effect):
-    """Stop a run; its end is still reported."""
-
-    request_id: data.RequestId
-    attempt: int
-
-
-class RefuseDispatch(data.Effect):
-    """End a dispatch that was given no run of its own."""
-
-    end: data.AnswerEnd
-    stream: int = 0
-
-
-class ReplayAnswer(data.Effect):
-    """End a dispatch with the kept answer of an earlier run of the same call."""
-
-    end: data.AnswerEnd
-    stream: int
-    kept: Key
-
-
-class EndDispatch(data.Effect):
-    """End a dispatch that ran; the frames of its answer go out first."""
-
-    end: data.AnswerEnd
-    stream: int = 0
-
 
 class State:
     """What the gate knows.
@@ -128,8 +36,8 @@
     """
 
     def __init__(self):
-        self.work: dict[Key, gate_work.Work] = {}
-        self.held: list[Key] = []
+        self.work: dict[data.AttemptKey, gate_work.Work] = {}
+        self.held: list[data.AttemptKey] = []
         self.memory = dispatch_memory.DispatchMemory()
         self.status: data.EngineStatus | None = None
         self.status_s = float("-inf")
@@ -139,7 +47,7 @@
         self.exited = False
 
 
-def on_dispatch(node, event: DispatchArrived) -> list:
+def on_dispatch(node, event: gate_events.DispatchArrived) -> list:
     """Take a dispatch in, or refuse it."""
     dispatch = event.dispatch
     key = (dispatch.request.request_id, dispatch.attempt)
@@ -211,7 +119,7 @@
     return _end_duplicate(node, work, event)
 
 
-def on_cancelled(node, event: DispatchCancelled) -> list:
+def on_cancelled(node, event: gate_events.DispatchCancelled) -> list:
     """Stop what nobody waits for, if it may be repeated."""
     key = (event.request_id, event.attempt)
     work = node.gate.work.get(key)
@@ -221,11 +129,11 @@
     if not work.admitted:
         return _give_up(node, work, data.Reason.CANCELLED, "", 0.0)
     if work.running and work.dispatch.request.repeatable:
-        return [CancelRun(*key)]
+        return [gate_events.CancelRun(*key)]
     return []
 
 
-def on_progress(node, event: RunProgressed) -> list:
+def on_progress(node, event: gate_events.RunProgressed) -> list:
     """Record the time to the first piece of an answer."""
     work = node.gate.work.get((event.request_id, event.attempt))
     if work is None:
@@ -238,7 +146,7 @@
     ]
 
 
-def on_run_ended(node, event: RunEnded) -> list:
+def on_run_ended(node, event: gate_events.RunEnded) -> list:
     """End the dispatch whose run is over."""
     key = (event.request_id, event.attempt)
     work = node.gate.work.get(key)
@@ -269,7 +177,7 @@
     end = answer_ends.ended(node, work, event)
     if end.outcome is data.Outcome.NOT_RUN:
         node.gate.memory.refuse(key, node.now_s, end.reason)
-    items.append(EndDispatch(end, work.stream))
+    items.append(gate_events.EndDispatch(end, work.stream))
     items.append(effects.Count("gate_ended", 1, {"outcome": end.outcome.value}))
     return items
 
@@ -318,10 +226,10 @@
 
 
 HANDLERS = {
-    DispatchArrived: on_dispatch,
-    DispatchCancelled: on_cancelled,
-    RunProgressed: on_progress,
-    RunEnded: on_run_ended,
+    gate_events.DispatchArrived: on_dispatch,
+    gate_events.DispatchCancelled: on_cancelled,
+    gate_events.RunProgressed: on_progress,
+    gate_events.RunEnded: on_run_ended,
     limits.Admitted: on_admitted,
     limits.Rejected: on_rejected,
     claims.ClaimDecided: on_claim,
@@ -398,7 +306,7 @@
     work.version = served.version
     budget_s = work.deadline_s - node.now_s
     return [
-        StartRun(
+        gate_events.StartRun(
             *work.key,
             request,
             served.version,
@@ -439,8 +347,12 @@
     released = limits.Released(work.key, 0.0, ok=False, ran=False)
     counted = effects.Count("gate_duplicate_calls", 1, {})
     if event.kept is not None:
-        return [released, counted, ReplayAnswer(end, work.stream, event.kept)]
-    return [released, counted, RefuseDispatch(end, work.stream)]
+        return [
+            released,
+            counted,
+            gate_events.ReplayAnswer(end, work.stream, event.kept),
+        ]
+    return [released, counted, gate_events.RefuseDispatch(end, work.stream)]
 
 
 def _refuse(
@@ -456,17 +368,22 @@
     node.gate.memory.refuse(key, node.now_s, reason)
     end = answer_ends.refused(node, dispatch, reason, detail, retry_after_s)
     counted = effects.Count("gate_refused", 1, {"reason": reason.value})
-    return [RefuseDispatch(end, stream), counted]
+    return [gate_events.RefuseDispatch(end, stream), counted]
 
 
-def _answer_copy(node, event: DispatchArrived, known: dispatch_memory.Memory) -> list:
+def _answer_copy(
+    node, event: gate_events.DispatchArrived, known: dispatch_memory.Memory
+) -> list:
     """Refuse a second copy of a dispatch as its first one was."""
     end = answer_ends.copy(node, event.dispatch, known)
-    return [RefuseDispatch(end, event.stream), effects.Count("gate_copies", 1, {})]
+    return [
+        gate_events.RefuseDispatch(end, event.stream),
+        effects.Count("gate_copies", 1, {}),
+    ]
 
 
-def _answer_for_predecessor(node, event: DispatchArrived) -> list:
+def _answer_for_predecessor(node, event: gate_events.DispatchArrived) -> list:
     """Run nothing that was meant for the process before this one."""
     end = answer_ends.for_predecessor(node, event.dispatch)
     counted = effects.Count("gate_for_predecessor", 1, {})
-    return [RefuseDispatch(end, event.stream), counted]
+    return [gate_events.RefuseDispatch(end, event.stream), counted]
--- a/toucanspread/core/gate_stateful_test.py
+++ b/toucanspread/core/gate_stateful_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from standins import gate_fakes
-from toucanspread.core import data, events, gate
+from toucanspread.core import data, events, gate_events
 
 GATES = 3
 KEYS = ("deposit-1", "swap-1")
@@ -35,13 +35,15 @@
         self.calls: list[tuple[int, int, data.Effect]] = []
         self.late_writes: list[data.Effect] = []
         self.late_answers: list[tuple[int, int, data.Event]] = []
-        self.runs: list[tuple[int, gate.StartRun]] = []
+        self.runs: list[tuple[int, gate_events.StartRun]] = []
         self.sent: list[Sent] = []
         self.executed: collections.Counter[str] = collections.Counter()
-        self.executed_attempts: set[gate.Key] = set()
-        self.started_attempts: collections.Counter[gate.Key] = collections.Counter()
-        self.not_run: set[gate.Key] = set()
-        self.open_streams: dict[int, tuple[int, gate.Key]] = {}
+        self.executed_attempts: set[data.AttemptKey] = set()
+        self.started_attempts: collections.Counter[data.AttemptKey] = (
+            collections.Counter()
+        )
+        self.not_run: set[data.AttemptKey] = set()
+        self.open_streams: dict[int, tuple[int, data.AttemptKey]] = {}
         self.draining = False
         self.requests = 0
         self.streams = 0
@@ -59,12 +61,12 @@
         if gate_fakes.is_key_value(effect):
             incarnation = self.rigs[number].node.identity.incarnation
             self.calls.append((number, incarnation, effect))
-        elif isinstance(effect, gate.StartRun):
+        elif isinstance(effect, gate_events.StartRun):
             self.started_attempts[(effect.request_id, effect.attempt)] += 1
             self.runs.append((number, effect))
-        elif isinstance(effect, gate.RefuseDispatch | gate.EndDispatch):
+        elif isinstance(effect, gate_events.RefuseDispatch | gate_events.EndDispatch):
             self.take_end(effect.stream, effect.end)
-        elif isinstance(effect, gate.ReplayAnswer):
+        elif isinstance(effect, gate_events.ReplayAnswer):
             assert effect.kept in self.executed_attempts
             self.take_end(effect.stream, effect.end)
 
@@ -82,7 +84,9 @@
         request_id = sent.dispatch.request.request_id
         key = (request_id, sent.dispatch.attempt)
         self.open_streams[self.streams] = (sent.gate_number, key)
-        event = gate.DispatchArrived(gate_fakes.ENTRY, sent.dispatch, self.streams)
+        event = gate_events.DispatchArrived(
+            gate_fakes.ENTRY, sent.dispatch, self.streams
+        )
         self.step(sent.gate_number, event)
 
     @stateful.rule(number=gates, key=st.sampled_from(KEYS), budget_s=budgets)
@@ -192,7 +196,7 @@
         number, run = self.runs.pop(pick % len(self.runs))
         if ending in ("whole", "lost"):
             self.execute(run)
-        ended = gate.RunEnded(
+        ended = gate_events.RunEnded(
             run.request_id,
             run.attempt,
             ok=ending == "whole",
@@ -244,7 +248,7 @@
     def cancel(self, pick):
         stream = list(self.open_streams)[pick % len(self.open_streams)]
         number, (request_id, attempt) = self.open_streams[stream]
-        self.step(number, gate.DispatchCancelled(request_id, attempt, stream))
+        self.step(number, gate_events.DispatchCancelled(request_id, attempt, stream))
 
     @stateful.rule(after_s=st.sampled_from((0.1, 0.5, 1.1, 1.6)))
     def pass_time(self, after_s):
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate_test.py
@@ -8,6 +8,7 @@
     effects,
     events,
     gate,
+    gate_events,
     gate_work,
     invariants,
     serving,
@@ -17,7 +18,7 @@
 
 
 def refusal(found: list) -> data.AnswerEnd:
-    (effect,) = [item for item in found if isinstance(item, gate.RefuseDispatch)]
+    (effect,) = [item for item in found if isinstance(item, gate_events.RefuseDispatch)]
     return effect.end
 
 
@@ -25,7 +26,7 @@
     def test_a_fitting_request_runs_and_ends_done(self):
         rig = gate_fakes.Rig()
         (start,) = rig.dispatch()
-        self.assertIsInstance(start, gate.StartRun)
+        self.assertIsInstance(start, gate_events.StartRun)
         self.assertEqual(gate_fakes.VERSION, start.version)
         (end,) = rig.end()
         self.assertEqual(data.Outcome.DONE, end.end.outcome)
@@ -110,7 +111,7 @@
         rig = gate_fakes.Rig(incarnation=2)
         request = data.Request("r1", "parish", gate_fakes.MODEL_SERVICE, 5.0)
         dispatch = data.Dispatch(request, 1, 5.0, "entry-1", data.Incarnation(1))
-        found = rig.step(gate.DispatchArrived(gate_fakes.ENTRY, dispatch, 1))
+        found = rig.step(gate_events.DispatchArrived(gate_fakes.ENTRY, dispatch, 1))
         self.assertEqual(data.Outcome.UNKNOWN, refusal(found).outcome)
         self.assertEqual({}, rig.node.gate.work)
 
@@ -156,13 +157,13 @@
     def test_a_repeatable_run_is_cancelled_with_its_entry(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
-        found = rig.step(gate.DispatchCancelled("r1", 1, 1))
-        self.assertEqual([gate.CancelRun("r1", 1)], found)
+        found = rig.step(gate_events.DispatchCancelled("r1", 1, 1))
+        self.assertEqual([gate_events.CancelRun("r1", 1)], found)
 
     def test_a_closed_copy_cancels_nothing(self):
         rig = gate_fakes.Rig()
         rig.dispatch()
-        self.assertEqual([], rig.step(gate.DispatchCancelled("r1", 1, 2)))
+        self.assertEqual([], rig.step(gate_events.DispatchCancelled("r1", 1, 2)))
 
 
 class DrainTest(testtools.TestCase):
@@ -200,7 +201,7 @@
         names = set()
         for number in range(200):
             rig.dispatch(f"r{number}", stream=number, team=f"team-{number}")
-            ended = gate.RunEnded(f"r{number}", 1, True, 200, True, "", 0.1)
+            ended = gate_events.RunEnded(f"r{number}", 1, True, 200, True, "", 0.1)
             for effect in rig.machine.step(rig.now_s, ended):
                 if isinstance(effect, effects.Observe):
                     names.add(effect.attributes["team"])
--- a/toucanspread/core/gate_work.py
+++ b/toucanspread/core/gate_work.py
@@ -9,8 +9,6 @@
 MAX_LABELLED_PRIORITY = 9
 OTHER_TEAMS = "others"
 
-Key = tuple[data.RequestId, int]
-
 
 @dataclasses.dataclass
 class Work:
@@ -32,7 +30,7 @@
     restarts: int = 0
 
     @property
-    def key(self) -> Key:
+    def key(self) -> data.AttemptKey:
         """Return what names the work in this process."""
         return (self.dispatch.request.request_id, self.dispatch.attempt)
 
--- a/toucanspread/core/limits.py
+++ b/toucanspread/core/limits.py
@@ -28,8 +28,6 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
 
-Key = tuple[data.RequestId, int]
-
 
 class AdmissionWanted(data.Event):
     """Internal: a request asks to run.
@@ -37,7 +35,7 @@
     :param deadline_s: on this process's clock.
     """
 
-    key: Key
+    key: data.AttemptKey
     team: data.TeamName
     priority: int
     deadline_s: float
@@ -46,13 +44,13 @@
 class Admitted(data.Event):
     """Internal: the request holds a place until it is released."""
 
-    key: Key
+    key: data.AttemptKey
 
 
 class Rejected(data.Event):
     """Internal: the request will not run here."""
 
-    key: Key
+    key: data.AttemptKey
     reason: data.Reason
     retry_after_s: float
 
@@ -60,7 +58,7 @@
 class Withdrawn(data.Event):
     """Internal: a queued request is no longer wanted."""
 
-    key: Key
+    key: data.AttemptKey
 
 
 class Released(data.Event):
@@ -71,7 +69,7 @@
     :param units: the work that was done, such as events streamed.
     """
 
-    key: Key
+    key: data.AttemptKey
     service_time_s: float
     ok: bool
     ran: bool = True
@@ -82,7 +80,7 @@
 class Waiting:
     """A queued request."""
 
-    key: Key
+    key: data.AttemptKey
     team: data.TeamName
     priority: int
     deadline_s: float
@@ -130,7 +128,7 @@
     def __init__(self, limit: int = INITIAL_LIMIT, adaptive: bool = True):
         self.adaptive = adaptive
         self.concurrency = concurrency.AdaptiveLimit(limit)
-        self.running: dict[Key, data.TeamName] = {}
+        self.running: dict[data.AttemptKey, data.TeamName] = {}
         self.queue: list[Waiting] = []
         self.service_time = ServiceTime()
         self.shares = fairness.Shares()
@@ -141,7 +139,7 @@
         return int(self.concurrency.value)
 
 
-def load(node, without: Key | None = None) -> data.Load:
+def load(node, without: data.AttemptKey | None = None) -> data.Load:
     """Return how busy this process is.
 
     :param without: a request that is over but not yet released.
@@ -227,7 +225,7 @@
 }
 
 
-def _admit(node, key: Key, team: data.TeamName) -> Admitted:
+def _admit(node, key: data.AttemptKey, team: data.TeamName) -> Admitted:
     state = node.limits
     state.running[key] = team
     state.shares.charge(team, weights(node))
--- a/toucanspread/core/limits_test.py
+++ b/toucanspread/core/limits_test.py
@@ -1,7 +1,7 @@
 import testtools
 
 from standins import gate_fakes, virtual_engine
-from toucanspread.core import concurrency, data, events, gate, limits
+from toucanspread.core import concurrency, data, events, gate_events, limits
 
 SEEDS = (1, 2, 3)
 
@@ -14,11 +14,11 @@
 
 
 def refusals(found):
-    return [item.end for item in found if isinstance(item, gate.RefuseDispatch)]
+    return [item.end for item in found if isinstance(item, gate_events.RefuseDispatch)]
 
 
 def starts(found):
-    return [item.request_id for item in found if isinstance(item, gate.StartRun)]
+    return [item.request_id for item in found if isinstance(item, gate_events.StartRun)]
 
 
 class OverloadTest(testtools.TestCase):
@@ -119,7 +119,7 @@
         rig = gate_fakes.Rig(limit=1)
         rig.dispatch("running")
         rig.dispatch("queued", stream=2)
-        rig.step(gate.DispatchCancelled("queued", 1, 2))
+        rig.step(gate_events.DispatchCancelled("queued", 1, 2))
         self.assertEqual([], rig.node.limits.queue)
         self.assertEqual([], starts(rig.end("running")))
 
--- a/toucanspread/core/request_path_test.py
+++ b/toucanspread/core/request_path_test.py
@@ -19,7 +19,7 @@
     data,
     effects,
     events,
-    gate,
+    gate_events,
     request_events,
     requests_test,
 )
@@ -27,7 +27,7 @@
 ENTRIES = 2
 ENDPOINTS = 3
 KEYS = ("", "deposit-1", "deposit-2")
-ENDS = (gate.RefuseDispatch, gate.EndDispatch, gate.ReplayAnswer)
+ENDS = (gate_events.RefuseDispatch, gate_events.EndDispatch, gate_events.ReplayAnswer)
 CALLS = (effects.KvRead, effects.KvWrite, effects.KvDelete)
 PENDING = st.integers(0, 1 << 16)
 
@@ -97,7 +97,7 @@
     def step_rig(self, rig, event):
         rig.now_s = self.now_s
         for effect in rig.step(event):
-            if isinstance(effect, gate.StartRun):
+            if isinstance(effect, gate_events.StartRun):
                 self.underway.append(Underway("run", rig, effect))
             elif isinstance(effect, ENDS):
                 self.send_end(rig, effect.stream, effect.end)
@@ -113,7 +113,7 @@
         for rig in self.rigs:
             work = rig.node.gate.work.get((effect.request_id, effect.attempt))
             if work is not None:
-                cancelled = gate.DispatchCancelled(
+                cancelled = gate_events.DispatchCancelled(
                     effect.request_id, effect.attempt, work.stream
                 )
                 self.step_rig(rig, cancelled)
@@ -187,7 +187,7 @@
             # The answer to a copy goes nowhere.
             self.streams[id(rig), stream] = None if going.detached else going.process
             sender = going.process.node.identity
-            arrived = gate.DispatchArrived(sender, effect.dispatch, stream)
+            arrived = gate_events.DispatchArrived(sender, effect.dispatch, stream)
             self.step_rig(rig, arrived)
 
     def deliver_end(self, going):
@@ -209,7 +209,7 @@
         if not self.is_current(going.process):
             return
         effect = going.item
-        ended = gate.RunEnded(
+        ended = gate_events.RunEnded(
             effect.request_id, effect.attempt, ok, 200, started, "", 0.1
         )
         self.step_rig(going.process, ended)
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -14,7 +14,7 @@
 import xxhash
 from twisted.web import http
 
-from toucanspread.core import data, gate
+from toucanspread.core import data, gate_events
 from toucanspread.ops import engine, loop, runtime
 
 COALESCE_S = 0.005
@@ -105,12 +105,12 @@
     """The last whole answers of calls that may not be repeated, bounded."""
 
     def __init__(self):
-        self._answers: collections.OrderedDict[gate.Key, tuple[int, bytes]] = (
+        self._answers: collections.OrderedDict[data.AttemptKey, tuple[int, bytes]] = (
             collections.OrderedDict()
         )
         self._bytes = 0
 
-    def keep(self, key: gate.Key, status: int, payload: bytes) -> None:
+    def keep(self, key: data.AttemptKey, status: int, payload: bytes) -> None:
         """Keep an answer, unless it is large."""
         if len(payload) > MAX_KEPT_ANSWER_BYTES:
             return
@@ -120,7 +120,7 @@
             _, (_, dropped) = self._answers.popitem(last=False)
             self._bytes -= len(dropped)
 
-    def get(self, key: gate.Key) -> tuple[int, bytes] | None:
+    def get(self, key: data.AttemptKey) -> tuple[int, bytes] | None:
         """Return the status and payload of a kept answer."""
         return self._answers.get(key)
 
@@ -144,7 +144,7 @@
         self._plain = plain_service
         self._streams = itertools.count(1)
         self._channels: dict[int, Channel] = {}
-        self._runs: dict[gate.Key, asyncio.Task] = {}
+        self._runs: dict[data.AttemptKey, asyncio.Task] = {}
         self._kept = KeptAnswers()
 
     async def handle(
@@ -157,14 +157,14 @@
         request_id, attempt = dispatch.request.request_id, dispatch.attempt
         body_hash = xxhash.xxh64_intdigest(body)
         try:
-            self._post(gate.DispatchArrived(sender, dispatch, stream, body_hash))
+            self._post(gate_events.DispatchArrived(sender, dispatch, stream, body_hash))
             async for frame in channel.frames():
                 yield frame
         finally:
             channel.close()
             del self._channels[stream]
             if channel.end is None:
-                self._post(gate.DispatchCancelled(request_id, attempt, stream))
+                self._post(gate_events.DispatchCancelled(request_id, attempt, stream))
 
     async def stop(self) -> None:
         """Drop the runs that are left."""
@@ -174,11 +174,15 @@
     def handlers(self) -> Mapping[type, runtime.EffectHandler]:
         """Return the effects that this adapter carries out."""
         return {
-            gate.StartRun: self._start,
-            gate.CancelRun: self._cancel,
-            gate.RefuseDispatch: lambda effect: self._end(effect.stream, effect.end),
-            gate.EndDispatch: lambda effect: self._end(effect.stream, effect.end),
-            gate.ReplayAnswer: self._replay,
+            gate_events.StartRun: self._start,
+            gate_events.CancelRun: self._cancel,
+            gate_events.RefuseDispatch: lambda effect: self._end(
+                effect.stream, effect.end
+            ),
+            gate_events.EndDispatch: lambda effect: self._end(
+                effect.stream, effect.end
+            ),
+            gate_events.ReplayAnswer: self._replay,
         }
 
     def _end(self, stream: int, end: data.AnswerEnd) -> None:
@@ -186,7 +190,7 @@
         if channel is not None:
             channel.finish(end)
 
-    def _replay(self, effect: gate.ReplayAnswer) -> None:
+    def _replay(self, effect: gate_events.ReplayAnswer) -> None:
         kept = self._kept.get(effect.kept)
         channel = self._channels.get(effect.stream)
         if channel is None:
@@ -205,7 +209,7 @@
         )
         loop.spawn(_write_and_finish(channel, payload, end))
 
-    def _start(self, effect: gate.StartRun) -> None:
+    def _start(self, effect: gate_events.StartRun) -> None:
         channel = self._channels.get(effect.stream)
         if channel is None:
             raise KeyError(f"stream {effect.stream} is closed")
@@ -220,7 +224,7 @@
         self._runs[key] = running
         running.add_done_callback(lambda _: self._runs.pop(key, None))
 
-    def _cancel(self, effect: gate.CancelRun) -> None:
+    def _cancel(self, effect: gate_events.CancelRun) -> None:
         running = self._runs.get((effect.request_id, effect.attempt))
         if running is not None:
             running.cancel()
@@ -231,7 +235,7 @@
 
     def __init__(
         self,
-        effect: gate.StartRun,
+        effect: gate_events.StartRun,
         channel: Channel,
         post: Callable[[data.Event], None],
         kept: KeptAnswers,
@@ -276,7 +280,7 @@
         except Exception as error:
             reason, detail = data.Reason.ENGINE_FAILED, repr(error)
         self._post(
-            gate.RunEnded(
+            gate_events.RunEnded(
                 request_id=self._effect.request_id,
                 attempt=self._effect.attempt,
                 ok=reason is data.Reason.NONE,
@@ -334,7 +338,9 @@
         if self._progressed:
             return
         self._progressed = True
-        self._post(gate.RunProgressed(self._effect.request_id, self._effect.attempt))
+        self._post(
+            gate_events.RunProgressed(self._effect.request_id, self._effect.attempt)
+        )
 
 
 async def _write_and_finish(
