--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -29,6 +29,7 @@
 MAX_ORIGIN_COPIES = 4.0
 SPREAD_TIMEOUT_S = 60
 DRAIN_TIMEOUT_S = 30.0
+QUIET_S = 4.0  # of live requests alone, to compare with
 WINDOW_DELAY_S = 6.0
 WINDOW_LENGTH_S = 3600.0
 SCRATCH = launcher.ROOT / "build" / "demo"  # logs and settings stay for a look
@@ -64,6 +65,8 @@
             deployment, directory, self.store, ORIGIN_RATE_BYTES_S
         )
         self.report = Report([], [])
+        self.spread_from_s = 0.0
+        self.spread_until_s = 0.0
 
     def run(self) -> Report:
         """Run from start to stop, whatever happens between."""
@@ -74,15 +77,19 @@
             self._spread("first version", declared, first)
             callers = self._start_callers()
             try:
+                time.sleep(QUIET_S)
                 bytes_before = self._origin_bytes()
+                self.spread_from_s = time.monotonic()
                 upgraded = self._upgrade(declared)
                 elapsed_s = self._spread("second version", upgraded, second)
                 copies = (self._origin_bytes() - bytes_before) / second.stat_bytes
+                self.spread_until_s = time.monotonic()
                 self._check_copies(elapsed_s, copies)
                 self._drain(upgraded, second)
             finally:
                 answers = callers.stop()
             self._check_answers(answers)
+            self._compare_latency(answers)
             self._check_executions()
         finally:
             self.cluster.stop()
@@ -240,6 +247,21 @@
             if answer.outcome in ("lost", "unknown"):
                 print(f"cut off: {answer}", file=sys.stderr)
 
+    def _compare_latency(self, answers: list[load.Answer]) -> None:
+        """Tell how live requests fared before and while the version spread."""
+        model = self.deployment.services[0].name
+        live = [answer for answer in answers if answer.service == model]
+        before = [a for a in live if a.started_s < self.spread_from_s]
+        during = [
+            a for a in live if self.spread_from_s <= a.started_s < self.spread_until_s
+        ]
+        for name, found in (("before", before), ("during", during)):
+            self.report.lines.append(
+                f"live answers {name} the spread: {len(found)}, "
+                f"p50 {load.percentile_s(found, 0.5) * 1e3:.0f} ms, "
+                f"p95 {load.percentile_s(found, 0.95) * 1e3:.0f} ms"
+            )
+
     def _is_right(self, answer: load.Answer) -> bool:
         """Whether a model's whole answer is that of one version to this prompt."""
         if not answer.is_whole or answer.service != self.deployment.services[0].name:
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -24,6 +24,7 @@
     :param outcome: ``done``, ``not run``, ``unknown``; or ``lost`` when the
         connection ended without a final answer.
     :param key: the idempotency key.
+    :param started_s: on the caller's monotonic clock.
     """
 
     service: str
@@ -38,6 +39,7 @@
     text: str = ""
     retry_after_s: float = 0.0
     version: str = ""
+    started_s: float = 0.0
 
     @property
     def is_whole(self) -> bool:
@@ -103,6 +105,7 @@
             text=found.get("text", ""),
             retry_after_s=found.get("retry_after_s", 0.0),
             version=found.get("version", ""),
+            started_s=started_s,
         )
 
     def _choose(self) -> str:
@@ -232,3 +235,9 @@
             continue
         counts[answer.outcome] += 1
     return dict(counts)
+
+
+def percentile_s(answers: list[Answer], share: float) -> float:
+    """Return the time within which ``share`` of the whole answers came."""
+    times = sorted(answer.elapsed_s for answer in answers if answer.is_whole)
+    return times[min(int(len(times) * share), len(times) - 1)] if times else 0.0
