Name zones in which no endpoint process is known, in plans

A misspelt place passed without a word as long as another place held the floor. It is a warning, not a refusal, as a zone may be gone for a while. The test failed before.

--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/failures_test.py
@@ -1,5 +1,6 @@
 """One failure at a time, with the real reducers of a small fleet in virtual time."""
 
+import msgspec
 import testtools
 
 from standins import virtual_agreement
@@ -639,3 +640,12 @@
         self.assertEqual(12.0, plan.expected_s)
         self.assertEqual(2, len(plan.warnings))
         self.assertEqual(3, len(plan.steps))
+
+    def test_a_place_without_endpoint_processes_is_named(self):
+        fleet = make_fleet()
+        zones = ("brest-a", "bresst-b")
+        wanted = msgspec.structs.replace(intent(weights_bytes=1), zones=zones)
+        fleet.post("entry-0", planning.PlanRequested("plan", (wanted,)))
+        warnings = fleet.answers[-1].plan.warnings
+        where = "service pool: no endpoint process is known in zone bresst-b"
+        self.assertIn(where, warnings)
--- a/toucanspread/core/plans.py
+++ b/toucanspread/core/plans.py
@@ -223,8 +223,13 @@
     expected_s: float,
 ) -> list[str]:
     warnings = []
+    zones = {replica.zone for replica in found.values()}
     for intent in proposed:
         where = f"service {intent.service}"
+        for zone in intent.zones:
+            # Not refused: the zone may be gone for a while.
+            if zone not in zones:
+                warnings.append(f"{where}: no endpoint process is known in zone {zone}")
         short = placed.short.get(intent.service, 0)
         if short:
             warnings.append(f"{where}: {short} instances too few for its replicas")
