--- /dev/null
+++ b/toucanspread/core/entry/engines.py
@@ -0,0 +1,164 @@
+"""What an entry believes of the engines.
+
+Beliefs come from the engines' entries in the store, from load reports of the
+processes beside them, and from what this entry's own requests met.
+"""
+
+from collections.abc import Iterable
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+
+REPORT_USABLE_S = 1.0  # an older load report says little of an engine's places
+VERSION_REPORT_USABLE_S = 3.0  # a version changes seldom
+GONE_GRACE_S = 1.5  # below the shortest drain: an entry that lapsed may come back
+AVOID_BASE_S = 0.4
+AVOID_MAX_S = 3.0
+FAILURES_TO_AVOID = 2  # one failed request is no evidence yet
+
+
+class Engine:
+    """One incarnation of an engine.
+
+    :param entry: its newest entry in the store.
+    """
+
+    def __init__(self, entry: entry_data.EngineEntry):
+        self.entry = entry
+        self.in_flight = 0
+        self.gone_since_s: float | None = None
+        self.failures = 0
+        self.avoid_until_s = 0.0
+        self.load: entry_data.EngineLoad | None = None
+        self.load_at_s = 0.0
+        self._sent_since_load = 0
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether new requests may be sent to it."""
+        if self.entry.state is not entry_data.EngineState.READY:
+            return False
+        if self.gone_since_s is None:
+            return True
+        return now_s - self.gone_since_s < GONE_GRACE_S
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Tell whether lately it failed, or vanished from the store."""
+        return now_s < self.avoid_until_s or self.gone_since_s is not None
+
+    def expected_busy(self, now_s: float, entries: int) -> float:
+        """Return how many requests it has, of all entries.
+
+        :param entries: how many entries send requests.
+        """
+        if self.load is None or now_s - self.load_at_s > REPORT_USABLE_S:
+            return float(self.in_flight * max(entries, 1))
+        reported = self.load.active + self.load.queued
+        return float(max(reported + self._sent_since_load, self.in_flight))
+
+    def version(self, profile: entry_data.ModelProfile, now_s: float) -> int:
+        """Return the version of which it holds all layers, or 0."""
+        is_fresh = now_s - self.load_at_s <= VERSION_REPORT_USABLE_S
+        if self.load is not None and is_fresh:
+            return self.load.version
+        return entry_data.version_of(self.entry.loaded, profile)
+
+    def is_switching(self, now_s: float) -> bool:
+        """Tell whether an order keeps it from taking requests."""
+        if self.load is None or now_s - self.load_at_s > REPORT_USABLE_S:
+            return False
+        return self.load.busy
+
+    def take_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
+        """Take in a load report."""
+        self.load = load
+        self.load_at_s = now_s
+        self._sent_since_load = 0
+
+    def sent(self) -> None:
+        """Note a request that was sent to it."""
+        self.in_flight += 1
+        self._sent_since_load += 1
+
+    def ended(self) -> None:
+        """Note that a request is over."""
+        self.in_flight = max(self.in_flight - 1, 0)
+
+    def succeeded(self) -> None:
+        """Note an answer in good order."""
+        self.failures = 0
+        self.avoid_until_s = 0.0
+
+    def failed(self, now_s: float, weight: int = 1) -> bool:
+        """Note a failure that speaks against the engine.
+
+        :param weight: how much this failure says.
+        :return: whether the engine is avoided from now on.
+        """
+        self.failures += weight
+        if self.failures < FAILURES_TO_AVOID:
+            return False
+        over = min(self.failures - FAILURES_TO_AVOID, 3)
+        self.avoid_until_s = now_s + min(AVOID_BASE_S * 2**over, AVOID_MAX_S)
+        return True
+
+
+class Roster:
+    """All engines that the store names, by id."""
+
+    def __init__(self):
+        self._engines: dict[str, Engine] = {}
+
+    def put(self, entry: entry_data.EngineEntry) -> bool:
+        """Take in an entry; return whether it tells of a new incarnation."""
+        known = self._engines.get(entry.engine_id)
+        if known is None or _is_reborn(known.entry, entry):
+            self._engines[entry.engine_id] = Engine(entry)
+            return True
+        known.entry = entry
+        known.gone_since_s = None
+        return False
+
+    def remove(self, engine_id: str, now_s: float) -> None:
+        """Note that an engine's entry is gone."""
+        engine = self._engines.get(engine_id)
+        if engine is not None and engine.gone_since_s is None:
+            engine.gone_since_s = now_s
+
+    def drop_gone(self, now_s: float) -> list[str]:
+        """Forget engines whose entries did not come back; return their ids."""
+        dropped = []
+        for engine_id, engine in list(self._engines.items()):
+            since_s = engine.gone_since_s
+            if since_s is None or now_s - since_s < GONE_GRACE_S:
+                continue
+            if engine.in_flight == 0:
+                del self._engines[engine_id]
+                dropped.append(engine_id)
+        return dropped
+
+    def get(self, engine_id: str) -> Engine | None:
+        """Return an engine, or None."""
+        return self._engines.get(engine_id)
+
+    def at(self, address: data.Address, born_ms: int) -> Engine | None:
+        """Return the incarnation of an engine at an address, or None."""
+        for engine in self._engines.values():
+            entry = engine.entry
+            if entry.address == address and entry.born_ms == born_ms:
+                return engine
+        return None
+
+    def of_service(self, service: data.ServiceName) -> list[Engine]:
+        """Return the engines of a service."""
+        return [e for e in self._engines.values() if e.entry.service == service]
+
+    def ids(self) -> Iterable[str]:
+        """Return the ids of all engines."""
+        return self._engines.keys()
+
+
+def _is_reborn(
+    old: entry_data.EngineEntry,
+    new: entry_data.EngineEntry,
+) -> bool:
+    return old.born_ms != new.born_ms or old.address != new.address
--- /dev/null
+++ b/toucanspread/core/entry/forwarding.py
@@ -0,0 +1,337 @@
+"""One caller's request, from its arrival to its one final answer.
+
+A :class:`Forwarding` is told what happens to the request and returns what is to be
+done about it. It keeps the promises of an answer: what may not be repeated runs at
+most once; "not run" is said only when it is certain; a stream goes on only where it
+stopped; nothing is answered twice.
+"""
+
+import enum
+import random
+from typing import NamedTuple
+
+from toucanspread.core import data
+from toucanspread.core.entry import budget, engines, placing
+from toucanspread.core.entry import data as entry_data
+
+ENGINE_ANSWER_SLACK_S = 0.12  # an engine's own answer at the time limit is awaited
+MIN_TIME_TO_DISPATCH_S = 0.03  # less than the way to an engine and its shortest work
+MAX_REJECTIONS = 3  # engines that reject a request before the caller hears of it
+STREAM_SILENCE_TARGETS = 2.5  # first event: of the time in which it is on time
+STREAM_GAP_SILENCE_S = 1.0  # between events; longer than any pause of a sound engine
+ANSWER_SILENCE_TARGETS = 1.6  # one answer: of the time in which it is on time
+FRESH_CONNECTION_S = 0.5  # for what may not be repeated: no race with an idle timeout
+RETRY_AFTER_BASE_S = 0.25
+RETRY_AFTER_SPREAD_S = 0.5
+NO_ENGINE_RETRY_AFTER_S = 0.6
+
+
+class Cause(enum.Enum):
+    """Why a request was not answered by an engine."""
+
+    NO_ENGINE = "no engine"
+    ENGINES_FULL = "engines full"
+    ENGINE_FAILED = "engine failed"
+    TIME_OVER = "time over"
+    BUDGET = "budget used up"
+    LEAVING = "leaving"
+
+
+class Failure(enum.Enum):
+    """How a dispatch failed."""
+
+    NOT_CONNECTED = "not connected"
+    REJECTED = "rejected"
+    OTHER_INSTANCE = "other instance"
+    BROKEN = "broken"
+    MALFORMED = "malformed"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+NOT_RUN = frozenset({Failure.NOT_CONNECTED, Failure.REJECTED, Failure.OTHER_INSTANCE})
+
+
+class Dispatch(data.Effect):
+    """Send the request to an engine.
+
+    :param number: tells this dispatch from the others of the request.
+    :param budget_s: how long the engine may work on it.
+    :param silence_s: without a sign of the engine for this long, say so.
+    :param max_idle_s: an idle connection that is older is not used.
+    """
+
+    number: int
+    engine_id: str
+    address: data.Address
+    budget_s: float
+    silence_s: float
+    last_event_id: str | None = None
+    expected_version: int = 0
+    max_idle_s: float | None = None
+
+
+class Cancel(data.Effect):
+    """Drop a dispatch, so that its engine stops."""
+
+    number: int
+
+
+class Relay(data.Effect):
+    """Pass the engine's whole answer on."""
+
+
+class OpenStream(data.Effect):
+    """Start the caller's answer with the engine's head."""
+
+
+class CloseStream(data.Effect):
+    """Complete the caller's answer."""
+
+
+class BreakStream(data.Effect):
+    """End the caller's answer so that it does not look complete."""
+
+    cause: Cause
+
+
+class Reject(data.Effect):
+    """Tell the caller that the request did not run and will not."""
+
+    cause: Cause
+    retry_after_s: float
+
+
+class Fail(data.Effect):
+    """Tell the caller that the request may have run.
+
+    :param timed_out: whether its time was over.
+    """
+
+    cause: Cause
+    timed_out: bool = False
+
+
+class Surroundings(NamedTuple):
+    """What decisions about a request look at.
+
+    :param minimum_version: of the weights for the route's service.
+    """
+
+    now_s: float
+    roster: engines.Roster
+    spending: budget.Spending
+    place: placing.Place
+    source: random.Random
+    minimum_version: int = 0
+
+
+class Forwarding:
+    """The state of one request.
+
+    :param deadline_s: when its time is over, on the clock of ``now_s``.
+    """
+
+    def __init__(
+        self,
+        route: entry_data.Route,
+        service: entry_data.Service,
+        call: entry_data.Call,
+        arrived_s: float,
+    ):
+        self.route = route
+        self.service = service
+        self.call = call
+        budget_s = route.timeout_s
+        if call.budget_s is not None:
+            budget_s = min(budget_s, call.budget_s)
+        self.arrived_s = arrived_s
+        self.deadline_s = arrived_s + budget_s
+        self.is_over = False
+        self.runs = 0  # engines that may have begun to work on it
+        self.dispatches = 0
+        self._rejections = 0
+        self._engine: engines.Engine | None = None
+        self._tried: set[str] = set()
+        self._streaming = False
+        self._last_event_id = call.last_event_id
+        self._last_failure: Failure | None = None
+
+    @property
+    def engine_id(self) -> str:
+        """Return the engine that has the request, or an empty string."""
+        return self._engine.entry.engine_id if self._engine is not None else ""
+
+    def start(self, now: Surroundings) -> list[data.Effect]:
+        """Send the request to a first engine, or turn it away."""
+        now.spending.count_request(self.service.name, now.now_s)
+        return self._dispatch(now)
+
+    def on_stream_opened(self) -> list[data.Effect]:
+        """Take the head of a stream; only the first one is the caller's."""
+        if self._streaming:
+            return []
+        self._streaming = True
+        return [OpenStream()]
+
+    def on_events(self, last_event_id: str | None) -> None:
+        """Note whole events that were passed on."""
+        if last_event_id is not None:
+            self._last_event_id = last_event_id
+
+    def on_answer(self, now: Surroundings, status: int) -> list[data.Effect]:
+        """Take an engine's whole answer, or the orderly end of its stream."""
+        if status < 500:
+            self._release(now, ok=True)
+            return self._end(CloseStream() if self._streaming else Relay())
+        # The engine ran it and says that it failed.
+        self._release(now, ok=False, weight=1)
+        if not self._streaming and not self._may_run_again(now):
+            return self._end(Relay())
+        return self._again(now, Failure.FAILED)
+
+    def on_failure(self, now: Surroundings, failure: Failure) -> list[data.Effect]:
+        """Take the end of a dispatch that brought no whole answer."""
+        if self.is_over:
+            return []
+        self._last_failure = failure
+        number = self.dispatches
+        if failure is Failure.SILENT and not self._is_worth_moving(now):
+            return []
+        self._release(now, ok=False, weight=_weight(failure))
+        dropped = [Cancel(number)] if failure is Failure.SILENT else []
+        if failure in NOT_RUN:
+            self.runs -= 1
+            self._rejections += 1
+        return dropped + self._again(now, failure)
+
+    def on_time_over(self, now: Surroundings) -> list[data.Effect]:
+        """End a request whose time is over."""
+        if self.is_over:
+            return []
+        had_engine = self._engine is not None
+        self._release(now, ok=False, weight=0)
+        dropped = [Cancel(self.dispatches)] if had_engine else []
+        if self._streaming:
+            return dropped + self._end(BreakStream(Cause.TIME_OVER))
+        if self.runs == 0:
+            return self._end(self._reject(now, Cause.TIME_OVER))
+        return dropped + self._end(Fail(Cause.TIME_OVER, timed_out=True))
+
+    def on_caller_left(self, now: Surroundings) -> list[data.Effect]:
+        """Stop the work that nobody waits for."""
+        if self.is_over:
+            return []
+        self.is_over = True
+        had_engine = self._engine is not None
+        self._release(now, ok=False, weight=0)
+        return [Cancel(self.dispatches)] if had_engine else []
+
+    # inside
+
+    def _dispatch(self, now: Surroundings) -> list[data.Effect]:
+        left_s = self.deadline_s - now.now_s
+        if left_s < MIN_TIME_TO_DISPATCH_S:
+            return self._give_up(now, Cause.TIME_OVER)
+        ask = placing.Ask(self.service, now.minimum_version, frozenset(self._tried))
+        engine = placing.choose(now.roster, ask, now.place, now.now_s, now.source)
+        if engine is None and self._tried and self._last_failure in NOT_RUN:
+            ask = ask._replace(excluded=frozenset())
+            engine = placing.choose(now.roster, ask, now.place, now.now_s, now.source)
+        if engine is None:
+            return self._give_up(now, Cause.NO_ENGINE)
+        self._engine = engine
+        self._tried.add(engine.entry.engine_id)
+        self.dispatches += 1
+        self.runs += 1
+        engine.sent()
+        expected = 0
+        if self.service.profile is not None and now.minimum_version > 1:
+            expected = engine.version(self.service.profile, now.now_s)
+        return [
+            Dispatch(
+                self.dispatches,
+                engine.entry.engine_id,
+                engine.entry.address,
+                left_s,
+                self._silence_s(),
+                self._last_event_id,
+                expected,
+                None if self.route.is_repeatable else FRESH_CONNECTION_S,
+            )
+        ]
+
+    def _again(self, now: Surroundings, failure: Failure) -> list[data.Effect]:
+        """Send the request to another engine, if that is allowed and of use."""
+        if failure in NOT_RUN:
+            if self._rejections > MAX_REJECTIONS:
+                return self._give_up(now, Cause.ENGINES_FULL)
+        elif not self.route.is_repeatable or self.runs >= self.route.attempts:
+            return self._give_up(now, Cause.ENGINE_FAILED)
+        if not now.spending.take(self.service.name, now.now_s, now.place.entries):
+            return self._give_up(now, Cause.BUDGET)
+        return self._dispatch(now)
+
+    def _may_run_again(self, now: Surroundings) -> bool:
+        if not self.route.is_repeatable or self.runs >= self.route.attempts:
+            return False
+        return self.deadline_s - now.now_s > MIN_TIME_TO_DISPATCH_S
+
+    def _is_worth_moving(self, now: Surroundings) -> bool:
+        """Tell whether a silent engine's request has a better place to be."""
+        if not self._may_run_again(now):
+            return False
+        tried = frozenset(self._tried)
+        ask = placing.Ask(self.service, now.minimum_version, tried)
+        for engine in placing.candidates(now.roster, ask, now.now_s):
+            if engine.is_avoided(now.now_s):
+                continue
+            if placing.free_places(engine, now.place, now.now_s) >= 1:
+                return True
+        return False
+
+    def _give_up(self, now: Surroundings, cause: Cause) -> list[data.Effect]:
+        if self._streaming:
+            return self._end(BreakStream(cause))
+        if self.runs == 0:
+            return self._end(self._reject(now, cause))
+        return self._end(Fail(cause, timed_out=cause is Cause.TIME_OVER))
+
+    def _reject(self, now: Surroundings, cause: Cause) -> Reject:
+        base_s = RETRY_AFTER_BASE_S
+        if cause is Cause.NO_ENGINE:
+            base_s = NO_ENGINE_RETRY_AFTER_S
+        spread_s = now.source.random() * RETRY_AFTER_SPREAD_S
+        return Reject(cause, base_s + spread_s)
+
+    def _end(self, effect: data.Effect) -> list[data.Effect]:
+        self.is_over = True
+        return [effect]
+
+    def _release(self, now: Surroundings, ok: bool, weight: int = 1) -> None:
+        engine, self._engine = self._engine, None
+        if engine is None:
+            return
+        engine.ended()
+        if ok:
+            engine.succeeded()
+        elif weight:
+            engine.failed(now.now_s, weight)
+
+    def _silence_s(self) -> float:
+        if self.route.kind is entry_data.RequestKind.STREAMING:
+            return max(STREAM_SILENCE_TARGETS * self.route.target_s, 1.0)
+        if self.route.is_repeatable:
+            return ANSWER_SILENCE_TARGETS * self.route.target_s
+        return self.route.timeout_s + ENGINE_ANSWER_SLACK_S
+
+
+def _weight(failure: Failure) -> int:
+    """Return how much a failure speaks against its engine."""
+    if failure is Failure.OTHER_INSTANCE:
+        return 2
+    if failure is Failure.NOT_CONNECTED:
+        return 2
+    if failure is Failure.REJECTED:
+        return 0
+    return 1
--- /dev/null
+++ b/toucanspread/core/entry/knowledge.py
@@ -0,0 +1,132 @@
+"""What an entry knows: the configuration, the engines, the versions, the entries.
+
+It is made of the changes that the view reports, decoded into the events of this
+module. A configuration never gives way to an older one within a process's life.
+"""
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import engines, members, routes
+
+INITIAL_VERSION = 1  # of weights, until the operator names another
+VERSION_MARGIN_S = 0.8  # the change's way here, and a request's way to its engine
+
+
+class ConfigurationSeen(data.Event):
+    """The store holds a configuration."""
+
+    configuration: entry_data.Configuration
+
+
+class EngineSeen(data.Event):
+    """The store holds an engine's entry."""
+
+    entry: entry_data.EngineEntry
+
+
+class EngineGone(data.Event):
+    """An engine's entry is gone, or cannot be read any more."""
+
+    engine_id: str
+
+
+class VersionNamed(data.Event):
+    """The operator has named a version of a model's weights."""
+
+    model: data.ModelName
+    version: int
+
+
+class EntrySeen(data.Event):
+    """An entry has written its record."""
+
+    record: members.EntryRecord
+
+
+class EntryGone(data.Event):
+    """An entry's record is gone."""
+
+    name: str
+
+
+class Named:
+    """The newest version of a model, and when each was first heard of."""
+
+    def __init__(self):
+        self.newest = INITIAL_VERSION
+        self._since_s: dict[int, float] = {}
+
+    def name(self, version: int, now_s: float) -> bool:
+        """Take in a version; return whether it is newer than all before."""
+        if version <= self.newest:
+            return False
+        self.newest = version
+        self._since_s[version] = now_s
+        return True
+
+    def minimum(self, now_s: float, within_s: float) -> int:
+        """Return the version below which no request may begin any more.
+
+        :param within_s: how long after a version older ones may still be used.
+        """
+        due = [
+            version
+            for version, since_s in self._since_s.items()
+            if now_s - since_s >= within_s
+        ]
+        return max(due, default=0)
+
+    def is_changing(self, now_s: float, within_s: float) -> bool:
+        """Tell whether older versions than the newest may still be in use."""
+        return self.minimum(now_s, within_s) < self.newest and bool(self._since_s)
+
+
+class Knowledge:
+    """All of it.
+
+    :param version_within_s: within which requests have to begin on a new version.
+    """
+
+    def __init__(self, version_within_s: float):
+        self.table: routes.Table | None = None
+        self.roster = engines.Roster()
+        self.members = members.Members()
+        self._version_within_s = max(version_within_s - VERSION_MARGIN_S, 0.0)
+        self._named: dict[data.ModelName, Named] = {}
+
+    def take(self, event: data.Event, now_s: float, store_was_away: bool) -> bool:
+        """Take in a change; return whether it changed what the entry believes.
+
+        :param store_was_away: whether records may have lapsed without cause.
+        """
+        match event:
+            case ConfigurationSeen(configuration):
+                return self._configure(configuration)
+            case EngineSeen(entry):
+                return self.roster.put(entry)
+            case EngineGone(engine_id):
+                self.roster.remove(engine_id, now_s)
+            case VersionNamed(model, version):
+                return self.named(model).name(version, now_s)
+            case EntrySeen(record):
+                self.members.put(record)
+            case EntryGone(name):
+                self.members.remove(name, now_s, store_was_away)
+        return True
+
+    def named(self, model: data.ModelName) -> Named:
+        """Return what is known of a model's versions."""
+        return self._named.setdefault(model, Named())
+
+    def minimum_version(self, service: entry_data.Service, now_s: float) -> int:
+        """Return the version below which no request to a service may begin."""
+        if service.profile is None:
+            return 0
+        named = self.named(service.profile.model)
+        return named.minimum(now_s, self._version_within_s)
+
+    def _configure(self, configuration: entry_data.Configuration) -> bool:
+        if self.table is not None and configuration.version <= self.table.version:
+            return False
+        self.table = routes.Table(configuration)
+        return True
--- /dev/null
+++ b/toucanspread/core/entry/routes.py
@@ -0,0 +1,84 @@
+"""Finds the route and the team of a request in the configuration in force."""
+
+import enum
+from collections.abc import Iterable
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+
+
+class Denial(enum.Enum):
+    """Why the configuration does not allow a request."""
+
+    NO_ROUTE = "no route"
+    UNKNOWN_KEY = "unknown key"
+
+
+class Table:
+    """A configuration, indexed for look-ups.
+
+    :param configuration: the newest one that is known.
+    """
+
+    def __init__(self, configuration: entry_data.Configuration):
+        self.configuration = configuration
+        self.services = {service.name: service for service in configuration.services}
+        self._by_host = _index_routes(configuration.routes)
+        self._team_of_key = _index_keys(configuration.teams)
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version."""
+        return self.configuration.version
+
+    def find_route(self, host: str, path: str) -> entry_data.Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_team(self, key: str | None) -> entry_data.Team | None:
+        """Return the team that holds a key, or None."""
+        if key is None:
+            return None
+        return self._team_of_key.get(key)
+
+    def denial(
+        self, route: entry_data.Route | None, team: entry_data.Team | None
+    ) -> Denial | None:
+        """Tell why a request on a route, with a team's key, is not allowed."""
+        if route is None:
+            return Denial.NO_ROUTE
+        if team is not None or route.allow_anonymous:
+            return None
+        return Denial.UNKNOWN_KEY if self.configuration.teams else None
+
+    def origin(self) -> data.Address | None:
+        """Return where weights come from, or None."""
+        for service in self.configuration.services:
+            if service.origin:
+                return service.origin
+        return None
+
+    def model_service(self, model: str) -> entry_data.Service | None:
+        """Return the service whose engines run a model."""
+        for service in self.configuration.services:
+            if service.profile is not None and service.profile.model == model:
+                return service
+        return None
+
+
+def _index_routes(
+    routes: Iterable[entry_data.Route],
+) -> dict[str, list[entry_data.Route]]:
+    by_host: dict[str, list[entry_data.Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    for listed in by_host.values():
+        listed.sort(key=lambda route: len(route.prefix), reverse=True)
+    return by_host
+
+
+def _index_keys(teams: Iterable[entry_data.Team]) -> dict[str, entry_data.Team]:
+    return {key: team for team in teams for key in team.keys}
--- /dev/null
+++ b/toucanspread/core/view/following.py
@@ -0,0 +1,119 @@
+"""Decides from whom a process learns next what is in the store.
+
+The load this answers: calls to the store are counted and limited, large values cross
+links between regions, and the store may turn some machines away while others hear of
+every change. One entry of each availability zone follows the store; the other
+processes of the zone follow that entry; whoever finds its copy too old asks around,
+and asks the store itself.
+"""
+
+import enum
+from typing import NamedTuple
+
+from toucanspread.core import data, rendezvous
+
+STORE_WAIT_S = 1.0  # a silent store is noticed within twice this
+PEER_WAIT_S = 1.0
+ANSWER_GRACE_S = 0.5  # an answer may be this much later than the wait asked for
+DOUBT_AGE_S = 2.4  # two waits and an answer's way: an older copy is checked elsewhere
+SOURCE_PAUSE_S = 1.0  # a source that failed is asked again after this
+BATCH_PAUSE_S = 0.1  # changes in quick succession are fetched together
+RETRY_PAUSE_S = 0.15
+
+
+class SourceKind(enum.Enum):
+    """Whom to ask."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
+class Source(NamedTuple):
+    """Whom to ask, and where.
+
+    :param address: of the peer; empty for the store.
+    """
+
+    kind: SourceKind
+    address: data.Address = data.Address("")
+
+
+STORE = Source(SourceKind.STORE)
+
+
+class Peer(NamedTuple):
+    """Another entry that can hand its copy on."""
+
+    name: str
+    zone: data.ZoneName
+    address: data.Address
+
+
+class Chooser:
+    """Ranks the sources and remembers which failed lately.
+
+    :param name: of this process, among the entries' names.
+    :param may_lead: whether this process takes part in following the store directly.
+    """
+
+    def __init__(self, name: str, zone: data.ZoneName, may_lead: bool):
+        self._name = name
+        self._zone = zone
+        self._may_lead = may_lead
+        self._failed_s: dict[Source, float] = {}
+
+    def ranked(self, peers: list[Peer], seeds: list[data.Address]) -> list[Source]:
+        """Return all sources, the usual one first."""
+        near = {peer.name: peer for peer in peers if peer.zone == self._zone}
+        far = {peer.name: peer for peer in peers if peer.zone != self._zone}
+        names = set(near)
+        if self._may_lead:
+            names.add(self._name)
+        order = rendezvous.rank(self._zone, names)
+        sources = []
+        for name in order:
+            if name == self._name:
+                break
+            sources.append(Source(SourceKind.PEER, near[name].address))
+        # A follower has one usual source; the others are for when it fails.
+        usual, spare = sources[:1], sources[1:]
+        if not usual:
+            usual = [STORE]
+        else:
+            spare = [STORE, *spare]
+        far_order = rendezvous.rank(self._name, far)
+        spare.extend(Source(SourceKind.PEER, far[name].address) for name in far_order)
+        known = {source.address for source in usual + spare}
+        spare.extend(
+            Source(SourceKind.PEER, seed) for seed in seeds if seed not in known
+        )
+        return usual + spare
+
+    def choose(
+        self,
+        peers: list[Peer],
+        seeds: list[data.Address],
+        now_s: float,
+        doubted: set[Source],
+    ) -> Source | None:
+        """Return whom to ask next, or None when all failed lately.
+
+        :param doubted: sources whose own copy was too old just now.
+        """
+        for source in self.ranked(peers, seeds):
+            if source in doubted:
+                continue
+            failed_s = self._failed_s.get(source)
+            if failed_s is None or now_s - failed_s >= SOURCE_PAUSE_S:
+                return source
+        return None
+
+    def failed(self, source: Source, now_s: float) -> bool:
+        """Note that a source did not answer; return whether that is news."""
+        is_news = source not in self._failed_s
+        self._failed_s[source] = now_s
+        return is_news
+
+    def answered(self, source: Source) -> bool:
+        """Note that a source answered; return whether it had failed before."""
+        return self._failed_s.pop(source, None) is not None
--- /dev/null
+++ b/toucanspread/core/weights/__init__.py
@@ -0,0 +1,1 @@
+"""How engines are brought onto a version of their weights."""
--- /dev/null
+++ b/toucanspread/core/weights/sources.py
@@ -0,0 +1,57 @@
+"""Which entry holds which piece of a version's weights.
+
+Entries have far wider links than the instances beside engines, and memory for a few
+versions. Every process ranks the entries alike for each piece: the first of all is
+its owner and takes it from the origin, the first of a region hands it on there. So
+each piece leaves the origin once and crosses each link between regions once, and
+nothing has to be agreed on; when an entry goes away, only its pieces move.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from toucanspread.core import data, rendezvous
+from toucanspread.core.entry import members
+
+MANIFEST = -1  # the number under which a manifest is placed among the entries
+
+
+class PieceKey(NamedTuple):
+    """A piece of a version of a model's weights, or its manifest."""
+
+    model: data.ModelName
+    version: int
+    number: int
+
+    @property
+    def text(self) -> str:
+        """Return the key under which entries are ranked."""
+        return f"{self.model}/{self.version}/{self.number}"
+
+
+def owners(
+    key: PieceKey, entries: Iterable[members.EntryRecord]
+) -> list[members.EntryRecord]:
+    """Return the entries in the order in which they own a piece."""
+    by_name = {entry.name: entry for entry in entries}
+    return [by_name[name] for name in rendezvous.rank(key.text, by_name)]
+
+
+def holders(
+    key: PieceKey, entries: Iterable[members.EntryRecord], region: str
+) -> list[members.EntryRecord]:
+    """Return the entries to ask for a piece from a region, the nearest first."""
+    ranked = owners(key, entries)
+    near = [entry for entry in ranked if entry.region == region]
+    far = [entry for entry in ranked if entry.region != region]
+    return near + far
+
+
+def upstream(
+    key: PieceKey, entries: Iterable[members.EntryRecord], name: str
+) -> members.EntryRecord | None:
+    """Return whom an entry asks for a piece, or None for the origin itself."""
+    ranked = owners(key, entries)
+    if not ranked or ranked[0].name == name:
+        return None
+    return ranked[0]
--- /dev/null
+++ b/toucanspread/ops/engine_control.py
@@ -0,0 +1,37 @@
+"""What the process beside an engine asks of it."""
+
+import abc
+
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.weights import staging
+
+
+class EngineError(Exception):
+    """The engine beside this process gave no usable answer."""
+
+
+class EngineControl(abc.ABC):
+    """The engine on the same machine.
+
+    Every method raises :class:`EngineError` when it gets no usable answer.
+    """
+
+    @abc.abstractmethod
+    async def report(self) -> entry_data.EngineReport:
+        """Return what the engine says of itself now."""
+
+    @abc.abstractmethod
+    async def held(self, model: str) -> list[int]:
+        """Return the numbers of the pieces that lie staged."""
+
+    @abc.abstractmethod
+    async def staged(self, model: str, number: int) -> bytes | None:
+        """Return a staged piece, or None."""
+
+    @abc.abstractmethod
+    async def stage(self, model: str, number: int, piece: bytes) -> None:
+        """Hand a piece to the engine."""
+
+    @abc.abstractmethod
+    async def order(self, model: str, order: staging.GiveOrder) -> bool:
+        """Order the engine to load what lies staged; return whether it accepted."""
--- /dev/null
+++ b/toucanspread/ops/following.py
@@ -0,0 +1,220 @@
+"""Keeps a process's copy of the store up to date, from the store or from peers.
+
+Whom to ask is decided by :mod:`toucanspread.core.view.following`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from toucanspread.core import data
+from toucanspread.core.view import following, items
+from toucanspread.ops import http1, http1_pool, logs, prefix_store, tallies
+
+EXCERPT_TARGET = "/excerpt"
+FETCH_TIMEOUT_S = 2.0
+MAX_RETRY_WAIT_S = 0.6
+
+_excerpts = msgspec.msgpack.Decoder(items.Excerpt)
+
+
+class PeerError(Exception):
+    """Another process did not hand its copy on."""
+
+
+class Follower:
+    """Follows the store under some prefixes.
+
+    :param may_lead: whether this process may be the one of its zone that asks the
+        store; others ask it when nobody else answers.
+    :param on_changes: told of what is new, and whether the store was away before.
+    """
+
+    def __init__(
+        self,
+        view: items.View,
+        store: prefix_store.PrefixStore,
+        pool: http1_pool.Pool,
+        chooser: following.Chooser,
+        prefixes: tuple[str, ...],
+        peers: Callable[[], list[following.Peer]],
+        seeds: Callable[[], list[data.Address]],
+        on_changes: Callable[[list[items.Change]], None],
+    ):
+        self.view = view
+        self.store_failed_s = float("-inf")
+        self._store = store
+        self._pool = pool
+        self._chooser = chooser
+        self._prefixes = prefixes
+        self._peers = peers
+        self._seeds = seeds
+        self._on_changes = on_changes
+        self._doubted: set[following.Source] = set()
+        self._whole_wanted = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            now_s = self._pool.reactor.seconds()
+            source = self._chooser.choose(
+                self._peers(), self._seeds(), now_s, self._doubted
+            )
+            if source is None:
+                self._doubted.clear()
+                await asyncio.sleep(following.RETRY_PAUSE_S)
+                continue
+            await self._ask(source)
+
+    async def _ask(self, source: following.Source) -> None:
+        try:
+            if source.kind is following.SourceKind.STORE:
+                await self._ask_store()
+            else:
+                await self._ask_peer(source.address)
+        except (prefix_store.StoreError, PeerError) as error:
+            self._note_failure(source, error)
+            await asyncio.sleep(0)
+            return
+        now_s = self._pool.reactor.seconds()
+        if self._chooser.answered(source):
+            logs.write("source_regained", source=source.kind.value, at=source.address)
+        if self.view.age_s(now_s) > following.DOUBT_AGE_S:
+            # It answers, but knows no more than this process does.
+            self._doubted.add(source)
+        else:
+            self._doubted.clear()
+
+    def _note_failure(self, source: following.Source, error: Exception) -> None:
+        now_s = self._pool.reactor.seconds()
+        if source.kind is following.SourceKind.STORE:
+            self.store_failed_s = now_s
+        tallies.count("source_failures", source=source.kind.value)
+        if self._chooser.failed(source, now_s):
+            logs.write(
+                "source_lost",
+                source=source.kind.value,
+                at=source.address,
+                why=str(error),
+                age_s=self.view.age_s(now_s),
+                revision=self.view.revision,
+            )
+
+    async def _ask_store(self) -> None:
+        if self.view.is_empty or self._whole_wanted:
+            await self._read_all()
+            return
+        # Several prefixes share one watch of everything: one call, not one for each.
+        prefix = self._prefixes[0] if len(self._prefixes) == 1 else ""
+        try:
+            found = await self._store.watch(
+                prefix, self.view.revision, following.STORE_WAIT_S
+            )
+        except prefix_store.HistoryGoneError:
+            logs.write("history_gone", revision=self.view.revision)
+            self._whole_wanted = True
+            return
+        now_s = self._pool.reactor.seconds()
+        wanted = [c for c in found.changes if c.key.startswith(self._prefixes)]
+        self._publish(self.view.apply(wanted, found.revision, now_s))
+        if found.changes:
+            await asyncio.sleep(following.BATCH_PAUSE_S)
+
+    async def _read_all(self) -> None:
+        asked_s = self._pool.reactor.seconds()
+        prefix = self._prefixes[0] if len(self._prefixes) == 1 else ""
+        found = await self._store.read_all(prefix)
+        self._whole_wanted = False
+        wanted = [c for c in found.changes if c.key.startswith(self._prefixes)]
+        self._publish(self.view.replace(wanted, found.revision, asked_s))
+
+    async def _ask_peer(self, address: data.Address) -> None:
+        excerpt = await self._fetch_excerpt(address)
+        confirmed_s = self._pool.reactor.seconds() - excerpt.age_s
+        if excerpt.is_whole:
+            new = self.view.replace(excerpt.changes, excerpt.revision, confirmed_s)
+        else:
+            new = self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
+        self._publish(new)
+
+    async def _fetch_excerpt(self, address: data.Address) -> items.Excerpt:
+        wait_ms = int(following.PEER_WAIT_S * 1000)
+        query = f"after={self.view.revision}&wait_ms={wait_ms}"
+        query += f"&prefixes={','.join(self._prefixes)}"
+        head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
+        timeout_s = following.PEER_WAIT_S + following.ANSWER_GRACE_S
+        if self.view.is_empty:
+            timeout_s += FETCH_TIMEOUT_S
+        try:
+            reply = await self._pool.call(address, head, timeout_s=timeout_s)
+        except http1_pool.CallError as error:
+            raise PeerError(str(error)) from error
+        if reply.status != 200:
+            raise PeerError(f"{address} answered {reply.status}")
+        try:
+            return _excerpts.decode(reply.body)
+        except msgspec.MsgspecError as error:
+            raise PeerError(f"{address}: malformed excerpt: {error}") from error
+
+    def _publish(self, new: list[items.Change]) -> None:
+        if new:
+            self._on_changes(new)
+
+
+class ExcerptServer:
+    """Hands this process's copy on to others that wait for what is new."""
+
+    def __init__(self, view: items.View, reactor):
+        self._view = view
+        self._reactor = reactor
+        self._waiting: dict[http1.Exchange, _Waiting] = {}
+
+    def on_request(
+        self, exchange: http1.Exchange, after: int, wait_s: float, prefixes: str
+    ) -> None:
+        """Answer at once when something is new, else when it is or time is over."""
+        if self._view.is_empty:
+            exchange.respond(503)
+            return
+        wanted = _Waiting(after, tuple(prefixes.split(",")))
+        if after < self._view.revision or wait_s <= 0:
+            excerpt = self._excerpt(wanted)
+            if excerpt.is_whole or excerpt.changes:
+                exchange.respond(200, body=msgspec.msgpack.encode(excerpt))
+                return
+        wanted.timer = self._reactor.callLater(wait_s, self._answer, exchange)
+        exchange.on_lost = lambda: self._forget(exchange)
+        self._waiting[exchange] = wanted
+
+    def wake(self) -> None:
+        """Answer those for whom something is new."""
+        for exchange, wanted in list(self._waiting.items()):
+            if self._excerpt(wanted).changes:
+                self._answer(exchange)
+
+    def _answer(self, exchange: http1.Exchange) -> None:
+        wanted = self._forget(exchange)
+        if wanted is None:
+            return
+        excerpt = self._excerpt(wanted)
+        exchange.respond(200, body=msgspec.msgpack.encode(excerpt))
+
+    def _forget(self, exchange: http1.Exchange) -> "_Waiting | None":
+        wanted = self._waiting.pop(exchange, None)
+        if wanted is not None and wanted.timer.active():
+            wanted.timer.cancel()
+        return wanted
+
+    def _excerpt(self, wanted: "_Waiting") -> items.Excerpt:
+        now_s = self._reactor.seconds()
+        return self._view.excerpt(wanted.after, wanted.prefixes, now_s)
+
+
+class _Waiting:
+    """What a waiting process wants to hear of."""
+
+    def __init__(self, after: int, prefixes: tuple[str, ...]):
+        self.after = after
+        self.prefixes = prefixes
+        self.timer = None
--- /dev/null
+++ b/toucanspread/ops/http1_pool.py
@@ -0,0 +1,260 @@
+"""Connections to other servers, kept for further requests, and whole calls on them."""
+
+import asyncio
+import contextlib
+import socket
+from typing import NamedTuple
+
+from twisted.internet import protocol
+
+from toucanspread.ops import http1
+
+CONNECT_TIMEOUT_S = 0.6  # a refused or cut server answers no sooner by waiting longer
+IDLE_MARGIN = 0.7  # of a server's own idle timeout; it may close a little early
+DEFAULT_IDLE_S = 4.0  # when the server names no timeout
+MAX_IDLE_PER_SERVER = 32
+USER_TIMEOUT_MS = 3_000  # unacknowledged bytes for this long mean a dead path
+
+
+class CallError(Exception):
+    """A call got no whole answer.
+
+    :param how: how it failed; None when its time ran out.
+    """
+
+    def __init__(self, how: http1.Broken | None, detail: str):
+        super().__init__(detail)
+        self.how = how
+
+    @property
+    def sent(self) -> bool:
+        """Tell whether the request may have reached the server."""
+        return self.how is not http1.Broken.NOT_CONNECTED
+
+
+class Reply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    head: http1.AnswerHead
+    body: bytes
+
+
+class Sending:
+    """A request on its way, from its connection's opening to its answer's end."""
+
+    def __init__(self, pool: "Pool", address: str, request: bytes, listener):
+        self._pool = pool
+        self._address = address
+        self._request = request
+        self._listener = listener
+        self._connector = None
+        self._connection: http1.ClientConnection | None = None
+        self._cancelled = False
+
+    def start(self, max_idle_s: float | None) -> None:
+        """Send on an idle connection, or open one.
+
+        :param max_idle_s: an idle connection that is older is not used.
+        """
+        connection = self._pool.take(self._address, max_idle_s)
+        if connection is not None:
+            self._use(connection)
+            return
+        host, _, port = self._address.rpartition(":")
+        factory = _Opening(self, self._pool)
+        self._connector = self._pool.reactor.connectTCP(
+            host, int(port), factory, timeout=CONNECT_TIMEOUT_S
+        )
+
+    def cancel(self) -> None:
+        """Drop the connection; the listener hears nothing more."""
+        if self._cancelled:
+            return
+        self._cancelled = True
+        if self._connection is not None:
+            self._connection.cancel()
+        elif self._connector is not None:
+            self._connector.disconnect()
+
+    def opened(self, connection: http1.ClientConnection) -> None:
+        """Take a connection that was opened for this request."""
+        if self._cancelled:
+            connection.cancel()
+            return
+        self._use(connection)
+
+    def not_opened(self) -> None:
+        """Note that the server was not reached."""
+        if not self._cancelled:
+            self._listener.on_broken(http1.Broken.NOT_CONNECTED)
+
+    def _use(self, connection: http1.ClientConnection) -> None:
+        self._connection = connection
+        connection.send(self._request, self._listener)
+
+
+class _Opening(protocol.ClientFactory):
+    """Opens one connection for one request."""
+
+    noisy = False
+
+    def __init__(self, sending: Sending, pool: "Pool"):
+        self._sending = sending
+        self._pool = pool
+        self._address = sending._address
+
+    def buildProtocol(self, addr):  # noqa: N802
+        """Return the protocol of the new connection."""
+        return _Announced(self._pool, self._address, self._sending)
+
+    def clientConnectionFailed(self, connector, reason):  # noqa: N802
+        """Tell the request."""
+        self._sending.not_opened()
+
+
+class _Announced(http1.ClientConnection):
+    """A connection that hands itself to the request it was opened for."""
+
+    def __init__(self, pool: "Pool", address: str, sending: Sending):
+        super().__init__(pool.reactor)
+        self._sending = sending
+        self.on_idle = lambda connection: pool.give_back(address, connection)
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        with contextlib.suppress(OSError):
+            # Not every kernel knows the option; calls have timeouts besides.
+            self.transport.getHandle().setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+        sending, self._sending = self._sending, None
+        sending.opened(self)
+
+
+class Pool:
+    """The connections of this process to any number of servers."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.opened = 0
+        self._idle: dict[str, list[http1.ClientConnection]] = {}
+
+    def send(
+        self,
+        address: str,
+        request: bytes,
+        listener: http1.AnswerListener,
+        max_idle_s: float | None = None,
+    ) -> Sending:
+        """Send a rendered request; the listener follows its answer."""
+        sending = Sending(self, address, request, listener)
+        sending.start(max_idle_s)
+        return sending
+
+    def take(
+        self, address: str, max_idle_s: float | None
+    ) -> http1.ClientConnection | None:
+        """Return the idle connection that was used last, if one is young enough."""
+        now_s = self.reactor.seconds()
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            limit_s = _idle_limit_s(connection)
+            if max_idle_s is not None:
+                limit_s = min(limit_s, max_idle_s)
+            if connection.is_free and now_s - connection.idle_since_s < limit_s:
+                return connection
+            connection.cancel()
+        self.opened += 1
+        return None
+
+    def give_back(self, address: str, connection: http1.ClientConnection) -> None:
+        """Keep a connection whose answer is complete."""
+        if not connection.is_free:
+            return
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= MAX_IDLE_PER_SERVER:
+            connection.cancel()
+            return
+        idle.append(connection)
+
+    def drop_expired(self) -> None:
+        """Close what has been idle for too long."""
+        now_s = self.reactor.seconds()
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                age_s = now_s - connection.idle_since_s
+                if connection.is_free and age_s < _idle_limit_s(connection):
+                    kept.append(connection)
+                else:
+                    connection.cancel()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that went silent."""
+        for connection in self._idle.pop(address, []):
+            connection.cancel()
+
+    async def call(
+        self,
+        address: str,
+        head: http1.RequestHead,
+        body: bytes = b"",
+        timeout_s: float = 1.0,
+    ) -> Reply:
+        """Send a request and return its whole answer.
+
+        :raises CallError: when none came in time.
+        """
+        listener = _WholeAnswer()
+        if head.get(b"host") is None:
+            head.headers.insert(0, http1.Header(b"Host", address.encode()))
+        sending = self.send(address, http1.render_request(head, body), listener)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await listener.future
+        except TimeoutError as caught:
+            # What went silent stays silent: the idle ones may be as this one.
+            self.forget(address)
+            raise CallError(None, f"{address}: no answer in {timeout_s} s") from caught
+        finally:
+            if not listener.is_over:
+                sending.cancel()
+
+
+class _WholeAnswer(http1.AnswerListener):
+    """Collects an answer."""
+
+    def __init__(self):
+        self.future = asyncio.get_event_loop().create_future()
+        self.is_over = False
+        self._head: http1.AnswerHead | None = None
+        self._body = bytearray()
+
+    def on_head(self, head: http1.AnswerHead) -> bool:
+        self._head = head
+        return True
+
+    def on_piece(self, piece: bytes) -> None:
+        self._body += piece
+
+    def on_end(self) -> None:
+        self.is_over = True
+        if not self.future.done():
+            reply = Reply(self._head.status, self._head, bytes(self._body))
+            self.future.set_result(reply)
+
+    def on_broken(self, how: http1.Broken) -> None:
+        self.is_over = True
+        if not self.future.done():
+            self.future.set_exception(CallError(how, f"the call was {how.value}"))
+
+
+def _idle_limit_s(connection: http1.ClientConnection) -> float:
+    named_s = connection.keep_alive_s
+    return named_s * IDLE_MARGIN if named_s is not None else DEFAULT_IDLE_S
--- /dev/null
+++ b/toucanspread/ops/pieces.py
@@ -0,0 +1,213 @@
+"""The pieces of weights that an entry holds in memory, and how it gets them.
+
+Several processes that want the same piece wait for one transfer. Every piece is
+compared with the manifest's digest before it is kept or handed on.
+"""
+
+import abc
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import msgspec
+
+from toucanspread.core import data
+from toucanspread.core.entry import members
+from toucanspread.core.weights import sources
+from toucanspread.ops import http1, http1_pool, logs, loop, tallies
+
+PIECE_TARGET = "/piece"
+MANIFEST_TARGET = "/manifest"
+PEER_TIMEOUT_S = 3.0  # an owner may still be waiting for the origin's narrow link
+VERSIONS_KEPT = 2  # the one in use and the one before it
+ORIGIN_TRIES = 3
+ORIGIN_PAUSE_S = 0.2
+
+
+class PieceError(Exception):
+    """A piece or a manifest could not be had."""
+
+
+class WeightsOrigin(abc.ABC):
+    """Where weights come from first."""
+
+    @abc.abstractmethod
+    async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
+        """Return the hex digests of a version's pieces, in order.
+
+        :raises PieceError: when there are none to be had.
+        """
+
+    @abc.abstractmethod
+    async def read_piece(self, key: sources.PieceKey) -> bytes:
+        """Return a piece, not checked.
+
+        :raises PieceError: when it cannot be had.
+        """
+
+
+class PieceCache:
+    """What this entry holds.
+
+    :param entries: returns the entries that are there, this one among them.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        pool: http1_pool.Pool,
+        origin: WeightsOrigin,
+        entries: Callable[[], list[members.EntryRecord]],
+    ):
+        self._name = name
+        self._pool = pool
+        self._origin = origin
+        self._entries = entries
+        self._pieces: dict[sources.PieceKey, bytes] = {}
+        self._digests: dict[sources.PieceKey, tuple[str, ...]] = {}
+        self._coming: dict[sources.PieceKey, asyncio.Task] = {}
+
+    async def digests(self, model: data.ModelName, version: int) -> tuple[str, ...]:
+        """Return the digests of a version's pieces.
+
+        :raises PieceError: when they cannot be had.
+        """
+        key = sources.PieceKey(model, version, sources.MANIFEST)
+        if key not in self._digests:
+            await self._once(key, self._load_digests)
+        return self._digests[key]
+
+    async def piece(self, key: sources.PieceKey) -> bytes:
+        """Return a checked piece.
+
+        :raises PieceError: when it cannot be had.
+        """
+        if key not in self._pieces:
+            await self._once(key, self._load_piece)
+        return self._pieces[key]
+
+    async def take_owned(self, model: data.ModelName, version: int) -> None:
+        """Fetch the pieces of a new version that this entry owns.
+
+        The origin may go away soon after a version is named.
+        """
+        self._forget_before(model, version)
+        try:
+            digests = await self.digests(model, version)
+        except PieceError as error:
+            logs.write("manifest_missing", model=model, version=version, why=str(error))
+            return
+        for number in range(len(digests)):
+            key = sources.PieceKey(model, version, number)
+            if sources.upstream(key, self._entries(), self._name) is None:
+                loop.spawn(self._take(key))
+
+    async def _take(self, key: sources.PieceKey) -> None:
+        try:
+            await self.piece(key)
+        except PieceError as error:
+            logs.write("piece_missing", piece=key.text, why=str(error))
+
+    async def _once(self, key: sources.PieceKey, load) -> None:
+        task = self._coming.get(key)
+        if task is None:
+            task = loop.spawn(load(key))
+            self._coming[key] = task
+            task.add_done_callback(lambda _: self._coming.pop(key, None))
+        await asyncio.shield(task)
+
+    async def _load_digests(self, key: sources.PieceKey) -> None:
+        self._digests[key] = await self._digests_from_peer(key) or (
+            await self._origin.read_digests(key.model, key.version)
+        )
+
+    async def _digests_from_peer(self, key: sources.PieceKey) -> tuple[str, ...]:
+        owner = sources.upstream(key, self._entries(), self._name)
+        if owner is None:
+            return ()
+        try:
+            return await fetch_digests(self._pool, owner.control, key)
+        except PieceError as error:
+            logs.write("owner_failed", piece=key.text, owner=owner.name, why=str(error))
+            return ()
+
+    async def _load_piece(self, key: sources.PieceKey) -> None:
+        digests = await self.digests(key.model, key.version)
+        digest = digests[key.number]
+        owner = sources.upstream(key, self._entries(), self._name)
+        if owner is not None:
+            try:
+                piece = await fetch_piece(self._pool, owner.control, key)
+                if is_right(piece, digest):
+                    self._pieces[key] = piece
+                    return
+                logs.write("piece_spoilt", piece=key.text, source=owner.name)
+            except PieceError as error:
+                logs.write(
+                    "owner_failed", piece=key.text, owner=owner.name, why=str(error)
+                )
+        self._pieces[key] = await self._piece_from_origin(key, digest)
+
+    async def _piece_from_origin(self, key: sources.PieceKey, digest: str) -> bytes:
+        for attempt in range(ORIGIN_TRIES):
+            if attempt:
+                await asyncio.sleep(ORIGIN_PAUSE_S)
+            tallies.count("origin_reads")
+            try:
+                piece = await self._origin.read_piece(key)
+            except PieceError as error:
+                logs.write("origin_failed", piece=key.text, why=str(error))
+                continue
+            if is_right(piece, digest):
+                return piece
+            logs.write("piece_spoilt", piece=key.text, source="origin")
+        raise PieceError(f"{key.text}: the origin has not delivered it")
+
+    def _forget_before(self, model: data.ModelName, version: int) -> None:
+        oldest = version - VERSIONS_KEPT + 1
+        for held in (self._pieces, self._digests):
+            for key in list(held):
+                if key.model == model and key.version < oldest:
+                    del held[key]
+
+
+def is_right(piece: bytes, digest: str) -> bool:
+    """Tell whether a piece has the digest of its manifest."""
+    return hashlib.sha256(piece).hexdigest() == digest.lower()
+
+
+async def fetch_piece(
+    pool: http1_pool.Pool, address: str, key: sources.PieceKey
+) -> bytes:
+    """Return a piece from another process, not checked.
+
+    :raises PieceError: when it does not hand it on.
+    """
+    query = f"model={key.model}&version={key.version}&number={key.number}"
+    return (await _fetch(pool, address, f"{PIECE_TARGET}?{query}")).body
+
+
+async def fetch_digests(
+    pool: http1_pool.Pool, address: str, key: sources.PieceKey
+) -> tuple[str, ...]:
+    """Return a version's digests from another process.
+
+    :raises PieceError: when it does not hand them on.
+    """
+    target = f"{MANIFEST_TARGET}?model={key.model}&version={key.version}"
+    reply = await _fetch(pool, address, target)
+    try:
+        return msgspec.msgpack.decode(reply.body, type=tuple[str, ...])
+    except msgspec.MsgspecError as error:
+        raise PieceError(f"{address}: malformed manifest: {error}") from error
+
+
+async def _fetch(pool: http1_pool.Pool, address: str, target: str) -> http1_pool.Reply:
+    head = http1.RequestHead(b"GET", target.encode(), [])
+    try:
+        reply = await pool.call(address, head, timeout_s=PEER_TIMEOUT_S)
+    except http1_pool.CallError as error:
+        raise PieceError(str(error)) from error
+    if reply.status != 200:
+        raise PieceError(f"{address} answered {reply.status}")
+    return reply
--- /dev/null
+++ b/toucanspread/ops/process.py
@@ -0,0 +1,105 @@
+"""What both programs on the platform share: start, signals, settings, the end."""
+
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Callable
+
+from twisted.internet import reactor, task
+
+from toucanspread.ops import http1, logs, tallies
+
+SETTINGS_CHECK_S = 1.0  # the file may change without a signal
+METRICS_PORT = 9464  # of deploy/system.toml
+METRICS_PATH = b"/metrics"
+QUIET = http1.Bounds(idle_s=60.0)
+
+
+class MetricsHandler(http1.Handler):
+    """Serves the counters and histograms."""
+
+    def on_request(self, exchange: http1.Exchange) -> None:
+        """Answer a scrape."""
+        if exchange.head.target.partition(b"?")[0] != METRICS_PATH:
+            exchange.respond(404)
+            return
+        kind = http1.Header(b"Content-Type", b"text/plain; version=0.0.4")
+        exchange.respond(200, [kind], tallies.exposition())
+
+    def bounds(self) -> http1.Bounds:
+        """Return what a scraper may take."""
+        return QUIET
+
+    def is_closing(self) -> bool:
+        """Keep connections."""
+        return False
+
+
+class SettingsFile:
+    """Tells when the settings file has changed."""
+
+    def __init__(self, path: pathlib.Path, on_change: Callable[[], None]):
+        self._path = path
+        self._on_change = on_change
+        self._seen = self._stamp()
+        self._checking = task.LoopingCall(self.check)
+
+    def start(self) -> None:
+        """Look at the file from time to time."""
+        self._checking.start(SETTINGS_CHECK_S, now=False)
+
+    def check(self) -> None:
+        """Look at the file now."""
+        stamp = self._stamp()
+        if stamp != self._seen:
+            self._seen = stamp
+            self._on_change()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError as error:
+            logs.write("settings_unreadable", why=str(error))
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+
+def listen(address: str, handler: http1.Handler) -> http1.Server:
+    """Serve a handler on an address; the port is kept as ``port`` of the server."""
+    host, _, port = address.rpartition(":")
+    server = http1.Server(handler, reactor)
+    server.port = reactor.listenTCP(int(port), server, backlog=511, interface=host)
+    return server
+
+
+def run(
+    start: Callable[[], None],
+    on_terminate: Callable[[], None],
+    on_hangup: Callable[[], None],
+) -> None:
+    """Run the reactor until something stops it."""
+
+    def handle(number: int, _frame) -> None:
+        name = signal.Signals(number).name
+        logs.write("signal_received", signal=name)
+        wanted = on_hangup if number == signal.SIGHUP else on_terminate
+        reactor.callFromThread(wanted)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, handle)
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+
+
+def stop() -> None:
+    """End the process in good order."""
+    logs.write("ending")
+    if reactor.running:
+        reactor.stop()
+
+
+def fail(why: str) -> None:
+    """End a process that cannot start, with one clear line."""
+    print(f"toucanspread: {why}", file=sys.stderr)
+    sys.exit(2)
--- /dev/null
+++ b/toucanspread/ops/registration.py
@@ -0,0 +1,76 @@
+"""Keeps an entry's record in the store for as long as the process lives."""
+
+import asyncio
+
+from toucanspread.core.entry import members
+from toucanspread.ops import logs, prefix_store
+
+TTL_S = 4.0  # a dead entry is listed no longer than this
+RENEW_INTERVAL_S = 1.3  # two renewals may be lost
+RETRY_PAUSE_S = 0.3
+
+
+class Registration:
+    """The record, and the lease that it ends with."""
+
+    def __init__(self, store: prefix_store.PrefixStore, record: members.EntryRecord):
+        self.record = record
+        self._store = store
+        self._lease: prefix_store.LeaseId | None = None
+        self._written: members.EntryRecord | None = None
+        self._failing = False
+
+    async def run(self) -> None:
+        """Write the record, then renew its lease until cancelled."""
+        while True:
+            try:
+                await self._refresh()
+            except prefix_store.LeaseEndedError:
+                logs.write("lease_ended", lease=self._lease)
+                self._lease = None
+                self._written = None
+                continue
+            except prefix_store.StoreError as error:
+                if not self._failing:
+                    logs.write("registration_failed", why=str(error))
+                self._failing = True
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if self._failing:
+                logs.write("registration_regained", lease=self._lease)
+            self._failing = False
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
+    async def change(self, record: members.EntryRecord) -> None:
+        """Write another record; a failure leaves it to the next renewal."""
+        self.record = record
+        if self._lease is None:
+            return
+        try:
+            await self._write()
+        except prefix_store.StoreError as error:
+            logs.write("registration_failed", why=str(error))
+
+    async def end(self) -> None:
+        """End the lease, so that the record goes at once."""
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self._store.end(lease)
+        except prefix_store.StoreError as error:
+            logs.write("lease_not_ended", lease=lease, why=str(error))
+
+    async def _refresh(self) -> None:
+        if self._lease is None:
+            self._lease = await self._store.grant(TTL_S)
+        elif self._written == self.record:
+            await self._store.renew(self._lease)
+            return
+        await self._write()
+
+    async def _write(self) -> None:
+        record = self.record
+        key = members.RECORDS_PREFIX + record.name
+        await self._store.put(key, members.encode(record), self._lease)
+        self._written = record
--- /dev/null
+++ b/toucanspread/platform/decoding.py
@@ -0,0 +1,310 @@
+"""Decodes what the operator and the engines wrote into the core's records.
+
+An engine's entry may come from another writer; one that cannot be read names no
+engine to use.
+"""
+
+import msgspec
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import knowledge, members
+from toucanspread.core.view import items
+from toucanspread.ops import logs
+
+CONFIGURATION_KEY = "op/config"
+VERSIONS_PREFIX = "op/version/"
+ENGINES_PREFIX = "servers/"
+ENTRY_PREFIXES = ("op/", ENGINES_PREFIX, members.RECORDS_PREFIX)
+SIDE_PREFIXES = (VERSIONS_PREFIX, members.RECORDS_PREFIX)
+DEFAULT_PRIORITY = 5
+ALL_LAYERS_END = 1_000  # above the number of layers of any model
+
+KINDS = {
+    "idempotent": entry_data.RequestKind.IDEMPOTENT,
+    "non_idempotent": entry_data.RequestKind.NON_IDEMPOTENT,
+    "streaming": entry_data.RequestKind.STREAMING,
+}
+STATES = {
+    "ready": entry_data.EngineState.READY,
+    "draining": entry_data.EngineState.DRAINING,
+}
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 1_000.0  # the time in which an answer is on time, not an average
+    priority: int = DEFAULT_PRIORITY
+    service: str = ""
+    traffic_split: list[_Split] = []
+    attempts: int = 1  # engines that may run one request, the first one included
+    allow_anonymous: bool = False
+    resume_streams: bool = False
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    warmup_s: float = 0.3
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    models: list[_Model] = []
+    layers: int = 1
+    chunks: int = 1
+    chunk_bytes: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    engine: _Engine | None = None
+    origin: str = ""
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
+
+
+class _Layers(msgspec.Struct, frozen=True, rename={"first": "from", "end": "to"}):
+    first: int
+    end: int
+    version: int
+
+
+class _Loaded(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+    layers: list[_Layers] | _Layers | None = None
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int = 0
+    cold_left_ms: float = 0.0
+    models: list[_Loaded] = []
+
+
+class _Report(msgspec.Struct, frozen=True):
+    """An engine's report.
+
+    :param sequence: how many orders it has begun, not a number of this report.
+    """
+
+    models: list[_Loaded] = []
+    busy: bool = False
+    sequence: int = 0
+    queued: int = 0
+    active: int = 0
+    pace: float = 1.0
+    born: int = 0
+
+
+class _NamedVersion(msgspec.Struct, frozen=True):
+    model: str
+    version: int
+
+
+def decode_change(change: items.Change) -> data.Event | None:
+    """Return what a change of the store means, or None for what is of no concern."""
+    key = change.key
+    if key == CONFIGURATION_KEY:
+        return _configuration_event(change)
+    if key.startswith(VERSIONS_PREFIX):
+        return _version_event(change)
+    if key.startswith(ENGINES_PREFIX):
+        return _engine_event(change)
+    if key.startswith(members.RECORDS_PREFIX):
+        return _member_event(change)
+    return None
+
+
+def decode_configuration(value: bytes) -> entry_data.Configuration:
+    """Return the configuration that the operator wrote.
+
+    :raises msgspec.MsgspecError: when it cannot be read.
+    """
+    config = msgspec.json.decode(value, type=_Config)
+    return entry_data.Configuration(
+        config.version,
+        tuple(_route(route) for route in config.routes),
+        tuple(_service(service) for service in config.services),
+        tuple(_team(tenant) for tenant in config.tenants),
+        entry_data.CallerLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            config.limits.header_timeout_ms / 1000,
+            config.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def decode_engine(engine_id: str, value: bytes) -> entry_data.EngineEntry | None:
+    """Return an engine's entry, or None when it names no engine to use."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except msgspec.MsgspecError:
+        return None
+    state = STATES.get(entry.state)
+    host, _, port = entry.address.rpartition(":")
+    if state is None or not host or not port.isdigit() or entry.slots < 1:
+        return None
+    return entry_data.EngineEntry(
+        engine_id,
+        data.ServiceName(entry.service),
+        data.Address(entry.address),
+        data.ZoneName(entry.zone),
+        entry.slots,
+        state,
+        entry.born,
+        entry.cold_left_ms / 1000,
+        _loaded(entry.models),
+    )
+
+
+def decode_report(body: bytes) -> entry_data.EngineReport:
+    """Return an engine's report.
+
+    :raises msgspec.MsgspecError: when it cannot be read.
+    """
+    report = msgspec.json.decode(body, type=_Report)
+    return entry_data.EngineReport(
+        _loaded(report.models),
+        report.busy,
+        report.sequence,
+        report.queued,
+        report.active,
+        report.pace,
+        report.born,
+    )
+
+
+def _configuration_event(change: items.Change) -> data.Event | None:
+    if change.value is None:
+        return None
+    try:
+        configuration = decode_configuration(change.value)
+    except msgspec.MsgspecError as error:
+        logs.write("configuration_unreadable", why=str(error), revision=change.revision)
+        return None
+    return knowledge.ConfigurationSeen(configuration)
+
+
+def _version_event(change: items.Change) -> data.Event | None:
+    if change.value is None:
+        return None
+    try:
+        named = msgspec.json.decode(change.value, type=_NamedVersion)
+    except msgspec.MsgspecError as error:
+        logs.write("version_unreadable", why=str(error), key=change.key)
+        return None
+    return knowledge.VersionNamed(data.ModelName(named.model), named.version)
+
+
+def _engine_event(change: items.Change) -> data.Event:
+    engine_id = change.key.removeprefix(ENGINES_PREFIX)
+    if change.value is None:
+        return knowledge.EngineGone(engine_id)
+    entry = decode_engine(engine_id, change.value)
+    if entry is None:
+        logs.write("engine_entry_unreadable", engine=engine_id)
+        return knowledge.EngineGone(engine_id)
+    return knowledge.EngineSeen(entry)
+
+
+def _member_event(change: items.Change) -> data.Event | None:
+    if change.value is None:
+        return knowledge.EntryGone(change.key.removeprefix(members.RECORDS_PREFIX))
+    record = members.decode(change.value)
+    if record is None:
+        logs.write("entry_record_unreadable", key=change.key)
+        return None
+    return knowledge.EntrySeen(record)
+
+
+def _route(route: _Route) -> entry_data.Route:
+    shares = [
+        entry_data.Share(data.ServiceName(split.service), split.weight)
+        for split in route.traffic_split
+    ]
+    if not shares and route.service:
+        shares = [entry_data.Share(data.ServiceName(route.service), 1.0)]
+    return entry_data.Route(
+        route.name,
+        route.host.lower(),
+        route.prefix,
+        KINDS.get(route.kind, entry_data.RequestKind.NON_IDEMPOTENT),
+        route.timeout_ms / 1000,
+        route.slo_ms / 1000,
+        route.priority,
+        tuple(shares),
+        route.attempts,
+        route.allow_anonymous,
+        route.resume_streams,
+    )
+
+
+def _service(service: _Service) -> entry_data.Service:
+    profile = None
+    engine = service.engine
+    if engine is not None and engine.models:
+        profile = entry_data.ModelProfile(
+            data.ModelName(engine.models[0].name),
+            engine.layers,
+            engine.chunks,
+            engine.chunk_bytes,
+            engine.models[0].warmup_s,
+        )
+    name = data.ServiceName(service.name)
+    return entry_data.Service(name, profile, data.Address(service.origin))
+
+
+def _team(tenant: _Tenant) -> entry_data.Team:
+    name = data.TeamName(tenant.name)
+    return entry_data.Team(name, tuple(tenant.api_keys), tenant.priority)
+
+
+def _loaded(models: list[_Loaded]) -> tuple[entry_data.LoadedLayers, ...]:
+    found = []
+    for model in models:
+        name = data.ModelName(model.name)
+        layers = model.layers
+        if layers is None:
+            # An engine that names no layers holds all of them.
+            found.append(
+                entry_data.LoadedLayers(name, model.version, 0, ALL_LAYERS_END)
+            )
+            continue
+        for part in layers if isinstance(layers, list) else [layers]:
+            found.append(
+                entry_data.LoadedLayers(name, part.version, part.first, part.end)
+            )
+    return tuple(found)
--- /dev/null
+++ b/toucanspread/platform/engine.py
@@ -0,0 +1,154 @@
+"""An engine's control interface, and that of the service that holds weights."""
+
+from urllib.parse import quote
+
+import msgspec
+
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.weights import sources, staging
+from toucanspread.ops import engine_control, http1, http1_pool, pieces
+from toucanspread.platform import decoding
+
+LOCAL_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
+ORIGIN_TIMEOUT_S = 4.0  # one copy takes over a second of the origin's narrow link
+JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
+
+
+class _Manifest(msgspec.Struct, frozen=True):
+    digests: list[str]
+
+
+class _Held(msgspec.Struct, frozen=True):
+    held: list[int] = []
+
+
+class _Order(msgspec.Struct, frozen=True):
+    operation: str
+    model: str
+    version: int
+    switch_mode: str
+    expected: int  # how many orders the engine should have begun before this one
+
+
+class Origin(pieces.WeightsOrigin):
+    """The service that holds all weights.
+
+    :param address: returns its ``ip:port``, or None while it is not known.
+    """
+
+    def __init__(self, pool: http1_pool.Pool, address):
+        self._pool = pool
+        self._address = address
+
+    async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
+        """Read a manifest."""
+        reply = await self._get(f"/-/manifest/{quote(model)}?version={version}")
+        try:
+            manifest = msgspec.json.decode(reply.body, type=_Manifest)
+        except msgspec.MsgspecError as error:
+            raise pieces.PieceError(f"malformed manifest: {error}") from error
+        return tuple(manifest.digests)
+
+    async def read_piece(self, key: sources.PieceKey) -> bytes:
+        """Read a piece."""
+        target = f"/-/piece/{quote(key.model)}?num={key.number}&version={key.version}"
+        return (await self._get(target)).body
+
+    async def _get(self, target: str) -> http1_pool.Reply:
+        address = self._address()
+        if address is None:
+            raise pieces.PieceError("no configuration names an origin")
+        head = http1.RequestHead(b"GET", target.encode(), [])
+        try:
+            reply = await self._pool.call(address, head, timeout_s=ORIGIN_TIMEOUT_S)
+        except http1_pool.CallError as error:
+            raise pieces.PieceError(str(error)) from error
+        if reply.status != 200:
+            raise pieces.PieceError(f"the origin answered {reply.status}")
+        return reply
+
+
+class LocalEngine(engine_control.EngineControl):
+    """The engine on the same machine.
+
+    :param address: its ``ip:port``.
+    """
+
+    def __init__(self, pool: http1_pool.Pool, address: str):
+        self._pool = pool
+        self._address = address
+
+    async def report(self) -> entry_data.EngineReport:
+        """Return what the engine says of itself now.
+
+        :raises engine_control.EngineError: when it does not say.
+        """
+        reply = await self._call(b"GET", "/-/report")
+        try:
+            return decoding.decode_report(reply.body)
+        except msgspec.MsgspecError as error:
+            raise engine_control.EngineError(f"malformed report: {error}") from error
+
+    async def held(self, model: str) -> list[int]:
+        """Return the numbers of the pieces that lie staged.
+
+        :raises engine_control.EngineError: when the engine does not say.
+        """
+        reply = await self._call(b"GET", f"/-/stage-get/{quote(model)}", accept=(404,))
+        if reply.status == 404:
+            return []
+        try:
+            return msgspec.json.decode(reply.body, type=_Held).held
+        except msgspec.MsgspecError as error:
+            raise engine_control.EngineError(
+                f"malformed list of pieces: {error}"
+            ) from error
+
+    async def staged(self, model: str, number: int) -> bytes | None:
+        """Return a staged piece, or None.
+
+        :raises engine_control.EngineError: when the engine does not answer.
+        """
+        target = f"/-/stage-get/{quote(model)}?num={number}"
+        reply = await self._call(b"GET", target, accept=(404,))
+        return None if reply.status == 404 else reply.body
+
+    async def stage(self, model: str, number: int, piece: bytes) -> None:
+        """Hand a piece to the engine.
+
+        :raises engine_control.EngineError: when it does not take it.
+        """
+        target = f"/-/stage-put/{quote(model)}?num={number}"
+        await self._call(b"PUT", target, piece, accept=(201, 202, 204))
+
+    async def order(self, model: str, order: staging.GiveOrder) -> bool:
+        """Give an order; the engine may also have begun it without an answer."""
+        wire = _Order(
+            "start", model, order.version, order.mode.value, order.expected_orders
+        )
+        body = msgspec.json.encode(wire)
+        reply = await self._call(
+            b"POST", "/-/order", body, accept=(202, 400, 409, 412, 421)
+        )
+        return reply.status in (200, 202)
+
+    async def _call(
+        self,
+        method: bytes,
+        target: str,
+        body: bytes = b"",
+        accept: tuple[int, ...] = (),
+    ) -> http1_pool.Reply:
+        headers = [JSON_TYPE] if body[:1] == b"{" else []
+        head = http1.RequestHead(method, target.encode(), headers)
+        try:
+            reply = await self._pool.call(
+                self._address, head, body, timeout_s=LOCAL_TIMEOUT_S
+            )
+        except http1_pool.CallError as error:
+            raise engine_control.EngineError(str(error)) from error
+        if reply.status != 200 and reply.status not in accept:
+            raise engine_control.EngineError(
+                f"{target} was answered with {reply.status}"
+            )
+        return reply
--- /dev/null
+++ b/toucanspread/platform/entry.py
@@ -0,0 +1,344 @@
+"""The program of an entry: callers' requests, addresses, and pieces of weights.
+
+``python3 -m toucanspread.platform.entry`` on the platform.
+"""
+
+import os
+import pathlib
+import random
+import sys
+import urllib.parse
+
+import msgspec
+from twisted.internet import protocol, reactor, task
+
+from toucanspread.core import data
+from toucanspread.core.entry import budget, knowledge, members, placing
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.view import following, items
+from toucanspread.core.weights import sources
+from toucanspread.ops import following as following_shell
+from toucanspread.ops import (
+    forwarder,
+    http1,
+    http1_pool,
+    logs,
+    loop,
+    pieces,
+    process,
+    registration,
+)
+from toucanspread.platform import decoding, engine, requests, settings, store
+
+HOUSEKEEPING_S = 0.25
+LIST_TTL_S = 2.0  # a stopping entry is out of callers' lists after this
+STORE_AWAY_S = 5.0  # records that vanish this soon after an outage may have lapsed
+ACCEPT_AFTER_TERM_S = 2.5  # callers with an older list still come
+END_MARGIN_S = 0.5  # before the platform kills the process
+JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
+
+
+class LoadReceiver(protocol.DatagramProtocol):
+    """Takes the load reports of the processes beside engines."""
+
+    def __init__(self, known: knowledge.Knowledge):
+        self._known = known
+        self._decoder = msgspec.msgpack.Decoder(entry_data.EngineLoad)
+
+    def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
+        """Take in a report."""
+        try:
+            load = self._decoder.decode(datagram)
+        except msgspec.MsgspecError as error:
+            logs.write("report_unreadable", sender=addr[0], why=str(error))
+            return
+        found = self._known.roster.at(load.address, load.born_ms)
+        if found is not None:
+            found.take_load(load, reactor.seconds())
+
+
+class DirectoryHandler(http1.Handler):
+    """Tells callers where to connect, and the platform whether this entry serves."""
+
+    def __init__(self, entry: "Entry"):
+        self._entry = entry
+
+    def on_request(self, exchange: http1.Exchange) -> None:
+        """Answer one of the two questions."""
+        path, _, query = exchange.head.target.decode("latin-1").partition("?")
+        if path == "/-/readyz":
+            exchange.respond(200 if self._entry.is_ready else 503)
+        elif path == "/-/resolve":
+            self._resolve(exchange, urllib.parse.parse_qs(query))
+        else:
+            exchange.respond(404)
+
+    def bounds(self) -> http1.Bounds:
+        """Return what callers of these may take."""
+        return process.QUIET
+
+    def is_closing(self) -> bool:
+        """Tell whether this entry is about to end."""
+        return self._entry.is_leaving
+
+    def _resolve(self, exchange: http1.Exchange, query: dict[str, list[str]]) -> None:
+        entry = self._entry
+        addresses = entry.known.members.listed_for(
+            query.get("zone", [""])[0], query.get("region", [""])[0], entry.source
+        )
+        if not addresses:
+            exchange.respond(503)
+            return
+        body = msgspec.json.encode({"addresses": addresses, "ttl_s": LIST_TTL_S})
+        exchange.respond(200, [JSON_TYPE], body)
+
+
+class ControlHandler(http1.Handler):
+    """Serves the system's other processes."""
+
+    def __init__(self, entry: "Entry"):
+        self._entry = entry
+
+    def on_request(self, exchange: http1.Exchange) -> None:
+        """Hand on a part of the view, a manifest or a piece."""
+        path, _, query = exchange.head.target.decode("latin-1").partition("?")
+        wanted = {
+            key: values[0] for key, values in urllib.parse.parse_qs(query).items()
+        }
+        try:
+            if path == following_shell.EXCERPT_TARGET:
+                self._entry.excerpts.on_request(
+                    exchange,
+                    int(wanted["after"]),
+                    int(wanted["wait_ms"]) / 1000,
+                    wanted["prefixes"],
+                )
+                return
+            key = sources.PieceKey(
+                data.ModelName(wanted["model"]),
+                int(wanted["version"]),
+                int(wanted.get("number", sources.MANIFEST)),
+            )
+        except (KeyError, ValueError):
+            exchange.respond(400)
+            return
+        if path == pieces.PIECE_TARGET:
+            loop.spawn(self._send_piece(exchange, key))
+        elif path == pieces.MANIFEST_TARGET:
+            loop.spawn(self._send_manifest(exchange, key))
+        else:
+            exchange.respond(404)
+
+    def bounds(self) -> http1.Bounds:
+        """Return what processes may take."""
+        return process.QUIET
+
+    def is_closing(self) -> bool:
+        """Tell whether this entry is about to end."""
+        return self._entry.is_leaving
+
+    async def _send_piece(self, exchange: http1.Exchange, key: sources.PieceKey):
+        try:
+            piece = await self._entry.pieces.piece(key)
+        except pieces.PieceError as error:
+            logs.write("piece_missing", piece=key.text, why=str(error))
+            exchange.respond(503)
+            return
+        exchange.respond(200, body=piece)
+
+    async def _send_manifest(self, exchange: http1.Exchange, key: sources.PieceKey):
+        try:
+            digests = await self._entry.pieces.digests(key.model, key.version)
+        except pieces.PieceError as error:
+            logs.write("manifest_missing", piece=key.text, why=str(error))
+            exchange.respond(503)
+            return
+        exchange.respond(200, body=msgspec.msgpack.encode(digests))
+
+
+class Entry:
+    """The parts of the program, put together."""
+
+    def __init__(self, told: settings.Settings, path: pathlib.Path):
+        told.require("front", "readiness", "control", "directory")
+        self.told = told
+        self.source = random.Random()
+        self.is_leaving = False
+        self.known = knowledge.Knowledge(told.bounds.version_ms / 1000)
+        self.view = items.View()
+        self.excerpts = following_shell.ExcerptServer(self.view, reactor)
+        pool = http1_pool.Pool(reactor)
+        self._pool = pool
+        self._store = store.PlatformStore(pool, told.platform.address)
+        origin = engine.Origin(pool, self._origin_address)
+        name = told.node_name
+        self.pieces = pieces.PieceCache(name, pool, origin, self.known.members.serving)
+        chooser = following.Chooser(name, data.ZoneName(told.zone), may_lead=True)
+        self._follower = following_shell.Follower(
+            self.view,
+            self._store,
+            pool,
+            chooser,
+            decoding.ENTRY_PREFIXES,
+            lambda: self.known.members.peers(name),
+            self._other_seeds,
+            self._on_changes,
+        )
+        bounds = told.bounds
+        spending = budget.Spending(
+            bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
+        )
+        self._forwarder = forwarder.Forwarder(
+            self.known,
+            spending,
+            pool,
+            requests.PlatformDialect(),
+            self._place,
+            self.source,
+        )
+        self._registration = registration.Registration(self._store, self._record())
+        self._settings_file = process.SettingsFile(path, self._reload)
+        self._path = path
+        self._server: http1.Server | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should come."""
+        return self.known.table is not None and not self.is_leaving
+
+    def start(self) -> None:
+        """Listen, and begin to follow the store."""
+        listen = self.told.listen
+        self._server = process.listen(listen.front, self._forwarder)
+        asked = DirectoryHandler(self)
+        for address in sorted({listen.readiness, listen.directory}):
+            process.listen(address, asked)
+        process.listen(listen.control, ControlHandler(self))
+        metrics_address = f"{self.told.ip}:{process.METRICS_PORT}"
+        process.listen(metrics_address, process.MetricsHandler())
+        host, _, port = self._registration.record.reports.rpartition(":")
+        reactor.listenUDP(int(port), LoadReceiver(self.known), interface=host)
+        loop.spawn(self._follower.run())
+        loop.spawn(self._registration.run())
+        task.LoopingCall(self._keep_house).start(HOUSEKEEPING_S, now=False)
+        self._settings_file.start()
+        logs.write("started", address=listen.front, zone=self.told.zone)
+
+    def terminate(self) -> None:
+        """Leave: take no new callers, let answers finish, then end."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self._forwarder.is_leaving = True
+        logs.write("leaving", in_progress=len(self._forwarder.in_progress))
+        record = msgspec.structs.replace(
+            self._registration.record, phase=members.Phase.LEAVING
+        )
+        loop.spawn(self._registration.change(record))
+        reactor.callLater(ACCEPT_AFTER_TERM_S, self._stop_accepting)
+        last_s = max(self.told.bounds.grace_s - END_MARGIN_S, 0.0)
+        reactor.callLater(last_s, self._end)
+
+    def hang_up(self) -> None:
+        """Look at the settings file at once."""
+        self._settings_file.check()
+
+    # inside
+
+    def _record(self) -> members.EntryRecord:
+        told = self.told
+        reports = f"{told.ip}:{told.internal_ports[0]}"
+        return members.EntryRecord(
+            told.node_name,
+            told.zone,
+            told.region,
+            told.listen.front,
+            told.listen.control,
+            reports,
+        )
+
+    def _other_seeds(self) -> list[data.Address]:
+        own = self.told.listen.control
+        return [data.Address(seed) for seed in self.told.seeds if seed != own]
+
+    def _place(self) -> placing.Place:
+        return placing.Place(
+            data.ZoneName(self.told.zone),
+            self.told.regions(),
+            max(len(self.known.members.serving()), 1),
+        )
+
+    def _origin_address(self) -> data.Address | None:
+        return self.known.table.origin() if self.known.table is not None else None
+
+    def _on_changes(self, changes: list[items.Change]) -> None:
+        now_s = reactor.seconds()
+        away = now_s - self._follower.store_failed_s < STORE_AWAY_S
+        for change in changes:
+            event = decoding.decode_change(change)
+            if event is None:
+                continue
+            if self.known.take(event, now_s, away):
+                self._note(event, change)
+        self.excerpts.wake()
+
+    def _note(self, event: data.Event, change: items.Change) -> None:
+        logs.write(
+            "belief_changed",
+            what=type(event).__name__,
+            key=change.key,
+            revision=change.revision,
+        )
+        if isinstance(event, knowledge.VersionNamed):
+            loop.spawn(self.pieces.take_owned(event.model, event.version))
+
+    def _keep_house(self) -> None:
+        now_s = reactor.seconds()
+        for engine_id in self.known.roster.drop_gone(now_s):
+            logs.write("engine_dropped", engine=engine_id)
+        self.known.members.drop_lapsed(now_s)
+        self._pool.drop_expired()
+
+    def _reload(self) -> None:
+        try:
+            told = settings.Settings.from_file(self._path)
+            told.require("front", "readiness", "control", "directory")
+        except settings.SettingsError as error:
+            logs.write("settings_refused", why=str(error), then="the old ones stay")
+            return
+        self.told = told
+        logs.write("settings_reloaded", seeds=",".join(told.seeds))
+
+    def _stop_accepting(self) -> None:
+        self._server.port.stopListening()
+        self._end_when_done()
+
+    def _end_when_done(self) -> None:
+        self._server.close_idle()
+        if not self._forwarder.in_progress and not self._server.connections:
+            self._end()
+            return
+        reactor.callLater(HOUSEKEEPING_S, self._end_when_done)
+
+    def _end(self) -> None:
+        loop.spawn(self._end_lease())
+
+    async def _end_lease(self) -> None:
+        await self._registration.end()
+        process.stop()
+
+
+def main() -> None:
+    """Run the program with the platform's settings file."""
+    path = pathlib.Path(os.environ.get(settings.PATH_VARIABLE, ""))
+    try:
+        told = settings.Settings.from_file(path)
+        entry = Entry(told, path)
+    except settings.SettingsError as error:
+        process.fail(str(error))
+    logs.start(sys.stdout, instance=told.node_name, role="entry")
+    process.run(entry.start, entry.terminate, entry.hang_up)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanspread/platform/side.py
@@ -0,0 +1,145 @@
+"""The program beside an engine: brings its weights, and tells how busy it is.
+
+``python3 -m toucanspread.platform.side`` on the platform.
+"""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+import msgspec
+from twisted.internet import reactor, task
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import knowledge, members
+from toucanspread.core.view import following, items
+from toucanspread.core.weights import staging
+from toucanspread.ops import following as following_shell
+from toucanspread.ops import http1_pool, logs, loop, prefix_store, process, stager
+from toucanspread.platform import decoding, engine, settings, store
+
+HOUSEKEEPING_S = 0.5
+RETRY_PAUSE_S = 0.4
+
+
+class Side:
+    """The parts of the program, put together."""
+
+    def __init__(self, told: settings.Settings, path: pathlib.Path):
+        self.told = told
+        self._pool = http1_pool.Pool(reactor)
+        self._store = store.PlatformStore(self._pool, told.platform.address)
+        self._view = items.View()
+        self._members = members.Members()
+        self._named: dict[data.ModelName, int] = {}
+        self._local: stager.LocalWeights | None = None
+        self._sender = stager.LoadSender(self._members.all, reactor)
+        chooser = following.Chooser(
+            told.node_name, data.ZoneName(told.zone), may_lead=False
+        )
+        self._follower = following_shell.Follower(
+            self._view,
+            self._store,
+            self._pool,
+            chooser,
+            decoding.SIDE_PREFIXES,
+            lambda: self._members.peers(told.node_name),
+            lambda: [data.Address(seed) for seed in self.told.seeds],
+            self._on_changes,
+        )
+        self._path = path
+        self._settings_file = process.SettingsFile(path, self._reload)
+
+    def start(self) -> None:
+        """Begin to follow the store and the engine."""
+        reactor.listenUDP(0, self._sender, interface=self.told.ip)
+        metrics_address = f"{self.told.ip}:{process.METRICS_PORT}"
+        process.listen(metrics_address, process.MetricsHandler())
+        task.LoopingCall(self._pool.drop_expired).start(HOUSEKEEPING_S, now=False)
+        self._settings_file.start()
+        loop.spawn(self._follower.run())
+        if self.told.app:
+            loop.spawn(self._run_engine())
+        logs.write("started", engine=self.told.app, zone=self.told.zone)
+
+    def terminate(self) -> None:
+        """End; the engine's stop is its own."""
+        process.stop()
+
+    def hang_up(self) -> None:
+        """Look at the settings file at once."""
+        self._settings_file.check()
+
+    async def _run_engine(self) -> None:
+        profile = await self._read_profile()
+        local = engine.LocalEngine(self._pool, self.told.app)
+        self._local = stager.LocalWeights(
+            staging.Stager(profile),
+            local,
+            data.Address(self.told.app),
+            self._pool,
+            self._members.serving,
+            self.told.region,
+            self._sender,
+        )
+        named = self._named.get(profile.model)
+        if named is not None:
+            self._local.want(named, 0.0)
+        await self._local.run()
+
+    async def _read_profile(self) -> entry_data.ModelProfile:
+        """Return the model of the engine's service, once it is declared."""
+        while True:
+            try:
+                found = await self._store.read_all(decoding.CONFIGURATION_KEY)
+                for change in found.changes:
+                    configuration = decoding.decode_configuration(change.value)
+                    for service in configuration.services:
+                        if service.name == self.told.service and service.profile:
+                            return service.profile
+            except (prefix_store.StoreError, msgspec.MsgspecError) as error:
+                logs.write("profile_missing", why=str(error))
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    def _on_changes(self, changes: list[items.Change]) -> None:
+        now_s = reactor.seconds()
+        for change in changes:
+            match decoding.decode_change(change):
+                case knowledge.EntrySeen(record):
+                    self._members.put(record)
+                case knowledge.EntryGone(name):
+                    self._members.remove(name, now_s, store_was_away=False)
+                case knowledge.VersionNamed(model, version):
+                    self._on_named(model, version, now_s)
+
+    def _on_named(self, model: data.ModelName, version: int, now_s: float) -> None:
+        self._named[model] = max(version, self._named.get(model, 0))
+        logs.write("belief_changed", what="version", model=model, version=version)
+        if self._local is not None:
+            self._local.want(version, now_s)
+
+    def _reload(self) -> None:
+        try:
+            self.told = settings.Settings.from_file(self._path)
+        except settings.SettingsError as error:
+            logs.write("settings_refused", why=str(error), then="the old ones stay")
+            return
+        logs.write("settings_reloaded", seeds=",".join(self.told.seeds))
+
+
+def main() -> None:
+    """Run the program with the platform's settings file."""
+    path = pathlib.Path(os.environ.get(settings.PATH_VARIABLE, ""))
+    try:
+        told = settings.Settings.from_file(path)
+    except settings.SettingsError as error:
+        process.fail(str(error))
+    logs.start(sys.stdout, instance=told.node_name, role="side")
+    side = Side(told, path)
+    process.run(side.start, side.terminate, side.hang_up)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanspread/platform/store.py
@@ -0,0 +1,163 @@
+"""The platform's store, over its HTTP interface."""
+
+import base64
+from urllib.parse import quote
+
+import msgspec
+
+from toucanspread.core import data
+from toucanspread.core.view import items
+from toucanspread.ops import http1, http1_pool, prefix_store
+
+CALL_TIMEOUT_S = 1.2  # the store answers in milliseconds; slower days reach a second
+WATCH_GRACE_S = 0.6  # a watch's answer may be this much later than its wait
+READ_TIMEOUT_S = 2.5  # pages of up to 1 MB over a narrow link
+JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
+
+
+class _Event(msgspec.Struct, frozen=True):
+    """An item, or the note that it was deleted."""
+
+    key: str
+    revision: int
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, frozen=True):
+    items: list[_Event]
+    has_more: bool
+    store_revision: int
+
+
+class _Watched(msgspec.Struct, frozen=True):
+    events: list[_Event]
+    store_revision: int
+
+
+class _Granted(msgspec.Struct, frozen=True):
+    lease: int
+
+
+class _Written(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Put(msgspec.Struct, frozen=True):
+    key: str
+    value: str
+    lease: int
+
+
+class _Transaction(msgspec.Struct, frozen=True):
+    expected: list[dict]
+    puts: list[_Put]
+    deletes: list[str]
+
+
+class PlatformStore(prefix_store.PrefixStore):
+    """The client.
+
+    :param address: the store's ``ip:port``.
+    """
+
+    def __init__(self, pool: http1_pool.Pool, address: str):
+        self._pool = pool
+        self._address = address
+
+    async def read_all(self, prefix: str) -> prefix_store.Changes:
+        """Read page after page."""
+        changes = []
+        revision = None
+        after = ""
+        while True:
+            target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            page = self._decode(
+                await self._call(b"GET", target, timeout_s=READ_TIMEOUT_S), _Page
+            )
+            if revision is None:
+                revision = page.store_revision
+            changes.extend(_changes(page.items))
+            if not page.has_more or not page.items:
+                return prefix_store.Changes(changes, revision)
+            after = page.items[-1].key
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> prefix_store.Changes:
+        """Wait for events."""
+        target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
+        target += f"&wait_ms={int(wait_s * 1000)}"
+        reply = await self._call(b"GET", target, timeout_s=wait_s + WATCH_GRACE_S)
+        if reply.status == 410:
+            raise prefix_store.HistoryGoneError(f"nothing is kept after {after}")
+        watched = self._decode(reply, _Watched)
+        return prefix_store.Changes(_changes(watched.events), watched.store_revision)
+
+    async def put(
+        self, key: str, value: bytes, lease: prefix_store.LeaseId
+    ) -> data.Revision:
+        """Write a key without a condition; only its owner writes it."""
+        row = _Put(key, base64.b64encode(value).decode(), lease)
+        body = msgspec.json.encode(_Transaction([], [row], []))
+        reply = await self._call(b"POST", "/-/kv-txn", body)
+        if reply.status == 404:
+            raise prefix_store.LeaseEndedError(f"lease {lease} has ended")
+        return data.Revision(self._decode(reply, _Written).revision)
+
+    async def grant(self, ttl_s: float) -> prefix_store.LeaseId:
+        """Ask for a lease."""
+        body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
+        reply = await self._call(b"POST", "/-/kv-lease", body)
+        return self._decode(reply, _Granted).lease
+
+    async def renew(self, lease: prefix_store.LeaseId) -> None:
+        """Renew a lease from now on."""
+        reply = await self._call(b"POST", f"/-/kv-keep/{lease}", b"{}")
+        if reply.status == 404:
+            raise prefix_store.LeaseEndedError(f"lease {lease} has ended")
+        self._check(reply)
+
+    async def end(self, lease: prefix_store.LeaseId) -> None:
+        """End a lease."""
+        self._check(await self._call(b"DELETE", f"/-/kv-lease-end/{lease}"))
+
+    async def _call(
+        self,
+        method: bytes,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> http1_pool.Reply:
+        headers = [JSON_TYPE] if body else []
+        head = http1.RequestHead(method, target.encode(), headers)
+        try:
+            return await self._pool.call(self._address, head, body, timeout_s)
+        except http1_pool.CallError as error:
+            raise prefix_store.StoreError(str(error), error.sent) from error
+
+    def _check(self, reply: http1_pool.Reply) -> None:
+        if reply.status != 200:
+            # 503 and 429 say that nothing was done.
+            unknown = reply.status not in (429, 503)
+            raise prefix_store.StoreError(f"the store said {reply.status}", unknown)
+
+    def _decode(self, reply: http1_pool.Reply, kind: type):
+        self._check(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise prefix_store.StoreError(f"malformed answer: {error}") from error
+
+
+def _changes(events: list[_Event]) -> list[items.Change]:
+    return [_change(event) for event in events]
+
+
+def _change(event: _Event) -> items.Change:
+    if event.deleted or event.value is None:
+        return items.Change(event.key, event.revision)
+    value = base64.b64decode(event.value)
+    return items.Change(event.key, event.revision, value)
