Place prompts by what an engine still has to read

Cause: at 14 engines 35% of first events were over their aim while engines had 4 of 16 places taken: prompts met on one engine. Ruled out: relay delays (events leave an entry within 1 ms of their arrival) and queueing for places.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -64,6 +64,8 @@
     """The model that the engines of a service run.
 
     :param warmup_s: how long an engine needs to load all layers.
+    :param read_per_s: prompt tokens that an engine reads in a second.
+    :param pass_s: the steps that an engine makes for its writers between two reads.
     """
 
     model: data.ModelName
@@ -71,6 +73,8 @@
     chunks: int
     chunk_bytes: int
     warmup_s: float
+    read_per_s: float = 10_000.0
+    pass_s: float = 0.05
 
 
 class Service(data.Record):
@@ -162,6 +166,14 @@
     pace: float = 1.0
 
 
+class PromptSent(data.Record):
+    """An entry has sent an engine a prompt; told to the other entries of its zone."""
+
+    engine_id: str
+    service: data.ServiceName
+    tokens: int
+
+
 class EngineReport(data.Record):
     """What an engine says of itself when it is asked.
 
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -14,6 +14,7 @@
 GONE_GRACE_S = 1.5  # below the shortest drain: an entry that lapsed may come back
 AVOID_BASE_S = 0.4
 AVOID_MAX_S = 3.0
+PASS_PART = 0.5  # of a pass, for each prompt: two prompts share one on average
 FAILURES_TO_AVOID = 2  # one failed request is no evidence yet
 
 
@@ -31,6 +32,7 @@
         self.avoid_until_s = 0.0
         self.load: entry_data.EngineLoad | None = None
         self.load_at_s = 0.0
+        self.reading_until_s = 0.0
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
@@ -79,6 +81,15 @@
         self.in_flight += 1
         self._sent_since_load += 1
 
+    def will_read(self, tokens: int, profile: entry_data.ModelProfile, now_s: float):
+        """Add a prompt, sent by this or another entry, to what it has to read.
+
+        Between two prompts the engine also makes a pass's steps for its writers, so
+        that a prompt costs part of a pass besides its tokens.
+        """
+        reading_s = tokens / profile.read_per_s + PASS_PART * profile.pass_s
+        self.reading_until_s = max(self.reading_until_s, now_s) + reading_s
+
     def ended(self) -> None:
         """Note that a request is over."""
         self.in_flight = max(self.in_flight - 1, 0)
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -59,6 +59,8 @@
     :param budget_s: how long the engine may work on it.
     :param silence_s: without a sign of the engine for this long, say so.
     :param max_idle_s: an idle connection that is older is not used.
+    :param busy: how many requests the engine was believed to have.
+    :param busy_age_s: how old that belief was; negative without a load report.
     """
 
     number: int
@@ -69,6 +71,8 @@
     last_event_id: str | None = None
     expected_version: int = 0
     max_idle_s: float | None = None
+    busy: float = 0.0
+    busy_age_s: float = -1.0
 
 
 class Cancel(data.Effect):
@@ -244,7 +248,11 @@
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
         self.runs += 1
+        busy = engine.expected_busy(now.now_s, now.place.entries)
+        busy_age_s = now.now_s - engine.load_at_s if engine.load is not None else -1.0
         engine.sent()
+        if self.service.profile is not None:
+            engine.will_read(self.call.prompt_tokens, self.service.profile, now.now_s)
         expected = 0
         if self.service.profile is not None and now.minimum_version > 1:
             expected = engine.version(self.service.profile, now.now_s)
@@ -258,6 +266,8 @@
                 self._last_event_id,
                 expected,
                 None if self.route.is_repeatable else FRESH_CONNECTION_S,
+                busy,
+                busy_age_s,
             )
         ]
 
--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -114,6 +114,21 @@
                 self.members.remove(name, now_s, store_was_away)
         return True
 
+    def take_report(
+        self, report: entry_data.EngineLoad | entry_data.PromptSent, now_s: float
+    ) -> None:
+        """Take in what another process tells of an engine; late news may be void."""
+        if isinstance(report, entry_data.EngineLoad):
+            engine = self.roster.at(report.address, report.born_ms)
+            if engine is not None:
+                engine.take_load(report, now_s)
+            return
+        engine = self.roster.get(report.engine_id)
+        service = self.table.services.get(report.service) if self.table else None
+        if engine is None or service is None or service.profile is None:
+            return
+        engine.will_read(report.tokens, service.profile, now_s)
+
     def named(self, model: data.ModelName) -> Named:
         """Return what is known of a model's versions."""
         return self._named.setdefault(model, Named())
--- a/toucanspread/core/entry/placing.py
+++ b/toucanspread/core/entry/placing.py
@@ -1,9 +1,13 @@
 """Chooses the engine for a request.
 
-The load this answers: many entries that choose at once, each with knowledge some
-hundred milliseconds old, among engines that work on a batch. A choice goes to the
-engine that is least busy for its places; a little noise keeps entries that know the
-same from choosing the same, and an engine close by wins among equals.
+The loads this answers. Engines with a model read one prompt after the other between
+the steps that they make for their writers; a first event is late when prompts meet on
+an engine, long before its places are taken. So the choice goes to the engine that
+will be done soonest with the prompts it was sent. Entries of a zone tell each other
+what they send, and prefer the engines of their zone, of which they know most.
+
+Other engines work on a few requests at once, and the least busy one is chosen. A
+little noise keeps entries that know the same from choosing the same.
 """
 
 import random
@@ -13,12 +17,15 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import engines
 
-NOISE_PLACES = 1.5  # entries that know the same differ by about one request
-OTHER_ZONE_PLACES = 0.5  # what a hop to another zone is worth, in places
-OTHER_REGION_PLACES = 1.0
-AVOIDED_PLACES = 1_000.0  # after every other engine
-SWITCHING_PLACES = 500.0  # an order keeps it from starting anything for a while
-COLD_SLOWNESS = 0.5  # of an engine that has just started
+NOISE_S = 0.010  # about the way between two zones and back
+OTHER_ZONE_S = 0.015
+OTHER_REGION_S = 0.040  # bytes between regions are dear, and less is known of there
+BUSY_PLACE_S = 0.004  # each writer lengthens the steps of all
+FULL_PLACE_S = 0.080  # above its places a request waits for one of them to end
+AVOIDED_S = 100.0  # after every other engine
+SWITCHING_S = 50.0  # an order keeps it from starting anything for a while
+COLD_S = 0.050
+PLAIN_PLACE_S = 0.020  # a request more on an engine without a model
 
 
 class Ask(NamedTuple):
@@ -66,7 +73,7 @@
     best = None
     best_score = float("inf")
     for engine in candidates(roster, ask, now_s):
-        score = _score(engine, place, now_s, source)
+        score = _score(engine, ask.service, place, now_s, source)
         if score < best_score:
             best, best_score = engine, score
     return best
@@ -77,26 +84,43 @@
     return engine.entry.slots - engine.expected_busy(now_s, place.entries)
 
 
-def _score(
-    engine: engines.Engine, place: Place, now_s: float, source: random.Random
+def expected_wait_s(
+    engine: engines.Engine, service: entry_data.Service, place: Place, now_s: float
 ) -> float:
+    """Return how long a request would wait before the engine works on it."""
     busy = engine.expected_busy(now_s, place.entries)
-    busy += _distance_places(engine, place)
-    busy += source.random() * NOISE_PLACES
-    if engine.is_avoided(now_s):
-        busy += AVOIDED_PLACES
-    if engine.is_switching(now_s):
-        busy += SWITCHING_PLACES
+    excess = max(busy + 1 - engine.entry.slots, 0.0)
+    wait_s = excess * FULL_PLACE_S
+    if service.profile is None:
+        return wait_s + busy * PLAIN_PLACE_S
+    wait_s += max(engine.reading_until_s - now_s, 0.0)
+    return wait_s + busy * BUSY_PLACE_S
+
+
+def _score(
+    engine: engines.Engine,
+    service: entry_data.Service,
+    place: Place,
+    now_s: float,
+    source: random.Random,
+) -> float:
+    score = expected_wait_s(engine, service, place, now_s)
     slowness = engine.load.pace if engine.load is not None else 1.0
+    score *= max(slowness, 1.0)
+    score += _distance_s(engine, place) + source.random() * NOISE_S
     if engine.entry.cold_left_s > 0:
-        slowness += COLD_SLOWNESS
-    return (busy + 1.0) * max(slowness, 1.0) / max(engine.entry.slots, 1)
+        score += COLD_S
+    if engine.is_switching(now_s):
+        score += SWITCHING_S
+    if engine.is_avoided(now_s):
+        score += AVOIDED_S
+    return score
 
 
-def _distance_places(engine: engines.Engine, place: Place) -> float:
+def _distance_s(engine: engines.Engine, place: Place) -> float:
     zone = engine.entry.zone
     if zone == place.zone:
         return 0.0
     if place.regions.get(zone) == place.regions.get(place.zone):
-        return OTHER_ZONE_PLACES
-    return OTHER_REGION_PLACES
+        return OTHER_ZONE_S
+    return OTHER_REGION_S
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -30,6 +30,7 @@
     """Answers callers.
 
     :param place: returns where this entry is, and among how many.
+    :param on_prompt_sent: told of each prompt that goes to an engine.
     """
 
     def __init__(
@@ -40,7 +41,9 @@
         wire: dialect.Dialect,
         place: Callable[[], placing.Place],
         source: random.Random,
+        on_prompt_sent: Callable[[entry_data.PromptSent], None],
     ):
+        self.on_prompt_sent = on_prompt_sent
         self.known = known
         self.pool = pool
         self.wire = wire
@@ -149,6 +152,7 @@
         self._state: forwarding.Forwarding | None = None
         self._answer: _EngineAnswer | None = None
         self._deadline = None
+        self._pace = _Pace()
         self._handlers = {
             forwarding.Dispatch: self._send,
             forwarding.Cancel: self._cancel,
@@ -190,6 +194,7 @@
     def on_events(self, events: bytes, last_event_id: str | None) -> None:
         """Pass whole events on."""
         self._state.on_events(last_event_id)
+        self._pace.add(self._owner.pool.reactor.seconds())
         self.exchange.write(events)
 
     def on_answer(self, status: int) -> None:
@@ -237,7 +242,24 @@
         head = owner.wire.engine_head(self.exchange.head, effect, self._team)
         self._answer = _EngineAnswer(self, owner.wire, owner.pool.reactor, effect)
         request = http1.render_request(head, self.exchange.body)
+        if self.call.prompt_tokens:
+            owner.on_prompt_sent(
+                entry_data.PromptSent(
+                    effect.engine_id, self._service.name, self.call.prompt_tokens
+                )
+            )
         tallies.count("dispatches")
+        logs.write(
+            "request_dispatched",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            engine=effect.engine_id,
+            number=effect.number,
+            busy=effect.busy,
+            busy_age_s=effect.busy_age_s,
+            expected_version=effect.expected_version,
+            configuration=owner.known.table.version,
+        )
         sending = owner.pool.send(
             effect.address, request, self._answer, effect.max_idle_s
         )
@@ -254,6 +276,7 @@
         self.exchange.respond(
             answer.head.status, answer.head.forwardable(), bytes(answer.body)
         )
+        self._log_answer(answer.head.status)
 
     def _open_stream(self, effect: forwarding.OpenStream) -> None:
         head = self._answer.head
@@ -263,6 +286,7 @@
     def _close_stream(self, effect: forwarding.CloseStream) -> None:
         tallies.count("requests_answered", status="200")
         self.exchange.finish()
+        self._log_answer(200)
 
     def _break_stream(self, effect: forwarding.BreakStream) -> None:
         self._log_end("stream_broken", effect.cause)
@@ -281,6 +305,21 @@
         headers = self._owner.wire.own_answer_headers(self.call, None)
         self.exchange.respond(504 if effect.timed_out else 502, headers)
 
+    def _log_answer(self, status: int) -> None:
+        now_s = self._owner.pool.reactor.seconds()
+        first_s = self._pace.first_s if self._pace.first_s is not None else now_s
+        logs.write(
+            "request_answered",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            status=status,
+            first_s=first_s - self.exchange.began_s,
+            longest_pause_s=self._pace.longest_pause_s,
+            after_s=now_s - self.exchange.began_s,
+            dispatches=self._state.dispatches,
+            tokens=self.call.prompt_tokens,
+        )
+
     def _log_end(
         self, event: str, cause: forwarding.Cause, retry_after_s: float = 0.0
     ) -> None:
@@ -302,6 +341,23 @@
         tallies.observe("first_byte_seconds", seconds, kind=self._route.kind.value)
 
 
+class _Pace:
+    """When a stream's events were passed on."""
+
+    def __init__(self):
+        self.first_s: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        """Note events."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self._last_s)
+        self._last_s = now_s
+
+
 class _EngineAnswer(http1.AnswerListener):
     """Follows one dispatch."""
 
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -58,6 +58,9 @@
 
 class _Engine(msgspec.Struct, frozen=True):
     models: list[_Model] = []
+    step_ms: float = 10.0
+    stride: int = 1  # steps that one pass makes for each writing request
+    read_per_s: float = 10_000.0
     layers: int = 1
     chunks: int = 1
     chunk_bytes: int = 0
@@ -282,6 +285,8 @@
             engine.chunks,
             engine.chunk_bytes,
             engine.models[0].warmup_s,
+            engine.read_per_s,
+            engine.step_ms * engine.stride / 1000,
         )
     name = data.ServiceName(service.name)
     return entry_data.Service(name, profile, data.Address(service.origin))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -38,23 +38,37 @@
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
 
-class LoadReceiver(protocol.DatagramProtocol):
-    """Takes the load reports of the processes beside engines."""
+class Reports(protocol.DatagramProtocol):
+    """Takes engines' loads from beside them, and prompts sent by near entries.
 
-    def __init__(self, known: knowledge.Knowledge):
+    :param name: of this entry.
+    """
+
+    def __init__(self, known: knowledge.Knowledge, name: str, zone: str):
         self._known = known
-        self._decoder = msgspec.msgpack.Decoder(entry_data.EngineLoad)
+        self._name = name
+        self._zone = zone
+        self._decoder = msgspec.msgpack.Decoder(
+            entry_data.EngineLoad | entry_data.PromptSent
+        )
 
     def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
         """Take in a report."""
         try:
-            load = self._decoder.decode(datagram)
+            report = self._decoder.decode(datagram)
         except msgspec.MsgspecError as error:
             logs.write("report_unreadable", sender=addr[0], why=str(error))
             return
-        found = self._known.roster.at(load.address, load.born_ms)
-        if found is not None:
-            found.take_load(load, reactor.seconds())
+        self._known.take_report(report, reactor.seconds())
+
+    def tell(self, sent: entry_data.PromptSent) -> None:
+        """Tell the other entries of the zone of a prompt."""
+        payload = msgspec.msgpack.encode(sent)
+        for record in self._known.members.serving():
+            if record.zone != self._zone or record.name == self._name:
+                continue
+            host, _, port = record.reports.rpartition(":")
+            self.transport.write(payload, (host, int(port)))
 
 
 class DirectoryHandler(http1.Handler):
@@ -188,6 +202,7 @@
         spending = budget.Spending(
             bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
         )
+        self._reports = Reports(self.known, name, told.zone)
         self._forwarder = forwarder.Forwarder(
             self.known,
             spending,
@@ -195,6 +210,7 @@
             requests.PlatformDialect(),
             self._place,
             self.source,
+            self._reports.tell,
         )
         self._registration = registration.Registration(self._store, self._record())
         self._settings_file = process.SettingsFile(path, self._reload)
@@ -217,7 +233,7 @@
         metrics_address = f"{self.told.ip}:{process.METRICS_PORT}"
         process.listen(metrics_address, process.MetricsHandler())
         host, _, port = self._registration.record.reports.rpartition(":")
-        reactor.listenUDP(int(port), LoadReceiver(self.known), interface=host)
+        reactor.listenUDP(int(port), self._reports, interface=host)
         loop.spawn(self._follower.run())
         loop.spawn(self._registration.run())
         task.LoopingCall(self._keep_house).start(HOUSEKEEPING_S, now=False)
