Switch engines to a new version in waves, truncating what still runs

Cause: all engines switched at once and took nothing for two seconds; a version named 4 s after another made the first be given up, so that no engine was on either in time (71 refused).

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -81,11 +81,13 @@
     """A kind of engines.
 
     :param origin: where weights come from; only for the service that holds them.
+    :param origin_mbps: the origin's link.
     """
 
     name: data.ServiceName
     profile: ModelProfile | None = None
     origin: data.Address = data.Address("")
+    origin_mbps: float = 0.0
 
 
 class Team(data.Record):
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -9,10 +9,11 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 
-REPORT_USABLE_S = 1.0  # an older load report says little of an engine's places
+REPORT_USABLE_S = 1.6  # two reports at the slow pace; an older load report says little of an engine's places
 VERSION_REPORT_USABLE_S = 3.0  # a version changes seldom
 GONE_GRACE_S = 1.5  # below the shortest drain: an entry that lapsed may come back
 AVOID_BASE_S = 0.4
+REJECTED_AVOID_S = 0.25  # an engine that is full or switches is so for a while
 AVOID_MAX_S = 3.0
 PASS_PART = 0.5  # of a pass, for each prompt: two prompts share one on average
 FAILURES_TO_AVOID = 2  # one failed request is no evidence yet
@@ -99,6 +100,10 @@
         self.failures = 0
         self.avoid_until_s = 0.0
 
+    def rejected(self, now_s: float) -> None:
+        """Note that it takes nothing at present, which is no failure."""
+        self.avoid_until_s = max(self.avoid_until_s, now_s + REJECTED_AVOID_S)
+
     def failed(self, now_s: float, weight: int = 1) -> bool:
         """Note a failure that speaks against the engine.
 
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -202,6 +202,8 @@
         number = self.dispatches
         if failure is Failure.SILENT and not self._is_worth_moving(now):
             return []
+        if failure is Failure.REJECTED and self._engine is not None:
+            self._engine.rejected(now.now_s)
         self._release(now, ok=False, weight=_weight(failure))
         dropped = [Cancel(number)] if failure is Failure.SILENT else []
         if failure in NOT_RUN:
--- a/toucanspread/core/entry/routes.py
+++ b/toucanspread/core/entry/routes.py
@@ -54,13 +54,22 @@
             return None
         return Denial.UNKNOWN_KEY if self.configuration.teams else None
 
-    def origin(self) -> data.Address | None:
-        """Return where weights come from, or None."""
+    def origin_service(self) -> entry_data.Service | None:
+        """Return the service that holds all weights, or None."""
         for service in self.configuration.services:
             if service.origin:
-                return service.origin
+                return service
         return None
 
+    def origin_piece_s(self, model: str) -> float:
+        """Return what the origin's link needs for a piece of a model; 0 if unknown."""
+        origin = self.origin_service()
+        service = self.model_service(model)
+        if origin is None or service is None or origin.origin_mbps <= 0:
+            return 0.0
+        bits = service.profile.chunk_bytes * 8
+        return bits / (origin.origin_mbps * 1_000_000)
+
     def model_service(self, model: str) -> entry_data.Service | None:
         """Return the service whose engines run a model."""
         for service in self.configuration.services:
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -1,13 +1,18 @@
 """Brings the engine beside this process onto the version that the operator named.
 
 Told what the engine reports and what became of its own wishes, a :class:`Stager` says
-what to do next: read the manifest, check what lies staged, fetch the pieces that are
-missing or bad, check once more, give the order. All of it is derived from the engine
-and the store again after any crash; an order without an answer shows in the engine's
-next report.
+what to do next: read the manifest, see what lies staged, collect the pieces that are
+missing or bad, hand them to the engine, check them, give the order. All of it is
+derived from the engine and the store again after any crash; an order without an
+answer shows in the engine's next report.
+
+A version may be named before the one before it is on the engine. The older one is
+finished only where the newer one could not take its place in time; the pieces of the
+newer one are collected meanwhile.
 """
 
 import enum
+from typing import NamedTuple
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
@@ -15,7 +20,8 @@
 PIECES_AT_ONCE = 2  # callers' requests come over the same narrow link
 ORDER_SETTLES_S = 1.0  # an order shows in the engine's report within this
 RETRY_PAUSE_S = 0.3
-CHECK_VALID_S = 1.0  # staged bytes may rot: an order follows a check this closely
+CHECK_VALID_S = 0.5  # staged bytes may rot: an order follows a check this closely
+INITIAL_VERSION = 1
 
 
 class SwitchMode(enum.Enum):
@@ -38,12 +44,6 @@
     born_ms: int
 
 
-class VersionWanted(data.Event):
-    """The operator has named a version."""
-
-    version: int
-
-
 class ManifestRead(data.Event):
     """The digests of a version are known."""
 
@@ -52,7 +52,7 @@
 
 
 class StagedChecked(data.Event):
-    """What lies staged was compared with a manifest.
+    """What lies staged, and was handed over, was compared with a manifest.
 
     :param good: the numbers of the pieces that are right.
     """
@@ -61,8 +61,8 @@
     good: frozenset[int]
 
 
-class PieceStaged(data.Event):
-    """A checked piece was handed to the engine."""
+class PieceCollected(data.Event):
+    """A checked piece is in this process's memory."""
 
     version: int
     number: int
@@ -91,14 +91,14 @@
 
 
 class CheckStaged(data.Effect):
-    """Compare what lies staged with the digests."""
+    """Hand over what was collected, and compare all that lies staged."""
 
     version: int
     digests: tuple[str, ...]
 
 
-class FetchPiece(data.Effect):
-    """Fetch a piece, check it, and hand it to the engine."""
+class CollectPiece(data.Effect):
+    """Fetch a piece, check it, and keep it in memory."""
 
     version: int
     number: int
@@ -117,46 +117,101 @@
 
 
 class Step(enum.Enum):
-    """What the stager is about."""
-
-    IDLE = "idle"
-    MANIFEST = "manifest"
-    CHECKING = "checking"
-    FETCHING = "fetching"
-    CHECKING_AGAIN = "checking again"
+    """What is being done about a version."""
+
+    MANIFEST_WANTED = "manifest wanted"
+    MANIFEST = "reading the manifest"
+    CHECKING = "checking what is there"
+    COLLECTING = "collecting"
+    COLLECTED = "collected"
+    STAGING = "staging"
     READY = "ready"
     ORDERED = "ordered"
 
 
+class Timing(NamedTuple):
+    """The times of a version, on the clock of ``now_s``.
+
+    :param quiet_at_s: from when on the engine should be given nothing new.
+    :param order_at_s: the earliest time at which it may switch.
+    :param due_s: when requests may no longer begin on older versions.
+    """
+
+    quiet_at_s: float
+    order_at_s: float
+    due_s: float
+
+
+AT_ONCE = Timing(float("-inf"), float("-inf"), float("inf"))
+
+
+class Target:
+    """A version on its way to the engine."""
+
+    def __init__(self, version: int, timing: Timing = AT_ONCE):
+        self.version = version
+        self.timing = timing
+        self.step = Step.MANIFEST_WANTED
+        self.digests: tuple[str, ...] = ()
+        self.have: set[int] = set()
+        self.coming: set[int] = set()
+        self.checked_s = float("-inf")
+        self.ordered_s = 0.0
+        self.pause_until_s = 0.0
+
+    def restart(self) -> None:
+        """Forget what was done, for the engine may have lost it."""
+        self.step = Step.MANIFEST_WANTED
+        self.have = set()
+        self.coming = set()
+
+    @property
+    def missing(self) -> list[int]:
+        """Return the numbers of the pieces that are neither there nor coming."""
+        taken = self.have | self.coming
+        return [n for n in range(len(self.digests)) if n not in taken]
+
+    @property
+    def left(self) -> int:
+        """Return how many pieces are not there yet."""
+        return len(self.digests) - len(self.have)
+
+
 class Stager:
-    """The state of one engine's way to a version.
+    """The state of one engine's way to the newest version.
 
     :param profile: of the model that the engine runs.
+    :param piece_s: what the link needs for a piece.
     """
 
-    def __init__(self, profile: entry_data.ModelProfile):
+    def __init__(self, profile: entry_data.ModelProfile, piece_s: float):
         self.profile = profile
-        self.wanted = 1
-        self.step = Step.IDLE
-        self._digests: tuple[str, ...] = ()
-        self._good: set[int] = set()
-        self._fetching: set[int] = set()
+        self.target = Target(INITIAL_VERSION)
+        self.following: Target | None = None
+        self._piece_s = piece_s
         self._report: ReportRead | None = None
-        self._ordered_s = 0.0
-        self._checked_s = float("-inf")
-        self._pause_until_s = 0.0
-        self._begin_order_s = 0.0
 
-    def on_wanted(self, event: VersionWanted, now_s: float, order_at_s: float) -> list:
-        """Turn to a newer version at once; an older one is not finished.
+    @property
+    def newest(self) -> int:
+        """Return the newest version that was named."""
+        return self.following.version if self.following else self.target.version
 
-        :param order_at_s: the earliest time at which the engine may switch.
-        """
-        if event.version <= self.wanted:
+    def is_quiet(self, now_s: float) -> bool:
+        """Tell whether the engine should be given nothing new."""
+        if self._report is None or self._report.version == self.target.version:
+            return False
+        return now_s >= self.target.timing.quiet_at_s and bool(self._report.version)
+
+    def on_wanted(self, version: int, timing: Timing, now_s: float) -> list:
+        """Turn to a newer version, now or after the one that is on its way."""
+        if version <= self.newest:
             return []
-        self.wanted = event.version
-        self._begin_order_s = order_at_s
-        self._restart()
+        target = Target(version, timing)
+        if self._is_finished_first(now_s, target):
+            self.following = target
+        else:
+            self.target = target
+            self.following = None
         return self._next(now_s)
 
     def on_report(self, event: ReportRead, now_s: float) -> list:
@@ -164,117 +219,150 @@
         known, self._report = self._report, event
         if known is not None and known.born_ms != event.born_ms:
             # What lies staged may have gone with the engine's instance.
-            self._restart()
-        if event.version == self.wanted:
-            if not event.is_busy:
-                self.step = Step.IDLE
-            return []
-        if self.step is Step.ORDERED:
-            if event.is_busy or now_s - self._ordered_s < ORDER_SETTLES_S:
+            self.target.restart()
+        if self._is_done and self.following is not None:
+            self.target, self.following = self.following, None
+        target = self.target
+        if target.step is Step.ORDERED and not self._is_done:
+            if event.is_busy or now_s - target.ordered_s < ORDER_SETTLES_S:
                 return []
-            self._restart()
-        if self.step is Step.IDLE:
-            self._restart()
+            target.restart()
         return self._next(now_s)
 
     def on_manifest(self, event: ManifestRead, now_s: float) -> list:
-        """Check what lies staged already."""
-        if event.version != self.wanted or self.step is not Step.MANIFEST:
+        """Go on to what lies staged, or to collecting."""
+        target = self._find(event.version)
+        if target is None or target.step is not Step.MANIFEST:
             return []
-        self._digests = event.digests
-        self.step = Step.CHECKING
-        return [CheckStaged(self.wanted, self._digests)]
+        target.digests = event.digests
+        if target is self.following:
+            # What lies staged is the older version's until that is loaded.
+            target.step = Step.COLLECTING
+            return self._next(now_s)
+        target.step = Step.CHECKING
+        return [CheckStaged(target.version, target.digests)]
 
     def on_checked(self, event: StagedChecked, now_s: float) -> list:
-        """Fetch what is missing, or give the order when nothing is."""
-        if event.version != self.wanted:
+        """Collect what is missing, or get ready for the order."""
+        target = self._find(event.version)
+        if target is None or target.step not in (Step.CHECKING, Step.STAGING):
             return []
-        if self.step not in (Step.CHECKING, Step.CHECKING_AGAIN):
-            return []
-        self._good = set(event.good)
-        if len(self._good) == len(self._digests):
-            self.step = Step.READY
-            self._checked_s = now_s
+        target.have = set(event.good)
+        if target.left == 0:
+            target.step = Step.READY
+            target.checked_s = now_s
         else:
-            self.step = Step.FETCHING
+            target.step = Step.COLLECTING
         return self._next(now_s)
 
-    def on_staged(self, event: PieceStaged, now_s: float) -> list:
+    def on_collected(self, event: PieceCollected, now_s: float) -> list:
         """Go on with the next piece."""
-        if event.version != self.wanted or self.step is not Step.FETCHING:
+        target = self._find(event.version)
+        if target is None:
             return []
-        self._fetching.discard(event.number)
-        self._good.add(event.number)
+        target.coming.discard(event.number)
+        target.have.add(event.number)
         return self._next(now_s)
 
     def on_order_answered(self, event: OrderAnswered, now_s: float) -> list:
         """Wait for the engine's report; it decides what comes next."""
-        if not event.accepted and self.step is Step.ORDERED:
-            self.step = Step.READY
-            self._pause_until_s = now_s + RETRY_PAUSE_S
+        if not event.accepted and self.target.step is Step.ORDERED:
+            self.target.step = Step.READY
+            self.target.pause_until_s = now_s + RETRY_PAUSE_S
         return []
 
     def on_failed(self, event: WishFailed, now_s: float) -> list:
         """Try again a little later."""
-        if event.version != self.wanted:
+        target = self._find(event.version)
+        if target is None:
             return []
-        self._pause_until_s = now_s + RETRY_PAUSE_S
+        target.pause_until_s = now_s + RETRY_PAUSE_S
         if event.number is not None:
-            self._fetching.discard(event.number)
-            return []
-        if self.step in (Step.CHECKING, Step.CHECKING_AGAIN, Step.MANIFEST):
-            self._restart()
+            target.coming.discard(event.number)
+        elif target.step is Step.MANIFEST:
+            target.step = Step.MANIFEST_WANTED
+        elif target.step in (Step.CHECKING, Step.STAGING):
+            target.restart()
         return []
 
     def on_tick(self, now_s: float) -> list:
         """Go on with what had to wait."""
-        if self._report is None:
-            return []
         return self._next(now_s)
 
     # inside
 
-    def _restart(self) -> None:
-        self.step = Step.IDLE
-        self._good = set()
-        self._fetching = set()
-        self._digests = ()
+    @property
+    def _is_done(self) -> bool:
+        if self._report is None or self._report.is_busy:
+            return False
+        return self._report.version == self.target.version
+
+    def _find(self, version: int) -> Target | None:
+        for target in (self.target, self.following):
+            if target is not None and target.version == version:
+                return target
+        return None
+
+    def _is_finished_first(self, now_s: float, newer: Target) -> bool:
+        """Tell whether the version on its way goes before a newer one."""
+        current = self.target
+        if self._report is None or self._is_done:
+            return False
+        if not current.digests or self._report.version == 0:
+            return False
+        if current.step is Step.ORDERED:
+            return True
+        whole_s = len(current.digests) * self._piece_s
+        left_s = current.left * self._piece_s
+        load_s = self.profile.warmup_s
+        if now_s + whole_s + load_s <= current.timing.due_s:
+            return False
+        if now_s + left_s + load_s > current.timing.due_s:
+            return False
+        return now_s + left_s + whole_s + 2 * load_s <= newer.timing.due_s
 
     def _next(self, now_s: float) -> list:
-        if self._report is None or now_s < self._pause_until_s:
+        if self._report is None or self._is_done:
             return []
-        if self._report.version == self.wanted:
+        effects = self._advance(self.target, now_s)
+        if self.following is not None and self.target.left == 0:
+            effects += self._advance(self.following, now_s)
+        return effects
+
+    def _advance(self, target: Target, now_s: float) -> list:
+        if now_s < target.pause_until_s:
+            return []
+        if target.step is Step.MANIFEST_WANTED:
+            target.step = Step.MANIFEST
+            return [ReadManifest(target.version)]
+        if target.step is Step.COLLECTING:
+            return self._collect(target, now_s)
+        if target is self.following:
             return []
-        if self.step is Step.IDLE:
-            self.step = Step.MANIFEST
-            return [ReadManifest(self.wanted)]
-        if self.step is Step.FETCHING:
-            return self._fetch(now_s)
-        if self.step is Step.READY:
-            return self._order(now_s)
+        if target.step in (Step.COLLECTED, Step.READY):
+            return self._order(target, now_s)
         return []
 
-    def _fetch(self, now_s: float) -> list:
-        missing = [n for n in range(len(self._digests)) if n not in self._good]
-        if not missing:
-            self.step = Step.CHECKING_AGAIN
-            return [CheckStaged(self.wanted, self._digests)]
+    def _collect(self, target: Target, now_s: float) -> list:
+        if target.left == 0:
+            target.step = Step.COLLECTED
+            return [] if target is self.following else self._order(target, now_s)
         effects = []
-        for number in missing:
-            if len(self._fetching) >= PIECES_AT_ONCE:
-                break
-            if number in self._fetching:
-                continue
-            self._fetching.add(number)
-            effects.append(FetchPiece(self.wanted, number, self._digests[number]))
+        for number in target.missing[: PIECES_AT_ONCE - len(target.coming)]:
+            target.coming.add(number)
+            digest = target.digests[number]
+            effects.append(CollectPiece(target.version, number, digest))
         return effects
 
-    def _order(self, now_s: float) -> list:
-        if self._report.is_busy or now_s < self._begin_order_s:
+    def _order(self, target: Target, now_s: float) -> list:
+        if self._report.is_busy:
+            return []
+        is_empty = self._report.version == 0
+        if now_s < target.timing.order_at_s and not is_empty:
             return []
-        if now_s - self._checked_s > CHECK_VALID_S:
-            self.step = Step.CHECKING_AGAIN
-            return [CheckStaged(self.wanted, self._digests)]
-        self.step = Step.ORDERED
-        self._ordered_s = now_s
-        return [GiveOrder(self.wanted, SwitchMode.WAIT, self._report.orders)]
+        if now_s - target.checked_s > CHECK_VALID_S:
+            target.step = Step.STAGING
+            return [CheckStaged(target.version, target.digests)]
+        target.step = Step.ORDERED
+        target.ordered_s = now_s
+        return [GiveOrder(target.version, SwitchMode.TRUNCATE, self._report.orders)]
--- /dev/null
+++ b/toucanspread/core/weights/waves.py
@@ -0,0 +1,59 @@
+"""When the engine beside this process may switch to a new version.
+
+The load this answers: all engines have a new version staged at about the same time,
+since their links are alike, and an engine that switches takes no requests until those
+it runs have ended. If all switch at once, callers find no engine for seconds; so they
+switch in waves, within the time that the operator's rules leave.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from toucanspread.core import data
+
+MAX_WAVES = 3
+MIN_WAVE_S = 0.8  # most of the requests that an engine runs end within this
+DRAIN_S = 0.5  # before its order, an engine is given nothing new for this long
+STAGING_SLACK = 1.08  # over the time that the link alone needs
+
+
+class Neighbour(NamedTuple):
+    """An engine of the same service."""
+
+    address: data.Address
+    zone: data.ZoneName
+
+
+class Plan(NamedTuple):
+    """When an engine stops taking requests, and when it is ordered.
+
+    Both are spans since the version was heard of.
+    """
+
+    quiet_after_s: float
+    order_after_s: float
+
+
+def wave_of(
+    own: Neighbour, neighbours: Iterable[Neighbour], waves: int = MAX_WAVES
+) -> int:
+    """Return the wave of an engine; each zone's engines are spread over the waves."""
+    zones = sorted({n.zone for n in neighbours} | {own.zone})
+    peers = sorted(
+        {n.address for n in neighbours if n.zone == own.zone} | {own.address}
+    )
+    return (peers.index(own.address) + zones.index(own.zone)) % waves
+
+
+def plan(staging_s: float, within_s: float, switch_s: float, wave: int) -> Plan:
+    """Return when an engine of a wave switches.
+
+    :param staging_s: what the link needs for all pieces.
+    :param within_s: since the version was heard of, all have to serve it.
+    :param switch_s: what the loading itself takes.
+    """
+    staged_s = staging_s * STAGING_SLACK
+    room_s = within_s - switch_s - staged_s
+    spacing_s = min(max(room_s / MAX_WAVES, 0.0), MIN_WAVE_S * 1.5)
+    order_s = staged_s + wave * spacing_s
+    return Plan(max(order_s - DRAIN_S, 0.0), order_s)
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -204,13 +204,14 @@
     def on_failure(self, failure: forwarding.Failure) -> None:
         """Take a dispatch that brought no complete answer."""
         engine_id = self._state.engine_id
+        number = self._state.dispatches
         decided = self._state.on_failure(self.now(), failure)
         logs.write(
             "dispatch_failed",
             id=self.call.attempt_id,
             engine=engine_id,
             why=failure.value,
-            number=self._state.dispatches,
+            number=number,
             then=" ".join(type(effect).__name__ for effect in decided) or "wait",
         )
         tallies.count("dispatches_failed", why=failure.value)
--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -86,10 +86,16 @@
             await self._once(key, self._load_piece)
         return self._pieces[key]
 
-    async def take_owned(self, model: data.ModelName, version: int) -> None:
+    async def take_owned(
+        self, model: data.ModelName, version: int, piece_s: float
+    ) -> None:
         """Fetch the pieces of a new version that this entry owns.
 
-        The origin may go away soon after a version is named.
+        The origin may go away soon after a version is named. All owners together
+        keep its link just busy: if all pieces came at once, none would be whole
+        before the last.
+
+        :param piece_s: what the origin's link needs for a piece.
         """
         self._forget_before(model, version)
         try:
@@ -100,9 +106,10 @@
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
             if sources.upstream(key, self._entries(), self._name) is None:
-                loop.spawn(self._take(key))
+                loop.spawn(self._take(key, number * piece_s))
 
-    async def _take(self, key: sources.PieceKey) -> None:
+    async def _take(self, key: sources.PieceKey, after_s: float) -> None:
+        await asyncio.sleep(after_s)
         try:
             await self.piece(key)
         except PieceError as error:
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -17,7 +17,7 @@
 from toucanspread.ops import engine_control, http1_pool, logs, loop, pieces, tallies
 
 REPORT_INTERVAL_S = 0.2  # a request's first event takes about as long
-QUIET_LOAD_INTERVAL_S = 0.8  # an unchanged load is repeated within its usable age
+QUIET_LOAD_INTERVAL_S = 0.6  # an unchanged load is repeated within its usable age
 
 
 class LoadSender(protocol.DatagramProtocol):
@@ -68,11 +68,12 @@
         self._sender = sender
         self._model = stager.profile.model
         self._reached = True
-        self._step = stager.step
+        self._step = stager.target.step
+        self._collected: dict[sources.PieceKey, bytes] = {}
         self._handlers = {
             staging.ReadManifest: self._read_manifest,
             staging.CheckStaged: self._check_staged,
-            staging.FetchPiece: self._fetch_piece,
+            staging.CollectPiece: self._collect_piece,
             staging.GiveOrder: self._give_order,
         }
 
@@ -83,10 +84,12 @@
             self._carry_out(self._stager.on_tick(self._now_s()))
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def want(self, version: int, order_at_s: float) -> None:
+    def want(self, version: int, timing: staging.Timing) -> None:
         """Turn to a version that the operator has named."""
-        wanted = staging.VersionWanted(version)
-        self._carry_out(self._stager.on_wanted(wanted, self._now_s(), order_at_s))
+        self._carry_out(self._stager.on_wanted(version, timing, self._now_s()))
+        for key in list(self._collected):
+            if self._is_given_up(key.version):
+                del self._collected[key]
 
     def _now_s(self) -> float:
         return self._pool.reactor.seconds()
@@ -110,7 +113,7 @@
                 report.active,
                 report.queued,
                 version,
-                report.is_busy,
+                report.is_busy or self._stager.is_quiet(self._now_s()),
                 report.pace,
             )
         )
@@ -120,11 +123,10 @@
         self._carry_out(self._stager.on_report(event, self._now_s()))
 
     def _carry_out(self, effects: list[data.Effect]) -> None:
-        if self._stager.step is not self._step:
-            self._step = self._stager.step
-            logs.write(
-                "staging_step", step=self._step.value, version=self._stager.wanted
-            )
+        target = self._stager.target
+        if target.step is not self._step:
+            self._step = target.step
+            logs.write("staging_step", step=self._step.value, version=target.version)
         for effect in effects:
             loop.spawn(self._handlers[type(effect)](effect))
 
@@ -142,28 +144,39 @@
         self._fail(effect.version)
 
     async def _check_staged(self, effect: staging.CheckStaged) -> None:
-        good = set()
         try:
-            for number in await self._engine.held(self._model):
-                if number >= len(effect.digests):
-                    continue
-                piece = await self._engine.staged(self._model, number)
-                if piece is None:
-                    continue
-                if pieces.is_right(piece, effect.digests[number]):
-                    good.add(number)
+            await self._hand_over(effect.version)
+            good = await self._right_numbers(effect.digests)
         except engine_control.EngineError as error:
             logs.write("check_failed", version=effect.version, why=str(error))
             self._fail(effect.version)
             return
-        checked = staging.StagedChecked(effect.version, frozenset(good))
         logs.write("staged_checked", version=effect.version, good=len(good))
+        checked = staging.StagedChecked(effect.version, good)
         self._carry_out(self._stager.on_checked(checked, self._now_s()))
 
-    async def _fetch_piece(self, effect: staging.FetchPiece) -> None:
+    async def _hand_over(self, version: int) -> None:
+        """Give the engine what was collected of a version."""
+        for key in [key for key in self._collected if key.version == version]:
+            await self._engine.stage(self._model, key.number, self._collected[key])
+            tallies.count("pieces_staged")
+            del self._collected[key]
+
+    async def _right_numbers(self, digests: tuple[str, ...]) -> frozenset[int]:
+        """Return which of the staged pieces are as they should be."""
+        good = set()
+        for number in await self._engine.held(self._model):
+            if number >= len(digests):
+                continue
+            piece = await self._engine.staged(self._model, number)
+            if piece is not None and pieces.is_right(piece, digests[number]):
+                good.add(number)
+        return frozenset(good)
+
+    async def _collect_piece(self, effect: staging.CollectPiece) -> None:
         key = sources.PieceKey(self._model, effect.version, effect.number)
         for holder in sources.holders(key, self._entries(), self._region):
-            if self._stager.wanted != effect.version:
+            if self._is_given_up(effect.version):
                 return
             try:
                 piece = await pieces.fetch_piece(self._pool, holder.control, key)
@@ -173,22 +186,15 @@
             if not pieces.is_right(piece, effect.digest):
                 logs.write("piece_spoilt", piece=key.text, source=holder.name)
                 continue
-            await self._stage(effect, piece)
+            self._collected[key] = piece
+            collected = staging.PieceCollected(effect.version, effect.number)
+            self._carry_out(self._stager.on_collected(collected, self._now_s()))
             return
         self._fail(effect.version, effect.number)
 
-    async def _stage(self, effect: staging.FetchPiece, piece: bytes) -> None:
-        if self._stager.wanted != effect.version:
-            return
-        try:
-            await self._engine.stage(self._model, effect.number, piece)
-        except engine_control.EngineError as error:
-            logs.write("stage_failed", number=effect.number, why=str(error))
-            self._fail(effect.version, effect.number)
-            return
-        tallies.count("pieces_staged")
-        staged = staging.PieceStaged(effect.version, effect.number)
-        self._carry_out(self._stager.on_staged(staged, self._now_s()))
+    def _is_given_up(self, version: int) -> bool:
+        wanted = [self._stager.target, self._stager.following]
+        return all(t is None or t.version != version for t in wanted)
 
     async def _give_order(self, effect: staging.GiveOrder) -> None:
         try:
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -16,7 +16,7 @@
 VERSIONS_PREFIX = "op/version/"
 ENGINES_PREFIX = "servers/"
 ENTRY_PREFIXES = ("op/", ENGINES_PREFIX, members.RECORDS_PREFIX)
-SIDE_PREFIXES = (VERSIONS_PREFIX, members.RECORDS_PREFIX)
+SIDE_PREFIXES = (VERSIONS_PREFIX, ENGINES_PREFIX, members.RECORDS_PREFIX)
 DEFAULT_PRIORITY = 5
 ALL_LAYERS_END = 1_000  # above the number of layers of any model
 
@@ -70,6 +70,7 @@
     name: str
     engine: _Engine | None = None
     origin: str = ""
+    link_mbps: float = 0.0  # of the origin; engines have one of their own
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -289,7 +290,8 @@
             engine.step_ms * engine.stride / 1000,
         )
     name = data.ServiceName(service.name)
-    return entry_data.Service(name, profile, data.Address(service.origin))
+    origin = data.Address(service.origin)
+    return entry_data.Service(name, profile, origin, service.link_mbps)
 
 
 def _team(tenant: _Tenant) -> entry_data.Team:
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -285,7 +285,8 @@
         )
 
     def _origin_address(self) -> data.Address | None:
-        return self.known.table.origin() if self.known.table is not None else None
+        service = self.known.table.origin_service() if self.known.table else None
+        return service.origin if service is not None else None
 
     def _on_changes(self, changes: list[items.Change]) -> None:
         now_s = reactor.seconds()
@@ -306,7 +307,10 @@
             revision=change.revision,
         )
         if isinstance(event, knowledge.VersionNamed):
-            loop.spawn(self.pieces.take_owned(event.model, event.version))
+            piece_s = 0.0
+            if self.known.table is not None:
+                piece_s = self.known.table.origin_piece_s(event.model)
+            loop.spawn(self.pieces.take_owned(event.model, event.version, piece_s))
 
     def _keep_house(self) -> None:
         now_s = reactor.seconds()
--- a/toucanspread/platform/settings.py
+++ b/toucanspread/platform/settings.py
@@ -43,6 +43,12 @@
     ttl_max_s: float = 5
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine gives a process."""
+
+    link_mbps: float = 100.0
+
+
 class Store(msgspec.Struct, frozen=True):
     """Where the store is, and the least lifetime of its leases."""
 
@@ -67,6 +73,7 @@
     internal_ports: tuple[int, int] = (7700, 7715)
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     app: str = ""
     service: str = ""
 
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import sys
+from typing import NamedTuple
 
 import msgspec
 from twisted.internet import reactor, task
@@ -15,7 +16,7 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import knowledge, members
 from toucanspread.core.view import following, items
-from toucanspread.core.weights import staging
+from toucanspread.core.weights import staging, waves
 from toucanspread.ops import following as following_shell
 from toucanspread.ops import http1_pool, logs, loop, prefix_store, process, stager
 from toucanspread.platform import decoding, engine, settings, store
@@ -24,6 +25,17 @@
 RETRY_PAUSE_S = 0.4
 
 
+class _Named(NamedTuple):
+    """A version that the operator has named.
+
+    :param is_news: whether it was named while this process was listening.
+    """
+
+    version: int
+    since_s: float
+    is_news: bool
+
+
 class Side:
     """The parts of the program, put together."""
 
@@ -32,8 +44,11 @@
         self._pool = http1_pool.Pool(reactor)
         self._store = store.PlatformStore(self._pool, told.platform.address)
         self._view = items.View()
+        self._is_following = False
+        self._profile: entry_data.ModelProfile | None = None
         self._members = members.Members()
-        self._named: dict[data.ModelName, int] = {}
+        self._named: dict[data.ModelName, _Named] = {}
+        self._engines: dict[str, entry_data.EngineEntry] = {}
         self._local: stager.LocalWeights | None = None
         self._sender = stager.LoadSender(self._members.all, reactor)
         chooser = following.Chooser(
@@ -76,7 +91,7 @@
         profile = await self._read_profile()
         local = engine.LocalEngine(self._pool, self.told.app)
         self._local = stager.LocalWeights(
-            staging.Stager(profile),
+            staging.Stager(profile, self._piece_s(profile)),
             local,
             data.Address(self.told.app),
             self._pool,
@@ -85,8 +100,9 @@
             self._sender,
         )
         named = self._named.get(profile.model)
+        self._profile = profile
         if named is not None:
-            self._local.want(named, 0.0)
+            self._want(named)
         await self._local.run()
 
     async def _read_profile(self) -> entry_data.ModelProfile:
@@ -111,14 +127,55 @@
                     self._members.put(record)
                 case knowledge.EntryGone(name):
                     self._members.remove(name, now_s, store_was_away=False)
+                case knowledge.EngineSeen(entry):
+                    self._engines[entry.engine_id] = entry
+                case knowledge.EngineGone(engine_id):
+                    self._engines.pop(engine_id, None)
                 case knowledge.VersionNamed(model, version):
                     self._on_named(model, version, now_s)
+        # What comes with the first copy was named some time before.
+        self._is_following = True
 
     def _on_named(self, model: data.ModelName, version: int, now_s: float) -> None:
-        self._named[model] = max(version, self._named.get(model, 0))
+        known = self._named.get(model)
+        if known is not None and known.version >= version:
+            return
+        named = _Named(version, now_s, is_news=self._is_following)
+        self._named[model] = named
         logs.write("belief_changed", what="version", model=model, version=version)
-        if self._local is not None:
-            self._local.want(version, now_s)
+        if self._local is not None and model == self._profile.model:
+            self._want(named)
+
+    def _want(self, named: "_Named") -> None:
+        timing = staging.AT_ONCE
+        if named.is_news:
+            timing = self._timing(named.since_s)
+        self._local.want(named.version, timing)
+
+    def _timing(self, since_s: float) -> staging.Timing:
+        """Return the times of a version that was named just now."""
+        profile = self._profile
+        within_s = self.told.bounds.version_ms / 1000 - knowledge.VERSION_MARGIN_S
+        own = waves.Neighbour(
+            data.Address(self.told.app), data.ZoneName(self.told.zone)
+        )
+        neighbours = [
+            waves.Neighbour(entry.address, entry.zone)
+            for entry in self._engines.values()
+            if entry.service == self.told.service
+        ]
+        staging_s = profile.chunks * self._piece_s(profile)
+        wave = waves.wave_of(own, neighbours)
+        plan = waves.plan(staging_s, within_s, profile.warmup_s, wave)
+        return staging.Timing(
+            since_s + plan.quiet_after_s,
+            since_s + plan.order_after_s,
+            since_s + within_s,
+        )
+
+    def _piece_s(self, profile: entry_data.ModelProfile) -> float:
+        bits = profile.chunk_bytes * 8
+        return bits / (self.told.limits.link_mbps * 1_000_000)
 
     def _reload(self) -> None:
         try:
