Tell entries when an engine will be ordered; send it only what ends before

Cause: streams cut by a switch went on at engines that switched next, and were cut again; their routes allow two engines.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -66,6 +66,7 @@
     :param warmup_s: how long an engine needs to load all layers.
     :param read_per_s: prompt tokens that an engine reads in a second.
     :param pass_s: the steps that an engine makes for its writers between two reads.
+    :param pass_tokens: what each writer gets of one pass.
     """
 
     model: data.ModelName
@@ -75,6 +76,7 @@
     warmup_s: float
     read_per_s: float = 10_000.0
     pass_s: float = 0.05
+    pass_tokens: int = 5
 
 
 class Service(data.Record):
@@ -157,6 +159,7 @@
     :param born_ms: the start of the incarnation that was asked.
     :param version: the version that it serves with all layers; 0 for none.
     :param pace: over 1 means that it is slow.
+    :param order_in_s: until it is ordered to switch, and cuts what it runs.
     """
 
     address: data.Address
@@ -166,6 +169,7 @@
     version: int
     busy: bool
     pace: float = 1.0
+    order_in_s: float | None = None
 
 
 class PromptSent(data.Record):
@@ -197,6 +201,8 @@
 
     :param budget_s: how long the caller waits; None when it does not say.
     :param last_event_id: where a stream goes on; None at its beginning.
+    :param output_tokens: the most that the answer may have.
+    :param likely_tokens: what the caller expects of the answer; 0 if it says nothing.
     """
 
     attempt_id: str
@@ -208,6 +214,7 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    likely_tokens: int = 0
 
 
 def version_of(loaded: tuple[LoadedLayers, ...], profile: ModelProfile) -> int:
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -9,7 +9,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 
-REPORT_USABLE_S = 1.6  # two reports at the slow pace; an older load report says little of an engine's places
+REPORT_USABLE_S = 1.6  # two reports at the slow pace, and a lost one
 VERSION_REPORT_USABLE_S = 3.0  # a version changes seldom
 GONE_GRACE_S = 1.5  # below the shortest drain: an entry that lapsed may come back
 AVOID_BASE_S = 0.4
@@ -34,6 +34,7 @@
         self.load: entry_data.EngineLoad | None = None
         self.load_at_s = 0.0
         self.reading_until_s = 0.0
+        self.order_at_s: float | None = None
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
@@ -75,6 +76,9 @@
         """Take in a load report."""
         self.load = load
         self.load_at_s = now_s
+        self.order_at_s = None
+        if load.order_in_s is not None:
+            self.order_at_s = now_s + load.order_in_s
         self._sent_since_load = 0
 
     def sent(self) -> None:
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -239,7 +239,13 @@
         left_s = self.deadline_s - now.now_s
         if left_s < MIN_TIME_TO_DISPATCH_S:
             return self._give_up(now, Cause.TIME_OVER)
-        ask = placing.Ask(self.service, now.minimum_version, frozenset(self._tried))
+        ask = placing.Ask(
+            self.service,
+            now.minimum_version,
+            frozenset(self._tried),
+            self._likely_tokens_left(),
+            was_cut=self.runs > 0,
+        )
         engine = placing.choose(now.roster, ask, now.place, now.now_s, now.source)
         if engine is None and self._tried and self._last_failure in NOT_RUN:
             ask = ask._replace(excluded=frozenset())
@@ -330,6 +336,17 @@
         elif weight:
             engine.failed(now.now_s, weight)
 
+    def _likely_tokens_left(self) -> int:
+        """Return how long the rest of the answer may be."""
+        call = self.call
+        likely = call.likely_tokens or call.output_tokens // 2
+        profile = self.service.profile
+        if profile is None or self._last_event_id is None:
+            return likely
+        if not self._last_event_id.isdigit():
+            return likely
+        return max(likely - int(self._last_event_id) * profile.pass_tokens, 0)
+
     def _silence_s(self) -> float:
         if self.route.kind is entry_data.RequestKind.STREAMING:
             return max(STREAM_SILENCE_TARGETS * self.route.target_s, 1.0)
--- a/toucanspread/core/entry/placing.py
+++ b/toucanspread/core/entry/placing.py
@@ -25,6 +25,10 @@
 AVOIDED_S = 100.0  # after every other engine
 SWITCHING_S = 50.0  # an order keeps it from starting anything for a while
 COLD_S = 0.050
+CUT_S = 0.120  # an engine that switches cuts it, and another reads its prompt again
+CUT_AGAIN_S = 3.0  # it may run on few engines
+CUT_NOISE_S = 0.080  # many are cut at the same moment, and look for another engine
+READING_BETWEEN = 1.4  # passes also read the prompts of others
 PLAIN_PLACE_S = 0.020  # a request more on an engine without a model
 
 
@@ -33,11 +37,15 @@
 
     :param minimum_version: of the weights; 0 when any will do.
     :param excluded: engines that had the request already.
+    :param likely_tokens: of the answer.
+    :param was_cut: whether an engine has cut it before.
     """
 
     service: entry_data.Service
     minimum_version: int = 0
     excluded: frozenset[str] = frozenset()
+    likely_tokens: int = 0
+    was_cut: bool = False
 
 
 class Place(NamedTuple):
@@ -74,6 +82,9 @@
     best_score = float("inf")
     for engine in candidates(roster, ask, now_s):
         score = _score(engine, ask.service, place, now_s, source)
+        score += _cut_s(engine, ask, place, now_s)
+        if ask.was_cut:
+            score += source.random() * CUT_NOISE_S
         if score < best_score:
             best, best_score = engine, score
     return best
@@ -117,6 +128,19 @@
     return score
 
 
+def _cut_s(engine: engines.Engine, ask: Ask, place: Place, now_s: float) -> float:
+    """Return the penalty for an engine that will switch before the request ends."""
+    profile = ask.service.profile
+    if engine.order_at_s is None or profile is None:
+        return 0.0
+    passes = ask.likely_tokens / profile.pass_tokens + 1
+    runs_s = passes * profile.pass_s * READING_BETWEEN
+    wait_s = expected_wait_s(engine, ask.service, place, now_s)
+    if now_s + wait_s + runs_s <= engine.order_at_s:
+        return 0.0
+    return CUT_AGAIN_S if ask.was_cut else CUT_S
+
+
 def _distance_s(engine: engines.Engine, place: Place) -> float:
     zone = engine.entry.zone
     if zone == place.zone:
--- a/toucanspread/core/entry/routes.py
+++ b/toucanspread/core/entry/routes.py
@@ -3,7 +3,6 @@
 import enum
 from collections.abc import Iterable
 
-from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 
 
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -202,6 +202,14 @@
             return False
         return now_s >= self.target.timing.quiet_at_s and bool(self._report.version)
 
+    def order_in_s(self, now_s: float) -> float | None:
+        """Return the time until the engine cuts what it runs, or None."""
+        if self._report is None or not self._report.version or self._is_done:
+            return None
+        if self.target.timing is AT_ONCE:
+            return None
+        return max(self.target.timing.order_at_s - now_s, 0.0)
+
     def on_wanted(self, version: int, timing: Timing, now_s: float) -> list:
         """Turn to a newer version, now or after the one that is on its way."""
         if version <= self.newest:
--- a/toucanspread/core/weights/waves.py
+++ b/toucanspread/core/weights/waves.py
@@ -13,7 +13,7 @@
 
 MAX_WAVES = 3
 MIN_WAVE_S = 0.8  # most of the requests that an engine runs end within this
-DRAIN_S = 0.5  # before its order, an engine is given nothing new for this long
+QUIET_S = 0.15  # before its order, an engine is given nothing new for this long
 STAGING_SLACK = 1.08  # over the time that the link alone needs
 
 
@@ -56,4 +56,4 @@
     room_s = within_s - switch_s - staged_s
     spacing_s = min(max(room_s / MAX_WAVES, 0.0), MIN_WAVE_S * 1.5)
     order_s = staged_s + wave * spacing_s
-    return Plan(max(order_s - DRAIN_S, 0.0), order_s)
+    return Plan(max(order_s - QUIET_S, 0.0), order_s)
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -32,9 +32,11 @@
     def send(self, load: entry_data.EngineLoad) -> None:
         """Send a report, unless the entries know it already."""
         now_s = self._reactor.seconds()
-        if load == self._last and now_s - self._last_s < QUIET_LOAD_INTERVAL_S:
+        # The time until an order runs down by itself.
+        lasting = msgspec.structs.replace(load, order_in_s=None)
+        if lasting == self._last and now_s - self._last_s < QUIET_LOAD_INTERVAL_S:
             return
-        self._last = load
+        self._last = lasting
         self._last_s = now_s
         payload = msgspec.msgpack.encode(load)
         for entry in self._entries():
@@ -115,6 +117,7 @@
                 version,
                 report.is_busy or self._stager.is_quiet(self._now_s()),
                 report.pace,
+                self._stager.order_in_s(self._now_s()),
             )
         )
         event = staging.ReportRead(
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -288,6 +288,7 @@
             engine.models[0].warmup_s,
             engine.read_per_s,
             engine.step_ms * engine.stride / 1000,
+            engine.stride,
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -50,6 +50,7 @@
             _text(head.get(b"x-model") or b""),
             usage[0],
             usage[1],
+            _whole_number(head.get(b"x-length-hint")),
         )
 
     def engine_head(
@@ -123,6 +124,12 @@
     return int(value) / 1000
 
 
+def _whole_number(value: bytes | None) -> int:
+    if value is None or not value.strip().isdigit():
+        return 0
+    return int(value)
+
+
 def _numbers(value: bytes | None) -> tuple[int, int]:
     parts = (value or b"").split(b",")
     if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
