--- /dev/null
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -0,0 +1,177 @@
+"""The promises of one request's answer."""
+
+import random
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.entry import budget, engines, forwarding, placing
+from toucanspread.core.entry import data as entry_data
+
+ZONE = data.ZoneName("z1")
+PROFILE = entry_data.ModelProfile(data.ModelName("m"), 4, 8, 1024, 0.3)
+SERVICE = entry_data.Service(data.ServiceName("pool"), PROFILE)
+LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, 4),)
+
+
+def make_route(kind=entry_data.RequestKind.STREAMING, attempts=2, resumable=True):
+    shares = (entry_data.Share(SERVICE.name, 1.0),)
+    return entry_data.Route(
+        "r", "h", "/p/", kind, 6.0, 0.4, 1, shares, attempts, resumable=resumable
+    )
+
+
+def make_entry(name, loaded=LAYERS):
+    return entry_data.EngineEntry(
+        name,
+        SERVICE.name,
+        data.Address(f"10.0.0.1:{len(name)}"),
+        ZONE,
+        16,
+        entry_data.EngineState.READY,
+        loaded=loaded,
+    )
+
+
+class Scene:
+    """Some engines, and the surroundings of decisions."""
+
+    def __init__(self, names=("a", "b", "c"), allowance=1_000.0):
+        self.roster = engines.Roster()
+        for name in names:
+            self.roster.put(make_entry(name))
+        self.spending = budget.Spending(0.2, allowance, 10.0)
+        self.source = random.Random(7)
+        self.minimum_version = 0
+
+    def at(self, now_s):
+        place = placing.Place(ZONE, {ZONE: data.RegionName("g")}, 1)
+        return forwarding.Surroundings(
+            now_s,
+            self.roster,
+            self.spending,
+            place,
+            self.source,
+            self.minimum_version,
+        )
+
+    def forward(self, route, call=None):
+        call = call or entry_data.Call("id", "h", "/p/x", None, 5.0)
+        return forwarding.Forwarding(route, SERVICE, call, 0.0)
+
+
+class ForwardingTest(testtools.TestCase):
+    def assert_only(self, kind, effects):
+        self.assertEqual([kind], [type(effect) for effect in effects])
+        return effects[0]
+
+    def test_what_may_not_be_repeated_runs_once(self):
+        scene = Scene()
+        route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=3)
+        request = scene.forward(route)
+        self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
+        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
+        failed = self.assert_only(forwarding.Fail, effects)
+        self.assertFalse(failed.timed_out)
+
+    def test_a_rejection_lets_it_go_to_another_engine(self):
+        scene = Scene()
+        route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
+        request = scene.forward(route)
+        first = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
+        effects = request.on_failure(scene.at(0.1), forwarding.Failure.REJECTED)
+        second = self.assert_only(forwarding.Dispatch, effects)
+        self.assertNotEqual(first.engine_id, second.engine_id)
+
+    def test_not_run_is_said_only_when_no_engine_may_have_run_it(self):
+        scene = Scene(names=("a",))
+        request = scene.forward(make_route())
+        request.start(scene.at(0.0))
+        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
+        self.assert_only(forwarding.Fail, effects)
+
+    def test_without_an_engine_it_is_refused_at_once(self):
+        scene = Scene(names=())
+        request = scene.forward(make_route())
+        refused = self.assert_only(forwarding.Reject, request.start(scene.at(0.0)))
+        self.assertGreater(refused.retry_after_s, 0)
+
+    def test_a_stream_goes_on_after_its_last_event(self):
+        scene = Scene()
+        request = scene.forward(make_route())
+        request.start(scene.at(0.0))
+        self.assert_only(forwarding.OpenStream, request.on_stream_opened())
+        request.on_events("7")
+        effects = request.on_failure(scene.at(0.5), forwarding.Failure.BROKEN)
+        again = self.assert_only(forwarding.Dispatch, effects)
+        self.assertEqual("7", again.last_event_id)
+        self.assertEqual([], request.on_stream_opened())
+        self.assert_only(forwarding.CloseStream, request.on_answer(scene.at(0.9), 200))
+
+    def test_a_stream_that_may_not_go_on_is_broken_off(self):
+        scene = Scene()
+        request = scene.forward(make_route(resumable=False))
+        request.start(scene.at(0.0))
+        request.on_stream_opened()
+        effects = request.on_failure(scene.at(0.5), forwarding.Failure.BROKEN)
+        self.assert_only(forwarding.BreakStream, effects)
+
+    def test_a_request_runs_on_no_more_engines_than_its_route_allows(self):
+        scene = Scene(names=("a", "b", "c", "d"))
+        request = scene.forward(make_route(attempts=2))
+        request.start(scene.at(0.0))
+        request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
+        effects = request.on_failure(scene.at(0.2), forwarding.Failure.BROKEN)
+        self.assert_only(forwarding.Fail, effects)
+
+    def test_without_budget_a_failure_is_final(self):
+        scene = Scene(allowance=0.0)
+        request = scene.forward(make_route())
+        request.start(scene.at(0.0))
+        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
+        self.assert_only(forwarding.Fail, effects)
+
+    def test_a_failure_of_the_engine_is_tried_elsewhere_before_it_is_passed_on(self):
+        scene = Scene()
+        route = make_route(entry_data.RequestKind.IDEMPOTENT, attempts=2)
+        request = scene.forward(route)
+        request.start(scene.at(0.0))
+        effects = request.on_answer(scene.at(0.1), 500)
+        self.assert_only(forwarding.Dispatch, effects)
+        effects = request.on_answer(scene.at(0.2), 500)
+        self.assert_only(forwarding.Relay, effects)
+
+    def test_time_over_is_told_at_once_and_stops_the_engine(self):
+        scene = Scene()
+        request = scene.forward(make_route())
+        request.start(scene.at(0.0))
+        effects = request.on_time_over(scene.at(6.0))
+        kinds = [type(effect) for effect in effects]
+        self.assertEqual([forwarding.Cancel, forwarding.Fail], kinds)
+        self.assertTrue(effects[1].timed_out)
+
+    def test_a_caller_that_leaves_stops_the_engine(self):
+        scene = Scene()
+        request = scene.forward(make_route())
+        request.start(scene.at(0.0))
+        effects = request.on_caller_left(scene.at(0.2))
+        self.assert_only(forwarding.Cancel, effects)
+        self.assertEqual([], request.on_time_over(scene.at(6.0)))
+
+    def test_the_engine_is_given_what_is_left_of_the_time(self):
+        scene = Scene()
+        call = entry_data.Call("id", "h", "/p/x", None, 2.0)
+        request = scene.forward(make_route(), call)
+        sent = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.5)))
+        self.assertAlmostEqual(1.5, sent.budget_s)
+
+    def test_old_weights_are_not_used_when_newer_ones_are_due(self):
+        scene = Scene(names=("a",))
+        scene.roster.put(
+            make_entry("bb", (entry_data.LoadedLayers(PROFILE.model, 2, 0, 4),))
+        )
+        scene.minimum_version = 2
+        request = scene.forward(make_route())
+        sent = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
+        self.assertEqual("bb", sent.engine_id)
+        self.assertEqual(2, sent.expected_version)
--- a/toucanspread/core/view/following.py
+++ b/toucanspread/core/view/following.py
@@ -70,17 +70,15 @@
         if self._may_lead:
             names.add(self._name)
         order = rendezvous.rank(self._zone, names)
-        sources = []
-        for name in order:
-            if name == self._name:
-                break
-            sources.append(Source(SourceKind.PEER, near[name].address))
+        others = [
+            Source(SourceKind.PEER, near[name].address)
+            for name in order
+            if name != self._name
+        ]
         # A follower has one usual source; the others are for when it fails.
-        usual, spare = sources[:1], sources[1:]
-        if not usual:
-            usual = [STORE]
-        else:
-            spare = [STORE, *spare]
+        usual, spare = [STORE], others
+        if order and order[0] != self._name:
+            usual, spare = others[:1], [STORE, *others[1:]]
         far_order = rendezvous.rank(self._name, far)
         spare.extend(Source(SourceKind.PEER, far[name].address) for name in far_order)
         known = {source.address for source in usual + spare}
--- /dev/null
+++ b/toucanspread/core/view/items_test.py
@@ -0,0 +1,98 @@
+"""Copies of the store agree, whatever way the changes came."""
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.view import following, items
+
+
+def put(key, revision):
+    return items.Change(key, revision, b"%d" % revision)
+
+
+class ViewTest(testtools.TestCase):
+    def test_an_older_change_brings_nothing_back(self):
+        view = items.View()
+        view.apply([put("a", 1)], 1, 0.0)
+        view.apply([items.Change("a", 2)], 2, 0.0)
+        self.assertEqual([], view.apply([put("a", 1)], 1, 0.0))
+        self.assertIsNone(view.get("a"))
+
+    def test_a_whole_copy_removes_what_is_gone(self):
+        view = items.View()
+        view.apply([put("a", 1), put("b", 2)], 2, 0.0)
+        new = view.replace([put("b", 2), put("c", 5)], 6, 1.0)
+        self.assertEqual(["a", "c"], [change.key for change in new])
+        self.assertIsNone(view.get("a"))
+
+    def test_an_older_whole_copy_is_left_aside(self):
+        view = items.View()
+        view.apply([put("a", 9)], 9, 0.0)
+        self.assertEqual([], view.replace([], 4, 1.0))
+        self.assertIsNotNone(view.get("a"))
+
+    def test_a_follower_of_a_follower_ends_with_the_same_copy(self):
+        first, second = items.View(), items.View()
+        first.replace([put("a", 1), put("x/b", 2)], 2, 0.0)
+        for step in range(3, 30):
+            first.apply([put(f"k{step % 5}", step)], step, float(step))
+            after = second.revision
+            excerpt = first.excerpt(after, ("",), float(step))
+            if excerpt.is_whole:
+                second.replace(excerpt.changes, excerpt.revision, float(step))
+            else:
+                second.apply(excerpt.changes, excerpt.revision, float(step))
+        self.assertEqual(first.under(""), second.under(""))
+
+    def test_age_adds_up_over_followers(self):
+        view = items.View()
+        view.apply([put("a", 1)], 1, 10.0)
+        self.assertAlmostEqual(2.5, view.excerpt(1, ("",), 12.5).age_s)
+
+    def test_long_histories_give_way_to_whole_copies(self):
+        view = items.View()
+        view.apply([put("a", 1)], 1, 0.0)
+        for revision in range(2, items.HISTORY_CHANGES + 10):
+            view.apply([put("b", revision)], revision, 0.0)
+        self.assertTrue(view.excerpt(2, ("",), 0.0).is_whole)
+
+
+class ChooserTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.names = [f"e{number}" for number in range(6)]
+
+    def peers(self, without):
+        return [
+            following.Peer(name, data.ZoneName("z"), data.Address(f"{name}:1"))
+            for name in self.names
+            if name != without
+        ]
+
+    def test_one_entry_of_a_zone_asks_the_store(self):
+        asking = []
+        for name in self.names:
+            chooser = following.Chooser(name, data.ZoneName("z"), may_lead=True)
+            source = chooser.choose(self.peers(name), [], 0.0, set())
+            if source == following.STORE:
+                asking.append(name)
+        self.assertEqual(1, len(asking))
+
+    def test_whoever_the_store_turns_away_asks_the_others(self):
+        chooser = following.Chooser("e0", data.ZoneName("z"), may_lead=True)
+        asked = set()
+        for _ in range(10):
+            source = chooser.choose(self.peers("e0"), [], 0.0, set())
+            if source is None:
+                break
+            asked.add(source)
+            chooser.failed(source, 0.0)
+        self.assertIn(following.STORE, asked)
+        self.assertEqual(6, len(asked))
+
+    def test_a_source_that_failed_is_tried_again(self):
+        chooser = following.Chooser("a", data.ZoneName("z"), may_lead=True)
+        chooser.failed(following.STORE, 0.0)
+        self.assertIsNone(chooser.choose([], [], 0.5, set()))
+        later_s = following.SOURCE_PAUSE_S
+        self.assertEqual(following.STORE, chooser.choose([], [], later_s, set()))
--- /dev/null
+++ b/toucanspread/core/weights/sources_test.py
@@ -0,0 +1,35 @@
+"""Every process finds the same owner of a piece."""
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.entry import members
+from toucanspread.core.weights import sources
+
+
+def record(name, region):
+    return members.EntryRecord(name, region, region, f"{name}:1", f"{name}:2", "")
+
+
+ENTRIES = [record(f"{r}-{n}", r) for r in ("r1", "r2") for n in range(4)]
+KEYS = [sources.PieceKey(data.ModelName("m"), 2, number) for number in range(48)]
+
+
+class SourcesTest(testtools.TestCase):
+    def test_one_entry_of_all_takes_a_piece_from_the_origin(self):
+        for key in KEYS:
+            askers = [e for e in ENTRIES if sources.upstream(key, ENTRIES, e.name)]
+            self.assertEqual(len(ENTRIES) - 1, len(askers))
+
+    def test_a_region_asks_its_own_entries_first(self):
+        for key in KEYS:
+            found = sources.holders(key, ENTRIES, "r2")
+            self.assertEqual(["r2"] * 4, [entry.region for entry in found[:4]])
+            self.assertEqual(len(ENTRIES), len(found))
+
+    def test_an_entry_that_goes_takes_only_its_pieces_along(self):
+        left = ENTRIES[1:]
+        for key in KEYS:
+            before = sources.owners(key, ENTRIES)[0]
+            if before is not ENTRIES[0]:
+                self.assertEqual(before, sources.owners(key, left)[0])
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -164,6 +164,7 @@
         self.step = Step.MANIFEST_WANTED
         self.have = set()
         self.coming = set()
+        self.checked_s = float("-inf")
 
     @property
     def missing(self) -> list[int]:
@@ -354,6 +355,8 @@
     def _collect(self, target: Target, now_s: float) -> list:
         if target.left == 0:
             target.step = Step.COLLECTED
+            # What was collected is handed over and checked before any order.
+            target.checked_s = float("-inf")
             return [] if target is self.following else self._order(target, now_s)
         effects = []
         for number in target.missing[: PIECES_AT_ONCE - len(target.coming)]:
--- /dev/null
+++ b/toucanspread/core/weights/staging_test.py
@@ -0,0 +1,172 @@
+"""An engine comes onto the version that was named, whatever happens on the way."""
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.weights import staging, waves
+
+PROFILE = entry_data.ModelProfile(data.ModelName("m"), 4, 6, 1000, 0.3)
+DIGESTS = tuple(f"d{number}" for number in range(6))
+PIECE_S = 0.7
+
+
+class FakeEngine:
+    """Does what the stager asks, and remembers the orders."""
+
+    def __init__(self, stager, version=0):
+        self.stager = stager
+        self.version = version
+        self.born_ms = 1
+        self.collected = []
+        self.staged = {}
+        self.orders = []
+        self.now_s = 0.0
+
+    def report(self, is_busy=False):
+        event = staging.ReportRead(
+            self.version, is_busy, len(self.orders), self.born_ms
+        )
+        return self.stager.on_report(event, self.now_s)
+
+    def run(self, effects, steps=60):
+        """Carry effects out until nothing is left, with a report after each."""
+        pending = list(effects)
+        for _ in range(steps):
+            if not pending:
+                pending = self.report()
+            if not pending:
+                return
+            pending += self.carry_out(pending.pop(0))
+
+    def carry_out(self, effect):
+        match effect:
+            case staging.ReadManifest(version):
+                read = staging.ManifestRead(version, DIGESTS)
+                return self.stager.on_manifest(read, self.now_s)
+            case staging.CollectPiece(version, number):
+                self.collected.append(staging.PieceCollected(version, number))
+                got = staging.PieceCollected(version, number)
+                return self.stager.on_collected(got, self.now_s)
+            case staging.CheckStaged(version):
+                for piece in self.collected:
+                    if piece.version == version:
+                        self.staged[piece.number] = version
+                self.collected = [p for p in self.collected if p.version != version]
+                good = frozenset(n for n, v in self.staged.items() if v == version)
+                checked = staging.StagedChecked(version, good)
+                return self.stager.on_checked(checked, self.now_s)
+            case staging.GiveOrder(version):
+                wrong = [n for n in range(6) if self.staged.get(n) != version]
+                if wrong:
+                    raise AssertionError(f"ordered with wrong pieces: {wrong}")
+                self.orders.append(version)
+                self.version = version
+                answered = staging.OrderAnswered(True)
+                return self.stager.on_order_answered(answered, self.now_s)
+        raise AssertionError(effect)
+
+
+class StagerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stager = staging.Stager(PROFILE, PIECE_S)
+        self.engine = FakeEngine(self.stager)
+
+    def test_an_empty_engine_gets_the_first_version(self):
+        self.engine.run([])
+        self.assertEqual([1], self.engine.orders)
+
+    def test_pieces_that_lie_there_are_not_fetched_again(self):
+        self.engine.staged = dict.fromkeys(range(6), 1)
+        effects = self.engine.report()
+        kinds = []
+        while effects:
+            effect = effects.pop(0)
+            kinds.append(type(effect))
+            effects += self.engine.carry_out(effect)
+        self.assertNotIn(staging.CollectPiece, kinds)
+        self.assertEqual([1], self.engine.orders)
+
+    def test_a_staged_piece_that_rots_before_the_order_is_fetched_again(self):
+        timing = staging.Timing(0.0, 10.0, 20.0)
+        self.engine.version = 1
+        self.engine.report()
+        self.engine.run(self.stager.on_wanted(2, timing, 0.0))
+        self.assertEqual([], self.engine.orders)
+        self.engine.staged[3] = 99
+        self.engine.now_s = 10.0
+        self.engine.run([])
+        self.assertEqual([2], self.engine.orders)
+
+    def test_an_engine_that_was_started_again_is_filled_again(self):
+        self.engine.run([])
+        self.engine.version = 0
+        self.engine.born_ms = 2
+        self.engine.staged = {}
+        self.engine.orders = []
+        self.engine.run([])
+        self.assertEqual([1], self.engine.orders)
+
+    def test_an_order_that_did_nothing_is_given_again(self):
+        effects = self.engine.report()
+        while effects:
+            effect = effects.pop(0)
+            if isinstance(effect, staging.GiveOrder):
+                break
+            effects += self.engine.carry_out(effect)
+        # No answer came, and the engine's report shows nothing of it.
+        self.assertEqual([], self.engine.report())
+        self.engine.now_s = staging.ORDER_SETTLES_S + 0.1
+        self.engine.run([])
+        self.assertEqual([1], self.engine.orders)
+
+    def _name_twice(self, second_s):
+        self.engine.version = 1
+        self.engine.report()
+        due_s = 7.2
+        first = staging.Timing(4.2, 4.4, due_s)
+        effects = self.stager.on_wanted(2, first, 0.0)
+        effects += self.engine.carry_out(effects.pop())
+        effects += self.engine.carry_out(effects.pop())
+        collected = int(second_s / PIECE_S)
+        while effects and collected:
+            effects += self.engine.carry_out(effects.pop(0))
+            collected -= 1
+        second = staging.Timing(second_s + 4.2, second_s + 4.4, second_s + due_s)
+        return effects + self.stager.on_wanted(3, second, second_s)
+
+    def test_a_version_soon_after_another_takes_its_place(self):
+        self._name_twice(2.0)
+        self.assertEqual(3, self.stager.target.version)
+
+    def test_a_version_that_would_come_too_late_waits_for_the_one_before(self):
+        effects = self._name_twice(4.0)
+        self.assertEqual(2, self.stager.target.version)
+        self.assertEqual(3, self.stager.newest)
+        self.engine.now_s = 4.5
+        self.engine.run(effects)
+        self.engine.now_s = 9.0
+        self.engine.run([])
+        self.assertEqual([2, 3], self.engine.orders)
+
+
+class WavesTest(testtools.TestCase):
+    def test_each_zone_keeps_engines_in_every_wave(self):
+        everyone = [
+            waves.Neighbour(data.Address(f"{zone}:{number}"), data.ZoneName(zone))
+            for zone in ("z1", "z2", "z3")
+            for number in range(6)
+        ]
+        for zone in ("z1", "z2", "z3"):
+            found = [waves.wave_of(n, everyone) for n in everyone if n.zone == zone]
+            self.assertEqual({0: 2, 1: 2, 2: 2}, {w: found.count(w) for w in found})
+
+    def test_the_last_wave_is_done_in_time(self):
+        plan = waves.plan(4.0, 7.2, 0.3, waves.MAX_WAVES - 1)
+        self.assertLess(plan.order_after_s + 0.3, 7.2)
+        self.assertGreaterEqual(plan.order_after_s, 4.0)
+
+    def test_links_too_slow_for_waves_leave_no_negative_times(self):
+        plan = waves.plan(20.0, 7.2, 0.3, 2)
+        self.assertGreaterEqual(plan.order_after_s, plan.quiet_after_s)
--- /dev/null
+++ b/toucanspread/ops/http1_test.py
@@ -0,0 +1,216 @@
+"""Both sides of a connection, on transports in memory and a clock of their own."""
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from twisted.internet import error, task
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+
+from toucanspread.ops import http1
+
+REQUEST = (
+    b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc"
+)
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        return
+
+
+class Echo(http1.Handler):
+    """Keeps the requests, and answers when told to."""
+
+    def __init__(self):
+        self.exchanges = []
+        self.leaving = False
+        self.limits = http1.Bounds(1_000, 100, 2.0, 10.0)
+
+    def on_request(self, exchange):
+        self.exchanges.append(exchange)
+
+    def bounds(self):
+        return self.limits
+
+    def is_closing(self):
+        return self.leaving
+
+
+class ServerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.connect()
+
+    def connect(self):
+        self.clock = task.Clock()
+        self.handler = Echo()
+        self.connection = http1.Server(self.handler, self.clock).buildProtocol(None)
+        self.transport = Transport()
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, data):
+        self.connection.dataReceived(data)
+
+    def sent(self):
+        return self.transport.value()
+
+    def test_a_request_in_single_bytes_is_one_request(self):
+        for position in range(len(REQUEST)):
+            self.receive(REQUEST[position : position + 1])
+        (exchange,) = self.handler.exchanges
+        self.assertEqual(b"/a/b?c=d", exchange.head.target)
+        self.assertEqual(b"abc", exchange.body)
+
+    def test_requests_that_come_together_are_answered_in_order(self):
+        self.receive(REQUEST * 2)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.handler.exchanges[0].respond(200, body=b"one")
+        self.clock.advance(0)
+        self.handler.exchanges[1].respond(200, body=b"two")
+        self.assertLess(self.sent().index(b"one"), self.sent().index(b"two"))
+
+    def test_a_broken_answer_does_not_look_complete(self):
+        self.receive(REQUEST)
+        exchange = self.handler.exchanges[0]
+        exchange.start(200, [])
+        exchange.write(b"part")
+        exchange.abort()
+        self.assertFalse(self.sent().endswith(http1.LAST_CHUNK))
+        self.assertTrue(self.transport.disconnected)
+
+    def test_what_exceeds_the_limits_gets_its_status(self):
+        cases = {
+            b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 2_000 + b"\r\n\r\n": b"431",
+            b"GET / HTTP/1.1\r\nA: " + b"a" * 2_000: b"431",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n": b"413",
+            b"nonsense\r\n\r\n": b"400",
+        }
+        for data, status in cases.items():
+            self.connect()
+            self.receive(data)
+            self.assertEqual([], self.handler.exchanges)
+            self.assertTrue(self.sent().startswith(b"HTTP/1.1 " + status), data[:40])
+
+    def test_a_slow_head_times_out_and_an_idle_connection_closes(self):
+        self.receive(b"GET / HT")
+        self.clock.advance(2.1)
+        self.assertIn(b"408", self.sent())
+        self.connect()
+        self.clock.advance(10.1)
+        self.assertEqual(b"", self.sent())
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_caller_that_leaves_is_told(self):
+        self.receive(REQUEST)
+        left = []
+        self.handler.exchanges[0].on_lost = lambda: left.append(True)
+        self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertEqual([True], left)
+
+    def test_a_leaving_entry_says_so_and_closes(self):
+        self.receive(REQUEST)
+        self.handler.leaving = True
+        self.handler.exchanges[0].respond(200)
+        self.assertIn(b"Connection: close", self.sent())
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_two_framings_are_no_request(self):
+        self.receive(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n"
+        )
+        self.assertEqual([], self.handler.exchanges)
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_no_bytes_of_a_caller_do_harm(self, data):
+        self.connect()
+        self.receive(data)
+        self.receive(REQUEST)
+
+
+class Listener(http1.AnswerListener):
+    def __init__(self, own=True):
+        self.own = own
+        self.heads = []
+        self.body = b""
+        self.ends = []
+
+    def on_head(self, head):
+        self.heads.append(head)
+        return self.own or head.get(b"x-id") == b"7"
+
+    def on_piece(self, piece):
+        self.body += piece
+
+    def on_end(self):
+        self.ends.append("end")
+
+    def on_broken(self, how):
+        self.ends.append(how)
+
+
+class ClientTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.connect()
+
+    def connect(self):
+        self.clock = task.Clock()
+        self.connection = http1.ClientConnection(self.clock)
+        self.transport = Transport()
+        self.connection.makeConnection(self.transport)
+        self.listener = Listener()
+        self.connection.send(b"request", self.listener)
+
+    def lose(self, kind):
+        self.connection.connectionLost(failure.Failure(kind()))
+
+    def test_a_whole_answer_leaves_the_connection_free(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        self.assertEqual(["end"], self.listener.ends)
+        self.assertTrue(self.connection.is_free)
+
+    def test_an_answer_shorter_than_its_length_is_broken(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
+        self.lose(error.ConnectionDone)
+        self.assertEqual([http1.Broken.CLOSED], self.listener.ends)
+
+    def test_an_answer_without_length_ends_with_an_orderly_close_only(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nok")
+        self.lose(error.ConnectionDone)
+        self.assertEqual(["end"], self.listener.ends)
+        self.connect()
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nok")
+        self.lose(error.ConnectionLost)
+        self.assertEqual([http1.Broken.RESET], self.listener.ends)
+
+    def test_bytes_after_an_answer_end_the_connection(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.connection.dataReceived(whole + whole)
+        self.assertEqual(["end"], self.listener.ends)
+        self.assertFalse(self.connection.is_free)
+        self.connect()
+        self.connection.dataReceived(whole)
+        self.connection.dataReceived(whole)
+        self.assertFalse(self.connection.is_free)
+
+    def test_the_answer_to_an_earlier_request_is_passed_over(self):
+        self.listener.own = False
+        late = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 4\r\n\r\nlate"
+        own = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nown"
+        self.connection.dataReceived(late + own)
+        self.assertEqual((b"own", ["end"]), (self.listener.body, self.listener.ends))
+
+    def test_what_is_no_answer_breaks_the_request(self):
+        self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
+        self.assertEqual([http1.Broken.MALFORMED], self.listener.ends)
+
+    @hypothesis.given(strategies.binary(max_size=300))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_no_bytes_of_an_engine_give_two_ends(self, data):
+        self.connect()
+        self.connection.dataReceived(data)
+        self.lose(error.ConnectionLost)
+        self.assertEqual(1, len(self.listener.ends))
--- /dev/null
+++ b/toucanspread/platform/decoding_test.py
@@ -0,0 +1,145 @@
+"""What is read from the store becomes the core's records, or names nothing."""
+
+import json
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import knowledge
+from toucanspread.core.view import items
+from toucanspread.platform import decoding
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "heredia-a",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "born": 1771433930076,
+    "models": [
+        {
+            "name": "m",
+            "version": 3,
+            "adapters": [],
+            "layers": [{"from": 0, "to": 4, "version": 3}],
+        }
+    ],
+    "sequence": 4,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Hulo84.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 6000,
+            "slo_ms": 404,
+            "priority": 1,
+            "traffic_split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "attempts": 2,
+            "resume_streams": True,
+            "gap_target_ms": 400,
+        },
+        {
+            "name": "r2",
+            "host": "hulo84.example",
+            "prefix": "/a/b/",
+            "kind": "non_idempotent",
+            "timeout_ms": 800,
+            "service": "s2",
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "engine": {
+                "slots": 16,
+                "models": [{"name": "m", "warmup_s": 0.3}],
+                "step_ms": 8.87,
+                "stride": 5,
+                "read_per_s": 19100.0,
+                "layers": 4,
+                "chunks": 8,
+                "chunk_bytes": 100,
+            },
+        },
+        {"name": "s3", "origin": "172.20.0.3:8006", "link_mbps": 15.0},
+    ],
+    "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 9000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def encoded(value):
+    return json.dumps(value).encode()
+
+
+class DecodingTest(testtools.TestCase):
+    def test_an_entry_becomes_an_engine(self):
+        found = decoding.decode_engine("i-1", encoded(ENTRY))
+        self.assertEqual("10.128.0.9:8080", found.address)
+        self.assertEqual(1.5, found.cold_left_s)
+        self.assertEqual(1771433930076, found.born_ms)
+        profile = decoding.decode_configuration(encoded(CONFIG)).services[0].profile
+        self.assertEqual(3, entry_data.version_of(found.loaded, profile))
+
+    def test_an_engine_with_some_layers_has_no_version(self):
+        part = {**ENTRY["models"][0], "layers": [{"from": 0, "to": 3, "version": 3}]}
+        entry = decoding.decode_engine("i", encoded({**ENTRY, "models": [part]}))
+        profile = decoding.decode_configuration(encoded(CONFIG)).services[0].profile
+        self.assertEqual(0, entry_data.version_of(entry.loaded, profile))
+
+    def test_entries_of_other_writers_name_no_engine(self):
+        others = [
+            b"\xff\xfe",
+            b"[]",
+            b"null",
+            encoded({}),
+            encoded({**ENTRY, "state": "gone"}),
+            encoded({**ENTRY, "slots": "16"}),
+            encoded({**ENTRY, "slots": 0}),
+            encoded({**ENTRY, "address": "here"}),
+            encoded({**ENTRY, "address": None}),
+        ]
+        for value in others:
+            change = items.Change("servers/i-1", 3, value)
+            event = decoding.decode_change(change)
+            self.assertEqual(knowledge.EngineGone("i-1"), event, value)
+
+    @hypothesis.given(strategies.binary(max_size=200))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_no_bytes_in_the_store_stop_the_reader(self, value):
+        for key in ("servers/x", "op/config", "op/version/m", "entries/e", "other"):
+            decoding.decode_change(items.Change(key, 1, value))
+
+    def test_a_configuration_keeps_what_requests_need(self):
+        found = decoding.decode_configuration(encoded(CONFIG))
+        known = knowledge.Knowledge(8.0)
+        known.take(knowledge.ConfigurationSeen(found), 0.0, False)
+        route = known.table.find_route("hulo84.example", "/a/b/c")
+        self.assertEqual("r2", route.name)
+        self.assertFalse(route.is_repeatable)
+        route = known.table.find_route("hulo84.example", "/a/x")
+        self.assertEqual([90, 10], [share.weight for share in route.shares])
+        self.assertTrue(route.is_repeatable)
+        self.assertEqual("t", known.table.find_team("k2").name)
+        self.assertEqual(9.0, found.limits.idle_timeout_s)
+        self.assertEqual("172.20.0.3:8006", known.table.origin_service().origin)
+
+    def test_a_configuration_never_gives_way_to_an_older_one(self):
+        known = knowledge.Knowledge(8.0)
+        for version in (7, 3, 9, 8):
+            older = decoding.decode_configuration(
+                encoded({**CONFIG, "version": version})
+            )
+            known.take(knowledge.ConfigurationSeen(older), 0.0, False)
+        self.assertEqual(9, known.table.version)
