--- a/toucanspread/ops/following.py
+++ b/toucanspread/ops/following.py
@@ -57,15 +57,19 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            now_s = self._pool.reactor.seconds()
-            source = self._chooser.choose(
-                self._peers(), self._seeds(), now_s, self._doubted
-            )
-            if source is None:
-                self._doubted.clear()
-                await asyncio.sleep(following.RETRY_PAUSE_S)
-                continue
-            await self._ask(source)
+            await self.ask_next()
+
+    async def ask_next(self) -> None:
+        """Ask the next source once, or pause when all have failed or are doubted."""
+        now_s = self._pool.reactor.seconds()
+        source = self._chooser.choose(
+            self._peers(), self._seeds(), now_s, self._doubted
+        )
+        if source is None:
+            self._doubted.clear()
+            await asyncio.sleep(following.RETRY_PAUSE_S)
+            return
+        await self._ask(source)
 
     async def _ask(self, source: following.Source) -> None:
         try:
@@ -114,6 +118,7 @@
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
             self._whole_wanted = True
+            await self._read_all()
             return
         now_s = self._pool.reactor.seconds()
         wanted = [c for c in found.changes if c.key.startswith(self._prefixes)]
@@ -139,7 +144,10 @@
         self._publish(new)
 
     async def _fetch_excerpt(self, address: data.Address) -> items.Excerpt:
-        wait_ms = int(following.PEER_WAIT_S * 1000)
+        now_s = self._pool.reactor.seconds()
+        # An old copy wants a newer one, not the next change of another old one.
+        is_old = self.view.age_s(now_s) > following.DOUBT_AGE_S
+        wait_ms = 0 if is_old else int(following.PEER_WAIT_S * 1000)
         query = f"after={self.view.revision}&wait_ms={wait_ms}"
         query += f"&prefixes={','.join(self._prefixes)}"
         head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
--- /dev/null
+++ b/toucanspread/ops/following_test.py
@@ -0,0 +1,106 @@
+"""A process learns what is in the store, also when the store misbehaves."""
+
+import asyncio
+
+import testtools
+from twisted.internet import task
+
+from toucanspread.core import data
+from toucanspread.core.view import following, items
+from toucanspread.ops import following as shell
+from toucanspread.ops import http1_pool, prefix_store
+
+
+class Store(prefix_store.PrefixStore):
+    """Holds one key, and may have forgotten how it came about."""
+
+    def __init__(self):
+        self.is_forgetful = False
+        self.is_away = False
+        self.revision = 1
+
+    def _changes(self):
+        if self.is_away:
+            raise prefix_store.StoreError("away")
+        change = items.Change("op/config", self.revision, b"%d" % self.revision)
+        return prefix_store.Changes([change], self.revision)
+
+    async def read_all(self, prefix):
+        return self._changes()
+
+    async def watch(self, prefix, after, wait_s):
+        if self.is_forgetful:
+            raise prefix_store.HistoryGoneError("gone")
+        found = self._changes()
+        return found if after < self.revision else found._replace(changes=[])
+
+    async def put(self, key, value, lease):
+        raise NotImplementedError
+
+    async def grant(self, ttl_s):
+        raise NotImplementedError
+
+    async def renew(self, lease):
+        raise NotImplementedError
+
+    async def end(self, lease):
+        raise NotImplementedError
+
+
+class Pool(http1_pool.Pool):
+    """Notes which peers are asked, and for how long they may wait."""
+
+    def __init__(self):
+        super().__init__(task.Clock())
+        self.asked = []
+
+    async def call(self, address, head, body=b"", timeout_s=1.0):
+        self.asked.append(head.target.decode())
+        raise http1_pool.CallError(None, "silent")
+
+
+class FollowerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.pool = Pool()
+        self.view = items.View()
+        self.news = []
+        peer = following.Peer("b", data.ZoneName("y"), data.Address("b:1"))
+        self.follower = shell.Follower(
+            self.view,
+            self.store,
+            self.pool,
+            following.Chooser("a", data.ZoneName("z"), may_lead=True),
+            ("op/",),
+            lambda: [peer],
+            list,
+            self.news.extend,
+        )
+
+    def ask(self):
+        """Ask whoever is next, once."""
+        asyncio.run(self.follower.ask_next())
+
+    def test_it_reads_everything_first_and_then_follows(self):
+        self.ask()
+        self.store.revision = 5
+        self.ask()
+        self.assertEqual([1, 5], [change.revision for change in self.news])
+
+    def test_a_store_that_forgot_its_history_is_read_at_once(self):
+        self.ask()
+        self.store.revision = 9
+        self.store.is_forgetful = True
+        self.pool.reactor.advance(following.DOUBT_AGE_S + 1)
+        self.ask()
+        self.assertEqual([1, 9], [change.revision for change in self.news])
+        self.assertEqual([], self.pool.asked)
+
+    def test_whoever_doubts_its_copy_does_not_wait_at_peers(self):
+        self.ask()
+        self.store.is_away = True
+        self.pool.reactor.advance(following.DOUBT_AGE_S + 1)
+        self.ask()
+        self.ask()
+        self.assertIn("wait_ms=0", self.pool.asked[0])
