Ask those whose copy is fresher first when the store turns an entry away

Now leaders of other zones come first, and only a source that has shown a fresh copy may hold a request open.

--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -35,11 +35,12 @@
         self.load_at_s = 0.0
         self.reading_until_s = 0.0
         self.order_at_s: float | None = None
+        self.was_restarted = False
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new requests may be sent to it."""
-        if self.entry.state is not entry_data.EngineState.READY:
+        if self.entry.state is not entry_data.EngineState.READY or self.was_restarted:
             return False
         if self.gone_since_s is None:
             return True
@@ -160,13 +161,16 @@
         """Return an engine, or None."""
         return self._engines.get(engine_id)
 
-    def at(self, address: data.Address, born_ms: int) -> Engine | None:
-        """Return the incarnation of an engine at an address, or None."""
+    def take_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
+        """Take in a load report; one of a later start voids an entry of before."""
         for engine in self._engines.values():
             entry = engine.entry
-            if entry.address == address and entry.born_ms == born_ms:
-                return engine
-        return None
+            if entry.address != load.address:
+                continue
+            if entry.born_ms == load.born_ms:
+                engine.take_load(load, now_s)
+            elif entry.born_ms < load.born_ms:
+                engine.was_restarted = True
 
     def of_service(self, service: data.ServiceName) -> list[Engine]:
         """Return the engines of a service."""
--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -119,9 +119,7 @@
     ) -> None:
         """Take in what another process tells of an engine; late news may be void."""
         if isinstance(report, entry_data.EngineLoad):
-            engine = self.roster.at(report.address, report.born_ms)
-            if engine is not None:
-                engine.take_load(report, now_s)
+            self.roster.take_load(report, now_s)
             return
         engine = self.roster.get(report.engine_id)
         service = self.table.services.get(report.service) if self.table else None
--- a/toucanspread/core/entry/placing_test.py
+++ b/toucanspread/core/entry/placing_test.py
@@ -107,5 +107,11 @@
         later = {self.choose(now_s=engines.AVOID_MAX_S) for _ in range(50)}
         self.assertEqual({"z1-0", "z1-1", "z1-2"}, later)
 
+    def test_an_engine_that_was_started_again_waits_for_its_new_entry(self):
+        for engine in self.roster.of_service(SERVICE.name):
+            restarted = entry_data.EngineLoad(engine.entry.address, 9, 0, 0, 0, False)
+            self.roster.take_load(restarted, 0.0)
+        self.assertIsNone(self.choose())
+
     def test_an_engine_without_the_version_gets_nothing(self):
         self.assertIsNone(self.choose(minimum_version=2))
--- a/toucanspread/core/view/following.py
+++ b/toucanspread/core/view/following.py
@@ -16,6 +16,7 @@
 PEER_WAIT_S = 1.0
 ANSWER_GRACE_S = 0.5  # an answer may be this much later than the wait asked for
 DOUBT_AGE_S = 2.4  # two waits and an answer's way: an older copy is checked elsewhere
+FRESH_AGE_S = 1.3  # the copy of one that follows the store itself is no older
 SOURCE_PAUSE_S = 1.0  # a source that failed is asked again after this
 BATCH_PAUSE_S = 0.1  # changes in quick succession are fetched together
 RETRY_PAUSE_S = 0.15
@@ -61,6 +62,9 @@
         self._zone = zone
         self._may_lead = may_lead
         self._failed_s: dict[Source, float] = {}
+        self._lost: set[Source] = set()
+        self._usual = STORE
+        self._trusted: Source | None = None
 
     def ranked(self, peers: list[Peer], seeds: list[data.Address]) -> list[Source]:
         """Return all sources, the usual one first."""
@@ -78,9 +82,11 @@
         # A follower has one usual source; the others are for when it fails.
         usual, spare = [STORE], others
         if order and order[0] != self._name:
-            usual, spare = others[:1], [STORE, *others[1:]]
-        far_order = rendezvous.rank(self._name, far)
-        spare.extend(Source(SourceKind.PEER, far[name].address) for name in far_order)
+            usual, spare = others[:1], others[1:]
+        # Those that follow this very process know no more than it does.
+        spare = [*_leaders_first(self._name, far), *spare]
+        if usual != [STORE]:
+            spare.insert(0, STORE)
         known = {source.address for source in usual + spare}
         spare.extend(
             Source(SourceKind.PEER, seed) for seed in seeds if seed not in known
@@ -92,15 +98,11 @@
         peers: list[Peer],
         seeds: list[data.Address],
         now_s: float,
-        doubted: set[Source],
     ) -> Source | None:
-        """Return whom to ask next, or None when all failed lately.
-
-        :param doubted: sources whose own copy was too old just now.
-        """
-        for source in self.ranked(peers, seeds):
-            if source in doubted:
-                continue
+        """Return whom to ask next, or None when all were of no use lately."""
+        ranked = self.ranked(peers, seeds)
+        self._usual = ranked[0]
+        for source in ranked:
             failed_s = self._failed_s.get(source)
             if failed_s is None or now_s - failed_s >= SOURCE_PAUSE_S:
                 return source
@@ -108,10 +110,42 @@
 
     def failed(self, source: Source, now_s: float) -> bool:
         """Note that a source did not answer; return whether that is news."""
-        is_news = source not in self._failed_s
+        is_news = source not in self._lost
+        self._lost.add(source)
         self._failed_s[source] = now_s
         return is_news
 
-    def answered(self, source: Source) -> bool:
-        """Note that a source answered; return whether it had failed before."""
-        return self._failed_s.pop(source, None) is not None
+    def answered(self, source: Source, age_s: float, now_s: float) -> bool:
+        """Note that a source answered; return whether it had failed before.
+
+        :param age_s: of this process's copy after the answer.
+        """
+        if age_s <= (DOUBT_AGE_S if source == self._usual else FRESH_AGE_S):
+            self._trusted = source
+            self._failed_s.pop(source, None)
+        else:
+            # It answers, but its copy is of no use for a while.
+            self._failed_s[source] = now_s
+        was_lost = source in self._lost
+        self._lost.discard(source)
+        return was_lost
+
+    def wait_s(self, source: Source, age_s: float) -> float:
+        """Return how long a peer may wait for something new before it answers.
+
+        :param age_s: of this process's copy.
+        """
+        if age_s > DOUBT_AGE_S or source not in (self._usual, self._trusted):
+            return 0.0
+        return PEER_WAIT_S
+
+
+def _leaders_first(name: str, peers: dict[str, Peer]) -> list[Source]:
+    """Return the peers of other zones, those that follow the store first."""
+    zones: dict[data.ZoneName, list[str]] = {}
+    for peer in peers.values():
+        zones.setdefault(peer.zone, []).append(peer.name)
+    leaders = [rendezvous.rank(zone, names)[0] for zone, names in zones.items()]
+    others = [peer for peer in peers if peer not in leaders]
+    order = rendezvous.rank(name, leaders) + rendezvous.rank(name, others)
+    return [Source(SourceKind.PEER, peers[peer].address) for peer in order]
--- a/toucanspread/core/view/items_test.py
+++ b/toucanspread/core/view/items_test.py
@@ -73,7 +73,7 @@
         asking = []
         for name in self.names:
             chooser = following.Chooser(name, data.ZoneName("z"), may_lead=True)
-            source = chooser.choose(self.peers(name), [], 0.0, set())
+            source = chooser.choose(self.peers(name), [], 0.0)
             if source == following.STORE:
                 asking.append(name)
         self.assertEqual(1, len(asking))
@@ -82,7 +82,7 @@
         chooser = following.Chooser("e0", data.ZoneName("z"), may_lead=True)
         asked = set()
         for _ in range(10):
-            source = chooser.choose(self.peers("e0"), [], 0.0, set())
+            source = chooser.choose(self.peers("e0"), [], 0.0)
             if source is None:
                 break
             asked.add(source)
@@ -90,9 +90,24 @@
         self.assertIn(following.STORE, asked)
         self.assertEqual(6, len(asked))
 
+    def test_a_leader_that_is_turned_away_asks_other_zones_before_its_followers(self):
+        far = following.Peer("far", data.ZoneName("y"), data.Address("far:1"))
+        for name in self.names:
+            chooser = following.Chooser(name, data.ZoneName("z"), may_lead=True)
+            peers = [*self.peers(name), far]
+            if chooser.choose(peers, [], 0.0) != following.STORE:
+                continue
+            chooser.failed(following.STORE, 0.0)
+            source = chooser.choose(peers, [], 0.0)
+            self.assertEqual("far:1", source.address)
+            # One whose copy may be as old answers at once, with what it has.
+            self.assertEqual(0.0, chooser.wait_s(source, 0.2))
+            chooser.answered(source, 0.5, 0.0)
+            self.assertEqual(following.PEER_WAIT_S, chooser.wait_s(source, 0.5))
+
     def test_a_source_that_failed_is_tried_again(self):
         chooser = following.Chooser("a", data.ZoneName("z"), may_lead=True)
         chooser.failed(following.STORE, 0.0)
-        self.assertIsNone(chooser.choose([], [], 0.5, set()))
+        self.assertIsNone(chooser.choose([], [], 0.5))
         later_s = following.SOURCE_PAUSE_S
-        self.assertEqual(following.STORE, chooser.choose([], [], later_s, set()))
+        self.assertEqual(following.STORE, chooser.choose([], [], later_s))
--- a/toucanspread/ops/following.py
+++ b/toucanspread/ops/following.py
@@ -51,7 +51,6 @@
         self._peers = peers
         self._seeds = seeds
         self._on_changes = on_changes
-        self._doubted: set[following.Source] = set()
         self._whole_wanted = False
 
     async def run(self) -> None:
@@ -62,11 +61,8 @@
     async def ask_next(self) -> None:
         """Ask the next source once, or pause when all have failed or are doubted."""
         now_s = self._pool.reactor.seconds()
-        source = self._chooser.choose(
-            self._peers(), self._seeds(), now_s, self._doubted
-        )
+        source = self._chooser.choose(self._peers(), self._seeds(), now_s)
         if source is None:
-            self._doubted.clear()
             await asyncio.sleep(following.RETRY_PAUSE_S)
             return
         await self._ask(source)
@@ -76,19 +72,14 @@
             if source.kind is following.SourceKind.STORE:
                 await self._ask_store()
             else:
-                await self._ask_peer(source.address)
+                await self._ask_peer(source)
         except (prefix_store.StoreError, PeerError) as error:
             self._note_failure(source, error)
             await asyncio.sleep(0)
             return
         now_s = self._pool.reactor.seconds()
-        if self._chooser.answered(source):
+        if self._chooser.answered(source, self.view.age_s(now_s), now_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
-        if self.view.age_s(now_s) > following.DOUBT_AGE_S:
-            # It answers, but knows no more than this process does.
-            self._doubted.add(source)
-        else:
-            self._doubted.clear()
 
     def _note_failure(self, source: following.Source, error: Exception) -> None:
         now_s = self._pool.reactor.seconds()
@@ -134,8 +125,11 @@
         wanted = [c for c in found.changes if c.key.startswith(self._prefixes)]
         self._publish(self.view.replace(wanted, found.revision, asked_s))
 
-    async def _ask_peer(self, address: data.Address) -> None:
-        excerpt = await self._fetch_excerpt(address)
+    async def _ask_peer(self, source: following.Source) -> None:
+        age_s = self.view.age_s(self._pool.reactor.seconds())
+        # An old copy wants a newer one, not the next change of another old one.
+        wait_s = self._chooser.wait_s(source, age_s)
+        excerpt = await self._fetch_excerpt(source.address, wait_s)
         confirmed_s = self._pool.reactor.seconds() - excerpt.age_s
         if excerpt.is_whole:
             new = self.view.replace(excerpt.changes, excerpt.revision, confirmed_s)
@@ -143,15 +137,14 @@
             new = self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
         self._publish(new)
 
-    async def _fetch_excerpt(self, address: data.Address) -> items.Excerpt:
-        now_s = self._pool.reactor.seconds()
-        # An old copy wants a newer one, not the next change of another old one.
-        is_old = self.view.age_s(now_s) > following.DOUBT_AGE_S
-        wait_ms = 0 if is_old else int(following.PEER_WAIT_S * 1000)
+    async def _fetch_excerpt(
+        self, address: data.Address, wait_s: float
+    ) -> items.Excerpt:
+        wait_ms = int(wait_s * 1000)
         query = f"after={self.view.revision}&wait_ms={wait_ms}"
         query += f"&prefixes={','.join(self._prefixes)}"
         head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
-        timeout_s = following.PEER_WAIT_S + following.ANSWER_GRACE_S
+        timeout_s = wait_s + following.ANSWER_GRACE_S
         if self.view.is_empty:
             timeout_s += FETCH_TIMEOUT_S
         try:
