--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -34,6 +34,7 @@
 LIST_TTL_S = 2.0  # a stopping entry is out of callers' lists after this
 STORE_AWAY_S = 5.0  # records that vanish this soon after an outage may have lapsed
 ACCEPT_AFTER_TERM_S = 2.5  # callers with an older list still come
+SETTLING_S = 2.0  # after a first start, all entries know each other
 END_MARGIN_S = 0.5  # before the platform kills the process
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -236,6 +237,8 @@
         reactor.listenUDP(int(port), self._reports, interface=host)
         loop.spawn(self._follower.run())
         loop.spawn(self._registration.run())
+        if self.told.bootstrap:
+            reactor.callLater(SETTLING_S, self._take_first_version)
         task.LoopingCall(self._keep_house).start(HOUSEKEEPING_S, now=False)
         self._settings_file.start()
         logs.write("started", address=listen.front, zone=self.told.zone)
@@ -307,10 +310,26 @@
             revision=change.revision,
         )
         if isinstance(event, knowledge.VersionNamed):
-            piece_s = 0.0
-            if self.known.table is not None:
-                piece_s = self.known.table.origin_piece_s(event.model)
-            loop.spawn(self.pieces.take_owned(event.model, event.version, piece_s))
+            self._take_owned(event.model, event.version)
+
+    def _take_first_version(self) -> None:
+        """Fetch the weights in use, so that engines that are added can be filled.
+
+        The origin may be away by the time they come.
+        """
+        if self.known.table is None:
+            reactor.callLater(SETTLING_S, self._take_first_version)
+            return
+        for service in self.known.table.services.values():
+            if service.profile is not None:
+                model = service.profile.model
+                self._take_owned(model, self.known.named(model).newest)
+
+    def _take_owned(self, model: data.ModelName, version: int) -> None:
+        piece_s = 0.0
+        if self.known.table is not None:
+            piece_s = self.known.table.origin_piece_s(model)
+        loop.spawn(self.pieces.take_owned(model, version, piece_s))
 
     def _keep_house(self) -> None:
         now_s = reactor.seconds()
--- a/toucanspread/platform/settings.py
+++ b/toucanspread/platform/settings.py
@@ -61,6 +61,7 @@
 
     :param app: the engine on the same machine; empty where there is none.
     :param service: of that engine.
+    :param bootstrap: whether the whole system starts for the first time.
     """
 
     node_name: str
@@ -76,6 +77,7 @@
     limits: Limits = Limits()
     app: str = ""
     service: str = ""
+    bootstrap: bool = False
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
