--- a/toucanspread/core/weights/sources.py
+++ b/toucanspread/core/weights/sources.py
@@ -13,6 +13,7 @@
 from toucanspread.core import data, rendezvous
 from toucanspread.core.entry import members
 
+MORE_HOLDERS = 3  # beyond one a region, they hold a piece only by chance
 MANIFEST = -1  # the number under which a manifest is placed among the entries
 
 
@@ -47,6 +48,27 @@
     return near + far
 
 
+def is_kept_by(
+    key: PieceKey, entries: Iterable[members.EntryRecord], name: str
+) -> bool:
+    """Tell whether an entry keeps a piece without being asked: one a region does."""
+    firsts = {entry.region: entry for entry in reversed(owners(key, entries))}
+    return any(entry.name == name for entry in firsts.values())
+
+
+def spare_holders(
+    key: PieceKey, entries: Iterable[members.EntryRecord], name: str
+) -> list[members.EntryRecord]:
+    """Return the other entries that may hold a piece, the likeliest first.
+
+    An owner that has just become one finds it there when the origin is away.
+    """
+    ranked = [entry for entry in owners(key, entries) if entry.name != name]
+    firsts = {entry.region: entry for entry in reversed(ranked)}
+    likely = [entry for entry in ranked if entry in firsts.values()]
+    return likely + [entry for entry in ranked if entry not in likely][:MORE_HOLDERS]
+
+
 def upstream(
     key: PieceKey, entries: Iterable[members.EntryRecord], name: str
 ) -> members.EntryRecord | None:
--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -89,7 +89,7 @@
     async def take_owned(
         self, model: data.ModelName, version: int, piece_s: float
     ) -> None:
-        """Fetch the pieces of a new version that this entry owns.
+        """Fetch the pieces of a new version that this entry keeps for its region.
 
         The origin may go away soon after a version is named. All owners together
         keep its link just busy: if all pieces came at once, none would be whole
@@ -105,7 +105,7 @@
             return
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
-            if sources.upstream(key, self._entries(), self._name) is None:
+            if sources.is_kept_by(key, self._entries(), self._name):
                 loop.spawn(self._take(key, number * piece_s))
 
     async def _take(self, key: sources.PieceKey, after_s: float) -> None:
@@ -124,19 +124,40 @@
         await asyncio.shield(task)
 
     async def _load_digests(self, key: sources.PieceKey) -> None:
-        self._digests[key] = await self._digests_from_peer(key) or (
-            await self._origin.read_digests(key.model, key.version)
-        )
-
-    async def _digests_from_peer(self, key: sources.PieceKey) -> tuple[str, ...]:
         owner = sources.upstream(key, self._entries(), self._name)
-        if owner is None:
-            return ()
+        found = ()
+        if owner is not None:
+            found = await self._digests_from([owner], key, held=False)
+        if not found:
+            found = await self._digests_from_origin(key)
+        self._digests[key] = found
+
+    async def _digests_from_origin(self, key: sources.PieceKey) -> tuple[str, ...]:
         try:
-            return await fetch_digests(self._pool, owner.control, key)
+            return await self._origin.read_digests(key.model, key.version)
         except PieceError as error:
-            logs.write("owner_failed", piece=key.text, owner=owner.name, why=str(error))
-            return ()
+            logs.write("origin_failed", piece=key.text, why=str(error))
+            spare = sources.spare_holders(key, self._entries(), self._name)
+            found = await self._digests_from(spare, key, held=True)
+            if not found:
+                raise
+            return found
+
+    async def _digests_from(
+        self, entries: list[members.EntryRecord], key: sources.PieceKey, held: bool
+    ) -> tuple[str, ...]:
+        for entry in entries:
+            try:
+                return await fetch_digests(self._pool, entry.control, key, held)
+            except PieceError as error:
+                logs.write(
+                    "owner_failed", piece=key.text, owner=entry.name, why=str(error)
+                )
+        return ()
+
+    def held_digests(self, key: sources.PieceKey) -> tuple[str, ...] | None:
+        """Return a version's digests if they are in memory now."""
+        return self._digests.get(key)
 
     async def _load_piece(self, key: sources.PieceKey) -> None:
         digests = await self.digests(key.model, key.version)
@@ -164,11 +185,33 @@
                 piece = await self._origin.read_piece(key)
             except PieceError as error:
                 logs.write("origin_failed", piece=key.text, why=str(error))
+            else:
+                if is_right(piece, digest):
+                    return piece
+                logs.write("piece_spoilt", piece=key.text, source="origin")
+            held = await self._piece_held_elsewhere(key, digest)
+            if held is not None:
+                return held
+        raise PieceError(f"{key.text}: the origin has not delivered it")
+
+    async def _piece_held_elsewhere(
+        self, key: sources.PieceKey, digest: str
+    ) -> bytes | None:
+        """Return a piece that another entry happens to hold, or None."""
+        for entry in sources.spare_holders(key, self._entries(), self._name):
+            try:
+                piece = await fetch_piece(self._pool, entry.control, key, held=True)
+            except PieceError as error:
+                logs.write("not_held", piece=key.text, at=entry.name, why=str(error))
                 continue
             if is_right(piece, digest):
                 return piece
-            logs.write("piece_spoilt", piece=key.text, source="origin")
-        raise PieceError(f"{key.text}: the origin has not delivered it")
+            logs.write("piece_spoilt", piece=key.text, source=entry.name)
+        return None
+
+    def held(self, key: sources.PieceKey) -> bytes | None:
+        """Return a piece if it is in memory now."""
+        return self._pieces.get(key)
 
     def _forget_before(self, model: data.ModelName, version: int) -> None:
         oldest = version - VERSIONS_KEPT + 1
@@ -184,24 +227,28 @@
 
 
 async def fetch_piece(
-    pool: http1_pool.Pool, address: str, key: sources.PieceKey
+    pool: http1_pool.Pool, address: str, key: sources.PieceKey, held: bool = False
 ) -> bytes:
     """Return a piece from another process, not checked.
 
+    :param held: only if it is in that process's memory now.
     :raises PieceError: when it does not hand it on.
     """
     query = f"model={key.model}&version={key.version}&number={key.number}"
+    query += f"&held={held:d}"
     return (await _fetch(pool, address, f"{PIECE_TARGET}?{query}")).body
 
 
 async def fetch_digests(
-    pool: http1_pool.Pool, address: str, key: sources.PieceKey
+    pool: http1_pool.Pool, address: str, key: sources.PieceKey, held: bool = False
 ) -> tuple[str, ...]:
     """Return a version's digests from another process.
 
+    :param held: only if they are in that process's memory now.
     :raises PieceError: when it does not hand them on.
     """
     target = f"{MANIFEST_TARGET}?model={key.model}&version={key.version}"
+    target += f"&held={held:d}"
     reply = await _fetch(pool, address, target)
     try:
         return msgspec.msgpack.decode(reply.body, type=tuple[str, ...])
--- /dev/null
+++ b/toucanspread/ops/pieces_test.py
@@ -0,0 +1,145 @@
+"""Entries get pieces once from the origin, and from each other while it is away."""
+
+import asyncio
+import hashlib
+
+import msgspec
+import testtools
+from twisted.internet import task
+
+from toucanspread.core import data
+from toucanspread.core.entry import members
+from toucanspread.core.weights import sources
+from toucanspread.ops import http1_pool, pieces
+
+MODEL = data.ModelName("m")
+BYTES = [b"piece %d" % number for number in range(12)]
+DIGESTS = tuple(hashlib.sha256(piece).hexdigest() for piece in BYTES)
+
+
+class Origin(pieces.WeightsOrigin):
+    def __init__(self):
+        self.is_away = False
+        self.spoilt = set()
+        self.reads = []
+
+    async def read_digests(self, model, version):
+        self._check()
+        return DIGESTS
+
+    async def read_piece(self, key):
+        self._check()
+        self.reads.append(key.number)
+        if key.number in self.spoilt:
+            self.spoilt.discard(key.number)
+            return b"spoilt"
+        return BYTES[key.number]
+
+    def _check(self):
+        if self.is_away:
+            raise pieces.PieceError("away")
+
+
+class Network:
+    """Some entries with caches that reach each other without sockets."""
+
+    def __init__(self, names):
+        self.origin = Origin()
+        self.records = [
+            members.EntryRecord(name, name[:2], name[:2], "", f"{name}:1", "")
+            for name in names
+        ]
+        self.caches = {
+            name: pieces.PieceCache(
+                name, Pool(self), self.origin, lambda: list(self.records)
+            )
+            for name in names
+        }
+
+    def cut(self, name):
+        self.records = [record for record in self.records if record.name != name]
+
+
+class Pool(http1_pool.Pool):
+    def __init__(self, network):
+        super().__init__(task.Clock())
+        self._network = network
+
+    async def call(self, address, head, body=b"", timeout_s=1.0):
+        cache = self._network.caches[address.partition(":")[0]]
+        target, _, query = head.target.decode().partition("?")
+        wanted = dict(item.split("=") for item in query.split("&"))
+        held = wanted["held"] == "1"
+        number = int(wanted.get("number", sources.MANIFEST))
+        key = sources.PieceKey(MODEL, int(wanted["version"]), number)
+        try:
+            if target == pieces.MANIFEST_TARGET:
+                found = cache.held_digests(key) if held else None
+                found = found or (None if held else await cache.digests(MODEL, 2))
+                payload = msgspec.msgpack.encode(found)
+            else:
+                found = cache.held(key) if held else await cache.piece(key)
+                payload = found
+        except pieces.PieceError:
+            return http1_pool.Reply(503, None, b"")
+        if found is None:
+            return http1_pool.Reply(404, None, b"")
+        return http1_pool.Reply(200, None, payload)
+
+
+class PieceCacheTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.network = Network([f"{r}-{n}" for r in ("r1", "r2") for n in range(3)])
+        self.patch(pieces.loop, "spawn", asyncio.ensure_future)
+        self.patch(pieces, "ORIGIN_PAUSE_S", 0.0)
+
+    async def _name(self):
+        """Let every entry hear of version 2."""
+        caches = self.network.caches.values()
+        await asyncio.gather(*(c.take_owned(MODEL, 2, 0.0) for c in caches))
+        for _ in range(50):
+            await asyncio.sleep(0)
+
+    def test_the_origin_gives_one_copy(self):
+        async def play():
+            await self._name()
+            for cache in self.network.caches.values():
+                for number in range(len(BYTES)):
+                    key = sources.PieceKey(MODEL, 2, number)
+                    self.assertEqual(BYTES[number], await cache.piece(key))
+
+        asyncio.run(play())
+        self.assertEqual(list(range(len(BYTES))), sorted(self.network.origin.reads))
+
+    def test_a_spoilt_piece_is_read_again(self):
+        self.network.origin.spoilt = {3, 5}
+
+        async def play():
+            await self._name()
+            for cache in self.network.caches.values():
+                self.assertEqual(
+                    BYTES[3], await cache.piece(sources.PieceKey(MODEL, 2, 3))
+                )
+
+        asyncio.run(play())
+
+    def test_a_new_owner_finds_its_pieces_while_the_origin_is_away(self):
+        async def play():
+            await self._name()
+            self.network.origin.is_away = True
+            self.network.cut("r1-0")
+            for record in self.network.records:
+                cache = self.network.caches[record.name]
+                for number in range(len(BYTES)):
+                    key = sources.PieceKey(MODEL, 2, number)
+                    self.assertEqual(BYTES[number], await cache.piece(key))
+
+        asyncio.run(play())
+
+    def test_without_origin_and_copies_it_says_so(self):
+        self.network.origin.is_away = True
+        cache = self.network.caches["r1-1"]
+        key = sources.PieceKey(MODEL, 2, 0)
+        with testtools.ExpectedException(pieces.PieceError):
+            asyncio.run(cache.piece(key))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -137,10 +137,11 @@
         except (KeyError, ValueError):
             exchange.respond(400)
             return
+        held = wanted.get("held") == "1"
         if path == pieces.PIECE_TARGET:
-            loop.spawn(self._send_piece(exchange, key))
+            loop.spawn(self._send_piece(exchange, key, held))
         elif path == pieces.MANIFEST_TARGET:
-            loop.spawn(self._send_manifest(exchange, key))
+            loop.spawn(self._send_manifest(exchange, key, held))
         else:
             exchange.respond(404)
 
@@ -152,7 +153,12 @@
         """Tell whether this entry is about to end."""
         return self._entry.is_leaving
 
-    async def _send_piece(self, exchange: http1.Exchange, key: sources.PieceKey):
+    async def _send_piece(
+        self, exchange: http1.Exchange, key: sources.PieceKey, held: bool
+    ) -> None:
+        if held and self._entry.pieces.held(key) is None:
+            exchange.respond(404)
+            return
         try:
             piece = await self._entry.pieces.piece(key)
         except pieces.PieceError as error:
@@ -161,7 +167,12 @@
             return
         exchange.respond(200, body=piece)
 
-    async def _send_manifest(self, exchange: http1.Exchange, key: sources.PieceKey):
+    async def _send_manifest(
+        self, exchange: http1.Exchange, key: sources.PieceKey, held: bool
+    ) -> None:
+        if held and self._entry.pieces.held_digests(key) is None:
+            exchange.respond(404)
+            return
         try:
             digests = await self._entry.pieces.digests(key.model, key.version)
         except pieces.PieceError as error:
