--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -7,8 +7,9 @@
 answer shows in the engine's next report.
 
 A version may be named before the one before it is on the engine. The older one is
-finished only where the newer one could not take its place in time; the pieces of the
-newer one are collected meanwhile.
+finished first where both can be there in time, for the newer one's pieces may not be
+to be had: the origin may go away right after it is named. The pieces of the newer one
+are collected meanwhile.
 """
 
 import enum
@@ -324,11 +325,9 @@
         whole_s = len(current.digests) * self._piece_s
         left_s = current.left * self._piece_s
         load_s = self.profile.warmup_s
-        if now_s + whole_s + load_s <= current.timing.due_s:
-            return False
         if now_s + left_s + load_s > current.timing.due_s:
             return False
-        return now_s + left_s + whole_s + 2 * load_s <= newer.timing.due_s
+        return now_s + left_s + whole_s + load_s <= newer.timing.due_s
 
     def _next(self, now_s: float) -> list:
         if self._report is None or self._is_done:
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -136,10 +136,15 @@
         second = staging.Timing(second_s + 4.2, second_s + 4.4, second_s + due_s)
         return effects + self.stager.on_wanted(3, second, second_s)
 
-    def test_a_version_soon_after_another_takes_its_place(self):
-        self._name_twice(2.0)
+    def test_a_version_right_after_another_takes_its_place(self):
+        self._name_twice(1.0)
         self.assertEqual(3, self.stager.target.version)
 
+    def test_a_version_that_both_can_be_in_time_for_waits_for_the_one_before(self):
+        self._name_twice(2.2)
+        self.assertEqual(2, self.stager.target.version)
+        self.assertEqual(3, self.stager.newest)
+
     def test_a_version_that_would_come_too_late_waits_for_the_one_before(self):
         effects = self._name_twice(4.0)
         self.assertEqual(2, self.stager.target.version)
--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -22,6 +22,7 @@
 VERSIONS_KEPT = 2  # the one in use and the one before it
 ORIGIN_TRIES = 3
 ORIGIN_PAUSE_S = 0.2
+TAKE_AGAIN_S = 1.0  # an origin that starts with the system, or is away, comes back
 
 
 class PieceError(Exception):
@@ -65,6 +66,7 @@
         self._entries = entries
         self._pieces: dict[sources.PieceKey, bytes] = {}
         self._digests: dict[sources.PieceKey, tuple[str, ...]] = {}
+        self._newest: dict[data.ModelName, int] = {}
         self._coming: dict[sources.PieceKey, asyncio.Task] = {}
 
     async def digests(self, model: data.ModelName, version: int) -> tuple[str, ...]:
@@ -98,11 +100,7 @@
         :param piece_s: what the origin's link needs for a piece.
         """
         self._forget_before(model, version)
-        try:
-            digests = await self.digests(model, version)
-        except PieceError as error:
-            logs.write("manifest_missing", model=model, version=version, why=str(error))
-            return
+        digests = await self._retried_digests(model, version)
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
             if sources.is_kept_by(key, self._entries(), self._name):
@@ -110,15 +108,34 @@
 
     async def _take(self, key: sources.PieceKey, after_s: float) -> None:
         await asyncio.sleep(after_s)
-        try:
-            await self.piece(key)
-        except PieceError as error:
-            logs.write("piece_missing", piece=key.text, why=str(error))
+        while not self._is_superseded(key):
+            try:
+                await self.piece(key)
+                return
+            except PieceError as error:
+                logs.write("piece_missing", piece=key.text, why=str(error))
+            await asyncio.sleep(TAKE_AGAIN_S)
+
+    async def _retried_digests(
+        self, model: data.ModelName, version: int
+    ) -> tuple[str, ...]:
+        """Return a version's digests once they can be had; none if a newer came."""
+        key = sources.PieceKey(model, version, sources.MANIFEST)
+        while not self._is_superseded(key):
+            try:
+                return await self.digests(model, version)
+            except PieceError as error:
+                logs.write("manifest_missing", piece=key.text, why=str(error))
+            await asyncio.sleep(TAKE_AGAIN_S)
+        return ()
+
+    def _is_superseded(self, key: sources.PieceKey) -> bool:
+        return key.version < self._newest.get(key.model, 0)
 
     async def _once(self, key: sources.PieceKey, load) -> None:
         task = self._coming.get(key)
         if task is None:
-            task = loop.spawn(load(key))
+            task = asyncio.ensure_future(load(key))
             self._coming[key] = task
             task.add_done_callback(lambda _: self._coming.pop(key, None))
         await asyncio.shield(task)
@@ -214,6 +231,7 @@
         return self._pieces.get(key)
 
     def _forget_before(self, model: data.ModelName, version: int) -> None:
+        self._newest[model] = max(version, self._newest.get(model, 0))
         oldest = version - VERSIONS_KEPT + 1
         for held in (self._pieces, self._digests):
             for key in list(held):
--- a/toucanspread/ops/pieces_test.py
+++ b/toucanspread/ops/pieces_test.py
@@ -137,6 +137,30 @@
 
         asyncio.run(play())
 
+    def test_an_origin_that_comes_late_is_asked_again(self):
+        self.patch(pieces, "TAKE_AGAIN_S", 0.0)
+        self.network.origin.is_away = True
+
+        async def play():
+            cache = self.network.caches["r1-1"]
+            taking = asyncio.ensure_future(cache.take_owned(MODEL, 2, 0.0))
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.network.origin.is_away = False
+            await taking
+            for _ in range(50):
+                await asyncio.sleep(0)
+            kept = [
+                key
+                for key in (sources.PieceKey(MODEL, 2, n) for n in range(len(BYTES)))
+                if sources.is_kept_by(key, self.network.records, "r1-1")
+            ]
+            self.assertNotEqual([], kept)
+            for key in kept:
+                self.assertEqual(BYTES[key.number], cache.held(key))
+
+        asyncio.run(play())
+
     def test_without_origin_and_copies_it_says_so(self):
         self.network.origin.is_away = True
         cache = self.network.caches["r1-1"]
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -16,6 +16,7 @@
 from toucanspread.core.weights import sources, staging
 from toucanspread.ops import engine_control, http1_pool, logs, loop, pieces, tallies
 
+HOLDERS_ASKED = 3  # each asks the others; then what failed is tried again later
 REPORT_INTERVAL_S = 0.2  # a request's first event takes about as long
 QUIET_LOAD_INTERVAL_S = 0.6  # an unchanged load is repeated within its usable age
 
@@ -178,7 +179,8 @@
 
     async def _collect_piece(self, effect: staging.CollectPiece) -> None:
         key = sources.PieceKey(self._model, effect.version, effect.number)
-        for holder in sources.holders(key, self._entries(), self._region):
+        ranked = sources.holders(key, self._entries(), self._region)
+        for holder in ranked[:HOLDERS_ASKED]:
             if self._is_given_up(effect.version):
                 return
             try:
