Count a version's time from when it may have been named; explain a request from logs

A process that was started or cut off used older weights for the whole allowed time from when it heard of the newer ones. Copies of the store know when they were last without a change; a process that has just come back gets a moment.

--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -4,12 +4,16 @@
 module. A configuration never gives way to an older one within a process's life.
 """
 
+from typing import NamedTuple
+
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import engines, members, routes
+from toucanspread.core.view import following
 
 INITIAL_VERSION = 1  # of weights, until the operator names another
-VERSION_MARGIN_S = 0.8  # the change's way here, and a request's way to its engine
+VERSION_MARGIN_S = 0.4  # a request's way to its engine, and its wait there
+AT_REST_S = 2.6  # a process that has just come back is not held to older news yet
 
 
 class ConfigurationSeen(data.Event):
@@ -37,6 +41,27 @@
     version: int
 
 
+class News(NamedTuple):
+    """When a change was heard of, and since when it may have been in force.
+
+    :param earliest_s: when the copy of the store was last known to be without it.
+    """
+
+    heard_s: float
+    earliest_s: float
+
+    def due_s(self, within_s: float) -> float:
+        """Return when a change has to be carried out.
+
+        Whoever was away for longer than a follower's copy ever is was started or cut
+        off, and has a moment to come back.
+        """
+        due_s = self.earliest_s + within_s
+        if self.heard_s - self.earliest_s <= following.DOUBT_AGE_S:
+            return due_s
+        return max(due_s, self.heard_s + AT_REST_S)
+
+
 class EntrySeen(data.Event):
     """An entry has written its record."""
 
@@ -50,18 +75,18 @@
 
 
 class Named:
-    """The newest version of a model, and when each was first heard of."""
+    """The newest version of a model, and what is known of when each was named."""
 
     def __init__(self):
         self.newest = INITIAL_VERSION
-        self._since_s: dict[int, float] = {}
+        self._news: dict[int, News] = {}
 
-    def name(self, version: int, now_s: float) -> bool:
+    def name(self, version: int, news: News) -> bool:
         """Take in a version; return whether it is newer than all before."""
         if version <= self.newest:
             return False
         self.newest = version
-        self._since_s[version] = now_s
+        self._news[version] = news
         return True
 
     def minimum(self, now_s: float, within_s: float) -> int:
@@ -71,15 +96,11 @@
         """
         due = [
             version
-            for version, since_s in self._since_s.items()
-            if now_s - since_s >= within_s
+            for version, news in self._news.items()
+            if now_s >= news.due_s(within_s)
         ]
         return max(due, default=0)
 
-    def is_changing(self, now_s: float, within_s: float) -> bool:
-        """Tell whether older versions than the newest may still be in use."""
-        return self.minimum(now_s, within_s) < self.newest and bool(self._since_s)
-
 
 class Knowledge:
     """All of it.
@@ -94,11 +115,12 @@
         self._version_within_s = max(version_within_s - VERSION_MARGIN_S, 0.0)
         self._named: dict[data.ModelName, Named] = {}
 
-    def take(self, event: data.Event, now_s: float, store_was_away: bool) -> bool:
+    def take(self, event: data.Event, news: News, store_was_away: bool) -> bool:
         """Take in a change; return whether it changed what the entry believes.
 
         :param store_was_away: whether records may have lapsed without cause.
         """
+        now_s = news.heard_s
         match event:
             case ConfigurationSeen(configuration):
                 return self._configure(configuration)
@@ -107,7 +129,7 @@
             case EngineGone(engine_id):
                 self.roster.remove(engine_id, now_s)
             case VersionNamed(model, version):
-                return self.named(model).name(version, now_s)
+                return self.named(model).name(version, news)
             case EntrySeen(record):
                 self.members.put(record)
             case EntryGone(name):
--- /dev/null
+++ b/toucanspread/core/entry/knowledge_test.py
@@ -0,0 +1,49 @@
+"""When older weights may no longer be used."""
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import knowledge
+
+MODEL = data.ModelName("m")
+SERVICE = entry_data.Service(
+    data.ServiceName("s"), entry_data.ModelProfile(MODEL, 4, 8, 1, 0.3)
+)
+WITHIN_S = 8.0
+
+
+class VersionsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.known = knowledge.Knowledge(WITHIN_S)
+
+    def name(self, version, heard_s, earliest_s):
+        news = knowledge.News(heard_s, earliest_s)
+        named = knowledge.VersionNamed(MODEL, version)
+        return self.known.take(named, news, False)
+
+    def minimum(self, now_s):
+        return self.known.minimum_version(SERVICE, now_s)
+
+    def test_the_time_counts_from_when_it_may_have_been_named(self):
+        self.name(2, heard_s=101.0, earliest_s=100.0)
+        self.assertEqual(0, self.minimum(107.0))
+        self.assertEqual(2, self.minimum(100.0 + WITHIN_S - 0.01))
+
+    def test_each_version_has_its_own_time(self):
+        self.name(2, 100.0, 100.0)
+        self.name(3, 104.0, 104.0)
+        self.assertEqual(2, self.minimum(109.0))
+        self.assertEqual(3, self.minimum(113.0))
+        self.assertEqual(3, self.known.named(MODEL).newest)
+
+    def test_a_process_that_was_started_uses_older_weights_for_a_moment_only(self):
+        self.name(3, heard_s=50.0, earliest_s=float("-inf"))
+        self.assertEqual(0, self.minimum(50.0))
+        self.assertEqual(3, self.minimum(53.0))
+
+    def test_an_older_version_changes_nothing(self):
+        self.name(3, 100.0, 100.0)
+        self.assertFalse(self.name(2, 101.0, 101.0))
+        self.assertEqual(3, self.known.named(MODEL).newest)
--- a/toucanspread/ops/following.py
+++ b/toucanspread/ops/following.py
@@ -44,6 +44,7 @@
     ):
         self.view = view
         self.store_failed_s = float("-inf")
+        self.confirmed_before_s = float("-inf")
         self._store = store
         self._pool = pool
         self._chooser = chooser
@@ -61,6 +62,7 @@
     async def ask_next(self) -> None:
         """Ask the next source once, or pause when all have failed or are doubted."""
         now_s = self._pool.reactor.seconds()
+        self.confirmed_before_s = self.view.confirmed_s
         source = self._chooser.choose(self._peers(), self._seeds(), now_s)
         if source is None:
             await asyncio.sleep(following.RETRY_PAUSE_S)
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -75,7 +75,9 @@
         decoded = decoding_test.decoding.decode_configuration(
             decoding_test.encoded(config)
         )
-        self.known.take(knowledge.ConfigurationSeen(decoded), 0.0, False)
+        self.known.take(
+            knowledge.ConfigurationSeen(decoded), knowledge.News(0.0, 0.0), False
+        )
         for service in ("s1", "s2"):
             for number in (1, 2):
                 self.add_engine(service, number)
@@ -105,7 +107,7 @@
             entry_data.EngineState.READY,
             loaded=loaded,
         )
-        self.known.take(knowledge.EngineSeen(entry), 0.0, False)
+        self.known.take(knowledge.EngineSeen(entry), knowledge.News(0.0, 0.0), False)
 
     def ask(self, request=REQUEST):
         self.connection.dataReceived(request)
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -124,7 +124,7 @@
     def test_a_configuration_keeps_what_requests_need(self):
         found = decoding.decode_configuration(encoded(CONFIG))
         known = knowledge.Knowledge(8.0)
-        known.take(knowledge.ConfigurationSeen(found), 0.0, False)
+        known.take(knowledge.ConfigurationSeen(found), knowledge.News(0.0, 0.0), False)
         route = known.table.find_route("hulo84.example", "/a/b/c")
         self.assertEqual("r2", route.name)
         self.assertFalse(route.is_repeatable)
@@ -141,5 +141,7 @@
             older = decoding.decode_configuration(
                 encoded({**CONFIG, "version": version})
             )
-            known.take(knowledge.ConfigurationSeen(older), 0.0, False)
+            known.take(
+                knowledge.ConfigurationSeen(older), knowledge.News(0.0, 0.0), False
+            )
         self.assertEqual(9, known.table.version)
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -303,12 +303,13 @@
 
     def _on_changes(self, changes: list[items.Change]) -> None:
         now_s = reactor.seconds()
+        news = knowledge.News(now_s, self._follower.confirmed_before_s)
         away = now_s - self._follower.store_failed_s < STORE_AWAY_S
         for change in changes:
             event = decoding.decode_change(change)
             if event is None:
                 continue
-            if self.known.take(event, now_s, away):
+            if self.known.take(event, news, away):
                 self._note(event, change)
         self.excerpts.wake()
 
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -22,6 +22,8 @@
 
 HOUSEKEEPING_S = 0.5
 RETRY_PAUSE_S = 0.4
+# An entry's margin, the age of its copy, and a report's way to it.
+SWITCHED_BEFORE_S = knowledge.VERSION_MARGIN_S + following.PEER_WAIT_S
 
 
 class _Named(NamedTuple):
@@ -88,6 +90,9 @@
 
     async def _run_engine(self) -> None:
         profile = await self._read_profile()
+        while not self._is_following:
+            # Without the version in force, an older one would be brought first.
+            await asyncio.sleep(RETRY_PAUSE_S / 4)
         local = engine.LocalEngine(self._pool, self.told.app)
         self._local = stager.LocalWeights(
             staging.Stager(profile, self._piece_s(profile)),
@@ -154,7 +159,8 @@
     def _timing(self, since_s: float) -> staging.Timing:
         """Return the times of a version that was named just now."""
         profile = self._profile
-        within_s = self.told.bounds.version_ms / 1000 - knowledge.VERSION_MARGIN_S
+        # Entries count from when their copies were last without the version.
+        within_s = self.told.bounds.version_ms / 1000 - SWITCHED_BEFORE_S
         own = waves.Neighbour(
             data.Address(self.told.app), data.ZoneName(self.told.zone)
         )
--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -173,10 +173,28 @@
     print(manifests.manifest_hash(built))
 
 
+def explain(request_id: str, files: list[pathlib.Path]) -> None:
+    """Tell the story of one request from the logs of many processes.
+
+    :param request_id: the id that its caller gave the request.
+    :param files: logs, of any processes and in any order.
+    """
+    from toucanspread.tools import explain as stories
+
+    lines = []
+    for path in files:
+        lines.extend(path.read_text(errors="replace").splitlines())
+    found = stories.story(request_id, lines)
+    for line in stories.render(found):
+        print(line)
+    if not found:
+        sys.exit(EXIT_REFUSED)
+
+
 def main() -> None:
     """Run the command line."""
     defopt.run(
-        [entry, endpoint, plan, confirm, status, watch, diff, manifest],
+        [entry, endpoint, plan, confirm, status, watch, diff, manifest, explain],
     )
 
 
