--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -178,15 +178,29 @@
             reading_s = self.call.prompt_tokens / self.service.profile.read_per_s
         return self.arrived_s + self.route.target_s - reading_s - waiting.MARGIN_S
 
-    def start(self, now: Surroundings, others_wait: bool = False) -> list[data.Effect]:
+    @property
+    def work_s(self) -> float:
+        """Return what an engine needs to start on it, apart from its other work."""
+        profile = self.service.profile
+        if profile is None:
+            return 0.0
+        reading_s = self.call.prompt_tokens / profile.read_per_s
+        return reading_s + engines.PASS_PART * profile.pass_s
+
+    def start(self, now: Surroundings, held_work_s: float = 0.0) -> list[data.Effect]:
         """Send the request to a first engine, hold it back, or turn it away.
 
-        :param others_wait: whether requests to its service are held back.
+        :param held_work_s: of the requests to its service that are held back.
         """
         now.spending.count_request(self.service.name, now.now_s)
-        if others_wait and self._may_be_held():
+        if held_work_s == 0.0 or not self._may_be_held():
+            return self._dispatch(now)
+        ask = placing.Ask(self.service, now.minimum_version)
+        usable = len(placing.candidates(now.roster, ask, now.now_s))
+        wait_s = waiting.expected_wait_s(held_work_s, usable, now.place.entries)
+        if wait_s <= waiting.MAX_EXPECTED_WAIT_S:
             return [Hold()]
-        return self._dispatch(now)
+        return self._turn_away(now, wait_s)
 
     def go_on(self, now: Surroundings) -> list[data.Effect]:
         """Look for an engine again, after the request was held back."""
@@ -277,6 +291,8 @@
             backlog_s = placing.backlog_s(engine, self.service, now.place, now.now_s)
             if not waiting.may_start(self, backlog_s, now.now_s):
                 return [Hold()]
+            if self._is_hopeless(now, backlog_s):
+                return self._turn_away(now, backlog_s)
         self._engine = engine
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
@@ -315,6 +331,18 @@
             return self._give_up(now, Cause.BUDGET)
         return self._dispatch(now)
 
+    def _is_hopeless(self, now: Surroundings, backlog_s: float) -> bool:
+        """Tell whether its answer could not be whole before its time is over."""
+        writing_s = placing.run_s(self.service.profile, self._likely_tokens_left())
+        if now.now_s - self.arrived_s < waiting.PATIENCE_S:
+            return False
+        needed_s = min(backlog_s, waiting.MAX_EXPECTED_WAIT_S) + self.work_s
+        return now.now_s + needed_s + writing_s > self.deadline_s
+
+    def _turn_away(self, now: Surroundings, wait_s: float) -> list[data.Effect]:
+        retry_s = waiting.retry_after_s(wait_s, now.source.random())
+        return self._end(Reject(Cause.ENGINES_FULL, retry_s))
+
     def _may_be_held(self) -> bool:
         return self.service.profile is not None and self.dispatches == 0
 
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -188,6 +188,25 @@
         request.start(scene.at(0.0))
         self.assert_only(forwarding.Reject, request.on_time_over(scene.at(1.0)))
 
+    def test_a_line_longer_than_callers_wait_turns_away_at_once(self):
+        scene = Scene()
+        request = scene.forward(make_route())
+        refused = self.assert_only(
+            forwarding.Reject, request.start(scene.at(0.0), held_work_s=9.0)
+        )
+        self.assertLessEqual(refused.retry_after_s, waiting.MAX_EXPECTED_WAIT_S)
+        joining = scene.forward(make_route()).start(scene.at(0.0), held_work_s=1.0)
+        self.assert_only(forwarding.Hold, joining)
+
+    def test_what_cannot_end_in_time_is_not_begun(self):
+        scene = Scene(names=("a",))
+        scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
+        call = entry_data.Call("id", "h", "/p/x", None, 4.0, likely_tokens=200)
+        request = scene.forward(make_route(), call)
+        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
+        late = scene.at(waiting.PATIENCE_S + 0.1)
+        self.assert_only(forwarding.Reject, request.go_on(late))
+
     def test_old_weights_are_not_used_when_newer_ones_are_due(self):
         scene = Scene(names=("a",))
         scene.roster.put(
--- a/toucanspread/core/entry/placing.py
+++ b/toucanspread/core/entry/placing.py
@@ -129,6 +129,12 @@
     return wait_s + busy * BUSY_PLACE_S
 
 
+def run_s(profile: entry_data.ModelProfile, tokens: int) -> float:
+    """Return how long an engine writes an answer, beside others that it reads."""
+    passes = tokens / profile.pass_tokens + 1
+    return passes * profile.pass_s * READING_BETWEEN
+
+
 def _score(
     engine: engines.Engine,
     service: entry_data.Service,
@@ -154,8 +160,7 @@
     profile = ask.service.profile
     if engine.order_at_s is None or profile is None:
         return 0.0
-    passes = ask.likely_tokens / profile.pass_tokens + 1
-    runs_s = passes * profile.pass_s * READING_BETWEEN
+    runs_s = run_s(profile, ask.likely_tokens)
     wait_s = expected_wait_s(engine, ask.service, place, now_s)
     if now_s + wait_s + runs_s <= engine.order_at_s:
         return 0.0
--- a/toucanspread/core/entry/waiting.py
+++ b/toucanspread/core/entry/waiting.py
@@ -5,7 +5,8 @@
 is sent everything at once is late with everything. Here requests wait at the entry,
 and those that can still be on time go first, the one with the least time left before
 the others. Those that are late anyway follow when there is room, or shortly before
-their callers would give up; nothing is refused for being late.
+their callers would give up. Nothing is refused for being late; but what could not be
+answered whole before its time is over is told so at once, to come back instead.
 """
 
 import enum
@@ -18,6 +19,10 @@
 PATIENCE_S = 2.5  # callers give a stream up after about three seconds without an event
 
 
+MAX_EXPECTED_WAIT_S = 2.0  # the line is as long as callers' patience
+MIN_RETRY_AFTER_S = 0.5
+
+
 class Standing(enum.IntEnum):
     """The order among those that wait."""
 
@@ -66,3 +71,24 @@
     if standing(waiter, backlog_s, now_s) is Standing.LAST_CHANCE:
         return True
     return backlog_s <= MAX_BACKLOG_S
+
+
+def expected_wait_s(held_work_s: float, engines: int, entries: int) -> float:
+    """Return how long a request that joins the line now would wait.
+
+    :param held_work_s: what one engine would need to start on all that wait here.
+    :param engines: that take requests; the entries share them.
+    """
+    if engines == 0:
+        return float("inf")
+    return held_work_s * entries / engines
+
+
+def retry_after_s(wait_s: float, spread: float) -> float:
+    """Return when a caller that is turned away should come back.
+
+    :param wait_s: how long it would have waited.
+    :param spread: from 0 to 1, so that not all come back at once.
+    """
+    longest_s = max(min(wait_s, MAX_EXPECTED_WAIT_S), MIN_RETRY_AFTER_S)
+    return MIN_RETRY_AFTER_S + (longest_s - MIN_RETRY_AFTER_S) * spread
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -183,8 +183,8 @@
         left_s = self._state.deadline_s - reactor.seconds()
         wait_s = max(left_s + forwarding.ENGINE_ANSWER_SLACK_S, 0.0)
         self._deadline = reactor.callLater(wait_s, self._on_time_over)
-        others_wait = self._owner.line.has(self.service.name)
-        self._carry_out(self._state.start(self.now(), others_wait))
+        held_work_s = self._owner.line.work_s(self.service.name)
+        self._carry_out(self._state.start(self.now(), held_work_s))
 
     @property
     def state(self) -> forwarding.Forwarding:
@@ -373,9 +373,10 @@
         self._held: dict[data.ServiceName, list[_Request]] = {}
         self._timer = None
 
-    def has(self, service: data.ServiceName) -> bool:
-        """Tell whether requests to a service are held back."""
-        return bool(self._held.get(service))
+    def work_s(self, service: data.ServiceName) -> float:
+        """Return what one engine would need to start on all that are held back."""
+        held = self._held.get(service, [])
+        return sum(request.state.work_s for request in held)
 
     def add(self, request: _Request) -> None:
         """Hold a request back."""
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -162,9 +162,20 @@
     async def _hand_over(self, version: int) -> None:
         """Give the engine what was collected of a version."""
         for key in [key for key in self._collected if key.version == version]:
-            await self._engine.stage(self._model, key.number, self._collected[key])
+            piece = self._collected.get(key)
+            if piece is None:
+                # Another hand-over was faster.
+                continue
+            await self._engine.stage(self._model, key.number, piece)
             tallies.count("pieces_staged")
-            del self._collected[key]
+            self._collected.pop(key, None)
+
+    async def _hand_over_collected(self, version: int) -> None:
+        try:
+            await self._hand_over(version)
+        except engine_control.EngineError as error:
+            # They stay in memory, and are handed over again before the order.
+            logs.write("stage_failed", version=version, why=str(error))
 
     async def _right_numbers(self, digests: tuple[str, ...]) -> frozenset[int]:
         """Return which of the staged pieces are as they should be."""
@@ -192,6 +203,9 @@
                 logs.write("piece_spoilt", piece=key.text, source=holder.name)
                 continue
             self._collected[key] = piece
+            if effect.version == self._stager.target.version:
+                # What lies with the engine outlives this process.
+                await self._hand_over_collected(effect.version)
             collected = staging.PieceCollected(effect.version, effect.number)
             self._carry_out(self._stager.on_collected(collected, self._now_s()))
             return
--- /dev/null
+++ b/toucanspread/ops/stager_test.py
@@ -0,0 +1,120 @@
+"""Pieces reach the engine, and survive the process beside it."""
+
+import asyncio
+import hashlib
+
+import msgspec
+import testtools
+from twisted.internet import task
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import members
+from toucanspread.core.weights import staging
+from toucanspread.ops import engine_control, http1_pool, pieces, stager
+
+PROFILE = entry_data.ModelProfile(data.ModelName("m"), 2, 4, 7, 0.1)
+BYTES = [b"piece %d" % number for number in range(4)]
+DIGESTS = tuple(hashlib.sha256(piece).hexdigest() for piece in BYTES)
+
+
+class Engine(engine_control.EngineControl):
+    def __init__(self):
+        self.lying = {}
+        self.version = 0
+        self.orders = 0
+
+    async def report(self):
+        loaded = ()
+        if self.version:
+            loaded = (entry_data.LoadedLayers(PROFILE.model, self.version, 0, 2),)
+        return entry_data.EngineReport(loaded, False, self.orders, 0, 0, 1.0, 1)
+
+    async def held(self, model):
+        return sorted(self.lying)
+
+    async def staged(self, model, number):
+        return self.lying.get(number)
+
+    async def stage(self, model, number, piece):
+        self.lying[number] = piece
+
+    async def order(self, model, order):
+        if [self.lying.get(number) for number in range(4)] != BYTES:
+            raise AssertionError(f"ordered with {self.lying}")
+        self.orders += 1
+        self.version = order.version
+        return True
+
+
+class Pool(http1_pool.Pool):
+    """An entry that holds everything, and may hand out little."""
+
+    def __init__(self):
+        super().__init__(task.Clock())
+        self.pieces_left = 1_000
+
+    async def call(self, address, head, body=b"", timeout_s=1.0):
+        target, _, query = head.target.decode().partition("?")
+        if target == pieces.MANIFEST_TARGET:
+            return http1_pool.Reply(200, None, msgspec.msgpack.encode(DIGESTS))
+        if self.pieces_left == 0:
+            raise http1_pool.CallError(None, "silent")
+        self.pieces_left -= 1
+        wanted = dict(item.split("=") for item in query.split("&"))
+        return http1_pool.Reply(200, None, BYTES[int(wanted["number"])])
+
+
+class Sender:
+    def send(self, load):
+        return
+
+
+class LocalWeightsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(stager.loop, "spawn", asyncio.ensure_future)
+        self.patch(stager, "REPORT_INTERVAL_S", 0.0)
+        self.engine = Engine()
+        self.pool = Pool()
+        entry = members.EntryRecord("e", "z", "r", "e:1", "e:2", "e:3")
+        self.entries = [entry]
+
+    def run_process(self, turns=200):
+        """Run a process beside the engine for a while, then end it."""
+
+        async def play():
+            local = stager.LocalWeights(
+                staging.Stager(PROFILE, 0.1),
+                self.engine,
+                data.Address("a:1"),
+                self.pool,
+                lambda: self.entries,
+                "r",
+                Sender(),
+            )
+            running = asyncio.ensure_future(local.run())
+            for _ in range(turns):
+                self.pool.reactor.advance(0.01)
+                await asyncio.sleep(0)
+            running.cancel()
+
+        asyncio.run(play())
+
+    def test_an_empty_engine_is_filled(self):
+        self.run_process()
+        self.assertEqual(1, self.engine.version)
+
+    def test_what_was_fetched_before_the_process_ended_is_not_fetched_again(self):
+        self.pool.pieces_left = 3
+        self.run_process()
+        self.assertEqual(3, len(self.engine.lying))
+        self.pool.pieces_left = 1
+        self.run_process()
+        self.assertEqual(1, self.engine.version)
+
+    def test_spoilt_bytes_with_the_engine_are_replaced_before_the_order(self):
+        self.engine.lying = {0: b"rotten", 1: BYTES[1], 2: BYTES[2], 3: BYTES[3]}
+        self.pool.pieces_left = 1
+        self.run_process()
+        self.assertEqual(1, self.engine.version)
