--- /dev/null
+++ b/toucanspread/ops/engine_answer.py
@@ -0,0 +1,135 @@
+"""Follows the answer of one engine to one dispatch, and judges how it ended."""
+
+import abc
+
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import (
+    event_stream,
+    forwarding,
+)
+from toucanspread.ops import (
+    dialect,
+    http1,
+    http1_client,
+    http1_pool,
+)
+
+
+class Listener(abc.ABC):
+    """Hears what became of a dispatch."""
+
+    call: entry_data.Call
+
+    @abc.abstractmethod
+    def on_stream_opened(self) -> None:
+        """Take the head of a stream."""
+
+    @abc.abstractmethod
+    def on_events(self, events: bytes, last_event_id: str | None) -> None:
+        """Take whole events."""
+
+    @abc.abstractmethod
+    def on_answer(self, status: int) -> None:
+        """Take a complete answer of the engine."""
+
+    @abc.abstractmethod
+    def on_failure(self, failure: forwarding.Failure) -> None:
+        """Take a dispatch that brought no complete answer."""
+
+
+class EngineAnswer(http1_client.AnswerListener):
+    """Follows one dispatch."""
+
+    def __init__(
+        self,
+        request: Listener,
+        wire: dialect.Dialect,
+        reactor,
+        dispatch: forwarding.Dispatch,
+    ):
+        self.head: http1.AnswerHead | None = None
+        self.body = bytearray()
+        self.sending: http1_pool.Sending | None = None
+        self._request = request
+        self._wire = wire
+        self._reactor = reactor
+        self._facts: dialect.AnswerFacts | None = None
+        self._splitter: event_stream.Splitter | None = None
+        self._over = False
+        self._silence_s = dispatch.silence_s
+        self._timer = reactor.callLater(dispatch.silence_s, self._on_silence)
+
+    def cancel(self) -> None:
+        """Drop the dispatch."""
+        self._end()
+        if self.sending is not None:
+            self.sending.cancel()
+
+    def on_head(self, head: http1.AnswerHead) -> bool:
+        """Take the start of an answer; one to an earlier request is passed over."""
+        facts = self._wire.read_answer(head, self._request.call)
+        if not facts.is_own:
+            return False
+        self.head = head
+        self._facts = facts
+        if facts.is_stream and facts.is_sealed and head.status == 200:
+            self._splitter = event_stream.Splitter()
+            self._request.on_stream_opened()
+        return True
+
+    def on_piece(self, piece: bytes) -> None:
+        """Take a part of the body."""
+        if self._over:
+            return
+        if self._splitter is None:
+            self.body += piece
+            return
+        self._restart_timer()
+        whole = self._splitter.feed(piece)
+        if whole:
+            self._request.on_events(whole, self._splitter.last_event_id)
+
+    def on_end(self) -> None:
+        """Judge a complete answer."""
+        if self._over:
+            return
+        self._end()
+        facts = self._facts
+        if facts.is_other_instance:
+            self._request.on_failure(forwarding.Failure.OTHER_INSTANCE)
+        elif facts.not_run:
+            self._request.on_failure(forwarding.Failure.REJECTED)
+        elif not facts.is_sealed:
+            self._request.on_failure(forwarding.Failure.MALFORMED)
+        elif self._splitter is not None and self._splitter.has_rest:
+            self._request.on_failure(forwarding.Failure.BROKEN)
+        else:
+            self._request.on_answer(self.head.status)
+
+    def on_broken(self, how: http1_client.Broken) -> None:
+        """Take an answer that will not be complete."""
+        if self._over:
+            return
+        self._end()
+        failure = forwarding.Failure.BROKEN
+        if how is http1_client.Broken.NOT_CONNECTED:
+            failure = forwarding.Failure.NOT_CONNECTED
+        elif how is http1_client.Broken.MALFORMED:
+            failure = forwarding.Failure.MALFORMED
+        self._request.on_failure(failure)
+
+    def _on_silence(self) -> None:
+        if self._over:
+            return
+        self._timer = self._reactor.callLater(self._silence_s, self._on_silence)
+        self._request.on_failure(forwarding.Failure.SILENT)
+
+    def _restart_timer(self) -> None:
+        self._silence_s = forwarding.STREAM_GAP_SILENCE_S
+        if self._timer.active():
+            self._timer.reset(self._silence_s)
+
+    def _end(self) -> None:
+        self._over = True
+        if self._timer.active():
+            self._timer.cancel()
--- a/toucanspread/ops/following.py
+++ b/toucanspread/ops/following.py
@@ -10,7 +10,14 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import following, items
-from toucanspread.ops import http1, http1_pool, logs, prefix_store, tallies
+from toucanspread.ops import (
+    http1,
+    http1_pool,
+    http1_server,
+    logs,
+    prefix_store,
+    tallies,
+)
 
 EXCERPT_TARGET = "/excerpt"
 FETCH_TIMEOUT_S = 2.0
@@ -171,10 +178,10 @@
     def __init__(self, view: items.View, reactor):
         self._view = view
         self._reactor = reactor
-        self._waiting: dict[http1.Exchange, _Waiting] = {}
+        self._waiting: dict[http1_server.Exchange, _Waiting] = {}
 
     def on_request(
-        self, exchange: http1.Exchange, after: int, wait_s: float, prefixes: str
+        self, exchange: http1_server.Exchange, after: int, wait_s: float, prefixes: str
     ) -> None:
         """Answer at once when something is new, else when it is or time is over."""
         if self._view.is_empty:
@@ -196,14 +203,14 @@
             if self._excerpt(wanted).changes:
                 self._answer(exchange)
 
-    def _answer(self, exchange: http1.Exchange) -> None:
+    def _answer(self, exchange: http1_server.Exchange) -> None:
         wanted = self._forget(exchange)
         if wanted is None:
             return
         excerpt = self._excerpt(wanted)
         exchange.respond(200, body=msgspec.msgpack.encode(excerpt))
 
-    def _forget(self, exchange: http1.Exchange) -> "_Waiting | None":
+    def _forget(self, exchange: http1_server.Exchange) -> "_Waiting | None":
         wanted = self._waiting.pop(exchange, None)
         if wanted is not None and wanted.timer.active():
             wanted.timer.cancel()
--- /dev/null
+++ b/toucanspread/ops/forwarded_request.py
@@ -0,0 +1,298 @@
+"""Carries out what is decided about one request, and tells what became of it.
+
+The decisions are :mod:`toucanspread.core.entry.forwarding`'s.
+"""
+
+import abc
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import (
+    forwarding,
+    knowledge,
+)
+from toucanspread.ops import (
+    dialect,
+    engine_answer,
+    held_requests,
+    http1,
+    http1_pool,
+    http1_server,
+    logs,
+    tallies,
+)
+
+
+class Owner(abc.ABC):
+    """What a request needs of the entry that answers it.
+
+    :ivar line: the requests that are held back.
+    :ivar in_progress: the requests that are not over.
+    """
+
+    known: knowledge.Knowledge
+    pool: http1_pool.Pool
+    wire: dialect.Dialect
+    line: held_requests.Line
+    in_progress: set["Request"]
+
+    @abc.abstractmethod
+    def surroundings(self, service: entry_data.Service) -> forwarding.Surroundings:
+        """Return what decisions about a request look at."""
+
+    @abc.abstractmethod
+    def choose_service(self, route: entry_data.Route) -> entry_data.Service | None:
+        """Return one of the services that share a route, by their weights."""
+
+    @abc.abstractmethod
+    def tell_prompt(self, sent: entry_data.PromptSent) -> None:
+        """Tell near entries of a prompt that goes to an engine."""
+
+
+class Request(engine_answer.Listener, held_requests.HeldRequest):
+    """Carries out what is decided about one request."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        exchange: http1_server.Exchange,
+        call: entry_data.Call,
+        route: entry_data.Route,
+        team: entry_data.Team | None,
+    ):
+        self.call = call
+        self.exchange = exchange
+        self._owner = owner
+        self._route = route
+        self._team = team.name if team is not None else None
+        self.service = owner.choose_service(route)
+        self._state: forwarding.Forwarding | None = None
+        self._answer: engine_answer.EngineAnswer | None = None
+        self._deadline = None
+        self._pace = _Pace()
+        self._handlers = {
+            forwarding.Dispatch: self._send,
+            forwarding.Hold: self._hold,
+            forwarding.Cancel: self._cancel,
+            forwarding.Relay: self._relay,
+            forwarding.OpenStream: self._open_stream,
+            forwarding.CloseStream: self._close_stream,
+            forwarding.BreakStream: self._break_stream,
+            forwarding.Reject: self._reject,
+            forwarding.Fail: self._fail,
+        }
+
+    def start(self) -> None:
+        """Begin, counting the time from the request's first byte."""
+        if self.service is None:
+            self._reject(forwarding.Reject(forwarding.Cause.NO_ENGINE, 1.0))
+            return
+        began_s = self.exchange.began_s
+        self._state = forwarding.Forwarding(
+            self._route, self.service, self.call, began_s
+        )
+        self._owner.in_progress.add(self)
+        self.exchange.on_lost = self._on_caller_left
+        reactor = self._owner.pool.reactor
+        left_s = self._state.deadline_s - reactor.seconds()
+        wait_s = max(left_s + forwarding.ENGINE_ANSWER_SLACK_S, 0.0)
+        self._deadline = reactor.callLater(wait_s, self._on_time_over)
+        held_work_s = self._owner.line.work_s(self.service.name)
+        self._carry_out(self._state.start(self.now(), held_work_s))
+
+    @property
+    def state(self) -> forwarding.Forwarding:
+        """Return what is decided about the request."""
+        return self._state
+
+    def go_on(self) -> bool:
+        """Look for an engine again; return whether the request stays held back."""
+        decided = self._state.go_on(self.now())
+        if any(isinstance(effect, forwarding.Hold) for effect in decided):
+            return True
+        self._carry_out(decided)
+        return False
+
+    def now(self) -> forwarding.Surroundings:
+        """Return what decisions look at."""
+        return self._owner.surroundings(self.service)
+
+    # what an engine's answer reports
+
+    def on_stream_opened(self) -> None:
+        """Pass the head of a stream on, if it is the first one."""
+        self._carry_out(self._state.on_stream_opened())
+
+    def on_events(self, events: bytes, last_event_id: str | None) -> None:
+        """Pass whole events on."""
+        self._state.on_events(last_event_id)
+        self._pace.add(self._owner.pool.reactor.seconds())
+        self.exchange.write(events)
+
+    def on_answer(self, status: int) -> None:
+        """Take a complete answer of the engine."""
+        self._carry_out(self._state.on_answer(self.now(), status))
+
+    def on_failure(self, failure: forwarding.Failure) -> None:
+        """Take a dispatch that brought no complete answer."""
+        engine_id = self._state.engine_id
+        number = self._state.dispatches
+        decided = self._state.on_failure(self.now(), failure)
+        logs.write(
+            "dispatch_failed",
+            id=self.call.attempt_id,
+            engine=engine_id,
+            why=failure.value,
+            number=number,
+            then=" ".join(type(effect).__name__ for effect in decided) or "wait",
+        )
+        tallies.count("dispatches_failed", why=failure.value)
+        self._carry_out(decided)
+
+    # what the caller and the clock report
+
+    def _on_caller_left(self) -> None:
+        engine_id = self._state.engine_id
+        logs.write("caller_left", id=self.call.attempt_id, engine=engine_id)
+        tallies.count("requests_left")
+        self._carry_out(self._state.on_caller_left(self.now()))
+
+    def _on_time_over(self) -> None:
+        self._carry_out(self._state.on_time_over(self.now()))
+
+    # what is decided
+
+    def _carry_out(self, decided: list[data.Effect]) -> None:
+        for effect in decided:
+            self._handlers[type(effect)](effect)
+        if self._state is not None and self._state.is_over:
+            self._owner.in_progress.discard(self)
+            self._owner.line.remove(self)
+            if self._deadline is not None and self._deadline.active():
+                self._deadline.cancel()
+
+    def _send(self, effect: forwarding.Dispatch) -> None:
+        owner = self._owner
+        head = owner.wire.engine_head(self.exchange.head, effect, self._team)
+        self._answer = engine_answer.EngineAnswer(
+            self, owner.wire, owner.pool.reactor, effect
+        )
+        request = http1.render_request(head, self.exchange.body)
+        if self.call.prompt_tokens:
+            owner.tell_prompt(
+                entry_data.PromptSent(
+                    effect.engine_id, self.service.name, self.call.prompt_tokens
+                )
+            )
+        tallies.count("dispatches")
+        logs.write(
+            "request_dispatched",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            engine=effect.engine_id,
+            number=effect.number,
+            busy=effect.busy,
+            busy_age_s=effect.busy_age_s,
+            expected_version=effect.expected_version,
+            configuration=owner.known.table.version,
+        )
+        sending = owner.pool.send(
+            effect.address, request, self._answer, effect.max_idle_s
+        )
+        self._answer.sending = sending
+
+    def _hold(self, effect: forwarding.Hold) -> None:
+        self._owner.line.add(self)
+        tallies.count("requests_held")
+
+    def _cancel(self, effect: forwarding.Cancel) -> None:
+        if self._answer is not None:
+            self._answer.cancel()
+
+    def _relay(self, effect: forwarding.Relay) -> None:
+        answer = self._answer
+        tallies.count("requests_answered", status=str(answer.head.status))
+        self._observe(answer.head.status)
+        self.exchange.respond(
+            answer.head.status, answer.head.forwardable(), bytes(answer.body)
+        )
+        self._log_answer(answer.head.status)
+
+    def _open_stream(self, effect: forwarding.OpenStream) -> None:
+        head = self._answer.head
+        self._observe(head.status)
+        self.exchange.start(head.status, head.forwardable())
+
+    def _close_stream(self, effect: forwarding.CloseStream) -> None:
+        tallies.count("requests_answered", status="200")
+        self.exchange.finish()
+        self._log_answer(200)
+
+    def _break_stream(self, effect: forwarding.BreakStream) -> None:
+        self._log_end("stream_broken", effect.cause)
+        tallies.count("streams_broken", why=effect.cause.value)
+        self.exchange.abort()
+
+    def _reject(self, effect: forwarding.Reject) -> None:
+        self._log_end("request_refused", effect.cause, effect.retry_after_s)
+        tallies.count("requests_refused", why=effect.cause.value)
+        headers = self._owner.wire.own_answer_headers(self.call, effect.retry_after_s)
+        self.exchange.respond(503, headers)
+
+    def _fail(self, effect: forwarding.Fail) -> None:
+        self._log_end("request_failed", effect.cause)
+        tallies.count("requests_failed", why=effect.cause.value)
+        headers = self._owner.wire.own_answer_headers(self.call, None)
+        self.exchange.respond(504 if effect.timed_out else 502, headers)
+
+    def _log_answer(self, status: int) -> None:
+        now_s = self._owner.pool.reactor.seconds()
+        first_s = self._pace.first_s if self._pace.first_s is not None else now_s
+        logs.write(
+            "request_answered",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            status=status,
+            first_s=first_s - self.exchange.began_s,
+            longest_pause_s=self._pace.longest_pause_s,
+            after_s=now_s - self.exchange.began_s,
+            dispatches=self._state.dispatches,
+            tokens=self.call.prompt_tokens,
+        )
+
+    def _log_end(
+        self, event: str, cause: forwarding.Cause, retry_after_s: float = 0.0
+    ) -> None:
+        now_s = self._owner.pool.reactor.seconds()
+        logs.write(
+            event,
+            id=self.call.attempt_id,
+            route=self._route.name,
+            why=cause.value,
+            after_s=now_s - self.exchange.began_s,
+            dispatches=self._state.dispatches if self._state else 0,
+            retry_after_s=retry_after_s,
+            configuration=self._owner.known.table.version,
+        )
+
+    def _observe(self, status: int) -> None:
+        now_s = self._owner.pool.reactor.seconds()
+        seconds = now_s - self.exchange.began_s
+        tallies.observe("first_byte_seconds", seconds, kind=self._route.kind.value)
+
+
+class _Pace:
+    """When a stream's events were passed on."""
+
+    def __init__(self):
+        self.first_s: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        """Note events."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self._last_s)
+        self._last_s = now_s
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -9,7 +9,13 @@
 from toucanspread.core import data
 from toucanspread.core.entry import budget, knowledge, placing
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import forwarder, http1, http1_pool
+from toucanspread.ops import (
+    forwarder,
+    http1,
+    http1_client,
+    http1_pool,
+    http1_server,
+)
 from toucanspread.platform import decoding_test, requests
 
 REQUEST = (
@@ -36,7 +42,7 @@
     def __init__(self, address, request, listener):
         self.address = address
         self.request = request
-        self.connection = http1.ClientConnection(task.Clock())
+        self.connection = http1_client.ClientConnection(task.Clock())
         self.connection.makeConnection(Transport())
         self.connection.send(request, listener)
         self.cancelled = False
@@ -92,7 +98,9 @@
             random.Random(1),
             lambda sent: None,
         )
-        self.connection = http1.Server(self.forwarder, self.clock).buildProtocol(None)
+        self.connection = http1_server.Server(self.forwarder, self.clock).buildProtocol(
+            None
+        )
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
--- /dev/null
+++ b/toucanspread/ops/held_requests.py
@@ -0,0 +1,84 @@
+"""Holds requests back, and lets them go on in their order.
+
+The order is :mod:`toucanspread.core.entry.waiting`'s.
+"""
+
+import abc
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import (
+    forwarding,
+    placing,
+    waiting,
+)
+
+LOOK_AGAIN_S = 0.015  # a fifth of what an engine needs for a usual prompt
+
+
+class HeldRequest(abc.ABC):
+    """A request that can be held back."""
+
+    service: entry_data.Service
+
+    @property
+    @abc.abstractmethod
+    def state(self) -> forwarding.Forwarding:
+        """Return what is decided about the request."""
+
+    @abc.abstractmethod
+    def now(self) -> forwarding.Surroundings:
+        """Return what decisions look at."""
+
+    @abc.abstractmethod
+    def go_on(self) -> bool:
+        """Look for an engine again; return whether the request stays held back."""
+
+
+class Line:
+    """The requests that are held back, by service."""
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self._held: dict[data.ServiceName, list[HeldRequest]] = {}
+        self._timer = None
+
+    def work_s(self, service: data.ServiceName) -> float:
+        """Return what one engine would need to start on all that are held back."""
+        held = self._held.get(service, [])
+        return sum(request.state.work_s for request in held)
+
+    def add(self, request: HeldRequest) -> None:
+        """Hold a request back."""
+        self._held.setdefault(request.service.name, []).append(request)
+        self._start_timer()
+
+    def remove(self, request: HeldRequest) -> None:
+        """Forget a request that is over or on its way."""
+        held = self._held.get(request.service.name, [])
+        if request in held:
+            held.remove(request)
+
+    def _start_timer(self) -> None:
+        if self._timer is None or not self._timer.active():
+            self._timer = self._reactor.callLater(LOOK_AGAIN_S, self._look)
+
+    def _look(self) -> None:
+        for held in list(self._held.values()):
+            self._send_some(held)
+        if any(self._held.values()):
+            self._start_timer()
+
+    def _send_some(self, held: list[HeldRequest]) -> None:
+        """Let requests go on in their order, until one has to stay."""
+        while held:
+            now = held[0].now()
+            backlog_s = placing.least_backlog_s(
+                now.roster, held[0].service, now.place, now.now_s
+            )
+            by_state = {request.state: request for request in held}
+            order = waiting.in_order(by_state, backlog_s, now.now_s)
+            request = by_state[order[0]]
+            if request.go_on():
+                return
+            self.remove(request)
--- /dev/null
+++ b/toucanspread/ops/http1_client.py
@@ -0,0 +1,177 @@
+"""The calling side of HTTP/1.1: one request at a time on a connection.
+
+A listener hears how an answer ended: whole, broken off, or with bytes that are none.
+"""
+
+import abc
+import enum
+
+import httptools
+from twisted.internet import error, protocol
+
+from toucanspread.ops import http1
+
+
+class Broken(enum.Enum):
+    """How an exchange with a server failed."""
+
+    NOT_CONNECTED = "not connected"
+    CLOSED = "closed"
+    RESET = "reset"
+    MALFORMED = "malformed"
+    CANCELLED = "cancelled"
+
+
+class AnswerListener(abc.ABC):
+    """Follows the answer to one request."""
+
+    @abc.abstractmethod
+    def on_head(self, head: http1.AnswerHead) -> bool:
+        """Take the start of an answer; False passes this whole answer over."""
+
+    @abc.abstractmethod
+    def on_piece(self, piece: bytes) -> None:
+        """Take a part of the body."""
+
+    @abc.abstractmethod
+    def on_end(self) -> None:
+        """Note that the answer is complete."""
+
+    @abc.abstractmethod
+    def on_broken(self, how: Broken) -> None:
+        """Note that the answer will not be complete."""
+
+
+class ClientConnection(protocol.Protocol, http1.Parsing):
+    """A connection that this process opened, for one request at a time."""
+
+    def __init__(self, reactor):
+        http1.Parsing.__init__(self)
+        self.idle_since_s = 0.0
+        self.keep_alive_s: float | None = None
+        self.used = 0
+        self.is_open = False
+        self.on_idle = lambda connection: None
+        self._reactor = reactor
+        self._parser = httptools.HttpResponseParser(self)
+        self._listener: AnswerListener | None = None
+        self._head: http1.AnswerHead | None = None
+        self._passed_over = False
+        self._ends_by_close = False
+        self._reusable = True
+
+    def send(self, request: bytes, listener: AnswerListener) -> None:
+        """Send a rendered request and follow its answer."""
+        self.used += 1
+        self._listener = listener
+        self.transport.write(request)
+
+    def cancel(self) -> None:
+        """Drop the connection, and with it the request in progress."""
+        self._listener = None
+        self._reusable = False
+        if self.is_open:
+            self.transport.abortConnection()
+
+    @property
+    def is_free(self) -> bool:
+        """Tell whether another request may be sent."""
+        return self.is_open and self._reusable and self._listener is None
+
+    # twisted's side
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Note that the connection is there."""
+        self.is_open = True
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed the parser; bytes that nobody waits for end the connection."""
+        if self._listener is None:
+            self.cancel()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._break(Broken.MALFORMED)
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
+        """End an answer that has no length, or note that it broke off."""
+        self.is_open = False
+        if self._listener is None:
+            return
+        orderly = reason.check(error.ConnectionDone)
+        if orderly and self._ends_by_close and self._head is not None:
+            self._complete()
+            return
+        self._break(Broken.CLOSED if orderly else Broken.RESET)
+
+    # the parser's side
+
+    def on_headers_complete(self) -> None:
+        """Hand the head of an answer on."""
+        status = self._parser.get_status_code()
+        if self._listener is None:
+            # Bytes after a complete answer belong to no request.
+            self._reusable = False
+            return
+        self._head = http1.AnswerHead(status, self._headers)
+        if status < 200:
+            return
+        self._read_keep_alive(self._head)
+        self._passed_over = not self._listener.on_head(self._head)
+
+    def on_body(self, piece: bytes) -> None:
+        """Hand a part of an answer on."""
+        if self._listener is not None and not self._passed_over:
+            self._listener.on_piece(piece)
+
+    def on_message_complete(self) -> None:
+        """End an answer, or get ready for the one that follows it."""
+        if self._listener is None or self._head is None or self._head.status < 200:
+            return
+        if self._passed_over:
+            self._head = None
+            self._passed_over = False
+            return
+        self._complete()
+
+    # inside
+
+    def _read_keep_alive(self, head: http1.AnswerHead) -> None:
+        if head.says(b"connection", b"close"):
+            self._reusable = False
+        framed = (
+            head.get(b"content-length") is not None
+            or head.says(b"transfer-encoding", b"chunked")
+            or head.status in http1.NO_BODY_STATUSES
+        )
+        self._ends_by_close = not framed
+        if not framed:
+            self._reusable = False
+        value = head.get(b"keep-alive")
+        if value is None:
+            return
+        for item in value.split(b","):
+            name, _, number = item.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.keep_alive_s = float(number)
+
+    def _complete(self) -> None:
+        listener, self._listener = self._listener, None
+        self._head = None
+        self.idle_since_s = self._reactor.seconds()
+        if not self._reusable and self.is_open:
+            self.transport.loseConnection()
+        listener.on_end()
+        if self.is_free:
+            # After the caller's feed: bytes that follow in it show first.
+            self._reactor.callLater(0, self.on_idle, self)
+
+    def _break(self, how: Broken) -> None:
+        listener, self._listener = self._listener, None
+        self._reusable = False
+        if self.is_open:
+            self.transport.abortConnection()
+        if listener is not None:
+            listener.on_broken(how)
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import protocol
 
-from toucanspread.ops import http1
+from toucanspread.ops import http1, http1_client
 
 CONNECT_TIMEOUT_S = 0.6  # a refused or cut server answers no sooner by waiting longer
 IDLE_MARGIN = 0.7  # of a server's own idle timeout; it may close a little early
@@ -22,14 +22,14 @@
     :param how: how it failed; None when its time ran out.
     """
 
-    def __init__(self, how: http1.Broken | None, detail: str):
+    def __init__(self, how: http1_client.Broken | None, detail: str):
         super().__init__(detail)
         self.how = how
 
     @property
     def sent(self) -> bool:
         """Tell whether the request may have reached the server."""
-        return self.how is not http1.Broken.NOT_CONNECTED
+        return self.how is not http1_client.Broken.NOT_CONNECTED
 
 
 class Reply(NamedTuple):
@@ -49,7 +49,7 @@
         self._request = request
         self._listener = listener
         self._connector = None
-        self._connection: http1.ClientConnection | None = None
+        self._connection: http1_client.ClientConnection | None = None
         self._cancelled = False
 
     def start(self, max_idle_s: float | None) -> None:
@@ -77,7 +77,7 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
-    def opened(self, connection: http1.ClientConnection) -> None:
+    def opened(self, connection: http1_client.ClientConnection) -> None:
         """Take a connection that was opened for this request."""
         if self._cancelled:
             connection.cancel()
@@ -87,9 +87,9 @@
     def not_opened(self) -> None:
         """Note that the server was not reached."""
         if not self._cancelled:
-            self._listener.on_broken(http1.Broken.NOT_CONNECTED)
+            self._listener.on_broken(http1_client.Broken.NOT_CONNECTED)
 
-    def _use(self, connection: http1.ClientConnection) -> None:
+    def _use(self, connection: http1_client.ClientConnection) -> None:
         self._connection = connection
         connection.send(self._request, self._listener)
 
@@ -113,7 +113,7 @@
         self._sending.not_opened()
 
 
-class _Announced(http1.ClientConnection):
+class _Announced(http1_client.ClientConnection):
     """A connection that hands itself to the request it was opened for."""
 
     def __init__(self, pool: "Pool", address: str, sending: Sending):
@@ -138,13 +138,13 @@
     def __init__(self, reactor):
         self.reactor = reactor
         self.opened = 0
-        self._idle: dict[str, list[http1.ClientConnection]] = {}
+        self._idle: dict[str, list[http1_client.ClientConnection]] = {}
 
     def send(
         self,
         address: str,
         request: bytes,
-        listener: http1.AnswerListener,
+        listener: http1_client.AnswerListener,
         max_idle_s: float | None = None,
     ) -> Sending:
         """Send a rendered request; the listener follows its answer."""
@@ -154,7 +154,7 @@
 
     def take(
         self, address: str, max_idle_s: float | None
-    ) -> http1.ClientConnection | None:
+    ) -> http1_client.ClientConnection | None:
         """Return the idle connection that was used last, if one is young enough."""
         now_s = self.reactor.seconds()
         idle = self._idle.get(address, [])
@@ -169,7 +169,9 @@
         self.opened += 1
         return None
 
-    def give_back(self, address: str, connection: http1.ClientConnection) -> None:
+    def give_back(
+        self, address: str, connection: http1_client.ClientConnection
+    ) -> None:
         """Keep a connection whose answer is complete."""
         if not connection.is_free:
             return
@@ -227,7 +229,7 @@
                 sending.cancel()
 
 
-class _WholeAnswer(http1.AnswerListener):
+class _WholeAnswer(http1_client.AnswerListener):
     """Collects an answer."""
 
     def __init__(self):
@@ -249,12 +251,12 @@
             reply = Reply(self._head.status, self._head, bytes(self._body))
             self.future.set_result(reply)
 
-    def on_broken(self, how: http1.Broken) -> None:
+    def on_broken(self, how: http1_client.Broken) -> None:
         self.is_over = True
         if not self.future.done():
             self.future.set_exception(CallError(how, f"the call was {how.value}"))
 
 
-def _idle_limit_s(connection: http1.ClientConnection) -> float:
+def _idle_limit_s(connection: http1_client.ClientConnection) -> float:
     named_s = connection.keep_alive_s
     return named_s * IDLE_MARGIN if named_s is not None else DEFAULT_IDLE_S
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -7,7 +7,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
-from toucanspread.ops import http1
+from toucanspread.ops import http1, http1_client, http1_server
 
 REQUEST = (
     b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc"
@@ -19,13 +19,13 @@
         return
 
 
-class Echo(http1.Handler):
+class Echo(http1_server.Handler):
     """Keeps the requests, and answers when told to."""
 
     def __init__(self):
         self.exchanges = []
         self.leaving = False
-        self.limits = http1.Bounds(1_000, 100, 2.0, 10.0)
+        self.limits = http1_server.Bounds(1_000, 100, 2.0, 10.0)
 
     def on_request(self, exchange):
         self.exchanges.append(exchange)
@@ -45,7 +45,9 @@
     def connect(self):
         self.clock = task.Clock()
         self.handler = Echo()
-        self.connection = http1.Server(self.handler, self.clock).buildProtocol(None)
+        self.connection = http1_server.Server(self.handler, self.clock).buildProtocol(
+            None
+        )
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
@@ -130,7 +132,7 @@
         self.receive(REQUEST)
 
 
-class Listener(http1.AnswerListener):
+class Listener(http1_client.AnswerListener):
     def __init__(self, own=True):
         self.own = own
         self.heads = []
@@ -158,7 +160,7 @@
 
     def connect(self):
         self.clock = task.Clock()
-        self.connection = http1.ClientConnection(self.clock)
+        self.connection = http1_client.ClientConnection(self.clock)
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
         self.listener = Listener()
@@ -175,7 +177,7 @@
     def test_an_answer_shorter_than_its_length_is_broken(self):
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
         self.lose(error.ConnectionDone)
-        self.assertEqual([http1.Broken.CLOSED], self.listener.ends)
+        self.assertEqual([http1_client.Broken.CLOSED], self.listener.ends)
 
     def test_an_answer_without_length_ends_with_an_orderly_close_only(self):
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nok")
@@ -184,7 +186,7 @@
         self.connect()
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nok")
         self.lose(error.ConnectionLost)
-        self.assertEqual([http1.Broken.RESET], self.listener.ends)
+        self.assertEqual([http1_client.Broken.RESET], self.listener.ends)
 
     def test_bytes_after_an_answer_end_the_connection(self):
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -205,7 +207,7 @@
 
     def test_what_is_no_answer_breaks_the_request(self):
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
-        self.assertEqual([http1.Broken.MALFORMED], self.listener.ends)
+        self.assertEqual([http1_client.Broken.MALFORMED], self.listener.ends)
 
     @hypothesis.given(strategies.binary(max_size=300))
     @hypothesis.settings(derandomize=True, deadline=None)
--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -9,19 +9,26 @@
 
 from twisted.internet import reactor, task
 
-from toucanspread.ops import http1, log_limits, logs, loop, tallies
+from toucanspread.ops import (
+    http1,
+    http1_server,
+    log_limits,
+    logs,
+    loop,
+    tallies,
+)
 
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
 ENDING_S = 0.02
 METRICS_PORT = 9464  # of deploy/system.toml
 METRICS_PATH = b"/metrics"
-QUIET = http1.Bounds(idle_s=60.0)
+QUIET = http1_server.Bounds(idle_s=60.0)
 
 
-class MetricsHandler(http1.Handler):
+class MetricsHandler(http1_server.Handler):
     """Serves the counters and histograms."""
 
-    def on_request(self, exchange: http1.Exchange) -> None:
+    def on_request(self, exchange: http1_server.Exchange) -> None:
         """Answer a scrape."""
         if exchange.head.target.partition(b"?")[0] != METRICS_PATH:
             exchange.respond(404)
@@ -29,7 +36,7 @@
         kind = http1.Header(b"Content-Type", b"text/plain; version=0.0.4")
         exchange.respond(200, [kind], tallies.exposition())
 
-    def bounds(self) -> http1.Bounds:
+    def bounds(self) -> http1_server.Bounds:
         """Return what a scraper may take."""
         return QUIET
 
@@ -67,10 +74,10 @@
         return (found.st_mtime_ns, found.st_size)
 
 
-def listen(address: str, handler: http1.Handler) -> http1.Server:
+def listen(address: str, handler: http1_server.Handler) -> http1_server.Server:
     """Serve a handler on an address; the port is kept as ``port`` of the server."""
     host, _, port = address.rpartition(":")
-    server = http1.Server(handler, reactor)
+    server = http1_server.Server(handler, reactor)
     server.port = reactor.listenTCP(int(port), server, backlog=511, interface=host)
     return server
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -21,6 +21,7 @@
     forwarder,
     http1,
     http1_pool,
+    http1_server,
     logs,
     loop,
     pieces,
@@ -71,13 +72,13 @@
             self.transport.write(payload, (host, int(port)))
 
 
-class DirectoryHandler(http1.Handler):
+class DirectoryHandler(http1_server.Handler):
     """Tells callers where to connect, and the platform whether this entry serves."""
 
     def __init__(self, entry: "Entry"):
         self._entry = entry
 
-    def on_request(self, exchange: http1.Exchange) -> None:
+    def on_request(self, exchange: http1_server.Exchange) -> None:
         """Answer one of the two questions."""
         path, _, query = exchange.head.target.decode("latin-1").partition("?")
         if path == "/-/readyz":
@@ -87,7 +88,7 @@
         else:
             exchange.respond(404)
 
-    def bounds(self) -> http1.Bounds:
+    def bounds(self) -> http1_server.Bounds:
         """Return what callers of these may take."""
         return process.QUIET
 
@@ -95,7 +96,9 @@
         """Tell whether this entry is about to end."""
         return self._entry.is_leaving
 
-    def _resolve(self, exchange: http1.Exchange, query: dict[str, list[str]]) -> None:
+    def _resolve(
+        self, exchange: http1_server.Exchange, query: dict[str, list[str]]
+    ) -> None:
         entry = self._entry
         addresses = entry.known.members.listed_for(
             query.get("zone", [""])[0], query.get("region", [""])[0], entry.source
@@ -107,13 +110,13 @@
         exchange.respond(200, [JSON_TYPE], body)
 
 
-class ControlHandler(http1.Handler):
+class ControlHandler(http1_server.Handler):
     """Serves the system's other processes."""
 
     def __init__(self, entry: "Entry"):
         self._entry = entry
 
-    def on_request(self, exchange: http1.Exchange) -> None:
+    def on_request(self, exchange: http1_server.Exchange) -> None:
         """Hand on a part of the view, a manifest or a piece."""
         path, _, query = exchange.head.target.decode("latin-1").partition("?")
         wanted = {
@@ -144,7 +147,7 @@
         else:
             exchange.respond(404)
 
-    def bounds(self) -> http1.Bounds:
+    def bounds(self) -> http1_server.Bounds:
         """Return what processes may take."""
         return process.QUIET
 
@@ -153,7 +156,7 @@
         return self._entry.is_leaving
 
     async def _send_piece(
-        self, exchange: http1.Exchange, key: sources.PieceKey, held: bool
+        self, exchange: http1_server.Exchange, key: sources.PieceKey, held: bool
     ) -> None:
         if held and self._entry.pieces.held(key) is None:
             exchange.respond(404)
@@ -167,7 +170,7 @@
         exchange.respond(200, body=piece)
 
     async def _send_manifest(
-        self, exchange: http1.Exchange, key: sources.PieceKey, held: bool
+        self, exchange: http1_server.Exchange, key: sources.PieceKey, held: bool
     ) -> None:
         if held and self._entry.pieces.held_digests(key) is None:
             exchange.respond(404)
@@ -226,7 +229,7 @@
         self._registration = registration.Registration(self._store, self._record())
         self._settings_file = process.SettingsFile(path, self._reload)
         self._path = path
-        self._server: http1.Server | None = None
+        self._server: http1_server.Server | None = None
 
     @property
     def is_ready(self) -> bool:
