Tell faults of a handler from those of a caller; drop connections to what fell silent

Found by reading: an error inside a handler ran up through the parser and was answered as a bad request of the caller; idle connections to an engine that went silent were used again; the grace of entries that vanish did not follow the platform's drain time; shares without weight broke the choice of a service.

--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -11,7 +11,7 @@
 
 REPORT_USABLE_S = 1.6  # two reports at the slow pace, and a lost one
 VERSION_REPORT_USABLE_S = 3.0  # a version changes seldom
-GONE_GRACE_S = 1.5  # below the shortest drain: an entry that lapsed may come back
+GONE_GRACE_PART = 0.75  # of the time for which an engine that leaves still answers
 AVOID_BASE_S = 0.4
 REJECTED_AVOID_S = 0.25  # an engine that is full or switches is so for a while
 AVOID_MAX_S = 3.0
@@ -28,7 +28,7 @@
     def __init__(self, entry: entry_data.EngineEntry):
         self.entry = entry
         self.in_flight = 0
-        self.gone_since_s: float | None = None
+        self.gone_at_s: float | None = None
         self.failures = 0
         self.avoid_until_s = 0.0
         self.load: entry_data.EngineLoad | None = None
@@ -42,13 +42,12 @@
         """Tell whether new requests may be sent to it."""
         if self.entry.state is not entry_data.EngineState.READY or self.was_restarted:
             return False
-        if self.gone_since_s is None:
-            return True
-        return now_s - self.gone_since_s < GONE_GRACE_S
+        # An entry that lapsed may come back.
+        return self.gone_at_s is None or now_s < self.gone_at_s
 
     def is_avoided(self, now_s: float) -> bool:
         """Tell whether lately it failed, or vanished from the store."""
-        return now_s < self.avoid_until_s or self.gone_since_s is not None
+        return now_s < self.avoid_until_s or self.gone_at_s is not None
 
     def expected_busy(self, now_s: float, entries: int) -> float:
         """Return how many requests it has, of all entries.
@@ -124,9 +123,13 @@
 
 
 class Roster:
-    """All engines that the store names, by id."""
+    """All engines that the store names, by id.
+
+    :param drain_s: for which an engine whose entry is gone still answers.
+    """
 
-    def __init__(self):
+    def __init__(self, drain_s: float):
+        self._gone_grace_s = drain_s * GONE_GRACE_PART
         self._engines: dict[str, Engine] = {}
 
     def put(self, entry: entry_data.EngineEntry) -> bool:
@@ -136,21 +139,20 @@
             self._engines[entry.engine_id] = Engine(entry)
             return True
         known.entry = entry
-        known.gone_since_s = None
+        known.gone_at_s = None
         return False
 
     def remove(self, engine_id: str, now_s: float) -> None:
         """Note that an engine's entry is gone."""
         engine = self._engines.get(engine_id)
-        if engine is not None and engine.gone_since_s is None:
-            engine.gone_since_s = now_s
+        if engine is not None and engine.gone_at_s is None:
+            engine.gone_at_s = now_s + self._gone_grace_s
 
     def drop_gone(self, now_s: float) -> list[str]:
         """Forget engines whose entries did not come back; return their ids."""
         dropped = []
         for engine_id, engine in list(self._engines.items()):
-            since_s = engine.gone_since_s
-            if since_s is None or now_s - since_s < GONE_GRACE_S:
+            if engine.gone_at_s is None or now_s < engine.gone_at_s:
                 continue
             if engine.in_flight == 0:
                 del self._engines[engine_id]
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -37,7 +37,7 @@
     """Some engines, and the surroundings of decisions."""
 
     def __init__(self, names=("a", "b", "c"), allowance=1_000.0):
-        self.roster = engines.Roster()
+        self.roster = engines.Roster(2.0)
         for name in names:
             self.roster.put(make_entry(name))
         self.spending = budget.Spending(0.2, allowance, 10.0)
--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -106,11 +106,12 @@
     """All of it.
 
     :param version_within_s: within which requests have to begin on a new version.
+    :param drain_s: for which an engine that leaves still answers.
     """
 
-    def __init__(self, version_within_s: float):
+    def __init__(self, version_within_s: float, drain_s: float):
         self.table: routes.Table | None = None
-        self.roster = engines.Roster()
+        self.roster = engines.Roster(drain_s)
         self.members = members.Members()
         self._version_within_s = max(version_within_s - VERSION_MARGIN_S, 0.0)
         self._named: dict[data.ModelName, Named] = {}
--- a/toucanspread/core/entry/knowledge_test.py
+++ b/toucanspread/core/entry/knowledge_test.py
@@ -16,7 +16,7 @@
 class VersionsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.known = knowledge.Knowledge(WITHIN_S)
+        self.known = knowledge.Knowledge(WITHIN_S, 2.0)
 
     def name(self, version, heard_s, earliest_s):
         news = knowledge.News(heard_s, earliest_s)
--- a/toucanspread/core/entry/placing_test.py
+++ b/toucanspread/core/entry/placing_test.py
@@ -12,13 +12,14 @@
     data.ModelName("m"), 4, 8, 1024, 0.3, read_per_s=19_100.0, pass_s=0.045
 )
 SERVICE = entry_data.Service(data.ServiceName("pool"), PROFILE)
+DRAIN_S = 2.0
 ZONES = ("z1", "z2", "z3")
 REGIONS = {data.ZoneName(zone): data.RegionName(zone) for zone in ZONES}
 LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, 4),)
 
 
 def make_roster(per_zone=3):
-    roster = engines.Roster()
+    roster = engines.Roster(DRAIN_S)
     for zone in ZONES:
         for number in range(per_zone):
             roster.put(
@@ -86,7 +87,7 @@
         for engine in list(self.roster.of_service(SERVICE.name)):
             self.roster.remove(engine.entry.engine_id, 0.0)
         self.assertIsNotNone(self.choose(now_s=1.0))
-        self.assertIsNone(self.choose(now_s=engines.GONE_GRACE_S))
+        self.assertIsNone(self.choose(now_s=DRAIN_S))
 
     def test_a_request_that_would_be_cut_goes_where_it_can_end(self):
         for engine in self.roster.of_service(SERVICE.name):
--- a/toucanspread/layering_test.py
+++ b/toucanspread/layering_test.py
@@ -28,6 +28,23 @@
             yield path
 
 
+# Names on the platform's wire, which its package alone translates.
+PLATFORM_WORDS = (
+    "/-/",
+    "X-Attempt-Id",
+    "X-Expect-",
+    "X-Response-Seal",
+    "api_keys",
+    "kv-",
+    "op/config",
+    "op/version",
+    "resume_streams",
+    "servers/",
+    "slo_ms",
+    "tenant",
+)
+
+
 class LayeringTest(testtools.TestCase):
     def check_never(self, folder, forbidden):
         for path in modules(folder):
@@ -40,6 +57,19 @@
     def test_decisions_know_no_clock_and_no_network(self):
         self.check_never(PACKAGE / "core", NEVER_IN_CORE)
 
+    def test_only_the_platforms_package_knows_its_words(self):
+        for package in ("core", "ops", "tools"):
+            for path in modules(PACKAGE / package):
+                text = path.read_text().lower()
+                found = [word for word in PLATFORM_WORDS if word.lower() in text]
+                self.assertEqual([], found, path.name)
+
+    def test_nothing_imports_the_platforms_package(self):
+        for package in ("core", "ops", "tools"):
+            for path in modules(PACKAGE / package):
+                for name in imported(path):
+                    self.assertFalse(name.startswith("toucanspread.platform"))
+
     def test_decisions_import_nothing_that_runs_them(self):
         for path in modules(PACKAGE / "core"):
             for name in imported(path):
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -49,6 +49,7 @@
     ):
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
+        self.address = dispatch.address
         self.sending: http1_pool.Sending | None = None
         self._request = request
         self._wire = wire
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -137,6 +137,9 @@
         """Take a dispatch that brought no complete answer."""
         engine_id = self._state.engine_id
         number = self._state.dispatches
+        if failure is forwarding.Failure.SILENT:
+            # What went silent stays silent: the idle connections may be as this one.
+            self._owner.pool.forget(self._answer.address)
         decided = self._state.on_failure(self.now(), failure)
         logs.write(
             "dispatch_failed",
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -113,7 +113,9 @@
             return None
         share = shares[0]
         if len(shares) > 1:
-            weights = [item.weight for item in shares]
+            weights = [max(item.weight, 0.0) for item in shares]
+            if not any(weights):
+                weights = [1.0] * len(shares)
             share = self._source.choices(shares, weights)[0]
         return self.known.table.services.get(share.service)
 
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -70,7 +70,7 @@
         super().setUp()
         self.clock = task.Clock()
         self.pool = Pool(self.clock)
-        self.known = knowledge.Knowledge(8.0)
+        self.known = knowledge.Knowledge(8.0, 2.0)
         config = {
             **decoding_test.CONFIG,
             "services": [
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -11,7 +11,7 @@
 import httptools
 from twisted.internet import protocol
 
-from toucanspread.ops import http1
+from toucanspread.ops import http1, logs
 
 
 class Bounds(NamedTuple):
@@ -183,6 +183,9 @@
             bounds = self._handler.bounds()
             if self._head is None and self._head_bytes > bounds.max_head_bytes:
                 self._refuse(431)
+        # Not from within the parser, which would take an error of the handler for
+        # one of the caller.
+        self._start_next()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Tell the owner of the request in progress."""
@@ -222,7 +225,6 @@
         self._stop_timer()
         self._waiting.append((head, bytes(self._body)))
         self._body = bytearray()
-        self._start_next()
 
     # what an exchange uses
 
@@ -275,12 +277,17 @@
         self._refuse(408)
 
     def _start_next(self) -> None:
-        if self._current is not None or not self._waiting or self._closed:
+        if self._current is not None or not self._waiting or self._closing:
             return
         self._stop_timer()
         head, body = self._waiting.pop(0)
         self._current = Exchange(self, head, body)
-        self._handler.on_request(self._current)
+        try:
+            self._handler.on_request(self._current)
+        except Exception as error:
+            logs.write("handler_failed", kind=type(error).__name__, why=str(error))
+            self.abort()
+            raise
 
     def _stop_parsing(self, status: int) -> None:
         self._refused_status = status
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -117,6 +117,16 @@
         self.assertIn(b"Connection: close", self.sent())
         self.assertTrue(self.transport.disconnecting)
 
+    def test_a_fault_of_the_handler_is_not_blamed_on_the_caller(self):
+        def fail(exchange):
+            raise RuntimeError("a fault")
+
+        self.handler.on_request = fail
+        with testtools.ExpectedException(RuntimeError):
+            self.receive(REQUEST)
+        self.assertEqual(b"", self.sent())
+        self.assertTrue(self.transport.disconnected)
+
     def test_two_framings_are_no_request(self):
         self.receive(
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -123,7 +123,7 @@
 
     def test_a_configuration_keeps_what_requests_need(self):
         found = decoding.decode_configuration(encoded(CONFIG))
-        known = knowledge.Knowledge(8.0)
+        known = knowledge.Knowledge(8.0, 2.0)
         known.take(knowledge.ConfigurationSeen(found), knowledge.News(0.0, 0.0), False)
         route = known.table.find_route("hulo84.example", "/a/b/c")
         self.assertEqual("r2", route.name)
@@ -136,7 +136,7 @@
         self.assertEqual("172.20.0.3:8006", known.table.origin_service().origin)
 
     def test_a_configuration_never_gives_way_to_an_older_one(self):
-        known = knowledge.Knowledge(8.0)
+        known = knowledge.Knowledge(8.0, 2.0)
         for version in (7, 3, 9, 8):
             older = decoding.decode_configuration(
                 encoded({**CONFIG, "version": version})
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -192,7 +192,9 @@
         self.told = told
         self.source = random.Random()
         self.is_leaving = False
-        self.known = knowledge.Knowledge(told.bounds.version_ms / 1000)
+        self.known = knowledge.Knowledge(
+            told.bounds.version_ms / 1000, told.bounds.drain_ms / 1000
+        )
         self.view = items.View()
         self.excerpts = following_shell.ExcerptServer(self.view, reactor)
         pool = http1_pool.Pool(reactor)
