--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -45,7 +45,7 @@
     born_ms: int
 
 
-class ManifestRead(data.Event):
+class DigestsRead(data.Event):
     """The digests of a version are known."""
 
     version: int
@@ -85,7 +85,7 @@
     number: int | None = None
 
 
-class ReadManifest(data.Effect):
+class ReadDigests(data.Effect):
     """Fetch the digests of a version."""
 
     version: int
@@ -239,7 +239,7 @@
             target.restart()
         return self._next(now_s)
 
-    def on_manifest(self, event: ManifestRead, now_s: float) -> list:
+    def on_manifest(self, event: DigestsRead, now_s: float) -> list:
         """Go on to what lies staged, or to collecting."""
         target = self._find(event.version)
         if target is None or target.step is not Step.MANIFEST:
@@ -342,7 +342,7 @@
             return []
         if target.step is Step.MANIFEST_WANTED:
             target.step = Step.MANIFEST
-            return [ReadManifest(target.version)]
+            return [ReadDigests(target.version)]
         if target.step is Step.COLLECTING:
             return self._collect(target, now_s)
         if target is self.following:
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -41,8 +41,8 @@
 
     def carry_out(self, effect):
         match effect:
-            case staging.ReadManifest(version):
-                read = staging.ManifestRead(version, DIGESTS)
+            case staging.ReadDigests(version):
+                read = staging.DigestsRead(version, DIGESTS)
                 return self.stager.on_manifest(read, self.now_s)
             case staging.CollectPiece(version, number):
                 self.collected.append(staging.PieceCollected(version, number))
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -74,7 +74,7 @@
         self._step = stager.target.step
         self._collected: dict[sources.PieceKey, bytes] = {}
         self._handlers = {
-            staging.ReadManifest: self._read_manifest,
+            staging.ReadDigests: self._read_manifest,
             staging.CheckStaged: self._check_staged,
             staging.CollectPiece: self._collect_piece,
             staging.GiveOrder: self._give_order,
@@ -134,7 +134,7 @@
         for effect in effects:
             loop.spawn(self._handlers[type(effect)](effect))
 
-    async def _read_manifest(self, effect: staging.ReadManifest) -> None:
+    async def _read_manifest(self, effect: staging.ReadDigests) -> None:
         key = sources.PieceKey(self._model, effect.version, sources.MANIFEST)
         for holder in sources.holders(key, self._entries(), self._region):
             try:
@@ -142,7 +142,7 @@
             except pieces.PieceError as error:
                 self._log_holder(key, holder, error)
                 continue
-            read = staging.ManifestRead(effect.version, digests)
+            read = staging.DigestsRead(effect.version, digests)
             self._carry_out(self._stager.on_manifest(read, self._now_s()))
             return
         self._fail(effect.version)
