--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -198,7 +198,7 @@
         ask = placing.Ask(self.service, now.minimum_version)
         usable = len(placing.candidates(now.roster, ask, now.now_s))
         wait_s = waiting.expected_wait_s(held_work_s, usable, now.place.entries)
-        if wait_s <= waiting.MAX_EXPECTED_WAIT_S:
+        if wait_s <= waiting.LONGEST_QUEUE_S:
             return [Hold()]
         return self._turn_away(now, wait_s)
 
@@ -334,9 +334,9 @@
     def _is_hopeless(self, now: Surroundings, backlog_s: float) -> bool:
         """Tell whether its answer could not be whole before its time is over."""
         writing_s = placing.run_s(self.service.profile, self._likely_tokens_left())
-        if now.now_s - self.arrived_s < waiting.PATIENCE_S:
+        if now.now_s - self.arrived_s < waiting.MAX_QUEUE_WAIT_S:
             return False
-        needed_s = min(backlog_s, waiting.MAX_EXPECTED_WAIT_S) + self.work_s
+        needed_s = min(backlog_s, waiting.LONGEST_QUEUE_S) + self.work_s
         return now.now_s + needed_s + writing_s > self.deadline_s
 
     def _turn_away(self, now: Surroundings, wait_s: float) -> list[data.Effect]:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -178,7 +178,7 @@
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
         request = scene.forward(make_route())
         self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
-        patience_s = waiting.PATIENCE_S
+        patience_s = waiting.MAX_QUEUE_WAIT_S
         self.assert_only(forwarding.Dispatch, request.go_on(scene.at(patience_s)))
 
     def test_a_held_request_that_runs_out_of_time_did_not_run(self):
@@ -194,7 +194,7 @@
         refused = self.assert_only(
             forwarding.Reject, request.start(scene.at(0.0), held_work_s=9.0)
         )
-        self.assertLessEqual(refused.retry_after_s, waiting.MAX_EXPECTED_WAIT_S)
+        self.assertLessEqual(refused.retry_after_s, waiting.LONGEST_QUEUE_S)
         joining = scene.forward(make_route()).start(scene.at(0.0), held_work_s=1.0)
         self.assert_only(forwarding.Hold, joining)
 
@@ -204,7 +204,7 @@
         call = entry_data.Call("id", "h", "/p/x", None, 4.0, likely_tokens=200)
         request = scene.forward(make_route(), call)
         self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
-        late = scene.at(waiting.PATIENCE_S + 0.1)
+        late = scene.at(waiting.MAX_QUEUE_WAIT_S + 0.1)
         self.assert_only(forwarding.Reject, request.go_on(late))
 
     def test_old_weights_are_not_used_when_newer_ones_are_due(self):
--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -13,7 +13,7 @@
 
 INITIAL_VERSION = 1  # of weights, until the operator names another
 VERSION_MARGIN_S = 0.4  # a request's way to its engine, and its wait there
-AT_REST_S = 2.6  # a process that has just come back is not held to older news yet
+RESTART_GRACE_S = 2.6  # a process that has just come back is not held to older news yet
 
 
 class ConfigurationSeen(data.Event):
@@ -59,7 +59,7 @@
         due_s = self.earliest_s + within_s
         if self.heard_s - self.earliest_s <= following.DOUBT_AGE_S:
             return due_s
-        return max(due_s, self.heard_s + AT_REST_S)
+        return max(due_s, self.heard_s + RESTART_GRACE_S)
 
 
 class EntrySeen(data.Event):
--- a/toucanspread/core/entry/waiting.py
+++ b/toucanspread/core/entry/waiting.py
@@ -16,17 +16,19 @@
 # What an engine may have to read first; the request's own prompt comes on top.
 MAX_BACKLOG_S = 0.10
 MARGIN_S = 0.06  # a pass of the engine, and the way there and back
-PATIENCE_S = 2.5  # callers give a stream up after about three seconds without an event
+MAX_QUEUE_WAIT_S = (
+    2.5  # callers give a stream up after about three seconds without an event
+)
 
 
-MAX_EXPECTED_WAIT_S = 2.0  # the line is as long as callers' patience
+LONGEST_QUEUE_S = 2.0  # the queue is as long as callers wait
 MIN_RETRY_AFTER_S = 0.5
 
 
-class Standing(enum.IntEnum):
+class QueueClass(enum.IntEnum):
     """The order among those that wait."""
 
-    LAST_CHANCE = 0
+    EXPIRING = 0
     ON_TIME = 1
     LATE = 2
 
@@ -42,24 +44,24 @@
     on_time_until_s: float
 
 
-def standing(waiter: Waiter, backlog_s: float, now_s: float) -> Standing:
-    """Return where a request stands.
+def queue_class(waiter: Waiter, backlog_s: float, now_s: float) -> QueueClass:
+    """Return the class of a waiting request.
 
     :param backlog_s: what the best engine has to do before it would start on it.
     """
-    if now_s - waiter.arrived_s >= PATIENCE_S:
-        return Standing.LAST_CHANCE
+    if now_s - waiter.arrived_s >= MAX_QUEUE_WAIT_S:
+        return QueueClass.EXPIRING
     if now_s + backlog_s <= waiter.on_time_until_s:
-        return Standing.ON_TIME
-    return Standing.LATE
+        return QueueClass.ON_TIME
+    return QueueClass.LATE
 
 
 def in_order(waiters: Iterable[Waiter], backlog_s: float, now_s: float) -> list[Waiter]:
     """Return the requests, the one to go first at the front."""
 
     def rank(waiter: Waiter) -> tuple[int, float]:
-        place = standing(waiter, backlog_s, now_s)
-        if place is Standing.ON_TIME:
+        place = queue_class(waiter, backlog_s, now_s)
+        if place is QueueClass.ON_TIME:
             return (place, waiter.on_time_until_s)
         return (place, waiter.arrived_s)
 
@@ -68,13 +70,13 @@
 
 def may_start(waiter: Waiter, backlog_s: float, now_s: float) -> bool:
     """Tell whether a request goes to an engine now."""
-    if standing(waiter, backlog_s, now_s) is Standing.LAST_CHANCE:
+    if queue_class(waiter, backlog_s, now_s) is QueueClass.EXPIRING:
         return True
     return backlog_s <= MAX_BACKLOG_S
 
 
 def expected_wait_s(held_work_s: float, engines: int, entries: int) -> float:
-    """Return how long a request that joins the line now would wait.
+    """Return how long a request that joins the queue now would wait.
 
     :param held_work_s: what one engine would need to start on all that wait here.
     :param engines: that take requests; the entries share them.
@@ -90,5 +92,5 @@
     :param wait_s: how long it would have waited.
     :param spread: from 0 to 1, so that not all come back at once.
     """
-    longest_s = max(min(wait_s, MAX_EXPECTED_WAIT_S), MIN_RETRY_AFTER_S)
+    longest_s = max(min(wait_s, LONGEST_QUEUE_S), MIN_RETRY_AFTER_S)
     return MIN_RETRY_AFTER_S + (longest_s - MIN_RETRY_AFTER_S) * spread
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -26,14 +26,14 @@
 class Owner(abc.ABC):
     """What a request needs of the entry that answers it.
 
-    :ivar line: the requests that are held back.
+    :ivar queue: the requests that are held back.
     :ivar in_progress: the requests that are not over.
     """
 
     known: knowledge.Knowledge
     pool: http1_pool.Pool
     wire: dialect.Dialect
-    line: held_requests.Line
+    queue: held_requests.Queue
     in_progress: set["Request"]
 
     @abc.abstractmethod
@@ -97,7 +97,7 @@
         left_s = self._state.deadline_s - reactor.seconds()
         wait_s = max(left_s + forwarding.ENGINE_ANSWER_SLACK_S, 0.0)
         self._deadline = reactor.callLater(wait_s, self._on_time_over)
-        held_work_s = self._owner.line.work_s(self.service.name)
+        held_work_s = self._owner.queue.work_s(self.service.name)
         self._carry_out(self._state.start(self.now(), held_work_s))
 
     @property
@@ -170,7 +170,7 @@
             self._handlers[type(effect)](effect)
         if self._state is not None and self._state.is_over:
             self._owner.in_progress.discard(self)
-            self._owner.line.remove(self)
+            self._owner.queue.remove(self)
             if self._deadline is not None and self._deadline.active():
                 self._deadline.cancel()
 
@@ -205,7 +205,7 @@
         self._answer.sending = sending
 
     def _hold(self, effect: forwarding.Hold) -> None:
-        self._owner.line.add(self)
+        self._owner.queue.add(self)
         tallies.count("requests_held")
 
     def _cancel(self, effect: forwarding.Cancel) -> None:
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -54,7 +54,7 @@
         self._spending = spending
         self._place = place
         self._source = source
-        self.line = held_requests.Line(pool.reactor)
+        self.queue = held_requests.Queue(pool.reactor)
 
     def bounds(self) -> http1_server.Bounds:
         """Return the configured limits on callers."""
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -205,8 +205,8 @@
         for _ in range(200):
             self.clock.advance(0.01)
         self.assertEqual(1, len(self.pool.sent))
-        self.assertEqual(0.0, self.forwarder.line.work_s(data.ServiceName("s1")))
-        self.assertEqual(0.0, self.forwarder.line.work_s(data.ServiceName("s2")))
+        self.assertEqual(0.0, self.forwarder.queue.work_s(data.ServiceName("s1")))
+        self.assertEqual(0.0, self.forwarder.queue.work_s(data.ServiceName("s2")))
 
     def test_without_a_configuration_callers_are_told_to_come_back(self):
         self.known.table = None
--- a/toucanspread/ops/held_requests.py
+++ b/toucanspread/ops/held_requests.py
@@ -35,7 +35,7 @@
         """Look for an engine again; return whether the request stays held back."""
 
 
-class Line:
+class Queue:
     """The requests that are held back, by service."""
 
     def __init__(self, reactor):
