Do not wait at a source that lost the store together with this process

The zones learned of three revoked keys after 2.3 s. Ruled out: a silent connection. Tests seen failing first.

--- a/toucanspread/core/view/following.py
+++ b/toucanspread/core/view/following.py
@@ -16,8 +16,9 @@
 PEER_WAIT_S = 0.75
 ANSWER_GRACE_S = 0.5  # an answer may be this much later than the wait asked for
 DOUBT_AGE_S = 2.0  # two waits and their answers: an older copy is checked elsewhere
-FRESH_AGE_S = 1.3  # the copy of one that follows the store itself is no older
+FRESH_AGE_S = 1.1  # the copy of one that follows the store itself is no older
 SOURCE_PAUSE_S = 1.0  # a source that failed is asked again after this
+STALE_PAUSE_S = 0.3  # one that only had nothing newer may have it soon
 BATCH_PAUSE_S = 0.1  # changes in quick succession are fetched together
 RETRY_PAUSE_S = 0.15
 
@@ -61,8 +62,8 @@
         self._name = name
         self._zone = zone
         self._may_lead = may_lead
-        self._failed_s: dict[Source, float] = {}
-        self._lost: set[Source] = set()
+        self._paused_until_s: dict[Source, float] = {}
+        self._lost_s: dict[Source, float] = {}  # since when sources are of no use
         self._usual = STORE
         self._trusted: Source | None = None
 
@@ -103,32 +104,42 @@
         ranked = self.ranked(peers, seeds)
         self._usual = ranked[0]
         for source in ranked:
-            failed_s = self._failed_s.get(source)
-            if failed_s is None or now_s - failed_s >= SOURCE_PAUSE_S:
+            if now_s >= self._paused_until_s.get(source, now_s):
                 return source
         return None
 
     def failed(self, source: Source, now_s: float) -> bool:
         """Note that a source did not answer; return whether that is news."""
-        is_news = source not in self._lost
-        self._lost.add(source)
-        self._failed_s[source] = now_s
+        is_news = source not in self._lost_s
+        self._lost_s.setdefault(source, now_s)
+        self._paused_until_s[source] = now_s + SOURCE_PAUSE_S
         return is_news
 
     def answered(self, source: Source, age_s: float, now_s: float) -> bool:
-        """Note that a source answered; return whether it had failed before.
+        """Note that a source answered; return whether it had been lost before.
 
         :param age_s: of this process's copy after the answer.
         """
-        if age_s <= (DOUBT_AGE_S if source == self._usual else FRESH_AGE_S):
+        if self._is_of_use(source, age_s, now_s):
             self._trusted = source
-            self._failed_s.pop(source, None)
-        else:
-            # It answers, but its copy is of no use for a while.
-            self._failed_s[source] = now_s
-        was_lost = source in self._lost
-        self._lost.discard(source)
-        return was_lost
+            self._paused_until_s.pop(source, None)
+            return self._lost_s.pop(source, None) is not None
+        if source == self._usual:
+            self._lost_s.setdefault(source, now_s)
+        self._paused_until_s[source] = now_s + STALE_PAUSE_S
+        return False
+
+    def _is_of_use(self, source: Source, age_s: float, now_s: float) -> bool:
+        """Tell whether a source still hears of what changes in the store.
+
+        Those that lost the store together have copies of the same age, and could wait
+        for each other; a spare source must have been in touch since the usual one
+        was lost.
+        """
+        if age_s > FRESH_AGE_S:
+            return False
+        lost_s = self._lost_s.get(self._usual)
+        return source == self._usual or lost_s is None or now_s - age_s > lost_s
 
     def wait_s(self, source: Source, age_s: float) -> float:
         """Return how long a peer may wait for something new before it answers.
--- a/toucanspread/core/view/items_test.py
+++ b/toucanspread/core/view/items_test.py
@@ -102,8 +102,25 @@
             self.assertEqual("far:1", source.address)
             # One whose copy may be as old answers at once, with what it has.
             self.assertEqual(0.0, chooser.wait_s(source, 0.2))
-            chooser.answered(source, 0.5, 0.0)
-            self.assertEqual(following.PEER_WAIT_S, chooser.wait_s(source, 0.5))
+            # One that lost the store at the same time is not waited for.
+            chooser.answered(source, 0.3, 0.1)
+            self.assertEqual(0.0, chooser.wait_s(source, 0.3))
+            self.assertNotEqual(source, chooser.choose(peers, [], 0.1))
+            # One that has been in touch with it since then is.
+            chooser.answered(source, 0.2, 0.5)
+            self.assertEqual(following.PEER_WAIT_S, chooser.wait_s(source, 0.2))
+
+    def test_a_follower_asks_the_store_when_its_leader_has_lost_it(self):
+        for name in self.names:
+            chooser = following.Chooser(name, data.ZoneName("z"), may_lead=True)
+            usual = chooser.choose(self.peers(name), [], 0.0)
+            if usual == following.STORE:
+                continue
+            chooser.answered(usual, 0.9, 0.5)
+            self.assertEqual(usual, chooser.choose(self.peers(name), [], 0.5))
+            chooser.answered(usual, 1.2, 0.8)
+            again = chooser.choose(self.peers(name), [], 0.8)
+            self.assertEqual(following.STORE, again)
 
     def test_a_source_that_failed_is_tried_again(self):
         chooser = following.Chooser("a", data.ZoneName("z"), may_lead=True)
