Sort the core's flat modules into packages by matter

gate, membership, transfers, requests and agreement join entry, view and weights; data, events, effects, machine, invariants, operations, rendezvous, sessions and the assembly (roles) stay as the shared ground.

--- a/benches/bench_agreement.py
+++ b/benches/bench_agreement.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from standins import virtual_agreement
-from toucanspread.core import confirm, data, effects, events, plans, pushing, rendezvous
+from toucanspread.core import data, effects, events, rendezvous
+from toucanspread.core.agreement import confirm, plans, pushing
 
 # Entries, endpoint processes, and the share of messages that is lost, late or doubled.
 SIZES = (
--- a/benches/bench_gate.py
+++ b/benches/bench_gate.py
@@ -7,7 +7,8 @@
 import time
 
 from standins import gate_fakes, virtual_engine
-from toucanspread.core import data, events, limits
+from toucanspread.core import data, events
+from toucanspread.core.gate import limits
 
 DURATION_S = 60.0
 SEED = 7
--- a/benches/bench_membership.py
+++ b/benches/bench_membership.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from standins import virtual_members
-from toucanspread.core import data, events, reporting
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, events
+from toucanspread.core.membership import membership_messages as messages
+from toucanspread.core.membership import reporting
 from toucanspread.ops import codec, datagrams, loop
 
 SIZES = (44, 88, 175, 350)
--- a/benches/bench_requests.py
+++ b/benches/bench_requests.py
@@ -13,12 +13,10 @@
 from collections.abc import Callable
 
 from standins import virtual_requests
-from toucanspread.core import (
-    data,
+from toucanspread.core import data, events, machine
+from toucanspread.core.requests import (
     draining,
     endpoints,
-    events,
-    machine,
     request_events,
     requests,
     routing,
--- a/benches/bench_transfer.py
+++ b/benches/bench_transfer.py
@@ -15,15 +15,8 @@
 
 from benches import baselines
 from standins import virtual_swarm
-from toucanspread.core import (
-    data,
-    events,
-    machine,
-    manifest,
-    swarm,
-    tracking,
-    transfer_state,
-)
+from toucanspread.core import data, events, machine
+from toucanspread.core.transfers import manifest, swarm, tracking, transfer_state
 
 WANTED_S = 60.0
 CHUNKS = 256
--- a/scripts/burst.py
+++ b/scripts/burst.py
@@ -16,7 +16,7 @@
 import yaml
 
 from benches import baselines
-from toucanspread.core import manifest
+from toucanspread.core.transfers import manifest
 from toucanspread.ops import weights
 
 CHUNK_BYTES = 64 * 1024
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,7 +20,7 @@
 import yaml
 
 from standins import engine_text
-from toucanspread.core import manifest
+from toucanspread.core.transfers import manifest
 from toucanspread.ops import weights
 
 WEIGHTS_BYTES = 6 * 1024 * 1024
--- a/standins/gate_fakes.py
+++ b/standins/gate_fakes.py
@@ -6,17 +6,8 @@
 import types
 from collections.abc import Iterable
 
-from toucanspread.core import (
-    claims,
-    data,
-    effects,
-    events,
-    gate,
-    gate_events,
-    limits,
-    machine,
-    serving,
-)
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.gate import claims, gate, gate_events, limits, serving
 
 SERVICE = data.ServiceName("reservas")
 MODEL_SERVICE = data.ServiceName("redactor")
--- a/standins/mechanisms_test.py
+++ b/standins/mechanisms_test.py
@@ -10,20 +10,10 @@
 import testtools
 
 from standins import system_machine, virtual_checks
-from toucanspread.core import (
-    claims,
-    data,
-    dispatch_memory,
-    events,
-    gate,
-    gate_events,
-    invariants,
-    orders,
-    request_state,
-    retries,
-    spread,
-    wholeness,
-)
+from toucanspread.core import data, events, invariants
+from toucanspread.core.agreement import orders, spread
+from toucanspread.core.gate import claims, dispatch_memory, gate, gate_events, wholeness
+from toucanspread.core.requests import request_state, retries
 
 BROKEN = (virtual_checks.PromiseBrokenError, invariants.InvariantBreachError)
 
--- a/standins/system_machine.py
+++ b/standins/system_machine.py
@@ -7,7 +7,8 @@
 from hypothesis import stateful, strategies
 
 from standins import virtual_checks, virtual_system
-from toucanspread.core import data, events, manifest
+from toucanspread.core import data, events
+from toucanspread.core.transfers import manifest
 
 PLACES = (("brest-a", "finistere"), ("vannes-a", "morbihan"), ("rennes-a", "rennes"))
 ENTRIES = 4
--- a/standins/virtual_agreement.py
+++ b/standins/virtual_agreement.py
@@ -9,23 +9,20 @@
 import heapq
 import random
 
-from toucanspread.core import (
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.agreement import (
     config,
     confirm,
     controller,
-    data,
-    effects,
-    events,
     leases,
-    machine,
     orders,
     overview,
     planning,
-    reporting,
-    serving,
     spread,
     watching,
 )
+from toucanspread.core.gate import serving
+from toucanspread.core.membership import reporting
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 1.0
--- a/standins/virtual_engine.py
+++ b/standins/virtual_engine.py
@@ -10,7 +10,8 @@
 import random
 
 from standins import gate_fakes
-from toucanspread.core import data, effects, events, gate_events
+from toucanspread.core import data, effects, events
+from toucanspread.core.gate import gate_events
 
 STEP_S = 0.01
 TICK_STEPS = 10
--- a/standins/virtual_members.py
+++ b/standins/virtual_members.py
@@ -10,16 +10,9 @@
 import msgspec
 
 from standins import virtual_network
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    machine,
-    membership,
-    rendezvous,
-    reporting,
-)
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, effects, events, machine, rendezvous
+from toucanspread.core.membership import membership, reporting
+from toucanspread.core.membership import membership_messages as messages
 from toucanspread.ops import codec
 
 ENDPOINTS_PER_ENTRY = 7_500 / 350
--- a/standins/virtual_platform.py
+++ b/standins/virtual_platform.py
@@ -3,7 +3,8 @@
 import collections
 
 from standins import virtual_agreement
-from toucanspread.core import data, effects, events, manifest
+from toucanspread.core import data, effects, events
+from toucanspread.core.transfers import manifest
 
 CHUNK_BYTES = 64 * 1024
 
--- a/standins/virtual_requests.py
+++ b/standins/virtual_requests.py
@@ -11,19 +11,13 @@
 import random
 import types
 
-from toucanspread.core import (
-    claims,
-    data,
+from toucanspread.core import data, events, machine
+from toucanspread.core.gate import claims, gate, gate_events, limits, serving
+from toucanspread.core.requests import (
     draining,
-    events,
-    gate,
-    gate_events,
-    limits,
-    machine,
     request_events,
     requests,
     routing,
-    serving,
     steering,
 )
 
--- a/standins/virtual_swarm.py
+++ b/standins/virtual_swarm.py
@@ -11,16 +11,8 @@
 import time
 from collections.abc import Callable
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    fetching,
-    machine,
-    manifest,
-    tracking,
-    transfer,
-)
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.transfers import fetching, manifest, tracking, transfer
 
 TICK_S = 0.1
 LATENCY_S = 0.002
--- a/standins/virtual_system.py
+++ b/standins/virtual_system.py
@@ -15,19 +15,11 @@
 import msgspec
 
 from standins import virtual_platform
-from toucanspread.core import (
-    confirm,
-    data,
-    effects,
-    events,
-    fetching,
-    gate_events,
-    machine,
-    planning,
-    plans,
-    request_events,
-    roles,
-)
+from toucanspread.core import data, effects, events, machine, roles
+from toucanspread.core.agreement import confirm, planning, plans
+from toucanspread.core.gate import gate_events
+from toucanspread.core.requests import request_events
+from toucanspread.core.transfers import fetching
 
 TICK_S = 0.1
 HOP_S = 0.002
--- /dev/null
+++ b/toucanspread/core/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The agreement on revisions: intents, plans, their confirmation and spread."""
--- a/toucanspread/core/acceptance.py
+++ b/toucanspread/core/agreement/acceptance.py
@@ -12,17 +12,8 @@
 
 import enum
 
-from toucanspread.core import (
-    config,
-    data,
-    effects,
-    events,
-    history,
-    invariants,
-    machine,
-    operations,
-    watching,
-)
+from toucanspread.core import data, effects, events, invariants, machine, operations
+from toucanspread.core.agreement import config, history, watching
 
 DEADLINE_S = 4.0
 MAX_ROUNDS = 30
--- a/toucanspread/core/agreement_golden_test.py
+++ b/toucanspread/core/agreement/agreement_golden_test.py
@@ -10,7 +10,7 @@
 
 from standins import virtual_agreement
 from toucanspread.core import data, sessions
-from toucanspread.core.agreement_test import NEXT_MANIFEST, accept, intent
+from toucanspread.core.agreement.agreement_test import NEXT_MANIFEST, accept, intent
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 
--- a/toucanspread/core/agreement_machine_test.py
+++ b/toucanspread/core/agreement/agreement_machine_test.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 
 from standins import virtual_agreement
-from toucanspread.core import confirm, data, effects, history
-from toucanspread.core.agreement_test import confirmation, intent
+from toucanspread.core import data, effects
+from toucanspread.core.agreement import confirm, history
+from toucanspread.core.agreement.agreement_test import confirmation, intent
 
 EXAMPLES = int(os.environ.get("TOUCANSPREAD_EXAMPLES", "0"))
 SERVICES = ("pool", "desk")
--- a/toucanspread/core/agreement_test.py
+++ b/toucanspread/core/agreement/agreement_test.py
@@ -1,7 +1,8 @@
 import testtools
 
 from standins import virtual_agreement
-from toucanspread.core import confirm, data, leases, plans
+from toucanspread.core import data
+from toucanspread.core.agreement import confirm, leases, plans
 
 MANIFEST = data.ManifestHash("a" * 64)
 NEXT_MANIFEST = data.ManifestHash("b" * 64)
--- a/toucanspread/core/config.py
+++ b/toucanspread/core/agreement/config.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from toucanspread.core import data, effects, events, history, invariants, machine
+from toucanspread.core import data, effects, events, invariants, machine
+from toucanspread.core.agreement import history
 
 MAX_DIGESTS = 256  # a process further behind is compared by revision only
 
--- a/toucanspread/core/confirm.py
+++ b/toucanspread/core/agreement/confirm.py
@@ -7,14 +7,10 @@
 
 import enum
 
-from toucanspread.core import (
+from toucanspread.core import data, effects, events, machine, operations
+from toucanspread.core.agreement import (
     acceptance,
-    data,
-    effects,
-    events,
     history,
-    machine,
-    operations,
     overview,
     placement,
     planning,
--- a/toucanspread/core/controller.py
+++ b/toucanspread/core/agreement/controller.py
@@ -6,17 +6,8 @@
 holder can take it away, so two holders that overlap can't break the floor together.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    invariants,
-    leases,
-    machine,
-    operations,
-    overview,
-    placement,
-)
+from toucanspread.core import data, effects, events, invariants, machine, operations
+from toucanspread.core.agreement import leases, overview, placement
 
 INTERVAL_S = 1.0
 REPLICAS_PER_EXTRA_SECOND = 750  # 7,500 replicas take 0.1 s of processor time
--- a/toucanspread/core/failures_test.py
+++ b/toucanspread/core/agreement/failures_test.py
@@ -4,17 +4,16 @@
 import testtools
 
 from standins import virtual_agreement
-from toucanspread.core import (
+from toucanspread.core import data, events
+from toucanspread.core.agreement import (
     confirm,
-    data,
-    events,
     history,
     leases,
     planning,
     plans,
     spread,
 )
-from toucanspread.core.agreement_test import (
+from toucanspread.core.agreement.agreement_test import (
     NEXT_MANIFEST,
     ZONES,
     accept,
--- a/toucanspread/core/intents_test.py
+++ b/toucanspread/core/agreement/intents_test.py
@@ -2,9 +2,10 @@
 
 import testtools
 
-from toucanspread.core import data, intents
+from toucanspread.core import data
+from toucanspread.core.agreement import intents
 
-EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 FULL = """
 intents:
   - service: pool
--- a/toucanspread/core/leases.py
+++ b/toucanspread/core/agreement/leases.py
@@ -10,15 +10,8 @@
 numbers, so that numbers in orders grow all the same.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    machine,
-    operations,
-    spread,
-    watching,
-)
+from toucanspread.core import data, effects, events, machine, operations
+from toucanspread.core.agreement import spread, watching
 
 LEASE_KEY = "lease/controller"
 TTL_S = 10.0
--- a/toucanspread/core/orders.py
+++ b/toucanspread/core/agreement/orders.py
@@ -5,16 +5,9 @@
 only after the engine's own digest of its weights matches the manifest's.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    invariants,
-    machine,
-    operations,
-    placement,
-    serving,
-)
+from toucanspread.core import data, effects, events, invariants, machine, operations
+from toucanspread.core.agreement import placement
+from toucanspread.core.gate import serving
 
 STATUS_INTERVAL_S = 0.5
 ANSWER_S = 120.0  # loading a large version takes long
--- a/toucanspread/core/overview.py
+++ b/toucanspread/core/agreement/overview.py
@@ -5,16 +5,9 @@
 first: what has changed each second, and everything now and then.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    leases,
-    machine,
-    placement,
-    pushing,
-    reporting,
-)
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.agreement import leases, placement, pushing
+from toucanspread.core.membership import reporting
 
 INTERVAL_S = 1.0
 MAX_ITEMS = 40  # told in one message
--- a/toucanspread/core/planning.py
+++ b/toucanspread/core/agreement/planning.py
@@ -5,15 +5,8 @@
 knows, and says so in a warning.
 """
 
-from toucanspread.core import (
-    config,
-    data,
-    effects,
-    events,
-    machine,
-    overview,
-    plans,
-)
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.agreement import config, overview, plans
 
 ASK_S = 1.0
 SERVICE_FRESH_S = 30.0  # an idle watch is answered more often
--- a/toucanspread/core/plans.py
+++ b/toucanspread/core/agreement/plans.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from toucanspread.core import data, history, intents, placement
+from toucanspread.core import data
+from toucanspread.core.agreement import history, intents, placement
 
 PLAN_ID_DIGITS = 32
 
--- a/toucanspread/core/spread.py
+++ b/toucanspread/core/agreement/spread.py
@@ -10,15 +10,8 @@
 
 import msgspec
 
-from toucanspread.core import (
-    config,
-    data,
-    effects,
-    events,
-    history,
-    machine,
-    pushing,
-)
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.agreement import config, history, pushing
 
 PUSH_FANOUT = 2
 COMPARE_INTERVAL_S = 1.0
--- a/toucanspread/core/watching.py
+++ b/toucanspread/core/agreement/watching.py
@@ -5,17 +5,8 @@
 noticed here by a head below the revision in force.
 """
 
-from toucanspread.core import (
-    config,
-    data,
-    effects,
-    events,
-    history,
-    machine,
-    operations,
-    rendezvous,
-    spread,
-)
+from toucanspread.core import data, effects, events, machine, operations, rendezvous
+from toucanspread.core.agreement import config, history, spread
 
 WATCHERS_PER_ZONE = 2
 WATCH_S = 20.0
--- a/toucanspread/core/answer_ends.py
+++ b/toucanspread/core/gate/answer_ends.py
@@ -1,6 +1,7 @@
 """The last frames of answers, as an endpoint process decides them."""
 
-from toucanspread.core import data, dispatch_memory, limits
+from toucanspread.core import data
+from toucanspread.core.gate import dispatch_memory, limits
 
 ENGINE_RETRY_AFTER_S = 1.0
 LOADING_RETRY_AFTER_S = 5.0
--- a/toucanspread/core/claims.py
+++ b/toucanspread/core/gate/claims.py
@@ -11,7 +11,8 @@
 import dataclasses
 import enum
 
-from toucanspread.core import claim_table, data, effects, events, invariants
+from toucanspread.core import data, effects, events, invariants
+from toucanspread.core.gate import claim_table
 
 CLAIM_TIMEOUT_S = 1.5  # after this the key-value service counts as down
 DOWN_S = 1.0  # how long claims are refused at once before one tries again
--- a/toucanspread/core/claims_test.py
+++ b/toucanspread/core/gate/claims_test.py
@@ -1,14 +1,8 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import (
-    claim_table,
-    claims,
-    data,
-    effects,
-    events,
-    gate_events,
-)
+from toucanspread.core import data, effects, events
+from toucanspread.core.gate import claim_table, claims, gate_events
 
 PLAIN = data.ServiceKind.PLAIN
 KEY = "deposit-7"
--- a/toucanspread/core/gate.py
+++ b/toucanspread/core/gate/gate.py
@@ -5,16 +5,13 @@
 the refusal, so that a late copy of a refused dispatch is refused as well.
 """
 
-from toucanspread.core import (
+from toucanspread.core import data, effects, events, invariants
+from toucanspread.core.gate import (
     answer_ends,
     claims,
-    data,
     dispatch_memory,
-    effects,
-    events,
     gate_events,
     gate_work,
-    invariants,
     limits,
     switching,
     wholeness,
--- a/toucanspread/core/gate_golden_test.py
+++ b/toucanspread/core/gate/gate_golden_test.py
@@ -5,7 +5,8 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import data, events, gate_events, sessions
+from toucanspread.core import data, events, sessions
+from toucanspread.core.gate import gate_events
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 
--- a/toucanspread/core/gate_stateful_test.py
+++ b/toucanspread/core/gate/gate_stateful_test.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from standins import gate_fakes
-from toucanspread.core import data, events, gate_events
+from toucanspread.core import data, events
+from toucanspread.core.gate import gate_events
 
 GATES = 3
 KEYS = ("deposit-1", "swap-1")
--- a/toucanspread/core/gate_test.py
+++ b/toucanspread/core/gate/gate_test.py
@@ -2,15 +2,12 @@
 import testtools
 
 from standins import gate_fakes
-from toucanspread.core import (
-    data,
+from toucanspread.core import data, effects, events, invariants
+from toucanspread.core.gate import (
     dispatch_memory,
-    effects,
-    events,
     gate,
     gate_events,
     gate_work,
-    invariants,
     serving,
 )
 
--- a/toucanspread/core/limits.py
+++ b/toucanspread/core/gate/limits.py
@@ -7,14 +7,8 @@
 import collections
 import dataclasses
 
-from toucanspread.core import (
-    concurrency,
-    data,
-    effects,
-    events,
-    fairness,
-    invariants,
-)
+from toucanspread.core import data, effects, events, invariants
+from toucanspread.core.gate import concurrency, fairness
 
 INITIAL_LIMIT = 16
 MAX_QUEUE_PER_LIMIT = 2  # queued requests for each that may run
--- a/toucanspread/core/limits_test.py
+++ b/toucanspread/core/gate/limits_test.py
@@ -1,7 +1,8 @@
 import testtools
 
 from standins import gate_fakes, virtual_engine
-from toucanspread.core import concurrency, data, events, gate_events, limits
+from toucanspread.core import data, events
+from toucanspread.core.gate import concurrency, gate_events, limits
 
 SEEDS = (1, 2, 3)
 
--- a/toucanspread/core/switching.py
+++ b/toucanspread/core/gate/switching.py
@@ -1,6 +1,7 @@
 """The moment in which an engine changes from one version to another."""
 
-from toucanspread.core import data, gate_work, serving
+from toucanspread.core import data
+from toucanspread.core.gate import gate_work, serving
 
 MAX_RESTARTS = 2  # of work that the engine refused over a change of version
 SWITCHING_PHASES = frozenset({serving.Phase.ACTIVATING, serving.Phase.CONFIRMING})
--- /dev/null
+++ b/toucanspread/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: probing, gossip and reports between processes of the system."""
--- a/toucanspread/core/beliefs.py
+++ b/toucanspread/core/membership/beliefs.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from toucanspread.core import data, effects, events, invariants
-from toucanspread.core import membership_messages as messages
+from toucanspread.core.membership import membership_messages as messages
 
 State = data.MemberState
 
--- a/toucanspread/core/capacity.py
+++ b/toucanspread/core/membership/capacity.py
@@ -4,8 +4,9 @@
 with them rides on membership messages, as updates do.
 """
 
-from toucanspread.core import beliefs, data, gossip
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data
+from toucanspread.core.membership import beliefs, gossip
+from toucanspread.core.membership import membership_messages as messages
 
 COUNT_INTERVAL_S = 1.0
 CHANGE_INTERVAL_S = 5.0  # bounds the rows of a rollout, which changes every count
--- a/toucanspread/core/membership.py
+++ b/toucanspread/core/membership/membership.py
@@ -5,19 +5,17 @@
 :mod:`toucanspread.core.beliefs`, the probes in :mod:`toucanspread.core.probing`.
 """
 
-from toucanspread.core import (
+from toucanspread.core import data, effects, events
+from toucanspread.core.membership import (
     beliefs,
     capacity,
-    data,
-    effects,
-    events,
     gossip,
     probing,
     relaying,
     reporting,
     views,
 )
-from toucanspread.core import membership_messages as messages
+from toucanspread.core.membership import membership_messages as messages
 
 Member = beliefs.Member
 
--- a/toucanspread/core/membership_stateful_test.py
+++ b/toucanspread/core/membership/membership_stateful_test.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from toucanspread.core import data
-from toucanspread.core.membership_test import Fleet, State, identity
+from toucanspread.core.membership.membership_test import Fleet, State, identity
 
 ENTRIES = 4
 ENDPOINTS = 3
--- a/toucanspread/core/membership_test.py
+++ b/toucanspread/core/membership/membership_test.py
@@ -4,16 +4,10 @@
 import testtools
 
 from standins import virtual_network
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    limits,
-    machine,
-    membership,
-    reporting,
-)
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.gate import limits
+from toucanspread.core.membership import membership, reporting
+from toucanspread.core.membership import membership_messages as messages
 
 State = data.MemberState
 ZONES = ("brest-a", "vannes-a")
--- a/toucanspread/core/probing.py
+++ b/toucanspread/core/membership/probing.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from toucanspread.core import beliefs, data, effects, gossip
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, effects
+from toucanspread.core.membership import beliefs, gossip
+from toucanspread.core.membership import membership_messages as messages
 
 PROBE_INTERVAL_S = 1.0
 DIRECT_TIMEOUT_S = 0.5
--- a/toucanspread/core/relaying.py
+++ b/toucanspread/core/membership/relaying.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from toucanspread.core import beliefs, data, effects, rendezvous, reporting
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, effects, rendezvous
+from toucanspread.core.membership import beliefs, reporting
+from toucanspread.core.membership import membership_messages as messages
 
 COLLECTOR_KEY = "lease/controller"  # ranks as the lease's candidates do
 COLLECTORS_PER_ZONE = 2  # a holder that a newcomer outranks is still told
--- a/toucanspread/core/relaying_test.py
+++ b/toucanspread/core/membership/relaying_test.py
@@ -2,8 +2,14 @@
 
 import testtools
 
-from toucanspread.core import data, relaying, reporting
-from toucanspread.core.membership_test import FakeOrders, Fleet, State, identity
+from toucanspread.core import data
+from toucanspread.core.membership import relaying, reporting
+from toucanspread.core.membership.membership_test import (
+    FakeOrders,
+    Fleet,
+    State,
+    identity,
+)
 
 ENTRIES = reporting.ALL_ENTRIES_LIMIT + 6
 ENDPOINTS = 24
--- a/toucanspread/core/reporting.py
+++ b/toucanspread/core/membership/reporting.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
-from toucanspread.core import beliefs, data, effects, events, limits, rendezvous
+from toucanspread.core import data, effects, events, rendezvous
+from toucanspread.core.gate import limits
+from toucanspread.core.membership import beliefs
 
 REPORT_INTERVAL_S = 1.0
 WHOLE_INTERVAL_S = 30.0
--- a/toucanspread/core/views.py
+++ b/toucanspread/core/membership/views.py
@@ -6,8 +6,9 @@
 
 import xxhash
 
-from toucanspread.core import beliefs, capacity, data, effects
-from toucanspread.core import membership_messages as messages
+from toucanspread.core import data, effects
+from toucanspread.core.membership import beliefs, capacity
+from toucanspread.core.membership import membership_messages as messages
 
 VIEW_INTERVALS_S = {data.Role.ENTRY: 30.0, data.Role.ENDPOINT: 120.0}
 ANSWER_BUDGET_BYTES_S = 8 * 1024
--- /dev/null
+++ b/toucanspread/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request through an entry: routing, attempts, outcomes."""
--- a/toucanspread/core/answers_test.py
+++ b/toucanspread/core/requests/answers_test.py
@@ -4,7 +4,8 @@
 import xxhash
 from hypothesis import strategies as st
 
-from toucanspread.core import answers, data
+from toucanspread.core import data
+from toucanspread.core.requests import answers
 
 PAYLOADS = st.lists(st.binary(min_size=1, max_size=4), max_size=6)
 FAULTS = st.lists(
--- a/toucanspread/core/draining.py
+++ b/toucanspread/core/requests/draining.py
@@ -4,7 +4,8 @@
 elsewhere instead of closing its port on them.
 """
 
-from toucanspread.core import data, effects, events, machine, steering
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.requests import steering
 
 
 class State:
--- a/toucanspread/core/outcomes.py
+++ b/toucanspread/core/requests/outcomes.py
@@ -1,15 +1,7 @@
 """Ends a request with its one final outcome, and accounts for it."""
 
-from toucanspread.core import (
-    data,
-    effects,
-    invariants,
-    machine,
-    request_events,
-    request_state,
-    retries,
-    steering,
-)
+from toucanspread.core import data, effects, invariants, machine
+from toucanspread.core.requests import request_events, request_state, retries, steering
 
 RETRY_AFTER_S = 1.0  # when nothing better is known
 NO_VERSION = data.VersionName("")
--- a/toucanspread/core/request_path_test.py
+++ b/toucanspread/core/requests/request_path_test.py
@@ -15,14 +15,9 @@
 from hypothesis import strategies as st
 
 from standins import gate_fakes
-from toucanspread.core import (
-    data,
-    effects,
-    events,
-    gate_events,
-    request_events,
-    requests_test,
-)
+from toucanspread.core import data, effects, events
+from toucanspread.core.gate import gate_events
+from toucanspread.core.requests import request_events, requests_test
 
 ENTRIES = 2
 ENDPOINTS = 3
--- a/toucanspread/core/request_state.py
+++ b/toucanspread/core/requests/request_state.py
@@ -3,7 +3,8 @@
 import dataclasses
 import heapq
 
-from toucanspread.core import data, machine, retries
+from toucanspread.core import data, machine
+from toucanspread.core.requests import retries
 
 # Above the endpoint's own limit on a silent engine, which it mends by itself.
 FIRST_FRAME_TIMEOUT_S = 15.0
--- a/toucanspread/core/requests.py
+++ b/toucanspread/core/requests/requests.py
@@ -9,13 +9,9 @@
 
 import msgspec
 
-from toucanspread.core import (
-    data,
-    effects,
+from toucanspread.core import data, effects, events, invariants, machine
+from toucanspread.core.requests import (
     endpoints,
-    events,
-    invariants,
-    machine,
     outcomes,
     request_events,
     request_state,
--- a/toucanspread/core/requests_golden_test.py
+++ b/toucanspread/core/requests/requests_golden_test.py
@@ -4,14 +4,8 @@
 
 import testtools
 
-from toucanspread.core import (
-    data,
-    events,
-    request_events,
-    requests_test,
-    sessions,
-    steering,
-)
+from toucanspread.core import data, events, sessions
+from toucanspread.core.requests import request_events, requests_test, steering
 
 GOLDEN = pathlib.Path(__file__).parent / "golden" / "requests_entry.jsonl"
 MODEL = requests_test.MODEL
--- a/toucanspread/core/requests_test.py
+++ b/toucanspread/core/requests/requests_test.py
@@ -2,12 +2,9 @@
 
 import testtools
 
-from toucanspread.core import (
-    data,
+from toucanspread.core import data, effects, events, machine
+from toucanspread.core.requests import (
     draining,
-    effects,
-    events,
-    machine,
     request_events,
     requests,
     retries,
--- a/toucanspread/core/restored_service_test.py
+++ b/toucanspread/core/requests/restored_service_test.py
@@ -10,8 +10,8 @@
 import testtools
 from hypothesis import strategies as st
 
-from toucanspread.core import confirm
-from toucanspread.core.agreement_test import confirmation, intent, make_fleet
+from toucanspread.core.agreement import confirm
+from toucanspread.core.agreement.agreement_test import confirmation, intent, make_fleet
 
 STEPS = 25
 ACTIONS = ("confirm", "confirm", "save", "restore", "cut", "split")
--- a/toucanspread/core/routing.py
+++ b/toucanspread/core/requests/routing.py
@@ -5,7 +5,8 @@
 prompt's prefix while that is not overloaded, and else the better of two random ones.
 """
 
-from toucanspread.core import data, endpoints, machine
+from toucanspread.core import data, machine
+from toucanspread.core.requests import endpoints
 
 AFFINITY_CANDIDATES = 3  # how far down its ranking a prefix looks for room
 AFFINITY_LOAD_BOUND = 1.25  # against the mean load, as in bounded-load hashing
--- a/toucanspread/core/routing_test.py
+++ b/toucanspread/core/requests/routing_test.py
@@ -2,7 +2,8 @@
 
 import testtools
 
-from toucanspread.core import data, endpoints, events, requests_test, routing
+from toucanspread.core import data, events
+from toucanspread.core.requests import endpoints, requests_test, routing
 
 make_entry = requests_test.make_entry
 report = requests_test.report
--- a/toucanspread/core/roles.py
+++ b/toucanspread/core/roles.py
@@ -4,32 +4,23 @@
 events alone.
 """
 
-from toucanspread.core import (
-    claims,
+from toucanspread.core import data, machine
+from toucanspread.core.agreement import (
     config,
     confirm,
     controller,
-    data,
-    draining,
-    gate,
     leases,
-    limits,
-    machine,
-    membership,
     orders,
     overview,
     planning,
     plans,
-    reporting,
-    requests,
-    routing,
     spread,
-    steering,
-    tracking,
-    transfer,
-    transfer_state,
     watching,
 )
+from toucanspread.core.gate import claims, gate, limits
+from toucanspread.core.membership import membership, reporting
+from toucanspread.core.requests import draining, requests, routing, steering
+from toucanspread.core.transfers import tracking, transfer, transfer_state
 
 # Membership comes first, so that the parts after it see the members of this step.
 ENTRY_PARTS = (
--- /dev/null
+++ b/toucanspread/core/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange of chunks between endpoint processes."""
--- a/toucanspread/core/exchange.py
+++ b/toucanspread/core/transfers/exchange.py
@@ -4,13 +4,9 @@
 between. Neighbours come from the entry that tracks the manifest.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
+from toucanspread.core import data, effects, events, machine, rendezvous
+from toucanspread.core.transfers import (
     fetching,
-    machine,
-    rendezvous,
     requesting,
     swarm,
     tracking,
--- a/toucanspread/core/manifest_test.py
+++ b/toucanspread/core/transfers/manifest_test.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from standins import virtual_swarm
-from toucanspread.core import manifest
+from toucanspread.core.transfers import manifest
 
 
 class ManifestTest(testtools.TestCase):
--- a/toucanspread/core/pace.py
+++ b/toucanspread/core/transfers/pace.py
@@ -6,7 +6,8 @@
 load as well.
 """
 
-from toucanspread.core import data, limits, machine
+from toucanspread.core import data, machine
+from toucanspread.core.gate import limits
 
 INTERVAL_S = 1.0
 MIN_SHARE = 0.25
--- a/toucanspread/core/pace_test.py
+++ b/toucanspread/core/transfers/pace_test.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from toucanspread.core import pace
+from toucanspread.core.transfers import pace
 
 
 def interval(follower, unit_s, is_moving, samples=8):
--- a/toucanspread/core/requesting.py
+++ b/toucanspread/core/transfers/requesting.py
@@ -1,14 +1,7 @@
 """Chooses which piece to ask of whom: the rarest first, the nearest holder first."""
 
-from toucanspread.core import (
-    data,
-    fetching,
-    invariants,
-    machine,
-    sourcing,
-    swarm,
-    transfer_state,
-)
+from toucanspread.core import data, invariants, machine
+from toucanspread.core.transfers import fetching, sourcing, swarm, transfer_state
 
 MAX_IN_FLIGHT_BYTES = 16 * 1024 * 1024
 MAX_REQUESTS = 6
--- a/toucanspread/core/sourcing.py
+++ b/toucanspread/core/transfers/sourcing.py
@@ -7,7 +7,8 @@
 time.
 """
 
-from toucanspread.core import data, invariants, machine, rendezvous, transfer_state
+from toucanspread.core import data, invariants, machine, rendezvous
+from toucanspread.core.transfers import transfer_state
 
 MAX_COPIES = 4.0  # what the origin's link carries in the time wanted
 SPARE_COPIES = 2.0  # beyond the first, at weight 0
--- a/toucanspread/core/tracking_test.py
+++ b/toucanspread/core/transfers/tracking_test.py
@@ -1,6 +1,7 @@
 import testtools
 
-from toucanspread.core import data, events, machine, tracking
+from toucanspread.core import data, events, machine
+from toucanspread.core.transfers import tracking
 
 NAME = data.ManifestHash("a" * 64)
 
--- a/toucanspread/core/transfer.py
+++ b/toucanspread/core/transfers/transfer.py
@@ -6,15 +6,11 @@
 version left in staging is not moved again.
 """
 
-from toucanspread.core import (
-    data,
-    effects,
-    events,
+from toucanspread.core import data, effects, events, invariants, machine
+from toucanspread.core.gate import limits
+from toucanspread.core.transfers import (
     exchange,
     fetching,
-    invariants,
-    limits,
-    machine,
     manifest,
     pace,
     requesting,
--- a/toucanspread/core/transfer_golden_test.py
+++ b/toucanspread/core/transfers/transfer_golden_test.py
@@ -3,7 +3,8 @@
 import testtools
 
 from standins import virtual_swarm
-from toucanspread.core import machine, sessions, transfer
+from toucanspread.core import machine, sessions
+from toucanspread.core.transfers import transfer
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 PIECES = 6
--- a/toucanspread/core/transfer_state.py
+++ b/toucanspread/core/transfers/transfer_state.py
@@ -1,6 +1,7 @@
 """The state of the transfer part of an endpoint process."""
 
-from toucanspread.core import data, manifest, pace, swarm
+from toucanspread.core import data
+from toucanspread.core.transfers import manifest, pace, swarm
 
 MANIFEST_PIECE = -1
 NO_REGION = data.RegionName("")
--- a/toucanspread/core/transfer_stateful_test.py
+++ b/toucanspread/core/transfers/transfer_stateful_test.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 
 from standins import virtual_swarm
-from toucanspread.core import manifest
+from toucanspread.core.transfers import manifest
 
 CHUNK_BYTES = 1_000_000
 PIECES = 12
--- a/toucanspread/layering_test.py
+++ b/toucanspread/layering_test.py
@@ -44,6 +44,31 @@
     "tenant",
 )
 
+# Packages of the core, each with those that it may import beside itself and the
+# shared ground (data, events, effects, machine and what they need).
+CORE_PACKAGES = {
+    "gate": set(),
+    "membership": {"gate"},
+    "transfers": {"gate"},
+    "requests": set(),
+    "agreement": {"gate", "membership"},
+    "view": set(),
+    "entry": {"view"},
+    "weights": {"entry"},
+}
+# Puts the parts of every package together into one machine a role.
+ASSEMBLY = "roles"
+
+
+def core_packages(path):
+    """Return the packages of the core that a module imports."""
+    found = set()
+    for name in imported(path):
+        parts = name.split(".")
+        if parts[:2] == ["toucanspread", "core"] and parts[2] in CORE_PACKAGES:
+            found.add(parts[2])
+    return found
+
 
 class LayeringTest(testtools.TestCase):
     def check_never(self, folder, forbidden):
@@ -64,6 +89,23 @@
                 found = [word for word in PLATFORM_WORDS if word.lower() in text]
                 self.assertEqual([], found, path.name)
 
+    def test_packages_of_the_core_keep_their_order(self):
+        for package, below in CORE_PACKAGES.items():
+            for path in modules(PACKAGE / "core" / package):
+                self.assertEqual(
+                    set(), core_packages(path) - below - {package}, path.name
+                )
+
+    def test_the_shared_ground_imports_no_package(self):
+        for path in (PACKAGE / "core").glob("*.py"):
+            if path.stem == ASSEMBLY or path.name.endswith("_test.py"):
+                continue
+            self.assertEqual(set(), core_packages(path), path.name)
+
+    def test_every_package_of_the_core_has_its_place(self):
+        found = {path.parent.name for path in (PACKAGE / "core").glob("*/__init__.py")}
+        self.assertEqual(set(CORE_PACKAGES), found)
+
     def test_nothing_imports_the_platforms_package(self):
         for package in ("core", "ops", "tools"):
             for path in modules(PACKAGE / package):
--- a/toucanspread/ops/callers.py
+++ b/toucanspread/ops/callers.py
@@ -14,7 +14,8 @@
 from twisted.internet import reactor
 from twisted.web import resource, server
 
-from toucanspread.core import data, request_events, request_state, steering
+from toucanspread.core import data
+from toucanspread.core.requests import request_events, request_state, steering
 from toucanspread.ops import caller_input, dispatching, loop, runtime
 
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
--- a/toucanspread/ops/callers_test.py
+++ b/toucanspread/ops/callers_test.py
@@ -7,7 +7,8 @@
 from twisted.internet import error, testing
 from twisted.python import failure
 
-from toucanspread.core import data, events, requests_test
+from toucanspread.core import data, events
+from toucanspread.core.requests import requests_test
 from toucanspread.ops import callers, dispatching, loop, peers, runtime
 
 HEADERS = "X-Team: a\r\nX-Deadline-S: 5\r\nX-Request-Id: q1\r\n"
--- a/toucanspread/ops/datagrams_test.py
+++ b/toucanspread/ops/datagrams_test.py
@@ -6,7 +6,7 @@
 from twisted.trial import unittest
 
 from toucanspread.core import data
-from toucanspread.core import membership_messages as messages
+from toucanspread.core.membership import membership_messages as messages
 from toucanspread.ops import datagrams, loop
 
 
--- a/toucanspread/ops/dispatching.py
+++ b/toucanspread/ops/dispatching.py
@@ -8,7 +8,8 @@
 import asyncio
 from collections.abc import Mapping
 
-from toucanspread.core import answers, data, request_events
+from toucanspread.core import data
+from toucanspread.core.requests import answers, request_events
 from toucanspread.ops import logs, loop, peers, runtime
 
 COALESCE_S = 0.02  # below the time between two tokens that callers notice
--- a/toucanspread/ops/entry.py
+++ b/toucanspread/ops/entry.py
@@ -1,6 +1,7 @@
 """The daemon of an entry instance: the entry machine with its adapters."""
 
-from toucanspread.core import data, machine, plans, roles
+from toucanspread.core import data, machine, roles
+from toucanspread.core.agreement import plans
 from toucanspread.ops import (
     callers,
     daemon,
--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -14,7 +14,8 @@
 import xxhash
 from twisted.web import http
 
-from toucanspread.core import data, gate_events
+from toucanspread.core import data
+from toucanspread.core.gate import gate_events
 from toucanspread.ops import engine, loop, runtime
 
 COALESCE_S = 0.005
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -13,7 +13,8 @@
 
 from standins import engine as engine_standin
 from standins import engine_text, gate_fakes, plain_service
-from toucanspread.core import data, dispatch_memory, effects, events
+from toucanspread.core import data, effects, events
+from toucanspread.core.gate import dispatch_memory
 from toucanspread.ops import engine, gateway, runtime
 
 WEIGHTS = b"weights of the first version"
--- a/toucanspread/ops/operators.py
+++ b/toucanspread/ops/operators.py
@@ -12,7 +12,8 @@
 import msgspec
 from twisted.web import resource, server
 
-from toucanspread.core import confirm, data, planning
+from toucanspread.core import data
+from toucanspread.core.agreement import confirm, planning
 from toucanspread.ops import metrics, runtime, status
 
 MAX_BODY_BYTES = 1024 * 1024
--- a/toucanspread/ops/origin.py
+++ b/toucanspread/ops/origin.py
@@ -4,7 +4,8 @@
 import asyncio
 import urllib.parse
 
-from toucanspread.core import data, manifest
+from toucanspread.core import data
+from toucanspread.core.transfers import manifest
 from toucanspread.ops import http_client
 
 CONNECT_TIMEOUT_S = 5.0
--- a/toucanspread/ops/stream_test.py
+++ b/toucanspread/ops/stream_test.py
@@ -10,7 +10,8 @@
 import xxhash
 from hypothesis import strategies as st
 
-from toucanspread.core import data, events, requests_test
+from toucanspread.core import data, events
+from toucanspread.core.requests import requests_test
 from toucanspread.ops import callers_test, loop, peers
 
 EVENTS = [b"data: %d\n\n" % number for number in range(8)]
--- a/toucanspread/ops/transfers.py
+++ b/toucanspread/ops/transfers.py
@@ -8,10 +8,9 @@
 import time
 from collections.abc import Callable, Coroutine, Mapping
 
-from toucanspread.core import (
-    data,
+from toucanspread.core import data, invariants
+from toucanspread.core.transfers import (
     fetching,
-    invariants,
     manifest,
     pace,
     requesting,
--- a/toucanspread/ops/transfers_test.py
+++ b/toucanspread/ops/transfers_test.py
@@ -8,7 +8,8 @@
 from twisted.web import server
 
 from standins import origin as origin_standin
-from toucanspread.core import data, fetching, manifest, transfer
+from toucanspread.core import data
+from toucanspread.core.transfers import fetching, manifest, transfer
 from toucanspread.ops import http_client, loop, origin, peers, transfers, weights
 
 Status = fetching.FetchStatus
--- a/toucanspread/ops/weights.py
+++ b/toucanspread/ops/weights.py
@@ -13,7 +13,8 @@
 import shutil
 import struct
 
-from toucanspread.core import data, manifest
+from toucanspread.core import data
+from toucanspread.core.transfers import manifest
 
 INDEX_NAME = "model.safetensors.index.json"
 ADAPTERS_NAME = "adapters"
--- a/toucanspread/ops/weights_test.py
+++ b/toucanspread/ops/weights_test.py
@@ -5,7 +5,8 @@
 
 import testtools
 
-from toucanspread.core import data, manifest
+from toucanspread.core import data
+from toucanspread.core.transfers import manifest
 from toucanspread.ops import weights
 
 MODEL = data.ModelName("redactor")
--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -161,7 +161,7 @@
     :param version: the version's name.
     :param output: where the manifest is written.
     """
-    from toucanspread.core import manifest as manifests
+    from toucanspread.core.transfers import manifest as manifests
     from toucanspread.ops import weights
 
     try:
--- a/toucanspread/tools/intent_files.py
+++ b/toucanspread/tools/intent_files.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from toucanspread.core import data, intents, manifest
+from toucanspread.core import data
+from toucanspread.core.agreement import intents
+from toucanspread.core.transfers import manifest
 
 
 class IntentFileError(Exception):
