Let an engine take requests until the newer version's pieces are there

Cause: a process beside an engine told entries to send nothing from the planned time of its order on, also while pieces were missing. Change: quiet only when all pieces are there; the time until the order is never shorter than the link needs for what is missing.

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -178,6 +178,11 @@
         """Return how many pieces are not there yet."""
         return len(self.digests) - len(self.have)
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether all pieces are there."""
+        return bool(self.digests) and self.left == 0
+
 
 class Stager:
     """The state of one engine's way to the newest version.
@@ -202,15 +207,22 @@
         """Tell whether the engine should be given nothing new."""
         if self._report is None or self._report.version == self.target.version:
             return False
-        return now_s >= self.target.timing.quiet_at_s and bool(self._report.version)
+        if not self._report.version or not self.target.is_whole:
+            return False
+        return now_s >= self.target.timing.quiet_at_s
 
     def order_in_s(self, now_s: float) -> float | None:
-        """Return the time until the engine cuts what it runs, or None."""
+        """Return the time until the engine cuts what it runs, or None.
+
+        Missing pieces need the time of the link at least.
+        """
         if self._report is None or not self._report.version or self._is_done:
             return None
         if self.target.timing is AT_ONCE:
             return None
-        return max(self.target.timing.order_at_s - now_s, 0.0)
+        missing = self.target.left if self.target.digests else self.profile.chunks
+        planned_s = self.target.timing.order_at_s - now_s
+        return max(planned_s, missing * self._piece_s, 0.0)
 
     def on_wanted(self, version: int, timing: Timing, now_s: float) -> list:
         """Turn to a newer version, now or after the one that is on its way."""
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -156,6 +156,38 @@
         self.assertEqual([2, 3], self.engine.orders)
 
 
+class WaitingForPiecesTest(testtools.TestCase):
+    """An engine serves the older version until the newer one's pieces are there.
+
+    The origin may go away right after a version was named, for seconds.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.stager = staging.Stager(PROFILE, PIECE_S)
+        engine = FakeEngine(self.stager)
+        engine.run(engine.report())
+        timing = staging.Timing(quiet_at_s=4.0, order_at_s=4.2, due_s=7.6)
+        self.stager.on_wanted(2, timing, now_s=0.0)
+        self.stager.on_manifest(staging.DigestsRead(2, DIGESTS), 0.0)
+        self.stager.on_checked(staging.StagedChecked(2, frozenset()), 0.0)
+
+    def collect(self, numbers, now_s):
+        for number in numbers:
+            self.stager.on_collected(staging.PieceCollected(2, number), now_s)
+
+    def test_it_takes_requests_while_pieces_are_missing(self):
+        self.collect(range(5), now_s=4.5)
+        self.assertFalse(self.stager.is_quiet(4.5))
+        self.collect([5], now_s=4.6)
+        self.assertTrue(self.stager.is_quiet(4.6))
+
+    def test_entries_hear_of_no_order_before_the_pieces_can_be_there(self):
+        self.assertEqual(6 * PIECE_S, self.stager.order_in_s(4.5))
+        self.collect(range(4), now_s=4.5)
+        self.assertEqual(2 * PIECE_S, self.stager.order_in_s(4.5))
+
+
 class WavesTest(testtools.TestCase):
     def test_each_zone_keeps_engines_in_every_wave(self):
         everyone = [
