Count a version's time from the end of an outage that everybody saw

Entries reckoned that the versions could have been in force since 18.0 and gave themselves 2.6 s after the return, as if they alone had been away; from 28.6 to 30.5 they refused everything though nobody could have heard of the versions earlier. Ruled out: staging (it began at 26.0, at the link's pace). Change: processes note when those of all other zones hand on copies as old as their own; the time then counts from there.

--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -14,6 +14,8 @@
 INITIAL_VERSION = 1  # of weights, until the operator names another
 VERSION_MARGIN_S = 0.4  # a request's way to its engine, and its wait there
 RESTART_GRACE_S = 2.6  # a process that has just come back is not held to older news yet
+# All zones ask each other several times in this while the store is away.
+OUTAGE_KNOWN_S = 1.5
 
 
 class ConfigurationSeen(data.Event):
@@ -45,20 +47,25 @@
     """When a change was heard of, and since when it may have been in force.
 
     :param earliest_s: when the copy of the store was last known to be without it.
+    :param outage_until_s: until when the store was known to be away for everybody.
     """
 
     heard_s: float
     earliest_s: float
+    outage_until_s: float = float("-inf")
 
     def due_s(self, within_s: float) -> float:
         """Return when a change has to be carried out.
 
         Whoever was away for longer than a follower's copy ever is was started or cut
-        off, and has a moment to come back.
+        off, and has a moment to come back. When the store was away for everybody,
+        the time counts from the end of that.
         """
         due_s = self.earliest_s + within_s
         if self.heard_s - self.earliest_s <= following.DOUBT_AGE_S:
             return due_s
+        if self.heard_s - self.outage_until_s <= OUTAGE_KNOWN_S:
+            return self.outage_until_s + within_s
         return max(due_s, self.heard_s + RESTART_GRACE_S)
 
 
--- a/toucanspread/core/entry/knowledge_test.py
+++ b/toucanspread/core/entry/knowledge_test.py
@@ -18,8 +18,8 @@
         super().setUp()
         self.known = knowledge.Knowledge(WITHIN_S, 2.0)
 
-    def name(self, version, heard_s, earliest_s):
-        news = knowledge.News(heard_s, earliest_s)
+    def name(self, version, heard_s, earliest_s, outage_until_s=float("-inf")):
+        news = knowledge.News(heard_s, earliest_s, outage_until_s)
         named = knowledge.VersionNamed(MODEL, version)
         return self.known.take(named, news, False)
 
@@ -43,6 +43,15 @@
         self.assertEqual(0, self.minimum(50.0))
         self.assertEqual(3, self.minimum(53.0))
 
+    def test_after_an_outage_for_everybody_the_time_counts_from_its_end(self):
+        self.name(3, heard_s=50.0, earliest_s=42.0, outage_until_s=49.8)
+        self.assertEqual(0, self.minimum(49.8 + WITHIN_S - 0.5))
+        self.assertEqual(3, self.minimum(49.8 + WITHIN_S))
+
+    def test_an_outage_that_ended_before_others_heard_of_it_gives_no_time(self):
+        self.name(3, heard_s=50.0, earliest_s=42.0, outage_until_s=48.0)
+        self.assertEqual(3, self.minimum(53.0))
+
     def test_an_older_version_changes_nothing(self):
         self.name(3, 100.0, 100.0)
         self.assertFalse(self.name(2, 101.0, 101.0))
--- a/toucanspread/core/view/following.py
+++ b/toucanspread/core/view/following.py
@@ -60,7 +60,7 @@
 
     def __init__(self, name: str, zone: data.ZoneName, may_lead: bool):
         self._name = name
-        self._zone = zone
+        self.zone = zone
         self._may_lead = may_lead
         self._paused_until_s: dict[Source, float] = {}
         self._lost_s: dict[Source, float] = {}  # since when sources are of no use
@@ -69,12 +69,12 @@
 
     def ranked(self, peers: list[Peer], seeds: list[data.Address]) -> list[Source]:
         """Return all sources, the usual one first."""
-        near = {peer.name: peer for peer in peers if peer.zone == self._zone}
-        far = {peer.name: peer for peer in peers if peer.zone != self._zone}
+        near = {peer.name: peer for peer in peers if peer.zone == self.zone}
+        far = {peer.name: peer for peer in peers if peer.zone != self.zone}
         names = set(near)
         if self._may_lead:
             names.add(self._name)
-        order = rendezvous.rank(self._zone, names)
+        order = rendezvous.rank(self.zone, names)
         others = [
             Source(SourceKind.PEER, near[name].address)
             for name in order
--- a/toucanspread/ops/following.py
+++ b/toucanspread/ops/following.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from toucanspread.core import data
-from toucanspread.core.view import following, items
+from toucanspread.core.view import following, items, outage
 from toucanspread.ops import (
     http1,
     http1_pool,
@@ -52,6 +52,7 @@
         self.view = view
         self.store_failed_s = float("-inf")
         self.confirmed_before_s = float("-inf")
+        self._outage = outage.Outage(chooser.zone)
         self._store = store
         self._pool = pool
         self._chooser = chooser
@@ -66,6 +67,11 @@
         while True:
             await self.ask_next()
 
+    @property
+    def outage_until_s(self) -> float:
+        """Return until when the store was known to be away for everybody."""
+        return self._outage.lasted_until_s(peer.zone for peer in self._peers())
+
     async def ask_next(self) -> None:
         """Ask the next source once, or pause when all have failed or are doubted."""
         now_s = self._pool.reactor.seconds()
@@ -139,7 +145,11 @@
         # An old copy wants a newer one, not the next change of another old one.
         wait_s = self._chooser.wait_s(source, age_s)
         excerpt = await self._fetch_excerpt(source.address, wait_s)
-        confirmed_s = self._pool.reactor.seconds() - excerpt.age_s
+        now_s = self._pool.reactor.seconds()
+        confirmed_s = now_s - excerpt.age_s
+        for peer in self._peers():
+            if peer.address == source.address:
+                self._outage.note_answer(peer.zone, excerpt.age_s, now_s)
         if excerpt.is_whole:
             new = self.view.replace(excerpt.changes, excerpt.revision, confirmed_s)
         else:
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -308,8 +308,11 @@
 
     def _on_changes(self, changes: list[items.Change]) -> None:
         now_s = reactor.seconds()
-        news = knowledge.News(now_s, self._follower.confirmed_before_s)
-        away = now_s - self._follower.store_failed_s < STORE_AWAY_S
+        follower = self._follower
+        news = knowledge.News(
+            now_s, follower.confirmed_before_s, follower.outage_until_s
+        )
+        away = now_s - follower.store_failed_s < STORE_AWAY_S
         for change in changes:
             event = decoding.decode_change(change)
             if event is None:
