--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -21,6 +21,7 @@
 PIECES_AT_ONCE = 2  # callers' requests come over the same narrow link
 ORDER_SETTLES_S = 1.0  # an order shows in the engine's report within this
 RETRY_PAUSE_S = 0.3
+MANIFEST_PAUSE_S = 0.05  # entries that start with this process are there soon
 CHECK_VALID_S = 0.5  # staged bytes may rot: an order follows a check this closely
 INITIAL_VERSION = 1
 
@@ -303,6 +304,7 @@
             target.coming.discard(event.number)
         elif target.step is Step.MANIFEST:
             target.step = Step.MANIFEST_WANTED
+            target.pause_until_s = now_s + MANIFEST_PAUSE_S
         elif target.step in (Step.CHECKING, Step.STAGING):
             target.restart()
         return []
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -108,6 +108,14 @@
         self.engine.run([])
         self.assertEqual([1], self.engine.orders)
 
+    def test_a_manifest_is_asked_for_again_as_soon_as_entries_may_be_there(self):
+        """After all machines lost power, entries start a moment after this process."""
+        [wanted] = self.engine.report()
+        self.assertIsInstance(wanted, staging.ReadDigests)
+        self.stager.on_failed(staging.WishFailed(wanted.version), 10.0)
+        self.assertEqual([], self.stager.on_tick(10.01))
+        self.assertEqual([wanted], self.stager.on_tick(10.06))
+
     def test_an_order_that_did_nothing_is_given_again(self):
         effects = self.engine.report()
         while effects:
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -84,7 +84,7 @@
         """Follow the engine until cancelled."""
         while True:
             await self._read_report()
-            self._carry_out(self._stager.on_tick(self._now_s()))
+            self._tick()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     def want(self, version: int, timing: staging.Timing) -> None:
@@ -94,6 +94,9 @@
             if self._is_given_up(key.version):
                 del self._collected[key]
 
+    def _tick(self) -> None:
+        self._carry_out(self._stager.on_tick(self._now_s()))
+
     def _now_s(self) -> float:
         return self._pool.reactor.seconds()
 
@@ -235,6 +238,8 @@
     def _fail(self, version: int, number: int | None = None) -> None:
         failed = staging.WishFailed(version, number)
         self._carry_out(self._stager.on_failed(failed, self._now_s()))
+        if number is None:
+            self._pool.reactor.callLater(staging.MANIFEST_PAUSE_S, self._tick)
 
     def _log_holder(
         self, key: sources.PieceKey, holder: members.EntryRecord, error: Exception
