Let entries near the origin own the pieces

Cause: bytes between regions are the largest price. Owners of pieces were spread over all regions, so two of three pieces crossed to their owner, and from there back into the origin's region and on to the third: 2.7 copies of a version over region links, where two are enough. Change: entries of the origin's region come first among the owners.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -84,12 +84,14 @@
 
     :param origin: where weights come from; only for the service that holds them.
     :param origin_mbps: the origin's link.
+    :param origin_zone: where it is.
     """
 
     name: data.ServiceName
     profile: ModelProfile | None = None
     origin: data.Address = data.Address("")
     origin_mbps: float = 0.0
+    origin_zone: data.ZoneName = data.ZoneName("")
 
 
 class Team(data.Record):
--- a/toucanspread/core/weights/sources.py
+++ b/toucanspread/core/weights/sources.py
@@ -1,9 +1,9 @@
 """Which entry holds which piece of a version's weights.
 
 Entries have far wider links than the instances beside engines, and memory for a few
-versions. Every process ranks the entries alike for each piece: the first of all is
-its owner and takes it from the origin, the first of a region hands it on there. So
-each piece leaves the origin once and crosses each link between regions once, and
+versions. Every process ranks the entries alike for each piece: the first in the
+origin's region is its owner and takes it from there, the first of a region hands it on
+in it. So each piece leaves the origin once, crosses to each other region once, and
 nothing has to be agreed on; when an entry goes away, only its pieces move.
 """
 
@@ -31,11 +31,15 @@
 
 
 def owners(
-    key: PieceKey, entries: Iterable[members.EntryRecord]
+    key: PieceKey, entries: Iterable[members.EntryRecord], home: str = ""
 ) -> list[members.EntryRecord]:
-    """Return the entries in the order in which they own a piece."""
+    """Return the entries in the order in which they own a piece.
+
+    :param home: the region of the origin; those of others come after its entries.
+    """
     by_name = {entry.name: entry for entry in entries}
-    return [by_name[name] for name in rendezvous.rank(key.text, by_name)]
+    ranked = [by_name[name] for name in rendezvous.rank(key.text, by_name)]
+    return sorted(ranked, key=lambda entry: entry.region != home)
 
 
 def holders(
@@ -70,10 +74,13 @@
 
 
 def upstream(
-    key: PieceKey, entries: Iterable[members.EntryRecord], name: str
+    key: PieceKey, entries: Iterable[members.EntryRecord], name: str, home: str = ""
 ) -> members.EntryRecord | None:
-    """Return whom an entry asks for a piece, or None for the origin itself."""
-    ranked = owners(key, entries)
+    """Return whom an entry asks for a piece, or None for the origin itself.
+
+    :param home: the region of the origin.
+    """
+    ranked = owners(key, entries, home)
     if not ranked or ranked[0].name == name:
         return None
     return ranked[0]
--- a/toucanspread/core/weights/sources_test.py
+++ b/toucanspread/core/weights/sources_test.py
@@ -21,6 +21,18 @@
             askers = [e for e in ENTRIES if sources.upstream(key, ENTRIES, e.name)]
             self.assertEqual(len(ENTRIES) - 1, len(askers))
 
+    def test_owners_are_near_the_origin(self):
+        """A piece crosses to the other region once, and not back."""
+        for key in KEYS:
+            owner = sources.owners(key, ENTRIES, home="r2")[0]
+            self.assertEqual("r2", owner.region)
+            self.assertIsNone(sources.upstream(key, ENTRIES, owner.name, "r2"))
+            self.assertTrue(sources.is_kept_by(key, ENTRIES, owner.name))
+
+    def test_without_entries_near_the_origin_others_own_the_pieces(self):
+        owner = sources.owners(KEYS[0], ENTRIES, home="r9")[0]
+        self.assertEqual(sources.owners(KEYS[0], ENTRIES)[0], owner)
+
     def test_a_region_asks_its_own_entries_first(self):
         for key in KEYS:
             found = sources.holders(key, ENTRIES, "r2")
--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -51,6 +51,7 @@
     """What this entry holds.
 
     :param entries: returns the entries that are there, this one among them.
+    :param home: returns the origin's region; empty while it is not known.
     """
 
     def __init__(
@@ -59,8 +60,10 @@
         pool: http1_pool.Pool,
         origin: WeightsOrigin,
         entries: Callable[[], list[members.EntryRecord]],
+        home: Callable[[], str] = str,
     ):
         self._name = name
+        self._home = home
         self._pool = pool
         self._origin = origin
         self._entries = entries
@@ -141,7 +144,7 @@
         await asyncio.shield(task)
 
     async def _load_digests(self, key: sources.PieceKey) -> None:
-        owner = sources.upstream(key, self._entries(), self._name)
+        owner = self._upstream(key)
         found = ()
         if owner is not None:
             found = await self._digests_from([owner], key, held=False)
@@ -149,6 +152,9 @@
             found = await self._digests_from_origin(key)
         self._digests[key] = found
 
+    def _upstream(self, key: sources.PieceKey) -> members.EntryRecord | None:
+        return sources.upstream(key, self._entries(), self._name, self._home())
+
     async def _digests_from_origin(self, key: sources.PieceKey) -> tuple[str, ...]:
         try:
             return await self._origin.read_digests(key.model, key.version)
@@ -179,7 +185,7 @@
     async def _load_piece(self, key: sources.PieceKey) -> None:
         digests = await self.digests(key.model, key.version)
         digest = digests[key.number]
-        owner = sources.upstream(key, self._entries(), self._name)
+        owner = self._upstream(key)
         if owner is not None:
             try:
                 piece = await fetch_piece(self._pool, owner.control, key)
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -71,6 +71,7 @@
     engine: _Engine | None = None
     origin: str = ""
     link_mbps: float = 0.0  # of the origin; engines have one of their own
+    zone: str = ""  # of the origin
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -292,7 +293,8 @@
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
-    return entry_data.Service(name, profile, origin, service.link_mbps)
+    zone = data.ZoneName(service.zone)
+    return entry_data.Service(name, profile, origin, service.link_mbps, zone)
 
 
 def _team(tenant: _Tenant) -> entry_data.Team:
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -72,7 +72,7 @@
                 "chunk_bytes": 100,
             },
         },
-        {"name": "s3", "origin": "172.20.0.3:8006", "link_mbps": 15.0},
+        {"name": "s3", "origin": "172.20.0.3:8006", "zone": "z2", "link_mbps": 15.0},
     ],
     "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 9000},
     "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
@@ -134,6 +134,7 @@
         self.assertEqual("t", known.table.find_team("k2").name)
         self.assertEqual(9.0, found.limits.idle_timeout_s)
         self.assertEqual("172.20.0.3:8006", known.table.origin_service().origin)
+        self.assertEqual("z2", known.table.origin_service().origin_zone)
 
     def test_a_configuration_never_gives_way_to_an_older_one(self):
         known = knowledge.Knowledge(8.0, 2.0)
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -202,7 +202,9 @@
         self._store = store.PlatformStore(pool, told.platform.address)
         origin = engine.Origin(pool, self._origin_address)
         name = told.node_name
-        self.pieces = pieces.PieceCache(name, pool, origin, self.known.members.serving)
+        self.pieces = pieces.PieceCache(
+            name, pool, origin, self.known.members.serving, self._origin_region
+        )
         chooser = following.Chooser(name, data.ZoneName(told.zone), may_lead=True)
         self._follower = following_shell.Follower(
             self.view,
@@ -306,6 +308,12 @@
         service = self.known.table.origin_service() if self.known.table else None
         return service.origin if service is not None else None
 
+    def _origin_region(self) -> str:
+        service = self.known.table.origin_service() if self.known.table else None
+        if service is None:
+            return ""
+        return self.told.regions().get(service.origin_zone, "")
+
     def _on_changes(self, changes: list[items.Change]) -> None:
         now_s = reactor.seconds()
         follower = self._follower
