Keep the pieces of entries that were lost before they are wanted

Ruled out: the pace of links (47 of 48 pieces were there at 10.0). Change: each entry looks whether it has to keep more, once the entries have been the same for two seconds, so that a restart moves nothing. Tests seen failing first.

--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -22,6 +22,7 @@
 VERSIONS_KEPT = 2  # the one in use and the one before it
 ORIGIN_TRIES = 3
 ORIGIN_PAUSE_S = 0.2
+SETTLED_S = 2.0  # an entry that is restarted is back before
 TAKE_AGAIN_S = 1.0  # an origin that starts with the system, or is away, comes back
 
 
@@ -71,6 +72,10 @@
         self._digests: dict[sources.PieceKey, tuple[str, ...]] = {}
         self._newest: dict[data.ModelName, int] = {}
         self._coming: dict[sources.PieceKey, asyncio.Task] = {}
+        self._wanted: set[sources.PieceKey] = set()
+        self._among: frozenset[str] = frozenset()
+        self._among_since_s = 0.0
+        self._kept_among: frozenset[str] = frozenset()
 
     async def digests(self, model: data.ModelName, version: int) -> tuple[str, ...]:
         """Return the digests of a version's pieces.
@@ -103,10 +108,33 @@
         :param piece_s: what the origin's link needs for a piece.
         """
         self._forget_before(model, version)
+        await self._take_kept(model, version, piece_s)
+
+    def look_after(self, now_s: float) -> None:
+        """Fetch what this entry has to keep since others are gone.
+
+        The origin may be away by the time that it is wanted.
+        """
+        among = frozenset(entry.name for entry in self._entries())
+        if among != self._among:
+            self._among = among
+            self._among_since_s = now_s
+        if among == self._kept_among or now_s - self._among_since_s < SETTLED_S:
+            return
+        self._kept_among = among
+        for model, version in self._newest.items():
+            loop.spawn(self._take_kept(model, version, 0.0))
+
+    async def _take_kept(
+        self, model: data.ModelName, version: int, piece_s: float
+    ) -> None:
         digests = await self._retried_digests(model, version)
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
+            if key in self._pieces or key in self._wanted:
+                continue
             if sources.is_kept_by(key, self._entries(), self._name):
+                self._wanted.add(key)
                 loop.spawn(self._take(key, number * piece_s))
 
     async def _take(self, key: sources.PieceKey, after_s: float) -> None:
@@ -114,10 +142,11 @@
         while not self._is_superseded(key):
             try:
                 await self.piece(key)
-                return
+                break
             except PieceError as error:
                 logs.write("piece_missing", piece=key.text, why=str(error))
             await asyncio.sleep(TAKE_AGAIN_S)
+        self._wanted.discard(key)
 
     async def _retried_digests(
         self, model: data.ModelName, version: int
--- a/toucanspread/ops/pieces_test.py
+++ b/toucanspread/ops/pieces_test.py
@@ -137,6 +137,46 @@
 
         asyncio.run(play())
 
+    def test_pieces_of_entries_that_were_lost_are_taken_before_they_are_wanted(self):
+        """The origin goes away later, when nobody holds what the lost ones held."""
+
+        async def play():
+            await self._name()
+            for cache in self.network.caches.values():
+                cache.look_after(0.0)
+            lost = ("r1-0", "r2-0")
+            for name in lost:
+                self.network.cut(name)
+            left = [self.network.caches[r.name] for r in self.network.records]
+            for now_s in (1.0, 1.0 + pieces.SETTLED_S):
+                for cache in left:
+                    cache.look_after(now_s)
+            for _ in range(200):
+                await asyncio.sleep(0)
+            for number in range(len(BYTES)):
+                key = sources.PieceKey(MODEL, 2, number)
+                held = [cache for cache in left if cache.held(key)]
+                self.assertEqual(2, len(held), key)
+
+        asyncio.run(play())
+
+    def test_entries_that_come_and_go_quickly_move_no_pieces(self):
+        async def play():
+            await self._name()
+            cache = self.network.caches["r1-1"]
+            reads = len(self.network.origin.reads)
+            cache.look_after(0.0)
+            everybody = self.network.records
+            self.network.cut("r1-0")
+            cache.look_after(1.0)
+            self.network.records = everybody
+            cache.look_after(1.0 + pieces.SETTLED_S)
+            for _ in range(50):
+                await asyncio.sleep(0)
+            self.assertEqual(reads, len(self.network.origin.reads))
+
+        asyncio.run(play())
+
     def test_an_origin_that_comes_late_is_asked_again(self):
         self.patch(pieces, "TAKE_AGAIN_S", 0.0)
         self.network.origin.is_away = True
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -364,6 +364,7 @@
             logs.write("engine_dropped", engine=engine_id)
         self.known.members.drop_lapsed(now_s)
         self._pool.drop_expired()
+        self.pieces.look_after(now_s)
 
     def _reload(self) -> None:
         try:
