Leave places to requests that can be on time, and tell engines how urgent each is

Entries believed 16 requests on an engine that had 17 to 20; an entry that held only late requests took the free places from those that could be on time elsewhere; requests held for 2.5 s went before all. Changes: prompts told by other entries count as requests; what is late needs 4 free places (2 after two seconds), what can be on time may wait at the engine by two; the one with the most time left goes first; callers are told to come back after 2.8 s; entries without a load report do not hold back; X-Request-Priority orders what waits at engines: broken streams, on time, late, and the declared rank among them.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/requirements.stamp
 
-.PHONY: setup format check test demo bench chaos soak clean
+.PHONY: setup format check test demo bench chaos soak experiment clean
 
 setup: $(STAMP)
 
@@ -34,6 +34,11 @@
 bench: $(STAMP)
 	PYTHONPATH=. $(BIN)/python scripts/bench.py $(ONLY)
 
+# What callers get of the entries' decisions, in virtual time.
+LOAD ?=
+experiment: $(STAMP)
+	PYTHONPATH=. $(BIN)/python scripts/experiment.py --only "$(LOAD)"
+
 SEED ?= 1
 STEPS ?= 50
 chaos: $(STAMP)
--- /dev/null
+++ b/standins/played_load.py
@@ -0,0 +1,481 @@
+"""Plays a load against entries and modelled engines, and counts what callers get.
+
+Entries decide with the product's own code for choosing engines, holding requests back
+and refusing them; only the network and the engines are modelled. Policies are compared
+here, in virtual time and with seeds, before they are measured on the users' bench.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from twisted.internet import task
+
+from standins import served_engine
+from toucanspread.core import data
+from toucanspread.core.entry import budget, engines, forwarding, placing
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.weights import waves
+from toucanspread.ops import held_requests
+
+ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
+REGIONS = {zone: data.RegionName(zone) for zone in ZONES}
+NEAR_S = 0.0009  # one way within and between zones of a region, from the users' sheet
+FAR_S = 0.0027  # to another region
+REPORT_S = 0.2
+DRAIN_S = 2.0
+CALLER_SILENCE_S = 3.2  # callers give a stream up after this without an event
+PAUSE_S = 0.4  # a longer one between events makes an answer late
+SWITCH_S = 0.3
+TIMEOUT_S = 6.0
+MEAN_ANSWER_TOKENS = 94
+MAX_ANSWER_TOKENS = 480
+PROFILE = entry_data.ModelProfile(
+    data.ModelName("m"),
+    16,
+    48,
+    49_152,
+    0.3,
+    read_per_s=served_engine.READ_PER_S,
+    pass_s=served_engine.STEP_S * served_engine.TOKENS_PER_EVENT,
+    pass_tokens=served_engine.TOKENS_PER_EVENT,
+)
+SERVICE = entry_data.Service(data.ServiceName("pool"), PROFILE)
+LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, PROFILE.layers),)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request, from the users' sheet.
+
+    :param share: of all requests.
+    """
+
+    name: str
+    mean_prompt_tokens: int
+    target_s: float
+    share: float
+
+
+KINDS = (
+    Kind("long", 1_330, 0.505, 0.40),
+    Kind("middle", 827, 0.404, 0.31),
+    Kind("short", 647, 0.404, 0.29),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What callers ask for, and which engines there are.
+
+    :param rates_per_s: requests a second, from each time on.
+    :param engines: how many serve, from each time on.
+    :param lasts_s: how long callers come.
+    :param orders_s: when engines are ordered to switch; one after the other takes the
+        next of these times.
+    """
+
+    name: str
+    rates_per_s: tuple[tuple[float, float], ...]
+    engines: tuple[tuple[float, int], ...]
+    lasts_s: float
+    orders_s: tuple[float, ...] = ()
+    entries: int = 18
+
+
+LOADS = (
+    Load("calm", ((0.0, 42.0),), ((0.0, 7),), 10.0),
+    # Four fifths of what the engines can do, as on most days.
+    Load("usual", ((0.0, 86.0),), ((0.0, 12),), 10.0),
+    # Twice the callers come, and more engines follow after four seconds.
+    Load("burst", ((0.0, 38.0), (3.0, 75.0)), ((0.0, 6), (7.0, 10)), 16.0),
+    # A third more than engines can do, for as long as it lasts.
+    Load("overload", ((0.0, 82.0),), ((0.0, 7),), 10.0),
+    # All engines are lost and come back together.
+    # All engines switch to a new version, in three waves.
+    Load("switch", ((0.0, 70.0),), ((0.0, 10),), 9.0, (3.0, 3.9, 4.8)),
+    Load("recovery", ((0.0, 70.0),), ((0.0, 10), (3.0, 0), (5.5, 10)), 14.0),
+)
+
+
+def value_at(steps: tuple[tuple[float, float], ...], now_s: float) -> float:
+    """Return the value of a step function."""
+    found = steps[0][1]
+    for from_s, value in steps:
+        if from_s <= now_s:
+            found = value
+    return found
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What callers got.
+
+    :param first_s: times to the first event of those that got one.
+    """
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    left: int = 0
+    first_s: list[float] = dataclasses.field(default_factory=list)
+
+    @property
+    def share_on_time(self) -> float:
+        """Return the part of all requests that were on time."""
+        return self.on_time / self.asked
+
+    @property
+    def share_served(self) -> float:
+        """Return the part that were answered, late ones too."""
+        return (self.on_time + self.late) / self.asked
+
+
+class PlayedEngine:
+    """An engine, where it is and what it reports."""
+
+    def __init__(self, play: "Play", number: int):
+        self.zone = ZONES[number % len(ZONES)]
+        self.engine_id = f"e{number}"
+        self.model = served_engine.ServedEngine(play.clock)
+        self.is_there = False
+        self.is_loading = False
+        self.order_at_s = play.order_at_s(number)
+        self.jobs: dict[served_engine.Job, PlayedRequest] = {}
+        self._play = play
+        self._number = number
+
+    @property
+    def entry(self) -> entry_data.EngineEntry:
+        """Return what the store says of it."""
+        return entry_data.EngineEntry(
+            self.engine_id,
+            SERVICE.name,
+            data.Address(f"10.0.0.{self._number}:1"),
+            self.zone,
+            served_engine.SLOTS,
+            entry_data.EngineState.READY,
+            loaded=LAYERS,
+        )
+
+    def start(self) -> None:
+        """Come, or come back, with all layers."""
+        self.is_there = True
+        self.model = served_engine.ServedEngine(self._play.clock)
+        for entry in self._play.entries:
+            entry.roster.put(self.entry)
+
+    def switch(self) -> None:
+        """Cut what it runs, and load the other version."""
+        self.is_loading = True
+        self._cut()
+        self._play.clock.callLater(SWITCH_S, self._loaded)
+
+    def _loaded(self) -> None:
+        self.is_loading = False
+        self.order_at_s = None
+
+    def _cut(self) -> None:
+        lost, self.jobs = self.jobs, {}
+        for job in lost:
+            self.model.drop(job)
+        for request in lost.values():
+            request.on_broken()
+
+    def stop(self) -> None:
+        """Go away with all that it works on."""
+        self.is_there = False
+        self._cut()
+        for entry in self._play.entries:
+            entry.roster.remove(self.engine_id, float("-inf"))
+            entry.roster.drop_gone(float("inf"))
+
+    def report(self) -> None:
+        """Tell all entries how busy it is."""
+        if not self.is_there:
+            return
+        order_in_s = None
+        is_quiet = self.is_loading
+        if self.order_at_s is not None and not self.is_loading:
+            order_in_s = self.order_at_s - self._play.clock.seconds()
+            is_quiet = order_in_s <= waves.QUIET_S
+        load = entry_data.EngineLoad(
+            self.entry.address,
+            0,
+            self.model.active,
+            self.model.queued,
+            1,
+            is_quiet,
+            order_in_s=order_in_s,
+        )
+        for entry in self._play.entries:
+            self._play.after(self.zone, entry.zone, entry.take_load, load)
+
+
+class PlayedEntry:
+    """An entry: its beliefs and what it holds back."""
+
+    def __init__(self, play: "Play", number: int):
+        self.zone = ZONES[number % len(ZONES)]
+        self.roster = engines.Roster(DRAIN_S)
+        self.queue = held_requests.Queue(play.clock)
+        self.spending = budget.Spending(0.2, 234, 10.0)
+        self.source = random.Random(f"{play.seed}/{number}")
+        self._play = play
+
+    def take_load(self, load: entry_data.EngineLoad) -> None:
+        """Take in a report."""
+        self.roster.take_load(load, self._play.clock.seconds())
+
+    def take_prompt(self, sent: entry_data.PromptSent) -> None:
+        """Take in what another entry of the zone sent."""
+        engine = self.roster.get(sent.engine_id)
+        if engine is not None:
+            engine.heard_of_prompt(sent.tokens, PROFILE, self._play.clock.seconds())
+
+    def surroundings(self) -> forwarding.Surroundings:
+        """Return what decisions look at."""
+        place = placing.Place(self.zone, REGIONS, len(self._play.entries))
+        now_s = self._play.clock.seconds()
+        return forwarding.Surroundings(
+            now_s, self.roster, self.spending, place, self.source
+        )
+
+
+class PlayedRequest(held_requests.HeldRequest):
+    """One caller's request, with the one return that callers make."""
+
+    service = SERVICE
+
+    def __init__(self, play: "Play", entry: PlayedEntry, kind: Kind, may_return: bool):
+        source = play.source
+        prompt = int(source.expovariate(1 / kind.mean_prompt_tokens)) + 40
+        answer = int(source.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
+        self.kind = kind
+        self.prompt_tokens = prompt
+        self.answer_tokens = min(answer, MAX_ANSWER_TOKENS)
+        self.asked_s = play.clock.seconds()
+        self._play = play
+        self._entry = entry
+        self._may_return = may_return
+        self._first_s: float | None = None
+        self._last_event_s = 0.0
+        self._made_tokens = 0
+        self._paused = False
+        self._priority = 0
+        self._job: served_engine.Job | None = None
+        self._engine: PlayedEngine | None = None
+        self._silence = None
+        self._state = self._fresh_state()
+
+    @property
+    def state(self) -> forwarding.Forwarding:
+        """Return what is decided about the request."""
+        return self._state
+
+    def now(self) -> forwarding.Surroundings:
+        """Return what decisions look at."""
+        return self._entry.surroundings()
+
+    def start(self) -> None:
+        """Arrive at the entry."""
+        self._silence = self._play.clock.callLater(CALLER_SILENCE_S, self._leave)
+        held_s = self._entry.queue.work_s(SERVICE.name)
+        self._carry_out(self._state.start(self.now(), held_s))
+
+    def go_on(self) -> bool:
+        """Look for an engine again; return whether the request stays held back."""
+        decided = self._state.go_on(self.now())
+        if any(isinstance(effect, forwarding.Hold) for effect in decided):
+            return True
+        self._carry_out(decided)
+        return False
+
+    def on_broken(self) -> None:
+        """Hear that the engine went away."""
+        self._job = None
+        failed = forwarding.Failure.BROKEN
+        self._carry_out(self._state.on_failure(self.now(), failed))
+
+    def _fresh_state(self) -> forwarding.Forwarding:
+        route = entry_data.Route(
+            self.kind.name,
+            "h",
+            "/",
+            entry_data.RequestKind.STREAMING,
+            TIMEOUT_S,
+            self.kind.target_s,
+            1,
+            (entry_data.Share(SERVICE.name, 1.0),),
+            2,
+            resumable=True,
+        )
+        now_s = self._play.clock.seconds()
+        call = entry_data.Call(
+            "id",
+            "h",
+            "/",
+            None,
+            budget_s=TIMEOUT_S - (now_s - self.asked_s),
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=MAX_ANSWER_TOKENS,
+            likely_tokens=self.answer_tokens,
+        )
+        return forwarding.Forwarding(route, SERVICE, call, now_s)
+
+    def _carry_out(self, decided: list[data.Effect]) -> None:
+        for effect in decided:
+            match effect:
+                case forwarding.Hold():
+                    self._entry.queue.add(self)
+                case forwarding.Dispatch(engine_id=engine_id, priority=priority):
+                    self._priority = priority
+                    self._send(self._play.engines_by_id[engine_id])
+                case forwarding.Reject(retry_after_s=retry_after_s):
+                    self._come_back(retry_after_s)
+                case forwarding.Fail() | forwarding.BreakStream():
+                    self._come_back(0.0)
+
+    def _send(self, engine: PlayedEngine) -> None:
+        sent = entry_data.PromptSent(engine.engine_id, SERVICE.name, self.prompt_tokens)
+        for entry in self._play.entries:
+            if entry.zone == self._entry.zone and entry is not self._entry:
+                self._play.after(entry.zone, entry.zone, entry.take_prompt, sent)
+        self._engine = engine
+        self._play.after(self._entry.zone, engine.zone, self._arrive, engine)
+
+    def _arrive(self, engine: PlayedEngine) -> None:
+        if self._state.is_over:
+            return
+        job = served_engine.Job(
+            self.prompt_tokens + self._made_tokens,
+            self.answer_tokens - self._made_tokens,
+            self._on_event,
+            self._on_end,
+            self._priority,
+        )
+        is_open = engine.is_there and not engine.is_loading
+        if not is_open or not engine.model.submit(job):
+            rejected = forwarding.Failure.REJECTED
+            self._carry_out(self._state.on_failure(self.now(), rejected))
+            return
+        self._job = job
+        engine.jobs[job] = self
+
+    def _on_event(self) -> None:
+        now_s = self._play.clock.seconds()
+        if self._first_s is None:
+            self._first_s = now_s - self.asked_s
+            self._silence.cancel()
+            self._state.on_stream_opened()
+        elif now_s - self._last_event_s > PAUSE_S:
+            self._paused = True
+        self._last_event_s = now_s
+        self._made_tokens += served_engine.TOKENS_PER_EVENT
+        self._state.on_events(str(self._made_tokens // served_engine.TOKENS_PER_EVENT))
+
+    def _on_end(self) -> None:
+        self._engine.jobs.pop(self._job, None)
+        self._state.on_answer(self.now(), 200)
+        outcome = self._play.outcome
+        outcome.first_s.append(self._first_s)
+        if self._first_s <= self.kind.target_s and not self._paused:
+            outcome.on_time += 1
+        else:
+            outcome.late += 1
+
+    def _leave(self) -> None:
+        """Give up after a long silence."""
+        self._entry.queue.remove(self)
+        self._state.on_caller_left(self.now())
+        if self._job is not None:
+            self._engine.jobs.pop(self._job, None)
+            self._engine.model.drop(self._job)
+        self._play.outcome.left += 1
+
+    def _come_back(self, retry_after_s: float) -> None:
+        self._entry.queue.remove(self)
+        if self._silence.active():
+            self._silence.cancel()
+        if not self._may_return or self._first_s is not None:
+            self._play.outcome.refused += 1
+            return
+        self._may_return = False
+        self._play.clock.callLater(max(retry_after_s, 0.01), self._return)
+
+    def _return(self) -> None:
+        self._entry = self._play.choose_entry()
+        self._state = self._fresh_state()
+        self.start()
+
+
+class Play:
+    """One load, played with one seed."""
+
+    def __init__(self, load: Load, seed: int):
+        self.clock = task.Clock()
+        self.seed = seed
+        self.source = random.Random(seed)
+        self.outcome = Outcome()
+        self._load = load
+        self.entries = [PlayedEntry(self, number) for number in range(load.entries)]
+        most = int(max(count for _, count in load.engines))
+        self.engines = [PlayedEngine(self, number) for number in range(most)]
+        self.engines_by_id = {engine.engine_id: engine for engine in self.engines}
+
+    def run(self) -> Outcome:
+        """Play it to its end and return what callers got."""
+        for from_s, count in self._load.engines:
+            self.clock.callLater(from_s, self._set_engines, int(count))
+        for engine in self.engines:
+            if engine.order_at_s is not None:
+                self.clock.callLater(engine.order_at_s, engine.switch)
+        for number, engine in enumerate(self.engines):
+            offset_s = REPORT_S * number / len(self.engines)
+            reporting = task.LoopingCall(engine.report)
+            reporting.clock = self.clock
+            self.clock.callLater(offset_s, reporting.start, REPORT_S)
+        self.clock.callLater(0.0, self._arrive)
+        end_s = self._load.lasts_s + TIMEOUT_S
+        while self.clock.seconds() < end_s:
+            next_s = min(call.getTime() for call in self.clock.getDelayedCalls())
+            self.clock.advance(max(next_s - self.clock.seconds(), 0.0))
+        return self.outcome
+
+    def after(
+        self, source: data.ZoneName, target: data.ZoneName, call: Callable, *arguments
+    ) -> None:
+        """Call after the way between two zones."""
+        delay_s = NEAR_S if source == target else FAR_S
+        self.clock.callLater(delay_s, call, *arguments)
+
+    def choose_entry(self) -> PlayedEntry:
+        """Return the entry to which a caller goes."""
+        return self.source.choice(self.entries)
+
+    def order_at_s(self, number: int) -> float | None:
+        """Return when an engine is ordered to switch."""
+        orders_s = self._load.orders_s
+        if not orders_s:
+            return None
+        # Each zone's engines are spread over the waves.
+        wave = number // len(ZONES) + number % len(ZONES)
+        return orders_s[wave % len(orders_s)]
+
+    def _set_engines(self, count: int) -> None:
+        for number, engine in enumerate(self.engines):
+            if number < count and not engine.is_there:
+                engine.start()
+            elif number >= count and engine.is_there:
+                engine.stop()
+
+    def _arrive(self) -> None:
+        now_s = self.clock.seconds()
+        if now_s >= self._load.lasts_s:
+            return
+        kind = self.source.choices(KINDS, [kind.share for kind in KINDS])[0]
+        self.outcome.asked += 1
+        PlayedRequest(self, self.choose_entry(), kind, may_return=True).start()
+        rate_per_s = value_at(self._load.rates_per_s, now_s)
+        self.clock.callLater(self.source.expovariate(rate_per_s), self._arrive)
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -49,12 +49,16 @@
         """Tell whether lately it failed, or vanished from the store."""
         return now_s < self.avoid_until_s or self.gone_at_s is not None
 
+    def has_report(self, now_s: float) -> bool:
+        """Tell whether there is a load report of late."""
+        return self.load is not None and now_s - self.load_at_s <= REPORT_USABLE_S
+
     def expected_busy(self, now_s: float, entries: int) -> float:
         """Return how many requests it has, of all entries.
 
         :param entries: how many entries send requests.
         """
-        if self.load is None or now_s - self.load_at_s > REPORT_USABLE_S:
+        if not self.has_report(now_s):
             return float(self.in_flight * max(entries, 1))
         reported = self.load.active + self.load.queued
         return float(max(reported + self._sent_since_load, self.in_flight))
@@ -68,9 +72,7 @@
 
     def is_switching(self, now_s: float) -> bool:
         """Tell whether an order keeps it from taking requests."""
-        if self.load is None or now_s - self.load_at_s > REPORT_USABLE_S:
-            return False
-        return self.load.busy
+        return self.has_report(now_s) and self.load.busy
 
     def take_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
         """Take in a load report."""
@@ -81,6 +83,10 @@
             self.order_at_s = now_s + load.order_in_s
         self._sent_since_load = 0
 
+    def reading_s(self, now_s: float) -> float:
+        """Return how long it will read the prompts that it was sent."""
+        return max(self.reading_until_s - now_s, 0.0)
+
     def sent(self) -> None:
         """Note a request that was sent to it."""
         self.in_flight += 1
@@ -95,6 +101,13 @@
         reading_s = tokens / profile.read_per_s + PASS_PART * profile.pass_s
         self.reading_until_s = max(self.reading_until_s, now_s) + reading_s
 
+    def heard_of_prompt(
+        self, tokens: int, profile: entry_data.ModelProfile, now_s: float
+    ) -> None:
+        """Note a prompt that another entry has sent to it."""
+        self._sent_since_load += 1
+        self.will_read(tokens, profile, now_s)
+
     def ended(self) -> None:
         """Note that a request is over."""
         self.in_flight = max(self.in_flight - 1, 0)
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from toucanspread.core import data
-from toucanspread.core.entry import budget, engines, placing, waiting
+from toucanspread.core.entry import budget, engines, placing, urgency, waiting
 from toucanspread.core.entry import data as entry_data
 
 ENGINE_ANSWER_SLACK_S = 0.12  # an engine's own answer at the deadline is awaited
@@ -61,6 +61,7 @@
     :param max_idle_s: an idle connection that is older is not used.
     :param busy: how many requests the engine was believed to have.
     :param busy_age_s: how old that belief was; negative without a load report.
+    :param priority: among those that wait at the engine; None if it does not matter.
     """
 
     number: int
@@ -73,6 +74,7 @@
     max_idle_s: float | None = None
     busy: float = 0.0
     busy_age_s: float = -1.0
+    priority: int | None = None
 
 
 class Hold(data.Effect):
@@ -137,7 +139,8 @@
 class Forwarding:
     """The state of one request.
 
-    :param deadline_s: when its time is over, on the clock of ``now_s``.
+    :param declared_rank: of its team; its route's when the team has none.
+    :ivar deadline_s: when its time is over, on the clock of ``now_s``.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         service: entry_data.Service,
         call: entry_data.Call,
         arrived_s: float,
+        declared_rank: int | None = None,
     ):
         self.route = route
         self.service = service
@@ -154,6 +158,7 @@
         if call.budget_s is not None:
             budget_s = min(budget_s, call.budget_s)
         self.arrived_s = arrived_s
+        self._rank = route.priority if declared_rank is None else declared_rank
         self.deadline_s = arrived_s + budget_s
         self.is_over = False
         self.runs = 0  # engines that may have begun to work on it
@@ -279,7 +284,12 @@
             return self._give_up(now, Cause.NO_ENGINE)
         if self._may_be_held():
             backlog_s = placing.backlog_s(engine, self.service, now.place, now.now_s)
-            if not waiting.may_start(self, backlog_s, now.now_s):
+            free_places = placing.free_places(engine, now.place, now.now_s)
+            reading_s = engine.reading_s(now.now_s)
+            room = waiting.Room(backlog_s, reading_s, free_places)
+            if not waiting.may_start(self, room, now.now_s):
+                if now.now_s - self.arrived_s >= waiting.LONGEST_WAIT_S:
+                    return self._turn_away(now, waiting.LONGEST_QUEUE_S)
                 return [Hold()]
             if self._is_hopeless(now, backlog_s):
                 return self._turn_away(now, backlog_s)
@@ -307,9 +317,20 @@
                 None if self.route.is_repeatable else FRESH_CONNECTION_S,
                 busy,
                 busy_age_s,
+                self._priority(now.now_s),
             )
         ]
 
+    def _priority(self, now_s: float) -> int | None:
+        if self.service.profile is None:
+            return None
+        kind = urgency.Urgency.LATE
+        if self._last_event_id is not None:
+            kind = urgency.Urgency.RESUMED
+        elif now_s <= self.on_time_until_s:
+            kind = urgency.Urgency.ON_TIME
+        return urgency.priority(kind, self._rank)
+
     def _choose_engine(self, now: Surroundings) -> engines.Engine | None:
         """Return an engine that has not had the request, or one that rejected it."""
         ask = placing.Ask(
@@ -339,7 +360,7 @@
     def _is_hopeless(self, now: Surroundings, backlog_s: float) -> bool:
         """Tell whether its answer could not be whole before its time is over."""
         writing_s = placing.run_s(self.service.profile, self._likely_tokens_left())
-        if now.now_s - self.arrived_s < waiting.MAX_QUEUE_WAIT_S:
+        if now.now_s - self.arrived_s < waiting.EXPIRING_AFTER_S:
             return False
         needed_s = min(backlog_s, waiting.LONGEST_QUEUE_S) + self.work_s
         return now.now_s + needed_s + writing_s > self.deadline_s
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -55,9 +55,9 @@
             self.minimum_version,
         )
 
-    def forward(self, route, call=None):
+    def forward(self, route, call=None, arrived_s=0.0):
         call = call or entry_data.Call("id", "h", "/p/x", None, 5.0)
-        return forwarding.Forwarding(route, SERVICE, call, 0.0)
+        return forwarding.Forwarding(route, SERVICE, call, arrived_s)
 
 
 class ForwardingTest(testtools.TestCase):
@@ -178,9 +178,44 @@
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
         request = scene.forward(make_route())
         self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
-        patience_s = waiting.MAX_QUEUE_WAIT_S
+        patience_s = waiting.EXPIRING_AFTER_S
         self.assert_only(forwarding.Dispatch, request.go_on(scene.at(patience_s)))
 
+    def test_a_held_request_is_told_to_come_back_before_its_caller_gives_up(self):
+        scene = Scene(names=("a",))
+        engine = scene.roster.get("a")
+        for _ in range(16 - waiting.ON_TIME_PLACES + 1):
+            engine.sent()
+        request = scene.forward(make_route())
+        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
+        almost = scene.at(waiting.LONGEST_WAIT_S - 0.01)
+        self.assert_only(forwarding.Hold, request.go_on(almost))
+        late = scene.at(waiting.LONGEST_WAIT_S)
+        self.assert_only(forwarding.Reject, request.go_on(late))
+
+    def test_an_engine_hears_how_urgent_a_request_is(self):
+        scene = Scene()
+        first = scene.forward(make_route())
+        on_time = self.assert_only(forwarding.Dispatch, first.start(scene.at(0.0)))
+        older = scene.forward(make_route(), arrived_s=-1.0)
+        late = self.assert_only(forwarding.Dispatch, older.start(scene.at(0.0)))
+        first.on_stream_opened()
+        first.on_events("3")
+        effects = first.on_failure(scene.at(0.3), forwarding.Failure.BROKEN)
+        resumed = self.assert_only(forwarding.Dispatch, effects)
+        self.assertLess(resumed.priority, on_time.priority)
+        self.assertLess(on_time.priority, late.priority)
+
+    def test_one_that_is_late_leaves_the_last_places_to_others(self):
+        scene = Scene(names=("a",))
+        engine = scene.roster.get("a")
+        for _ in range(16 - waiting.LATE_PLACES + 1):
+            engine.sent()
+        older = scene.forward(make_route(), arrived_s=-1.0)
+        self.assert_only(forwarding.Hold, older.start(scene.at(0.0)))
+        first = scene.forward(make_route())
+        self.assert_only(forwarding.Dispatch, first.start(scene.at(0.0)))
+
     def test_a_held_request_that_runs_out_of_time_did_not_run(self):
         scene = Scene(names=("a",))
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
@@ -204,7 +239,7 @@
         call = entry_data.Call("id", "h", "/p/x", None, 4.0, likely_tokens=200)
         request = scene.forward(make_route(), call)
         self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
-        late = scene.at(waiting.MAX_QUEUE_WAIT_S + 0.1)
+        late = scene.at(waiting.EXPIRING_AFTER_S + 0.1)
         self.assert_only(forwarding.Reject, request.go_on(late))
 
     def test_old_weights_are_not_used_when_newer_ones_are_due(self):
--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -155,7 +155,7 @@
         service = self.table.services.get(report.service) if self.table else None
         if engine is None or service is None or service.profile is None:
             return
-        engine.will_read(report.tokens, service.profile, now_s)
+        engine.heard_of_prompt(report.tokens, service.profile, now_s)
 
     def named(self, model: data.ModelName) -> Named:
         """Return what is known of a model's versions."""
--- a/toucanspread/core/entry/placing.py
+++ b/toucanspread/core/entry/placing.py
@@ -91,7 +91,12 @@
 
 
 def free_places(engine: engines.Engine, place: Place, now_s: float) -> float:
-    """Return how many more requests an engine can work on at once."""
+    """Return how many more requests an engine can work on at once.
+
+    Without a report, only what this entry has sent is known to be there.
+    """
+    if not engine.has_report(now_s):
+        return float(engine.entry.slots - engine.in_flight)
     return engine.entry.slots - engine.expected_busy(now_s, place.entries)
 
 
@@ -101,10 +106,8 @@
     """Return what an engine has to do before it would start on a request."""
     if engine.is_switching(now_s) or engine.is_avoided(now_s):
         return float("inf")
-    busy = engine.expected_busy(now_s, place.entries)
-    excess = max(busy + 1 - engine.entry.slots, 0.0)
-    reading_s = max(engine.reading_until_s - now_s, 0.0)
-    return reading_s + excess * FULL_PLACE_S
+    excess = max(1 - free_places(engine, place, now_s), 0.0)
+    return engine.reading_s(now_s) + excess * FULL_PLACE_S
 
 
 def least_backlog_s(
@@ -125,7 +128,7 @@
     wait_s = excess * FULL_PLACE_S
     if service.profile is None:
         return wait_s + busy * PLAIN_PLACE_S
-    wait_s += max(engine.reading_until_s - now_s, 0.0)
+    wait_s += engine.reading_s(now_s)
     return wait_s + busy * BUSY_PLACE_S
 
 
--- /dev/null
+++ b/toucanspread/core/entry/urgency_test.py
@@ -0,0 +1,25 @@
+"""What goes first at an engine."""
+
+import testtools
+
+from toucanspread.core.entry import urgency
+
+
+class UrgencyTest(testtools.TestCase):
+    def test_a_broken_stream_goes_before_what_can_be_on_time_and_that_before_late(self):
+        order = (
+            urgency.Urgency.RESUMED,
+            urgency.Urgency.ON_TIME,
+            urgency.Urgency.LATE,
+        )
+        for first, second in zip(order, order[1:], strict=False):
+            self.assertLess(urgency.priority(first, 9), urgency.priority(second, 0))
+
+    def test_declared_ranks_decide_among_the_same(self):
+        ranks = [urgency.priority(urgency.Urgency.ON_TIME, rank) for rank in (0, 1, 2)]
+        self.assertEqual(sorted(set(ranks)), ranks)
+
+    def test_priorities_are_those_that_engines_know(self):
+        for kind in urgency.Urgency:
+            for rank in (-3, 0, 1, 200):
+                self.assertIn(urgency.priority(kind, rank), range(10))
--- a/toucanspread/core/entry/waiting.py
+++ b/toucanspread/core/entry/waiting.py
@@ -1,35 +1,37 @@
 """Holds requests back while no engine could start on them soon.
 
-The load this answers: for some seconds callers ask for more than the engines can read
+The load this answers: for some seconds callers ask for more than the engines can do
 (a burst, engines that crashed, that switch, or that are still empty). An engine that
 is sent everything at once is late with everything. Here requests wait at the entry,
-and those that can still be on time go first, the one with the least time left before
-the others. Those that are late anyway follow when there is room, or shortly before
-their callers would give up. Nothing is refused for being late; but what could not be
-answered whole before its time is over is told so at once, to come back instead.
+and those that can still be on time go first. Entries do not know what waits at the
+others, so what is late anyway goes only to engines with several places free: the last
+places are left for what can be on time, wherever it waits. Callers that have waited
+as long as callers do are told to come back instead.
 """
 
 import enum
 from collections.abc import Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 # What an engine may have to read first; the request's own prompt comes on top.
-MAX_BACKLOG_S = 0.10
-MARGIN_S = 0.06  # a pass of the engine, and the way there and back
-MAX_QUEUE_WAIT_S = (
-    2.5  # callers give a stream up after about three seconds without an event
-)
-
-
+MAX_READING_S = 0.10
+# Two passes of a full engine, of 80 ms each: the one on its way, and the first event's.
+MARGIN_S = 0.16
+EXPIRING_AFTER_S = 2.0  # callers give a stream up after about three seconds
+LONGEST_WAIT_S = 2.8  # and come back sooner when they are told to before
 LONGEST_QUEUE_S = 2.0  # the queue is as long as callers wait
 MIN_RETRY_AFTER_S = 0.5
+# Places that an engine must have free; if negative, so many may wait at it.
+ON_TIME_PLACES = -2
+EXPIRING_PLACES = 2
+LATE_PLACES = 4
 
 
 class QueueClass(enum.IntEnum):
     """The order among those that wait."""
 
-    EXPIRING = 0
-    ON_TIME = 1
+    ON_TIME = 0
+    EXPIRING = 1
     LATE = 2
 
 
@@ -49,30 +51,52 @@
 
     :param backlog_s: what the best engine has to do before it would start on it.
     """
-    if now_s - waiter.arrived_s >= MAX_QUEUE_WAIT_S:
-        return QueueClass.EXPIRING
     if now_s + backlog_s <= waiter.on_time_until_s:
         return QueueClass.ON_TIME
+    if now_s - waiter.arrived_s >= EXPIRING_AFTER_S:
+        return QueueClass.EXPIRING
     return QueueClass.LATE
 
 
 def in_order(waiters: Iterable[Waiter], backlog_s: float, now_s: float) -> list[Waiter]:
-    """Return the requests, the one to go first at the front."""
+    """Return the requests, the one to go first at the front.
+
+    Of those that can be on time, the one with the most time left goes first: when not
+    all can be, one with little left is late by the time it is answered.
+    """
 
     def rank(waiter: Waiter) -> tuple[int, float]:
         place = queue_class(waiter, backlog_s, now_s)
         if place is QueueClass.ON_TIME:
-            return (place, waiter.on_time_until_s)
+            return (place, -waiter.on_time_until_s)
         return (place, waiter.arrived_s)
 
     return sorted(waiters, key=rank)
 
 
-def may_start(waiter: Waiter, backlog_s: float, now_s: float) -> bool:
-    """Tell whether a request goes to an engine now."""
-    if queue_class(waiter, backlog_s, now_s) is QueueClass.EXPIRING:
-        return True
-    return backlog_s <= MAX_BACKLOG_S
+class Room(NamedTuple):
+    """What the engine that was chosen has left.
+
+    :param backlog_s: what it has to do before it would start on a request.
+    :param reading_s: the part of it that is reading prompts.
+    :param free_places: how many more requests it can work on at once.
+    """
+
+    backlog_s: float
+    reading_s: float
+    free_places: float
+
+
+def may_start(waiter: Waiter, room: Room, now_s: float) -> bool:
+    """Tell whether a request goes to an engine now.
+
+    What is late leaves some places to requests of all entries that can be on time.
+    """
+    place = queue_class(waiter, room.backlog_s, now_s)
+    if place is QueueClass.EXPIRING:
+        return room.free_places >= EXPIRING_PLACES
+    wanted = ON_TIME_PLACES if place is QueueClass.ON_TIME else LATE_PLACES
+    return room.free_places >= wanted and room.reading_s <= MAX_READING_S
 
 
 def expected_wait_s(held_work_s: float, engines: int, entries: int) -> float:
--- a/toucanspread/core/entry/waiting_test.py
+++ b/toucanspread/core/entry/waiting_test.py
@@ -9,6 +9,8 @@
 
 AIM_S = 0.4
 READ_S = 0.075
+MARGIN_S = 0.06  # this engine makes no passes between prompts
+FREE_PLACES = 8.0  # this engine is held up by reading alone
 
 
 @dataclasses.dataclass(eq=False)
@@ -18,7 +20,7 @@
 
     @property
     def on_time_until_s(self):
-        return self.arrived_s + AIM_S - self.read_s - waiting.MARGIN_S
+        return self.arrived_s + AIM_S - self.read_s - MARGIN_S
 
 
 def arrivals(load, seconds, seed):
@@ -49,7 +51,9 @@
             order = waiting.in_order(held, backlog_s, now_s)
         for request in order:
             backlog_s = max(free_at_s - now_s, 0.0)
-            if holds_back and not waiting.may_start(request, backlog_s, now_s):
+            if holds_back and not waiting.may_start(
+                request, waiting.Room(backlog_s, backlog_s, FREE_PLACES), now_s
+            ):
                 break
             free_at_s = max(free_at_s, now_s) + request.read_s
             first_s[id(request)] = free_at_s - request.arrived_s
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -65,6 +65,7 @@
         self._owner = owner
         self._route = route
         self._team = team.name if team is not None else None
+        self._declared_rank = team.priority if team is not None else None
         self.service = owner.choose_service(route)
         self._state: forwarding.Forwarding | None = None
         self._answer: engine_answer.EngineAnswer | None = None
@@ -89,7 +90,11 @@
             return
         began_s = self.exchange.began_s
         self._state = forwarding.Forwarding(
-            self._route, self.service, self.call, began_s
+            self._route,
+            self.service,
+            self.call,
+            began_s,
+            self._declared_rank,
         )
         self._owner.in_progress.add(self)
         self.exchange.on_lost = self._on_caller_left
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -10,6 +10,7 @@
 TENANT = b"X-Tenant"
 EXPECT_INSTANCE = b"X-Expect-Instance"
 EXPECT_VERSION = b"X-Expect-Version"
+PRIORITY = b"X-Request-Priority"
 INSTANCE = b"x-instance-id"
 SEAL = b"x-response-seal"
 NOT_EXECUTED = b"x-not-executed"
@@ -23,6 +24,7 @@
         b"x-attempt-id",
         b"x-expect-instance",
         b"x-expect-version",
+        b"x-request-priority",
         b"x-tenant",
         b"x-timeout-ms",
     }
@@ -68,6 +70,8 @@
         if dispatch.expected_version:
             version = b"%d" % dispatch.expected_version
             headers.append(http1.Header(EXPECT_VERSION, version))
+        if dispatch.priority is not None:
+            headers.append(http1.Header(PRIORITY, b"%d" % dispatch.priority))
         if dispatch.last_event_id is not None:
             last_id = dispatch.last_event_id.encode("latin-1")
             headers.append(http1.Header(b"Last-Event-Id", last_id))
