--- a/toucanspread/core/entry/placing.py
+++ b/toucanspread/core/entry/placing.py
@@ -19,7 +19,7 @@
 
 NOISE_S = 0.010  # about the way between two zones and back
 OTHER_ZONE_S = 0.015
-OTHER_REGION_S = 0.040  # bytes between regions are dear, and less is known of there
+OTHER_REGION_S = 0.100  # bytes between regions are dear, and less is known of there
 BUSY_PLACE_S = 0.004  # each writer lengthens the steps of all
 FULL_PLACE_S = 0.080  # above its places a request waits for one of them to end
 AVOIDED_S = 100.0  # after every other engine
