--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -10,7 +10,7 @@
 import random
 from typing import NamedTuple
 
-from toucanspread.core import data
+from toucanspread.core import data, invariants
 from toucanspread.core.entry import budget, engines, placing, urgency, waiting
 from toucanspread.core.entry import data as entry_data
 
@@ -293,6 +293,7 @@
                 return [Hold()]
             if self._is_hopeless(now, backlog_s):
                 return self._turn_away(now, backlog_s)
+        self._check_dispatch(engine, now)
         self._engine = engine
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
@@ -321,6 +322,27 @@
             )
         ]
 
+    def _check_dispatch(self, engine: engines.Engine, now: Surroundings) -> None:
+        """Check that one more engine may run the request."""
+        call_id = self.call.attempt_id
+        invariants.check(
+            not self.is_over, invariants.Invariant.ONE_FINAL_OUTCOME, call_id
+        )
+        if not self.route.is_repeatable:
+            invariants.check(self.runs == 0, invariants.Invariant.AT_MOST_ONCE, call_id)
+        invariants.check(
+            self.runs < max(self.route.attempts, 1),
+            invariants.Invariant.RETRY_ONLY_WHEN_SAFE,
+            f"{call_id}: {self.runs} engines may have run it",
+        )
+        if self.service.profile is not None:
+            version = engine.version(self.service.profile, now.now_s)
+            invariants.check(
+                version >= max(now.minimum_version, 1),
+                invariants.Invariant.DISPATCH_ONLY_WHOLE,
+                f"{call_id}: {engine.entry.engine_id} holds {version}",
+            )
+
     def _priority(self, now_s: float) -> int | None:
         if self.service.profile is None:
             return None
@@ -405,6 +427,14 @@
         return Reject(cause, base_s + spread_s)
 
     def _end(self, effect: data.Effect) -> list[data.Effect]:
+        call_id = self.call.attempt_id
+        invariants.check(
+            not self.is_over, invariants.Invariant.ONE_FINAL_OUTCOME, call_id
+        )
+        if isinstance(effect, Reject):
+            invariants.check(
+                self.runs == 0, invariants.Invariant.NOT_RUN_IS_PROVED, call_id
+            )
         self.is_over = True
         return [effect]
 
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -15,7 +15,7 @@
 import enum
 from typing import NamedTuple
 
-from toucanspread.core import data
+from toucanspread.core import data, invariants
 from toucanspread.core.entry import data as entry_data
 
 PIECES_AT_ONCE = 2  # callers' requests come over the same narrow link
@@ -387,6 +387,11 @@
         if now_s - target.checked_s > CHECK_VALID_S:
             target.step = Step.STAGING
             return [CheckStaged(target.version, target.digests)]
+        invariants.check(
+            target.is_whole and len(target.have) == len(target.digests),
+            invariants.Invariant.CHUNK_VERIFIED,
+            f"version {target.version}: {target.left} pieces missing",
+        )
         target.step = Step.ORDERED
         target.ordered_s = now_s
         return [GiveOrder(target.version, SwitchMode.TRUNCATE, self._report.orders)]
