--- a/toucanspread/core/entry/knowledge.py
+++ b/toucanspread/core/entry/knowledge.py
@@ -96,15 +96,17 @@
         self._news[version] = news
         return True
 
+    def due_s(self, version: int, within_s: float) -> float:
+        """Return when requests may no longer begin on versions before this one."""
+        return self._news[version].due_s(within_s)
+
     def minimum(self, now_s: float, within_s: float) -> int:
         """Return the version below which no request may begin any more.
 
         :param within_s: how long after a version older ones may still be used.
         """
         due = [
-            version
-            for version, news in self._news.items()
-            if now_s >= news.due_s(within_s)
+            version for version in self._news if now_s >= self.due_s(version, within_s)
         ]
         return max(due, default=0)
 
@@ -161,6 +163,11 @@
         """Return what is known of a model's versions."""
         return self._named.setdefault(model, Named())
 
+    def due_in_s(self, event: VersionNamed, now_s: float) -> float:
+        """Return the time until a version that was named has to be used."""
+        named = self.named(event.model)
+        return named.due_s(event.version, self._version_within_s) - now_s
+
     def minimum_version(self, service: entry_data.Service, now_s: float) -> int:
         """Return the version below which no request to a service may begin."""
         if service.profile is None:
--- a/toucanspread/core/weights/sources.py
+++ b/toucanspread/core/weights/sources.py
@@ -43,13 +43,21 @@
 
 
 def holders(
-    key: PieceKey, entries: Iterable[members.EntryRecord], region: str
+    key: PieceKey,
+    entries: Iterable[members.EntryRecord],
+    region: str,
+    silent: frozenset[str] = frozenset(),
 ) -> list[members.EntryRecord]:
-    """Return the entries to ask for a piece from a region, the nearest first."""
+    """Return the entries to ask for a piece from a region, the nearest first.
+
+    :param silent: names of entries that did not answer lately; they come last.
+    """
     ranked = owners(key, entries)
-    near = [entry for entry in ranked if entry.region == region]
-    far = [entry for entry in ranked if entry.region != region]
-    return near + far
+
+    def rank(entry: members.EntryRecord) -> tuple[bool, bool]:
+        return (entry.name in silent, entry.region != region)
+
+    return sorted(ranked, key=rank)
 
 
 def is_kept_by(
--- a/toucanspread/core/weights/sources_test.py
+++ b/toucanspread/core/weights/sources_test.py
@@ -39,6 +39,13 @@
             self.assertEqual(["r2"] * 4, [entry.region for entry in found[:4]])
             self.assertEqual(len(ENTRIES), len(found))
 
+    def test_entries_that_do_not_answer_are_asked_last(self):
+        silent = frozenset({"r2-0", "r2-1"})
+        for key in KEYS:
+            found = [e.name for e in sources.holders(key, ENTRIES, "r2", silent)]
+            self.assertEqual(silent, set(found[-2:]))
+            self.assertEqual({"r2-2", "r2-3"}, set(found[:2]))
+
     def test_an_entry_that_goes_takes_only_its_pieces_along(self):
         left = ENTRIES[1:]
         for key in KEYS:
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -10,6 +10,7 @@
 from toucanspread.core.entry import (
     forwarding,
     knowledge,
+    placing,
 )
 from toucanspread.ops import (
     dialect,
@@ -272,6 +273,7 @@
         self, event: str, cause: forwarding.Cause, retry_after_s: float = 0.0
     ) -> None:
         now_s = self._owner.pool.reactor.seconds()
+        known, usable, minimum_version = self._engines_seen()
         logs.write(
             event,
             id=self.call.attempt_id,
@@ -280,9 +282,22 @@
             after_s=now_s - self.exchange.began_s,
             dispatches=self._state.dispatches if self._state else 0,
             retry_after_s=retry_after_s,
+            engines_known=known,
+            engines_usable=usable,
+            minimum_version=minimum_version,
             configuration=self._owner.known.table.version,
         )
 
+    def _engines_seen(self) -> tuple[int, int, int]:
+        """Return how many engines are known and usable, from which version on."""
+        if self.service is None:
+            return 0, 0, 0
+        now = self.now()
+        ask = placing.Ask(self.service, now.minimum_version)
+        usable = placing.candidates(now.roster, ask, now.now_s)
+        known = now.roster.of_service(self.service.name)
+        return len(known), len(usable), now.minimum_version
+
     def _observe(self, status: int) -> None:
         now_s = self._owner.pool.reactor.seconds()
         seconds = now_s - self.exchange.began_s
--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -30,6 +30,10 @@
     """A piece or a manifest could not be had."""
 
 
+class SilentError(PieceError):
+    """A process could not be reached, or did not answer."""
+
+
 class WeightsOrigin(abc.ABC):
     """Where weights come from first."""
 
@@ -314,7 +318,7 @@
     try:
         reply = await pool.call(address, head, timeout_s=PEER_TIMEOUT_S)
     except http1_pool.CallError as error:
-        raise PieceError(str(error)) from error
+        raise SilentError(str(error)) from error
     if reply.status != 200:
         raise PieceError(f"{address} answered {reply.status}")
     return reply
--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -17,6 +17,8 @@
 from toucanspread.ops import engine_control, http1_pool, logs, loop, pieces, tallies
 
 HOLDERS_ASKED = 3  # each asks the others; then what failed is tried again later
+SILENT_S = 2.0  # an entry that did not answer is asked after the others for this long
+NEXT_HOLDER_S = 0.1  # a manifest is small: the next is asked before the first gives up
 REPORT_INTERVAL_S = 0.2  # a request's first event takes about as long
 QUIET_LOAD_INTERVAL_S = 0.6  # an unchanged load is repeated within its usable age
 
@@ -73,6 +75,7 @@
         self._reached = True
         self._step = stager.target.step
         self._collected: dict[sources.PieceKey, bytes] = {}
+        self._silent_until_s: dict[str, float] = {}
         self._handlers = {
             staging.ReadDigests: self._read_manifest,
             staging.CheckStaged: self._check_staged,
@@ -139,16 +142,43 @@
 
     async def _read_manifest(self, effect: staging.ReadDigests) -> None:
         key = sources.PieceKey(self._model, effect.version, sources.MANIFEST)
-        for holder in sources.holders(key, self._entries(), self._region):
-            try:
-                digests = await pieces.fetch_digests(self._pool, holder.control, key)
-            except pieces.PieceError as error:
-                self._log_holder(key, holder, error)
-                continue
-            read = staging.DigestsRead(effect.version, digests)
-            self._carry_out(self._stager.on_manifest(read, self._now_s()))
+        digests = await self._first_digests(key)
+        if digests is None:
+            self._fail(effect.version)
             return
-        self._fail(effect.version)
+        read = staging.DigestsRead(effect.version, digests)
+        self._carry_out(self._stager.on_manifest(read, self._now_s()))
+
+    async def _first_digests(self, key: sources.PieceKey) -> tuple[str, ...] | None:
+        """Return the manifest of the entry that is the first to answer."""
+        asked: set[asyncio.Task] = set()
+        found = None
+        for holder in self._holders(key):
+            asked.add(asyncio.ensure_future(self._digests_of(key, holder)))
+            found = await _first_result(asked, NEXT_HOLDER_S)
+            if found is not None:
+                break
+        while asked and found is None:
+            found = await _first_result(asked, None)
+        for task in asked:
+            task.cancel()
+        return found
+
+    async def _digests_of(
+        self, key: sources.PieceKey, holder: members.EntryRecord
+    ) -> tuple[str, ...] | None:
+        try:
+            return await pieces.fetch_digests(self._pool, holder.control, key)
+        except pieces.PieceError as error:
+            self._note_failure(key, holder, error)
+            return None
+
+    def _holders(self, key: sources.PieceKey) -> list[members.EntryRecord]:
+        now_s = self._now_s()
+        silent = frozenset(
+            name for name, until_s in self._silent_until_s.items() if now_s < until_s
+        )
+        return sources.holders(key, self._entries(), self._region, silent)
 
     async def _check_staged(self, effect: staging.CheckStaged) -> None:
         try:
@@ -193,14 +223,13 @@
 
     async def _collect_piece(self, effect: staging.CollectPiece) -> None:
         key = sources.PieceKey(self._model, effect.version, effect.number)
-        ranked = sources.holders(key, self._entries(), self._region)
-        for holder in ranked[:HOLDERS_ASKED]:
+        for holder in self._holders(key)[:HOLDERS_ASKED]:
             if self._is_given_up(effect.version):
                 return
             try:
                 piece = await pieces.fetch_piece(self._pool, holder.control, key)
             except pieces.PieceError as error:
-                self._log_holder(key, holder, error)
+                self._note_failure(key, holder, error)
                 continue
             if not pieces.is_right(piece, effect.digest):
                 logs.write("piece_spoilt", piece=key.text, source=holder.name)
@@ -241,7 +270,21 @@
         if number is None:
             self._pool.reactor.callLater(staging.MANIFEST_PAUSE_S, self._tick)
 
-    def _log_holder(
+    def _note_failure(
         self, key: sources.PieceKey, holder: members.EntryRecord, error: Exception
     ) -> None:
+        if isinstance(error, pieces.SilentError):
+            self._silent_until_s[holder.name] = self._now_s() + SILENT_S
         logs.write("holder_failed", piece=key.text, holder=holder.name, why=str(error))
+
+
+async def _first_result(
+    tasks: set[asyncio.Task], timeout_s: float | None
+) -> tuple[str, ...] | None:
+    """Return the first result that is not None; tasks that ended are removed."""
+    done, _ = await asyncio.wait(
+        tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    tasks -= done
+    results = [task.result() for task in done]
+    return next((result for result in results if result is not None), None)
--- a/toucanspread/ops/stager_test.py
+++ b/toucanspread/ops/stager_test.py
@@ -15,6 +15,7 @@
 
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 2, 4, 7, 0.1)
 BYTES = [b"piece %d" % number for number in range(4)]
+DEAD = "dead:2"  # never answers when asked for a manifest
 DIGESTS = tuple(hashlib.sha256(piece).hexdigest() for piece in BYTES)
 
 
@@ -53,9 +54,15 @@
     def __init__(self):
         super().__init__(task.Clock())
         self.pieces_left = 1_000
+        self.asked_dead = 0
 
     async def call(self, address, head, body=b"", timeout_s=1.0):
         target, _, query = head.target.decode().partition("?")
+        if address == DEAD and target == pieces.MANIFEST_TARGET:
+            await asyncio.Event().wait()
+        if address == DEAD:
+            self.asked_dead += 1
+            raise http1_pool.CallError(None, "not connected")
         if target == pieces.MANIFEST_TARGET:
             return http1_pool.Reply(200, None, msgspec.msgpack.encode(DIGESTS))
         if self.pieces_left == 0:
@@ -65,6 +72,10 @@
         return http1_pool.Reply(200, None, BYTES[int(wanted["number"])])
 
 
+def record(name, control):
+    return members.EntryRecord(name, "z", "r", f"{name}:1", control, f"{name}:3")
+
+
 class Sender:
     def send(self, load):
         return
@@ -77,8 +88,7 @@
         self.patch(stager, "REPORT_INTERVAL_S", 0.0)
         self.engine = Engine()
         self.pool = Pool()
-        entry = members.EntryRecord("e", "z", "r", "e:1", "e:2", "e:3")
-        self.entries = [entry]
+        self.entries = [record("e", "e:2")]
 
     def run_process(self, turns=200):
         """Run a process beside the engine for a while, then end it."""
@@ -113,6 +123,19 @@
         self.run_process()
         self.assertEqual(1, self.engine.version)
 
+    def test_an_entry_without_power_does_not_hold_a_manifest_up(self):
+        self.patch(stager, "NEXT_HOLDER_S", 0.0)
+        self.entries += [record(f"x{number}", DEAD) for number in range(5)]
+        self.run_process()
+        self.assertEqual(1, self.engine.version)
+
+    def test_an_entry_that_could_not_be_reached_is_not_asked_for_each_piece(self):
+        self.patch(stager, "NEXT_HOLDER_S", 0.0)
+        self.entries += [record(f"x{number}", DEAD) for number in range(5)]
+        self.run_process()
+        self.assertEqual(1, self.engine.version)
+        self.assertLessEqual(self.pool.asked_dead, 5)
+
     def test_spoilt_bytes_with_the_engine_are_replaced_before_the_order(self):
         self.engine.lying = {0: b"rotten", 1: BYTES[1], 2: BYTES[2], 3: BYTES[3]}
         self.pool.pieces_left = 1
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -337,6 +337,12 @@
             revision=change.revision,
         )
         if isinstance(event, knowledge.VersionNamed):
+            logs.write(
+                "version_named",
+                model=event.model,
+                version=event.version,
+                due_in_s=self.known.due_in_s(event, reactor.seconds()),
+            )
             self._take_owned(event.model, event.version)
 
     def _take_first_version(self) -> None:
