--- a/standins/played_load.py
+++ b/standins/played_load.py
@@ -13,7 +13,7 @@
 
 from standins import served_engine
 from toucanspread.core import data
-from toucanspread.core.entry import budget, engines, forwarding, placing
+from toucanspread.core.entry import budget, decisions, engines, forwarding, placing
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import waves
 from toucanspread.ops import held_requests
@@ -287,7 +287,7 @@
     def go_on(self) -> bool:
         """Look for an engine again; return whether the request stays held back."""
         decided = self._state.go_on(self.now())
-        if any(isinstance(effect, forwarding.Hold) for effect in decided):
+        if any(isinstance(effect, decisions.Hold) for effect in decided):
             return True
         self._carry_out(decided)
         return False
@@ -295,7 +295,7 @@
     def on_broken(self) -> None:
         """Hear that the engine went away."""
         self._job = None
-        failed = forwarding.Failure.BROKEN
+        failed = decisions.Failure.BROKEN
         self._carry_out(self._state.on_failure(self.now(), failed))
 
     def _fresh_state(self) -> forwarding.Forwarding:
@@ -327,14 +327,14 @@
     def _carry_out(self, decided: list[data.Effect]) -> None:
         for effect in decided:
             match effect:
-                case forwarding.Hold():
+                case decisions.Hold():
                     self._entry.queue.add(self)
-                case forwarding.Dispatch(engine_id=engine_id, priority=priority):
+                case decisions.Dispatch(engine_id=engine_id, priority=priority):
                     self._priority = priority
                     self._send(self._play.engines_by_id[engine_id])
-                case forwarding.Reject(retry_after_s=retry_after_s):
+                case decisions.Reject(retry_after_s=retry_after_s):
                     self._come_back(retry_after_s)
-                case forwarding.Fail() | forwarding.BreakStream():
+                case decisions.Fail() | decisions.BreakStream():
                     self._come_back(0.0)
 
     def _send(self, engine: PlayedEngine) -> None:
@@ -357,7 +357,7 @@
         )
         is_open = engine.is_there and not engine.is_loading
         if not is_open or not engine.model.submit(job):
-            rejected = forwarding.Failure.REJECTED
+            rejected = decisions.Failure.REJECTED
             self._carry_out(self._state.on_failure(self.now(), rejected))
             return
         self._job = job
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -6,12 +6,18 @@
 stopped; nothing is answered twice.
 """
 
-import enum
 import random
 from typing import NamedTuple
 
 from toucanspread.core import data, invariants
-from toucanspread.core.entry import budget, engines, placing, urgency, waiting
+from toucanspread.core.entry import (
+    budget,
+    decisions,
+    engines,
+    placing,
+    urgency,
+    waiting,
+)
 from toucanspread.core.entry import data as entry_data
 
 ENGINE_ANSWER_SLACK_S = 0.12  # an engine's own answer at the deadline is awaited
@@ -26,102 +32,6 @@
 NO_ENGINE_RETRY_AFTER_S = 0.6
 
 
-class Cause(enum.Enum):
-    """Why a request was not answered by an engine."""
-
-    NO_ENGINE = "no engine"
-    ENGINES_FULL = "engines full"
-    ENGINE_FAILED = "engine failed"
-    TIME_OVER = "time over"
-    BUDGET = "budget used up"
-    LEAVING = "leaving"
-
-
-class Failure(enum.Enum):
-    """How a dispatch failed."""
-
-    NOT_CONNECTED = "not connected"
-    REJECTED = "rejected"
-    OTHER_INSTANCE = "other instance"
-    BROKEN = "broken"
-    MALFORMED = "malformed"
-    SILENT = "silent"
-    FAILED = "failed"
-
-
-NOT_RUN = frozenset({Failure.NOT_CONNECTED, Failure.REJECTED, Failure.OTHER_INSTANCE})
-
-
-class Dispatch(data.Effect):
-    """Send the request to an engine.
-
-    :param number: tells this dispatch from the others of the request.
-    :param budget_s: how long the engine may work on it.
-    :param silence_s: without a sign of the engine for this long, say so.
-    :param max_idle_s: an idle connection that is older is not used.
-    :param busy: how many requests the engine was believed to have.
-    :param busy_age_s: how old that belief was; negative without a load report.
-    :param priority: among those that wait at the engine; None if it does not matter.
-    """
-
-    number: int
-    engine_id: str
-    address: data.Address
-    budget_s: float
-    silence_s: float
-    last_event_id: str | None = None
-    expected_version: int = 0
-    max_idle_s: float | None = None
-    busy: float = 0.0
-    busy_age_s: float = -1.0
-    priority: int | None = None
-
-
-class Hold(data.Effect):
-    """Keep the request here until an engine can start on it soon."""
-
-
-class Cancel(data.Effect):
-    """Drop a dispatch, so that its engine stops."""
-
-    number: int
-
-
-class Relay(data.Effect):
-    """Pass the engine's whole answer on."""
-
-
-class OpenStream(data.Effect):
-    """Start the caller's answer with the engine's head."""
-
-
-class CloseStream(data.Effect):
-    """Complete the caller's answer."""
-
-
-class BreakStream(data.Effect):
-    """End the caller's answer so that it does not look complete."""
-
-    cause: Cause
-
-
-class Reject(data.Effect):
-    """Tell the caller that the request did not run and will not."""
-
-    cause: Cause
-    retry_after_s: float
-
-
-class Fail(data.Effect):
-    """Tell the caller that the request may have run.
-
-    :param timed_out: whether its time was over.
-    """
-
-    cause: Cause
-    timed_out: bool = False
-
-
 class Surroundings(NamedTuple):
     """What decisions about a request look at.
 
@@ -168,7 +78,7 @@
         self._tried: set[str] = set()
         self._streaming = False
         self._last_event_id = call.last_event_id
-        self._last_failure: Failure | None = None
+        self._last_failure: decisions.Failure | None = None
 
     @property
     def engine_id(self) -> str:
@@ -204,7 +114,7 @@
         usable = len(placing.candidates(now.roster, ask, now.now_s))
         wait_s = waiting.expected_wait_s(held_work_s, usable, now.place.entries)
         if wait_s <= waiting.LONGEST_QUEUE_S:
-            return [Hold()]
+            return [decisions.Hold()]
         return self._turn_away(now, wait_s)
 
     def go_on(self, now: Surroundings) -> list[data.Effect]:
@@ -216,7 +126,7 @@
         if self._streaming:
             return []
         self._streaming = True
-        return [OpenStream()]
+        return [decisions.OpenStream()]
 
     def on_events(self, last_event_id: str | None) -> None:
         """Note whole events that were passed on."""
@@ -227,26 +137,32 @@
         """Take an engine's whole answer, or the orderly end of its stream."""
         if status < 500:
             self._release(now, ok=True)
-            return self._end(CloseStream() if self._streaming else Relay())
+            return self._end(
+                decisions.CloseStream() if self._streaming else decisions.Relay()
+            )
         # The engine ran it and says that it failed.
         self._release(now, ok=False, weight=1)
         if not self._streaming and not self._may_run_again(now):
-            return self._end(Relay())
-        return self._again(now, Failure.FAILED)
+            return self._end(decisions.Relay())
+        return self._again(now, decisions.Failure.FAILED)
 
-    def on_failure(self, now: Surroundings, failure: Failure) -> list[data.Effect]:
+    def on_failure(
+        self, now: Surroundings, failure: decisions.Failure
+    ) -> list[data.Effect]:
         """Take the end of a dispatch that brought no whole answer."""
         if self.is_over:
             return []
         self._last_failure = failure
         number = self.dispatches
-        if failure is Failure.SILENT and not self._is_worth_moving(now):
+        if failure is decisions.Failure.SILENT and not self._is_worth_moving(now):
             return []
-        if failure is Failure.REJECTED and self._engine is not None:
+        if failure is decisions.Failure.REJECTED and self._engine is not None:
             self._engine.rejected(now.now_s)
         self._release(now, ok=False, weight=_weight(failure))
-        dropped = [Cancel(number)] if failure is Failure.SILENT else []
-        if failure in NOT_RUN:
+        dropped = (
+            [decisions.Cancel(number)] if failure is decisions.Failure.SILENT else []
+        )
+        if failure in decisions.NOT_RUN:
             self.runs -= 1
             self._rejections += 1
         return dropped + self._again(now, failure)
@@ -257,12 +173,14 @@
             return []
         had_engine = self._engine is not None
         self._release(now, ok=False, weight=0)
-        dropped = [Cancel(self.dispatches)] if had_engine else []
+        dropped = [decisions.Cancel(self.dispatches)] if had_engine else []
         if self._streaming:
-            return dropped + self._end(BreakStream(Cause.TIME_OVER))
+            return dropped + self._end(decisions.BreakStream(decisions.Cause.TIME_OVER))
         if self.runs == 0:
-            return self._end(self._reject(now, Cause.TIME_OVER))
-        return dropped + self._end(Fail(Cause.TIME_OVER, timed_out=True))
+            return self._end(self._reject(now, decisions.Cause.TIME_OVER))
+        return dropped + self._end(
+            decisions.Fail(decisions.Cause.TIME_OVER, timed_out=True)
+        )
 
     def on_caller_left(self, now: Surroundings) -> list[data.Effect]:
         """Stop the work that nobody waits for."""
@@ -271,17 +189,17 @@
         self.is_over = True
         had_engine = self._engine is not None
         self._release(now, ok=False, weight=0)
-        return [Cancel(self.dispatches)] if had_engine else []
+        return [decisions.Cancel(self.dispatches)] if had_engine else []
 
     # inside
 
     def _dispatch(self, now: Surroundings) -> list[data.Effect]:
         left_s = self.deadline_s - now.now_s
         if left_s < MIN_TIME_TO_DISPATCH_S:
-            return self._give_up(now, Cause.TIME_OVER)
+            return self._give_up(now, decisions.Cause.TIME_OVER)
         engine = self._choose_engine(now)
         if engine is None:
-            return self._give_up(now, Cause.NO_ENGINE)
+            return self._give_up(now, decisions.Cause.NO_ENGINE)
         if self._may_be_held():
             backlog_s = placing.backlog_s(engine, self.service, now.place, now.now_s)
             free_places = placing.free_places(engine, now.place, now.now_s)
@@ -290,7 +208,7 @@
             if not waiting.may_start(self, room, now.now_s):
                 if now.now_s - self.arrived_s >= waiting.LONGEST_WAIT_S:
                     return self._turn_away(now, waiting.LONGEST_QUEUE_S)
-                return [Hold()]
+                return [decisions.Hold()]
             if self._is_hopeless(now, backlog_s):
                 return self._turn_away(now, backlog_s)
         self._check_dispatch(engine, now)
@@ -307,7 +225,7 @@
         if self.service.profile is not None and now.minimum_version > 1:
             expected = engine.version(self.service.profile, now.now_s)
         return [
-            Dispatch(
+            decisions.Dispatch(
                 self.dispatches,
                 engine.entry.engine_id,
                 engine.entry.address,
@@ -363,20 +281,22 @@
             was_cut=self.runs > 0,
         )
         engine = placing.choose(now.roster, ask, now.place, now.now_s, now.source)
-        if engine is None and self._tried and self._last_failure in NOT_RUN:
+        if engine is None and self._tried and self._last_failure in decisions.NOT_RUN:
             ask = ask._replace(excluded=frozenset())
             engine = placing.choose(now.roster, ask, now.place, now.now_s, now.source)
         return engine
 
-    def _again(self, now: Surroundings, failure: Failure) -> list[data.Effect]:
+    def _again(
+        self, now: Surroundings, failure: decisions.Failure
+    ) -> list[data.Effect]:
         """Send the request to another engine, if that is allowed and of use."""
-        if failure in NOT_RUN:
+        if failure in decisions.NOT_RUN:
             if self._rejections > MAX_REJECTIONS:
-                return self._give_up(now, Cause.ENGINES_FULL)
+                return self._give_up(now, decisions.Cause.ENGINES_FULL)
         elif not self.route.is_repeatable or self.runs >= self.route.attempts:
-            return self._give_up(now, Cause.ENGINE_FAILED)
+            return self._give_up(now, decisions.Cause.ENGINE_FAILED)
         if not now.spending.take(self.service.name, now.now_s, now.place.entries):
-            return self._give_up(now, Cause.BUDGET)
+            return self._give_up(now, decisions.Cause.BUDGET)
         return self._dispatch(now)
 
     def _is_hopeless(self, now: Surroundings, backlog_s: float) -> bool:
@@ -389,7 +309,7 @@
 
     def _turn_away(self, now: Surroundings, wait_s: float) -> list[data.Effect]:
         retry_s = waiting.retry_after_s(wait_s, now.source.random())
-        return self._end(Reject(Cause.ENGINES_FULL, retry_s))
+        return self._end(decisions.Reject(decisions.Cause.ENGINES_FULL, retry_s))
 
     def _may_be_held(self) -> bool:
         return self.service.profile is not None and self.dispatches == 0
@@ -412,26 +332,28 @@
                 return True
         return False
 
-    def _give_up(self, now: Surroundings, cause: Cause) -> list[data.Effect]:
+    def _give_up(self, now: Surroundings, cause: decisions.Cause) -> list[data.Effect]:
         if self._streaming:
-            return self._end(BreakStream(cause))
+            return self._end(decisions.BreakStream(cause))
         if self.runs == 0:
             return self._end(self._reject(now, cause))
-        return self._end(Fail(cause, timed_out=cause is Cause.TIME_OVER))
+        return self._end(
+            decisions.Fail(cause, timed_out=cause is decisions.Cause.TIME_OVER)
+        )
 
-    def _reject(self, now: Surroundings, cause: Cause) -> Reject:
+    def _reject(self, now: Surroundings, cause: decisions.Cause) -> decisions.Reject:
         base_s = RETRY_AFTER_BASE_S
-        if cause is Cause.NO_ENGINE:
+        if cause is decisions.Cause.NO_ENGINE:
             base_s = NO_ENGINE_RETRY_AFTER_S
         spread_s = now.source.random() * RETRY_AFTER_SPREAD_S
-        return Reject(cause, base_s + spread_s)
+        return decisions.Reject(cause, base_s + spread_s)
 
     def _end(self, effect: data.Effect) -> list[data.Effect]:
         call_id = self.call.attempt_id
         invariants.check(
             not self.is_over, invariants.Invariant.ONE_FINAL_OUTCOME, call_id
         )
-        if isinstance(effect, Reject):
+        if isinstance(effect, decisions.Reject):
             invariants.check(
                 self.runs == 0, invariants.Invariant.NOT_RUN_IS_PROVED, call_id
             )
@@ -467,12 +389,12 @@
         return self.route.timeout_s + ENGINE_ANSWER_SLACK_S
 
 
-def _weight(failure: Failure) -> int:
+def _weight(failure: decisions.Failure) -> int:
     """Return how much a failure speaks against its engine."""
-    if failure is Failure.OTHER_INSTANCE:
+    if failure is decisions.Failure.OTHER_INSTANCE:
         return 2
-    if failure is Failure.NOT_CONNECTED:
+    if failure is decisions.Failure.NOT_CONNECTED:
         return 2
-    if failure is Failure.REJECTED:
+    if failure is decisions.Failure.REJECTED:
         return 0
     return 1
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from toucanspread.core import data
-from toucanspread.core.entry import budget, engines, forwarding, placing
+from toucanspread.core.entry import budget, decisions, engines, forwarding, placing
 from toucanspread.core.entry import data as entry_data
 
 ZONE = data.ZoneName("z")
@@ -15,23 +15,23 @@
 LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, 4),)
 ENGINES = ("a", "b", "c")
 FINAL = (
-    forwarding.Relay,
-    forwarding.CloseStream,
-    forwarding.BreakStream,
-    forwarding.Reject,
-    forwarding.Fail,
+    decisions.Relay,
+    decisions.CloseStream,
+    decisions.BreakStream,
+    decisions.Reject,
+    decisions.Fail,
 )
 # Only these say that an engine did not run what it was sent.
 NOT_RUN = (
-    forwarding.Failure.NOT_CONNECTED,
-    forwarding.Failure.REJECTED,
-    forwarding.Failure.OTHER_INSTANCE,
+    decisions.Failure.NOT_CONNECTED,
+    decisions.Failure.REJECTED,
+    decisions.Failure.OTHER_INSTANCE,
 )
 HAPPENINGS = ("opened", "events", "answer", "failure", "go on", "time over", "left")
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(HAPPENINGS),
-        strategies.sampled_from(forwarding.Failure),
+        strategies.sampled_from(decisions.Failure),
         strategies.sampled_from((200, 404, 429, 500, 503)),
         strategies.floats(0.0, 1.0),
     ),
@@ -90,11 +90,11 @@
 
     def take(self, effects):
         for effect in effects:
-            if isinstance(effect, forwarding.Dispatch):
+            if isinstance(effect, decisions.Dispatch):
                 self.has_engine = True
                 self.is_held = False
                 self.may_have_run += 1
-            elif isinstance(effect, forwarding.Hold):
+            elif isinstance(effect, decisions.Hold):
                 self.is_held = True
             elif isinstance(effect, FINAL):
                 self.final.append(effect)
@@ -126,7 +126,7 @@
 
     def fail(self, failure, now):
         effects = self.request.on_failure(now, failure)
-        if not effects and failure is forwarding.Failure.SILENT:
+        if not effects and failure is decisions.Failure.SILENT:
             return
         self.has_engine = False
         if failure in NOT_RUN:
@@ -153,5 +153,5 @@
             self.assertLessEqual(player.may_have_run, most)
         self.assertLessEqual(len(player.final), 1)
         for effect in player.final:
-            if isinstance(effect, forwarding.Reject):
+            if isinstance(effect, decisions.Reject):
                 self.assertEqual(0, player.may_have_run)
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -5,7 +5,14 @@
 import testtools
 
 from toucanspread.core import data
-from toucanspread.core.entry import budget, engines, forwarding, placing, waiting
+from toucanspread.core.entry import (
+    budget,
+    decisions,
+    engines,
+    forwarding,
+    placing,
+    waiting,
+)
 from toucanspread.core.entry import data as entry_data
 
 ZONE = data.ZoneName("z1")
@@ -69,67 +76,67 @@
         scene = Scene()
         route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=3)
         request = scene.forward(route)
-        self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
-        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
-        failed = self.assert_only(forwarding.Fail, effects)
+        self.assert_only(decisions.Dispatch, request.start(scene.at(0.0)))
+        effects = request.on_failure(scene.at(0.1), decisions.Failure.BROKEN)
+        failed = self.assert_only(decisions.Fail, effects)
         self.assertFalse(failed.timed_out)
 
     def test_a_rejection_lets_it_go_to_another_engine(self):
         scene = Scene()
         route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
         request = scene.forward(route)
-        first = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
-        effects = request.on_failure(scene.at(0.1), forwarding.Failure.REJECTED)
-        second = self.assert_only(forwarding.Dispatch, effects)
+        first = self.assert_only(decisions.Dispatch, request.start(scene.at(0.0)))
+        effects = request.on_failure(scene.at(0.1), decisions.Failure.REJECTED)
+        second = self.assert_only(decisions.Dispatch, effects)
         self.assertNotEqual(first.engine_id, second.engine_id)
 
     def test_not_run_is_said_only_when_no_engine_may_have_run_it(self):
         scene = Scene(names=("a",))
         request = scene.forward(make_route())
         request.start(scene.at(0.0))
-        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
-        self.assert_only(forwarding.Fail, effects)
+        effects = request.on_failure(scene.at(0.1), decisions.Failure.BROKEN)
+        self.assert_only(decisions.Fail, effects)
 
     def test_without_an_engine_it_is_refused_at_once(self):
         scene = Scene(names=())
         request = scene.forward(make_route())
-        refused = self.assert_only(forwarding.Reject, request.start(scene.at(0.0)))
+        refused = self.assert_only(decisions.Reject, request.start(scene.at(0.0)))
         self.assertGreater(refused.retry_after_s, 0)
 
     def test_a_stream_goes_on_after_its_last_event(self):
         scene = Scene()
         request = scene.forward(make_route())
         request.start(scene.at(0.0))
-        self.assert_only(forwarding.OpenStream, request.on_stream_opened())
+        self.assert_only(decisions.OpenStream, request.on_stream_opened())
         request.on_events("7")
-        effects = request.on_failure(scene.at(0.5), forwarding.Failure.BROKEN)
-        again = self.assert_only(forwarding.Dispatch, effects)
+        effects = request.on_failure(scene.at(0.5), decisions.Failure.BROKEN)
+        again = self.assert_only(decisions.Dispatch, effects)
         self.assertEqual("7", again.last_event_id)
         self.assertEqual([], request.on_stream_opened())
-        self.assert_only(forwarding.CloseStream, request.on_answer(scene.at(0.9), 200))
+        self.assert_only(decisions.CloseStream, request.on_answer(scene.at(0.9), 200))
 
     def test_a_stream_that_may_not_go_on_is_broken_off(self):
         scene = Scene()
         request = scene.forward(make_route(resumable=False))
         request.start(scene.at(0.0))
         request.on_stream_opened()
-        effects = request.on_failure(scene.at(0.5), forwarding.Failure.BROKEN)
-        self.assert_only(forwarding.BreakStream, effects)
+        effects = request.on_failure(scene.at(0.5), decisions.Failure.BROKEN)
+        self.assert_only(decisions.BreakStream, effects)
 
     def test_a_request_runs_on_no_more_engines_than_its_route_allows(self):
         scene = Scene(names=("a", "b", "c", "d"))
         request = scene.forward(make_route(attempts=2))
         request.start(scene.at(0.0))
-        request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
-        effects = request.on_failure(scene.at(0.2), forwarding.Failure.BROKEN)
-        self.assert_only(forwarding.Fail, effects)
+        request.on_failure(scene.at(0.1), decisions.Failure.BROKEN)
+        effects = request.on_failure(scene.at(0.2), decisions.Failure.BROKEN)
+        self.assert_only(decisions.Fail, effects)
 
     def test_without_budget_a_failure_is_final(self):
         scene = Scene(allowance=0.0)
         request = scene.forward(make_route())
         request.start(scene.at(0.0))
-        effects = request.on_failure(scene.at(0.1), forwarding.Failure.BROKEN)
-        self.assert_only(forwarding.Fail, effects)
+        effects = request.on_failure(scene.at(0.1), decisions.Failure.BROKEN)
+        self.assert_only(decisions.Fail, effects)
 
     def test_a_failure_of_the_engine_is_tried_elsewhere_before_it_is_passed_on(self):
         scene = Scene()
@@ -137,9 +144,9 @@
         request = scene.forward(route)
         request.start(scene.at(0.0))
         effects = request.on_answer(scene.at(0.1), 500)
-        self.assert_only(forwarding.Dispatch, effects)
+        self.assert_only(decisions.Dispatch, effects)
         effects = request.on_answer(scene.at(0.2), 500)
-        self.assert_only(forwarding.Relay, effects)
+        self.assert_only(decisions.Relay, effects)
 
     def test_time_over_is_told_at_once_and_stops_the_engine(self):
         scene = Scene()
@@ -147,7 +154,7 @@
         request.start(scene.at(0.0))
         effects = request.on_time_over(scene.at(6.0))
         kinds = [type(effect) for effect in effects]
-        self.assertEqual([forwarding.Cancel, forwarding.Fail], kinds)
+        self.assertEqual([decisions.Cancel, decisions.Fail], kinds)
         self.assertTrue(effects[1].timed_out)
 
     def test_a_caller_that_leaves_stops_the_engine(self):
@@ -155,31 +162,31 @@
         request = scene.forward(make_route())
         request.start(scene.at(0.0))
         effects = request.on_caller_left(scene.at(0.2))
-        self.assert_only(forwarding.Cancel, effects)
+        self.assert_only(decisions.Cancel, effects)
         self.assertEqual([], request.on_time_over(scene.at(6.0)))
 
     def test_the_engine_is_given_what_is_left_of_the_time(self):
         scene = Scene()
         call = entry_data.Call("id", "h", "/p/x", None, 2.0)
         request = scene.forward(make_route(), call)
-        sent = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.5)))
+        sent = self.assert_only(decisions.Dispatch, request.start(scene.at(0.5)))
         self.assertAlmostEqual(1.5, sent.budget_s)
 
     def test_a_request_is_held_back_while_engines_have_much_to_read(self):
         scene = Scene(names=("a",))
         scene.roster.get("a").will_read(20_000, PROFILE, 0.0)
         request = scene.forward(make_route())
-        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
-        self.assert_only(forwarding.Hold, request.go_on(scene.at(0.5)))
-        self.assert_only(forwarding.Dispatch, request.go_on(scene.at(2.1)))
+        self.assert_only(decisions.Hold, request.start(scene.at(0.0)))
+        self.assert_only(decisions.Hold, request.go_on(scene.at(0.5)))
+        self.assert_only(decisions.Dispatch, request.go_on(scene.at(2.1)))
 
     def test_a_held_request_goes_before_its_caller_gives_up(self):
         scene = Scene(names=("a",))
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
         request = scene.forward(make_route())
-        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
+        self.assert_only(decisions.Hold, request.start(scene.at(0.0)))
         patience_s = waiting.EXPIRING_AFTER_S
-        self.assert_only(forwarding.Dispatch, request.go_on(scene.at(patience_s)))
+        self.assert_only(decisions.Dispatch, request.go_on(scene.at(patience_s)))
 
     def test_a_held_request_is_told_to_come_back_before_its_caller_gives_up(self):
         scene = Scene(names=("a",))
@@ -187,22 +194,22 @@
         for _ in range(16 - waiting.ON_TIME_PLACES + 1):
             engine.sent()
         request = scene.forward(make_route())
-        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
+        self.assert_only(decisions.Hold, request.start(scene.at(0.0)))
         almost = scene.at(waiting.LONGEST_WAIT_S - 0.01)
-        self.assert_only(forwarding.Hold, request.go_on(almost))
+        self.assert_only(decisions.Hold, request.go_on(almost))
         late = scene.at(waiting.LONGEST_WAIT_S)
-        self.assert_only(forwarding.Reject, request.go_on(late))
+        self.assert_only(decisions.Reject, request.go_on(late))
 
     def test_an_engine_hears_how_urgent_a_request_is(self):
         scene = Scene()
         first = scene.forward(make_route())
-        on_time = self.assert_only(forwarding.Dispatch, first.start(scene.at(0.0)))
+        on_time = self.assert_only(decisions.Dispatch, first.start(scene.at(0.0)))
         older = scene.forward(make_route(), arrived_s=-1.0)
-        late = self.assert_only(forwarding.Dispatch, older.start(scene.at(0.0)))
+        late = self.assert_only(decisions.Dispatch, older.start(scene.at(0.0)))
         first.on_stream_opened()
         first.on_events("3")
-        effects = first.on_failure(scene.at(0.3), forwarding.Failure.BROKEN)
-        resumed = self.assert_only(forwarding.Dispatch, effects)
+        effects = first.on_failure(scene.at(0.3), decisions.Failure.BROKEN)
+        resumed = self.assert_only(decisions.Dispatch, effects)
         self.assertLess(resumed.priority, on_time.priority)
         self.assertLess(on_time.priority, late.priority)
 
@@ -212,35 +219,35 @@
         for _ in range(16 - waiting.LATE_PLACES + 1):
             engine.sent()
         older = scene.forward(make_route(), arrived_s=-1.0)
-        self.assert_only(forwarding.Hold, older.start(scene.at(0.0)))
+        self.assert_only(decisions.Hold, older.start(scene.at(0.0)))
         first = scene.forward(make_route())
-        self.assert_only(forwarding.Dispatch, first.start(scene.at(0.0)))
+        self.assert_only(decisions.Dispatch, first.start(scene.at(0.0)))
 
     def test_a_held_request_that_runs_out_of_time_did_not_run(self):
         scene = Scene(names=("a",))
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
         request = scene.forward(make_route())
         request.start(scene.at(0.0))
-        self.assert_only(forwarding.Reject, request.on_time_over(scene.at(1.0)))
+        self.assert_only(decisions.Reject, request.on_time_over(scene.at(1.0)))
 
     def test_a_line_longer_than_callers_wait_turns_away_at_once(self):
         scene = Scene()
         request = scene.forward(make_route())
         refused = self.assert_only(
-            forwarding.Reject, request.start(scene.at(0.0), held_work_s=9.0)
+            decisions.Reject, request.start(scene.at(0.0), held_work_s=9.0)
         )
         self.assertLessEqual(refused.retry_after_s, waiting.LONGEST_QUEUE_S)
         joining = scene.forward(make_route()).start(scene.at(0.0), held_work_s=1.0)
-        self.assert_only(forwarding.Hold, joining)
+        self.assert_only(decisions.Hold, joining)
 
     def test_what_cannot_end_in_time_is_not_begun(self):
         scene = Scene(names=("a",))
         scene.roster.get("a").will_read(90_000, PROFILE, 0.0)
         call = entry_data.Call("id", "h", "/p/x", None, 4.0, likely_tokens=200)
         request = scene.forward(make_route(), call)
-        self.assert_only(forwarding.Hold, request.start(scene.at(0.0)))
+        self.assert_only(decisions.Hold, request.start(scene.at(0.0)))
         late = scene.at(waiting.EXPIRING_AFTER_S + 0.1)
-        self.assert_only(forwarding.Reject, request.go_on(late))
+        self.assert_only(decisions.Reject, request.go_on(late))
 
     def test_old_weights_are_not_used_when_newer_ones_are_due(self):
         scene = Scene(names=("a",))
@@ -249,6 +256,6 @@
         )
         scene.minimum_version = 2
         request = scene.forward(make_route())
-        sent = self.assert_only(forwarding.Dispatch, request.start(scene.at(0.0)))
+        sent = self.assert_only(decisions.Dispatch, request.start(scene.at(0.0)))
         self.assertEqual("bb", sent.engine_id)
         self.assertEqual(2, sent.expected_version)
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -9,7 +9,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import forwarding
+from toucanspread.core.entry import decisions
 from toucanspread.ops import http1
 
 
@@ -41,7 +41,7 @@
     def engine_head(
         self,
         head: http1.RequestHead,
-        dispatch: forwarding.Dispatch,
+        dispatch: decisions.Dispatch,
         team: data.TeamName | None,
     ) -> http1.RequestHead:
         """Return the head that is sent to an engine."""
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -4,6 +4,7 @@
 
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
+    decisions,
     event_stream,
     forwarding,
 )
@@ -33,7 +34,7 @@
         """Take a complete answer of the engine."""
 
     @abc.abstractmethod
-    def on_failure(self, failure: forwarding.Failure) -> None:
+    def on_failure(self, failure: decisions.Failure) -> None:
         """Take a dispatch that brought no complete answer."""
 
 
@@ -45,7 +46,7 @@
         request: Listener,
         wire: dialect.Dialect,
         reactor,
-        dispatch: forwarding.Dispatch,
+        dispatch: decisions.Dispatch,
     ):
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
@@ -97,13 +98,13 @@
         self._end()
         facts = self._facts
         if facts.is_other_instance:
-            self._request.on_failure(forwarding.Failure.OTHER_INSTANCE)
+            self._request.on_failure(decisions.Failure.OTHER_INSTANCE)
         elif facts.not_run:
-            self._request.on_failure(forwarding.Failure.REJECTED)
+            self._request.on_failure(decisions.Failure.REJECTED)
         elif not facts.is_sealed:
-            self._request.on_failure(forwarding.Failure.MALFORMED)
+            self._request.on_failure(decisions.Failure.MALFORMED)
         elif self._splitter is not None and self._splitter.has_rest:
-            self._request.on_failure(forwarding.Failure.BROKEN)
+            self._request.on_failure(decisions.Failure.BROKEN)
         else:
             self._request.on_answer(self.head.status)
 
@@ -112,18 +113,18 @@
         if self._over:
             return
         self._end()
-        failure = forwarding.Failure.BROKEN
+        failure = decisions.Failure.BROKEN
         if how is http1_client.Broken.NOT_CONNECTED:
-            failure = forwarding.Failure.NOT_CONNECTED
+            failure = decisions.Failure.NOT_CONNECTED
         elif how is http1_client.Broken.MALFORMED:
-            failure = forwarding.Failure.MALFORMED
+            failure = decisions.Failure.MALFORMED
         self._request.on_failure(failure)
 
     def _on_silence(self) -> None:
         if self._over:
             return
         self._timer = self._reactor.callLater(self._silence_s, self._on_silence)
-        self._request.on_failure(forwarding.Failure.SILENT)
+        self._request.on_failure(decisions.Failure.SILENT)
 
     def _restart_timer(self) -> None:
         self._silence_s = forwarding.STREAM_GAP_SILENCE_S
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -8,6 +8,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
+    decisions,
     forwarding,
     knowledge,
     placing,
@@ -73,21 +74,21 @@
         self._deadline = None
         self._pace = _Pace()
         self._handlers = {
-            forwarding.Dispatch: self._send,
-            forwarding.Hold: self._hold,
-            forwarding.Cancel: self._cancel,
-            forwarding.Relay: self._relay,
-            forwarding.OpenStream: self._open_stream,
-            forwarding.CloseStream: self._close_stream,
-            forwarding.BreakStream: self._break_stream,
-            forwarding.Reject: self._reject,
-            forwarding.Fail: self._fail,
+            decisions.Dispatch: self._send,
+            decisions.Hold: self._hold,
+            decisions.Cancel: self._cancel,
+            decisions.Relay: self._relay,
+            decisions.OpenStream: self._open_stream,
+            decisions.CloseStream: self._close_stream,
+            decisions.BreakStream: self._break_stream,
+            decisions.Reject: self._reject,
+            decisions.Fail: self._fail,
         }
 
     def start(self) -> None:
         """Begin, counting the time from the request's first byte."""
         if self.service is None:
-            self._reject(forwarding.Reject(forwarding.Cause.NO_ENGINE, 1.0))
+            self._reject(decisions.Reject(decisions.Cause.NO_ENGINE, 1.0))
             return
         began_s = self.exchange.began_s
         self._state = forwarding.Forwarding(
@@ -114,7 +115,7 @@
     def go_on(self) -> bool:
         """Look for an engine again; return whether the request stays held back."""
         decided = self._state.go_on(self.now())
-        if any(isinstance(effect, forwarding.Hold) for effect in decided):
+        if any(isinstance(effect, decisions.Hold) for effect in decided):
             return True
         self._carry_out(decided)
         return False
@@ -139,11 +140,11 @@
         """Take a complete answer of the engine."""
         self._carry_out(self._state.on_answer(self.now(), status))
 
-    def on_failure(self, failure: forwarding.Failure) -> None:
+    def on_failure(self, failure: decisions.Failure) -> None:
         """Take a dispatch that brought no complete answer."""
         engine_id = self._state.engine_id
         number = self._state.dispatches
-        if failure is forwarding.Failure.SILENT:
+        if failure is decisions.Failure.SILENT:
             # What went silent stays silent: the idle connections may be as this one.
             self._owner.pool.forget(self._answer.address)
         decided = self._state.on_failure(self.now(), failure)
@@ -180,7 +181,7 @@
             if self._deadline is not None and self._deadline.active():
                 self._deadline.cancel()
 
-    def _send(self, effect: forwarding.Dispatch) -> None:
+    def _send(self, effect: decisions.Dispatch) -> None:
         owner = self._owner
         head = owner.wire.engine_head(self.exchange.head, effect, self._team)
         self._answer = engine_answer.EngineAnswer(
@@ -210,15 +211,15 @@
         )
         self._answer.sending = sending
 
-    def _hold(self, effect: forwarding.Hold) -> None:
+    def _hold(self, effect: decisions.Hold) -> None:
         self._owner.queue.add(self)
         tallies.count("requests_held")
 
-    def _cancel(self, effect: forwarding.Cancel) -> None:
+    def _cancel(self, effect: decisions.Cancel) -> None:
         if self._answer is not None:
             self._answer.cancel()
 
-    def _relay(self, effect: forwarding.Relay) -> None:
+    def _relay(self, effect: decisions.Relay) -> None:
         answer = self._answer
         tallies.count("requests_answered", status=str(answer.head.status))
         self._observe(answer.head.status)
@@ -227,28 +228,28 @@
         )
         self._log_answer(answer.head.status)
 
-    def _open_stream(self, effect: forwarding.OpenStream) -> None:
+    def _open_stream(self, effect: decisions.OpenStream) -> None:
         head = self._answer.head
         self._observe(head.status)
         self.exchange.start(head.status, head.forwardable())
 
-    def _close_stream(self, effect: forwarding.CloseStream) -> None:
+    def _close_stream(self, effect: decisions.CloseStream) -> None:
         tallies.count("requests_answered", status="200")
         self.exchange.finish()
         self._log_answer(200)
 
-    def _break_stream(self, effect: forwarding.BreakStream) -> None:
+    def _break_stream(self, effect: decisions.BreakStream) -> None:
         self._log_end("stream_broken", effect.cause)
         tallies.count("streams_broken", why=effect.cause.value)
         self.exchange.abort()
 
-    def _reject(self, effect: forwarding.Reject) -> None:
+    def _reject(self, effect: decisions.Reject) -> None:
         self._log_end("request_refused", effect.cause, effect.retry_after_s)
         tallies.count("requests_refused", why=effect.cause.value)
         headers = self._owner.wire.own_answer_headers(self.call, effect.retry_after_s)
         self.exchange.respond(503, headers)
 
-    def _fail(self, effect: forwarding.Fail) -> None:
+    def _fail(self, effect: decisions.Fail) -> None:
         self._log_end("request_failed", effect.cause)
         tallies.count("requests_failed", why=effect.cause.value)
         headers = self._owner.wire.own_answer_headers(self.call, None)
@@ -270,7 +271,7 @@
         )
 
     def _log_end(
-        self, event: str, cause: forwarding.Cause, retry_after_s: float = 0.0
+        self, event: str, cause: decisions.Cause, retry_after_s: float = 0.0
     ) -> None:
         now_s = self._owner.pool.reactor.seconds()
         known, usable, minimum_version = self._engines_seen()
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -2,7 +2,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import forwarding
+from toucanspread.core.entry import decisions
 from toucanspread.ops import dialect, http1
 
 ATTEMPT_ID = b"X-Attempt-Id"  # names one attempt of a caller, not one of ours
@@ -58,7 +58,7 @@
     def engine_head(
         self,
         head: http1.RequestHead,
-        dispatch: forwarding.Dispatch,
+        dispatch: decisions.Dispatch,
         team: data.TeamName | None,
     ) -> http1.RequestHead:
         """Return the head for an engine."""
