--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -7,15 +7,15 @@
 
 import defopt
 
-from standins import played_load
+from standins import loads, played_load
 
 
-def play(load: played_load.Load, seeds: int) -> list[played_load.Outcome]:
+def play(load: loads.Load, seeds: int) -> list[played_load.Outcome]:
     """Return the outcomes of some seeds."""
     return [played_load.Play(load, seed).run() for seed in range(1, seeds + 1)]
 
 
-def print_load(load: played_load.Load, seeds: int) -> None:
+def print_load(load: loads.Load, seeds: int) -> None:
     """Print one line: means over the seeds, and the median times over all of them."""
     outcomes = play(load, seeds)
     on_time = [outcome.share_on_time for outcome in outcomes]
@@ -38,7 +38,7 @@
     :param only: the name of one load.
     :param seeds: how many seeds for each.
     """
-    for load in played_load.LOADS:
+    for load in loads.LOADS:
         if only in ("", load.name):
             print_load(load, seeds)
 
--- a/standins/played_load.py
+++ b/standins/played_load.py
@@ -11,7 +11,7 @@
 
 from twisted.internet import task
 
-from standins import served_engine
+from standins import loads, served_engine
 from toucanspread.core import data
 from toucanspread.core.entry import budget, decisions, engines, forwarding, placing
 from toucanspread.core.entry import data as entry_data
@@ -44,69 +44,6 @@
 LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, PROFILE.layers),)
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """A kind of request, from the users' sheet.
-
-    :param share: of all requests.
-    """
-
-    name: str
-    mean_prompt_tokens: int
-    target_s: float
-    share: float
-
-
-KINDS = (
-    Kind("long", 1_330, 0.505, 0.40),
-    Kind("middle", 827, 0.404, 0.31),
-    Kind("short", 647, 0.404, 0.29),
-)
-
-
-@dataclasses.dataclass(frozen=True)
-class Load:
-    """What callers ask for, and which engines there are.
-
-    :param rates_per_s: requests a second, from each time on.
-    :param engines: how many serve, from each time on.
-    :param lasts_s: how long callers come.
-    :param orders_s: when engines are ordered to switch; one after the other takes the
-        next of these times.
-    """
-
-    name: str
-    rates_per_s: tuple[tuple[float, float], ...]
-    engines: tuple[tuple[float, int], ...]
-    lasts_s: float
-    orders_s: tuple[float, ...] = ()
-    entries: int = 18
-
-
-LOADS = (
-    Load("calm", ((0.0, 42.0),), ((0.0, 7),), 10.0),
-    # Four fifths of what the engines can do, as on most days.
-    Load("usual", ((0.0, 86.0),), ((0.0, 12),), 10.0),
-    # Twice the callers come, and more engines follow after four seconds.
-    Load("burst", ((0.0, 38.0), (3.0, 75.0)), ((0.0, 6), (7.0, 10)), 16.0),
-    # A third more than engines can do, for as long as it lasts.
-    Load("overload", ((0.0, 82.0),), ((0.0, 7),), 10.0),
-    # All engines are lost and come back together.
-    # All engines switch to a new version, in three waves.
-    Load("switch", ((0.0, 70.0),), ((0.0, 10),), 9.0, (3.0, 3.9, 4.8)),
-    Load("recovery", ((0.0, 70.0),), ((0.0, 10), (3.0, 0), (5.5, 10)), 14.0),
-)
-
-
-def value_at(steps: tuple[tuple[float, float], ...], now_s: float) -> float:
-    """Return the value of a step function."""
-    found = steps[0][1]
-    for from_s, value in steps:
-        if from_s <= now_s:
-            found = value
-    return found
-
-
 @dataclasses.dataclass
 class Outcome:
     """What callers got.
@@ -248,7 +185,9 @@
 
     service = SERVICE
 
-    def __init__(self, play: "Play", entry: PlayedEntry, kind: Kind, may_return: bool):
+    def __init__(
+        self, play: "Play", entry: PlayedEntry, kind: loads.Kind, may_return: bool
+    ):
         source = play.source
         prompt = int(source.expovariate(1 / kind.mean_prompt_tokens)) + 40
         answer = int(source.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
@@ -413,7 +352,7 @@
 class Play:
     """One load, played with one seed."""
 
-    def __init__(self, load: Load, seed: int):
+    def __init__(self, load: loads.Load, seed: int):
         self.clock = task.Clock()
         self.seed = seed
         self.source = random.Random(seed)
@@ -474,8 +413,8 @@
         now_s = self.clock.seconds()
         if now_s >= self._load.lasts_s:
             return
-        kind = self.source.choices(KINDS, [kind.share for kind in KINDS])[0]
+        kind = self.source.choices(loads.KINDS, [kind.share for kind in loads.KINDS])[0]
         self.outcome.asked += 1
         PlayedRequest(self, self.choose_entry(), kind, may_return=True).start()
-        rate_per_s = value_at(self._load.rates_per_s, now_s)
+        rate_per_s = loads.value_at(self._load.rates_per_s, now_s)
         self.clock.callLater(self.source.expovariate(rate_per_s), self._arrive)
--- a/standins/played_load_test.py
+++ b/standins/played_load_test.py
@@ -4,14 +4,14 @@
 
 import testtools
 
-from standins import played_load
+from standins import loads, played_load
 
 SEEDS = (1, 2, 3)
 
 
 def play(name):
     """Return the outcomes of a load, one a seed."""
-    load = next(load for load in played_load.LOADS if load.name == name)
+    load = next(load for load in loads.LOADS if load.name == name)
     return [played_load.Play(load, seed).run() for seed in SEEDS]
 
 
