Tell entries of other zones seldom how busy an engine is

Cause: load reports went to every entry five times a second, two thirds of them between regions. Change: entries of other zones hear of the load each 0.6 s, and at once of what decides whether they may use the engine. Test seen failing first (one interval for all).

--- a/toucanspread/ops/stager.py
+++ b/toucanspread/ops/stager.py
@@ -21,28 +21,66 @@
 NEXT_HOLDER_S = 0.1  # a manifest is small: the next is asked before the first gives up
 REPORT_INTERVAL_S = 0.2  # a request's first event takes about as long
 QUIET_LOAD_INTERVAL_S = 0.6  # an unchanged load is repeated within its usable age
+FAR_LOAD_INTERVAL_S = 0.6  # other zones' entries send the engine little
+
+
+class _Told:
+    """What some entries were told last.
+
+    :param interval_s: after which the same is told again.
+    """
+
+    def __init__(self, interval_s: float):
+        self._interval_s = interval_s
+        self._last: entry_data.EngineLoad | None = None
+        self._last_s = float("-inf")
+
+    def is_due(self, known: entry_data.EngineLoad, now_s: float) -> bool:
+        """Tell whether to tell them, and take it that they are told then.
+
+        :param known: the part of the report of which each change counts.
+        """
+        if known == self._last and now_s - self._last_s < self._interval_s:
+            return False
+        self._last = known
+        self._last_s = now_s
+        return True
 
 
 class LoadSender(protocol.DatagramProtocol):
-    """Sends load reports to the entries."""
+    """Sends load reports to the entries.
+
+    Those of other zones hear at once of what decides whether they may use the engine,
+    and seldom of how busy it is: bytes between regions are dear.
 
-    def __init__(self, entries: Callable[[], list[members.EntryRecord]], reactor):
+    :param zone: of the engine.
+    """
+
+    def __init__(
+        self,
+        entries: Callable[[], list[members.EntryRecord]],
+        reactor,
+        zone: data.ZoneName,
+    ):
         self._entries = entries
         self._reactor = reactor
-        self._last: entry_data.EngineLoad | None = None
-        self._last_s = float("-inf")
+        self._zone = zone
+        self._near = _Told(QUIET_LOAD_INTERVAL_S)
+        self._far = _Told(FAR_LOAD_INTERVAL_S)
 
     def send(self, load: entry_data.EngineLoad) -> None:
         """Send a report, unless the entries know it already."""
         now_s = self._reactor.seconds()
         # The time until an order runs down by itself.
         lasting = msgspec.structs.replace(load, order_in_s=None)
-        if lasting == self._last and now_s - self._last_s < QUIET_LOAD_INTERVAL_S:
-            return
-        self._last = lasting
-        self._last_s = now_s
+        state = msgspec.structs.replace(lasting, active=0, queued=0)
+        is_near_due = self._near.is_due(lasting, now_s)
+        is_far_due = self._far.is_due(state, now_s)
         payload = msgspec.msgpack.encode(load)
         for entry in self._entries():
+            is_due = is_near_due if entry.zone == self._zone else is_far_due
+            if not is_due:
+                continue
             host, _, port = entry.reports.rpartition(":")
             self.transport.write(payload, (host, int(port)))
 
--- a/toucanspread/ops/stager_test.py
+++ b/toucanspread/ops/stager_test.py
@@ -81,6 +81,46 @@
         return
 
 
+class Transport:
+    def __init__(self):
+        self.sent = []
+
+    def write(self, payload, address):
+        self.sent.append(address[0])
+
+
+class LoadSenderTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        near = members.EntryRecord("n", "z", "r", "", "", "near:1")
+        far = members.EntryRecord("f", "y", "r", "", "", "far:1")
+        self.sender = stager.LoadSender(lambda: [near, far], self.clock, "z")
+        self.sender.transport = Transport()
+
+    def send(self, active=1, busy=False, order_in_s=None):
+        load = entry_data.EngineLoad(
+            "a:1", 1, active, 0, 1, busy, order_in_s=order_in_s
+        )
+        del self.sender.transport.sent[:]
+        self.sender.send(load)
+        return self.sender.transport.sent
+
+    def test_only_entries_of_the_zone_hear_of_each_change_of_load(self):
+        self.assertEqual(["near", "far"], self.send(active=1))
+        self.clock.advance(0.2)
+        self.assertEqual(["near"], self.send(active=2))
+        self.clock.advance(0.2)
+        self.assertEqual([], self.send(active=2))
+        self.clock.advance(0.2)
+        self.assertEqual(["far"], self.send(active=2))
+
+    def test_all_hear_at_once_that_the_engine_takes_nothing(self):
+        self.send()
+        self.assertEqual(["near", "far"], self.send(busy=True))
+        self.assertEqual([], self.send(busy=True, order_in_s=0.1))
+
+
 class LocalWeightsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -51,7 +51,9 @@
         self._named: dict[data.ModelName, _Named] = {}
         self._engines: dict[str, entry_data.EngineEntry] = {}
         self._local: stager.LocalWeights | None = None
-        self._sender = stager.LoadSender(self._members.all, reactor)
+        self._sender = stager.LoadSender(
+            self._members.all, reactor, data.ZoneName(told.zone)
+        )
         chooser = following.Chooser(
             told.node_name, data.ZoneName(told.zone), may_lead=False
         )
