Tell an engine that refuses from one whose place another has taken

Change: the ids are compared; an engine whose place another has taken gets nothing for a second, or until its new entry is there. Tests seen failing first. Not yet measured.

--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -15,6 +15,7 @@
 AVOID_BASE_S = 0.4
 REJECTED_AVOID_S = 0.25  # an engine that is full or switches is so for a while
 AVOID_MAX_S = 3.0
+ABSENT_S = 1.0  # an engine that was started again writes its entry within this
 PASS_PART = 0.5  # of a pass, for each prompt: two prompts share one on average
 FAILURES_TO_AVOID = 2  # one failed request is no evidence yet
 
@@ -36,12 +37,15 @@
         self.reading_until_s = 0.0
         self.order_at_s: float | None = None
         self.was_restarted = False
+        self.absent_until_s = 0.0
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new requests may be sent to it."""
         if self.entry.state is not entry_data.EngineState.READY or self.was_restarted:
             return False
+        if now_s < self.absent_until_s:
+            return False
         # An entry that lapsed may come back.
         return self.gone_at_s is None or now_s < self.gone_at_s
 
@@ -117,6 +121,10 @@
         self.failures = 0
         self.avoid_until_s = 0.0
 
+    def answered_as_other(self, now_s: float) -> None:
+        """Note that another one answers at its address; its entry may be old."""
+        self.absent_until_s = now_s + ABSENT_S
+
     def rejected(self, now_s: float) -> None:
         """Note that it takes nothing at present, which is no failure."""
         self.avoid_until_s = max(self.avoid_until_s, now_s + REJECTED_AVOID_S)
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -158,6 +158,8 @@
             return []
         if failure is decisions.Failure.REJECTED and self._engine is not None:
             self._engine.rejected(now.now_s)
+        if failure is decisions.Failure.OTHER_INSTANCE and self._engine is not None:
+            self._engine.answered_as_other(now.now_s)
         self._release(now, ok=False, weight=_weight(failure))
         dropped = (
             [decisions.Cancel(number)] if failure is decisions.Failure.SILENT else []
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -200,6 +200,20 @@
         late = scene.at(waiting.LONGEST_WAIT_S)
         self.assert_only(decisions.Reject, request.go_on(late))
 
+    def test_an_engine_whose_place_another_has_taken_gets_nothing_for_a_while(self):
+        """After a loss of power the store still names engines that are gone."""
+        scene = Scene(names=("a",))
+        request = scene.forward(make_route())
+        self.assert_only(decisions.Dispatch, request.start(scene.at(0.0)))
+        other = decisions.Failure.OTHER_INSTANCE
+        refused = request.on_failure(scene.at(0.01), other)
+        self.assert_only(decisions.Reject, refused)
+        second = scene.forward(make_route())
+        self.assert_only(decisions.Reject, second.start(scene.at(0.02)))
+        later = scene.at(0.02 + engines.ABSENT_S)
+        third = scene.forward(make_route())
+        self.assert_only(decisions.Dispatch, third.start(later))
+
     def test_an_engine_hears_how_urgent_a_request_is(self):
         scene = Scene()
         first = scene.forward(make_route())
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -19,14 +19,14 @@
     :param is_own: whether it belongs to the request that was sent.
     :param is_sealed: whether the engine vouches for it.
     :param not_run: whether the engine says that it has not run the request.
-    :param is_other_instance: whether another engine than the expected one answered.
+    :param instance: the engine that answered; empty if it does not say.
     :param is_stream: whether events follow.
     """
 
     is_own: bool
     is_sealed: bool
     not_run: bool
-    is_other_instance: bool
+    instance: str
     is_stream: bool
 
 
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -51,6 +51,7 @@
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
         self.address = dispatch.address
+        self._engine_id = dispatch.engine_id
         self.sending: http1_pool.Sending | None = None
         self._request = request
         self._wire = wire
@@ -97,7 +98,7 @@
             return
         self._end()
         facts = self._facts
-        if facts.is_other_instance:
+        if facts.not_run and facts.instance not in ("", self._engine_id):
             self._request.on_failure(decisions.Failure.OTHER_INSTANCE)
         elif facts.not_run:
             self._request.on_failure(decisions.Failure.REJECTED)
--- /dev/null
+++ b/toucanspread/ops/engine_answer_test.py
@@ -0,0 +1,56 @@
+"""What an engine's refusal says of the engine."""
+
+import testtools
+from twisted.internet import task
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import decisions
+from toucanspread.ops import engine_answer, http1
+from toucanspread.platform import requests
+
+
+class Listener(engine_answer.Listener):
+    """Notes how a dispatch failed."""
+
+    call = entry_data.Call("7", "h", "/", None)
+
+    def __init__(self):
+        self.failures = []
+
+    def on_stream_opened(self):
+        raise AssertionError("no stream was sent")
+
+    def on_events(self, events, last_event_id):
+        raise AssertionError("no events were sent")
+
+    def on_answer(self, status):
+        raise AssertionError("the engine refused")
+
+    def on_failure(self, failure):
+        self.failures.append(failure)
+
+
+class RefusalTest(testtools.TestCase):
+    def refuse(self, *headers):
+        """Return the failure that a 421 with some headers counts as."""
+        listener = Listener()
+        dispatch = decisions.Dispatch(1, "i-1", data.Address("a:1"), 1.0, 1.0)
+        answer = engine_answer.EngineAnswer(
+            listener, requests.PlatformDialect(), task.Clock(), dispatch
+        )
+        head = http1.AnswerHead(421, [http1.Header(b"X-Attempt-Id", b"7"), *headers])
+        self.assertTrue(answer.on_head(head))
+        answer.on_end()
+        return listener.failures
+
+    def test_another_engine_at_the_address(self):
+        found = self.refuse(http1.Header(b"X-Instance-Id", b"i-2"))
+        self.assertEqual([decisions.Failure.OTHER_INSTANCE], found)
+
+    def test_the_engine_itself_that_switches(self):
+        found = self.refuse(http1.Header(b"X-Instance-Id", b"i-1"))
+        self.assertEqual([decisions.Failure.REJECTED], found)
+
+    def test_an_engine_that_does_not_say_which_it_is(self):
+        self.assertEqual([decisions.Failure.REJECTED], self.refuse())
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -89,7 +89,7 @@
             is_own=_is_own(echoed, head.status, call),
             is_sealed=head.get(SEAL) is not None,
             not_run=head.get(NOT_EXECUTED) is not None or head.status == 421,
-            is_other_instance=head.status == 421 and head.get(INSTANCE) is not None,
+            instance=_text(head.get(INSTANCE) or b""),
             is_stream=content.startswith(EVENT_STREAM),
         )
 
