After a restart let only owners fetch pieces that engines may hold already

Cause: after a loss of power all entries fetched the version in use again for every region, 4.7 of 22 MB between regions, though what lies staged with the engines was whole. Change: only a version that is news is kept in each region at once; after a restart, or when entries were lost, the owners near the origin fetch, and pieces cross when asked for. Not yet measured.

--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -101,9 +101,17 @@
         return self._pieces[key]
 
     async def take_owned(
-        self, model: data.ModelName, version: int, piece_s: float
+        self,
+        model: data.ModelName,
+        version: int,
+        piece_s: float,
+        is_news: bool = True,
     ) -> None:
-        """Fetch the pieces of a new version that this entry keeps for its region.
+        """Fetch the pieces of a version that this entry keeps.
+
+        Those of a new version are kept in each region, where engines ask for them at
+        once. Of one that engines may hold already, only the owners fetch pieces; they
+        cross to other regions when they are asked for.
 
         The origin may go away soon after a version is named. All owners together
         keep its link just busy: if all pieces came at once, none would be whole
@@ -112,7 +120,7 @@
         :param piece_s: what the origin's link needs for a piece.
         """
         self._forget_before(model, version)
-        await self._take_kept(model, version, piece_s)
+        await self._take_kept(model, version, piece_s, is_news)
 
     def look_after(self, now_s: float) -> None:
         """Fetch what this entry has to keep since others are gone.
@@ -127,17 +135,24 @@
             return
         self._kept_among = among
         for model, version in self._newest.items():
-            loop.spawn(self._take_kept(model, version, 0.0))
+            loop.spawn(self._take_kept(model, version, 0.0, in_each_region=False))
 
     async def _take_kept(
-        self, model: data.ModelName, version: int, piece_s: float
+        self,
+        model: data.ModelName,
+        version: int,
+        piece_s: float,
+        in_each_region: bool,
     ) -> None:
         digests = await self._retried_digests(model, version)
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
             if key in self._pieces or key in self._wanted:
                 continue
-            if sources.is_kept_by(key, self._entries(), self._name):
+            is_kept = self._upstream(key) is None
+            if in_each_region:
+                is_kept = sources.is_kept_by(key, self._entries(), self._name)
+            if is_kept:
                 self._wanted.add(key)
                 loop.spawn(self._take(key, number * piece_s))
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -351,7 +351,8 @@
                 version=event.version,
                 due_in_s=self.known.due_in_s(event, reactor.seconds()),
             )
-            self._take_owned(event.model, event.version)
+            is_news = self._follower.confirmed_before_s > float("-inf")
+            self._take_owned(event.model, event.version, is_news)
 
     def _take_first_version(self) -> None:
         """Fetch the weights in use, so that engines that are added can be filled.
@@ -366,11 +367,13 @@
                 model = service.profile.model
                 self._take_owned(model, self.known.named(model).newest)
 
-    def _take_owned(self, model: data.ModelName, version: int) -> None:
+    def _take_owned(
+        self, model: data.ModelName, version: int, is_news: bool = True
+    ) -> None:
         piece_s = 0.0
         if self.known.table is not None:
             piece_s = self.known.table.origin_piece_s(model)
-        loop.spawn(self.pieces.take_owned(model, version, piece_s))
+        loop.spawn(self.pieces.take_owned(model, version, piece_s, is_news))
 
     def _keep_house(self) -> None:
         now_s = reactor.seconds()
