--- a/toucanspread/ops/pieces.py
+++ b/toucanspread/ops/pieces.py
@@ -57,6 +57,7 @@
 
     :param entries: returns the entries that are there, this one among them.
     :param home: returns the origin's region; empty while it is not known.
+    :param piece_s: returns what the origin's link needs for a piece of a model.
     """
 
     def __init__(
@@ -66,9 +67,11 @@
         origin: WeightsOrigin,
         entries: Callable[[], list[members.EntryRecord]],
         home: Callable[[], str] = str,
+        piece_s: Callable[[data.ModelName], float] = lambda model: 0.0,
     ):
         self._name = name
         self._home = home
+        self._piece_s = piece_s
         self._pool = pool
         self._origin = origin
         self._entries = entries
@@ -101,11 +104,7 @@
         return self._pieces[key]
 
     async def take_owned(
-        self,
-        model: data.ModelName,
-        version: int,
-        piece_s: float,
-        is_news: bool = True,
+        self, model: data.ModelName, version: int, is_news: bool = True
     ) -> None:
         """Fetch the pieces of a version that this entry keeps.
 
@@ -116,11 +115,9 @@
         The origin may go away soon after a version is named. All owners together
         keep its link just busy: if all pieces came at once, none would be whole
         before the last.
-
-        :param piece_s: what the origin's link needs for a piece.
         """
         self._forget_before(model, version)
-        await self._take_kept(model, version, piece_s, is_news)
+        await self._take_kept(model, version, is_news)
 
     def look_after(self, now_s: float) -> None:
         """Fetch what this entry has to keep since others are gone.
@@ -135,16 +132,13 @@
             return
         self._kept_among = among
         for model, version in self._newest.items():
-            loop.spawn(self._take_kept(model, version, 0.0, in_each_region=False))
+            loop.spawn(self._take_kept(model, version, in_each_region=False))
 
     async def _take_kept(
-        self,
-        model: data.ModelName,
-        version: int,
-        piece_s: float,
-        in_each_region: bool,
+        self, model: data.ModelName, version: int, in_each_region: bool
     ) -> None:
         digests = await self._retried_digests(model, version)
+        piece_s = self._piece_s(model)
         for number in range(len(digests)):
             key = sources.PieceKey(model, version, number)
             if key in self._pieces or key in self._wanted:
--- a/toucanspread/ops/pieces_test.py
+++ b/toucanspread/ops/pieces_test.py
@@ -97,7 +97,7 @@
     async def _name(self):
         """Let every entry hear of version 2."""
         caches = self.network.caches.values()
-        await asyncio.gather(*(c.take_owned(MODEL, 2, 0.0) for c in caches))
+        await asyncio.gather(*(c.take_owned(MODEL, 2) for c in caches))
         for _ in range(50):
             await asyncio.sleep(0)
 
@@ -161,13 +161,34 @@
 
         asyncio.run(play())
 
+    def test_the_origins_pace_may_become_known_after_the_version(self):
+        """Both come with the first copy, in any order."""
+
+        async def play():
+            pace_s = 0.0
+            cache = pieces.PieceCache(
+                "r1-0",
+                Pool(self.network),
+                self.network.origin,
+                lambda: self.network.records[:1],
+                piece_s=lambda model: pace_s,
+            )
+            loop_task = asyncio.ensure_future(cache.take_owned(MODEL, 2))
+            pace_s = 600.0
+            await loop_task
+            for _ in range(50):
+                await asyncio.sleep(0)
+            self.assertEqual([0], self.network.origin.reads)
+
+        asyncio.run(play())
+
     def test_only_owners_fetch_again_what_engines_may_hold(self):
         """After a restart of everything nobody may need the pieces at all."""
 
         async def play():
             caches = self.network.caches.values()
             await asyncio.gather(
-                *(cache.take_owned(MODEL, 2, 0.0, is_news=False) for cache in caches)
+                *(cache.take_owned(MODEL, 2, is_news=False) for cache in caches)
             )
             for _ in range(50):
                 await asyncio.sleep(0)
@@ -201,7 +222,7 @@
 
         async def play():
             cache = self.network.caches["r1-1"]
-            taking = asyncio.ensure_future(cache.take_owned(MODEL, 2, 0.0))
+            taking = asyncio.ensure_future(cache.take_owned(MODEL, 2))
             for _ in range(20):
                 await asyncio.sleep(0)
             self.network.origin.is_away = False
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -203,7 +203,12 @@
         origin = engine.Origin(pool, self._origin_address)
         name = told.node_name
         self.pieces = pieces.PieceCache(
-            name, pool, origin, self.known.members.serving, self._origin_region
+            name,
+            pool,
+            origin,
+            self.known.members.serving,
+            self._origin_region,
+            self._origin_piece_s,
         )
         chooser = following.Chooser(name, data.ZoneName(told.zone), may_lead=True)
         self._follower = following_shell.Follower(
@@ -324,10 +329,12 @@
         away = now_s - follower.store_failed_s < STORE_AWAY_S
         for change in changes:
             event = decoding.decode_change(change)
-            if event is None:
+            if event is None or not self.known.take(event, news, away):
                 continue
-            if self.known.take(event, news, away):
-                self._note(event, change)
+            self._note(event, change)
+            if isinstance(event, knowledge.VersionNamed):
+                is_news = news.earliest_s > float("-inf")
+                self._take_owned(event.model, event.version, is_news)
         self.excerpts.wake()
 
     def _on_records(self, changes: list[items.Change]) -> None:
@@ -351,8 +358,6 @@
                 version=event.version,
                 due_in_s=self.known.due_in_s(event, reactor.seconds()),
             )
-            is_news = self._follower.confirmed_before_s > float("-inf")
-            self._take_owned(event.model, event.version, is_news)
 
     def _take_first_version(self) -> None:
         """Fetch the weights in use, so that engines that are added can be filled.
@@ -370,10 +375,12 @@
     def _take_owned(
         self, model: data.ModelName, version: int, is_news: bool = True
     ) -> None:
-        piece_s = 0.0
-        if self.known.table is not None:
-            piece_s = self.known.table.origin_piece_s(model)
-        loop.spawn(self.pieces.take_owned(model, version, piece_s, is_news))
+        loop.spawn(self.pieces.take_owned(model, version, is_news))
+
+    def _origin_piece_s(self, model: data.ModelName) -> float:
+        if self.known.table is None:
+            return 0.0
+        return self.known.table.origin_piece_s(model)
 
     def _keep_house(self) -> None:
         now_s = reactor.seconds()
