--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -181,23 +181,57 @@
     """
     from toucanspread.tools import explain as stories
 
-    lines = []
-    for path in files:
-        lines.extend(path.read_text(errors="replace").splitlines())
-    found = stories.story(request_id, lines)
+    found = stories.story(request_id, _read_lines(files))
     for line in stories.render(found):
         print(line)
     if not found:
         sys.exit(EXIT_REFUSED)
 
 
+def report(picture: pathlib.Path, files: list[pathlib.Path]) -> None:
+    """Draw a day from the logs of many processes (needs matplotlib).
+
+    :param picture: the file to write, by its suffix as PNG, SVG or PDF.
+    :param files: logs, of any processes and in any order.
+    """
+    from toucanspread.tools import day as days
+    from toucanspread.tools import picture as pictures
+
+    try:
+        pictures.draw(days.collect(_read_lines(files)), picture)
+    except days.NoLinesError as error:
+        print(f"toucanspread: {error}", file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
+    except ImportError:
+        print("toucanspread: matplotlib is not installed", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
 def main() -> None:
     """Run the command line."""
     defopt.run(
-        [entry, endpoint, plan, confirm, status, watch, diff, manifest, explain],
+        [
+            entry,
+            endpoint,
+            plan,
+            confirm,
+            status,
+            watch,
+            diff,
+            manifest,
+            explain,
+            report,
+        ],
     )
 
 
+def _read_lines(files: list[pathlib.Path]) -> list[str]:
+    lines = []
+    for path in files:
+        lines.extend(path.read_text(errors="replace").splitlines())
+    return lines
+
+
 def _read_settings(kind: type, path: pathlib.Path):
     from toucanspread.ops import settings
 
