Ask for one piece at a time on a link that turned narrow

Ruled out: the entries (27 callers left, each cancelled at once). Change: when a piece takes 2.5 times as long as two should, one is asked for at a time (0.33 s there), until one is quick again. Test seen failing first (the field did not exist).

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -19,6 +19,9 @@
 from toucanspread.core.entry import data as entry_data
 
 PIECES_AT_ONCE = 2  # callers' requests come over the same narrow link
+# On a link that is narrower than it should be, what callers send waits behind pieces.
+SLOW_PIECE_FACTOR = 2.5
+QUICK_PIECE_FACTOR = 1.5
 ORDER_SETTLES_S = 1.0  # an order shows in the engine's report within this
 RETRY_PAUSE_S = 0.3
 MANIFEST_PAUSE_S = 0.05  # entries that start with this process are there soon
@@ -157,6 +160,7 @@
         self.digests: tuple[str, ...] = ()
         self.have: set[int] = set()
         self.coming: set[int] = set()
+        self.began_s: dict[int, float] = {}
         self.checked_s = float("-inf")
         self.ordered_s = 0.0
         self.pause_until_s = 0.0
@@ -197,6 +201,7 @@
         self.target = Target(INITIAL_VERSION)
         self.following: Target | None = None
         self._piece_s = piece_s
+        self._pieces_at_once = PIECES_AT_ONCE
         self._report: ReportRead | None = None
 
     @property
@@ -283,6 +288,8 @@
         target = self._find(event.version)
         if target is None:
             return []
+        began_s = target.began_s.pop(event.number, now_s)
+        self._note_pace(now_s - began_s)
         target.coming.discard(event.number)
         target.have.add(event.number)
         return self._next(now_s)
@@ -321,6 +328,13 @@
             return False
         return self._report.version == self.target.version
 
+    def _note_pace(self, took_s: float) -> None:
+        """Ask for one piece at a time while the link is narrower than usual."""
+        if took_s > SLOW_PIECE_FACTOR * PIECES_AT_ONCE * self._piece_s:
+            self._pieces_at_once = 1
+        elif took_s < QUICK_PIECE_FACTOR * self._piece_s:
+            self._pieces_at_once = PIECES_AT_ONCE
+
     def _find(self, version: int) -> Target | None:
         for target in (self.target, self.following):
             if target is not None and target.version == version:
@@ -372,8 +386,10 @@
             target.checked_s = float("-inf")
             return [] if target is self.following else self._order(target, now_s)
         effects = []
-        for number in target.missing[: PIECES_AT_ONCE - len(target.coming)]:
+        room = max(self._pieces_at_once - len(target.coming), 0)
+        for number in target.missing[:room]:
             target.coming.add(number)
+            target.began_s[number] = now_s
             digest = target.digests[number]
             effects.append(CollectPiece(target.version, number, digest))
         return effects
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -190,6 +190,17 @@
         self.collect([5], now_s=4.6)
         self.assertTrue(self.stager.is_quiet(4.6))
 
+    def test_on_a_link_that_turned_narrow_one_piece_is_on_its_way(self):
+        """Two would hold up for longer what entries send the engine meanwhile."""
+        slow_s = staging.SLOW_PIECE_FACTOR * staging.PIECES_AT_ONCE * PIECE_S + 0.1
+        self.assertEqual({0, 1}, self.stager.target.coming)
+        self.collect([0], now_s=slow_s)
+        self.assertEqual({1}, self.stager.target.coming)
+        self.collect([1], now_s=slow_s)
+        self.assertEqual({2}, self.stager.target.coming)
+        self.collect([2], now_s=slow_s + PIECE_S)
+        self.assertEqual({3, 4}, self.stager.target.coming)
+
     def test_entries_hear_of_no_order_before_the_pieces_can_be_there(self):
         self.assertEqual(6 * PIECE_S, self.stager.order_in_s(4.5))
         self.collect(range(4), now_s=4.5)
