--- a/toucanspread/core/view/following.py
+++ b/toucanspread/core/view/following.py
@@ -1,7 +1,7 @@
 """Decides from whom a process learns next what is in the store.
 
 The load this answers: calls to the store are counted and limited, large values cross
-links between regions, and the store may turn some machines away while others hear of
+links between regions, and the store may turn some instances away while others hear of
 every change. One entry of each availability zone follows the store; the other
 processes of the zone follow that entry; whoever finds its copy too old asks around,
 and asks the store itself.
--- a/toucanspread/core/view/items.py
+++ b/toucanspread/core/view/items.py
@@ -2,7 +2,7 @@
 
 Every process follows the store, some through others. A copy says how old it is by
 counting spans on steady clocks only: whoever hands it on adds the time that he has
-held it, so no two machines' clocks are compared.
+held it, so no two instances' clocks are compared.
 """
 
 import collections
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -109,7 +109,7 @@
         self.assertEqual([1], self.engine.orders)
 
     def test_a_manifest_is_asked_for_again_as_soon_as_entries_may_be_there(self):
-        """After all machines lost power, entries start a moment after this process."""
+        """After all instances lost power, entries start a moment after this process."""
         [wanted] = self.engine.report()
         self.assertIsInstance(wanted, staging_events.ReadDigests)
         self.stager.on_failed(staging_events.WishFailed(wanted.version), 10.0)
--- a/toucanspread/ops/engine_control.py
+++ b/toucanspread/ops/engine_control.py
@@ -11,7 +11,7 @@
 
 
 class EngineControl(abc.ABC):
-    """The engine on the same machine.
+    """The engine on the same instance.
 
     Every method raises :class:`EngineError` when it gets no usable answer.
     """
