Log how much of an answer had arrived when a source is given up

Whether a source of the copy of the store was silent, or in the middle of a long answer when the time was over, could not be told from the logs, and nothing counted the bytes that an entry sends to the processes that follow it.

The message of a call without a complete answer now has the bytes that were received; excerpts_sent and excerpt_bytes_sent count the answers to followers.

--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -229,7 +229,11 @@
             # The idle connections to a server that stopped responding are probably
             # dead as well.
             self.close_idle(address)
-            raise CallError(None, f"{address}: no answer in {timeout_s} s") from caught
+            raise CallError(
+                None,
+                f"{address}: no complete answer in {timeout_s} s, "
+                f"{listener.received_bytes} bytes of it received",
+            ) from caught
         finally:
             if not listener.is_finished:
                 outgoing.cancel()
@@ -244,6 +248,11 @@
         self._head: http1.AnswerHead | None = None
         self._body = bytearray()
 
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes of the body that were received."""
+        return len(self._body)
+
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
         return True
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -261,7 +261,7 @@
         elif after < self._view.revision or wait_s <= 0:
             excerpt = self._make_excerpt(waiting)
             if excerpt.is_whole or excerpt.changes:
-                exchange.respond(200, body=msgspec.msgpack.encode(excerpt))
+                _send_excerpt(exchange, excerpt)
                 return
         waiting.timer = self._reactor.callLater(wait_s, self._answer, exchange)
         exchange.on_disconnected = lambda: self._remove_waiting(exchange)
@@ -280,8 +280,7 @@
         if self._view.is_empty:
             exchange.respond(503)
             return
-        excerpt = self._make_excerpt(waiting)
-        exchange.respond(200, body=msgspec.msgpack.encode(excerpt))
+        _send_excerpt(exchange, self._make_excerpt(waiting))
 
     def _remove_waiting(
         self, exchange: http1_server.Exchange
@@ -296,6 +295,13 @@
         return self._view.make_excerpt(waiting.after, waiting.prefixes, now_s)
 
 
+def _send_excerpt(exchange: http1_server.Exchange, excerpt: store_view.Excerpt) -> None:
+    body = msgspec.msgpack.encode(excerpt)
+    metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
+    metric_buffer.count("excerpt_bytes_sent", len(body))
+    exchange.respond(200, body=body)
+
+
 class _WaitingRequest:
     """An unanswered request with the timer that ends its wait."""
 
