Add failing tests of late configurations in a zone of 26 entries

The product's synchronization runs in virtual time over simulated links: 26 entries with 14 Mbit/s, 17 sidecars with 4.7 Mbit/s, the store behind 15.5 Mbit/s, 280 or 1,480 routes.

--- /dev/null
+++ b/standins/view_simulation.py
@@ -0,0 +1,297 @@
+"""Simulates how the processes of one availability zone follow the platform's store.
+
+The product's code synchronizes the copies; the store and the links are simulated in
+virtual time. The store is in another region, which the processes of the zone reach over
+one shared link.
+"""
+
+import asyncio
+import base64
+import json
+import random
+import urllib.parse
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import NamedTuple
+
+from standins import link_simulation, virtual_time
+from toucanspread.core import data
+from toucanspread.core.view import source_selection, store_view
+from toucanspread.ops import view_sync
+from toucanspread.platform import decoding, entry_handlers, store
+
+ZONE = data.ZoneName("z")
+STORE_ADDRESS = "store:1"
+STORE_ANSWER_S = 0.004
+STORE_LINK_MBPS = 1_000.0
+REGION_LINK_MBPS = 15.5
+ENTRY_LINK_MBPS = 14.0
+SIDECAR_LINK_MBPS = 4.7
+STEP_S = 0.01
+
+
+class ZoneSize(NamedTuple):
+    """Number of processes in the zone, and of engines in the store."""
+
+    entries: int = 26
+    sidecars: int = 17
+    engines: int = 52
+
+
+class SimulatedStore:
+    """The platform's store.
+
+    :ivar refused: addresses of the machines that it does not serve.
+    """
+
+    def __init__(self, network: link_simulation.Network):
+        self.refused: set[str] = set()
+        self.revision = 0
+        self.machine = network.add_machine(STORE_ADDRESS, STORE_LINK_MBPS)
+        self.machine.links = [link_simulation.Link(REGION_LINK_MBPS)]
+        self.machine.handle = self._on_request
+        self._loop = network.loop
+        self._log: list[store_view.KeyChange] = []
+        self._waiting: set[_Watch] = set()
+
+    def write(self, key: str, value: bytes) -> int:
+        """Write a key as the operator or an engine does; return its revision."""
+        self.revision += 1
+        self._log.append(store_view.KeyChange(key, self.revision, value))
+        for watch in list(self._waiting):
+            self._answer_if_changed(watch)
+        return self.revision
+
+    def _on_request(self, exchange: link_simulation.Exchange) -> None:
+        self._loop.call_later(STORE_ANSWER_S, self._serve, exchange)
+
+    def _serve(self, exchange: link_simulation.Exchange) -> None:
+        if exchange.caller.address in self.refused:
+            exchange.respond(503)
+            return
+        path, _, query = exchange.head.target.decode().partition("?")
+        arguments = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        prefix = arguments["prefix"]
+        if path == "/-/kv-range":
+            newest = {change.key: change for change in self._log}
+            items = [item for key, item in newest.items() if key.startswith(prefix)]
+            self._respond(exchange, "items", items)
+            return
+        watch = _Watch(exchange, prefix, int(arguments["after"]))
+        self._waiting.add(watch)
+        exchange.on_disconnected = lambda: self._waiting.discard(watch)
+        if not self._answer_if_changed(watch):
+            wait_s = int(arguments["wait_ms"]) / 1000
+            self._loop.call_later(wait_s, self._answer, watch, [])
+
+    def _answer_if_changed(self, watch: "_Watch") -> bool:
+        changes = [
+            change
+            for change in self._log
+            if change.revision > watch.after and change.key.startswith(watch.prefix)
+        ]
+        if changes:
+            self._answer(watch, changes)
+        return bool(changes)
+
+    def _answer(self, watch: "_Watch", changes: list[store_view.KeyChange]) -> None:
+        if watch in self._waiting:
+            self._waiting.remove(watch)
+            self._respond(watch.exchange, "events", changes)
+
+    def _respond(self, exchange, name: str, changes: list[store_view.KeyChange]):
+        rows = [
+            {
+                "key": change.key,
+                "value": base64.b64encode(change.value).decode(),
+                "revision": change.revision,
+            }
+            for change in changes
+        ]
+        answer = {name: rows, "has_more": False, "store_revision": self.revision}
+        exchange.respond(200, body=json.dumps(answer).encode())
+
+
+class _Watch:
+    """A request that waits for a change."""
+
+    def __init__(self, exchange, prefix: str, after: int):
+        self.exchange = exchange
+        self.prefix = prefix
+        self.after = after
+
+
+class Follower:
+    """A process that follows the store.
+
+    :param is_entry: whether it also serves its copy to others.
+    :ivar received_s: time at which each revision of the configuration arrived.
+    """
+
+    def __init__(
+        self,
+        network: link_simulation.Network,
+        name: str,
+        is_entry: bool,
+        list_peers: Callable[[], list[source_selection.Peer]],
+    ):
+        self.name = name
+        self.received_s: dict[int, float] = {}
+        self._network = network
+        self._is_entry = is_entry
+        self._view = store_view.View()
+        mbps = ENTRY_LINK_MBPS if is_entry else SIDECAR_LINK_MBPS
+        self.machine = network.add_machine(f"{name}:1", mbps)
+        self._excerpts = view_sync.ExcerptServer(self._view, network.reactor)
+        pool = link_simulation.SimulatedPool(network, self.machine)
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self._view,
+            store.PlatformStore(pool, STORE_ADDRESS),
+            pool,
+            source_selection.SourceSelector(name, ZONE, can_lead=is_entry),
+            decoding.ENTRY_PREFIXES if is_entry else decoding.SIDECAR_PREFIXES,
+            lambda: [peer for peer in list_peers() if peer.name != name],
+            list,
+            self._on_changes,
+        )
+        if is_entry:
+            program = SimpleNamespace(excerpts=self._excerpts, is_leaving=False)
+            self.machine.handle = entry_handlers.ControlHandler(program).on_request
+
+    def get_value(self, key: str) -> bytes | None:
+        """Return the value of a key in the process's copy."""
+        item = self._view.get(key)
+        return item.value if item is not None else None
+
+    def _on_changes(self, changes: list[store_view.KeyChange]) -> None:
+        for change in changes:
+            if change.key == decoding.CONFIGURATION_KEY:
+                self.received_s[change.revision] = self._network.loop.time()
+        self._excerpts.notify_waiters()
+
+
+class ZoneSimulation:
+    """A zone whose processes have copies of a store with a configuration.
+
+    :param route_count: number of routes of the first configuration.
+    """
+
+    def __init__(self, size: ZoneSize, route_count: int, seed: int = 1):
+        self._random = random.Random(seed)
+        self._loop = virtual_time.VirtualTimeLoop()
+        self._routes: list[dict] = []
+        network = link_simulation.Network(self._loop)
+        self.store = SimulatedStore(network)
+        self.entries: list[Follower] = []
+        for number in range(size.engines):
+            self._write_engine(number)
+        self.add_routes(route_count)
+        self.entries = [
+            Follower(network, f"entry-{number}", True, self._list_peers)
+            for number in range(size.entries)
+        ]
+        self.sidecars = [
+            Follower(network, f"sidecar-{number}", False, self._list_peers)
+            for number in range(size.sidecars)
+        ]
+        for follower in self.entries + self.sidecars:
+            self._loop.create_task(follower.synchronizer.run())
+
+    @property
+    def now_s(self) -> float:
+        """Return the virtual time."""
+        return self._loop.time()
+
+    def leader(self) -> Follower:
+        """Return the entry that follows the store directly."""
+        return next(
+            entry
+            for entry in self.entries
+            if source_selection.SourceSelector(entry.name, ZONE, True).rank_sources(
+                [peer for peer in self._list_peers() if peer.name != entry.name], []
+            )[0]
+            == source_selection.STORE
+        )
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        self._loop.run_until_complete(asyncio.sleep(duration_s))
+
+    def add_routes(self, count: int) -> int:
+        """Write a configuration with more routes; return its revision."""
+        self._routes.extend(_make_route(self._random) for _ in range(count))
+        return self.change_configuration()
+
+    def change_configuration(self) -> int:
+        """Write a configuration with one route changed; return its revision."""
+        route = self._random.choice(self._routes)
+        route["timeout_ms"] = self._random.randrange(1_000, 9_000)
+        return self.store.write(decoding.CONFIGURATION_KEY, self.encode_configuration())
+
+    def encode_configuration(self) -> bytes:
+        """Return the value of the newest configuration."""
+        configuration = {
+            "version": self.store.revision + 1,
+            "routes": self._routes,
+            "services": [],
+        }
+        return json.dumps(configuration, separators=(",", ":")).encode()
+
+    def longest_delay_s(self, revision: int, written_s: float, limit_s: float) -> float:
+        """Return when the last entry has a configuration, after its write.
+
+        :param limit_s: how long to wait; infinity is returned if that is not enough.
+        """
+        while self.now_s < written_s + limit_s:
+            arrivals_s = [_find_arrival_s(entry, revision) for entry in self.entries]
+            if None not in arrivals_s:
+                return max(arrivals_s) - written_s
+            self.run(STEP_S)
+        return float("inf")
+
+    def close(self) -> None:
+        """End all tasks."""
+        for pending in asyncio.all_tasks(self._loop):
+            pending.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    def _write_engine(self, number: int) -> None:
+        value = json.dumps({"service": "s", "address": f"10.0.0.{number}:80"}).encode()
+        self.store.write(f"{decoding.ENGINES_PREFIX}i-{number}", value)
+
+    def _list_peers(self) -> list[source_selection.Peer]:
+        return [
+            source_selection.Peer(entry.name, ZONE, data.Address(entry.machine.address))
+            for entry in self.entries
+        ]
+
+
+def _find_arrival_s(entry: Follower, revision: int) -> float | None:
+    """Return when an entry got a revision of the configuration or a newer one."""
+    arrivals_s = [
+        received_s
+        for known, received_s in entry.received_s.items()
+        if known >= revision
+    ]
+    return min(arrivals_s, default=None)
+
+
+def _make_route(random_source: random.Random) -> dict:
+    def draw(length: int) -> str:
+        return "".join(
+            random_source.choices("abcdefghijklmnopqrstuvwxyz234567", k=length)
+        )
+
+    return {
+        "name": f"r-{draw(7)}",
+        "host": f"{draw(4)}{random_source.randrange(100)}.example",
+        "prefix": f"/{draw(8)}/",
+        "kind": random_source.choice(["streaming", "idempotent"]),
+        "timeout_ms": 6_000,
+        "slo_ms": 505,
+        "priority": 1,
+        "service": "s",
+        "attempts": 2,
+        "allow_anonymous": False,
+    }
--- /dev/null
+++ b/standins/view_simulation_test.py
@@ -0,0 +1,49 @@
+"""Tests that changes reach all processes of a large zone over narrow links in time."""
+
+import testtools
+
+from standins import view_simulation
+
+IN_FORCE_WITHIN_S = 3.0  # the platform's bound at 101 machines
+SETTLE_S = 5.0
+WATCHED_S = 20.0
+
+
+class LateConfigurationTest(testtools.TestCase):
+    def start_zone(self, route_count=280):
+        zone = view_simulation.ZoneSimulation(view_simulation.ZoneSize(), route_count)
+        self.addCleanup(zone.close)
+        zone.run(SETTLE_S)
+        return zone
+
+    def change_in_quick_succession(self, zone, count):
+        """Write configurations 0.2 s apart; return the longest delay of each."""
+        written = []
+        for _ in range(count):
+            written.append((zone.change_configuration(), zone.now_s))
+            zone.run(0.2)
+        return [zone.longest_delay_s(*change, WATCHED_S) for change in written]
+
+    def assert_in_time(self, delays_s):
+        self.assertLess(max(delays_s), IN_FORCE_WITHIN_S, delays_s)
+
+    def test_changes_in_quick_succession_are_in_force_at_all_entries_in_time(self):
+        zone = self.start_zone()
+        self.assert_in_time(self.change_in_quick_succession(zone, 15))
+
+    def test_configuration_with_many_new_routes_is_in_force_in_time(self):
+        zone = self.start_zone()
+        revision, written_s = zone.add_routes(1_200), zone.now_s
+        self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
+
+    def test_changes_are_in_time_while_the_store_refuses_a_third_of_the_entries(self):
+        zone = self.start_zone()
+        leader = zone.leader()
+        refused = [leader, *[e for e in zone.entries if e is not leader][:8]]
+        zone.store.refused = {entry.machine.address for entry in refused}
+        self.assert_in_time(self.change_in_quick_succession(zone, 4))
+
+    def test_changes_are_in_time_after_the_leader_has_become_silent(self):
+        zone = self.start_zone(route_count=1_480)
+        zone.leader().machine.handle = None
+        self.assert_in_time(self.change_in_quick_succession(zone, 2))
