Do not send values to followers that have been replaced since

Cause, first part: the history of a copy of the store kept each version of a key, and a follower that was behind got all of them. With a configuration of 54 KB changed every 0.2 s, each follower got two or three versions at a time from the one entry that all of a zone follow, whose link takes 0.75 s for one version to all. The answers grew faster than the link could send them. Large configurations also pushed all other keys out of the history after 14 changes, so that followers were sent whole copies.

The history now holds the last change of each key. An excerpt is complete with that, since a follower needs only the newest value; the order of revisions is kept.

--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -6,13 +6,12 @@
 compared.
 """
 
-import collections
 from collections.abc import Iterable
 
 from toucanspread.core import data
 
-MAX_HISTORY_COUNT = 2_000  # more than the changes of a few seconds
-MAX_HISTORY_BYTES = 4_000_000  # bounds memory when large values change often
+MAX_HISTORY_COUNT = 2_000  # more than the keys that change within a few seconds
+MAX_HISTORY_BYTES = 4_000_000  # bounds memory when many large values change
 
 
 class Item(data.Record):
@@ -61,7 +60,8 @@
         self.revision = 0
         self.confirmed_s = float("-inf")
         self._items: dict[str, Item] = {}
-        self._history: collections.deque[KeyChange] = collections.deque()
+        # The last change of each key, in the order of revisions.
+        self._history: dict[str, KeyChange] = {}
         self._history_bytes = 0
         self._history_from = 0  # the history has all changes above this revision
 
@@ -122,10 +122,13 @@
     def make_excerpt(
         self, after: int, prefixes: tuple[str, ...], now_s: float
     ) -> Excerpt:
-        """Return the changes after a revision, or all items if some are unknown."""
+        """Return the changes after a revision, or all items if some are unknown.
+
+        A value that has been replaced since is not part of the changes.
+        """
         age_s = self.age_s(now_s)
         if after >= self._history_from and after > 0:
-            changes = [c for c in self._history if c.revision > after]
+            changes = self._list_changes_after(after)
             is_whole = False
         else:
             changes = [
@@ -148,16 +151,31 @@
         self._add_to_history(change)
         return True
 
+    def _list_changes_after(self, after: int) -> list[KeyChange]:
+        changes = []
+        for change in reversed(self._history.values()):
+            if change.revision <= after:
+                break
+            changes.append(change)
+        changes.reverse()
+        return changes
+
     def _add_to_history(self, change: KeyChange) -> None:
-        self._history.append(change)
+        self._remove_from_history(change.key)
+        self._history[change.key] = change
         self._history_bytes += len(change.value or b"")
-        while self._history and (
+        while (
             len(self._history) > MAX_HISTORY_COUNT
             or self._history_bytes > MAX_HISTORY_BYTES
         ):
-            dropped = self._history.popleft()
-            self._history_bytes -= len(dropped.value or b"")
-            self._history_from = max(self._history_from, dropped.revision)
+            oldest = self._remove_from_history(next(iter(self._history)))
+            self._history_from = max(self._history_from, oldest.revision)
+
+    def _remove_from_history(self, key: str) -> KeyChange | None:
+        removed = self._history.pop(key, None)
+        if removed is not None:
+            self._history_bytes -= len(removed.value or b"")
+        return removed
 
     def _confirm(self, revision: int, confirmed_s: float) -> None:
         if revision < self.revision:
