Let the next in rank take over when the leader of a zone fails

A follower now asks those that rank before it, up to three, before the store. They may notice the failure of the leader a little later, so that it waits 0.5 s for them if they answer at all; the delay of a silent leader stays below 2 s. A source with an old copy is asked for an immediate answer, also the leader.

--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -3,8 +3,9 @@
 Calls to the store are counted and limited, large values load the links between regions,
 and the store may refuse some instances while it answers others. One entry of each
 availability zone, its leader, therefore follows the store, and the other processes of
-the zone follow the leader. A process whose copy is too old asks other entries, and the
-store itself.
+the zone follow the leader. If the leader fails, the process that ranks next takes over
+and the others follow it, so that the store never sends a change to a whole zone. A
+process whose copy is too old asks entries of other zones and the store itself.
 """
 
 import enum
@@ -20,6 +21,9 @@
 MAX_DIRECT_AGE_S = 1.1  # maximum age of a copy that follows the store directly
 FAILED_SOURCE_BACKOFF_S = 1.0
 STALE_SOURCE_BACKOFF_S = 0.3  # a source without newer data may get it soon
+DEPUTY_COUNT = 3  # entries that may take over while their leader fails
+# Time for a deputy to notice the failure itself; then everybody asks the store.
+DEPUTY_WAIT_S = 0.5
 BATCH_DELAY_S = 0.1  # changes in quick succession are fetched together
 RETRY_DELAY_S = 0.15
 
@@ -67,6 +71,8 @@
         self._backoff_until_s: dict[Source, float] = {}
         self._unusable_since_s: dict[Source, float] = {}
         self._primary = STORE
+        self._deputies: list[Source] = []
+        self._failed: set[Source] = set()
         self._verified: Source | None = None
 
     def rank_sources(
@@ -84,20 +90,18 @@
             for name in order
             if name != self._name
         ]
-        # A follower has one primary source and uses the others only if it fails.
-        primary, fallback = [STORE], zone_sources
-        if order and order[0] != self._name:
-            primary, fallback = zone_sources[:1], zone_sources[1:]
-        # Entries of other zones come first, because processes that follow this one have
-        # no newer copy.
-        fallback = [*_rank_leaders_first(self._name, other_zones), *fallback]
-        if primary != [STORE]:
-            fallback.insert(0, STORE)
-        known = {source.address for source in primary + fallback}
-        fallback.extend(
+        # A process follows the first of those that rank before it. If it ranks first,
+        # entries of other zones come next, because its followers have no newer copy.
+        own_rank = order.index(self._name) if self._name in names else len(order)
+        leading = zone_sources[: min(own_rank, 1 + DEPUTY_COUNT)]
+        ranked = [*leading, STORE, *_rank_leaders_first(self._name, other_zones)]
+        ranked.extend(source for source in zone_sources if source not in leading)
+        self._deputies = leading[1:]
+        known = {source.address for source in ranked}
+        ranked.extend(
             Source(SourceKind.PEER, seed) for seed in seeds if seed not in known
         )
-        return primary + fallback
+        return ranked
 
     def select_source(
         self,
@@ -105,18 +109,32 @@
         seeds: list[data.Address],
         now_s: float,
     ) -> Source | None:
-        """Return the source to ask next, or None if all are in backoff."""
+        """Return the source to ask next, or None if there is none to ask now."""
         ranked = self.rank_sources(peers, seeds)
         self._primary = ranked[0]
         for source in ranked:
+            if source == STORE and self._awaits_deputy(now_s):
+                return None
             if now_s >= self._backoff_until_s.get(source, now_s):
                 return source
         return None
 
+    def _awaits_deputy(self, now_s: float) -> bool:
+        """Return whether a deputy may have a newer copy soon.
+
+        The leader fails for the deputies as well, but they may notice it a little
+        later than this process.
+        """
+        unusable_since_s = self._unusable_since_s.get(self._primary)
+        if unusable_since_s is None or now_s >= unusable_since_s + DEPUTY_WAIT_S:
+            return False
+        return any(deputy not in self._failed for deputy in self._deputies)
+
     def record_failure(self, source: Source, now_s: float) -> bool:
         """Record that a source failed; return whether it was usable before."""
         was_usable = source not in self._unusable_since_s
         self._unusable_since_s.setdefault(source, now_s)
+        self._failed.add(source)
         self._backoff_until_s[source] = now_s + FAILED_SOURCE_BACKOFF_S
         return was_usable
 
@@ -125,6 +143,7 @@
 
         :param age_s: age of this process's copy after the answer.
         """
+        self._failed.discard(source)
         if self._is_usable(source, age_s, now_s):
             self._verified = source
             self._backoff_until_s.pop(source, None)
@@ -155,7 +174,9 @@
 
         :param age_s: age of this process's copy.
         """
-        if age_s > MAX_TRUSTED_AGE_S or source not in (self._primary, self._verified):
+        if age_s > MAX_TRUSTED_AGE_S or source in self._unusable_since_s:
+            return 0.0
+        if source not in (self._primary, self._verified):
             return 0.0
         return PEER_WAIT_S
 
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -68,6 +68,7 @@
         store_s = source_selection.STORE_WAIT_S + store.WATCH_ANSWER_MARGIN_S
         peer_s = source_selection.PEER_WAIT_S + source_selection.ANSWER_GRACE_S
         self.assertLess(max(store_s, peer_s) + connect_s, 2.0)
+        self.assertLess(peer_s + source_selection.DEPUTY_WAIT_S, 2.0)
 
 
 class ViewSynchronizerTest(testtools.TestCase):
