Wait for an answer of the store or of a peer as long as bytes of it arrive

Calls to the store and for excerpts now time out when no byte arrives for 0.6 s and 0.5 s, and after 6 s in any case.

--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from standins import view_simulation
+from standins import link_simulation, view_simulation
 
 IN_FORCE_WITHIN_S = 3.0  # the platform's bound at 101 machines
 SETTLE_S = 5.0
@@ -43,6 +43,12 @@
         zone.store.refused = {entry.machine.address for entry in refused}
         self.assert_in_time(self.change_in_quick_succession(zone, 4))
 
+    def test_a_large_configuration_is_in_time_over_a_narrow_link_between_regions(self):
+        zone = self.start_zone(route_count=1_480)
+        zone.store.machine.links = [link_simulation.Link(mbps=2.6)]
+        revision, written_s = zone.change_configuration(), zone.now_s
+        self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
+
     def test_changes_are_in_time_after_the_leader_has_become_silent(self):
         zone = self.start_zone(route_count=1_480)
         zone.leader().machine.handle = None
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
 from twisted.internet import protocol
@@ -14,6 +15,7 @@
 IDLE_TIMEOUT_FACTOR = 0.7  # servers may close a little before their idle timeout
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for servers that announce no timeout
 MAX_IDLE_PER_SERVER = 32
+MAX_ANSWER_S = 6.0  # an answer that is slower is of no use to anyone who waits for it
 USER_TIMEOUT_MS = 3_000  # the path is dead if bytes stay unacknowledged this long
 
 
@@ -213,9 +215,15 @@
         head: http1.RequestHead,
         body: bytes = b"",
         timeout_s: float = 1.0,
+        stall_timeout_s: float | None = None,
     ) -> Reply:
         """Send a request and return its complete answer.
 
+        :param timeout_s: time limit for the complete answer. If a stall timeout is
+            given, an answer of which bytes keep arriving may take longer, but not
+            longer than ``MAX_ANSWER_S``.
+        :param stall_timeout_s: time limit for the next bytes of an answer; None if only
+            ``timeout_s`` applies.
         :raises CallError: if no complete answer is received in time.
         """
         listener = _AnswerCollector()
@@ -223,7 +231,9 @@
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         outgoing = self.send(address, http1.render_request(head, body), listener)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                if stall_timeout_s is not None:
+                    listener.on_progress = _make_extension(timeout, stall_timeout_s)
                 return await listener.future
         except TimeoutError as caught:
             # The idle connections to a server that stopped responding are probably
@@ -231,7 +241,7 @@
             self.close_idle(address)
             raise CallError(
                 None,
-                f"{address}: no complete answer in {timeout_s} s, "
+                f"{address}: no complete answer in time ({timeout_s} s), "
                 f"{listener.received_bytes} bytes of it received",
             ) from caught
         finally:
@@ -239,10 +249,29 @@
                 outgoing.cancel()
 
 
+def _make_extension(
+    timeout: asyncio.Timeout, stall_timeout_s: float
+) -> Callable[[], None]:
+    """Return a function that extends a timeout because bytes have arrived."""
+    loop = asyncio.get_running_loop()
+    latest_s = loop.time() + MAX_ANSWER_S
+
+    def extend() -> None:
+        deadline_s = min(loop.time() + stall_timeout_s, latest_s)
+        if not timeout.expired() and deadline_s > timeout.when():
+            timeout.reschedule(deadline_s)
+
+    return extend
+
+
 class _AnswerCollector(http1_client.AnswerListener):
-    """Collects a complete answer."""
+    """Collects a complete answer.
+
+    :ivar on_progress: called when a part of the answer has arrived.
+    """
 
     def __init__(self):
+        self.on_progress: Callable[[], None] = _do_nothing
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
         self._head: http1.AnswerHead | None = None
@@ -255,10 +284,12 @@
 
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
+        self.on_progress()
         return True
 
     def on_body_data(self, part: bytes) -> None:
         self._body += part
+        self.on_progress()
 
     def on_end(self) -> None:
         self.is_finished = True
@@ -274,6 +305,10 @@
             )
 
 
+def _do_nothing() -> None:
+    return
+
+
 def _get_idle_timeout_s(connection: http1_client.ClientConnection) -> float:
     keep_alive_s = connection.keep_alive_s
     return (
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -228,7 +228,12 @@
     query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
     head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
     try:
-        reply = await pool.call(address, head, timeout_s=timeout_s)
+        reply = await pool.call(
+            address,
+            head,
+            timeout_s=timeout_s,
+            stall_timeout_s=source_selection.ANSWER_GRACE_S,
+        )
     except http1_pool.CallError as error:
         raise ExcerptError(str(error)) from error
     if reply.status != 200:
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -56,7 +56,7 @@
         super().__init__(task.Clock())
         self.requested_targets = []
 
-    async def call(self, address, head, body=b"", timeout_s=1.0):
+    async def call(self, address, head, body=b"", timeout_s=1.0, stall_timeout_s=None):
         self.requested_targets.append(head.target.decode())
         raise http1_pool.CallError(None, "silent")
 
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -11,6 +11,7 @@
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
 WATCH_ANSWER_MARGIN_S = 0.6  # maximum delay of a watch's answer beyond its wait
+STALL_TIMEOUT_S = 0.6  # pause within an answer after which the path is taken for dead
 READ_TIMEOUT_S = 2.5  # pages of up to 1 MB over a narrow link
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -142,7 +143,9 @@
         headers = [JSON_TYPE] if body else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
-            return await self._pool.call(self._address, head, body, timeout_s)
+            return await self._pool.call(
+                self._address, head, body, timeout_s, STALL_TIMEOUT_S
+            )
         except http1_pool.CallError as error:
             raise prefix_store.StoreError(str(error), error.sent) from error
 
