Do not send the configuration to sidecars that ask the store

Cause, fifth part: a process that needs several prefixes followed the store with one watch of all keys. Sidecars need neither configurations nor anything else below op/ but versions; when the leader of their zone was slow, each of them received every configuration as well, over the links between regions and its own of 4.7 Mbit/s, and was without news of versions meanwhile.

Entries, which need all keys, still use one watch.

Evidence: test_sidecars_do_not_receive_the_configuration_from_the_store fails with needs_all_keys left out and passes.

--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -153,6 +153,7 @@
             lambda: [peer for peer in list_peers() if peer.name != name],
             list,
             self._on_changes,
+            needs_all_keys=is_entry,
         )
         if is_entry:
             program = SimpleNamespace(excerpts=self._excerpts, is_leaving=False)
--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -49,6 +49,23 @@
         revision, written_s = zone.change_configuration(), zone.now_s
         self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
 
+    def test_sidecars_do_not_receive_the_configuration_from_the_store(self):
+        size = view_simulation.ZoneSize(entries=1)
+        zone = view_simulation.ZoneSimulation(size, route_count=1_480)
+        self.addCleanup(zone.close)
+        zone.run(SETTLE_S)
+        zone.entries[0].machine.handle = None
+        for _ in range(3):
+            zone.change_configuration()
+            zone.run(1.0)
+        size_bytes = len(zone.encode_configuration())
+        for sidecar in zone.sidecars:
+            self.assertLess(sidecar.machine.downlink.sent_bytes, size_bytes)
+        zone.store.write("op/version/m", b"2")
+        zone.run(IN_FORCE_WITHIN_S)
+        values = {sidecar.get_value("op/version/m") for sidecar in zone.sidecars}
+        self.assertEqual({b"2"}, values)
+
     def test_changes_are_in_time_after_the_leader_has_become_silent(self):
         zone = self.start_zone(route_count=1_480)
         zone.leader().machine.handle = None
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -48,6 +48,9 @@
     :param peers: returns the peers that serve their copy.
     :param seeds: returns addresses of peers that the settings name.
     :param on_changes: called with the changes that are new to the view.
+    :param needs_all_keys: whether the prefixes are all there is in the store, so that
+        one watch of all keys serves them. Otherwise the items below each prefix are
+        read again when the store is asked, and no other value is received.
     :ivar store_failed_s: time of the last failed call on the store.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
@@ -64,6 +67,7 @@
         seeds: Callable[[], list[data.Address]],
         on_changes: Callable[[list[store_view.KeyChange]], None],
         peer_discovery: PeerDiscovery | None = None,
+        needs_all_keys: bool = True,
     ):
         self.view = view
         self._peer_discovery = peer_discovery
@@ -74,6 +78,9 @@
         self._pool = pool
         self._selector = selector
         self._prefixes = prefixes
+        self._store_prefixes = prefixes
+        if needs_all_keys and len(prefixes) > 1:
+            self._store_prefixes = ("",)
         self._peers = peers
         self._seeds = seeds
         self._on_changes = on_changes
@@ -124,6 +131,8 @@
         now_s = self._pool.reactor.seconds()
         if self._selector.record_answer(source, self.view.age_s(now_s), now_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
+        if source == source_selection.STORE and not self._can_watch:
+            await asyncio.sleep(source_selection.STORE_WAIT_S)
 
     def _record_failure(
         self, source: source_selection.Source, error: Exception
@@ -142,15 +151,20 @@
                 revision=self.view.revision,
             )
 
+    @property
+    def _can_watch(self) -> bool:
+        """Return whether one watch covers all that this process needs of the store."""
+        return len(self._store_prefixes) == 1
+
     async def _sync_from_store(self) -> None:
-        if self.view.is_empty or self._must_read_all:
+        if self.view.is_empty or self._must_read_all or not self._can_watch:
             await self._read_all()
             return
-        # Several prefixes share one watch of all keys, which needs a single call.
-        prefix = self._prefixes[0] if len(self._prefixes) == 1 else ""
         try:
             answer = await self._store.watch(
-                prefix, self.view.revision, source_selection.STORE_WAIT_S
+                self._store_prefixes[0],
+                self.view.revision,
+                source_selection.STORE_WAIT_S,
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
@@ -165,11 +179,17 @@
 
     async def _read_all(self) -> None:
         requested_s = self._pool.reactor.seconds()
-        prefix = self._prefixes[0] if len(self._prefixes) == 1 else ""
-        answer = await self._store.read_all(prefix)
+        answers = [await self._store.read_all(p) for p in self._store_prefixes]
         self._must_read_all = False
-        changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
-        self._notify_changes(self.view.replace(changes, answer.revision, requested_s))
+        changes = [
+            change
+            for answer in answers
+            for change in answer.changes
+            if change.key.startswith(self._prefixes)
+        ]
+        # What has changed between the reads is part of the next update.
+        revision = min(answer.revision for answer in answers)
+        self._notify_changes(self.view.replace(changes, revision, requested_s))
 
     async def _sync_from_peer(self, source: source_selection.Source) -> None:
         age_s = self.view.age_s(self._pool.reactor.seconds())
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -129,6 +129,22 @@
         self.assertEqual(1, len(records))
         self.assertEqual(1, self.store.read_prefixes.count("entries/"))
 
+    def test_reads_only_the_prefixes_of_a_process_that_does_not_need_all_keys(self):
+        synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+            ("a/", "b/"),
+            list,
+            list,
+            self.changes.extend,
+            needs_all_keys=False,
+        )
+        for _ in range(2):
+            asyncio.run(synchronizer.sync_once())
+        self.assertEqual(["a/", "b/"] * 2, self.store.read_prefixes)
+
     def test_does_not_wait_at_peers_with_a_stale_copy(self):
         self.sync()
         self.store.is_unavailable = True
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -84,6 +84,7 @@
             lambda: [data.Address(seed) for seed in self.process_settings.seeds],
             self._on_changes,
             view_sync.PeerDiscovery(entry_directory.RECORDS_PREFIX, self._on_records),
+            needs_all_keys=False,
         )
         self._path = path
         self._settings_file = process.SettingsFileWatcher(path, self._reload)
