Remove four names that nothing reads

Cause: Transfer.confirming and Member.last_contact_s are only written, and origin.CONNECT_TIMEOUT_S (the HTTP client has a timeout of its own) and CONFIRM_TRIES of scripts/chaos.py are not used, as a search of the whole repository shows.

Change: they are gone, and with them last_contact_s of the simulation's fake member, which copied it. Member is the state of a node; it is in no message, effect or file, so no encoded record changes.

--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -31,7 +31,6 @@
 OUTAGE_DURATION_S = 4.0
 FAULT_INTERVAL_S = 2.0
 RECOVERY_DELAY_S = 5.0
-CONFIRM_TRIES = 20
 FAULT_NAMES = (
     "kill entry",
     "kill endpoint",
--- a/standins/transfer_simulation.py
+++ b/standins/transfer_simulation.py
@@ -37,7 +37,6 @@
         self.identity = identity
         self.state = data.MemberState.LIVE
         self.report = None
-        self.last_contact_s = 0.0
 
 
 class Upload:
--- a/toucanspread/core/membership/member_states.py
+++ b/toucanspread/core/membership/member_states.py
@@ -32,8 +32,8 @@
     """The state of one process as this process knows it.
 
     :param full_report: the last full report, to which load reports refer.
-    :param last_contact_s: when its last direct message arrived, by ``node.now_s``.
-    :param last_contact_clock_s: the same in active time, without this process's pauses.
+    :param last_contact_clock_s: when its last direct message arrived, in active time,
+        without this process's pauses.
     :param changed_s: when the state last changed, in active time.
     :param direct: whether the process itself sends its reports to this one.
     :param listed: whether the last reading of the platform's list contained it.
@@ -43,7 +43,6 @@
     state: data.MemberState = State.LIVE
     report: data.Report | None = None
     full_report: data.Report | None = msgspec.field(default=None, name="whole")
-    last_contact_s: float = msgspec.field(default=NEVER_S, name="heard_s")
     last_contact_clock_s: float = msgspec.field(default=NEVER_S, name="clock_s")
     changed_s: float = 0.0
     refutation: int = 0
@@ -259,7 +258,6 @@
 
 
 def _refresh_contact(node, member: Member) -> Outputs:
-    member.last_contact_s = node.now_s
     member.last_contact_clock_s = node.membership.active_clock_s
     return []
 
--- a/toucanspread/core/transfers/transfer_state.py
+++ b/toucanspread/core/transfers/transfer_state.py
@@ -104,7 +104,6 @@
         self.unannounced: list[int] = []
         self.announce_due_s = 0.0
         self.is_whole = False
-        self.confirming = False
         self.is_failure_reported = False
         self.next_tracker_request_s = now_s
         self.tracker_interval_s = 0.0
--- a/toucanspread/ops/origin.py
+++ b/toucanspread/ops/origin.py
@@ -8,7 +8,6 @@
 from toucanspread.core.transfers import manifest
 from toucanspread.ops import http_client
 
-CONNECT_TIMEOUT_S = 5.0
 HTTP_OK = 200
 HTTP_PARTIAL = 206
 
