Count an answer that is stored again under its key once

Cause: AnswerCache.add added the size of the new answer without subtracting that of the answer it replaced. The excess stayed, so other answers were evicted too early.

Change: the earlier answer is discarded first. The new one is thereby the newest and is evicted last.

--- a/toucanspread/ops/gateway.py
+++ b/toucanspread/ops/gateway.py
@@ -115,6 +115,7 @@
         """Store an answer unless it is too large."""
         if len(payload) > MAX_CACHED_ANSWER_BYTES:
             return
+        self._discard(key)
         self._answers[key] = (status, payload)
         self._bytes += len(payload)
         while len(self._answers) > MAX_CACHED_ANSWERS or self._bytes > MAX_CACHED_BYTES:
@@ -125,6 +126,12 @@
         """Return the status and payload of a cached answer, or None."""
         return self._answers.get(key)
 
+    def _discard(self, key: data.AttemptKey) -> None:
+        if key not in self._answers:
+            return
+        _, payload = self._answers.pop(key)
+        self._bytes -= len(payload)
+
 
 class Gateway(runtime.Adapter):
     """Serves dispatches of entries with an engine or a plain service.
--- a/toucanspread/ops/gateway_test.py
+++ b/toucanspread/ops/gateway_test.py
@@ -349,3 +349,15 @@
         self.assertEqual({"k": 1}, dict(self.standin.executions))
         _, end = run(self.call_once("r2"))
         self.assertEqual(data.Outcome.DONE, end.outcome)
+
+
+class AnswerCacheTest(testtools.TestCase):
+    def test_answer_stored_again_under_its_key_is_counted_once(self):
+        cache = gateway.AnswerCache()
+        cache.add(("other", 1), 200, b"other")
+        payload = b"x" * gateway.MAX_CACHED_ANSWER_BYTES
+        repeats = gateway.MAX_CACHED_BYTES // gateway.MAX_CACHED_ANSWER_BYTES
+        for _ in range(repeats):
+            cache.add(("r1", 1), 200, payload)
+        self.assertEqual((200, b"other"), cache.get(("other", 1)))
+        self.assertEqual((200, payload), cache.get(("r1", 1)))
