--- a/toucanspread/ops/endpoint.py
+++ b/toucanspread/ops/endpoint.py
@@ -7,14 +7,12 @@
 
 from toucanspread.core import data, machine, roles
 from toucanspread.ops import (
+    common_adapters,
     daemon,
-    datagram_transport,
     engine,
     engine_adapter,
     gateway,
     grpc_transport,
-    instance_list,
-    key_value,
     operator_api,
     origin,
     runtime,
@@ -58,18 +56,7 @@
 ) -> None:
     """Add the adapters of an endpoint: transports, platform and service clients."""
     node_runtime = process.runtime
-    identity = state_machine.node.identity
-    transport = grpc_transport.GrpcTransport(identity, node_runtime.post)
-    key_value_service = key_value.HttpKeyValueService(options.key_value_url)
-    instances = instance_list.HttpInstanceList(options.instance_list_url)
-    node_runtime.add(transport)
-    node_runtime.add(
-        datagram_transport.DatagramTransport(
-            identity, node_runtime.post, transport.send
-        )
-    )
-    node_runtime.add(key_value.KeyValueAdapter(key_value_service, node_runtime.post))
-    node_runtime.add(instance_list.InstanceListAdapter(instances, node_runtime.post))
+    transport = common_adapters.add(process, options)
     if options.engine_url:
         gate_adapter = _add_engine_adapters(
             node_runtime, options, state_machine, transport
