Share construction and closing of the two service clients

Cause: HttpEngine and HttpPlainService repeated constructor, from_config and close line for line, the next row of `duplicates` over toucanspread/ops.

Change: both inherit the three methods from one base class; the interfaces Engine and PlainService stay as they are.

Result: the tests of toucanspread/ops and chaos_test.py: 139 passed in 36 s; `duplicates` shows the pair no more.

--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -7,6 +7,7 @@
 import asyncio
 import urllib.parse
 from collections.abc import AsyncIterator
+from typing import Self
 
 import msgspec
 from twisted.web import http
@@ -129,21 +130,25 @@
     queued: int = 0
 
 
-class HttpEngine(Engine):
-    """HTTP client of an engine."""
+class _ServiceClient:
+    """Base of the HTTP clients of an engine and of a plain service."""
 
     def __init__(self, client: http_client.HttpClient):
         self._client = client
 
     @classmethod
-    def from_config(cls, address: data.Address) -> "HttpEngine":
-        """Return an engine at ``ip:port``."""
+    def from_config(cls, address: data.Address) -> Self:
+        """Return a client of the service at ``ip:port``."""
         return cls(http_client.HttpClient(address))
 
     async def close(self) -> None:
         """Close the idle connections."""
         await self._client.close()
 
+
+class HttpEngine(_ServiceClient, Engine):
+    """HTTP client of an engine."""
+
     async def put_chunk(self, chunk_hash: data.ChunkHash, payload: bytes) -> None:
         """Stage a chunk."""
         path = f"/v1/staging/{chunk_hash}"
@@ -248,21 +253,9 @@
         return reply.body
 
 
-class HttpPlainService(PlainService):
+class HttpPlainService(_ServiceClient, PlainService):
     """HTTP client of a plain service."""
 
-    def __init__(self, client: http_client.HttpClient):
-        self._client = client
-
-    @classmethod
-    def from_config(cls, address: data.Address) -> "HttpPlainService":
-        """Return a plain service at ``ip:port``."""
-        return cls(http_client.HttpClient(address))
-
-    async def close(self) -> None:
-        """Close the idle connections."""
-        await self._client.close()
-
     async def call(self, request: data.Request, body: bytes) -> tuple[int, bytes]:
         """Return the status and payload of the service's answer."""
         headers = _request_headers(request)
