Ask at most eight entries for a manifest at the same time

At eight pending requests the next entry is asked when one has ended. Entries that are dead are still passed over without delay, as the test with five of them demands. test_slow_entries_are_not_all_requested_for_the_manifest_at_once fails without the change (70 pending).

--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -24,6 +24,7 @@
 )
 
 MAX_HOLDER_ATTEMPTS = 3  # a holder asks others itself; the stager retries later
+MAX_PENDING_MANIFEST_REQUESTS = 8  # more would load entries that are slow already
 UNREACHABLE_BACKOFF_S = 2.0  # an unreachable entry is tried last for this time
 # A manifest is small, so the next holder is asked before the first one times out.
 NEXT_HOLDER_DELAY_S = 0.1
@@ -213,7 +214,9 @@
         digests = None
         for holder in self._rank_holders(key):
             requests.add(asyncio.ensure_future(self._fetch_digests(key, holder)))
-            digests = await _wait_for_first_result(requests, NEXT_HOLDER_DELAY_S)
+            may_add = len(requests) < MAX_PENDING_MANIFEST_REQUESTS
+            delay_s = NEXT_HOLDER_DELAY_S if may_add else None
+            digests = await _wait_for_first_result(requests, delay_s)
             if digests is not None:
                 break
         while requests and digests is None:
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/staging_driver_test.py
@@ -55,10 +55,12 @@
         super().__init__(task.Clock())
         self.remaining_count = 1_000
         self.unreachable_call_count = 0
+        self.pending_manifest_count = 0
 
     async def call(self, address, head, body=b"", timeout_s=1.0):
         target, _, query = head.target.decode().partition("?")
         if address == UNREACHABLE and target == piece_cache.MANIFEST_TARGET:
+            self.pending_manifest_count += 1
             await asyncio.Event().wait()
         if address == UNREACHABLE:
             self.unreachable_call_count += 1
@@ -173,6 +175,13 @@
         self.run_process()
         self.assertEqual(1, self.engine.version)
 
+    def test_slow_entries_are_not_all_requested_for_the_manifest_at_once(self):
+        self.patch(staging_driver, "NEXT_HOLDER_DELAY_S", 0.0)
+        self.entries = [make_record(f"x{number}", UNREACHABLE) for number in range(70)]
+        self.run_process()
+        limit = staging_driver.MAX_PENDING_MANIFEST_REQUESTS
+        self.assertEqual(limit, self.pool.pending_manifest_count)
+
     def test_unreachable_entry_is_not_requested_for_each_piece(self):
         self.patch(staging_driver, "NEXT_HOLDER_DELAY_S", 0.0)
         self.entries += [make_record(f"x{number}", UNREACHABLE) for number in range(5)]
