Pass on items that changed while all items were read

A copy that is read as a whole has the revision of its first page, but items of later pages may be newer. Such an item was not in the history of the copy, and when the store reported its change again it was known already; so a follower that had the revision never got it.

Items that are newer than the revision are now part of the history. test_a_follower_gets_an_item_that_changed_while_all_items_were_read fails without that.

--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -116,6 +116,11 @@
         self._history.clear()
         self._history_bytes = 0
         self._history_from = revision
+        # Items may be newer than the revision; followers that have the revision need
+        # them as changes.
+        newer = [item for item in items_by_key.values() if item.revision > revision]
+        for change in sorted(newer, key=lambda change: change.revision):
+            self._add_to_history(change)
         self._confirm(revision, confirmed_s)
         return new
 
--- a/toucanspread/core/view/store_view_test.py
+++ b/toucanspread/core/view/store_view_test.py
@@ -25,6 +25,16 @@
         self.assertEqual(["a", "c"], [change.key for change in new])
         self.assertIsNone(view.get("a"))
 
+    def test_a_follower_gets_an_item_that_changed_while_all_items_were_read(self):
+        leader, follower = store_view.View(), store_view.View()
+        for view in (leader, follower):
+            view.apply([make_write("a", 1), make_write("b", 2)], 2, 0.0)
+        leader.replace([make_write("a", 1), make_write("b", 3)], 2, 1.0)
+        leader.apply([make_write("b", 3)], 3, 2.0)
+        excerpt = leader.make_excerpt(follower.revision, ("",), 2.0)
+        follower.apply(excerpt.changes, excerpt.revision, 2.0)
+        self.assertEqual(leader.items_under(""), follower.items_under(""))
+
     def test_an_older_complete_copy_is_ignored(self):
         view = store_view.View()
         view.apply([make_write("a", 9)], 9, 0.0)
