Tell copies of one revision apart when their compressed changes are kept

The key under which compressed changes are kept had only the revision and the number of changes, so that the older ones would have been sent. It has the revision of the newest change now. The new test of excerpt_codec fails without that.

--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -65,8 +65,9 @@
         )
 
     def _compress_changes(self, excerpt: store_view.Excerpt, prefixes: str) -> bytes:
-        # Changes up to one revision are the same if there are as many of them.
-        key = (excerpt.revision, excerpt.is_whole, len(excerpt.changes), prefixes)
+        # Changes are the same if there are as many of them up to the same newest one.
+        newest = max(change.revision for change in excerpt.changes)
+        key = (newest, excerpt.is_whole, len(excerpt.changes), prefixes)
         compressed = self._compressed_by_key.get(key)
         if compressed is None:
             encoded = msgspec.msgpack.encode(excerpt.changes)
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/excerpt_codec_test.py
@@ -56,6 +56,16 @@
         body = self.encode(other, prefixes="other")
         self.assertEqual(other, excerpt_codec.decode_excerpt(body))
 
+    def test_a_copy_read_again_at_the_same_revision_does_not_share_its_changes(self):
+        for value in (b"y", b"z"):
+            changes = (
+                store_view.KeyChange("a", 7 + (value == b"z"), value * 2_000),
+                store_view.KeyChange("b", 2, b"x"),
+            )
+            excerpt = store_view.Excerpt(5, 0.25, True, changes)
+            body = self.encode(excerpt)
+            self.assertEqual(excerpt, excerpt_codec.decode_excerpt(body))
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_of_a_peer_are_an_error_of_their_own(self, body):
         try:
