Test the manifest command

Change: two tests run it through the command line: the manifest that is written is that of the directory and has the printed hash; truncated weights are refused with exit code 2 and leave no file.

--- a/toucanspread/tools/cli_test.py
+++ b/toucanspread/tools/cli_test.py
@@ -2,6 +2,7 @@
 import io
 import json
 import pathlib
+import sys
 import tempfile
 from unittest import mock
 
@@ -9,6 +10,8 @@
 import testtools
 
 from toucanspread.core import data
+from toucanspread.core.transfers import manifest
+from toucanspread.ops import weight_files
 from toucanspread.tools import cli, client
 
 INTENTS = """
@@ -150,3 +153,44 @@
         code, output = self.diff([])
         self.assertEqual(1, code)
         self.assertIn("+ reservas: not accepted yet", output)
+
+
+class ManifestTest(CommandTestCase):
+    def setUp(self):
+        super().setUp()
+        self.weights = self.directory / "weights"
+        weight_files.make_sample(self.weights, seed=1, size_bytes=64 * 1024)
+        self.output = self.directory / "manifest.json"
+
+    def run_command_line(self, *words):
+        with mock.patch.object(sys, "argv", ["toucanspread", *words]):
+            return self.run_command(cli.main)
+
+    def build(self):
+        return self.run_command_line(
+            "manifest",
+            str(self.weights),
+            "--model=redactor",
+            "--version=v1",
+            f"--output={self.output}",
+        )
+
+    def test_manifest_describes_the_directory_and_has_the_printed_hash(self):
+        code, output = self.build()
+        self.assertEqual(0, code, output)
+        written = manifest.decode(self.output.read_bytes())
+        self.assertEqual(("redactor", "v1"), (written.model, written.version))
+        paths = {p for p in self.weights.rglob("*") if p.is_file()}
+        found = {self.weights / entry.path for entry in written.files}
+        self.assertEqual(paths, found)
+        expected = weight_files.build_manifest(self.weights, "redactor", "v1")
+        self.assertEqual(expected, written)
+        self.assertEqual(f"{manifest.hash_manifest(written)}\n", output)
+
+    def test_truncated_weights_are_refused_and_no_manifest_is_written(self):
+        shard = next(self.weights.glob("*.safetensors"))
+        shard.write_bytes(shard.read_bytes()[:-1])
+        code, output = self.build()
+        self.assertEqual(cli.EXIT_USAGE, code)
+        self.assertIn(shard.name, output)
+        self.assertFalse(self.output.exists())
