--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,144 @@
+"""Stand-ins for an engine and for the origin of weights, with the platform's calls.
+
+They answer at once and have no faults; tests read from their attributes what they
+received.
+"""
+
+import hashlib
+import json
+from typing import NamedTuple
+
+import msgspec
+from twisted.web import resource, server
+
+ANSWER_BODY = bytes(range(256)) * 40  # no text, and larger than one segment
+SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+BORN_MS = 1771433930076
+REPORT_PATH = "/-/report"
+ORDER_PATH = "/-/order"
+STAGE_PUT_PATH = "/-/stage-put/"
+STAGE_GET_PATH = "/-/stage-get/"
+MANIFEST_PATH = "/-/manifest/"
+PIECE_PATH = "/-/piece/"
+
+
+class EngineRequest(NamedTuple):
+    """A request of a caller, as an engine received it.
+
+    :param headers: first value of each header, by its name in lower case.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class EngineResource(resource.Resource):
+    """An engine that gives callers a sealed answer and loads staged weights at once.
+
+    :param model: name of its model.
+    :ivar version: version of the weights that it holds.
+    :ivar pieces: staged pieces by their number.
+    :ivar orders: accepted orders.
+    :ivar requests: requests of callers.
+    :ivar report_count: number of reports that were read.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, model: str):
+        super().__init__()
+        self.model = model
+        self.version = 1
+        self.pieces: dict[int, bytes] = {}
+        self.orders: list[dict] = []
+        self.requests: list[EngineRequest] = []
+        self.report_count = 0
+
+    def render(self, request: server.Request) -> bytes:
+        """Answer a request of a caller or a call of the system."""
+        path = request.path.decode()
+        if path == REPORT_PATH:
+            self.report_count += 1
+            return msgspec.json.encode(self._make_report())
+        if path == ORDER_PATH:
+            return self._accept_order(request)
+        if path.startswith(STAGE_PUT_PATH):
+            self.pieces[_get_number(request)] = request.content.read()
+            return b""
+        if path.startswith(STAGE_GET_PATH):
+            return self._read_staged(request)
+        return self._answer_caller(request)
+
+    def _make_report(self) -> dict:
+        return {
+            "stage": "both",
+            "models": [{"name": self.model, "version": self.version, "adapters": []}],
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued": 0,
+            "active": 0,
+            "pace": 1.0,
+            "born": BORN_MS,
+        }
+
+    def _accept_order(self, request: server.Request) -> bytes:
+        order = json.load(request.content)
+        if order["expected"] != len(self.orders):
+            request.setResponseCode(409)
+            return b""
+        self.orders.append(order)
+        self.version = order["version"]
+        request.setResponseCode(202)
+        return b""
+
+    def _read_staged(self, request: server.Request) -> bytes:
+        if b"num" not in request.args:
+            return msgspec.json.encode({"held": sorted(self.pieces)})
+        piece = self.pieces.get(_get_number(request))
+        if piece is None:
+            request.setResponseCode(404)
+            return b""
+        return piece
+
+    def _answer_caller(self, request: server.Request) -> bytes:
+        headers = {
+            name.decode().lower(): values[0].decode()
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        method, target = request.method.decode(), request.uri.decode()
+        body = request.content.read()
+        self.requests.append(EngineRequest(method, target, headers, body))
+        request.setHeader("x-attempt-id", headers["x-attempt-id"])
+        request.setHeader("x-response-seal", SEAL)
+        request.setHeader("content-type", "application/x-own")
+        return ANSWER_BODY
+
+
+class OriginResource(resource.Resource):
+    """The service with all weights.
+
+    :param pieces: the pieces of its only version, in order.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, pieces: list[bytes]):
+        super().__init__()
+        self.pieces = pieces
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Serve the manifest or a piece."""
+        path = request.path.decode()
+        if path.startswith(MANIFEST_PATH):
+            digests = [hashlib.sha256(piece).hexdigest() for piece in self.pieces]
+            return msgspec.json.encode({"digests": digests})
+        if path.startswith(PIECE_PATH):
+            return self.pieces[_get_number(request)]
+        request.setResponseCode(404)
+        return b""
+
+
+def _get_number(request: server.Request) -> int:
+    return int(request.args[b"num"][0])
