Notice a change of the settings file during the start of a process

A process read its settings, and only later the stamp by which it notices changes. A change between the two was not noticed, also not on SIGHUP, until the next one. Seen in a trial with a delay of 1.5 s between the two: the sidecar did not read the new file within 20 s.

The stamp is now read before the file.

--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from twisted.internet import reactor, task
 
@@ -45,16 +46,36 @@
         return False
 
 
+class FileStamp(NamedTuple):
+    """Properties by which a change of a file is noticed; zero if it is unreadable."""
+
+    modified_ns: int = 0
+    size_bytes: int = 0
+
+
+def read_stamp(path: pathlib.Path) -> FileStamp:
+    """Return the stamp of a file; to be read before its contents."""
+    try:
+        file_status = os.stat(path)
+    except OSError as error:
+        logs.write("settings_unreadable", why=str(error))
+        return FileStamp()
+    return FileStamp(file_status.st_mtime_ns, file_status.st_size)
+
+
 class SettingsFileWatcher:
     """Calls back when the settings file has changed.
 
+    :param stamp: stamp of the file before the settings in force were read from it.
     :param on_change: called after a change of the modification time or the size.
     """
 
-    def __init__(self, path: pathlib.Path, on_change: Callable[[], None]):
+    def __init__(
+        self, path: pathlib.Path, stamp: FileStamp, on_change: Callable[[], None]
+    ):
         self._path = path
         self._on_change = on_change
-        self._last_stamp = self._read_stamp()
+        self._last_stamp = stamp
         self._poll_task = task.LoopingCall(self.check)
 
     def start(self) -> None:
@@ -63,19 +84,11 @@
 
     def check(self) -> None:
         """Check the file now."""
-        stamp = self._read_stamp()
+        stamp = read_stamp(self._path)
         if stamp != self._last_stamp:
             self._last_stamp = stamp
             self._on_change()
 
-    def _read_stamp(self) -> tuple[int, int]:
-        try:
-            file_status = os.stat(self._path)
-        except OSError as error:
-            logs.write("settings_unreadable", why=str(error))
-            return (0, 0)
-        return (file_status.st_mtime_ns, file_status.st_size)
-
 
 def listen(
     address: str, handler: http1_server.RequestHandler
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -49,9 +49,15 @@
     """The program, assembled from its parts.
 
     :param path: of the settings file.
+    :param stamp: stamp of the settings file before it was read.
     """
 
-    def __init__(self, process_settings: settings.Settings, path: pathlib.Path):
+    def __init__(
+        self,
+        process_settings: settings.Settings,
+        path: pathlib.Path,
+        stamp: process.FileStamp,
+    ):
         process_settings.require("front", "readiness", "control", "directory")
         self.process_settings = process_settings
         self.random_source = random.Random()
@@ -106,7 +112,7 @@
             self._report_receiver.send_prompt_notice,
         )
         self._registration = registration.Registration(self._store, self._make_record())
-        self._settings_file = process.SettingsFileWatcher(path, self._reload)
+        self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
         self._path = path
         self._server: http1_server.ServerFactory | None = None
 
@@ -303,9 +309,10 @@
 def main() -> None:
     """Run the entry with the settings file that the platform names."""
     path = pathlib.Path(os.environ.get(settings.PATH_VARIABLE, ""))
+    stamp = process.read_stamp(path)
     try:
         process_settings = settings.Settings.from_file(path)
-        entry = Entry(process_settings, path)
+        entry = Entry(process_settings, path, stamp)
     except settings.SettingsError as error:
         process.exit_with_error(str(error))
     process.start_logs(process_settings.node_name, "entry")
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -53,9 +53,15 @@
     """The program, assembled from its parts.
 
     :param path: of the settings file.
+    :param stamp: stamp of the settings file before it was read.
     """
 
-    def __init__(self, process_settings: settings.Settings, path: pathlib.Path):
+    def __init__(
+        self,
+        process_settings: settings.Settings,
+        path: pathlib.Path,
+        stamp: process.FileStamp,
+    ):
         self.process_settings = process_settings
         self._pool = http1_pool.ConnectionPool(reactor)
         self._store = store.PlatformStore(self._pool, process_settings.platform.address)
@@ -87,7 +93,7 @@
             needs_all_keys=False,
         )
         self._path = path
-        self._settings_file = process.SettingsFileWatcher(path, self._reload)
+        self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
 
     def start(self) -> None:
         """Start to follow the store and the engine."""
@@ -257,12 +263,13 @@
 def main() -> None:
     """Run the sidecar with the settings file that the platform names."""
     path = pathlib.Path(os.environ.get(settings.PATH_VARIABLE, ""))
+    stamp = process.read_stamp(path)
     try:
         process_settings = settings.Settings.from_file(path)
     except settings.SettingsError as error:
         process.exit_with_error(str(error))
     process.start_logs(process_settings.node_name, "side")
-    sidecar = Sidecar(process_settings, path)
+    sidecar = Sidecar(process_settings, path, stamp)
     process.run(sidecar.start, sidecar.terminate, sidecar.check_settings_file)
 
 
