Keep the copies of a zone fresh after further failures, without all asking the store

Callers would have seen the same as before: 404 and 401 long after a change.

- A leader that had been silent for 2 s: its zone followed the store as a whole (28 answers for one change, 4.9 s until the last entry had it), since the deputy's first call to the store waits 0.75 s and the others wait only 0.5 s for it.
A process that turns to the store now asks it for an immediate answer first, and deputies that respond are asked before the store.
- A transfer to the leader of more than 1.3 s (2.2 Mbit/s between regions and less): all took the leader's copy for too old and asked the store themselves; at 1.8 Mbit/s no entry had the change after 30 s.
While deputies respond, the store is asked only after 2 s, and entries of other zones meanwhile.
- Three silent sources before the store: each was asked again before the store had its turn, for good.
A silent source is now probed only now and then while another one may be asked; if there is none, the one that failed first has its turn.
- A deletion of a key that a process never had was not passed on since the history holds only the last change of a key, so that a follower kept the key.

--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -67,6 +67,33 @@
         self.assertEqual({b"2"}, values)
 
     def test_changes_are_in_time_after_the_leader_has_become_silent(self):
+        for silent_s in (0.0, 1.0, 2.0, 3.0):
+            zone = self.start_zone(route_count=1_480)
+            zone.leader().machine.handle = None
+            zone.run(silent_s)
+            self.assert_in_time(self.change_in_quick_succession(zone, 2))
+
+    def test_a_zone_does_not_follow_the_store_after_its_leader_has_become_silent(self):
         zone = self.start_zone(route_count=1_480)
         zone.leader().machine.handle = None
-        self.assert_in_time(self.change_in_quick_succession(zone, 2))
+        zone.run(3.0)
+        sent_bytes = zone.store.machine.uplink.sent_bytes
+        revision, written_s = zone.change_configuration(), zone.now_s
+        self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
+        sent_bytes = zone.store.machine.uplink.sent_bytes - sent_bytes
+        answer_bytes = len(zone.encode_configuration()) * 4 / 3
+        self.assertLess(sent_bytes, 4 * answer_bytes)
+
+    def test_processes_find_the_store_after_deputies_have_failed_one_by_one(self):
+        zone = self.start_zone()
+        ranked = zone.rank_entries()
+        ranked[0].machine.handle = None
+        zone.run(6.0)
+        for entry in ranked[1:3]:
+            entry.machine.handle = None
+        zone.run(2.0)
+        revision, written_s = zone.change_configuration(), zone.now_s
+        self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
+        zone.run(5.0)
+        ages_s = [process.age_s() for process in zone.entries + zone.sidecars]
+        self.assertLess(max(ages_s), IN_FORCE_WITHIN_S)
--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from toucanspread.core import data, rendezvous
@@ -23,9 +24,13 @@
 STALE_SOURCE_BACKOFF_S = 0.3  # a source without newer data may get it soon
 DEPUTY_COUNT = 3  # entries that may take over while their leader fails
 DEPUTY_WAIT_S = 0.5  # for a deputy to notice the failure itself
+# If deputies respond but have no newer copy, the path to the store is slow, and more
+# processes that ask the store would slow it further.
+SLOW_STORE_WAIT_S = 2.0
 # Processes that may begin to ask the store within DEPUTY_WAIT_S; all at once would
 # saturate the links between regions when a large value changes.
 STORE_GROUP_SIZE = 8
+FAILURE_MEMORY_S = 3.0  # a source that failed longer ago may have recovered
 BATCH_DELAY_S = 0.1  # changes in quick succession are fetched together
 RETRY_DELAY_S = 0.15
 
@@ -69,12 +74,6 @@
     deputies: list[Source]
     own_rank: int
 
-    def prefer_store(self) -> "_Ranking":
-        """Return the ranking with the store directly after the primary source."""
-        others = [source for source in self.sources[1:] if source != STORE]
-        sources = list(dict.fromkeys([self.sources[0], STORE, *others]))
-        return self._replace(sources=sources)
-
 
 class SourceSelector:
     """Ranks the sources and backs off from those that failed recently.
@@ -91,7 +90,9 @@
         self._backoff_until_s: dict[Source, float] = {}
         self._unusable_since_s: dict[Source, float] = {}
         self._primary = STORE
-        self._failed: set[Source] = set()
+        self._failed_s: dict[Source, float] = {}
+        self._responding: set[Source] = set()
+        self._probe_allowed_s = float("-inf")
         self._verified: Source | None = None
 
     def select_source(
@@ -100,20 +101,48 @@
         seeds: list[data.Address],
         now_s: float,
     ) -> Source | None:
-        """Return the source to ask next, or None if there is none to ask now."""
+        """Return the source to ask next, or None if there is none to ask now.
+
+        A source that did not respond costs the time of a timeout. While another one may
+        be asked, such sources are probed only now and then.
+        """
         ranking = self._rank_sources(peers, seeds)
         self._primary = ranking.sources[0]
-        may_ask_store = now_s >= self._store_allowed_s(ranking)
-        if may_ask_store and self._verified not in ranking.deputies:
-            ranking = ranking.prefer_store()
-        for source in ranking.sources:
+        eligible = self._list_eligible(ranking, now_s)
+        silent = [source for source in eligible if self._is_silent(source, now_s)]
+        sound = [source for source in eligible if source not in silent]
+        if sound and (not silent or now_s < self._probe_allowed_s):
+            return sound[0]
+        if sound:
+            return silent[0]
+        # The one that failed first has its turn, so that each of them has one.
+        return min(silent, key=self._failed_s.get, default=None)
+
+    def _list_eligible(self, ranking: _Ranking, now_s: float) -> list[Source]:
+        may_ask_store = now_s >= self._store_allowed_s(ranking, now_s)
+        eligible = []
+        for source in self._order_for_store(ranking, may_ask_store):
             if source == STORE and not may_ask_store:
                 if self._awaits_deputies(ranking, now_s):
-                    return None
+                    break
                 continue
             if now_s >= self._backoff_until_s.get(source, now_s):
-                return source
-        return None
+                eligible.append(source)
+        return eligible
+
+    def _order_for_store(
+        self, ranking: _Ranking, may_ask_store: bool
+    ) -> Iterable[Source]:
+        """Return the sources with the store before deputies that may not respond."""
+        if not may_ask_store:
+            return ranking.sources
+        responding = [d for d in ranking.deputies if d in self._responding]
+        return dict.fromkeys(
+            [ranking.sources[0], *responding, STORE, *ranking.sources[1:]]
+        )
+
+    def _is_silent(self, source: Source, now_s: float) -> bool:
+        return now_s < self._failed_s.get(source, float("-inf")) + FAILURE_MEMORY_S
 
     def _rank_sources(self, peers: list[Peer], seeds: list[data.Address]) -> "_Ranking":
         same_zone = {peer.name: peer for peer in peers if peer.zone == self.zone}
@@ -139,24 +168,26 @@
         )
         return _Ranking(ranked, leading[1:], own_rank)
 
-    def _store_allowed_s(self, ranking: "_Ranking") -> float:
+    def _store_allowed_s(self, ranking: _Ranking, now_s: float) -> float:
         """Return when this process may ask the store, if its leader has failed."""
         unusable_since_s = self._unusable_since_s.get(self._primary)
         if not ranking.deputies or unusable_since_s is None:
             return float("-inf")
         earlier_groups = (ranking.own_rank - 1) // STORE_GROUP_SIZE
         wait_s = earlier_groups * DEPUTY_WAIT_S
-        if not self._failed.issuperset(ranking.deputies):
+        if not self._responding.isdisjoint(ranking.deputies):
+            wait_s += SLOW_STORE_WAIT_S
+        elif not all(self._is_silent(deputy, now_s) for deputy in ranking.deputies):
             wait_s += DEPUTY_WAIT_S
         return unusable_since_s + wait_s
 
-    def _awaits_deputies(self, ranking: "_Ranking", now_s: float) -> bool:
+    def _awaits_deputies(self, ranking: _Ranking, now_s: float) -> bool:
         """Return whether a deputy may have a newer copy soon.
 
         The leader fails for the deputies as well, but they may notice it a little
         later than this process.
         """
-        if self._failed.issuperset(ranking.deputies):
+        if all(self._is_silent(deputy, now_s) for deputy in ranking.deputies):
             return False
         return now_s < self._unusable_since_s[self._primary] + DEPUTY_WAIT_S
 
@@ -164,7 +195,11 @@
         """Record that a source failed; return whether it was usable before."""
         was_usable = source not in self._unusable_since_s
         self._unusable_since_s.setdefault(source, now_s)
-        self._failed.add(source)
+        self._failed_s[source] = now_s
+        self._responding.discard(source)
+        self._probe_allowed_s = now_s + FAILED_SOURCE_BACKOFF_S
+        if source == self._verified:
+            self._verified = None
         self._backoff_until_s[source] = now_s + FAILED_SOURCE_BACKOFF_S
         return was_usable
 
@@ -173,7 +208,8 @@
 
         :param age_s: age of this process's copy after the answer.
         """
-        self._failed.discard(source)
+        self._failed_s.pop(source, None)
+        self._responding.add(source)
         if self._is_usable(source, age_s, now_s):
             self._verified = source
             self._backoff_until_s.pop(source, None)
@@ -200,15 +236,17 @@
         )
 
     def wait_s(self, source: Source, age_s: float) -> float:
-        """Return how long a peer may wait for a change before it answers.
+        """Return how long a source may wait for a change before it answers.
 
         :param age_s: age of this process's copy.
         """
-        if age_s > MAX_TRUSTED_AGE_S or source in self._unusable_since_s:
+        if source in self._unusable_since_s:
             return 0.0
         if source not in (self._primary, self._verified):
             return 0.0
-        return PEER_WAIT_S
+        if source == STORE:
+            return STORE_WAIT_S
+        return PEER_WAIT_S if age_s <= MAX_TRUSTED_AGE_S else 0.0
 
 
 def _rank_leaders_first(name: str, peers: dict[str, Peer]) -> list[Source]:
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -149,6 +149,8 @@
             return False
         if change.value is None:
             if known is None:
+                # A follower may still have the key.
+                self._add_to_history(change)
                 return False
             del self._items[change.key]
         else:
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -160,11 +160,12 @@
         if self.view.is_empty or self._must_read_all or not self._can_watch:
             await self._read_all()
             return
+        age_s = self.view.age_s(self._pool.reactor.seconds())
+        # Followers of this process need to know soon whether the store serves it.
+        wait_s = self._selector.wait_s(source_selection.STORE, age_s)
         try:
             answer = await self._store.watch(
-                self._store_prefixes[0],
-                self.view.revision,
-                source_selection.STORE_WAIT_S,
+                self._store_prefixes[0], self.view.revision, wait_s
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
