--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -211,19 +211,22 @@
     ) -> tuple[str, ...] | None:
         """Return the digests from the first entry that answers, or None."""
         requests: set[asyncio.Task] = set()
-        digests = None
-        for holder in self._rank_holders(key):
-            requests.add(asyncio.ensure_future(self._fetch_digests(key, holder)))
-            may_add = len(requests) < MAX_PENDING_MANIFEST_REQUESTS
-            delay_s = NEXT_HOLDER_DELAY_S if may_add else None
-            digests = await _wait_for_first_result(requests, delay_s)
-            if digests is not None:
-                break
-        while requests and digests is None:
-            digests = await _wait_for_first_result(requests, None)
-        for task in requests:
-            task.cancel()
-        return digests
+        try:
+            for holder in self._rank_holders(key):
+                requests.add(asyncio.ensure_future(self._fetch_digests(key, holder)))
+                may_add = len(requests) < MAX_PENDING_MANIFEST_REQUESTS
+                delay_s = NEXT_HOLDER_DELAY_S if may_add else None
+                digests = await _wait_for_first_result(requests, delay_s)
+                if digests is not None:
+                    return digests
+            while requests:
+                digests = await _wait_for_first_result(requests, None)
+                if digests is not None:
+                    return digests
+        finally:
+            for task in requests:
+                task.cancel()
+        return None
 
     async def _fetch_digests(
         self, key: piece_placement.PieceKey, holder: entry_directory.EntryRecord
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/staging_driver_test.py
@@ -10,7 +10,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import entry_directory
-from toucanspread.core.weights import staging
+from toucanspread.core.weights import staging, staging_events
 from toucanspread.ops import engine_control, http1_pool, piece_cache, staging_driver
 
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 2, 4, 7, 0.1)
@@ -56,12 +56,12 @@
         self.remaining_count = 1_000
         self.unreachable_call_count = 0
         self.pending_manifest_count = 0
+        self.max_pending_manifest_count = 0
 
     async def call(self, address, head, body=b"", timeout_s=1.0):
         target, _, query = head.target.decode().partition("?")
         if address == UNREACHABLE and target == piece_cache.MANIFEST_TARGET:
-            self.pending_manifest_count += 1
-            await asyncio.Event().wait()
+            await self._wait_for_ever()
         if address == UNREACHABLE:
             self.unreachable_call_count += 1
             raise http1_pool.CallError(None, "not connected")
@@ -73,6 +73,16 @@
         parameters = dict(item.split("=") for item in query.split("&"))
         return http1_pool.Reply(200, None, BYTES[int(parameters["number"])])
 
+    async def _wait_for_ever(self):
+        self.pending_manifest_count += 1
+        self.max_pending_manifest_count = max(
+            self.max_pending_manifest_count, self.pending_manifest_count
+        )
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.pending_manifest_count -= 1
+
 
 def make_record(name, control):
     return entry_directory.EntryRecord(
@@ -136,19 +146,22 @@
         self.pool = Pool()
         self.entries = [make_record("e", "e:2")]
 
+    def make_driver(self):
+        return staging_driver.StagingDriver(
+            staging.Stager(PROFILE, 0.1),
+            self.engine,
+            data.Address("a:1"),
+            self.pool,
+            lambda: self.entries,
+            "r",
+            Sender(),
+        )
+
     def run_process(self, turns=200):
         """Run a driver process for some turns of the event loop, then end it."""
 
         async def run_driver():
-            driver = staging_driver.StagingDriver(
-                staging.Stager(PROFILE, 0.1),
-                self.engine,
-                data.Address("a:1"),
-                self.pool,
-                lambda: self.entries,
-                "r",
-                Sender(),
-            )
+            driver = self.make_driver()
             driver_task = asyncio.ensure_future(driver.run())
             for _ in range(turns):
                 self.pool.reactor.advance(0.01)
@@ -180,7 +193,24 @@
         self.entries = [make_record(f"x{number}", UNREACHABLE) for number in range(70)]
         self.run_process()
         limit = staging_driver.MAX_PENDING_MANIFEST_REQUESTS
-        self.assertEqual(limit, self.pool.pending_manifest_count)
+        self.assertEqual(limit, self.pool.max_pending_manifest_count)
+
+    def test_requests_for_a_manifest_end_when_nobody_waits_for_it_any_more(self):
+        self.patch(staging_driver, "NEXT_HOLDER_DELAY_S", 0.0)
+        self.entries = [make_record(f"x{number}", UNREACHABLE) for number in range(5)]
+        driver = self.make_driver()
+
+        async def cancel_read():
+            effect = staging_events.ReadDigests(2)
+            reading = asyncio.ensure_future(driver._read_digests(effect))
+            while self.pool.pending_manifest_count < 5:
+                await asyncio.sleep(0)
+            reading.cancel()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            return self.pool.pending_manifest_count
+
+        self.assertEqual(0, asyncio.run(cancel_read()))
 
     def test_unreachable_entry_is_not_requested_for_each_piece(self):
         self.patch(staging_driver, "NEXT_HOLDER_DELAY_S", 0.0)
