--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -15,6 +15,7 @@
 from toucanspread.core import data, rendezvous
 
 STORE_WAIT_S = 0.75  # below 2 s with its grace period and a new connection
+STORE_READ_INTERVAL_S = 1.5  # for processes that read the store instead of watching it
 PEER_WAIT_S = 0.75
 ANSWER_GRACE_S = 0.5  # delay of an answer beyond the requested wait
 # Two waits with their answers; a process with an older copy also asks other sources.
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -132,7 +132,7 @@
         if self._selector.record_answer(source, self.view.age_s(now_s), now_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
         if source == source_selection.STORE and not self._can_watch:
-            await asyncio.sleep(source_selection.STORE_WAIT_S)
+            await asyncio.sleep(source_selection.STORE_READ_INTERVAL_S)
 
     def _record_failure(
         self, source: source_selection.Source, error: Exception
