Read all items after an answer of the store that was too slow

A watch after an old revision returns every version of a value that has changed since, here six and more configurations of 358 KB for each of up to eight processes.

After an answer of which a part came, but not all in time, the process reads all items next, which is bounded. An answer is waited for 3 s, not 6 s, since the platform's bounds are not longer.

--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -15,7 +15,7 @@
 IDLE_TIMEOUT_FACTOR = 0.7  # servers may close a little before their idle timeout
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for servers that announce no timeout
 MAX_IDLE_PER_SERVER = 32
-MAX_ANSWER_S = 6.0  # an answer that is slower is of no use to anyone who waits for it
+MAX_ANSWER_S = 3.0  # a slower answer is of no use to anyone who waits for it
 USER_TIMEOUT_MS = 3_000  # the path is dead if bytes stay unacknowledged this long
 
 
@@ -23,11 +23,18 @@
     """A call did not return a complete answer.
 
     :param failure: how the exchange failed; None after a timeout.
+    :param received_bytes: size of the part of the answer that was received.
     """
 
-    def __init__(self, failure: http1_client.ExchangeFailure | None, detail: str):
+    def __init__(
+        self,
+        failure: http1_client.ExchangeFailure | None,
+        detail: str,
+        received_bytes: int = 0,
+    ):
         super().__init__(detail)
         self.failure = failure
+        self.received_bytes = received_bytes
 
     @property
     def sent(self) -> bool:
@@ -243,6 +250,7 @@
                 None,
                 f"{address}: no complete answer in time ({timeout_s} s), "
                 f"{listener.received_bytes} bytes of it received",
+                listener.received_bytes,
             ) from caught
         finally:
             if not listener.is_finished:
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -24,6 +24,10 @@
         self.may_be_applied = may_be_applied
 
 
+class SlowAnswerError(StoreError):
+    """A part of the answer was received, but not all of it in time."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer keeps the changes since the requested revision."""
 
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -172,6 +172,10 @@
             self._must_read_all = True
             await self._read_all()
             return
+        except prefix_store.SlowAnswerError:
+            # The answer has all versions of each value; all items may be much less.
+            self._must_read_all = True
+            raise
         now_s = self._pool.reactor.seconds()
         changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
         self._notify_changes(self.view.apply(changes, answer.revision, now_s))
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.has_lost_history = False
         self.is_unavailable = False
+        self.is_slow = False
         self.revision = 1
         self.read_prefixes = []
 
@@ -33,6 +34,8 @@
     async def watch(self, prefix, after, wait_s):
         if self.has_lost_history:
             raise prefix_store.HistoryGoneError("history is gone")
+        if self.is_slow:
+            raise prefix_store.SlowAnswerError("slow")
         answer = self._changes()
         return answer if after < self.revision else answer._replace(changes=[])
 
@@ -109,6 +112,15 @@
         self.assertEqual([1, 9], [change.revision for change in self.changes])
         self.assertEqual([], self.pool.requested_targets)
 
+    def test_reads_all_keys_when_the_changes_since_the_copy_take_too_long(self):
+        self.sync()
+        self.store.revision = 9
+        self.store.is_slow = True
+        self.sync()
+        self.pool.reactor.advance(source_selection.FAILED_SOURCE_BACKOFF_S)
+        self.sync()
+        self.assertEqual([1, 9], [change.revision for change in self.changes])
+
     def test_reads_peer_records_before_all_keys(self):
         records = []
         discovery = view_sync.PeerDiscovery("entries/", records.extend)
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -147,6 +147,8 @@
                 self._address, head, body, timeout_s, STALL_TIMEOUT_S
             )
         except http1_pool.CallError as error:
+            if error.received_bytes:
+                raise prefix_store.SlowAnswerError(str(error)) from error
             raise prefix_store.StoreError(str(error), error.sent) from error
 
     def _check(self, reply: http1_pool.Reply) -> None:
