--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -40,6 +40,7 @@
     """A machine with its link and the server that runs on it.
 
     :ivar handle: answers an exchange; None if the machine does not respond.
+    :ivar is_cut: whether nothing passes between this machine and the others.
     :ivar links: further links between this machine and all others.
     """
 
@@ -49,6 +50,7 @@
         self.downlink = Link(mbps)
         self.links: list[Link] = []
         self.handle: Callable[[Exchange], None] | None = None
+        self.is_cut = False
 
 
 class Network:
@@ -103,9 +105,14 @@
         self._is_answered = True
         self._network.loop.create_task(self._send(status, list(headers), body))
 
+    @property
+    def _is_cut(self) -> bool:
+        return self.caller.is_cut or self._server.is_cut
+
     def _arrive(self) -> None:
-        if not self._is_closed and self._server.handle is not None:
-            self._server.handle(self)
+        if self._is_closed or self._is_cut or self._server.handle is None:
+            return
+        self._server.handle(self)
 
     def _disconnect(self) -> None:
         if not self._is_answered:
@@ -139,7 +146,10 @@
         return at_s + DELAY_S
 
     def _receive(self, callback, *arguments) -> None:
-        if not self._is_closed:
+        if self._is_cut:
+            # The rest of the answer is of no use without the lost part.
+            self._listener = _IGNORE
+        elif not self._is_closed and self._listener is not _IGNORE:
             callback(*arguments)
 
 
@@ -160,6 +170,25 @@
         return exchange
 
 
+class _IgnoringListener(http1_client.AnswerListener):
+    """Ignores the rest of an answer of which a part was lost."""
+
+    def on_head(self, head: http1.AnswerHead) -> bool:
+        return False
+
+    def on_body_data(self, part: bytes) -> None:
+        return
+
+    def on_end(self) -> None:
+        return
+
+    def on_failure(self, failure: http1_client.ExchangeFailure) -> None:
+        return
+
+
+_IGNORE = _IgnoringListener()
+
+
 def _parse_request(request: bytes) -> http1.RequestHead:
     lines = request.partition(b"\r\n\r\n")[0].split(b"\r\n")
     method, target, _ = lines[0].split(b" ")
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -126,6 +126,8 @@
 
     :param is_entry: whether it also serves its copy to others.
     :ivar received_s: time at which each revision of the configuration arrived.
+    :ivar handle_request: the server of an entry, which runs unless it is removed from
+        its machine.
     """
 
     def __init__(
@@ -157,7 +159,8 @@
         )
         if is_entry:
             program = SimpleNamespace(excerpts=self._excerpts, is_leaving=False)
-            self.machine.handle = entry_handlers.ControlHandler(program).on_request
+            self.handle_request = entry_handlers.ControlHandler(program).on_request
+            self.machine.handle = self.handle_request
 
     def get_value(self, key: str) -> bytes | None:
         """Return the value of a key in the process's copy."""
@@ -179,11 +182,13 @@
     """A zone whose processes have copies of a store with a configuration.
 
     :param route_count: number of routes of the first configuration.
+    :ivar configuration_revision: revision of the newest configuration.
     """
 
     def __init__(self, size: ZoneSize, route_count: int, seed: int = 1):
         self._random = random.Random(seed)
         self._loop = virtual_time.VirtualTimeLoop()
+        self.configuration_revision = 0
         self._routes: list[dict] = []
         network = link_simulation.Network(self._loop)
         self.store = SimulatedStore(network)
@@ -229,7 +234,10 @@
         """Write a configuration with one route changed; return its revision."""
         route = self._random.choice(self._routes)
         route["timeout_ms"] = self._random.randrange(1_000, 9_000)
-        return self.store.write(decoding.CONFIGURATION_KEY, self.encode_configuration())
+        self.configuration_revision = self.store.write(
+            decoding.CONFIGURATION_KEY, self.encode_configuration()
+        )
+        return self.configuration_revision
 
     def encode_configuration(self) -> bytes:
         """Return the value of the newest configuration."""
