--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -49,6 +49,12 @@
         revision, written_s = zone.change_configuration(), zone.now_s
         self.assert_in_time([zone.longest_delay_s(revision, written_s, WATCHED_S)])
 
+    def test_a_large_configuration_arrives_at_all_over_a_very_narrow_link(self):
+        zone = self.start_zone(route_count=1_480)
+        zone.store.machine.links = [link_simulation.Link(mbps=1.4)]
+        revision, written_s = zone.change_configuration(), zone.now_s
+        self.assertLess(zone.longest_delay_s(revision, written_s, WATCHED_S), WATCHED_S)
+
     def test_sidecars_do_not_receive_the_configuration_from_the_store(self):
         size = view_simulation.ZoneSize(entries=1)
         zone = view_simulation.ZoneSimulation(size, route_count=1_480)
