--- a/standins/view_soak_test.py
+++ b/standins/view_soak_test.py
@@ -109,7 +109,8 @@
             soak = Soak(seed)
             soak.run()
             soak.zone.run(CALM_S)
-            violations += [f"seed {seed}: {v}" for v in find_violations(soak.zone)]
+            found = find_violations(soak.zone)
+            violations += [f"seed {seed}, {soak.faults}: {v}" for v in found]
             soak.zone.close()
         self.assertEqual([], violations)
 
