Log the limits that engines name in their answers

Cause: logs and metrics could not tell at which moment a process learned that an engine had named Server-Limit, nor whether calls of a sidecar get such answers (hypotheses 1 and 3 of docs/incidents/server-limit.md). Change: the header is read as a decimal number; entries and sidecars log engine_limit_named when it changes and count answers_with_limit_total and engine_calls_total. No decision uses it yet. Result: engine_answer_test covers sealed answers, refusals, malformed values and answers that the engine did not make; tests of ops, entry, platform and the programs pass.

--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -29,6 +29,8 @@
         while it has an entry.
     :ivar prefill_until_s: time until which it prefills the prompts sent to it.
     :ivar switch_at_s: time at which it is ordered to switch to another version.
+    :ivar named_limit_per_s: requests per second that it accepts from all entries
+        together; None while it names no limit.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
     """
 
@@ -44,6 +46,7 @@
         self.switch_at_s: float | None = None
         self.was_restarted = False
         self.stale_until_s = 0.0
+        self.named_limit_per_s: float | None = None
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -143,6 +143,13 @@
         """Try again to send a queued request to an engine."""
         return self._dispatch(context)
 
+    def on_engine_limit(self, limit_per_s: float | None) -> bool:
+        """Record the limit that the engine names; return whether it is another one."""
+        if self._engine is None or self._engine.named_limit_per_s == limit_per_s:
+            return False
+        self._engine.named_limit_per_s = limit_per_s
+        return True
+
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
         if self._streaming:
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -21,6 +21,8 @@
     :param not_run: whether the engine states that it has not run the request.
     :param instance: id of the engine that answered; empty if not stated.
     :param is_stream: whether the body is a stream of events.
+    :param limit_per_s: requests per second that the engine accepts from all entries
+        together; None if it states no limit.
     """
 
     is_for_request: bool
@@ -28,6 +30,7 @@
     not_run: bool
     instance: str
     is_stream: bool
+    limit_per_s: float | None = None
 
 
 class Dialect(abc.ABC):
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -21,6 +21,13 @@
 
     call: entry_data.Call
 
+    @abc.abstractmethod
+    def on_engine_head(self, limit_per_s: float | None) -> None:
+        """Handle the head of an answer of the engine.
+
+        :param limit_per_s: the limit that the engine names in it; None if it has none.
+        """
+
     @abc.abstractmethod
     def on_stream_opened(self) -> None:
         """Handle the start of a stream."""
@@ -75,6 +82,8 @@
             return False
         self.head = head
         self._properties = properties
+        if self._is_of_engine(properties):
+            self._listener.on_engine_head(properties.limit_per_s)
         if properties.is_stream and properties.is_sealed and head.status == 200:
             self._splitter = event_stream.EventSplitter()
             self._listener.on_stream_opened()
@@ -121,6 +130,12 @@
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
 
+    def _is_of_engine(self, properties: dialect.AnswerProperties) -> bool:
+        """Return whether the engine of this dispatch has made the answer."""
+        if properties.instance not in ("", self._engine_id):
+            return False
+        return properties.is_sealed or properties.not_run
+
     def _on_timeout(self) -> None:
         """Report silence; the listener cancels the dispatch or keeps waiting."""
         if self._is_finished:
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -1,4 +1,4 @@
-"""Tests how refusals of engines are classified."""
+"""Tests how answers of engines are read and refusals classified."""
 
 import testtools
 from twisted.internet import task
@@ -11,12 +11,16 @@
 
 
 class RecordingListener(engine_answer.DispatchListener):
-    """Records how a dispatch failed."""
+    """Records the limits that an engine names, and how a dispatch failed."""
 
     call = entry_data.Call("7", "h", "/", None)
 
     def __init__(self):
         self.failures = []
+        self.limits_per_s = []
+
+    def on_engine_head(self, limit_per_s):
+        self.limits_per_s.append(limit_per_s)
 
     def on_stream_opened(self):
         raise AssertionError("no stream was sent")
@@ -31,14 +35,57 @@
         self.failures.append(failure)
 
 
+def make_answer(listener):
+    dispatch = decisions.SendToEngine(1, "i-1", data.Address("a:1"), 1.0, 1.0)
+    return engine_answer.EngineAnswer(
+        listener, requests.PlatformDialect(), task.Clock(), dispatch
+    )
+
+
+def make_head(status, **headers):
+    """Return the head of an answer; underscores in names stand for dashes."""
+    pairs = {"x_attempt_id": "7", **headers}
+    return http1.AnswerHead(
+        status,
+        [
+            http1.Header(name.replace("_", "-").encode(), value.encode())
+            for name, value in pairs.items()
+        ],
+    )
+
+
+class LimitTest(testtools.TestCase):
+    def read(self, status, **headers):
+        """Return the limits that are reported for the head of an answer."""
+        listener = RecordingListener()
+        make_answer(listener).on_head(make_head(status, **headers))
+        return listener.limits_per_s
+
+    def test_sealed_answers_and_refusals_name_a_limit(self):
+        self.assertEqual([2.5], self.read(500, x_response_seal="s", server_limit="2.5"))
+        self.assertEqual([1.0], self.read(503, x_not_executed="1", server_limit="1"))
+
+    def test_an_answer_without_a_limit_says_so(self):
+        self.assertEqual([None], self.read(200, x_response_seal="s"))
+
+    def test_a_value_that_is_no_decimal_number_is_no_limit(self):
+        for value in ("", "x", "-1", "1e9", "nan", "inf", "²", "1,5", "9" * 400):
+            limits = self.read(200, x_response_seal="s", server_limit=value)
+            self.assertEqual([None], limits, value)
+
+    def test_answers_that_the_engine_did_not_make_say_nothing_about_it(self):
+        self.assertEqual([], self.read(502, server_limit="1"))
+        self.assertEqual([], self.read(421, x_instance_id="i-2", server_limit="1"))
+        self.assertEqual(
+            [], self.read(200, x_attempt_id="6", x_response_seal="s", server_limit="1")
+        )
+
+
 class RefusalTest(testtools.TestCase):
     def refuse(self, *headers):
         """Return the failures reported for a 421 answer with the given headers."""
         listener = RecordingListener()
-        dispatch = decisions.SendToEngine(1, "i-1", data.Address("a:1"), 1.0, 1.0)
-        answer = engine_answer.EngineAnswer(
-            listener, requests.PlatformDialect(), task.Clock(), dispatch
-        )
+        answer = make_answer(listener)
         head = http1.AnswerHead(421, [http1.Header(b"X-Attempt-Id", b"7"), *headers])
         self.assertTrue(answer.on_head(head))
         answer.on_end()
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -122,6 +122,14 @@
 
     # Events of the engine's answer
 
+    def on_engine_head(self, limit_per_s: float | None) -> None:
+        """Record the limit that the engine names, or that it names none."""
+        if limit_per_s is not None:
+            metric_buffer.count("answers_with_limit")
+        engine_id = self._state.engine_id
+        if self._state.on_engine_limit(limit_per_s):
+            logs.write("engine_limit_named", engine=engine_id, limit_per_s=limit_per_s)
+
     def on_stream_opened(self) -> None:
         """Relay the head of a stream if no earlier dispatch has opened one."""
         self.carry_out(self._state.on_stream_opened())
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -6,8 +6,15 @@
 
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement, staging_events
-from toucanspread.ops import engine_control, http1, http1_pool, piece_cache
-from toucanspread.platform import decoding
+from toucanspread.ops import (
+    engine_control,
+    http1,
+    http1_pool,
+    logs,
+    metric_buffer,
+    piece_cache,
+)
+from toucanspread.platform import decoding, requests
 
 ENGINE_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
 ORIGIN_TIMEOUT_S = 4.0  # one piece takes over a second on the origin's narrow link
@@ -81,6 +88,7 @@
     def __init__(self, pool: http1_pool.ConnectionPool, address: str):
         self._pool = pool
         self._address = address
+        self._named_limit_per_s: float | None = None
 
     async def read_report(self) -> entry_data.EngineReport:
         """Return the engine's current report.
@@ -157,8 +165,18 @@
             )
         except http1_pool.CallError as error:
             raise engine_control.EngineError(str(error)) from error
+        self._record_limit(reply, target)
         if reply.status != 200 and reply.status not in accept:
             raise engine_control.EngineError(
                 f"the engine answered {target} with status {reply.status}"
             )
         return reply
+
+    def _record_limit(self, reply: http1_pool.Reply, target: str) -> None:
+        """Count the call, and log a limit that the engine names in its answer to it."""
+        metric_buffer.count("engine_calls", status=str(reply.status))
+        limit_per_s = requests.read_limit_per_s(reply.head)
+        if limit_per_s == self._named_limit_per_s:
+            return
+        self._named_limit_per_s = limit_per_s
+        logs.write("engine_limit_named", target=target, limit_per_s=limit_per_s)
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -1,5 +1,7 @@
 """Reads and writes the headers of callers' requests and engines' answers."""
 
+import re
+
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions
@@ -14,6 +16,8 @@
 INSTANCE_HEADER = b"x-instance-id"
 SEAL_HEADER = b"x-response-seal"  # answers without an engine's seal are not relayed
 NOT_RUN_HEADER = b"x-not-executed"
+LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
+LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 EVENT_STREAM_TYPE = b"text/event-stream"
 # These headers of the caller are not forwarded: this system sets its own values, and
 # the API key must not reach engines.
@@ -94,6 +98,7 @@
             not_run=head.get(NOT_RUN_HEADER) is not None or head.status == 421,
             instance=_decode_text(head.get(INSTANCE_HEADER) or b""),
             is_stream=content.startswith(EVENT_STREAM_TYPE),
+            limit_per_s=read_limit_per_s(head),
         )
 
     def make_own_answer_headers(
@@ -110,6 +115,12 @@
         return headers
 
 
+def read_limit_per_s(head: http1.AnswerHead) -> float | None:
+    """Return the limit that an engine names in an answer; None without a valid one."""
+    value = (head.get(LIMIT_HEADER) or b"").strip()
+    return float(value) if LIMIT_PATTERN.fullmatch(value) else None
+
+
 def _is_for_call(echoed: bytes | None, status: int, call: entry_data.Call) -> bool:
     if echoed is None:
         # A refusal may lack the id; a successful answer without it is not accepted.
