Reproduce the excess over a limit that an engine names, failing

What callers saw: nothing; an engine that had named a limit of 1 request a second got 12 and 13 in 4 s from entries that it had told (docs/incidents/server-limit.md). Change: simulated engines name limits, record what they receive while they do, and check it against the platform's rule.

--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -28,6 +28,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitChange:
+    """Some engines name a limit of requests per second in their answers.
+
+    :param engine_count: the first so many engines.
+    :param limit_per_s: from all entries together; None to name no limit any more.
+    """
+
+    at_s: float
+    engine_count: int
+    limit_per_s: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Rates of requests and numbers of engines over time.
@@ -37,6 +50,7 @@
     :param duration_s: time during which callers send requests.
     :param switch_times_s: times at which engines switch to a new version, one time
         for each wave.
+    :param limits: changes of the limits that engines name.
     """
 
     name: str
@@ -45,6 +59,7 @@
     duration_s: float
     switch_times_s: tuple[float, ...] = ()
     entries: int = 18
+    limits: tuple[LimitChange, ...] = ()
 
 
 LOAD_PROFILES = (
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -77,6 +77,7 @@
         self._first_s: float | None = None
         self._last_event_s = 0.0
         self._generated_tokens = 0
+        self._tokens_before_dispatch = 0
         self._had_long_gap = False
         self._priority = 0
         self._job: engine_model.Job | None = None
@@ -153,11 +154,9 @@
         sent = entry_data.PromptSent(
             engine.engine_id, places.SERVICE.name, self.prompt_tokens
         )
-        for entry in self._simulation.entries:
-            if entry.zone == self._entry.zone and entry is not self._entry:
-                self._simulation.call_after_delay(
-                    entry.zone, entry.zone, entry.apply_prompt, sent
-                )
+        self._simulation.broadcast(
+            self._entry.zone, "apply_prompt", sent, self._entry, only_own_zone=True
+        )
         self._engine = engine
         self._simulation.call_after_delay(
             self._entry.zone, engine.zone, self._submit_to_engine, engine
@@ -166,6 +165,8 @@
     def _submit_to_engine(self, engine: places.SimulatedEngine) -> None:
         if self._state.is_finished:
             return
+        now_s = self._simulation.clock.seconds()
+        engine.limit.record_arrival(now_s, self._entry)
         job = engine_model.Job(
             self.prompt_tokens + self._generated_tokens,
             self.answer_tokens - self._generated_tokens,
@@ -175,16 +176,26 @@
         )
         is_open = engine.is_running and not engine.is_loading
         if not is_open or not engine.model.submit(job):
+            self._read_limit(engine)
             rejection = decisions.DispatchFailure.REJECTED
             self.carry_out(
                 self._state.on_failure(self.make_decision_context(), rejection)
             )
             return
         self._job = job
+        self._tokens_before_dispatch = self._generated_tokens
         engine.jobs[job] = self
 
+    def _read_limit(self, engine: places.SimulatedEngine) -> None:
+        """Read the head of an answer, which may name the engine's limit."""
+        now_s = self._simulation.clock.seconds()
+        limit_per_s = engine.limit.record_answer(now_s, self._entry)
+        self._state.on_engine_limit(limit_per_s)
+
     def _on_event(self) -> None:
         now_s = self._simulation.clock.seconds()
+        if self._generated_tokens == self._tokens_before_dispatch:
+            self._read_limit(self._engine)
         if self._first_s is None:
             self._first_s = now_s - self.started_s
             self._caller_timeout.cancel()
@@ -241,9 +252,11 @@
         self.random_source = random.Random(seed)
         self.outcome = CallerTotals()
         self._profile = profile
-        self.entries = [
-            places.SimulatedEntry(self, number) for number in range(profile.entries)
-        ]
+        self.entries: list[places.SimulatedEntry] = []
+        for number in range(profile.entries):
+            self.entries.append(places.SimulatedEntry(self, number))
+        for entry in self.entries:
+            entry.known_entry_count = profile.entries
         engine_count = int(max(count for _, count in profile.engines))
         self.engines = [
             places.SimulatedEngine(self, number) for number in range(engine_count)
@@ -254,6 +267,8 @@
         """Run the simulation to its end and return the outcomes."""
         for from_s, count in self._profile.engines:
             self.clock.callLater(from_s, self._set_engines, int(count))
+        for change in self._profile.limits:
+            self.clock.callLater(change.at_s, self.name_limit, change)
         for engine in self.engines:
             if engine.switch_at_s is not None:
                 self.clock.callLater(engine.switch_at_s, engine.switch)
@@ -280,6 +295,30 @@
         )
         self.clock.callLater(delay_s, call, *arguments)
 
+    def broadcast(
+        self,
+        source: data.ZoneName,
+        method: str,
+        message: data.Record,
+        sender: places.SimulatedEntry | None = None,
+        only_own_zone: bool = False,
+    ) -> None:
+        """Send a datagram to the entries, except to its sender."""
+        if sender is not None and sender.is_cut:
+            return
+        for zone in [source] if only_own_zone else places.ZONES:
+            receivers = [
+                entry
+                for entry in self.entries
+                if entry.zone == zone and entry is not sender
+            ]
+            self.call_after_delay(source, zone, _deliver, receivers, method, message)
+
+    def name_limit(self, change: load_profiles.LimitChange) -> None:
+        """Let some engines name a limit in their answers, or none any more."""
+        for engine in self.engines[: change.engine_count]:
+            engine.limit.change(self.clock.seconds(), change.limit_per_s)
+
     def choose_entry(self) -> places.SimulatedEntry:
         """Return the entry that a caller uses."""
         return self.random_source.choice(self.entries)
@@ -314,3 +353,11 @@
         self.clock.callLater(
             self.random_source.expovariate(rate_per_s), self._send_next_request
         )
+
+
+def _deliver(
+    receivers: list[places.SimulatedEntry], method: str, message: data.Record
+) -> None:
+    for entry in receivers:
+        if not entry.is_cut:
+            getattr(entry, method)(message)
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from standins import engine_model
+from standins import engine_model, limit_check
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import engines, forwarding, load_balancing, retry_budget
@@ -49,6 +49,7 @@
         self.is_loading = False
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, load_simulation.SimulatedRequest] = {}
+        self.limit = limit_check.LimitRecord()
         self._simulation = simulation
         self._number = number
 
@@ -115,17 +116,22 @@
             is_quiet,
             order_in_s=switch_in_s,
         )
-        for entry in self._simulation.entries:
-            self._simulation.call_after_delay(
-                self.zone, entry.zone, entry.apply_load, load
-            )
+        self._simulation.broadcast(self.zone, "apply_load", load)
 
 
 class SimulatedEntry:
-    """An entry with its view of the engines and its request queue."""
+    """An entry with its view of the engines and its request queue.
+
+    :param number: number of this entry, which a restarted one has again.
+    :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
+    :ivar known_entry_count: number of entries that it knows.
+    """
 
     def __init__(self, simulation: "load_simulation.LoadSimulation", number: int):
+        self.number = number
         self.zone = ZONES[number % len(ZONES)]
+        self.is_cut = False
+        self.known_entry_count = max(len(simulation.entries), 1)
         self.registry = engines.EngineRegistry(DRAIN_DURATION_S)
         self.queue = request_queue.RequestQueue(simulation.clock)
         self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
@@ -147,7 +153,7 @@
     def make_decision_context(self) -> forwarding.DecisionContext:
         """Return the context of decisions."""
         location = load_balancing.EntryLocation(
-            self.zone, REGIONS, len(self._simulation.entries)
+            self.zone, REGIONS, self.known_entry_count
         )
         now_s = self._simulation.clock.seconds()
         return forwarding.DecisionContext(
