Keep the requests of all entries together to the limit that an engine names

What callers saw: nothing so far; an engine in need that had named Server-Limit 1 got 12 and 13 requests in 4 s (allowed 11), like its peers, for as long as it named it. Cause: no entry read the header; every entry sent what load balancing chose. Class: a bound on the sum over all processes that no process counts against. Change: an entry passes a limit that an answer names on to all entries, and notifies them of each request under it. It sends only while what all have sent leaves a token, and while its own part (1.5 times the limit by the number of entries) does, which holds without any notice. Requests go to other engines meanwhile, wait at the entry if the limit soon allows them, and are rejected at once otherwise. Of entries whose queued requests become possible at the same moment, about one tries at a time. A limit ends with an answer without it to a request sent a second or more after it was last named. Why it works: a token is used once for all entries, as fast as a datagram travels; what crosses in that time is owed by the bucket.

--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -145,6 +145,10 @@
                 case decisions.SendToEngine(engine_id=engine_id, priority=priority):
                     self._priority = priority
                     self._send(self._simulation.engines_by_id[engine_id])
+                case decisions.NotifyEntries(notice=notice):
+                    self._simulation.broadcast(
+                        self._entry.zone, "apply_limit", notice, self._entry
+                    )
                 case decisions.Reject(retry_after_s=retry_after_s):
                     self._schedule_retry(retry_after_s)
                 case decisions.Fail() | decisions.BreakStream():
@@ -190,7 +194,9 @@
         """Read the head of an answer, which may name the engine's limit."""
         now_s = self._simulation.clock.seconds()
         limit_per_s = engine.limit.record_answer(now_s, self._entry)
-        self._state.on_engine_limit(limit_per_s)
+        self.carry_out(
+            self._state.on_engine_head(self.make_decision_context(), limit_per_s)
+        )
 
     def _on_event(self) -> None:
         now_s = self._simulation.clock.seconds()
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -150,6 +150,12 @@
                 sent.tokens, PROFILE, self._simulation.clock.seconds()
             )
 
+    def apply_limit(self, notice: entry_data.LimitNotice) -> None:
+        """Apply a notice of another entry on the limit of an engine."""
+        engine = self.registry.get(notice.engine_id)
+        if engine is not None:
+            engine.limit.on_notice(notice, self._simulation.clock.seconds())
+
     def make_decision_context(self) -> forwarding.DecisionContext:
         """Return the context of decisions."""
         location = load_balancing.EntryLocation(
--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -156,14 +156,16 @@
                 self.directory.remove(name, now_s, store_was_unavailable)
         return True
 
-    def apply_report(
-        self, report: entry_data.EngineLoad | entry_data.PromptSent, now_s: float
-    ) -> None:
+    def apply_report(self, report: entry_data.EngineNotice, now_s: float) -> None:
         """Apply a report on an engine by another process; ignore an outdated one."""
         if isinstance(report, entry_data.EngineLoad):
             self.registry.apply_load(report, now_s)
             return
         engine = self.registry.get(report.engine_id)
+        if isinstance(report, entry_data.LimitNotice):
+            if engine is not None:
+                engine.limit.on_notice(report, now_s)
+            return
         service = (
             self.route_table.services.get(report.service) if self.route_table else None
         )
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -186,6 +186,26 @@
     tokens: int
 
 
+class LimitNotice(data.Record):
+    """Notice to all entries of the limit that an engine names, or of its end.
+
+    :param limit_per_s: requests per second that the engine accepts from all entries
+        together; None if it names no limit any more.
+    :param age_s: time since the engine named the limit; without a limit, since the
+        request was sent whose answer named none.
+    :param dispatches: requests that the sender of the notice has sent to the engine
+        since its last notice.
+    """
+
+    engine_id: str
+    limit_per_s: float | None
+    age_s: float
+    dispatches: int = 0
+
+
+EngineNotice = EngineLoad | PromptSent | LimitNotice  # sent to entries as datagrams
+
+
 class EngineReport(data.Record):
     """Status with which an engine answers a query.
 
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -7,6 +7,7 @@
 import enum
 
 from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
 
 
 class FailureCause(enum.Enum):
@@ -14,6 +15,7 @@
 
     NO_ENGINE = "no engine"
     ENGINES_FULL = "engines full"
+    ENGINES_LIMITED = "limits of engines used up"
     ENGINE_FAILED = "engine failed"
     DEADLINE_EXCEEDED = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
@@ -80,6 +82,12 @@
     priority: int | None = None
 
 
+class NotifyEntries(data.Effect):
+    """Notify the other entries of an engine's limit and of requests under it."""
+
+    notice: entry_data.LimitNotice
+
+
 class Enqueue(data.Effect, tag="Hold"):
     """Queue the request at the entry until an engine can start on it soon."""
 
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -8,6 +8,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import engine_limits
 
 LOAD_REPORT_MAX_AGE_S = 1.6  # two reports at the slow rate, and a lost one
 VERSION_REPORT_MAX_AGE_S = 3.0  # versions change rarely
@@ -29,8 +30,7 @@
         while it has an entry.
     :ivar prefill_until_s: time until which it prefills the prompts sent to it.
     :ivar switch_at_s: time at which it is ordered to switch to another version.
-    :ivar named_limit_per_s: requests per second that it accepts from all entries
-        together; None while it names no limit.
+    :ivar limit: the limit of requests per second that it names.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
     """
 
@@ -46,7 +46,7 @@
         self.switch_at_s: float | None = None
         self.was_restarted = False
         self.stale_until_s = 0.0
-        self.named_limit_per_s: float | None = None
+        self.limit = engine_limits.EngineLimit(entry.engine_id)
         self._sent_since_load = 0
 
     def is_usable(self, now_s: float) -> bool:
@@ -103,10 +103,14 @@
         """Return the remaining time of the prefill of the prompts that were sent."""
         return max(self.prefill_until_s - now_s, 0.0)
 
-    def record_dispatch(self) -> None:
-        """Record a request that this entry sent to the engine."""
+    def record_dispatch(self, now_s: float) -> entry_data.LimitNotice | None:
+        """Record a request that this entry sends to the engine.
+
+        :return: the notice to the other entries if the engine names a limit.
+        """
         self.in_flight += 1
         self._sent_since_load += 1
+        return self.limit.record_dispatch(now_s)
 
     def add_prompt(self, tokens: int, profile: entry_data.ModelProfile, now_s: float):
         """Add a prompt, sent by this or another entry, to the prefill backlog.
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -78,6 +78,7 @@
         self.dispatches = 0
         self._rejections = 0
         self._engine: engines.Engine | None = None
+        self._sent_s = 0.0
         self._tried: set[str] = set()
         self._streaming = False
         self._last_event_id = call.last_event_id
@@ -129,7 +130,7 @@
         )
         engine_count = len(
             load_balancing.eligible_engines(
-                context.registry, requirements, context.now_s
+                context.registry, requirements, context.location, context.now_s
             )
         )
         wait_s = admission_queue.expected_wait_s(
@@ -140,15 +141,26 @@
         return self._reject_overloaded(context, wait_s)
 
     def resume_queued(self, context: DecisionContext) -> list[data.Effect]:
-        """Try again to send a queued request to an engine."""
-        return self._dispatch(context)
+        """Try again to send a queued request to an engine.
 
-    def on_engine_limit(self, limit_per_s: float | None) -> bool:
-        """Record the limit that the engine names; return whether it is another one."""
-        if self._engine is None or self._engine.named_limit_per_s == limit_per_s:
-            return False
-        self._engine.named_limit_per_s = limit_per_s
-        return True
+        Entries notice at the same time that the limit of an engine allows one more
+        request, so only about one of them tries at a time.
+        """
+        draw = context.random_source.random()
+        skips_limited = draw * context.location.entry_count >= 1
+        return self._dispatch(context, skips_limited)
+
+    def on_engine_head(
+        self, context: DecisionContext, limit_per_s: float | None
+    ) -> list[data.Effect]:
+        """Handle the head of an answer of the engine.
+
+        :param limit_per_s: the limit that the engine names in it; None if it has none.
+        """
+        if self._engine is None:
+            return []
+        notice = self._engine.limit.on_answer(limit_per_s, self._sent_s, context.now_s)
+        return [] if notice is None else [decisions.NotifyEntries(notice)]
 
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
@@ -235,21 +247,45 @@
         self._release_engine(context, ok=False, weight=0)
         return [decisions.Cancel(self.dispatches)] if had_engine else []
 
-    def _dispatch(self, context: DecisionContext) -> list[data.Effect]:
+    def _dispatch(
+        self, context: DecisionContext, skips_limited: bool = False
+    ) -> list[data.Effect]:
         left_s = self.deadline_s - context.now_s
         if left_s < MIN_TIME_TO_DISPATCH_S:
             return self._finish_unanswered(
                 context, decisions.FailureCause.DEADLINE_EXCEEDED
             )
-        engine = self._choose_engine(context)
+        engine = self._choose_engine(context, skips_limited)
         if engine is None:
-            return self._finish_unanswered(context, decisions.FailureCause.NO_ENGINE)
+            return self._wait_for_limit(context, left_s)
         if self._can_be_queued():
             alternative = self._queue_or_reject(engine, context)
             if alternative:
                 return alternative
         self._check_dispatch(engine, context)
-        return [self._send_to(engine, context, left_s)]
+        return self._send_to(engine, context, left_s)
+
+    def _wait_for_limit(
+        self, context: DecisionContext, left_s: float
+    ) -> list[data.Effect]:
+        """Queue the request until the limit of an engine allows it, or end it."""
+        wait_s = self._limit_wait_s(context)
+        if wait_s == float("inf"):
+            return self._finish_unanswered(context, decisions.FailureCause.NO_ENGINE)
+        waited_s = context.now_s - self.arrived_s
+        longest_s = min(admission_queue.MAX_WAIT_S, waited_s + left_s)
+        if self._can_be_queued() and waited_s + wait_s < longest_s:
+            return [decisions.Enqueue()]
+        return self._finish_unanswered(context, decisions.FailureCause.ENGINES_LIMITED)
+
+    def _limit_wait_s(self, context: DecisionContext) -> float:
+        """Return the time until a suitable engine's limit allows the request."""
+        requirements = load_balancing.EngineRequirements(
+            self.service, context.minimum_version
+        )
+        return load_balancing.limit_wait_s(
+            context.registry, requirements, context.location, context.now_s
+        )
 
     def _queue_or_reject(
         self, engine: engines.Engine, context: DecisionContext
@@ -272,8 +308,9 @@
 
     def _send_to(
         self, engine: engines.Engine, context: DecisionContext, left_s: float
-    ) -> decisions.SendToEngine:
+    ) -> list[data.Effect]:
         self._engine = engine
+        self._sent_s = context.now_s
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
         self.possible_runs += 1
@@ -283,7 +320,8 @@
         busy_age_s = (
             context.now_s - engine.load_received_s if engine.load is not None else -1.0
         )
-        engine.record_dispatch()
+        notice = engine.record_dispatch(context.now_s)
+        notices = [] if notice is None else [decisions.NotifyEntries(notice)]
         if self.service.profile is not None:
             engine.add_prompt(
                 self.call.prompt_tokens, self.service.profile, context.now_s
@@ -293,7 +331,7 @@
             expected_version = engine.complete_version(
                 self.service.profile, context.now_s
             )
-        return decisions.SendToEngine(
+        dispatch = decisions.SendToEngine(
             self.dispatches,
             engine.entry.engine_id,
             engine.entry.address,
@@ -306,6 +344,7 @@
             busy_age_s,
             self._engine_priority(context.now_s),
         )
+        return [dispatch, *notices]
 
     def _check_dispatch(self, engine: engines.Engine, context: DecisionContext) -> None:
         """Check that one more engine may run the request."""
@@ -340,7 +379,9 @@
             kind = urgency.Urgency.ON_TIME
         return urgency.engine_priority(kind, self._rank)
 
-    def _choose_engine(self, context: DecisionContext) -> engines.Engine | None:
+    def _choose_engine(
+        self, context: DecisionContext, skips_limited: bool
+    ) -> engines.Engine | None:
         """Return an engine that has not been tried, or else one that rejected it."""
         requirements = load_balancing.EngineRequirements(
             self.service,
@@ -348,6 +389,7 @@
             frozenset(self._tried),
             self._likely_tokens_left(),
             was_interrupted=self.possible_runs > 0,
+            skips_limited=skips_limited,
         )
         engine = load_balancing.choose_engine(
             context.registry,
@@ -427,7 +469,7 @@
             self.service, context.minimum_version, tried
         )
         for engine in load_balancing.eligible_engines(
-            context.registry, requirements, context.now_s
+            context.registry, requirements, context.location, context.now_s
         ):
             if engine.is_avoided(context.now_s):
                 continue
@@ -456,6 +498,10 @@
         base_s = RETRY_AFTER_BASE_S
         if cause is decisions.FailureCause.NO_ENGINE:
             base_s = NO_ENGINE_RETRY_AFTER_S
+        if cause is decisions.FailureCause.ENGINES_LIMITED:
+            draw = context.random_source.random()
+            wait_s = self._limit_wait_s(context)
+            return decisions.Reject(cause, admission_queue.retry_after_s(wait_s, draw))
         jitter_s = context.random_source.random() * RETRY_AFTER_SPREAD_S
         return decisions.Reject(cause, base_s + jitter_s)
 
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -51,8 +51,9 @@
         self.random_source = random.Random(7)
         self.minimum_version = 0
 
-    def at(self, now_s):
-        location = load_balancing.EntryLocation(ZONE, {ZONE: data.RegionName("g")}, 1)
+    def at(self, now_s, entry_count=1):
+        regions = {ZONE: data.RegionName("g")}
+        location = load_balancing.EntryLocation(ZONE, regions, entry_count)
         return forwarding.DecisionContext(
             now_s,
             self.registry,
@@ -196,7 +197,7 @@
         fixture = Fixture(names=("a",))
         engine = fixture.registry.get("a")
         for _ in range(16 - admission_queue.ON_TIME_MIN_FREE_COUNT + 1):
-            engine.record_dispatch()
+            engine.record_dispatch(0.0)
         request = fixture.make_request(make_route())
         self.assert_only(decisions.Enqueue, request.start(fixture.at(0.0)))
         before = fixture.at(admission_queue.MAX_WAIT_S - 0.01)
@@ -235,7 +236,7 @@
         fixture = Fixture(names=("a",))
         engine = fixture.registry.get("a")
         for _ in range(16 - admission_queue.LATE_MIN_FREE_COUNT + 1):
-            engine.record_dispatch()
+            engine.record_dispatch(0.0)
         older = fixture.make_request(make_route(), arrived_s=-1.0)
         self.assert_only(decisions.Enqueue, older.start(fixture.at(0.0)))
         first = fixture.make_request(make_route())
@@ -271,6 +272,45 @@
         late = fixture.at(admission_queue.EXPIRING_AFTER_S + 0.1)
         self.assert_only(decisions.Reject, request.resume_queued(late))
 
+    def test_a_request_goes_to_another_engine_while_a_limit_is_used_up(self):
+        fixture = Fixture(names=("a", "b"))
+        fixture.registry.get("a").limit.on_answer(1.0, 0.0, 0.0)
+        for _ in range(5):
+            request = fixture.make_request(make_route())
+            sent, *_ = request.start(fixture.at(0.0))
+            self.assertEqual("b", sent.engine_id)
+
+    def test_a_request_waits_for_a_limit_that_soon_allows_it(self):
+        fixture = Fixture(names=("a",))
+        fixture.registry.get("a").limit.on_answer(1.0, 0.0, 0.0)
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.Enqueue, request.start(fixture.at(0.5)))
+        sent, notified = request.resume_queued(fixture.at(1.1))
+        self.assertEqual("a", sent.engine_id)
+        self.assertEqual(1, notified.notice.dispatches)
+
+    def test_a_request_that_no_limit_allows_in_time_is_rejected_at_once(self):
+        fixture = Fixture(names=("a",))
+        fixture.registry.get("a").limit.on_answer(0.1, 0.0, 0.0)
+        request = fixture.make_request(make_route())
+        effects = request.start(fixture.at(0.0, entry_count=18))
+        rejected = self.assert_only(decisions.Reject, effects)
+        self.assertIs(decisions.FailureCause.ENGINES_LIMITED, rejected.cause)
+        self.assertLessEqual(
+            rejected.retry_after_s, admission_queue.MAX_EXPECTED_WAIT_S
+        )
+
+    def test_a_request_that_cannot_be_queued_is_rejected_while_limits_are_used_up(self):
+        fixture = Fixture(names=("a",))
+        request = fixture.make_request(make_route())
+        request.start(fixture.at(0.0))
+        notified = request.on_engine_head(fixture.at(0.1), 1.0)
+        self.assert_only(decisions.NotifyEntries, notified)
+        failure = decisions.DispatchFailure.REJECTED
+        effects = request.on_failure(fixture.at(0.1), failure)
+        rejected = self.assert_only(decisions.Reject, effects)
+        self.assertIs(decisions.FailureCause.ENGINES_LIMITED, rejected.cause)
+
     def test_older_weights_are_not_used_once_newer_ones_are_due(self):
         fixture = Fixture(names=("a",))
         fixture.registry.put(
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -42,6 +42,7 @@
     :param excluded: ids of engines that were already tried.
     :param likely_tokens: likely number of tokens of the answer.
     :param was_interrupted: whether an engine has interrupted the request before.
+    :param skips_limited: whether engines that name a limit are left out.
     """
 
     service: entry_data.Service
@@ -49,6 +50,7 @@
     excluded: frozenset[str] = frozenset()
     likely_tokens: int = 0
     was_interrupted: bool = False
+    skips_limited: bool = False
 
 
 class EntryLocation(NamedTuple):
@@ -63,10 +65,44 @@
 
 
 def eligible_engines(
+    registry: engines.EngineRegistry,
+    requirements: EngineRequirements,
+    location: EntryLocation,
+    now_s: float,
+) -> list[engines.Engine]:
+    """Return the engines that meet the requirements, within their limits."""
+    eligible = []
+    for engine in _suitable_engines(registry, requirements, now_s):
+        if engine.limit.wait_s(now_s, location.entry_count) > 0:
+            continue
+        if requirements.skips_limited and engine.limit.limit_per_s is not None:
+            continue
+        eligible.append(engine)
+    return eligible
+
+
+def limit_wait_s(
+    registry: engines.EngineRegistry,
+    requirements: EngineRequirements,
+    location: EntryLocation,
+    now_s: float,
+) -> float:
+    """Return the time until the limit of a suitable engine allows a request.
+
+    It is infinite if no engine is suitable.
+    """
+    waits_s = [
+        engine.limit.wait_s(now_s, location.entry_count)
+        for engine in _suitable_engines(registry, requirements, now_s)
+    ]
+    return min(waits_s, default=float("inf"))
+
+
+def _suitable_engines(
     registry: engines.EngineRegistry, requirements: EngineRequirements, now_s: float
 ) -> list[engines.Engine]:
     """Return the engines that meet the requirements of a request."""
-    eligible = []
+    suitable = []
     profile = requirements.service.profile
     for engine in registry.of_service(requirements.service.name):
         if engine.entry.engine_id in requirements.excluded or not engine.is_usable(
@@ -77,8 +113,8 @@
             version = engine.complete_version(profile, now_s)
             if version == 0 or version < requirements.minimum_version:
                 continue
-        eligible.append(engine)
-    return eligible
+        suitable.append(engine)
+    return suitable
 
 
 def choose_engine(
@@ -91,7 +127,7 @@
     """Return the best engine for a request, or None if none is eligible."""
     best = None
     best_score = float("inf")
-    for engine in eligible_engines(registry, requirements, now_s):
+    for engine in eligible_engines(registry, requirements, location, now_s):
         score = _score(engine, requirements.service, location, now_s, random_source)
         score += _interruption_penalty_s(engine, requirements, location, now_s)
         if requirements.was_interrupted:
@@ -133,7 +169,8 @@
     now_s: float,
 ) -> float:
     """Return the shortest backlog of the engines of a service."""
-    eligible = eligible_engines(registry, EngineRequirements(service), now_s)
+    requirements = EngineRequirements(service)
+    eligible = eligible_engines(registry, requirements, location, now_s)
     backlogs_s = [backlog_s(engine, service, location, now_s) for engine in eligible]
     return min(backlogs_s, default=float("inf"))
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -52,6 +52,10 @@
     def notify_prompt_sent(self, sent: entry_data.PromptSent) -> None:
         """Notify the entries of the zone of a prompt that is sent to an engine."""
 
+    @abc.abstractmethod
+    def notify_limit(self, notice: entry_data.LimitNotice) -> None:
+        """Notify all entries of an engine's limit and of requests under it."""
+
 
 class ForwardedRequest(engine_answer.DispatchListener, request_queue.QueueItem):
     """One caller's request: carries out the decisions about it."""
@@ -77,6 +81,7 @@
         self._stream_timing = _StreamTiming()
         self._handlers = {
             decisions.SendToEngine: self._send,
+            decisions.NotifyEntries: self._notify_entries,
             decisions.Enqueue: self._enqueue,
             decisions.Cancel: self._cancel,
             decisions.RelayAnswer: self._relay_answer,
@@ -126,9 +131,14 @@
         """Record the limit that the engine names, or that it names none."""
         if limit_per_s is not None:
             metric_buffer.count("answers_with_limit")
-        engine_id = self._state.engine_id
-        if self._state.on_engine_limit(limit_per_s):
-            logs.write("engine_limit_named", engine=engine_id, limit_per_s=limit_per_s)
+        effects = self._state.on_engine_head(self.make_decision_context(), limit_per_s)
+        if effects:
+            logs.write(
+                "engine_limit_named",
+                engine=self._state.engine_id,
+                limit_per_s=limit_per_s,
+            )
+        self.carry_out(effects)
 
     def on_stream_opened(self) -> None:
         """Relay the head of a stream if no earlier dispatch has opened one."""
@@ -218,6 +228,9 @@
         )
         self._answer.outgoing = outgoing
 
+    def _notify_entries(self, effect: decisions.NotifyEntries) -> None:
+        self._forwarder.notify_limit(effect.notice)
+
     def _enqueue(self, effect: decisions.Enqueue) -> None:
         self._forwarder.queue.add(self)
         metric_buffer.count("requests_held")
@@ -313,7 +326,7 @@
             self.service, context.minimum_version
         )
         usable = load_balancing.eligible_engines(
-            context.registry, requirements, context.now_s
+            context.registry, requirements, context.location, context.now_s
         )
         known = context.registry.of_service(self.service.name)
         return len(known), len(usable), context.minimum_version
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -1,5 +1,6 @@
 """Accepts callers' requests: finds route and team, then forwards or refuses them."""
 
+import abc
 import random
 from collections.abc import Callable
 
@@ -28,11 +29,23 @@
 STARTING_RETRY_AFTER_S = 0.5  # about the time until a new entry has its configuration
 
 
+class EntryNotifier(abc.ABC):
+    """Notifies the other entries of what they take into account in their choices."""
+
+    @abc.abstractmethod
+    def send_prompt_notice(self, notice: entry_data.PromptSent) -> None:
+        """Notify the other entries of the zone of a prompt sent to an engine."""
+
+    @abc.abstractmethod
+    def send_limit_notice(self, notice: entry_data.LimitNotice) -> None:
+        """Notify the entries of all zones of an engine's limit."""
+
+
 class Forwarder(http1_server.RequestHandler, forwarded_request.AbstractForwarder):
     """Handles the requests of callers.
 
     :param get_location: returns the location of this entry and the number of entries.
-    :param on_prompt_sent: called for each prompt that is sent to an engine.
+    :param notifier: notifies the other entries.
     """
 
     def __init__(
@@ -43,9 +56,9 @@
         wire_dialect: dialect.Dialect,
         get_location: Callable[[], load_balancing.EntryLocation],
         random_source: random.Random,
-        on_prompt_sent: Callable[[entry_data.PromptSent], None],
+        notifier: EntryNotifier,
     ):
-        self._on_prompt_sent = on_prompt_sent
+        self._notifier = notifier
         self.cluster = cluster
         self.pool = pool
         self.wire_dialect = wire_dialect
@@ -106,7 +119,11 @@
 
     def notify_prompt_sent(self, sent: entry_data.PromptSent) -> None:
         """Notify the entries of the zone of a prompt that is sent to an engine."""
-        self._on_prompt_sent(sent)
+        self._notifier.send_prompt_notice(sent)
+
+    def notify_limit(self, notice: entry_data.LimitNotice) -> None:
+        """Notify all entries of an engine's limit and of requests under it."""
+        self._notifier.send_limit_notice(notice)
 
     def choose_service(self, route: entry_data.Route) -> entry_data.Service | None:
         """Choose one of a route's services at random, by their weights."""
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -54,6 +54,14 @@
         self.connection.dataReceived(received)
 
 
+class IgnoringNotifier(forwarder.EntryNotifier):
+    def send_prompt_notice(self, notice):
+        return
+
+    def send_limit_notice(self, notice):
+        return
+
+
 class FakePool(http1_pool.ConnectionPool):
     def __init__(self, clock):
         super().__init__(clock)
@@ -98,7 +106,7 @@
             requests.PlatformDialect(),
             lambda: location,
             random.Random(1),
-            lambda sent: None,
+            IgnoringNotifier(),
         )
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -109,7 +109,7 @@
             requests.PlatformDialect(),
             self._make_location,
             self.random_source,
-            self._report_receiver.send_prompt_notice,
+            self._report_receiver,
         )
         self._registration = registration.Registration(self._store, self._make_record())
         self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -12,10 +12,11 @@
 from twisted.internet import protocol, reactor
 
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state
+from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
+    forwarder,
     http1,
     http1_server,
     logs,
@@ -32,8 +33,8 @@
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
 
-class ReportReceiver(protocol.DatagramProtocol):
-    """Receives load reports of sidecars and prompt notices of the zone's entries.
+class ReportReceiver(protocol.DatagramProtocol, forwarder.EntryNotifier):
+    """Receives reports of sidecars and notices of entries, and sends such notices.
 
     :param name: of this entry.
     :param zone: of this entry.
@@ -43,12 +44,10 @@
         self._cluster = cluster
         self._name = name
         self._zone = zone
-        self._decoder = msgspec.msgpack.Decoder(
-            entry_data.EngineLoad | entry_data.PromptSent
-        )
+        self._decoder = msgspec.msgpack.Decoder(entry_data.EngineNotice)
 
     def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
-        """Apply a load report or a prompt notice."""
+        """Apply a report or a notice."""
         try:
             report = self._decoder.decode(datagram)
         except msgspec.MsgspecError as error:
@@ -58,9 +57,22 @@
 
     def send_prompt_notice(self, notice: entry_data.PromptSent) -> None:
         """Notify the other entries of the zone of a prompt sent to an engine."""
+        serving = self._cluster.directory.serving()
+        self._send(notice, [r for r in serving if r.zone == self._zone])
+
+    def send_limit_notice(self, notice: entry_data.LimitNotice) -> None:
+        """Notify the entries of all zones of an engine's limit."""
+        # Leaving entries still send what their callers have on open connections.
+        self._send(notice, self._cluster.directory.all_entries())
+
+    def _send(
+        self,
+        notice: entry_data.EngineNotice,
+        records: list[entry_directory.EntryRecord],
+    ) -> None:
         payload = msgspec.msgpack.encode(notice)
-        for record in self._cluster.directory.serving():
-            if record.zone != self._zone or record.name == self._name:
+        for record in records:
+            if record.name == self._name:
                 continue
             host, _, port = record.reports.rpartition(":")
             self.transport.write(payload, (host, int(port)))
