--- a/standins/limit_check.py
+++ b/standins/limit_check.py
@@ -18,13 +18,12 @@
     """Limit of one engine, and the requests that it received while naming it.
 
     :ivar limit_per_s: the limit that it names now; None if it names none.
-    :ivar arrivals_s: times of all requests since it named the limit.
     """
 
     def __init__(self):
         self.limit_per_s: float | None = None
-        self.arrivals_s: list[float] = []
         self.violations: list[str] = []
+        self._arrivals_s: list[float] = []
         self._named_s = 0.0
         self._known_s: dict[Hashable, float] = {}
         self._counted_s: list[float] = []
@@ -32,7 +31,6 @@
     def change(self, now_s: float, limit_per_s: float | None) -> None:
         """Name another limit from now on."""
         self.limit_per_s = limit_per_s
-        self.arrivals_s = []
         self._named_s = now_s
         self._known_s = {}
         self._counted_s = []
@@ -47,11 +45,15 @@
         """Do not count an entry from now on, until it gets another answer."""
         self._known_s.pop(entry, None)
 
+    def count_arrivals(self, from_s: float, until_s: float) -> int:
+        """Return the number of requests in a span of time, with and without a limit."""
+        return sum(from_s <= arrival_s < until_s for arrival_s in self._arrivals_s)
+
     def record_arrival(self, now_s: float, entry: Hashable) -> None:
         """Record a request, and check the span of time that it ends."""
+        self._arrivals_s.append(now_s)
         if self.limit_per_s is None:
             return
-        self.arrivals_s.append(now_s)
         known_s = self._known_s.get(entry)
         if known_s is None or now_s < known_s + KNOWN_AFTER_S:
             return
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -73,6 +73,18 @@
     # All engines switch to a new version, in three waves.
     LoadProfile("switch", ((0.0, 70.0),), ((0.0, 10),), 9.0, (3.0, 3.9, 4.8)),
     # All engines are lost, and return together.
+    # Two engines in need, and then all of them for some seconds.
+    LoadProfile(
+        "limits",
+        ((0.0, 70.0),),
+        ((0.0, 10),),
+        16.0,
+        limits=(
+            LimitChange(2.0, 2, 1.0),
+            LimitChange(7.0, 10, 4.0),
+            LimitChange(11.0, 10, None),
+        ),
+    ),
     LoadProfile("recovery", ((0.0, 70.0),), ((0.0, 10), (3.0, 0), (5.5, 10)), 14.0),
 )
 
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -19,6 +19,7 @@
 from toucanspread.ops import request_queue
 
 CALLER_TIMEOUT_S = 3.2  # callers abandon a request without an event for so long
+MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
 MAX_EVENT_GAP_S = 0.4  # a longer gap between events makes an answer late
 REQUEST_TIMEOUT_S = 6.0
 MEAN_ANSWER_TOKENS = 94
@@ -258,11 +259,11 @@
         self.random_source = random.Random(seed)
         self.outcome = CallerTotals()
         self._profile = profile
-        self.entries: list[places.SimulatedEntry] = []
-        for number in range(profile.entries):
-            self.entries.append(places.SimulatedEntry(self, number))
-        for entry in self.entries:
-            entry.known_entry_count = profile.entries
+        self.entries = [
+            places.SimulatedEntry(self, number, profile.entries)
+            for number in range(profile.entries)
+        ]
+        self._next_entry_number = profile.entries
         engine_count = int(max(count for _, count in profile.engines))
         self.engines = [
             places.SimulatedEngine(self, number) for number in range(engine_count)
@@ -325,6 +326,38 @@
         for engine in self.engines[: change.engine_count]:
             engine.limit.change(self.clock.seconds(), change.limit_per_s)
 
+    def add_entry(self) -> None:
+        """Add an entry; the others learn of it after a while."""
+        number, self._next_entry_number = (
+            self._next_entry_number,
+            self._next_entry_number + 1,
+        )
+        self._start_entry(number)
+
+    def remove_entry(self, entry: places.SimulatedEntry) -> None:
+        """Take an entry out of use; its requests go on."""
+        self.entries.remove(entry)
+        self._announce_entry_count()
+
+    def restart_entry(self, entry: places.SimulatedEntry) -> None:
+        """Replace an entry by a new one that knows nothing of before."""
+        self.entries.remove(entry)
+        self._start_entry(entry.number)
+
+    def _start_entry(self, number: int) -> None:
+        entry = places.SimulatedEntry(self, number, len(self.entries) + 1)
+        for engine in self.engines:
+            if engine.is_running:
+                entry.registry.put(engine.entry)
+        self.entries.append(entry)
+        self._announce_entry_count()
+
+    def _announce_entry_count(self) -> None:
+        for entry in self.entries:
+            self.clock.callLater(
+                MEMBERSHIP_DELAY_S, entry.apply_entry_count, len(self.entries)
+            )
+
     def choose_entry(self) -> places.SimulatedEntry:
         """Return the entry that a caller uses."""
         return self.random_source.choice(self.entries)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -43,6 +43,8 @@
     :ivar orders: accepted orders.
     :ivar requests: requests of callers.
     :ivar report_count: number of reports that were read.
+    :ivar limit_per_s: requests per second that it names as its limit in its answers to
+        callers; None for no limit.
     """
 
     isLeaf = True  # noqa: N815
@@ -55,6 +57,7 @@
         self.orders: list[dict] = []
         self.requests: list[EngineRequest] = []
         self.report_count = 0
+        self.limit_per_s: float | None = None
 
     def render(self, request: server.Request) -> bytes:
         """Answer a request of a caller or a call of the system."""
@@ -113,6 +116,8 @@
         request.setHeader("x-attempt-id", headers["x-attempt-id"])
         request.setHeader("x-response-seal", SEAL)
         request.setHeader("content-type", "application/x-own")
+        if self.limit_per_s is not None:
+            request.setHeader("server-limit", str(self.limit_per_s))
         return ANSWER_BODY
 
 
--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import http.client
 import json
+import time
 from typing import NamedTuple
 
 import testtools
@@ -12,6 +13,7 @@
 
 ATTEMPT_ID = "9c41d07be2a35f68"
 CALL_TIMEOUT_S = 5.0
+LIMIT_SPAN_S = 4.0  # in which the platform counts the requests under a limit
 
 
 class Answer(NamedTuple):
@@ -148,6 +150,31 @@
             self.assertEqual(401, run(send_request(entry, "/a/x", "other")).status)
         self.assertEqual(received_count, len(self.deployment.plain_engine.requests))
 
+    def test_entries_together_keep_to_the_limit_that_an_engine_names(self):
+        async def send_to_each():
+            return [await send_request(e, "/a/x") for e in self.entries]
+
+        async def is_limit_over():
+            engine.limit_per_s = None
+            answers = [answer for _ in range(4) for answer in await send_to_each()]
+            return all(answer.status == 200 for answer in answers)
+
+        engine = self.deployment.plain_engine
+        engine.limit_per_s = 2.0
+        run(send_to_each())
+        received_count = len(engine.requests)
+        end_s = time.monotonic() + LIMIT_SPAN_S
+        answers = []
+        while time.monotonic() < end_s:
+            answers += run(send_to_each())
+        received_count = len(engine.requests) - received_count
+        self.assertLessEqual(received_count, 1.5 * 2.0 * LIMIT_SPAN_S + 5)
+        self.assertGreaterEqual(received_count, 0.5 * 2.0 * LIMIT_SPAN_S)
+        rejected = [answer for answer in answers if answer.status != 200]
+        self.assertEqual({503}, {answer.status for answer in rejected})
+        self.assertTrue(all(answer.headers["Retry-After"] for answer in rejected))
+        self.wait_until(is_limit_over)
+
     def test_a_new_configuration_comes_into_force_at_both_entries(self):
         async def is_in_force():
             for entry in self.entries:
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -123,21 +123,30 @@
     """An entry with its view of the engines and its request queue.
 
     :param number: number of this entry, which a restarted one has again.
+    :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
-    :ivar known_entry_count: number of entries that it knows.
     """
 
-    def __init__(self, simulation: "load_simulation.LoadSimulation", number: int):
+    def __init__(
+        self,
+        simulation: "load_simulation.LoadSimulation",
+        number: int,
+        entry_count: int,
+    ):
         self.number = number
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
-        self.known_entry_count = max(len(simulation.entries), 1)
+        self._entry_count = entry_count
         self.registry = engines.EngineRegistry(DRAIN_DURATION_S)
         self.queue = request_queue.RequestQueue(simulation.clock)
         self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         self.random_source = random.Random(f"{simulation.seed}/{number}")
         self._simulation = simulation
 
+    def apply_entry_count(self, entry_count: int) -> None:
+        """Apply a change of the number of entries."""
+        self._entry_count = entry_count
+
     def apply_load(self, load: entry_data.EngineLoad) -> None:
         """Apply a load report."""
         self.registry.apply_load(load, self._simulation.clock.seconds())
@@ -158,9 +167,7 @@
 
     def make_decision_context(self) -> forwarding.DecisionContext:
         """Return the context of decisions."""
-        location = load_balancing.EntryLocation(
-            self.zone, REGIONS, self.known_entry_count
-        )
+        location = load_balancing.EntryLocation(self.zone, REGIONS, self._entry_count)
         now_s = self._simulation.clock.seconds()
         return forwarding.DecisionContext(
             now_s, self.registry, self.retry_budgets, location, self.random_source
