Let a value of the store that is no base64 cost only its key

Cause: _make_change raised binascii.Error, which is no StoreError, and the task ended. Change: a value that cannot be decoded is a typed error of its key alone: it is logged (value_unreadable) and counted, and the key's last good item stays, also when all items are read. Values of another type than text are handled alike; base64 is checked strictly.

--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -95,18 +95,25 @@
         return new
 
     def replace(
-        self, items: Iterable[KeyChange], revision: int, confirmed_s: float
+        self,
+        items: Iterable[KeyChange],
+        revision: int,
+        confirmed_s: float,
+        kept_keys: frozenset[str] = frozenset(),
     ) -> list[KeyChange]:
         """Replace the copy by a complete one and return the differences.
 
         :param revision: revision of the store when the first of the items was read.
+        :param kept_keys: keys that keep their items though they are not among the new.
         """
         if revision < self.revision:
             return []
         items_by_key = {item.key: item for item in items}
         new = []
         for key, item in list(self._items.items()):
-            if key not in items_by_key and item.revision <= revision:
+            if key in items_by_key or key in kept_keys:
+                continue
+            if item.revision <= revision:
                 change = KeyChange(key, revision)
                 self._apply_one(change)
                 new.append(change)
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -40,10 +40,13 @@
     """Result of a watch or of a read.
 
     :param revision: revision of the store after which the next watch continues.
+    :param unreadable_keys: keys whose values cannot be decoded; their last good values
+        stay in force.
     """
 
     changes: list[store_view.KeyChange]
     revision: int
+    unreadable_keys: frozenset[str] = frozenset()
 
 
 class PrefixStore(abc.ABC):
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -194,7 +194,10 @@
         ]
         # What has changed between the reads is part of the next update.
         revision = min(answer.revision for answer in answers)
-        self._notify_changes(self.view.replace(changes, revision, requested_s))
+        kept_keys = frozenset().union(*(a.unreadable_keys for a in answers))
+        self._notify_changes(
+            self.view.replace(changes, revision, requested_s, kept_keys)
+        )
 
     async def _sync_from_peer(self, source: source_selection.Source) -> None:
         age_s = self.view.age_s(self._pool.reactor.seconds())
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -1,13 +1,14 @@
 """Client of the platform's store, which is a key-value service with an HTTP API."""
 
 import base64
+import binascii
 from urllib.parse import quote
 
 import msgspec
 
 from toucanspread.core import data
 from toucanspread.core.view import store_view
-from toucanspread.ops import http1, http1_pool, prefix_store
+from toucanspread.ops import http1, http1_pool, logs, metric_buffer, prefix_store
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
 WATCH_ANSWER_MARGIN_S = 0.6  # maximum delay of a watch's answer beyond its wait
@@ -21,7 +22,7 @@
 
     key: str
     revision: int
-    value: str | None = None
+    value: object = None  # checked by itself, so that a bad one costs only its key
     deleted: bool = False
 
 
@@ -56,6 +57,10 @@
     deletes: list[str]
 
 
+class _ValueDecodeError(Exception):
+    """The value of a key is not base64 text."""
+
+
 class PlatformStore(prefix_store.PrefixStore):
     """Client of the store.
 
@@ -73,6 +78,7 @@
         of the next watch.
         """
         changes = []
+        unreadable_keys = []
         revision = None
         after = ""
         while True:
@@ -84,9 +90,13 @@
             )
             if revision is None:
                 revision = page.store_revision
-            changes.extend(_make_changes(page.items))
+            readable, unreadable = _make_changes(page.items)
+            changes.extend(readable)
+            unreadable_keys.extend(unreadable)
             if not page.has_more or not page.items:
-                return prefix_store.Changes(changes, revision)
+                return prefix_store.Changes(
+                    changes, revision, frozenset(unreadable_keys)
+                )
             after = page.items[-1].key
 
     async def watch(
@@ -103,7 +113,10 @@
                 f"the store no longer has the changes after revision {after}"
             )
         answer = self._decode(reply, _WatchAnswer)
-        return prefix_store.Changes(_make_changes(answer.events), answer.store_revision)
+        changes, unreadable_keys = _make_changes(answer.events)
+        return prefix_store.Changes(
+            changes, answer.store_revision, frozenset(unreadable_keys)
+        )
 
     async def put(
         self, key: str, value: bytes, lease: prefix_store.LeaseId
@@ -169,12 +182,33 @@
             ) from error
 
 
-def _make_changes(events: list[_KeyEvent]) -> list[store_view.KeyChange]:
-    return [_make_change(event) for event in events]
+def _make_changes(
+    events: list[_KeyEvent],
+) -> tuple[list[store_view.KeyChange], list[str]]:
+    """Return the changes, and the keys of which the value cannot be decoded."""
+    changes = []
+    unreadable_keys = []
+    for event in events:
+        try:
+            changes.append(_make_change(event))
+        except _ValueDecodeError as error:
+            metric_buffer.count("values_unreadable")
+            logs.write("value_unreadable", key=event.key, why=str(error))
+            unreadable_keys.append(event.key)
+    return changes, unreadable_keys
 
 
 def _make_change(event: _KeyEvent) -> store_view.KeyChange:
+    """Return the change of an event.
+
+    :raises _ValueDecodeError: when the value is not base64 text.
+    """
     if event.deleted or event.value is None:
         return store_view.KeyChange(event.key, event.revision)
-    value = base64.b64decode(event.value)
+    if not isinstance(event.value, str):
+        raise _ValueDecodeError(f"{type(event.value).__name__} instead of text")
+    try:
+        value = base64.b64decode(event.value, validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise _ValueDecodeError(str(error)) from error
     return store_view.KeyChange(event.key, event.revision, value)
--- /dev/null
+++ b/toucanspread/platform/store_test.py
@@ -0,0 +1,78 @@
+"""Tests how answers of the platform's store are read."""
+
+import asyncio
+import json
+
+import testtools
+from twisted.internet import task
+
+from toucanspread.core import data
+from toucanspread.core.view import source_selection, store_view
+from toucanspread.ops import http1, http1_pool, view_sync
+from toucanspread.platform import store
+
+GOOD_VALUE = "Z29vZA=="
+BAD_VALUES = ("abc", "Z29v\u00e9ZA=", "Z29v!ZA==", 7, ["Z29vZA=="], {"a": 1}, True)
+
+
+class Pool(http1_pool.ConnectionPool):
+    """Returns prepared answers of the store, in their order."""
+
+    def __init__(self, answers):
+        super().__init__(task.Clock())
+        self._answers = list(answers)
+
+    async def call(self, address, head, body=b"", timeout_s=1.0, stall_timeout_s=None):
+        answer = json.dumps(self._answers.pop(0)).encode()
+        return http1_pool.Reply(200, http1.AnswerHead(200, []), answer)
+
+
+def make_page(revision, *rows):
+    """Return a page of (key, value) pairs that were all written at a revision."""
+    items = [{"key": k, "value": v, "revision": revision} for k, v in rows]
+    return {"items": items, "has_more": False, "store_revision": revision}
+
+
+def make_events(revision, *rows):
+    page = make_page(revision, *rows)
+    return {"events": page["items"], "store_revision": revision}
+
+
+class UnreadableValueTest(testtools.TestCase):
+    def synchronize(self, *answers):
+        """Return the copy of a process after some answers of the store."""
+        view = store_view.View()
+        pool = Pool(answers)
+        synchronizer = view_sync.ViewSynchronizer(
+            view,
+            store.PlatformStore(pool, "s:1"),
+            pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+            ("op/",),
+            list,
+            list,
+            lambda changes: None,
+        )
+        for _ in answers:
+            asyncio.run(synchronizer.sync_once())
+        return view
+
+    def test_a_bad_value_in_a_watch_costs_only_its_key(self):
+        for value in BAD_VALUES:
+            view = self.synchronize(
+                make_page(1, ("op/a", GOOD_VALUE), ("op/b", GOOD_VALUE)),
+                make_events(2, ("op/a", value), ("op/b", "bmV3")),
+            )
+            self.assertEqual(b"good", view.get("op/a").value, value)
+            self.assertEqual(b"new", view.get("op/b").value, value)
+            self.assertEqual(2, view.revision, value)
+
+    def test_a_bad_value_among_all_items_keeps_the_last_good_value_of_its_key(self):
+        for value in BAD_VALUES:
+            page = make_page(1, ("op/a", GOOD_VALUE), ("op/b", GOOD_VALUE))
+            pool = Pool([make_page(2, ("op/a", value), ("op/b", "bmV3"))])
+            answer = asyncio.run(store.PlatformStore(pool, "s:1").read_all("op/"))
+            view = self.synchronize(page)
+            view.replace(answer.changes, answer.revision, 0.0, answer.unreadable_keys)
+            self.assertEqual(b"good", view.get("op/a").value, value)
+            self.assertEqual(b"new", view.get("op/b").value, value)
