Keep a process's lasting tasks and periodic calls running after an exception

LoopingCall stops at its first exception as well. Cause: loop.spawn runs a coroutine once; nothing starts it again, and the copy had taken in changes that were then never passed on. Change: loop.supervise starts synchronization, registration and the sidecar's engine task again after 0.5 s, loop.call_periodically goes on after an exception (maintenance, settings file); both count task_failures_total and log. After an unexpected exception all items are read, and all, with deletions that were not passed on, are applied again. One change that cannot be applied costs only itself (change_failed).

--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -175,6 +175,21 @@
         self.assertTrue(all(answer.headers["Retry-After"] for answer in rejected))
         self.wait_until(is_limit_over)
 
+    def test_bad_values_in_the_store_do_not_end_the_synchronization(self):
+        async def is_new_route_in_force():
+            answers = [await send_request(e, "/later/x") for e in self.entries]
+            return all(answer.status == 200 for answer in answers)
+
+        state = self.deployment.state
+        state.write_unchecked("op/config", b"{}")
+        state.write_unchecked("op/version/x", b"\xff")
+        state.write_unchecked("servers/i-other", b"[]")
+        state.write_unchecked("entries/other", b"")
+        for entry in self.entries:
+            self.assertEqual(200, run(send_request(entry, "/a/x")).status)
+        self.deployment.write_configuration(11, "/a/", "/old/", "/later/")
+        self.wait_until(is_new_route_in_force)
+
     def test_a_new_configuration_comes_into_force_at_both_entries(self):
         async def is_in_force():
             for entry in self.entries:
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -82,6 +82,10 @@
         """Return the items whose keys begin with a prefix."""
         return [item for key, item in self._items.items() if key.startswith(prefix)]
 
+    def list_as_changes(self) -> list[KeyChange]:
+        """Return all items, as the changes that wrote them."""
+        return [KeyChange(i.key, i.revision, i.value) for i in self._items.values()]
+
     def apply(
         self, changes: Iterable[KeyChange], revision: int, confirmed_s: float
     ) -> list[KeyChange]:
@@ -143,9 +147,7 @@
             changes = self._list_changes_after(after)
             is_whole = False
         else:
-            changes = [
-                KeyChange(i.key, i.revision, i.value) for i in self._items.values()
-            ]
+            changes = self.list_as_changes()
             is_whole = True
         requested = tuple(c for c in changes if c.key.startswith(prefixes))
         return Excerpt(self.revision, age_s, is_whole, requested)
--- a/toucanspread/ops/loop.py
+++ b/toucanspread/ops/loop.py
@@ -2,15 +2,21 @@
 
 Importing this module installs the reactor; :mod:`toucanspread.ops` imports it before
 another module can install a different one. :func:`spawn` runs a coroutine as an asyncio
-task; a coroutine awaits a twisted ``Deferred`` through :func:`as_future`.
+task, :func:`supervise` one that has to run for the life of the process, and
+:func:`call_periodically` calls a function again and again. A coroutine awaits a twisted
+``Deferred`` through :func:`as_future`.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 import eliot
-from twisted.internet import asyncioreactor, defer, error
+from twisted.internet import asyncioreactor, defer, error, task
+
+from toucanspread.ops import metric_buffer
+
+RESTART_DELAY_S = 0.5  # of a task that has failed
 
 EVENT_LOOP = asyncio.new_event_loop()
 
@@ -22,16 +28,50 @@
 
 def spawn(coroutine: Coroutine) -> asyncio.Task:
     """Run a coroutine as a task and log the exception if it fails."""
-    task = EVENT_LOOP.create_task(coroutine)
-    _tasks.add(task)
-    task.add_done_callback(_on_task_done)
-    return task
+    spawned = EVENT_LOOP.create_task(coroutine)
+    _tasks.add(spawned)
+    spawned.add_done_callback(_on_task_done)
+    return spawned
+
+
+def supervise(
+    name: str,
+    run: Callable[[], Coroutine],
+    restart_delay_s: float = RESTART_DELAY_S,
+) -> asyncio.Task:
+    """Run a coroutine function as a task, again after each unexpected exception.
+
+    :param name: of the task, for logs and metrics.
+    """
+    return spawn(_run_again_after_failures(name, run, restart_delay_s))
+
+
+def call_periodically(
+    name: str, interval_s: float, function: Callable[[], None], clock=None
+) -> task.LoopingCall:
+    """Call a function at an interval, also after it has raised an exception.
+
+    :param name: of the call, for logs and metrics.
+    :param clock: the reactor if None.
+    """
+
+    def call() -> None:
+        try:
+            function()
+        except Exception as exception:
+            log_failure(name, exception)
+
+    periodic = task.LoopingCall(call)
+    if clock is not None:
+        periodic.clock = clock
+    periodic.start(interval_s, now=False)
+    return periodic
 
 
 def cancel_all() -> None:
     """Cancel all tasks; to be called last before the loop stops."""
-    for task in list(_tasks):
-        task.cancel()
+    for spawned in list(_tasks):
+        spawned.cancel()
 
 
 def as_future(deferred: defer.Deferred) -> asyncio.Future:
@@ -39,13 +79,34 @@
     return deferred.asFuture(EVENT_LOOP)
 
 
-def _on_task_done(task: asyncio.Task) -> None:
-    _tasks.discard(task)
-    if task.cancelled() or task.exception() is None:
-        return
-    exception = task.exception()
+def log_failure(name: str, exception: BaseException) -> None:
+    """Log and count an unexpected exception of a part that goes on.
+
+    :param name: of the part.
+    """
+    metric_buffer.count("task_failures", task=name)
     eliot.log_message(
         message_type="task_failed",
+        name=name,
         kind=type(exception).__name__,
         why=str(exception),
     )
+
+
+async def _run_again_after_failures(
+    name: str, run: Callable[[], Coroutine], restart_delay_s: float
+) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except Exception as exception:
+            log_failure(name, exception)
+        await asyncio.sleep(restart_delay_s)
+
+
+def _on_task_done(done: asyncio.Task) -> None:
+    _tasks.discard(done)
+    if done.cancelled() or done.exception() is None:
+        return
+    log_failure(done.get_coro().__name__, done.exception())
--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from twisted.internet import reactor, task
+from twisted.internet import reactor
 
 from toucanspread.ops import (
     http1,
@@ -76,11 +76,10 @@
         self._path = path
         self._on_change = on_change
         self._last_stamp = stamp
-        self._poll_task = task.LoopingCall(self.check)
 
     def start(self) -> None:
         """Start to check the file periodically."""
-        self._poll_task.start(SETTINGS_POLL_INTERVAL_S, now=False)
+        loop.call_periodically("settings", SETTINGS_POLL_INTERVAL_S, self.check)
 
     def check(self) -> None:
         """Check the file now."""
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -85,11 +85,23 @@
         self._seeds = seeds
         self._on_changes = on_changes
         self._must_read_all = False
+        self._undelivered: list[store_view.KeyChange] = []
 
     async def run(self) -> None:
-        """Synchronize until cancelled."""
-        while True:
-            await self.sync_once()
+        """Synchronize until cancelled.
+
+        After an unexpected exception, all items are read and passed on again, since it
+        is unknown which changes took effect.
+        """
+        try:
+            while True:
+                await self.sync_once()
+        except Exception:
+            self._must_read_all = True
+            changes = self._undelivered + self.view.list_as_changes()
+            newest = {change.key: change for change in changes}
+            self._undelivered = list(newest.values())
+            raise
 
     @property
     def outage_until_s(self) -> float:
@@ -100,6 +112,7 @@
         """Request an update from one source, or pause when no source is eligible."""
         if self._peer_discovery is not None:
             await self._discover_peers()
+        self._deliver()
         now_s = self._pool.reactor.seconds()
         self.previous_confirmed_s = self.view.confirmed_s
         source = self._selector.select_source(self._peers(), self._seeds(), now_s)
@@ -225,8 +238,33 @@
         self._notify_changes(changes)
 
     def _notify_changes(self, changes: list[store_view.KeyChange]) -> None:
-        if changes:
-            self._on_changes(changes)
+        self._undelivered += changes
+        self._deliver()
+
+    def _deliver(self) -> None:
+        """Pass on the changes that the copy has taken in, until that has succeeded."""
+        if self._undelivered:
+            self._on_changes(self._undelivered)
+            self._undelivered = []
+
+
+def apply_each(
+    changes: list[store_view.KeyChange],
+    apply_one: Callable[[store_view.KeyChange], None],
+) -> None:
+    """Apply changes one after the other; one that cannot be applied is logged."""
+    for change in changes:
+        try:
+            apply_one(change)
+        except Exception as error:
+            metric_buffer.count("changes_failed")
+            logs.write(
+                "change_failed",
+                key=change.key,
+                revision=change.revision,
+                kind=type(error).__name__,
+                why=str(error),
+            )
 
 
 class ExcerptRequest(NamedTuple):
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -121,6 +121,28 @@
         self.sync()
         self.assertEqual([1, 9], [change.revision for change in self.changes])
 
+    def test_changes_are_passed_on_again_after_an_unexpected_exception(self):
+        def fail_once(changes):
+            self.changes.extend(changes)
+            if len(self.changes) == 1:
+                raise ValueError("unexpected")
+
+        synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+            ("op/",),
+            list,
+            list,
+            fail_once,
+        )
+        self.assertRaises(ValueError, asyncio.run, synchronizer.run())
+        asyncio.run(synchronizer.sync_once())
+        self.assertEqual({1}, {change.revision for change in self.changes})
+        self.assertGreater(len(self.changes), 1)
+        self.assertEqual(["op/", "op/"], self.store.read_prefixes)
+
     def test_reads_peer_records_before_all_keys(self):
         records = []
         discovery = view_sync.PeerDiscovery("entries/", records.extend)
@@ -166,6 +188,19 @@
         self.assertIn("wait_ms=0", self.pool.requested_targets[0])
 
 
+class ApplyEachTest(testtools.TestCase):
+    def test_a_change_that_cannot_be_applied_costs_only_itself(self):
+        def apply_one(change):
+            if change.key == "bad":
+                raise KeyError("unexpected")
+            applied.append(change.key)
+
+        applied = []
+        changes = [store_view.KeyChange(key, 1) for key in ("a", "bad", "b")]
+        view_sync.apply_each(changes, apply_one)
+        self.assertEqual(["a", "b"], applied)
+
+
 class Exchange:
     """A request of a peer with the response to it."""
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -8,7 +8,7 @@
 import random
 
 import msgspec
-from twisted.internet import reactor, task
+from twisted.internet import reactor
 
 from toucanspread.core import data
 from toucanspread.core.entry import (
@@ -133,11 +133,13 @@
         process.listen(metrics_address, process.MetricsHandler())
         host, _, port = self._registration.record.reports.rpartition(":")
         reactor.listenUDP(int(port), self._report_receiver, interface=host)
-        loop.spawn(self._synchronizer.run())
-        loop.spawn(self._registration.run())
+        loop.supervise("synchronization", self._synchronizer.run)
+        loop.supervise("registration", self._registration.run)
         if self.process_settings.bootstrap:
             reactor.callLater(STARTUP_SETTLE_S, self._fetch_versions_in_use)
-        task.LoopingCall(self._run_maintenance).start(MAINTENANCE_INTERVAL_S, now=False)
+        loop.call_periodically(
+            "maintenance", MAINTENANCE_INTERVAL_S, self._run_maintenance
+        )
         self._settings_file.start()
         logs.write("started", address=listen.front, zone=self.process_settings.zone)
 
@@ -212,24 +214,37 @@
         store_was_unavailable = (
             now_s - synchronizer.store_failed_s < STORE_OUTAGE_GRACE_S
         )
-        for change in changes:
-            event = decoding.decode_change(change)
-            if event is None or not self.cluster.apply(
-                event, timing, store_was_unavailable
-            ):
-                continue
-            self._log_change(event, change)
-            if isinstance(event, cluster_state.VersionNamed):
-                is_new_version = timing.earliest_in_force_s > float("-inf")
-                self._fetch_kept_pieces(event.model, event.version, is_new_version)
+
+        def apply_one(change: store_view.KeyChange) -> None:
+            self._apply_change(change, timing, store_was_unavailable)
+
+        view_sync.apply_each(changes, apply_one)
         self.excerpts.notify_waiters()
 
+    def _apply_change(
+        self,
+        change: store_view.KeyChange,
+        timing: cluster_state.ChangeTiming,
+        store_was_unavailable: bool,
+    ) -> None:
+        event = decoding.decode_change(change)
+        if event is None:
+            return
+        if not self.cluster.apply(event, timing, store_was_unavailable):
+            return
+        self._log_change(event, change)
+        if isinstance(event, cluster_state.VersionNamed):
+            is_new_version = timing.earliest_in_force_s > float("-inf")
+            self._fetch_kept_pieces(event.model, event.version, is_new_version)
+
     def _on_records(self, changes: list[store_view.KeyChange]) -> None:
         """Add the entries' records, which are read before the rest of the store."""
-        for change in changes:
-            event = decoding.decode_change(change)
-            if isinstance(event, cluster_state.EntrySeen):
-                self.cluster.directory.put(event.record)
+        view_sync.apply_each(changes, self._apply_record)
+
+    def _apply_record(self, change: store_view.KeyChange) -> None:
+        event = decoding.decode_change(change)
+        if isinstance(event, cluster_state.EntrySeen):
+            self.cluster.directory.put(event.record)
 
     def _log_change(self, event: data.Event, change: store_view.KeyChange) -> None:
         logs.write(
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 import msgspec
-from twisted.internet import reactor, task
+from twisted.internet import reactor
 
 from toucanspread.core import data
 from toucanspread.core.entry import cluster_state, entry_directory
@@ -100,13 +100,13 @@
         reactor.listenUDP(0, self._load_sender, interface=self.process_settings.ip)
         metrics_address = f"{self.process_settings.ip}:{process.METRICS_PORT}"
         process.listen(metrics_address, process.MetricsHandler())
-        task.LoopingCall(self._pool.drop_expired).start(
-            MAINTENANCE_INTERVAL_S, now=False
+        loop.call_periodically(
+            "maintenance", MAINTENANCE_INTERVAL_S, self._pool.drop_expired
         )
         self._settings_file.start()
-        loop.spawn(self._synchronizer.run())
+        loop.supervise("synchronization", self._synchronizer.run)
         if self.process_settings.app:
-            loop.spawn(self._run_engine())
+            loop.supervise("engine", self._run_engine)
         logs.write(
             "started", engine=self.process_settings.app, zone=self.process_settings.zone
         )
@@ -183,28 +183,32 @@
         return answer.changes
 
     def _on_changes(self, changes: list[store_view.KeyChange]) -> None:
-        now_s = reactor.seconds()
-        for change in changes:
-            match decoding.decode_change(change):
-                case cluster_state.EntrySeen(record):
-                    self._directory.put(record)
-                case cluster_state.EntryRemoved(name):
-                    self._directory.remove(name, now_s, store_was_unavailable=False)
-                case cluster_state.EngineSeen(entry):
-                    self._engines[entry.engine_id] = entry
-                case cluster_state.EngineRemoved(engine_id):
-                    self._engines.pop(engine_id, None)
-                case cluster_state.VersionNamed(model, version):
-                    self._on_version_named(model, version, now_s)
+        view_sync.apply_each(changes, self._apply_change)
         # Versions in the first copy of the store were named some time before.
         self._has_first_copy = True
 
+    def _apply_change(self, change: store_view.KeyChange) -> None:
+        now_s = reactor.seconds()
+        match decoding.decode_change(change):
+            case cluster_state.EntrySeen(record):
+                self._directory.put(record)
+            case cluster_state.EntryRemoved(name):
+                self._directory.remove(name, now_s, store_was_unavailable=False)
+            case cluster_state.EngineSeen(entry):
+                self._engines[entry.engine_id] = entry
+            case cluster_state.EngineRemoved(engine_id):
+                self._engines.pop(engine_id, None)
+            case cluster_state.VersionNamed(model, version):
+                self._on_version_named(model, version, now_s)
+
     def _on_records(self, changes: list[store_view.KeyChange]) -> None:
         """Add the entries' records, which are read before the rest of the store."""
-        for change in changes:
-            event = decoding.decode_change(change)
-            if isinstance(event, cluster_state.EntrySeen):
-                self._directory.put(event.record)
+        view_sync.apply_each(changes, self._apply_record)
+
+    def _apply_record(self, change: store_view.KeyChange) -> None:
+        event = decoding.decode_change(change)
+        if isinstance(event, cluster_state.EntrySeen):
+            self._directory.put(event.record)
 
     def _on_version_named(
         self, model: data.ModelName, version: int, now_s: float
