Retry a step of the staging that ended by an unexpected exception

Change: such an exception is logged, counted and reported as a failed effect, which the stager repeats. Result: the new test of staging_driver_test fails on the parent (a ValueError while the manifest is read; the piece is never asked for) and passes here.

--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -193,7 +193,16 @@
                 "staging_step", step=self._logged_step.value, version=target.version
             )
         for effect in effects:
-            loop.spawn(self._handlers[type(effect)](effect))
+            loop.spawn(self._carry_out(effect))
+
+    async def _carry_out(self, effect: data.Effect) -> None:
+        """Carry out an effect; report it as failed after an unexpected exception."""
+        try:
+            await self._handlers[type(effect)](effect)
+        except Exception as error:
+            loop.log_failure(type(effect).__name__, error)
+            number = getattr(effect, "number", None)
+            self._report_effect_failure(effect.version, number)
 
     async def _read_digests(self, effect: staging_events.ReadDigests) -> None:
         key = piece_placement.PieceKey(
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/staging_driver_test.py
@@ -54,12 +54,16 @@
     def __init__(self):
         super().__init__(task.Clock())
         self.remaining_count = 1_000
+        self.unexpected_errors = []
         self.unreachable_call_count = 0
         self.pending_manifest_count = 0
         self.max_pending_manifest_count = 0
 
     async def call(self, address, head, body=b"", timeout_s=1.0):
         target, _, query = head.target.decode().partition("?")
+        if target in self.unexpected_errors:
+            self.unexpected_errors.remove(target)
+            raise ValueError("unexpected")
         if address == UNREACHABLE and target == piece_cache.MANIFEST_TARGET:
             await self._wait_for_ever()
         if address == UNREACHABLE:
@@ -182,6 +186,13 @@
         self.run_process()
         self.assertEqual(1, self.engine.version)
 
+    def test_an_unexpected_exception_does_not_stop_the_staging_for_good(self):
+        targets = [piece_cache.MANIFEST_TARGET, piece_cache.PIECE_TARGET]
+        self.pool.unexpected_errors = targets
+        self.run_process()
+        self.assertEqual([], self.pool.unexpected_errors)
+        self.assertEqual(1, self.engine.version)
+
     def test_silent_entry_does_not_delay_the_manifest(self):
         self.patch(staging_driver, "NEXT_HOLDER_DELAY_S", 0.0)
         self.entries += [make_record(f"x{number}", UNREACHABLE) for number in range(5)]
