Read numbers in callers' headers only from a bounded number of ASCII digits

What callers saw (shown by tests on the parent): a request with Last-Event-Id "\xb2", or a number of 5,000 digits in X-Timeout-Ms, ended in a bare ValueError. Cause: isdigit() admits more than int() reads, and int() refuses very long numbers. Change: one parser of counts, which returns None for anything else.

--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -31,6 +31,22 @@
 
 
 AttemptKey = tuple[RequestId, int]  # identifies one dispatch
+MAX_PORT = 65_535
+MAX_COUNT_DIGITS = 18  # longer numbers are no counts, and int() refuses very long ones
+
+
+def parse_count(text: str) -> int | None:
+    """Return a number that is written in ASCII digits, or None for any other text."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text has a host and a port number."""
+    host, _, port = text.rpartition(":")
+    number = parse_count(port)
+    return bool(host) and number is not None and 1 <= number <= MAX_PORT
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -536,9 +536,8 @@
         profile = self.service.profile
         if profile is None or self._last_event_id is None:
             return likely
-        if not self._last_event_id.isdigit():
-            return likely
-        return max(likely - int(self._last_event_id) * profile.pass_tokens, 0)
+        event_count = data.parse_count(self._last_event_id) or 0
+        return max(likely - event_count * profile.pass_tokens, 0)
 
     def _silence_timeout_s(self) -> float:
         if self.route.kind is entry_data.RequestKind.STREAMING:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -118,6 +118,16 @@
         self.assertEqual([], request.on_stream_opened())
         self.assert_only(decisions.CloseStream, request.on_answer(fixture.at(0.9), 200))
 
+    def test_a_stream_may_resume_after_an_event_id_that_is_no_number(self):
+        for event_id in ("\u00b2", "x", "", "-1", "9" * 5_000):
+            fixture = Fixture()
+            call = entry_data.Call("id", "h", "/p/x", None, 5.0, event_id)
+            request = fixture.make_request(make_route(), call)
+            sent = self.assert_only(
+                decisions.SendToEngine, request.start(fixture.at(0.0))
+            )
+            self.assertEqual(event_id, sent.last_event_id)
+
     def test_a_stream_that_is_not_resumable_is_broken(self):
         fixture = Fixture()
         request = fixture.make_request(make_route(resumable=False))
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -138,20 +138,21 @@
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
     """Return a header in milliseconds as seconds, or None if it is not a number."""
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000
+    count = _parse_number(value)
+    return None if count is None else count / 1000
 
 
 def _parse_count(value: bytes | None) -> int:
-    if value is None or not value.strip().isdigit():
-        return 0
-    return int(value)
+    return _parse_number(value) or 0
 
 
 def _parse_token_usage(value: bytes | None) -> tuple[int, int]:
     """Return the numbers of prompt and output tokens; (0, 0) if malformed."""
-    parts = (value or b"").split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    counts = [_parse_number(part) for part in (value or b"").split(b",")]
+    if len(counts) != 2 or None in counts:
         return (0, 0)
-    return (int(parts[0]), int(parts[1]))
+    return (counts[0], counts[1])
+
+
+def _parse_number(value: bytes | None) -> int | None:
+    return None if value is None else data.parse_count(_decode_text(value))
--- /dev/null
+++ b/toucanspread/platform/requests_test.py
@@ -0,0 +1,33 @@
+"""Tests how the headers of callers' requests are read."""
+
+import testtools
+
+from toucanspread.ops import http1
+from toucanspread.platform import requests
+
+NO_NUMBERS = (b"", b"x", b"-1", b"1.5", b"\xb2", b"9" * 5_000)
+
+
+class ReadCallTest(testtools.TestCase):
+    def read(self, name, value):
+        """Return the call of a request with one more header."""
+        headers = [
+            http1.Header(b"X-Attempt-Id", b"i"),
+            http1.Header(b"Host", b"h"),
+            http1.Header(name, value),
+        ]
+        head = http1.RequestHead(b"GET", b"/a/", headers)
+        return requests.PlatformDialect().read_call(head)
+
+    def test_numbers_are_read(self):
+        self.assertEqual(2.5, self.read(b"X-Timeout-Ms", b" 2500").budget_s)
+        self.assertEqual(80, self.read(b"X-Length-Hint", b"80").likely_tokens)
+        usage = self.read(b"X-Token-Usage", b"1460, 80")
+        self.assertEqual((1460, 80), (usage.prompt_tokens, usage.output_tokens))
+
+    def test_what_is_no_number_counts_as_missing(self):
+        for value in NO_NUMBERS:
+            self.assertIsNone(self.read(b"X-Timeout-Ms", value).budget_s)
+            self.assertEqual(0, self.read(b"X-Length-Hint", value).likely_tokens)
+            usage = self.read(b"X-Token-Usage", b"1," + value)
+            self.assertEqual((0, 0), (usage.prompt_tokens, usage.output_tokens))
