Check the ports of addresses that others write into the store

Change: engines and entries need a host and a port from 1 to 65535. Result: the new cases of decoding_test fail on the parent and pass here.

--- a/toucanspread/core/entry/entry_directory.py
+++ b/toucanspread/core/entry/entry_directory.py
@@ -46,9 +46,11 @@
 def decode_record(value: bytes) -> EntryRecord | None:
     """Return a record from the store, or None if it is malformed."""
     try:
-        return msgspec.json.decode(value, type=EntryRecord)
+        record = msgspec.json.decode(value, type=EntryRecord)
     except msgspec.MsgspecError:
         return None
+    addresses = (record.address, record.control, record.reports)
+    return record if all(map(data.is_address, addresses)) else None
 
 
 class EntryDirectory:
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -182,8 +182,7 @@
     except msgspec.MsgspecError:
         return None
     state = ENGINE_STATES.get(entry.state)
-    host, _, port = entry.address.rpartition(":")
-    if state is None or not host or not port.isdigit() or entry.slots < 1:
+    if state is None or not data.is_address(entry.address) or entry.slots < 1:
         return None
     return entry_data.EngineEntry(
         engine_id,
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -114,6 +114,10 @@
             encode_json({**ENTRY, "slots": 0}),
             encode_json({**ENTRY, "address": "here"}),
             encode_json({**ENTRY, "address": None}),
+            encode_json({**ENTRY, "address": "10.0.0.1:\u00b2"}),
+            encode_json({**ENTRY, "address": "10.0.0.1:99999"}),
+            encode_json({**ENTRY, "address": "10.0.0.1:0"}),
+            encode_json({**ENTRY, "address": "10.0.0.1:" + "9" * 5_000}),
         ]
         for value in unusable_values:
             change = store_view.KeyChange("servers/i-1", 3, value)
