--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -13,6 +13,8 @@
 from toucanspread.core.view import store_view
 
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
+# The store's values that a process keeps take a few megabytes at the largest.
+MAX_DECOMPRESSED_BYTES = 16_000_000
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
 _changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
@@ -87,9 +89,24 @@
         excerpt = _excerpt_decoder.decode(body)
         if isinstance(excerpt, store_view.Excerpt):
             return excerpt
-        changes = _changes_decoder.decode(zlib.decompress(excerpt.compressed_changes))
+        changes = _changes_decoder.decode(_decompress(excerpt.compressed_changes))
     except (msgspec.MsgspecError, zlib.error) as error:
         raise ExcerptDecodeError(str(error)) from error
     return store_view.Excerpt(
         excerpt.revision, excerpt.age_s, excerpt.is_whole, changes
     )
+
+
+def _decompress(compressed: bytes) -> bytes:
+    """Return the bytes of a zlib stream.
+
+    :raises ExcerptDecodeError: when they are more than ``MAX_DECOMPRESSED_BYTES``, or
+        the stream is not complete.
+    """
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(compressed, MAX_DECOMPRESSED_BYTES)
+    if decompressor.unconsumed_tail:
+        raise ExcerptDecodeError(f"more than {MAX_DECOMPRESSED_BYTES} bytes")
+    if not decompressor.eof:
+        raise ExcerptDecodeError("incomplete")
+    return decompressed
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/excerpt_codec_test.py
@@ -1,5 +1,9 @@
 """Tests of the encoding of excerpts."""
 
+import tracemalloc
+import zlib
+
+import msgspec
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,6 +11,8 @@
 from toucanspread.core.view import store_view
 from toucanspread.ops import excerpt_codec
 
+SMALLEST_MEMORY_BYTES = 168_000_000  # of the users' machines
+
 
 def make_excerpt(size_bytes, revision=5, is_whole=False):
     changes = (
@@ -79,3 +85,18 @@
         self.assertRaises(
             excerpt_codec.ExcerptDecodeError, excerpt_codec.decode_excerpt, cut
         )
+
+    def test_an_excerpt_that_would_fill_the_memory_is_an_error(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        size_bytes = 2 * excerpt_codec.MAX_DECOMPRESSED_BYTES
+        excerpt = excerpt_codec.CompressedExcerpt(
+            5, 0.25, False, zlib.compress(bytes(size_bytes), zlib.Z_BEST_SPEED)
+        )
+        body = msgspec.msgpack.encode(excerpt)
+        tracemalloc.reset_peak()
+        self.assertRaises(
+            excerpt_codec.ExcerptDecodeError, excerpt_codec.decode_excerpt, body
+        )
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+        self.assertLess(peak_bytes, SMALLEST_MEMORY_BYTES / 4)
