--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -5,6 +5,7 @@
 followers.
 """
 
+import hashlib
 import zlib
 
 import msgspec
@@ -15,6 +16,7 @@
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
 # The store's values that a process keeps take a few megabytes at the largest.
 MAX_DECOMPRESSED_BYTES = 16_000_000
+DIGEST_BYTES = 16
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
 _changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
@@ -43,15 +45,11 @@
     """Encodes excerpts of one copy, and keeps the latest compressed changes."""
 
     def __init__(self):
-        self._compressed_by_key: dict[tuple[int, int, int, str], bytes] = {}
+        self._compressed_by_digest: dict[bytes, bytes] = {}
 
-    def encode(
-        self, excerpt: store_view.Excerpt, prefixes: str, can_decompress: bool
-    ) -> bytes:
+    def encode(self, excerpt: store_view.Excerpt, can_decompress: bool) -> bytes:
         """Return the encoding of an excerpt.
 
-        :param prefixes: key prefixes of the excerpt; excerpts of equal revisions with
-            other prefixes have other changes.
         :param can_decompress: whether the receiver knows :class:`CompressedExcerpt`.
         """
         size_bytes = sum(len(change.value or b"") for change in excerpt.changes)
@@ -62,21 +60,20 @@
                 excerpt.revision,
                 excerpt.age_s,
                 excerpt.is_whole,
-                self._compress_changes(excerpt, prefixes),
+                self._compress_changes(excerpt),
             )
         )
 
-    def _compress_changes(self, excerpt: store_view.Excerpt, prefixes: str) -> bytes:
-        # Changes are the same if there are as many of them up to the same newest one.
-        newest = max(change.revision for change in excerpt.changes)
-        key = (newest, excerpt.is_whole, len(excerpt.changes), prefixes)
-        compressed = self._compressed_by_key.get(key)
+    def _compress_changes(self, excerpt: store_view.Excerpt) -> bytes:
+        encoded = msgspec.msgpack.encode(excerpt.changes)
+        digest = hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
+        compressed = self._compressed_by_digest.get(digest)
         if compressed is None:
-            encoded = msgspec.msgpack.encode(excerpt.changes)
             compressed = zlib.compress(encoded, zlib.Z_BEST_SPEED)
-            self._compressed_by_key[key] = compressed
-            if len(self._compressed_by_key) > CACHED_COUNT:
-                del self._compressed_by_key[next(iter(self._compressed_by_key))]
+            self._compressed_by_digest[digest] = compressed
+            if len(self._compressed_by_digest) > CACHED_COUNT:
+                oldest = next(iter(self._compressed_by_digest))
+                del self._compressed_by_digest[oldest]
         return compressed
 
 
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/excerpt_codec_test.py
@@ -27,8 +27,8 @@
         super().setUp()
         self.encoder = excerpt_codec.ExcerptEncoder()
 
-    def encode(self, excerpt, prefixes="", can_decompress=True):
-        return self.encoder.encode(excerpt, prefixes, can_decompress)
+    def encode(self, excerpt, can_decompress=True):
+        return self.encoder.encode(excerpt, can_decompress)
 
     def test_excerpts_are_equal_after_encoding_with_and_without_compression(self):
         for size_bytes in (0, 10, 100_000):
@@ -59,9 +59,16 @@
         other = store_view.Excerpt(
             5, 0.25, False, (excerpts[0].changes[0], excerpts[1].changes[1])
         )
-        body = self.encode(other, prefixes="other")
+        body = self.encode(other)
         self.assertEqual(other, excerpt_codec.decode_excerpt(body))
 
+    def test_other_values_at_the_same_revisions_are_encoded_anew(self):
+        for value in (b"x", b"y"):
+            change = store_view.KeyChange("a", 5, value * 2_000)
+            excerpt = store_view.Excerpt(5, 0.25, False, (change,))
+            body = self.encode(excerpt)
+            self.assertEqual(excerpt, excerpt_codec.decode_excerpt(body))
+
     def test_a_copy_read_again_at_the_same_revision_does_not_share_its_changes(self):
         for value in (b"y", b"z"):
             changes = (
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -378,9 +378,7 @@
         waiting: "_WaitingRequest",
         excerpt: store_view.Excerpt,
     ) -> None:
-        body = self._encoder.encode(
-            excerpt, ",".join(waiting.request.prefixes), waiting.can_decompress
-        )
+        body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
         metric_buffer.count("excerpt_bytes_sent", len(body))
         exchange.respond(200, body=body)
