--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -15,17 +15,14 @@
     decisions,
     engines,
     load_balancing,
+    request_timing,
     retry_budget,
     urgency,
 )
 from toucanspread.core.entry import data as entry_data
 
-ENGINE_ANSWER_SLACK_S = 0.12  # wait for the engine's own answer at the deadline
 MIN_TIME_TO_DISPATCH_S = 0.03  # shorter than transfer to an engine and the shortest run
 MAX_REJECTION_COUNT = 3  # rejections by engines before the caller is rejected
-STREAM_SILENCE_FACTOR = 2.5  # of the target time, until the first event of a stream
-STREAM_GAP_TIMEOUT_S = 1.0  # between events; a healthy engine never pauses so long
-ANSWER_SILENCE_FACTOR = 1.6  # of the target time, until an answer that is no stream
 # Non-repeatable requests use only connections that can't be closed by an idle timeout
 # while the request is in transit.
 FRESH_CONNECTION_S = 0.5
@@ -53,6 +50,8 @@
 
     :param declared_rank: priority of the team; None to use that of the route.
     :ivar deadline_s: time of the request's deadline, on the clock of ``now_s``.
+    :ivar start_deadline_s: latest time at which an engine can start for an answer on
+        time.
     :ivar possible_runs: number of engines that may have begun to run the request.
     """
 
@@ -67,12 +66,11 @@
         self.route = route
         self.service = service
         self.call = call
-        budget_s = route.timeout_s
-        if call.budget_s is not None:
-            budget_s = min(budget_s, call.budget_s)
         self.arrived_s = arrived_s
+        self.timing = request_timing.RequestTiming(route, service, call, arrived_s)
+        self.deadline_s = self.timing.deadline_s
+        self.start_deadline_s = self.timing.start_deadline_s
         self._rank = route.priority if declared_rank is None else declared_rank
-        self.deadline_s = arrived_s + budget_s
         self.is_finished = False
         self.possible_runs = 0
         self.dispatches = 0
@@ -89,31 +87,6 @@
         """Return the id of the engine that has the request, or an empty string."""
         return self._engine.entry.engine_id if self._engine is not None else ""
 
-    @property
-    def start_deadline_s(self) -> float:
-        """Return the latest time at which an engine can start for an answer on time."""
-        prefill_s = 0.0
-        if self.service.profile is not None:
-            prefill_s = self.call.prompt_tokens / self.service.profile.read_per_s
-        return (
-            self.arrived_s
-            + self.route.target_s
-            - prefill_s
-            - admission_queue.FIRST_EVENT_MARGIN_S
-        )
-
-    @property
-    def prefill_s(self) -> float:
-        """Return the time that an engine needs for the prefill of the prompt.
-
-        It includes the prompt's part of a decode pass for other requests.
-        """
-        profile = self.service.profile
-        if profile is None:
-            return 0.0
-        prompt_s = self.call.prompt_tokens / profile.read_per_s
-        return prompt_s + engines.DECODE_PASSES_PER_PROMPT * profile.pass_s
-
     def start(
         self, context: DecisionContext, queued_prefill_s: float = 0.0
     ) -> list[data.Effect]:
@@ -336,7 +309,7 @@
             engine.entry.engine_id,
             engine.entry.address,
             left_s,
-            self._silence_timeout_s(),
+            self.timing.silence_timeout_s,
             self._last_event_id,
             expected_version,
             None if self.route.is_repeatable else FRESH_CONNECTION_S,
@@ -387,7 +360,7 @@
             self.service,
             context.minimum_version,
             frozenset(self._tried),
-            self._likely_tokens_left(),
+            self.timing.likely_tokens_left(self._last_event_id),
             was_interrupted=self.possible_runs > 0,
             skips_limited=skips_limited,
         )
@@ -437,11 +410,13 @@
     def _would_miss_deadline(self, context: DecisionContext, backlog_s: float) -> bool:
         """Return whether the answer could not be complete before the deadline."""
         decode_s = load_balancing.decode_s(
-            self.service.profile, self._likely_tokens_left()
+            self.service.profile, self.timing.likely_tokens_left(self._last_event_id)
         )
         if context.now_s - self.arrived_s < admission_queue.EXPIRING_AFTER_S:
             return False
-        needed_s = min(backlog_s, admission_queue.MAX_EXPECTED_WAIT_S) + self.prefill_s
+        needed_s = (
+            min(backlog_s, admission_queue.MAX_EXPECTED_WAIT_S) + self.timing.prefill_s
+        )
         return context.now_s + needed_s + decode_s > self.deadline_s
 
     def _reject_overloaded(
@@ -528,20 +503,3 @@
             engine.record_success()
         elif weight:
             engine.record_failure(context.now_s, weight)
-
-    def _likely_tokens_left(self) -> int:
-        """Return the likely number of tokens of the rest of the answer."""
-        call = self.call
-        likely = call.likely_tokens or call.output_tokens // 2
-        profile = self.service.profile
-        if profile is None or self._last_event_id is None:
-            return likely
-        event_count = data.parse_count(self._last_event_id) or 0
-        return max(likely - event_count * profile.pass_tokens, 0)
-
-    def _silence_timeout_s(self) -> float:
-        if self.route.kind is entry_data.RequestKind.STREAMING:
-            return max(STREAM_SILENCE_FACTOR * self.route.target_s, 1.0)
-        if self.route.is_repeatable:
-            return ANSWER_SILENCE_FACTOR * self.route.target_s
-        return self.route.timeout_s + ENGINE_ANSWER_SLACK_S
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -6,7 +6,7 @@
 from toucanspread.core.entry import (
     decisions,
     event_stream,
-    forwarding,
+    request_timing,
 )
 from toucanspread.ops import (
     dialect,
@@ -144,7 +144,7 @@
         self._listener.on_failure(decisions.DispatchFailure.SILENT)
 
     def _restart_timer(self) -> None:
-        self._silence_timeout_s = forwarding.STREAM_GAP_TIMEOUT_S
+        self._silence_timeout_s = request_timing.STREAM_GAP_TIMEOUT_S
         if self._timer.active():
             self._timer.reset(self._silence_timeout_s)
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -11,6 +11,7 @@
     decisions,
     forwarding,
     load_balancing,
+    request_timing,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import (
@@ -109,7 +110,7 @@
         self.exchange.on_disconnected = self._on_caller_disconnected
         reactor = self._forwarder.pool.reactor
         remaining_s = self._state.deadline_s - reactor.seconds()
-        wait_s = max(remaining_s + forwarding.ENGINE_ANSWER_SLACK_S, 0.0)
+        wait_s = max(remaining_s + request_timing.ENGINE_ANSWER_SLACK_S, 0.0)
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
         queued_prefill_s = self._forwarder.queue.sum_prefill_s(self.service.name)
         self.carry_out(
--- a/toucanspread/ops/request_queue.py
+++ b/toucanspread/ops/request_queue.py
@@ -55,7 +55,7 @@
     def sum_prefill_s(self, service: data.ServiceName) -> float:
         """Return the time that one engine would need for all queued prompts."""
         queued = self._queued.get(service, [])
-        return sum(request.state.prefill_s for request in queued)
+        return sum(request.state.timing.prefill_s for request in queued)
 
     def add(self, request: QueueItem) -> None:
         """Queue a request."""
