--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,7 +3,8 @@
 Run it with ``python -m standins.platform_store --port 8007``. The system may not write
 keys of the operator and of engines; these are written with PUT, and deleted with
 DELETE, on ``/admin/keys/KEY``, or with the methods of the state in the same process.
-POST on ``/admin/drop-history`` drops the history.
+POST on ``/admin/drop-history`` drops the history, and POST on
+``/admin/return-from-copy?age_ms=N`` takes the store back by so many milliseconds.
 """
 
 import argparse
@@ -15,10 +16,12 @@
 
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
+from standins import store_copies
 
 CALL_PATH = "/-/"
 ADMIN_KEYS_PATH = "/admin/keys/"
 ADMIN_HISTORY_PATH = "/admin/drop-history"
+ADMIN_RETURN_PATH = "/admin/return-from-copy"
 MAX_WAIT_MS = 30_000
 STATUS_BY_ERROR = {
     store_data.InvalidCallError: 400,
@@ -74,6 +77,7 @@
             return
         request.setResponseCode(status)
         request.setHeader(b"content-type", b"application/json")
+        request.setHeader(store_copies.ERA_HEADER, b"%d" % self.state.era)
         request.write(msgspec.json.encode(body))
         request.finish()
 
@@ -93,6 +97,9 @@
         if path == ADMIN_HISTORY_PATH and request.method == b"POST":
             self.state.drop_history()
             return 200, {}
+        if path == ADMIN_RETURN_PATH and request.method == b"POST":
+            self.state.return_from_copy(int(_get_argument(request, b"age_ms")) / 1000)
+            return 200, {}
         if not path.startswith(ADMIN_KEYS_PATH):
             return 404, {"why": "no such call"}
         key = path.removeprefix(ADMIN_KEYS_PATH)
--- a/standins/platform_store_state.py
+++ b/standins/platform_store_state.py
@@ -13,6 +13,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from standins import platform_store_data as store_data
+from standins import store_copies
 
 FIRST_REVISION = 1
 MAX_KEY_BYTES = 200
@@ -29,6 +30,7 @@
 @dataclasses.dataclass
 class _Lease:
     ttl_s: float
+    granted_s: float
     expiry: IDelayedCall
 
 
@@ -36,10 +38,12 @@
     """Items, the history of their changes, leases and waiting watches.
 
     :param max_page_items: maximum number of items in a page.
+    :ivar era: rises by one each time the store returns from an older copy.
     """
 
     def __init__(self, clock: IReactorTime, max_page_items: int = MAX_PAGE_ITEMS):
         self.revision = FIRST_REVISION
+        self.era = store_copies.FIRST_ERA
         self._clock = clock
         self._max_page_items = max_page_items
         self._items: dict[str, store_data.Item] = {}
@@ -50,6 +54,7 @@
         self._leases: dict[int, _Lease] = {}
         self._last_lease_id = 0
         self._waits: list[tuple[str, defer.Deferred]] = []
+        self._copies: store_copies.Copies[store_data.Item] = store_copies.Copies()
 
     @property
     def wait_count(self) -> int:
@@ -80,6 +85,8 @@
 
         :raises HistoryGoneError: when some of them are no longer kept.
         """
+        if after > self.revision:
+            raise store_data.HistoryGoneError(f"there is no revision {after}")
         if after < self._dropped_revision:
             raise store_data.HistoryGoneError(
                 f"history starts after {self._dropped_revision}"
@@ -126,13 +133,48 @@
         self._history.clear()
         self._dropped_revision = self.revision
 
+    def return_from_copy(self, age_s: float) -> None:
+        """Lose what was acknowledged in the last seconds, and begin a new era.
+
+        The operator and engines write again within some seconds what they had written.
+        Leases that were granted meanwhile have ended, and waiting watches are answered.
+        """
+        now_s = self._clock.seconds()
+        lost = self._items
+        copy = self._copies.take_back(now_s, age_s, self.revision, lost)
+        self.era += 1
+        self.revision = copy.revision
+        self._items = copy.items
+        self._history = collections.deque(
+            event for event in self._history if event[1].revision <= copy.revision
+        )
+        self._dropped_revision = min(self._dropped_revision, copy.revision)
+        for lease_id, lease in list(self._leases.items()):
+            if lease.granted_s > now_s - age_s:
+                self.end_lease(lease_id)
+        for wait in list(self._waits):
+            self._end_wait(wait)
+        self._schedule_lost_writes(lost)
+
+    def _schedule_lost_writes(self, lost: dict[str, store_data.Item]) -> None:
+        keys = store_copies.list_lost_keys(lost, self._items)
+        for number, key in enumerate(keys, start=1):
+            delay_s = store_copies.WRITTEN_AGAIN_S * number / (len(keys) + 1)
+            self._clock.callLater(delay_s, self._write_again, key, lost.get(key))
+
+    def _write_again(self, key: str, item: store_data.Item | None) -> None:
+        if item is None:
+            self.delete_unchecked(key)
+        else:
+            self.write_unchecked(key, item.value)
+
     def grant_lease(self, ttl_s: float) -> tuple[int, float]:
         """Create a lease and return its id and the lifetime that applies."""
         ttl_s = min(max(ttl_s, MIN_LEASE_S), MAX_LEASE_S)
         self._last_lease_id += 1
         lease_id = self._last_lease_id
         expiry = self._clock.callLater(ttl_s, self.end_lease, lease_id)
-        self._leases[lease_id] = _Lease(ttl_s, expiry)
+        self._leases[lease_id] = _Lease(ttl_s, self._clock.seconds(), expiry)
         return lease_id, ttl_s
 
     def renew_lease(self, lease_id: int) -> float:
@@ -176,6 +218,7 @@
                 raise store_data.InvalidCallError(f"value of {len(put.value)} bytes")
 
     def _apply(self, puts, deletes) -> int:
+        self._copies.record(self._clock.seconds(), self.revision, self._items)
         events: list[store_data.Event] = []
         revision = self.revision + 1
         for put in puts:
--- /dev/null
+++ b/standins/store_return_test.py
@@ -0,0 +1,129 @@
+"""Checks what the system believes after the store has returned from an older copy."""
+
+import testtools
+from twisted.internet import task
+
+from standins import platform_store_data as store_data
+from standins import platform_store_state as store_state
+from standins import store_copies, view_simulation
+
+RECOVERED_S = 4.0  # 2 s until all is written again, and the platform's bound of 2 s
+MAX_AGE_S = 2.0  # of a copy while the store answers
+
+
+class StandInTest(testtools.TestCase):
+    """The stand-ins do what the users' pages say of a drill."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.state = store_state.State(self.clock)
+
+    def write(self, key, value, lease=store_data.NO_LEASE):
+        put = store_data.Put(key, value, lease)
+        return self.state.commit(store_data.Transaction(puts=(put,)))
+
+    def test_what_the_system_wrote_since_the_copy_is_lost(self):
+        before = self.write("a", b"old")
+        self.clock.advance(5.0)
+        self.write("a", b"new")
+        self.write("b", b"new")
+        self.state.return_from_copy(3.0)
+        self.assertEqual(b"old", self.state.get("a").value)
+        self.assertIsNone(self.state.get("b"))
+        self.assertEqual(before, self.state.revision)
+        self.assertEqual(store_copies.FIRST_ERA + 1, self.state.era)
+
+    def test_revisions_are_given_out_again(self):
+        self.write("a", b"1")
+        self.clock.advance(5.0)
+        lost = self.write("b", b"2")
+        self.state.return_from_copy(3.0)
+        self.assertEqual(lost, self.write("c", b"3"))
+        keys = [event.key for event in self.state.list_events("", lost - 1)]
+        self.assertEqual(["c"], keys)
+
+    def test_a_watch_from_a_lost_revision_reports_it(self):
+        self.write("a", b"1")
+        self.clock.advance(5.0)
+        lost = self.write("a", b"2")
+        self.state.return_from_copy(3.0)
+        self.assertRaises(store_data.HistoryGoneError, self.state.list_events, "", lost)
+
+    def test_leases_granted_since_the_copy_have_ended(self):
+        old, _ = self.state.grant_lease(60.0)
+        self.clock.advance(5.0)
+        new, _ = self.state.grant_lease(60.0)
+        self.state.return_from_copy(3.0)
+        self.state.renew_lease(old)
+        self.assertRaises(store_data.LeaseEndedError, self.state.renew_lease, new)
+
+    def test_the_operator_and_engines_write_again_what_was_lost(self):
+        self.state.write_unchecked("op/config", b"1")
+        self.state.write_unchecked("servers/left", b"1")
+        self.clock.advance(5.0)
+        self.state.write_unchecked("op/config", b"2")
+        self.state.delete_unchecked("servers/left")
+        self.state.return_from_copy(3.0)
+        self.assertEqual(b"1", self.state.get("op/config").value)
+        self.clock.advance(store_copies.WRITTEN_AGAIN_S)
+        self.assertEqual(b"2", self.state.get("op/config").value)
+        self.assertIsNone(self.state.get("servers/left"))
+
+
+class CopyAfterReturnTest(testtools.TestCase):
+    """Simulates a zone whose store returns from an older copy."""
+
+    def setUp(self):
+        super().setUp()
+        size = view_simulation.ZoneSize(entries=6, sidecars=2, engines=4)
+        self.zone = view_simulation.ZoneSimulation(size, route_count=40)
+        self.addCleanup(self.zone.close)
+        self.zone.run(5.0)
+
+    def return_from_copy(self, age_s=3.0):
+        """Change the configuration some times, lose that, and let time pass."""
+        self.zone.run(age_s)
+        for _ in range(4):
+            self.zone.change_configuration()
+            self.zone.run(0.2)
+        self.zone.store.return_from_copy(age_s)
+        self.zone.run(RECOVERED_S)
+
+    def list_differences(self):
+        """Return what the entries' copies have otherwise than the store."""
+        differences = []
+        for entry in self.zone.entries:
+            for key, change in self.zone.store.items.items():
+                if entry.get_value(key) != change.value:
+                    differences.append(f"{entry.name}: {key}")
+        return differences
+
+    def test_copies_stay_fresh_after_revisions_went_back(self):
+        self.return_from_copy()
+        ages_s = [entry.age_s() for entry in self.zone.entries]
+        self.assertLess(max(ages_s), MAX_AGE_S)
+
+    def test_a_change_under_a_revision_that_was_given_out_before_is_not_missed(self):
+        self.return_from_copy()
+        for number in range(8):
+            self.zone.store.write(f"servers/new-{number}", b"{}")
+        self.zone.run(RECOVERED_S)
+        self.assertEqual([], self.list_differences())
+
+    def test_a_record_that_only_the_lost_state_had_is_forgotten(self):
+        self.zone.run(3.0)
+        self.zone.store.write("entries/lost", b"{}")
+        self.zone.run(1.0)
+        self.zone.store.return_from_copy(2.0)
+        self.zone.run(RECOVERED_S)
+        self.zone.change_configuration()
+        self.zone.run(RECOVERED_S)
+        known = [entry.get_value("entries/lost") for entry in self.zone.entries]
+        self.assertEqual([None] * len(known), known)
+
+    def test_a_second_return_before_the_first_is_worked_off_is_followed(self):
+        self.return_from_copy()
+        self.zone.store.return_from_copy(1.0)
+        self.zone.run(RECOVERED_S)
+        self.assertEqual([], self.list_differences())
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -14,10 +14,10 @@
 from types import SimpleNamespace
 from typing import NamedTuple
 
-from standins import link_simulation, virtual_time
+from standins import link_simulation, store_copies, virtual_time
 from toucanspread.core import data, rendezvous
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import view_sync
+from toucanspread.ops import http1, view_sync
 from toucanspread.platform import decoding, entry_handlers, store
 
 ZONE = data.ZoneName("z")
@@ -42,10 +42,12 @@
     """The platform's store.
 
     :ivar refused: addresses of the machines that it does not serve.
+    :ivar era: rises by one each time it returns from an older copy.
     """
 
     def __init__(self, network: link_simulation.Network):
         self.refused: set[str] = set()
+        self.era = store_copies.FIRST_ERA
         self.revision = 0
         self.machine = network.add_machine(STORE_ADDRESS, STORE_LINK_MBPS)
         self.machine.links = [link_simulation.Link(REGION_LINK_MBPS)]
@@ -53,9 +55,32 @@
         self._loop = network.loop
         self._log: list[store_view.KeyChange] = []
         self._waiting: set[_Watch] = set()
+        self._copies: store_copies.Copies[store_view.KeyChange] = store_copies.Copies()
+
+    @property
+    def items(self) -> dict[str, store_view.KeyChange]:
+        """The last change of each key."""
+        return {change.key: change for change in self._log}
+
+    def return_from_copy(self, age_s: float) -> None:
+        """Lose the changes of the last seconds; what was lost is written again."""
+        lost = self.items
+        now_s = self._loop.time()
+        copy = self._copies.take_back(now_s, age_s, self.revision, lost)
+        self.era += 1
+        self.revision = copy.revision
+        self._log = [c for c in self._log if c.revision <= copy.revision]
+        for watch in list(self._waiting):
+            self._waiting.discard(watch)
+            self._answer_gone(watch.exchange)
+        keys = store_copies.list_lost_keys(lost, copy.items)
+        for number, key in enumerate(keys, start=1):
+            delay_s = store_copies.WRITTEN_AGAIN_S * number / (len(keys) + 1)
+            self._loop.call_later(delay_s, self.write, key, lost[key].value)
 
     def write(self, key: str, value: bytes) -> int:
         """Write a key as the operator or an engine does; return its revision."""
+        self._copies.record(self._loop.time(), self.revision, self.items)
         self.revision += 1
         self._log.append(store_view.KeyChange(key, self.revision, value))
         for watch in list(self._waiting):
@@ -67,17 +92,19 @@
 
     def _serve(self, exchange: link_simulation.Exchange) -> None:
         if exchange.caller.address in self.refused:
-            exchange.respond(503)
+            exchange.respond(503, [self._era_header])
             return
         path, _, query = exchange.head.target.decode().partition("?")
         arguments = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         prefix = arguments["prefix"]
         if path == "/-/kv-range":
-            newest = {change.key: change for change in self._log}
-            items = [item for key, item in newest.items() if key.startswith(prefix)]
+            items = [i for key, i in self.items.items() if key.startswith(prefix)]
             self._respond(exchange, "items", items)
             return
         watch = _Watch(exchange, prefix, int(arguments["after"]))
+        if watch.after > self.revision:
+            self._answer_gone(exchange)
+            return
         self._waiting.add(watch)
         exchange.on_disconnected = lambda: self._waiting.discard(watch)
         if not self._answer_if_changed(watch):
@@ -109,7 +136,14 @@
             for change in changes
         ]
         answer = {name: rows, "has_more": False, "store_revision": self.revision}
-        exchange.respond(200, body=json.dumps(answer).encode())
+        exchange.respond(200, [self._era_header], json.dumps(answer).encode())
+
+    def _answer_gone(self, exchange: link_simulation.Exchange) -> None:
+        exchange.respond(410, [self._era_header])
+
+    @property
+    def _era_header(self) -> http1.Header:
+        return http1.Header(store_copies.ERA_HEADER, b"%d" % self.era)
 
 
 class _Watch:
