Follow the store into a new era after it has returned from an older copy

What callers would see: after such a return the copies of all processes stop to follow the store until its revision passes the lost one; changes below it are missed (stand-in: copies 4.1 s old, bound 2 s). Cause: copies were compared by revision alone, and revisions are given out again. Change: one ordered type of era and revision (store_position); the store's client reads Store-Era from every answer and rejects late ones of an earlier era; a copy of a later era replaces one of a higher revision, by values; peers relay the era, give all items to a follower of an earlier one, and excerpts of earlier eras are not applied; an entry writes its record again when the era or its lease is new; what is missing then is treated as after an outage. Processes that name no era are compared by revision as before. One line, store_returned, with both eras and revisions.

--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -175,6 +175,21 @@
         self.assertTrue(all(answer.headers["Retry-After"] for answer in rejected))
         self.wait_until(is_limit_over)
 
+    def test_entries_are_listed_again_after_the_store_returned_from_a_copy(self):
+        async def are_listed_and_serving():
+            keys = [f"entries/{entry.name}" for entry in self.entries]
+            if None in [state.get(key) for key in keys]:
+                return False
+            answers = [await send_request(e, "/returned/x") for e in self.entries]
+            return all(answer.status == 200 for answer in answers)
+
+        state = self.deployment.state
+        state.return_from_copy(5.0)
+        self.deployment.write_configuration(12, "/a/", "/old/", "/returned/")
+        self.wait_until(are_listed_and_serving)
+        for program in [*self.entries, self.sidecar]:
+            self.assertIn("event=store_returned", program.log)
+
     def test_bad_values_in_the_store_do_not_end_the_synchronization(self):
         async def is_new_route_in_force():
             answers = [await send_request(e, "/later/x") for e in self.entries]
--- a/standins/store_return_test.py
+++ b/standins/store_return_test.py
@@ -5,7 +5,7 @@
 
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
-from standins import store_copies, view_simulation
+from standins import store_copies, view_simulation, view_soak_test
 
 RECOVERED_S = 4.0  # 2 s until all is written again, and the platform's bound of 2 s
 MAX_AGE_S = 2.0  # of a copy while the store answers
@@ -90,15 +90,6 @@
         self.zone.store.return_from_copy(age_s)
         self.zone.run(RECOVERED_S)
 
-    def list_differences(self):
-        """Return what the entries' copies have otherwise than the store."""
-        differences = []
-        for entry in self.zone.entries:
-            for key, change in self.zone.store.items.items():
-                if entry.get_value(key) != change.value:
-                    differences.append(f"{entry.name}: {key}")
-        return differences
-
     def test_copies_stay_fresh_after_revisions_went_back(self):
         self.return_from_copy()
         ages_s = [entry.age_s() for entry in self.zone.entries]
@@ -109,7 +100,7 @@
         for number in range(8):
             self.zone.store.write(f"servers/new-{number}", b"{}")
         self.zone.run(RECOVERED_S)
-        self.assertEqual([], self.list_differences())
+        self.assertEqual([], self.zone.list_differences())
 
     def test_a_record_that_only_the_lost_state_had_is_forgotten(self):
         self.zone.run(3.0)
@@ -126,4 +117,22 @@
         self.return_from_copy()
         self.zone.store.return_from_copy(1.0)
         self.zone.run(RECOVERED_S)
-        self.assertEqual([], self.list_differences())
+        self.assertEqual([], self.zone.list_differences())
+
+
+class ReturnSoakTest(testtools.TestCase):
+    """More seeds by hand: ``SOAK_SEEDS=60 pytest standins/store_return_test.py``."""
+
+    def test_copies_follow_the_store_after_returns_among_other_faults(self):
+        violations = []
+        for seed in range(1, view_soak_test.SEED_COUNT + 1):
+            kinds = (*view_soak_test.FAULT_KINDS, "return", "return")
+            soak = view_soak_test.Soak(seed, kinds)
+            soak.run()
+            soak.zone.run(view_soak_test.CALM_S)
+            soak.zone.change_configuration()
+            soak.zone.run(view_soak_test.IN_FORCE_WITHIN_S)
+            found = soak.zone.list_differences()
+            violations += [f"seed {seed}, {soak.faults}: {v}" for v in found[:1]]
+            soak.zone.close()
+        self.assertEqual([], violations)
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -294,6 +294,15 @@
             self.run(STEP_S)
         return float("inf")
 
+    def list_differences(self) -> list[str]:
+        """Return what the copies of the entries have otherwise than the store."""
+        differences = []
+        for entry in self.entries:
+            for key, change in self.store.items.items():
+                if entry.get_value(key) != change.value:
+                    differences.append(f"{entry.name}: {key}")
+        return differences
+
     def close(self) -> None:
         """End all tasks."""
         for pending in asyncio.all_tasks(self._loop):
--- a/standins/view_soak_test.py
+++ b/standins/view_soak_test.py
@@ -19,13 +19,18 @@
 OTHER_BYTES = 200_000  # what the store sends besides configurations while it is watched
 
 
+FAULT_KINDS = ("silent", "cut", "refused", "narrow")
+
+
 class Soak:
     """A zone with random faults that overlap, and random changes.
 
+    :param kinds: the kinds of faults; "return" takes the store back to an older copy.
     :ivar faults: the faults in the order in which they began, for messages.
     """
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, kinds: tuple[str, ...] = FAULT_KINDS):
+        self._kinds = kinds
         self._random = random.Random(seed)
         size = view_simulation.ZoneSize(
             entries=self._random.randint(1, 14),
@@ -40,7 +45,7 @@
     def run(self) -> None:
         """Begin and end faults and change the configuration for a while."""
         for _ in range(STEP_COUNT):
-            self._begin(self._random.choice(["silent", "cut", "refused", "narrow"]))
+            self._begin(self._random.choice(self._kinds))
             if self._random.random() < 0.6:
                 self.zone.change_configuration()
             self.zone.run(self._random.uniform(0.0, 1.5))
@@ -49,6 +54,9 @@
 
     def _begin(self, kind: str) -> None:
         self.faults.append(f"{self.zone.now_s:.2f} {kind}")
+        if kind == "return":
+            self.zone.store.return_from_copy(self._random.uniform(1.0, 10.0))
+            return
         duration_s = self._random.uniform(0.3, 6.0)
         if kind == "narrow":
             undo = self._narrow_region_link()
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from toucanspread.core import data
+from toucanspread.core.view import store_position
 
 MAX_HISTORY_COUNT = 2_000  # more than the keys that change within a few seconds
 MAX_HISTORY_BYTES = 4_000_000  # bounds memory when many large values change
@@ -42,22 +43,30 @@
     :param is_whole: whether ``changes`` contains all items; any other key was deleted.
     :param age_s: time since the copy was known to be complete.
     :param revision: the revision up to which it is complete.
+    :param era: era of the store in which it has that revision.
     """
 
     revision: int
     age_s: float
     is_whole: bool
     changes: tuple[KeyChange, ...] = ()
+    era: int = store_position.UNKNOWN_ERA
+
+    @property
+    def position(self) -> store_position.StorePosition:
+        """Return the place in the store's history up to which it is complete."""
+        return store_position.StorePosition(self.era, self.revision)
 
 
 class View:
     """The copy that a process holds.
 
+    :ivar position: the place in the store's history that it corresponds to.
     :ivar confirmed_s: time at which the copy was last known to be complete.
     """
 
     def __init__(self):
-        self.revision = 0
+        self.position = store_position.StorePosition()
         self.confirmed_s = float("-inf")
         self._items: dict[str, Item] = {}
         # The last change of each key, in the order of revisions.
@@ -65,6 +74,11 @@
         self._history_bytes = 0
         self._history_from = 0  # the history has all changes above this revision
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the copy, in its era."""
+        return self.position.revision
+
     @property
     def is_empty(self) -> bool:
         """Return whether nothing has been read yet."""
@@ -95,7 +109,8 @@
             # A change older than the copy could restore a key that was deleted since.
             if change.revision > self.revision and self._apply_one(change):
                 new.append(change)
-        self._confirm(revision, confirmed_s)
+        position = self.position._replace(revision=revision)
+        self._confirm(position, confirmed_s)
         return new
 
     def replace(
@@ -104,15 +119,59 @@
         revision: int,
         confirmed_s: float,
         kept_keys: frozenset[str] = frozenset(),
+        era: int = store_position.UNKNOWN_ERA,
     ) -> list[KeyChange]:
         """Replace the copy by a complete one and return the differences.
 
+        A copy of a later era replaces one with a higher revision; one of an earlier era
+        is ignored.
+
         :param revision: revision of the store when the first of the items was read.
         :param kept_keys: keys that keep their items though they are not among the new.
+        :param era: era of the store; that of the copy if unknown.
         """
-        if revision < self.revision:
+        position = store_position.StorePosition(era or self.position.era, revision)
+        if position < self.position:
             return []
         items_by_key = {item.key: item for item in items}
+        if position.era > self.position.era:
+            new = self._replace_items_of_earlier_era(items_by_key, revision, kept_keys)
+        else:
+            new = self._replace_items(items_by_key, revision, kept_keys)
+        self._restart_history(items_by_key.values(), revision)
+        self._confirm(position, confirmed_s)
+        return new
+
+    def make_excerpt(
+        self,
+        after: int,
+        prefixes: tuple[str, ...],
+        now_s: float,
+        era: int = store_position.UNKNOWN_ERA,
+    ) -> Excerpt:
+        """Return the changes after a revision, or all items if some are unknown.
+
+        A value that has been replaced since is not part of the changes.
+
+        :param era: era of the revision; that of the copy if unknown.
+        """
+        age_s = self.age_s(now_s)
+        is_same_era = era in (store_position.UNKNOWN_ERA, self.position.era)
+        if is_same_era and after >= self._history_from and after > 0:
+            changes = self._list_changes_after(after)
+            is_whole = False
+        else:
+            changes = self.list_as_changes()
+            is_whole = True
+        requested = tuple(c for c in changes if c.key.startswith(prefixes))
+        return Excerpt(self.revision, age_s, is_whole, requested, self.position.era)
+
+    def _replace_items(
+        self,
+        items_by_key: dict[str, KeyChange],
+        revision: int,
+        kept_keys: frozenset[str],
+    ) -> list[KeyChange]:
         new = []
         for key, item in list(self._items.items()):
             if key in items_by_key or key in kept_keys:
@@ -124,33 +183,40 @@
         new.extend(
             change for change in items_by_key.values() if self._apply_one(change)
         )
+        return new
+
+    def _replace_items_of_earlier_era(
+        self,
+        items_by_key: dict[str, KeyChange],
+        revision: int,
+        kept_keys: frozenset[str],
+    ) -> list[KeyChange]:
+        """Replace items whose revisions may have been given out again since."""
+        known_items, self._items = self._items, {}
+        new = []
+        for key, known in known_items.items():
+            if key in items_by_key:
+                continue
+            if key in kept_keys:
+                self._items[key] = Item(key, known.value, 0)
+                continue
+            new.append(KeyChange(key, revision))
+        for key, item in items_by_key.items():
+            self._items[key] = Item(key, item.value, item.revision)
+            known = known_items.get(key)
+            if known is None or known.value != item.value:
+                new.append(item)
+        return new
+
+    def _restart_history(self, items: Iterable[KeyChange], revision: int) -> None:
         self._history.clear()
         self._history_bytes = 0
         self._history_from = revision
         # Items may be newer than the revision; followers that have the revision need
         # them as changes.
-        newer = [item for item in items_by_key.values() if item.revision > revision]
+        newer = [item for item in items if item.revision > revision]
         for change in sorted(newer, key=lambda change: change.revision):
             self._add_to_history(change)
-        self._confirm(revision, confirmed_s)
-        return new
-
-    def make_excerpt(
-        self, after: int, prefixes: tuple[str, ...], now_s: float
-    ) -> Excerpt:
-        """Return the changes after a revision, or all items if some are unknown.
-
-        A value that has been replaced since is not part of the changes.
-        """
-        age_s = self.age_s(now_s)
-        if after >= self._history_from and after > 0:
-            changes = self._list_changes_after(after)
-            is_whole = False
-        else:
-            changes = self.list_as_changes()
-            is_whole = True
-        requested = tuple(c for c in changes if c.key.startswith(prefixes))
-        return Excerpt(self.revision, age_s, is_whole, requested)
 
     def _apply_one(self, change: KeyChange) -> bool:
         known = self._items.get(change.key)
@@ -193,8 +259,10 @@
             self._history_bytes -= len(removed.value or b"")
         return removed
 
-    def _confirm(self, revision: int, confirmed_s: float) -> None:
-        if revision < self.revision:
+    def _confirm(
+        self, position: store_position.StorePosition, confirmed_s: float
+    ) -> None:
+        if position < self.position:
             return
-        self.revision = revision
+        self.position = position
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
--- a/toucanspread/core/view/store_view_test.py
+++ b/toucanspread/core/view/store_view_test.py
@@ -97,6 +97,51 @@
         self.assertEqual(["b", "c"], [change.key for change in excerpt.changes])
 
 
+class EraTest(testtools.TestCase):
+    """The store returns from an older copy and gives out revisions again."""
+
+    def setUp(self):
+        super().setUp()
+        self.view = store_view.View()
+        items = [make_write("a", 5), make_write("b", 8), make_write("c", 9)]
+        self.view.replace(items, 9, 0.0, era=1)
+
+    def test_a_copy_of_a_later_era_replaces_one_with_a_higher_revision(self):
+        items = [make_write("a", 5), store_view.KeyChange("c", 6, b"other")]
+        changes = self.view.replace(items, 6, 1.0, era=2)
+        self.assertEqual([("b", None), ("c", b"other")], _list_values(changes))
+        self.assertEqual((2, 6), self.view.position)
+        applied = self.view.apply([make_write("b", 7)], 7, 2.0)
+        self.assertEqual(["b"], [change.key for change in applied])
+
+    def test_a_copy_of_an_earlier_era_is_ignored(self):
+        self.view.replace([make_write("a", 5)], 6, 1.0, era=2)
+        self.assertEqual([], self.view.replace([make_write("d", 9)], 99, 2.0, era=1))
+        self.assertIsNone(self.view.get("d"))
+
+    def test_a_copy_without_an_era_is_compared_by_its_revision(self):
+        self.assertEqual([], self.view.replace([], 8, 1.0))
+        self.assertEqual(3, len(self.view.replace([], 10, 1.0)))
+
+    def test_a_follower_of_an_earlier_era_gets_all_items(self):
+        self.view.replace([make_write("a", 5)], 6, 1.0, era=2)
+        for after, era, is_whole in ((6, 2, False), (6, 1, True), (9, 1, True)):
+            excerpt = self.view.make_excerpt(after, ("",), 1.0, era)
+            self.assertEqual(is_whole, excerpt.is_whole)
+            self.assertEqual((2, 6), excerpt.position)
+
+    def test_a_key_that_cannot_be_read_in_a_later_era_keeps_its_item(self):
+        kept = frozenset({"c"})
+        self.view.replace([make_write("a", 5)], 6, 1.0, kept, era=2)
+        self.assertEqual(b"9", self.view.get("c").value)
+        changes = self.view.apply([make_write("c", 7)], 7, 2.0)
+        self.assertEqual(["c"], [change.key for change in changes])
+
+
+def _list_values(changes):
+    return sorted((change.key, change.value) for change in changes)
+
+
 class SourceSelectorTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from toucanspread.core import data
-from toucanspread.core.view import store_view
+from toucanspread.core.view import store_position, store_view
 
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
 # The store's values that a process keeps take a few megabytes at the largest.
@@ -32,6 +32,7 @@
     age_s: float
     is_whole: bool
     compressed_changes: bytes
+    era: int = store_position.UNKNOWN_ERA
 
 
 _excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
@@ -61,6 +62,7 @@
                 excerpt.age_s,
                 excerpt.is_whole,
                 self._compress_changes(excerpt),
+                excerpt.era,
             )
         )
 
@@ -90,7 +92,7 @@
     except (msgspec.MsgspecError, zlib.error) as error:
         raise ExcerptDecodeError(str(error)) from error
     return store_view.Excerpt(
-        excerpt.revision, excerpt.age_s, excerpt.is_whole, changes
+        excerpt.revision, excerpt.age_s, excerpt.is_whole, changes, excerpt.era
     )
 
 
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from toucanspread.core import data
-from toucanspread.core.view import store_view
+from toucanspread.core.view import store_position, store_view
 
 LeaseId = int
 
@@ -42,19 +42,25 @@
     :param revision: revision of the store after which the next watch continues.
     :param unreadable_keys: keys whose values cannot be decoded; their last good values
         stay in force.
+    :param era: era of the store in which it has that revision.
     """
 
     changes: list[store_view.KeyChange]
     revision: int
     unreadable_keys: frozenset[str] = frozenset()
+    era: int = store_position.UNKNOWN_ERA
 
 
 class PrefixStore(abc.ABC):
     """The operations that the system needs of the store.
 
     Every method raises :class:`StoreError` when it gets no usable answer.
+
+    :ivar era: the latest era of the store that an answer has named.
     """
 
+    era: int = store_position.UNKNOWN_ERA
+
     @abc.abstractmethod
     async def read_all(self, prefix: str) -> Changes:
         """Return all items below a prefix; the revision is that of the first page."""
--- a/toucanspread/ops/registration.py
+++ b/toucanspread/ops/registration.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from toucanspread.core.entry import entry_directory
+from toucanspread.core.view import store_position
 from toucanspread.ops import logs, prefix_store
 
 LEASE_TTL_S = 4.0  # longest time that a dead entry stays listed
@@ -20,6 +21,7 @@
         self._store = store
         self._lease: prefix_store.LeaseId | None = None
         self._written_record: entry_directory.EntryRecord | None = None
+        self._written_era = store_position.UNKNOWN_ERA
         self._is_failing = False
 
     async def run(self) -> None:
@@ -68,7 +70,9 @@
             self._lease = await self._store.grant_lease(LEASE_TTL_S)
         elif self._written_record == self.record:
             await self._store.renew_lease(self._lease)
-            return
+            if self._store.era == self._written_era:
+                return
+        # Without the record, or after the store has returned from an older copy.
         await self._write()
 
     async def _write(self) -> None:
@@ -76,3 +80,4 @@
         key = entry_directory.RECORDS_PREFIX + record.name
         await self._store.put(key, entry_directory.encode_record(record), self._lease)
         self._written_record = record
+        self._written_era = self._store.era
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -4,11 +4,16 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from toucanspread.core import data
-from toucanspread.core.view import outage, source_selection, store_view
+from toucanspread.core.view import (
+    outage,
+    source_selection,
+    store_position,
+    store_view,
+)
 from toucanspread.ops import (
     excerpt_codec,
     http1,
@@ -51,7 +56,8 @@
     :param needs_all_keys: whether the prefixes are all there is in the store, so that
         one watch of all keys serves them. Otherwise the items below each prefix are
         read again when the store is asked, and no other value is received.
-    :ivar store_failed_s: time of the last failed call on the store.
+    :ivar store_failed_s: time of the last failed call on the store, or at which it was
+        found to have returned from an older copy.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
     """
@@ -85,6 +91,7 @@
         self._seeds = seeds
         self._on_changes = on_changes
         self._must_read_all = False
+        self._needs_whole_excerpt = False
         self._undelivered: list[store_view.KeyChange] = []
 
     async def run(self) -> None:
@@ -170,7 +177,11 @@
         return len(self._store_prefixes) == 1
 
     async def _sync_from_store(self) -> None:
-        if self.view.is_empty or self._must_read_all or not self._can_watch:
+        is_later_era = self._store.era > self.view.position.era
+        if self.view.is_empty or self._must_read_all or is_later_era:
+            await self._read_all()
+            return
+        if not self._can_watch:
             await self._read_all()
             return
         age_s = self.view.age_s(self._pool.reactor.seconds())
@@ -189,6 +200,10 @@
             # The answer has all versions of each value; all items may be much less.
             self._must_read_all = True
             raise
+        if answer.era > self.view.position.era:
+            # The revision may stand for another change than the one that the copy has.
+            await self._read_all()
+            return
         now_s = self._pool.reactor.seconds()
         changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
         self._notify_changes(self.view.apply(changes, answer.revision, now_s))
@@ -208,9 +223,35 @@
         # What has changed between the reads is part of the next update.
         revision = min(answer.revision for answer in answers)
         kept_keys = frozenset().union(*(a.unreadable_keys for a in answers))
-        self._notify_changes(
-            self.view.replace(changes, revision, requested_s, kept_keys)
-        )
+        era = answers[0].era
+        if any(answer.era != era for answer in answers):
+            raise prefix_store.StoreError("a new era began between two reads")
+        self._replace_copy(changes, revision, requested_s, kept_keys, era)
+
+    def _replace_copy(
+        self,
+        items: Iterable[store_view.KeyChange],
+        revision: int,
+        confirmed_s: float,
+        kept_keys: frozenset[str],
+        era: int,
+    ) -> None:
+        """Replace the copy, and log the beginning of another era of the store."""
+        before = self.view.position
+        changes = self.view.replace(items, revision, confirmed_s, kept_keys, era)
+        if before.era not in (store_position.UNKNOWN_ERA, self.view.position.era):
+            # What is missing now may be written again, as after an outage.
+            self.store_failed_s = self._pool.reactor.seconds()
+            logs.write(
+                "store_returned",
+                era_before=before.era,
+                revision_before=before.revision,
+                era=era,
+                revision=revision,
+                written=sum(change.value is not None for change in changes),
+                dropped=sum(change.value is None for change in changes),
+            )
+        self._notify_changes(changes)
 
     async def _sync_from_peer(self, source: source_selection.Source) -> None:
         age_s = self.view.age_s(self._pool.reactor.seconds())
@@ -223,19 +264,48 @@
         excerpt = await fetch_excerpt(
             self._pool,
             source.address,
-            ExcerptRequest(self.view.revision, self._prefixes, wait_s),
+            ExcerptRequest(
+                0 if self._needs_whole_excerpt else self.view.revision,
+                self._prefixes,
+                wait_s,
+                self.view.position.era,
+            ),
             timeout_s,
         )
+        self._check_era(excerpt)
         now_s = self._pool.reactor.seconds()
         confirmed_s = now_s - excerpt.age_s
         for peer in self._peers():
             if peer.address == source.address:
                 self._outage_tracker.record_answer(peer.zone, excerpt.age_s, now_s)
         if excerpt.is_whole:
-            changes = self.view.replace(excerpt.changes, excerpt.revision, confirmed_s)
-        else:
-            changes = self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
-        self._notify_changes(changes)
+            self._needs_whole_excerpt = False
+            self._replace_copy(
+                excerpt.changes,
+                excerpt.revision,
+                confirmed_s,
+                frozenset(),
+                excerpt.era,
+            )
+            return
+        self._notify_changes(
+            self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
+        )
+
+    def _check_era(self, excerpt: store_view.Excerpt) -> None:
+        """Check that an excerpt can be applied to the copy.
+
+        :raises ExcerptError: when it is of an earlier era, or has only the changes of a
+            later one.
+        """
+        own_era = self.view.position.era
+        if excerpt.era in (store_position.UNKNOWN_ERA, own_era):
+            return
+        if excerpt.era < own_era:
+            raise ExcerptError(f"copy of era {excerpt.era}, not {own_era}")
+        if not excerpt.is_whole:
+            self._needs_whole_excerpt = True
+            raise ExcerptError(f"changes of era {excerpt.era} for one of {own_era}")
 
     def _notify_changes(self, changes: list[store_view.KeyChange]) -> None:
         self._undelivered += changes
@@ -273,11 +343,13 @@
     :param after: revision of the requester's own copy.
     :param prefixes: key prefixes to return.
     :param wait_s: how long the peer may wait for a change.
+    :param era: era of the store that the requester's copy is of.
     """
 
     after: int
     prefixes: tuple[str, ...]
     wait_s: float = 0.0
+    era: int = store_position.UNKNOWN_ERA
 
 
 async def fetch_excerpt(
@@ -292,6 +364,7 @@
     """
     query = f"after={request.after}&wait_ms={int(request.wait_s * 1000)}"
     query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
+    query += f"&era={request.era}"
     head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
     try:
         reply = await pool.call(
@@ -333,7 +406,7 @@
         wait_s = request.wait_s
         if self._view.is_empty:
             wait_s = max(wait_s, EMPTY_VIEW_WAIT_S)
-        elif request.after < self._view.revision or wait_s <= 0:
+        elif self._is_behind(request) or wait_s <= 0:
             excerpt = self._make_excerpt(waiting)
             if excerpt.is_whole or excerpt.changes:
                 self._send(exchange, waiting, excerpt)
@@ -342,6 +415,10 @@
         exchange.on_disconnected = lambda: self._remove_waiting(exchange)
         self._waiting[exchange] = waiting
 
+    def _is_behind(self, request: ExcerptRequest) -> bool:
+        era = request.era or self._view.position.era
+        return store_position.StorePosition(era, request.after) < self._view.position
+
     def notify_waiters(self) -> None:
         """Answer the waiting requests that a change concerns."""
         for exchange, waiting in list(self._waiting.items()):
@@ -370,7 +447,9 @@
     def _make_excerpt(self, waiting: "_WaitingRequest") -> store_view.Excerpt:
         now_s = self._reactor.seconds()
         request = waiting.request
-        return self._view.make_excerpt(request.after, request.prefixes, now_s)
+        return self._view.make_excerpt(
+            request.after, request.prefixes, now_s, request.era
+        )
 
     def _send(
         self,
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -188,6 +188,67 @@
         self.assertIn("wait_ms=0", self.pool.requested_targets[0])
 
 
+class EraTest(testtools.TestCase):
+    """The copy and a peer's excerpt are of different eras of the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.excerpts = []
+        self.patch(view_sync, "fetch_excerpt", self.fetch)
+        self.view = store_view.View()
+        self.changes = []
+        self.requests = []
+        peer = source_selection.Peer("b", data.ZoneName("z"), data.Address("b:1"))
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            Store(),
+            Pool(),
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=False),
+            ("op/",),
+            lambda: [peer],
+            list,
+            self.changes.extend,
+        )
+        self.view.replace([make_change("op/a", 9)], 9, 0.0, era=2)
+
+    async def fetch(self, pool, address, request, timeout_s):
+        self.requests.append(request)
+        return self.excerpts.pop(0)
+
+    def sync(self, *excerpts):
+        self.excerpts += excerpts
+        for _ in excerpts:
+            asyncio.run(self.synchronizer.sync_once())
+
+    def test_all_items_of_a_later_era_replace_the_copy(self):
+        change = make_change("op/b", 5)
+        self.sync(store_view.Excerpt(6, 0.0, True, (change,), era=3))
+        self.assertEqual((3, 6), self.view.position)
+        self.assertIsNone(self.view.get("op/a"))
+
+    def test_an_excerpt_of_an_earlier_era_is_not_applied(self):
+        change = make_change("op/b", 50)
+        self.sync(store_view.Excerpt(50, 0.0, True, (change,), era=1))
+        self.assertEqual((2, 9), self.view.position)
+        self.assertIsNone(self.view.get("op/b"))
+
+    def test_changes_of_a_later_era_are_not_applied_to_the_copy_of_an_earlier(self):
+        change = make_change("op/b", 10)
+        self.sync(store_view.Excerpt(10, 0.0, False, (change,), era=3))
+        self.assertEqual((2, 9), self.view.position)
+        self.assertIsNone(self.view.get("op/b"))
+
+    def test_the_excerpt_of_a_process_that_knows_no_era_is_applied(self):
+        change = make_change("op/b", 10)
+        self.sync(store_view.Excerpt(10, 0.0, False, (change,)))
+        self.assertEqual((2, 10), self.view.position)
+        self.assertEqual(2, self.requests[0].era)
+
+
+def make_change(key, revision):
+    return store_view.KeyChange(key, revision, b"%d" % revision)
+
+
 class ApplyEachTest(testtools.TestCase):
     def test_a_change_that_cannot_be_applied_costs_only_itself(self):
         def apply_one(change):
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -14,6 +14,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
+from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
     forwarder,
@@ -142,6 +143,7 @@
                     int(arguments["after"]),
                     tuple(arguments["prefixes"].split(",")),
                     int(arguments["wait_ms"]) / 1000,
+                    int(arguments.get("era", store_position.UNKNOWN_ERA)),
                 )
                 can_decompress = arguments.get("compressed") == "1"
                 self._entry.excerpts.on_request(exchange, request, can_decompress)
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from toucanspread.core import data
-from toucanspread.core.view import store_view
+from toucanspread.core.view import store_position, store_view
 from toucanspread.ops import http1, http1_pool, logs, metric_buffer, prefix_store
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
 WATCH_ANSWER_MARGIN_S = 0.6  # maximum delay of a watch's answer beyond its wait
 STALL_TIMEOUT_S = 0.6  # pause within an answer after which the path is taken for dead
 READ_TIMEOUT_S = 2.5  # pages of up to 1 MB over a narrow link
+ERA_HEADER = b"store-era"
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
 
@@ -89,13 +90,15 @@
                 await self._call(b"GET", target, timeout_s=READ_TIMEOUT_S), _Page
             )
             if revision is None:
-                revision = page.store_revision
+                revision, era = page.store_revision, self.era
+            if era != self.era:
+                raise prefix_store.StoreError(f"era {self.era} began between two pages")
             readable, unreadable = _make_changes(page.items)
             changes.extend(readable)
             unreadable_keys.extend(unreadable)
             if not page.has_more or not page.items:
                 return prefix_store.Changes(
-                    changes, revision, frozenset(unreadable_keys)
+                    changes, revision, frozenset(unreadable_keys), era
                 )
             after = page.items[-1].key
 
@@ -115,7 +118,7 @@
         answer = self._decode(reply, _WatchAnswer)
         changes, unreadable_keys = _make_changes(answer.events)
         return prefix_store.Changes(
-            changes, answer.store_revision, frozenset(unreadable_keys)
+            changes, answer.store_revision, frozenset(unreadable_keys), self.era
         )
 
     async def put(
@@ -156,13 +159,30 @@
         headers = [JSON_TYPE] if body else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
-            return await self._pool.call(
+            reply = await self._pool.call(
                 self._address, head, body, timeout_s, STALL_TIMEOUT_S
             )
         except http1_pool.CallError as error:
             if error.received_bytes:
                 raise prefix_store.SlowAnswerError(str(error)) from error
             raise prefix_store.StoreError(str(error), error.sent) from error
+        self._observe_era(reply)
+        return reply
+
+    def _observe_era(self, reply: http1_pool.Reply) -> None:
+        """Note the era that an answer names, and reject a late one of an earlier era.
+
+        :raises prefix_store.StoreError: when the answer is of an earlier era.
+        """
+        value = (reply.head.get(ERA_HEADER) or b"").decode("latin-1").strip()
+        era = data.parse_count(value) or store_position.UNKNOWN_ERA
+        if era == store_position.UNKNOWN_ERA or era == self.era:
+            return
+        if era < self.era:
+            raise prefix_store.StoreError(f"answer of era {era}, now it is {self.era}")
+        if self.era != store_position.UNKNOWN_ERA:
+            logs.write("store_era_began", before=self.era, era=era)
+        self.era = era
 
     def _check(self, reply: http1_pool.Reply) -> None:
         if reply.status != 200:
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -8,7 +8,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import http1, http1_pool, view_sync
+from toucanspread.ops import http1, http1_pool, prefix_store, view_sync
 from toucanspread.platform import store
 
 GOOD_VALUE = "Z29vZA=="
@@ -16,15 +16,24 @@
 
 
 class Pool(http1_pool.ConnectionPool):
-    """Returns prepared answers of the store, in their order."""
+    """Returns prepared answers of the store, in their order.
 
-    def __init__(self, answers):
+    :param eras: values of the header that names the era, one for each answer.
+    """
+
+    def __init__(self, answers, eras=()):
         super().__init__(task.Clock())
         self._answers = list(answers)
+        self._eras = list(eras)
 
     async def call(self, address, head, body=b"", timeout_s=1.0, stall_timeout_s=None):
-        answer = json.dumps(self._answers.pop(0)).encode()
-        return http1_pool.Reply(200, http1.AnswerHead(200, []), answer)
+        answer = self._answers.pop(0)
+        headers = []
+        if self._eras:
+            headers.append(http1.Header(b"Store-Era", self._eras.pop(0)))
+        status = answer if isinstance(answer, int) else 200
+        body = json.dumps(answer).encode()
+        return http1_pool.Reply(status, http1.AnswerHead(status, headers), body)
 
 
 def make_page(revision, *rows):
@@ -76,3 +85,35 @@
             view.replace(answer.changes, answer.revision, 0.0, answer.unreadable_keys)
             self.assertEqual(b"good", view.get("op/a").value, value)
             self.assertEqual(b"new", view.get("op/b").value, value)
+
+
+class EraTest(testtools.TestCase):
+    def make_store(self, eras, *answers):
+        return store.PlatformStore(Pool(answers, eras), "s:1")
+
+    def test_answers_name_the_era_of_their_revision(self):
+        page = make_page(7, ("op/a", GOOD_VALUE))
+        client = self.make_store([b"3"], page)
+        self.assertEqual(3, asyncio.run(client.read_all("op/")).era)
+
+    def test_a_refusal_names_the_era_as_well(self):
+        client = self.make_store([b"3"], 503)
+        self.assertRaises(prefix_store.StoreError, asyncio.run, client.renew_lease(1))
+        self.assertEqual(3, client.era)
+
+    def test_a_late_answer_of_an_earlier_era_is_rejected(self):
+        page = make_page(7, ("op/a", GOOD_VALUE))
+        client = self.make_store([b"3", b"2"], page, page)
+        asyncio.run(client.read_all("op/"))
+        self.assertRaises(prefix_store.StoreError, asyncio.run, client.read_all("op/"))
+
+    def test_pages_of_two_eras_make_no_copy(self):
+        page = make_page(7, ("op/a", GOOD_VALUE))
+        client = self.make_store([b"2", b"3"], {**page, "has_more": True}, page)
+        self.assertRaises(prefix_store.StoreError, asyncio.run, client.read_all("op/"))
+
+    def test_an_era_that_is_no_number_counts_as_unknown(self):
+        page = make_page(7, ("op/a", GOOD_VALUE))
+        for value in (b"", b"x", b"-1", b"\xb2", b"9" * 5_000):
+            client = self.make_store([value], page)
+            self.assertEqual(0, asyncio.run(client.read_all("op/")).era, value)
