Blame limits for a rejection only if an engine that is left names one

What callers saw (a test): a request that every engine has had was ended as limited, and a rejection told the time to retry of limits although no engine named one. Cause: the wait for limits was taken over all suitable engines, also tried and unlimited ones. Change: only engines that name a limit and may still get the request count.

--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -253,8 +253,11 @@
 
     def _limit_wait_s(self, context: DecisionContext) -> float:
         """Return the time until a suitable engine's limit allows the request."""
+        tried = frozenset(self._tried)
+        if self._last_failure in decisions.NOT_RUN_FAILURES:
+            tried = frozenset()
         requirements = load_balancing.EngineRequirements(
-            self.service, context.minimum_version
+            self.service, context.minimum_version, tried
         )
         return load_balancing.limit_wait_s(
             context.registry, requirements, context.location, context.now_s
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -321,6 +321,15 @@
         rejected = self.assert_only(decisions.Reject, effects)
         self.assertIs(decisions.FailureCause.ENGINES_LIMITED, rejected.cause)
 
+    def test_a_request_that_every_engine_has_had_does_not_blame_limits(self):
+        fixture = Fixture(names=("a",))
+        request = fixture.make_request(make_route())
+        request.start(fixture.at(0.0))
+        fixture.registry.get("a").limit.on_answer(1.0, 0.0, 0.1)
+        effects = request.on_failure(fixture.at(0.1), decisions.DispatchFailure.BROKEN)
+        failed = self.assert_only(decisions.Fail, effects)
+        self.assertIs(decisions.FailureCause.NO_ENGINE, failed.cause)
+
     def test_older_weights_are_not_used_once_newer_ones_are_due(self):
         fixture = Fixture(names=("a",))
         fixture.registry.put(
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -89,11 +89,12 @@
 ) -> float:
     """Return the time until the limit of a suitable engine allows a request.
 
-    It is infinite if no engine is suitable.
+    It is infinite if no suitable engine names a limit.
     """
     waits_s = [
         engine.limit.wait_s(now_s, location.entry_count)
         for engine in _suitable_engines(registry, requirements, now_s)
+        if engine.limit.limit_per_s is not None
     ]
     return min(waits_s, default=float("inf"))
 
