--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -248,8 +248,8 @@
                 revision_before=before.revision,
                 era=era,
                 revision=revision,
-                written=sum(change.value is not None for change in changes),
-                dropped=sum(change.value is None for change in changes),
+                changed=sum(change.value is not None for change in changes),
+                removed=sum(change.value is None for change in changes),
             )
         self._notify_changes(changes)
 
