--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -7,12 +7,12 @@
 
 import defopt
 
-from standins import load_profiles, load_simulation
+from standins import load_profiles, load_simulation, simulated_request
 
 
 def run_seeds(
     load: load_profiles.LoadProfile, seeds: int
-) -> list[load_simulation.CallerTotals]:
+) -> list[simulated_request.CallerTotals]:
     """Simulate a load with seeds 1 to ``seeds`` and return the results of each."""
     return [
         load_simulation.LoadSimulation(load, seed).run() for seed in range(1, seeds + 1)
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -1,10 +1,14 @@
 """Simulated engines and entries; entries use the product's own view of the cluster.
 
-:mod:`standins.load_simulation` sends the callers' requests to them.
+:mod:`standins.simulated_request` sends the callers' requests to them, and
+:mod:`standins.load_simulation` puts everything together.
 """
 
+import abc
 import random
-import typing
+from collections.abc import Callable
+
+from twisted.internet import task
 
 from standins import engine_model, limit_check
 from toucanspread.core import data
@@ -13,9 +17,6 @@
 from toucanspread.core.weights import waves
 from toucanspread.ops import request_queue
 
-if typing.TYPE_CHECKING:
-    from standins import load_simulation
-
 ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
 REGIONS = {zone: data.RegionName(zone) for zone in ZONES}
 # One way within and between zones of a region, from the users' figures.
@@ -38,17 +39,57 @@
 LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, PROFILE.layers),)
 
 
+class EngineClient(abc.ABC):
+    """Has a request at an engine."""
+
+    @abc.abstractmethod
+    def on_connection_lost(self) -> None:
+        """Handle the loss of the connection to the engine."""
+
+
+class AbstractCluster(abc.ABC):
+    """The simulation that engines and entries are part of.
+
+    :ivar entries: the entries that callers may use.
+    """
+
+    clock: task.Clock
+    seed: int
+    entries: "list[SimulatedEntry]"
+
+    @abc.abstractmethod
+    def switch_at_s(self, number: int) -> float | None:
+        """Return the time at which an engine switches to the new version."""
+
+    @abc.abstractmethod
+    def call_after_delay(
+        self, source: data.ZoneName, target: data.ZoneName, call: Callable, *arguments
+    ) -> None:
+        """Call a function after the network delay between two zones."""
+
+    @abc.abstractmethod
+    def broadcast(
+        self,
+        source: data.ZoneName,
+        method: str,
+        message: data.Record,
+        sender: "SimulatedEntry | None" = None,
+        only_own_zone: bool = False,
+    ) -> None:
+        """Send a datagram to the entries, except to its sender."""
+
+
 class SimulatedEngine:
     """An engine with its zone and its load reports."""
 
-    def __init__(self, simulation: "load_simulation.LoadSimulation", number: int):
+    def __init__(self, simulation: AbstractCluster, number: int):
         self.zone = ZONES[number % len(ZONES)]
         self.engine_id = f"e{number}"
         self.model = engine_model.EngineModel(simulation.clock)
         self.is_running = False
         self.is_loading = False
         self.switch_at_s = simulation.switch_at_s(number)
-        self.jobs: dict[engine_model.Job, load_simulation.SimulatedRequest] = {}
+        self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
         self._simulation = simulation
         self._number = number
@@ -129,7 +170,7 @@
 
     def __init__(
         self,
-        simulation: "load_simulation.LoadSimulation",
+        simulation: AbstractCluster,
         number: int,
         entry_count: int,
     ):
--- /dev/null
+++ b/standins/simulated_request.py
@@ -0,0 +1,262 @@
+"""A caller's request in a simulation of a load, from its start to its outcome.
+
+The entry that has it decides with the product's own code.
+"""
+
+import abc
+import dataclasses
+import random
+
+from standins import engine_model, load_profiles, simulated_cluster
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import decisions, forwarding
+from toucanspread.ops import request_queue
+
+CALLER_TIMEOUT_S = 3.2  # callers abandon a request without an event for so long
+MAX_EVENT_GAP_S = 0.4  # a longer gap between events makes an answer late
+REQUEST_TIMEOUT_S = 6.0
+MEAN_ANSWER_TOKENS = 94
+MAX_ANSWER_TOKENS = 480
+
+
+@dataclasses.dataclass
+class CallerTotals:
+    """Counts of requests by outcome.
+
+    :param request_count: number of all requests.
+    :param abandoned: requests that callers abandoned without an event.
+    :param first_s: times until the first event, of requests that got one.
+    """
+
+    request_count: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    abandoned: int = 0
+    first_s: list[float] = dataclasses.field(default_factory=list)
+
+    @property
+    def on_time_ratio(self) -> float:
+        """The part of all requests that were answered on time."""
+        return self.on_time / self.request_count
+
+    @property
+    def served_ratio(self) -> float:
+        """The part of all requests that were answered, on time or late."""
+        return (self.on_time + self.late) / self.request_count
+
+
+class AbstractCallers(simulated_cluster.AbstractCluster):
+    """What a request needs of the simulation beside entries and engines.
+
+    :ivar outcome: the counts to which the request adds its outcome.
+    :ivar engines_by_id: the engines by their ids.
+    """
+
+    random_source: random.Random
+    outcome: CallerTotals
+    engines_by_id: dict[str, simulated_cluster.SimulatedEngine]
+
+    @abc.abstractmethod
+    def choose_entry(self) -> simulated_cluster.SimulatedEntry:
+        """Return the entry that a caller uses."""
+
+
+class SimulatedRequest(request_queue.QueueItem, simulated_cluster.EngineClient):
+    """A caller's request; callers retry a refused request once."""
+
+    service = simulated_cluster.SERVICE
+
+    def __init__(
+        self,
+        simulation: "AbstractCallers",
+        entry: simulated_cluster.SimulatedEntry,
+        kind: load_profiles.RequestKind,
+        can_retry: bool,
+    ):
+        random_source = simulation.random_source
+        prompt = int(random_source.expovariate(1 / kind.mean_prompt_tokens)) + 40
+        answer = int(random_source.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
+        self.kind = kind
+        self.prompt_tokens = prompt
+        self.answer_tokens = min(answer, MAX_ANSWER_TOKENS)
+        self.started_s = simulation.clock.seconds()
+        self._simulation = simulation
+        self._entry = entry
+        self._can_retry = can_retry
+        self._first_s: float | None = None
+        self._last_event_s = 0.0
+        self._generated_tokens = 0
+        self._tokens_before_dispatch = 0
+        self._had_long_gap = False
+        self._priority = 0
+        self._job: engine_model.Job | None = None
+        self._engine: simulated_cluster.SimulatedEngine | None = None
+        self._caller_timeout = None
+        self._state = self._make_state()
+
+    @property
+    def state(self) -> forwarding.RequestState:
+        """The state of the decisions about the request."""
+        return self._state
+
+    def make_decision_context(self) -> forwarding.DecisionContext:
+        """Return the context of decisions."""
+        return self._entry.make_decision_context()
+
+    def start(self) -> None:
+        """Send the request to the entry."""
+        self._caller_timeout = self._simulation.clock.callLater(
+            CALLER_TIMEOUT_S, self._abandon
+        )
+        queued_prefill_s = self._entry.queue.sum_prefill_s(
+            simulated_cluster.SERVICE.name
+        )
+        self.carry_out(
+            self._state.start(self.make_decision_context(), queued_prefill_s)
+        )
+
+    def on_connection_lost(self) -> None:
+        """Handle the loss of the connection to the engine."""
+        self._job = None
+        failure = decisions.DispatchFailure.BROKEN
+        self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
+
+    def _make_state(self) -> forwarding.RequestState:
+        route = entry_data.Route(
+            self.kind.name,
+            "h",
+            "/",
+            entry_data.RequestKind.STREAMING,
+            REQUEST_TIMEOUT_S,
+            self.kind.target_s,
+            1,
+            (entry_data.Share(simulated_cluster.SERVICE.name, 1.0),),
+            2,
+            resumable=True,
+        )
+        now_s = self._simulation.clock.seconds()
+        call = entry_data.Call(
+            "id",
+            "h",
+            "/",
+            None,
+            budget_s=REQUEST_TIMEOUT_S - (now_s - self.started_s),
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=MAX_ANSWER_TOKENS,
+            likely_tokens=self.answer_tokens,
+        )
+        return forwarding.RequestState(route, simulated_cluster.SERVICE, call, now_s)
+
+    def carry_out(self, outputs: list[data.Effect]) -> None:
+        """Execute the decisions."""
+        for effect in outputs:
+            match effect:
+                case decisions.Enqueue():
+                    self._entry.queue.add(self)
+                case decisions.SendToEngine(engine_id=engine_id, priority=priority):
+                    self._priority = priority
+                    self._send(self._simulation.engines_by_id[engine_id])
+                case decisions.NotifyEntries(notice=notice):
+                    self._simulation.broadcast(
+                        self._entry.zone, "apply_limit", notice, self._entry
+                    )
+                case decisions.Reject(retry_after_s=retry_after_s):
+                    self._schedule_retry(retry_after_s)
+                case decisions.Fail() | decisions.BreakStream():
+                    self._schedule_retry(0.0)
+
+    def _send(self, engine: simulated_cluster.SimulatedEngine) -> None:
+        sent = entry_data.PromptSent(
+            engine.engine_id, simulated_cluster.SERVICE.name, self.prompt_tokens
+        )
+        self._simulation.broadcast(
+            self._entry.zone, "apply_prompt", sent, self._entry, only_own_zone=True
+        )
+        self._engine = engine
+        self._simulation.call_after_delay(
+            self._entry.zone, engine.zone, self._submit_to_engine, engine
+        )
+
+    def _submit_to_engine(self, engine: simulated_cluster.SimulatedEngine) -> None:
+        if self._state.is_finished:
+            return
+        now_s = self._simulation.clock.seconds()
+        engine.limit.record_arrival(now_s, self._entry)
+        job = engine_model.Job(
+            self.prompt_tokens + self._generated_tokens,
+            self.answer_tokens - self._generated_tokens,
+            self._on_event,
+            self._on_end,
+            self._priority,
+        )
+        is_open = engine.is_running and not engine.is_loading
+        if not is_open or not engine.model.submit(job):
+            self._read_limit(engine)
+            rejection = decisions.DispatchFailure.REJECTED
+            self.carry_out(
+                self._state.on_failure(self.make_decision_context(), rejection)
+            )
+            return
+        self._job = job
+        self._tokens_before_dispatch = self._generated_tokens
+        engine.jobs[job] = self
+
+    def _read_limit(self, engine: simulated_cluster.SimulatedEngine) -> None:
+        """Read the head of an answer, which may name the engine's limit."""
+        now_s = self._simulation.clock.seconds()
+        limit_per_s = engine.limit.record_answer(now_s, self._entry)
+        self.carry_out(
+            self._state.on_engine_head(self.make_decision_context(), limit_per_s)
+        )
+
+    def _on_event(self) -> None:
+        now_s = self._simulation.clock.seconds()
+        if self._generated_tokens == self._tokens_before_dispatch:
+            self._read_limit(self._engine)
+        if self._first_s is None:
+            self._first_s = now_s - self.started_s
+            self._caller_timeout.cancel()
+            self._state.on_stream_opened()
+        elif now_s - self._last_event_s > MAX_EVENT_GAP_S:
+            self._had_long_gap = True
+        self._last_event_s = now_s
+        self._generated_tokens += engine_model.TOKENS_PER_EVENT
+        self._state.on_events(
+            str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
+        )
+
+    def _on_end(self) -> None:
+        self._engine.jobs.pop(self._job, None)
+        self._state.on_answer(self.make_decision_context(), 200)
+        outcome = self._simulation.outcome
+        outcome.first_s.append(self._first_s)
+        if self._first_s <= self.kind.target_s and not self._had_long_gap:
+            outcome.on_time += 1
+        else:
+            outcome.late += 1
+
+    def _abandon(self) -> None:
+        """Abandon the request after a long time without an event."""
+        self._entry.queue.remove(self)
+        self._state.on_caller_disconnected(self.make_decision_context())
+        if self._job is not None:
+            self._engine.jobs.pop(self._job, None)
+            self._engine.model.cancel(self._job)
+        self._simulation.outcome.abandoned += 1
+
+    def _schedule_retry(self, retry_after_s: float) -> None:
+        self._entry.queue.remove(self)
+        if self._caller_timeout.active():
+            self._caller_timeout.cancel()
+        if not self._can_retry or self._first_s is not None:
+            self._simulation.outcome.refused += 1
+            return
+        self._can_retry = False
+        self._simulation.clock.callLater(max(retry_after_s, 0.01), self._retry)
+
+    def _retry(self) -> None:
+        self._entry = self._simulation.choose_entry()
+        self._state = self._make_state()
+        self.start()
