Wait for the sidecar, too, in the test of a return of the store

The test read the sidecar's log at the moment at which both entries served the new route; nothing had made it wait for the sidecar. Now the line of every program is part of what it waits for, within the deadline of all process tests, and it still fails if a program never writes it. The synchronizers of view_sync_test are made in one place.

--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -180,15 +180,16 @@
             keys = [f"entries/{entry.name}" for entry in self.entries]
             if None in [state.get(key) for key in keys]:
                 return False
+            if not all("event=store_returned" in p.log for p in programs):
+                return False
             answers = [await send_request(e, "/returned/x") for e in self.entries]
             return all(answer.status == 200 for answer in answers)
 
+        programs = [*self.entries, self.sidecar]
         state = self.deployment.state
         state.return_from_copy(5.0)
         self.deployment.write_configuration(12, "/a/", "/old/", "/returned/")
         self.wait_until(are_listed_and_serving)
-        for program in [*self.entries, self.sidecar]:
-            self.assertIn("event=store_returned", program.log)
 
     def test_bad_values_in_the_store_do_not_end_the_synchronization(self):
         async def is_new_route_in_force():
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -82,15 +82,19 @@
         self.view = store_view.View()
         self.changes = []
         peer = source_selection.Peer("b", data.ZoneName("y"), data.Address("b:1"))
-        self.synchronizer = view_sync.ViewSynchronizer(
+        self.synchronizer = self.make_synchronizer(self.changes.extend, [peer])
+
+    def make_synchronizer(self, on_changes, peers=(), prefixes=("op/",), **options):
+        return view_sync.ViewSynchronizer(
             self.view,
             self.store,
             self.pool,
             source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
-            ("op/",),
-            lambda: [peer],
+            prefixes,
+            lambda: list(peers),
             list,
-            self.changes.extend,
+            on_changes,
+            **options,
         )
 
     def sync(self):
@@ -127,16 +131,7 @@
             if len(self.changes) == 1:
                 raise ValueError("unexpected")
 
-        synchronizer = view_sync.ViewSynchronizer(
-            self.view,
-            self.store,
-            self.pool,
-            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
-            ("op/",),
-            list,
-            list,
-            fail_once,
-        )
+        synchronizer = self.make_synchronizer(fail_once)
         self.assertRaises(ValueError, asyncio.run, synchronizer.run())
         asyncio.run(synchronizer.sync_once())
         self.assertEqual({1}, {change.revision for change in self.changes})
@@ -146,16 +141,8 @@
     def test_reads_peer_records_before_all_keys(self):
         records = []
         discovery = view_sync.PeerDiscovery("entries/", records.extend)
-        synchronizer = view_sync.ViewSynchronizer(
-            self.view,
-            self.store,
-            self.pool,
-            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
-            ("op/",),
-            list,
-            list,
-            self.changes.extend,
-            discovery,
+        synchronizer = self.make_synchronizer(
+            self.changes.extend, peer_discovery=discovery
         )
         asyncio.run(synchronizer.sync_once())
         asyncio.run(synchronizer.sync_once())
@@ -164,16 +151,8 @@
         self.assertEqual(1, self.store.read_prefixes.count("entries/"))
 
     def test_reads_only_the_prefixes_of_a_process_that_does_not_need_all_keys(self):
-        synchronizer = view_sync.ViewSynchronizer(
-            self.view,
-            self.store,
-            self.pool,
-            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
-            ("a/", "b/"),
-            list,
-            list,
-            self.changes.extend,
-            needs_all_keys=False,
+        synchronizer = self.make_synchronizer(
+            self.changes.extend, prefixes=("a/", "b/"), needs_all_keys=False
         )
         for _ in range(2):
             asyncio.run(synchronizer.sync_once())
