List that an entry can start with an older configuration after a return of the store

A test shows it: an entry that starts 0.1 s after the store has returned from a copy 2 s old takes configuration 5 although all entries have had 6.

--- a/standins/store_return_test.py
+++ b/standins/store_return_test.py
@@ -1,11 +1,14 @@
 """Checks what the system believes after the store has returned from an older copy."""
 
+import json
+
 import testtools
 from twisted.internet import task
 
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
 from standins import store_copies, view_simulation, view_soak_test
+from toucanspread.platform import decoding
 
 RECOVERED_S = 4.0  # 2 s until all is written again, and the platform's bound of 2 s
 MAX_AGE_S = 2.0  # of a copy while the store answers
@@ -120,6 +123,31 @@
         self.assertEqual([], self.zone.list_differences())
 
 
+class StartAfterReturnTest(testtools.TestCase):
+    def test_an_entry_that_starts_after_a_return_takes_no_older_configuration(self):
+        size = view_simulation.ZoneSize(entries=6, sidecars=0, engines=4)
+        zone = view_simulation.ZoneSimulation(size, route_count=40)
+        self.addCleanup(zone.close)
+        zone.run(8.0)
+        zone.change_configuration()
+        zone.run(1.0)
+        newest = read_version(zone.entries[0])
+        zone.store.return_from_copy(2.0)
+        zone.run(0.1)
+        started = zone.add_entry()
+        versions = []
+        for _ in range(20):
+            zone.run(0.1)
+            versions.append(read_version(started))
+        self.assertGreaterEqual(min(v for v in versions if v is not None), newest)
+
+
+def read_version(entry):
+    """Return the version of the configuration that an entry has, or None."""
+    value = entry.get_value(decoding.CONFIGURATION_KEY)
+    return None if value is None else json.loads(value)["version"]
+
+
 class ReturnSoakTest(testtools.TestCase):
     """More seeds by hand: ``SOAK_SEEDS=60 pytest standins/store_return_test.py``."""
 
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -225,6 +225,7 @@
         self.configuration_revision = 0
         self._routes: list[dict] = []
         network = link_simulation.Network(self._loop)
+        self._network = network
         self.store = SimulatedStore(network)
         self.entries: list[Follower] = []
         for number in range(size.engines):
@@ -294,6 +295,14 @@
             self.run(STEP_S)
         return float("inf")
 
+    def add_entry(self) -> Follower:
+        """Start one more entry."""
+        name = f"entry-{len(self.entries)}"
+        entry = Follower(self._network, name, True, self._list_peers)
+        self.entries.append(entry)
+        self._loop.create_task(entry.synchronizer.run())
+        return entry
+
     def list_differences(self) -> list[str]:
         """Return what the copies of the entries have otherwise than the store."""
         differences = []
