--- a/standins/limit_soak_test.py
+++ b/standins/limit_soak_test.py
@@ -14,9 +14,6 @@
 DURATION_S = 20.0
 MAX_FAULT_GAP_S = 1.5
 MAX_FAULT_S = 6.0
-# Of a limit, when callers ask for more than all engines together may get.
-MIN_USED_RATIO = 0.5
-USED_FROM_S = 4.0  # after the engine named its limit
 LIMITS_PER_S = (0.0, 0.2, 1.0, 1.0, 2.5, 7.5, 20.0)
 
 
