--- a/scripts/burst.py
+++ b/scripts/burst.py
@@ -153,26 +153,10 @@
     manifest_path, size_bytes = publish_version(
         SCRATCH_DIRECTORY, "v1", megabytes * 1024 * 1024
     )
-    deployment = deployments.Deployment(
-        name="burst",
-        locations=(
-            deployments.Location("zone-a", "region"),
-            deployments.Location("zone-b", "region"),
-        ),
-        services=(deployments.Service("model", "model", replicas, "model"),),
-        teams=("team",),
-        intents="",
-        entry_count=2,
-    )
-    links = baselines.Links(
-        4 * size_bytes / wanted_s,
-        2 * size_bytes / wanted_s,
-        -(-size_bytes // CHUNK_BYTES),
-        CHUNK_BYTES,
-    )
+    links = make_links(size_bytes, wanted_s)
     RateLimitedCluster.rate_bytes_s = int(links.rate_bytes_s)
     cluster = RateLimitedCluster(
-        deployment,
+        make_deployment(replicas),
         SCRATCH_DIRECTORY,
         SCRATCH_DIRECTORY / "origin",
         int(links.origin_rate_bytes_s),
@@ -193,15 +177,44 @@
         stats = launcher.call_api(cluster.origin_address, "GET", "/stats")
     finally:
         cluster.stop()
-    bound_s = baselines.compute_bound_s(links, replicas)
     print(f"replicas={replicas}")
+    print_times(activation_times_s, baselines.compute_bound_s(links, replicas))
+    print(f"origin_copies={stats['sent_bytes'] / size_bytes:.2f}")
+    return 0
+
+
+def make_links(size_bytes: int, wanted_s: float) -> baselines.Links:
+    """Return links that carry four copies from the origin, and two to each endpoint."""
+    return baselines.Links(
+        4 * size_bytes / wanted_s,
+        2 * size_bytes / wanted_s,
+        -(-size_bytes // CHUNK_BYTES),
+        CHUNK_BYTES,
+    )
+
+
+def make_deployment(replicas: int) -> deployments.Deployment:
+    """Return a deployment of one model in two zones."""
+    return deployments.Deployment(
+        name="burst",
+        locations=(
+            deployments.Location("zone-a", "region"),
+            deployments.Location("zone-b", "region"),
+        ),
+        services=(deployments.Service("model", "model", replicas, "model"),),
+        teams=("team",),
+        intents="",
+        entry_count=2,
+    )
+
+
+def print_times(activation_times_s: list[float], bound_s: float) -> None:
+    """Print when half of the engines and all had the version."""
     print(f"whole={len(activation_times_s)}")
     print(f"bound_s={bound_s:.1f}")
     print(f"time_to_half_s={activation_times_s[len(activation_times_s) // 2 - 1]:.1f}")
     print(f"time_to_all_s={activation_times_s[-1]:.1f}")
     print(f"ratio_to_bound={activation_times_s[-1] / bound_s:.2f}")
-    print(f"origin_copies={stats['sent_bytes'] / size_bytes:.2f}")
-    return 0
 
 
 if __name__ == "__main__":
