Find compressed changes by the changes themselves, without encoding them again

Change: the changes are the key; their values keep their hashes, equal content is still what counts.

--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -5,7 +5,6 @@
 followers.
 """
 
-import hashlib
 import zlib
 
 import msgspec
@@ -16,7 +15,6 @@
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
 # The store's values that a process keeps take a few megabytes at the largest.
 MAX_DECOMPRESSED_BYTES = 16_000_000
-DIGEST_BYTES = 16
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
 _changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
@@ -46,7 +44,8 @@
     """Encodes excerpts of one copy, and keeps the latest compressed changes."""
 
     def __init__(self):
-        self._compressed_by_digest: dict[bytes, bytes] = {}
+        # Values keep their hashes, so that a look-up does not read them again.
+        self._compressed_by_changes: dict[tuple[store_view.KeyChange, ...], bytes] = {}
 
     def encode(self, excerpt: store_view.Excerpt, can_decompress: bool) -> bytes:
         """Return the encoding of an excerpt.
@@ -67,15 +66,14 @@
         )
 
     def _compress_changes(self, excerpt: store_view.Excerpt) -> bytes:
-        encoded = msgspec.msgpack.encode(excerpt.changes)
-        digest = hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
-        compressed = self._compressed_by_digest.get(digest)
+        compressed = self._compressed_by_changes.get(excerpt.changes)
         if compressed is None:
+            encoded = msgspec.msgpack.encode(excerpt.changes)
             compressed = zlib.compress(encoded, zlib.Z_BEST_SPEED)
-            self._compressed_by_digest[digest] = compressed
-            if len(self._compressed_by_digest) > CACHED_COUNT:
-                oldest = next(iter(self._compressed_by_digest))
-                del self._compressed_by_digest[oldest]
+            self._compressed_by_changes[excerpt.changes] = compressed
+            if len(self._compressed_by_changes) > CACHED_COUNT:
+                oldest = next(iter(self._compressed_by_changes))
+                del self._compressed_by_changes[oldest]
         return compressed
 
 
