--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -77,6 +77,7 @@
         self._rejections = 0
         self._engine: engines.Engine | None = None
         self._sent_s = 0.0
+        self._begun_s: float | None = None
         self._tried: set[str] = set()
         self._streaming = False
         self._last_event_id = call.last_event_id
@@ -87,6 +88,14 @@
         """Return the id of the engine that has the request, or an empty string."""
         return self._engine.entry.engine_id if self._engine is not None else ""
 
+    @property
+    def engine_wait_s(self) -> float | None:
+        """Return the time from the last dispatch until the engine began to answer.
+
+        It is None while the engine has not begun.
+        """
+        return None if self._begun_s is None else self._begun_s - self._sent_s
+
     def start(
         self, context: DecisionContext, queued_prefill_s: float = 0.0
     ) -> list[data.Effect]:
@@ -135,6 +144,10 @@
         notice = self._engine.limit.on_answer(limit_per_s, self._sent_s, context.now_s)
         return [] if notice is None else [decisions.NotifyEntries(notice)]
 
+    def on_begun(self, now_s: float) -> None:
+        """Record that the engine has begun to answer."""
+        self._begun_s = now_s
+
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
         if self._streaming:
@@ -287,6 +300,7 @@
     ) -> list[data.Effect]:
         self._engine = engine
         self._sent_s = context.now_s
+        self._begun_s = None
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
         self.possible_runs += 1
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -23,6 +23,8 @@
     :param is_stream: whether the body is a stream of events.
     :param limit_per_s: requests per second that the engine accepts from all entries
         together; None if it states no limit.
+    :param weights_version: version of the weights on which the answer began; None if
+        not stated.
     """
 
     is_for_request: bool
@@ -31,6 +33,7 @@
     instance: str
     is_stream: bool
     limit_per_s: float | None = None
+    weights_version: int | None = None
 
 
 class Dialect(abc.ABC):
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -28,6 +28,13 @@
         :param limit_per_s: the limit that the engine names in it; None if it has none.
         """
 
+    @abc.abstractmethod
+    def on_begun(self, weights_version: int | None) -> None:
+        """Handle that the engine has begun to answer.
+
+        :param weights_version: version of the weights that it uses; None if not stated.
+        """
+
     @abc.abstractmethod
     def on_stream_opened(self) -> None:
         """Handle the start of a stream."""
@@ -84,6 +91,8 @@
         self._properties = properties
         if self._is_of_engine(properties):
             self._listener.on_engine_head(properties.limit_per_s)
+        if properties.is_sealed and not properties.not_run:
+            self._listener.on_begun(properties.weights_version)
         if properties.is_stream and properties.is_sealed and head.status == 200:
             self._splitter = event_stream.EventSplitter()
             self._listener.on_stream_opened()
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -18,10 +18,14 @@
     def __init__(self):
         self.failures = []
         self.limits_per_s = []
+        self.begun_versions = []
 
     def on_engine_head(self, limit_per_s):
         self.limits_per_s.append(limit_per_s)
 
+    def on_begun(self, weights_version):
+        self.begun_versions.append(weights_version)
+
     def on_stream_opened(self):
         raise AssertionError("no stream was sent")
 
@@ -48,7 +52,7 @@
     return http1.AnswerHead(
         status,
         [
-            http1.Header(name.replace("_", "-").encode(), value.encode())
+            http1.Header(name.replace("_", "-").encode(), value.encode("latin-1"))
             for name, value in pairs.items()
         ],
     )
@@ -81,6 +85,28 @@
         )
 
 
+class BegunTest(testtools.TestCase):
+    def read(self, status, **headers):
+        """Return the versions on which the engine has begun, by the answer's head."""
+        listener = RecordingListener()
+        make_answer(listener).on_head(make_head(status, **headers))
+        return listener.begun_versions
+
+    def test_an_answer_says_on_which_weights_it_began(self):
+        begun = self.read(200, x_response_seal="s", x_weight_versions="3")
+        self.assertEqual([3], begun)
+
+    def test_an_answer_with_an_unreadable_version_has_begun_all_the_same(self):
+        for value in ("", "x", "-1", "2,3", "\xb2", "9" * 5_000):
+            begun = self.read(200, x_response_seal="s", x_weight_versions=value)
+            self.assertEqual([None], begun, value)
+
+    def test_a_rejected_request_has_not_begun(self):
+        rejection = {"x_not_executed": "1", "x_weight_versions": "3"}
+        self.assertEqual([], self.read(503, **rejection))
+        self.assertEqual([], self.read(503, x_response_seal="s", **rejection))
+
+
 class RefusalTest(testtools.TestCase):
     def refuse(self, *headers):
         """Return the failures reported for a 421 answer with the given headers."""
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -141,6 +141,22 @@
             )
         self.carry_out(effects)
 
+    def on_begun(self, weights_version: int | None) -> None:
+        """Record the begin of an answer, and log one on weights that are too old."""
+        context = self.make_decision_context()
+        self._state.on_begun(context.now_s)
+        if weights_version is None or weights_version >= context.minimum_version:
+            return
+        metric_buffer.count("older_versions_begun")
+        logs.write(
+            "older_version_begun",
+            id=self.call.attempt_id,
+            engine=self._state.engine_id,
+            version=weights_version,
+            minimum_version=context.minimum_version,
+            engine_wait_s=self._state.engine_wait_s,
+        )
+
     def on_stream_opened(self) -> None:
         """Relay the head of a stream if no earlier dispatch has opened one."""
         self.carry_out(self._state.on_stream_opened())
@@ -296,6 +312,7 @@
             longest_pause_s=self._stream_timing.longest_pause_s,
             after_s=now_s - self.exchange.started_s,
             dispatches=self._state.dispatches,
+            engine_wait_s=self._state.engine_wait_s,
             tokens=self.call.prompt_tokens,
         )
 
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -1,7 +1,9 @@
 """Tests the forwarder with fake engines and a fake clock."""
 
+import contextlib
 import random
 
+import eliot
 import testtools
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
@@ -36,6 +38,22 @@
         return
 
 
+@contextlib.contextmanager
+def capture_events(name):
+    """Collect the log messages of an event."""
+    messages = []
+
+    def collect(message):
+        if message["message_type"] == name:
+            messages.append(message)
+
+    eliot.add_destinations(collect)
+    try:
+        yield messages
+    finally:
+        eliot.remove_destination(collect)
+
+
 class FakeOutgoingRequest:
     """One request to a fake engine."""
 
@@ -233,3 +251,16 @@
         self.send_request()
         self.assertIn(b"HTTP/1.1 503", self.received())
         self.assertIn(b"Retry-After", self.received())
+
+    def test_the_begin_of_a_request_on_older_weights_is_logged(self):
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        named = cluster_state.VersionNamed(service.profile.model, 2)
+        engine = self.send_request()
+        self.cluster.apply(named, cluster_state.ChangeTiming(-8.0, -8.0), False)
+        with capture_events("older_version_begun") as events:
+            engine.answer(
+                STREAM.replace(b"\r\n\r\n", b"\r\nX-Weight-Versions: 1\r\n\r\n")
+            )
+        self.assertEqual(
+            [(1, 2)], [(e["version"], e["minimum_version"]) for e in events]
+        )
--- a/toucanspread/ops/log_limits.py
+++ b/toucanspread/ops/log_limits.py
@@ -30,6 +30,7 @@
 FAILURE_EVENTS = frozenset(
     {
         "dispatch_failed",
+        "older_version_begun",
         "request_denied",
         "request_failed",
         "request_refused",
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -17,6 +17,7 @@
 SEAL_HEADER = b"x-response-seal"  # answers without an engine's seal are not relayed
 NOT_RUN_HEADER = b"x-not-executed"
 LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
+WEIGHTS_VERSION_HEADER = b"x-weight-versions"
 LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 EVENT_STREAM_TYPE = b"text/event-stream"
 # These headers of the caller are not forwarded: this system sets its own values, and
@@ -99,6 +100,7 @@
             instance=_decode_text(head.get(INSTANCE_HEADER) or b""),
             is_stream=content.startswith(EVENT_STREAM_TYPE),
             limit_per_s=read_limit_per_s(head),
+            weights_version=_parse_number(head.get(WEIGHTS_VERSION_HEADER)),
         )
 
     def make_own_answer_headers(
