--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -5,9 +5,12 @@
 """
 
 import enum
+from typing import NewType
 
 from toucanspread.core import data
 
+PromptPartId = NewType("PromptPartId", str)
+
 
 class RequestKind(enum.Enum):
     """Whether and how the requests of a route may be repeated."""
@@ -229,6 +232,8 @@
     :param last_event_id: event after which a stream resumes; None for a new stream.
     :param output_tokens: maximum number of tokens of the answer.
     :param likely_tokens: number of tokens that the caller expects; 0 if unknown.
+    :param prompt_parts: ids of the shared parts of the prompt in order, i.e. of all but
+        the last part.
     """
 
     attempt_id: str
@@ -241,6 +246,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     likely_tokens: int = 0
+    prompt_parts: tuple[PromptPartId, ...] = ()
 
 
 def complete_version(loaded: tuple[LoadedLayers, ...], profile: ModelProfile) -> int:
