Simulate prompts with a part on which engines crash, and check two rules

An engine that begins to write an answer on the part crashes 20 to 110 ms later, breaks off its requests and refuses connections for 3 s. crash_check.py counts what still reaches engines (BUDGET) and the sound requests that do not begin (LOST).

--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -7,21 +7,25 @@
 
 import defopt
 
-from standins import load_profiles, load_simulation, simulated_request
+from standins import load_profiles, load_simulation
 
 
 def run_seeds(
     load: load_profiles.LoadProfile, seeds: int
-) -> list[simulated_request.CallerTotals]:
-    """Simulate a load with seeds 1 to ``seeds`` and return the results of each."""
-    return [
-        load_simulation.LoadSimulation(load, seed).run() for seed in range(1, seeds + 1)
+) -> list[load_simulation.LoadSimulation]:
+    """Simulate a load with seeds 1 to ``seeds`` and return the simulations."""
+    simulations = [
+        load_simulation.LoadSimulation(load, seed) for seed in range(1, seeds + 1)
     ]
+    for simulation in simulations:
+        simulation.run()
+    return simulations
 
 
 def print_load(load: load_profiles.LoadProfile, seeds: int) -> None:
     """Print means over the seeds, and times over the answers of all seeds."""
-    totals_by_seed = run_seeds(load, seeds)
+    simulations = run_seeds(load, seeds)
+    totals_by_seed = [simulation.outcome for simulation in simulations]
     on_time_ratios = [totals.on_time_ratio for totals in totals_by_seed]
     served_ratios = [totals.served_ratio for totals in totals_by_seed]
     left_count = sum(totals.abandoned for totals in totals_by_seed)
@@ -35,6 +39,9 @@
         f"first event {first_s[len(first_s) // 2] * 1000:.0f} ms, "
         f"95 in 100 within {first_s[int(len(first_s) * 0.95)] * 1000:.0f} ms"
     )
+    for simulation in simulations:
+        for violation in simulation.crash_check.list_violations():
+            print(f"  seed {simulation.seed}: {violation}")
 
 
 def main(*, only: str = "", seeds: int = 3) -> None:
--- /dev/null
+++ b/standins/crash_simulation_test.py
@@ -0,0 +1,89 @@
+"""Checks that a part of prompts on which engines crash is kept from the engines."""
+
+import testtools
+
+from standins import load_profiles, load_simulation
+from toucanspread.core.entry import data as entry_data
+
+SEEDS = (1, 2)
+PART = entry_data.PromptPartId("c")
+RATE_PER_S = 6.0  # requests with the crashing part
+FROM_S = 3.0
+
+
+def make_part(place=load_profiles.PartPlace.MIDDLE, **options):
+    """Return a crashing part with the usual rate."""
+    return load_profiles.CrashingPart(PART, place, RATE_PER_S, FROM_S, **options)
+
+
+def simulate(entries, crashing, seed=1, duration_s=15.0):
+    """Return a simulation that has run."""
+    profile = load_profiles.LoadProfile(
+        "crash",
+        ((0.0, 70.0),),
+        ((0.0, 10),),
+        duration_s,
+        entries=entries,
+        crashing_parts=(crashing,),
+    )
+    simulation = load_simulation.LoadSimulation(profile, seed)
+    simulation.run()
+    return simulation
+
+
+class CrashSimulationTest(testtools.TestCase):
+    def check(self, entries, crashing):
+        violations = []
+        for seed in SEEDS:
+            simulation = simulate(entries, crashing, seed)
+            violations += [
+                f"seed {seed}: {violation}"
+                for violation in simulation.crash_check.list_violations()
+            ]
+        self.assertEqual([], violations)
+
+    def test_one_entry_stops_sending_a_part_that_crashes_engines(self):
+        self.check(1, make_part())
+
+    def test_18_entries_stop_sending_a_part_that_crashes_engines(self):
+        self.check(18, make_part())
+
+    def test_350_entries_stop_sending_a_part_that_crashes_engines(self):
+        self.check(350, make_part())
+
+    def test_a_first_part_that_crashes_engines_is_not_sent(self):
+        self.check(18, make_part(load_profiles.PartPlace.FIRST))
+
+    def test_a_last_shared_part_that_crashes_engines_is_not_sent(self):
+        self.check(18, make_part(load_profiles.PartPlace.LAST))
+
+    def test_the_other_requests_of_the_only_caller_of_a_crashing_part_are_served(self):
+        self.check(18, make_part(is_of_one_caller=True))
+
+
+class CrashTest(testtools.TestCase):
+    def test_engines_are_used_again_after_the_last_crash(self):
+        simulation = simulate(18, make_part(until_s=3.5))
+        self.assertGreater(simulation.crash_check.count_crashes(PART), 0)
+        for engine in simulation.engines:
+            rate_per_s = engine.limit.count_arrivals(10.0, 15.0) / 5.0
+            self.assertGreater(rate_per_s, 0.5 * 70.0 / 10)
+
+    def test_crashed_engines_accept_nothing_and_come_back_as_new_ones(self):
+        simulation = load_simulation.LoadSimulation(
+            load_profiles.LoadProfile("none", ((0.0, 70.0),), ((0.0, 1),), 10.0), 1
+        )
+        engine = simulation.engines[0]
+        simulation.clock.callLater(4.0, engine.begin_answer, PART)
+        simulation.run()
+        self.assertEqual(1, simulation.crash_check.count_crashes(PART))
+        self.assertEqual(0, engine.limit.count_arrivals(4.11, 7.02))
+        self.assertGreater(engine.limit.count_arrivals(7.2, 10.0), 0)
+        self.assertAlmostEqual(7_000, engine.entry.born_ms, delta=111)
+
+    def test_requests_that_crash_engines_are_not_counted_with_the_others(self):
+        simulation = simulate(18, make_part(until_s=3.5), duration_s=4.0)
+        totals = simulation.outcome
+        outcomes = totals.on_time + totals.late + totals.refused + totals.abandoned
+        self.assertEqual(totals.request_count, outcomes)
+        self.assertEqual(0, simulation.crashing_outcome.on_time)
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -5,6 +5,9 @@
 """
 
 import dataclasses
+import enum
+
+from toucanspread.core.entry import data as entry_data
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,6 +44,33 @@
     limit_per_s: float | None
 
 
+class PartPlace(enum.Enum):
+    """Place of a part among the three shared parts of a prompt."""
+
+    FIRST = 0
+    MIDDLE = 1
+    LAST = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashingPart:
+    """Engines crash on a part of some prompts, beside the other requests.
+
+    :param rate_per_s: requests per second with the part.
+    :param from_s: time at which the first of them may come.
+    :param until_s: time from which on no more of them come.
+    :param is_of_one_caller: whether they have the API key and the first part that are
+        the most frequent ones of the other requests.
+    """
+
+    part: entry_data.PromptPartId
+    place: PartPlace
+    rate_per_s: float
+    from_s: float
+    until_s: float = float("inf")
+    is_of_one_caller: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Rates of requests and numbers of engines over time.
@@ -51,6 +81,7 @@
     :param switch_times_s: times at which engines switch to a new version, one time
         for each wave.
     :param limits: changes of the limits that engines name.
+    :param crashing_parts: parts of prompts on which engines crash.
     """
 
     name: str
@@ -60,6 +91,7 @@
     switch_times_s: tuple[float, ...] = ()
     entries: int = 18
     limits: tuple[LimitChange, ...] = ()
+    crashing_parts: tuple[CrashingPart, ...] = ()
 
 
 LOAD_PROFILES = (
@@ -86,6 +118,16 @@
         ),
     ),
     LoadProfile("recovery", ((0.0, 70.0),), ((0.0, 10), (3.0, 0), (5.5, 10)), 14.0),
+    # Six requests a second crash the engines that begin to answer them.
+    LoadProfile(
+        "crash",
+        ((0.0, 70.0),),
+        ((0.0, 10),),
+        16.0,
+        crashing_parts=(
+            CrashingPart(entry_data.PromptPartId("c"), PartPlace.MIDDLE, 6.0, 3.0),
+        ),
+    ),
 )
 
 
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -10,7 +10,13 @@
 
 from twisted.internet import task
 
-from standins import load_profiles, simulated_cluster, simulated_request
+from standins import (
+    crash_check,
+    load_profiles,
+    simulated_cluster,
+    simulated_prompts,
+    simulated_request,
+)
 from toucanspread.core import data
 
 MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
@@ -23,7 +29,11 @@
         self.clock = task.Clock()
         self.seed = seed
         self.random_source = random.Random(seed)
+        self.crash_random_source = random.Random(f"{seed}/crashes")
         self.outcome = simulated_request.CallerTotals()
+        self.crashing_outcome = simulated_request.CallerTotals()
+        self.crash_check = crash_check.CrashCheck()
+        self._prompt_source = simulated_prompts.PromptSource(seed)
         self._profile = profile
         self.entries = [
             simulated_cluster.SimulatedEntry(self, number, profile.entries)
@@ -54,6 +64,8 @@
                 offset_s, reporting.start, simulated_cluster.REPORT_INTERVAL_S
             )
         self.clock.callLater(0.0, self._send_next_request)
+        for crashing in self._profile.crashing_parts:
+            self.clock.callLater(crashing.from_s, self._send_next_crashing, crashing)
         end_s = self._profile.duration_s + simulated_request.REQUEST_TIMEOUT_S
         while self.clock.seconds() < end_s:
             next_s = min(call.getTime() for call in self.clock.getDelayedCalls())
@@ -111,14 +123,26 @@
     def restart_entry(self, entry: simulated_cluster.SimulatedEntry) -> None:
         """Replace an entry by a new one that knows nothing of before."""
         self.entries.remove(entry)
+        self.crash_check.contact.lose(entry)
         self._start_entry(entry.number)
 
+    def begin_cut(self, entry: simulated_cluster.SimulatedEntry) -> None:
+        """Cut an entry from the other processes."""
+        entry.is_cut = True
+        self.crash_check.contact.lose(entry)
+
+    def end_cut(self, entry: simulated_cluster.SimulatedEntry) -> None:
+        """Let messages from and to an entry arrive again."""
+        entry.is_cut = False
+        self.crash_check.contact.regain(self.clock.seconds(), entry)
+
     def _start_entry(self, number: int) -> None:
         entry = simulated_cluster.SimulatedEntry(self, number, len(self.entries) + 1)
         for engine in self.engines:
             if engine.is_running:
                 entry.registry.put(engine.entry)
         self.entries.append(entry)
+        self.crash_check.contact.regain(self.clock.seconds(), entry)
         self._announce_entry_count()
 
     def _announce_entry_count(self) -> None:
@@ -153,18 +177,30 @@
         now_s = self.clock.seconds()
         if now_s >= self._profile.duration_s:
             return
+        self.outcome.request_count += 1
+        self._send(self._prompt_source.draw_sound())
+        rate_per_s = load_profiles.get_step_value(self._profile.rates_per_s, now_s)
+        self.clock.callLater(
+            self.random_source.expovariate(rate_per_s), self._send_next_request
+        )
+
+    def _send_next_crashing(self, crashing: load_profiles.CrashingPart) -> None:
+        until_s = min(crashing.until_s, self._profile.duration_s)
+        if self.clock.seconds() >= until_s:
+            return
+        self.crashing_outcome.request_count += 1
+        self._send(self._prompt_source.draw_crashing(crashing))
+        interval_s = self._prompt_source.draw_interval_s(crashing.rate_per_s)
+        self.clock.callLater(interval_s, self._send_next_crashing, crashing)
+
+    def _send(self, prompt: simulated_prompts.Prompt) -> None:
         kind = self.random_source.choices(
             load_profiles.REQUEST_KINDS,
             [kind.share for kind in load_profiles.REQUEST_KINDS],
         )[0]
-        self.outcome.request_count += 1
         simulated_request.SimulatedRequest(
-            self, self.choose_entry(), kind, can_retry=True
+            self, self.choose_entry(), kind, prompt, can_retry=True
         ).start()
-        rate_per_s = load_profiles.get_step_value(self._profile.rates_per_s, now_s)
-        self.clock.callLater(
-            self.random_source.expovariate(rate_per_s), self._send_next_request
-        )
 
 
 def _deliver(
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -10,7 +10,7 @@
 
 from twisted.internet import task
 
-from standins import engine_model, limit_check
+from standins import crash_check, engine_model, limit_check
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import engines, forwarding, load_balancing, retry_budget
@@ -25,6 +25,9 @@
 REPORT_INTERVAL_S = 0.2
 DRAIN_DURATION_S = 2.0
 SWITCH_DURATION_S = 0.3
+MIN_CRASH_DELAY_S = 0.02  # from the first token of an answer on a crashing part
+MAX_CRASH_DELAY_S = 0.11
+CRASH_DURATION_S = 3.0  # until the engine is back
 PROFILE = entry_data.ModelProfile(
     data.ModelName("m"),
     16,
@@ -51,10 +54,14 @@
     """The simulation that engines and entries are part of.
 
     :ivar entries: the entries that callers may use.
+    :ivar crash_check: the check of the requests that crash engines.
+    :ivar crash_random_source: for the delays of crashes.
     """
 
     clock: task.Clock
     seed: int
+    crash_check: crash_check.CrashCheck
+    crash_random_source: random.Random
     entries: "list[SimulatedEntry]"
 
     @abc.abstractmethod
@@ -80,7 +87,10 @@
 
 
 class SimulatedEngine:
-    """An engine with its zone and its load reports."""
+    """An engine with its zone and its load reports.
+
+    :ivar is_crashed: whether connections are refused until it is back.
+    """
 
     def __init__(self, simulation: AbstractCluster, number: int):
         self.zone = ZONES[number % len(ZONES)]
@@ -88,11 +98,13 @@
         self.model = engine_model.EngineModel(simulation.clock)
         self.is_running = False
         self.is_loading = False
+        self.is_crashed = False
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
         self._simulation = simulation
         self._number = number
+        self._born_ms = 0
 
     @property
     def entry(self) -> entry_data.EngineEntry:
@@ -104,12 +116,14 @@
             self.zone,
             engine_model.SLOT_COUNT,
             entry_data.EngineState.READY,
+            self._born_ms,
             loaded=LAYERS,
         )
 
     def start(self) -> None:
         """Start the engine, or start it again, with all layers loaded."""
         self.is_running = True
+        self.is_crashed = False
         self.model = engine_model.EngineModel(self._simulation.clock)
         for entry in self._simulation.entries:
             entry.registry.put(self.entry)
@@ -124,6 +138,32 @@
         self.is_loading = False
         self.switch_at_s = None
 
+    def begin_answer(self, part: entry_data.PromptPartId) -> None:
+        """Begin to write an answer on a crashing part, and crash soon after."""
+        delay_s = self._simulation.crash_random_source.uniform(
+            MIN_CRASH_DELAY_S, MAX_CRASH_DELAY_S
+        )
+        self._simulation.clock.callLater(delay_s, self._crash, self.model, part)
+
+    def _crash(
+        self, model: engine_model.EngineModel, part: entry_data.PromptPartId
+    ) -> None:
+        if self.model is not model or self.is_crashed or not self.is_running:
+            return
+        self.is_crashed = True
+        self._simulation.crash_check.record_crash(
+            self._simulation.clock.seconds(), part
+        )
+        self._fail_jobs()
+        self._simulation.clock.callLater(CRASH_DURATION_S, self._return, model)
+
+    def _return(self, model: engine_model.EngineModel) -> None:
+        """Return as a new incarnation, unless the engine was stopped meanwhile."""
+        if self.model is not model or not self.is_running:
+            return
+        self._born_ms = round(self._simulation.clock.seconds() * 1000)
+        self.start()
+
     def _fail_jobs(self) -> None:
         failed, self.jobs = self.jobs, {}
         for job in failed:
@@ -141,7 +181,7 @@
 
     def report(self) -> None:
         """Send a load report to all entries."""
-        if not self.is_running:
+        if not self.is_running or self.is_crashed:
             return
         switch_in_s = None
         is_quiet = self.is_loading
@@ -150,7 +190,7 @@
             is_quiet = switch_in_s <= waves.QUIET_PERIOD_S
         load = entry_data.EngineLoad(
             self.entry.address,
-            0,
+            self._born_ms,
             self.model.active,
             self.model.queued,
             1,
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -7,7 +7,13 @@
 import dataclasses
 import random
 
-from standins import engine_model, load_profiles, simulated_cluster
+from standins import (
+    crash_check,
+    engine_model,
+    load_profiles,
+    simulated_cluster,
+    simulated_prompts,
+)
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions, forwarding
@@ -50,12 +56,14 @@
 class AbstractCallers(simulated_cluster.AbstractCluster):
     """What a request needs of the simulation beside entries and engines.
 
-    :ivar outcome: the counts to which the request adds its outcome.
+    :ivar outcome: the counts to which a sound request adds its outcome.
+    :ivar crashing_outcome: the same for requests with a crashing part.
     :ivar engines_by_id: the engines by their ids.
     """
 
     random_source: random.Random
     outcome: CallerTotals
+    crashing_outcome: CallerTotals
     engines_by_id: dict[str, simulated_cluster.SimulatedEngine]
 
     @abc.abstractmethod
@@ -73,18 +81,22 @@
         simulation: "AbstractCallers",
         entry: simulated_cluster.SimulatedEntry,
         kind: load_profiles.RequestKind,
+        prompt: simulated_prompts.Prompt,
         can_retry: bool,
     ):
         random_source = simulation.random_source
-        prompt = int(random_source.expovariate(1 / kind.mean_prompt_tokens)) + 40
+        tokens = int(random_source.expovariate(1 / kind.mean_prompt_tokens)) + 40
         answer = int(random_source.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
         self.kind = kind
-        self.prompt_tokens = prompt
+        self.prompt = prompt
+        self.prompt_tokens = tokens
         self.answer_tokens = min(answer, MAX_ANSWER_TOKENS)
         self.started_s = simulation.clock.seconds()
         self._simulation = simulation
         self._entry = entry
         self._can_retry = can_retry
+        self._is_first_attempt = True
+        self._was_in_touch = False
         self._first_s: float | None = None
         self._last_event_s = 0.0
         self._generated_tokens = 0
@@ -105,8 +117,19 @@
         """Return the context of decisions."""
         return self._entry.make_decision_context()
 
+    @property
+    def _outcome(self) -> CallerTotals:
+        if self.prompt.crashing_part is not None:
+            return self._simulation.crashing_outcome
+        return self._simulation.outcome
+
     def start(self) -> None:
         """Send the request to the entry."""
+        now_s = self._simulation.clock.seconds()
+        check = self._simulation.crash_check
+        self._was_in_touch = check.contact.is_in_touch(now_s, self._entry)
+        if self.prompt.crashing_part is not None:
+            check.record_request(now_s, self.kind.name, self.prompt)
         self._caller_timeout = self._simulation.clock.callLater(
             CALLER_TIMEOUT_S, self._abandon
         )
@@ -120,7 +143,9 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
         self._job = None
-        failure = decisions.DispatchFailure.BROKEN
+        self._fail_dispatch(decisions.DispatchFailure.BROKEN)
+
+    def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
     def _make_state(self) -> forwarding.RequestState:
@@ -141,11 +166,12 @@
             "id",
             "h",
             "/",
-            None,
+            self.prompt.key,
             budget_s=REQUEST_TIMEOUT_S - (now_s - self.started_s),
             prompt_tokens=self.prompt_tokens,
             output_tokens=MAX_ANSWER_TOKENS,
             likely_tokens=self.answer_tokens,
+            prompt_parts=self.prompt.parts,
         )
         return forwarding.RequestState(route, simulated_cluster.SERVICE, call, now_s)
 
@@ -176,13 +202,26 @@
         )
         self._engine = engine
         self._simulation.call_after_delay(
-            self._entry.zone, engine.zone, self._submit_to_engine, engine
+            self._entry.zone,
+            engine.zone,
+            self._submit_to_engine,
+            engine,
+            self._simulation.clock.seconds(),
         )
 
-    def _submit_to_engine(self, engine: simulated_cluster.SimulatedEngine) -> None:
+    def _submit_to_engine(
+        self, engine: simulated_cluster.SimulatedEngine, sent_s: float
+    ) -> None:
         if self._state.is_finished:
             return
+        if engine.is_crashed:
+            self._fail_dispatch(decisions.DispatchFailure.NOT_CONNECTED)
+            return
         now_s = self._simulation.clock.seconds()
+        if self.prompt.crashing_part is not None and engine.is_running:
+            self._simulation.crash_check.record_arrival(
+                sent_s, self._entry, self.prompt.crashing_part
+            )
         engine.limit.record_arrival(now_s, self._entry)
         job = engine_model.Job(
             self.prompt_tokens + self._generated_tokens,
@@ -194,10 +233,7 @@
         is_open = engine.is_running and not engine.is_loading
         if not is_open or not engine.model.submit(job):
             self._read_limit(engine)
-            rejection = decisions.DispatchFailure.REJECTED
-            self.carry_out(
-                self._state.on_failure(self.make_decision_context(), rejection)
-            )
+            self._fail_dispatch(decisions.DispatchFailure.REJECTED)
             return
         self._job = job
         self._tokens_before_dispatch = self._generated_tokens
@@ -215,7 +251,10 @@
         now_s = self._simulation.clock.seconds()
         if self._generated_tokens == self._tokens_before_dispatch:
             self._read_limit(self._engine)
+            if self.prompt.crashing_part is not None:
+                self._engine.begin_answer(self.prompt.crashing_part)
         if self._first_s is None:
+            self._record_first_attempt(has_begun=True)
             self._first_s = now_s - self.started_s
             self._caller_timeout.cancel()
             self._state.on_stream_opened()
@@ -230,7 +269,7 @@
     def _on_end(self) -> None:
         self._engine.jobs.pop(self._job, None)
         self._state.on_answer(self.make_decision_context(), 200)
-        outcome = self._simulation.outcome
+        outcome = self._outcome
         outcome.first_s.append(self._first_s)
         if self._first_s <= self.kind.target_s and not self._had_long_gap:
             outcome.on_time += 1
@@ -244,14 +283,28 @@
         if self._job is not None:
             self._engine.jobs.pop(self._job, None)
             self._engine.model.cancel(self._job)
-        self._simulation.outcome.abandoned += 1
+        self._record_first_attempt(has_begun=False)
+        self._outcome.abandoned += 1
+
+    def _record_first_attempt(self, has_begun: bool) -> None:
+        """Record whether a sound request began at the caller's first attempt."""
+        is_first, self._is_first_attempt = self._is_first_attempt, False
+        if not is_first or not self._was_in_touch:
+            return
+        if self.prompt.crashing_part is None:
+            self._simulation.crash_check.record_sound(
+                crash_check.SoundRequest(
+                    self.started_s, self.kind.name, self.prompt, has_begun
+                )
+            )
 
     def _schedule_retry(self, retry_after_s: float) -> None:
         self._entry.queue.remove(self)
+        self._record_first_attempt(has_begun=False)
         if self._caller_timeout.active():
             self._caller_timeout.cancel()
         if not self._can_retry or self._first_s is not None:
-            self._simulation.outcome.refused += 1
+            self._outcome.refused += 1
             return
         self._can_retry = False
         self._simulation.clock.callLater(max(retry_after_s, 0.01), self._retry)
