--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -71,6 +71,17 @@
     is_of_one_caller: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionChange:
+    """The operator names the next version of the weights.
+
+    :param within_s: time within which requests must begin on it.
+    """
+
+    at_s: float
+    within_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Rates of requests and numbers of engines over time.
@@ -82,6 +93,8 @@
         for each wave.
     :param limits: changes of the limits that engines name.
     :param crashing_parts: parts of prompts on which engines crash.
+    :param version_change: when the version is named to which engines switch; None if it
+        doesn't matter on which version requests begin.
     """
 
     name: str
@@ -92,6 +105,7 @@
     entries: int = 18
     limits: tuple[LimitChange, ...] = ()
     crashing_parts: tuple[CrashingPart, ...] = ()
+    version_change: VersionChange | None = None
 
 
 LOAD_PROFILES = (
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -16,6 +16,7 @@
     simulated_cluster,
     simulated_prompts,
     simulated_request,
+    version_check,
 )
 from toucanspread.core import data
 
@@ -33,6 +34,9 @@
         self.outcome = simulated_request.CallerTotals()
         self.crashing_outcome = simulated_request.CallerTotals()
         self.crash_check = crash_check.CrashCheck()
+        change = profile.version_change
+        within_s = change.within_s if change is not None else float("inf")
+        self.version_check = version_check.VersionCheck(within_s)
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._profile = profile
         self.entries = [
@@ -53,6 +57,9 @@
             self.clock.callLater(from_s, self._set_engines, int(count))
         for change in self._profile.limits:
             self.clock.callLater(change.at_s, self.name_limit, change)
+        if self._profile.version_change is not None:
+            at_s = self._profile.version_change.at_s
+            self.clock.callLater(at_s, self._name_version)
         for engine in self.engines:
             if engine.switch_at_s is not None:
                 self.clock.callLater(engine.switch_at_s, engine.switch)
@@ -107,6 +114,13 @@
         for engine in self.engines[: change.engine_count]:
             engine.limit.change(self.clock.seconds(), change.limit_per_s)
 
+    def _name_version(self) -> None:
+        """Name the next version of the weights; all entries learn of it at once."""
+        version = simulated_cluster.FIRST_VERSION + 1
+        self.version_check.record_named(self.clock.seconds(), version)
+        for entry in self.entries:
+            entry.learn_version(version, self._profile.version_change.within_s)
+
     def add_entry(self) -> None:
         """Add an entry; the others learn of it after a while."""
         number, self._next_entry_number = (
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -10,10 +10,16 @@
 
 from twisted.internet import task
 
-from standins import crash_check, engine_model, limit_check
+from standins import crash_check, engine_model, limit_check, version_check
 from toucanspread.core import data
+from toucanspread.core.entry import (
+    cluster_state,
+    engines,
+    forwarding,
+    load_balancing,
+    retry_budget,
+)
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engines, forwarding, load_balancing, retry_budget
 from toucanspread.core.weights import waves
 from toucanspread.ops import request_queue
 
@@ -39,6 +45,7 @@
     pass_tokens=engine_model.TOKENS_PER_EVENT,
 )
 SERVICE = entry_data.Service(data.ServiceName("pool"), PROFILE)
+FIRST_VERSION = 1  # of the weights
 LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, PROFILE.layers),)
 
 
@@ -56,12 +63,14 @@
     :ivar entries: the entries that callers may use.
     :ivar crash_check: the check of the requests that crash engines.
     :ivar crash_random_source: for the delays of crashes.
+    :ivar version_check: the check of the versions on which requests begin.
     """
 
     clock: task.Clock
     seed: int
     crash_check: crash_check.CrashCheck
     crash_random_source: random.Random
+    version_check: version_check.VersionCheck
     entries: "list[SimulatedEntry]"
 
     @abc.abstractmethod
@@ -99,6 +108,7 @@
         self.is_running = False
         self.is_loading = False
         self.is_crashed = False
+        self.version = FIRST_VERSION
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
@@ -137,6 +147,7 @@
     def _finish_switch(self) -> None:
         self.is_loading = False
         self.switch_at_s = None
+        self.version += 1
 
     def begin_answer(self, part: entry_data.PromptPartId) -> None:
         """Begin to write an answer on a crashing part, and crash soon after."""
@@ -193,7 +204,7 @@
             self._born_ms,
             self.model.active,
             self.model.queued,
-            1,
+            self.version,
             is_quiet,
             order_in_s=switch_in_s,
         )
@@ -218,6 +229,8 @@
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
         self._entry_count = entry_count
+        self._versions = cluster_state.ModelVersions()
+        self._version_within_s = 0.0
         self.registry = engines.EngineRegistry(DRAIN_DURATION_S)
         self.queue = request_queue.RequestQueue(simulation.clock)
         self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
@@ -228,6 +241,15 @@
         """Apply a change of the number of entries."""
         self._entry_count = entry_count
 
+    def learn_version(self, version: int, within_s: float) -> None:
+        """Learn that a version of the weights was named.
+
+        :param within_s: time within which requests must begin on it.
+        """
+        now_s = self._simulation.clock.seconds()
+        self._version_within_s = within_s - cluster_state.VERSION_DISPATCH_MARGIN_S
+        self._versions.add(version, cluster_state.ChangeTiming(now_s, now_s))
+
     def apply_load(self, load: entry_data.EngineLoad) -> None:
         """Apply a load report."""
         self.registry.apply_load(load, self._simulation.clock.seconds())
@@ -251,5 +273,10 @@
         location = load_balancing.EntryLocation(self.zone, REGIONS, self._entry_count)
         now_s = self._simulation.clock.seconds()
         return forwarding.DecisionContext(
-            now_s, self.registry, self.retry_budgets, location, self.random_source
+            now_s,
+            self.registry,
+            self.retry_budgets,
+            location,
+            self.random_source,
+            self._versions.minimum(now_s, self._version_within_s),
         )
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -251,6 +251,7 @@
         now_s = self._simulation.clock.seconds()
         if self._generated_tokens == self._tokens_before_dispatch:
             self._read_limit(self._engine)
+            self._simulation.version_check.record_begin(now_s, self._engine.version)
             if self.prompt.crashing_part is not None:
                 self._engine.begin_answer(self.prompt.crashing_part)
         if self._first_s is None:
--- /dev/null
+++ b/standins/version_simulation_test.py
@@ -0,0 +1,71 @@
+"""Checks that requests don't begin on weights that are older than they may be."""
+
+import testtools
+
+from standins import load_profiles, load_simulation
+
+SEEDS = (1, 2, 3)
+WITHIN_S = 4.0
+NAMED_S = 3.0
+DURATION_S = 12.0
+
+
+NAMED = load_profiles.VersionChange(NAMED_S, WITHIN_S)
+
+
+def simulate(entries, rate_per_s, switch_times_s, seed, version_change=NAMED):
+    """Return a simulation that has run."""
+    profile = load_profiles.LoadProfile(
+        "version",
+        ((0.0, rate_per_s),),
+        ((0.0, 7),),
+        DURATION_S,
+        switch_times_s=switch_times_s,
+        entries=entries,
+        version_change=version_change,
+    )
+    simulation = load_simulation.LoadSimulation(profile, seed)
+    simulation.run()
+    return simulation
+
+
+class VersionSimulationTest(testtools.TestCase):
+    def check(self, entries, rate_per_s, switch_times_s):
+        violations = []
+        for seed in SEEDS:
+            simulation = simulate(entries, rate_per_s, switch_times_s, seed)
+            violations += [
+                f"seed {seed}: {violation}"
+                for violation in simulation.version_check.violations
+            ]
+        self.assertEqual([], violations)
+
+    def test_one_entrys_requests_do_not_wait_until_their_engines_weights_are_too_old(
+        self,
+    ):
+        self.check(1, 82.0, (9.0,))
+
+    def test_requests_do_not_wait_at_engines_until_their_weights_are_too_old(self):
+        self.check(18, 82.0, (9.0,))
+
+    def test_requests_of_350_entries_do_not_wait_until_weights_are_too_old(self):
+        self.check(350, 82.0, (9.0,))
+
+    def test_requests_do_not_begin_on_the_old_weights_of_engines_that_are_late(self):
+        self.check(18, 70.0, (5.0, 6.0, 8.5))
+
+    def test_the_time_for_a_version_costs_no_requests_if_engines_switch_before(self):
+        switch_times_s = (4.0, 4.9, 5.8)
+        for seed in SEEDS:
+            named = simulate(18, 42.0, switch_times_s, seed)
+            without = simulate(18, 42.0, switch_times_s, seed, version_change=None)
+            self.assertEqual(without.outcome.served_ratio, named.outcome.served_ratio)
+
+    def test_engines_are_used_until_shortly_before_their_weights_are_too_old(self):
+        simulation = simulate(18, 42.0, (9.0,), seed=1)
+        due_s = NAMED_S + WITHIN_S
+        counts = [
+            engine.limit.count_arrivals(due_s - 1.0, due_s - 0.5)
+            for engine in simulation.engines
+        ]
+        self.assertGreater(sum(counts), 0.5 * 42.0 * 0.5)
