Withdraw requests that have not begun when their weights become too old

What callers saw: whole answers of an older version of the weights, begun up to 0.7 s after the time from which only the newer one may be used (VERSION).

Cause: the bound on the begin of a request was kept only at its dispatch. Nothing held what was already at an engine, where a request waits for its turn or for the end of a load, or on the way there. Class of fault: a promise on when work begins that is checked only when the work is sent.

Why the fix works: shortly before the bound, each entry withdraws what has not begun at an engine with an older version (closing its connection, so that the engine drops it, also if it was never accepted), and sends it elsewhere if it may run again. Besides, no request is sent to an engine whose expected wait reaches beyond the bound; it is rejected at once if no engine is left, instead of being withdrawn later. An engine has begun once the head of its answer has come.

The fuzz test learns that a request withdrawn unsent has not run.

--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -56,6 +56,10 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
 
+    @abc.abstractmethod
+    def withdraw_if_outdated(self) -> None:
+        """Withdraw the request if its engine could begin it on weights too old."""
+
 
 class AbstractCluster(abc.ABC):
     """The simulation that engines and entries are part of.
@@ -217,6 +221,7 @@
     :param number: number of this entry, which a restarted one has again.
     :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
+    :ivar in_progress: the requests that it has sent to engines.
     """
 
     def __init__(
@@ -228,6 +233,7 @@
         self.number = number
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
+        self.in_progress: dict[EngineClient, None] = {}
         self._entry_count = entry_count
         self._versions = cluster_state.ModelVersions()
         self._version_within_s = 0.0
@@ -249,6 +255,12 @@
         now_s = self._simulation.clock.seconds()
         self._version_within_s = within_s - cluster_state.VERSION_DISPATCH_MARGIN_S
         self._versions.add(version, cluster_state.ChangeTiming(now_s, now_s))
+        withdrawal_in_s = within_s - cluster_state.VERSION_WITHDRAWAL_MARGIN_S
+        self._simulation.clock.callLater(withdrawal_in_s, self._withdraw_outdated)
+
+    def _withdraw_outdated(self) -> None:
+        for request in list(self.in_progress):
+            request.withdraw_if_outdated()
 
     def apply_load(self, load: entry_data.EngineLoad) -> None:
         """Apply a load report."""
@@ -279,4 +291,5 @@
             location,
             self.random_source,
             self._versions.minimum(now_s, self._version_within_s),
+            self._versions.upcoming(now_s, self._version_within_s),
         )
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -145,6 +145,20 @@
         self._job = None
         self._fail_dispatch(decisions.DispatchFailure.BROKEN)
 
+    def withdraw_if_outdated(self) -> None:
+        """Withdraw the request if its engine could begin it on weights too old."""
+        context = self.make_decision_context()
+        if self._state.must_be_withdrawn(context, was_sent=True):
+            self._fail_dispatch(decisions.DispatchFailure.WITHDRAWN)
+
+    def _cancel_job(self) -> None:
+        """Withdraw the request from its engine."""
+        self._entry.in_progress.pop(self, None)
+        if self._job is not None:
+            self._engine.jobs.pop(self._job, None)
+            self._engine.model.cancel(self._job)
+            self._job = None
+
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
@@ -181,6 +195,8 @@
             match effect:
                 case decisions.Enqueue():
                     self._entry.queue.add(self)
+                case decisions.Cancel():
+                    self._cancel_job()
                 case decisions.SendToEngine(engine_id=engine_id, priority=priority):
                     self._priority = priority
                     self._send(self._simulation.engines_by_id[engine_id])
@@ -201,18 +217,20 @@
             self._entry.zone, "apply_prompt", sent, self._entry, only_own_zone=True
         )
         self._engine = engine
+        self._entry.in_progress[self] = None
         self._simulation.call_after_delay(
             self._entry.zone,
             engine.zone,
             self._submit_to_engine,
             engine,
+            self._state.dispatches,
             self._simulation.clock.seconds(),
         )
 
     def _submit_to_engine(
-        self, engine: simulated_cluster.SimulatedEngine, sent_s: float
+        self, engine: simulated_cluster.SimulatedEngine, number: int, sent_s: float
     ) -> None:
-        if self._state.is_finished:
+        if self not in self._entry.in_progress or number != self._state.dispatches:
             return
         if engine.is_crashed:
             self._fail_dispatch(decisions.DispatchFailure.NOT_CONNECTED)
@@ -252,6 +270,7 @@
         if self._generated_tokens == self._tokens_before_dispatch:
             self._read_limit(self._engine)
             self._simulation.version_check.record_begin(now_s, self._engine.version)
+            self._state.on_begun(now_s)
             if self.prompt.crashing_part is not None:
                 self._engine.begin_answer(self.prompt.crashing_part)
         if self._first_s is None:
@@ -269,6 +288,7 @@
 
     def _on_end(self) -> None:
         self._engine.jobs.pop(self._job, None)
+        self._entry.in_progress.pop(self, None)
         self._state.on_answer(self.make_decision_context(), 200)
         outcome = self._outcome
         outcome.first_s.append(self._first_s)
@@ -281,9 +301,7 @@
         """Abandon the request after a long time without an event."""
         self._entry.queue.remove(self)
         self._state.on_caller_disconnected(self.make_decision_context())
-        if self._job is not None:
-            self._engine.jobs.pop(self._job, None)
-            self._engine.model.cancel(self._job)
+        self._cancel_job()
         self._record_first_attempt(has_begun=False)
         self._outcome.abandoned += 1
 
@@ -301,6 +319,7 @@
 
     def _schedule_retry(self, retry_after_s: float) -> None:
         self._entry.queue.remove(self)
+        self._entry.in_progress.pop(self, None)
         self._record_first_attempt(has_begun=False)
         if self._caller_timeout.active():
             self._caller_timeout.cancel()
--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -12,7 +12,12 @@
 from toucanspread.core.view import source_selection
 
 INITIAL_VERSION = 1  # of weights, until the operator names another one
-VERSION_DISPATCH_MARGIN_S = 0.4  # transfer of a request to its engine, and wait there
+# No request is sent to an engine with an older version so long before the time by which
+# requests must begin on the new one.
+VERSION_DISPATCH_MARGIN_S = 0.4
+# What has not begun on an older version is withdrawn so long before the same time; the
+# engine gets to know of it meanwhile.
+VERSION_WITHDRAWAL_MARGIN_S = 0.2
 RESTART_GRACE_S = 2.6  # a restarted process may still use an older version meanwhile
 # During an outage of the store, processes of all zones query each other several times
 # within this time.
@@ -117,6 +122,21 @@
         ]
         return max(due, default=0)
 
+    def upcoming(
+        self, now_s: float, within_s: float
+    ) -> tuple[entry_data.DueVersion, ...]:
+        """Return the named versions that are not in force yet.
+
+        :param within_s: time for which older versions may be used after a new one.
+        """
+        extra_s = VERSION_DISPATCH_MARGIN_S - VERSION_WITHDRAWAL_MARGIN_S
+        due = {version: self.due_s(version, within_s) for version in self._timings}
+        return tuple(
+            entry_data.DueVersion(version, due_s + extra_s)
+            for version, due_s in due.items()
+            if now_s < due_s
+        )
+
 
 class ClusterState:
     """The state of the system that an entry knows.
@@ -182,6 +202,11 @@
         versions = self.versions_of(event.model)
         return versions.due_s(event.version, self._version_within_s) - now_s
 
+    def withdrawal_in_s(self, event: VersionNamed, now_s: float) -> float:
+        """Return the time until what has not begun on older versions is withdrawn."""
+        extra_s = VERSION_DISPATCH_MARGIN_S - VERSION_WITHDRAWAL_MARGIN_S
+        return self.due_in_s(event, now_s) + extra_s
+
     def minimum_version(self, service: entry_data.Service, now_s: float) -> int:
         """Return the lowest version on which a request to a service may begin."""
         if service.profile is None:
@@ -189,6 +214,15 @@
         versions = self.versions_of(service.profile.model)
         return versions.minimum(now_s, self._version_within_s)
 
+    def upcoming_versions(
+        self, service: entry_data.Service, now_s: float
+    ) -> tuple[entry_data.DueVersion, ...]:
+        """Return the versions of a service's model that are not in force yet."""
+        if service.profile is None:
+            return ()
+        versions = self.versions_of(service.profile.model)
+        return versions.upcoming(now_s, self._version_within_s)
+
     def _apply_configuration(self, configuration: entry_data.Configuration) -> bool:
         if (
             self.route_table is not None
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -58,3 +58,19 @@
         self.name_version(3, 100.0, 100.0)
         self.assertFalse(self.name_version(2, 101.0, 101.0))
         self.assertEqual(3, self.cluster_state.versions_of(MODEL).newest)
+
+    def test_requests_may_begin_on_older_weights_until_shortly_before_the_time(self):
+        self.name_version(2, 100.0, 100.0)
+        named = cluster_state.VersionNamed(MODEL, 2)
+        begin_until_s = 100.0 + WITHIN_S - 0.2
+        (upcoming,) = self.cluster_state.upcoming_versions(SERVICE, 101.0)
+        self.assertAlmostEqual(begin_until_s, upcoming.begin_until_s)
+        self.assertAlmostEqual(
+            begin_until_s - 101.0, self.cluster_state.withdrawal_in_s(named, 101.0)
+        )
+
+    def test_a_version_in_force_is_not_upcoming(self):
+        self.name_version(2, 100.0, 100.0)
+        self.name_version(3, 104.0, 104.0)
+        upcoming = self.cluster_state.upcoming_versions(SERVICE, 109.0)
+        self.assertEqual([3], [version.version for version in upcoming])
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -85,6 +85,16 @@
     pass_tokens: int = 5
 
 
+class DueVersion(data.Record):
+    """A version of weights that was named and is not in force yet.
+
+    :param begin_until_s: time until which requests may begin on older versions.
+    """
+
+    version: int
+    begin_until_s: float
+
+
 class Service(data.Record):
     """A service that a group of engines of the same kind provides.
 
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -20,6 +20,7 @@
     DEADLINE_EXCEEDED = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     LEAVING = "leaving"
+    WEIGHTS_OUTDATED = "weights too old"
 
 
 class DispatchFailure(enum.Enum):
@@ -32,6 +33,8 @@
     MALFORMED = "malformed"
     SILENT = "silent"
     FAILED = "failed"
+    WITHDRAWN = "withdrawn"
+    WITHDRAWN_UNSENT = "withdrawn unsent"
 
 
 # After these failures it is certain that the engine did not run the request.
@@ -40,6 +43,23 @@
         DispatchFailure.NOT_CONNECTED,
         DispatchFailure.REJECTED,
         DispatchFailure.OTHER_INSTANCE,
+        DispatchFailure.WITHDRAWN_UNSENT,
+    }
+)
+# After these failures the engine may still work on the request.
+UNFINISHED_FAILURES = frozenset(
+    {
+        DispatchFailure.SILENT,
+        DispatchFailure.WITHDRAWN,
+        DispatchFailure.WITHDRAWN_UNSENT,
+    }
+)
+# These failures say nothing about the engine.
+BLAMELESS_FAILURES = frozenset(
+    {
+        DispatchFailure.REJECTED,
+        DispatchFailure.WITHDRAWN,
+        DispatchFailure.WITHDRAWN_UNSENT,
     }
 )
 
@@ -50,7 +70,7 @@
         return 2
     if failure is DispatchFailure.NOT_CONNECTED:
         return 2
-    if failure is DispatchFailure.REJECTED:
+    if failure in BLAMELESS_FAILURES:
         return 0
     return 1
 
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -35,6 +35,7 @@
     """The information on which decisions about a request are based.
 
     :param minimum_version: minimum version of the weights for the route's service.
+    :param upcoming_versions: versions of its weights that are not in force yet.
     """
 
     now_s: float
@@ -43,6 +44,7 @@
     location: load_balancing.EntryLocation
     random_source: random.Random
     minimum_version: int = 0
+    upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
 
 
 class RequestState:
@@ -107,9 +109,7 @@
         context.retry_budgets.record_request(self.service.name, context.now_s)
         if queued_prefill_s == 0.0 or not self._can_be_queued():
             return self._dispatch(context)
-        requirements = load_balancing.EngineRequirements(
-            self.service, context.minimum_version
-        )
+        requirements = self._make_requirements(context)
         engine_count = len(
             load_balancing.eligible_engines(
                 context.registry, requirements, context.location, context.now_s
@@ -197,7 +197,7 @@
         )
         cancellations = (
             [decisions.Cancel(number)]
-            if failure is decisions.DispatchFailure.SILENT
+            if failure in decisions.UNFINISHED_FAILURES
             else []
         )
         if failure in decisions.NOT_RUN_FAILURES:
@@ -205,6 +205,22 @@
             self._rejections += 1
         return cancellations + self._retry(context, failure)
 
+    def must_be_withdrawn(self, context: DecisionContext, was_sent: bool) -> bool:
+        """Return whether its engine could begin the request on weights too old.
+
+        Whether an engine has begun shows at the head of a stream. Of an answer that is
+        no stream, it doesn't show; only a request that may run again is withdrawn then.
+
+        :param was_sent: whether the request was sent on a connection.
+        """
+        engine, profile = self._engine, self.service.profile
+        if engine is None or profile is None or self._begun_s is not None:
+            return False
+        if engine.complete_version(profile, context.now_s) >= context.minimum_version:
+            return False
+        is_stream = self.route.kind is entry_data.RequestKind.STREAMING
+        return is_stream or self.route.is_repeatable or not was_sent
+
     def on_deadline(self, context: DecisionContext) -> list[data.Effect]:
         """End a request whose deadline has passed."""
         if self.is_finished:
@@ -269,9 +285,7 @@
         tried = frozenset(self._tried)
         if self._last_failure in decisions.NOT_RUN_FAILURES:
             tried = frozenset()
-        requirements = load_balancing.EngineRequirements(
-            self.service, context.minimum_version, tried
-        )
+        requirements = self._make_requirements(context, tried)
         return load_balancing.limit_wait_s(
             context.registry, requirements, context.location, context.now_s
         )
@@ -373,11 +387,9 @@
         self, context: DecisionContext, skips_limited: bool
     ) -> engines.Engine | None:
         """Return an engine that has not been tried, or else one that rejected it."""
-        requirements = load_balancing.EngineRequirements(
-            self.service,
-            context.minimum_version,
-            frozenset(self._tried),
-            self.timing.likely_tokens_left(self._last_event_id),
+        requirements = self._make_requirements(context, frozenset(self._tried))
+        requirements = requirements._replace(
+            likely_tokens=self.timing.likely_tokens_left(self._last_event_id),
             was_interrupted=self.possible_runs > 0,
             skips_limited=skips_limited,
         )
@@ -403,6 +415,17 @@
             )
         return engine
 
+    def _make_requirements(
+        self, context: DecisionContext, excluded: frozenset[str] = frozenset()
+    ) -> load_balancing.EngineRequirements:
+        return load_balancing.EngineRequirements(
+            self.service,
+            context.minimum_version,
+            excluded,
+            upcoming_versions=context.upcoming_versions,
+            prefill_s=self.timing.prefill_s,
+        )
+
     def _retry(
         self, context: DecisionContext, failure: decisions.DispatchFailure
     ) -> list[data.Effect]:
@@ -413,9 +436,10 @@
                     context, decisions.FailureCause.ENGINES_FULL
                 )
         elif not self.route.is_repeatable or self.possible_runs >= self.route.attempts:
-            return self._finish_unanswered(
-                context, decisions.FailureCause.ENGINE_FAILED
-            )
+            cause = decisions.FailureCause.ENGINE_FAILED
+            if failure is decisions.DispatchFailure.WITHDRAWN:
+                cause = decisions.FailureCause.WEIGHTS_OUTDATED
+            return self._finish_unanswered(context, cause)
         if not context.retry_budgets.acquire(
             self.service.name, context.now_s, context.location.entry_count
         ):
@@ -457,9 +481,7 @@
         if not self._can_run_again(context):
             return False
         tried = frozenset(self._tried)
-        requirements = load_balancing.EngineRequirements(
-            self.service, context.minimum_version, tried
-        )
+        requirements = self._make_requirements(context, tried)
         for engine in load_balancing.eligible_engines(
             context.registry, requirements, context.location, context.now_s
         ):
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -32,6 +32,7 @@
     decisions.DispatchFailure.NOT_CONNECTED,
     decisions.DispatchFailure.REJECTED,
     decisions.DispatchFailure.OTHER_INSTANCE,
+    decisions.DispatchFailure.WITHDRAWN_UNSENT,
 )
 EVENTS = ("opened", "events", "answer", "failure", "go on", "time over", "left")
 STEPS = strategies.lists(
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -340,3 +340,94 @@
         sent = self.assert_only(decisions.SendToEngine, request.start(fixture.at(0.0)))
         self.assertEqual("bb", sent.engine_id)
         self.assertEqual(2, sent.expected_version)
+
+
+class WithdrawalTest(testtools.TestCase):
+    """A version comes into force while requests are at engines with an older one."""
+
+    def setUp(self):
+        super().setUp()
+        self.fixture = Fixture()
+
+    def send(self, route):
+        """Return a request that is at an engine whose weights are now too old."""
+        request = self.fixture.make_request(route)
+        sent = request.start(self.fixture.at(0.0))[0]
+        self.fixture.minimum_version = 2
+        others = {"a", "b", "c"} - {sent.engine_id}
+        loaded = (entry_data.LoadedLayers(PROFILE.model, 2, 0, 4),)
+        for name in others:
+            self.fixture.registry.put(make_entry(name, loaded))
+        return request
+
+    def withdraw(self, request, was_sent=True):
+        """Return the effects of the withdrawal, or None if it is not withdrawn."""
+        context = self.fixture.at(1.0)
+        if not request.must_be_withdrawn(context, was_sent):
+            return None
+        failure = decisions.DispatchFailure.WITHDRAWN
+        if not was_sent:
+            failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
+        return request.on_failure(context, failure)
+
+    def test_a_stream_that_has_not_begun_goes_to_an_engine_with_newer_weights(self):
+        effects = self.withdraw(self.send(make_route()))
+        self.assertEqual(
+            [decisions.Cancel, decisions.SendToEngine], [type(e) for e in effects]
+        )
+        self.assertEqual(2, effects[1].expected_version)
+
+    def test_a_stream_that_has_begun_stays_at_its_engine(self):
+        request = self.send(make_route())
+        request.on_begun(0.5)
+        self.assertIsNone(self.withdraw(request))
+
+    def test_a_stream_that_was_resumed_and_has_not_begun_again_is_withdrawn(self):
+        route = make_route(attempts=3)
+        request = self.fixture.make_request(route)
+        request.start(self.fixture.at(0.0))
+        request.on_begun(0.2)
+        request.on_stream_opened()
+        request.on_events("3")
+        broken = decisions.DispatchFailure.BROKEN
+        request.on_failure(self.fixture.at(0.4), broken)
+        self.fixture.minimum_version = 2
+        self.assertIsNotNone(self.withdraw(request))
+
+    def test_a_request_at_an_engine_with_the_newer_weights_stays_there(self):
+        request = self.send(make_route())
+        loaded = (entry_data.LoadedLayers(PROFILE.model, 2, 0, 4),)
+        self.fixture.registry.put(make_entry(request.engine_id, loaded))
+        self.assertIsNone(self.withdraw(request))
+
+    def test_a_stream_that_must_not_run_twice_fails_after_its_withdrawal(self):
+        effects = self.withdraw(self.send(make_route(resumable=False)))
+        self.assertEqual([decisions.Cancel, decisions.Fail], [type(e) for e in effects])
+        cause = decisions.FailureCause.WEIGHTS_OUTDATED
+        self.assertEqual(cause, effects[1].cause)
+
+    def test_a_request_that_was_not_sent_goes_elsewhere_although_it_runs_only_once(
+        self,
+    ):
+        route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
+        effects = self.withdraw(self.send(route), was_sent=False)
+        self.assertEqual(
+            [decisions.Cancel, decisions.SendToEngine], [type(e) for e in effects]
+        )
+
+    def test_an_answer_that_may_be_running_unseen_is_not_given_up(self):
+        route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
+        self.assertIsNone(self.withdraw(self.send(route)))
+
+    def test_an_engine_is_not_blamed_for_what_was_withdrawn(self):
+        request = self.send(make_route())
+        engine = self.fixture.registry.get(request.engine_id)
+        self.withdraw(request)
+        self.assertEqual((0, 0), (engine.failures, engine.in_flight))
+
+    def test_a_request_that_could_begin_only_too_late_is_rejected_at_once(self):
+        upcoming = (entry_data.DueVersion(2, 5.0),)
+        request = self.fixture.make_request(make_route(), arrived_s=4.96)
+        context = self.fixture.at(4.96)._replace(upcoming_versions=upcoming)
+        effects = request.start(context)
+        self.assertEqual([decisions.Reject], [type(e) for e in effects])
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -32,6 +32,8 @@
 # Many requests are interrupted at the same moment and choose another engine.
 INTERRUPTED_NOISE_S = 0.080
 PREFILL_SLOWDOWN_FACTOR = 1.4  # decoding alternates with prefills of other requests
+# Besides the expected wait, until an engine begins on a request that is sent now.
+BEGIN_MARGIN_S = 0.05
 PLAIN_REQUEST_PENALTY_S = 0.020  # per request at an engine without a model
 
 
@@ -43,6 +45,9 @@
     :param likely_tokens: likely number of tokens of the answer.
     :param was_interrupted: whether an engine has interrupted the request before.
     :param skips_limited: whether engines that name a limit are left out.
+    :param upcoming_versions: versions from whose time on requests may not begin on
+        older ones.
+    :param prefill_s: time that an engine needs for the prefill of the prompt.
     """
 
     service: entry_data.Service
@@ -51,6 +56,8 @@
     likely_tokens: int = 0
     was_interrupted: bool = False
     skips_limited: bool = False
+    upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
+    prefill_s: float = 0.0
 
 
 class EntryLocation(NamedTuple):
@@ -72,7 +79,7 @@
 ) -> list[engines.Engine]:
     """Return the engines that meet the requirements, within their limits."""
     eligible = []
-    for engine in _suitable_engines(registry, requirements, now_s):
+    for engine in _suitable_engines(registry, requirements, location, now_s):
         if engine.limit.wait_s(now_s, location.entry_count) > 0:
             continue
         if requirements.skips_limited and engine.limit.limit_per_s is not None:
@@ -93,14 +100,17 @@
     """
     waits_s = [
         engine.limit.wait_s(now_s, location.entry_count)
-        for engine in _suitable_engines(registry, requirements, now_s)
+        for engine in _suitable_engines(registry, requirements, location, now_s)
         if engine.limit.limit_per_s is not None
     ]
     return min(waits_s, default=float("inf"))
 
 
 def _suitable_engines(
-    registry: engines.EngineRegistry, requirements: EngineRequirements, now_s: float
+    registry: engines.EngineRegistry,
+    requirements: EngineRequirements,
+    location: EntryLocation,
+    now_s: float,
 ) -> list[engines.Engine]:
     """Return the engines that meet the requirements of a request."""
     suitable = []
@@ -114,10 +124,39 @@
             version = engine.complete_version(profile, now_s)
             if version == 0 or version < requirements.minimum_version:
                 continue
+            if _would_begin_late(engine, version, requirements, location, now_s):
+                continue
         suitable.append(engine)
     return suitable
 
 
+def _would_begin_late(
+    engine: engines.Engine,
+    version: int,
+    requirements: EngineRequirements,
+    location: EntryLocation,
+    now_s: float,
+) -> bool:
+    """Return whether an engine may begin on its version only when it is too old.
+
+    :param version: the version that the engine holds.
+    """
+    begin_until_s = min(
+        (
+            upcoming.begin_until_s
+            for upcoming in requirements.upcoming_versions
+            if upcoming.version > version
+        ),
+        default=float("inf"),
+    )
+    if begin_until_s == float("inf"):
+        return False
+    wait_s = expected_wait_s(engine, requirements.service, location, now_s)
+    slowdown = engine.load.pace if engine.load is not None else 1.0
+    begins_in_s = (wait_s + requirements.prefill_s) * max(slowdown, 1.0)
+    return now_s + begins_in_s + BEGIN_MARGIN_S > begin_until_s
+
+
 def choose_engine(
     registry: engines.EngineRegistry,
     requirements: EngineRequirements,
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -120,3 +120,19 @@
 
     def test_an_engine_without_the_version_gets_no_requests(self):
         self.assertIsNone(self.choose(minimum_version=2))
+
+    def test_an_engine_that_would_begin_on_weights_too_old_gets_no_requests(self):
+        upcoming = (entry_data.DueVersion(2, 5.0),)
+        for engine in self.registry.of_service(SERVICE.name):
+            engine.add_prompt(19_100, PROFILE, now_s=4.0)
+        self.assertIsNone(self.choose(4.0, upcoming_versions=upcoming))
+        later = (entry_data.DueVersion(2, 5.5),)
+        self.assertIsNotNone(self.choose(4.0, upcoming_versions=later))
+
+    def test_the_prefill_counts_for_the_time_at_which_an_engine_begins(self):
+        upcoming = (entry_data.DueVersion(2, 5.0),)
+        self.assertIsNotNone(self.choose(4.5, upcoming_versions=upcoming))
+        self.assertIsNone(self.choose(4.5, upcoming_versions=upcoming, prefill_s=0.5))
+        self.assertIsNotNone(
+            self.choose(4.5, upcoming_versions=upcoming[:0], prefill_s=0.5)
+        )
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -76,6 +76,11 @@
         self._silence_timeout_s = dispatch.silence_timeout_s
         self._timer = reactor.callLater(dispatch.silence_timeout_s, self._on_timeout)
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether the request was sent on a connection."""
+        return self.outgoing is not None and self.outgoing.was_sent
+
     def cancel(self) -> None:
         """Cancel the dispatch."""
         self._finish()
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -190,6 +190,18 @@
         metric_buffer.count("dispatches_failed", why=failure.value)
         self.carry_out(effects)
 
+    def withdraw_if_outdated(self) -> None:
+        """Withdraw the request if its engine could begin it on weights too old."""
+        if self._answer is None:
+            return
+        was_sent = self._answer.was_sent
+        if not self._state.must_be_withdrawn(self.make_decision_context(), was_sent):
+            return
+        failure = decisions.DispatchFailure.WITHDRAWN
+        if not was_sent:
+            failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
+        self.on_failure(failure)
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
@@ -341,7 +353,9 @@
             return 0, 0, 0
         context = self.make_decision_context()
         requirements = load_balancing.EngineRequirements(
-            self.service, context.minimum_version
+            self.service,
+            context.minimum_version,
+            upcoming_versions=context.upcoming_versions,
         )
         usable = load_balancing.eligible_engines(
             context.registry, requirements, context.location, context.now_s
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -103,6 +103,10 @@
             return
         forwarded_request.ForwardedRequest(self, exchange, call, route, team).start()
 
+    def schedule_withdrawal(self, in_s: float) -> None:
+        """Withdraw what will not have begun on the weights in force by a time."""
+        self.pool.reactor.callLater(max(in_s, 0.0), self._withdraw_outdated)
+
     def make_decision_context(
         self, service: entry_data.Service
     ) -> forwarding.DecisionContext:
@@ -115,6 +119,7 @@
             self._get_location(),
             self._random_source,
             self.cluster.minimum_version(service, now_s),
+            self.cluster.upcoming_versions(service, now_s),
         )
 
     def notify_prompt_sent(self, sent: entry_data.PromptSent) -> None:
@@ -138,6 +143,10 @@
             share = self._random_source.choices(shares, weights)[0]
         return self.cluster.route_table.services.get(share.service)
 
+    def _withdraw_outdated(self) -> None:
+        for request in list(self.in_progress):
+            request.withdraw_if_outdated()
+
     def _refuse_unconfigured(
         self, exchange: http1_server.Exchange, call: entry_data.Call
     ) -> None:
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -64,6 +64,7 @@
         self.connection.makeConnection(Transport())
         self.connection.send(request, listener)
         self.cancelled = False
+        self.was_sent = True
 
     def cancel(self):
         self.cancelled = True
@@ -264,3 +265,16 @@
         self.assertEqual(
             [(1, 2)], [(e["version"], e["minimum_version"]) for e in events]
         )
+
+    def test_what_has_not_begun_is_withdrawn_from_weights_that_become_too_old(self):
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        first = self.send_request()
+        named = cluster_state.VersionNamed(service.profile.model, 2)
+        timing = cluster_state.ChangeTiming(-7.0, -7.0)
+        self.cluster.apply(named, timing, False)
+        self.forwarder.schedule_withdrawal(self.cluster.withdrawal_in_s(named, 0.0))
+        self.clock.advance(0.79)
+        self.assertFalse(first.cancelled)
+        self.clock.advance(0.02)
+        self.assertTrue(first.cancelled)
+        self.assertIn(b"HTTP/1.1 502", self.received())
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -62,6 +62,11 @@
         self._connection: http1_client.ClientConnection | None = None
         self._is_cancelled = False
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether the request was sent on a connection."""
+        return self._connection is not None
+
     def start(self, max_idle_s: float | None) -> None:
         """Send the request on an idle connection, or open a new one.
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -234,6 +234,8 @@
             return
         self._log_change(event, change)
         if isinstance(event, cluster_state.VersionNamed):
+            withdrawal_in_s = self.cluster.withdrawal_in_s(event, reactor.seconds())
+            self._forwarder.schedule_withdrawal(withdrawal_in_s)
             is_new_version = timing.earliest_in_force_s > float("-inf")
             self._fetch_kept_pieces(event.model, event.version, is_new_version)
 
