Limit what an answer may have besides its body

Seen: a server that never stops sending a head was read until the caller's time was up, and what is collected of a head (lines, trailers, a value) grew with it. Cause: only the server side compares heads with MAX_HEAD_BYTES. Why the fix works: the connection counts every byte that it receives for a request and that isn't body, whatever the parser makes of it, and closes above MAX_HEAD_BYTES. A chunk has a credit for its size line, so that a long stream of small chunks doesn't count as a head (40,000 chunks of one byte pass in a test). The credit isn't carried over.

Also seen: after an answer with another whole answer behind it in the same read, the connection was neither reused nor closed (test_connection_with_another_answer_after_an_answer_is_closed: "False is not true"). It is closed now. Bytes on an idle connection closed it already; a test says so now.

--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -11,6 +11,8 @@
 
 from toucanspread.ops import http1
 
+MAX_CHUNK_FRAMING_BYTES = 12  # the size of a chunk in eight digits, and two line ends
+
 
 class ExchangeFailure(enum.Enum):
     """How an exchange with a server failed."""
@@ -19,6 +21,7 @@
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
+    TOO_LARGE = "too large"
     CANCELLED = "cancelled"
 
 
@@ -46,7 +49,11 @@
 
 
 class ClientConnection(protocol.Protocol, http1.ParserCallbacks):
-    """Outgoing connection that carries one request at a time."""
+    """Outgoing connection that carries one request at a time.
+
+    All that is received for a request besides bodies, such as heads, interim answers,
+    chunk extensions and trailers, may take up to ``http1.MAX_HEAD_BYTES``.
+    """
 
     def __init__(self, reactor):
         http1.ParserCallbacks.__init__(self)
@@ -62,11 +69,13 @@
         self._is_answer_skipped = False
         self._ends_by_close = False
         self._is_reusable = True
+        self._framing_bytes = 0
 
     def send(self, request: bytes, listener: AnswerListener) -> None:
         """Send a rendered request and pass its answer to the listener."""
         self.request_count += 1
         self._listener = listener
+        self._framing_bytes = 0
         self.transport.write(request)
 
     def cancel(self) -> None:
@@ -93,10 +102,13 @@
         if self._listener is None:
             self.cancel()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ExchangeFailure.MALFORMED)
+        else:
+            self._check_framing()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Complete an answer that ends with the connection, or report a failure."""
@@ -116,7 +128,7 @@
         status = self._parser.get_status_code()
         if self._listener is None:
             # Bytes after a complete answer do not belong to any request.
-            self._is_reusable = False
+            self.cancel()
             return
         self._head = http1.AnswerHead(status, self._headers)
         if status < 200:
@@ -124,8 +136,13 @@
         self._read_persistence(self._head)
         self._is_answer_skipped = not self._listener.on_head(self._head)
 
+    def on_chunk_header(self) -> None:
+        """Do not count the framing that every chunk has."""
+        self._framing_bytes -= MAX_CHUNK_FRAMING_BYTES
+
     def on_body(self, part: bytes) -> None:
         """Pass a part of the body to the listener."""
+        self._framing_bytes -= len(part)
         if self._listener is not None and not self._is_answer_skipped:
             self._listener.on_body_data(part)
 
@@ -141,6 +158,12 @@
 
     # Internals
 
+    def _check_framing(self) -> None:
+        # Chunks with less framing leave no allowance for later ones.
+        self._framing_bytes = max(self._framing_bytes, 0)
+        if self._listener is not None and self._framing_bytes > http1.MAX_HEAD_BYTES:
+            self._fail(ExchangeFailure.TOO_LARGE)
+
     def _read_persistence(self, head: http1.AnswerHead) -> None:
         if head.has_token(b"connection", b"close"):
             self._is_reusable = False
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -14,6 +14,9 @@
 )
 
 
+MAX_TESTED_BYTES = 1_000_000
+
+
 class Transport(StringTransport):
     def setTcpNoDelay(self, enabled):  # noqa: N802
         return
@@ -219,6 +222,81 @@
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
 
+    def receive_without_end(self, beginning, repeated):
+        """Return how many bytes are received until the connection is closed."""
+        self.connect()
+        self.connection.dataReceived(beginning)
+        received_bytes = len(beginning)
+        while not self.transport.disconnected:
+            self.connection.dataReceived(repeated)
+            received_bytes += len(repeated)
+            if received_bytes > MAX_TESTED_BYTES:
+                break
+        return received_bytes
+
+    def test_a_head_without_end_closes_the_connection_at_the_limit(self):
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            b"HTTP/1.1 200 OK\r\n": b"A: b\r\n",
+            b"HTTP/1.1 200 OK\r\nA: ": b"a" * 100,
+            b"HTTP/1.1 200 ": b"a" * 100,
+            b"": b"HTTP/1.1 102 Processing\r\n\r\n",
+            chunked + b"1;": b"a" * 100,
+            chunked: b"1;%b\r\na\r\n" % (b"e" * 100),
+            chunked + b"0\r\n": b"A: b\r\n",
+        }
+        excessive = {}
+        for beginning, repeated in cases.items():
+            received_bytes = self.receive_without_end(beginning, repeated)
+            # Chunks have a credit for the line with their size.
+            if received_bytes > http1.MAX_HEAD_BYTES * 1.2:
+                excessive[beginning] = received_bytes
+                continue
+            too_large = [http1_client.ExchangeFailure.TOO_LARGE]
+            self.assertEqual(too_large, self.listener.ends, beginning)
+            self.assertFalse(self.connection.is_free)
+        self.assertEqual({}, excessive)
+
+    def test_heads_of_skipped_answers_count_towards_the_limit(self):
+        late = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n"
+        self.connect()
+        self.listener.own = False
+        for _ in range(2 * http1.MAX_HEAD_BYTES // len(late)):
+            self.connection.dataReceived(late)
+        too_large = [http1_client.ExchangeFailure.TOO_LARGE]
+        self.assertEqual(too_large, self.listener.ends)
+        self.assertTrue(self.transport.disconnected)
+
+    def test_a_long_answer_in_small_chunks_is_no_large_head(self):
+        self.connect()
+        self.connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for _ in range(40_000):
+            self.connection.dataReceived(b"1\r\na\r\n")
+        self.connection.dataReceived(http1.LAST_CHUNK)
+        self.assertEqual(["end"], self.listener.ends)
+        self.assertEqual(40_000, len(self.listener.body))
+
+    def test_each_answer_on_a_connection_may_have_a_large_head(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: " + b"a" * 50_000
+        for _ in range(4):
+            self.connection.dataReceived(head + b"\r\n\r\n")
+            self.assertTrue(self.connection.is_free)
+            self.connection.send(b"request", self.listener)
+        self.assertEqual(["end"] * 4, self.listener.ends)
+
+    def test_connection_with_another_answer_after_an_answer_is_closed(self):
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.connection.dataReceived(whole + whole)
+        self.assertTrue(self.transport.disconnected)
+
+    def test_bytes_on_an_idle_connection_close_it(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertTrue(self.connection.is_free)
+        self.connection.dataReceived(b"H")
+        self.assertTrue(self.transport.disconnected)
+
     @hypothesis.given(strategies.binary(max_size=300))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_arbitrary_bytes_of_an_engine_end_the_request_once(self, data):
