Limit the bodies of answers by what each kind of call can return

Seen: the body of an answer to a call is collected whole until the call's time is up. Cause: no limit; only the time of a call bounds what its server sends. Limits: a page of the store 4 MiB (2 MiB of values in base64, keys), a watch 8 MiB (a larger one is replaced by reading all, as after SlowAnswerError), answers to writes 64 KiB; excerpts what may be decompressed; manifests 1 MiB; a piece twice the configured size, 16 MiB if that is unknown; reports, lists and orders 256 KiB, also the default of `call`. Why the fix works: the connection counts the bytes of bodies and closes above the limit, before it passes on the part that exceeds it. The answers that are skipped count as well. Guards: values of 1 MiB are read through pages and a watch; answers of exactly the limit pass.

--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -9,9 +9,26 @@
 from twisted.internet import reactor
 
 from standins import endless_server
-from toucanspread.ops import http1, http1_client, http1_pool
+from toucanspread.core import data
+from toucanspread.core.view import source_selection, store_view
+from toucanspread.core.weights import piece_placement, staging_events
+from toucanspread.ops import (
+    engine_control,
+    excerpt_codec,
+    http1,
+    http1_client,
+    http1_pool,
+    piece_cache,
+    prefix_store,
+    view_sync,
+)
+from toucanspread.platform import engine, store
 
 TIMEOUT_S = 1.0
+SHORT_BYTES = engine.MAX_SHORT_ANSWER_BYTES
+MAX_PIECE_BYTES = 1_000_000
+KEY = piece_placement.PieceKey(data.ModelName("m"), 2, 3)
+ORDER = staging_events.SendOrder(2, staging_events.SwitchMode.WAIT, 0)
 # What the server has sent beyond the limit waits in the sockets of both sides.
 SOCKETS_BYTES = 8 * 1024 * 1024
 
@@ -66,3 +83,106 @@
         self.check_abandoned(
             endless_server.ENDLESS_HEADS, http1.MAX_HEAD_BYTES + SOCKETS_BYTES
         )
+
+    def test_a_call_abandons_a_body_without_end(self):
+        self.check_abandoned(
+            endless_server.ENDLESS_BODIES,
+            # Small chunks take five times the bytes of their content.
+            6 * http1_client.DEFAULT_MAX_BODY_BYTES + SOCKETS_BYTES,
+        )
+
+    def check_client(self, calls, error_type):
+        """Check that calls of a client say that the answer is too large.
+
+        :param calls: functions that make a call on an address, with their limits in
+            bytes.
+        """
+        problems = {}
+        for name, (make_call, max_bytes) in calls.items():
+            answer = endless_server.ENDLESS_BODIES["no framing"]
+            server, address = self.start_server(answer)
+            error = self.assertRaises(error_type, run, make_call(address))
+            run(self.wait_for_close(server))
+            is_abandoned = server.sent_bytes < max_bytes + SOCKETS_BYTES
+            if not is_abandoned or "too large" not in str(error):
+                problems[name] = (str(error), server.sent_bytes)
+        self.assertEqual({}, problems)
+
+    def test_the_client_of_the_store_abandons_answers_without_end(self):
+        def make_store(address):
+            return store.PlatformStore(self.pool, address)
+
+        write_bytes = store.MAX_WRITE_ANSWER_BYTES
+        calls = {
+            "range": (lambda a: make_store(a).read_all("op/"), store.MAX_PAGE_BYTES),
+            "watch": (
+                lambda a: make_store(a).watch("op/", 1, 0.5),
+                store.MAX_WATCH_BYTES,
+            ),
+            "put": (lambda a: make_store(a).put("k", b"", 1), write_bytes),
+            "grant": (lambda a: make_store(a).grant_lease(4.0), write_bytes),
+            "renew": (lambda a: make_store(a).renew_lease(1), write_bytes),
+            "revoke": (lambda a: make_store(a).revoke_lease(1), write_bytes),
+        }
+        self.check_client(calls, prefix_store.LargeAnswerError)
+
+    def test_the_client_of_an_engine_abandons_answers_without_end(self):
+        def make_engine(address):
+            return engine.LocalEngine(self.pool, address, MAX_PIECE_BYTES)
+
+        calls = {
+            "report": (lambda a: make_engine(a).read_report(), SHORT_BYTES),
+            "pieces": (lambda a: make_engine(a).list_pieces("m"), SHORT_BYTES),
+            "piece": (lambda a: make_engine(a).get_piece("m", 1), MAX_PIECE_BYTES),
+            "put": (lambda a: make_engine(a).put_piece("m", 1, b"a"), SHORT_BYTES),
+            "order": (lambda a: make_engine(a).send_order("m", ORDER), SHORT_BYTES),
+        }
+        self.check_client(calls, engine_control.EngineError)
+
+    def test_clients_of_the_origin_and_of_entries_abandon_answers_without_end(self):
+        def make_origin(address):
+            return engine.Origin(self.pool, lambda: address, lambda _: MAX_PIECE_BYTES)
+
+        pool, manifest_bytes = self.pool, piece_cache.MAX_MANIFEST_BYTES
+        calls = {
+            "manifest": (lambda a: make_origin(a).read_digests("m", 2), manifest_bytes),
+            "piece": (lambda a: make_origin(a).read_piece(KEY), MAX_PIECE_BYTES),
+            "manifest of an entry": (
+                lambda a: piece_cache.fetch_digests(pool, a, KEY),
+                manifest_bytes,
+            ),
+            "piece of an entry": (
+                lambda a: piece_cache.fetch_piece(pool, a, KEY, MAX_PIECE_BYTES),
+                MAX_PIECE_BYTES,
+            ),
+        }
+        self.check_client(calls, piece_cache.PieceError)
+
+    def test_followers_abandon_excerpts_without_end(self):
+        request = view_sync.ExcerptRequest(0, ("op/",))
+        calls = {
+            "excerpt": (
+                lambda a: view_sync.fetch_excerpt(self.pool, a, request, TIMEOUT_S),
+                excerpt_codec.MAX_ENCODED_BYTES,
+            )
+        }
+        self.check_client(calls, view_sync.ExcerptError)
+
+    def test_a_store_with_answers_without_end_is_not_asked_in_a_tight_loop(self):
+        answer = endless_server.ENDLESS_BODIES["no framing"]
+        server, address = self.start_server(answer)
+        synchronizer = view_sync.ViewSynchronizer(
+            store_view.View(),
+            store.PlatformStore(self.pool, address),
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+            ("op/",),
+            list,
+            list,
+            lambda changes: None,
+        )
+        duration_s = 2.5 * source_selection.FAILED_SOURCE_BACKOFF_S
+        following = asyncio.wait_for(synchronizer.run(), duration_s)
+        self.assertRaises(TimeoutError, run, following)
+        run(self.wait_for_close(server))
+        self.assertIn(server.opened_count, (2, 3))
--- a/standins/platform_store_test.py
+++ b/standins/platform_store_test.py
@@ -68,6 +68,18 @@
         )
         self.assertEqual(self.state.revision, found.revision)
 
+    def test_pages_and_changes_with_values_of_the_largest_size_are_read(self):
+        size_bytes = platform_store_state.MAX_VALUE_BYTES
+        first_revision = self.state.revision
+        for number in range(5):
+            self.state.write_unchecked(f"op/{number}", bytes(size_bytes))
+        for answer in (
+            run(self.client.read_all("op/")),
+            run(self.watch(first_revision)),
+        ):
+            sizes_bytes = [len(change.value) for change in answer.changes]
+            self.assertEqual([size_bytes] * 5, sizes_bytes)
+
     def test_a_waiting_watch_returns_on_a_change_of_its_prefix_only(self):
         async def write_while_watching():
             waiting = asyncio.ensure_future(self.watch(after, LONG_WAIT_S))
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -1,6 +1,7 @@
 """Receives the answer of an engine to one dispatch and classifies how it ended."""
 
 import abc
+import sys
 
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
@@ -48,6 +49,8 @@
 class EngineAnswer(http1_client.AnswerListener):
     """Receives the answer to one dispatch and reports its events to a listener."""
 
+    max_body_bytes = sys.maxsize
+
     def __init__(
         self,
         listener: DispatchListener,
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -15,6 +15,8 @@
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
 # The store's values that a process keeps take a few megabytes at the largest.
 MAX_DECOMPRESSED_BYTES = 16_000_000
+# Values that cannot be compressed are sent whole, with a few bytes more.
+MAX_ENCODED_BYTES = MAX_DECOMPRESSED_BYTES + 65_536
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
 _changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -11,6 +11,7 @@
 
 from toucanspread.ops import http1
 
+DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 MAX_CHUNK_FRAMING_BYTES = 12  # the size of a chunk in eight digits, and two line ends
 
 
@@ -26,7 +27,13 @@
 
 
 class AnswerListener(abc.ABC):
-    """Receives the answer to one request."""
+    """Receives the answer to one request.
+
+    :ivar max_body_bytes: limit for the body of the answer. It also applies to the
+        answers to other requests that are skipped before it, taken together.
+    """
+
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
 
     @abc.abstractmethod
     def on_head(self, head: http1.AnswerHead) -> bool:
@@ -70,12 +77,14 @@
         self._ends_by_close = False
         self._is_reusable = True
         self._framing_bytes = 0
+        self._body_bytes = 0
 
     def send(self, request: bytes, listener: AnswerListener) -> None:
         """Send a rendered request and pass its answer to the listener."""
         self.request_count += 1
         self._listener = listener
         self._framing_bytes = 0
+        self._body_bytes = 0
         self.transport.write(request)
 
     def cancel(self) -> None:
@@ -135,6 +144,8 @@
             return
         self._read_persistence(self._head)
         self._is_answer_skipped = not self._listener.on_head(self._head)
+        if not self._is_answer_skipped:
+            self._body_bytes = 0
 
     def on_chunk_header(self) -> None:
         """Do not count the framing that every chunk has."""
@@ -143,7 +154,12 @@
     def on_body(self, part: bytes) -> None:
         """Pass a part of the body to the listener."""
         self._framing_bytes -= len(part)
-        if self._listener is not None and not self._is_answer_skipped:
+        self._body_bytes += len(part)
+        if self._listener is None:
+            return
+        if self._body_bytes > self._listener.max_body_bytes:
+            self._fail(ExchangeFailure.TOO_LARGE)
+        elif not self._is_answer_skipped:
             self._listener.on_body_data(part)
 
     def on_message_complete(self) -> None:
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -223,6 +223,7 @@
         body: bytes = b"",
         timeout_s: float = 1.0,
         stall_timeout_s: float | None = None,
+        max_body_bytes: int = http1_client.DEFAULT_MAX_BODY_BYTES,
     ) -> Reply:
         """Send a request and return its complete answer.
 
@@ -231,9 +232,10 @@
             longer than ``MAX_ANSWER_S``.
         :param stall_timeout_s: time limit for the next bytes of an answer; None if only
             ``timeout_s`` applies.
-        :raises CallError: if no complete answer is received in time.
+        :param max_body_bytes: limit for the body of the answer.
+        :raises CallError: if no complete answer within the limits is received in time.
         """
-        listener = _AnswerCollector()
+        listener = _AnswerCollector(max_body_bytes)
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         outgoing = self.send(address, http1.render_request(head, body), listener)
@@ -275,10 +277,12 @@
 class _AnswerCollector(http1_client.AnswerListener):
     """Collects a complete answer.
 
+    :param max_body_bytes: limit for its body.
     :ivar on_progress: called when a part of the answer has arrived.
     """
 
-    def __init__(self):
+    def __init__(self, max_body_bytes: int):
+        self.max_body_bytes = max_body_bytes
         self.on_progress: Callable[[], None] = _do_nothing
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -222,9 +222,10 @@
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
 
-    def receive_without_end(self, beginning, repeated):
+    def receive_without_end(self, beginning, repeated, own=True):
         """Return how many bytes are received until the connection is closed."""
         self.connect()
+        self.listener.own = own
         self.connection.dataReceived(beginning)
         received_bytes = len(beginning)
         while not self.transport.disconnected:
@@ -257,6 +258,48 @@
             self.assertFalse(self.connection.is_free)
         self.assertEqual({}, excessive)
 
+    def test_a_body_without_end_closes_the_connection_at_the_limit(self):
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            b"HTTP/1.1 200 OK\r\n\r\n": b"a" * 100,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n": b"a" * 100,
+            chunked: b"64\r\n%b\r\n" % (b"a" * 100),
+        }
+        for own in (True, False):
+            excessive = {}
+            for beginning, repeated in cases.items():
+                received_bytes = self.receive_without_end(beginning, repeated, own)
+                if received_bytes > self.listener.max_body_bytes * 1.2:
+                    excessive[beginning] = received_bytes
+                    continue
+                too_large = [http1_client.ExchangeFailure.TOO_LARGE]
+                self.assertEqual(too_large, self.listener.ends, beginning)
+                self.assertLessEqual(
+                    len(self.listener.body), self.listener.max_body_bytes
+                )
+                self.assertFalse(self.connection.is_free)
+            self.assertEqual({}, excessive, own)
+
+    def test_answers_of_the_largest_size_pass_one_after_the_other(self):
+        size_bytes = self.listener.max_body_bytes
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size_bytes
+        for _ in range(3):
+            self.connection.dataReceived(head + bytes(size_bytes))
+            self.assertTrue(self.connection.is_free)
+            self.connection.send(b"request", self.listener)
+        self.assertEqual(["end"] * 3, self.listener.ends)
+
+    def test_an_answer_of_the_largest_size_passes_after_a_skipped_one(self):
+        self.listener.own = False
+        size_bytes = self.listener.max_body_bytes
+        for number in (6, 7):
+            self.connection.dataReceived(
+                b"HTTP/1.1 200 OK\r\nX-Id: %d\r\nContent-Length: %d\r\n\r\n"
+                % (number, size_bytes)
+            )
+            self.connection.dataReceived(bytes(size_bytes))
+        self.assertEqual(["end"], self.listener.ends)
+
     def test_heads_of_skipped_answers_count_towards_the_limit(self):
         late = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n"
         self.connect()
--- a/toucanspread/ops/piece_cache.py
+++ b/toucanspread/ops/piece_cache.py
@@ -14,10 +14,19 @@
 from toucanspread.core import data
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import http1, http1_pool, logs, loop, metric_buffer
+from toucanspread.ops import (
+    http1,
+    http1_client,
+    http1_pool,
+    logs,
+    loop,
+    metric_buffer,
+)
 
 PIECE_TARGET = "/piece"
 MANIFEST_TARGET = "/manifest"
+MAX_MANIFEST_BYTES = 1_048_576  # 15,000 pieces with digests of 64 characters
+DEFAULT_MAX_PIECE_BYTES = 16_777_216  # of a model whose pieces have no known size
 PEER_TIMEOUT_S = 3.0  # an owner may itself wait for the origin's narrow link
 MAX_VERSION_COUNT = 2  # the version in use and the previous one
 ORIGIN_ATTEMPT_COUNT = 3
@@ -59,6 +68,7 @@
     :param origin_region: returns the region of the origin; empty while it is unknown.
     :param piece_transfer_s: returns the seconds that the origin's link takes for a
         piece of a model.
+    :param max_piece_bytes: returns the limit for a piece of a model.
     """
 
     def __init__(
@@ -69,10 +79,14 @@
         entries: Callable[[], list[entry_directory.EntryRecord]],
         origin_region: Callable[[], str] = str,
         piece_transfer_s: Callable[[data.ModelName], float] = lambda model: 0.0,
+        max_piece_bytes: Callable[[data.ModelName], int] = (
+            lambda model: DEFAULT_MAX_PIECE_BYTES
+        ),
     ):
         self._name = name
         self._origin_region = origin_region
         self._piece_transfer_s = piece_transfer_s
+        self._max_piece_bytes = max_piece_bytes
         self._pool = pool
         self._origin = origin
         self._entries = entries
@@ -251,7 +265,7 @@
         upstream = self._find_upstream(key)
         if upstream is not None:
             try:
-                piece = await fetch_piece(self._pool, upstream.control, key)
+                piece = await self._fetch_piece_from_entry(upstream, key, held=False)
                 if has_digest(piece, digest):
                     self._pieces[key] = piece
                     return
@@ -292,7 +306,7 @@
             key, self._entries(), self._name
         ):
             try:
-                piece = await fetch_piece(self._pool, entry.control, key, held=True)
+                piece = await self._fetch_piece_from_entry(entry, key, held=True)
             except PieceError as error:
                 logs.write("not_held", piece=key.text, at=entry.name, why=str(error))
                 continue
@@ -301,6 +315,15 @@
             logs.write("piece_spoilt", piece=key.text, source=entry.name)
         return None
 
+    async def _fetch_piece_from_entry(
+        self,
+        entry: entry_directory.EntryRecord,
+        key: piece_placement.PieceKey,
+        held: bool,
+    ) -> bytes:
+        max_bytes = self._max_piece_bytes(key.model)
+        return await fetch_piece(self._pool, entry.control, key, max_bytes, held)
+
     def peek_piece(self, key: piece_placement.PieceKey) -> bytes | None:
         """Return a piece if it is in memory."""
         return self._pieces.get(key)
@@ -319,20 +342,33 @@
     return hashlib.sha256(piece).hexdigest() == digest.lower()
 
 
+def limit_piece_bytes(chunk_bytes: int) -> int:
+    """Return the limit for a piece.
+
+    :param chunk_bytes: size of the pieces as configured; 0 if it is unknown.
+    """
+    if chunk_bytes <= 0:
+        return DEFAULT_MAX_PIECE_BYTES
+    # A change of the configured size reaches the processes at different times.
+    return max(2 * chunk_bytes, http1_client.DEFAULT_MAX_BODY_BYTES)
+
+
 async def fetch_piece(
     pool: http1_pool.ConnectionPool,
     address: str,
     key: piece_placement.PieceKey,
+    max_bytes: int,
     held: bool = False,
 ) -> bytes:
     """Return a piece from another process without verification.
 
+    :param max_bytes: limit for the piece.
     :param held: request the piece only if it is in that process's memory.
     :raises PieceError: when the process does not return it.
     """
     query = f"model={key.model}&version={key.version}&number={key.number}"
     query += f"&held={held:d}"
-    return (await _fetch(pool, address, f"{PIECE_TARGET}?{query}")).body
+    return (await _fetch(pool, address, f"{PIECE_TARGET}?{query}", max_bytes)).body
 
 
 async def fetch_digests(
@@ -348,7 +384,7 @@
     """
     target = f"{MANIFEST_TARGET}?model={key.model}&version={key.version}"
     target += f"&held={held:d}"
-    reply = await _fetch(pool, address, target)
+    reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES)
     try:
         return msgspec.msgpack.decode(reply.body, type=tuple[str, ...])
     except msgspec.MsgspecError as error:
@@ -356,11 +392,13 @@
 
 
 async def _fetch(
-    pool: http1_pool.ConnectionPool, address: str, target: str
+    pool: http1_pool.ConnectionPool, address: str, target: str, max_body_bytes: int
 ) -> http1_pool.Reply:
     head = http1.RequestHead(b"GET", target.encode(), [])
     try:
-        reply = await pool.call(address, head, timeout_s=PEER_TIMEOUT_S)
+        reply = await pool.call(
+            address, head, timeout_s=PEER_TIMEOUT_S, max_body_bytes=max_body_bytes
+        )
     except http1_pool.CallError as error:
         raise UnreachableError(str(error)) from error
     if reply.status != 200:
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -28,6 +28,10 @@
     """A part of the answer was received, but not all of it in time."""
 
 
+class LargeAnswerError(StoreError):
+    """An answer is larger than its kind of call can return."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer keeps the changes since the requested revision."""
 
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -125,6 +125,9 @@
         self._region = region
         self._sender = sender
         self._model = stager.profile.model
+        self._max_piece_bytes = piece_cache.limit_piece_bytes(
+            stager.profile.chunk_bytes
+        )
         self._is_engine_reachable = True
         self._logged_step = stager.target.step
         self._collected_pieces: dict[piece_placement.PieceKey, bytes] = {}
@@ -306,7 +309,9 @@
             if self._is_superseded(effect.version):
                 return
             try:
-                piece = await piece_cache.fetch_piece(self._pool, holder.control, key)
+                piece = await piece_cache.fetch_piece(
+                    self._pool, holder.control, key, self._max_piece_bytes
+                )
             except piece_cache.PieceError as error:
                 self._record_holder_failure(key, holder, error)
                 continue
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -196,7 +196,7 @@
             self._must_read_all = True
             await self._read_all()
             return
-        except prefix_store.SlowAnswerError:
+        except (prefix_store.SlowAnswerError, prefix_store.LargeAnswerError):
             # The answer has all versions of each value; all items may be much less.
             self._must_read_all = True
             raise
@@ -372,6 +372,7 @@
             head,
             timeout_s=timeout_s,
             stall_timeout_s=source_selection.ANSWER_GRACE_S,
+            max_body_bytes=excerpt_codec.MAX_ENCODED_BYTES,
         )
     except http1_pool.CallError as error:
         raise ExcerptError(str(error)) from error
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -18,6 +18,7 @@
         self.has_lost_history = False
         self.is_unavailable = False
         self.is_slow = False
+        self.is_too_large = False
         self.revision = 1
         self.read_prefixes = []
 
@@ -36,6 +37,8 @@
             raise prefix_store.HistoryGoneError("history is gone")
         if self.is_slow:
             raise prefix_store.SlowAnswerError("slow")
+        if self.is_too_large:
+            raise prefix_store.LargeAnswerError("too large")
         answer = self._changes()
         return answer if after < self.revision else answer._replace(changes=[])
 
@@ -59,7 +62,15 @@
         super().__init__(task.Clock())
         self.requested_targets = []
 
-    async def call(self, address, head, body=b"", timeout_s=1.0, stall_timeout_s=None):
+    async def call(
+        self,
+        address,
+        head,
+        body=b"",
+        timeout_s=1.0,
+        stall_timeout_s=None,
+        max_body_bytes=0,
+    ):
         self.requested_targets.append(head.target.decode())
         raise http1_pool.CallError(None, "silent")
 
@@ -125,6 +136,15 @@
         self.sync()
         self.assertEqual([1, 9], [change.revision for change in self.changes])
 
+    def test_reads_all_keys_when_the_changes_since_the_copy_are_too_large(self):
+        self.sync()
+        self.store.revision = 9
+        self.store.is_too_large = True
+        self.sync()
+        self.pool.reactor.advance(source_selection.FAILED_SOURCE_BACKOFF_S)
+        self.sync()
+        self.assertEqual([1, 9], [change.revision for change in self.changes])
+
     def test_changes_are_passed_on_again_after_an_unexpected_exception(self):
         def fail_once(changes):
             self.changes.extend(changes)
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -1,9 +1,11 @@
 """HTTP clients of an engine's control interface and of the origin of weights."""
 
+from collections.abc import Callable
 from urllib.parse import quote
 
 import msgspec
 
+from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement, staging_events
 from toucanspread.ops import (
@@ -18,6 +20,7 @@
 
 ENGINE_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
 ORIGIN_TIMEOUT_S = 4.0  # one piece takes over a second on the origin's narrow link
+MAX_SHORT_ANSWER_BYTES = 262_144  # reports, lists of pieces, answers to orders
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
 
@@ -41,15 +44,25 @@
     """Client of the service that holds all weights.
 
     :param address: returns the ``ip:port`` of the service, or None while it is unknown.
+    :param max_piece_bytes: returns the limit for a piece of a model.
     """
 
-    def __init__(self, pool: http1_pool.ConnectionPool, address):
+    def __init__(
+        self,
+        pool: http1_pool.ConnectionPool,
+        address: Callable[[], data.Address | None],
+        max_piece_bytes: Callable[[data.ModelName], int],
+    ):
         self._pool = pool
         self._address = address
+        self._max_piece_bytes = max_piece_bytes
 
     async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order."""
-        reply = await self._get(f"/-/manifest/{quote(model)}?version={version}")
+        reply = await self._get(
+            f"/-/manifest/{quote(model)}?version={version}",
+            piece_cache.MAX_MANIFEST_BYTES,
+        )
         try:
             manifest = msgspec.json.decode(reply.body, type=_Manifest)
         except msgspec.MsgspecError as error:
@@ -61,15 +74,20 @@
     async def read_piece(self, key: piece_placement.PieceKey) -> bytes:
         """Return a piece, unverified."""
         target = f"/-/piece/{quote(key.model)}?num={key.number}&version={key.version}"
-        return (await self._get(target)).body
+        return (await self._get(target, self._max_piece_bytes(key.model))).body
 
-    async def _get(self, target: str) -> http1_pool.Reply:
+    async def _get(self, target: str, max_body_bytes: int) -> http1_pool.Reply:
         address = self._address()
         if address is None:
             raise piece_cache.PieceError("no configuration with an origin is known yet")
         head = http1.RequestHead(b"GET", target.encode(), [])
         try:
-            reply = await self._pool.call(address, head, timeout_s=ORIGIN_TIMEOUT_S)
+            reply = await self._pool.call(
+                address,
+                head,
+                timeout_s=ORIGIN_TIMEOUT_S,
+                max_body_bytes=max_body_bytes,
+            )
         except http1_pool.CallError as error:
             raise piece_cache.PieceError(str(error)) from error
         if reply.status != 200:
@@ -83,11 +101,15 @@
     """Client of the engine on the same machine.
 
     :param address: ``ip:port`` of the engine.
+    :param max_piece_bytes: limit for a staged piece.
     """
 
-    def __init__(self, pool: http1_pool.ConnectionPool, address: str):
+    def __init__(
+        self, pool: http1_pool.ConnectionPool, address: str, max_piece_bytes: int
+    ):
         self._pool = pool
         self._address = address
+        self._max_piece_bytes = max_piece_bytes
         self._named_limit_per_s: float | None = None
 
     async def read_report(self) -> entry_data.EngineReport:
@@ -124,7 +146,9 @@
         :raises engine_control.EngineError: when there is no usable answer.
         """
         target = f"/-/stage-get/{quote(model)}?num={number}"
-        reply = await self._call(b"GET", target, accept=(404,))
+        reply = await self._call(
+            b"GET", target, accept=(404,), max_body_bytes=self._max_piece_bytes
+        )
         return None if reply.status == 404 else reply.body
 
     async def put_piece(self, model: str, number: int, piece: bytes) -> None:
@@ -156,12 +180,17 @@
         target: str,
         body: bytes = b"",
         accept: tuple[int, ...] = (),
+        max_body_bytes: int = MAX_SHORT_ANSWER_BYTES,
     ) -> http1_pool.Reply:
         headers = [JSON_TYPE] if body[:1] == b"{" else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
             reply = await self._pool.call(
-                self._address, head, body, timeout_s=ENGINE_TIMEOUT_S
+                self._address,
+                head,
+                body,
+                timeout_s=ENGINE_TIMEOUT_S,
+                max_body_bytes=max_body_bytes,
             )
         except http1_pool.CallError as error:
             raise engine_control.EngineError(str(error)) from error
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -71,7 +71,7 @@
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
         self._store = store.PlatformStore(pool, process_settings.platform.address)
-        origin = engine.Origin(pool, self._find_origin_address)
+        origin = engine.Origin(pool, self._find_origin_address, self._limit_piece_bytes)
         name = process_settings.node_name
         self.pieces = piece_cache.PieceCache(
             name,
@@ -80,6 +80,7 @@
             self.cluster.directory.serving,
             self._find_origin_region,
             self._estimate_origin_piece_s,
+            self._limit_piece_bytes,
         )
         source_selector = source_selection.SourceSelector(
             name, data.ZoneName(process_settings.zone), can_lead=True
@@ -284,6 +285,12 @@
             return 0.0
         return self.cluster.route_table.origin_piece_s(model)
 
+    def _limit_piece_bytes(self, model: data.ModelName) -> int:
+        table = self.cluster.route_table
+        service = table.model_service(model) if table is not None else None
+        chunk_bytes = service.profile.chunk_bytes if service is not None else 0
+        return piece_cache.limit_piece_bytes(chunk_bytes)
+
     def _run_maintenance(self) -> None:
         now_s = reactor.seconds()
         for engine_id in self.cluster.registry.drop_removed(now_s):
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -21,6 +21,7 @@
     http1_pool,
     logs,
     loop,
+    piece_cache,
     prefix_store,
     process,
     staging_driver,
@@ -124,7 +125,11 @@
             # Before the version in force is known, an older one would be staged first.
             await asyncio.sleep(RETRY_DELAY_S / 4)
         profile = await self._read_profile()
-        local_engine = engine.LocalEngine(self._pool, self.process_settings.app)
+        local_engine = engine.LocalEngine(
+            self._pool,
+            self.process_settings.app,
+            piece_cache.limit_piece_bytes(profile.chunk_bytes),
+        )
         self._driver = staging_driver.StagingDriver(
             staging.Stager(profile, self._compute_piece_transfer_s(profile)),
             local_engine,
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -8,12 +8,23 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import store_position, store_view
-from toucanspread.ops import http1, http1_pool, logs, metric_buffer, prefix_store
+from toucanspread.ops import (
+    http1,
+    http1_client,
+    http1_pool,
+    logs,
+    metric_buffer,
+    prefix_store,
+)
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
 WATCH_ANSWER_MARGIN_S = 0.6  # maximum delay of a watch's answer beyond its wait
 STALL_TIMEOUT_S = 0.6  # pause within an answer after which the path is taken for dead
 READ_TIMEOUT_S = 2.5  # pages of up to 1 MB over a narrow link
+# 1 MiB of values and one more value of 1 MiB, in base64, and the keys.
+MAX_PAGE_BYTES = 4_194_304
+MAX_WATCH_BYTES = 8_388_608  # pages with all items replace a larger answer
+MAX_WRITE_ANSWER_BYTES = 65_536  # answers to writes and calls on leases
 ERA_HEADER = b"store-era"
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -87,7 +98,13 @@
             if after:
                 target += f"&after={quote(after, safe='')}"
             page = self._decode(
-                await self._call(b"GET", target, timeout_s=READ_TIMEOUT_S), _Page
+                await self._call(
+                    b"GET",
+                    target,
+                    timeout_s=READ_TIMEOUT_S,
+                    max_body_bytes=MAX_PAGE_BYTES,
+                ),
+                _Page,
             )
             if revision is None:
                 revision, era = page.store_revision, self.era
@@ -109,7 +126,10 @@
         target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
         target += f"&wait_ms={int(wait_s * 1000)}"
         reply = await self._call(
-            b"GET", target, timeout_s=wait_s + WATCH_ANSWER_MARGIN_S
+            b"GET",
+            target,
+            timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
+            max_body_bytes=MAX_WATCH_BYTES,
         )
         if reply.status == 410:
             raise prefix_store.HistoryGoneError(
@@ -155,14 +175,17 @@
         target: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
+        max_body_bytes: int = MAX_WRITE_ANSWER_BYTES,
     ) -> http1_pool.Reply:
         headers = [JSON_TYPE] if body else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
             reply = await self._pool.call(
-                self._address, head, body, timeout_s, STALL_TIMEOUT_S
+                self._address, head, body, timeout_s, STALL_TIMEOUT_S, max_body_bytes
             )
         except http1_pool.CallError as error:
+            if error.failure is http1_client.ExchangeFailure.TOO_LARGE:
+                raise prefix_store.LargeAnswerError(str(error)) from error
             if error.received_bytes:
                 raise prefix_store.SlowAnswerError(str(error)) from error
             raise prefix_store.StoreError(str(error), error.sent) from error
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -26,7 +26,15 @@
         self._answers = list(answers)
         self._eras = list(eras)
 
-    async def call(self, address, head, body=b"", timeout_s=1.0, stall_timeout_s=None):
+    async def call(
+        self,
+        address,
+        head,
+        body=b"",
+        timeout_s=1.0,
+        stall_timeout_s=None,
+        max_body_bytes=0,
+    ):
         answer = self._answers.pop(0)
         headers = []
         if self._eras:
