Limit the answers and the events of engines

Seen: an engine's answer that isn't a stream is collected whole in EngineAnswer.body, an event without end in EventSplitter, and events without end go to the caller's connection, which holds what the caller doesn't read. Cause: no limit but the time of the request. Limits: an answer that isn't a stream 4 MiB, a stream 16 MiB, one event 1 MiB. Why the fix works: the connection applies the first two. The third closes the connection and reports the failure after the complete events before it were relayed. Each is DispatchFailure.MALFORMED, so the request is retried at another engine or the stream resumed there after the last complete event; the tests check both, and that nothing of the first answer's body reaches the caller. What was collected is released at the failure.

--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -41,6 +41,22 @@
 }
 
 
+STREAM = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"X-Attempt-Id: id-1\r\nX-Response-Seal: s\r\n"
+)
+ENDLESS_ENGINE_ANSWERS = {
+    "body": EndlessAnswer(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: s\r\n\r\n", b"a"
+    ),
+    "late body": EndlessAnswer(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-0\r\nX-Response-Seal: s\r\n\r\n", b"a"
+    ),
+    "event": EndlessAnswer(STREAM + b"\r\ndata: ", b"a"),
+    "events": EndlessAnswer(STREAM + b"\r\n", b"data: a\n\n"),
+}
+
+
 @implementer(interfaces.IPullProducer)
 class _EndlessConnection(protocol.Protocol):
     def __init__(self, factory: "EndlessServer"):
--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -10,9 +10,12 @@
 
 from standins import endless_server
 from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import decisions, event_stream
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.core.weights import piece_placement, staging_events
 from toucanspread.ops import (
+    engine_answer,
     engine_control,
     excerpt_codec,
     http1,
@@ -22,9 +25,10 @@
     prefix_store,
     view_sync,
 )
-from toucanspread.platform import engine, store
+from toucanspread.platform import engine, requests, store
 
 TIMEOUT_S = 1.0
+ENGINE_TIMEOUT_S = 10.0
 SHORT_BYTES = engine.MAX_SHORT_ANSWER_BYTES
 MAX_PIECE_BYTES = 1_000_000
 KEY = piece_placement.PieceKey(data.ModelName("m"), 2, 3)
@@ -37,6 +41,30 @@
     return loop.EVENT_LOOP.run_until_complete(coroutine)
 
 
+class DispatchListener(engine_answer.DispatchListener):
+    """Holds how a dispatch has failed, as a future."""
+
+    call = entry_data.Call("id-1", "h", "/", None)
+
+    def __init__(self):
+        self.failure = loop.EVENT_LOOP.create_future()
+
+    def on_engine_head(self, limit_per_s):
+        return
+
+    def on_stream_opened(self):
+        return
+
+    def on_events(self, events, last_event_id):
+        return
+
+    def on_answer(self, status):
+        raise AssertionError("the answer has no end")
+
+    def on_failure(self, failure):
+        self.failure.set_result(failure)
+
+
 class EndlessAnswerTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -186,3 +214,32 @@
         self.assertRaises(TimeoutError, run, following)
         run(self.wait_for_close(server))
         self.assertIn(server.opened_count, (2, 3))
+
+    def send_to_engine(self, address):
+        """Return how a dispatch to an engine fails."""
+        listener = DispatchListener()
+        dispatch = decisions.SendToEngine(
+            1, "i-1", data.Address(address), ENGINE_TIMEOUT_S, ENGINE_TIMEOUT_S
+        )
+        answer = engine_answer.EngineAnswer(
+            listener, requests.PlatformDialect(), reactor, dispatch
+        )
+        request = http1.render_request(http1.RequestHead(b"GET", b"/", []), b"")
+        answer.outgoing = self.pool.send(address, request, answer)
+        return run(asyncio.wait_for(listener.failure, ENGINE_TIMEOUT_S))
+
+    def test_answers_of_engines_without_end_are_malformed(self):
+        limits_bytes = {
+            "body": engine_answer.MAX_ANSWER_BYTES,
+            "late body": engine_answer.MAX_ANSWER_BYTES,
+            "event": event_stream.MAX_EVENT_BYTES,
+            "events": engine_answer.MAX_STREAM_BYTES,
+        }
+        for name, answer in endless_server.ENDLESS_ENGINE_ANSWERS.items():
+            server, address = self.start_server(answer)
+            failure = self.send_to_engine(address)
+            self.assertEqual(decisions.DispatchFailure.MALFORMED, failure, name)
+            run(self.wait_for_close(server))
+            max_sent_bytes = limits_bytes[name] + SOCKETS_BYTES
+            self.assertLess(server.sent_bytes, max_sent_bytes, name)
+            self.assertIsNone(self.pool.pop_idle(address, None), name)
--- a/toucanspread/core/entry/event_stream.py
+++ b/toucanspread/core/entry/event_stream.py
@@ -6,6 +6,7 @@
 
 import re
 
+MAX_EVENT_BYTES = 1_048_576
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
@@ -33,6 +34,11 @@
             self.last_event_id = ids[-1].decode("latin-1").strip()
         return complete
 
+    @property
+    def is_event_too_large(self) -> bool:
+        """Return whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds the beginning of an event."""
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -1,7 +1,6 @@
 """Receives the answer of an engine to one dispatch and classifies how it ended."""
 
 import abc
-import sys
 
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
@@ -16,6 +15,13 @@
     http1_pool,
 )
 
+MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
+MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
+MALFORMED_FAILURES = (
+    http1_client.ExchangeFailure.MALFORMED,
+    http1_client.ExchangeFailure.TOO_LARGE,
+)
+
 
 class DispatchListener(abc.ABC):
     """Receives the events of a dispatch."""
@@ -49,7 +55,7 @@
 class EngineAnswer(http1_client.AnswerListener):
     """Receives the answer to one dispatch and reports its events to a listener."""
 
-    max_body_bytes = sys.maxsize
+    max_body_bytes = MAX_ANSWER_BYTES
 
     def __init__(
         self,
@@ -89,6 +95,7 @@
             self._listener.on_engine_head(properties.limit_per_s)
         if properties.is_stream and properties.is_sealed and head.status == 200:
             self._splitter = event_stream.EventSplitter()
+            self.max_body_bytes = MAX_STREAM_BYTES
             self._listener.on_stream_opened()
         return True
 
@@ -103,6 +110,9 @@
         events = self._splitter.feed(part)
         if events:
             self._listener.on_events(events, self._splitter.last_event_id)
+        if self._splitter.is_event_too_large:
+            self.cancel()
+            self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
 
     def on_end(self) -> None:
         """Classify a complete answer."""
@@ -126,10 +136,11 @@
         if self._is_finished:
             return
         self._finish()
+        self.body.clear()
         failure = decisions.DispatchFailure.BROKEN
         if exchange_failure is http1_client.ExchangeFailure.NOT_CONNECTED:
             failure = decisions.DispatchFailure.NOT_CONNECTED
-        elif exchange_failure is http1_client.ExchangeFailure.MALFORMED:
+        elif exchange_failure in MALFORMED_FAILURES:
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
 
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -5,7 +5,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions
+from toucanspread.core.entry import decisions, event_stream
 from toucanspread.ops import engine_answer, http1
 from toucanspread.platform import requests
 
@@ -81,6 +81,65 @@
         )
 
 
+class StreamListener(RecordingListener):
+    """Accepts a stream and records its events."""
+
+    def __init__(self):
+        super().__init__()
+        self.events = b""
+
+    def on_stream_opened(self):
+        return
+
+    def on_events(self, events, last_event_id):
+        self.events += events
+
+
+class Outgoing:
+    """Records whether the request to the engine was cancelled."""
+
+    is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+
+
+class EndlessEventTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.listener = StreamListener()
+        self.answer = make_answer(self.listener)
+        self.answer.outgoing = Outgoing()
+        head = make_head(200, x_response_seal="s", content_type="text/event-stream")
+        self.assertTrue(self.answer.on_head(head))
+
+    def receive(self, part, count):
+        """Return how many times a part is received until the request is cancelled."""
+        for number in range(count):
+            if self.answer.outgoing.is_cancelled:
+                return number
+            self.answer.on_body_data(part)
+        return count
+
+    def test_an_event_without_end_is_abandoned_after_the_events_before_it(self):
+        limit_count = event_stream.MAX_EVENT_BYTES // 1_000
+        self.answer.on_body_data(b"id: 1\ndata: a\n\ndata: ")
+        count = self.receive(b"a" * 1_000, 2 * limit_count)
+        self.assertLessEqual(count, limit_count + 1)
+        malformed = decisions.DispatchFailure.MALFORMED
+        self.assertEqual([malformed], self.listener.failures)
+        self.answer.on_body_data(b"\n\ndata: b\n\n")
+        self.assertEqual(b"id: 1\ndata: a\n\n", self.listener.events)
+        self.assertEqual([malformed], self.listener.failures)
+
+    def test_a_large_event_in_small_parts_is_relayed(self):
+        count = event_stream.MAX_EVENT_BYTES // 1_000 - 1
+        self.assertEqual(count, self.receive(b"a" * 1_000, count))
+        self.answer.on_body_data(b"\n\n")
+        self.assertEqual(count * 1_000 + 2, len(self.listener.events))
+        self.assertEqual([], self.listener.failures)
+
+
 class RefusalTest(testtools.TestCase):
     def refuse(self, *headers):
         """Return the failures reported for a 421 answer with the given headers."""
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -7,9 +7,15 @@
 from twisted.internet.testing import StringTransport
 
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state, load_balancing, retry_budget
+from toucanspread.core.entry import (
+    cluster_state,
+    event_stream,
+    load_balancing,
+    retry_budget,
+)
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import (
+    engine_answer,
     forwarder,
     http1,
     http1_client,
@@ -24,6 +30,7 @@
     b"X-Tenant: forged\r\nContent-Length: 2\r\n\r\nhi"
 )
 HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nX-Attempt-Id: id-1\r\n"
+MAX_TESTED_BYTES = 20_000_000
 STREAM = HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -76,6 +83,9 @@
 class ForwarderTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
+        self.start()
+
+    def start(self):
         self.clock = task.Clock()
         self.pool = FakePool(self.clock)
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
@@ -172,6 +182,63 @@
         self.assertEqual(2, len(self.pool.sent))
         self.assertEqual(b"", self.received())
 
+    def answer_without_end(self, engine, beginning, repeated):
+        """Send bytes until the connection is closed; return how many were sent."""
+        transport = engine.connection.transport
+        engine.answer(beginning)
+        sent_bytes = 0
+        while not (engine.cancelled or transport.disconnected):
+            engine.answer(repeated)
+            sent_bytes += len(repeated)
+            if sent_bytes > MAX_TESTED_BYTES:
+                break
+        return sent_bytes
+
+    def test_answer_without_end_is_abandoned_and_retried_at_another_engine(self):
+        answer = HEAD + b"\r\n"
+        late_answer = answer.replace(b"id-1", b"id-0")
+        cases = {
+            "head": (HEAD, b"A: b\r\n" * 100, http1.MAX_HEAD_BYTES),
+            "body": (answer, b"a" * 10_000, engine_answer.MAX_ANSWER_BYTES),
+            "late body": (late_answer, b"a" * 10_000, engine_answer.MAX_ANSWER_BYTES),
+        }
+        excessive = {}
+        for name, (beginning, repeated, max_bytes) in cases.items():
+            self.start()
+            first = self.send_request()
+            sent_bytes = self.answer_without_end(first, beginning, repeated)
+            if sent_bytes > max_bytes + len(repeated):
+                excessive[name] = sent_bytes
+                continue
+            second = self.pool.sent[-1]
+            self.assertIsNot(first, second)
+            second.answer(HEAD + b"Content-Length: 3\r\n\r\nown")
+            self.assertTrue(self.received().endswith(b"own"), name)
+            self.assertNotIn(b"aaaa", self.received())
+            self.assertNotIn(b"A: b", self.received())
+        self.assertEqual({}, excessive)
+
+    def test_event_without_end_is_abandoned_and_the_stream_resumed(self):
+        first = self.send_request()
+        event = b"id: 1\ndata: a\n\n"
+        beginning = STREAM + chunk(event + b"id: 2\nda")
+        repeated = chunk(b"a" * 10_000)
+        sent_bytes = self.answer_without_end(first, beginning, repeated)
+        self.assertLess(sent_bytes, event_stream.MAX_EVENT_BYTES * 1.1)
+        second = self.pool.sent[-1]
+        self.assertIn(b"Last-Event-Id: 1\r\n", second.request)
+        second.answer(STREAM + chunk(b"id: 2\ndata: b\n\n") + http1.LAST_CHUNK)
+        self.assertTrue(self.received().endswith(http1.LAST_CHUNK))
+        self.assertNotIn(b"aaaa", self.received())
+
+    def test_stream_of_events_without_end_is_interrupted(self):
+        first = self.send_request()
+        events = chunk(b"data: aaaa\n\n" * 1_000)
+        sent_bytes = self.answer_without_end(first, STREAM, events)
+        max_bytes = engine_answer.MAX_STREAM_BYTES * 1.1
+        self.assertLess(sent_bytes, max_bytes)
+        self.assertFalse(self.received().endswith(http1.LAST_CHUNK))
+
     def test_rejected_request_is_retried_before_the_rejection_is_relayed(self):
         rejection = (
             b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
