--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -3,8 +3,9 @@
 import random
 
 import testtools
-from twisted.internet import task
+from twisted.internet import error, task
 from twisted.internet.testing import StringTransport
+from twisted.python import failure
 
 from toucanspread.core import data
 from toucanspread.core.entry import cluster_state, load_balancing, retry_budget
@@ -53,6 +54,9 @@
     def answer(self, received):
         self.connection.dataReceived(received)
 
+    def disconnect(self, kind=error.ConnectionDone):
+        self.connection.connectionLost(failure.Failure(kind()))
+
 
 class IgnoringNotifier(forwarder.EntryNotifier):
     def send_prompt_notice(self, notice):
@@ -73,9 +77,14 @@
         return outgoing
 
 
-class ForwarderTest(testtools.TestCase):
+class ForwarderCase(testtools.TestCase):
+    """Sets up a forwarder with two services of two engines each."""
+
     def setUp(self):
         super().setUp()
+        self.start()
+
+    def start(self):
         self.clock = task.Clock()
         self.pool = FakePool(self.clock)
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
@@ -136,6 +145,8 @@
     def received(self):
         return self.transport.value()
 
+
+class ForwarderTest(ForwarderCase):
     def test_engine_gets_the_request_with_replaced_headers(self):
         sent = self.send_request().request
         self.assertIn(b"X-Tenant: t\r\n", sent)
