Don't complete a caller's stream when the next engine sends no stream

Seen: after a stream broke off inside an event, a second engine answered with an empty body (200, 204 and 404 tried) and the caller got the last chunk, so the stream looked complete without its rest. Cause: on_answer() closes the caller's stream for any status below 500, whether or not the answer of this dispatch is a stream. Evidence: test_answer_that_is_no_stream_does_not_complete_a_stream failed before with status 200, the first one that it tries. Fix: the state records whether the engine at work has opened a stream. Without one, a started stream isn't complete; the answer counts as a failed run, which is resumed elsewhere or broken off. The simulated requests now open a stream at each engine.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -215,10 +215,10 @@
         now_s = self._simulation.clock.seconds()
         if self._generated_tokens == self._tokens_before_dispatch:
             self._read_limit(self._engine)
+            self._state.on_stream_opened()
         if self._first_s is None:
             self._first_s = now_s - self.started_s
             self._caller_timeout.cancel()
-            self._state.on_stream_opened()
         elif now_s - self._last_event_s > MAX_EVENT_GAP_S:
             self._had_long_gap = True
         self._last_event_s = now_s
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -79,6 +79,7 @@
         self._sent_s = 0.0
         self._tried: set[str] = set()
         self._streaming = False
+        self._is_engine_streaming = False
         self._last_event_id = call.last_event_id
         self._last_failure: decisions.DispatchFailure | None = None
 
@@ -137,6 +138,7 @@
 
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
+        self._is_engine_streaming = True
         if self._streaming:
             return []
         self._streaming = True
@@ -149,12 +151,13 @@
 
     def on_answer(self, context: DecisionContext, status: int) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream."""
-        if status < 500:
+        is_rest_missing = self._streaming and not self._is_engine_streaming
+        if status < 500 and not is_rest_missing:
             self._release_engine(context, ok=True)
             return self._finish(
                 decisions.CloseStream() if self._streaming else decisions.RelayAnswer()
             )
-        # The engine ran the request and reports that it failed.
+        # The engine ran the request and reports that it failed, or does not stream.
         self._release_engine(context, ok=False, weight=1)
         if not self._streaming and not self._can_run_again(context):
             return self._finish(decisions.RelayAnswer())
@@ -286,6 +289,7 @@
         self, engine: engines.Engine, context: DecisionContext, left_s: float
     ) -> list[data.Effect]:
         self._engine = engine
+        self._is_engine_streaming = False
         self._sent_s = context.now_s
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
--- a/toucanspread/ops/broken_answer_test.py
+++ b/toucanspread/ops/broken_answer_test.py
@@ -115,3 +115,14 @@
         self.clock.advance(9.0)
         self.assertNotIn(http1.LAST_CHUNK, self.received())
         self.assertTrue(self.transport.disconnected)
+
+    def test_answer_that_is_no_stream_does_not_complete_a_stream(self):
+        for status in (b"200 OK", b"204 No Content", b"404 Not Found"):
+            self.start()
+            first = self.send_request()
+            first.answer(UNFRAMED_STREAM + FIRST + CUT)
+            first.disconnect()
+            head = HEAD.replace(b"200 OK", status)
+            self.pool.sent[-1].answer(head + b"Content-Length: 0\r\n\r\n")
+            self.assertNotIn(http1.LAST_CHUNK, self.received(), status)
+            self.assertTrue(self.transport.disconnected)
