Don't take the end of an earlier request's unframed answer for one's own

Seen: on a reused connection, a late answer to an earlier request that has neither length nor chunks is skipped; when the connection then ended in order, the request at hand was completed without an answer (EngineAnswer.on_end reads properties it never got). Cause: connectionLost() looks at the framing of the last head, not at whose it was. Evidence: test_unframed_answer_to_an_earlier_request_does_not_end_its_own failed before: 'end' instead of CLOSED. Fix: only an answer that isn't skipped is completed by the end of its connection.

--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -104,7 +104,8 @@
         if self._listener is None:
             return
         is_orderly = reason.check(error.ConnectionDone)
-        if is_orderly and self._ends_by_close and self._head is not None:
+        is_own = self._head is not None and not self._is_answer_skipped
+        if is_orderly and self._ends_by_close and is_own:
             self._complete()
             return
         self._fail(ExchangeFailure.CLOSED if is_orderly else ExchangeFailure.RESET)
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -215,6 +215,12 @@
         self.connection.dataReceived(late + own)
         self.assertEqual((b"own", ["end"]), (self.listener.body, self.listener.ends))
 
+    def test_unframed_answer_to_an_earlier_request_does_not_end_its_own(self):
+        self.listener.own = False
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: 6\r\n\r\nlate")
+        self.disconnect(error.ConnectionDone)
+        self.assertEqual([http1_client.ExchangeFailure.CLOSED], self.listener.ends)
+
     def test_malformed_answer_fails_the_request(self):
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
