Don't reuse a connection that an HTTP/1.0 server is about to close

Seen: after an HTTP/1.0 answer with a length and no 'Connection: keep-alive' the connection was kept; the next request on it may be lost. Cause: the client looks for 'Connection: close' only, which such a server needn't send. Evidence: test_connection_of_an_old_server_is_reused_only_if_it_says_so failed before.

--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -143,7 +143,7 @@
     # Internals
 
     def _read_persistence(self, head: http1.AnswerHead) -> None:
-        if head.has_token(b"connection", b"close"):
+        if not self._parser.should_keep_alive():
             self._is_reusable = False
         has_framing = (
             head.get(b"content-length") is not None
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -221,6 +221,15 @@
         self.disconnect(error.ConnectionDone)
         self.assertEqual([http1_client.ExchangeFailure.CLOSED], self.listener.ends)
 
+    def test_connection_of_an_old_server_is_reused_only_if_it_says_so(self):
+        cases = {b"": False, b"Connection: keep-alive\r\n": True}
+        for line, is_kept in cases.items():
+            self.connect()
+            head = b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n" + line
+            self.connection.dataReceived(head + b"\r\nok")
+            self.assertEqual(["end"], self.listener.ends)
+            self.assertEqual(is_kept, self.connection.is_free)
+
     def test_malformed_answer_fails_the_request(self):
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
