Send HTTP/1.0 callers answers without chunks that end with their connection

Seen: a stream to an HTTP/1.0 caller was sent in chunks, which such a caller takes for the body itself; its connection stayed open although it waits for the end. Cause: the server side never looked at the version of a request. Fix: the head of a request has its version; only HTTP/1.1 gets chunks, other connections close after their answer.

--- a/toucanspread/ops/http1.py
+++ b/toucanspread/ops/http1.py
@@ -104,12 +104,25 @@
     """Method, target and headers of a request.
 
     :param target: path and query, as sent.
+    :param version: version of HTTP that the sender speaks.
     """
 
-    def __init__(self, method: bytes, target: bytes, headers: list[Header]):
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[Header],
+        version: str = "1.1",
+    ):
         super().__init__(headers)
         self.method = method
         self.target = target
+        self.version = version
+
+    @property
+    def accepts_chunks(self) -> bool:
+        """Return whether the answer may be sent in chunks."""
+        return self.version == "1.1"
 
 
 class AnswerHead(Head):
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -86,17 +86,26 @@
         self._end()
 
     def start(self, status: int, headers: Iterable[http1.Header]) -> None:
-        """Send the head of an answer whose length is not known yet."""
+        """Send the head of an answer whose length is not known yet.
+
+        It is sent in chunks; to an HTTP/1.0 caller, it ends with the connection, in
+        order if it is complete and by a reset otherwise.
+        """
         if self.is_finished:
             return
-        self._is_chunked = True
-        all_headers = [*headers, http1.Header(b"Transfer-Encoding", b"chunked")]
+        self._is_chunked = self.head.accepts_chunks
+        all_headers = list(headers)
+        if self._is_chunked:
+            all_headers.append(http1.Header(b"Transfer-Encoding", b"chunked"))
         self._send_head(status, all_headers)
 
     def write(self, part: bytes) -> None:
         """Send a part of the body of a started answer."""
         if self.is_finished or not part:
             return
+        if not self._is_chunked:
+            self._connection.write(part)
+            return
         self._connection.write(b"%x\r\n%b\r\n" % (len(part), part))
 
     def finish(self) -> None:
@@ -206,7 +215,10 @@
         """Check the head of a request against the limits."""
         limits = self._handler.get_limits()
         method = self._parser.get_method()
-        self._head = http1.RequestHead(method, bytes(self._target), self._headers)
+        version = self._parser.get_http_version()
+        self._head = http1.RequestHead(
+            method, bytes(self._target), self._headers, version
+        )
         self._body = bytearray()
         size_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
         if size_bytes + len(self._target) > limits.max_head_bytes:
@@ -252,7 +264,8 @@
 
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
         """Return whether the connection closes after the answer to a request."""
-        if head.has_token(b"connection", b"close") or self._handler.is_closing():
+        is_last = head.has_token(b"connection", b"close") or not head.accepts_chunks
+        if is_last or self._handler.is_closing():
             self._is_closing = True
         return self._is_closing
 
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -81,6 +81,28 @@
         self.assertFalse(self.sent().endswith(http1.LAST_CHUNK))
         self.assertTrue(self.transport.disconnected)
 
+    def test_http_1_0_caller_gets_an_unframed_answer_that_ends_with_the_connection(
+        self,
+    ):
+        self.receive(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        exchange = self.handler.exchanges[0]
+        exchange.start(200, [])
+        exchange.write(b"one")
+        exchange.write(b"two")
+        exchange.finish()
+        self.assertNotIn(b"Transfer-Encoding", self.sent())
+        self.assertIn(b"Connection: close", self.sent())
+        self.assertTrue(self.sent().endswith(b"\r\n\r\nonetwo"))
+        self.assertTrue(self.transport.disconnecting)
+        self.assertFalse(self.transport.disconnected)
+
+    def test_http_1_0_caller_that_keeps_its_connection_is_told_of_the_close(self):
+        request = REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0")
+        self.receive(request.replace(b"Host", b"Connection: keep-alive\r\nHost"))
+        self.handler.exchanges[0].respond(200, body=b"ok")
+        self.assertIn(b"Connection: close", self.sent())
+        self.assertTrue(self.transport.disconnecting)
+
     def test_invalid_and_oversized_requests_get_their_status(self):
         cases = {
             b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 2_000 + b"\r\n\r\n": b"431",
