Split streams at every kind of line end, and read ids after a byte order mark

Seen: a stream whose events end with a single CR, or with LF and CR, was never split, so nothing of it was relayed and its end counted as broken off; so did a blank line or a comment after the last event. After a byte order mark the first event's id was missed, so a stream that broke off after it was resumed without Last-Event-Id, from its start; the mark of an engine that took over came in the middle of the caller's answer. Cause: the splitter knew LF and CRLF only and looked for ids at the starts of lines. Fix: line ends as in the standard of server-sent events; a CR at the end of what was received counts only once the next byte shows that no LF follows, unless the line before ended with a lone CR too, so that a blank line cut inside its CRLF is never relayed as whole.

--- a/toucanspread/core/entry/event_stream.py
+++ b/toucanspread/core/entry/event_stream.py
@@ -6,34 +6,88 @@
 
 import re
 
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+LINE_END = rb"(?>\r\n|\r|\n)"
+BLANK_LINE_ENDS = (b"\n\n", b"\n\r\n")
+ANY_LINE_END = re.compile(rb"[\r\n]")
+EVENT_END = re.compile(LINE_END + rb"{2,}")
+# Blank lines and comments between events.
+FILLER = re.compile(rb"(?:(?::[^\r\n]*)?" + LINE_END + rb")+")
+EVENT_ID = re.compile(rb"(?:\A|(?<=[\r\n]))id:[ ]?([^\r\n]*)")
 
 
 class EventSplitter:
-    """Buffers the bytes of an incomplete event."""
+    """Buffers the bytes of an incomplete event.
 
-    def __init__(self):
+    :param is_continuation: whether the stream continues another one, so that a byte
+        order mark at its start is dropped.
+    """
+
+    def __init__(self, is_continuation: bool = False):
         self._buffer = bytearray()
+        self._is_continuation = is_continuation
+        self._is_at_start = True
+        self._byte_order_mark = b""
+        self._ends_with_return = False
         self.last_event_id: str | None = None
 
     def feed(self, piece: bytes) -> bytes:
-        """Add bytes and return those up to the end of the last complete event."""
+        """Add bytes and return those up to the end of the last complete event.
+
+        Blank lines and comments that follow it are returned as well.
+        """
         search_start = max(len(self._buffer) - 3, 0)
         self._buffer += piece
-        end = 0
-        for match in EVENT_END.finditer(self._buffer, search_start):
-            end = match.end()
+        if self._is_at_start and not self._read_byte_order_mark():
+            return b""
+        end = self._find_end(search_start)
         if end == 0:
             return b""
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
+        self._ends_with_return = complete.endswith(b"\r")
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1").strip()
-        return complete
+        mark, self._byte_order_mark = self._byte_order_mark, b""
+        return mark + complete
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds the beginning of an event."""
         return bool(self._buffer)
+
+    def _read_byte_order_mark(self) -> bool:
+        """Remove the mark from the buffer; return False if more bytes are needed."""
+        if BYTE_ORDER_MARK[:-1].startswith(self._buffer):
+            return False
+        self._is_at_start = False
+        if self._buffer.startswith(BYTE_ORDER_MARK):
+            del self._buffer[: len(BYTE_ORDER_MARK)]
+            if not self._is_continuation:
+                self._byte_order_mark = BYTE_ORDER_MARK
+        return True
+
+    def _find_end(self, search_start: int) -> int:
+        """Return the size of the events and filler at the start of the buffer."""
+        if self._buffer.endswith(BLANK_LINE_ENDS):
+            return len(self._buffer)
+        if not ANY_LINE_END.search(self._buffer, search_start):
+            return 0
+        limit = len(self._buffer) - self._may_end_inside_line_end()
+        end = 0
+        for match in EVENT_END.finditer(self._buffer, search_start, limit):
+            end = match.end()
+        filler = FILLER.match(self._buffer, end, limit)
+        return end if filler is None else filler.end()
+
+    def _may_end_inside_line_end(self) -> bool:
+        """Return whether the last byte may be the first half of a line end.
+
+        After a line that ended with a lone carriage return, it is taken as whole.
+        """
+        if not self._buffer.endswith(b"\r"):
+            return False
+        if len(self._buffer) == 1:
+            return not self._ends_with_return
+        return self._buffer[-2:-1] != b"\r"
--- a/toucanspread/ops/broken_answer_test.py
+++ b/toucanspread/ops/broken_answer_test.py
@@ -97,6 +97,17 @@
         engine.disconnect()
         self.finish_elsewhere(engine)
 
+    def test_byte_order_mark_is_relayed_at_the_start_of_the_answer_only(self):
+        mark = b"\xef\xbb\xbf"
+        first = self.send_request()
+        first.answer(UNFRAMED_STREAM + mark + FIRST + CUT)
+        first.disconnect()
+        second = self.pool.sent[-1]
+        self.assertIn(b"Last-Event-Id: 1\r\n", second.request)
+        second.answer(UNFRAMED_STREAM + mark + SECOND)
+        second.disconnect()
+        self.check_complete(mark + FIRST, SECOND)
+
     def test_last_event_without_its_blank_line_is_resumed(self):
         engine = self.send_request()
         engine.answer(UNFRAMED_STREAM + FIRST + SECOND[:-1])
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -46,7 +46,10 @@
 
 
 class EngineAnswer(http1_client.AnswerListener):
-    """Receives the answer to one dispatch and reports its events to a listener."""
+    """Receives the answer to one dispatch and reports its events to a listener.
+
+    :param is_continuation: whether the caller already has events of another dispatch.
+    """
 
     def __init__(
         self,
@@ -54,6 +57,7 @@
         wire_dialect: dialect.Dialect,
         reactor,
         dispatch: decisions.SendToEngine,
+        is_continuation: bool = False,
     ):
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
@@ -65,6 +69,7 @@
         self._reactor = reactor
         self._properties: dialect.AnswerProperties | None = None
         self._splitter: event_stream.EventSplitter | None = None
+        self._is_continuation = is_continuation
         self._is_finished = False
         self._silence_timeout_s = dispatch.silence_timeout_s
         self._timer = reactor.callLater(dispatch.silence_timeout_s, self._on_timeout)
@@ -85,7 +90,7 @@
         if self._is_of_engine(properties):
             self._listener.on_engine_head(properties.limit_per_s)
         if properties.is_stream and properties.is_sealed and head.status == 200:
-            self._splitter = event_stream.EventSplitter()
+            self._splitter = event_stream.EventSplitter(self._is_continuation)
             self._listener.on_stream_opened()
         return True
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -203,7 +203,11 @@
             self.exchange.head, effect, self._team
         )
         self._answer = engine_answer.EngineAnswer(
-            self, forwarder.wire_dialect, forwarder.pool.reactor, effect
+            self,
+            forwarder.wire_dialect,
+            forwarder.pool.reactor,
+            effect,
+            is_continuation=self._stream_timing.first_s is not None,
         )
         request = http1.render_request(head, self.exchange.body)
         if self.call.prompt_tokens:
