Recognise a stream of events whatever the case of its content type

Seen: 'Text/Event-Stream' was read as no stream, so such an answer was collected and relayed at its end, and one that ended inside an event passed as complete. Cause: the type was compared as a prefix, with its case. Evidence: test_a_stream_is_recognised_however_its_type_is_written failed before. Fix: the media type without its parameters is compared in lower case.

--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -91,13 +91,13 @@
     ) -> dialect.AnswerProperties:
         """Return what the head of an engine's answer states."""
         echoed = head.get(b"x-attempt-id")
-        content = head.get(b"content-type") or b""
+        content_type = (head.get(b"content-type") or b"").partition(b";")[0]
         return dialect.AnswerProperties(
             is_for_request=_is_for_call(echoed, head.status, call),
             is_sealed=head.get(SEAL_HEADER) is not None,
             not_run=head.get(NOT_RUN_HEADER) is not None or head.status == 421,
             instance=_decode_text(head.get(INSTANCE_HEADER) or b""),
-            is_stream=content.startswith(EVENT_STREAM_TYPE),
+            is_stream=content_type.strip().lower() == EVENT_STREAM_TYPE,
             limit_per_s=read_limit_per_s(head),
         )
 
--- a/toucanspread/platform/requests_test.py
+++ b/toucanspread/platform/requests_test.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import http1
 from toucanspread.platform import requests
 
@@ -31,3 +32,18 @@
             self.assertEqual(0, self.read(b"X-Length-Hint", value).likely_tokens)
             usage = self.read(b"X-Token-Usage", b"1," + value)
             self.assertEqual((0, 0), (usage.prompt_tokens, usage.output_tokens))
+
+
+class ReadAnswerTest(testtools.TestCase):
+    def test_a_stream_is_recognised_however_its_type_is_written(self):
+        cases = {
+            b"text/event-stream": True,
+            b"Text/Event-Stream ; charset=utf-8": True,
+            b"text/event-streams": False,
+            b"text/plain": False,
+        }
+        call = entry_data.Call("i", "h", "/", None)
+        for value, is_stream in cases.items():
+            head = http1.AnswerHead(200, [http1.Header(b"Content-Type", value)])
+            answer = requests.PlatformDialect().read_answer(head, call)
+            self.assertEqual(is_stream, answer.is_stream, value)
