Report a stream that sends bytes but makes no progress as silent

Seen: one byte every 0.5 s and never an event for 60 s of virtual time: silence reported 0 times, so the request is held until its deadline; the same with comments. Cause: EngineAnswer starts the silence timer anew at each piece of bytes. Evidence: five tests in engine_answer_test.py failed before (a byte now and then, within a later and within the first event; comments whole and in single bytes; 102 bytes a second within an event). Fix: the timer starts anew at an event, at the beginning of an event, and within one at each STREAM_MIN_BYTES_PER_S x STREAM_GAP_TIMEOUT_S bytes (128). Comments and blank lines change nothing: an engine in prefill that sends them keeps the time that it has until the first event; before, the first comment shortened it to the gap. Kept in tests: a large event in pieces of 15 bytes at 375 bytes/s (0.3 Mbit/s shared by 100 streams), 160 bytes/s within an event, an event cut once by a segment that comes 0.9 s late, a prefill of 3.9 s with and without comments, and a stream that goes on after a preemption of 1.5 gaps, which is reported once, as before. What happens then is unchanged: the request moves only if another engine is free.

--- a/toucanspread/core/entry/event_stream.py
+++ b/toucanspread/core/entry/event_stream.py
@@ -14,6 +14,7 @@
 # Blank lines and comments between events.
 FILLER = re.compile(rb"(?:(?::[^\r\n]*)?" + LINE_END + rb")+")
 EVENT_ID = re.compile(rb"(?:\A|(?<=[\r\n]))id:[ ]?([^\r\n]*)")
+FIELD = re.compile(rb"(?:\A|(?<=[\r\n]))[^:\r\n]")
 
 
 class EventSplitter:
@@ -21,6 +22,8 @@
 
     :param is_continuation: whether the stream continues another one, so that a byte
         order mark at its start is dropped.
+    :ivar has_completed_event: whether the bytes added last completed an event, not only
+        comments and blank lines.
     """
 
     def __init__(self, is_continuation: bool = False):
@@ -29,6 +32,7 @@
         self._is_at_start = True
         self._byte_order_mark = b""
         self._ends_with_return = False
+        self.has_completed_event = False
         self.last_event_id: str | None = None
 
     def feed(self, piece: bytes) -> bytes:
@@ -36,6 +40,7 @@
 
         Blank lines and comments that follow it are returned as well.
         """
+        self.has_completed_event = False
         search_start = max(len(self._buffer) - 3, 0)
         self._buffer += piece
         if self._is_at_start and not self._read_byte_order_mark():
@@ -46,6 +51,7 @@
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._ends_with_return = complete.endswith(b"\r")
+        self.has_completed_event = FIELD.search(complete) is not None
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1").strip()
@@ -57,6 +63,13 @@
         """Return whether the buffer holds the beginning of an event."""
         return bool(self._buffer)
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Return the size of an event that has begun; 0 for the start of a comment."""
+        if self._buffer.startswith((b":", b"\r")):
+            return 0
+        return len(self._buffer)
+
     def _read_byte_order_mark(self) -> bool:
         """Remove the mark from the buffer; return False if more bytes are needed."""
         if BYTE_ORDER_MARK[:-1].startswith(self._buffer):
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -7,6 +7,7 @@
     decisions,
     event_stream,
     request_timing,
+    stream_progress,
 )
 from toucanspread.ops import (
     dialect,
@@ -69,6 +70,7 @@
         self._reactor = reactor
         self._properties: dialect.AnswerProperties | None = None
         self._splitter: event_stream.EventSplitter | None = None
+        self._progress = stream_progress.StreamProgress()
         self._is_continuation = is_continuation
         self._is_finished = False
         self._silence_timeout_s = dispatch.silence_timeout_s
@@ -101,10 +103,14 @@
         if self._splitter is None:
             self.body += part
             return
-        self._restart_timer()
-        events = self._splitter.feed(part)
+        splitter = self._splitter
+        events = splitter.feed(part)
+        if self._progress.record(
+            splitter.has_completed_event, splitter.partial_event_bytes
+        ):
+            self._restart_timer()
         if events:
-            self._listener.on_events(events, self._splitter.last_event_id)
+            self._listener.on_events(events, splitter.last_event_id)
 
     def on_end(self) -> None:
         """Classify a complete answer."""
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -5,7 +5,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions
+from toucanspread.core.entry import decisions, request_timing
 from toucanspread.ops import engine_answer, http1
 from toucanspread.platform import requests
 
@@ -35,10 +35,26 @@
         self.failures.append(failure)
 
 
-def make_answer(listener):
-    dispatch = decisions.SendToEngine(1, "i-1", data.Address("a:1"), 1.0, 1.0)
+class StreamListener(RecordingListener):
+    """Records what is relayed of a stream; it waits on when an engine is silent."""
+
+    def __init__(self):
+        super().__init__()
+        self.relayed = b""
+
+    def on_stream_opened(self):
+        return
+
+    def on_events(self, events, last_event_id):
+        self.relayed += events
+
+
+def make_answer(listener, clock=None, silence_timeout_s=1.0):
+    dispatch = decisions.SendToEngine(
+        1, "i-1", data.Address("a:1"), 1.0, silence_timeout_s
+    )
     return engine_answer.EngineAnswer(
-        listener, requests.PlatformDialect(), task.Clock(), dispatch
+        listener, requests.PlatformDialect(), clock or task.Clock(), dispatch
     )
 
 
@@ -101,3 +117,106 @@
 
     def test_refusal_without_an_engine_id_is_a_rejection(self):
         self.assertEqual([decisions.DispatchFailure.REJECTED], self.refuse())
+
+
+class StalledStreamTest(testtools.TestCase):
+    """Feeds streams in virtual time."""
+
+    GAP_S = request_timing.STREAM_GAP_TIMEOUT_S
+
+    def open_stream(self, silence_timeout_s=GAP_S):
+        self.clock = task.Clock()
+        self.listener = StreamListener()
+        self.answer = make_answer(self.listener, self.clock, silence_timeout_s)
+        head = make_head(200, x_response_seal="s", content_type="text/event-stream")
+        self.answer.on_head(head)
+
+    def send(self, *pieces, every_s):
+        for piece in pieces:
+            self.clock.advance(every_s)
+            self.answer.on_body_data(piece)
+
+    def assert_sound(self):
+        self.assertEqual([], self.listener.failures)
+
+    def assert_silent(self, at_least=1):
+        self.assertGreaterEqual(len(self.listener.failures), at_least)
+        kinds = set(self.listener.failures)
+        self.assertEqual({decisions.DispatchFailure.SILENT}, kinds)
+
+    def test_a_byte_now_and_then_without_an_event_is_silence(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        self.send(*[b"x"] * 120, every_s=0.5)
+        self.assert_silent(at_least=50)
+
+    def test_comments_now_and_then_without_an_event_are_silence(self):
+        for comment in (
+            b":\n",
+            b": keep-alive\n\n",
+            b":" + b"x" * 500 + b"\n\n",
+            b"\n",
+        ):
+            self.open_stream()
+            self.send(b"id: 1\n\n", every_s=0.1)
+            self.send(*[comment] * 120, every_s=0.5)
+            self.assert_silent(at_least=50)
+            self.assertEqual(b"id: 1\n\n" + comment * 120, self.listener.relayed)
+
+    def test_comments_in_single_bytes_are_silence(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        self.send(*[b":", b"\n"] * 60, every_s=0.5)
+        self.assert_silent(at_least=50)
+
+    def test_first_event_in_single_bytes_is_silence(self):
+        self.open_stream(silence_timeout_s=4.0)
+        self.send(*[b"x"] * 120, every_s=0.5)
+        self.assert_silent(at_least=50)
+
+    def test_an_event_slower_than_the_minimum_rate_is_silence(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        rate = request_timing.STREAM_MIN_BYTES_PER_S
+        self.send(*[b"x" * int(rate * 0.1 * 0.8)] * 300, every_s=0.1)
+        self.assert_silent(at_least=10)
+
+    def test_an_event_faster_than_the_minimum_rate_is_kept(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        rate = request_timing.STREAM_MIN_BYTES_PER_S
+        self.send(*[b"x" * int(rate * 0.1 * 1.3)] * 300, every_s=0.1)
+        self.assert_sound()
+
+    def test_large_event_in_small_pieces_over_a_squeezed_link_is_kept(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        # 0.3 Mbit/s, shared by 100 streams, is 375 bytes/s for each.
+        self.send(*[b"x" * 15] * 1_000, every_s=0.04)
+        self.send(b"\n\n", every_s=0.04)
+        self.assert_sound()
+        self.assertEqual(7 + 15_002, len(self.listener.relayed))
+
+    def test_event_that_is_cut_once_by_a_late_segment_is_kept(self):
+        self.open_stream()
+        for number in range(20):
+            self.send(b"id: %d\n" % number, b"\n", every_s=0.9 * self.GAP_S)
+        self.assert_sound()
+
+    def test_engine_in_prefill_has_the_time_until_the_first_event(self):
+        for comments in (0, 30):
+            self.open_stream(silence_timeout_s=4.0)
+            self.send(*[b": waiting\n\n"] * comments, every_s=0.1)
+            self.clock.advance(3.9 - 0.1 * comments)
+            self.answer.on_body_data(b"id: 1\n\n")
+            self.assert_sound()
+
+    def test_stream_goes_on_after_a_preemption(self):
+        self.open_stream()
+        self.send(b"id: 1\n\n", b"id: 2\n\n", every_s=0.9 * self.GAP_S)
+        self.assert_sound()
+        self.send(b"id: 3\n\n", every_s=1.5 * self.GAP_S)
+        self.assert_silent()
+        self.send(b"id: 4\n\n", every_s=0.9 * self.GAP_S)
+        self.assertEqual(1, len(self.listener.failures))
+        self.assertTrue(self.listener.relayed.endswith(b"id: 4\n\n"))
