Don't take an older answer of the engine for a report or an accepted order

Seen over loopback, with a stand-in that sends the last answer on a connection again where the next one is expected: the sidecar took a list of staged pieces for the report of an engine that holds nothing and was born at 0 (which starts the staging anew and makes it order at once), and the answer 200 to a read for an accepted order. Cause: calls to the engine have no id, and all kinds share the pooled connections. Fix: reports have a pool of their own, so a copy can only be an older report, and the true one that follows it closes the idle connection. Only 202, which no read has, says that an order has begun; an order that is 'already in effect' is shown by the next report. Weighed (by reading, not measured): a connection for each call would exclude copies altogether, but takes 5 a second for reports and two a piece and check, each of which may hold a slot of the engine for a while, and engines over max_conns reset new ones; an order that is reset costs a second and a new check of all pieces, a copy taken for its answer no more. Another pool costs at most one idle connection to each engine.

--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -18,6 +18,7 @@
 
 ENGINE_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
 ORIGIN_TIMEOUT_S = 4.0  # one piece takes over a second on the origin's narrow link
+ORDER_ACCEPTED_STATUS = 202
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
 
@@ -82,11 +83,16 @@
 class LocalEngine(engine_control.EngineControl):
     """Client of the engine on the same machine.
 
+    An engine may send an older answer once more where the next one is expected, and
+    calls to it have no id. So reports have connections of their own, only the status of
+    an order accepts one, and staged pieces are verified by their digests.
+
     :param address: ``ip:port`` of the engine.
     """
 
     def __init__(self, pool: http1_pool.ConnectionPool, address: str):
         self._pool = pool
+        self._report_pool = http1_pool.ConnectionPool(pool.reactor)
         self._address = address
         self._named_limit_per_s: float | None = None
 
@@ -95,7 +101,7 @@
 
         :raises engine_control.EngineError: when there is no usable answer.
         """
-        reply = await self._call(b"GET", "/-/report")
+        reply = await self._call(self._report_pool, b"GET", "/-/report")
         try:
             return decoding.decode_report(reply.body)
         except msgspec.MsgspecError as error:
@@ -108,7 +114,9 @@
 
         :raises engine_control.EngineError: when there is no usable answer.
         """
-        reply = await self._call(b"GET", f"/-/stage-get/{quote(model)}", accept=(404,))
+        reply = await self._call(
+            self._pool, b"GET", f"/-/stage-get/{quote(model)}", accept=(404,)
+        )
         if reply.status == 404:
             return []
         try:
@@ -124,7 +132,7 @@
         :raises engine_control.EngineError: when there is no usable answer.
         """
         target = f"/-/stage-get/{quote(model)}?num={number}"
-        reply = await self._call(b"GET", target, accept=(404,))
+        reply = await self._call(self._pool, b"GET", target, accept=(404,))
         return None if reply.status == 404 else reply.body
 
     async def put_piece(self, model: str, number: int, piece: bytes) -> None:
@@ -133,10 +141,10 @@
         :raises engine_control.EngineError: when the engine does not accept it.
         """
         target = f"/-/stage-put/{quote(model)}?num={number}"
-        await self._call(b"PUT", target, piece, accept=(201, 202, 204))
+        await self._call(self._pool, b"PUT", target, piece, accept=(201, 202, 204))
 
     async def send_order(self, model: str, order: staging_events.SendOrder) -> bool:
-        """Send an order; return whether the engine accepted it.
+        """Send an order; return whether the engine has begun it.
 
         :raises engine_control.EngineError: when there is no usable answer; the engine
             may have begun the order nevertheless.
@@ -146,12 +154,18 @@
         )
         body = msgspec.json.encode(request)
         reply = await self._call(
-            b"POST", "/-/order", body, accept=(202, 400, 409, 412, 421)
+            self._pool,
+            b"POST",
+            "/-/order",
+            body,
+            accept=(202, 400, 409, 412, 421),
         )
-        return reply.status in (200, 202)
+        # 200 may be a late answer to a read; if not, the next report shows the effect.
+        return reply.status == ORDER_ACCEPTED_STATUS
 
     async def _call(
         self,
+        pool: http1_pool.ConnectionPool,
         method: bytes,
         target: str,
         body: bytes = b"",
@@ -160,7 +174,7 @@
         headers = [JSON_TYPE] if body[:1] == b"{" else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
-            reply = await self._pool.call(
+            reply = await pool.call(
                 self._address, head, body, timeout_s=ENGINE_TIMEOUT_S
             )
         except http1_pool.CallError as error:
