Come back to an engine only on a new connection

Seen over loopback: two engines refuse a request, which comes back to one of them on the connection that brought the refusal; a late copy of the refusal has the request's own id and was taken for the answer to the second dispatch. The caller got 503, which promises that the request never runs, and the engine ran it. Cause: the id that engines echo names the caller's request, not the dispatch. The test of the decision in forwarding_test.py failed before, too. Fix: a dispatch to an engine that was tried before uses none of the idle connections; an idle time of 0 leaves them in the pool instead of closing them.

--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -63,7 +63,7 @@
     :param silence_timeout_s: report a failure if the engine sends nothing for this
         long.
     :param max_idle_s: do not use a connection that has been idle for longer; None for
-        no limit.
+        no limit, 0 for a new connection.
     :param busy: estimated number of requests at the engine.
     :param busy_age_s: age of the load report behind the estimate; negative without one.
     :param priority: priority in the engine's queue; None if it does not matter.
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -26,6 +26,7 @@
 # Non-repeatable requests use only connections that can't be closed by an idle timeout
 # while the request is in transit.
 FRESH_CONNECTION_S = 0.5
+NEW_CONNECTION_S = 0.0
 RETRY_AFTER_BASE_S = 0.25
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
@@ -288,6 +289,7 @@
     def _send_to(
         self, engine: engines.Engine, context: DecisionContext, left_s: float
     ) -> list[data.Effect]:
+        max_idle_s = self._max_idle_s(engine)
         self._engine = engine
         self._is_engine_streaming = False
         self._sent_s = context.now_s
@@ -319,13 +321,22 @@
             self.timing.silence_timeout_s,
             self._last_event_id,
             expected_version,
-            None if self.route.is_repeatable else FRESH_CONNECTION_S,
+            max_idle_s,
             busy,
             busy_age_s,
             self._engine_priority(context.now_s),
         )
         return [dispatch, *notices]
 
+    def _max_idle_s(self, engine: engines.Engine) -> float | None:
+        """Return how long the connection to an engine may have been idle.
+
+        A late copy of the engine's earlier refusal has the id of this request, too.
+        """
+        if engine.entry.engine_id in self._tried:
+            return NEW_CONNECTION_S
+        return None if self.route.is_repeatable else FRESH_CONNECTION_S
+
     def _check_dispatch(self, engine: engines.Engine, context: DecisionContext) -> None:
         """Check that one more engine may run the request."""
         call_id = self.call.attempt_id
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -144,6 +144,18 @@
         effects = request.on_failure(fixture.at(0.2), decisions.DispatchFailure.BROKEN)
         self.assert_only(decisions.Fail, effects)
 
+    def test_a_request_comes_back_to_an_engine_on_a_new_connection_only(self):
+        for kind in entry_data.RequestKind:
+            fixture = Fixture(names=("a",))
+            request = fixture.make_request(make_route(kind))
+            effects = request.start(fixture.at(0.0))
+            first = self.assert_only(decisions.SendToEngine, effects)
+            self.assertNotEqual(0.0, first.max_idle_s)
+            rejected = decisions.DispatchFailure.REJECTED
+            effects = request.on_failure(fixture.at(0.1), rejected)
+            again = self.assert_only(decisions.SendToEngine, effects)
+            self.assertEqual(0.0, again.max_idle_s, kind)
+
     def test_a_failure_is_final_without_a_retry_budget(self):
         fixture = Fixture(allowance=0.0)
         request = fixture.make_request(make_route())
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -85,8 +85,8 @@
         self.start()
 
     def start(self):
-        self.clock = task.Clock()
-        self.pool = FakePool(self.clock)
+        self.clock = self.make_clock()
+        self.pool = self.make_pool()
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
         config = {
             **decoding_test.CONFIG,
@@ -123,6 +123,12 @@
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
+    def make_clock(self):
+        return task.Clock()
+
+    def make_pool(self):
+        return FakePool(self.clock)
+
     def add_engine(self, service, number):
         loaded = (entry_data.LoadedLayers(data.ModelName("m"), 1, 0, 4),)
         entry = entry_data.EngineEntry(
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -66,7 +66,7 @@
         """Send the request on an idle connection, or open a new one.
 
         :param max_idle_s: do not use a connection that has been idle for longer;
-            None for no limit besides the idle timeout.
+            None for no limit besides the idle timeout, 0 for a new connection.
         """
         connection = self._pool.pop_idle(self._address, max_idle_s)
         if connection is not None:
@@ -169,12 +169,12 @@
         """Remove and return the most recently used idle connection.
 
         :param max_idle_s: close connections that have been idle for longer; None for no
-            limit besides the idle timeout.
+            limit besides the idle timeout, 0 to use none and keep all.
         :return: None when no idle connection can be used.
         """
         now_s = self.reactor.seconds()
         idle = self._idle_connections.get(address, [])
-        while idle:
+        while idle and max_idle_s != 0.0:
             connection = idle.pop()
             limit_s = _get_idle_timeout_s(connection)
             if max_idle_s is not None:
--- /dev/null
+++ b/toucanspread/ops/http1_pool_test.py
@@ -0,0 +1,79 @@
+"""Tests over loopback which connections of the pool carry a request."""
+
+import asyncio
+import contextlib
+
+import testtools
+from twisted.internet import reactor
+
+from toucanspread.ops import http1, http1_client, http1_pool, loop
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Listener(http1_client.AnswerListener):
+    """Waits for the end of an answer."""
+
+    def __init__(self):
+        self.ended = asyncio.Event()
+
+    def on_head(self, head):
+        return True
+
+    def on_body_data(self, part):
+        return
+
+    def on_end(self):
+        self.ended.set()
+
+    def on_failure(self, failure):
+        raise AssertionError(failure)
+
+
+class IdleTimeTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        if not reactor.running:
+            reactor.startRunning(installSignalHandlers=False)
+        self.connections = []
+        self.idle_count = 0
+        self.pool = http1_pool.ConnectionPool(reactor)
+
+    async def serve(self, reader, writer):
+        number = len(self.connections)
+        self.connections.append(0)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.connections[number] += 1
+                writer.write(ANSWER)
+        writer.close()
+
+    async def send_all(self, *idle_times_s):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        headers = [http1.Header(b"Host", b"h")]
+        request = http1.render_request(http1.RequestHead(b"GET", b"/", headers), b"")
+        for max_idle_s in idle_times_s:
+            listener = Listener()
+            self.pool.send(address, request, listener, max_idle_s)
+            await asyncio.wait_for(listener.ended.wait(), 5.0)
+            await asyncio.sleep(0.01)
+        self.idle_count = 0
+        while connection := self.pool.pop_idle(address, None):
+            self.idle_count += 1
+            connection.cancel()
+        server.close()
+
+    def send(self, *idle_times_s):
+        """Send requests one after the other; return how many each connection got."""
+        loop.EVENT_LOOP.run_until_complete(self.send_all(*idle_times_s))
+        return self.connections
+
+    def test_idle_connection_is_used_again(self):
+        self.assertEqual([3], self.send(None, None, 0.5))
+
+    def test_request_that_needs_a_new_connection_leaves_the_idle_ones(self):
+        self.assertEqual([1, 1], self.send(None, 0.0))
+        self.assertEqual(2, self.idle_count)
