--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -273,11 +273,11 @@
             self._state.on_begun(now_s)
             if self.prompt.crashing_part is not None:
                 self._engine.begin_answer(self.prompt.crashing_part)
+            self._state.on_stream_opened()
         if self._first_s is None:
             self._record_first_attempt(has_begun=True)
             self._first_s = now_s - self.started_s
             self._caller_timeout.cancel()
-            self._state.on_stream_opened()
         elif now_s - self._last_event_s > MAX_EVENT_GAP_S:
             self._had_long_gap = True
         self._last_event_s = now_s
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -26,6 +26,7 @@
 # Non-repeatable requests use only connections that can't be closed by an idle timeout
 # while the request is in transit.
 FRESH_CONNECTION_S = 0.5
+NEW_CONNECTION_S = 0.0
 RETRY_AFTER_BASE_S = 0.25
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
@@ -82,6 +83,7 @@
         self._begun_s: float | None = None
         self._tried: set[str] = set()
         self._streaming = False
+        self._is_engine_streaming = False
         self._last_event_id = call.last_event_id
         self._last_failure: decisions.DispatchFailure | None = None
 
@@ -150,6 +152,7 @@
 
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
+        self._is_engine_streaming = True
         if self._streaming:
             return []
         self._streaming = True
@@ -162,12 +165,13 @@
 
     def on_answer(self, context: DecisionContext, status: int) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream."""
-        if status < 500:
+        is_rest_missing = self._streaming and not self._is_engine_streaming
+        if status < 500 and not is_rest_missing:
             self._release_engine(context, ok=True)
             return self._finish(
                 decisions.CloseStream() if self._streaming else decisions.RelayAnswer()
             )
-        # The engine ran the request and reports that it failed.
+        # The engine ran the request and reports that it failed, or does not stream.
         self._release_engine(context, ok=False, weight=1)
         if not self._streaming and not self._can_run_again(context):
             return self._finish(decisions.RelayAnswer())
@@ -312,7 +316,9 @@
     def _send_to(
         self, engine: engines.Engine, context: DecisionContext, left_s: float
     ) -> list[data.Effect]:
+        max_idle_s = self._max_idle_s(engine)
         self._engine = engine
+        self._is_engine_streaming = False
         self._sent_s = context.now_s
         self._begun_s = None
         self._tried.add(engine.entry.engine_id)
@@ -343,13 +349,22 @@
             self.timing.silence_timeout_s,
             self._last_event_id,
             expected_version,
-            None if self.route.is_repeatable else FRESH_CONNECTION_S,
+            max_idle_s,
             busy,
             busy_age_s,
             self._engine_priority(context.now_s),
         )
         return [dispatch, *notices]
 
+    def _max_idle_s(self, engine: engines.Engine) -> float | None:
+        """Return how long the connection to an engine may have been idle.
+
+        A late copy of the engine's earlier refusal has the id of this request, too.
+        """
+        if engine.entry.engine_id in self._tried:
+            return NEW_CONNECTION_S
+        return None if self.route.is_repeatable else FRESH_CONNECTION_S
+
     def _check_dispatch(self, engine: engines.Engine, context: DecisionContext) -> None:
         """Check that one more engine may run the request."""
         call_id = self.call.attempt_id
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -7,6 +7,7 @@
     decisions,
     event_stream,
     request_timing,
+    stream_progress,
 )
 from toucanspread.ops import (
     dialect,
@@ -60,7 +61,10 @@
 
 
 class EngineAnswer(http1_client.AnswerListener):
-    """Receives the answer to one dispatch and reports its events to a listener."""
+    """Receives the answer to one dispatch and reports its events to a listener.
+
+    :param is_continuation: whether the caller already has events of another dispatch.
+    """
 
     max_body_bytes = MAX_ANSWER_BYTES
 
@@ -70,6 +74,7 @@
         wire_dialect: dialect.Dialect,
         reactor,
         dispatch: decisions.SendToEngine,
+        is_continuation: bool = False,
     ):
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
@@ -81,6 +86,8 @@
         self._reactor = reactor
         self._properties: dialect.AnswerProperties | None = None
         self._splitter: event_stream.EventSplitter | None = None
+        self._progress = stream_progress.StreamProgress()
+        self._is_continuation = is_continuation
         self._is_finished = False
         self._silence_timeout_s = dispatch.silence_timeout_s
         self._timer = reactor.callLater(dispatch.silence_timeout_s, self._on_timeout)
@@ -108,7 +115,7 @@
         if properties.is_sealed and not properties.not_run:
             self._listener.on_begun(properties.weights_version)
         if properties.is_stream and properties.is_sealed and head.status == 200:
-            self._splitter = event_stream.EventSplitter()
+            self._splitter = event_stream.EventSplitter(self._is_continuation)
             self.max_body_bytes = MAX_STREAM_BYTES
             self._listener.on_stream_opened()
         return True
@@ -120,11 +127,15 @@
         if self._splitter is None:
             self.body += part
             return
-        self._restart_timer()
-        events = self._splitter.feed(part)
+        splitter = self._splitter
+        events = splitter.feed(part)
+        if self._progress.record(
+            splitter.has_completed_event, splitter.partial_event_bytes
+        ):
+            self._restart_timer()
         if events:
-            self._listener.on_events(events, self._splitter.last_event_id)
-        if self._splitter.is_event_too_large:
+            self._listener.on_events(events, splitter.last_event_id)
+        if splitter.is_event_too_large:
             self.cancel()
             self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
 
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -5,8 +5,9 @@
 
 import eliot
 import testtools
-from twisted.internet import task
+from twisted.internet import error, task
 from twisted.internet.testing import StringTransport
+from twisted.python import failure
 
 from toucanspread.core import data
 from toucanspread.core.entry import (
@@ -79,6 +80,9 @@
     def answer(self, received):
         self.connection.dataReceived(received)
 
+    def disconnect(self, kind=error.ConnectionDone):
+        self.connection.connectionLost(failure.Failure(kind()))
+
 
 class IgnoringNotifier(forwarder.EntryNotifier):
     def send_prompt_notice(self, notice):
@@ -99,14 +103,16 @@
         return outgoing
 
 
-class ForwarderTest(testtools.TestCase):
+class ForwarderCase(testtools.TestCase):
+    """Sets up a forwarder with two services of two engines each."""
+
     def setUp(self):
         super().setUp()
         self.start()
 
     def start(self):
-        self.clock = task.Clock()
-        self.pool = FakePool(self.clock)
+        self.clock = self.make_clock()
+        self.pool = self.make_pool()
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
         config = {
             **decoding_test.CONFIG,
@@ -143,6 +149,12 @@
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
+    def make_clock(self):
+        return task.Clock()
+
+    def make_pool(self):
+        return FakePool(self.clock)
+
     def add_engine(self, service, number):
         loaded = (entry_data.LoadedLayers(data.ModelName("m"), 1, 0, 4),)
         entry = entry_data.EngineEntry(
@@ -165,6 +177,8 @@
     def received(self):
         return self.transport.value()
 
+
+class ForwarderTest(ForwarderCase):
     def test_engine_gets_the_request_with_replaced_headers(self):
         sent = self.send_request().request
         self.assertIn(b"X-Tenant: t\r\n", sent)
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -84,6 +84,28 @@
         self.assertFalse(self.sent().endswith(http1.LAST_CHUNK))
         self.assertTrue(self.transport.disconnected)
 
+    def test_http_1_0_caller_gets_an_unframed_answer_that_ends_with_the_connection(
+        self,
+    ):
+        self.receive(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        exchange = self.handler.exchanges[0]
+        exchange.start(200, [])
+        exchange.write(b"one")
+        exchange.write(b"two")
+        exchange.finish()
+        self.assertNotIn(b"Transfer-Encoding", self.sent())
+        self.assertIn(b"Connection: close", self.sent())
+        self.assertTrue(self.sent().endswith(b"\r\n\r\nonetwo"))
+        self.assertTrue(self.transport.disconnecting)
+        self.assertFalse(self.transport.disconnected)
+
+    def test_http_1_0_caller_that_keeps_its_connection_is_told_of_the_close(self):
+        request = REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0")
+        self.receive(request.replace(b"Host", b"Connection: keep-alive\r\nHost"))
+        self.handler.exchanges[0].respond(200, body=b"ok")
+        self.assertIn(b"Connection: close", self.sent())
+        self.assertTrue(self.transport.disconnecting)
+
     def test_invalid_and_oversized_requests_get_their_status(self):
         cases = {
             b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 2_000 + b"\r\n\r\n": b"431",
@@ -218,6 +240,21 @@
         self.connection.dataReceived(late + own)
         self.assertEqual((b"own", ["end"]), (self.listener.body, self.listener.ends))
 
+    def test_unframed_answer_to_an_earlier_request_does_not_end_its_own(self):
+        self.listener.own = False
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nX-Id: 6\r\n\r\nlate")
+        self.disconnect(error.ConnectionDone)
+        self.assertEqual([http1_client.ExchangeFailure.CLOSED], self.listener.ends)
+
+    def test_connection_of_an_old_server_is_reused_only_if_it_says_so(self):
+        cases = {b"": False, b"Connection: keep-alive\r\n": True}
+        for line, is_kept in cases.items():
+            self.connect()
+            head = b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n" + line
+            self.connection.dataReceived(head + b"\r\nok")
+            self.assertEqual(["end"], self.listener.ends)
+            self.assertEqual(is_kept, self.connection.is_free)
+
     def test_malformed_answer_fails_the_request(self):
         self.connection.dataReceived(b"\x00\x01 nonsense\r\n\r\n")
         self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
--- a/toucanspread/ops/transfer_adapter_test.py
+++ b/toucanspread/ops/transfer_adapter_test.py
@@ -8,6 +8,7 @@
 from twisted.web import server
 
 from standins import origin as origin_standin
+from standins import running_reactor
 from toucanspread.core import data
 from toucanspread.core.transfers import manifest, transfer, transfer_events
 from toucanspread.ops import (
@@ -75,8 +76,7 @@
         self.engine = FakeEngine()
         self.transport = FakeTransport()
         self.origin_site = origin_standin.Origin(root, 1e9)
-        if not reactor.running:
-            reactor.startRunning(installSignalHandlers=False)
+        running_reactor.start(self)
         self.run_async(self.start())
 
     def run_async(self, coroutine):
