Split serving the copy of the store from following it

What the handlers of an entry serve is an abstract class, so that entry.py and entry_handlers.py no longer import each other. No behaviour changes.

--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -17,7 +17,11 @@
 from standins import link_simulation, store_copies, virtual_time
 from toucanspread.core import data, rendezvous
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import http1, view_sync
+from toucanspread.ops import (
+    excerpt_server,
+    http1,
+    view_sync,
+)
 from toucanspread.platform import decoding, entry_handlers, store
 
 ZONE = data.ZoneName("z")
@@ -178,7 +182,7 @@
         self._view = store_view.View()
         mbps = ENTRY_LINK_MBPS if is_entry else SIDECAR_LINK_MBPS
         self.machine = network.add_machine(f"{name}:1", mbps)
-        self._excerpts = view_sync.ExcerptServer(self._view, network.reactor)
+        self._excerpts = excerpt_server.ExcerptServer(self._view, network.reactor)
         pool = link_simulation.SimulatedPool(network, self.machine)
         self.synchronizer = view_sync.ViewSynchronizer(
             self._view,
--- /dev/null
+++ b/toucanspread/ops/excerpt_client.py
@@ -0,0 +1,60 @@
+"""Requests the part of another process's copy of the store that is new."""
+
+from typing import NamedTuple
+
+from toucanspread.core import data
+from toucanspread.core.view import source_selection, store_position, store_view
+from toucanspread.ops import excerpt_codec, http1, http1_pool
+
+EXCERPT_TARGET = "/excerpt"
+
+
+class ExcerptError(Exception):
+    """A peer returned no usable excerpt of its copy."""
+
+
+class ExcerptRequest(NamedTuple):
+    """A request for the part of a peer's copy that is new.
+
+    :param after: revision of the requester's own copy.
+    :param prefixes: key prefixes to return.
+    :param wait_s: how long the peer may wait for a change.
+    :param era: era of the store that the requester's copy is of.
+    """
+
+    after: int
+    prefixes: tuple[str, ...]
+    wait_s: float = 0.0
+    era: int = store_position.UNKNOWN_ERA
+
+
+async def fetch_excerpt(
+    pool: http1_pool.ConnectionPool,
+    address: data.Address,
+    request: ExcerptRequest,
+    timeout_s: float,
+) -> store_view.Excerpt:
+    """Return the requested part of another process's copy.
+
+    :raises ExcerptError: when that process returns no usable excerpt.
+    """
+    query = f"after={request.after}&wait_ms={int(request.wait_s * 1000)}"
+    query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
+    query += f"&era={request.era}"
+    head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
+    try:
+        reply = await pool.call(
+            address,
+            head,
+            timeout_s=timeout_s,
+            stall_timeout_s=source_selection.ANSWER_GRACE_S,
+            max_body_bytes=excerpt_codec.MAX_ENCODED_BYTES,
+        )
+    except http1_pool.CallError as error:
+        raise ExcerptError(str(error)) from error
+    if reply.status != 200:
+        raise ExcerptError(f"{address} answered with status {reply.status}")
+    try:
+        return excerpt_codec.decode_excerpt(reply.body)
+    except excerpt_codec.ExcerptDecodeError as error:
+        raise ExcerptError(f"{address}: malformed excerpt: {error}") from error
--- /dev/null
+++ b/toucanspread/ops/excerpt_server.py
@@ -0,0 +1,100 @@
+"""Serves excerpts of this process's copy of the store to processes that follow it."""
+
+from toucanspread.core.view import store_position, store_view
+from toucanspread.ops import (
+    excerpt_client,
+    excerpt_codec,
+    http1_server,
+    metric_buffer,
+)
+
+EMPTY_VIEW_WAIT_S = 0.8  # a starting process answers 503 if it has no copy by then
+
+
+class ExcerptServer:
+    """Serves excerpts of this process's copy to peers, by long polling."""
+
+    def __init__(self, view: store_view.View, reactor):
+        self._view = view
+        self._reactor = reactor
+        self._encoder = excerpt_codec.ExcerptEncoder()
+        self._waiting: dict[http1_server.Exchange, _WaitingRequest] = {}
+
+    def on_request(
+        self,
+        exchange: http1_server.Exchange,
+        request: excerpt_client.ExcerptRequest,
+        can_decompress: bool = False,
+    ) -> None:
+        """Answer now if there is a change, else on a change or after the wait.
+
+        :param can_decompress: whether the peer accepts compressed changes.
+        """
+        waiting = _WaitingRequest(request, can_decompress)
+        wait_s = request.wait_s
+        if self._view.is_empty:
+            wait_s = max(wait_s, EMPTY_VIEW_WAIT_S)
+        elif self._is_behind(request) or wait_s <= 0:
+            excerpt = self._make_excerpt(waiting)
+            if excerpt.is_whole or excerpt.changes:
+                self._send(exchange, waiting, excerpt)
+                return
+        waiting.timer = self._reactor.callLater(wait_s, self._answer, exchange)
+        exchange.on_disconnected = lambda: self._remove_waiting(exchange)
+        self._waiting[exchange] = waiting
+
+    def _is_behind(self, request: excerpt_client.ExcerptRequest) -> bool:
+        era = request.era or self._view.position.era
+        return store_position.StorePosition(era, request.after) < self._view.position
+
+    def notify_waiters(self) -> None:
+        """Answer the waiting requests that a change concerns."""
+        for exchange, waiting in list(self._waiting.items()):
+            excerpt = self._make_excerpt(waiting)
+            if excerpt.changes:
+                self._remove_waiting(exchange)
+                self._send(exchange, waiting, excerpt)
+
+    def _answer(self, exchange: http1_server.Exchange) -> None:
+        waiting = self._remove_waiting(exchange)
+        if waiting is None:
+            return
+        if self._view.is_empty:
+            exchange.respond(503)
+            return
+        self._send(exchange, waiting, self._make_excerpt(waiting))
+
+    def _remove_waiting(
+        self, exchange: http1_server.Exchange
+    ) -> "_WaitingRequest | None":
+        waiting = self._waiting.pop(exchange, None)
+        if waiting is not None and waiting.timer.active():
+            waiting.timer.cancel()
+        return waiting
+
+    def _make_excerpt(self, waiting: "_WaitingRequest") -> store_view.Excerpt:
+        now_s = self._reactor.seconds()
+        request = waiting.request
+        return self._view.make_excerpt(
+            request.after, request.prefixes, now_s, request.era
+        )
+
+    def _send(
+        self,
+        exchange: http1_server.Exchange,
+        waiting: "_WaitingRequest",
+        excerpt: store_view.Excerpt,
+    ) -> None:
+        body = self._encoder.encode(excerpt, waiting.can_decompress)
+        metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
+        metric_buffer.count("excerpt_bytes_sent", len(body))
+        exchange.respond(200, body=body)
+
+
+class _WaitingRequest:
+    """An unanswered request with the timer that ends its wait."""
+
+    def __init__(self, request: excerpt_client.ExcerptRequest, can_decompress: bool):
+        self.request = request
+        self.can_decompress = can_decompress
+        self.timer = None
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -15,22 +15,14 @@
     store_view,
 )
 from toucanspread.ops import (
-    excerpt_codec,
-    http1,
+    excerpt_client,
     http1_pool,
-    http1_server,
     logs,
     metric_buffer,
     prefix_store,
 )
 
-EXCERPT_TARGET = "/excerpt"
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
-EMPTY_VIEW_WAIT_S = 0.8  # a starting process answers 503 if it has no copy by then
-
-
-class ExcerptError(Exception):
-    """A peer returned no usable excerpt of its copy."""
 
 
 class PeerDiscovery(NamedTuple):
@@ -144,7 +136,7 @@
                 await self._sync_from_store()
             else:
                 await self._sync_from_peer(source)
-        except (prefix_store.StoreError, ExcerptError) as error:
+        except (prefix_store.StoreError, excerpt_client.ExcerptError) as error:
             self._record_failure(source, error)
             await asyncio.sleep(0)
             return
@@ -261,10 +253,10 @@
         timeout_s = wait_s + source_selection.ANSWER_GRACE_S
         if self.view.is_empty:
             timeout_s += FIRST_COPY_EXTRA_TIMEOUT_S
-        excerpt = await fetch_excerpt(
+        excerpt = await excerpt_client.fetch_excerpt(
             self._pool,
             source.address,
-            ExcerptRequest(
+            excerpt_client.ExcerptRequest(
                 0 if self._needs_whole_excerpt else self.view.revision,
                 self._prefixes,
                 wait_s,
@@ -295,17 +287,21 @@
     def _check_era(self, excerpt: store_view.Excerpt) -> None:
         """Check that an excerpt can be applied to the copy.
 
-        :raises ExcerptError: when it is of an earlier era, or has only the changes of a
-            later one.
+        :raises excerpt_client.ExcerptError: when it is of an earlier era, or has only
+            the changes of a later one.
         """
         own_era = self.view.position.era
         if excerpt.era in (store_position.UNKNOWN_ERA, own_era):
             return
         if excerpt.era < own_era:
-            raise ExcerptError(f"copy of era {excerpt.era}, not {own_era}")
+            raise excerpt_client.ExcerptError(
+                f"copy of era {excerpt.era}, not {own_era}"
+            )
         if not excerpt.is_whole:
             self._needs_whole_excerpt = True
-            raise ExcerptError(f"changes of era {excerpt.era} for one of {own_era}")
+            raise excerpt_client.ExcerptError(
+                f"changes of era {excerpt.era} for one of {own_era}"
+            )
 
     def _notify_changes(self, changes: list[store_view.KeyChange]) -> None:
         self._undelivered += changes
@@ -335,139 +331,3 @@
                 kind=type(error).__name__,
                 why=str(error),
             )
-
-
-class ExcerptRequest(NamedTuple):
-    """A request for the part of a peer's copy that is new.
-
-    :param after: revision of the requester's own copy.
-    :param prefixes: key prefixes to return.
-    :param wait_s: how long the peer may wait for a change.
-    :param era: era of the store that the requester's copy is of.
-    """
-
-    after: int
-    prefixes: tuple[str, ...]
-    wait_s: float = 0.0
-    era: int = store_position.UNKNOWN_ERA
-
-
-async def fetch_excerpt(
-    pool: http1_pool.ConnectionPool,
-    address: data.Address,
-    request: ExcerptRequest,
-    timeout_s: float,
-) -> store_view.Excerpt:
-    """Return the requested part of another process's copy.
-
-    :raises ExcerptError: when that process returns no usable excerpt.
-    """
-    query = f"after={request.after}&wait_ms={int(request.wait_s * 1000)}"
-    query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
-    query += f"&era={request.era}"
-    head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
-    try:
-        reply = await pool.call(
-            address,
-            head,
-            timeout_s=timeout_s,
-            stall_timeout_s=source_selection.ANSWER_GRACE_S,
-            max_body_bytes=excerpt_codec.MAX_ENCODED_BYTES,
-        )
-    except http1_pool.CallError as error:
-        raise ExcerptError(str(error)) from error
-    if reply.status != 200:
-        raise ExcerptError(f"{address} answered with status {reply.status}")
-    try:
-        return excerpt_codec.decode_excerpt(reply.body)
-    except excerpt_codec.ExcerptDecodeError as error:
-        raise ExcerptError(f"{address}: malformed excerpt: {error}") from error
-
-
-class ExcerptServer:
-    """Serves excerpts of this process's copy to peers, by long polling."""
-
-    def __init__(self, view: store_view.View, reactor):
-        self._view = view
-        self._reactor = reactor
-        self._encoder = excerpt_codec.ExcerptEncoder()
-        self._waiting: dict[http1_server.Exchange, _WaitingRequest] = {}
-
-    def on_request(
-        self,
-        exchange: http1_server.Exchange,
-        request: ExcerptRequest,
-        can_decompress: bool = False,
-    ) -> None:
-        """Answer now if there is a change, else on a change or after the wait.
-
-        :param can_decompress: whether the peer accepts compressed changes.
-        """
-        waiting = _WaitingRequest(request, can_decompress)
-        wait_s = request.wait_s
-        if self._view.is_empty:
-            wait_s = max(wait_s, EMPTY_VIEW_WAIT_S)
-        elif self._is_behind(request) or wait_s <= 0:
-            excerpt = self._make_excerpt(waiting)
-            if excerpt.is_whole or excerpt.changes:
-                self._send(exchange, waiting, excerpt)
-                return
-        waiting.timer = self._reactor.callLater(wait_s, self._answer, exchange)
-        exchange.on_disconnected = lambda: self._remove_waiting(exchange)
-        self._waiting[exchange] = waiting
-
-    def _is_behind(self, request: ExcerptRequest) -> bool:
-        era = request.era or self._view.position.era
-        return store_position.StorePosition(era, request.after) < self._view.position
-
-    def notify_waiters(self) -> None:
-        """Answer the waiting requests that a change concerns."""
-        for exchange, waiting in list(self._waiting.items()):
-            excerpt = self._make_excerpt(waiting)
-            if excerpt.changes:
-                self._remove_waiting(exchange)
-                self._send(exchange, waiting, excerpt)
-
-    def _answer(self, exchange: http1_server.Exchange) -> None:
-        waiting = self._remove_waiting(exchange)
-        if waiting is None:
-            return
-        if self._view.is_empty:
-            exchange.respond(503)
-            return
-        self._send(exchange, waiting, self._make_excerpt(waiting))
-
-    def _remove_waiting(
-        self, exchange: http1_server.Exchange
-    ) -> "_WaitingRequest | None":
-        waiting = self._waiting.pop(exchange, None)
-        if waiting is not None and waiting.timer.active():
-            waiting.timer.cancel()
-        return waiting
-
-    def _make_excerpt(self, waiting: "_WaitingRequest") -> store_view.Excerpt:
-        now_s = self._reactor.seconds()
-        request = waiting.request
-        return self._view.make_excerpt(
-            request.after, request.prefixes, now_s, request.era
-        )
-
-    def _send(
-        self,
-        exchange: http1_server.Exchange,
-        waiting: "_WaitingRequest",
-        excerpt: store_view.Excerpt,
-    ) -> None:
-        body = self._encoder.encode(excerpt, waiting.can_decompress)
-        metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
-        metric_buffer.count("excerpt_bytes_sent", len(body))
-        exchange.respond(200, body=body)
-
-
-class _WaitingRequest:
-    """An unanswered request with the timer that ends its wait."""
-
-    def __init__(self, request: ExcerptRequest, can_decompress: bool):
-        self.request = request
-        self.can_decompress = can_decompress
-        self.timer = None
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -19,6 +19,7 @@
 )
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.ops import (
+    excerpt_server,
     forwarder,
     http1_pool,
     http1_server,
@@ -45,7 +46,7 @@
 EXIT_MARGIN_S = 0.5  # the process exits this long before the platform kills it
 
 
-class Entry:
+class Entry(entry_handlers.EntryState):
     """The program, assembled from its parts.
 
     :param path: of the settings file.
@@ -67,7 +68,7 @@
             process_settings.bounds.drain_ms / 1000,
         )
         self.view = store_view.View()
-        self.excerpts = view_sync.ExcerptServer(self.view, reactor)
+        self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
         self._store = store.PlatformStore(pool, process_settings.platform.address)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -5,7 +5,8 @@
 reports.
 """
 
-import typing
+import abc
+import random
 import urllib.parse
 
 import msgspec
@@ -17,6 +18,8 @@
 from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
+    excerpt_client,
+    excerpt_server,
     forwarder,
     http1,
     http1_server,
@@ -24,12 +27,8 @@
     loop,
     piece_cache,
     process,
-    view_sync,
 )
 
-if typing.TYPE_CHECKING:
-    from toucanspread.platform import entry as program
-
 ADDRESS_LIST_TTL_S = 2.0  # a stopping entry is in no caller's list after this time
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -79,13 +78,34 @@
             self.transport.write(payload, (host, int(port)))
 
 
+class EntryState(abc.ABC):
+    """What the handlers serve of the program of an entry.
+
+    :ivar is_leaving: whether it is shutting down.
+    :ivar cluster: its view of the system.
+    :ivar excerpts: serves its copy of the store.
+    :ivar pieces: its pieces of weights.
+    """
+
+    is_leaving: bool
+    cluster: cluster_state.ClusterState
+    excerpts: excerpt_server.ExcerptServer
+    pieces: piece_cache.PieceCache
+    random_source: random.Random
+
+    @property
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Return whether callers should connect to this entry."""
+
+
 class _LowTrafficHandler(http1_server.RequestHandler):
     """Serves requests that are few and small.
 
     :param entry: the program whose state is served.
     """
 
-    def __init__(self, entry: "program.Entry"):
+    def __init__(self, entry: EntryState):
         self._entry = entry
 
     def get_limits(self) -> http1_server.Limits:
@@ -138,8 +158,8 @@
             key: values[0] for key, values in urllib.parse.parse_qs(query).items()
         }
         try:
-            if path == view_sync.EXCERPT_TARGET:
-                request = view_sync.ExcerptRequest(
+            if path == excerpt_client.EXCERPT_TARGET:
+                request = excerpt_client.ExcerptRequest(
                     int(arguments["after"]),
                     tuple(arguments["prefixes"].split(",")),
                     int(arguments["wait_ms"]) / 1000,
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -18,6 +18,7 @@
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.core.weights import staging, waves
 from toucanspread.ops import (
+    excerpt_client,
     http1_pool,
     logs,
     loop,
@@ -167,19 +168,19 @@
         Entries of the same zone are asked before the store, since the configuration may
         be large and the store may be reached over a link between regions.
         """
-        request = view_sync.ExcerptRequest(0, (decoding.CONFIGURATION_KEY,))
+        request = excerpt_client.ExcerptRequest(0, (decoding.CONFIGURATION_KEY,))
         zone_entries = [
             e for e in self._directory.serving() if e.zone == self.process_settings.zone
         ]
         for entry in zone_entries[:MAX_QUERIED_ENTRIES]:
             try:
-                excerpt = await view_sync.fetch_excerpt(
+                excerpt = await excerpt_client.fetch_excerpt(
                     self._pool,
                     data.Address(entry.control),
                     request,
                     CONFIGURATION_TIMEOUT_S,
                 )
-            except view_sync.ExcerptError as error:
+            except excerpt_client.ExcerptError as error:
                 logs.write("entry_without_configuration", why=str(error))
                 continue
             if excerpt.changes:
