Let simulated engines learn of a withdrawal only after the network delay

What was seen: the simulation removed a withdrawn request from its engine at the moment of the decision, so its tests could not show a begin between the withdrawal and its arrival.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -5,6 +5,7 @@
 
 import abc
 import dataclasses
+import functools
 import random
 
 from standins import (
@@ -152,12 +153,27 @@
             self._fail_dispatch(decisions.DispatchFailure.WITHDRAWN)
 
     def _cancel_job(self) -> None:
-        """Withdraw the request from its engine."""
+        """Withdraw the request from its engine, which learns of it after a delay."""
         self._entry.in_progress.pop(self, None)
-        if self._job is not None:
-            self._engine.jobs.pop(self._job, None)
-            self._engine.model.cancel(self._job)
-            self._job = None
+        job, engine = self._job, self._engine
+        if job is None:
+            return
+        self._job = None
+        engine.jobs.pop(job, None)
+        job.on_event = functools.partial(self._on_withdrawn_event, engine, job)
+        job.on_end = _do_nothing
+        self._simulation.call_after_delay(
+            self._entry.zone, engine.zone, engine.model.cancel, job
+        )
+
+    def _on_withdrawn_event(
+        self, engine: simulated_cluster.SimulatedEngine, job: engine_model.Job
+    ) -> None:
+        """Check a begin of which the engine has not learned that it is not wanted."""
+        if job.generated_tokens > engine_model.TOKENS_PER_EVENT:
+            return
+        now_s = self._simulation.clock.seconds()
+        self._simulation.version_check.record_begin(now_s, engine.version)
 
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
@@ -333,3 +349,7 @@
         self._entry = self._simulation.choose_entry()
         self._state = self._make_state()
         self.start()
+
+
+def _do_nothing() -> None:
+    return
