Count the grace period of a restarted entry from its start

What was seen: an entry whose first copy of the store arrives 1.5 s after its start uses older weights until 4.1 s after its start, and withdraws what has not begun at 4.3 s. It is in touch from 3.0 s on (stable_ms), so requests that it sends until then may break VERSION.

Cause: the grace period of 2.6 s, which is stable_ms less the margin of a dispatch, counted from the receipt of the first copy. That comes after the start of the interpreter, the imports and the first reads.

Evidence: ChangeTiming(51.5, -inf).due_s(7.6) is 54.1 for a process that started at 50.0; the new test fails without the change (3 != 0).

Why the fix works: the start is known, and the processor time used so far is a lower bound for the process's age at the time of its first look at the clock. A process that was only disconnected keeps the grace period since the receipt: the time of VERSION begins anew after a disrupted link.

--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -54,19 +54,22 @@
 
     :param earliest_in_force_s: last time at which the store certainly did not have it.
     :param outage_ended_s: end of the last known outage that affected all processes.
+    :param started_s: start of this process; None if unknown.
     """
 
     received_s: float
     earliest_in_force_s: float
     outage_ended_s: float = float("-inf")
+    started_s: float | None = None
 
     def due_s(self, within_s: float) -> float:
         """Return the time by which the change has to be carried out.
 
         A process that received nothing from the store for longer than
-        ``MAX_TRUSTED_AGE_S`` was restarted or disconnected, and gets a grace period. If
-        the store was unavailable to all processes, the time counts from the end of that
-        outage.
+        ``MAX_TRUSTED_AGE_S`` was restarted or disconnected, and gets a grace period.
+        That of a restarted process counts from its start, however late its first copy
+        of the store is. If the store was unavailable to all processes, the time counts
+        from the end of that outage.
         """
         due_s = self.earliest_in_force_s + within_s
         if (
@@ -76,7 +79,11 @@
             return due_s
         if self.received_s - self.outage_ended_s <= OUTAGE_REPORT_MAX_AGE_S:
             return self.outage_ended_s + within_s
-        return max(due_s, self.received_s + RESTART_GRACE_S)
+        grace_from_s = self.received_s
+        has_no_earlier_copy = self.earliest_in_force_s == float("-inf")
+        if has_no_earlier_copy and self.started_s is not None:
+            grace_from_s = self.started_s
+        return max(due_s, grace_from_s + RESTART_GRACE_S)
 
 
 class EntrySeen(data.Event):
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -45,6 +45,24 @@
         self.assertEqual(0, self.minimum(50.0))
         self.assertEqual(3, self.minimum(53.0))
 
+    def test_the_grace_period_after_a_restart_is_no_longer_if_the_first_copy_is_late(
+        self,
+    ):
+        timing = cluster_state.ChangeTiming(51.5, float("-inf"), started_s=50.0)
+        named = cluster_state.VersionNamed(MODEL, 3)
+        self.cluster_state.apply(named, timing, False)
+        self.assertEqual(0, self.minimum(52.5))
+        self.assertEqual(3, self.minimum(52.7))
+
+    def test_a_process_that_was_disconnected_long_after_its_start_has_a_grace_period(
+        self,
+    ):
+        timing = cluster_state.ChangeTiming(50.0, 41.0, started_s=1.0)
+        named = cluster_state.VersionNamed(MODEL, 3)
+        self.cluster_state.apply(named, timing, False)
+        self.assertEqual(0, self.minimum(52.5))
+        self.assertEqual(3, self.minimum(52.7))
+
     def test_the_time_counts_from_the_end_of_a_global_outage(self):
         self.name_version(3, received_s=50.0, earliest_s=42.0, outage_ended_s=49.8)
         self.assertEqual(0, self.minimum(49.8 + WITHIN_S - 0.5))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import time
 
 import msgspec
 from twisted.internet import reactor
@@ -62,6 +63,8 @@
         self.process_settings = process_settings
         self.random_source = random.Random()
         self.is_leaving = False
+        # The process is at least as old as the processor time that it has used.
+        self._started_s = reactor.seconds() - time.process_time()
         self.cluster = cluster_state.ClusterState(
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
@@ -210,7 +213,10 @@
         now_s = reactor.seconds()
         synchronizer = self._synchronizer
         timing = cluster_state.ChangeTiming(
-            now_s, synchronizer.previous_confirmed_s, synchronizer.outage_until_s
+            now_s,
+            synchronizer.previous_confirmed_s,
+            synchronizer.outage_until_s,
+            self._started_s,
         )
         store_was_unavailable = (
             now_s - synchronizer.store_failed_s < STORE_OUTAGE_GRACE_S
