Count the grace period of a removed engine from its removal

What was seen: an entry whose copy of the store was 1 s old when it learned of a removal used the engine until 1.5 s after that, so until up to 2.5 s after the acknowledgement (drain_ms 2,000, DRAIN).

Cause: the grace period counted from the receipt of the change, though a copy may be up to 2 s old. It is of the class of faults whose promise is kept only at the time of another event.

Evidence: the first test of RemovedEngineTest fails without the change (usable 1.6 s after the latest time at which the engine certainly had its entry).

Why the fix works: the change carries the time of the previous copy. What was removed during or after an outage still has the whole grace period, as its owner may only have been unable to renew it.

--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -85,6 +85,18 @@
             grace_from_s = self.started_s
         return max(due_s, grace_from_s + RESTART_GRACE_S)
 
+    @property
+    def removed_s(self) -> float:
+        """Return the time from which a removal that is the change counts.
+
+        What was removed while a process received nothing may have expired only because
+        its owner could not renew it, and gets time to return.
+        """
+        age_s = self.received_s - self.earliest_in_force_s
+        if age_s > source_selection.MAX_TRUSTED_AGE_S:
+            return self.received_s
+        return self.earliest_in_force_s
+
 
 class EntrySeen(data.Event):
     """The record of an entry was read from the store."""
@@ -174,7 +186,8 @@
             case EngineSeen(entry):
                 return self.registry.put(entry)
             case EngineRemoved(engine_id):
-                self.registry.remove(engine_id, now_s)
+                removed_s = now_s if store_was_unavailable else timing.removed_s
+                self.registry.remove(engine_id, removed_s)
             case VersionNamed(model, version):
                 return self.versions_of(model).add(version, timing)
             case EntrySeen(record):
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -92,3 +92,42 @@
         self.name_version(3, 104.0, 104.0)
         upcoming = self.cluster_state.upcoming_versions(SERVICE, 109.0)
         self.assertEqual([3], [version.version for version in upcoming])
+
+
+class RemovedEngineTest(testtools.TestCase):
+    """An engine whose entry was removed answers for two more seconds."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster_state = cluster_state.ClusterState(WITHIN_S, drain_s=2.0)
+        entry = entry_data.EngineEntry(
+            "e",
+            SERVICE.name,
+            data.Address("10.0.0.1:1"),
+            data.ZoneName("z"),
+            16,
+            entry_data.EngineState.READY,
+        )
+        timing = cluster_state.ChangeTiming(90.0, 90.0)
+        self.cluster_state.apply(cluster_state.EngineSeen(entry), timing, False)
+
+    def remove(self, received_s, earliest_s, store_was_unavailable=False):
+        """Return the engine after its entry was removed."""
+        timing = cluster_state.ChangeTiming(received_s, earliest_s)
+        removed = cluster_state.EngineRemoved("e")
+        self.cluster_state.apply(removed, timing, store_was_unavailable)
+        return self.cluster_state.registry.get("e")
+
+    def test_no_request_is_sent_to_an_engine_that_may_have_been_gone_for_its_time(self):
+        engine = self.remove(received_s=101.0, earliest_s=100.0)
+        self.assertTrue(engine.is_usable(101.4))
+        self.assertFalse(engine.is_usable(101.6))
+
+    def test_an_engine_that_was_removed_during_a_long_outage_gets_time_to_return(self):
+        engine = self.remove(received_s=110.0, earliest_s=100.0)
+        self.assertTrue(engine.is_usable(111.4))
+        self.assertFalse(engine.is_usable(111.6))
+
+    def test_an_engine_that_was_removed_right_after_an_outage_gets_time_to_return(self):
+        engine = self.remove(101.0, 100.0, store_was_unavailable=True)
+        self.assertTrue(engine.is_usable(102.4))
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -183,11 +183,14 @@
         known.usable_until_s = None
         return False
 
-    def remove(self, engine_id: str, now_s: float) -> None:
-        """Record that the entry of an engine was removed from the store."""
+    def remove(self, engine_id: str, removed_s: float) -> None:
+        """Record that the entry of an engine was removed from the store.
+
+        :param removed_s: time at which it may have been removed.
+        """
         engine = self._engines.get(engine_id)
         if engine is not None and engine.usable_until_s is None:
-            engine.usable_until_s = now_s + self._removed_grace_s
+            engine.usable_until_s = removed_s + self._removed_grace_s
 
     def drop_removed(self, now_s: float) -> list[str]:
         """Drop engines whose entries were not written again; return their ids."""
