Don't replace an engine's weights by an older version

What was seen: a stager whose engine has version 3, and which is told of version 2 only, collects version 2 and orders the engine to load it.

Cause: any version other than the target counted as not loaded. A sidecar that has started again may know only an older version, or none yet, while its copy of the store is old. Its target is then older than what the engine has, also than what entries require (VERSION).

Evidence: the first new test of staging_test.py fails without the change ([] != [2]).

Why the fix works: versions increase, so an engine with a newer one has loaded what is asked for.

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -131,7 +131,7 @@
 
     def is_quiet(self, now_s: float) -> bool:
         """Return whether entries should send the engine no new requests."""
-        if self._report is None or self._report.version == self.target.version:
+        if self._report is None or self._report.version >= self.target.version:
             return False
         if not self._report.version or not self.target.is_whole:
             return False
@@ -254,10 +254,14 @@
 
     @property
     def _has_loaded_target(self) -> bool:
-        """Return whether the engine reports that it has loaded the target."""
+        """Return whether the engine reports that it has loaded the target.
+
+        It may have a newer version if this process has started with an older copy of
+        the store.
+        """
         if self._report is None or self._report.is_busy:
             return False
-        return self._report.version == self.target.version
+        return self._report.version >= self.target.version
 
     def _adapt_concurrency(self, took_s: float) -> None:
         """Fetch one piece at a time while the link is slower than configured."""
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -129,6 +129,21 @@
         self.engine.run([])
         self.assertEqual([1], self.engine.orders)
 
+    def test_an_engine_with_newer_weights_than_those_known_keeps_them(self):
+        """A process that has just started may have an older copy of the store."""
+        self.engine.version = 3
+        self.engine.report()
+        self.engine.run(self.stager.on_version_named(2, staging.IMMEDIATE, 0.0))
+        self.engine.now_s = 1.0
+        self.engine.run([])
+        self.assertEqual([], self.engine.orders)
+
+    def test_a_version_that_was_named_after_the_newer_weights_is_loaded(self):
+        self.engine.version = 3
+        self.engine.report()
+        self.engine.run(self.stager.on_version_named(4, staging.IMMEDIATE, 0.0))
+        self.assertEqual([4], self.engine.orders)
+
     def _name_two_versions(self, second_s):
         self.engine.version = 1
         self.engine.report()
