Go on with withdrawals after one has failed

What was seen: when the withdrawal of one request raises an exception, those after it stay at engines whose weights are too old.

Cause: one loop withdraws all requests and ends at the first exception, as of an invariant or of an address to which no connection can be opened.

Evidence: the new test of forwarder_test.py fails without the change.

Why the fix works: each failure is logged and counted, and the next request is withdrawn.

--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -18,6 +18,7 @@
     http1_pool,
     http1_server,
     logs,
+    loop,
     metric_buffer,
     request_queue,
 )
@@ -145,7 +146,10 @@
 
     def _withdraw_outdated(self) -> None:
         for request in list(self.in_progress):
-            request.withdraw_if_outdated()
+            try:
+                request.withdraw_if_outdated()
+            except Exception as exception:
+                loop.log_failure("withdrawal", exception)
 
     def _refuse_unconfigured(
         self, exchange: http1_server.Exchange, call: entry_data.Call
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -347,6 +347,24 @@
             [(1, 2)], [(e["version"], e["minimum_version"]) for e in events]
         )
 
+    def test_a_request_that_cannot_be_withdrawn_does_not_keep_others_at_old_weights(
+        self,
+    ):
+        class FailingRequest:
+            def withdraw_if_outdated(self):
+                raise ValueError("address of the next engine")
+
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        engine = self.send_request()
+        self.forwarder.in_progress.update(FailingRequest() for _ in range(30))
+        named = cluster_state.VersionNamed(service.profile.model, 2)
+        self.cluster.apply(named, cluster_state.ChangeTiming(-8.0, -8.0), False)
+        self.forwarder.schedule_withdrawal(0.0)
+        with capture_events("task_failed") as failures:
+            self.clock.advance(0.0)
+        self.assertTrue(engine.cancelled)
+        self.assertEqual(30, len(failures))
+
     def test_what_has_not_begun_is_withdrawn_from_weights_that_become_too_old(self):
         service = self.cluster.route_table.services[data.ServiceName("s1")]
         first = self.send_request()
