Tell engines the time that is left when their connection is open

Cause: the head was rendered before the connection was opened.

Evidence: SlowConnectionTest fails without the change.

Why the fix works: the request is rendered when it is sent. What an engine accepts late after that still has the time that was left when it was sent.

--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -225,7 +225,7 @@
             listener, requests.PlatformDialect(), reactor, dispatch
         )
         request = http1.render_request(http1.RequestHead(b"GET", b"/", []), b"")
-        answer.outgoing = self.pool.send(address, request, answer)
+        answer.outgoing = self.pool.send(address, lambda: request, answer)
         return run(asyncio.wait_for(listener.failure, ENGINE_TIMEOUT_S))
 
     def test_answers_of_engines_without_end_are_malformed(self):
--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -161,10 +161,10 @@
         self._network = network
         self._machine = machine
 
-    def send(self, address, request, listener, max_idle_s=None) -> Exchange:
-        """Send a rendered request; the listener receives its answer."""
+    def send(self, address, render, listener, max_idle_s=None) -> Exchange:
+        """Send a request; the listener receives its answer."""
         server = self._network.machines[address]
-        head = _parse_request(request)
+        head = _parse_request(render())
         exchange = Exchange(self._network, self._machine, server, head, listener)
         exchange.start()
         return exchange
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -4,6 +4,9 @@
 """
 
 import abc
+import functools
+
+import msgspec
 
 from toucanspread.core import data
 from toucanspread.core.entry import (
@@ -227,9 +230,6 @@
 
     def _send(self, effect: decisions.SendToEngine) -> None:
         forwarder = self._forwarder
-        head = forwarder.wire_dialect.make_engine_head(
-            self.exchange.head, effect, self._team
-        )
         self._answer = engine_answer.EngineAnswer(
             self,
             forwarder.wire_dialect,
@@ -237,7 +237,6 @@
             effect,
             is_continuation=self._stream_timing.first_s is not None,
         )
-        request = http1.render_request(head, self.exchange.body)
         if self.call.prompt_tokens:
             forwarder.notify_prompt_sent(
                 entry_data.PromptSent(
@@ -257,10 +256,23 @@
             configuration=forwarder.cluster.route_table.version,
         )
         outgoing = forwarder.pool.send(
-            effect.address, request, self._answer, effect.max_idle_s
+            effect.address,
+            functools.partial(self._render_for_engine, effect),
+            self._answer,
+            effect.max_idle_s,
         )
         self._answer.outgoing = outgoing
 
+    def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes:
+        """Return the request with the time that is left now."""
+        left_s = self._state.deadline_s - self._forwarder.pool.reactor.seconds()
+        head = self._forwarder.wire_dialect.make_engine_head(
+            self.exchange.head,
+            msgspec.structs.replace(effect, budget_s=min(effect.budget_s, left_s)),
+            self._team,
+        )
+        return http1.render_request(head, self.exchange.body)
+
     def _notify_entries(self, effect: decisions.NotifyEntries) -> None:
         self._forwarder.notify_limit(effect.notice)
 
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -6,7 +6,7 @@
 import eliot
 import testtools
 from twisted.internet import error, task
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python import failure
 
 from toucanspread.core import data
@@ -97,8 +97,8 @@
         super().__init__(clock)
         self.sent = []
 
-    def send(self, address, request, listener, max_idle_s=None):
-        outgoing = FakeOutgoingRequest(address, request, listener)
+    def send(self, address, render, listener, max_idle_s=None):
+        outgoing = FakeOutgoingRequest(address, render(), listener)
         self.sent.append(outgoing)
         return outgoing
 
@@ -377,3 +377,32 @@
         self.clock.advance(0.02)
         self.assertTrue(first.cancelled)
         self.assertIn(b"HTTP/1.1 502", self.received())
+
+
+class FakeSocket:
+    def setsockopt(self, level, option, value):
+        return
+
+
+class OpenedTransport(Transport):
+    def getHandle(self):  # noqa: N802
+        return FakeSocket()
+
+
+class SlowConnectionTest(ForwarderCase):
+    """The connection to an engine is open only some time after the dispatch."""
+
+    def make_clock(self):
+        return MemoryReactorClock()
+
+    def make_pool(self):
+        return http1_pool.ConnectionPool(self.clock)
+
+    def test_an_engine_gets_no_more_time_than_is_left_when_its_connection_is_open(self):
+        self.connection.dataReceived(REQUEST)
+        _, _, factory, _, _ = self.clock.tcpClients[0]
+        self.clock.advance(0.55)
+        engine = factory.buildProtocol(None)
+        transport = OpenedTransport()
+        engine.makeConnection(transport)
+        self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -51,12 +51,21 @@
 
 
 class OutgoingRequest:
-    """Request in progress, from opening its connection to the end of its answer."""
+    """Request in progress, from opening its connection to the end of its answer.
 
-    def __init__(self, pool: "ConnectionPool", address: str, request: bytes, listener):
+    :param render: returns the request once its connection is open.
+    """
+
+    def __init__(
+        self,
+        pool: "ConnectionPool",
+        address: str,
+        render: Callable[[], bytes],
+        listener,
+    ):
         self._pool = pool
         self._address = address
-        self._request = request
+        self._render = render
         self._listener = listener
         self._connector = None
         self._connection: http1_client.ClientConnection | None = None
@@ -107,7 +116,7 @@
 
     def _send_on(self, connection: http1_client.ClientConnection) -> None:
         self._connection = connection
-        connection.send(self._request, self._listener)
+        connection.send(self._render(), self._listener)
 
 
 class _ConnectionFactory(protocol.ClientFactory):
@@ -159,12 +168,16 @@
     def send(
         self,
         address: str,
-        request: bytes,
+        render: Callable[[], bytes],
         listener: http1_client.AnswerListener,
         max_idle_s: float | None = None,
     ) -> OutgoingRequest:
-        """Send a rendered request; the listener receives its answer."""
-        outgoing = OutgoingRequest(self, address, request, listener)
+        """Send a request; the listener receives its answer.
+
+        :param render: returns the request once its connection is open, as the request
+            may name the time that is left.
+        """
+        outgoing = OutgoingRequest(self, address, render, listener)
         outgoing.start(max_idle_s)
         return outgoing
 
@@ -243,7 +256,8 @@
         listener = _AnswerCollector(max_body_bytes)
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
-        outgoing = self.send(address, http1.render_request(head, body), listener)
+        request = http1.render_request(head, body)
+        outgoing = self.send(address, lambda: request, listener)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 if stall_timeout_s is not None:
--- a/toucanspread/ops/http1_pool_test.py
+++ b/toucanspread/ops/http1_pool_test.py
@@ -57,7 +57,7 @@
         request = http1.render_request(http1.RequestHead(b"GET", b"/", headers), b"")
         for max_idle_s in idle_times_s:
             listener = Listener()
-            self.pool.send(address, request, listener, max_idle_s)
+            self.pool.send(address, lambda: request, listener, max_idle_s)
             await asyncio.wait_for(listener.ended.wait(), 5.0)
             await asyncio.sleep(0.01)
         self.idle_count = 0
