Use engines without recent reports until shortly before their time

What was seen: with 350 entries, an engine whose load report is older than 1.6 s and that has one request of this entry gets no further ones from 7 s before a named version is in force; if all engines are so, the entry rejects all requests.

Cause: without a recent report the number of requests at an engine is estimated as the entry's own times the number of entries. The estimate was made to rank engines, not to exclude them: 350 requests make a wait of 28 s.

Evidence: the new test of load_balancing_test.py fails without the change.

Why the fix works: only what is known counts; what then waits longer is withdrawn before the bound.

--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -151,6 +151,10 @@
     )
     if begin_until_s == float("inf"):
         return False
+    if not engine.has_recent_load(now_s):
+        # Only the requests of this entry are known; an estimate from them would exclude
+        # the engine long before.
+        location = location._replace(entry_count=1)
     wait_s = expected_wait_s(engine, requirements.service, location, now_s)
     slowdown = engine.load.pace if engine.load is not None else 1.0
     begins_in_s = (wait_s + requirements.prefill_s) * max(slowdown, 1.0)
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -136,3 +136,12 @@
         self.assertIsNotNone(
             self.choose(4.5, upcoming_versions=upcoming[:0], prefill_s=0.5)
         )
+
+    def test_an_engine_without_reports_is_used_until_shortly_before_its_time(self):
+        """A sidecar may be down; its engine's wait is then not known."""
+        upcoming = (entry_data.DueVersion(2, 8.0),)
+        self.location = self.location._replace(entry_count=350)
+        for engine in self.registry.of_service(SERVICE.name):
+            engine.record_dispatch(0.0)
+        self.assertIsNotNone(self.choose(1.0, upcoming_versions=upcoming))
+        self.assertIsNone(self.choose(7.99, upcoming_versions=upcoming))
