Keep timers and bounds free of steps of the system clock

What was seen: with the clock of the reactor set back by 1 s after 0.1 s, a timer of 0.3 s fires after 1.30 s.

Cause: Twisted's reactors read the system clock. After a step back, all times that were noted before it lie too late by the step, for as long as they are in use: the time of a named version and its withdrawal, the grace period of a removed engine, deadlines, the ages of copies of the store.

The step was simulated at the function that the reactor reads; no system clock was set.

Why the fix works: the reactor reads the monotonic clock, as the event loop below it does.

--- a/toucanspread/ops/loop.py
+++ b/toucanspread/ops/loop.py
@@ -9,10 +9,11 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable, Coroutine
 
 import eliot
-from twisted.internet import asyncioreactor, defer, error, task
+from twisted.internet import asyncioreactor, defer, error, main, task
 
 from toucanspread.ops import metric_buffer
 
@@ -20,8 +21,19 @@
 
 EVENT_LOOP = asyncio.new_event_loop()
 
-with contextlib.suppress(error.ReactorAlreadyInstalledError):
-    asyncioreactor.install(EVENT_LOOP)
+
+def _install_reactor() -> None:
+    """Install a reactor whose timers do not depend on the system clock.
+
+    The system clock may be set while the process runs.
+    """
+    reactor = asyncioreactor.AsyncioSelectorReactor(EVENT_LOOP)
+    reactor.seconds = time.monotonic
+    with contextlib.suppress(error.ReactorAlreadyInstalledError):
+        main.installReactor(reactor)
+
+
+_install_reactor()
 
 _tasks: set[asyncio.Task] = set()
 
--- a/toucanspread/ops/loop_test.py
+++ b/toucanspread/ops/loop_test.py
@@ -1,9 +1,10 @@
 """Tests that tasks and periodic calls outlive unexpected exceptions."""
 
 import asyncio
+import time
 
 import testtools
-from twisted.internet import task
+from twisted.internet import reactor, task
 
 from toucanspread.ops import loop
 
@@ -46,3 +47,8 @@
         loop.call_periodically("probe", 1.0, call, clock)
         clock.pump([1.0, 1.0, 1.0])
         self.assertEqual([1.0, 2.0, 3.0], calls)
+
+
+class ReactorClockTest(testtools.TestCase):
+    def test_a_step_of_the_system_clock_does_not_move_timers(self):
+        self.assertIs(time.monotonic, reactor.seconds)
