--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -15,9 +15,9 @@
 # No request is sent to an engine with an older version so long before the time by which
 # requests must begin on the new one.
 VERSION_DISPATCH_MARGIN_S = 0.4
-# What has not begun on an older version is withdrawn so long before the same time; the
-# engine gets to know of it meanwhile.
-VERSION_WITHDRAWAL_MARGIN_S = 0.2
+# What has not begun on an older version is withdrawn so long before the same time. The
+# engine gets to know of it meanwhile, behind pieces of weights on its link.
+VERSION_WITHDRAWAL_MARGIN_S = 0.3
 RESTART_GRACE_S = 2.6  # a restarted process may still use an older version meanwhile
 # During an outage of the store, processes of all zones query each other several times
 # within this time.
@@ -54,19 +54,22 @@
 
     :param earliest_in_force_s: last time at which the store certainly did not have it.
     :param outage_ended_s: end of the last known outage that affected all processes.
+    :param started_s: start of this process; None if unknown.
     """
 
     received_s: float
     earliest_in_force_s: float
     outage_ended_s: float = float("-inf")
+    started_s: float | None = None
 
     def due_s(self, within_s: float) -> float:
         """Return the time by which the change has to be carried out.
 
         A process that received nothing from the store for longer than
-        ``MAX_TRUSTED_AGE_S`` was restarted or disconnected, and gets a grace period. If
-        the store was unavailable to all processes, the time counts from the end of that
-        outage.
+        ``MAX_TRUSTED_AGE_S`` was restarted or disconnected, and gets a grace period.
+        That of a restarted process counts from its start, however late its first copy
+        of the store is. If the store was unavailable to all processes, the time counts
+        from the end of that outage.
         """
         due_s = self.earliest_in_force_s + within_s
         if (
@@ -76,7 +79,23 @@
             return due_s
         if self.received_s - self.outage_ended_s <= OUTAGE_REPORT_MAX_AGE_S:
             return self.outage_ended_s + within_s
-        return max(due_s, self.received_s + RESTART_GRACE_S)
+        grace_from_s = self.received_s
+        has_no_earlier_copy = self.earliest_in_force_s == float("-inf")
+        if has_no_earlier_copy and self.started_s is not None:
+            grace_from_s = self.started_s
+        return max(due_s, grace_from_s + RESTART_GRACE_S)
+
+    @property
+    def removed_s(self) -> float:
+        """Return the time from which a removal that is the change counts.
+
+        What was removed while a process received nothing may have expired only because
+        its owner could not renew it, and gets time to return.
+        """
+        age_s = self.received_s - self.earliest_in_force_s
+        if age_s > source_selection.MAX_TRUSTED_AGE_S:
+            return self.received_s
+        return self.earliest_in_force_s
 
 
 class EntrySeen(data.Event):
@@ -167,7 +186,8 @@
             case EngineSeen(entry):
                 return self.registry.put(entry)
             case EngineRemoved(engine_id):
-                self.registry.remove(engine_id, now_s)
+                removed_s = now_s if store_was_unavailable else timing.removed_s
+                self.registry.remove(engine_id, removed_s)
             case VersionNamed(model, version):
                 return self.versions_of(model).add(version, timing)
             case EntrySeen(record):
