Count chunk extensions and trailers of requests towards the limit of the head

Seen: trailers of a chunked request are held without a limit, a chunk extension is read on for ever, and trailers are passed on as headers of the request. Cause: only bytes before the end of a head are counted, and the parser reports trailers by the same callback as header lines. Why the fix works: every byte that isn't body counts, as on the client side, with the same credit for the size of a chunk; above the limit the answer is 431 and the connection closes. Trailers that arrive in one read with the end of their request are counted by themselves, and all are discarded. The start line and what a head may have besides its lines don't count, so that a head of the largest size still has its body (a test says so for both framings). The time limit of a request held for trailers already; a test says so now.

--- a/toucanspread/ops/http1.py
+++ b/toucanspread/ops/http1.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 MAX_HEAD_BYTES = 65_536  # limit for the head of an answer or an internal request
+MAX_CHUNK_FRAMING_BYTES = 12  # the size of a chunk in eight digits, and two line ends
 LAST_CHUNK = b"0\r\n\r\n"
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -12,7 +12,6 @@
 from toucanspread.ops import http1
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
-MAX_CHUNK_FRAMING_BYTES = 12  # the size of a chunk in eight digits, and two line ends
 
 
 class ExchangeFailure(enum.Enum):
@@ -150,7 +149,7 @@
 
     def on_chunk_header(self) -> None:
         """Do not count the framing that every chunk has."""
-        self._framing_bytes -= MAX_CHUNK_FRAMING_BYTES
+        self._framing_bytes -= http1.MAX_CHUNK_FRAMING_BYTES
 
     def on_body(self, part: bytes) -> None:
         """Pass a part of the body to the listener."""
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -14,10 +14,13 @@
 
 from toucanspread.ops import http1, logs
 
+START_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")  # besides method and target
+
 
 class Limits(NamedTuple):
     """Limits on the requests of callers.
 
+    :param max_head_bytes: for the head, the chunk extensions and the trailers together.
     :param head_timeout_s: time limit for receiving a request, from its first byte.
     :param idle_s: time after which a connection without a request is closed.
     """
@@ -147,6 +150,11 @@
     return
 
 
+def _measure(name: bytes, value: bytes) -> int:
+    """Return the size in bytes of a header line."""
+    return len(name) + len(value) + len(b": \r\n")
+
+
 class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
     """Connection that a caller opened.
 
@@ -162,7 +170,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._body = bytearray()
         self._head: http1.RequestHead | None = None
-        self._head_bytes = 0
+        self._is_receiving = False
+        self._framing_bytes = 0
+        self._trailer_bytes = 0
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
         self._current: Exchange | None = None
         self._is_closing = False
@@ -182,10 +192,9 @@
         """Feed the parser and start the next request."""
         if self._is_closing:
             return
-        if self._head is None:
-            if self._head_bytes == 0:
-                self._start_head()
-            self._head_bytes += len(data)
+        if not self._is_receiving:
+            self._start_head()
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -194,9 +203,7 @@
             # An exception inside a callback is raised as a parser error.
             self._refuse(self._rejected_status or 400)
         else:
-            limits = self._handler.get_limits()
-            if self._head is None and self._head_bytes > limits.max_head_bytes:
-                self._refuse(431)
+            self._check_framing()
         # The handler is not called from a parser callback: the parser would report an
         # error of the handler as a malformed request.
         self._start_next()
@@ -220,7 +227,9 @@
             method, bytes(self._target), self._headers, version
         )
         self._body = bytearray()
-        size_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        self._trailer_bytes = 0
+        self._framing_bytes -= len(method) + START_LINE_BYTES
+        size_bytes = sum(_measure(name, value) for name, value in self._headers)
         if size_bytes + len(self._target) > limits.max_head_bytes:
             self._reject_in_parser(431)
         length = self._head.get(b"content-length")
@@ -229,8 +238,22 @@
         if self._head.has_token(b"expect", b"100-continue") and self._current is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header line, or discard a trailer."""
+        if self._head is None:
+            super().on_header(name, value)
+            return
+        self._trailer_bytes += _measure(name, value)
+        if self._trailer_bytes > self._handler.get_limits().max_head_bytes:
+            self._reject_in_parser(431)
+
+    def on_chunk_header(self) -> None:
+        """Do not count the framing that every chunk has."""
+        self._framing_bytes -= http1.MAX_CHUNK_FRAMING_BYTES
+
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the limit."""
+        self._framing_bytes -= len(part)
         self._body += part
         if len(self._body) > self._handler.get_limits().max_body_bytes:
             self._reject_in_parser(413)
@@ -238,7 +261,8 @@
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         head, self._head = self._head, None
-        self._head_bytes = 0
+        self._is_receiving = False
+        self._framing_bytes = 0
         self._stop_timer()
         self._queued.append((head, bytes(self._body)))
         self._body = bytearray()
@@ -282,11 +306,19 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._current is None and not self._queued and not self._head_bytes
+        return self._current is None and not self._queued and not self._is_receiving
 
     # Internals
 
+    def _check_framing(self) -> None:
+        # Chunks with less framing leave no allowance for later ones.
+        self._framing_bytes = max(self._framing_bytes, 0)
+        limits = self._handler.get_limits()
+        if self._is_receiving and self._framing_bytes > limits.max_head_bytes:
+            self._refuse(431)
+
     def _start_head(self) -> None:
+        self._is_receiving = True
         self.request_started_s = self.reactor.seconds()
         if self._current is None:
             self._start_timer(self._handler.get_limits().head_timeout_s, self._time_out)
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -12,8 +12,7 @@
 REQUEST = (
     b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc"
 )
-
-
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_TESTED_BYTES = 1_000_000
 
 
@@ -159,6 +158,97 @@
         )
         self.assertEqual([], self.handler.exchanges)
 
+    def receive_without_end(self, beginning, repeated):
+        """Return how many bytes are received until the connection is closed."""
+        self.connect()
+        self.receive(beginning)
+        received_bytes = len(beginning)
+        while not self.transport.disconnecting:
+            self.receive(repeated)
+            received_bytes += len(repeated)
+            if received_bytes > MAX_TESTED_BYTES:
+                break
+        return received_bytes
+
+    def test_trailers_and_extensions_without_end_are_refused_at_the_head_limit(self):
+        cases = {
+            "extension": (CHUNKED + b"1;", b"a" * 100),
+            "extensions": (CHUNKED, b"1;%b\r\na\r\n" % (b"e" * 100)),
+            "last extension": (CHUNKED + b"0;", b"a" * 100),
+            "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+            "trailer name": (CHUNKED + b"0\r\n", b"a" * 100),
+            "trailer value": (CHUNKED + b"0\r\nA: ", b"a" * 100),
+        }
+        max_bytes = 1.4 * self.handler.limits.max_head_bytes
+        excessive = {}
+        for name, (beginning, repeated) in cases.items():
+            received_bytes = self.receive_without_end(beginning, repeated)
+            if received_bytes > max_bytes:
+                excessive[name] = received_bytes
+                continue
+            self.assertTrue(self.sent().startswith(b"HTTP/1.1 431"), name)
+            self.assertEqual([], self.handler.exchanges)
+        self.assertEqual({}, excessive)
+
+    def test_large_trailers_in_one_read_are_refused(self):
+        for trailers in (b"A: b\r\n" * 200, b"A: %b\r\n" % (b"a" * 1_000)):
+            self.connect()
+            self.receive(CHUNKED + b"0\r\n" + trailers + b"\r\n")
+            self.assertTrue(self.sent().startswith(b"HTTP/1.1 431"))
+            self.assertEqual([], self.handler.exchanges)
+
+    def test_trailers_are_no_headers_of_the_request(self):
+        self.receive(CHUNKED + b"0\r\nX-Tenant: forged\r\nA: b\r\n\r\n" + REQUEST)
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(0)
+        names = [
+            [header.name for header in exchange.head.headers]
+            for exchange in self.handler.exchanges
+        ]
+        expected = [[b"Host", b"Transfer-Encoding"], [b"Host", b"X-Id"]]
+        self.assertEqual(expected, [found[:2] for found in names])
+        self.assertEqual([2, 3], [len(found) for found in names])
+
+    def test_trailers_in_single_bytes_time_out(self):
+        self.receive(CHUNKED + b"0\r\n")
+        for _ in range(21):
+            self.clock.advance(0.1)
+            self.receive(b"a")
+        self.assertTrue(self.sent().startswith(b"HTTP/1.1 408"))
+        self.assertEqual([], self.handler.exchanges)
+
+    def test_body_in_the_smallest_chunks_is_no_large_head(self):
+        self.receive(CHUNKED)
+        for _ in range(self.handler.limits.max_body_bytes):
+            for part in (b"1", b"\r\n", b"a", b"\r\n"):
+                self.receive(part)
+        self.receive(b"0\r\nA: b\r\n\r\n")
+        (exchange,) = self.handler.exchanges
+        self.assertEqual(b"a" * self.handler.limits.max_body_bytes, exchange.body)
+
+    def test_head_of_the_largest_size_leaves_room_for_body_and_framing(self):
+        # Each header line counts with the four bytes that separate its parts.
+        padding_bytes = self.handler.limits.max_head_bytes - len(b"/HosthXA") - 12
+        for framing, body in (
+            (b"Content-Length: 3", [b"abc"]),
+            (b"Transfer-Encoding: chunked", [b"3\r\n", b"abc", b"\r\n0\r\n\r\n"]),
+        ):
+            self.connect()
+            value = b"a" * (padding_bytes - len(framing.replace(b": ", b"")))
+            head = b"POST / HTTP/1.1\r\nHost: h\r\n%b\r\nXA: %b\r\n\r\n"
+            self.receive(head % (framing, value))
+            for part in body:
+                self.receive(part)
+            (exchange,) = self.handler.exchanges
+            self.assertEqual(b"abc", exchange.body)
+
+    def test_upload_in_small_parts_within_the_time_limit_is_read(self):
+        self.receive(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 19\r\n\r\n")
+        for _ in range(19):
+            self.clock.advance(0.1)
+            self.receive(b"a")
+        self.assertEqual(1, len(self.handler.exchanges))
+
     @hypothesis.given(strategies.binary(max_size=300))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_arbitrary_bytes_of_a_caller_raise_no_error(self, data):
