Apply the time limit of requests to heads that begin behind another request

Seen: the head of a request that begins in one read with the end of another, or while one is answered, may trickle in for the idle time, and the connection counts as idle meanwhile. Cause: the timer starts with a read, and only if no request is in progress. The test, run on the code before: - http1_test, test_head_that_begins_right_after_another_request_times_out: "b'HTTP/1.1 408' not in b'HTTP/1.1 200 OK..." after 2.1 s with a limit of 2 s. Why the fix works: the parser says when a request begins, and the end of an answer starts the time limit of a request that is being read.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -192,8 +192,7 @@
         """Feed the parser and start the next request."""
         if self._is_closing:
             return
-        if not self._is_receiving:
-            self._start_head()
+        self._start_head()
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -218,6 +217,11 @@
 
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Note the first byte of a request, which may follow another one at once."""
+        super().on_message_begin()
+        self._start_head()
+
     def on_headers_complete(self) -> None:
         """Check the head of a request against the limits."""
         limits = self._handler.get_limits()
@@ -299,7 +303,11 @@
         if self._is_closing:
             self.close()
             return
-        self._start_timer(self._handler.get_limits().idle_s, self.close)
+        limits = self._handler.get_limits()
+        if self._is_receiving:
+            self._start_timer(limits.head_timeout_s, self._time_out)
+        else:
+            self._start_timer(limits.idle_s, self.close)
         if self._queued:
             self.reactor.callLater(0, self._start_next)
 
@@ -318,6 +326,8 @@
             self._refuse(431)
 
     def _start_head(self) -> None:
+        if self._is_receiving:
+            return
         self._is_receiving = True
         self.request_started_s = self.reactor.seconds()
         if self._current is None:
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -242,6 +242,12 @@
             (exchange,) = self.handler.exchanges
             self.assertEqual(b"abc", exchange.body)
 
+    def test_head_that_begins_right_after_another_request_times_out(self):
+        self.receive(REQUEST + b"GET / HT")
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(2.1)
+        self.assertIn(b"HTTP/1.1 408", self.sent())
+
     def test_upload_in_small_parts_within_the_time_limit_is_read(self):
         self.receive(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 19\r\n\r\n")
         for _ in range(19):
