Stop reading a connection on which too many pipelined requests wait

Seen: requests that arrive while another one is answered are queued without a bound. Cause: everything that arrives is parsed and queued. Why the fix works: with eight requests, or the bytes of the largest body, in the queue, the connection isn't read until some are answered. What a read has brought is parsed in parts of 4 KiB, so that a read of 64 KiB full of short requests isn't held as requests either. The test of 2,000 requests in one read sees all of them answered in order. While the reading is stopped, the end of the caller's connection isn't seen.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -14,6 +14,8 @@
 
 from toucanspread.ops import http1, logs
 
+MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
+PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
 START_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")  # besides method and target
 
 
@@ -158,7 +160,8 @@
 class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
     """Connection that a caller opened.
 
-    Requests are answered one at a time, in the order in which they were received.
+    Requests are answered one at a time, in the order in which they were received. While
+    too many of them wait, nothing more is read.
     """
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
@@ -173,6 +176,8 @@
         self._is_receiving = False
         self._framing_bytes = 0
         self._trailer_bytes = 0
+        self._unparsed = bytearray()
+        self._is_reading = True
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
         self._current: Exchange | None = None
         self._is_closing = False
@@ -189,27 +194,14 @@
         self._start_timer(self._handler.get_limits().idle_s, self.close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feed the parser and start the next request."""
-        if self._is_closing:
-            return
-        self._start_head()
-        self._framing_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            # An exception inside a callback is raised as a parser error.
-            self._refuse(self._rejected_status or 400)
-        else:
-            self._check_framing()
-        # The handler is not called from a parser callback: the parser would report an
-        # error of the handler as a malformed request.
-        self._start_next()
+        """Read requests, and start the next one."""
+        self._unparsed += data
+        self._parse()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Report the disconnection to the request in progress."""
         self._is_closed = True
+        self._unparsed.clear()
         self._connections.discard(self)
         self._stop_timer()
         if self._current is not None:
@@ -309,7 +301,7 @@
         else:
             self._start_timer(limits.idle_s, self.close)
         if self._queued:
-            self.reactor.callLater(0, self._start_next)
+            self.reactor.callLater(0, self._continue)
 
     @property
     def is_idle(self) -> bool:
@@ -318,6 +310,54 @@
 
     # Internals
 
+    def _continue(self) -> None:
+        self._start_next()
+        self._parse()
+
+    def _parse(self) -> None:
+        while self._unparsed and not self._is_closing and not self._is_queue_full():
+            part = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
+            del self._unparsed[:PARSED_AT_ONCE_BYTES]
+            self._feed(part)
+            # The handler is not called from a parser callback: the parser would report
+            # an error of the handler as a malformed request.
+            self._start_next()
+        self._pause_or_resume()
+
+    def _feed(self, part: bytes) -> None:
+        self._start_head()
+        self._framing_bytes += len(part)
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            # An exception inside a callback is raised as a parser error.
+            self._refuse(self._rejected_status or 400)
+        else:
+            self._check_framing()
+
+    def _is_queue_full(self) -> bool:
+        if not self._queued:
+            return False
+        if len(self._queued) >= MAX_PIPELINED_REQUESTS:
+            return True
+        queued_bytes = sum(len(body) for _, body in self._queued)
+        return queued_bytes >= self._handler.get_limits().max_body_bytes
+
+    def _pause_or_resume(self) -> None:
+        if self._is_closing or self._is_closed:
+            self._unparsed.clear()
+            return
+        is_reading = not self._is_queue_full()
+        if is_reading == self._is_reading:
+            return
+        self._is_reading = is_reading
+        if is_reading:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
     def _check_framing(self) -> None:
         # Chunks with less framing leave no allowance for later ones.
         self._framing_bytes = max(self._framing_bytes, 0)
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -1,5 +1,7 @@
 """Tests both sides of HTTP/1.1 connections with in-memory transports."""
 
+import gc
+
 import hypothesis
 import testtools
 from hypothesis import strategies
@@ -248,6 +250,67 @@
         self.clock.advance(2.1)
         self.assertIn(b"HTTP/1.1 408", self.sent())
 
+    def count_request_heads(self):
+        gc.collect()
+        return sum(isinstance(item, http1.RequestHead) for item in gc.get_objects())
+
+    def answer_next(self):
+        """Answer the request in progress with its target; return whether one was."""
+        exchange = self.handler.exchanges[-1]
+        if exchange.is_finished:
+            return False
+        exchange.respond(200, body=exchange.head.target)
+        self.clock.advance(0)
+        return True
+
+    def make_requests(self, count):
+        return [b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % i for i in range(count)]
+
+    def test_a_few_pipelined_requests_do_not_stop_the_reading(self):
+        for request in self.make_requests(http1_server.MAX_PIPELINED_REQUESTS):
+            self.receive(request)
+        self.assertEqual("producing", self.transport.producerState)
+
+    def test_pipelined_requests_without_end_stop_the_reading_until_some_are_answered(
+        self,
+    ):
+        requests = iter(self.make_requests(500))
+        received_count = 0
+        for request in requests:
+            if self.transport.producerState != "producing":
+                break
+            self.receive(request)
+            received_count += 1
+        max_count = http1_server.MAX_PIPELINED_REQUESTS + 1
+        self.assertLessEqual(received_count, max_count)
+        self.answer_next()
+        self.assertEqual("producing", self.transport.producerState)
+        while self.answer_next():
+            continue
+        self.assertEqual(received_count, len(self.handler.exchanges))
+
+    def test_pipelined_requests_in_one_read_are_not_all_held_as_requests(self):
+        requests = self.make_requests(2_000)
+        before_count = self.count_request_heads()
+        self.receive(b"".join(requests) + b"GET /last HTTP/1.1\r\n")
+        self.assertLess(self.count_request_heads() - before_count, 200)
+        self.assertEqual("paused", self.transport.producerState)
+        while self.answer_next():
+            continue
+        self.assertEqual("producing", self.transport.producerState)
+        targets = [exchange.head.target for exchange in self.handler.exchanges]
+        self.assertEqual([b"/%d" % number for number in range(2_000)], targets)
+        self.receive(b"Host: h\r\n\r\n")
+        self.assertEqual(b"/last", self.handler.exchanges[-1].head.target)
+
+    def test_pipelined_requests_with_large_bodies_stop_the_reading_sooner(self):
+        size_bytes = self.handler.limits.max_body_bytes
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size_bytes
+        self.receive(head + bytes(size_bytes))
+        self.assertEqual("producing", self.transport.producerState)
+        self.receive(head + bytes(size_bytes))
+        self.assertEqual("paused", self.transport.producerState)
+
     def test_upload_in_small_parts_within_the_time_limit_is_read(self):
         self.receive(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 19\r\n\r\n")
         for _ in range(19):
