Start no request of a caller that has left, and cancel what a refusal cuts off

Seen: (1) a pipelined request is started although its connection was lost between the answer before it and its turn; nobody is told of that loss any more. (2) When malformed bytes follow a request in progress, the connection is reset and the engine goes on. Cause: (1) the start is deferred and doesn't check the connection. (2) The exchange counts as finished before the loss of the connection could be reported. The tests, run on the code before, in http1_test: - test_request_that_waits_is_not_started_after_a_disconnection: "1 != 2" requests. - test_refusal_during_an_answer_reports_the_disconnection: "[True] != []". Why the fix works: the start checks that the connection is open; a refusal resets the connection and leaves it to the loss of the connection to report and finish the exchange.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -377,7 +377,9 @@
         self._refuse(408)
 
     def _start_next(self) -> None:
-        if self._current is not None or not self._queued or self._is_closing:
+        if self._is_closing or self._is_closed:
+            return
+        if self._current is not None or not self._queued:
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
@@ -398,7 +400,7 @@
         self._stop_timer()
         if self._current is not None:
             # The refusal would be mixed into the answer in progress.
-            self._current.abort()
+            self.abort()
             return
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
         headers = [
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -136,6 +136,22 @@
         self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
         self.assertEqual([True], calls)
 
+    def test_request_that_waits_is_not_started_after_a_disconnection(self):
+        self.receive(REQUEST * 2)
+        self.handler.exchanges[0].respond(200)
+        self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.clock.advance(0)
+        self.assertEqual(1, len(self.handler.exchanges))
+
+    def test_refusal_during_an_answer_reports_the_disconnection(self):
+        self.receive(REQUEST)
+        calls = []
+        self.handler.exchanges[0].on_disconnected = lambda: calls.append(True)
+        self.receive(b"nonsense\r\n\r\n")
+        self.assertTrue(self.transport.disconnected)
+        self.connection.connectionLost(failure.Failure(error.ConnectionLost()))
+        self.assertEqual([True], calls)
+
     def test_leaving_entry_closes_the_connection_after_the_answer(self):
         self.receive(REQUEST)
         self.handler.leaving = True
