End reads of the store whose pages have no end or make no progress

Seen: a store that always says has_more is read for ever, page by page and without a pause; a page without items that says has_more counts as the last one, so the copy loses the rest. Cause: read_all follows has_more without a total and doesn't compare pages. Limits: 64 pages (of up to about 500 items), 32 MiB in all. Why the fix works: a page that isn't the last one has to end with a key that ended no earlier page, otherwise NoProgressError; above the limits LargeAnswerError. Both are StoreError, so the store counts as failed and is asked again after the usual backoff: of four rounds within it, one reads two pages. A read of exactly 64 pages passes.

--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -29,7 +29,11 @@
 
 
 class LargeAnswerError(StoreError):
-    """An answer is larger than its kind of call can return."""
+    """An answer, or all pages of a read, are larger than the call can return."""
+
+
+class NoProgressError(StoreError):
+    """A page of a read names no further items, although it isn't the last one."""
 
 
 class HistoryGoneError(StoreError):
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -23,6 +23,8 @@
 READ_TIMEOUT_S = 2.5  # pages of up to 1 MB over a narrow link
 # 1 MiB of values and one more value of 1 MiB, in base64, and the keys.
 MAX_PAGE_BYTES = 4_194_304
+MAX_PAGES = 64  # of up to about 500 items
+MAX_READ_BYTES = 33_554_432  # of all pages of a read
 MAX_WATCH_BYTES = 8_388_608  # pages with all items replace a larger answer
 MAX_WRITE_ANSWER_BYTES = 65_536  # answers to writes and calls on leases
 ERA_HEADER = b"store-era"
@@ -73,6 +75,63 @@
     """The value of a key is not base64 text."""
 
 
+class _PagedRead:
+    """Collects the pages of a read.
+
+    :ivar last_key: key after which the next page begins; empty before the first one.
+    :ivar is_complete: whether the last page was added.
+    """
+
+    def __init__(self):
+        self.last_key = ""
+        self.is_complete = False
+        self._changes: list[store_view.KeyChange] = []
+        self._unreadable_keys: list[str] = []
+        self._revision = 0
+        self._era = store_position.UNKNOWN_ERA
+        self._last_keys: set[str] = set()
+        self._read_bytes = 0
+
+    def add(self, page: _Page, size_bytes: int, era: int) -> None:
+        """Add a page.
+
+        :param era: era of the store that has answered.
+        :raises prefix_store.StoreError: when it cannot be part of the read.
+        """
+        if not self._last_keys:
+            self._revision, self._era = page.store_revision, era
+        if era != self._era:
+            raise prefix_store.StoreError(f"era {era} began between two pages")
+        readable, unreadable = _make_changes(page.items)
+        self._changes.extend(readable)
+        self._unreadable_keys.extend(unreadable)
+        self._read_bytes += size_bytes
+        self.is_complete = not page.has_more
+        if page.has_more:
+            self._check_progress(page)
+
+    def make_changes(self) -> prefix_store.Changes:
+        """Return all items of the pages."""
+        return prefix_store.Changes(
+            self._changes,
+            self._revision,
+            frozenset(self._unreadable_keys),
+            self._era,
+        )
+
+    def _check_progress(self, page: _Page) -> None:
+        if not page.items or page.items[-1].key in self._last_keys:
+            raise prefix_store.NoProgressError(
+                f"the page after {self.last_key!r} leads to no further one"
+            )
+        self.last_key = page.items[-1].key
+        self._last_keys.add(self.last_key)
+        if len(self._last_keys) >= MAX_PAGES or self._read_bytes > MAX_READ_BYTES:
+            raise prefix_store.LargeAnswerError(
+                f"more than {len(self._last_keys)} pages, {self._read_bytes} bytes"
+            )
+
+
 class PlatformStore(prefix_store.PrefixStore):
     """Client of the store.
 
@@ -88,36 +147,15 @@
 
         The revision is that of the first page: changes between two pages are then part
         of the next watch.
+
+        :raises prefix_store.LargeAnswerError: when the pages have no end.
+        :raises prefix_store.NoProgressError: when a page repeats an earlier one.
         """
-        changes = []
-        unreadable_keys = []
-        revision = None
-        after = ""
-        while True:
-            target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&after={quote(after, safe='')}"
-            page = self._decode(
-                await self._call(
-                    b"GET",
-                    target,
-                    timeout_s=READ_TIMEOUT_S,
-                    max_body_bytes=MAX_PAGE_BYTES,
-                ),
-                _Page,
-            )
-            if revision is None:
-                revision, era = page.store_revision, self.era
-            if era != self.era:
-                raise prefix_store.StoreError(f"era {self.era} began between two pages")
-            readable, unreadable = _make_changes(page.items)
-            changes.extend(readable)
-            unreadable_keys.extend(unreadable)
-            if not page.has_more or not page.items:
-                return prefix_store.Changes(
-                    changes, revision, frozenset(unreadable_keys), era
-                )
-            after = page.items[-1].key
+        read = _PagedRead()
+        while not read.is_complete:
+            reply = await self._read_page(prefix, read.last_key)
+            read.add(self._decode(reply, _Page), len(reply.body), self.era)
+        return read.make_changes()
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -169,6 +207,17 @@
         """Revoke a lease, which deletes its keys."""
         self._check(await self._call(b"DELETE", f"/-/kv-lease-end/{lease}"))
 
+    async def _read_page(self, prefix: str, after: str) -> http1_pool.Reply:
+        target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
+        if after:
+            target += f"&after={quote(after, safe='')}"
+        return await self._call(
+            b"GET",
+            target,
+            timeout_s=READ_TIMEOUT_S,
+            max_body_bytes=MAX_PAGE_BYTES,
+        )
+
     async def _call(
         self,
         method: bytes,
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -55,21 +55,25 @@
     return {"events": page["items"], "store_revision": revision}
 
 
+def make_synchronizer(view, pool):
+    """Return a synchronizer of a view with the store."""
+    return view_sync.ViewSynchronizer(
+        view,
+        store.PlatformStore(pool, "s:1"),
+        pool,
+        source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+        ("op/",),
+        list,
+        list,
+        lambda changes: None,
+    )
+
+
 class UnreadableValueTest(testtools.TestCase):
     def synchronize(self, *answers):
         """Return the copy of a process after some answers of the store."""
         view = store_view.View()
-        pool = Pool(answers)
-        synchronizer = view_sync.ViewSynchronizer(
-            view,
-            store.PlatformStore(pool, "s:1"),
-            pool,
-            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
-            ("op/",),
-            list,
-            list,
-            lambda changes: None,
-        )
+        synchronizer = make_synchronizer(view, Pool(answers))
         for _ in answers:
             asyncio.run(synchronizer.sync_once())
         return view
@@ -125,3 +129,76 @@
         for value in (b"", b"x", b"-1", b"\xb2", b"9" * 5_000):
             client = self.make_store([value], page)
             self.assertEqual(0, asyncio.run(client.read_all("op/")).era, value)
+
+
+class EndlessPool(Pool):
+    """Returns pages of a store that always says that it has more.
+
+    :ivar call_count: number of pages that were read.
+    """
+
+    def __init__(self, make_row):
+        super().__init__(())
+        self.call_count = 0
+        self._make_row = make_row
+
+    async def call(self, *arguments, **options):
+        if self.call_count > 1_000:
+            raise AssertionError("pages are read without end")
+        self._answers = [make_page(1, *self._make_row(self.call_count))]
+        self._answers[0]["has_more"] = True
+        self.call_count += 1
+        return await super().call(*arguments, **options)
+
+
+class EndlessReadTest(testtools.TestCase):
+    def check(self, make_row, error_type, max_call_count):
+        pool = EndlessPool(make_row)
+        client = store.PlatformStore(pool, "s:1")
+        self.assertRaises(error_type, asyncio.run, client.read_all("op/"))
+        self.assertLessEqual(pool.call_count, max_call_count)
+
+    def test_a_page_that_is_repeated_ends_the_read(self):
+        self.check(
+            lambda number: [("op/a", GOOD_VALUE)], prefix_store.NoProgressError, 2
+        )
+
+    def test_pages_that_are_repeated_in_turn_end_the_read(self):
+        self.check(
+            lambda number: [(f"op/{number % 3}", GOOD_VALUE)],
+            prefix_store.NoProgressError,
+            4,
+        )
+
+    def test_an_empty_page_before_the_last_one_is_no_complete_read(self):
+        self.check(lambda number: [], prefix_store.NoProgressError, 1)
+
+    def test_pages_without_end_end_the_read(self):
+        self.check(
+            lambda number: [(f"op/{number:09}", GOOD_VALUE)],
+            prefix_store.LargeAnswerError,
+            store.MAX_PAGES,
+        )
+
+    def test_large_pages_without_end_end_the_read(self):
+        value = "a" * 2_000_000
+        self.check(
+            lambda number: [(f"op/{number:09}", value)],
+            prefix_store.LargeAnswerError,
+            store.MAX_READ_BYTES // len(value) + 1,
+        )
+
+    def test_a_store_that_repeats_a_page_is_not_asked_in_a_tight_loop(self):
+        pool = EndlessPool(lambda number: [("op/a", GOOD_VALUE)])
+        synchronizer = make_synchronizer(store_view.View(), pool)
+        for _ in range(4):
+            asyncio.run(synchronizer.sync_once())
+        self.assertEqual(2, pool.call_count)
+
+    def test_a_large_store_is_read_in_many_pages(self):
+        count = store.MAX_PAGES
+        pages = [make_page(1, (f"op/{n:09}", GOOD_VALUE)) for n in range(count)]
+        for page in pages[:-1]:
+            page["has_more"] = True
+        client = store.PlatformStore(Pool(pages), "s:1")
+        self.assertEqual(count, len(asyncio.run(client.read_all("op/")).changes))
