Complete the listener of the test of answers without end

Seen on main at: test_answers_of_engines_without_end_are_malformed fails with "Can't instantiate abstract class DispatchListener with abstract method on_begun".

--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -52,6 +52,9 @@
     def on_engine_head(self, limit_per_s):
         return
 
+    def on_begun(self, weights_version):
+        return
+
     def on_stream_opened(self):
         return
 
