Read no more of an engine's stream than its caller reads

Seen: what a caller doesn't read of a stream waits in its connection, up to 16 MiB for each dispatch; answers to further requests on the connection are added to it without a limit. Cause: the transport of the caller has no producer, so nothing tells that it is full. Why the fix works: the connection of the caller is a push producer of its transport. Once the transport has more than its buffer, events are relayed as before, and then the engine's connection isn't read until the caller has read all. The caller's own connection is still read, so its end cancels the dispatch; the deadline is a timer of its own. The time of a pause is no silence: the timer is stopped and starts anew. A stream that is resumed at another engine is paused at its first events. An answer that ends while it is paused leaves a connection that is read. No further request of a connection is started before its caller has read the answers before it.

Not bounded by this: answers that aren't streams, which are collected whole (4 MiB each).

--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -89,6 +89,7 @@
         self._progress = stream_progress.StreamProgress()
         self._is_continuation = is_continuation
         self._is_finished = False
+        self._is_paused = False
         self._silence_timeout_s = dispatch.silence_timeout_s
         self._timer = reactor.callLater(dispatch.silence_timeout_s, self._on_timeout)
 
@@ -103,6 +104,22 @@
         if self.outgoing is not None:
             self.outgoing.cancel()
 
+    def pause(self) -> None:
+        """Stop reading the answer; meanwhile, the engine doesn't count as silent."""
+        if self._is_finished or self._is_paused:
+            return
+        self._is_paused = True
+        self._timer.cancel()
+        self.outgoing.pause()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self._is_finished or not self._is_paused:
+            return
+        self._is_paused = False
+        self._timer = self._reactor.callLater(self._silence_timeout_s, self._on_timeout)
+        self.outgoing.resume()
+
     def on_head(self, head: http1.AnswerHead) -> bool:
         """Process the head of an answer; skip an answer to an earlier request."""
         properties = self._dialect.read_answer(head, self._listener.call)
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -124,9 +124,16 @@
 
 
 class Outgoing:
-    """Records whether the request to the engine was cancelled."""
+    """Records whether the request to the engine was cancelled or paused."""
 
     is_cancelled = False
+    is_paused = False
+
+    def pause(self):
+        self.is_paused = True
+
+    def resume(self):
+        self.is_paused = False
 
     def cancel(self):
         self.is_cancelled = True
@@ -282,6 +289,40 @@
             self.answer.on_body_data(b"id: 1\n\n")
             self.assert_sound()
 
+    def open_paused_stream(self):
+        """Open a stream that is paused after its first event."""
+        self.open_stream()
+        self.answer.outgoing = Outgoing()
+        self.send(b"id: 1\n\n", every_s=0.1)
+        self.answer.pause()
+        self.assertTrue(self.answer.outgoing.is_paused)
+
+    def test_time_in_which_the_stream_is_paused_is_no_silence(self):
+        self.open_paused_stream()
+        # The rest of what was read before the pause.
+        self.answer.on_body_data(b"id: 2\n\n")
+        self.clock.advance(10 * self.GAP_S)
+        self.assert_sound()
+        self.answer.resume()
+        self.assertFalse(self.answer.outgoing.is_paused)
+        self.clock.advance(0.9 * self.GAP_S)
+        self.assert_sound()
+
+    def test_silence_after_a_pause_is_reported(self):
+        self.open_paused_stream()
+        self.clock.advance(0.5 * self.GAP_S)
+        self.answer.resume()
+        self.clock.advance(1.1 * self.GAP_S)
+        self.assert_silent()
+
+    def test_cancelled_dispatch_is_not_resumed(self):
+        self.open_paused_stream()
+        self.answer.cancel()
+        self.answer.resume()
+        self.assertTrue(self.answer.outgoing.is_paused)
+        self.clock.advance(10 * self.GAP_S)
+        self.assert_sound()
+
     def test_stream_goes_on_after_a_preemption(self):
         self.open_stream()
         self.send(b"id: 1\n\n", b"id: 2\n\n", every_s=0.9 * self.GAP_S)
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -108,6 +108,7 @@
         )
         self._forwarder.in_progress.add(self)
         self.exchange.on_disconnected = self._on_caller_disconnected
+        self.exchange.on_drained = self._on_caller_drained
         reactor = self._forwarder.pool.reactor
         remaining_s = self._state.deadline_s - reactor.seconds()
         wait_s = max(remaining_s + request_timing.ENGINE_ANSWER_SLACK_S, 0.0)
@@ -166,6 +167,8 @@
         self._state.on_events(last_event_id)
         self._stream_timing.record_events(self._forwarder.pool.reactor.seconds())
         self.exchange.write(events)
+        if self.exchange.is_blocked:
+            self._answer.pause()
 
     def on_answer(self, status: int) -> None:
         """Process a complete answer of the engine."""
@@ -210,6 +213,10 @@
         metric_buffer.count("requests_left")
         self.carry_out(self._state.on_caller_disconnected(self.make_decision_context()))
 
+    def _on_caller_drained(self) -> None:
+        if self._answer is not None:
+            self._answer.resume()
+
     def _on_deadline(self) -> None:
         self.carry_out(self._state.on_deadline(self.make_decision_context()))
 
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -77,6 +77,16 @@
     def cancel(self):
         self.cancelled = True
 
+    def pause(self):
+        self.connection.pause()
+
+    def resume(self):
+        self.connection.resume()
+
+    @property
+    def is_paused(self):
+        return self.connection.transport.producerState == "paused"
+
     def answer(self, received):
         self.connection.dataReceived(received)
 
@@ -114,15 +124,8 @@
         self.clock = self.make_clock()
         self.pool = self.make_pool()
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
-        config = {
-            **decoding_test.CONFIG,
-            "services": [
-                decoding_test.CONFIG["services"][0],
-                {**decoding_test.CONFIG["services"][0], "name": "s2"},
-            ],
-        }
         decoded = decoding_test.decoding.decode_configuration(
-            decoding_test.encode_json(config)
+            decoding_test.encode_json(self.make_configuration())
         )
         self.cluster.apply(
             cluster_state.ConfigurationSeen(decoded),
@@ -149,6 +152,15 @@
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
+    def make_configuration(self):
+        return {
+            **decoding_test.CONFIG,
+            "services": [
+                decoding_test.CONFIG["services"][0],
+                {**decoding_test.CONFIG["services"][0], "name": "s2"},
+            ],
+        }
+
     def make_clock(self):
         return task.Clock()
 
@@ -359,3 +371,61 @@
         self.clock.advance(0.02)
         self.assertTrue(first.cancelled)
         self.assertIn(b"HTTP/1.1 502", self.received())
+
+
+class SlowCallerTest(ForwarderCase):
+    """Plays a caller that doesn't read its stream for some time."""
+
+    EVENT = b"id: 1\ndata: a\n\n"
+
+    def open_blocked_stream(self):
+        """Return an engine of whose stream the caller reads no more."""
+        engine = self.send_request()
+        engine.answer(STREAM)
+        self.transport.producer.pauseProducing()
+        engine.answer(chunk(self.EVENT))
+        return engine
+
+    def test_engine_is_not_read_until_the_caller_has_read(self):
+        engine = self.open_blocked_stream()
+        self.assertTrue(engine.is_paused)
+        self.transport.producer.resumeProducing()
+        self.assertFalse(engine.is_paused)
+        engine.answer(chunk(self.EVENT) + http1.LAST_CHUNK)
+        self.assertEqual(2, self.received().count(self.EVENT))
+        self.assertTrue(self.received().endswith(http1.LAST_CHUNK))
+
+    def test_stream_that_ends_while_its_caller_does_not_read_is_complete(self):
+        engine = self.send_request()
+        engine.answer(STREAM)
+        self.transport.producer.pauseProducing()
+        engine.answer(chunk(self.EVENT) + http1.LAST_CHUNK)
+        self.assertTrue(self.received().endswith(http1.LAST_CHUNK))
+        self.assertTrue(engine.connection.is_free)
+        self.assertFalse(engine.is_paused)
+
+    def test_disconnection_while_the_engine_is_not_read_cancels_the_dispatch(self):
+        engine = self.open_blocked_stream()
+        self.assertEqual("producing", self.transport.producerState)
+        self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertTrue(engine.cancelled)
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+    def test_deadline_applies_while_the_engine_is_not_read(self):
+        engine = self.open_blocked_stream()
+        self.clock.advance(2.9)
+        self.assertFalse(engine.cancelled)
+        self.clock.advance(0.4)
+        self.assertTrue(engine.cancelled)
+        self.assertTrue(self.transport.disconnected)
+        self.assertEqual(1, len(self.pool.sent))
+
+    def test_stream_resumed_for_a_caller_that_does_not_read_is_paused_as_well(self):
+        first = self.open_blocked_stream()
+        first.disconnect(error.ConnectionLost)
+        second = self.pool.sent[-1]
+        self.assertIsNot(first, second)
+        second.answer(STREAM + chunk(b"id: 2\ndata: b\n\n"))
+        self.assertTrue(second.is_paused)
+        self.transport.producer.resumeProducing()
+        self.assertFalse(second.is_paused)
--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -75,6 +75,7 @@
         self._is_answer_skipped = False
         self._ends_by_close = False
         self._is_reusable = True
+        self._is_paused = False
         self._framing_bytes = 0
         self._body_bytes = 0
 
@@ -93,6 +94,18 @@
         if self.is_open:
             self.transport.abortConnection()
 
+    def pause(self) -> None:
+        """Stop reading the answer until :meth:`resume` is called."""
+        if self.is_open and self._listener is not None and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self.is_open and self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
     @property
     def is_free(self) -> bool:
         """Return whether another request can be sent."""
@@ -202,6 +215,7 @@
     def _complete(self) -> None:
         listener, self._listener = self._listener, None
         self._head = None
+        self.resume()
         self.idle_since_s = self._reactor.seconds()
         if not self._is_reusable and self.is_open:
             self.transport.loseConnection()
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -93,6 +93,16 @@
         elif self._connector is not None:
             self._connector.disconnect()
 
+    def pause(self) -> None:
+        """Stop reading the answer until :meth:`resume` is called."""
+        if self._connection is not None and not self._is_cancelled:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self._connection is not None and not self._is_cancelled:
+            self._connection.resume()
+
     def on_connected(self, connection: http1_client.ClientConnection) -> None:
         """Send the request on the connection that was opened for it."""
         if self._is_cancelled:
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -10,7 +10,8 @@
 from typing import NamedTuple
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import interfaces, protocol
+from zope.interface import implementer
 
 from toucanspread.ops import http1, logs
 
@@ -56,6 +57,7 @@
     :ivar started_s: when its first byte was received, on the reactor's clock.
     :ivar on_disconnected: called if the caller disconnects before the answer is
         complete.
+    :ivar on_drained: called when the caller has read what kept the answer blocked.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.received_s = connection.reactor.seconds()
         self.started_s = connection.request_started_s
         self.on_disconnected = _do_nothing
+        self.on_drained = _do_nothing
         self.is_finished = False
         self._connection = connection
         self._is_chunked = False
@@ -76,6 +79,11 @@
         """Return whether a part of the answer has been sent."""
         return self._is_started
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether much of the answer waits for the caller to read it."""
+        return self._connection.is_blocked
+
     def respond(
         self, status: int, headers: Iterable[http1.Header] = (), body: bytes = b""
     ) -> None:
@@ -145,6 +153,7 @@
     def _end(self) -> None:
         self.is_finished = True
         self.on_disconnected = _do_nothing
+        self.on_drained = _do_nothing
         self._connection.on_exchange_finished()
 
 
@@ -157,17 +166,22 @@
     return len(name) + len(value) + len(b": \r\n")
 
 
+@implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
     """Connection that a caller opened.
 
     Requests are answered one at a time, in the order in which they were received. While
-    too many of them wait, nothing more is read.
+    too many of them wait, nothing more is read. No request is started while much of the
+    answers before it waits for the caller to read it.
+
+    :ivar is_blocked: whether the transport holds more than it should.
     """
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
         http1.ParserCallbacks.__init__(self)
         self.reactor = reactor
         self.request_started_s = 0.0
+        self.is_blocked = False
         self._handler = handler
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
@@ -191,6 +205,7 @@
         """Register the connection and start the idle timeout."""
         self._connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
         self._start_timer(self._handler.get_limits().idle_s, self.close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -207,6 +222,23 @@
         if self._current is not None:
             self._current.handle_disconnect()
 
+    # Callbacks of the transport, for which the connection produces answers
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the caller reads more slowly than its answer arrives."""
+        self.is_blocked = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Continue after the caller has read all that was sent."""
+        self.is_blocked = False
+        if self._current is not None:
+            self._current.on_drained()
+        else:
+            self.reactor.callLater(0, self._continue)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the connection is lost, which is reported by itself."""
+
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
@@ -280,6 +312,8 @@
         """Close the connection after sending what was written."""
         if not self._is_closed:
             self._is_closing = True
+            # The transport would not close while it has a paused producer.
+            self.transport.unregisterProducer()
             self.transport.loseConnection()
 
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
@@ -379,7 +413,7 @@
     def _start_next(self) -> None:
         if self._is_closing or self._is_closed:
             return
-        if self._current is not None or not self._queued:
+        if self._current is not None or self.is_blocked or not self._queued:
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -327,6 +327,26 @@
         self.receive(head + bytes(size_bytes))
         self.assertEqual("paused", self.transport.producerState)
 
+    def test_no_request_is_started_while_its_caller_reads_no_answers(self):
+        for request in self.make_requests(3):
+            self.receive(request)
+        self.transport.producer.pauseProducing()
+        self.assertTrue(self.handler.exchanges[0].is_blocked)
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(0.1)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.transport.producer.resumeProducing()
+        self.clock.advance(0)
+        self.assertEqual(2, len(self.handler.exchanges))
+
+    def test_connection_that_closes_leaves_no_producer_that_would_keep_it_open(self):
+        self.receive(REQUEST)
+        self.transport.producer.pauseProducing()
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(10.1)
+        self.assertTrue(self.transport.disconnecting)
+        self.assertIsNone(self.transport.producer)
+
     def test_upload_in_small_parts_within_the_time_limit_is_read(self):
         self.receive(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 19\r\n\r\n")
         for _ in range(19):
@@ -546,6 +566,16 @@
         self.connection.dataReceived(whole + whole)
         self.assertTrue(self.transport.disconnected)
 
+    def test_answer_that_ends_while_it_is_paused_leaves_a_connection_that_is_read(
+        self,
+    ):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+        self.connection.pause()
+        self.assertEqual("paused", self.transport.producerState)
+        self.connection.dataReceived(b"ok")
+        self.assertTrue(self.connection.is_free)
+        self.assertEqual("producing", self.transport.producerState)
+
     def test_bytes_on_an_idle_connection_close_it(self):
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         self.assertTrue(self.connection.is_free)
