Share the set-up of tests that forward over loopback

The pair in view_sync_test and store_test is left: it is the signature of the method that both replace.

--- a/toucanspread/ops/forwarder_loopback_test.py
+++ b/toucanspread/ops/forwarder_loopback_test.py
@@ -7,8 +7,6 @@
 
 from standins import running_reactor
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state
-from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import forwarder_test, http1_pool, loop
 
 REFUSAL = (
@@ -48,13 +46,25 @@
         return ANSWER
 
 
-class RepeatedRefusalTest(forwarder_test.ForwarderCase):
+class LoopbackCase(forwarder_test.ForwarderCase):
+    """Forwards to engines over loopback."""
+
     def make_clock(self):
         return reactor
 
     def make_pool(self):
         return http1_pool.ConnectionPool(reactor)
 
+    def listen(self, engine):
+        """Serve the connections to an engine; return its address."""
+        starting = asyncio.start_server(engine.serve, "127.0.0.1", 0)
+        server = loop.EVENT_LOOP.run_until_complete(starting)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return data.Address(f"{host}:{port}")
+
+
+class RepeatedRefusalTest(LoopbackCase):
     def start(self):
         running_reactor.start(self)
         self.addCleanup(lambda: loop.EVENT_LOOP.run_until_complete(self.close()))
@@ -69,28 +79,8 @@
             self.pool.close_idle(address)
         await asyncio.sleep(0.01)
 
-    def listen(self, engine):
-        starting = asyncio.start_server(engine.serve, "127.0.0.1", 0)
-        server = loop.EVENT_LOOP.run_until_complete(starting)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        return data.Address(f"{host}:{port}")
-
-    def add_engine(self, service, number):
-        """Add an engine at the address of its stand-in."""
-        loaded = (entry_data.LoadedLayers(data.ModelName("m"), 1, 0, 4),)
-        entry = entry_data.EngineEntry(
-            f"{service}-{number}",
-            data.ServiceName(service),
-            self.addresses[number - 1],
-            data.ZoneName("z"),
-            16,
-            entry_data.EngineState.READY,
-            loaded=loaded,
-        )
-        self.cluster.apply(
-            cluster_state.EngineSeen(entry), cluster_state.ChangeTiming(0.0, 0.0), False
-        )
+    def get_address(self, service, number):
+        return self.addresses[number - 1]
 
     async def wait_for_answer(self):
         for _ in range(100):
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -172,7 +172,7 @@
         entry = entry_data.EngineEntry(
             f"{service}-{number}",
             data.ServiceName(service),
-            data.Address(f"{service}:{number}"),
+            self.get_address(service, number),
             data.ZoneName("z"),
             16,
             entry_data.EngineState.READY,
@@ -182,6 +182,9 @@
             cluster_state.EngineSeen(entry), cluster_state.ChangeTiming(0.0, 0.0), False
         )
 
+    def get_address(self, service, number):
+        return data.Address(f"{service}:{number}")
+
     def send_request(self, request=REQUEST):
         self.connection.dataReceived(request)
         return self.pool.sent[-1] if self.pool.sent else None
--- a/toucanspread/ops/slow_caller_test.py
+++ b/toucanspread/ops/slow_caller_test.py
@@ -8,9 +8,13 @@
 
 from standins import endless_server, running_reactor
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state
-from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import forwarder_test, http1, http1_pool, http1_server, loop
+from toucanspread.ops import (
+    forwarder_loopback_test,
+    forwarder_test,
+    http1,
+    http1_server,
+    loop,
+)
 
 CALLER_COUNT = 10
 MAX_BYTES_PER_CALLER = 524_288
@@ -50,7 +54,7 @@
         writer.close()
 
 
-class SlowCallerCase(forwarder_test.ForwarderCase):
+class SlowCallerCase(forwarder_loopback_test.LoopbackCase):
     """Forwards to one server that plays all engines."""
 
     def make_configuration(self):
@@ -58,12 +62,6 @@
         routes = [{**route, "timeout_ms": TIMEOUT_MS} for route in config["routes"]]
         return {**config, "routes": routes}
 
-    def make_clock(self):
-        return reactor
-
-    def make_pool(self):
-        return http1_pool.ConnectionPool(reactor)
-
     def start(self):
         running_reactor.start(self)
         self.callers = []
@@ -75,20 +73,8 @@
         self.addCleanup(port.stopListening)
         self.entry_address = ("127.0.0.1", port.getHost().port)
 
-    def add_engine(self, service, number):
-        loaded = (entry_data.LoadedLayers(data.ModelName("m"), 1, 0, 4),)
-        entry = entry_data.EngineEntry(
-            f"{service}-{number}",
-            data.ServiceName(service),
-            self.address,
-            data.ZoneName("z"),
-            16,
-            entry_data.EngineState.READY,
-            loaded=loaded,
-        )
-        self.cluster.apply(
-            cluster_state.EngineSeen(entry), cluster_state.ChangeTiming(0.0, 0.0), False
-        )
+    def get_address(self, service, number):
+        return self.address
 
     async def call(self):
         """Send a request whose answer isn't read; return the socket."""
@@ -154,11 +140,7 @@
 class SlowReaderTest(SlowCallerCase):
     def start_engine(self):
         self.engine = StreamingEngine()
-        starting = asyncio.start_server(self.engine.serve, "127.0.0.1", 0)
-        server = loop.EVENT_LOOP.run_until_complete(starting)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        return data.Address(f"{host}:{port}")
+        return self.listen(self.engine)
 
     async def read(self, caller):
         """Return the body of the answer, read with pauses."""
