End connections of which the caller reads nothing for the idle time

Seen: a complete answer that its caller doesn't read stays in memory as long as the caller keeps the connection, also after the idle time has closed it, as the close waits for the rest to be sent. Cause: no time limit applies to bytes that the caller doesn't take. The test, run on the code before: - http1_loopback_test, test_connection_of_which_nothing_is_read_ends_after_the_idle_time: "0 != 1" connections 2.5 s after a request, with an idle time of 0.5 s. Why the fix works: the kernel ends the connection after that time without progress (the option that connections to engines use already). It counts progress, not the whole time: an answer of 20 MB that is read for more than 1 s passes with the same limit. A time beyond the largest that the option takes is cut; without that, "TypeError: a bytes-like object is required, not 'int'" in http1_test (UserTimeoutTest).

--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -45,6 +45,12 @@
     def setTcpNoDelay(self, enabled):  # noqa: N802
         return
 
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, level, option, value):
+        return
+
 
 @contextlib.contextmanager
 def capture_events(name):
--- a/toucanspread/ops/http1.py
+++ b/toucanspread/ops/http1.py
@@ -6,7 +6,9 @@
 sides are :mod:`http1_server` and :mod:`http1_client`.
 """
 
+import contextlib
 import http
+import socket
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -28,6 +30,7 @@
         b"upgrade",
     }
 )
+MAX_USER_TIMEOUT_MS = 2**31 - 1
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -157,6 +160,19 @@
     return render_head(b"%b %b HTTP/1.1" % (head.method, head.target), headers) + body
 
 
+def set_user_timeout(transport, timeout_s: float) -> None:
+    """Let a connection end if the other side takes no bytes for some time.
+
+    :param timeout_s: time for which bytes may stay unsent or unacknowledged.
+    """
+    timeout_ms = min(int(timeout_s * 1000), MAX_USER_TIMEOUT_MS)
+    with contextlib.suppress(OSError):
+        # Some kernels do not support the option.
+        transport.getHandle().setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+
+
 class ParserCallbacks:
     """Parser callbacks that both sides of a connection share."""
 
--- a/toucanspread/ops/http1_loopback_test.py
+++ b/toucanspread/ops/http1_loopback_test.py
@@ -9,6 +9,7 @@
 from toucanspread.ops import http1_server, http1_test, loop
 
 REQUEST = b"GET /a/ HTTP/1.0\r\nHost: h\r\n\r\n"
+LAST_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 LARGE_BODY = b"a" * 1_000_000
 
 
@@ -17,8 +18,8 @@
         super().setUp()
         running_reactor.start(self)
         self.handler = http1_test.RecordingHandler()
-        factory = http1_server.ServerFactory(self.handler, reactor)
-        self.port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.factory = http1_server.ServerFactory(self.handler, reactor)
+        self.port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.addCleanup(self.port.stopListening)
 
 
@@ -57,6 +58,9 @@
     def answer(self, exchange):
         exchange.respond(200, body=LARGE_BODY + exchange.head.target)
 
+    def answer_at_length(self, exchange):
+        exchange.respond(200, body=LARGE_BODY * 20)
+
     async def read_late(self, requests):
         """Return what a caller reads that begins to read late, until the end."""
         address = ("127.0.0.1", self.port.getHost().port)
@@ -76,3 +80,41 @@
         self.assertEqual(20, received.count(b"HTTP/1.1 200 OK"))
         self.assertTrue(received.endswith(b"a/19"))
         self.assertGreater(len(received), 20 * len(LARGE_BODY))
+
+    async def read_nothing(self, request):
+        """Return how many connections are open some time after a request."""
+        address = ("127.0.0.1", self.port.getHost().port)
+        _, writer = await asyncio.open_connection(*address, limit=65_536)
+        writer.write(request)
+        try:
+            await asyncio.sleep(2.5)
+            return len(self.factory.connections)
+        finally:
+            writer.close()
+
+    def test_connection_of_which_nothing_is_read_ends_after_the_idle_time(self):
+        self.handler.limits = self.handler.limits._replace(idle_s=0.5)
+        self.handler.on_request = self.answer_at_length
+        open_count = loop.EVENT_LOOP.run_until_complete(self.read_nothing(LAST_REQUEST))
+        self.assertEqual(0, open_count)
+
+    async def read_slowly(self, request):
+        """Return what a caller reads in parts, longer than the idle time."""
+        address = ("127.0.0.1", self.port.getHost().port)
+        reader, writer = await asyncio.open_connection(*address, limit=65_536)
+        writer.write(request)
+        received = bytearray()
+        while part := await reader.read(500_000):
+            received += part
+            await asyncio.sleep(0.02)
+        writer.close()
+        return received
+
+    def test_answer_that_is_read_slowly_may_take_longer_than_the_idle_time(self):
+        self.handler.limits = self.handler.limits._replace(idle_s=0.5)
+        self.handler.on_request = self.answer_at_length
+        started_s = reactor.seconds()
+        received = loop.EVENT_LOOP.run_until_complete(self.read_slowly(LAST_REQUEST))
+        self.assertGreater(reactor.seconds() - started_s, 1.0)
+        self.assertTrue(received.endswith(LARGE_BODY))
+        self.assertGreater(len(received), 20 * len(LARGE_BODY))
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -1,8 +1,6 @@
 """Pool of client connections to other servers, and complete calls over it."""
 
 import asyncio
-import contextlib
-import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -16,7 +14,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for servers that announce no timeout
 MAX_IDLE_PER_SERVER = 32
 MAX_ANSWER_S = 3.0  # a slower answer is of no use to anyone who waits for it
-USER_TIMEOUT_MS = 3_000  # the path is dead if bytes stay unacknowledged this long
+USER_TIMEOUT_S = 3.0  # the path is dead if bytes stay unacknowledged this long
 
 
 class CallError(Exception):
@@ -149,11 +147,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
-        with contextlib.suppress(OSError):
-            # Some kernels do not support the option; calls have their own timeouts.
-            self.transport.getHandle().setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-            )
+        http1.set_user_timeout(self.transport, USER_TIMEOUT_S)
         outgoing, self._outgoing = self._outgoing, None
         outgoing.on_connected(self)
 
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -25,7 +25,8 @@
 
     :param max_head_bytes: for the head, the chunk extensions and the trailers together.
     :param head_timeout_s: time limit for receiving a request, from its first byte.
-    :param idle_s: time after which a connection without a request is closed.
+    :param idle_s: time after which a connection without a request is closed, or one of
+        which the caller reads nothing although there is more of an answer.
     """
 
     max_head_bytes: int = http1.MAX_HEAD_BYTES
@@ -206,7 +207,9 @@
         self._connections.add(self)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._start_timer(self._handler.get_limits().idle_s, self.close)
+        idle_s = self._handler.get_limits().idle_s
+        http1.set_user_timeout(self.transport, idle_s)
+        self._start_timer(idle_s, self.close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests, and start the next one."""
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -1,6 +1,7 @@
 """Tests both sides of HTTP/1.1 connections with in-memory transports."""
 
 import gc
+import socket
 
 import hypothesis
 import testtools
@@ -22,6 +23,21 @@
     def setTcpNoDelay(self, enabled):  # noqa: N802
         return
 
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, level, option, value):
+        return
+
+
+class UserTimeoutTest(testtools.TestCase):
+    def test_a_time_beyond_the_largest_of_the_kernel_is_no_error(self):
+        handle = socket.socket()
+        self.addCleanup(handle.close)
+        transport = Transport()
+        transport.getHandle = lambda: handle
+        http1.set_user_timeout(transport, 1e12)
+
 
 class RecordingHandler(http1_server.RequestHandler):
     """Records the requests; the tests send the answers."""
