--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -12,7 +12,6 @@
 from toucanspread.ops import http1
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
-MAX_CHUNK_FRAMING_BYTES = 12  # the size of a chunk in eight digits, and two line ends
 
 
 class ExchangeFailure(enum.Enum):
@@ -76,6 +75,7 @@
         self._is_answer_skipped = False
         self._ends_by_close = False
         self._is_reusable = True
+        self._is_paused = False
         self._framing_bytes = 0
         self._body_bytes = 0
 
@@ -94,6 +94,18 @@
         if self.is_open:
             self.transport.abortConnection()
 
+    def pause(self) -> None:
+        """Stop reading the answer until :meth:`resume` is called."""
+        if self.is_open and self._listener is not None and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read the answer again."""
+        if self.is_open and self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
     @property
     def is_free(self) -> bool:
         """Return whether another request can be sent."""
@@ -150,7 +162,7 @@
 
     def on_chunk_header(self) -> None:
         """Do not count the framing that every chunk has."""
-        self._framing_bytes -= MAX_CHUNK_FRAMING_BYTES
+        self._framing_bytes -= http1.MAX_CHUNK_FRAMING_BYTES
 
     def on_body(self, part: bytes) -> None:
         """Pass a part of the body to the listener."""
@@ -203,6 +215,7 @@
     def _complete(self) -> None:
         listener, self._listener = self._listener, None
         self._head = None
+        self.resume()
         self.idle_since_s = self._reactor.seconds()
         if not self._is_reusable and self.is_open:
             self.transport.loseConnection()
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -10,16 +10,23 @@
 from typing import NamedTuple
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import interfaces, protocol
+from zope.interface import implementer
 
 from toucanspread.ops import http1, logs
 
+MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
+PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
+START_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")  # besides method and target
+
 
 class Limits(NamedTuple):
     """Limits on the requests of callers.
 
+    :param max_head_bytes: for the head, the chunk extensions and the trailers together.
     :param head_timeout_s: time limit for receiving a request, from its first byte.
-    :param idle_s: time after which a connection without a request is closed.
+    :param idle_s: time after which a connection without a request is closed, or one of
+        which the caller reads nothing although there is more of an answer.
     """
 
     max_head_bytes: int = http1.MAX_HEAD_BYTES
@@ -51,6 +58,7 @@
     :ivar started_s: when its first byte was received, on the reactor's clock.
     :ivar on_disconnected: called if the caller disconnects before the answer is
         complete.
+    :ivar on_drained: called when the caller has read what kept the answer blocked.
     """
 
     def __init__(
@@ -61,6 +69,7 @@
         self.received_s = connection.reactor.seconds()
         self.started_s = connection.request_started_s
         self.on_disconnected = _do_nothing
+        self.on_drained = _do_nothing
         self.is_finished = False
         self._connection = connection
         self._is_chunked = False
@@ -71,6 +80,11 @@
         """Return whether a part of the answer has been sent."""
         return self._is_started
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether much of the answer waits for the caller to read it."""
+        return self._connection.is_blocked
+
     def respond(
         self, status: int, headers: Iterable[http1.Header] = (), body: bytes = b""
     ) -> None:
@@ -140,6 +154,7 @@
     def _end(self) -> None:
         self.is_finished = True
         self.on_disconnected = _do_nothing
+        self.on_drained = _do_nothing
         self._connection.on_exchange_finished()
 
 
@@ -147,22 +162,37 @@
     return
 
 
+def _measure(name: bytes, value: bytes) -> int:
+    """Return the size in bytes of a header line."""
+    return len(name) + len(value) + len(b": \r\n")
+
+
+@implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
     """Connection that a caller opened.
 
-    Requests are answered one at a time, in the order in which they were received.
+    Requests are answered one at a time, in the order in which they were received. While
+    too many of them wait, nothing more is read. No request is started while much of the
+    answers before it waits for the caller to read it.
+
+    :ivar is_blocked: whether the transport holds more than it should.
     """
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
         http1.ParserCallbacks.__init__(self)
         self.reactor = reactor
         self.request_started_s = 0.0
+        self.is_blocked = False
         self._handler = handler
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
         self._body = bytearray()
         self._head: http1.RequestHead | None = None
-        self._head_bytes = 0
+        self._is_receiving = False
+        self._framing_bytes = 0
+        self._trailer_bytes = 0
+        self._unparsed = bytearray()
+        self._is_reading = True
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
         self._current: Exchange | None = None
         self._is_closing = False
@@ -176,41 +206,49 @@
         """Register the connection and start the idle timeout."""
         self._connections.add(self)
         self.transport.setTcpNoDelay(True)
-        self._start_timer(self._handler.get_limits().idle_s, self.close)
+        self.transport.registerProducer(self, True)
+        idle_s = self._handler.get_limits().idle_s
+        http1.set_user_timeout(self.transport, idle_s)
+        self._start_timer(idle_s, self.close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feed the parser and start the next request."""
-        if self._is_closing:
-            return
-        if self._head is None:
-            if self._head_bytes == 0:
-                self._start_head()
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            # An exception inside a callback is raised as a parser error.
-            self._refuse(self._rejected_status or 400)
-        else:
-            limits = self._handler.get_limits()
-            if self._head is None and self._head_bytes > limits.max_head_bytes:
-                self._refuse(431)
-        # The handler is not called from a parser callback: the parser would report an
-        # error of the handler as a malformed request.
-        self._start_next()
+        """Read requests, and start the next one."""
+        self._unparsed += data
+        self._parse()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Report the disconnection to the request in progress."""
         self._is_closed = True
+        self._unparsed.clear()
         self._connections.discard(self)
         self._stop_timer()
         if self._current is not None:
             self._current.handle_disconnect()
 
+    # Callbacks of the transport, for which the connection produces answers
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the caller reads more slowly than its answer arrives."""
+        self.is_blocked = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Continue after the caller has read all that was sent."""
+        self.is_blocked = False
+        if self._current is not None:
+            self._current.on_drained()
+        else:
+            self.reactor.callLater(0, self._continue)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the connection is lost, which is reported by itself."""
+
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Note the first byte of a request, which may follow another one at once."""
+        super().on_message_begin()
+        self._start_head()
+
     def on_headers_complete(self) -> None:
         """Check the head of a request against the limits."""
         limits = self._handler.get_limits()
@@ -220,7 +258,9 @@
             method, bytes(self._target), self._headers, version
         )
         self._body = bytearray()
-        size_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        self._trailer_bytes = 0
+        self._framing_bytes -= len(method) + START_LINE_BYTES
+        size_bytes = sum(_measure(name, value) for name, value in self._headers)
         if size_bytes + len(self._target) > limits.max_head_bytes:
             self._reject_in_parser(431)
         length = self._head.get(b"content-length")
@@ -229,8 +269,22 @@
         if self._head.has_token(b"expect", b"100-continue") and self._current is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header line, or discard a trailer."""
+        if self._head is None:
+            super().on_header(name, value)
+            return
+        self._trailer_bytes += _measure(name, value)
+        if self._trailer_bytes > self._handler.get_limits().max_head_bytes:
+            self._reject_in_parser(431)
+
+    def on_chunk_header(self) -> None:
+        """Do not count the framing that every chunk has."""
+        self._framing_bytes -= http1.MAX_CHUNK_FRAMING_BYTES
+
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the limit."""
+        self._framing_bytes -= len(part)
         self._body += part
         if len(self._body) > self._handler.get_limits().max_body_bytes:
             self._reject_in_parser(413)
@@ -238,7 +292,8 @@
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         head, self._head = self._head, None
-        self._head_bytes = 0
+        self._is_receiving = False
+        self._framing_bytes = 0
         self._stop_timer()
         self._queued.append((head, bytes(self._body)))
         self._body = bytearray()
@@ -260,6 +315,8 @@
         """Close the connection after sending what was written."""
         if not self._is_closed:
             self._is_closing = True
+            # The transport would not close while it has a paused producer.
+            self.transport.unregisterProducer()
             self.transport.loseConnection()
 
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
@@ -275,18 +332,80 @@
         if self._is_closing:
             self.close()
             return
-        self._start_timer(self._handler.get_limits().idle_s, self.close)
+        limits = self._handler.get_limits()
+        if self._is_receiving:
+            self._start_timer(limits.head_timeout_s, self._time_out)
+        else:
+            self._start_timer(limits.idle_s, self.close)
         if self._queued:
-            self.reactor.callLater(0, self._start_next)
+            self.reactor.callLater(0, self._continue)
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._current is None and not self._queued and not self._head_bytes
+        return self._current is None and not self._queued and not self._is_receiving
 
     # Internals
 
+    def _continue(self) -> None:
+        self._start_next()
+        self._parse()
+
+    def _parse(self) -> None:
+        while self._unparsed and not self._is_closing and not self._is_queue_full():
+            part = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
+            del self._unparsed[:PARSED_AT_ONCE_BYTES]
+            self._feed(part)
+            # The handler is not called from a parser callback: the parser would report
+            # an error of the handler as a malformed request.
+            self._start_next()
+        self._pause_or_resume()
+
+    def _feed(self, part: bytes) -> None:
+        self._start_head()
+        self._framing_bytes += len(part)
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            # An exception inside a callback is raised as a parser error.
+            self._refuse(self._rejected_status or 400)
+        else:
+            self._check_framing()
+
+    def _is_queue_full(self) -> bool:
+        if not self._queued:
+            return False
+        if len(self._queued) >= MAX_PIPELINED_REQUESTS:
+            return True
+        queued_bytes = sum(len(body) for _, body in self._queued)
+        return queued_bytes >= self._handler.get_limits().max_body_bytes
+
+    def _pause_or_resume(self) -> None:
+        if self._is_closing or self._is_closed:
+            self._unparsed.clear()
+            return
+        is_reading = not self._is_queue_full()
+        if is_reading == self._is_reading:
+            return
+        self._is_reading = is_reading
+        if is_reading:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
+    def _check_framing(self) -> None:
+        # Chunks with less framing leave no allowance for later ones.
+        self._framing_bytes = max(self._framing_bytes, 0)
+        limits = self._handler.get_limits()
+        if self._is_receiving and self._framing_bytes > limits.max_head_bytes:
+            self._refuse(431)
+
     def _start_head(self) -> None:
+        if self._is_receiving:
+            return
+        self._is_receiving = True
         self.request_started_s = self.reactor.seconds()
         if self._current is None:
             self._start_timer(self._handler.get_limits().head_timeout_s, self._time_out)
@@ -295,7 +414,9 @@
         self._refuse(408)
 
     def _start_next(self) -> None:
-        if self._current is not None or not self._queued or self._is_closing:
+        if self._is_closing or self._is_closed:
+            return
+        if self._current is not None or self.is_blocked or not self._queued:
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
@@ -316,7 +437,7 @@
         self._stop_timer()
         if self._current is not None:
             # The refusal would be mixed into the answer in progress.
-            self._current.abort()
+            self.abort()
             return
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
         headers = [
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -1,5 +1,8 @@
 """Tests both sides of HTTP/1.1 connections with in-memory transports."""
 
+import gc
+import socket
+
 import hypothesis
 import testtools
 from hypothesis import strategies
@@ -12,8 +15,7 @@
 REQUEST = (
     b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc"
 )
-
-
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_TESTED_BYTES = 1_000_000
 
 
@@ -21,6 +23,21 @@
     def setTcpNoDelay(self, enabled):  # noqa: N802
         return
 
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, level, option, value):
+        return
+
+
+class UserTimeoutTest(testtools.TestCase):
+    def test_a_time_beyond_the_largest_of_the_kernel_is_no_error(self):
+        handle = socket.socket()
+        self.addCleanup(handle.close)
+        transport = Transport()
+        transport.getHandle = lambda: handle
+        http1.set_user_timeout(transport, 1e12)
+
 
 class RecordingHandler(http1_server.RequestHandler):
     """Records the requests; the tests send the answers."""
@@ -135,6 +152,22 @@
         self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
         self.assertEqual([True], calls)
 
+    def test_request_that_waits_is_not_started_after_a_disconnection(self):
+        self.receive(REQUEST * 2)
+        self.handler.exchanges[0].respond(200)
+        self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.clock.advance(0)
+        self.assertEqual(1, len(self.handler.exchanges))
+
+    def test_refusal_during_an_answer_reports_the_disconnection(self):
+        self.receive(REQUEST)
+        calls = []
+        self.handler.exchanges[0].on_disconnected = lambda: calls.append(True)
+        self.receive(b"nonsense\r\n\r\n")
+        self.assertTrue(self.transport.disconnected)
+        self.connection.connectionLost(failure.Failure(error.ConnectionLost()))
+        self.assertEqual([True], calls)
+
     def test_leaving_entry_closes_the_connection_after_the_answer(self):
         self.receive(REQUEST)
         self.handler.leaving = True
@@ -159,6 +192,184 @@
         )
         self.assertEqual([], self.handler.exchanges)
 
+    def receive_without_end(self, beginning, repeated):
+        """Return how many bytes are received until the connection is closed."""
+        self.connect()
+        self.receive(beginning)
+        received_bytes = len(beginning)
+        while not self.transport.disconnecting:
+            self.receive(repeated)
+            received_bytes += len(repeated)
+            if received_bytes > MAX_TESTED_BYTES:
+                break
+        return received_bytes
+
+    def test_trailers_and_extensions_without_end_are_refused_at_the_head_limit(self):
+        cases = {
+            "extension": (CHUNKED + b"1;", b"a" * 100),
+            "extensions": (CHUNKED, b"1;%b\r\na\r\n" % (b"e" * 100)),
+            "last extension": (CHUNKED + b"0;", b"a" * 100),
+            "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+            "trailer name": (CHUNKED + b"0\r\n", b"a" * 100),
+            "trailer value": (CHUNKED + b"0\r\nA: ", b"a" * 100),
+        }
+        max_bytes = 1.4 * self.handler.limits.max_head_bytes
+        excessive = {}
+        for name, (beginning, repeated) in cases.items():
+            received_bytes = self.receive_without_end(beginning, repeated)
+            if received_bytes > max_bytes:
+                excessive[name] = received_bytes
+                continue
+            self.assertTrue(self.sent().startswith(b"HTTP/1.1 431"), name)
+            self.assertEqual([], self.handler.exchanges)
+        self.assertEqual({}, excessive)
+
+    def test_large_trailers_in_one_read_are_refused(self):
+        for trailers in (b"A: b\r\n" * 200, b"A: %b\r\n" % (b"a" * 1_000)):
+            self.connect()
+            self.receive(CHUNKED + b"0\r\n" + trailers + b"\r\n")
+            self.assertTrue(self.sent().startswith(b"HTTP/1.1 431"))
+            self.assertEqual([], self.handler.exchanges)
+
+    def test_trailers_are_no_headers_of_the_request(self):
+        self.receive(CHUNKED + b"0\r\nX-Tenant: forged\r\nA: b\r\n\r\n" + REQUEST)
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(0)
+        names = [
+            [header.name for header in exchange.head.headers]
+            for exchange in self.handler.exchanges
+        ]
+        expected = [[b"Host", b"Transfer-Encoding"], [b"Host", b"X-Id"]]
+        self.assertEqual(expected, [found[:2] for found in names])
+        self.assertEqual([2, 3], [len(found) for found in names])
+
+    def test_trailers_in_single_bytes_time_out(self):
+        self.receive(CHUNKED + b"0\r\n")
+        for _ in range(21):
+            self.clock.advance(0.1)
+            self.receive(b"a")
+        self.assertTrue(self.sent().startswith(b"HTTP/1.1 408"))
+        self.assertEqual([], self.handler.exchanges)
+
+    def test_body_in_the_smallest_chunks_is_no_large_head(self):
+        self.receive(CHUNKED)
+        for _ in range(self.handler.limits.max_body_bytes):
+            for part in (b"1", b"\r\n", b"a", b"\r\n"):
+                self.receive(part)
+        self.receive(b"0\r\nA: b\r\n\r\n")
+        (exchange,) = self.handler.exchanges
+        self.assertEqual(b"a" * self.handler.limits.max_body_bytes, exchange.body)
+
+    def test_head_of_the_largest_size_leaves_room_for_body_and_framing(self):
+        # Each header line counts with the four bytes that separate its parts.
+        padding_bytes = self.handler.limits.max_head_bytes - len(b"/HosthXA") - 12
+        for framing, body in (
+            (b"Content-Length: 3", [b"abc"]),
+            (b"Transfer-Encoding: chunked", [b"3\r\n", b"abc", b"\r\n0\r\n\r\n"]),
+        ):
+            self.connect()
+            value = b"a" * (padding_bytes - len(framing.replace(b": ", b"")))
+            head = b"POST / HTTP/1.1\r\nHost: h\r\n%b\r\nXA: %b\r\n\r\n"
+            self.receive(head % (framing, value))
+            for part in body:
+                self.receive(part)
+            (exchange,) = self.handler.exchanges
+            self.assertEqual(b"abc", exchange.body)
+
+    def test_head_that_begins_right_after_another_request_times_out(self):
+        self.receive(REQUEST + b"GET / HT")
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(2.1)
+        self.assertIn(b"HTTP/1.1 408", self.sent())
+
+    def count_request_heads(self):
+        gc.collect()
+        return sum(isinstance(item, http1.RequestHead) for item in gc.get_objects())
+
+    def answer_next(self):
+        """Answer the request in progress with its target; return whether one was."""
+        exchange = self.handler.exchanges[-1]
+        if exchange.is_finished:
+            return False
+        exchange.respond(200, body=exchange.head.target)
+        self.clock.advance(0)
+        return True
+
+    def make_requests(self, count):
+        return [b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % i for i in range(count)]
+
+    def test_a_few_pipelined_requests_do_not_stop_the_reading(self):
+        for request in self.make_requests(http1_server.MAX_PIPELINED_REQUESTS):
+            self.receive(request)
+        self.assertEqual("producing", self.transport.producerState)
+
+    def test_pipelined_requests_without_end_stop_the_reading_until_some_are_answered(
+        self,
+    ):
+        requests = iter(self.make_requests(500))
+        received_count = 0
+        for request in requests:
+            if self.transport.producerState != "producing":
+                break
+            self.receive(request)
+            received_count += 1
+        max_count = http1_server.MAX_PIPELINED_REQUESTS + 1
+        self.assertLessEqual(received_count, max_count)
+        self.answer_next()
+        self.assertEqual("producing", self.transport.producerState)
+        while self.answer_next():
+            continue
+        self.assertEqual(received_count, len(self.handler.exchanges))
+
+    def test_pipelined_requests_in_one_read_are_not_all_held_as_requests(self):
+        requests = self.make_requests(2_000)
+        before_count = self.count_request_heads()
+        self.receive(b"".join(requests) + b"GET /last HTTP/1.1\r\n")
+        self.assertLess(self.count_request_heads() - before_count, 200)
+        self.assertEqual("paused", self.transport.producerState)
+        while self.answer_next():
+            continue
+        self.assertEqual("producing", self.transport.producerState)
+        targets = [exchange.head.target for exchange in self.handler.exchanges]
+        self.assertEqual([b"/%d" % number for number in range(2_000)], targets)
+        self.receive(b"Host: h\r\n\r\n")
+        self.assertEqual(b"/last", self.handler.exchanges[-1].head.target)
+
+    def test_pipelined_requests_with_large_bodies_stop_the_reading_sooner(self):
+        size_bytes = self.handler.limits.max_body_bytes
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size_bytes
+        self.receive(head + bytes(size_bytes))
+        self.assertEqual("producing", self.transport.producerState)
+        self.receive(head + bytes(size_bytes))
+        self.assertEqual("paused", self.transport.producerState)
+
+    def test_no_request_is_started_while_its_caller_reads_no_answers(self):
+        for request in self.make_requests(3):
+            self.receive(request)
+        self.transport.producer.pauseProducing()
+        self.assertTrue(self.handler.exchanges[0].is_blocked)
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(0.1)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.transport.producer.resumeProducing()
+        self.clock.advance(0)
+        self.assertEqual(2, len(self.handler.exchanges))
+
+    def test_connection_that_closes_leaves_no_producer_that_would_keep_it_open(self):
+        self.receive(REQUEST)
+        self.transport.producer.pauseProducing()
+        self.handler.exchanges[0].respond(200)
+        self.clock.advance(10.1)
+        self.assertTrue(self.transport.disconnecting)
+        self.assertIsNone(self.transport.producer)
+
+    def test_upload_in_small_parts_within_the_time_limit_is_read(self):
+        self.receive(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 19\r\n\r\n")
+        for _ in range(19):
+            self.clock.advance(0.1)
+            self.receive(b"a")
+        self.assertEqual(1, len(self.handler.exchanges))
+
     @hypothesis.given(strategies.binary(max_size=300))
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_arbitrary_bytes_of_a_caller_raise_no_error(self, data):
@@ -371,6 +582,16 @@
         self.connection.dataReceived(whole + whole)
         self.assertTrue(self.transport.disconnected)
 
+    def test_answer_that_ends_while_it_is_paused_leaves_a_connection_that_is_read(
+        self,
+    ):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+        self.connection.pause()
+        self.assertEqual("paused", self.transport.producerState)
+        self.connection.dataReceived(b"ok")
+        self.assertTrue(self.connection.is_free)
+        self.assertEqual("producing", self.transport.producerState)
+
     def test_bytes_on_an_idle_connection_close_it(self):
         self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         self.assertTrue(self.connection.is_free)
