--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -17,6 +17,7 @@
 from toucanspread.ops import (
     engine_answer,
     engine_control,
+    excerpt_client,
     excerpt_codec,
     http1,
     http1_client,
@@ -190,14 +191,15 @@
         self.check_client(calls, piece_cache.PieceError)
 
     def test_followers_abandon_excerpts_without_end(self):
-        request = view_sync.ExcerptRequest(0, ("op/",))
+        request = excerpt_client.ExcerptRequest(0, ("op/",))
+        fetch = excerpt_client.fetch_excerpt
         calls = {
             "excerpt": (
-                lambda a: view_sync.fetch_excerpt(self.pool, a, request, TIMEOUT_S),
+                lambda a: fetch(self.pool, a, request, TIMEOUT_S),
                 excerpt_codec.MAX_ENCODED_BYTES,
             )
         }
-        self.check_client(calls, view_sync.ExcerptError)
+        self.check_client(calls, excerpt_client.ExcerptError)
 
     def test_a_store_with_answers_without_end_is_not_asked_in_a_tight_loop(self):
         answer = endless_server.ENDLESS_BODIES["no framing"]
@@ -228,7 +230,7 @@
             listener, requests.PlatformDialect(), reactor, dispatch
         )
         request = http1.render_request(http1.RequestHead(b"GET", b"/", []), b"")
-        answer.outgoing = self.pool.send(address, request, answer)
+        answer.outgoing = self.pool.send(address, lambda: request, answer)
         return run(asyncio.wait_for(listener.failure, ENGINE_TIMEOUT_S))
 
     def test_answers_of_engines_without_end_are_malformed(self):
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import time
 
 import msgspec
 from twisted.internet import reactor
@@ -19,6 +20,7 @@
 )
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.ops import (
+    excerpt_server,
     forwarder,
     http1_pool,
     http1_server,
@@ -45,7 +47,7 @@
 EXIT_MARGIN_S = 0.5  # the process exits this long before the platform kills it
 
 
-class Entry:
+class Entry(entry_handlers.EntryState):
     """The program, assembled from its parts.
 
     :param path: of the settings file.
@@ -62,12 +64,14 @@
         self.process_settings = process_settings
         self.random_source = random.Random()
         self.is_leaving = False
+        # The process is at least as old as the processor time that it has used.
+        self._started_s = reactor.seconds() - time.process_time()
         self.cluster = cluster_state.ClusterState(
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
         )
         self.view = store_view.View()
-        self.excerpts = view_sync.ExcerptServer(self.view, reactor)
+        self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
         self._store = store.PlatformStore(pool, process_settings.platform.address)
@@ -210,7 +214,10 @@
         now_s = reactor.seconds()
         synchronizer = self._synchronizer
         timing = cluster_state.ChangeTiming(
-            now_s, synchronizer.previous_confirmed_s, synchronizer.outage_until_s
+            now_s,
+            synchronizer.previous_confirmed_s,
+            synchronizer.outage_until_s,
+            self._started_s,
         )
         store_was_unavailable = (
             now_s - synchronizer.store_failed_s < STORE_OUTAGE_GRACE_S
