--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -400,35 +400,6 @@
         self.assertIn(b"HTTP/1.1 502", self.received())
 
 
-class FakeSocket:
-    def setsockopt(self, level, option, value):
-        return
-
-
-class OpenedTransport(Transport):
-    def getHandle(self):  # noqa: N802
-        return FakeSocket()
-
-
-class SlowConnectionTest(ForwarderCase):
-    """The connection to an engine is open only some time after the dispatch."""
-
-    def make_clock(self):
-        return MemoryReactorClock()
-
-    def make_pool(self):
-        return http1_pool.ConnectionPool(self.clock)
-
-    def test_an_engine_gets_no_more_time_than_is_left_when_its_connection_is_open(self):
-        self.connection.dataReceived(REQUEST)
-        _, _, factory, _, _ = self.clock.tcpClients[0]
-        self.clock.advance(0.55)
-        engine = factory.buildProtocol(None)
-        transport = OpenedTransport()
-        engine.makeConnection(transport)
-        self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
-
-
 class SlowCallerTest(ForwarderCase):
     """Plays a caller that doesn't read its stream for some time."""
 
@@ -485,3 +456,22 @@
         self.assertTrue(second.is_paused)
         self.transport.producer.resumeProducing()
         self.assertFalse(second.is_paused)
+
+
+class SlowConnectionTest(ForwarderCase):
+    """The connection to an engine is open only some time after the dispatch."""
+
+    def make_clock(self):
+        return MemoryReactorClock()
+
+    def make_pool(self):
+        return http1_pool.ConnectionPool(self.clock)
+
+    def test_an_engine_gets_no_more_time_than_is_left_when_its_connection_is_open(self):
+        self.connection.dataReceived(REQUEST)
+        _, _, factory, _, _ = self.clock.tcpClients[0]
+        self.clock.advance(0.55)
+        engine = factory.buildProtocol(None)
+        transport = Transport()
+        engine.makeConnection(transport)
+        self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
