Bound the time that the start of an entry is taken to have lasted

Processor time may be counted from another moment than the process's start; the grace period for older weights would then be over before it began, and an entry that starts while a version is on its way would reject all requests.

--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -42,6 +42,7 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 STORE_OUTAGE_GRACE_S = 5.0  # records removed this soon after an outage may have expired
+MAX_START_S = 1.5  # until the program is assembled
 ACCEPT_AFTER_SIGNAL_S = 2.5  # callers with an older address list still connect
 STARTUP_SETTLE_S = 2.0  # after a first start, all entries know each other by then
 EXIT_MARGIN_S = 0.5  # the process exits this long before the platform kills it
@@ -64,8 +65,10 @@
         self.process_settings = process_settings
         self.random_source = random.Random()
         self.is_leaving = False
-        # The process is at least as old as the processor time that it has used.
-        self._started_s = reactor.seconds() - time.process_time()
+        # The process is at least as old as the processor time that it has used. Where
+        # that is counted in another way, no start takes longer.
+        start_s = min(time.process_time(), MAX_START_S)
+        self._started_s = reactor.seconds() - start_s
         self.cluster = cluster_state.ClusterState(
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
