Check again whether an engine may get a request once its connection is open

Evidence: the two new tests of SlowConnectionTest fail without the change (the request is sent, b"" != b"POST /a/x ...").

Why the fix works: the request is rendered when its connection is open, and not at all if the engine may not get it any more. It has not been sent then, so it goes to another engine, also if it must not run twice.

--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -182,6 +182,8 @@
         failure = decisions.DispatchFailure.BROKEN
         if exchange_failure is http1_client.ExchangeFailure.NOT_CONNECTED:
             failure = decisions.DispatchFailure.NOT_CONNECTED
+        elif exchange_failure is http1_client.ExchangeFailure.NOT_SENT:
+            failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
         elif exchange_failure in MALFORMED_FAILURES:
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -270,8 +270,17 @@
         )
         self._answer.outgoing = outgoing
 
-    def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes:
-        """Return the request with the time that is left now."""
+    def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes | None:
+        """Return the request with the time that is left now.
+
+        It is None if the engine may not get it any more.
+        """
+        context = self.make_decision_context()
+        engine = context.registry.get(effect.engine_id)
+        if engine is None or not engine.is_usable(context.now_s):
+            return None
+        if self._state.must_be_withdrawn(context, was_sent=False):
+            return None
         left_s = self._state.deadline_s - self._forwarder.pool.reactor.seconds()
         head = self._forwarder.wire_dialect.make_engine_head(
             self.exchange.head,
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -4,6 +4,7 @@
 import random
 
 import eliot
+import msgspec
 import testtools
 from twisted.internet import error, task
 from twisted.internet.testing import MemoryReactorClock, StringTransport
@@ -475,3 +476,31 @@
         transport = Transport()
         engine.makeConnection(transport)
         self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
+
+    def open_after(self, change):
+        """Return what an engine gets if a change comes while its connection opens."""
+        self.connection.dataReceived(REQUEST)
+        host, port, factory, _, _ = self.clock.tcpClients[0]
+        change(f"{host}-{port}")
+        engine = factory.buildProtocol(None)
+        transport = Transport()
+        engine.makeConnection(transport)
+        return transport.value()
+
+    def test_an_engine_that_leaves_while_its_connection_opens_gets_nothing(self):
+        def leave(engine_id):
+            engine = self.cluster.registry.get(engine_id)
+            draining = entry_data.EngineState.DRAINING
+            engine.entry = msgspec.structs.replace(engine.entry, state=draining)
+
+        self.assertEqual(b"", self.open_after(leave))
+        first, second = self.clock.tcpClients
+        self.assertNotEqual(first[:2], second[:2])
+
+    def test_weights_that_become_too_old_while_a_connection_opens_are_not_used(self):
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        named = cluster_state.VersionNamed(service.profile.model, 2)
+        timing = cluster_state.ChangeTiming(-8.0, -8.0)
+        received = self.open_after(lambda _: self.cluster.apply(named, timing, False))
+        self.assertEqual(b"", received)
+        self.assertIn(b"HTTP/1.1 503", self.received())
--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http1_client.py
@@ -23,6 +23,7 @@
     MALFORMED = "malformed"
     TOO_LARGE = "too large"
     CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
 
 
 class AnswerListener(abc.ABC):
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -51,14 +51,15 @@
 class OutgoingRequest:
     """Request in progress, from opening its connection to the end of its answer.
 
-    :param render: returns the request once its connection is open.
+    :param render: returns the request once its connection is open; None if it must not
+        be sent any more.
     """
 
     def __init__(
         self,
         pool: "ConnectionPool",
         address: str,
-        render: Callable[[], bytes],
+        render: Callable[[], bytes | None],
         listener,
     ):
         self._pool = pool
@@ -123,8 +124,13 @@
             self._listener.on_failure(http1_client.ExchangeFailure.NOT_CONNECTED)
 
     def _send_on(self, connection: http1_client.ClientConnection) -> None:
+        request = self._render()
+        if request is None:
+            connection.cancel()
+            self._listener.on_failure(http1_client.ExchangeFailure.NOT_SENT)
+            return
         self._connection = connection
-        connection.send(self._render(), self._listener)
+        connection.send(request, self._listener)
 
 
 class _ConnectionFactory(protocol.ClientFactory):
@@ -172,14 +178,14 @@
     def send(
         self,
         address: str,
-        render: Callable[[], bytes],
+        render: Callable[[], bytes | None],
         listener: http1_client.AnswerListener,
         max_idle_s: float | None = None,
     ) -> OutgoingRequest:
         """Send a request; the listener receives its answer.
 
         :param render: returns the request once its connection is open, as the request
-            may name the time that is left.
+            may name the time that is left; None if it must not be sent any more.
         """
         outgoing = OutgoingRequest(self, address, render, listener)
         outgoing.start(max_idle_s)
