Find the parts of prompts that crash engines

Some requests crash each engine that begins to answer them, because of one part of their prompts; all else they share with sound requests. Nothing uses it yet.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -5,11 +5,22 @@
 """
 
 import enum
-from typing import NewType
+from typing import Annotated, NewType
+
+import msgspec
 
 from toucanspread.core import data
 
-PromptPartId = NewType("PromptPartId", str)
+MAX_PROMPT_PARTS = 32
+MAX_PART_ID_LENGTH = 64  # characters
+MAX_NOTICE_AGE_S = 86_400.0
+PromptPartId = NewType(
+    "PromptPartId", Annotated[str, msgspec.Meta(max_length=MAX_PART_ID_LENGTH)]
+)
+PromptParts = Annotated[
+    tuple[PromptPartId, ...], msgspec.Meta(min_length=1, max_length=MAX_PROMPT_PARTS)
+]
+Age = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NOTICE_AGE_S)]  # seconds
 
 
 class RequestKind(enum.Enum):
@@ -206,7 +217,54 @@
     dispatches: int = 0
 
 
-EngineNotice = EngineLoad | PromptSent | LimitNotice  # sent to entries as datagrams
+class CrashSuspected(data.Record):
+    """Notice to all entries that an engine broke off when a request had just begun.
+
+    :param born_ms: start of the engine's incarnation.
+    :param request: hash of the request's id.
+    :param parts: shared parts of the request's prompt of which the sender of the notice
+        knows no whole answer.
+    """
+
+    engine_id: Annotated[str, msgspec.Meta(max_length=256)]
+    born_ms: int
+    request: int
+    parts: PromptParts
+
+
+class PartsSound(data.Record):
+    """Notice to all entries that an engine gave whole answers to prompts with parts.
+
+    :param age_s: time since the oldest of these answers.
+    """
+
+    parts: PromptParts
+    age_s: Age = 0.0
+
+
+class PartsQuarantined(data.Record):
+    """Notice to all entries that prompts with all of some parts crash engines.
+
+    :param idle_s: time since a request with these parts was last seen.
+    :param trials: number of requests that were let through as a trial.
+    :param trial_in_s: time until another request may be let through.
+    """
+
+    parts: PromptParts
+    idle_s: Age
+    trials: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
+    trial_in_s: Age
+
+
+class QuarantineLifted(data.Record):
+    """Notice to all entries that other causes explain the crashes of a quarantine."""
+
+    parts: PromptParts
+
+
+CrashNotice = CrashSuspected | PartsSound | PartsQuarantined | QuarantineLifted
+# Sent to entries as datagrams.
+EngineNotice = EngineLoad | PromptSent | LimitNotice | CrashNotice
 
 
 class EngineReport(data.Record):
