Read the ids of a prompt's shared parts

The last part of X-Prompt-Prefix belongs to the request itself. Ids are bounded, as entries will send them to each other; a malformed list counts as none.

--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -18,6 +18,11 @@
 NOT_RUN_HEADER = b"x-not-executed"
 LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
 LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A part of a prompt: its id and the number of its tokens.
+PART_PATTERN = re.compile(
+    rb"[ \t]*([0-9a-fA-F]{1,%d}):[0-9]{1,%d}[ \t]*"
+    % (entry_data.MAX_PART_ID_LENGTH, data.MAX_COUNT_DIGITS)
+)
 EVENT_STREAM_TYPE = b"text/event-stream"
 # These headers of the caller are not forwarded: this system sets its own values, and
 # the API key must not reach engines.
@@ -58,6 +63,7 @@
             usage[0],
             usage[1],
             _parse_count(head.get(b"x-length-hint")),
+            _parse_shared_parts(head.get(b"x-prompt-prefix")),
         )
 
     def make_engine_head(
@@ -154,5 +160,15 @@
     return (counts[0], counts[1])
 
 
+def _parse_shared_parts(value: bytes | None) -> tuple[entry_data.PromptPartId, ...]:
+    """Return the ids of all parts of a prompt but its own; none if malformed."""
+    parts = (value or b"").split(b",", entry_data.MAX_PROMPT_PARTS)
+    matches = [PART_PATTERN.fullmatch(part) for part in parts]
+    if len(parts) > entry_data.MAX_PROMPT_PARTS or None in matches:
+        return ()
+    ids = [match[1].decode("ascii").lower() for match in matches]
+    return tuple(entry_data.PromptPartId(each) for each in ids[:-1])
+
+
 def _parse_number(value: bytes | None) -> int | None:
     return None if value is None else data.parse_count(_decode_text(value))
--- a/toucanspread/platform/requests_test.py
+++ b/toucanspread/platform/requests_test.py
@@ -31,3 +31,34 @@
             self.assertEqual(0, self.read(b"X-Length-Hint", value).likely_tokens)
             usage = self.read(b"X-Token-Usage", b"1," + value)
             self.assertEqual((0, 0), (usage.prompt_tokens, usage.output_tokens))
+
+    def test_the_shared_parts_of_a_prompt_are_read_without_the_last_part(self):
+        cases = {
+            b"5c1e07a2:800,91bd3f06:410,e4402b7d:250": ("5c1e07a2", "91bd3f06"),
+            b" 5C1E:800 , 9:410,\te4:250 ": ("5c1e", "9"),
+            b"5c1e:800": (),
+            b",".join([b"a" * 64 + b":1"] * 32): ("a" * 64,) * 31,
+        }
+        for value, parts in cases.items():
+            self.assertEqual(parts, self.read(b"X-Prompt-Prefix", value).prompt_parts)
+
+    def test_a_malformed_list_of_parts_counts_as_none(self):
+        for value in (
+            b"",
+            b",",
+            b"a,b",
+            b"a:1,b",
+            b"a:1,,b:1",
+            b"a:1,g:1,b:1",
+            b"a:x,b:1",
+            b"a:-1,b:1",
+            b":1,b:1",
+            b"a:1:1,b:1",
+            b"a b:1,c:1",
+            b"\xb2:1,b:1",
+            b"a:" + b"9" * 19 + b",b:1",
+            b"a" * 65 + b":1,b:1",
+            b",".join([b"a:1"] * 33),
+            b"," * 5_000,
+        ):
+            self.assertEqual((), self.read(b"X-Prompt-Prefix", value).prompt_parts)
