Keep prompts that crash engines from the engines

Callers saw streams break and requests wait: engines crashed one after the other, and most were down at a time. Requests with one part of a prompt crash the engine that begins to answer them, and entries went on to send them; each killed two engines, as a broken stream is resumed at another one.

Entries now report to each other which requests had just begun when an engine broke off. A part that the guard quarantines is refused, also before a retry, and its requests that wait at an engine are cancelled. Breaks by orders and at leaving engines are no evidence; nor are those of engines that report their load afterwards.

Requests of the simulation get ids of their own, by which the guard tells them apart.

--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -5,6 +5,7 @@
 with seeds, before they are measured on the users' bench.
 """
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -34,6 +35,7 @@
         self.crashing_outcome = simulated_request.CallerTotals()
         self.crash_check = crash_check.CrashCheck()
         self._prompt_source = simulated_prompts.PromptSource(seed)
+        self._request_numbers = itertools.count()
         self._profile = profile
         self.entries = [
             simulated_cluster.SimulatedEntry(self, number, profile.entries)
@@ -102,6 +104,10 @@
             ]
             self.call_after_delay(source, zone, _deliver, receivers, method, message)
 
+    def draw_id(self) -> str:
+        """Return an id that no other request has."""
+        return str(next(self._request_numbers))
+
     def name_limit(self, change: load_profiles.LimitChange) -> None:
         """Let some engines name a limit in their answers, or none any more."""
         for engine in self.engines[: change.engine_count]:
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -13,9 +13,15 @@
 from standins import crash_check, engine_model, limit_check
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engines, forwarding, load_balancing, retry_budget
+from toucanspread.core.entry import (
+    engines,
+    forwarding,
+    guard_program,
+    load_balancing,
+    retry_budget,
+)
 from toucanspread.core.weights import waves
-from toucanspread.ops import request_queue
+from toucanspread.ops import crash_notices, request_queue
 
 ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
 REGIONS = {zone: data.RegionName(zone) for zone in ZONES}
@@ -49,6 +55,10 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
 
+    @abc.abstractmethod
+    def on_quarantine(self) -> None:
+        """Handle the begin of a quarantine of prompts that crash engines."""
+
 
 class AbstractCluster(abc.ABC):
     """The simulation that engines and entries are part of.
@@ -222,7 +232,15 @@
         self.queue = request_queue.RequestQueue(simulation.clock)
         self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         self.random_source = random.Random(f"{simulation.seed}/{number}")
+        self.in_progress: set[EngineClient] = set()
         self._simulation = simulation
+        self.crash_notices = crash_notices.CrashNotices(
+            simulation.clock,
+            self.random_source,
+            self._list_members,
+            self._send_crash_notice,
+            self._on_quarantine,
+        )
 
     def apply_entry_count(self, entry_count: int) -> None:
         """Apply a change of the number of entries."""
@@ -230,7 +248,12 @@
 
     def apply_load(self, load: entry_data.EngineLoad) -> None:
         """Apply a load report."""
-        self.registry.apply_load(load, self._simulation.clock.seconds())
+        alive = self.registry.apply_load(load, self._simulation.clock.seconds())
+        self.crash_notices.record_alive(alive)
+
+    def apply_crash_notice(self, notice: entry_data.CrashNotice) -> None:
+        """Apply a notice of another entry on crashes of engines."""
+        self.crash_notices.receive(notice)
 
     def apply_prompt(self, sent: entry_data.PromptSent) -> None:
         """Apply a notice of a prompt that another entry of the zone sent."""
@@ -251,5 +274,21 @@
         location = load_balancing.EntryLocation(self.zone, REGIONS, self._entry_count)
         now_s = self._simulation.clock.seconds()
         return forwarding.DecisionContext(
-            now_s, self.registry, self.retry_budgets, location, self.random_source
+            now_s,
+            self.registry,
+            self.retry_budgets,
+            location,
+            self.random_source,
+            self.crash_notices.guard,
         )
+
+    def _list_members(self) -> guard_program.Members:
+        names = [str(entry.number) for entry in self._simulation.entries]
+        return guard_program.Members(str(self.number), names)
+
+    def _send_crash_notice(self, notice: entry_data.CrashNotice) -> None:
+        self._simulation.broadcast(self.zone, "apply_crash_notice", notice, self)
+
+    def _on_quarantine(self) -> None:
+        for request in list(self.in_progress):
+            request.on_quarantine()
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -133,6 +133,7 @@
         self._caller_timeout = self._simulation.clock.callLater(
             CALLER_TIMEOUT_S, self._abandon
         )
+        self._entry.in_progress.add(self)
         queued_prefill_s = self._entry.queue.sum_prefill_s(
             simulated_cluster.SERVICE.name
         )
@@ -148,6 +149,10 @@
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
+    def on_quarantine(self) -> None:
+        """End the request if it waits at an engine and is quarantined."""
+        self.carry_out(self._state.on_quarantine(self.make_decision_context()))
+
     def _make_state(self) -> forwarding.RequestState:
         route = entry_data.Route(
             self.kind.name,
@@ -163,7 +168,7 @@
         )
         now_s = self._simulation.clock.seconds()
         call = entry_data.Call(
-            "id",
+            f"{self._simulation.draw_id()}",
             "h",
             "/",
             self.prompt.key,
@@ -188,6 +193,8 @@
                     self._simulation.broadcast(
                         self._entry.zone, "apply_limit", notice, self._entry
                     )
+                case decisions.Cancel():
+                    self._cancel()
                 case decisions.Reject(retry_after_s=retry_after_s):
                     self._schedule_retry(retry_after_s)
                 case decisions.Fail() | decisions.BreakStream():
@@ -263,11 +270,12 @@
         self._last_event_s = now_s
         self._generated_tokens += engine_model.TOKENS_PER_EVENT
         self._state.on_events(
-            str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
+            now_s, str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
         )
 
     def _on_end(self) -> None:
         self._engine.jobs.pop(self._job, None)
+        self._entry.in_progress.discard(self)
         self._state.on_answer(self.make_decision_context(), 200)
         outcome = self._outcome
         outcome.first_s.append(self._first_s)
@@ -280,11 +288,15 @@
         """Abandon the request after a long time without an event."""
         self._entry.queue.remove(self)
         self._state.on_caller_disconnected(self.make_decision_context())
+        self._entry.in_progress.discard(self)
+        self._cancel()
+        self._record_first_attempt(has_begun=False)
+        self._outcome.abandoned += 1
+
+    def _cancel(self) -> None:
         if self._job is not None:
             self._engine.jobs.pop(self._job, None)
             self._engine.model.cancel(self._job)
-        self._record_first_attempt(has_begun=False)
-        self._outcome.abandoned += 1
 
     def _record_first_attempt(self, has_begun: bool) -> None:
         """Record whether a sound request began at the caller's first attempt."""
@@ -300,6 +312,7 @@
 
     def _schedule_retry(self, retry_after_s: float) -> None:
         self._entry.queue.remove(self)
+        self._entry.in_progress.discard(self)
         self._record_first_attempt(has_begun=False)
         if self._caller_timeout.active():
             self._caller_timeout.cancel()
--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -156,22 +156,28 @@
                 self.directory.remove(name, now_s, store_was_unavailable)
         return True
 
-    def apply_report(self, report: entry_data.EngineNotice, now_s: float) -> None:
-        """Apply a report on an engine by another process; ignore an outdated one."""
+    def apply_report(
+        self,
+        report: entry_data.EngineLoad | entry_data.PromptSent | entry_data.LimitNotice,
+        now_s: float,
+    ) -> list[engines.Engine]:
+        """Apply a report on an engine by another process; ignore an outdated one.
+
+        :return: the engines that are alive, as it says.
+        """
         if isinstance(report, entry_data.EngineLoad):
-            self.registry.apply_load(report, now_s)
-            return
+            return self.registry.apply_load(report, now_s)
         engine = self.registry.get(report.engine_id)
         if isinstance(report, entry_data.LimitNotice):
             if engine is not None:
                 engine.limit.on_notice(report, now_s)
-            return
+            return []
         service = (
             self.route_table.services.get(report.service) if self.route_table else None
         )
-        if engine is None or service is None or service.profile is None:
-            return
-        engine.add_remote_prompt(report.tokens, service.profile, now_s)
+        if engine is not None and service is not None and service.profile is not None:
+            engine.add_remote_prompt(report.tokens, service.profile, now_s)
+        return []
 
     def versions_of(self, model: data.ModelName) -> ModelVersions:
         """Return the named versions of a model."""
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -20,6 +20,7 @@
     DEADLINE_EXCEEDED = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     LEAVING = "leaving"
+    PROMPT_CRASHES_ENGINES = "prompt crashes engines"
 
 
 class DispatchFailure(enum.Enum):
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 
 from toucanspread.core import data
+from toucanspread.core.entry import crash_evidence, engine_limits
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engine_limits
 
 LOAD_REPORT_MAX_AGE_S = 1.6  # two reports at the slow rate, and a lost one
 VERSION_REPORT_MAX_AGE_S = 3.0  # versions change rarely
@@ -49,6 +49,11 @@
         self.limit = engine_limits.EngineLimit(entry.engine_id)
         self._sent_since_load = 0
 
+    @property
+    def incarnation(self) -> crash_evidence.Incarnation:
+        """Return what distinguishes it from other engines and its other lives."""
+        return crash_evidence.Incarnation(self.entry.engine_id, self.entry.born_ms)
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether new requests may be sent to the engine."""
         if self.entry.state is not entry_data.EngineState.READY or self.was_restarted:
@@ -90,6 +95,22 @@
         """Return whether an order keeps the engine from accepting requests."""
         return self.has_recent_load(now_s) and self.load.busy
 
+    def is_ordered(self, now_s: float, margin_s: float) -> bool:
+        """Return whether an order interrupts its requests about now.
+
+        :param margin_s: time before and after the order.
+        """
+        if self.is_switching(now_s):
+            return True
+        if self.switch_at_s is None:
+            return False
+        return abs(now_s - self.switch_at_s) <= margin_s
+
+    def is_leaving(self) -> bool:
+        """Return whether the engine is about to end, as its entry says."""
+        is_draining = self.entry.state is entry_data.EngineState.DRAINING
+        return is_draining or self.usable_until_s is not None
+
     def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
         """Apply a load report."""
         self.load = load
@@ -204,16 +225,22 @@
         """Return an engine, or None if it is unknown."""
         return self._engines.get(engine_id)
 
-    def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
-        """Apply a load report; one of a newer incarnation invalidates the entry."""
+    def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> list[Engine]:
+        """Apply a load report; one of a newer incarnation invalidates the entry.
+
+        :return: the engines that are alive, as it says.
+        """
+        alive = []
         for engine in self._engines.values():
             entry = engine.entry
             if entry.address != load.address:
                 continue
             if entry.born_ms == load.born_ms:
                 engine.apply_load(load, now_s)
+                alive.append(engine)
             elif entry.born_ms < load.born_ms:
                 engine.was_restarted = True
+        return alive
 
     def of_service(self, service: data.ServiceName) -> list[Engine]:
         """Return the engines of a service."""
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -12,6 +12,8 @@
 from toucanspread.core import data, invariants
 from toucanspread.core.entry import (
     admission_queue,
+    crash_evidence,
+    crash_guard,
     decisions,
     engines,
     load_balancing,
@@ -29,11 +31,14 @@
 RETRY_AFTER_BASE_S = 0.25
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
+QUARANTINE_RETRY_AFTER_S = 2.0
+ORDER_MARGIN_S = 1.0  # between the announced time of an order and its effect
 
 
 class DecisionContext(NamedTuple):
     """The information on which decisions about a request are based.
 
+    :param guard: decides which prompts may be sent to engines.
     :param minimum_version: minimum version of the weights for the route's service.
     """
 
@@ -42,6 +47,7 @@
     retry_budgets: retry_budget.RetryBudget
     location: load_balancing.EntryLocation
     random_source: random.Random
+    guard: crash_guard.CrashGuard
     minimum_version: int = 0
 
 
@@ -77,6 +83,8 @@
         self._rejections = 0
         self._engine: engines.Engine | None = None
         self._sent_s = 0.0
+        self._first_event_s: float | None = None  # of the present dispatch
+        self._is_trial = False
         self._tried: set[str] = set()
         self._streaming = False
         self._last_event_id = call.last_event_id
@@ -96,6 +104,10 @@
             the service.
         """
         context.retry_budgets.record_request(self.service.name, context.now_s)
+        admission = context.guard.admit(self.call, context.now_s)
+        self._is_trial = admission is crash_guard.Admission.TRIAL
+        if admission is crash_guard.Admission.REFUSED:
+            return self._refuse_quarantined(context)
         if queued_prefill_s == 0.0 or not self._can_be_queued():
             return self._dispatch(context)
         requirements = load_balancing.EngineRequirements(
@@ -119,6 +131,8 @@
         Entries notice at the same time that the limit of an engine allows one more
         request, so only about one of them tries at a time.
         """
+        if self._is_quarantined(context):
+            return self._refuse_quarantined(context)
         draw = context.random_source.random()
         skips_limited = draw * context.location.entry_count >= 1
         return self._dispatch(context, skips_limited)
@@ -142,13 +156,17 @@
         self._streaming = True
         return [decisions.OpenStream()]
 
-    def on_events(self, last_event_id: str | None) -> None:
+    def on_events(self, now_s: float, last_event_id: str | None) -> None:
         """Record that complete events were relayed to the caller."""
+        if self._first_event_s is None:
+            self._first_event_s = now_s
         if last_event_id is not None:
             self._last_event_id = last_event_id
 
     def on_answer(self, context: DecisionContext, status: int) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream."""
+        if status == 200:
+            self._report_whole_answer(context)
         if status < 500:
             self._release_engine(context, ok=True)
             return self._finish(
@@ -179,6 +197,8 @@
             and self._engine is not None
         ):
             self._engine.record_other_instance(context.now_s)
+        if failure is decisions.DispatchFailure.BROKEN:
+            self._report_crash(context)
         self._release_engine(
             context, ok=False, weight=decisions.failure_weight(failure)
         )
@@ -192,6 +212,15 @@
             self._rejections += 1
         return cancellations + self._retry(context, failure)
 
+    def on_quarantine(self, context: DecisionContext) -> list[data.Effect]:
+        """End a request that waits at an engine if it matches a quarantine."""
+        if self.is_finished or self._engine is None or self._first_event_s is not None:
+            return []
+        if not self._is_quarantined(context):
+            return []
+        self._release_engine(context, ok=False, weight=0)
+        return [decisions.Cancel(self.dispatches), *self._refuse_quarantined(context)]
+
     def on_deadline(self, context: DecisionContext) -> list[data.Effect]:
         """End a request whose deadline has passed."""
         if self.is_finished:
@@ -287,6 +316,7 @@
     ) -> list[data.Effect]:
         self._engine = engine
         self._sent_s = context.now_s
+        self._first_event_s = None
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
         self.possible_runs += 1
@@ -389,10 +419,58 @@
             )
         return engine
 
+    def _report_crash(self, context: DecisionContext) -> None:
+        """Report that the engine may have crashed because of the request."""
+        engine = self._engine
+        if engine is None or not self.call.prompt_parts:
+            return
+        if engine.is_leaving() or engine.is_ordered(context.now_s, ORDER_MARGIN_S):
+            return
+        if self._has_run_for_a_while(context.now_s):
+            return
+        context.guard.on_break(engine.incarnation, self.call, context.now_s)
+
+    def _report_whole_answer(self, context: DecisionContext) -> None:
+        """Report that the engine wrote a whole answer."""
+        if self._engine is None or not self.call.prompt_parts:
+            return
+        began_s = context.now_s
+        if self._streaming:
+            began_s = self._first_event_s
+        if began_s is None:
+            return  # a stream that had nothing left to write
+        context.guard.on_whole_answer(
+            self._engine.incarnation, self.call, began_s, context.now_s
+        )
+
+    def _is_quarantined(self, context: DecisionContext) -> bool:
+        return not self._is_trial and context.guard.is_quarantined(self.call)
+
+    def _refuse_quarantined(self, context: DecisionContext) -> list[data.Effect]:
+        return self._finish_unanswered(
+            context, decisions.FailureCause.PROMPT_CRASHES_ENGINES
+        )
+
+    def _may_be_repeated(
+        self, context: DecisionContext, failure: decisions.DispatchFailure
+    ) -> bool:
+        """Return whether the prompt is no danger to another engine."""
+        has_run = self._has_run_for_a_while(context.now_s)
+        if has_run or failure in decisions.NOT_RUN_FAILURES:
+            return not self._is_quarantined(context)
+        return context.guard.may_repeat(self.call)
+
+    def _has_run_for_a_while(self, now_s: float) -> bool:
+        """Return whether the engine was writing the answer without a crash."""
+        began_s = self._first_event_s
+        return began_s is not None and now_s - began_s > crash_evidence.JUST_BEGUN_S
+
     def _retry(
         self, context: DecisionContext, failure: decisions.DispatchFailure
     ) -> list[data.Effect]:
         """Send the request to another engine if it may be retried, else end it."""
+        if not self._may_be_repeated(context, failure):
+            return self._refuse_quarantined(context)
         if failure in decisions.NOT_RUN_FAILURES:
             if self._rejections > MAX_REJECTION_COUNT:
                 return self._finish_unanswered(
@@ -436,6 +514,8 @@
     def _can_run_again(self, context: DecisionContext) -> bool:
         if not self.route.is_repeatable or self.possible_runs >= self.route.attempts:
             return False
+        if not context.guard.may_repeat(self.call):
+            return False
         return self.deadline_s - context.now_s > MIN_TIME_TO_DISPATCH_S
 
     def _has_better_engine(self, context: DecisionContext) -> bool:
@@ -476,6 +556,8 @@
         base_s = RETRY_AFTER_BASE_S
         if cause is decisions.FailureCause.NO_ENGINE:
             base_s = NO_ENGINE_RETRY_AFTER_S
+        if cause is decisions.FailureCause.PROMPT_CRASHES_ENGINES:
+            base_s = QUARANTINE_RETRY_AFTER_S
         if cause is decisions.FailureCause.ENGINES_LIMITED:
             draw = context.random_source.random()
             wait_s = self._limit_wait_s(context)
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -7,14 +7,15 @@
 from hypothesis import strategies
 
 from toucanspread.core import data
-from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
+    crash_guard_test,
     decisions,
     engines,
     forwarding,
     load_balancing,
     retry_budget,
 )
+from toucanspread.core.entry import data as entry_data
 
 ZONE = data.ZoneName("z")
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 4, 8, 1024, 0.3)
@@ -33,7 +34,17 @@
     decisions.DispatchFailure.REJECTED,
     decisions.DispatchFailure.OTHER_INSTANCE,
 )
-EVENTS = ("opened", "events", "answer", "failure", "go on", "time over", "left")
+EVENTS = (
+    "opened",
+    "events",
+    "answer",
+    "failure",
+    "go on",
+    "quarantine",
+    "time over",
+    "left",
+)
+QUARANTINE = entry_data.PartsQuarantined(("P",), 0.0, 0, 1.0)
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(EVENTS),
@@ -67,7 +78,9 @@
             attempts,
             resumable=kind is entry_data.RequestKind.STREAMING,
         )
-        call = entry_data.Call("id", "h", "/", None, 5.0, prompt_tokens=900)
+        call = entry_data.Call(
+            "id", "h", "/", None, 5.0, prompt_tokens=900, prompt_parts=("P",)
+        )
         self.request = forwarding.RequestState(self.route, self.service, call, 0.0)
         self.registry = engines.EngineRegistry(2.0)
         for name in ENGINES:
@@ -83,6 +96,7 @@
                 )
             )
         self.retry_budgets = retry_budget.RetryBudget(0.2, 50, 10.0)
+        self.guard = crash_guard_test.make_guard()
         self.now_s = 0.0
         self.has_engine = False
         self.is_queued = False
@@ -92,7 +106,12 @@
     def context(self):
         location = load_balancing.EntryLocation(ZONE, {ZONE: data.RegionName("g")}, 1)
         return forwarding.DecisionContext(
-            self.now_s, self.registry, self.retry_budgets, location, random.Random(1)
+            self.now_s,
+            self.registry,
+            self.retry_budgets,
+            location,
+            random.Random(1),
+            self.guard,
         )
 
     def apply(self, effects):
@@ -119,12 +138,15 @@
             self.has_engine = False
         elif event == "go on" and self.is_queued:
             self.apply(request.resume_queued(context))
+        elif event == "quarantine":
+            self.guard.on_notice(QUARANTINE, self.now_s)
+            self.apply(request.on_quarantine(context))
         elif not self.has_engine:
             return
         elif event == "opened":
             self.apply(request.on_stream_opened())
         elif event == "events":
-            request.on_events("3")
+            request.on_events(self.now_s, "3")
         elif event == "answer":
             self.has_engine = False
             self.apply(request.on_answer(context, status))
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -7,6 +7,8 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     admission_queue,
+    crash_evidence,
+    crash_guard_test,
     decisions,
     engines,
     forwarding,
@@ -49,6 +51,7 @@
             self.registry.put(make_entry(name))
         self.retry_budgets = retry_budget.RetryBudget(0.2, allowance, 10.0)
         self.random_source = random.Random(7)
+        self.guard = crash_guard_test.make_guard()
         self.minimum_version = 0
 
     def at(self, now_s, entry_count=1):
@@ -60,6 +63,7 @@
             self.retry_budgets,
             location,
             self.random_source,
+            self.guard,
             self.minimum_version,
         )
 
@@ -111,7 +115,7 @@
         request = fixture.make_request(make_route())
         request.start(fixture.at(0.0))
         self.assert_only(decisions.OpenStream, request.on_stream_opened())
-        request.on_events("7")
+        request.on_events(0.4, "7")
         effects = request.on_failure(fixture.at(0.5), decisions.DispatchFailure.BROKEN)
         resumed = self.assert_only(decisions.SendToEngine, effects)
         self.assertEqual("7", resumed.last_event_id)
@@ -236,7 +240,7 @@
         older = fixture.make_request(make_route(), arrived_s=-1.0)
         late = self.assert_only(decisions.SendToEngine, older.start(fixture.at(0.0)))
         first.on_stream_opened()
-        first.on_events("3")
+        first.on_events(0.2, "3")
         effects = first.on_failure(fixture.at(0.3), decisions.DispatchFailure.BROKEN)
         resumed = self.assert_only(decisions.SendToEngine, effects)
         self.assertLess(resumed.priority, on_time.priority)
@@ -340,3 +344,154 @@
         sent = self.assert_only(decisions.SendToEngine, request.start(fixture.at(0.0)))
         self.assertEqual("bb", sent.engine_id)
         self.assertEqual(2, sent.expected_version)
+
+
+class CrashTest(testtools.TestCase):
+    """Tests what happens to requests whose prompts may crash engines."""
+
+    def setUp(self):
+        super().setUp()
+        self.fixture = Fixture(names=("a", "b", "c", "d", "e"))
+
+    def make_request(self, *parts, arrived_s=0.0):
+        call = entry_data.Call("id", "h", "/p/x", None, 5.0, prompt_parts=parts)
+        return self.fixture.make_request(make_route(), call, arrived_s)
+
+    def break_off(self, request, now_s):
+        broken = decisions.DispatchFailure.BROKEN
+        effects = request.on_failure(self.fixture.at(now_s), broken)
+        return [type(effect) for effect in effects]
+
+    def crash(self, now_s, after_s=None, parts=("P",)):
+        """Let an engine crash on a request, maybe a while after its first event."""
+        request = self.make_request(*parts)
+        sent, *_ = request.start(self.fixture.at(now_s))
+        request.on_stream_opened()
+        if after_s is not None:
+            request.on_events(now_s, "1")
+            now_s += after_s
+        effects = self.break_off(request, now_s)
+        self.fixture.registry.remove(sent.engine_id, now_s)
+        return effects
+
+    def quarantine(self, *parts):
+        notice = entry_data.PartsQuarantined(parts, 0.0, 0, 30.0)
+        self.fixture.guard.on_notice(notice, 0.0)
+
+    def count_crashes(self, part="P"):
+        return len(self.fixture.guard.evidence.crashes_of_part(part))
+
+    def test_a_quarantined_request_is_refused_at_once_and_has_not_run(self):
+        self.quarantine("P")
+        request = self.make_request("a", "P", "b")
+        (rejected,) = request.start(self.fixture.at(0.0))
+        self.assertIsInstance(rejected, decisions.Reject)
+        cause = decisions.FailureCause.PROMPT_CRASHES_ENGINES
+        self.assertIs(cause, rejected.cause)
+        self.assertTrue(0.0 < rejected.retry_after_s < 5.0)
+        (sent,) = self.make_request("a", "b").start(self.fixture.at(0.0))
+        self.assertIsInstance(sent, decisions.SendToEngine)
+
+    def test_a_queued_request_is_refused_once_it_is_quarantined(self):
+        fixture = self.fixture = Fixture(names=("a",))
+        fixture.registry.get("a").add_prompt(20_000, PROFILE, 0.0)
+        request = self.make_request("P")
+        request.start(fixture.at(0.0))
+        self.quarantine("P")
+        (rejected,) = request.resume_queued(fixture.at(2.1))
+        self.assertIsInstance(rejected, decisions.Reject)
+
+    def test_a_request_that_waits_at_an_engine_is_cancelled_by_a_quarantine(self):
+        waiting = self.make_request("P")
+        begun = self.make_request("P")
+        other = self.make_request("a")
+        for request in (waiting, begun, other):
+            request.start(self.fixture.at(0.0))
+        begun.on_stream_opened()
+        begun.on_events(0.1, "1")
+        self.quarantine("P")
+        context = self.fixture.at(0.2)
+        kinds = [type(effect) for effect in waiting.on_quarantine(context)]
+        self.assertEqual([decisions.Cancel, decisions.Fail], kinds)
+        self.assertEqual([], waiting.on_quarantine(context))
+        self.assertEqual([], begun.on_quarantine(context))
+        self.assertEqual([], other.on_quarantine(context))
+
+    def test_a_broken_request_that_is_quarantined_is_not_sent_again(self):
+        request = self.make_request("P")
+        request.start(self.fixture.at(0.0))
+        self.quarantine("P")
+        self.assertEqual([decisions.Fail], self.break_off(request, 0.1))
+
+    def test_a_rejected_request_that_is_quarantined_is_not_sent_again(self):
+        request = self.make_request("P")
+        request.start(self.fixture.at(0.0))
+        self.quarantine("P")
+        rejection = decisions.DispatchFailure.REJECTED
+        (rejected,) = request.on_failure(self.fixture.at(0.1), rejection)
+        self.assertIsInstance(rejected, decisions.Reject)
+
+    def test_a_request_of_a_part_with_two_crashes_is_not_sent_again(self):
+        self.assertEqual([decisions.SendToEngine], self.crash(0.0, after_s=0.1))
+        self.assertEqual([decisions.BreakStream], self.crash(0.3, after_s=0.1))
+        self.assertEqual(2, self.count_crashes())
+
+    def test_a_request_that_ran_for_a_while_is_not_suspect_and_resumes(self):
+        for number in range(3):
+            effects = self.crash(float(number), crash_evidence.JUST_BEGUN_S + 0.1)
+            self.assertEqual([decisions.SendToEngine], effects)
+        self.assertEqual(0, self.count_crashes())
+
+    def test_a_resumed_request_is_suspect_again_until_its_next_event(self):
+        request = self.make_request("P")
+        request.start(self.fixture.at(0.0))
+        request.on_stream_opened()
+        request.on_events(0.1, "1")
+        self.break_off(request, 1.0)
+        self.assertEqual(0, self.count_crashes())
+        self.break_off(request, 1.1)
+        self.assertEqual(1, self.count_crashes())
+
+    def test_an_order_to_switch_versions_is_no_crash(self):
+        for name in ("a", "b", "c", "d", "e"):
+            engine = self.fixture.registry.get(name)
+            load = entry_data.EngineLoad(engine.entry.address, 0, 1, 0, 1, False)
+            engine.apply_load(load, 0.0)
+            engine.switch_at_s = 0.2
+        for _ in range(3):
+            self.crash(0.1)
+        self.assertEqual(0, self.count_crashes())
+
+    def test_an_engine_that_leaves_does_not_crash(self):
+        request = self.make_request("P")
+        (sent,) = request.start(self.fixture.at(0.0))
+        self.fixture.registry.remove(sent.engine_id, 0.1)
+        self.break_off(request, 0.2)
+        self.assertEqual(0, self.count_crashes())
+
+    def test_only_a_whole_answer_shows_that_parts_are_sound(self):
+        cases = ((404, 1, 0.9, 1), (200, 0, 0.9, 1), (200, 1, 0.3, 1), (200, 1, 0.9, 0))
+        for status, events, end_s, expected in cases:
+            self.fixture = Fixture(names=("a", "b", "c", "d", "e"))
+            self.crash(0.0)
+            request = self.make_request("P")
+            request.start(self.fixture.at(0.1))
+            request.on_stream_opened()
+            for _ in range(events):
+                request.on_events(0.2, "1")
+            request.on_answer(self.fixture.at(end_s), status)
+            case = (status, events, end_s)
+            self.assertEqual(expected, self.count_crashes(), str(case))
+
+    def test_a_trial_may_go_to_another_engine_only_if_it_did_not_run(self):
+        self.quarantine("P")
+        request = self.make_request("P", arrived_s=30.0)
+        (sent,) = request.start(self.fixture.at(30.0))
+        self.assertIsInstance(sent, decisions.SendToEngine)
+        self.assertEqual([], request.on_quarantine(self.fixture.at(30.0)))
+        rejection = decisions.DispatchFailure.REJECTED
+        (sent,) = request.on_failure(self.fixture.at(30.1), rejection)
+        self.assertIsInstance(sent, decisions.SendToEngine)
+        self.assertEqual([decisions.Fail], self.break_off(request, 30.2))
+        (rejected,) = self.make_request("P").start(self.fixture.at(40.0))
+        self.assertIsInstance(rejected, decisions.Reject)
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -147,8 +147,9 @@
 
     def on_events(self, events: bytes, last_event_id: str | None) -> None:
         """Relay complete events."""
-        self._state.on_events(last_event_id)
-        self._stream_timing.record_events(self._forwarder.pool.reactor.seconds())
+        now_s = self._forwarder.pool.reactor.seconds()
+        self._state.on_events(now_s, last_event_id)
+        self._stream_timing.record_events(now_s)
         self.exchange.write(events)
 
     def on_answer(self, status: int) -> None:
@@ -174,6 +175,10 @@
         metric_buffer.count("dispatches_failed", why=failure.value)
         self.carry_out(effects)
 
+    def on_quarantine(self) -> None:
+        """Handle the begin of a quarantine of prompts that crash engines."""
+        self.carry_out(self._state.on_quarantine(self.make_decision_context()))
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -7,12 +7,14 @@
 from toucanspread.core.entry import (
     cluster_state,
     forwarding,
+    guard_program,
     load_balancing,
     retry_budget,
     routes,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import (
+    crash_notices,
     dialect,
     forwarded_request,
     http1_pool,
@@ -37,8 +39,10 @@
         """Notify the other entries of the zone of a prompt sent to an engine."""
 
     @abc.abstractmethod
-    def send_limit_notice(self, notice: entry_data.LimitNotice) -> None:
-        """Notify the entries of all zones of an engine's limit."""
+    def send_notice(
+        self, notice: entry_data.LimitNotice | entry_data.CrashNotice
+    ) -> None:
+        """Notify the entries of all zones of a limit, or of crashes of engines."""
 
 
 class Forwarder(http1_server.RequestHandler, forwarded_request.AbstractForwarder):
@@ -46,6 +50,7 @@
 
     :param get_location: returns the location of this entry and the number of entries.
     :param notifier: notifies the other entries.
+    :param list_members: returns the entries that serve callers.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         get_location: Callable[[], load_balancing.EntryLocation],
         random_source: random.Random,
         notifier: EntryNotifier,
+        list_members: Callable[[], guard_program.Members],
     ):
         self._notifier = notifier
         self.cluster = cluster
@@ -68,6 +74,13 @@
         self._get_location = get_location
         self._random_source = random_source
         self.queue = request_queue.RequestQueue(pool.reactor)
+        self.crash_notices = crash_notices.CrashNotices(
+            pool.reactor,
+            random_source,
+            list_members,
+            notifier.send_notice,
+            self._on_quarantine,
+        )
 
     def get_limits(self) -> http1_server.Limits:
         """Return the configured limits on requests."""
@@ -114,6 +127,7 @@
             self._retry_budgets,
             self._get_location(),
             self._random_source,
+            self.crash_notices.guard,
             self.cluster.minimum_version(service, now_s),
         )
 
@@ -123,7 +137,7 @@
 
     def notify_limit(self, notice: entry_data.LimitNotice) -> None:
         """Notify all entries of an engine's limit and of requests under it."""
-        self._notifier.send_limit_notice(notice)
+        self._notifier.send_notice(notice)
 
     def choose_service(self, route: entry_data.Route) -> entry_data.Service | None:
         """Choose one of a route's services at random, by their weights."""
@@ -138,6 +152,10 @@
             share = self._random_source.choices(shares, weights)[0]
         return self.cluster.route_table.services.get(share.service)
 
+    def _on_quarantine(self) -> None:
+        for request in list(self.in_progress):
+            request.on_quarantine()
+
     def _refuse_unconfigured(
         self, exchange: http1_server.Exchange, call: entry_data.Call
     ) -> None:
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -3,11 +3,17 @@
 import random
 
 import testtools
-from twisted.internet import task
+from twisted.internet import error, task
 from twisted.internet.testing import StringTransport
+from twisted.python import failure
 
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state, load_balancing, retry_budget
+from toucanspread.core.entry import (
+    cluster_state,
+    guard_program,
+    load_balancing,
+    retry_budget,
+)
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import (
     forwarder,
@@ -54,12 +60,15 @@
         self.connection.dataReceived(received)
 
 
-class IgnoringNotifier(forwarder.EntryNotifier):
+class RecordingNotifier(forwarder.EntryNotifier):
+    def __init__(self):
+        self.notices = []
+
     def send_prompt_notice(self, notice):
         return
 
-    def send_limit_notice(self, notice):
-        return
+    def send_notice(self, notice):
+        self.notices.append(notice)
 
 
 class FakePool(http1_pool.ConnectionPool):
@@ -99,6 +108,7 @@
                 self.add_engine(service, number)
         zone = data.ZoneName("z")
         location = load_balancing.EntryLocation(zone, {zone: data.RegionName("r")}, 1)
+        self.notifier = RecordingNotifier()
         self.forwarder = forwarder.Forwarder(
             self.cluster,
             retry_budget.RetryBudget(0.2, 100.0, 10.0),
@@ -106,7 +116,8 @@
             requests.PlatformDialect(),
             lambda: location,
             random.Random(1),
-            IgnoringNotifier(),
+            self.notifier,
+            lambda: guard_program.Members("n", ["n"]),
         )
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
@@ -228,6 +239,24 @@
             0.0, self.forwarder.queue.sum_prefill_s(data.ServiceName("s2"))
         )
 
+    def test_waiting_request_is_cancelled_when_its_prompt_is_quarantined(self):
+        prompt = b"X-Prompt-Prefix: a:1,b:1\r\nContent-Length"
+        engine = self.send_request(REQUEST.replace(b"Content-Length", prompt))
+        notice = entry_data.PartsQuarantined(("a",), 0.0, 0, 30.0)
+        self.forwarder.crash_notices.receive(notice)
+        self.clock.advance(0)
+        self.assertTrue(engine.cancelled)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+    def test_crashes_are_notified_to_the_other_entries(self):
+        prompt = b"X-Prompt-Prefix: a:1,b:1\r\nContent-Length"
+        engine = self.send_request(REQUEST.replace(b"Content-Length", prompt))
+        engine.connection.connectionLost(failure.Failure(error.ConnectionLost()))
+        self.clock.advance(0)
+        (notice,) = self.notifier.notices
+        self.assertEqual(("a",), notice.parts)
+
     def test_request_without_a_configuration_is_refused_with_a_retry_delay(self):
         self.cluster.route_table = None
         self.send_request()
--- a/toucanspread/ops/log_limits.py
+++ b/toucanspread/ops/log_limits.py
@@ -30,6 +30,7 @@
 FAILURE_EVENTS = frozenset(
     {
         "dispatch_failed",
+        "engine_crash_suspected",
         "request_denied",
         "request_failed",
         "request_refused",
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -14,6 +14,7 @@
 from toucanspread.core.entry import (
     cluster_state,
     entry_directory,
+    guard_program,
     load_balancing,
     retry_budget,
 )
@@ -110,7 +111,9 @@
             self._make_location,
             self.random_source,
             self._report_receiver,
+            self._list_members,
         )
+        self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._registration = registration.Registration(self._store, self._make_record())
         self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
         self._path = path
@@ -187,6 +190,10 @@
             max(len(self.cluster.directory.serving()), 1),
         )
 
+    def _list_members(self) -> guard_program.Members:
+        names = [record.name for record in self.cluster.directory.serving()]
+        return guard_program.Members(self.process_settings.node_name, names)
+
     def _find_origin_address(self) -> data.Address | None:
         service = (
             self.cluster.route_table.origin_service()
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -17,6 +17,7 @@
 from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
+    crash_notices,
     forwarder,
     http1,
     http1_server,
@@ -39,9 +40,11 @@
 
     :param name: of this entry.
     :param zone: of this entry.
+    :ivar crash_notices: receives the notices of crashes; None before the start.
     """
 
     def __init__(self, cluster: cluster_state.ClusterState, name: str, zone: str):
+        self.crash_notices: crash_notices.CrashNotices | None = None
         self._cluster = cluster
         self._name = name
         self._zone = zone
@@ -54,18 +57,29 @@
         except msgspec.MsgspecError as error:
             logs.write("report_unreadable", sender=addr[0], why=str(error))
             return
-        self._cluster.apply_report(report, reactor.seconds())
+        self._apply(report)
 
     def send_prompt_notice(self, notice: entry_data.PromptSent) -> None:
         """Notify the other entries of the zone of a prompt sent to an engine."""
         serving = self._cluster.directory.serving()
         self._send(notice, [r for r in serving if r.zone == self._zone])
 
-    def send_limit_notice(self, notice: entry_data.LimitNotice) -> None:
-        """Notify the entries of all zones of an engine's limit."""
+    def send_notice(
+        self, notice: entry_data.LimitNotice | entry_data.CrashNotice
+    ) -> None:
+        """Notify the entries of all zones of a limit, or of crashes of engines."""
         # Leaving entries still send what their callers have on open connections.
         self._send(notice, self._cluster.directory.all_entries())
 
+    def _apply(self, report: entry_data.EngineNotice) -> None:
+        if isinstance(report, entry_data.CrashNotice):
+            if self.crash_notices is not None:
+                self.crash_notices.receive(report)
+            return
+        alive = self._cluster.apply_report(report, reactor.seconds())
+        if self.crash_notices is not None:
+            self.crash_notices.record_alive(alive)
+
     def _send(
         self,
         notice: entry_data.EngineNotice,
--- /dev/null
+++ b/toucanspread/platform/entry_handlers_test.py
@@ -0,0 +1,94 @@
+"""Tests how an entry handles the datagrams that other processes send it."""
+
+import random
+
+import msgspec
+import testtools
+from twisted.internet import reactor, task
+
+from toucanspread.core import data
+from toucanspread.core.entry import (
+    cluster_state,
+    crash_evidence,
+    entry_directory,
+    guard_program,
+)
+from toucanspread.core.entry import data as entry_data
+from toucanspread.ops import crash_notices
+from toucanspread.platform import entry_handlers
+
+SENDER = ("10.0.0.2", 9)
+
+
+class FakeTransport:
+    def __init__(self):
+        self.written = []
+
+    def write(self, payload, address):
+        self.written.append((payload, address))
+
+
+class ReportReceiverTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.cluster = cluster_state.ClusterState(8.0, 2.0)
+        self.receiver = entry_handlers.ReportReceiver(self.cluster, "n1", "z")
+        self.receiver.transport = FakeTransport()
+        self.clock = task.Clock()
+        self.clock.rightNow = reactor.seconds()
+        self.receiver.crash_notices = crash_notices.CrashNotices(
+            self.clock,
+            random.Random(1),
+            lambda: guard_program.Members("n1", ["n1", "n2"]),
+            self.receiver.send_notice,
+            lambda: None,
+        )
+        for name in ("n1", "n2"):
+            addresses = [f"{name}:{port}" for port in (1, 2, 3)]
+            record = entry_directory.EntryRecord(name, "z", "r", *addresses)
+            self.cluster.directory.put(record)
+
+    def receive(self, notice):
+        self.receiver.datagramReceived(msgspec.msgpack.encode(notice), SENDER)
+
+    def is_quarantined(self, part):
+        call = entry_data.Call("id", "h", "/", None, prompt_parts=(part,))
+        return self.receiver.crash_notices.guard.is_quarantined(call)
+
+    def test_an_announced_quarantine_is_in_force_and_announced_again(self):
+        self.receive(entry_data.PartsQuarantined(("P",), 0.0, 0, 30.0))
+        self.assertTrue(self.is_quarantined("P"))
+        self.clock.advance(1.1)
+        ((payload, address),) = self.receiver.transport.written
+        self.assertEqual(("n2", 3), address)
+        decoder = msgspec.msgpack.Decoder(entry_data.EngineNotice)
+        self.assertEqual(("P",), decoder.decode(payload).parts)
+
+    def test_a_malformed_notice_harms_nothing(self):
+        self.receive({"type": "PartsQuarantined", "parts": [], "idle_s": 0.0})
+        self.receive({"type": "CrashSuspected", "parts": ["P"] * 99})
+        self.receiver.datagramReceived(b"\xff\x00", SENDER)
+        self.receive(entry_data.PartsQuarantined(("P",), 0.0, 0, 30.0))
+        self.assertTrue(self.is_quarantined("P"))
+        self.assertFalse(self.is_quarantined("a"))
+
+    def test_a_load_report_shows_that_an_engine_did_not_crash(self):
+        entry = entry_data.EngineEntry(
+            "e",
+            data.ServiceName("s"),
+            data.Address("10.0.0.1:1"),
+            data.ZoneName("z"),
+            16,
+            entry_data.EngineState.READY,
+            born_ms=7,
+        )
+        self.cluster.registry.put(entry)
+        self.receive(entry_data.CrashSuspected("e", 7, 1, ("P",)))
+        evidence = self.receiver.crash_notices.guard.evidence
+        load = entry_data.EngineLoad(entry.address, 7, 0, 0, 1, False)
+        self.receive(load)
+        incarnation = crash_evidence.Incarnation("e", 7)
+        self.assertEqual({incarnation}, evidence.crashes())
+        self.clock.advance(crash_evidence.ALIVE_AFTER_S + 0.1)
+        self.receive(load)
+        self.assertEqual(frozenset(), evidence.crashes())
