Let engines crash from the first token on, and check faults and callers beside crashing parts

Engines crashed some time after the first event of an answer, so entries always saw an event before the break; the delay now begins at the first token. A soak adds crashing parts with other parts and routes, lost datagrams, crashes for other reasons, switches and changes of the entries. New checks: requests with a known part are refused at once, running sound requests are resumed, no sound request is refused for its parts when engines flap, and all begin as before when the faults are over.

--- a/standins/crash_check.py
+++ b/standins/crash_check.py
@@ -150,6 +150,10 @@
         """Return the number of crashes of engines by a part."""
         return len(self._parts[part].crashes_s) if part in self._parts else 0
 
+    def get_known_s(self, part: entry_data.PromptPartId) -> float | None:
+        """Return the time of the crash that makes a part known; None without one."""
+        return self._parts[part].known_s if part in self._parts else None
+
     def list_violations(self) -> list[str]:
         """Return how the rules were broken until now."""
         violations = []
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -27,6 +27,8 @@
 
     :param on_event: called at each event of the stream.
     :param on_end: called once, after the last event.
+    :param on_decode: called once, at the begin of the pass that generates the first
+        token, with the seconds until that token.
     :param priority: requests with a lower number get a free slot first.
     """
 
@@ -34,6 +36,7 @@
     answer_tokens: int
     on_event: Callable[[], None]
     on_end: Callable[[], None]
+    on_decode: Callable[[float], None]
     priority: int = 5
     unread_tokens: int = 0
     generated_tokens: int = 0
@@ -102,12 +105,14 @@
             + STEP_PER_REQUEST_S * len(decoding_jobs)
             + STEP_PER_CONTEXT_TOKEN_S * context_tokens
         )
-        pass_s = read_tokens / PREFILL_TOKENS_PER_S + step_s * TOKENS_PER_EVENT * bool(
-            decoding_jobs
-        )
+        read_s = read_tokens / PREFILL_TOKENS_PER_S
+        pass_s = read_s + step_s * TOKENS_PER_EVENT * bool(decoding_jobs)
         self._pending_pass = self._clock.callLater(
             pass_s * self._slowdown_factor, self._end_pass, decoding_jobs
         )
+        for job in decoding_jobs:
+            if job.generated_tokens == 0:
+                job.on_decode((read_s + step_s) * self._slowdown_factor)
 
     def _prefill(self) -> int:
         """Read prompts in order of admission and return the number of tokens read."""
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -52,15 +52,25 @@
     LAST = 2
 
 
+class OtherParts(enum.Enum):
+    """The shared parts of a prompt beside a part on which engines crash."""
+
+    POPULAR = "drawn as those of sound prompts"
+    SAME = "always the most frequent ones of sound prompts"
+    OWN = "always the same ones, which no sound prompt has"
+
+
 @dataclasses.dataclass(frozen=True)
 class CrashingPart:
     """Engines crash on a part of some prompts, beside the other requests.
 
+    :param crashes_engines: whether they do; if not, the part is only a frequent one.
     :param rate_per_s: requests per second with the part.
     :param from_s: time at which the first of them may come.
     :param until_s: time from which on no more of them come.
     :param is_of_one_caller: whether they have the API key and the first part that are
         the most frequent ones of the other requests.
+    :param route: name of the kind of the requests; None for all kinds.
     """
 
     part: entry_data.PromptPartId
@@ -69,6 +79,22 @@
     from_s: float
     until_s: float = float("inf")
     is_of_one_caller: bool = False
+    other_parts: OtherParts = OtherParts.POPULAR
+    route: str | None = None
+    crashes_engines: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineCrashes:
+    """Some engines crash at the same moment, whatever their requests are.
+
+    :param engine_numbers: numbers of the engines, from 0.
+    :param duration_s: time until they are back.
+    """
+
+    at_s: float
+    engine_numbers: tuple[int, ...]
+    duration_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +108,8 @@
         for each wave.
     :param limits: changes of the limits that engines name.
     :param crashing_parts: parts of prompts on which engines crash.
+    :param engine_crashes: crashes of engines for other reasons.
+    :param loss_ratio: part of the datagrams to entries that are lost.
     """
 
     name: str
@@ -92,6 +120,8 @@
     entries: int = 18
     limits: tuple[LimitChange, ...] = ()
     crashing_parts: tuple[CrashingPart, ...] = ()
+    engine_crashes: tuple[EngineCrashes, ...] = ()
+    loss_ratio: float = 0.0
 
 
 LOAD_PROFILES = (
@@ -130,6 +160,37 @@
     ),
 )
 
+# Engines crash in groups and flap, and switch to a new version, but not because of the
+# prompts; one part comes with the first crash and is then the most frequent one.
+FLAPPING_PROFILE = LoadProfile(
+    "flapping",
+    ((0.0, 40.0),),
+    ((0.0, 10),),
+    16.0,
+    (6.0, 6.9, 7.8),
+    crashing_parts=(
+        CrashingPart(
+            entry_data.PromptPartId("new"),
+            PartPlace.FIRST,
+            15.0,
+            2.0,
+            crashes_engines=False,
+        ),
+    ),
+    engine_crashes=(
+        EngineCrashes(0.4, (0, 1), 0.5),
+        *(EngineCrashes(2.0 + 0.7 * number, (0,), 0.3) for number in range(12)),
+        *(EngineCrashes(2.3 + 1.1 * number, (1, 2, 3), 0.5) for number in range(8)),
+        EngineCrashes(10.5, (4, 5, 6, 7), 1.5),
+        EngineCrashes(12.5, tuple(range(10)), 0.5),
+    ),
+)
+
+
+def get_request_kind(name: str) -> RequestKind:
+    """Return a kind of request by its name."""
+    return next(kind for kind in REQUEST_KINDS if kind.name == name)
+
 
 def get_step_value(steps: tuple[tuple[float, float], ...], now_s: float) -> float:
     """Return the value of a step function."""
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from standins import (
+    caller_check,
     crash_check,
     load_profiles,
     simulated_cluster,
@@ -32,7 +33,9 @@
         self.crash_random_source = random.Random(f"{seed}/crashes")
         self.outcome = simulated_request.CallerTotals()
         self.crashing_outcome = simulated_request.CallerTotals()
+        self._loss_random_source = random.Random(f"{seed}/losses")
         self.crash_check = crash_check.CrashCheck()
+        self.caller_check = caller_check.CallerCheck(self.crash_check)
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._profile = profile
         self.entries = [
@@ -53,6 +56,8 @@
             self.clock.callLater(from_s, self._set_engines, int(count))
         for change in self._profile.limits:
             self.clock.callLater(change.at_s, self.name_limit, change)
+        for crashes in self._profile.engine_crashes:
+            self.clock.callLater(crashes.at_s, self._crash_engines, crashes)
         for engine in self.engines:
             if engine.switch_at_s is not None:
                 self.clock.callLater(engine.switch_at_s, engine.switch)
@@ -100,7 +105,9 @@
                 for entry in self.entries
                 if entry.zone == zone and entry is not sender
             ]
-            self.call_after_delay(source, zone, _deliver, receivers, method, message)
+            self.call_after_delay(
+                source, zone, self._deliver, receivers, method, message
+            )
 
     def name_limit(self, change: load_profiles.LimitChange) -> None:
         """Let some engines name a limit in their answers, or none any more."""
@@ -173,6 +180,11 @@
             elif number >= count and engine.is_running:
                 engine.stop()
 
+    def _crash_engines(self, crashes: load_profiles.EngineCrashes) -> None:
+        self.crash_check.record_disturbance(self.clock.seconds())
+        for number in crashes.engine_numbers:
+            self.engines[number].crash(crashes.duration_s)
+
     def _send_next_request(self) -> None:
         now_s = self.clock.seconds()
         if now_s >= self._profile.duration_s:
@@ -188,24 +200,37 @@
         until_s = min(crashing.until_s, self._profile.duration_s)
         if self.clock.seconds() >= until_s:
             return
-        self.crashing_outcome.request_count += 1
-        self._send(self._prompt_source.draw_crashing(crashing))
+        outcome = self.crashing_outcome if crashing.crashes_engines else self.outcome
+        outcome.request_count += 1
+        self._send(self._prompt_source.draw_crashing(crashing), crashing.route)
         interval_s = self._prompt_source.draw_interval_s(crashing.rate_per_s)
         self.clock.callLater(interval_s, self._send_next_crashing, crashing)
 
-    def _send(self, prompt: simulated_prompts.Prompt) -> None:
+    def _deliver(
+        self,
+        receivers: list[simulated_cluster.SimulatedEntry],
+        method: str,
+        message: data.Record,
+    ) -> None:
+        loss_ratio = self._profile.loss_ratio
+        for entry in receivers:
+            if entry.is_cut:
+                continue
+            if loss_ratio and self._loss_random_source.random() < loss_ratio:
+                continue
+            getattr(entry, method)(message)
+
+    def _send(self, prompt: simulated_prompts.Prompt, route: str | None = None) -> None:
+        """Send a request with a prompt to an entry.
+
+        :param route: name of its kind; None for any.
+        """
         kind = self.random_source.choices(
             load_profiles.REQUEST_KINDS,
             [kind.share for kind in load_profiles.REQUEST_KINDS],
         )[0]
+        if route is not None:
+            kind = load_profiles.get_request_kind(route)
         simulated_request.SimulatedRequest(
             self, self.choose_entry(), kind, prompt, can_retry=True
         ).start()
-
-
-def _deliver(
-    receivers: list[simulated_cluster.SimulatedEntry], method: str, message: data.Record
-) -> None:
-    for entry in receivers:
-        if not entry.is_cut:
-            getattr(entry, method)(message)
--- a/standins/simulated_prompts.py
+++ b/standins/simulated_prompts.py
@@ -46,11 +46,14 @@
         """Return a prompt that has a crashing part beside parts of sound prompts."""
         key_number = self._draw_number(KEY_COUNT)
         parts = list(self._draw_parts(PLACE_COUNT))
+        if crashing.other_parts is not load_profiles.OtherParts.POPULAR:
+            parts = _list_same_parts(crashing)
         if crashing.is_of_one_caller:
             key_number = 0
             parts[0] = _make_part(0, 0)
         parts[crashing.place.value] = crashing.part
-        return Prompt(f"key-{key_number}", tuple(parts), crashing.part)
+        crashing_part = crashing.part if crashing.crashes_engines else None
+        return Prompt(f"key-{key_number}", tuple(parts), crashing_part)
 
     def draw_interval_s(self, rate_per_s: float) -> float:
         """Return the time until the next request with a crashing part."""
@@ -67,5 +70,17 @@
         return self._random.choices(range(count), cum_weights=list(weights))[0]
 
 
+def _list_same_parts(
+    crashing: load_profiles.CrashingPart,
+) -> list[entry_data.PromptPartId]:
+    """Return the parts that all prompts with a crashing part have."""
+    if crashing.other_parts is load_profiles.OtherParts.SAME:
+        return [_make_part(place, 0) for place in range(PLACE_COUNT)]
+    return [
+        entry_data.PromptPartId(f"{crashing.part}-{place}")
+        for place in range(PLACE_COUNT)
+    ]
+
+
 def _make_part(place: int, number: int) -> entry_data.PromptPartId:
     return entry_data.PromptPartId(f"part-{place}-{number}")
