--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -21,6 +21,7 @@
 from toucanspread.core import data
 
 MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
+LEAVING_DURATION_S = 6.0  # an entry out of use ends with its last request
 
 
 class LoadSimulation(simulated_request.AbstractCallers):
@@ -97,7 +98,7 @@
         only_own_zone: bool = False,
     ) -> None:
         """Send a datagram to the entries, except to its sender."""
-        if sender is not None and sender.is_cut:
+        if sender is not None and (sender.is_cut or sender.is_stopped):
             return
         for zone in [source] if only_own_zone else simulated_cluster.ZONES:
             receivers = [
@@ -125,11 +126,13 @@
     def remove_entry(self, entry: simulated_cluster.SimulatedEntry) -> None:
         """Take an entry out of use; its requests go on."""
         self.entries.remove(entry)
+        self.clock.callLater(LEAVING_DURATION_S, entry.stop)
         self._announce_entry_count()
 
     def restart_entry(self, entry: simulated_cluster.SimulatedEntry) -> None:
         """Replace an entry by a new one that knows nothing of before."""
         self.entries.remove(entry)
+        entry.stop()
         self.crash_check.contact.lose(entry)
         self._start_entry(entry.number)
 
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -231,6 +231,7 @@
     :param number: number of this entry, which a restarted one has again.
     :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
+    :ivar is_stopped: whether the process has ended, so that it sends no more messages.
     """
 
     def __init__(
@@ -242,6 +243,7 @@
         self.number = number
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
+        self.is_stopped = False
         self._entry_count = entry_count
         self.registry = engines.EngineRegistry(DRAIN_DURATION_S)
         self.queue = request_queue.RequestQueue(simulation.clock)
@@ -249,6 +251,10 @@
         self.random_source = random.Random(f"{simulation.seed}/{number}")
         self._simulation = simulation
 
+    def stop(self) -> None:
+        """End the process; its messages no longer arrive."""
+        self.is_stopped = True
+
     def apply_entry_count(self, entry_count: int) -> None:
         """Apply a change of the number of entries."""
         self._entry_count = entry_count
