--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -12,6 +12,7 @@
 from twisted.internet import task
 
 from standins import (
+    caller_check,
     crash_check,
     load_profiles,
     simulated_cluster,
@@ -21,6 +22,7 @@
 from toucanspread.core import data
 
 MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
+LEAVING_DURATION_S = 6.0  # an entry out of use ends with its last request
 
 
 class LoadSimulation(simulated_request.AbstractCallers):
@@ -33,7 +35,9 @@
         self.crash_random_source = random.Random(f"{seed}/crashes")
         self.outcome = simulated_request.CallerTotals()
         self.crashing_outcome = simulated_request.CallerTotals()
+        self._loss_random_source = random.Random(f"{seed}/losses")
         self.crash_check = crash_check.CrashCheck()
+        self.caller_check = caller_check.CallerCheck(self.crash_check)
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._request_numbers = itertools.count()
         self._profile = profile
@@ -55,6 +59,8 @@
             self.clock.callLater(from_s, self._set_engines, int(count))
         for change in self._profile.limits:
             self.clock.callLater(change.at_s, self.name_limit, change)
+        for crashes in self._profile.engine_crashes:
+            self.clock.callLater(crashes.at_s, self._crash_engines, crashes)
         for engine in self.engines:
             if engine.switch_at_s is not None:
                 self.clock.callLater(engine.switch_at_s, engine.switch)
@@ -94,7 +100,7 @@
         only_own_zone: bool = False,
     ) -> None:
         """Send a datagram to the entries, except to its sender."""
-        if sender is not None and sender.is_cut:
+        if sender is not None and (sender.is_cut or sender.is_stopped):
             return
         for zone in [source] if only_own_zone else simulated_cluster.ZONES:
             receivers = [
@@ -102,7 +108,9 @@
                 for entry in self.entries
                 if entry.zone == zone and entry is not sender
             ]
-            self.call_after_delay(source, zone, _deliver, receivers, method, message)
+            self.call_after_delay(
+                source, zone, self._deliver, receivers, method, message
+            )
 
     def draw_id(self) -> str:
         """Return an id that no other request has."""
@@ -124,11 +132,13 @@
     def remove_entry(self, entry: simulated_cluster.SimulatedEntry) -> None:
         """Take an entry out of use; its requests go on."""
         self.entries.remove(entry)
+        self.clock.callLater(LEAVING_DURATION_S, entry.stop)
         self._announce_entry_count()
 
     def restart_entry(self, entry: simulated_cluster.SimulatedEntry) -> None:
         """Replace an entry by a new one that knows nothing of before."""
         self.entries.remove(entry)
+        entry.stop()
         self.crash_check.contact.lose(entry)
         self._start_entry(entry.number)
 
@@ -179,6 +189,11 @@
             elif number >= count and engine.is_running:
                 engine.stop()
 
+    def _crash_engines(self, crashes: load_profiles.EngineCrashes) -> None:
+        self.crash_check.record_disturbance(self.clock.seconds())
+        for number in crashes.engine_numbers:
+            self.engines[number].crash(crashes.duration_s)
+
     def _send_next_request(self) -> None:
         now_s = self.clock.seconds()
         if now_s >= self._profile.duration_s:
@@ -194,24 +209,37 @@
         until_s = min(crashing.until_s, self._profile.duration_s)
         if self.clock.seconds() >= until_s:
             return
-        self.crashing_outcome.request_count += 1
-        self._send(self._prompt_source.draw_crashing(crashing))
+        outcome = self.crashing_outcome if crashing.crashes_engines else self.outcome
+        outcome.request_count += 1
+        self._send(self._prompt_source.draw_crashing(crashing), crashing.route)
         interval_s = self._prompt_source.draw_interval_s(crashing.rate_per_s)
         self.clock.callLater(interval_s, self._send_next_crashing, crashing)
 
-    def _send(self, prompt: simulated_prompts.Prompt) -> None:
+    def _deliver(
+        self,
+        receivers: list[simulated_cluster.SimulatedEntry],
+        method: str,
+        message: data.Record,
+    ) -> None:
+        loss_ratio = self._profile.loss_ratio
+        for entry in receivers:
+            if entry.is_cut:
+                continue
+            if loss_ratio and self._loss_random_source.random() < loss_ratio:
+                continue
+            getattr(entry, method)(message)
+
+    def _send(self, prompt: simulated_prompts.Prompt, route: str | None = None) -> None:
+        """Send a request with a prompt to an entry.
+
+        :param route: name of its kind; None for any.
+        """
         kind = self.random_source.choices(
             load_profiles.REQUEST_KINDS,
             [kind.share for kind in load_profiles.REQUEST_KINDS],
         )[0]
+        if route is not None:
+            kind = load_profiles.get_request_kind(route)
         simulated_request.SimulatedRequest(
             self, self.choose_entry(), kind, prompt, can_retry=True
         ).start()
-
-
-def _deliver(
-    receivers: list[simulated_cluster.SimulatedEntry], method: str, message: data.Record
-) -> None:
-    for entry in receivers:
-        if not entry.is_cut:
-            getattr(entry, method)(message)
