Do not take rare parts for the cause when engines flap

An engine that writes an answer for half a second shows that its parts are sound; before, only whole answers did. A part has to be suspect in a quarter of the moments at which engines crashed, and a broken request is only kept back on the same evidence as a quarantine.

--- a/toucanspread/core/entry/crash_causes.py
+++ b/toucanspread/core/entry/crash_causes.py
@@ -6,13 +6,16 @@
 are no cause then.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from toucanspread.core.entry import crash_evidence
 from toucanspread.core.entry import data as entry_data
 
 MIN_CRASH_COUNT = 3  # and as many moments
+# Of the unexplained crashes in the same span of time, counted by moments. Engines that
+# crash for other reasons often have some rare part in common by chance.
+MIN_SHARE = 0.25
 # A request that is sent again after a crash may be at the next one by chance.
 MIN_REQUEST_COUNT = 3
 # A notice that a part is sound may be under way.
@@ -43,25 +46,19 @@
 ) -> list[Cause]:
     """Return the causes of the crashes that known ones don't explain."""
     causes: list[Cause] = []
-    open_crashes = {part: evidence.crashes_of_part(part) for part in evidence.parts()}
-    explained = explained_crashes(evidence, known)
-    while True:
-        open_crashes = _without(open_crashes, explained)
-        most = max(open_crashes.values(), key=_order_of, default=frozenset())
-        explained = most
-        if not most:
+    for parts, crashes in _candidates(evidence, known):
+        if now_s - min(map(evidence.began_s, crashes)) < MIN_SUSPICION_S:
             return causes
-        if evidence.count_moments(most) < MIN_CRASH_COUNT:
-            continue
-        if now_s - min(map(evidence.began_s, most)) < MIN_SUSPICION_S:
-            return causes
-        signatures = {
-            evidence.common_parts(part)
-            for part, crashes in open_crashes.items()
-            if crashes == most
-            and evidence.count_requests(part, crashes) >= MIN_REQUEST_COUNT
-        }
-        causes += [Cause(parts, most) for parts in sorted(signatures, key=sorted)]
+        causes.append(Cause(parts, crashes))
+    return causes
+
+
+def find_suspicion(
+    evidence: crash_evidence.CrashEvidence,
+    known: Iterable[crash_evidence.PartSet],
+) -> list[Cause]:
+    """Return the causes that :func:`find_causes` may find a little later."""
+    return list(_candidates(evidence, known))
 
 
 def find_common_parts(
@@ -88,6 +85,44 @@
     ]
 
 
+def _candidates(
+    evidence: crash_evidence.CrashEvidence,
+    known: Iterable[crash_evidence.PartSet],
+) -> Iterator[Cause]:
+    """Iterate over the causes of unexplained crashes, those of most crashes first."""
+    open_crashes = {part: evidence.crashes_of_part(part) for part in evidence.parts()}
+    explained = explained_crashes(evidence, known)
+    while True:
+        open_crashes = _without(open_crashes, explained)
+        most = max(open_crashes.values(), key=_order_of, default=frozenset())
+        if not most:
+            return
+        explained |= most
+        if not _is_enough(evidence, most, explained):
+            continue
+        signatures = {
+            evidence.common_parts(part)
+            for part, crashes in open_crashes.items()
+            if crashes == most
+            and evidence.count_requests(part, crashes) >= MIN_REQUEST_COUNT
+        }
+        for parts in sorted(signatures, key=sorted):
+            yield Cause(parts, most)
+
+
+def _is_enough(
+    evidence: crash_evidence.CrashEvidence,
+    crashes: frozenset[crash_evidence.Incarnation],
+    explained: frozenset[crash_evidence.Incarnation],
+) -> bool:
+    """Return whether crashes are too many to be by chance at the same requests."""
+    moment_count = evidence.count_moments(crashes)
+    if moment_count < MIN_CRASH_COUNT:
+        return False
+    others = evidence.crashes_during(crashes) - explained
+    return moment_count >= MIN_SHARE * evidence.count_moments(crashes | others)
+
+
 def _without(
     crashes_by_part: dict[
         entry_data.PromptPartId, frozenset[crash_evidence.Incarnation]
--- a/toucanspread/core/entry/crash_evidence.py
+++ b/toucanspread/core/entry/crash_evidence.py
@@ -154,6 +154,18 @@
             moment_s = began_s
         return count
 
+    def crashes_during(
+        self, incarnations: Iterable[Incarnation]
+    ) -> frozenset[Incarnation]:
+        """Return all crashes from the first to the last of some."""
+        times_s = [self.began_s(each) for each in incarnations]
+        first_s, last_s = min(times_s), max(times_s)
+        return frozenset(
+            incarnation
+            for incarnation, crash in self._crashes.items()
+            if first_s <= crash.began_s <= last_s
+        )
+
     def _holders(
         self, part: entry_data.PromptPartId, incarnations: Iterable[Incarnation]
     ) -> list[Suspect]:
--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -32,7 +32,6 @@
 MATCH_REFRESH_S = 60.0  # a match that is newer by this time is announced
 DECISION_INTERVAL_S = 0.1
 DECISION_DURATION_S = 0.6  # decisions on new evidence are made for so long
-MAX_REPEATED_CRASHES = 1  # of a part, for a request that may be sent once more
 # Only then is the evidence of two parts complete enough to compare.
 COMPARISON_S = 5.0
 NEVER_S = float("inf")
@@ -89,12 +88,11 @@
             return True
         if self.is_quarantined(call):
             return False
-        explained = self._explained_crashes()
-        crash_counts = [
-            len(self.evidence.crashes_of_part(part) - explained)
-            for part in call.prompt_parts
-        ]
-        return max(crash_counts) <= MAX_REPEATED_CRASHES
+        held = frozenset(call.prompt_parts)
+        causes = crash_causes.find_suspicion(
+            self.evidence, self.quarantines.signatures()
+        )
+        return not any(cause.parts <= held for cause in causes)
 
     def on_break(
         self,
@@ -110,6 +108,10 @@
             self._program.on_suspected(notice, call)
         self._report_short_answers(incarnation, now_s)
 
+    def on_survived(self, call: entry_data.Call, now_s: float) -> None:
+        """Record that an engine has written an answer for a while."""
+        self._record_sound(call.prompt_parts, now_s)
+
     def on_whole_answer(
         self,
         incarnation: crash_evidence.Incarnation,
@@ -190,11 +192,6 @@
         self._decide_until_s = now_s + DECISION_DURATION_S
         self._decide_soon(now_s)
 
-    def _explained_crashes(self) -> frozenset[crash_evidence.Incarnation]:
-        return crash_causes.explained_crashes(
-            self.evidence, self.quarantines.signatures()
-        )
-
     def _on_suspected(self, notice: entry_data.CrashSuspected, now_s: float) -> None:
         parts = self._suspect_parts(notice.parts, now_s)
         self._reply_sound(frozenset(notice.parts) - parts, now_s)
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -84,6 +84,7 @@
         self._engine: engines.Engine | None = None
         self._sent_s = 0.0
         self._first_event_s: float | None = None  # of the present dispatch
+        self._has_survived = False  # whether the engine wrote for a while
         self._is_trial = False
         self._tried: set[str] = set()
         self._streaming = False
@@ -156,12 +157,24 @@
         self._streaming = True
         return [decisions.OpenStream()]
 
-    def on_events(self, now_s: float, last_event_id: str | None) -> None:
-        """Record that complete events were relayed to the caller."""
-        if self._first_event_s is None:
-            self._first_event_s = now_s
+    def on_events(self, now_s: float, last_event_id: str | None) -> bool:
+        """Record that complete events were relayed to the caller.
+
+        :return: whether the engine has now written for so long that the prompt does not
+            crash it; True once for each dispatch.
+        """
         if last_event_id is not None:
             self._last_event_id = last_event_id
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+        if self._has_survived or not self._has_run_for_a_while(now_s):
+            return False
+        self._has_survived = True
+        return bool(self.call.prompt_parts)
+
+    def on_survived(self, context: DecisionContext) -> None:
+        """Handle that the prompt does not crash its engine."""
+        context.guard.on_survived(self.call, context.now_s)
 
     def on_answer(self, context: DecisionContext, status: int) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream."""
@@ -317,6 +330,7 @@
         self._engine = engine
         self._sent_s = context.now_s
         self._first_event_s = None
+        self._has_survived = False
         self._tried.add(engine.entry.engine_id)
         self.dispatches += 1
         self.possible_runs += 1
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -148,7 +148,8 @@
     def on_events(self, events: bytes, last_event_id: str | None) -> None:
         """Relay complete events."""
         now_s = self._forwarder.pool.reactor.seconds()
-        self._state.on_events(now_s, last_event_id)
+        if self._state.on_events(now_s, last_event_id):
+            self._state.on_survived(self.make_decision_context())
         self._stream_timing.record_events(now_s)
         self.exchange.write(events)
 
