--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -167,8 +167,10 @@
 
     def on_events(self, events: bytes, last_event_id: str | None) -> None:
         """Relay complete events."""
-        self._state.on_events(last_event_id)
-        self._stream_timing.record_events(self._forwarder.pool.reactor.seconds())
+        now_s = self._forwarder.pool.reactor.seconds()
+        if self._state.on_events(now_s, last_event_id):
+            self._state.on_survived(self.make_decision_context())
+        self._stream_timing.record_events(now_s)
         self.exchange.write(events)
         if self.exchange.is_blocked:
             self._answer.pause()
@@ -208,6 +210,10 @@
             failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
         self.on_failure(failure)
 
+    def on_quarantine(self) -> None:
+        """Handle the begin of a quarantine of prompts that crash engines."""
+        self.carry_out(self._state.on_quarantine(self.make_decision_context()))
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
