--- a/standins/crash_simulation_test.py
+++ b/standins/crash_simulation_test.py
@@ -9,6 +9,10 @@
 
 SEEDS = (1, 2)
 FLAPPING_SEEDS = (1, 2, 3, 4)
+RESTART_SEEDS = (1, 2, 3, 4, 5, 6)
+RESTART_S = 6.0
+ENDED_S = 18.0  # no more requests with the crashing part come
+REGAINED_S = 22.0
 PART = entry_data.PromptPartId("c")
 RATE_PER_S = 6.0  # requests with the crashing part
 FROM_S = 3.0
@@ -126,6 +130,52 @@
         self.check(350)
 
 
+class RestartTest(testtools.TestCase):
+    def check(self, entries):
+        violations = []
+        for seed in RESTART_SEEDS:
+            simulation = self.simulate(entries, seed)
+            violations += [
+                f"seed {seed}: {violation}"
+                for violation in [
+                    *simulation.crash_check.list_violations(),
+                    *simulation.caller_check.list_refused_parts(REGAINED_S),
+                    *simulation.caller_check.list_kept_out(FROM_S, REGAINED_S),
+                ]
+            ]
+        self.assertEqual([], violations)
+
+    def simulate(self, entries, seed):
+        """Return a simulation in which all entries are restarted at once."""
+        part = make_part(
+            load_profiles.PartPlace.FIRST,
+            until_s=ENDED_S,
+            other_parts=load_profiles.OtherParts.SAME,
+        )
+        profile = load_profiles.LoadProfile(
+            "restart",
+            ((0.0, 40.0),),
+            ((0.0, 10),),
+            26.0,
+            entries=entries,
+            crashing_parts=(part,),
+        )
+        simulation = load_simulation.LoadSimulation(profile, seed)
+        for entry in simulation.entries:
+            simulation.clock.callLater(RESTART_S, simulation.restart_entry, entry)
+        simulation.run()
+        return simulation
+
+    def test_a_restart_of_the_only_entry_keeps_no_sound_part_out_for_long(self):
+        self.check(1)
+
+    def test_a_restart_of_both_entries_keeps_no_sound_part_out_for_long(self):
+        self.check(2)
+
+    def test_a_restart_of_18_entries_keeps_no_sound_part_out_for_long(self):
+        self.check(18)
+
+
 class CrashTest(testtools.TestCase):
     def test_engines_are_used_again_after_the_last_crash(self):
         simulation = simulate(18, make_part(until_s=3.5))
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -55,6 +55,10 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
 
+    @abc.abstractmethod
+    def on_entry_lost(self) -> None:
+        """Handle the end of the entry that has the request."""
+
     @abc.abstractmethod
     def on_quarantine(self) -> None:
         """Handle the begin of a quarantine of prompts that crash engines."""
@@ -242,6 +246,7 @@
     :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
     :ivar is_stopped: whether the process has ended, so that it sends no more messages.
+    :ivar in_progress: the requests of its callers, in order of arrival.
     """
 
     def __init__(
@@ -270,8 +275,10 @@
         )
 
     def stop(self) -> None:
-        """End the process; its messages no longer arrive."""
+        """End the process, and the connections of its callers."""
         self.is_stopped = True
+        for request in list(self.in_progress):
+            request.on_entry_lost()
 
     def apply_entry_count(self, entry_count: int) -> None:
         """Apply a change of the number of entries."""
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -160,6 +160,12 @@
             )
         )
 
+    def on_entry_lost(self) -> None:
+        """Handle the loss of the caller's connection to the entry."""
+        self._state.on_caller_disconnected(self.make_decision_context())
+        self._cancel()
+        self._schedule_retry(0.0)
+
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
