--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -138,10 +138,13 @@
         self._store_address = self._serve(store)
         self._origin_address = self._serve(platform_engine.OriginResource(PIECES))
         self.plain_engine = platform_engine.EngineResource("")
-        self._write_engine("i-plain", "plain", self._serve(self.plain_engine))
+        self._plain_address = self._serve(self.plain_engine)
+        self.plain_engine.on_crash = self._write_plain_engine
+        self._write_plain_engine()
         self.model_engine = platform_engine.EngineResource(MODEL)
         self._model_address = self._serve(self.model_engine)
-        self._write_engine("i-model", "model", self._model_address)
+        born_ms = platform_engine.BORN_MS
+        self._write_engine("i-model", "model", self._model_address, born_ms)
 
     def start_entry(self, name: str) -> Program:
         """Start the program of an entry."""
@@ -222,7 +225,13 @@
     def _write(self, key: str, value: dict) -> None:
         self.state.write_unchecked(key, json.dumps(value).encode())
 
-    def _write_engine(self, engine_id: str, service: str, address: str) -> None:
+    def _write_plain_engine(self) -> None:
+        born_ms = self.plain_engine.born_ms
+        self._write_engine("i-plain", "plain", self._plain_address, born_ms)
+
+    def _write_engine(
+        self, engine_id: str, service: str, address: str, born_ms: int
+    ) -> None:
         entry = {
             "service": service,
             "address": address,
@@ -231,7 +240,7 @@
             "slots": 16,
             "state": "ready",
             "cold_left_ms": 0,
-            "born": platform_engine.BORN_MS,
+            "born": born_ms,
             "sequence": 0,
         }
         self._write(f"servers/{engine_id}", entry)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -6,6 +6,8 @@
 
 import hashlib
 import json
+import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -45,6 +47,10 @@
     :ivar report_count: number of reports that were read.
     :ivar limit_per_s: requests per second that it names as its limit in its answers to
         callers; None for no limit.
+    :ivar crashing_part: id of a part of prompts on which it crashes; None for none.
+    :ivar born_ms: start of its present incarnation.
+    :ivar crashes_s: times of its crashes; it is back at once.
+    :ivar on_crash: called after each crash.
     """
 
     isLeaf = True  # noqa: N815
@@ -58,8 +64,12 @@
         self.requests: list[EngineRequest] = []
         self.report_count = 0
         self.limit_per_s: float | None = None
+        self.crashing_part: str | None = None
+        self.born_ms = BORN_MS
+        self.crashes_s: list[float] = []
+        self.on_crash: Callable[[], None] = lambda: None
 
-    def render(self, request: server.Request) -> bytes:
+    def render(self, request: server.Request) -> bytes | int:
         """Answer a request of a caller or a call of the system."""
         path = request.path.decode()
         if path == REPORT_PATH:
@@ -83,7 +93,7 @@
             "queued": 0,
             "active": 0,
             "pace": 1.0,
-            "born": BORN_MS,
+            "born": self.born_ms,
         }
 
     def _accept_order(self, request: server.Request) -> bytes:
@@ -105,7 +115,14 @@
             return b""
         return piece
 
-    def _answer_caller(self, request: server.Request) -> bytes:
+    def _crash(self, request: server.Request) -> int:
+        self.crashes_s.append(time.monotonic())
+        self.born_ms += 1
+        request.transport.abortConnection()
+        self.on_crash()
+        return server.NOT_DONE_YET
+
+    def _answer_caller(self, request: server.Request) -> bytes | int:
         headers = {
             name.decode().lower(): values[0].decode()
             for name, values in request.requestHeaders.getAllRawHeaders()
@@ -113,6 +130,8 @@
         method, target = request.method.decode(), request.uri.decode()
         body = request.content.read()
         self.requests.append(EngineRequest(method, target, headers, body))
+        if self.crashing_part in _list_parts(headers):
+            return self._crash(request)
         request.setHeader("x-attempt-id", headers["x-attempt-id"])
         request.setHeader("x-response-seal", SEAL)
         request.setHeader("content-type", "application/x-own")
@@ -145,5 +164,11 @@
         return b""
 
 
+def _list_parts(headers: dict[str, str]) -> list[str]:
+    """Return the ids of the parts of a prompt."""
+    parts = headers.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0].strip() for part in parts]
+
+
 def _get_number(request: server.Request) -> int:
     return int(request.args[b"num"][0])
--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import http.client
+import itertools
 import json
 import time
 from typing import NamedTuple
 
 import testtools
 
-from standins import platform_deployment, platform_engine
+from standins import crash_check, platform_deployment, platform_engine
 from toucanspread.ops import loop
 
 ATTEMPT_ID = "9c41d07be2a35f68"
 CALL_TIMEOUT_S = 5.0
+CRASHING_PART = "c0de"
+SOUND_PART = "50fa"
+OTHER_CRASHING_PART = "c1de"
+OTHER_SOUND_PART = "51fa"
+CRASH_REQUEST_INTERVAL_S = 0.3  # for each entry
+CRASHING_S = 7.0
 LIMIT_SPAN_S = 4.0  # in which the platform counts the requests under a limit
 
 
@@ -46,15 +53,20 @@
     return await asyncio.to_thread(send_blocking, address, "GET", target, None, {})
 
 
-async def send_request(entry, target, key=platform_deployment.KEY):
+async def send_request(
+    entry, target, key=platform_deployment.KEY, attempt_id=ATTEMPT_ID, parts=()
+):
     """Send a caller's request to an entry."""
     headers = {
         "Host": platform_deployment.HOST,
-        "X-Attempt-Id": ATTEMPT_ID,
+        "X-Attempt-Id": attempt_id,
         "X-Timeout-Ms": "3000",
         "X-Tenant": "forged",
         "Api-Key": key,
     }
+    if parts:
+        ids = [*parts, attempt_id]
+        headers["X-Prompt-Prefix"] = ",".join(f"{part}:100" for part in ids)
     address = entry.get_address("front")
     return await asyncio.to_thread(
         send_blocking, address, "POST", target, b"question", headers
@@ -262,6 +274,59 @@
             self.assertEqual(200, answer.status, program.describe())
 
 
+class CrashingPartTest(ProgramsTestCase):
+    @classmethod
+    def start_programs(cls):
+        cls.entries = [cls.deployment.start_entry(f"entry-{n}") for n in (1, 2)]
+        cls.numbers = itertools.count(1)
+        cls.deployment.write_configuration(3, "/a/")
+        cls.wait_until(cls.are_ready)
+
+    @classmethod
+    async def are_ready(cls):
+        if not await have_readiness(cls.entries, 200):
+            return False
+        answers = [await cls.send(entry, SOUND_PART) for entry in cls.entries]
+        return all(answer.status == 200 for answer in answers)
+
+    @classmethod
+    async def send(cls, entry, *parts):
+        attempt_id = f"{next(cls.numbers):016x}"
+        return await send_request(entry, "/a/x", attempt_id=attempt_id, parts=parts)
+
+    async def send_for_a_while(self, *parts):
+        """Send requests with some parts to all entries, and return the answers."""
+        end_s = time.monotonic() + CRASHING_S
+        answers = []
+        while time.monotonic() < end_s:
+            answers += [await self.send(entry, *parts) for entry in self.entries]
+            await asyncio.sleep(CRASH_REQUEST_INTERVAL_S)
+        return answers
+
+    def test_both_entries_refuse_a_part_that_crashes_the_engine(self):
+        engine = self.deployment.plain_engine
+        engine.crashing_part = CRASHING_PART
+        engine.crashes_s.clear()
+        run(self.send_for_a_while(SOUND_PART, CRASHING_PART))
+        crashes_s = list(engine.crashes_s)
+        self.assertGreater(len(crashes_s), 0)
+        known_s = crashes_s[: crash_check.KNOWN_AFTER_CRASH_COUNT][-1]
+        later_s = [at_s for at_s in crashes_s if at_s > known_s + crash_check.STABLE_S]
+        self.assertEqual([], later_s)
+        answers = run(self.send_for_a_while(SOUND_PART, CRASHING_PART))
+        self.assertEqual(crashes_s, engine.crashes_s)
+        self.assertEqual({503}, {answer.status for answer in answers})
+
+    def test_a_sound_part_that_was_answered_just_before_the_crashes_is_served(self):
+        engine = self.deployment.plain_engine
+        engine.crashing_part = OTHER_CRASHING_PART
+        before = [run(self.send(e, OTHER_SOUND_PART)) for e in self.entries]
+        self.assertEqual([200, 200], [answer.status for answer in before])
+        run(self.send_for_a_while(OTHER_SOUND_PART, OTHER_CRASHING_PART))
+        after = [run(self.send(e, OTHER_SOUND_PART)) for e in self.entries]
+        self.assertEqual([200, 200], [answer.status for answer in after])
+
+
 class EndingProgramsTest(ProgramsTestCase):
     @classmethod
     def start_programs(cls):
