--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -61,6 +61,10 @@
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
 
+    @abc.abstractmethod
+    def on_entry_lost(self) -> None:
+        """Handle the end of the entry that has the request."""
+
     @abc.abstractmethod
     def on_quarantine(self) -> None:
         """Handle the begin of a quarantine of prompts that crash engines."""
@@ -251,8 +255,8 @@
     :param number: number of this entry, which a restarted one has again.
     :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
-    :ivar in_progress: the requests that it has sent to engines.
     :ivar is_stopped: whether the process has ended, so that it sends no more messages.
+    :ivar in_progress: the requests of its callers, in order of arrival.
     """
 
     def __init__(
@@ -283,8 +287,10 @@
         )
 
     def stop(self) -> None:
-        """End the process; its messages no longer arrive."""
+        """End the process, and the connections of its callers."""
         self.is_stopped = True
+        for request in list(self.in_progress):
+            request.on_entry_lost()
 
     def apply_entry_count(self, entry_count: int) -> None:
         """Apply a change of the number of entries."""
--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -70,7 +70,8 @@
         matching = self.quarantines.matching(call.prompt_parts)
         if not matching:
             return Admission.ADMITTED
-        may_try = all(self._may_try(quarantine, now_s) for quarantine in matching)
+        # A trial of several at once would tell nothing about any of them.
+        may_try = len(matching) == 1 and self._may_try(matching[0], now_s)
         for quarantine in matching:
             quarantine.matched_s = now_s
             if may_try:
@@ -281,7 +282,7 @@
 
     def _reply_sound(self, parts: crash_evidence.PartSet, now_s: float) -> None:
         """Notify the others after a while that parts are sound, unless one does."""
-        for part in parts:
+        for part in sorted(parts):
             self._replies.add(part, now_s + self._draw_delay_s(), now_s)
         self._program.on_due(self._replies.next_due_s)
 
--- a/toucanspread/core/entry/part_quarantine.py
+++ b/toucanspread/core/entry/part_quarantine.py
@@ -10,9 +10,10 @@
 
 MAX_QUARANTINE_COUNT = 32
 MAX_IDLE_S = 600.0  # a part that returns later has to be recognized again
-FIRST_TRIAL_S = 30.0
-TRIAL_INTERVAL_FACTOR = 4.0
-MAX_TRIAL_EXPONENT = 4
+# Until each trial after the one before; the last one holds for all later ones. A sound
+# part may have been taken for the cause because it came with the crashing one, and its
+# first trial may meet an engine that crashes for another request.
+TRIAL_INTERVALS_S = (1.0, 5.0, 120.0, 480.0, 1_920.0, 7_680.0)
 TRIAL_WIDENING_S = 1.0  # after this time, twice as many entries may make the trial
 MAX_WIDENING_COUNT = 20
 
@@ -37,7 +38,7 @@
         self.began_s = now_s
         self.matched_s = now_s
         self.trials = 0
-        self.trial_s = now_s + FIRST_TRIAL_S
+        self.trial_s = now_s + TRIAL_INTERVALS_S[0]
         self.announce_s = now_s
         self._crashes = set(crashes)
         self._needed_count = min(len(crashes), crash_causes.MIN_CRASH_COUNT)
@@ -64,8 +65,8 @@
     def begin_trial(self, now_s: float) -> None:
         """Record that a matching request is let through."""
         self.trials += 1
-        exponent = min(self.trials, MAX_TRIAL_EXPONENT)
-        self.trial_s = now_s + FIRST_TRIAL_S * TRIAL_INTERVAL_FACTOR**exponent
+        number = min(self.trials, len(TRIAL_INTERVALS_S) - 1)
+        self.trial_s = now_s + TRIAL_INTERVALS_S[number]
 
     def remove_crash(self, incarnation: crash_evidence.Incarnation) -> bool:
         """Remove a crash that was none; return whether too few are left."""
