--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -16,12 +16,13 @@
     cluster_state,
     engines,
     forwarding,
+    guard_program,
     load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import waves
-from toucanspread.ops import request_queue
+from toucanspread.ops import crash_notices, request_queue
 
 ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
 REGIONS = {zone: data.RegionName(zone) for zone in ZONES}
@@ -31,7 +32,7 @@
 REPORT_INTERVAL_S = 0.2
 DRAIN_DURATION_S = 2.0
 SWITCH_DURATION_S = 0.3
-MIN_CRASH_DELAY_S = 0.02  # from the first token of an answer on a crashing part
+MIN_CRASH_DELAY_S = 0.012  # from the first token of an answer on a crashing part
 MAX_CRASH_DELAY_S = 0.11
 CRASH_DURATION_S = 3.0  # until the engine is back
 PROFILE = entry_data.ModelProfile(
@@ -60,6 +61,14 @@
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
 
+    @abc.abstractmethod
+    def on_entry_lost(self) -> None:
+        """Handle the end of the entry that has the request."""
+
+    @abc.abstractmethod
+    def on_quarantine(self) -> None:
+        """Handle the begin of a quarantine of prompts that crash engines."""
+
 
 class AbstractCluster(abc.ABC):
     """The simulation that engines and entries are part of.
@@ -153,24 +162,49 @@
         self.switch_at_s = None
         self.version += 1
 
-    def begin_answer(self, part: entry_data.PromptPartId) -> None:
-        """Begin to write an answer on a crashing part, and crash soon after."""
-        delay_s = self._simulation.crash_random_source.uniform(
+    def order_switch(self, in_s: float) -> None:
+        """Announce a switch, and switch then unless the engine was restarted."""
+        self.switch_at_s = self._simulation.clock.seconds() + in_s
+        self._simulation.clock.callLater(in_s, self._switch_by_order, self.model)
+
+    def _switch_by_order(self, model: engine_model.EngineModel) -> None:
+        if self.model is not model or self.is_crashed or not self.is_running:
+            self.switch_at_s = None
+            return
+        self.switch()
+
+    def begin_answer(
+        self, part: entry_data.PromptPartId, first_token_in_s: float = 0.0
+    ) -> None:
+        """Begin to write an answer on a crashing part, and crash soon after.
+
+        :param first_token_in_s: time until the first token of the answer.
+        """
+        delay_s = first_token_in_s + self._simulation.crash_random_source.uniform(
             MIN_CRASH_DELAY_S, MAX_CRASH_DELAY_S
         )
-        self._simulation.clock.callLater(delay_s, self._crash, self.model, part)
+        self._simulation.clock.callLater(delay_s, self._crash_on, self.model, part)
+
+    def crash(self, duration_s: float = CRASH_DURATION_S) -> None:
+        """Crash, unless the engine is down.
 
-    def _crash(
+        :param duration_s: time until it is back as a new incarnation.
+        """
+        if self.is_crashed or not self.is_running:
+            return
+        self.is_crashed = True
+        self._fail_jobs()
+        self._simulation.clock.callLater(duration_s, self._return, self.model)
+
+    def _crash_on(
         self, model: engine_model.EngineModel, part: entry_data.PromptPartId
     ) -> None:
         if self.model is not model or self.is_crashed or not self.is_running:
             return
-        self.is_crashed = True
         self._simulation.crash_check.record_crash(
             self._simulation.clock.seconds(), part
         )
-        self._fail_jobs()
-        self._simulation.clock.callLater(CRASH_DURATION_S, self._return, model)
+        self.crash()
 
     def _return(self, model: engine_model.EngineModel) -> None:
         """Return as a new incarnation, unless the engine was stopped meanwhile."""
@@ -221,7 +255,8 @@
     :param number: number of this entry, which a restarted one has again.
     :param entry_count: number of entries that it knows.
     :ivar is_cut: whether messages of the other processes do not arrive, nor its own.
-    :ivar in_progress: the requests that it has sent to engines.
+    :ivar is_stopped: whether the process has ended, so that it sends no more messages.
+    :ivar in_progress: the requests of its callers, in order of arrival.
     """
 
     def __init__(
@@ -233,6 +268,7 @@
         self.number = number
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
+        self.is_stopped = False
         self.in_progress: dict[EngineClient, None] = {}
         self._entry_count = entry_count
         self._versions = cluster_state.ModelVersions()
@@ -242,6 +278,19 @@
         self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         self.random_source = random.Random(f"{simulation.seed}/{number}")
         self._simulation = simulation
+        self.crash_notices = crash_notices.CrashNotices(
+            simulation.clock,
+            self.random_source,
+            self._list_members,
+            self._send_crash_notice,
+            self._on_quarantine,
+        )
+
+    def stop(self) -> None:
+        """End the process, and the connections of its callers."""
+        self.is_stopped = True
+        for request in list(self.in_progress):
+            request.on_entry_lost()
 
     def apply_entry_count(self, entry_count: int) -> None:
         """Apply a change of the number of entries."""
@@ -264,7 +313,12 @@
 
     def apply_load(self, load: entry_data.EngineLoad) -> None:
         """Apply a load report."""
-        self.registry.apply_load(load, self._simulation.clock.seconds())
+        alive = self.registry.apply_load(load, self._simulation.clock.seconds())
+        self.crash_notices.record_alive(alive)
+
+    def apply_crash_notice(self, notice: entry_data.CrashNotice) -> None:
+        """Apply a notice of another entry on crashes of engines."""
+        self.crash_notices.receive(notice)
 
     def apply_prompt(self, sent: entry_data.PromptSent) -> None:
         """Apply a notice of a prompt that another entry of the zone sent."""
@@ -290,6 +344,18 @@
             self.retry_budgets,
             location,
             self.random_source,
+            self.crash_notices.guard,
             self._versions.minimum(now_s, self._version_within_s),
             self._versions.upcoming(now_s, self._version_within_s),
         )
+
+    def _list_members(self) -> guard_program.Members:
+        names = [str(entry.number) for entry in self._simulation.entries]
+        return guard_program.Members(str(self.number), names)
+
+    def _send_crash_notice(self, notice: entry_data.CrashNotice) -> None:
+        self._simulation.broadcast(self.zone, "apply_crash_notice", notice, self)
+
+    def _on_quarantine(self) -> None:
+        for request in list(self.in_progress):
+            request.on_quarantine()
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from standins import (
+    caller_check,
     crash_check,
     engine_model,
     load_profiles,
@@ -75,6 +76,7 @@
 class AbstractCallers(simulated_cluster.AbstractCluster):
     """What a request needs of the simulation beside entries and engines.
 
+    :ivar caller_check: the check of what callers get.
     :ivar outcome: the counts to which a sound request adds its outcome.
     :ivar crashing_outcome: the same for requests with a crashing part.
     :ivar engines_by_id: the engines by their ids.
@@ -82,6 +84,7 @@
     """
 
     random_source: random.Random
+    caller_check: caller_check.CallerCheck
     outcome: CallerTotals
     crashing_outcome: CallerTotals
     engines_by_id: dict[str, simulated_cluster.SimulatedEngine]
@@ -118,6 +121,7 @@
         self._can_retry = can_retry
         self._is_first_attempt = True
         self._was_in_touch = False
+        self._cause: decisions.FailureCause | None = None
         self._first_s: float | None = None
         self._last_event_s = 0.0
         self._generated_tokens = 0
@@ -155,6 +159,7 @@
         self._caller_timeout = self._simulation.clock.callLater(
             CALLER_TIMEOUT_S, self._abandon
         )
+        self._entry.in_progress[self] = None
         queued_prefill_s = self._entry.queue.sum_prefill_s(
             simulated_cluster.SERVICE.name
         )
@@ -165,7 +170,17 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
         self._job = None
+        runs = self._state.possible_runs
         self._fail_dispatch(decisions.DispatchFailure.BROKEN)
+        self._simulation.caller_check.record_break(
+            caller_check.Break(
+                self._simulation.clock.seconds(),
+                self.prompt,
+                self._first_s is not None,
+                runs,
+                self._cause,
+            )
+        )
 
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
@@ -190,6 +205,7 @@
         """Only check the begin of a job that the entry has withdrawn."""
         dispatch.job = job
         job.on_event = functools.partial(self._on_withdrawn_event, dispatch.engine, job)
+        job.on_decode = functools.partial(self._crash_at_begin, dispatch.engine)
         job.on_end = _do_nothing
 
     def _on_withdrawn_event(
@@ -214,9 +230,19 @@
             *arguments,
         )
 
+    def on_entry_lost(self) -> None:
+        """Handle the loss of the caller's connection to the entry."""
+        self._state.on_caller_disconnected(self.make_decision_context())
+        self._cancel_job()
+        self._schedule_retry(0.0)
+
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
+    def on_quarantine(self) -> None:
+        """End the request if it waits at an engine and is quarantined."""
+        self.carry_out(self._state.on_quarantine(self.make_decision_context()))
+
     def _make_state(self) -> forwarding.RequestState:
         route = entry_data.Route(
             self.kind.name,
@@ -232,7 +258,7 @@
         )
         now_s = self._simulation.clock.seconds()
         call = entry_data.Call(
-            "id",
+            f"{self._simulation.draw_id()}",
             "h",
             "/",
             self.prompt.key,
@@ -259,9 +285,11 @@
                     self._simulation.broadcast(
                         self._entry.zone, "apply_limit", notice, self._entry
                     )
-                case decisions.Reject(retry_after_s=retry_after_s):
+                case decisions.Reject(cause=cause, retry_after_s=retry_after_s):
+                    self._record_refusal(cause)
                     self._schedule_retry(retry_after_s)
-                case decisions.Fail() | decisions.BreakStream():
+                case decisions.Fail(cause=cause) | decisions.BreakStream(cause=cause):
+                    self._record_refusal(cause)
                     self._schedule_retry(0.0)
 
     def _send(self, engine: simulated_cluster.SimulatedEngine) -> None:
@@ -314,6 +342,7 @@
             self.answer_tokens - self._generated_tokens,
             self._on_event,
             self._on_end,
+            self._on_decode,
             self._priority,
         )
 
@@ -325,14 +354,22 @@
             self._state.on_engine_head(self.make_decision_context(), limit_per_s)
         )
 
+    def _on_decode(self, first_token_in_s: float) -> None:
+        """Handle the time at which the engine begins to write the answer."""
+        self._crash_at_begin(self._engine, first_token_in_s)
+
+    def _crash_at_begin(
+        self, engine: simulated_cluster.SimulatedEngine, first_token_in_s: float
+    ) -> None:
+        if self.prompt.crashing_part is not None:
+            engine.begin_answer(self.prompt.crashing_part, first_token_in_s)
+
     def _on_event(self) -> None:
         now_s = self._simulation.clock.seconds()
         if self._generated_tokens == self._tokens_before_dispatch:
             self._read_limit(self._engine)
             self._simulation.version_check.record_begin(now_s, self._engine.version)
             self._state.on_begun(now_s)
-            if self.prompt.crashing_part is not None:
-                self._engine.begin_answer(self.prompt.crashing_part)
             self._state.on_stream_opened()
         if self._first_s is None:
             self._record_first_attempt(has_begun=True)
@@ -342,9 +379,9 @@
             self._had_long_gap = True
         self._last_event_s = now_s
         self._generated_tokens += engine_model.TOKENS_PER_EVENT
-        self._state.on_events(
-            str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
-        )
+        event_id = str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
+        if self._state.on_events(now_s, event_id):
+            self._state.on_survived(self.make_decision_context())
 
     def _on_end(self) -> None:
         self._engine.jobs.pop(self._job, None)
@@ -370,6 +407,14 @@
         is_first, self._is_first_attempt = self._is_first_attempt, False
         if not is_first or not self._was_in_touch:
             return
+        self._simulation.caller_check.record_first_attempt(
+            caller_check.FirstAttempt(
+                self.started_s,
+                self._simulation.clock.seconds() - self.started_s,
+                self.prompt,
+                has_begun,
+            )
+        )
         if self.prompt.crashing_part is None:
             self._simulation.crash_check.record_sound(
                 crash_check.SoundRequest(
@@ -377,6 +422,17 @@
                 )
             )
 
+    def _record_refusal(self, cause: decisions.FailureCause) -> None:
+        self._cause = cause
+        self._simulation.caller_check.record_refusal(
+            caller_check.Refusal(
+                self._simulation.clock.seconds(),
+                self.prompt,
+                cause,
+                self._state.possible_runs,
+            )
+        )
+
     def _schedule_retry(self, retry_after_s: float) -> None:
         self._entry.queue.remove(self)
         self._entry.in_progress.pop(self, None)
@@ -392,6 +448,7 @@
     def _retry(self) -> None:
         self._entry = self._simulation.choose_entry()
         self._state = self._make_state()
+        self._cause = None
         self.start()
 
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -167,8 +167,10 @@
 
     def on_events(self, events: bytes, last_event_id: str | None) -> None:
         """Relay complete events."""
-        self._state.on_events(last_event_id)
-        self._stream_timing.record_events(self._forwarder.pool.reactor.seconds())
+        now_s = self._forwarder.pool.reactor.seconds()
+        if self._state.on_events(now_s, last_event_id):
+            self._state.on_survived(self.make_decision_context())
+        self._stream_timing.record_events(now_s)
         self.exchange.write(events)
         if self.exchange.is_blocked:
             self._answer.pause()
@@ -208,6 +210,10 @@
             failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
         self.on_failure(failure)
 
+    def on_quarantine(self) -> None:
+        """Handle the begin of a quarantine of prompts that crash engines."""
+        self.carry_out(self._state.on_quarantine(self.make_decision_context()))
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
@@ -270,8 +276,17 @@
         )
         self._answer.outgoing = outgoing
 
-    def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes:
-        """Return the request with the time that is left now."""
+    def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes | None:
+        """Return the request with the time that is left now.
+
+        It is None if the engine may not get it any more.
+        """
+        context = self.make_decision_context()
+        engine = context.registry.get(effect.engine_id)
+        if engine is None or not engine.is_usable(context.now_s):
+            return None
+        if self._state.must_be_withdrawn(context, was_sent=False):
+            return None
         left_s = self._state.deadline_s - self._forwarder.pool.reactor.seconds()
         head = self._forwarder.wire_dialect.make_engine_head(
             self.exchange.head,
--- a/toucanspread/ops/log_limits.py
+++ b/toucanspread/ops/log_limits.py
@@ -31,6 +31,7 @@
     {
         "dispatch_failed",
         "older_version_begun",
+        "engine_crash_suspected",
         "request_denied",
         "request_failed",
         "request_refused",
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -15,6 +15,7 @@
 from toucanspread.core.entry import (
     cluster_state,
     entry_directory,
+    guard_program,
     load_balancing,
     retry_budget,
 )
@@ -118,7 +119,9 @@
             self._make_location,
             self.random_source,
             self._report_receiver,
+            self._list_members,
         )
+        self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._registration = registration.Registration(self._store, self._make_record())
         self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
         self._path = path
@@ -195,6 +198,10 @@
             max(len(self.cluster.directory.serving()), 1),
         )
 
+    def _list_members(self) -> guard_program.Members:
+        names = [record.name for record in self.cluster.directory.serving()]
+        return guard_program.Members(self.process_settings.node_name, names)
+
     def _find_origin_address(self) -> data.Address | None:
         service = (
             self.cluster.route_table.origin_service()
