--- a/toucanspread/core/entry/crash_causes.py
+++ b/toucanspread/core/entry/crash_causes.py
@@ -13,6 +13,7 @@
 from toucanspread.core.entry import data as entry_data
 
 MIN_CRASH_COUNT = 3  # and as many moments
+MIN_SHARED_COUNT = 2  # moments, of crashes that another part may have caused as well
 # Of the unexplained crashes in the same span of time, counted by moments. Engines that
 # crash for other reasons often have some rare part in common by chance.
 MIN_SHARE = 0.25
@@ -61,6 +62,17 @@
     return list(_candidates(evidence, known))
 
 
+def is_ambiguous(cause: Cause, evidence: crash_evidence.CrashEvidence) -> bool:
+    """Return whether another part may be the cause of the same crashes."""
+    for part in evidence.parts():
+        if part in cause.parts:
+            continue
+        shared = evidence.crashes_of_part(part) & cause.crashes
+        if evidence.count_moments(shared) >= MIN_SHARED_COUNT:
+            return True
+    return False
+
+
 def find_common_parts(
     evidence: crash_evidence.CrashEvidence,
     known: Iterable[crash_evidence.PartSet],
--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -303,7 +303,10 @@
         self._lift_explained(now_s)
 
     def _quarantine(self, cause: crash_causes.Cause, now_s: float) -> None:
-        quarantine = part_quarantine.Quarantine(cause.parts, now_s, cause.crashes)
+        is_ambiguous = crash_causes.is_ambiguous(cause, self.evidence)
+        quarantine = part_quarantine.Quarantine(
+            cause.parts, now_s, cause.crashes, is_ambiguous
+        )
         self.quarantines.put(quarantine)
         self._announce_at(quarantine, now_s + self._draw_delay_s())
         self._program.on_quarantined(cause.parts, cause.crashes)
--- a/toucanspread/core/entry/part_quarantine.py
+++ b/toucanspread/core/entry/part_quarantine.py
@@ -10,10 +10,11 @@
 
 MAX_QUARANTINE_COUNT = 32
 MAX_IDLE_S = 600.0  # a part that returns later has to be recognized again
-# Until each trial after the one before; the last one holds for all later ones. A sound
-# part may have been taken for the cause because it came with the crashing one, and its
-# first trial may meet an engine that crashes for another request.
-TRIAL_INTERVALS_S = (1.0, 5.0, 120.0, 480.0, 1_920.0, 7_680.0)
+# Until each trial after the one before; the last one holds for all later ones.
+TRIAL_INTERVALS_S = (30.0, 120.0, 480.0, 1_920.0, 7_680.0)
+# While other parts may be the cause. The first trial may meet an engine that crashes
+# for another request.
+EARLY_TRIAL_INTERVALS_S = (1.0, 5.0, *TRIAL_INTERVALS_S[1:])
 TRIAL_WIDENING_S = 1.0  # after this time, twice as many entries may make the trial
 MAX_WIDENING_COUNT = 20
 
@@ -22,6 +23,7 @@
     """A quarantine of all requests whose prompts hold certain parts.
 
     :param crashes: the crashes that are known to have them as their cause.
+    :param is_ambiguous: whether other parts may be the cause of the same crashes.
     :ivar matched_s: time at which a matching request was last seen.
     :ivar trials: number of trials that were begun.
     :ivar trial_s: time from which the next trial may begin.
@@ -33,12 +35,16 @@
         parts: crash_evidence.PartSet,
         now_s: float,
         crashes: frozenset[crash_evidence.Incarnation] = frozenset(),
+        is_ambiguous: bool = False,
     ):
         self.parts = parts
         self.began_s = now_s
         self.matched_s = now_s
         self.trials = 0
-        self.trial_s = now_s + TRIAL_INTERVALS_S[0]
+        self._intervals_s = (
+            EARLY_TRIAL_INTERVALS_S if is_ambiguous else TRIAL_INTERVALS_S
+        )
+        self.trial_s = now_s + self._intervals_s[0]
         self.announce_s = now_s
         self._crashes = set(crashes)
         self._needed_count = min(len(crashes), crash_causes.MIN_CRASH_COUNT)
@@ -65,8 +71,8 @@
     def begin_trial(self, now_s: float) -> None:
         """Record that a matching request is let through."""
         self.trials += 1
-        number = min(self.trials, len(TRIAL_INTERVALS_S) - 1)
-        self.trial_s = now_s + TRIAL_INTERVALS_S[number]
+        number = min(self.trials, len(self._intervals_s) - 1)
+        self.trial_s = now_s + self._intervals_s[number]
 
     def remove_crash(self, incarnation: crash_evidence.Incarnation) -> bool:
         """Remove a crash that was none; return whether too few are left."""
@@ -97,6 +103,7 @@
         narrower.matched_s = self.matched_s
         narrower.trials = self.trials
         narrower.trial_s = self.trial_s
+        narrower._intervals_s = self._intervals_s
         narrower.announce_s = self.announce_s
         narrower._crashes = set(self._crashes)
         narrower._needed_count = self._needed_count
