Tell other entries that a quarantine is ambiguous

Cause: the announcement has the time of the next trial, not why it is soon.

Why the fix works: the announcement says it, so that the second trial follows after 5 s everywhere.

--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -363,7 +363,9 @@
             return
         quarantine = self.quarantines.get(parts)
         if quarantine is None:
-            quarantine = part_quarantine.Quarantine(parts, now_s)
+            quarantine = part_quarantine.Quarantine(
+                parts, now_s, is_ambiguous=notice.is_ambiguous
+            )
             quarantine.matched_s = now_s - notice.idle_s
             quarantine.trial_s = now_s + notice.trial_in_s
             self.quarantines.put(quarantine)
--- a/toucanspread/core/entry/crash_guard_test.py
+++ b/toucanspread/core/entry/crash_guard_test.py
@@ -613,6 +613,15 @@
         admission = cluster.guard(0).admit(make_call("A"), cluster.now_s)
         self.assertIs(crash_guard.Admission.TRIAL, admission)
 
+    def test_an_entry_that_learns_of_an_ambiguous_quarantine_tries_it_soon_again(self):
+        cluster = Cluster(1)
+        notice = entry_data.PartsQuarantined(("P",), 0.0, 0, 0.5, is_ambiguous=True)
+        cluster.guard(0).on_notice(notice, cluster.now_s)
+        for _ in range(2):
+            cluster.run(5.1)
+            admission = cluster.guard(0).admit(make_call("P"), cluster.now_s)
+            self.assertIs(crash_guard.Admission.TRIAL, admission)
+
     def test_a_request_of_two_quarantines_is_no_trial_of_either(self):
         cluster = Cluster()
         for parts in (("P",), ("A",)):
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -258,12 +258,14 @@
     :param idle_s: time since a request with these parts was last seen.
     :param trials: number of requests that were let through as a trial.
     :param trial_in_s: time until another request may be let through.
+    :param is_ambiguous: whether other parts may be the cause of the same crashes.
     """
 
     parts: PromptParts
     idle_s: Age
     trials: Annotated[int, msgspec.Meta(ge=0, le=1_000)]
     trial_in_s: Age
+    is_ambiguous: bool = False
 
 
 class QuarantineLifted(data.Record):
--- a/toucanspread/core/entry/part_quarantine.py
+++ b/toucanspread/core/entry/part_quarantine.py
@@ -41,6 +41,7 @@
         self.began_s = now_s
         self.matched_s = now_s
         self.trials = 0
+        self._is_ambiguous = is_ambiguous
         self._intervals_s = (
             EARLY_TRIAL_INTERVALS_S if is_ambiguous else TRIAL_INTERVALS_S
         )
@@ -95,15 +96,15 @@
             max(now_s - self.matched_s, 0.0),
             self.trials,
             max(self.trial_s - now_s, 0.0),
+            self._is_ambiguous,
         )
 
     def narrow(self, parts: crash_evidence.PartSet) -> "Quarantine":
         """Return the quarantine of only some of the parts."""
-        narrower = Quarantine(parts, self.began_s)
+        narrower = Quarantine(parts, self.began_s, is_ambiguous=self._is_ambiguous)
         narrower.matched_s = self.matched_s
         narrower.trials = self.trials
         narrower.trial_s = self.trial_s
-        narrower._intervals_s = self._intervals_s
         narrower.announce_s = self.announce_s
         narrower._crashes = set(self._crashes)
         narrower._needed_count = self._needed_count
