Count the time of a suspended machine in ages, bounds and timers

Callers could be answered by a configuration, key or version of weights that was out of force by as long as the entry's machine had been suspended. Cause: ages of copies, bounds and timers were counted on CLOCK_MONOTONIC, which stands still meanwhile; the reactor and the event loop now use CLOCK_BOOTTIME, which does not follow the system clock either.

--- a/toucanspread/ops/loop.py
+++ b/toucanspread/ops/loop.py
@@ -22,13 +22,20 @@
 EVENT_LOOP = asyncio.new_event_loop()
 
 
-def _install_reactor() -> None:
-    """Install a reactor whose timers do not depend on the system clock.
+def read_clock_s() -> float:
+    """Return the seconds since the machine was started.
 
-    The system clock may be set while the process runs.
+    The clock does not follow the system clock, which may be set while the process runs.
+    It goes on while the machine is suspended, so that ages and deadlines stay right.
     """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _install_reactor() -> None:
+    """Install a reactor and an event loop whose timers use :func:`read_clock_s`."""
+    EVENT_LOOP.time = read_clock_s
     reactor = asyncioreactor.AsyncioSelectorReactor(EVENT_LOOP)
-    reactor.seconds = time.monotonic
+    reactor.seconds = read_clock_s
     with contextlib.suppress(error.ReactorAlreadyInstalledError):
         main.installReactor(reactor)
 
