--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -47,12 +47,14 @@
 
     :ivar refused: addresses of the machines that it does not serve.
     :ivar era: rises by one each time it returns from an older copy.
+    :ivar written_s: time of each revision.
     """
 
     def __init__(self, network: link_simulation.Network):
         self.refused: set[str] = set()
         self.era = store_copies.FIRST_ERA
         self.revision = 0
+        self.written_s: dict[int, float] = {}
         self.machine = network.add_machine(STORE_ADDRESS, STORE_LINK_MBPS)
         self.machine.links = [link_simulation.Link(REGION_LINK_MBPS)]
         self.machine.handle = self._on_request
@@ -86,6 +88,7 @@
         """Write a key as the operator or an engine does; return its revision."""
         self._copies.record(self._loop.time(), self.revision, self.items)
         self.revision += 1
+        self.written_s[self.revision] = self._loop.time()
         self._log.append(store_view.KeyChange(key, self.revision, value))
         for watch in list(self._waiting):
             self._answer_if_changed(watch)
@@ -209,6 +212,11 @@
         """Return the age of the process's copy."""
         return self._view.age_s(self._network.loop.time())
 
+    @property
+    def claim(self) -> tuple[int, float]:
+        """The revision of the copy, and the time up to which it is said to be whole."""
+        return self._view.revision, self._view.confirmed_s
+
     def _on_changes(self, changes: list[store_view.KeyChange]) -> None:
         for change in changes:
             if change.key == decoding.CONFIGURATION_KEY:
@@ -316,6 +324,24 @@
                     differences.append(f"{entry.name}: {key}")
         return differences
 
+    def list_false_ages(self) -> list[str]:
+        """Return the processes whose copies lack what was written before their claim.
+
+        It holds as long as the store has not returned from an older copy.
+        """
+        found = []
+        for process in self.entries + self.sidecars:
+            revision, confirmed_s = process.claim
+            missing_s = [
+                written_s
+                for written, written_s in self.store.written_s.items()
+                if written > revision and written_s < confirmed_s
+            ]
+            if missing_s:
+                lead_s = confirmed_s - min(missing_s)
+                found.append(f"{self.now_s:.2f} {process.name}: {lead_s:.2f} s")
+        return found
+
     def close(self) -> None:
         """End all tasks."""
         for pending in asyncio.all_tasks(self._loop):
