Count the time that an answer is on its way in the age of a copy

Callers got 404 for routes that exist and answers of weights out of force after bursts of changes. Denials, the time by which a version is due and removals are decided on that age.

An excerpt now says how long its request has waited, and the age counts from the request and that wait; an answer of the store counts from its request, or from the end of its wait if nothing has changed. Nothing is then missing, whatever the links do, and no clocks are compared. A leader whose copy is older waits shorter at the store, so that ages of copies stay below the limits for sources.

--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -246,7 +246,8 @@
         if source not in (self._primary, self._verified):
             return 0.0
         if source == STORE:
-            return STORE_WAIT_S
+            # The age after an answer with changes includes the wait for them.
+            return max(STORE_WAIT_S - age_s, 0.0)
         return PEER_WAIT_S if age_s <= MAX_TRUSTED_AGE_S else 0.0
 
 
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -44,6 +44,7 @@
     :param age_s: time since the copy was known to be complete.
     :param revision: the revision up to which it is complete.
     :param era: era of the store in which it has that revision.
+    :param waited_s: time from the arrival of the request until the excerpt was made.
     """
 
     revision: int
@@ -51,12 +52,24 @@
     is_whole: bool
     changes: tuple[KeyChange, ...] = ()
     era: int = store_position.UNKNOWN_ERA
+    waited_s: float = 0.0
 
     @property
     def position(self) -> store_position.StorePosition:
         """Return the place in the store's history up to which it is complete."""
         return store_position.StorePosition(self.era, self.revision)
 
+    def confirmed_s(self, requested_s: float, now_s: float) -> float:
+        """Return a time at which the copy was certainly known to be complete.
+
+        How long the request and the excerpt were on their way is unknown, so all of it
+        counts as age.
+
+        :param requested_s: time at which the receiver requested the excerpt.
+        """
+        made_s = min(requested_s + max(self.waited_s, 0.0), now_s)
+        return made_s - self.age_s
+
 
 class View:
     """The copy that a process holds.
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -33,6 +33,7 @@
     is_whole: bool
     compressed_changes: bytes
     era: int = store_position.UNKNOWN_ERA
+    waited_s: float = 0.0
 
 
 _excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
@@ -64,6 +65,7 @@
                 excerpt.is_whole,
                 self._compress_changes(excerpt),
                 excerpt.era,
+                excerpt.waited_s,
             )
         )
 
@@ -92,7 +94,12 @@
     except (msgspec.MsgspecError, zlib.error) as error:
         raise ExcerptDecodeError(str(error)) from error
     return store_view.Excerpt(
-        excerpt.revision, excerpt.age_s, excerpt.is_whole, changes, excerpt.era
+        excerpt.revision,
+        excerpt.age_s,
+        excerpt.is_whole,
+        changes,
+        excerpt.era,
+        excerpt.waited_s,
     )
 
 
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -1,5 +1,7 @@
 """Serves excerpts of this process's copy of the store to processes that follow it."""
 
+import msgspec
+
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops import (
     excerpt_client,
@@ -30,7 +32,7 @@
 
         :param can_decompress: whether the peer accepts compressed changes.
         """
-        waiting = _WaitingRequest(request, can_decompress)
+        waiting = _WaitingRequest(request, can_decompress, self._reactor.seconds())
         wait_s = request.wait_s
         if self._view.is_empty:
             wait_s = max(wait_s, EMPTY_VIEW_WAIT_S)
@@ -75,9 +77,11 @@
     def _make_excerpt(self, waiting: "_WaitingRequest") -> store_view.Excerpt:
         now_s = self._reactor.seconds()
         request = waiting.request
-        return self._view.make_excerpt(
+        excerpt = self._view.make_excerpt(
             request.after, request.prefixes, now_s, request.era
         )
+        waited_s = now_s - waiting.arrived_s
+        return msgspec.structs.replace(excerpt, waited_s=waited_s)
 
     def _send(
         self,
@@ -94,7 +98,13 @@
 class _WaitingRequest:
     """An unanswered request with the timer that ends its wait."""
 
-    def __init__(self, request: excerpt_client.ExcerptRequest, can_decompress: bool):
+    def __init__(
+        self,
+        request: excerpt_client.ExcerptRequest,
+        can_decompress: bool,
+        arrived_s: float,
+    ):
         self.request = request
+        self.arrived_s = arrived_s
         self.can_decompress = can_decompress
         self.timer = None
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -58,6 +58,11 @@
     unreadable_keys: frozenset[str] = frozenset()
     era: int = store_position.UNKNOWN_ERA
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether the store named any key, also one that cannot be decoded."""
+        return bool(self.changes or self.unreadable_keys)
+
 
 class PrefixStore(abc.ABC):
     """The operations that the system needs of the store.
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -179,6 +179,7 @@
         age_s = self.view.age_s(self._pool.reactor.seconds())
         # Followers of this process need to know soon whether the store serves it.
         wait_s = self._selector.wait_s(source_selection.STORE, age_s)
+        requested_s = self._pool.reactor.seconds()
         try:
             answer = await self._store.watch(
                 self._store_prefixes[0], self.view.revision, wait_s
@@ -196,9 +197,15 @@
             # The revision may stand for another change than the one that the copy has.
             await self._read_all()
             return
-        now_s = self._pool.reactor.seconds()
+        confirmed_s = requested_s
+        if (
+            not answer.has_changes
+            and self._pool.reactor.seconds() - requested_s >= wait_s
+        ):
+            # The store has waited for all of this time.
+            confirmed_s += wait_s
         changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
-        self._notify_changes(self.view.apply(changes, answer.revision, now_s))
+        self._notify_changes(self.view.apply(changes, answer.revision, confirmed_s))
         if answer.changes:
             await asyncio.sleep(source_selection.BATCH_DELAY_S)
 
@@ -253,6 +260,7 @@
         timeout_s = wait_s + source_selection.ANSWER_GRACE_S
         if self.view.is_empty:
             timeout_s += FIRST_COPY_EXTRA_TIMEOUT_S
+        requested_s = self._pool.reactor.seconds()
         excerpt = await excerpt_client.fetch_excerpt(
             self._pool,
             source.address,
@@ -266,7 +274,7 @@
         )
         self._check_era(excerpt)
         now_s = self._pool.reactor.seconds()
-        confirmed_s = now_s - excerpt.age_s
+        confirmed_s = excerpt.confirmed_s(requested_s, now_s)
         for peer in self._peers():
             if peer.address == source.address:
                 self._outage_tracker.record_answer(peer.zone, excerpt.age_s, now_s)
