--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -123,12 +123,14 @@
     """Stand-ins of the store, two engines and the origin, and the system's processes.
 
     :ivar state: of the store.
+    :ivar timeout_ms: of the routes that are written.
     :ivar plain_engine: of the service "plain", which has no model.
     :ivar model_engine: of the service "model". Its entry in the store names no weights,
         so that entries use it only after reports of its sidecar.
     """
 
     def __init__(self):
+        self.timeout_ms = 3000
         self._scratch = tempfile.TemporaryDirectory()
         self._directory = pathlib.Path(self._scratch.name)
         self._ports = []
@@ -146,8 +148,11 @@
         born_ms = platform_engine.BORN_MS
         self._write_engine("i-model", "model", self._model_address, born_ms)
 
-    def start_entry(self, name: str) -> Program:
-        """Start the program of an entry."""
+    def start_entry(self, name: str, grace_s: float = 8) -> Program:
+        """Start the program of an entry.
+
+        :param grace_s: time from the signal to terminate until the platform kills it.
+        """
         address = find_free_address()
         purposes = ("front", "readiness", "control", "directory")
         reports_port, *ports = find_free_ports(address, 1 + len(purposes))
@@ -157,6 +162,7 @@
         }
         fields = self._make_common_settings(name, address)
         fields["listen"] = listen
+        fields["bounds"]["grace_s"] = grace_s
         fields["internal_ports"] = [reports_port, reports_port]
         return self._start("toucanspread.platform.entry", fields)
 
@@ -172,8 +178,10 @@
 
         :param plain_prefixes: prefixes of the routes to the engine without a model.
         """
-        routes = [_make_route(prefix, "plain") for prefix in plain_prefixes]
-        routes.append(_make_route("/model/", "model"))
+        served = [(prefix, "plain") for prefix in plain_prefixes] + [
+            ("/model/", "model")
+        ]
+        routes = [_make_route(*each, self.timeout_ms) for each in served]
         origin = {"name": "origin", "origin": self._origin_address, "zone": ZONE}
         configuration = {
             "version": version,
@@ -287,13 +295,13 @@
     return ports
 
 
-def _make_route(prefix: str, service: str) -> dict:
+def _make_route(prefix: str, service: str, timeout_ms: int) -> dict:
     return {
         "name": f"route-{prefix.strip('/')}",
         "host": HOST,
         "prefix": prefix,
         "kind": "idempotent",
-        "timeout_ms": 3000,
+        "timeout_ms": timeout_ms,
         "slo_ms": 500,
         "service": service,
         "attempts": 2,
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -167,6 +167,30 @@
         effects = request.on_failure(fixture.at(0.1), decisions.DispatchFailure.BROKEN)
         self.assert_only(decisions.Fail, effects)
 
+    def start_stream(self, fixture):
+        """Return a stream of which the caller has the first event."""
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.SendToEngine, request.start(fixture.at(0.0)))
+        self.assert_only(decisions.OpenStream, request.on_stream_opened())
+        request.on_events(0.5, "1")
+        return request
+
+    def test_a_pause_of_a_stream_does_not_end_it_without_a_retry_budget(self):
+        fixture = Fixture(allowance=0.0)
+        request = self.start_stream(fixture)
+        effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
+        self.assertEqual([], effects)
+
+    def test_a_pause_of_a_stream_does_not_end_it_while_other_engines_are_limited(self):
+        fixture = Fixture(names=("a", "b"))
+        request = self.start_stream(fixture)
+        for engine in fixture.registry.of_service(SERVICE.name):
+            engine.limit.on_answer(0.2, 0.0, 0.6)
+            engine.record_dispatch(0.7)
+            engine.record_dispatch(0.7)
+        effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
+        self.assertEqual([], effects)
+
     def test_an_engines_error_is_retried_before_it_is_relayed(self):
         fixture = Fixture()
         route = make_route(entry_data.RequestKind.IDEMPOTENT, attempts=2)
