Log answers and requests that a close or the end of the grace cuts

On-call engineers could not tell from the log that a bad pipelined request cut the answer before it, that requests already read were dropped at a close, or what was open when the grace period ended. Only such cuts cost a line.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -330,6 +330,8 @@
         """Continue with the next request, or close the connection."""
         self._current = None
         if self._is_closing:
+            if self._queued:
+                logs.write("requests_unanswered", count=len(self._queued))
             self.close()
             return
         limits = self._handler.get_limits()
@@ -437,6 +439,7 @@
         self._stop_timer()
         if self._current is not None:
             # The refusal would be mixed into the answer in progress.
+            logs.write("answer_cut", why="bad request behind it", status=status)
             self.abort()
             return
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -167,7 +167,7 @@
         loop.spawn(self._registration.update_record(record))
         reactor.callLater(ACCEPT_AFTER_SIGNAL_S, self._stop_accepting)
         exit_delay_s = max(self.process_settings.bounds.grace_s - EXIT_MARGIN_S, 0.0)
-        reactor.callLater(exit_delay_s, self._stop)
+        reactor.callLater(exit_delay_s, self._stop_at_end_of_grace)
 
     def check_settings_file(self) -> None:
         """Reload the settings file now if it has changed."""
@@ -339,6 +339,16 @@
             return
         reactor.callLater(MAINTENANCE_INTERVAL_S, self._stop_when_idle)
 
+    def _stop_at_end_of_grace(self) -> None:
+        connections = self._server.connections
+        logs.write(
+            "grace_ended",
+            in_progress=len(self._forwarder.in_progress),
+            connections=len(connections),
+            blocked=sum(connection.is_blocked for connection in connections),
+        )
+        self._stop()
+
     def _stop(self) -> None:
         loop.spawn(self._deregister_and_stop())
 
