--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -32,6 +32,7 @@
 ENTRY_LINK_MBPS = 14.0
 SIDECAR_LINK_MBPS = 4.7
 STEP_S = 0.01
+TRAFFIC_INTERVAL_S = 0.02  # between packets of other traffic on a link
 
 
 class ZoneSize(NamedTuple):
@@ -200,6 +201,16 @@
             self.handle_request = entry_handlers.ControlHandler(program).on_request
             self.machine.handle = self.handle_request
 
+    @property
+    def confirmed_s(self) -> float:
+        """Return the time up to which the process takes its copy to be complete."""
+        return self._view.confirmed_s
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the process's copy."""
+        return self._view.revision
+
     def get_value(self, key: str) -> bytes | None:
         """Return the value of a key in the process's copy."""
         item = self._view.get(key)
@@ -299,6 +310,23 @@
             self.run(STEP_S)
         return float("inf")
 
+    def load_link(self, link: link_simulation.Link, mbps: float) -> None:
+        """Send other traffic over a link from now on."""
+        self._loop.create_task(self._send_traffic(link, mbps))
+
+    def find_overstatement_s(self, written: list[tuple[int, float]]) -> float:
+        """Return the most by which a copy claims to be younger than it is.
+
+        :param written: revisions with the times of their writes.
+        """
+        overstatements_s = [
+            entry.confirmed_s - written_s
+            for entry in self.entries
+            for revision, written_s in written
+            if entry.revision < revision
+        ]
+        return max([0.0, *overstatements_s])
+
     def add_entry(self) -> Follower:
         """Start one more entry."""
         name = f"entry-{len(self.entries)}"
@@ -323,6 +351,12 @@
         self._loop.run_until_complete(asyncio.sleep(0))
         self._loop.close()
 
+    async def _send_traffic(self, link: link_simulation.Link, mbps: float) -> None:
+        size_bytes = int(mbps * 1_000_000 / 8 * TRAFFIC_INTERVAL_S)
+        while True:
+            link.reserve(self._loop.time(), size_bytes)
+            await asyncio.sleep(TRAFFIC_INTERVAL_S)
+
     def _write_engine(self, number: int) -> None:
         value = json.dumps({"service": "s", "address": f"10.0.0.{number}:80"}).encode()
         self.store.write(f"{decoding.ENGINES_PREFIX}i-{number}", value)
--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -7,6 +7,10 @@
 IN_FORCE_WITHIN_S = 3.0  # the platform's bound at 101 machines
 SETTLE_S = 5.0
 WATCHED_S = 20.0
+BURST_COUNT = 22
+NARROWEST_REGION_MBPS = 12.5
+BURST_INTERVAL_S = 5.0 / BURST_COUNT
+CALLERS_MBPS = 7.0  # answers to callers, on half of the leader's link
 
 
 class LateConfigurationTest(testtools.TestCase):
@@ -103,3 +107,61 @@
         zone.run(5.0)
         ages_s = [process.age_s() for process in zone.entries + zone.sidecars]
         self.assertLess(max(ages_s), IN_FORCE_WITHIN_S)
+
+
+class BurstTest(testtools.TestCase):
+    """22 configurations of 1,480 routes in 5 s, each with one route more."""
+
+    def start_zone(self, entry_count):
+        size = view_simulation.ZoneSize(entries=entry_count)
+        zone = view_simulation.ZoneSimulation(size, route_count=1_480)
+        self.addCleanup(zone.close)
+        zone.store.machine.links = [link_simulation.Link(NARROWEST_REGION_MBPS)]
+        zone.run(SETTLE_S)
+        return zone
+
+    def add_routes_in_a_burst(self, zone):
+        """Return the longest delay, and by how much a copy was older than it said."""
+        written = []
+        overstatement_s = 0.0
+        for _ in range(BURST_COUNT):
+            written.append((zone.add_routes(1), zone.now_s))
+            zone.run(BURST_INTERVAL_S)
+            overstatement_s = max(overstatement_s, zone.find_overstatement_s(written))
+        delays_s = [zone.longest_delay_s(*change, WATCHED_S) for change in written]
+        return max(delays_s), overstatement_s
+
+    def test_a_burst_is_in_force_in_time_at_25_entries(self):
+        zone = self.start_zone(25)
+        delay_s, _ = self.add_routes_in_a_burst(zone)
+        self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+
+    def test_a_burst_is_in_force_in_time_at_62_entries(self):
+        zone = self.start_zone(62)
+        delay_s, _ = self.add_routes_in_a_burst(zone)
+        self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+
+    def test_a_burst_is_in_time_while_the_leader_answers_callers(self):
+        zone = self.start_zone(25)
+        zone.load_link(zone.leader().machine.uplink, CALLERS_MBPS)
+        delay_s, _ = self.add_routes_in_a_burst(zone)
+        self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+
+    def test_a_burst_is_in_time_while_the_store_refuses_a_third_of_the_entries(self):
+        zone = self.start_zone(25)
+        ranked = zone.rank_entries()
+        refused = [ranked[0], *ranked[-8:]]
+        zone.store.refused = {entry.machine.address for entry in refused}
+        delay_s, _ = self.add_routes_in_a_burst(zone)
+        self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+
+    def test_a_burst_is_in_time_after_the_leader_has_become_silent(self):
+        zone = self.start_zone(25)
+        zone.leader().machine.handle = None
+        delay_s, _ = self.add_routes_in_a_burst(zone)
+        self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+
+    def test_no_copy_claims_to_be_younger_than_it_is_during_a_burst(self):
+        zone = self.start_zone(25)
+        _, overstatement_s = self.add_routes_in_a_burst(zone)
+        self.assertLess(overstatement_s, 0.05)
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -187,6 +187,71 @@
         self.assertIn("wait_ms=0", self.pool.requested_targets[0])
 
 
+class CopyAgeTest(testtools.TestCase):
+    """A copy has the state of the time at which its source made the answer.
+
+    The bytes may need long on a full link, or wait for a process that is suspended.
+    """
+
+    TRANSFER_S = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.pool = Pool()
+        self.pool.reactor = self.clock
+        self.view = store_view.View()
+        self.view.replace([make_change("op/a", 9)], 9, self.clock.seconds())
+        self.store = Store()
+        self.store.revision = 9
+
+    def sync(self, can_lead):
+        peer = source_selection.Peer("b", data.ZoneName("z"), data.Address("b:1"))
+        synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead),
+            ("op/",),
+            lambda: [] if can_lead else [peer],
+            list,
+            lambda changes: None,
+        )
+        asyncio.run(synchronizer.sync_once())
+
+    def assert_older_than_the_transfer(self):
+        age_s = self.view.age_s(self.clock.seconds())
+        self.assertGreaterEqual(age_s, self.TRANSFER_S)
+
+    def test_a_copy_is_not_younger_than_the_transfer_of_a_peers_excerpt(self):
+        async def fetch(pool, address, request, timeout_s):
+            excerpt = self.view.make_excerpt(9, ("op/",), self.clock.seconds())
+            self.clock.advance(self.TRANSFER_S)
+            return excerpt
+
+        self.patch(excerpt_client, "fetch_excerpt", fetch)
+        self.sync(can_lead=False)
+        self.assert_older_than_the_transfer()
+
+    def test_a_copy_is_not_younger_than_the_transfer_of_the_stores_answer(self):
+        async def watch(prefix, after, wait_s):
+            self.clock.advance(self.TRANSFER_S)
+            return prefix_store.Changes([], 9)
+
+        self.store.watch = watch
+        self.sync(can_lead=True)
+        self.assert_older_than_the_transfer()
+
+    def test_a_change_that_cannot_be_read_does_not_count_as_known(self):
+        async def watch(prefix, after, wait_s):
+            return prefix_store.Changes([], 10, frozenset({"op/config"}))
+
+        self.store.watch = watch
+        self.sync(can_lead=True)
+        self.assertEqual(9, self.view.revision)
+
+
 class EraTest(testtools.TestCase):
     """The copy and a peer's excerpt are of different eras of the store."""
 
