Log the age of the copy with each denial

A 404 or 401 could not be told apart from one by an old copy: request_denied named the configuration, but not how old the entry's copy of the store was.

--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -52,6 +52,7 @@
     :param get_location: returns the location of this entry and the number of entries.
     :param notifier: notifies the other entries.
     :param list_members: returns the entries that serve callers.
+    :param get_copy_age_s: returns the age of this entry's copy of the store in seconds.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         random_source: random.Random,
         notifier: EntryNotifier,
         list_members: Callable[[], guard_program.Members],
+        get_copy_age_s: Callable[[], float],
     ):
         self._notifier = notifier
         self.cluster = cluster
@@ -73,6 +75,7 @@
         self.is_leaving = False
         self._retry_budgets = retry_budgets
         self._get_location = get_location
+        self._get_copy_age_s = get_copy_age_s
         self._random_source = random_source
         self.queue = request_queue.RequestQueue(pool.reactor)
         self.crash_notices = crash_notices.CrashNotices(
@@ -192,6 +195,7 @@
             host=call.host,
             path=call.path,
             configuration=self.cluster.route_table.version,
+            age_s=self._get_copy_age_s(),
         )
         metric_buffer.count("requests_denied", why=denial.value)
         headers = self.wire_dialect.make_own_answer_headers(call, None)
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -158,6 +158,7 @@
             random.Random(1),
             self.notifier,
             lambda: guard_program.Members("n", ["n"]),
+            self.clock.seconds,
         )
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
@@ -325,6 +326,16 @@
             self.assertTrue(self.received().startswith(b"HTTP/1.1 " + status))
         self.assertEqual([], self.pool.sent)
 
+    def test_a_denial_is_logged_with_the_age_of_the_copy(self):
+        self.clock.advance(0.5)
+        denied = REQUEST.replace(b"/a/x", b"/b/x").replace(b"id-1", b"denied-1")
+        with capture_events("request_denied") as denials:
+            self.send_request(denied)
+            self.clock.advance(0)
+        # Messages logged before there was any destination are captured, too.
+        ages_s = [d["age_s"] for d in denials if d["id"] == "denied-1"]
+        self.assertEqual([0.5], ages_s)
+
     def test_disconnected_caller_cancels_the_dispatch(self):
         engine = self.send_request()
         self.connection.connectionLost(None)
