Tell the contact with the store from the age of a copy

Sources are now judged by when the store was last heard from, as they were, and everything that is promised by the age.

--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -45,6 +45,8 @@
     :param revision: the revision up to which it is complete.
     :param era: era of the store in which it has that revision.
     :param waited_s: time from the arrival of the request until the excerpt was made.
+    :param contact_age_s: time since an answer of the store, or of a process that had
+        one, arrived at the process; None if it does not say.
     """
 
     revision: int
@@ -53,6 +55,7 @@
     changes: tuple[KeyChange, ...] = ()
     era: int = store_position.UNKNOWN_ERA
     waited_s: float = 0.0
+    contact_age_s: float | None = None
 
     @property
     def position(self) -> store_position.StorePosition:
@@ -70,17 +73,26 @@
         made_s = min(requested_s + max(self.waited_s, 0.0), now_s)
         return made_s - self.age_s
 
+    def heard_s(self, now_s: float) -> float:
+        """Return when the store was last heard from, not counting transfers."""
+        age_s = self.age_s if self.contact_age_s is None else self.contact_age_s
+        return now_s - age_s
+
 
 class View:
     """The copy that a process holds.
 
     :ivar position: the place in the store's history that it corresponds to.
     :ivar confirmed_s: time at which the copy was last known to be complete.
+    :ivar heard_s: time at which the store was last heard from. It is later than
+        ``confirmed_s`` by the time that answers were on their way, and only says
+        whether there is a way to the store.
     """
 
     def __init__(self):
         self.position = store_position.StorePosition()
         self.confirmed_s = float("-inf")
+        self.heard_s = float("-inf")
         self._items: dict[str, Item] = {}
         # The last change of each key, in the order of revisions.
         self._history: dict[str, KeyChange] = {}
@@ -101,6 +113,10 @@
         """Return the time since the copy was known to be complete."""
         return now_s - self.confirmed_s
 
+    def contact_age_s(self, now_s: float) -> float:
+        """Return the time since the store was last heard from."""
+        return now_s - self.heard_s
+
     def get(self, key: str) -> Item | None:
         """Return an item, or None."""
         return self._items.get(key)
@@ -114,7 +130,11 @@
         return [KeyChange(i.key, i.revision, i.value) for i in self._items.values()]
 
     def apply(
-        self, changes: Iterable[KeyChange], revision: int, confirmed_s: float
+        self,
+        changes: Iterable[KeyChange],
+        revision: int,
+        confirmed_s: float,
+        heard_s: float = float("-inf"),
     ) -> list[KeyChange]:
         """Apply changes and return those that were new."""
         new = []
@@ -123,7 +143,7 @@
             if change.revision > self.revision and self._apply_one(change):
                 new.append(change)
         position = self.position._replace(revision=revision)
-        self._confirm(position, confirmed_s)
+        self._confirm(position, confirmed_s, heard_s)
         return new
 
     def replace(
@@ -133,6 +153,7 @@
         confirmed_s: float,
         kept_keys: frozenset[str] = frozenset(),
         era: int = store_position.UNKNOWN_ERA,
+        heard_s: float = float("-inf"),
     ) -> list[KeyChange]:
         """Replace the copy by a complete one and return the differences.
 
@@ -152,7 +173,7 @@
         else:
             new = self._replace_items(items_by_key, revision, kept_keys)
         self._restart_history(items_by_key.values(), revision)
-        self._confirm(position, confirmed_s)
+        self._confirm(position, confirmed_s, heard_s)
         return new
 
     def make_excerpt(
@@ -177,7 +198,14 @@
             changes = self.list_as_changes()
             is_whole = True
         requested = tuple(c for c in changes if c.key.startswith(prefixes))
-        return Excerpt(self.revision, age_s, is_whole, requested, self.position.era)
+        return Excerpt(
+            self.revision,
+            age_s,
+            is_whole,
+            requested,
+            self.position.era,
+            contact_age_s=self.contact_age_s(now_s),
+        )
 
     def _replace_items(
         self,
@@ -273,9 +301,13 @@
         return removed
 
     def _confirm(
-        self, position: store_position.StorePosition, confirmed_s: float
+        self,
+        position: store_position.StorePosition,
+        confirmed_s: float,
+        heard_s: float,
     ) -> None:
         if position < self.position:
             return
         self.position = position
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        self.heard_s = max(self.heard_s, confirmed_s, heard_s)
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -34,6 +34,7 @@
     compressed_changes: bytes
     era: int = store_position.UNKNOWN_ERA
     waited_s: float = 0.0
+    contact_age_s: float | None = None
 
 
 _excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
@@ -66,6 +67,7 @@
                 self._compress_changes(excerpt),
                 excerpt.era,
                 excerpt.waited_s,
+                excerpt.contact_age_s,
             )
         )
 
@@ -100,6 +102,7 @@
         changes,
         excerpt.era,
         excerpt.waited_s,
+        excerpt.contact_age_s,
     )
 
 
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -141,7 +141,8 @@
             await asyncio.sleep(0)
             return
         now_s = self._pool.reactor.seconds()
-        if self._selector.record_answer(source, self.view.age_s(now_s), now_s):
+        contact_age_s = self.view.contact_age_s(now_s)
+        if self._selector.record_answer(source, contact_age_s, now_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
         if source == source_selection.STORE and not self._can_watch:
             await asyncio.sleep(source_selection.STORE_READ_INTERVAL_S)
@@ -197,17 +198,26 @@
             # The revision may stand for another change than the one that the copy has.
             await self._read_all()
             return
+        self._apply_watched(answer, requested_s, wait_s)
+        if answer.changes:
+            await asyncio.sleep(source_selection.BATCH_DELAY_S)
+
+    def _apply_watched(
+        self, answer: prefix_store.Changes, requested_s: float, wait_s: float
+    ) -> None:
+        """Apply the answer to a watch.
+
+        :param wait_s: how long the store was to wait for a change.
+        """
+        now_s = self._pool.reactor.seconds()
         confirmed_s = requested_s
-        if (
-            not answer.has_changes
-            and self._pool.reactor.seconds() - requested_s >= wait_s
-        ):
+        if not answer.has_changes and now_s - requested_s >= wait_s:
             # The store has waited for all of this time.
             confirmed_s += wait_s
         changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
-        self._notify_changes(self.view.apply(changes, answer.revision, confirmed_s))
-        if answer.changes:
-            await asyncio.sleep(source_selection.BATCH_DELAY_S)
+        self._notify_changes(
+            self.view.apply(changes, answer.revision, confirmed_s, now_s)
+        )
 
     async def _read_all(self) -> None:
         requested_s = self._pool.reactor.seconds()
@@ -234,10 +244,13 @@
         confirmed_s: float,
         kept_keys: frozenset[str],
         era: int,
+        heard_s: float = float("-inf"),
     ) -> None:
         """Replace the copy, and log the beginning of another era of the store."""
         before = self.view.position
-        changes = self.view.replace(items, revision, confirmed_s, kept_keys, era)
+        changes = self.view.replace(
+            items, revision, confirmed_s, kept_keys, era, heard_s
+        )
         if before.era not in (store_position.UNKNOWN_ERA, self.view.position.era):
             # What is missing now may be written again, as after an outage.
             self.store_failed_s = self._pool.reactor.seconds()
@@ -253,7 +266,7 @@
         self._notify_changes(changes)
 
     async def _sync_from_peer(self, source: source_selection.Source) -> None:
-        age_s = self.view.age_s(self._pool.reactor.seconds())
+        age_s = self.view.contact_age_s(self._pool.reactor.seconds())
         # A process with a stale copy needs the peer's copy at once. It must not wait
         # for the peer's next change, since the peer may be stale as well.
         wait_s = self._selector.wait_s(source, age_s)
@@ -275,9 +288,10 @@
         self._check_era(excerpt)
         now_s = self._pool.reactor.seconds()
         confirmed_s = excerpt.confirmed_s(requested_s, now_s)
+        heard_s = excerpt.heard_s(now_s)
         for peer in self._peers():
             if peer.address == source.address:
-                self._outage_tracker.record_answer(peer.zone, excerpt.age_s, now_s)
+                self._outage_tracker.record_answer(peer.zone, now_s - heard_s, now_s)
         if excerpt.is_whole:
             self._needs_whole_excerpt = False
             self._replace_copy(
@@ -286,10 +300,11 @@
                 confirmed_s,
                 frozenset(),
                 excerpt.era,
+                heard_s,
             )
             return
         self._notify_changes(
-            self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
+            self.view.apply(excerpt.changes, excerpt.revision, confirmed_s, heard_s)
         )
 
     def _check_era(self, excerpt: store_view.Excerpt) -> None:
