Log for how long pieces of weights hold up bytes to an engine's instance

The sidecar derives it from the pieces that it fetches, writes link_delay as that crosses 0.3 or 0.6 s, and records piece_transfer_s.

--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -77,6 +77,18 @@
         self.engine.run([])
         self.assertEqual([1], self.engine.orders)
 
+    def test_the_time_for_which_pieces_hold_up_other_bytes_does_not_stay_unknown(self):
+        self.engine.report()
+        self.stager.on_digests_read(staging_events.DigestsRead(1, tuple("abcdef")), 0.0)
+        self.assertEqual(0.0, self.stager.estimate_link_delay_s(0.0))
+        self.stager.on_staged_checked(
+            staging_events.StagedPiecesChecked(1, frozenset()), 0.0
+        )
+        self.assertEqual(0.5, self.stager.estimate_link_delay_s(0.5))
+        self.stager.on_piece_collected(staging_events.PieceCollected(1, 0), 0.7)
+        self.stager.on_piece_collected(staging_events.PieceCollected(1, 1), 0.7)
+        self.assertEqual(0.7, self.stager.estimate_link_delay_s(0.8))
+
     def test_staged_pieces_are_not_collected_again(self):
         self.engine.staged = dict.fromkeys(range(6), 1)
         effects = self.engine.report()
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -31,6 +31,8 @@
 REPORT_INTERVAL_S = 0.2  # about the time to a request's first event
 UNCHANGED_LOAD_INTERVAL_S = 0.6  # shorter than the maximum age of a load report
 REMOTE_ZONE_LOAD_INTERVAL_S = 0.6  # entries of other zones send few requests
+# Each change of the number of thresholds that the delay of the link exceeds is logged.
+LOGGED_LINK_DELAYS_S = (0.3, 0.6)
 
 
 class _SendSchedule:
@@ -130,6 +132,7 @@
         )
         self._is_engine_reachable = True
         self._logged_step = stager.target.step
+        self._logged_delay_level = 0
         self._collected_pieces: dict[piece_placement.PieceKey, bytes] = {}
         self._unreachable_until_s: dict[str, float] = {}
         self._handlers = {
@@ -170,6 +173,7 @@
         if not self._is_engine_reachable:
             logs.write("engine_regained", born_ms=report.born_ms)
         self._is_engine_reachable = True
+        self._log_link_delay()
         version = entry_data.complete_version(report.loaded, self._stager.profile)
         self._sender.send(
             entry_data.EngineLoad(
@@ -188,6 +192,15 @@
         )
         self._execute(self._stager.on_report_read(event, self._now_s()))
 
+    def _log_link_delay(self) -> None:
+        """Log for how long pieces hold up other bytes, if that crosses a threshold."""
+        delay_s = self._stager.estimate_link_delay_s(self._now_s())
+        level = sum(delay_s > threshold_s for threshold_s in LOGGED_LINK_DELAYS_S)
+        if level == self._logged_delay_level:
+            return
+        self._logged_delay_level = level
+        logs.write("link_delay", delay_s=delay_s, level=level)
+
     def _execute(self, effects: list[data.Effect]) -> None:
         target = self._stager.target
         if target.step is not self._logged_step:
@@ -305,6 +318,7 @@
 
     async def _collect_piece(self, effect: staging_events.CollectPiece) -> None:
         key = piece_placement.PieceKey(self._model, effect.version, effect.number)
+        started_s = self._now_s()
         for holder in self._rank_holders(key)[:MAX_HOLDER_ATTEMPTS]:
             if self._is_superseded(effect.version):
                 return
@@ -318,6 +332,7 @@
             if not piece_cache.has_digest(piece, effect.digest):
                 logs.write("piece_spoilt", piece=key.text, source=holder.name)
                 continue
+            metric_buffer.observe("piece_transfer_s", self._now_s() - started_s)
             self._collected_pieces[key] = piece
             if effect.version == self._stager.target.version:
                 # Staged pieces are kept when this process ends.
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/staging_driver_test.py
@@ -174,6 +174,17 @@
 
         asyncio.run(run_driver())
 
+    def test_a_link_that_holds_bytes_up_does_not_stay_unseen(self):
+        events = []
+        self.patch(staging_driver.logs, "write", lambda name, **_: events.append(name))
+        driver = self.make_driver()
+        for delay_s in (0.2, 0.35, 0.4, 0.7, 0.0):
+            driver._stager.estimate_link_delay_s = lambda now_s, delay_s=delay_s: (
+                delay_s
+            )
+            driver._log_link_delay()
+        self.assertEqual(["link_delay"] * 3, events)
+
     def test_empty_engine_gets_the_version(self):
         self.run_process()
         self.assertEqual(1, self.engine.version)
