Show late begins behind pieces of weights in the load simulation

Requests begin on the older version after its time if links to engines' instances are narrowed to 1.2 Mbit/s while pieces are fetched over them, or if all bytes to engines are 0.5 s late. The link of an instance is modelled, and its sidecar fetches pieces with the product's stager.

--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -108,6 +108,18 @@
     within_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class LinkProfile:
+    """The link to each engine's instance, over which its sidecar fetches weights.
+
+    :param rates_mbps: steps of (time, Mbit/s).
+    :param configured_mbps: the rate that sidecars expect.
+    """
+
+    rates_mbps: tuple[tuple[float, float], ...]
+    configured_mbps: float = 4.7
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Rates of requests and numbers of engines over time.
@@ -123,6 +135,8 @@
         doesn't matter on which version requests begin.
     :param engine_link_delay_s: additional delay of all that is sent to engines, as
         behind pieces of weights.
+    :param engine_link: the links to engines' instances, on which pieces of weights are
+        ahead of requests; None if they hold nothing up.
     :param engine_crashes: crashes of engines for other reasons.
     :param loss_ratio: part of the datagrams to entries that are lost.
     """
@@ -137,6 +151,7 @@
     crashing_parts: tuple[CrashingPart, ...] = ()
     version_change: VersionChange | None = None
     engine_link_delay_s: float = 0.0
+    engine_link: LinkProfile | None = None
     engine_crashes: tuple[EngineCrashes, ...] = ()
     loss_ratio: float = 0.0
 
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -42,6 +42,7 @@
         within_s = change.within_s if change is not None else float("inf")
         self.version_check = version_check.VersionCheck(within_s)
         self.engine_link_delay_s = profile.engine_link_delay_s
+        self.engine_link = profile.engine_link
         self.caller_check = caller_check.CallerCheck(self.crash_check)
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._request_numbers = itertools.count()
@@ -135,6 +136,9 @@
         self.version_check.record_named(self.clock.seconds(), version)
         for entry in self.entries:
             entry.learn_version(version, self._profile.version_change.within_s)
+        for engine in self.engines:
+            if engine.sidecar is not None:
+                engine.sidecar.request_version(version)
 
     def add_entry(self) -> None:
         """Add an entry; the others learn of it after a while."""
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -10,7 +10,14 @@
 
 from twisted.internet import task
 
-from standins import crash_check, engine_model, limit_check, version_check
+from standins import (
+    crash_check,
+    engine_model,
+    limit_check,
+    load_profiles,
+    simulated_sidecar,
+    version_check,
+)
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
@@ -77,6 +84,8 @@
     :ivar crash_check: the check of the requests that crash engines.
     :ivar crash_random_source: for the delays of crashes.
     :ivar version_check: the check of the versions on which requests begin.
+    :ivar engine_link_delay_s: additional delay of all that is sent to engines.
+    :ivar engine_link: the links to engines' instances; None if they hold nothing up.
     """
 
     clock: task.Clock
@@ -84,6 +93,8 @@
     crash_check: crash_check.CrashCheck
     crash_random_source: random.Random
     version_check: version_check.VersionCheck
+    engine_link_delay_s: float
+    engine_link: load_profiles.LinkProfile | None
     entries: "list[SimulatedEntry]"
 
     @abc.abstractmethod
@@ -112,6 +123,7 @@
     """An engine with its zone and its load reports.
 
     :ivar is_crashed: whether connections are refused until it is back.
+    :ivar sidecar: has the link of its instance; None if that holds nothing up.
     """
 
     def __init__(self, simulation: AbstractCluster, number: int):
@@ -125,6 +137,11 @@
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
+        self.sidecar: simulated_sidecar.SimulatedSidecar | None = None
+        if simulation.engine_link is not None:
+            self.sidecar = simulated_sidecar.SimulatedSidecar(
+                simulation.clock, simulation.engine_link, PROFILE
+            )
         self._simulation = simulation
         self._number = number
         self._born_ms = 0
@@ -143,6 +160,13 @@
             loaded=LAYERS,
         )
 
+    @property
+    def link_delay_s(self) -> float:
+        """The seconds for which bytes to its instance are held, as measured there."""
+        if self.sidecar is None:
+            return self._simulation.engine_link_delay_s
+        return self.sidecar.link_delay_s
+
     def start(self) -> None:
         """Start the engine, or start it again, with all layers loaded."""
         self.is_running = True
@@ -154,6 +178,8 @@
     def switch(self) -> None:
         """Interrupt the running requests and load the new version."""
         self.is_loading = True
+        if self.sidecar is not None:
+            self.sidecar.on_switched()
         self._fail_jobs()
         self._simulation.clock.callLater(SWITCH_DURATION_S, self._finish_switch)
 
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -16,6 +16,7 @@
     load_profiles,
     simulated_cluster,
     simulated_prompts,
+    simulated_sidecar,
 )
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
@@ -80,7 +81,6 @@
     :ivar outcome: the counts to which a sound request adds its outcome.
     :ivar crashing_outcome: the same for requests with a crashing part.
     :ivar engines_by_id: the engines by their ids.
-    :ivar engine_link_delay_s: additional delay of all that is sent to engines.
     """
 
     random_source: random.Random
@@ -88,7 +88,6 @@
     outcome: CallerTotals
     crashing_outcome: CallerTotals
     engines_by_id: dict[str, simulated_cluster.SimulatedEngine]
-    engine_link_delay_s: float
 
     @abc.abstractmethod
     def choose_entry(self) -> simulated_cluster.SimulatedEntry:
@@ -199,7 +198,9 @@
         if job is not None:
             self._engine.jobs.pop(job, None)
             self._disregard(dispatch, job)
-        self._call_at_engine(dispatch.engine, dispatch.cancel)
+        self._call_at_engine(
+            dispatch.engine, simulated_sidecar.CLOSE_BYTES, dispatch.cancel
+        )
 
     def _disregard(self, dispatch: "_Dispatch", job: engine_model.Job) -> None:
         """Only check the begin of a job that the entry has withdrawn."""
@@ -218,9 +219,16 @@
         self._simulation.version_check.record_begin(now_s, engine.version)
 
     def _call_at_engine(
-        self, engine: simulated_cluster.SimulatedEngine, call: Callable, *arguments
+        self,
+        engine: simulated_cluster.SimulatedEngine,
+        size_bytes: int,
+        call: Callable,
+        *arguments,
     ) -> None:
-        """Call a function once what is sent now has arrived at an engine."""
+        """Call a function once bytes that are sent now have arrived at an engine."""
+        if engine.sidecar is not None:
+            arguments = (size_bytes, call, *arguments)
+            call = engine.sidecar.link.send
         self._simulation.clock.callLater(
             self._simulation.engine_link_delay_s,
             self._simulation.call_after_delay,
@@ -302,8 +310,11 @@
         self._engine = engine
         self._entry.in_progress[self] = None
         self._dispatch = _Dispatch(engine)
+        tokens = self.prompt_tokens + self._generated_tokens
         self._call_at_engine(
             engine,
+            simulated_sidecar.REQUEST_HEAD_BYTES
+            + tokens * simulated_sidecar.BYTES_PER_TOKEN,
             self._submit_to_engine,
             self._dispatch,
             self._simulation.clock.seconds(),
--- a/standins/version_simulation_test.py
+++ b/standins/version_simulation_test.py
@@ -90,3 +90,73 @@
             for engine in simulation.engines
         ]
         self.assertGreater(sum(counts), 0.5 * 42.0 * 0.5)
+
+
+CROWDED_RATES_PER_S = ((0.0, 60.0), (2.2, 110.0))
+HELD_NAMED = load_profiles.VersionChange(1.0, 3.0)
+NARROWED_LINK = load_profiles.LinkProfile(((0.0, 4.7), (2.0, 1.2), (9.0, 4.7)))
+NORMAL_LINK = load_profiles.LinkProfile(((0.0, 4.7),))
+LONG_LINK_DELAY_S = 0.5
+
+
+def simulate_held(entries, seed, link=None, link_delay_s=0.0):
+    """Return a simulation that has run, in which bytes to engines are held."""
+    profile = load_profiles.LoadProfile(
+        "held",
+        CROWDED_RATES_PER_S,
+        ((0.0, 7),),
+        4.6,
+        switch_times_s=(9.0,),
+        entries=entries,
+        version_change=HELD_NAMED,
+        engine_link_delay_s=link_delay_s,
+        engine_link=link,
+    )
+    simulation = load_simulation.LoadSimulation(profile, seed)
+    simulation.run()
+    return simulation
+
+
+class HeldBytesTest(testtools.TestCase):
+    def check(self, entries, link=None, link_delay_s=0.0):
+        violations = []
+        for seed in SEEDS:
+            simulation = simulate_held(entries, seed, link, link_delay_s)
+            violations += [
+                f"seed {seed}: {violation}"
+                for violation in simulation.version_check.violations
+            ]
+        self.assertEqual([], violations)
+
+    def test_pieces_on_links_of_the_usual_rate_make_no_request_begin_late(self):
+        self.check(18, NORMAL_LINK)
+
+    def test_one_entrys_requests_do_not_begin_late_behind_pieces_on_narrow_links(self):
+        self.check(1, NARROWED_LINK)
+
+    def test_requests_of_18_entries_do_not_begin_late_behind_pieces_on_narrow_links(
+        self,
+    ):
+        self.check(18, NARROWED_LINK)
+
+    def test_requests_of_62_entries_do_not_begin_late_behind_pieces_on_narrow_links(
+        self,
+    ):
+        self.check(62, NARROWED_LINK)
+
+    def test_requests_of_350_entries_do_not_begin_late_behind_pieces_on_narrow_links(
+        self,
+    ):
+        self.check(350, NARROWED_LINK)
+
+    def test_one_entrys_requests_do_not_begin_late_if_all_bytes_are_held(self):
+        self.check(1, link_delay_s=LONG_LINK_DELAY_S)
+
+    def test_requests_of_18_entries_do_not_begin_late_if_all_bytes_are_held(self):
+        self.check(18, link_delay_s=LONG_LINK_DELAY_S)
+
+    def test_requests_of_62_entries_do_not_begin_late_if_all_bytes_are_held(self):
+        self.check(62, link_delay_s=LONG_LINK_DELAY_S)
+
+    def test_requests_of_350_entries_do_not_begin_late_if_all_bytes_are_held(self):
+        self.check(350, link_delay_s=LONG_LINK_DELAY_S)
