Withdraw requests earlier from engines whose links hold bytes up

Callers got answers that had begun on older weights after the bound. Cause: 0.3 s before it, entries closed the connections of what had not begun, whatever the link to the engine; pieces of weights hold up the close for longer there.

The sidecar measures for how long bytes to its instance are held: by the pieces that come in, and by its exchanges with entries, less the wait that the excerpt names. Its load report names it, and entries withdraw earlier, and stop sending earlier, by that time. So the hop is counted as long as it is, instead of taken for shorter than a constant. What the sidecar measures no longer counts how long a piece is in flight: an entry that waits for the origin made that long without holding up anything.

--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -271,6 +271,7 @@
             self.version,
             is_quiet,
             order_in_s=switch_in_s,
+            link_delay_s=self.link_delay_s,
         )
         self._simulation.broadcast(self.zone, "apply_load", load)
 
@@ -331,7 +332,8 @@
         self._version_within_s = within_s - cluster_state.VERSION_DISPATCH_MARGIN_S
         self._versions.add(version, cluster_state.ChangeTiming(now_s, now_s))
         withdrawal_in_s = within_s - cluster_state.VERSION_WITHDRAWAL_MARGIN_S
-        self._simulation.clock.callLater(withdrawal_in_s, self._withdraw_outdated)
+        for delay_s in cluster_state.list_withdrawal_delays_s(withdrawal_in_s):
+            self._simulation.clock.callLater(delay_s, self._withdraw_outdated)
 
     def _withdraw_outdated(self) -> None:
         for request in list(self.in_progress):
--- a/standins/simulated_sidecar.py
+++ b/standins/simulated_sidecar.py
@@ -75,7 +75,7 @@
         """The seconds for which pieces hold up other bytes, as the stager measures."""
         if self._is_done:
             return 0.0
-        return self._stager.estimate_link_delay_s(self._clock.seconds())
+        return self._stager.estimate_link_delay_s()
 
     def request_version(self, version: int) -> None:
         """Begin to fetch the pieces of a version that was named."""
--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -15,9 +15,10 @@
 # No request is sent to an engine with an older version so long before the time by which
 # requests must begin on the new one.
 VERSION_DISPATCH_MARGIN_S = 0.4
-# What has not begun on an older version is withdrawn so long before the same time. The
-# engine gets to know of it meanwhile, behind pieces of weights on its link.
+# What has not begun on an older version is withdrawn so long before the same time, and
+# earlier by the time for which bytes to the engine are held on the way.
 VERSION_WITHDRAWAL_MARGIN_S = 0.3
+WITHDRAWAL_INTERVAL_S = 0.1  # between checks whether the time has come for an engine
 RESTART_GRACE_S = 2.6  # a restarted process may still use an older version meanwhile
 # During an outage of the store, processes of all zones query each other several times
 # within this time.
@@ -144,7 +145,7 @@
     def upcoming(
         self, now_s: float, within_s: float
     ) -> tuple[entry_data.DueVersion, ...]:
-        """Return the named versions that are not in force yet.
+        """Return the named versions before whose time requests may still begin.
 
         :param within_s: time for which older versions may be used after a new one.
         """
@@ -153,10 +154,22 @@
         return tuple(
             entry_data.DueVersion(version, due_s + extra_s)
             for version, due_s in due.items()
-            if now_s < due_s
+            if now_s < due_s + extra_s
         )
 
 
+def list_withdrawal_delays_s(last_in_s: float) -> list[float]:
+    """Return in how long requests are checked for whether they must be withdrawn.
+
+    :param last_in_s: time until those to engines without a delay are withdrawn.
+    """
+    count = round(engines.MAX_LINK_DELAY_S / WITHDRAWAL_INTERVAL_S)
+    delays_s = [
+        last_in_s - number * WITHDRAWAL_INTERVAL_S for number in range(count, 0, -1)
+    ]
+    return [delay_s for delay_s in delays_s if delay_s > 0] + [max(last_in_s, 0.0)]
+
+
 class ClusterState:
     """The state of the system that an entry knows.
 
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state
+from toucanspread.core.entry import cluster_state, engines
 from toucanspread.core.entry import data as entry_data
 
 MODEL = data.ModelName("m")
@@ -87,6 +87,13 @@
             begin_until_s - 101.0, self.cluster_state.withdrawal_in_s(named, 101.0)
         )
 
+    def test_withdrawals_are_checked_for_early_enough_for_links_that_hold_bytes(self):
+        delays_s = cluster_state.list_withdrawal_delays_s(7.5)
+        self.assertAlmostEqual(7.5 - engines.MAX_LINK_DELAY_S, delays_s[0])
+        self.assertEqual(7.5, delays_s[-1])
+        self.assertEqual(sorted(delays_s), delays_s)
+        self.assertEqual([0.0], cluster_state.list_withdrawal_delays_s(-0.2))
+
     def test_a_version_in_force_is_not_upcoming(self):
         self.name_version(2, 100.0, 100.0)
         self.name_version(3, 104.0, 104.0)
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -190,6 +190,7 @@
     :param pace: slowdown factor; above 1 the engine is slower than usual.
     :param order_in_s: time until the engine is ordered to switch to another version and
         interrupts its running requests.
+    :param link_delay_s: time for which bytes to its instance are held on the way.
     """
 
     address: data.Address
@@ -200,6 +201,7 @@
     busy: bool
     pace: float = 1.0
     order_in_s: float | None = None
+    link_delay_s: float = 0.0
 
 
 class PromptSent(data.Record):
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -18,6 +18,8 @@
 AVOID_BACKOFF_MAX_S = 3.0
 STALE_ENTRY_BACKOFF_S = 1.0  # a restarted engine writes its entry within this time
 DECODE_PASSES_PER_PROMPT = 0.5  # two prompts share one decode pass on average
+# A link that needs longer does not become usable by waiting for it.
+MAX_LINK_DELAY_S = 1.5
 AVOID_FAILURE_COUNT = 2  # a single failed request is not enough evidence
 
 
@@ -91,6 +93,12 @@
             return self.load.version
         return entry_data.complete_version(self.entry.loaded, profile)
 
+    def link_delay_s(self, now_s: float) -> float:
+        """Return the time for which bytes to the engine are held on the way."""
+        if not self.has_recent_load(now_s):
+            return 0.0
+        return min(max(self.load.link_delay_s, 0.0), MAX_LINK_DELAY_S)
+
     def is_switching(self, now_s: float) -> bool:
         """Return whether an order keeps the engine from accepting requests."""
         return self.has_recent_load(now_s) and self.load.busy
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -33,6 +33,7 @@
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
 QUARANTINE_RETRY_AFTER_S = 2.0
+WITHDRAWAL_TOLERANCE_S = 0.005  # of the timers that check for withdrawals
 ORDER_MARGIN_S = 1.0  # between the announced time of an order and its effect
 
 
@@ -253,7 +254,7 @@
         engine, profile = self._engine, self.service.profile
         if engine is None or profile is None or self._begun_s is not None:
             return False
-        if engine.complete_version(profile, context.now_s) >= context.minimum_version:
+        if not _is_too_late(engine, profile, context, was_sent):
             return False
         is_stream = self.route.kind is entry_data.RequestKind.STREAMING
         return is_stream or self.route.is_repeatable or not was_sent
@@ -653,3 +654,25 @@
             engine.record_success()
         elif weight:
             engine.record_failure(context.now_s, weight)
+
+
+def _is_too_late(
+    engine: engines.Engine,
+    profile: entry_data.ModelProfile,
+    context: DecisionContext,
+    was_sent: bool,
+) -> bool:
+    """Return whether an engine may begin on its weights only when they are too old.
+
+    :param was_sent: whether it has the request, which a withdrawal takes as long to
+        reach as other bytes.
+    """
+    version = engine.complete_version(profile, context.now_s)
+    newer = [due for due in context.upcoming_versions if due.version > version]
+    is_old = version < context.minimum_version
+    is_withdrawn_later = any(due.version == context.minimum_version for due in newer)
+    if is_old and not (was_sent and is_withdrawn_later):
+        return True
+    begin_until_s = min((due.begin_until_s for due in newer), default=float("inf"))
+    acts_s = context.now_s + engine.link_delay_s(context.now_s)
+    return acts_s + WITHDRAWAL_TOLERANCE_S >= begin_until_s
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -459,6 +459,31 @@
         route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
         self.assertIsNone(self.withdraw(self.send(route)))
 
+    def test_withdrawals_arrive_in_time_over_a_link_that_holds_bytes(self):
+        request = self.send(make_route())
+        engine = self.fixture.registry.get(request.engine_id)
+        load = entry_data.EngineLoad(
+            engine.entry.address, 0, 1, 0, 1, False, link_delay_s=0.6
+        )
+        engine.apply_load(load, 0.5)
+        upcoming = (entry_data.DueVersion(2, 2.0),)
+        for now_s, minimum_version, expected in (
+            (1.3, 1, False),
+            (1.4, 1, True),
+            (1.4, 2, True),
+        ):
+            context = self.fixture.at(now_s)._replace(
+                upcoming_versions=upcoming, minimum_version=minimum_version
+            )
+            self.assertIs(expected, request.must_be_withdrawn(context, was_sent=True))
+
+    def test_a_sent_request_may_begin_until_its_withdrawal_arrives(self):
+        request = self.send(make_route())
+        upcoming = (entry_data.DueVersion(2, 2.0),)
+        context = self.fixture.at(1.9)._replace(upcoming_versions=upcoming)
+        self.assertFalse(request.must_be_withdrawn(context, was_sent=True))
+        self.assertTrue(request.must_be_withdrawn(context, was_sent=False))
+
     def test_an_engine_is_not_blamed_for_what_was_withdrawn(self):
         request = self.send(make_route())
         engine = self.fixture.registry.get(request.engine_id)
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -158,6 +158,7 @@
     wait_s = expected_wait_s(engine, requirements.service, location, now_s)
     slowdown = engine.load.pace if engine.load is not None else 1.0
     begins_in_s = (wait_s + requirements.prefill_s) * max(slowdown, 1.0)
+    begins_in_s += engine.link_delay_s(now_s)
     return now_s + begins_in_s + BEGIN_MARGIN_S > begin_until_s
 
 
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -137,6 +137,16 @@
             self.choose(4.5, upcoming_versions=upcoming[:0], prefill_s=0.5)
         )
 
+    def test_the_time_that_a_link_holds_bytes_counts_for_when_an_engine_begins(self):
+        upcoming = (entry_data.DueVersion(2, 5.0),)
+        for engine in self.registry.of_service(SERVICE.name):
+            load = entry_data.EngineLoad(
+                engine.entry.address, 0, 0, 0, 1, False, link_delay_s=0.6
+            )
+            engine.apply_load(load, 4.0)
+        self.assertIsNotNone(self.choose(4.2, upcoming_versions=upcoming))
+        self.assertIsNone(self.choose(4.4, upcoming_versions=upcoming))
+
     def test_an_engine_without_reports_is_used_until_shortly_before_its_time(self):
         """A sidecar may be down; its engine's wait is then not known."""
         upcoming = (entry_data.DueVersion(2, 8.0),)
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -12,6 +12,7 @@
 pieces of the newer version are collected in the meantime.
 """
 
+import collections
 import enum
 from typing import NamedTuple
 
@@ -122,7 +123,10 @@
         self.next_target: Target | None = None
         self._piece_transfer_s = piece_transfer_s
         self._max_in_flight = MAX_CONCURRENT_PIECES
-        self._last_transfer_s = 0.0
+        self._link_delay_s = 0.0
+        self._transfers_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_CONCURRENT_PIECES
+        )
         self._report: staging_events.ReportRead | None = None
 
     @property
@@ -153,21 +157,18 @@
         planned_delay_s = self.target.timing.order_at_s - now_s
         return max(planned_delay_s, missing_count * self._piece_transfer_s, 0.0)
 
-    def estimate_link_delay_s(self, now_s: float) -> float:
+    def estimate_link_delay_s(self) -> float:
         """Return the seconds for which pieces hold up other bytes to this instance.
 
-        It is what the last piece took, or longer if one in flight takes longer, and 0
-        if none is in flight. A slow holder of a piece lengthens it, too.
+        It is 0 if no piece is in flight.
         """
-        ages_s = [
-            now_s - target.request_times_s[number]
+        in_flight = [
+            number
             for target in (self.target, self.next_target)
             if target is not None
             for number in target.in_flight_numbers
         ]
-        if not ages_s:
-            return 0.0
-        return max(self._last_transfer_s, *ages_s)
+        return self._link_delay_s if in_flight else 0.0
 
     def on_version_named(
         self, version: int, timing: SwitchTiming, now_s: float
@@ -234,8 +235,11 @@
         if target is None:
             return []
         requested_s = target.request_times_s.pop(event.number, now_s)
-        self._last_transfer_s = now_s - requested_s
-        self._adapt_concurrency(self._last_transfer_s)
+        self._adapt_concurrency(now_s - requested_s)
+        # The holder of a piece may get it late itself, and pieces in flight may share
+        # the link or follow each other.
+        self._transfers_s.append(event.transfer_s)
+        self._link_delay_s = min(now_s - requested_s, sum(self._transfers_s))
         target.in_flight_numbers.discard(event.number)
         target.held_numbers.add(event.number)
         return self._next_effects(now_s)
--- a/toucanspread/core/weights/staging_events.py
+++ b/toucanspread/core/weights/staging_events.py
@@ -44,10 +44,14 @@
 
 
 class PieceCollected(data.Event):
-    """A verified piece is in this process's memory."""
+    """A verified piece is in this process's memory.
+
+    :param transfer_s: time from the first to the last byte of it; infinite if unknown.
+    """
 
     version: int
     number: int
+    transfer_s: float = float("inf")
 
 
 class OrderAnswered(data.Event):
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -77,17 +77,42 @@
         self.engine.run([])
         self.assertEqual([1], self.engine.orders)
 
-    def test_the_time_for_which_pieces_hold_up_other_bytes_does_not_stay_unknown(self):
+    def collect(self, number, transfer_s, now_s):
+        event = staging_events.PieceCollected(1, number, transfer_s)
+        self.stager.on_piece_collected(event, now_s)
+
+    def start_collecting(self):
+        """Request the first two pieces at 0 s."""
         self.engine.report()
         self.stager.on_digests_read(staging_events.DigestsRead(1, tuple("abcdef")), 0.0)
-        self.assertEqual(0.0, self.stager.estimate_link_delay_s(0.0))
         self.stager.on_staged_checked(
             staging_events.StagedPiecesChecked(1, frozenset()), 0.0
         )
-        self.assertEqual(0.5, self.stager.estimate_link_delay_s(0.5))
-        self.stager.on_piece_collected(staging_events.PieceCollected(1, 0), 0.7)
-        self.stager.on_piece_collected(staging_events.PieceCollected(1, 1), 0.7)
-        self.assertEqual(0.7, self.stager.estimate_link_delay_s(0.8))
+
+    def test_the_time_for_which_pieces_hold_up_other_bytes_does_not_stay_unknown(self):
+        self.start_collecting()
+        self.collect(0, 0.65, now_s=0.7)
+        self.collect(1, 0.65, now_s=0.7)
+        self.assertEqual(0.7, self.stager.estimate_link_delay_s())
+
+    def test_pieces_that_follow_each_other_hold_up_bytes_for_the_time_of_both(self):
+        self.start_collecting()
+        self.collect(0, 0.35, now_s=0.35)
+        self.collect(1, 0.35, now_s=0.7)
+        self.assertEqual(0.7, self.stager.estimate_link_delay_s())
+
+    def test_a_slow_holder_of_a_piece_does_not_count_as_a_slow_link(self):
+        self.start_collecting()
+        self.collect(0, 0.1, now_s=2.0)
+        self.collect(1, 0.1, now_s=2.0)
+        self.assertEqual(0.2, self.stager.estimate_link_delay_s())
+
+    def test_no_bytes_are_held_up_while_no_piece_is_in_flight(self):
+        self.assertEqual(0.0, self.stager.estimate_link_delay_s())
+        self.start_collecting()
+        for number in range(6):
+            self.collect(number, 0.35, now_s=0.7)
+        self.assertEqual(0.0, self.stager.estimate_link_delay_s())
 
     def test_staged_pieces_are_not_collected_again(self):
         self.engine.staged = dict.fromkeys(range(6), 1)
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -121,8 +121,12 @@
         forwarded_request.ForwardedRequest(self, exchange, call, route, team).start()
 
     def schedule_withdrawal(self, in_s: float) -> None:
-        """Withdraw what will not have begun on the weights in force by a time."""
-        self.pool.reactor.callLater(max(in_s, 0.0), self._withdraw_outdated)
+        """Withdraw what will not have begun on the weights in force by a time.
+
+        :param in_s: seconds until requests to engines without a delay are withdrawn.
+        """
+        for delay_s in cluster_state.list_withdrawal_delays_s(in_s):
+            self.pool.reactor.callLater(delay_s, self._withdraw_outdated)
 
     def make_decision_context(
         self, service: entry_data.Service
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -41,11 +41,15 @@
 
 
 class Reply(NamedTuple):
-    """Complete answer to a call."""
+    """Complete answer to a call.
+
+    :param transfer_s: time from its head to its end.
+    """
 
     status: int
     head: http1.AnswerHead
     body: bytes
+    transfer_s: float = 0.0
 
 
 class OutgoingRequest:
@@ -263,7 +267,7 @@
         :param max_body_bytes: limit for the body of the answer.
         :raises CallError: if no complete answer within the limits is received in time.
         """
-        listener = _AnswerCollector(max_body_bytes)
+        listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         request = http1.render_request(head, body)
@@ -307,11 +311,14 @@
     """Collects a complete answer.
 
     :param max_body_bytes: limit for its body.
+    :param read_clock_s: returns the time.
     :ivar on_progress: called when a part of the answer has arrived.
     """
 
-    def __init__(self, max_body_bytes: int):
+    def __init__(self, max_body_bytes: int, read_clock_s: Callable[[], float]):
         self.max_body_bytes = max_body_bytes
+        self._read_clock_s = read_clock_s
+        self._head_s = 0.0
         self.on_progress: Callable[[], None] = _do_nothing
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
@@ -325,6 +332,7 @@
 
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
+        self._head_s = self._read_clock_s()
         self.on_progress()
         return True
 
@@ -335,7 +343,9 @@
     def on_end(self) -> None:
         self.is_finished = True
         if not self.future.done():
-            reply = Reply(self._head.status, self._head, bytes(self._body))
+            transfer_s = self._read_clock_s() - self._head_s
+            body = bytes(self._body)
+            reply = Reply(self._head.status, self._head, body, transfer_s)
             self.future.set_result(reply)
 
     def on_failure(self, failure: http1_client.ExchangeFailure) -> None:
--- a/toucanspread/ops/piece_cache.py
+++ b/toucanspread/ops/piece_cache.py
@@ -322,7 +322,7 @@
         held: bool,
     ) -> bytes:
         max_bytes = self._max_piece_bytes(key.model)
-        return await fetch_piece(self._pool, entry.control, key, max_bytes, held)
+        return (await fetch_piece(self._pool, entry.control, key, max_bytes, held)).body
 
     def peek_piece(self, key: piece_placement.PieceKey) -> bytes | None:
         """Return a piece if it is in memory."""
@@ -359,8 +359,8 @@
     key: piece_placement.PieceKey,
     max_bytes: int,
     held: bool = False,
-) -> bytes:
-    """Return a piece from another process without verification.
+) -> http1_pool.Reply:
+    """Return the answer with a piece, from another process and without verification.
 
     :param max_bytes: limit for the piece.
     :param held: request the piece only if it is in that process's memory.
@@ -368,7 +368,7 @@
     """
     query = f"model={key.model}&version={key.version}&number={key.number}"
     query += f"&held={held:d}"
-    return (await _fetch(pool, address, f"{PIECE_TARGET}?{query}", max_bytes)).body
+    return await _fetch(pool, address, f"{PIECE_TARGET}?{query}", max_bytes)
 
 
 async def fetch_digests(
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -33,6 +34,7 @@
 REMOTE_ZONE_LOAD_INTERVAL_S = 0.6  # entries of other zones send few requests
 # Each change of the number of thresholds that the delay of the link exceeds is logged.
 LOGGED_LINK_DELAYS_S = (0.3, 0.6)
+LINK_DELAY_STEP_S = 0.1
 
 
 class _SendSchedule:
@@ -107,6 +109,8 @@
     :param address: address of the engine.
     :param entries: returns the entries that can serve pieces.
     :param region: region of the engine.
+    :param get_exchange_delay_s: returns for how long a recent exchange of this process
+        with an entry was on its way, both directions together.
     """
 
     def __init__(
@@ -118,8 +122,10 @@
         entries: Callable[[], list[entry_directory.EntryRecord]],
         region: str,
         sender: LoadReportSender,
+        get_exchange_delay_s: Callable[[], float],
     ):
         self._stager = stager
+        self._get_exchange_delay_s = get_exchange_delay_s
         self._engine = engine
         self._address = address
         self._pool = pool
@@ -173,7 +179,8 @@
         if not self._is_engine_reachable:
             logs.write("engine_regained", born_ms=report.born_ms)
         self._is_engine_reachable = True
-        self._log_link_delay()
+        link_delay_s = self._estimate_link_delay_s()
+        self._log_link_delay(link_delay_s)
         version = entry_data.complete_version(report.loaded, self._stager.profile)
         self._sender.send(
             entry_data.EngineLoad(
@@ -185,6 +192,7 @@
                 report.is_busy or self._stager.is_quiet(self._now_s()),
                 report.pace,
                 self._stager.estimate_order_delay_s(self._now_s()),
+                link_delay_s,
             )
         )
         event = staging_events.ReportRead(
@@ -192,9 +200,18 @@
         )
         self._execute(self._stager.on_report_read(event, self._now_s()))
 
-    def _log_link_delay(self) -> None:
-        """Log for how long pieces hold up other bytes, if that crosses a threshold."""
-        delay_s = self._stager.estimate_link_delay_s(self._now_s())
+    def _estimate_link_delay_s(self) -> float:
+        """Return the seconds for which bytes to this instance are held on the way.
+
+        It is rounded up, so that the load reports do not change each time.
+        """
+        delay_s = max(
+            self._stager.estimate_link_delay_s(), self._get_exchange_delay_s()
+        )
+        return math.ceil(delay_s / LINK_DELAY_STEP_S) * LINK_DELAY_STEP_S
+
+    def _log_link_delay(self, delay_s: float) -> None:
+        """Log for how long other bytes are held up, if that crosses a threshold."""
         level = sum(delay_s > threshold_s for threshold_s in LOGGED_LINK_DELAYS_S)
         if level == self._logged_delay_level:
             return
@@ -323,12 +340,13 @@
             if self._is_superseded(effect.version):
                 return
             try:
-                piece = await piece_cache.fetch_piece(
+                reply = await piece_cache.fetch_piece(
                     self._pool, holder.control, key, self._max_piece_bytes
                 )
             except piece_cache.PieceError as error:
                 self._record_holder_failure(key, holder, error)
                 continue
+            piece = reply.body
             if not piece_cache.has_digest(piece, effect.digest):
                 logs.write("piece_spoilt", piece=key.text, source=holder.name)
                 continue
@@ -337,7 +355,9 @@
             if effect.version == self._stager.target.version:
                 # Staged pieces are kept when this process ends.
                 await self._try_put_collected_pieces(effect.version)
-            event = staging_events.PieceCollected(effect.version, effect.number)
+            event = staging_events.PieceCollected(
+                effect.version, effect.number, reply.transfer_s
+            )
             self._execute(self._stager.on_piece_collected(event, self._now_s()))
             return
         self._report_effect_failure(effect.version, effect.number)
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/staging_driver_test.py
@@ -95,8 +95,11 @@
 
 
 class Sender:
+    def __init__(self):
+        self.loads = []
+
     def send(self, load):
-        return
+        self.loads.append(load)
 
 
 class Transport:
@@ -149,6 +152,8 @@
         self.engine = Engine()
         self.pool = Pool()
         self.entries = [make_record("e", "e:2")]
+        self.sender = Sender()
+        self.exchange_delay_s = 0.0
 
     def make_driver(self):
         return staging_driver.StagingDriver(
@@ -158,7 +163,8 @@
             self.pool,
             lambda: self.entries,
             "r",
-            Sender(),
+            self.sender,
+            lambda: self.exchange_delay_s,
         )
 
     def run_process(self, turns=200):
@@ -179,12 +185,16 @@
         self.patch(staging_driver.logs, "write", lambda name, **_: events.append(name))
         driver = self.make_driver()
         for delay_s in (0.2, 0.35, 0.4, 0.7, 0.0):
-            driver._stager.estimate_link_delay_s = lambda now_s, delay_s=delay_s: (
-                delay_s
-            )
-            driver._log_link_delay()
+            driver._log_link_delay(delay_s)
         self.assertEqual(["link_delay"] * 3, events)
 
+    def test_entries_learn_for_how_long_bytes_to_the_engine_are_held(self):
+        self.pool.remaining_count = 0
+        self.exchange_delay_s = 0.42
+        self.run_process(turns=5)
+        delays_s = {load.link_delay_s for load in self.sender.loads}
+        self.assertEqual({0.5}, delays_s)
+
     def test_empty_engine_gets_the_version(self):
         self.run_process()
         self.assertEqual(1, self.engine.version)
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -50,6 +50,8 @@
         read again when the store is asked, and no other value is received.
     :ivar store_failed_s: time of the last failed call on the store, or at which it was
         found to have returned from an older copy.
+    :ivar exchange_delay_s: how long the latest exchange with a peer was on its way,
+        both directions together.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
     """
@@ -71,6 +73,7 @@
         self._peer_discovery = peer_discovery
         self.store_failed_s = float("-inf")
         self.previous_confirmed_s = float("-inf")
+        self.exchange_delay_s = 0.0
         self._outage_tracker = outage.OutageTracker(selector.zone)
         self._store = store
         self._pool = pool
@@ -288,6 +291,7 @@
         self._check_era(excerpt)
         now_s = self._pool.reactor.seconds()
         confirmed_s = excerpt.confirmed_s(requested_s, now_s)
+        self.exchange_delay_s = max(now_s - requested_s - excerpt.waited_s, 0.0)
         heard_s = excerpt.heard_s(now_s)
         for peer in self._peers():
             if peer.address == source.address:
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -139,6 +139,7 @@
             self._directory.serving,
             self.process_settings.region,
             self._load_sender,
+            lambda: self._synchronizer.exchange_delay_s,
         )
         named_version = self._named_versions.get(profile.model)
         self._profile = profile
