Leave a silent stream at its engine if the retry budget is used up

Callers got streams that were broken off ("budget used up") although their engines were at work. Cause: after a pause of 1 s, a free engine was enough to take the request from the silent one; whether a retry is allowed was asked only then. A full link pauses many streams at once, which uses the budget up, and each further pause then ended an answer. The budget is now asked before, so the answer goes on when the engine does, at the latest until the deadline.

--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -590,6 +590,10 @@
         """Return whether a request to a silent engine can move to a free engine."""
         if not self._can_run_again(context):
             return False
+        if not context.retry_budgets.allows_retry(
+            self.service.name, context.now_s, context.location.entry_count
+        ):
+            return False
         tried = frozenset(self._tried)
         requirements = self._make_requirements(context, tried)
         for engine in load_balancing.eligible_engines(
--- a/toucanspread/core/entry/retry_budget.py
+++ b/toucanspread/core/entry/retry_budget.py
@@ -41,15 +41,24 @@
     ) -> bool:
         """Count one retry; return False if this entry's part is exhausted.
 
+        :param entry_count: number of entries that share the allowance.
+        """
+        if not self.allows_retry(service, now_s, entry_count):
+            return False
+        self._retries[service].append(now_s)
+        return True
+
+    def allows_retry(
+        self, service: data.ServiceName, now_s: float, entry_count: int
+    ) -> bool:
+        """Return whether this entry's part allows one more retry, without counting it.
+
         :param entry_count: number of entries that share the allowance.
         """
         requests = self._recent(self._requests, service, now_s)
         retries = self._recent(self._retries, service, now_s)
         part = self._ratio * len(requests) + self._allowance / max(entry_count, 1)
-        if len(retries) + 1 > part * USABLE_PART_RATIO:
-            return False
-        retries.append(now_s)
-        return True
+        return len(retries) + 1 <= part * USABLE_PART_RATIO
 
     def _recent(
         self,
