Deny requests only by a configuration that is known to be in force

Cause: an entry denied by its copy whatever the age of that, so the bound was kept only as long as every hop of the change was shorter than what was left for it. If the copy may lack a configuration that must be in force, a request that would be denied is now refused with 503 and a time to retry; another entry, or this one soon, knows. What the copy allows is served as before, also in an outage of the store.

--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -30,6 +30,7 @@
     routes.Denial.UNKNOWN_KEY: 401,
 }
 STARTING_RETRY_AFTER_S = 0.5  # about the time until a new entry has its configuration
+OUTDATED_RETRY_AFTER_S = 0.5  # another entry may know the configuration in force
 
 
 class EntryNotifier(abc.ABC):
@@ -53,6 +54,7 @@
     :param notifier: notifies the other entries.
     :param list_members: returns the entries that serve callers.
     :param get_copy_age_s: returns the age of this entry's copy of the store in seconds.
+    :param config_within_s: time after which a configuration must be in force.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         notifier: EntryNotifier,
         list_members: Callable[[], guard_program.Members],
         get_copy_age_s: Callable[[], float],
+        config_within_s: float,
     ):
         self._notifier = notifier
         self.cluster = cluster
@@ -76,6 +79,7 @@
         self._retry_budgets = retry_budgets
         self._get_location = get_location
         self._get_copy_age_s = get_copy_age_s
+        self._config_within_s = config_within_s
         self._random_source = random_source
         self.queue = request_queue.RequestQueue(pool.reactor)
         self.crash_notices = crash_notices.CrashNotices(
@@ -110,11 +114,18 @@
             exchange.respond(400, self.wire_dialect.make_own_answer_headers(None, None))
             return
         if self.cluster.route_table is None:
-            self._refuse_unconfigured(exchange, call)
+            self._refuse_undecided(
+                exchange, call, "no configuration", STARTING_RETRY_AFTER_S
+            )
             return
         route = self.cluster.route_table.find_route(call.host, call.path)
         team = self.cluster.route_table.find_team(call.key)
         denial = self.cluster.route_table.find_denial(route, team)
+        if denial is not None and self._may_be_outdated():
+            self._refuse_undecided(
+                exchange, call, "old configuration", OUTDATED_RETRY_AFTER_S
+            )
+            return
         if denial is not None:
             self._deny(exchange, call, denial)
             return
@@ -176,14 +187,26 @@
         for request in list(self.in_progress):
             request.on_quarantine()
 
-    def _refuse_unconfigured(
-        self, exchange: http1_server.Exchange, call: entry_data.Call
+    def _may_be_outdated(self) -> bool:
+        """Return whether another configuration may be in force at other entries."""
+        return self._get_copy_age_s() > self._config_within_s
+
+    def _refuse_undecided(
+        self,
+        exchange: http1_server.Exchange,
+        call: entry_data.Call,
+        why: str,
+        retry_after_s: float,
     ) -> None:
-        logs.write("request_turned_away", id=call.attempt_id, why="no configuration")
-        metric_buffer.count("requests_refused", why="no configuration")
-        headers = self.wire_dialect.make_own_answer_headers(
-            call, STARTING_RETRY_AFTER_S
+        """Refuse a request of which this entry can't know whether it is allowed."""
+        logs.write(
+            "request_turned_away",
+            id=call.attempt_id,
+            why=why,
+            age_s=self._get_copy_age_s(),
         )
+        metric_buffer.count("requests_refused", why=why)
+        headers = self.wire_dialect.make_own_answer_headers(call, retry_after_s)
         exchange.respond(503, headers)
 
     def _deny(
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -133,6 +133,7 @@
 
     def start(self):
         self.clock = self.make_clock()
+        self.copy_age_s = 0.1
         self.pool = self.make_pool()
         self.cluster = cluster_state.ClusterState(8.0, 2.0)
         decoded = decoding_test.decoding.decode_configuration(
@@ -158,7 +159,8 @@
             random.Random(1),
             self.notifier,
             lambda: guard_program.Members("n", ["n"]),
-            self.clock.seconds,
+            lambda: self.copy_age_s,
+            config_within_s=2.0,
         )
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
@@ -327,7 +329,7 @@
         self.assertEqual([], self.pool.sent)
 
     def test_a_denial_is_logged_with_the_age_of_the_copy(self):
-        self.clock.advance(0.5)
+        self.copy_age_s = 0.5
         denied = REQUEST.replace(b"/a/x", b"/b/x").replace(b"id-1", b"denied-1")
         with capture_events("request_denied") as denials:
             self.send_request(denied)
@@ -336,6 +338,19 @@
         ages_s = [d["age_s"] for d in denials if d["id"] == "denied-1"]
         self.assertEqual([0.5], ages_s)
 
+    def test_a_request_is_denied_only_by_a_copy_that_is_not_too_old_for_it(self):
+        denied = REQUEST.replace(b"/a/x", b"/b/x")
+        for age_s, status in ((2.0, b"404"), (2.1, b"503")):
+            self.start()
+            self.copy_age_s = age_s
+            self.send_request(denied)
+            self.assertTrue(self.received().startswith(b"HTTP/1.1 " + status))
+        self.assertIn(b"Retry-After", self.received())
+
+    def test_an_old_copy_still_serves_what_it_allows(self):
+        self.copy_age_s = 60.0
+        self.assertIsNotNone(self.send_request())
+
     def test_disconnected_caller_cancels_the_dispatch(self):
         engine = self.send_request()
         self.connection.connectionLost(None)
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -121,6 +121,7 @@
             self._report_receiver,
             self._list_members,
             lambda: self.view.age_s(reactor.seconds()),
+            bounds.config_apply_ms / 1000,
         )
         self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._registration = registration.Registration(self._store, self._make_record())
--- a/toucanspread/platform/settings.py
+++ b/toucanspread/platform/settings.py
@@ -41,6 +41,7 @@
         process.
     :param version_ms: time after which requests must start on newly named weights.
     :param ttl_max_s: maximum time for which callers keep a list of addresses.
+    :param config_apply_ms: time after which a configuration must be in force.
     """
 
     drain_ms: float = 2_000
@@ -50,6 +51,7 @@
     budget_slack: float = 100
     version_ms: float = 8_000
     ttl_max_s: float = 5
+    config_apply_ms: float = 2_000
 
 
 class MachineLimits(msgspec.Struct, frozen=True):
