Keep the newest configuration when the store shows an older one

Callers of an entry that starts within 2 s after the store has returned from an older copy were answered by an older configuration, and with keys that had been taken away; the entry also believed older versions of weights to be in force.

Cause: a copy of a later era replaced everything, so that the peers passed on what the store showed. An entry that leads its zone reads the store itself and could not know of anything newer.

A copy now keeps the newest value of keys whose versions only grow and serves it. A process that reads its first copy of an era from the store asks three peers for newer values before it uses that copy.

The simulated operator's versions now only grow, as the real one's do; they were taken from the store's revision, which goes back at a return.

--- a/standins/store_return_test.py
+++ b/standins/store_return_test.py
@@ -8,10 +8,13 @@
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
 from standins import store_copies, view_simulation, view_soak_test
+from toucanspread.ops import newer_values
 from toucanspread.platform import decoding
 
 RECOVERED_S = 4.0  # 2 s until all is written again, and the platform's bound of 2 s
 MAX_AGE_S = 2.0  # of a copy while the store answers
+NAMED_VERSION_KEY = "op/version/m"
+READ_S = 0.1  # for an entry that starts to read a small store
 
 
 class StandInTest(testtools.TestCase):
@@ -141,6 +144,100 @@
             versions.append(read_version(started))
         self.assertGreaterEqual(min(v for v in versions if v is not None), newest)
 
+    def start_leader_after_return(self, prepare=None):
+        """Start an entry that reads the store itself after a return.
+
+        :param prepare: called with the zone when the newest configuration is in force.
+        :return: the zone, the entry, and the newest configuration's version.
+        """
+        size = view_simulation.ZoneSize(entries=5, sidecars=0, engines=4)
+        zone = view_simulation.ZoneSimulation(size, route_count=40)
+        self.addCleanup(zone.close)
+        zone.store.write(NAMED_VERSION_KEY, make_named_version(2))
+        zone.run(8.0)
+        zone.change_configuration()
+        zone.store.write(NAMED_VERSION_KEY, make_named_version(3))
+        zone.run(1.0)
+        newest = read_version(zone.leader())
+        if prepare is not None:
+            prepare(zone)
+        zone.store.return_from_copy(2.0)
+        zone.run(0.1)
+        started = zone.add_entry()
+        self.assertEqual(started, zone.leader())
+        return zone, started, newest
+
+    def test_an_entry_that_leads_its_zone_takes_no_older_values(self):
+        zone, started, newest = self.start_leader_after_return()
+        zone.run(0.4)
+        self.assertEqual(newest, read_version(started))
+        self.assertEqual(make_named_version(3), started.get_value(NAMED_VERSION_KEY))
+
+    def test_a_peer_that_lies_behind_does_not_hide_the_newest_configuration(self):
+        def take_back_copy(zone):
+            zone.rank_entries()[0].machine.is_cut = True
+            zone.change_configuration()
+            zone.run(1.5)
+            zone.rank_entries()[0].machine.is_cut = False
+
+        zone, started, newest = self.start_leader_after_return(take_back_copy)
+        zone.run(0.4)
+        self.assertEqual(newest + 1, read_version(started))
+
+    def test_silent_peers_delay_a_start_only_by_a_bounded_time(self):
+        def silence(zone):
+            for entry in zone.entries:
+                entry.machine.handle = None
+
+        zone, started, _ = self.start_leader_after_return(silence)
+        zone.run(newer_values.ANSWER_TIMEOUT_S + READ_S)
+        self.assertIsNotNone(read_version(started))
+
+    def test_peers_that_are_cut_off_delay_a_start_only_by_a_bounded_time(self):
+        def cut(zone):
+            for entry in zone.entries:
+                entry.machine.is_cut = True
+
+        zone, started, _ = self.start_leader_after_return(cut)
+        zone.run(newer_values.ANSWER_TIMEOUT_S + READ_S)
+        self.assertIsNotNone(read_version(started))
+
+    def test_a_copy_that_was_cut_off_gets_what_the_store_has_lost(self):
+        size = view_simulation.ZoneSize(entries=5, sidecars=0, engines=4)
+        zone = view_simulation.ZoneSimulation(size, route_count=40)
+        self.addCleanup(zone.close)
+        zone.run(8.0)
+        leader = zone.leader()
+        leader.machine.is_cut = True
+        zone.change_configuration()
+        zone.run(1.9)
+        newest = max(read_version(entry) for entry in zone.entries)
+        self.assertLess(read_version(leader), newest)
+        zone.store.return_from_copy(2.0)
+        leader.machine.is_cut = False
+        zone.run(0.9)
+        self.assertEqual(newest, read_version(leader))
+
+
+class StartOfAllTest(testtools.TestCase):
+    def test_entries_that_all_start_at_once_do_not_wait_for_each_other(self):
+        asking_s = self.start_all()
+        self.patch(newer_values, "ASKED_COUNT", 0)
+        self.assertLess(asking_s - self.start_all(), 0.02)
+
+    def start_all(self):
+        """Return when the last entry has a configuration."""
+        size = view_simulation.ZoneSize(entries=18, sidecars=0, engines=4)
+        zone = view_simulation.ZoneSimulation(size, route_count=280)
+        self.addCleanup(zone.close)
+        zone.run(3.0)
+        return max(min(entry.received_s.values()) for entry in zone.entries)
+
+
+def make_named_version(version):
+    """Return the value with which the operator names a version of a model."""
+    return json.dumps({"model": "m", "version": version}).encode()
+
 
 def read_version(entry):
     """Return the version of the configuration that an entry has, or None."""
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -179,7 +179,7 @@
         self.received_s: dict[int, float] = {}
         self._network = network
         self._is_entry = is_entry
-        self._view = store_view.View()
+        self._view = store_view.View(decoding.read_version)
         mbps = ENTRY_LINK_MBPS if is_entry else SIDECAR_LINK_MBPS
         self.machine = network.add_machine(f"{name}:1", mbps)
         self._excerpts = excerpt_server.ExcerptServer(self._view, network.reactor)
@@ -228,6 +228,7 @@
         self._loop = virtual_time.VirtualTimeLoop()
         self.configuration_revision = 0
         self._routes: list[dict] = []
+        self._version = 0  # only grows, also when the store returns from a copy
         network = link_simulation.Network(self._loop)
         self._network = network
         self.store = SimulatedStore(network)
@@ -273,6 +274,7 @@
         """Write a configuration with one route changed; return its revision."""
         route = self._random.choice(self._routes)
         route["timeout_ms"] = self._random.randrange(1_000, 9_000)
+        self._version += 1
         self.configuration_revision = self.store.write(
             decoding.CONFIGURATION_KEY, self.encode_configuration()
         )
@@ -281,7 +283,7 @@
     def encode_configuration(self) -> bytes:
         """Return the value of the newest configuration."""
         configuration = {
-            "version": self.store.revision + 1,
+            "version": self._version,
             "routes": self._routes,
             "services": [],
         }
--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -119,6 +119,24 @@
         # The one that failed first has its turn, so that each of them has one.
         return min(silent, key=self._failed_s.get, default=None)
 
+    def list_witnesses(
+        self, peers: list[Peer], seeds: list[data.Address], count: int
+    ) -> list[data.Address]:
+        """Return peers that may know what the store has lost.
+
+        One of another zone is among them if possible: those of a zone that was cut off
+        all have older copies.
+        """
+        same_zone = {p.name: p for p in peers if p.zone == self.zone}
+        other_zones = {p.name: p for p in peers if p.zone != self.zone}
+        ranked = rendezvous.rank(self.zone, same_zone)
+        addresses = [same_zone[name].address for name in ranked]
+        others = [
+            source.address for source in _rank_leaders_first(self._name, other_zones)
+        ]
+        addresses[count - 1 : count - 1] = others
+        return list(dict.fromkeys([*addresses, *seeds]))[:count]
+
     def _list_eligible(self, ranking: _Ranking, now_s: float) -> list[Source]:
         may_ask_store = now_s >= self._store_allowed_s(ranking, now_s)
         eligible = []
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -6,10 +6,10 @@
 compared.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from toucanspread.core import data
-from toucanspread.core.view import store_position
+from toucanspread.core.view import newest_values, store_position
 
 MAX_HISTORY_COUNT = 2_000  # more than the keys that change within a few seconds
 MAX_HISTORY_BYTES = 4_000_000  # bounds memory when many large values change
@@ -61,14 +61,20 @@
 class View:
     """The copy that a process holds.
 
+    :param read_version: returns the version of a key's value. Of values with versions,
+        the newest stays, though the store may show an older one after its return.
     :ivar position: the place in the store's history that it corresponds to.
     :ivar confirmed_s: time at which the copy was last known to be complete.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        read_version: newest_values.VersionReader = newest_values.read_no_version,
+    ):
         self.position = store_position.StorePosition()
         self.confirmed_s = float("-inf")
         self._items: dict[str, Item] = {}
+        self._newest = newest_values.NewestValues(read_version)
         # The last change of each key, in the order of revisions.
         self._history: dict[str, KeyChange] = {}
         self._history_bytes = 0
@@ -107,8 +113,11 @@
         new = []
         for change in changes:
             # A change older than the copy could restore a key that was deleted since.
-            if change.revision > self.revision and self._apply_one(change):
-                new.append(change)
+            if change.revision <= self.revision:
+                continue
+            newest = self._choose_newest(change)
+            if self._apply_one(newest):
+                new.append(newest)
         position = self.position._replace(revision=revision)
         self._confirm(position, confirmed_s)
         return new
@@ -133,8 +142,9 @@
         position = store_position.StorePosition(era or self.position.era, revision)
         if position < self.position:
             return []
-        items_by_key = {item.key: item for item in items}
+        items_by_key = {item.key: self._choose_newest(item) for item in items}
         if position.era > self.position.era:
+            self._add_missing(items_by_key, revision)
             new = self._replace_items_of_earlier_era(items_by_key, revision, kept_keys)
         else:
             new = self._replace_items(items_by_key, revision, kept_keys)
@@ -142,6 +152,27 @@
         self._confirm(position, confirmed_s)
         return new
 
+    @property
+    def versions(self) -> dict[str, int]:
+        """Return the newest known version of each key that has versions."""
+        return self._newest.versions
+
+    @property
+    def has_versions(self) -> bool:
+        """Return whether any of the keys may have versions."""
+        return self._newest.has_versions
+
+    def list_newer(self, versions: Mapping[str, int]) -> list[KeyChange]:
+        """Return the items of newer versions than the given ones, or of other keys."""
+        newer = self._newest.list_newer(versions)
+        return [KeyChange(key, self.revision, value) for key, value in newer.items()]
+
+    def learn(self, changes: Iterable[KeyChange]) -> None:
+        """Learn values that stay if the next complete copy has older ones."""
+        for change in changes:
+            if change.value is not None:
+                self._newest.choose(change.key, change.value)
+
     def make_excerpt(
         self,
         after: int,
@@ -166,6 +197,19 @@
         requested = tuple(c for c in changes if c.key.startswith(prefixes))
         return Excerpt(self.revision, age_s, is_whole, requested, self.position.era)
 
+    def _choose_newest(self, change: KeyChange) -> KeyChange:
+        """Return a change with the newest known value of its key."""
+        if change.value is None:
+            self._newest.forget(change.key)
+            return change
+        value = self._newest.choose(change.key, change.value)
+        return KeyChange(change.key, change.revision, value)
+
+    def _add_missing(self, items_by_key: dict[str, KeyChange], revision: int) -> None:
+        """Add the values with versions that a later era of the store lacks."""
+        for key, value in self._newest.values.items():
+            items_by_key.setdefault(key, KeyChange(key, revision, value))
+
     def _replace_items(
         self,
         items_by_key: dict[str, KeyChange],
@@ -179,6 +223,7 @@
             if item.revision <= revision:
                 change = KeyChange(key, revision)
                 self._apply_one(change)
+                self._newest.forget(key)
                 new.append(change)
         new.extend(
             change for change in items_by_key.values() if self._apply_one(change)
--- a/toucanspread/core/view/store_view_test.py
+++ b/toucanspread/core/view/store_view_test.py
@@ -348,3 +348,17 @@
         self.assertEqual(
             source_selection.STORE, selector.select_source([], [], later_s)
         )
+
+    def test_a_process_that_asks_for_newer_values_asks_another_zone_too(self):
+        peers = [
+            source_selection.Peer(name, data.ZoneName(zone), data.Address(f"{name}:1"))
+            for name, zone in (("a", "z"), ("b", "z"), ("c", "z"), ("d", "y"))
+        ]
+        selector = self.make_selector("e")
+        witnesses = selector.list_witnesses(peers, ["seed:1"], 3)
+        self.assertEqual(3, len(witnesses))
+        self.assertIn("d:1", witnesses)
+        self.assertEqual(
+            ["a:1", "seed:1"], selector.list_witnesses(peers[:1], ["seed:1"], 3)
+        )
+        self.assertEqual(["seed:1"], selector.list_witnesses([], ["seed:1"], 3))
--- a/toucanspread/ops/excerpt_client.py
+++ b/toucanspread/ops/excerpt_client.py
@@ -41,13 +41,28 @@
     query = f"after={request.after}&wait_ms={int(request.wait_s * 1000)}"
     query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
     query += f"&era={request.era}"
-    head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
+    target = f"{EXCERPT_TARGET}?{query}"
+    return await call(pool, address, target, timeout_s, source_selection.ANSWER_GRACE_S)
+
+
+async def call(
+    pool: http1_pool.ConnectionPool,
+    address: data.Address,
+    target: str,
+    timeout_s: float,
+    stall_timeout_s: float,
+) -> store_view.Excerpt:
+    """Return the excerpt that is another process's answer to a request.
+
+    :raises ExcerptError: when that process returns no usable excerpt.
+    """
+    head = http1.RequestHead(b"GET", target.encode(), [])
     try:
         reply = await pool.call(
             address,
             head,
             timeout_s=timeout_s,
-            stall_timeout_s=source_selection.ANSWER_GRACE_S,
+            stall_timeout_s=stall_timeout_s,
             max_body_bytes=excerpt_codec.MAX_ENCODED_BYTES,
         )
     except http1_pool.CallError as error:
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -6,6 +6,7 @@
     excerpt_codec,
     http1_server,
     metric_buffer,
+    newer_values,
 )
 
 EMPTY_VIEW_WAIT_S = 0.8  # a starting process answers 503 if it has no copy by then
@@ -43,6 +44,30 @@
         exchange.on_disconnected = lambda: self._remove_waiting(exchange)
         self._waiting[exchange] = waiting
 
+    def on_newer_request(
+        self,
+        exchange: http1_server.Exchange,
+        request: newer_values.NewerValuesRequest,
+        can_decompress: bool = False,
+    ) -> None:
+        """Answer at once with the values of newer versions than the peer's."""
+        if self._view.is_empty:
+            # Processes that start at the same time must not wait for each other.
+            exchange.respond(503)
+            return
+        excerpt = store_view.Excerpt(
+            self._view.revision,
+            self._view.age_s(self._reactor.seconds()),
+            False,
+            tuple(
+                change
+                for change in self._view.list_newer(request.versions)
+                if change.key.startswith(request.prefixes)
+            ),
+            self._view.position.era,
+        )
+        exchange.respond(200, body=self._encoder.encode(excerpt, can_decompress))
+
     def _is_behind(self, request: excerpt_client.ExcerptRequest) -> bool:
         era = request.era or self._view.position.era
         return store_position.StorePosition(era, request.after) < self._view.position
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -19,6 +19,7 @@
     http1_pool,
     logs,
     metric_buffer,
+    newer_values,
     prefix_store,
 )
 
@@ -218,8 +219,26 @@
         era = answers[0].era
         if any(answer.era != era for answer in answers):
             raise prefix_store.StoreError("a new era began between two reads")
+        is_first_of_era = self.view.is_empty or era > self.view.position.era
+        if is_first_of_era and self.view.has_versions:
+            await self._learn_newer_values(changes)
         self._replace_copy(changes, revision, requested_s, kept_keys, era)
 
+    async def _learn_newer_values(self, items: list[store_view.KeyChange]) -> None:
+        """Learn from peers what the store may have lost before it began this era."""
+        addresses = self._selector.list_witnesses(
+            self._peers(), self._seeds(), newer_values.ASKED_COUNT
+        )
+        self.view.learn(items)
+        newer = await newer_values.fetch_newer(
+            self._pool,
+            addresses,
+            newer_values.NewerValuesRequest(self._prefixes, self.view.versions),
+        )
+        if newer:
+            logs.write("newer_values_learnt", count=len(newer))
+        self.view.learn(newer)
+
     def _replace_copy(
         self,
         items: Iterable[store_view.KeyChange],
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -136,6 +136,12 @@
     born: int = 0
 
 
+class _Versioned(msgspec.Struct, frozen=True):
+    """What is common to the operator's values."""
+
+    version: int
+
+
 class _NamedVersion(msgspec.Struct, frozen=True):
     model: str
     version: int
@@ -155,6 +161,16 @@
     return None
 
 
+def read_version(key: str, value: bytes) -> int | None:
+    """Return the version of a value of the operator; None if the key has none."""
+    if key != CONFIGURATION_KEY and not key.startswith(VERSIONS_PREFIX):
+        return None
+    try:
+        return msgspec.json.decode(value, type=_Versioned).version
+    except msgspec.MsgspecError:
+        return None
+
+
 def decode_configuration(value: bytes) -> entry_data.Configuration:
     """Decode the configuration that the operator wrote.
 
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -161,3 +161,14 @@
                 False,
             )
         self.assertEqual(9, cluster.route_table.version)
+
+    def test_only_values_of_the_operator_have_versions(self):
+        for key, value, version in (
+            ("op/config", encode_json(CONFIG), 7),
+            ("op/version/m", b'{"model": "m", "version": 3}', 3),
+            ("op/other", b'{"version": 3}', None),
+            ("servers/e", encode_json(ENTRY), None),
+            ("op/config", b"{", None),
+            ("op/config", b'{"version": "7"}', None),
+        ):
+            self.assertEqual(version, decoding.read_version(key, value))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -74,7 +74,7 @@
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
         )
-        self.view = store_view.View()
+        self.view = store_view.View(decoding.read_version)
         self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -26,6 +26,7 @@
     http1_server,
     logs,
     loop,
+    newer_values,
     piece_cache,
     process,
 )
@@ -182,6 +183,10 @@
                 can_decompress = arguments.get("compressed") == "1"
                 self._entry.excerpts.on_request(exchange, request, can_decompress)
                 return
+            if path == newer_values.NEWER_VALUES_TARGET:
+                request = newer_values.parse_request(arguments)
+                self._entry.excerpts.on_newer_request(exchange, request, True)
+                return
             key = piece_placement.PieceKey(
                 data.ModelName(arguments["model"]),
                 int(arguments["version"]),
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -67,7 +67,7 @@
         self.process_settings = process_settings
         self._pool = http1_pool.ConnectionPool(reactor)
         self._store = store.PlatformStore(self._pool, process_settings.platform.address)
-        self._view = store_view.View()
+        self._view = store_view.View(decoding.read_version)
         self._has_first_copy = False
         self._profile: entry_data.ModelProfile | None = None
         self._directory = entry_directory.EntryDirectory()
