Read the newest values when the changes since a copy are larger

Eleven or more processes asked at once for 7 versions (2.5 MB each); each had received 0.24 to 0.78 MB when the answer was abandoned after 3 s, about as much as all items (0.36 MB), and paused for 1 s before it read these.

An answer to a watch may now have at most 16/9 of the copy's size and 64 KiB. A larger one ends at its head, if that declares the size, and all items are read at once. A configuration that has grown by a third still arrives as a change.

Simulated answers now declare their size, as those of servers do; calls in link_simulation_test.py therefore name the limit that their answers need.

--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -103,7 +103,8 @@
         if self._is_answered or self._is_closed:
             return
         self._is_answered = True
-        self._network.loop.create_task(self._send(status, list(headers), body))
+        length = http1.Header(b"Content-Length", b"%d" % len(body))
+        self._network.loop.create_task(self._send(status, [*headers, length], body))
 
     @property
     def _is_cut(self) -> bool:
--- a/standins/link_simulation_test.py
+++ b/standins/link_simulation_test.py
@@ -22,7 +22,9 @@
         server = self.network.add_machine("server:1", mbps)
         server.handle = lambda exchange: exchange.respond(200, body=bytes(size_bytes))
         head = http1.RequestHead(b"GET", b"/", [])
-        call = self.pool.call("server:1", head, b"", TIMEOUT_S, stall_timeout_s)
+        call = self.pool.call(
+            "server:1", head, b"", TIMEOUT_S, stall_timeout_s, max_body_bytes=size_bytes
+        )
         return len(self.loop.run_until_complete(call).body)
 
     def test_an_answer_that_keeps_arriving_is_not_abandoned(self):
--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -55,6 +55,19 @@
         revision, written_s = zone.change_configuration(), zone.now_s
         self.assertLess(zone.longest_delay_s(revision, written_s, WATCHED_S), WATCHED_S)
 
+    def test_a_zone_that_has_missed_many_configurations_does_not_read_all_of_them(self):
+        size = view_simulation.ZoneSize(entries=14, sidecars=4, engines=8)
+        zone = view_simulation.ZoneSimulation(size, route_count=1_480)
+        self.addCleanup(zone.close)
+        zone.run(SETTLE_S)
+        processes = zone.entries + zone.sidecars
+        zone.store.refused = {process.machine.address for process in processes}
+        for _ in range(7):
+            zone.run(0.35)
+            revision = zone.change_configuration()
+        zone.store.refused = set()
+        self.assert_in_time([zone.longest_delay_s(revision, zone.now_s, WATCHED_S)])
+
     def test_sidecars_do_not_receive_the_configuration_from_the_store(self):
         size = view_simulation.ZoneSize(entries=1)
         zone = view_simulation.ZoneSimulation(size, route_count=1_480)
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -90,6 +90,11 @@
         """Return whether nothing has been read yet."""
         return self.revision == 0
 
+    @property
+    def value_bytes(self) -> int:
+        """Return the size of all values."""
+        return sum(len(item.value) for item in self._items.values())
+
     def age_s(self, now_s: float) -> float:
         """Return the time since the copy was known to be complete."""
         return now_s - self.confirmed_s
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import protocol
 
+from toucanspread.core import data
 from toucanspread.ops import http1, http1_client
 
 # Waiting longer does not help if a server refuses connections or is cut off.
@@ -325,6 +326,12 @@
 
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
+        length = data.parse_count(
+            (head.get(b"content-length") or b"").decode("latin-1")
+        )
+        if length is not None and length > self.max_body_bytes:
+            # The call ends now, and takes up the link no longer.
+            self._fail(http1_client.ExchangeFailure.TOO_LARGE)
         self.on_progress()
         return True
 
@@ -340,6 +347,9 @@
 
     def on_failure(self, failure: http1_client.ExchangeFailure) -> None:
         self.is_finished = True
+        self._fail(failure)
+
+    def _fail(self, failure: http1_client.ExchangeFailure) -> None:
         if not self.future.done():
             self.future.set_exception(
                 CallError(failure, f"exchange failed: {failure.value}")
--- a/toucanspread/ops/http1_pool_test.py
+++ b/toucanspread/ops/http1_pool_test.py
@@ -77,3 +77,37 @@
     def test_request_that_needs_a_new_connection_leaves_the_idle_ones(self):
         self.assertEqual([1, 1], self.send(None, 0.0))
         self.assertEqual(2, self.idle_count)
+
+
+class LargeAnswerTest(testtools.TestCase):
+    """A server answers with a head that declares the size of the body."""
+
+    def setUp(self):
+        super().setUp()
+        running_reactor.start(self)
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n")
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
+        self.closed.set()
+        writer.close()
+
+    async def call(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        head = http1.RequestHead(b"GET", b"/", [])
+        pool = http1_pool.ConnectionPool(reactor)
+        try:
+            await pool.call(f"{host}:{port}", head, timeout_s=5.0, max_body_bytes=100)
+        except http1_pool.CallError as error:
+            await asyncio.wait_for(self.closed.wait(), 5.0)
+            return error.failure
+        finally:
+            server.close()
+
+    def test_the_body_of_an_answer_that_is_too_large_is_not_received(self):
+        failure = loop.EVENT_LOOP.run_until_complete(self.call())
+        self.assertEqual(http1_client.ExchangeFailure.TOO_LARGE, failure)
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -74,9 +74,13 @@
         """Return all items below a prefix; the revision is that of the first page."""
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self, prefix: str, after: int, wait_s: float, max_bytes: int | None = None
+    ) -> Changes:
         """Return the changes after a revision; wait up to ``wait_s`` for the first.
 
+        :param max_bytes: limit for the answer, besides that of the store's client.
+        :raises LargeAnswerError: when the changes exceed the limit.
         :raises HistoryGoneError: when the prefix has to be read again as a whole.
         """
 
--- a/toucanspread/ops/registration_test.py
+++ b/toucanspread/ops/registration_test.py
@@ -29,7 +29,7 @@
     async def read_all(self, prefix):
         raise NotImplementedError
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, max_bytes=None):
         raise NotImplementedError
 
     async def put(self, key, value, lease):
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -23,6 +23,11 @@
     prefix_store,
 )
 
+# Several versions of a large value take more than all items with the newest one, and
+# processes that ask for them at once fill the link to the store. Values are sent in
+# base64, 4/3 of their size; one that has grown by a third still arrives as a change.
+WATCH_SIZE_RATIO = 16 / 9
+MIN_WATCH_BYTES = 65_536  # changes that are received though the copy is small
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
 
 
@@ -182,15 +187,22 @@
         wait_s = self._selector.wait_s(source_selection.STORE, age_s)
         try:
             answer = await self._store.watch(
-                self._store_prefixes[0], self.view.revision, wait_s
+                self._store_prefixes[0],
+                self.view.revision,
+                wait_s,
+                self._limit_watch_bytes(),
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
             self._must_read_all = True
             await self._read_all()
             return
-        except (prefix_store.SlowAnswerError, prefix_store.LargeAnswerError):
-            # The answer has all versions of each value; all items may be much less.
+        except prefix_store.LargeAnswerError:
+            # The answer has all versions of each value; all items are less.
+            self._must_read_all = True
+            await self._read_all()
+            return
+        except prefix_store.SlowAnswerError:
             self._must_read_all = True
             raise
         if answer.era > self.view.position.era:
@@ -203,6 +215,10 @@
         if answer.changes:
             await asyncio.sleep(source_selection.BATCH_DELAY_S)
 
+    def _limit_watch_bytes(self) -> int:
+        """Return the size from which an answer to a watch is more than all items."""
+        return int(self.view.value_bytes * WATCH_SIZE_RATIO) + MIN_WATCH_BYTES
+
     async def _read_all(self) -> None:
         requested_s = self._pool.reactor.seconds()
         answers = [await self._store.read_all(p) for p in self._store_prefixes]
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -21,6 +21,7 @@
         self.is_too_large = False
         self.revision = 1
         self.read_prefixes = []
+        self.max_bytes = None
 
     def _changes(self):
         if self.is_unavailable:
@@ -32,7 +33,8 @@
         self.read_prefixes.append(prefix)
         return self._changes()
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, max_bytes=None):
+        self.max_bytes = max_bytes
         if self.has_lost_history:
             raise prefix_store.HistoryGoneError("history is gone")
         if self.is_slow:
@@ -136,6 +138,21 @@
         self.sync()
         self.assertEqual([1, 9], [change.revision for change in self.changes])
 
+    def test_does_not_pause_before_all_keys_are_read_instead_of_large_changes(self):
+        self.sync()
+        self.store.revision = 9
+        self.store.is_too_large = True
+        self.sync()
+        self.assertEqual([1, 9], [change.revision for change in self.changes])
+
+    def test_does_not_receive_more_changes_than_all_items_have_bytes(self):
+        value = b"v" * 300_000
+        self.view.replace([store_view.KeyChange("op/config", 1, value)], 1, 0.0)
+        self.sync()
+        value_in_base64_bytes = len(value) * 4 / 3
+        self.assertLess(value_in_base64_bytes * 1.2, self.store.max_bytes)
+        self.assertGreater(value_in_base64_bytes * 1.6, self.store.max_bytes)
+
     def test_reads_all_keys_when_the_changes_since_the_copy_are_too_large(self):
         self.sync()
         self.store.revision = 9
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -158,7 +158,7 @@
         return read.make_changes()
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: int, wait_s: float, max_bytes: int | None = None
     ) -> prefix_store.Changes:
         """Return the changes after a revision; wait for the first one if needed."""
         target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
@@ -167,7 +167,7 @@
             b"GET",
             target,
             timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
-            max_body_bytes=MAX_WATCH_BYTES,
+            max_body_bytes=min(max_bytes or MAX_WATCH_BYTES, MAX_WATCH_BYTES),
         )
         if reply.status == 410:
             raise prefix_store.HistoryGoneError(
