--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -19,9 +19,15 @@
     http1_pool,
     logs,
     metric_buffer,
+    newer_values,
     prefix_store,
 )
 
+# Several versions of a large value take more than all items with the newest one, and
+# processes that ask for them at once fill the link to the store. Values are sent in
+# base64, 4/3 of their size; one that has grown by a third still arrives as a change.
+WATCH_SIZE_RATIO = 16 / 9
+MIN_WATCH_BYTES = 65_536  # changes that are received though the copy is small
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
 
 
@@ -186,15 +192,22 @@
         requested_s = self._pool.reactor.seconds()
         try:
             answer = await self._store.watch(
-                self._store_prefixes[0], self.view.revision, wait_s
+                self._store_prefixes[0],
+                self.view.revision,
+                wait_s,
+                self._limit_watch_bytes(),
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
             self._must_read_all = True
             await self._read_all()
             return
-        except (prefix_store.SlowAnswerError, prefix_store.LargeAnswerError):
-            # The answer has all versions of each value; all items may be much less.
+        except prefix_store.LargeAnswerError:
+            # The answer has all versions of each value; all items are less.
+            self._must_read_all = True
+            await self._read_all()
+            return
+        except prefix_store.SlowAnswerError:
             self._must_read_all = True
             raise
         if answer.era > self.view.position.era:
@@ -222,6 +235,10 @@
             self.view.apply(changes, answer.revision, confirmed_s, now_s)
         )
 
+    def _limit_watch_bytes(self) -> int:
+        """Return the size from which an answer to a watch is more than all items."""
+        return int(self.view.value_bytes * WATCH_SIZE_RATIO) + MIN_WATCH_BYTES
+
     async def _read_all(self) -> None:
         requested_s = self._pool.reactor.seconds()
         answers = [await self._store.read_all(p) for p in self._store_prefixes]
@@ -238,8 +255,26 @@
         era = answers[0].era
         if any(answer.era != era for answer in answers):
             raise prefix_store.StoreError("a new era began between two reads")
+        is_first_of_era = self.view.is_empty or era > self.view.position.era
+        if is_first_of_era and self.view.has_versions:
+            await self._learn_newer_values(changes)
         self._replace_copy(changes, revision, requested_s, kept_keys, era)
 
+    async def _learn_newer_values(self, items: list[store_view.KeyChange]) -> None:
+        """Learn from peers what the store may have lost before it began this era."""
+        addresses = self._selector.list_witnesses(
+            self._peers(), self._seeds(), newer_values.ASKED_COUNT
+        )
+        self.view.learn(items)
+        newer = await newer_values.fetch_newer(
+            self._pool,
+            addresses,
+            newer_values.NewerValuesRequest(self._prefixes, self.view.versions),
+        )
+        if newer:
+            logs.write("newer_values_learnt", count=len(newer))
+        self.view.learn(newer)
+
     def _replace_copy(
         self,
         items: Iterable[store_view.KeyChange],
