Test a large zone after the store has refused it for long

Entries of a large zone go on answering by an older configuration for many seconds after the store serves them again.

Cause: groups that ask the store are told apart only for some seconds after the leader has failed; after a longer refusal nearly all processes read 0.36 MB at once over one link, and none gets its answer within the 3 s that it is waited for.

--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -57,16 +57,27 @@
 
     def test_a_zone_that_has_missed_many_configurations_does_not_read_all_of_them(self):
         size = view_simulation.ZoneSize(entries=14, sidecars=4, engines=8)
+        self.assert_in_time([self.refuse_all(size, 7, 0.35)])
+
+    def test_a_large_zone_does_not_read_the_store_at_once_after_a_long_refusal(self):
+        size = view_simulation.ZoneSize(entries=26, sidecars=17, engines=8)
+        self.assert_in_time([self.refuse_all(size, 7, 0.6)])
+
+    def refuse_all(self, size, count, interval_s):
+        """Write configurations while the store refuses all processes.
+
+        :return: when the last entry has the newest one, after the store serves again.
+        """
         zone = view_simulation.ZoneSimulation(size, route_count=1_480)
         self.addCleanup(zone.close)
         zone.run(SETTLE_S)
         processes = zone.entries + zone.sidecars
         zone.store.refused = {process.machine.address for process in processes}
-        for _ in range(7):
-            zone.run(0.35)
+        for _ in range(count):
+            zone.run(interval_s)
             revision = zone.change_configuration()
         zone.store.refused = set()
-        self.assert_in_time([zone.longest_delay_s(revision, zone.now_s, WATCHED_S)])
+        return zone.longest_delay_s(revision, zone.now_s, WATCHED_S)
 
     def test_sidecars_do_not_receive_the_configuration_from_the_store(self):
         size = view_simulation.ZoneSize(entries=1)
