Close only the sending side of callers' connections first

Callers saw a reset and lost the rest of an answer that was on its way, if they had sent a further request while the entry closed the connection.

Cause: the entry closed the whole connection once the kernel had its bytes. The kernel resets a connection that is closed with unread bytes, and discards what it still had to send.

The test transport gets the call for closing the sending side.

--- a/toucanspread/ops/cut_answer_test.py
+++ b/toucanspread/ops/cut_answer_test.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 
-from toucanspread.ops import http1_loopback_test, http1_server, loop
+from toucanspread.ops import http1_closing, http1_loopback_test, http1_server, loop
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+LARGE_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500000\r\n\r\n"
 MALFORMED = b"no request\r\n\r\n"
 BODY = b"a" * 1_500_000
+PART = b"a" * 65_536
 RECEIVE_BUFFER_BYTES = 65_536
 LARGE_BUFFER_BYTES = 1_000_000
 PART_BYTES = 65_536
@@ -80,6 +82,52 @@
         ended = self.run_caller(self.cross_the_close())
         self.assertEqual((1, "closed"), (self.count_whole(), ended))
 
+    def test_request_that_crosses_the_close_is_neither_run_nor_read(self):
+        targets = []
+
+        def answer(exchange):
+            targets.append(exchange.head.target)
+            self.answer(exchange)
+
+        self.handler.on_request = answer
+        self.run_caller(self.cross_the_close())
+        self.assertEqual([b"/1"], targets)
+
+    async def keep_open(self):
+        """Return how many connections are open some time after their close."""
+        caller = await self.connect()
+        self.handler.leaving = True
+        await self.send(caller, REQUEST % 1)
+        self.assertEqual("closed", await self.read(caller, 10 * len(BODY)))
+        await self.send(caller, REQUEST % 2)
+        await asyncio.sleep(http1_closing.LINGER_S + 0.5)
+        return len(self.factory.connections)
+
+    def test_caller_that_does_not_close_holds_no_connection(self):
+        self.assertEqual(0, self.run_caller(self.keep_open()))
+
+    async def read_nothing(self):
+        """Return how many connections of a caller that reads nothing are open."""
+        caller = await self.connect()
+        self.handler.on_request = lambda exchange: exchange.respond(200, body=PART * 4)
+        self.handler.leaving = True
+        await self.send(caller, REQUEST % 1)
+        await asyncio.sleep(http1_closing.MAX_LINGER_S + 0.5)
+        return len(self.factory.connections)
+
+    def test_caller_that_reads_nothing_holds_no_connection(self):
+        self.assertEqual(0, self.run_caller(self.read_nothing()))
+
+    async def send_large_request(self):
+        caller = await self.connect()
+        await self.send(caller, LARGE_HEAD + BODY)
+        return await self.read(caller, 10 * len(BODY))
+
+    def test_refusal_reaches_a_caller_that_reads_only_after_sending_everything(self):
+        ended = self.run_caller(self.send_large_request())
+        self.assertEqual("closed", ended)
+        self.assertTrue(self.received.startswith(b"HTTP/1.1 413 "))
+
     async def stop_between_requests(self):
         caller = await self.connect()
         self.handler.on_request = self.handler.exchanges.append
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -10,10 +10,11 @@
 from typing import NamedTuple
 
 import httptools
-from twisted.internet import interfaces, protocol
+from twisted.internet import interfaces, main, protocol
+from twisted.python import failure
 from zope.interface import implementer
 
-from toucanspread.ops import http1, logs
+from toucanspread.ops import http1, http1_closing, logs
 
 MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
 PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
@@ -167,7 +168,7 @@
     return len(name) + len(value) + len(b": \r\n")
 
 
-@implementer(interfaces.IPushProducer)
+@implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
     """Connection that a caller opened.
 
@@ -197,6 +198,7 @@
         self._current: Exchange | None = None
         self._is_closing = False
         self._is_closed = False
+        self._close: http1_closing.OrderlyClose | None = None
         self._rejected_status = 0
         self._timer = None
 
@@ -213,6 +215,9 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests, and start the next one."""
+        if self._close is not None:
+            self._close.on_received(len(data))
+            return
         self._unparsed += data
         self._parse()
 
@@ -222,9 +227,20 @@
         self._unparsed.clear()
         self._connections.discard(self)
         self._stop_timer()
+        if self._close is not None:
+            self._close.stop()
         if self._current is not None:
             self._current.handle_disconnect()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """End the connection, since a caller that closes it waits for nothing."""
+        self.transport.connectionLost(failure.Failure(main.CONNECTION_DONE))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait for the caller to close, too."""
+        if self._close is not None:
+            self._close.on_sent()
+
     # Callbacks of the transport, for which the connection produces answers
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -311,13 +327,20 @@
             self._is_closing = True
             self.transport.abortConnection()
 
-    def close(self) -> None:
-        """Close the connection after sending what was written."""
-        if not self._is_closed:
-            self._is_closing = True
-            # The transport would not close while it has a paused producer.
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+    def close(self, discards: bool = False) -> None:
+        """Close the connection after sending what was written.
+
+        :param discards: whether the caller may still be sending a refused request.
+        """
+        if self._is_closed or self._close is not None:
+            return
+        self._is_closing = True
+        self._stop_timer()
+        self._queued.clear()
+        self._unparsed.clear()
+        self._body = bytearray()
+        self._close = http1_closing.OrderlyClose(self.transport, self.reactor, discards)
+        self._close.start()
 
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
         """Return whether the connection closes after the answer to a request."""
@@ -448,7 +471,7 @@
             http1.Header(b"Connection", b"close"),
         ]
         self.write(http1.render_head(start_line, headers))
-        self.close()
+        self.close(discards=True)
 
     def _start_timer(self, timeout_s: float, callback) -> None:
         self._stop_timer()
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -29,6 +29,9 @@
     def setsockopt(self, level, option, value):
         return
 
+    def loseWriteConnection(self):  # noqa: N802
+        self.disconnecting = True
+
 
 class UserTimeoutTest(testtools.TestCase):
     def test_a_time_beyond_the_largest_of_the_kernel_is_no_error(self):
