Answer all requests that were read before a planned stop

Callers that had sent several requests on one connection got the answer to the first one only, and a closed connection, when the entry was stopped.

Cause: after the stop, the answer in progress announced the close although further requests of the connection had been read already.

Now only the answer to the last request that was read announces the close and is followed by it. Once more than the request in progress has been read, nothing further is read, so a caller that goes on sending doesn't hold up the stop, and what it sends may be repeated elsewhere.

Of the new tests in http1_test, those of the announcement and of answers given at once failed on the code before; the one of a caller that goes on sending guards the new rule.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -194,6 +194,7 @@
         self._trailer_bytes = 0
         self._unparsed = bytearray()
         self._is_reading = True
+        self._has_read_last = False
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
         self._current: Exchange | None = None
         self._is_closing = False
@@ -345,7 +346,7 @@
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
         """Return whether the connection closes after the answer to a request."""
         is_last = head.has_token(b"connection", b"close") or not head.accepts_chunks
-        if is_last or self._handler.is_closing():
+        if is_last or (self._handler.is_closing() and not self._has_further_request):
             self._is_closing = True
         return self._is_closing
 
@@ -372,6 +373,11 @@
 
     # Internals
 
+    @property
+    def _has_further_request(self) -> bool:
+        """Return whether more was read than the request in progress."""
+        return bool(self._queued or self._unparsed)
+
     def _continue(self) -> None:
         self._start_next()
         self._parse()
@@ -411,7 +417,10 @@
         if self._is_closing or self._is_closed:
             self._unparsed.clear()
             return
-        is_reading = not self._is_queue_full()
+        if self._handler.is_closing() and self._has_further_request:
+            # The answer to what has been read by now is the last one.
+            self._has_read_last = True
+        is_reading = not self._has_read_last and not self._is_queue_full()
         if is_reading == self._is_reading:
             return
         self._is_reading = is_reading
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -178,6 +178,36 @@
         self.assertIn(b"Connection: close", self.sent())
         self.assertTrue(self.transport.disconnecting)
 
+    def test_leaving_entry_announces_the_close_in_the_last_answer_only(self):
+        self.receive(REQUEST * 3)
+        self.handler.leaving = True
+        while self.answer_next():
+            continue
+        answers = self.sent().split(b"HTTP/1.1 200 OK")[1:]
+        is_announced = [b"Connection: close" in answer for answer in answers]
+        self.assertEqual([False, False, True], is_announced)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_leaving_entry_that_answers_at_once_answers_all_that_was_read(self):
+        self.handler.on_request = lambda exchange: exchange.respond(200)
+        self.handler.leaving = True
+        count = 2 * http1_server.PARSED_AT_ONCE_BYTES // len(REQUEST)
+        self.receive(REQUEST * count)
+        while not self.transport.disconnecting:
+            self.clock.advance(0.01)
+        self.assertEqual(count, self.sent().count(b"HTTP/1.1 200 OK"))
+
+    def test_caller_that_goes_on_sending_requests_does_not_hold_up_a_stop(self):
+        self.receive(REQUEST * 2)
+        self.handler.leaving = True
+        for _ in range(20):
+            if self.transport.producerState == "producing":
+                self.receive(REQUEST)
+            if not self.answer_next():
+                break
+        self.assertLess(len(self.handler.exchanges), 5)
+        self.assertTrue(self.transport.disconnecting)
+
     def test_handler_error_is_not_answered_as_a_malformed_request(self):
         def fail(exchange):
             raise RuntimeError("a fault")
