Answer requests before a malformed one before refusing it

Callers whose connection carried a malformed or too large request behind a sound one saw a reset while they waited for the answer to the sound one; if both came in one read, the refusal took the place of that answer.

Cause: a refusal was due at once; with an answer in progress the connection was aborted so that the two wouldn't be mixed.

Now the status of the refusal is kept, nothing more is parsed, the requests that were read before are answered in their order, and the refusal follows the last of these answers, unless that one announces the close.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -201,6 +201,7 @@
         self._is_closed = False
         self._close: http1_closing.OrderlyClose | None = None
         self._rejected_status = 0
+        self._refusal_status = 0
         self._timer = None
 
     # Callbacks of Twisted
@@ -358,6 +359,9 @@
                 logs.write("requests_unanswered", count=len(self._queued))
             self.close()
             return
+        if self._refusal_status:
+            self._continue_to_refusal()
+            return
         limits = self._handler.get_limits()
         if self._is_receiving:
             self._start_timer(limits.head_timeout_s, self._time_out)
@@ -376,14 +380,19 @@
     @property
     def _has_further_request(self) -> bool:
         """Return whether more was read than the request in progress."""
-        return bool(self._queued or self._unparsed)
+        return bool(self._queued or self._unparsed or self._refusal_status)
+
+    @property
+    def _is_parsing(self) -> bool:
+        """Return whether requests that follow are read as such."""
+        return not (self._is_closing or self._is_closed or self._refusal_status)
 
     def _continue(self) -> None:
         self._start_next()
         self._parse()
 
     def _parse(self) -> None:
-        while self._unparsed and not self._is_closing and not self._is_queue_full():
+        while self._unparsed and self._is_parsing and not self._is_queue_full():
             part = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
             del self._unparsed[:PARSED_AT_ONCE_BYTES]
             self._feed(part)
@@ -414,7 +423,7 @@
         return queued_bytes >= self._handler.get_limits().max_body_bytes
 
     def _pause_or_resume(self) -> None:
-        if self._is_closing or self._is_closed:
+        if not self._is_parsing:
             self._unparsed.clear()
             return
         if self._handler.is_closing() and self._has_further_request:
@@ -444,6 +453,12 @@
         if self._current is None:
             self._start_timer(self._handler.get_limits().head_timeout_s, self._time_out)
 
+    def _continue_to_refusal(self) -> None:
+        if self._queued:
+            self.reactor.callLater(0, self._continue)
+        else:
+            self._send_refusal(self._refusal_status)
+
     def _time_out(self) -> None:
         self._refuse(408)
 
@@ -467,13 +482,17 @@
         raise ValueError(f"request refused with status {status}: over a limit")
 
     def _refuse(self, status: int) -> None:
-        self._is_closing = True
+        """Answer a bad request after the answers to those before it."""
+        self._refusal_status = status
+        self._is_receiving = False
+        self._head = None
+        self._body = bytearray()
+        self._unparsed.clear()
         self._stop_timer()
-        if self._current is not None:
-            # The refusal would be mixed into the answer in progress.
-            logs.write("answer_cut", why="bad request behind it", status=status)
-            self.abort()
-            return
+        if self._current is None and not self._queued:
+            self._send_refusal(status)
+
+    def _send_refusal(self, status: int) -> None:
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
         headers = [
             http1.Header(b"Content-Length", b"0"),
