Reset connections whose unframed answers are cut

A caller of HTTP/1.0 took a part of a stream for the whole answer: its answer ends with the connection, and at the end of the grace period, after a kill and if it had closed its own side, the connection ended in order.

Cause: the reset was left to the code that breaks off an answer. What ends connections without it (end of the process, kill, end of what the caller sends) closes them in order.

Now the kernel resets such a connection however it is closed (SO_LINGER of 0), until everything has been sent; a stop aborts those that remain, since the reactor would announce an orderly end before it closes them; so does the end of what the caller sends. Deadlines and broken engines abort the answer already (http1_loopback_test), and a malformed request behind it is discarded.

The tests of a kill and of a caller that has closed its side failed before; the two of the end of the process fail without the new method; the one of a complete answer passes before and after.

--- a/standins/planned_stop_test.py
+++ b/standins/planned_stop_test.py
@@ -113,7 +113,7 @@
         self.assertEqual((True, "closed"), (received.endswith(BODY), end))
 
 
-class UnframedStreamAtStopTest(PlannedStopCase):
+class UnframedStreamCase(PlannedStopCase):
     @classmethod
     def setUpClass(cls):
         starting = asyncio.start_server(EndlessStreamEngine().serve, "127.0.0.1", 0)
@@ -130,6 +130,8 @@
         )
         super().start_programs()
 
+
+class UnframedStreamAtStopTest(UnframedStreamCase):
     async def read_while_it_stops(self, version):
         caller = await self.connect()
         request = HEAD % version + b"hi"
@@ -142,3 +144,17 @@
         received, end = run(self.read_while_it_stops(b"1.0"))
         self.assertIn(b"id: 1\n", received)
         self.assertEqual("reset", end)
+
+
+class UnframedStreamAtKillTest(UnframedStreamCase):
+    async def read_while_it_is_killed(self):
+        caller = await self.connect()
+        await loop.EVENT_LOOP.sock_sendall(caller, HEAD % b"1.0" + b"hi")
+        await asyncio.sleep(0.3)
+        self.entry.kill()
+        return await self.read(caller)
+
+    def test_stream_to_an_http_1_0_caller_cut_by_a_kill_does_not_look_complete(self):
+        received, end = run(self.read_while_it_is_killed())
+        self.assertIn(b"id: 1\n", received)
+        self.assertEqual("reset", end)
--- a/toucanspread/ops/cut_answer_test.py
+++ b/toucanspread/ops/cut_answer_test.py
@@ -6,6 +6,7 @@
 from toucanspread.ops import http1_closing, http1_loopback_test, http1_server, loop
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+OLD_REQUEST = b"GET / HTTP/1.0\r\nHost: h\r\n\r\n"
 LARGE_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500000\r\n\r\n"
 MALFORMED = b"no request\r\n\r\n"
 BODY = b"a" * 1_500_000
@@ -180,3 +181,55 @@
         self.pause_s = 0.1
         self.run_caller(self.read_one_answer())
         self.assertEqual(2, self.count_whole())
+
+
+class UnframedAnswerTest(CutAnswerCase):
+    """Has a caller of HTTP/1.0, whose answers end with the connection."""
+
+    def start_answer(self, exchange):
+        exchange.start(200, [])
+        exchange.write(BODY)
+
+    def finish_answer(self, exchange):
+        self.start_answer(exchange)
+        exchange.finish()
+
+    def finish_large_answer(self, exchange):
+        self.start_answer(exchange)
+        exchange.write(10 * BODY)
+        exchange.finish()
+
+    async def close_own_side(self):
+        caller = await self.connect()
+        await self.send(caller, OLD_REQUEST)
+        caller.shutdown(socket.SHUT_WR)
+        return await self.read(caller, 10 * len(BODY))
+
+    def test_answer_cut_since_its_caller_closed_its_side_does_not_look_complete(self):
+        self.handler.on_request = self.start_answer
+        self.assertEqual("reset", self.run_caller(self.close_own_side()))
+
+    async def end_process(self):
+        caller = await self.connect()
+        await self.send(caller, OLD_REQUEST)
+        self.factory.abort_incomplete()
+        return await self.read(caller, 10 * len(BODY))
+
+    def test_answer_in_progress_at_the_end_of_the_process_does_not_look_complete(self):
+        self.handler.on_request = self.start_answer
+        self.assertEqual("reset", self.run_caller(self.end_process()))
+
+    def test_answer_on_its_way_at_the_end_of_the_process_does_not_look_complete(self):
+        self.handler.on_request = self.finish_large_answer
+        self.assertEqual("reset", self.run_caller(self.end_process()))
+
+    async def read_answer(self):
+        caller = await self.connect()
+        await self.send(caller, OLD_REQUEST)
+        await self.send(caller, OLD_REQUEST)
+        return await self.read(caller, 10 * len(BODY))
+
+    def test_complete_answer_ends_in_order_although_a_request_crosses_the_close(self):
+        self.handler.on_request = self.finish_answer
+        ended = self.run_caller(self.read_answer())
+        self.assertEqual((1, "closed"), (self.count_whole(), ended))
--- a/toucanspread/ops/http1_closing.py
+++ b/toucanspread/ops/http1_closing.py
@@ -10,7 +10,9 @@
 since its caller may read the refusal only after sending everything.
 """
 
+import contextlib
 import socket
+import struct
 
 # Time in s that a caller has for closing once it has acknowledged everything, and
 # to any other one.
@@ -36,6 +38,13 @@
     return info[0]
 
 
+def set_reset_at_close(transport, is_reset: bool) -> None:
+    """Set whether the kernel resets a connection when it is closed, however it is."""
+    option = struct.pack("ii", is_reset, 0)
+    with contextlib.suppress(OSError):
+        transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
 class OrderlyClose:
     """Closes one connection.
 
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -112,6 +112,8 @@
         all_headers = list(headers)
         if self._is_chunked:
             all_headers.append(http1.Header(b"Transfer-Encoding", b"chunked"))
+        else:
+            self._connection.reset_unless_complete()
         self._send_head(status, all_headers)
 
     def write(self, part: bytes) -> None:
@@ -177,6 +179,8 @@
     answers before it waits for the caller to read it.
 
     :ivar is_blocked: whether the transport holds more than it should.
+    :ivar is_reset_at_end: whether the connection has to end with a reset, since an
+        incomplete answer would look complete otherwise.
     """
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
@@ -184,6 +188,7 @@
         self.reactor = reactor
         self.request_started_s = 0.0
         self.is_blocked = False
+        self.is_reset_at_end = False
         self._handler = handler
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
@@ -236,10 +241,16 @@
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """End the connection, since a caller that closes it waits for nothing."""
+        if self.is_reset_at_end:
+            self.abort()
+            return
         self.transport.connectionLost(failure.Failure(main.CONNECTION_DONE))
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Wait for the caller to close, too."""
+        if self.is_reset_at_end:
+            self.is_reset_at_end = False
+            http1_closing.set_reset_at_close(self.transport, False)
         if self._close is not None:
             self._close.on_sent()
 
@@ -344,6 +355,12 @@
         self._close = http1_closing.OrderlyClose(self.transport, self.reactor, discards)
         self._close.start()
 
+    def reset_unless_complete(self) -> None:
+        """Let the connection end with a reset until everything has been sent."""
+        if not self._is_closed:
+            self.is_reset_at_end = True
+            http1_closing.set_reset_at_close(self.transport, True)
+
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
         """Return whether the connection closes after the answer to a request."""
         is_last = head.has_token(b"connection", b"close") or not head.accepts_chunks
@@ -533,3 +550,10 @@
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
+
+    def abort_incomplete(self) -> None:
+        """Reset the connections whose answers would look complete if they ended now."""
+        for connection in list(self.connections):
+            if connection.is_reset_at_end:
+                logs.write("answer_cut", why="end of the process")
+                connection.abort()
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -354,6 +354,7 @@
 
     async def _deregister_and_stop(self) -> None:
         await self._registration.deregister()
+        self._server.abort_incomplete()
         process.stop()
 
 
