--- a/toucanspread/ops/http1_loopback_test.py
+++ b/toucanspread/ops/http1_loopback_test.py
@@ -21,6 +21,14 @@
         self.factory = http1_server.ServerFactory(self.handler, reactor)
         self.port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.addCleanup(self.port.stopListening)
+        self.addCleanup(lambda: loop.EVENT_LOOP.run_until_complete(self.end_all()))
+
+    async def end_all(self):
+        """End the connections, whose timers other tests would see."""
+        while self.factory.connections:
+            for connection in list(self.factory.connections):
+                connection.abort()
+            await asyncio.sleep(0.01)
 
 
 class UnframedAnswerTest(LoopbackCase):
