--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -6,7 +6,7 @@
 from toucanspread.ops import (
     excerpt_client,
     excerpt_codec,
-    http1_server,
+    http1_exchange,
     metric_buffer,
 )
 
@@ -20,11 +20,11 @@
         self._view = view
         self._reactor = reactor
         self._encoder = excerpt_codec.ExcerptEncoder()
-        self._waiting: dict[http1_server.Exchange, _WaitingRequest] = {}
+        self._waiting: dict[http1_exchange.Exchange, _WaitingRequest] = {}
 
     def on_request(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         request: excerpt_client.ExcerptRequest,
         can_decompress: bool = False,
     ) -> None:
@@ -57,7 +57,7 @@
                 self._remove_waiting(exchange)
                 self._send(exchange, waiting, excerpt)
 
-    def _answer(self, exchange: http1_server.Exchange) -> None:
+    def _answer(self, exchange: http1_exchange.Exchange) -> None:
         waiting = self._remove_waiting(exchange)
         if waiting is None:
             return
@@ -67,7 +67,7 @@
         self._send(exchange, waiting, self._make_excerpt(waiting))
 
     def _remove_waiting(
-        self, exchange: http1_server.Exchange
+        self, exchange: http1_exchange.Exchange
     ) -> "_WaitingRequest | None":
         waiting = self._waiting.pop(exchange, None)
         if waiting is not None and waiting.timer.active():
@@ -85,7 +85,7 @@
 
     def _send(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         waiting: "_WaitingRequest",
         excerpt: store_view.Excerpt,
     ) -> None:
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -21,8 +21,8 @@
     dialect,
     engine_answer,
     http1,
+    http1_exchange,
     http1_pool,
-    http1_server,
     logs,
     metric_buffer,
     request_queue,
@@ -67,7 +67,7 @@
     def __init__(
         self,
         forwarder: AbstractForwarder,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         call: entry_data.Call,
         route: entry_data.Route,
         team: entry_data.Team | None,
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -17,6 +17,7 @@
     crash_notices,
     dialect,
     forwarded_request,
+    http1_exchange,
     http1_pool,
     http1_server,
     logs,
@@ -99,7 +100,7 @@
         """Return whether this entry is shutting down."""
         return self.is_leaving
 
-    def on_request(self, exchange: http1_server.Exchange) -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Forward a request, or refuse it."""
         call = self.wire_dialect.read_call(exchange.head)
         if call is None:
@@ -170,7 +171,7 @@
             request.on_quarantine()
 
     def _refuse_unconfigured(
-        self, exchange: http1_server.Exchange, call: entry_data.Call
+        self, exchange: http1_exchange.Exchange, call: entry_data.Call
     ) -> None:
         logs.write("request_turned_away", id=call.attempt_id, why="no configuration")
         metric_buffer.count("requests_refused", why="no configuration")
@@ -181,7 +182,7 @@
 
     def _deny(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         call: entry_data.Call,
         denial: routes.Denial,
     ) -> None:
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -6,7 +6,6 @@
 """
 
 import abc
-from collections.abc import Iterable
 from typing import NamedTuple
 
 import httptools
@@ -14,7 +13,7 @@
 from twisted.python import failure
 from zope.interface import implementer
 
-from toucanspread.ops import http1, http1_closing, logs
+from toucanspread.ops import http1, http1_closing, http1_exchange, logs
 
 MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
 PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
@@ -40,7 +39,7 @@
     """Answers the requests received on a port."""
 
     @abc.abstractmethod
-    def on_request(self, exchange: "Exchange") -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Answer a request whose body is complete."""
 
     @abc.abstractmethod
@@ -52,126 +51,15 @@
         """Return whether connections should close after their current answer."""
 
 
-class Exchange:
-    """One request on an accepted connection, and its answer.
-
-    :ivar received_s: when its last byte was received, on the reactor's clock.
-    :ivar started_s: when its first byte was received, on the reactor's clock.
-    :ivar on_disconnected: called if the caller disconnects before the answer is
-        complete.
-    :ivar on_drained: called when the caller has read what kept the answer blocked.
-    """
-
-    def __init__(
-        self, connection: "ServerConnection", head: http1.RequestHead, body: bytes
-    ):
-        self.head = head
-        self.body = body
-        self.received_s = connection.reactor.seconds()
-        self.started_s = connection.request_started_s
-        self.on_disconnected = _do_nothing
-        self.on_drained = _do_nothing
-        self.is_finished = False
-        self._connection = connection
-        self._is_chunked = False
-        self._is_started = False
-
-    @property
-    def is_started(self) -> bool:
-        """Return whether a part of the answer has been sent."""
-        return self._is_started
-
-    @property
-    def is_blocked(self) -> bool:
-        """Return whether much of the answer waits for the caller to read it."""
-        return self._connection.is_blocked
-
-    def respond(
-        self, status: int, headers: Iterable[http1.Header] = (), body: bytes = b""
-    ) -> None:
-        """Send a complete answer."""
-        if self.is_finished:
-            return
-        all_headers = list(headers)
-        if status not in http1.NO_BODY_STATUSES:
-            all_headers.append(http1.Header(b"Content-Length", b"%d" % len(body)))
-        self._send_head(status, all_headers)
-        if self.head.method != b"HEAD":
-            self._connection.write(body)
-        self._end()
-
-    def start(self, status: int, headers: Iterable[http1.Header]) -> None:
-        """Send the head of an answer whose length is not known yet.
-
-        It is sent in chunks; to an HTTP/1.0 caller, it ends with the connection, in
-        order if it is complete and by a reset otherwise.
-        """
-        if self.is_finished:
-            return
-        self._is_chunked = self.head.accepts_chunks
-        all_headers = list(headers)
-        if self._is_chunked:
-            all_headers.append(http1.Header(b"Transfer-Encoding", b"chunked"))
-        else:
-            self._connection.reset_unless_complete()
-        self._send_head(status, all_headers)
-
-    def write(self, part: bytes) -> None:
-        """Send a part of the body of a started answer."""
-        if self.is_finished or not part:
-            return
-        if not self._is_chunked:
-            self._connection.write(part)
-            return
-        self._connection.write(b"%x\r\n%b\r\n" % (len(part), part))
-
-    def finish(self) -> None:
-        """Complete a started answer."""
-        if self.is_finished:
-            return
-        if self._is_chunked:
-            self._connection.write(http1.LAST_CHUNK)
-        self._end()
-
-    def abort(self) -> None:
-        """Close the connection so that the answer is recognisably incomplete."""
-        if self.is_finished:
-            return
-        self.is_finished = True
-        self._connection.abort()
-
-    def handle_disconnect(self) -> None:
-        """Report that the caller has disconnected, unless the answer is complete."""
-        if self.is_finished:
-            return
-        self.is_finished = True
-        self.on_disconnected()
-
-    def _send_head(self, status: int, headers: list[http1.Header]) -> None:
-        self._is_started = True
-        if self._connection.closes_after_answer(self.head):
-            headers.append(http1.Header(b"Connection", b"close"))
-        start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
-        self._connection.write(http1.render_head(start_line, headers))
-
-    def _end(self) -> None:
-        self.is_finished = True
-        self.on_disconnected = _do_nothing
-        self.on_drained = _do_nothing
-        self._connection.on_exchange_finished()
-
-
-def _do_nothing() -> None:
-    return
-
-
 def _measure(name: bytes, value: bytes) -> int:
     """Return the size in bytes of a header line."""
     return len(name) + len(value) + len(b": \r\n")
 
 
 @implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
-class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
+class ServerConnection(
+    protocol.Protocol, http1.ParserCallbacks, http1_exchange.AnswerConnection
+):
     """Connection that a caller opened.
 
     Requests are answered one at a time, in the order in which they were received. While
@@ -201,7 +89,7 @@
         self._is_reading = True
         self._has_read_last = False
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
-        self._current: Exchange | None = None
+        self._current: http1_exchange.Exchange | None = None
         self._is_closing = False
         self._is_closed = False
         self._close: http1_closing.OrderlyClose | None = None
@@ -486,7 +374,7 @@
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
-        self._current = Exchange(self, head, body)
+        self._current = http1_exchange.Exchange(self, head, body)
         try:
             self._handler.on_request(self._current)
         except Exception as error:
--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -12,6 +12,7 @@
 
 from toucanspread.ops import (
     http1,
+    http1_exchange,
     http1_server,
     log_limits,
     logs,
@@ -29,7 +30,7 @@
 class MetricsHandler(http1_server.RequestHandler):
     """Serves counters and histograms to the metrics scraper."""
 
-    def on_request(self, exchange: http1_server.Exchange) -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Answer a request for the metrics; other paths get status 404."""
         if exchange.head.target.partition(b"?")[0] != METRICS_PATH:
             exchange.respond(404)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -23,6 +23,7 @@
     excerpt_server,
     forwarder,
     http1,
+    http1_exchange,
     http1_server,
     logs,
     loop,
@@ -134,7 +135,7 @@
 class DirectoryHandler(_LowTrafficHandler):
     """Serves the entries' addresses to callers, and readiness to the platform."""
 
-    def on_request(self, exchange: http1_server.Exchange) -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Answer a readiness check or a request for addresses."""
         path, _, query = exchange.head.target.decode("latin-1").partition("?")
         if path == "/-/readyz":
@@ -145,7 +146,7 @@
             exchange.respond(404)
 
     def _send_addresses(
-        self, exchange: http1_server.Exchange, query: dict[str, list[str]]
+        self, exchange: http1_exchange.Exchange, query: dict[str, list[str]]
     ) -> None:
         entry = self._entry
         addresses = entry.cluster.directory.addresses_for(
@@ -165,7 +166,7 @@
 class ControlHandler(_LowTrafficHandler):
     """Serves the other processes of the system."""
 
-    def on_request(self, exchange: http1_server.Exchange) -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Answer with an excerpt of the copy of the store, a manifest or a piece."""
         path, _, query = exchange.head.target.decode("latin-1").partition("?")
         arguments = {
@@ -200,7 +201,7 @@
 
     async def _send_piece(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         key: piece_placement.PieceKey,
         only_held: bool,
     ) -> None:
@@ -217,7 +218,7 @@
 
     async def _send_manifest(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         key: piece_placement.PieceKey,
         only_held: bool,
     ) -> None:
