Send each order to an engine on a connection of its own

An order could be taken for begun although the engine had refused it: calls have no ids, and an engine may send an older answer once more where the next one is expected. The status of an order (202) excluded late answers to reads, but not to an earlier order; a piece could be taken for staged by one, too.

Now an order opens a connection, which is closed after the answer, so no answer to another call can come on it, and none of its own on a later call's.

Evidence: both new tests of engine_test failed before, with an engine that repeats its last answer on each connection.

--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -252,6 +252,7 @@
         timeout_s: float = 1.0,
         stall_timeout_s: float | None = None,
         max_body_bytes: int = http1_client.DEFAULT_MAX_BODY_BYTES,
+        has_own_connection: bool = False,
     ) -> Reply:
         """Send a request and return its complete answer.
 
@@ -261,13 +262,16 @@
         :param stall_timeout_s: time limit for the next bytes of an answer; None if only
             ``timeout_s`` applies.
         :param max_body_bytes: limit for the body of the answer.
+        :param has_own_connection: whether to use a connection for this call only, as an
+            answer to an earlier call must not be taken for its own.
         :raises CallError: if no complete answer within the limits is received in time.
         """
         listener = _AnswerCollector(max_body_bytes)
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         request = http1.render_request(head, body)
-        outgoing = self.send(address, lambda: request, listener)
+        max_idle_s = 0.0 if has_own_connection else None
+        outgoing = self.send(address, lambda: request, listener, max_idle_s)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 if stall_timeout_s is not None:
@@ -284,7 +288,7 @@
                 listener.received_bytes,
             ) from caught
         finally:
-            if not listener.is_finished:
+            if has_own_connection or not listener.is_finished:
                 outgoing.cancel()
 
 
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -102,8 +102,8 @@
     """Client of the engine on the same machine.
 
     An engine may send an older answer once more where the next one is expected, and
-    calls to it have no id. So reports have connections of their own, only the status of
-    an order accepts one, and staged pieces are verified by their digests.
+    calls to it have no id. So reports share connections with nothing else, each order
+    has its own, and staged pieces are verified by their digests.
 
     :param address: ``ip:port`` of the engine.
     :param max_piece_bytes: limit for a staged piece.
@@ -187,8 +187,9 @@
             "/-/order",
             body,
             accept=(202, 400, 409, 412, 421),
+            has_own_connection=True,
         )
-        # 200 may be a late answer to a read; if not, the next report shows the effect.
+        # After 200 the next report shows the effect.
         return reply.status == ORDER_ACCEPTED_STATUS
 
     async def _call(
@@ -199,6 +200,7 @@
         body: bytes = b"",
         accept: tuple[int, ...] = (),
         max_body_bytes: int = MAX_SHORT_ANSWER_BYTES,
+        has_own_connection: bool = False,
     ) -> http1_pool.Reply:
         headers = [JSON_TYPE] if body[:1] == b"{" else []
         head = http1.RequestHead(method, target.encode(), headers)
@@ -209,6 +211,7 @@
                 body,
                 timeout_s=ENGINE_TIMEOUT_S,
                 max_body_bytes=max_body_bytes,
+                has_own_connection=has_own_connection,
             )
         except http1_pool.CallError as error:
             raise engine_control.EngineError(str(error)) from error
--- a/toucanspread/platform/engine_test.py
+++ b/toucanspread/platform/engine_test.py
@@ -12,7 +12,7 @@
 
 from standins import running_reactor
 from toucanspread.core.weights import staging_events
-from toucanspread.ops import http1_pool, loop, piece_cache
+from toucanspread.ops import engine_control, http1_pool, loop, piece_cache
 from toucanspread.platform import engine
 
 LATE_S = 0.02
@@ -30,6 +30,7 @@
         self.connection_count = 0
         self.report_count = 0
         self.order_status = 202
+        self.put_status = 201
         self.pieces = {}
         self.server = None
 
@@ -67,7 +68,7 @@
             return self.order_status, b""
         if method == b"PUT":
             self.pieces[number] = body
-            return 201, b""
+            return self.put_status, b""
         if number < 0:
             return 200, b'{"held":[%s]}' % b",".join(b"%d" % n for n in self.pieces)
         return 200, self.pieces[number]
@@ -113,6 +114,17 @@
         self.call(self.engine.read_report())
         self.assertFalse(self.call(self.engine.send_order("m", ORDER)))
 
+    def test_order_does_not_take_the_answer_to_an_earlier_order_for_its_own(self):
+        self.assertTrue(self.call(self.engine.send_order("m", ORDER)))
+        self.peer.order_status = 409
+        self.assertFalse(self.call(self.engine.send_order("m", ORDER)))
+
+    def test_piece_is_not_taken_as_staged_by_the_answer_to_an_order(self):
+        self.call(self.engine.send_order("m", ORDER))
+        self.peer.put_status = 507
+        with testtools.ExpectedException(engine_control.EngineError):
+            self.call(self.engine.put_piece("m", 0, b"piece"))
+
     def test_order_that_has_begun_is_accepted(self):
         self.assertTrue(self.call(self.engine.send_order("m", ORDER)))
 
