--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -17,6 +17,7 @@
     crash_notices,
     dialect,
     forwarded_request,
+    http1_exchange,
     http1_pool,
     http1_server,
     logs,
@@ -106,7 +107,7 @@
         """Return whether this entry is shutting down."""
         return self.is_leaving
 
-    def on_request(self, exchange: http1_server.Exchange) -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Forward a request, or refuse it."""
         call = self.wire_dialect.read_call(exchange.head)
         if call is None:
@@ -193,7 +194,7 @@
 
     def _refuse_undecided(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         call: entry_data.Call,
         why: str,
         retry_after_s: float,
@@ -211,7 +212,7 @@
 
     def _deny(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         call: entry_data.Call,
         denial: routes.Denial,
     ) -> None:
