Let simulated links delay what follows, not what overtakes

A segment reserved all links of its path when its server began to send it, so that a server with a full link held up other flows on a link between regions that was free. The simulated store can delete keys, followers can be in other zones.

--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -66,6 +66,36 @@
         machine = self.machines[address] = Machine(address, mbps)
         return machine
 
+    def list_shared_links(self, source: Machine, target: Machine) -> list[Link]:
+        """Return the links between two machines besides their own."""
+        return [*source.links, *target.links]
+
+    def send_message(
+        self, source: Machine, target: Machine, size_bytes: int, receive: Callable
+    ) -> None:
+        """Send bytes that arrive as a whole, behind all that was sent before."""
+        shared = self.list_shared_links(source, target)
+        links = [source.uplink, *shared, target.downlink]
+        self._pass_message((source, target), links, size_bytes, receive)
+
+    def _pass_message(
+        self,
+        ends: tuple[Machine, Machine],
+        links: list[Link],
+        size_bytes: int,
+        receive: Callable,
+    ) -> None:
+        if any(machine.is_cut for machine in ends):
+            return
+        if not links:
+            receive()
+            return
+        at_s = links[0].reserve(self.loop.time(), size_bytes)
+        delay_s = DELAY_S if len(links) == 1 else 0.0
+        self.loop.call_at(
+            at_s + delay_s, self._pass_message, ends, links[1:], size_bytes, receive
+        )
+
 
 class Exchange:
     """A request on its way, and its answer."""
@@ -139,10 +169,12 @@
     async def _send_segment(self, size_bytes: int) -> float:
         """Return when the segment arrives, as soon as the server has sent it."""
         now_s = self._network.loop.time()
-        sent_s = at_s = self._server.uplink.reserve(now_s, size_bytes)
-        for link in [*self._server.links, *self.caller.links, self.caller.downlink]:
+        at_s = self._server.uplink.reserve(now_s, size_bytes)
+        await _sleep_until(self._network.loop, at_s)
+        # Before the segment gets there, others may use the next links.
+        shared = self._network.list_shared_links(self._server, self.caller)
+        for link in [*shared, self.caller.downlink]:
             at_s = link.reserve(at_s, size_bytes)
-        await _sleep_until(self._network.loop, sent_s)
         return at_s + DELAY_S
 
     def _receive(self, callback, *arguments) -> None:
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -63,8 +63,9 @@
 
     @property
     def items(self) -> dict[str, store_view.KeyChange]:
-        """The last change of each key."""
-        return {change.key: change for change in self._log}
+        """The last change of each key that was not deleted."""
+        newest = {change.key: change for change in self._log}
+        return {k: change for k, change in newest.items() if change.value is not None}
 
     def return_from_copy(self, age_s: float) -> None:
         """Lose the changes of the last seconds; what was lost is written again."""
@@ -80,10 +81,14 @@
         keys = store_copies.list_lost_keys(lost, copy.items)
         for number, key in enumerate(keys, start=1):
             delay_s = store_copies.WRITTEN_AGAIN_S * number / (len(keys) + 1)
-            self._loop.call_later(delay_s, self.write, key, lost[key].value)
+            value = lost[key].value if key in lost else None
+            self._loop.call_later(delay_s, self.write, key, value)
 
-    def write(self, key: str, value: bytes) -> int:
-        """Write a key as the operator or an engine does; return its revision."""
+    def write(self, key: str, value: bytes | None) -> int:
+        """Write a key as the operator or an engine does; return its revision.
+
+        :param value: None to delete the key.
+        """
         self._copies.record(self._loop.time(), self.revision, self.items)
         self.revision += 1
         self._log.append(store_view.KeyChange(key, self.revision, value))
@@ -131,14 +136,7 @@
             self._respond(watch.exchange, "events", changes)
 
     def _respond(self, exchange, name: str, changes: list[store_view.KeyChange]):
-        rows = [
-            {
-                "key": change.key,
-                "value": base64.b64encode(change.value).decode(),
-                "revision": change.revision,
-            }
-            for change in changes
-        ]
+        rows = [_make_row(change) for change in changes]
         answer = {name: rows, "has_more": False, "store_revision": self.revision}
         exchange.respond(200, [self._era_header], json.dumps(answer).encode())
 
@@ -150,6 +148,13 @@
         return http1.Header(store_copies.ERA_HEADER, b"%d" % self.era)
 
 
+def _make_row(change: store_view.KeyChange) -> dict:
+    if change.value is None:
+        return {"key": change.key, "revision": change.revision, "deleted": True}
+    value = base64.b64encode(change.value).decode()
+    return {"key": change.key, "value": value, "revision": change.revision}
+
+
 class _Watch:
     """A request that waits for a change."""
 
@@ -163,6 +168,7 @@
     """A process that follows the store.
 
     :param is_entry: whether it also serves its copy to others.
+    :param mbps: bandwidth of its link; that of its kind if 0.
     :ivar received_s: time at which each revision of the configuration arrived.
     :ivar handle_request: the server of an entry, which runs unless it is removed from
         its machine.
@@ -174,21 +180,24 @@
         name: str,
         is_entry: bool,
         list_peers: Callable[[], list[source_selection.Peer]],
+        zone: data.ZoneName = ZONE,
+        mbps: float = 0.0,
     ):
         self.name = name
+        self.zone = zone
         self.received_s: dict[int, float] = {}
         self._network = network
         self._is_entry = is_entry
         self._view = store_view.View()
-        mbps = ENTRY_LINK_MBPS if is_entry else SIDECAR_LINK_MBPS
-        self.machine = network.add_machine(f"{name}:1", mbps)
+        default_mbps = ENTRY_LINK_MBPS if is_entry else SIDECAR_LINK_MBPS
+        self.machine = network.add_machine(f"{name}:1", mbps or default_mbps)
         self._excerpts = excerpt_server.ExcerptServer(self._view, network.reactor)
         pool = link_simulation.SimulatedPool(network, self.machine)
         self.synchronizer = view_sync.ViewSynchronizer(
             self._view,
             store.PlatformStore(pool, STORE_ADDRESS),
             pool,
-            source_selection.SourceSelector(name, ZONE, can_lead=is_entry),
+            source_selection.SourceSelector(name, zone, can_lead=is_entry),
             decoding.ENTRY_PREFIXES if is_entry else decoding.SIDECAR_PREFIXES,
             lambda: [peer for peer in list_peers() if peer.name != name],
             list,
@@ -266,7 +275,7 @@
 
     def add_routes(self, count: int) -> int:
         """Write a configuration with more routes; return its revision."""
-        self._routes.extend(_make_route(self._random) for _ in range(count))
+        self._routes.extend(make_route(self._random) for _ in range(count))
         return self.change_configuration()
 
     def change_configuration(self) -> int:
@@ -344,7 +353,9 @@
     return min(arrivals_s, default=None)
 
 
-def _make_route(random_source: random.Random) -> dict:
+def make_route(random_source: random.Random) -> dict:
+    """Return a route as the operator writes it."""
+
     def draw(length: int) -> str:
         return "".join(
             random_source.choices("abcdefghijklmnopqrstuvwxyz234567", k=length)
