--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -19,12 +19,12 @@
 class Link:
     """One direction of a link.
 
-    :param mbps: bandwidth in Mbit/s.
+    :param mbps: bandwidth in Mbit/s; it may be changed for what is sent later.
     :ivar sent_bytes: number of bytes that were sent over it.
     """
 
     def __init__(self, mbps: float):
-        self._bytes_per_s = mbps * 1_000_000 / 8
+        self.mbps = mbps
         self._free_at_s = 0.0
         self.sent_bytes = 0
 
@@ -32,7 +32,7 @@
         """Send bytes that are ready at a time; return when they have been sent."""
         self.sent_bytes += size_bytes
         start_s = max(at_s, self._free_at_s)
-        self._free_at_s = start_s + size_bytes / self._bytes_per_s
+        self._free_at_s = start_s + size_bytes * 8 / (self.mbps * 1_000_000)
         return self._free_at_s
 
 
--- /dev/null
+++ b/standins/promise_engine.py
@@ -0,0 +1,239 @@
+"""Engines of a simulated site, whose links carry requests and pieces of weights."""
+
+import abc
+import json
+import random
+from collections.abc import Callable
+
+from standins import (
+    engine_model,
+    link_simulation,
+    promise_entry,
+    promise_request,
+    simulated_cluster,
+)
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import decisions
+from toucanspread.platform import decoding
+
+LINK_MBPS = 4.7
+NARROW_LINK_MBPS = 1.2
+NARROW_SHARE = 0.2  # of the engines
+REPORT_INTERVAL_S = 0.5
+SWITCH_S = 0.3
+PIECES_AT_A_TIME = 2
+PIECE_TIMEOUT_S = 3.0
+MAX_ORIGIN_DELAY_S = 5.0  # until entries have the pieces of a new version
+
+
+class EngineSite(abc.ABC):
+    """What engines need of the site."""
+
+    network: link_simulation.Network
+    random_source: random.Random
+    entries: dict[str, promise_entry.PromiseEntry]
+
+    @abc.abstractmethod
+    def write_engine(self, engine: "PromiseEngine", value: bytes | None) -> None:
+        """Write the record of an engine to the store, or delete it."""
+
+    @abc.abstractmethod
+    def check_arrival(self, dispatch: promise_request.Dispatch) -> None:
+        """Check that an engine may still get a request."""
+
+    @abc.abstractmethod
+    def check_begin(self, dispatch: promise_request.Dispatch) -> None:
+        """Check that an engine may begin a request on its version."""
+
+
+class PromiseEngine:
+    """An engine and its instance.
+
+    :ivar version: version of its weights.
+    :ivar leaving_since_s: time of the acknowledgement that it is draining or gone.
+    :ivar is_narrow: whether its link has little bandwidth.
+    """
+
+    def __init__(self, site: EngineSite, number: int, zone: data.ZoneName, version=1):
+        self.engine_id = f"i-{number}"
+        self.zone = zone
+        self.version = version
+        self.leaving_since_s: float | None = None
+        self.is_narrow = site.random_source.random() < NARROW_SHARE
+        self._site = site
+        self._loop = site.network.loop
+        self._random = site.random_source
+        self._is_loading = False
+        self._is_gone = False
+        self._jobs: dict[promise_request.Dispatch, None] = {}
+        self._begun: set[promise_request.Dispatch] = set()
+        self._newest = version
+        self._missing: set[int] = set()
+        mbps = NARROW_LINK_MBPS if self.is_narrow else LINK_MBPS
+        address = f"10.0.{number // 200}.{number % 200 + 1}:80"
+        self.machine = site.network.add_machine(address, mbps)
+        self.model = engine_model.EngineModel(site.network.reactor)
+
+    def start(self) -> None:
+        """Write the record, and send load reports from now on."""
+        self._write("ready")
+        self._loop.call_later(self._random.random() * REPORT_INTERVAL_S, self._report)
+
+    def drain(self, gone_after_s: float) -> None:
+        """Announce that the engine leaves, and end it later."""
+        if self.leaving_since_s is None:
+            self._write("draining")
+            self.leaving_since_s = self._loop.time()
+            self._loop.call_later(gone_after_s, self.end)
+
+    def end(self) -> None:
+        """End the engine; its record is deleted."""
+        if self._is_gone:
+            return
+        self._is_gone = True
+        self._fail_all()
+        self._site.write_engine(self, None)
+        if self.leaving_since_s is None:
+            self.leaving_since_s = self._loop.time()
+
+    def narrow(self, mbps: float) -> Callable[[], None]:
+        """Give the link another bandwidth; return how to undo that."""
+        before_mbps = self.machine.downlink.mbps
+        self.machine.downlink.mbps = mbps
+
+        def undo():
+            self.machine.downlink.mbps = before_mbps
+
+        return undo
+
+    # Requests
+
+    def receive(self, dispatch: promise_request.Dispatch) -> None:
+        """Accept or reject a request that has arrived."""
+        dispatch.arrived_s = self._loop.time()
+        if self._is_gone:
+            failure = decisions.DispatchFailure.NOT_CONNECTED
+            dispatch.request.on_failure(dispatch, failure)
+        self._site.check_arrival(dispatch)
+        if self._is_gone:
+            return
+        if self._is_loading or not self.model.submit(dispatch.job):
+            failure = decisions.DispatchFailure.REJECTED
+            dispatch.request.on_failure(dispatch, failure)
+            return
+        self._jobs[dispatch] = None
+
+    def cancel(self, dispatch: promise_request.Dispatch) -> None:
+        """Drop a request whose connection was closed."""
+        self.model.cancel(dispatch.job)
+        self._jobs.pop(dispatch, None)
+
+    def on_event(self, dispatch: promise_request.Dispatch) -> None:
+        """Check the begin of an answer at its first event."""
+        if dispatch.job.generated_tokens > engine_model.TOKENS_PER_EVENT:
+            return
+        self._site.check_begin(dispatch)
+        dispatch.request.on_begun(dispatch)
+
+    def on_end(self, dispatch: promise_request.Dispatch) -> None:
+        """Handle the last event of an answer."""
+        self._jobs.pop(dispatch, None)
+        dispatch.request.on_end(dispatch)
+
+    def _fail_all(self) -> None:
+        failed, self._jobs = self._jobs, {}
+        for dispatch in failed:
+            self.model.cancel(dispatch.job)
+            failure = decisions.DispatchFailure.BROKEN
+            dispatch.request.on_failure(dispatch, failure)
+
+    # Weights
+
+    def fetch(self, version: int) -> None:
+        """Fetch the pieces of a version, then load it."""
+        self._newest = version
+        self._missing = set(range(simulated_cluster.PROFILE.chunks))
+        delay_s = self._random.uniform(0.2, MAX_ORIGIN_DELAY_S)
+        for _ in range(PIECES_AT_A_TIME):
+            self._loop.call_later(delay_s, self._fetch_piece, version)
+
+    def _fetch_piece(self, version: int) -> None:
+        if version != self._newest or self._is_gone or not self._missing:
+            return
+        number = self._random.choice(sorted(self._missing))
+        zone = [e for e in self._site.entries.values() if e.zone == self.zone]
+        entry = self._random.choice(zone)
+        is_pending = True
+
+        def receive():
+            nonlocal is_pending
+            if is_pending:
+                is_pending = False
+                self._add_piece(version, number)
+
+        def give_up():
+            nonlocal is_pending
+            if is_pending:
+                is_pending = False
+                self._fetch_piece(version)
+
+        size_bytes = simulated_cluster.PROFILE.chunk_bytes
+        self._site.network.send_message(
+            entry.machine, self.machine, size_bytes, receive
+        )
+        self._loop.call_later(PIECE_TIMEOUT_S, give_up)
+
+    def _add_piece(self, version: int, number: int) -> None:
+        if version != self._newest or not self._missing:
+            return
+        self._missing.discard(number)
+        if self._missing:
+            self._fetch_piece(version)
+            return
+        self._is_loading = True
+        self._fail_all()
+        self._loop.call_later(SWITCH_S, self._finish_switch, version)
+
+    def _finish_switch(self, version: int) -> None:
+        self._is_loading = False
+        self.version = version
+
+    # Records and reports
+
+    def _write(self, state: str) -> None:
+        value = {
+            "service": simulated_cluster.SERVICE.name,
+            "address": self.machine.address,
+            "zone": self.zone,
+            "slots": engine_model.SLOT_COUNT,
+            "state": state,
+            "models": [
+                {"name": simulated_cluster.PROFILE.model, "version": self.version}
+            ],
+        }
+        self._site.write_engine(self, json.dumps(value).encode())
+
+    def _report(self) -> None:
+        if self._is_gone:
+            return
+        self._loop.call_later(REPORT_INTERVAL_S, self._report)
+        load = entry_data.EngineLoad(
+            data.Address(self.machine.address),
+            0,
+            self.model.active,
+            self.model.queued,
+            self.version,
+            self._is_loading,
+        )
+        self._loop.call_later(promise_request.ANSWER_DELAY_S, self._deliver, load)
+
+    def _deliver(self, load: entry_data.EngineLoad) -> None:
+        for entry in self._site.entries.values():
+            if not entry.machine.is_cut:
+                entry.cluster.apply_report(load, self._loop.time())
+
+
+def make_key(engine_id: str) -> str:
+    """Return the key of an engine's record in the store."""
+    return f"{decoding.ENGINES_PREFIX}{engine_id}"
--- /dev/null
+++ b/standins/promise_entry.py
@@ -0,0 +1,172 @@
+"""Entries of a simulated site: the product's copy of the store and its decisions."""
+
+import functools
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from standins import (
+    link_simulation,
+    promise_check,
+    promise_request,
+    simulated_cluster,
+    view_simulation,
+)
+from toucanspread.core import data
+from toucanspread.core.entry import (
+    cluster_state,
+    forwarding,
+    guard_program,
+    load_balancing,
+    retry_budget,
+    routes,
+)
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.view import source_selection, store_view
+from toucanspread.ops import crash_notices, view_sync
+from toucanspread.platform import decoding, entry
+
+if TYPE_CHECKING:
+    from standins import promise_engine
+
+DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
+
+
+class PromiseEntry(view_simulation.Follower):
+    """One life of an entry.
+
+    :param engines: all engines by their ids.
+    :ivar in_progress: the requests of its callers, in order of arrival.
+    :ivar version_known_s: when it got to know of each version of the weights.
+    :ivar seen_version: newest configuration of which a caller saw the effect.
+    """
+
+    def __init__(
+        self,
+        network: link_simulation.Network,
+        name: str,
+        list_peers: Callable[[], list[source_selection.Peer]],
+        zone: data.ZoneName,
+        mbps: float,
+        bounds: promise_check.Bounds,
+        engines: "dict[str, promise_engine.PromiseEngine]",
+    ):
+        super().__init__(network, name, True, list_peers, zone, mbps)
+        self.network = network
+        self.engines = engines
+        self.random_source = random.Random(name)
+        self.in_progress: dict[promise_request.PromiseRequest, None] = {}
+        self.version_known_s: dict[int, float] = {}
+        self._retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
+        self._list_peers = list_peers
+        self._crash_notices = crash_notices.CrashNotices(
+            network.reactor,
+            self.random_source,
+            lambda: guard_program.Members(name, [peer.name for peer in list_peers()]),
+            lambda notice: None,
+            lambda: None,
+        )
+        self.seen_version = 0
+        self.cluster = cluster_state.ClusterState(bounds.version_s, bounds.drain_s)
+        self._started_s = network.loop.time()
+        self._task = network.loop.create_task(self.synchronizer.run())
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration that is applied; 0 if there is none."""
+        table = self.cluster.route_table
+        return table.version if table is not None else 0
+
+    def accepts(self, route: tuple[str, str], key: str) -> bool | None:
+        """Return whether a request would be forwarded; None without a configuration."""
+        table = self.cluster.route_table
+        if table is None:
+            return None
+        host, prefix = route
+        found = table.find_route(host, f"{prefix}x")
+        return table.find_denial(found, table.find_team(key)) is None
+
+    def make_decision_context(self) -> forwarding.DecisionContext:
+        """Return the context of a decision about a request."""
+        now_s = self.network.loop.time()
+        peers = self._list_peers()
+        regions = {peer.zone: data.RegionName(peer.zone) for peer in peers}
+        service = simulated_cluster.SERVICE
+        return forwarding.DecisionContext(
+            now_s,
+            self.cluster.registry,
+            self._retry_budgets,
+            load_balancing.EntryLocation(self.zone, regions, len(peers)),
+            self.random_source,
+            self._crash_notices.guard,
+            self.cluster.minimum_version(service, now_s),
+            self.cluster.upcoming_versions(service, now_s),
+        )
+
+    def run_maintenance(self) -> None:
+        """Drop what has left, as the program does from time to time."""
+        self.cluster.registry.drop_removed(self.network.loop.time())
+
+    def kill(self) -> None:
+        """End the process; what is on its way to or from it is lost."""
+        self._task.cancel()
+        for request in list(self.in_progress):
+            request.on_entry_lost()
+        self.machine.is_cut = True
+
+    def _on_changes(self, changes: list[store_view.KeyChange]) -> None:
+        """Apply changes as the program of an entry does."""
+        now_s = self.network.loop.time()
+        timing = cluster_state.ChangeTiming(
+            now_s,
+            self.synchronizer.previous_confirmed_s,
+            self.synchronizer.outage_until_s,
+            self._started_s,
+        )
+        since_failure_s = now_s - self.synchronizer.store_failed_s
+        store_was_unavailable = since_failure_s < entry.STORE_OUTAGE_GRACE_S
+
+        def apply_one(change: store_view.KeyChange) -> None:
+            event = _decode(change)
+            if event is not None:
+                self._apply(event, timing, store_was_unavailable)
+
+        view_sync.apply_each(changes, apply_one)
+        super()._on_changes(changes)
+
+    def _apply(
+        self,
+        event: data.Event,
+        timing: cluster_state.ChangeTiming,
+        store_was_unavailable: bool,
+    ) -> None:
+        has_changed = self.cluster.apply(event, timing, store_was_unavailable)
+        if has_changed and isinstance(event, cluster_state.VersionNamed):
+            now_s = self.network.loop.time()
+            self.version_known_s[event.version] = now_s
+            in_s = self.cluster.withdrawal_in_s(event, now_s)
+            self.network.loop.call_later(max(in_s, 0.0), self._withdraw_outdated)
+
+    def _withdraw_outdated(self) -> None:
+        for request in list(self.in_progress):
+            request.withdraw_if_outdated()
+
+
+class SharedRouteTables:
+    """Makes each route table once for all entries, which do not change it."""
+
+    def __init__(self):
+        self._make = routes.RouteTable
+        self._tables: dict[int, routes.RouteTable] = {}
+
+    def get(self, configuration: entry_data.Configuration) -> routes.RouteTable:
+        """Return the route table of a configuration, which it keeps alive."""
+        key = id(configuration)
+        if key not in self._tables:
+            self._tables[key] = self._make(configuration)
+        return self._tables[key]
+
+
+@functools.lru_cache(DECODED_COUNT)
+def _decode(change: store_view.KeyChange) -> data.Event | None:
+    return decoding.decode_change(change)
