--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -3,7 +3,7 @@
 import functools
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from standins import (
     link_simulation,
@@ -32,12 +32,30 @@
 DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
 
 
+class KnownVersion(NamedTuple):
+    """What an entry knows of a version that was named.
+
+    :param withdraws_s: when it withdraws what has not begun on an older one.
+    """
+
+    received_s: float
+    withdraws_s: float
+    timing: cluster_state.ChangeTiming
+
+    def __str__(self) -> str:
+        return (
+            f"knew of it at {self.received_s:.2f}, its copy was from "
+            f"{self.timing.earliest_in_force_s:.2f}, an outage of the store ended at "
+            f"{self.timing.outage_ended_s:.2f}, withdraws at {self.withdraws_s:.2f}"
+        )
+
+
 class PromiseEntry(view_simulation.Follower):
     """One life of an entry.
 
     :param engines: all engines by their ids.
     :ivar in_progress: the requests of its callers, in order of arrival.
-    :ivar version_known_s: when it got to know of each version of the weights.
+    :ivar known_versions: what it got to know of each version of the weights.
     :ivar seen_version: newest configuration of which a caller saw the effect.
     """
 
@@ -56,7 +74,7 @@
         self.engines = engines
         self.random_source = random.Random(name)
         self.in_progress: dict[promise_request.PromiseRequest, None] = {}
-        self.version_known_s: dict[int, float] = {}
+        self.known_versions: dict[int, KnownVersion] = {}
         self._retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         self._list_peers = list_peers
         self._crash_notices = crash_notices.CrashNotices(
@@ -73,7 +91,7 @@
 
     @property
     def configuration_version(self) -> int:
-        """Return the version of the configuration that is applied; 0 if there is none."""
+        """Return the version of the configuration in use; 0 if there is none."""
         table = self.cluster.route_table
         return table.version if table is not None else 0
 
@@ -143,8 +161,10 @@
         has_changed = self.cluster.apply(event, timing, store_was_unavailable)
         if has_changed and isinstance(event, cluster_state.VersionNamed):
             now_s = self.network.loop.time()
-            self.version_known_s[event.version] = now_s
             in_s = self.cluster.withdrawal_in_s(event, now_s)
+            self.known_versions[event.version] = KnownVersion(
+                now_s, now_s + in_s, timing
+            )
             self.network.loop.call_later(max(in_s, 0.0), self._withdraw_outdated)
 
     def _withdraw_outdated(self) -> None:
--- a/standins/promise_simulation.py
+++ b/standins/promise_simulation.py
@@ -1,9 +1,9 @@
 """Simulates a site to check all promises that are counted from an acknowledgement.
 
-The entries of several zones hold the product's own copy of the store and decide with the
-product's own code. Callers ask them at random times, and engines hold what was sent to
-them for a while. Configurations, pieces of weights, requests and answers share links of
-limited bandwidth. Everything runs in virtual time.
+The entries of several zones hold the product's own copy of the store and decide with
+the product's own code. Callers ask them at random times, and engines hold what was sent
+to them for a while. Configurations, pieces of weights, requests and answers share links
+of limited bandwidth. Everything runs in virtual time.
 """
 
 import asyncio
@@ -263,11 +263,10 @@
         late_s = self.versions.late_s(engine.version, self.now_s, since_s)
         if late_s <= 0 or not self._was_calm(dispatch):
             return
-        known_s = dispatch.entry.version_known_s.get(engine.version + 1)
-        known = "never" if known_s is None else f"at {known_s:.2f}"
+        known = dispatch.entry.known_versions.get(engine.version + 1)
         trace = (
-            f"{engine.engine_id} begins on version {engine.version}, the entry knew "
-            f"{known} of the next, {self._describe(dispatch)}"
+            f"{engine.engine_id} begins on version {engine.version}; of the next one, "
+            f"the entry: {known or 'knows nothing'}; {self._describe(dispatch)}"
         )
         self.report(promise_check.Promise.VERSION, dispatch.entry.name, late_s, trace)
 
