--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -154,7 +154,7 @@
         head = http1.AnswerHead(status, headers)
         loop.call_at(arrivals_s[-1], self._receive, self._listener.on_head, head)
         for start in range(0, len(body), SEGMENT_BYTES):
-            if self._is_closed:
+            if self._is_closed or self._is_cut:
                 return
             part = body[start : start + SEGMENT_BYTES]
             arrivals_s.append(await self._send_segment(len(part)))
--- a/standins/promise_check.py
+++ b/standins/promise_check.py
@@ -129,6 +129,17 @@
                 oldest = index
         return [content for _, content in self._written[oldest:]]
 
+    def excess_s(self, revision: int, confirmed_s: float) -> float:
+        """Return by how long a copy claims to be newer than it is; 0 if it is true.
+
+        :param revision: revision of the copy.
+        :param confirmed_s: time up to which it claims to be complete.
+        """
+        for written_s, content in self._written:
+            if content.version > revision:
+                return max(confirmed_s - written_s, 0.0)
+        return 0.0
+
     def due_s(self, version: int) -> float:
         """Return the time from which a configuration has to be in force."""
         for written_s, content in self._written:
--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -58,7 +58,7 @@
         self.machine.handle = self._on_request
         self._loop = network.loop
         self._log: list[store_view.KeyChange] = []
-        self._waiting: set[_Watch] = set()
+        self._waiting: dict[_Watch, None] = {}
         self._copies: store_copies.Copies[store_view.KeyChange] = store_copies.Copies()
 
     @property
@@ -76,7 +76,7 @@
         self.revision = copy.revision
         self._log = [c for c in self._log if c.revision <= copy.revision]
         for watch in list(self._waiting):
-            self._waiting.discard(watch)
+            del self._waiting[watch]
             self._answer_gone(watch.exchange)
         keys = store_copies.list_lost_keys(lost, copy.items)
         for number, key in enumerate(keys, start=1):
@@ -114,8 +114,8 @@
         if watch.after > self.revision:
             self._answer_gone(exchange)
             return
-        self._waiting.add(watch)
-        exchange.on_disconnected = lambda: self._waiting.discard(watch)
+        self._waiting[watch] = None
+        exchange.on_disconnected = lambda: self._waiting.pop(watch, None)
         if not self._answer_if_changed(watch):
             wait_s = int(arguments["wait_ms"]) / 1000
             self._loop.call_later(wait_s, self._answer, watch, [])
@@ -132,7 +132,7 @@
 
     def _answer(self, watch: "_Watch", changes: list[store_view.KeyChange]) -> None:
         if watch in self._waiting:
-            self._waiting.remove(watch)
+            del self._waiting[watch]
             self._respond(watch.exchange, "events", changes)
 
     def _respond(self, exchange, name: str, changes: list[store_view.KeyChange]):
