--- a/standins/promise_simulation.py
+++ b/standins/promise_simulation.py
@@ -90,7 +90,7 @@
     :ivar engines: all engines, also those that are gone, by their ids.
     :ivar begin_count: number of requests that engines began.
     :ivar probe_count: number of checks of entries that are in touch.
-    :ivar longest_excess_s: longest time by which a copy claimed to be newer than it was.
+    :ivar longest_excess_s: longest time by which a copy claimed to be newer than it is.
     :ivar violations: the promises that were not kept.
     :ivar faults: the faults in the order in which they began, for messages.
     :ivar active_faults: number of the active faults of each kind.
@@ -211,7 +211,8 @@
                 name = f"{zone}-{number}"
                 address = data.Address(f"{name}:1")
                 self._peers.append(source_selection.Peer(name, zone, address))
-                self._start_entry(name, zone)
+        for peer in self._peers:
+            self._start_entry(peer.name, peer.zone)
 
     def _start_entry(self, name: str, zone: data.ZoneName) -> None:
         self.network.region_of[f"{name}:1"] = zone
