Send what has changed in a value to processes that have the value before

Callers saw 404 for routes that had been added. Each change of one route sent the whole configuration, 32 KB compressed at 1,480 routes, from a zone's leader to each of its followers, and a burst of changes filled the leader's link.

Excerpts now carry a delta where the follower had the value before; the value is verified by a digest. A follower that cannot apply one asks for the whole copy.

--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from toucanspread.core import data
-from toucanspread.core.view import store_position
+from toucanspread.core.view import store_position, value_delta, value_history
 
 MAX_HISTORY_COUNT = 2_000  # more than the keys that change within a few seconds
 MAX_HISTORY_BYTES = 4_000_000  # bounds memory when many large values change
@@ -37,6 +37,18 @@
     value: bytes | None = None
 
 
+class DeltaChange(data.Record):
+    """Write of a key, as what has changed in its value.
+
+    :param base_revision: revision of the change that wrote the value before.
+    """
+
+    key: str
+    revision: int
+    base_revision: int
+    delta: value_delta.Delta
+
+
 class Excerpt(data.Record):
     """Part of a copy that one process serves to another.
 
@@ -47,6 +59,8 @@
     :param waited_s: time from the arrival of the request until the excerpt was made.
     :param contact_age_s: time since an answer of the store, or of a process that had
         one, arrived at the process; None if it does not say.
+    :param deltas: changes besides ``changes``, of keys that the receiver has; only for
+        receivers that accept them.
     """
 
     revision: int
@@ -56,6 +70,7 @@
     era: int = store_position.UNKNOWN_ERA
     waited_s: float = 0.0
     contact_age_s: float | None = None
+    deltas: tuple[DeltaChange, ...] = ()
 
     @property
     def position(self) -> store_position.StorePosition:
@@ -87,12 +102,14 @@
     :ivar heard_s: time at which the store was last heard from. It is later than
         ``confirmed_s`` by the time that answers were on their way, and only says
         whether there is a way to the store.
+    :ivar past_values: what keys had before, for deltas.
     """
 
     def __init__(self):
         self.position = store_position.StorePosition()
         self.confirmed_s = float("-inf")
         self.heard_s = float("-inf")
+        self.past_values = value_history.ValueHistory()
         self._items: dict[str, Item] = {}
         # The last change of each key, in the order of revisions.
         self._history: dict[str, KeyChange] = {}
@@ -233,6 +250,7 @@
         kept_keys: frozenset[str],
     ) -> list[KeyChange]:
         """Replace items whose revisions may have been given out again since."""
+        self.past_values.clear()
         known_items, self._items = self._items, {}
         new = []
         for key, known in known_items.items():
@@ -263,6 +281,8 @@
         known = self._items.get(change.key)
         if known is not None and known.revision >= change.revision:
             return False
+        if known is not None:
+            self._keep_past_value(known)
         if change.value is None:
             if known is None:
                 # A follower may still have the key.
@@ -274,6 +294,14 @@
         self._add_to_history(change)
         return True
 
+    def _keep_past_value(self, item: Item) -> None:
+        # Between the revision of the copy and that of the change there may be another
+        # change, which was not received.
+        known_until = max(self.revision, item.revision)
+        self.past_values.add(
+            value_history.PastValue(item.key, item.value, item.revision, known_until)
+        )
+
     def _list_changes_after(self, after: int) -> list[KeyChange]:
         changes = []
         for change in reversed(self._history.values()):
--- a/toucanspread/ops/excerpt_client.py
+++ b/toucanspread/ops/excerpt_client.py
@@ -20,12 +20,14 @@
     :param prefixes: key prefixes to return.
     :param wait_s: how long the peer may wait for a change.
     :param era: era of the store that the requester's copy is of.
+    :param accepts_deltas: whether the requester can apply deltas to its own copy.
     """
 
     after: int
     prefixes: tuple[str, ...]
     wait_s: float = 0.0
     era: int = store_position.UNKNOWN_ERA
+    accepts_deltas: bool = False
 
 
 async def fetch_excerpt(
@@ -41,6 +43,8 @@
     query = f"after={request.after}&wait_ms={int(request.wait_s * 1000)}"
     query += f"&prefixes={','.join(request.prefixes)}&compressed=1"
     query += f"&era={request.era}"
+    if request.accepts_deltas:
+        query += "&deltas=1"
     head = http1.RequestHead(b"GET", f"{EXCERPT_TARGET}?{query}".encode(), [])
     try:
         reply = await pool.call(
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -17,15 +17,18 @@
 MAX_DECOMPRESSED_BYTES = 16_000_000
 # Values that cannot be compressed are sent whole, with a few bytes more.
 MAX_ENCODED_BYTES = MAX_DECOMPRESSED_BYTES + 65_536
+MAX_DELTAS_BYTES = 2_000_000  # deltas of as many values as a copy keeps changes of
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
 _changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
+_deltas_decoder = msgspec.msgpack.Decoder(tuple[store_view.DeltaChange, ...])
 
 
 class CompressedExcerpt(data.Record):
     """An excerpt whose changes are compressed.
 
     :param compressed_changes: zlib stream of the encoded changes.
+    :param compressed_deltas: the same of the deltas; empty if there are none.
     """
 
     revision: int
@@ -35,6 +38,7 @@
     era: int = store_position.UNKNOWN_ERA
     waited_s: float = 0.0
     contact_age_s: float | None = None
+    compressed_deltas: bytes = b""
 
 
 _excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
@@ -49,7 +53,7 @@
 
     def __init__(self):
         # Values keep their hashes, so that a look-up does not read them again.
-        self._compressed_by_changes: dict[tuple[store_view.KeyChange, ...], bytes] = {}
+        self._compressed_by_changes: dict[tuple[data.Record, ...], bytes] = {}
 
     def encode(self, excerpt: store_view.Excerpt, can_decompress: bool) -> bytes:
         """Return the encoding of an excerpt.
@@ -57,6 +61,7 @@
         :param can_decompress: whether the receiver knows :class:`CompressedExcerpt`.
         """
         size_bytes = sum(len(change.value or b"") for change in excerpt.changes)
+        size_bytes += sum(change.delta.own_bytes for change in excerpt.deltas)
         if not can_decompress or size_bytes < MIN_COMPRESSED_BYTES:
             return msgspec.msgpack.encode(excerpt)
         return msgspec.msgpack.encode(
@@ -64,19 +69,20 @@
                 excerpt.revision,
                 excerpt.age_s,
                 excerpt.is_whole,
-                self._compress_changes(excerpt),
+                self._compress(excerpt.changes),
                 excerpt.era,
                 excerpt.waited_s,
                 excerpt.contact_age_s,
+                self._compress(excerpt.deltas) if excerpt.deltas else b"",
             )
         )
 
-    def _compress_changes(self, excerpt: store_view.Excerpt) -> bytes:
-        compressed = self._compressed_by_changes.get(excerpt.changes)
+    def _compress(self, changes: tuple[data.Record, ...]) -> bytes:
+        compressed = self._compressed_by_changes.get(changes)
         if compressed is None:
-            encoded = msgspec.msgpack.encode(excerpt.changes)
+            encoded = msgspec.msgpack.encode(changes)
             compressed = zlib.compress(encoded, zlib.Z_BEST_SPEED)
-            self._compressed_by_changes[excerpt.changes] = compressed
+            self._compressed_by_changes[changes] = compressed
             if len(self._compressed_by_changes) > CACHED_COUNT:
                 oldest = next(iter(self._compressed_by_changes))
                 del self._compressed_by_changes[oldest]
@@ -93,6 +99,11 @@
         if isinstance(excerpt, store_view.Excerpt):
             return excerpt
         changes = _changes_decoder.decode(_decompress(excerpt.compressed_changes))
+        deltas = ()
+        if excerpt.compressed_deltas:
+            deltas = _deltas_decoder.decode(
+                _decompress(excerpt.compressed_deltas, MAX_DELTAS_BYTES)
+            )
     except (msgspec.MsgspecError, zlib.error) as error:
         raise ExcerptDecodeError(str(error)) from error
     return store_view.Excerpt(
@@ -103,19 +114,20 @@
         excerpt.era,
         excerpt.waited_s,
         excerpt.contact_age_s,
+        deltas,
     )
 
 
-def _decompress(compressed: bytes) -> bytes:
+def _decompress(compressed: bytes, max_bytes: int = MAX_DECOMPRESSED_BYTES) -> bytes:
     """Return the bytes of a zlib stream.
 
-    :raises ExcerptDecodeError: when they are more than ``MAX_DECOMPRESSED_BYTES``, or
-        the stream is not complete.
+    :raises ExcerptDecodeError: when they are more than ``max_bytes``, or the stream is
+        not complete.
     """
     decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(compressed, MAX_DECOMPRESSED_BYTES)
+    decompressed = decompressor.decompress(compressed, max_bytes)
     if decompressor.unconsumed_tail:
-        raise ExcerptDecodeError(f"more than {MAX_DECOMPRESSED_BYTES} bytes")
+        raise ExcerptDecodeError(f"more than {max_bytes} bytes")
     if not decompressor.eof:
         raise ExcerptDecodeError("incomplete")
     return decompressed
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -6,6 +6,7 @@
 from toucanspread.ops import (
     excerpt_client,
     excerpt_codec,
+    excerpt_deltas,
     http1_server,
     metric_buffer,
 )
@@ -20,6 +21,7 @@
         self._view = view
         self._reactor = reactor
         self._encoder = excerpt_codec.ExcerptEncoder()
+        self._delta_maker = excerpt_deltas.DeltaMaker(view.past_values)
         self._waiting: dict[http1_server.Exchange, _WaitingRequest] = {}
 
     def on_request(
@@ -89,6 +91,9 @@
         waiting: "_WaitingRequest",
         excerpt: store_view.Excerpt,
     ) -> None:
+        if waiting.request.accepts_deltas:
+            excerpt = self._delta_maker.shorten(excerpt, waiting.request.after)
+            metric_buffer.count("excerpt_deltas_sent", len(excerpt.deltas))
         body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
         metric_buffer.count("excerpt_bytes_sent", len(body))
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -16,6 +16,8 @@
 )
 from toucanspread.ops import (
     excerpt_client,
+    excerpt_codec,
+    excerpt_deltas,
     http1_pool,
     logs,
     metric_buffer,
@@ -282,10 +284,12 @@
                 self._prefixes,
                 wait_s,
                 self.view.position.era,
+                accepts_deltas=True,
             ),
             timeout_s,
         )
         self._check_era(excerpt)
+        excerpt = self._complete(excerpt)
         now_s = self._pool.reactor.seconds()
         confirmed_s = excerpt.confirmed_s(requested_s, now_s)
         heard_s = excerpt.heard_s(now_s)
@@ -326,6 +330,19 @@
                 f"changes of era {excerpt.era} for one of {own_era}"
             )
 
+    def _complete(self, excerpt: store_view.Excerpt) -> store_view.Excerpt:
+        """Return an excerpt with values instead of deltas.
+
+        :raises excerpt_client.ExcerptError: when they are deltas of other values than
+            those of the copy. The next request is for all items.
+        """
+        try:
+            return excerpt_deltas.apply_deltas(excerpt, self.view)
+        except excerpt_codec.ExcerptDecodeError as error:
+            self._needs_whole_excerpt = True
+            logs.write("delta_refused", why=str(error), revision=self.view.revision)
+            raise excerpt_client.ExcerptError(str(error)) from error
+
     def _notify_changes(self, changes: list[store_view.KeyChange]) -> None:
         self._undelivered += changes
         self._deliver()
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -178,6 +178,7 @@
                     tuple(arguments["prefixes"].split(",")),
                     int(arguments["wait_ms"]) / 1000,
                     int(arguments.get("era", store_position.UNKNOWN_ERA)),
+                    arguments.get("deltas") == "1",
                 )
                 can_decompress = arguments.get("compressed") == "1"
                 self._entry.excerpts.on_request(exchange, request, can_decompress)
