--- a/standins/view_simulation.py
+++ b/standins/view_simulation.py
@@ -312,6 +312,12 @@
         """Send other traffic over a link from now on."""
         self._loop.create_task(self._send_traffic(link, mbps))
 
+    def hide_deltas(self, entries: list[Follower]) -> None:
+        """Make entries neither send nor get deltas, like those of earlier versions."""
+        addresses = {entry.machine.address for entry in entries}
+        for entry in self.entries:
+            entry.machine.handle = _make_handler_without_deltas(entry, addresses)
+
     def add_entry(self) -> Follower:
         """Start one more entry."""
         name = f"entry-{len(self.entries)}"
@@ -371,6 +377,18 @@
         ]
 
 
+def _make_handler_without_deltas(entry: Follower, addresses: set[str]):
+    """Return an entry's server that drops the argument as earlier versions do."""
+
+    def handle(exchange: link_simulation.Exchange) -> None:
+        if not addresses.isdisjoint((entry.machine.address, exchange.caller.address)):
+            target = exchange.head.target.replace(b"&deltas=1", b"")
+            exchange.head = http1.RequestHead(b"GET", target, exchange.head.headers)
+        entry.handle_request(exchange)
+
+    return handle
+
+
 def _find_arrival_s(entry: Follower, revision: int) -> float | None:
     """Return when an entry got a revision of the configuration or a newer one."""
     arrivals_s = [
--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -10,6 +10,7 @@
 BURST_COUNT = 22
 NARROWEST_REGION_MBPS = 12.5
 BURST_INTERVAL_S = 5.0 / BURST_COUNT
+MAX_CHANGE_BYTES = 1_000  # a whole configuration takes 32 KB
 CALLERS_MBPS = 7.0  # answers to callers, on half of the leader's link
 
 
@@ -139,6 +140,25 @@
         delay_s = self.add_routes_in_a_burst(zone)
         self.assertLess(delay_s, IN_FORCE_WITHIN_S)
 
+    def test_the_leader_does_not_send_whole_configurations_in_a_burst(self):
+        zone = self.start_zone(25)
+        uplink = zone.leader().machine.uplink
+        before_bytes = uplink.sent_bytes
+        self.add_routes_in_a_burst(zone)
+        sent_bytes = uplink.sent_bytes - before_bytes
+        self.assertLess(sent_bytes, BURST_COUNT * 25 * MAX_CHANGE_BYTES)
+        self.assertEqual([], zone.list_differences())
+
+    def test_a_burst_reaches_entries_of_this_and_of_an_earlier_version(self):
+        """Every third entry knows no deltas, once the leader among them, once not."""
+        for first in (0, 1):
+            zone = self.start_zone(25)
+            earlier = zone.rank_entries()[first::3]
+            zone.hide_deltas(earlier)
+            delay_s = self.add_routes_in_a_burst(zone)
+            self.assertLess(delay_s, IN_FORCE_WITHIN_S)
+            self.assertEqual([], zone.list_differences())
+
     def test_a_burst_is_in_time_while_the_leader_answers_callers(self):
         zone = self.start_zone(25)
         zone.load_link(zone.leader().machine.uplink, CALLERS_MBPS)
--- a/toucanspread/ops/excerpt_server_test.py
+++ b/toucanspread/ops/excerpt_server_test.py
@@ -4,7 +4,7 @@
 from twisted.internet import task
 
 from toucanspread.core.view import store_view
-from toucanspread.ops import excerpt_client, excerpt_server
+from toucanspread.ops import excerpt_client, excerpt_codec, excerpt_server
 
 
 class Exchange:
@@ -20,6 +20,57 @@
         self.body = body
 
 
+class DeltaTest(testtools.TestCase):
+    """Followers of the present and of an earlier version have an older copy."""
+
+    VALUE = bytes(range(256)) * 40
+
+    def setUp(self):
+        super().setUp()
+        self.view = store_view.View()
+        self.server = excerpt_server.ExcerptServer(self.view, task.Clock())
+        for revision in (4, 5):
+            self.write(revision)
+
+    def write(self, revision):
+        value = b"%d" % revision + self.VALUE
+        change = store_view.KeyChange("op/config", revision, value)
+        self.view.apply([change], revision, 0.0)
+
+    def fetch(self, after, accepts_deltas):
+        exchange = Exchange()
+        request = excerpt_client.ExcerptRequest(
+            after, ("op/",), accepts_deltas=accepts_deltas
+        )
+        self.server.on_request(exchange, request, can_decompress=True)
+        return exchange
+
+    def test_a_follower_that_accepts_deltas_does_not_get_the_value(self):
+        excerpt = excerpt_codec.decode_excerpt(self.fetch(4, True).body)
+        self.assertEqual((), excerpt.changes)
+        self.assertEqual([4], [change.base_revision for change in excerpt.deltas])
+
+    def test_a_waiting_follower_gets_a_delta_of_the_copy_it_named(self):
+        exchange = Exchange()
+        request = excerpt_client.ExcerptRequest(5, ("op/",), 1.0, accepts_deltas=True)
+        self.server.on_request(exchange, request)
+        for revision in (6, 7):
+            self.write(revision)
+        self.server.notify_waiters()
+        excerpt = excerpt_codec.decode_excerpt(exchange.body)
+        self.assertEqual([5], [change.base_revision for change in excerpt.deltas])
+
+    def test_a_follower_of_an_earlier_version_gets_the_value_in_the_known_form(self):
+        body = self.fetch(4, False).body
+        self.assertNotIn(b"deltas", body)
+        excerpt = excerpt_codec.decode_excerpt(body)
+        self.assertEqual([b"5" + self.VALUE], [c.value for c in excerpt.changes])
+
+    def test_a_follower_without_a_copy_gets_the_value(self):
+        excerpt = excerpt_codec.decode_excerpt(self.fetch(0, True).body)
+        self.assertEqual([b"5" + self.VALUE], [c.value for c in excerpt.changes])
+
+
 class ExcerptServerTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -6,7 +6,7 @@
 from twisted.internet import task
 
 from toucanspread.core import data
-from toucanspread.core.view import source_selection, store_view
+from toucanspread.core.view import source_selection, store_view, value_delta
 from toucanspread.ops import excerpt_client, http1_pool, prefix_store, view_sync
 from toucanspread.platform import store
 
@@ -328,6 +328,80 @@
         self.assertEqual(2, self.requests[0].era)
 
 
+class DeltaTest(testtools.TestCase):
+    """A peer sends what has changed in a value of the copy."""
+
+    VALUE = bytes(range(256)) * 8
+
+    def setUp(self):
+        super().setUp()
+        self.patch(excerpt_client, "fetch_excerpt", self.fetch)
+        self.view = store_view.View()
+        self.changes = []
+        self.requests = []
+        self.pool = Pool()
+        peer = source_selection.Peer("b", data.ZoneName("z"), data.Address("b:1"))
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            Store(),
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=False),
+            ("op/",),
+            lambda: [peer],
+            list,
+            self.changes.extend,
+        )
+        self.view.replace([store_view.KeyChange("op/a", 9, self.VALUE)], 9, 0.0, era=2)
+
+    async def fetch(self, pool, address, request, timeout_s):
+        self.requests.append(request)
+        return self.excerpt
+
+    def sync(self, excerpt):
+        self.excerpt = excerpt
+        asyncio.run(self.synchronizer.sync_once())
+        self.pool.reactor.advance(source_selection.FAILED_SOURCE_BACKOFF_S)
+
+    def make_excerpt(self, base, base_revision=9, era=2):
+        delta = value_delta.make_delta(base, base + b"x")
+        deltas = (store_view.DeltaChange("op/a", 10, base_revision, delta),)
+        changes = (make_change("op/b", 11),)
+        return store_view.Excerpt(11, 0.0, False, changes, era, deltas=deltas)
+
+    def assert_unchanged(self):
+        self.assertEqual((2, 9), self.view.position)
+        self.assertEqual(self.VALUE, self.view.get("op/a").value)
+        self.assertIsNone(self.view.get("op/b"))
+        self.assertEqual([], self.changes)
+
+    def test_the_values_of_deltas_are_applied_and_passed_on(self):
+        self.sync(self.make_excerpt(self.VALUE))
+        self.assertTrue(self.requests[0].accepts_deltas)
+        self.assertEqual((2, 11), self.view.position)
+        self.assertEqual(self.VALUE + b"x", self.view.get("op/a").value)
+        self.assertEqual(["op/a", "op/b"], [change.key for change in self.changes])
+
+    def test_nothing_of_an_excerpt_with_an_unfit_delta_is_applied(self):
+        self.sync(self.make_excerpt(b"y" + self.VALUE))
+        self.assert_unchanged()
+        self.sync(self.make_excerpt(self.VALUE, base_revision=8))
+        self.assert_unchanged()
+
+    def test_a_delta_of_another_era_is_not_applied(self):
+        for era in (1, 3):
+            self.sync(self.make_excerpt(self.VALUE, era=era))
+            self.assert_unchanged()
+
+    def test_all_items_are_requested_after_an_unfit_delta(self):
+        self.sync(self.make_excerpt(b"y" + self.VALUE))
+        change = make_change("op/a", 10)
+        self.sync(store_view.Excerpt(11, 0.0, True, (change,), era=2))
+        self.assertEqual((2, 11), self.view.position)
+        self.assertEqual(b"10", self.view.get("op/a").value)
+        self.sync(store_view.Excerpt(11, 0.0, False, era=2))
+        self.assertEqual([9, 0, 11], [request.after for request in self.requests])
+
+
 def make_change(key, revision):
     return store_view.KeyChange(key, revision, b"%d" % revision)
 
--- a/toucanspread/platform/entry_handlers_test.py
+++ b/toucanspread/platform/entry_handlers_test.py
@@ -1,6 +1,7 @@
 """Tests how an entry handles the datagrams that other processes send it."""
 
 import random
+from types import SimpleNamespace
 
 import msgspec
 import testtools
@@ -14,7 +15,7 @@
     guard_program,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import crash_notices
+from toucanspread.ops import crash_notices, excerpt_client, http1
 from toucanspread.platform import entry_handlers
 
 SENDER = ("10.0.0.2", 9)
@@ -28,6 +29,36 @@
         self.written.append((payload, address))
 
 
+class ExcerptRequestTest(testtools.TestCase):
+    """A process of another version names fewer or more arguments."""
+
+    TARGET = b"/excerpt?after=7&wait_ms=250&prefixes=a,b&compressed=1"
+
+    def receive(self, target):
+        requests = []
+
+        def on_request(exchange, request, can_decompress):
+            requests.append((request, can_decompress))
+
+        excerpts = SimpleNamespace(on_request=on_request)
+        program = SimpleNamespace(excerpts=excerpts, is_leaving=False)
+        head = http1.RequestHead(b"GET", target, [])
+        exchange = SimpleNamespace(head=head)
+        entry_handlers.ControlHandler(program).on_request(exchange)
+        return requests
+
+    def test_a_request_of_an_earlier_version_is_not_answered_with_deltas(self):
+        request = excerpt_client.ExcerptRequest(7, ("a", "b"), 0.25)
+        self.assertEqual([(request, True)], self.receive(self.TARGET))
+        target = self.TARGET + b"&deltas=0"
+        self.assertEqual([(request, True)], self.receive(target))
+
+    def test_a_request_that_accepts_deltas_is_answered_with_deltas(self):
+        request = excerpt_client.ExcerptRequest(7, ("a", "b"), 0.25, 3, True)
+        target = self.TARGET + b"&era=3&deltas=1&of_a_later_version=1"
+        self.assertEqual([(request, True)], self.receive(target))
+
+
 class ReportReceiverTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
