--- a/toucanspread/ops/excerpt_deltas.py
+++ b/toucanspread/ops/excerpt_deltas.py
@@ -9,7 +9,7 @@
 from toucanspread.core.view import store_view, value_delta, value_history
 from toucanspread.ops import excerpt_codec
 
-CACHED_COUNT = 8  # pairs of values that followers need deltas of at the same time
+CACHED_COUNT = 16  # pairs of values that followers need deltas of at the same time
 
 
 class DeltaMaker:
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -93,6 +93,7 @@
     ) -> None:
         if waiting.request.accepts_deltas:
             excerpt = self._delta_maker.shorten(excerpt, waiting.request.after)
+        if excerpt.deltas:
             metric_buffer.count("excerpt_deltas_sent", len(excerpt.deltas))
         body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
