--- a/toucanspread/ops/excerpt_deltas.py
+++ b/toucanspread/ops/excerpt_deltas.py
@@ -26,9 +26,10 @@
     def shorten(self, excerpt: store_view.Excerpt, after: int) -> store_view.Excerpt:
         """Return an excerpt with deltas for the values that the receiver had.
 
-        :param after: revision of the receiver's copy, which is of the same era.
+        :param after: revision of the receiver's copy, which is of the same era; 0 if it
+            has none that deltas fit to.
         """
-        if excerpt.is_whole:
+        if after <= 0:
             return excerpt
         changes = []
         deltas = []
--- a/toucanspread/ops/excerpt_server_test.py
+++ b/toucanspread/ops/excerpt_server_test.py
@@ -66,6 +66,23 @@
         excerpt = excerpt_codec.decode_excerpt(body)
         self.assertEqual([b"5" + self.VALUE], [c.value for c in excerpt.changes])
 
+    def replace(self, revision, era):
+        value = b"%d" % revision + self.VALUE
+        change = store_view.KeyChange("op/config", revision, value)
+        self.view.replace([change], revision, 0.0, era=era)
+
+    def test_all_items_read_again_are_sent_with_deltas_within_an_era_only(self):
+        for revision, era in ((6, 2), (7, 2)):
+            self.replace(revision, era)
+        for era, base_revisions in ((2, [6]), (1, []), (3, [])):
+            exchange = Exchange()
+            request = excerpt_client.ExcerptRequest(6, ("op/",), 0.0, era, True)
+            self.server.on_request(exchange, request, can_decompress=True)
+            excerpt = excerpt_codec.decode_excerpt(exchange.body)
+            self.assertTrue(excerpt.is_whole)
+            found = [change.base_revision for change in excerpt.deltas]
+            self.assertEqual(base_revisions, found)
+
     def test_a_follower_without_a_copy_gets_the_value(self):
         excerpt = excerpt_codec.decode_excerpt(self.fetch(0, True).body)
         self.assertEqual([b"5" + self.VALUE], [c.value for c in excerpt.changes])
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -6,14 +6,14 @@
 """
 
 import abc
-from collections.abc import Iterable
 from typing import NamedTuple
 
 import httptools
-from twisted.internet import interfaces, protocol
+from twisted.internet import interfaces, main, protocol
+from twisted.python import failure
 from zope.interface import implementer
 
-from toucanspread.ops import http1, logs
+from toucanspread.ops import http1, http1_closing, http1_exchange, logs
 
 MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
 PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
@@ -39,7 +39,7 @@
     """Answers the requests received on a port."""
 
     @abc.abstractmethod
-    def on_request(self, exchange: "Exchange") -> None:
+    def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Answer a request whose body is complete."""
 
     @abc.abstractmethod
@@ -51,124 +51,15 @@
         """Return whether connections should close after their current answer."""
 
 
-class Exchange:
-    """One request on an accepted connection, and its answer.
-
-    :ivar received_s: when its last byte was received, on the reactor's clock.
-    :ivar started_s: when its first byte was received, on the reactor's clock.
-    :ivar on_disconnected: called if the caller disconnects before the answer is
-        complete.
-    :ivar on_drained: called when the caller has read what kept the answer blocked.
-    """
-
-    def __init__(
-        self, connection: "ServerConnection", head: http1.RequestHead, body: bytes
-    ):
-        self.head = head
-        self.body = body
-        self.received_s = connection.reactor.seconds()
-        self.started_s = connection.request_started_s
-        self.on_disconnected = _do_nothing
-        self.on_drained = _do_nothing
-        self.is_finished = False
-        self._connection = connection
-        self._is_chunked = False
-        self._is_started = False
-
-    @property
-    def is_started(self) -> bool:
-        """Return whether a part of the answer has been sent."""
-        return self._is_started
-
-    @property
-    def is_blocked(self) -> bool:
-        """Return whether much of the answer waits for the caller to read it."""
-        return self._connection.is_blocked
-
-    def respond(
-        self, status: int, headers: Iterable[http1.Header] = (), body: bytes = b""
-    ) -> None:
-        """Send a complete answer."""
-        if self.is_finished:
-            return
-        all_headers = list(headers)
-        if status not in http1.NO_BODY_STATUSES:
-            all_headers.append(http1.Header(b"Content-Length", b"%d" % len(body)))
-        self._send_head(status, all_headers)
-        if self.head.method != b"HEAD":
-            self._connection.write(body)
-        self._end()
-
-    def start(self, status: int, headers: Iterable[http1.Header]) -> None:
-        """Send the head of an answer whose length is not known yet.
-
-        It is sent in chunks; to an HTTP/1.0 caller, it ends with the connection, in
-        order if it is complete and by a reset otherwise.
-        """
-        if self.is_finished:
-            return
-        self._is_chunked = self.head.accepts_chunks
-        all_headers = list(headers)
-        if self._is_chunked:
-            all_headers.append(http1.Header(b"Transfer-Encoding", b"chunked"))
-        self._send_head(status, all_headers)
-
-    def write(self, part: bytes) -> None:
-        """Send a part of the body of a started answer."""
-        if self.is_finished or not part:
-            return
-        if not self._is_chunked:
-            self._connection.write(part)
-            return
-        self._connection.write(b"%x\r\n%b\r\n" % (len(part), part))
-
-    def finish(self) -> None:
-        """Complete a started answer."""
-        if self.is_finished:
-            return
-        if self._is_chunked:
-            self._connection.write(http1.LAST_CHUNK)
-        self._end()
-
-    def abort(self) -> None:
-        """Close the connection so that the answer is recognisably incomplete."""
-        if self.is_finished:
-            return
-        self.is_finished = True
-        self._connection.abort()
-
-    def handle_disconnect(self) -> None:
-        """Report that the caller has disconnected, unless the answer is complete."""
-        if self.is_finished:
-            return
-        self.is_finished = True
-        self.on_disconnected()
-
-    def _send_head(self, status: int, headers: list[http1.Header]) -> None:
-        self._is_started = True
-        if self._connection.closes_after_answer(self.head):
-            headers.append(http1.Header(b"Connection", b"close"))
-        start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
-        self._connection.write(http1.render_head(start_line, headers))
-
-    def _end(self) -> None:
-        self.is_finished = True
-        self.on_disconnected = _do_nothing
-        self.on_drained = _do_nothing
-        self._connection.on_exchange_finished()
-
-
-def _do_nothing() -> None:
-    return
-
-
 def _measure(name: bytes, value: bytes) -> int:
     """Return the size in bytes of a header line."""
     return len(name) + len(value) + len(b": \r\n")
 
 
-@implementer(interfaces.IPushProducer)
-class ServerConnection(protocol.Protocol, http1.ParserCallbacks):
+@implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
+class ServerConnection(
+    protocol.Protocol, http1.ParserCallbacks, http1_exchange.AnswerConnection
+):
     """Connection that a caller opened.
 
     Requests are answered one at a time, in the order in which they were received. While
@@ -176,6 +67,8 @@
     answers before it waits for the caller to read it.
 
     :ivar is_blocked: whether the transport holds more than it should.
+    :ivar is_reset_at_end: whether the connection has to end with a reset, since an
+        incomplete answer would look complete otherwise.
     """
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
@@ -183,6 +76,7 @@
         self.reactor = reactor
         self.request_started_s = 0.0
         self.is_blocked = False
+        self.is_reset_at_end = False
         self._handler = handler
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
@@ -193,11 +87,14 @@
         self._trailer_bytes = 0
         self._unparsed = bytearray()
         self._is_reading = True
+        self._has_read_last = False
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
-        self._current: Exchange | None = None
+        self._current: http1_exchange.Exchange | None = None
         self._is_closing = False
         self._is_closed = False
+        self._close: http1_closing.OrderlyClose | None = None
         self._rejected_status = 0
+        self._refusal_status = 0
         self._timer = None
 
     # Callbacks of Twisted
@@ -213,6 +110,9 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests, and start the next one."""
+        if self._close is not None:
+            self._close.on_received(len(data))
+            return
         self._unparsed += data
         self._parse()
 
@@ -222,9 +122,26 @@
         self._unparsed.clear()
         self._connections.discard(self)
         self._stop_timer()
+        if self._close is not None:
+            self._close.stop()
         if self._current is not None:
             self._current.handle_disconnect()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """End the connection, since a caller that closes it waits for nothing."""
+        if self.is_reset_at_end:
+            self.abort()
+            return
+        self.transport.connectionLost(failure.Failure(main.CONNECTION_DONE))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait for the caller to close, too."""
+        if self.is_reset_at_end:
+            self.is_reset_at_end = False
+            http1_closing.set_reset_at_close(self.transport, False)
+        if self._close is not None:
+            self._close.on_sent()
+
     # Callbacks of the transport, for which the connection produces answers
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -311,18 +228,31 @@
             self._is_closing = True
             self.transport.abortConnection()
 
-    def close(self) -> None:
-        """Close the connection after sending what was written."""
+    def close(self, discards: bool = False) -> None:
+        """Close the connection after sending what was written.
+
+        :param discards: whether the caller may still be sending a refused request.
+        """
+        if self._is_closed or self._close is not None:
+            return
+        self._is_closing = True
+        self._stop_timer()
+        self._queued.clear()
+        self._unparsed.clear()
+        self._body = bytearray()
+        self._close = http1_closing.OrderlyClose(self.transport, self.reactor, discards)
+        self._close.start()
+
+    def reset_unless_complete(self) -> None:
+        """Let the connection end with a reset until everything has been sent."""
         if not self._is_closed:
-            self._is_closing = True
-            # The transport would not close while it has a paused producer.
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+            self.is_reset_at_end = True
+            http1_closing.set_reset_at_close(self.transport, True)
 
     def closes_after_answer(self, head: http1.RequestHead) -> bool:
         """Return whether the connection closes after the answer to a request."""
         is_last = head.has_token(b"connection", b"close") or not head.accepts_chunks
-        if is_last or self._handler.is_closing():
+        if is_last or (self._handler.is_closing() and not self._has_further_request):
             self._is_closing = True
         return self._is_closing
 
@@ -334,6 +264,9 @@
                 logs.write("requests_unanswered", count=len(self._queued))
             self.close()
             return
+        if self._refusal_status:
+            self._continue_to_refusal()
+            return
         limits = self._handler.get_limits()
         if self._is_receiving:
             self._start_timer(limits.head_timeout_s, self._time_out)
@@ -349,12 +282,22 @@
 
     # Internals
 
+    @property
+    def _has_further_request(self) -> bool:
+        """Return whether more was read than the request in progress."""
+        return bool(self._queued or self._unparsed or self._refusal_status)
+
+    @property
+    def _is_parsing(self) -> bool:
+        """Return whether requests that follow are read as such."""
+        return not (self._is_closing or self._is_closed or self._refusal_status)
+
     def _continue(self) -> None:
         self._start_next()
         self._parse()
 
     def _parse(self) -> None:
-        while self._unparsed and not self._is_closing and not self._is_queue_full():
+        while self._unparsed and self._is_parsing and not self._is_queue_full():
             part = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
             del self._unparsed[:PARSED_AT_ONCE_BYTES]
             self._feed(part)
@@ -385,10 +328,13 @@
         return queued_bytes >= self._handler.get_limits().max_body_bytes
 
     def _pause_or_resume(self) -> None:
-        if self._is_closing or self._is_closed:
+        if not self._is_parsing:
             self._unparsed.clear()
             return
-        is_reading = not self._is_queue_full()
+        if self._handler.is_closing() and self._has_further_request:
+            # The answer to what has been read by now is the last one.
+            self._has_read_last = True
+        is_reading = not self._has_read_last and not self._is_queue_full()
         if is_reading == self._is_reading:
             return
         self._is_reading = is_reading
@@ -412,6 +358,12 @@
         if self._current is None:
             self._start_timer(self._handler.get_limits().head_timeout_s, self._time_out)
 
+    def _continue_to_refusal(self) -> None:
+        if self._queued:
+            self.reactor.callLater(0, self._continue)
+        else:
+            self._send_refusal(self._refusal_status)
+
     def _time_out(self) -> None:
         self._refuse(408)
 
@@ -422,7 +374,7 @@
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
-        self._current = Exchange(self, head, body)
+        self._current = http1_exchange.Exchange(self, head, body)
         try:
             self._handler.on_request(self._current)
         except Exception as error:
@@ -435,20 +387,24 @@
         raise ValueError(f"request refused with status {status}: over a limit")
 
     def _refuse(self, status: int) -> None:
-        self._is_closing = True
+        """Answer a bad request after the answers to those before it."""
+        self._refusal_status = status
+        self._is_receiving = False
+        self._head = None
+        self._body = bytearray()
+        self._unparsed.clear()
         self._stop_timer()
-        if self._current is not None:
-            # The refusal would be mixed into the answer in progress.
-            logs.write("answer_cut", why="bad request behind it", status=status)
-            self.abort()
-            return
+        if self._current is None and not self._queued:
+            self._send_refusal(status)
+
+    def _send_refusal(self, status: int) -> None:
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
         headers = [
             http1.Header(b"Content-Length", b"0"),
             http1.Header(b"Connection", b"close"),
         ]
         self.write(http1.render_head(start_line, headers))
-        self.close()
+        self.close(discards=True)
 
     def _start_timer(self, timeout_s: float, callback) -> None:
         self._stop_timer()
@@ -482,3 +438,10 @@
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
+
+    def abort_incomplete(self) -> None:
+        """Reset the connections whose answers would look complete if they ended now."""
+        for connection in list(self.connections):
+            if connection.is_reset_at_end:
+                logs.write("answer_cut", why="end of the process")
+                connection.abort()
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -74,7 +74,7 @@
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
         )
-        self.view = store_view.View()
+        self.view = store_view.View(decoding.read_version)
         self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
@@ -121,6 +121,7 @@
             self._report_receiver,
             self._list_members,
             lambda: self.view.age_s(reactor.seconds()),
+            bounds.config_apply_ms / 1000,
         )
         self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._registration = registration.Registration(self._store, self._make_record())
@@ -355,6 +356,7 @@
 
     async def _deregister_and_stop(self) -> None:
         await self._registration.deregister()
+        self._server.abort_incomplete()
         process.stop()
 
 
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -67,7 +67,7 @@
         self.process_settings = process_settings
         self._pool = http1_pool.ConnectionPool(reactor)
         self._store = store.PlatformStore(self._pool, process_settings.platform.address)
-        self._view = store_view.View()
+        self._view = store_view.View(decoding.read_version)
         self._has_first_copy = False
         self._profile: entry_data.ModelProfile | None = None
         self._directory = entry_directory.EntryDirectory()
@@ -139,6 +139,7 @@
             self._directory.serving,
             self.process_settings.region,
             self._load_sender,
+            lambda: self._synchronizer.exchange_delay_s,
         )
         named_version = self._named_versions.get(profile.model)
         self._profile = profile
