--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -56,6 +56,7 @@
     :param engines: all engines by their ids.
     :ivar in_progress: the requests of its callers, in order of arrival.
     :ivar known_versions: what it got to know of each version of the weights.
+    :ivar configuration_within_s: age of its copy from which on it denies nothing.
     :ivar seen_version: newest configuration of which a caller saw the effect.
     """
 
@@ -87,7 +88,7 @@
             lambda: None,
         )
         self.seen_version = 0
-        self._configuration_within_s = bounds.configuration_s
+        self.configuration_within_s = bounds.configuration_s
         self.cluster = cluster_state.ClusterState(bounds.version_s, bounds.drain_s)
         self._started_s = network.loop.time()
         self._task = network.loop.create_task(self.synchronizer.run())
@@ -111,7 +112,7 @@
         found = table.find_route(host, f"{prefix}x")
         if table.find_denial(found, table.find_team(key)) is None:
             return True
-        return None if self.age_s() > self._configuration_within_s else False
+        return None if self.age_s() > self.configuration_within_s else False
 
     def make_decision_context(self) -> forwarding.DecisionContext:
         """Return the context of a decision about a request."""
--- a/standins/promise_simulation_test.py
+++ b/standins/promise_simulation_test.py
@@ -111,8 +111,11 @@
     def list_promises(self, site):
         return {violation.promise for violation in site.violations}
 
-    def test_an_entry_without_updates_violates_the_configuration_promise(self):
+    def test_an_entry_that_denies_by_an_old_copy_violates_the_configuration_promise(
+        self,
+    ):
         site = self.start_site()
+        site.entries["z1-0"].configuration_within_s = float("inf")
         site.entries["z1-0"].machine.is_cut = True
         site.change_configuration()
         site.run(CALM_S)
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -6,6 +6,7 @@
 from toucanspread.ops import (
     excerpt_client,
     excerpt_codec,
+    excerpt_deltas,
     http1_exchange,
     metric_buffer,
     newer_values,
@@ -21,6 +22,7 @@
         self._view = view
         self._reactor = reactor
         self._encoder = excerpt_codec.ExcerptEncoder()
+        self._delta_maker = excerpt_deltas.DeltaMaker(view.past_values)
         self._waiting: dict[http1_exchange.Exchange, _WaitingRequest] = {}
 
     def on_request(
@@ -114,6 +116,12 @@
         waiting: "_WaitingRequest",
         excerpt: store_view.Excerpt,
     ) -> None:
+        request = waiting.request
+        is_same_era = request.era in (store_position.UNKNOWN_ERA, excerpt.era)
+        if request.accepts_deltas and is_same_era:
+            excerpt = self._delta_maker.shorten(excerpt, request.after)
+        if excerpt.deltas:
+            metric_buffer.count("excerpt_deltas_sent", len(excerpt.deltas))
         body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
         metric_buffer.count("excerpt_bytes_sent", len(body))
