--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -19,12 +19,12 @@
 class Link:
     """One direction of a link.
 
-    :param mbps: bandwidth in Mbit/s.
+    :param mbps: bandwidth in Mbit/s; it may be changed for what is sent later.
     :ivar sent_bytes: number of bytes that were sent over it.
     """
 
     def __init__(self, mbps: float):
-        self._bytes_per_s = mbps * 1_000_000 / 8
+        self.mbps = mbps
         self._free_at_s = 0.0
         self.sent_bytes = 0
 
@@ -32,7 +32,7 @@
         """Send bytes that are ready at a time; return when they have been sent."""
         self.sent_bytes += size_bytes
         start_s = max(at_s, self._free_at_s)
-        self._free_at_s = start_s + size_bytes / self._bytes_per_s
+        self._free_at_s = start_s + size_bytes * 8 / (self.mbps * 1_000_000)
         return self._free_at_s
 
 
@@ -66,6 +66,36 @@
         machine = self.machines[address] = Machine(address, mbps)
         return machine
 
+    def list_shared_links(self, source: Machine, target: Machine) -> list[Link]:
+        """Return the links between two machines besides their own."""
+        return [*source.links, *target.links]
+
+    def send_message(
+        self, source: Machine, target: Machine, size_bytes: int, receive: Callable
+    ) -> None:
+        """Send bytes that arrive as a whole, behind all that was sent before."""
+        shared = self.list_shared_links(source, target)
+        links = [source.uplink, *shared, target.downlink]
+        self._pass_message((source, target), links, size_bytes, receive)
+
+    def _pass_message(
+        self,
+        ends: tuple[Machine, Machine],
+        links: list[Link],
+        size_bytes: int,
+        receive: Callable,
+    ) -> None:
+        if any(machine.is_cut for machine in ends):
+            return
+        if not links:
+            receive()
+            return
+        at_s = links[0].reserve(self.loop.time(), size_bytes)
+        delay_s = DELAY_S if len(links) == 1 else 0.0
+        self.loop.call_at(
+            at_s + delay_s, self._pass_message, ends, links[1:], size_bytes, receive
+        )
+
 
 class Exchange:
     """A request on its way, and its answer."""
@@ -103,7 +133,8 @@
         if self._is_answered or self._is_closed:
             return
         self._is_answered = True
-        self._network.loop.create_task(self._send(status, list(headers), body))
+        length = http1.Header(b"Content-Length", b"%d" % len(body))
+        self._network.loop.create_task(self._send(status, [*headers, length], body))
 
     @property
     def _is_cut(self) -> bool:
@@ -124,7 +155,7 @@
         head = http1.AnswerHead(status, headers)
         loop.call_at(arrivals_s[-1], self._receive, self._listener.on_head, head)
         for start in range(0, len(body), SEGMENT_BYTES):
-            if self._is_closed:
+            if self._is_closed or self._is_cut:
                 return
             part = body[start : start + SEGMENT_BYTES]
             arrivals_s.append(await self._send_segment(len(part)))
@@ -139,10 +170,12 @@
     async def _send_segment(self, size_bytes: int) -> float:
         """Return when the segment arrives, as soon as the server has sent it."""
         now_s = self._network.loop.time()
-        sent_s = at_s = self._server.uplink.reserve(now_s, size_bytes)
-        for link in [*self._server.links, *self.caller.links, self.caller.downlink]:
+        at_s = self._server.uplink.reserve(now_s, size_bytes)
+        await _sleep_until(self._network.loop, at_s)
+        # Before the segment gets there, others may use the next links.
+        shared = self._network.list_shared_links(self._server, self.caller)
+        for link in [*shared, self.caller.downlink]:
             at_s = link.reserve(at_s, size_bytes)
-        await _sleep_until(self._network.loop, sent_s)
         return at_s + DELAY_S
 
     def _receive(self, callback, *arguments) -> None:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -167,6 +167,30 @@
         effects = request.on_failure(fixture.at(0.1), decisions.DispatchFailure.BROKEN)
         self.assert_only(decisions.Fail, effects)
 
+    def start_stream(self, fixture):
+        """Return a stream of which the caller has the first event."""
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.SendToEngine, request.start(fixture.at(0.0)))
+        self.assert_only(decisions.OpenStream, request.on_stream_opened())
+        request.on_events(0.5, "1")
+        return request
+
+    def test_a_pause_of_a_stream_does_not_end_it_without_a_retry_budget(self):
+        fixture = Fixture(allowance=0.0)
+        request = self.start_stream(fixture)
+        effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
+        self.assertEqual([], effects)
+
+    def test_a_pause_of_a_stream_does_not_end_it_while_other_engines_are_limited(self):
+        fixture = Fixture(names=("a", "b"))
+        request = self.start_stream(fixture)
+        for engine in fixture.registry.of_service(SERVICE.name):
+            engine.limit.on_answer(0.2, 0.0, 0.6)
+            engine.record_dispatch(0.7)
+            engine.record_dispatch(0.7)
+        effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
+        self.assertEqual([], effects)
+
     def test_an_engines_error_is_retried_before_it_is_relayed(self):
         fixture = Fixture()
         route = make_route(entry_data.RequestKind.IDEMPOTENT, attempts=2)
@@ -435,6 +459,31 @@
         route = make_route(entry_data.RequestKind.NON_IDEMPOTENT, attempts=1)
         self.assertIsNone(self.withdraw(self.send(route)))
 
+    def test_withdrawals_arrive_in_time_over_a_link_that_holds_bytes(self):
+        request = self.send(make_route())
+        engine = self.fixture.registry.get(request.engine_id)
+        load = entry_data.EngineLoad(
+            engine.entry.address, 0, 1, 0, 1, False, link_delay_s=0.6
+        )
+        engine.apply_load(load, 0.5)
+        upcoming = (entry_data.DueVersion(2, 2.0),)
+        for now_s, minimum_version, expected in (
+            (1.3, 1, False),
+            (1.4, 1, True),
+            (1.4, 2, True),
+        ):
+            context = self.fixture.at(now_s)._replace(
+                upcoming_versions=upcoming, minimum_version=minimum_version
+            )
+            self.assertIs(expected, request.must_be_withdrawn(context, was_sent=True))
+
+    def test_a_sent_request_may_begin_until_its_withdrawal_arrives(self):
+        request = self.send(make_route())
+        upcoming = (entry_data.DueVersion(2, 2.0),)
+        context = self.fixture.at(1.9)._replace(upcoming_versions=upcoming)
+        self.assertFalse(request.must_be_withdrawn(context, was_sent=True))
+        self.assertTrue(request.must_be_withdrawn(context, was_sent=False))
+
     def test_an_engine_is_not_blamed_for_what_was_withdrawn(self):
         request = self.send(make_route())
         engine = self.fixture.registry.get(request.engine_id)
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/excerpt_server.py
@@ -1,11 +1,15 @@
 """Serves excerpts of this process's copy of the store to processes that follow it."""
 
+import msgspec
+
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops import (
     excerpt_client,
     excerpt_codec,
-    http1_server,
+    excerpt_deltas,
+    http1_exchange,
     metric_buffer,
+    newer_values,
 )
 
 EMPTY_VIEW_WAIT_S = 0.8  # a starting process answers 503 if it has no copy by then
@@ -18,11 +22,12 @@
         self._view = view
         self._reactor = reactor
         self._encoder = excerpt_codec.ExcerptEncoder()
-        self._waiting: dict[http1_server.Exchange, _WaitingRequest] = {}
+        self._delta_maker = excerpt_deltas.DeltaMaker(view.past_values)
+        self._waiting: dict[http1_exchange.Exchange, _WaitingRequest] = {}
 
     def on_request(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         request: excerpt_client.ExcerptRequest,
         can_decompress: bool = False,
     ) -> None:
@@ -30,7 +35,7 @@
 
         :param can_decompress: whether the peer accepts compressed changes.
         """
-        waiting = _WaitingRequest(request, can_decompress)
+        waiting = _WaitingRequest(request, can_decompress, self._reactor.seconds())
         wait_s = request.wait_s
         if self._view.is_empty:
             wait_s = max(wait_s, EMPTY_VIEW_WAIT_S)
@@ -43,6 +48,30 @@
         exchange.on_disconnected = lambda: self._remove_waiting(exchange)
         self._waiting[exchange] = waiting
 
+    def on_newer_request(
+        self,
+        exchange: http1_exchange.Exchange,
+        request: newer_values.NewerValuesRequest,
+        can_decompress: bool = False,
+    ) -> None:
+        """Answer at once with the values of newer versions than the peer's."""
+        if self._view.is_empty:
+            # Processes that start at the same time must not wait for each other.
+            exchange.respond(503)
+            return
+        excerpt = store_view.Excerpt(
+            self._view.revision,
+            self._view.age_s(self._reactor.seconds()),
+            False,
+            tuple(
+                change
+                for change in self._view.list_newer(request.versions)
+                if change.key.startswith(request.prefixes)
+            ),
+            self._view.position.era,
+        )
+        exchange.respond(200, body=self._encoder.encode(excerpt, can_decompress))
+
     def _is_behind(self, request: excerpt_client.ExcerptRequest) -> bool:
         era = request.era or self._view.position.era
         return store_position.StorePosition(era, request.after) < self._view.position
@@ -55,7 +84,7 @@
                 self._remove_waiting(exchange)
                 self._send(exchange, waiting, excerpt)
 
-    def _answer(self, exchange: http1_server.Exchange) -> None:
+    def _answer(self, exchange: http1_exchange.Exchange) -> None:
         waiting = self._remove_waiting(exchange)
         if waiting is None:
             return
@@ -65,7 +94,7 @@
         self._send(exchange, waiting, self._make_excerpt(waiting))
 
     def _remove_waiting(
-        self, exchange: http1_server.Exchange
+        self, exchange: http1_exchange.Exchange
     ) -> "_WaitingRequest | None":
         waiting = self._waiting.pop(exchange, None)
         if waiting is not None and waiting.timer.active():
@@ -75,16 +104,24 @@
     def _make_excerpt(self, waiting: "_WaitingRequest") -> store_view.Excerpt:
         now_s = self._reactor.seconds()
         request = waiting.request
-        return self._view.make_excerpt(
+        excerpt = self._view.make_excerpt(
             request.after, request.prefixes, now_s, request.era
         )
+        waited_s = now_s - waiting.arrived_s
+        return msgspec.structs.replace(excerpt, waited_s=waited_s)
 
     def _send(
         self,
-        exchange: http1_server.Exchange,
+        exchange: http1_exchange.Exchange,
         waiting: "_WaitingRequest",
         excerpt: store_view.Excerpt,
     ) -> None:
+        request = waiting.request
+        is_same_era = request.era in (store_position.UNKNOWN_ERA, excerpt.era)
+        if request.accepts_deltas and is_same_era:
+            excerpt = self._delta_maker.shorten(excerpt, request.after)
+        if excerpt.deltas:
+            metric_buffer.count("excerpt_deltas_sent", len(excerpt.deltas))
         body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
         metric_buffer.count("excerpt_bytes_sent", len(body))
@@ -94,7 +131,13 @@
 class _WaitingRequest:
     """An unanswered request with the timer that ends its wait."""
 
-    def __init__(self, request: excerpt_client.ExcerptRequest, can_decompress: bool):
+    def __init__(
+        self,
+        request: excerpt_client.ExcerptRequest,
+        can_decompress: bool,
+        arrived_s: float,
+    ):
         self.request = request
+        self.arrived_s = arrived_s
         self.can_decompress = can_decompress
         self.timer = None
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import protocol
 
+from toucanspread.core import data
 from toucanspread.ops import http1, http1_client
 
 # Waiting longer does not help if a server refuses connections or is cut off.
@@ -41,11 +42,15 @@
 
 
 class Reply(NamedTuple):
-    """Complete answer to a call."""
+    """Complete answer to a call.
+
+    :param transfer_s: time from its head to its end.
+    """
 
     status: int
     head: http1.AnswerHead
     body: bytes
+    transfer_s: float = 0.0
 
 
 class OutgoingRequest:
@@ -252,6 +257,7 @@
         timeout_s: float = 1.0,
         stall_timeout_s: float | None = None,
         max_body_bytes: int = http1_client.DEFAULT_MAX_BODY_BYTES,
+        has_own_connection: bool = False,
     ) -> Reply:
         """Send a request and return its complete answer.
 
@@ -261,13 +267,16 @@
         :param stall_timeout_s: time limit for the next bytes of an answer; None if only
             ``timeout_s`` applies.
         :param max_body_bytes: limit for the body of the answer.
+        :param has_own_connection: whether to use a connection for this call only, as an
+            answer to an earlier call must not be taken for its own.
         :raises CallError: if no complete answer within the limits is received in time.
         """
-        listener = _AnswerCollector(max_body_bytes)
+        listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         request = http1.render_request(head, body)
-        outgoing = self.send(address, lambda: request, listener)
+        max_idle_s = 0.0 if has_own_connection else None
+        outgoing = self.send(address, lambda: request, listener, max_idle_s)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 if stall_timeout_s is not None:
@@ -284,7 +293,7 @@
                 listener.received_bytes,
             ) from caught
         finally:
-            if not listener.is_finished:
+            if has_own_connection or not listener.is_finished:
                 outgoing.cancel()
 
 
@@ -307,11 +316,14 @@
     """Collects a complete answer.
 
     :param max_body_bytes: limit for its body.
+    :param read_clock_s: returns the time.
     :ivar on_progress: called when a part of the answer has arrived.
     """
 
-    def __init__(self, max_body_bytes: int):
+    def __init__(self, max_body_bytes: int, read_clock_s: Callable[[], float]):
         self.max_body_bytes = max_body_bytes
+        self._read_clock_s = read_clock_s
+        self._head_s = 0.0
         self.on_progress: Callable[[], None] = _do_nothing
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
@@ -325,6 +337,13 @@
 
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
+        self._head_s = self._read_clock_s()
+        length = data.parse_count(
+            (head.get(b"content-length") or b"").decode("latin-1")
+        )
+        if length is not None and length > self.max_body_bytes:
+            # The call ends now, and takes up the link no longer.
+            self._fail(http1_client.ExchangeFailure.TOO_LARGE)
         self.on_progress()
         return True
 
@@ -335,11 +354,16 @@
     def on_end(self) -> None:
         self.is_finished = True
         if not self.future.done():
-            reply = Reply(self._head.status, self._head, bytes(self._body))
+            transfer_s = self._read_clock_s() - self._head_s
+            body = bytes(self._body)
+            reply = Reply(self._head.status, self._head, body, transfer_s)
             self.future.set_result(reply)
 
     def on_failure(self, failure: http1_client.ExchangeFailure) -> None:
         self.is_finished = True
+        self._fail(failure)
+
+    def _fail(self, failure: http1_client.ExchangeFailure) -> None:
         if not self.future.done():
             self.future.set_exception(
                 CallError(failure, f"exchange failed: {failure.value}")
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -58,6 +58,11 @@
     unreadable_keys: frozenset[str] = frozenset()
     era: int = store_position.UNKNOWN_ERA
 
+    @property
+    def has_changes(self) -> bool:
+        """Return whether the store named any key, also one that cannot be decoded."""
+        return bool(self.changes or self.unreadable_keys)
+
 
 class PrefixStore(abc.ABC):
     """The operations that the system needs of the store.
@@ -74,9 +79,13 @@
         """Return all items below a prefix; the revision is that of the first page."""
 
     @abc.abstractmethod
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+    async def watch(
+        self, prefix: str, after: int, wait_s: float, max_bytes: int | None = None
+    ) -> Changes:
         """Return the changes after a revision; wait up to ``wait_s`` for the first.
 
+        :param max_bytes: limit for the answer, besides that of the store's client.
+        :raises LargeAnswerError: when the changes exceed the limit.
         :raises HistoryGoneError: when the prefix has to be read again as a whole.
         """
 
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -16,12 +16,20 @@
 )
 from toucanspread.ops import (
     excerpt_client,
+    excerpt_codec,
+    excerpt_deltas,
     http1_pool,
     logs,
     metric_buffer,
+    newer_values,
     prefix_store,
 )
 
+# Several versions of a large value take more than all items with the newest one, and
+# processes that ask for them at once fill the link to the store. Values are sent in
+# base64, 4/3 of their size; one that has grown by a third still arrives as a change.
+WATCH_SIZE_RATIO = 16 / 9
+MIN_WATCH_BYTES = 65_536  # changes that are received though the copy is small
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
 
 
@@ -50,6 +58,8 @@
         read again when the store is asked, and no other value is received.
     :ivar store_failed_s: time of the last failed call on the store, or at which it was
         found to have returned from an older copy.
+    :ivar exchange_delay_s: how long the latest exchange with a peer was on its way,
+        both directions together.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
     """
@@ -71,6 +81,7 @@
         self._peer_discovery = peer_discovery
         self.store_failed_s = float("-inf")
         self.previous_confirmed_s = float("-inf")
+        self.exchange_delay_s = 0.0
         self._outage_tracker = outage.OutageTracker(selector.zone)
         self._store = store
         self._pool = pool
@@ -141,7 +152,8 @@
             await asyncio.sleep(0)
             return
         now_s = self._pool.reactor.seconds()
-        if self._selector.record_answer(source, self.view.age_s(now_s), now_s):
+        contact_age_s = self.view.contact_age_s(now_s)
+        if self._selector.record_answer(source, contact_age_s, now_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
         if source == source_selection.STORE and not self._can_watch:
             await asyncio.sleep(source_selection.STORE_READ_INTERVAL_S)
@@ -179,29 +191,56 @@
         age_s = self.view.age_s(self._pool.reactor.seconds())
         # Followers of this process need to know soon whether the store serves it.
         wait_s = self._selector.wait_s(source_selection.STORE, age_s)
+        requested_s = self._pool.reactor.seconds()
         try:
             answer = await self._store.watch(
-                self._store_prefixes[0], self.view.revision, wait_s
+                self._store_prefixes[0],
+                self.view.revision,
+                wait_s,
+                self._limit_watch_bytes(),
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
             self._must_read_all = True
             await self._read_all()
             return
-        except (prefix_store.SlowAnswerError, prefix_store.LargeAnswerError):
-            # The answer has all versions of each value; all items may be much less.
+        except prefix_store.LargeAnswerError:
+            # The answer has all versions of each value; all items are less.
+            self._must_read_all = True
+            await self._read_all()
+            return
+        except prefix_store.SlowAnswerError:
             self._must_read_all = True
             raise
         if answer.era > self.view.position.era:
             # The revision may stand for another change than the one that the copy has.
             await self._read_all()
             return
-        now_s = self._pool.reactor.seconds()
-        changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
-        self._notify_changes(self.view.apply(changes, answer.revision, now_s))
+        self._apply_watched(answer, requested_s, wait_s)
         if answer.changes:
             await asyncio.sleep(source_selection.BATCH_DELAY_S)
 
+    def _apply_watched(
+        self, answer: prefix_store.Changes, requested_s: float, wait_s: float
+    ) -> None:
+        """Apply the answer to a watch.
+
+        :param wait_s: how long the store was to wait for a change.
+        """
+        now_s = self._pool.reactor.seconds()
+        confirmed_s = requested_s
+        if not answer.has_changes and now_s - requested_s >= wait_s:
+            # The store has waited for all of this time.
+            confirmed_s += wait_s
+        changes = [c for c in answer.changes if c.key.startswith(self._prefixes)]
+        self._notify_changes(
+            self.view.apply(changes, answer.revision, confirmed_s, now_s)
+        )
+
+    def _limit_watch_bytes(self) -> int:
+        """Return the size from which an answer to a watch is more than all items."""
+        return int(self.view.value_bytes * WATCH_SIZE_RATIO) + MIN_WATCH_BYTES
+
     async def _read_all(self) -> None:
         requested_s = self._pool.reactor.seconds()
         answers = [await self._store.read_all(p) for p in self._store_prefixes]
@@ -218,8 +257,26 @@
         era = answers[0].era
         if any(answer.era != era for answer in answers):
             raise prefix_store.StoreError("a new era began between two reads")
+        is_first_of_era = self.view.is_empty or era > self.view.position.era
+        if is_first_of_era and self.view.has_versions:
+            await self._learn_newer_values(changes)
         self._replace_copy(changes, revision, requested_s, kept_keys, era)
 
+    async def _learn_newer_values(self, items: list[store_view.KeyChange]) -> None:
+        """Learn from peers what the store may have lost before it began this era."""
+        addresses = self._selector.list_witnesses(
+            self._peers(), self._seeds(), newer_values.ASKED_COUNT
+        )
+        self.view.learn(items)
+        newer = await newer_values.fetch_newer(
+            self._pool,
+            addresses,
+            newer_values.NewerValuesRequest(self._prefixes, self.view.versions),
+        )
+        if newer:
+            logs.write("newer_values_learnt", count=len(newer))
+        self.view.learn(newer)
+
     def _replace_copy(
         self,
         items: Iterable[store_view.KeyChange],
@@ -227,10 +284,13 @@
         confirmed_s: float,
         kept_keys: frozenset[str],
         era: int,
+        heard_s: float = float("-inf"),
     ) -> None:
         """Replace the copy, and log the beginning of another era of the store."""
         before = self.view.position
-        changes = self.view.replace(items, revision, confirmed_s, kept_keys, era)
+        changes = self.view.replace(
+            items, revision, confirmed_s, kept_keys, era, heard_s
+        )
         if before.era not in (store_position.UNKNOWN_ERA, self.view.position.era):
             # What is missing now may be written again, as after an outage.
             self.store_failed_s = self._pool.reactor.seconds()
@@ -246,13 +306,14 @@
         self._notify_changes(changes)
 
     async def _sync_from_peer(self, source: source_selection.Source) -> None:
-        age_s = self.view.age_s(self._pool.reactor.seconds())
+        age_s = self.view.contact_age_s(self._pool.reactor.seconds())
         # A process with a stale copy needs the peer's copy at once. It must not wait
         # for the peer's next change, since the peer may be stale as well.
         wait_s = self._selector.wait_s(source, age_s)
         timeout_s = wait_s + source_selection.ANSWER_GRACE_S
         if self.view.is_empty:
             timeout_s += FIRST_COPY_EXTRA_TIMEOUT_S
+        requested_s = self._pool.reactor.seconds()
         excerpt = await excerpt_client.fetch_excerpt(
             self._pool,
             source.address,
@@ -261,15 +322,19 @@
                 self._prefixes,
                 wait_s,
                 self.view.position.era,
+                accepts_deltas=True,
             ),
             timeout_s,
         )
         self._check_era(excerpt)
+        excerpt = self._complete(excerpt)
         now_s = self._pool.reactor.seconds()
-        confirmed_s = now_s - excerpt.age_s
+        confirmed_s = excerpt.confirmed_s(requested_s, now_s)
+        self.exchange_delay_s = max(now_s - requested_s - excerpt.waited_s, 0.0)
+        heard_s = excerpt.heard_s(now_s)
         for peer in self._peers():
             if peer.address == source.address:
-                self._outage_tracker.record_answer(peer.zone, excerpt.age_s, now_s)
+                self._outage_tracker.record_answer(peer.zone, now_s - heard_s, now_s)
         if excerpt.is_whole:
             self._needs_whole_excerpt = False
             self._replace_copy(
@@ -278,10 +343,11 @@
                 confirmed_s,
                 frozenset(),
                 excerpt.era,
+                heard_s,
             )
             return
         self._notify_changes(
-            self.view.apply(excerpt.changes, excerpt.revision, confirmed_s)
+            self.view.apply(excerpt.changes, excerpt.revision, confirmed_s, heard_s)
         )
 
     def _check_era(self, excerpt: store_view.Excerpt) -> None:
@@ -303,6 +369,19 @@
                 f"changes of era {excerpt.era} for one of {own_era}"
             )
 
+    def _complete(self, excerpt: store_view.Excerpt) -> store_view.Excerpt:
+        """Return an excerpt with values instead of deltas.
+
+        :raises excerpt_client.ExcerptError: when they are deltas of other values than
+            those of the copy. The next request is for all items.
+        """
+        try:
+            return excerpt_deltas.apply_deltas(excerpt, self.view)
+        except excerpt_codec.ExcerptDecodeError as error:
+            self._needs_whole_excerpt = True
+            logs.write("delta_refused", why=str(error), revision=self.view.revision)
+            raise excerpt_client.ExcerptError(str(error)) from error
+
     def _notify_changes(self, changes: list[store_view.KeyChange]) -> None:
         self._undelivered += changes
         self._deliver()
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -6,7 +6,7 @@
 from twisted.internet import task
 
 from toucanspread.core import data
-from toucanspread.core.view import source_selection, store_view
+from toucanspread.core.view import source_selection, store_view, value_delta
 from toucanspread.ops import excerpt_client, http1_pool, prefix_store, view_sync
 from toucanspread.platform import store
 
@@ -21,6 +21,7 @@
         self.is_too_large = False
         self.revision = 1
         self.read_prefixes = []
+        self.max_bytes = None
 
     def _changes(self):
         if self.is_unavailable:
@@ -32,7 +33,8 @@
         self.read_prefixes.append(prefix)
         return self._changes()
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, max_bytes=None):
+        self.max_bytes = max_bytes
         if self.has_lost_history:
             raise prefix_store.HistoryGoneError("history is gone")
         if self.is_slow:
@@ -136,6 +138,21 @@
         self.sync()
         self.assertEqual([1, 9], [change.revision for change in self.changes])
 
+    def test_does_not_pause_before_all_keys_are_read_instead_of_large_changes(self):
+        self.sync()
+        self.store.revision = 9
+        self.store.is_too_large = True
+        self.sync()
+        self.assertEqual([1, 9], [change.revision for change in self.changes])
+
+    def test_does_not_receive_more_changes_than_all_items_have_bytes(self):
+        value = b"v" * 300_000
+        self.view.replace([store_view.KeyChange("op/config", 1, value)], 1, 0.0)
+        self.sync()
+        value_in_base64_bytes = len(value) * 4 / 3
+        self.assertLess(value_in_base64_bytes * 1.2, self.store.max_bytes)
+        self.assertGreater(value_in_base64_bytes * 1.6, self.store.max_bytes)
+
     def test_reads_all_keys_when_the_changes_since_the_copy_are_too_large(self):
         self.sync()
         self.store.revision = 9
@@ -187,6 +204,90 @@
         self.assertIn("wait_ms=0", self.pool.requested_targets[0])
 
 
+class CopyAgeTest(testtools.TestCase):
+    """A copy has the state of the time at which its source made the answer.
+
+    The bytes may need long on a full link, or wait for a process that is suspended.
+    """
+
+    TRANSFER_S = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.pool = Pool()
+        self.pool.reactor = self.clock
+        self.view = store_view.View()
+        self.view.replace([make_change("op/a", 9)], 9, self.clock.seconds())
+        self.store = Store()
+        self.store.revision = 9
+
+    def sync(self, can_lead):
+        peer = source_selection.Peer("b", data.ZoneName("z"), data.Address("b:1"))
+        synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead),
+            ("op/",),
+            lambda: [] if can_lead else [peer],
+            list,
+            lambda changes: None,
+        )
+        asyncio.run(synchronizer.sync_once())
+
+    def assert_older_than_the_transfer(self):
+        age_s = self.view.age_s(self.clock.seconds())
+        self.assertGreaterEqual(age_s, self.TRANSFER_S)
+
+    def test_a_copy_is_not_younger_than_the_transfer_of_a_peers_excerpt(self):
+        async def fetch(pool, address, request, timeout_s):
+            excerpt = self.view.make_excerpt(9, ("op/",), self.clock.seconds())
+            self.clock.advance(self.TRANSFER_S)
+            return excerpt
+
+        self.patch(excerpt_client, "fetch_excerpt", fetch)
+        self.sync(can_lead=False)
+        self.assert_older_than_the_transfer()
+
+    def test_a_copy_is_not_younger_than_the_transfer_of_the_stores_answer(self):
+        async def watch(prefix, after, wait_s, max_bytes):
+            self.clock.advance(wait_s + self.TRANSFER_S)
+            return prefix_store.Changes([], 9)
+
+        self.store.watch = watch
+        self.sync(can_lead=True)
+        self.assert_older_than_the_transfer()
+
+    def test_a_copy_is_not_younger_than_the_transfer_of_changes(self):
+        answers = [
+            prefix_store.Changes([make_change("op/a", 10)], 10),
+            prefix_store.Changes([], 11, frozenset({"op/config"})),
+        ]
+
+        async def watch(prefix, after, wait_s, max_bytes):
+            self.clock.advance(self.TRANSFER_S)
+            return answers.pop(0)
+
+        self.store.watch = watch
+        while answers:
+            self.sync(can_lead=True)
+            self.assert_older_than_the_transfer()
+
+    def test_a_copy_is_not_younger_than_an_empty_answer_before_the_end_of_the_wait(
+        self,
+    ):
+        async def watch(prefix, after, wait_s, max_bytes):
+            self.clock.advance(wait_s / 2)
+            return prefix_store.Changes([], 9)
+
+        self.store.watch = watch
+        requested_s = self.clock.seconds()
+        self.sync(can_lead=True)
+        self.assertLessEqual(self.view.confirmed_s, requested_s)
+
+
 class EraTest(testtools.TestCase):
     """The copy and a peer's excerpt are of different eras of the store."""
 
@@ -244,6 +345,80 @@
         self.assertEqual(2, self.requests[0].era)
 
 
+class DeltaTest(testtools.TestCase):
+    """A peer sends what has changed in a value of the copy."""
+
+    VALUE = bytes(range(256)) * 8
+
+    def setUp(self):
+        super().setUp()
+        self.patch(excerpt_client, "fetch_excerpt", self.fetch)
+        self.view = store_view.View()
+        self.changes = []
+        self.requests = []
+        self.pool = Pool()
+        peer = source_selection.Peer("b", data.ZoneName("z"), data.Address("b:1"))
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            Store(),
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=False),
+            ("op/",),
+            lambda: [peer],
+            list,
+            self.changes.extend,
+        )
+        self.view.replace([store_view.KeyChange("op/a", 9, self.VALUE)], 9, 0.0, era=2)
+
+    async def fetch(self, pool, address, request, timeout_s):
+        self.requests.append(request)
+        return self.excerpt
+
+    def sync(self, excerpt):
+        self.excerpt = excerpt
+        asyncio.run(self.synchronizer.sync_once())
+        self.pool.reactor.advance(source_selection.FAILED_SOURCE_BACKOFF_S)
+
+    def make_excerpt(self, base, base_revision=9, era=2):
+        delta = value_delta.make_delta(base, base + b"x")
+        deltas = (store_view.DeltaChange("op/a", 10, base_revision, delta),)
+        changes = (make_change("op/b", 11),)
+        return store_view.Excerpt(11, 0.0, False, changes, era, deltas=deltas)
+
+    def assert_unchanged(self):
+        self.assertEqual((2, 9), self.view.position)
+        self.assertEqual(self.VALUE, self.view.get("op/a").value)
+        self.assertIsNone(self.view.get("op/b"))
+        self.assertEqual([], self.changes)
+
+    def test_the_values_of_deltas_are_applied_and_passed_on(self):
+        self.sync(self.make_excerpt(self.VALUE))
+        self.assertTrue(self.requests[0].accepts_deltas)
+        self.assertEqual((2, 11), self.view.position)
+        self.assertEqual(self.VALUE + b"x", self.view.get("op/a").value)
+        self.assertEqual(["op/a", "op/b"], [change.key for change in self.changes])
+
+    def test_nothing_of_an_excerpt_with_an_unfit_delta_is_applied(self):
+        self.sync(self.make_excerpt(b"y" + self.VALUE))
+        self.assert_unchanged()
+        self.sync(self.make_excerpt(self.VALUE, base_revision=8))
+        self.assert_unchanged()
+
+    def test_a_delta_of_another_era_is_not_applied(self):
+        for era in (1, 3):
+            self.sync(self.make_excerpt(self.VALUE, era=era))
+            self.assert_unchanged()
+
+    def test_all_items_are_requested_after_an_unfit_delta(self):
+        self.sync(self.make_excerpt(b"y" + self.VALUE))
+        change = make_change("op/a", 10)
+        self.sync(store_view.Excerpt(11, 0.0, True, (change,), era=2))
+        self.assertEqual((2, 11), self.view.position)
+        self.assertEqual(b"10", self.view.get("op/a").value)
+        self.sync(store_view.Excerpt(11, 0.0, False, era=2))
+        self.assertEqual([9, 0, 11], [request.after for request in self.requests])
+
+
 def make_change(key, revision):
     return store_view.KeyChange(key, revision, b"%d" % revision)
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -74,7 +74,7 @@
             process_settings.bounds.version_ms / 1000,
             process_settings.bounds.drain_ms / 1000,
         )
-        self.view = store_view.View()
+        self.view = store_view.View(decoding.read_version)
         self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
@@ -120,6 +120,8 @@
             self.random_source,
             self._report_receiver,
             self._list_members,
+            lambda: self.view.age_s(reactor.seconds()),
+            bounds.config_apply_ms / 1000,
         )
         self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._registration = registration.Registration(self._store, self._make_record())
@@ -167,7 +169,7 @@
         loop.spawn(self._registration.update_record(record))
         reactor.callLater(ACCEPT_AFTER_SIGNAL_S, self._stop_accepting)
         exit_delay_s = max(self.process_settings.bounds.grace_s - EXIT_MARGIN_S, 0.0)
-        reactor.callLater(exit_delay_s, self._stop)
+        reactor.callLater(exit_delay_s, self._stop_at_end_of_grace)
 
     def check_settings_file(self) -> None:
         """Reload the settings file now if it has changed."""
@@ -339,11 +341,22 @@
             return
         reactor.callLater(MAINTENANCE_INTERVAL_S, self._stop_when_idle)
 
+    def _stop_at_end_of_grace(self) -> None:
+        connections = self._server.connections
+        logs.write(
+            "grace_ended",
+            in_progress=len(self._forwarder.in_progress),
+            connections=len(connections),
+            blocked=sum(connection.is_blocked for connection in connections),
+        )
+        self._stop()
+
     def _stop(self) -> None:
         loop.spawn(self._deregister_and_stop())
 
     async def _deregister_and_stop(self) -> None:
         await self._registration.deregister()
+        self._server.abort_incomplete()
         process.stop()
 
 
