Refuse excerpts that claim a time in the future

A copy with a negative or no number as its age made its receiver's copy young for ever; a wait of minus infinity ended the sidecar's load reports (OverflowError in the rounding of the link's delay). No caller has seen this; found in review. The new test failed before the change.

--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -5,6 +5,7 @@
 followers.
 """
 
+import math
 import zlib
 
 import msgspec
@@ -90,6 +91,7 @@
     """
     try:
         excerpt = _excerpt_decoder.decode(body)
+        _check_durations(excerpt)
         if isinstance(excerpt, store_view.Excerpt):
             return excerpt
         changes = _changes_decoder.decode(_decompress(excerpt.compressed_changes))
@@ -106,6 +108,20 @@
     )
 
 
+def _check_durations(excerpt: store_view.Excerpt | CompressedExcerpt) -> None:
+    """Check that an excerpt claims no time in the future.
+
+    An age may be infinite, of a copy that was never complete.
+
+    :raises ExcerptDecodeError: when one of its durations is negative or no number.
+    """
+    ages_s = (excerpt.age_s, excerpt.contact_age_s or 0.0)
+    if not all(age_s >= 0 for age_s in ages_s):
+        raise ExcerptDecodeError(f"ages of {ages_s} s")
+    if not 0 <= excerpt.waited_s < math.inf:
+        raise ExcerptDecodeError(f"wait of {excerpt.waited_s} s")
+
+
 def _decompress(compressed: bytes) -> bytes:
     """Return the bytes of a zlib stream.
 
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/excerpt_codec_test.py
@@ -39,6 +39,24 @@
                 body = self.encode(excerpt, can_decompress=can_decompress)
                 self.assertEqual(excerpt, excerpt_codec.decode_excerpt(body))
 
+    def test_a_copy_that_claims_a_time_in_the_future_is_no_excerpt(self):
+        nan, infinite = float("nan"), float("inf")
+        malformed = [
+            *({"age_s": value} for value in (-1.0, -infinite, nan)),
+            *({"contact_age_s": value} for value in (-1.0, -infinite, nan)),
+            *({"waited_s": value} for value in (-1.0, -infinite, infinite, nan)),
+        ]
+        for properties in malformed:
+            for size_bytes in (10, 100_000):
+                excerpt = msgspec.structs.replace(
+                    make_excerpt(size_bytes), **properties
+                )
+                self.assertRaises(
+                    excerpt_codec.ExcerptDecodeError,
+                    excerpt_codec.decode_excerpt,
+                    self.encode(excerpt),
+                )
+
     def test_a_large_value_is_not_sent_in_full(self):
         self.assertLess(len(self.encode(make_excerpt(100_000))), 10_000)
 
