Count removals from their earliest time though they were long on their way

The age of the copy, which includes transfers now, exceeded 2 s and was taken for an outage, after which engines get time to return.

--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -56,12 +56,15 @@
     :param earliest_in_force_s: last time at which the store certainly did not have it.
     :param outage_ended_s: end of the last known outage that affected all processes.
     :param started_s: start of this process; None if unknown.
+    :param contact_age_s: time without contact with the store when the change was
+        requested; None if it is not known apart from the age of the copy.
     """
 
     received_s: float
     earliest_in_force_s: float
     outage_ended_s: float = float("-inf")
     started_s: float | None = None
+    contact_age_s: float | None = None
 
     def due_s(self, within_s: float) -> float:
         """Return the time by which the change has to be carried out.
@@ -73,10 +76,7 @@
         from the end of that outage.
         """
         due_s = self.earliest_in_force_s + within_s
-        if (
-            self.received_s - self.earliest_in_force_s
-            <= source_selection.MAX_TRUSTED_AGE_S
-        ):
+        if not self._was_cut_off:
             return due_s
         if self.received_s - self.outage_ended_s <= OUTAGE_REPORT_MAX_AGE_S:
             return self.outage_ended_s + within_s
@@ -93,11 +93,22 @@
         What was removed while a process received nothing may have expired only because
         its owner could not renew it, and gets time to return.
         """
-        age_s = self.received_s - self.earliest_in_force_s
-        if age_s > source_selection.MAX_TRUSTED_AGE_S:
+        if self._was_cut_off:
             return self.received_s
         return self.earliest_in_force_s
 
+    @property
+    def _was_cut_off(self) -> bool:
+        """Return whether this process had received nothing from the store for long.
+
+        The time that an answer is on its way is no such time, though the copy is as old
+        as that.
+        """
+        age_s = self.contact_age_s
+        if age_s is None:
+            age_s = self.received_s - self.earliest_in_force_s
+        return age_s > source_selection.MAX_TRUSTED_AGE_S
+
 
 class EntrySeen(data.Event):
     """The record of an entry was read from the store."""
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -135,6 +135,11 @@
         self.assertTrue(engine.is_usable(111.4))
         self.assertFalse(engine.is_usable(111.6))
 
+    def test_a_removal_that_was_long_on_its_way_gives_no_time_to_return(self):
+        timing = cluster_state.ChangeTiming(103.0, 100.0, contact_age_s=0.8)
+        self.cluster_state.apply(cluster_state.EngineRemoved("e"), timing, False)
+        self.assertFalse(self.cluster_state.registry.get("e").is_usable(103.0))
+
     def test_an_engine_that_was_removed_right_after_an_outage_gets_time_to_return(self):
         engine = self.remove(101.0, 100.0, store_was_unavailable=True)
         self.assertTrue(engine.is_usable(102.4))
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -60,6 +60,8 @@
         both directions together.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
+    :ivar previous_contact_age_s: time without contact with the store at the start of
+        the latest call.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self._peer_discovery = peer_discovery
         self.store_failed_s = float("-inf")
         self.previous_confirmed_s = float("-inf")
+        self.previous_contact_age_s = float("inf")
         self.exchange_delay_s = 0.0
         self._outage_tracker = outage.OutageTracker(selector.zone)
         self._store = store
@@ -123,6 +126,7 @@
         self._deliver()
         now_s = self._pool.reactor.seconds()
         self.previous_confirmed_s = self.view.confirmed_s
+        self.previous_contact_age_s = self.view.contact_age_s(now_s)
         source = self._selector.select_source(self._peers(), self._seeds(), now_s)
         if source is None:
             await asyncio.sleep(source_selection.RETRY_DELAY_S)
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -236,6 +236,7 @@
             lambda changes: None,
         )
         asyncio.run(synchronizer.sync_once())
+        return synchronizer
 
     def assert_older_than_the_transfer(self):
         age_s = self.view.age_s(self.clock.seconds())
@@ -251,6 +252,19 @@
         self.sync(can_lead=False)
         self.assert_older_than_the_transfer()
 
+    def test_the_transfer_of_an_excerpt_is_no_time_without_contact(self):
+        async def fetch(pool, address, request, timeout_s):
+            excerpt = self.view.make_excerpt(9, ("op/",), self.clock.seconds())
+            self.clock.advance(self.TRANSFER_S)
+            return excerpt
+
+        self.patch(excerpt_client, "fetch_excerpt", fetch)
+        self.sync(can_lead=False)
+        self.assertEqual(0.0, self.sync(can_lead=False).previous_contact_age_s)
+        self.clock.advance(self.TRANSFER_S)
+        synchronizer = self.sync(can_lead=False)
+        self.assertEqual(self.TRANSFER_S, synchronizer.previous_contact_age_s)
+
     def test_a_copy_is_not_younger_than_the_transfer_of_the_stores_answer(self):
         async def watch(prefix, after, wait_s, max_bytes):
             self.clock.advance(wait_s + self.TRANSFER_S)
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -230,6 +230,7 @@
             synchronizer.previous_confirmed_s,
             synchronizer.outage_until_s,
             self._started_s,
+            synchronizer.previous_contact_age_s,
         )
         store_was_unavailable = (
             now_s - synchronizer.store_failed_s < STORE_OUTAGE_GRACE_S
