--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -148,6 +148,7 @@
             self.synchronizer.previous_confirmed_s,
             self.synchronizer.outage_until_s,
             self._started_s,
+            self.synchronizer.previous_contact_age_s,
         )
         since_failure_s = now_s - self.synchronizer.store_failed_s
         store_was_unavailable = since_failure_s < entry.STORE_OUTAGE_GRACE_S
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import testtools
 from twisted.internet import task
 
@@ -236,6 +237,7 @@
             lambda changes: None,
         )
         asyncio.run(synchronizer.sync_once())
+        return synchronizer
 
     def assert_older_than_the_transfer(self):
         age_s = self.view.age_s(self.clock.seconds())
@@ -251,6 +253,39 @@
         self.sync(can_lead=False)
         self.assert_older_than_the_transfer()
 
+    def test_the_transfer_of_an_excerpt_is_no_time_without_contact(self):
+        async def fetch(pool, address, request, timeout_s):
+            excerpt = self.view.make_excerpt(9, ("op/",), self.clock.seconds())
+            self.clock.advance(self.TRANSFER_S)
+            return excerpt
+
+        self.patch(excerpt_client, "fetch_excerpt", fetch)
+        self.sync(can_lead=False)
+        self.assertEqual(0.0, self.sync(can_lead=False).previous_contact_age_s)
+        self.clock.advance(self.TRANSFER_S)
+        synchronizer = self.sync(can_lead=False)
+        self.assertEqual(self.TRANSFER_S, synchronizer.previous_contact_age_s)
+
+    def exchange(self, **fields):
+        """Synchronize by an exchange that waits for 0.5 s and takes 0.9 s."""
+
+        async def fetch(pool, address, request, timeout_s):
+            excerpt = self.view.make_excerpt(9, ("op/",), self.clock.seconds())
+            self.clock.advance(0.9)
+            return msgspec.structs.replace(excerpt, waited_s=0.5, **fields)
+
+        self.patch(excerpt_client, "fetch_excerpt", fetch)
+        return self.sync(can_lead=False)
+
+    def test_the_delay_of_an_exchange_does_not_include_its_wait_and_is_forgotten(self):
+        synchronizer = self.exchange()
+        self.assertAlmostEqual(0.4, synchronizer.exchange_delay_s)
+        self.clock.advance(view_sync.EXCHANGE_MEMORY_S + 0.1)
+        self.assertEqual(0.0, synchronizer.exchange_delay_s)
+
+    def test_a_peer_that_does_not_name_the_wait_measures_no_delay(self):
+        self.assertEqual(0.0, self.exchange(contact_age_s=None).exchange_delay_s)
+
     def test_a_copy_is_not_younger_than_the_transfer_of_the_stores_answer(self):
         async def watch(prefix, after, wait_s, max_bytes):
             self.clock.advance(wait_s + self.TRANSFER_S)
