--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -30,6 +30,7 @@
 # base64, 4/3 of their size; one that has grown by a third still arrives as a change.
 WATCH_SIZE_RATIO = 16 / 9
 MIN_WATCH_BYTES = 65_536  # changes that are received though the copy is small
+EXCHANGE_MEMORY_S = 2.0  # peers are asked more often than this
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
 
 
@@ -58,10 +59,10 @@
         read again when the store is asked, and no other value is received.
     :ivar store_failed_s: time of the last failed call on the store, or at which it was
         found to have returned from an older copy.
-    :ivar exchange_delay_s: how long the latest exchange with a peer was on its way,
-        both directions together.
     :ivar previous_confirmed_s: time up to which the view was known to be current
         before the latest call.
+    :ivar previous_contact_age_s: time without contact with the store at the start of
+        the latest call.
     """
 
     def __init__(
@@ -81,7 +82,9 @@
         self._peer_discovery = peer_discovery
         self.store_failed_s = float("-inf")
         self.previous_confirmed_s = float("-inf")
-        self.exchange_delay_s = 0.0
+        self.previous_contact_age_s = float("inf")
+        self._exchange_delay_s = 0.0
+        self._exchanged_s = float("-inf")
         self._outage_tracker = outage.OutageTracker(selector.zone)
         self._store = store
         self._pool = pool
@@ -118,6 +121,25 @@
         """Return the time until which the store was unavailable to all zones."""
         return self._outage_tracker.outage_until_s(peer.zone for peer in self._peers())
 
+    @property
+    def exchange_delay_s(self) -> float:
+        """Return for how long a recent exchange with a peer was on its way.
+
+        It is the time of both directions together, and 0 if there was none recently.
+        """
+        if self._pool.reactor.seconds() - self._exchanged_s > EXCHANGE_MEMORY_S:
+            return 0.0
+        return self._exchange_delay_s
+
+    def _record_exchange(
+        self, excerpt: store_view.Excerpt, took_s: float, now_s: float
+    ) -> None:
+        if excerpt.contact_age_s is None:
+            # A process of an older version does not say how long the request waited.
+            return
+        self._exchange_delay_s = max(took_s - excerpt.waited_s, 0.0)
+        self._exchanged_s = now_s
+
     async def sync_once(self) -> None:
         """Request an update from one source, or pause when no source is eligible."""
         if self._peer_discovery is not None:
@@ -125,6 +147,7 @@
         self._deliver()
         now_s = self._pool.reactor.seconds()
         self.previous_confirmed_s = self.view.confirmed_s
+        self.previous_contact_age_s = self.view.contact_age_s(now_s)
         source = self._selector.select_source(self._peers(), self._seeds(), now_s)
         if source is None:
             await asyncio.sleep(source_selection.RETRY_DELAY_S)
@@ -330,7 +353,7 @@
         excerpt = self._complete(excerpt)
         now_s = self._pool.reactor.seconds()
         confirmed_s = excerpt.confirmed_s(requested_s, now_s)
-        self.exchange_delay_s = max(now_s - requested_s - excerpt.waited_s, 0.0)
+        self._record_exchange(excerpt, now_s - requested_s, now_s)
         heard_s = excerpt.heard_s(now_s)
         for peer in self._peers():
             if peer.address == source.address:
