--- a/standins/simulated_sidecar.py
+++ b/standins/simulated_sidecar.py
@@ -11,7 +11,7 @@
 
 from standins import load_profiles
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging, staging_events
+from toucanspread.core.weights import staging, staging_events, staging_target
 
 ROUND_TRIP_S = 0.0054  # to the holder of a piece
 REPORT_INTERVAL_S = 0.2
@@ -79,7 +79,9 @@
 
     def request_version(self, version: int) -> None:
         """Begin to fetch the pieces of a version that was named."""
-        never_ordered = staging.SwitchTiming(float("inf"), float("inf"), float("inf"))
+        never_ordered = staging_target.SwitchTiming(
+            float("inf"), float("inf"), float("inf")
+        )
         now_s = self._clock.seconds()
         self._execute(self._stager.on_version_named(version, never_ordered, now_s))
         self._report(version - 1)
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -13,12 +13,10 @@
 """
 
 import collections
-import enum
-from typing import NamedTuple
 
 from toucanspread.core import invariants
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging_events
+from toucanspread.core.weights import staging_events, staging_target
 
 MAX_CONCURRENT_PIECES = 2  # callers' requests share the same narrow link
 # On a link slower than configured, callers' requests queue behind pieces; then only one
@@ -32,84 +30,6 @@
 INITIAL_VERSION = 1
 
 
-class Step(enum.Enum):
-    """The progress of a version; the values are logged."""
-
-    MANIFEST_WANTED = "manifest wanted"
-    READING_MANIFEST = "reading the manifest"
-    CHECKING = "checking what is there"
-    COLLECTING = "collecting"
-    COLLECTED = "collected"
-    STAGING = "staging"  # hands collected pieces over and checks all before the order
-    READY = "ready"  # all staged pieces are verified
-    ORDERED = "ordered"
-
-
-class SwitchTiming(NamedTuple):
-    """When an engine switches to a version, on the clock of ``now_s``.
-
-    :param quiet_at_s: from when on entries should send the engine no new requests.
-    :param order_at_s: the earliest time at which the engine may be ordered to switch.
-    :param due_s: from when on no request may start on an older version.
-    """
-
-    quiet_at_s: float
-    order_at_s: float
-    due_s: float
-
-
-IMMEDIATE = SwitchTiming(float("-inf"), float("-inf"), float("inf"))
-
-
-class Target:
-    """A version that is being brought to the engine.
-
-    :ivar digests: of the pieces, by their numbers; empty until the manifest is read.
-    :ivar held_numbers: numbers of the pieces that are staged or collected.
-    :ivar in_flight_numbers: numbers of the pieces that are being fetched.
-    :ivar request_times_s: when each piece in flight was requested.
-    """
-
-    def __init__(self, version: int, timing: SwitchTiming = IMMEDIATE):
-        self.version = version
-        self.timing = timing
-        self.step = Step.MANIFEST_WANTED
-        self.digests: tuple[str, ...] = ()
-        self.held_numbers: set[int] = set()
-        self.in_flight_numbers: set[int] = set()
-        self.request_times_s: dict[int, float] = {}
-        self.last_check_s = float("-inf")
-        self.order_time_s = 0.0
-        self.retry_at_s = 0.0
-
-    def reset(self) -> None:
-        """Start again with the manifest, since the engine may have lost its pieces."""
-        self.step = Step.MANIFEST_WANTED
-        self.held_numbers = set()
-        self.in_flight_numbers = set()
-        self.last_check_s = float("-inf")
-
-    @property
-    def unrequested_numbers(self) -> list[int]:
-        """Return the numbers of the pieces that are neither held nor in flight."""
-        held_or_in_flight = self.held_numbers | self.in_flight_numbers
-        return [
-            number
-            for number in range(len(self.digests))
-            if number not in held_or_in_flight
-        ]
-
-    @property
-    def missing_count(self) -> int:
-        """Return how many pieces are not held yet."""
-        return len(self.digests) - len(self.held_numbers)
-
-    @property
-    def is_whole(self) -> bool:
-        """Return whether all pieces are held."""
-        return bool(self.digests) and self.missing_count == 0
-
-
 class Stager:
     """Decides the next effects that bring one engine to the newest version.
 
@@ -119,8 +39,8 @@
 
     def __init__(self, profile: entry_data.ModelProfile, piece_transfer_s: float):
         self.profile = profile
-        self.target = Target(INITIAL_VERSION)
-        self.next_target: Target | None = None
+        self.target = staging_target.Target(INITIAL_VERSION)
+        self.next_target: staging_target.Target | None = None
         self._piece_transfer_s = piece_transfer_s
         self._max_in_flight = MAX_CONCURRENT_PIECES
         self._link_delay_s = 0.0
@@ -149,7 +69,7 @@
         """
         if self._report is None or not self._report.version or self._has_loaded_target:
             return None
-        if self.target.timing is IMMEDIATE:
+        if self.target.timing is staging_target.IMMEDIATE:
             return None
         missing_count = (
             self.target.missing_count if self.target.digests else self.profile.chunks
@@ -171,12 +91,12 @@
         return self._link_delay_s if in_flight else 0.0
 
     def on_version_named(
-        self, version: int, timing: SwitchTiming, now_s: float
+        self, version: int, timing: staging_target.SwitchTiming, now_s: float
     ) -> list:
         """Make a newer version the target, or the next one after the current target."""
         if version <= self.newest_version:
             return []
-        target = Target(version, timing)
+        target = staging_target.Target(version, timing)
         if self._is_finished_first(now_s, target):
             self.next_target = target
         else:
@@ -193,7 +113,7 @@
         if self._has_loaded_target and self.next_target is not None:
             self.target, self.next_target = self.next_target, None
         target = self.target
-        if target.step is Step.ORDERED and not self._has_loaded_target:
+        if target.step is staging_target.Step.ORDERED and not self._has_loaded_target:
             if event.is_busy or now_s - target.order_time_s < ORDER_REPORT_TIMEOUT_S:
                 return []
             target.reset()
@@ -202,14 +122,14 @@
     def on_digests_read(self, event: staging_events.DigestsRead, now_s: float) -> list:
         """Continue with the check of the staged pieces, or with collecting."""
         target = self._find_target(event.version)
-        if target is None or target.step is not Step.READING_MANIFEST:
+        if target is None or target.step is not staging_target.Step.READING_MANIFEST:
             return []
         target.digests = event.digests
         if target is self.next_target:
             # The staging area holds the older version until that one is loaded.
-            target.step = Step.COLLECTING
+            target.step = staging_target.Step.COLLECTING
             return self._next_effects(now_s)
-        target.step = Step.CHECKING
+        target.step = staging_target.Step.CHECKING
         return [staging_events.CheckStagedPieces(target.version, target.digests)]
 
     def on_staged_checked(
@@ -217,14 +137,17 @@
     ) -> list:
         """Collect the missing pieces, or get ready for the order."""
         target = self._find_target(event.version)
-        if target is None or target.step not in (Step.CHECKING, Step.STAGING):
+        if target is None or target.step not in (
+            staging_target.Step.CHECKING,
+            staging_target.Step.STAGING,
+        ):
             return []
         target.held_numbers = set(event.good)
         if target.missing_count == 0:
-            target.step = Step.READY
+            target.step = staging_target.Step.READY
             target.last_check_s = now_s
         else:
-            target.step = Step.COLLECTING
+            target.step = staging_target.Step.COLLECTING
         return self._next_effects(now_s)
 
     def on_piece_collected(
@@ -248,8 +171,8 @@
         self, event: staging_events.OrderAnswered, now_s: float
     ) -> list:
         """Retry a refused order later; the engine's report shows an accepted one."""
-        if not event.accepted and self.target.step is Step.ORDERED:
-            self.target.step = Step.READY
+        if not event.accepted and self.target.step is staging_target.Step.ORDERED:
+            self.target.step = staging_target.Step.READY
             self.target.retry_at_s = now_s + RETRY_DELAY_S
         return []
 
@@ -263,10 +186,10 @@
         target.retry_at_s = now_s + RETRY_DELAY_S
         if event.number is not None:
             target.in_flight_numbers.discard(event.number)
-        elif target.step is Step.READING_MANIFEST:
-            target.step = Step.MANIFEST_WANTED
+        elif target.step is staging_target.Step.READING_MANIFEST:
+            target.step = staging_target.Step.MANIFEST_WANTED
             target.retry_at_s = now_s + MANIFEST_RETRY_DELAY_S
-        elif target.step in (Step.CHECKING, Step.STAGING):
+        elif target.step in (staging_target.Step.CHECKING, staging_target.Step.STAGING):
             target.reset()
         return []
 
@@ -292,20 +215,20 @@
         elif took_s < FAST_PIECE_FACTOR * self._piece_transfer_s:
             self._max_in_flight = MAX_CONCURRENT_PIECES
 
-    def _find_target(self, version: int) -> Target | None:
+    def _find_target(self, version: int) -> staging_target.Target | None:
         for target in (self.target, self.next_target):
             if target is not None and target.version == version:
                 return target
         return None
 
-    def _is_finished_first(self, now_s: float, newer: Target) -> bool:
+    def _is_finished_first(self, now_s: float, newer: staging_target.Target) -> bool:
         """Return whether the current target is to be loaded before a newer version."""
         current = self.target
         if self._report is None or self._has_loaded_target:
             return False
         if not current.digests or self._report.version == 0:
             return False
-        if current.step is Step.ORDERED:
+        if current.step is staging_target.Step.ORDERED:
             return True
         # The newer version is assumed to have as many pieces.
         newer_transfer_s = len(current.digests) * self._piece_transfer_s
@@ -326,23 +249,23 @@
             effects += self._advance(self.next_target, now_s)
         return effects
 
-    def _advance(self, target: Target, now_s: float) -> list:
+    def _advance(self, target: staging_target.Target, now_s: float) -> list:
         if now_s < target.retry_at_s:
             return []
-        if target.step is Step.MANIFEST_WANTED:
-            target.step = Step.READING_MANIFEST
+        if target.step is staging_target.Step.MANIFEST_WANTED:
+            target.step = staging_target.Step.READING_MANIFEST
             return [staging_events.ReadDigests(target.version)]
-        if target.step is Step.COLLECTING:
+        if target.step is staging_target.Step.COLLECTING:
             return self._collect_pieces(target, now_s)
         if target is self.next_target:
             return []
-        if target.step in (Step.COLLECTED, Step.READY):
+        if target.step in (staging_target.Step.COLLECTED, staging_target.Step.READY):
             return self._check_then_order(target, now_s)
         return []
 
-    def _collect_pieces(self, target: Target, now_s: float) -> list:
+    def _collect_pieces(self, target: staging_target.Target, now_s: float) -> list:
         if target.missing_count == 0:
-            target.step = Step.COLLECTED
+            target.step = staging_target.Step.COLLECTED
             # Collected pieces are handed over and checked before any order.
             target.last_check_s = float("-inf")
             return (
@@ -359,21 +282,21 @@
             effects.append(staging_events.CollectPiece(target.version, number, digest))
         return effects
 
-    def _check_then_order(self, target: Target, now_s: float) -> list:
+    def _check_then_order(self, target: staging_target.Target, now_s: float) -> list:
         if self._report.is_busy:
             return []
         is_empty = self._report.version == 0
         if now_s < target.timing.order_at_s and not is_empty:
             return []
         if now_s - target.last_check_s > CHECK_VALIDITY_S:
-            target.step = Step.STAGING
+            target.step = staging_target.Step.STAGING
             return [staging_events.CheckStagedPieces(target.version, target.digests)]
         invariants.check(
             target.is_whole and len(target.held_numbers) == len(target.digests),
             invariants.Invariant.CHUNK_VERIFIED,
             f"version {target.version}: {target.missing_count} pieces missing",
         )
-        target.step = Step.ORDERED
+        target.step = staging_target.Step.ORDERED
         target.order_time_s = now_s
         return [
             staging_events.SendOrder(
--- /dev/null
+++ b/toucanspread/core/weights/staging_target.py
@@ -0,0 +1,82 @@
+"""A version that is being brought to an engine: its pieces, its step and its timing."""
+
+import enum
+from typing import NamedTuple
+
+
+class Step(enum.Enum):
+    """The progress of a version; the values are logged."""
+
+    MANIFEST_WANTED = "manifest wanted"
+    READING_MANIFEST = "reading the manifest"
+    CHECKING = "checking what is there"
+    COLLECTING = "collecting"
+    COLLECTED = "collected"
+    STAGING = "staging"  # hands collected pieces over and checks all before the order
+    READY = "ready"  # all staged pieces are verified
+    ORDERED = "ordered"
+
+
+class SwitchTiming(NamedTuple):
+    """When an engine switches to a version, on the clock of ``now_s``.
+
+    :param quiet_at_s: from when on entries should send the engine no new requests.
+    :param order_at_s: the earliest time at which the engine may be ordered to switch.
+    :param due_s: from when on no request may start on an older version.
+    """
+
+    quiet_at_s: float
+    order_at_s: float
+    due_s: float
+
+
+IMMEDIATE = SwitchTiming(float("-inf"), float("-inf"), float("inf"))
+
+
+class Target:
+    """A version that is being brought to the engine.
+
+    :ivar digests: of the pieces, by their numbers; empty until the manifest is read.
+    :ivar held_numbers: numbers of the pieces that are staged or collected.
+    :ivar in_flight_numbers: numbers of the pieces that are being fetched.
+    :ivar request_times_s: when each piece in flight was requested.
+    """
+
+    def __init__(self, version: int, timing: SwitchTiming = IMMEDIATE):
+        self.version = version
+        self.timing = timing
+        self.step = Step.MANIFEST_WANTED
+        self.digests: tuple[str, ...] = ()
+        self.held_numbers: set[int] = set()
+        self.in_flight_numbers: set[int] = set()
+        self.request_times_s: dict[int, float] = {}
+        self.last_check_s = float("-inf")
+        self.order_time_s = 0.0
+        self.retry_at_s = 0.0
+
+    def reset(self) -> None:
+        """Start again with the manifest, since the engine may have lost its pieces."""
+        self.step = Step.MANIFEST_WANTED
+        self.held_numbers = set()
+        self.in_flight_numbers = set()
+        self.last_check_s = float("-inf")
+
+    @property
+    def unrequested_numbers(self) -> list[int]:
+        """Return the numbers of the pieces that are neither held nor in flight."""
+        held_or_in_flight = self.held_numbers | self.in_flight_numbers
+        return [
+            number
+            for number in range(len(self.digests))
+            if number not in held_or_in_flight
+        ]
+
+    @property
+    def missing_count(self) -> int:
+        """Return how many pieces are not held yet."""
+        return len(self.digests) - len(self.held_numbers)
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether all pieces are held."""
+        return bool(self.digests) and self.missing_count == 0
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -4,7 +4,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging, staging_events, waves
+from toucanspread.core.weights import staging, staging_events, staging_target, waves
 
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 4, 6, 1000, 0.3)
 DIGESTS = tuple(f"d{number}" for number in range(6))
@@ -126,7 +126,7 @@
         self.assertEqual([1], self.engine.orders)
 
     def test_staged_piece_corrupted_before_the_order_is_collected_again(self):
-        timing = staging.SwitchTiming(0.0, 10.0, 20.0)
+        timing = staging_target.SwitchTiming(0.0, 10.0, 20.0)
         self.engine.version = 1
         self.engine.report()
         self.engine.run(self.stager.on_version_named(2, timing, 0.0))
@@ -170,7 +170,7 @@
         """A process that has just started may have an older copy of the store."""
         self.engine.version = 3
         self.engine.report()
-        self.engine.run(self.stager.on_version_named(2, staging.IMMEDIATE, 0.0))
+        self.engine.run(self.stager.on_version_named(2, staging_target.IMMEDIATE, 0.0))
         self.engine.now_s = 1.0
         self.engine.run([])
         self.assertEqual([], self.engine.orders)
@@ -178,14 +178,14 @@
     def test_a_version_that_was_named_after_the_newer_weights_is_loaded(self):
         self.engine.version = 3
         self.engine.report()
-        self.engine.run(self.stager.on_version_named(4, staging.IMMEDIATE, 0.0))
+        self.engine.run(self.stager.on_version_named(4, staging_target.IMMEDIATE, 0.0))
         self.assertEqual([4], self.engine.orders)
 
     def _name_two_versions(self, second_s):
         self.engine.version = 1
         self.engine.report()
         due_s = 7.2
-        first = staging.SwitchTiming(4.2, 4.4, due_s)
+        first = staging_target.SwitchTiming(4.2, 4.4, due_s)
         effects = self.stager.on_version_named(2, first, 0.0)
         effects += self.engine.execute(effects.pop())
         effects += self.engine.execute(effects.pop())
@@ -193,7 +193,9 @@
         while effects and collected_count:
             effects += self.engine.execute(effects.pop(0))
             collected_count -= 1
-        second = staging.SwitchTiming(second_s + 4.2, second_s + 4.4, second_s + due_s)
+        second = staging_target.SwitchTiming(
+            second_s + 4.2, second_s + 4.4, second_s + due_s
+        )
         return effects + self.stager.on_version_named(3, second, second_s)
 
     def test_version_named_right_after_another_replaces_it(self):
@@ -227,7 +229,7 @@
         self.stager = staging.Stager(PROFILE, PIECE_S)
         engine = FakeEngine(self.stager)
         engine.run(engine.report())
-        timing = staging.SwitchTiming(quiet_at_s=4.0, order_at_s=4.2, due_s=7.6)
+        timing = staging_target.SwitchTiming(quiet_at_s=4.0, order_at_s=4.2, due_s=7.6)
         self.stager.on_version_named(2, timing, now_s=0.0)
         self.stager.on_digests_read(staging_events.DigestsRead(2, DIGESTS), 0.0)
         self.stager.on_staged_checked(
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -14,7 +14,12 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import entry_directory
-from toucanspread.core.weights import piece_placement, staging, staging_events
+from toucanspread.core.weights import (
+    piece_placement,
+    staging,
+    staging_events,
+    staging_target,
+)
 from toucanspread.ops import (
     engine_control,
     http1_pool,
@@ -155,7 +160,9 @@
             self._tick()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def request_version(self, version: int, timing: staging.SwitchTiming) -> None:
+    def request_version(
+        self, version: int, timing: staging_target.SwitchTiming
+    ) -> None:
         """Bring the engine to a version that the operator has named."""
         self._execute(self._stager.on_version_named(version, timing, self._now_s()))
         for key in list(self._collected_pieces):
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -16,7 +16,7 @@
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.core.weights import staging, waves
+from toucanspread.core.weights import staging, staging_target, waves
 from toucanspread.ops import (
     excerpt_client,
     http1_pool,
@@ -230,12 +230,12 @@
             self._request_version(named_version)
 
     def _request_version(self, named_version: "_NamedVersion") -> None:
-        timing = staging.IMMEDIATE
+        timing = staging_target.IMMEDIATE
         if named_version.is_new:
             timing = self._make_timing(named_version.learnt_s)
         self._driver.request_version(named_version.version, timing)
 
-    def _make_timing(self, learnt_s: float) -> staging.SwitchTiming:
+    def _make_timing(self, learnt_s: float) -> staging_target.SwitchTiming:
         """Return when the engine switches to a version that was named just now."""
         profile = self._profile
         # Entries count the time from when their copy last lacked the version.
@@ -252,7 +252,7 @@
         staging_s = profile.chunks * self._compute_piece_transfer_s(profile)
         wave = waves.assign_wave(own_placement, placements)
         plan = waves.plan_switch(staging_s, deadline_s, profile.warmup_s, wave)
-        return staging.SwitchTiming(
+        return staging_target.SwitchTiming(
             learnt_s + plan.quiet_after_s,
             learnt_s + plan.order_after_s,
             learnt_s + deadline_s,
