Finish an older version while pieces of the newer one cannot be had

Change: the older version is kept beside the newer one; it is completed and loaded while pieces of the newer one cannot be had, and given up once the newer one is whole. Pieces that failed are asked for after all others. The test of a version that replaces another looked at the stager's target right after the naming; the older one now stays there until the newer is whole. It now checks the target after all pieces have come, and that the older version is never ordered.

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -6,10 +6,11 @@
 crash all of it is derived from the engine and the store again; the engine's next report
 shows whether an order without an answer was executed.
 
-A newer version may be named before the engine has loaded the current target. The target
-is loaded first if both can be loaded in time, since the pieces of the newer version may
-be unavailable: the origin may become unreachable right after the version is named. The
-pieces of the newer version are collected in the meantime.
+A newer version may be named before the engine has loaded the current target, and its
+pieces may be unavailable: the origin may become unreachable right after it is named.
+The target is loaded first if both can be loaded in time. If not, the newer version
+comes first, and the target is kept: it is completed and loaded as long as pieces of the
+newer version cannot be had, and given up when the newer version is whole.
 """
 
 import collections
@@ -41,6 +42,7 @@
         self.profile = profile
         self.target = staging_target.Target(INITIAL_VERSION)
         self.next_target: staging_target.Target | None = None
+        self._is_target_first = True
         self._piece_transfer_s = piece_transfer_s
         self._max_in_flight = MAX_CONCURRENT_PIECES
         self._link_delay_s = 0.0
@@ -58,6 +60,8 @@
         """Return whether entries should send the engine no new requests."""
         if self._report is None or self._report.version >= self.target.version:
             return False
+        if self._first_target is not self.target:
+            return False
         if not self._report.version or not self.target.is_whole:
             return False
         return now_s >= self.target.timing.quiet_at_s
@@ -69,12 +73,11 @@
         """
         if self._report is None or not self._report.version or self._has_loaded_target:
             return None
-        if self.target.timing is staging_target.IMMEDIATE:
+        if self._first_target.timing is staging_target.IMMEDIATE:
             return None
-        missing_count = (
-            self.target.missing_count if self.target.digests else self.profile.chunks
-        )
-        planned_delay_s = self.target.timing.order_at_s - now_s
+        target = self._first_target
+        missing_count = target.missing_count if target.digests else self.profile.chunks
+        planned_delay_s = target.timing.order_at_s - now_s
         return max(planned_delay_s, missing_count * self._piece_transfer_s, 0.0)
 
     def estimate_link_delay_s(self) -> float:
@@ -83,10 +86,7 @@
         It is 0 if no piece is in flight.
         """
         in_flight = [
-            number
-            for target in (self.target, self.next_target)
-            if target is not None
-            for number in target.in_flight_numbers
+            number for target in self._targets for number in target.in_flight_numbers
         ]
         return self._link_delay_s if in_flight else 0.0
 
@@ -96,12 +96,16 @@
         """Make a newer version the target, or the next one after the current target."""
         if version <= self.newest_version:
             return []
-        target = staging_target.Target(version, timing)
-        if self._is_finished_first(now_s, target):
-            self.next_target = target
-        else:
-            self.target = target
+        newer = staging_target.Target(version, timing)
+        if self.next_target is not None and not self.target.is_whole:
+            # Entries keep the pieces of the two newest versions.
+            self.target = self.next_target
+        if self._report is None or self._has_loaded_target:
+            self.target = newer
             self.next_target = None
+        else:
+            self._is_target_first = self._is_finished_first(now_s, newer)
+            self.next_target = newer
         return self._next_effects(now_s)
 
     def on_report_read(self, event: staging_events.ReportRead, now_s: float) -> list:
@@ -110,8 +114,8 @@
         if previous is not None and previous.born_ms != event.born_ms:
             # The engine was restarted and may have lost its staged pieces.
             self.target.reset()
-        if self._has_loaded_target and self.next_target is not None:
-            self.target, self.next_target = self.next_target, None
+        if self._has_loaded_target:
+            self._advance_to_next_target()
         target = self.target
         if target.step is staging_target.Step.ORDERED and not self._has_loaded_target:
             if event.is_busy or now_s - target.order_time_s < ORDER_REPORT_TIMEOUT_S:
@@ -163,8 +167,9 @@
         # the link or follow each other.
         self._transfers_s.append(event.transfer_s)
         self._link_delay_s = min(now_s - requested_s, sum(self._transfers_s))
-        target.in_flight_numbers.discard(event.number)
-        target.held_numbers.add(event.number)
+        target.record_collected(event.number)
+        if target is self.next_target and target.is_whole:
+            self._skip_target()
         return self._next_effects(now_s)
 
     def on_order_answered(
@@ -183,10 +188,11 @@
         target = self._find_target(event.version)
         if target is None:
             return []
-        target.retry_at_s = now_s + RETRY_DELAY_S
         if event.number is not None:
-            target.in_flight_numbers.discard(event.number)
-        elif target.step is staging_target.Step.READING_MANIFEST:
+            target.record_failed(event.number, now_s + RETRY_DELAY_S)
+            return self._next_effects(now_s)
+        target.retry_at_s = now_s + RETRY_DELAY_S
+        if target.step is staging_target.Step.READING_MANIFEST:
             target.step = staging_target.Step.MANIFEST_WANTED
             target.retry_at_s = now_s + MANIFEST_RETRY_DELAY_S
         elif target.step in (staging_target.Step.CHECKING, staging_target.Step.STAGING):
@@ -215,17 +221,36 @@
         elif took_s < FAST_PIECE_FACTOR * self._piece_transfer_s:
             self._max_in_flight = MAX_CONCURRENT_PIECES
 
+    @property
+    def _targets(self) -> list[staging_target.Target]:
+        """Return the versions that are being brought, the older one first."""
+        return [self.target, self.next_target] if self.next_target else [self.target]
+
     def _find_target(self, version: int) -> staging_target.Target | None:
-        for target in (self.target, self.next_target):
-            if target is not None and target.version == version:
+        for target in self._targets:
+            if target.version == version:
                 return target
         return None
 
+    @property
+    def _first_target(self) -> staging_target.Target:
+        """Return the version that is collected first and ordered when it is whole."""
+        if self.next_target is None or self._is_target_first:
+            return self.target
+        return self.target if self.next_target.is_failing else self.next_target
+
+    def _advance_to_next_target(self) -> None:
+        if self.next_target is not None:
+            self.target, self.next_target = self.next_target, None
+
+    def _skip_target(self) -> None:
+        """Give up the target for the next one, unless it is ordered already."""
+        if self.target.step is not staging_target.Step.ORDERED:
+            self._advance_to_next_target()
+
     def _is_finished_first(self, now_s: float, newer: staging_target.Target) -> bool:
-        """Return whether the current target is to be loaded before a newer version."""
+        """Return whether the current target can be loaded before a newer version."""
         current = self.target
-        if self._report is None or self._has_loaded_target:
-            return False
         if not current.digests or self._report.version == 0:
             return False
         if current.step is staging_target.Step.ORDERED:
@@ -245,9 +270,9 @@
         if self._report is None or self._has_loaded_target:
             return []
         effects = self._advance(self.target, now_s)
-        if self.next_target is not None and self.target.missing_count == 0:
+        if self.next_target is not None:
             effects += self._advance(self.next_target, now_s)
-        return effects
+        return effects + self._collect_pieces(now_s)
 
     def _advance(self, target: staging_target.Target, now_s: float) -> list:
         if now_s < target.retry_at_s:
@@ -255,33 +280,47 @@
         if target.step is staging_target.Step.MANIFEST_WANTED:
             target.step = staging_target.Step.READING_MANIFEST
             return [staging_events.ReadDigests(target.version)]
-        if target.step is staging_target.Step.COLLECTING:
-            return self._collect_pieces(target, now_s)
-        if target is self.next_target:
+        if target.step is staging_target.Step.COLLECTING and not target.missing_count:
+            target.step = staging_target.Step.COLLECTED
+            # Collected pieces are handed over and checked before any order.
+            target.last_check_s = float("-inf")
+        if target is not self._first_target or target is self.next_target:
             return []
         if target.step in (staging_target.Step.COLLECTED, staging_target.Step.READY):
             return self._check_then_order(target, now_s)
         return []
 
-    def _collect_pieces(self, target: staging_target.Target, now_s: float) -> list:
-        if target.missing_count == 0:
-            target.step = staging_target.Step.COLLECTED
-            # Collected pieces are handed over and checked before any order.
-            target.last_check_s = float("-inf")
-            return (
-                []
-                if target is self.next_target
-                else self._check_then_order(target, now_s)
-            )
+    def _collect_pieces(self, now_s: float) -> list:
+        """Request pieces while the link has room for them."""
         effects = []
-        free_slots = max(self._max_in_flight - len(target.in_flight_numbers), 0)
-        for number in target.unrequested_numbers[:free_slots]:
-            target.in_flight_numbers.add(number)
-            target.request_times_s[number] = now_s
+        in_flight_count = sum(len(t.in_flight_numbers) for t in self._targets)
+        for _ in range(max(self._max_in_flight - in_flight_count, 0)):
+            target = self._choose_target(now_s)
+            if target is None:
+                break
+            number = target.find_requestable(now_s)
+            target.record_requested(number, now_s)
             digest = target.digests[number]
             effects.append(staging_events.CollectPiece(target.version, number, digest))
         return effects
 
+    def _choose_target(self, now_s: float) -> staging_target.Target | None:
+        """Return the version of which the next piece is requested.
+
+        Of a version whose last piece could not be had, only one is requested at a time
+        while another version has pieces to request.
+        """
+        first = self._first_target
+        if first is self.next_target and first.digests:
+            # The older version would not be loaded.
+            return first if first.find_requestable(now_s) is not None else None
+        ranked = sorted(self._targets, key=lambda target: target is not first)
+        ready = [t for t in ranked if t.find_requestable(now_s) is not None]
+        for target in ready:
+            if not target.is_failing or not target.in_flight_numbers:
+                return target
+        return ready[0] if ready else None
+
     def _check_then_order(self, target: staging_target.Target, now_s: float) -> list:
         if self._report.is_busy:
             return []
--- a/toucanspread/core/weights/staging_target.py
+++ b/toucanspread/core/weights/staging_target.py
@@ -40,6 +40,8 @@
     :ivar held_numbers: numbers of the pieces that are staged or collected.
     :ivar in_flight_numbers: numbers of the pieces that are being fetched.
     :ivar request_times_s: when each piece in flight was requested.
+    :ivar retry_times_s: when each piece that could not be had may be requested again.
+    :ivar is_failing: whether the piece that was tried last could not be had.
     """
 
     def __init__(self, version: int, timing: SwitchTiming = IMMEDIATE):
@@ -50,6 +52,8 @@
         self.held_numbers: set[int] = set()
         self.in_flight_numbers: set[int] = set()
         self.request_times_s: dict[int, float] = {}
+        self.retry_times_s: dict[int, float] = {}
+        self.is_failing = False
         self.last_check_s = float("-inf")
         self.order_time_s = 0.0
         self.retry_at_s = 0.0
@@ -59,17 +63,47 @@
         self.step = Step.MANIFEST_WANTED
         self.held_numbers = set()
         self.in_flight_numbers = set()
+        self.retry_times_s = {}
         self.last_check_s = float("-inf")
 
-    @property
-    def unrequested_numbers(self) -> list[int]:
-        """Return the numbers of the pieces that are neither held nor in flight."""
-        held_or_in_flight = self.held_numbers | self.in_flight_numbers
-        return [
+    def record_requested(self, number: int, now_s: float) -> None:
+        """Record that a piece is in flight."""
+        self.in_flight_numbers.add(number)
+        self.request_times_s[number] = now_s
+
+    def record_collected(self, number: int) -> None:
+        """Record that a piece has come."""
+        self.in_flight_numbers.discard(number)
+        self.held_numbers.add(number)
+        self.is_failing = False
+
+    def record_failed(self, number: int, retry_at_s: float) -> None:
+        """Record that a piece could not be had."""
+        self.in_flight_numbers.discard(number)
+        self.retry_times_s[number] = retry_at_s
+        self.is_failing = True
+
+    def find_requestable(self, now_s: float) -> int | None:
+        """Return the number of the piece to request next, or None.
+
+        Pieces that could not be had come after all others, the one that has waited
+        longest first.
+        """
+        if self.step is not Step.COLLECTING:
+            return None
+        never_tried_s = float("-inf")
+        numbers = [
             number
             for number in range(len(self.digests))
-            if number not in held_or_in_flight
+            if number not in self.held_numbers
+            and number not in self.in_flight_numbers
+            and self.retry_times_s.get(number, never_tried_s) <= now_s
         ]
+        return min(
+            numbers,
+            key=lambda number: self.retry_times_s.get(number, never_tried_s),
+            default=None,
+        )
 
     @property
     def missing_count(self) -> int:
