Give each engine its own turn to switch to a new version

Timeline from the logs: engines switched in three groups, and for the second version 7 of 10 within 30 ms, as its pieces came after two of the three planned times; 92 streams were cut at once, 112 requests rejected by engines whose order no report had announced yet (a report each 0.2 s, a quiet time of 0.15 s), 86 streams broken off, most as the retry budget was used up. Change: orders are spread evenly from when the pieces are really there to the deadline, the zones taking turns; an entry stops sending at the announced time of the order. Tests replaced: the planned times of waves became due times and turns; the test of waves became one that no two engines switch at the same time; an estimate is compared to seven places, as it is now the difference of two times.

--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -28,7 +28,6 @@
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import waves
 from toucanspread.ops import crash_notices, request_queue
 
 ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
@@ -262,7 +261,7 @@
         is_quiet = self.is_loading
         if self.switch_at_s is not None and not self.is_loading:
             switch_in_s = self.switch_at_s - self._simulation.clock.seconds()
-            is_quiet = switch_in_s <= waves.QUIET_PERIOD_S
+            is_quiet = switch_in_s <= entry_data.ORDER_QUIET_S
         load = entry_data.EngineLoad(
             self.entry.address,
             self._born_ms,
--- a/standins/simulated_sidecar.py
+++ b/standins/simulated_sidecar.py
@@ -11,7 +11,7 @@
 
 from standins import load_profiles
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging, staging_events, staging_target
+from toucanspread.core.weights import staging, staging_events, switch_turns
 
 ROUND_TRIP_S = 0.0054  # to the holder of a piece
 REPORT_INTERVAL_S = 0.2
@@ -79,8 +79,8 @@
 
     def request_version(self, version: int) -> None:
         """Begin to fetch the pieces of a version that was named."""
-        never_ordered = staging_target.SwitchTiming(
-            float("inf"), float("inf"), float("inf")
+        never_ordered = switch_turns.SwitchTiming(
+            due_s=float("inf"), turn=1.0, max_spread_s=float("inf")
         )
         now_s = self._clock.seconds()
         self._execute(self._stager.on_version_named(version, never_ordered, now_s))
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -181,6 +181,10 @@
     loaded: tuple[LoadedLayers, ...] = ()
 
 
+# An engine that is about to be ordered to switch gets no new requests for this time.
+ORDER_QUIET_S = 0.15
+
+
 class EngineLoad(data.Record):
     """Load of an engine, read by the process on the engine's instance.
 
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -100,8 +100,18 @@
         return min(max(self.load.link_delay_s, 0.0), MAX_LINK_DELAY_S)
 
     def is_switching(self, now_s: float) -> bool:
-        """Return whether an order keeps the engine from accepting requests."""
-        return self.has_recent_load(now_s) and self.load.busy
+        """Return whether an order keeps the engine from accepting requests.
+
+        Its reports come too seldom to name the moment of the order.
+        """
+        if not self.has_recent_load(now_s):
+            return False
+        if self.load.busy:
+            return True
+        return (
+            self.switch_at_s is not None
+            and now_s >= self.switch_at_s - entry_data.ORDER_QUIET_S
+        )
 
     def is_ordered(self, now_s: float, margin_s: float) -> bool:
         """Return whether an order interrupts its requests about now.
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -103,6 +103,16 @@
         self.assertNotEqual("z1", self.choose(likely_tokens=200).partition("-")[0])
         self.assertEqual("z1", self.choose(likely_tokens=10).partition("-")[0])
 
+    def test_an_engine_that_is_ordered_between_two_reports_gets_no_requests(self):
+        for engine in self.registry.of_service(SERVICE.name):
+            if engine.entry.zone == "z1":
+                load = entry_data.EngineLoad(
+                    engine.entry.address, 0, 0, 0, 1, False, order_in_s=0.2
+                )
+                engine.apply_load(load, 0.0)
+        chosen = {self.choose(likely_tokens=0, now_s=0.1) for _ in range(20)}
+        self.assertNotIn("z1", {name.partition("-")[0] for name in chosen})
+
     def test_an_engine_that_failed_twice_is_avoided_for_a_while(self):
         for engine in self.registry.of_service(SERVICE.name):
             if engine.entry.zone == "z1" and engine.entry.engine_id != "z1-0":
--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -17,7 +17,7 @@
 
 from toucanspread.core import invariants
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging_events, staging_target
+from toucanspread.core.weights import staging_events, staging_target, switch_turns
 
 MAX_CONCURRENT_PIECES = 2  # callers' requests share the same narrow link
 # On a link slower than configured, callers' requests queue behind pieces; then only one
@@ -40,7 +40,7 @@
 
     def __init__(self, profile: entry_data.ModelProfile, piece_transfer_s: float):
         self.profile = profile
-        self.target = staging_target.Target(INITIAL_VERSION)
+        self.target = staging_target.Target(INITIAL_VERSION, switch_turns.IMMEDIATE)
         self.next_target: staging_target.Target | None = None
         self._is_target_first = True
         self._piece_transfer_s = piece_transfer_s
@@ -64,21 +64,16 @@
             return False
         if not self._report.version or not self.target.is_whole:
             return False
-        return now_s >= self.target.timing.quiet_at_s
+        order_at_s = self._order_at_s(self.target, now_s)
+        return now_s >= order_at_s - entry_data.ORDER_QUIET_S
 
     def estimate_order_delay_s(self, now_s: float) -> float | None:
-        """Return the seconds until the order that truncates running requests, or None.
-
-        It is at least the time that the link takes for the missing pieces.
-        """
+        """Return the seconds until the order that truncates requests, or None."""
         if self._report is None or not self._report.version or self._has_loaded_target:
             return None
-        if self._first_target.timing is staging_target.IMMEDIATE:
+        if self._first_target.timing is switch_turns.IMMEDIATE:
             return None
-        target = self._first_target
-        missing_count = target.missing_count if target.digests else self.profile.chunks
-        planned_delay_s = target.timing.order_at_s - now_s
-        return max(planned_delay_s, missing_count * self._piece_transfer_s, 0.0)
+        return max(self._order_at_s(self._first_target, now_s) - now_s, 0.0)
 
     def estimate_link_delay_s(self) -> float:
         """Return the seconds for which pieces hold up other bytes to this instance.
@@ -91,7 +86,7 @@
         return self._link_delay_s if in_flight else 0.0
 
     def on_version_named(
-        self, version: int, timing: staging_target.SwitchTiming, now_s: float
+        self, version: int, timing: switch_turns.SwitchTiming, now_s: float
     ) -> list:
         """Make a newer version the target, or the next one after the current target."""
         if version <= self.newest_version:
@@ -146,7 +141,7 @@
             staging_target.Step.STAGING,
         ):
             return []
-        target.held_numbers = set(event.good)
+        target.record_held(event.good, now_s)
         if target.missing_count == 0:
             target.step = staging_target.Step.READY
             target.last_check_s = now_s
@@ -167,7 +162,7 @@
         # the link or follow each other.
         self._transfers_s.append(event.transfer_s)
         self._link_delay_s = min(now_s - requested_s, sum(self._transfers_s))
-        target.record_collected(event.number)
+        target.record_collected(event.number, now_s)
         if target is self.next_target and target.is_whole:
             self._skip_target()
         return self._next_effects(now_s)
@@ -221,6 +216,17 @@
         elif took_s < FAST_PIECE_FACTOR * self._piece_transfer_s:
             self._max_in_flight = MAX_CONCURRENT_PIECES
 
+    def _order_at_s(self, target: staging_target.Target, now_s: float) -> float:
+        """Return when the engine is ordered to switch to a version.
+
+        While pieces are missing, it follows from the time that the link takes for them.
+        """
+        staged_s = target.whole_s
+        if staged_s is None or not target.is_whole:
+            count = target.missing_count if target.digests else self.profile.chunks
+            staged_s = now_s + count * self._piece_transfer_s
+        return target.timing.order_at_s(staged_s, self.profile.warmup_s)
+
     @property
     def _targets(self) -> list[staging_target.Target]:
         """Return the versions that are being brought, the older one first."""
@@ -325,7 +331,7 @@
         if self._report.is_busy:
             return []
         is_empty = self._report.version == 0
-        if now_s < target.timing.order_at_s and not is_empty:
+        if now_s < self._order_at_s(target, now_s) and not is_empty:
             return []
         if now_s - target.last_check_s > CHECK_VALIDITY_S:
             target.step = staging_target.Step.STAGING
--- a/toucanspread/core/weights/staging_target.py
+++ b/toucanspread/core/weights/staging_target.py
@@ -1,7 +1,8 @@
 """A version that is being brought to an engine: its pieces, its step and its timing."""
 
 import enum
-from typing import NamedTuple
+
+from toucanspread.core.weights import switch_turns
 
 
 class Step(enum.Enum):
@@ -17,22 +18,6 @@
     ORDERED = "ordered"
 
 
-class SwitchTiming(NamedTuple):
-    """When an engine switches to a version, on the clock of ``now_s``.
-
-    :param quiet_at_s: from when on entries should send the engine no new requests.
-    :param order_at_s: the earliest time at which the engine may be ordered to switch.
-    :param due_s: from when on no request may start on an older version.
-    """
-
-    quiet_at_s: float
-    order_at_s: float
-    due_s: float
-
-
-IMMEDIATE = SwitchTiming(float("-inf"), float("-inf"), float("inf"))
-
-
 class Target:
     """A version that is being brought to the engine.
 
@@ -40,11 +25,12 @@
     :ivar held_numbers: numbers of the pieces that are staged or collected.
     :ivar in_flight_numbers: numbers of the pieces that are being fetched.
     :ivar request_times_s: when each piece in flight was requested.
+    :ivar whole_s: when all pieces were held for the first time, or None.
     :ivar retry_times_s: when each piece that could not be had may be requested again.
     :ivar is_failing: whether the piece that was tried last could not be had.
     """
 
-    def __init__(self, version: int, timing: SwitchTiming = IMMEDIATE):
+    def __init__(self, version: int, timing: switch_turns.SwitchTiming):
         self.version = version
         self.timing = timing
         self.step = Step.MANIFEST_WANTED
@@ -53,6 +39,7 @@
         self.in_flight_numbers: set[int] = set()
         self.request_times_s: dict[int, float] = {}
         self.retry_times_s: dict[int, float] = {}
+        self.whole_s: float | None = None
         self.is_failing = False
         self.last_check_s = float("-inf")
         self.order_time_s = 0.0
@@ -64,18 +51,29 @@
         self.held_numbers = set()
         self.in_flight_numbers = set()
         self.retry_times_s = {}
+        self.whole_s = None
         self.last_check_s = float("-inf")
 
+    def record_held(self, numbers: frozenset[int], now_s: float) -> None:
+        """Record which pieces are staged."""
+        self.held_numbers = set(numbers)
+        self._record_if_whole(now_s)
+
     def record_requested(self, number: int, now_s: float) -> None:
         """Record that a piece is in flight."""
         self.in_flight_numbers.add(number)
         self.request_times_s[number] = now_s
 
-    def record_collected(self, number: int) -> None:
+    def record_collected(self, number: int, now_s: float) -> None:
         """Record that a piece has come."""
         self.in_flight_numbers.discard(number)
         self.held_numbers.add(number)
         self.is_failing = False
+        self._record_if_whole(now_s)
+
+    def _record_if_whole(self, now_s: float) -> None:
+        if self.is_whole and self.whole_s is None:
+            self.whole_s = now_s
 
     def record_failed(self, number: int, retry_at_s: float) -> None:
         """Record that a piece could not be had."""
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -4,7 +4,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging, staging_events, staging_target, waves
+from toucanspread.core.weights import staging, staging_events, switch_turns
 
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 4, 6, 1000, 0.3)
 DIGESTS = tuple(f"d{number}" for number in range(6))
@@ -126,7 +126,7 @@
         self.assertEqual([1], self.engine.orders)
 
     def test_staged_piece_corrupted_before_the_order_is_collected_again(self):
-        timing = staging_target.SwitchTiming(0.0, 10.0, 20.0)
+        timing = switch_turns.SwitchTiming(10.3, turn=1.0, max_spread_s=20.0)
         self.engine.version = 1
         self.engine.report()
         self.engine.run(self.stager.on_version_named(2, timing, 0.0))
@@ -170,7 +170,7 @@
         """A process that has just started may have an older copy of the store."""
         self.engine.version = 3
         self.engine.report()
-        self.engine.run(self.stager.on_version_named(2, staging_target.IMMEDIATE, 0.0))
+        self.engine.run(self.stager.on_version_named(2, switch_turns.IMMEDIATE, 0.0))
         self.engine.now_s = 1.0
         self.engine.run([])
         self.assertEqual([], self.engine.orders)
@@ -178,14 +178,14 @@
     def test_a_version_that_was_named_after_the_newer_weights_is_loaded(self):
         self.engine.version = 3
         self.engine.report()
-        self.engine.run(self.stager.on_version_named(4, staging_target.IMMEDIATE, 0.0))
+        self.engine.run(self.stager.on_version_named(4, switch_turns.IMMEDIATE, 0.0))
         self.assertEqual([4], self.engine.orders)
 
     def _name_two_versions(self, second_s):
         self.engine.version = 1
         self.engine.report()
         due_s = 7.2
-        first = staging_target.SwitchTiming(4.2, 4.4, due_s)
+        first = switch_turns.SwitchTiming(due_s)
         effects = self.stager.on_version_named(2, first, 0.0)
         effects += self.engine.execute(effects.pop())
         effects += self.engine.execute(effects.pop())
@@ -193,9 +193,7 @@
         while effects and collected_count:
             effects += self.engine.execute(effects.pop(0))
             collected_count -= 1
-        second = staging_target.SwitchTiming(
-            second_s + 4.2, second_s + 4.4, second_s + due_s
-        )
+        second = switch_turns.SwitchTiming(second_s + due_s)
         return effects + self.stager.on_version_named(3, second, second_s)
 
     def test_version_named_right_after_another_replaces_it(self):
@@ -233,7 +231,7 @@
         self.stager = staging.Stager(PROFILE, PIECE_S)
         engine = FakeEngine(self.stager)
         engine.run(engine.report())
-        timing = staging_target.SwitchTiming(quiet_at_s=4.0, order_at_s=4.2, due_s=7.6)
+        timing = switch_turns.SwitchTiming(7.6)
         self.stager.on_version_named(2, timing, now_s=0.0)
         self.stager.on_digests_read(staging_events.DigestsRead(2, DIGESTS), 0.0)
         self.stager.on_staged_checked(
@@ -268,34 +266,22 @@
     def test_estimated_order_delay_covers_the_missing_pieces(self):
         self.assertEqual(6 * PIECE_S, self.stager.estimate_order_delay_s(4.5))
         self.collect(range(4), now_s=4.5)
-        self.assertEqual(2 * PIECE_S, self.stager.estimate_order_delay_s(4.5))
-
-
-class WavesTest(testtools.TestCase):
-    def test_engines_of_each_zone_are_spread_over_all_waves(self):
-        engines = [
-            waves.EnginePlacement(data.Address(f"{zone}:{number}"), data.ZoneName(zone))
-            for zone in ("z1", "z2", "z3")
-            for number in range(6)
-        ]
-        for zone in ("z1", "z2", "z3"):
-            assigned = [
-                waves.assign_wave(engine, engines)
-                for engine in engines
-                if engine.zone == zone
-            ]
-            self.assertEqual(
-                {0: 2, 1: 2, 2: 2}, {wave: assigned.count(wave) for wave in assigned}
-            )
-
-    def test_last_wave_switches_before_the_deadline(self):
-        plan = waves.plan_switch(4.0, 7.2, 0.3, waves.WAVE_COUNT - 1)
-        self.assertLess(plan.order_after_s + 0.3, 7.2)
-        self.assertGreaterEqual(plan.order_after_s, 4.0)
-
-    def test_slow_links_do_not_cause_negative_times(self):
-        plan = waves.plan_switch(20.0, 7.2, 0.3, 2)
-        self.assertGreaterEqual(plan.order_after_s, plan.quiet_after_s)
+        self.assertAlmostEqual(2 * PIECE_S, self.stager.estimate_order_delay_s(4.5))
+
+    def test_engines_that_have_their_pieces_late_do_not_switch_at_once(self):
+        """The turns share what is left of the time, not what was planned."""
+        for turn in (0.0, 0.5):
+            stager = staging.Stager(PROFILE, PIECE_S)
+            engine = FakeEngine(stager)
+            engine.run(engine.report())
+            timing = switch_turns.SwitchTiming(7.3, turn, max_spread_s=9.0)
+            stager.on_version_named(2, timing, 0.0)
+            stager.on_digests_read(staging_events.DigestsRead(2, DIGESTS), 0.0)
+            held = staging_events.StagedPiecesChecked(2, frozenset(range(5)))
+            stager.on_staged_checked(held, 0.0)
+            stager.on_piece_collected(staging_events.PieceCollected(2, 5), 6.0)
+            expected_s = turn * (7.3 - PROFILE.warmup_s - 6.0)
+            self.assertAlmostEqual(expected_s, stager.estimate_order_delay_s(6.0))
 
 
 class UnavailableVersionTest(testtools.TestCase):
@@ -310,12 +296,12 @@
         self.engine.run(self.engine.report())
         self.engine.orders.clear()
         self.available = {2: set(range(6)), 3: {0, 1, 4}}
-        first = staging_target.SwitchTiming(4.2, 4.4, due_s=7.2)
+        first = switch_turns.SwitchTiming(7.2)
         effects = self.stager.on_version_named(2, first, 0.0)
         for _ in range(2 + self.HELD_OF_FIRST):
             effects += self.engine.execute(effects.pop(0))
         self.engine.now_s = 2.0
-        second = staging_target.SwitchTiming(6.2, 6.4, due_s=8.4)
+        second = switch_turns.SwitchTiming(8.4)
         self.pending = effects + self.stager.on_version_named(3, second, 2.0)
 
     def play(self, until_s):
@@ -359,7 +345,7 @@
     def test_a_third_version_leaves_the_second_as_the_one_to_fall_back_to(self):
         self.available[3] = set(range(6))
         self.available[4] = set()
-        third = staging_target.SwitchTiming(7.2, 7.4, due_s=10.0)
+        third = switch_turns.SwitchTiming(10.0)
         self.pending += self.stager.on_version_named(4, third, 2.5)
         self.play(until_s=12.0)
         self.assertEqual([3], self.engine.orders)
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -18,7 +18,7 @@
     piece_placement,
     staging,
     staging_events,
-    staging_target,
+    switch_turns,
 )
 from toucanspread.ops import (
     engine_control,
@@ -161,7 +161,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     def request_version(
-        self, version: int, timing: staging_target.SwitchTiming
+        self, version: int, timing: switch_turns.SwitchTiming
     ) -> None:
         """Bring the engine to a version that the operator has named."""
         self._execute(self._stager.on_version_named(version, timing, self._now_s()))
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -16,7 +16,7 @@
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.core.weights import staging, staging_target, waves
+from toucanspread.core.weights import staging, switch_turns
 from toucanspread.ops import (
     excerpt_client,
     http1_pool,
@@ -230,32 +230,26 @@
             self._request_version(named_version)
 
     def _request_version(self, named_version: "_NamedVersion") -> None:
-        timing = staging_target.IMMEDIATE
+        timing = switch_turns.IMMEDIATE
         if named_version.is_new:
             timing = self._make_timing(named_version.learnt_s)
         self._driver.request_version(named_version.version, timing)
 
-    def _make_timing(self, learnt_s: float) -> staging_target.SwitchTiming:
+    def _make_timing(self, learnt_s: float) -> switch_turns.SwitchTiming:
         """Return when the engine switches to a version that was named just now."""
-        profile = self._profile
         # Entries count the time from when their copy last lacked the version.
         deadline_s = self.process_settings.bounds.version_ms / 1000 - SWITCH_MARGIN_S
-        own_placement = waves.EnginePlacement(
+        own_placement = switch_turns.EnginePlacement(
             data.Address(self.process_settings.app),
             data.ZoneName(self.process_settings.zone),
         )
         placements = [
-            waves.EnginePlacement(entry.address, entry.zone)
+            switch_turns.EnginePlacement(entry.address, entry.zone)
             for entry in self._engines.values()
             if entry.service == self.process_settings.service
         ]
-        staging_s = profile.chunks * self._compute_piece_transfer_s(profile)
-        wave = waves.assign_wave(own_placement, placements)
-        plan = waves.plan_switch(staging_s, deadline_s, profile.warmup_s, wave)
-        return staging_target.SwitchTiming(
-            learnt_s + plan.quiet_after_s,
-            learnt_s + plan.order_after_s,
-            learnt_s + deadline_s,
+        return switch_turns.plan_switch(
+            own_placement, placements, learnt_s + deadline_s
         )
 
     def _compute_piece_transfer_s(self, profile: entry_data.ModelProfile) -> float:
