Draw among engines whose load is known late instead of all choosing one

Cause: reports of load come to other zones up to 0.6 s late, and all entries choose by the same reports. Change: an engine of another zone that looks better than the own ones is taken with the probability with which all entries together fill it up to the next best.

--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -484,6 +484,9 @@
             excluded,
             upcoming_versions=context.upcoming_versions,
             prefill_s=self.timing.prefill_s,
+            rate_per_s=context.retry_budgets.request_rate_per_s(
+                self.service.name, context.now_s
+            ),
         )
 
     def _report_crash(self, context: DecisionContext) -> None:
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -16,7 +16,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engines
+from toucanspread.core.entry import engine_draw, engines
 
 NOISE_S = 0.010  # about the round-trip time between two zones
 OTHER_ZONE_PENALTY_S = 0.015
@@ -34,6 +34,8 @@
 PREFILL_SLOWDOWN_FACTOR = 1.4  # decoding alternates with prefills of other requests
 # Besides the expected wait, until an engine begins on a request that is sent now.
 BEGIN_MARGIN_S = 0.05
+# Mean time until the load report that shows a request comes to another zone.
+UNSEEN_TIME_S = 0.15
 PLAIN_REQUEST_PENALTY_S = 0.020  # per request at an engine without a model
 
 
@@ -48,6 +50,7 @@
     :param upcoming_versions: versions from whose time on requests may not begin on
         older ones.
     :param prefill_s: time that an engine needs for the prefill of the prompt.
+    :param rate_per_s: requests for the service that this entry gets in a second.
     """
 
     service: entry_data.Service
@@ -58,6 +61,7 @@
     skips_limited: bool = False
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
     prefill_s: float = 0.0
+    rate_per_s: float = 0.0
 
 
 class EntryLocation(NamedTuple):
@@ -170,16 +174,33 @@
     random_source: random.Random,
 ) -> engines.Engine | None:
     """Return the best engine for a request, or None if none is eligible."""
-    best = None
-    best_score = float("inf")
+    candidates = []
     for engine in eligible_engines(registry, requirements, location, now_s):
         score = _score(engine, requirements.service, location, now_s, random_source)
         score += _interruption_penalty_s(engine, requirements, location, now_s)
         if requirements.was_interrupted:
             score += random_source.random() * INTERRUPTED_NOISE_S
-        if score < best_score:
-            best, best_score = engine, score
-    return best
+        is_load_exact = engine.entry.zone == location.zone
+        candidates.append(engine_draw.Candidate(engine, score, is_load_exact))
+    unseen_work_s = _estimate_unseen_work_s(requirements, location)
+    return engine_draw.draw(candidates, unseen_work_s, random_source)
+
+
+def _estimate_unseen_work_s(
+    requirements: EngineRequirements, location: EntryLocation
+) -> float:
+    """Return the engine time of what all entries send before they know of it.
+
+    An engine without a model sends no load reports; its requests are few.
+    """
+    profile = requirements.service.profile
+    if profile is None:
+        return 0.0
+    request_s = requirements.prefill_s + engines.DECODE_PASSES_PER_PROMPT * (
+        profile.pass_s
+    )
+    rate_per_s = requirements.rate_per_s * location.entry_count
+    return rate_per_s * UNSEEN_TIME_S * request_s
 
 
 def free_slots(engine: engines.Engine, location: EntryLocation, now_s: float) -> float:
--- a/toucanspread/core/entry/retry_budget.py
+++ b/toucanspread/core/entry/retry_budget.py
@@ -15,6 +15,7 @@
 # An entry uses only this ratio of its part, so that overlaps of parts and windows stay
 # within the limit.
 USABLE_PART_RATIO = 0.6
+MIN_RATE_TIME_S = 1.0  # a rate over a shorter time says little
 
 
 class RetryBudget:
@@ -36,6 +37,15 @@
         """Count a caller's request."""
         self._recent(self._requests, service, now_s).append(now_s)
 
+    def request_rate_per_s(self, service: data.ServiceName, now_s: float) -> float:
+        """Return the mean rate of the requests to this entry in the last window."""
+        requests = self._recent(self._requests, service, now_s)
+        if not requests:
+            return 0.0
+        return len(requests) / min(
+            max(now_s - requests[0], MIN_RATE_TIME_S), self._window_s
+        )
+
     def acquire(
         self, service: data.ServiceName, now_s: float, entry_count: int
     ) -> bool:
