Leave the link to pieces that can be had; say when a version will be loaded

Cause: of two places for pieces, one stood on a piece that nobody had, and one place with a round trip for each part fills some four fifths of the link; and after its return at 26.5 s the origin was asked again after up to a second and an attempt. Change: a request for a piece that probably cannot be had takes no place of the other version's; entries try the origin again after 0.4 s.

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -75,6 +75,29 @@
             return None
         return max(self._order_at_s(self._first_target, now_s) - now_s, 0.0)
 
+    @property
+    def coming_version(self) -> int:
+        """Return the version that the engine loads next; 0 if there is none."""
+        if self._report is None or self._has_loaded_target:
+            return 0
+        return self._first_target.version
+
+    def estimate_load_delay_s(self, now_s: float) -> float | None:
+        """Return the seconds until the engine has loaded its next version.
+
+        It is None if that is not known, as while pieces cannot be had.
+        """
+        target = self._first_target
+        if not self.coming_version or target.is_failing or not target.digests:
+            return None
+        load_s = self.profile.warmup_s
+        if target.step is staging_target.Step.ORDERED:
+            return max(target.order_time_s + load_s - now_s, 0.0)
+        order_at_s = self._staged_s(target, now_s)
+        if self._report.version:
+            order_at_s = self._order_at_s(target, now_s)
+        return max(order_at_s - now_s, 0.0) + load_s
+
     def estimate_link_delay_s(self) -> float:
         """Return the seconds for which pieces hold up other bytes to this instance.
 
@@ -217,15 +240,19 @@
             self._max_in_flight = MAX_CONCURRENT_PIECES
 
     def _order_at_s(self, target: staging_target.Target, now_s: float) -> float:
-        """Return when the engine is ordered to switch to a version.
+        """Return when the engine is ordered to switch to a version."""
+        staged_s = self._staged_s(target, now_s)
+        return target.timing.order_at_s(staged_s, self.profile.warmup_s)
+
+    def _staged_s(self, target: staging_target.Target, now_s: float) -> float:
+        """Return when all pieces of a version were there, or will be.
 
         While pieces are missing, it follows from the time that the link takes for them.
         """
-        staged_s = target.whole_s
-        if staged_s is None or not target.is_whole:
-            count = target.missing_count if target.digests else self.profile.chunks
-            staged_s = now_s + count * self._piece_transfer_s
-        return target.timing.order_at_s(staged_s, self.profile.warmup_s)
+        if target.whole_s is not None and target.is_whole:
+            return target.whole_s
+        count = target.missing_count if target.digests else self.profile.chunks
+        return now_s + count * self._piece_transfer_s
 
     @property
     def _targets(self) -> list[staging_target.Target]:
@@ -299,33 +326,36 @@
     def _collect_pieces(self, now_s: float) -> list:
         """Request pieces while the link has room for them."""
         effects = []
-        in_flight_count = sum(len(t.in_flight_numbers) for t in self._targets)
-        for _ in range(max(self._max_in_flight - in_flight_count, 0)):
-            target = self._choose_target(now_s)
-            if target is None:
-                break
+        for target in self._list_collected_targets():
             number = target.find_requestable(now_s)
-            target.record_requested(number, now_s)
-            digest = target.digests[number]
-            effects.append(staging_events.CollectPiece(target.version, number, digest))
+            while number is not None and self._has_room_for(target):
+                target.record_requested(number, now_s)
+                digest = target.digests[number]
+                effects.append(
+                    staging_events.CollectPiece(target.version, number, digest)
+                )
+                number = target.find_requestable(now_s)
         return effects
 
-    def _choose_target(self, now_s: float) -> staging_target.Target | None:
-        """Return the version of which the next piece is requested.
-
-        Of a version whose last piece could not be had, only one is requested at a time
-        while another version has pieces to request.
-        """
+    def _list_collected_targets(self) -> list[staging_target.Target]:
+        """Return the versions of which pieces are requested, the first one first."""
         first = self._first_target
         if first is self.next_target and first.digests:
             # The older version would not be loaded.
-            return first if first.find_requestable(now_s) is not None else None
-        ranked = sorted(self._targets, key=lambda target: target is not first)
-        ready = [t for t in ranked if t.find_requestable(now_s) is not None]
-        for target in ready:
-            if not target.is_failing or not target.in_flight_numbers:
-                return target
-        return ready[0] if ready else None
+            return [first]
+        return sorted(self._targets, key=lambda target: target is not first)
+
+    def _has_room_for(self, target: staging_target.Target) -> bool:
+        """Return whether one more piece of a version may be in flight.
+
+        One request for a piece that probably cannot be had does not load the link.
+        """
+        if target.is_failing and self.next_target is not None:
+            return not target.in_flight_numbers
+        in_flight_count = sum(
+            len(t.in_flight_numbers) for t in self._targets if not t.is_failing
+        )
+        return in_flight_count < self._max_in_flight
 
     def _check_then_order(self, target: staging_target.Target, now_s: float) -> list:
         if self._report.is_busy:
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -268,6 +268,28 @@
         self.collect(range(4), now_s=4.5)
         self.assertAlmostEqual(2 * PIECE_S, self.stager.estimate_order_delay_s(4.5))
 
+    def test_entries_learn_when_an_empty_engine_can_take_requests(self):
+        stager = staging.Stager(PROFILE, PIECE_S)
+        FakeEngine(stager).report()
+        self.assertIsNone(stager.estimate_load_delay_s(0.0))
+        stager.on_digests_read(staging_events.DigestsRead(1, DIGESTS), 0.0)
+        held = staging_events.StagedPiecesChecked(1, frozenset(range(2)))
+        stager.on_staged_checked(held, 0.0)
+        self.assertEqual(1, stager.coming_version)
+        self.assertAlmostEqual(
+            4 * PIECE_S + PROFILE.warmup_s, stager.estimate_load_delay_s(0.0)
+        )
+        stager.on_effect_failed(staging_events.EffectFailed(1, 2), 0.1)
+        self.assertIsNone(stager.estimate_load_delay_s(0.1))
+
+    def test_an_engine_that_has_loaded_its_version_is_not_coming(self):
+        stager = staging.Stager(PROFILE, PIECE_S)
+        engine = FakeEngine(stager)
+        engine.run(engine.report())
+        engine.report()
+        self.assertEqual(0, stager.coming_version)
+        self.assertIsNone(stager.estimate_load_delay_s(0.0))
+
     def test_engines_that_have_their_pieces_late_do_not_switch_at_once(self):
         """The turns share what is left of the time, not what was planned."""
         for turn in (0.0, 0.5):
@@ -331,6 +353,16 @@
         self.assertEqual(3, self.stager.target.version)
         self.assertEqual({0, 1, 4}, self.stager.target.held_numbers)
 
+    def test_a_version_that_cannot_be_had_takes_no_room_from_the_other(self):
+        self.stager.on_digests_read(staging_events.DigestsRead(3, DIGESTS), 2.0)
+        older, newer = self.stager.target, self.stager.next_target
+        older.in_flight_numbers.clear()
+        self.stager.on_effect_failed(staging_events.EffectFailed(3, 0), 2.1)
+        self.stager.on_effect_failed(staging_events.EffectFailed(3, 1), 2.1)
+        self.stager.on_tick(2.1)
+        self.assertEqual(2, len(older.in_flight_numbers))
+        self.assertEqual(1, len(newer.in_flight_numbers))
+
     def test_the_newer_version_is_loaded_once_it_is_available_again(self):
         self.play(until_s=9.0)
         self.available[3] = set(range(6))
--- a/toucanspread/ops/piece_cache.py
+++ b/toucanspread/ops/piece_cache.py
@@ -34,7 +34,7 @@
 ORIGIN_ATTEMPT_COUNT = 3
 ORIGIN_RETRY_DELAY_S = 0.2
 MEMBERSHIP_SETTLE_S = 2.0  # a restarted entry is back within this time
-FETCH_RETRY_DELAY_S = 1.0  # the origin may start after this process or be down
+FETCH_RETRY_DELAY_S = 0.4  # the origin may start after this process or be down
 
 
 class PieceError(Exception):
