Let requests wait for engines that soon have their weights

Cause: entries did not know what the sidecars know, when an engine will have its weights. Change: load reports name the coming version and the time until it is loaded. While no engine can take a request, an entry queues as many as engines will begin within a second, and tells the other callers to come back when the first engine is ready.

--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -21,6 +21,8 @@
 EXPIRING_AFTER_S = 2.0  # callers abandon a stream after about three seconds
 MAX_WAIT_S = 2.8  # a caller that is rejected before it gives up retries sooner
 MAX_EXPECTED_WAIT_S = 2.0  # a longer queue is of no use: callers do not wait longer
+# Requests that wait for weights are late and would take the engines from later ones.
+MAX_LOAD_WAIT_S = 1.0
 MIN_RETRY_AFTER_S = 0.5
 # Minimum of free slots at the engine; if negative, that many requests may queue there.
 ON_TIME_MIN_FREE_COUNT = -2
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -195,6 +195,8 @@
     :param order_in_s: time until the engine is ordered to switch to another version and
         interrupts its running requests.
     :param link_delay_s: time for which bytes to its instance are held on the way.
+    :param coming_version: the version that it loads next; 0 if there is none.
+    :param coming_in_s: time until it has loaded that version; None if that is unknown.
     """
 
     address: data.Address
@@ -206,6 +208,8 @@
     pace: float = 1.0
     order_in_s: float | None = None
     link_delay_s: float = 0.0
+    coming_version: int = 0
+    coming_in_s: float | None = None
 
 
 class PromptSent(data.Record):
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -32,6 +32,7 @@
         while it has an entry.
     :ivar prefill_until_s: time until which it prefills the prompts sent to it.
     :ivar switch_at_s: time at which it is ordered to switch to another version.
+    :ivar ready_at_s: time at which it has loaded the version that it loads next.
     :ivar limit: the limit of requests per second that it names.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
     """
@@ -46,6 +47,7 @@
         self.load_received_s = 0.0
         self.prefill_until_s = 0.0
         self.switch_at_s: float | None = None
+        self.ready_at_s: float | None = None
         self.was_restarted = False
         self.stale_until_s = 0.0
         self.limit = engine_limits.EngineLimit(entry.engine_id)
@@ -136,6 +138,9 @@
         self.switch_at_s = None
         if load.order_in_s is not None:
             self.switch_at_s = now_s + load.order_in_s
+        self.ready_at_s = None
+        if load.coming_version and load.coming_in_s is not None:
+            self.ready_at_s = now_s + load.coming_in_s
         self._sent_since_load = 0
 
     def prefill_backlog_s(self, now_s: float) -> float:
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -12,6 +12,7 @@
 from toucanspread.core import data, invariants
 from toucanspread.core.entry import (
     admission_queue,
+    coming_engines,
     crash_evidence,
     crash_guard,
     decisions,
@@ -131,6 +132,8 @@
                 context.registry, requirements, context.location, context.now_s
             )
         )
+        if engine_count == 0:
+            return self._queue_for_load(context, requirements, queued_prefill_s)
         wait_s = admission_queue.expected_wait_s(
             queued_prefill_s, engine_count, context.location.entry_count
         )
@@ -138,6 +141,25 @@
             return [decisions.Enqueue()]
         return self._reject_overloaded(context, wait_s)
 
+    def _queue_for_load(
+        self,
+        context: DecisionContext,
+        requirements: load_balancing.EngineRequirements,
+        queued_prefill_s: float,
+    ) -> list[data.Effect]:
+        """Queue the request if engines soon have their weights, or reject it."""
+        waits_s = coming_engines.list_waits_s(
+            context.registry, requirements, context.now_s
+        )
+        if not waits_s:
+            return self._reject_overloaded(context, float("inf"))
+        wait_s = min(waits_s) + admission_queue.expected_wait_s(
+            queued_prefill_s, len(waits_s), context.location.entry_count
+        )
+        if wait_s <= admission_queue.MAX_LOAD_WAIT_S:
+            return [decisions.Enqueue()]
+        return self._finish_unanswered(context, decisions.FailureCause.NO_ENGINE)
+
     def resume_queued(self, context: DecisionContext) -> list[data.Effect]:
         """Try again to send a queued request to an engine.
 
@@ -306,7 +328,7 @@
             )
         engine = self._choose_engine(context, skips_limited)
         if engine is None:
-            return self._wait_for_limit(context, left_s)
+            return self._wait_for_engine(context, left_s)
         if self._can_be_queued():
             alternative = self._queue_or_reject(engine, context)
             if alternative:
@@ -314,18 +336,38 @@
         self._check_dispatch(engine, context)
         return self._send_to(engine, context, left_s)
 
-    def _wait_for_limit(
+    def _wait_for_engine(
         self, context: DecisionContext, left_s: float
     ) -> list[data.Effect]:
-        """Queue the request until the limit of an engine allows it, or end it."""
-        wait_s = self._limit_wait_s(context)
-        if wait_s == float("inf"):
-            return self._finish_unanswered(context, decisions.FailureCause.NO_ENGINE)
+        """Queue the request until an engine can take it, or end it.
+
+        A limit may allow it soon, or an engine may have loaded its weights soon.
+        """
+        limit_wait_s = self._limit_wait_s(context)
         waited_s = context.now_s - self.arrived_s
         longest_s = min(admission_queue.MAX_WAIT_S, waited_s + left_s)
-        if self._can_be_queued() and waited_s + wait_s < longest_s:
+        may_begin_s = waited_s + min(limit_wait_s, self._load_wait_s(context))
+        if limit_wait_s == float("inf"):
+            longest_s = min(longest_s, admission_queue.MAX_LOAD_WAIT_S)
+        if self._can_be_queued() and may_begin_s < longest_s:
             return [decisions.Enqueue()]
-        return self._finish_unanswered(context, decisions.FailureCause.ENGINES_LIMITED)
+        cause = decisions.FailureCause.ENGINES_LIMITED
+        if limit_wait_s == float("inf"):
+            cause = decisions.FailureCause.NO_ENGINE
+        return self._finish_unanswered(context, cause)
+
+    def _load_wait_s(self, context: DecisionContext) -> float:
+        """Return the time until an engine has loaded weights for the request."""
+        requirements = self._make_requirements(context, frozenset(self._tried))
+        waits_s = coming_engines.list_waits_s(
+            context.registry, requirements, context.now_s
+        )
+        return min(waits_s, default=float("inf"))
+
+    def _known_load_wait_s(self, context: DecisionContext) -> float:
+        """Return the time until an engine has loaded weights; 0 if it is unknown."""
+        wait_s = self._load_wait_s(context)
+        return 0.0 if wait_s == float("inf") else wait_s
 
     def _limit_wait_s(self, context: DecisionContext) -> float:
         """Return the time until a suitable engine's limit allows the request."""
@@ -628,7 +670,7 @@
     ) -> decisions.Reject:
         base_s = RETRY_AFTER_BASE_S
         if cause is decisions.FailureCause.NO_ENGINE:
-            base_s = NO_ENGINE_RETRY_AFTER_S
+            base_s = max(NO_ENGINE_RETRY_AFTER_S, self._known_load_wait_s(context))
         if cause is decisions.FailureCause.PROMPT_CRASHES_ENGINES:
             base_s = QUARANTINE_RETRY_AFTER_S
         if cause is decisions.FailureCause.ENGINES_LIMITED:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -110,6 +110,75 @@
         rejected = self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
         self.assertGreater(rejected.retry_after_s, 0)
 
+    def make_coming_fixture(self, coming_in_s, coming_version=1):
+        """Return engines without weights that report when they will have them."""
+        fixture = Fixture(names=())
+        for name in ("a", "b"):
+            fixture.registry.put(make_entry(name, loaded=()))
+        for engine in fixture.registry.of_service(SERVICE.name):
+            load = entry_data.EngineLoad(
+                engine.entry.address,
+                engine.entry.born_ms,
+                0,
+                0,
+                0,
+                False,
+                coming_version=coming_version,
+                coming_in_s=coming_in_s,
+            )
+            engine.apply_load(load, 0.0)
+        return fixture
+
+    def test_a_request_waits_for_an_engine_that_soon_has_its_weights(self):
+        fixture = self.make_coming_fixture(coming_in_s=0.9)
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.Enqueue, request.start(fixture.at(0.0)))
+        self.assert_only(decisions.Enqueue, request.resume_queued(fixture.at(0.8)))
+        for engine in fixture.registry.of_service(SERVICE.name):
+            load = entry_data.EngineLoad(
+                engine.entry.address, engine.entry.born_ms, 0, 0, 1, False
+            )
+            engine.apply_load(load, 1.0)
+        sent = request.resume_queued(fixture.at(1.0))
+        self.assert_only(decisions.SendToEngine, sent)
+
+    def test_a_request_that_no_engine_will_serve_in_time_is_rejected_at_once(self):
+        for fixture in (
+            self.make_coming_fixture(admission_queue.MAX_LOAD_WAIT_S + 0.1),
+            self.make_coming_fixture(coming_in_s=None),
+        ):
+            request = fixture.make_request(make_route())
+            self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
+
+    def test_a_rejected_caller_is_told_to_come_back_when_engines_have_their_weights(
+        self,
+    ):
+        fixture = self.make_coming_fixture(coming_in_s=3.5)
+        request = fixture.make_request(make_route())
+        rejected = self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
+        self.assertGreaterEqual(rejected.retry_after_s, 3.5)
+
+    def test_a_request_does_not_wait_for_weights_that_are_too_old_for_it(self):
+        fixture = self.make_coming_fixture(coming_in_s=0.5, coming_version=1)
+        fixture.minimum_version = 2
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
+
+    def test_no_more_requests_wait_for_weights_than_engines_can_serve_in_time(self):
+        fixture = self.make_coming_fixture(coming_in_s=0.4)
+        context = fixture.at(0.0, entry_count=10)
+        request = fixture.make_request(make_route())
+        self.assert_only(decisions.Enqueue, request.start(context, 0.1))
+        request = fixture.make_request(make_route())
+        rejected = self.assert_only(decisions.Reject, request.start(context, 0.2))
+        self.assertIs(decisions.FailureCause.NO_ENGINE, rejected.cause)
+
+    def test_a_request_that_cannot_be_queued_does_not_wait_for_weights(self):
+        fixture = self.make_coming_fixture(coming_in_s=0.5)
+        request = fixture.make_request(make_route())
+        request.dispatches = 1
+        self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
+
     def test_a_stream_resumes_after_its_last_event(self):
         fixture = Fixture()
         request = fixture.make_request(make_route())
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -91,10 +91,10 @@
     def send(self, load: entry_data.EngineLoad) -> None:
         """Send a report to the entries for which it is new or due again."""
         now_s = self._reactor.seconds()
-        # The time until an order counts down by itself and is no change.
-        without_order = msgspec.structs.replace(load, order_in_s=None)
-        without_load = msgspec.structs.replace(without_order, active=0, queued=0)
-        is_same_zone_due = self._same_zone_schedule.record_if_due(without_order, now_s)
+        # Times until an order and a load count down by themselves and are no changes.
+        without_times = msgspec.structs.replace(load, order_in_s=None, coming_in_s=None)
+        without_load = msgspec.structs.replace(without_times, active=0, queued=0)
+        is_same_zone_due = self._same_zone_schedule.record_if_due(without_times, now_s)
         is_other_zones_due = self._other_zones_schedule.record_if_due(
             without_load, now_s
         )
@@ -208,6 +208,8 @@
                 report.pace,
                 self._stager.estimate_order_delay_s(self._now_s()),
                 link_delay_s,
+                self._stager.coming_version,
+                self._stager.estimate_load_delay_s(self._now_s()),
             )
         )
         event = staging_events.ReportRead(
