--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -128,7 +128,7 @@
     :param engines: steps of (time, number of serving engines).
     :param duration_s: time during which callers send requests.
     :param switch_times_s: times at which engines switch to a new version, one time
-        for each wave.
+        for each group.
     :param limits: changes of the limits that engines name.
     :param crashing_parts: parts of prompts on which engines crash.
     :param version_change: when the version is named to which engines switch; None if it
@@ -164,7 +164,7 @@
     LoadProfile("burst", ((0.0, 38.0), (3.0, 75.0)), ((0.0, 6), (7.0, 10)), 16.0),
     # A third above the capacity of the engines, for the whole duration.
     LoadProfile("overload", ((0.0, 82.0),), ((0.0, 7),), 10.0),
-    # All engines switch to a new version, in three waves.
+    # All engines switch to a new version, in three groups.
     LoadProfile("switch", ((0.0, 70.0),), ((0.0, 10),), 9.0, (3.0, 3.9, 4.8)),
     # All engines are lost, and return together.
     # Two engines in need, and then all of them for some seconds.
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -195,11 +195,11 @@
         times_s = self._profile.switch_times_s
         if not times_s:
             return None
-        # Engines of each zone are spread over the waves.
-        wave = number // len(simulated_cluster.ZONES) + number % len(
+        # Engines of each zone are spread over the groups.
+        group = number // len(simulated_cluster.ZONES) + number % len(
             simulated_cluster.ZONES
         )
-        return times_s[wave % len(times_s)]
+        return times_s[group % len(times_s)]
 
     def _set_engines(self, count: int) -> None:
         for number, engine in enumerate(self.engines):
