--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -352,9 +352,8 @@
         """
         if target.is_failing and self.next_target is not None:
             return not target.in_flight_numbers
-        in_flight_count = sum(
-            len(t.in_flight_numbers) for t in self._targets if not t.is_failing
-        )
+        loading_targets = [t for t in self._targets if t is target or not t.is_failing]
+        in_flight_count = sum(len(t.in_flight_numbers) for t in loading_targets)
         return in_flight_count < self._max_in_flight
 
     def _check_then_order(self, target: staging_target.Target, now_s: float) -> list:
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -263,6 +263,13 @@
         self.collect([2], now_s=slow_s + PIECE_S)
         self.assertEqual({3, 4}, self.stager.target.in_flight_numbers)
 
+    def test_pieces_that_cannot_be_had_are_not_all_requested_at_once(self):
+        for number in range(4):
+            failed = staging_events.EffectFailed(2, number)
+            self.stager.on_effect_failed(failed, 0.1 * number)
+            in_flight = self.stager.target.in_flight_numbers
+            self.assertEqual(staging.MAX_CONCURRENT_PIECES, len(in_flight))
+
     def test_estimated_order_delay_covers_the_missing_pieces(self):
         self.assertEqual(6 * PIECE_S, self.stager.estimate_order_delay_s(4.5))
         self.collect(range(4), now_s=4.5)
