--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -32,9 +32,7 @@
 # saturate the links between regions when a large value changes.
 STORE_GROUP_SIZE = 8
 FAILURE_MEMORY_S = 3.0  # a source that failed longer ago may have recovered
-# Changes in quick succession are fetched together: the records of all engines change
-# every second or so, and each answer of the store goes on to all followers.
-BATCH_DELAY_S = 0.25
+BATCH_DELAY_S = 0.1  # changes in quick succession are fetched together
 RETRY_DELAY_S = 0.15
 
 
