Spread the engines of each zone over all turns of a switch

Cause: turns were ranked by the number within a zone, so all engines of a small zone switched first (5 beside 40: 5, 0 and 0 of its engines in the thirds of the time), and a zone could be left without an engine for a moment. Class: an order by index among groups of different size. Change: ranked by the place within the zone's own size. The test failed before.

--- a/toucanspread/core/weights/switch_turns.py
+++ b/toucanspread/core/weights/switch_turns.py
@@ -52,7 +52,7 @@
 def plan_switch(
     own: EnginePlacement, engines: Iterable[EnginePlacement], due_s: float
 ) -> SwitchTiming:
-    """Return the timing of an engine's switch; the zones take turns.
+    """Return the timing of an engine's switch; each zone is spread over all turns.
 
     :param engines: of the same service, as far as they are known.
     """
@@ -61,8 +61,9 @@
     for placement in sorted(placements):
         by_zone.setdefault(placement.zone, []).append(placement)
 
-    def rank(placement: EnginePlacement) -> tuple[int, data.ZoneName]:
-        return (by_zone[placement.zone].index(placement), placement.zone)
+    def rank(placement: EnginePlacement) -> tuple[float, data.ZoneName]:
+        in_zone = by_zone[placement.zone]
+        return ((in_zone.index(placement) + 0.5) / len(in_zone), placement.zone)
 
     ranked = sorted(placements, key=rank)
     return SwitchTiming(
--- a/toucanspread/core/weights/switch_turns_test.py
+++ b/toucanspread/core/weights/switch_turns_test.py
@@ -46,6 +46,22 @@
         orders = list_orders(make_engines({"z1": 3, "z2": 3, "z3": 3}), 4.0)
         self.assertEqual(["z1", "z2", "z3"] * 3, [zone for _, zone in orders])
 
+    def test_a_small_zone_does_not_switch_before_the_others(self):
+        """Each third of the time has its part of the engines of each zone."""
+        for sizes in (
+            {"z1": 5, "z2": 40},
+            {"z1": 6, "z2": 6, "z3": 6},
+            {"a": 3, "b": 9},
+        ):
+            orders = list_orders(make_engines(sizes), 4.0)
+            third_s = (DUE_S - LOAD_S - 4.0) / 3
+            for zone, size in sizes.items():
+                counts = [0, 0, 0]
+                for time_s, order_zone in orders:
+                    if order_zone == zone:
+                        counts[int((time_s - 4.0 + 1e-9) / third_s)] += 1
+                self.assertLessEqual(max(counts) - size / 3, 1, (zone, counts))
+
     def test_the_last_engine_has_loaded_before_the_deadline(self):
         orders = list_orders(make_engines({"z1": 23, "z2": 23, "z3": 23}), 4.0)
         self.assertGreaterEqual(orders[0][0], 4.0)
