Say why a request stays at a silent engine

The timeline of requests at silent engines (docs/incidents/silent-engine.md) can't tell a used-up retry budget from full engines: dispatch_failed says then=wait for both. It now names the obstacle and the age of the engine's load report, and a counter sums up the obstacles. No decision changes.

--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -24,6 +24,17 @@
     PROMPT_CRASHES_ENGINES = "prompt crashes engines"
 
 
+class MoveObstacle(enum.Enum):
+    """Why a request stays at an engine from which nothing is heard."""
+
+    NOT_REPEATABLE = "must not run again"
+    ATTEMPTS_USED = "attempts used up"
+    PROMPT_SUSPECT = "prompt may crash engines"
+    TIME_OVER = "time over"
+    RETRY_BUDGET_EXHAUSTED = "budget used up"
+    NO_FREE_ENGINE = "no free engine"
+
+
 class DispatchFailure(enum.Enum):
     """How a dispatch failed."""
 
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -64,6 +64,8 @@
     :ivar start_deadline_s: latest time at which an engine can start for an answer on
         time.
     :ivar possible_runs: number of engines that may have begun to run the request.
+    :ivar move_obstacle: why the request did not leave its engine when that was silent;
+        None if it was not, or if the request did.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.is_finished = False
         self.possible_runs = 0
         self.dispatches = 0
+        self.move_obstacle: decisions.MoveObstacle | None = None
         self._rejections = 0
         self._engine: engines.Engine | None = None
         self._sent_s = 0.0
@@ -103,6 +106,15 @@
         """Return the id of the engine that has the request, or an empty string."""
         return self._engine.entry.engine_id if self._engine is not None else ""
 
+    def engine_report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the last load report of the engine that has the request.
+
+        It is None without one.
+        """
+        if self._engine is None or self._engine.load is None:
+            return None
+        return now_s - self._engine.load_received_s
+
     @property
     def engine_wait_s(self) -> float | None:
         """Return the time from the last dispatch until the engine began to answer.
@@ -239,10 +251,11 @@
             return []
         self._last_failure = failure
         number = self.dispatches
-        if failure is decisions.DispatchFailure.SILENT and not self._has_better_engine(
-            context
-        ):
-            return []
+        self.move_obstacle = None
+        if failure is decisions.DispatchFailure.SILENT:
+            self.move_obstacle = self._find_move_obstacle(context)
+            if self.move_obstacle is not None:
+                return []
         if failure is decisions.DispatchFailure.REJECTED and self._engine is not None:
             self._engine.record_rejection(context.now_s)
         if (
@@ -625,20 +638,39 @@
         return self.service.profile is not None and self.dispatches == 0
 
     def _can_run_again(self, context: DecisionContext) -> bool:
-        if not self.route.is_repeatable or self.possible_runs >= self.route.attempts:
-            return False
-        if not context.guard.may_repeat(self.call):
-            return False
-        return self.deadline_s - context.now_s > MIN_TIME_TO_DISPATCH_S
+        return self._find_run_obstacle(context) is None
 
-    def _has_better_engine(self, context: DecisionContext) -> bool:
-        """Return whether a request to a silent engine can move to a free engine."""
-        if not self._can_run_again(context):
-            return False
+    def _find_run_obstacle(
+        self, context: DecisionContext
+    ) -> decisions.MoveObstacle | None:
+        """Return why the request may not run again, or None if it may."""
+        if not self.route.is_repeatable:
+            return decisions.MoveObstacle.NOT_REPEATABLE
+        if self.possible_runs >= self.route.attempts:
+            return decisions.MoveObstacle.ATTEMPTS_USED
+        if not context.guard.may_repeat(self.call):
+            return decisions.MoveObstacle.PROMPT_SUSPECT
+        if self.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
+            return decisions.MoveObstacle.TIME_OVER
+        return None
+
+    def _find_move_obstacle(
+        self, context: DecisionContext
+    ) -> decisions.MoveObstacle | None:
+        """Return why a request to a silent engine can't move, or None if it can."""
+        obstacle = self._find_run_obstacle(context)
+        if obstacle is not None:
+            return obstacle
         if not context.retry_budgets.allows_retry(
             self.service.name, context.now_s, context.location.entry_count
         ):
-            return False
+            return decisions.MoveObstacle.RETRY_BUDGET_EXHAUSTED
+        if not self._has_free_engine(context):
+            return decisions.MoveObstacle.NO_FREE_ENGINE
+        return None
+
+    def _has_free_engine(self, context: DecisionContext) -> bool:
+        """Return whether an engine that was not tried has a free slot."""
         tried = frozenset(self._tried)
         requirements = self._make_requirements(context, tried)
         for engine in load_balancing.eligible_engines(
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -253,6 +253,20 @@
         request = self.start_stream(fixture)
         effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
         self.assertEqual([], effects)
+        self.assertIs(
+            decisions.MoveObstacle.RETRY_BUDGET_EXHAUSTED, request.move_obstacle
+        )
+
+    def test_the_obstacle_names_the_attempts_of_a_request_at_a_second_silent_engine(
+        self,
+    ):
+        request = self.start_stream(fixture := Fixture())
+        silent = decisions.DispatchFailure.SILENT
+        effects = request.on_failure(fixture.at(1.6), silent)
+        self.assertEqual(decisions.SendToEngine, type(effects[1]))
+        self.assertIsNone(request.move_obstacle)
+        self.assertEqual([], request.on_failure(fixture.at(2.7), silent))
+        self.assertIs(decisions.MoveObstacle.ATTEMPTS_USED, request.move_obstacle)
 
     def test_a_pause_of_a_stream_does_not_end_it_while_other_engines_are_limited(self):
         fixture = Fixture(names=("a", "b"))
@@ -263,6 +277,7 @@
             engine.record_dispatch(0.7)
         effects = request.on_failure(fixture.at(1.6), decisions.DispatchFailure.SILENT)
         self.assertEqual([], effects)
+        self.assertIs(decisions.MoveObstacle.NO_FREE_ENGINE, request.move_obstacle)
 
     def test_an_engines_error_is_retried_before_it_is_relayed(self):
         fixture = Fixture()
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -186,7 +186,10 @@
         if failure is decisions.DispatchFailure.SILENT:
             # The idle connections to a silent engine are probably dead as well.
             self._forwarder.pool.close_idle(self._answer.address)
-        effects = self._state.on_failure(self.make_decision_context(), failure)
+        context = self.make_decision_context()
+        report_age_s = self._state.engine_report_age_s(context.now_s)
+        effects = self._state.on_failure(context, failure)
+        obstacle = self._state.move_obstacle
         logs.write(
             "dispatch_failed",
             id=self.call.attempt_id,
@@ -194,8 +197,12 @@
             why=failure.value,
             number=number,
             then=" ".join(effect.__struct_config__.tag for effect in effects) or "wait",
+            obstacle=obstacle.value if obstacle is not None else "",
+            report_age_s=report_age_s,
         )
         metric_buffer.count("dispatches_failed", why=failure.value)
+        if obstacle is not None:
+            metric_buffer.count("requests_not_moved", why=obstacle.value)
         self.carry_out(effects)
 
     def withdraw_if_outdated(self) -> None:
