Reproduce requests that stay at engines which stand still

The load simulation knows engines and sidecars that freeze, silence timers of entries and callers that leave, and checks that engines stop to work for them.

--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -89,6 +89,15 @@
             if job in jobs:
                 jobs.remove(job)
 
+    def holds(self, job: Job) -> bool:
+        """Return whether a request waits or runs at the engine."""
+        return job in self._queue or job in self._running
+
+    def stand_still(self, duration_s: float) -> None:
+        """End the present pass later by a time."""
+        if self._pending_pass is not None:
+            self._pending_pass.delay(duration_s)
+
     def _start_pass(self) -> None:
         while self._queue and len(self._running) < self._slots:
             self._running.append(self._queue.pop(0))
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -97,6 +97,18 @@
     duration_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class EngineFreeze:
+    """Some engines stand still, with their sidecars, and then go on.
+
+    :param engine_numbers: numbers of the engines, from 0.
+    """
+
+    at_s: float
+    engine_numbers: tuple[int, ...]
+    duration_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class VersionChange:
     """The operator names the next version of the weights.
@@ -138,6 +150,8 @@
     :param engine_link: the links to engines' instances, on which pieces of weights are
         ahead of requests; None if they hold nothing up.
     :param engine_crashes: crashes of engines for other reasons.
+    :param engine_freezes: times for which engines stand still.
+    :param silent_sidecars: the same of sidecars only, whose engines serve as before.
     :param loss_ratio: part of the datagrams to entries that are lost.
     """
 
@@ -153,6 +167,8 @@
     engine_link_delay_s: float = 0.0
     engine_link: LinkProfile | None = None
     engine_crashes: tuple[EngineCrashes, ...] = ()
+    engine_freezes: tuple[EngineFreeze, ...] = ()
+    silent_sidecars: tuple[EngineFreeze, ...] = ()
     loss_ratio: float = 0.0
 
 
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -14,6 +14,7 @@
 from standins import (
     caller_check,
     crash_check,
+    leave_check,
     load_profiles,
     simulated_cluster,
     simulated_prompts,
@@ -45,6 +46,7 @@
         self.engine_link_delay_s = profile.engine_link_delay_s
         self.engine_link = profile.engine_link
         self.caller_check = caller_check.CallerCheck(self.crash_check)
+        self.leave_check = leave_check.LeaveCheck()
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._request_numbers = itertools.count()
         self._profile = profile
@@ -71,6 +73,10 @@
             self.clock.callLater(at_s, self._name_version)
         for crashes in self._profile.engine_crashes:
             self.clock.callLater(crashes.at_s, self._crash_engines, crashes)
+        for freeze in self._profile.engine_freezes:
+            self.clock.callLater(freeze.at_s, self._freeze_engines, freeze)
+        for silence in self._profile.silent_sidecars:
+            self.clock.callLater(silence.at_s, self._silence_sidecars, silence)
         for engine in self.engines:
             if engine.switch_at_s is not None:
                 self.clock.callLater(engine.switch_at_s, engine.switch)
@@ -214,6 +220,14 @@
         for number in crashes.engine_numbers:
             self.engines[number].crash(crashes.duration_s)
 
+    def _freeze_engines(self, freeze: load_profiles.EngineFreeze) -> None:
+        for number in freeze.engine_numbers:
+            self.engines[number].freeze(freeze.duration_s)
+
+    def _silence_sidecars(self, silence: load_profiles.EngineFreeze) -> None:
+        for number in silence.engine_numbers:
+            self.engines[number].silence_sidecar(silence.duration_s)
+
     def _send_next_request(self) -> None:
         now_s = self.clock.seconds()
         if now_s >= self._profile.duration_s:
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import functools
 import random
 from collections.abc import Callable
 
@@ -123,6 +124,8 @@
 
     :ivar is_crashed: whether connections are refused until it is back.
     :ivar sidecar: has the link of its instance; None if that holds nothing up.
+    :ivar is_frozen: whether it stands still; what arrives then waits.
+    :ivar is_sidecar_silent: whether it serves, but sends no load reports.
     """
 
     def __init__(self, simulation: AbstractCluster, number: int):
@@ -132,6 +135,9 @@
         self.is_running = False
         self.is_loading = False
         self.is_crashed = False
+        self.is_frozen = False
+        self.is_sidecar_silent = False
+        self._waiting: list[Callable[[], None]] = []
         self.version = FIRST_VERSION
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
@@ -210,6 +216,33 @@
         )
         self._simulation.clock.callLater(delay_s, self._crash_on, self.model, part)
 
+    def freeze(self, duration_s: float) -> None:
+        """Stand still for a time, with the sidecar."""
+        self.is_frozen = True
+        self.model.stand_still(duration_s)
+        self._simulation.clock.callLater(duration_s, self._thaw)
+
+    def _thaw(self) -> None:
+        self.is_frozen = False
+        waiting, self._waiting = self._waiting, []
+        for call in waiting:
+            call()
+
+    def silence_sidecar(self, duration_s: float) -> None:
+        """Send no load reports for a time."""
+        self.is_sidecar_silent = True
+        self._simulation.clock.callLater(duration_s, self._regain_sidecar)
+
+    def _regain_sidecar(self) -> None:
+        self.is_sidecar_silent = False
+
+    def receive(self, call: Callable, *arguments) -> None:
+        """Process what has arrived, once the engine does not stand still."""
+        if self.is_frozen:
+            self._waiting.append(functools.partial(call, *arguments))
+        else:
+            call(*arguments)
+
     def crash(self, duration_s: float = CRASH_DURATION_S) -> None:
         """Crash, unless the engine is down.
 
@@ -257,6 +290,8 @@
         """Send a load report to all entries."""
         if not self.is_running or self.is_crashed:
             return
+        if self.is_frozen or self.is_sidecar_silent:
+            return
         switch_in_s = None
         is_quiet = self.is_loading
         if self.switch_at_s is not None and not self.is_loading:
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -13,6 +13,7 @@
     caller_check,
     crash_check,
     engine_model,
+    leave_check,
     load_profiles,
     simulated_cluster,
     simulated_prompts,
@@ -20,7 +21,7 @@
 )
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions, forwarding
+from toucanspread.core.entry import decisions, forwarding, request_timing
 from toucanspread.ops import request_queue
 
 CALLER_TIMEOUT_S = 3.2  # callers abandon a request without an event for so long
@@ -78,6 +79,7 @@
     """What a request needs of the simulation beside entries and engines.
 
     :ivar caller_check: the check of what callers get.
+    :ivar leave_check: the check of work for callers that have left.
     :ivar outcome: the counts to which a sound request adds its outcome.
     :ivar crashing_outcome: the same for requests with a crashing part.
     :ivar engines_by_id: the engines by their ids.
@@ -85,6 +87,7 @@
 
     random_source: random.Random
     caller_check: caller_check.CallerCheck
+    leave_check: leave_check.LeaveCheck
     outcome: CallerTotals
     crashing_outcome: CallerTotals
     engines_by_id: dict[str, simulated_cluster.SimulatedEngine]
@@ -131,6 +134,7 @@
         self._job: engine_model.Job | None = None
         self._engine: simulated_cluster.SimulatedEngine | None = None
         self._caller_timeout = None
+        self._silence_timer = None
         self._state = self._make_state()
 
     @property
@@ -190,6 +194,7 @@
     def _cancel_job(self) -> None:
         """Withdraw the request from its engine, which learns of it after a delay."""
         self._entry.in_progress.pop(self, None)
+        self._stop_silence_timer()
         dispatch, self._dispatch = self._dispatch, None
         job, self._job = self._job, None
         if dispatch is None:
@@ -227,8 +232,11 @@
     ) -> None:
         """Call a function once bytes that are sent now have arrived at an engine."""
         if engine.sidecar is not None:
-            arguments = (size_bytes, call, *arguments)
+            arguments = (size_bytes, engine.receive, call, *arguments)
             call = engine.sidecar.link.send
+        else:
+            arguments = (call, *arguments)
+            call = engine.receive
         self._simulation.clock.callLater(
             self._simulation.engine_link_delay_s,
             self._simulation.call_after_delay,
@@ -245,6 +253,7 @@
         self._schedule_retry(0.0)
 
     def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
+        self._stop_silence_timer()
         self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
 
     def on_quarantine(self) -> None:
@@ -310,6 +319,10 @@
         self._engine = engine
         self._entry.in_progress[self] = None
         self._dispatch = _Dispatch(engine)
+        self._simulation.leave_check.record_dispatch(
+            self._simulation.clock.seconds(), engine.engine_id
+        )
+        self._start_silence_timer(self._state.timing.silence_timeout_s)
         tokens = self.prompt_tokens + self._generated_tokens
         self._call_at_engine(
             engine,
@@ -347,6 +360,26 @@
         self._tokens_before_dispatch = self._generated_tokens
         engine.jobs[job] = self
 
+    def _start_silence_timer(self, timeout_s: float) -> None:
+        self._stop_silence_timer()
+        self._silence_timer = self._simulation.clock.callLater(
+            timeout_s, self._on_silence, timeout_s
+        )
+
+    def _stop_silence_timer(self) -> None:
+        if self._silence_timer is not None and self._silence_timer.active():
+            self._silence_timer.cancel()
+
+    def _on_silence(self, timeout_s: float) -> None:
+        """Report the silence of the engine, and wait again if the request stays."""
+        self._start_silence_timer(timeout_s)
+        timer = self._silence_timer
+        silent = decisions.DispatchFailure.SILENT
+        effects = self._state.on_failure(self.make_decision_context(), silent)
+        if effects:
+            timer.cancel()
+        self.carry_out(effects)
+
     def _make_job(self) -> engine_model.Job:
         return engine_model.Job(
             self.prompt_tokens + self._generated_tokens,
@@ -385,10 +418,11 @@
         if self._first_s is None:
             self._record_first_attempt(has_begun=True)
             self._first_s = now_s - self.started_s
-            self._caller_timeout.cancel()
         elif now_s - self._last_event_s > MAX_EVENT_GAP_S:
             self._had_long_gap = True
         self._last_event_s = now_s
+        self._caller_timeout.reset(CALLER_TIMEOUT_S)
+        self._start_silence_timer(request_timing.STREAM_GAP_TIMEOUT_S)
         self._generated_tokens += engine_model.TOKENS_PER_EVENT
         event_id = str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
         if self._state.on_events(now_s, event_id):
@@ -397,6 +431,8 @@
     def _on_end(self) -> None:
         self._engine.jobs.pop(self._job, None)
         self._entry.in_progress.pop(self, None)
+        self._stop_silence_timer()
+        self._caller_timeout.cancel()
         self._state.on_answer(self.make_decision_context(), 200)
         outcome = self._outcome
         outcome.first_s.append(self._first_s)
@@ -408,11 +444,20 @@
     def _abandon(self) -> None:
         """Abandon the request after a long time without an event."""
         self._entry.queue.remove(self)
+        if self._job is not None:
+            self._simulation.clock.callLater(
+                leave_check.MAX_WORK_S, self._check_work, self._engine, self._job
+            )
         self._state.on_caller_disconnected(self.make_decision_context())
         self._cancel_job()
         self._record_first_attempt(has_begun=False)
         self._outcome.abandoned += 1
 
+    def _check_work(
+        self, engine: simulated_cluster.SimulatedEngine, job: engine_model.Job
+    ) -> None:
+        self._simulation.leave_check.record_left(engine.model.holds(job))
+
     def _record_first_attempt(self, has_begun: bool) -> None:
         """Record whether a sound request began at the caller's first attempt."""
         is_first, self._is_first_attempt = self._is_first_attempt, False
