Prefer engines that are heard to one that has fallen silent

Cause: without a recent report an entry counted only its own requests there, so the engine looked empty and best. Class of fault: missing information is taken for good news.

An engine that has reported before, and of which neither reports nor answers arrive while other engines report, is now ranked behind those that are heard (0.5 s), and gets no further request of an entry while one is unanswered there. An entry that hears of no engine judges none.

--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -23,10 +23,26 @@
 AVOID_FAILURE_COUNT = 2  # a single failed request is not enough evidence
 
 
+class ReportTimes:
+    """When load reports arrive at this entry, from any engine."""
+
+    def __init__(self):
+        self._latest_s = float("-inf")
+
+    def record(self, now_s: float) -> None:
+        """Record the arrival of a load report."""
+        self._latest_s = now_s
+
+    def are_arriving(self, now_s: float) -> bool:
+        """Return whether load reports arrive, so that a missing one says something."""
+        return now_s - self._latest_s <= LOAD_REPORT_MAX_AGE_S
+
+
 class Engine:
     """One incarnation of an engine.
 
     :param entry: its newest entry in the store.
+    :param report_times: those of all engines.
     :ivar in_flight: number of this entry's requests at the engine.
     :ivar usable_until_s: end of its grace period after its entry was removed; None
         while it has an entry.
@@ -37,8 +53,12 @@
     :ivar stale_until_s: time until which its entry in the store may be outdated.
     """
 
-    def __init__(self, entry: entry_data.EngineEntry):
+    def __init__(
+        self, entry: entry_data.EngineEntry, report_times: ReportTimes | None = None
+    ):
         self.entry = entry
+        self._report_times = report_times or ReportTimes()
+        self._heard_s = float("-inf")
         self.in_flight = 0
         self.usable_until_s: float | None = None
         self.failures = 0
@@ -68,8 +88,24 @@
         return self.usable_until_s is None or now_s < self.usable_until_s
 
     def is_avoided(self, now_s: float) -> bool:
-        """Return whether the engine failed recently or has no entry in the store."""
-        return now_s < self.avoid_until_s or self.usable_until_s is not None
+        """Return whether the engine probably does not answer.
+
+        It failed recently, has no entry in the store, or is silent and has not answered
+        this entry's requests.
+        """
+        if now_s < self.avoid_until_s or self.usable_until_s is not None:
+            return True
+        return self.in_flight > 0 and self.is_silent(now_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether nothing is heard of the engine although others are heard.
+
+        Neither its load reports nor answers arrive, so it may stand still, or only the
+        process beside it. An engine that never sent a report is not silent.
+        """
+        if self.load is None or now_s - self._heard_s <= LOAD_REPORT_MAX_AGE_S:
+            return False
+        return self._report_times.are_arriving(now_s)
 
     def has_recent_load(self, now_s: float) -> bool:
         """Return whether the last load report is recent enough to be used."""
@@ -135,6 +171,8 @@
         """Apply a load report."""
         self.load = load
         self.load_received_s = now_s
+        self._heard_s = now_s
+        self._report_times.record(now_s)
         self.switch_at_s = None
         if load.order_in_s is not None:
             self.switch_at_s = now_s + load.order_in_s
@@ -174,6 +212,10 @@
         self._sent_since_load += 1
         self.add_prompt(tokens, profile, now_s)
 
+    def record_answering(self, now_s: float) -> None:
+        """Record that a part of an answer to this entry has arrived."""
+        self._heard_s = now_s
+
     def record_end(self) -> None:
         """Record that a request of this entry has ended."""
         self.in_flight = max(self.in_flight - 1, 0)
@@ -216,12 +258,13 @@
     def __init__(self, drain_s: float):
         self._removed_grace_s = drain_s * REMOVED_GRACE_RATIO
         self._engines: dict[str, Engine] = {}
+        self._report_times = ReportTimes()
 
     def put(self, entry: entry_data.EngineEntry) -> bool:
         """Add or update an entry; return whether it is of a new incarnation."""
         known = self._engines.get(entry.engine_id)
         if known is None or _is_new_incarnation(known.entry, entry):
-            self._engines[entry.engine_id] = Engine(entry)
+            self._engines[entry.engine_id] = Engine(entry, self._report_times)
             return True
         known.entry = entry
         known.usable_until_s = None
--- /dev/null
+++ b/toucanspread/core/entry/engines_test.py
@@ -0,0 +1,66 @@
+"""Tests what an entry concludes from hearing nothing of an engine."""
+
+import testtools
+
+from toucanspread.core import data
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import engines
+
+OVERDUE_S = engines.LOAD_REPORT_MAX_AGE_S + 0.1
+
+
+def make_registry(names=("a", "b")):
+    registry = engines.EngineRegistry(2.0)
+    for name in names:
+        registry.put(
+            entry_data.EngineEntry(
+                name,
+                data.ServiceName("pool"),
+                data.Address(name),
+                data.ZoneName("z1"),
+                16,
+                entry_data.EngineState.READY,
+            )
+        )
+    return registry
+
+
+def report(registry, name, now_s):
+    load = entry_data.EngineLoad(data.Address(name), 0, 0, 0, 1, False)
+    registry.apply_load(load, now_s)
+
+
+class SilentEngineTest(testtools.TestCase):
+    def test_an_engine_whose_reports_end_is_silent_while_others_report(self):
+        registry = make_registry()
+        report(registry, "a", 0.0)
+        report(registry, "b", OVERDUE_S)
+        self.assertTrue(registry.get("a").is_silent(OVERDUE_S))
+        self.assertFalse(registry.get("b").is_silent(OVERDUE_S))
+
+    def test_no_engine_is_silent_to_an_entry_that_gets_no_reports_at_all(self):
+        registry = make_registry()
+        report(registry, "a", 0.0)
+        report(registry, "b", 0.0)
+        self.assertFalse(registry.get("a").is_silent(OVERDUE_S))
+
+    def test_an_engine_that_answers_is_not_silent(self):
+        registry = make_registry()
+        report(registry, "a", 0.0)
+        registry.get("a").record_answering(1.0)
+        report(registry, "b", OVERDUE_S)
+        self.assertFalse(registry.get("a").is_silent(OVERDUE_S))
+
+    def test_an_engine_that_never_reported_is_not_silent(self):
+        registry = make_registry()
+        report(registry, "b", OVERDUE_S)
+        self.assertFalse(registry.get("a").is_silent(OVERDUE_S))
+
+    def test_a_silent_engine_with_an_unanswered_request_gets_no_further_one(self):
+        registry = make_registry()
+        report(registry, "a", 0.0)
+        report(registry, "b", OVERDUE_S)
+        engine = registry.get("a")
+        self.assertFalse(engine.is_avoided(OVERDUE_S))
+        engine.record_dispatch(OVERDUE_S)
+        self.assertTrue(engine.is_avoided(OVERDUE_S))
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -193,6 +193,7 @@
         """
         if self._engine is None:
             return []
+        self._engine.record_answering(context.now_s)
         notice = self._engine.limit.on_answer(limit_per_s, self._sent_s, context.now_s)
         return [] if notice is None else [decisions.NotifyEntries(notice)]
 
@@ -216,6 +217,8 @@
         """
         if last_event_id is not None:
             self._last_event_id = last_event_id
+        if self._engine is not None:
+            self._engine.record_answering(now_s)
         if self._first_event_s is None:
             self._first_event_s = now_s
         if self._has_survived or not self._has_run_for_a_while(now_s):
@@ -670,7 +673,11 @@
         return None
 
     def _has_free_engine(self, context: DecisionContext) -> bool:
-        """Return whether an engine that was not tried has a free slot."""
+        """Return whether an engine that was not tried has a free slot.
+
+        If the present engine is silent, any engine that is heard is better.
+        """
+        needs_slot = self._engine is None or not self._engine.is_silent(context.now_s)
         tried = frozenset(self._tried)
         requirements = self._make_requirements(context, tried)
         for engine in load_balancing.eligible_engines(
@@ -678,6 +685,8 @@
         ):
             if engine.is_avoided(context.now_s):
                 continue
+            if not needs_slot and not engine.is_silent(context.now_s):
+                return True
             if load_balancing.free_slots(engine, context.location, context.now_s) >= 1:
                 return True
         return False
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -25,6 +25,8 @@
 BUSY_SLOT_PENALTY_S = 0.004  # each decoding request lengthens the steps of all
 QUEUED_REQUEST_PENALTY_S = 0.080  # a request beyond the slots waits for one to end
 AVOIDED_PENALTY_S = 100.0  # an avoided engine ranks after every other one
+# More than the usual differences between engines, but less than the wait at full ones.
+SILENT_PENALTY_S = 0.5
 SWITCHING_PENALTY_S = 50.0  # an order keeps the engine from starting requests
 COLD_PENALTY_S = 0.050
 INTERRUPTION_PENALTY_S = 0.120  # another engine prefills an interrupted request again
@@ -276,6 +278,8 @@
     score += _distance_penalty_s(engine, location) + random_source.random() * NOISE_S
     if engine.entry.cold_left_s > 0:
         score += COLD_PENALTY_S
+    if engine.is_silent(now_s):
+        score += SILENT_PENALTY_S
     if engine.is_switching(now_s):
         score += SWITCHING_PENALTY_S
     if engine.is_avoided(now_s):
