End requests that can't leave an engine of which nothing is heard

Cause: silence of an engine that an entry can't leave had no consequence until the caller gave up. Class of fault: a wait that is known to be in vain is not ended.

Where neither answers nor load reports of the engine arrive, and the request may run elsewhere but not by this entry, it is ended at once (502, or a broken stream), so that its caller can have it run, or resume it, with the time that is left. It is looked at again each 0.5 s. Engines that report keep their requests however slow they are, and requests that must not run again stay.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -363,16 +363,16 @@
     def _start_silence_timer(self, timeout_s: float) -> None:
         self._stop_silence_timer()
         self._silence_timer = self._simulation.clock.callLater(
-            timeout_s, self._on_silence, timeout_s
+            timeout_s, self._on_silence
         )
 
     def _stop_silence_timer(self) -> None:
         if self._silence_timer is not None and self._silence_timer.active():
             self._silence_timer.cancel()
 
-    def _on_silence(self, timeout_s: float) -> None:
+    def _on_silence(self) -> None:
         """Report the silence of the engine, and wait again if the request stays."""
-        self._start_silence_timer(timeout_s)
+        self._start_silence_timer(request_timing.SILENCE_RECHECK_S)
         timer = self._silence_timer
         silent = decisions.DispatchFailure.SILENT
         effects = self._state.on_failure(self.make_decision_context(), silent)
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -35,6 +35,12 @@
     NO_FREE_ENGINE = "no free engine"
 
 
+# With these obstacles, another attempt of the caller may run at another engine.
+CALLER_RETRY_OBSTACLES = frozenset(
+    {MoveObstacle.ATTEMPTS_USED, MoveObstacle.RETRY_BUDGET_EXHAUSTED}
+)
+
+
 class DispatchFailure(enum.Enum):
     """How a dispatch failed."""
 
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -217,6 +217,7 @@
         """
         if last_event_id is not None:
             self._last_event_id = last_event_id
+        self.move_obstacle = None
         if self._engine is not None:
             self._engine.record_answering(now_s)
         if self._first_event_s is None:
@@ -258,7 +259,7 @@
         if failure is decisions.DispatchFailure.SILENT:
             self.move_obstacle = self._find_move_obstacle(context)
             if self.move_obstacle is not None:
-                return []
+                return self._stay_or_give_up(context, self.move_obstacle)
         if failure is decisions.DispatchFailure.REJECTED and self._engine is not None:
             self._engine.record_rejection(context.now_s)
         if (
@@ -672,6 +673,24 @@
             return decisions.MoveObstacle.NO_FREE_ENGINE
         return None
 
+    def _stay_or_give_up(
+        self, context: DecisionContext, obstacle: decisions.MoveObstacle
+    ) -> list[data.Effect]:
+        """Let a request wait at its silent engine, or end it.
+
+        If nothing at all is heard of the engine, the caller can have the request run
+        elsewhere, while this entry may not.
+        """
+        engine = self._engine
+        if engine is None or not engine.is_silent(context.now_s):
+            return []
+        if obstacle not in decisions.CALLER_RETRY_OBSTACLES:
+            return []
+        self._release_engine(context, ok=False)
+        cancel = decisions.Cancel(self.dispatches)
+        cause = decisions.FailureCause.ENGINE_FAILED
+        return [cancel, *self._finish_unanswered(context, cause)]
+
     def _has_free_engine(self, context: DecisionContext) -> bool:
         """Return whether an engine that was not tried has a free slot.
 
--- a/toucanspread/core/entry/request_timing.py
+++ b/toucanspread/core/entry/request_timing.py
@@ -9,6 +9,8 @@
 ENGINE_ANSWER_SLACK_S = 0.12  # wait for the engine's own answer at the deadline
 STREAM_SILENCE_FACTOR = 2.5  # of the target time, until the first event of a stream
 STREAM_GAP_TIMEOUT_S = 1.0  # between events; a healthy engine never pauses so long
+# A request that stays at a silent engine is considered again after this time.
+SILENCE_RECHECK_S = 0.5
 STREAM_MIN_BYTES_PER_S = 128  # within an event that takes longer than the gap
 ANSWER_SILENCE_FACTOR = 1.6  # of the target time, until an answer that is no stream
 
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -198,7 +198,9 @@
         """Report silence; the listener cancels the dispatch or keeps waiting."""
         if self._is_finished:
             return
-        self._timer = self._reactor.callLater(self._silence_timeout_s, self._on_timeout)
+        self._timer = self._reactor.callLater(
+            request_timing.SILENCE_RECHECK_S, self._on_timeout
+        )
         self._listener.on_failure(decisions.DispatchFailure.SILENT)
 
     def _restart_timer(self) -> None:
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -188,8 +188,11 @@
             self._forwarder.pool.close_idle(self._answer.address)
         context = self.make_decision_context()
         report_age_s = self._state.engine_report_age_s(context.now_s)
+        known_obstacle = self._state.move_obstacle
         effects = self._state.on_failure(context, failure)
         obstacle = self._state.move_obstacle
+        if not effects and obstacle is known_obstacle:
+            return
         logs.write(
             "dispatch_failed",
             id=self.call.attempt_id,
