Reproduce a request that crashes engines each time that it comes again

In the load simulation (1, 18, 350 entries; often and seldom) and with real programs (two entries, an engine that crashes on one path with one body, with and without sound parts in the prompt).

--- a/standins/crash_check.py
+++ b/standins/crash_check.py
@@ -14,6 +14,7 @@
 
 STABLE_S = 3.0  # after the crash by which entries must know the part
 KNOWN_AFTER_CRASH_COUNT = 5
+REQUEST_KNOWN_AFTER_CRASH_COUNT = 3  # of one request that comes again
 ALLOWED_REQUEST_COUNT = 3  # requests at engines later than that
 IN_TOUCH_AFTER_S = 3.0  # after the end of a cut, or the start of an entry
 SERVED_AFTER_S = 2 * STABLE_S  # after the same crash
@@ -69,8 +70,9 @@
 
 
 class PartRecord:
-    """What is known of one crashing part.
+    """What is known of one crashing part, or of a request that comes again.
 
+    :ivar known_after_count: number of crashes after which entries must know it.
     :ivar crashes_s: times of the crashes of engines by the part.
     :ivar sent_s: times at which entries in touch sent the requests that reached engines
         although the part should have been known.
@@ -79,6 +81,7 @@
     """
 
     def __init__(self):
+        self.known_after_count = KNOWN_AFTER_CRASH_COUNT
         self.crashes_s: list[float] = []
         self.sent_s: list[float] = []
         self.last_request_s = 0.0
@@ -87,14 +90,14 @@
     @property
     def known_s(self) -> float | None:
         """The time of the crash that makes the part known; None if there is none."""
-        if len(self.crashes_s) < KNOWN_AFTER_CRASH_COUNT:
+        if len(self.crashes_s) < self.known_after_count:
             return None
-        return self.crashes_s[KNOWN_AFTER_CRASH_COUNT - 1]
+        return self.crashes_s[self.known_after_count - 1]
 
     @property
     def served_from_s(self) -> float:
         """The time from which on sound requests are served again."""
-        crashes_s = self.crashes_s[:KNOWN_AFTER_CRASH_COUNT]
+        crashes_s = self.crashes_s[: self.known_after_count]
         return max(crashes_s, default=float("inf")) + SERVED_AFTER_S
 
 
@@ -123,6 +126,8 @@
         self.record_disturbance(now_s)
         record = self._parts.setdefault(prompt.crashing_part, PartRecord())
         record.last_request_s = now_s
+        if prompt.repeated_request is not None:
+            record.known_after_count = REQUEST_KNOWN_AFTER_CRASH_COUNT
         record.groups.update(_list_groups(route, prompt))
 
     def record_crash(self, now_s: float, part: entry_data.PromptPartId) -> None:
--- a/standins/crash_simulation_test.py
+++ b/standins/crash_simulation_test.py
@@ -68,6 +68,31 @@
         self.check(18, make_part(is_of_one_caller=True))
 
 
+class RepeatedRequestTest(testtools.TestCase):
+    def check(self, entries, rate_per_s=RATE_PER_S):
+        crashing = load_profiles.CrashingPart(PART, None, rate_per_s, FROM_S)
+        violations = []
+        for seed in SEEDS:
+            simulation = simulate(entries, crashing, seed)
+            violations += [
+                f"seed {seed}: {violation}"
+                for violation in simulation.crash_check.list_violations()
+            ]
+        self.assertEqual([], violations)
+
+    def test_one_entry_stops_sending_a_request_that_crashes_engines_again(self):
+        self.check(1)
+
+    def test_18_entries_stop_sending_a_request_that_crashes_engines_again(self):
+        self.check(18)
+
+    def test_350_entries_stop_sending_a_request_that_crashes_engines_again(self):
+        self.check(350)
+
+    def test_a_request_that_crashes_engines_is_not_sent_when_it_comes_seldom(self):
+        self.check(18, rate_per_s=0.7)
+
+
 class CallersTest(testtools.TestCase):
     def check_waits(self, entries):
         waits = []
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -64,6 +64,8 @@
 class CrashingPart:
     """Engines crash on a part of some prompts, beside the other requests.
 
+    :param place: place of the part; None if it is one request that comes again, whose
+        parts are the most frequent ones of sound prompts.
     :param crashes_engines: whether they do; if not, the part is only a frequent one.
     :param rate_per_s: requests per second with the part.
     :param from_s: time at which the first of them may come.
@@ -74,7 +76,7 @@
     """
 
     part: entry_data.PromptPartId
-    place: PartPlace
+    place: PartPlace | None
     rate_per_s: float
     from_s: float
     until_s: float = float("inf")
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -48,6 +48,7 @@
     :ivar limit_per_s: requests per second that it names as its limit in its answers to
         callers; None for no limit.
     :ivar crashing_part: id of a part of prompts on which it crashes; None for none.
+    :ivar crashing_request: target and body of requests on which it crashes.
     :ivar born_ms: start of its present incarnation.
     :ivar crashes_s: times of its crashes; it is back at once.
     :ivar on_crash: called after each crash.
@@ -65,6 +66,7 @@
         self.report_count = 0
         self.limit_per_s: float | None = None
         self.crashing_part: str | None = None
+        self.crashing_request: tuple[str, bytes] | None = None
         self.born_ms = BORN_MS
         self.crashes_s: list[float] = []
         self.on_crash: Callable[[], None] = lambda: None
@@ -130,7 +132,8 @@
         method, target = request.method.decode(), request.uri.decode()
         body = request.content.read()
         self.requests.append(EngineRequest(method, target, headers, body))
-        if self.crashing_part in _list_parts(headers):
+        is_crashing = self.crashing_request == (target, body)
+        if is_crashing or self.crashing_part in _list_parts(headers):
             return self._crash(request)
         request.setHeader("x-attempt-id", headers["x-attempt-id"])
         request.setHeader("x-response-seal", SEAL)
--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -54,7 +54,12 @@
 
 
 async def send_request(
-    entry, target, key=platform_deployment.KEY, attempt_id=ATTEMPT_ID, parts=()
+    entry,
+    target,
+    key=platform_deployment.KEY,
+    attempt_id=ATTEMPT_ID,
+    parts=(),
+    body=b"question",
 ):
     """Send a caller's request to an entry."""
     headers = {
@@ -69,7 +74,7 @@
         headers["X-Prompt-Prefix"] = ",".join(f"{part}:100" for part in ids)
     address = entry.get_address("front")
     return await asyncio.to_thread(
-        send_blocking, address, "POST", target, b"question", headers
+        send_blocking, address, "POST", target, body, headers
     )
 
 
@@ -274,7 +279,9 @@
             self.assertEqual(200, answer.status, program.describe())
 
 
-class CrashingPartTest(ProgramsTestCase):
+class CrashingTestCase(ProgramsTestCase):
+    """Two entries, and an engine that crashes on some requests."""
+
     @classmethod
     def start_programs(cls):
         cls.entries = [cls.deployment.start_entry(f"entry-{n}") for n in (1, 2)]
@@ -290,10 +297,14 @@
         return all(answer.status == 200 for answer in answers)
 
     @classmethod
-    async def send(cls, entry, *parts):
+    async def send(cls, entry, *parts, body=b"question"):
         attempt_id = f"{next(cls.numbers):016x}"
-        return await send_request(entry, "/a/x", attempt_id=attempt_id, parts=parts)
+        return await send_request(
+            entry, "/a/x", attempt_id=attempt_id, parts=parts, body=body
+        )
+
 
+class CrashingPartTest(CrashingTestCase):
     async def send_for_a_while(self, *parts):
         """Send requests with some parts to all entries, and return the answers."""
         end_s = time.monotonic() + CRASHING_S
@@ -327,6 +338,43 @@
         self.assertEqual([200, 200], [answer.status for answer in after])
 
 
+class CrashingRequestTest(CrashingTestCase):
+    async def send_for_a_while(self, body, *parts):
+        """Send one request again and again, and sound ones beside it.
+
+        :return: the answers to both.
+        """
+        end_s = time.monotonic() + CRASHING_S
+        crashing, sound = [], []
+        while time.monotonic() < end_s:
+            for entry in self.entries:
+                crashing.append(await self.send(entry, *parts, body=body))
+                other_body = b"other %d" % len(sound)
+                sound.append(await self.send(entry, *parts, body=other_body))
+            await asyncio.sleep(CRASH_REQUEST_INTERVAL_S)
+        return crashing, sound
+
+    def check(self, body, *parts):
+        engine = self.deployment.plain_engine
+        engine.crashing_request = ("/a/x", body)
+        engine.crashes_s.clear()
+        run(self.send_for_a_while(body, *parts))
+        crashes_s = list(engine.crashes_s)
+        self.assertGreater(len(crashes_s), 0)
+        known_s = crashes_s[: crash_check.REQUEST_KNOWN_AFTER_CRASH_COUNT][-1]
+        later_s = [at_s for at_s in crashes_s if at_s > known_s + crash_check.STABLE_S]
+        self.assertLessEqual(len(later_s), crash_check.ALLOWED_REQUEST_COUNT)
+        crashing, sound = run(self.send_for_a_while(body, *parts))
+        self.assertEqual({503}, {answer.status for answer in crashing})
+        self.assertEqual({200}, {answer.status for answer in sound})
+
+    def test_both_entries_refuse_a_request_without_parts_that_crashes_the_engine(self):
+        self.check(b"crash")
+
+    def test_both_entries_refuse_a_request_of_sound_parts_that_crashes_the_engine(self):
+        self.check(b"crash on parts", SOUND_PART)
+
+
 class EndingProgramsTest(ProgramsTestCase):
     @classmethod
     def start_programs(cls):
--- a/standins/simulated_prompts.py
+++ b/standins/simulated_prompts.py
@@ -22,12 +22,16 @@
 
     :param key: API key of the caller.
     :param parts: ids of the shared parts in order.
-    :param crashing_part: the one of them on which engines crash; None in a sound one.
+    :param crashing_part: the one of them on which engines crash, or the name of the
+        request itself; None in a sound one.
+    :param repeated_request: name that all requests have that are the same as this one;
+        None if no other is.
     """
 
     key: str
     parts: tuple[entry_data.PromptPartId, ...]
     crashing_part: entry_data.PromptPartId | None = None
+    repeated_request: entry_data.PromptPartId | None = None
 
 
 class PromptSource:
@@ -44,6 +48,9 @@
 
     def draw_crashing(self, crashing: load_profiles.CrashingPart) -> Prompt:
         """Return a prompt that has a crashing part beside parts of sound prompts."""
+        if crashing.place is None:
+            parts = tuple(_make_part(place, 0) for place in range(PLACE_COUNT))
+            return Prompt("key-0", parts, crashing.part, crashing.part)
         key_number = self._draw_number(KEY_COUNT)
         parts = list(self._draw_parts(PLACE_COUNT))
         if crashing.other_parts is not load_profiles.OtherParts.POPULAR:
