Keep a request from engines that crashes them each time that it comes again

Cause: the guard against crashes knew shared parts of prompts only; requests without a prompt, and those whose parts are all sound, left no evidence. Class of fault: a safeguard that is bound to one feature of its input.

The request as a whole is one more part now: a hash of method, host, target, body and key, which entries exchange as they do parts. Engines without load reports are known to be alive by answers to requests that were sent after a break.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -133,6 +133,9 @@
         self._dispatch: _Dispatch | None = None
         self._job: engine_model.Job | None = None
         self._engine: simulated_cluster.SimulatedEngine | None = None
+        self._fingerprint = prompt.repeated_request or entry_data.PromptPartId(
+            f"request-{simulation.draw_id()}"
+        )
         self._caller_timeout = None
         self._silence_timer = None
         self._state = self._make_state()
@@ -284,6 +287,7 @@
             output_tokens=MAX_ANSWER_TOKENS,
             likely_tokens=self.answer_tokens,
             prompt_parts=self.prompt.parts,
+            fingerprint=self._fingerprint,
         )
         return forwarding.RequestState(route, simulated_cluster.SERVICE, call, now_s)
 
--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -1,8 +1,9 @@
-"""Protects engines from prompts that crash them.
+"""Protects engines from requests that crash them.
 
-Engines crash when they begin to answer a prompt with a certain part. Each entry sees
-only some of the crashes, so the entries notify each other of the parts that are
-suspect, of those that are sound, and of the quarantines that follow.
+Engines crash when they begin to answer a prompt with a certain part, or a certain
+request that comes again, which is treated as one more part. Each entry sees only some
+of the crashes, so the entries notify each other of the parts that are suspect, of those
+that are sound, and of the quarantines that follow.
 
 The guard decides by itself; the program around it sends the notices that
 :meth:`CrashGuard.take_due` returns at the times that the guard asks for.
@@ -46,7 +47,7 @@
 
 
 class CrashGuard:
-    """Decides which requests may be sent to engines, by the parts of their prompts."""
+    """Decides which requests may be sent to engines, by their suspect parts."""
 
     def __init__(
         self, program: guard_program.GuardProgram, random_source: random.Random
@@ -67,7 +68,7 @@
 
     def admit(self, call: entry_data.Call, now_s: float) -> Admission:
         """Return whether a new request may be sent to an engine."""
-        matching = self.quarantines.matching(call.prompt_parts)
+        matching = self.quarantines.matching(call.suspect_parts)
         if not matching:
             return Admission.ADMITTED
         # A trial of several at once would tell nothing about any of them.
@@ -81,15 +82,15 @@
 
     def is_quarantined(self, call: entry_data.Call) -> bool:
         """Return whether a request matches a quarantine."""
-        return bool(self.quarantines.matching(call.prompt_parts))
+        return bool(self.quarantines.matching(call.suspect_parts))
 
     def may_repeat(self, call: entry_data.Call) -> bool:
         """Return whether a request that an engine broke off may be sent once more."""
-        if not call.prompt_parts:
+        if not call.suspect_parts:
             return True
         if self.is_quarantined(call):
             return False
-        held = frozenset(call.prompt_parts)
+        held = frozenset(call.suspect_parts)
         causes = crash_causes.find_suspicion(
             self.evidence, self.quarantines.signatures()
         )
@@ -102,7 +103,7 @@
         now_s: float,
     ) -> None:
         """Record that an engine broke off when a request had just begun there."""
-        parts = self._suspect_parts(call.prompt_parts, now_s)
+        parts = self._suspect_parts(call.suspect_parts, now_s)
         if parts:
             suspect = crash_evidence.Suspect(_hash_id(call), parts)
             notice = self._report_suspect(incarnation, suspect, now_s)
@@ -111,7 +112,7 @@
 
     def on_survived(self, call: entry_data.Call, now_s: float) -> None:
         """Record that an engine has written an answer for a while."""
-        self._record_sound(call.prompt_parts, now_s)
+        self._record_sound(call.suspect_parts, now_s)
 
     def on_whole_answer(
         self,
@@ -126,20 +127,28 @@
         """
         if now_s - began_s < crash_evidence.JUST_BEGUN_S:
             answered = crash_evidence.Suspect(
-                _hash_id(call), frozenset(call.prompt_parts)
+                _hash_id(call), frozenset(call.suspect_parts)
             )
             self._short_answers.add(incarnation, answered, began_s)
             return
-        self._record_sound(call.prompt_parts, now_s)
+        self._record_sound(call.suspect_parts, now_s)
 
     def on_engine_alive(
-        self, incarnation: crash_evidence.Incarnation, now_s: float
+        self,
+        incarnation: crash_evidence.Incarnation,
+        now_s: float,
+        alive_s: float | None = None,
     ) -> None:
-        """Record that an engine is alive, so what seemed to be a crash was none."""
-        survived = self._short_answers.take_survived(incarnation, now_s)
+        """Record that an engine is alive, so what seemed to be a crash was none.
+
+        :param alive_s: time at which it certainly was; None for now.
+        """
+        if alive_s is None:
+            alive_s = now_s
+        survived = self._short_answers.take_survived(incarnation, alive_s)
         if survived:
             self._record_sound(tuple(survived), now_s)
-        if not self.evidence.remove_if_alive(incarnation, now_s):
+        if not self.evidence.remove_if_alive(incarnation, alive_s):
             return
         for quarantine in self.quarantines.all():
             if quarantine.remove_crash(incarnation):
@@ -236,8 +245,8 @@
     ) -> None:
         """Record parts of whole answers; tell the others if one was suspect."""
         cleared = self._clear(parts, 0.0, now_s)
-        for first in range(0, len(cleared), entry_data.MAX_PROMPT_PARTS):
-            batch = cleared[first : first + entry_data.MAX_PROMPT_PARTS]
+        for first in range(0, len(cleared), entry_data.MAX_SUSPECT_PARTS):
+            batch = cleared[first : first + entry_data.MAX_SUSPECT_PARTS]
             self._replies.record_told(batch, now_s)
             self._send(entry_data.PartsSound(batch), now_s)
 
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -17,8 +17,9 @@
 PromptPartId = NewType(
     "PromptPartId", Annotated[str, msgspec.Meta(max_length=MAX_PART_ID_LENGTH)]
 )
+MAX_SUSPECT_PARTS = MAX_PROMPT_PARTS + 1  # those of the prompt, and the whole request
 PromptParts = Annotated[
-    tuple[PromptPartId, ...], msgspec.Meta(min_length=1, max_length=MAX_PROMPT_PARTS)
+    tuple[PromptPartId, ...], msgspec.Meta(min_length=1, max_length=MAX_SUSPECT_PARTS)
 ]
 Age = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NOTICE_AGE_S)]  # seconds
 
@@ -314,6 +315,8 @@
     :param likely_tokens: number of tokens that the caller expects; 0 if unknown.
     :param prompt_parts: ids of the shared parts of the prompt in order, i.e. of all but
         the last part.
+    :param fingerprint: id that all requests have that are the same to an engine; empty
+        if it is not known.
     """
 
     attempt_id: str
@@ -327,6 +330,17 @@
     output_tokens: int = 0
     likely_tokens: int = 0
     prompt_parts: tuple[PromptPartId, ...] = ()
+    fingerprint: PromptPartId = PromptPartId("")
+
+    @property
+    def suspect_parts(self) -> tuple[PromptPartId, ...]:
+        """Return what may be the reason why an engine crashes on the request.
+
+        That is each part that other requests share, and the request as a whole.
+        """
+        if not self.fingerprint:
+            return self.prompt_parts
+        return (*self.prompt_parts, self.fingerprint)
 
 
 def complete_version(loaded: tuple[LoadedLayers, ...], profile: ModelProfile) -> int:
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -21,7 +21,7 @@
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     LEAVING = "leaving"
     WEIGHTS_OUTDATED = "weights too old"
-    PROMPT_CRASHES_ENGINES = "prompt crashes engines"
+    REQUEST_CRASHES_ENGINES = "request crashes engines"
 
 
 class MoveObstacle(enum.Enum):
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -194,6 +194,9 @@
         if self._engine is None:
             return []
         self._engine.record_answering(context.now_s)
+        context.guard.on_engine_alive(
+            self._engine.incarnation, context.now_s, self._sent_s
+        )
         notice = self._engine.limit.on_answer(limit_per_s, self._sent_s, context.now_s)
         return [] if notice is None else [decisions.NotifyEntries(notice)]
 
@@ -225,7 +228,7 @@
         if self._has_survived or not self._has_run_for_a_while(now_s):
             return False
         self._has_survived = True
-        return bool(self.call.prompt_parts)
+        return bool(self.call.suspect_parts)
 
     def on_survived(self, context: DecisionContext) -> None:
         """Handle that the prompt does not crash its engine."""
@@ -551,7 +554,7 @@
     def _report_crash(self, context: DecisionContext) -> None:
         """Report that the engine may have crashed because of the request."""
         engine = self._engine
-        if engine is None or not self.call.prompt_parts:
+        if engine is None or not self.call.suspect_parts:
             return
         if engine.is_leaving() or engine.is_ordered(context.now_s, ORDER_MARGIN_S):
             return
@@ -561,7 +564,7 @@
 
     def _report_whole_answer(self, context: DecisionContext) -> None:
         """Report that the engine wrote a whole answer."""
-        if self._engine is None or not self.call.prompt_parts:
+        if self._engine is None or not self.call.suspect_parts:
             return
         began_s = context.now_s
         if self._streaming:
@@ -577,7 +580,7 @@
 
     def _refuse_quarantined(self, context: DecisionContext) -> list[data.Effect]:
         return self._finish_unanswered(
-            context, decisions.FailureCause.PROMPT_CRASHES_ENGINES
+            context, decisions.FailureCause.REQUEST_CRASHES_ENGINES
         )
 
     def _may_be_repeated(
@@ -731,7 +734,7 @@
         base_s = RETRY_AFTER_BASE_S
         if cause is decisions.FailureCause.NO_ENGINE:
             base_s = max(NO_ENGINE_RETRY_AFTER_S, self._known_load_wait_s(context))
-        if cause is decisions.FailureCause.PROMPT_CRASHES_ENGINES:
+        if cause is decisions.FailureCause.REQUEST_CRASHES_ENGINES:
             base_s = QUARANTINE_RETRY_AFTER_S
         if cause is decisions.FailureCause.ENGINES_LIMITED:
             draw = context.random_source.random()
--- a/toucanspread/core/entry/sound_replies.py
+++ b/toucanspread/core/entry/sound_replies.py
@@ -47,8 +47,8 @@
             del self._due_s[part]
         known = [part for part in due if sound.is_sound(part, now_s)]
         notices = []
-        for first in range(0, len(known), entry_data.MAX_PROMPT_PARTS):
-            batch = tuple(known[first : first + entry_data.MAX_PROMPT_PARTS])
+        for first in range(0, len(known), entry_data.MAX_SUSPECT_PARTS):
+            batch = tuple(known[first : first + entry_data.MAX_SUSPECT_PARTS])
             age_s = max(sound.age_s(part, now_s) for part in batch)
             notices.append(entry_data.PartsSound(batch, max(age_s, 0.0)))
             self.record_told(batch, now_s)
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -4,8 +4,11 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from toucanspread.core.entry import (
     cluster_state,
+    fingerprints,
     forwarding,
     guard_program,
     load_balancing,
@@ -130,6 +133,10 @@
         if denial is not None:
             self._deny(exchange, call, denial)
             return
+        fingerprint = fingerprints.make_fingerprint(
+            exchange.head.method, exchange.head.target, exchange.body, call
+        )
+        call = msgspec.structs.replace(call, fingerprint=fingerprint)
         forwarded_request.ForwardedRequest(self, exchange, call, route, team).start()
 
     def schedule_withdrawal(self, in_s: float) -> None:
