Take no answer without an id for the request's own on a kept connection

Reported by other operators: a faulty engine writes an earlier refusal once more on a kept connection, and callers are told that their request has not run although it has. Copies with the earlier request's id were skipped before; one without an id was taken for the answer to the request in progress (503 'not run', or a sealed error of another request relayed). Such an answer now counts only on a connection that carried no request before; otherwise whether the request has run is unknown, and the connection is closed.

--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -16,7 +16,8 @@
 class AnswerProperties(NamedTuple):
     """Properties of an engine's answer, read from its head.
 
-    :param is_for_request: whether the answer belongs to the request that was sent.
+    :param is_for_request: whether the answer may belong to the request that was sent.
+    :param is_identified: whether it names that request.
     :param is_sealed: whether the answer carries the seal of an engine.
     :param not_run: whether the engine states that it has not run the request.
     :param instance: id of the engine that answered; empty if not stated.
@@ -28,6 +29,7 @@
     """
 
     is_for_request: bool
+    is_identified: bool
     is_sealed: bool
     not_run: bool
     instance: str
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -162,7 +162,10 @@
             return
         self._finish()
         properties = self._properties
-        if properties.not_run and properties.instance not in ("", self._engine_id):
+        if self._may_be_of_earlier_request(properties):
+            self.outgoing.cancel()
+            self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
+        elif properties.not_run and properties.instance not in ("", self._engine_id):
             self._listener.on_failure(decisions.DispatchFailure.OTHER_INSTANCE)
         elif properties.not_run:
             self._listener.on_failure(decisions.DispatchFailure.REJECTED)
@@ -188,6 +191,12 @@
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
 
+    def _may_be_of_earlier_request(self, properties: dialect.AnswerProperties) -> bool:
+        """Return whether an answer without an id may be a late copy of another one."""
+        if properties.is_identified or self.outgoing is None:
+            return False
+        return not self.outgoing.is_first_on_connection
+
     def _is_of_engine(self, properties: dialect.AnswerProperties) -> bool:
         """Return whether the engine of this dispatch has made the answer."""
         if properties.instance not in ("", self._engine_id):
--- /dev/null
+++ b/toucanspread/ops/faulty_engine_test.py
@@ -0,0 +1,150 @@
+"""Tests answers of faulty engines that operators of other systems have reported."""
+
+from twisted.internet import error
+
+from toucanspread.core import data
+from toucanspread.ops import (
+    broken_answer_test,
+    forwarder_test,
+    http1,
+    http1_client,
+)
+
+HEAD = forwarder_test.HEAD
+ID = b"X-Attempt-Id: id-1\r\n"
+OTHER_ID = b"X-Attempt-Id: id-0\r\n"
+REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n%bContent-Length: 0\r\n\r\n"
+ANSWER = HEAD + b"Content-Length: 3\r\n\r\nown"
+ERROR_TEXT = b"error text of the engine"
+
+
+class IgnoringListener(http1_client.AnswerListener):
+    def on_head(self, head):
+        return True
+
+    def on_body_data(self, part):
+        return
+
+    def on_end(self):
+        return
+
+    def on_failure(self, failure):
+        raise AssertionError(failure)
+
+
+class RepeatedRefusalTest(forwarder_test.ForwarderCase):
+    def send_on_kept_connection(self):
+        """Return a request on a connection on which another one was refused."""
+        for number in (1, 2):
+            first = forwarder_test.FakeOutgoingRequest(
+                self.get_address("s1", number), b"", IgnoringListener()
+            )
+            first.answer(REFUSAL % OTHER_ID)
+            self.pool.keep(first)
+        for engine in self.cluster.registry.of_service(data.ServiceName("s2")):
+            engine.record_failure(self.clock.seconds(), 9)
+        engine = self.send_request()
+        self.assertFalse(engine.is_first_on_connection)
+        return engine
+
+    def test_a_copy_before_the_answer_does_not_end_the_request(self):
+        engine = self.send_on_kept_connection()
+        engine.answer(REFUSAL % OTHER_ID + ANSWER)
+        self.assertTrue(self.received().endswith(b"own"))
+        self.assertEqual(1, len(self.pool.sent))
+
+    def test_a_copy_behind_the_answer_belongs_to_no_request(self):
+        engine = self.send_on_kept_connection()
+        engine.answer(ANSWER + REFUSAL % ID)
+        self.assertEqual(1, self.received().count(b"HTTP/1.1"))
+        self.assertTrue(self.received().endswith(b"own"))
+        self.assertFalse(engine.connection.is_free)
+
+    def test_a_copy_without_an_id_does_not_show_that_the_request_has_not_run(self):
+        engine = self.send_on_kept_connection()
+        state = next(iter(self.forwarder.in_progress)).state
+        engine.answer(REFUSAL % b"")
+        self.assertNotIn(b"HTTP/1.1 503", self.received())
+        self.assertEqual(2, state.possible_runs)
+        self.assertTrue(engine.cancelled)
+
+    def test_a_refusal_without_an_id_on_a_new_connection_is_of_the_request(self):
+        engine = self.send_request()
+        state = next(iter(self.forwarder.in_progress)).state
+        engine.answer(REFUSAL % b"")
+        self.assertEqual(2, len(self.pool.sent))
+        self.assertEqual(1, state.possible_runs)
+
+    def test_an_error_without_an_id_on_a_kept_connection_is_not_relayed(self):
+        engine = self.send_on_kept_connection()
+        engine.answer(
+            b"HTTP/1.1 404 No\r\nX-Response-Seal: s1\r\nContent-Length: 4\r\n\r\nlate"
+        )
+        self.assertNotIn(b"late", self.received())
+
+
+class ErrorInStreamTest(forwarder_test.ForwarderCase):
+    def check(self, answer):
+        """Let a stream break off and the next engine give an answer."""
+        self.start()
+        first = self.send_request()
+        first.answer(forwarder_test.STREAM)
+        first.answer(forwarder_test.chunk(broken_answer_test.FIRST))
+        first.disconnect(error.ConnectionLost)
+        second = self.pool.sent[-1]
+        self.assertIsNot(first, second)
+        second.answer(answer)
+        second.disconnect()
+        received = self.received()
+        self.assertNotIn(ERROR_TEXT, received)
+        self.assertEqual(1, received.count(b"HTTP/1.1"))
+        self.assertTrue(
+            received.endswith(forwarder_test.chunk(broken_answer_test.FIRST))
+        )
+        self.assertNotIn(http1.LAST_CHUNK, received)
+
+    def test_an_error_of_the_next_engine_is_no_part_of_the_stream(self):
+        length = b"Content-Length: %d\r\n\r\n" % len(ERROR_TEXT)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        stream_type = b"Content-Type: text/event-stream\r\n"
+        chunks = forwarder_test.chunk(ERROR_TEXT) + http1.LAST_CHUNK
+        for status in (b"200 OK", b"400 Bad", b"404 No", b"500 Error", b"503 Full"):
+            sealed = HEAD.replace(b"200 OK", status)
+            unsealed = b"HTTP/1.1 %b\r\n%b" % (status, ID)
+            for head in (sealed, unsealed):
+                self.check(head + length + ERROR_TEXT)
+                self.check(head + chunked + chunks)
+                self.check(head + b"\r\n" + ERROR_TEXT)
+                self.check(head + stream_type + length + ERROR_TEXT)
+
+
+class BrokenHeadTest(forwarder_test.ForwarderCase):
+    def check(self, beginning, kind):
+        self.start()
+        engine = self.send_request()
+        engine.answer(beginning)
+        engine.disconnect(kind)
+        self.assertNotIn(b"HTTP/1.1 200", self.received(), (beginning, kind))
+        self.assertEqual(2, len(self.pool.sent), (beginning, kind))
+
+    def check_heads(self, head):
+        """Break a head off behind each of its bytes but the last."""
+        for size_bytes in range(len(head)):
+            for kind in (error.ConnectionDone, error.ConnectionLost):
+                self.check(head[:size_bytes], kind)
+
+    def test_an_answer_whose_head_breaks_off_is_not_relayed(self):
+        self.check_heads(HEAD + b"\r\n")
+        self.check_heads(HEAD + b"Content-Length: 3\r\n\r\n")
+
+    def test_a_stream_whose_head_breaks_off_is_not_opened(self):
+        self.check_heads(forwarder_test.STREAM)
+
+    def test_a_head_that_breaks_off_behind_an_interim_answer_is_not_relayed(self):
+        self.check_heads(b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"\r\n")
+
+    def test_a_head_that_breaks_off_behind_an_answer_to_another_is_not_relayed(self):
+        other = HEAD.replace(b"id-1", b"id-0") + b"Content-Length: 2\r\n\r\nno"
+        self.check_heads(other + HEAD + b"\r\n")
+        unframed = HEAD.replace(b"id-1", b"id-0") + b"\r\n"
+        self.check(unframed + b"no", error.ConnectionDone)
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -72,13 +72,18 @@
 
 
 class FakeOutgoingRequest:
-    """One request to a fake engine."""
+    """One request to a fake engine.
 
-    def __init__(self, address, request, listener):
+    :param connection: an idle connection to the engine; None to open one.
+    """
+
+    def __init__(self, address, request, listener, connection=None):
         self.address = address
         self.request = request
-        self.connection = http1_client.ClientConnection(task.Clock())
-        self.connection.makeConnection(Transport())
+        self.connection = connection
+        if connection is None:
+            self.connection = http1_client.ClientConnection(task.Clock())
+            self.connection.makeConnection(Transport())
         self.connection.send(request, listener)
         self.cancelled = False
         self.was_sent = True
@@ -92,6 +97,10 @@
     def resume(self):
         self.connection.resume()
 
+    @property
+    def is_first_on_connection(self):
+        return self.connection.request_count == 1
+
     @property
     def is_paused(self):
         return self.connection.transport.producerState == "paused"
@@ -118,9 +127,15 @@
     def __init__(self, clock):
         super().__init__(clock)
         self.sent = []
+        self.kept = {}
+
+    def keep(self, outgoing):
+        """Use the connection of an answered request for the next one there."""
+        self.kept[outgoing.address] = outgoing.connection
 
     def send(self, address, render, listener, max_idle_s=None):
-        outgoing = FakeOutgoingRequest(address, render(), listener)
+        connection = None if max_idle_s == 0.0 else self.kept.pop(address, None)
+        outgoing = FakeOutgoingRequest(address, render(), listener, connection)
         self.sent.append(outgoing)
         return outgoing
 
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -80,6 +80,11 @@
         """Return whether the request was sent on a connection."""
         return self._connection is not None
 
+    @property
+    def is_first_on_connection(self) -> bool:
+        """Return whether its connection carried no request before."""
+        return self._connection is not None and self._connection.request_count == 1
+
     def start(self, max_idle_s: float | None) -> None:
         """Send the request on an idle connection, or open a new one.
 
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -101,6 +101,7 @@
         content_type = (head.get(b"content-type") or b"").partition(b";")[0]
         return dialect.AnswerProperties(
             is_for_request=_is_for_call(echoed, head.status, call),
+            is_identified=echoed is not None,
             is_sealed=head.get(SEAL_HEADER) is not None,
             not_run=head.get(NOT_RUN_HEADER) is not None or head.status == 421,
             instance=_decode_text(head.get(INSTANCE_HEADER) or b""),
