Resume a stream only with events that can follow the last one

Cause: only the framing of a resumed stream was checked, not that it goes on where it should. Its first event must now have an id, above the last one where both are numbers; otherwise the answer counts as malformed.

--- a/toucanspread/core/entry/event_stream.py
+++ b/toucanspread/core/entry/event_stream.py
@@ -6,6 +6,8 @@
 
 import re
 
+from toucanspread.core import data
+
 MAX_EVENT_BYTES = 1_048_576
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 LINE_END = rb"(?>\r\n|\r|\n)"
@@ -23,11 +25,17 @@
 
     :param is_continuation: whether the stream continues another one, so that a byte
         order mark at its start is dropped.
+    :param after_event_id: id after which it continues; None if that has no id.
+    :ivar is_wrong_continuation: whether its first event is none that can follow there.
     :ivar has_completed_event: whether the bytes added last completed an event, not only
         comments and blank lines.
     """
 
-    def __init__(self, is_continuation: bool = False):
+    def __init__(
+        self, is_continuation: bool = False, after_event_id: str | None = None
+    ):
+        self.is_wrong_continuation = False
+        self._after_event_id = after_event_id if is_continuation else None
         self._buffer = bytearray()
         self._is_continuation = is_continuation
         self._is_at_start = True
@@ -53,6 +61,11 @@
         del self._buffer[:end]
         self._ends_with_return = complete.endswith(b"\r")
         self.has_completed_event = FIELD.search(complete) is not None
+        if self._after_event_id is not None and self.has_completed_event:
+            self.is_wrong_continuation = not _follows(complete, self._after_event_id)
+            self._after_event_id = None
+        if self.is_wrong_continuation:
+            return b""
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1").strip()
@@ -110,3 +123,18 @@
         if len(self._buffer) == 1:
             return not self._ends_with_return
         return self._buffer[-2:-1] != b"\r"
+
+
+def _follows(events: bytes, event_id: str) -> bool:
+    """Return whether the first of some events has an id that can follow another one."""
+    filler = FILLER.match(events)
+    start = 0 if filler is None else filler.end()
+    end = EVENT_END.search(events, start)
+    first_id = EVENT_ID.search(events, start, len(events) if end is None else end.end())
+    if first_id is None:
+        return False
+    number = data.parse_count(first_id.group(1).decode("latin-1").strip())
+    last_number = data.parse_count(event_id)
+    if number is None or last_number is None:
+        return True
+    return number > last_number
--- a/toucanspread/core/entry/event_stream_test.py
+++ b/toucanspread/core/entry/event_stream_test.py
@@ -117,3 +117,27 @@
         splitter, relayed = feed(BYTE_ORDER_MARK[:2])
         self.assertEqual([b""], relayed)
         self.assertTrue(splitter.has_partial_event)
+
+
+class ContinuationTest(testtools.TestCase):
+    def is_wrong(self, *pieces, after="7"):
+        splitter = event_stream.EventSplitter(True, after)
+        for piece in pieces:
+            splitter.feed(piece)
+        return splitter.is_wrong_continuation
+
+    def test_events_that_come_again_do_not_continue_a_stream(self):
+        self.assertTrue(self.is_wrong(b"id: 7\ndata: a\n\n"))
+        self.assertTrue(self.is_wrong(b"id: 1\ndata: a\n\nid: 8\ndata: b\n\n"))
+
+    def test_text_without_an_id_does_not_continue_a_stream(self):
+        self.assertTrue(self.is_wrong(b"HTTP/1.1 500 Error\r\nServer: x\r\n\r\n"))
+        self.assertTrue(self.is_wrong(b"error\n\nid: 8\ndata: b\n\n"))
+
+    def test_the_next_event_continues_a_stream(self):
+        self.assertFalse(self.is_wrong(b"id: 8\ndata: a\n\nid: 8\ndata: b\n\n"))
+        self.assertFalse(self.is_wrong(b": comment\n\n", b"data: a\nid:8\n\n"))
+        self.assertFalse(self.is_wrong(b"id: 8\ndata", b": a\n\n"))
+
+    def test_ids_that_are_no_numbers_are_not_compared(self):
+        self.assertFalse(self.is_wrong(b"id: b\ndata: a\n\n", after="a"))
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -88,6 +88,7 @@
         self._splitter: event_stream.EventSplitter | None = None
         self._progress = stream_progress.StreamProgress()
         self._is_continuation = is_continuation
+        self._after_event_id = dispatch.last_event_id
         self._is_finished = False
         self._is_paused = False
         self._silence_timeout_s = dispatch.silence_timeout_s
@@ -132,7 +133,9 @@
         if properties.is_sealed and not properties.not_run:
             self._listener.on_begun(properties.weights_version)
         if properties.is_stream and properties.is_sealed and head.status == 200:
-            self._splitter = event_stream.EventSplitter(self._is_continuation)
+            self._splitter = event_stream.EventSplitter(
+                self._is_continuation, self._after_event_id
+            )
             self.max_body_bytes = MAX_STREAM_BYTES
             self._listener.on_stream_opened()
         return True
@@ -152,7 +155,7 @@
             self._restart_timer()
         if events:
             self._listener.on_events(events, splitter.last_event_id)
-        if splitter.is_event_too_large:
+        if splitter.is_event_too_large or splitter.is_wrong_continuation:
             self.cancel()
             self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
 
--- a/toucanspread/ops/faulty_engine_test.py
+++ b/toucanspread/ops/faulty_engine_test.py
@@ -117,6 +117,12 @@
                 self.check(head + b"\r\n" + ERROR_TEXT)
                 self.check(head + stream_type + length + ERROR_TEXT)
 
+    def test_a_head_in_the_middle_of_the_next_engines_stream_is_not_relayed(self):
+        text = b"HTTP/1.1 500 Error\r\nContent-Length: 9\r\n\r\n" + ERROR_TEXT
+        self.check(forwarder_test.STREAM + forwarder_test.chunk(text))
+        self.check(forwarder_test.STREAM + text)
+        self.check(text)
+
 
 class BrokenHeadTest(forwarder_test.ForwarderCase):
     def check(self, beginning, kind):
