Split forwarding: the context of decisions, silent dispatches, withdrawal

What an entry knows when it decides, what becomes of a request at a silent engine, and when weights are too old to begin on are modules of their own now.

--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -15,7 +15,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
-    forwarding,
+    decision_context,
     guard_program,
     load_balancing,
     retry_budget,
@@ -114,11 +114,11 @@
             return True
         return None if self.age_s() > self.configuration_within_s else False
 
-    def make_decision_context(self) -> forwarding.DecisionContext:
+    def make_decision_context(self) -> decision_context.Context:
         """Return the context of a decision about a request."""
         now_s = self.network.loop.time()
         service = simulated_cluster.SERVICE
-        return forwarding.DecisionContext(
+        return decision_context.Context(
             now_s,
             self.cluster.registry,
             self._retry_budgets,
--- a/standins/promise_request.py
+++ b/standins/promise_request.py
@@ -10,7 +10,7 @@
 from standins import engine_model, simulated_cluster
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions, forwarding
+from toucanspread.core.entry import decision_context, decisions, forwarding
 
 if TYPE_CHECKING:
     from standins import promise_engine, promise_entry
@@ -141,7 +141,7 @@
 
     # What the entry decides
 
-    def _make_context(self) -> forwarding.DecisionContext:
+    def _make_context(self) -> decision_context.Context:
         return self.entry.make_decision_context()
 
     def _carry_out(self, effects: list[data.Effect]) -> None:
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -22,8 +22,8 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    decision_context,
     engines,
-    forwarding,
     guard_program,
     load_balancing,
     retry_budget,
@@ -396,11 +396,11 @@
         if engine is not None:
             engine.limit.on_notice(notice, self._simulation.clock.seconds())
 
-    def make_decision_context(self) -> forwarding.DecisionContext:
+    def make_decision_context(self) -> decision_context.Context:
         """Return the context of decisions."""
         location = load_balancing.EntryLocation(self.zone, REGIONS, self._entry_count)
         now_s = self._simulation.clock.seconds()
-        return forwarding.DecisionContext(
+        return decision_context.Context(
             now_s,
             self.registry,
             self.retry_budgets,
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -21,7 +21,12 @@
 )
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions, forwarding, request_timing
+from toucanspread.core.entry import (
+    decision_context,
+    decisions,
+    forwarding,
+    request_timing,
+)
 from toucanspread.ops import request_queue
 
 CALLER_TIMEOUT_S = 3.2  # callers abandon a request without an event for so long
@@ -145,7 +150,7 @@
         """The state of the decisions about the request."""
         return self._state
 
-    def make_decision_context(self) -> forwarding.DecisionContext:
+    def make_decision_context(self) -> decision_context.Context:
         """Return the context of decisions."""
         return self._entry.make_decision_context()
 
--- /dev/null
+++ b/toucanspread/core/entry/decision_context.py
@@ -0,0 +1,30 @@
+"""The information on which an entry bases its decisions about a request."""
+
+import random
+from typing import NamedTuple
+
+from toucanspread.core.entry import (
+    crash_guard,
+    engines,
+    load_balancing,
+    retry_budget,
+)
+from toucanspread.core.entry import data as entry_data
+
+
+class Context(NamedTuple):
+    """What an entry knows when it decides.
+
+    :param guard: decides which requests may be sent to engines.
+    :param minimum_version: minimum version of the weights for the route's service.
+    :param upcoming_versions: versions of its weights that are not in force yet.
+    """
+
+    now_s: float
+    registry: engines.EngineRegistry
+    retry_budgets: retry_budget.RetryBudget
+    location: load_balancing.EntryLocation
+    random_source: random.Random
+    guard: crash_guard.CrashGuard
+    minimum_version: int = 0
+    upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -29,7 +29,7 @@
 
     NOT_REPEATABLE = "must not run again"
     ATTEMPTS_USED = "attempts used up"
-    PROMPT_SUSPECT = "prompt may crash engines"
+    REQUEST_SUSPECT = "request may crash engines"
     TIME_OVER = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     NO_FREE_ENGINE = "no free engine"
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -6,25 +6,23 @@
 that no request is answered twice.
 """
 
-import random
-from typing import NamedTuple
-
 from toucanspread.core import data, invariants
 from toucanspread.core.entry import (
     admission_queue,
     coming_engines,
     crash_evidence,
     crash_guard,
+    decision_context,
     decisions,
     engines,
     load_balancing,
     request_timing,
-    retry_budget,
+    silent_dispatch,
     urgency,
+    withdrawal,
 )
 from toucanspread.core.entry import data as entry_data
 
-MIN_TIME_TO_DISPATCH_S = 0.03  # shorter than transfer to an engine and the shortest run
 MAX_REJECTION_COUNT = 3  # rejections by engines before the caller is rejected
 # Non-repeatable requests use only connections that can't be closed by an idle timeout
 # while the request is in transit.
@@ -34,28 +32,9 @@
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
 QUARANTINE_RETRY_AFTER_S = 2.0
-WITHDRAWAL_TOLERANCE_S = 0.005  # of the timers that check for withdrawals
 ORDER_MARGIN_S = 1.0  # between the announced time of an order and its effect
 
 
-class DecisionContext(NamedTuple):
-    """The information on which decisions about a request are based.
-
-    :param guard: decides which prompts may be sent to engines.
-    :param minimum_version: minimum version of the weights for the route's service.
-    :param upcoming_versions: versions of its weights that are not in force yet.
-    """
-
-    now_s: float
-    registry: engines.EngineRegistry
-    retry_budgets: retry_budget.RetryBudget
-    location: load_balancing.EntryLocation
-    random_source: random.Random
-    guard: crash_guard.CrashGuard
-    minimum_version: int = 0
-    upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
-
-
 class RequestState:
     """State of one request.
 
@@ -124,7 +103,7 @@
         return None if self._begun_s is None else self._begun_s - self._sent_s
 
     def start(
-        self, context: DecisionContext, queued_prefill_s: float = 0.0
+        self, context: decision_context.Context, queued_prefill_s: float = 0.0
     ) -> list[data.Effect]:
         """Send the request to an engine, queue it, or reject it.
 
@@ -155,7 +134,7 @@
 
     def _queue_for_load(
         self,
-        context: DecisionContext,
+        context: decision_context.Context,
         requirements: load_balancing.EngineRequirements,
         queued_prefill_s: float,
     ) -> list[data.Effect]:
@@ -172,7 +151,7 @@
             return [decisions.Enqueue()]
         return self._finish_unanswered(context, decisions.FailureCause.NO_ENGINE)
 
-    def resume_queued(self, context: DecisionContext) -> list[data.Effect]:
+    def resume_queued(self, context: decision_context.Context) -> list[data.Effect]:
         """Try again to send a queued request to an engine.
 
         Entries notice at the same time that the limit of an engine allows one more
@@ -185,7 +164,7 @@
         return self._dispatch(context, skips_limited)
 
     def on_engine_head(
-        self, context: DecisionContext, limit_per_s: float | None
+        self, context: decision_context.Context, limit_per_s: float | None
     ) -> list[data.Effect]:
         """Handle the head of an answer of the engine.
 
@@ -230,11 +209,13 @@
         self._has_survived = True
         return bool(self.call.suspect_parts)
 
-    def on_survived(self, context: DecisionContext) -> None:
+    def on_survived(self, context: decision_context.Context) -> None:
         """Handle that the prompt does not crash its engine."""
         context.guard.on_survived(self.call, context.now_s)
 
-    def on_answer(self, context: DecisionContext, status: int) -> list[data.Effect]:
+    def on_answer(
+        self, context: decision_context.Context, status: int
+    ) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream."""
         if status == 200:
             self._report_whole_answer(context)
@@ -251,7 +232,9 @@
         return self._retry(context, decisions.DispatchFailure.FAILED)
 
     def on_failure(
-        self, context: DecisionContext, failure: decisions.DispatchFailure
+        self,
+        context: decision_context.Context,
+        failure: decisions.DispatchFailure,
     ) -> list[data.Effect]:
         """Handle a dispatch that failed without a complete answer."""
         if self.is_finished:
@@ -260,9 +243,9 @@
         number = self.dispatches
         self.move_obstacle = None
         if failure is decisions.DispatchFailure.SILENT:
-            self.move_obstacle = self._find_move_obstacle(context)
-            if self.move_obstacle is not None:
-                return self._stay_or_give_up(context, self.move_obstacle)
+            effects = self._on_silence(context)
+            if effects is not None:
+                return effects
         if failure is decisions.DispatchFailure.REJECTED and self._engine is not None:
             self._engine.record_rejection(context.now_s)
         if (
@@ -285,7 +268,9 @@
             self._rejections += 1
         return cancellations + self._retry(context, failure)
 
-    def must_be_withdrawn(self, context: DecisionContext, was_sent: bool) -> bool:
+    def must_be_withdrawn(
+        self, context: decision_context.Context, was_sent: bool
+    ) -> bool:
         """Return whether its engine could begin the request on weights too old.
 
         Whether an engine has begun shows at the head of a stream. Of an answer that is
@@ -296,12 +281,12 @@
         engine, profile = self._engine, self.service.profile
         if engine is None or profile is None or self._begun_s is not None:
             return False
-        if not _is_too_late(engine, profile, context, was_sent):
+        if not withdrawal.is_too_late(engine, profile, context, was_sent):
             return False
         is_stream = self.route.kind is entry_data.RequestKind.STREAMING
         return is_stream or self.route.is_repeatable or not was_sent
 
-    def on_quarantine(self, context: DecisionContext) -> list[data.Effect]:
+    def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request that waits at an engine if it matches a quarantine."""
         if self.is_finished or self._engine is None or self._first_event_s is not None:
             return []
@@ -310,7 +295,7 @@
         self._release_engine(context, ok=False, weight=0)
         return [decisions.Cancel(self.dispatches), *self._refuse_quarantined(context)]
 
-    def on_deadline(self, context: DecisionContext) -> list[data.Effect]:
+    def on_deadline(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request whose deadline has passed."""
         if self.is_finished:
             return []
@@ -329,7 +314,9 @@
             decisions.Fail(decisions.FailureCause.DEADLINE_EXCEEDED, timed_out=True)
         )
 
-    def on_caller_disconnected(self, context: DecisionContext) -> list[data.Effect]:
+    def on_caller_disconnected(
+        self, context: decision_context.Context
+    ) -> list[data.Effect]:
         """Cancel the request because its caller has disconnected."""
         if self.is_finished:
             return []
@@ -339,10 +326,10 @@
         return [decisions.Cancel(self.dispatches)] if had_engine else []
 
     def _dispatch(
-        self, context: DecisionContext, skips_limited: bool = False
+        self, context: decision_context.Context, skips_limited: bool = False
     ) -> list[data.Effect]:
         left_s = self.deadline_s - context.now_s
-        if left_s < MIN_TIME_TO_DISPATCH_S:
+        if left_s < silent_dispatch.MIN_TIME_TO_DISPATCH_S:
             return self._finish_unanswered(
                 context, decisions.FailureCause.DEADLINE_EXCEEDED
             )
@@ -357,7 +344,7 @@
         return self._send_to(engine, context, left_s)
 
     def _wait_for_engine(
-        self, context: DecisionContext, left_s: float
+        self, context: decision_context.Context, left_s: float
     ) -> list[data.Effect]:
         """Queue the request until an engine can take it, or end it.
 
@@ -376,7 +363,7 @@
             cause = decisions.FailureCause.NO_ENGINE
         return self._finish_unanswered(context, cause)
 
-    def _load_wait_s(self, context: DecisionContext) -> float:
+    def _load_wait_s(self, context: decision_context.Context) -> float:
         """Return the time until an engine has loaded weights for the request."""
         requirements = self._make_requirements(context, frozenset(self._tried))
         waits_s = coming_engines.list_waits_s(
@@ -384,12 +371,12 @@
         )
         return min(waits_s, default=float("inf"))
 
-    def _known_load_wait_s(self, context: DecisionContext) -> float:
+    def _known_load_wait_s(self, context: decision_context.Context) -> float:
         """Return the time until an engine has loaded weights; 0 if it is unknown."""
         wait_s = self._load_wait_s(context)
         return 0.0 if wait_s == float("inf") else wait_s
 
-    def _limit_wait_s(self, context: DecisionContext) -> float:
+    def _limit_wait_s(self, context: decision_context.Context) -> float:
         """Return the time until a suitable engine's limit allows the request."""
         tried = frozenset(self._tried)
         if self._last_failure in decisions.NOT_RUN_FAILURES:
@@ -400,7 +387,7 @@
         )
 
     def _queue_or_reject(
-        self, engine: engines.Engine, context: DecisionContext
+        self, engine: engines.Engine, context: decision_context.Context
     ) -> list[data.Effect]:
         """Return what to do instead of a dispatch; empty if the engine has capacity."""
         backlog_s = load_balancing.backlog_s(
@@ -419,7 +406,10 @@
         return [decisions.Enqueue()]
 
     def _send_to(
-        self, engine: engines.Engine, context: DecisionContext, left_s: float
+        self,
+        engine: engines.Engine,
+        context: decision_context.Context,
+        left_s: float,
     ) -> list[data.Effect]:
         max_idle_s = self._max_idle_s(engine)
         self._engine = engine
@@ -472,7 +462,9 @@
             return NEW_CONNECTION_S
         return None if self.route.is_repeatable else FRESH_CONNECTION_S
 
-    def _check_dispatch(self, engine: engines.Engine, context: DecisionContext) -> None:
+    def _check_dispatch(
+        self, engine: engines.Engine, context: decision_context.Context
+    ) -> None:
         """Check that one more engine may run the request."""
         call_id = self.call.attempt_id
         invariants.check(
@@ -506,7 +498,7 @@
         return urgency.engine_priority(kind, self._rank)
 
     def _choose_engine(
-        self, context: DecisionContext, skips_limited: bool
+        self, context: decision_context.Context, skips_limited: bool
     ) -> engines.Engine | None:
         """Return an engine that has not been tried, or else one that rejected it."""
         requirements = self._make_requirements(context, frozenset(self._tried))
@@ -538,7 +530,9 @@
         return engine
 
     def _make_requirements(
-        self, context: DecisionContext, excluded: frozenset[str] = frozenset()
+        self,
+        context: decision_context.Context,
+        excluded: frozenset[str] = frozenset(),
     ) -> load_balancing.EngineRequirements:
         return load_balancing.EngineRequirements(
             self.service,
@@ -551,7 +545,7 @@
             ),
         )
 
-    def _report_crash(self, context: DecisionContext) -> None:
+    def _report_crash(self, context: decision_context.Context) -> None:
         """Report that the engine may have crashed because of the request."""
         engine = self._engine
         if engine is None or not self.call.suspect_parts:
@@ -562,7 +556,7 @@
             return
         context.guard.on_break(engine.incarnation, self.call, context.now_s)
 
-    def _report_whole_answer(self, context: DecisionContext) -> None:
+    def _report_whole_answer(self, context: decision_context.Context) -> None:
         """Report that the engine wrote a whole answer."""
         if self._engine is None or not self.call.suspect_parts:
             return
@@ -575,16 +569,20 @@
             self._engine.incarnation, self.call, began_s, context.now_s
         )
 
-    def _is_quarantined(self, context: DecisionContext) -> bool:
+    def _is_quarantined(self, context: decision_context.Context) -> bool:
         return not self._is_trial and context.guard.is_quarantined(self.call)
 
-    def _refuse_quarantined(self, context: DecisionContext) -> list[data.Effect]:
+    def _refuse_quarantined(
+        self, context: decision_context.Context
+    ) -> list[data.Effect]:
         return self._finish_unanswered(
             context, decisions.FailureCause.REQUEST_CRASHES_ENGINES
         )
 
     def _may_be_repeated(
-        self, context: DecisionContext, failure: decisions.DispatchFailure
+        self,
+        context: decision_context.Context,
+        failure: decisions.DispatchFailure,
     ) -> bool:
         """Return whether the prompt is no danger to another engine."""
         has_run = self._has_run_for_a_while(context.now_s)
@@ -598,7 +596,9 @@
         return began_s is not None and now_s - began_s > crash_evidence.JUST_BEGUN_S
 
     def _retry(
-        self, context: DecisionContext, failure: decisions.DispatchFailure
+        self,
+        context: decision_context.Context,
+        failure: decisions.DispatchFailure,
     ) -> list[data.Effect]:
         """Send the request to another engine if it may be retried, else end it."""
         if not self._may_be_repeated(context, failure):
@@ -621,7 +621,9 @@
             )
         return self._dispatch(context)
 
-    def _would_miss_deadline(self, context: DecisionContext, backlog_s: float) -> bool:
+    def _would_miss_deadline(
+        self, context: decision_context.Context, backlog_s: float
+    ) -> bool:
         """Return whether the answer could not be complete before the deadline."""
         decode_s = load_balancing.decode_s(
             self.service.profile, self.timing.likely_tokens_left(self._last_event_id)
@@ -634,7 +636,7 @@
         return context.now_s + needed_s + decode_s > self.deadline_s
 
     def _reject_overloaded(
-        self, context: DecisionContext, wait_s: float
+        self, context: decision_context.Context, wait_s: float
     ) -> list[data.Effect]:
         retry_s = admission_queue.retry_after_s(wait_s, context.random_source.random())
         return self._finish(
@@ -644,77 +646,39 @@
     def _can_be_queued(self) -> bool:
         return self.service.profile is not None and self.dispatches == 0
 
-    def _can_run_again(self, context: DecisionContext) -> bool:
-        return self._find_run_obstacle(context) is None
-
-    def _find_run_obstacle(
-        self, context: DecisionContext
-    ) -> decisions.MoveObstacle | None:
-        """Return why the request may not run again, or None if it may."""
-        if not self.route.is_repeatable:
-            return decisions.MoveObstacle.NOT_REPEATABLE
-        if self.possible_runs >= self.route.attempts:
-            return decisions.MoveObstacle.ATTEMPTS_USED
-        if not context.guard.may_repeat(self.call):
-            return decisions.MoveObstacle.PROMPT_SUSPECT
-        if self.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
-            return decisions.MoveObstacle.TIME_OVER
-        return None
-
-    def _find_move_obstacle(
-        self, context: DecisionContext
-    ) -> decisions.MoveObstacle | None:
-        """Return why a request to a silent engine can't move, or None if it can."""
-        obstacle = self._find_run_obstacle(context)
-        if obstacle is not None:
-            return obstacle
-        if not context.retry_budgets.allows_retry(
-            self.service.name, context.now_s, context.location.entry_count
-        ):
-            return decisions.MoveObstacle.RETRY_BUDGET_EXHAUSTED
-        if not self._has_free_engine(context):
-            return decisions.MoveObstacle.NO_FREE_ENGINE
-        return None
-
-    def _stay_or_give_up(
-        self, context: DecisionContext, obstacle: decisions.MoveObstacle
-    ) -> list[data.Effect]:
-        """Let a request wait at its silent engine, or end it.
+    def _can_run_again(self, context: decision_context.Context) -> bool:
+        request = self._describe_dispatched(context)
+        return silent_dispatch.find_run_obstacle(request, context) is None
+
+    def _describe_dispatched(
+        self, context: decision_context.Context
+    ) -> silent_dispatch.DispatchedRequest:
+        return silent_dispatch.DispatchedRequest(
+            self.route,
+            self.call,
+            self.deadline_s,
+            self.possible_runs,
+            self._engine,
+            self._make_requirements(context, frozenset(self._tried)),
+        )
 
-        If nothing at all is heard of the engine, the caller can have the request run
-        elsewhere, while this entry may not.
-        """
-        engine = self._engine
-        if engine is None or not engine.is_silent(context.now_s):
-            return []
-        if obstacle not in decisions.CALLER_RETRY_OBSTACLES:
+    def _on_silence(
+        self, context: decision_context.Context
+    ) -> list[data.Effect] | None:
+        """Return what to do about a silent engine; None to move to another one."""
+        request = self._describe_dispatched(context)
+        self.move_obstacle = silent_dispatch.find_move_obstacle(request, context)
+        if self.move_obstacle is None:
+            return None
+        if not silent_dispatch.is_wait_in_vain(request, self.move_obstacle, context):
             return []
         self._release_engine(context, ok=False)
         cancel = decisions.Cancel(self.dispatches)
         cause = decisions.FailureCause.ENGINE_FAILED
         return [cancel, *self._finish_unanswered(context, cause)]
 
-    def _has_free_engine(self, context: DecisionContext) -> bool:
-        """Return whether an engine that was not tried has a free slot.
-
-        If the present engine is silent, any engine that is heard is better.
-        """
-        needs_slot = self._engine is None or not self._engine.is_silent(context.now_s)
-        tried = frozenset(self._tried)
-        requirements = self._make_requirements(context, tried)
-        for engine in load_balancing.eligible_engines(
-            context.registry, requirements, context.location, context.now_s
-        ):
-            if engine.is_avoided(context.now_s):
-                continue
-            if not needs_slot and not engine.is_silent(context.now_s):
-                return True
-            if load_balancing.free_slots(engine, context.location, context.now_s) >= 1:
-                return True
-        return False
-
     def _finish_unanswered(
-        self, context: DecisionContext, cause: decisions.FailureCause
+        self, context: decision_context.Context, cause: decisions.FailureCause
     ) -> list[data.Effect]:
         """End the request without an answer of an engine."""
         if self._streaming:
@@ -729,7 +693,7 @@
         )
 
     def _make_reject(
-        self, context: DecisionContext, cause: decisions.FailureCause
+        self, context: decision_context.Context, cause: decisions.FailureCause
     ) -> decisions.Reject:
         base_s = RETRY_AFTER_BASE_S
         if cause is decisions.FailureCause.NO_ENGINE:
@@ -756,7 +720,7 @@
         return [effect]
 
     def _release_engine(
-        self, context: DecisionContext, ok: bool, weight: int = 1
+        self, context: decision_context.Context, ok: bool, weight: int = 1
     ) -> None:
         engine, self._engine = self._engine, None
         if engine is None:
@@ -766,25 +730,3 @@
             engine.record_success()
         elif weight:
             engine.record_failure(context.now_s, weight)
-
-
-def _is_too_late(
-    engine: engines.Engine,
-    profile: entry_data.ModelProfile,
-    context: DecisionContext,
-    was_sent: bool,
-) -> bool:
-    """Return whether an engine may begin on its weights only when they are too old.
-
-    :param was_sent: whether it has the request, which a withdrawal takes as long to
-        reach as other bytes.
-    """
-    version = engine.complete_version(profile, context.now_s)
-    newer = [due for due in context.upcoming_versions if due.version > version]
-    is_old = version < context.minimum_version
-    is_withdrawn_later = any(due.version == context.minimum_version for due in newer)
-    if is_old and not (was_sent and is_withdrawn_later):
-        return True
-    begin_until_s = min((due.begin_until_s for due in newer), default=float("inf"))
-    acts_s = context.now_s + engine.link_delay_s(context.now_s)
-    return acts_s + WITHDRAWAL_TOLERANCE_S >= begin_until_s
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -9,6 +9,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     crash_guard_test,
+    decision_context,
     decisions,
     engines,
     forwarding,
@@ -106,7 +107,7 @@
 
     def context(self):
         location = load_balancing.EntryLocation(ZONE, {ZONE: data.RegionName("g")}, 1)
-        return forwarding.DecisionContext(
+        return decision_context.Context(
             self.now_s,
             self.registry,
             self.retry_budgets,
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -9,6 +9,7 @@
     admission_queue,
     crash_evidence,
     crash_guard_test,
+    decision_context,
     decisions,
     engines,
     forwarding,
@@ -57,7 +58,7 @@
     def at(self, now_s, entry_count=1):
         regions = {ZONE: data.RegionName("g")}
         location = load_balancing.EntryLocation(ZONE, regions, entry_count)
-        return forwarding.DecisionContext(
+        return decision_context.Context(
             now_s,
             self.registry,
             self.retry_budgets,
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -11,6 +11,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    decision_context,
     decisions,
     forwarding,
     load_balancing,
@@ -45,7 +46,7 @@
     @abc.abstractmethod
     def make_decision_context(
         self, service: entry_data.Service
-    ) -> forwarding.DecisionContext:
+    ) -> decision_context.Context:
         """Return the context of a decision about a request of a service."""
 
     @abc.abstractmethod
@@ -126,7 +127,7 @@
         """Return the state of the request, which makes the decisions."""
         return self._state
 
-    def make_decision_context(self) -> forwarding.DecisionContext:
+    def make_decision_context(self) -> decision_context.Context:
         """Return the context of a decision about this request."""
         return self._forwarder.make_decision_context(self.service)
 
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -8,8 +8,8 @@
 
 from toucanspread.core.entry import (
     cluster_state,
+    decision_context,
     fingerprints,
-    forwarding,
     guard_program,
     load_balancing,
     retry_budget,
@@ -149,10 +149,10 @@
 
     def make_decision_context(
         self, service: entry_data.Service
-    ) -> forwarding.DecisionContext:
+    ) -> decision_context.Context:
         """Return the context of a decision about a request of a service."""
         now_s = self.pool.reactor.seconds()
-        return forwarding.DecisionContext(
+        return decision_context.Context(
             now_s,
             self.cluster.registry,
             self._retry_budgets,
--- a/toucanspread/ops/request_queue.py
+++ b/toucanspread/ops/request_queue.py
@@ -8,6 +8,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     admission_queue,
+    decision_context,
     decisions,
     forwarding,
     load_balancing,
@@ -28,7 +29,7 @@
         """Return the state of the request, which makes the decisions."""
 
     @abc.abstractmethod
-    def make_decision_context(self) -> forwarding.DecisionContext:
+    def make_decision_context(self) -> decision_context.Context:
         """Return the context of a decision about this request."""
 
     @abc.abstractmethod
