--- a/standins/crash_simulation_test.py
+++ b/standins/crash_simulation_test.py
@@ -38,16 +38,18 @@
     return simulation
 
 
+def list_violations(entries, crashing):
+    """Return how the rules were broken with any of the seeds."""
+    return [
+        f"seed {seed}: {violation}"
+        for seed in SEEDS
+        for violation in simulate(entries, crashing, seed).crash_check.list_violations()
+    ]
+
+
 class CrashSimulationTest(testtools.TestCase):
     def check(self, entries, crashing):
-        violations = []
-        for seed in SEEDS:
-            simulation = simulate(entries, crashing, seed)
-            violations += [
-                f"seed {seed}: {violation}"
-                for violation in simulation.crash_check.list_violations()
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], list_violations(entries, crashing))
 
     def test_one_entry_stops_sending_a_part_that_crashes_engines(self):
         self.check(1, make_part())
@@ -71,14 +73,7 @@
 class RepeatedRequestTest(testtools.TestCase):
     def check(self, entries, rate_per_s=RATE_PER_S):
         crashing = load_profiles.CrashingPart(PART, None, rate_per_s, FROM_S)
-        violations = []
-        for seed in SEEDS:
-            simulation = simulate(entries, crashing, seed)
-            violations += [
-                f"seed {seed}: {violation}"
-                for violation in simulation.crash_check.list_violations()
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], list_violations(entries, crashing))
 
     def test_one_entry_stops_sending_a_request_that_crashes_engines_again(self):
         self.check(1)
