Let one request at two crashes by chance leave a cause certain

Cause: a sound request that is sent again and breaks off with two engines made the crashing part ambiguous, so that it was tried again after 1 and 6 s. Another part makes a cause uncertain only if two requests hold it now, as a cause needs several requests, too.

--- a/toucanspread/core/entry/crash_causes.py
+++ b/toucanspread/core/entry/crash_causes.py
@@ -68,7 +68,10 @@
         if part in cause.parts:
             continue
         shared = evidence.crashes_of_part(part) & cause.crashes
-        if evidence.count_moments(shared) >= MIN_SHARED_COUNT:
+        if evidence.count_moments(shared) < MIN_SHARED_COUNT:
+            continue
+        # One request that is sent again may be at both crashes by chance.
+        if evidence.count_requests(part, shared) >= MIN_SHARED_COUNT:
             return True
     return False
 
