--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -327,12 +327,14 @@
             if now_s - quarantine.began_s > COMPARISON_S:
                 continue
             crashes = self.evidence.crashes_of(quarantine.parts)
+            if len(crashes) < crash_causes.MIN_CRASH_COUNT:
+                continue  # this entry does not know those that led to it
             is_explained = any(
                 crashes < self.evidence.crashes_of(other.parts)
                 for other in quarantines
                 if not other.parts & quarantine.parts
             )
-            if crashes and is_explained:
+            if is_explained:
                 self._lift(quarantine, "explained by another", now_s)
 
     def _lift(
