Split the decisions about one request by their jobs

The silent dispatch's own copy of the request's fields is gone.

No change of behaviour.

One test set `request.dispatches = 1` on the state. That is no attribute any more; the request of the test is now really sent to an engine, which rejects it.

--- /dev/null
+++ b/toucanspread/core/entry/engine_choice.py
@@ -0,0 +1,92 @@
+"""Chooses the engine for a request, and tells how long one that has none may wait.
+
+:mod:`toucanspread.core.entry.load_balancing` ranks the engines; here is what a request
+requires of them, with the engines that it has tried.
+"""
+
+from toucanspread.core.entry import (
+    coming_engines,
+    decision_context,
+    decisions,
+    engines,
+    load_balancing,
+    request_record,
+)
+
+
+def choose_engine(
+    record: request_record.RequestRecord,
+    context: decision_context.Context,
+    skips_limited: bool,
+) -> engines.Engine | None:
+    """Return an engine that has not been tried, or else one that rejected the request.
+
+    :param skips_limited: whether engines that name a limit are left out.
+    """
+    requirements = make_requirements(record, context, record.tried)._replace(
+        likely_tokens=record.likely_tokens_left,
+        was_interrupted=record.possible_runs > 0,
+        skips_limited=skips_limited,
+    )
+    engine = _choose(requirements, context)
+    if engine is None and record.tried and _may_try_again(record):
+        engine = _choose(requirements._replace(excluded=frozenset()), context)
+    return engine
+
+
+def make_requirements(
+    record: request_record.RequestRecord,
+    context: decision_context.Context,
+    excluded: frozenset[str] = frozenset(),
+) -> load_balancing.EngineRequirements:
+    """Return what the request requires of its engine.
+
+    :param excluded: ids of engines that it may not go to.
+    """
+    return load_balancing.EngineRequirements(
+        record.service,
+        context.minimum_version,
+        excluded,
+        upcoming_versions=context.upcoming_versions,
+        prefill_s=record.timing.prefill_s,
+        rate_per_s=context.retry_budgets.request_rate_per_s(
+            record.service.name, context.now_s
+        ),
+    )
+
+
+def limit_wait_s(
+    record: request_record.RequestRecord, context: decision_context.Context
+) -> float:
+    """Return the time until a suitable engine's limit allows the request."""
+    excluded = frozenset() if _may_try_again(record) else record.tried
+    requirements = make_requirements(record, context, excluded)
+    return load_balancing.limit_wait_s(
+        context.registry, requirements, context.location, context.now_s
+    )
+
+
+def load_wait_s(
+    record: request_record.RequestRecord, context: decision_context.Context
+) -> float:
+    """Return the time until an engine has loaded weights for the request."""
+    requirements = make_requirements(record, context, record.tried)
+    waits_s = coming_engines.list_waits_s(context.registry, requirements, context.now_s)
+    return min(waits_s, default=float("inf"))
+
+
+def _choose(
+    requirements: load_balancing.EngineRequirements, context: decision_context.Context
+) -> engines.Engine | None:
+    return load_balancing.choose_engine(
+        context.registry,
+        requirements,
+        context.location,
+        context.now_s,
+        context.random_source,
+    )
+
+
+def _may_try_again(record: request_record.RequestRecord) -> bool:
+    """Return whether the request may go to an engine that it was sent to before."""
+    return record.last_failure in decisions.NOT_RUN_FAILURES
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -180,9 +180,15 @@
 
     def test_a_request_that_cannot_be_queued_does_not_wait_for_weights(self):
         fixture = self.make_coming_fixture(coming_in_s=0.5)
+        fixture.registry.put(make_entry("ccc"))
         request = fixture.make_request(make_route())
-        request.dispatches = 1
-        self.assert_only(decisions.Reject, request.start(fixture.at(0.0)))
+        self.assert_only(decisions.SendToEngine, request.start(fixture.at(0.0)))
+        fixture.registry.put(make_entry("ccc", loaded=()))
+        effects = request.on_failure(
+            fixture.at(0.1), decisions.DispatchFailure.REJECTED
+        )
+        rejected = self.assert_only(decisions.Reject, effects)
+        self.assertIs(decisions.FailureCause.NO_ENGINE, rejected.cause)
 
     def test_a_stream_resumes_after_its_last_event(self):
         fixture = Fixture()
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -5,92 +5,84 @@
 connection reaches an engine that stands still, and the caller would wait in vain.
 """
 
-from typing import NamedTuple
-
-from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
     decision_context,
     decisions,
+    engine_choice,
     engines,
     load_balancing,
+    request_record,
 )
 
 MIN_TIME_TO_DISPATCH_S = 0.03  # shorter than transfer to an engine and the shortest run
 
 
-class DispatchedRequest(NamedTuple):
-    """A request that was sent to an engine.
-
-    :param engine: the engine that has it; None if that is not of interest.
-    :param requirements: those on another engine, without the ones that were tried.
-    :param possible_runs: number of engines that may have begun to run it.
-    """
-
-    route: entry_data.Route
-    call: entry_data.Call
-    deadline_s: float
-    possible_runs: int
-    engine: engines.Engine | None
-    requirements: load_balancing.EngineRequirements
-
-
 def find_run_obstacle(
-    request: DispatchedRequest, context: decision_context.Context
+    record: request_record.RequestRecord, context: decision_context.Context
 ) -> decisions.MoveObstacle | None:
     """Return why the request may not run again, or None if it may."""
-    if not request.route.is_repeatable:
+    if not record.route.is_repeatable:
         return decisions.MoveObstacle.NOT_REPEATABLE
-    if request.possible_runs >= request.route.attempts:
+    if record.possible_runs >= record.route.attempts:
         return decisions.MoveObstacle.ATTEMPTS_USED
-    if not context.guard.may_repeat(request.call):
+    if not context.guard.may_repeat(record.call):
         return decisions.MoveObstacle.REQUEST_SUSPECT
-    if request.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
+    if record.timing.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
         return decisions.MoveObstacle.TIME_OVER
     return None
 
 
 def find_move_obstacle(
-    request: DispatchedRequest, context: decision_context.Context
+    record: request_record.RequestRecord,
+    engine: engines.Engine | None,
+    context: decision_context.Context,
 ) -> decisions.MoveObstacle | None:
-    """Return why the request can't move to another engine, or None if it can."""
-    obstacle = find_run_obstacle(request, context)
+    """Return why the request can't move to another engine, or None if it can.
+
+    :param engine: the engine that has the request.
+    """
+    obstacle = find_run_obstacle(record, context)
     if obstacle is not None:
         return obstacle
-    service = request.requirements.service.name
     if not context.retry_budgets.allows_retry(
-        service, context.now_s, context.location.entry_count
+        record.service.name, context.now_s, context.location.entry_count
     ):
         return decisions.MoveObstacle.RETRY_BUDGET_EXHAUSTED
-    if not _has_better_engine(request, context):
+    if not _has_better_engine(record, engine, context):
         return decisions.MoveObstacle.NO_FREE_ENGINE
     return None
 
 
 def is_wait_in_vain(
-    request: DispatchedRequest,
+    engine: engines.Engine | None,
     obstacle: decisions.MoveObstacle,
     context: decision_context.Context,
 ) -> bool:
     """Return whether to end a request that can't move.
 
     Nothing is heard of its engine, and its caller can have it run elsewhere.
+
+    :param engine: the engine that has the request.
     """
-    if request.engine is None or not request.engine.is_silent(context.now_s):
+    if engine is None or not engine.is_silent(context.now_s):
         return False
     return obstacle in decisions.CALLER_RETRY_OBSTACLES
 
 
 def _has_better_engine(
-    request: DispatchedRequest, context: decision_context.Context
+    record: request_record.RequestRecord,
+    present_engine: engines.Engine | None,
+    context: decision_context.Context,
 ) -> bool:
     """Return whether an engine that was not tried has a free slot.
 
     If the present engine is silent, any engine that is heard is better.
     """
     now_s, location = context.now_s, context.location
-    needs_slot = request.engine is None or not request.engine.is_silent(now_s)
+    needs_slot = present_engine is None or not present_engine.is_silent(now_s)
+    requirements = engine_choice.make_requirements(record, context, record.tried)
     for engine in load_balancing.eligible_engines(
-        context.registry, request.requirements, location, now_s
+        context.registry, requirements, location, now_s
     ):
         if engine.is_avoided(now_s):
             continue
