End the circle of imports among the promise stand-ins

promise_engine, promise_entry and promise_request imported each other, two of them for type checks only. Now promise_entry knows its requests by an abstract EntryRequest, promise_engine has Dispatch and hands answers to an abstract DispatchListener, and promise_request imports both; it gets the engines from the site, not through the entry.

No change of behaviour.

--- a/standins/promise_engine.py
+++ b/standins/promise_engine.py
@@ -1,6 +1,7 @@
 """Engines of a simulated site, whose links carry requests and pieces of weights."""
 
 import abc
+import dataclasses
 import json
 import random
 from collections.abc import Callable
@@ -9,7 +10,6 @@
     engine_model,
     link_simulation,
     promise_entry,
-    promise_request,
     simulated_cluster,
 )
 from toucanspread.core import data
@@ -25,6 +25,44 @@
 PIECES_AT_A_TIME = 2
 PIECE_TIMEOUT_S = 3.0
 MAX_ORIGIN_DELAY_S = 5.0  # until entries have the pieces of a new version
+ANSWER_DELAY_S = 0.003
+
+
+class DispatchListener(abc.ABC):
+    """Gets what an engine answers to a dispatch."""
+
+    @abc.abstractmethod
+    def on_failure(
+        self, dispatch: "Dispatch", failure: decisions.DispatchFailure
+    ) -> None:
+        """Handle the failure of a dispatch at its engine."""
+
+    @abc.abstractmethod
+    def on_begun(self, dispatch: "Dispatch") -> None:
+        """Handle the first event of an answer."""
+
+    @abc.abstractmethod
+    def on_end(self, dispatch: "Dispatch") -> None:
+        """Handle the end of an answer."""
+
+
+@dataclasses.dataclass(eq=False)
+class Dispatch:
+    """One dispatch of a request to an engine.
+
+    :ivar entry: the entry that sends the request.
+    :ivar sent_s: time at which the request left the entry.
+    :ivar arrived_s: time at which it reached the engine.
+    :ivar closed_s: time at which the entry closed its connection.
+    """
+
+    listener: DispatchListener
+    entry: promise_entry.PromiseEntry
+    engine: "PromiseEngine"
+    sent_s: float | None = None
+    arrived_s: float | None = None
+    closed_s: float | None = None
+    job: engine_model.Job | None = None
 
 
 class EngineSite(abc.ABC):
@@ -39,11 +77,11 @@
         """Write the record of an engine to the store, or delete it."""
 
     @abc.abstractmethod
-    def check_arrival(self, dispatch: promise_request.Dispatch) -> None:
+    def check_arrival(self, dispatch: Dispatch) -> None:
         """Check that an engine may still get a request."""
 
     @abc.abstractmethod
-    def check_begin(self, dispatch: promise_request.Dispatch) -> None:
+    def check_begin(self, dispatch: Dispatch) -> None:
         """Check that an engine may begin a request on its version."""
 
 
@@ -66,8 +104,8 @@
         self._random = site.random_source
         self._is_loading = False
         self._is_gone = False
-        self._jobs: dict[promise_request.Dispatch, None] = {}
-        self._begun: set[promise_request.Dispatch] = set()
+        self._jobs: dict[Dispatch, None] = {}
+        self._begun: set[Dispatch] = set()
         self._newest = version
         self._missing: set[int] = set()
         self._link_delay_s = 0.0
@@ -110,44 +148,44 @@
 
     # Requests
 
-    def receive(self, dispatch: promise_request.Dispatch) -> None:
+    def receive(self, dispatch: Dispatch) -> None:
         """Accept or reject a request that has arrived."""
         dispatch.arrived_s = self._loop.time()
         if self._is_gone:
             failure = decisions.DispatchFailure.NOT_CONNECTED
-            dispatch.request.on_failure(dispatch, failure)
+            dispatch.listener.on_failure(dispatch, failure)
         self._site.check_arrival(dispatch)
         if self._is_gone:
             return
         if self._is_loading or not self.model.submit(dispatch.job):
             failure = decisions.DispatchFailure.REJECTED
-            dispatch.request.on_failure(dispatch, failure)
+            dispatch.listener.on_failure(dispatch, failure)
             return
         self._jobs[dispatch] = None
 
-    def cancel(self, dispatch: promise_request.Dispatch) -> None:
+    def cancel(self, dispatch: Dispatch) -> None:
         """Drop a request whose connection was closed."""
         self.model.cancel(dispatch.job)
         self._jobs.pop(dispatch, None)
 
-    def on_event(self, dispatch: promise_request.Dispatch) -> None:
+    def on_event(self, dispatch: Dispatch) -> None:
         """Check the begin of an answer at its first event."""
         if dispatch.job.generated_tokens > engine_model.TOKENS_PER_EVENT:
             return
         self._site.check_begin(dispatch)
-        dispatch.request.on_begun(dispatch)
+        dispatch.listener.on_begun(dispatch)
 
-    def on_end(self, dispatch: promise_request.Dispatch) -> None:
+    def on_end(self, dispatch: Dispatch) -> None:
         """Handle the last event of an answer."""
         self._jobs.pop(dispatch, None)
-        dispatch.request.on_end(dispatch)
+        dispatch.listener.on_end(dispatch)
 
     def _fail_all(self) -> None:
         failed, self._jobs = self._jobs, {}
         for dispatch in failed:
             self.model.cancel(dispatch.job)
             failure = decisions.DispatchFailure.BROKEN
-            dispatch.request.on_failure(dispatch, failure)
+            dispatch.listener.on_failure(dispatch, failure)
 
     # Weights
 
@@ -230,7 +268,7 @@
             self._is_loading,
             link_delay_s=self._link_delay_s if self._missing else 0.0,
         )
-        self._loop.call_later(promise_request.ANSWER_DELAY_S, self._deliver, load)
+        self._loop.call_later(ANSWER_DELAY_S, self._deliver, load)
 
     def _deliver(self, load: entry_data.EngineLoad) -> None:
         for entry in self._site.entries.values():
--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -1,14 +1,14 @@
 """Entries of a simulated site: the product's copy of the store and its decisions."""
 
+import abc
 import functools
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from standins import (
     link_simulation,
     promise_check,
-    promise_request,
     simulated_cluster,
     view_simulation,
 )
@@ -26,9 +26,6 @@
 from toucanspread.ops import crash_notices, view_sync
 from toucanspread.platform import decoding, entry
 
-if TYPE_CHECKING:
-    from standins import promise_engine
-
 DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
 
 
@@ -50,10 +47,21 @@
         )
 
 
+class EntryRequest(abc.ABC):
+    """A caller's request at an entry."""
+
+    @abc.abstractmethod
+    def withdraw_if_outdated(self) -> None:
+        """Withdraw the request if its engine could begin it on weights too old."""
+
+    @abc.abstractmethod
+    def on_entry_lost(self) -> None:
+        """Handle the end of the entry's process."""
+
+
 class PromiseEntry(view_simulation.Follower):
     """One life of an entry.
 
-    :param engines: all engines by their ids.
     :ivar in_progress: the requests of its callers, in order of arrival.
     :ivar known_versions: what it got to know of each version of the weights.
     :ivar configuration_within_s: age of its copy from which on it denies nothing.
@@ -68,13 +76,11 @@
         zone: data.ZoneName,
         mbps: float,
         bounds: promise_check.Bounds,
-        engines: "dict[str, promise_engine.PromiseEngine]",
     ):
         super().__init__(network, name, True, list_peers, zone, mbps)
         self.network = network
-        self.engines = engines
         self.random_source = random.Random(name)
-        self.in_progress: dict[promise_request.PromiseRequest, None] = {}
+        self.in_progress: dict[EntryRequest, None] = {}
         self.known_versions: dict[int, KnownVersion] = {}
         self._retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         peers = list_peers()
--- a/standins/promise_request.py
+++ b/standins/promise_request.py
@@ -4,20 +4,13 @@
 sent to the engine's instance before.
 """
 
-import dataclasses
-from typing import TYPE_CHECKING
-
-from standins import engine_model, simulated_cluster
+from standins import engine_model, promise_engine, promise_entry, simulated_cluster
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decision_context, decisions, forwarding
 
-if TYPE_CHECKING:
-    from standins import promise_engine, promise_entry
-
 PACKET_BYTES = 60  # opens or closes a connection
 REQUEST_BYTES = 4_000
-ANSWER_DELAY_S = 0.003
 OPEN_CONNECTION_SHARE = 0.6  # of requests that find an idle connection
 MEAN_PROMPT_TOKENS = 700
 MEAN_ANSWER_TOKENS = 40
@@ -36,36 +29,23 @@
 )
 
 
-@dataclasses.dataclass(eq=False)
-class Dispatch:
-    """One dispatch of a request to an engine.
+class PromiseRequest(promise_entry.EntryRequest, promise_engine.DispatchListener):
+    """A caller's request, from its arrival at an entry to its end.
 
-    :ivar sent_s: time at which the request left the entry.
-    :ivar arrived_s: time at which it reached the engine.
-    :ivar closed_s: time at which the entry closed its connection.
+    :param engines: all engines by their ids.
     """
 
-    request: "PromiseRequest"
-    engine: "promise_engine.PromiseEngine"
-    sent_s: float | None = None
-    arrived_s: float | None = None
-    closed_s: float | None = None
-    job: engine_model.Job | None = None
-
-    @property
-    def entry(self) -> "promise_entry.PromiseEntry":
-        """The entry that sent the request."""
-        return self.request.entry
-
-
-class PromiseRequest:
-    """A caller's request, from its arrival at an entry to its end."""
-
-    def __init__(self, entry: "promise_entry.PromiseEntry", attempt_id: str):
+    def __init__(
+        self,
+        entry: promise_entry.PromiseEntry,
+        engines: dict[str, promise_engine.PromiseEngine],
+        attempt_id: str,
+    ):
         self.entry = entry
+        self._engines = engines
         self._random = entry.random_source
         self._loop = entry.network.loop
-        self._dispatch: Dispatch | None = None
+        self._dispatch: promise_engine.Dispatch | None = None
         self._prompt_tokens = int(self._random.expovariate(1 / MEAN_PROMPT_TOKENS)) + 40
         self._answer_tokens = int(self._random.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
         call = entry_data.Call(
@@ -109,29 +89,35 @@
     # What the engine answers
 
     def on_failure(
-        self, dispatch: Dispatch, failure: decisions.DispatchFailure
+        self, dispatch: promise_engine.Dispatch, failure: decisions.DispatchFailure
     ) -> None:
         """Handle the failure of a dispatch at its engine, after a delay."""
-        self._loop.call_later(ANSWER_DELAY_S, self._fail, dispatch, failure)
+        self._loop.call_later(
+            promise_engine.ANSWER_DELAY_S, self._fail, dispatch, failure
+        )
 
-    def on_begun(self, dispatch: Dispatch) -> None:
+    def on_begun(self, dispatch: promise_engine.Dispatch) -> None:
         """Handle the first event of an answer, after a delay."""
-        self._loop.call_later(ANSWER_DELAY_S, self._record_begin, dispatch)
+        self._loop.call_later(
+            promise_engine.ANSWER_DELAY_S, self._record_begin, dispatch
+        )
 
-    def on_end(self, dispatch: Dispatch) -> None:
+    def on_end(self, dispatch: promise_engine.Dispatch) -> None:
         """Handle the end of an answer, after a delay."""
-        self._loop.call_later(ANSWER_DELAY_S, self._finish, dispatch)
+        self._loop.call_later(promise_engine.ANSWER_DELAY_S, self._finish, dispatch)
 
-    def _fail(self, dispatch: Dispatch, failure: decisions.DispatchFailure) -> None:
+    def _fail(
+        self, dispatch: promise_engine.Dispatch, failure: decisions.DispatchFailure
+    ) -> None:
         if dispatch is self._dispatch:
             self._carry_out(self._state.on_failure(self._make_context(), failure))
 
-    def _record_begin(self, dispatch: Dispatch) -> None:
+    def _record_begin(self, dispatch: promise_engine.Dispatch) -> None:
         if dispatch is self._dispatch:
             self._state.on_begun(self._loop.time())
             self._state.on_stream_opened()
 
-    def _finish(self, dispatch: Dispatch) -> None:
+    def _finish(self, dispatch: promise_engine.Dispatch) -> None:
         if dispatch is self._dispatch:
             self._dispatch = None
             self._carry_out(self._state.on_answer(self._make_context(), 200))
@@ -159,17 +145,19 @@
             self.entry.in_progress.pop(self, None)
 
     def _send(self, effect: decisions.SendToEngine) -> None:
-        engine = self.entry.engines[effect.engine_id]
-        dispatch = self._dispatch = Dispatch(self, engine)
+        engine = self._engines[effect.engine_id]
+        dispatch = self._dispatch = promise_engine.Dispatch(self, self.entry, engine)
         if self._random.random() < OPEN_CONNECTION_SHARE and effect.max_idle_s != 0.0:
             self._send_on_connection(dispatch)
             return
         self._send_bytes(engine, PACKET_BYTES, lambda: self._accept(dispatch))
 
-    def _accept(self, dispatch: Dispatch) -> None:
-        self._loop.call_later(ANSWER_DELAY_S, self._send_on_connection, dispatch)
+    def _accept(self, dispatch: promise_engine.Dispatch) -> None:
+        self._loop.call_later(
+            promise_engine.ANSWER_DELAY_S, self._send_on_connection, dispatch
+        )
 
-    def _send_on_connection(self, dispatch: Dispatch) -> None:
+    def _send_on_connection(self, dispatch: promise_engine.Dispatch) -> None:
         """Send the request unless the engine may not get it any more."""
         if dispatch is not self._dispatch:
             return
@@ -201,7 +189,7 @@
         )
 
     def _send_bytes(
-        self, engine: "promise_engine.PromiseEngine", size_bytes: int, receive
+        self, engine: promise_engine.PromiseEngine, size_bytes: int, receive
     ) -> None:
         network = self.entry.network
         network.send_message(self.entry.machine, engine.machine, size_bytes, receive)
--- a/standins/promise_simulation.py
+++ b/standins/promise_simulation.py
@@ -223,7 +223,6 @@
             zone,
             self.size.entry_mbps,
             self.size.bounds,
-            self.engines,
         )
 
     def _run_maintenance(self) -> None:
@@ -239,7 +238,7 @@
         """Write the record of an engine to the store, or delete it."""
         self.store.write(promise_engine.make_key(engine.engine_id), value)
 
-    def check_arrival(self, dispatch: promise_request.Dispatch) -> None:
+    def check_arrival(self, dispatch: promise_engine.Dispatch) -> None:
         """Check that an engine may still get a request."""
         left_s = dispatch.engine.leaving_since_s
         if left_s is None:
@@ -260,7 +259,7 @@
         )
         self.report(promise_check.Promise.DRAIN, dispatch.entry.name, late_s, trace)
 
-    def check_begin(self, dispatch: promise_request.Dispatch) -> None:
+    def check_begin(self, dispatch: promise_engine.Dispatch) -> None:
         """Check that an engine may begin a request on its version."""
         self.begin_count += 1
         engine = dispatch.engine
@@ -279,11 +278,11 @@
         )
         self.report(promise_check.Promise.VERSION, dispatch.entry.name, late_s, trace)
 
-    def _was_calm(self, dispatch: promise_request.Dispatch) -> bool:
+    def _was_calm(self, dispatch: promise_engine.Dispatch) -> bool:
         name = dispatch.entry.name
         return self.disturbances.was_calm_since(name, dispatch.sent_s, self.now_s)
 
-    def _describe(self, dispatch: promise_request.Dispatch) -> str:
+    def _describe(self, dispatch: promise_engine.Dispatch) -> str:
         """Return where a request was for how long."""
         way_s = dispatch.arrived_s - dispatch.sent_s
         text = (
@@ -304,7 +303,7 @@
         entry = self.random_source.choice(list(self.entries.values()))
         if not entry.machine.is_cut:
             attempt_id = f"{next(self._numbers)}"
-            promise_request.PromiseRequest(entry, attempt_id).start()
+            promise_request.PromiseRequest(entry, self.engines, attempt_id).start()
 
     def _draw_probe_wait_s(self) -> float:
         return self.random_source.uniform(0, 2 * PROBE_INTERVAL_S)
