Write three things of the product once that stood twice

The order that an intent stands for was built in controller.py and in orders.py: now data.Order.from_intent. Last frames of an endpoint process's answers were built twice in answer_ends.py, and the status of a process twice in status.py.

No change of behaviour. Tests of toucanspread/core and of the gateway: passed.

--- a/toucanspread/core/agreement/controller.py
+++ b/toucanspread/core/agreement/controller.py
@@ -232,18 +232,8 @@
             leave=leave,
             sequence=state.sequence,
         )
-    return data.Order(
-        state.fence,
-        operation_id,
-        instance_id,
-        intent.service,
-        intent.kind,
-        intent.model,
-        intent.version,
-        intent.manifest_hash,
-        intent.adapters,
-        intent.origin_weight,
-        sequence=state.sequence,
+    return data.Order.from_intent(
+        intent, state.fence, operation_id, instance_id, state.sequence
     )
 
 
--- a/toucanspread/core/agreement/orders.py
+++ b/toucanspread/core/agreement/orders.py
@@ -189,17 +189,9 @@
     if len(candidates) != 1:
         return []
     intent = candidates[0]
-    order = data.Order(
-        state.fence,
-        operations.new_id(node, "resume"),
-        node.identity.instance_id,
-        intent.service,
-        intent.kind,
-        intent.model,
-        intent.version,
-        intent.manifest_hash,
-        intent.adapters,
-        intent.origin_weight,
+    operation_id = operations.new_id(node, "resume")
+    order = data.Order.from_intent(
+        intent, state.fence, operation_id, node.identity.instance_id
     )
     return [
         effects.Log("serving_resumed", {"version": intent.version})
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -279,6 +279,30 @@
     leave: bool = False
     sequence: int = 0
 
+    @classmethod
+    def from_intent(
+        cls,
+        intent: Intent,
+        fence: FencingNumber,
+        operation_id: OperationId,
+        instance_id: InstanceId,
+        sequence: int = 0,
+    ) -> "Order":
+        """Return the order to serve what an intent declares."""
+        return cls(
+            fence,
+            operation_id,
+            instance_id,
+            intent.service,
+            intent.kind,
+            intent.model,
+            intent.version,
+            intent.manifest_hash,
+            intent.adapters,
+            intent.origin_weight,
+            sequence=sequence,
+        )
+
 
 class Request(Record):
     """A caller's request, without its body.
--- a/toucanspread/core/gate/answer_ends.py
+++ b/toucanspread/core/gate/answer_ends.py
@@ -20,15 +20,7 @@
     """
     if retry_after_s is None:
         retry_after_s = _get_default_retry_after_s(reason)
-    return data.AnswerEnd(
-        request_id=dispatch.request.request_id,
-        attempt=dispatch.attempt,
-        outcome=data.Outcome.NOT_RUN,
-        reason=reason,
-        detail=detail,
-        retry_after_s=retry_after_s,
-        load=admission.get_load(node),
-    )
+    return _build(node, dispatch, data.Outcome.NOT_RUN, reason, detail, retry_after_s)
 
 
 def build_for_copy(
@@ -96,11 +88,22 @@
     reason: data.Reason,
     detail: str,
     retry_after_s: float = 0.0,
+) -> data.AnswerEnd:
+    return _build(node, dispatch, data.Outcome.UNKNOWN, reason, detail, retry_after_s)
+
+
+def _build(
+    node,
+    dispatch: data.Dispatch,
+    outcome: data.Outcome,
+    reason: data.Reason,
+    detail: str,
+    retry_after_s: float,
 ) -> data.AnswerEnd:
     return data.AnswerEnd(
         request_id=dispatch.request.request_id,
         attempt=dispatch.attempt,
-        outcome=data.Outcome.UNKNOWN,
+        outcome=outcome,
         reason=reason,
         detail=detail,
         retry_after_s=retry_after_s,
--- a/toucanspread/ops/status.py
+++ b/toucanspread/ops/status.py
@@ -100,28 +100,25 @@
 def _build_instance_status(member) -> InstanceStatus:
     identity = member.identity
     report = member.report
-    if report is None:
-        return InstanceStatus(
-            identity.instance_id,
-            identity.role,
-            identity.zone,
-            member.state,
-            identity.incarnation,
-        )
-    return InstanceStatus(
+    status = InstanceStatus(
         identity.instance_id,
         identity.role,
         identity.zone,
         member.state,
         identity.incarnation,
-        report.service,
-        report.version,
-        report.target_version,
-        report.staged_chunks,
-        report.target_chunks,
-        report.load.running,
-        report.load.queued,
-        report.revision,
-        report.failure,
+    )
+    if report is None:
+        return status
+    return msgspec.structs.replace(
+        status,
+        service=report.service,
+        version=report.version,
+        target_version=report.target_version,
+        staged_chunks=report.staged_chunks,
+        target_chunks=report.target_chunks,
+        running=report.load.running,
+        queued=report.load.queued,
+        revision=report.revision,
+        failure=report.failure,
         reported=True,
     )
