Write four things of the stand-ins and the tests once that stood twice

The start of three stand-ins as programs and the reading of a query's argument (stand_in_program), the loop of random faults of the crash and limit soaks (load_faults), the machine of an entry that handles requests only (request_simulation, also for bench_requests), and the transport of forwarder_test, which is http1_test's.

No change of behaviour, and no check changes.

--- a/benches/bench_requests.py
+++ b/benches/bench_requests.py
@@ -15,11 +15,9 @@
 from standins import request_simulation
 from toucanspread.core import data, events, machine
 from toucanspread.core.requests import (
-    draining,
     endpoints,
     entry_selection,
     request_events,
-    requests,
     routing,
 )
 
@@ -82,18 +80,8 @@
 ) -> machine.Machine:
     """Return an entry that knows endpoints, spread over the zones."""
     intent = data.Intent(SERVICE, data.ServiceKind.MODEL, endpoint_count, 1, ZONES)
-    node = machine.Node(
-        make_identity(name, data.Role.ENTRY, zone),
-        seed,
-        config=types.SimpleNamespace(intents={SERVICE: intent}),
-        membership=types.SimpleNamespace(members={}, ready_counts={}),
-        routing=routing.State(),
-        requests=requests.State(),
-        draining=draining.State(),
-        entry_selection=entry_selection.State(),
-    )
-    modules = (routing, requests, draining, entry_selection)
-    entry = machine.Machine(node, [module.HANDLERS for module in modules])
+    identity = make_identity(name, data.Role.ENTRY, zone)
+    entry = request_simulation.make_entry_machine(identity, seed, intent)
     for number in range(endpoint_count):
         report = make_report(f"p{number}", zones[number % len(zones)])
         entry.step(0.0, events.ReportReceived(report))
--- a/standins/crash_soak_test.py
+++ b/standins/crash_soak_test.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from standins import load_profiles, load_simulation, simulated_cluster
+from standins import load_faults, load_profiles, load_simulation
 from toucanspread.core.entry import data as entry_data
 
 FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "1"))
@@ -26,13 +26,16 @@
 CRASHING_RATES_PER_S = (3.0, 6.0, 12.0)
 LOSS_RATIOS = (0.0, 0.0, 0.01, 0.05, 0.2)
 ORDER_IN_S = (0.5, 2.0)
+PLAN = load_faults.FaultPlan(
+    ("restart", "cut", "leave", "join", "crash", "group_crash", "switch"),
+    FAULTS_FROM_S,
+    FAULTS_UNTIL_S,
+    MAX_FAULT_GAP_S,
+)
 
 
-class Soak:
-    """A load on entries and engines, with crashing parts and faults that overlap.
-
-    :ivar faults: the faults in the order in which they began, for messages.
-    """
+class Soak(load_faults.LoadFaults):
+    """A load on entries and engines, with crashing parts and faults that overlap."""
 
     def __init__(self, seed: int):
         self._random = random.Random(seed)
@@ -48,18 +51,14 @@
             crashing_parts=self._draw_crashing_parts(),
             loss_ratio=self._random.choice(LOSS_RATIOS),
         )
-        self.simulation = load_simulation.LoadSimulation(profile, seed)
-        self.faults = [
+        simulation = load_simulation.LoadSimulation(profile, seed)
+        super().__init__(self._random, simulation, PLAN)
+        self.faults += [
             f"{entry_count} entries, {engine_count} engines, {rate_per_s} requests/s, "
             f"loss {profile.loss_ratio}",
             *map(str, profile.crashing_parts),
         ]
 
-    def run(self) -> None:
-        """Run the load, and begin and end faults meanwhile."""
-        self.simulation.clock.callLater(FAULTS_FROM_S, self._begin_next)
-        self.simulation.run()
-
     def list_violations(self) -> list[str]:
         """Return how the rules were broken."""
         callers = self.simulation.caller_check
@@ -89,19 +88,10 @@
         )
 
     def _begin_next(self) -> None:
-        clock = self.simulation.clock
-        if clock.seconds() > FAULTS_UNTIL_S:
-            return
-        kind = self._random.choice(
-            ["restart", "cut", "leave", "join", "crash", "group_crash", "switch"]
-        )
-        self.simulation.crash_check.record_disturbance(clock.seconds())
-        self.faults.append(f"{clock.seconds():.2f} {kind}")
-        getattr(self, f"_begin_{kind}")()
-        clock.callLater(self._random.uniform(0.0, MAX_FAULT_GAP_S), self._begin_next)
-
-    def _begin_restart(self) -> None:
-        self.simulation.restart_entry(self._choose_entry())
+        now_s = self.simulation.clock.seconds()
+        if now_s <= FAULTS_UNTIL_S:
+            self.simulation.crash_check.record_disturbance(now_s)
+        super()._begin_next()
 
     def _begin_cut(self) -> None:
         entry = self._choose_entry()
@@ -112,13 +102,6 @@
             self._random.uniform(0.3, MAX_FAULT_S), self.simulation.end_cut, entry
         )
 
-    def _begin_leave(self) -> None:
-        if len(self.simulation.entries) > 1:
-            self.simulation.remove_entry(self._choose_entry())
-
-    def _begin_join(self) -> None:
-        self.simulation.add_entry()
-
     def _begin_crash(self) -> None:
         engine = self._random.choice(self.simulation.engines)
         engine.crash(self._random.uniform(0.3, MAX_FAULT_S))
@@ -135,9 +118,6 @@
         if engine.switch_at_s is None:
             engine.order_switch(self._random.uniform(*ORDER_IN_S))
 
-    def _choose_entry(self) -> simulated_cluster.SimulatedEntry:
-        return self._random.choice(self.simulation.entries)
-
 
 class CrashSoakTest(testtools.TestCase):
     def test_entries_keep_to_the_rules_on_crashing_parts_through_other_faults(self):
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -10,15 +10,16 @@
 one as leaving. PUT on ``/admin/faults`` sets the fields of :class:`Faults`.
 """
 
-import argparse
 import dataclasses
 import hashlib
 import json
 
-from twisted.internet import endpoints, reactor
+from twisted.internet import reactor
 from twisted.internet.interfaces import IReactorTime
 from twisted.web import resource, server
 
+from standins import stand_in_program
+
 LIST_PATH = "/v1/instances"
 
 
@@ -98,16 +99,10 @@
 
 def main() -> None:
     """Serve until the process is stopped."""
-    parser = argparse.ArgumentParser(description="instance list stand-in")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--interface", default="127.0.0.1")
+    parser = stand_in_program.make_parser("instance list stand-in")
     parser.add_argument("--lag-s", type=float, default=0.0)
     options = parser.parse_args()
-    listener = endpoints.TCP4ServerEndpoint(
-        reactor, options.port, interface=options.interface
-    )
-    listener.listen(server.Site(InstanceListResource(options.lag_s)))
-    reactor.run()
+    stand_in_program.serve(InstanceListResource(options.lag_s), options)
 
 
 if __name__ == "__main__":
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -6,17 +6,16 @@
 numbers of calls by kind.
 """
 
-import argparse
 import base64
 import collections
 import dataclasses
 import json
 import sys
 
-from twisted.internet import defer, endpoints, reactor, task
+from twisted.internet import defer, reactor, task
 from twisted.web import resource, server
 
-from standins import key_value_store
+from standins import key_value_store, stand_in_program
 
 MAX_VALUE_BYTES = 1024 * 1024
 MAX_WAIT_S = 600.0
@@ -139,18 +138,19 @@
             return 413, f"value exceeds {MAX_VALUE_BYTES} bytes"
         if b"acquire" in request.args:
             return 200, self.store.acquire(
-                key, value, _get_text_argument(request, b"acquire")
+                key, value, stand_in_program.get_argument(request, b"acquire")
             )
         if b"release" in request.args:
-            return 200, self.store.release(key, _get_text_argument(request, b"release"))
+            return 200, self.store.release(
+                key, stand_in_program.get_argument(request, b"release")
+            )
         return 200, self.store.put(key, value, _get_number_argument(request, b"cas"))
 
     async def _read_key(self, key: str, request: server.Request) -> tuple[int, object]:
         index = _get_number_argument(request, b"index")
         if index:
-            wait_s = float(
-                (_get_text_argument(request, b"wait") or "60s").removesuffix("s")
-            )
+            wait = stand_in_program.get_argument(request, b"wait") or "60s"
+            wait_s = float(wait.removesuffix("s"))
             await self.store.wait_for_change(key, index, min(wait_s, MAX_WAIT_S))
         self.store.expire_sessions()
         request.setHeader(
@@ -172,26 +172,15 @@
         return 200, [description]
 
 
-def _get_text_argument(request: server.Request, name: bytes) -> str:
-    return request.args.get(name, [b""])[0].decode()
-
-
 def _get_number_argument(request: server.Request, name: bytes) -> int | None:
-    text = _get_text_argument(request, name)
+    text = stand_in_program.get_argument(request, name)
     return int(text) if text else None
 
 
 def main() -> None:
     """Serve until the process is stopped."""
-    parser = argparse.ArgumentParser(description="key-value service stand-in")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--interface", default="127.0.0.1")
-    options = parser.parse_args()
-    listener = endpoints.TCP4ServerEndpoint(
-        reactor, options.port, interface=options.interface
-    )
-    listener.listen(server.Site(KeyValueResource()))
-    reactor.run()
+    parser = stand_in_program.make_parser("key-value service stand-in")
+    stand_in_program.serve(KeyValueResource(), parser.parse_args())
 
 
 if __name__ == "__main__":
--- a/standins/limit_soak_test.py
+++ b/standins/limit_soak_test.py
@@ -8,20 +8,28 @@
 
 import testtools
 
-from standins import load_profiles, load_simulation, simulated_cluster
+from standins import (
+    load_faults,
+    load_profiles,
+    load_simulation,
+    simulated_cluster,
+)
 
 SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "4"))
 DURATION_S = 20.0
 MAX_FAULT_GAP_S = 1.5
 MAX_FAULT_S = 6.0
 LIMITS_PER_S = (0.0, 0.2, 1.0, 1.0, 2.5, 7.5, 20.0)
+PLAN = load_faults.FaultPlan(
+    ("limit", "limit", "restart", "cut", "leave", "join", "crash"),
+    1.0,
+    DURATION_S,
+    MAX_FAULT_GAP_S,
+)
 
 
-class Soak:
-    """A load on entries and engines, with faults that overlap.
-
-    :ivar faults: the faults in the order in which they began, for messages.
-    """
+class Soak(load_faults.LoadFaults):
+    """A load on entries and engines that name limits, with faults that overlap."""
 
     def __init__(self, seed: int):
         self._random = random.Random(seed)
@@ -34,24 +42,9 @@
             DURATION_S,
             entries=entry_count,
         )
-        self.simulation = load_simulation.LoadSimulation(profile, seed)
-        self.faults = [f"{entry_count} entries, {engine_count} engines"]
-
-    def run(self) -> None:
-        """Run the load, and begin and end faults meanwhile."""
-        self.simulation.clock.callLater(1.0, self._begin_next)
-        self.simulation.run()
-
-    def _begin_next(self) -> None:
-        clock = self.simulation.clock
-        if clock.seconds() > DURATION_S:
-            return
-        kind = self._random.choice(
-            ["limit", "limit", "restart", "cut", "leave", "join", "crash"]
-        )
-        self.faults.append(f"{clock.seconds():.2f} {kind}")
-        getattr(self, f"_begin_{kind}")()
-        clock.callLater(self._random.uniform(0.0, MAX_FAULT_GAP_S), self._begin_next)
+        simulation = load_simulation.LoadSimulation(profile, seed)
+        super().__init__(self._random, simulation, PLAN)
+        self.faults.append(f"{entry_count} entries, {engine_count} engines")
 
     def _begin_limit(self) -> None:
         engines = self.simulation.engines
@@ -67,9 +60,6 @@
         if engine.limit.limit_per_s == limit_per_s:
             engine.limit.change(self.simulation.clock.seconds(), None)
 
-    def _begin_restart(self) -> None:
-        self.simulation.restart_entry(self._choose_entry())
-
     def _begin_cut(self) -> None:
         entry = self._choose_entry()
         entry.is_cut = True
@@ -84,13 +74,6 @@
         for engine in self.simulation.engines:
             engine.limit.excuse(entry)
 
-    def _begin_leave(self) -> None:
-        if len(self.simulation.entries) > 1:
-            self.simulation.remove_entry(self._choose_entry())
-
-    def _begin_join(self) -> None:
-        self.simulation.add_entry()
-
     def _begin_crash(self) -> None:
         engine = self._random.choice(self.simulation.engines)
         if not engine.is_running:
@@ -101,9 +84,6 @@
             self._random.uniform(0.3, MAX_FAULT_S), engine.start
         )
 
-    def _choose_entry(self) -> simulated_cluster.SimulatedEntry:
-        return self._random.choice(self.simulation.entries)
-
 
 class LimitSoakTest(testtools.TestCase):
     def test_entries_keep_to_limits_through_overlapping_faults(self):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,16 +7,15 @@
 ``/admin/return-from-copy?age_ms=N`` takes the store back by so many milliseconds.
 """
 
-import argparse
 import sys
 
 import msgspec
-from twisted.internet import defer, endpoints, reactor
+from twisted.internet import defer, reactor
 from twisted.web import resource, server
 
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
-from standins import store_copies
+from standins import stand_in_program, store_copies
 
 CALL_PATH = "/-/"
 ADMIN_KEYS_PATH = "/admin/keys/"
@@ -98,7 +97,9 @@
             self.state.drop_history()
             return 200, {}
         if path == ADMIN_RETURN_PATH and request.method == b"POST":
-            self.state.return_from_copy(int(_get_argument(request, b"age_ms")) / 1000)
+            self.state.return_from_copy(
+                int(stand_in_program.get_argument(request, b"age_ms")) / 1000
+            )
             return 200, {}
         if not path.startswith(ADMIN_KEYS_PATH):
             return 404, {"why": "no such call"}
@@ -109,20 +110,22 @@
         return 200, {"revision": self.state.write_unchecked(key, value)}
 
     async def _read_key(self, request: server.Request, _) -> tuple[int, object]:
-        item = self.state.get(_get_argument(request, b"key"))
+        item = self.state.get(stand_in_program.get_argument(request, b"key"))
         if item is None:
             return 404, {"store_revision": self.state.revision}
         fields = msgspec.to_builtins(item)
         return 200, {**fields, "store_revision": self.state.revision}
 
     async def _read_range(self, request: server.Request, _) -> tuple[int, object]:
-        prefix = _get_argument(request, b"prefix")
-        return 200, self.state.read_page(prefix, _get_argument(request, b"after"))
+        prefix = stand_in_program.get_argument(request, b"prefix")
+        return 200, self.state.read_page(
+            prefix, stand_in_program.get_argument(request, b"after")
+        )
 
     async def _watch(self, request: server.Request, _) -> tuple[int, object]:
-        prefix = _get_argument(request, b"prefix")
-        after = int(_get_argument(request, b"after"))
-        wait_ms = int(_get_argument(request, b"wait_ms"))
+        prefix = stand_in_program.get_argument(request, b"prefix")
+        after = int(stand_in_program.get_argument(request, b"after"))
+        wait_ms = int(stand_in_program.get_argument(request, b"wait_ms"))
         if not 0 <= wait_ms <= MAX_WAIT_MS:
             raise store_data.InvalidCallError(f"wait of {wait_ms} ms")
         if not self.state.list_events(prefix, after):
@@ -149,21 +152,10 @@
         return 200, {}
 
 
-def _get_argument(request: server.Request, name: bytes) -> str:
-    return request.args.get(name, [b""])[0].decode()
-
-
 def main() -> None:
     """Serve until the process is stopped."""
-    parser = argparse.ArgumentParser(description="stand-in for the platform's store")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--interface", default="127.0.0.1")
-    options = parser.parse_args()
-    listener = endpoints.TCP4ServerEndpoint(
-        reactor, options.port, interface=options.interface
-    )
-    listener.listen(server.Site(PlatformStoreResource()))
-    reactor.run()
+    parser = stand_in_program.make_parser("stand-in for the platform's store")
+    stand_in_program.serve(PlatformStoreResource(), parser.parse_args())
 
 
 if __name__ == "__main__":
--- a/standins/request_simulation.py
+++ b/standins/request_simulation.py
@@ -114,6 +114,24 @@
         return min(1.0, self._batch / max(self._running, 1))
 
 
+def make_entry_machine(
+    identity: data.Identity, seed: int, intent: data.Intent
+) -> machine.Machine:
+    """Return the parts of an entry that handle the requests for one service."""
+    node = machine.Node(
+        identity,
+        seed,
+        config=types.SimpleNamespace(intents={intent.service: intent}),
+        membership=types.SimpleNamespace(members={}, ready_counts={}),
+        routing=routing.State(),
+        requests=requests.State(),
+        draining=draining.State(),
+        entry_selection=entry_selection.State(),
+    )
+    modules = (routing, requests, draining, entry_selection)
+    return machine.Machine(node, [module.HANDLERS for module in modules])
+
+
 class SimulatedEndpoint:
     """An endpoint process: a gate and its engine."""
 
@@ -244,18 +262,7 @@
             data.Address(f"http-e{number}"),
         )
         intent = data.Intent(SERVICE, data.ServiceKind.PLAIN, 1, 1, ZONES)
-        node = machine.Node(
-            identity,
-            self.setup.seed + 1000 + number,
-            config=types.SimpleNamespace(intents={SERVICE: intent}),
-            membership=types.SimpleNamespace(members={}, ready_counts={}),
-            routing=routing.State(),
-            requests=requests.State(),
-            draining=draining.State(),
-            entry_selection=entry_selection.State(),
-        )
-        modules = (routing, requests, draining, entry_selection)
-        return machine.Machine(node, [module.HANDLERS for module in modules])
+        return make_entry_machine(identity, self.setup.seed + 1000 + number, intent)
 
     def _receive_request(
         self, team: data.TeamName, rate: float, until_s: float
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -7,7 +7,7 @@
 import msgspec
 import testtools
 from twisted.internet import error, task
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from twisted.python import failure
 
 from toucanspread.core import data
@@ -27,6 +27,7 @@
     http1_client,
     http1_pool,
     http1_server,
+    http1_test,
 )
 from toucanspread.platform import decoding_test, requests
 
@@ -44,17 +45,6 @@
     return b"%x\r\n%b\r\n" % (len(data_bytes), data_bytes)
 
 
-class Transport(StringTransport):
-    def setTcpNoDelay(self, enabled):  # noqa: N802
-        return
-
-    def getHandle(self):  # noqa: N802
-        return self
-
-    def setsockopt(self, level, option, value):
-        return
-
-
 @contextlib.contextmanager
 def capture_events(name):
     """Collect the log messages of an event."""
@@ -83,7 +73,7 @@
         self.connection = connection
         if connection is None:
             self.connection = http1_client.ClientConnection(task.Clock())
-            self.connection.makeConnection(Transport())
+            self.connection.makeConnection(http1_test.Transport())
         self.connection.send(request, listener)
         self.cancelled = False
         self.was_sent = True
@@ -181,7 +171,7 @@
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
         ).buildProtocol(None)
-        self.transport = Transport()
+        self.transport = http1_test.Transport()
         self.connection.makeConnection(self.transport)
 
     def make_configuration(self):
@@ -551,7 +541,7 @@
         _, _, factory, _, _ = self.clock.tcpClients[0]
         self.clock.advance(0.55)
         engine = factory.buildProtocol(None)
-        transport = Transport()
+        transport = http1_test.Transport()
         engine.makeConnection(transport)
         self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
 
@@ -561,7 +551,7 @@
         host, port, factory, _, _ = self.clock.tcpClients[0]
         change(f"{host}-{port}")
         engine = factory.buildProtocol(None)
-        transport = Transport()
+        transport = http1_test.Transport()
         engine.makeConnection(transport)
         return transport.value()
 
