Bind a request to its connection before it can fail

Cause: ConnectionPool.send reported a request that must not be sent any more to its listener before it had returned, if an idle connection was used. The listener dispatched the request again, to another engine, in the middle of the first dispatch; on return, the first one's ended outgoing request replaced the second one's. The answer of the second engine then counted as not sent, and a cancellation closed nothing. It takes an entry that is held up for a moment between the choice of an engine and the sending, at the time of a version. Class of fault: a callback from within the call that makes what it refers to.

Fix: the report comes after send has returned, and not at all once the request is cancelled. Nothing else calls a listener from there: connections are opened, and refused, in a later step of the reactor.

--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -582,3 +582,76 @@
         received = self.open_after(lambda _: self.cluster.apply(named, timing, False))
         self.assertEqual(b"", received)
         self.assertIn(b"HTTP/1.1 503", self.received())
+
+
+class HeldUpEntryTest(ForwarderCase):
+    """The entry is held up between the choice of an engine and the sending."""
+
+    HELD_UP_S = 0.6
+
+    def make_clock(self):
+        return MemoryReactorClock()
+
+    def make_pool(self):
+        return http1_pool.ConnectionPool(self.clock)
+
+    def connect(self):
+        """Open the connection that the entry asked for last; return its other end."""
+        engine = self.clock.tcpClients[-1][2].buildProtocol(None)
+        engine.makeConnection(Transport())
+        return engine
+
+    def load(self, engine_id, version):
+        engine = self.cluster.registry.get(engine_id)
+        loaded = (entry_data.LoadedLayers(data.ModelName("m"), version, 0, 4),)
+        engine.entry = msgspec.structs.replace(engine.entry, loaded=loaded)
+        return engine
+
+    def name_version(self, version, due_in_s):
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        named = cluster_state.VersionNamed(service.profile.model, version)
+        named_s = self.clock.seconds() + due_in_s - 8.0
+        timing = cluster_state.ChangeTiming(named_s, named_s)
+        self.cluster.apply(named, timing, False)
+
+    def dispatch_held_up(self):
+        """Return the second engine of a request whose first one got too old.
+
+        The first has an idle connection, and weights that are due to be replaced.
+        """
+        self.connection.dataReceived(REQUEST)
+        host, port, _, _, _ = self.clock.tcpClients[0]
+        first_id = f"{host}-{port}"
+        second_id = f"{host}-{3 - port}"
+        self.connect().dataReceived(HEAD + b"Content-Length: 2\r\n\r\nok")
+        self.clock.advance(0.0)
+        self.load(first_id, 1)
+        self.load(second_id, 2).in_flight = 8
+        self.name_version(2, due_in_s=0.9)
+        self.transport.clear()
+        self.notifier.send_prompt_notice = self.hold_up
+        self.connection.dataReceived(REQUEST)
+        self.clock.advance(0.0)
+        self.assertEqual([(host, port), (host, 3 - port)], self.list_targets())
+        return self.connect()
+
+    def hold_up(self, notice):
+        self.notifier.send_prompt_notice = lambda notice: None
+        self.clock.rightNow += self.HELD_UP_S
+
+    def list_targets(self):
+        return [client[:2] for client in self.clock.tcpClients]
+
+    def test_a_caller_that_leaves_ends_the_dispatch_after_one_that_was_not_sent(self):
+        engine = self.dispatch_held_up()
+        self.assertIn(b"POST /a/x", engine.transport.value())
+        self.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertTrue(engine.transport.disconnecting)
+
+    def test_a_request_that_an_engine_has_is_not_answered_as_one_that_has_not_run(self):
+        engine = self.dispatch_held_up()
+        self.name_version(3, due_in_s=0.2)
+        self.forwarder.schedule_withdrawal(0.0)
+        self.clock.advance(0.0)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertTrue(engine.transport.disconnecting)
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -93,7 +93,9 @@
         """
         connection = self._pool.pop_idle(self._address, max_idle_s)
         if connection is not None:
-            self._send_on(connection)
+            if not self._send_on(connection):
+                # Later, as the sender has to know this request before it ends.
+                self._pool.reactor.callLater(0, self._report_not_sent)
             return
         host, _, port = self._address.rpartition(":")
         factory = _ConnectionFactory(self, self._pool)
@@ -126,21 +128,27 @@
         if self._is_cancelled:
             connection.cancel()
             return
-        self._send_on(connection)
+        if not self._send_on(connection):
+            self._report_not_sent()
 
     def on_connect_failed(self) -> None:
         """Report that the connection could not be opened."""
         if not self._is_cancelled:
             self._listener.on_failure(http1_client.ExchangeFailure.NOT_CONNECTED)
 
-    def _send_on(self, connection: http1_client.ClientConnection) -> None:
+    def _send_on(self, connection: http1_client.ClientConnection) -> bool:
+        """Send the request; return False if it must not be sent any more."""
         request = self._render()
         if request is None:
             connection.cancel()
-            self._listener.on_failure(http1_client.ExchangeFailure.NOT_SENT)
-            return
+            return False
         self._connection = connection
         connection.send(request, self._listener)
+        return True
+
+    def _report_not_sent(self) -> None:
+        if not self._is_cancelled:
+            self._listener.on_failure(http1_client.ExchangeFailure.NOT_SENT)
 
 
 class _ConnectionFactory(protocol.ClientFactory):
@@ -192,7 +200,7 @@
         listener: http1_client.AnswerListener,
         max_idle_s: float | None = None,
     ) -> OutgoingRequest:
-        """Send a request; the listener receives its answer.
+        """Send a request; the listener receives its answer after this has returned.
 
         :param render: returns the request once its connection is open, as the request
             may name the time that is left; None if it must not be sent any more.
