Bound every number of other writers by what its field means

Callers saw: once another writer had left an engine's entry whose `slots` has 310 digits, every request of that service failed at every entry, with no end; an entry that started later did not serve either.

Cause: decoders checked types only. An integer of 310 digits is a valid `int`; each choice of an engine of the service then raised OverflowError ("int too large to convert to float", handler_failed).

Fix: core/bounds.py names a type for each meaning (slots, Unix milliseconds, layers, versions, durations, tokens, revisions ...) and the decoders use them, so a number outside is refused at the boundary. An engine's entry outside its bounds names no engine; the others hold. The configuration is one value for all services, so its numbers are clamped instead (log line configuration_clamped); only its version, and a float that no double holds, still make it unreadable.

--- /dev/null
+++ b/standins/odd_entries_test.py
@@ -0,0 +1,86 @@
+"""Tests that the platform's programs go on beside odd values of other writers."""
+
+import json
+import time
+
+from standins import platform_deployment, platform_programs_test
+
+SEEN_AFTER_S = 0.5
+REQUEST_COUNT = 10
+LONG_NUMBER = int("9" * 310)  # beyond the range of a float
+run = platform_programs_test.run
+
+
+def encode_entry(**changed):
+    """Return an entry of the service without a model, with some fields changed."""
+    entry = {
+        "service": "plain",
+        "address": "127.0.0.1:9",
+        "zone": platform_deployment.ZONE,
+        "version": "v1",
+        "slots": 16,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "born": 1_771_433_930_076,
+        "sequence": 0,
+    }
+    return json.dumps({**entry, **changed}).encode()
+
+
+class OddEntriesCase(platform_programs_test.ProgramsTestCase):
+    """Two entries and a sidecar that follow a store with odd values."""
+
+    @classmethod
+    def start_programs(cls):
+        cls.entries = [cls.deployment.start_entry(f"entry-{n}") for n in (1, 2)]
+        cls.sidecar = cls.deployment.start_sidecar("side-1")
+        cls.deployment.write_configuration(3, "/a/")
+        cls.wait_until(cls.are_serving)
+
+    @classmethod
+    async def are_serving(cls):
+        return await cls.serve("/a/x") and await cls.serve("/model/x")
+
+    @classmethod
+    async def serve(cls, target):
+        answers = [
+            await platform_programs_test.send_request(e, target) for e in cls.entries
+        ]
+        return all(answer.status == 200 for answer in answers)
+
+    def check_programs_go_on(self, version, **values):
+        """Check that callers, configurations and new entries do not notice values."""
+
+        async def is_new_route_in_force():
+            return await self.serve(f"/v{version}/x")
+
+        for name, value in values.items():
+            key = name.replace("__", "/")
+            self.deployment.state.write_unchecked(key, value)
+        time.sleep(SEEN_AFTER_S)
+        served = [run(self.serve("/a/x")) for _ in range(REQUEST_COUNT)]
+        self.assertEqual([True] * REQUEST_COUNT, served)
+        self.deployment.write_configuration(version, "/a/", f"/v{version}/")
+        self.wait_until(is_new_route_in_force)
+        self.entries.append(self.deployment.start_entry(f"entry-{version}"))
+        self.wait_until(self.are_serving)
+        self.wait_until(is_new_route_in_force)
+        self.assertIsNone(self.sidecar.exit_code, self.sidecar.describe())
+
+
+class LongNumberTest(OddEntriesCase):
+    def test_an_entry_with_a_number_out_of_bounds_takes_no_service_away(self):
+        self.check_programs_go_on(
+            11, servers__odd=encode_entry(slots=LONG_NUMBER, sequence=LONG_NUMBER)
+        )
+
+    def test_an_entry_with_endless_layers_takes_no_service_away(self):
+        models = [
+            {
+                "name": platform_deployment.MODEL,
+                "version": 1,
+                "layers": [{"from": 0, "to": 10**12, "version": 1}],
+            }
+        ]
+        entry = encode_entry(service="model", models=models)
+        self.check_programs_go_on(12, servers__odd_layers=entry)
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import bounds, data
 
 MAX_PROMPT_PARTS = 32
 MAX_PART_ID_LENGTH = 64  # characters
@@ -201,16 +201,16 @@
     """
 
     address: data.Address
-    born_ms: int
-    active: int
-    queued: int
-    version: int
+    born_ms: bounds.UnixMs
+    active: bounds.Count
+    queued: bounds.Count
+    version: bounds.Version
     busy: bool
-    pace: float = 1.0
-    order_in_s: float | None = None
-    link_delay_s: float = 0.0
-    coming_version: int = 0
-    coming_in_s: float | None = None
+    pace: bounds.Pace = 1.0
+    order_in_s: bounds.DurationS | None = None
+    link_delay_s: bounds.DurationS = 0.0
+    coming_version: bounds.Version = 0
+    coming_in_s: bounds.DurationS | None = None
 
 
 class PromptSent(data.Record):
@@ -218,7 +218,7 @@
 
     engine_id: str
     service: data.ServiceName
-    tokens: int
+    tokens: bounds.Tokens
 
 
 class LimitNotice(data.Record):
@@ -233,9 +233,9 @@
     """
 
     engine_id: str
-    limit_per_s: float | None
-    age_s: float
-    dispatches: int = 0
+    limit_per_s: bounds.Rate | None
+    age_s: bounds.DurationS
+    dispatches: bounds.Count = 0
 
 
 class CrashSuspected(data.Record):
@@ -248,7 +248,7 @@
     """
 
     engine_id: Annotated[str, msgspec.Meta(max_length=256)]
-    born_ms: int
+    born_ms: bounds.UnixMs
     request: int
     parts: PromptParts
 
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -2,11 +2,13 @@
 
 The private types have the field names of the platform's wire format. An engine's entry
 may come from another writer; an engine whose entry cannot be decoded is not used.
+The operator's configuration is one value for all services, so that its numbers are
+clamped to their bounds instead.
 """
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import bounds, data
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_view
@@ -18,7 +20,17 @@
 ENTRY_PREFIXES = ("op/", ENGINES_PREFIX, entry_directory.RECORDS_PREFIX)
 SIDECAR_PREFIXES = (VERSIONS_PREFIX, ENGINES_PREFIX, entry_directory.RECORDS_PREFIX)
 DEFAULT_PRIORITY = 5
-ALL_LAYERS_END = 1_000  # above the number of layers of any model
+COUNT = bounds.Range(0, 1_000_000)
+DURATION_MS = bounds.Range(0, bounds.MAX_DURATION_MS)
+DURATION_S = bounds.Range(0, bounds.MAX_DURATION_S)
+PRIORITY = bounds.Range(0, 1_000_000_000)  # 0 is the most urgent
+WEIGHT = bounds.Range(0, 1_000_000_000)
+LAYERS = bounds.Range(0, bounds.MAX_LAYERS)
+PIECES = bounds.Range(0, bounds.MAX_PIECES)
+READ_PER_S = bounds.Range(0.001, 1_000_000_000)  # time is computed by dividing by it
+LINK_MBPS = bounds.Range(0, 1_000_000_000)
+BODY_BYTES = bounds.Range(0, 2**40)
+PIECE_BYTES = bounds.Range(0, 2**32)
 
 REQUEST_KINDS = {
     "idempotent": entry_data.RequestKind.IDEMPOTENT,
@@ -90,7 +102,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: bounds.Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -98,14 +110,14 @@
 
 
 class _LayerRange(msgspec.Struct, frozen=True, rename={"first": "from", "end": "to"}):
-    first: int
-    end: int
-    version: int
+    first: bounds.Layer
+    end: bounds.Layer
+    version: bounds.Version
 
 
 class _LoadedModel(msgspec.Struct, frozen=True):
     name: str
-    version: int
+    version: bounds.Version
     layers: list[_LayerRange] | _LayerRange | None = None
 
 
@@ -113,10 +125,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: bounds.Slots
     state: str
-    born: int = 0
-    cold_left_ms: float = 0.0
+    born: bounds.UnixMs = 0
+    cold_left_ms: bounds.DurationMs = 0.0
     models: list[_LoadedModel] = []
 
 
@@ -129,22 +141,22 @@
 
     models: list[_LoadedModel] = []
     busy: bool = False
-    sequence: int = 0
-    queued: int = 0
-    active: int = 0
-    pace: float = 1.0
-    born: int = 0
+    sequence: bounds.Count = 0
+    queued: bounds.Count = 0
+    active: bounds.Count = 0
+    pace: bounds.Pace = 1.0
+    born: bounds.UnixMs = 0
 
 
 class _Versioned(msgspec.Struct, frozen=True):
     """What is common to the operator's values."""
 
-    version: int
+    version: bounds.Version
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
     model: str
-    version: int
+    version: bounds.Version
 
 
 def decode_change(change: store_view.KeyChange) -> data.Event | None:
@@ -183,10 +195,12 @@
         tuple(_make_service(service) for service in config.services),
         tuple(_make_team(tenant) for tenant in config.tenants),
         entry_data.CallerLimits(
-            config.limits.max_header_bytes,
-            config.limits.max_body_bytes,
-            config.limits.header_timeout_ms / 1000,
-            config.limits.idle_timeout_ms / 1000,
+            _clamp("max_header_bytes", config.limits.max_header_bytes, BODY_BYTES),
+            _clamp("max_body_bytes", config.limits.max_body_bytes, BODY_BYTES),
+            _clamp("header_timeout_ms", config.limits.header_timeout_ms, DURATION_MS)
+            / 1000,
+            _clamp("idle_timeout_ms", config.limits.idle_timeout_ms, DURATION_MS)
+            / 1000,
         ),
     )
 
@@ -198,7 +212,7 @@
     except msgspec.MsgspecError:
         return None
     state = ENGINE_STATES.get(entry.state)
-    if state is None or not data.is_address(entry.address) or entry.slots < 1:
+    if state is None or not data.is_address(entry.address):
         return None
     return entry_data.EngineEntry(
         engine_id,
@@ -277,7 +291,9 @@
 
 def _make_route(route: _Route) -> entry_data.Route:
     shares = [
-        entry_data.Share(data.ServiceName(split.service), split.weight)
+        entry_data.Share(
+            data.ServiceName(split.service), _clamp("weight", split.weight, WEIGHT)
+        )
         for split in route.traffic_split
     ]
     if not shares and route.service:
@@ -287,11 +303,11 @@
         route.host.lower(),
         route.prefix,
         REQUEST_KINDS.get(route.kind, entry_data.RequestKind.NON_IDEMPOTENT),
-        route.timeout_ms / 1000,
-        route.slo_ms / 1000,
-        route.priority,
+        _clamp("timeout_ms", route.timeout_ms, DURATION_MS) / 1000,
+        _clamp("slo_ms", route.slo_ms, DURATION_MS) / 1000,
+        _clamp("priority", route.priority, PRIORITY),
         tuple(shares),
-        route.attempts,
+        _clamp("attempts", route.attempts, COUNT),
         route.allow_anonymous,
         route.resume_streams,
     )
@@ -301,25 +317,30 @@
     profile = None
     engine = service.engine
     if engine is not None and engine.models:
+        stride = _clamp("stride", engine.stride, COUNT)
         profile = entry_data.ModelProfile(
             data.ModelName(engine.models[0].name),
-            engine.layers,
-            engine.chunks,
-            engine.chunk_bytes,
-            engine.models[0].warmup_s,
-            engine.read_per_s,
-            engine.step_ms * engine.stride / 1000,
-            engine.stride,
+            _clamp("layers", engine.layers, LAYERS),
+            _clamp("chunks", engine.chunks, PIECES),
+            _clamp("chunk_bytes", engine.chunk_bytes, PIECE_BYTES),
+            _clamp("warmup_s", engine.models[0].warmup_s, DURATION_S),
+            _clamp("read_per_s", engine.read_per_s, READ_PER_S),
+            _clamp("step_ms", engine.step_ms, DURATION_MS) * stride / 1000,
+            stride,
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
     zone = data.ZoneName(service.zone)
-    return entry_data.Service(name, profile, origin, service.link_mbps, zone)
+    link_mbps = _clamp("link_mbps", service.link_mbps, LINK_MBPS)
+    return entry_data.Service(name, profile, origin, link_mbps, zone)
 
 
 def _make_team(tenant: _Tenant) -> entry_data.Team:
     name = data.TeamName(tenant.name)
-    return entry_data.Team(name, tuple(tenant.api_keys), tenant.priority)
+    priority = tenant.priority
+    if priority is not None:
+        priority = _clamp("priority", priority, PRIORITY)
+    return entry_data.Team(name, tuple(tenant.api_keys), priority)
 
 
 def _make_loaded_layers(
@@ -332,7 +353,7 @@
         if layers is None:
             # An engine that lists no layers holds all of them.
             loaded_layers.append(
-                entry_data.LoadedLayers(name, model.version, 0, ALL_LAYERS_END)
+                entry_data.LoadedLayers(name, model.version, 0, bounds.MAX_LAYERS)
             )
             continue
         for layer_range in layers if isinstance(layers, list) else [layers]:
@@ -342,3 +363,14 @@
                 )
             )
     return tuple(loaded_layers)
+
+
+def _clamp(field: str, number: float, limits: bounds.Range) -> float:
+    """Return a number of the configuration within its limits, and log a change.
+
+    :param field: name of the number in the configuration.
+    """
+    clamped = limits.clamp(number)
+    if clamped != number:
+        logs.write("configuration_clamped", field=field, to=clamped)
+    return clamped
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -1,12 +1,16 @@
 """Tests that values of the store are decoded into the core's records or ignored."""
 
 import json
+import math
+import random
 
 import hypothesis
+import msgspec
 import testtools
 from hypothesis import strategies
 
-from toucanspread.core.entry import cluster_state
+from toucanspread.core import bounds, data
+from toucanspread.core.entry import cluster_state, engines, load_balancing
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_view
 from toucanspread.platform import decoding
@@ -78,11 +82,74 @@
     "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
 }
 
+LONG_NUMBER = 10**309  # beyond the range of a float
+NUMBER_FIELDS = {
+    "slots": (1, bounds.MAX_SLOTS),
+    "born": (0, bounds.MAX_UNIX_MS),
+    "cold_left_ms": (0, bounds.MAX_DURATION_MS),
+}
+ODD_NUMBERS = strategies.one_of(
+    strategies.integers(),
+    strategies.integers(250, 400).map(lambda digits: 10**digits),
+    strategies.integers(250, 400).map(lambda digits: -(10**digits)),
+    strategies.floats(),
+)
+ODD_VALUES = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.text() | ODD_NUMBERS,
+    lambda values: (
+        strategies.lists(values) | strategies.dictionaries(strategies.text(), values)
+    ),
+    max_leaves=8,
+)
+LOCATION = load_balancing.EntryLocation(data.ZoneName("heredia-a"), {}, 2)
+ENGINE_KEY = "servers/i-1"
+
 
 def encode_json(value):
     return json.dumps(value).encode()
 
 
+def list_paths(value, path=()):
+    """Yield the paths of all values inside a JSON value."""
+    children = []
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    for key, child in children:
+        yield (*path, key)
+        yield from list_paths(child, (*path, key))
+
+
+def change_at(value, path, changed):
+    """Return a copy of a JSON value that has another value at a path."""
+    if not path:
+        return changed
+    copied = value.copy()
+    copied[path[0]] = change_at(value[path[0]], path[1:], changed)
+    return copied
+
+
+def choose_engine(configuration, entry):
+    """Choose an engine for each service of a configuration, as an entry does."""
+    for service in configuration.services:
+        registry = engines.EngineRegistry(2.0)
+        registry.put(
+            entry_data.EngineEntry(
+                "i-0", service.name, "10.0.0.1:1", "z", 16, entry_data.EngineState.READY
+            )
+        )
+        if entry is not None:
+            registry.put(entry)
+        for engine in registry.of_service(service.name):
+            if service.profile is not None:
+                engine.add_prompt(100, service.profile, 0.0)
+        requirements = load_balancing.EngineRequirements(service, likely_tokens=10)
+        load_balancing.choose_engine(
+            registry, requirements, LOCATION, 0.0, random.Random(1)
+        )
+
+
 class DecodingTest(testtools.TestCase):
     def test_an_entry_is_decoded_with_its_times_in_seconds(self):
         entry = decoding.decode_engine("i-1", encode_json(ENTRY))
@@ -130,6 +197,76 @@
         for key in ("servers/x", "op/config", "op/version/m", "entries/e", "other"):
             decoding.decode_change(store_view.KeyChange(key, 1, value))
 
+    @hypothesis.given(
+        strategies.sampled_from(list(list_paths(ENTRY))), ODD_NUMBERS | ODD_VALUES
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    def test_no_odd_entry_of_an_engine_raises_in_its_choice(self, path, odd):
+        value = encode_json(change_at({**ENTRY, "service": "s1"}, path, odd))
+        event = decoding.decode_change(store_view.KeyChange(ENGINE_KEY, 1, value))
+        entry = getattr(event, "entry", None)
+        choose_engine(decoding.decode_configuration(encode_json(CONFIG)), entry)
+
+    @hypothesis.given(
+        strategies.sampled_from(list(list_paths(CONFIG))), ODD_NUMBERS | ODD_VALUES
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    def test_no_odd_configuration_raises_in_the_choice_of_an_engine(self, path, odd):
+        value = encode_json(change_at(CONFIG, path, odd))
+        change = store_view.KeyChange(decoding.CONFIGURATION_KEY, 1, value)
+        event = decoding.decode_change(change)
+        decoding.read_version(change.key, value)
+        if event is None:
+            return
+        entry = decoding.decode_engine("i", encode_json({**ENTRY, "service": "s1"}))
+        choose_engine(event.configuration, entry)
+        for route in event.configuration.routes:
+            weights = [share.weight for share in route.shares]
+            self.assertTrue(math.isfinite(sum(weights)), weights)
+            self.assertGreaterEqual(min(weights, default=0), 0)
+
+    def test_numbers_of_an_entry_are_bounded_by_what_they_mean(self):
+        for field, (lowest, highest) in NUMBER_FIELDS.items():
+            for number in (lowest, highest):
+                value = encode_json({**ENTRY, field: number})
+                self.assertIsNotNone(decoding.decode_engine("i", value), field)
+            for number in (lowest - 1, int(highest) + 1, LONG_NUMBER, math.nan):
+                value = encode_json({**ENTRY, field: number})
+                self.assertIsNone(decoding.decode_engine("i", value), field)
+
+    def test_layers_beyond_those_of_any_model_are_never_counted_up(self):
+        layers = {"from": 0, "to": 10**12, "version": 1}
+        models = [{"name": "m", "version": 1, "layers": layers}]
+        value = encode_json({**ENTRY, "models": models})
+        self.assertIsNone(decoding.decode_engine("i", value))
+
+    def test_an_odd_number_leaves_the_rest_of_the_configuration_in_force(self):
+        for path, odd in (
+            (("routes", 0, "priority"), LONG_NUMBER),
+            (("routes", 0, "attempts"), LONG_NUMBER),
+            (("routes", 0, "traffic_split", 0, "weight"), 1e308),
+            (("routes", 0, "timeout_ms"), 1e308),
+            (("services", 0, "engine", "chunks"), LONG_NUMBER),
+            (("services", 0, "engine", "read_per_s"), 0),
+            (("limits", "max_header_bytes"), LONG_NUMBER),
+            (("tenants", 0, "priority"), -LONG_NUMBER),
+        ):
+            value = encode_json(change_at(CONFIG, path, odd))
+            configuration = decoding.decode_configuration(value)
+            self.assertEqual(2, len(configuration.routes), path)
+            self.assertEqual(0.8, configuration.routes[1].timeout_s)
+            # Records go to other processes in an encoding with integers of 64 bits.
+            msgspec.msgpack.encode(configuration)
+
+    def test_a_report_with_numbers_out_of_bounds_is_malformed(self):
+        for field in ("active", "queued", "sequence", "born", "pace"):
+            for number in (-1, LONG_NUMBER):
+                self.assertRaises(
+                    msgspec.MsgspecError,
+                    decoding.decode_report,
+                    encode_json({field: number}),
+                )
+
     def test_a_configuration_is_decoded_into_routes_teams_and_limits(self):
         configuration = decoding.decode_configuration(encode_json(CONFIG))
         cluster = cluster_state.ClusterState(8.0, 2.0)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -177,10 +177,10 @@
         try:
             if path == excerpt_client.EXCERPT_TARGET:
                 request = excerpt_client.ExcerptRequest(
-                    int(arguments["after"]),
+                    _parse_count(arguments["after"]),
                     tuple(arguments["prefixes"].split(",")),
-                    int(arguments["wait_ms"]) / 1000,
-                    int(arguments.get("era", store_position.UNKNOWN_ERA)),
+                    _parse_count(arguments["wait_ms"]) / 1000,
+                    _parse_count(arguments.get("era", str(store_position.UNKNOWN_ERA))),
                     arguments.get("deltas") == "1",
                 )
                 can_decompress = arguments.get("compressed") == "1"
@@ -192,8 +192,8 @@
                 return
             key = piece_placement.PieceKey(
                 data.ModelName(arguments["model"]),
-                int(arguments["version"]),
-                int(arguments.get("number", piece_placement.MANIFEST_NUMBER)),
+                _parse_count(arguments["version"]),
+                _parse_piece_number(arguments.get("number")),
             )
         except (KeyError, ValueError):
             exchange.respond(400)
@@ -247,3 +247,18 @@
             exchange.respond(503)
             return
         exchange.respond(200, body=msgspec.msgpack.encode(digests))
+
+
+def _parse_count(text: str) -> int:
+    """Return a number that an argument contains.
+
+    :raises ValueError: when it is none.
+    """
+    count = data.parse_count(text)
+    if count is None:
+        raise ValueError(f"{text[: data.MAX_COUNT_DIGITS]!r} is no number")
+    return count
+
+
+def _parse_piece_number(text: str | None) -> int:
+    return piece_placement.MANIFEST_NUMBER if text is None else _parse_count(text)
--- a/toucanspread/platform/entry_handlers_test.py
+++ b/toucanspread/platform/entry_handlers_test.py
@@ -1,5 +1,6 @@
 """Tests how an entry handles the datagrams that other processes send it."""
 
+import math
 import random
 from types import SimpleNamespace
 
@@ -21,6 +22,18 @@
 SENDER = ("10.0.0.2", 9)
 
 
+def make_entry():
+    return entry_data.EngineEntry(
+        "e",
+        data.ServiceName("s"),
+        data.Address("10.0.0.1:1"),
+        data.ZoneName("z"),
+        16,
+        entry_data.EngineState.READY,
+        born_ms=7,
+    )
+
+
 class FakeTransport:
     def __init__(self):
         self.written = []
@@ -59,6 +72,22 @@
         self.assertEqual([(request, True)], self.receive(target))
 
 
+class OddArgumentTest(testtools.TestCase):
+    def test_an_argument_that_is_no_number_of_its_kind_is_refused(self):
+        responses = []
+        for odd in (b"-1", b"9" * 400, b"1.5", b"%C2%B2", b""):
+            for argument in (b"after=7", b"wait_ms=250"):
+                name = argument.partition(b"=")[0]
+                target = ExcerptRequestTest.TARGET.replace(argument, name + b"=" + odd)
+                exchange = SimpleNamespace(
+                    head=http1.RequestHead(b"GET", target, []),
+                    respond=responses.append,
+                )
+                program = SimpleNamespace(excerpts=None, is_leaving=False)
+                entry_handlers.ControlHandler(program).on_request(exchange)
+        self.assertEqual([400] * 10, responses)
+
+
 class ReportReceiverTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -103,16 +132,24 @@
         self.assertTrue(self.is_quarantined("P"))
         self.assertFalse(self.is_quarantined("a"))
 
+    def test_a_report_with_numbers_out_of_bounds_is_not_applied(self):
+        entry = make_entry()
+        self.cluster.registry.put(entry)
+        sound = entry_data.EngineLoad(entry.address, 7, 0, 0, 1, False)
+        for field in ("pace", "order_in_s", "link_delay_s", "coming_in_s"):
+            for number in (math.nan, math.inf, -1.0):
+                self.receive(msgspec.structs.replace(sound, **{field: number}))
+        for field in ("active", "queued", "version", "coming_version"):
+            self.receive(msgspec.structs.replace(sound, **{field: -1}))
+        self.receive(msgspec.structs.replace(sound, born_ms=2**60))
+        engine = self.cluster.registry.get("e")
+        self.assertIsNone(engine.load)
+        self.assertFalse(engine.was_restarted)
+        self.receive(sound)
+        self.assertEqual(sound, engine.load)
+
     def test_a_load_report_shows_that_an_engine_did_not_crash(self):
-        entry = entry_data.EngineEntry(
-            "e",
-            data.ServiceName("s"),
-            data.Address("10.0.0.1:1"),
-            data.ZoneName("z"),
-            16,
-            entry_data.EngineState.READY,
-            born_ms=7,
-        )
+        entry = make_entry()
         self.cluster.registry.put(entry)
         self.receive(entry_data.CrashSuspected("e", 7, 1, ("P",)))
         evidence = self.receiver.crash_notices.guard.evidence
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -2,7 +2,7 @@
 
 import re
 
-from toucanspread.core import data
+from toucanspread.core import bounds, data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions
 from toucanspread.ops import dialect, http1
@@ -63,7 +63,7 @@
             _decode_text(head.get(b"x-model") or b""),
             usage[0],
             usage[1],
-            _parse_count(head.get(b"x-length-hint")),
+            _parse_tokens(head.get(b"x-length-hint")) or 0,
             _parse_shared_parts(head.get(b"x-prompt-prefix")),
         )
 
@@ -151,13 +151,15 @@
     return None if count is None else count / 1000
 
 
-def _parse_count(value: bytes | None) -> int:
-    return _parse_number(value) or 0
+def _parse_tokens(value: bytes | None) -> int | None:
+    """Return a number of tokens; None if it is malformed or no request has as many."""
+    count = _parse_number(value)
+    return count if count is not None and count <= bounds.MAX_TOKENS else None
 
 
 def _parse_token_usage(value: bytes | None) -> tuple[int, int]:
     """Return the numbers of prompt and output tokens; (0, 0) if malformed."""
-    counts = [_parse_number(part) for part in (value or b"").split(b",")]
+    counts = [_parse_tokens(part) for part in (value or b"").split(b",")]
     if len(counts) != 2 or None in counts:
         return (0, 0)
     return (counts[0], counts[1])
--- a/toucanspread/platform/requests_test.py
+++ b/toucanspread/platform/requests_test.py
@@ -33,6 +33,12 @@
             usage = self.read(b"X-Token-Usage", b"1," + value)
             self.assertEqual((0, 0), (usage.prompt_tokens, usage.output_tokens))
 
+    def test_more_tokens_than_any_request_has_count_as_missing(self):
+        for value in (b"10000001", b"9" * 18):
+            self.assertEqual(0, self.read(b"X-Length-Hint", value).likely_tokens)
+            usage = self.read(b"X-Token-Usage", value + b",1")
+            self.assertEqual((0, 0), (usage.prompt_tokens, usage.output_tokens))
+
     def test_the_shared_parts_of_a_prompt_are_read_without_the_last_part(self):
         cases = {
             b"5c1e07a2:800,91bd3f06:410,e4402b7d:250": ("5c1e07a2", "91bd3f06"),
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import bounds, data
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops import (
     http1,
@@ -35,7 +35,7 @@
     """An item, or the deletion of one."""
 
     key: str
-    revision: int
+    revision: bounds.Revision
     value: object = None  # checked by itself, so that a bad one costs only its key
     deleted: bool = False
 
@@ -43,20 +43,20 @@
 class _Page(msgspec.Struct, frozen=True):
     items: list[_KeyEvent]
     has_more: bool
-    store_revision: int
+    store_revision: bounds.Revision
 
 
 class _WatchAnswer(msgspec.Struct, frozen=True):
     events: list[_KeyEvent]
-    store_revision: int
+    store_revision: bounds.Revision
 
 
 class _GrantedLease(msgspec.Struct, frozen=True):
-    lease: int
+    lease: bounds.LeaseNumber
 
 
 class _WriteResult(msgspec.Struct, frozen=True):
-    revision: int
+    revision: bounds.Revision
 
 
 class _Put(msgspec.Struct, frozen=True):
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -69,6 +69,16 @@
     )
 
 
+class OutOfBoundsTest(testtools.TestCase):
+    def test_an_answer_with_a_revision_out_of_bounds_is_a_failed_call(self):
+        for revision in (-1, 2**63, 10**309):
+            answers = [make_page(revision, ("op/a", GOOD_VALUE))]
+            platform_store = store.PlatformStore(Pool(answers), "s:1")
+            self.assertRaises(
+                prefix_store.StoreError, asyncio.run, platform_store.read_all("op/")
+            )
+
+
 class UnreadableValueTest(testtools.TestCase):
     def synchronize(self, *answers):
         """Return the copy of a process after some answers of the store."""
