--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -588,7 +588,7 @@
     def connect(self):
         """Open the connection that the entry asked for last; return its other end."""
         engine = self.clock.tcpClients[-1][2].buildProtocol(None)
-        engine.makeConnection(Transport())
+        engine.makeConnection(http1_test.Transport())
         return engine
 
     def load(self, engine_id, version):
