Turn every failure to decode bytes of others into one typed error

Callers saw: after a key op/version/... whose value is nested 100,000 levels deep, no process followed the store any more: no newer configuration came into force at either entry, and an entry that started later never served.

Cause: msgspec raises RecursionError for such a value, which is no MsgspecError, so it came out of every decoder in spite of the handlers. In read_version it was raised inside the view, ahead of the guard that applies each change by itself: each try to synchronize ended (task_failed every 0.5 s). Class of fault: the failure of a library has more types than its callers name.

Fix: core/decoder.py is the only module that calls decoders of msgspec, json and yaml; it raises MalformedError for whatever they raise, and each reader handles that one. layering_test.py fails if another module of the product calls such a decoder, so new readers can't miss it. read_version returns None for such a value, so the view takes it in and the guard logs it as unreadable.

Settings files of ops are now decoded from bytes, so that one with invalid UTF-8 is a SettingsError too.

--- a/toucanspread/core/agreement/change_log.py
+++ b/toucanspread/core/agreement/change_log.py
@@ -11,7 +11,7 @@
 import msgspec
 import xxhash
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 HEAD_KEY = "config/head"
 SNAPSHOT_KEY = "config/snapshot"
@@ -61,8 +61,8 @@
 
 _encoder = msgspec.json.Encoder()
 _msgpack_encoder = msgspec.msgpack.Encoder()
-_head_decoder = msgspec.json.Decoder(Head)
-_snapshot_decoder = msgspec.json.Decoder(Snapshot)
+_head_decoder = decoder.JsonDecoder(Head)
+_snapshot_decoder = decoder.JsonDecoder(Snapshot)
 
 
 def encode(value: Head | Snapshot) -> bytes:
@@ -79,7 +79,7 @@
         return Head()
     try:
         return _head_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise ChangeLogError(f"malformed head: {error}") from error
 
 
@@ -92,7 +92,7 @@
         return Snapshot()
     try:
         return _snapshot_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise ChangeLogError(f"malformed snapshot: {error}") from error
 
 
--- a/toucanspread/core/agreement/intents.py
+++ b/toucanspread/core/agreement/intents.py
@@ -11,7 +11,7 @@
 
 import yaml
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 MAX_FILE_BYTES = 1024 * 1024
 MAX_NAME_CHARACTERS = 128
@@ -122,8 +122,8 @@
             [IntentError("file", f"larger than {MAX_FILE_BYTES} bytes")],
         )
     try:
-        return yaml.load(text, Loader=_Loader)  # noqa: S506  # a SafeLoader
-    except (yaml.YAMLError, TypeError, RecursionError) as error:
+        return decoder.parse_yaml(text, _Loader)
+    except decoder.MalformedError as error:
         raise ExceptionGroup(
             "the intents are not valid", [IntentError("file", str(error))]
         ) from error
--- a/toucanspread/core/entry/entry_directory.py
+++ b/toucanspread/core/entry/entry_directory.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.view import source_selection
 
 RECORDS_PREFIX = "entries/"
@@ -46,8 +46,8 @@
 def decode_record(value: bytes) -> EntryRecord | None:
     """Return a record from the store, or None if it is malformed."""
     try:
-        record = msgspec.json.decode(value, type=EntryRecord)
-    except msgspec.MsgspecError:
+        record = decoder.decode_json(value, EntryRecord)
+    except decoder.MalformedError:
         return None
     addresses = (record.address, record.control, record.reports)
     return record if all(map(data.is_address, addresses)) else None
--- a/toucanspread/core/gate/claim_table.py
+++ b/toucanspread/core/gate/claim_table.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 # Per service: few enough to store, and enough that concurrent writes rarely conflict.
 TABLE_COUNT = 4_096
@@ -32,7 +32,7 @@
 
 Table = dict[str, StoredClaim]
 
-_decoder = msgspec.json.Decoder(Table)
+_decoder = decoder.JsonDecoder(Table)
 
 
 def make_table_key(service: data.ServiceName, call: str) -> str:
@@ -56,7 +56,7 @@
         return {}
     try:
         return _decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise TableError(f"malformed table of claims: {error}") from error
 
 
--- a/toucanspread/core/sessions.py
+++ b/toucanspread/core/sessions.py
@@ -5,14 +5,13 @@
 """
 
 import functools
-import json
 import os
 import pathlib
 from collections.abc import Iterable
 
 import msgspec
 
-from toucanspread.core import data, events, machine
+from toucanspread.core import data, decoder, events, machine
 
 UPDATE_VARIABLE = "UPDATE_GOLDEN"  # set to 1 to rewrite golden files
 
@@ -120,13 +119,13 @@
 
 def _decode_step(number: int, line: str) -> tuple[float, data.Event]:
     try:
-        record = json.loads(line)
-        event = msgspec.convert(record["event"], union_of(data.Event))
+        record = decoder.parse_json(line)
+        event = decoder.convert(record["event"], union_of(data.Event))
         if isinstance(event, events.MessageReceived):
-            message = msgspec.convert(event.message, union_of(data.Message))
+            message = decoder.convert(event.message, union_of(data.Message))
             event = msgspec.structs.replace(event, message=message)
         return record["now_s"], event
-    except (ValueError, KeyError, msgspec.MsgspecError) as error:
+    except (decoder.MalformedError, KeyError) as error:
         raise SessionError(
             f"line {number} is not a step of a session: {error}"
         ) from error
--- a/toucanspread/core/transfers/manifest.py
+++ b/toucanspread/core/transfers/manifest.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 MAX_MANIFEST_BYTES = 2 * 1024 * 1024
 MAX_CHUNK_BYTES = 2 * 1024 * 1024  # messages between processes hold up to 4 MiB
@@ -63,7 +63,7 @@
     size_bytes: int
 
 
-_decoder = msgspec.json.Decoder(Manifest)
+_decoder = decoder.JsonDecoder(Manifest)
 
 
 def encode(manifest: Manifest) -> bytes:
@@ -90,7 +90,7 @@
         raise ManifestError(f"manifest of {len(payload)} bytes is too large")
     try:
         manifest = _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise ManifestError(f"malformed manifest: {error}") from error
     _check_manifest(manifest)
     return manifest
--- a/toucanspread/layering_test.py
+++ b/toucanspread/layering_test.py
@@ -61,6 +61,39 @@
 ASSEMBLY = "roles"
 
 
+# The one module that may call the decoders of libraries, which fail in several ways.
+DECODER = PACKAGE / "core" / "decoder.py"
+LIBRARY_DECODERS = frozenset(
+    {
+        "json.JSONDecoder",
+        "json.load",
+        "json.loads",
+        "msgspec.convert",
+        "msgspec.json.Decoder",
+        "msgspec.json.decode",
+        "msgspec.msgpack.Decoder",
+        "msgspec.msgpack.decode",
+        "msgspec.toml.decode",
+        "msgspec.yaml.decode",
+        "pickle.load",
+        "pickle.loads",
+        "tomllib.load",
+        "tomllib.loads",
+        "yaml.load",
+        "yaml.safe_load",
+    }
+)
+
+
+def used_names(path):
+    """Return the dotted names that a module uses or imports."""
+    names = imported_names(path)
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Attribute):
+            names.add(ast.unparse(node))
+    return names
+
+
 def imported_core_packages(path):
     """Return the packages of the core that a module imports."""
     packages = set()
@@ -90,6 +123,11 @@
                 used = [name for name in PLATFORM_NAMES if name.lower() in text]
                 self.assertEqual([], used, path.name)
 
+    def test_only_the_decoder_module_calls_decoders_of_libraries(self):
+        for path in modules(PACKAGE):
+            if path != DECODER:
+                self.assertEqual(set(), used_names(path) & LIBRARY_DECODERS, path.name)
+
     def test_core_packages_import_only_lower_ones(self):
         for package, lower in CORE_PACKAGES.items():
             for path in modules(PACKAGE / "core" / package):
--- a/toucanspread/ops/codec.py
+++ b/toucanspread/ops/codec.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from toucanspread.core import data, sessions
+from toucanspread.core import data, decoder, sessions
 
 WIRE_VERSION = 1
 _SHORT_ENVELOPE_PREFIX = b"\x93"  # a msgpack array of three items
@@ -47,13 +47,13 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
-_short_decoder = msgspec.msgpack.Decoder(ShortEnvelope)
+_envelope_decoder = decoder.MsgpackDecoder(Envelope)
+_short_decoder = decoder.MsgpackDecoder(ShortEnvelope)
 
 
 @functools.cache
-def _message_decoder() -> msgspec.msgpack.Decoder:
-    return msgspec.msgpack.Decoder(sessions.union_of(data.Message))
+def _message_decoder() -> decoder.MsgpackDecoder:
+    return decoder.MsgpackDecoder(sessions.union_of(data.Message))
 
 
 def encode(sender: data.Identity, message: data.Message, body: bytes = b"") -> bytes:
@@ -77,7 +77,7 @@
         if envelope.version != WIRE_VERSION:
             raise CodecError(f"wire version {envelope.version}, not {WIRE_VERSION}")
         message = _message_decoder().decode(envelope.message)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise CodecError(f"malformed message: {error}") from error
     return envelope.sender, message, envelope.body
 
@@ -110,6 +110,6 @@
         if bytes(envelope.message) == _NIL_BYTES:
             return envelope.reference, None
         message = _message_decoder().decode(envelope.message)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         raise CodecError(f"malformed message: {error}") from error
     return envelope.reference, message
--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.web import http
 
-from toucanspread.core import data, effects, events
+from toucanspread.core import data, decoder, effects, events
 from toucanspread.ops import http_client
 
 CALL_TIMEOUT_S = 5.0
@@ -363,6 +363,6 @@
 
 def _decode_body(payload: bytes, kind: type):
     try:
-        return msgspec.json.decode(payload, type=kind)
-    except msgspec.MsgspecError as error:
+        return decoder.decode_json(payload, kind)
+    except decoder.MalformedError as error:
         raise EngineError(f"malformed answer: {error}") from error
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.view import store_position, store_view
 
 MIN_COMPRESSED_BYTES = 1_024  # below, compression saves less than one packet
@@ -21,8 +21,8 @@
 MAX_DELTAS_BYTES = 2_000_000  # deltas of as many values as a copy keeps changes of
 CACHED_COUNT = 8  # different sets of changes that followers ask for at the same time
 
-_changes_decoder = msgspec.msgpack.Decoder(tuple[store_view.KeyChange, ...])
-_deltas_decoder = msgspec.msgpack.Decoder(tuple[store_view.DeltaChange, ...])
+_changes_decoder = decoder.MsgpackDecoder(tuple[store_view.KeyChange, ...])
+_deltas_decoder = decoder.MsgpackDecoder(tuple[store_view.DeltaChange, ...])
 
 
 class CompressedExcerpt(data.Record):
@@ -42,7 +42,7 @@
     compressed_deltas: bytes = b""
 
 
-_excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
+_excerpt_decoder = decoder.MsgpackDecoder(store_view.Excerpt | CompressedExcerpt)
 
 
 class ExcerptDecodeError(Exception):
@@ -106,7 +106,7 @@
             deltas = _deltas_decoder.decode(
                 _decompress(excerpt.compressed_deltas, MAX_DELTAS_BYTES)
             )
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (decoder.MalformedError, zlib.error) as error:
         raise ExcerptDecodeError(str(error)) from error
     return store_view.Excerpt(
         excerpt.revision,
--- a/toucanspread/ops/instance_list.py
+++ b/toucanspread/ops/instance_list.py
@@ -13,7 +13,7 @@
 import msgspec
 from twisted.internet import reactor
 
-from toucanspread.core import data, events
+from toucanspread.core import data, decoder, events
 from toucanspread.ops import http_client, logs, loop, runtime
 
 LIST_PATH = "/v1/instances"
@@ -89,8 +89,8 @@
         if reply.status != 200:
             raise InstanceListError(f"{self._url}: status {reply.status}")
         try:
-            rows = msgspec.json.decode(reply.body, type=list[_Row])
-        except msgspec.MsgspecError as error:
+            rows = decoder.decode_json(reply.body, list[_Row])
+        except decoder.MalformedError as error:
             raise InstanceListError(
                 f"{self._url}: malformed instance list: {error}"
             ) from error
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from urllib.parse import quote
 
-from toucanspread.core import data, effects, events
+from toucanspread.core import data, decoder, effects, events
 from toucanspread.ops import http_client, logs, loop, runtime
 
 CALL_TIMEOUT_S = 2.0
@@ -337,8 +337,8 @@
 
 def _parse_json(reply: http_client.Reply) -> object:
     try:
-        return json.loads(reply.body)
-    except ValueError as error:
+        return decoder.parse_json(reply.body)
+    except decoder.MalformedError as error:
         raise KeyValueError(
             True, f"malformed answer of the key-value service: {error}"
         ) from error
--- a/toucanspread/ops/newer_values.py
+++ b/toucanspread/ops/newer_values.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from toucanspread.core import bounds, data
+from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_view
 from toucanspread.ops import excerpt_client, http1_pool, metric_buffer
 
@@ -19,7 +19,7 @@
 ANSWER_TIMEOUT_S = 0.25
 ASKED_COUNT = 3  # one that was cut off for long may have older values
 
-_versions_decoder = msgspec.json.Decoder(dict[str, bounds.Version])
+_versions_decoder = decoder.JsonDecoder(dict[str, bounds.Version])
 
 
 class NewerValuesRequest(msgspec.Struct, frozen=True):
@@ -39,10 +39,7 @@
     :raises KeyError: when one is missing.
     :raises ValueError: when the versions are malformed.
     """
-    try:
-        versions = _versions_decoder.decode(arguments["versions"])
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
+    versions = _versions_decoder.decode(arguments["versions"])
     return NewerValuesRequest(tuple(arguments["prefixes"].split(",")), versions)
 
 
--- a/toucanspread/ops/operator_api.py
+++ b/toucanspread/ops/operator_api.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.web import resource, server
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.agreement import confirmations, plan_requests
 from toucanspread.ops import metrics, runtime, status
 
@@ -128,7 +128,7 @@
 
     def __init__(self, body_type: type, handler):
         super().__init__()
-        self._decoder = msgspec.json.Decoder(body_type)
+        self._decoder = decoder.JsonDecoder(body_type)
         self._handler = handler
 
     def render_POST(self, request: server.Request):  # noqa: N802 (twisted's name)
@@ -138,7 +138,7 @@
             return render_error(request, 413, f"body above {MAX_BODY_BYTES} bytes")
         try:
             body = self._decoder.decode(payload)
-        except msgspec.MsgspecError as error:
+        except decoder.MalformedError as error:
             return render_error(request, 400, f"malformed body: {error}")
         self._handler(request, body)
         return server.NOT_DONE_YET
--- a/toucanspread/ops/piece_cache.py
+++ b/toucanspread/ops/piece_cache.py
@@ -10,9 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import msgspec
-
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
@@ -439,8 +437,8 @@
     target += f"&held={held:d}"
     reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES)
     try:
-        return msgspec.msgpack.decode(reply.body, type=tuple[str, ...])
-    except msgspec.MsgspecError as error:
+        return decoder.decode_msgpack(reply.body, tuple[str, ...])
+    except decoder.MalformedError as error:
         raise PieceError(f"{address}: malformed manifest: {error}") from error
 
 
--- a/toucanspread/ops/settings.py
+++ b/toucanspread/ops/settings.py
@@ -10,9 +10,8 @@
 from typing import Any, Self
 
 import msgspec
-import yaml
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 MAX_PORT = 65535
@@ -55,12 +54,12 @@
         :raises SettingsError: with all errors found.
         """
         try:
-            content = yaml.safe_load(path.read_text())
+            content = decoder.parse_yaml(path.read_bytes())
         except OSError as error:
             raise SettingsError(
                 [f"{path}: cannot be read: {error.strerror}"]
             ) from error
-        except yaml.YAMLError as error:
+        except decoder.MalformedError as error:
             raise SettingsError([f"{path}: not valid YAML: {error}"]) from error
         return cls.from_config(content, str(path))
 
@@ -159,8 +158,8 @@
     :return: what is wrong with the value; empty if it is valid.
     """
     try:
-        values[name] = msgspec.convert(value, field_type)
-    except msgspec.ValidationError as error:
+        values[name] = decoder.convert(value, field_type)
+    except decoder.MalformedError as error:
         return str(error)
     if name in ("instance_id", "zone", "region"):
         return (
--- a/toucanspread/ops/weight_files.py
+++ b/toucanspread/ops/weight_files.py
@@ -13,7 +13,7 @@
 import shutil
 import struct
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.transfers import manifest
 
 INDEX_NAME = "model.safetensors.index.json"
@@ -95,8 +95,8 @@
             )
         raw = stream.read(header_bytes)
     try:
-        header = json.loads(raw)
-    except ValueError as error:
+        header = decoder.parse_json(raw)
+    except decoder.MalformedError as error:
         raise WeightsError(f"{path.name}: malformed header: {error}") from error
     if not isinstance(header, dict):
         raise WeightsError(f"{path.name}: header is not a JSON object")
@@ -203,8 +203,8 @@
     if not path.exists():
         return
     try:
-        weight_map = json.loads(path.read_text())["weight_map"]
-    except (ValueError, KeyError) as error:
+        weight_map = decoder.parse_json(path.read_bytes())["weight_map"]
+    except (decoder.MalformedError, KeyError) as error:
         raise WeightsError(f"{INDEX_NAME}: malformed index") from error
     for tensor, shard in weight_map.items():
         if tensor not in tensors.get(shard, {}):
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from toucanspread.core import bounds, data
+from toucanspread.core import bounds, data, decoder
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_view
@@ -178,17 +178,17 @@
     if key != CONFIGURATION_KEY and not key.startswith(VERSIONS_PREFIX):
         return None
     try:
-        return msgspec.json.decode(value, type=_Versioned).version
-    except msgspec.MsgspecError:
+        return decoder.decode_json(value, _Versioned).version
+    except decoder.MalformedError:
         return None
 
 
 def decode_configuration(value: bytes) -> entry_data.Configuration:
     """Decode the configuration that the operator wrote.
 
-    :raises msgspec.MsgspecError: when it is malformed.
+    :raises decoder.MalformedError: when it is malformed.
     """
-    config = msgspec.json.decode(value, type=_Config)
+    config = decoder.decode_json(value, _Config)
     return entry_data.Configuration(
         config.version,
         tuple(_make_route(route) for route in config.routes),
@@ -208,8 +208,8 @@
 def decode_engine(engine_id: str, value: bytes) -> entry_data.EngineEntry | None:
     """Decode an engine's entry; return None if it describes no usable engine."""
     try:
-        entry = msgspec.json.decode(value, type=_EngineEntry)
-    except msgspec.MsgspecError:
+        entry = decoder.decode_json(value, _EngineEntry)
+    except decoder.MalformedError:
         return None
     state = ENGINE_STATES.get(entry.state)
     if state is None or not data.is_address(entry.address):
@@ -230,9 +230,9 @@
 def decode_report(body: bytes) -> entry_data.EngineReport:
     """Decode an engine's report.
 
-    :raises msgspec.MsgspecError: when it is malformed.
+    :raises decoder.MalformedError: when it is malformed.
     """
-    report = msgspec.json.decode(body, type=_EngineReport)
+    report = decoder.decode_json(body, _EngineReport)
     return entry_data.EngineReport(
         _make_loaded_layers(report.models),
         report.busy,
@@ -249,7 +249,7 @@
         return None
     try:
         configuration = decode_configuration(change.value)
-    except msgspec.MsgspecError as error:
+    except decoder.MalformedError as error:
         logs.write("configuration_unreadable", why=str(error), revision=change.revision)
         return None
     return cluster_state.ConfigurationSeen(configuration)
@@ -259,8 +259,8 @@
     if change.value is None:
         return None
     try:
-        named = msgspec.json.decode(change.value, type=_NamedVersion)
-    except msgspec.MsgspecError as error:
+        named = decoder.decode_json(change.value, _NamedVersion)
+    except decoder.MalformedError as error:
         logs.write("version_unreadable", why=str(error), key=change.key)
         return None
     return cluster_state.VersionNamed(data.ModelName(named.model), named.version)
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement, staging_events
 from toucanspread.ops import (
@@ -65,8 +65,8 @@
             piece_cache.MAX_MANIFEST_BYTES,
         )
         try:
-            manifest = msgspec.json.decode(reply.body, type=_Manifest)
-        except msgspec.MsgspecError as error:
+            manifest = decoder.decode_json(reply.body, _Manifest)
+        except decoder.MalformedError as error:
             raise piece_cache.PieceError(
                 f"malformed manifest of the origin: {error}"
             ) from error
@@ -126,7 +126,7 @@
         reply = await self._call(self._report_pool, b"GET", "/-/report")
         try:
             return decoding.decode_report(reply.body)
-        except msgspec.MsgspecError as error:
+        except decoder.MalformedError as error:
             raise engine_control.EngineError(
                 f"malformed report of the engine: {error}"
             ) from error
@@ -142,8 +142,8 @@
         if reply.status == 404:
             return []
         try:
-            return msgspec.json.decode(reply.body, type=_StagedPieces).held
-        except msgspec.MsgspecError as error:
+            return decoder.decode_json(reply.body, _StagedPieces).held
+        except decoder.MalformedError as error:
             raise engine_control.EngineError(
                 f"malformed list of the engine's staged pieces: {error}"
             ) from error
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -12,7 +12,7 @@
 import msgspec
 from twisted.internet import protocol, reactor
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_position
@@ -50,13 +50,13 @@
         self._cluster = cluster
         self._name = name
         self._zone = zone
-        self._decoder = msgspec.msgpack.Decoder(entry_data.EngineNotice)
+        self._decoder = decoder.MsgpackDecoder(entry_data.EngineNotice)
 
     def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
         """Apply a report or a notice."""
         try:
             report = self._decoder.decode(datagram)
-        except msgspec.MsgspecError as error:
+        except decoder.MalformedError as error:
             logs.write("report_unreadable", sender=addr[0], why=str(error))
             return
         self._apply(report)
--- a/toucanspread/platform/settings.py
+++ b/toucanspread/platform/settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 
 PATH_VARIABLE = "TOUCANSPREAD_SETTINGS"
 
@@ -100,10 +100,10 @@
         :raises SettingsError: when the file cannot be read or is malformed.
         """
         try:
-            return msgspec.json.decode(path.read_bytes(), type=cls)
+            return decoder.decode_json(path.read_bytes(), cls)
         except OSError as error:
             raise SettingsError(f"{path}: cannot be read: {error}") from error
-        except msgspec.MsgspecError as error:
+        except decoder.MalformedError as error:
             raise SettingsError(f"{path}: {error}") from error
 
     def map_zones_to_regions(self) -> dict[data.ZoneName, data.RegionName]:
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -9,10 +9,9 @@
 import pathlib
 from typing import NamedTuple
 
-import msgspec
 from twisted.internet import reactor
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import source_selection, store_view
@@ -163,7 +162,7 @@
                             and service.profile
                         ):
                             return service.profile
-            except (prefix_store.StoreError, msgspec.MsgspecError) as error:
+            except (prefix_store.StoreError, decoder.MalformedError) as error:
                 logs.write("profile_missing", why=str(error))
             await asyncio.sleep(RETRY_DELAY_S)
 
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucanspread.core import bounds, data
+from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops import (
     http1,
@@ -267,8 +267,8 @@
     def _decode(self, reply: http1_pool.Reply, answer_type: type):
         self._check(reply)
         try:
-            return msgspec.json.decode(reply.body, type=answer_type)
-        except msgspec.MsgspecError as error:
+            return decoder.decode_json(reply.body, answer_type)
+        except decoder.MalformedError as error:
             raise prefix_store.StoreError(
                 f"malformed answer of the store: {error}"
             ) from error
--- a/toucanspread/tools/client.py
+++ b/toucanspread/tools/client.py
@@ -1,11 +1,12 @@
 """HTTP client of the command line for an entry's API."""
 
 import http.client
-import json
 import urllib.error
 import urllib.request
 from typing import Any
 
+from toucanspread.core import decoder
+
 TIMEOUT_S = 15.0
 
 
@@ -44,7 +45,7 @@
 def _send(request: urllib.request.Request) -> Any:
     try:
         with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
-            return json.load(response)
+            return decoder.parse_json(response.read())
     except urllib.error.HTTPError as error:
         raise _build_error(request, error) from error
     except (OSError, http.client.HTTPException, ValueError) as error:
@@ -58,7 +59,7 @@
 ) -> EntryError:
     payload = error.read()
     try:
-        answer = json.loads(payload)
+        answer = decoder.parse_json(payload)
     except ValueError:
         answer = None
     why = f"{request.full_url}: the entry answered with HTTP status {error.code}"
--- a/toucanspread/tools/intent_files.py
+++ b/toucanspread/tools/intent_files.py
@@ -1,11 +1,10 @@
 """Reads files of intents and fills in the hashes and sizes of their manifests."""
 
-import json
 import pathlib
 
 import msgspec
 
-from toucanspread.core import data
+from toucanspread.core import data, decoder
 from toucanspread.core.agreement import intents
 from toucanspread.core.transfers import manifest
 
@@ -45,16 +44,16 @@
         problems.extend(f"{path}: {error}" for error in intents.validate(intent))
     if problems:
         raise IntentFileError(problems)
-    return json.loads(msgspec.json.encode(filled)), list(declared.removed)
+    return decoder.parse_json(msgspec.json.encode(filled)), list(declared.removed)
 
 
 def fill_defaults(json_objects: list[dict]) -> list[dict]:
     """Return JSON intents with all fields set, so that equal intents compare equal."""
     complete = []
     for json_object in json_objects:
-        intent = msgspec.convert(json_object, data.Intent)
+        intent = decoder.convert(json_object, data.Intent)
         fields = msgspec.structs.asdict(intent)
-        complete.append(json.loads(msgspec.json.encode(fields)))
+        complete.append(decoder.parse_json(msgspec.json.encode(fields)))
     return complete
 
 
