End a request, also at its engine, if the handling of an event fails

Cause: the decisions about an event are carried out once all of them are made. When a withdrawal released the engine and the choice of another one then failed with an exception, the cancellation was lost with it. The request stayed without an engine, so no later check looked at it, its connection stayed open, and the engine's answer was relayed. The same after any failure that is followed by a retry: the caller waited for its deadline. Class of fault: state is changed first, and what makes it true outside is done later, or not at all.

Evidence: one odd entry among the engines (a number of 400 digits) makes each choice fail with OverflowError; the withdrawal logs task_failed and closes nothing.

Fix: an error in the handling of an event ends the request: its dispatch is closed first, and its caller gets a 502, or the end of its stream. The error is raised on, as before. Whatever fails in future, no engine goes on with a request that the entry has given up.

Before, forwarder_test.py -k FailingDecision: ..._of_which_the_rest_fails_reaches_the_engine: False is not true (cancelled) ..._is_not_relayed_after_a_failed_withdrawal: b'HTTP/1.1 502' not in b'HTTP/1.1 200 OK...id: 1\ndata: a...' ..._whose_retry_fails_is_ended_at_once: b'HTTP/1.1 502' not in b'' After: 105 tests of the forwarder, the answers and the entry pass, none changed.

--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -5,6 +5,7 @@
 
 import abc
 import functools
+from collections.abc import Callable
 
 import msgspec
 
@@ -62,6 +63,24 @@
         """Notify all entries of an engine's limit and of requests under it."""
 
 
+def _ending_on_error(handle: Callable[..., None]) -> Callable[..., None]:
+    """Let an error in the handling of an event end the request.
+
+    What was decided before the error may not have been carried out, so nothing may be
+    left of the request at its engine.
+    """
+
+    @functools.wraps(handle)
+    def handle_or_end(request: "ForwardedRequest", *arguments: object) -> None:
+        try:
+            handle(request, *arguments)
+        except Exception:
+            request.abandon()
+            raise
+
+    return handle_or_end
+
+
 class ForwardedRequest(engine_answer.DispatchListener, request_queue.QueueItem):
     """One caller's request: carries out the decisions about it."""
 
@@ -176,10 +195,12 @@
         if self.exchange.is_blocked:
             self._answer.pause()
 
+    @_ending_on_error
     def on_answer(self, status: int) -> None:
         """Process a complete answer of the engine."""
         self.carry_out(self._state.on_answer(self.make_decision_context(), status))
 
+    @_ending_on_error
     def on_failure(self, failure: decisions.DispatchFailure) -> None:
         """Handle a dispatch that ended without a complete answer."""
         engine_id = self._state.engine_id
@@ -209,6 +230,7 @@
             metric_buffer.count("requests_not_moved", why=obstacle.value)
         self.carry_out(effects)
 
+    @_ending_on_error
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
         if self._answer is None:
@@ -221,12 +243,14 @@
             failure = decisions.DispatchFailure.WITHDRAWN_UNSENT
         self.on_failure(failure)
 
+    @_ending_on_error
     def on_quarantine(self) -> None:
         """Handle the begin of a quarantine of prompts that crash engines."""
         self.carry_out(self._state.on_quarantine(self.make_decision_context()))
 
     # Events of the caller and the clock
 
+    @_ending_on_error
     def _on_caller_disconnected(self) -> None:
         engine_id = self._state.engine_id
         logs.write("caller_left", id=self.call.attempt_id, engine=engine_id)
@@ -237,6 +261,7 @@
         if self._answer is not None:
             self._answer.resume()
 
+    @_ending_on_error
     def _on_deadline(self) -> None:
         self.carry_out(self._state.on_deadline(self.make_decision_context()))
 
@@ -247,10 +272,28 @@
         for effect in effects:
             self._handlers[type(effect)](effect)
         if self._state is not None and self._state.is_finished:
-            self._forwarder.in_progress.discard(self)
-            self._forwarder.queue.remove(self)
-            if self._deadline_timer is not None and self._deadline_timer.active():
-                self._deadline_timer.cancel()
+            self._release()
+
+    def abandon(self) -> None:
+        """End the request after an error, also at its engine."""
+        if self._answer is not None:
+            self._answer.cancel()
+        self._release()
+        if self.exchange.is_started:
+            self.exchange.abort()
+        else:
+            headers = self._forwarder.wire_dialect.make_own_answer_headers(
+                self.call, None
+            )
+            self.exchange.respond(502, headers)
+        # Nobody waits for the request any more, as if its caller had left.
+        self._state.on_caller_disconnected(self.make_decision_context())
+
+    def _release(self) -> None:
+        self._forwarder.in_progress.discard(self)
+        self._forwarder.queue.remove(self)
+        if self._deadline_timer is not None and self._deadline_timer.active():
+            self._deadline_timer.cancel()
 
     def _send(self, effect: decisions.SendToEngine) -> None:
         forwarder = self._forwarder
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -479,6 +479,52 @@
         self.assertIn(b"HTTP/1.1 502", self.received())
 
 
+class FailingDecisionTest(ForwarderCase):
+    """The entry of an engine makes each choice of an engine of its service fail."""
+
+    def send_and_name_version(self):
+        """Return an engine whose weights become too old, and that is not to begin."""
+        engine = self.send_request()
+        self.add_failing_engine()
+        service = self.cluster.route_table.services[data.ServiceName("s1")]
+        named = cluster_state.VersionNamed(service.profile.model, 2)
+        self.cluster.apply(named, cluster_state.ChangeTiming(-8.0, -8.0), False)
+        self.forwarder.schedule_withdrawal(0.0)
+        self.clock.advance(0.0)
+        return engine
+
+    def add_failing_engine(self):
+        engine = self.cluster.registry.get(self.sent_engine_id())
+        loaded = (entry_data.LoadedLayers(data.ModelName("m"), 2, 0, 4),)
+        entry = msgspec.structs.replace(
+            engine.entry, engine_id="odd", address="odd:1", slots=10**400, loaded=loaded
+        )
+        self.cluster.apply(
+            cluster_state.EngineSeen(entry), cluster_state.ChangeTiming(0.0, 0.0), False
+        )
+
+    def sent_engine_id(self):
+        return self.pool.sent[-1].address.replace(":", "-")
+
+    def test_a_withdrawal_of_which_the_rest_fails_reaches_the_engine(self):
+        engine = self.send_and_name_version()
+        self.assertTrue(engine.cancelled)
+
+    def test_an_answer_on_old_weights_is_not_relayed_after_a_failed_withdrawal(self):
+        engine = self.send_and_name_version()
+        engine.answer(STREAM + chunk(b"id: 1\ndata: a\n\n") + http1.LAST_CHUNK)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertNotIn(b"data: a", self.received())
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+    def test_a_request_whose_retry_fails_is_ended_at_once(self):
+        self.send_request()
+        self.add_failing_engine()
+        self.assertRaises(OverflowError, self.pool.sent[-1].disconnect)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+
 class SlowCallerTest(ForwarderCase):
     """Plays a caller that doesn't read its stream for some time."""
 
