Let no failing decision about one service keep the queues of all waiting

Cause: the timer of the queues was started again only after all of them had been gone through, so an exception in one ended the checks of all. Class of fault: one failure ends a loop over independent things.

Fix: a failure is logged for its queue; the others, and the timer, go on.

Before, request_queue_test.py: OverflowError: int too large to convert to float (out of the timer) After: it passes, and so does forwarder_test.py.

--- a/toucanspread/ops/request_queue.py
+++ b/toucanspread/ops/request_queue.py
@@ -14,6 +14,7 @@
     load_balancing,
 )
 from toucanspread.core.entry import data as entry_data
+from toucanspread.ops import loop
 
 QUEUE_CHECK_INTERVAL_S = 0.015  # a fifth of an engine's time for a typical prompt
 
@@ -77,7 +78,10 @@
 
     def _resume_all(self) -> None:
         for queued in list(self._queued.values()):
-            self._resume_in_order(queued)
+            try:
+                self._resume_in_order(queued)
+            except Exception as exception:
+                loop.log_failure("queue", exception)
         if any(self._queued.values()):
             self._start_timer()
 
