End a queued request whose sending fails instead of sending it again

Cause: the error left the request in the queue, with its state already at an engine. Class of fault: state is changed first, and what makes it true outside fails.

Fix: such an error ends the request, as one in the handling of any other event.

--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -63,7 +63,7 @@
         """Notify all entries of an engine's limit and of requests under it."""
 
 
-def _ending_on_error(handle: Callable[..., None]) -> Callable[..., None]:
+def _ending_on_error(handle: Callable) -> Callable:
     """Let an error in the handling of an event end the request.
 
     What was decided before the error may not have been carried out, so nothing may be
@@ -71,9 +71,9 @@
     """
 
     @functools.wraps(handle)
-    def handle_or_end(request: "ForwardedRequest", *arguments: object) -> None:
+    def handle_or_end(request: "ForwardedRequest", *arguments: object) -> object:
         try:
-            handle(request, *arguments)
+            return handle(request, *arguments)
         except Exception:
             request.abandon()
             raise
@@ -141,6 +141,11 @@
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
 
+    @_ending_on_error
+    def resume(self) -> bool:
+        """Try again to find an engine; return whether the request stays queued."""
+        return super().resume()
+
     @property
     def state(self) -> forwarding.RequestState:
         """Return the state of the request, which makes the decisions."""
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -525,6 +525,32 @@
         self.assertEqual(set(), self.forwarder.in_progress)
 
 
+class FailingQueuedDispatchTest(ForwarderCase):
+    """A queued request can't be sent, as the sending itself fails."""
+
+    def send_queued(self):
+        """Queue a request, and let it be sent once the engines have read others."""
+        for name in ("s1", "s2"):
+            profile = self.cluster.route_table.services[name].profile
+            for engine in self.cluster.registry.of_service(data.ServiceName(name)):
+                engine.add_prompt(30_000, profile, 0.0)
+        self.assertIsNone(self.send_request())
+        self.pool.send = self.fail_to_send
+        for _ in range(200):
+            self.clock.advance(0.01)
+
+    def fail_to_send(self, *arguments):
+        self.send_count += 1
+        raise ValueError("port of the engine")
+
+    def test_a_queued_request_that_could_not_be_sent_is_not_sent_again(self):
+        self.send_count = 0
+        self.send_queued()
+        self.assertEqual(1, self.send_count)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+
 class SlowCallerTest(ForwarderCase):
     """Plays a caller that doesn't read its stream for some time."""
 
