--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -7,7 +7,7 @@
 import msgspec
 import testtools
 from twisted.internet import error, task
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python import failure
 
 from toucanspread.core import data
@@ -27,7 +27,6 @@
     http1_client,
     http1_pool,
     http1_server,
-    http1_test,
 )
 from toucanspread.platform import decoding_test, requests
 
@@ -45,6 +44,17 @@
     return b"%x\r\n%b\r\n" % (len(data_bytes), data_bytes)
 
 
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        return
+
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, level, option, value):
+        return
+
+
 @contextlib.contextmanager
 def capture_events(name):
     """Collect the log messages of an event."""
@@ -73,7 +83,7 @@
         self.connection = connection
         if connection is None:
             self.connection = http1_client.ClientConnection(task.Clock())
-            self.connection.makeConnection(http1_test.Transport())
+            self.connection.makeConnection(Transport())
         self.connection.send(request, listener)
         self.cancelled = False
         self.was_sent = True
@@ -171,7 +181,7 @@
         self.connection = http1_server.ServerFactory(
             self.forwarder, self.clock
         ).buildProtocol(None)
-        self.transport = http1_test.Transport()
+        self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
     def make_configuration(self):
@@ -541,7 +551,7 @@
         _, _, factory, _, _ = self.clock.tcpClients[0]
         self.clock.advance(0.55)
         engine = factory.buildProtocol(None)
-        transport = http1_test.Transport()
+        transport = Transport()
         engine.makeConnection(transport)
         self.assertIn(b"X-Timeout-Ms: 2450\r\n", transport.value())
 
@@ -551,7 +561,7 @@
         host, port, factory, _, _ = self.clock.tcpClients[0]
         change(f"{host}-{port}")
         engine = factory.buildProtocol(None)
-        transport = http1_test.Transport()
+        transport = Transport()
         engine.makeConnection(transport)
         return transport.value()
 
