Take load reports and the choice of holders out of the staging driver

Sending load reports to entries is now load_reports.py, with its tests; which entries are asked for a piece, by how they answered lately, is piece_holders.py.

No change of behaviour. The two tests of the sender moved with it, unchanged but for the module's name.

--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -1,17 +1,12 @@
 """Executes the effects of :mod:`toucanspread.core.weights.staging` for one engine.
 
-The driver also forwards the engine's load to the entries: it reads the report anyway,
-and a datagram to each entry takes a few dozen bytes.
+The driver also has the engine's load sent to the entries: it reads the report anyway.
 """
 
 import asyncio
-import collections
 import math
 from collections.abc import Callable
 
-import msgspec
-from twisted.internet import protocol
-
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import entry_directory
@@ -24,91 +19,23 @@
 from toucanspread.ops import (
     engine_control,
     http1_pool,
+    load_reports,
     logs,
     loop,
     metric_buffer,
     piece_cache,
+    piece_holders,
 )
 
-MAX_HOLDER_ATTEMPTS = 3  # a holder asks others itself; the stager retries later
 MAX_PENDING_MANIFEST_REQUESTS = 8  # more would load entries that are slow already
-UNREACHABLE_BACKOFF_S = 2.0  # an unreachable entry is tried last for this time
 # A manifest is small, so the next holder is asked before the first one times out.
 NEXT_HOLDER_DELAY_S = 0.1
 REPORT_INTERVAL_S = 0.2  # about the time to a request's first event
-UNCHANGED_LOAD_INTERVAL_S = 0.6  # shorter than the maximum age of a load report
-REMOTE_ZONE_LOAD_INTERVAL_S = 0.6  # entries of other zones send few requests
 # Each change of the number of thresholds that the delay of the link exceeds is logged.
 LOGGED_LINK_DELAYS_S = (0.3, 0.6)
 LINK_DELAY_STEP_S = 0.1
 
 
-class _SendSchedule:
-    """Decides when to send a load report to a group of entries.
-
-    :param interval_s: seconds after which an unchanged report is repeated.
-    """
-
-    def __init__(self, interval_s: float):
-        self._interval_s = interval_s
-        self._last_sent: entry_data.EngineLoad | None = None
-        self._last_s = float("-inf")
-
-    def record_if_due(self, content: entry_data.EngineLoad, now_s: float) -> bool:
-        """Return whether to send the report now, and record it as sent if so.
-
-        :param content: the part of the report of which each change is sent at once.
-        """
-        if content == self._last_sent and now_s - self._last_s < self._interval_s:
-            return False
-        self._last_sent = content
-        self._last_s = now_s
-        return True
-
-
-class LoadReportSender(protocol.DatagramProtocol):
-    """Sends load reports to the entries.
-
-    Entries of other zones get changes of the load less often than changes that decide
-    whether they may use the engine, since traffic between regions is expensive.
-
-    :param entries: returns the entries to send to.
-    :param zone: availability zone of the engine.
-    """
-
-    def __init__(
-        self,
-        entries: Callable[[], list[entry_directory.EntryRecord]],
-        reactor,
-        zone: data.ZoneName,
-    ):
-        self._entries = entries
-        self._reactor = reactor
-        self._zone = zone
-        self._same_zone_schedule = _SendSchedule(UNCHANGED_LOAD_INTERVAL_S)
-        self._other_zones_schedule = _SendSchedule(REMOTE_ZONE_LOAD_INTERVAL_S)
-
-    def send(self, load: entry_data.EngineLoad) -> None:
-        """Send a report to the entries for which it is new or due again."""
-        now_s = self._reactor.seconds()
-        # Times until an order and a load count down by themselves and are no changes.
-        without_times = msgspec.structs.replace(load, order_in_s=None, coming_in_s=None)
-        without_load = msgspec.structs.replace(without_times, active=0, queued=0)
-        is_same_zone_due = self._same_zone_schedule.record_if_due(without_times, now_s)
-        is_other_zones_due = self._other_zones_schedule.record_if_due(
-            without_load, now_s
-        )
-        payload = msgspec.msgpack.encode(load)
-        for entry in self._entries():
-            is_due = (
-                is_same_zone_due if entry.zone == self._zone else is_other_zones_due
-            )
-            if not is_due:
-                continue
-            host, _, port = entry.reports.rpartition(":")
-            self.transport.write(payload, (host, int(port)))
-
-
 class StagingDriver:
     """Feeds the stager of the local engine with events and executes its effects.
 
@@ -128,7 +55,7 @@
         pool: http1_pool.ConnectionPool,
         entries: Callable[[], list[entry_directory.EntryRecord]],
         region: str,
-        sender: LoadReportSender,
+        sender: load_reports.LoadReportSender,
         get_exchange_delay_s: Callable[[], float],
         part_bytes: int,
     ):
@@ -137,8 +64,7 @@
         self._engine = engine
         self._address = address
         self._pool = pool
-        self._entries = entries
-        self._region = region
+        self._holders = piece_holders.PieceHolders(entries, region, pool.reactor)
         self._sender = sender
         self._model = stager.profile.model
         self._max_piece_bytes = piece_cache.limit_piece_bytes(
@@ -149,10 +75,6 @@
         self._logged_step = stager.target.step
         self._logged_delay_level = 0
         self._collected_pieces: dict[piece_placement.PieceKey, bytes] = {}
-        self._refusal_counts: collections.Counter[piece_placement.PieceKey] = (
-            collections.Counter()
-        )
-        self._unreachable_until_s: dict[str, float] = {}
         self._handlers = {
             staging_events.ReadDigests: self._read_digests,
             staging_events.CheckStagedPieces: self._check_staged,
@@ -173,9 +95,7 @@
         for key in list(self._collected_pieces):
             if self._is_superseded(key.version):
                 del self._collected_pieces[key]
-        for key in list(self._refusal_counts):
-            if self._is_superseded(key.version):
-                del self._refusal_counts[key]
+        self._holders.forget_versions(self._is_superseded)
 
     def _tick(self) -> None:
         self._execute(self._stager.on_tick(self._now_s()))
@@ -271,7 +191,7 @@
         """Return the digests from the first entry that answers, or None."""
         requests: set[asyncio.Task] = set()
         try:
-            for holder in self._rank_holders(key):
+            for holder in self._holders.rank(key):
                 requests.add(asyncio.ensure_future(self._fetch_digests(key, holder)))
                 may_add = len(requests) < MAX_PENDING_MANIFEST_REQUESTS
                 delay_s = NEXT_HOLDER_DELAY_S if may_add else None
@@ -293,16 +213,9 @@
         try:
             return await piece_cache.fetch_digests(self._pool, holder.control, key)
         except piece_cache.PieceError as error:
-            self._record_holder_failure(key, holder, error)
+            self._holders.record_failure(key, holder, error)
             return None
 
-    def _rank_holders(
-        self, key: piece_placement.PieceKey
-    ) -> list[entry_directory.EntryRecord]:
-        return piece_placement.rank_holders(
-            key, self._entries(), self._region, self._list_unresponsive()
-        )
-
     async def _check_staged(self, effect: staging_events.CheckStagedPieces) -> None:
         try:
             await self._put_collected_pieces(effect.version)
@@ -347,7 +260,7 @@
     async def _collect_piece(self, effect: staging_events.CollectPiece) -> None:
         key = piece_placement.PieceKey(self._model, effect.version, effect.number)
         started_s = self._now_s()
-        for holder in self._list_holders_to_ask(key):
+        for holder in self._holders.list_to_ask(key):
             if self._is_superseded(effect.version):
                 return
             try:
@@ -359,11 +272,11 @@
                     self._part_bytes,
                 )
             except piece_cache.PieceError as error:
-                self._record_holder_failure(key, holder, error)
+                self._holders.record_failure(key, holder, error)
                 if isinstance(error, piece_cache.UnreachableError):
                     continue
                 # It has asked the owner of the piece, as any other holder would.
-                self._refusal_counts[key] += 1
+                self._holders.record_refusal(key)
                 break
             piece = fetched.body
             if not piece_cache.has_digest(piece, effect.digest):
@@ -371,7 +284,7 @@
                 continue
             metric_buffer.observe("piece_transfer_s", self._now_s() - started_s)
             self._collected_pieces[key] = piece
-            self._refusal_counts.pop(key, None)
+            self._holders.record_fetched(key)
             if effect.version == self._stager.target.version:
                 # Staged pieces are kept when this process ends.
                 await self._try_put_collected_pieces(effect.version)
@@ -382,29 +295,6 @@
             return
         self._report_effect_failure(effect.version, effect.number)
 
-    def _list_holders_to_ask(
-        self, key: piece_placement.PieceKey
-    ) -> list[entry_directory.EntryRecord]:
-        """Return the holders to ask for a piece; each attempt begins with another one.
-
-        The first one may be the only one that cannot obtain the piece.
-        """
-        ranked = self._rank_holders(key)
-        unresponsive = self._list_unresponsive()
-        responsive = [h for h in ranked if h.name not in unresponsive]
-        first = self._refusal_counts[key] % max(len(responsive), 1)
-        rotated = responsive[first:] + responsive[:first]
-        return (rotated + ranked[len(responsive) :])[:MAX_HOLDER_ATTEMPTS]
-
-    def _list_unresponsive(self) -> frozenset[str]:
-        """Return the names of the entries that did not answer lately."""
-        now_s = self._now_s()
-        return frozenset(
-            name
-            for name, until_s in self._unreachable_until_s.items()
-            if now_s < until_s
-        )
-
     def _is_superseded(self, version: int) -> bool:
         targets = [self._stager.target, self._stager.next_target]
         return all(target is None or target.version != version for target in targets)
@@ -432,18 +322,6 @@
         if number is None:
             self._pool.reactor.callLater(staging.MANIFEST_RETRY_DELAY_S, self._tick)
 
-    def _record_holder_failure(
-        self,
-        key: piece_placement.PieceKey,
-        holder: entry_directory.EntryRecord,
-        error: Exception,
-    ) -> None:
-        if isinstance(error, piece_cache.UnreachableError):
-            self._unreachable_until_s[holder.name] = (
-                self._now_s() + UNREACHABLE_BACKOFF_S
-            )
-        logs.write("holder_failed", piece=key.text, holder=holder.name, why=str(error))
-
 
 async def _wait_for_first_result(
     tasks: set[asyncio.Task], timeout_s: float | None
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -20,6 +20,7 @@
 from toucanspread.ops import (
     excerpt_client,
     http1_pool,
+    load_reports,
     logs,
     loop,
     piece_cache,
@@ -77,7 +78,7 @@
         self._named_versions: dict[data.ModelName, _NamedVersion] = {}
         self._engines: dict[str, entry_data.EngineEntry] = {}
         self._driver: staging_driver.StagingDriver | None = None
-        self._load_sender = staging_driver.LoadReportSender(
+        self._load_sender = load_reports.LoadReportSender(
             self._directory.all_entries, reactor, data.ZoneName(process_settings.zone)
         )
         source_selector = source_selection.SourceSelector(
