--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -670,7 +670,7 @@
     def connect(self):
         """Open the connection that the entry asked for last; return its other end."""
         engine = self.clock.tcpClients[-1][2].buildProtocol(None)
-        engine.makeConnection(http1_test.Transport())
+        engine.makeConnection(Transport())
         return engine
 
     def load(self, engine_id, version):
