Take no request that may outlast the stop of its entry

Cause: a stopping entry accepted for a constant 2.5 s and then waited; neither the grace that the settings name nor the time that a request may take was part of the decision. Now a leaving entry passes a request on, for the first time or again, only if its time limit (with the slack for the engine's own answer) ends before the requests of the stop do; the others, also those in its queue and those whose connection to an engine is still being opened, are answered 503 at once with a Retry-After of 0.05 s, as other entries can take them. A request stays at a silent engine if it may not move. The limit is fixed when a request arrives, so the decision is the same at each dispatch.

The port stays open, so that callers with older lists of addresses get an answer, until nobody has connected for 2.5 s or the requests end. A shorter grace that is named during the stop holds, a longer one doesn't. The end of the lease is no longer awaited beyond the exit, which a slow store could put off past the kill.

The refusal of the other kind is in LateBodyTest.

--- /dev/null
+++ b/standins/planned_stop_callers_test.py
@@ -0,0 +1,197 @@
+"""Tests that an entry's process that stops takes no request that it can't answer."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from standins import (
+    platform_engine,
+    platform_programs_test,
+    stop_callers,
+    working_engine,
+)
+
+ROUTE_TIMEOUT_MS = 6_000
+CALLER_COUNT = 4
+BEFORE_SIGNAL_S = 0.3
+MIN_GRACE_TO_EXIT_S = 3.0  # several interpreters end at once here, in 0.12 s each
+SIGNAL_DELAY_S = 0.1  # until the process handles it
+SHORT_GRACE_S = 2
+FINAL_ANSWERS = (200, 502, 503, 504)
+POLL_INTERVAL_S = 0.02
+LONG_WORK = stop_callers.RequestKind("/once/x", 6_000, 5.0)
+FITTING_WORK = stop_callers.RequestKind("/once/x", 1_500, 0.8)
+run = platform_programs_test.run
+
+
+class Stop(NamedTuple):
+    """One entry's planned stop while callers send requests.
+
+    :param signal_s: time of the signal to terminate.
+    """
+
+    grace_s: float
+    signal_s: float
+    exit_s: float
+    exit_code: int | None
+    outcomes: list[stop_callers.Outcome]
+
+    @property
+    def sent_after_signal(self):
+        since_s = self.signal_s + SIGNAL_DELAY_S
+        return [each for each in self.outcomes if each.sent_s > since_s]
+
+
+class PlannedStopCase(platform_programs_test.ProgramsTestCase):
+    """Starts an entry for each grace in ``graces_s``, with an engine that works."""
+
+    graces_s = ()
+
+    @classmethod
+    def start_programs(cls):
+        cls.engine = working_engine.WorkingEngine()
+        address = run(cls.engine.start())
+        cls.addClassCleanup(cls.engine.close)
+        born_ms = platform_engine.BORN_MS
+        cls.deployment._write_engine("i-plain", "plain", address, born_ms)
+        cls.deployment.timeout_ms = ROUTE_TIMEOUT_MS
+        cls.deployment.kinds = {"/once/": "non_idempotent", "/stream/": "streaming"}
+        cls.entries = [
+            cls.deployment.start_entry(f"entry-{number}", grace_s)
+            for number, grace_s in enumerate(cls.graces_s)
+        ]
+        cls.deployment.write_configuration(3, "/a/", "/once/", "/stream/")
+        cls.wait_until(cls.are_serving)
+
+    @classmethod
+    async def are_serving(cls):
+        return await platform_programs_test.have_readiness(cls.entries, 200)
+
+    @classmethod
+    async def wait_for_exit(cls, entry, kill_s):
+        """Return when the process ended; it is killed as the platform does."""
+        while entry.exit_code is None and time.monotonic() < kill_s:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        exit_code = entry.exit_code
+        if exit_code is None:
+            entry.kill()
+        return time.monotonic(), exit_code
+
+    @classmethod
+    async def stop_under(cls, number, kind):
+        """Stop an entry while callers on open and on new connections send requests."""
+        entry, grace_s = cls.entries[number], cls.graces_s[number]
+        callers = [stop_callers.KeptCaller(entry, kind) for _ in range(CALLER_COUNT)]
+        callers.append(stop_callers.NewCallers(entry, kind))
+        running = [asyncio.ensure_future(caller.run()) for caller in callers]
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        entry.terminate()
+        signal_s = time.monotonic()
+        kill_s = signal_s + grace_s
+        exit_s, exit_code = await cls.wait_for_exit(entry, kill_s)
+        await asyncio.gather(*running)
+        outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+        return Stop(grace_s, signal_s, exit_s, exit_code, outcomes)
+
+    def check_answers(self, stop):
+        """Check that all requests that were passed on, or taken, have final answers."""
+        lost = []
+        for outcome in stop.outcomes:
+            after_s = round(outcome.sent_s - stop.signal_s, 2)
+            ended_s = round(outcome.ended_s - stop.signal_s, 2)
+            runs = self.engine.find(outcome.attempt_id)
+            if outcome.status == 503 and runs:
+                lost.append(f"503, but run: sent {after_s}, ended {ended_s}")
+            if runs and not (outcome.is_whole and outcome.status in FINAL_ANSWERS):
+                lost.append(f"cut: sent {after_s} s after the signal, at {ended_s} s")
+            if runs and outcome.status != 200 and outcome in stop.sent_after_signal:
+                lost.append(f"passed on in vain: sent {after_s}, {outcome.status}")
+        self.assertEqual([], lost)
+
+
+class TakenRequestsTest(PlannedStopCase):
+    """Stops entries side by side, each under requests of one kind."""
+
+    graces_s = (8, 3, 2, 3, 1)
+    kinds = (
+        stop_callers.RequestKind("/once/x", 6_000, 5.8),
+        stop_callers.RequestKind("/once/x", 3_000, 2.5),
+        stop_callers.RequestKind("/a/x", 3_000, 0.4),
+        stop_callers.RequestKind("/once/x", 1_000, 0.9),
+        stop_callers.RequestKind("/once/x", 500, 0.3),
+    )
+
+    @classmethod
+    def start_programs(cls):
+        super().start_programs()
+        cls.stops = run(cls.stop_all())
+
+    @classmethod
+    async def stop_all(cls):
+        stopping = [cls.stop_under(n, kind) for n, kind in enumerate(cls.kinds)]
+        return await asyncio.gather(*stopping)
+
+    def check(self, number):
+        stop = self.stops[number]
+        self.check_answers(stop)
+        if stop.grace_s >= MIN_GRACE_TO_EXIT_S:
+            self.assertEqual(0, stop.exit_code, "killed at the end of the grace")
+        refused = [each for each in stop.sent_after_signal if each.status == 503]
+        self.assertTrue(all(each.closes for each in refused))
+        self.assertTrue(all(each.retry_after_s < 0.5 for each in refused))
+
+    def test_work_that_may_outlast_a_grace_of_8_s_is_not_taken(self):
+        self.check(0)
+
+    def test_work_that_may_outlast_a_grace_of_3_s_is_not_taken(self):
+        self.check(1)
+
+    def test_a_short_grace_cuts_no_request_that_takes_less_than_its_limit(self):
+        self.check(2)
+
+    def test_requests_that_fit_into_the_grace_are_served_after_the_signal(self):
+        self.check(3)
+        stop = self.stops[3]
+        served = [each for each in stop.sent_after_signal if each.status == 200]
+        self.assertGreater(max(each.sent_s for each in served) - stop.signal_s, 1.0)
+
+    def test_a_grace_of_1_s_cuts_nothing(self):
+        self.check(4)
+
+
+class LateBodyTest(PlannedStopCase):
+    graces_s = (2,)
+
+    async def send_slowly(self, kind, signal):
+        """Send a request whose body ends after the signal to terminate."""
+        outcome = stop_callers.Outcome(stop_callers.make_attempt_id(), 0.0)
+        reader, writer = await stop_callers.connect(self.entries[0])
+        request = kind.render(outcome.attempt_id)
+        writer.write(request[:-1])
+        await signal.wait()
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        outcome.sent_s = time.monotonic()
+        writer.write(request[-1:])
+        await stop_callers.read_answer(reader, outcome)
+        writer.close()
+        return outcome
+
+    async def stop(self):
+        kinds = [LONG_WORK, FITTING_WORK]
+        signal = asyncio.Event()
+        sending = [
+            asyncio.ensure_future(self.send_slowly(kind, signal)) for kind in kinds
+        ]
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        self.entries[0].terminate()
+        signal_s = time.monotonic()
+        signal.set()
+        kill_s = signal_s + SHORT_GRACE_S
+        exit_s, exit_code = await self.wait_for_exit(self.entries[0], kill_s)
+        outcomes = await asyncio.gather(*sending)
+        return Stop(SHORT_GRACE_S, signal_s, exit_s, exit_code, outcomes)
+
+    def test_a_body_that_ends_after_the_signal_gets_a_whole_answer(self):
+        stop = run(self.stop())
+        self.check_answers(stop)
+        self.assertEqual([503, 200], [each.status for each in stop.outcomes])
--- a/toucanspread/core/entry/decision_context.py
+++ b/toucanspread/core/entry/decision_context.py
@@ -18,6 +18,8 @@
     :param guard: decides which requests may be sent to engines.
     :param minimum_version: minimum version of the weights for the route's service.
     :param upcoming_versions: versions of its weights that are not in force yet.
+    :param requests_end_s: time by which requests must have ended, since the entry
+        stops then; infinite while it is not leaving.
     """
 
     now_s: float
@@ -28,3 +30,4 @@
     guard: crash_guard.CrashGuard
     minimum_version: int = 0
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
+    requests_end_s: float = float("inf")
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -33,11 +33,16 @@
     TIME_OVER = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     NO_FREE_ENGINE = "no free engine"
+    LEAVING = "leaving"
 
 
 # With these obstacles, another attempt of the caller may run at another engine.
 CALLER_RETRY_OBSTACLES = frozenset(
-    {MoveObstacle.ATTEMPTS_USED, MoveObstacle.RETRY_BUDGET_EXHAUSTED}
+    {
+        MoveObstacle.ATTEMPTS_USED,
+        MoveObstacle.RETRY_BUDGET_EXHAUSTED,
+        MoveObstacle.LEAVING,
+    }
 )
 
 
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -32,6 +32,7 @@
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
 QUARANTINE_RETRY_AFTER_S = 2.0
+LEAVING_RETRY_AFTER_S = 0.05  # another entry can take the request at once
 ORDER_MARGIN_S = 1.0  # between the announced time of an order and its effect
 
 
@@ -111,6 +112,8 @@
             the service.
         """
         context.retry_budgets.record_request(self.service.name, context.now_s)
+        if self.must_go_elsewhere(context):
+            return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
         admission = context.guard.admit(self.call, context.now_s)
         self._is_trial = admission is crash_guard.Admission.TRIAL
         if admission is crash_guard.Admission.REFUSED:
@@ -286,6 +289,18 @@
         is_stream = self.route.kind is entry_data.RequestKind.STREAMING
         return is_stream or self.route.is_repeatable or not was_sent
 
+    def must_go_elsewhere(self, context: decision_context.Context) -> bool:
+        """Return whether the request may last longer than this entry, which leaves."""
+        return self.timing.latest_end_s > context.requests_end_s
+
+    def on_leaving(self, context: decision_context.Context) -> list[data.Effect]:
+        """End a request that no engine has if it may last longer than this entry."""
+        if self.is_finished or self._engine is not None:
+            return []
+        if not self.must_go_elsewhere(context):
+            return []
+        return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
+
     def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request that waits at an engine if it matches a quarantine."""
         if self.is_finished or self._engine is None or self._first_event_s is not None:
@@ -297,22 +312,7 @@
 
     def on_deadline(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request whose deadline has passed."""
-        if self.is_finished:
-            return []
-        had_engine = self._engine is not None
-        self._release_engine(context, ok=False, weight=0)
-        cancellations = [decisions.Cancel(self.dispatches)] if had_engine else []
-        if self._streaming:
-            return cancellations + self._finish(
-                decisions.BreakStream(decisions.FailureCause.DEADLINE_EXCEEDED)
-            )
-        if self.possible_runs == 0:
-            return self._finish(
-                self._make_reject(context, decisions.FailureCause.DEADLINE_EXCEEDED)
-            )
-        return cancellations + self._finish(
-            decisions.Fail(decisions.FailureCause.DEADLINE_EXCEEDED, timed_out=True)
-        )
+        return self._end(context, decisions.FailureCause.DEADLINE_EXCEEDED)
 
     def on_caller_disconnected(
         self, context: decision_context.Context
@@ -333,6 +333,8 @@
             return self._finish_unanswered(
                 context, decisions.FailureCause.DEADLINE_EXCEEDED
             )
+        if self.must_go_elsewhere(context):
+            return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
         engine = self._choose_engine(context, skips_limited)
         if engine is None:
             return self._wait_for_engine(context, left_s)
@@ -660,6 +662,7 @@
             self.possible_runs,
             self._engine,
             self._make_requirements(context, frozenset(self._tried)),
+            self.timing.latest_end_s,
         )
 
     def _on_silence(
@@ -677,6 +680,17 @@
         cause = decisions.FailureCause.ENGINE_FAILED
         return [cancel, *self._finish_unanswered(context, cause)]
 
+    def _end(
+        self, context: decision_context.Context, cause: decisions.FailureCause
+    ) -> list[data.Effect]:
+        """End the request, also at its engine."""
+        if self.is_finished:
+            return []
+        had_engine = self._engine is not None
+        self._release_engine(context, ok=False, weight=0)
+        cancellations = [decisions.Cancel(self.dispatches)] if had_engine else []
+        return cancellations + self._finish_unanswered(context, cause)
+
     def _finish_unanswered(
         self, context: decision_context.Context, cause: decisions.FailureCause
     ) -> list[data.Effect]:
@@ -704,6 +718,8 @@
             draw = context.random_source.random()
             wait_s = self._limit_wait_s(context)
             return decisions.Reject(cause, admission_queue.retry_after_s(wait_s, draw))
+        if cause is decisions.FailureCause.LEAVING:
+            return decisions.Reject(cause, LEAVING_RETRY_AFTER_S)
         jitter_s = context.random_source.random() * RETRY_AFTER_SPREAD_S
         return decisions.Reject(cause, base_s + jitter_s)
 
--- a/toucanspread/core/entry/request_timing.py
+++ b/toucanspread/core/entry/request_timing.py
@@ -34,6 +34,11 @@
             budget_s = min(budget_s, self.call.budget_s)
         return self.arrived_s + budget_s
 
+    @property
+    def latest_end_s(self) -> float:
+        """Return the time at which the request has ended with any answer."""
+        return self.deadline_s + ENGINE_ANSWER_SLACK_S
+
     @property
     def start_deadline_s(self) -> float:
         """Return the latest time at which an engine can start for an answer on time."""
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -24,6 +24,7 @@
     :param engine: the engine that has it; None if that is not of interest.
     :param requirements: those on another engine, without the ones that were tried.
     :param possible_runs: number of engines that may have begun to run it.
+    :param latest_end_s: time at which it has ended with any answer.
     """
 
     route: entry_data.Route
@@ -32,6 +33,7 @@
     possible_runs: int
     engine: engines.Engine | None
     requirements: load_balancing.EngineRequirements
+    latest_end_s: float
 
 
 def find_run_obstacle(
@@ -46,6 +48,8 @@
         return decisions.MoveObstacle.REQUEST_SUSPECT
     if request.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
         return decisions.MoveObstacle.TIME_OVER
+    if request.latest_end_s > context.requests_end_s:
+        return decisions.MoveObstacle.LEAVING
     return None
 
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -225,6 +225,10 @@
         """Handle the begin of a quarantine of prompts that crash engines."""
         self.carry_out(self._state.on_quarantine(self.make_decision_context()))
 
+    def on_leaving(self) -> None:
+        """Handle that the entry leaves."""
+        self.carry_out(self._state.on_leaving(self.make_decision_context()))
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
@@ -298,6 +302,8 @@
             return None
         if self._state.must_be_withdrawn(context, was_sent=False):
             return None
+        if self._state.must_go_elsewhere(context):
+            return None
         left_s = self._state.deadline_s - self._forwarder.pool.reactor.seconds()
         head = self._forwarder.wire_dialect.make_engine_head(
             self.exchange.head,
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -79,7 +79,7 @@
         self.pool = pool
         self.wire_dialect = wire_dialect
         self.in_progress: set[forwarded_request.ForwardedRequest] = set()
-        self.is_leaving = False
+        self._requests_end_s = float("inf")
         self._retry_budgets = retry_budgets
         self._get_location = get_location
         self._get_copy_age_s = get_copy_age_s
@@ -108,7 +108,15 @@
 
     def is_closing(self) -> bool:
         """Return whether this entry is shutting down."""
-        return self.is_leaving
+        return self._requests_end_s < float("inf")
+
+    def leave(self, requests_end_s: float) -> None:
+        """Forward only what surely ends by a time, and refuse the rest.
+
+        :param requests_end_s: time at which they end, whatever they are.
+        """
+        self._requests_end_s = requests_end_s
+        self._for_each_request("leaving", forwarded_request.ForwardedRequest.on_leaving)
 
     def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Forward a request, or refuse it."""
@@ -161,6 +169,7 @@
             self.crash_notices.guard,
             self.cluster.minimum_version(service, now_s),
             self.cluster.upcoming_versions(service, now_s),
+            self._requests_end_s,
         )
 
     def notify_prompt_sent(self, sent: entry_data.PromptSent) -> None:
@@ -185,11 +194,22 @@
         return self.cluster.route_table.services.get(share.service)
 
     def _withdraw_outdated(self) -> None:
+        self._for_each_request(
+            "withdrawal", forwarded_request.ForwardedRequest.withdraw_if_outdated
+        )
+
+    def _for_each_request(
+        self, name: str, handle: Callable[[forwarded_request.ForwardedRequest], None]
+    ) -> None:
+        """Call a method of all requests in progress, also after it has raised.
+
+        :param name: of the call, for logs and metrics.
+        """
         for request in list(self.in_progress):
             try:
-                request.withdraw_if_outdated()
+                handle(request)
             except Exception as exception:
-                loop.log_failure("withdrawal", exception)
+                loop.log_failure(name, exception)
 
     def _on_quarantine(self) -> None:
         for request in list(self.in_progress):
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -420,6 +420,8 @@
     """Accepts connections for a handler.
 
     :param reactor: provides the clock for the timeouts.
+    :ivar connections: the connections that are open.
+    :ivar accepted_s: when the last one was accepted.
     """
 
     noisy = False
@@ -428,9 +430,11 @@
         self._handler = handler
         self._reactor = reactor
         self.connections: set[ServerConnection] = set()
+        self.accepted_s = reactor.seconds()
 
     def buildProtocol(self, addr) -> ServerConnection:  # noqa: N802
         """Return the protocol of a new connection."""
+        self.accepted_s = self._reactor.seconds()
         return ServerConnection(self._handler, self._reactor, self.connections)
 
     def close_idle(self) -> None:
--- a/toucanspread/ops/registration.py
+++ b/toucanspread/ops/registration.py
@@ -23,10 +23,11 @@
         self._written_record: entry_directory.EntryRecord | None = None
         self._written_era = store_position.UNKNOWN_ERA
         self._is_failing = False
+        self._has_ended = False
 
     async def run(self) -> None:
-        """Write the record, then renew its lease until cancelled."""
-        while True:
+        """Write the record, then renew its lease until it is ended or cancelled."""
+        while not self._has_ended:
             try:
                 await self._refresh()
             except prefix_store.LeaseEndedError:
@@ -56,7 +57,8 @@
             logs.write("registration_failed", why=str(error))
 
     async def deregister(self) -> None:
-        """End the lease, which deletes the record at once."""
+        """End the lease, which deletes the record at once; it isn't written again."""
+        self._has_ended = True
         lease, self._lease = self._lease, None
         if lease is None:
             return
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -3,6 +3,7 @@
 The platform runs it as ``python3 -m toucanspread.platform.entry``.
 """
 
+import asyncio
 import os
 import pathlib
 import random
@@ -28,6 +29,7 @@
     logs,
     loop,
     piece_cache,
+    planned_stop,
     process,
     registration,
     view_sync,
@@ -42,11 +44,11 @@
 )
 
 MAINTENANCE_INTERVAL_S = 0.25
+IDLE_CHECK_INTERVAL_S = 0.05
 STORE_OUTAGE_GRACE_S = 5.0  # records removed this soon after an outage may have expired
 MAX_START_S = 1.5  # until the program is assembled
-ACCEPT_AFTER_SIGNAL_S = 2.5  # callers with an older address list still connect
+ACCEPT_UNUSED_S = 2.5  # callers' older lists of addresses expire meanwhile
 STARTUP_SETTLE_S = 2.0  # after a first start, all entries know each other by then
-EXIT_MARGIN_S = 0.5  # the process exits this long before the platform kills it
 
 
 class Entry(entry_handlers.EntryState):
@@ -128,6 +130,11 @@
         self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
         self._path = path
         self._server: http1_server.ServerFactory | None = None
+        self._leaving_s = 0.0
+        self._stop_times: planned_stop.StopTimes | None = None
+        self._deregistration: asyncio.Task | None = None
+        self._has_stopped_accepting = False
+        self._is_exiting = False
 
     @property
     def is_ready(self) -> bool:
@@ -157,19 +164,18 @@
         logs.write("started", address=listen.front, zone=self.process_settings.zone)
 
     def terminate(self) -> None:
-        """Leave: stop accepting callers, let running answers finish, then exit."""
+        """Leave: finish what surely ends in time, refuse the rest, then exit."""
         if self.is_leaving:
             return
         self.is_leaving = True
-        self._forwarder.is_leaving = True
+        self._leaving_s = reactor.seconds()
         logs.write("leaving", in_progress=len(self._forwarder.in_progress))
         record = msgspec.structs.replace(
             self._registration.record, phase=entry_directory.EntryPhase.LEAVING
         )
         loop.spawn(self._registration.update_record(record))
-        reactor.callLater(ACCEPT_AFTER_SIGNAL_S, self._stop_accepting)
-        exit_delay_s = max(self.process_settings.bounds.grace_s - EXIT_MARGIN_S, 0.0)
-        reactor.callLater(exit_delay_s, self._stop_at_end_of_grace)
+        self._update_stop_times()
+        self._stop_when_idle()
 
     def check_settings_file(self) -> None:
         """Reload the settings file now if it has changed."""
@@ -330,19 +336,40 @@
             return
         self.process_settings = process_settings
         logs.write("settings_reloaded", seeds=",".join(process_settings.seeds))
+        if self.is_leaving:
+            self._update_stop_times()
 
-    def _stop_accepting(self) -> None:
-        self._server.port.stopListening()
-        self._stop_when_idle()
+    def _update_stop_times(self) -> None:
+        """Plan the stop by the shortest grace period named since the signal."""
+        grace_s = self.process_settings.bounds.grace_s
+        times = planned_stop.StopTimes.from_grace(self._leaving_s, grace_s)
+        if self._stop_times is not None and times.exit_s >= self._stop_times.exit_s:
+            return
+        self._stop_times = times
+        self._forwarder.leave(times.requests_end_s)
+        now_s = reactor.seconds()
+        reactor.callLater(max(times.requests_end_s - now_s, 0.0), self._end_requests)
+        reactor.callLater(max(times.exit_s - now_s, 0.0), self._exit)
 
     def _stop_when_idle(self) -> None:
-        self._server.close_idle()
-        if not self._forwarder.in_progress and not self._server.connections:
-            self._stop()
+        """Stop accepting once no caller connects any more, and exit once idle."""
+        used_s = max(self._server.accepted_s, self._leaving_s)
+        if reactor.seconds() - used_s >= ACCEPT_UNUSED_S:
+            self._stop_accepting()
+        if self._has_stopped_accepting:
+            self._server.close_idle()
+            if not self._forwarder.in_progress and not self._server.connections:
+                loop.spawn(self._deregister_and_exit())
+                return
+        reactor.callLater(IDLE_CHECK_INTERVAL_S, self._stop_when_idle)
+
+    def _stop_accepting(self) -> None:
+        if self._has_stopped_accepting:
             return
-        reactor.callLater(MAINTENANCE_INTERVAL_S, self._stop_when_idle)
+        self._has_stopped_accepting = True
+        self._server.port.stopListening()
 
-    def _stop_at_end_of_grace(self) -> None:
+    def _end_requests(self) -> None:
         connections = self._server.connections
         logs.write(
             "grace_ended",
@@ -350,13 +377,23 @@
             connections=len(connections),
             blocked=sum(connection.is_blocked for connection in connections),
         )
-        self._stop()
+        self._stop_accepting()
+        self._deregister()
+        self._server.close_idle()
+
+    def _deregister(self) -> asyncio.Task:
+        if self._deregistration is None:
+            self._deregistration = loop.spawn(self._registration.deregister())
+        return self._deregistration
 
-    def _stop(self) -> None:
-        loop.spawn(self._deregister_and_stop())
+    async def _deregister_and_exit(self) -> None:
+        await self._deregister()
+        self._exit()
 
-    async def _deregister_and_stop(self) -> None:
-        await self._registration.deregister()
+    def _exit(self) -> None:
+        if self._is_exiting:
+            return
+        self._is_exiting = True
         self._server.abort_incomplete()
         process.stop()
 
