End what outlasts a planned stop with a final answer

Requests that an engine had when the grace period of a planned stop ended were cut with no answer: the process ended its loop, and the reactor closed the connections. So ended also the requests that waited behind them on the same connections, which had been read.

Cause: the end of the grace knew connections, not requests. What waits behind them on the connection gets its 503 next, and answers that are being written go on until the exit.

--- a/standins/planned_stop_callers_test.py
+++ b/standins/planned_stop_callers_test.py
@@ -112,13 +112,14 @@
 class TakenRequestsTest(PlannedStopCase):
     """Stops entries side by side, each under requests of one kind."""
 
-    graces_s = (8, 3, 2, 3, 1)
+    graces_s = (8, 3, 2, 3, 1, 0.5)
     kinds = (
         stop_callers.RequestKind("/once/x", 6_000, 5.8),
         stop_callers.RequestKind("/once/x", 3_000, 2.5),
         stop_callers.RequestKind("/a/x", 3_000, 0.4),
         stop_callers.RequestKind("/once/x", 1_000, 0.9),
         stop_callers.RequestKind("/once/x", 500, 0.3),
+        stop_callers.RequestKind("/once/x", 3_000, 0.1),
     )
 
     @classmethod
@@ -158,6 +159,105 @@
     def test_a_grace_of_1_s_cuts_nothing(self):
         self.check(4)
 
+    def test_a_grace_of_half_a_second_cuts_nothing(self):
+        self.check(5)
+
+
+class EndOfGraceTest(PlannedStopCase):
+    """Stops entries side by side, each with some requests of its own."""
+
+    graces_s = (2, 2, 2, 2, 2, 2, 8, 2)
+
+    @classmethod
+    def start_programs(cls):
+        super().start_programs()
+        cls.results = run(cls.stop_all())
+
+    @classmethod
+    async def stop_all(cls):
+        changes = {
+            5: lambda entry: entry.terminate(),
+            6: lambda entry: cls.change_grace(entry, 2),
+            7: lambda entry: cls.change_grace(entry, 8),
+        }
+        lines = [
+            [LONG_WORK],
+            [stop_callers.RequestKind("/stream/x", 6_000, 5.0, is_stream=True)],
+            [FITTING_WORK, LONG_WORK],
+            [LONG_WORK, LONG_WORK],
+            [FITTING_WORK],
+            [FITTING_WORK, LONG_WORK],
+            [LONG_WORK],
+            [LONG_WORK],
+        ]
+        stopping = [
+            cls.stop_with(number, kinds, changes.get(number, _do_nothing))
+            for number, kinds in enumerate(lines)
+        ]
+        return await asyncio.gather(*stopping)
+
+    @classmethod
+    async def stop_with(cls, number, kinds, change):
+        """Send requests in line, then stop the entry, and change something after."""
+        entry = cls.entries[number]
+        sending = asyncio.ensure_future(stop_callers.send_in_line(entry, kinds))
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        entry.terminate()
+        signal_s = time.monotonic()
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        change(entry)
+        kill_s = signal_s + SHORT_GRACE_S
+        exit_s, exit_code = await cls.wait_for_exit(entry, kill_s)
+        outcomes = await sending
+        return Stop(SHORT_GRACE_S, signal_s, exit_s, exit_code, outcomes)
+
+    @classmethod
+    def change_grace(cls, entry, grace_s):
+        entry.change_settings(bounds={"drain_ms": 2000, "grace_s": grace_s})
+        entry.hang_up()
+
+    def check(self, number, *statuses):
+        stop = self.results[number]
+        self.assertEqual(list(statuses), [each.status for each in stop.outcomes])
+        self.assertTrue(all(each.is_whole for each in stop.outcomes))
+        self.check_answers(stop)
+
+    def check_engine_stopped(self, number):
+        """Check that no engine goes on with a request for nobody."""
+        [received] = self.engine.find(self.results[number].outcomes[0].attempt_id)
+        self.assertIsNotNone(received.cut_s)
+
+    def test_work_that_outlasts_the_grace_ends_with_a_final_answer(self):
+        self.check(0, 502)
+        self.check_engine_stopped(0)
+
+    def test_a_stream_that_outlasts_the_grace_does_not_look_complete(self):
+        stop = self.results[1]
+        [outcome] = stop.outcomes
+        self.assertEqual((200, False), (outcome.status, outcome.is_whole))
+        self.assertIn(b"id: 1\n", outcome.body)
+        self.assertLess(outcome.ended_s - stop.signal_s, SHORT_GRACE_S)
+        self.check_engine_stopped(1)
+
+    def test_a_request_in_line_behind_one_that_ends_in_time_is_refused(self):
+        self.check(2, 200, 503)
+
+    def test_a_request_in_line_behind_one_that_outlasts_the_grace_is_refused(self):
+        self.check(3, 502, 503)
+        self.check_engine_stopped(3)
+
+    def test_work_that_ends_within_the_grace_is_served(self):
+        self.check(4, 200)
+
+    def test_a_second_signal_to_terminate_cuts_nothing(self):
+        self.check(5, 200, 503)
+
+    def test_a_shorter_grace_named_during_the_stop_ends_it_sooner(self):
+        self.check(6, 502)
+
+    def test_a_longer_grace_named_during_the_stop_does_not_put_it_off(self):
+        self.check(7, 502)
+
 
 class LateBodyTest(PlannedStopCase):
     graces_s = (2,)
@@ -195,3 +295,7 @@
         stop = run(self.stop())
         self.check_answers(stop)
         self.assertEqual([503, 200], [each.status for each in stop.outcomes])
+
+
+def _do_nothing(entry):
+    return
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -301,6 +301,10 @@
             return []
         return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
 
+    def on_stop(self, context: decision_context.Context) -> list[data.Effect]:
+        """End the request, since this entry stops now."""
+        return self._end(context, decisions.FailureCause.LEAVING)
+
     def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request that waits at an engine if it matches a quarantine."""
         if self.is_finished or self._engine is None or self._first_event_s is not None:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -142,6 +142,15 @@
         self.assertIs(decisions.FailureCause.LEAVING, rejected.cause)
         self.assertTrue(request.is_finished)
 
+    def test_a_request_that_must_not_be_repeated_fails_if_its_entry_stops(self):
+        fixture = Fixture()
+        route = make_route(entry_data.RequestKind.NON_IDEMPOTENT)
+        request = fixture.make_request(route)
+        request.start(fixture.at(0.0))
+        cancel, failed = request.on_stop(fixture.at(1.0, requests_end_s=1.0))
+        self.assertIsInstance(cancel, decisions.Cancel)
+        self.assertIsInstance(failed, decisions.Fail)
+
     def test_a_request_waits_for_an_engine_that_soon_has_its_weights(self):
         fixture = self.make_coming_fixture(coming_in_s=0.9)
         request = fixture.make_request(make_route())
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -229,6 +229,12 @@
         """Handle that the entry leaves."""
         self.carry_out(self._state.on_leaving(self.make_decision_context()))
 
+    def on_stop(self) -> None:
+        """End the request, since the entry stops now."""
+        if self._state.engine_id and not self._answer.was_sent:
+            self.on_failure(decisions.DispatchFailure.WITHDRAWN_UNSENT)
+        self.carry_out(self._state.on_stop(self.make_decision_context()))
+
     # Events of the caller and the clock
 
     def _on_caller_disconnected(self) -> None:
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -113,11 +113,15 @@
     def leave(self, requests_end_s: float) -> None:
         """Forward only what surely ends by a time, and refuse the rest.
 
-        :param requests_end_s: time at which they end, whatever they are.
+        :param requests_end_s: time at which :meth:`end_requests` will be called.
         """
         self._requests_end_s = requests_end_s
         self._for_each_request("leaving", forwarded_request.ForwardedRequest.on_leaving)
 
+    def end_requests(self) -> None:
+        """End all requests with a final answer, or recognisably incomplete."""
+        self._for_each_request("stop", forwarded_request.ForwardedRequest.on_stop)
+
     def on_request(self, exchange: http1_exchange.Exchange) -> None:
         """Forward a request, or refuse it."""
         call = self.wire_dialect.read_call(exchange.head)
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -598,8 +598,37 @@
         received = self.open_after(lambda _: self.forwarder.leave(4.0))
         self.assertIn(b"X-Timeout-Ms: 3000\r\n", received)
 
+    def test_an_entry_that_stops_while_a_connection_opens_promises_not_run(self):
+        received = self.open_after(self.stop)
+        self.assertEqual(b"", received)
+        self.assertIn(b"HTTP/1.1 503", self.received())
+
+    def stop(self, engine_id):
+        self.forwarder.leave(self.clock.seconds())
+        self.forwarder.end_requests()
+        self.assertEqual(set(), self.forwarder.in_progress)
+
 
 class PlannedStopTest(ForwarderCase):
+    def test_a_request_that_outlasts_the_stop_ends_at_its_engine_too(self):
+        engine = self.send_request()
+        self.forwarder.leave(2.0)
+        self.assertFalse(engine.cancelled)
+        self.clock.advance(2.0)
+        self.forwarder.end_requests()
+        self.assertTrue(engine.cancelled)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertIn(b"Connection: close", self.received())
+
+    def test_a_stream_that_outlasts_the_stop_is_reset(self):
+        engine = self.send_request()
+        engine.answer(STREAM + chunk(b"id: 1\ndata: a\n\n"))
+        self.forwarder.leave(2.0)
+        self.forwarder.end_requests()
+        self.assertTrue(engine.cancelled)
+        self.assertTrue(self.transport.disconnected)
+        self.assertFalse(self.received().endswith(http1.LAST_CHUNK))
+
     def test_a_stream_that_breaks_off_is_not_resumed_past_the_stop(self):
         first = self.send_request()
         first.answer(STREAM + chunk(b"id: 1\ndata: a\n\n"))
@@ -632,3 +661,14 @@
         self.assertEqual([first], self.pool.sent)
         self.assertIn(b"HTTP/1.1 503", self.received())
         self.assertIn(b"Retry-After: 0.05", self.received())
+
+    def test_requests_in_line_behind_one_that_outlasts_the_stop_are_refused(self):
+        self.send_request(REQUEST * 3)
+        self.forwarder.leave(2.0)
+        self.clock.advance(2.0)
+        self.forwarder.end_requests()
+        while not self.transport.disconnecting:
+            self.clock.advance(0.01)
+        self.assertEqual(1, len(self.pool.sent))
+        self.assertEqual(1, self.received().count(b"HTTP/1.1 502"))
+        self.assertEqual(2, self.received().count(b"HTTP/1.1 503"))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -378,6 +378,7 @@
             blocked=sum(connection.is_blocked for connection in connections),
         )
         self._stop_accepting()
+        self._forwarder.end_requests()
         self._deregister()
         self._server.close_idle()
 
