Answer a request that came during a stream of a leaving entry

A request that a caller sent behind a stream, before it read the stream's head, was read and discarded by an entry in a planned stop: the connection closed after the stream with no answer to it, though the caller may not repeat what was read.

Cause: the head of the stream announced the end of the connection, and from then on what was read was dropped, for as long as the stream lasted. An answer that is whole at once has no such time. Now only whole answers announce the end because of a stop; after a stream, the connection closes in order if nothing came meanwhile, and what came is answered first.

The test (http1_test, test_leaving_entry_answers_a_request_that_came_during_a_stream) failed before: "MismatchError: 2 != 1", the second request never reached the handler.

--- a/toucanspread/ops/http1_exchange.py
+++ b/toucanspread/ops/http1_exchange.py
@@ -30,8 +30,12 @@
         """Let the connection end with a reset until everything has been sent."""
 
     @abc.abstractmethod
-    def closes_after_answer(self, head: http1.RequestHead) -> bool:
-        """Return whether the connection closes after the answer to a request."""
+    def closes_after_answer(self, head: http1.RequestHead, is_whole: bool) -> bool:
+        """Return whether to announce that the connection closes after an answer.
+
+        :param head: of the request.
+        :param is_whole: whether all of the answer follows at once.
+        """
 
     @abc.abstractmethod
     def on_exchange_finished(self) -> None:
@@ -81,7 +85,7 @@
         all_headers = list(headers)
         if status not in http1.NO_BODY_STATUSES:
             all_headers.append(http1.Header(b"Content-Length", b"%d" % len(body)))
-        self._send_head(status, all_headers)
+        self._send_head(status, all_headers, is_whole=True)
         if self.head.method != b"HEAD":
             self._connection.write(body)
         self._end()
@@ -100,7 +104,7 @@
             all_headers.append(http1.Header(b"Transfer-Encoding", b"chunked"))
         else:
             self._connection.reset_unless_complete()
-        self._send_head(status, all_headers)
+        self._send_head(status, all_headers, is_whole=False)
 
     def write(self, part: bytes) -> None:
         """Send a part of the body of a started answer."""
@@ -133,9 +137,11 @@
         self.is_finished = True
         self.on_disconnected()
 
-    def _send_head(self, status: int, headers: list[http1.Header]) -> None:
+    def _send_head(
+        self, status: int, headers: list[http1.Header], is_whole: bool
+    ) -> None:
         self._is_started = True
-        if self._connection.closes_after_answer(self.head):
+        if self._connection.closes_after_answer(self.head, is_whole):
             headers.append(http1.Header(b"Connection", b"close"))
         start_line = f"HTTP/1.1 {status} {http1.get_reason_phrase(status)}".encode()
         self._connection.write(http1.render_head(start_line, headers))
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -249,17 +249,20 @@
             self.is_reset_at_end = True
             http1_closing.set_reset_at_close(self.transport, True)
 
-    def closes_after_answer(self, head: http1.RequestHead) -> bool:
-        """Return whether the connection closes after the answer to a request."""
+    def closes_after_answer(self, head: http1.RequestHead, is_whole: bool) -> bool:
+        """Return whether to announce that the connection closes after an answer.
+
+        During a stream, the caller may send a further request, which is read.
+        """
         is_last = head.has_token(b"connection", b"close") or not head.accepts_chunks
-        if is_last or (self._handler.is_closing() and not self._has_further_request):
+        if is_last or (is_whole and self._is_last_before_stop):
             self._is_closing = True
         return self._is_closing
 
     def on_exchange_finished(self) -> None:
         """Continue with the next request, or close the connection."""
         self._current = None
-        if self._is_closing:
+        if self._is_closing or self._is_last_before_stop:
             if self._queued:
                 logs.write("requests_unanswered", count=len(self._queued))
             self.close()
@@ -282,6 +285,11 @@
 
     # Internals
 
+    @property
+    def _is_last_before_stop(self) -> bool:
+        """Return whether the handler stops and nothing more than one request came."""
+        return self._handler.is_closing() and not self._has_further_request
+
     @property
     def _has_further_request(self) -> bool:
         """Return whether more was read than the request in progress."""
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -231,6 +231,26 @@
         self.assertEqual([False, False, True], is_announced)
         self.assertTrue(self.transport.disconnecting)
 
+    def test_leaving_entry_answers_a_request_that_came_during_a_stream(self):
+        self.handler.leaving = True
+        self.receive(REQUEST)
+        self.handler.exchanges[0].start(200, [])
+        self.receive(REQUEST)
+        self.handler.exchanges[0].finish()
+        self.clock.advance(0.01)
+        self.assertEqual(2, len(self.handler.exchanges))
+        self.handler.exchanges[1].respond(503)
+        self.assertIn(b"HTTP/1.1 503", self.sent())
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_leaving_entry_closes_the_connection_after_a_stream(self):
+        self.handler.leaving = True
+        self.receive(REQUEST)
+        self.handler.exchanges[0].start(200, [])
+        self.assertFalse(self.transport.disconnecting)
+        self.handler.exchanges[0].finish()
+        self.assertTrue(self.transport.disconnecting)
+
     def test_leaving_entry_that_answers_at_once_answers_all_that_was_read(self):
         self.handler.on_request = lambda exchange: exchange.respond(200)
         self.handler.leaving = True
