Test that a store that doesn't answer keeps no entry from its exit

An entry that was busy at the end of its grace awaited the end of its lease, up to 3 s, and was killed meanwhile with the connections of callers open.

--- a/standins/planned_stop_callers_test.py
+++ b/standins/planned_stop_callers_test.py
@@ -4,9 +4,12 @@
 import time
 from typing import NamedTuple
 
+from twisted.web import server
+
 from standins import (
     platform_engine,
     platform_programs_test,
+    platform_store,
     stop_callers,
     working_engine,
 )
@@ -297,5 +300,27 @@
         self.assertEqual([503, 200], [each.status for each in stop.outcomes])
 
 
+class HangingStoreTest(PlannedStopCase):
+    graces_s = (3,)
+
+    async def stop(self):
+        entry = self.entries[0]
+        sending = asyncio.ensure_future(stop_callers.send_in_line(entry, [LONG_WORK]))
+        await asyncio.sleep(BEFORE_SIGNAL_S)
+        self.patch(platform_store.PlatformStoreResource, "render", _never_answer)
+        entry.terminate()
+        kill_s = time.monotonic() + self.graces_s[0]
+        _, exit_code = await self.wait_for_exit(entry, kill_s)
+        await sending
+        return exit_code
+
+    def test_a_store_that_does_not_answer_keeps_no_entry_from_its_exit(self):
+        self.assertEqual(0, run(self.stop()), self.entries[0].describe())
+
+
+def _never_answer(resource, request):
+    return server.NOT_DONE_YET
+
+
 def _do_nothing(entry):
     return
