Don't list a leaving entry for callers who ask it while the store is slow

An entry in a planned stop named its own address to callers who asked it for addresses, until its record had come back from the store: with a store that doesn't answer, for the whole stop, so that callers went on to connect to it.

Cause: what the entry lists is its copy of the store only, also about itself. Now it puts its own record as leaving at the signal. The test with the real programs and a store that doesn't answer failed before: "['127.15.245.228:43059'] != ['127.106.3.73:40869', '127.15.245.228:43059']", the second list with its own address.

--- a/standins/planned_stop_callers_test.py
+++ b/standins/planned_stop_callers_test.py
@@ -1,6 +1,7 @@
 """Tests that an entry's process that stops takes no request that it can't answer."""
 
 import asyncio
+import json
 import time
 from typing import NamedTuple
 
@@ -300,6 +301,32 @@
         self.assertEqual([503, 200], [each.status for each in stop.outcomes])
 
 
+class DirectoryTest(PlannedStopCase):
+    graces_s = (3, 3)
+    target = "/-/resolve?name=jepu9.example&region=gran-area&zone=heredia-a"
+
+    async def list_addresses(self, entry):
+        address = entry.get_address("directory")
+        answer = await platform_programs_test.get(address, self.target)
+        return json.loads(answer.body)["addresses"] if answer.status == 200 else []
+
+    async def name_both(self):
+        lists = [await self.list_addresses(entry) for entry in self.entries]
+        return [len(addresses) for addresses in lists] == [2, 2]
+
+    async def list_after_signal(self):
+        self.patch(platform_store.PlatformStoreResource, "render", _never_answer)
+        leaving, other = self.entries
+        leaving.terminate()
+        await asyncio.sleep(SIGNAL_DELAY_S)
+        return await self.list_addresses(leaving), other.get_address("front")
+
+    def test_an_entry_that_leaves_names_itself_to_no_caller(self):
+        self.wait_until(self.name_both)
+        addresses, other_address = run(self.list_after_signal())
+        self.assertEqual([other_address], addresses)
+
+
 class HangingStoreTest(PlannedStopCase):
     graces_s = (3,)
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -173,6 +173,7 @@
         record = msgspec.structs.replace(
             self._registration.record, phase=entry_directory.EntryPhase.LEAVING
         )
+        self.cluster.directory.put(record)
         loop.spawn(self._registration.update_record(record))
         self._update_stop_times()
         self._stop_when_idle()
