Close the port of a leaving entry when callers' oldest lists have expired

With callers that go on to connect, an entry with a long grace stayed and refused them until the end of it, though it had nothing left to do and could have been back. Callers use a list of addresses for up to three times its lifetime, so the port closes after that time (6 s) at the latest; requests in progress go on as before.

--- a/standins/planned_stop_callers_test.py
+++ b/standins/planned_stop_callers_test.py
@@ -116,7 +116,7 @@
 class TakenRequestsTest(PlannedStopCase):
     """Stops entries side by side, each under requests of one kind."""
 
-    graces_s = (8, 3, 2, 3, 1, 0.5)
+    graces_s = (8, 3, 2, 3, 1, 0.5, 30)
     kinds = (
         stop_callers.RequestKind("/once/x", 6_000, 5.8),
         stop_callers.RequestKind("/once/x", 3_000, 2.5),
@@ -124,6 +124,7 @@
         stop_callers.RequestKind("/once/x", 1_000, 0.9),
         stop_callers.RequestKind("/once/x", 500, 0.3),
         stop_callers.RequestKind("/once/x", 3_000, 0.1),
+        stop_callers.RequestKind("/once/x", 1_000, 0.1),
     )
 
     @classmethod
@@ -163,6 +164,11 @@
     def test_a_grace_of_1_s_cuts_nothing(self):
         self.check(4)
 
+    def test_callers_that_go_on_to_connect_do_not_use_up_a_grace_of_30_s(self):
+        self.check(6)
+        stop = self.stops[6]
+        self.assertLess(stop.exit_s - stop.signal_s, 7.5)
+
     def test_a_grace_of_half_a_second_cuts_nothing(self):
         self.check(5)
 
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -48,6 +48,7 @@
 STORE_OUTAGE_GRACE_S = 5.0  # records removed this soon after an outage may have expired
 MAX_START_S = 1.5  # until the program is assembled
 ACCEPT_UNUSED_S = 2.5  # callers' older lists of addresses expire meanwhile
+OLDEST_LIST_S = 3 * entry_handlers.ADDRESS_LIST_TTL_S  # that callers still use
 STARTUP_SETTLE_S = 2.0  # after a first start, all entries know each other by then
 
 
@@ -354,8 +355,9 @@
 
     def _stop_when_idle(self) -> None:
         """Stop accepting once no caller connects any more, and exit once idle."""
-        used_s = max(self._server.accepted_s, self._leaving_s)
-        if reactor.seconds() - used_s >= ACCEPT_UNUSED_S:
+        now_s = reactor.seconds()
+        unused_s = now_s - max(self._server.accepted_s, self._leaving_s)
+        if unused_s >= ACCEPT_UNUSED_S or now_s - self._leaving_s >= OLDEST_LIST_S:
             self._stop_accepting()
         if self._has_stopped_accepting:
             self._server.close_idle()
