--- a/toucanspread/core/entry/final_answers.py
+++ b/toucanspread/core/entry/final_answers.py
@@ -17,6 +17,7 @@
 RETRY_AFTER_SPREAD_S = 0.5
 NO_ENGINE_RETRY_AFTER_S = 0.6
 QUARANTINE_RETRY_AFTER_S = 2.0
+LEAVING_RETRY_AFTER_S = 0.05  # another entry can take the request at once
 
 
 def make_unanswered(
@@ -53,6 +54,8 @@
     if cause is decisions.FailureCause.ENGINES_LIMITED:
         wait_s = engine_choice.limit_wait_s(record, context)
         return _make_waiting_rejection(cause, wait_s, context)
+    if cause is decisions.FailureCause.LEAVING:
+        return decisions.Reject(cause, LEAVING_RETRY_AFTER_S)
     base_s = RETRY_AFTER_BASE_S
     if cause is decisions.FailureCause.NO_ENGINE:
         base_s = max(NO_ENGINE_RETRY_AFTER_S, _known_load_wait_s(record, context))
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -103,6 +103,8 @@
         """
         call = self._record.call
         context.retry_budgets.record_request(self._record.service.name, context.now_s)
+        if self.must_go_elsewhere(context):
+            return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
         permission = context.guard.admit(call, context.now_s)
         is_trial = permission is crash_guard.Admission.TRIAL
         self._record = self._record._replace(is_trial=is_trial)
@@ -233,6 +235,22 @@
             self._record, self._last_dispatch, context, was_sent
         )
 
+    def must_go_elsewhere(self, context: decision_context.Context) -> bool:
+        """Return whether the request may last longer than this entry, which leaves."""
+        return self.timing.latest_end_s > context.requests_end_s
+
+    def on_leaving(self, context: decision_context.Context) -> list[data.Effect]:
+        """End a request that no engine has if it may last longer than this entry."""
+        if self.is_finished or self._engine is not None:
+            return []
+        if not self.must_go_elsewhere(context):
+            return []
+        return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
+
+    def on_stop(self, context: decision_context.Context) -> list[data.Effect]:
+        """End the request, since this entry stops now."""
+        return self._end(context, decisions.FailureCause.LEAVING)
+
     def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request that waits at an engine if it matches a quarantine."""
         if self.is_finished or self._engine is None:
@@ -245,10 +263,7 @@
 
     def on_deadline(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request whose deadline has passed."""
-        if self.is_finished:
-            return []
-        cause = decisions.FailureCause.DEADLINE_EXCEEDED
-        return self._cancel_dispatch(context) + self._finish_unanswered(context, cause)
+        return self._end(context, decisions.FailureCause.DEADLINE_EXCEEDED)
 
     def on_caller_disconnected(
         self, context: decision_context.Context
@@ -272,6 +287,8 @@
         if left_s < silent_dispatch.MIN_TIME_TO_DISPATCH_S:
             cause = decisions.FailureCause.DEADLINE_EXCEEDED
             return self._finish_unanswered(context, cause)
+        if self.must_go_elsewhere(context):
+            return self._finish_unanswered(context, decisions.FailureCause.LEAVING)
         engine = engine_choice.choose_engine(self._record, context, skips_limited)
         if engine is None:
             effect = admission.decide_without_engine(self._record, context)
@@ -321,6 +338,14 @@
             return self._finish_unanswered(context, cause)
         return self._dispatch(context)
 
+    def _end(
+        self, context: decision_context.Context, cause: decisions.FailureCause
+    ) -> list[data.Effect]:
+        """End the request, also at its engine."""
+        if self.is_finished:
+            return []
+        return self._cancel_dispatch(context) + self._finish_unanswered(context, cause)
+
     def _cancel_dispatch(
         self, context: decision_context.Context, failure_weight: int = 0
     ) -> list[data.Effect]:
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -29,6 +29,8 @@
         return decisions.MoveObstacle.REQUEST_SUSPECT
     if record.timing.deadline_s - context.now_s <= MIN_TIME_TO_DISPATCH_S:
         return decisions.MoveObstacle.TIME_OVER
+    if record.timing.latest_end_s > context.requests_end_s:
+        return decisions.MoveObstacle.LEAVING
     return None
 
 
