Keep following a source at which an answer of the store arrives

With 1.4 Mbit/s between regions a configuration of 1,480 routes never reached any entry, and after a store's refusal of 4.2 s the last of 26 entries had the newest one after 12.2 s (16.4 s when it was listed; bound 3 s).

Timeline of the second (trace of the calls): from 0.004 to 0.984 s after the refusal all 26 entries watch the store, get "too large" and read all items, 359 KB each; at 3.0 to 4.4 s all 26 are given up with 225 to 356 KB received; at 4.0 to 5.4 s all 26 begin again, in the same phase. Of the first: the leader's answer takes 2.05 s, after 1.1 s without contact it counts as failed, rank 1 asks the store as well, both are given up after 3 s, and then eight ask at once.

Hypotheses: 1. a process that receives an answer looks like one without contact, so others begin the same transfer; 2. the wait of later ranks has passed when a fault is long, so the groups of eight don't exist any more; 3. answers of which bytes arrive are abandoned. 1 and 2 hold (trace); 3 follows from them: alone, each answer is complete within the 3 s.

Cause: the selection of sources knew only complete answers. Class: a shared link that many fill with the same transfer, each giving up and starting again.

Fix: a process that receives an answer of the store, at a pace at which it ends within 2.5 s, says so in its excerpts (arriving_age_s; absent otherwise, ignored by earlier versions). The source that is followed stays usable meanwhile, and other processes but the leader don't ask the store for 1.1 s after the last part. Ages of copies and the time without contact, from which deadlines follow, are not changed by it. After an answer that was too slow, only a quarter of the next one counts, so that a path that trickles does not hold its followers again. A whole read now counts as contact at its end, like a watch.

The pool of store_test.py accepts the new argument of the pool's call.

--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -5,7 +5,8 @@
 availability zone, its leader, therefore follows the store, and the other processes of
 the zone follow the leader. If the leader fails, the process that ranks next takes over
 and the others follow it, so that the store never sends a change to a whole zone. A
-process whose copy is too old asks entries of other zones and the store itself.
+process whose copy is too old asks entries of other zones and the store itself, unless
+an answer of the store is arriving at a peer: further answers would slow that one down.
 """
 
 import enum
@@ -95,6 +96,7 @@
         self._responding: set[Source] = set()
         self._probe_allowed_s = float("-inf")
         self._verified: Source | None = None
+        self._arriving_s: dict[Source, float] = {}
 
     def select_source(
         self,
@@ -188,17 +190,25 @@
         return _Ranking(ranked, leading[1:], own_rank)
 
     def _store_allowed_s(self, ranking: _Ranking, now_s: float) -> float:
-        """Return when this process may ask the store, if its leader has failed."""
+        """Return when this process may ask the store.
+
+        It waits for its leader, for deputies if that fails, and for any peer at which
+        an answer of the store is arriving. The leader itself never waits.
+        """
+        if ranking.own_rank == 0:
+            return float("-inf")
+        arriving_s = max(self._arriving_s.values(), default=float("-inf"))
         unusable_since_s = self._unusable_since_s.get(self._primary)
         if not ranking.deputies or unusable_since_s is None:
-            return float("-inf")
+            return arriving_s + MAX_DIRECT_AGE_S
         earlier_groups = (ranking.own_rank - 1) // STORE_GROUP_SIZE
         wait_s = earlier_groups * DEPUTY_WAIT_S
+        arrived_s = arriving_s + MAX_DIRECT_AGE_S + wait_s
         if not self._responding.isdisjoint(ranking.deputies):
             wait_s += SLOW_STORE_WAIT_S
         elif not all(self._is_silent(deputy, now_s) for deputy in ranking.deputies):
             wait_s += DEPUTY_WAIT_S
-        return unusable_since_s + wait_s
+        return max(unusable_since_s + wait_s, arrived_s)
 
     def _awaits_deputies(self, ranking: _Ranking, now_s: float) -> bool:
         """Return whether a deputy may have a newer copy soon.
@@ -208,7 +218,8 @@
         """
         if all(self._is_silent(deputy, now_s) for deputy in ranking.deputies):
             return False
-        return now_s < self._unusable_since_s[self._primary] + DEPUTY_WAIT_S
+        unusable_since_s = self._unusable_since_s.get(self._primary, now_s)
+        return now_s < unusable_since_s + DEPUTY_WAIT_S
 
     def record_failure(self, source: Source, now_s: float) -> bool:
         """Record that a source failed; return whether it was usable before."""
@@ -216,19 +227,39 @@
         self._unusable_since_s.setdefault(source, now_s)
         self._failed_s[source] = now_s
         self._responding.discard(source)
+        self._arriving_s.pop(source, None)
         self._probe_allowed_s = now_s + FAILED_SOURCE_BACKOFF_S
         if source == self._verified:
             self._verified = None
         self._backoff_until_s[source] = now_s + FAILED_SOURCE_BACKOFF_S
         return was_usable
 
-    def record_answer(self, source: Source, age_s: float, now_s: float) -> bool:
+    def get_arriving_s(self, source: Source) -> float:
+        """Return when a part of an answer of the store last arrived at a source."""
+        return self._arriving_s.get(source, float("-inf"))
+
+    def record_answer(
+        self,
+        source: Source,
+        age_s: float,
+        now_s: float,
+        arriving_s: float = float("-inf"),
+    ) -> bool:
         """Record that a source answered; return whether it became usable again.
 
         :param age_s: age of this process's copy after the answer.
+        :param arriving_s: when a part of an answer of the store last arrived at it.
         """
         self._failed_s.pop(source, None)
         self._responding.add(source)
+        self._arriving_s = {
+            other: at_s
+            for other, at_s in {**self._arriving_s, source: arriving_s}.items()
+            if at_s > now_s - age_s
+        }
+        if source in (self._primary, self._verified):
+            # It stays the source while it receives a newer copy.
+            age_s = min(age_s, now_s - arriving_s)
         if self._is_usable(source, age_s, now_s):
             self._verified = source
             self._backoff_until_s.pop(source, None)
--- a/toucanspread/core/view/store_view.py
+++ b/toucanspread/core/view/store_view.py
@@ -64,6 +64,8 @@
     :param waited_s: time from the arrival of the request until the excerpt was made.
     :param contact_age_s: time since an answer of the store, or of a process that had
         one, arrived at the process; None if it does not say.
+    :param arriving_age_s: time since a part of an answer of the store arrived at the
+        process, of which the rest is expected in time; None if there is no such answer.
     :param deltas: changes besides ``changes``, of keys that the receiver has; only for
         receivers that accept them.
     """
@@ -76,6 +78,7 @@
     waited_s: float = 0.0
     contact_age_s: float | None = None
     deltas: tuple[DeltaChange, ...] = ()
+    arriving_age_s: float | None = None
 
     @property
     def position(self) -> store_position.StorePosition:
@@ -98,6 +101,12 @@
         age_s = self.age_s if self.contact_age_s is None else self.contact_age_s
         return now_s - age_s
 
+    def arriving_s(self, now_s: float) -> float:
+        """Return when a part of an answer of the store last arrived at the process."""
+        if self.arriving_age_s is None:
+            return float("-inf")
+        return now_s - self.arriving_age_s
+
 
 class View:
     """The copy that a process holds.
@@ -109,6 +118,8 @@
     :ivar heard_s: time at which the store was last heard from. It is later than
         ``confirmed_s`` by the time that answers were on their way, and only says
         whether there is a way to the store.
+    :ivar arriving_s: time at which a part of an answer of the store last arrived, of
+        which the rest is expected in time; None if there is no such answer.
     :ivar past_values: what keys had before, for deltas.
     """
 
@@ -119,6 +130,7 @@
         self.position = store_position.StorePosition()
         self.confirmed_s = float("-inf")
         self.heard_s = float("-inf")
+        self.arriving_s: float | None = None
         self.past_values = value_history.ValueHistory()
         self._items: dict[str, Item] = {}
         self._newest = newest_values.NewestValues(read_version)
@@ -263,6 +275,7 @@
             requested,
             self.position.era,
             contact_age_s=self.contact_age_s(now_s),
+            arriving_age_s=None if self.arriving_s is None else now_s - self.arriving_s,
         )
 
     def _choose_newest(self, change: KeyChange) -> KeyChange:
--- a/toucanspread/core/view/store_view_test.py
+++ b/toucanspread/core/view/store_view_test.py
@@ -309,13 +309,19 @@
         group = source_selection.STORE_GROUP_SIZE
         self.assertEqual([group, 2 * group, 3 * group, 25], asking)
 
-    def list_sources(self, selector, name, now_s):
-        """Return the sources that a process asks one after the other, if all fail."""
+    def list_sources(self, selector, name, now_s, but=None):
+        """Return the sources that a process asks one after the other, if all fail.
+
+        :param but: a source that answers with an old copy.
+        """
         sources = []
         source = selector.select_source(self.peers(name), [], now_s)
         while source is not None and source not in sources:
             sources.append(source)
-            selector.record_failure(source, now_s)
+            if source == but:
+                selector.record_answer(source, 9.0, now_s, arriving_s=now_s - 0.1)
+            else:
+                selector.record_failure(source, now_s)
             source = selector.select_source(self.peers(name), [], now_s)
         return sources
 
@@ -338,6 +344,55 @@
         selector.record_answer(primary, 1.2, 0.8)
         self.assertEqual(0.0, selector.wait_s(primary, 1.2))
 
+    def test_a_leader_at_which_an_answer_of_the_store_arrives_is_waited_for(self):
+        leader, name = self.rank_entries()[:2]
+        selector = self.make_selector(name)
+        primary = selector.select_source(self.peers(name), [], 0.0)
+        selector.record_answer(primary, 1.2, 0.8, arriving_s=0.7)
+        source = selector.select_source(self.peers(name), [], 0.8)
+        self.assertEqual(f"{leader}:1", source.address)
+        selector.record_answer(primary, 2.0, 1.6, arriving_s=0.7)
+        source = selector.select_source(self.peers(name), [], 1.6)
+        self.assertNotEqual(source_selection.STORE, source)
+        later_s = 0.71 + source_selection.MAX_DIRECT_AGE_S
+        selector.record_answer(primary, 2.2, later_s, arriving_s=0.7)
+        source = selector.select_source(self.peers(name), [], later_s)
+        self.assertEqual(source_selection.STORE, source)
+
+    def test_processes_do_not_ask_the_store_while_its_answer_arrives_at_a_peer(self):
+        self.names = [f"e{number}" for number in range(26)]
+        ranked = self.rank_entries()
+        receiving = source_selection.Source(
+            source_selection.SourceKind.PEER, f"{ranked[12]}:1"
+        )
+        for name in [*ranked[1:12], *ranked[13:]]:
+            selector = self.make_selector(name)
+            primary = selector.select_source(self.peers(name), [], 0.0)
+            selector.record_answer(primary, 4.0, 0.0)
+            selector.record_answer(receiving, 9.0, 5.0, arriving_s=4.9)
+            sources = self.list_sources(selector, name, 5.1, but=receiving)
+            self.assertNotIn(source_selection.STORE, sources)
+            selector.record_answer(receiving, 9.1, 5.1)
+            sources = self.list_sources(selector, name, 5.1)
+            self.assertIn(source_selection.STORE, sources)
+
+    def test_the_leader_asks_the_store_while_its_answer_arrives_at_a_peer(self):
+        leader, name = self.rank_entries()[:2]
+        selector = self.make_selector(leader)
+        peer = source_selection.Source(source_selection.SourceKind.PEER, f"{name}:1")
+        selector.record_answer(peer, 9.0, 5.0, arriving_s=4.9)
+        source = selector.select_source(self.peers(leader), [], 5.0)
+        self.assertEqual(source_selection.STORE, source)
+
+    def test_a_peer_that_fails_while_it_receives_does_not_delay_the_store(self):
+        name = self.rank_entries()[1]
+        selector = self.make_selector(name)
+        primary = selector.select_source(self.peers(name), [], 0.0)
+        selector.record_answer(primary, 1.2, 0.8, arriving_s=0.7)
+        selector.record_failure(primary, 0.9)
+        source = selector.select_source(self.peers(name), [], 0.9)
+        self.assertEqual(source_selection.STORE, source)
+
     def test_a_source_that_failed_is_retried_after_its_backoff(self):
         selector = source_selection.SourceSelector(
             "a", data.ZoneName("z"), can_lead=True
--- a/toucanspread/ops/excerpt_codec.py
+++ b/toucanspread/ops/excerpt_codec.py
@@ -40,6 +40,7 @@
     waited_s: float = 0.0
     contact_age_s: float | None = None
     compressed_deltas: bytes = b""
+    arriving_age_s: float | None = None
 
 
 _excerpt_decoder = msgspec.msgpack.Decoder(store_view.Excerpt | CompressedExcerpt)
@@ -75,6 +76,7 @@
                 excerpt.waited_s,
                 excerpt.contact_age_s,
                 self._compress(excerpt.deltas) if excerpt.deltas else b"",
+                excerpt.arriving_age_s,
             )
         )
 
@@ -117,6 +119,7 @@
         excerpt.waited_s,
         excerpt.contact_age_s,
         deltas,
+        excerpt.arriving_age_s,
     )
 
 
@@ -127,7 +130,11 @@
 
     :raises ExcerptDecodeError: when one of its durations is negative or no number.
     """
-    ages_s = (excerpt.age_s, excerpt.contact_age_s or 0.0)
+    ages_s = (
+        excerpt.age_s,
+        excerpt.contact_age_s or 0.0,
+        excerpt.arriving_age_s or 0.0,
+    )
     if not all(age_s >= 0 for age_s in ages_s):
         raise ExcerptDecodeError(f"ages of {ages_s} s")
     if not 0 <= excerpt.waited_s < math.inf:
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/excerpt_codec_test.py
@@ -20,7 +20,14 @@
         store_view.KeyChange("b", revision, b"x" * size_bytes),
     )
     return store_view.Excerpt(
-        revision, 0.25, is_whole, changes, era=3, waited_s=0.5, contact_age_s=0.125
+        revision,
+        0.25,
+        is_whole,
+        changes,
+        era=3,
+        waited_s=0.5,
+        contact_age_s=0.125,
+        arriving_age_s=0.0625,
     )
 
 
@@ -44,6 +51,7 @@
         malformed = [
             *({"age_s": value} for value in (-1.0, -infinite, nan)),
             *({"contact_age_s": value} for value in (-1.0, -infinite, nan)),
+            *({"arriving_age_s": value} for value in (-1.0, -infinite, nan)),
             *({"waited_s": value} for value in (-1.0, -infinite, infinite, nan)),
         ]
         for properties in malformed:
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -53,6 +53,27 @@
     transfer_s: float = 0.0
 
 
+class AnswerProgress(NamedTuple):
+    """How much of an answer has arrived.
+
+    :param elapsed_s: time since its head.
+    """
+
+    received_bytes: int
+    length_bytes: int
+    elapsed_s: float
+
+    @property
+    def share(self) -> float:
+        """Return the part of the answer that has arrived."""
+        return self.received_bytes / self.length_bytes
+
+    @property
+    def expected_s(self) -> float:
+        """Return the time from the head to the end if the answer keeps its pace."""
+        return self.elapsed_s / self.share
+
+
 class OutgoingRequest:
     """Request in progress, from opening its connection to the end of its answer.
 
@@ -263,6 +284,7 @@
         stall_timeout_s: float | None = None,
         max_body_bytes: int = http1_client.DEFAULT_MAX_BODY_BYTES,
         has_own_connection: bool = False,
+        on_arriving: Callable[[AnswerProgress], None] | None = None,
     ) -> Reply:
         """Send a request and return its complete answer.
 
@@ -274,9 +296,12 @@
         :param max_body_bytes: limit for the body of the answer.
         :param has_own_connection: whether to use a connection for this call only, as an
             answer to an earlier call must not be taken for its own.
+        :param on_arriving: called when a part of an answer with status 200 and with a
+            known length arrives.
         :raises CallError: if no complete answer within the limits is received in time.
         """
         listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
+        listener.on_arriving = on_arriving
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
         request = http1.render_request(head, body)
@@ -323,6 +348,7 @@
     :param max_body_bytes: limit for its body.
     :param read_clock_s: returns the time.
     :ivar on_progress: called when a part of the answer has arrived.
+    :ivar on_arriving: called when a part of a good answer of known length has arrived.
     """
 
     def __init__(self, max_body_bytes: int, read_clock_s: Callable[[], float]):
@@ -330,6 +356,8 @@
         self._read_clock_s = read_clock_s
         self._head_s = 0.0
         self.on_progress: Callable[[], None] = _do_nothing
+        self.on_arriving: Callable[[AnswerProgress], None] | None = None
+        self._length_bytes: int | None = None
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
         self._head: http1.AnswerHead | None = None
@@ -346,6 +374,7 @@
         length = data.parse_count(
             (head.get(b"content-length") or b"").decode("latin-1")
         )
+        self._length_bytes = length
         if length is not None and length > self.max_body_bytes:
             # The call ends now, and takes up the link no longer.
             self._fail(http1_client.ExchangeFailure.TOO_LARGE)
@@ -355,6 +384,7 @@
     def on_body_data(self, part: bytes) -> None:
         self._body += part
         self.on_progress()
+        self._report_progress()
 
     def on_end(self) -> None:
         self.is_finished = True
@@ -368,6 +398,14 @@
         self.is_finished = True
         self._fail(failure)
 
+    def _report_progress(self) -> None:
+        if self.on_arriving is None or self._head.status != 200:
+            return
+        if not self._length_bytes or not self._body:
+            return
+        elapsed_s = self._read_clock_s() - self._head_s
+        self.on_arriving(AnswerProgress(len(self._body), self._length_bytes, elapsed_s))
+
     def _fail(self, failure: http1_client.ExchangeFailure) -> None:
         if not self.future.done():
             self.future.set_exception(
--- a/toucanspread/ops/http1_pool_test.py
+++ b/toucanspread/ops/http1_pool_test.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import testtools
-from twisted.internet import reactor
+from twisted.internet import reactor, task
 
 from standins import running_reactor
 from toucanspread.ops import http1, http1_client, http1_pool, loop
@@ -79,6 +79,39 @@
         self.assertEqual(2, self.idle_count)
 
 
+class ArrivingAnswerTest(testtools.TestCase):
+    """The caller is told at which pace an answer arrives."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.progress = []
+
+    def receive(self, *parts, status=200, headers=()):
+        """Receive a part of an answer each second."""
+        collector = http1_pool._AnswerCollector(1_000, self.clock.seconds)
+        collector.on_arriving = self.progress.append
+        collector.on_head(http1.AnswerHead(status, list(headers)))
+        for part in parts:
+            self.clock.advance(1.0)
+            collector.on_body_data(part)
+        return [(progress.share, progress.expected_s) for progress in self.progress]
+
+    async def receive_in_loop(self, *parts, **options):
+        return self.receive(*parts, **options)
+
+    def test_the_expected_time_follows_from_the_length_and_the_pace(self):
+        length = http1.Header(b"Content-Length", b"400")
+        receiving = self.receive_in_loop(b"x" * 100, b"x" * 300, headers=[length])
+        self.assertEqual([(0.25, 4.0), (1.0, 2.0)], asyncio.run(receiving))
+
+    def test_no_time_is_expected_of_an_error_or_of_an_answer_without_length(self):
+        length = http1.Header(b"Content-Length", b"400")
+        receiving = self.receive_in_loop(b"x", status=503, headers=[length])
+        self.assertEqual([], asyncio.run(receiving))
+        self.assertEqual([], asyncio.run(self.receive_in_loop(b"x")))
+
+
 class LargeAnswerTest(testtools.TestCase):
     """A server answers with a head that declares the size of the body."""
 
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/prefix_store.py
@@ -5,10 +5,12 @@
 """
 
 import abc
+from collections.abc import Callable
 from typing import NamedTuple
 
 from toucanspread.core import data
 from toucanspread.core.view import store_position, store_view
+from toucanspread.ops import http1_pool
 
 LeaseId = int
 
@@ -70,9 +72,11 @@
     Every method raises :class:`StoreError` when it gets no usable answer.
 
     :ivar era: the latest era of the store that an answer has named.
+    :ivar on_arriving: called when a part of the answer to a read or a watch arrives.
     """
 
     era: int = store_position.UNKNOWN_ERA
+    on_arriving: Callable[[http1_pool.AnswerProgress], None] | None = None
 
     @abc.abstractmethod
     async def read_all(self, prefix: str) -> Changes:
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -32,6 +32,8 @@
 MIN_WATCH_BYTES = 65_536  # changes that are received though the copy is small
 EXCHANGE_MEMORY_S = 2.0  # peers are asked more often than this
 FIRST_COPY_EXTRA_TIMEOUT_S = 2.0  # the first answer contains the whole copy
+MAX_EXPECTED_ANSWER_S = 2.5  # a slower answer of the store may be abandoned
+MIN_SHARE_AFTER_SLOW_ANSWER = 0.25
 
 
 class PeerDiscovery(NamedTuple):
@@ -99,6 +101,8 @@
         self._must_read_all = False
         self._needs_whole_excerpt = False
         self._undelivered: list[store_view.KeyChange] = []
+        self._was_too_slow = False
+        store.on_arriving = self._on_arriving
 
     async def run(self) -> None:
         """Synchronize until cancelled.
@@ -166,17 +170,18 @@
 
     async def _sync_from(self, source: source_selection.Source) -> None:
         try:
+            arriving_s = float("-inf")
             if source.kind is source_selection.SourceKind.STORE:
-                await self._sync_from_store()
+                await self._receive_from_store()
             else:
-                await self._sync_from_peer(source)
+                arriving_s = await self._sync_from_peer(source)
         except (prefix_store.StoreError, excerpt_client.ExcerptError) as error:
             self._record_failure(source, error)
             await asyncio.sleep(0)
             return
         now_s = self._pool.reactor.seconds()
         contact_age_s = self.view.contact_age_s(now_s)
-        if self._selector.record_answer(source, contact_age_s, now_s):
+        if self._selector.record_answer(source, contact_age_s, now_s, arriving_s):
             logs.write("source_regained", source=source.kind.value, at=source.address)
         if source == source_selection.STORE and not self._can_watch:
             await asyncio.sleep(source_selection.STORE_READ_INTERVAL_S)
@@ -203,6 +208,28 @@
         """Return whether one watch covers all that this process needs of the store."""
         return len(self._store_prefixes) == 1
 
+    async def _receive_from_store(self) -> None:
+        """Synchronize from the store; meanwhile, peers are told of its answer."""
+        try:
+            await self._sync_from_store()
+        except prefix_store.SlowAnswerError:
+            self._was_too_slow = True
+            raise
+        finally:
+            self.view.arriving_s = None
+        self._was_too_slow = False
+
+    def _on_arriving(self, progress: http1_pool.AnswerProgress) -> None:
+        """Note that a part of an answer of the store has arrived.
+
+        The first parts may be faster than the rest. After an answer that was too slow,
+        they say nothing.
+        """
+        if self._was_too_slow and progress.share < MIN_SHARE_AFTER_SLOW_ANSWER:
+            return
+        if progress.expected_s <= MAX_EXPECTED_ANSWER_S:
+            self.view.arriving_s = self._pool.reactor.seconds()
+
     async def _sync_from_store(self) -> None:
         is_later_era = self._store.era > self.view.position.era
         if self.view.is_empty or self._must_read_all or is_later_era:
@@ -280,10 +307,11 @@
         era = answers[0].era
         if any(answer.era != era for answer in answers):
             raise prefix_store.StoreError("a new era began between two reads")
+        heard_s = self._pool.reactor.seconds()
         is_first_of_era = self.view.is_empty or era > self.view.position.era
         if is_first_of_era and self.view.has_versions:
             await self._learn_newer_values(changes)
-        self._replace_copy(changes, revision, requested_s, kept_keys, era)
+        self._replace_copy(changes, revision, requested_s, kept_keys, era, heard_s)
 
     async def _learn_newer_values(self, items: list[store_view.KeyChange]) -> None:
         """Learn from peers what the store may have lost before it began this era."""
@@ -328,8 +356,14 @@
             )
         self._notify_changes(changes)
 
-    async def _sync_from_peer(self, source: source_selection.Source) -> None:
-        age_s = self.view.contact_age_s(self._pool.reactor.seconds())
+    async def _sync_from_peer(self, source: source_selection.Source) -> float:
+        """Synchronize from a peer.
+
+        :return: when a part of an answer of the store last arrived at the peer.
+        """
+        now_s = self._pool.reactor.seconds()
+        age_s = self.view.contact_age_s(now_s)
+        age_s = min(age_s, now_s - self._selector.get_arriving_s(source))
         # A process with a stale copy needs the peer's copy at once. It must not wait
         # for the peer's next change, since the peer may be stale as well.
         wait_s = self._selector.wait_s(source, age_s)
@@ -368,10 +402,11 @@
                 excerpt.era,
                 heard_s,
             )
-            return
+            return excerpt.arriving_s(now_s)
         self._notify_changes(
             self.view.apply(excerpt.changes, excerpt.revision, confirmed_s, heard_s)
         )
+        return excerpt.arriving_s(now_s)
 
     def _check_era(self, excerpt: store_view.Excerpt) -> None:
         """Check that an excerpt can be applied to the copy.
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -323,6 +323,93 @@
         self.assertLessEqual(self.view.confirmed_s, requested_s)
 
 
+class ArrivingAnswerTest(testtools.TestCase):
+    """Peers are told that an answer of the store is arriving."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = Pool()
+        self.pool.reactor.advance(100.0)
+        self.view = store_view.View()
+        self.view.replace([make_change("op/a", 9)], 9, 95.0)
+        self.store = Store()
+        self.store.revision = 9
+        self.store.watch = self.watch
+        self.progress = http1_pool.AnswerProgress(10, 100, 0.2)
+        self.error = None
+        self.arriving_age_s = None
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=True),
+            ("op/",),
+            list,
+            list,
+            lambda changes: None,
+        )
+
+    def make_excerpt(self):
+        now_s = self.pool.reactor.seconds()
+        return self.view.make_excerpt(9, ("op/",), now_s)
+
+    async def read_all(self, prefix):
+        return await self.watch(prefix, 0, 0.0, None)
+
+    async def watch(self, prefix, after, wait_s, max_bytes):
+        self.store.on_arriving(self.progress)
+        self.pool.reactor.advance(0.5)
+        self.arriving_age_s = self.make_excerpt().arriving_age_s
+        if self.error is not None:
+            raise self.error
+        return prefix_store.Changes([], 9)
+
+    def sync(self):
+        asyncio.run(self.synchronizer.sync_once())
+        self.pool.reactor.advance(source_selection.FAILED_SOURCE_BACKOFF_S)
+
+    def test_peers_are_told_while_an_answer_arrives_and_not_afterwards(self):
+        self.sync()
+        self.assertEqual(0.5, self.arriving_age_s)
+        self.assertIsNone(self.make_excerpt().arriving_age_s)
+
+    def test_an_arriving_answer_does_not_make_the_copy_younger(self):
+        self.error = prefix_store.StoreError("cut off")
+        self.sync()
+        self.assertGreater(self.make_excerpt().age_s, 5.0)
+        self.assertGreater(self.make_excerpt().contact_age_s, 5.0)
+
+    def test_peers_are_not_told_of_an_answer_that_may_be_abandoned(self):
+        expected_s = view_sync.MAX_EXPECTED_ANSWER_S + 0.1
+        self.progress = http1_pool.AnswerProgress(10, 100, expected_s / 10)
+        self.sync()
+        self.assertIsNone(self.arriving_age_s)
+
+    def test_peers_are_told_of_an_answer_after_a_slow_one_when_much_of_it_is_there(
+        self,
+    ):
+        self.error = prefix_store.SlowAnswerError("slow")
+        self.store.read_all = self.read_all
+        self.sync()
+        self.assertEqual(0.5, self.arriving_age_s)
+        self.sync()
+        self.assertIsNone(self.arriving_age_s)
+        self.progress = http1_pool.AnswerProgress(30, 100, 0.6)
+        self.sync()
+        self.assertEqual(0.5, self.arriving_age_s)
+
+    def test_the_transfer_of_a_whole_read_is_no_time_without_contact(self):
+        async def read_all(prefix):
+            self.pool.reactor.advance(2.0)
+            return prefix_store.Changes([make_change("op/a", 9)], 9)
+
+        self.store.read_all = read_all
+        self.synchronizer._must_read_all = True
+        asyncio.run(self.synchronizer.sync_once())
+        self.assertEqual(2.0, self.make_excerpt().age_s)
+        self.assertEqual(0.0, self.make_excerpt().contact_age_s)
+
+
 class EraTest(testtools.TestCase):
     """The copy and a peer's excerpt are of different eras of the store."""
 
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from urllib.parse import quote
 
 import msgspec
@@ -168,6 +169,7 @@
             target,
             timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
             max_body_bytes=min(max_bytes or MAX_WATCH_BYTES, MAX_WATCH_BYTES),
+            on_arriving=self.on_arriving,
         )
         if reply.status == 410:
             raise prefix_store.HistoryGoneError(
@@ -216,6 +218,7 @@
             target,
             timeout_s=READ_TIMEOUT_S,
             max_body_bytes=MAX_PAGE_BYTES,
+            on_arriving=self.on_arriving,
         )
 
     async def _call(
@@ -225,12 +228,19 @@
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
         max_body_bytes: int = MAX_WRITE_ANSWER_BYTES,
+        on_arriving: Callable[[http1_pool.AnswerProgress], None] | None = None,
     ) -> http1_pool.Reply:
         headers = [JSON_TYPE] if body else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
             reply = await self._pool.call(
-                self._address, head, body, timeout_s, STALL_TIMEOUT_S, max_body_bytes
+                self._address,
+                head,
+                body,
+                timeout_s,
+                STALL_TIMEOUT_S,
+                max_body_bytes,
+                on_arriving=on_arriving,
             )
         except http1_pool.CallError as error:
             if error.failure is http1_client.ExchangeFailure.TOO_LARGE:
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -34,6 +34,7 @@
         timeout_s=1.0,
         stall_timeout_s=None,
         max_body_bytes=0,
+        on_arriving=None,
     ):
         answer = self._answers.pop(0)
         headers = []
