Take two decisions on quarantines out of the crash guard

Which quarantines another one explains is now a function (explained_quarantines.py), and the list of quarantines removes sound parts from them itself.

No change of behaviour.

--- a/toucanspread/core/entry/crash_guard.py
+++ b/toucanspread/core/entry/crash_guard.py
@@ -18,6 +18,7 @@
 from toucanspread.core.entry import (
     crash_causes,
     crash_evidence,
+    explained_quarantines,
     guard_program,
     lifted_quarantines,
     notice_timing,
@@ -33,8 +34,6 @@
 MATCH_REFRESH_S = 60.0  # a match that is newer by this time is announced
 DECISION_INTERVAL_S = 0.1
 DECISION_DURATION_S = 0.6  # decisions on new evidence are made for so long
-# Only then is the evidence of two parts complete enough to compare.
-COMPARISON_S = 5.0
 NEVER_S = float("inf")
 
 
@@ -270,19 +269,12 @@
     def _release(self, sound: crash_evidence.PartSet) -> crash_evidence.PartSet:
         """Remove sound parts from all quarantines; return those that were there."""
         released = frozenset()
-        for quarantine in self.quarantines.all():
-            found = quarantine.parts & sound
-            if not found:
-                continue
-            released |= found
-            self.quarantines.remove(quarantine.parts)
-            remaining = quarantine.parts - found
-            if not remaining:
+        for quarantine, remaining in self.quarantines.release(sound):
+            released |= quarantine.parts - remaining
+            if remaining:
+                self._program.on_narrowed(quarantine.parts, remaining)
+            else:
                 self._program.on_lifted(quarantine.parts, "whole answer")
-                continue
-            if self.quarantines.get(remaining) is None:
-                self.quarantines.put(quarantine.narrow(remaining))
-            self._program.on_narrowed(quarantine.parts, remaining)
         return released
 
     def _on_sound(self, notice: entry_data.PartsSound, now_s: float) -> None:
@@ -309,7 +301,10 @@
         )
         for cause in causes:
             self._quarantine(cause, now_s)
-        self._lift_explained(now_s)
+        for quarantine in explained_quarantines.find(
+            self.quarantines.all(), self.evidence, now_s
+        ):
+            self._lift(quarantine, "explained by another", now_s)
 
     def _quarantine(self, cause: crash_causes.Cause, now_s: float) -> None:
         is_ambiguous = crash_causes.is_ambiguous(cause, self.evidence)
@@ -320,23 +315,6 @@
         self._announce_at(quarantine, now_s + self._draw_delay_s())
         self._program.on_quarantined(cause.parts, cause.crashes)
 
-    def _lift_explained(self, now_s: float) -> None:
-        """Lift quarantines whose crashes all have a cause that explains more."""
-        quarantines = self.quarantines.all()
-        for quarantine in quarantines:
-            if now_s - quarantine.began_s > COMPARISON_S:
-                continue
-            crashes = self.evidence.crashes_of(quarantine.parts)
-            if len(crashes) < crash_causes.MIN_CRASH_COUNT:
-                continue  # this entry does not know those that led to it
-            is_explained = any(
-                crashes < self.evidence.crashes_of(other.parts)
-                for other in quarantines
-                if not other.parts & quarantine.parts
-            )
-            if is_explained:
-                self._lift(quarantine, "explained by another", now_s)
-
     def _lift(
         self, quarantine: part_quarantine.Quarantine, why: str, now_s: float
     ) -> None:
--- a/toucanspread/core/entry/part_quarantine.py
+++ b/toucanspread/core/entry/part_quarantine.py
@@ -153,6 +153,25 @@
         """End a quarantine; return whether there was one."""
         return self._quarantines.pop(parts, None) is not None
 
+    def release(
+        self, sound: crash_evidence.PartSet
+    ) -> list[tuple[Quarantine, crash_evidence.PartSet]]:
+        """Remove sound parts from all quarantines.
+
+        :return: the quarantines that held some, each with its remaining parts; one
+            without any has ended.
+        """
+        changed = []
+        for quarantine in self.all():
+            remaining = quarantine.parts - sound
+            if remaining == quarantine.parts:
+                continue
+            changed.append((quarantine, remaining))
+            self.remove(quarantine.parts)
+            if remaining and self.get(remaining) is None:
+                self.put(quarantine.narrow(remaining))
+        return changed
+
     def drop_idle(self, now_s: float) -> list[Quarantine]:
         """End and return the quarantines without a matching request for long."""
         idle = [each for each in self.all() if now_s - each.matched_s > MAX_IDLE_S]
