Let processes that need all items of the store read them in turn

What callers saw: nothing yet; the store refuses a zone of 26 entries and 17 sidecars for 4.55 s, in which 7 configurations of 1,480 routes are written: the last entry has the newest one 3.67 s after that (bound 3 s).

Cause: what fails at the same time is tried again at the same time, and a process that finds that it needs all items read them without looking at its peers. Class: a shared link that many fill with the same transfer. The same place elsewhere: the whole read after the store no longer has the changes (410), mended here as well.

Fix: a process that neither follows the store nor is the leader or the next in rank reads all items only after 0.1 s for each process that ranks between, 1 s at most; until then it asks its peers, learns that an answer arrives there, or gets the newer copy. What must be read whole is remembered for the position of the copy, so a process that got a newer copy from a peer watches again instead of reading everything.

--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -68,6 +68,12 @@
         size = view_simulation.ZoneSize(entries=26, sidecars=17, engines=8)
         self.assert_in_time([self.refuse_all(size, 7, 0.6)])
 
+    def test_processes_that_find_the_store_again_together_do_not_all_read_all_of_it(
+        self,
+    ):
+        size = view_simulation.ZoneSize(entries=26, sidecars=17, engines=8)
+        self.assert_in_time([self.refuse_all(size, 7, 0.65)])
+
     def refuse_all(self, size, count, interval_s):
         """Write configurations while the store refuses all processes.
 
--- a/toucanspread/core/view/source_selection.py
+++ b/toucanspread/core/view/source_selection.py
@@ -35,6 +35,10 @@
 FAILURE_MEMORY_S = 3.0  # a source that failed longer ago may have recovered
 BATCH_DELAY_S = 0.1  # changes in quick succession are fetched together
 RETRY_DELAY_S = 0.15
+# A process that needs all items of the store reads them in its turn. Until then it may
+# learn that they are arriving at one that ranks before it.
+STORE_TURN_S = 0.1
+MAX_STORE_TURNS = 10
 
 
 class SourceKind(enum.Enum):
@@ -97,6 +101,7 @@
         self._probe_allowed_s = float("-inf")
         self._verified: Source | None = None
         self._arriving_s: dict[Source, float] = {}
+        self._own_rank = 0
 
     def select_source(
         self,
@@ -111,6 +116,7 @@
         """
         ranking = self._rank_sources(peers, seeds)
         self._primary = ranking.sources[0]
+        self._own_rank = ranking.own_rank
         eligible = self._list_eligible(ranking, now_s)
         silent = [source for source in eligible if self._is_silent(source, now_s)]
         sound = [source for source in eligible if source not in silent]
@@ -221,6 +227,14 @@
         unusable_since_s = self._unusable_since_s.get(self._primary, now_s)
         return now_s < unusable_since_s + DEPUTY_WAIT_S
 
+    @property
+    def is_first_in_turn(self) -> bool:
+        """Return whether this process needn't let others read the store before it.
+
+        That is one that follows the store, and the one that takes over from the leader.
+        """
+        return self._own_rank <= 1 or self._verified == STORE
+
     def record_failure(self, source: Source, now_s: float) -> bool:
         """Record that a source failed; return whether it was usable before."""
         was_usable = source not in self._unusable_since_s
@@ -266,7 +280,11 @@
             return self._unusable_since_s.pop(source, None) is not None
         if source == self._primary:
             self._unusable_since_s.setdefault(source, now_s)
-        self._backoff_until_s[source] = now_s + STALE_SOURCE_BACKOFF_S
+        backoff_s = STALE_SOURCE_BACKOFF_S
+        if source == STORE:
+            turn = min(self._own_rank - 1, MAX_STORE_TURNS)
+            backoff_s = max(turn, 0) * STORE_TURN_S
+        self._backoff_until_s[source] = now_s + backoff_s
         return False
 
     def _is_usable(self, source: Source, age_s: float, now_s: float) -> bool:
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/view_sync.py
@@ -102,6 +102,8 @@
         self._needs_whole_excerpt = False
         self._undelivered: list[store_view.KeyChange] = []
         self._was_too_slow = False
+        # The store does not send the changes after this position, or not in time.
+        self._read_all_after: store_position.StorePosition | None = None
         store.on_arriving = self._on_arriving
 
     async def run(self) -> None:
@@ -232,7 +234,8 @@
 
     async def _sync_from_store(self) -> None:
         is_later_era = self._store.era > self.view.position.era
-        if self.view.is_empty or self._must_read_all or is_later_era:
+        is_due = self._read_all_after == self.view.position
+        if self.view.is_empty or self._must_read_all or is_later_era or is_due:
             await self._read_all()
             return
         if not self._can_watch:
@@ -251,16 +254,14 @@
             )
         except prefix_store.HistoryGoneError:
             logs.write("history_gone", revision=self.view.revision)
-            self._must_read_all = True
-            await self._read_all()
+            await self._read_all_in_turn()
             return
         except prefix_store.LargeAnswerError:
             # The answer has all versions of each value; all items are less.
-            self._must_read_all = True
-            await self._read_all()
+            await self._read_all_in_turn()
             return
         except prefix_store.SlowAnswerError:
-            self._must_read_all = True
+            self._read_all_after = self.view.position
             raise
         if answer.era > self.view.position.era:
             # The revision may stand for another change than the one that the copy has.
@@ -270,6 +271,15 @@
         if answer.changes:
             await asyncio.sleep(source_selection.BATCH_DELAY_S)
 
+    async def _read_all_in_turn(self) -> None:
+        """Read all items now if no other process comes first, else in its turn.
+
+        A peer may have a newer copy by then, from which a watch can continue.
+        """
+        self._read_all_after = self.view.position
+        if self._selector.is_first_in_turn:
+            await self._read_all()
+
     def _apply_watched(
         self, answer: prefix_store.Changes, requested_s: float, wait_s: float
     ) -> None:
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/view_sync_test.py
@@ -410,6 +410,63 @@
         self.assertEqual(0.0, self.make_excerpt().contact_age_s)
 
 
+class LargeReadTest(testtools.TestCase):
+    """A process that follows a peer finds that it needs all items of the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = Pool()
+        self.pool.reactor.advance(100.0)
+        self.view = store_view.View()
+        self.view.replace([make_change("op/a", 9)], 9, 90.0)
+        self.store = Store()
+        self.store.revision = 10
+        peers = [
+            source_selection.Peer(name, data.ZoneName("z"), data.Address(f"{name}:1"))
+            for name in ("b", "c")
+        ]
+        self.synchronizer = view_sync.ViewSynchronizer(
+            self.view,
+            self.store,
+            self.pool,
+            source_selection.SourceSelector("a", data.ZoneName("z"), can_lead=False),
+            ("op/",),
+            lambda: peers,
+            list,
+            lambda changes: None,
+        )
+
+    def sync(self):
+        asyncio.run(self.synchronizer.sync_once())
+
+    def find_large_changes(self):
+        for _ in range(3):  # both peers fail first
+            self.sync()
+        self.pool.reactor.advance(source_selection.STORE_TURN_S)
+
+    def assert_read_in_turn(self):
+        self.find_large_changes()
+        self.assertEqual([], self.store.read_prefixes)
+        self.sync()
+        self.assertEqual(["op/"], self.store.read_prefixes)
+
+    def test_it_reads_them_in_its_turn_after_changes_that_are_too_large(self):
+        self.store.is_too_large = True
+        self.assert_read_in_turn()
+
+    def test_it_reads_them_in_its_turn_when_the_history_is_gone(self):
+        self.store.has_lost_history = True
+        self.assert_read_in_turn()
+
+    def test_it_watches_again_after_it_has_got_a_newer_copy(self):
+        self.store.is_too_large = True
+        self.find_large_changes()
+        self.view.apply([make_change("op/a", 10)], 10, 99.0)
+        self.store.is_too_large = False
+        self.sync()
+        self.assertEqual([], self.store.read_prefixes)
+
+
 class EraTest(testtools.TestCase):
     """The copy and a peer's excerpt are of different eras of the store."""
 
