Read no request in the last moments of an entry's process

Between the decision to exit and the end of the loop, 20 ms, a request whose last byte came then was read and answered into a buffer that might not be sent. Now the connections that are left read nothing more at the exit; what is unread ends with a reset and may be sent again. The test needs the new method.

--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -243,6 +243,11 @@
         self._close = http1_closing.OrderlyClose(self.transport, self.reactor, discards)
         self._close.start()
 
+    def stop_reading(self) -> None:
+        """Leave unread what the caller still sends, so that it may send it again."""
+        self._has_read_last = True
+        self._pause_or_resume()
+
     def reset_unless_complete(self) -> None:
         """Let the connection end with a reset until everything has been sent."""
         if not self._is_closed:
@@ -451,6 +456,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def stop_reading(self) -> None:
+        """Read no more requests, as none would be answered."""
+        for connection in list(self.connections):
+            connection.stop_reading()
+
     def abort_incomplete(self) -> None:
         """Reset the connections whose answers would look complete if they ended now."""
         for connection in list(self.connections):
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http1_test.py
@@ -243,6 +243,16 @@
         self.assertIn(b"HTTP/1.1 503", self.sent())
         self.assertTrue(self.transport.disconnecting)
 
+    def test_connection_reads_nothing_more_when_the_process_is_about_to_end(self):
+        self.handler.leaving = True
+        self.receive(REQUEST * 2)
+        self.connection.stop_reading()
+        self.assertEqual("paused", self.transport.producerState)
+        self.answer_next()
+        self.answer_next()
+        self.assertEqual(2, self.sent().count(b"HTTP/1.1 200 OK"))
+        self.assertEqual("paused", self.transport.producerState)
+
     def test_leaving_entry_closes_the_connection_after_a_stream(self):
         self.handler.leaving = True
         self.receive(REQUEST)
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -398,6 +398,7 @@
         if self._is_exiting:
             return
         self._is_exiting = True
+        self._server.stop_reading()
         self._server.abort_incomplete()
         process.stop()
 
