Take only addresses to which one can connect

What was seen: addresses such as `a..b:80`, or with a host label of 70 letters, in an entry of another writer left 4 to 6 "Unhandled error in Deferred" in the logs of each process. An entry's record whose address for datagrams is a host name ended the sidecar's work on its engine every 0.7 s: no load reports, no switch to another version.

Cause: an address was anything with a port, and who connected or sent found out. Class of fault: input of another writer is accepted by its form and fails where it is used, for all that use it.

A call to anything else (origin, seeds and the store's address come from settings and the configuration) fails like one to an unreachable server; a datagram that can't be sent counts as lost and keeps none from the others.

--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -118,6 +118,9 @@
                 # Later, as the sender has to know this request before it ends.
                 self._pool.reactor.callLater(0, self._report_not_sent)
             return
+        if not data.is_address(self._address):
+            self._pool.reactor.callLater(0, self.on_connect_failed)
+            return
         host, _, port = self._address.rpartition(":")
         factory = _ConnectionFactory(self, self._pool)
         self._connector = self._pool.reactor.connectTCP(
--- a/toucanspread/ops/load_reports.py
+++ b/toucanspread/ops/load_reports.py
@@ -11,6 +11,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import entry_directory
+from toucanspread.ops import datagrams
 
 UNCHANGED_LOAD_INTERVAL_S = 0.6  # shorter than the maximum age of a load report
 REMOTE_ZONE_LOAD_INTERVAL_S = 0.6  # entries of other zones send few requests
@@ -78,5 +79,4 @@
             )
             if not is_due:
                 continue
-            host, _, port = entry.reports.rpartition(":")
-            self.transport.write(payload, (host, int(port)))
+            datagrams.send(self.transport, payload, entry.reports)
