Count at least one token in a decode pass

What could happen (a test; not seen in a play): with `stride` 0 in the configuration, the estimate how long a request will run divides by zero, for each request that is chosen an engine which will switch.

Cause: numbers of the configuration were clamped to ranges of a count, and a count that is divided by needs a lowest value above 0, as `read_per_s` has. Fix: `stride` is at least 1.

Test before: "ZeroDivisionError: division by zero". After: decoding_test.py, 14 passed.

--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -21,6 +21,7 @@
 SIDECAR_PREFIXES = (VERSIONS_PREFIX, ENGINES_PREFIX, entry_directory.RECORDS_PREFIX)
 DEFAULT_PRIORITY = 5
 COUNT = bounds.Range(0, 1_000_000)
+STRIDE = bounds.Range(1, 1_000_000)  # a pass generates one token at least
 DURATION_MS = bounds.Range(0, bounds.MAX_DURATION_MS)
 DURATION_S = bounds.Range(0, bounds.MAX_DURATION_S)
 PRIORITY = bounds.Range(0, 1_000_000_000)  # 0 is the most urgent
@@ -317,7 +318,7 @@
     profile = None
     engine = service.engine
     if engine is not None and engine.models:
-        stride = _clamp("stride", engine.stride, COUNT)
+        stride = _clamp("stride", engine.stride, STRIDE)
         profile = entry_data.ModelProfile(
             data.ModelName(engine.models[0].name),
             _clamp("layers", engine.layers, LAYERS),
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -207,6 +207,12 @@
         entry = getattr(event, "entry", None)
         choose_engine(decoding.decode_configuration(encode_json(CONFIG)), entry)
 
+    def test_a_decode_pass_of_no_token_does_not_end_the_estimate_of_a_run(self):
+        path = ("services", 0, "engine", "stride")
+        value = encode_json(change_at(CONFIG, path, 0))
+        (service, *_) = decoding.decode_configuration(value).services
+        self.assertGreater(load_balancing.decode_s(service.profile, 10), 0.0)
+
     @hypothesis.given(
         strategies.sampled_from(list(list_paths(CONFIG))), ODD_NUMBERS | ODD_VALUES
     )
