Simulate engines that stand still across the time of a version

Simulated engines had versions or stood still, but not both, so no test could see what an engine begins on when it wakes.

--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -89,6 +89,11 @@
             if job in jobs:
                 jobs.remove(job)
 
+    def cancel_all(self) -> None:
+        """Remove all requests, as the engine ends."""
+        self._queue.clear()
+        self._running.clear()
+
     def holds(self, job: Job) -> bool:
         """Return whether a request waits or runs at the engine."""
         return job in self._queue or job in self._running
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -9,6 +9,8 @@
 
 from toucanspread.core.entry import data as entry_data
 
+RETRY_ALLOWANCE = 234  # of a service in ten seconds, from the users' figures
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestKind:
@@ -116,10 +118,12 @@
     """The operator names the next version of the weights.
 
     :param within_s: time within which requests must begin on it.
+    :param learned_within_s: time within which all entries learn of it.
     """
 
     at_s: float
     within_s: float
+    learned_within_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +159,9 @@
     :param engine_freezes: times for which engines stand still.
     :param silent_sidecars: the same of sidecars only, whose engines serve as before.
     :param loss_ratio: part of the datagrams to entries that are lost.
+    :param entry_ttl_s: time of silence after which an engine's entry in the store
+        expires; None if entries never do.
+    :param retry_allowance: of all entries together, beside a part of the requests.
     """
 
     name: str
@@ -172,6 +179,8 @@
     engine_freezes: tuple[EngineFreeze, ...] = ()
     silent_sidecars: tuple[EngineFreeze, ...] = ()
     loss_ratio: float = 0.0
+    entry_ttl_s: float | None = None
+    retry_allowance: float = RETRY_ALLOWANCE
 
 
 LOAD_PROFILES = (
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -25,6 +25,7 @@
 from toucanspread.core import data
 
 MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
+MAINTENANCE_INTERVAL_S = 0.25  # of an entry's view of the engines
 LEAVING_DURATION_S = 6.0  # an entry out of use ends with its last request
 
 
@@ -39,12 +40,15 @@
         self.outcome = simulated_request.CallerTotals()
         self.crashing_outcome = simulated_request.CallerTotals()
         self._loss_random_source = random.Random(f"{seed}/losses")
+        self._learning_random_source = random.Random(f"{seed}/versions")
         self.crash_check = crash_check.CrashCheck()
         change = profile.version_change
         within_s = change.within_s if change is not None else float("inf")
         self.version_check = version_check.VersionCheck(within_s)
         self.engine_link_delay_s = profile.engine_link_delay_s
         self.engine_link = profile.engine_link
+        self.entry_ttl_s = profile.entry_ttl_s
+        self.retry_allowance = profile.retry_allowance
         self.caller_check = caller_check.CallerCheck(self.crash_check)
         self.leave_check = leave_check.LeaveCheck()
         self._prompt_source = simulated_prompts.PromptSource(seed)
@@ -79,7 +83,7 @@
             self.clock.callLater(silence.at_s, self._silence_sidecars, silence)
         for engine in self.engines:
             if engine.switch_at_s is not None:
-                self.clock.callLater(engine.switch_at_s, engine.switch)
+                self.clock.callLater(engine.switch_at_s, engine.receive, engine.switch)
         for number, engine in enumerate(self.engines):
             offset_s = simulated_cluster.REPORT_INTERVAL_S * number / len(self.engines)
             reporting = task.LoopingCall(engine.report)
@@ -87,6 +91,10 @@
             self.clock.callLater(
                 offset_s, reporting.start, simulated_cluster.REPORT_INTERVAL_S
             )
+        if self.entry_ttl_s is not None:
+            maintenance = task.LoopingCall(self._drop_removed_engines)
+            maintenance.clock = self.clock
+            maintenance.start(MAINTENANCE_INTERVAL_S)
         self.clock.callLater(0.0, self._send_next_request)
         for crashing in self._profile.crashing_parts:
             self.clock.callLater(crashing.from_s, self._send_next_crashing, crashing)
@@ -138,15 +146,26 @@
             engine.limit.change(self.clock.seconds(), change.limit_per_s)
 
     def _name_version(self) -> None:
-        """Name the next version of the weights; all entries learn of it at once."""
+        """Name the next version of the weights; each entry learns of it."""
         version = simulated_cluster.FIRST_VERSION + 1
-        self.version_check.record_named(self.clock.seconds(), version)
+        change = self._profile.version_change
+        now_s = self.clock.seconds()
+        self.version_check.record_named(now_s, version)
         for entry in self.entries:
-            entry.learn_version(version, self._profile.version_change.within_s)
+            learns_in_s = self._learning_random_source.uniform(
+                0.0, change.learned_within_s
+            )
+            self.clock.callLater(
+                learns_in_s, entry.learn_version, version, change.within_s, now_s
+            )
         for engine in self.engines:
             if engine.sidecar is not None:
                 engine.sidecar.request_version(version)
 
+    def _drop_removed_engines(self) -> None:
+        for entry in self.entries:
+            entry.registry.drop_removed(self.clock.seconds())
+
     def add_entry(self) -> None:
         """Add an entry; the others learn of it after a while."""
         number, self._next_entry_number = (
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -54,7 +54,8 @@
 )
 SERVICE = entry_data.Service(data.ServiceName("pool"), PROFILE)
 FIRST_VERSION = 1  # of the weights
-LAYERS = (entry_data.LoadedLayers(PROFILE.model, 1, 0, PROFILE.layers),)
+ENTRY_INTERVAL_S = 1.2  # between writes of an engine's entry in the store
+ENTRY_DELAY_S = 0.3  # until all entries know of a change in the store
 
 
 class EngineClient(abc.ABC):
@@ -86,6 +87,9 @@
     :ivar version_check: the check of the versions on which requests begin.
     :ivar engine_link_delay_s: additional delay of all that is sent to engines.
     :ivar engine_link: the links to engines' instances; None if they hold nothing up.
+    :ivar entry_ttl_s: time of silence after which an engine's entry in the store
+        expires; None if entries never do.
+    :ivar retry_allowance: of all entries together, beside a part of the requests.
     """
 
     clock: task.Clock
@@ -95,6 +99,8 @@
     version_check: version_check.VersionCheck
     engine_link_delay_s: float
     engine_link: load_profiles.LinkProfile | None
+    entry_ttl_s: float | None
+    retry_allowance: float
     entries: "list[SimulatedEntry]"
 
     @abc.abstractmethod
@@ -149,6 +155,7 @@
             )
         self._simulation = simulation
         self._number = number
+        self._store_random_source = random.Random(f"{simulation.seed}/store/{number}")
         self._born_ms = 0
 
     @property
@@ -162,7 +169,9 @@
             engine_model.SLOT_COUNT,
             entry_data.EngineState.READY,
             self._born_ms,
-            loaded=LAYERS,
+            loaded=(
+                entry_data.LoadedLayers(PROFILE.model, self.version, 0, PROFILE.layers),
+            ),
         )
 
     @property
@@ -192,6 +201,7 @@
         self.is_loading = False
         self.switch_at_s = None
         self.version += 1
+        self._write_entry_soon()
 
     def order_switch(self, in_s: float) -> None:
         """Announce a switch, and switch then unless the engine was restarted."""
@@ -221,9 +231,39 @@
         self.is_frozen = True
         self.model.stand_still(duration_s)
         self._simulation.clock.callLater(duration_s, self._thaw)
+        if self._simulation.entry_ttl_s is not None:
+            written_s = self._store_random_source.uniform(0.0, ENTRY_INTERVAL_S)
+            left_s = self._simulation.entry_ttl_s - written_s
+            self._simulation.clock.callLater(left_s, self._expire_entry)
+
+    def _expire_entry(self) -> None:
+        if not self.is_frozen:
+            return
+        now_s = self._simulation.clock.seconds()
+        self._change_registries("remove", self.engine_id, now_s)
+
+    def _write_entry_soon(self) -> None:
+        """Write the entry of the engine in the store, as it does at an interval."""
+        wait_s = self._store_random_source.uniform(0.0, ENTRY_INTERVAL_S)
+        self._simulation.clock.callLater(wait_s, self._write_entry)
+
+    def _write_entry(self) -> None:
+        if self.is_frozen or self.is_crashed or not self.is_running:
+            return
+        self._change_registries("put", self.entry)
+
+    def _change_registries(self, method: str, *arguments) -> None:
+        """Change the entries' views, each when it learns of the change."""
+        for entry in self._simulation.entries:
+            self._simulation.clock.callLater(
+                self._store_random_source.uniform(0.0, ENTRY_DELAY_S),
+                getattr(entry.registry, method),
+                *arguments,
+            )
 
     def _thaw(self) -> None:
         self.is_frozen = False
+        self._write_entry_soon()
         waiting, self._waiting = self._waiting, []
         for call in waiting:
             call()
@@ -252,6 +292,7 @@
             return
         self.is_crashed = True
         self._fail_jobs()
+        self.model.cancel_all()
         self._simulation.clock.callLater(duration_s, self._return, self.model)
 
     def _crash_on(
@@ -336,7 +377,9 @@
         self._version_within_s = 0.0
         self.registry = engines.EngineRegistry(DRAIN_DURATION_S)
         self.queue = request_queue.RequestQueue(simulation.clock)
-        self.retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
+        self.retry_budgets = retry_budget.RetryBudget(
+            0.2, simulation.retry_allowance, 10.0
+        )
         self.random_source = random.Random(f"{simulation.seed}/{number}")
         self._simulation = simulation
         self.crash_notices = crash_notices.CrashNotices(
@@ -357,15 +400,16 @@
         """Apply a change of the number of entries."""
         self._entry_count = entry_count
 
-    def learn_version(self, version: int, within_s: float) -> None:
+    def learn_version(self, version: int, within_s: float, named_s: float) -> None:
         """Learn that a version of the weights was named.
 
         :param within_s: time within which requests must begin on it.
         """
         now_s = self._simulation.clock.seconds()
         self._version_within_s = within_s - cluster_state.VERSION_DISPATCH_MARGIN_S
-        self._versions.add(version, cluster_state.ChangeTiming(now_s, now_s))
-        withdrawal_in_s = within_s - cluster_state.VERSION_WITHDRAWAL_MARGIN_S
+        self._versions.add(version, cluster_state.ChangeTiming(now_s, named_s))
+        margin_s = cluster_state.VERSION_WITHDRAWAL_MARGIN_S
+        withdrawal_in_s = named_s + within_s - margin_s - now_s
         for delay_s in cluster_state.list_withdrawal_delays_s(withdrawal_in_s):
             self._simulation.clock.callLater(delay_s, self._withdraw_outdated)
 
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -67,10 +67,12 @@
 class _Dispatch:
     """One dispatch of a request to an engine.
 
+    :ivar expected_version: the version that the engine must have; 0 for any.
     :ivar job: the job that the engine still has after the withdrawal; None before it.
     """
 
     engine: simulated_cluster.SimulatedEngine
+    expected_version: int = 0
     is_withdrawn: bool = False
     job: engine_model.Job | None = None
 
@@ -304,9 +306,10 @@
                     self._entry.queue.add(self)
                 case decisions.Cancel():
                     self._cancel_job()
-                case decisions.SendToEngine(engine_id=engine_id, priority=priority):
-                    self._priority = priority
-                    self._send(self._simulation.engines_by_id[engine_id])
+                case decisions.SendToEngine():
+                    self._priority = effect.priority
+                    engine = self._simulation.engines_by_id[effect.engine_id]
+                    self._send(engine, effect.expected_version)
                 case decisions.NotifyEntries(notice=notice):
                     self._simulation.broadcast(
                         self._entry.zone, "apply_limit", notice, self._entry
@@ -318,7 +321,9 @@
                     self._record_refusal(cause)
                     self._schedule_retry(0.0)
 
-    def _send(self, engine: simulated_cluster.SimulatedEngine) -> None:
+    def _send(
+        self, engine: simulated_cluster.SimulatedEngine, expected_version: int
+    ) -> None:
         sent = entry_data.PromptSent(
             engine.engine_id, simulated_cluster.SERVICE.name, self.prompt_tokens
         )
@@ -327,7 +332,7 @@
         )
         self._engine = engine
         self._entry.in_progress[self] = None
-        self._dispatch = _Dispatch(engine)
+        self._dispatch = _Dispatch(engine, expected_version)
         self._simulation.leave_check.record_dispatch(
             self._simulation.clock.seconds(), engine.engine_id
         )
@@ -361,7 +366,8 @@
             )
         engine.limit.record_arrival(now_s, self._entry)
         job = self._make_job()
-        if not is_open or not engine.model.submit(job):
+        is_version_right = dispatch.expected_version in (0, engine.version)
+        if not is_open or not is_version_right or not engine.model.submit(job):
             self._read_limit(engine)
             self._fail_dispatch(decisions.DispatchFailure.REJECTED)
             return
