Show that an own entry's drain cuts an answer that is still being sent

The product's own entry ends once no request is left, also while a complete answer waits for a slow caller: the stop counts requests, not what is still to be sent.

--- a/toucanspread/ops/caller_api_test.py
+++ b/toucanspread/ops/caller_api_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 
 import msgspec
 import testtools
@@ -7,6 +8,7 @@
 from twisted.internet import error, testing
 from twisted.python import failure
 
+from standins import running_reactor
 from toucanspread.core import data, events
 from toucanspread.core.requests import requests_test
 from toucanspread.ops import caller_api, dispatcher, grpc_transport, loop, runtime
@@ -331,3 +333,42 @@
         channel.connectionLost(failure.Failure(error.ConnectionLost()))
         loop.EVENT_LOOP.run_until_complete(self.run_pending_tasks())
         self.assertEqual({}, self.host.node.requests.live)
+
+
+class SlowCallerAtStopTest(CallerApiCase):
+    PAYLOAD = b"a" * 4_000_000
+
+    async def open_caller(self):
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        caller.setblocking(False)
+        self.addCleanup(caller.close)
+        port = self.api._listener.getHost().port
+        await loop.EVENT_LOOP.sock_connect(caller, ("127.0.0.1", port))
+        head = f"POST /v1/requests/reservas HTTP/1.1\r\nHost: x\r\n{HEADERS}"
+        request = f"{head}Connection: close\r\nContent-Length: 5\r\n\r\nhello"
+        await loop.EVENT_LOOP.sock_sendall(caller, request.encode())
+        return caller
+
+    async def stop_before_the_caller_reads(self):
+        await self.api.start()
+        caller = await self.open_caller()
+        while not self.peers.dispatches or self.host.node.requests.live:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.ensure_future(self.api.stop())
+        await asyncio.sleep(0.2)
+        has_stopped_early = stopping.done()
+        received = bytearray()
+        while part := await loop.EVENT_LOOP.sock_recv(caller, 1_000_000):
+            received += part
+        await stopping
+        return has_stopped_early, bytes(received)
+
+    def test_process_does_not_end_before_a_slow_caller_has_its_answer(self):
+        running_reactor.start(self)
+        report = requests_test.make_report("p1", requests_test.PLAIN)
+        self.start(make_whole_answer(self.PAYLOAD), reports=[report])
+        stopping = self.stop_before_the_caller_reads()
+        has_stopped_early, received = loop.EVENT_LOOP.run_until_complete(stopping)
+        self.assertFalse(has_stopped_early)
+        self.assertTrue(received.endswith(self.PAYLOAD))
