Let no failing request keep the others of a quarantine at engines

Cause: the loop over all requests had no guard for each. Class of fault: one failure ends a loop over independent things, as in the queues of all services. Found while an engine that wakes late was looked into. Fix: the loop that withdrawals and the stop of an entry use.

Test before: "ValueError: address of the next engine" out of the loop. After: forwarder_test.py passes.

--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -216,8 +216,9 @@
                 loop.log_failure(name, exception)
 
     def _on_quarantine(self) -> None:
-        for request in list(self.in_progress):
-            request.on_quarantine()
+        self._for_each_request(
+            "quarantine", forwarded_request.ForwardedRequest.on_quarantine
+        )
 
     def _may_be_outdated(self) -> bool:
         """Return whether another configuration may be in force at other entries."""
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -13,6 +13,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    decisions,
     event_stream,
     fingerprints,
     guard_program,
@@ -468,6 +469,20 @@
         self.assertTrue(engine.cancelled)
         self.assertEqual(30, len(failures))
 
+    def test_a_request_that_fails_in_a_quarantine_does_not_keep_others_at_engines(self):
+        class FailingRequest:
+            def on_quarantine(self):
+                raise ValueError("address of the next engine")
+
+        engine = self.send_request()
+        (request,) = self.forwarder.in_progress
+        request.state.on_quarantine = lambda context: [decisions.Cancel(1)]
+        self.forwarder.in_progress.update(FailingRequest() for _ in range(30))
+        with capture_events("task_failed") as failures:
+            self.forwarder._on_quarantine()
+        self.assertTrue(engine.cancelled)
+        self.assertEqual(30, len(failures))
+
     def test_what_has_not_begun_is_withdrawn_from_weights_that_become_too_old(self):
         service = self.cluster.route_table.services[data.ServiceName("s1")]
         first = self.send_request()
