Log withdrawals that run late

The record of a request that began on older weights can't tell an entry that was held up at the time of the withdrawal from one that made none. `withdrawal_late` names by how much a check ran after its time, from 0.05 s on. The checks are scheduled ahead of everything else that a new version leads to, so that an error there can't keep them from it.

forwarder_test.py, two new tests: a check that runs 0.2 s late is logged, one on time isn't.

--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -34,6 +34,7 @@
     routes.Denial.UNKNOWN_KEY: 401,
 }
 STARTING_RETRY_AFTER_S = 0.5  # about the time until a new entry has its configuration
+LOGGED_LATENESS_S = 0.05  # of a withdrawal, which has 0.3 s until it has to act
 OUTDATED_RETRY_AFTER_S = 0.5  # another entry may know the configuration in force
 
 
@@ -156,8 +157,10 @@
 
         :param in_s: seconds until requests to engines without a delay are withdrawn.
         """
+        now_s = self.pool.reactor.seconds()
         for delay_s in cluster_state.list_withdrawal_delays_s(in_s):
-            self.pool.reactor.callLater(delay_s, self._withdraw_outdated)
+            due_s = now_s + delay_s
+            self.pool.reactor.callLater(delay_s, self._withdraw_outdated, due_s)
 
     def make_decision_context(
         self, service: entry_data.Service
@@ -197,7 +200,10 @@
             share = self._random_source.choices(shares, weights)[0]
         return self.cluster.route_table.services.get(share.service)
 
-    def _withdraw_outdated(self) -> None:
+    def _withdraw_outdated(self, due_s: float) -> None:
+        late_s = self.pool.reactor.seconds() - due_s
+        if late_s > LOGGED_LATENESS_S:
+            logs.write("withdrawal_late", late_s=late_s, requests=len(self.in_progress))
         self._for_each_request(
             "withdrawal", forwarded_request.ForwardedRequest.withdraw_if_outdated
         )
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -469,6 +469,19 @@
         self.assertTrue(engine.cancelled)
         self.assertEqual(30, len(failures))
 
+    def test_a_withdrawal_of_a_held_up_entry_is_logged_as_late(self):
+        self.forwarder.schedule_withdrawal(0.1)
+        with capture_events("withdrawal_late") as events:
+            self.clock.advance(0.3)
+        (late,) = events
+        self.assertAlmostEqual(0.2, late["late_s"])
+
+    def test_a_withdrawal_on_time_is_not_logged_as_late(self):
+        self.forwarder.schedule_withdrawal(0.1)
+        with capture_events("withdrawal_late") as events:
+            self.clock.advance(0.1)
+        self.assertEqual([], events)
+
     def test_a_request_that_fails_in_a_quarantine_does_not_keep_others_at_engines(self):
         class FailingRequest:
             def on_quarantine(self):
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -261,10 +261,12 @@
             return
         if not self.cluster.apply(event, timing, store_was_unavailable):
             return
-        self._log_change(event, change)
         if isinstance(event, cluster_state.VersionNamed):
+            # First, as nothing may keep what waits on older weights at engines.
             withdrawal_in_s = self.cluster.withdrawal_in_s(event, reactor.seconds())
             self._forwarder.schedule_withdrawal(withdrawal_in_s)
+        self._log_change(event, change)
+        if isinstance(event, cluster_state.VersionNamed):
             is_new_version = timing.earliest_in_force_s > float("-inf")
             self._fetch_kept_pieces(event.model, event.version, is_new_version)
 
