Take as addresses only what can be connected and sent to

Callers saw nothing of entries with an address such as a..b:80 or with a host label of 70 letters; logs had "Unhandled error in Deferred". An entry's record whose address for datagrams is a host name ended the sidecar's work on its engine every 0.7 s.

Cause: an address was any text with a port. The resolver fails to encode such a host (UnicodeError: label empty or too long), in a Deferred that nobody handles, and a datagram to a host name, or one that the system refuses to send (PermissionError), raises where it is sent.

Fix: data.is_address takes an IPv4 address or a host name with valid labels; an entry's address for datagrams has to be an IP address. Addresses that never were checked (origin of weights in the configuration, seeds, the store) meet the check in the pool: a call to one that is none fails like a call to an unreachable server.

Tests that failed before: - standins/odd_entries_test.py, real programs: "entry-1: Unhandled error in Deferred:"; event=task_failed name=engine kind=InvalidAddressError; - data_test.py: "True is not false : a:b:80"; http1_pool_test.py: "UnicodeError: label empty or too long", "invalid literal for int()"; entry_handlers_test.py: "PermissionError: [Errno 13] Permission denied". After: all of toucanspread/, platform_programs_test.py (one listed as known failing), odd_entries_test.py, platform_store_test.py and planned_stop_test.py pass.

--- a/standins/odd_entries_test.py
+++ b/standins/odd_entries_test.py
@@ -30,6 +30,19 @@
     return json.dumps({**entry, **changed}).encode()
 
 
+def encode_record(**changed):
+    """Return the record of an entry that no other process can reach."""
+    record = {
+        "name": "odd",
+        "zone": platform_deployment.ZONE,
+        "region": platform_deployment.REGION,
+        "address": "127.0.0.1:9",
+        "control": "127.0.0.1:9",
+        "reports": "127.0.0.1:9",
+    }
+    return json.dumps({**record, **changed}).encode()
+
+
 def nest(value):
     """Return a JSON object with one more field that is deeply nested."""
     return value[:-1] + b', "odd": ' + DEEP_LIST + b"}"
@@ -109,3 +122,18 @@
         self.check_programs_go_on(
             servers__odd=nest(encode_entry()), entries__odd=nest(b'{"name": "e"}')
         )
+
+
+class OddAddressTest(OddEntriesCase):
+    def test_an_address_that_nothing_can_connect_to_raises_no_error(self):
+        self.check_programs_go_on(
+            servers__odd_1=encode_entry(address="a..b:80"),
+            servers__odd_2=encode_entry(address=f"{'a' * 70}:80"),
+            entries__odd=encode_record(control="a..b:80"),
+        )
+
+    def test_an_entry_that_takes_no_datagrams_takes_no_service_away(self):
+        self.check_programs_go_on(
+            entries__odd_1=encode_record(name="odd-1", reports="localhost:80"),
+            entries__odd_2=encode_record(name="odd-2", reports="255.255.255.255:80"),
+        )
--- a/toucanspread/core/data.py
+++ b/toucanspread/core/data.py
@@ -6,6 +6,8 @@
 """
 
 import enum
+import ipaddress
+import re
 from typing import NewType
 
 import msgspec
@@ -32,6 +34,8 @@
 
 AttemptKey = tuple[RequestId, int]  # identifies one dispatch
 MAX_PORT = 65_535
+MAX_HOST_NAME_LENGTH = 253
+HOST_LABEL_PATTERN = re.compile(r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?")
 MAX_COUNT_DIGITS = 18  # longer numbers are no counts, and int() refuses very long ones
 
 
@@ -43,10 +47,41 @@
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text has a host and a port number."""
+    """Return whether a text has a host and a port to which one can connect.
+
+    The host is an IPv4 address or a host name.
+    """
+    host, _, port = text.rpartition(":")
+    return (_is_ip(host) or _is_host_name(host)) and _is_port(port)
+
+
+def is_ip_address(text: str) -> bool:
+    """Return whether a text has an IPv4 address and a port, as datagrams need them."""
     host, _, port = text.rpartition(":")
-    number = parse_count(port)
-    return bool(host) and number is not None and 1 <= number <= MAX_PORT
+    return _is_ip(host) and _is_port(port)
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_host_name(host: str) -> bool:
+    labels = host.split(".")
+    # A last label of digits only is part of a malformed IP address.
+    return (
+        len(host) <= MAX_HOST_NAME_LENGTH
+        and all(map(HOST_LABEL_PATTERN.fullmatch, labels))
+        and not labels[-1].isdigit()
+    )
+
+
+def _is_port(text: str) -> bool:
+    number = parse_count(text)
+    return number is not None and 1 <= number <= MAX_PORT
 
 
 class Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
--- a/toucanspread/core/entry/entry_directory.py
+++ b/toucanspread/core/entry/entry_directory.py
@@ -49,8 +49,9 @@
         record = decoder.decode_json(value, EntryRecord)
     except decoder.MalformedError:
         return None
-    addresses = (record.address, record.control, record.reports)
-    return record if all(map(data.is_address, addresses)) else None
+    if not data.is_address(record.address) or not data.is_address(record.control):
+        return None
+    return record if data.is_ip_address(record.reports) else None
 
 
 class EntryDirectory:
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http1_pool.py
@@ -95,6 +95,9 @@
         if connection is not None:
             self._send_on(connection)
             return
+        if not data.is_address(self._address):
+            self._pool.reactor.callLater(0, self.on_connect_failed)
+            return
         host, _, port = self._address.rpartition(":")
         factory = _ConnectionFactory(self, self._pool)
         self._connector = self._pool.reactor.connectTCP(
--- a/toucanspread/ops/http1_pool_test.py
+++ b/toucanspread/ops/http1_pool_test.py
@@ -31,6 +31,23 @@
         raise AssertionError(failure)
 
 
+class OddAddressTest(testtools.TestCase):
+    def test_a_call_to_an_address_that_is_none_fails_like_an_unreachable_one(self):
+        async def call_each():
+            for address in ("", "here", "a..b:80", f"{'a' * 70}:80", "a:99999", "a:-"):
+                head = http1.RequestHead(b"GET", b"/", [])
+                try:
+                    await pool.call(address, head)
+                except http1_pool.CallError as error:
+                    failures.append(error.failure)
+
+        running_reactor.start(self)
+        failures = []
+        pool = http1_pool.ConnectionPool(reactor)
+        loop.EVENT_LOOP.run_until_complete(call_each())
+        self.assertEqual([http1_client.ExchangeFailure.NOT_CONNECTED] * 6, failures)
+
+
 class IdleTimeTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/staging_driver.py
@@ -22,6 +22,7 @@
     switch_turns,
 )
 from toucanspread.ops import (
+    datagrams,
     engine_control,
     http1_pool,
     logs,
@@ -105,8 +106,7 @@
             )
             if not is_due:
                 continue
-            host, _, port = entry.reports.rpartition(":")
-            self.transport.write(payload, (host, int(port)))
+            datagrams.send(self.transport, payload, entry.reports)
 
 
 class StagingDriver:
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -19,6 +19,7 @@
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import (
     crash_notices,
+    datagrams,
     excerpt_client,
     excerpt_server,
     forwarder,
@@ -91,8 +92,7 @@
         for record in records:
             if record.name == self._name:
                 continue
-            host, _, port = record.reports.rpartition(":")
-            self.transport.write(payload, (host, int(port)))
+            datagrams.send(self.transport, payload, record.reports)
 
 
 class EntryState(abc.ABC):
--- a/toucanspread/platform/entry_handlers_test.py
+++ b/toucanspread/platform/entry_handlers_test.py
@@ -42,6 +42,19 @@
         self.written.append((payload, address))
 
 
+class FailingTransport(FakeTransport):
+    """Fails to send to one host, as a socket does without a route or permission."""
+
+    def __init__(self, host):
+        super().__init__()
+        self._host = host
+
+    def write(self, payload, address):
+        if address[0] == self._host:
+            raise PermissionError(13, "Permission denied")
+        super().write(payload, address)
+
+
 class ExcerptRequestTest(testtools.TestCase):
     """A process of another version names fewer or more arguments."""
 
@@ -148,6 +161,17 @@
         self.receive(sound)
         self.assertEqual(sound, engine.load)
 
+    def test_an_entry_that_takes_no_datagrams_keeps_none_from_the_others(self):
+        addresses = ["10.0.0.3:1"] * 3
+        record = entry_directory.EntryRecord("n0", "z", "r", *addresses)
+        self.cluster.directory.put(record)
+        self.receiver.transport = FailingTransport("10.0.0.3")
+        self.receiver.send_prompt_notice(
+            entry_data.PromptSent("e", data.ServiceName("s"), 1)
+        )
+        ((_, address),) = self.receiver.transport.written
+        self.assertEqual(("n2", 3), address)
+
     def test_a_load_report_shows_that_an_engine_did_not_crash(self):
         entry = make_entry()
         self.cluster.registry.put(entry)
