--- a/standins/odd_entries_test.py
+++ b/standins/odd_entries_test.py
@@ -1,14 +1,15 @@
 """Tests that the platform's programs go on beside odd values of other writers."""
 
+import asyncio
 import itertools
 import json
-import time
 
 from standins import platform_deployment, platform_programs_test
 
 SEEN_AFTER_S = 0.5
 REQUEST_COUNT = 10
 LONG_NUMBER = int("9" * 310)  # beyond the range of a float
+LONG_PROMPT = "10000000,5"  # the most tokens that are accepted of a request
 LEVEL_COUNT = 100_000
 DEEP_LIST = b"[" * LEVEL_COUNT + b"]" * LEVEL_COUNT
 run = platform_programs_test.run
@@ -80,7 +81,7 @@
         for name, value in values.items():
             key = name.replace("__", "/")
             self.deployment.state.write_unchecked(key, value)
-        time.sleep(SEEN_AFTER_S)
+        run(asyncio.sleep(SEEN_AFTER_S))
         served = [run(self.serve("/a/x")) for _ in range(REQUEST_COUNT)]
         self.assertEqual([True] * REQUEST_COUNT, served)
         self.deployment.write_configuration(version, "/a/", f"/v{version}/")
@@ -137,3 +138,15 @@
             entries__odd_1=encode_record(name="odd-1", reports="localhost:80"),
             entries__odd_2=encode_record(name="odd-2", reports="255.255.255.255:80"),
         )
+
+
+class PromptClaimTest(OddEntriesCase):
+    def test_a_claim_of_many_tokens_takes_an_engine_no_longer_than_its_request(self):
+        run(
+            platform_programs_test.send_request(
+                self.entries[0], "/model/x", usage=LONG_PROMPT
+            )
+        )
+        run(asyncio.sleep(self.deployment.timeout_ms / 1_000 + SEEN_AFTER_S))
+        served = [run(self.serve("/model/x")) for _ in range(3)]
+        self.assertEqual([True] * 3, served)
--- a/standins/platform_programs_test.py
+++ b/standins/platform_programs_test.py
@@ -60,6 +60,7 @@
     attempt_id=ATTEMPT_ID,
     parts=(),
     body=b"question",
+    usage="",
 ):
     """Send a caller's request to an entry."""
     headers = {
@@ -69,6 +70,8 @@
         "X-Tenant": "forged",
         "Api-Key": key,
     }
+    if usage:
+        headers["X-Token-Usage"] = usage
     if parts:
         ids = [*parts, attempt_id]
         headers["X-Prompt-Prefix"] = ",".join(f"{part}:100" for part in ids)
