Let no caller's claim of tokens count for longer than its request may take

What callers would see (the real programs): one request that claims 10,000,000 tokens counts as 1,000 s of work at its engine; both entries then refuse all requests of the service.

Cause: the number of prompt tokens is a caller's, and was believed. The same class as the odd entries of engines: a number of another writer, bounded by its form only. Fix: a prompt counts as no longer than the route's time limit, at which its engine ends it.

--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -92,13 +92,13 @@
         route: entry_data.Route,
         team: entry_data.Team | None,
     ):
-        self.call = call
         self.exchange = exchange
         self._forwarder = forwarder
         self._route = route
         self._team = team.name if team is not None else None
         self._team_priority = team.priority if team is not None else None
         self.service = forwarder.choose_service(route)
+        self.call = _bound_prompt(call, route, self.service)
         self._state: forwarding.RequestState | None = None
         self._answer: engine_answer.EngineAnswer | None = None
         self._deadline_timer = None
@@ -495,3 +495,15 @@
         else:
             self.longest_pause_s = max(self.longest_pause_s, now_s - self._last_s)
         self._last_s = now_s
+
+
+def _bound_prompt(
+    call: entry_data.Call, route: entry_data.Route, service: entry_data.Service | None
+) -> entry_data.Call:
+    """Return a call whose prompt takes an engine no longer than the route allows."""
+    if service is None or service.profile is None:
+        return call
+    max_tokens = int(route.timeout_s * service.profile.read_per_s)
+    if call.prompt_tokens <= max_tokens:
+        return call
+    return msgspec.structs.replace(call, prompt_tokens=max_tokens)
