Bound the ranges of layers of an engine's entry

Cause: numbers of other writers are bounded, the length of their lists isn't, and every choice of an engine goes over all ranges, layer by layer.

Fix: an entry with more ranges than a model can have layers (1,000) is unreadable, as one with a number too large is; a range counts as bits of one number instead of a set of layers.

Test before: "MismatchError: False != True: 1001" (1,001 ranges were read). After: decoding_test.py and the tests of core/entry pass.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -345,15 +345,16 @@
 
 def complete_version(loaded: tuple[LoadedLayers, ...], profile: ModelProfile) -> int:
     """Return the newest version of which all layers are loaded, or 0."""
-    layers_by_version: dict[int, set[int]] = {}
+    layers_by_version: dict[int, int] = {}  # one bit for each layer
     for part in loaded:
-        if part.model == profile.model:
-            layers_by_version.setdefault(part.version, set()).update(
-                range(part.first, part.end)
-            )
+        if part.model != profile.model:
+            continue
+        layers = (1 << max(part.first, part.end)) - (1 << part.first)
+        layers |= layers_by_version.get(part.version, 0)
+        layers_by_version[part.version] = layers
     complete = [
         version
         for version, layers in layers_by_version.items()
-        if len(layers) >= profile.layers
+        if layers.bit_count() >= profile.layers
     ]
     return max(complete, default=0)
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -210,6 +210,7 @@
     """Decode an engine's entry; return None if it describes no usable engine."""
     try:
         entry = decoder.decode_json(value, _EngineEntry)
+        loaded = _make_loaded_layers(entry.models)
     except decoder.MalformedError:
         return None
     state = ENGINE_STATES.get(entry.state)
@@ -224,7 +225,7 @@
         state,
         entry.born,
         entry.cold_left_ms / 1000,
-        _make_loaded_layers(entry.models),
+        loaded,
     )
 
 
@@ -347,6 +348,10 @@
 def _make_loaded_layers(
     models: list[_LoadedModel],
 ) -> tuple[entry_data.LoadedLayers, ...]:
+    """Return the ranges of layers that an engine holds.
+
+    :raises decoder.MalformedError: when they are more than a model has layers.
+    """
     loaded_layers = []
     for model in models:
         name = data.ModelName(model.name)
@@ -363,6 +368,8 @@
                     name, layer_range.version, layer_range.first, layer_range.end
                 )
             )
+    if len(loaded_layers) > bounds.MAX_LAYERS:
+        raise decoder.MalformedError(f"{len(loaded_layers)} ranges of layers")
     return tuple(loaded_layers)
 
 
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -240,6 +240,29 @@
                 value = encode_json({**ENTRY, field: number})
                 self.assertIsNone(decoding.decode_engine("i", value), field)
 
+    def test_more_ranges_of_layers_than_a_model_has_make_an_entry_unreadable(self):
+        layers = [{"from": 0, "to": 1_000, "version": 1}]
+        for count, is_read in ((1_000, True), (1_001, False)):
+            models = [{"name": "m", "version": 1, "layers": layers * count}]
+            for split in (models, [{**models[0], "layers": layers}] * count):
+                entry = encode_json({**ENTRY, "models": split})
+                decoded = decoding.decode_engine("i", entry)
+                self.assertEqual(is_read, decoded is not None, count)
+
+    def test_ranges_that_overlap_or_are_empty_count_each_layer_once(self):
+        profile = decoding.decode_configuration(encode_json(CONFIG)).services[0].profile
+        for ranges, version in (
+            ([(0, 3), (1, 4)], 3),
+            ([(0, 3), (1, 3)], 0),
+            ([(4, 0)], 0),
+            ([(2, 1), (0, 2), (2, 4)], 3),
+        ):
+            layers = [{"from": a, "to": b, "version": 3} for a, b in ranges]
+            models = [{"name": "m", "version": 3, "layers": layers}]
+            entry = encode_json({**ENTRY, "models": models})
+            loaded = decoding.decode_engine("i", entry).loaded
+            self.assertEqual(version, entry_data.complete_version(loaded, profile))
+
     def test_layers_beyond_those_of_any_model_are_never_counted_up(self):
         layers = {"from": 0, "to": 10**12, "version": 1}
         models = [{"name": "m", "version": 1, "layers": layers}]
