Take an entry's record only under the key of its name

Cause: records are written, and removed, by key, but were added by the name in their value. Fix: a record under another key than that of its name is unreadable. Entries write theirs under their name (ops/registration.py).

Test before: "MismatchError: ['10.0.0.1:80'] != ['10.0.0.9:80']". After: the tests of toucanspread/platform, nesting_test.py and registration_test.py pass.

--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -285,7 +285,7 @@
             change.key.removeprefix(entry_directory.RECORDS_PREFIX)
         )
     record = entry_directory.decode_record(change.value)
-    if record is None:
+    if record is None or change.key != entry_directory.RECORDS_PREFIX + record.name:
         logs.write("entry_record_unreadable", key=change.key)
         return None
     return cluster_state.EntrySeen(record)
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -240,6 +240,20 @@
                 value = encode_json({**ENTRY, field: number})
                 self.assertIsNone(decoding.decode_engine("i", value), field)
 
+    def test_a_record_under_another_key_is_not_taken_for_that_of_an_entry(self):
+        state = cluster_state.ClusterState(8.0, 2.0)
+        timing = cluster_state.ChangeTiming(0.0, 0.0)
+        record = {"name": "e-1", "zone": "z", "region": "r"}
+        for key, ip in (("entries/e-1", "10.0.0.1"), ("entries/odd", "10.0.0.9")):
+            ports = ("address", 80), ("control", 81), ("reports", 82)
+            addresses = {name: f"{ip}:{port}" for name, port in ports}
+            value = encode_json({**record, **addresses})
+            event = decoding.decode_change(store_view.KeyChange(key, 1, value))
+            if event is not None:
+                state.apply(event, timing, False)
+        serving = [known.address for known in state.directory.serving()]
+        self.assertEqual(["10.0.0.1:80"], serving)
+
     def test_more_ranges_of_layers_than_a_model_has_make_an_entry_unreadable(self):
         layers = [{"from": 0, "to": 1_000, "version": 1}]
         for count, is_read in ((1_000, True), (1_001, False)):
