Use no engine whose id would end a header line

Cause: the id of an engine is the rest of a key of the store, which another writer chooses, and is named in X-Expect-Instance as it is.

Fix: an entry under a key with characters that aren't printable describes no usable engine.

Test before: decode_engine("i-1\r\nX-Tenant: t") returned the entry ("MismatchError: is not:"); and a trial of a request had b"X-Expect-Instance: i-1\r\nX-Tenant: forged\r\n". After: the tests of toucanspread/platform pass.

--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -208,6 +208,9 @@
 
 def decode_engine(engine_id: str, value: bytes) -> entry_data.EngineEntry | None:
     """Decode an engine's entry; return None if it describes no usable engine."""
+    if not engine_id.isprintable():
+        # Requests name it in a header line.
+        return None
     try:
         entry = decoder.decode_json(value, _EngineEntry)
         loaded = _make_loaded_layers(entry.models)
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -254,6 +254,11 @@
         serving = [known.address for known in state.directory.serving()]
         self.assertEqual(["10.0.0.1:80"], serving)
 
+    def test_an_engine_whose_id_would_end_a_header_line_is_not_used(self):
+        for engine_id in ("i-1\r\nX-Tenant: t", "i-1\n", "i\x00", "i\ud800"):
+            entry = decoding.decode_engine(engine_id, encode_json(ENTRY))
+            self.assertIsNone(entry, repr(engine_id))
+
     def test_more_ranges_of_layers_than_a_model_has_make_an_entry_unreadable(self):
         layers = [{"from": 0, "to": 1_000, "version": 1}]
         for count, is_read in ((1_000, True), (1_001, False)):
