Log a request that ends because its handling failed

What operators would see: a caller gets 502, and no line or metric says why. An error in the handling of an answer's end or of a broken answer is raised inside of the parser's callback; the parser passes on an error of its own, which counts as a malformed answer. So `task_failed`, by which the postmortem would have known such an error, is written only for errors out of timers and loops.

Fix: `request_abandoned` with the kind of the error, once for each request, and requests_abandoned_total.

Test before: "MismatchError: ['ValueError'] != []". After: forwarder_test.py, woken_engine_test.py and request_queue_test.py pass.

--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -74,8 +74,8 @@
     def handle_or_end(request: "ForwardedRequest", *arguments: object) -> object:
         try:
             return handle(request, *arguments)
-        except Exception:
-            request.abandon()
+        except Exception as error:
+            request.abandon(error)
             raise
 
     return handle_or_end
@@ -289,8 +289,10 @@
         if self._state is not None and self._state.is_finished:
             self._release()
 
-    def abandon(self) -> None:
+    def abandon(self, error: Exception) -> None:
         """End the request after an error, also at its engine."""
+        if self in self._forwarder.in_progress:
+            self._log_error(error)
         if self._answer is not None:
             self._answer.cancel()
         self._release()
@@ -304,6 +306,17 @@
         # Nobody waits for the request any more, as if its caller had left.
         self._state.on_caller_disconnected(self.make_decision_context())
 
+    def _log_error(self, error: Exception) -> None:
+        # A parser whose callback raises passes on another error, which names nothing.
+        metric_buffer.count("requests_abandoned")
+        logs.write(
+            "request_abandoned",
+            id=self.call.attempt_id,
+            engine=self._state.engine_id,
+            kind=type(error).__name__,
+            why=str(error),
+        )
+
     def _release(self) -> None:
         self._forwarder.in_progress.discard(self)
         self._forwarder.queue.remove(self)
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -537,6 +537,11 @@
     def sent_engine_id(self):
         return self.pool.sent[-1].address.replace(":", "-")
 
+    def test_a_withdrawal_of_which_the_rest_fails_is_logged_once(self):
+        with capture_events("request_abandoned") as abandoned:
+            self.send_and_name_version()
+        self.assertEqual(1, len(abandoned))
+
     def test_a_withdrawal_of_which_the_rest_fails_reaches_the_engine(self):
         engine = self.send_and_name_version()
         self.assertTrue(engine.cancelled)
@@ -555,6 +560,18 @@
         self.assertIn(b"HTTP/1.1 502", self.received())
         self.assertEqual(set(), self.forwarder.in_progress)
 
+    def test_an_error_at_the_end_of_an_answer_is_logged(self):
+        engine = self.send_request()
+        (request,) = self.forwarder.in_progress
+        request.state.on_answer = self.fail_to_decide
+        with capture_events("request_abandoned") as abandoned:
+            engine.answer(HEAD + b"Content-Length: 2\r\n\r\nok")
+        self.assertIn(b"HTTP/1.1 502", self.received())
+        self.assertEqual(["ValueError"], [message["kind"] for message in abandoned])
+
+    def fail_to_decide(self, context, status):
+        raise ValueError("odd")
+
 
 class FailingQueuedDispatchTest(ForwarderCase):
     """A queued request can't be sent, as the sending itself fails."""
