Read to its end a request that came in part during a leaving entry's stream

What callers would see: a request of which a part has been read when the stream before it ends gets no answer: the entry, which leaves, closes the connection, and had not announced that. On an idle connection, the rest of such a request is awaited.

Cause: "nothing more came" asked for whole requests only; a part of one has been fed to the parser. Fix: after an answer, a connection on which a request is being received stays open; that one's answer is the last. The time limit for a request and the exit of the process apply as before.

Test before: "MismatchError: 1 != 0" (answers with 503).

--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -819,6 +819,18 @@
         self.assertTrue(self.transport.disconnected)
         self.assertFalse(self.received().endswith(http1.LAST_CHUNK))
 
+    def test_a_request_of_which_a_part_came_during_a_stream_is_answered(self):
+        engine = self.send_request()
+        engine.answer(STREAM + chunk(b"id: 1\ndata: a\n\n"))
+        self.forwarder.leave(2.0)
+        self.connection.dataReceived(REQUEST[:-1])
+        engine.answer(http1.LAST_CHUNK)
+        self.clock.advance(0.1)
+        self.connection.dataReceived(REQUEST[-1:])
+        self.assertEqual(1, self.received().count(b"HTTP/1.1 503"))
+        self.assertIn(b"Connection: close", self.received())
+        self.assertTrue(self.transport.disconnecting)
+
     def test_a_stream_that_breaks_off_is_not_resumed_past_the_stop(self):
         first = self.send_request()
         first.answer(STREAM + chunk(b"id: 1\ndata: a\n\n"))
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http1_server.py
@@ -267,7 +267,8 @@
     def on_exchange_finished(self) -> None:
         """Continue with the next request, or close the connection."""
         self._current = None
-        if self._is_closing or self._is_last_before_stop:
+        is_last = self._is_last_before_stop and not self._is_receiving
+        if self._is_closing or is_last:
             if self._queued:
                 logs.write("requests_unanswered", count=len(self._queued))
             self.close()
