Show that entries wait for a leader whose own link is narrow

Not mended: from the leader's progress nobody can tell whether its own link or the shared one is slow, and one more transfer over a shared link of 1.4 Mbit/s lets both be given up.

--- a/standins/view_simulation_test.py
+++ b/standins/view_simulation_test.py
@@ -114,6 +114,24 @@
             zone.run(silent_s)
             self.assert_in_time(self.change_in_quick_succession(zone, 2))
 
+    def test_a_leader_with_a_narrow_link_does_not_keep_the_others_waiting(self):
+        zone = self.start_zone(route_count=1_480)
+        zone.leader().machine.downlink.mbps = 1.4
+        written_s = {}
+        for _ in range(4):
+            written_s[zone.change_configuration()] = zone.now_s
+            zone.run(0.3)
+        zone.run(WATCHED_S)
+        others = [entry for entry in zone.entries if entry is not zone.leader()]
+        self.assert_in_time(
+            [
+                min(s for known, s in entry.received_s.items() if known >= revision)
+                - written_s[revision]
+                for revision in written_s
+                for entry in others
+            ]
+        )
+
     def test_a_zone_does_not_follow_the_store_after_its_leader_has_become_silent(self):
         zone = self.start_zone(route_count=1_480)
         zone.leader().machine.handle = None
