--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -240,6 +240,48 @@
                 value = encode_json({**ENTRY, field: number})
                 self.assertIsNone(decoding.decode_engine("i", value), field)
 
+    def test_a_record_under_another_key_is_not_taken_for_that_of_an_entry(self):
+        state = cluster_state.ClusterState(8.0, 2.0)
+        timing = cluster_state.ChangeTiming(0.0, 0.0)
+        record = {"name": "e-1", "zone": "z", "region": "r"}
+        for key, ip in (("entries/e-1", "10.0.0.1"), ("entries/odd", "10.0.0.9")):
+            ports = ("address", 80), ("control", 81), ("reports", 82)
+            addresses = {name: f"{ip}:{port}" for name, port in ports}
+            value = encode_json({**record, **addresses})
+            event = decoding.decode_change(store_view.KeyChange(key, 1, value))
+            if event is not None:
+                state.apply(event, timing, False)
+        serving = [known.address for known in state.directory.serving()]
+        self.assertEqual(["10.0.0.1:80"], serving)
+
+    def test_an_engine_whose_id_would_end_a_header_line_is_not_used(self):
+        for engine_id in ("i-1\r\nX-Tenant: t", "i-1\n", "i\x00", "i\ud800"):
+            entry = decoding.decode_engine(engine_id, encode_json(ENTRY))
+            self.assertIsNone(entry, repr(engine_id))
+
+    def test_more_ranges_of_layers_than_a_model_has_make_an_entry_unreadable(self):
+        layers = [{"from": 0, "to": 1_000, "version": 1}]
+        for count, is_read in ((1_000, True), (1_001, False)):
+            models = [{"name": "m", "version": 1, "layers": layers * count}]
+            for split in (models, [{**models[0], "layers": layers}] * count):
+                entry = encode_json({**ENTRY, "models": split})
+                decoded = decoding.decode_engine("i", entry)
+                self.assertEqual(is_read, decoded is not None, count)
+
+    def test_ranges_that_overlap_or_are_empty_count_each_layer_once(self):
+        profile = decoding.decode_configuration(encode_json(CONFIG)).services[0].profile
+        for ranges, version in (
+            ([(0, 3), (1, 4)], 3),
+            ([(0, 3), (1, 3)], 0),
+            ([(4, 0)], 0),
+            ([(2, 1), (0, 2), (2, 4)], 3),
+        ):
+            layers = [{"from": a, "to": b, "version": 3} for a, b in ranges]
+            models = [{"name": "m", "version": 3, "layers": layers}]
+            entry = encode_json({**ENTRY, "models": models})
+            loaded = decoding.decode_engine("i", entry).loaded
+            self.assertEqual(version, entry_data.complete_version(loaded, profile))
+
     def test_layers_beyond_those_of_any_model_are_never_counted_up(self):
         layers = {"from": 0, "to": 10**12, "version": 1}
         models = [{"name": "m", "version": 1, "layers": layers}]
