--- a/toucanspread/ops/slow_caller_test.py
+++ b/toucanspread/ops/slow_caller_test.py
@@ -8,6 +8,7 @@
 
 from standins import endless_server, running_reactor
 from toucanspread.core import data
+from toucanspread.core.entry import request_timing
 from toucanspread.ops import (
     forwarder_loopback_test,
     forwarder_test,
@@ -97,6 +98,16 @@
 
 
 class ManySlowCallersTest(SlowCallerCase):
+    def setUp(self):
+        # The whole test may be held up for longer on a busy machine.
+        self.patch(request_timing, "STREAM_GAP_TIMEOUT_S", TIMEOUT_S)
+        super().setUp()
+
+    def make_configuration(self):
+        config = super().make_configuration()
+        limits = {**config.get("limits", {}), "idle_timeout_ms": TIMEOUT_MS}
+        return {**config, "limits": limits}
+
     def start_engine(self):
         beginning = endless_server.ENDLESS_ENGINE_ANSWERS["events"].beginning
         answer = endless_server.EndlessAnswer(beginning, EVENTS[0])
