--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -208,8 +208,12 @@
 
 def decode_engine(engine_id: str, value: bytes) -> entry_data.EngineEntry | None:
     """Decode an engine's entry; return None if it describes no usable engine."""
+    if not engine_id.isprintable():
+        # Requests name it in a header line.
+        return None
     try:
         entry = decoder.decode_json(value, _EngineEntry)
+        loaded = _make_loaded_layers(entry.models)
     except decoder.MalformedError:
         return None
     state = ENGINE_STATES.get(entry.state)
@@ -224,7 +228,7 @@
         state,
         entry.born,
         entry.cold_left_ms / 1000,
-        _make_loaded_layers(entry.models),
+        loaded,
     )
 
 
@@ -284,7 +288,7 @@
             change.key.removeprefix(entry_directory.RECORDS_PREFIX)
         )
     record = entry_directory.decode_record(change.value)
-    if record is None:
+    if record is None or change.key != entry_directory.RECORDS_PREFIX + record.name:
         logs.write("entry_record_unreadable", key=change.key)
         return None
     return cluster_state.EntrySeen(record)
@@ -347,6 +351,10 @@
 def _make_loaded_layers(
     models: list[_LoadedModel],
 ) -> tuple[entry_data.LoadedLayers, ...]:
+    """Return the ranges of layers that an engine holds.
+
+    :raises decoder.MalformedError: when they are more than a model has layers.
+    """
     loaded_layers = []
     for model in models:
         name = data.ModelName(model.name)
@@ -363,6 +371,8 @@
                     name, layer_range.version, layer_range.first, layer_range.end
                 )
             )
+    if len(loaded_layers) > bounds.MAX_LAYERS:
+        raise decoder.MalformedError(f"{len(loaded_layers)} ranges of layers")
     return tuple(loaded_layers)
 
 
