Read and log what engines say of themselves, before anything obeys it

Both headers are now read, checked and logged beside Server-Limit, and a dispatch says for how long its engine wanted no requests. An unsealed 503 counts as the engine's own word as well. No decision changes.

--- a/standins/endless_server_test.py
+++ b/standins/endless_server_test.py
@@ -50,7 +50,7 @@
     def __init__(self):
         self.failure = loop.EVENT_LOOP.create_future()
 
-    def on_engine_head(self, limit_per_s):
+    def on_engine_head(self, statement):
         return
 
     def on_begun(self, weights_version):
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -155,6 +155,13 @@
         born_ms = platform_engine.BORN_MS
         self._write_engine("i-model", "model", self._model_address, born_ms)
 
+    def add_plain_engine(self, engine_id: str) -> platform_engine.EngineResource:
+        """Add an engine of the service "plain"."""
+        engine = platform_engine.EngineResource("")
+        address = self._serve(engine)
+        self._write_engine(engine_id, "plain", address, engine.born_ms)
+        return engine
+
     def start_entry(self, name: str, grace_s: float = 8) -> Program:
         """Start the program of an entry.
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -13,6 +13,9 @@
 import msgspec
 from twisted.web import resource, server
 
+from standins import backoff_check, engine_leaving_check
+
+ENTRY_ID_LENGTH = 2  # characters
 ANSWER_BODY = bytes(range(256)) * 40  # no text, and larger than one segment
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 BORN_MS = 1771433930076
@@ -28,12 +31,26 @@
     """A request of a caller, as an engine received it.
 
     :param headers: first value of each header, by its name in lower case.
+    :param received_s: when it came, on the monotonic clock.
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    received_s: float
+
+
+class Rejection(NamedTuple):
+    """How an engine rejects requests.
+
+    :param retry_after: value of the header of this name; None for none.
+    :param says_not_run: whether it states that it has not run the request.
+    """
+
+    retry_after: str | None = None
+    status: int = 503
+    says_not_run: bool = True
 
 
 class EngineResource(resource.Resource):
@@ -47,6 +64,10 @@
     :ivar report_count: number of reports that were read.
     :ivar limit_per_s: requests per second that it names as its limit in its answers to
         callers; None for no limit.
+    :ivar rejection: how it rejects requests of callers; None while it serves them.
+    :ivar is_leaving: whether it says in its answers to callers that it leaves.
+    :ivar backoff: checks what it receives while it wants no requests.
+    :ivar leaving: checks what it receives once it has said that it leaves.
     :ivar crashing_part: id of a part of prompts on which it crashes; None for none.
     :ivar crashing_request: target and body of requests on which it crashes.
     :ivar born_ms: start of its present incarnation.
@@ -65,6 +86,10 @@
         self.requests: list[EngineRequest] = []
         self.report_count = 0
         self.limit_per_s: float | None = None
+        self.rejection: Rejection | None = None
+        self.is_leaving = False
+        self.backoff = backoff_check.BackoffRecord()
+        self.leaving = engine_leaving_check.LeavingRecord()
         self.crashing_part: str | None = None
         self.crashing_request: tuple[str, bytes] | None = None
         self.born_ms = BORN_MS
@@ -131,17 +156,41 @@
         }
         method, target = request.method.decode(), request.uri.decode()
         body = request.content.read()
-        self.requests.append(EngineRequest(method, target, headers, body))
+        now_s = time.monotonic()
+        self.requests.append(EngineRequest(method, target, headers, body, now_s))
         is_crashing = self.crashing_request == (target, body)
         if is_crashing or self.crashing_part in _list_parts(headers):
             return self._crash(request)
+        entry = get_entry(headers["x-attempt-id"])
+        self.backoff.record_arrival(now_s, entry)
+        self.leaving.record_arrival(now_s, entry)
+        self.leaving.record_answer(now_s, entry, self.is_leaving)
         request.setHeader("x-attempt-id", headers["x-attempt-id"])
-        request.setHeader("x-response-seal", SEAL)
-        request.setHeader("content-type", "application/x-own")
         if self.limit_per_s is not None:
             request.setHeader("server-limit", str(self.limit_per_s))
+        if self.is_leaving:
+            request.setHeader("server-leaving", "1")
+        if self.rejection is not None:
+            return self._reject(request, self.rejection, entry)
+        request.setHeader("x-response-seal", SEAL)
+        request.setHeader("content-type", "application/x-own")
         return ANSWER_BODY
 
+    def _reject(
+        self, request: server.Request, rejection: Rejection, entry: str
+    ) -> bytes:
+        request.setResponseCode(rejection.status)
+        if rejection.says_not_run:
+            request.setHeader("x-not-executed", "1")
+        else:
+            request.setHeader("x-response-seal", SEAL)
+        if rejection.retry_after is not None:
+            request.setHeader("retry-after", rejection.retry_after)
+            self.backoff.record_answer(
+                time.monotonic(), entry, backoff_check.read(rejection.retry_after)
+            )
+        return b""
+
 
 class OriginResource(resource.Resource):
     """The service with all weights.
@@ -167,6 +216,11 @@
         return b""
 
 
+def get_entry(attempt_id: str) -> str:
+    """Return the entry of a request, which callers in tests put first in its id."""
+    return attempt_id[:ENTRY_ID_LENGTH]
+
+
 def _list_parts(headers: dict[str, str]) -> list[str]:
     """Return the ids of the parts of a prompt."""
     parts = headers.get("x-prompt-prefix", "").split(",")
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -24,6 +24,7 @@
 from toucanspread.core.entry import (
     decision_context,
     decisions,
+    engine_statement,
     forwarding,
     request_timing,
 )
@@ -409,8 +410,9 @@
         """Read the head of an answer, which may name the engine's limit."""
         now_s = self._simulation.clock.seconds()
         limit_per_s = engine.limit.record_answer(now_s, self._entry)
+        statement = engine_statement.EngineStatement(limit_per_s)
         self.carry_out(
-            self._state.on_engine_head(self.make_decision_context(), limit_per_s)
+            self._state.on_engine_head(self.make_decision_context(), statement)
         )
 
     def _on_decode(self, first_token_in_s: float) -> None:
--- a/toucanspread/core/entry/alive_answer_test.py
+++ b/toucanspread/core/entry/alive_answer_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions, forwarding_test
+from toucanspread.core.entry import decisions, engine_statement, forwarding_test
 
 FINGERPRINT = entry_data.PromptPartId("request:f")
 ROUTE = forwarding_test.make_route(entry_data.RequestKind.IDEMPOTENT, attempts=1)
@@ -30,7 +30,8 @@
 
     def answer(self, sent_s, now_s, fingerprint=""):
         request = self.start(sent_s, fingerprint)
-        request.on_engine_head(self.fixture.at(now_s), None)
+        statement = engine_statement.EngineStatement()
+        request.on_engine_head(self.fixture.at(now_s), statement)
         request.on_answer(self.fixture.at(now_s), 200)
 
     def break_off(self, now_s):
@@ -51,7 +52,8 @@
     def test_an_answer_to_an_earlier_request_does_not_show_it(self):
         earlier = self.start(0.0)
         self.break_off(0.1)
-        earlier.on_engine_head(self.fixture.at(1.0), None)
+        statement = engine_statement.EngineStatement()
+        earlier.on_engine_head(self.fixture.at(1.0), statement)
         self.assertEqual(1, self.count_crashes())
 
     def test_a_short_answer_that_its_engine_has_survived_is_sound(self):
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -110,6 +110,8 @@
     :param busy: estimated number of requests at the engine.
     :param busy_age_s: age of the load report behind the estimate; negative without one.
     :param priority: priority in the engine's queue; None if it does not matter.
+    :param is_avoided: whether it goes to an engine that probably does not answer.
+    :param backoff_left_s: time for which the engine wants no requests.
     """
 
     number: int
@@ -123,6 +125,8 @@
     busy: float = 0.0
     busy_age_s: float = -1.0
     priority: int | None = None
+    is_avoided: bool = False
+    backoff_left_s: float = 0.0
 
 
 class NotifyEntries(data.Effect):
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -143,6 +143,8 @@
         engine.estimated_request_count(now_s, context.location.entry_count),
         now_s - engine.load_received_s if engine.load is not None else -1.0,
         _engine_priority(record, now_s),
+        engine.is_avoided(now_s),
+        engine.backoff.left_s(now_s),
     )
 
 
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -7,7 +7,12 @@
 from collections.abc import Iterable
 
 from toucanspread.core import data
-from toucanspread.core.entry import crash_evidence, engine_limits
+from toucanspread.core.entry import (
+    crash_evidence,
+    engine_backoff,
+    engine_limits,
+    engine_statement,
+)
 from toucanspread.core.entry import data as entry_data
 
 LOAD_REPORT_MAX_AGE_S = 1.6  # two reports at the slow rate, and a lost one
@@ -50,6 +55,8 @@
     :ivar switch_at_s: time at which it is ordered to switch to another version.
     :ivar ready_at_s: time at which it has loaded the version that it loads next.
     :ivar limit: the limit of requests per second that it names.
+    :ivar backoff: the time for which it wants no requests from this entry.
+    :ivar says_leaving: whether it has said in an answer that it is about to end.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
     """
 
@@ -71,6 +78,8 @@
         self.was_restarted = False
         self.stale_until_s = 0.0
         self.limit = engine_limits.EngineLimit(entry.engine_id)
+        self.backoff = engine_backoff.EngineBackoff()
+        self.says_leaving = False
         self._sent_since_load = 0
 
     @property
@@ -212,6 +221,18 @@
         self._sent_since_load += 1
         self.add_prompt(tokens, profile, now_s)
 
+    def apply_statement(
+        self, statement: engine_statement.EngineStatement, sent_s: float, now_s: float
+    ) -> entry_data.LimitNotice | None:
+        """Apply what the engine says of itself in an answer.
+
+        :param sent_s: when the request was sent.
+        :return: the notice to the other entries if its limit has changed.
+        """
+        self.backoff.on_answer(statement.backoff_s, now_s)
+        self.says_leaving = self.says_leaving or statement.is_leaving
+        return self.limit.on_answer(statement.limit_per_s, sent_s, now_s)
+
     def record_answering(self, now_s: float) -> None:
         """Record that a part of an answer to this entry has arrived."""
         self._heard_s = now_s
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -19,6 +19,7 @@
     decisions,
     engine_choice,
     engine_dispatch,
+    engine_statement,
     engines,
     final_answers,
     request_record,
@@ -85,6 +86,11 @@
             return None
         return now_s - self._engine.load_received_s
 
+    @property
+    def engine_says_leaving(self) -> bool:
+        """Return whether the engine that has the request has said that it leaves."""
+        return self._engine is not None and self._engine.says_leaving
+
     @property
     def engine_wait_s(self) -> float | None:
         """Return the time from the last dispatch until the engine began to answer.
@@ -128,18 +134,17 @@
         return self._dispatch(context, skips_limited)
 
     def on_engine_head(
-        self, context: decision_context.Context, limit_per_s: float | None
+        self,
+        context: decision_context.Context,
+        statement: engine_statement.EngineStatement,
     ) -> list[data.Effect]:
-        """Handle the head of an answer of the engine.
-
-        :param limit_per_s: the limit that the engine names in it; None if it has none.
-        """
+        """Handle the head of an answer of the engine, and what that says of itself."""
         engine, sent_s = self._engine, self._last_dispatch.sent_s
         if engine is None:
             return []
         engine.record_answering(context.now_s)
         context.guard.on_engine_alive(engine.incarnation, context.now_s, sent_s)
-        notice = engine.limit.on_answer(limit_per_s, sent_s, context.now_s)
+        notice = engine.apply_statement(statement, sent_s, context.now_s)
         return [] if notice is None else [decisions.NotifyEntries(notice)]
 
     def on_begun(self, now_s: float) -> None:
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -11,6 +11,7 @@
     crash_guard_test,
     decision_context,
     decisions,
+    engine_statement,
     engines,
     forwarding,
     load_balancing,
@@ -470,7 +471,9 @@
         fixture = Fixture(names=("a",))
         request = fixture.make_request(make_route())
         request.start(fixture.at(0.0))
-        notified = request.on_engine_head(fixture.at(0.1), 1.0)
+        notified = request.on_engine_head(
+            fixture.at(0.1), engine_statement.EngineStatement(limit_per_s=1.0)
+        )
         self.assert_only(decisions.NotifyEntries, notified)
         failure = decisions.DispatchFailure.REJECTED
         effects = request.on_failure(fixture.at(0.1), failure)
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/dialect.py
@@ -9,7 +9,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions
+from toucanspread.core.entry import decisions, engine_statement
 from toucanspread.ops import http1
 
 
@@ -22,8 +22,7 @@
     :param not_run: whether the engine states that it has not run the request.
     :param instance: id of the engine that answered; empty if not stated.
     :param is_stream: whether the body is a stream of events.
-    :param limit_per_s: requests per second that the engine accepts from all entries
-        together; None if it states no limit.
+    :param statement: what the engine says of itself.
     :param weights_version: version of the weights on which the answer began; None if
         not stated.
     """
@@ -34,7 +33,7 @@
     not_run: bool
     instance: str
     is_stream: bool
-    limit_per_s: float | None = None
+    statement: engine_statement.EngineStatement = engine_statement.EngineStatement()
     weights_version: int | None = None
 
 
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/engine_answer.py
@@ -5,6 +5,7 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
     decisions,
+    engine_statement,
     event_stream,
     request_timing,
     stream_progress,
@@ -18,6 +19,7 @@
 
 MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
 MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
+UNAVAILABLE_STATUS = 503
 MALFORMED_FAILURES = (
     http1_client.ExchangeFailure.MALFORMED,
     http1_client.ExchangeFailure.TOO_LARGE,
@@ -30,11 +32,8 @@
     call: entry_data.Call
 
     @abc.abstractmethod
-    def on_engine_head(self, limit_per_s: float | None) -> None:
-        """Handle the head of an answer of the engine.
-
-        :param limit_per_s: the limit that the engine names in it; None if it has none.
-        """
+    def on_engine_head(self, statement: engine_statement.EngineStatement) -> None:
+        """Handle the head of an answer of the engine, and what that says of itself."""
 
     @abc.abstractmethod
     def on_begun(self, weights_version: int | None) -> None:
@@ -129,7 +128,7 @@
         self.head = head
         self._properties = properties
         if self._is_of_engine(properties):
-            self._listener.on_engine_head(properties.limit_per_s)
+            self._listener.on_engine_head(properties.statement)
         if properties.is_sealed and not properties.not_run:
             self._listener.on_begun(properties.weights_version)
         if properties.is_stream and properties.is_sealed and head.status == 200:
@@ -204,6 +203,8 @@
         """Return whether the engine of this dispatch has made the answer."""
         if properties.instance not in ("", self._engine_id):
             return False
+        if self.head.status == UNAVAILABLE_STATUS:
+            return True
         return properties.is_sealed or properties.not_run
 
     def _on_timeout(self) -> None:
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/engine_answer_test.py
@@ -11,17 +11,17 @@
 
 
 class RecordingListener(engine_answer.DispatchListener):
-    """Records the limits that an engine names, and how a dispatch failed."""
+    """Records what an engine says of itself, and how a dispatch failed."""
 
     call = entry_data.Call("7", "h", "/", None)
 
     def __init__(self):
         self.failures = []
-        self.limits_per_s = []
+        self.statements = []
         self.begun_versions = []
 
-    def on_engine_head(self, limit_per_s):
-        self.limits_per_s.append(limit_per_s)
+    def on_engine_head(self, statement):
+        self.statements.append(statement)
 
     def on_begun(self, weights_version):
         self.begun_versions.append(weights_version)
@@ -79,7 +79,7 @@
         """Return the limits that are reported for the head of an answer."""
         listener = RecordingListener()
         make_answer(listener).on_head(make_head(status, **headers))
-        return listener.limits_per_s
+        return [statement.limit_per_s for statement in listener.statements]
 
     def test_sealed_answers_and_refusals_name_a_limit(self):
         self.assertEqual([2.5], self.read(500, x_response_seal="s", server_limit="2.5"))
@@ -101,6 +101,59 @@
         )
 
 
+class StatementTest(testtools.TestCase):
+    def read(self, status, **headers):
+        """Return what an engine is understood to say by the head of an answer."""
+        listener = RecordingListener()
+        make_answer(listener).on_head(make_head(status, **headers))
+        return listener.statements[0]
+
+    def test_a_rejection_names_a_time_without_requests(self):
+        for value, backoff_s in (("4", 4.0), ("2.5", 2.5), (" 0 ", 0.0), ("600", 600)):
+            statement = self.read(503, x_not_executed="1", retry_after=value)
+            self.assertEqual(backoff_s, statement.backoff_s, value)
+            self.assertEqual((), statement.unreadable)
+
+    def test_a_503_names_a_time_whatever_else_it_says(self):
+        self.assertEqual(3.0, self.read(503, retry_after="3").backoff_s)
+        sealed = self.read(503, x_response_seal="s", retry_after="3")
+        self.assertEqual(3.0, sealed.backoff_s)
+
+    def test_only_a_503_names_a_time(self):
+        for status in (200, 421, 429, 500, 504):
+            statement = self.read(status, x_response_seal="s", retry_after="3")
+            self.assertIsNone(statement.backoff_s, status)
+            self.assertEqual((), statement.unreadable)
+
+    def test_a_value_that_is_no_time_is_named_and_harms_nothing(self):
+        values = ("", "-5", "1e9", "nan", "inf", "²", "1,5", "4 s", "9" * 5_000, "601")
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for value in (*values, "999999999", date):
+            statement = self.read(503, x_not_executed="1", retry_after=value)
+            self.assertIsNone(statement.backoff_s, value)
+            self.assertEqual(("retry-after",), statement.unreadable, value)
+
+    def test_the_longest_of_several_times_counts(self):
+        headers = make_head(503, x_not_executed="1").headers
+        for value in (b"x", b"2", b"7.5", b"3"):
+            headers.append(http1.Header(b"Retry-After", value))
+        statement = requests.read_statement(http1.AnswerHead(503, headers))
+        self.assertEqual(7.5, statement.backoff_s)
+        self.assertEqual(("retry-after",), statement.unreadable)
+
+    def test_every_answer_may_say_that_the_engine_leaves(self):
+        for status in (200, 429, 500, 503):
+            statement = self.read(status, x_response_seal="s", server_leaving="1")
+            self.assertTrue(statement.is_leaving, status)
+        self.assertFalse(self.read(200, x_response_seal="s").is_leaving)
+
+    def test_a_value_other_than_1_does_not_say_that_the_engine_leaves(self):
+        for value in ("", "0", "2", "-1", "1.0", "true", "1, 1", "1" * 5_000):
+            statement = self.read(200, x_response_seal="s", server_leaving=value)
+            self.assertFalse(statement.is_leaving, value)
+            self.assertEqual(("server-leaving",), statement.unreadable, value)
+
+
 class BegunTest(testtools.TestCase):
     def read(self, status, **headers):
         """Return the versions on which the engine has begun, by the answer's head."""
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -14,6 +14,7 @@
     cluster_state,
     decision_context,
     decisions,
+    engine_statement,
     forwarding,
     load_balancing,
     request_timing,
@@ -28,6 +29,7 @@
     logs,
     metric_buffer,
     request_queue,
+    statement_logs,
 )
 
 
@@ -157,17 +159,16 @@
 
     # Events of the engine's answer
 
-    def on_engine_head(self, limit_per_s: float | None) -> None:
-        """Record the limit that the engine names, or that it names none."""
-        if limit_per_s is not None:
-            metric_buffer.count("answers_with_limit")
-        effects = self._state.on_engine_head(self.make_decision_context(), limit_per_s)
-        if effects:
-            logs.write(
-                "engine_limit_named",
-                engine=self._state.engine_id,
-                limit_per_s=limit_per_s,
-            )
+    def on_engine_head(self, statement: engine_statement.EngineStatement) -> None:
+        """Record what the engine says of itself."""
+        was_leaving = self._state.engine_says_leaving
+        effects = self._state.on_engine_head(self.make_decision_context(), statement)
+        statement_logs.write(
+            self._state.engine_id,
+            statement,
+            has_new_limit=bool(effects),
+            begins_to_leave=self._state.engine_says_leaving and not was_leaving,
+        )
         self.carry_out(effects)
 
     def on_begun(self, weights_version: int | None) -> None:
@@ -347,6 +348,8 @@
             number=effect.number,
             busy=effect.busy,
             busy_age_s=effect.busy_age_s,
+            is_avoided=effect.is_avoided,
+            backoff_left_s=effect.backoff_left_s,
             expected_version=effect.expected_version,
             configuration=forwarder.cluster.route_table.version,
         )
--- a/toucanspread/ops/http1.py
+++ b/toucanspread/ops/http1.py
@@ -60,6 +60,10 @@
                 return header.value
         return None
 
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return the values of all lines of a header, by its lower-case name."""
+        return [header.value for header in self.headers if header.name.lower() == name]
+
     def count_lines(self, name: bytes) -> int:
         """Return the number of lines of a header, by its lower-case name."""
         return sum(header.name.lower() == name for header in self.headers)
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -7,14 +7,15 @@
 
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import engine_statement
 from toucanspread.core.weights import piece_placement, staging_events
 from toucanspread.ops import (
     engine_control,
     http1,
     http1_pool,
-    logs,
     metric_buffer,
     piece_cache,
+    statement_logs,
 )
 from toucanspread.platform import decoding, requests
 
@@ -91,6 +92,8 @@
             )
         except http1_pool.CallError as error:
             raise piece_cache.PieceError(str(error)) from error
+        statement = requests.read_statement(reply.head)
+        statement_logs.write(address, statement, False, statement.is_leaving)
         if reply.status != 200:
             raise piece_cache.PieceError(
                 f"the origin answered with status {reply.status}"
@@ -116,7 +119,7 @@
         self._report_pool = http1_pool.ConnectionPool(pool.reactor)
         self._address = address
         self._max_piece_bytes = max_piece_bytes
-        self._named_limit_per_s: float | None = None
+        self._known_statement = engine_statement.EngineStatement()
 
     async def read_report(self) -> entry_data.EngineReport:
         """Return the engine's current report.
@@ -215,18 +218,21 @@
             )
         except http1_pool.CallError as error:
             raise engine_control.EngineError(str(error)) from error
-        self._record_limit(reply, target)
+        self._record_statement(reply)
         if reply.status != 200 and reply.status not in accept:
             raise engine_control.EngineError(
                 f"the engine answered {target} with status {reply.status}"
             )
         return reply
 
-    def _record_limit(self, reply: http1_pool.Reply, target: str) -> None:
-        """Count the call, and log a limit that the engine names in its answer to it."""
+    def _record_statement(self, reply: http1_pool.Reply) -> None:
+        """Count the call, and log what the engine says of itself in its answer."""
         metric_buffer.count("engine_calls", status=str(reply.status))
-        limit_per_s = requests.read_limit_per_s(reply.head)
-        if limit_per_s == self._named_limit_per_s:
-            return
-        self._named_limit_per_s = limit_per_s
-        logs.write("engine_limit_named", target=target, limit_per_s=limit_per_s)
+        statement = requests.read_statement(reply.head)
+        known, self._known_statement = self._known_statement, statement
+        statement_logs.write(
+            self._address,
+            statement,
+            has_new_limit=statement.limit_per_s != known.limit_per_s,
+            begins_to_leave=statement.is_leaving and not known.is_leaving,
+        )
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -4,7 +4,7 @@
 
 from toucanspread.core import bounds, data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions
+from toucanspread.core.entry import decisions, engine_statement
 from toucanspread.ops import dialect, http1
 
 ATTEMPT_ID_HEADER = b"X-Attempt-Id"  # an attempt of the caller, not one of this system
@@ -18,7 +18,13 @@
 NOT_RUN_HEADER = b"x-not-executed"
 LIMIT_HEADER = b"server-limit"  # requests per second, from all machines together
 WEIGHTS_VERSION_HEADER = b"x-weight-versions"
-LIMIT_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+LEAVING_HEADER = b"server-leaving"
+LEAVING_VALUE = b"1"
+RETRY_AFTER_HEADER = b"retry-after"  # seconds, in a rejection with 503
+# A longer time is taken for an error: an engine would get no requests for a day.
+MAX_RETRY_AFTER_S = 600.0
+UNAVAILABLE_STATUS = 503
+DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A part of a prompt: its id and the number of its tokens.
 PART_PATTERN = re.compile(
     rb"[ \t]*([0-9a-fA-F]{1,%d}):[0-9]{1,%d}[ \t]*"
@@ -106,7 +112,7 @@
             not_run=head.get(NOT_RUN_HEADER) is not None or head.status == 421,
             instance=_decode_text(head.get(INSTANCE_HEADER) or b""),
             is_stream=content_type.strip().lower() == EVENT_STREAM_TYPE,
-            limit_per_s=read_limit_per_s(head),
+            statement=read_statement(head),
             weights_version=_parse_number(head.get(WEIGHTS_VERSION_HEADER)),
         )
 
@@ -124,10 +130,39 @@
         return headers
 
 
-def read_limit_per_s(head: http1.AnswerHead) -> float | None:
-    """Return the limit that an engine names in an answer; None without a valid one."""
-    value = (head.get(LIMIT_HEADER) or b"").strip()
-    return float(value) if LIMIT_PATTERN.fullmatch(value) else None
+def read_statement(head: http1.AnswerHead) -> engine_statement.EngineStatement:
+    """Return what an engine says of itself in an answer.
+
+    Of several times that it names, the longest one counts. Values that can't be read
+    count as missing.
+    """
+    limit = head.get(LIMIT_HEADER)
+    limit_per_s = None if limit is None else _parse_decimal(limit)
+    backoffs_s = []
+    if head.status == UNAVAILABLE_STATUS:
+        values = head.get_all(RETRY_AFTER_HEADER)
+        backoffs_s = [_parse_decimal(value, MAX_RETRY_AFTER_S) for value in values]
+    leaving = [value.strip() == LEAVING_VALUE for value in head.get_all(LEAVING_HEADER)]
+    unreadable = {
+        LIMIT_HEADER: limit is not None and limit_per_s is None,
+        RETRY_AFTER_HEADER: None in backoffs_s,
+        LEAVING_HEADER: False in leaving,
+    }
+    return engine_statement.EngineStatement(
+        limit_per_s,
+        max((each for each in backoffs_s if each is not None), default=None),
+        True in leaving,
+        tuple(name.decode() for name, is_bad in unreadable.items() if is_bad),
+    )
+
+
+def _parse_decimal(value: bytes, most: float = float("inf")) -> float | None:
+    """Return a decimal number; None if it is malformed or too large."""
+    stripped = value.strip()
+    if not DECIMAL_PATTERN.fullmatch(stripped):
+        return None
+    number = float(stripped)
+    return number if number <= most else None
 
 
 def _is_for_call(echoed: bytes | None, status: int, call: entry_data.Call) -> bool:
