--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -46,6 +46,33 @@
     limit_per_s: float | None
 
 
+@dataclasses.dataclass(frozen=True)
+class RejectionPeriod:
+    """Some engines reject all requests for a time, and name a time in each answer.
+
+    :param engine_numbers: numbers of the engines, from 0.
+    :param backoff_s: time for which they want no requests from the entry.
+    """
+
+    at_s: float
+    engine_numbers: tuple[int, ...]
+    duration_s: float
+    backoff_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineDeparture:
+    """Some engines say in all their answers that they leave, and end later.
+
+    :param engine_numbers: numbers of the engines, from 0.
+    :param duration_s: time until they end.
+    """
+
+    at_s: float
+    engine_numbers: tuple[int, ...]
+    duration_s: float
+
+
 class PartPlace(enum.Enum):
     """Place of a part among the three shared parts of a prompt."""
 
@@ -148,6 +175,8 @@
     :param switch_times_s: times at which engines switch to a new version, one time
         for each group.
     :param limits: changes of the limits that engines name.
+    :param rejections: times in which engines reject all requests.
+    :param departures: engines that leave, as only their answers say.
     :param crashing_parts: parts of prompts on which engines crash.
     :param version_change: when the version is named to which engines switch; None if it
         doesn't matter on which version requests begin.
@@ -171,6 +200,8 @@
     switch_times_s: tuple[float, ...] = ()
     entries: int = 18
     limits: tuple[LimitChange, ...] = ()
+    rejections: tuple[RejectionPeriod, ...] = ()
+    departures: tuple[EngineDeparture, ...] = ()
     crashing_parts: tuple[CrashingPart, ...] = ()
     version_change: VersionChange | None = None
     engine_link_delay_s: float = 0.0
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -72,6 +72,10 @@
             self.clock.callLater(from_s, self._set_engines, int(count))
         for change in self._profile.limits:
             self.clock.callLater(change.at_s, self.name_limit, change)
+        for period in self._profile.rejections:
+            self.clock.callLater(period.at_s, self._reject_for_a_time, period)
+        for departure in self._profile.departures:
+            self.clock.callLater(departure.at_s, self._let_leave, departure)
         if self._profile.version_change is not None:
             at_s = self._profile.version_change.at_s
             self.clock.callLater(at_s, self._name_version)
@@ -145,6 +149,14 @@
         for engine in self.engines[: change.engine_count]:
             engine.limit.change(self.clock.seconds(), change.limit_per_s)
 
+    def _reject_for_a_time(self, period: load_profiles.RejectionPeriod) -> None:
+        for number in period.engine_numbers:
+            self.engines[number].reject(period.duration_s, period.backoff_s)
+
+    def _let_leave(self, departure: load_profiles.EngineDeparture) -> None:
+        for number in departure.engine_numbers:
+            self.engines[number].leave(departure.duration_s)
+
     def _name_version(self) -> None:
         """Name the next version of the weights; each entry learns of it."""
         version = simulated_cluster.FIRST_VERSION + 1
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -12,7 +12,9 @@
 from twisted.internet import task
 
 from standins import (
+    backoff_check,
     crash_check,
+    engine_leaving_check,
     engine_model,
     limit_check,
     load_profiles,
@@ -131,6 +133,11 @@
     :ivar is_crashed: whether connections are refused until it is back.
     :ivar sidecar: has the link of its instance; None if that holds nothing up.
     :ivar is_frozen: whether it stands still; what arrives then waits.
+    :ivar backoff: checks what it gets while it wants no requests.
+    :ivar backoff_s: the time that it names as it rejects all requests; None while it
+        rejects none for this reason.
+    :ivar leaving: checks what it gets once it has said that it leaves.
+    :ivar is_leaving: whether it says so in its answers.
     :ivar is_sidecar_silent: whether it serves, but sends no load reports.
     """
 
@@ -148,6 +155,10 @@
         self.switch_at_s = simulation.switch_at_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
+        self.backoff = backoff_check.BackoffRecord()
+        self.backoff_s: float | None = None
+        self.leaving = engine_leaving_check.LeavingRecord()
+        self.is_leaving = False
         self.sidecar: simulated_sidecar.SimulatedSidecar | None = None
         if simulation.engine_link is not None:
             self.sidecar = simulated_sidecar.SimulatedSidecar(
@@ -185,10 +196,36 @@
         """Start the engine, or start it again, with all layers loaded."""
         self.is_running = True
         self.is_crashed = False
+        self.is_leaving = False
+        self.backoff_s = None
+        self.backoff.reset()
+        self.leaving.reset()
         self.model = engine_model.EngineModel(self._simulation.clock)
         for entry in self._simulation.entries:
             entry.registry.put(self.entry)
 
+    def reject(self, duration_s: float, backoff_s: float) -> None:
+        """Reject all requests for a time.
+
+        :param backoff_s: time for which it wants no requests from an entry that it
+            rejects.
+        """
+        self.backoff_s = backoff_s
+        self._simulation.clock.callLater(duration_s, self._accept, self.model)
+
+    def _accept(self, model: engine_model.EngineModel) -> None:
+        if self.model is model:
+            self.backoff_s = None
+
+    def leave(self, duration_s: float) -> None:
+        """Say in all answers that it leaves, and end after a time."""
+        self.is_leaving = True
+        self._simulation.clock.callLater(duration_s, self._end, self.model)
+
+    def _end(self, model: engine_model.EngineModel) -> None:
+        if self.model is model and self.is_running:
+            self.stop()
+
     def switch(self) -> None:
         """Interrupt the running requests and load the new version."""
         self.is_loading = True
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -350,7 +350,12 @@
 
     def _submit_to_engine(self, dispatch: "_Dispatch", sent_s: float) -> None:
         engine = dispatch.engine
+        now_s = self._simulation.clock.seconds()
         is_open = engine.is_running and not engine.is_loading
+        is_open = is_open and engine.backoff_s is None
+        if engine.is_running and not engine.is_crashed:
+            engine.backoff.record_arrival(now_s, self._entry)
+            engine.leaving.record_arrival(self._state.arrived_s, self._entry)
         if dispatch.is_withdrawn:
             if is_open and not engine.is_crashed:
                 job = self._make_job()
@@ -360,7 +365,6 @@
         if engine.is_crashed:
             self._fail_dispatch(decisions.DispatchFailure.NOT_CONNECTED)
             return
-        now_s = self._simulation.clock.seconds()
         if self.prompt.crashing_part is not None and engine.is_running:
             self._simulation.crash_check.record_arrival(
                 sent_s, self._entry, self.prompt.crashing_part
@@ -369,7 +373,7 @@
         job = self._make_job()
         is_version_right = dispatch.expected_version in (0, engine.version)
         if not is_open or not is_version_right or not engine.model.submit(job):
-            self._read_limit(engine)
+            self._read_statement(engine, engine.backoff_s)
             self._fail_dispatch(decisions.DispatchFailure.REJECTED)
             return
         self._job = job
@@ -406,11 +410,22 @@
             self._priority,
         )
 
-    def _read_limit(self, engine: simulated_cluster.SimulatedEngine) -> None:
-        """Read the head of an answer, which may name the engine's limit."""
+    def _read_statement(
+        self,
+        engine: simulated_cluster.SimulatedEngine,
+        backoff_s: float | None = None,
+    ) -> None:
+        """Read what the engine says of itself in the head of an answer.
+
+        :param backoff_s: the time that it names in a rejection.
+        """
         now_s = self._simulation.clock.seconds()
         limit_per_s = engine.limit.record_answer(now_s, self._entry)
-        statement = engine_statement.EngineStatement(limit_per_s)
+        engine.backoff.record_answer(now_s, self._entry, backoff_s)
+        engine.leaving.record_answer(now_s, self._entry, engine.is_leaving)
+        statement = engine_statement.EngineStatement(
+            limit_per_s, backoff_s, engine.is_leaving
+        )
         self.carry_out(
             self._state.on_engine_head(self.make_decision_context(), statement)
         )
@@ -428,7 +443,7 @@
     def _on_event(self) -> None:
         now_s = self._simulation.clock.seconds()
         if self._generated_tokens == self._tokens_before_dispatch:
-            self._read_limit(self._engine)
+            self._read_statement(self._engine)
             self._simulation.version_check.record_begin(now_s, self._engine.version)
             self._state.on_begun(now_s)
             self._state.on_stream_opened()
