Move the reasons that forbid an engine to a request into one module

They stood in engines.py, load_balancing.py and coming_engines.py. engine_obstacles names each as a value of an Enum and says until when it holds; load_balancing only ranks. The records that a choice depends on, and the estimates of waits, are modules of their own.

--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -16,8 +16,8 @@
 from toucanspread.core.entry import (
     cluster_state,
     decision_context,
+    engine_requirements,
     guard_program,
-    load_balancing,
     retry_budget,
     routes,
 )
@@ -85,7 +85,7 @@
         self._retry_budgets = retry_budget.RetryBudget(0.2, 234, 10.0)
         peers = list_peers()
         regions = {peer.zone: data.RegionName(peer.zone) for peer in peers}
-        self._location = load_balancing.EntryLocation(zone, regions, len(peers))
+        self._location = engine_requirements.EntryLocation(zone, regions, len(peers))
         self._crash_notices = crash_notices.CrashNotices(
             network.reactor,
             self.random_source,
--- a/standins/promise_request.py
+++ b/standins/promise_request.py
@@ -7,7 +7,12 @@
 from standins import engine_model, promise_engine, promise_entry, simulated_cluster
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decision_context, decisions, forwarding
+from toucanspread.core.entry import (
+    decision_context,
+    decisions,
+    engine_obstacles,
+    forwarding,
+)
 
 PACKET_BYTES = 60  # opens or closes a connection
 REQUEST_BYTES = 4_000
@@ -163,7 +168,10 @@
             return
         context = self._make_context()
         known = context.registry.get(dispatch.engine.engine_id)
-        is_usable = known is not None and known.is_usable(context.now_s)
+        is_usable = (
+            known is not None
+            and engine_obstacles.find_for_all_requests(known, context.now_s) is None
+        )
         if not is_usable or self._state.must_be_withdrawn(context, was_sent=False):
             self._fail(dispatch, decisions.DispatchFailure.WITHDRAWN_UNSENT)
             return
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -25,9 +25,9 @@
 from toucanspread.core.entry import (
     cluster_state,
     decision_context,
+    engine_requirements,
     engines,
     guard_program,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -479,7 +479,9 @@
 
     def make_decision_context(self) -> decision_context.Context:
         """Return the context of decisions."""
-        location = load_balancing.EntryLocation(self.zone, REGIONS, self._entry_count)
+        location = engine_requirements.EntryLocation(
+            self.zone, REGIONS, self._entry_count
+        )
         now_s = self._simulation.clock.seconds()
         return decision_context.Context(
             now_s,
--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -10,6 +10,8 @@
     decision_context,
     decisions,
     engine_choice,
+    engine_requirements,
+    engine_waits,
     engines,
     final_answers,
     load_balancing,
@@ -92,7 +94,7 @@
 
 def _queue_for_load(
     record: request_record.RequestRecord,
-    requirements: load_balancing.EngineRequirements,
+    requirements: engine_requirements.EngineRequirements,
     queued_prefill_s: float,
     context: decision_context.Context,
 ) -> data.Effect:
@@ -116,9 +118,9 @@
 ) -> admission_queue.EngineCapacity:
     now_s, location = context.now_s, context.location
     return admission_queue.EngineCapacity(
-        load_balancing.backlog_s(engine, record.service, location, now_s),
+        engine_waits.backlog_s(engine, record.service, location, now_s),
         engine.prefill_backlog_s(now_s),
-        load_balancing.free_slots(engine, location, now_s),
+        engine_waits.free_slots(engine, location, now_s),
     )
 
 
--- a/toucanspread/core/entry/cluster_state_test.py
+++ b/toucanspread/core/entry/cluster_state_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from toucanspread.core import data
-from toucanspread.core.entry import cluster_state, engines
+from toucanspread.core.entry import cluster_state, engine_obstacles, engines
 from toucanspread.core.entry import data as entry_data
 
 MODEL = data.ModelName("m")
@@ -13,6 +13,11 @@
 WITHIN_S = 8.0
 
 
+def is_usable(engine, now_s):
+    """Return whether requests may be sent to an engine."""
+    return engine_obstacles.find_for_all_requests(engine, now_s) is None
+
+
 class MinimumVersionTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -127,19 +132,19 @@
 
     def test_no_request_is_sent_to_an_engine_that_may_have_been_gone_for_its_time(self):
         engine = self.remove(received_s=101.0, earliest_s=100.0)
-        self.assertTrue(engine.is_usable(101.4))
-        self.assertFalse(engine.is_usable(101.6))
+        self.assertTrue(is_usable(engine, 101.4))
+        self.assertFalse(is_usable(engine, 101.6))
 
     def test_an_engine_that_was_removed_during_a_long_outage_gets_time_to_return(self):
         engine = self.remove(received_s=110.0, earliest_s=100.0)
-        self.assertTrue(engine.is_usable(111.4))
-        self.assertFalse(engine.is_usable(111.6))
+        self.assertTrue(is_usable(engine, 111.4))
+        self.assertFalse(is_usable(engine, 111.6))
 
     def test_a_removal_that_was_long_on_its_way_gives_no_time_to_return(self):
         timing = cluster_state.ChangeTiming(103.0, 100.0, contact_age_s=0.8)
         self.cluster_state.apply(cluster_state.EngineRemoved("e"), timing, False)
-        self.assertFalse(self.cluster_state.registry.get("e").is_usable(103.0))
+        self.assertFalse(is_usable(self.cluster_state.registry.get("e"), 103.0))
 
     def test_an_engine_that_was_removed_right_after_an_outage_gets_time_to_return(self):
         engine = self.remove(101.0, 100.0, store_was_unavailable=True)
-        self.assertTrue(engine.is_usable(102.4))
+        self.assertTrue(is_usable(engine, 102.4))
--- a/toucanspread/core/entry/coming_engines.py
+++ b/toucanspread/core/entry/coming_engines.py
@@ -5,12 +5,12 @@
 wait at the entry if that is soon; otherwise their callers are told when to come back.
 """
 
-from toucanspread.core.entry import engines, load_balancing
+from toucanspread.core.entry import engine_obstacles, engine_requirements, engines
 
 
 def list_waits_s(
     registry: engines.EngineRegistry,
-    requirements: load_balancing.EngineRequirements,
+    requirements: engine_requirements.EngineRequirements,
     now_s: float,
 ) -> list[float]:
     """Return the time until each engine holds weights that a request may begin on.
@@ -23,7 +23,9 @@
     for engine in registry.of_service(requirements.service.name):
         if engine.entry.engine_id in requirements.excluded:
             continue
-        if not engine.is_usable(now_s) or not engine.has_recent_load(now_s):
+        if engine_obstacles.find_for_all_requests(engine, now_s) is not None:
+            continue
+        if not engine.has_recent_load(now_s):
             continue
         if engine.ready_at_s is None:
             continue
--- a/toucanspread/core/entry/decision_context.py
+++ b/toucanspread/core/entry/decision_context.py
@@ -5,8 +5,8 @@
 
 from toucanspread.core.entry import (
     crash_guard,
+    engine_requirements,
     engines,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -25,7 +25,7 @@
     now_s: float
     registry: engines.EngineRegistry
     retry_budgets: retry_budget.RetryBudget
-    location: load_balancing.EntryLocation
+    location: engine_requirements.EntryLocation
     random_source: random.Random
     guard: crash_guard.CrashGuard
     minimum_version: int = 0
--- a/toucanspread/core/entry/engine_choice.py
+++ b/toucanspread/core/entry/engine_choice.py
@@ -8,6 +8,7 @@
     coming_engines,
     decision_context,
     decisions,
+    engine_requirements,
     engines,
     load_balancing,
     request_record,
@@ -38,12 +39,12 @@
     record: request_record.RequestRecord,
     context: decision_context.Context,
     excluded: frozenset[str] = frozenset(),
-) -> load_balancing.EngineRequirements:
+) -> engine_requirements.EngineRequirements:
     """Return what the request requires of its engine.
 
     :param excluded: ids of engines that it may not go to.
     """
-    return load_balancing.EngineRequirements(
+    return engine_requirements.EngineRequirements(
         record.service,
         context.minimum_version,
         excluded,
@@ -76,7 +77,8 @@
 
 
 def _choose(
-    requirements: load_balancing.EngineRequirements, context: decision_context.Context
+    requirements: engine_requirements.EngineRequirements,
+    context: decision_context.Context,
 ) -> engines.Engine | None:
     return load_balancing.choose_engine(
         context.registry,
--- /dev/null
+++ b/toucanspread/core/entry/engine_obstacles.py
@@ -0,0 +1,139 @@
+"""Answers whether an engine may get a request now, and if not, why and until when.
+
+Each reason that forbids an engine to a request is a check here, and only here. What
+only makes another engine the better choice is a penalty of
+:mod:`toucanspread.core.entry.load_balancing`.
+"""
+
+import enum
+from collections.abc import Callable
+from typing import NamedTuple
+
+from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import engine_requirements, engine_waits, engines
+
+# Besides the expected wait, until an engine begins on a request that is sent now.
+BEGIN_MARGIN_S = 0.05
+UNKNOWN_S = float("inf")
+
+
+class Cause(enum.Enum):
+    """Why an engine may not get a request."""
+
+    DRAINING = "draining"
+    RESTARTED = "restarted"
+    ENTRY_OUTDATED = "entry outdated"
+    ENTRY_REMOVED = "entry removed"
+    TRIED = "tried"
+    NO_WEIGHTS = "no weights"
+    BEGINS_LATE = "begins late"
+    LIMIT_USED_UP = "limit used up"
+    LIMIT_LEFT_TO_OTHERS = "limit left to others"
+
+
+class Obstacle(NamedTuple):
+    """Why an engine may not get a request, and how long.
+
+    :param until_s: time at which that ends; infinite if it is not known.
+    """
+
+    cause: Cause
+    until_s: float = UNKNOWN_S
+
+
+class Choice(NamedTuple):
+    """What a choice among engines depends on."""
+
+    requirements: engine_requirements.EngineRequirements
+    location: engine_requirements.EntryLocation
+    now_s: float
+
+
+def find(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    """Return why an engine may not get a request, or None if it may.
+
+    The limit is looked at last, so that it is the only obstacle if it is named.
+    """
+    obstacle = find_for_all_requests(engine, choice.now_s)
+    if obstacle is not None:
+        return obstacle
+    for check in _REQUEST_CHECKS:
+        obstacle = check(engine, choice)
+        if obstacle is not None:
+            return obstacle
+    return None
+
+
+def find_for_all_requests(engine: engines.Engine, now_s: float) -> Obstacle | None:
+    """Return why an engine may get no request at all, or None if it may."""
+    if engine.entry.state is not entry_data.EngineState.READY:
+        return Obstacle(Cause.DRAINING)
+    if engine.was_restarted:
+        return Obstacle(Cause.RESTARTED)
+    if now_s < engine.stale_until_s:
+        return Obstacle(Cause.ENTRY_OUTDATED, engine.stale_until_s)
+    # An expired entry may be written again, so its engine stays usable for a while.
+    if engine.usable_until_s is not None and now_s >= engine.usable_until_s:
+        return Obstacle(Cause.ENTRY_REMOVED)
+    return None
+
+
+def _check_tried(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    if engine.entry.engine_id in choice.requirements.excluded:
+        return Obstacle(Cause.TRIED)
+    return None
+
+
+def _check_weights(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    profile = choice.requirements.service.profile
+    if profile is None:
+        return None
+    version = engine.complete_version(profile, choice.now_s)
+    if version == 0 or version < choice.requirements.minimum_version:
+        return Obstacle(Cause.NO_WEIGHTS)
+    if _would_begin_late(engine, version, choice):
+        return Obstacle(Cause.BEGINS_LATE)
+    return None
+
+
+def _check_limit(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    wait_s = engine.limit.wait_s(choice.now_s, choice.location.entry_count)
+    if wait_s > 0:
+        return Obstacle(Cause.LIMIT_USED_UP, choice.now_s + wait_s)
+    if choice.requirements.skips_limited and engine.limit.limit_per_s is not None:
+        return Obstacle(Cause.LIMIT_LEFT_TO_OTHERS)
+    return None
+
+
+_REQUEST_CHECKS: tuple[Callable[[engines.Engine, Choice], Obstacle | None], ...] = (
+    _check_tried,
+    _check_weights,
+    _check_limit,
+)
+
+
+def _would_begin_late(engine: engines.Engine, version: int, choice: Choice) -> bool:
+    """Return whether an engine may begin on its version only when it is too old.
+
+    :param version: the version that the engine holds.
+    """
+    requirements, location, now_s = choice
+    begin_until_s = min(
+        (
+            upcoming.begin_until_s
+            for upcoming in requirements.upcoming_versions
+            if upcoming.version > version
+        ),
+        default=float("inf"),
+    )
+    if begin_until_s == float("inf"):
+        return False
+    if not engine.has_recent_load(now_s):
+        # Only the requests of this entry are known; an estimate from them would exclude
+        # the engine long before.
+        location = location._replace(entry_count=1)
+    wait_s = engine_waits.expected_wait_s(engine, requirements.service, location, now_s)
+    slowdown = engine.load.pace if engine.load is not None else 1.0
+    begins_in_s = (wait_s + requirements.prefill_s) * max(slowdown, 1.0)
+    begins_in_s += engine.link_delay_s(now_s)
+    return now_s + begins_in_s + BEGIN_MARGIN_S > begin_until_s
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -87,15 +87,6 @@
         """Return what distinguishes it from other engines and its other lives."""
         return crash_evidence.Incarnation(self.entry.engine_id, self.entry.born_ms)
 
-    def is_usable(self, now_s: float) -> bool:
-        """Return whether new requests may be sent to the engine."""
-        if self.entry.state is not entry_data.EngineState.READY or self.was_restarted:
-            return False
-        if now_s < self.stale_until_s:
-            return False
-        # An expired entry may be written again, so its engine stays usable for a while.
-        return self.usable_until_s is None or now_s < self.usable_until_s
-
     def is_avoided(self, now_s: float) -> bool:
         """Return whether the engine probably does not answer.
 
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -11,9 +11,9 @@
     crash_guard_test,
     decision_context,
     decisions,
+    engine_requirements,
     engines,
     forwarding,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -106,7 +106,9 @@
         self.final_effects = []
 
     def context(self):
-        location = load_balancing.EntryLocation(ZONE, {ZONE: data.RegionName("g")}, 1)
+        location = engine_requirements.EntryLocation(
+            ZONE, {ZONE: data.RegionName("g")}, 1
+        )
         return decision_context.Context(
             self.now_s,
             self.registry,
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -11,10 +11,10 @@
     crash_guard_test,
     decision_context,
     decisions,
+    engine_requirements,
     engine_statement,
     engines,
     forwarding,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -58,7 +58,7 @@
 
     def at(self, now_s, entry_count=1, requests_end_s=float("inf")):
         regions = {ZONE: data.RegionName("g")}
-        location = load_balancing.EntryLocation(ZONE, regions, entry_count)
+        location = engine_requirements.EntryLocation(ZONE, regions, entry_count)
         return decision_context.Context(
             now_s,
             self.registry,
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -6,7 +6,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engines, load_balancing
+from toucanspread.core.entry import engine_requirements, engines, load_balancing
 
 PROFILE = entry_data.ModelProfile(
     data.ModelName("m"), 4, 8, 1024, 0.3, read_per_s=19_100.0, pass_s=0.045
@@ -40,11 +40,13 @@
     def setUp(self):
         super().setUp()
         self.random_source = random.Random(3)
-        self.location = load_balancing.EntryLocation(data.ZoneName("z1"), REGIONS, 6)
+        self.location = engine_requirements.EntryLocation(
+            data.ZoneName("z1"), REGIONS, 6
+        )
         self.registry = make_registry()
 
     def choose(self, now_s=0.0, **options):
-        requirements = load_balancing.EngineRequirements(SERVICE, **options)
+        requirements = engine_requirements.EngineRequirements(SERVICE, **options)
         chosen = load_balancing.choose_engine(
             self.registry, requirements, self.location, now_s, self.random_source
         )
@@ -60,7 +62,7 @@
         now_s = 0.0
         for _ in range(2_000):
             now_s += self.random_source.expovariate(7.0 * 9)
-            requirements = load_balancing.EngineRequirements(SERVICE)
+            requirements = engine_requirements.EngineRequirements(SERVICE)
             chosen = load_balancing.choose_engine(
                 self.registry, requirements, self.location, now_s, self.random_source
             )
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -9,6 +9,7 @@
     decision_context,
     decisions,
     engine_choice,
+    engine_waits,
     engines,
     load_balancing,
     request_record,
@@ -90,6 +91,6 @@
             continue
         if not needs_slot and not engine.is_silent(now_s):
             return True
-        if load_balancing.free_slots(engine, location, now_s) >= 1:
+        if engine_waits.free_slots(engine, location, now_s) >= 1:
             return True
     return False
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarded_request.py
@@ -14,6 +14,8 @@
     cluster_state,
     decision_context,
     decisions,
+    engine_obstacles,
+    engine_requirements,
     engine_statement,
     forwarding,
     load_balancing,
@@ -368,7 +370,9 @@
         """
         context = self.make_decision_context()
         engine = context.registry.get(effect.engine_id)
-        if engine is None or not engine.is_usable(context.now_s):
+        if engine is None:
+            return None
+        if engine_obstacles.find_for_all_requests(engine, context.now_s) is not None:
             return None
         if self._state.must_be_withdrawn(context, was_sent=False):
             return None
@@ -477,7 +481,7 @@
         if self.service is None:
             return 0, 0, 0
         context = self.make_decision_context()
-        requirements = load_balancing.EngineRequirements(
+        requirements = engine_requirements.EngineRequirements(
             self.service,
             context.minimum_version,
             upcoming_versions=context.upcoming_versions,
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarder.py
@@ -9,9 +9,9 @@
 from toucanspread.core.entry import (
     cluster_state,
     decision_context,
+    engine_requirements,
     fingerprints,
     guard_program,
-    load_balancing,
     retry_budget,
     routes,
 )
@@ -68,7 +68,7 @@
         retry_budgets: retry_budget.RetryBudget,
         pool: http1_pool.ConnectionPool,
         wire_dialect: dialect.Dialect,
-        get_location: Callable[[], load_balancing.EntryLocation],
+        get_location: Callable[[], engine_requirements.EntryLocation],
         random_source: random.Random,
         notifier: EntryNotifier,
         list_members: Callable[[], guard_program.Members],
--- a/toucanspread/ops/forwarder_test.py
+++ b/toucanspread/ops/forwarder_test.py
@@ -14,10 +14,10 @@
 from toucanspread.core.entry import (
     cluster_state,
     decisions,
+    engine_requirements,
     event_stream,
     fingerprints,
     guard_program,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -168,7 +168,9 @@
             for number in (1, 2):
                 self.add_engine(service, number)
         zone = data.ZoneName("z")
-        location = load_balancing.EntryLocation(zone, {zone: data.RegionName("r")}, 1)
+        location = engine_requirements.EntryLocation(
+            zone, {zone: data.RegionName("r")}, 1
+        )
         self.notifier = RecordingNotifier()
         self.forwarder = forwarder.Forwarder(
             self.cluster,
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies
 
 from toucanspread.core import bounds, data, decoder
-from toucanspread.core.entry import cluster_state, engines, load_balancing
+from toucanspread.core.entry import (
+    cluster_state,
+    engine_requirements,
+    engines,
+    load_balancing,
+)
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_view
 from toucanspread.platform import decoding
@@ -101,7 +106,7 @@
     ),
     max_leaves=8,
 )
-LOCATION = load_balancing.EntryLocation(data.ZoneName("heredia-a"), {}, 2)
+LOCATION = engine_requirements.EntryLocation(data.ZoneName("heredia-a"), {}, 2)
 ENGINE_KEY = "servers/i-1"
 
 
@@ -144,7 +149,7 @@
         for engine in registry.of_service(service.name):
             if service.profile is not None:
                 engine.add_prompt(100, service.profile, 0.0)
-        requirements = load_balancing.EngineRequirements(service, likely_tokens=10)
+        requirements = engine_requirements.EngineRequirements(service, likely_tokens=10)
         load_balancing.choose_engine(
             registry, requirements, LOCATION, 0.0, random.Random(1)
         )
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -15,9 +15,9 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    engine_requirements,
     entry_directory,
     guard_program,
-    load_balancing,
     retry_budget,
 )
 from toucanspread.core.view import source_selection, store_view
@@ -201,8 +201,8 @@
             data.Address(seed) for seed in self.process_settings.seeds if seed != own
         ]
 
-    def _make_location(self) -> load_balancing.EntryLocation:
-        return load_balancing.EntryLocation(
+    def _make_location(self) -> engine_requirements.EntryLocation:
+        return engine_requirements.EntryLocation(
             data.ZoneName(self.process_settings.zone),
             self.process_settings.map_zones_to_regions(),
             max(len(self.cluster.directory.serving()), 1),
