Send nothing new to an engine whose answers say that it leaves

Cause: no code read the header.

The fix: from the first such answer on it is one more obstacle of engine_obstacles, for this incarnation, also if its record in the store is written again or expires and comes back. What runs there ends there; an engine that breaks off after it has said so is no suspect of a crash. Other entries aren't told: each learns it from its own first answer, which is served like any other.

--- a/toucanspread/core/entry/engine_obstacles.py
+++ b/toucanspread/core/entry/engine_obstacles.py
@@ -21,6 +21,7 @@
     """Why an engine may not get a request."""
 
     DRAINING = "draining"
+    SAYS_LEAVING = "says that it leaves"
     RESTARTED = "restarted"
     ENTRY_OUTDATED = "entry outdated"
     ENTRY_REMOVED = "entry removed"
@@ -70,6 +71,8 @@
     """Return why an engine may get no request at all, or None if it may."""
     if engine.entry.state is not entry_data.EngineState.READY:
         return Obstacle(Cause.DRAINING)
+    if engine.says_leaving:
+        return Obstacle(Cause.SAYS_LEAVING)
     if engine.was_restarted:
         return Obstacle(Cause.RESTARTED)
     if now_s < engine.stale_until_s:
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -25,6 +25,8 @@
 DECODE_PASSES_PER_PROMPT = 0.5  # two prompts share one decode pass on average
 # A link that needs longer does not become usable by waiting for it.
 MAX_LINK_DELAY_S = 1.5
+# Engines whose entries may be written again although they have said that they leave.
+MAX_LEFT_COUNT = 1_000
 AVOID_FAILURE_COUNT = 2  # a single failed request is not enough evidence
 
 
@@ -163,9 +165,9 @@
         return abs(now_s - self.switch_at_s) <= margin_s
 
     def is_leaving(self) -> bool:
-        """Return whether the engine is about to end, as its entry says."""
+        """Return whether the engine is about to end, as it or its entry says."""
         is_draining = self.entry.state is entry_data.EngineState.DRAINING
-        return is_draining or self.usable_until_s is not None
+        return is_draining or self.says_leaving or self.usable_until_s is not None
 
     def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
         """Apply a load report."""
@@ -271,13 +273,17 @@
     def __init__(self, drain_s: float):
         self._removed_grace_s = drain_s * REMOVED_GRACE_RATIO
         self._engines: dict[str, Engine] = {}
+        # Incarnations without an entry that have said that they leave.
+        self._left: dict[crash_evidence.Incarnation, None] = {}
         self._report_times = ReportTimes()
 
     def put(self, entry: entry_data.EngineEntry) -> bool:
         """Add or update an entry; return whether it is of a new incarnation."""
         known = self._engines.get(entry.engine_id)
         if known is None or _is_new_incarnation(known.entry, entry):
-            self._engines[entry.engine_id] = Engine(entry, self._report_times)
+            engine = Engine(entry, self._report_times)
+            engine.says_leaving = engine.incarnation in self._left
+            self._engines[entry.engine_id] = engine
             return True
         known.entry = entry
         known.usable_until_s = None
@@ -302,10 +308,18 @@
                 # Its entry may be written again, and it wants no requests then either.
                 continue
             if engine.in_flight == 0:
-                del self._engines[engine_id]
+                self._drop(engine)
                 dropped.append(engine_id)
         return dropped
 
+    def _drop(self, engine: Engine) -> None:
+        del self._engines[engine.entry.engine_id]
+        if not engine.says_leaving:
+            return
+        self._left[engine.incarnation] = None
+        if len(self._left) > MAX_LEFT_COUNT:
+            del self._left[next(iter(self._left))]
+
     def get(self, engine_id: str) -> Engine | None:
         """Return an engine, or None if it is unknown."""
         return self._engines.get(engine_id)
