--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -7,7 +7,6 @@
 
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engine_statement
 from toucanspread.core.weights import piece_placement, staging_events
 from toucanspread.ops import (
     engine_control,
@@ -15,9 +14,8 @@
     http1_pool,
     metric_buffer,
     piece_cache,
-    statement_logs,
 )
-from toucanspread.platform import decoding, requests
+from toucanspread.platform import called_server, decoding
 
 ENGINE_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
 ORIGIN_TIMEOUT_S = 4.0  # one piece takes over a second on the origin's narrow link
@@ -58,6 +56,7 @@
         self._pool = pool
         self._address = address
         self._max_piece_bytes = max_piece_bytes
+        self._server = called_server.CalledServer(pool.reactor.seconds)
 
     async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order."""
@@ -82,6 +81,11 @@
         address = self._address()
         if address is None:
             raise piece_cache.PieceError("no configuration with an origin is known yet")
+        left_s = self._server.backoff_left_s(address)
+        if left_s > 0:
+            raise piece_cache.PieceError(
+                f"the origin wants no calls for {left_s:.1f} s"
+            )
         head = http1.RequestHead(b"GET", target.encode(), [])
         try:
             reply = await self._pool.call(
@@ -92,8 +96,7 @@
             )
         except http1_pool.CallError as error:
             raise piece_cache.PieceError(str(error)) from error
-        statement = requests.read_statement(reply.head)
-        statement_logs.write(address, statement, False, statement.is_leaving)
+        self._server.record(address, reply)
         if reply.status != 200:
             raise piece_cache.PieceError(
                 f"the origin answered with status {reply.status}"
@@ -119,7 +122,7 @@
         self._report_pool = http1_pool.ConnectionPool(pool.reactor)
         self._address = address
         self._max_piece_bytes = max_piece_bytes
-        self._known_statement = engine_statement.EngineStatement()
+        self._server = called_server.CalledServer(pool.reactor.seconds)
 
     async def read_report(self) -> entry_data.EngineReport:
         """Return the engine's current report.
@@ -205,6 +208,11 @@
         max_body_bytes: int = MAX_SHORT_ANSWER_BYTES,
         has_own_connection: bool = False,
     ) -> http1_pool.Reply:
+        left_s = self._server.backoff_left_s(self._address)
+        if left_s > 0:
+            raise engine_control.EngineError(
+                f"the engine wants no calls for {left_s:.1f} s"
+            )
         headers = [JSON_TYPE] if body[:1] == b"{" else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
@@ -218,21 +226,10 @@
             )
         except http1_pool.CallError as error:
             raise engine_control.EngineError(str(error)) from error
-        self._record_statement(reply)
+        metric_buffer.count("engine_calls", status=str(reply.status))
+        self._server.record(self._address, reply)
         if reply.status != 200 and reply.status not in accept:
             raise engine_control.EngineError(
                 f"the engine answered {target} with status {reply.status}"
             )
         return reply
-
-    def _record_statement(self, reply: http1_pool.Reply) -> None:
-        """Count the call, and log what the engine says of itself in its answer."""
-        metric_buffer.count("engine_calls", status=str(reply.status))
-        statement = requests.read_statement(reply.head)
-        known, self._known_statement = self._known_statement, statement
-        statement_logs.write(
-            self._address,
-            statement,
-            has_new_limit=statement.limit_per_s != known.limit_per_s,
-            begins_to_leave=statement.is_leaving and not known.is_leaving,
-        )
