Rank an engine lower by the time for which bytes to it are held

Callers saw late answers: a request went behind pieces of weights for up to a second while another engine could begin at once. It also breaks the bound of a Retry-After: what is on its way for longer than half a second when the engine rejects counts against the entry.

Cause: the delay that sidecars report was used for versions only, not in the choice of an engine. If all engines are behind such links it doesn't help; that stays.

Both new tests fail without the change.

--- a/standins/backoff_simulation_test.py
+++ b/standins/backoff_simulation_test.py
@@ -46,6 +46,20 @@
     def test_entries_leave_all_engines_alone_if_all_ask_for_it(self):
         self.check(18, load_profiles.RejectionPeriod(3.0, ALL_ENGINES, 1.0, 3.0))
 
+    def test_few_requests_are_on_their_way_to_an_engine_with_a_slow_link(self):
+        periods = (
+            load_profiles.RejectionPeriod(3.0, (0, 1, 2), 0.5, 3.0),
+            load_profiles.RejectionPeriod(7.0, (0, 1, 2), 0.5, 3.0),
+        )
+        for entries in (1, 2, 18):
+            simulation = simulate(
+                entries,
+                periods,
+                engine_link_delay_s=1.0,
+                delayed_engine_numbers=(0, 1, 2),
+            )
+            self.assertEqual([], list_violations(simulation), f"{entries} entries")
+
     def test_a_shorter_time_named_later_does_not_end_a_longer_one(self):
         self.check(
             1,
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -182,6 +182,7 @@
         doesn't matter on which version requests begin.
     :param engine_link_delay_s: additional delay of all that is sent to engines, as
         behind pieces of weights.
+    :param delayed_engine_numbers: numbers of the engines with that delay; None for all.
     :param engine_link: the links to engines' instances, on which pieces of weights are
         ahead of requests; None if they hold nothing up.
     :param engine_crashes: crashes of engines for other reasons.
@@ -205,6 +206,7 @@
     crashing_parts: tuple[CrashingPart, ...] = ()
     version_change: VersionChange | None = None
     engine_link_delay_s: float = 0.0
+    delayed_engine_numbers: tuple[int, ...] | None = None
     engine_link: LinkProfile | None = None
     engine_crashes: tuple[EngineCrashes, ...] = ()
     engine_freezes: tuple[EngineFreeze, ...] = ()
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -45,7 +45,6 @@
         change = profile.version_change
         within_s = change.within_s if change is not None else float("inf")
         self.version_check = version_check.VersionCheck(within_s)
-        self.engine_link_delay_s = profile.engine_link_delay_s
         self.engine_link = profile.engine_link
         self.entry_ttl_s = profile.entry_ttl_s
         self.retry_allowance = profile.retry_allowance
@@ -228,6 +227,13 @@
         """Return the entry that a caller uses."""
         return self.random_source.choice(self.entries)
 
+    def sending_delay_s(self, number: int) -> float:
+        """Return the additional delay of all that is sent to an engine."""
+        delayed = self._profile.delayed_engine_numbers
+        if delayed is not None and number not in delayed:
+            return 0.0
+        return self._profile.engine_link_delay_s
+
     def switch_at_s(self, number: int) -> float | None:
         """Return the time at which an engine switches to the new version."""
         times_s = self._profile.switch_times_s
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -87,7 +87,6 @@
     :ivar crash_check: the check of the requests that crash engines.
     :ivar crash_random_source: for the delays of crashes.
     :ivar version_check: the check of the versions on which requests begin.
-    :ivar engine_link_delay_s: additional delay of all that is sent to engines.
     :ivar engine_link: the links to engines' instances; None if they hold nothing up.
     :ivar entry_ttl_s: time of silence after which an engine's entry in the store
         expires; None if entries never do.
@@ -99,12 +98,15 @@
     crash_check: crash_check.CrashCheck
     crash_random_source: random.Random
     version_check: version_check.VersionCheck
-    engine_link_delay_s: float
     engine_link: load_profiles.LinkProfile | None
     entry_ttl_s: float | None
     retry_allowance: float
     entries: "list[SimulatedEntry]"
 
+    @abc.abstractmethod
+    def sending_delay_s(self, number: int) -> float:
+        """Return the additional delay of all that is sent to an engine."""
+
     @abc.abstractmethod
     def switch_at_s(self, number: int) -> float | None:
         """Return the time at which an engine switches to the new version."""
@@ -131,6 +133,7 @@
     """An engine with its zone and its load reports.
 
     :ivar is_crashed: whether connections are refused until it is back.
+    :ivar sending_delay_s: additional delay of all that is sent to it.
     :ivar sidecar: has the link of its instance; None if that holds nothing up.
     :ivar is_frozen: whether it stands still; what arrives then waits.
     :ivar backoff: checks what it gets while it wants no requests.
@@ -153,6 +156,7 @@
         self._waiting: list[Callable[[], None]] = []
         self.version = FIRST_VERSION
         self.switch_at_s = simulation.switch_at_s(number)
+        self.sending_delay_s = simulation.sending_delay_s(number)
         self.jobs: dict[engine_model.Job, EngineClient] = {}
         self.limit = limit_check.LimitRecord()
         self.backoff = backoff_check.BackoffRecord()
@@ -189,7 +193,7 @@
     def link_delay_s(self) -> float:
         """The seconds for which bytes to its instance are held, as measured there."""
         if self.sidecar is None:
-            return self._simulation.engine_link_delay_s
+            return self.sending_delay_s
         return self.sidecar.link_delay_s
 
     def start(self) -> None:
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -249,7 +249,7 @@
             arguments = (call, *arguments)
             call = engine.receive
         self._simulation.clock.callLater(
-            self._simulation.engine_link_delay_s,
+            engine.sending_delay_s,
             self._simulation.call_after_delay,
             self._entry.zone,
             engine.zone,
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -167,6 +167,7 @@
     score = engine_waits.expected_wait_s(engine, service, location, now_s)
     slowdown = engine.load.pace if engine.load is not None else 1.0
     score *= max(slowdown, 1.0)
+    score += engine.link_delay_s(now_s)
     score += _distance_penalty_s(engine, location) + random_source.random() * NOISE_S
     if engine.entry.cold_left_s > 0:
         score += COLD_PENALTY_S
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -95,6 +95,15 @@
                 engine.add_prompt(8_000, PROFILE, 0.0)
         self.assertNotEqual("z1", self.choose().partition("-")[0])
 
+    def test_a_request_does_not_wait_behind_weights_while_another_engine_is_near(self):
+        for engine in self.registry.of_service(SERVICE.name):
+            delay_s = 0.0 if engine.entry.engine_id == "z2-0" else 0.6
+            load = entry_data.EngineLoad(
+                engine.entry.address, 0, 0, 0, 1, False, link_delay_s=delay_s
+            )
+            engine.apply_load(load, 0.0)
+        self.assertEqual({"z2-0"}, {self.choose() for _ in range(20)})
+
     def test_a_removed_engine_gets_no_requests(self):
         for engine in list(self.registry.of_service(SERVICE.name)):
             if engine.entry.engine_id != "z2-0":
