--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -350,6 +350,10 @@
         """Return as a new incarnation, unless the engine was stopped meanwhile."""
         if self.model is not model or not self.is_running:
             return
+        self.start_anew()
+
+    def start_anew(self) -> None:
+        """Start as a new incarnation."""
         self._born_ms = round(self._simulation.clock.seconds() * 1000)
         self.start()
 
