--- a/toucanspread/core/entry/engine_backoff.py
+++ b/toucanspread/core/entry/engine_backoff.py
@@ -13,11 +13,14 @@
 
 
 class EngineBackoff:
-    """The backoff that one engine has asked for."""
+    """The backoff that one engine has asked for.
+
+    :ivar is_over: whether the engine wants requests, as its answers show since.
+    """
 
     def __init__(self):
         self._until_s = float("-inf")
-        self._has_returned = True
+        self.is_over = True
         self._trial_sent_s = float("-inf")
 
     def on_answer(self, backoff_s: float | None, sent_s: float, now_s: float) -> None:
@@ -28,13 +31,13 @@
         """
         if backoff_s is not None:
             self._until_s = max(self._until_s, now_s + backoff_s)
-            self._has_returned = False
+            self.is_over = False
         elif sent_s >= self._until_s:
-            self._has_returned = True
+            self.is_over = True
 
     def record_dispatch(self, now_s: float) -> None:
         """Record a request that is sent to the engine."""
-        if not self._has_returned:
+        if not self.is_over:
             self._trial_sent_s = now_s
 
     def left_s(self, now_s: float) -> float:
@@ -43,7 +46,7 @@
 
     def trial_left_s(self, now_s: float) -> float:
         """Return the time until more requests may follow a trial; 0 if they may now."""
-        if self._has_returned:
+        if self.is_over:
             return 0.0
         return max(self._trial_sent_s + TRIAL_S - now_s, 0.0)
 
--- a/toucanspread/core/entry/engine_obstacles.py
+++ b/toucanspread/core/entry/engine_obstacles.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-from collections.abc import Callable
 from typing import NamedTuple
 
 from toucanspread.core.entry import data as entry_data
@@ -57,14 +56,13 @@
 
     Backoff and limit are looked at last, so that they are the only obstacle if named.
     """
-    obstacle = find_for_all_requests(engine, choice.now_s)
-    if obstacle is not None:
-        return obstacle
-    for check in _REQUEST_CHECKS:
-        obstacle = check(engine, choice)
-        if obstacle is not None:
-            return obstacle
-    return None
+    return (
+        find_for_all_requests(engine, choice.now_s)
+        or _check_tried(engine, choice)
+        or _check_weights(engine, choice)
+        or _check_backoff(engine, choice)
+        or _check_limit(engine, choice)
+    )
 
 
 def find_for_all_requests(engine: engines.Engine, now_s: float) -> Obstacle | None:
@@ -109,6 +107,8 @@
 
 
 def _check_backoff(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    if engine.backoff.is_over:
+        return None
     left_s = engine.backoff.left_s(choice.now_s)
     if left_s > 0:
         return Obstacle(Cause.BACKOFF, choice.now_s + left_s)
@@ -119,28 +119,24 @@
 
 
 def _check_limit(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    if engine.limit.limit_per_s is None:
+        return None
     wait_s = engine.limit.wait_s(choice.now_s, choice.location.entry_count)
     if wait_s > 0:
         return Obstacle(Cause.LIMIT_USED_UP, choice.now_s + wait_s)
-    if choice.requirements.skips_limited and engine.limit.limit_per_s is not None:
+    if choice.requirements.skips_limited:
         return Obstacle(Cause.LIMIT_LEFT_TO_OTHERS)
     return None
 
 
-_REQUEST_CHECKS: tuple[Callable[[engines.Engine, Choice], Obstacle | None], ...] = (
-    _check_tried,
-    _check_weights,
-    _check_backoff,
-    _check_limit,
-)
-
-
 def _would_begin_late(engine: engines.Engine, version: int, choice: Choice) -> bool:
     """Return whether an engine may begin on its version only when it is too old.
 
     :param version: the version that the engine holds.
     """
     requirements, location, now_s = choice
+    if not requirements.upcoming_versions:
+        return False
     begin_until_s = min(
         (
             upcoming.begin_until_s
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -135,9 +135,11 @@
 
     def link_delay_s(self, now_s: float) -> float:
         """Return the time for which bytes to the engine are held on the way."""
+        if self.load is None or self.load.link_delay_s <= 0.0:
+            return 0.0
         if not self.has_recent_load(now_s):
             return 0.0
-        return min(max(self.load.link_delay_s, 0.0), MAX_LINK_DELAY_S)
+        return min(self.load.link_delay_s, MAX_LINK_DELAY_S)
 
     def is_switching(self, now_s: float) -> bool:
         """Return whether an order keeps the engine from accepting requests.
