--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -40,7 +40,7 @@
         f"95 in 100 within {first_s[int(len(first_s) * 0.95)] * 1000:.0f} ms"
     )
     for simulation in simulations:
-        for violation in simulation.crash_check.list_violations():
+        for violation in simulation.list_violations():
             print(f"  seed {simulation.seed}: {violation}")
 
 
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -239,6 +239,25 @@
             LimitChange(11.0, 10, None),
         ),
     ),
+    # Half of the engines, and then the other half, want no requests for two seconds.
+    LoadProfile(
+        "backoffs",
+        ((0.0, 50.0),),
+        ((0.0, 10),),
+        14.0,
+        rejections=(
+            RejectionPeriod(3.0, (0, 1, 2, 3, 4), 0.5, 2.0),
+            RejectionPeriod(7.0, (5, 6, 7, 8, 9), 0.5, 2.0),
+        ),
+    ),
+    # Three of ten engines leave, as only their answers say.
+    LoadProfile(
+        "leaving",
+        ((0.0, 50.0),),
+        ((0.0, 10),),
+        14.0,
+        departures=(EngineDeparture(3.0, (0, 1, 2), 4.0),),
+    ),
     LoadProfile("recovery", ((0.0, 70.0),), ((0.0, 10), (3.0, 0), (5.5, 10)), 14.0),
     # Six requests a second crash the engines that begin to answer them.
     LoadProfile(
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -107,6 +107,14 @@
             self.clock.advance(max(wait_s, 0.0))
         return self.outcome
 
+    def list_violations(self) -> list[str]:
+        """Return what broke a rule about crashes, or about what an engine has said."""
+        violations = list(self.crash_check.list_violations())
+        for engine in self.engines:
+            for record in (engine.limit, engine.backoff, engine.leaving):
+                violations += [f"{engine.engine_id}: {v}" for v in record.violations]
+        return violations
+
     def call_after_delay(
         self, source: data.ZoneName, target: data.ZoneName, call: Callable, *arguments
     ) -> None:
