--- a/benches/bench_chunk_transport.py
+++ b/benches/bench_chunk_transport.py
@@ -8,7 +8,8 @@
 import time
 
 # Installs the event loop; otherwise importing twisted's reactor would install another.
-from toucanspread.ops import grpc_transport, http_client, loop
+from toucanspread.ops import grpc_transport, loop
+from toucanspread.ops.http import http_client
 
 # isort: split
 from twisted.internet import reactor
--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from standins import virtual_time
-from toucanspread.ops import http1, http1_client, http1_pool
+from toucanspread.ops.http import http1, http1_client, http1_pool
 
 SEGMENT_BYTES = 4_096
 WINDOW_SEGMENTS = 8  # segments of an answer that may be on their way
--- a/standins/link_simulation_test.py
+++ b/standins/link_simulation_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from standins import link_simulation, virtual_time
-from toucanspread.ops import http1, http1_pool
+from toucanspread.ops.http import http1, http1_pool
 
 TIMEOUT_S = 0.5
 
--- a/standins/platform_store_test.py
+++ b/standins/platform_store_test.py
@@ -16,7 +16,8 @@
 from twisted.web import server
 
 from standins import platform_store, platform_store_state
-from toucanspread.ops import http1, http1_pool, prefix_store
+from toucanspread.ops.copies import prefix_store
+from toucanspread.ops.http import http1, http1_pool
 from toucanspread.platform import store
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -23,7 +23,8 @@
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import crash_notices, view_sync
+from toucanspread.ops.copies import view_sync
+from toucanspread.ops.forwarding import crash_notices
 from toucanspread.platform import decoding, entry
 
 DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -31,7 +31,7 @@
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import crash_notices, request_queue
+from toucanspread.ops.forwarding import crash_notices, request_queue
 
 ZONES = tuple(data.ZoneName(name) for name in ("a", "b", "c"))
 REGIONS = {zone: data.RegionName(zone) for zone in ZONES}
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -28,7 +28,7 @@
     forwarding,
     request_timing,
 )
-from toucanspread.ops import request_queue
+from toucanspread.ops.forwarding import request_queue
 
 CALLER_TIMEOUT_S = 3.2  # callers abandon a request without an event for so long
 MAX_EVENT_GAP_S = 0.4  # a longer gap between events makes an answer late
--- a/standins/store_return_test.py
+++ b/standins/store_return_test.py
@@ -8,7 +8,7 @@
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
 from standins import store_copies, view_simulation, view_soak_test
-from toucanspread.ops import newer_values
+from toucanspread.ops.copies import newer_values
 from toucanspread.platform import decoding
 
 RECOVERED_S = 4.0  # 2 s until all is written again, and the platform's bound of 2 s
--- a/toucanspread/layering_test.py
+++ b/toucanspread/layering_test.py
@@ -40,6 +40,8 @@
     "op/config",
     "op/version",
     "resume_streams",
+    "server-leaving",
+    "server-limit",
     "servers/",
     "slo_ms",
     "tenant",
--- a/toucanspread/ops/excerpt_client.py
+++ b/toucanspread/ops/copies/excerpt_client.py
@@ -4,7 +4,8 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_position, store_view
-from toucanspread.ops import excerpt_codec, http1, http1_pool
+from toucanspread.ops.copies import excerpt_codec
+from toucanspread.ops.http import http1, http1_pool
 
 EXCERPT_TARGET = "/excerpt"
 
--- a/toucanspread/ops/excerpt_codec_test.py
+++ b/toucanspread/ops/copies/excerpt_codec_test.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from toucanspread.core.view import store_view
-from toucanspread.ops import excerpt_codec
+from toucanspread.ops.copies import excerpt_codec
 
 SMALLEST_MEMORY_BYTES = 168_000_000  # of the users' machines
 
--- a/toucanspread/ops/excerpt_deltas.py
+++ b/toucanspread/ops/copies/excerpt_deltas.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from toucanspread.core.view import store_view, value_delta, value_history
-from toucanspread.ops import excerpt_codec
+from toucanspread.ops.copies import excerpt_codec
 
 CACHED_COUNT = 16  # pairs of values that followers need deltas of at the same time
 
--- a/toucanspread/ops/excerpt_deltas_test.py
+++ b/toucanspread/ops/copies/excerpt_deltas_test.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from toucanspread.core.view import store_view, value_delta
-from toucanspread.ops import excerpt_codec, excerpt_deltas
+from toucanspread.ops.copies import excerpt_codec, excerpt_deltas
 
 VALUE = random.Random(1).randbytes(50_000)
 SMALLEST_MEMORY_BYTES = 168_000_000  # of the users' machines
--- a/toucanspread/ops/excerpt_server.py
+++ b/toucanspread/ops/copies/excerpt_server.py
@@ -3,14 +3,14 @@
 import msgspec
 
 from toucanspread.core.view import store_position, store_view
-from toucanspread.ops import (
+from toucanspread.ops.copies import (
     excerpt_client,
     excerpt_codec,
     excerpt_deltas,
-    http1_exchange,
-    metric_buffer,
     newer_values,
 )
+from toucanspread.ops.http import http1_exchange
+from toucanspread.ops.telemetry import metric_buffer
 
 EMPTY_VIEW_WAIT_S = 0.8  # a starting process answers 503 if it has no copy by then
 
--- a/toucanspread/ops/excerpt_server_test.py
+++ b/toucanspread/ops/copies/excerpt_server_test.py
@@ -4,7 +4,7 @@
 from twisted.internet import task
 
 from toucanspread.core.view import store_view
-from toucanspread.ops import excerpt_client, excerpt_codec, excerpt_server
+from toucanspread.ops.copies import excerpt_client, excerpt_codec, excerpt_server
 
 
 class Exchange:
--- a/toucanspread/ops/newer_values.py
+++ b/toucanspread/ops/copies/newer_values.py
@@ -12,7 +12,9 @@
 
 from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_view
-from toucanspread.ops import excerpt_client, http1_pool, metric_buffer
+from toucanspread.ops.copies import excerpt_client
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.telemetry import metric_buffer
 
 NEWER_VALUES_TARGET = "/newer-values"
 # Limit of the wait for peers that do not answer; a start takes this much longer then.
--- a/toucanspread/ops/newer_values_test.py
+++ b/toucanspread/ops/copies/newer_values_test.py
@@ -9,7 +9,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import store_view
-from toucanspread.ops import (
+from toucanspread.ops.copies import (
     excerpt_client,
     excerpt_server,
     excerpt_server_test,
--- a/toucanspread/ops/prefix_store.py
+++ b/toucanspread/ops/copies/prefix_store.py
@@ -10,7 +10,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import store_position, store_view
-from toucanspread.ops import http1_pool
+from toucanspread.ops.http import http1_pool
 
 LeaseId = int
 
--- a/toucanspread/ops/view_sync.py
+++ b/toucanspread/ops/copies/view_sync.py
@@ -14,16 +14,15 @@
     store_position,
     store_view,
 )
-from toucanspread.ops import (
+from toucanspread.ops.copies import (
     excerpt_client,
     excerpt_codec,
     excerpt_deltas,
-    http1_pool,
-    logs,
-    metric_buffer,
     newer_values,
     prefix_store,
 )
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 # Several versions of a large value take more than all items with the newest one, and
 # processes that ask for them at once fill the link to the store. Values are sent in
--- a/toucanspread/ops/view_sync_test.py
+++ b/toucanspread/ops/copies/view_sync_test.py
@@ -8,7 +8,8 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_view, value_delta
-from toucanspread.ops import excerpt_client, http1_pool, prefix_store, view_sync
+from toucanspread.ops.copies import excerpt_client, prefix_store, view_sync
+from toucanspread.ops.http import http1_pool
 from toucanspread.platform import store
 
 
--- a/toucanspread/ops/daemon.py
+++ b/toucanspread/ops/daemon.py
@@ -12,7 +12,8 @@
 from twisted.internet import reactor
 
 from toucanspread.core import data, events, machine
-from toucanspread.ops import logs, loop, metrics, runtime, settings
+from toucanspread.ops import loop, runtime, settings
+from toucanspread.ops.telemetry import logs, metrics
 
 EXIT_CANNOT_START = 1
 SEED_BITS = 63
--- a/toucanspread/ops/datagram_transport.py
+++ b/toucanspread/ops/datagram_transport.py
@@ -12,7 +12,8 @@
 from twisted.internet import error, protocol, reactor
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import codec, logs, metrics, runtime
+from toucanspread.ops import codec, runtime
+from toucanspread.ops.telemetry import logs, metrics
 
 MAX_DATAGRAM_BYTES = 1_200  # fits common path MTUs without fragmentation
 LOG_INTERVAL_S = 10.0
--- a/toucanspread/ops/datagrams.py
+++ b/toucanspread/ops/datagrams.py
@@ -1,6 +1,6 @@
 """Sends datagrams whose loss the receivers tolerate."""
 
-from toucanspread.ops import metric_buffer
+from toucanspread.ops.telemetry import metric_buffer
 
 
 def send(transport, payload: bytes, address: str) -> None:
--- a/toucanspread/ops/dispatcher.py
+++ b/toucanspread/ops/dispatcher.py
@@ -10,7 +10,8 @@
 
 from toucanspread.core import data
 from toucanspread.core.requests import answers, request_events
-from toucanspread.ops import grpc_transport, logs, loop, runtime
+from toucanspread.ops import grpc_transport, loop, runtime
+from toucanspread.ops.telemetry import logs
 
 # Callers do not notice a delay of this length between two tokens.
 COALESCE_INTERVAL_S = 0.02
--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -13,7 +13,7 @@
 from twisted.web import http
 
 from toucanspread.core import data, decoder, effects, events
-from toucanspread.ops import http_client
+from toucanspread.ops.http import http_client
 
 CALL_TIMEOUT_S = 5.0
 LOAD_TIMEOUT_S = 120.0
--- /dev/null
+++ b/toucanspread/ops/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests on their way to engines, and the answers."""
--- a/toucanspread/ops/broken_answer_test.py
+++ b/toucanspread/ops/forwarding/broken_answer_test.py
@@ -3,7 +3,8 @@
 from twisted.internet import error
 
 from toucanspread.core import data
-from toucanspread.ops import forwarder_test, http1
+from toucanspread.ops.forwarding import forwarder_test
+from toucanspread.ops.http import http1
 
 HEAD = forwarder_test.HEAD
 UNFRAMED_STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
--- a/toucanspread/ops/crash_notices.py
+++ b/toucanspread/ops/forwarding/crash_notices.py
@@ -14,7 +14,7 @@
     guard_program,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import logs, metric_buffer
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 
 class CrashNotices(guard_program.GuardProgram):
--- a/toucanspread/ops/dialect.py
+++ b/toucanspread/ops/forwarding/dialect.py
@@ -10,7 +10,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions, engine_statement
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 
 
 class AnswerProperties(NamedTuple):
--- a/toucanspread/ops/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -10,12 +10,8 @@
     request_timing,
     stream_progress,
 )
-from toucanspread.ops import (
-    dialect,
-    http1,
-    http1_client,
-    http1_pool,
-)
+from toucanspread.ops.forwarding import dialect
+from toucanspread.ops.http import http1, http1_client, http1_pool
 
 MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
 MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
--- a/toucanspread/ops/engine_answer_test.py
+++ b/toucanspread/ops/forwarding/engine_answer_test.py
@@ -6,7 +6,8 @@
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions, event_stream, request_timing
-from toucanspread.ops import engine_answer, http1
+from toucanspread.ops.forwarding import engine_answer
+from toucanspread.ops.http import http1
 from toucanspread.platform import requests
 
 
--- a/toucanspread/ops/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -22,17 +22,9 @@
     request_timing,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import (
-    dialect,
-    engine_answer,
-    http1,
-    http1_exchange,
-    http1_pool,
-    logs,
-    metric_buffer,
-    request_queue,
-    statement_logs,
-)
+from toucanspread.ops.forwarding import dialect, engine_answer, request_queue
+from toucanspread.ops.http import http1, http1_exchange, http1_pool
+from toucanspread.ops.telemetry import logs, metric_buffer, statement_logs
 
 
 class AbstractForwarder(abc.ABC):
--- a/toucanspread/ops/forwarder.py
+++ b/toucanspread/ops/forwarding/forwarder.py
@@ -16,18 +16,15 @@
     routes,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import (
+from toucanspread.ops import loop
+from toucanspread.ops.forwarding import (
     crash_notices,
     dialect,
     forwarded_request,
-    http1_exchange,
-    http1_pool,
-    http1_server,
-    logs,
-    loop,
-    metric_buffer,
     request_queue,
 )
+from toucanspread.ops.http import http1_exchange, http1_pool, http1_server
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 STATUS_BY_DENIAL = {
     routes.Denial.NO_ROUTE: 404,
--- a/toucanspread/ops/forwarder_loopback_test.py
+++ b/toucanspread/ops/forwarding/forwarder_loopback_test.py
@@ -7,7 +7,9 @@
 
 from standins import running_reactor
 from toucanspread.core import data
-from toucanspread.ops import forwarder_test, http1_pool, loop
+from toucanspread.ops import loop
+from toucanspread.ops.forwarding import forwarder_test
+from toucanspread.ops.http import http1_pool
 
 REFUSAL = (
     b"HTTP/1.1 503 Full\r\nX-Attempt-Id: id-1\r\nX-Not-Executed: 1\r\n"
--- a/toucanspread/ops/request_queue_test.py
+++ b/toucanspread/ops/forwarding/request_queue_test.py
@@ -5,7 +5,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import request_queue
+from toucanspread.ops.forwarding import request_queue
 
 
 class FailingItem(request_queue.QueueItem):
--- a/toucanspread/ops/woken_engine_test.py
+++ b/toucanspread/ops/forwarding/woken_engine_test.py
@@ -11,7 +11,8 @@
 
 from toucanspread.core.entry import cluster_state
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import forwarder_test, http1, http1_client, http1_pool
+from toucanspread.ops.forwarding import forwarder_test
+from toucanspread.ops.http import http1, http1_client, http1_pool
 
 DUE_S = 8.0  # after a version is named, at 0
 FROZEN_S = 4.3  # when the last load report of the second engine arrives
--- a/toucanspread/ops/grpc_transport.py
+++ b/toucanspread/ops/grpc_transport.py
@@ -11,7 +11,8 @@
 import grpc.aio
 
 from toucanspread.core import data, effects, events
-from toucanspread.ops import codec, logs, loop, runtime
+from toucanspread.ops import codec, loop, runtime
+from toucanspread.ops.telemetry import logs
 
 DELIVER = "/toucanspread.Peers/Deliver"
 DISPATCH = "/toucanspread.Peers/Dispatch"
--- /dev/null
+++ b/toucanspread/ops/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 as a server and as a client."""
--- a/toucanspread/ops/cut_answer_test.py
+++ b/toucanspread/ops/http/cut_answer_test.py
@@ -3,7 +3,8 @@
 import asyncio
 import socket
 
-from toucanspread.ops import http1_closing, http1_loopback_test, http1_server, loop
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1_closing, http1_loopback_test, http1_server
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
 OLD_REQUEST = b"GET / HTTP/1.0\r\nHost: h\r\n\r\n"
--- a/toucanspread/ops/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -9,7 +9,7 @@
 import httptools
 from twisted.internet import error, protocol
 
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 
--- a/toucanspread/ops/http1_exchange.py
+++ b/toucanspread/ops/http/http1_exchange.py
@@ -3,7 +3,7 @@
 import abc
 from collections.abc import Iterable
 
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 
 
 class AnswerConnection(abc.ABC):
--- a/toucanspread/ops/http1_loopback_test.py
+++ b/toucanspread/ops/http/http1_loopback_test.py
@@ -6,7 +6,8 @@
 from twisted.internet import reactor
 
 from standins import running_reactor
-from toucanspread.ops import http1_server, http1_test, loop
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1_server, http1_test
 
 REQUEST = b"GET /a/ HTTP/1.0\r\nHost: h\r\n\r\n"
 LAST_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
--- a/toucanspread/ops/http1_pool.py
+++ b/toucanspread/ops/http/http1_pool.py
@@ -7,7 +7,7 @@
 from twisted.internet import protocol
 
 from toucanspread.core import data
-from toucanspread.ops import http1, http1_client
+from toucanspread.ops.http import http1, http1_client
 
 # Waiting longer does not help if a server refuses connections or is cut off.
 CONNECT_TIMEOUT_S = 0.6
--- a/toucanspread/ops/http1_pool_test.py
+++ b/toucanspread/ops/http/http1_pool_test.py
@@ -7,7 +7,8 @@
 from twisted.internet import reactor, task
 
 from standins import running_reactor
-from toucanspread.ops import http1, http1_client, http1_pool, loop
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1, http1_client, http1_pool
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/toucanspread/ops/http1_server.py
+++ b/toucanspread/ops/http/http1_server.py
@@ -13,7 +13,8 @@
 from twisted.python import failure
 from zope.interface import implementer
 
-from toucanspread.ops import http1, http1_closing, http1_exchange, logs
+from toucanspread.ops.http import http1, http1_closing, http1_exchange
+from toucanspread.ops.telemetry import logs
 
 MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
 PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
--- a/toucanspread/ops/http1_test.py
+++ b/toucanspread/ops/http/http1_test.py
@@ -10,7 +10,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
-from toucanspread.ops import http1, http1_client, http1_server
+from toucanspread.ops.http import http1, http1_client, http1_server
 
 REQUEST = (
     b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc"
--- a/toucanspread/ops/instance_list.py
+++ b/toucanspread/ops/instance_list.py
@@ -14,7 +14,9 @@
 from twisted.internet import reactor
 
 from toucanspread.core import data, decoder, events
-from toucanspread.ops import http_client, logs, loop, runtime
+from toucanspread.ops import loop, runtime
+from toucanspread.ops.http import http_client
+from toucanspread.ops.telemetry import logs
 
 LIST_PATH = "/v1/instances"
 CALL_TIMEOUT_S = 5.0
--- a/toucanspread/ops/instance_list_test.py
+++ b/toucanspread/ops/instance_list_test.py
@@ -8,7 +8,8 @@
 
 from standins import instance_list as standin
 from toucanspread.core import data
-from toucanspread.ops import http_client, instance_list, loop
+from toucanspread.ops import instance_list, loop
+from toucanspread.ops.http import http_client
 
 ROW = {
     "instance_id": "brest-a-1",
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -15,7 +15,9 @@
 from urllib.parse import quote
 
 from toucanspread.core import data, decoder, effects, events
-from toucanspread.ops import http_client, logs, loop, runtime
+from toucanspread.ops import loop, runtime
+from toucanspread.ops.http import http_client
+from toucanspread.ops.telemetry import logs
 
 CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 2.0  # the service may answer a watch slightly after its wait
--- a/toucanspread/ops/loop.py
+++ b/toucanspread/ops/loop.py
@@ -15,7 +15,7 @@
 import eliot
 from twisted.internet import asyncioreactor, defer, error, main, task
 
-from toucanspread.ops import metric_buffer
+from toucanspread.ops.telemetry import metric_buffer
 
 RESTART_DELAY_S = 0.5  # of a task that has failed
 
--- a/toucanspread/ops/operator_api.py
+++ b/toucanspread/ops/operator_api.py
@@ -14,7 +14,8 @@
 
 from toucanspread.core import data, decoder
 from toucanspread.core.agreement import confirmations, plan_requests
-from toucanspread.ops import metrics, runtime, status
+from toucanspread.ops import runtime, status
+from toucanspread.ops.telemetry import metrics
 
 MAX_BODY_BYTES = 1024 * 1024
 HTTP_STATUS_BY_VERDICT = {
--- a/toucanspread/ops/origin.py
+++ b/toucanspread/ops/origin.py
@@ -6,7 +6,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.transfers import manifest
-from toucanspread.ops import http_client
+from toucanspread.ops.http import http_client
 
 HTTP_OK = 200
 HTTP_PARTIAL = 206
--- a/toucanspread/ops/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -13,15 +13,10 @@
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import (
-    http1,
-    http1_client,
-    http1_pool,
-    logs,
-    loop,
-    metric_buffer,
-    piece_parts,
-)
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.pieces import piece_parts
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 PIECE_TARGET = "/piece"
 MANIFEST_TARGET = "/manifest"
--- a/toucanspread/ops/piece_cache_test.py
+++ b/toucanspread/ops/pieces/piece_cache_test.py
@@ -10,7 +10,8 @@
 from toucanspread.core import data
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import http1_pool, piece_cache
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import piece_cache
 
 MODEL = data.ModelName("m")
 BYTES = [b"piece %d" % number for number in range(12)]
--- a/toucanspread/ops/piece_holders.py
+++ b/toucanspread/ops/pieces/piece_holders.py
@@ -9,7 +9,8 @@
 
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import logs, piece_cache
+from toucanspread.ops.pieces import piece_cache
+from toucanspread.ops.telemetry import logs
 
 MAX_HOLDER_ATTEMPTS = 3  # a holder asks others itself; the stager retries later
 UNREACHABLE_BACKOFF_S = 2.0  # an unreachable entry is tried last for this time
--- a/toucanspread/ops/piece_parts.py
+++ b/toucanspread/ops/pieces/piece_parts.py
@@ -8,7 +8,7 @@
 import re
 from typing import NamedTuple
 
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 
 _RANGE = re.compile(rb"bytes=(\d{1,12})-(\d{1,12})")
 _CONTENT_RANGE = re.compile(rb"bytes (\d{1,12})-(\d{1,12})/(\d{1,12})")
--- a/toucanspread/ops/piece_parts_test.py
+++ b/toucanspread/ops/pieces/piece_parts_test.py
@@ -8,7 +8,8 @@
 
 from toucanspread.core import data
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import http1, http1_pool, piece_cache, piece_parts
+from toucanspread.ops.http import http1, http1_pool
+from toucanspread.ops.pieces import piece_cache, piece_parts
 from toucanspread.platform import entry_handlers
 
 KEY = piece_placement.PieceKey(data.ModelName("m"), 2, 5)
--- a/toucanspread/ops/staging_driver.py
+++ b/toucanspread/ops/pieces/staging_driver.py
@@ -16,16 +16,10 @@
     staging_events,
     switch_turns,
 )
-from toucanspread.ops import (
-    engine_control,
-    http1_pool,
-    load_reports,
-    logs,
-    loop,
-    metric_buffer,
-    piece_cache,
-    piece_holders,
-)
+from toucanspread.ops import load_reports, loop
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import engine_control, piece_cache, piece_holders
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 MAX_PENDING_MANIFEST_REQUESTS = 8  # more would load entries that are slow already
 # A manifest is small, so the next holder is asked before the first one times out.
--- a/toucanspread/ops/staging_driver_test.py
+++ b/toucanspread/ops/pieces/staging_driver_test.py
@@ -11,7 +11,8 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import staging, staging_events
-from toucanspread.ops import engine_control, http1_pool, piece_cache, staging_driver
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import engine_control, piece_cache, staging_driver
 
 PROFILE = entry_data.ModelProfile(data.ModelName("m"), 2, 4, 7, 0.1)
 BYTES = [b"piece %d" % number for number in range(4)]
--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -10,15 +10,9 @@
 
 from twisted.internet import reactor
 
-from toucanspread.ops import (
-    http1,
-    http1_exchange,
-    http1_server,
-    log_limits,
-    logs,
-    loop,
-    metric_buffer,
-)
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1, http1_exchange, http1_server
+from toucanspread.ops.telemetry import log_limits, logs, metric_buffer
 
 SETTINGS_POLL_INTERVAL_S = 1.0  # the file may change without a signal
 TASK_CANCEL_DELAY_S = 0.02
--- a/toucanspread/ops/registration.py
+++ b/toucanspread/ops/registration.py
@@ -4,7 +4,8 @@
 
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.view import store_position
-from toucanspread.ops import logs, prefix_store
+from toucanspread.ops.copies import prefix_store
+from toucanspread.ops.telemetry import logs
 
 LEASE_TTL_S = 4.0  # longest time that a dead entry stays listed
 RENEW_INTERVAL_S = 1.3  # two renewals may be lost within the TTL
--- a/toucanspread/ops/registration_test.py
+++ b/toucanspread/ops/registration_test.py
@@ -5,7 +5,8 @@
 import testtools
 
 from toucanspread.core.entry import entry_directory
-from toucanspread.ops import prefix_store, registration
+from toucanspread.ops import registration
+from toucanspread.ops.copies import prefix_store
 
 RECORD = entry_directory.EntryRecord("e", "z", "r", "h:1", "h:2", "h:3")
 KEY = entry_directory.RECORDS_PREFIX + RECORD.name
--- a/toucanspread/ops/runtime.py
+++ b/toucanspread/ops/runtime.py
@@ -12,7 +12,7 @@
 from twisted.internet import reactor, task
 
 from toucanspread.core import data, effects, events, invariants, machine
-from toucanspread.ops import logs, metrics
+from toucanspread.ops.telemetry import logs, metrics
 
 TICK_INTERVAL_S = 0.1
 EXIT_CODE_INVARIANT = 70
--- /dev/null
+++ b/toucanspread/ops/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a process."""
--- a/toucanspread/ops/log_limits_test.py
+++ b/toucanspread/ops/telemetry/log_limits_test.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from toucanspread.ops import log_limits, logs
+from toucanspread.ops.telemetry import log_limits, logs
 
 MAX_ROUTINE_LINES_PER_S = log_limits.MAX_LINES_PER_S[log_limits.LineClass.ROUTINE]
 
--- a/toucanspread/ops/logs.py
+++ b/toucanspread/ops/telemetry/logs.py
@@ -7,7 +7,7 @@
 
 import eliot
 
-from toucanspread.ops import log_limits
+from toucanspread.ops.telemetry import log_limits
 
 HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
 
--- a/toucanspread/ops/metric_buffer.py
+++ b/toucanspread/ops/telemetry/metric_buffer.py
@@ -2,7 +2,8 @@
 
 Importing the metrics library costs more processor time at each start than a day of
 counting. The buffer therefore holds plain numbers and a bounded list; the first scrape
-imports :mod:`toucanspread.ops.metrics`, and each scrape moves the values there.
+imports :mod:`toucanspread.ops.telemetry.metrics`, and each scrape moves the values
+there.
 """
 
 import collections
@@ -57,7 +58,7 @@
 
 def render_exposition() -> bytes:
     """Return all metrics in the Prometheus text format and empty the buffer."""
-    from toucanspread.ops import metrics
+    from toucanspread.ops.telemetry import metrics
 
     global _started
     if not _started:
--- a/toucanspread/ops/statement_logs.py
+++ b/toucanspread/ops/telemetry/statement_logs.py
@@ -1,7 +1,7 @@
 """Logs and counts what engines say of themselves in their answers."""
 
 from toucanspread.core.entry import engine_statement
-from toucanspread.ops import logs, metric_buffer
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 
 def write(
--- a/toucanspread/platform/called_server.py
+++ b/toucanspread/platform/called_server.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from toucanspread.core.entry import engine_backoff, engine_statement
-from toucanspread.ops import http1_pool, statement_logs
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.telemetry import statement_logs
 from toucanspread.platform import requests
 
 
--- a/toucanspread/platform/called_server_test.py
+++ b/toucanspread/platform/called_server_test.py
@@ -9,7 +9,9 @@
 from standins import running_reactor
 from toucanspread.core import data
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import engine_control, http1_pool, loop, piece_cache
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import engine_control, piece_cache
 from toucanspread.platform import engine
 
 BACKOFF_S = 0.3
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -12,7 +12,7 @@
 from toucanspread.core.entry import cluster_state, entry_directory
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_view
-from toucanspread.ops import logs
+from toucanspread.ops.telemetry import logs
 
 CONFIGURATION_KEY = "op/config"
 VERSIONS_PREFIX = "op/version/"
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -8,13 +8,9 @@
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement, staging_events
-from toucanspread.ops import (
-    engine_control,
-    http1,
-    http1_pool,
-    metric_buffer,
-    piece_cache,
-)
+from toucanspread.ops.http import http1, http1_pool
+from toucanspread.ops.pieces import engine_control, piece_cache
+from toucanspread.ops.telemetry import metric_buffer
 from toucanspread.platform import called_server, decoding
 
 ENGINE_TIMEOUT_S = 1.0  # on the same machine; an engine that is down does not answer
--- a/toucanspread/platform/engine_test.py
+++ b/toucanspread/platform/engine_test.py
@@ -12,7 +12,9 @@
 
 from standins import running_reactor
 from toucanspread.core.weights import staging_events
-from toucanspread.ops import engine_control, http1_pool, loop, piece_cache
+from toucanspread.ops import loop
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import engine_control, piece_cache
 from toucanspread.platform import engine
 
 LATE_S = 0.02
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -21,19 +21,12 @@
     retry_budget,
 )
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import (
-    excerpt_server,
-    forwarder,
-    http1_pool,
-    http1_server,
-    logs,
-    loop,
-    piece_cache,
-    planned_stop,
-    process,
-    registration,
-    view_sync,
-)
+from toucanspread.ops import loop, planned_stop, process, registration
+from toucanspread.ops.copies import excerpt_server, view_sync
+from toucanspread.ops.forwarding import forwarder
+from toucanspread.ops.http import http1_pool, http1_server
+from toucanspread.ops.pieces import piece_cache
+from toucanspread.ops.telemetry import logs
 from toucanspread.platform import (
     decoding,
     engine,
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -17,22 +17,12 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
-from toucanspread.ops import (
-    crash_notices,
-    datagrams,
-    excerpt_client,
-    excerpt_server,
-    forwarder,
-    http1,
-    http1_exchange,
-    http1_server,
-    logs,
-    loop,
-    newer_values,
-    piece_cache,
-    piece_parts,
-    process,
-)
+from toucanspread.ops import datagrams, loop, process
+from toucanspread.ops.copies import excerpt_client, excerpt_server, newer_values
+from toucanspread.ops.forwarding import crash_notices, forwarder
+from toucanspread.ops.http import http1, http1_exchange, http1_server
+from toucanspread.ops.pieces import piece_cache, piece_parts
+from toucanspread.ops.telemetry import logs
 
 ADDRESS_LIST_TTL_S = 2.0  # a stopping entry is in no caller's list after this time
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
--- a/toucanspread/platform/entry_handlers_test.py
+++ b/toucanspread/platform/entry_handlers_test.py
@@ -16,7 +16,9 @@
     guard_program,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import crash_notices, excerpt_client, http1
+from toucanspread.ops.copies import excerpt_client
+from toucanspread.ops.forwarding import crash_notices
+from toucanspread.ops.http import http1
 from toucanspread.platform import entry_handlers
 
 SENDER = ("10.0.0.2", 9)
--- a/toucanspread/platform/entry_test.py
+++ b/toucanspread/platform/entry_test.py
@@ -6,7 +6,7 @@
 from twisted.internet import reactor
 
 from toucanspread.core.view import store_view
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 from toucanspread.platform import decoding, decoding_test, entry, settings
 
 LONGEST_IN_FORCE_S = 3.0  # the platform's bound at 101 machines
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -5,7 +5,8 @@
 from toucanspread.core import bounds, data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import decisions, engine_statement
-from toucanspread.ops import dialect, http1
+from toucanspread.ops.forwarding import dialect
+from toucanspread.ops.http import http1
 
 ATTEMPT_ID_HEADER = b"X-Attempt-Id"  # an attempt of the caller, not one of this system
 TIMEOUT_HEADER = b"X-Timeout-Ms"
--- a/toucanspread/platform/requests_test.py
+++ b/toucanspread/platform/requests_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops import http1
+from toucanspread.ops.http import http1
 from toucanspread.platform import requests
 
 NO_NUMBERS = (b"", b"x", b"-1", b"1.5", b"\xb2", b"9" * 5_000)
--- a/toucanspread/platform/side.py
+++ b/toucanspread/platform/side.py
@@ -16,18 +16,11 @@
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.core.weights import staging, switch_turns
-from toucanspread.ops import (
-    excerpt_client,
-    http1_pool,
-    load_reports,
-    logs,
-    loop,
-    piece_cache,
-    prefix_store,
-    process,
-    staging_driver,
-    view_sync,
-)
+from toucanspread.ops import load_reports, loop, process
+from toucanspread.ops.copies import excerpt_client, prefix_store, view_sync
+from toucanspread.ops.http import http1_pool
+from toucanspread.ops.pieces import piece_cache, staging_driver
+from toucanspread.ops.telemetry import logs
 from toucanspread.platform import decoding, engine, settings, store
 
 MAINTENANCE_INTERVAL_S = 0.5
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -9,14 +9,9 @@
 
 from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_position, store_view
-from toucanspread.ops import (
-    http1,
-    http1_client,
-    http1_pool,
-    logs,
-    metric_buffer,
-    prefix_store,
-)
+from toucanspread.ops.copies import prefix_store
+from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
 WATCH_ANSWER_MARGIN_S = 0.6  # maximum delay of a watch's answer beyond its wait
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -8,7 +8,8 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_view
-from toucanspread.ops import http1, http1_pool, prefix_store, view_sync
+from toucanspread.ops.copies import prefix_store, view_sync
+from toucanspread.ops.http import http1, http1_pool
 from toucanspread.platform import store
 
 GOOD_VALUE = "Z29vZA=="
