--- a/standins/system_checks.py
+++ b/standins/system_checks.py
@@ -4,7 +4,7 @@
 only by an observer of all callers and services.
 """
 
-from standins import system_simulation
+from standins import system_parts, system_simulation
 from toucanspread.core import data
 
 CONVERGENCE_S = 90.0  # time without faults by which the system must match the intents
@@ -23,7 +23,7 @@
     for name, count in executions.items():
         if count > 1:
             raise GuaranteeViolationError(f"{name} was executed {count} times")
-    requests_by_key: dict[str, list[system_simulation.SentRequest]] = {}
+    requests_by_key: dict[str, list[system_parts.SentRequest]] = {}
     for sent in system.sent_requests.values():
         _check_outcomes(system, sent)
         requests_by_key.setdefault(sent.request.idempotency_key, []).append(sent)
@@ -40,7 +40,7 @@
 
 
 def _check_outcomes(
-    system: system_simulation.SystemSimulation, sent: system_simulation.SentRequest
+    system: system_simulation.SystemSimulation, sent: system_parts.SentRequest
 ) -> None:
     request_id = sent.request.request_id
     if len(sent.outcomes) > 1:
@@ -61,14 +61,12 @@
 
 
 def _was_frozen(
-    system: system_simulation.SystemSimulation, sent: system_simulation.SentRequest
+    system: system_simulation.SystemSimulation, sent: system_parts.SentRequest
 ) -> bool:
     return system.thawed_s.get(sent.entry, -1.0) >= sent.sent_s
 
 
-def _check_key(
-    key: str, requests: list[system_simulation.SentRequest], count: int
-) -> None:
+def _check_key(key: str, requests: list[system_parts.SentRequest], count: int) -> None:
     if requests[0].request.repeatable:
         return
     outcomes = [sent.outcomes[0].outcome for sent in requests if sent.outcomes]
