Count an arrival for the entry that sent it, also if its caller has moved on

Traced: entry 1 restarts at 11.23, its callers go to the other entry, and what the old process had sent before over links of 0.45 s reaches the engine at 11.25 to 11.35; the stand-in counted it for the entry that the caller uses now. The check and its bound stay; the dispatch names its sender.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -68,11 +68,15 @@
 class _Dispatch:
     """One dispatch of a request to an engine.
 
+    :ivar entry: the entry that sent it.
+    :ivar arrived_s: when the entry got the request.
     :ivar expected_version: the version that the engine must have; 0 for any.
     :ivar job: the job that the engine still has after the withdrawal; None before it.
     """
 
     engine: simulated_cluster.SimulatedEngine
+    entry: simulated_cluster.SimulatedEntry
+    arrived_s: float
     expected_version: int = 0
     is_withdrawn: bool = False
     job: engine_model.Job | None = None
@@ -333,7 +337,9 @@
         )
         self._engine = engine
         self._entry.in_progress[self] = None
-        self._dispatch = _Dispatch(engine, expected_version)
+        self._dispatch = _Dispatch(
+            engine, self._entry, self._state.arrived_s, expected_version
+        )
         self._simulation.leave_check.record_dispatch(
             self._simulation.clock.seconds(), engine.engine_id
         )
@@ -354,8 +360,8 @@
         is_open = engine.is_running and not engine.is_loading
         is_open = is_open and engine.backoff_s is None
         if engine.is_running and not engine.is_crashed:
-            engine.backoff.record_arrival(now_s, self._entry)
-            engine.leaving.record_arrival(self._state.arrived_s, self._entry)
+            engine.backoff.record_arrival(now_s, dispatch.entry)
+            engine.leaving.record_arrival(dispatch.arrived_s, dispatch.entry)
         if dispatch.is_withdrawn:
             if is_open and not engine.is_crashed:
                 job = self._make_job()
