Close what tests of an engine's client leave open, which failed a later test

datagram_transport_test failed with "Reactor was unclean" when the tests of platform ran before it. Traced: LocalEngine reads reports over a pool of its own, and the tests closed the other one only (two clients of engine_test, two channels of called_server_test).

--- a/toucanspread/platform/called_server_test.py
+++ b/toucanspread/platform/called_server_test.py
@@ -15,6 +15,7 @@
 from toucanspread.platform import engine
 
 BACKOFF_S = 0.3
+CLOSE_S = 0.02  # until both ends of a connection are closed
 KEY = piece_placement.PieceKey(data.ModelName("m"), 1, 0)
 MAX_PIECE_BYTES = 1_000
 
@@ -51,12 +52,20 @@
         port = reactor.listenTCP(0, server.Site(self.server), interface="127.0.0.1")
         self.addCleanup(lambda: self.run_async(loop.as_future(port.stopListening())))
         self.address = data.Address(f"127.0.0.1:{port.getHost().port}")
+        self.addresses = [self.address]
         self.pool = http1_pool.ConnectionPool(reactor)
-        self.addCleanup(self.pool.close_idle, self.address)
         self.engine = engine.LocalEngine(self.pool, self.address, MAX_PIECE_BYTES)
         self.origin = engine.Origin(
             self.pool, lambda: self.address, lambda model: MAX_PIECE_BYTES
         )
+        self.addCleanup(self.close_connections)
+
+    def close_connections(self):
+        # A test of trial that runs later fails if any is left.
+        for address in self.addresses:
+            self.pool.close_idle(address)
+            self.engine._report_pool.close_idle(address)
+        self.run_async(asyncio.sleep(CLOSE_S))
 
     def run_async(self, coroutine):
         return loop.EVENT_LOOP.run_until_complete(coroutine)
@@ -101,4 +110,5 @@
     def test_an_origin_at_another_address_owes_nothing(self):
         self.check_backoff(piece_cache.PieceError, lambda: self.origin.read_piece(KEY))
         self.address = data.Address(self.address.replace("127.0.0.1", "localhost"))
+        self.addresses.append(self.address)
         self.assertEqual(b"bytes", self.run_async(self.origin.read_piece(KEY)))
--- a/toucanspread/platform/engine_test.py
+++ b/toucanspread/platform/engine_test.py
@@ -18,6 +18,7 @@
 from toucanspread.platform import engine
 
 LATE_S = 0.02
+CLOSE_S = 0.02  # until both ends of a connection are closed
 MAX_PIECE_BYTES = 65_536
 ORDER = staging_events.SendOrder(2, staging_events.SwitchMode.TRUNCATE, 0)
 
@@ -89,9 +90,15 @@
         self.peer = RepeatingEngine()
         address = self.run_async(self.peer.start())
         self.addCleanup(self.peer.server.close)
-        pool = http1_pool.ConnectionPool(reactor)
-        self.addCleanup(pool.close_idle, address)
-        self.engine = engine.LocalEngine(pool, address, MAX_PIECE_BYTES)
+        self.pool = http1_pool.ConnectionPool(reactor)
+        self.engine = engine.LocalEngine(self.pool, address, MAX_PIECE_BYTES)
+        self.addCleanup(self.close_connections, address)
+
+    def close_connections(self, address):
+        # A test of trial that runs later fails if any is left.
+        self.pool.close_idle(address)
+        self.engine._report_pool.close_idle(address)
+        self.run_async(asyncio.sleep(CLOSE_S))
 
     def run_async(self, coroutine):
         return loop.EVENT_LOOP.run_until_complete(coroutine)
