Let the product's entry end only when callers have read their answers

Cause: stop() closed the port only.

It now closes each connection after what was sent on it, idle ones at once, and waits up to 10 s; a second signal doesn't wait. The platform's programs don't use this module.

--- a/toucanspread/ops/caller_api.py
+++ b/toucanspread/ops/caller_api.py
@@ -17,11 +17,19 @@
 
 from toucanspread.core import data
 from toucanspread.core.requests import entry_selection, request_events, request_state
-from toucanspread.ops import caller_input, dispatcher, loop, runtime
+from toucanspread.ops import (
+    caller_input,
+    dispatcher,
+    loop,
+    open_connections,
+    runtime,
+)
+from toucanspread.ops.telemetry import logs
 
 MAX_PLAIN_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BODY_BYTES = 32 * 1024 * 1024  # bodies of all requests in progress
 OVERLOADED_RETRY_AFTER_S = 1.0
+MAX_DELIVERY_S = 10.0  # a caller that reads nothing for so long is gone
 STATUS_BY_REASON = {
     data.Reason.BAD_REQUEST: 400,
     data.Reason.UNKNOWN_SERVICE: 404,
@@ -111,6 +119,7 @@
         self._pending: dict[data.RequestId, PendingRequest] = {}
         self._body_bytes = 0
         self._listener = None
+        self._connections: open_connections.OpenConnections | None = None
         self.site = build_site(self, max_body_bytes, v1 or {}, root or {})
 
     def handlers(self) -> Mapping[type, runtime.EffectHandler]:
@@ -123,12 +132,24 @@
     async def start(self) -> None:
         """Listen."""
         interface, _, port = self._http_address.rpartition(":")
-        self._listener = reactor.listenTCP(int(port), self.site, interface=interface)
+        self._connections = open_connections.OpenConnections(self.site)
+        self._listener = reactor.listenTCP(
+            int(port), self._connections, interface=interface
+        )
 
     async def stop(self) -> None:
-        """Stop listening."""
-        if self._listener is not None:
-            await loop.as_future(self._listener.stopListening())
+        """Stop listening, and wait until callers have read their answers.
+
+        A second call does not wait.
+        """
+        if self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        await loop.as_future(listener.stopListening())
+        if not await self._connections.close_all(MAX_DELIVERY_S):
+            logs.write(
+                "answers_undelivered", connections=len(self._connections.protocols)
+            )
 
     def request_addresses(self, http: server.Request) -> None:
         """Request the addresses of entries for a caller."""
--- a/toucanspread/ops/caller_api_test.py
+++ b/toucanspread/ops/caller_api_test.py
@@ -364,10 +364,45 @@
         await stopping
         return has_stopped_early, bytes(received)
 
-    def test_process_does_not_end_before_a_slow_caller_has_its_answer(self):
+    def start_serving(self):
         running_reactor.start(self)
         report = requests_test.make_report("p1", requests_test.PLAIN)
         self.start(make_whole_answer(self.PAYLOAD), reports=[report])
+
+    def test_an_idle_connection_does_not_keep_the_process(self):
+        async def stop_beside_an_idle_connection():
+            await self.api.start()
+            host, port = "127.0.0.1", self.api._listener.getHost().port
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readuntil(b"ok\n")
+            async with asyncio.timeout(caller_api.MAX_DELIVERY_S / 5):
+                await self.api.stop()
+            return await reader.read()
+
+        self.start_serving()
+        idle = stop_beside_an_idle_connection()
+        self.assertEqual(b"", loop.EVENT_LOOP.run_until_complete(idle))
+
+    def test_a_caller_that_never_reads_does_not_keep_the_process(self):
+        async def stop_before_a_caller_that_never_reads():
+            await self.api.start()
+            await self.open_caller()
+            while not self.peers.dispatches or self.host.node.requests.live:
+                await asyncio.sleep(0.01)
+            started_s = loop.EVENT_LOOP.time()
+            await self.api.stop()
+            return loop.EVENT_LOOP.time() - started_s
+
+        self.start_serving()
+        self.patch(caller_api, "MAX_DELIVERY_S", 0.3)
+        stopping = stop_before_a_caller_that_never_reads()
+        stopped_in_s = loop.EVENT_LOOP.run_until_complete(stopping)
+        self.assertGreaterEqual(stopped_in_s, 0.3)
+        self.assertLess(stopped_in_s, 2.0)
+
+    def test_process_does_not_end_before_a_slow_caller_has_its_answer(self):
+        self.start_serving()
         stopping = self.stop_before_the_caller_reads()
         has_stopped_early, received = loop.EVENT_LOOP.run_until_complete(stopping)
         self.assertFalse(has_stopped_early)
