--- a/standins/backoff_simulation_test.py
+++ b/standins/backoff_simulation_test.py
@@ -46,7 +46,7 @@
     def test_entries_leave_all_engines_alone_if_all_ask_for_it(self):
         self.check(18, load_profiles.RejectionPeriod(3.0, ALL_ENGINES, 1.0, 3.0))
 
-    def test_few_requests_are_on_their_way_to_an_engine_with_a_slow_link(self):
+    def check_slow_links(self, delayed_engines):
         periods = (
             load_profiles.RejectionPeriod(3.0, (0, 1, 2), 0.5, 3.0),
             load_profiles.RejectionPeriod(7.0, (0, 1, 2), 0.5, 3.0),
@@ -56,10 +56,16 @@
                 entries,
                 periods,
                 engine_link_delay_s=1.0,
-                delayed_engine_numbers=(0, 1, 2),
+                delayed_engine_numbers=delayed_engines,
             )
             self.assertEqual([], list_violations(simulation), f"{entries} entries")
 
+    def test_few_requests_are_on_their_way_to_an_engine_with_a_slow_link(self):
+        self.check_slow_links((0, 1, 2))
+
+    def test_few_requests_are_on_their_way_if_the_links_of_all_engines_are_slow(self):
+        self.check_slow_links(ALL_ENGINES)
+
     def test_a_shorter_time_named_later_does_not_end_a_longer_one(self):
         self.check(
             1,
