--- a/toucanspread/platform/called_server_test.py
+++ b/toucanspread/platform/called_server_test.py
@@ -49,10 +49,8 @@
         super().setUp()
         running_reactor.start(self)
         self.server = RejectingServer()
-        port = reactor.listenTCP(0, server.Site(self.server), interface="127.0.0.1")
-        self.addCleanup(lambda: self.run_async(loop.as_future(port.stopListening())))
-        self.address = data.Address(f"127.0.0.1:{port.getHost().port}")
-        self.addresses = [self.address]
+        self.addresses = [self.listen(), self.listen()]
+        self.address = self.addresses[0]
         self.pool = http1_pool.ConnectionPool(reactor)
         self.engine = engine.LocalEngine(self.pool, self.address, MAX_PIECE_BYTES)
         self.origin = engine.Origin(
@@ -60,6 +58,12 @@
         )
         self.addCleanup(self.close_connections)
 
+    def listen(self):
+        """Return one more address of the server."""
+        port = reactor.listenTCP(0, server.Site(self.server), interface="127.0.0.1")
+        self.addCleanup(lambda: self.run_async(loop.as_future(port.stopListening())))
+        return data.Address(f"127.0.0.1:{port.getHost().port}")
+
     def close_connections(self):
         # A test of trial that runs later fails if any is left.
         for address in self.addresses:
@@ -109,6 +113,5 @@
 
     def test_an_origin_at_another_address_owes_nothing(self):
         self.check_backoff(piece_cache.PieceError, lambda: self.origin.read_piece(KEY))
-        self.address = data.Address(self.address.replace("127.0.0.1", "localhost"))
-        self.addresses.append(self.address)
+        self.address = self.addresses[1]
         self.assertEqual(b"bytes", self.run_async(self.origin.read_piece(KEY)))
