Review case 2: an entry of another writer names an engine to use

Seen: an engine's entry in the store that lacks version, cold_left_ms, sequence and born, and names another service, is used; requests of a non-idempotent route run at the engine of a service that no desired state names for it.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -30,7 +31,8 @@
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 ENTRY_MODULE = "toucanspread.platform.entry"
 SIDE_MODULE = "toucanspread.platform.side"
-PIECE_COUNT = 4
+LAYER_COUNT = 4
+PIECE_COUNT = 48
 PIECE_BYTES = 4_096
 BOUNDS = {
     "stable_ms": 3000,
@@ -114,17 +116,18 @@
             "model": MODEL,
             "version": version,
             "chunk_bytes": PIECE_BYTES,
-            "layers": PIECE_COUNT,
+            "layers": LAYER_COUNT,
             "digests": [hashlib.sha256(piece).hexdigest() for piece in pieces],
         }
         return json.dumps(manifest, separators=(",", ":")).encode()
 
 
-class ModelEngine(resource.Resource):
-    """A model engine that answers callers at once and loads weights at once.
+class Engine(resource.Resource):
+    """An engine that answers callers at once and loads weights at once.
 
     :param engine_id: its id in the store.
     :ivar version: of the weights that it holds; version 1 is staged at the start.
+    :ivar runs: id and target of each request that it has run.
     """
 
     isLeaf = True  # noqa: N815
@@ -134,6 +137,7 @@
         self.engine_id = engine_id
         self.version = 1
         self.born_ms = int(time.time() * 1000)
+        self.runs: list[tuple[str, str]] = []
         self.staged = {number: make_piece(1, number) for number in range(PIECE_COUNT)}
         self._order_count = 0
         self._record = record
@@ -153,7 +157,7 @@
         return self._answer_caller(request)
 
     def _make_report(self) -> dict:
-        layers = [{"from": 0, "to": PIECE_COUNT, "version": self.version}]
+        layers = [{"from": 0, "to": LAYER_COUNT, "version": self.version}]
         model = {"name": MODEL, "version": self.version, "adapters": []}
         return {
             "stage": "both",
@@ -201,8 +205,10 @@
             request.setResponseCode(421)
             return b""
         self._record.write(
-            f"{self.engine_id} runs {attempt_id} on version {self.version}"
+            f"{self.engine_id} runs {attempt_id} {request.uri.decode()} "
+            f"on version {self.version}"
         )
+        self.runs.append((attempt_id, request.uri.decode()))
         request.setHeader("x-response-seal", SEAL)
         request.setHeader("x-weight-versions", str(self.version))
         return b"answer to " + attempt_id.encode()
@@ -217,28 +223,26 @@
 
     def __init__(self, folder: pathlib.Path):
         self.record = Record(folder)
-        self.engines: list[ModelEngine] = []
+        self.engines: list[Engine] = []
         self.entries: list[platform_deployment.Program] = []
         self.sides: list[platform_deployment.Program] = []
         self._scratch = tempfile.TemporaryDirectory()
         self._directory = pathlib.Path(self._scratch.name)
         self._fields: dict[str, tuple[str, dict]] = {}
-        self._engine_addresses: list[str] = []
+        self._engine_entries: dict[str, dict] = {}
         store = platform_store.PlatformStoreResource()
         self.state = store.state
         self._store_address = serve(store)
         self.origin = Origin(self.record)
         self._origin_address = serve(self.origin)
 
-    def add_engine(self, engine_id: str) -> None:
-        """Add a model engine that holds version 1, with its entry in the store."""
-        engine = ModelEngine(engine_id, self.record)
-        address = serve(engine)
+    def add_engine(self, engine_id: str, service: str = "model") -> None:
+        """Add an engine with its entry in the store; a model engine holds version 1."""
+        engine = Engine(engine_id, self.record)
         self.engines.append(engine)
-        self._engine_addresses.append(address)
-        entry = {
-            "service": "model",
-            "address": address,
+        self._engine_entries[engine_id] = {
+            "service": service,
+            "address": serve(engine),
             "zone": ZONE,
             "version": "v1",
             "slots": 16,
@@ -247,8 +251,18 @@
             "born": engine.born_ms,
             "sequence": 0,
         }
+        self.write_engine(engine_id)
+
+    def write_engine(self, engine_id: str) -> None:
+        """Write the entry of an engine, as it does itself at every heartbeat."""
+        entry = self._engine_entries[engine_id]
+        entry["sequence"] += 1
         self.write(f"servers/{engine_id}", entry)
 
+    def get_engine_address(self, engine_id: str) -> str:
+        """Return the address of an engine."""
+        return self._engine_entries[engine_id]["address"]
+
     def start_entry(self, name: str) -> platform_deployment.Program:
         """Start an entry."""
         address = platform_deployment.find_free_address()
@@ -268,7 +282,8 @@
         """Start the process beside an engine, by the number of that."""
         name = f"side-{number + 1}"
         fields = self._make_settings(name, platform_deployment.find_free_address())
-        fields["app"] = self._engine_addresses[number]
+        engine_id = self.engines[number].engine_id
+        fields["app"] = self.get_engine_address(engine_id)
         fields["service"] = "model"
         program = self._start(SIDE_MODULE, fields)
         self.sides.append(program)
@@ -297,24 +312,12 @@
         self.state.write_unchecked(key, json.dumps(value).encode())
         self.record.write(f"the store has acknowledged {key}")
 
-    def write_configuration(self, version: int, kind: str = "idempotent") -> None:
-        """Write a desired state with one route to the model engines."""
-        route = {
-            "name": "route-model",
-            "host": HOST,
-            "prefix": "/model/",
-            "kind": kind,
-            "timeout_ms": 3000,
-            "slo_ms": 500,
-            "service": "model",
-            "attempts": 2,
-        }
-        engine = {
-            "models": [{"name": MODEL, "warmup_s": 0.3}],
-            "layers": PIECE_COUNT,
-            "chunks": PIECE_COUNT,
-            "chunk_bytes": PIECE_BYTES,
-        }
+    def write_configuration(self, version: int, *routes: dict) -> None:
+        """Write a desired state, as the operator does.
+
+        :param routes: made by :func:`make_route`; one to the model engines if none.
+        """
+        services = sorted({entry["service"] for entry in self._engine_entries.values()})
         origin = {
             "name": "origin",
             "origin": self._origin_address,
@@ -323,9 +326,14 @@
         }
         configuration = {
             "version": version,
-            "routes": [route],
-            "services": [{"name": "model", "engine": engine}, origin],
-            "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+            "routes": list(routes) or [make_route("/model/", "model")],
+            "services": [make_service(name) for name in services] + [origin],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 1_048_576,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15_000,
+            },
             "tenants": [{"name": platform_deployment.TENANT, "api_keys": [KEY]}],
         }
         self.write("op/config", configuration)
@@ -385,6 +393,33 @@
         self.body = body
 
 
+def make_route(prefix: str, service: str, kind: str = "idempotent") -> dict:
+    """Return a route of a desired state."""
+    return {
+        "name": f"route-{service}",
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "slo_ms": 500,
+        "service": service,
+        "attempts": 1 if kind == "non_idempotent" else 2,
+    }
+
+
+def make_service(name: str) -> dict:
+    """Return a service of a desired state; the one named "model" has a model."""
+    if name != "model":
+        return {"name": name}
+    engine = {
+        "models": [{"name": MODEL, "warmup_s": 0.3}],
+        "layers": LAYER_COUNT,
+        "chunks": PIECE_COUNT,
+        "chunk_bytes": PIECE_BYTES,
+    }
+    return {"name": name, "engine": engine}
+
+
 async def send(
     address: str, attempt_id: str, target: str = "/model/x", timeout_ms: int = 3000
 ) -> Answer:
@@ -428,6 +463,8 @@
     :param play: returns what broke the rule, or None if it held.
     """
     fleet = Fleet(folder)
+    # The limit of run.sh ends the programs, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         broken = loop.EVENT_LOOP.run_until_complete(play(fleet))
     except CaseNotRunError as error:
