--- a/review/fleet.py
+++ b/review/fleet.py
@@ -50,7 +50,7 @@
 ANSWER_LIMIT_S = 9.0
 CANCEL_S = 0.1  # until cancelled tasks have ended
 EXIT_HELD = 0
-EXIT_BROKEN = 1
+EXIT_BROKEN = 10  # Python itself exits with 1 after an error
 EXIT_NOT_RUN = 2
 
 
