Read the seeds of soaks and list their violations in one place

Six soaks repeated the loop over seeds, the two environment variables and the form of a violation; three of them did not know SOAK_FIRST_SEED.

--- a/standins/backoff_soak_test.py
+++ b/standins/backoff_soak_test.py
@@ -3,15 +3,19 @@
 Run more seeds by hand with ``SOAK_SEEDS=60 pytest standins/backoff_soak_test.py``.
 """
 
-import os
 import random
 
 import testtools
 
-from standins import load_faults, load_profiles, load_simulation, simulated_cluster
+from standins import (
+    load_faults,
+    load_profiles,
+    load_simulation,
+    simulated_cluster,
+    soak_seeds,
+)
 
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "4"))
-FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "1"))
+CI_SEED_COUNT = 4
 DURATION_S = 20.0
 MAX_FAULT_GAP_S = 1.0
 MAX_CUT_S = 6.0
@@ -101,14 +105,12 @@
         self._random.choice(self.simulation.engines).crash()
 
 
+def run_seed(seed):
+    soak = Soak(seed)
+    soak.run()
+    return soak_seeds.SoakResult(soak.faults, soak.list_violations())
+
+
 class BackoffSoakTest(testtools.TestCase):
     def test_entries_obey_what_engines_say_through_overlapping_faults(self):
-        violations = []
-        for seed in range(FIRST_SEED, FIRST_SEED + SEED_COUNT):
-            soak = Soak(seed)
-            soak.run()
-            violations += [
-                f"seed {seed}, {soak.faults}: {violation}"
-                for violation in soak.list_violations()
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
--- a/standins/crash_soak_test.py
+++ b/standins/crash_soak_test.py
@@ -4,16 +4,14 @@
 seed with ``SOAK_FIRST_SEED=7 SOAK_SEEDS=1``.
 """
 
-import os
 import random
 
 import testtools
 
-from standins import load_faults, load_profiles, load_simulation
+from standins import load_faults, load_profiles, load_simulation, soak_seeds
 from toucanspread.core.entry import data as entry_data
 
-FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "1"))
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "4"))
+CI_SEED_COUNT = 4
 FAULTS_FROM_S = 4.0
 FAULTS_UNTIL_S = 18.0
 MAX_FAULT_GAP_S = 2.5
@@ -119,14 +117,12 @@
             engine.order_switch(self._random.uniform(*ORDER_IN_S))
 
 
+def run_seed(seed):
+    soak = Soak(seed)
+    soak.run()
+    return soak_seeds.SoakResult(soak.faults, soak.list_violations())
+
+
 class CrashSoakTest(testtools.TestCase):
     def test_entries_keep_to_the_rules_on_crashing_parts_through_other_faults(self):
-        violations = []
-        for seed in range(FIRST_SEED, FIRST_SEED + SEED_COUNT):
-            soak = Soak(seed)
-            soak.run()
-            violations += [
-                f"seed {seed}, {soak.faults}: {violation}"
-                for violation in soak.list_violations()
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
--- a/standins/limit_soak_test.py
+++ b/standins/limit_soak_test.py
@@ -3,7 +3,6 @@
 Run more seeds by hand with ``SOAK_SEEDS=60 pytest standins/limit_soak_test.py``.
 """
 
-import os
 import random
 
 import testtools
@@ -13,9 +12,10 @@
     load_profiles,
     load_simulation,
     simulated_cluster,
+    soak_seeds,
 )
 
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "4"))
+CI_SEED_COUNT = 4
 DURATION_S = 20.0
 MAX_FAULT_GAP_S = 1.5
 MAX_FAULT_S = 6.0
@@ -85,15 +85,17 @@
         )
 
 
+def run_seed(seed):
+    soak = Soak(seed)
+    soak.run()
+    violations = [
+        f"{engine.engine_id}: {violation}"
+        for engine in soak.simulation.engines
+        for violation in engine.limit.violations[:1]
+    ]
+    return soak_seeds.SoakResult(soak.faults, violations)
+
+
 class LimitSoakTest(testtools.TestCase):
     def test_entries_keep_to_limits_through_overlapping_faults(self):
-        violations = []
-        for seed in range(1, SEED_COUNT + 1):
-            soak = Soak(seed)
-            soak.run()
-            violations += [
-                f"seed {seed}, {soak.faults}: {engine.engine_id}: {violation}"
-                for engine in soak.simulation.engines
-                for violation in engine.limit.violations[:1]
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
--- a/standins/promise_soak_test.py
+++ b/standins/promise_soak_test.py
@@ -8,9 +8,8 @@
 
 import testtools
 
-from standins import promise_faults, promise_simulation
+from standins import promise_faults, promise_simulation, soak_seeds
 
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "0"))  # by hand
 SIZE_NAMES = os.environ.get("SOAK_SIZES", "18,60").split(",")
 SHOWN_COUNT = 5  # violations of a seed
 SIZES = {
@@ -34,7 +33,7 @@
     def test_promises_hold_under_overlapping_faults_of_all_seeds_by_hand(self):
         failures = []
         for size_name in SIZE_NAMES:
-            for seed in range(1, SEED_COUNT + 1):
+            for seed in soak_seeds.read_seeds(default_count=0):
                 failures += run_seed(size_name, seed)
         self.assertEqual([], failures)
 
--- a/standins/silence_soak_test.py
+++ b/standins/silence_soak_test.py
@@ -4,15 +4,13 @@
 one seed with ``SOAK_FIRST_SEED=7 SOAK_SEEDS=1``.
 """
 
-import os
 import random
 
 import testtools
 
-from standins import load_profiles, load_simulation
+from standins import load_profiles, load_simulation, soak_seeds
 
-FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "1"))
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "8"))
+CI_SEED_COUNT = 8
 DURATION_S = 14.0
 FAULTS_FROM_S = 2.0
 FAULTS_UNTIL_S = 11.0
@@ -69,15 +67,13 @@
     return tuple(freezes)
 
 
+def run_seed(seed):
+    profile = draw_profile(seed)
+    simulation = load_simulation.LoadSimulation(profile, seed)
+    simulation.run()
+    return soak_seeds.SoakResult(profile, simulation.leave_check.list_violations())
+
+
 class SilenceSoakTest(testtools.TestCase):
     def test_engines_do_not_go_on_for_callers_that_left_through_other_faults(self):
-        violations = []
-        for seed in range(FIRST_SEED, FIRST_SEED + SEED_COUNT):
-            profile = draw_profile(seed)
-            simulation = load_simulation.LoadSimulation(profile, seed)
-            simulation.run()
-            violations += [
-                f"seed {seed}, {profile}: {violation}"
-                for violation in simulation.leave_check.list_violations()
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
--- a/standins/store_return_test.py
+++ b/standins/store_return_test.py
@@ -7,7 +7,7 @@
 
 from standins import platform_store_data as store_data
 from standins import platform_store_state as store_state
-from standins import store_copies, view_simulation, view_soak_test
+from standins import soak_seeds, store_copies, view_simulation, view_soak_test
 from toucanspread.ops.copies import newer_values
 from toucanspread.platform import decoding
 
@@ -245,19 +245,23 @@
     return None if value is None else json.loads(value)["version"]
 
 
+def run_seed_of_returns(seed):
+    kinds = (*view_soak_test.FAULT_KINDS, "return", "return")
+    soak = view_soak_test.Soak(seed, kinds)
+    soak.run()
+    soak.zone.run(view_soak_test.CALM_S)
+    soak.zone.change_configuration()
+    soak.zone.run(view_soak_test.IN_FORCE_WITHIN_S)
+    violations = soak.zone.list_differences()[:1]
+    soak.zone.close()
+    return soak_seeds.SoakResult(soak.faults, violations)
+
+
 class ReturnSoakTest(testtools.TestCase):
     """More seeds by hand: ``SOAK_SEEDS=60 pytest standins/store_return_test.py``."""
 
     def test_copies_follow_the_store_after_returns_among_other_faults(self):
-        violations = []
-        for seed in range(1, view_soak_test.SEED_COUNT + 1):
-            kinds = (*view_soak_test.FAULT_KINDS, "return", "return")
-            soak = view_soak_test.Soak(seed, kinds)
-            soak.run()
-            soak.zone.run(view_soak_test.CALM_S)
-            soak.zone.change_configuration()
-            soak.zone.run(view_soak_test.IN_FORCE_WITHIN_S)
-            found = soak.zone.list_differences()
-            violations += [f"seed {seed}, {soak.faults}: {v}" for v in found[:1]]
-            soak.zone.close()
-        self.assertEqual([], violations)
+        seed_count = view_soak_test.CI_SEED_COUNT
+        self.assertEqual(
+            [], soak_seeds.list_violations(run_seed_of_returns, seed_count)
+        )
--- a/standins/version_soak_test.py
+++ b/standins/version_soak_test.py
@@ -4,15 +4,18 @@
 one seed with ``SOAK_FIRST_SEED=7 SOAK_SEEDS=1``.
 """
 
-import os
 import random
 
 import testtools
 
-from standins import load_profiles, load_simulation, silence_soak_test
+from standins import (
+    load_profiles,
+    load_simulation,
+    silence_soak_test,
+    soak_seeds,
+)
 
-FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "1"))
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "5"))
+CI_SEED_COUNT = 5
 WITHIN_S = (4.0, 8.0)
 LEARNED_WITHIN_S = (0.0, 0.3, 1.0)
 ENTRY_COUNTS = (1, 18, 62)
@@ -83,15 +86,13 @@
     ]
 
 
+def run_seed(seed):
+    profile = draw_profile(seed)
+    simulation = load_simulation.LoadSimulation(profile, seed)
+    simulation.run()
+    return soak_seeds.SoakResult(profile, list_violations(simulation))
+
+
 class VersionSoakTest(testtools.TestCase):
     def test_engines_that_stood_still_begin_nothing_on_weights_that_are_too_old(self):
-        violations = []
-        for seed in range(FIRST_SEED, FIRST_SEED + SEED_COUNT):
-            profile = draw_profile(seed)
-            simulation = load_simulation.LoadSimulation(profile, seed)
-            simulation.run()
-            violations += [
-                f"seed {seed}, {profile}: {violation}"
-                for violation in list_violations(simulation)
-            ]
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
--- a/standins/view_soak_test.py
+++ b/standins/view_soak_test.py
@@ -3,14 +3,13 @@
 Run more seeds by hand with ``SOAK_SEEDS=60 pytest standins/view_soak_test.py``.
 """
 
-import os
 import random
 
 import testtools
 
-from standins import link_simulation, view_simulation
+from standins import link_simulation, soak_seeds, view_simulation
 
-SEED_COUNT = int(os.environ.get("SOAK_SEEDS", "4"))
+CI_SEED_COUNT = 4
 IN_FORCE_WITHIN_S = 3.0  # the platform's bound at 101 machines
 CALM_S = 4.0  # bounds hold again this long after the last fault
 STEP_COUNT = 25
@@ -110,17 +109,18 @@
             undo()
 
 
+def run_seed(seed):
+    soak = Soak(seed)
+    soak.run()
+    soak.zone.run(CALM_S)
+    violations = find_violations(soak.zone)
+    soak.zone.close()
+    return soak_seeds.SoakResult(soak.faults, violations)
+
+
 class ViewSoakTest(testtools.TestCase):
     def test_changes_are_in_force_in_time_after_overlapping_faults(self):
-        violations = []
-        for seed in range(1, SEED_COUNT + 1):
-            soak = Soak(seed)
-            soak.run()
-            soak.zone.run(CALM_S)
-            found = find_violations(soak.zone)
-            violations += [f"seed {seed}, {soak.faults}: {v}" for v in found]
-            soak.zone.close()
-        self.assertEqual([], violations)
+        self.assertEqual([], soak_seeds.list_violations(run_seed, CI_SEED_COUNT))
 
 
 def find_violations(zone: view_simulation.ZoneSimulation) -> list[str]:
