--- a/toucanspread/core/agreement/change_log.py
+++ b/toucanspread/core/agreement/change_log.py
@@ -75,12 +75,7 @@
 
     :raises ChangeLogError: when the value is something else.
     """
-    if not value:
-        return Head()
-    try:
-        return _head_decoder.decode(value)
-    except decoder.MalformedError as error:
-        raise ChangeLogError(f"malformed head: {error}") from error
+    return _decode(_head_decoder, value, "head") if value else Head()
 
 
 def decode_snapshot(value: bytes) -> Snapshot:
@@ -88,12 +83,7 @@
 
     :raises ChangeLogError: when the value is something else.
     """
-    if not value:
-        return Snapshot()
-    try:
-        return _snapshot_decoder.decode(value)
-    except decoder.MalformedError as error:
-        raise ChangeLogError(f"malformed snapshot: {error}") from error
+    return _decode(_snapshot_decoder, value, "snapshot") if value else Snapshot()
 
 
 def extend_digest(digest: str, change: data.Change) -> str:
@@ -181,3 +171,12 @@
 def count_stamps_bytes(stamps: Iterable[Stamp]) -> int:
     """Return approximately how many bytes stamps take up in a message."""
     return len(_msgpack_encoder.encode(tuple(stamps)))
+
+
+def _decode(
+    value_decoder: decoder.JsonDecoder, value: bytes, name: str
+) -> Head | Snapshot:
+    try:
+        return value_decoder.decode(value)
+    except decoder.MalformedError as error:
+        raise ChangeLogError(f"malformed {name}: {error}") from error
