Log and count answers that are not taken for that of the request

An answer that was skipped because of its id left no line, and a malformed head only `dispatch_failed why=malformed`, as any noise does; so the logs could not tell the hypotheses on mixed answers apart. `answer_rejected` names the attempt, the engine and the reason: a second status line within a head, lines of one singular header that differ, another request's id, no id on a kept connection. `answers_rejected` counts them by reason. A dispatch writes each reason once, and the lines have the limit of the other failures of requests.

No logic changes: a head with a flaw is reported and treated as before.

--- a/toucanspread/ops/forwarding/dialect.py
+++ b/toucanspread/ops/forwarding/dialect.py
@@ -38,7 +38,13 @@
 
 
 class Dialect(abc.ABC):
-    """Reads and writes the heads of callers' requests and engines' answers."""
+    """Reads and writes the heads of callers' requests and engines' answers.
+
+    :ivar singular_answer_headers: lower-case names of headers of answers that have one
+        value each, besides those of HTTP.
+    """
+
+    singular_answer_headers: frozenset[bytes]
 
     @abc.abstractmethod
     def read_call(self, head: http1.RequestHead) -> entry_data.Call | None:
--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -11,7 +11,7 @@
     stream_progress,
 )
 from toucanspread.ops.forwarding import dialect
-from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.http import answer_flaws, http1, http1_client, http1_pool
 
 MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
 MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
@@ -54,6 +54,10 @@
     def on_failure(self, failure: decisions.DispatchFailure) -> None:
         """Handle a dispatch that ended without a complete answer."""
 
+    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+        """Record why an answer is not taken for that of the dispatch."""
+        return
+
 
 class EngineAnswer(http1_client.AnswerListener):
     """Receives the answer to one dispatch and reports its events to a listener.
@@ -78,6 +82,10 @@
         self.outgoing: http1_pool.OutgoingRequest | None = None
         self._listener = listener
         self._dialect = wire_dialect
+        self.singular_headers = (
+            http1.SINGULAR_HEADERS | wire_dialect.singular_answer_headers
+        )
+        self._flaws: set[answer_flaws.AnswerFlaw] = set()
         self._reactor = reactor
         self._properties: dialect.AnswerProperties | None = None
         self._splitter: event_stream.EventSplitter | None = None
@@ -120,6 +128,7 @@
         """Process the head of an answer; skip an answer to an earlier request."""
         properties = self._dialect.read_answer(head, self._listener.call)
         if not properties.is_for_request:
+            self.on_flaw(answer_flaws.AnswerFlaw.OTHER_REQUEST)
             return False
         self.head = head
         self._properties = properties
@@ -161,6 +170,7 @@
         self._finish()
         properties = self._properties
         if self._may_be_of_earlier_request(properties):
+            self.on_flaw(answer_flaws.AnswerFlaw.NO_ID)
             self.outgoing.cancel()
             self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
         elif properties.not_run and properties.instance not in ("", self._engine_id):
@@ -189,6 +199,13 @@
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
 
+    def on_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+        """Report why an answer is not taken for that of the dispatch, once each."""
+        if flaw in self._flaws:
+            return
+        self._flaws.add(flaw)
+        self._listener.on_answer_flaw(flaw)
+
     def _may_be_of_earlier_request(self, properties: dialect.AnswerProperties) -> bool:
         """Return whether an answer without an id may be a late copy of another one."""
         if properties.is_identified or self.outgoing is None:
--- a/toucanspread/ops/forwarding/faulty_engine_test.py
+++ b/toucanspread/ops/forwarding/faulty_engine_test.py
@@ -79,6 +79,34 @@
         self.assertNotIn(b"late", self.received())
 
 
+class RejectedAnswerTest(forwarder_test.ForwarderCase):
+    def read_lines(self, received):
+        """Return the reasons that are logged for what an engine sends."""
+        self.start()
+        engine = self.send_request()
+        with forwarder_test.capture_events("answer_rejected") as lines:
+            lines.clear()  # of lines from before, which were kept until now
+            engine.answer(received)
+        for line in lines:
+            self.assertEqual("id-1", line["id"])
+            self.assertEqual(engine.address.replace(":", "-"), line["engine"])
+        return [line["why"] for line in lines]
+
+    def test_the_log_tells_why_an_answer_is_not_that_of_the_request(self):
+        late = HEAD.replace(b"id-1", b"id-0") + b"Content-Length: 4\r\n\r\nlate"
+        self.assertEqual(["other request"], self.read_lines(late + ANSWER))
+        mixed = b"HTTP/1.1 200 O" + ANSWER
+        self.assertEqual(["second status line"], self.read_lines(mixed))
+        two_ids = ANSWER.replace(ID, ID + OTHER_ID)
+        self.assertEqual(["conflicting headers"], self.read_lines(two_ids))
+        self.assertEqual([], self.read_lines(ANSWER))
+
+    def test_many_late_answers_to_one_request_are_one_line(self):
+        self.assertEqual(
+            ["other request"], self.read_lines(REFUSAL % OTHER_ID * 100 + ANSWER)
+        )
+
+
 class ErrorInStreamTest(forwarder_test.ForwarderCase):
     def check(self, answer):
         """Let a stream break off and the next engine give an answer."""
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -23,7 +23,7 @@
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops.forwarding import dialect, engine_answer, request_queue
-from toucanspread.ops.http import http1, http1_exchange, http1_pool
+from toucanspread.ops.http import answer_flaws, http1, http1_exchange, http1_pool
 from toucanspread.ops.telemetry import logs, metric_buffer, statement_logs
 
 
@@ -195,6 +195,17 @@
         if self.exchange.is_blocked:
             self._answer.pause()
 
+    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+        """Log and count an answer that is not taken for that of this request."""
+        metric_buffer.count("answers_rejected", why=flaw.value)
+        logs.write(
+            "answer_rejected",
+            id=self.call.attempt_id,
+            engine=self._state.engine_id,
+            why=flaw.value,
+            number=self._state.dispatches,
+        )
+
     @_ending_on_error
     def on_answer(self, status: int) -> None:
         """Process a complete answer of the engine."""
--- /dev/null
+++ b/toucanspread/ops/http/answer_flaws.py
@@ -0,0 +1,52 @@
+"""Recognises answers that can't be attributed to one request.
+
+A server may send an answer twice and break off the second one. A parser then reads the
+next answer as the rest of a reason phrase or of a header's value, so that the head of
+one message consists of two.
+"""
+
+import enum
+import re
+from collections.abc import Iterable
+
+from toucanspread.ops.http import http1
+
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/[0-9]+\.[0-9]+ +[0-9]{3}")
+
+
+class AnswerFlaw(enum.Enum):
+    """Why an answer is not taken for that of the request in progress."""
+
+    SECOND_STATUS_LINE = "second status line"
+    CONFLICTING_HEADERS = "conflicting headers"
+    OTHER_REQUEST = "other request"
+    NO_ID = "no id on a kept connection"
+
+
+def find_flaw(
+    reason_phrase: bytes, head: http1.Head, singular_headers: Iterable[bytes]
+) -> AnswerFlaw | None:
+    """Return why a head isn't the head of one message; None if it may be.
+
+    :param singular_headers: lower-case names of headers that have one value.
+    """
+    if has_status_line(reason_phrase, head):
+        return AnswerFlaw.SECOND_STATUS_LINE
+    if any(has_conflict(head, name) for name in singular_headers):
+        return AnswerFlaw.CONFLICTING_HEADERS
+    return None
+
+
+def has_status_line(reason_phrase: bytes, head: http1.Head) -> bool:
+    """Return whether a status line is part of a reason phrase or a header."""
+    if STATUS_LINE_PATTERN.search(reason_phrase):
+        return True
+    return any(
+        STATUS_LINE_PATTERN.search(text) for header in head.headers for text in header
+    )
+
+
+def has_conflict(head: http1.Head, name: bytes) -> bool:
+    """Return whether the lines of a header have different values."""
+    values = {value.strip() for value in head.get_all(name)}
+    return len(values) > 1
--- a/toucanspread/ops/http/http1.py
+++ b/toucanspread/ops/http/http1.py
@@ -32,6 +32,8 @@
 )
 MAX_USER_TIMEOUT_MS = 2**31 - 1
 NO_BODY_STATUSES = frozenset({204, 304})
+# Several lines of one of these with different values are an error.
+SINGULAR_HEADERS = frozenset({b"content-length", b"content-type"})
 
 
 class Header(NamedTuple):
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -9,7 +9,7 @@
 import httptools
 from twisted.internet import error, protocol
 
-from toucanspread.ops.http import http1
+from toucanspread.ops.http import answer_flaws, http1
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 
@@ -31,9 +31,11 @@
 
     :ivar max_body_bytes: limit for the body of the answer. It also applies to the
         answers to other requests that are skipped before it, taken together.
+    :ivar singular_headers: lower-case names of headers whose lines must agree.
     """
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    singular_headers: frozenset[bytes] = http1.SINGULAR_HEADERS
 
     @abc.abstractmethod
     def on_head(self, head: http1.AnswerHead) -> bool:
@@ -54,6 +56,10 @@
     def on_failure(self, failure: ExchangeFailure) -> None:
         """Handle an exchange that ends without a complete answer."""
 
+    def on_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+        """Record why a head is not that of an answer to the request."""
+        return
+
 
 class ClientConnection(protocol.Protocol, http1.ParserCallbacks):
     """Outgoing connection that carries one request at a time.
@@ -73,6 +79,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._listener: AnswerListener | None = None
         self._head: http1.AnswerHead | None = None
+        self._reason_phrase = b""
         self._is_answer_skipped = False
         self._ends_by_close = False
         self._is_reusable = True
@@ -146,6 +153,15 @@
 
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Discard the head of the previous message."""
+        super().on_message_begin()
+        self._reason_phrase = b""
+
+    def on_status(self, part: bytes) -> None:
+        """Append a part of the reason phrase."""
+        self._reason_phrase += part
+
     def on_headers_complete(self) -> None:
         """Pass the head of an answer to the listener."""
         status = self._parser.get_status_code()
@@ -154,6 +170,11 @@
             self.cancel()
             return
         self._head = http1.AnswerHead(status, self._headers)
+        flaw = answer_flaws.find_flaw(
+            self._reason_phrase, self._head, self._listener.singular_headers
+        )
+        if flaw is not None:
+            self._listener.on_flaw(flaw)
         if status < 200:
             return
         self._read_persistence(self._head)
--- a/toucanspread/ops/telemetry/log_limits.py
+++ b/toucanspread/ops/telemetry/log_limits.py
@@ -29,6 +29,7 @@
 ROUTINE_EVENTS = frozenset({"request_dispatched", "request_answered", "caller_left"})
 FAILURE_EVENTS = frozenset(
     {
+        "answer_rejected",
         "dispatch_failed",
         "older_version_begun",
         "engine_crash_suspected",
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -52,6 +52,10 @@
 class PlatformDialect(dialect.Dialect):
     """The dialect of the platform on which the system runs."""
 
+    singular_answer_headers = frozenset(
+        {ATTEMPT_ID_HEADER.lower(), INSTANCE_HEADER, SEAL_HEADER, NOT_RUN_HEADER}
+    )
+
     def read_call(self, head: http1.RequestHead) -> entry_data.Call | None:
         """Return a request as described by its head; None without an id or a host."""
         attempt_id = head.get(b"x-attempt-id")
