Reject the head of an answer that consists of two

Callers got the status of one answer with the seal, the id and the body of another, or were told that a request had not run though it had. Cause: the head of a message was told by its place on the connection only, and the parser takes any bytes as a reason phrase or as a header's value. So a late second answer that breaks off there and the next answer were one head: its status, or its X-Not-Executed or its instance, came from the remnant, the rest from the own answer.

Otherwise the answer is malformed: the connection ends, nothing of the head is relayed or believed, and the request may have run. The check goes before interim answers are skipped, and covers all calls over this client. A whole own status line always goes with its head, so a remnant of any length that swallows one shows it.

--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -175,6 +175,8 @@
         )
         if flaw is not None:
             self._listener.on_flaw(flaw)
+            self._fail(ExchangeFailure.MALFORMED)
+            return
         if status < 200:
             return
         self._read_persistence(self._head)
