Close a connection if bytes follow the end of an answer in its segment

What a faulty engine sends after a complete answer stayed in the parser if it came in the segment of the answer's end and was no whole head: the connection went back into the pool, and the next request on it got the answer that began there. Cause: only a whole further head or a further segment closed the connection, so whether it was free depended on the segmentation.

The last byte of a segment is fed by itself. An answer that ends before it has bytes behind it, line ends included, which the parser skips without a word; one that ends with it leaves the parser between two messages. So a connection is free only in that state.

Evidence: SurplusTest puts the beginnings of ten whole answers and of noise behind five kinds of answers. It fails before the fix with 5,295 free connections of 25,720 tries, after it with none; without surplus bytes the connection stays free. Tests of ops/http, ops/forwarding, platform and telemetry pass.

--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -274,3 +274,31 @@
 
     def test_what_is_left_of_a_second_answer_is_no_part_of_the_next(self):
         self.assertEqual({}, self.count_mixtures(FIRST_ID))
+
+
+class SurplusTest(MixtureCase):
+    def test_a_connection_with_a_remnant_behind_an_answer_is_not_free(self):
+        free = []
+        first = make_second_answers(FIRST_ID)
+        remnants = [*first.values(), b"\r\n", b"\n", b"HTTP", b"0\r\n\r\n", b"\x00"]
+        for kind in ("length", "chunks", "no content", "error", "refusal"):
+            for remnant in remnants:
+                for size_bytes in range(1, len(remnant) + 1):
+                    surplus = remnant[:size_bytes]
+                    for segments in make_segmentations(first[kind], surplus):
+                        connection = self.connect()
+                        for segment in segments:
+                            connection.dataReceived(segment)
+                        if connection.is_free:
+                            free.append((kind, surplus))
+        self.assertEqual([], free[:10], len(free))
+
+    def test_a_connection_without_surplus_bytes_is_free(self):
+        first = make_second_answers(FIRST_ID)
+        for kind in ("length", "chunks", "no content", "error", "refusal"):
+            for segments in make_segmentations(b"", first[kind]):
+                connection = self.connect()
+                for segment in segments:
+                    connection.dataReceived(segment)
+                self.assertTrue(connection.is_free, kind)
+                self.assertFalse(connection.transport.disconnected, kind)
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -133,7 +133,7 @@
             return
         self._framing_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ExchangeFailure.MALFORMED)
         else:
@@ -211,6 +211,18 @@
 
     # Internals
 
+    def _feed(self, data: bytes) -> None:
+        """Feed the parser, and close the connection if an answer ends before the data.
+
+        The last byte goes by itself: the parser says neither how much it has read nor
+        that it has skipped line ends after an answer.
+        """
+        self._parser.feed_data(data[:-1])
+        if self._listener is None:
+            self.cancel()
+            return
+        self._parser.feed_data(data[-1:])
+
     def _check_framing(self) -> None:
         # Chunks with less framing leave no allowance for later ones.
         self._framing_bytes = max(self._framing_bytes, 0)
