Let calls compare an answer with what they asked for

HTTP/1.1 assigns answers to calls by their order on a connection. A server that repeats an answer shifts this order, and ConnectionPool.call had no way to notice. It now takes a matcher that examines the head and body of a successful answer. What names another call, or names none on a connection that has carried other calls, isn't used; its connection is closed, answer_mismatched names the address, the target and the reason, and a GET is sent once more on a connection of its own. The log is bounded as all lines are, and answers_mismatched counts each.

No client passes a matcher yet, so nothing changes for callers. Tests of toucanspread/ops/http pass (6 new).

--- a/toucanspread/ops/http/http1_pool.py
+++ b/toucanspread/ops/http/http1_pool.py
@@ -1,13 +1,14 @@
 """Pool of client connections to other servers, and complete calls over it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from twisted.internet import protocol
 
 from toucanspread.core import data
-from toucanspread.ops.http import http1, http1_client
+from toucanspread.ops.http import answer_match, http1, http1_client
+from toucanspread.ops.telemetry import logs, metric_buffer
 
 # Waiting longer does not help if a server refuses connections or is cut off.
 CONNECT_TIMEOUT_S = 0.6
@@ -15,6 +16,8 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for servers that announce no timeout
 MAX_IDLE_PER_SERVER = 32
 MAX_ANSWER_S = 3.0  # a slower answer is of no use to anyone who waits for it
+MATCHED_STATUSES = frozenset({200, 206})  # others promise nothing that could be used
+MAX_LOGGED_TARGET_LENGTH = 200
 USER_TIMEOUT_S = 3.0  # the path is dead if bytes stay unacknowledged this long
 
 
@@ -41,6 +44,13 @@
         return self.failure is not http1_client.ExchangeFailure.NOT_CONNECTED
 
 
+class MismatchError(CallError):
+    """The answer does not show that it belongs to the call."""
+
+    def __init__(self, detail: str):
+        super().__init__(None, detail)
+
+
 class Reply(NamedTuple):
     """Complete answer to a call.
 
@@ -88,8 +98,8 @@
         render: Callable[[], bytes | None],
         listener,
     ):
+        self.address = address
         self._pool = pool
-        self._address = address
         self._render = render
         self._listener = listener
         self._connector = None
@@ -112,16 +122,16 @@
         :param max_idle_s: do not use a connection that has been idle for longer;
             None for no limit besides the idle timeout, 0 for a new connection.
         """
-        connection = self._pool.pop_idle(self._address, max_idle_s)
+        connection = self._pool.pop_idle(self.address, max_idle_s)
         if connection is not None:
             if not self._send_on(connection):
                 # Later, as the sender has to know this request before it ends.
                 self._pool.reactor.callLater(0, self._report_not_sent)
             return
-        if not data.is_address(self._address):
+        if not data.is_address(self.address):
             self._pool.reactor.callLater(0, self.on_connect_failed)
             return
-        host, _, port = self._address.rpartition(":")
+        host, _, port = self.address.rpartition(":")
         factory = _ConnectionFactory(self, self._pool)
         self._connector = self._pool.reactor.connectTCP(
             host, int(port), factory, timeout=CONNECT_TIMEOUT_S
@@ -183,7 +193,7 @@
     def __init__(self, outgoing: OutgoingRequest, pool: "ConnectionPool"):
         self._outgoing = outgoing
         self._pool = pool
-        self._address = outgoing._address
+        self._address = outgoing.address
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of the new connection."""
@@ -296,9 +306,13 @@
         max_body_bytes: int = http1_client.DEFAULT_MAX_BODY_BYTES,
         has_own_connection: bool = False,
         on_arriving: Callable[[AnswerProgress], None] | None = None,
+        matcher: answer_match.AnswerMatcher | None = None,
     ) -> Reply:
         """Send a request and return its complete answer.
 
+        A GET is sent once more, on a connection for this call only, if its answer does
+        not match. Other requests may have been executed.
+
         :param timeout_s: time limit for the complete answer. If a stall timeout is
             given, an answer of which bytes keep arriving may take longer, but not
             longer than ``MAX_ANSWER_S``.
@@ -309,15 +323,53 @@
             answer to an earlier call must not be taken for its own.
         :param on_arriving: called when a part of an answer with status 200 and with a
             known length arrives.
+        :param matcher: compares a successful answer with the call; None if nothing in
+            it can be compared. An answer that does not match is not used, and its
+            connection is closed.
         :raises CallError: if no complete answer within the limits is received in time.
         """
-        listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
-        listener.on_arriving = on_arriving
         if head.get(b"host") is None:
             head.headers.insert(0, http1.Header(b"Host", address.encode()))
+        started_s = self.reactor.seconds()
+
+        def call_once(timeout_s: float, has_own_connection: bool) -> Awaitable[Reply]:
+            listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
+            listener.on_arriving = on_arriving
+            return self._call_once(
+                address,
+                head,
+                body,
+                listener,
+                matcher,
+                timeout_s,
+                stall_timeout_s,
+                has_own_connection,
+            )
+
+        try:
+            return await call_once(timeout_s, has_own_connection)
+        except MismatchError:
+            left_s = timeout_s - (self.reactor.seconds() - started_s)
+            if has_own_connection or head.method != b"GET" or left_s <= 0:
+                raise
+        return await call_once(left_s, has_own_connection=True)
+
+    async def _call_once(
+        self,
+        address: str,
+        head: http1.RequestHead,
+        body: bytes,
+        listener: "_AnswerCollector",
+        matcher: answer_match.AnswerMatcher | None,
+        timeout_s: float,
+        stall_timeout_s: float | None,
+        has_own_connection: bool,
+    ) -> Reply:
         request = http1.render_request(head, body)
         max_idle_s = 0.0 if has_own_connection else None
         outgoing = self.send(address, lambda: request, listener, max_idle_s)
+        if matcher is not None:
+            listener.check_answer = _make_check(matcher, outgoing, head)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 if stall_timeout_s is not None:
@@ -338,6 +390,36 @@
                 outgoing.cancel()
 
 
+def _make_check(
+    matcher: answer_match.AnswerMatcher,
+    outgoing: OutgoingRequest,
+    head: http1.RequestHead,
+) -> Callable[[Reply], None]:
+    """Return a function that closes the connection if an answer does not match."""
+
+    def check(reply: Reply) -> None:
+        if reply.status not in MATCHED_STATUSES:
+            return
+        match = matcher.match(reply.head, reply.body)
+        if match is answer_match.Match.OWN:
+            return
+        is_first = outgoing.is_first_on_connection
+        if match is answer_match.Match.UNNAMED and is_first:
+            return
+        outgoing.cancel()
+        metric_buffer.count("answers_mismatched", match=match.value)
+        logs.write(
+            "answer_mismatched",
+            source=outgoing.address,
+            target=head.target.decode("latin-1")[:MAX_LOGGED_TARGET_LENGTH],
+            match=match.value,
+            is_first_on_connection=is_first,
+        )
+        raise MismatchError(f"{outgoing.address}: the answer is to another call")
+
+    return check
+
+
 def _make_extension(
     timeout: asyncio.Timeout, stall_timeout_s: float
 ) -> Callable[[], None]:
@@ -360,6 +442,7 @@
     :param read_clock_s: returns the time.
     :ivar on_progress: called when a part of the answer has arrived.
     :ivar on_arriving: called when a part of a good answer of known length has arrived.
+    :ivar check_answer: raises :class:`MismatchError` for the answer to another call.
     """
 
     def __init__(self, max_body_bytes: int, read_clock_s: Callable[[], float]):
@@ -368,6 +451,7 @@
         self._head_s = 0.0
         self.on_progress: Callable[[], None] = _do_nothing
         self.on_arriving: Callable[[AnswerProgress], None] | None = None
+        self.check_answer: Callable[[Reply], None] = _accept
         self._length_bytes: int | None = None
         self.future = asyncio.get_event_loop().create_future()
         self.is_finished = False
@@ -399,10 +483,16 @@
 
     def on_end(self) -> None:
         self.is_finished = True
-        if not self.future.done():
-            transfer_s = self._read_clock_s() - self._head_s
-            body = bytes(self._body)
-            reply = Reply(self._head.status, self._head, body, transfer_s)
+        if self.future.done():
+            return
+        transfer_s = self._read_clock_s() - self._head_s
+        body = bytes(self._body)
+        reply = Reply(self._head.status, self._head, body, transfer_s)
+        try:
+            self.check_answer(reply)
+        except MismatchError as error:
+            self.future.set_exception(error)
+        else:
             self.future.set_result(reply)
 
     def on_failure(self, failure: http1_client.ExchangeFailure) -> None:
@@ -428,6 +518,10 @@
     return
 
 
+def _accept(reply: Reply) -> None:
+    return
+
+
 def _get_idle_timeout_s(connection: http1_client.ClientConnection) -> float:
     keep_alive_s = connection.keep_alive_s
     return (
--- a/toucanspread/ops/http/http1_pool_test.py
+++ b/toucanspread/ops/http/http1_pool_test.py
@@ -8,7 +8,7 @@
 
 from standins import running_reactor
 from toucanspread.ops import loop
-from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.http import answer_match, http1, http1_client, http1_pool
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -162,3 +162,91 @@
     def test_the_body_of_an_answer_that_is_too_large_is_not_received(self):
         failure = loop.EVENT_LOOP.run_until_complete(self.call())
         self.assertEqual(http1_client.ExchangeFailure.TOO_LARGE, failure)
+
+
+class BodyMatcher(answer_match.AnswerMatcher):
+    """Expects a body; an empty one says nothing."""
+
+    def __init__(self, body):
+        self._body = body
+
+    def match(self, head, body):
+        if not body:
+            return answer_match.Match.UNNAMED
+        is_own = body == self._body
+        return answer_match.Match.OWN if is_own else answer_match.Match.OTHER
+
+
+class MatchTest(testtools.TestCase):
+    """A server answers with prepared bodies, whichever connection a call comes on."""
+
+    def setUp(self):
+        super().setUp()
+        running_reactor.start(self)
+        self.connections = []
+        self.pool = http1_pool.ConnectionPool(reactor)
+
+    async def serve(self, reader, writer):
+        number = len(self.connections)
+        self.connections.append(0)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.connections[number] += 1
+                status, body = self.answers.pop(0)
+                line = b"HTTP/1.1 %d Any\r\nContent-Length: %d\r\n\r\n%b"
+                writer.write(line % (status, len(body), body))
+        writer.close()
+
+    async def call_all(self, methods):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        results = []
+        for number, method in enumerate(methods):
+            head = http1.RequestHead(method, b"/", [])
+            matcher = BodyMatcher(b"%d" % number)
+            try:
+                reply = await self.pool.call(f"{host}:{port}", head, matcher=matcher)
+                results.append(reply.body)
+            except http1_pool.MismatchError:
+                results.append(None)
+            await asyncio.sleep(0.01)
+        self.pool.close_idle(f"{host}:{port}")
+        await asyncio.sleep(0.01)
+        server.close()
+        return results
+
+    def call(self, answers, methods):
+        """Return the bodies that were taken, None for each call without one."""
+        self.answers = answers
+        return loop.EVENT_LOOP.run_until_complete(self.call_all(methods))
+
+    def test_own_answers_share_a_connection(self):
+        answers = [(200, b"0"), (200, b"1")]
+        self.assertEqual([b"0", b"1"], self.call(answers, [b"GET", b"GET"]))
+        self.assertEqual([2], self.connections)
+
+    def test_a_read_whose_answer_is_to_another_call_is_sent_once_more(self):
+        answers = [(200, b"0"), (200, b"0"), (200, b"1")]
+        self.assertEqual([b"0", b"1"], self.call(answers, [b"GET", b"GET"]))
+        self.assertEqual([2, 1], self.connections)
+
+    def test_a_read_is_sent_twice_at_most(self):
+        answers = [(200, b"9"), (200, b"9"), (200, b"1")]
+        self.assertEqual([None, b"1"], self.call(answers, [b"GET", b"GET"]))
+        self.assertEqual([1, 1, 1], self.connections)
+
+    def test_a_write_whose_answer_is_to_another_call_is_not_sent_again(self):
+        answers = [(200, b"0"), (200, b"0")]
+        self.assertEqual([b"0", None], self.call(answers, [b"POST", b"POST"]))
+        self.assertEqual([2], self.connections)
+
+    def test_an_answer_that_names_no_call_is_taken_from_a_new_connection_only(self):
+        answers = [(200, b""), (200, b""), (200, b"")]
+        self.assertEqual([b"", b""], self.call(answers, [b"GET", b"GET"]))
+        self.assertEqual([2, 1], self.connections)
+
+    def test_a_failure_needs_no_match(self):
+        answers = [(503, b"9"), (404, b"")]
+        self.assertEqual([b"9", b""], self.call(answers, [b"GET", b"GET"]))
+        self.assertEqual([2], self.connections)
