Take no manifest of another version or model from the origin

Cause: the client of the origin took an answer by its position on the connection. The manifest names its model and version, and neither was read; the digests of version 5 were then kept as those of version 6, against which all later checks were made.

Now the manifest's own model and version must be those asked for, on every connection. One that names neither is taken from a connection that carried no other call only. Otherwise it isn't used, its connection is closed and it is asked for once more.

--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -8,8 +8,8 @@
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.weights import piece_placement, staging_events
-from toucanspread.ops.http import http1, http1_pool
-from toucanspread.ops.pieces import engine_control, piece_cache
+from toucanspread.ops.http import answer_match, http1, http1_pool
+from toucanspread.ops.pieces import engine_control, manifest_match, piece_cache
 from toucanspread.ops.telemetry import metric_buffer
 from toucanspread.platform import called_server, decoding
 
@@ -56,9 +56,11 @@
 
     async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order."""
+        key = piece_placement.PieceKey(model, version, piece_placement.MANIFEST_NUMBER)
         reply = await self._get(
             f"/-/manifest/{quote(model)}?version={version}",
             piece_cache.MAX_MANIFEST_BYTES,
+            manifest_match.ManifestMatcher(key, _decode_names),
         )
         try:
             manifest = decoder.decode_json(reply.body, _Manifest)
@@ -73,7 +75,12 @@
         target = f"/-/piece/{quote(key.model)}?num={key.number}&version={key.version}"
         return (await self._get(target, self._max_piece_bytes(key.model))).body
 
-    async def _get(self, target: str, max_body_bytes: int) -> http1_pool.Reply:
+    async def _get(
+        self,
+        target: str,
+        max_body_bytes: int,
+        matcher: answer_match.AnswerMatcher | None = None,
+    ) -> http1_pool.Reply:
         address = self._address()
         if address is None:
             raise piece_cache.PieceError("no configuration with an origin is known yet")
@@ -89,6 +96,7 @@
                 head,
                 timeout_s=ORIGIN_TIMEOUT_S,
                 max_body_bytes=max_body_bytes,
+                matcher=matcher,
             )
         except http1_pool.CallError as error:
             raise piece_cache.PieceError(str(error)) from error
@@ -229,3 +237,7 @@
                 f"the engine answered {target} with status {reply.status}"
             )
         return reply
+
+
+def _decode_names(body: bytes) -> manifest_match.ManifestNames:
+    return decoder.decode_json(body, manifest_match.ManifestNames)
