Name model and version in the manifests that entries send

An entry now sends the model and the version beside the digests to those that ask for it, and ManifestMatcher compares them as it does with the origin's. Entries of an earlier release send the list only; it is taken from a connection that carried no other call only.

Before: both tests of EntryManifestTest failed ('digest of 6' != 'digest of 5'). Now they pass, as do those of toucanspread/platform, toucanspread/ops/pieces and standins/endless_server_test.py. The stand-ins of three test files accept the new argument of call and are otherwise as before.

--- a/toucanspread/ops/pieces/manifest_match.py
+++ b/toucanspread/ops/pieces/manifest_match.py
@@ -19,6 +19,17 @@
     version: int | None = None
 
 
+class NamedManifest(msgspec.Struct, frozen=True):
+    """The manifest of a version, as entries send it.
+
+    :param digests: the hex digests of its pieces, in order.
+    """
+
+    model: str
+    version: int
+    digests: tuple[str, ...]
+
+
 class ManifestMatcher(answer_match.AnswerMatcher):
     """Expects the manifest of a version.
 
--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -14,8 +14,8 @@
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import loop
-from toucanspread.ops.http import http1, http1_client, http1_pool
-from toucanspread.ops.pieces import piece_parts
+from toucanspread.ops.http import answer_match, http1, http1_client, http1_pool
+from toucanspread.ops.pieces import manifest_match, piece_parts
 from toucanspread.ops.telemetry import logs, metric_buffer
 
 PIECE_TARGET = "/piece"
@@ -429,12 +429,23 @@
     :raises PieceError: when the process does not return them.
     """
     target = f"{MANIFEST_TARGET}?model={key.model}&version={key.version}"
-    target += f"&held={held:d}"
-    reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES)
+    target += f"&held={held:d}&named=1"
+    matcher = manifest_match.ManifestMatcher(key, _decode_names)
+    reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES, matcher=matcher)
     try:
-        return decoder.decode_msgpack(reply.body, tuple[str, ...])
+        manifest = decoder.decode_msgpack(
+            reply.body, manifest_match.NamedManifest | tuple[str, ...]
+        )
     except decoder.MalformedError as error:
         raise PieceError(f"{address}: malformed manifest: {error}") from error
+    if isinstance(manifest, manifest_match.NamedManifest):
+        return manifest.digests
+    # An entry of an earlier release names neither the model nor the version.
+    return manifest
+
+
+def _decode_names(body: bytes) -> manifest_match.ManifestNames:
+    return decoder.decode_msgpack(body, manifest_match.ManifestNames)
 
 
 async def _fetch(
@@ -443,12 +454,17 @@
     target: str,
     max_body_bytes: int,
     byte_range: piece_parts.ByteRange | None = None,
+    matcher: answer_match.AnswerMatcher | None = None,
 ) -> http1_pool.Reply:
     headers = [] if byte_range is None else [byte_range.header]
     head = http1.RequestHead(b"GET", target.encode(), headers)
     try:
         reply = await pool.call(
-            address, head, timeout_s=PEER_TIMEOUT_S, max_body_bytes=max_body_bytes
+            address,
+            head,
+            timeout_s=PEER_TIMEOUT_S,
+            max_body_bytes=max_body_bytes,
+            matcher=matcher,
         )
     except http1_pool.CallError as error:
         raise UnreachableError(str(error)) from error
--- a/toucanspread/ops/pieces/piece_cache_test.py
+++ b/toucanspread/ops/pieces/piece_cache_test.py
@@ -68,7 +68,15 @@
         super().__init__(task.Clock())
         self._network = network
 
-    async def call(self, address, head, body=b"", timeout_s=1.0, max_body_bytes=0):
+    async def call(
+        self,
+        address,
+        head,
+        body=b"",
+        timeout_s=1.0,
+        max_body_bytes=0,
+        matcher=None,
+    ):
         cache = self._network.caches[address.partition(":")[0]]
         target, _, query = head.target.decode().partition("?")
         parameters = dict(item.split("=") for item in query.split("&"))
--- a/toucanspread/ops/pieces/piece_parts_test.py
+++ b/toucanspread/ops/pieces/piece_parts_test.py
@@ -45,7 +45,15 @@
     async def _get_piece(self, key):
         return PIECE
 
-    async def call(self, address, head, body=b"", timeout_s=1.0, max_body_bytes=0):
+    async def call(
+        self,
+        address,
+        head,
+        body=b"",
+        timeout_s=1.0,
+        max_body_bytes=0,
+        matcher=None,
+    ):
         exchange = Exchange(head)
         await self._handler._send_piece(exchange, KEY, only_held=False)
         reply = exchange.reply
--- a/toucanspread/ops/pieces/staging_driver_test.py
+++ b/toucanspread/ops/pieces/staging_driver_test.py
@@ -62,7 +62,15 @@
         self.pending_manifest_count = 0
         self.max_pending_manifest_count = 0
 
-    async def call(self, address, head, body=b"", timeout_s=1.0, max_body_bytes=0):
+    async def call(
+        self,
+        address,
+        head,
+        body=b"",
+        timeout_s=1.0,
+        max_body_bytes=0,
+        matcher=None,
+    ):
         target, _, query = head.target.decode().partition("?")
         if target in self.unexpected_errors:
             self.unexpected_errors.remove(target)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -21,7 +21,7 @@
 from toucanspread.ops.copies import excerpt_client, excerpt_server, newer_values
 from toucanspread.ops.forwarding import crash_notices, forwarder
 from toucanspread.ops.http import http1, http1_exchange, http1_server
-from toucanspread.ops.pieces import piece_cache, piece_parts
+from toucanspread.ops.pieces import manifest_match, piece_cache, piece_parts
 from toucanspread.ops.telemetry import logs
 
 ADDRESS_LIST_TTL_S = 2.0  # a stopping entry is in no caller's list after this time
@@ -192,7 +192,8 @@
         if path == piece_cache.PIECE_TARGET:
             loop.spawn(self._send_piece(exchange, key, only_held))
         elif path == piece_cache.MANIFEST_TARGET:
-            loop.spawn(self._send_manifest(exchange, key, only_held))
+            is_named = arguments.get("named") == "1"
+            loop.spawn(self._send_manifest(exchange, key, only_held, is_named))
         else:
             exchange.respond(404)
 
@@ -226,7 +227,13 @@
         exchange: http1_exchange.Exchange,
         key: piece_placement.PieceKey,
         only_held: bool,
+        is_named: bool,
     ) -> None:
+        """Send a manifest.
+
+        :param is_named: whether the process expects its model and version beside it, as
+            those of an earlier release do not.
+        """
         if only_held and self._entry.pieces.peek_digests(key) is None:
             exchange.respond(404)
             return
@@ -236,7 +243,9 @@
             logs.write("manifest_missing", piece=key.text, why=str(error))
             exchange.respond(503)
             return
-        exchange.respond(200, body=msgspec.msgpack.encode(digests))
+        manifest = manifest_match.NamedManifest(key.model, key.version, digests)
+        answer = manifest if is_named else digests
+        exchange.respond(200, body=msgspec.msgpack.encode(answer))
 
 
 def _parse_count(text: str) -> int:
--- a/toucanspread/platform/late_answer_test.py
+++ b/toucanspread/platform/late_answer_test.py
@@ -7,15 +7,18 @@
 import asyncio
 import contextlib
 import json
+from types import SimpleNamespace
 
 import testtools
 from twisted.internet import reactor
 
 from standins import running_reactor
+from toucanspread.core import data
+from toucanspread.core.weights import piece_placement
 from toucanspread.ops import loop
-from toucanspread.ops.http import http1_pool
+from toucanspread.ops.http import http1, http1_pool
 from toucanspread.ops.pieces import piece_cache
-from toucanspread.platform import engine
+from toucanspread.platform import engine, entry_handlers
 
 LATE_S = 0.02
 CLOSE_S = 0.02  # until both ends of a connection are closed
@@ -25,7 +28,7 @@
 class RepeatingServer:
     """Answers calls, and repeats the last answer on a connection before each.
 
-    :param answer: returns status and body of the answer to a method and target.
+    :param answer: coroutine that returns status and body for a method and target.
     :ivar targets: of the calls that were received.
     """
 
@@ -49,7 +52,7 @@
                 await asyncio.sleep(LATE_S if last else 0)
                 method, target, _ = head.decode().split(" ", 2)
                 self.targets.append(target)
-                status, content = self._answer(method, target)
+                status, content = await self._answer(method, target)
                 last = b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%b" % (
                     status,
                     len(content),
@@ -105,13 +108,13 @@
         address = self.start_server(answer)
         return engine.Origin(self.pool, lambda: address, lambda _: MAX_PIECE_BYTES)
 
-    def make_manifest(self, method, target):
+    async def make_manifest(self, method, target):
         version = int(target.rpartition("=")[2])
         digests = [f"digest of {version}"]
         manifest = {"model": "m", "version": version, "digests": digests}
         return 200, json.dumps(manifest).encode()
 
-    def make_unnamed_manifest(self, method, target):
+    async def make_unnamed_manifest(self, method, target):
         return 200, json.dumps({"digests": [target]}).encode()
 
     def test_the_manifest_of_another_version_is_not_taken(self):
@@ -127,7 +130,7 @@
             self.assertEqual((f"/-/manifest/m?version={version}",), digests)
 
     def test_a_manifest_of_another_model_is_not_taken(self):
-        def answer(method, target):
+        async def answer(method, target):
             model = target.rpartition("/")[2].partition("?")[0]
             manifest = {"model": model, "version": 5, "digests": [model]}
             return 200, json.dumps(manifest).encode()
@@ -137,10 +140,64 @@
             self.assertEqual((model,), self.call(origin.read_digests(model, 5)))
 
     def test_an_origin_that_only_has_another_version_is_asked_twice_at_most(self):
-        def answer(method, target):
-            return self.make_manifest(method, "version=5")
+        async def answer(method, target):
+            return await self.make_manifest(method, "version=5")
 
         origin = self.make_origin(answer)
         with testtools.ExpectedException(piece_cache.PieceError):
             self.call(origin.read_digests("m", 6))
         self.assertLessEqual(len(self.server.targets), 2)
+
+
+class Exchange:
+    """A request to an entry, and its answer."""
+
+    def __init__(self, target):
+        self.head = http1.RequestHead(b"GET", target.encode(), [])
+        self.on_disconnected = None
+
+    def respond(self, status, headers=(), body=b""):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Pieces:
+    """Digests that an entry has in memory."""
+
+    async def get_digests(self, model, version):
+        return (f"digest of {version}",)
+
+    def peek_digests(self, key):
+        return None
+
+
+class EntryManifestTest(LateAnswerTestCase):
+    """A sidecar or an entry asks another entry for manifests."""
+
+    async def answer(self, method, target):
+        exchange = Exchange(target)
+        program = SimpleNamespace(pieces=Pieces(), is_leaving=False)
+        self.patch(loop, "spawn", self.spawned.append)
+        entry_handlers.ControlHandler(program).on_request(exchange)
+        await self.spawned.pop()
+        return exchange.status, exchange.body
+
+    async def answer_as_before_names(self, method, target):
+        return await self.answer(method, target.replace("&named=1", ""))
+
+    def check(self, answer):
+        self.spawned = []
+        address = self.start_server(answer)
+        for version in (5, 6, 7):
+            key = piece_placement.PieceKey(
+                data.ModelName("m"), version, piece_placement.MANIFEST_NUMBER
+            )
+            digests = self.call(piece_cache.fetch_digests(self.pool, address, key))
+            self.assertEqual((f"digest of {version}",), digests)
+
+    def test_the_manifest_of_another_version_is_not_taken_from_an_entry(self):
+        self.check(self.answer)
+
+    def test_no_manifest_of_an_entry_of_an_earlier_release_is_taken_for_another(self):
+        self.check(self.answer_as_before_names)
