Confirm digests that are those of another version

Two versions may have the same pieces, so they can't be refused outright.

An entry that reads digests from the origin that are wholly those of another version of the model now reads them once more, on a connection of its own, and takes them only if they are the same; digests_repeated logs it. Other manifests cost no call.

Before: both tests of RepeatedDigestsTest failed ('PieceError not raised'). Now they pass, as do those of toucanspread/platform and toucanspread/ops/pieces.

--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -52,9 +52,12 @@
     """The service that all weights come from."""
 
     @abc.abstractmethod
-    async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
+    async def read_digests(
+        self, model: str, version: int, has_own_connection: bool = False
+    ) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order.
 
+        :param has_own_connection: whether to use a connection for this call only.
         :raises PieceError: when they cannot be obtained.
         """
 
@@ -232,7 +235,9 @@
         self, key: piece_placement.PieceKey
     ) -> tuple[str, ...]:
         try:
-            return await self._origin.read_digests(key.model, key.version)
+            digests = await self._origin.read_digests(key.model, key.version)
+            await self._confirm_repeated_digests(key, digests)
+            return digests
         except PieceError as error:
             logs.write("origin_failed", piece=key.text, why=str(error))
             fallback_holders = piece_placement.rank_fallback_holders(
@@ -245,6 +250,31 @@
                 raise
             return digests
 
+    async def _confirm_repeated_digests(
+        self, key: piece_placement.PieceKey, digests: tuple[str, ...]
+    ) -> None:
+        """Read digests again that are those of another version of the model.
+
+        Otherwise, the pieces of that version pass as those of this one.
+
+        :raises PieceError: when the origin then names others, or does not answer.
+        """
+        versions = [
+            other.version
+            for other, known_digests in self._digests.items()
+            if other.model == key.model
+            and other.version != key.version
+            and known_digests == digests
+        ]
+        if not versions:
+            return
+        logs.write("digests_repeated", piece=key.text, versions=versions)
+        confirmed_digests = await self._origin.read_digests(
+            key.model, key.version, has_own_connection=True
+        )
+        if confirmed_digests != digests:
+            raise PieceError(f"{key.text}: digests of version {versions[0]} instead")
+
     async def _fetch_digests_from_entries(
         self,
         entries: list[entry_directory.EntryRecord],
--- a/toucanspread/ops/pieces/piece_cache_test.py
+++ b/toucanspread/ops/pieces/piece_cache_test.py
@@ -24,10 +24,17 @@
         self.corrupt_numbers = set()
         self.read_numbers = []
         self.refused_count = 0
+        self.digests_by_version = {}
+        self.first_digests = []
+        self.confirmed_versions = []
 
-    async def read_digests(self, model, version):
+    async def read_digests(self, model, version, has_own_connection=False):
         self._check_available()
-        return DIGESTS
+        if has_own_connection:
+            self.confirmed_versions.append(version)
+        elif self.first_digests:
+            return self.first_digests.pop(0)
+        return self.digests_by_version.get(version, DIGESTS)
 
     async def read_piece(self, key):
         self._check_available()
@@ -286,3 +293,32 @@
         key = piece_placement.PieceKey(MODEL, 2, 0)
         with testtools.ExpectedException(piece_cache.PieceError):
             asyncio.run(cache.get_piece(key))
+
+
+class RepeatedDigestsTest(testtools.TestCase):
+    """Two versions have the same digests, or the origin says so by mistake."""
+
+    def setUp(self):
+        super().setUp()
+        self.origin = Origin()
+        self.cache = piece_cache.PieceCache("e", None, self.origin, list)
+
+    def test_digests_of_another_version_are_taken_only_if_the_origin_repeats_them(self):
+        self.origin.digests_by_version = {5: ("a",), 6: ("b",)}
+        self.origin.first_digests = [("a",), ("a",), ("b",)]
+
+        async def read_both():
+            await self.cache.get_digests(MODEL, 5)
+            with testtools.ExpectedException(piece_cache.PieceError):
+                await self.cache.get_digests(MODEL, 6)
+            return await self.cache.get_digests(MODEL, 6)
+
+        self.assertEqual(("b",), asyncio.run(read_both()))
+
+    def test_two_versions_may_have_the_same_pieces(self):
+        async def read_both():
+            first = await self.cache.get_digests(MODEL, 5)
+            return first, await self.cache.get_digests(MODEL, 6)
+
+        self.assertEqual((DIGESTS, DIGESTS), asyncio.run(read_both()))
+        self.assertEqual([6], self.origin.confirmed_versions)
--- a/toucanspread/platform/engine.py
+++ b/toucanspread/platform/engine.py
@@ -54,13 +54,16 @@
         self._max_piece_bytes = max_piece_bytes
         self._server = called_server.CalledServer(pool.reactor.seconds)
 
-    async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
+    async def read_digests(
+        self, model: str, version: int, has_own_connection: bool = False
+    ) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order."""
         key = piece_placement.PieceKey(model, version, piece_placement.MANIFEST_NUMBER)
         reply = await self._get(
             f"/-/manifest/{quote(model)}?version={version}",
             piece_cache.MAX_MANIFEST_BYTES,
             manifest_match.ManifestMatcher(key, _decode_names),
+            has_own_connection,
         )
         try:
             manifest = decoder.decode_json(reply.body, _Manifest)
@@ -80,6 +83,7 @@
         target: str,
         max_body_bytes: int,
         matcher: answer_match.AnswerMatcher | None = None,
+        has_own_connection: bool = False,
     ) -> http1_pool.Reply:
         address = self._address()
         if address is None:
@@ -96,6 +100,7 @@
                 head,
                 timeout_s=ORIGIN_TIMEOUT_S,
                 max_body_bytes=max_body_bytes,
+                has_own_connection=has_own_connection,
                 matcher=matcher,
             )
         except http1_pool.CallError as error:
