--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -14,8 +14,8 @@
 from toucanspread.core.entry import entry_directory
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import loop
-from toucanspread.ops.http import http1, http1_client, http1_pool
-from toucanspread.ops.pieces import piece_parts
+from toucanspread.ops.http import answer_match, http1, http1_client, http1_pool
+from toucanspread.ops.pieces import manifest_match, piece_parts
 from toucanspread.ops.telemetry import logs, metric_buffer
 
 PIECE_TARGET = "/piece"
@@ -52,9 +52,12 @@
     """The service that all weights come from."""
 
     @abc.abstractmethod
-    async def read_digests(self, model: str, version: int) -> tuple[str, ...]:
+    async def read_digests(
+        self, model: str, version: int, has_own_connection: bool = False
+    ) -> tuple[str, ...]:
         """Return the hex digests of a version's pieces, in order.
 
+        :param has_own_connection: whether to use a connection for this call only.
         :raises PieceError: when they cannot be obtained.
         """
 
@@ -232,7 +235,9 @@
         self, key: piece_placement.PieceKey
     ) -> tuple[str, ...]:
         try:
-            return await self._origin.read_digests(key.model, key.version)
+            digests = await self._origin.read_digests(key.model, key.version)
+            await self._confirm_repeated_digests(key, digests)
+            return digests
         except PieceError as error:
             logs.write("origin_failed", piece=key.text, why=str(error))
             fallback_holders = piece_placement.rank_fallback_holders(
@@ -245,6 +250,31 @@
                 raise
             return digests
 
+    async def _confirm_repeated_digests(
+        self, key: piece_placement.PieceKey, digests: tuple[str, ...]
+    ) -> None:
+        """Read digests again that are those of another version of the model.
+
+        Otherwise, the pieces of that version pass as those of this one.
+
+        :raises PieceError: when the origin then names others, or does not answer.
+        """
+        versions = [
+            other.version
+            for other, known_digests in self._digests.items()
+            if other.model == key.model
+            and other.version != key.version
+            and known_digests == digests
+        ]
+        if not versions:
+            return
+        logs.write("digests_repeated", piece=key.text, versions=versions)
+        confirmed_digests = await self._origin.read_digests(
+            key.model, key.version, has_own_connection=True
+        )
+        if confirmed_digests != digests:
+            raise PieceError(f"{key.text}: digests of version {versions[0]} instead")
+
     async def _fetch_digests_from_entries(
         self,
         entries: list[entry_directory.EntryRecord],
@@ -429,12 +459,23 @@
     :raises PieceError: when the process does not return them.
     """
     target = f"{MANIFEST_TARGET}?model={key.model}&version={key.version}"
-    target += f"&held={held:d}"
-    reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES)
+    target += f"&held={held:d}&named=1"
+    matcher = manifest_match.ManifestMatcher(key, _decode_names)
+    reply = await _fetch(pool, address, target, MAX_MANIFEST_BYTES, matcher=matcher)
     try:
-        return decoder.decode_msgpack(reply.body, tuple[str, ...])
+        manifest = decoder.decode_msgpack(
+            reply.body, manifest_match.NamedManifest | tuple[str, ...]
+        )
     except decoder.MalformedError as error:
         raise PieceError(f"{address}: malformed manifest: {error}") from error
+    if isinstance(manifest, manifest_match.NamedManifest):
+        return manifest.digests
+    # An entry of an earlier release names neither the model nor the version.
+    return manifest
+
+
+def _decode_names(body: bytes) -> manifest_match.ManifestNames:
+    return decoder.decode_msgpack(body, manifest_match.ManifestNames)
 
 
 async def _fetch(
@@ -443,12 +484,17 @@
     target: str,
     max_body_bytes: int,
     byte_range: piece_parts.ByteRange | None = None,
+    matcher: answer_match.AnswerMatcher | None = None,
 ) -> http1_pool.Reply:
     headers = [] if byte_range is None else [byte_range.header]
     head = http1.RequestHead(b"GET", target.encode(), headers)
     try:
         reply = await pool.call(
-            address, head, timeout_s=PEER_TIMEOUT_S, max_body_bytes=max_body_bytes
+            address,
+            head,
+            timeout_s=PEER_TIMEOUT_S,
+            max_body_bytes=max_body_bytes,
+            matcher=matcher,
         )
     except http1_pool.CallError as error:
         raise UnreachableError(str(error)) from error
