Take no answer of the store that belongs to another call

Answers of the store name no call. With a late copy of the answer before, where the next is expected on a connection of the pool, a process took the records of the entries for the whole store, so that no route was left; a write that the store had refused for done; the lease of one grant for that of the next; an ended lease for renewed; a lease for ended that was not; and the changes, or the end, of the last watch for those of the next, so that its copy counted as current when it wasn't.

Reads of all items, writes, grants and ends of leases are few and now have a connection for each call. Watches are compared: no change may be known already, and an end without changes in the first half of the wait is taken from a connection that carried no other call only. An answer of another era is never rejected by its revisions.

The stand-in of store_test.py accepts two more arguments of call.

--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -74,7 +74,10 @@
         self.excerpts = excerpt_server.ExcerptServer(self.view, reactor)
         pool = http1_pool.ConnectionPool(reactor)
         self._pool = pool
-        self._store = store.PlatformStore(pool, process_settings.platform.address)
+        lease_pool = http1_pool.ConnectionPool(reactor)
+        self._store = store.PlatformStore(
+            pool, process_settings.platform.address, lease_pool
+        )
         origin = engine.Origin(pool, self._find_origin_address, self._limit_piece_bytes)
         name = process_settings.node_name
         self.pieces = piece_cache.PieceCache(
--- a/toucanspread/platform/late_answer_test.py
+++ b/toucanspread/platform/late_answer_test.py
@@ -16,9 +16,10 @@
 from toucanspread.core import data
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import loop
+from toucanspread.ops.copies import prefix_store
 from toucanspread.ops.http import http1, http1_pool
 from toucanspread.ops.pieces import piece_cache
-from toucanspread.platform import engine, entry_handlers
+from toucanspread.platform import engine, entry_handlers, store
 
 LATE_S = 0.02
 CLOSE_S = 0.02  # until both ends of a connection are closed
@@ -201,3 +202,106 @@
 
     def test_no_manifest_of_an_entry_of_an_earlier_release_is_taken_for_another(self):
         self.check(self.answer_as_before_names)
+
+
+class StoreTest(LateAnswerTestCase):
+    """The store has two items, of which one is the record of an entry."""
+
+    def make_store(self, answer):
+        self.lease_pool = http1_pool.ConnectionPool(reactor)
+        address = self.start_server(answer)
+        self.addCleanup(self.lease_pool.close_idle, address)
+        return store.PlatformStore(self.pool, address, self.lease_pool)
+
+    async def answer_read(self, method, target):
+        keys = ["entries/a"]
+        if "prefix=&" in f"{target}&":
+            keys.append("op/config")
+        items = [{"key": key, "revision": 7, "value": "YQ=="} for key in keys]
+        return encode({"items": items, "has_more": False, "store_revision": 7})
+
+    def test_the_items_of_one_prefix_are_not_taken_for_the_whole_store(self):
+        client = self.make_store(self.answer_read)
+        self.call(client.read_all("entries/"))
+        changes = self.call(client.read_all("")).changes
+        self.assertEqual(["entries/a", "op/config"], [c.key for c in changes])
+
+    def test_the_same_page_is_not_taken_for_the_next(self):
+        async def answer(method, target):
+            key = "b" if "after=a" in target else "a"
+            items = [{"key": key, "revision": 7, "value": "YQ=="}]
+            page = {"items": items, "has_more": key == "a", "store_revision": 7}
+            return encode(page)
+
+        changes = self.call(self.make_store(answer).read_all("")).changes
+        self.assertEqual(["a", "b"], [change.key for change in changes])
+
+    def test_changes_of_the_last_watch_are_not_taken_for_the_next(self):
+        async def answer(method, target):
+            after = int(target.partition("after=")[2].partition("&")[0])
+            event = {"key": "op/config", "revision": after + 1, "value": "YQ=="}
+            return encode({"events": [event], "store_revision": after + 1})
+
+        client = self.make_store(answer)
+        for after in (5, 6, 7):
+            watched = self.call(client.watch("", after, 0.5))
+            self.assertEqual([after + 1], [c.revision for c in watched.changes])
+
+    def test_the_end_of_the_last_watch_is_not_taken_for_that_of_the_next(self):
+        async def answer(method, target):
+            events = []
+            if len(self.server.targets) > 1:
+                events = [{"key": "op/config", "revision": 6, "value": "YQ=="}]
+            else:
+                await asyncio.sleep(0.2)
+            return encode({"events": events, "store_revision": 5 + len(events)})
+
+        client = self.make_store(answer)
+        self.assertEqual([], self.call(client.watch("", 5, 0.2)).changes)
+        self.assertEqual(6, self.call(client.watch("", 5, 0.2)).revision)
+
+    def test_a_lost_write_is_not_taken_as_done_by_the_answer_to_the_last(self):
+        async def answer(method, target):
+            if len(self.server.targets) == 1:
+                return encode({"revision": 8})
+            return 503, b""
+
+        client = self.make_store(answer)
+        self.call(client.put("k", b"v", 1))
+        with testtools.ExpectedException(prefix_store.StoreError):
+            self.call(client.put("k", b"v", 1))
+
+    def test_each_lease_is_that_of_its_own_grant(self):
+        async def answer(method, target):
+            return encode({"lease": len(self.server.targets)})
+
+        client = self.make_store(answer)
+        leases = [self.call(client.grant_lease(4.0)) for _ in range(3)]
+        self.assertEqual([1, 2, 3], leases)
+
+    def test_an_ended_lease_is_not_taken_as_renewed_by_the_answer_to_a_watch(self):
+        async def answer(method, target):
+            if method == "POST":
+                return 404, b""
+            return encode({"events": [], "store_revision": 5})
+
+        client = self.make_store(answer)
+        self.call(client.watch("", 5, 0.0))
+        with testtools.ExpectedException(prefix_store.LeaseEndedError):
+            self.call(client.renew_lease(1))
+
+    def test_a_lease_is_ended_by_no_answer_to_another_call(self):
+        async def answer(method, target):
+            if method == "DELETE":
+                return 503, b""
+            return encode({"revision": 8})
+
+        client = self.make_store(answer)
+        self.call(client.put("k", b"v", 1))
+        with testtools.ExpectedException(prefix_store.StoreError):
+            self.call(client.revoke_lease(1))
+
+
+def encode(answer):
+    """Return a successful answer with a JSON body."""
+    return 200, json.dumps(answer).encode()
--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -10,7 +10,7 @@
 from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops.copies import prefix_store
-from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.http import answer_match, http1, http1_client, http1_pool
 from toucanspread.ops.telemetry import logs, metric_buffer
 
 CALL_TIMEOUT_S = 1.2  # the store usually answers in milliseconds, at times in a second
@@ -23,6 +23,7 @@
 MAX_READ_BYTES = 33_554_432  # of all pages of a read
 MAX_WATCH_BYTES = 8_388_608  # pages with all items replace a larger answer
 MAX_WRITE_ANSWER_BYTES = 65_536  # answers to writes and calls on leases
+EARLY_WAIT_SHARE = 0.5  # of its wait, before which a watch rarely ends without changes
 ERA_HEADER = b"store-era"
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -128,14 +129,57 @@
             )
 
 
+class _WatchMatcher(answer_match.AnswerMatcher):
+    """Expects the changes after a revision, or none after a wait.
+
+    :param era: era of the revision; in another one, changes have other revisions.
+    :param read_clock_s: returns the time.
+    """
+
+    def __init__(
+        self, after: int, era: int, wait_s: float, read_clock_s: Callable[[], float]
+    ):
+        self._after = after
+        self._era = era
+        self._early_until_s = read_clock_s() + wait_s * EARLY_WAIT_SHARE
+        self._read_clock_s = read_clock_s
+
+    def match(self, head: http1.AnswerHead, body: bytes) -> answer_match.Match:
+        """Return whether an answer can be that of the watch."""
+        try:
+            answer = decoder.decode_json(body, _WatchAnswer)
+        except decoder.MalformedError:
+            return answer_match.Match.UNNAMED
+        if _read_era(head) not in (store_position.UNKNOWN_ERA, self._era):
+            return answer_match.Match.OWN
+        if any(event.revision <= self._after for event in answer.events):
+            return answer_match.Match.OTHER
+        if not answer.events and self._read_clock_s() < self._early_until_s:
+            # The store may have cut the watch short.
+            return answer_match.Match.UNNAMED
+        return answer_match.Match.OWN
+
+
 class PlatformStore(prefix_store.PrefixStore):
     """Client of the store.
 
+    Its answers name no call. A late copy of one would pass as the next of its kind, so
+    reads of all items, writes, grants and ends of leases, which are few, have a
+    connection for each call. Watches are compared with what they ask for.
+
     :param address: ``ip:port`` of the store.
+    :param lease_pool: carries renewals of the lease and no other calls; the pool of
+        all calls if None.
     """
 
-    def __init__(self, pool: http1_pool.ConnectionPool, address: str):
+    def __init__(
+        self,
+        pool: http1_pool.ConnectionPool,
+        address: str,
+        lease_pool: http1_pool.ConnectionPool | None = None,
+    ):
         self._pool = pool
+        self._lease_pool = lease_pool or pool
         self._address = address
 
     async def read_all(self, prefix: str) -> prefix_store.Changes:
@@ -165,6 +209,7 @@
             timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
             max_body_bytes=min(max_bytes or MAX_WATCH_BYTES, MAX_WATCH_BYTES),
             on_arriving=self.on_arriving,
+            matcher=_WatchMatcher(after, self.era, wait_s, self._pool.reactor.seconds),
         )
         if reply.status == 410:
             raise prefix_store.HistoryGoneError(
@@ -182,7 +227,7 @@
         """Write a key unconditionally, since only its owner writes it."""
         put = _Put(key, base64.b64encode(value).decode(), lease)
         body = msgspec.json.encode(_Transaction([], [put], []))
-        reply = await self._call(b"POST", "/-/kv-txn", body)
+        reply = await self._call(b"POST", "/-/kv-txn", body, has_own_connection=True)
         if reply.status == 404:
             raise prefix_store.LeaseEndedError(f"lease {lease} has ended")
         return data.Revision(self._decode(reply, _WriteResult).revision)
@@ -190,19 +235,21 @@
     async def grant_lease(self, ttl_s: float) -> prefix_store.LeaseId:
         """Create a lease and return its id."""
         body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
-        reply = await self._call(b"POST", "/-/kv-lease", body)
+        reply = await self._call(b"POST", "/-/kv-lease", body, has_own_connection=True)
         return self._decode(reply, _GrantedLease).lease
 
     async def renew_lease(self, lease: prefix_store.LeaseId) -> None:
         """Renew a lease; its lifetime starts again now."""
-        reply = await self._call(b"POST", f"/-/kv-keep/{lease}", b"{}")
+        target = f"/-/kv-keep/{lease}"
+        reply = await self._call(b"POST", target, b"{}", pool=self._lease_pool)
         if reply.status == 404:
             raise prefix_store.LeaseEndedError(f"lease {lease} has ended")
         self._check(reply)
 
     async def revoke_lease(self, lease: prefix_store.LeaseId) -> None:
         """Revoke a lease, which deletes its keys."""
-        self._check(await self._call(b"DELETE", f"/-/kv-lease-end/{lease}"))
+        target = f"/-/kv-lease-end/{lease}"
+        self._check(await self._call(b"DELETE", target, has_own_connection=True))
 
     async def _read_page(self, prefix: str, after: str) -> http1_pool.Reply:
         target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
@@ -214,6 +261,7 @@
             timeout_s=READ_TIMEOUT_S,
             max_body_bytes=MAX_PAGE_BYTES,
             on_arriving=self.on_arriving,
+            has_own_connection=True,
         )
 
     async def _call(
@@ -224,18 +272,23 @@
         timeout_s: float = CALL_TIMEOUT_S,
         max_body_bytes: int = MAX_WRITE_ANSWER_BYTES,
         on_arriving: Callable[[http1_pool.AnswerProgress], None] | None = None,
+        has_own_connection: bool = False,
+        matcher: answer_match.AnswerMatcher | None = None,
+        pool: http1_pool.ConnectionPool | None = None,
     ) -> http1_pool.Reply:
         headers = [JSON_TYPE] if body else []
         head = http1.RequestHead(method, target.encode(), headers)
         try:
-            reply = await self._pool.call(
+            reply = await (pool or self._pool).call(
                 self._address,
                 head,
                 body,
                 timeout_s,
                 STALL_TIMEOUT_S,
                 max_body_bytes,
-                on_arriving=on_arriving,
+                has_own_connection,
+                on_arriving,
+                matcher,
             )
         except http1_pool.CallError as error:
             if error.failure is http1_client.ExchangeFailure.TOO_LARGE:
@@ -251,8 +304,7 @@
 
         :raises prefix_store.StoreError: when the answer is of an earlier era.
         """
-        value = (reply.head.get(ERA_HEADER) or b"").decode("latin-1").strip()
-        era = data.parse_count(value) or store_position.UNKNOWN_ERA
+        era = _read_era(reply.head)
         if era == store_position.UNKNOWN_ERA or era == self.era:
             return
         if era < self.era:
@@ -279,6 +331,12 @@
             ) from error
 
 
+def _read_era(head: http1.AnswerHead) -> int:
+    """Return the era that an answer names."""
+    value = (head.get(ERA_HEADER) or b"").decode("latin-1").strip()
+    return data.parse_count(value) or store_position.UNKNOWN_ERA
+
+
 def _make_changes(
     events: list[_KeyEvent],
 ) -> tuple[list[store_view.KeyChange], list[str]]:
--- a/toucanspread/platform/store_test.py
+++ b/toucanspread/platform/store_test.py
@@ -9,7 +9,7 @@
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_view
 from toucanspread.ops.copies import prefix_store, view_sync
-from toucanspread.ops.http import http1, http1_pool
+from toucanspread.ops.http import answer_match, http1, http1_pool
 from toucanspread.platform import store
 
 GOOD_VALUE = "Z29vZA=="
@@ -35,7 +35,9 @@
         timeout_s=1.0,
         stall_timeout_s=None,
         max_body_bytes=0,
+        has_own_connection=False,
         on_arriving=None,
+        matcher=None,
     ):
         answer = self._answers.pop(0)
         headers = []
@@ -111,6 +113,31 @@
             self.assertEqual(b"new", view.get("op/b").value, value)
 
 
+class WatchMatchTest(testtools.TestCase):
+    def match(self, answer, headers=(), took_s=0.0):
+        clock = task.Clock()
+        matcher = store._WatchMatcher(5, 2, 1.0, clock.seconds)
+        clock.advance(took_s)
+        head = http1.AnswerHead(200, list(headers))
+        return matcher.match(head, json.dumps(answer).encode())
+
+    def test_changes_that_are_known_belong_to_an_earlier_watch(self):
+        matches = [
+            self.match(make_events(revision, ("op/a", GOOD_VALUE)))
+            for revision in (5, 6)
+        ]
+        self.assertEqual([answer_match.Match.OTHER, answer_match.Match.OWN], matches)
+
+    def test_another_era_is_learnt_whatever_its_revisions(self):
+        header = http1.Header(b"Store-Era", b"3")
+        match = self.match(make_events(4, ("op/a", GOOD_VALUE)), [header])
+        self.assertIs(answer_match.Match.OWN, match)
+
+    def test_the_end_of_a_watch_that_comes_at_once_may_be_that_of_another(self):
+        matches = [self.match(make_events(5), took_s=took_s) for took_s in (0.01, 1.0)]
+        self.assertEqual([answer_match.Match.UNNAMED, answer_match.Match.OWN], matches)
+
+
 class EraTest(testtools.TestCase):
     def make_store(self, eras, *answers):
         return store.PlatformStore(Pool(answers, eras), "s:1")
