--- a/toucanspread/core/entry/event_stream.py
+++ b/toucanspread/core/entry/event_stream.py
@@ -77,6 +77,11 @@
         """Return whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
         return len(self._buffer) > MAX_EVENT_BYTES
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of what waits for the end of an event."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds the beginning of an event."""
--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -94,6 +94,13 @@
         """Return whether the request was sent on a connection."""
         return self.outgoing is not None and self.outgoing.was_sent
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body is kept; of a stream, the incomplete event."""
+        if self._splitter is not None:
+            return self._splitter.buffered_bytes
+        return len(self.body)
+
     def cancel(self) -> None:
         """Cancel the dispatch."""
         self._finish()
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -9,7 +9,7 @@
 import httptools
 from twisted.internet import error, protocol
 
-from toucanspread.ops.http import http1
+from toucanspread.ops.http import http1, receive_memory
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 
@@ -35,6 +35,11 @@
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body this listener keeps."""
+        return 0
+
     @abc.abstractmethod
     def on_head(self, head: http1.AnswerHead) -> bool:
         """Process the head of an answer.
@@ -55,14 +60,18 @@
         """Handle an exchange that ends without a complete answer."""
 
 
-class ClientConnection(protocol.Protocol, http1.ParserCallbacks):
+class ClientConnection(protocol.Protocol, http1.ParserCallbacks, receive_memory.Holder):
     """Outgoing connection that carries one request at a time.
 
     All that is received for a request besides bodies, such as heads, interim answers,
     chunk extensions and trailers, may take up to ``http1.MAX_HEAD_BYTES``.
+
+    :param account: counts what is held of incomplete answers.
     """
 
-    def __init__(self, reactor):
+    def __init__(
+        self, reactor, account: receive_memory.MemoryAccount = receive_memory.ANSWERS
+    ):
         http1.ParserCallbacks.__init__(self)
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
@@ -70,6 +79,7 @@
         self.is_open = False
         self.on_idle = lambda connection: None
         self._reactor = reactor
+        self._account = account
         self._parser = httptools.HttpResponseParser(self)
         self._listener: AnswerListener | None = None
         self._head: http1.AnswerHead | None = None
@@ -91,6 +101,7 @@
     def cancel(self) -> None:
         """Close the connection and abandon the request in progress."""
         self._listener = None
+        self._account.update(self, 0)
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
@@ -112,6 +123,12 @@
         """Return whether another request can be sent."""
         return self.is_open and self._is_reusable and self._listener is None
 
+    @property
+    def peer(self) -> str:
+        """Return the address of the server, for logs."""
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
     # Callbacks of Twisted
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -131,6 +148,7 @@
             self._fail(ExchangeFailure.MALFORMED)
         else:
             self._check_framing()
+            self._update_account()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Complete an answer that ends with the connection, or report a failure."""
@@ -194,6 +212,14 @@
         if self._listener is not None and self._framing_bytes > http1.MAX_HEAD_BYTES:
             self._fail(ExchangeFailure.TOO_LARGE)
 
+    def _update_account(self) -> None:
+        if self._listener is None:
+            return
+        head_bytes = (
+            self._framing_bytes + len(self._headers) * receive_memory.HEADER_LINE_BYTES
+        )
+        self._account.update(self, head_bytes + self._listener.held_bytes)
+
     def _read_persistence(self, head: http1.AnswerHead) -> None:
         if not self._parser.should_keep_alive():
             self._is_reusable = False
@@ -215,6 +241,7 @@
 
     def _complete(self) -> None:
         listener, self._listener = self._listener, None
+        self._account.update(self, 0)
         self._head = None
         self.resume()
         self.idle_since_s = self._reactor.seconds()
@@ -228,6 +255,7 @@
 
     def _fail(self, failure: ExchangeFailure) -> None:
         listener, self._listener = self._listener, None
+        self._account.update(self, 0)
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
--- a/toucanspread/ops/http/http1_pool.py
+++ b/toucanspread/ops/http/http1_pool.py
@@ -379,6 +379,10 @@
         """Return the number of bytes of the body that were received."""
         return len(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        return len(self._body)
+
     def on_head(self, head: http1.AnswerHead) -> bool:
         self._head = head
         self._head_s = self._read_clock_s()
--- a/toucanspread/ops/telemetry/metric_buffer.py
+++ b/toucanspread/ops/telemetry/metric_buffer.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple
 
 # Observations between two scrapes; each takes a few dozen bytes.
@@ -38,6 +39,7 @@
 _pending_observations: collections.deque[Observation] = collections.deque(
     maxlen=MAX_PENDING_OBSERVATIONS
 )
+_gauges: dict[Series, Callable[[], float]] = {}
 _started = False
 
 
@@ -56,6 +58,11 @@
     _pending_observations.append(Observation(_make_series(name, labels), value))
 
 
+def watch(name: str, read: Callable[[], float], **labels: str) -> None:
+    """Read a value at each scrape, as a gauge."""
+    _gauges[_make_series(name, labels)] = read
+
+
 def render_exposition() -> bytes:
     """Return all metrics in the Prometheus text format and empty the buffer."""
     from toucanspread.ops.telemetry import metrics
@@ -71,6 +78,8 @@
         labels = dict(observation.series.labels)
         metrics.observe(observation.series.name, observation.value, labels)
     _pending_observations.clear()
+    for series, read in _gauges.items():
+        metrics.set_gauge(series.name, read(), dict(series.labels))
     return metrics.render_exposition()
 
 
--- a/toucanspread/ops/telemetry/metrics.py
+++ b/toucanspread/ops/telemetry/metrics.py
@@ -12,6 +12,7 @@
 _meter = api.get_meter("toucanspread")
 _counters: dict[str, api.Counter] = {}
 _histograms: dict[str, api.Histogram] = {}
+_gauges: dict = {}
 
 
 def start() -> None:
@@ -33,6 +34,13 @@
     _histograms[name].record(value, attributes)
 
 
+def set_gauge(name: str, value: float, attributes: dict[str, str]) -> None:
+    """Set a gauge."""
+    if name not in _gauges:
+        _gauges[name] = _meter.create_gauge(name)
+    _gauges[name].set(value, attributes)
+
+
 def render_exposition() -> bytes:
     """Return all metrics in the Prometheus text format."""
     return generate_latest(REGISTRY)
