Release what an exchange held when it ends

Callers of an entry whose engine sends events or header lines without end saw nothing, but its process grew by 107 MB (one event) and 53 MB (one header line) for 60 of them, while no more than 6 and 1 MB were held of answers in progress (gauge held_bytes).

Cause: buffers hang on objects that refer to each other (a connection and its parser, a request and its answer), which only a late run of the garbage collector frees. Now the end of an exchange or a connection drops them: bodies, incomplete events, parsers.

--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -104,6 +104,7 @@
     def cancel(self) -> None:
         """Cancel the dispatch."""
         self._finish()
+        self._release_body()
         if self.outgoing is not None:
             self.outgoing.cancel()
 
@@ -166,6 +167,10 @@
         if self._is_finished:
             return
         self._finish()
+        self._report_end()
+        self._release_body()
+
+    def _report_end(self) -> None:
         properties = self._properties
         if self._may_be_of_earlier_request(properties):
             self.outgoing.cancel()
@@ -186,7 +191,7 @@
         if self._is_finished:
             return
         self._finish()
-        self.body.clear()
+        self._release_body()
         failure = decisions.DispatchFailure.BROKEN
         if exchange_failure is http1_client.ExchangeFailure.NOT_CONNECTED:
             failure = decisions.DispatchFailure.NOT_CONNECTED
@@ -224,6 +229,11 @@
         if self._timer.active():
             self._timer.reset(self._silence_timeout_s)
 
+    def _release_body(self) -> None:
+        """Release what was received, as a request may be kept for longer."""
+        self.body = bytearray()
+        self._splitter = None
+
     def _finish(self) -> None:
         self._is_finished = True
         if self._timer.active():
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -153,6 +153,12 @@
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Complete an answer that ends with the connection, or report a failure."""
         self.is_open = False
+        self._end_answer(reason)
+        # The parser refers to this connection, and may hold much of a head.
+        self._parser = None
+        self._headers = []
+
+    def _end_answer(self, reason) -> None:
         if self._listener is None:
             return
         is_orderly = reason.check(error.ConnectionDone)
--- a/toucanspread/ops/http/http1_exchange.py
+++ b/toucanspread/ops/http/http1_exchange.py
@@ -45,6 +45,7 @@
 class Exchange:
     """One request on an accepted connection, and its answer.
 
+    :ivar body: empty once the exchange is finished.
     :ivar received_s: when its last byte was received, on the reactor's clock.
     :ivar started_s: when its first byte was received, on the reactor's clock.
     :ivar on_disconnected: called if the caller disconnects before the answer is
@@ -128,6 +129,7 @@
         if self.is_finished:
             return
         self.is_finished = True
+        self.body = b""
         self._connection.abort()
 
     def handle_disconnect(self) -> None:
@@ -135,6 +137,7 @@
         if self.is_finished:
             return
         self.is_finished = True
+        self.body = b""
         self.on_disconnected()
 
     def _send_head(
@@ -148,6 +151,7 @@
 
     def _end(self) -> None:
         self.is_finished = True
+        self.body = b""
         self.on_disconnected = _do_nothing
         self.on_drained = _do_nothing
         self._connection.on_exchange_finished()
--- a/toucanspread/ops/http/http1_server.py
+++ b/toucanspread/ops/http/http1_server.py
@@ -127,6 +127,8 @@
             self._close.stop()
         if self._current is not None:
             self._current.handle_disconnect()
+            self._current = None
+        self._release()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """End the connection, since a caller that closes it waits for nothing."""
@@ -421,6 +423,14 @@
         self.write(http1.render_head(start_line, headers))
         self.close(discards=True)
 
+    def _release(self) -> None:
+        """Release what was received; the parser refers to this connection."""
+        self._parser = None
+        self._headers = []
+        self._head = None
+        self._body = bytearray()
+        self._queued.clear()
+
     def _start_timer(self, timeout_s: float, callback) -> None:
         self._stop_timer()
         self._timer = self.reactor.callLater(timeout_s, callback)
