Bound what all incomplete answers hold together

60 callers of an entry whose engine answers without end made its process grow by 253 MB, more than a machine has; then the requests of all others there end too.

Cause: a limit for each answer (4 MiB of a body) and none for their sum. Now an account of the process counts what is held of engines' answers that aren't complete (head, objects of header lines, body, beginning of an event), and a second one what is held of answers to the process's own calls, so that a faulty engine takes no memory from the store's answers. Above 16 MiB the largest holder ends as "too large", so small answers never do; it is logged (holder_gave_way) and counted.

--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -11,7 +11,7 @@
     stream_progress,
 )
 from toucanspread.ops.forwarding import dialect
-from toucanspread.ops.http import http1, http1_client, http1_pool
+from toucanspread.ops.http import http1, http1_client, http1_pool, receive_memory
 
 MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
 MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
@@ -62,6 +62,7 @@
     """
 
     max_body_bytes = MAX_ANSWER_BYTES
+    account = receive_memory.ENGINE_ANSWERS
 
     def __init__(
         self,
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -31,9 +31,11 @@
 
     :ivar max_body_bytes: limit for the body of the answer. It also applies to the
         answers to other requests that are skipped before it, taken together.
+    :ivar account: counts what is held of the answer until its end.
     """
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    account: receive_memory.MemoryAccount = receive_memory.CALL_ANSWERS
 
     @property
     def held_bytes(self) -> int:
@@ -65,13 +67,9 @@
 
     All that is received for a request besides bodies, such as heads, interim answers,
     chunk extensions and trailers, may take up to ``http1.MAX_HEAD_BYTES``.
-
-    :param account: counts what is held of incomplete answers.
     """
 
-    def __init__(
-        self, reactor, account: receive_memory.MemoryAccount = receive_memory.ANSWERS
-    ):
+    def __init__(self, reactor):
         http1.ParserCallbacks.__init__(self)
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
@@ -79,7 +77,6 @@
         self.is_open = False
         self.on_idle = lambda connection: None
         self._reactor = reactor
-        self._account = account
         self._parser = httptools.HttpResponseParser(self)
         self._listener: AnswerListener | None = None
         self._head: http1.AnswerHead | None = None
@@ -100,8 +97,7 @@
 
     def cancel(self) -> None:
         """Close the connection and abandon the request in progress."""
-        self._listener = None
-        self._account.update(self, 0)
+        self._take_listener()
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
@@ -129,6 +125,10 @@
         peer = self.transport.getPeer()
         return f"{peer.host}:{peer.port}"
 
+    def give_way(self) -> None:
+        """End the exchange, since the process holds too much."""
+        self._fail(ExchangeFailure.TOO_LARGE)
+
     # Callbacks of Twisted
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -224,7 +224,15 @@
         head_bytes = (
             self._framing_bytes + len(self._headers) * receive_memory.HEADER_LINE_BYTES
         )
-        self._account.update(self, head_bytes + self._listener.held_bytes)
+        held_bytes = head_bytes + self._listener.held_bytes
+        self._listener.account.update(self, held_bytes)
+
+    def _take_listener(self) -> AnswerListener | None:
+        """End the exchange, for which nothing is held from now on."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.account.update(self, 0)
+        return listener
 
     def _read_persistence(self, head: http1.AnswerHead) -> None:
         if not self._parser.should_keep_alive():
@@ -246,8 +254,7 @@
                 self.keep_alive_s = float(number)
 
     def _complete(self) -> None:
-        listener, self._listener = self._listener, None
-        self._account.update(self, 0)
+        listener = self._take_listener()
         self._head = None
         self.resume()
         self.idle_since_s = self._reactor.seconds()
@@ -260,8 +267,7 @@
             self._reactor.callLater(0, self.on_idle, self)
 
     def _fail(self, failure: ExchangeFailure) -> None:
-        listener, self._listener = self._listener, None
-        self._account.update(self, 0)
+        listener = self._take_listener()
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -1,13 +1,16 @@
 """Bounds the memory that the connections of a process hold together.
 
 A limit for each message doesn't bound their sum, and a few large messages must not take
-the memory away from many small ones. So an account counts what all its holders keep.
+the memory away from many small ones. So an account counts what all its holders keep,
+and when that exceeds its limit, the largest of them gives way.
 """
 
 import abc
 
-from toucanspread.ops.telemetry import metric_buffer
+from toucanspread.ops.telemetry import logs, metric_buffer
 
+# A machine has 150 MB or more, and the process itself takes about 50.
+MAX_HELD_BYTES = 16_777_216
 HEADER_LINE_BYTES = 200  # of the objects for a header line, besides its text
 
 
@@ -19,16 +22,22 @@
     def peer(self) -> str:
         """Return the address of the other side, for logs."""
 
+    @abc.abstractmethod
+    def give_way(self) -> None:
+        """Release all that is held, at once."""
+
 
 class MemoryAccount:
     """Counts the bytes that holders of one kind keep.
 
     :param kind: what is held, for logs and metrics.
+    :param limit_bytes: for all holders together.
     :ivar held_bytes: by all holders together.
     """
 
-    def __init__(self, kind: str):
+    def __init__(self, kind: str, limit_bytes: int = MAX_HELD_BYTES):
         self.kind = kind
+        self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self._holders: dict[Holder, int] = {}
 
@@ -40,7 +49,7 @@
         return account
 
     def update(self, holder: Holder, held_bytes: int) -> None:
-        """Set how much a holder keeps.
+        """Set how much a holder keeps; the largest one gives way if it is too much.
 
         :param held_bytes: 0 once it keeps nothing.
         """
@@ -52,6 +61,28 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-
-
-ANSWERS = MemoryAccount.from_process("answers")
+        while self.held_bytes > self.limit_bytes:
+            self._let_largest_give_way()
+
+    def _let_largest_give_way(self) -> None:
+        holder = max(self._holders, key=self._holders.__getitem__)
+        size_bytes = self._holders.pop(holder)
+        metric_buffer.count("holders_gave_way", kind=self.kind)
+        logs.write(
+            "holder_gave_way",
+            kind=self.kind,
+            peer=holder.peer,
+            bytes=size_bytes,
+            held_bytes=self.held_bytes,
+            holders=len(self._holders) + 1,
+        )
+        self.held_bytes -= size_bytes
+        try:
+            holder.give_way()
+        except Exception as error:
+            # Its failure is none of the connection that has just received bytes.
+            logs.write("handler_failed", kind=type(error).__name__, why=str(error))
+
+
+ENGINE_ANSWERS = MemoryAccount.from_process("answers of engines")
+CALL_ANSWERS = MemoryAccount.from_process("answers to own calls")
--- /dev/null
+++ b/toucanspread/ops/http/receive_memory_test.py
@@ -0,0 +1,121 @@
+"""Tests the account of the memory that connections hold together."""
+
+import testtools
+from eliot import testing
+from twisted.internet import task
+
+from toucanspread.ops.http import http1_client, http1_test, receive_memory
+
+LIMIT_BYTES = 100_000
+HEAD = b"HTTP/1.1 200 OK\r\n"
+BODY = HEAD + b"\r\n"
+
+
+class FakeHolder(receive_memory.Holder):
+    peer = "127.0.0.1:1"
+
+    def __init__(self, error=None):
+        self.gave_way = False
+        self._error = error
+
+    def give_way(self):
+        self.gave_way = True
+        if self._error is not None:
+            raise self._error
+
+
+class KeepingListener(http1_test.RecordingListener):
+    """Keeps the body, as listeners of answers that are no streams do."""
+
+    max_body_bytes = 10 * LIMIT_BYTES
+
+    def __init__(self, account):
+        super().__init__()
+        self.account = account
+
+    @property
+    def held_bytes(self):
+        return len(self.body)
+
+
+class MemoryAccountTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.account = receive_memory.MemoryAccount("a", LIMIT_BYTES)
+
+    def test_the_largest_holder_gives_way_to_a_small_one(self):
+        holders = [FakeHolder() for _ in range(3)]
+        for holder, size_bytes in zip(holders, (30_000, 69_000, 2_000), strict=True):
+            self.account.update(holder, size_bytes)
+        self.assertEqual([False, True, False], [h.gave_way for h in holders])
+        self.assertEqual(32_000, self.account.held_bytes)
+
+    def test_a_holder_that_shrinks_or_ends_leaves_room(self):
+        first, second = FakeHolder(), FakeHolder()
+        self.account.update(first, 90_000)
+        self.account.update(first, 5_000)
+        self.account.update(second, 90_000)
+        self.account.update(second, 0)
+        self.account.update(first, 95_000)
+        self.assertEqual([False, False], [first.gave_way, second.gave_way])
+        self.assertEqual(95_000, self.account.held_bytes)
+
+    def test_many_holders_never_exceed_the_limit_together(self):
+        holders = [FakeHolder() for _ in range(600)]
+        for size_bytes in range(1_000, 20_000, 1_000):
+            for holder in holders:
+                if not holder.gave_way:
+                    self.account.update(holder, size_bytes)
+                self.assertLessEqual(self.account.held_bytes, LIMIT_BYTES)
+
+    @testing.capture_logging(None)
+    def test_an_error_of_the_one_that_gives_way_does_not_reach_another(self, logger):
+        self.account.update(FakeHolder(ValueError("a")), LIMIT_BYTES)
+        self.account.update(FakeHolder(), 1)
+        self.assertEqual(1, self.account.held_bytes)
+        events = [message["message_type"] for message in logger.messages]
+        self.assertEqual(["holder_gave_way", "handler_failed"], events)
+
+
+class ClientMemoryTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.account = receive_memory.MemoryAccount("a", LIMIT_BYTES)
+
+    def send(self):
+        """Return a connection with a request in progress, and its listener."""
+        connection = http1_client.ClientConnection(task.Clock())
+        connection.makeConnection(http1_test.Transport())
+        listener = KeepingListener(self.account)
+        connection.send(b"request", listener)
+        return connection, listener
+
+    def test_endless_bodies_end_and_a_small_answer_beside_is_complete(self):
+        endless = [self.send() for _ in range(5)]
+        small, listener = self.send()
+        small.dataReceived(HEAD + b"Content-Length: 6\r\n\r\nabc")
+        for connection, _ in endless:
+            connection.dataReceived(BODY + b"a" * 30_000)
+        small.dataReceived(b"def")
+        self.assertEqual(["end"], listener.ends)
+        ended = [each.ends for _, each in endless if each.ends]
+        self.assertEqual([[http1_client.ExchangeFailure.TOO_LARGE]] * 2, ended)
+        self.assertLessEqual(self.account.held_bytes, LIMIT_BYTES)
+
+    def test_header_lines_count_with_their_objects(self):
+        connection, _ = self.send()
+        connection.dataReceived(HEAD + b"A: b\r\n" * 100)
+        self.assertGreater(
+            self.account.held_bytes, 100 * receive_memory.HEADER_LINE_BYTES
+        )
+
+    def test_nothing_is_counted_once_an_exchange_has_ended(self):
+        connection, _ = self.send()
+        connection.dataReceived(HEAD + b"Content-Length: 2\r\n\r\nok")
+        self.assertEqual(0, self.account.held_bytes)
+        for end in ("cancel", "connectionLost"):
+            connection, _ = self.send()
+            connection.dataReceived(BODY + b"abc")
+            self.assertGreater(self.account.held_bytes, 0)
+            getattr(connection, end)()
+            self.assertEqual(0, self.account.held_bytes, end)
--- a/toucanspread/ops/telemetry/log_limits.py
+++ b/toucanspread/ops/telemetry/log_limits.py
@@ -32,6 +32,7 @@
         "dispatch_failed",
         "older_version_begun",
         "engine_crash_suspected",
+        "holder_gave_way",
         "request_denied",
         "request_failed",
         "request_refused",
