--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -11,7 +11,13 @@
     stream_progress,
 )
 from toucanspread.ops.forwarding import dialect
-from toucanspread.ops.http import answer_flaws, http1, http1_client, http1_pool
+from toucanspread.ops.http import (
+    answer_flaws,
+    http1,
+    http1_client,
+    http1_pool,
+    receive_memory,
+)
 
 MAX_ANSWER_BYTES = 4_194_304  # the usual limit for a request
 MAX_STREAM_BYTES = 16_777_216  # a caller that reads slowly leaves it in memory
@@ -66,6 +72,7 @@
     """
 
     max_body_bytes = MAX_ANSWER_BYTES
+    account = receive_memory.ENGINE_ANSWERS
 
     def __init__(
         self,
@@ -102,9 +109,17 @@
         """Return whether the request was sent on a connection."""
         return self.outgoing is not None and self.outgoing.was_sent
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body is kept; of a stream, the incomplete event."""
+        if self._splitter is not None:
+            return self._splitter.buffered_bytes
+        return len(self.body)
+
     def cancel(self) -> None:
         """Cancel the dispatch."""
         self._finish()
+        self._release_body()
         if self.outgoing is not None:
             self.outgoing.cancel()
 
@@ -168,6 +183,10 @@
         if self._is_finished:
             return
         self._finish()
+        self._report_end()
+        self._release_body()
+
+    def _report_end(self) -> None:
         properties = self._properties
         if self._may_be_of_earlier_request(properties):
             self.on_flaw(answer_flaws.AnswerFlaw.NO_ID)
@@ -189,7 +208,7 @@
         if self._is_finished:
             return
         self._finish()
-        self.body.clear()
+        self._release_body()
         failure = decisions.DispatchFailure.BROKEN
         if exchange_failure is http1_client.ExchangeFailure.NOT_CONNECTED:
             failure = decisions.DispatchFailure.NOT_CONNECTED
@@ -234,6 +253,11 @@
         if self._timer.active():
             self._timer.reset(self._silence_timeout_s)
 
+    def _release_body(self) -> None:
+        """Release what was received, as a request may be kept for longer."""
+        self.body = bytearray()
+        self._splitter = None
+
     def _finish(self) -> None:
         self._is_finished = True
         if self._timer.active():
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -9,7 +9,7 @@
 import httptools
 from twisted.internet import error, protocol
 
-from toucanspread.ops.http import answer_flaws, http1
+from toucanspread.ops.http import answer_flaws, http1, receive_memory
 
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 
@@ -32,10 +32,17 @@
     :ivar max_body_bytes: limit for the body of the answer. It also applies to the
         answers to other requests that are skipped before it, taken together.
     :ivar singular_headers: lower-case names of headers whose lines must agree.
+    :ivar account: counts what is held of the answer until its end.
     """
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     singular_headers: frozenset[bytes] = http1.SINGULAR_HEADERS
+    account: receive_memory.MemoryAccount = receive_memory.CALL_ANSWERS
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body this listener keeps."""
+        return 0
 
     @abc.abstractmethod
     def on_head(self, head: http1.AnswerHead) -> bool:
@@ -61,7 +68,7 @@
         return
 
 
-class ClientConnection(protocol.Protocol, http1.ParserCallbacks):
+class ClientConnection(protocol.Protocol, http1.ParserCallbacks, receive_memory.Holder):
     """Outgoing connection that carries one request at a time.
 
     All that is received for a request besides bodies, such as heads, interim answers,
@@ -97,7 +104,7 @@
 
     def cancel(self) -> None:
         """Close the connection and abandon the request in progress."""
-        self._listener = None
+        self._take_listener()
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
@@ -119,6 +126,16 @@
         """Return whether another request can be sent."""
         return self.is_open and self._is_reusable and self._listener is None
 
+    @property
+    def peer(self) -> str:
+        """Return the address of the server, for logs."""
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
+    def give_way(self) -> None:
+        """End the exchange, since the process holds too much."""
+        self._fail(ExchangeFailure.TOO_LARGE)
+
     # Callbacks of Twisted
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -138,10 +155,17 @@
             self._fail(ExchangeFailure.MALFORMED)
         else:
             self._check_framing()
+            self._update_account()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:  # noqa: N802
         """Complete an answer that ends with the connection, or report a failure."""
         self.is_open = False
+        self._end_answer(reason)
+        # The parser refers to this connection, and may hold much of a head.
+        self._parser = None
+        self._headers = []
+
+    def _end_answer(self, reason) -> None:
         if self._listener is None:
             return
         is_orderly = reason.check(error.ConnectionDone)
@@ -229,6 +253,22 @@
         if self._listener is not None and self._framing_bytes > http1.MAX_HEAD_BYTES:
             self._fail(ExchangeFailure.TOO_LARGE)
 
+    def _update_account(self) -> None:
+        if self._listener is None:
+            return
+        head_bytes = (
+            self._framing_bytes + len(self._headers) * receive_memory.HEADER_LINE_BYTES
+        )
+        held_bytes = head_bytes + self._listener.held_bytes
+        self._listener.account.update(self, held_bytes)
+
+    def _take_listener(self) -> AnswerListener | None:
+        """End the exchange, for which nothing is held from now on."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.account.update(self, 0)
+        return listener
+
     def _read_persistence(self, head: http1.AnswerHead) -> None:
         if not self._parser.should_keep_alive():
             self._is_reusable = False
@@ -249,7 +289,7 @@
                 self.keep_alive_s = float(number)
 
     def _complete(self) -> None:
-        listener, self._listener = self._listener, None
+        listener = self._take_listener()
         self._head = None
         self.resume()
         self.idle_since_s = self._reactor.seconds()
@@ -262,7 +302,7 @@
             self._reactor.callLater(0, self.on_idle, self)
 
     def _fail(self, failure: ExchangeFailure) -> None:
-        listener, self._listener = self._listener, None
+        listener = self._take_listener()
         self._is_reusable = False
         if self.is_open:
             self.transport.abortConnection()
