Believe nothing of an answer that can't be attributed to a request

An answer without an id on a kept connection may be a late copy of another request's. It was not relayed, but only its end was refused: at its head, the engine's word of itself (a time without requests, a limit, that it leaves) was recorded, and the request counted as begun. Its caller also waited for the rest of a body of no use.

The answer is refused at its head now, before anything of it is recorded.

Evidence: the test of second answers without an id (mixed_answer_test.py) fails before the fix with 432 of 38,988 mixtures, all of them of this kind (the dispatch ends as malformed, but a statement was recorded), after it with none. Tests of ops/http, ops/forwarding and platform pass.

--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -130,6 +130,10 @@
         if not properties.is_for_request:
             self.on_flaw(answer_flaws.AnswerFlaw.OTHER_REQUEST)
             return False
+        if self._may_be_of_earlier_request(properties):
+            self.on_flaw(answer_flaws.AnswerFlaw.NO_ID)
+            self._abandon()
+            return True
         self.head = head
         self._properties = properties
         if self._is_of_engine(properties):
@@ -160,8 +164,7 @@
         if events:
             self._listener.on_events(events, splitter.last_event_id)
         if splitter.is_event_too_large or splitter.is_wrong_continuation:
-            self.cancel()
-            self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
+            self._abandon()
 
     def on_end(self) -> None:
         """Classify a complete answer."""
@@ -169,11 +172,7 @@
             return
         self._finish()
         properties = self._properties
-        if self._may_be_of_earlier_request(properties):
-            self.on_flaw(answer_flaws.AnswerFlaw.NO_ID)
-            self.outgoing.cancel()
-            self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
-        elif properties.not_run and properties.instance not in ("", self._engine_id):
+        if properties.not_run and properties.instance not in ("", self._engine_id):
             self._listener.on_failure(decisions.DispatchFailure.OTHER_INSTANCE)
         elif properties.not_run:
             self._listener.on_failure(decisions.DispatchFailure.REJECTED)
@@ -206,6 +205,11 @@
         self._flaws.add(flaw)
         self._listener.on_answer_flaw(flaw)
 
+    def _abandon(self) -> None:
+        """Cancel the dispatch, as what the engine sends can't be used."""
+        self.cancel()
+        self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
+
     def _may_be_of_earlier_request(self, properties: dialect.AnswerProperties) -> bool:
         """Return whether an answer without an id may be a late copy of another one."""
         if properties.is_identified or self.outgoing is None:
--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -275,6 +275,9 @@
     def test_what_is_left_of_a_second_answer_is_no_part_of_the_next(self):
         self.assertEqual({}, self.count_mixtures(FIRST_ID))
 
+    def test_what_is_left_of_a_second_answer_without_an_id_is_no_part_of_the_next(self):
+        self.assertEqual({}, self.count_mixtures(b""))
+
 
 class SurplusTest(MixtureCase):
     def test_a_connection_with_a_remnant_behind_an_answer_is_not_free(self):
