Use a new connection for each further dispatch to an address

A request that comes back to an engine goes on a new connection, since a late copy of the engine's earlier answer bears the id of this request, too. What told the engine was its id only: where another instance has the address (an engine that restarted, which answers 421 to its predecessor's requests), the request went on the connection that had carried it before. A late copy of the 421 or of the refusal would then be taken for the answer of the second dispatch, which runs all the same (REFUSED, TWICE).

The connection is chosen by the address now, which is what a connection belongs to.

Evidence: SharedAddressTest fails before the fix (the second dispatch has the connection of the first), after it passes; tests of ops/forwarding pass. That callers met this is not shown.

--- a/toucanspread/ops/forwarding/faulty_engine_test.py
+++ b/toucanspread/ops/forwarding/faulty_engine_test.py
@@ -79,6 +79,26 @@
         self.assertNotIn(b"late", self.received())
 
 
+class SharedAddressTest(forwarder_test.ForwarderCase):
+    def get_address(self, service, number):
+        return data.Address("shared:1")
+
+    def check(self, refusal):
+        self.start()
+        first = self.send_request()
+        self.pool.keep(first)
+        first.answer(refusal)
+        second = self.pool.sent[-1]
+        self.assertIsNot(first, second)
+        self.assertEqual(first.address, second.address)
+        self.assertIsNot(first.connection, second.connection)
+
+    def test_a_copy_of_a_refusal_is_not_the_answer_of_the_next_instance_there(self):
+        self.check(REFUSAL % ID)
+        instance = b"X-Instance-Id: s1-9\r\n"
+        self.check(b"HTTP/1.1 421 No\r\n%b%bContent-Length: 0\r\n\r\n" % (instance, ID))
+
+
 class RejectedAnswerTest(forwarder_test.ForwarderCase):
     def read_lines(self, received):
         """Return the reasons that are logged for what an engine sends."""
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -15,6 +15,7 @@
     cluster_state,
     decision_context,
     decisions,
+    engine_dispatch,
     engine_obstacles,
     engine_requirements,
     engine_statement,
@@ -97,6 +98,7 @@
         self.call = _bound_prompt(call, route, self.service)
         self._state: forwarding.RequestState | None = None
         self._answer: engine_answer.EngineAnswer | None = None
+        self._addresses: set[data.Address] = set()
         self._deadline_timer = None
         self._stream_timing = _StreamTiming()
         self._handlers = {
@@ -362,10 +364,21 @@
             effect.address,
             functools.partial(self._render_for_engine, effect),
             self._answer,
-            effect.max_idle_s,
+            self._choose_max_idle_s(effect),
         )
         self._answer.outgoing = outgoing
 
+    def _choose_max_idle_s(self, effect: decisions.SendToEngine) -> float | None:
+        """Return how long the connection to an engine may have been idle.
+
+        Another instance may have the address of one that had the request. A late copy
+        of an answer there has the id of this request, too.
+        """
+        if effect.address in self._addresses:
+            return engine_dispatch.NEW_CONNECTION_S
+        self._addresses.add(effect.address)
+        return effect.max_idle_s
+
     def _render_for_engine(self, effect: decisions.SendToEngine) -> bytes | None:
         """Return the request with the time that is left now.
 
