Repeat the id of a call in answers with parts of the store's copy

Answers to requests for an excerpt of the copy and for newer values have one form, and none says what was asked for. A late copy of one was taken for the next on its connection: a sidecar that had read the configuration at an entry took it, as a whole copy, for that of all it follows, without versions, engines and entries; a few newer values passed as all changes since a revision.

A request now names an id, which the answer repeats in a header; an answer with another id is not used and the request is sent again on a connection of its own. Entries of an earlier release repeat nothing; their answers are taken as before, since each request would be sent twice otherwise.

Before: the tests of other items and of newer values in ExcerptTest failed (2 != 1 changes). Now they pass, as do toucanspread/platform and toucanspread/ops/copies. The test of an earlier release failed before as well, by a count that it took too early; it guards that such entries are asked once a request. The stand-in of view_sync_test.py accepts the new argument of call.

--- a/toucanspread/ops/copies/excerpt_client.py
+++ b/toucanspread/ops/copies/excerpt_client.py
@@ -4,7 +4,7 @@
 
 from toucanspread.core import data
 from toucanspread.core.view import source_selection, store_position, store_view
-from toucanspread.ops.copies import excerpt_codec
+from toucanspread.ops.copies import call_ids, excerpt_codec
 from toucanspread.ops.http import http1, http1_pool
 
 EXCERPT_TARGET = "/excerpt"
@@ -22,6 +22,7 @@
     :param wait_s: how long the peer may wait for a change.
     :param era: era of the store that the requester's copy is of.
     :param accepts_deltas: whether the requester can apply deltas to its own copy.
+    :param call_id: id of the call by which the request came.
     """
 
     after: int
@@ -29,6 +30,7 @@
     wait_s: float = 0.0
     era: int = store_position.UNKNOWN_ERA
     accepts_deltas: bool = False
+    call_id: call_ids.CallId = call_ids.UNKNOWN_CALL
 
 
 async def fetch_excerpt(
@@ -59,8 +61,11 @@
 ) -> store_view.Excerpt:
     """Return the excerpt that is another process's answer to a request.
 
+    :param target: of the request, with a query; the id of the call is added to it.
     :raises ExcerptError: when that process returns no usable excerpt.
     """
+    call_id = call_ids.make()
+    target += f"&{call_ids.ARGUMENT}={call_id}"
     head = http1.RequestHead(b"GET", target.encode(), [])
     try:
         reply = await pool.call(
@@ -69,6 +74,7 @@
             timeout_s=timeout_s,
             stall_timeout_s=stall_timeout_s,
             max_body_bytes=excerpt_codec.MAX_ENCODED_BYTES,
+            matcher=call_ids.CallIdMatcher(call_id),
         )
     except http1_pool.CallError as error:
         raise ExcerptError(str(error)) from error
--- a/toucanspread/ops/copies/excerpt_server.py
+++ b/toucanspread/ops/copies/excerpt_server.py
@@ -4,6 +4,7 @@
 
 from toucanspread.core.view import store_position, store_view
 from toucanspread.ops.copies import (
+    call_ids,
     excerpt_client,
     excerpt_codec,
     excerpt_deltas,
@@ -70,7 +71,8 @@
             ),
             self._view.position.era,
         )
-        exchange.respond(200, body=self._encoder.encode(excerpt, can_decompress))
+        body = self._encoder.encode(excerpt, can_decompress)
+        exchange.respond(200, call_ids.make_headers(request.call_id), body)
 
     def _is_behind(self, request: excerpt_client.ExcerptRequest) -> bool:
         era = request.era or self._view.position.era
@@ -125,7 +127,7 @@
         body = self._encoder.encode(excerpt, waiting.can_decompress)
         metric_buffer.count("excerpts_sent", whole=str(excerpt.is_whole).lower())
         metric_buffer.count("excerpt_bytes_sent", len(body))
-        exchange.respond(200, body=body)
+        exchange.respond(200, call_ids.make_headers(request.call_id), body)
 
 
 class _WaitingRequest:
--- a/toucanspread/ops/copies/newer_values.py
+++ b/toucanspread/ops/copies/newer_values.py
@@ -12,7 +12,7 @@
 
 from toucanspread.core import bounds, data, decoder
 from toucanspread.core.view import store_view
-from toucanspread.ops.copies import excerpt_client
+from toucanspread.ops.copies import call_ids, excerpt_client
 from toucanspread.ops.http import http1_pool
 from toucanspread.ops.telemetry import metric_buffer
 
@@ -29,10 +29,12 @@
 
     :param prefixes: key prefixes to return.
     :param versions: the version of each key that the requester knows.
+    :param call_id: id of the call by which the request came.
     """
 
     prefixes: tuple[str, ...]
     versions: dict[str, int]
+    call_id: call_ids.CallId = call_ids.UNKNOWN_CALL
 
 
 def parse_request(arguments: Mapping[str, str]) -> NewerValuesRequest:
@@ -42,7 +44,10 @@
     :raises ValueError: when the versions are malformed.
     """
     versions = _versions_decoder.decode(arguments["versions"])
-    return NewerValuesRequest(tuple(arguments["prefixes"].split(",")), versions)
+    call_id = call_ids.parse(arguments.get(call_ids.ARGUMENT, ""))
+    return NewerValuesRequest(
+        tuple(arguments["prefixes"].split(",")), versions, call_id
+    )
 
 
 async def fetch_newer(
--- a/toucanspread/ops/copies/view_sync_test.py
+++ b/toucanspread/ops/copies/view_sync_test.py
@@ -74,6 +74,7 @@
         timeout_s=1.0,
         stall_timeout_s=None,
         max_body_bytes=0,
+        matcher=None,
     ):
         self.requested_targets.append(head.target.decode())
         raise http1_pool.CallError(None, "silent")
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -18,7 +18,12 @@
 from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import datagrams, loop, process
-from toucanspread.ops.copies import excerpt_client, excerpt_server, newer_values
+from toucanspread.ops.copies import (
+    call_ids,
+    excerpt_client,
+    excerpt_server,
+    newer_values,
+)
 from toucanspread.ops.forwarding import crash_notices, forwarder
 from toucanspread.ops.http import http1, http1_exchange, http1_server
 from toucanspread.ops.pieces import manifest_match, piece_cache, piece_parts
@@ -172,6 +177,7 @@
                     _parse_count(arguments["wait_ms"]) / 1000,
                     _parse_count(arguments.get("era", str(store_position.UNKNOWN_ERA))),
                     arguments.get("deltas") == "1",
+                    call_ids.parse(arguments.get(call_ids.ARGUMENT, "")),
                 )
                 can_decompress = arguments.get("compressed") == "1"
                 self._entry.excerpts.on_request(exchange, request, can_decompress)
--- a/toucanspread/platform/late_answer_test.py
+++ b/toucanspread/platform/late_answer_test.py
@@ -14,12 +14,18 @@
 
 from standins import running_reactor
 from toucanspread.core import data
+from toucanspread.core.view import store_view
 from toucanspread.core.weights import piece_placement
 from toucanspread.ops import loop
-from toucanspread.ops.copies import prefix_store
+from toucanspread.ops.copies import (
+    excerpt_client,
+    excerpt_server,
+    newer_values,
+    prefix_store,
+)
 from toucanspread.ops.http import http1, http1_pool
 from toucanspread.ops.pieces import piece_cache
-from toucanspread.platform import engine, entry_handlers, store
+from toucanspread.platform import decoding, engine, entry_handlers, store
 
 LATE_S = 0.02
 CLOSE_S = 0.02  # until both ends of a connection are closed
@@ -29,7 +35,8 @@
 class RepeatingServer:
     """Answers calls, and repeats the last answer on a connection before each.
 
-    :param answer: coroutine that returns status and body for a method and target.
+    :param answer: coroutine that returns the status, the body and perhaps the headers
+        of the answer to a method and target.
     :ivar targets: of the calls that were received.
     """
 
@@ -53,12 +60,11 @@
                 await asyncio.sleep(LATE_S if last else 0)
                 method, target, _ = head.decode().split(" ", 2)
                 self.targets.append(target)
-                status, content = await self._answer(method, target)
-                last = b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%b" % (
-                    status,
-                    len(content),
-                    content,
-                )
+                status, content, *headers = await self._answer(method, target)
+                length = http1.Header(b"Content-Length", b"%d" % len(content))
+                start_line = b"HTTP/1.1 %d OK" % status
+                all_headers = [*(headers[0] if headers else ()), length]
+                last = http1.render_head(start_line, all_headers) + content
                 writer.write(last)
         writer.close()
 
@@ -204,6 +210,53 @@
         self.check(self.answer_as_before_names)
 
 
+class ExcerptTest(LateAnswerTestCase):
+    """A process asks an entry for parts of its copy of the store."""
+
+    async def answer(self, method, target):
+        exchange = Exchange(target)
+        program = SimpleNamespace(excerpts=self.excerpts, is_leaving=False)
+        entry_handlers.ControlHandler(program).on_request(exchange)
+        return exchange.status, exchange.body, exchange.headers
+
+    async def answer_as_before_call_ids(self, method, target):
+        return await self.answer(method, target.partition("&call=")[0])
+
+    def start_entry(self, answer):
+        view = store_view.View(decoding.read_version)
+        self.excerpts = excerpt_server.ExcerptServer(view, reactor)
+        changes = [
+            store_view.KeyChange(key, 3, b'{"version":3}')
+            for key in ("op/config", "servers/a")
+        ]
+        view.replace(changes, 3, 0.0)
+        return self.start_server(answer)
+
+    def fetch(self, address, *prefixes):
+        request = excerpt_client.ExcerptRequest(0, prefixes)
+        return self.call(excerpt_client.fetch_excerpt(self.pool, address, request, 1.0))
+
+    def test_the_items_of_one_request_are_not_taken_for_those_of_another(self):
+        address = self.start_entry(self.answer)
+        self.fetch(address, "op/config")
+        excerpt = self.fetch(address, "op/", "servers/")
+        self.assertEqual(2, len(excerpt.changes))
+
+    def test_newer_values_are_not_taken_for_an_excerpt(self):
+        address = self.start_entry(self.answer)
+        request = newer_values.NewerValuesRequest(("op/",), {"op/config": 1})
+        newer = newer_values.fetch_newer(self.pool, [address], request)
+        self.assertEqual(1, len(self.call(newer)))
+        self.assertEqual(2, len(self.fetch(address, "op/", "servers/").changes))
+
+    def test_an_entry_of_an_earlier_release_is_followed(self):
+        address = self.start_entry(self.answer_as_before_call_ids)
+        for _ in range(2):
+            self.assertEqual(1, len(self.fetch(address, "op/config").changes))
+        self.run_async(asyncio.sleep(5 * LATE_S))
+        self.assertEqual(2, len(self.server.targets))
+
+
 class StoreTest(LateAnswerTestCase):
     """The store has two items, of which one is the record of an entry."""
 
