Give each call to the key-value service a connection of its own

The client reused connections, and most answers of the service name no call: a write or delete answers true or false, a session its new id. With a late copy of the answer before, a refused delete counted as done and a key had the value of another. So a lease, or a claim on it, could have been held by two.

These calls are few (leases, claims and watches of seconds), so HttpClient can be told not to reuse connections, and the client of the service does so. Other users of HttpClient are unchanged.

--- a/toucanspread/ops/http/http_client.py
+++ b/toucanspread/ops/http/http_client.py
@@ -165,10 +165,12 @@
     Paths are sent unchanged, so the caller must percent-encode names in them.
 
     :param address: the server's ``ip:port``.
+    :param reuses_connections: whether a connection may carry several requests. An
+        answer that names no request may then be a late copy of an earlier one.
     """
 
-    def __init__(self, address: str):
-        pool = client.HTTPConnectionPool(reactor, persistent=True)
+    def __init__(self, address: str, reuses_connections: bool = True):
+        pool = client.HTTPConnectionPool(reactor, persistent=reuses_connections)
         pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_HOST
         pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         pool.retryAutomatically = False
@@ -179,9 +181,9 @@
         self._base = f"http://{address}"
 
     @classmethod
-    def from_url(cls, url: str) -> "HttpClient":
+    def from_url(cls, url: str, reuses_connections: bool = True) -> "HttpClient":
         """Return a client for the server of an ``http://ip:port`` URL."""
-        return cls(urllib.parse.urlsplit(url).netloc)
+        return cls(urllib.parse.urlsplit(url).netloc, reuses_connections)
 
     async def open(
         self,
--- a/toucanspread/ops/key_value.py
+++ b/toucanspread/ops/key_value.py
@@ -102,11 +102,13 @@
 class HttpKeyValueService(KeyValueService):
     """Client of the HTTP protocol.
 
+    Its calls are few, and most answers name none, so each has its own connection.
+
     :param url: base URL, such as ``http://10.0.0.5:8500``.
     """
 
     def __init__(self, url: str):
-        self._client = http_client.HttpClient.from_url(url)
+        self._client = http_client.HttpClient.from_url(url, reuses_connections=False)
         self._sessions: dict[str, str] = {}
 
     async def read(self, key: str) -> Result:
--- a/toucanspread/platform/late_answer_test.py
+++ b/toucanspread/platform/late_answer_test.py
@@ -1,18 +1,17 @@
 """Tests over loopback that no call takes the answer to an earlier one for its own.
 
-The stand-in sends a copy of the last answer on a connection again where the next one is
-expected, and the next one a little later.
+The server sends a copy of the last answer on a connection again where the next one is
+expected.
 """
 
 import asyncio
-import contextlib
 import json
 from types import SimpleNamespace
 
 import testtools
 from twisted.internet import reactor
 
-from standins import running_reactor
+from standins import repeating_server, running_reactor
 from toucanspread.core import data
 from toucanspread.core.view import store_view
 from toucanspread.core.weights import piece_placement
@@ -27,54 +26,10 @@
 from toucanspread.ops.pieces import piece_cache
 from toucanspread.platform import decoding, engine, entry_handlers, store
 
-LATE_S = 0.02
 CLOSE_S = 0.02  # until both ends of a connection are closed
 MAX_PIECE_BYTES = 65_536
 
 
-class RepeatingServer:
-    """Answers calls, and repeats the last answer on a connection before each.
-
-    :param answer: coroutine that returns the status, the body and perhaps the headers
-        of the answer to a method and target.
-    :ivar targets: of the calls that were received.
-    """
-
-    def __init__(self, answer):
-        self.targets = []
-        self._answer = answer
-        self.server = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    async def serve(self, reader, writer):
-        last = b""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(read_length(head))
-                writer.write(last)
-                await asyncio.sleep(LATE_S if last else 0)
-                method, target, _ = head.decode().split(" ", 2)
-                self.targets.append(target)
-                status, content, *headers = await self._answer(method, target)
-                length = http1.Header(b"Content-Length", b"%d" % len(content))
-                start_line = b"HTTP/1.1 %d OK" % status
-                all_headers = [*(headers[0] if headers else ()), length]
-                last = http1.render_head(start_line, all_headers) + content
-                writer.write(last)
-        writer.close()
-
-
-def read_length(head):
-    """Return the length of the body that a head states."""
-    _, found, rest = head.lower().partition(b"content-length: ")
-    return int(rest.partition(b"\r\n")[0]) if found else 0
-
-
 class LateAnswerTestCase(testtools.TestCase):
     """Calls a server that repeats its answers."""
 
@@ -88,7 +43,7 @@
 
     def start_server(self, answer):
         """Start a server and return its address."""
-        self.server = RepeatingServer(answer)
+        self.server = repeating_server.RepeatingServer(answer)
         address = self.run_async(self.server.start())
         self.addCleanup(self.server.server.close)
         self.addCleanup(self.close_connections, address)
@@ -253,7 +208,7 @@
         address = self.start_entry(self.answer_as_before_call_ids)
         for _ in range(2):
             self.assertEqual(1, len(self.fetch(address, "op/config").changes))
-        self.run_async(asyncio.sleep(5 * LATE_S))
+        self.run_async(asyncio.sleep(5 * repeating_server.LATE_S))
         self.assertEqual(2, len(self.server.targets))
 
 
