Limit the number of header lines of an answer

An engine that sends header lines without end made an entry keep 11,000 lines of 6 bytes in each head of 64 KiB, as three objects each: 30 MB for 60 callers even with the account of memory, and other answers gave way to them. A head and its trailers now have 256 lines at most, the next one ends the exchange as "too large".

The new test fails without the check (nothing ends).

--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -11,6 +11,7 @@
 
 from toucanspread.ops.http import http1, receive_memory
 
+MAX_HEADER_LINES = 256  # of a head and its trailers
 DEFAULT_MAX_BODY_BYTES = 262_144  # of answers that consist of a few short records
 
 
@@ -170,6 +171,13 @@
 
     # Callbacks of the parser
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header line, up to the limit."""
+        if len(self._headers) >= MAX_HEADER_LINES:
+            self._fail(ExchangeFailure.TOO_LARGE)
+            raise ValueError("too many header lines")
+        super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Pass the head of an answer to the listener."""
         status = self._parser.get_status_code()
--- a/toucanspread/ops/http/http1_test.py
+++ b/toucanspread/ops/http/http1_test.py
@@ -540,6 +540,14 @@
         self.disconnect(error.ConnectionLost)
         self.assertEqual([http1_client.ExchangeFailure.RESET], self.listener.ends)
 
+    def test_more_header_lines_than_the_limit_are_not_kept(self):
+        lines = b"A: b\r\n" * http1_client.MAX_HEADER_LINES
+        self.connection.dataReceived(b"HTTP/1.1 204 No\r\n%b\r\n" % lines)
+        self.assertEqual(["end"], self.listener.ends)
+        self.connect()
+        self.connection.dataReceived(b"HTTP/1.1 204 No\r\n%bC: d\r\nE" % lines)
+        self.assertEqual([http1_client.ExchangeFailure.TOO_LARGE], self.listener.ends)
+
     def test_connection_with_bytes_after_an_answer_is_not_reused(self):
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         self.connection.dataReceived(whole + whole)
