--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -113,6 +113,7 @@
     def __init__(self):
         self.answer = None
         self.status = None
+        self.body = b""
         self.events = b""
         self.is_stream_open = False
         self.failure = None
@@ -134,6 +135,7 @@
     def on_answer(self, status):
         self.end_count += 1
         self.status = status
+        self.body = bytes(self.answer.body)
 
     def on_failure(self, failure):
         if failure is decisions.DispatchFailure.SILENT:
@@ -150,7 +152,7 @@
         if self.failure is not None or self.status is None:
             return Result(None, None, b"", self.failure)
         seal = head.get(b"x-response-seal")
-        return Result(self.status, seal, bytes(self.answer.body), None)
+        return Result(self.status, seal, self.body, None)
 
 
 class IgnoringListener(http1_client.AnswerListener):
