Take no bytes behind the head that answers a HEAD request for its body

An answer to HEAD has no body, whatever length it names. The client waited for that body: the caller got nothing until the engine counted as silent, or, if bytes came (a late second answer, or its beginning), an answer that was completed by them.

Such an answer is complete at its head, and the connection ends, as the parser can't be told that no body follows.

--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -81,6 +81,7 @@
         self._head: http1.AnswerHead | None = None
         self._reason_phrase = b""
         self._is_answer_skipped = False
+        self._is_body_allowed = True
         self._ends_by_close = False
         self._is_reusable = True
         self._is_paused = False
@@ -91,6 +92,7 @@
         """Send a rendered request and pass its answer to the listener."""
         self.request_count += 1
         self._listener = listener
+        self._is_body_allowed = not request.startswith(b"HEAD ")
         self._framing_bytes = 0
         self._body_bytes = 0
         self.transport.write(request)
@@ -181,8 +183,13 @@
             return
         self._read_persistence(self._head)
         self._is_answer_skipped = not self._listener.on_head(self._head)
-        if not self._is_answer_skipped:
-            self._body_bytes = 0
+        if self._is_answer_skipped:
+            return
+        self._body_bytes = 0
+        if not self._is_body_allowed and self._listener is not None:
+            # The parser waits for the body that the head describes.
+            self._is_reusable = False
+            self._complete()
 
     def on_chunk_header(self) -> None:
         """Do not count the framing that every chunk has."""
--- a/toucanspread/ops/http/http1_test.py
+++ b/toucanspread/ops/http/http1_test.py
@@ -550,6 +550,18 @@
         self.connection.dataReceived(whole)
         self.assertFalse(self.connection.is_free)
 
+    def test_bytes_behind_the_head_that_answers_a_head_request_are_no_body(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
+        for framing in (b"Content-Length: 4", b"Transfer-Encoding: chunked", b"A: b"):
+            for surplus in (b"", b"4\r\nlate", b"HTTP/1.1 500 Error"):
+                self.connect()
+                self.listener = RecordingListener(own=False)
+                self.connection.send(b"HEAD / HTTP/1.1\r\n\r\n", self.listener)
+                self.connection.dataReceived(head + framing + b"\r\n\r\n" + surplus)
+                self.assertEqual(["end"], self.listener.ends, (framing, surplus))
+                self.assertEqual(b"", self.listener.body)
+                self.assertFalse(self.connection.is_free)
+
     def test_answer_to_an_earlier_request_is_skipped(self):
         self.listener.own = False
         late = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 4\r\n\r\nlate"
