--- a/toucanspread/ops/forwarding/faulty_engine_test.py
+++ b/toucanspread/ops/forwarding/faulty_engine_test.py
@@ -121,6 +121,20 @@
         self.assertEqual(["conflicting headers"], self.read_lines(two_ids))
         self.assertEqual([], self.read_lines(ANSWER))
 
+    def test_an_answer_whose_singular_headers_differ_is_not_relayed(self):
+        lines = (
+            OTHER_ID,
+            b"X-Response-Seal: s2\r\n",
+            b"X-Instance-Id: s1-1\r\nX-Instance-Id: s1-9\r\n",
+            b"Content-Type: text/event-stream\r\nContent-Type: text/plain\r\n",
+            b"Content-Length: 4\r\n",
+        )
+        for line in lines:
+            self.start()
+            self.send_request().answer(ANSWER.replace(ID, ID + line))
+            self.assertEqual(b"", self.received(), line)
+            self.assertEqual(2, len(self.pool.sent), line)
+
     def test_many_late_answers_to_one_request_are_one_line(self):
         self.assertEqual(
             ["other request"], self.read_lines(REFUSAL % OTHER_ID * 100 + ANSWER)
