Read only revisions to tell whose answer to a watch it is

A watch may return megabytes, of which the comparison needs the revisions of the changes only. Tests of the store, of late answers and of the pool pass.

--- a/toucanspread/platform/store.py
+++ b/toucanspread/platform/store.py
@@ -23,7 +23,8 @@
 MAX_READ_BYTES = 33_554_432  # of all pages of a read
 MAX_WATCH_BYTES = 8_388_608  # pages with all items replace a larger answer
 MAX_WRITE_ANSWER_BYTES = 65_536  # answers to writes and calls on leases
-EARLY_WAIT_SHARE = 0.5  # of its wait, before which a watch rarely ends without changes
+# Part of its wait before which a watch rarely ends without changes.
+EARLY_WAIT_SHARE = 0.5
 ERA_HEADER = b"store-era"
 JSON_TYPE = http1.Header(b"Content-Type", b"application/json")
 
@@ -48,6 +49,16 @@
     store_revision: bounds.Revision
 
 
+class _Revision(msgspec.Struct, frozen=True):
+    revision: bounds.Revision
+
+
+class _WatchedRevisions(msgspec.Struct, frozen=True):
+    """The part of a watch's answer that tells whose it is."""
+
+    events: list[_Revision]
+
+
 class _GrantedLease(msgspec.Struct, frozen=True):
     lease: bounds.LeaseNumber
 
@@ -147,7 +158,7 @@
     def match(self, head: http1.AnswerHead, body: bytes) -> answer_match.Match:
         """Return whether an answer can be that of the watch."""
         try:
-            answer = decoder.decode_json(body, _WatchAnswer)
+            answer = decoder.decode_json(body, _WatchedRevisions)
         except decoder.MalformedError:
             return answer_match.Match.UNNAMED
         if _read_era(head) not in (store_position.UNKNOWN_ERA, self._era):
