Log the size of requests however they end, and summarize by it

Logs named the prompt's tokens only of answered requests, so which sizes go unserved, and whether by prompt, output or bytes, could not be told. request_refused, request_failed, stream_broken, caller_left and request_answered now name tokens, output_tokens and body_bytes; caller_left also its route. 'toucanspread sizes' prints the served part of the attempts by route and size.

--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -263,7 +263,15 @@
     @_ending_on_error
     def _on_caller_disconnected(self) -> None:
         engine_id = self._state.engine_id
-        logs.write("caller_left", id=self.call.attempt_id, engine=engine_id)
+        now_s = self._forwarder.pool.reactor.seconds()
+        logs.write(
+            "caller_left",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            engine=engine_id,
+            after_s=now_s - self.exchange.started_s,
+            **self._measure_size(),
+        )
         metric_buffer.count("requests_left")
         self.carry_out(self._state.on_caller_disconnected(self.make_decision_context()))
 
@@ -444,9 +452,17 @@
             after_s=now_s - self.exchange.started_s,
             dispatches=self._state.dispatches,
             engine_wait_s=self._state.engine_wait_s,
-            tokens=self.call.prompt_tokens,
+            **self._measure_size(),
         )
 
+    def _measure_size(self) -> dict[str, int]:
+        """Return the fields of a log line that tell the size of the request."""
+        return {
+            "tokens": self.call.prompt_tokens,
+            "output_tokens": self.call.output_tokens,
+            "body_bytes": len(self.exchange.body),
+        }
+
     def _log_end(
         self, event: str, cause: decisions.FailureCause, retry_after_s: float = 0.0
     ) -> None:
@@ -466,6 +482,7 @@
             obstacles=",".join(f"{c.value}:{n}" for c, n in counts.items()),
             minimum_version=minimum_version,
             configuration=self._forwarder.cluster.route_table.version,
+            **self._measure_size(),
         )
 
     def _list_obstacles(
--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -214,6 +214,17 @@
         sys.exit(EXIT_USAGE)
 
 
+def sizes(files: list[pathlib.Path]) -> None:
+    """Print by route and size of the prompt which part of the attempts was served.
+
+    :param files: log files of any entries, in any order.
+    """
+    from toucanspread.tools import size_summary
+
+    for line in size_summary.format_lines(_read_lines(files)):
+        print(line)
+
+
 def main() -> None:
     """Run the command line."""
     defopt.run(
@@ -228,6 +239,7 @@
             manifest,
             explain,
             report,
+            sizes,
         ],
     )
 
