--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -297,6 +297,15 @@
     ),
 )
 
+# Callers ask for two times, and six times, as much as the engines can answer, since a
+# part of them is gone.
+PRESSED_PROFILE = LoadProfile(
+    "pressed", ((0.0, 86.0), (3.0, 190.0)), ((0.0, 14), (4.0, 10)), 14.0
+)
+CROWDED_PROFILE = LoadProfile(
+    "crowded", ((0.0, 86.0), (3.0, 380.0)), ((0.0, 14), (4.0, 7)), 14.0
+)
+
 
 def get_request_kind(name: str) -> RequestKind:
     """Return a kind of request by its name."""
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -8,6 +8,7 @@
 import functools
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from standins import (
     caller_check,
@@ -37,6 +38,18 @@
 MAX_ANSWER_TOKENS = 480
 
 
+class RequestEnd(NamedTuple):
+    """How a request ended, of which size.
+
+    :param kind: name of its kind.
+    """
+
+    kind: str
+    prompt_tokens: int
+    is_served: bool
+    is_on_time: bool = False
+
+
 @dataclasses.dataclass
 class CallerTotals:
     """Counts of requests by outcome.
@@ -44,6 +57,7 @@
     :param request_count: number of all requests.
     :param abandoned: requests that callers abandoned without an event.
     :param first_s: times until the first event, of requests that got one.
+    :param ends: the ends of all requests, in their order.
     """
 
     request_count: int = 0
@@ -52,6 +66,7 @@
     refused: int = 0
     abandoned: int = 0
     first_s: list[float] = dataclasses.field(default_factory=list)
+    ends: list[RequestEnd] = dataclasses.field(default_factory=list)
 
     @property
     def on_time_ratio(self) -> float:
@@ -474,10 +489,12 @@
         self._state.on_answer(self.make_decision_context(), 200)
         outcome = self._outcome
         outcome.first_s.append(self._first_s)
-        if self._first_s <= self.kind.target_s and not self._had_long_gap:
+        is_on_time = self._first_s <= self.kind.target_s and not self._had_long_gap
+        if is_on_time:
             outcome.on_time += 1
         else:
             outcome.late += 1
+        self._record_end(is_served=True, is_on_time=is_on_time)
 
     def _abandon(self) -> None:
         """Abandon the request after a long time without an event."""
@@ -490,6 +507,7 @@
         self._cancel_job()
         self._record_first_attempt(has_begun=False)
         self._outcome.abandoned += 1
+        self._record_end(is_served=False)
 
     def _check_work(
         self, engine: simulated_cluster.SimulatedEngine, job: engine_model.Job
@@ -516,6 +534,11 @@
                 )
             )
 
+    def _record_end(self, is_served: bool, is_on_time: bool = False) -> None:
+        self._outcome.ends.append(
+            RequestEnd(self.kind.name, self.prompt_tokens, is_served, is_on_time)
+        )
+
     def _record_refusal(self, cause: decisions.FailureCause) -> None:
         self._cause = cause
         self._simulation.caller_check.record_refusal(
@@ -535,6 +558,7 @@
             self._caller_timeout.cancel()
         if not self._can_retry or self._first_s is not None:
             self._outcome.refused += 1
+            self._record_end(is_served=False)
             return
         self._can_retry = False
         self._simulation.clock.callLater(max(retry_after_s, 0.01), self._retry)
