Let a starved size of request go ahead in an entry's queue

What callers saw: under a lasting overload, the largest tenth of a kind of request was served less than half as often as the whole kind (SIZES).

Cause: the start deadline is the target less the prompt's own time, and it alone decides the class, the order and the free slots that a request needs. A long prompt is late sooner; late requests go after all that can be on time and need four free slots, which an overloaded engine hardly ever has. Nothing bounded how much more the short ones get: a strict priority without a bound, so starvation.

Change: each entry counts, by route, which sizes arrived and begun (the largest tenth and the fifth below of the last 200 sizes; half-life 20 s). While a band's begun part is below three quarters of the route's by more than half a request, a waiting request of the band is tried first, and if late it needs two free slots, not four. If no engine has them, the queue goes on as before, so a turn holds nothing up. The bound does not depend on the load, the sizes or the number of engines.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -193,9 +193,9 @@
             CALLER_TIMEOUT_S, self._abandon
         )
         self._entry.in_progress[self] = None
-        queued_prefill_s = self._entry.queue.sum_prefill_s(
-            simulated_cluster.SERVICE.name
-        )
+        queue = self._entry.queue
+        queue.shares.record_arrival(self._state.timing)
+        queued_prefill_s = queue.sum_prefill_s(simulated_cluster.SERVICE.name)
         self.carry_out(
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
@@ -327,6 +327,8 @@
                 case decisions.Cancel():
                     self._cancel_job()
                 case decisions.SendToEngine():
+                    if effect.number == 1:
+                        self._entry.queue.shares.record_begin(self._state.timing)
                     self._priority = effect.priority
                     engine = self._simulation.engines_by_id[effect.engine_id]
                     self._send(engine, effect.expected_version)
--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -111,7 +111,9 @@
     if not record.can_be_queued:
         return None
     capacity = _measure_capacity(record, engine, context)
-    if admission_queue.can_start(record.timing, capacity, context.now_s):
+    if admission_queue.can_start(
+        record.timing, capacity, context.now_s, context.has_turn
+    ):
         if _would_miss_deadline(record, capacity.backlog_s, context):
             return final_answers.make_overload_rejection(capacity.backlog_s, context)
         return None
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -28,6 +28,7 @@
 ON_TIME_MIN_FREE_COUNT = -2
 EXPIRING_MIN_FREE_COUNT = 2
 LATE_MIN_FREE_COUNT = 4
+TURN_MIN_FREE_COUNT = 2  # of a late request whose size was begun too rarely
 
 
 class QueueClass(enum.IntEnum):
@@ -93,19 +94,24 @@
     free_slots: float
 
 
-def can_start(request: QueuedRequest, capacity: EngineCapacity, now_s: float) -> bool:
+def can_start(
+    request: QueuedRequest,
+    capacity: EngineCapacity,
+    now_s: float,
+    has_turn: bool = False,
+) -> bool:
     """Return whether a request may go to an engine now.
 
     A late request leaves some slots to requests of all entries that can be on time.
+
+    :param has_turn: whether requests of its size were begun too rarely.
     """
     queue_class = classify(request, capacity.backlog_s, now_s)
     if queue_class is QueueClass.EXPIRING:
         return capacity.free_slots >= EXPIRING_MIN_FREE_COUNT
-    required = (
-        ON_TIME_MIN_FREE_COUNT
-        if queue_class is QueueClass.ON_TIME
-        else LATE_MIN_FREE_COUNT
-    )
+    required = ON_TIME_MIN_FREE_COUNT
+    if queue_class is QueueClass.LATE:
+        required = TURN_MIN_FREE_COUNT if has_turn else LATE_MIN_FREE_COUNT
     return (
         capacity.free_slots >= required and capacity.prefill_s <= MAX_PREFILL_BACKLOG_S
     )
--- a/toucanspread/core/entry/admission_queue_test.py
+++ b/toucanspread/core/entry/admission_queue_test.py
@@ -93,3 +93,19 @@
         for seed in self.SEEDS:
             times = simulate(make_requests(1.0, 8.0, seed), uses_queue=True)
             self.assertLess(max(times), 3.2)
+
+    def can_start_late(self, free_slots, has_turn):
+        capacity = admission_queue.EngineCapacity(0.0, 0.0, free_slots)
+        request = Request(0.0, MEAN_PREFILL_S)
+        return admission_queue.can_start(request, capacity, 1.0, has_turn)
+
+    def test_a_late_request_with_a_turn_leaves_fewer_slots_to_others(self):
+        turn_count = admission_queue.TURN_MIN_FREE_COUNT
+        self.assertTrue(self.can_start_late(turn_count, has_turn=True))
+        self.assertFalse(self.can_start_late(turn_count, has_turn=False))
+        self.assertFalse(self.can_start_late(turn_count - 1, has_turn=True))
+
+    def test_a_request_on_time_loses_nothing_by_a_turn(self):
+        capacity = admission_queue.EngineCapacity(0.0, 0.0, 0.0)
+        request = Request(0.0, MEAN_PREFILL_S)
+        self.assertTrue(admission_queue.can_start(request, capacity, 0.0, True))
--- a/toucanspread/core/entry/decision_context.py
+++ b/toucanspread/core/entry/decision_context.py
@@ -20,6 +20,7 @@
     :param upcoming_versions: versions of its weights that are not in force yet.
     :param requests_end_s: time by which requests must have ended, since the entry
         stops then; infinite while it is not leaving.
+    :param has_turn: whether requests of its size were begun too rarely.
     """
 
     now_s: float
@@ -31,3 +32,4 @@
     minimum_version: int = 0
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
     requests_end_s: float = float("inf")
+    has_turn: bool = False
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -142,7 +142,7 @@
         _max_idle_s(record, engine),
         engine.estimated_request_count(now_s, context.location.entry_count),
         now_s - engine.load_received_s if engine.load is not None else -1.0,
-        _engine_priority(record, now_s),
+        _engine_priority(record, context),
         engine.is_avoided(now_s),
         engine.backoff.left_s(now_s),
     )
@@ -170,12 +170,14 @@
     return None if record.route.is_repeatable else FRESH_CONNECTION_S
 
 
-def _engine_priority(record: request_record.RequestRecord, now_s: float) -> int | None:
+def _engine_priority(
+    record: request_record.RequestRecord, context: decision_context.Context
+) -> int | None:
     if record.service.profile is None:
         return None
     kind = urgency.Urgency.LATE
     if record.last_event_id is not None:
         kind = urgency.Urgency.RESUMED
-    elif now_s <= record.timing.start_deadline_s:
+    elif context.has_turn or context.now_s <= record.timing.start_deadline_s:
         kind = urgency.Urgency.ON_TIME
     return urgency.engine_priority(kind, record.rank)
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -132,15 +132,17 @@
         remaining_s = self._state.deadline_s - reactor.seconds()
         wait_s = max(remaining_s + request_timing.ENGINE_ANSWER_SLACK_S, 0.0)
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
-        queued_prefill_s = self._forwarder.queue.sum_prefill_s(self.service.name)
+        queue = self._forwarder.queue
+        queue.shares.record_arrival(self._state.timing)
+        queued_prefill_s = queue.sum_prefill_s(self.service.name)
         self.carry_out(
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
 
     @_ending_on_error
-    def resume(self) -> bool:
+    def resume(self, has_turn: bool = False) -> bool:
         """Try again to find an engine; return whether the request stays queued."""
-        return super().resume()
+        return super().resume(has_turn)
 
     @property
     def state(self) -> forwarding.RequestState:
@@ -341,6 +343,8 @@
                     effect.engine_id, self.service.name, self.call.prompt_tokens
                 )
             )
+        if effect.number == 1:
+            forwarder.queue.shares.record_begin(self._state.timing)
         metric_buffer.count("dispatches")
         logs.write(
             "request_dispatched",
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -12,6 +12,7 @@
     decisions,
     forwarding,
     load_balancing,
+    size_shares,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import loop
@@ -37,9 +38,13 @@
     def carry_out(self, effects: list[data.Effect]) -> None:
         """Carry out decisions about the request."""
 
-    def resume(self) -> bool:
-        """Try again to find an engine; return whether the request stays queued."""
-        effects = self.state.resume_queued(self.make_decision_context())
+    def resume(self, has_turn: bool = False) -> bool:
+        """Try again to find an engine; return whether the request stays queued.
+
+        :param has_turn: whether requests of its size were begun too rarely.
+        """
+        context = self.make_decision_context()._replace(has_turn=has_turn)
+        effects = self.state.resume_queued(context)
         if any(isinstance(effect, decisions.Enqueue) for effect in effects):
             return True
         self.carry_out(effects)
@@ -47,9 +52,13 @@
 
 
 class RequestQueue:
-    """Queued requests by service, retried at a fixed interval."""
+    """Queued requests by service, retried at a fixed interval.
+
+    :ivar shares: counts of all requests of the entry, also of those never queued.
+    """
 
     def __init__(self, reactor):
+        self.shares = size_shares.SizeShares()
         self._reactor = reactor
         self._queued: dict[data.ServiceName, list[QueueItem]] = {}
         self._timer = None
@@ -88,15 +97,34 @@
     def _resume_in_order(self, queued: list[QueueItem]) -> None:
         """Resume requests in their order until one stays queued."""
         while queued:
-            context = queued[0].make_decision_context()
-            backlog_s = load_balancing.least_backlog_s(
-                context.registry, queued[0].service, context.location, context.now_s
-            )
-            by_state = {request.state: request for request in queued}
-            ordered_states = admission_queue.sort_queue(
-                by_state, backlog_s, context.now_s
-            )
-            request = by_state[ordered_states[0]]
-            if request.resume():
+            ordered = _sort(queued)
+            if self._resume_turn(ordered):
+                continue
+            if ordered[0].resume():
                 return
+            self.remove(ordered[0])
+
+    def _resume_turn(self, ordered: list[QueueItem]) -> bool:
+        """Resume a request whose size was begun too rarely.
+
+        :return: whether one has left the queue.
+        """
+        for request in ordered:
+            if not self.shares.is_behind(request.state.timing):
+                continue
+            if request.resume(has_turn=True):
+                return False
             self.remove(request)
+            return True
+        return False
+
+
+def _sort(queued: list[QueueItem]) -> list[QueueItem]:
+    """Return requests of one service in the order in which they go to engines."""
+    context = queued[0].make_decision_context()
+    backlog_s = load_balancing.least_backlog_s(
+        context.registry, queued[0].service, context.location, context.now_s
+    )
+    by_state = {request.state: request for request in queued}
+    ordered = admission_queue.sort_queue(by_state, backlog_s, context.now_s)
+    return [by_state[state] for state in ordered]
