--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -134,15 +134,17 @@
         remaining_s = self._state.deadline_s - reactor.seconds()
         wait_s = max(remaining_s + request_timing.ENGINE_ANSWER_SLACK_S, 0.0)
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
-        queued_prefill_s = self._forwarder.queue.sum_prefill_s(self.service.name)
+        queue = self._forwarder.queue
+        queue.shares.record_arrival(self._state.timing)
+        queued_prefill_s = queue.sum_prefill_s(self.service.name)
         self.carry_out(
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
 
     @_ending_on_error
-    def resume(self) -> bool:
+    def resume(self, has_turn: bool = False) -> bool:
         """Try again to find an engine; return whether the request stays queued."""
-        return super().resume()
+        return super().resume(has_turn)
 
     @property
     def state(self) -> forwarding.RequestState:
@@ -276,7 +278,15 @@
     @_ending_on_error
     def _on_caller_disconnected(self) -> None:
         engine_id = self._state.engine_id
-        logs.write("caller_left", id=self.call.attempt_id, engine=engine_id)
+        now_s = self._forwarder.pool.reactor.seconds()
+        logs.write(
+            "caller_left",
+            id=self.call.attempt_id,
+            route=self._route.name,
+            engine=engine_id,
+            after_s=now_s - self.exchange.started_s,
+            **self._measure_size(),
+        )
         metric_buffer.count("requests_left")
         self.carry_out(self._state.on_caller_disconnected(self.make_decision_context()))
 
@@ -346,6 +356,8 @@
                     effect.engine_id, self.service.name, self.call.prompt_tokens
                 )
             )
+        if effect.number == 1:
+            forwarder.queue.shares.record_begin(self._state.timing)
         metric_buffer.count("dispatches")
         logs.write(
             "request_dispatched",
@@ -468,9 +480,17 @@
             after_s=now_s - self.exchange.started_s,
             dispatches=self._state.dispatches,
             engine_wait_s=self._state.engine_wait_s,
-            tokens=self.call.prompt_tokens,
+            **self._measure_size(),
         )
 
+    def _measure_size(self) -> dict[str, int]:
+        """Return the fields of a log line that tell the size of the request."""
+        return {
+            "tokens": self.call.prompt_tokens,
+            "output_tokens": self.call.output_tokens,
+            "body_bytes": len(self.exchange.body),
+        }
+
     def _log_end(
         self, event: str, cause: decisions.FailureCause, retry_after_s: float = 0.0
     ) -> None:
@@ -490,6 +510,7 @@
             obstacles=",".join(f"{c.value}:{n}" for c, n in counts.items()),
             minimum_version=minimum_version,
             configuration=self._forwarder.cluster.route_table.version,
+            **self._measure_size(),
         )
 
     def _list_obstacles(
