Bound what all requests that are received hold together

Now an account counts what is held of requests: heads, bodies, pipelined ones, and the bodies of those in progress, which can't give way. Above 24 MiB the largest that hasn't been started is refused at once with a 503 and Retry-After; nothing of it has run. Requests that hold no more than 16 KiB are never refused for it.

--- a/standins/endless_server_memory_test.py
+++ b/standins/endless_server_memory_test.py
@@ -1,9 +1,10 @@
-"""Tests the memory of an entry's process whose engines answer without end."""
+"""Tests the memory of an entry's process that much is sent to."""
 
 import asyncio
 import json
 import pathlib
 import re
+import socket
 from typing import NamedTuple
 
 import testtools
@@ -19,6 +20,8 @@
 CALLING_S = 1.5
 CALL_TIMEOUT_S = 3.0
 MAX_GROWTH_BYTES = 64_000_000
+LARGE_BYTES = 4_000_000
+READ_BYTES = 4_096
 SOUND_SERVICE = "plain"
 SOUND_ENGINE = "i-plain"
 ENDLESS_SERVICE = "endless"
@@ -86,6 +89,26 @@
         await asyncio.sleep(0.02)
 
 
+async def send_incomplete(address, prefix, number):
+    """Send all but the last byte of a large request, and wait for an answer."""
+    head = render_call(prefix, number).replace(
+        b"Content-Length: 1\r\n", b"Content-Length: %d\r\n" % LARGE_BYTES
+    )
+    await call(address, head + b"a" * (LARGE_BYTES - 2))
+
+
+async def call_without_reading(address, prefix, number):
+    """Send a request and leave its answer unread."""
+    await asyncio.sleep(number * CALLING_S / CALLERS)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        caller.setblocking(False)
+        host, _, port = address.rpartition(":")
+        await loop.EVENT_LOOP.sock_connect(caller, (host, int(port)))
+        await loop.EVENT_LOOP.sock_sendall(caller, render_call(prefix, number))
+        await asyncio.sleep(CALLING_S)
+
+
 async def call_sound(address):
     """Return the statuses of some requests to a sound engine, spread over the time."""
     statuses = []
@@ -157,20 +180,23 @@
     def write(self, key, value):
         self.deployment.state.write_unchecked(key, json.dumps(value).encode())
 
-    async def play(self, entry):
-        """Let callers use an engine that answers without end, and a sound one."""
+    async def play(self, entry, use=call_repeatedly):
+        """Let callers use an engine that answers without end, and a sound one.
+
+        :param use: called with the address of the entry, a prefix and a number.
+        """
         address = entry.get_address("front")
         process_id = entry._process.pid
         before = read_memory(process_id)
-        calls = [call_repeatedly(address, "endless", n) for n in range(CALLERS)]
+        calls = [use(address, "endless", n) for n in range(CALLERS)]
         *_, statuses = await asyncio.gather(*calls, call_sound(address))
         after = read_memory(process_id)
         return Play(after.peak_bytes - before.now_bytes, statuses)
 
-    def check(self, beginning, repeated):
+    def check(self, beginning, repeated, use=call_repeatedly):
         """Check the growth of an entry's process and the answers of a sound engine."""
         answer = endless_server.EndlessAnswer(beginning, repeated)
-        play = run(self.play(self.start(answer)))
+        play = run(self.play(self.start(answer), use))
         self.assertLess(play.growth_bytes, MAX_GROWTH_BYTES)
         self.assertEqual([b"200"] * SOUND_CALLS, play.sound_statuses)
         self.assertEqual([], self.deployment.list_faults())
@@ -198,3 +224,11 @@
 
     def test_noise_without_end_does_not_fill_the_memory(self):
         self.check(b"", b"\x00\xff")
+
+    def test_large_requests_that_do_not_end_do_not_fill_the_memory(self):
+        self.check(HEAD + b"\r\n", b"a", send_incomplete)
+
+    def test_large_answers_that_are_not_read_do_not_fill_the_memory(self):
+        length = b"Content-Length: %d\r\n\r\n" % LARGE_BYTES
+        whole = HEAD + length + b"a" * LARGE_BYTES
+        self.check(whole, b"a", call_without_reading)
--- a/toucanspread/ops/http/http1_server.py
+++ b/toucanspread/ops/http/http1_server.py
@@ -13,11 +13,18 @@
 from twisted.python import failure
 from zope.interface import implementer
 
-from toucanspread.ops.http import http1, http1_closing, http1_exchange
+from toucanspread.ops.http import (
+    http1,
+    http1_closing,
+    http1_exchange,
+    receive_memory,
+)
 from toucanspread.ops.telemetry import logs
 
 MAX_PIPELINED_REQUESTS = 8  # waiting for the answer to an earlier one
 PARSED_AT_ONCE_BYTES = 4_096  # may contain many requests
+UNAVAILABLE_STATUS = 503
+MEMORY_RETRY_AFTER_S = 1  # most requests are received and answered by then
 START_LINE_BYTES = len(b"  HTTP/1.1\r\n\r\n")  # besides method and target
 
 
@@ -59,7 +66,10 @@
 
 @implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
 class ServerConnection(
-    protocol.Protocol, http1.ParserCallbacks, http1_exchange.AnswerConnection
+    protocol.Protocol,
+    http1.ParserCallbacks,
+    http1_exchange.AnswerConnection,
+    receive_memory.Holder,
 ):
     """Connection that a caller opened.
 
@@ -67,11 +77,14 @@
     too many of them wait, nothing more is read. No request is started while much of the
     answers before it waits for the caller to read it.
 
+    :cvar account: counts what is held of requests.
     :ivar is_blocked: whether the transport holds more than it should.
     :ivar is_reset_at_end: whether the connection has to end with a reset, since an
         incomplete answer would look complete otherwise.
     """
 
+    account = receive_memory.REQUESTS
+
     def __init__(self, handler: RequestHandler, reactor, connections: set):
         http1.ParserCallbacks.__init__(self)
         self.reactor = reactor
@@ -91,6 +104,7 @@
         self._has_read_last = False
         self._queued: list[tuple[http1.RequestHead, bytes]] = []
         self._current: http1_exchange.Exchange | None = None
+        self._reserved_bytes = 0
         self._is_closing = False
         self._is_closed = False
         self._close: http1_closing.OrderlyClose | None = None
@@ -129,6 +143,7 @@
             self._current.handle_disconnect()
             self._current = None
         self._release()
+        self._update_account()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """End the connection, since a caller that closes it waits for nothing."""
@@ -243,6 +258,7 @@
         self._queued.clear()
         self._unparsed.clear()
         self._body = bytearray()
+        self._update_account()
         self._close = http1_closing.OrderlyClose(self.transport, self.reactor, discards)
         self._close.start()
 
@@ -267,9 +283,21 @@
             self._is_closing = True
         return self._is_closing
 
+    @property
+    def peer(self) -> str:
+        """Return the address of the caller, for logs."""
+        peer = self.transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
+    def give_way(self) -> None:
+        """Refuse what hasn't been started, as the process holds too much."""
+        self._queued.clear()
+        self._refuse(UNAVAILABLE_STATUS)
+
     def on_exchange_finished(self) -> None:
         """Continue with the next request, or close the connection."""
         self._current = None
+        self._reserve(0)
         is_last = self._is_last_before_stop and not self._is_receiving
         if self._is_closing or is_last:
             if self._queued:
@@ -322,6 +350,20 @@
             # an error of the handler as a malformed request.
             self._start_next()
         self._pause_or_resume()
+        self._update_account()
+
+    def _update_account(self) -> None:
+        held_bytes = len(self._unparsed) + len(self._body)
+        held_bytes += sum(len(body) for _, body in self._queued)
+        if self._is_receiving:
+            line_bytes = len(self._headers) * receive_memory.HEADER_LINE_BYTES
+            held_bytes += self._framing_bytes + line_bytes
+        self.account.update(self, held_bytes)
+
+    def _reserve(self, size_bytes: int) -> None:
+        """Count the body of the request in progress, which can't give way any more."""
+        self.account.reserve(size_bytes - self._reserved_bytes)
+        self._reserved_bytes = size_bytes
 
     def _feed(self, part: bytes) -> None:
         self._start_head()
@@ -391,6 +433,7 @@
             return
         self._stop_timer()
         head, body = self._queued.pop(0)
+        self._reserve(len(body))
         self._current = http1_exchange.Exchange(self, head, body)
         try:
             self._handler.on_request(self._current)
@@ -410,6 +453,7 @@
         self._head = None
         self._body = bytearray()
         self._unparsed.clear()
+        self._update_account()
         self._stop_timer()
         if self._current is None and not self._queued:
             self._send_refusal(status)
@@ -420,6 +464,8 @@
             http1.Header(b"Content-Length", b"0"),
             http1.Header(b"Connection", b"close"),
         ]
+        if status == UNAVAILABLE_STATUS:
+            headers.append(http1.Header(b"Retry-After", b"%d" % MEMORY_RETRY_AFTER_S))
         self.write(http1.render_head(start_line, headers))
         self.close(discards=True)
 
@@ -430,6 +476,8 @@
         self._head = None
         self._body = bytearray()
         self._queued.clear()
+        self._is_receiving = False
+        self._reserve(0)
 
     def _start_timer(self, timeout_s: float, callback) -> None:
         self._stop_timer()
--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -11,6 +11,8 @@
 
 # A machine has 150 MB or more, and the process itself takes about 50.
 MAX_HELD_BYTES = 16_777_216
+MAX_REQUESTS_BYTES = 25_165_824  # kept until the end of their answers
+SMALL_BYTES = 16_384  # a request that holds no more is never refused for memory
 HEADER_LINE_BYTES = 200  # of the objects for a header line, besides its text
 
 
@@ -32,19 +34,25 @@
 
     :param kind: what is held, for logs and metrics.
     :param limit_bytes: for all holders together.
+    :param small_bytes: holders of no more than this never give way.
     :ivar held_bytes: by all holders together.
     """
 
-    def __init__(self, kind: str, limit_bytes: int = MAX_HELD_BYTES):
+    def __init__(
+        self, kind: str, limit_bytes: int = MAX_HELD_BYTES, small_bytes: int = 0
+    ):
         self.kind = kind
+        self._small_bytes = small_bytes
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self._holders: dict[Holder, int] = {}
 
     @classmethod
-    def from_process(cls, kind: str) -> "MemoryAccount":
+    def from_process(
+        cls, kind: str, limit_bytes: int = MAX_HELD_BYTES, small_bytes: int = 0
+    ) -> "MemoryAccount":
         """Return an account of this process, whose size is a metric."""
-        account = cls(kind)
+        account = cls(kind, limit_bytes, small_bytes)
         metric_buffer.watch("held_bytes", lambda: account.held_bytes, kind=kind)
         return account
 
@@ -61,11 +69,17 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-        while self.held_bytes > self.limit_bytes:
-            self._let_largest_give_way()
+        while self.held_bytes > self.limit_bytes and self._holders:
+            holder = max(self._holders, key=self._holders.__getitem__)
+            if self._holders[holder] <= self._small_bytes:
+                return
+            self._let_give_way(holder)
 
-    def _let_largest_give_way(self) -> None:
-        holder = max(self._holders, key=self._holders.__getitem__)
+    def reserve(self, size_bytes: int) -> None:
+        """Add bytes of which none can give way; a negative number releases them."""
+        self.held_bytes += size_bytes
+
+    def _let_give_way(self, holder: Holder) -> None:
         size_bytes = self._holders.pop(holder)
         metric_buffer.count("holders_gave_way", kind=self.kind)
         logs.write(
@@ -85,4 +99,5 @@
 
 
 ENGINE_ANSWERS = MemoryAccount.from_process("answers of engines")
+REQUESTS = MemoryAccount.from_process("requests", MAX_REQUESTS_BYTES, SMALL_BYTES)
 CALL_ANSWERS = MemoryAccount.from_process("answers to own calls")
--- a/toucanspread/ops/http/receive_memory_test.py
+++ b/toucanspread/ops/http/receive_memory_test.py
@@ -4,7 +4,12 @@
 from eliot import testing
 from twisted.internet import task
 
-from toucanspread.ops.http import http1_client, http1_test, receive_memory
+from toucanspread.ops.http import (
+    http1_client,
+    http1_server,
+    http1_test,
+    receive_memory,
+)
 
 LIMIT_BYTES = 100_000
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -119,3 +124,59 @@
             self.assertGreater(self.account.held_bytes, 0)
             getattr(connection, end)()
             self.assertEqual(0, self.account.held_bytes, end)
+
+
+class ServerMemoryTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.handler = http1_test.RecordingHandler()
+        self.handler.limits = http1_server.Limits()
+        self.account = receive_memory.MemoryAccount("a", LIMIT_BYTES, small_bytes=1_000)
+
+    def connect(self):
+        connection = http1_server.ServerConnection(self.handler, self.clock, set())
+        connection.account = self.account
+        connection.makeConnection(http1_test.Transport())
+        return connection
+
+    def receive(self, connection, length_bytes, received_bytes):
+        head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % length_bytes
+        connection.dataReceived(head + b"a" * received_bytes)
+
+    def test_the_largest_incomplete_request_is_refused_at_once(self):
+        connections = [self.connect() for _ in range(4)]
+        for connection, size_bytes in zip(
+            connections, (900, 30_000, 60_000, 20_000), strict=True
+        ):
+            self.receive(connection, 100_000, size_bytes)
+        answers = [connection.transport.value() for connection in connections]
+        self.assertEqual([b"", b"", b""], answers[:2] + answers[3:])
+        self.assertTrue(answers[2].startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Retry-After: 1\r\n", answers[2])
+        self.assertEqual([], self.handler.exchanges)
+
+    def test_a_small_request_is_not_refused_beside_large_ones_in_progress(self):
+        for _ in range(2):
+            self.receive(self.connect(), 60_000, 60_000)
+        small = self.connect()
+        self.receive(small, 500, 499)
+        small.dataReceived(b"a")
+        self.assertEqual(3, len(self.handler.exchanges))
+
+    def test_nothing_is_counted_once_requests_have_ended(self):
+        connection = self.connect()
+        self.receive(connection, 60_000, 60_000)
+        self.assertEqual(60_000, self.account.held_bytes)
+        self.handler.exchanges[0].respond(200)
+        self.assertEqual(0, self.account.held_bytes)
+        for received_bytes in (60_000, 50_000):
+            connection = self.connect()
+            self.receive(connection, 60_000, received_bytes)
+            self.assertGreater(self.account.held_bytes, 0)
+            connection.connectionLost()
+            self.assertEqual(0, self.account.held_bytes, received_bytes)
+        connection = self.connect()
+        self.receive(connection, 60_000, 50_000)
+        self.clock.advance(self.handler.limits.head_timeout_s)
+        self.assertEqual(0, self.account.held_bytes)
