Keep trailers apart from the headers of an answer, and check them

What followed the last chunk of an answer went into the list of its headers after the head had been read, and was relayed with them: a seal or an id in a trailer, or the whole next head if the answer broke off within its trailers. The same cause as in heads: the parser takes a status line as a part of a trailer's value.

Trailers have a list of their own, and an answer whose trailers hold a status line, or differing lines of a singular header, is malformed.

Evidence: two tests of trailers in http1_test.py fail before the fix (a seal is found among the headers; the mixture ends as complete), pass after it. Tests of ops/http and ops/forwarding pass.

--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -66,6 +66,7 @@
     return {
         "length": with_length(ok, body),
         "chunks": in_chunks(ok, body),
+        "trailers": in_chunks(ok, body)[:-2] + b"X-Checksum: 5e1f\r\n\r\n",
         "stream": in_chunks(ok + STREAM_TYPE, b"id: 7\ndata: late\n\n"),
         "no length": until_close(ok, body),
         "no content": b"HTTP/1.1 204 No Content\r\n" + sealed + b"\r\n",
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -172,12 +172,8 @@
             self.cancel()
             return
         self._head = http1.AnswerHead(status, self._headers)
-        flaw = answer_flaws.find_flaw(
-            self._reason_phrase, self._head, self._listener.singular_headers
-        )
-        if flaw is not None:
-            self._listener.on_flaw(flaw)
-            self._fail(ExchangeFailure.MALFORMED)
+        self._headers = []  # those of the trailers, from now on
+        if not self._is_of_one_message(self._head, self._reason_phrase):
             return
         if status < 200:
             return
@@ -210,6 +206,8 @@
         """Complete an answer, or expect the next one after a skipped answer."""
         if self._listener is None or self._head is None or self._head.status < 200:
             return
+        if not self._is_of_one_message(http1.Head(self._headers)):
+            return
         if self._is_answer_skipped:
             self._head = None
             self._is_answer_skipped = False
@@ -230,6 +228,17 @@
             return
         self._parser.feed_data(data[-1:])
 
+    def _is_of_one_message(self, head: http1.Head, reason_phrase: bytes = b"") -> bool:
+        """Return whether a head or trailers have no flaw; end the exchange if not."""
+        flaw = answer_flaws.find_flaw(
+            reason_phrase, head, self._listener.singular_headers
+        )
+        if flaw is None:
+            return True
+        self._listener.on_flaw(flaw)
+        self._fail(ExchangeFailure.MALFORMED)
+        return False
+
     def _check_framing(self) -> None:
         # Chunks with less framing leave no allowance for later ones.
         self._framing_bytes = max(self._framing_bytes, 0)
--- a/toucanspread/ops/http/http1_test.py
+++ b/toucanspread/ops/http/http1_test.py
@@ -562,6 +562,20 @@
                 self.assertEqual(b"", self.listener.body)
                 self.assertFalse(self.connection.is_free)
 
+    def test_trailers_are_no_headers_of_the_answer(self):
+        chunked = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.connection.dataReceived(chunked + b"1\r\na\r\n0\r\nX-Seal: 8\r\n\r\n")
+        self.assertEqual(["end"], self.listener.ends)
+        (head,) = self.listener.heads
+        self.assertIsNone(head.get(b"x-seal"))
+
+    def test_an_answer_whose_trailers_hold_another_head_is_malformed(self):
+        chunked = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+        other = b"HTTP/1.1 500 Error\r\nX-Id: 7\r\n\r\n"
+        self.connection.dataReceived(chunked + b"1\r\na\r\n0\r\nX-Sum: 8" + other)
+        self.assertEqual([http1_client.ExchangeFailure.MALFORMED], self.listener.ends)
+        self.assertFalse(self.connection.is_free)
+
     def test_answer_to_an_earlier_request_is_skipped(self):
         self.listener.own = False
         late = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 4\r\n\r\nlate"
