Test what the caller of a request that ran once is told behind a remnant

CallerTest: a whole entry, a request that isn't idempotent, beginnings of four second answers before its engine's 200.

--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -306,3 +306,36 @@
                     connection.dataReceived(segment)
                 self.assertTrue(connection.is_free, kind)
                 self.assertFalse(connection.transport.disconnected, kind)
+
+
+class CallerTest(forwarder_test.ForwarderCase):
+    """Lets the engine of a request that may run once send a remnant first."""
+
+    def send_on_kept_connection(self):
+        for number in (1, 2):
+            first = forwarder_test.FakeOutgoingRequest(
+                self.get_address("s2", number), b"", IgnoringListener()
+            )
+            first.answer(with_length(b"HTTP/1.1 200 OK\r\n" + FIRST_ID, b"x"))
+            self.pool.keep(first)
+        request = forwarder_test.REQUEST.replace(b"/a/x", b"/a/b/x")
+        engine = self.send_request(request.replace(b"id-1", b"id-2"))
+        self.assertFalse(engine.is_first_on_connection)
+        return engine
+
+    def test_a_request_that_ran_is_neither_sent_again_nor_promised_not_to_run(self):
+        own = with_length(b"HTTP/1.1 200 OK\r\n" + SEAL % b"own" + OWN_ID, b"own body")
+        second_answers = make_second_answers(FIRST_ID)
+        for kind in ("refusal", "other instance", "no content", "length"):
+            second = second_answers[kind]
+            for size_bytes in range(len(second) + 1):
+                self.start()
+                engine = self.send_on_kept_connection()
+                engine.answer(second[:size_bytes] + own)
+                engine.disconnect()
+                self.clock.advance(0.1)
+                status = self.received()[:12]
+                self.assertIn(status, (b"HTTP/1.1 200", b"HTTP/1.1 502"))
+                is_whole = self.received().endswith(b"\r\n\r\nown body")
+                self.assertEqual(status == b"HTTP/1.1 200", is_whole)
+                self.assertEqual(1, len(self.pool.sent))
