--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -79,7 +79,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._listener: AnswerListener | None = None
         self._head: http1.AnswerHead | None = None
-        self._reason_phrase = b""
+        self._reason_phrase = bytearray()
         self._is_answer_skipped = False
         self._is_body_allowed = True
         self._ends_by_close = False
@@ -158,7 +158,7 @@
     def on_message_begin(self) -> None:
         """Discard the head of the previous message."""
         super().on_message_begin()
-        self._reason_phrase = b""
+        self._reason_phrase = bytearray()
 
     def on_status(self, part: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -173,7 +173,7 @@
             return
         self._head = http1.AnswerHead(status, self._headers)
         self._headers = []  # those of the trailers, from now on
-        if not self._is_of_one_message(self._head, self._reason_phrase):
+        if not self._is_of_one_message(self._head, bytes(self._reason_phrase)):
             return
         if status < 200:
             return
