--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -87,7 +87,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._listener: AnswerListener | None = None
         self._head: http1.AnswerHead | None = None
-        self._reason_phrase = b""
+        self._reason_phrase = bytearray()
         self._is_answer_skipped = False
         self._is_body_allowed = True
         self._ends_by_close = False
@@ -183,7 +183,7 @@
     def on_message_begin(self) -> None:
         """Discard the head of the previous message."""
         super().on_message_begin()
-        self._reason_phrase = b""
+        self._reason_phrase = bytearray()
 
     def on_status(self, part: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -204,12 +204,8 @@
             self.cancel()
             return
         self._head = http1.AnswerHead(status, self._headers)
-        flaw = answer_flaws.find_flaw(
-            self._reason_phrase, self._head, self._listener.singular_headers
-        )
-        if flaw is not None:
-            self._listener.on_flaw(flaw)
-            self._fail(ExchangeFailure.MALFORMED)
+        self._headers = []  # those of the trailers, from now on
+        if not self._is_of_one_message(self._head, bytes(self._reason_phrase)):
             return
         if status < 200:
             return
@@ -242,6 +238,8 @@
         """Complete an answer, or expect the next one after a skipped answer."""
         if self._listener is None or self._head is None or self._head.status < 200:
             return
+        if not self._is_of_one_message(http1.Head(self._headers)):
+            return
         if self._is_answer_skipped:
             self._head = None
             self._is_answer_skipped = False
@@ -262,6 +260,17 @@
             return
         self._parser.feed_data(data[-1:])
 
+    def _is_of_one_message(self, head: http1.Head, reason_phrase: bytes = b"") -> bool:
+        """Return whether a head or trailers have no flaw; end the exchange if not."""
+        flaw = answer_flaws.find_flaw(
+            reason_phrase, head, self._listener.singular_headers
+        )
+        if flaw is None:
+            return True
+        self._listener.on_flaw(flaw)
+        self._fail(ExchangeFailure.MALFORMED)
+        return False
+
     def _check_framing(self) -> None:
         # Chunks with less framing leave no allowance for later ones.
         self._framing_bytes = max(self._framing_bytes, 0)
