Keep the address of an outgoing request private again

The comparison of answers gets the address of the call. The simulated exchange says that its connection is new, as it simulates none, so that an unnamed answer there is taken and not an error. Tests of toucanspread/ops/http, of the simulated links and of late answers pass.

--- a/standins/link_simulation.py
+++ b/standins/link_simulation.py
@@ -98,7 +98,13 @@
 
 
 class Exchange:
-    """A request on its way, and its answer."""
+    """A request on its way, and its answer.
+
+    :ivar is_first_on_connection: whether its connection carried no request before;
+        connections are not simulated.
+    """
+
+    is_first_on_connection = True
 
     def __init__(
         self,
--- a/toucanspread/ops/http/http1_pool.py
+++ b/toucanspread/ops/http/http1_pool.py
@@ -98,8 +98,8 @@
         render: Callable[[], bytes | None],
         listener,
     ):
-        self.address = address
         self._pool = pool
+        self._address = address
         self._render = render
         self._listener = listener
         self._connector = None
@@ -122,16 +122,16 @@
         :param max_idle_s: do not use a connection that has been idle for longer;
             None for no limit besides the idle timeout, 0 for a new connection.
         """
-        connection = self._pool.pop_idle(self.address, max_idle_s)
+        connection = self._pool.pop_idle(self._address, max_idle_s)
         if connection is not None:
             if not self._send_on(connection):
                 # Later, as the sender has to know this request before it ends.
                 self._pool.reactor.callLater(0, self._report_not_sent)
             return
-        if not data.is_address(self.address):
+        if not data.is_address(self._address):
             self._pool.reactor.callLater(0, self.on_connect_failed)
             return
-        host, _, port = self.address.rpartition(":")
+        host, _, port = self._address.rpartition(":")
         factory = _ConnectionFactory(self, self._pool)
         self._connector = self._pool.reactor.connectTCP(
             host, int(port), factory, timeout=CONNECT_TIMEOUT_S
@@ -193,7 +193,7 @@
     def __init__(self, outgoing: OutgoingRequest, pool: "ConnectionPool"):
         self._outgoing = outgoing
         self._pool = pool
-        self._address = outgoing.address
+        self._address = outgoing._address
 
     def buildProtocol(self, addr):  # noqa: N802
         """Return the protocol of the new connection."""
@@ -369,7 +369,7 @@
         max_idle_s = 0.0 if has_own_connection else None
         outgoing = self.send(address, lambda: request, listener, max_idle_s)
         if matcher is not None:
-            listener.check_answer = _make_check(matcher, outgoing, head)
+            listener.check_answer = _make_check(matcher, outgoing, address, head)
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 if stall_timeout_s is not None:
@@ -393,6 +393,7 @@
 def _make_check(
     matcher: answer_match.AnswerMatcher,
     outgoing: OutgoingRequest,
+    address: str,
     head: http1.RequestHead,
 ) -> Callable[[Reply], None]:
     """Return a function that closes the connection if an answer does not match."""
@@ -410,12 +411,12 @@
         metric_buffer.count("answers_mismatched", match=match.value)
         logs.write(
             "answer_mismatched",
-            source=outgoing.address,
+            source=address,
             target=head.target.decode("latin-1")[:MAX_LOGGED_TARGET_LENGTH],
             match=match.value,
             is_first_on_connection=is_first,
         )
-        raise MismatchError(f"{outgoing.address}: the answer is to another call")
+        raise MismatchError(f"{address}: the answer is to another call")
 
     return check
 
