--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -67,9 +67,11 @@
     """
 
     @functools.wraps(handle)
-    def handle_or_end(request: "ForwardedRequest", *arguments: object) -> object:
+    def handle_or_end(
+        request: "ForwardedRequest", *arguments: object, **options: object
+    ) -> object:
         try:
-            return handle(request, *arguments)
+            return handle(request, *arguments, **options)
         except Exception as error:
             request.abandon(error)
             raise
--- a/toucanspread/ops/forwarding/forwarder_test.py
+++ b/toucanspread/ops/forwarding/forwarder_test.py
@@ -20,6 +20,7 @@
     fingerprints,
     guard_program,
     retry_budget,
+    size_shares,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops.forwarding import engine_answer, forwarder
@@ -139,6 +140,23 @@
         return outgoing
 
 
+class StarvedShares(size_shares.SizeShares):
+    """Counts by which all sizes are behind."""
+
+    def __init__(self):
+        super().__init__()
+        self.recorded = []
+
+    def record_arrival(self, timing):
+        self.recorded.append("arrival")
+
+    def record_begin(self, timing):
+        self.recorded.append("begin")
+
+    def is_behind(self, timing):
+        return True
+
+
 class ForwarderCase(testtools.TestCase):
     """Sets up a forwarder with two services of two engines each."""
 
@@ -399,6 +417,12 @@
             0.0, self.forwarder.queue.sum_prefill_s(data.ServiceName("s2"))
         )
 
+    def test_a_queued_request_of_a_starved_size_is_sent_and_counted(self):
+        shares = StarvedShares()
+        self.forwarder.queue.shares = shares
+        self.test_queued_request_is_sent_once_an_engine_has_capacity()
+        self.assertEqual(["arrival", "begin"], shares.recorded)
+
     def test_waiting_request_is_cancelled_when_its_prompt_is_quarantined(self):
         prompt = b"X-Prompt-Prefix: a:1,b:1\r\nContent-Length"
         engine = self.send_request(REQUEST.replace(b"Content-Length", prompt))
