--- a/toucanspread/ops/http/http1_server.py
+++ b/toucanspread/ops/http/http1_server.py
@@ -64,6 +64,23 @@
     return len(name) + len(value) + len(b": \r\n")
 
 
+class _UnreadAnswer(receive_memory.Holder):
+    """What the transport of a connection keeps until the caller reads it."""
+
+    def __init__(self, connection: "ServerConnection"):
+        self.size_bytes = 0
+        self._connection = connection
+
+    @property
+    def peer(self) -> str:
+        """Return the address of the caller, for logs."""
+        return self._connection.peer
+
+    def give_way(self) -> None:
+        """Close the connection, so that the answer is recognisably incomplete."""
+        self._connection.abort()
+
+
 @implementer(interfaces.IPushProducer, interfaces.IHalfCloseableProtocol)
 class ServerConnection(
     protocol.Protocol,
@@ -78,12 +95,14 @@
     answers before it waits for the caller to read it.
 
     :cvar account: counts what is held of requests.
+    :cvar unread_account: counts what is held of answers that callers don't read.
     :ivar is_blocked: whether the transport holds more than it should.
     :ivar is_reset_at_end: whether the connection has to end with a reset, since an
         incomplete answer would look complete otherwise.
     """
 
     account = receive_memory.REQUESTS
+    unread_account = receive_memory.UNREAD_ANSWERS
 
     def __init__(self, handler: RequestHandler, reactor, connections: set):
         http1.ParserCallbacks.__init__(self)
@@ -107,6 +126,8 @@
         self._reserved_bytes = 0
         self._is_closing = False
         self._is_closed = False
+        self._is_aborted = False
+        self._unread = _UnreadAnswer(self)
         self._close: http1_closing.OrderlyClose | None = None
         self._rejected_status = 0
         self._refusal_status = 0
@@ -144,6 +165,9 @@
             self._current = None
         self._release()
         self._update_account()
+        # The transport still has what the caller hasn't read.
+        self.transport = None
+        self._close = None
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """End the connection, since a caller that closes it waits for nothing."""
@@ -169,6 +193,8 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Continue after the caller has read all that was sent."""
         self.is_blocked = False
+        self._unread.size_bytes = 0
+        self.unread_account.update(self._unread, 0)
         if self._current is not None:
             self._current.on_drained()
         else:
@@ -237,13 +263,19 @@
 
     def write(self, payload: bytes) -> None:
         """Send bytes unless the connection is closed."""
-        if not self._is_closed and payload:
-            self.transport.write(payload)
+        if self._is_closed or self._is_aborted or not payload:
+            return
+        self.transport.write(payload)
+        if not self.is_blocked:
+            return
+        self._unread.size_bytes += len(payload)
+        self.unread_account.update(self._unread, self._unread.size_bytes)
 
     def abort(self) -> None:
         """Close the connection at once."""
         if not self._is_closed:
             self._is_closing = True
+            self._is_aborted = True
             self.transport.abortConnection()
 
     def close(self, discards: bool = False) -> None:
@@ -251,7 +283,7 @@
 
         :param discards: whether the caller may still be sending a refused request.
         """
-        if self._is_closed or self._close is not None:
+        if self._is_closed or self._is_aborted or self._close is not None:
             return
         self._is_closing = True
         self._stop_timer()
@@ -478,6 +510,8 @@
         self._queued.clear()
         self._is_receiving = False
         self._reserve(0)
+        self._unread.size_bytes = 0
+        self.unread_account.update(self._unread, 0)
 
     def _start_timer(self, timeout_s: float, callback) -> None:
         self._stop_timer()
--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -69,7 +69,8 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-        while self.held_bytes > self.limit_bytes and self._holders:
+        # A single one is bounded by its own limit.
+        while self.held_bytes > self.limit_bytes and len(self._holders) > 1:
             holder = max(self._holders, key=self._holders.__getitem__)
             if self._holders[holder] <= self._small_bytes:
                 return
@@ -100,4 +101,5 @@
 
 ENGINE_ANSWERS = MemoryAccount.from_process("answers of engines")
 REQUESTS = MemoryAccount.from_process("requests", MAX_REQUESTS_BYTES, SMALL_BYTES)
+UNREAD_ANSWERS = MemoryAccount.from_process("unread answers")
 CALL_ANSWERS = MemoryAccount.from_process("answers to own calls")
--- a/toucanspread/ops/http/receive_memory_test.py
+++ b/toucanspread/ops/http/receive_memory_test.py
@@ -180,3 +180,19 @@
         self.receive(connection, 60_000, 50_000)
         self.clock.advance(self.handler.limits.head_timeout_s)
         self.assertEqual(0, self.account.held_bytes)
+
+    def test_the_largest_unread_answer_ends_and_the_others_stay(self):
+        connections = [self.connect() for _ in range(3)]
+        for connection in connections:
+            connection.unread_account = self.account
+            self.receive(connection, 0, 0)
+            connection.pauseProducing()
+        for exchange, size_bytes in zip(
+            self.handler.exchanges, (20_000, 60_000, 30_000), strict=True
+        ):
+            exchange.respond(200, body=b"a" * size_bytes)
+        aborted = [connection.transport.disconnecting for connection in connections]
+        self.assertEqual([False, True, False], aborted)
+        for connection in connections:
+            connection.resumeProducing()
+        self.assertEqual(0, self.account.held_bytes)
