Send nothing behind the head that answers a HEAD request

An independent review: a stream that answers HEAD ended with a last chunk, which a caller reads where the next answer begins (MIXED, bytes that are no answer). Shown since answers to HEAD end at their head. The test failed before: the answer ended with "0\r\n\r\n".

--- a/toucanspread/ops/http/http1_exchange.py
+++ b/toucanspread/ops/http/http1_exchange.py
@@ -67,6 +67,11 @@
         self._is_chunked = False
         self._is_started = False
 
+    @property
+    def _has_no_body(self) -> bool:
+        """Return whether the answer consists of its head only."""
+        return self.head.method == b"HEAD"
+
     @property
     def is_started(self) -> bool:
         """Return whether a part of the answer has been sent."""
@@ -87,7 +92,7 @@
         if status not in http1.NO_BODY_STATUSES:
             all_headers.append(http1.Header(b"Content-Length", b"%d" % len(body)))
         self._send_head(status, all_headers, is_whole=True)
-        if self.head.method != b"HEAD":
+        if not self._has_no_body:
             self._connection.write(body)
         self._end()
 
@@ -109,7 +114,7 @@
 
     def write(self, part: bytes) -> None:
         """Send a part of the body of a started answer."""
-        if self.is_finished or not part:
+        if self.is_finished or not part or self._has_no_body:
             return
         if not self._is_chunked:
             self._connection.write(part)
@@ -120,7 +125,7 @@
         """Complete a started answer."""
         if self.is_finished:
             return
-        if self._is_chunked:
+        if self._is_chunked and not self._has_no_body:
             self._connection.write(http1.LAST_CHUNK)
         self._end()
 
