Let the server that holds the most give way, not the largest answer

Callers lost honest answers to a faulty engine.

Now the largest answer gives way of those of the server that holds the most. The new test failed before.

--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -2,10 +2,12 @@
 
 A limit for each message doesn't bound their sum, and a few large messages must not take
 the memory away from many small ones. So an account counts what all its holders keep,
-and when that exceeds its limit, the largest of them gives way.
+and when that exceeds its limit, the largest one gives way of those whose other side
+has the most, so that one faulty server takes no memory away from the answers of others.
 """
 
 import abc
+import collections
 
 from toucanspread.ops.telemetry import logs, metric_buffer
 
@@ -22,7 +24,7 @@
     @property
     @abc.abstractmethod
     def peer(self) -> str:
-        """Return the address of the other side, for logs."""
+        """Return the address of the other side."""
 
     @abc.abstractmethod
     def give_way(self) -> None:
@@ -57,7 +59,7 @@
         return account
 
     def update(self, holder: Holder, held_bytes: int) -> None:
-        """Set how much a holder keeps; the largest one gives way if it is too much.
+        """Set how much a holder keeps; others may have to give way then.
 
         :param held_bytes: 0 once it keeps nothing.
         """
@@ -71,15 +73,28 @@
             del self._holders[holder]
         # A single one is bounded by its own limit.
         while self.held_bytes > self.limit_bytes and len(self._holders) > 1:
-            holder = max(self._holders, key=self._holders.__getitem__)
-            if self._holders[holder] <= self._small_bytes:
+            candidates = self._list_candidates()
+            if not candidates:
                 return
-            self._let_give_way(holder)
+            self._let_give_way(max(candidates, key=self._holders.__getitem__))
 
     def reserve(self, size_bytes: int) -> None:
         """Add bytes of which none can give way; a negative number releases them."""
         self.held_bytes += size_bytes
 
+    def _list_candidates(self) -> list[Holder]:
+        """Return the holders that may give way, of the peer that has the most."""
+        holders_by_peer = collections.defaultdict(list)
+        bytes_by_peer = collections.Counter()
+        for holder, held_bytes in self._holders.items():
+            if held_bytes <= self._small_bytes:
+                continue
+            holders_by_peer[holder.peer].append(holder)
+            bytes_by_peer[holder.peer] += held_bytes
+        if not bytes_by_peer:
+            return []
+        return holders_by_peer[max(bytes_by_peer, key=bytes_by_peer.__getitem__)]
+
     def _let_give_way(self, holder: Holder) -> None:
         size_bytes = self._holders.pop(holder)
         metric_buffer.count("holders_gave_way", kind=self.kind)
--- a/toucanspread/ops/http/receive_memory_test.py
+++ b/toucanspread/ops/http/receive_memory_test.py
@@ -17,9 +17,10 @@
 
 
 class FakeHolder(receive_memory.Holder):
-    peer = "127.0.0.1:1"
+    peer = ""
 
-    def __init__(self, error=None):
+    def __init__(self, error=None, peer="127.0.0.1:1"):
+        self.peer = peer
         self.gave_way = False
         self._error = error
 
@@ -55,6 +56,15 @@
         self.assertEqual([False, True, False], [h.gave_way for h in holders])
         self.assertEqual(32_000, self.account.held_bytes)
 
+    def test_many_answers_of_one_server_end_no_larger_one_of_another(self):
+        stalled = [FakeHolder(peer="127.0.0.1:1") for _ in range(12)]
+        for holder in stalled:
+            self.account.update(holder, 8_000)
+        other = FakeHolder(peer="127.0.0.1:2")
+        self.account.update(other, 12_000)
+        self.assertFalse(other.gave_way)
+        self.assertEqual(1, sum(holder.gave_way for holder in stalled))
+
     def test_a_holder_that_shrinks_or_ends_leaves_room(self):
         first, second = FakeHolder(), FakeHolder()
         self.account.update(first, 90_000)
