Relay no answer whose body holds the head of another one

Framing and id fit, so the body has to be looked at: one with a status line and after it the request's own id is none that an engine makes. It costs one search for the id in each body and event.

Both new tests failed before, and pass.

--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -176,6 +176,9 @@
             splitter.has_completed_event, splitter.partial_event_bytes
         ):
             self._restart_timer()
+        if self._holds_another_head(events):
+            self._abandon()
+            return
         if events:
             self._listener.on_events(events, splitter.last_event_id)
         if splitter.is_event_too_large or splitter.is_wrong_continuation:
@@ -195,7 +198,7 @@
             self._listener.on_failure(decisions.DispatchFailure.OTHER_INSTANCE)
         elif properties.not_run:
             self._listener.on_failure(decisions.DispatchFailure.REJECTED)
-        elif not properties.is_sealed:
+        elif not properties.is_sealed or self._holds_another_head(self.body):
             self._listener.on_failure(decisions.DispatchFailure.MALFORMED)
         elif self._splitter is not None and self._splitter.has_partial_event:
             self._listener.on_failure(decisions.DispatchFailure.BROKEN)
@@ -235,6 +238,14 @@
             return False
         return not self.outgoing.is_first_on_connection
 
+    def _holds_another_head(self, body: bytes) -> bool:
+        """Return whether a further answer to the request begins within its body."""
+        attempt_id = self._listener.call.attempt_id.encode("latin-1")
+        if not answer_flaws.holds_head_of(body, attempt_id):
+            return False
+        self.on_flaw(answer_flaws.AnswerFlaw.HEAD_IN_BODY)
+        return True
+
     def _is_of_engine(self, properties: dialect.AnswerProperties) -> bool:
         """Return whether the engine of this dispatch has made the answer."""
         if properties.instance not in ("", self._engine_id):
--- a/toucanspread/ops/forwarding/mixed_answer_test.py
+++ b/toucanspread/ops/forwarding/mixed_answer_test.py
@@ -341,3 +341,36 @@
                 is_whole = self.received().endswith(b"\r\n\r\nown body")
                 self.assertEqual(status == b"HTTP/1.1 200", is_whole)
                 self.assertEqual(1, len(self.pool.sent))
+
+
+class FilledBodyTest(MixtureCase):
+    """The own answer breaks off, and a second one to the same request follows."""
+
+    OWN = b"HTTP/1.1 200 OK\r\n" + OWN_ID + b"X-Response-Seal: seal-own\r\n"
+    SECOND = b"HTTP/1.1 500 Error\r\n" + OWN_ID + b"Content-Length: 3\r\n\r\nbad"
+
+    def check_not_relayed(self, head, body):
+        for received in (split(head + body), [head + body]):
+            connection = self.connect()
+            connection.dataReceived(
+                with_length(b"HTTP/1.1 200 OK\r\n" + FIRST_ID, b"x")
+            )
+            listener = self.send(connection)
+            for segment in received:
+                if not connection.transport.disconnected:
+                    connection.dataReceived(segment)
+            if not listener.end_count:
+                connection.connectionLost(failure.Failure(error.ConnectionDone()))
+            self.assertEqual(decisions.DispatchFailure.MALFORMED, listener.failure)
+            self.assertIsNone(listener.status)
+            self.assertNotIn(b"500", listener.events)
+
+    def test_a_body_that_a_second_answer_fills_up_is_not_relayed(self):
+        body = b"abcde" + self.SECOND
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        self.check_not_relayed(self.OWN + length, body)
+        self.check_not_relayed(self.OWN + b"\r\n", body)
+
+    def test_an_event_that_holds_a_second_answer_is_not_relayed(self):
+        stream = self.OWN + b"Content-Type: text/event-stream\r\n\r\n"
+        self.check_not_relayed(stream, b"id: 1\ndata: a\n\ndata: b" + self.SECOND)
--- a/toucanspread/ops/http/answer_flaws.py
+++ b/toucanspread/ops/http/answer_flaws.py
@@ -21,6 +21,7 @@
     CONFLICTING_HEADERS = "conflicting headers"
     OTHER_REQUEST = "other request"
     NO_ID = "no id on a kept connection"
+    HEAD_IN_BODY = "head of another answer in the body"
 
 
 def find_flaw(
@@ -50,3 +51,14 @@
     """Return whether the lines of a header have different values."""
     values = {value.strip() for value in head.get_all(name)}
     return len(values) > 1
+
+
+def holds_head_of(body: bytes, request_id: bytes) -> bool:
+    """Return whether a body holds a status line and after it the request's id.
+
+    An answer that breaks off before its end is filled up by the next answer.
+    """
+    id_position = body.rfind(request_id)
+    if id_position < 0:
+        return False
+    return STATUS_LINE_PATTERN.search(body, 0, id_position) is not None
