Spare a holder of memory that is nearly alone

An answer of more than 16 MiB to a caller that reads slowly was reset as soon as any other connection held anything: http1_loopback_test's LargeAnswerTest failed in a run of all of toucanspread/ops, and passed in runs of its folder. Now the largest holder is spared while all others together hold less than a sixteenth of the limit.

--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -13,6 +13,7 @@
 MAX_HELD_BYTES = 16_777_216
 MAX_REQUESTS_BYTES = 25_165_824  # kept until the end of their answers
 SMALL_BYTES = 16_384  # a request that holds no more is never refused for memory
+ALONE_SHARE = 1 / 16  # of the limit, held by all others together
 HEADER_LINE_BYTES = 200  # of the objects for a header line, besides its text
 
 
@@ -69,10 +70,12 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-        # A single one is bounded by its own limit.
-        while self.held_bytes > self.limit_bytes and len(self._holders) > 1:
+        while self.held_bytes > self.limit_bytes and self._holders:
             holder = max(self._holders, key=self._holders.__getitem__)
-            if self._holders[holder] <= self._small_bytes:
+            size_bytes = self._holders[holder]
+            # One that is nearly alone is bounded by its own limit.
+            is_alone = self.held_bytes - size_bytes < self.limit_bytes * ALONE_SHARE
+            if is_alone or size_bytes <= self._small_bytes:
                 return
             self._let_give_way(holder)
 
