--- a/toucanspread/ops/http/receive_memory.py
+++ b/toucanspread/ops/http/receive_memory.py
@@ -15,6 +15,7 @@
 MAX_HELD_BYTES = 16_777_216
 MAX_REQUESTS_BYTES = 25_165_824  # kept until the end of their answers
 SMALL_BYTES = 16_384  # a request that holds no more is never refused for memory
+ALONE_SHARE = 1 / 16  # of the limit, held by all others together
 HEADER_LINE_BYTES = 200  # of the objects for a header line, besides its text
 
 
@@ -71,19 +72,18 @@
             self._holders[holder] = held_bytes
         else:
             del self._holders[holder]
-        # A single one is bounded by its own limit.
-        while self.held_bytes > self.limit_bytes and len(self._holders) > 1:
-            candidates = self._list_candidates()
-            if not candidates:
+        while self.held_bytes > self.limit_bytes:
+            candidate = self._find_candidate()
+            if candidate is None:
                 return
-            self._let_give_way(max(candidates, key=self._holders.__getitem__))
+            self._let_give_way(candidate)
 
     def reserve(self, size_bytes: int) -> None:
         """Add bytes of which none can give way; a negative number releases them."""
         self.held_bytes += size_bytes
 
-    def _list_candidates(self) -> list[Holder]:
-        """Return the holders that may give way, of the peer that has the most."""
+    def _find_candidate(self) -> Holder | None:
+        """Return the holder that gives way next: of the peer that has the most."""
         holders_by_peer = collections.defaultdict(list)
         bytes_by_peer = collections.Counter()
         for holder, held_bytes in self._holders.items():
@@ -92,8 +92,13 @@
             holders_by_peer[holder.peer].append(holder)
             bytes_by_peer[holder.peer] += held_bytes
         if not bytes_by_peer:
-            return []
-        return holders_by_peer[max(bytes_by_peer, key=bytes_by_peer.__getitem__)]
+            return None
+        peer = max(bytes_by_peer, key=bytes_by_peer.__getitem__)
+        largest = max(holders_by_peer[peer], key=self._holders.__getitem__)
+        others_bytes = self.held_bytes - self._holders[largest]
+        # One that is nearly alone is bounded by its own limit.
+        is_alone = others_bytes < self.limit_bytes * ALONE_SHARE
+        return None if is_alone else largest
 
     def _let_give_way(self, holder: Holder) -> None:
         size_bytes = self._holders.pop(holder)
