Believe no single report that an engine has started again

Class: what was learnt from another program is kept as final although its source goes on saying otherwise.

An engine that has started again sends no more reports of the incarnation before. So three later ones of the known incarnation take the mark back; fewer may be late. The new test failed before (was_restarted stayed True); the state machine over all obstacles knows the rule.

--- a/toucanspread/core/entry/engine_obstacles_test.py
+++ b/toucanspread/core/entry/engine_obstacles_test.py
@@ -35,6 +35,7 @@
         self.now_s = 100.0
         self.incarnation = 1
         self.reported_incarnation = 1
+        self.refuting_count = 0
         self.is_draining = False
         self.usable_until_s = None
         self.stale_until_s = 0.0
@@ -136,6 +137,20 @@
         load = entry_data.EngineLoad(address, born_ms, 0, 0, 1, False)
         self.registry.apply_load(load, self.now_s)
         self.reported_incarnation = born_ms
+        self.refuting_count = 0
+
+    @stateful.rule()
+    def report_known_incarnation(self):
+        if self.engine is None:
+            return
+        address = self.engine.entry.address
+        load = entry_data.EngineLoad(address, self.incarnation, 0, 0, 1, False)
+        # So old that the version of its weights does not count.
+        received_s = self.now_s - engines.VERSION_REPORT_MAX_AGE_S - 0.1
+        self.registry.apply_load(load, received_s)
+        self.refuting_count += 1
+        if self.refuting_count >= engines.RESTART_REFUTED_COUNT:
+            self.reported_incarnation = self.incarnation
 
     def list_causes(self):
         """Return all causes that hold."""
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -27,6 +27,8 @@
 MAX_LINK_DELAY_S = 1.5
 # Engines whose entries may be written again although they have said that they leave.
 MAX_LEFT_COUNT = 1_000
+# Load reports of the known incarnation that refute a newer one; fewer may be late.
+RESTART_REFUTED_COUNT = 3
 AVOID_FAILURE_COUNT = 2  # a single failed request is not enough evidence
 
 
@@ -56,6 +58,7 @@
     :ivar prefill_until_s: time until which it prefills the prompts sent to it.
     :ivar switch_at_s: time at which it is ordered to switch to another version.
     :ivar ready_at_s: time at which it has loaded the version that it loads next.
+    :ivar was_restarted: whether a load report named a newer incarnation than its entry.
     :ivar limit: the limit of requests per second that it names.
     :ivar backoff: the time for which it wants no requests from this entry.
     :ivar says_leaving: whether it has said in an answer that it is about to end.
@@ -83,6 +86,7 @@
         self.backoff = engine_backoff.EngineBackoff()
         self.says_leaving = False
         self._sent_since_load = 0
+        self._refuting_count = 0
 
     @property
     def incarnation(self) -> crash_evidence.Incarnation:
@@ -173,6 +177,7 @@
 
     def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
         """Apply a load report."""
+        self._refute_restart()
         self.load = load
         self.load_received_s = now_s
         self._heard_s = now_s
@@ -185,6 +190,23 @@
             self.ready_at_s = now_s + load.coming_in_s
         self._sent_since_load = 0
 
+    def record_newer_incarnation(self) -> None:
+        """Record a load report of a newer incarnation, so the entry is outdated."""
+        self.was_restarted = True
+        self._refuting_count = 0
+
+    def _refute_restart(self) -> None:
+        """Count a load report of the known incarnation.
+
+        An engine that has started again sends no more of them, so that the report of
+        the newer incarnation was wrong if several arrive.
+        """
+        if not self.was_restarted:
+            return
+        self._refuting_count += 1
+        if self._refuting_count >= RESTART_REFUTED_COUNT:
+            self.was_restarted = False
+
     def prefill_backlog_s(self, now_s: float) -> float:
         """Return the remaining time of the prefill of the prompts that were sent."""
         return max(self.prefill_until_s - now_s, 0.0)
@@ -340,7 +362,7 @@
                 engine.apply_load(load, now_s)
                 alive.append(engine)
             elif entry.born_ms < load.born_ms:
-                engine.was_restarted = True
+                engine.record_newer_incarnation()
         return alive
 
     def of_service(self, service: data.ServiceName) -> list[Engine]:
--- a/toucanspread/core/entry/engines_test.py
+++ b/toucanspread/core/entry/engines_test.py
@@ -30,6 +30,28 @@
     registry.apply_load(load, now_s)
 
 
+class WrongIncarnationTest(testtools.TestCase):
+    def report(self, born_ms):
+        load = entry_data.EngineLoad(data.Address("a"), born_ms, 0, 0, 1, False)
+        self.registry.apply_load(load, 0.0)
+
+    def test_one_wrong_report_does_not_exclude_an_engine_for_good(self):
+        self.registry = make_registry()
+        self.report(9)
+        self.assertTrue(self.registry.get("a").was_restarted)
+        for _ in range(engines.RESTART_REFUTED_COUNT):
+            self.report(0)
+        self.assertFalse(self.registry.get("a").was_restarted)
+
+    def test_late_reports_do_not_bring_an_engine_back_that_has_started_again(self):
+        self.registry = make_registry()
+        for _ in range(5):
+            self.report(9)
+            for _ in range(engines.RESTART_REFUTED_COUNT - 1):
+                self.report(0)
+        self.assertTrue(self.registry.get("a").was_restarted)
+
+
 class SilentEngineTest(testtools.TestCase):
     def test_an_engine_whose_reports_end_is_silent_while_others_report(self):
         registry = make_registry()
