Use no engine of an entry that lacks a field

Two of the fields had defaults, two weren't read. Now an entry has all fields that engines write: version, cold_left_ms and sequence, too. born stays optional: engines that never start again under their id need not name it. Fields that nobody knows are still taken.

--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -123,13 +123,21 @@
 
 
 class _EngineEntry(msgspec.Struct, frozen=True):
+    """An engine's entry; one of another writer may lack fields or have other types.
+
+    :param version: of the engine's software.
+    :param sequence: number of orders that the engine has begun.
+    """
+
     service: str
     address: str
     zone: str
+    version: str
     slots: bounds.Slots
     state: str
+    cold_left_ms: bounds.DurationMs
+    sequence: bounds.Count
     born: bounds.UnixMs = 0
-    cold_left_ms: bounds.DurationMs = 0.0
     models: list[_LoadedModel] = []
 
 
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -236,6 +236,20 @@
             self.assertTrue(math.isfinite(sum(weights)), weights)
             self.assertGreaterEqual(min(weights, default=0), 0)
 
+    def test_an_entry_of_another_writer_without_a_field_names_no_engine(self):
+        optional = {"born", "models"}
+        for field in ENTRY:
+            partial = {name: ENTRY[name] for name in ENTRY if name != field}
+            entry = decoding.decode_engine("i-1", encode_json(partial))
+            self.assertEqual(field in optional, entry is not None, field)
+        for field in ("version", "sequence"):
+            odd = {**ENTRY, field: [1]}
+            self.assertIsNone(decoding.decode_engine("i-1", encode_json(odd)))
+
+    def test_an_entry_with_fields_that_nobody_knows_is_used(self):
+        value = encode_json({**ENTRY, "unknown": {"a": [1]}})
+        self.assertIsNotNone(decoding.decode_engine("i-1", value))
+
     def test_numbers_of_an_entry_are_bounded_by_what_they_mean(self):
         for field, (lowest, highest) in NUMBER_FIELDS.items():
             for number in (lowest, highest):
