Give each call to an engine's own interface a connection of its own

A late copy of the answer to a chunk was taken for that to the next order, so that a refused order counted as accepted: orders, status and lists name no call (the place that was left open of answers told by their position). The new test failed before, and passes; mechanisms, scripts and transfers: 17 passed.

--- a/toucanspread/ops/engine.py
+++ b/toucanspread/ops/engine.py
@@ -138,8 +138,11 @@
 
     @classmethod
     def from_config(cls, address: data.Address) -> Self:
-        """Return a client of the service at ``ip:port``."""
-        return cls(http_client.HttpClient(address))
+        """Return a client of the service at ``ip:port``.
+
+        Nothing in the answers to orders and lists names the call that they belong to.
+        """
+        return cls(http_client.HttpClient(address, reuses_connections=False))
 
     async def close(self) -> None:
         """Close the idle connections."""
