--- a/toucanspread/core/entry/size_shares.py
+++ b/toucanspread/core/entry/size_shares.py
@@ -34,7 +34,7 @@
 
 
 class SizeShares:
-    """Counts the requests of one entry that arrived and that begun."""
+    """Counts the requests of one entry that arrived and that were begun."""
 
     def __init__(self):
         self._routes: collections.OrderedDict[str, _RouteShares] = (
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -92,6 +92,7 @@
         team: entry_data.Team | None,
     ):
         self.exchange = exchange
+        self._body_bytes = len(exchange.body)
         self._forwarder = forwarder
         self._route = route
         self._team = team.name if team is not None else None
@@ -490,7 +491,7 @@
         return {
             "tokens": self.call.prompt_tokens,
             "output_tokens": self.call.output_tokens,
-            "body_bytes": len(self.exchange.body),
+            "body_bytes": self._body_bytes,
         }
 
     def _log_end(
--- a/toucanspread/ops/forwarding/forwarder_test.py
+++ b/toucanspread/ops/forwarding/forwarder_test.py
@@ -6,6 +6,7 @@
 import eliot
 import msgspec
 import testtools
+from eliot import testing
 from twisted.internet import error, task
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python import failure
@@ -254,6 +255,16 @@
         self.assertIn(b"X-Timeout-Ms: 3000\r\n", sent)
         self.assertTrue(sent.endswith(b"\r\n\r\nhi"))
 
+    @testing.capture_logging(None)
+    def test_the_size_of_a_body_is_logged_also_after_its_answer(self, logger):
+        self.send_request().answer(HEAD + b"Content-Length: 2\r\n\r\nok")
+        sizes = [
+            message["body_bytes"]
+            for message in logger.messages
+            if message["message_type"] == "request_answered"
+        ]
+        self.assertEqual([2], sizes)
+
     def test_interrupted_stream_resumes_at_another_engine_within_one_answer(self):
         first = self.send_request()
         first.answer(STREAM + chunk(b"id: 1\ndata: a\n\nid: 2\nda"))
