--- a/standins/promise_engine.py
+++ b/standins/promise_engine.py
@@ -247,11 +247,14 @@
             "service": simulated_cluster.SERVICE.name,
             "address": self.machine.address,
             "zone": self.zone,
+            "version": "v1",
             "slots": engine_model.SLOT_COUNT,
             "state": state,
+            "cold_left_ms": 0,
             "models": [
                 {"name": simulated_cluster.PROFILE.model, "version": self.version}
             ],
+            "sequence": 0,
         }
         self._site.write_engine(self, json.dumps(value).encode())
 
