Tell in the logs at which engine, how quiet and in which stop a request ended

stream_broken, request_failed and request_refused name the last engine, how the last dispatch failed, the time since the last event and whether the entry leaves; streams_broken_total has the latter as a label. A process that exits logs what is still in progress, unanswered or unread.

--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -73,6 +73,11 @@
         """Return the number of times that the request was sent to an engine."""
         return self._record.dispatches
 
+    @property
+    def last_failure(self) -> decisions.DispatchFailure | None:
+        """Return how the last dispatch that failed did so; None if none did."""
+        return self._record.last_failure
+
     @property
     def engine_id(self) -> str:
         """Return the id of the engine that has the request, or an empty string."""
--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -85,7 +85,7 @@
         self.head: http1.AnswerHead | None = None
         self.body = bytearray()
         self.address = dispatch.address
-        self._engine_id = dispatch.engine_id
+        self.engine_id = dispatch.engine_id
         self.outgoing: http1_pool.OutgoingRequest | None = None
         self._listener = listener
         self._dialect = wire_dialect
@@ -194,7 +194,7 @@
 
     def _report_end(self) -> None:
         properties = self._properties
-        if properties.not_run and properties.instance not in ("", self._engine_id):
+        if properties.not_run and properties.instance not in ("", self.engine_id):
             self._listener.on_failure(decisions.DispatchFailure.OTHER_INSTANCE)
         elif properties.not_run:
             self._listener.on_failure(decisions.DispatchFailure.REJECTED)
@@ -248,7 +248,7 @@
 
     def _is_of_engine(self, properties: dialect.AnswerProperties) -> bool:
         """Return whether the engine of this dispatch has made the answer."""
-        if properties.instance not in ("", self._engine_id):
+        if properties.instance not in ("", self.engine_id):
             return False
         if self.head.status == UNAVAILABLE_STATUS:
             return True
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -41,6 +41,10 @@
     queue: request_queue.RequestQueue
     in_progress: set["ForwardedRequest"]
 
+    @abc.abstractmethod
+    def is_closing(self) -> bool:
+        """Return whether the entry is shutting down."""
+
     @abc.abstractmethod
     def make_decision_context(
         self, service: entry_data.Service
@@ -449,7 +453,11 @@
 
     def _break_stream(self, effect: decisions.BreakStream) -> None:
         self._log_end("stream_broken", effect.cause)
-        metric_buffer.count("streams_broken", why=effect.cause.value)
+        metric_buffer.count(
+            "streams_broken",
+            why=effect.cause.value,
+            is_leaving=str(self._forwarder.is_closing()),
+        )
         self.exchange.abort()
 
     def _reject(self, effect: decisions.Reject) -> None:
@@ -506,6 +514,10 @@
             route=self._route.name,
             why=cause.value,
             after_s=now_s - self.exchange.started_s,
+            engine=self._answer.engine_id if self._answer is not None else "",
+            last_failure=self._name_last_failure(),
+            quiet_s=self._stream_timing.measure_quiet_s(now_s),
+            is_leaving=self._forwarder.is_closing(),
             dispatches=self._state.dispatches if self._state else 0,
             retry_after_s=retry_after_s,
             engines_known=len(causes),
@@ -516,6 +528,10 @@
             **self._measure_size(),
         )
 
+    def _name_last_failure(self) -> str:
+        failure = self._state.last_failure if self._state is not None else None
+        return failure.value if failure is not None else ""
+
     def _list_obstacles(
         self,
     ) -> tuple[int, list[engine_obstacles.Cause | None]]:
@@ -559,6 +575,10 @@
             self.longest_pause_s = max(self.longest_pause_s, now_s - self._last_s)
         self._last_s = now_s
 
+    def measure_quiet_s(self, now_s: float) -> float | None:
+        """Return the time since the last event; None before the first one."""
+        return None if self.first_s is None else now_s - self._last_s
+
 
 def _bound_prompt(
     call: entry_data.Call, route: entry_data.Route, service: entry_data.Service | None
--- a/toucanspread/ops/forwarding/forwarder_test.py
+++ b/toucanspread/ops/forwarding/forwarder_test.py
@@ -265,6 +265,18 @@
         ]
         self.assertEqual([2], sizes)
 
+    def test_the_log_of_a_broken_stream_tells_its_engine_silence_and_stop(self):
+        engine = self.send_request()
+        engine.answer(STREAM + chunk(b"id: 1\ndata: a\n\n"))
+        self.forwarder.leave(2.0)
+        self.clock.advance(0.5)
+        with capture_events("stream_broken") as messages:
+            engine.disconnect(error.ConnectionLost)
+        [message] = messages
+        told = [message[n] for n in ("last_failure", "quiet_s", "is_leaving")]
+        self.assertEqual(["broken", 0.5, True], told)
+        self.assertTrue(message["engine"].startswith("s"))
+
     def test_interrupted_stream_resumes_at_another_engine_within_one_answer(self):
         first = self.send_request()
         first.answer(STREAM + chunk(b"id: 1\ndata: a\n\nid: 2\nda"))
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -396,6 +396,14 @@
         if self._is_exiting:
             return
         self._is_exiting = True
+        connections = self._server.connections
+        logs.write(
+            "exiting",
+            in_progress=len(self._forwarder.in_progress),
+            connections=len(connections),
+            unanswered=sum(not connection.is_idle for connection in connections),
+            blocked=sum(connection.is_blocked for connection in connections),
+        )
         self._server.stop_reading()
         self._server.abort_incomplete()
         process.stop()
