--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -130,6 +130,7 @@
     :ivar state: of the store.
     :ivar timeout_ms: of the routes that are written.
     :ivar kinds: kind of the route of a prefix; idempotent without one.
+    :ivar resumable_prefixes: prefixes of the routes whose streams may be resumed.
     :ivar plain_engine: of the service "plain", which has no model.
     :ivar model_engine: of the service "model". Its entry in the store names no weights,
         so that entries use it only after reports of its sidecar.
@@ -138,6 +139,7 @@
     def __init__(self):
         self.timeout_ms = 3000
         self.kinds: dict[str, str] = {}
+        self.resumable_prefixes: set[str] = set()
         self._scratch = tempfile.TemporaryDirectory()
         self._directory = pathlib.Path(self._scratch.name)
         self._ports = []
@@ -201,6 +203,8 @@
             )
             for prefix, service in served
         ]
+        for route in routes:
+            route["resume_streams"] = route["prefix"] in self.resumable_prefixes
         origin = {"name": "origin", "origin": self._origin_address, "zone": ZONE}
         configuration = {
             "version": version,
--- a/standins/working_engine.py
+++ b/standins/working_engine.py
@@ -18,6 +18,8 @@
     """A request that reached the engine.
 
     :ivar cut_s: when its connection ended before the answer was complete.
+    :ivar is_rejected: whether the engine rejected it without running it.
+    :ivar pauses: whether the engine will pause once while it works on it.
     """
 
     attempt_id: str
@@ -25,6 +27,8 @@
     work_s: float
     answered_s: float | None = None
     cut_s: float | None = None
+    is_rejected: bool = False
+    pauses: bool = False
 
 
 class WorkingEngine:
@@ -65,41 +69,47 @@
         work_s = float(headers["x-work-s"])
         received = Received(headers["x-attempt-id"], time.monotonic(), work_s)
         self.received.append(received)
-        head = (
-            f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n"
-            f"X-Attempt-Id: {received.attempt_id}\r\n"
-        ).encode()
         caller_end = asyncio.ensure_future(reader.read(1))
         try:
-            if "x-stream" in headers:
-                await self._write_stream(writer, head, received, caller_end)
-            else:
-                await self._write_answer(writer, head, received, caller_end)
+            await self._answer(writer, headers, received, caller_end)
         finally:
             caller_end.cancel()
             await asyncio.wait({caller_end})
 
+    async def _answer(self, writer, headers, received, caller_end) -> None:
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Response-Seal: {SEAL}\r\n"
+            f"X-Attempt-Id: {received.attempt_id}\r\n"
+        ).encode()
+        if "x-stream" in headers:
+            sent_count = int(headers.get("last-event-id", 0))
+            await self._write_stream(writer, head, received, caller_end, sent_count)
+        else:
+            await self._write_answer(writer, head, received, caller_end)
+
     async def _write_answer(self, writer, head, received, caller_end) -> None:
-        await _work(received.work_s, received, caller_end)
+        await self._work(received.work_s, received, caller_end)
         writer.write(head + b"Content-Length: %d\r\n\r\n%b" % (len(BODY), BODY))
         received.answered_s = time.monotonic()
 
-    async def _write_stream(self, writer, head, received, caller_end) -> None:
+    async def _write_stream(
+        self, writer, head, received, caller_end, sent_count
+    ) -> None:
         writer.write(head + b"Content-Type: text/event-stream\r\n")
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
-        for number in range(1, 1 + round(received.work_s / EVENT_INTERVAL_S)):
-            await _work(EVENT_INTERVAL_S, received, caller_end)
+        event_count = round(received.work_s / EVENT_INTERVAL_S)
+        for number in range(1 + sent_count, 1 + event_count):
+            await self._work(EVENT_INTERVAL_S, received, caller_end)
             event = b"id: %d\ndata: a\n\n" % number
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
         writer.write(b"0\r\n\r\n")
         received.answered_s = time.monotonic()
 
-
-async def _work(duration_s: float, received: Received, caller_end) -> None:
-    await asyncio.wait({caller_end}, timeout=duration_s)
-    if caller_end.done():
-        received.cut_s = time.monotonic()
-        raise ConnectionAbortedError
+    async def _work(self, duration_s, received, caller_end) -> None:
+        await asyncio.wait({caller_end}, timeout=duration_s)
+        if caller_end.done():
+            received.cut_s = time.monotonic()
+            raise ConnectionAbortedError
 
 
 def _parse_headers(head: bytes) -> dict[str, str]:
