Keep a request at its silent engine until another one has begun

Cause: at the silence of an engine its dispatch was cancelled first, and only then a retry was claimed, another engine chosen and asked. Any of these may fail: a part of the retry budget is used up, engines reject the request, none is left.

Why this works: the first dispatch goes on until the stream of the second one opens, or its answer is whole; whichever comes first is the caller's, the other is cancelled. If the second is rejected or fails, the request is where it was before. The rejections of one request are bounded as before, and each dispatch still takes a retry from the budget and at most `attempts` engines run it.

Two unit tests demanded the cancellation at the time of the move; they now demand it when the other engine has begun, and of the right dispatch.

--- a/standins/moved_request_test.py
+++ b/standins/moved_request_test.py
@@ -61,7 +61,7 @@
         return sum(not each.is_rejected for each in received)
 
     def list_lost(self, outcomes):
-        """Return the requests that were run and got neither an answer nor their time."""
+        """Return the requests that ran and ended unanswered before their time."""
         return [
             (outcome.status, round(outcome.ended_s - outcome.sent_s, 2))
             for outcome in outcomes
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -67,6 +67,10 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection to the engine."""
 
+
+class EntryClient(abc.ABC):
+    """Has a request at an entry."""
+
     @abc.abstractmethod
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
@@ -416,7 +420,7 @@
         self.zone = ZONES[number % len(ZONES)]
         self.is_cut = False
         self.is_stopped = False
-        self.in_progress: dict[EngineClient, None] = {}
+        self.in_progress: dict[EntryClient, None] = {}
         self._entry_count = entry_count
         self._versions = cluster_state.ModelVersions()
         self._version_within_s = 0.0
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -5,9 +5,7 @@
 
 import abc
 import dataclasses
-import functools
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
 from standins import (
@@ -17,6 +15,7 @@
     leave_check,
     load_profiles,
     simulated_cluster,
+    simulated_dispatch,
     simulated_prompts,
     simulated_sidecar,
 )
@@ -27,7 +26,6 @@
     decisions,
     engine_statement,
     forwarding,
-    request_timing,
 )
 from toucanspread.ops.forwarding import request_queue
 
@@ -79,29 +77,6 @@
         return (self.on_time + self.late) / self.request_count
 
 
-@dataclasses.dataclass(eq=False)
-class _Dispatch:
-    """One dispatch of a request to an engine.
-
-    :ivar entry: the entry that sent it.
-    :ivar arrived_s: when the entry got the request.
-    :ivar expected_version: the version that the engine must have; 0 for any.
-    :ivar job: the job that the engine still has after the withdrawal; None before it.
-    """
-
-    engine: simulated_cluster.SimulatedEngine
-    entry: simulated_cluster.SimulatedEntry
-    arrived_s: float
-    expected_version: int = 0
-    is_withdrawn: bool = False
-    job: engine_model.Job | None = None
-
-    def cancel(self) -> None:
-        """Drop the job, as the engine learns of the withdrawal."""
-        if self.job is not None:
-            self.engine.model.cancel(self.job)
-
-
 class AbstractCallers(simulated_cluster.AbstractCluster):
     """What a request needs of the simulation beside entries and engines.
 
@@ -124,7 +99,11 @@
         """Return the entry that a caller uses."""
 
 
-class SimulatedRequest(request_queue.QueueItem, simulated_cluster.EngineClient):
+class SimulatedRequest(
+    request_queue.QueueItem,
+    simulated_cluster.EntryClient,
+    simulated_dispatch.DispatchOwner,
+):
     """A caller's request; callers retry a refused request once."""
 
     service = simulated_cluster.SERVICE
@@ -154,17 +133,12 @@
         self._first_s: float | None = None
         self._last_event_s = 0.0
         self._generated_tokens = 0
-        self._tokens_before_dispatch = 0
         self._had_long_gap = False
-        self._priority = 0
-        self._dispatch: _Dispatch | None = None
-        self._job: engine_model.Job | None = None
-        self._engine: simulated_cluster.SimulatedEngine | None = None
+        self._dispatches: dict[int, simulated_dispatch.SimulatedDispatch] = {}
         self._fingerprint = prompt.repeated_request or entry_data.PromptPartId(
             f"request-{simulation.draw_id()}"
         )
         self._caller_timeout = None
-        self._silence_timer = None
         self._state = self._make_state()
 
     @property
@@ -200,92 +174,19 @@
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
 
-    def on_connection_lost(self) -> None:
-        """Handle the loss of the connection to the engine."""
-        self._job = None
-        runs = self._state.possible_runs
-        self._fail_dispatch(decisions.DispatchFailure.BROKEN)
-        self._simulation.caller_check.record_break(
-            caller_check.Break(
-                self._simulation.clock.seconds(),
-                self.prompt,
-                self._first_s is not None,
-                runs,
-                self._cause,
-            )
-        )
-
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
-        context = self.make_decision_context()
-        if self._state.must_be_withdrawn(context, was_sent=True):
-            self._fail_dispatch(decisions.DispatchFailure.WITHDRAWN)
-
-    def _cancel_job(self) -> None:
-        """Withdraw the request from its engine, which learns of it after a delay."""
-        self._entry.in_progress.pop(self, None)
-        self._stop_silence_timer()
-        dispatch, self._dispatch = self._dispatch, None
-        job, self._job = self._job, None
-        if dispatch is None:
-            return
-        dispatch.is_withdrawn = True
-        if job is not None:
-            self._engine.jobs.pop(job, None)
-            self._disregard(dispatch, job)
-        self._call_at_engine(
-            dispatch.engine, simulated_sidecar.CLOSE_BYTES, dispatch.cancel
-        )
-
-    def _disregard(self, dispatch: "_Dispatch", job: engine_model.Job) -> None:
-        """Only check the begin of a job that the entry has withdrawn."""
-        dispatch.job = job
-        job.on_event = functools.partial(self._on_withdrawn_event, dispatch.engine, job)
-        job.on_decode = functools.partial(self._crash_at_begin, dispatch.engine)
-        job.on_end = _do_nothing
-
-    def _on_withdrawn_event(
-        self, engine: simulated_cluster.SimulatedEngine, job: engine_model.Job
-    ) -> None:
-        """Check a begin of which the engine has not learned that it is not wanted."""
-        if job.generated_tokens > engine_model.TOKENS_PER_EVENT:
-            return
-        now_s = self._simulation.clock.seconds()
-        self._simulation.version_check.record_begin(now_s, engine.version)
-
-    def _call_at_engine(
-        self,
-        engine: simulated_cluster.SimulatedEngine,
-        size_bytes: int,
-        call: Callable,
-        *arguments,
-    ) -> None:
-        """Call a function once bytes that are sent now have arrived at an engine."""
-        if engine.sidecar is not None:
-            arguments = (size_bytes, engine.receive, call, *arguments)
-            call = engine.sidecar.link.send
-        else:
-            arguments = (call, *arguments)
-            call = engine.receive
-        self._simulation.clock.callLater(
-            engine.sending_delay_s,
-            self._simulation.call_after_delay,
-            self._entry.zone,
-            engine.zone,
-            call,
-            *arguments,
-        )
+        for number in self._state.live_numbers:
+            context = self.make_decision_context()
+            if self._state.must_be_withdrawn(context, True, number):
+                failure = decisions.DispatchFailure.WITHDRAWN
+                self._fail_dispatch(self._dispatches[number], failure)
 
     def on_entry_lost(self) -> None:
         """Handle the loss of the caller's connection to the entry."""
-        self._state.on_caller_disconnected(self.make_decision_context())
-        self._cancel_job()
+        self.carry_out(self._state.on_caller_disconnected(self.make_decision_context()))
         self._schedule_retry(0.0)
 
-    def _fail_dispatch(self, failure: decisions.DispatchFailure) -> None:
-        self._stop_silence_timer()
-        self.carry_out(self._state.on_failure(self.make_decision_context(), failure))
-
     def on_quarantine(self) -> None:
         """End the request if it waits at an engine and is quarantined."""
         self.carry_out(self._state.on_quarantine(self.make_decision_context()))
@@ -325,13 +226,11 @@
                 case decisions.Enqueue():
                     self._entry.queue.add(self)
                 case decisions.Cancel():
-                    self._cancel_job()
+                    self._dispatches.pop(effect.number).cancel()
                 case decisions.SendToEngine():
                     if effect.number == 1:
                         self._entry.queue.shares.record_begin(self._state.timing)
-                    self._priority = effect.priority
-                    engine = self._simulation.engines_by_id[effect.engine_id]
-                    self._send(engine, effect.expected_version)
+                    self._send(effect)
                 case decisions.NotifyEntries(notice=notice):
                     self._simulation.broadcast(
                         self._entry.zone, "apply_limit", notice, self._entry
@@ -343,132 +242,61 @@
                     self._record_refusal(cause)
                     self._schedule_retry(0.0)
 
-    def _send(
-        self, engine: simulated_cluster.SimulatedEngine, expected_version: int
-    ) -> None:
+    def _send(self, effect: decisions.SendToEngine) -> None:
+        engine = self._simulation.engines_by_id[effect.engine_id]
         sent = entry_data.PromptSent(
             engine.engine_id, simulated_cluster.SERVICE.name, self.prompt_tokens
         )
         self._simulation.broadcast(
             self._entry.zone, "apply_prompt", sent, self._entry, only_own_zone=True
         )
-        self._engine = engine
-        self._entry.in_progress[self] = None
-        self._dispatch = _Dispatch(
-            engine, self._entry, self._state.arrived_s, expected_version
+        dispatch = simulated_dispatch.SimulatedDispatch(
+            self._simulation, self, engine, self._entry, self._state.arrived_s, effect
         )
+        self._dispatches[effect.number] = dispatch
         self._simulation.leave_check.record_dispatch(
             self._simulation.clock.seconds(), engine.engine_id
         )
-        self._start_silence_timer(self._state.timing.silence_timeout_s)
         tokens = self.prompt_tokens + self._generated_tokens
-        self._call_at_engine(
-            engine,
+        dispatch.start(
             simulated_sidecar.REQUEST_HEAD_BYTES
-            + tokens * simulated_sidecar.BYTES_PER_TOKEN,
-            self._submit_to_engine,
-            self._dispatch,
-            self._simulation.clock.seconds(),
+            + tokens * simulated_sidecar.BYTES_PER_TOKEN
         )
 
-    def _submit_to_engine(self, dispatch: "_Dispatch", sent_s: float) -> None:
-        engine = dispatch.engine
-        now_s = self._simulation.clock.seconds()
-        is_open = engine.is_running and not engine.is_loading
-        is_open = is_open and engine.backoff_s is None
-        if engine.is_running and not engine.is_crashed:
-            engine.backoff.record_arrival(now_s, dispatch.entry)
-            engine.leaving.record_arrival(dispatch.arrived_s, dispatch.entry)
-        if dispatch.is_withdrawn:
-            if is_open and not engine.is_crashed:
-                job = self._make_job()
-                self._disregard(dispatch, job)
-                engine.model.submit(job)
-            return
-        if engine.is_crashed:
-            self._fail_dispatch(decisions.DispatchFailure.NOT_CONNECTED)
-            return
-        if self.prompt.crashing_part is not None and engine.is_running:
-            self._simulation.crash_check.record_arrival(
-                sent_s, self._entry, self.prompt.crashing_part
-            )
-        engine.limit.record_arrival(now_s, self._entry)
-        job = self._make_job()
-        is_version_right = dispatch.expected_version in (0, engine.version)
-        if not is_open or not is_version_right or not engine.model.submit(job):
-            self._read_statement(engine, engine.backoff_s)
-            self._fail_dispatch(decisions.DispatchFailure.REJECTED)
-            return
-        self._job = job
-        self._tokens_before_dispatch = self._generated_tokens
-        engine.jobs[job] = self
-
-    def _start_silence_timer(self, timeout_s: float) -> None:
-        self._stop_silence_timer()
-        self._silence_timer = self._simulation.clock.callLater(
-            timeout_s, self._on_silence
-        )
+    # Events of a dispatch
 
-    def _stop_silence_timer(self) -> None:
-        if self._silence_timer is not None and self._silence_timer.active():
-            self._silence_timer.cancel()
-
-    def _on_silence(self) -> None:
-        """Report the silence of the engine, and wait again if the request stays."""
-        self._start_silence_timer(request_timing.SILENCE_RECHECK_S)
-        timer = self._silence_timer
-        silent = decisions.DispatchFailure.SILENT
-        effects = self._state.on_failure(self.make_decision_context(), silent)
-        if effects:
-            timer.cancel()
-        self.carry_out(effects)
-
-    def _make_job(self) -> engine_model.Job:
+    def make_job(
+        self, dispatch: simulated_dispatch.SimulatedDispatch
+    ) -> engine_model.Job:
+        """Return the rest of the request as a job."""
         return engine_model.Job(
             self.prompt_tokens + self._generated_tokens,
             self.answer_tokens - self._generated_tokens,
-            self._on_event,
-            self._on_end,
-            self._on_decode,
-            self._priority,
+            _do_nothing,
+            _do_nothing,
+            _do_nothing,
+            dispatch.priority,
         )
 
-    def _read_statement(
+    def on_engine_head(
         self,
-        engine: simulated_cluster.SimulatedEngine,
-        backoff_s: float | None = None,
+        dispatch: simulated_dispatch.SimulatedDispatch,
+        statement: engine_statement.EngineStatement,
     ) -> None:
-        """Read what the engine says of itself in the head of an answer.
-
-        :param backoff_s: the time that it names in a rejection.
-        """
-        now_s = self._simulation.clock.seconds()
-        limit_per_s = engine.limit.record_answer(now_s, self._entry)
-        engine.backoff.record_answer(now_s, self._entry, backoff_s)
-        engine.leaving.record_answer(now_s, self._entry, engine.is_leaving)
-        statement = engine_statement.EngineStatement(
-            limit_per_s, backoff_s, engine.is_leaving
-        )
-        self.carry_out(
-            self._state.on_engine_head(self.make_decision_context(), statement)
-        )
-
-    def _on_decode(self, first_token_in_s: float) -> None:
-        """Handle the time at which the engine begins to write the answer."""
-        self._crash_at_begin(self._engine, first_token_in_s)
+        """Handle what the engine says of itself in an answer."""
+        context = self.make_decision_context()
+        self.carry_out(self._state.on_engine_head(context, statement, dispatch.number))
 
-    def _crash_at_begin(
-        self, engine: simulated_cluster.SimulatedEngine, first_token_in_s: float
+    def on_event(
+        self, dispatch: simulated_dispatch.SimulatedDispatch, is_first: bool
     ) -> None:
-        if self.prompt.crashing_part is not None:
-            engine.begin_answer(self.prompt.crashing_part, first_token_in_s)
-
-    def _on_event(self) -> None:
+        """Handle an event of the stream."""
         now_s = self._simulation.clock.seconds()
-        if self._generated_tokens == self._tokens_before_dispatch:
-            self._read_statement(self._engine)
-            self._simulation.version_check.record_begin(now_s, self._engine.version)
-            self._state.on_begun(now_s)
+        context = self.make_decision_context()
+        if is_first:
+            self._state.on_begun(now_s, dispatch.number)
+        self.carry_out(self._state.choose_dispatch(context, dispatch.number))
+        if is_first:
             self._state.on_stream_opened()
         if self._first_s is None:
             self._record_first_attempt(has_begun=True)
@@ -477,18 +305,17 @@
             self._had_long_gap = True
         self._last_event_s = now_s
         self._caller_timeout.reset(CALLER_TIMEOUT_S)
-        self._start_silence_timer(request_timing.STREAM_GAP_TIMEOUT_S)
         self._generated_tokens += engine_model.TOKENS_PER_EVENT
         event_id = str(self._generated_tokens // engine_model.TOKENS_PER_EVENT)
         if self._state.on_events(now_s, event_id):
-            self._state.on_survived(self.make_decision_context())
+            self._state.on_survived(context)
 
-    def _on_end(self) -> None:
-        self._engine.jobs.pop(self._job, None)
+    def on_end(self, dispatch: simulated_dispatch.SimulatedDispatch) -> None:
+        """Handle the end of the stream."""
         self._entry.in_progress.pop(self, None)
-        self._stop_silence_timer()
         self._caller_timeout.cancel()
-        self._state.on_answer(self.make_decision_context(), 200)
+        context = self.make_decision_context()
+        self.carry_out(self._state.on_answer(context, 200, dispatch.number))
         outcome = self._outcome
         outcome.first_s.append(self._first_s)
         is_on_time = self._first_s <= self.kind.target_s and not self._had_long_gap
@@ -498,23 +325,54 @@
             outcome.late += 1
         self._record_end(is_served=True, is_on_time=is_on_time)
 
+    def on_failure(
+        self,
+        dispatch: simulated_dispatch.SimulatedDispatch,
+        failure: decisions.DispatchFailure,
+    ) -> None:
+        """Handle a failure of the dispatch."""
+        runs = self._state.possible_runs
+        self._fail_dispatch(dispatch, failure)
+        if failure is not decisions.DispatchFailure.BROKEN:
+            return
+        self._simulation.caller_check.record_break(
+            caller_check.Break(
+                self._simulation.clock.seconds(),
+                self.prompt,
+                self._first_s is not None,
+                runs,
+                self._cause,
+            )
+        )
+
+    def _fail_dispatch(
+        self,
+        dispatch: simulated_dispatch.SimulatedDispatch,
+        failure: decisions.DispatchFailure,
+    ) -> None:
+        context = self.make_decision_context()
+        self.carry_out(self._state.on_failure(context, failure, dispatch.number))
+
     def _abandon(self) -> None:
         """Abandon the request after a long time without an event."""
         self._entry.queue.remove(self)
-        if self._job is not None:
+        live = [self._dispatches[number] for number in self._state.live_numbers]
+        begun = [dispatch for dispatch in live if dispatch.job is not None]
+        if begun:
             self._simulation.clock.callLater(
-                leave_check.MAX_WORK_S, self._check_work, self._engine, self._job
+                leave_check.MAX_WORK_S, self._check_work, begun
             )
-        self._state.on_caller_disconnected(self.make_decision_context())
-        self._cancel_job()
+        self._entry.in_progress.pop(self, None)
+        self.carry_out(self._state.on_caller_disconnected(self.make_decision_context()))
         self._record_first_attempt(has_begun=False)
         self._outcome.abandoned += 1
         self._record_end(is_served=False)
 
     def _check_work(
-        self, engine: simulated_cluster.SimulatedEngine, job: engine_model.Job
+        self, dispatches: list[simulated_dispatch.SimulatedDispatch]
     ) -> None:
-        self._simulation.leave_check.record_left(engine.model.holds(job))
+        held = [each.engine.model.holds(each.job) for each in dispatches]
+        self._simulation.leave_check.record_left(any(held))
 
     def _record_first_attempt(self, has_begun: bool) -> None:
         """Record whether a sound request began at the caller's first attempt."""
@@ -567,6 +425,7 @@
 
     def _retry(self) -> None:
         self._entry = self._simulation.choose_entry()
+        self._dispatches = {}
         self._state = self._make_state()
         self._cause = None
         self.start()
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -34,6 +34,7 @@
     TIME_OVER = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
     NO_FREE_ENGINE = "no free engine"
+    REJECTED = "rejected too often"
     LEAVING = "leaving"
 
 
@@ -42,6 +43,7 @@
     {
         MoveObstacle.ATTEMPTS_USED,
         MoveObstacle.RETRY_BUDGET_EXHAUSTED,
+        MoveObstacle.REJECTED,
         MoveObstacle.LEAVING,
     }
 )
--- a/toucanspread/core/entry/engine_choice.py
+++ b/toucanspread/core/entry/engine_choice.py
@@ -27,11 +27,8 @@
 
     :param skips_limited: whether engines that name a limit are left out.
     """
-    requirements = make_requirements(record, context, record.tried)._replace(
-        likely_tokens=record.likely_tokens_left,
-        was_interrupted=record.possible_runs > 0,
-        skips_limited=skips_limited,
-        skips_trials=True,
+    requirements = _make_choice_requirements(record, context)._replace(
+        skips_limited=skips_limited
     )
     engine = _choose(requirements, context)
     if engine is None and not record.can_be_queued:
@@ -42,6 +39,27 @@
     return engine
 
 
+def choose_move(
+    record: request_record.RequestRecord, context: decision_context.Context
+) -> engines.Engine | None:
+    """Return an engine for a request that its silent engine keeps meanwhile."""
+    requirements = _make_choice_requirements(record, context)
+    engine = _choose(requirements, context)
+    if engine is not None:
+        return engine
+    return _choose(requirements._replace(excluded=record.possibly_run_at), context)
+
+
+def _make_choice_requirements(
+    record: request_record.RequestRecord, context: decision_context.Context
+) -> engine_requirements.EngineRequirements:
+    return make_requirements(record, context, record.tried)._replace(
+        likely_tokens=record.likely_tokens_left,
+        was_interrupted=record.possible_runs > 0,
+        skips_trials=True,
+    )
+
+
 def make_requirements(
     record: request_record.RequestRecord,
     context: decision_context.Context,
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -22,8 +22,9 @@
 
 
 class Dispatch(NamedTuple):
-    """The last dispatch of a request.
+    """One dispatch of a request.
 
+    :param number: its number among those of the request, from 1.
     :param engine: the engine that has the request; None before, and after its end.
     :param head_s: when the engine began to answer, which the head shows.
     :param first_event_s: when the first complete event of its stream came.
@@ -31,6 +32,7 @@
     :param is_stream: whether the engine answers with a stream.
     """
 
+    number: int = 0
     engine: engines.Engine | None = None
     sent_s: float = 0.0
     head_s: float | None = None
@@ -38,6 +40,11 @@
     has_survived: bool = False
     is_stream: bool = False
 
+    @property
+    def engine_id(self) -> str:
+        """Return the id of the engine that has the request, or an empty string."""
+        return "" if self.engine is None else self.engine.entry.engine_id
+
     @property
     def engine_wait_s(self) -> float | None:
         """Return the time until the engine began to answer; None if it has not."""
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -23,6 +23,7 @@
     engine_statement,
     engines,
     final_answers,
+    request_dispatches,
     request_record,
     request_timing,
     retries,
@@ -61,7 +62,7 @@
         self._record = request_record.RequestRecord(
             self.timing, rank, call.last_event_id
         )
-        self._last_dispatch = engine_dispatch.Dispatch()
+        self._dispatches = request_dispatches.RequestDispatches()
 
     @property
     def possible_runs(self) -> int:
@@ -78,24 +79,51 @@
         """Return how the last dispatch that failed did so; None if none did."""
         return self._record.last_failure
 
+    @property
+    def dispatch_number(self) -> int:
+        """Return the number of the dispatch whose answer the caller gets."""
+        return self._dispatches.newest.number
+
+    @property
+    def live_numbers(self) -> list[int]:
+        """Return the numbers of the dispatches whose engines have the request."""
+        return [dispatch.number for dispatch in self._dispatches.live]
+
     @property
     def engine_id(self) -> str:
-        """Return the id of the engine that has the request, or an empty string."""
-        return self._engine.entry.engine_id if self._engine is not None else ""
+        """Return the id of the engine that has the request, or an empty string.
 
-    def engine_report_age_s(self, now_s: float) -> float | None:
-        """Return the age of the last load report of the engine that has the request.
+        During a move, it is that of the engine to which the request moves.
+        """
+        return self._dispatches.newest.engine_id
+
+    def find_engine_id(self, number: int) -> str:
+        """Return the id of the engine that has a dispatch, or an empty string."""
+        return self._dispatches.find(number).engine_id
+
+    def engine_report_age_s(
+        self, now_s: float, number: int | None = None
+    ) -> float | None:
+        """Return the age of the last load report of the engine that has a dispatch.
 
         It is None without one.
+
+        :param number: of the dispatch; None for the newest one.
         """
-        if self._engine is None or self._engine.load is None:
+        engine = self._dispatches.find(number).engine
+        if engine is None or engine.load is None:
             return None
-        return now_s - self._engine.load_received_s
+        return now_s - engine.load_received_s
 
     @property
-    def engine_says_leaving(self) -> bool:
-        """Return whether the engine that has the request has said that it leaves."""
-        return self._engine is not None and self._engine.says_leaving
+    def is_moving(self) -> bool:
+        """Return whether two engines have the request, of which one was silent."""
+        return self._dispatches.kept is not None
+
+    def says_leaving(self, number: int) -> bool:
+        """Return whether the engine that has a dispatch has said that it leaves."""
+        engine = self._dispatches.find(number).engine
+        return engine is not None and engine.says_leaving
 
     @property
     def engine_wait_s(self) -> float | None:
@@ -103,7 +131,11 @@
 
         It is None while the engine has not begun.
         """
-        return self._last_dispatch.engine_wait_s
+        return self._dispatches.newest.engine_wait_s
+
+    def find_engine_wait_s(self, number: int) -> float | None:
+        """Return the time from a dispatch until its engine began to answer."""
+        return self._dispatches.find(number).engine_wait_s
 
     def start(
         self, context: decision_context.Context, queued_prefill_s: float = 0.0
@@ -143,9 +175,14 @@
         self,
         context: decision_context.Context,
         statement: engine_statement.EngineStatement,
+        number: int | None = None,
     ) -> list[data.Effect]:
-        """Handle the head of an answer of the engine, and what that says of itself."""
-        engine, sent_s = self._engine, self._last_dispatch.sent_s
+        """Handle the head of an answer of the engine, and what that says of itself.
+
+        :param number: of the dispatch; None for the newest one.
+        """
+        dispatch = self._dispatches.find(number)
+        engine, sent_s = dispatch.engine, dispatch.sent_s
         if engine is None:
             return []
         engine.record_answering(context.now_s)
@@ -159,13 +196,36 @@
         notice = engine.apply_statement(statement, sent_s, context.now_s)
         return [] if notice is None else [decisions.NotifyEntries(notice)]
 
-    def on_begun(self, now_s: float) -> None:
-        """Record that the engine has begun to answer, before the first event."""
-        self._last_dispatch = self._last_dispatch._replace(head_s=now_s)
+    def on_begun(self, now_s: float, number: int | None = None) -> None:
+        """Record that the engine has begun to answer, before the first event.
+
+        :param number: of the dispatch; None for the newest one.
+        """
+        dispatch = self._dispatches.find(number)
+        self._dispatches.replace(dispatch._replace(head_s=now_s))
+
+    def choose_dispatch(
+        self, context: decision_context.Context, number: int
+    ) -> list[data.Effect]:
+        """Let only a dispatch go on whose answer can be used; cancel the other one.
+
+        It is called before what comes of that answer is processed.
+        """
+        other = self._dispatches.choose(number)
+        if other is None:
+            return []
+        self.move_obstacle = None
+        failure_weight = 0
+        if other.number < number:
+            silent = decisions.DispatchFailure.SILENT
+            failure_weight = decisions.failure_weight(silent)
+        engine_dispatch.end(other, context.now_s, failure_weight=failure_weight)
+        return [decisions.Cancel(other.number)]
 
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
-        self._last_dispatch = self._last_dispatch._replace(is_stream=True)
+        newest = self._dispatches.newest
+        self._dispatches.replace(newest._replace(is_stream=True))
         if self._record.is_stream_open:
             return []
         self._record = self._record._replace(is_stream_open=True)
@@ -182,13 +242,13 @@
             self._record = self._record._replace(last_event_id=last_event_id)
         if self._engine is not None:
             self._engine.record_answering(now_s)
-        dispatch = self._last_dispatch
+        dispatch = self._dispatches.newest
         if dispatch.first_event_s is None:
-            self._last_dispatch = dispatch._replace(first_event_s=now_s)
+            self._dispatches.replace(dispatch._replace(first_event_s=now_s))
             return False
         if dispatch.has_survived or not dispatch.has_run_for_a_while(now_s):
             return False
-        self._last_dispatch = dispatch._replace(has_survived=True)
+        self._dispatches.replace(dispatch._replace(has_survived=True))
         return bool(self._record.call.suspect_parts)
 
     def on_survived(self, context: decision_context.Context) -> None:
@@ -196,18 +256,28 @@
         context.guard.on_survived(self._record.call, context.now_s)
 
     def on_answer(
-        self, context: decision_context.Context, status: int
+        self,
+        context: decision_context.Context,
+        status: int,
+        number: int | None = None,
     ) -> list[data.Effect]:
-        """Handle a complete answer of the engine, or the regular end of its stream."""
+        """Handle a complete answer of the engine, or the regular end of its stream.
+
+        :param number: of the dispatch; None for the newest one.
+        """
         is_stream_open = self._record.is_stream_open
+        dispatch = self._dispatches.find(number)
+        is_rest_missing = is_stream_open and not dispatch.is_stream
+        is_usable = status < 500 and not is_rest_missing
+        if not is_usable and self._dispatches.kept is not None:
+            # The engine ran it and failed; the other one may still answer.
+            return self.on_failure(context, decisions.DispatchFailure.FAILED, number)
+        cancellations = self.choose_dispatch(context, dispatch.number)
         if status == 200:
-            crash_reports.report_whole_answer(
-                self._record, self._last_dispatch, context
-            )
-        is_rest_missing = is_stream_open and not self._last_dispatch.is_stream
-        if status < 500 and not is_rest_missing:
+            crash_reports.report_whole_answer(self._record, dispatch, context)
+        if is_usable:
             self._end_dispatch(context, ok=True)
-            return self._finish(
+            return cancellations + self._finish(
                 decisions.CloseStream() if is_stream_open else decisions.RelayAnswer()
             )
         # The engine ran the request and reports that it failed, or does not stream.
@@ -220,36 +290,53 @@
         self,
         context: decision_context.Context,
         failure: decisions.DispatchFailure,
+        number: int | None = None,
     ) -> list[data.Effect]:
-        """Handle a dispatch that failed without a complete answer."""
+        """Handle a dispatch that failed without a complete answer.
+
+        :param number: of the dispatch; None for the newest one.
+        """
         if self.is_finished:
             return []
-        self._record = self._record._replace(last_failure=failure)
-        self.move_obstacle = None
+        is_kept = self._dispatches.is_kept(number)
         if failure is decisions.DispatchFailure.SILENT:
-            effects = self._stay_at_silent_engine(context)
-            if effects is not None:
-                return effects
+            return [] if is_kept else self._on_silence(context)
+        self.move_obstacle = None
+        dispatch = self._dispatches.find(number)
+        self._record = self._record._replace(last_failure=failure)
         if failure is decisions.DispatchFailure.BROKEN:
-            crash_reports.report_break(self._record, self._last_dispatch, context)
-        engine_dispatch.record_failure(self._last_dispatch, failure, context.now_s)
-        self._end_dispatch(context, failure_weight=decisions.failure_weight(failure))
+            crash_reports.report_break(self._record, dispatch, context)
+        engine_dispatch.record_failure(dispatch, failure, context.now_s)
         cancellations = []
         if failure in decisions.UNFINISHED_FAILURES:
-            cancellations = [decisions.Cancel(self.dispatches)]
+            cancellations = [decisions.Cancel(dispatch.number)]
         if failure in decisions.NOT_RUN_FAILURES:
-            self._record = self._record.failed_without_run()
+            self._record = self._record.failed_without_run(dispatch.engine_id)
+        weight = decisions.failure_weight(failure)
+        self._dispatches.replace(
+            engine_dispatch.end(dispatch, context.now_s, failure_weight=weight)
+        )
+        if is_kept:
+            self._dispatches.drop_kept()
+            return cancellations
+        if self._dispatches.kept is not None:
+            self._dispatches.return_to_kept()
+            return cancellations + self._move(context)
         return cancellations + self._retry(context, failure)
 
     def must_be_withdrawn(
-        self, context: decision_context.Context, was_sent: bool
+        self,
+        context: decision_context.Context,
+        was_sent: bool,
+        number: int | None = None,
     ) -> bool:
         """Return whether its engine could begin the request on weights too old.
 
         :param was_sent: whether the request was sent on a connection.
+        :param number: of the dispatch; None for the newest one.
         """
         return withdrawal.must_be_withdrawn(
-            self._record, self._last_dispatch, context, was_sent
+            self._record, self._dispatches.find(number), context, was_sent
         )
 
     def must_go_elsewhere(self, context: decision_context.Context) -> bool:
@@ -269,14 +356,20 @@
         return self._end(context, decisions.FailureCause.LEAVING)
 
     def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
-        """End a request that waits at an engine if it matches a quarantine."""
+        """End a request that waits at an engine if it matches a quarantine.
+
+        One that has begun at an engine only moves to no other one any more.
+        """
         if self.is_finished or self._engine is None:
             return []
-        if self._last_dispatch.first_event_s is not None:
+        if self._dispatches.newest.first_event_s is not None:
             return []
         if not crash_reports.is_quarantined(self._record, context):
             return []
-        return self._cancel_dispatch(context) + self._refuse_quarantined(context)
+        kept = self._dispatches.kept
+        if kept is not None and kept.first_event_s is not None:
+            return self.choose_dispatch(context, kept.number)
+        return self._cancel_dispatches(context) + self._refuse_quarantined(context)
 
     def on_deadline(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request whose deadline has passed."""
@@ -289,12 +382,12 @@
         if self.is_finished:
             return []
         self.is_finished = True
-        return self._cancel_dispatch(context)
+        return self._cancel_dispatches(context)
 
     @property
     def _engine(self) -> engines.Engine | None:
-        """Return the engine that has the request."""
-        return self._last_dispatch.engine
+        """Return the engine that has the newest dispatch."""
+        return self._dispatches.newest.engine
 
     def _dispatch(
         self, context: decision_context.Context, skips_limited: bool = False
@@ -322,24 +415,65 @@
         engine_dispatch.check(self._record, engine, context)
         effects = engine_dispatch.send(self._record, engine, context)
         self._record = self._record.sent_to(engine.entry.engine_id)
-        self._last_dispatch = engine_dispatch.Dispatch(engine, context.now_s)
+        self._dispatches.add(
+            engine_dispatch.Dispatch(self.dispatches, engine, context.now_s)
+        )
         return effects
 
-    def _stay_at_silent_engine(
+    def _on_silence(self, context: decision_context.Context) -> list[data.Effect]:
+        """Move the request from a silent engine, or leave it there."""
+        self._record = self._record._replace(
+            last_failure=decisions.DispatchFailure.SILENT
+        )
+        if self._dispatches.kept is not None:
+            return self._on_second_silence(context)
+        effects = self._move(context)
+        if effects or not silent_dispatch.is_wait_in_vain(
+            self._engine, self.move_obstacle, context
+        ):
+            return effects
+        cause = decisions.FailureCause.ENGINE_FAILED
+        cancellations = self._cancel_dispatches(context, failure_weight=1)
+        return cancellations + self._finish_unanswered(context, cause)
+
+    def _on_second_silence(
         self, context: decision_context.Context
-    ) -> list[data.Effect] | None:
-        """Return what to do about a silent engine; None to move to another one."""
+    ) -> list[data.Effect]:
+        """Give up a second engine that does not begin if a third one can.
+
+        It is given up as well if nothing at all is heard of it.
+        """
+        newest = self._dispatches.newest
+        obstacle = silent_dispatch.find_move_obstacle(
+            self._record, newest.engine, context
+        )
+        if obstacle is not None and not newest.engine.is_silent(context.now_s):
+            return []
+        weight = decisions.failure_weight(decisions.DispatchFailure.SILENT)
+        engine_dispatch.end(newest, context.now_s, failure_weight=weight)
+        self._dispatches.return_to_kept()
+        return [decisions.Cancel(newest.number), *self._move(context)]
+
+    def _move(self, context: decision_context.Context) -> list[data.Effect]:
+        """Send the request to another engine, too, while its silent one keeps it.
+
+        If it can't move, :attr:`move_obstacle` tells why.
+        """
         obstacle = silent_dispatch.find_move_obstacle(
             self._record, self._engine, context
         )
-        self.move_obstacle = obstacle
+        engine = None
         if obstacle is None:
-            return None
-        if not silent_dispatch.is_wait_in_vain(self._engine, obstacle, context):
+            engine = engine_choice.choose_move(self._record, context)
+        if obstacle is None and engine is None:
+            obstacle = decisions.MoveObstacle.NO_FREE_ENGINE
+        self.move_obstacle = obstacle
+        if obstacle is not None:
             return []
-        cancellations = self._cancel_dispatch(context, failure_weight=1)
-        cause = decisions.FailureCause.ENGINE_FAILED
-        return cancellations + self._finish_unanswered(context, cause)
+        context.retry_budgets.acquire(
+            self._record.service.name, context.now_s, context.location.entry_count
+        )
+        return self._send_to(engine, context)
 
     def _can_run_again(self, context: decision_context.Context) -> bool:
         return silent_dispatch.find_run_obstacle(self._record, context) is None
@@ -350,7 +484,9 @@
         failure: decisions.DispatchFailure,
     ) -> list[data.Effect]:
         """Send the request to another engine if it may be retried, else end it."""
-        cause = retries.claim_retry(self._record, self._last_dispatch, failure, context)
+        cause = retries.claim_retry(
+            self._record, self._dispatches.newest, failure, context
+        )
         if cause is not None:
             return self._finish_unanswered(context, cause)
         return self._dispatch(context)
@@ -361,16 +497,22 @@
         """End the request, also at its engine."""
         if self.is_finished:
             return []
-        return self._cancel_dispatch(context) + self._finish_unanswered(context, cause)
+        return self._cancel_dispatches(context) + self._finish_unanswered(
+            context, cause
+        )
 
-    def _cancel_dispatch(
+    def _cancel_dispatches(
         self, context: decision_context.Context, failure_weight: int = 0
     ) -> list[data.Effect]:
-        """Take the request from the engine that has it."""
-        if self._engine is None:
-            return []
-        self._end_dispatch(context, failure_weight=failure_weight)
-        return [decisions.Cancel(self.dispatches)]
+        """Take the request from the engines that have it."""
+        live = self._dispatches.live
+        for dispatch in live:
+            self._dispatches.replace(
+                engine_dispatch.end(
+                    dispatch, context.now_s, failure_weight=failure_weight
+                )
+            )
+        return [decisions.Cancel(dispatch.number) for dispatch in live]
 
     def _end_dispatch(
         self,
@@ -378,8 +520,9 @@
         ok: bool = False,
         failure_weight: int = 0,
     ) -> None:
-        self._last_dispatch = engine_dispatch.end(
-            self._last_dispatch, context.now_s, ok, failure_weight
+        newest = self._dispatches.newest
+        self._dispatches.replace(
+            engine_dispatch.end(newest, context.now_s, ok, failure_weight)
         )
 
     def _refuse_quarantined(
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -53,6 +53,7 @@
         strategies.sampled_from(decisions.DispatchFailure),
         strategies.sampled_from((200, 404, 429, 500, 503)),
         strategies.floats(0.0, 1.0),
+        strategies.integers(0, 1),
     ),
     max_size=12,
 )
@@ -63,6 +64,7 @@
 
     :ivar possible_runs: number of engines that got the request, without those that
         certainly did not run it.
+    :ivar at_engines: the numbers of the dispatches that are not over.
     """
 
     def __init__(self, kind, attempts, has_profile):
@@ -100,7 +102,7 @@
         self.retry_budgets = retry_budget.RetryBudget(0.2, 50, 10.0)
         self.guard = crash_guard_test.make_guard()
         self.now_s = 0.0
-        self.has_engine = False
+        self.at_engines = set()
         self.is_queued = False
         self.possible_runs = 0
         self.final_effects = []
@@ -121,17 +123,21 @@
     def apply(self, effects):
         for effect in effects:
             if isinstance(effect, decisions.SendToEngine):
-                self.has_engine = True
+                self.at_engines.add(effect.number)
                 self.is_queued = False
                 self.possible_runs += 1
+            elif isinstance(effect, decisions.Cancel):
+                self.at_engines.remove(effect.number)
             elif isinstance(effect, decisions.Enqueue):
                 self.is_queued = True
             elif isinstance(effect, FINAL_EFFECTS):
                 self.final_effects.append(effect)
-                self.has_engine = False
 
-    def step(self, event, failure, status, after_s):
-        """Pass an event to the request if it can occur in its present state."""
+    def step(self, event, failure, status, after_s, position):
+        """Pass an event to the request if it can occur in its present state.
+
+        :param position: of its dispatch among those that are not over.
+        """
         self.now_s += after_s
         context = self.context()
         request = self.request
@@ -139,32 +145,38 @@
             self.apply(request.on_deadline(context))
         elif event == "left":
             self.apply(request.on_caller_disconnected(context))
-            self.has_engine = False
         elif event == "go on" and self.is_queued:
             self.apply(request.resume_queued(context))
         elif event == "quarantine":
             self.guard.on_notice(QUARANTINE, self.now_s)
             self.apply(request.on_quarantine(context))
-        elif not self.has_engine:
-            return
-        elif event == "opened":
+        elif self.at_engines:
+            numbers = sorted(self.at_engines)
+            number = numbers[position % len(numbers)]
+            self.process_answer(event, failure, status, number)
+
+    def process_answer(self, event, failure, status, number):
+        """Pass an event of the answer to one dispatch to the request."""
+        context = self.context()
+        request = self.request
+        if event == "opened":
+            self.apply(request.choose_dispatch(context, number))
             self.apply(request.on_stream_opened())
         elif event == "events":
+            self.apply(request.choose_dispatch(context, number))
             request.on_events(self.now_s, "3")
         elif event == "answer":
-            self.has_engine = False
-            self.apply(request.on_answer(context, status))
+            self.at_engines.remove(number)
+            self.apply(request.on_answer(context, status, number))
         elif event == "failure":
-            self.fail(failure, context)
+            self.fail(failure, context, number)
 
-    def fail(self, failure, context):
-        effects = self.request.on_failure(context, failure)
-        if not effects and failure is decisions.DispatchFailure.SILENT:
-            return
-        self.has_engine = False
+    def fail(self, failure, context, number):
+        if failure not in decisions.UNFINISHED_FAILURES:
+            self.at_engines.remove(number)
         if failure in NOT_RUN_FAILURES:
             self.possible_runs -= 1
-        self.apply(effects)
+        self.apply(self.request.on_failure(context, failure, number))
 
 
 class ForwardingFuzzTest(testtools.TestCase):
@@ -184,6 +196,9 @@
             driver.step(*step)
             max_runs = attempts if driver.route.is_repeatable else 1
             self.assertLessEqual(driver.possible_runs, max_runs)
+            self.assertEqual(driver.at_engines, set(driver.request.live_numbers))
+        if driver.request.is_finished:
+            self.assertEqual(set(), driver.at_engines)
         self.assertLessEqual(len(driver.final_effects), 1)
         for effect in driver.final_effects:
             if isinstance(effect, decisions.Reject):
--- a/toucanspread/core/entry/forwarding_test.py
+++ b/toucanspread/core/entry/forwarding_test.py
@@ -292,8 +292,10 @@
         request = self.start_stream(fixture := Fixture())
         silent = decisions.DispatchFailure.SILENT
         effects = request.on_failure(fixture.at(1.6), silent)
-        self.assertEqual(decisions.SendToEngine, type(effects[1]))
+        sent = self.assert_only(decisions.SendToEngine, effects)
         self.assertIsNone(request.move_obstacle)
+        effects = request.choose_dispatch(fixture.at(1.7), sent.number)
+        self.assert_only(decisions.Cancel, effects)
         self.assertEqual([], request.on_failure(fixture.at(2.7), silent))
         self.assertIs(decisions.MoveObstacle.ATTEMPTS_USED, request.move_obstacle)
 
--- a/toucanspread/core/entry/request_record.py
+++ b/toucanspread/core/entry/request_record.py
@@ -16,6 +16,7 @@
     :param possible_runs: number of engines that may have begun to run it.
     :param rejections: number of dispatches that certainly did not run.
     :param tried: ids of the engines that it was sent to.
+    :param not_run_at: ids of those that certainly did not run it.
     :param last_failure: how the last dispatch failed; None if none did.
     :param is_stream_open: whether the caller has the head of a stream.
     """
@@ -28,6 +29,7 @@
     possible_runs: int = 0
     rejections: int = 0
     tried: frozenset[str] = frozenset()
+    not_run_at: frozenset[str] = frozenset()
     last_failure: decisions.DispatchFailure | None = None
     is_stream_open: bool = False
 
@@ -51,6 +53,11 @@
         """Return whether the request may wait at the entry for an engine."""
         return self.service.profile is not None and self.dispatches == 0
 
+    @property
+    def possibly_run_at(self) -> frozenset[str]:
+        """Return the ids of the engines that may have begun to run it."""
+        return self.tried - self.not_run_at
+
     @property
     def likely_tokens_left(self) -> int:
         """Return the likely number of tokens of the rest of the answer."""
@@ -62,10 +69,13 @@
             dispatches=self.dispatches + 1,
             possible_runs=self.possible_runs + 1,
             tried=self.tried | {engine_id},
+            not_run_at=self.not_run_at - {engine_id},
         )
 
-    def failed_without_run(self) -> "RequestRecord":
-        """Return the record after a dispatch that certainly did not run."""
+    def failed_without_run(self, engine_id: str) -> "RequestRecord":
+        """Return the record after a dispatch that the engine certainly did not run."""
         return self._replace(
-            possible_runs=self.possible_runs - 1, rejections=self.rejections + 1
+            possible_runs=self.possible_runs - 1,
+            rejections=self.rejections + 1,
+            not_run_at=self.not_run_at | {engine_id},
         )
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -1,8 +1,9 @@
 """Decides what becomes of a request whose engine sends nothing.
 
-The request moves to another engine if it may run again and one can take it. If it
-can't move, it waits on, unless nothing at all is heard of its engine: no close of a
-connection reaches an engine that stands still, and the caller would wait in vain.
+The request moves to another engine if it may run again and one can take it. Its own
+engine keeps it until the other one has begun. If it can't move, it waits on, unless
+nothing at all is heard of its engine: no close of a connection reaches an engine that
+stands still, and the caller would wait in vain.
 """
 
 from toucanspread.core.entry import (
@@ -13,6 +14,7 @@
     engines,
     load_balancing,
     request_record,
+    retries,
 )
 
 MIN_TIME_TO_DISPATCH_S = 0.03  # shorter than transfer to an engine and the shortest run
@@ -47,6 +49,8 @@
     obstacle = find_run_obstacle(record, context)
     if obstacle is not None:
         return obstacle
+    if record.rejections > retries.MAX_REJECTION_COUNT:
+        return decisions.MoveObstacle.REJECTED
     if not context.retry_budgets.allows_retry(
         record.service.name, context.now_s, context.location.entry_count
     ):
@@ -77,13 +81,15 @@
     present_engine: engines.Engine | None,
     context: decision_context.Context,
 ) -> bool:
-    """Return whether an engine that was not tried has a free slot.
+    """Return whether an engine that has not run the request has a free slot.
 
     If the present engine is silent, any engine that is heard is better.
     """
     now_s, location = context.now_s, context.location
     needs_slot = present_engine is None or not present_engine.is_silent(now_s)
-    requirements = engine_choice.make_requirements(record, context, record.tried)
+    requirements = engine_choice.make_requirements(
+        record, context, record.possibly_run_at
+    )
     for engine in load_balancing.eligible_engines(
         context.registry, requirements, location, now_s
     ):
--- a/toucanspread/core/entry/silent_dispatch_test.py
+++ b/toucanspread/core/entry/silent_dispatch_test.py
@@ -75,8 +75,8 @@
         for engine in self.fixture.registry.of_service(forwarding_test.SERVICE.name):
             for _ in range(20):
                 engine.record_dispatch(OVERDUE_S)
-        effects = request.on_failure(self.fixture.at(OVERDUE_S), SILENT)
-        self.assertEqual(
-            [decisions.Cancel, decisions.SendToEngine],
-            [type(effect) for effect in effects],
-        )
+        [sent] = request.on_failure(self.fixture.at(OVERDUE_S), SILENT)
+        self.assertIsInstance(sent, decisions.SendToEngine)
+        self.assertNotEqual(name, sent.engine_id)
+        effects = request.choose_dispatch(self.fixture.at(OVERDUE_S), sent.number)
+        self.assertEqual([decisions.Cancel(1)], effects)
