End no request at a planned stop because nothing is heard of its engine

What callers saw: streams that began before the signal ended with a reset 2.4 s after their begin, though their engines went on 0.3 s later and the stop had time left.

Cause: a request that can't move, and of whose engine neither answers nor reports arrive, is ended so that its caller can have it run elsewhere. Of a leaving entry `leaving` was such an obstacle, so each stream whose time limit lies past the stop ended at the first pause in which the process beside the engine stood still, too.

Why this works: while the entry leaves, silence ends nothing; what lasts to the end of the requests ends there as before. Without a stop nothing changes.

--- a/standins/pausing_engine.py
+++ b/standins/pausing_engine.py
@@ -31,10 +31,12 @@
     """Goes on after each pause and never breaks an answer off.
 
     :param seed: of the choice of requests to pause or to reject.
+    :ivar pausing_until_s: end of its last pause.
     """
 
     def __init__(self, habits: Habits, seed: int):
         super().__init__()
+        self.pausing_until_s = 0.0
         self._habits = habits
         self._random_source = random.Random(seed)
 
@@ -56,6 +58,7 @@
         if received.pauses and worked_s + duration_s > self._habits.pause_after_s:
             received.pauses = False
             left_s += self._habits.pause_s
+            self.pausing_until_s = time.monotonic() + self._habits.pause_s
         await super()._work(left_s, received, caller_end)
 
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -87,6 +87,11 @@
         """Return an address on which the process listens, by its name in the file."""
         return self._fields["listen"][purpose]
 
+    @property
+    def reports_address(self) -> tuple[str, int]:
+        """Return the address and port at which an entry gets load reports."""
+        return self._fields["ip"], self._fields["internal_ports"][0]
+
     def change_settings(self, **changes) -> None:
         """Write the settings file with some fields changed."""
         self._fields = {**self._fields, **changes}
--- a/toucanspread/core/entry/decision_context.py
+++ b/toucanspread/core/entry/decision_context.py
@@ -33,3 +33,8 @@
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
     requests_end_s: float = float("inf")
     has_turn: bool = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the entry is leaving."""
+        return self.requests_end_s < float("inf")
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -44,7 +44,6 @@
         MoveObstacle.ATTEMPTS_USED,
         MoveObstacle.RETRY_BUDGET_EXHAUSTED,
         MoveObstacle.REJECTED,
-        MoveObstacle.LEAVING,
     }
 )
 
--- a/toucanspread/core/entry/silent_dispatch.py
+++ b/toucanspread/core/entry/silent_dispatch.py
@@ -3,7 +3,8 @@
 The request moves to another engine if it may run again and one can take it. Its own
 engine keeps it until the other one has begun. If it can't move, it waits on, unless
 nothing at all is heard of its engine: no close of a connection reaches an engine that
-stands still, and the caller would wait in vain.
+stands still, and the caller would wait in vain. A planned stop ends no request for it:
+an answer may still come, and until the requests end there is time for it.
 """
 
 from toucanspread.core.entry import (
@@ -73,6 +74,8 @@
     """
     if engine is None or not engine.is_silent(context.now_s):
         return False
+    if context.is_leaving:
+        return False
     return obstacle in decisions.CALLER_RETRY_OBSTACLES
 
 
--- a/toucanspread/core/entry/silent_dispatch_test.py
+++ b/toucanspread/core/entry/silent_dispatch_test.py
@@ -57,6 +57,18 @@
             [type(effect) for effect in effects],
         )
 
+    def test_a_stop_ends_no_stream_at_an_engine_that_stands_still(self):
+        for attempts, end_s in ((1, 9.0), (2, 3.0)):
+            route = forwarding_test.make_route(attempts=attempts)
+            request, name = self.start_reported(route)
+            request.on_stream_opened()
+            request.on_events(0.05, "1")
+            self.silence(name)
+            context = self.fixture.at(OVERDUE_S + 0.1, requests_end_s=end_s)
+            self.assertEqual([], request.on_failure(context, SILENT))
+            self.assertIsNotNone(request.move_obstacle)
+            request.on_stop(context)
+
     def test_a_request_stays_at_a_slow_engine_that_reports(self):
         route = forwarding_test.make_route(attempts=1)
         request, name = self.start_reported(route)
