--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -425,34 +425,37 @@
         self._record = self._record._replace(
             last_failure=decisions.DispatchFailure.SILENT
         )
+        cancellations = []
         if self._dispatches.kept is not None:
-            return self._on_second_silence(context)
+            if not self._gives_up_newest(context):
+                return []
+            cancellations = self._give_up_newest(context)
         effects = self._move(context)
         if effects or not silent_dispatch.is_wait_in_vain(
             self._engine, self.move_obstacle, context
         ):
-            return effects
+            return cancellations + effects
         cause = decisions.FailureCause.ENGINE_FAILED
-        cancellations = self._cancel_dispatches(context, failure_weight=1)
+        cancellations += self._cancel_dispatches(context, failure_weight=1)
         return cancellations + self._finish_unanswered(context, cause)
 
-    def _on_second_silence(
-        self, context: decision_context.Context
-    ) -> list[data.Effect]:
-        """Give up a second engine that does not begin if a third one can.
+    def _gives_up_newest(self, context: decision_context.Context) -> bool:
+        """Return whether nothing is heard of the second engine, or a third can begin.
 
-        It is given up as well if nothing at all is heard of it.
+        The second engine has been silent for a while.
         """
+        engine = self._dispatches.newest.engine
+        if engine.is_silent(context.now_s):
+            return True
+        return silent_dispatch.find_move_obstacle(self._record, engine, context) is None
+
+    def _give_up_newest(self, context: decision_context.Context) -> list[data.Effect]:
+        """Take the request from the second engine, so that only the first has it."""
         newest = self._dispatches.newest
-        obstacle = silent_dispatch.find_move_obstacle(
-            self._record, newest.engine, context
-        )
-        if obstacle is not None and not newest.engine.is_silent(context.now_s):
-            return []
         weight = decisions.failure_weight(decisions.DispatchFailure.SILENT)
         engine_dispatch.end(newest, context.now_s, failure_weight=weight)
         self._dispatches.return_to_kept()
-        return [decisions.Cancel(newest.number), *self._move(context)]
+        return [decisions.Cancel(newest.number)]
 
     def _move(self, context: decision_context.Context) -> list[data.Effect]:
         """Send the request to another engine, too, while its silent one keeps it.
