Relay an engine's own error if the retry after it brings nothing

What callers saw: an engine's whole answer with a status of 5xx was dropped for a retry; if the other engine rejected the request, broke off or sent nothing, the caller got a 502 or 504 of the entry, which says less.

Attempts, retries and "not run" don't change: the request has run, so it never ends with 503 of the entry.

--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -148,7 +148,12 @@
 
 
 class RelayAnswer(data.Effect, tag="Relay"):
-    """Relay the complete answer of the engine to the caller."""
+    """Relay a complete answer of an engine to the caller.
+
+    :param number: of the dispatch that it answers.
+    """
+
+    number: int
 
 
 class OpenStream(data.Effect):
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -63,6 +63,7 @@
             self.timing, rank, call.last_event_id
         )
         self._dispatches = request_dispatches.RequestDispatches()
+        self._error_number: int | None = None
 
     @property
     def possible_runs(self) -> int:
@@ -260,13 +261,17 @@
         context: decision_context.Context,
         status: int,
         number: int | None = None,
+        can_be_kept: bool = False,
     ) -> list[data.Effect]:
         """Handle a complete answer of the engine, or the regular end of its stream.
 
         :param number: of the dispatch; None for the newest one.
+        :param can_be_kept: whether the answer can be relayed later.
         """
         is_stream_open = self._record.is_stream_open
         dispatch = self._dispatches.find(number)
+        if can_be_kept and status >= 500 and not is_stream_open:
+            self._error_number = dispatch.number
         is_rest_missing = is_stream_open and not dispatch.is_stream
         is_usable = status < 500 and not is_rest_missing
         if not is_usable and self._dispatches.kept is not None:
@@ -278,12 +283,14 @@
         if is_usable:
             self._end_dispatch(context, ok=True)
             return cancellations + self._finish(
-                decisions.CloseStream() if is_stream_open else decisions.RelayAnswer()
+                decisions.CloseStream()
+                if is_stream_open
+                else decisions.RelayAnswer(dispatch.number)
             )
         # The engine ran the request and reports that it failed, or does not stream.
         self._end_dispatch(context, failure_weight=1)
         if not is_stream_open and not self._can_run_again(context):
-            return self._finish(decisions.RelayAnswer())
+            return self._finish(decisions.RelayAnswer(dispatch.number))
         return self._retry(context, decisions.DispatchFailure.FAILED)
 
     def on_failure(
@@ -537,13 +544,17 @@
     def _finish_unanswered(
         self, context: decision_context.Context, cause: decisions.FailureCause
     ) -> list[data.Effect]:
-        """End the request without an answer of an engine."""
+        """End the request; its answer is an engine's earlier error if there is one."""
+        if self._error_number is not None and not self._record.is_stream_open:
+            return self._finish(decisions.RelayAnswer(self._error_number))
         effect = final_answers.make_unanswered(self._record, cause, context)
         return self._finish(effect)
 
     def _queue_or_finish(self, effect: data.Effect) -> list[data.Effect]:
         if isinstance(effect, decisions.Enqueue):
             return [effect]
+        if self._error_number is not None and isinstance(effect, decisions.Fail):
+            return self._finish(decisions.RelayAnswer(self._error_number))
         return self._finish(effect)
 
     def _finish(self, effect: data.Effect) -> list[data.Effect]:
--- a/toucanspread/ops/forwarding/dispatch_events.py
+++ b/toucanspread/ops/forwarding/dispatch_events.py
@@ -17,9 +17,16 @@
     forwarding,
 )
 from toucanspread.ops.forwarding import engine_answer, outcome_logs
-from toucanspread.ops.http import answer_flaws, http1_exchange, http1_pool
+from toucanspread.ops.http import (
+    answer_flaws,
+    http1_exchange,
+    http1_pool,
+    receive_memory,
+)
 from toucanspread.ops.telemetry import logs, metric_buffer, statement_logs
 
+MAX_KEPT_BYTES = receive_memory.SMALL_BYTES  # of an error; no account counts it
+
 
 class AbstractRequest(abc.ABC):
     """Interface of a caller's request that its dispatches use.
@@ -78,11 +85,13 @@
 
     :param number: of the dispatch among those of the request.
     :ivar answer: of the engine.
+    :ivar kept_body: of an error that is relayed if no other engine answers.
     """
 
     def __init__(self, request: AbstractRequest, number: int):
         self.call = request.call
         self.answer: engine_answer.EngineAnswer | None = None
+        self.kept_body: bytes | None = None
         self._request = request
         self._number = number
 
@@ -157,7 +166,10 @@
         """Process a complete answer of the engine."""
         context = self._request.make_decision_context()
         was_moving = self._state.is_moving
-        effects = self._state.on_answer(context, status, self._number)
+        can_be_kept = status >= 500 and len(self.answer.body) <= MAX_KEPT_BYTES
+        if can_be_kept:
+            self.kept_body = bytes(self.answer.body)
+        effects = self._state.on_answer(context, status, self._number, can_be_kept)
         if was_moving:
             self._log_move(effects)
         self._request.carry_out(effects)
--- a/toucanspread/ops/forwarding/faulty_engine_test.py
+++ b/toucanspread/ops/forwarding/faulty_engine_test.py
@@ -28,6 +28,51 @@
         raise AssertionError(failure)
 
 
+class ErrorBeforeRetryTest(forwarder_test.ForwarderCase):
+    """An engine's own error is retried, and the second engine is of no use."""
+
+    def fail_first(self, body=ERROR_TEXT):
+        head = HEAD.replace(b"200 OK", b"500 Oops")
+        self.send_request().answer(
+            head + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        self.assertEqual(2, len(self.pool.sent))
+        return self.pool.sent[-1]
+
+    def assert_first_relayed(self):
+        self.assertEqual(1, self.received().count(b"HTTP/1.1"))
+        self.assertIn(b"HTTP/1.1 500", self.received())
+        self.assertIn(b"X-Response-Seal: s1\r\n", self.received())
+        self.assertTrue(self.received().endswith(ERROR_TEXT))
+        self.assertEqual(set(), self.forwarder.in_progress)
+
+    def test_the_error_is_not_lost_if_the_second_engine_rejects_the_request(self):
+        second = self.fail_first()
+        while second is not None:
+            second.answer(REFUSAL % ID)
+            has_more = self.pool.sent[-1] is not second
+            second = self.pool.sent[-1] if has_more else None
+        self.assert_first_relayed()
+
+    def test_the_error_is_not_lost_if_the_second_engine_breaks_off(self):
+        self.fail_first().disconnect(error.ConnectionLost)
+        self.assert_first_relayed()
+
+    def test_the_error_is_not_lost_if_the_second_engine_sends_nothing(self):
+        second = self.fail_first()
+        self.clock.advance(3.2)
+        self.assert_first_relayed()
+        self.assertTrue(second.cancelled)
+
+    def test_the_second_engines_answer_goes_before_the_error(self):
+        self.fail_first().answer(ANSWER)
+        self.assertTrue(self.received().endswith(b"own"))
+
+    def test_a_large_error_is_not_kept(self):
+        self.fail_first(b"x" * 20_000).disconnect(error.ConnectionLost)
+        self.assertIn(b"HTTP/1.1 502", self.received())
+
+
 class RepeatedRefusalTest(forwarder_test.ForwarderCase):
     def send_on_kept_connection(self):
         """Return a request on a connection on which another one was refused."""
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -316,15 +316,16 @@
         self._dispatches[effect.number].answer.cancel()
 
     def _relay_answer(self, effect: decisions.RelayAnswer) -> None:
-        answer = self._answer
-        metric_buffer.count("requests_answered", status=str(answer.head.status))
-        self._observe_first_byte(answer.head.status)
-        self.exchange.respond(
-            answer.head.status,
-            answer.head.get_forwardable_headers(),
-            bytes(answer.body),
-        )
-        self._outcome_log.write_answer(answer.head.status, self._state, self._now_s)
+        dispatch = self._dispatches[effect.number]
+        answer = dispatch.answer
+        body = dispatch.kept_body
+        if body is None:
+            body = bytes(answer.body)
+        status = answer.head.status
+        metric_buffer.count("requests_answered", status=str(status))
+        self._observe_first_byte(status)
+        self.exchange.respond(status, answer.head.get_forwardable_headers(), body)
+        self._outcome_log.write_answer(status, self._state, self._now_s)
 
     def _open_stream(self, effect: decisions.OpenStream) -> None:
         head = self._answer.head
--- a/toucanspread/ops/forwarding/forwarder_test.py
+++ b/toucanspread/ops/forwarding/forwarder_test.py
@@ -613,7 +613,7 @@
         self.assertIn(b"HTTP/1.1 502", self.received())
         self.assertEqual(["ValueError"], [message["kind"] for message in abandoned])
 
-    def fail_to_decide(self, context, status, number):
+    def fail_to_decide(self, *arguments):
         raise ValueError("odd")
 
 
