Move what concerns the dispatches of a request into their own class

RequestState keeps the decisions; RequestDispatches ends, cancels and chooses among dispatches; a Dispatch tells what is known of its engine.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -176,7 +176,7 @@
 
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
-        for number in self._state.live_numbers:
+        for number in self._state.running.live_numbers:
             context = self.make_decision_context()
             if self._state.must_be_withdrawn(context, True, number):
                 failure = decisions.DispatchFailure.WITHDRAWN
@@ -356,7 +356,7 @@
     def _abandon(self) -> None:
         """Abandon the request after a long time without an event."""
         self._entry.queue.remove(self)
-        live = [self._dispatches[number] for number in self._state.live_numbers]
+        live = [self._dispatches[number] for number in self._state.running.live_numbers]
         begun = [dispatch for dispatch in live if dispatch.job is not None]
         if begun:
             self._simulation.clock.callLater(
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -45,6 +45,17 @@
         """Return the id of the engine that has the request, or an empty string."""
         return "" if self.engine is None else self.engine.entry.engine_id
 
+    @property
+    def engine_says_leaving(self) -> bool:
+        """Return whether the engine that has the request has said that it leaves."""
+        return self.engine is not None and self.engine.says_leaving
+
+    def report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the last load report of the engine; None without one."""
+        if self.engine is None or self.engine.load is None:
+            return None
+        return now_s - self.engine.load_received_s
+
     @property
     def engine_wait_s(self) -> float | None:
         """Return the time until the engine began to answer; None if it has not."""
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -40,6 +40,7 @@
     :ivar deadline_s: time of the request's deadline, on the clock of ``now_s``.
     :ivar start_deadline_s: latest time at which an engine can start for an answer on
         time.
+    :ivar running: the dispatches that are not over.
     :ivar move_obstacle: why the request did not leave its engine when that was silent;
         None if it was not, or if the request did.
     """
@@ -62,7 +63,7 @@
         self._record = request_record.RequestRecord(
             self.timing, rank, call.last_event_id
         )
-        self._dispatches = request_dispatches.RequestDispatches()
+        self.running = request_dispatches.RequestDispatches()
         self._error_number: int | None = None
 
     @property
@@ -80,63 +81,13 @@
         """Return how the last dispatch that failed did so; None if none did."""
         return self._record.last_failure
 
-    @property
-    def dispatch_number(self) -> int:
-        """Return the number of the dispatch whose answer the caller gets."""
-        return self._dispatches.newest.number
-
-    @property
-    def live_numbers(self) -> list[int]:
-        """Return the numbers of the dispatches whose engines have the request."""
-        return [dispatch.number for dispatch in self._dispatches.live]
-
     @property
     def engine_id(self) -> str:
         """Return the id of the engine that has the request, or an empty string.
 
         During a move, it is that of the engine to which the request moves.
         """
-        return self._dispatches.newest.engine_id
-
-    def find_engine_id(self, number: int) -> str:
-        """Return the id of the engine that has a dispatch, or an empty string."""
-        return self._dispatches.find(number).engine_id
-
-    def engine_report_age_s(
-        self, now_s: float, number: int | None = None
-    ) -> float | None:
-        """Return the age of the last load report of the engine that has a dispatch.
-
-        It is None without one.
-
-        :param number: of the dispatch; None for the newest one.
-        """
-        engine = self._dispatches.find(number).engine
-        if engine is None or engine.load is None:
-            return None
-        return now_s - engine.load_received_s
-
-    @property
-    def is_moving(self) -> bool:
-        """Return whether two engines have the request, of which one was silent."""
-        return self._dispatches.kept is not None
-
-    def says_leaving(self, number: int) -> bool:
-        """Return whether the engine that has a dispatch has said that it leaves."""
-        engine = self._dispatches.find(number).engine
-        return engine is not None and engine.says_leaving
-
-    @property
-    def engine_wait_s(self) -> float | None:
-        """Return the time from the last dispatch until the engine began to answer.
-
-        It is None while the engine has not begun.
-        """
-        return self._dispatches.newest.engine_wait_s
-
-    def find_engine_wait_s(self, number: int) -> float | None:
-        """Return the time from a dispatch until its engine began to answer."""
-        return self._dispatches.find(number).engine_wait_s
+        return self.running.newest.engine_id
 
     def start(
         self, context: decision_context.Context, queued_prefill_s: float = 0.0
@@ -182,7 +133,7 @@
 
         :param number: of the dispatch; None for the newest one.
         """
-        dispatch = self._dispatches.find(number)
+        dispatch = self.running.find(number)
         engine, sent_s = dispatch.engine, dispatch.sent_s
         if engine is None:
             return []
@@ -202,8 +153,8 @@
 
         :param number: of the dispatch; None for the newest one.
         """
-        dispatch = self._dispatches.find(number)
-        self._dispatches.replace(dispatch._replace(head_s=now_s))
+        dispatch = self.running.find(number)
+        self.running.replace(dispatch._replace(head_s=now_s))
 
     def choose_dispatch(
         self, context: decision_context.Context, number: int
@@ -212,21 +163,15 @@
 
         It is called before what comes of that answer is processed.
         """
-        other = self._dispatches.choose(number)
-        if other is None:
-            return []
-        self.move_obstacle = None
-        failure_weight = 0
-        if other.number < number:
-            silent = decisions.DispatchFailure.SILENT
-            failure_weight = decisions.failure_weight(silent)
-        engine_dispatch.end(other, context.now_s, failure_weight=failure_weight)
-        return [decisions.Cancel(other.number)]
+        effects = self.running.choose(number, context.now_s)
+        if effects:
+            self.move_obstacle = None
+        return effects
 
     def on_stream_opened(self) -> list[data.Effect]:
         """Handle the head of a stream; only the first one goes to the caller."""
-        newest = self._dispatches.newest
-        self._dispatches.replace(newest._replace(is_stream=True))
+        newest = self.running.newest
+        self.running.replace(newest._replace(is_stream=True))
         if self._record.is_stream_open:
             return []
         self._record = self._record._replace(is_stream_open=True)
@@ -243,13 +188,13 @@
             self._record = self._record._replace(last_event_id=last_event_id)
         if self._engine is not None:
             self._engine.record_answering(now_s)
-        dispatch = self._dispatches.newest
+        dispatch = self.running.newest
         if dispatch.first_event_s is None:
-            self._dispatches.replace(dispatch._replace(first_event_s=now_s))
+            self.running.replace(dispatch._replace(first_event_s=now_s))
             return False
         if dispatch.has_survived or not dispatch.has_run_for_a_while(now_s):
             return False
-        self._dispatches.replace(dispatch._replace(has_survived=True))
+        self.running.replace(dispatch._replace(has_survived=True))
         return bool(self._record.call.suspect_parts)
 
     def on_survived(self, context: decision_context.Context) -> None:
@@ -269,12 +214,12 @@
         :param can_be_kept: whether the answer can be relayed later.
         """
         is_stream_open = self._record.is_stream_open
-        dispatch = self._dispatches.find(number)
+        dispatch = self.running.find(number)
         if can_be_kept and status >= 500 and not is_stream_open:
             self._error_number = dispatch.number
         is_rest_missing = is_stream_open and not dispatch.is_stream
         is_usable = status < 500 and not is_rest_missing
-        if not is_usable and self._dispatches.kept is not None:
+        if not is_usable and self.running.is_moving:
             # The engine ran it and failed; the other one may still answer.
             return self.on_failure(context, decisions.DispatchFailure.FAILED, number)
         cancellations = self.choose_dispatch(context, dispatch.number)
@@ -305,11 +250,11 @@
         """
         if self.is_finished:
             return []
-        is_kept = self._dispatches.is_kept(number)
+        is_kept = self.running.is_kept(number)
         if failure is decisions.DispatchFailure.SILENT:
             return [] if is_kept else self._on_silence(context)
         self.move_obstacle = None
-        dispatch = self._dispatches.find(number)
+        dispatch = self.running.find(number)
         self._record = self._record._replace(last_failure=failure)
         if failure is decisions.DispatchFailure.BROKEN:
             crash_reports.report_break(self._record, dispatch, context)
@@ -319,15 +264,12 @@
             cancellations = [decisions.Cancel(dispatch.number)]
         if failure in decisions.NOT_RUN_FAILURES:
             self._record = self._record.failed_without_run(dispatch.engine_id)
+        was_moving = self.running.is_moving
         weight = decisions.failure_weight(failure)
-        self._dispatches.replace(
-            engine_dispatch.end(dispatch, context.now_s, failure_weight=weight)
-        )
+        self.running.end(dispatch, context.now_s, failure_weight=weight)
         if is_kept:
-            self._dispatches.drop_kept()
             return cancellations
-        if self._dispatches.kept is not None:
-            self._dispatches.return_to_kept()
+        if was_moving:
             return cancellations + self._move(context)
         return cancellations + self._retry(context, failure)
 
@@ -343,7 +285,7 @@
         :param number: of the dispatch; None for the newest one.
         """
         return withdrawal.must_be_withdrawn(
-            self._record, self._dispatches.find(number), context, was_sent
+            self._record, self.running.find(number), context, was_sent
         )
 
     def must_go_elsewhere(self, context: decision_context.Context) -> bool:
@@ -369,14 +311,16 @@
         """
         if self.is_finished or self._engine is None:
             return []
-        if self._dispatches.newest.first_event_s is not None:
+        if self.running.newest.first_event_s is not None:
             return []
         if not crash_reports.is_quarantined(self._record, context):
             return []
-        kept = self._dispatches.kept
+        kept = self.running.kept
         if kept is not None and kept.first_event_s is not None:
             return self.choose_dispatch(context, kept.number)
-        return self._cancel_dispatches(context) + self._refuse_quarantined(context)
+        return self.running.cancel_all(context.now_s) + self._refuse_quarantined(
+            context
+        )
 
     def on_deadline(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request whose deadline has passed."""
@@ -389,12 +333,12 @@
         if self.is_finished:
             return []
         self.is_finished = True
-        return self._cancel_dispatches(context)
+        return self.running.cancel_all(context.now_s)
 
     @property
     def _engine(self) -> engines.Engine | None:
         """Return the engine that has the newest dispatch."""
-        return self._dispatches.newest.engine
+        return self.running.newest.engine
 
     def _dispatch(
         self, context: decision_context.Context, skips_limited: bool = False
@@ -422,7 +366,7 @@
         engine_dispatch.check(self._record, engine, context)
         effects = engine_dispatch.send(self._record, engine, context)
         self._record = self._record.sent_to(engine.entry.engine_id)
-        self._dispatches.add(
+        self.running.add(
             engine_dispatch.Dispatch(self.dispatches, engine, context.now_s)
         )
         return effects
@@ -433,17 +377,21 @@
             last_failure=decisions.DispatchFailure.SILENT
         )
         cancellations = []
-        if self._dispatches.kept is not None:
+        if self.running.is_moving:
             if not self._gives_up_newest(context):
                 return []
-            cancellations = self._give_up_newest(context)
+            cancellations = self.running.cancel(
+                self.running.newest, context.now_s, request_dispatches.SILENCE_WEIGHT
+            )
         effects = self._move(context)
         if effects or not silent_dispatch.is_wait_in_vain(
             self._engine, self.move_obstacle, context
         ):
             return cancellations + effects
         cause = decisions.FailureCause.ENGINE_FAILED
-        cancellations += self._cancel_dispatches(context, failure_weight=1)
+        cancellations += self.running.cancel_all(
+            context.now_s, request_dispatches.SILENCE_WEIGHT
+        )
         return cancellations + self._finish_unanswered(context, cause)
 
     def _gives_up_newest(self, context: decision_context.Context) -> bool:
@@ -451,19 +399,11 @@
 
         The second engine has been silent for a while.
         """
-        engine = self._dispatches.newest.engine
+        engine = self.running.newest.engine
         if engine.is_silent(context.now_s):
             return True
         return silent_dispatch.find_move_obstacle(self._record, engine, context) is None
 
-    def _give_up_newest(self, context: decision_context.Context) -> list[data.Effect]:
-        """Take the request from the second engine, so that only the first has it."""
-        newest = self._dispatches.newest
-        weight = decisions.failure_weight(decisions.DispatchFailure.SILENT)
-        engine_dispatch.end(newest, context.now_s, failure_weight=weight)
-        self._dispatches.return_to_kept()
-        return [decisions.Cancel(newest.number)]
-
     def _move(self, context: decision_context.Context) -> list[data.Effect]:
         """Send the request to another engine, too, while its silent one keeps it.
 
@@ -494,9 +434,7 @@
         failure: decisions.DispatchFailure,
     ) -> list[data.Effect]:
         """Send the request to another engine if it may be retried, else end it."""
-        cause = retries.claim_retry(
-            self._record, self._dispatches.newest, failure, context
-        )
+        cause = retries.claim_retry(self._record, self.running.newest, failure, context)
         if cause is not None:
             return self._finish_unanswered(context, cause)
         return self._dispatch(context)
@@ -507,33 +445,18 @@
         """End the request, also at its engine."""
         if self.is_finished:
             return []
-        return self._cancel_dispatches(context) + self._finish_unanswered(
+        return self.running.cancel_all(context.now_s) + self._finish_unanswered(
             context, cause
         )
 
-    def _cancel_dispatches(
-        self, context: decision_context.Context, failure_weight: int = 0
-    ) -> list[data.Effect]:
-        """Take the request from the engines that have it."""
-        live = self._dispatches.live
-        for dispatch in live:
-            self._dispatches.replace(
-                engine_dispatch.end(
-                    dispatch, context.now_s, failure_weight=failure_weight
-                )
-            )
-        return [decisions.Cancel(dispatch.number) for dispatch in live]
-
     def _end_dispatch(
         self,
         context: decision_context.Context,
         ok: bool = False,
         failure_weight: int = 0,
     ) -> None:
-        newest = self._dispatches.newest
-        self._dispatches.replace(
-            engine_dispatch.end(newest, context.now_s, ok, failure_weight)
-        )
+        newest = self.running.newest
+        self.running.end(newest, context.now_s, ok, failure_weight)
 
     def _refuse_quarantined(
         self, context: decision_context.Context
--- a/toucanspread/core/entry/forwarding_fuzz_test.py
+++ b/toucanspread/core/entry/forwarding_fuzz_test.py
@@ -196,7 +196,9 @@
             driver.step(*step)
             max_runs = attempts if driver.route.is_repeatable else 1
             self.assertLessEqual(driver.possible_runs, max_runs)
-            self.assertEqual(driver.at_engines, set(driver.request.live_numbers))
+            self.assertEqual(
+                driver.at_engines, set(driver.request.running.live_numbers)
+            )
         if driver.request.is_finished:
             self.assertEqual(set(), driver.at_engines)
         self.assertLessEqual(len(driver.final_effects), 1)
--- a/toucanspread/core/entry/moved_request_test.py
+++ b/toucanspread/core/entry/moved_request_test.py
@@ -27,17 +27,17 @@
         self.start()
         [sent] = self.fail(Failure.SILENT, 1)
         self.assertIsInstance(sent, decisions.SendToEngine)
-        self.assertEqual([1, 2], self.request.live_numbers)
+        self.assertEqual([1, 2], self.request.running.live_numbers)
 
     def assert_at_first(self):
         self.assertFalse(self.request.is_finished)
-        self.assertEqual([1], self.request.live_numbers)
+        self.assertEqual([1], self.request.running.live_numbers)
 
     def test_a_stream_stays_at_its_engine_until_another_one_has_begun(self):
         self.move()
         effects = self.request.choose_dispatch(self.fixture.at(1.7), 2)
         self.assertEqual([decisions.Cancel(1)], effects)
-        self.assertEqual([2], self.request.live_numbers)
+        self.assertEqual([2], self.request.running.live_numbers)
 
     def test_a_stream_whose_engine_goes_on_first_does_not_move(self):
         self.move()
@@ -68,8 +68,8 @@
         for number in range(40):
             now_s = SILENT_S + 0.05 * number
             self.fail(Failure.SILENT, 1, now_s)
-            while len(self.request.live_numbers) > 1:
-                self.fail(Failure.REJECTED, self.request.dispatch_number, now_s)
+            while len(self.request.running.live_numbers) > 1:
+                self.fail(Failure.REJECTED, self.request.running.newest.number, now_s)
         self.assert_at_first()
         self.assertEqual(retries.MAX_REJECTION_COUNT + 2, self.request.dispatches)
         self.assertIs(Obstacle.REJECTED, self.request.move_obstacle)
@@ -85,7 +85,7 @@
         for failure in (Failure.BROKEN, Failure.MALFORMED, Failure.NOT_CONNECTED):
             self.move()
             self.fail(failure, 2)
-            self.assertIn(1, self.request.live_numbers)
+            self.assertIn(1, self.request.running.live_numbers)
             self.assertFalse(self.request.is_finished)
 
     def test_a_failure_of_the_second_engine_is_not_answered_while_the_first_may(self):
@@ -97,13 +97,13 @@
     def test_a_stream_whose_first_engine_breaks_off_goes_on_at_the_second(self):
         self.move()
         self.assertEqual([], self.fail(Failure.BROKEN, 1))
-        self.assertEqual([2], self.request.live_numbers)
+        self.assertEqual([2], self.request.running.live_numbers)
 
     def test_a_stream_at_two_silent_engines_stays_at_both(self):
         self.move()
         self.assertEqual([], self.fail(Failure.SILENT, 2, 2.9))
         self.assertEqual([], self.fail(Failure.SILENT, 1, 2.9))
-        self.assertEqual([1, 2], self.request.live_numbers)
+        self.assertEqual([1, 2], self.request.running.live_numbers)
 
     def test_a_third_engine_is_tried_instead_of_a_second_silent_one(self):
         self.start(attempts=3)
@@ -111,7 +111,7 @@
         cancelled, sent = self.fail(Failure.SILENT, 2, 2.9)
         self.assertEqual(decisions.Cancel(2), cancelled)
         self.assertIsInstance(sent, decisions.SendToEngine)
-        self.assertEqual([1, 3], self.request.live_numbers)
+        self.assertEqual([1, 3], self.request.running.live_numbers)
 
     def test_no_engine_goes_on_with_a_request_that_has_ended(self):
         for end in ("on_deadline", "on_stop", "on_caller_disconnected"):
@@ -119,7 +119,7 @@
             effects = getattr(self.request, end)(self.fixture.at(2.0))
             cancelled = [each for each in effects if isinstance(each, decisions.Cancel)]
             self.assertEqual([1, 2], [each.number for each in cancelled])
-            self.assertEqual([], self.request.live_numbers)
+            self.assertEqual([], self.request.running.live_numbers)
 
     def test_the_engines_have_no_request_left_after_a_move(self):
         self.move()
--- a/toucanspread/core/entry/request_dispatches.py
+++ b/toucanspread/core/entry/request_dispatches.py
@@ -4,7 +4,10 @@
 other engine may reject it. So the caller gets what comes first.
 """
 
-from toucanspread.core.entry import engine_dispatch
+from toucanspread.core import data
+from toucanspread.core.entry import decisions, engine_dispatch
+
+SILENCE_WEIGHT = decisions.failure_weight(decisions.DispatchFailure.SILENT)
 
 
 class RequestDispatches:
@@ -18,12 +21,22 @@
         self.newest = engine_dispatch.Dispatch()
         self.kept: engine_dispatch.Dispatch | None = None
 
+    @property
+    def is_moving(self) -> bool:
+        """Return whether two engines have the request, of which one was silent."""
+        return self.kept is not None
+
     @property
     def live(self) -> list[engine_dispatch.Dispatch]:
         """Return the dispatches whose engines have the request."""
         both = [self.newest] if self.kept is None else [self.kept, self.newest]
         return [dispatch for dispatch in both if dispatch.engine is not None]
 
+    @property
+    def live_numbers(self) -> list[int]:
+        """Return the numbers of the dispatches whose engines have the request."""
+        return [dispatch.number for dispatch in self.live]
+
     def is_kept(self, number: int | None) -> bool:
         """Return whether a number is that of the kept dispatch."""
         return self.kept is not None and number == self.kept.number
@@ -45,19 +58,44 @@
             self.kept = self.newest
         self.newest = dispatch
 
-    def choose(self, number: int | None) -> engine_dispatch.Dispatch | None:
-        """Let only one dispatch go on; return the other one."""
+    def end(
+        self,
+        dispatch: engine_dispatch.Dispatch,
+        now_s: float,
+        ok: bool = False,
+        failure_weight: int = 0,
+    ) -> None:
+        """Record that a dispatch is over; if another one goes on, only that is left.
+
+        :param ok: whether its engine answered.
+        :param failure_weight: how much the end counts towards avoiding its engine.
+        """
+        ended = engine_dispatch.end(dispatch, now_s, ok, failure_weight)
+        if self.is_kept(ended.number):
+            self.kept = None
+        elif self.kept is not None:
+            self.newest, self.kept = self.kept, None
+        else:
+            self.newest = ended
+
+    def cancel(
+        self, dispatch: engine_dispatch.Dispatch, now_s: float, failure_weight: int = 0
+    ) -> list[data.Effect]:
+        """End a dispatch that is not over, also at its engine."""
+        self.end(dispatch, now_s, failure_weight=failure_weight)
+        return [decisions.Cancel(dispatch.number)]
+
+    def cancel_all(self, now_s: float, failure_weight: int = 0) -> list[data.Effect]:
+        """End all dispatches that are not over, also at their engines."""
+        effects = []
+        for dispatch in self.live:
+            effects += self.cancel(dispatch, now_s, failure_weight)
+        return effects
+
+    def choose(self, number: int | None, now_s: float) -> list[data.Effect]:
+        """Let only one dispatch go on; cancel the other one."""
         if self.kept is None:
-            return None
-        other = self.newest if self.is_kept(number) else self.kept
-        self.newest, self.kept = self.find(number), None
-        return other
-
-    def drop_kept(self) -> engine_dispatch.Dispatch:
-        """Return the kept dispatch, which goes on no longer."""
-        dropped, self.kept = self.kept, None
-        return dropped
-
-    def return_to_kept(self) -> None:
-        """Let the kept dispatch go on alone, as the newest one is over."""
-        self.newest = self.drop_kept()
+            return []
+        if self.is_kept(number):
+            return self.cancel(self.newest, now_s)
+        return self.cancel(self.kept, now_s, SILENCE_WEIGHT)
--- a/toucanspread/ops/forwarding/dispatch_events.py
+++ b/toucanspread/ops/forwarding/dispatch_events.py
@@ -13,6 +13,7 @@
 from toucanspread.core.entry import (
     decision_context,
     decisions,
+    engine_dispatch,
     engine_statement,
     forwarding,
 )
@@ -99,21 +100,25 @@
     def _state(self) -> forwarding.RequestState:
         return self._request.state
 
+    @property
+    def _dispatch(self) -> engine_dispatch.Dispatch:
+        return self._state.running.find(self._number)
+
     def abandon(self, error: Exception) -> None:
         """End the request after an error."""
         self._request.abandon(error)
 
     def on_engine_head(self, statement: engine_statement.EngineStatement) -> None:
         """Record what the engine says of itself."""
-        was_leaving = self._state.says_leaving(self._number)
+        was_leaving = self._dispatch.engine_says_leaving
         effects = self._state.on_engine_head(
             self._request.make_decision_context(), statement, self._number
         )
         statement_logs.write(
-            self._state.find_engine_id(self._number),
+            self._dispatch.engine_id,
             statement,
             has_new_limit=bool(effects),
-            begins_to_leave=self._state.says_leaving(self._number) and not was_leaving,
+            begins_to_leave=self._dispatch.engine_says_leaving and not was_leaving,
         )
         self._request.carry_out(effects)
 
@@ -127,10 +132,10 @@
         logs.write(
             "older_version_begun",
             id=self.call.attempt_id,
-            engine=self._state.find_engine_id(self._number),
+            engine=self._dispatch.engine_id,
             version=weights_version,
             minimum_version=context.minimum_version,
-            engine_wait_s=self._state.find_engine_wait_s(self._number),
+            engine_wait_s=self._dispatch.engine_wait_s,
         )
 
     def on_stream_opened(self) -> None:
@@ -156,7 +161,7 @@
         logs.write(
             "answer_rejected",
             id=self.call.attempt_id,
-            engine=self._state.find_engine_id(self._number),
+            engine=self._dispatch.engine_id,
             why=flaw.value,
             number=self._number,
         )
@@ -165,7 +170,7 @@
     def on_answer(self, status: int) -> None:
         """Process a complete answer of the engine."""
         context = self._request.make_decision_context()
-        was_moving = self._state.is_moving
+        was_moving = self._state.running.is_moving
         can_be_kept = status >= 500 and len(self.answer.body) <= MAX_KEPT_BYTES
         if can_be_kept:
             self.kept_body = bytes(self.answer.body)
@@ -177,12 +182,12 @@
     @ending_on_error
     def on_failure(self, failure: decisions.DispatchFailure) -> None:
         """Handle a dispatch that ended without a complete answer."""
-        engine_id = self._state.find_engine_id(self._number)
+        engine_id = self._dispatch.engine_id
         if failure is decisions.DispatchFailure.SILENT:
             # The idle connections to a silent engine are probably dead as well.
             self._request.pool.close_idle(self.answer.address)
         context = self._request.make_decision_context()
-        report_age_s = self._state.engine_report_age_s(context.now_s, self._number)
+        report_age_s = self._dispatch.report_age_s(context.now_s)
         known_obstacle = self._state.move_obstacle
         effects = self._state.on_failure(context, failure, self._number)
         obstacle = self._state.move_obstacle
@@ -207,6 +212,9 @@
     @ending_on_error
     def withdraw_if_outdated(self) -> None:
         """Withdraw the dispatch if its engine could begin it on weights too old."""
+        if self._number not in self._state.running.live_numbers:
+            # The withdrawal of another dispatch has ended this one.
+            return
         was_sent = self.answer.was_sent
         context = self._request.make_decision_context()
         if not self._state.must_be_withdrawn(context, was_sent, self._number):
@@ -233,7 +241,7 @@
         logs.write(
             "move_ended",
             id=self.call.attempt_id,
-            engine=self._state.find_engine_id(self._number),
+            engine=self._dispatch.engine_id,
             number=self._number,
             is_return=is_return,
         )
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -156,15 +156,14 @@
         """Return the answer that the caller gets; None before the first dispatch."""
         if self._state is None or not self._dispatches:
             return None
-        return self._dispatches[self._state.dispatch_number].answer
+        return self._dispatches[self._state.running.newest.number].answer
 
     # Events of the entry
 
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if an engine could begin it on weights too old."""
-        for number in self._state.live_numbers:
-            if number in self._state.live_numbers:
-                self._dispatches[number].withdraw_if_outdated()
+        for number in self._state.running.live_numbers:
+            self._dispatches[number].withdraw_if_outdated()
 
     @dispatch_events.ending_on_error
     def on_quarantine(self) -> None:
@@ -178,7 +177,7 @@
     def on_stop(self) -> None:
         """End the request, since the entry stops now."""
         if self._state.engine_id and not self._answer.was_sent:
-            newest = self._dispatches[self._state.dispatch_number]
+            newest = self._dispatches[self._state.running.newest.number]
             newest.on_failure(decisions.DispatchFailure.WITHDRAWN_UNSENT)
         self.carry_out(self._state.on_stop(self.make_decision_context()))
 
--- a/toucanspread/ops/forwarding/outcome_logs.py
+++ b/toucanspread/ops/forwarding/outcome_logs.py
@@ -88,7 +88,7 @@
             longest_pause_s=timing.longest_pause_s,
             after_s=now_s - self._started_s,
             dispatches=state.dispatches,
-            engine_wait_s=state.engine_wait_s,
+            engine_wait_s=state.running.newest.engine_wait_s,
             **self._size.as_fields(),
         )
 
