Ignore signals once the reactor has ended

Found by stops with SIGHUP in series: a SIGHUP in the last ms of a process, while the interpreter ends and restores the default handlers, killed it (exit code -1), which looks like a crash.

--- a/standins/planned_stop_callers_test.py
+++ b/standins/planned_stop_callers_test.py
@@ -21,6 +21,7 @@
 MIN_GRACE_TO_END_S = 3.0  # several processes end at once here
 SIGNAL_DELAY_S = 0.1  # until the process handles it
 SHORT_GRACE_S = 2
+SIGNAL_INTERVAL_S = 0.001
 FINAL_ANSWERS = (200, 502, 503, 504)
 POLL_INTERVAL_S = 0.02
 MAX_INTERPRETER_END_S = 5.0
@@ -314,6 +315,22 @@
         self.assertEqual([503, 200], [each.status for each in stop.outcomes])
 
 
+class SignalsAtTheEndTest(PlannedStopCase):
+    graces_s = (SHORT_GRACE_S,)
+
+    async def stop_under_signals(self):
+        entry = self.entries[0]
+        entry.terminate()
+        while entry.exit_code is None:
+            entry.hang_up()
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        return entry.exit_code
+
+    def test_a_hangup_at_the_very_end_of_a_stop_does_not_kill_the_process(self):
+        exit_code = run(asyncio.wait_for(self.stop_under_signals(), 2 * SHORT_GRACE_S))
+        self.assertEqual(0, exit_code)
+
+
 class DirectoryTest(PlannedStopCase):
     graces_s = (3, 3)
     target = "/-/resolve?name=jepu9.example&region=gran-area&zone=heredia-a"
--- a/toucanspread/ops/process.py
+++ b/toucanspread/ops/process.py
@@ -16,6 +16,7 @@
 
 SETTINGS_POLL_INTERVAL_S = 1.0  # the file may change without a signal
 TASK_CANCEL_DELAY_S = 0.02
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 METRICS_PORT = 9464  # as in deploy/system.toml
 METRICS_PATH = b"/metrics"
 LOW_TRAFFIC_LIMITS = http1_server.Limits(idle_s=60.0)
@@ -122,10 +123,13 @@
         callback = on_hangup if signal_number == signal.SIGHUP else on_terminate
         reactor.callFromThread(callback)
 
-    for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for signal_number in HANDLED_SIGNALS:
         signal.signal(signal_number, handle_signal)
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    for signal_number in HANDLED_SIGNALS:
+        # The interpreter's end would restore the default, which kills the process.
+        signal.signal(signal_number, signal.SIG_IGN)
 
 
 def stop() -> None:
