--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -307,7 +307,7 @@
     def on_quarantine(self, context: decision_context.Context) -> list[data.Effect]:
         """End a request that waits at an engine if it matches a quarantine.
 
-        One that has begun at an engine only moves to no other one any more.
+        One that has begun at an engine stays there, and only its move ends.
         """
         if self.is_finished or self._engine is None:
             return []
