Serve requests only in allowed regions, not in evacuated zones, and pace cold engines

Cause: the programs ignored op/evacuate/ZONE, allowed_regions, cold_start_s and cold_per_s. Callers' requests reached engines of an evacuated zone and of regions that their route or team does not allow, and a zone that came back cold got the requests of all entries at once.

Change: evacuations come with each entry's copy of the store and forbid an engine; regions of route and team both bind, also for retries and in the directory; a few entries for each cold engine, chosen by rendezvous hashing, send to it at a pace. What cold engines can't take is refused at once. Requests with different regions don't wait for each other. Entries whose records have expired aren't named to callers while most records are valid.

--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -35,6 +35,8 @@
     eligible = load_balancing.eligible_engines(
         context.registry, requirements, context.location, context.now_s
     )
+    if not eligible and engine_choice.cold_wait_s(record, context) < float("inf"):
+        return decide_without_engine(record, context, queued_prefill_s)
     if not eligible:
         return _queue_for_load(record, requirements, queued_prefill_s, context)
     wait_s = admission_queue.expected_wait_s(
@@ -46,16 +48,23 @@
 
 
 def decide_without_engine(
-    record: request_record.RequestRecord, context: decision_context.Context
+    record: request_record.RequestRecord,
+    context: decision_context.Context,
+    queued_prefill_s: float = 0.0,
 ) -> data.Effect:
-    """Queue a request until an engine can take it, or end it."""
+    """Queue a request until an engine can take it, or end it.
+
+    :param queued_prefill_s: total ``prefill_s`` of the requests that wait before it.
+    """
     limit_wait_s = engine_choice.limit_wait_s(record, context)
+    cold_wait_s = engine_choice.cold_wait_s(record, context, queued_prefill_s)
     return_wait_s = min(
         engine_choice.backoff_wait_s(record, context),
         engine_choice.trial_wait_s(record, context),
     )
     if record.can_be_queued and (
         _may_begin_soon(record, limit_wait_s, context)
+        or _may_begin_cold(record, cold_wait_s, context)
         or _may_follow_backoff(record, context)
     ):
         return decisions.Enqueue()
@@ -64,6 +73,8 @@
         cause = decisions.FailureCause.ENGINES_BACKING_OFF
     elif limit_wait_s != float("inf"):
         cause = decisions.FailureCause.ENGINES_LIMITED
+    elif cold_wait_s != float("inf"):
+        return final_answers.make_cold_rejection(record, cold_wait_s, context)
     return final_answers.make_unanswered(record, cause, context)
 
 
@@ -86,6 +97,16 @@
     return waited_s + min(limit_wait_s, load_wait_s) < longest_s
 
 
+def _may_begin_cold(
+    record: request_record.RequestRecord,
+    cold_wait_s: float,
+    context: decision_context.Context,
+) -> bool:
+    """Return whether a cold engine can get a request soon."""
+    waited_s = context.now_s - record.timing.arrived_s
+    return waited_s + cold_wait_s < admission_queue.MAX_LOAD_WAIT_S
+
+
 def _may_follow_backoff(
     record: request_record.RequestRecord, context: decision_context.Context
 ) -> bool:
--- a/toucanspread/core/entry/cluster_state.py
+++ b/toucanspread/core/entry/cluster_state.py
@@ -110,6 +110,18 @@
         return age_s > source_selection.MAX_TRUSTED_AGE_S
 
 
+class EvacuationSeen(data.Event):
+    """The operator evacuates an availability zone."""
+
+    zone: data.ZoneName
+
+
+class EvacuationEnded(data.Event):
+    """The operator allows requests to an availability zone again."""
+
+    zone: data.ZoneName
+
+
 class EntrySeen(data.Event):
     """The record of an entry was read from the store."""
 
@@ -208,12 +220,16 @@
             case ConfigurationSeen(configuration):
                 return self._apply_configuration(configuration)
             case EngineSeen(entry):
-                return self.registry.put(entry)
+                return self.registry.put(entry, now_s)
             case EngineRemoved(engine_id):
                 removed_s = now_s if store_was_unavailable else timing.removed_s
                 self.registry.remove(engine_id, removed_s)
             case VersionNamed(model, version):
                 return self.versions_of(model).add(version, timing)
+            case EvacuationSeen(zone):
+                return self.registry.evacuations.begin(zone)
+            case EvacuationEnded(zone):
+                return self.registry.evacuations.end(zone, now_s)
             case EntrySeen(record):
                 self.directory.put(record)
             case EntryRemoved(name):
--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -53,6 +53,7 @@
     :param target_s: target time for an answer, or for the first event of a stream.
     :param attempts: maximum number of engines on which one request may run.
     :param resumable: whether a broken stream may be resumed on another engine.
+    :param allowed_regions: regions in which requests may be served; empty for all.
     """
 
     name: str
@@ -66,6 +67,7 @@
     attempts: int
     allow_anonymous: bool = False
     resumable: bool = False
+    allowed_regions: tuple[data.RegionName, ...] = ()
 
     @property
     def is_repeatable(self) -> bool:
@@ -113,6 +115,9 @@
     :param origin: address of the origin of weights; set for the origin service only.
     :param origin_mbps: bandwidth of the origin's link in Mbit/s.
     :param origin_zone: availability zone of the origin.
+    :param cold_start_s: time for which an engine is cold after its start.
+    :param cold_per_s: requests per second that a cold engine bears from all entries
+        together; 0 if a cold engine bears as many as any other.
     """
 
     name: data.ServiceName
@@ -120,17 +125,21 @@
     origin: data.Address = data.Address("")
     origin_mbps: float = 0.0
     origin_zone: data.ZoneName = data.ZoneName("")
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Team(data.Record):
     """A team and its API keys.
 
     :param priority: overrides the priority of the route; None if the team has none.
+    :param allowed_regions: regions in which requests may be served; empty for all.
     """
 
     name: data.TeamName
     keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: tuple[data.RegionName, ...] = ()
 
 
 class CallerLimits(data.Record):
--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -17,6 +17,7 @@
     ENGINES_FULL = "engines full"
     ENGINES_LIMITED = "limits of engines used up"
     ENGINES_BACKING_OFF = "engines asked for a pause"
+    ENGINES_COLD = "engines cold"
     ENGINE_FAILED = "engine failed"
     DEADLINE_EXCEEDED = "time over"
     RETRY_BUDGET_EXHAUSTED = "budget used up"
@@ -114,6 +115,7 @@
     :param priority: priority in the engine's queue; None if it does not matter.
     :param is_avoided: whether it goes to an engine that probably does not answer.
     :param backoff_left_s: time for which the engine wants no requests.
+    :param cold_left_s: time for which the engine bears only a few requests.
     """
 
     number: int
@@ -129,6 +131,7 @@
     priority: int | None = None
     is_avoided: bool = False
     backoff_left_s: float = 0.0
+    cold_left_s: float = 0.0
 
 
 class NotifyEntries(data.Effect):
--- a/toucanspread/core/entry/engine_choice.py
+++ b/toucanspread/core/entry/engine_choice.py
@@ -5,6 +5,7 @@
 """
 
 from toucanspread.core.entry import (
+    cold_engines,
     coming_engines,
     decision_context,
     decisions,
@@ -78,6 +79,7 @@
         rate_per_s=context.retry_budgets.request_rate_per_s(
             record.service.name, context.now_s
         ),
+        allowed_regions=record.allowed_regions,
     )
 
 
@@ -122,6 +124,34 @@
     )
 
 
+def cold_wait_s(
+    record: request_record.RequestRecord,
+    context: decision_context.Context,
+    queued_prefill_s: float = 0.0,
+) -> float:
+    """Return the time until this entry may send the request to a cold engine.
+
+    It is infinite if there is none that the entry sends to.
+
+    :param queued_prefill_s: total ``prefill_s`` of the requests that wait before it.
+    """
+    if record.service.cold_per_s <= 0:
+        return float("inf")
+    requirements = _make_next_requirements(record, context)
+    waits_s = load_balancing.list_cold_waits_s(
+        context.registry, requirements, context.location, context.now_s
+    )
+    queued_count = 0.0
+    if queued_prefill_s > 0 and record.timing.prefill_s > 0:
+        queued_count = queued_prefill_s / record.timing.prefill_s
+    return cold_engines.estimate_queue_wait_s(
+        min(waits_s, default=0.0),
+        queued_count,
+        len(waits_s),
+        record.service.cold_per_s,
+    )
+
+
 def load_wait_s(
     record: request_record.RequestRecord, context: decision_context.Context
 ) -> float:
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -105,6 +105,8 @@
     """
     effect = _make_effect(record, engine, context)
     notice = engine.record_dispatch(context.now_s)
+    if engine.is_cold(record.service, context.now_s):
+        engine.cold_start.record_dispatch(record.service.cold_per_s, context.now_s)
     if record.service.profile is not None:
         engine.add_prompt(
             record.call.prompt_tokens, record.service.profile, context.now_s
@@ -163,9 +165,18 @@
         _engine_priority(record, context),
         engine.is_avoided(now_s),
         engine.backoff.left_s(now_s),
+        _cold_left_s(record, engine, now_s),
     )
 
 
+def _cold_left_s(
+    record: request_record.RequestRecord, engine: engines.Engine, now_s: float
+) -> float:
+    if not engine.is_cold(record.service, now_s):
+        return 0.0
+    return engine.cold_until_s(record.service) - now_s
+
+
 def _expected_version(
     record: request_record.RequestRecord,
     engine: engines.Engine,
--- a/toucanspread/core/entry/engine_obstacles.py
+++ b/toucanspread/core/entry/engine_obstacles.py
@@ -8,8 +8,13 @@
 import enum
 from typing import NamedTuple
 
+from toucanspread.core.entry import (
+    cold_engines,
+    engine_requirements,
+    engine_waits,
+    engines,
+)
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import engine_requirements, engine_waits, engines
 
 # Besides the expected wait, until an engine begins on a request that is sent now.
 BEGIN_MARGIN_S = 0.05
@@ -19,18 +24,21 @@
 class Cause(enum.Enum):
     """Why an engine may not get a request."""
 
+    EVACUATED = "zone evacuated"
     DRAINING = "draining"
     SAYS_LEAVING = "says that it leaves"
     RESTARTED = "restarted"
     ENTRY_OUTDATED = "entry outdated"
     ENTRY_REMOVED = "entry removed"
     TRIED = "tried"
+    OTHER_REGION = "region not allowed"
     NO_WEIGHTS = "no weights"
     BEGINS_LATE = "begins late"
     BACKOFF = "backoff"
     TRIAL = "trial after backoff"
     LIMIT_USED_UP = "limit used up"
     LIMIT_LEFT_TO_OTHERS = "limit left to others"
+    COLD = "cold"
 
 
 class Obstacle(NamedTuple):
@@ -59,14 +67,18 @@
     return (
         find_for_all_requests(engine, choice.now_s)
         or _check_tried(engine, choice)
+        or _check_region(engine, choice)
         or _check_weights(engine, choice)
         or _check_backoff(engine, choice)
         or _check_limit(engine, choice)
+        or _check_cold(engine, choice)
     )
 
 
 def find_for_all_requests(engine: engines.Engine, now_s: float) -> Obstacle | None:
     """Return why an engine may get no request at all, or None if it may."""
+    if engine.is_evacuated:
+        return Obstacle(Cause.EVACUATED)
     if engine.entry.state is not entry_data.EngineState.READY:
         return Obstacle(Cause.DRAINING)
     if engine.says_leaving:
@@ -81,11 +93,24 @@
     return None
 
 
-def forbids_dispatch(engine: engines.Engine, now_s: float) -> bool:
-    """Return whether an engine may not get a request that was assigned to it before."""
+def forbids_dispatch(
+    engine: engines.Engine,
+    now_s: float,
+    service: entry_data.Service | None = None,
+    assigned_s: float | None = None,
+) -> bool:
+    """Return whether an engine may not get a request that was assigned to it before.
+
+    :param service: of the engine; None if it doesn't matter whether that is cold.
+    :param assigned_s: when the request was assigned to the engine.
+    """
     if find_for_all_requests(engine, now_s) is not None:
         return True
-    return engine.backoff.left_s(now_s) > 0
+    if engine.backoff.left_s(now_s) > 0:
+        return True
+    if service is None or assigned_s is None or not engine.is_cold(service, now_s):
+        return False
+    return now_s - assigned_s > cold_engines.MAX_ASSIGNED_AGE_S
 
 
 def _check_tried(engine: engines.Engine, choice: Choice) -> Obstacle | None:
@@ -94,6 +119,13 @@
     return None
 
 
+def _check_region(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    allowed = choice.requirements.allowed_regions
+    if allowed is None or choice.location.regions.get(engine.entry.zone) in allowed:
+        return None
+    return Obstacle(Cause.OTHER_REGION)
+
+
 def _check_weights(engine: engines.Engine, choice: Choice) -> Obstacle | None:
     profile = choice.requirements.service.profile
     if profile is None:
@@ -129,6 +161,18 @@
     return None
 
 
+def _check_cold(engine: engines.Engine, choice: Choice) -> Obstacle | None:
+    service, now_s = choice.requirements.service, choice.now_s
+    senders = choice.location.senders
+    if senders is None or not engine.is_cold(service, now_s):
+        return None
+    cold_per_s = service.cold_per_s
+    if not senders.is_sender(engine.entry.engine_id, engine.entry.zone, cold_per_s):
+        return Obstacle(Cause.COLD, engine.cold_until_s(service))
+    wait_s = engine.cold_start.wait_s(now_s)
+    return Obstacle(Cause.COLD, now_s + wait_s) if wait_s > 0 else None
+
+
 def _would_begin_late(engine: engines.Engine, version: int, choice: Choice) -> bool:
     """Return whether an engine may begin on its version only when it is too old.
 
--- a/toucanspread/core/entry/engine_requirements.py
+++ b/toucanspread/core/entry/engine_requirements.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from toucanspread.core import data
+from toucanspread.core.entry import cold_engines, region_rules
 from toucanspread.core.entry import data as entry_data
 
 
@@ -20,6 +21,7 @@
         older ones.
     :param prefill_s: time that an engine needs for the prefill of the prompt.
     :param rate_per_s: requests for the service that this entry gets in a second.
+    :param allowed_regions: regions in which the request may be served; None for all.
     """
 
     service: entry_data.Service
@@ -32,14 +34,17 @@
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
     prefill_s: float = 0.0
     rate_per_s: float = 0.0
+    allowed_regions: region_rules.Regions | None = None
 
 
 class EntryLocation(NamedTuple):
     """Location of the entry that chooses.
 
     :param entry_count: number of entries that send requests.
+    :param senders: tells to which cold engines the entry may send; None if to all.
     """
 
     zone: data.ZoneName
     regions: dict[data.ZoneName, data.RegionName]
     entry_count: int
+    senders: cold_engines.SenderSelector | None = None
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -8,10 +8,12 @@
 
 from toucanspread.core import data
 from toucanspread.core.entry import (
+    cold_engines,
     crash_evidence,
     engine_backoff,
     engine_limits,
     engine_statement,
+    evacuations,
 )
 from toucanspread.core.entry import data as entry_data
 
@@ -52,6 +54,7 @@
 
     :param entry: its newest entry in the store.
     :param report_times: those of all engines.
+    :param zone_evacuations: those of all zones.
     :ivar in_flight: number of this entry's requests at the engine.
     :ivar usable_until_s: end of its grace period after its entry was removed; None
         while it has an entry.
@@ -63,13 +66,19 @@
     :ivar backoff: the time for which it wants no requests from this entry.
     :ivar says_leaving: whether it has said in an answer that it is about to end.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
+    :ivar cold_start: for how long it is cold, as it says, and the requests meanwhile.
     """
 
     def __init__(
-        self, entry: entry_data.EngineEntry, report_times: ReportTimes | None = None
+        self,
+        entry: entry_data.EngineEntry,
+        report_times: ReportTimes | None = None,
+        zone_evacuations: evacuations.Evacuations | None = None,
     ):
         self.entry = entry
         self._report_times = report_times or ReportTimes()
+        self._evacuations = zone_evacuations or evacuations.Evacuations()
+        self.cold_start = cold_engines.ColdStart()
         self._heard_s = float("-inf")
         self.in_flight = 0
         self.usable_until_s: float | None = None
@@ -93,6 +102,26 @@
         """Return what distinguishes it from other engines and its other lives."""
         return crash_evidence.Incarnation(self.entry.engine_id, self.entry.born_ms)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether its availability zone is evacuated."""
+        return self._evacuations.is_evacuated(self.entry.zone)
+
+    def cold_until_s(self, service: entry_data.Service) -> float:
+        """Return the time until which the engine may be cold.
+
+        The engines of an evacuated zone may have been restarted meanwhile, which their
+        entries in the store may not say yet when the evacuation ends.
+
+        :param service: that it belongs to.
+        """
+        taken_back_s = self._evacuations.ended_s(self.entry.zone)
+        return max(self.cold_start.until_s, taken_back_s + service.cold_start_s)
+
+    def is_cold(self, service: entry_data.Service, now_s: float) -> bool:
+        """Return whether the engine bears only a few requests now."""
+        return service.cold_per_s > 0 and now_s < self.cold_until_s(service)
+
     def is_avoided(self, now_s: float) -> bool:
         """Return whether the engine probably does not answer.
 
@@ -296,19 +325,22 @@
 
     def __init__(self, drain_s: float):
         self._removed_grace_s = drain_s * REMOVED_GRACE_RATIO
+        self.evacuations = evacuations.Evacuations()
         self._engines: dict[str, Engine] = {}
         # Incarnations without an entry that have said that they leave.
         self._left: dict[crash_evidence.Incarnation, None] = {}
         self._report_times = ReportTimes()
 
-    def put(self, entry: entry_data.EngineEntry) -> bool:
+    def put(self, entry: entry_data.EngineEntry, now_s: float = 0.0) -> bool:
         """Add or update an entry; return whether it is of a new incarnation."""
         known = self._engines.get(entry.engine_id)
         if known is None or _is_new_incarnation(known.entry, entry):
-            engine = Engine(entry, self._report_times)
+            engine = Engine(entry, self._report_times, self.evacuations)
             engine.says_leaving = engine.incarnation in self._left
+            engine.cold_start.record_left(entry.cold_left_s, now_s)
             self._engines[entry.engine_id] = engine
             return True
+        known.cold_start.record_left(entry.cold_left_s, now_s)
         known.entry = entry
         known.usable_until_s = None
         return False
--- a/toucanspread/core/entry/entry_directory.py
+++ b/toucanspread/core/entry/entry_directory.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from toucanspread.core import data, decoder
+from toucanspread.core.entry import region_rules
 from toucanspread.core.view import source_selection
 
 RECORDS_PREFIX = "entries/"
@@ -55,14 +56,20 @@
 
 
 class EntryDirectory:
-    """Records of the entries by name, including this entry."""
+    """Records of the entries by name, including this entry.
+
+    :ivar change_count: number of changes so far; it tells whether there was one.
+    """
 
     def __init__(self):
+        self.change_count = 0
         self._records: dict[str, EntryRecord] = {}
         self._expired_s: dict[str, float] = {}
 
     def put(self, record: EntryRecord) -> None:
         """Add or update a record."""
+        if self._records.get(record.name) != record:
+            self.change_count += 1
         self._records[record.name] = record
         self._expired_s.pop(record.name, None)
 
@@ -73,6 +80,7 @@
         if store_was_unavailable:
             self._expired_s.setdefault(name, now_s)
             return
+        self.change_count += 1
         del self._records[name]
 
     def drop_expired_records(self, now_s: float) -> None:
@@ -81,11 +89,25 @@
             if now_s - since_s >= EXPIRED_GRACE_S:
                 del self._expired_s[name]
                 self._records.pop(name, None)
+                self.change_count += 1
+
+    def has(self, name: str) -> bool:
+        """Return whether an entry has a record."""
+        return name in self._records
 
     def serving(self) -> list[EntryRecord]:
         """Return the entries that accept callers."""
         return [r for r in self._records.values() if r.phase is EntryPhase.SERVING]
 
+    def _list_present(self) -> list[EntryRecord]:
+        """Return the serving entries without those whose records have expired.
+
+        While most of the records have expired, an outage of the store is the reason.
+        """
+        serving = self.serving()
+        present = [record for record in serving if record.name not in self._expired_s]
+        return present if 2 * len(present) >= len(serving) else serving
+
     def all_entries(self) -> list[EntryRecord]:
         """Return all entries."""
         return list(self._records.values())
@@ -101,14 +123,25 @@
         return peers
 
     def addresses_for(
-        self, zone: str, region: str, random_source: random.Random
+        self,
+        zone: str,
+        region: str,
+        random_source: random.Random,
+        allowed_regions: region_rules.Regions | None = None,
     ) -> list[str]:
         """Return the entry addresses for a caller in a zone.
 
         The entries of the zone are used if there are enough of them, else those of the
         region, else all.
+
+        :param allowed_regions: regions in which the caller's requests may be served;
+            None for all. Entries of other regions than these and the caller's own are
+            listed only if there are no others.
         """
-        serving = self.serving()
+        serving = self._list_present()
+        if allowed_regions is not None:
+            regions = allowed_regions | {region}
+            serving = [r for r in serving if r.region in regions] or serving
         selected = [record for record in serving if record.zone == zone]
         if len(selected) < MIN_ADDRESS_COUNT:
             selected = [record for record in serving if record.region == region]
--- a/toucanspread/core/entry/final_answers.py
+++ b/toucanspread/core/entry/final_answers.py
@@ -45,6 +45,21 @@
     return _make_waiting_rejection(cause, wait_s, context)
 
 
+def make_cold_rejection(
+    record: request_record.RequestRecord,
+    wait_s: float,
+    context: decision_context.Context,
+) -> data.Effect:
+    """Return the final answer to a request that has no turn at cold engines.
+
+    :param wait_s: time that it would have waited.
+    """
+    cause = decisions.FailureCause.ENGINES_COLD
+    if record.is_stream_open or record.possible_runs:
+        return make_unanswered(record, cause, context)
+    return _make_waiting_rejection(cause, wait_s, context)
+
+
 def _make_rejection(
     record: request_record.RequestRecord,
     cause: decisions.FailureCause,
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -23,6 +23,7 @@
     engine_statement,
     engines,
     final_answers,
+    region_rules,
     request_dispatches,
     request_record,
     request_timing,
@@ -37,6 +38,7 @@
     """State of one request.
 
     :param declared_rank: priority of the team; None to use that of the route.
+    :param allowed_regions: regions in which it may be served; None for all.
     :ivar deadline_s: time of the request's deadline, on the clock of ``now_s``.
     :ivar start_deadline_s: latest time at which an engine can start for an answer on
         time.
@@ -52,6 +54,7 @@
         call: entry_data.Call,
         arrived_s: float,
         declared_rank: int | None = None,
+        allowed_regions: region_rules.Regions | None = None,
     ):
         self.arrived_s = arrived_s
         self.timing = request_timing.RequestTiming(route, service, call, arrived_s)
@@ -61,7 +64,7 @@
         self.move_obstacle: decisions.MoveObstacle | None = None
         rank = route.priority if declared_rank is None else declared_rank
         self._record = request_record.RequestRecord(
-            self.timing, rank, call.last_event_id
+            self.timing, rank, call.last_event_id, allowed_regions=allowed_regions
         )
         self.running = request_dispatches.RequestDispatches()
         self._error_number: int | None = None
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -20,6 +20,7 @@
     engine_requirements,
     engine_waits,
     engines,
+    region_rules,
 )
 
 NOISE_S = 0.010  # about the round-trip time between two zones
@@ -78,6 +79,30 @@
     return min(waits_s, default=float("inf"))
 
 
+def list_cold_waits_s(
+    registry: engines.EngineRegistry,
+    requirements: engine_requirements.EngineRequirements,
+    location: engine_requirements.EntryLocation,
+    now_s: float,
+) -> list[float]:
+    """Return the time until each cold engine that the entry sends to may get a request.
+
+    Engines that the entry leaves to others are left out.
+    """
+    choice = engine_obstacles.Choice(requirements, location, now_s)
+    service = requirements.service
+    waits_s = []
+    for engine in registry.of_service(service.name):
+        if not engine.is_cold(service, now_s):
+            continue
+        obstacle = engine_obstacles.find(engine, choice)
+        if obstacle is None:
+            waits_s.append(0.0)
+        elif obstacle.cause is engine_obstacles.Cause.COLD:
+            waits_s.append(obstacle.until_s - now_s)
+    return waits_s
+
+
 def wait_for_end_s(
     cause: engine_obstacles.Cause,
     registry: engines.EngineRegistry,
@@ -141,9 +166,15 @@
     service: entry_data.Service,
     location: engine_requirements.EntryLocation,
     now_s: float,
+    allowed_regions: region_rules.Regions | None = None,
 ) -> float:
-    """Return the shortest backlog of the engines of a service."""
-    requirements = engine_requirements.EngineRequirements(service)
+    """Return the shortest backlog of the engines of a service.
+
+    :param allowed_regions: regions of the engines; None for all.
+    """
+    requirements = engine_requirements.EngineRequirements(
+        service, allowed_regions=allowed_regions
+    )
     eligible = eligible_engines(registry, requirements, location, now_s)
     backlogs_s = [
         engine_waits.backlog_s(engine, service, location, now_s) for engine in eligible
--- a/toucanspread/core/entry/request_record.py
+++ b/toucanspread/core/entry/request_record.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions, request_timing
+from toucanspread.core.entry import decisions, region_rules, request_timing
 
 
 class RequestRecord(NamedTuple):
@@ -19,6 +19,7 @@
     :param not_run_at: ids of those that certainly did not run it.
     :param last_failure: how the last dispatch failed; None if none did.
     :param is_stream_open: whether the caller has the head of a stream.
+    :param allowed_regions: regions in which it may be served; None for all.
     """
 
     timing: request_timing.RequestTiming
@@ -32,6 +33,7 @@
     not_run_at: frozenset[str] = frozenset()
     last_failure: decisions.DispatchFailure | None = None
     is_stream_open: bool = False
+    allowed_regions: region_rules.Regions | None = None
 
     @property
     def route(self) -> entry_data.Route:
--- a/toucanspread/core/entry/routes.py
+++ b/toucanspread/core/entry/routes.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from toucanspread.core.entry import data as entry_data
+from toucanspread.core.entry import region_rules
 
 
 class Denial(enum.Enum):
@@ -37,6 +38,10 @@
                 return route
         return None
 
+    def find_regions(self, host: str) -> region_rules.Regions | None:
+        """Return the regions that suit the routes of a host; None if all regions do."""
+        return region_rules.find_regions_of_host(self._by_host.get(host, ()))
+
     def find_team(self, key: str | None) -> entry_data.Team | None:
         """Return the team of an API key, or None."""
         if key is None:
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -16,6 +16,7 @@
     engine_dispatch,
     engine_obstacles,
     forwarding,
+    region_rules,
     request_timing,
 )
 from toucanspread.core.entry import data as entry_data
@@ -82,6 +83,7 @@
         self._route = route
         self._team = team.name if team is not None else None
         self._team_priority = team.priority if team is not None else None
+        self.allowed_regions = region_rules.combine(route, team)
         self.service = forwarder.choose_service(route)
         self.call = _bound_prompt(call, route, self.service)
         self._state: forwarding.RequestState | None = None
@@ -117,6 +119,7 @@
             self.call,
             started_s,
             self._team_priority,
+            self.allowed_regions,
         )
         self._forwarder.in_progress.add(self)
         self.exchange.on_disconnected = self._on_caller_disconnected
@@ -127,7 +130,7 @@
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
         queue = self._forwarder.queue
         queue.shares.record_arrival(self._state.timing)
-        queued_prefill_s = queue.sum_prefill_s(self.service.name)
+        queued_prefill_s = queue.sum_prefill_s(self.queue_key)
         self.carry_out(
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
@@ -251,6 +254,8 @@
         if effect.number == 1:
             forwarder.queue.shares.record_begin(self._state.timing)
         metric_buffer.count("dispatches")
+        if effect.cold_left_s > 0:
+            metric_buffer.count("dispatches_to_cold_engines")
         logs.write(
             "request_dispatched",
             id=self.call.attempt_id,
@@ -261,6 +266,7 @@
             busy_age_s=effect.busy_age_s,
             is_avoided=effect.is_avoided,
             backoff_left_s=effect.backoff_left_s,
+            cold_left_s=effect.cold_left_s,
             expected_version=effect.expected_version,
             configuration=forwarder.cluster.route_table.version,
         )
@@ -290,7 +296,10 @@
         """
         context = self.make_decision_context()
         engine = context.registry.get(effect.engine_id)
-        if engine is None or engine_obstacles.forbids_dispatch(engine, context.now_s):
+        assigned_s = self._state.running.find(effect.number).sent_s
+        if engine is None or engine_obstacles.forbids_dispatch(
+            engine, context.now_s, self.service, assigned_s
+        ):
             return None
         if self._state.must_be_withdrawn(context, False, effect.number):
             return None
--- a/toucanspread/ops/forwarding/forwarder_test.py
+++ b/toucanspread/ops/forwarding/forwarder_test.py
@@ -24,7 +24,7 @@
     size_shares,
 )
 from toucanspread.core.entry import data as entry_data
-from toucanspread.ops.forwarding import engine_answer, forwarder
+from toucanspread.ops.forwarding import engine_answer, forwarder, request_queue
 from toucanspread.ops.http import http1, http1_client, http1_pool, http1_server
 from toucanspread.platform import decoding_test, requests
 
@@ -433,12 +433,9 @@
         for _ in range(200):
             self.clock.advance(0.01)
         self.assertEqual(1, len(self.pool.sent))
-        self.assertEqual(
-            0.0, self.forwarder.queue.sum_prefill_s(data.ServiceName("s1"))
-        )
-        self.assertEqual(
-            0.0, self.forwarder.queue.sum_prefill_s(data.ServiceName("s2"))
-        )
+        for service in ("s1", "s2"):
+            key = request_queue.QueueKey(data.ServiceName(service), None)
+            self.assertEqual(0.0, self.forwarder.queue.sum_prefill_s(key))
 
     def test_a_queued_request_of_a_starved_size_is_sent_and_counted(self):
         shares = StarvedShares()
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+from typing import NamedTuple
 
 from toucanspread.core import data
 from toucanspread.core.entry import (
@@ -12,6 +13,7 @@
     decisions,
     forwarding,
     load_balancing,
+    region_rules,
     size_shares,
 )
 from toucanspread.core.entry import data as entry_data
@@ -20,10 +22,21 @@
 QUEUE_CHECK_INTERVAL_S = 0.015  # a fifth of an engine's time for a typical prompt
 
 
+class QueueKey(NamedTuple):
+    """What requests have in common that wait for the same engines."""
+
+    service: data.ServiceName
+    allowed_regions: region_rules.Regions | None
+
+
 class QueueItem(abc.ABC):
-    """A request that can be queued."""
+    """A request that can be queued.
+
+    :ivar allowed_regions: regions in which it may be served; None for all.
+    """
 
     service: entry_data.Service
+    allowed_regions: region_rules.Regions | None = None
 
     @property
     @abc.abstractmethod
@@ -38,6 +51,11 @@
     def carry_out(self, effects: list[data.Effect]) -> None:
         """Carry out decisions about the request."""
 
+    @property
+    def queue_key(self) -> QueueKey:
+        """Return which requests wait for the same engines."""
+        return QueueKey(self.service.name, self.allowed_regions)
+
     def resume(self, has_turn: bool = False) -> bool:
         """Try again to find an engine; return whether the request stays queued.
 
@@ -52,7 +70,9 @@
 
 
 class RequestQueue:
-    """Queued requests by service, retried at a fixed interval.
+    """Queued requests, retried at a fixed interval.
+
+    Requests that may go to different engines don't wait for each other.
 
     :ivar shares: counts of all requests of the entry, also of those never queued.
     """
@@ -60,24 +80,27 @@
     def __init__(self, reactor):
         self.shares = size_shares.SizeShares()
         self._reactor = reactor
-        self._queued: dict[data.ServiceName, list[QueueItem]] = {}
+        self._queued: dict[QueueKey, list[QueueItem]] = {}
         self._timer = None
 
-    def sum_prefill_s(self, service: data.ServiceName) -> float:
+    def sum_prefill_s(self, key: QueueKey) -> float:
         """Return the time that one engine would need for all queued prompts."""
-        queued = self._queued.get(service, [])
+        queued = self._queued.get(key, [])
         return sum(request.state.timing.prefill_s for request in queued)
 
     def add(self, request: QueueItem) -> None:
         """Queue a request."""
-        self._queued.setdefault(request.service.name, []).append(request)
+        self._queued.setdefault(request.queue_key, []).append(request)
         self._start_timer()
 
     def remove(self, request: QueueItem) -> None:
         """Remove a request that is finished or sent to an engine."""
-        queued = self._queued.get(request.service.name, [])
+        key = request.queue_key
+        queued = self._queued.get(key, [])
         if request in queued:
             queued.remove(request)
+        if key in self._queued and not queued:
+            del self._queued[key]
 
     def _start_timer(self) -> None:
         if self._timer is None or not self._timer.active():
@@ -123,7 +146,11 @@
     """Return requests of one service in the order in which they go to engines."""
     context = queued[0].make_decision_context()
     backlog_s = load_balancing.least_backlog_s(
-        context.registry, queued[0].service, context.location, context.now_s
+        context.registry,
+        queued[0].service,
+        context.location,
+        context.now_s,
+        queued[0].allowed_regions,
     )
     by_state = {request.state: request for request in queued}
     ordered = admission_queue.sort_queue(by_state, backlog_s, context.now_s)
--- a/toucanspread/ops/forwarding/request_queue_test.py
+++ b/toucanspread/ops/forwarding/request_queue_test.py
@@ -109,3 +109,19 @@
         item.resume = lambda has_turn=False: True
         self.queue.add(item)
         self.assertEqual([[False]], self.resume(10))
+
+
+class AllowedRegionsTest(testtools.TestCase):
+    def test_requests_of_other_regions_do_not_wait_behind_one_without_an_engine(self):
+        """Guards against a full home region that holds up all other callers."""
+        clock = task.Clock()
+        queue = request_queue.RequestQueue(clock)
+        items = [
+            RecordingItem(size_shares_test.make_timing(10, 0.1 * number))
+            for number in range(2)
+        ]
+        items[0].allowed_regions = frozenset({data.RegionName("full")})
+        for item in items:
+            queue.add(item)
+        clock.advance(request_queue.QUEUE_CHECK_INTERVAL_S)
+        self.assertEqual([[False], [False]], [item.turns for item in items])
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -16,6 +16,7 @@
 
 CONFIGURATION_KEY = "op/config"
 VERSIONS_PREFIX = "op/version/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 ENGINES_PREFIX = "servers/"
 ENTRY_PREFIXES = ("op/", ENGINES_PREFIX, entry_directory.RECORDS_PREFIX)
 SIDECAR_PREFIXES = (VERSIONS_PREFIX, ENGINES_PREFIX, entry_directory.RECORDS_PREFIX)
@@ -30,6 +31,7 @@
 PIECES = bounds.Range(0, bounds.MAX_PIECES)
 READ_PER_S = bounds.Range(0.001, 1_000_000_000)  # time is computed by dividing by it
 LINK_MBPS = bounds.Range(0, 1_000_000_000)
+RATE_PER_S = bounds.Range(0, 1_000_000_000)
 BODY_BYTES = bounds.Range(0, 2**40)
 PIECE_BYTES = bounds.Range(0, 2**32)
 
@@ -62,6 +64,7 @@
     attempts: int = 1  # engines that may run one request, including the first
     allow_anonymous: bool = False
     resume_streams: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -85,6 +88,8 @@
     origin: str = ""
     link_mbps: float = 0.0  # of the origin's link; each engine has its own link
     zone: str = ""  # of the origin
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -100,6 +105,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _Config(msgspec.Struct, frozen=True):
@@ -175,6 +181,8 @@
         return _decode_configuration_change(change)
     if key.startswith(VERSIONS_PREFIX):
         return _decode_version_change(change)
+    if key.startswith(EVACUATIONS_PREFIX):
+        return _decode_evacuation_change(change)
     if key.startswith(ENGINES_PREFIX):
         return _decode_engine_change(change)
     if key.startswith(entry_directory.RECORDS_PREFIX):
@@ -279,6 +287,14 @@
     return cluster_state.VersionNamed(data.ModelName(named.model), named.version)
 
 
+def _decode_evacuation_change(change: store_view.KeyChange) -> data.Event:
+    # The key says everything; the value has no fields.
+    zone = data.ZoneName(change.key.removeprefix(EVACUATIONS_PREFIX))
+    if change.value is None:
+        return cluster_state.EvacuationEnded(zone)
+    return cluster_state.EvacuationSeen(zone)
+
+
 def _decode_engine_change(change: store_view.KeyChange) -> data.Event:
     engine_id = change.key.removeprefix(ENGINES_PREFIX)
     if change.value is None:
@@ -323,6 +339,7 @@
         _clamp("attempts", route.attempts, COUNT),
         route.allow_anonymous,
         route.resume_streams,
+        _make_regions(route.allowed_regions),
     )
 
 
@@ -345,7 +362,15 @@
     origin = data.Address(service.origin)
     zone = data.ZoneName(service.zone)
     link_mbps = _clamp("link_mbps", service.link_mbps, LINK_MBPS)
-    return entry_data.Service(name, profile, origin, link_mbps, zone)
+    return entry_data.Service(
+        name,
+        profile,
+        origin,
+        link_mbps,
+        zone,
+        _clamp("cold_start_s", service.cold_start_s, DURATION_S),
+        _clamp("cold_per_s", service.cold_per_s, RATE_PER_S),
+    )
 
 
 def _make_team(tenant: _Tenant) -> entry_data.Team:
@@ -353,7 +378,12 @@
     priority = tenant.priority
     if priority is not None:
         priority = _clamp("priority", priority, PRIORITY)
-    return entry_data.Team(name, tuple(tenant.api_keys), priority)
+    regions = _make_regions(tenant.allowed_regions)
+    return entry_data.Team(name, tuple(tenant.api_keys), priority, regions)
+
+
+def _make_regions(names: list[str]) -> tuple[data.RegionName, ...]:
+    return tuple(data.RegionName(name) for name in names)
 
 
 def _make_loaded_layers(
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -15,6 +15,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    cold_engines,
     engine_requirements,
     entry_directory,
     guard_program,
@@ -123,6 +124,7 @@
             bounds.config_apply_ms / 1000,
         )
         self._report_receiver.crash_notices = self._forwarder.crash_notices
+        self._senders = cold_engines.KnownSenders(name, self.cluster.directory)
         self._registration = registration.Registration(self._store, self._make_record())
         self._settings_file = process.SettingsFileWatcher(path, stamp, self._reload)
         self._path = path
@@ -202,6 +204,7 @@
             data.ZoneName(self.process_settings.zone),
             self.process_settings.map_zones_to_regions(),
             max(len(self.cluster.directory.serving()), 1),
+            self._senders.select(reactor.seconds()),
         )
 
     def _list_members(self) -> guard_program.Members:
@@ -261,11 +264,17 @@
             # First, as nothing may keep what waits on older weights at engines.
             withdrawal_in_s = self.cluster.withdrawal_in_s(event, reactor.seconds())
             self._forwarder.schedule_withdrawal(withdrawal_in_s)
+        if isinstance(event, cluster_state.EvacuationSeen):
+            self._check_evacuated_zone(event.zone)
         self._log_change(event, change)
         if isinstance(event, cluster_state.VersionNamed):
             is_new_version = timing.earliest_in_force_s > float("-inf")
             self._fetch_kept_pieces(event.model, event.version, is_new_version)
 
+    def _check_evacuated_zone(self, zone: data.ZoneName) -> None:
+        if zone not in self.process_settings.map_zones_to_regions():
+            logs.write("evacuation_of_unknown_zone", zone=zone)
+
     def _on_records(self, changes: list[store_view.KeyChange]) -> None:
         """Add the entries' records, which are read before the rest of the store."""
         view_sync.apply_each(changes, self._apply_record)
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -13,7 +13,7 @@
 from twisted.internet import protocol, reactor
 
 from toucanspread.core import data, decoder
-from toucanspread.core.entry import cluster_state, entry_directory
+from toucanspread.core.entry import cluster_state, entry_directory, region_rules
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.view import store_position
 from toucanspread.core.weights import piece_placement
@@ -150,6 +150,7 @@
             query.get("zone", [""])[0],
             query.get("region", [""])[0],
             entry.random_source,
+            self._find_regions(query.get("name", [""])[0]),
         )
         if not addresses:
             exchange.respond(503)
@@ -159,6 +160,10 @@
         )
         exchange.respond(200, [JSON_TYPE], body)
 
+    def _find_regions(self, host: str) -> region_rules.Regions | None:
+        table = self._entry.cluster.route_table
+        return table.find_regions(host.lower()) if table is not None else None
+
 
 class ControlHandler(_LowTrafficHandler):
     """Serves the other processes of the system."""
