Take an answer with an unknown status for a broken one

Cause: 000 to 199 counted as interim answers, so that callers waited for their whole time limit and got 504; 600 and above reached the caller with their body.

Change: a head whose status is neither 200 to 599 nor 100, 102 or 103 ends the exchange as malformed, for engines and for each other peer, which use the same connection class. The request goes on as after any broken answer, and answer_rejected names the status.

--- a/toucanspread/ops/forwarding/dispatch_events.py
+++ b/toucanspread/ops/forwarding/dispatch_events.py
@@ -155,7 +155,7 @@
         if exchange.is_blocked:
             self.answer.pause()
 
-    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw, status: int) -> None:
         """Log and count an answer that is not taken for that of this request."""
         metric_buffer.count("answers_rejected", why=flaw.value)
         logs.write(
@@ -163,6 +163,7 @@
             id=self.call.attempt_id,
             engine=self._dispatch.engine_id,
             why=flaw.value,
+            status=status,
             number=self._number,
         )
 
--- a/toucanspread/ops/forwarding/engine_answer.py
+++ b/toucanspread/ops/forwarding/engine_answer.py
@@ -60,8 +60,11 @@
     def on_failure(self, failure: decisions.DispatchFailure) -> None:
         """Handle a dispatch that ended without a complete answer."""
 
-    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
-        """Record why an answer is not taken for that of the dispatch."""
+    def on_answer_flaw(self, flaw: answer_flaws.AnswerFlaw, status: int) -> None:
+        """Record why an answer is not taken for that of the dispatch.
+
+        :param status: that its head names.
+        """
         return
 
 
@@ -143,10 +146,10 @@
         """Process the head of an answer; skip an answer to an earlier request."""
         properties = self._dialect.read_answer(head, self._listener.call)
         if not properties.is_for_request:
-            self.on_flaw(answer_flaws.AnswerFlaw.OTHER_REQUEST)
+            self.on_flaw(answer_flaws.AnswerFlaw.OTHER_REQUEST, head.status)
             return False
         if self._may_be_of_earlier_request(properties):
-            self.on_flaw(answer_flaws.AnswerFlaw.NO_ID)
+            self.on_flaw(answer_flaws.AnswerFlaw.NO_ID, head.status)
             self._abandon()
             return True
         self.head = head
@@ -220,12 +223,12 @@
             failure = decisions.DispatchFailure.MALFORMED
         self._listener.on_failure(failure)
 
-    def on_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
+    def on_flaw(self, flaw: answer_flaws.AnswerFlaw, status: int) -> None:
         """Report why an answer is not taken for that of the dispatch, once each."""
         if flaw in self._flaws:
             return
         self._flaws.add(flaw)
-        self._listener.on_answer_flaw(flaw)
+        self._listener.on_answer_flaw(flaw, status)
 
     def _abandon(self) -> None:
         """Cancel the dispatch, as what the engine sends can't be used."""
@@ -243,7 +246,7 @@
         attempt_id = self._listener.call.attempt_id.encode("latin-1")
         if not answer_flaws.holds_head_of(body, attempt_id):
             return False
-        self.on_flaw(answer_flaws.AnswerFlaw.HEAD_IN_BODY)
+        self.on_flaw(answer_flaws.AnswerFlaw.HEAD_IN_BODY, self.head.status)
         return True
 
     def _is_of_engine(self, properties: dialect.AnswerProperties) -> bool:
--- a/toucanspread/ops/forwarding/faulty_engine_test.py
+++ b/toucanspread/ops/forwarding/faulty_engine_test.py
@@ -12,6 +12,7 @@
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n%bContent-Length: 0\r\n\r\n"
 ANSWER = HEAD + b"Content-Length: 3\r\n\r\nown"
 ERROR_TEXT = b"error text of the engine"
+NON_IDEMPOTENT_REQUEST = forwarder_test.REQUEST.replace(b"/a/x", b"/a/b/x")
 
 
 class IgnoringListener(http1_client.AnswerListener):
@@ -257,3 +258,48 @@
         self.check_heads(other + HEAD + b"\r\n")
         unframed = HEAD.replace(b"id-1", b"id-0") + b"\r\n"
         self.check(unframed + b"no", error.ConnectionDone)
+
+
+class UnknownStatusTest(forwarder_test.ForwarderCase):
+    """An engine in trouble answers with a status that HTTP does not know."""
+
+    STATUSES = (b"000", b"001", b"042", b"099", b"199", b"600", b"700", b"999")
+
+    def answer_with(self, engine, status):
+        head = HEAD.replace(b"200", status)
+        engine.answer(head + b"X-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nwrong")
+
+    def test_a_request_that_may_be_repeated_goes_on_at_another_engine(self):
+        """Guards against callers that get the answer, or wait for their time limit."""
+        for status in self.STATUSES:
+            self.start()
+            first = self.send_request()
+            self.answer_with(first, status)
+            self.assertEqual(2, len(self.pool.sent), status)
+            self.assertFalse(first.connection.is_free)
+            self.pool.sent[-1].answer(ANSWER)
+            self.assertTrue(self.received().endswith(b"own"))
+            self.assertNotIn(b"wrong", self.received())
+
+    def test_a_request_that_may_not_be_repeated_fails_at_once(self):
+        """Guards against a "not run" for a request that may have run."""
+        for status in self.STATUSES:
+            self.start()
+            self.answer_with(self.send_request(NON_IDEMPOTENT_REQUEST), status)
+            self.assertEqual(1, len(self.pool.sent), status)
+            self.assertIn(b"HTTP/1.1 502", self.received(), status)
+
+    def test_the_status_is_logged_and_counts_against_the_engine(self):
+        with forwarder_test.capture_events("answer_rejected") as messages:
+            self.answer_with(self.send_request(), b"000")
+        [message] = messages
+        self.assertEqual(("unknown status", 0), (message["why"], message["status"]))
+        engine = self.cluster.registry.get(message["engine"])
+        self.assertGreater(engine.failures, 0)
+
+    def test_interim_answers_are_still_followed_by_the_answer(self):
+        for status in (b"100", b"102", b"103"):
+            self.start()
+            engine = self.send_request()
+            engine.answer(b"HTTP/1.1 %b Wait\r\n\r\n" % status + ANSWER)
+            self.assertTrue(self.received().endswith(b"own"), status)
--- a/toucanspread/ops/http/answer_flaws.py
+++ b/toucanspread/ops/http/answer_flaws.py
@@ -11,12 +11,16 @@
 
 from toucanspread.ops.http import http1
 
+INTERIM_STATUSES = frozenset({100, 102, 103})
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 STATUS_LINE_PATTERN = re.compile(rb"HTTP/[0-9]+\.[0-9]+ +[0-9]{3}")
 
 
 class AnswerFlaw(enum.Enum):
     """Why an answer is not taken for that of the request in progress."""
 
+    UNKNOWN_STATUS = "unknown status"
     SECOND_STATUS_LINE = "second status line"
     CONFLICTING_HEADERS = "conflicting headers"
     OTHER_REQUEST = "other request"
@@ -24,6 +28,17 @@
     HEAD_IN_BODY = "head of another answer in the body"
 
 
+def is_known_status(status: int) -> bool:
+    """Return whether a status is that of an interim or a final answer.
+
+    A server in trouble may send others, such as 000. What follows them is not an answer
+    that a caller could understand, and may never end.
+    """
+    if status in INTERIM_STATUSES:
+        return True
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def find_flaw(
     reason_phrase: bytes, head: http1.Head, singular_headers: Iterable[bytes]
 ) -> AnswerFlaw | None:
--- a/toucanspread/ops/http/http1_client.py
+++ b/toucanspread/ops/http/http1_client.py
@@ -64,8 +64,11 @@
     def on_failure(self, failure: ExchangeFailure) -> None:
         """Handle an exchange that ends without a complete answer."""
 
-    def on_flaw(self, flaw: answer_flaws.AnswerFlaw) -> None:
-        """Record why a head is not that of an answer to the request."""
+    def on_flaw(self, flaw: answer_flaws.AnswerFlaw, status: int) -> None:
+        """Record why a head is not that of an answer to the request.
+
+        :param status: that the head names.
+        """
         return
 
 
@@ -205,6 +208,9 @@
             return
         self._head = http1.AnswerHead(status, self._headers)
         self._headers = []  # those of the trailers, from now on
+        if not answer_flaws.is_known_status(status):
+            self._fail_flawed(answer_flaws.AnswerFlaw.UNKNOWN_STATUS)
+            return
         if not self._is_of_one_message(self._head, bytes(self._reason_phrase)):
             return
         if status < 200:
@@ -270,10 +276,13 @@
         )
         if flaw is None:
             return True
-        self._listener.on_flaw(flaw)
-        self._fail(ExchangeFailure.MALFORMED)
+        self._fail_flawed(flaw)
         return False
 
+    def _fail_flawed(self, flaw: answer_flaws.AnswerFlaw) -> None:
+        self._listener.on_flaw(flaw, self._head.status)
+        self._fail(ExchangeFailure.MALFORMED)
+
     def _check_framing(self) -> None:
         # Chunks with less framing leave no allowance for later ones.
         self._framing_bytes = max(self._framing_bytes, 0)
--- a/toucanspread/ops/http/http1_pool.py
+++ b/toucanspread/ops/http/http1_pool.py
@@ -7,7 +7,7 @@
 from twisted.internet import protocol
 
 from toucanspread.core import data
-from toucanspread.ops.http import answer_match, http1, http1_client
+from toucanspread.ops.http import answer_flaws, answer_match, http1, http1_client
 from toucanspread.ops.telemetry import logs, metric_buffer
 
 # Waiting longer does not help if a server refuses connections or is cut off.
@@ -333,7 +333,7 @@
         started_s = self.reactor.seconds()
 
         def call_once(timeout_s: float, has_own_connection: bool) -> Awaitable[Reply]:
-            listener = _AnswerCollector(max_body_bytes, self.reactor.seconds)
+            listener = _AnswerCollector(max_body_bytes, self.reactor.seconds, address)
             listener.on_arriving = on_arriving
             return self._call_once(
                 address,
@@ -441,12 +441,19 @@
 
     :param max_body_bytes: limit for its body.
     :param read_clock_s: returns the time.
+    :param address: of the server, for logs.
     :ivar on_progress: called when a part of the answer has arrived.
     :ivar on_arriving: called when a part of a good answer of known length has arrived.
     :ivar check_answer: raises :class:`MismatchError` for the answer to another call.
     """
 
-    def __init__(self, max_body_bytes: int, read_clock_s: Callable[[], float]):
+    def __init__(
+        self,
+        max_body_bytes: int,
+        read_clock_s: Callable[[], float],
+        address: str = "",
+    ):
+        self._address = address
         self.max_body_bytes = max_body_bytes
         self._read_clock_s = read_clock_s
         self._head_s = 0.0
@@ -504,6 +511,12 @@
         self.is_finished = True
         self._fail(failure)
 
+    def on_flaw(self, flaw: answer_flaws.AnswerFlaw, status: int) -> None:
+        metric_buffer.count("answers_rejected", why=flaw.value)
+        logs.write(
+            "answer_rejected", source=self._address, why=flaw.value, status=status
+        )
+
     def _report_progress(self) -> None:
         if self.on_arriving is None or self._head.status != 200:
             return
--- a/toucanspread/ops/http/http1_pool_test.py
+++ b/toucanspread/ops/http/http1_pool_test.py
@@ -250,3 +250,52 @@
         answers = [(503, b"9"), (404, b"")]
         self.assertEqual([b"9", b""], self.call(answers, [b"GET", b"GET"]))
         self.assertEqual([2], self.connections)
+
+
+class UnknownStatusTest(testtools.TestCase):
+    """A server answers with a status that HTTP does not know, and stays connected.
+
+    The store, the origin, other entries and engines' reports are all asked in this way.
+    """
+
+    def setUp(self):
+        super().setUp()
+        running_reactor.start(self)
+
+    async def call(self, status):
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 %b Any\r\nContent-Length: 2\r\n\r\nok" % status)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        head = http1.RequestHead(b"GET", b"/", [])
+        pool = http1_pool.ConnectionPool(reactor)
+        try:
+            reply = await pool.call(f"{host}:{port}", head, timeout_s=5.0)
+        except http1_pool.CallError as error:
+            await asyncio.wait_for(closed.wait(), 5.0)
+            return error.failure
+        else:
+            return reply.status
+        finally:
+            pool.close_idle(f"{host}:{port}")
+            server.close()
+
+    def test_it_is_no_answer_and_the_call_ends_at_once(self):
+        """Guards against calls that wait for their time limit, or take the body."""
+        statuses = (b"000", b"001", b"042", b"099", b"104", b"199", b"600", b"999")
+        for status in statuses:
+            found = loop.EVENT_LOOP.run_until_complete(self.call(status))
+            self.assertIs(http1_client.ExchangeFailure.MALFORMED, found, status)
+
+    def test_final_statuses_are_answers(self):
+        for status in (b"200", b"404", b"503", b"599"):
+            found = loop.EVENT_LOOP.run_until_complete(self.call(status))
+            self.assertEqual(int(status), found)
