Rank an engine by its own slowness, not only by the wait there

Cause: the pace that an engine reports multiplied only the expected wait, so that an idle engine that is two and a half times as slow looked as good as any other.

Change: the time by which the first event comes later counts, too.

--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -18,6 +18,7 @@
     engine_draw,
     engine_obstacles,
     engine_requirements,
+    engine_speed,
     engine_waits,
     engines,
     region_rules,
@@ -133,7 +134,7 @@
     """Return the best engine for a request, or None if none is eligible."""
     candidates = []
     for engine in eligible_engines(registry, requirements, location, now_s):
-        score = _score(engine, requirements.service, location, now_s, random_source)
+        score = _score(engine, requirements, location, now_s, random_source)
         score += _interruption_penalty_s(engine, requirements, location, now_s)
         if requirements.was_interrupted:
             score += random_source.random() * INTERRUPTED_NOISE_S
@@ -190,14 +191,19 @@
 
 def _score(
     engine: engines.Engine,
-    service: entry_data.Service,
+    requirements: engine_requirements.EngineRequirements,
     location: engine_requirements.EntryLocation,
     now_s: float,
     random_source: random.Random,
 ) -> float:
+    service = requirements.service
     score = engine_waits.expected_wait_s(engine, service, location, now_s)
     slowdown = engine.load.pace if engine.load is not None else 1.0
     score *= max(slowdown, 1.0)
+    if engine.has_recent_load(now_s):
+        score += engine_speed.first_event_delay_s(
+            slowdown, requirements.prefill_s, service.profile
+        )
     score += engine.link_delay_s(now_s)
     score += _distance_penalty_s(engine, location) + random_source.random() * NOISE_S
     if engine.entry.cold_left_s > 0:
--- a/toucanspread/core/entry/load_balancing_test.py
+++ b/toucanspread/core/entry/load_balancing_test.py
@@ -104,6 +104,17 @@
             engine.apply_load(load, 0.0)
         self.assertEqual({"z2-0"}, {self.choose() for _ in range(20)})
 
+    def test_an_idle_engine_that_is_slow_is_no_choice_beside_a_normal_one(self):
+        """Guards against first events that come late from engines slow by turns."""
+        for engine in self.registry.of_service(SERVICE.name):
+            pace = 1.0 if engine.entry.engine_id == "z1-0" else 2.5
+            load = entry_data.EngineLoad(
+                engine.entry.address, 0, 0, 0, 1, False, pace=pace
+            )
+            engine.apply_load(load, 0.0)
+        chosen = {self.choose(now_s=0.1, prefill_s=0.07) for _ in range(20)}
+        self.assertEqual({"z1-0"}, chosen)
+
     def test_a_removed_engine_gets_no_requests(self):
         for engine in list(self.registry.of_service(SERVICE.name)):
             if engine.entry.engine_id != "z2-0":
