Let declared priorities decide which requests start where callers compete

Cause: while callers compete for too little room, the entry's queue put the requests with the most time left first, so that a burst of a patient kind made urgent ones late.

Change: where the settings list the term pressure, the declared priority goes before the time left, and a less urgent request leaves slots and prefill time free at an engine for each more urgent priority of its service.

--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -15,6 +15,7 @@
     engines,
     final_answers,
     load_balancing,
+    priority_rules,
     request_record,
 )
 
@@ -132,8 +133,11 @@
     if not record.can_be_queued:
         return None
     capacity = _measure_capacity(record, engine, context)
+    allowance = priority_rules.FULL_ALLOWANCE
+    if context.priorities is not None:
+        allowance = context.priorities.find_allowance(record.rank)
     if admission_queue.can_start(
-        record.timing, capacity, context.now_s, context.has_turn
+        record.timing, capacity, context.now_s, context.has_turn, allowance
     ):
         if _would_miss_deadline(record, capacity.backlog_s, context):
             return final_answers.make_overload_rejection(capacity.backlog_s, context)
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from toucanspread.core.entry import priority_rules
+
 # Limit on the engine's other prefill work; the request's own prompt is added to it.
 MAX_PREFILL_BACKLOG_S = 0.10
 # Two decode passes of a full engine, 80 ms each: the running one, and that of the
@@ -45,10 +47,12 @@
     :param arrived_s: arrival time.
     :param start_deadline_s: latest time at which an engine can start for an answer on
         time.
+    :param rank: declared priority; 0 is the most urgent.
     """
 
     arrived_s: float
     start_deadline_s: float
+    rank: int
 
 
 def classify(request: QueuedRequest, backlog_s: float, now_s: float) -> QueueClass:
@@ -64,19 +68,25 @@
 
 
 def sort_queue(
-    requests: Iterable[QueuedRequest], backlog_s: float, now_s: float
+    requests: Iterable[QueuedRequest],
+    backlog_s: float,
+    now_s: float,
+    has_priorities: bool = False,
 ) -> list[QueuedRequest]:
     """Return the requests in the order in which they go to engines.
 
     Among requests that can be on time, the one with the most time left goes first: when
     there are too many, one with little time left is late by the time it is answered.
+
+    :param has_priorities: whether declared priorities go before the time left.
     """
 
-    def rank(request: QueuedRequest) -> tuple[int, float]:
+    def rank(request: QueuedRequest) -> tuple[int, int, float]:
         queue_class = classify(request, backlog_s, now_s)
+        declared_rank = request.rank if has_priorities else 0
         if queue_class is QueueClass.ON_TIME:
-            return (queue_class, -request.start_deadline_s)
-        return (queue_class, request.arrived_s)
+            return (queue_class, declared_rank, -request.start_deadline_s)
+        return (queue_class, declared_rank, request.arrived_s)
 
     return sorted(requests, key=rank)
 
@@ -99,22 +109,23 @@
     capacity: EngineCapacity,
     now_s: float,
     has_turn: bool = False,
+    allowance: priority_rules.Allowance = priority_rules.FULL_ALLOWANCE,
 ) -> bool:
     """Return whether a request may go to an engine now.
 
     A late request leaves some slots to requests of all entries that can be on time.
 
     :param has_turn: whether requests of its size were begun too rarely.
+    :param allowance: what it may use of the engine by its priority.
     """
     queue_class = classify(request, capacity.backlog_s, now_s)
     if queue_class is QueueClass.EXPIRING:
         return capacity.free_slots >= EXPIRING_MIN_FREE_COUNT
-    required = ON_TIME_MIN_FREE_COUNT
+    required = ON_TIME_MIN_FREE_COUNT + allowance.reserved_slots
     if queue_class is QueueClass.LATE:
         required = TURN_MIN_FREE_COUNT if has_turn else LATE_MIN_FREE_COUNT
-    return (
-        capacity.free_slots >= required and capacity.prefill_s <= MAX_PREFILL_BACKLOG_S
-    )
+    max_prefill_s = MAX_PREFILL_BACKLOG_S * allowance.backlog_factor
+    return capacity.free_slots >= required and capacity.prefill_s <= max_prefill_s
 
 
 def expected_wait_s(
--- a/toucanspread/core/entry/decision_context.py
+++ b/toucanspread/core/entry/decision_context.py
@@ -7,6 +7,7 @@
     crash_guard,
     engine_requirements,
     engines,
+    priority_rules,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -21,6 +22,7 @@
     :param requests_end_s: time by which requests must have ended, since the entry
         stops then; infinite while it is not leaving.
     :param has_turn: whether requests of its size were begun too rarely.
+    :param priorities: the declared priorities; None if they decide only at engines.
     """
 
     now_s: float
@@ -33,6 +35,7 @@
     upcoming_versions: tuple[entry_data.DueVersion, ...] = ()
     requests_end_s: float = float("inf")
     has_turn: bool = False
+    priorities: priority_rules.PriorityRules | None = None
 
     @property
     def is_leaving(self) -> bool:
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -40,6 +40,7 @@
     :param declared_rank: priority of the team; None to use that of the route.
     :param allowed_regions: regions in which it may be served; None for all.
     :ivar deadline_s: time of the request's deadline, on the clock of ``now_s``.
+    :ivar rank: declared priority; 0 is the most urgent.
     :ivar start_deadline_s: latest time at which an engine can start for an answer on
         time.
     :ivar running: the dispatches that are not over.
@@ -62,9 +63,9 @@
         self.start_deadline_s = self.timing.start_deadline_s
         self.is_finished = False
         self.move_obstacle: decisions.MoveObstacle | None = None
-        rank = route.priority if declared_rank is None else declared_rank
+        self.rank = route.priority if declared_rank is None else declared_rank
         self._record = request_record.RequestRecord(
-            self.timing, rank, call.last_event_id, allowed_regions=allowed_regions
+            self.timing, self.rank, call.last_event_id, allowed_regions=allowed_regions
         )
         self.running = request_dispatches.RequestDispatches()
         self._error_number: int | None = None
--- a/toucanspread/core/entry/routes.py
+++ b/toucanspread/core/entry/routes.py
@@ -3,8 +3,9 @@
 import enum
 from collections.abc import Iterable
 
+from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import region_rules
+from toucanspread.core.entry import priority_rules, region_rules
 
 
 class Denial(enum.Enum):
@@ -25,6 +26,7 @@
         self.services = {service.name: service for service in configuration.services}
         self._by_host = _index_routes(configuration.routes)
         self._team_of_key = _index_keys(configuration.teams)
+        self._priorities: dict[data.ServiceName, priority_rules.PriorityRules] = {}
 
     @property
     def version(self) -> int:
@@ -58,6 +60,18 @@
             return None
         return Denial.UNKNOWN_KEY if self.configuration.teams else None
 
+    def priorities_of(
+        self, service: entry_data.Service
+    ) -> priority_rules.PriorityRules:
+        """Return the declared priorities of the requests of a service."""
+        rules = self._priorities.get(service.name)
+        if rules is None:
+            rules = priority_rules.PriorityRules.from_configuration(
+                self.configuration, service
+            )
+            self._priorities[service.name] = rules
+        return rules
+
     def origin_service(self) -> entry_data.Service | None:
         """Return the service that holds all weights, or None."""
         for service in self.configuration.services:
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -130,10 +130,10 @@
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
         queue = self._forwarder.queue
         queue.shares.record_arrival(self._state.timing)
-        queued_prefill_s = queue.sum_prefill_s(self.queue_key)
-        self.carry_out(
-            self._state.start(self.make_decision_context(), queued_prefill_s)
-        )
+        context = self.make_decision_context()
+        rank = self._state.rank if context.priorities is not None else None
+        queued_prefill_s = queue.sum_prefill_s(self.queue_key, rank)
+        self.carry_out(self._state.start(context, queued_prefill_s))
 
     @dispatch_events.ending_on_error
     def resume(self, has_turn: bool = False) -> bool:
--- a/toucanspread/ops/forwarding/forwarder.py
+++ b/toucanspread/ops/forwarding/forwarder.py
@@ -12,6 +12,7 @@
     engine_requirements,
     fingerprints,
     guard_program,
+    priority_rules,
     retry_budget,
     routes,
 )
@@ -57,6 +58,7 @@
     :param list_members: returns the entries that serve callers.
     :param get_copy_age_s: returns the age of this entry's copy of the store in seconds.
     :param config_within_s: time after which a configuration must be in force.
+    :param has_priorities: whether declared priorities decide which requests start.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         list_members: Callable[[], guard_program.Members],
         get_copy_age_s: Callable[[], float],
         config_within_s: float,
+        has_priorities: bool = False,
     ):
         self._notifier = notifier
         self.cluster = cluster
@@ -82,6 +85,7 @@
         self._get_location = get_location
         self._get_copy_age_s = get_copy_age_s
         self._config_within_s = config_within_s
+        self._has_priorities = has_priorities
         self._random_source = random_source
         self.queue = request_queue.RequestQueue(pool.reactor)
         self.crash_notices = crash_notices.CrashNotices(
@@ -174,8 +178,16 @@
             self.cluster.minimum_version(service, now_s),
             self.cluster.upcoming_versions(service, now_s),
             self._requests_end_s,
+            priorities=self._find_priorities(service),
         )
 
+    def _find_priorities(
+        self, service: entry_data.Service
+    ) -> priority_rules.PriorityRules | None:
+        if not self._has_priorities or service.profile is None:
+            return None
+        return self.cluster.route_table.priorities_of(service)
+
     def notify_prompt_sent(self, sent: entry_data.PromptSent) -> None:
         """Notify the entries of the zone of a prompt that is sent to an engine."""
         self._notifier.send_prompt_notice(sent)
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -83,10 +83,16 @@
         self._queued: dict[QueueKey, list[QueueItem]] = {}
         self._timer = None
 
-    def sum_prefill_s(self, key: QueueKey) -> float:
-        """Return the time that one engine would need for all queued prompts."""
-        queued = self._queued.get(key, [])
-        return sum(request.state.timing.prefill_s for request in queued)
+    def sum_prefill_s(self, key: QueueKey, rank: int | None = None) -> float:
+        """Return the time that one engine would need for the queued prompts.
+
+        :param rank: counts only requests that are not less urgent; None for all.
+        """
+        return sum(
+            request.state.timing.prefill_s
+            for request in self._queued.get(key, [])
+            if rank is None or request.state.rank <= rank
+        )
 
     def add(self, request: QueueItem) -> None:
         """Queue a request."""
@@ -153,5 +159,7 @@
         queued[0].allowed_regions,
     )
     by_state = {request.state: request for request in queued}
-    ordered = admission_queue.sort_queue(by_state, backlog_s, context.now_s)
+    ordered = admission_queue.sort_queue(
+        by_state, backlog_s, context.now_s, context.priorities is not None
+    )
     return [by_state[state] for state in ordered]
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -122,6 +122,7 @@
             self._list_members,
             lambda: self.view.age_s(reactor.seconds()),
             bounds.config_apply_ms / 1000,
+            process_settings.has_pressure,
         )
         self._report_receiver.crash_notices = self._forwarder.crash_notices
         self._senders = cold_engines.KnownSenders(name, self.cluster.directory)
--- a/toucanspread/platform/settings.py
+++ b/toucanspread/platform/settings.py
@@ -12,6 +12,7 @@
 from toucanspread.core import data, decoder
 
 PATH_VARIABLE = "TOUCANSPREAD_SETTINGS"
+PRESSURE_CONTRACT = "pressure"
 
 
 class SettingsError(Exception):
@@ -76,6 +77,7 @@
     :param app: address of the engine on the same machine; empty if there is none.
     :param service: service of that engine.
     :param bootstrap: whether the whole system is started for the first time.
+    :param contracts: names of the platform's terms that are in force.
     """
 
     node_name: str
@@ -92,6 +94,7 @@
     app: str = ""
     service: str = ""
     bootstrap: bool = False
+    contracts: tuple[str, ...] = ()
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
@@ -115,6 +118,11 @@
         regions.setdefault(data.ZoneName(self.zone), data.RegionName(self.region))
         return regions
 
+    @property
+    def has_pressure(self) -> bool:
+        """Return whether callers may compete for too little room."""
+        return PRESSURE_CONTRACT in self.contracts
+
     def require(self, *names: str) -> None:
         """Check that the listening addresses that a program needs are set.
 
