Let an entry send to cold engines at once if its earlier record is still valid

Change: an entry whose own record is in the store before it has written one was there before, and so were the others whose records are there; the list is complete at once.

--- a/toucanspread/core/entry/cold_engines.py
+++ b/toucanspread/core/entry/cold_engines.py
@@ -80,9 +80,18 @@
         self._name = name
         self._directory = directory
         self._listed_since_s: float | None = None
+        self._has_predecessor = False
         self._key: tuple[int, bool] | None = None
         self._selector = SenderSelector(name, (), is_settled=False)
 
+    def record_predecessor(self) -> None:
+        """Record that the store still has the record of an earlier process.
+
+        The records of the other entries that were there before are then valid, too,
+        also if all of them have been restarted at the same time.
+        """
+        self._has_predecessor = True
+
     def select(self, now_s: float) -> SenderSelector:
         """Return what tells to which cold engines this entry may send now."""
         key = (self._directory.change_count, self._is_settled(now_s))
@@ -99,6 +108,8 @@
         An entry that sees its own record in its copy of the store also sees those that
         were written before.
         """
+        if self._has_predecessor:
+            return True
         if self._listed_since_s is None and self._directory.has(self._name):
             self._listed_since_s = now_s
         if self._listed_since_s is None:
--- a/toucanspread/core/entry/cold_engines_test.py
+++ b/toucanspread/core/entry/cold_engines_test.py
@@ -119,6 +119,14 @@
         settled = senders.select(1.0 + cold_engines.SETTLE_S)
         self.assertTrue(settled.is_sender("engine", ZONE, COLD_PER_S))
 
+    def test_an_entry_that_finds_the_record_of_its_earlier_process_is_settled(self):
+        """Guards against seconds without service after all entries have restarted."""
+        directory = entry_directory.EntryDirectory()
+        senders = cold_engines.KnownSenders("entry-0", directory)
+        senders.record_predecessor()
+        directory.put(make_record(0))
+        self.assertTrue(senders.select(0.0).is_sender("engine", ZONE, COLD_PER_S))
+
 
 class ColdObstacleTest(testtools.TestCase):
     def setUp(self):
--- a/toucanspread/ops/registration.py
+++ b/toucanspread/ops/registration.py
@@ -26,6 +26,11 @@
         self._is_failing = False
         self._has_ended = False
 
+    @property
+    def has_written(self) -> bool:
+        """Return whether this process has written the record."""
+        return self._written_record is not None
+
     async def run(self) -> None:
         """Write the record, then renew its lease until it is ended or cancelled."""
         while not self._has_ended:
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -283,8 +283,14 @@
     def _apply_record(self, change: store_view.KeyChange) -> None:
         event = decoding.decode_change(change)
         if isinstance(event, cluster_state.EntrySeen):
+            self._check_predecessor(event.record)
             self.cluster.directory.put(event.record)
 
+    def _check_predecessor(self, record: entry_directory.EntryRecord) -> None:
+        is_own = record.name == self.process_settings.node_name
+        if is_own and not self._registration.has_written:
+            self._senders.record_predecessor()
+
     def _log_change(self, event: data.Event, change: store_view.KeyChange) -> None:
         logs.write(
             "belief_changed",
