Report the place of a clamped number of the configuration

A clamped number was logged with its field only, so that neither the log nor a check could say which route or service has it.

--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -6,6 +6,10 @@
 clamped to their bounds instead.
 """
 
+import functools
+from collections.abc import Callable
+from typing import Any
+
 import msgspec
 
 from toucanspread.core import bounds, data, decoder
@@ -35,6 +39,9 @@
 BODY_BYTES = bounds.Range(0, 2**40)
 PIECE_BYTES = bounds.Range(0, 2**32)
 
+# Gets the place, the field and the number that is used instead.
+ClampHandler = Callable[[str, str, float], None]
+
 REQUEST_KINDS = {
     "idempotent": entry_data.RequestKind.IDEMPOTENT,
     "non_idempotent": entry_data.RequestKind.NON_IDEMPOTENT,
@@ -200,28 +207,40 @@
         return None
 
 
-def decode_configuration(value: bytes) -> entry_data.Configuration:
+def decode_configuration(
+    value: bytes, on_clamped: ClampHandler | None = None
+) -> entry_data.Configuration:
     """Decode the configuration that the operator wrote.
 
+    :param on_clamped: called for each number that is clamped; None writes a log line.
     :raises decoder.MalformedError: when it is malformed.
     """
+    handler = on_clamped or _log_clamped
     config = decoder.decode_json(value, _Config)
+    clamp = functools.partial(_clamp, handler, "limits")
     return entry_data.Configuration(
         config.version,
-        tuple(_make_route(route) for route in config.routes),
-        tuple(_make_service(service) for service in config.services),
-        tuple(_make_team(tenant) for tenant in config.tenants),
+        tuple(_make_route(route, handler) for route in config.routes),
+        tuple(_make_service(service, handler) for service in config.services),
+        tuple(_make_team(tenant, handler) for tenant in config.tenants),
         entry_data.CallerLimits(
-            _clamp("max_header_bytes", config.limits.max_header_bytes, BODY_BYTES),
-            _clamp("max_body_bytes", config.limits.max_body_bytes, BODY_BYTES),
-            _clamp("header_timeout_ms", config.limits.header_timeout_ms, DURATION_MS)
-            / 1000,
-            _clamp("idle_timeout_ms", config.limits.idle_timeout_ms, DURATION_MS)
+            clamp("max_header_bytes", config.limits.max_header_bytes, BODY_BYTES),
+            clamp("max_body_bytes", config.limits.max_body_bytes, BODY_BYTES),
+            clamp("header_timeout_ms", config.limits.header_timeout_ms, DURATION_MS)
             / 1000,
+            clamp("idle_timeout_ms", config.limits.idle_timeout_ms, DURATION_MS) / 1000,
         ),
     )
 
 
+def read_fields(value: bytes) -> dict[str, Any]:
+    """Return the fields of a configuration that the programs read, with defaults.
+
+    :raises decoder.MalformedError: when it is malformed.
+    """
+    return msgspec.to_builtins(decoder.decode_json(value, _Config))
+
+
 def decode_engine(engine_id: str, value: bytes) -> entry_data.EngineEntry | None:
     """Decode an engine's entry; return None if it describes no usable engine."""
     if not engine_id.isprintable():
@@ -318,10 +337,19 @@
     return cluster_state.EntrySeen(record)
 
 
-def _make_route(route: _Route) -> entry_data.Route:
+def _make_route(route: _Route, on_clamped: ClampHandler) -> entry_data.Route:
+    place = f"routes[{route.name}]"
+    clamp = functools.partial(_clamp, on_clamped, place)
     shares = [
         entry_data.Share(
-            data.ServiceName(split.service), _clamp("weight", split.weight, WEIGHT)
+            data.ServiceName(split.service),
+            _clamp(
+                on_clamped,
+                f"{place}.traffic_split[{split.service}]",
+                "weight",
+                split.weight,
+                WEIGHT,
+            ),
         )
         for split in route.traffic_split
     ]
@@ -332,52 +360,60 @@
         route.host.lower(),
         route.prefix,
         REQUEST_KINDS.get(route.kind, entry_data.RequestKind.NON_IDEMPOTENT),
-        _clamp("timeout_ms", route.timeout_ms, DURATION_MS) / 1000,
-        _clamp("slo_ms", route.slo_ms, DURATION_MS) / 1000,
-        _clamp("priority", route.priority, PRIORITY),
+        clamp("timeout_ms", route.timeout_ms, DURATION_MS) / 1000,
+        clamp("slo_ms", route.slo_ms, DURATION_MS) / 1000,
+        clamp("priority", route.priority, PRIORITY),
         tuple(shares),
-        _clamp("attempts", route.attempts, COUNT),
+        clamp("attempts", route.attempts, COUNT),
         route.allow_anonymous,
         route.resume_streams,
         _make_regions(route.allowed_regions),
     )
 
 
-def _make_service(service: _Service) -> entry_data.Service:
+def _make_service(service: _Service, on_clamped: ClampHandler) -> entry_data.Service:
+    place = f"services[{service.name}]"
+    clamp = functools.partial(_clamp, on_clamped, place)
     profile = None
     engine = service.engine
     if engine is not None and engine.models:
-        stride = _clamp("stride", engine.stride, STRIDE)
+        model = engine.models[0]
+        clamp_engine = functools.partial(_clamp, on_clamped, f"{place}.engine")
+        clamp_model = functools.partial(
+            _clamp, on_clamped, f"{place}.engine.models[{model.name}]"
+        )
+        stride = clamp_engine("stride", engine.stride, STRIDE)
         profile = entry_data.ModelProfile(
-            data.ModelName(engine.models[0].name),
-            _clamp("layers", engine.layers, LAYERS),
-            _clamp("chunks", engine.chunks, PIECES),
-            _clamp("chunk_bytes", engine.chunk_bytes, PIECE_BYTES),
-            _clamp("warmup_s", engine.models[0].warmup_s, DURATION_S),
-            _clamp("read_per_s", engine.read_per_s, READ_PER_S),
-            _clamp("step_ms", engine.step_ms, DURATION_MS) * stride / 1000,
+            data.ModelName(model.name),
+            clamp_engine("layers", engine.layers, LAYERS),
+            clamp_engine("chunks", engine.chunks, PIECES),
+            clamp_engine("chunk_bytes", engine.chunk_bytes, PIECE_BYTES),
+            clamp_model("warmup_s", model.warmup_s, DURATION_S),
+            clamp_engine("read_per_s", engine.read_per_s, READ_PER_S),
+            clamp_engine("step_ms", engine.step_ms, DURATION_MS) * stride / 1000,
             stride,
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
     zone = data.ZoneName(service.zone)
-    link_mbps = _clamp("link_mbps", service.link_mbps, LINK_MBPS)
+    link_mbps = clamp("link_mbps", service.link_mbps, LINK_MBPS)
     return entry_data.Service(
         name,
         profile,
         origin,
         link_mbps,
         zone,
-        _clamp("cold_start_s", service.cold_start_s, DURATION_S),
-        _clamp("cold_per_s", service.cold_per_s, RATE_PER_S),
+        clamp("cold_start_s", service.cold_start_s, DURATION_S),
+        clamp("cold_per_s", service.cold_per_s, RATE_PER_S),
     )
 
 
-def _make_team(tenant: _Tenant) -> entry_data.Team:
+def _make_team(tenant: _Tenant, on_clamped: ClampHandler) -> entry_data.Team:
+    clamp = functools.partial(_clamp, on_clamped, f"tenants[{tenant.name}]")
     name = data.TeamName(tenant.name)
     priority = tenant.priority
     if priority is not None:
-        priority = _clamp("priority", priority, PRIORITY)
+        priority = clamp("priority", priority, PRIORITY)
     regions = _make_regions(tenant.allowed_regions)
     return entry_data.Team(name, tuple(tenant.api_keys), priority, regions)
 
@@ -414,12 +450,23 @@
     return tuple(loaded_layers)
 
 
-def _clamp(field: str, number: float, limits: bounds.Range) -> float:
-    """Return a number of the configuration within its limits, and log a change.
+def _clamp(
+    on_clamped: ClampHandler,
+    place: str,
+    field: str,
+    number: float,
+    limits: bounds.Range,
+) -> float:
+    """Return a number of the configuration within its limits, and report a change.
 
+    :param place: object of the configuration that has the number.
     :param field: name of the number in the configuration.
     """
     clamped = limits.clamp(number)
     if clamped != number:
-        logs.write("configuration_clamped", field=field, to=clamped)
+        on_clamped(place, field, clamped)
     return clamped
+
+
+def _log_clamped(place: str, field: str, clamped: float) -> None:
+    logs.write("configuration_clamped", place=place, field=field, to=clamped)
