Add check-config, which checks a configuration before it is sent

Operators saw only in the logs of the programs that a configuration was refused or clamped, and not at all that a route was hidden or that limits contradict each other. The command reports these faults and the differences from the configuration in force.

--- a/toucanspread/tools/cli.py
+++ b/toucanspread/tools/cli.py
@@ -9,10 +9,11 @@
 import pathlib
 import sys
 import time
+from collections.abc import Callable
 
 import defopt
 
-from toucanspread.tools import client, render
+from toucanspread.tools import client, config_format, render
 
 EXIT_USAGE = 2
 EXIT_REFUSED = 3
@@ -225,23 +226,82 @@
         print(line)
 
 
-def main() -> None:
-    """Run the command line."""
-    defopt.run(
-        [
-            entry,
-            endpoint,
-            plan,
-            confirm,
-            status,
-            watch,
-            diff,
-            manifest,
-            explain,
-            report,
-            sizes,
-        ],
-    )
+def make_check_config(
+    configuration_format: config_format.ConfigurationFormat,
+) -> Callable[..., None]:
+    """Return the command "check-config" for a wire format of the configuration."""
+
+    def check_config(
+        file: str,
+        *,
+        in_force: str | None = None,
+        regions: str | None = None,
+        prompt_tokens: int = 0,
+        json: bool = False,
+    ) -> None:
+        """Check a configuration; exit with 1 for warnings only and 2 for errors.
+
+        :param file: JSON file of the configuration; - for the standard input.
+        :param in_force: JSON file of the configuration to compare with.
+        :param regions: regions that have engines, separated by commas.
+        :param prompt_tokens: size of a usual prompt, compared with the targets.
+        :param json: print JSON instead of text.
+        """
+        from toucanspread.tools import config_check
+
+        result = config_check.check(
+            configuration_format,
+            _read_bytes(file),
+            None if in_force is None else _read_bytes(in_force),
+            None if regions is None else _split_names(regions),
+            prompt_tokens,
+        )
+        format_result = config_check.format_json if json else config_check.format_text
+        print(format_result(result))
+        sys.exit(result.exit_status)
+
+    return check_config
+
+
+def main(
+    configuration_format: config_format.ConfigurationFormat | None = None,
+) -> None:
+    """Run the command line.
+
+    :param configuration_format: wire format of the configuration; None leaves out the
+        command that checks one.
+    """
+    commands: list[Callable[..., None]] = [
+        entry,
+        endpoint,
+        plan,
+        confirm,
+        status,
+        watch,
+        diff,
+        manifest,
+        explain,
+        report,
+        sizes,
+    ]
+    if configuration_format is not None:
+        commands.append(make_check_config(configuration_format))
+    defopt.run(commands)
+
+
+def _split_names(text: str) -> frozenset[str]:
+    return frozenset(name.strip() for name in text.split(","))
+
+
+def _read_bytes(path: str) -> bytes:
+    """Return the content of a file, or of the standard input for "-"."""
+    try:
+        if path == "-":
+            return sys.stdin.buffer.read()
+        return pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        print(f"toucanspread: {path}: cannot be read: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
 
 
 def _read_lines(files: list[pathlib.Path]) -> list[str]:
