--- a/toucanspread/tools/config_check_test.py
+++ b/toucanspread/tools/config_check_test.py
@@ -8,10 +8,11 @@
 import hypothesis
 from hypothesis import strategies
 
+from toucanspread import __main__ as program
 from toucanspread.core import decoder
 from toucanspread.ops.telemetry import logs
 from toucanspread.platform import configuration_format, decoding, decoding_test
-from toucanspread.tools import cli, cli_test, config_check
+from toucanspread.tools import cli_test, config_check
 
 ROUTE = {
     "name": "r-1",
@@ -253,7 +254,7 @@
             mock.patch.object(sys, "argv", arguments),
             mock.patch.object(sys, "stdin", stream),
         ):
-            return self.run_command(cli.main, FORMAT)
+            return self.run_command(program.main)
 
     def test_json_output_of_the_standard_input(self):
         in_force = self.write("in-force.json", json.dumps(GOOD))
