Move the comparison with golden files out of the core

Cause: core/sessions.py read an environment variable and files, though the core does no input or output. Change: it is in standins/golden_files.py, and the layering test forbids os in the core. Measured: golden and layering tests pass.

--- a/toucanspread/core/agreement/agreement_golden_test.py
+++ b/toucanspread/core/agreement/agreement_golden_test.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from standins import agreement_simulation
+from standins import agreement_simulation, golden_files
 from toucanspread.core import data, sessions
 from toucanspread.core.agreement.agreement_test import (
     NEXT_MANIFEST,
@@ -52,4 +52,4 @@
     def test_sessions_match_the_golden_files(self):
         for name, recorder in record_sessions().items():
             path = GOLDEN / f"agreement_{name}.jsonl"
-            self.assertEqual([], sessions.compare_golden(path, recorder.text()))
+            self.assertEqual([], golden_files.compare_session(path, recorder.text()))
--- a/toucanspread/core/gate/gate_golden_test.py
+++ b/toucanspread/core/gate/gate_golden_test.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from standins import gate_harness
+from standins import gate_harness, golden_files
 from toucanspread.core import data, events, sessions
 from toucanspread.core.gate import dispatch_events
 
@@ -74,7 +74,7 @@
 class GateGoldenTest(testtools.TestCase):
     def check(self, name, recorder):
         path = GOLDEN / f"gate_{name}.jsonl"
-        self.assertEqual([], sessions.compare_golden(path, recorder.text()))
+        self.assertEqual([], golden_files.compare_session(path, recorder.text()))
 
     def test_model(self):
         self.check("model", record_model())
--- a/toucanspread/core/requests/requests_golden_test.py
+++ b/toucanspread/core/requests/requests_golden_test.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from standins import golden_files
 from toucanspread.core import data, events, sessions
 from toucanspread.core.requests import entry_selection, request_events, requests_test
 
@@ -90,6 +91,6 @@
         session = Session()
         session.run()
         text = session.recorder.text()
-        self.assertEqual([], sessions.compare_golden(GOLDEN, text))
+        self.assertEqual([], golden_files.compare_session(GOLDEN, text))
         fresh = requests_test.make_entry(seed=7)
         self.assertEqual([], sessions.replay(GOLDEN.read_text(), fresh))
--- a/toucanspread/core/sessions.py
+++ b/toucanspread/core/sessions.py
@@ -5,16 +5,12 @@
 """
 
 import functools
-import os
-import pathlib
 from collections.abc import Iterable
 
 import msgspec
 
 from toucanspread.core import data, decoder, events, machine
 
-UPDATE_VARIABLE = "UPDATE_GOLDEN"  # set to 1 to rewrite golden files
-
 
 class SessionError(Exception):
     """A session cannot be parsed."""
@@ -90,26 +86,6 @@
     return mismatches
 
 
-def compare_golden(path: pathlib.Path, text: str) -> list[str]:
-    """Return the lines in which a session differs from its golden file.
-
-    If the environment variable ``UPDATE_GOLDEN`` is 1, the file is rewritten instead.
-    """
-    if os.environ.get(UPDATE_VARIABLE) == "1":
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text)
-        return []
-    expected = path.read_text().splitlines()
-    actual = text.splitlines()
-    differences = []
-    for number in range(max(len(expected), len(actual))):
-        before = expected[number] if number < len(expected) else "(no line)"
-        after = actual[number] if number < len(actual) else "(no line)"
-        if before != after:
-            differences.append(f"line {number + 1}: {before} became {after}")
-    return differences
-
-
 def _encode_step(
     now_s: float, event: data.Event, outputs: Iterable[data.Effect]
 ) -> str:
--- a/toucanspread/core/transfers/transfer_golden_test.py
+++ b/toucanspread/core/transfers/transfer_golden_test.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from standins import transfer_simulation
+from standins import golden_files, transfer_simulation
 from toucanspread.core import machine, sessions
 from toucanspread.core.transfers import transfer
 
@@ -42,7 +42,7 @@
         )
         self.assertTrue(is_whole)
         text = self.recorder.text()
-        self.assertEqual([], sessions.compare_golden(GOLDEN / golden, text))
+        self.assertEqual([], golden_files.compare_session(GOLDEN / golden, text))
         self.assertEqual([], sessions.replay(text, self.fresh_machine()))
 
     def fresh_machine(self):
--- a/toucanspread/layering_test.py
+++ b/toucanspread/layering_test.py
@@ -7,7 +7,17 @@
 
 PACKAGE = pathlib.Path(__file__).parent
 FORBIDDEN_IN_CORE = frozenset(
-    {"asyncio", "grpc", "socket", "time", "twisted", "urllib", "http", "threading"}
+    {
+        "asyncio",
+        "grpc",
+        "http",
+        "os",
+        "socket",
+        "threading",
+        "time",
+        "twisted",
+        "urllib",
+    }
 )
 
 
