Read the sizes of prompt parts and the prompt capacity of engines

Engines that keep prompts declare prefix_cache_tokens; X-Prompt-Prefix gives the size of each part, which was dropped until now. prompt_parts keeps its meaning.

--- a/toucanspread/core/entry/data.py
+++ b/toucanspread/core/entry/data.py
@@ -87,6 +87,8 @@
     :param read_per_s: prompt tokens that an engine prefills per second.
     :param pass_s: duration of the decode pass between two prefills.
     :param pass_tokens: tokens that one decode pass generates for each request.
+    :param prefix_cache_tokens: prompt tokens that an engine keeps after their requests;
+        0 if it keeps none.
     """
 
     model: data.ModelName
@@ -97,6 +99,7 @@
     read_per_s: float = 10_000.0
     pass_s: float = 0.05
     pass_tokens: int = 5
+    prefix_cache_tokens: int = 0
 
 
 class DueVersion(data.Record):
@@ -315,6 +318,13 @@
     born_ms: int
 
 
+class PromptPart(data.Record):
+    """A part of a prompt, which other prompts may have in the same place."""
+
+    part_id: PromptPartId
+    tokens: bounds.Tokens
+
+
 class Call(data.Record):
     """A caller's request as described by its head.
 
@@ -326,6 +336,7 @@
         the last part.
     :param fingerprint: id that all requests have that are the same to an engine; empty
         if it is not known.
+    :param sized_parts: all parts of the prompt in order, with the last one.
     """
 
     attempt_id: str
@@ -340,6 +351,7 @@
     likely_tokens: int = 0
     prompt_parts: tuple[PromptPartId, ...] = ()
     fingerprint: PromptPartId = PromptPartId("")
+    sized_parts: tuple[PromptPart, ...] = ()
 
     @property
     def suspect_parts(self) -> tuple[PromptPartId, ...]:
--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -29,6 +29,7 @@
 WEIGHT = bounds.Range(0, 1_000_000_000)
 LAYERS = bounds.Range(0, bounds.MAX_LAYERS)
 PIECES = bounds.Range(0, bounds.MAX_PIECES)
+CACHE_TOKENS = bounds.Range(0, 1_000_000_000)
 READ_PER_S = bounds.Range(0.001, 1_000_000_000)  # time is computed by dividing by it
 LINK_MBPS = bounds.Range(0, 1_000_000_000)
 RATE_PER_S = bounds.Range(0, 1_000_000_000)
@@ -80,6 +81,7 @@
     layers: int = 1
     chunks: int = 1
     chunk_bytes: int = 0
+    prefix_cache_tokens: int = 0  # prompt tokens kept after their requests
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -357,6 +359,7 @@
             _clamp("read_per_s", engine.read_per_s, READ_PER_S),
             _clamp("step_ms", engine.step_ms, DURATION_MS) * stride / 1000,
             stride,
+            _clamp("prefix_cache_tokens", engine.prefix_cache_tokens, CACHE_TOKENS),
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
--- a/toucanspread/platform/requests.py
+++ b/toucanspread/platform/requests.py
@@ -28,7 +28,7 @@
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # A part of a prompt: its id and the number of its tokens.
 PART_PATTERN = re.compile(
-    rb"[ \t]*([0-9a-fA-F]{1,%d}):[0-9]{1,%d}[ \t]*"
+    rb"[ \t]*([0-9a-fA-F]{1,%d}):([0-9]{1,%d})[ \t]*"
     % (entry_data.MAX_PART_ID_LENGTH, data.MAX_COUNT_DIGITS)
 )
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -64,6 +64,7 @@
             return None
         path = head.target.partition(b"?")[0].decode("latin-1")
         usage = _parse_token_usage(head.get(b"x-token-usage"))
+        parts = _parse_parts(head.get(b"x-prompt-prefix"))
         return entry_data.Call(
             _decode_text(attempt_id),
             _decode_text(host).partition(":")[0].lower(),
@@ -75,7 +76,8 @@
             usage[0],
             usage[1],
             _parse_tokens(head.get(b"x-length-hint")) or 0,
-            _parse_shared_parts(head.get(b"x-prompt-prefix")),
+            tuple(part.part_id for part in parts[:-1]),
+            sized_parts=parts,
         )
 
     def make_engine_head(
@@ -205,14 +207,19 @@
     return (counts[0], counts[1])
 
 
-def _parse_shared_parts(value: bytes | None) -> tuple[entry_data.PromptPartId, ...]:
-    """Return the ids of all parts of a prompt but its own; none if malformed."""
+def _parse_parts(value: bytes | None) -> tuple[entry_data.PromptPart, ...]:
+    """Return all parts of a prompt; none if malformed."""
     parts = (value or b"").split(b",", entry_data.MAX_PROMPT_PARTS)
     matches = [PART_PATTERN.fullmatch(part) for part in parts]
     if len(parts) > entry_data.MAX_PROMPT_PARTS or None in matches:
         return ()
-    ids = [match[1].decode("ascii").lower() for match in matches]
-    return tuple(entry_data.PromptPartId(each) for each in ids[:-1])
+    return tuple(
+        entry_data.PromptPart(
+            entry_data.PromptPartId(match[1].decode("ascii").lower()),
+            min(int(match[2]), bounds.MAX_TOKENS),
+        )
+        for match in matches
+    )
 
 
 def _parse_number(value: bytes | None) -> int | None:
