Prefer engines that still hold the beginning of a prompt

An engine that keeps prompts skips the prefill of a beginning that it has processed, but the score of an engine did not know of it. Each entry now remembers what engines answered it and subtracts the prefill time saved. If all entries send more requests with a beginning than its holders have room for, only a part of them prefers the holders. Without prefix_cache_tokens nothing is recorded and no number is drawn.

--- a/toucanspread/core/entry/decisions.py
+++ b/toucanspread/core/entry/decisions.py
@@ -116,6 +116,7 @@
     :param is_avoided: whether it goes to an engine that probably does not answer.
     :param backoff_left_s: time for which the engine wants no requests.
     :param cold_left_s: time for which the engine bears only a few requests.
+    :param reused_tokens: prompt tokens whose prefill the engine is assumed to skip.
     """
 
     number: int
@@ -132,6 +133,7 @@
     is_avoided: bool = False
     backoff_left_s: float = 0.0
     cold_left_s: float = 0.0
+    reused_tokens: int = 0
 
 
 class NotifyEntries(data.Effect):
--- a/toucanspread/core/entry/engine_choice.py
+++ b/toucanspread/core/entry/engine_choice.py
@@ -80,6 +80,7 @@
             record.service.name, context.now_s
         ),
         allowed_regions=record.allowed_regions,
+        call=record.call,
     )
 
 
--- a/toucanspread/core/entry/engine_dispatch.py
+++ b/toucanspread/core/entry/engine_dispatch.py
@@ -30,6 +30,7 @@
     :param first_event_s: when the first complete event of its stream came.
     :param has_survived: whether the engine has written events for a while.
     :param is_stream: whether the engine answers with a stream.
+    :param version: of the engine's weights at the dispatch; 0 if it does not matter.
     """
 
     number: int = 0
@@ -39,6 +40,7 @@
     first_event_s: float | None = None
     has_survived: bool = False
     is_stream: bool = False
+    version: int = 0
 
     @property
     def engine_id(self) -> str:
@@ -109,11 +111,47 @@
         engine.cold_start.record_dispatch(record.service.cold_per_s, context.now_s)
     if record.service.profile is not None:
         engine.add_prompt(
-            record.call.prompt_tokens, record.service.profile, context.now_s
+            record.call.prompt_tokens - effect.reused_tokens,
+            record.service.profile,
+            context.now_s,
         )
     return [effect] if notice is None else [effect, decisions.NotifyEntries(notice)]
 
 
+def prompt_version(
+    record: request_record.RequestRecord, engine: engines.Engine, now_s: float
+) -> int:
+    """Return the version with which an engine processes a prompt that it may keep.
+
+    It is 0 if the engine keeps none.
+    """
+    profile = record.service.profile
+    if profile is None or not profile.prefix_cache_tokens:
+        return 0
+    return engine.complete_version(profile, now_s)
+
+
+def record_prefill(
+    record: request_record.RequestRecord, dispatch: Dispatch, now_s: float
+) -> None:
+    """Record at the engine that it has processed the prompt and may hold it.
+
+    If its weights have changed since the dispatch, it is not known with which version
+    it processed the prompt.
+    """
+    engine = dispatch.engine
+    if engine is None or not dispatch.version:
+        return
+    if engine.was_restarted:
+        return
+    if prompt_version(record, engine, now_s) != dispatch.version:
+        return
+    capacity_tokens = record.service.profile.prefix_cache_tokens
+    engine.held_prompts.record_answer(
+        record.call, capacity_tokens, dispatch.version, now_s
+    )
+
+
 def record_failure(
     dispatch: Dispatch, failure: decisions.DispatchFailure, now_s: float
 ) -> None:
@@ -166,9 +204,19 @@
         engine.is_avoided(now_s),
         engine.backoff.left_s(now_s),
         _cold_left_s(record, engine, now_s),
+        _reused_tokens(record, engine, now_s),
     )
 
 
+def _reused_tokens(
+    record: request_record.RequestRecord, engine: engines.Engine, now_s: float
+) -> int:
+    profile = record.service.profile
+    if profile is None:
+        return 0
+    return engine.find_held(record.call, profile, now_s).tokens
+
+
 def _cold_left_s(
     record: request_record.RequestRecord, engine: engines.Engine, now_s: float
 ) -> float:
--- a/toucanspread/core/entry/engine_requirements.py
+++ b/toucanspread/core/entry/engine_requirements.py
@@ -22,6 +22,7 @@
     :param prefill_s: time that an engine needs for the prefill of the prompt.
     :param rate_per_s: requests for the service that this entry gets in a second.
     :param allowed_regions: regions in which the request may be served; None for all.
+    :param call: the request; None if its prompt does not matter.
     """
 
     service: entry_data.Service
@@ -35,6 +36,7 @@
     prefill_s: float = 0.0
     rate_per_s: float = 0.0
     allowed_regions: region_rules.Regions | None = None
+    call: entry_data.Call | None = None
 
 
 class EntryLocation(NamedTuple):
--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -14,6 +14,7 @@
     engine_limits,
     engine_statement,
     evacuations,
+    prompt_reuse,
 )
 from toucanspread.core.entry import data as entry_data
 
@@ -66,6 +67,7 @@
     :ivar backoff: the time for which it wants no requests from this entry.
     :ivar says_leaving: whether it has said in an answer that it is about to end.
     :ivar stale_until_s: time until which its entry in the store may be outdated.
+    :ivar held_prompts: the beginnings of prompts that it is assumed to hold.
     :ivar cold_start: for how long it is cold, as it says, and the requests meanwhile.
     """
 
@@ -94,6 +96,7 @@
         self.limit = engine_limits.EngineLimit(entry.engine_id)
         self.backoff = engine_backoff.EngineBackoff()
         self.says_leaving = False
+        self.held_prompts = prompt_reuse.HeldPrompts()
         self._sent_since_load = 0
         self._refuting_count = 0
 
@@ -166,6 +169,15 @@
             return self.load.version
         return entry_data.complete_version(self.entry.loaded, profile)
 
+    def find_held(
+        self, call: entry_data.Call, profile: entry_data.ModelProfile, now_s: float
+    ) -> prompt_reuse.Match:
+        """Return what the engine is assumed to hold of a prompt."""
+        if not profile.prefix_cache_tokens or self.was_restarted:
+            return prompt_reuse.NO_MATCH
+        version = self.complete_version(profile, now_s)
+        return self.held_prompts.find(call, version, now_s)
+
     def link_delay_s(self, now_s: float) -> float:
         """Return the time for which bytes to the engine are held on the way."""
         if self.load is None or self.load.link_delay_s <= 0.0:
@@ -207,6 +219,8 @@
     def apply_load(self, load: entry_data.EngineLoad, now_s: float) -> None:
         """Apply a load report."""
         self._refute_restart()
+        if self.load is not None and self.load.version != load.version:
+            self.held_prompts.clear()
         self.load = load
         self.load_received_s = now_s
         self._heard_s = now_s
@@ -223,6 +237,7 @@
         """Record a load report of a newer incarnation, so the entry is outdated."""
         self.was_restarted = True
         self._refuting_count = 0
+        self.held_prompts.clear()
 
     def _refute_restart(self) -> None:
         """Count a load report of the known incarnation.
--- a/toucanspread/core/entry/forwarding.py
+++ b/toucanspread/core/entry/forwarding.py
@@ -195,6 +195,7 @@
         dispatch = self.running.newest
         if dispatch.first_event_s is None:
             self.running.replace(dispatch._replace(first_event_s=now_s))
+            engine_dispatch.record_prefill(self._record, dispatch, now_s)
             return False
         if dispatch.has_survived or not dispatch.has_run_for_a_while(now_s):
             return False
@@ -229,6 +230,8 @@
         cancellations = self.choose_dispatch(context, dispatch.number)
         if status == 200:
             crash_reports.report_whole_answer(self._record, dispatch, context)
+            if dispatch.first_event_s is None:
+                engine_dispatch.record_prefill(self._record, dispatch, context.now_s)
         if is_usable:
             self._end_dispatch(context, ok=True)
             return cancellations + self._finish(
@@ -369,9 +372,12 @@
         self._check_unfinished()
         engine_dispatch.check(self._record, engine, context)
         effects = engine_dispatch.send(self._record, engine, context)
+        version = engine_dispatch.prompt_version(self._record, engine, context.now_s)
         self._record = self._record.sent_to(engine.entry.engine_id)
         self.running.add(
-            engine_dispatch.Dispatch(self.dispatches, engine, context.now_s)
+            engine_dispatch.Dispatch(
+                self.dispatches, engine, context.now_s, version=version
+            )
         )
         return effects
 
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -21,6 +21,7 @@
     engine_speed,
     engine_waits,
     engines,
+    prompt_reuse,
     region_rules,
 )
 
@@ -133,8 +134,11 @@
 ) -> engines.Engine | None:
     """Return the best engine for a request, or None if none is eligible."""
     candidates = []
-    for engine in eligible_engines(registry, requirements, location, now_s):
-        score = _score(engine, requirements, location, now_s, random_source)
+    eligible = eligible_engines(registry, requirements, location, now_s)
+    savings_s = _draw_savings_s(eligible, requirements, location, now_s, random_source)
+    for engine in eligible:
+        saved_s = savings_s.get(engine.entry.engine_id, 0.0)
+        score = _score(engine, requirements, location, now_s, random_source, saved_s)
         score += _interruption_penalty_s(engine, requirements, location, now_s)
         if requirements.was_interrupted:
             score += random_source.random() * INTERRUPTED_NOISE_S
@@ -144,6 +148,45 @@
     return engine_draw.draw(candidates, unseen_work_s, random_source)
 
 
+def _draw_savings_s(
+    eligible: list[engines.Engine],
+    requirements: engine_requirements.EngineRequirements,
+    location: engine_requirements.EntryLocation,
+    now_s: float,
+    random_source: random.Random,
+) -> dict[str, float]:
+    """Return the prefill time that engines save which hold the prompt's beginning.
+
+    A random number is drawn only if there is such an engine.
+    """
+    profile, call = requirements.service.profile, requirements.call
+    if profile is None or call is None or not profile.prefix_cache_tokens:
+        return {}
+    holders = []
+    for engine in eligible:
+        match = engine.find_held(call, profile, now_s)
+        if not match.tokens:
+            continue
+        pace = engine.load.pace if engine.has_recent_load(now_s) else 1.0
+        pace = max(pace, 1.0)
+        saved_s = match.tokens / profile.read_per_s
+        cost_s = max(requirements.prefill_s - saved_s, 1 / profile.read_per_s)
+        holders.append(
+            prompt_reuse.Holder(
+                engine.entry.engine_id,
+                saved_s * pace,
+                cost_s * pace,
+                engine_waits.free_slots(engine, location, now_s),
+                match.rate_per_s,
+            )
+        )
+    if not holders:
+        return {}
+    return prompt_reuse.draw_savings_s(
+        holders, location.entry_count, UNSEEN_TIME_S, random_source.random()
+    )
+
+
 def _estimate_unseen_work_s(
     requirements: engine_requirements.EngineRequirements,
     location: engine_requirements.EntryLocation,
@@ -195,7 +238,12 @@
     location: engine_requirements.EntryLocation,
     now_s: float,
     random_source: random.Random,
+    saved_s: float = 0.0,
 ) -> float:
+    """Return the expected wait and the penalties for the use of an engine.
+
+    :param saved_s: prefill time that the engine saves by what it holds of the prompt.
+    """
     service = requirements.service
     score = engine_waits.expected_wait_s(engine, service, location, now_s)
     slowdown = engine.load.pace if engine.load is not None else 1.0
@@ -204,7 +252,7 @@
         score += engine_speed.first_event_delay_s(
             slowdown, requirements.prefill_s, service.profile
         )
-    score += engine.link_delay_s(now_s)
+    score += engine.link_delay_s(now_s) - saved_s
     score += _distance_penalty_s(engine, location) + random_source.random() * NOISE_S
     if engine.entry.cold_left_s > 0:
         score += COLD_PENALTY_S
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -248,7 +248,9 @@
         if self.call.prompt_tokens:
             forwarder.notify_prompt_sent(
                 entry_data.PromptSent(
-                    effect.engine_id, self.service.name, self.call.prompt_tokens
+                    effect.engine_id,
+                    self.service.name,
+                    self.call.prompt_tokens - effect.reused_tokens,
                 )
             )
         if effect.number == 1:
@@ -256,6 +258,8 @@
         metric_buffer.count("dispatches")
         if effect.cold_left_s > 0:
             metric_buffer.count("dispatches_to_cold_engines")
+        if effect.reused_tokens:
+            metric_buffer.count("prompt_tokens_reused", effect.reused_tokens)
         logs.write(
             "request_dispatched",
             id=self.call.attempt_id,
@@ -267,6 +271,7 @@
             is_avoided=effect.is_avoided,
             backoff_left_s=effect.backoff_left_s,
             cold_left_s=effect.cold_left_s,
+            reused_tokens=effect.reused_tokens,
             expected_version=effect.expected_version,
             configuration=forwarder.cluster.route_table.version,
         )
