--- a/toucanspread/core/entry/engines.py
+++ b/toucanspread/core/entry/engines.py
@@ -176,7 +176,8 @@
         if not profile.prefix_cache_tokens or self.was_restarted:
             return prompt_reuse.NO_MATCH
         version = self.complete_version(profile, now_s)
-        return self.held_prompts.find(call, version, now_s)
+        capacity_tokens = profile.prefix_cache_tokens
+        return self.held_prompts.find(call, capacity_tokens, version, now_s)
 
     def link_delay_s(self, now_s: float) -> float:
         """Return the time for which bytes to the engine are held on the way."""
@@ -275,6 +276,7 @@
             tokens / profile.read_per_s + DECODE_PASSES_PER_PROMPT * profile.pass_s
         )
         self.prefill_until_s = max(self.prefill_until_s, now_s) + prefill_s
+        self.held_prompts.record_sent(tokens)
 
     def add_remote_prompt(
         self, tokens: int, profile: entry_data.ModelProfile, now_s: float
--- a/toucanspread/core/entry/prompt_reuse.py
+++ b/toucanspread/core/entry/prompt_reuse.py
@@ -30,11 +30,13 @@
 
     :param tokens: of this part alone.
     :param uses: number of uses, which fades within ``RATE_WINDOW_S``.
+    :param sent_tokens: number of tokens that had been sent to the engine at its use.
     """
 
     tokens: int
     used_s: float
     uses: float
+    sent_tokens: int
 
     def fade_uses(self, now_s: float) -> float:
         """Return the faded number of uses."""
@@ -65,8 +67,16 @@
             collections.OrderedDict()
         )
         self._held_tokens = 0
+        self._sent_tokens = 0
         self._version = 0
 
+    def record_sent(self, tokens: int) -> None:
+        """Record a prompt of this or another entry, which takes the place of others.
+
+        :param tokens: without those that the engine is assumed to hold.
+        """
+        self._sent_tokens += tokens
+
     def clear(self) -> None:
         """Forget everything, since the engine has dropped it."""
         self._held.clear()
@@ -102,13 +112,22 @@
             if known is not None:
                 self._held_tokens -= known.tokens
                 uses += known.fade_uses(now_s)
-            self._held[beginning] = HeldBeginning(part.tokens, now_s, uses)
+            self._held[beginning] = HeldBeginning(
+                part.tokens, now_s, uses, self._sent_tokens
+            )
             self._held_tokens += part.tokens
         self._evict(capacity_tokens, now_s)
 
-    def find(self, call: entry_data.Call, version: int, now_s: float) -> Match:
+    def find(
+        self,
+        call: entry_data.Call,
+        capacity_tokens: int,
+        version: int,
+        now_s: float,
+    ) -> Match:
         """Return what the engine holds of a prompt.
 
+        :param capacity_tokens: number of tokens that the engine keeps.
         :param version: of the weights that the engine has now.
         """
         if version != self._version:
@@ -120,6 +139,8 @@
             held = self._held.get(beginning)
             if held is None or now_s - held.used_s >= UNUSED_S:
                 break
+            if self._sent_tokens - held.sent_tokens > capacity_tokens - held.tokens:
+                break
             tokens += part.tokens
             deepest = held
         # The first output token needs the prefill of at least one prompt token.
@@ -159,10 +180,9 @@
     def room(self) -> float:
         """Return how many requests gain there before the wait exceeds the saving.
 
-        An engine without a free slot needs its memory for the requests that it runs.
+        It is less than 1 for an engine without a free slot, which needs its memory for
+        the requests that it runs.
         """
-        if self.free_slots < 1:
-            return 0.0
         return min(1 + self.saved_s / self.cost_s, self.free_slots)
 
 
@@ -179,7 +199,7 @@
     :param unseen_time_s: time until an entry learns of the requests of others.
     :param draw: a random number, at least 0 and below 1.
     """
-    with_room = [holder for holder in holders if holder.room > 0]
+    with_room = [holder for holder in holders if holder.room >= 1]
     rate_per_s = sum(holder.rate_per_s for holder in holders) * max(entry_count, 1)
     room = sum(holder.room for holder in with_room)
     if draw * rate_per_s * unseen_time_s >= room:
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -76,6 +76,7 @@
                 "step_ms": 8.87,
                 "stride": 5,
                 "read_per_s": 19100.0,
+                "prefix_cache_tokens": 5_000,
                 "layers": 4,
                 "chunks": 8,
                 "chunk_bytes": 100,
@@ -287,6 +288,14 @@
                 decoded = decoding.decode_engine("i", entry)
                 self.assertEqual(is_read, decoded is not None, count)
 
+    def test_engines_keep_prompts_only_if_they_declare_it(self):
+        for declared, expected in (({}, 0), ({"prefix_cache_tokens": 5_000}, 5_000)):
+            settings = {"models": [{"name": "m"}], **declared}
+            services = [{"name": "s", "engine": settings}]
+            value = encode_json({"version": 1, "routes": [], "services": services})
+            profile = decoding.decode_configuration(value).services[0].profile
+            self.assertEqual(expected, profile.prefix_cache_tokens)
+
     def test_ranges_that_overlap_or_are_empty_count_each_layer_once(self):
         profile = decoding.decode_configuration(encode_json(CONFIG)).services[0].profile
         for ranges, version in (
@@ -315,6 +324,7 @@
             (("routes", 0, "timeout_ms"), 1e308),
             (("services", 0, "engine", "chunks"), LONG_NUMBER),
             (("services", 0, "engine", "read_per_s"), 0),
+            (("services", 0, "engine", "prefix_cache_tokens"), LONG_NUMBER),
             (("limits", "max_header_bytes"), LONG_NUMBER),
             (("tenants", 0, "priority"), -LONG_NUMBER),
         ):
--- a/toucanspread/platform/requests_test.py
+++ b/toucanspread/platform/requests_test.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from toucanspread.core import bounds
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops.http import http1
 from toucanspread.platform import requests
@@ -47,7 +48,13 @@
             b",".join([b"a" * 64 + b":1"] * 32): ("a" * 64,) * 31,
         }
         for value, parts in cases.items():
-            self.assertEqual(parts, self.read(b"X-Prompt-Prefix", value).prompt_parts)
+            call = self.read(b"X-Prompt-Prefix", value)
+            self.assertEqual(parts, call.prompt_parts)
+            self.assertEqual(parts, tuple(p.part_id for p in call.sized_parts[:-1]))
+        sizes = self.read(b"X-Prompt-Prefix", b"5c:800,91:410,e4:999999999")
+        self.assertEqual(
+            [800, 410, bounds.MAX_TOKENS], [p.tokens for p in sizes.sized_parts]
+        )
 
     def test_a_malformed_list_of_parts_counts_as_none(self):
         for value in (
