--- a/toucanspread/platform/decoding.py
+++ b/toucanspread/platform/decoding.py
@@ -33,6 +33,7 @@
 WEIGHT = bounds.Range(0, 1_000_000_000)
 LAYERS = bounds.Range(0, bounds.MAX_LAYERS)
 PIECES = bounds.Range(0, bounds.MAX_PIECES)
+CACHE_TOKENS = bounds.Range(0, 1_000_000_000)
 READ_PER_S = bounds.Range(0.001, 1_000_000_000)  # time is computed by dividing by it
 LINK_MBPS = bounds.Range(0, 1_000_000_000)
 RATE_PER_S = bounds.Range(0, 1_000_000_000)
@@ -87,6 +88,7 @@
     layers: int = 1
     chunks: int = 1
     chunk_bytes: int = 0
+    prefix_cache_tokens: int = 0  # prompt tokens kept after their requests
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -392,6 +394,9 @@
             clamp_engine("read_per_s", engine.read_per_s, READ_PER_S),
             clamp_engine("step_ms", engine.step_ms, DURATION_MS) * stride / 1000,
             stride,
+            clamp_engine(
+                "prefix_cache_tokens", engine.prefix_cache_tokens, CACHE_TOKENS
+            ),
         )
     name = data.ServiceName(service.name)
     origin = data.Address(service.origin)
--- a/toucanspread/platform/decoding_test.py
+++ b/toucanspread/platform/decoding_test.py
@@ -287,6 +287,14 @@
                 decoded = decoding.decode_engine("i", entry)
                 self.assertEqual(is_read, decoded is not None, count)
 
+    def test_engines_keep_prompts_only_if_they_declare_it(self):
+        for declared, expected in (({}, 0), ({"prefix_cache_tokens": 5_000}, 5_000)):
+            settings = {"models": [{"name": "m"}], **declared}
+            services = [{"name": "s", "engine": settings}]
+            value = encode_json({"version": 1, "routes": [], "services": services})
+            profile = decoding.decode_configuration(value).services[0].profile
+            self.assertEqual(expected, profile.prefix_cache_tokens)
+
     def test_ranges_that_overlap_or_are_empty_count_each_layer_once(self):
         profile = decoding.decode_configuration(encode_json(CONFIG)).services[0].profile
         for ranges, version in (
