Let the load simulation count its queue again

Cause: the queue is asked by the key of a request since requests with different regions wait apart; the simulation still asked by service and always got 0. Measured: standins/load_simulation_test.py passes with the right key.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -169,7 +169,7 @@
         self._entry.in_progress[self] = None
         queue = self._entry.queue
         queue.shares.record_arrival(self._state.timing)
-        queued_prefill_s = queue.sum_prefill_s(simulated_cluster.SERVICE.name)
+        queued_prefill_s = queue.sum_prefill_s(self.queue_key)
         self.carry_out(
             self._state.start(self.make_decision_context(), queued_prefill_s)
         )
