Check evacuations, cold engines and allowed regions in the simulated site

The promise simulation knew none of the three: it counted configurations, drains and versions only. Its entries now take their senders from the product's KnownSenders, with the entries' records in the simulated store. Counted are requests that reach an evacuated zone later than 5 s after the acknowledgement from an entry in touch, more than 26 requests in a second at a cold engine, and requests in a region that their route does not allow. HardLoadSchedule draws evacuations, restarts of the engines of a zone, lost records of entries and bursts from its own random source.

--- a/standins/promise_check.py
+++ b/standins/promise_check.py
@@ -5,6 +5,7 @@
 the store was down, are excused.
 """
 
+import collections
 import enum
 from typing import NamedTuple
 
@@ -18,17 +19,22 @@
     NO_REGRESS = "no regress"
     DRAIN = "drain"
     VERSION = "version"
+    EVACUATION = "evacuation"
+    COLD = "cold"
+    REGION = "region"
 
 
 class Bounds(NamedTuple):
     """The times within which changes are in force.
 
+    :param evacuation_s: time until nothing reaches engines of an evacuated zone.
     :param touch_s: time without disturbance after which a machine is in touch.
     """
 
     configuration_s: float
     drain_s: float = 2.0
     version_s: float = 8.0
+    evacuation_s: float = 5.0
     touch_s: float = 3.0
 
 
@@ -170,3 +176,17 @@
             if newer > version
         ]
         return max((now_s - due_s for due_s in due), default=float("-inf"))
+
+
+class RecentArrivals:
+    """Counts what arrived in the last second."""
+
+    def __init__(self):
+        self._arrivals_s: collections.deque[float] = collections.deque()
+
+    def record(self, now_s: float) -> int:
+        """Record an arrival; return how many there were in the second that ends now."""
+        self._arrivals_s.append(now_s)
+        while self._arrivals_s[0] <= now_s - 1.0:
+            self._arrivals_s.popleft()
+        return len(self._arrivals_s)
--- a/standins/promise_engine.py
+++ b/standins/promise_engine.py
@@ -9,12 +9,13 @@
 from standins import (
     engine_model,
     link_simulation,
+    promise_check,
     promise_entry,
     simulated_cluster,
 )
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.entry import decisions
+from toucanspread.core.entry import decisions, region_rules
 from toucanspread.platform import decoding
 
 LINK_MBPS = 4.7
@@ -51,6 +52,8 @@
     """One dispatch of a request to an engine.
 
     :ivar entry: the entry that sends the request.
+    :ivar allowed_regions: where the request may be served; None for all regions.
+    :ivar assigned_s: time at which the entry chose the engine.
     :ivar sent_s: time at which the request left the entry.
     :ivar arrived_s: time at which it reached the engine.
     :ivar closed_s: time at which the entry closed its connection.
@@ -59,6 +62,8 @@
     listener: DispatchListener
     entry: promise_entry.PromiseEntry
     engine: "PromiseEngine"
+    allowed_regions: region_rules.Regions | None = None
+    assigned_s: float | None = None
     sent_s: float | None = None
     arrived_s: float | None = None
     closed_s: float | None = None
@@ -90,6 +95,9 @@
 
     :ivar version: version of its weights.
     :ivar leaving_since_s: time of the acknowledgement that it is draining or gone.
+    :ivar is_gone: whether it has ended.
+    :ivar cold_until_s: time until which it bears only a few requests.
+    :ivar recent: the requests that reached it in the last second.
     :ivar is_narrow: whether its link has little bandwidth.
     """
 
@@ -98,12 +106,14 @@
         self.zone = zone
         self.version = version
         self.leaving_since_s: float | None = None
+        self.cold_until_s = float("-inf")
+        self.recent = promise_check.RecentArrivals()
         self.is_narrow = site.random_source.random() < NARROW_SHARE
         self._site = site
         self._loop = site.network.loop
         self._random = site.random_source
         self._is_loading = False
-        self._is_gone = False
+        self.is_gone = False
         self._jobs: dict[Dispatch, None] = {}
         self._begun: set[Dispatch] = set()
         self._newest = version
@@ -114,11 +124,24 @@
         self.machine = site.network.add_machine(address, mbps)
         self.model = engine_model.EngineModel(site.network.reactor)
 
-    def start(self) -> None:
-        """Write the record, and send load reports from now on."""
+    def start(self, cold_s: float = 0.0) -> None:
+        """Write the record, and send load reports from now on.
+
+        :param cold_s: how long it bears only a few requests.
+        """
+        self.cold_until_s = self._loop.time() + cold_s
         self._write("ready")
         self._loop.call_later(self._random.random() * REPORT_INTERVAL_S, self._report)
 
+    def become_cold(self, cold_s: float, written_in_s: float) -> None:
+        """Become cold, which its record says only later."""
+        self.cold_until_s = self._loop.time() + cold_s
+        self._loop.call_later(written_in_s, self._write_cold)
+
+    def _write_cold(self) -> None:
+        if self.leaving_since_s is None:
+            self._write("ready")
+
     def drain(self, gone_after_s: float) -> None:
         """Announce that the engine leaves, and end it later."""
         if self.leaving_since_s is None:
@@ -128,9 +151,9 @@
 
     def end(self) -> None:
         """End the engine; its record is deleted."""
-        if self._is_gone:
+        if self.is_gone:
             return
-        self._is_gone = True
+        self.is_gone = True
         self._fail_all()
         self._site.write_engine(self, None)
         if self.leaving_since_s is None:
@@ -151,11 +174,11 @@
     def receive(self, dispatch: Dispatch) -> None:
         """Accept or reject a request that has arrived."""
         dispatch.arrived_s = self._loop.time()
-        if self._is_gone:
+        if self.is_gone:
             failure = decisions.DispatchFailure.NOT_CONNECTED
             dispatch.listener.on_failure(dispatch, failure)
         self._site.check_arrival(dispatch)
-        if self._is_gone:
+        if self.is_gone:
             return
         if self._is_loading or not self.model.submit(dispatch.job):
             failure = decisions.DispatchFailure.REJECTED
@@ -198,7 +221,7 @@
             self._loop.call_later(delay_s, self._fetch_piece, version)
 
     def _fetch_piece(self, version: int) -> None:
-        if version != self._newest or self._is_gone or not self._missing:
+        if version != self._newest or self.is_gone or not self._missing:
             return
         number = self._random.choice(sorted(self._missing))
         zone = [e for e in self._site.entries.values() if e.zone == self.zone]
@@ -243,6 +266,7 @@
     # Records and reports
 
     def _write(self, state: str) -> None:
+        now_s = self._loop.time()
         value = {
             "service": simulated_cluster.SERVICE.name,
             "address": self.machine.address,
@@ -250,7 +274,7 @@
             "version": "v1",
             "slots": engine_model.SLOT_COUNT,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": max(int((self.cold_until_s - now_s) * 1000), 0),
             "models": [
                 {"name": simulated_cluster.PROFILE.model, "version": self.version}
             ],
@@ -259,7 +283,7 @@
         self._site.write_engine(self, json.dumps(value).encode())
 
     def _report(self) -> None:
-        if self._is_gone:
+        if self.is_gone:
             return
         self._loop.call_later(REPORT_INTERVAL_S, self._report)
         load = entry_data.EngineLoad(
--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from standins import (
     link_simulation,
     promise_check,
@@ -15,6 +17,7 @@
 from toucanspread.core import data
 from toucanspread.core.entry import (
     cluster_state,
+    cold_engines,
     decision_context,
     engine_requirements,
     guard_program,
@@ -27,6 +30,9 @@
 from toucanspread.ops.forwarding import crash_notices
 from toucanspread.platform import decoding, entry
 
+SERVICE = msgspec.structs.replace(
+    simulated_cluster.SERVICE, cold_start_s=3.0, cold_per_s=14.0
+)
 DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
 
 
@@ -97,6 +103,7 @@
         self.seen_version = 0
         self.configuration_within_s = bounds.configuration_s
         self.cluster = cluster_state.ClusterState(bounds.version_s, bounds.drain_s)
+        self._senders = cold_engines.KnownSenders(name, self.cluster.directory)
         self._started_s = network.loop.time()
         self._task = network.loop.create_task(self.synchronizer.run())
 
@@ -124,16 +131,16 @@
     def make_decision_context(self) -> decision_context.Context:
         """Return the context of a decision about a request."""
         now_s = self.network.loop.time()
-        service = simulated_cluster.SERVICE
+        location = self._location._replace(senders=self._senders.select(now_s))
         return decision_context.Context(
             now_s,
             self.cluster.registry,
             self._retry_budgets,
-            self._location,
+            location,
             self.random_source,
             self._crash_notices.guard,
-            self.cluster.minimum_version(service, now_s),
-            self.cluster.upcoming_versions(service, now_s),
+            self.cluster.minimum_version(SERVICE, now_s),
+            self.cluster.upcoming_versions(SERVICE, now_s),
         )
 
     def run_maintenance(self) -> None:
--- a/standins/promise_faults.py
+++ b/standins/promise_faults.py
@@ -4,14 +4,100 @@
 from collections.abc import Callable
 
 from standins import promise_check, promise_engine, promise_simulation
+from toucanspread.core import data
 
 BURST_COUNT = 20
 BURST_S = 5.0
 SCHEDULE_S = 16.0
 CALM_S = 6.0  # without new faults, at the end
+MIN_EVACUATION_S = 6.0
+MAX_EVACUATION_S = 14.0
+ENGINES_DOWN_S = 2.0
+BURST_FACTORS = (1.8, 2.6)
+UNLISTED_PART = 6  # one of so many entries loses its record
+MAX_UNLISTED_S = 3.0
+MORE_REQUESTS_S = 6.3
 STEADY_CHANGES_S = 1.5  # mean time between changes outside of bursts
 
 
+class HardLoadSchedule:
+    """Draws evacuations, restarts of all engines of a zone, and bursts of requests.
+
+    They have their own random source, so that the faults of :class:`FaultSchedule` are
+    the same with and without them.
+
+    :param site: the site.
+    """
+
+    def __init__(self, site: promise_simulation.Site, seed: int):
+        self._site = site
+        self._random = random.Random(f"hard load/{seed}")
+
+    def start(self) -> None:
+        """Draw what happens in the time that follows."""
+        self._site.has_restricted_route = True
+        evacuated = self._random.choice(self._site.zones)
+        evacuated_in_s = self._random.uniform(0, SCHEDULE_S / 4)
+        duration_s = self._random.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S)
+        loop = self._site.loop
+        loop.call_later(evacuated_in_s, self._evacuate, evacuated, duration_s)
+        for _ in range(self._random.randint(1, 3)):
+            in_s = self._random.uniform(0, SCHEDULE_S)
+            loop.call_later(in_s, self._restart_engines)
+            # Cold engines come back at the same time.
+            loop.call_later(in_s + ENGINES_DOWN_S, self._unlist_entries)
+        for _ in range(2):
+            in_s = self._random.uniform(0, SCHEDULE_S)
+            loop.call_later(in_s, self._send_more, self._random.choice(BURST_FACTORS))
+
+    def _evacuate(self, zone: data.ZoneName, duration_s: float) -> None:
+        if self._site.active_faults["store down"]:
+            self._site.loop.call_later(1.0, self._evacuate, zone, duration_s)
+            return
+        self._log(f"{zone} evacuated for {duration_s:.2f}")
+        self._site.evacuate(zone)
+        self._site.loop.call_later(duration_s, self._take_back, zone)
+
+    def _take_back(self, zone: data.ZoneName) -> None:
+        if self._site.active_faults["store down"]:
+            self._site.loop.call_later(1.0, self._take_back, zone)
+            return
+        self._log(f"{zone} taken back")
+        self._site.take_back(zone)
+
+    def _restart_engines(self) -> None:
+        zone = self._random.choice(self._site.zones)
+        # The engines of another zone may be down already.
+        staying = [e for e in self._site.list_staying_engines() if e.zone != zone]
+        if self._site.active_faults["store down"] or not staying:
+            return
+        self._log(f"engines of {zone} restarted")
+        self._site.restart_engines(zone, ENGINES_DOWN_S)
+
+    def _unlist_entries(self) -> None:
+        """Let the lists of entries differ while the changes are on their way."""
+        if self._site.active_faults["store down"]:
+            return
+        names = list(self._site.entries)
+        chosen = self._random.sample(names, len(names) // UNLISTED_PART)
+        self._log(f"without records: {', '.join(chosen)}")
+        for name in chosen:
+            self._site.unlist_entry(name)
+            in_s = self._random.uniform(0, MAX_UNLISTED_S)
+            self._site.loop.call_later(in_s, self._site.list_entry, name)
+
+    def _send_more(self, factor: float) -> None:
+        self._log(f"{factor} times as many requests for {MORE_REQUESTS_S}")
+        self._site.request_factor *= factor
+        self._site.loop.call_later(MORE_REQUESTS_S, self._send_less, factor)
+
+    def _send_less(self, factor: float) -> None:
+        self._site.request_factor /= factor
+
+    def _log(self, text: str) -> None:
+        self._site.faults.append(f"{self._site.now_s:.2f} {text}")
+
+
 class FaultSchedule:
     """Draws what happens at a site, and makes it happen.
 
--- a/standins/promise_request.py
+++ b/standins/promise_request.py
@@ -4,7 +4,7 @@
 sent to the engine's instance before.
 """
 
-from standins import engine_model, promise_engine, promise_entry, simulated_cluster
+from standins import engine_model, promise_engine, promise_entry
 from toucanspread.core import data
 from toucanspread.core.entry import data as entry_data
 from toucanspread.core.entry import (
@@ -12,6 +12,7 @@
     decisions,
     engine_obstacles,
     forwarding,
+    region_rules,
 )
 
 PACKET_BYTES = 60  # opens or closes a connection
@@ -28,16 +29,19 @@
     TIMEOUT_S,
     0.5,
     1,
-    (entry_data.Share(simulated_cluster.SERVICE.name, 1.0),),
+    (entry_data.Share(promise_entry.SERVICE.name, 1.0),),
     2,
     resumable=True,
 )
+RESTRICTED_SHARE = 4  # every fourth request may be served in some regions only
+ALLOWED_REGIONS = frozenset({data.RegionName("z0"), data.RegionName("z1")})
 
 
 class PromiseRequest(promise_entry.EntryRequest, promise_engine.DispatchListener):
     """A caller's request, from its arrival at an entry to its end.
 
     :param engines: all engines by their ids.
+    :param allowed_regions: regions in which it may be served; None for all.
     """
 
     def __init__(
@@ -45,9 +49,11 @@
         entry: promise_entry.PromiseEntry,
         engines: dict[str, promise_engine.PromiseEngine],
         attempt_id: str,
+        allowed_regions: region_rules.Regions | None = None,
     ):
         self.entry = entry
         self._engines = engines
+        self._allowed_regions = allowed_regions
         self._random = entry.random_source
         self._loop = entry.network.loop
         self._dispatch: promise_engine.Dispatch | None = None
@@ -64,7 +70,11 @@
             likely_tokens=self._answer_tokens,
         )
         self._state = forwarding.RequestState(
-            ROUTE, simulated_cluster.SERVICE, call, self._loop.time()
+            ROUTE,
+            promise_entry.SERVICE,
+            call,
+            self._loop.time(),
+            allowed_regions=allowed_regions,
         )
 
     def start(self) -> None:
@@ -151,7 +161,10 @@
 
     def _send(self, effect: decisions.SendToEngine) -> None:
         engine = self._engines[effect.engine_id]
-        dispatch = self._dispatch = promise_engine.Dispatch(self, self.entry, engine)
+        dispatch = self._dispatch = promise_engine.Dispatch(
+            self, self.entry, engine, self._allowed_regions
+        )
+        dispatch.assigned_s = self._loop.time()
         if self._random.random() < OPEN_CONNECTION_SHARE and effect.max_idle_s != 0.0:
             self._send_on_connection(dispatch)
             return
@@ -169,7 +182,7 @@
         context = self._make_context()
         known = context.registry.get(dispatch.engine.engine_id)
         is_usable = known is not None and not engine_obstacles.forbids_dispatch(
-            known, context.now_s
+            known, context.now_s, promise_entry.SERVICE, dispatch.assigned_s
         )
         if not is_usable or self._state.must_be_withdrawn(context, was_sent=False):
             self._fail(dispatch, decisions.DispatchFailure.WITHDRAWN_UNSENT)
--- a/standins/promise_simulation.py
+++ b/standins/promise_simulation.py
@@ -26,7 +26,7 @@
     virtual_time,
 )
 from toucanspread.core import data, rendezvous
-from toucanspread.core.entry import routes
+from toucanspread.core.entry import entry_directory, routes
 from toucanspread.core.view import source_selection
 from toucanspread.platform import decoding
 
@@ -39,6 +39,8 @@
 SETTLE_S = 4.0
 MAINTENANCE_INTERVAL_S = 0.25
 MAX_REQUESTS_PER_S = 9.0  # of callers, for each engine
+COLD_BOUND = 26  # requests to a cold engine in a second: 14.0 x 1.5 + 5
+COLD_RECORD_DELAY_S = 1.2  # until the record of an engine that is cold again says so
 
 
 class SiteSize(NamedTuple):
@@ -91,6 +93,10 @@
     :ivar begin_count: number of requests that engines began.
     :ivar probe_count: number of checks of entries that are in touch.
     :ivar longest_excess_s: longest time by which a copy claimed to be newer than it is.
+    :ivar request_factor: how many times as many requests callers send as usual.
+    :ivar has_restricted_route: whether some requests have a route with allowed regions.
+    :ivar evacuated_s: when the store acknowledged the evacuation of a zone.
+    :ivar cold_arrival_count: number of requests that reached cold engines.
     :ivar violations: the promises that were not kept.
     :ivar faults: the faults in the order in which they began, for messages.
     :ivar active_faults: number of the active faults of each kind.
@@ -121,6 +127,10 @@
         self.network.region_of[self.store.machine.address] = self.zones[0]
         self.entries: dict[str, promise_entry.PromiseEntry] = {}
         self.engines: dict[str, promise_engine.PromiseEngine] = {}
+        self.request_factor = 1.0
+        self.has_restricted_route = False
+        self.evacuated_s: dict[data.ZoneName, float] = {}
+        self.cold_arrival_count = 0
         self.begin_count = 0
         self.probe_count = 0
         self.longest_excess_s = 0.0
@@ -174,14 +184,42 @@
         for engine in self.list_staying_engines():
             engine.fetch(version)
 
-    def add_engine(self) -> promise_engine.PromiseEngine:
-        """Start one more engine, with the newest version of the weights."""
+    def evacuate(self, zone: data.ZoneName) -> None:
+        """Declare that a zone is evacuated, as the operator does."""
+        self.store.write(f"{decoding.EVACUATIONS_PREFIX}{zone}", b"{}")
+        self.evacuated_s[zone] = self.now_s
+
+    def take_back(self, zone: data.ZoneName) -> None:
+        """End an evacuation; the engines there are cold before their records say so."""
+        self.store.write(f"{decoding.EVACUATIONS_PREFIX}{zone}", None)
+        del self.evacuated_s[zone]
+        for engine in self.list_staying_engines():
+            if engine.zone == zone:
+                cold_s = promise_entry.SERVICE.cold_start_s
+                engine.become_cold(cold_s, COLD_RECORD_DELAY_S)
+
+    def restart_engines(self, zone: data.ZoneName, down_s: float) -> None:
+        """End all engines of a zone; as many cold ones start together later."""
+        for engine in self.list_staying_engines():
+            if engine.zone == zone:
+                engine.end()
+                cold_s = promise_entry.SERVICE.cold_start_s
+                self.loop.call_later(down_s, self.add_engine, zone, cold_s)
+
+    def add_engine(
+        self, zone: data.ZoneName | None = None, cold_s: float = 0.0
+    ) -> promise_engine.PromiseEngine:
+        """Start one more engine, with the newest version of the weights.
+
+        :param zone: where it is; None for the next zone in turn.
+        :param cold_s: how long it bears only a few requests.
+        """
         number = next(self._numbers)
-        zone = self.zones[number % len(self.zones)]
+        zone = zone or self.zones[number % len(self.zones)]
         engine = promise_engine.PromiseEngine(self, number, zone, self._newest_version)
         self.network.region_of[engine.machine.address] = zone
         self.engines[engine.engine_id] = engine
-        engine.start()
+        engine.start(cold_s)
         return engine
 
     def list_staying_engines(self) -> list[promise_engine.PromiseEngine]:
@@ -224,6 +262,20 @@
             self.size.entry_mbps,
             self.size.bounds,
         )
+        self.list_entry(name)
+
+    def list_entry(self, name: str) -> None:
+        """Write the record of an entry, as the entry does when it has started."""
+        zone, number = self.entries[name].zone, list(self.entries).index(name)
+        record = entry_directory.EntryRecord(
+            name, zone, zone, f"{name}:1", f"{name}:1", f"10.9.{number}.1:1"
+        )
+        key = f"{entry_directory.RECORDS_PREFIX}{name}"
+        self.store.write(key, entry_directory.encode_record(record))
+
+    def unlist_entry(self, name: str) -> None:
+        """Delete the record of an entry, as if its lease had ended."""
+        self.store.write(f"{entry_directory.RECORDS_PREFIX}{name}", None)
 
     def _run_maintenance(self) -> None:
         self.loop.call_later(MAINTENANCE_INTERVAL_S, self._run_maintenance)
@@ -240,6 +292,9 @@
 
     def check_arrival(self, dispatch: promise_engine.Dispatch) -> None:
         """Check that an engine may still get a request."""
+        self._check_evacuation(dispatch)
+        self._check_cold(dispatch)
+        self._check_region(dispatch)
         left_s = dispatch.engine.leaving_since_s
         if left_s is None:
             return
@@ -259,6 +314,43 @@
         )
         self.report(promise_check.Promise.DRAIN, dispatch.entry.name, late_s, trace)
 
+    def _check_evacuation(self, dispatch: promise_engine.Dispatch) -> None:
+        evacuated_s = self.evacuated_s.get(dispatch.engine.zone)
+        if evacuated_s is None:
+            return
+        late_s = self.now_s - evacuated_s - self.size.bounds.evacuation_s
+        if late_s <= 0 or not self._was_calm(dispatch):
+            return
+        trace = (
+            f"{dispatch.engine.engine_id}, evacuated at {evacuated_s:.2f}, "
+            f"{self._describe(dispatch)}"
+        )
+        name = dispatch.entry.name
+        self.report(promise_check.Promise.EVACUATION, name, late_s, trace)
+
+    def _check_cold(self, dispatch: promise_engine.Dispatch) -> None:
+        """Check how many requests a cold engine gets; no disturbance excuses these."""
+        engine = dispatch.engine
+        if engine.is_gone or self.now_s >= engine.cold_until_s:
+            return
+        self.cold_arrival_count += 1
+        count = engine.recent.record(self.now_s)
+        if count <= COLD_BOUND:
+            return
+        trace = (
+            f"{count} requests in a second, cold until {engine.cold_until_s:.2f}, "
+            f"the last one from {dispatch.entry.name}, {self._describe(dispatch)}"
+        )
+        self.report(promise_check.Promise.COLD, engine.engine_id, 0.0, trace)
+
+    def _check_region(self, dispatch: promise_engine.Dispatch) -> None:
+        engine, allowed = dispatch.engine, dispatch.allowed_regions
+        if allowed is None or engine.zone in allowed:
+            return
+        trace = f"{engine.engine_id} is in {engine.zone}, {self._describe(dispatch)}"
+        name = dispatch.entry.name
+        self.report(promise_check.Promise.REGION, name, 0.0, trace)
+
     def check_begin(self, dispatch: promise_engine.Dispatch) -> None:
         """Check that an engine may begin a request on its version."""
         self.begin_count += 1
@@ -297,13 +389,19 @@
     # Callers
 
     def _send_request(self) -> None:
-        rate_per_s = self._requests_per_s * self.size.engines
+        rate_per_s = self._requests_per_s * self.size.engines * self.request_factor
         in_s = self.random_source.expovariate(rate_per_s)
         self.loop.call_later(in_s, self._send_request)
         entry = self.random_source.choice(list(self.entries.values()))
         if not entry.machine.is_cut:
-            attempt_id = f"{next(self._numbers)}"
-            promise_request.PromiseRequest(entry, self.engines, attempt_id).start()
+            number = next(self._numbers)
+            is_restricted = number % promise_request.RESTRICTED_SHARE == 0
+            allowed = None
+            if self.has_restricted_route and is_restricted:
+                allowed = promise_request.ALLOWED_REGIONS
+            promise_request.PromiseRequest(
+                entry, self.engines, f"{number}", allowed
+            ).start()
 
     def _draw_probe_wait_s(self) -> float:
         return self.random_source.uniform(0, 2 * PROBE_INTERVAL_S)
--- a/standins/promise_simulation_test.py
+++ b/standins/promise_simulation_test.py
@@ -7,6 +7,7 @@
 
 CALM_S = 4.0
 SHOWN_COUNT = 5
+BURST_FACTOR = 2.6
 MAX_EXCESS_S = 0.02  # delays of the network
 
 
@@ -93,6 +94,42 @@
         self.change_in_quick_succession(site)
         self.assertLess(site.longest_excess_s, MAX_EXCESS_S)
 
+    def test_no_request_reaches_an_evacuated_zone(self):
+        site = self.start_site(promise_simulation.SMALL_SITE)
+        zone = site.zones[1]
+        site.evacuate(zone)
+        site.run(site.size.bounds.evacuation_s)
+        begun = site.begin_count
+        site.run(CALM_S)
+        self.assertGreater(site.begin_count, begun)
+        self.assert_kept(site, Promise.EVACUATION)
+
+    def test_cold_engines_get_few_requests_after_an_evacuation_during_a_burst(self):
+        site = self.start_site(promise_simulation.SMALL_SITE)
+        site.request_factor = BURST_FACTOR
+        site.evacuate(site.zones[1])
+        site.run(CALM_S)
+        site.take_back(site.zones[1])
+        site.run(CALM_S)
+        self.assertGreater(site.cold_arrival_count, 0)
+        self.assert_kept(site, Promise.COLD)
+
+    def test_cold_engines_get_few_requests_after_a_restart_during_a_burst(self):
+        for size in (promise_simulation.SMALL_SITE, promise_simulation.GROWN_SITE):
+            site = self.start_site(size)
+            site.request_factor = BURST_FACTOR
+            site.restart_engines(site.zones[1], promise_faults.ENGINES_DOWN_S)
+            site.run(promise_faults.ENGINES_DOWN_S + CALM_S)
+            self.assertGreater(site.cold_arrival_count, 0)
+            self.assert_kept(site, Promise.COLD)
+
+    def test_requests_are_served_only_in_the_regions_that_their_route_allows(self):
+        site = self.start_site(promise_simulation.SMALL_SITE)
+        site.has_restricted_route = True
+        site.restart_engines(site.zones[0], promise_faults.ENGINES_DOWN_S)
+        site.run(CALM_S)
+        self.assert_kept(site, Promise.REGION)
+
     def name_version(self, site):
         site.name_version()
         site.run(site.size.bounds.version_s + CALM_S)
@@ -142,3 +179,29 @@
         site.versions.record(site.now_s, 2)
         site.run(site.size.bounds.version_s + CALM_S)
         self.assertEqual({Promise.VERSION}, self.list_promises(site))
+
+    def test_requests_to_a_zone_whose_evacuation_is_unknown_are_noticed(self):
+        site = self.start_site()
+        site.evacuated_s[site.zones[1]] = site.now_s
+        site.run(site.size.bounds.evacuation_s + CALM_S)
+        self.assertEqual({Promise.EVACUATION}, self.list_promises(site))
+
+    def test_too_many_requests_to_an_engine_that_is_not_known_to_be_cold_are_noticed(
+        self,
+    ):
+        site = self.start_site()
+        site.request_factor = BURST_FACTOR
+        for engine in site.list_staying_engines()[1:]:
+            engine.end()
+        site.list_staying_engines()[0].cold_until_s = float("inf")
+        site.run(CALM_S)
+        self.assertIn(Promise.COLD, self.list_promises(site))
+
+    def test_requests_to_a_region_that_is_not_allowed_are_noticed(self):
+        site = self.start_site()
+        site.has_restricted_route = True
+        for engine in site.list_staying_engines():
+            # Only the check sees the new zone; the records still have the old one.
+            engine.zone = site.zones[2]
+        site.run(CALM_S)
+        self.assertEqual({Promise.REGION}, self.list_promises(site))
--- a/standins/promise_soak_test.py
+++ b/standins/promise_soak_test.py
@@ -38,11 +38,30 @@
         self.assertEqual([], failures)
 
 
-def run_seed(size_name: str, seed: int) -> list[str]:
+class HardLoadSoakTest(testtools.TestCase):
+    """The same faults beside evacuations, cold engines and a restricted route."""
+
+    def test_promises_hold_at_18_entries_under_hard_load_of_seed_1(self):
+        self.assertEqual([], run_seed("18", 1, has_hard_load=True))
+
+    def test_promises_hold_at_18_entries_under_hard_load_of_seed_2(self):
+        self.assertEqual([], run_seed("18", 2, has_hard_load=True))
+
+    def test_promises_hold_under_hard_load_of_all_seeds_by_hand(self):
+        failures = []
+        for size_name in SIZE_NAMES:
+            for seed in soak_seeds.read_seeds(default_count=0):
+                failures += run_seed(size_name, seed, has_hard_load=True)
+        self.assertEqual([], failures)
+
+
+def run_seed(size_name: str, seed: int, has_hard_load: bool = False) -> list[str]:
     """Return the first violations of a seed, with the faults; none if there is none."""
     site = promise_simulation.Site(SIZES[size_name], seed)
     try:
         promise_faults.FaultSchedule(site, seed).start()
+        if has_hard_load:
+            promise_faults.HardLoadSchedule(site, seed).start()
         site.run(promise_faults.SCHEDULE_S + promise_faults.CALM_S)
     finally:
         site.close()
