Test evacuations and allowed regions with real programs

Nothing showed with processes that an evacuation outlives the entry that read it and errors of the store. The stand-in store can answer all calls with a status, and a deployment can have engines in another region.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -34,6 +34,8 @@
 FAULT_MARKS = ("event=handler_failed", "event=task_failed", "Traceback", "Unhandled")
 ZONE = "heredia-a"
 REGION = "gran-area"
+OTHER_ZONE = "liberia-a"
+OTHER_REGION = "guanacaste"
 MODEL = "daka510000"
 PIECES = [b"%d" % number * 1_000 for number in range(4)]
 HOST = "jepu9.example"
@@ -132,7 +134,9 @@
 class Deployment:
     """Stand-ins of the store, two engines and the origin, and the system's processes.
 
+    :ivar store: the stand-in of the store.
     :ivar state: of the store.
+    :ivar allowed_regions: those of the route of a prefix; all without any.
     :ivar timeout_ms: of the routes that are written.
     :ivar kinds: kind of the route of a prefix; idempotent without one.
     :ivar resumable_prefixes: prefixes of the routes whose streams may be resumed.
@@ -145,13 +149,14 @@
         self.timeout_ms = 3000
         self.kinds: dict[str, str] = {}
         self.resumable_prefixes: set[str] = set()
+        self.allowed_regions: dict[str, list[str]] = {}
         self._scratch = tempfile.TemporaryDirectory()
         self._directory = pathlib.Path(self._scratch.name)
         self._ports = []
         self._programs: list[Program] = []
-        store = platform_store.PlatformStoreResource()
-        self.state = store.state
-        self._store_address = self._serve(store)
+        self.store = platform_store.PlatformStoreResource()
+        self.state = self.store.state
+        self._store_address = self._serve(self.store)
         self._origin_address = self._serve(platform_engine.OriginResource(PIECES))
         self.plain_engine = platform_engine.EngineResource("")
         self._plain_address = self._serve(self.plain_engine)
@@ -162,11 +167,13 @@
         born_ms = platform_engine.BORN_MS
         self._write_engine("i-model", "model", self._model_address, born_ms)
 
-    def add_plain_engine(self, engine_id: str) -> platform_engine.EngineResource:
+    def add_plain_engine(
+        self, engine_id: str, zone: str = ZONE
+    ) -> platform_engine.EngineResource:
         """Add an engine of the service "plain"."""
         engine = platform_engine.EngineResource("")
         address = self._serve(engine)
-        self._write_engine(engine_id, "plain", address, engine.born_ms)
+        self._write_engine(engine_id, "plain", address, engine.born_ms, zone)
         return engine
 
     def start_entry(self, name: str, grace_s: float = 8) -> Program:
@@ -209,6 +216,7 @@
             for prefix, service in served
         ]
         for route in routes:
+            route["allowed_regions"] = self.allowed_regions.get(route["prefix"], [])
             route["resume_streams"] = route["prefix"] in self.resumable_prefixes
         origin = {"name": "origin", "origin": self._origin_address, "zone": ZONE}
         configuration = {
@@ -224,6 +232,24 @@
         """Name a version of the model's weights, as the operator does."""
         self._write(f"op/version/{MODEL}", {"model": MODEL, "version": version})
 
+    def evacuate(self, zone: str) -> None:
+        """Declare that a zone is evacuated, as the operator does."""
+        self._write(f"op/evacuate/{zone}", {})
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone, as the operator does."""
+        self.state.delete_unchecked(f"op/evacuate/{zone}")
+
+    def fail_store(self, status: int) -> None:
+        """Let the store answer all calls with a status, also the waiting watches."""
+        self.store.failure_status = status
+        self._write("op/unrelated", {})
+
+    def kill(self, program: Program) -> None:
+        """End a process without notice; another one may take its name."""
+        program.kill()
+        self._programs.remove(program)
+
     async def wait_until(self, probe: Callable[[], Awaitable[bool]]) -> None:
         """Poll until a coroutine function returns true.
 
@@ -266,12 +292,17 @@
         self._write_engine("i-plain", "plain", self._plain_address, born_ms)
 
     def _write_engine(
-        self, engine_id: str, service: str, address: str, born_ms: int
+        self,
+        engine_id: str,
+        service: str,
+        address: str,
+        born_ms: int,
+        zone: str = ZONE,
     ) -> None:
         entry = {
             "service": service,
             "address": address,
-            "zone": ZONE,
+            "zone": zone,
             "version": "v1",
             "slots": 16,
             "state": "ready",
@@ -287,7 +318,7 @@
             "ip": address,
             "zone": ZONE,
             "region": REGION,
-            "zones": {ZONE: REGION, "liberia-a": "guanacaste"},
+            "zones": {ZONE: REGION, OTHER_ZONE: OTHER_REGION},
             "bootstrap": True,
             "limits": {"link_mbps": 350.0, "max_fds": 1535},
             "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": 8000},
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -38,6 +38,8 @@
     """The resource of all paths of the store.
 
     :param max_page_items: maximum number of items in a page of a range.
+    :ivar failure_status: status of the answers to all calls of the system; None while
+        it serves them.
     """
 
     isLeaf = True  # noqa: N815
@@ -45,6 +47,7 @@
     def __init__(self, clock=reactor, max_page_items: int = store_state.MAX_PAGE_ITEMS):
         super().__init__()
         self.state = store_state.State(clock, max_page_items)
+        self.failure_status: int | None = None
         self._handlers = {
             (b"GET", "kv-key"): self._read_key,
             (b"GET", "kv-range"): self._read_range,
@@ -88,7 +91,12 @@
         handler = self._handlers.get((request.method, name))
         if handler is None or not path.startswith(CALL_PATH):
             return 404, {"why": "no such call"}
-        return await handler(request, argument)
+        if self.failure_status is None:
+            status, body = await handler(request, argument)
+        # Watches may have waited until it failed.
+        if self.failure_status is not None:
+            return self.failure_status, {"why": "unavailable"}
+        return status, body
 
     def _handle_admin_call(
         self, path: str, request: server.Request
