--- a/standins/promise_entry.py
+++ b/standins/promise_entry.py
@@ -33,6 +33,7 @@
 SERVICE = msgspec.structs.replace(
     simulated_cluster.SERVICE, cold_start_s=3.0, cold_per_s=14.0
 )
+COLD_BOUND = cold_engines.ColdBound(factor=1.5, extra_count=5)
 DECODED_COUNT = 64  # values of configurations that are decoded once for all entries
 
 
@@ -103,7 +104,9 @@
         self.seen_version = 0
         self.configuration_within_s = bounds.configuration_s
         self.cluster = cluster_state.ClusterState(bounds.version_s, bounds.drain_s)
-        self._senders = cold_engines.KnownSenders(name, self.cluster.directory)
+        self._senders = cold_engines.KnownSenders(
+            name, COLD_BOUND, self.cluster.directory
+        )
         self._started_s = network.loop.time()
         self._task = network.loop.create_task(self.synchronizer.run())
 
