Let the load simulation know declared priorities and kinds of requests

Load profiles now may have kinds with rates and priorities of their own, and engines with fewer slots.

--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -7,7 +7,9 @@
 
 import defopt
 
-from standins import load_profiles, load_simulation
+from standins import load_profiles, load_simulation, simulated_request
+
+COMPETING_ENTRY_COUNTS = (18, 62)
 
 
 def run_seeds(
@@ -39,20 +41,46 @@
         f"first event {first_s[len(first_s) // 2] * 1000:.0f} ms, "
         f"95 in 100 within {first_s[int(len(first_s) * 0.95)] * 1000:.0f} ms"
     )
+    for load_of_kind in load.kind_loads:
+        _print_kind(load_of_kind.kind.name, totals_by_seed)
     for simulation in simulations:
         for violation in simulation.list_violations():
             print(f"  seed {simulation.seed}: {violation}")
 
 
-def main(*, only: str = "", seeds: int = 3) -> None:
+def _print_kind(
+    name: str, totals_by_seed: list[simulated_request.CallerTotals]
+) -> None:
+    """Print what the requests of one kind got, over all seeds."""
+    kinds = [totals.of_kind(name) for totals in totals_by_seed]
+    count = sum(kind.request_count for kind in kinds)
+    on_time = sum(kind.on_time for kind in kinds)
+    late = sum(kind.late for kind in kinds)
+    print(
+        f"  {name:9} on time {on_time / count:.3f}  served "
+        f"{(on_time + late) / count:.3f}  "
+        f"refused {sum(kind.refused for kind in kinds)}  "
+        f"left {sum(kind.abandoned for kind in kinds)}  of {count}"
+    )
+
+
+def main(*, only: str = "", seeds: int = 3, scale: float = 1.0) -> None:
     """Simulate all loads, or one.
 
     :param only: the name of the only load to simulate.
     :param seeds: number of seeds for each load.
+    :param scale: factor of the rates of the competition.
     """
     for load in load_profiles.LOAD_PROFILES:
         if only in ("", load.name):
             print_load(load, seeds)
+    if only not in ("", "competition"):
+        return
+    for entry_count in COMPETING_ENTRY_COUNTS:
+        for has_priorities in (False, True):
+            print(f"{entry_count} entries, priorities: {has_priorities}")
+            load = load_profiles.make_competition(entry_count, has_priorities, scale)
+            print_load(load, seeds)
 
 
 if __name__ == "__main__":
--- a/standins/load_profiles.py
+++ b/standins/load_profiles.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from standins import engine_model
 from toucanspread.core.entry import data as entry_data
 
 RETRY_ALLOWANCE = 234  # of a service in ten seconds, from the users' figures
@@ -18,12 +19,25 @@
 
     :param target_s: target time until the first event.
     :param share: part of all requests.
+    :param priority: that the route declares; 0 is the most urgent.
     """
 
     name: str
     mean_prompt_tokens: int
     target_s: float
     share: float
+    priority: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class KindLoad:
+    """A kind of request that arrives at rates of its own.
+
+    :param rates_per_s: steps of (time, requests per second).
+    """
+
+    kind: RequestKind
+    rates_per_s: tuple[tuple[float, float], ...]
 
 
 REQUEST_KINDS = (
@@ -192,6 +206,10 @@
     :param entry_ttl_s: time of silence after which an engine's entry in the store
         expires; None if entries never do.
     :param retry_allowance: of all entries together, beside a part of the requests.
+    :param kind_loads: the kinds that arrive at rates of their own, instead of
+        ``rates_per_s``; empty for a mix of ``REQUEST_KINDS``.
+    :param slots: maximum number of running requests of each engine.
+    :param has_priorities: whether entries apply the declared priorities.
     """
 
     name: str
@@ -214,6 +232,9 @@
     loss_ratio: float = 0.0
     entry_ttl_s: float | None = None
     retry_allowance: float = RETRY_ALLOWANCE
+    kind_loads: tuple[KindLoad, ...] = ()
+    slots: int = engine_model.SLOT_COUNT
+    has_priorities: bool = False
 
 
 LOAD_PROFILES = (
@@ -307,6 +328,51 @@
 )
 
 
+# The least urgent kind arrives 2.6 times as often for 6.3 seconds.
+BURST_START_S = 2.0
+BURST_END_S = 8.3
+BURST_FACTOR = 2.6
+COMPETITION_SLOT_COUNT = 12
+PATIENT_KIND = RequestKind("patient", 1_290, 1.006, 0.0, 2)
+URGENT_KIND = RequestKind("urgent", 787, 0.405, 0.0, 0)
+MIDDLE_KIND = RequestKind("middle", 607, 0.405, 0.0, 1)
+
+
+def make_competition(
+    entry_count: int, has_priorities: bool, scale: float = 1.0
+) -> LoadProfile:
+    """Return a burst of the least urgent kind beside more urgent ones.
+
+    The rates are a quarter of those of the users' deployment.
+
+    :param scale: factor of all rates.
+    """
+    patient_per_s, urgent_per_s, middle_per_s = (
+        scale * rate_per_s for rate_per_s in (20.8, 26.5, 14.8)
+    )
+    return LoadProfile(
+        "competition",
+        (),
+        ((0.0, 8),),
+        9.0,
+        entries=entry_count,
+        kind_loads=(
+            KindLoad(
+                PATIENT_KIND,
+                (
+                    (0.0, patient_per_s),
+                    (BURST_START_S, patient_per_s * BURST_FACTOR),
+                    (BURST_END_S, patient_per_s),
+                ),
+            ),
+            KindLoad(URGENT_KIND, ((0.0, urgent_per_s),)),
+            KindLoad(MIDDLE_KIND, ((0.0, middle_per_s),)),
+        ),
+        slots=COMPETITION_SLOT_COUNT,
+        has_priorities=has_priorities,
+    )
+
+
 def get_request_kind(name: str) -> RequestKind:
     """Return a kind of request by its name."""
     return next(kind for kind in REQUEST_KINDS if kind.name == name)
--- a/standins/load_simulation.py
+++ b/standins/load_simulation.py
@@ -23,6 +23,7 @@
     virtual_clock,
 )
 from toucanspread.core import data
+from toucanspread.core.entry import priority_rules
 
 MEMBERSHIP_DELAY_S = 1.0  # until entries know of an added or removed one
 MAINTENANCE_INTERVAL_S = 0.25  # of an entry's view of the engines
@@ -50,6 +51,12 @@
         self.retry_allowance = profile.retry_allowance
         self.caller_check = caller_check.CallerCheck(self.crash_check)
         self.leave_check = leave_check.LeaveCheck()
+        self.slot_count = profile.slots
+        self.priorities = None
+        if profile.has_priorities:
+            self.priorities = priority_rules.PriorityRules(
+                load.kind.priority for load in profile.kind_loads
+            )
         self._prompt_source = simulated_prompts.PromptSource(seed)
         self._request_numbers = itertools.count()
         self._profile = profile
@@ -98,7 +105,10 @@
             maintenance = task.LoopingCall(self._drop_removed_engines)
             maintenance.clock = self.clock
             maintenance.start(MAINTENANCE_INTERVAL_S)
-        self.clock.callLater(0.0, self._send_next_request)
+        for load in self._profile.kind_loads:
+            self.clock.callLater(0.0, self._send_next_of_kind, load)
+        if not self._profile.kind_loads:
+            self.clock.callLater(0.0, self._send_next_request)
         for crashing in self._profile.crashing_parts:
             self.clock.callLater(crashing.from_s, self._send_next_crashing, crashing)
         end_s = self._profile.duration_s + simulated_request.REQUEST_TIMEOUT_S
@@ -284,6 +294,20 @@
             self.random_source.expovariate(rate_per_s), self._send_next_request
         )
 
+    def _send_next_of_kind(self, load: load_profiles.KindLoad) -> None:
+        now_s = self.clock.seconds()
+        if now_s >= self._profile.duration_s:
+            return
+        self.outcome.request_count += 1
+        prompt = self._prompt_source.draw_sound()
+        simulated_request.SimulatedRequest(
+            self, self.choose_entry(), load.kind, prompt, can_retry=True
+        ).start()
+        rate_per_s = load_profiles.get_step_value(load.rates_per_s, now_s)
+        self.clock.callLater(
+            self.random_source.expovariate(rate_per_s), self._send_next_of_kind, load
+        )
+
     def _send_next_crashing(self, crashing: load_profiles.CrashingPart) -> None:
         until_s = min(crashing.until_s, self._profile.duration_s)
         if self.clock.seconds() >= until_s:
--- a/standins/simulated_cluster.py
+++ b/standins/simulated_cluster.py
@@ -28,6 +28,7 @@
     engine_requirements,
     engines,
     guard_program,
+    priority_rules,
     retry_budget,
 )
 from toucanspread.core.entry import data as entry_data
@@ -95,6 +96,8 @@
     :ivar entry_ttl_s: time of silence after which an engine's entry in the store
         expires; None if entries never do.
     :ivar retry_allowance: of all entries together, beside a part of the requests.
+    :ivar slot_count: maximum number of running requests of each engine.
+    :ivar priorities: the declared priorities; None if entries don't apply them.
     """
 
     clock: task.Clock
@@ -106,6 +109,8 @@
     entry_ttl_s: float | None
     retry_allowance: float
     entries: "list[SimulatedEntry]"
+    slot_count: int = engine_model.SLOT_COUNT
+    priorities: priority_rules.PriorityRules | None = None
 
     @abc.abstractmethod
     def sending_delay_s(self, number: int) -> float:
@@ -151,7 +156,7 @@
     def __init__(self, simulation: AbstractCluster, number: int):
         self.zone = ZONES[number % len(ZONES)]
         self.engine_id = f"e{number}"
-        self.model = engine_model.EngineModel(simulation.clock)
+        self.model = engine_model.EngineModel(simulation.clock, simulation.slot_count)
         self.is_running = False
         self.is_loading = False
         self.is_crashed = False
@@ -185,7 +190,7 @@
             SERVICE.name,
             data.Address(f"10.0.0.{self._number}:1"),
             self.zone,
-            engine_model.SLOT_COUNT,
+            self._simulation.slot_count,
             entry_data.EngineState.READY,
             self._born_ms,
             loaded=(
@@ -208,7 +213,9 @@
         self.backoff_s = None
         self.backoff.reset()
         self.leaving.reset()
-        self.model = engine_model.EngineModel(self._simulation.clock)
+        self.model = engine_model.EngineModel(
+            self._simulation.clock, self._simulation.slot_count
+        )
         for entry in self._simulation.entries:
             entry.registry.put(self.entry)
 
@@ -504,6 +511,7 @@
             self.crash_notices.guard,
             self._versions.minimum(now_s, self._version_within_s),
             self._versions.upcoming(now_s, self._version_within_s),
+            priorities=self._simulation.priorities,
         )
 
     def _list_members(self) -> guard_program.Members:
--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -46,6 +46,7 @@
     prompt_tokens: int
     is_served: bool
     is_on_time: bool = False
+    is_refused: bool = False
 
 
 @dataclasses.dataclass
@@ -76,6 +77,17 @@
         """The part of all requests that were answered, on time or late."""
         return (self.on_time + self.late) / self.request_count
 
+    def of_kind(self, kind: str) -> "CallerTotals":
+        """Return the counts of one kind that ended, without those of ``first_s``."""
+        ends = [end for end in self.ends if end.kind == kind]
+        on_time = sum(end.is_on_time for end in ends)
+        served = sum(end.is_served for end in ends)
+        refused = sum(end.is_refused for end in ends)
+        abandoned = len(ends) - served - refused
+        return CallerTotals(
+            len(ends), on_time, served - on_time, refused, abandoned, ends=ends
+        )
+
 
 class AbstractCallers(simulated_cluster.AbstractCluster):
     """What a request needs of the simulation beside entries and engines.
@@ -169,10 +181,11 @@
         self._entry.in_progress[self] = None
         queue = self._entry.queue
         queue.shares.record_arrival(self._state.timing)
-        queued_prefill_s = queue.sum_prefill_s(simulated_cluster.SERVICE.name)
-        self.carry_out(
-            self._state.start(self.make_decision_context(), queued_prefill_s)
-        )
+        context = self.make_decision_context()
+        queued_prefill_s = 0.0
+        if context.priorities is not None:
+            queued_prefill_s = queue.sum_prefill_s(self.queue_key, self._state.rank)
+        self.carry_out(self._state.start(context, queued_prefill_s))
 
     def withdraw_if_outdated(self) -> None:
         """Withdraw the request if its engine could begin it on weights too old."""
@@ -199,7 +212,7 @@
             entry_data.RequestKind.STREAMING,
             REQUEST_TIMEOUT_S,
             self.kind.target_s,
-            1,
+            self.kind.priority,
             (entry_data.Share(simulated_cluster.SERVICE.name, 1.0),),
             2,
             resumable=True,
@@ -394,9 +407,13 @@
                 )
             )
 
-    def _record_end(self, is_served: bool, is_on_time: bool = False) -> None:
+    def _record_end(
+        self, is_served: bool, is_on_time: bool = False, is_refused: bool = False
+    ) -> None:
         self._outcome.ends.append(
-            RequestEnd(self.kind.name, self.prompt_tokens, is_served, is_on_time)
+            RequestEnd(
+                self.kind.name, self.prompt_tokens, is_served, is_on_time, is_refused
+            )
         )
 
     def _record_refusal(self, cause: decisions.FailureCause) -> None:
@@ -418,7 +435,7 @@
             self._caller_timeout.cancel()
         if not self._can_retry or self._first_s is not None:
             self._outcome.refused += 1
-            self._record_end(is_served=False)
+            self._record_end(is_served=False, is_refused=True)
             return
         self._can_retry = False
         self._simulation.clock.callLater(max(retry_after_s, 0.01), self._retry)
