Keep more slots from less urgent requests, and refuse late ones sooner

In a burst of the least urgent kind, urgent requests were late because reports showed the filled slots too late, and because late requests took slots up to the last four; requests that waited up to 2.8 s began and were abandoned. Each rank now leaves 3 slots (2 before) to more urgent ones, also when it is late, and with priorities a request is refused after 1.3 s in the queue.

The test of the last slots names the counts of the new reserve: with one more urgent rank, 1 free slot is needed instead of 0.

--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -142,7 +142,10 @@
         if _would_miss_deadline(record, capacity.backlog_s, context):
             return final_answers.make_overload_rejection(capacity.backlog_s, context)
         return None
-    if context.now_s - record.timing.arrived_s >= admission_queue.MAX_WAIT_S:
+    max_wait_s = admission_queue.MAX_WAIT_S
+    if context.priorities is not None:
+        max_wait_s = admission_queue.MAX_DECLARED_WAIT_S
+    if context.now_s - record.timing.arrived_s >= max_wait_s:
         return final_answers.make_overload_rejection(
             admission_queue.MAX_EXPECTED_WAIT_S, context
         )
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -22,6 +22,9 @@
 FIRST_EVENT_MARGIN_S = 0.16
 EXPIRING_AFTER_S = 2.0  # callers abandon a stream after about three seconds
 MAX_WAIT_S = 2.8  # a caller that is rejected before it gives up retries sooner
+# The same where declared priorities decide. Requests that begin later are mostly
+# abandoned before their first event, and their work delays others.
+MAX_DECLARED_WAIT_S = 1.3
 MAX_EXPECTED_WAIT_S = 2.0  # a longer queue is of no use: callers do not wait longer
 # Requests that wait for weights are late and would take the engines from later ones.
 MAX_LOAD_WAIT_S = 1.0
@@ -124,6 +127,7 @@
     required = ON_TIME_MIN_FREE_COUNT + allowance.reserved_slots
     if queue_class is QueueClass.LATE:
         required = TURN_MIN_FREE_COUNT if has_turn else LATE_MIN_FREE_COUNT
+        required += allowance.reserved_slots
     max_prefill_s = MAX_PREFILL_BACKLOG_S * allowance.backlog_factor
     return capacity.free_slots >= required and capacity.prefill_s <= max_prefill_s
 
--- a/toucanspread/core/entry/priority_rules.py
+++ b/toucanspread/core/entry/priority_rules.py
@@ -13,7 +13,8 @@
 from toucanspread.core.entry import data as entry_data
 
 # What a request leaves free at an engine for each declared rank that is more urgent.
-RESERVED_SLOT_COUNT = 2
+# With 2, patient requests fill the slots in a burst before reports show it.
+RESERVED_SLOT_COUNT = 3
 MAX_STEP_COUNT = 2  # further ranks leave as much
 # Part of the allowed prefill backlog that a request of the next rank may use.
 BACKLOG_FACTOR = 0.6
--- a/toucanspread/core/entry/priority_rules_test.py
+++ b/toucanspread/core/entry/priority_rules_test.py
@@ -61,13 +61,25 @@
     def test_only_the_last_slots_are_kept_from_a_less_urgent_request(self):
         rules = priority_rules.PriorityRules([0, 2])
         allowance = rules.find_allowance(2)
-        for free_slots, expected in ((-1, False), (0, True), (6, True)):
+        for free_slots, expected in ((0, False), (1, True), (6, True)):
             capacity = admission_queue.EngineCapacity(0.0, 0.0, free_slots)
             can_start = admission_queue.can_start(
                 Request(2), capacity, NOW_S, allowance=allowance
             )
             self.assertEqual(expected, can_start, free_slots)
 
+    def test_a_late_request_leaves_as_much_more_free_as_one_on_time(self):
+        """Guards against late requests that take the slots kept for urgent ones."""
+        allowance = priority_rules.PriorityRules([0, 2]).find_allowance(2)
+        late = Request(2, left_s=-0.1)
+        enough = admission_queue.LATE_MIN_FREE_COUNT + allowance.reserved_slots
+        for free_slots, expected in ((enough - 1, False), (enough, True)):
+            capacity = admission_queue.EngineCapacity(0.0, 0.0, free_slots)
+            can_start = admission_queue.can_start(
+                late, capacity, NOW_S, allowance=allowance
+            )
+            self.assertEqual(expected, can_start, free_slots)
+
     def test_the_ranks_are_those_of_the_routes_to_the_service(self):
         def make_route(service, priority):
             share = entry_data.Share(service, 1.0)
