Order requests of one priority by the recent work of their teams

One large team took nearly all that an entry began from its queue. Where declared priorities decide, requests of one rank are now ordered by the prompt tokens that the entry recently began for their team, in fading counts.

--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -47,6 +47,7 @@
     is_served: bool
     is_on_time: bool = False
     is_refused: bool = False
+    team: str = ""
 
 
 @dataclasses.dataclass
@@ -133,6 +134,7 @@
         answer = int(random_source.expovariate(1 / MEAN_ANSWER_TOKENS)) + 1
         self.kind = kind
         self.prompt = prompt
+        self.team = prompt.key
         self.prompt_tokens = tokens
         self.answer_tokens = min(answer, MAX_ANSWER_TOKENS)
         self.started_s = simulation.clock.seconds()
@@ -242,7 +244,13 @@
                     self._dispatches.pop(effect.number).cancel()
                 case decisions.SendToEngine():
                     if effect.number == 1:
-                        self._entry.queue.shares.record_begin(self._state.timing)
+                        queue = self._entry.queue
+                        queue.shares.record_begin(self._state.timing)
+                        queue.team_shares.record_begin(
+                            self.team,
+                            self.prompt_tokens,
+                            self._simulation.clock.seconds(),
+                        )
                     self._send(effect)
                 case decisions.NotifyEntries(notice=notice):
                     self._simulation.broadcast(
@@ -412,7 +420,12 @@
     ) -> None:
         self._outcome.ends.append(
             RequestEnd(
-                self.kind.name, self.prompt_tokens, is_served, is_on_time, is_refused
+                self.kind.name,
+                self.prompt_tokens,
+                is_served,
+                is_on_time,
+                is_refused,
+                self.team,
             )
         )
 
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -10,7 +10,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
 from toucanspread.core.entry import priority_rules
@@ -75,6 +75,7 @@
     backlog_s: float,
     now_s: float,
     has_priorities: bool = False,
+    find_work: Callable[[QueuedRequest], int] | None = None,
 ) -> list[QueuedRequest]:
     """Return the requests in the order in which they go to engines.
 
@@ -82,14 +83,17 @@
     there are too many, one with little time left is late by the time it is answered.
 
     :param has_priorities: whether declared priorities go before the time left.
+    :param find_work: returns how much was recently begun for the team of a request;
+        within one priority, less goes first. None if teams don't count.
     """
 
-    def rank(request: QueuedRequest) -> tuple[int, int, float]:
+    def rank(request: QueuedRequest) -> tuple[int, int, int, float]:
         queue_class = classify(request, backlog_s, now_s)
         declared_rank = request.rank if has_priorities else 0
+        work = find_work(request) if find_work is not None else 0
         if queue_class is QueueClass.ON_TIME:
-            return (queue_class, declared_rank, -request.start_deadline_s)
-        return (queue_class, declared_rank, request.arrived_s)
+            return (queue_class, declared_rank, work, -request.start_deadline_s)
+        return (queue_class, declared_rank, work, request.arrived_s)
 
     return sorted(requests, key=rank)
 
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -81,7 +81,7 @@
         self.exchange = exchange
         self._forwarder = forwarder
         self._route = route
-        self._team = team.name if team is not None else None
+        self.team = team.name if team is not None else None
         self._team_priority = team.priority if team is not None else None
         self.allowed_regions = region_rules.combine(route, team)
         self.service = forwarder.choose_service(route)
@@ -253,6 +253,9 @@
             )
         if effect.number == 1:
             forwarder.queue.shares.record_begin(self._state.timing)
+            forwarder.queue.team_shares.record_begin(
+                self.team, self.call.prompt_tokens, self._now_s
+            )
         metric_buffer.count("dispatches")
         if effect.cold_left_s > 0:
             metric_buffer.count("dispatches_to_cold_engines")
@@ -309,7 +312,7 @@
         head = self._forwarder.wire_dialect.make_engine_head(
             self.exchange.head,
             msgspec.structs.replace(effect, budget_s=min(effect.budget_s, left_s)),
-            self._team,
+            self.team,
         )
         return http1.render_request(head, self.exchange.body)
 
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -15,6 +15,7 @@
     load_balancing,
     region_rules,
     size_shares,
+    team_shares,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import loop
@@ -33,10 +34,12 @@
     """A request that can be queued.
 
     :ivar allowed_regions: regions in which it may be served; None for all.
+    :ivar team: name of the caller's team; None for callers without one.
     """
 
     service: entry_data.Service
     allowed_regions: region_rules.Regions | None = None
+    team: str | None = None
 
     @property
     @abc.abstractmethod
@@ -75,10 +78,12 @@
     Requests that may go to different engines don't wait for each other.
 
     :ivar shares: counts of all requests of the entry, also of those never queued.
+    :ivar team_shares: work begun for teams, also of requests never queued.
     """
 
     def __init__(self, reactor):
         self.shares = size_shares.SizeShares()
+        self.team_shares = team_shares.TeamShares()
         self._reactor = reactor
         self._queued: dict[QueueKey, list[QueueItem]] = {}
         self._timer = None
@@ -126,7 +131,7 @@
     def _resume_in_order(self, queued: list[QueueItem]) -> None:
         """Resume requests in their order until one stays queued."""
         while queued:
-            ordered = _sort(queued)
+            ordered = _sort(queued, self.team_shares)
             if self._resume_turn(ordered):
                 continue
             if ordered[0].resume():
@@ -148,7 +153,7 @@
         return False
 
 
-def _sort(queued: list[QueueItem]) -> list[QueueItem]:
+def _sort(queued: list[QueueItem], shares: team_shares.TeamShares) -> list[QueueItem]:
     """Return requests of one service in the order in which they go to engines."""
     context = queued[0].make_decision_context()
     backlog_s = load_balancing.least_backlog_s(
@@ -159,7 +164,14 @@
         queued[0].allowed_regions,
     )
     by_state = {request.state: request for request in queued}
+    if context.priorities is None:
+        ordered = admission_queue.sort_queue(by_state, backlog_s, context.now_s)
+        return [by_state[state] for state in ordered]
     ordered = admission_queue.sort_queue(
-        by_state, backlog_s, context.now_s, context.priorities is not None
+        by_state,
+        backlog_s,
+        context.now_s,
+        has_priorities=True,
+        find_work=lambda state: shares.find_step(by_state[state].team, context.now_s),
     )
     return [by_state[state] for state in ordered]
