Keep 2 and 6 slots for one and two more urgent ranks

With 3 slots for each rank, the middle kind was held back although only the least urgent one had the burst.

--- a/toucanspread/core/entry/priority_rules.py
+++ b/toucanspread/core/entry/priority_rules.py
@@ -12,10 +12,11 @@
 
 from toucanspread.core.entry import data as entry_data
 
-# What a request leaves free at an engine for each declared rank that is more urgent.
-# With 2, patient requests fill the slots in a burst before reports show it.
-RESERVED_SLOT_COUNT = 3
-MAX_STEP_COUNT = 2  # further ranks leave as much
+# Slots that a request leaves free at an engine, by the number of declared ranks that
+# are more urgent; further ranks leave as much as the last. The least urgent kind has
+# the bursts, and reports show the slots that it fills only some tenths of a second
+# later.
+RESERVED_SLOT_COUNTS = (0, 2, 6)
 # Part of the allowed prefill backlog that a request of the next rank may use.
 BACKLOG_FACTOR = 0.6
 
@@ -57,5 +58,5 @@
     def find_allowance(self, rank: int) -> Allowance:
         """Return what a request of a rank may use of an engine."""
         more_urgent = sum(1 for each in self._ranks if each < rank)
-        steps = min(more_urgent, MAX_STEP_COUNT)
-        return Allowance(RESERVED_SLOT_COUNT * steps, BACKLOG_FACTOR**steps)
+        steps = min(more_urgent, len(RESERVED_SLOT_COUNTS) - 1)
+        return Allowance(RESERVED_SLOT_COUNTS[steps], BACKLOG_FACTOR**steps)
