Let late requests start at idle engines, and starved sizes have their turn

The slots kept for more urgent ranks were added to those that a late request needs: at an engine with 8 slots, a late request of the least urgent rank needed 10 and could never start, and a size begun too rarely had no turn. The reserve is now limited by the engine's slots, and a turn needs no reserve.

--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -135,7 +135,9 @@
     capacity = _measure_capacity(record, engine, context)
     allowance = priority_rules.FULL_ALLOWANCE
     if context.priorities is not None:
-        allowance = context.priorities.find_allowance(record.rank)
+        # A late request, whatever its rank, can start at an idle engine.
+        most_slots = engine.entry.slots - admission_queue.LATE_MIN_FREE_COUNT
+        allowance = context.priorities.find_allowance(record.rank, most_slots)
     if admission_queue.can_start(
         record.timing, capacity, context.now_s, context.has_turn, allowance
     ):
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -130,8 +130,9 @@
         return capacity.free_slots >= EXPIRING_MIN_FREE_COUNT
     required = ON_TIME_MIN_FREE_COUNT + allowance.reserved_slots
     if queue_class is QueueClass.LATE:
-        required = TURN_MIN_FREE_COUNT if has_turn else LATE_MIN_FREE_COUNT
-        required += allowance.reserved_slots
+        required = LATE_MIN_FREE_COUNT + allowance.reserved_slots
+        if has_turn:
+            required = TURN_MIN_FREE_COUNT
     max_prefill_s = MAX_PREFILL_BACKLOG_S * allowance.backlog_factor
     return capacity.free_slots >= required and capacity.prefill_s <= max_prefill_s
 
--- a/toucanspread/core/entry/priority_rules.py
+++ b/toucanspread/core/entry/priority_rules.py
@@ -55,8 +55,15 @@
             if any(share.service == service.name for share in route.shares)
         )
 
-    def find_allowance(self, rank: int) -> Allowance:
-        """Return what a request of a rank may use of an engine."""
+    def find_allowance(self, rank: int, most_slots: int | None = None) -> Allowance:
+        """Return what a request of a rank may use of an engine.
+
+        :param most_slots: most slots that it leaves free, so that an engine with few
+            slots starts it at all; None for no limit.
+        """
         more_urgent = sum(1 for each in self._ranks if each < rank)
         steps = min(more_urgent, len(RESERVED_SLOT_COUNTS) - 1)
-        return Allowance(RESERVED_SLOT_COUNTS[steps], BACKLOG_FACTOR**steps)
+        reserved_slots = RESERVED_SLOT_COUNTS[steps]
+        if most_slots is not None:
+            reserved_slots = min(reserved_slots, max(most_slots, 0))
+        return Allowance(reserved_slots, BACKLOG_FACTOR**steps)
--- a/toucanspread/core/entry/priority_rules_test.py
+++ b/toucanspread/core/entry/priority_rules_test.py
@@ -80,6 +80,30 @@
             )
             self.assertEqual(expected, can_start, free_slots)
 
+    def test_a_late_request_starts_at_an_idle_engine_with_few_slots(self):
+        """Guards against prompts too long for their target that never start."""
+        rules = priority_rules.PriorityRules([0, 1, 2])
+        late = Request(2, left_s=-0.1)
+        for slots in (4, 6, 8, 12):
+            most_slots = slots - admission_queue.LATE_MIN_FREE_COUNT
+            allowance = rules.find_allowance(2, most_slots)
+            capacity = admission_queue.EngineCapacity(0.0, 0.0, slots)
+            self.assertTrue(
+                admission_queue.can_start(late, capacity, NOW_S, allowance=allowance)
+            )
+
+    def test_a_late_request_with_a_turn_leaves_no_more_free_for_its_rank(self):
+        """Guards against long prompts of the least urgent kind that are starved."""
+        allowance = priority_rules.PriorityRules([0, 1, 2]).find_allowance(2)
+        late = Request(2, left_s=-0.1)
+        free_slots = admission_queue.TURN_MIN_FREE_COUNT
+        capacity = admission_queue.EngineCapacity(0.0, 0.0, free_slots)
+        for has_turn in (False, True):
+            can_start = admission_queue.can_start(
+                late, capacity, NOW_S, has_turn, allowance
+            )
+            self.assertEqual(has_turn, can_start)
+
     def test_the_ranks_are_those_of_the_routes_to_the_service(self):
         def make_route(service, priority):
             share = entry_data.Share(service, 1.0)
