--- a/toucanspread/core/entry/priority_rules_test.py
+++ b/toucanspread/core/entry/priority_rules_test.py
@@ -4,7 +4,12 @@
 
 import testtools
 
-from toucanspread.core.entry import admission_queue, forwarding_test, priority_rules
+from toucanspread.core.entry import (
+    admission_queue,
+    decisions,
+    forwarding_test,
+    priority_rules,
+)
 from toucanspread.core.entry import data as entry_data
 
 NOW_S = 10.0
@@ -123,3 +128,23 @@
             priority_rules.RESERVED_SLOT_COUNTS[1],
             rules.find_allowance(2).reserved_slots,
         )
+
+
+class RefusalTest(testtools.TestCase):
+    def resume(self, now_s, priorities):
+        """Return the decision about a queued request while all slots are taken."""
+        fixture = forwarding_test.Fixture(names=("a",))
+        slot_count = forwarding_test.make_entry("a").slots
+        for _ in range(slot_count - admission_queue.LATE_MIN_FREE_COUNT + 1):
+            fixture.registry.get("a").record_dispatch(0.0)
+        request = fixture.make_request(forwarding_test.make_route())
+        context = fixture.at(now_s)._replace(priorities=priorities)
+        return [type(effect) for effect in request.resume_queued(context)]
+
+    def test_a_late_request_is_refused_before_its_caller_leaves(self):
+        """Guards against requests that begin so late that callers abandon them."""
+        rules = priority_rules.PriorityRules([0, 1])
+        limit_s = admission_queue.MAX_DECLARED_WAIT_S
+        self.assertEqual([decisions.Enqueue], self.resume(limit_s - 0.01, rules))
+        self.assertEqual([decisions.Reject], self.resume(limit_s, rules))
+        self.assertEqual([decisions.Enqueue], self.resume(limit_s, None))
