--- a/standins/simulated_request.py
+++ b/standins/simulated_request.py
@@ -183,6 +183,7 @@
         self._entry.in_progress[self] = None
         queue = self._entry.queue
         queue.shares.record_arrival(self._state.timing)
+        queue.rank_shares.record_arrival(self._state.rank, now_s)
         context = self.make_decision_context()
         queued_prefill_s = 0.0
         if context.priorities is not None:
@@ -246,6 +247,7 @@
                     if effect.number == 1:
                         queue = self._entry.queue
                         queue.shares.record_begin(self._state.timing)
+                        queue.rank_shares.record_begin(self._state.rank)
                         queue.team_shares.record_begin(
                             self.team,
                             self.prompt_tokens,
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -122,7 +122,7 @@
 
     A late request leaves some slots to requests of all entries that can be on time.
 
-    :param has_turn: whether requests of its size were begun too rarely.
+    :param has_turn: whether requests of its size or rank were begun too rarely.
     :param allowance: what it may use of the engine by its priority.
     """
     queue_class = classify(request, capacity.backlog_s, now_s)
@@ -131,8 +131,8 @@
     required = ON_TIME_MIN_FREE_COUNT + allowance.reserved_slots
     if queue_class is QueueClass.LATE:
         required = LATE_MIN_FREE_COUNT + allowance.reserved_slots
-        if has_turn:
-            required = TURN_MIN_FREE_COUNT
+    if has_turn:
+        required = min(required, TURN_MIN_FREE_COUNT)
     max_prefill_s = MAX_PREFILL_BACKLOG_S * allowance.backlog_factor
     return capacity.free_slots >= required and capacity.prefill_s <= max_prefill_s
 
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -130,6 +130,7 @@
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
         queue = self._forwarder.queue
         queue.shares.record_arrival(self._state.timing)
+        queue.rank_shares.record_arrival(self._state.rank, self._now_s)
         context = self.make_decision_context()
         rank = self._state.rank if context.priorities is not None else None
         queued_prefill_s = queue.sum_prefill_s(self.queue_key, rank)
@@ -253,6 +254,7 @@
             )
         if effect.number == 1:
             forwarder.queue.shares.record_begin(self._state.timing)
+            forwarder.queue.rank_shares.record_begin(self._state.rank)
             forwarder.queue.team_shares.record_begin(
                 self.team, self.call.prompt_tokens, self._now_s
             )
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -13,6 +13,7 @@
     decisions,
     forwarding,
     load_balancing,
+    rank_shares,
     region_rules,
     size_shares,
     team_shares,
@@ -79,11 +80,13 @@
 
     :ivar shares: counts of all requests of the entry, also of those never queued.
     :ivar team_shares: work begun for teams, also of requests never queued.
+    :ivar rank_shares: counts of all requests by their declared rank.
     """
 
     def __init__(self, reactor):
         self.shares = size_shares.SizeShares()
         self.team_shares = team_shares.TeamShares()
+        self.rank_shares = rank_shares.RankShares()
         self._reactor = reactor
         self._queued: dict[QueueKey, list[QueueItem]] = {}
         self._timer = None
@@ -139,12 +142,12 @@
             self.remove(ordered[0])
 
     def _resume_turn(self, ordered: list[QueueItem]) -> bool:
-        """Resume a request whose size was begun too rarely.
+        """Resume a request whose size or rank was begun too rarely.
 
         :return: whether one has left the queue.
         """
         for request in ordered:
-            if not self.shares.is_behind(request.state.timing):
+            if not self._is_behind(request):
                 continue
             if request.resume(has_turn=True):
                 return False
@@ -152,6 +155,13 @@
             return True
         return False
 
+    def _is_behind(self, request: QueueItem) -> bool:
+        if self.shares.is_behind(request.state.timing):
+            return True
+        if request.make_decision_context().priorities is None:
+            return False
+        return self.rank_shares.is_behind(request.state.rank)
+
 
 def _sort(queued: list[QueueItem], shares: team_shares.TeamShares) -> list[QueueItem]:
     """Return requests of one service in the order in which they go to engines."""
