--- a/toucanspread/core/entry/admission.py
+++ b/toucanspread/core/entry/admission.py
@@ -135,14 +135,19 @@
     capacity = _measure_capacity(record, engine, context)
     allowance = priority_rules.FULL_ALLOWANCE
     if context.priorities is not None:
-        allowance = context.priorities.find_allowance(record.rank)
+        # A late request, whatever its rank, can start at an idle engine.
+        most_slots = engine.entry.slots - admission_queue.LATE_MIN_FREE_COUNT
+        allowance = context.priorities.find_allowance(record.rank, most_slots)
     if admission_queue.can_start(
         record.timing, capacity, context.now_s, context.has_turn, allowance
     ):
         if _would_miss_deadline(record, capacity.backlog_s, context):
             return final_answers.make_overload_rejection(capacity.backlog_s, context)
         return None
-    if context.now_s - record.timing.arrived_s >= admission_queue.MAX_WAIT_S:
+    max_wait_s = admission_queue.MAX_WAIT_S
+    if context.priorities is not None:
+        max_wait_s = admission_queue.MAX_DECLARED_WAIT_S
+    if context.now_s - record.timing.arrived_s >= max_wait_s:
         return final_answers.make_overload_rejection(
             admission_queue.MAX_EXPECTED_WAIT_S, context
         )
--- a/toucanspread/core/entry/admission_queue.py
+++ b/toucanspread/core/entry/admission_queue.py
@@ -10,7 +10,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
 from toucanspread.core.entry import priority_rules
@@ -22,6 +22,9 @@
 FIRST_EVENT_MARGIN_S = 0.16
 EXPIRING_AFTER_S = 2.0  # callers abandon a stream after about three seconds
 MAX_WAIT_S = 2.8  # a caller that is rejected before it gives up retries sooner
+# The same where declared priorities decide. Requests that begin later are mostly
+# abandoned before their first event, and their work delays others.
+MAX_DECLARED_WAIT_S = 1.3
 MAX_EXPECTED_WAIT_S = 2.0  # a longer queue is of no use: callers do not wait longer
 # Requests that wait for weights are late and would take the engines from later ones.
 MAX_LOAD_WAIT_S = 1.0
@@ -72,6 +75,7 @@
     backlog_s: float,
     now_s: float,
     has_priorities: bool = False,
+    find_work: Callable[[QueuedRequest], int] | None = None,
 ) -> list[QueuedRequest]:
     """Return the requests in the order in which they go to engines.
 
@@ -79,14 +83,17 @@
     there are too many, one with little time left is late by the time it is answered.
 
     :param has_priorities: whether declared priorities go before the time left.
+    :param find_work: returns how much was recently begun for the team of a request;
+        within one priority, less goes first. None if teams don't count.
     """
 
-    def rank(request: QueuedRequest) -> tuple[int, int, float]:
+    def rank(request: QueuedRequest) -> tuple[int, int, int, float]:
         queue_class = classify(request, backlog_s, now_s)
         declared_rank = request.rank if has_priorities else 0
+        work = find_work(request) if find_work is not None else 0
         if queue_class is QueueClass.ON_TIME:
-            return (queue_class, declared_rank, -request.start_deadline_s)
-        return (queue_class, declared_rank, request.arrived_s)
+            return (queue_class, declared_rank, work, -request.start_deadline_s)
+        return (queue_class, declared_rank, work, request.arrived_s)
 
     return sorted(requests, key=rank)
 
@@ -115,7 +122,7 @@
 
     A late request leaves some slots to requests of all entries that can be on time.
 
-    :param has_turn: whether requests of its size were begun too rarely.
+    :param has_turn: whether requests of its size or rank were begun too rarely.
     :param allowance: what it may use of the engine by its priority.
     """
     queue_class = classify(request, capacity.backlog_s, now_s)
@@ -123,7 +130,9 @@
         return capacity.free_slots >= EXPIRING_MIN_FREE_COUNT
     required = ON_TIME_MIN_FREE_COUNT + allowance.reserved_slots
     if queue_class is QueueClass.LATE:
-        required = TURN_MIN_FREE_COUNT if has_turn else LATE_MIN_FREE_COUNT
+        required = LATE_MIN_FREE_COUNT + allowance.reserved_slots
+    if has_turn:
+        required = min(required, TURN_MIN_FREE_COUNT)
     max_prefill_s = MAX_PREFILL_BACKLOG_S * allowance.backlog_factor
     return capacity.free_slots >= required and capacity.prefill_s <= max_prefill_s
 
--- a/toucanspread/core/entry/priority_rules.py
+++ b/toucanspread/core/entry/priority_rules.py
@@ -12,9 +12,11 @@
 
 from toucanspread.core.entry import data as entry_data
 
-# What a request leaves free at an engine for each declared rank that is more urgent.
-RESERVED_SLOT_COUNT = 2
-MAX_STEP_COUNT = 2  # further ranks leave as much
+# Slots that a request leaves free at an engine, by the number of declared ranks that
+# are more urgent; further ranks leave as much as the last. The least urgent kind has
+# the bursts, and reports show the slots that it fills only some tenths of a second
+# later.
+RESERVED_SLOT_COUNTS = (0, 2, 6)
 # Part of the allowed prefill backlog that a request of the next rank may use.
 BACKLOG_FACTOR = 0.6
 
@@ -53,8 +55,15 @@
             if any(share.service == service.name for share in route.shares)
         )
 
-    def find_allowance(self, rank: int) -> Allowance:
-        """Return what a request of a rank may use of an engine."""
+    def find_allowance(self, rank: int, most_slots: int | None = None) -> Allowance:
+        """Return what a request of a rank may use of an engine.
+
+        :param most_slots: most slots that it leaves free, so that an engine with few
+            slots starts it at all; None for no limit.
+        """
         more_urgent = sum(1 for each in self._ranks if each < rank)
-        steps = min(more_urgent, MAX_STEP_COUNT)
-        return Allowance(RESERVED_SLOT_COUNT * steps, BACKLOG_FACTOR**steps)
+        steps = min(more_urgent, len(RESERVED_SLOT_COUNTS) - 1)
+        reserved_slots = RESERVED_SLOT_COUNTS[steps]
+        if most_slots is not None:
+            reserved_slots = min(reserved_slots, max(most_slots, 0))
+        return Allowance(reserved_slots, BACKLOG_FACTOR**steps)
--- a/toucanspread/ops/forwarding/forwarded_request.py
+++ b/toucanspread/ops/forwarding/forwarded_request.py
@@ -81,7 +81,7 @@
         self.exchange = exchange
         self._forwarder = forwarder
         self._route = route
-        self._team = team.name if team is not None else None
+        self.team = team.name if team is not None else None
         self._team_priority = team.priority if team is not None else None
         self.allowed_regions = region_rules.combine(route, team)
         self.service = forwarder.choose_service(route)
@@ -130,6 +130,7 @@
         self._deadline_timer = reactor.callLater(wait_s, self._on_deadline)
         queue = self._forwarder.queue
         queue.shares.record_arrival(self._state.timing)
+        queue.rank_shares.record_arrival(self._state.rank, self._now_s)
         context = self.make_decision_context()
         rank = self._state.rank if context.priorities is not None else None
         queued_prefill_s = queue.sum_prefill_s(self.queue_key, rank)
@@ -255,6 +256,10 @@
             )
         if effect.number == 1:
             forwarder.queue.shares.record_begin(self._state.timing)
+            forwarder.queue.rank_shares.record_begin(self._state.rank)
+            forwarder.queue.team_shares.record_begin(
+                self.team, self.call.prompt_tokens, self._now_s
+            )
         metric_buffer.count("dispatches")
         if effect.cold_left_s > 0:
             metric_buffer.count("dispatches_to_cold_engines")
@@ -314,7 +319,7 @@
         head = self._forwarder.wire_dialect.make_engine_head(
             self.exchange.head,
             msgspec.structs.replace(effect, budget_s=min(effect.budget_s, left_s)),
-            self._team,
+            self.team,
         )
         return http1.render_request(head, self.exchange.body)
 
--- a/toucanspread/ops/forwarding/request_queue.py
+++ b/toucanspread/ops/forwarding/request_queue.py
@@ -13,8 +13,10 @@
     decisions,
     forwarding,
     load_balancing,
+    rank_shares,
     region_rules,
     size_shares,
+    team_shares,
 )
 from toucanspread.core.entry import data as entry_data
 from toucanspread.ops import loop
@@ -33,10 +35,12 @@
     """A request that can be queued.
 
     :ivar allowed_regions: regions in which it may be served; None for all.
+    :ivar team: name of the caller's team; None for callers without one.
     """
 
     service: entry_data.Service
     allowed_regions: region_rules.Regions | None = None
+    team: str | None = None
 
     @property
     @abc.abstractmethod
@@ -75,10 +79,14 @@
     Requests that may go to different engines don't wait for each other.
 
     :ivar shares: counts of all requests of the entry, also of those never queued.
+    :ivar team_shares: work begun for teams, also of requests never queued.
+    :ivar rank_shares: counts of all requests by their declared rank.
     """
 
     def __init__(self, reactor):
         self.shares = size_shares.SizeShares()
+        self.team_shares = team_shares.TeamShares()
+        self.rank_shares = rank_shares.RankShares()
         self._reactor = reactor
         self._queued: dict[QueueKey, list[QueueItem]] = {}
         self._timer = None
@@ -126,7 +134,7 @@
     def _resume_in_order(self, queued: list[QueueItem]) -> None:
         """Resume requests in their order until one stays queued."""
         while queued:
-            ordered = _sort(queued)
+            ordered = _sort(queued, self.team_shares)
             if self._resume_turn(ordered):
                 continue
             if ordered[0].resume():
@@ -134,12 +142,12 @@
             self.remove(ordered[0])
 
     def _resume_turn(self, ordered: list[QueueItem]) -> bool:
-        """Resume a request whose size was begun too rarely.
+        """Resume a request whose size or rank was begun too rarely.
 
         :return: whether one has left the queue.
         """
         for request in ordered:
-            if not self.shares.is_behind(request.state.timing):
+            if not self._is_behind(request):
                 continue
             if request.resume(has_turn=True):
                 return False
@@ -147,8 +155,15 @@
             return True
         return False
 
+    def _is_behind(self, request: QueueItem) -> bool:
+        if self.shares.is_behind(request.state.timing):
+            return True
+        if request.make_decision_context().priorities is None:
+            return False
+        return self.rank_shares.is_behind(request.state.rank)
+
 
-def _sort(queued: list[QueueItem]) -> list[QueueItem]:
+def _sort(queued: list[QueueItem], shares: team_shares.TeamShares) -> list[QueueItem]:
     """Return requests of one service in the order in which they go to engines."""
     context = queued[0].make_decision_context()
     backlog_s = load_balancing.least_backlog_s(
@@ -159,7 +174,14 @@
         queued[0].allowed_regions,
     )
     by_state = {request.state: request for request in queued}
+    if context.priorities is None:
+        ordered = admission_queue.sort_queue(by_state, backlog_s, context.now_s)
+        return [by_state[state] for state in ordered]
     ordered = admission_queue.sort_queue(
-        by_state, backlog_s, context.now_s, context.priorities is not None
+        by_state,
+        backlog_s,
+        context.now_s,
+        has_priorities=True,
+        find_work=lambda state: shares.find_step(by_state[state].team, context.now_s),
     )
     return [by_state[state] for state in ordered]
