Finish the version that can be in time first, at entries and sidecars

Cause: when version 3 was named, entries dropped version 2 with half of it fetched, and all of them requested every missing piece of version 3 when the origin returned. The requests timed out (3 and 4 s) and were repeated. Sidecars decided the order once, when the version was named.

Change: core/weights/version_order.py decides the order of two versions, at both stages and again with each observation, and plans the fetches of an entry. Entries keep the older version until they have what they keep of the newer one, probe the origin with one piece each, and read in planned order after its return. A piece whose turn has not come is answered with 425, so that engines' requests do not change the order.

--- a/toucanspread/core/weights/staging.py
+++ b/toucanspread/core/weights/staging.py
@@ -8,16 +8,22 @@
 
 A newer version may be named before the engine has loaded the current target, and its
 pieces may be unavailable: the origin may become unreachable right after it is named.
-The target is loaded first if both can be loaded in time. If not, the newer version
-comes first, and the target is kept: it is completed and loaded as long as pieces of the
-newer version cannot be had, and given up when the newer version is whole.
+:mod:`toucanspread.core.weights.version_order` decides which of both comes first, again
+with each event. If the newer version comes first, the target is kept: it is completed
+and loaded as long as pieces of the newer version cannot be had, and given up when the
+newer version is whole.
 """
 
 import collections
 
 from toucanspread.core import invariants
 from toucanspread.core.entry import data as entry_data
-from toucanspread.core.weights import staging_events, staging_target, switch_turns
+from toucanspread.core.weights import (
+    staging_events,
+    staging_target,
+    switch_turns,
+    version_order,
+)
 
 MAX_CONCURRENT_PIECES = 2  # callers' requests share the same narrow link
 # On a link slower than configured, callers' requests queue behind pieces; then only one
@@ -122,8 +128,9 @@
             self.target = newer
             self.next_target = None
         else:
-            self._is_target_first = self._is_finished_first(now_s, newer)
             self.next_target = newer
+            self._is_target_first = True
+            self._update_order(now_s)
         return self._next_effects(now_s)
 
     def on_report_read(self, event: staging_events.ReportRead, now_s: float) -> list:
@@ -281,27 +288,34 @@
         if self.target.step is not staging_target.Step.ORDERED:
             self._advance_to_next_target()
 
+    def _update_order(self, now_s: float) -> None:
+        """Decide again whether the target is completed before the next one."""
+        if self.next_target is None:
+            return
+        self._is_target_first = self._is_finished_first(now_s, self.next_target)
+
     def _is_finished_first(self, now_s: float, newer: staging_target.Target) -> bool:
-        """Return whether the current target can be loaded before a newer version."""
+        """Return whether the current target is completed before a newer version."""
         current = self.target
         if not current.digests or self._report.version == 0:
             return False
         if current.step is staging_target.Step.ORDERED:
             return True
-        # The newer version is assumed to have as many pieces.
-        newer_transfer_s = len(current.digests) * self._piece_transfer_s
-        remaining_transfer_s = current.missing_count * self._piece_transfer_s
-        load_s = self.profile.warmup_s
-        if now_s + remaining_transfer_s + load_s > current.timing.due_s:
-            return False
-        return (
-            now_s + remaining_transfer_s + newer_transfer_s + load_s
-            <= newer.timing.due_s
+        # Before its manifest is read, the newer one is assumed to have as many pieces.
+        newer_count = newer.missing_count if newer.digests else len(current.digests)
+        return version_order.is_older_first(
+            now_s,
+            version_order.VersionProgress(current.missing_count, current.timing.due_s),
+            version_order.VersionProgress(newer_count, newer.timing.due_s),
+            self._piece_transfer_s,
+            self.profile.warmup_s,
+            was_newer_first=not self._is_target_first,
         )
 
     def _next_effects(self, now_s: float) -> list:
         if self._report is None or self._has_loaded_target:
             return []
+        self._update_order(now_s)
         effects = self._advance(self.target, now_s)
         if self.next_target is not None:
             effects += self._advance(self.next_target, now_s)
--- a/toucanspread/core/weights/staging_target.py
+++ b/toucanspread/core/weights/staging_target.py
@@ -41,6 +41,7 @@
         self.retry_times_s: dict[int, float] = {}
         self.whole_s: float | None = None
         self.is_failing = False
+        self._last_number = -1
         self.last_check_s = float("-inf")
         self.order_time_s = 0.0
         self.retry_at_s = 0.0
@@ -68,6 +69,7 @@
         """Record that a piece has come."""
         self.in_flight_numbers.discard(number)
         self.held_numbers.add(number)
+        self._last_number = number
         self.is_failing = False
         self._record_if_whole(now_s)
 
@@ -84,8 +86,9 @@
     def find_requestable(self, now_s: float) -> int | None:
         """Return the number of the piece to request next, or None.
 
-        Pieces that could not be had come after all others, the one that has waited
-        longest first.
+        Pieces that could not be had come after all others. While pieces come, the next
+        one after the last that came is first, since entries fetch them in this order;
+        otherwise the one that has waited longest.
         """
         if self.step is not Step.COLLECTING:
             return None
@@ -97,11 +100,13 @@
             and number not in self.in_flight_numbers
             and self.retry_times_s.get(number, never_tried_s) <= now_s
         ]
-        return min(
-            numbers,
-            key=lambda number: self.retry_times_s.get(number, never_tried_s),
-            default=None,
-        )
+        untried_numbers = [n for n in numbers if n not in self.retry_times_s]
+        if untried_numbers:
+            return untried_numbers[0]
+        if not self.is_failing:
+            later_numbers = [n for n in numbers if n > self._last_number]
+            return next(iter(later_numbers or numbers), None)
+        return min(numbers, key=lambda number: self.retry_times_s[number], default=None)
 
     @property
     def missing_count(self) -> int:
--- a/toucanspread/core/weights/staging_test.py
+++ b/toucanspread/core/weights/staging_test.py
@@ -345,17 +345,21 @@
 
     def setUp(self):
         super().setUp()
+        self.available = {2: set(range(6)), 3: {0, 1, 4}}
+        self.name_versions(7.2, 8.4)
+
+    def name_versions(self, older_due_s, newer_due_s):
+        """Name version 2 at 0 s and version 3 at 2 s."""
         self.stager = staging.Stager(PROFILE, PIECE_S)
         self.engine = FakeEngine(self.stager)
         self.engine.run(self.engine.report())
         self.engine.orders.clear()
-        self.available = {2: set(range(6)), 3: {0, 1, 4}}
-        first = switch_turns.SwitchTiming(7.2)
+        first = switch_turns.SwitchTiming(older_due_s)
         effects = self.stager.on_version_named(2, first, 0.0)
         for _ in range(2 + self.HELD_OF_FIRST):
             effects += self.engine.execute(effects.pop(0))
         self.engine.now_s = 2.0
-        second = switch_turns.SwitchTiming(8.4)
+        second = switch_turns.SwitchTiming(newer_due_s)
         self.pending = effects + self.stager.on_version_named(3, second, 2.0)
 
     def play(self, until_s):
@@ -402,10 +406,28 @@
         self.assertEqual([2, 3], self.engine.orders)
 
     def test_the_older_version_is_not_loaded_if_the_newer_one_is_whole_in_time(self):
+        self.HELD_OF_FIRST = 0
+        self.name_versions(9.6, 10.4)
         self.available[3] = set(range(6))
         self.play(until_s=10.0)
         self.assertEqual([3], self.engine.orders)
 
+    def test_the_older_version_is_loaded_if_the_newer_one_would_leave_a_gap(self):
+        """Two pieces of version 2 on their way make version 3 late for 7.2 s."""
+        self.available[3] = set(range(6))
+        self.play(until_s=12.0)
+        self.assertEqual([2, 3], self.engine.orders)
+
+    def test_the_order_is_decided_again_when_pieces_are_available_again(self):
+        """At 2 s, version 3 alone would have been loaded when version 2 is due."""
+        self.HELD_OF_FIRST = 3
+        self.name_versions(7.6, 8.5)
+        self.available = {2: set(), 3: set()}
+        self.play(until_s=3.4)
+        self.available = {2: set(range(6)), 3: set(range(6))}
+        self.play(until_s=12.0)
+        self.assertEqual([2, 3], self.engine.orders)
+
     def test_a_third_version_leaves_the_second_as_the_one_to_fall_back_to(self):
         self.available[3] = set(range(6))
         self.available[4] = set()
--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -6,13 +6,14 @@
 
 import abc
 import asyncio
+import collections
 import hashlib
 from collections.abc import Callable
 from typing import NamedTuple
 
 from toucanspread.core import data, decoder
 from toucanspread.core.entry import entry_directory
-from toucanspread.core.weights import piece_placement
+from toucanspread.core.weights import piece_placement, version_order
 from toucanspread.ops import loop
 from toucanspread.ops.http import answer_match, http1, http1_client, http1_pool
 from toucanspread.ops.pieces import manifest_match, piece_parts
@@ -28,12 +29,24 @@
 ORIGIN_RETRY_DELAY_S = 0.2
 MEMBERSHIP_SETTLE_S = 2.0  # a restarted entry is back within this time
 FETCH_RETRY_DELAY_S = 0.4  # the origin may start after this process or be down
+ORIGIN_PROBE_INTERVAL_S = 0.1  # until one of the missing pieces can be had again
+# Each of so many probes is for any version, since only one of them may be available.
+OTHER_VERSION_PROBE_INTERVAL = 5
+# From the last piece at an entry until requests can begin on the version: the engine's
+# link, the check, the loading, and the report of it to the entries.
+ENGINE_DELAY_S = 1.5
+MAX_TURN_WAIT_S = 0.5  # for a piece that is planned; other pieces can be had meanwhile
+NOT_YET_STATUS = 425
 
 
 class PieceError(Exception):
     """A piece or a manifest could not be obtained."""
 
 
+class NotYetError(PieceError):
+    """The owner of a piece reads it later, in its turn or when the origin is back."""
+
+
 class UnreachableError(PieceError):
     """A process was unreachable or did not answer."""
 
@@ -77,6 +90,8 @@
     :param piece_transfer_s: returns the seconds that the origin's link takes for a
         piece of a model.
     :param max_piece_bytes: returns the limit for a piece of a model.
+    :param version_within_s: time within which all requests have to begin on a version
+        that was named.
     """
 
     def __init__(
@@ -90,6 +105,7 @@
         max_piece_bytes: Callable[[data.ModelName], int] = (
             lambda model: DEFAULT_MAX_PIECE_BYTES
         ),
+        version_within_s: float = float("inf"),
     ):
         self._name = name
         self._origin_region = origin_region
@@ -102,7 +118,16 @@
         self._digests: dict[piece_placement.PieceKey, tuple[str, ...]] = {}
         self._newest_versions: dict[data.ModelName, int] = {}
         self._load_tasks: dict[piece_placement.PieceKey, asyncio.Task] = {}
-        self._scheduled_keys: set[piece_placement.PieceKey] = set()
+        self._version_within_s = version_within_s
+        # The two newest versions of each model, and when each was named.
+        self._named_times_s: dict[data.ModelName, dict[int, float]] = {}
+        self._missing_keys: set[piece_placement.PieceKey] = set()
+        # When the first piece of a version was due, or would have been.
+        self._plan_starts_s: dict[tuple[data.ModelName, int], float] = {}
+        self._turns_s: dict[piece_placement.PieceKey, float] = {}
+        self._probed_models: set[data.ModelName] = set()
+        self._plan_numbers: collections.Counter[data.ModelName] = collections.Counter()
+        self._obtained_times_s: dict[data.ModelName, float] = {}
         self._entry_names: frozenset[str] = frozenset()
         self._entries_changed_s = 0.0
         self._applied_entry_names: frozenset[str] = frozenset()
@@ -122,10 +147,32 @@
 
         :raises PieceError: when it cannot be obtained.
         """
+        if key not in self._pieces:
+            await self._wait_for_turn(key)
         if key not in self._pieces:
             await self._load_once(key, self._load_piece)
         return self._pieces[key]
 
+    async def _wait_for_turn(self, key: piece_placement.PieceKey) -> None:
+        """Wait until this entry reads a piece that it owns.
+
+        Otherwise, the requests of engines would decide what is read from the origin
+        first, and all be sent to it at the moment of its return.
+
+        :raises NotYetError: when it takes too long.
+        """
+        if key not in self._missing_keys or self._find_upstream(key) is not None:
+            return
+        if key in self._load_tasks:
+            return
+        if key.model in self._probed_models:
+            raise NotYetError(f"{key.text}: the origin is unavailable")
+        wait_s = self._turns_s.get(key, 0.0) - _now_s()
+        if wait_s > MAX_TURN_WAIT_S:
+            raise NotYetError(f"{key.text}: its turn comes in {wait_s:.1f} s")
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+
     async def fetch_kept_pieces(
         self, model: data.ModelName, version: int, is_new_version: bool = True
     ) -> None:
@@ -138,8 +185,15 @@
         The origin may become unavailable soon after a version is named. The fetches are
         spread over time so that all owners together just saturate its link: if all
         pieces were fetched at once, none would be complete before the last one.
+
+        The version before is fetched, too, until this entry has all that it has to keep
+        of the new one: the origin may send that one too late.
         """
         self._drop_old_versions(model, version)
+        times_s = self._named_times_s.setdefault(model, {})
+        times_s.setdefault(version, _now_s())
+        for older in sorted(times_s)[:-MAX_VERSION_COUNT]:
+            del times_s[older]
         await self._schedule_kept_pieces(model, version, is_new_version)
 
     def update_kept_pieces(self, now_s: float) -> None:
@@ -164,30 +218,198 @@
         self, model: data.ModelName, version: int, in_each_region: bool
     ) -> None:
         digests = await self._wait_for_digests(model, version)
-        piece_transfer_s = self._piece_transfer_s(model)
+        new_keys = set()
         for number in range(len(digests)):
             key = piece_placement.PieceKey(model, version, number)
-            if key in self._pieces or key in self._scheduled_keys:
+            if key in self._pieces or key in self._missing_keys:
                 continue
             is_kept = self._find_upstream(key) is None
             if in_each_region:
                 is_kept = piece_placement.is_kept_by(key, self._entries(), self._name)
             if is_kept:
-                self._scheduled_keys.add(key)
-                loop.spawn(self._fetch_kept_piece(key, number * piece_transfer_s))
+                new_keys.add(key)
+        if new_keys:
+            self._missing_keys |= new_keys
+            self._plan_fetches(model)
+
+    def _plan_fetches(self, model: data.ModelName) -> None:
+        """Schedule the missing pieces of a model anew; requests on their way go on."""
+        if model in self._probed_models:
+            return
+        self._plan_numbers[model] += 1
+        now_s = _now_s()
+        piece_transfer_s = self._piece_transfer_s(model)
+        for fetch in self._list_planned_fetches(model):
+            key = piece_placement.PieceKey(model, fetch.version, fetch.number)
+            self._turns_s[key] = now_s + fetch.delay_s
+            if (model, fetch.version) not in self._plan_starts_s or fetch.delay_s > 0:
+                self._plan_starts_s[model, fetch.version] = (
+                    now_s + fetch.delay_s - fetch.number * piece_transfer_s
+                )
+            loop.spawn(
+                self._fetch_kept_piece(key, fetch.delay_s, self._plan_numbers[model])
+            )
+
+    def _list_planned_fetches(
+        self, model: data.ModelName
+    ) -> list[version_order.PlannedFetch]:
+        """Return the missing pieces of a model in the order of their need."""
+        missing = [
+            version_order.MissingPieces(
+                version,
+                self._list_missing_numbers(model, version),
+                self._count_pieces(model, version),
+                self._find_position(model, version),
+            )
+            for version in self._order_versions(model)
+        ]
+        return version_order.plan_fetches(missing, self._piece_transfer_s(model))
+
+    def _count_pieces(self, model: data.ModelName, version: int) -> int:
+        return len(self._digests.get(_make_manifest_key(model, version), ()))
+
+    def _find_position(self, model: data.ModelName, version: int) -> float:
+        """Return the number of the piece that all entries together have come to."""
+        piece_count = self._count_pieces(model, version)
+        if model in self._probed_models:
+            held_numbers = [
+                key.number
+                for key in self._pieces
+                if key.model == model and key.version == version
+            ]
+            missing_numbers = self._list_missing_numbers(model, version)
+            if not held_numbers and (model, version) not in self._plan_starts_s:
+                return 0.0
+            return version_order.estimate_position(
+                missing_numbers, held_numbers, piece_count
+            )
+        start_s = self._plan_starts_s.get((model, version))
+        piece_transfer_s = self._piece_transfer_s(model)
+        if start_s is None or piece_transfer_s <= 0:
+            return 0.0
+        position = (_now_s() - start_s) / piece_transfer_s
+        return min(max(position, 0.0), float(piece_count))
+
+    def _list_missing_numbers(self, model: data.ModelName, version: int) -> list[int]:
+        return sorted(
+            key.number
+            for key in self._missing_keys
+            if key.model == model and key.version == version
+        )
+
+    def _order_versions(self, model: data.ModelName) -> list[int]:
+        """Return the versions of a model in the order in which they are needed."""
+        times_s = self._named_times_s.get(model, {})
+        versions = sorted(times_s)
+        if len(versions) < MAX_VERSION_COUNT:
+            return versions
+        older, newer = versions
+        progress = [self._estimate_progress(model, v) for v in versions]
+        is_older_first = version_order.is_older_first(
+            _now_s(), *progress, self._piece_transfer_s(model), ENGINE_DELAY_S
+        )
+        return [older, newer] if is_older_first else [newer, older]
+
+    def _estimate_progress(
+        self, model: data.ModelName, version: int
+    ) -> version_order.VersionProgress:
+        """Return what all entries together miss, judged by what this one misses."""
+        left_count = self._count_pieces(model, version) - self._find_position(
+            model, version
+        )
+        due_s = self._named_times_s[model][version] + self._version_within_s
+        return version_order.VersionProgress(round(left_count), due_s)
 
     async def _fetch_kept_piece(
-        self, key: piece_placement.PieceKey, delay_s: float
+        self, key: piece_placement.PieceKey, delay_s: float, plan_number: int
     ) -> None:
+        """Fetch a piece at its time unless the plan was replaced by another one."""
         await asyncio.sleep(delay_s)
-        while not self._is_superseded(key):
-            try:
-                await self.get_piece(key)
-                break
-            except PieceError as error:
-                logs.write("piece_missing", piece=key.text, why=str(error))
+        while (
+            self._plan_numbers[key.model] == plan_number
+            and key in self._missing_keys
+            and self._is_needed(key)
+        ):
+            started_s = _now_s()
+            if await self._try_fetch_kept_piece(key):
+                return
+            if self._obtained_times_s.get(key.model, float("-inf")) < started_s:
+                # Requests for all other pieces would fail, too, and all be repeated
+                # at the same time.
+                if self._plan_numbers[key.model] == plan_number:
+                    await self._probe_until_available(key.model)
+                return
             await asyncio.sleep(FETCH_RETRY_DELAY_S)
-        self._scheduled_keys.discard(key)
+
+    async def _try_fetch_kept_piece(self, key: piece_placement.PieceKey) -> bool:
+        """Return whether a piece that this entry has to keep is held now."""
+        try:
+            if key not in self._pieces:
+                await self._load_once(key, self._load_piece)
+        except PieceError as error:
+            logs.write("piece_missing", piece=key.text, why=str(error))
+            return False
+        self._missing_keys.discard(key)
+        self._turns_s.pop(key, None)
+        self._obtained_times_s[key.model] = _now_s()
+        return True
+
+    async def _probe_until_available(self, model: data.ModelName) -> None:
+        """Request one missing piece after the other until one can be had."""
+        if model in self._probed_models:
+            return
+        self._probed_models.add(model)
+        self._plan_numbers[model] += 1
+        try:
+            await self._probe(model)
+            # Estimated while it is known that the fetches were interrupted.
+            piece_transfer_s = self._piece_transfer_s(model)
+            for version in self._named_times_s.get(model, {}):
+                position = self._find_position(model, version)
+                if (model, version) in self._plan_starts_s:
+                    self._plan_starts_s[model, version] = (
+                        _now_s() - position * piece_transfer_s
+                    )
+        finally:
+            self._probed_models.discard(model)
+        self._plan_fetches(model)
+
+    async def _probe(self, model: data.ModelName) -> None:
+        """Return once a missing piece could be had, or if none is needed."""
+        attempt_count = 0
+        while True:
+            await asyncio.sleep(ORIGIN_PROBE_INTERVAL_S)
+            keys = [
+                piece_placement.PieceKey(model, fetch.version, fetch.number)
+                for fetch in self._list_planned_fetches(model)
+            ]
+            needed_keys = [key for key in keys if self._is_needed(key)]
+            if not needed_keys:
+                return
+            attempt_count += 1
+            first_version = needed_keys[0].version
+            if attempt_count % OTHER_VERSION_PROBE_INTERVAL:
+                # What comes with the first success should be needed first.
+                needed_keys = [k for k in needed_keys if k.version == first_version]
+            key = needed_keys[attempt_count % len(needed_keys)]
+            if await self._try_fetch_kept_piece(key):
+                return
+
+    def _is_needed(self, key: piece_placement.PieceKey) -> bool:
+        """Return whether engines may still need a piece from this entry.
+
+        A version is given up when this entry has all that it keeps of a newer one.
+        """
+        if not self._is_superseded(key):
+            return True
+        newest = self._newest_versions[key.model]
+        if key.version not in self._named_times_s.get(key.model, {}):
+            return False
+        manifest_key = _make_manifest_key(key.model, newest)
+        has_newest = manifest_key in self._digests and not self._list_missing_numbers(
+            key.model, newest
+        )
+        return not has_newest
 
     async def _wait_for_digests(
         self, model: data.ModelName, version: int
@@ -306,6 +528,8 @@
                     self._pieces[key] = piece
                     return
                 logs.write("piece_spoilt", piece=key.text, source=upstream.name)
+            except NotYetError:
+                raise
             except PieceError as error:
                 logs.write(
                     "owner_failed", piece=key.text, owner=upstream.name, why=str(error)
@@ -376,6 +600,19 @@
             for key in list(cached):
                 if key.model == model and key.version < oldest:
                     del cached[key]
+        self._missing_keys = {
+            key
+            for key in self._missing_keys
+            if key.model != model or key.version >= oldest
+        }
+
+
+def _make_manifest_key(model: data.ModelName, version: int) -> piece_placement.PieceKey:
+    return piece_placement.PieceKey(model, version, piece_placement.MANIFEST_NUMBER)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def has_digest(piece: bytes, digest: str) -> bool:
@@ -498,6 +735,8 @@
         )
     except http1_pool.CallError as error:
         raise UnreachableError(str(error)) from error
+    if reply.status == NOT_YET_STATUS:
+        raise NotYetError(f"{address} reads it later")
     is_part = byte_range is not None and reply.status == 206
     if reply.status != 200 and not is_part:
         raise PieceError(f"{address} answered with status {reply.status}")
--- a/toucanspread/platform/entry.py
+++ b/toucanspread/platform/entry.py
@@ -89,6 +89,7 @@
             self._find_origin_region,
             self._estimate_origin_piece_s,
             self._limit_piece_bytes,
+            process_settings.bounds.version_ms / 1000,
         )
         source_selector = source_selection.SourceSelector(
             name, data.ZoneName(process_settings.zone), can_lead=True
--- a/toucanspread/platform/entry_handlers.py
+++ b/toucanspread/platform/entry_handlers.py
@@ -219,6 +219,9 @@
             return
         try:
             piece = await self._entry.pieces.get_piece(key)
+        except piece_cache.NotYetError:
+            exchange.respond(piece_cache.NOT_YET_STATUS)
+            return
         except piece_cache.PieceError as error:
             logs.write("piece_missing", piece=key.text, why=str(error))
             exchange.respond(503)
