--- a/standins/superseded_simulation.py
+++ b/standins/superseded_simulation.py
@@ -1,8 +1,8 @@
 """Simulates two versions of weights, in virtual time, while the origin is unavailable.
 
 The entries are the product's own piece caches, the sidecars its own stagers. The
-origin's link is shared evenly by the pieces that it sends. Each engine's link passes one
-piece after the other. The figures are those of deployment D2 in
+origin's link is shared evenly by the pieces that it sends; each engine's link passes
+one piece after the other. The figures are those of deployment D2 in
 ``docs/design/hard-load.md``.
 """
 
@@ -192,6 +192,7 @@
     """An engine with its sidecar's stager.
 
     :ivar loaded_s: when each version was loaded.
+    :ivar request_count: requests of the sidecar for pieces.
     """
 
     def __init__(self, simulation: "SupersededSimulation", number: int):
@@ -208,6 +209,7 @@
         self._order_count = 0
         self._loading_until_s = 0.0
         self.loaded_s: dict[int, float] = {}
+        self.request_count = 0
 
     async def run(self) -> None:
         """Report at intervals, until cancelled."""
@@ -256,6 +258,7 @@
 
     async def _collect(self, version: int, number: int) -> None:
         key = piece_placement.PieceKey(MODEL, version, number)
+        self.request_count += 1
         ranked = piece_placement.rank_holders(
             key, self._simulation.records, self._region
         )
@@ -266,8 +269,9 @@
                 self._simulation.caches[holder.control].get_piece(key),
                 piece_cache.PEER_TIMEOUT_S,
             )
-        except (piece_cache.PieceError, TimeoutError):
-            self._attempts[version, number] = attempt + 1
+        except (piece_cache.PieceError, TimeoutError) as error:
+            if not isinstance(error, piece_cache.NotYetError):
+                self._attempts[version, number] = attempt + 1
             event = staging_events.EffectFailed(version, number)
             self._execute(self._stager.on_effect_failed(event, self._now_s()))
             return
--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -36,6 +36,7 @@
 # link, the check, the loading, and the report of it to the entries.
 ENGINE_DELAY_S = 1.5
 MAX_TURN_WAIT_S = 0.5  # for a piece that is planned; other pieces can be had meanwhile
+TURN_CHECK_INTERVAL_S = 0.05
 NOT_YET_STATUS = 425
 
 
@@ -159,14 +160,20 @@
         Otherwise, the requests of engines would decide what is read from the origin
         first, and all be sent to it at the moment of its return.
 
+        While the origin is unavailable, the answer is delayed, as engines repeat their
+        requests.
+
         :raises NotYetError: when it takes too long.
         """
         if key not in self._missing_keys or self._find_upstream(key) is not None:
             return
         if key in self._load_tasks:
             return
-        if key.model in self._probed_models:
-            raise NotYetError(f"{key.text}: the origin is unavailable")
+        wait_until_s = _now_s() + MAX_TURN_WAIT_S
+        while key.model in self._probed_models:
+            if _now_s() >= wait_until_s:
+                raise NotYetError(f"{key.text}: the origin is unavailable")
+            await asyncio.sleep(TURN_CHECK_INTERVAL_S)
         wait_s = self._turns_s.get(key, 0.0) - _now_s()
         if wait_s > MAX_TURN_WAIT_S:
             raise NotYetError(f"{key.text}: its turn comes in {wait_s:.1f} s")
--- a/toucanspread/ops/pieces/staging_driver.py
+++ b/toucanspread/ops/pieces/staging_driver.py
@@ -270,7 +270,8 @@
                 if isinstance(error, piece_cache.UnreachableError):
                     continue
                 # It has asked the owner of the piece, as any other holder would.
-                self._holders.record_refusal(key)
+                if not isinstance(error, piece_cache.NotYetError):
+                    self._holders.record_refusal(key)
                 break
             piece = fetched.body
             if not piece_cache.has_digest(piece, effect.digest):
