Forget the planned times of versions that entries dropped

Cause: the times at which an entry planned to fetch pieces stayed in memory for versions that it no longer keeps.

Change: they are removed with the version's pieces.

Measured: tests of core/weights, ops/pieces, the simulation of superseded versions and nine tests of the real programs pass.

--- a/toucanspread/ops/pieces/piece_cache.py
+++ b/toucanspread/ops/pieces/piece_cache.py
@@ -612,6 +612,14 @@
             for key in self._missing_keys
             if key.model != model or key.version >= oldest
         }
+        self._turns_s = {
+            key: turn_s
+            for key, turn_s in self._turns_s.items()
+            if key in self._missing_keys
+        }
+        for planned in list(self._plan_starts_s):
+            if planned[0] == model and planned[1] < oldest:
+                del self._plan_starts_s[planned]
 
 
 def _make_manifest_key(model: data.ModelName, version: int) -> piece_placement.PieceKey:
