--- a/toucanspread/platform/configuration_format.py
+++ b/toucanspread/platform/configuration_format.py
@@ -12,7 +12,36 @@
 MAX_NESTING_DEPTH = 32  # configurations need 6; bounds the recursion over their values
 NAMES = config_format.WireNames("tenants", "api_keys", "slo_ms", "resume_streams")
 # Fields that the engines or the platform read.
-FIELDS_OF_OTHERS = frozenset({"gap_target_ms", "slots"})
+FIELDS_OF_OTHERS = frozenset(
+    {
+        "act_bytes",
+        "adapter_slots",
+        "chunk",
+        "context_per_k",
+        "delays",
+        "gap_target_ms",
+        "health_path",
+        "kv_capacity",
+        "kv_token_bytes",
+        "layer_mb",
+        "link_mbps",
+        "load_s",
+        "loads_at_once",
+        "loads_per_s",
+        "max_conns",
+        "pace",
+        "pairs_per_m",
+        "per_seq_ms",
+        "pipe_mbps",
+        "protocol",
+        "report_lag_ms",
+        "size_mb",
+        "slots",
+        "sticky",
+        "tls",
+        "usual",
+    }
+)
 
 
 class StoreFormat(config_format.ConfigurationFormat):
