--- a/toucanspread/core/entry/engine_choice.py
+++ b/toucanspread/core/entry/engine_choice.py
@@ -132,7 +132,7 @@
 ) -> float:
     """Return the time until this entry may send the request to a cold engine.
 
-    It is infinite if there is none that the entry sends to.
+    It is infinite if there is no cold engine.
 
     :param queued_prefill_s: total ``prefill_s`` of the requests that wait before it.
     """
--- a/toucanspread/core/entry/load_balancing.py
+++ b/toucanspread/core/entry/load_balancing.py
@@ -87,9 +87,9 @@
     location: engine_requirements.EntryLocation,
     now_s: float,
 ) -> list[float]:
-    """Return the time until each cold engine that the entry sends to may get a request.
+    """Return the time until each cold engine may get a request of this entry.
 
-    Engines that the entry leaves to others are left out.
+    One that the entry leaves to others may get a request when it is cold no more.
     """
     choice = engine_obstacles.Choice(requirements, location, now_s)
     service = requirements.service
