Let a test's connections close before the next test begins

Cause: UnknownStatusTest closed its idle connections, but its reactor stopped before they were gone.

--- a/toucanspread/ops/http/http1_pool_test.py
+++ b/toucanspread/ops/http/http1_pool_test.py
@@ -285,7 +285,10 @@
         else:
             return reply.status
         finally:
+            # An answered connection becomes idle, and closes, in later iterations.
+            await asyncio.sleep(0.01)
             pool.close_idle(f"{host}:{port}")
+            await asyncio.sleep(0.01)
             server.close()
 
     def test_it_is_no_answer_and_the_call_ends_at_once(self):
